--- /dev/null
+++ b/packages/control/control-state/src/control-state.ts
@@ -0,0 +1,443 @@
+/**
+ * The state machine of the controllers. It is deterministic: time comes with the commands, and nothing depends on who
+ * applies them. What entries and agents need to know lies in the item store; claims, epochs and planned changes stay
+ * with the controllers.
+ */
+import type {Contract} from '@hickorytrack/types/contract';
+import type {
+	CommandOutcome, ControlCommand, EndpointDirective, EndpointRecord, ItemPage, ItemValue, PlannedChange, QuarantineEntry,
+} from '@hickorytrack/types/control';
+import type {Claim} from '@hickorytrack/types/claim';
+import {ClaimTable} from '@hickorytrack/claims';
+import {ItemStore} from '@hickorytrack/item-store';
+import {QuarantineTable, type QuarantineDump} from '@hickorytrack/quarantine';
+import {computeCommandDigest, OutcomeMemory, type RememberedOutcome} from './outcome-memory.js';
+import {isAllowedMove, isCancellable, isEnded, takesCapacity} from './planned-change.js';
+import {checkSetting, settingRules} from './setting-rules.js';
+
+const historyLength = 50;
+/** Ended planned changes that are kept to be shown. */
+const endedChangesKept = 200;
+
+export interface ContractVersion {
+	version: number;
+	changeId: string;
+	revision: number;
+	/** Missing when this version removed the contract. */
+	contract?: Contract;
+}
+
+export interface ControlSnapshot {
+	items: ItemPage;
+	outcomes: RememberedOutcome[];
+	endpoints: EndpointRecord[];
+	claims: Claim[];
+	quarantine: QuarantineDump;
+	changes: PlannedChange[];
+	history: Array<{tenant: string; versions: ContractVersion[]}>;
+	lastOrderNumber: number;
+	crashReports: string[];
+}
+
+type CommandOf<K extends ControlCommand['kind']> = ControlCommand & {kind: K};
+type Refusal = CommandOutcome & {ok: false};
+
+const reportsKept = 1000;
+
+export class ControlState {
+	readonly items = new ItemStore();
+	readonly claims = new ClaimTable();
+	readonly quarantine = new QuarantineTable();
+	readonly endpoints = new Map<string, EndpointRecord>();
+	readonly changes = new Map<string, PlannedChange>();
+	readonly #history = new Map<string, ContractVersion[]>();
+	readonly #outcomes = new OutcomeMemory();
+	#lastOrderNumber = 0;
+	#crashReports: string[] = [];
+	#index = 0;
+
+	apply(command: unknown, index: number): CommandOutcome {
+		this.#index = index;
+		const typed = command as ControlCommand;
+		if (!('changeId' in typed) || typed.kind === 'advance-change' || typed.kind === 'cancel-change') {
+			return this.#applyOnce(typed);
+		}
+
+		const digest = computeCommandDigest({...typed, at: undefined});
+		const known = this.#outcomes.find(typed.changeId);
+		if (known) {
+			return known.digest === digest ? known.outcome : this.#refuse('reused-change-id', `The change id ${typed.changeId} was used for another change`);
+		}
+
+		const outcome = this.#applyOnce(typed);
+		this.#outcomes.note({changeId: typed.changeId, digest, outcome});
+		return outcome;
+	}
+
+	takeSnapshot(): ControlSnapshot {
+		return {
+			items: this.items.dump(),
+			outcomes: this.#outcomes.dump(),
+			endpoints: structuredClone([...this.endpoints.values()]),
+			claims: this.claims.dump(),
+			quarantine: this.quarantine.dump(),
+			changes: structuredClone([...this.changes.values()]),
+			history: structuredClone([...this.#history].map(([tenant, versions]) => ({tenant, versions}))),
+			lastOrderNumber: this.#lastOrderNumber,
+			crashReports: [...this.#crashReports],
+		};
+	}
+
+	restoreSnapshot(state: unknown): void {
+		const snapshot = state as ControlSnapshot;
+		this.items.restore(snapshot.items);
+		this.#outcomes.restore(snapshot.outcomes);
+		this.claims.restore(snapshot.claims);
+		this.quarantine.restore(snapshot.quarantine);
+		this.endpoints.clear();
+		this.changes.clear();
+		this.#history.clear();
+		for (const record of snapshot.endpoints) {
+			this.endpoints.set(record.announcement.endpoint, record);
+		}
+
+		for (const change of snapshot.changes) {
+			this.changes.set(change.id, change);
+		}
+
+		for (const {tenant, versions} of snapshot.history) {
+			this.#history.set(tenant, versions);
+		}
+
+		this.#lastOrderNumber = snapshot.lastOrderNumber;
+		this.#crashReports = [...snapshot.crashReports];
+	}
+
+	readContract(tenant: string): (ItemValue & {kind: 'contract'}) | undefined {
+		const value = this.items.read(`contract/${tenant}`)?.value;
+		return value?.kind === 'contract' ? value : undefined;
+	}
+
+	listContracts(): Array<ItemValue & {kind: 'contract'}> {
+		return this.items.list('contract/').map(item => item.value).filter(value => value.kind === 'contract');
+	}
+
+	readHistory(tenant: string): ContractVersion[] {
+		return this.#history.get(tenant) ?? [];
+	}
+
+	readSetting(name: string): {value: string | number | boolean; version: number} {
+		const value = this.items.read(`setting/${name}`)?.value;
+		return value?.kind === 'setting' ? value : {value: settingRules.find(rule => rule.name === name)!.defaultValue, version: 0};
+	}
+
+	readDirective(endpoint: string): EndpointDirective {
+		const value = this.items.read(`directive/${endpoint}`)?.value;
+		return value?.kind === 'directive' ? value.directive : {endpoint, phase: 'serving', pinned: false};
+	}
+
+	listOpenChanges(): PlannedChange[] {
+		return [...this.changes.values()].filter(change => !isEnded(change));
+	}
+
+	#applyOnce(command: ControlCommand): CommandOutcome {
+		switch (command.kind) {
+			case 'put-contract': {
+				return this.#putContract(command);
+			}
+
+			case 'put-setting': {
+				return this.#putSetting(command);
+			}
+
+			case 'grant-epoch': {
+				return this.#grantEpoch(command);
+			}
+
+			case 'open-claim': {
+				return this.#accept(structuredClone(this.claims.open(command.request, command.at)));
+			}
+
+			case 'settle-claim': {
+				return this.#accept(structuredClone(this.claims.settle(command.settlement)));
+			}
+
+			case 'expire': {
+				return this.#expire(command.at);
+			}
+
+			case 'start-change': {
+				return this.#startChange(command);
+			}
+
+			case 'advance-change': {
+				return this.#advanceChange(command);
+			}
+
+			case 'cancel-change': {
+				return this.#cancelChange(command);
+			}
+
+			case 'pin-role': {
+				this.#writeDirective({...this.readDirective(command.endpoint), pinned: command.pinned});
+				return this.#accept(this.readDirective(command.endpoint));
+			}
+
+			case 'report-crash': {
+				return this.#reportCrash(command);
+			}
+
+			case 'permit-suspect': {
+				return this.#accept({permitted: this.quarantine.permit(command.fingerprint, command.attempt, command.at)});
+			}
+
+			case 'clear-suspect': {
+				const cleared = this.quarantine.clear(command.fingerprint, command.attempt);
+				this.#writeQuarantine(cleared ? [cleared] : []);
+				return this.#accept({cleared: cleared !== undefined});
+			}
+
+			case 'lift-quarantine': {
+				const lifted = this.quarantine.lift(command.fingerprint);
+				this.#writeQuarantine(lifted ? [lifted] : []);
+				return lifted ? this.#accept({}) : this.#refuse('not-found', `${command.fingerprint} is neither suspect nor quarantined`);
+			}
+
+			default: {
+				return this.#refuse('invalid', `This release does not know the command ${(command as {kind: string}).kind}`);
+			}
+		}
+	}
+
+	#putContract(command: CommandOf<'put-contract'>): CommandOutcome {
+		const {tenant, contract} = command;
+		const key = `contract/${tenant}`;
+		const held = this.items.read(key)?.value;
+		const version = held?.kind === 'contract' || held?.kind === 'removed' ? held.version : 0;
+		if (version !== command.expectedVersion) {
+			return this.#refuse('conflict', `The contract of ${tenant} has version ${version}, the change expects version ${command.expectedVersion}`);
+		}
+
+		if (!contract && held?.kind !== 'contract') {
+			return this.#refuse('not-found', `There is no contract of ${tenant}`);
+		}
+
+		const clash = contract && this.#findForeignKey(contract);
+		if (clash) {
+			return this.#refuse('refused', `The key ${clash} is used by another tenant`);
+		}
+
+		const next = version + 1;
+		this.items.write(key, contract ? {kind: 'contract', version: next, contract} : {kind: 'removed', was: 'contract', version: next}, this.#index);
+		const versions = [...this.readHistory(tenant), {version: next, changeId: command.changeId, revision: this.#index, contract}];
+		this.#history.set(tenant, versions.slice(-historyLength));
+		return this.#accept({tenant, version: next});
+	}
+
+	#findForeignKey(contract: Contract): string | undefined {
+		const digests = new Set(contract.apiKeys.map(key => key.sha256));
+		for (const other of this.listContracts()) {
+			const clash = other.contract.tenant !== contract.tenant && other.contract.apiKeys.find(key => digests.has(key.sha256));
+			if (clash) {
+				return clash.id;
+			}
+		}
+
+		return undefined;
+	}
+
+	#putSetting(command: CommandOf<'put-setting'>): CommandOutcome {
+		const reason = checkSetting(command.name, command.value);
+		if (reason) {
+			return this.#refuse('invalid', reason);
+		}
+
+		const {version} = this.readSetting(command.name);
+		if (version !== command.expectedVersion) {
+			return this.#refuse('conflict', `The setting ${command.name} has version ${version}, the change expects version ${command.expectedVersion}`);
+		}
+
+		this.items.write(`setting/${command.name}`, {kind: 'setting', version: version + 1, name: command.name, value: command.value}, this.#index);
+		return this.#accept({name: command.name, version: version + 1});
+	}
+
+	#grantEpoch(command: CommandOf<'grant-epoch'>): CommandOutcome {
+		const {endpoint} = command.record.announcement;
+		const held = this.endpoints.get(endpoint);
+		const isSameAgent = held?.agentIncarnation === command.record.agentIncarnation;
+		const epoch = isSameAgent ? held.epoch : (held?.epoch ?? 0) + 1;
+		this.endpoints.set(endpoint, {...command.record, epoch});
+		return this.#accept({epoch, succeeds: held !== undefined && !isSameAgent});
+	}
+
+	#expire(at: number): CommandOutcome {
+		const claims = this.claims.expire(at);
+		const entries = this.quarantine.expire(at);
+		this.#writeQuarantine(entries);
+		return this.#accept({claims, quarantine: entries.length});
+	}
+
+	#startChange(command: CommandOf<'start-change'>): CommandOutcome {
+		const refusal = this.#checkChange(command);
+		if (refusal) {
+			return refusal;
+		}
+
+		this.#lastOrderNumber++;
+		const change: PlannedChange = {
+			id: command.changeId,
+			kind: command.changeKind,
+			endpoint: command.endpoint,
+			order: command.order,
+			step: 'planned',
+			orderNumber: this.#lastOrderNumber,
+			requestedBy: command.requestedBy,
+			startedAt: command.at,
+			updatedAt: command.at,
+			message: '',
+		};
+		this.changes.set(change.id, change);
+		this.#forgetEndedChanges();
+		return this.#accept(structuredClone(change));
+	}
+
+	#checkChange(command: CommandOf<'start-change'>): Refusal | undefined {
+		const record = this.endpoints.get(command.endpoint);
+		if (!record) {
+			return this.#refuse('not-found', `There is no endpoint ${command.endpoint}`);
+		}
+
+		const open = this.listOpenChanges();
+		const other = open.find(change => change.endpoint === command.endpoint);
+		if (other) {
+			return this.#refuse('refused', `The endpoint ${command.endpoint} is under the change ${other.id}`);
+		}
+
+		const atOnce = Number(this.readSetting('changes.atOnce').value);
+		if (open.length >= atOnce) {
+			return this.#refuse('refused', `${open.length} changes are under way, the setting changes.atOnce allows ${atOnce}`);
+		}
+
+		if (command.order?.kind === 'set-role' && !record.announcement.roles.includes(command.order.role)) {
+			return this.#refuse('invalid', `${command.endpoint} does not offer the role ${command.order.role}`);
+		}
+
+		return takesCapacity(command.changeKind) ? this.#checkCapacity(record) : undefined;
+	}
+
+	/** Refuses a change that would leave a model or service with less than its minimum of serving endpoints. */
+	#checkCapacity(record: EndpointRecord): Refusal | undefined {
+		const minimum = Number(this.readSetting('capacity.minimumPerModel').value);
+		if (this.readDirective(record.announcement.endpoint).phase !== 'serving') {
+			return undefined;
+		}
+
+		for (const name of record.announcement.names) {
+			const left = [...this.endpoints.values()].filter(other => other !== record
+				&& other.announcement.names.includes(name)
+				&& this.readDirective(other.announcement.endpoint).phase === 'serving').length;
+			if (left < minimum) {
+				return this.#refuse('refused', `The change would leave ${left} endpoints serving ${name}, the setting capacity.minimumPerModel asks for ${minimum}`);
+			}
+		}
+
+		return undefined;
+	}
+
+	#advanceChange(command: CommandOf<'advance-change'>): CommandOutcome {
+		const change = this.changes.get(command.changeId);
+		if (!change) {
+			return this.#refuse('not-found', `There is no change ${command.changeId}`);
+		}
+
+		if (change.step !== command.from) {
+			return change.step === command.to ? this.#accept(structuredClone(change)) : this.#refuse('conflict', `The change is at ${change.step}, not at ${command.from}`);
+		}
+
+		if (!isAllowedMove(change, command.to)) {
+			return this.#refuse('invalid', `A change can't go from ${change.step} to ${command.to}`);
+		}
+
+		change.step = command.to;
+		change.updatedAt = command.at;
+		change.message = command.message;
+		this.#enterStep(change);
+		return this.#accept(structuredClone(change));
+	}
+
+	/** Writes what a step means for the endpoint, in the same record of the log as the step itself. */
+	#enterStep(change: PlannedChange): void {
+		const directive = this.readDirective(change.endpoint);
+		if (change.step === 'draining') {
+			this.#writeDirective({...directive, phase: 'draining'});
+		} else if (change.step === 'restoring') {
+			const role = change.order?.kind === 'set-role' ? change.order.role : directive.role;
+			this.#writeDirective({...directive, phase: 'serving', role, pinned: directive.pinned});
+		} else if (change.step === 'finished' && (change.kind === 'drain' || change.kind === 'withdraw')) {
+			this.#writeDirective({...directive, phase: 'withdrawn'});
+		} else if (change.step === 'failed' && takesCapacity(change.kind)) {
+			this.#writeDirective({...directive, phase: 'serving'});
+		}
+
+		if (change.step === 'finished' && change.kind === 'withdraw') {
+			this.endpoints.delete(change.endpoint);
+		}
+	}
+
+	#cancelChange(command: CommandOf<'cancel-change'>): CommandOutcome {
+		const change = this.changes.get(command.changeId);
+		if (!change) {
+			return this.#refuse('not-found', `There is no change ${command.changeId}`);
+		}
+
+		if (change.step === 'cancelled') {
+			return this.#accept(structuredClone(change));
+		}
+
+		if (!isCancellable(change)) {
+			return this.#refuse('refused', `The change is at ${change.step} and can't be cancelled any more`);
+		}
+
+		if (change.step === 'draining') {
+			this.#writeDirective({...this.readDirective(change.endpoint), phase: 'serving'});
+		}
+
+		change.step = 'cancelled';
+		change.updatedAt = command.at;
+		return this.#accept(structuredClone(change));
+	}
+
+	#reportCrash(command: CommandOf<'report-crash'>): CommandOutcome {
+		if (!this.#crashReports.includes(command.reportId)) {
+			this.#crashReports = [...this.#crashReports, command.reportId].slice(-reportsKept);
+			this.#writeQuarantine(this.quarantine.noteCrash(command.suspects, command.at));
+		}
+
+		return this.#accept({});
+	}
+
+	#writeQuarantine(entries: readonly QuarantineEntry[]): void {
+		for (const entry of entries) {
+			this.items.write(`quarantine/${entry.fingerprint}`, {kind: 'quarantine', entry}, this.#index);
+		}
+	}
+
+	#writeDirective(directive: EndpointDirective): void {
+		this.items.write(`directive/${directive.endpoint}`, {kind: 'directive', directive}, this.#index);
+	}
+
+	#forgetEndedChanges(): void {
+		const ended = [...this.changes.values()].filter(change => isEnded(change));
+		for (const change of ended.slice(0, Math.max(0, ended.length - endedChangesKept))) {
+			this.changes.delete(change.id);
+		}
+	}
+
+	#accept(value: unknown): CommandOutcome {
+		return {ok: true, value, revision: this.items.revision};
+	}
+
+	#refuse(code: Refusal['code'], message: string): Refusal {
+		return {ok: false, code, message, revision: this.items.revision};
+	}
+}
--- /dev/null
+++ b/packages/control/control-state/src/outcome-memory.ts
@@ -0,0 +1,42 @@
+/** Remembers the outcome of each change id, so that a resend gets the first answer again. */
+import {createHash} from 'node:crypto';
+import type {CommandOutcome} from '@hickorytrack/types/control';
+
+/** Outcomes kept; older ones are forgotten first. */
+const maximumOutcomes = 20_000;
+
+export interface RememberedOutcome {
+	changeId: string;
+	digest: string;
+	outcome: CommandOutcome;
+}
+
+export function computeCommandDigest(command: unknown): string {
+	return createHash('sha256').update(JSON.stringify(command)).digest('hex');
+}
+
+export class OutcomeMemory {
+	readonly #outcomes = new Map<string, RememberedOutcome>();
+
+	find(changeId: string): RememberedOutcome | undefined {
+		return this.#outcomes.get(changeId);
+	}
+
+	note(entry: RememberedOutcome): void {
+		this.#outcomes.set(entry.changeId, entry);
+		if (this.#outcomes.size > maximumOutcomes) {
+			this.#outcomes.delete(this.#outcomes.keys().next().value!);
+		}
+	}
+
+	dump(): RememberedOutcome[] {
+		return structuredClone([...this.#outcomes.values()]);
+	}
+
+	restore(entries: readonly RememberedOutcome[]): void {
+		this.#outcomes.clear();
+		for (const entry of entries) {
+			this.#outcomes.set(entry.changeId, entry);
+		}
+	}
+}
--- /dev/null
+++ b/packages/coordination/fair-queue/src/fair-queue.ts
@@ -0,0 +1,236 @@
+/**
+ * Order of work among tenants: strict priority first, then start-time fair queueing (Goyal, Vin and Cheng, 1996) in units
+ * of engine time. A tenant's unused share goes to the others; a tenant that was idle does not collect credit. Work that
+ * has waited longer than its bound is given back as expired, so that it is refused early instead of answered late.
+ */
+import type {Clock} from '@hickorytrack/clock';
+
+export interface QueuedWork<T> {
+	tenant: string;
+	/** A lower number goes first. */
+	priority: number;
+	/** Weight among tenants of one priority. */
+	share: number;
+	/** Expected engine time in milliseconds. */
+	costMs: number;
+	/** Longest time in queue, in milliseconds. */
+	queueMs: number;
+	item: T;
+}
+
+interface Entry<T> extends QueuedWork<T> {
+	start: number;
+	expiresAt: number;
+}
+
+interface TenantLine<T> {
+	finish: number;
+	share: number;
+	entries: Array<Entry<T>>;
+}
+
+/** The tenants of one priority with their virtual time. */
+class PriorityClass<T> {
+	readonly lines = new Map<string, TenantLine<T>>();
+	virtualTime = 0;
+
+	push(entry: Entry<T>): void {
+		const line = this.#openLine(entry.tenant, entry.share);
+		entry.start = Math.max(this.virtualTime, line.finish);
+		line.finish = entry.start + (entry.costMs / entry.share);
+		line.entries.push(entry);
+	}
+
+	peek(): Entry<T> | undefined {
+		let best: Entry<T> | undefined;
+		for (const line of this.lines.values()) {
+			const head = line.entries[0];
+			if (head && (!best || head.start < best.start)) {
+				best = head;
+			}
+		}
+
+		return best;
+	}
+
+	take(entry: Entry<T>): void {
+		this.virtualTime = Math.max(this.virtualTime, entry.start);
+		this.remove(entry);
+	}
+
+	remove(entry: Entry<T>): void {
+		const line = this.lines.get(entry.tenant)!;
+		line.entries.splice(line.entries.indexOf(entry), 1);
+		this.#forgetIdleLines();
+	}
+
+	/** Charges or refunds the difference between expected and real cost. */
+	charge(tenant: string, differenceMs: number): void {
+		const line = this.lines.get(tenant);
+		if (line) {
+			line.finish += differenceMs / line.share;
+		}
+	}
+
+	#openLine(tenant: string, share: number): TenantLine<T> {
+		let line = this.lines.get(tenant);
+		if (!line) {
+			line = {finish: 0, share, entries: []};
+			this.lines.set(tenant, line);
+		}
+
+		line.share = share;
+		return line;
+	}
+
+	/** An idle line whose finish tag lies in the past holds no information. */
+	#forgetIdleLines(): void {
+		for (const [tenant, line] of this.lines) {
+			if (line.entries.length === 0 && line.finish <= this.virtualTime) {
+				this.lines.delete(tenant);
+			}
+		}
+	}
+}
+
+export interface FairQueueOptions {
+	clock: Clock;
+	/** Entries that may wait at once, over all tenants. */
+	maximumLength: number;
+}
+
+export class FairQueue<T> {
+	readonly #clock: Clock;
+	readonly #maximumLength: number;
+	readonly #classes = new Map<number, PriorityClass<T>>();
+	#length = 0;
+	#costMs = 0;
+
+	constructor(opts: FairQueueOptions) {
+		this.#clock = opts.clock;
+		this.#maximumLength = opts.maximumLength;
+	}
+
+	get length(): number {
+		return this.#length;
+	}
+
+	/** Expected engine time of all that waits, in milliseconds. */
+	get costMs(): number {
+		return this.#costMs;
+	}
+
+	/** Returns how many entries of the tenant wait. */
+	countTenant(tenant: string): number {
+		let count = 0;
+		for (const priorityClass of this.#classes.values()) {
+			count += priorityClass.lines.get(tenant)?.entries.length ?? 0;
+		}
+
+		return count;
+	}
+
+	/**
+	 * Adds work; false when the queue is full. A full queue still takes work of a tenant that holds less than its part of
+	 * it, by giving back the newest entry of the tenant that holds most through `displaced`.
+	 */
+	push(work: QueuedWork<T>, opts: {onDisplaced?: (item: T) => void} = {}): boolean {
+		if (this.#length >= this.#maximumLength && !this.#displace(work, opts.onDisplaced)) {
+			return false;
+		}
+
+		const entry: Entry<T> = {...work, start: 0, expiresAt: this.#clock.monotonic() + work.queueMs};
+		this.#openClass(work.priority).push(entry);
+		this.#length++;
+		this.#costMs += work.costMs;
+		return true;
+	}
+
+	/** Takes the next work in order, or `undefined` when nothing waits. */
+	pop(): QueuedWork<T> | undefined {
+		for (const priority of [...this.#classes.keys()].sort((a, b) => a - b)) {
+			const priorityClass = this.#classes.get(priority)!;
+			const entry = priorityClass.peek();
+			if (entry) {
+				priorityClass.take(entry);
+				this.#forget(entry);
+				return entry;
+			}
+		}
+
+		return undefined;
+	}
+
+	/** Removes and returns all work that has waited longer than its bound. */
+	takeExpired(): Array<QueuedWork<T>> {
+		const now = this.#clock.monotonic();
+		return this.#removeWhere(entry => entry.expiresAt <= now);
+	}
+
+	/** Removes and returns the work for which the predicate holds. */
+	takeWhere(predicate: (item: T) => boolean): Array<QueuedWork<T>> {
+		return this.#removeWhere(entry => predicate(entry.item));
+	}
+
+	/** Corrects a tenant's account once the real cost is known. */
+	charge(work: QueuedWork<T>, realCostMs: number): void {
+		this.#classes.get(work.priority)?.charge(work.tenant, realCostMs - work.costMs);
+	}
+
+	#openClass(priority: number): PriorityClass<T> {
+		let priorityClass = this.#classes.get(priority);
+		if (!priorityClass) {
+			priorityClass = new PriorityClass();
+			this.#classes.set(priority, priorityClass);
+		}
+
+		return priorityClass;
+	}
+
+	#removeWhere(predicate: (entry: Entry<T>) => boolean): Array<QueuedWork<T>> {
+		const removed: Array<Entry<T>> = [];
+		for (const priorityClass of this.#classes.values()) {
+			const found = [...priorityClass.lines.values()].flatMap(line => line.entries.filter(entry => predicate(entry)));
+			for (const entry of found) {
+				priorityClass.remove(entry);
+				priorityClass.charge(entry.tenant, -entry.costMs);
+				this.#forget(entry);
+			}
+
+			removed.push(...found);
+		}
+
+		return removed;
+	}
+
+	#displace(work: QueuedWork<T>, onDisplaced: ((item: T) => void) | undefined): boolean {
+		let largest: Entry<T> | undefined;
+		let largestHeld = 0;
+		for (const priorityClass of this.#classes.values()) {
+			for (const line of priorityClass.lines.values()) {
+				const last = line.entries.at(-1);
+				const held = line.entries.length / line.share;
+				if (last && last.priority >= work.priority && held > largestHeld) {
+					largest = last;
+					largestHeld = held;
+				}
+			}
+		}
+
+		if (!largest || !onDisplaced || largest.tenant === work.tenant || (this.countTenant(work.tenant) + 1) / work.share >= largestHeld) {
+			return false;
+		}
+
+		const victim = largest;
+		for (const removed of this.#removeWhere(entry => entry === victim)) {
+			onDisplaced(removed.item);
+		}
+
+		return true;
+	}
+
+	#forget(entry: Entry<T>): void {
+		this.#length--;
+		this.#costMs -= entry.costMs;
+	}
+}
--- /dev/null
+++ b/packages/coordination/fair-queue/test/fair-queue.test.ts
@@ -0,0 +1,88 @@
+import {expect} from 'chai';
+import {ManualClock} from '@hickorytrack/clock/manual-clock';
+import {FairQueue, type QueuedWork} from '../src/fair-queue.js';
+
+const createWork = (tenant: string, opts: Partial<QueuedWork<string>> = {}): QueuedWork<string> => ({
+	tenant, priority: 1, share: 1, costMs: 10, queueMs: 1000, item: tenant, ...opts,
+});
+
+describe('fair queue', () => {
+	let clock: ManualClock;
+	let queue: FairQueue<string>;
+
+	beforeEach(() => {
+		clock = new ManualClock();
+		queue = new FairQueue({clock, maximumLength: 100});
+	});
+
+	const popAll = (count: number): string[] => Array.from({length: count}, () => queue.pop()!.item);
+
+	it('divides engine time by share, however much one tenant offers', () => {
+		for (let index = 0; index < 60; index++) {
+			queue.push(createWork('flood'));
+		}
+
+		for (let index = 0; index < 10; index++) {
+			queue.push(createWork('small', {share: 1}));
+		}
+
+		const first = popAll(20);
+		expect(first.filter(tenant => tenant === 'small')).to.have.length(10);
+	});
+
+	it('counts engine time, not requests', () => {
+		for (let index = 0; index < 20; index++) {
+			queue.push(createWork('long', {costMs: 40}));
+			queue.push(createWork('short', {costMs: 10}));
+		}
+
+		const first = popAll(20);
+		expect(first.filter(tenant => tenant === 'short').length).to.be.within(15, 17);
+	});
+
+	it('lends an unused share without letting idle time collect as credit', () => {
+		for (let index = 0; index < 10; index++) {
+			queue.push(createWork('busy'));
+		}
+
+		popAll(10);
+		for (let index = 0; index < 10; index++) {
+			queue.push(createWork('busy'));
+			queue.push(createWork('late'));
+		}
+
+		const first = popAll(10);
+		expect(first.filter(tenant => tenant === 'late').length).to.be.within(4, 6);
+	});
+
+	it('serves a lower priority number first', () => {
+		queue.push(createWork('later', {priority: 2}));
+		queue.push(createWork('first', {priority: 0}));
+		expect(popAll(2)).to.deep.equal(['first', 'later']);
+	});
+
+	it('gives back what waited too long', async () => {
+		queue.push(createWork('patient', {queueMs: 500}));
+		queue.push(createWork('hasty', {queueMs: 100}));
+		await clock.advance(101);
+		expect(queue.takeExpired().map(work => work.item)).to.deep.equal(['hasty']);
+		expect(queue.length).to.equal(1);
+		expect(queue.costMs).to.equal(10);
+	});
+
+	it('makes room in a full queue for a tenant that holds little of it', () => {
+		const displaced: string[] = [];
+		const onDisplaced = (item: string) => {
+			displaced.push(item);
+		};
+
+		for (let index = 0; index < 100; index++) {
+			queue.push(createWork('flood'));
+		}
+
+		expect(queue.push(createWork('flood'), {onDisplaced})).to.equal(false);
+		expect(queue.push(createWork('small'), {onDisplaced})).to.equal(true);
+		expect(displaced).to.deep.equal(['flood']);
+		expect(queue.length).to.equal(100);
+	});
+});
--- /dev/null
+++ b/packages/coordination/log-storage/src/folder-lock.ts
@@ -0,0 +1,37 @@
+/**
+ * The exclusive lock of a data folder: a listening socket in the abstract namespace, named after the folder's device and
+ * inode. The kernel frees it when the process ends and holds it while the process is paused, so there is no stale lock
+ * and a paused owner still keeps others out.
+ */
+import {createServer, type Server} from 'node:net';
+import {stat} from 'node:fs/promises';
+import {err, ok, type Result} from 'neverthrow';
+import {LogStorageError} from './log-storage.js';
+
+export interface FolderLock {
+	release(): Promise<void>;
+}
+
+export async function acquireFolderLock(folder: string): Promise<Result<FolderLock, LogStorageError>> {
+	const {dev, ino} = await stat(folder);
+	const server = createServer();
+	server.unref();
+	return new Promise(resolve => {
+		server.once('error', error => {
+			resolve(err(new LogStorageError('ERR_HICKORYTRACK_FOLDER_LOCKED', `Another process uses the data folder ${folder}`, {
+				cause: error, hint: 'Stop the other process, or give this one a data folder of its own.',
+			})));
+		});
+		server.listen(`\0hickorytrack-${dev}-${ino}`, () => {
+			resolve(ok({release: async () => closeServer(server)}));
+		});
+	});
+}
+
+async function closeServer(server: Server): Promise<void> {
+	return new Promise(resolve => {
+		server.close(() => {
+			resolve();
+		});
+	});
+}
--- /dev/null
+++ b/packages/coordination/log-storage/src/log-storage.ts
@@ -0,0 +1,52 @@
+/**
+ * What a replicated log needs from its disk. A write is acknowledged only once it is synced.
+ *
+ * Errors: `ERR_HICKORYTRACK_DISK_FULL` leaves the storage as it was before the write; `ERR_HICKORYTRACK_LOG_CORRUPT` and
+ * `ERR_HICKORYTRACK_FORMAT_VERSION` come from `open` only; any other write error is `ERR_HICKORYTRACK_DISK_FAILED`.
+ */
+import type {Result} from 'neverthrow';
+import {HickorytrackError} from '@hickorytrack/errors';
+
+export class LogStorageError extends HickorytrackError {}
+
+export const recordKinds = {command: 'command', noop: 'noop', members: 'members'} as const;
+export type RecordKind = typeof recordKinds[keyof typeof recordKinds];
+
+export interface LogRecord {
+	index: number;
+	term: number;
+	kind: RecordKind;
+	payload: unknown;
+}
+
+export interface VoteState {
+	term: number;
+	votedFor?: string;
+}
+
+export interface SnapshotRecord {
+	/** Index of the last record that the snapshot covers. */
+	index: number;
+	term: number;
+	members: unknown;
+	state: unknown;
+}
+
+export interface OpenedLog {
+	/** Identity of the data folder, made at its first opening. A folder that was lost and made anew has another one. */
+	folder: string;
+	vote: VoteState;
+	snapshot?: SnapshotRecord;
+	records: LogRecord[];
+}
+
+export interface LogStorage {
+	open(): Promise<Result<OpenedLog, LogStorageError>>;
+	saveVote(vote: VoteState): Promise<Result<void, LogStorageError>>;
+	append(records: readonly LogRecord[]): Promise<Result<void, LogStorageError>>;
+	/** Removes the record with this index and all behind it. */
+	truncateFrom(index: number): Promise<Result<void, LogStorageError>>;
+	/** Saves the snapshot, then keeps only `remaining` of the log. */
+	saveSnapshot(snapshot: SnapshotRecord, remaining: readonly LogRecord[]): Promise<Result<void, LogStorageError>>;
+	close(): Promise<void>;
+}
--- /dev/null
+++ b/packages/coordination/quarantine/src/fingerprint.ts
@@ -0,0 +1,25 @@
+/** The fingerprint of a request: tenant and digest of its normalised body. */
+import {createHash} from 'node:crypto';
+
+const fingerprintHexDigits = 32;
+
+/** Returns the same fingerprint for bodies that differ only in the order of their fields. */
+export function computeFingerprint(tenant: string, body: unknown): string {
+	const text = JSON.stringify([tenant, normalise(body)]);
+	return createHash('sha256').update(text).digest('hex').slice(0, fingerprintHexDigits);
+}
+
+function normalise(value: unknown): unknown {
+	if (Array.isArray(value)) {
+		return value.map(element => normalise(element));
+	}
+
+	if (typeof value === 'object' && value !== null) {
+		return Object.entries(value)
+			.filter(([key]) => key !== 'stream' && key !== 'user')
+			.sort(([a], [b]) => (a < b ? -1 : 1))
+			.map(([key, inner]) => [key, normalise(inner)]);
+	}
+
+	return typeof value === 'string' ? value.trim() : value;
+}
--- /dev/null
+++ b/packages/coordination/quarantine/test/quarantine.test.ts
@@ -0,0 +1,35 @@
+import {expect} from 'chai';
+import {computeFingerprint} from '../src/fingerprint.js';
+import {QuarantineTable} from '../src/quarantine.js';
+
+const suspects = ['poison', 'neighbour'].map(fingerprint => ({fingerprint, tenant: 'maraval'}));
+
+describe('quarantine table', () => {
+	it('quarantines after two crashes and clears the neighbour that finished', () => {
+		const table = new QuarantineTable();
+		table.noteCrash(suspects, 0);
+		expect(table.permit('neighbour', 'n2', 1)).to.equal(true);
+		expect(table.clear('neighbour', 'n2')!.state).to.equal('cleared');
+		expect(table.permit('poison', 'p2', 1)).to.equal(true);
+		table.noteCrash(suspects.slice(0, 1), 2);
+		expect(table.read('poison')!.state).to.equal('quarantined');
+		expect(table.permit('poison', 'p3', 3)).to.equal(false);
+		expect(table.read('neighbour')).to.equal(undefined);
+	});
+
+	it('lets a suspect run only once at a time, until the permit expires', () => {
+		const table = new QuarantineTable();
+		table.noteCrash(suspects, 0);
+		expect(table.permit('poison', 'p2', 0)).to.equal(true);
+		expect(table.permit('poison', 'p3', 1)).to.equal(false);
+		expect(table.clear('poison', 'p3')).to.equal(undefined);
+		expect(table.permit('poison', 'p3', 30_001)).to.equal(true);
+	});
+});
+
+describe('fingerprint', () => {
+	it('ignores the order of fields and tells tenants apart', () => {
+		expect(computeFingerprint('a', {x: 1, y: ' z'})).to.equal(computeFingerprint('a', {y: 'z', x: 1, stream: true}));
+		expect(computeFingerprint('a', {x: 1})).to.not.equal(computeFingerprint('b', {x: 1}));
+	});
+});
--- /dev/null
+++ b/packages/coordination/replicated-log/test/replicated-log.test.ts
@@ -0,0 +1,202 @@
+import {expect} from 'chai';
+import {Random} from '@hickorytrack/random';
+import {MemoryLogStorage} from '@hickorytrack/log-storage/memory-log-storage';
+import {TestCluster} from './test-cluster.js';
+
+const ids = ['a', 'b', 'c'];
+
+describe('replicated log', () => {
+	let cluster: TestCluster;
+
+	const start = async (seed: number, timing = {}) => {
+		cluster = new TestCluster(seed, timing);
+		await cluster.startAll(ids);
+		return cluster.awaitLeader();
+	};
+
+	afterEach(async () => {
+		await cluster.stopAll();
+	});
+
+	it('applies an acknowledged command on every member', async () => {
+		const leader = await start(1);
+		const result = await cluster.settle(leader.log.propose('x'));
+		expect(result._unsafeUnwrap()).to.equal(1);
+		await cluster.clock.advance(300);
+		for (const member of cluster.members.values()) {
+			expect(member.machine.values).to.deep.equal(['x']);
+		}
+	});
+
+	it('refuses a command at a follower and names the leader', async () => {
+		const leader = await start(2);
+		await cluster.clock.advance(300);
+		const follower = [...cluster.members.values()].find(member => member !== leader)!;
+		const error = (await follower.log.propose('x'))._unsafeUnwrapErr();
+		expect(error.applied).to.equal('no');
+		expect(error.leader).to.equal(leader.log.id);
+	});
+
+	it('steps down by its own clock before another member can rule', async () => {
+		const leader = await start(3);
+		cluster.isolate(leader.log.id);
+		for (let step = 0; step < 400; step++) {
+			await cluster.clock.advance(10);
+			expect(cluster.leaders.length).to.be.at.most(1);
+		}
+
+		expect(cluster.leaders).to.have.length(1);
+		expect(leader.log.isLeader).to.equal(false);
+		expect((await leader.log.propose('late')).isErr()).to.equal(true);
+	});
+
+	it('is not disturbed by a member that was cut off and returns', async () => {
+		const leader = await start(4);
+		const cutOff = ids.find(id => id !== leader.log.id)!;
+		cluster.isolate(cutOff);
+		await cluster.clock.advance(10_000);
+		const {term} = leader.log;
+		cluster.heal();
+		await cluster.clock.advance(3000);
+		expect(leader.log.isLeader).to.equal(true);
+		expect(leader.log.term).to.equal(term);
+	});
+
+	it('brings a member hundreds of commands behind up to date, by snapshot and tail', async () => {
+		const leader = await start(5, {snapshotRecords: 50});
+		const behind = ids.find(id => id !== leader.log.id)!;
+		const {storage} = await cluster.stopMember(behind);
+		for (let index = 0; index < 520; index++) {
+			await cluster.settle(leader.log.propose(index));
+		}
+
+		expect(leader.log.getStatus().snapshotIndex).to.be.greaterThan(400);
+		const again = await cluster.startMember(behind, ids, storage);
+		await cluster.clock.advance(2000);
+		expect(again.machine.values).to.deep.equal(leader.machine.values);
+	});
+
+	it('keeps acknowledged commands through the loss of leaders', async () => {
+		await start(6);
+		const acknowledged: number[] = [];
+		for (let round = 0; round < 6; round++) {
+			const leader = await cluster.awaitLeader();
+			if ((await cluster.settle(leader.log.propose(round))).isOk()) {
+				acknowledged.push(round);
+			}
+
+			const {storage} = await cluster.stopMember(leader.log.id);
+			await cluster.awaitLeader();
+			await cluster.startMember(leader.log.id, ids, storage);
+		}
+
+		const leader = await cluster.awaitLeader();
+		await cluster.settle(leader.log.readBarrier());
+		expect(leader.machine.values.filter(value => acknowledged.includes(value as number))).to.deep.equal(acknowledged);
+		expect(acknowledged).to.have.length(6);
+	});
+
+	it('does not count a member whose disk was lost until it is made a learner and promoted', async () => {
+		const leader = await start(7);
+		await cluster.settle(leader.log.propose('kept'));
+		await cluster.clock.advance(1500);
+		const lost = ids.find(id => id !== leader.log.id)!;
+		const other = ids.find(id => id !== leader.log.id && id !== lost)!;
+		await cluster.stopMember(lost);
+		await cluster.startMember(lost, ids, new MemoryLogStorage('another folder'));
+		await cluster.clock.advance(1000);
+		cluster.isolate(other);
+		await cluster.clock.advance(5000);
+		expect(cluster.leaders, 'the lost disk must not help to a majority').to.have.length(0);
+		cluster.heal();
+		const next = await cluster.awaitLeader();
+		await cluster.clock.advance(500);
+		expect((await cluster.settle(next.log.demoteMember(lost))).isOk()).to.equal(true);
+		await cluster.clock.advance(1000);
+		expect((await cluster.settle(next.log.promoteLearner(lost))).isOk()).to.equal(true);
+		cluster.isolate(other);
+		await cluster.clock.advance(3000);
+		const last = await cluster.awaitLeader();
+		expect((await cluster.settle(last.log.propose('after repair'))).isOk()).to.equal(true);
+	});
+
+	it('refuses a change of members whose majority is not alive', async () => {
+		const leader = await start(8);
+		await cluster.clock.advance(1500);
+		const others = ids.filter(id => id !== leader.log.id);
+		await cluster.stopMember(others[0]!);
+		await cluster.clock.advance(1500);
+		const refused = await cluster.settle(leader.log.removeMember(others[1]!));
+		expect(refused._unsafeUnwrapErr().code).to.equal('ERR_HICKORYTRACK_MEMBERS_REFUSED');
+		const allowed = await cluster.settle(leader.log.removeMember(others[0]!));
+		expect(allowed.isOk()).to.equal(true);
+	});
+
+	it('does not promote a learner that misses records', async () => {
+		const leader = await start(9);
+		await cluster.clock.advance(1500);
+		expect((await cluster.settle(leader.log.addLearner({id: 'd', address: 'd'}))).isOk()).to.equal(true);
+		const early = await cluster.settle(leader.log.promoteLearner('d'));
+		expect(early.isErr()).to.equal(true);
+		await cluster.startMember('d', []);
+		await cluster.clock.advance(2000);
+		expect((await cluster.settle(leader.log.promoteLearner('d'))).isOk()).to.equal(true);
+	});
+
+	it('hands over the lead when its disk is full', async () => {
+		const leader = await start(10);
+		leader.storage.full = true;
+		const outcome = await cluster.settle(leader.log.propose('x'));
+		expect(outcome.isErr()).to.equal(true);
+		const next = await cluster.awaitLeader();
+		expect(next).to.not.equal(leader);
+		leader.storage.full = false;
+		expect((await cluster.settle(next.log.propose('y'))).isOk()).to.equal(true);
+		await cluster.clock.advance(1000);
+		expect(leader.machine.values).to.deep.equal(next.machine.values);
+	});
+
+	for (const seed of [11, 12, 13, 14]) {
+		it(`keeps one history under loss, restarts and cuts (seed ${seed})`, async () => {
+			await start(seed, {snapshotRecords: 20});
+			const chance = new Random(seed);
+			const acknowledged: string[] = [];
+			let next = 0;
+			cluster.lossRate = 0.05;
+			for (let round = 0; round < 60; round++) {
+				const action = chance.nextInteger(6);
+				const id = chance.pick(ids);
+				if (action === 0) {
+					cluster.isolate(id);
+				} else if (action === 1) {
+					cluster.heal();
+				} else if (action === 2) {
+					const {storage} = await cluster.stopMember(id);
+					await cluster.clock.advance(chance.nextInteger(800));
+					await cluster.startMember(id, ids, storage);
+				}
+
+				const leader = cluster.leaders.at(-1) ?? chance.pick([...cluster.members.values()]);
+				const value = `v${next++}`;
+				const outcome = await cluster.settle(leader.log.propose(value, {timeoutMs: 700}));
+				if (outcome.isOk()) {
+					acknowledged.push(value);
+				}
+
+				await cluster.clock.advance(chance.nextInteger(500));
+			}
+
+			cluster.heal();
+			cluster.lossRate = 0;
+			await cluster.clock.advance(4000);
+			const leader = await cluster.awaitLeader();
+			await cluster.settle(leader.log.readBarrier());
+			await cluster.clock.advance(1000);
+			expect(acknowledged.length, 'a run in which little was acknowledged shows little').to.be.greaterThan(5);
+			expect(leader.machine.values.filter(value => acknowledged.includes(value as string))).to.deep.equal(acknowledged);
+			for (const member of cluster.members.values()) {
+				expect(member.machine.values).to.deep.equal(leader.machine.values);
+			}
+		});
+	}
+});
--- /dev/null
+++ b/packages/core/clock/src/system-clock.ts
@@ -0,0 +1,29 @@
+/** The one implementation of the clock that reads the machine's time. */
+import type {Clock} from './clock.js';
+
+export class SystemClock implements Clock {
+	now(): number {
+		return Date.now();
+	}
+
+	monotonic(): number {
+		return performance.now();
+	}
+
+	async sleep(ms: number, signal?: AbortSignal): Promise<void> {
+		if (signal?.aborted) {
+			return;
+		}
+
+		await new Promise<void>(resolve => {
+			const finish = () => {
+				clearTimeout(timer);
+				signal?.removeEventListener('abort', finish);
+				resolve();
+			};
+
+			const timer = setTimeout(finish, Math.max(0, ms));
+			signal?.addEventListener('abort', finish, {once: true});
+		});
+	}
+}
--- /dev/null
+++ b/packages/core/errors/src/errors.ts
@@ -0,0 +1,33 @@
+/**
+ * The base error class. Each layer of the system derives its own class, turns the errors of the layer below into it
+ * through `cause`, and gives a stable code that begins with `ERR_HICKORYTRACK_` and a hint for the reader.
+ */
+
+export type ErrorCode = `ERR_HICKORYTRACK_${string}`;
+
+export interface HickorytrackErrorOptions {
+	/** What the reader can do next, in one sentence. */
+	hint?: string;
+	cause?: unknown;
+}
+
+export class HickorytrackError extends Error {
+	readonly code: ErrorCode;
+	readonly hint?: string;
+
+	constructor(code: ErrorCode, message: string, opts: HickorytrackErrorOptions = {}) {
+		super(message, {cause: opts.cause});
+		this.name = 'HickorytrackError';
+		this.code = code;
+		this.hint = opts.hint;
+	}
+}
+
+/** Returns the message of anything that was thrown. */
+export function describeError(error: unknown): string {
+	if (error instanceof AggregateError && error.errors.length > 0) {
+		return error.errors.map(inner => describeError(inner)).join('; ');
+	}
+
+	return error instanceof Error ? error.message : String(error);
+}
--- /dev/null
+++ b/packages/core/random/src/random.ts
@@ -0,0 +1,50 @@
+/** A seeded random source. It is passed in wherever chance plays a part, so that a run can be repeated from its seed. */
+import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
+import type {RandomGenerator} from 'pure-rand/types/RandomGenerator';
+
+const unsignedRange = 2 ** 32;
+
+export class Random {
+	readonly #generator: RandomGenerator;
+
+	constructor(seed: number) {
+		this.#generator = xoroshiro128plus(seed);
+	}
+
+	/** Returns a number in [0, 1). */
+	next(): number {
+		return (this.#generator.next() >>> 0) / unsignedRange;
+	}
+
+	/** Returns an integer in [0, bound). */
+	nextInteger(bound: number): number {
+		return Math.floor(this.next() * bound);
+	}
+
+	/** Returns a number in [low, high). */
+	nextBetween(low: number, high: number): number {
+		return low + ((high - low) * this.next());
+	}
+
+	/** Returns one element of a list that is not empty. */
+	pick<T>(list: readonly T[]): T {
+		return list[this.nextInteger(list.length)]!;
+	}
+
+	/** Returns a sample of an exponential distribution with the given mean. */
+	nextExponential(mean: number): number {
+		return -mean * Math.log(1 - this.next());
+	}
+}
+
+export interface BackoffOptions {
+	baseMs: number;
+	capMs: number;
+	random: Random;
+}
+
+/** Returns the delay before attempt number `attempt` (from 0): exponential with full jitter, in milliseconds. */
+export function computeBackoff(attempt: number, opts: BackoffOptions): number {
+	const ceiling = Math.min(opts.capMs, opts.baseMs * (2 ** Math.min(attempt, 16)));
+	return opts.random.nextBetween(opts.baseMs / 2, Math.max(opts.baseMs, ceiling));
+}
--- /dev/null
+++ b/packages/core/types/src/claim.ts
@@ -0,0 +1,45 @@
+/** Claims of calls that may not be repeated. */
+import type {ServiceAnswer} from './work.js';
+
+export const claimStates = {open: 'open', answered: 'answered', mayHaveRun: 'may-have-run', notRun: 'not-run'} as const;
+export type ClaimState = typeof claimStates[keyof typeof claimStates];
+
+export interface Claim {
+	tenant: string;
+	key: string;
+	bodyDigest: string;
+	state: ClaimState;
+	/** Rises with every attempt that was allowed because the one before was confirmed as not run. */
+	attemptNumber: number;
+	/** Endpoint that holds the attempt. */
+	endpoint: string;
+	attempt: string;
+	/** Entry that owns the attempt. */
+	owner: string;
+	/** Wall time in milliseconds. */
+	openedAt: number;
+	expiresAt: number;
+	answer?: ServiceAnswer;
+}
+
+export interface ClaimRequest {
+	tenant: string;
+	key: string;
+	bodyDigest: string;
+	endpoint: string;
+	attempt: string;
+	owner: string;
+	retentionSeconds: number;
+}
+
+export type ClaimReply =
+	| {granted: true; claim: Claim}
+	| {granted: false; conflict: boolean; claim: Claim};
+
+export interface ClaimSettlement {
+	tenant: string;
+	key: string;
+	attempt: string;
+	state: 'answered' | 'may-have-run' | 'not-run';
+	answer?: ServiceAnswer;
+}
--- /dev/null
+++ b/packages/core/types/src/work.ts
@@ -0,0 +1,96 @@
+/** Work on its way from an entry through an agent to an engine, and the pieces of its answer on the way back. */
+import type {EndpointLoad} from './endpoint.js';
+
+/** Whether a refused request has run: the one field a caller needs to decide on a resend. */
+export const runStates = {notRun: 'not-run', mayHaveRun: 'may-have-run', ran: 'ran'} as const;
+export type RunState = typeof runStates[keyof typeof runStates];
+
+export interface GenerationWork {
+	kind: 'generation';
+	model: string;
+	prompt: string;
+	/** Tokens of the prompt, by estimate. */
+	promptTokens: number;
+	maxTokens: number;
+	/** Tokens that the caller already has from an earlier attempt. */
+	resumeFrom: number;
+	/** Text of those tokens. */
+	resumeText: string;
+}
+
+export interface ServiceWork {
+	kind: 'service';
+	service: string;
+	method: string;
+	path: string;
+	contentType: string;
+	body: string;
+	repeatable: boolean;
+}
+
+export interface WorkSubmission {
+	attempt: string;
+	requestId: string;
+	tenant: string;
+	fingerprint: string;
+	/** Time left for the whole request, in milliseconds. */
+	deadlineMs: number;
+	/** Highest configuration revision of the sender. */
+	revision: number;
+	/** A suspect runs with no other work on the engine. */
+	isolated: boolean;
+	work: GenerationWork | ServiceWork;
+}
+
+export const refusalReasons = {
+	draining: 'draining',
+	queueFull: 'queue-full',
+	queueTime: 'queue-time',
+	unknownTenant: 'unknown-tenant',
+	wrongEndpoint: 'wrong-endpoint',
+	notReady: 'not-ready',
+	tombstone: 'tombstone',
+	stopping: 'stopping',
+} as const;
+export type RefusalReason = typeof refusalReasons[keyof typeof refusalReasons];
+
+export type SubmissionReply =
+	| {accepted: true; load: EndpointLoad; revision: number}
+	| {accepted: false; reason: RefusalReason; load: EndpointLoad; revision: number};
+
+export interface ServiceAnswer {
+	status: number;
+	contentType: string;
+	body: string;
+}
+
+/** How an attempt ended at its agent. */
+export type AttemptEnd =
+	| {kind: 'complete'; finishReason: string; promptTokens: number; outputTokens: number; cachedTokens: number}
+	| {kind: 'service-answer'; answer: ServiceAnswer}
+	| {kind: 'refused'; reason: RefusalReason}
+	| {kind: 'engine-crashed'; written: boolean; alone: boolean}
+	| {kind: 'engine-failed'; written: boolean; message: string}
+	| {kind: 'handed-over'}
+	| {kind: 'cancelled'; written: boolean};
+
+/** Consecutive pieces of one attempt; `end` follows the last one. */
+export interface PieceRun {
+	attempt: string;
+	/** Sequence number of the first text. */
+	first: number;
+	texts: string[];
+	end?: AttemptEnd;
+}
+
+export interface PieceBatch {
+	runs: PieceRun[];
+	load: EndpointLoad;
+}
+
+/** What an agent knows about an attempt that its entry lost sight of. */
+export type AttemptResolution =
+	| {state: 'never-written'}
+	| {state: 'running'}
+	| {state: 'ended'; end: AttemptEnd}
+	| {state: 'unknown'};
--- /dev/null
+++ b/packages/net/peer-link/src/peer-node.ts
@@ -0,0 +1,314 @@
+/**
+ * The peer side of a process: it listens for other processes, connects to them, and keeps links to chosen addresses open
+ * with jittered reconnects. All connections share one table of method handlers.
+ */
+import {connect, createServer, type Server, type Socket} from 'node:net';
+import {err, ok, type Result} from 'neverthrow';
+import {waitAtMost, type Clock} from '@hickorytrack/clock';
+import {computeBackoff, type Random} from '@hickorytrack/random';
+import {HickorytrackError} from '@hickorytrack/errors';
+import type {PeerMember, PeerMethodName} from '@hickorytrack/types/peer-methods';
+import {encodeFrame, FrameDecoder} from './frame-codec.js';
+import {computeProof, createNonce, findMatchingKey, protocolVersion, type HelloMessage, type ProofMessage, type ReadyMessage, type WelcomeMessage} from './handshake.js';
+import {PeerConnection, PeerLinkError, type PeerHandler, type PeerTiming} from './peer-connection.js';
+
+const handshakeTimeoutMs = 2000;
+const reconnectBaseMs = 50;
+const reconnectCapMs = 1500;
+
+export interface PeerNodeOptions {
+	clock: Clock;
+	random: Random;
+	timing: PeerTiming;
+	/** Shared keys; the first is used for proofs of our own, all are accepted. */
+	keys: readonly string[];
+	/** How this process presents itself; the address is filled in by `listen`. */
+	member: PeerMember;
+}
+
+export interface PeerAddress {
+	host: string;
+	port: number;
+}
+
+export function parseAddress(text: string): PeerAddress {
+	const split = text.lastIndexOf(':');
+	return {host: text.slice(0, split), port: Number(text.slice(split + 1))};
+}
+
+/** A link that reconnects until it is stopped. */
+export interface KeptLink {
+	readonly address: string;
+	readonly connection: PeerConnection | undefined;
+	stop(): void;
+}
+
+export interface KeepLinkOptions {
+	/** Runs for each new connection; when it fails, the connection is closed and another one is tried. */
+	onConnected?: (connection: PeerConnection) => Promise<void> | void;
+	/** Runs after each failed attempt; `refused` tells that the other machine actively refused. */
+	onFailed?: (refused: boolean) => void;
+}
+
+/** Reads whole frames of the handshake one at a time and gives what follows to the connection. */
+class HandshakeReader {
+	readonly decoder = new FrameDecoder();
+	readonly #messages: unknown[] = [];
+	#wake: (() => void) | undefined;
+	#failed = false;
+	readonly #socket: Socket;
+	readonly #onData: (chunk: Buffer) => void;
+	readonly #onEnd: () => void;
+
+	constructor(socket: Socket) {
+		this.#socket = socket;
+		this.#onData = chunk => {
+			try {
+				this.#messages.push(...this.decoder.decode(chunk));
+			} catch {
+				this.#failed = true;
+			}
+
+			this.#wake?.();
+		};
+
+		this.#onEnd = () => {
+			this.#failed = true;
+			this.#wake?.();
+		};
+
+		socket.on('data', this.#onData);
+		socket.on('error', this.#onEnd);
+		socket.on('close', this.#onEnd);
+	}
+
+	async read(): Promise<unknown> {
+		while (this.#messages.length === 0) {
+			if (this.#failed) {
+				throw new HickorytrackError('ERR_HICKORYTRACK_PEER_HANDSHAKE', 'The connection closed during the handshake');
+			}
+
+			await new Promise<void>(resolve => {
+				this.#wake = resolve;
+			});
+		}
+
+		return this.#messages.shift();
+	}
+
+	/** Detaches from the socket and returns the messages that were not read. */
+	release(): unknown[] {
+		this.#socket.off('data', this.#onData);
+		this.#socket.off('error', this.#onEnd);
+		this.#socket.off('close', this.#onEnd);
+		return this.#messages.splice(0);
+	}
+}
+
+export class PeerNode {
+	readonly member: PeerMember;
+	readonly #opts: PeerNodeOptions;
+	readonly #handlers = new Map<string, PeerHandler<PeerMethodName>>();
+	readonly #connections = new Set<PeerConnection>();
+	readonly #links = new Set<KeptLink>();
+	#server: Server | undefined;
+	#stopped = false;
+
+	constructor(opts: PeerNodeOptions) {
+		this.#opts = opts;
+		this.member = {...opts.member};
+	}
+
+	get connections(): ReadonlySet<PeerConnection> {
+		return this.#connections;
+	}
+
+	/** Registers the handler of a method. Must be called before the first connection. */
+	handle<M extends PeerMethodName>(method: M, handler: PeerHandler<M>): void {
+		this.#handlers.set(method, handler as unknown as PeerHandler<PeerMethodName>);
+	}
+
+	/** Listens for other processes; the bind is exclusive, so the address can stand for a slot. */
+	async listen(address: PeerAddress): Promise<Result<void, HickorytrackError>> {
+		const server = createServer(socket => {
+			void this.#accept(socket);
+		});
+		this.#server = server;
+		return new Promise(resolve => {
+			server.once('error', error => {
+				resolve(err(new HickorytrackError('ERR_HICKORYTRACK_PEER_LISTEN', `Can't listen on ${address.host}:${address.port}: ${error.message}`, {
+					cause: error, hint: 'Another process may hold this slot; stop it first or choose another address.',
+				})));
+			});
+			server.listen({host: address.host, port: address.port, exclusive: true}, () => {
+				const bound = server.address();
+				if (bound && typeof bound === 'object') {
+					this.member.address = `${address.host}:${bound.port}`;
+				}
+
+				resolve(ok(undefined));
+			});
+		});
+	}
+
+	/** Opens one connection. */
+	async connect(address: string): Promise<Result<PeerConnection, PeerLinkError>> {
+		const {host, port} = parseAddress(address);
+		const socket = connect({host, port, noDelay: true});
+		const failure = new Promise<Result<PeerConnection, PeerLinkError>>(resolve => {
+			socket.once('error', error => {
+				const refused = 'code' in error && error.code === 'ECONNREFUSED';
+				resolve(err(new PeerLinkError(refused ? 'ERR_HICKORYTRACK_PEER_REFUSED' : 'ERR_HICKORYTRACK_PEER_CLOSED', `Can't reach ${address}: ${error.message}`, {sent: false, cause: error})));
+			});
+		});
+		const attempt = Promise.race([failure, this.#greet(socket, address)]);
+		const result = await waitAtMost(attempt, handshakeTimeoutMs, this.#opts.clock);
+		if (!result || result.isErr()) {
+			socket.destroy();
+		}
+
+		return result ?? err(new PeerLinkError('ERR_HICKORYTRACK_PEER_TIMEOUT', `${address} did not finish the handshake in time`, {sent: false}));
+	}
+
+	/** Keeps a link to the address open until it is stopped; one task does it all. */
+	keepLink(address: string, opts: KeepLinkOptions = {}): KeptLink {
+		const stopped = new AbortController();
+		let current: PeerConnection | undefined;
+		const link: KeptLink = {
+			address,
+			get connection() {
+				return current?.isOpen ? current : undefined;
+			},
+			stop: () => {
+				stopped.abort();
+				current?.close();
+				this.#links.delete(link);
+			},
+		};
+		this.#links.add(link);
+		const keep = async () => {
+			let failures = 0;
+			while (!stopped.signal.aborted && !this.#stopped) {
+				const result = await this.connect(address);
+				if (stopped.signal.aborted) {
+					result.map(connection => {
+						connection.close();
+					});
+					return;
+				}
+
+				if (result.isOk()) {
+					current = result.value;
+					failures = await this.#useConnection(current, opts) ? 0 : failures + 1;
+					current = undefined;
+				} else {
+					failures++;
+					opts.onFailed?.(result.error.code === 'ERR_HICKORYTRACK_PEER_REFUSED');
+				}
+
+				await this.#opts.clock.sleep(computeBackoff(failures, {baseMs: reconnectBaseMs, capMs: reconnectCapMs, random: this.#opts.random}), stopped.signal);
+			}
+		};
+
+		void keep();
+		return link;
+	}
+
+	/** Stops listening and closes every connection. */
+	async stop(): Promise<void> {
+		this.#stopped = true;
+		for (const link of this.#links) {
+			link.stop();
+		}
+
+		for (const connection of this.#connections) {
+			connection.close();
+		}
+
+		await new Promise<void>(resolve => {
+			if (this.#server?.listening) {
+				this.#server.close(() => {
+					resolve();
+				});
+			} else {
+				resolve();
+			}
+		});
+	}
+
+	async #useConnection(connection: PeerConnection, opts: KeepLinkOptions): Promise<boolean> {
+		try {
+			await opts.onConnected?.(connection);
+		} catch {
+			connection.close();
+			return false;
+		}
+
+		await connection.closed;
+		return true;
+	}
+
+	async #greet(socket: Socket, address: string): Promise<Result<PeerConnection, PeerLinkError>> {
+		const reader = new HandshakeReader(socket);
+		const fail = (message: string, cause?: unknown) => err(new PeerLinkError('ERR_HICKORYTRACK_PEER_HANDSHAKE', `${address}: ${message}`, {sent: false, cause}));
+		try {
+			const hello: HelloMessage = {protocol: protocolVersion, member: this.member, nonce: createNonce()};
+			socket.write(encodeFrame(hello));
+			const welcome = await reader.read() as WelcomeMessage;
+			if (welcome.protocol !== protocolVersion) {
+				return fail(`speaks protocol ${String(welcome.protocol)}, this process speaks ${protocolVersion}`);
+			}
+
+			const key = findMatchingKey(this.#opts.keys, welcome.proofs, {direction: 'accepting', hello, welcome});
+			if (key === undefined) {
+				return fail('holds none of our peer keys');
+			}
+
+			socket.write(encodeFrame({proof: computeProof(key, {direction: 'connecting', hello, welcome})} satisfies ProofMessage));
+			const ready = await reader.read() as ReadyMessage;
+			return ready.ready ? ok(this.#open(socket, welcome.member, reader)) : fail('refused our proof');
+		} catch (error) {
+			return fail('the handshake failed', error);
+		}
+	}
+
+	async #accept(socket: Socket): Promise<void> {
+		socket.setNoDelay(true);
+		const reader = new HandshakeReader(socket);
+		const timeout = new AbortController();
+		void this.#opts.clock.sleep(handshakeTimeoutMs, timeout.signal).then(() => {
+			if (!timeout.signal.aborted) {
+				socket.destroy();
+			}
+		});
+		try {
+			const hello = await reader.read() as HelloMessage;
+			const subject = {hello, welcome: {member: this.member, nonce: createNonce()}};
+			const proofs = this.#opts.keys.map(key => computeProof(key, {direction: 'accepting', ...subject}));
+			socket.write(encodeFrame({protocol: protocolVersion, ...subject.welcome, proofs} satisfies WelcomeMessage));
+			const answer = await reader.read() as ProofMessage;
+			const key = findMatchingKey(this.#opts.keys, [answer.proof], {direction: 'connecting', ...subject});
+			if (key === undefined || hello.protocol !== protocolVersion || this.#stopped) {
+				socket.destroy();
+				return;
+			}
+
+			socket.write(encodeFrame({ready: true} satisfies ReadyMessage));
+			this.#open(socket, hello.member, reader);
+		} catch {
+			socket.destroy();
+		} finally {
+			timeout.abort();
+		}
+	}
+
+	#open(socket: Socket, remote: PeerMember, reader: HandshakeReader): PeerConnection {
+		const early = reader.release();
+		const connection = new PeerConnection(socket, {
+			clock: this.#opts.clock, timing: this.#opts.timing, remote, handlers: this.#handlers, early, decoder: reader.decoder,
+		});
+		this.#connections.add(connection);
+		void connection.closed.then(() => this.#connections.delete(connection));
+		return connection;
+	}
+}
