--- /dev/null
+++ b/packages/cli/hickorytrack/src/operator-client.ts
@@ -0,0 +1,64 @@
+/** The tool's connection to the operators' interface of one process. */
+import {randomUUID} from 'node:crypto';
+import {createJSONRPCRequest, type JSONRPCResponse} from 'json-rpc-2.0';
+import {err, ok, type Result} from 'neverthrow';
+import {request} from 'undici';
+import {describeError, HickorytrackError} from '@hickorytrack/errors';
+
+export interface OperatorClientOptions {
+	/** URL of the operators' interface. */
+	server: string;
+	key?: string;
+	timeoutMs?: number;
+}
+
+const defaultTimeoutMs = 40_000;
+
+/** Exit codes of the tool, for scripts. */
+export const exitCodes = {failed: 1, usage: 2, refused: 3, unreachable: 4, notInForce: 5} as const;
+
+const refusedCodes = new Set(['ERR_HICKORYTRACK_CONFLICT', 'ERR_HICKORYTRACK_REFUSED', 'ERR_HICKORYTRACK_REUSED_CHANGE_ID', 'ERR_HICKORYTRACK_INVALID', 'ERR_HICKORYTRACK_NOT_FOUND', 'ERR_HICKORYTRACK_BAD_CONTRACT']);
+
+export class OperatorError extends HickorytrackError {
+	readonly exitCode: number;
+
+	constructor(code: HickorytrackError['code'], message: string, opts: {hint?: string; exitCode: number; cause?: unknown}) {
+		super(code, message, opts);
+		this.exitCode = opts.exitCode;
+	}
+}
+
+export class OperatorClient {
+	readonly #opts: OperatorClientOptions;
+
+	constructor(opts: OperatorClientOptions) {
+		this.#opts = opts;
+	}
+
+	async call<T>(method: string, params: object = {}): Promise<Result<T, OperatorError>> {
+		const timeoutMs = this.#opts.timeoutMs ?? defaultTimeoutMs;
+		try {
+			const response = await request(`${this.#opts.server}/rpc`, {
+				method: 'POST',
+				headersTimeout: timeoutMs,
+				headers: {'content-type': 'application/json', ...(this.#opts.key !== undefined && {authorization: `Bearer ${this.#opts.key}`})},
+				body: JSON.stringify(createJSONRPCRequest(randomUUID(), method, params)),
+			});
+			return this.#convert<T>(await response.body.json() as JSONRPCResponse);
+		} catch (error) {
+			return err(new OperatorError('ERR_HICKORYTRACK_UNREACHABLE', `${this.#opts.server} does not answer: ${describeError(error)}`, {
+				hint: 'Check --server, or name another instance: any of them answers.', exitCode: exitCodes.unreachable, cause: error,
+			}));
+		}
+	}
+
+	#convert<T>(reply: JSONRPCResponse): Result<T, OperatorError> {
+		if (!reply.error) {
+			return ok(reply.result as T);
+		}
+
+		const data = reply.error.data as {code?: HickorytrackError['code']; hint?: string} | undefined;
+		const code = data?.code ?? 'ERR_HICKORYTRACK_FAILED';
+		return err(new OperatorError(code, reply.error.message, {hint: data?.hint, exitCode: refusedCodes.has(code) ? exitCodes.refused : exitCodes.failed}));
+	}
+}
--- /dev/null
+++ b/packages/cli/hickorytrack/src/other-commands.ts
@@ -0,0 +1,198 @@
+/** Commands on the deployment as a whole: status, settings, quarantine, controllers, state and events. */
+import {randomUUID} from 'node:crypto';
+import {Args, Flags} from '@oclif/core';
+import {SystemClock} from '@hickorytrack/clock/system-clock';
+import type {QuarantineEntry} from '@hickorytrack/types/control';
+import {OperatorCommand} from './operator-command.js';
+
+interface SettingState {
+	name: string;
+	value: string | number | boolean;
+	version: number;
+	description: string;
+}
+
+interface LoggedEvent {
+	sequence: number;
+	at: number;
+	number: number;
+	name: string;
+	text: string;
+	fields: Record<string, unknown>;
+}
+
+interface StatusResult {
+	revision: number;
+	leader: string;
+	endpoints: number;
+	contracts: number;
+	claims: number;
+	quarantine: number;
+	openChanges: unknown[];
+	log: {term: number; commitIndex: number};
+	subscribers: Array<{instance: string; roles: string[]; availabilityZone: string; revision: number}>;
+}
+
+const tailPollMs = 500;
+
+export class Status extends OperatorCommand {
+	static override description = 'Show who leads, which revision is in force and who follows it.';
+
+	async run(): Promise<unknown> {
+		const {flags} = await this.parse(Status);
+		const status = await this.callServer<StatusResult>(flags, 'status.get');
+		this.log(`leader ${status.leader}, term ${status.log.term}, revision ${status.revision}`);
+		this.log(`${status.contracts} contracts, ${status.endpoints} endpoints, ${status.openChanges.length} open changes, ${status.claims} claims, ${status.quarantine} suspect or quarantined`);
+		this.printTable(['instance', 'roles', 'zone', 'revision'], status.subscribers.map(one => [one.instance, one.roles.join(','), one.availabilityZone, one.revision]));
+		return status;
+	}
+}
+
+export class ConfigGet extends OperatorCommand {
+	static override description = 'Show the settings of the deployment, or one of them.';
+	static override args = {name: Args.string()};
+
+	async run(): Promise<unknown> {
+		const {args, flags} = await this.parse(ConfigGet);
+		const {settings} = await this.callServer<{settings: SettingState[]}>(flags, 'config.list');
+		const shown = args.name === undefined ? settings : settings.filter(setting => setting.name === args.name);
+		if (shown.length === 0) {
+			this.error(`There is no setting ${args.name}`, {exit: 3, suggestions: ['See hickorytrack config get.']});
+		}
+
+		this.printTable(['setting', 'value', 'version', 'meaning'], shown.map(setting => [setting.name, setting.value, setting.version, setting.description]));
+		return shown;
+	}
+}
+
+export class ConfigSet extends OperatorCommand {
+	static override description = 'Change a setting of the deployment.';
+	static override args = {name: Args.string({required: true}), value: Args.string({required: true})};
+	static override flags = {'change-id': Flags.string({description: 'id under which a resend gets the first answer again'}), 'expect-version': Flags.integer({description: 'version the change expects'})};
+
+	async run(): Promise<unknown> {
+		const {args, flags} = await this.parse(ConfigSet);
+		const {settings} = await this.callServer<{settings: SettingState[]}>(flags, 'config.list');
+		const held = settings.find(setting => setting.name === args.name);
+		const written = await this.callServer<{revision: number}>(flags, 'config.set', {
+			changeId: flags['change-id'] ?? randomUUID(), expectedVersion: flags['expect-version'] ?? held?.version ?? 0, name: args.name, value: convertValue(args.value, held?.value),
+		});
+		this.log(`${args.name} is accepted, revision ${written.revision}.`);
+		return written;
+	}
+}
+
+export class QuarantineList extends OperatorCommand {
+	static override description = 'List requests that crashed endpoints.';
+
+	async run(): Promise<unknown> {
+		const {flags} = await this.parse(QuarantineList);
+		const result = await this.callServer<{entries: QuarantineEntry[]}>(flags, 'quarantine.list');
+		this.printTable(['fingerprint', 'tenant', 'state', 'crashes', 'until'], result.entries.map(entry =>
+			[entry.fingerprint, entry.tenant, entry.state, entry.crashes, new Date(entry.until).toISOString()]));
+		return result;
+	}
+}
+
+export class QuarantineLift extends OperatorCommand {
+	static override description = 'Let a request run again.';
+	static override args = {fingerprint: Args.string({required: true})};
+
+	async run(): Promise<unknown> {
+		const {args, flags} = await this.parse(QuarantineLift);
+		const result = await this.callServer(flags, 'quarantine.lift', {changeId: randomUUID(), fingerprint: args.fingerprint});
+		this.log(`${args.fingerprint} may run again.`);
+		return result;
+	}
+}
+
+export class ControllerList extends OperatorCommand {
+	static override description = 'List the controllers and how far each has synced the log.';
+
+	async run(): Promise<unknown> {
+		const {flags} = await this.parse(ControllerList);
+		const result = await this.callServer<{leader: string; members: Array<{id: string; address: string; voter: boolean; matchIndex: number}>}>(flags, 'controller.list');
+		this.printTable(['controller', 'address', 'votes', 'leads', 'synced'], result.members.map(member => [member.id, member.address, member.voter, member.id === result.leader, member.matchIndex]));
+		return result;
+	}
+}
+
+export class ControllerAdd extends OperatorCommand {
+	static override description = 'Add a controller that was started with --join true.';
+	static override args = {id: Args.string({required: true}), address: Args.string({required: true, description: 'its --peer-listen'})};
+
+	async run(): Promise<unknown> {
+		const {args, flags} = await this.parse(ControllerAdd);
+		const result = await this.callServer(flags, 'controller.add', args);
+		this.log(`${args.id} holds the whole log and votes.`);
+		return result;
+	}
+}
+
+export class ControllerRemove extends OperatorCommand {
+	static override description = 'Remove a controller.';
+	static override args = {id: Args.string({required: true})};
+
+	async run(): Promise<unknown> {
+		const {args, flags} = await this.parse(ControllerRemove);
+		const result = await this.callServer(flags, 'controller.remove', args);
+		this.log(`${args.id} is removed.`);
+		return result;
+	}
+}
+
+export class ControllerReplace extends OperatorCommand {
+	static override description = 'Take back a controller whose disk was lost, once it holds the whole log again.';
+	static override args = {id: Args.string({required: true})};
+
+	async run(): Promise<unknown> {
+		const {args, flags} = await this.parse(ControllerReplace);
+		const result = await this.callServer(flags, 'controller.replace', args);
+		this.log(`${args.id} holds the whole log and votes again.`);
+		return result;
+	}
+}
+
+export class StateDump extends OperatorCommand {
+	static override description = 'Dump the state of the process at --server, without its secrets.';
+
+	async run(): Promise<unknown> {
+		const {flags} = await this.parse(StateDump);
+		const state = await this.callServer(flags, 'state.dump');
+		this.log(JSON.stringify(state, undefined, 2));
+		return state;
+	}
+}
+
+export class Tail extends OperatorCommand {
+	static override description = 'Show the newest events of the process at --server.';
+	static override flags = {follow: Flags.boolean({char: 'f', description: 'go on with new events until interrupted'})};
+
+	async run(): Promise<unknown> {
+		const {flags} = await this.parse(Tail);
+		const clock = new SystemClock();
+		let since = 0;
+		for (;;) {
+			const {events} = await this.callServer<{events: LoggedEvent[]}>(flags, 'events.list', {since});
+			for (const event of events) {
+				since = event.sequence;
+				this.log(`${new Date(event.at).toISOString()} ${event.number} ${event.text} ${JSON.stringify(event.fields)}`);
+			}
+
+			if (!flags.follow) {
+				return events;
+			}
+
+			await clock.sleep(tailPollMs);
+		}
+	}
+}
+
+/** Reads a value as the type that the setting has. */
+function convertValue(text: string, held: string | number | boolean | undefined): string | number | boolean {
+	if (typeof held === 'number') {
+		return Number(text);
+	}
+
+	return typeof held === 'boolean' ? text === 'true' : text;
+}
--- /dev/null
+++ b/packages/control/control-client/src/control-client.ts
@@ -0,0 +1,321 @@
+/**
+ * The connection of an entry or an agent to the controllers. One task keeps a subscription to one of them and moves to
+ * another when it falls silent or loses its own majority; another task watches the lease.
+ *
+ * Staleness: while the evidence of a majority is younger than the lease, the items are in force. When it is older, every
+ * controller is asked. If a majority of them answers (or refuses the connection, so that it is certainly not running)
+ * and none has a leader with a majority, no change can be accepted anywhere, and the process may go on with what it has.
+ */
+import {err, ok, type Result} from 'neverthrow';
+import {waitAtMost, type Clock} from '@hickorytrack/clock';
+import {HickorytrackError} from '@hickorytrack/errors';
+import type {EventLog} from '@hickorytrack/events';
+import {Lease} from '@hickorytrack/fence/lease';
+import {ItemStore} from '@hickorytrack/item-store';
+import type {PeerConnection} from '@hickorytrack/peer-link/peer-connection';
+import type {PeerNode} from '@hickorytrack/peer-link/peer-node';
+import {computeBackoff, type Random} from '@hickorytrack/random';
+import type {Claim} from '@hickorytrack/types/claim';
+import type {CommandOutcome, ControlCommand, ControlItem, EndpointRegistration, EpochGrant, ItemPage} from '@hickorytrack/types/control';
+import type {DemandReport, LeaseTick, OperatorReply, TenantDemand, TenantShare} from '@hickorytrack/types/peer-methods';
+
+export class ControlError extends HickorytrackError {
+	/** Whether the command can have been applied. */
+	readonly applied: 'no' | 'unknown';
+
+	constructor(code: HickorytrackError['code'], message: string, opts: {applied: 'no' | 'unknown'; cause?: unknown}) {
+		super(code, message, {cause: opts.cause, hint: 'Check that a majority of the controllers is alive and can be reached.'});
+		this.applied = opts.applied;
+	}
+}
+
+export interface ControlClientOptions {
+	peers: PeerNode;
+	clock: Clock;
+	random: Random;
+	events: EventLog;
+	/** Addresses of the controllers. */
+	controllers: readonly string[];
+	/** Prefixes of the item keys that this process needs. */
+	topics: string[];
+	leaseMs: number;
+}
+
+/** What a role reports with each lease reply: what happened since the last one. */
+export type DemandSource = () => {demands: TenantDemand[]; reports: DemandReport[]};
+export type ItemListener = (items: readonly ControlItem[]) => void;
+export type ShareListener = (shares: readonly TenantShare[]) => void;
+
+const retryBaseMs = 50;
+const retryCapMs = 1000;
+const commandTimeoutMs = 4000;
+const statusTimeoutMs = 500;
+
+export class ControlClient {
+	readonly items = new ItemStore();
+	readonly lease: Lease;
+	readonly #opts: ControlClientOptions;
+	readonly #demandSources: DemandSource[] = [];
+	readonly #itemListeners: ItemListener[] = [];
+	readonly #shareListeners: ShareListener[] = [];
+	readonly #subscriptionListeners: Array<() => void> = [];
+	readonly #stopped = new AbortController();
+	readonly #noLeaderLease: Lease;
+	#current: PeerConnection | undefined;
+	#hasSubscribed = false;
+	#wasFresh = false;
+	#isAllSilent = false;
+	#term = 0;
+
+	constructor(opts: ControlClientOptions) {
+		this.#opts = opts;
+		this.lease = new Lease(opts.clock, opts.leaseMs);
+		this.#noLeaderLease = new Lease(opts.clock, opts.leaseMs);
+		this.#registerHandlers();
+	}
+
+	/** Tells whether new work may be taken on the strength of the items held. */
+	get isFresh(): boolean {
+		if (!this.#hasSubscribed) {
+			return false;
+		}
+
+		const mayServeSilent = this.#isAllSilent && this.readSetting('lease.whenAllSilent') === 'serve';
+		return this.lease.isHeld || this.#noLeaderLease.isHeld || mayServeSilent;
+	}
+
+	get revision(): number {
+		return this.items.revision;
+	}
+
+	get controller(): string | undefined {
+		return this.#current?.isOpen ? this.#current.remote.instance : undefined;
+	}
+
+	get term(): number {
+		return this.#term;
+	}
+
+	addDemandSource(source: DemandSource): void {
+		this.#demandSources.push(source);
+	}
+
+	onItems(listener: ItemListener): void {
+		this.#itemListeners.push(listener);
+	}
+
+	onShares(listener: ShareListener): void {
+		this.#shareListeners.push(listener);
+	}
+
+	/** Registers a function that runs after each new subscription. */
+	onSubscribed(listener: () => void): void {
+		this.#subscriptionListeners.push(listener);
+	}
+
+	start(): void {
+		void this.#keepSubscription();
+		void this.#watchLease();
+	}
+
+	stop(): void {
+		this.#stopped.abort();
+		this.#current?.close();
+	}
+
+	readSetting(name: string): string | number | boolean | undefined {
+		const value = this.items.read(`setting/${name}`)?.value;
+		return value?.kind === 'setting' ? value.value : undefined;
+	}
+
+	/** Takes items from another entry or agent that is ahead. */
+	merge(page: ItemPage): void {
+		const changed = this.items.merge(page);
+		if (changed.length > 0) {
+			for (const listener of this.#itemListeners) {
+				listener(changed);
+			}
+
+			this.#opts.events.emit('itemsApplied', {revision: this.items.revision, count: changed.length});
+		}
+	}
+
+	/** Proposes a command; retries while it certainly had no effect, or when the command may be repeated. */
+	async propose(command: ControlCommand, opts: {timeoutMs?: number; isIdempotent?: boolean} = {}): Promise<Result<CommandOutcome, ControlError>> {
+		const {clock} = this.#opts;
+		const until = clock.monotonic() + (opts.timeoutMs ?? commandTimeoutMs);
+		let applied: 'no' | 'unknown' = 'no';
+		for (let attempt = 0; clock.monotonic() < until && !this.#stopped.signal.aborted; attempt++) {
+			const connection = this.#current;
+			if (connection?.isOpen) {
+				const reply = await connection.request('control.propose', {command}, {timeoutMs: Math.max(1, until - clock.monotonic())});
+				if (reply.isOk() && reply.value.kind === 'outcome') {
+					return ok(reply.value.outcome);
+				}
+
+				const mayHaveEffect = reply.isOk() ? reply.value.kind === 'unavailable' && reply.value.applied === 'unknown' : reply.error.sent;
+				applied = mayHaveEffect ? 'unknown' : applied;
+				if (applied === 'unknown' && !opts.isIdempotent) {
+					break;
+				}
+			}
+
+			await clock.sleep(computeBackoff(attempt, {baseMs: retryBaseMs, capMs: retryCapMs / 2, random: this.#opts.random}), this.#stopped.signal);
+		}
+
+		return err(new ControlError('ERR_HICKORYTRACK_CONTROL_UNAVAILABLE', 'The controllers did not acknowledge the command in time', {applied}));
+	}
+
+	/** Reads a claim as the controllers hold it now; `undefined` when there is none or nobody can tell. */
+	async readClaim(tenant: string, key: string): Promise<Claim | undefined> {
+		const reply = await this.#current?.request('control.read-claim', {tenant, key}, {timeoutMs: commandTimeoutMs});
+		return reply?.isOk() ? reply.value.claim : undefined;
+	}
+
+	/** Announces an endpoint and receives its epoch. */
+	async register(record: EndpointRegistration): Promise<Result<EpochGrant, ControlError>> {
+		const reply = await this.#current?.request('agent.register', {record}, {timeoutMs: commandTimeoutMs});
+		return reply?.isOk()
+			? ok(reply.value)
+			: err(new ControlError('ERR_HICKORYTRACK_CONTROL_UNAVAILABLE', 'The endpoint could not be registered', {applied: 'unknown'}));
+	}
+
+	/** Passes an operator's call on to the controller. */
+	async callOperator(method: string, params: unknown, hops: number): Promise<OperatorReply> {
+		const reply = await this.#current?.request('operator.call', {method, params, hops: hops + 1}, {timeoutMs: 10_000});
+		return reply?.isOk() ? reply.value : {ok: false, code: 'ERR_HICKORYTRACK_CONTROL_UNAVAILABLE', message: 'No controller can be reached', hint: 'Try another instance.'};
+	}
+
+	dump(): unknown {
+		return {
+			controller: this.controller, revision: this.revision, isFresh: this.isFresh, leaseRemainingMs: Math.round(this.lease.computeRemaining()), items: this.items.size,
+		};
+	}
+
+	#registerHandlers(): void {
+		const {peers} = this.#opts;
+		peers.handle('control.items', ({page}, connection) => {
+			if (connection === this.#current) {
+				this.merge(page);
+			}
+		});
+		peers.handle('control.lease', (tick, connection) => {
+			if (connection === this.#current) {
+				this.#noteTick(connection, tick);
+			}
+
+			const collected = this.#demandSources.map(source => source());
+			return {revision: this.revision, demands: collected.flatMap(one => one.demands), reports: collected.flatMap(one => one.reports)};
+		});
+		peers.handle('control.shares', ({shares}) => {
+			for (const listener of this.#shareListeners) {
+				listener(shares);
+			}
+		});
+		peers.handle('items.fetch', ({revision}) => this.items.listSince(revision));
+	}
+
+	#noteTick(connection: PeerConnection, tick: LeaseTick): void {
+		this.lease.renew(tick.quorumAgeMs);
+		this.#term = Math.max(this.#term, tick.term);
+		this.merge(tick.page);
+		// A controller that is cut off from its majority is left for another one.
+		if (tick.quorumAgeMs > this.#opts.leaseMs / 2) {
+			connection.close();
+		}
+	}
+
+	async #keepSubscription(): Promise<void> {
+		const {controllers, random, clock} = this.#opts;
+		let index = random.nextInteger(controllers.length);
+		let failures = 0;
+		while (!this.#stopped.signal.aborted) {
+			const connection = await this.#subscribe(controllers[index % controllers.length]!);
+			if (connection) {
+				failures = 0;
+				await connection.closed;
+			}
+
+			index++;
+			failures++;
+			await clock.sleep(computeBackoff(Math.floor(failures / controllers.length), {baseMs: retryBaseMs, capMs: retryCapMs, random}), this.#stopped.signal);
+		}
+	}
+
+	async #subscribe(address: string): Promise<PeerConnection | undefined> {
+		const {peers, events, topics} = this.#opts;
+		const opened = await peers.connect(address);
+		if (opened.isErr()) {
+			return undefined;
+		}
+
+		const connection = opened.value;
+		this.#current = connection;
+		const reply = await connection.request('control.subscribe', {member: peers.member, revision: this.revision, topics});
+		if (reply.isErr() || this.#stopped.signal.aborted) {
+			connection.close();
+			return undefined;
+		}
+
+		this.merge(reply.value.page);
+		this.#hasSubscribed = true;
+		events.emit('controllerChosen', {controller: connection.remote.instance, revision: this.revision});
+		for (const listener of this.#subscriptionListeners) {
+			listener();
+		}
+
+		return connection;
+	}
+
+	async #watchLease(): Promise<void> {
+		const {clock, events, leaseMs} = this.#opts;
+		while (!this.#stopped.signal.aborted) {
+			await clock.sleep(leaseMs / 10, this.#stopped.signal);
+			if (!this.lease.isHeld && this.#hasSubscribed && !this.#stopped.signal.aborted) {
+				await this.#askEveryController();
+			}
+
+			if (this.isFresh !== this.#wasFresh) {
+				this.#wasFresh = this.isFresh;
+				events.emit(this.isFresh ? 'leaseHeld' : 'leaseLost', {revision: this.revision});
+			}
+		}
+	}
+
+	/** Finds out whether the controllers have no leader, or whether this process is the one that is cut off. */
+	async #askEveryController(): Promise<void> {
+		const {controllers, events} = this.#opts;
+		const answers = await Promise.all(controllers.map(async address => this.#askController(address)));
+		const isHeard = answers.some(answer => answer !== 'silent');
+		this.#isAllSilent = !isHeard;
+		const withoutLeader = answers.filter(answer => answer === 'no-leader' || answer === 'refused').length;
+		const hasLeader = answers.includes('leader');
+		if (!hasLeader && withoutLeader > controllers.length / 2) {
+			if (!this.#noLeaderLease.isHeld) {
+				events.emit('leaderMissing', {revision: this.revision});
+			}
+
+			this.#noLeaderLease.renew(0);
+		}
+
+	}
+
+	async #askController(address: string): Promise<'leader' | 'no-leader' | 'refused' | 'silent'> {
+		const opened = await waitAtMost(this.#opts.peers.connect(address), statusTimeoutMs, this.#opts.clock);
+		if (!opened) {
+			return 'silent';
+		}
+
+		if (opened.isErr()) {
+			return opened.error.code === 'ERR_HICKORYTRACK_PEER_REFUSED' ? 'refused' : 'silent';
+		}
+
+		const status = await opened.value.request('control.status', {}, {timeoutMs: statusTimeoutMs});
+		opened.value.close();
+		if (status.isErr()) {
+			return 'silent';
+		}
+
+		return status.value.leader !== undefined && status.value.quorumAgeMs < this.#opts.leaseMs ? 'leader' : 'no-leader';
+	}
+}
--- a/packages/control/control-state/src/control-state.ts
+++ b/packages/control/control-state/src/control-state.ts
@@ -12,7 +12,7 @@
 import {ItemStore} from '@hickorytrack/item-store';
 import {QuarantineTable, type QuarantineDump} from '@hickorytrack/quarantine';
 import {computeCommandDigest, OutcomeMemory, type RememberedOutcome} from './outcome-memory.js';
-import {isAllowedMove, isCancellable, isEnded, takesCapacity} from './planned-change.js';
+import {isAllowedMove, isCancellable, isEnded, loadsWeights, takesCapacity} from './planned-change.js';
 import {checkSetting, settingRules} from './setting-rules.js';
 
 const historyLength = 50;
@@ -30,7 +30,6 @@
 export interface ControlSnapshot {
 	items: ItemPage;
 	outcomes: RememberedOutcome[];
-	endpoints: EndpointRecord[];
 	claims: Claim[];
 	quarantine: QuarantineDump;
 	changes: PlannedChange[];
@@ -78,7 +77,6 @@
 		return {
 			items: this.items.dump(),
 			outcomes: this.#outcomes.dump(),
-			endpoints: structuredClone([...this.endpoints.values()]),
 			claims: this.claims.dump(),
 			quarantine: this.quarantine.dump(),
 			changes: structuredClone([...this.changes.values()]),
@@ -97,8 +95,10 @@
 		this.endpoints.clear();
 		this.changes.clear();
 		this.#history.clear();
-		for (const record of snapshot.endpoints) {
-			this.endpoints.set(record.announcement.endpoint, record);
+		for (const {value} of this.items.list('endpoint/')) {
+			if (value.kind === 'endpoint') {
+				this.endpoints.set(value.record.announcement.endpoint, value.record);
+			}
 		}
 
 		for (const change of snapshot.changes) {
@@ -183,6 +183,15 @@
 				return this.#accept(this.readDirective(command.endpoint));
 			}
 
+			case 'forget-endpoint': {
+				const isSame = this.endpoints.get(command.endpoint)?.agentIncarnation === command.agentIncarnation;
+				if (isSame) {
+					this.#forgetEndpoint(command.endpoint);
+				}
+
+				return this.#accept({forgotten: isSame});
+			}
+
 			case 'report-crash': {
 				return this.#reportCrash(command);
 			}
@@ -265,9 +274,10 @@
 		const {endpoint} = command.record.announcement;
 		const held = this.endpoints.get(endpoint);
 		const isSameAgent = held?.agentIncarnation === command.record.agentIncarnation;
-		const epoch = isSameAgent ? held.epoch : (held?.epoch ?? 0) + 1;
-		this.endpoints.set(endpoint, {...command.record, epoch});
-		return this.#accept({epoch, succeeds: held !== undefined && !isSameAgent});
+		const epoch = isSameAgent ? held.epoch : this.#readLastEpoch(endpoint) + 1;
+		const succeeds = isSameAgent ? held.succeeds : epoch > 1;
+		this.#writeEndpoint({...command.record, epoch, succeeds});
+		return this.#accept({epoch, succeeds});
 	}
 
 	#expire(at: number): CommandOutcome {
@@ -354,6 +364,10 @@
 			return change.step === command.to ? this.#accept(structuredClone(change)) : this.#refuse('conflict', `The change is at ${change.step}, not at ${command.from}`);
 		}
 
+		if (command.to === 'ordering' && change.kind !== 'replace' && !this.#hasLoadPermit()) {
+			return this.#refuse('refused', 'All permits of the weight store are taken');
+		}
+
 		if (!isAllowedMove(change, command.to)) {
 			return this.#refuse('invalid', `A change can't go from ${change.step} to ${command.to}`);
 		}
@@ -365,6 +379,12 @@
 		return this.#accept(structuredClone(change));
 	}
 
+	/** Loads from the weight store are bounded over the whole fleet. */
+	#hasLoadPermit(): boolean {
+		const loading = this.listOpenChanges().filter(change => loadsWeights(change)).length;
+		return loading < Number(this.readSetting('weights.loadsAtOnce').value);
+	}
+
 	/** Writes what a step means for the endpoint, in the same record of the log as the step itself. */
 	#enterStep(change: PlannedChange): void {
 		const directive = this.readDirective(change.endpoint);
@@ -380,7 +400,7 @@
 		}
 
 		if (change.step === 'finished' && change.kind === 'withdraw') {
-			this.endpoints.delete(change.endpoint);
+			this.#forgetEndpoint(change.endpoint);
 		}
 	}
 
@@ -416,6 +436,23 @@
 		return this.#accept({});
 	}
 
+	#writeEndpoint(record: EndpointRecord): void {
+		this.endpoints.set(record.announcement.endpoint, record);
+		this.items.write(`endpoint/${record.announcement.endpoint}`, {kind: 'endpoint', record}, this.#index);
+	}
+
+	/** Keeps the epoch in the removed item, so that it never falls when the endpoint returns. */
+	#forgetEndpoint(endpoint: string): void {
+		const epoch = this.endpoints.get(endpoint)?.epoch ?? 0;
+		this.endpoints.delete(endpoint);
+		this.items.write(`endpoint/${endpoint}`, {kind: 'removed', was: 'endpoint', version: epoch}, this.#index);
+	}
+
+	#readLastEpoch(endpoint: string): number {
+		const value = this.items.read(`endpoint/${endpoint}`)?.value;
+		return value?.kind === 'removed' ? value.version : this.endpoints.get(endpoint)?.epoch ?? 0;
+	}
+
 	#writeQuarantine(entries: readonly QuarantineEntry[]): void {
 		for (const entry of entries) {
 			this.items.write(`quarantine/${entry.fingerprint}`, {kind: 'quarantine', entry}, this.#index);
--- a/packages/control/control-state/test/control-state.test.ts
+++ b/packages/control/control-state/test/control-state.test.ts
@@ -1,6 +1,6 @@
 import {expect} from 'chai';
 import type {Contract} from '@hickorytrack/types/contract';
-import type {CommandOutcome, ControlCommand, EndpointRecord} from '@hickorytrack/types/control';
+import type {CommandOutcome, ControlCommand, EndpointRegistration} from '@hickorytrack/types/control';
 import {ControlState} from '../src/control-state.js';
 
 const createContract = (tenant: string, sha256 = tenant): Contract => ({
@@ -9,7 +9,7 @@
 	targets: {firstTokenMs: 460, betweenTokensMs: 79}, answerRetentionSeconds: 60,
 });
 
-const createRecord = (endpoint: string, agentIncarnation = 'i1'): Omit<EndpointRecord, 'epoch'> => ({
+const createRecord = (endpoint: string, agentIncarnation = 'i1'): EndpointRegistration => ({
 	announcement: {
 		endpoint, kind: 'model', names: ['m'], adapters: [], roles: ['mixed', 'prefill', 'decode'], role: 'mixed', capacity: 8,
 		speed: {prefillTokensPerSecond: 1000, decodeTokensPerSecond: 100}, availabilityZone: 'z', incarnation: 'e1', checksFencing: true,
--- a/packages/coordination/claims/src/claims.ts
+++ b/packages/coordination/claims/src/claims.ts
@@ -81,6 +81,17 @@
 		return settled;
 	}
 
+	/** Tells whether any claim's retention has ended. */
+	hasExpired(at: number): boolean {
+		for (const claim of this.#claims.values()) {
+			if (claim.expiresAt <= at) {
+				return true;
+			}
+		}
+
+		return false;
+	}
+
 	/** Forgets the claims whose retention has ended. */
 	expire(at: number): number {
 		let count = 0;
--- a/packages/coordination/claims/test/claims.test.ts
+++ b/packages/coordination/claims/test/claims.test.ts
@@ -3,7 +3,7 @@
 import {ClaimTable, computeClaimGroup} from '../src/claims.js';
 
 const createRequest = (attempt: string, opts: Partial<ClaimRequest> = {}): ClaimRequest => ({
-	tenant: 'cuenca', key: 'k1', bodyDigest: 'd1', endpoint: 'dispatch-1', attempt, owner: 'entry-1', retentionSeconds: 60, ...opts,
+	tenant: 'cuenca', key: 'k1', bodyDigest: 'd1', endpoint: 'dispatch-1', agentIncarnation: 'i1', attempt, owner: 'entry-1', retentionSeconds: 60, ...opts,
 });
 
 describe('claim table', () => {
--- a/packages/coordination/fence/src/fence.ts
+++ b/packages/coordination/fence/src/fence.ts
@@ -29,6 +29,11 @@
 		this.#epoch = Math.max(this.#epoch ?? 0, epoch);
 	}
 
+	/** Tells whether a token belongs to the present authority, without remembering it. */
+	isCurrent(fence: FenceToken): boolean {
+		return fence.epoch === this.#epoch && (!this.#highest || compareFences(fence, this.#highest) >= 0);
+	}
+
 	/** Judges an order and, when it is admitted, remembers its token. */
 	admit(fence: FenceToken): FenceVerdict {
 		if (this.#epoch === undefined) {
--- /dev/null
+++ b/packages/core/events/src/metrics.ts
@@ -0,0 +1,60 @@
+/** Metrics by StatsD. The catalogue names each one; without an address nothing is sent. */
+import {StatsD} from 'hot-shots';
+
+export const metricCatalogue = {
+	'entry.requests': 'Requests by tenant and outcome.',
+	'entry.first_token_ms': 'Time to the first piece as the entry sees it, in milliseconds.',
+	'entry.attempts': 'Attempts by outcome.',
+	'entry.in_flight': 'Requests in flight.',
+	'agent.queue_length': 'Requests that wait in the agent.',
+	'agent.running': 'Requests that run on the engine.',
+	'agent.queue_ms': 'Time in queue, in milliseconds.',
+	'agent.engine_crashes': 'Crashes of the engine.',
+	'controller.commit_ms': 'Time from proposal to acknowledgement, in milliseconds.',
+	'controller.subscribers': 'Entries and agents subscribed to this controller.',
+	'controller.changes': 'Planned changes by kind and outcome.',
+} as const;
+
+export type MetricName = keyof typeof metricCatalogue;
+
+export interface MetricsOptions {
+	/** Host and port of the StatsD listener. */
+	address?: string;
+	instance: string;
+}
+
+export class Metrics {
+	readonly #client: StatsD;
+
+	constructor(opts: MetricsOptions) {
+		const split = opts.address?.lastIndexOf(':') ?? -1;
+		this.#client = new StatsD({
+			prefix: 'hickorytrack.',
+			globalTags: {instance: opts.instance},
+			mock: opts.address === undefined,
+			host: opts.address?.slice(0, split),
+			port: opts.address === undefined ? undefined : Number(opts.address.slice(split + 1)),
+			errorHandler() {
+				// Metrics are lost rather than allowed to disturb the work.
+			},
+		});
+	}
+
+	count(name: MetricName, tags: Record<string, string> = {}): void {
+		this.#client.increment(name, 1, tags);
+	}
+
+	gauge(name: MetricName, value: number): void {
+		this.#client.gauge(name, value);
+	}
+
+	time(name: MetricName, ms: number, tags: Record<string, string> = {}): void {
+		this.#client.timing(name, ms, tags);
+	}
+
+	close(): void {
+		this.#client.close(() => {
+			// Nothing is left to do.
+		});
+	}
+}
--- a/packages/core/types/src/claim.ts
+++ b/packages/core/types/src/claim.ts
@@ -13,6 +13,8 @@
 	attemptNumber: number;
 	/** Endpoint that holds the attempt. */
 	endpoint: string;
+	/** Incarnation of the agent that the attempt goes to; another one knows nothing of it. */
+	agentIncarnation: string;
 	attempt: string;
 	/** Entry that owns the attempt. */
 	owner: string;
@@ -27,6 +29,7 @@
 	key: string;
 	bodyDigest: string;
 	endpoint: string;
+	agentIncarnation: string;
 	attempt: string;
 	owner: string;
 	retentionSeconds: number;
--- a/packages/core/types/src/control.ts
+++ b/packages/core/types/src/control.ts
@@ -27,6 +27,7 @@
 	| {kind: 'setting'; version: number; name: string; value: string | number | boolean}
 	| {kind: 'directive'; directive: EndpointDirective}
 	| {kind: 'quarantine'; entry: QuarantineEntry}
+	| {kind: 'endpoint'; record: EndpointRecord}
 	| {kind: 'removed'; was: string; version: number};
 
 /** One versioned item. Its revision is the index of the log record that wrote it and only rises. */
@@ -97,12 +98,17 @@
 	agentIncarnation: string;
 	/** Address of the agent's peer listener, host and port. */
 	agentAddress: string;
+	/** Whether another agent held the endpoint before, whose last orders have to be waited out. */
+	succeeds: boolean;
 }
 
+/** What an agent asks to have recorded; the rest follows from the state. */
+export type EndpointRegistration = Omit<EndpointRecord, 'epoch' | 'succeeds'>;
+
 export type ControlCommand =
 	| {kind: 'put-contract'; changeId: string; expectedVersion: number; tenant: string; contract?: Contract}
 	| {kind: 'put-setting'; changeId: string; expectedVersion: number; name: string; value: string | number | boolean}
-	| {kind: 'grant-epoch'; record: Omit<EndpointRecord, 'epoch'>}
+	| {kind: 'grant-epoch'; record: EndpointRegistration}
 	| {kind: 'open-claim'; request: ClaimRequest; at: number}
 	| {kind: 'settle-claim'; settlement: ClaimSettlement}
 	| {kind: 'expire'; at: number}
@@ -110,6 +116,7 @@
 	| {kind: 'advance-change'; changeId: string; from: ChangeStep; to: ChangeStep; message: string; at: number}
 	| {kind: 'cancel-change'; changeId: string; at: number}
 	| {kind: 'pin-role'; changeId: string; endpoint: string; pinned: boolean}
+	| {kind: 'forget-endpoint'; endpoint: string; agentIncarnation: string}
 	| {kind: 'report-crash'; reportId: string; endpoint: string; suspects: Array<{fingerprint: string; tenant: string}>; at: number}
 	| {kind: 'permit-suspect'; fingerprint: string; attempt: string; at: number}
 	| {kind: 'clear-suspect'; fingerprint: string; attempt: string}
--- a/packages/core/types/src/peer-methods.ts
+++ b/packages/core/types/src/peer-methods.ts
@@ -1,7 +1,7 @@
 /** Every JSON-RPC method that processes call on one another, with its parameters and its result. */
-import type {EndpointLoad, FencedOrder} from './endpoint.js';
+import type {EndpointPhase, FencedOrder} from './endpoint.js';
 import type {AttemptResolution, PieceBatch, SubmissionReply, WorkSubmission} from './work.js';
-import type {CommandOutcome, ControlCommand, EndpointRecord, EpochGrant, ItemPage} from './control.js';
+import type {CommandOutcome, ControlCommand, EndpointRegistration, EpochGrant, ItemPage} from './control.js';
 import type {Claim} from './claim.js';
 
 export interface PeerMember {
@@ -36,6 +36,13 @@
 export interface SubscribeParams {
 	member: PeerMember;
 	revision: number;
+	/** Prefixes of the item keys that the subscriber wants. */
+	topics: string[];
+}
+
+export interface SubscribeResult {
+	page: ItemPage;
+	leaseMs: number;
 }
 
 export interface LeaseTick {
@@ -43,10 +50,12 @@
 	/** Age in milliseconds of the last evidence that a majority of the controllers is in touch with the sender. */
 	quorumAgeMs: number;
 	term: number;
-	leaderKnown: boolean;
+	/** What the subscriber misses up to the revision. */
+	page: ItemPage;
 }
 
 export interface LeaseReply {
+	/** Revision that is in force at the subscriber. */
 	revision: number;
 	demands: TenantDemand[];
 	reports: DemandReport[];
@@ -54,6 +63,7 @@
 
 export interface DrainProgress {
 	endpoint: string;
+	phase: EndpointPhase;
 	running: number;
 	queued: number;
 }
@@ -62,43 +72,58 @@
 	accepted: boolean;
 	/** True once the engine has carried the order out. */
 	done: boolean;
+	/** True when sending the order again can't help. */
+	isFinal: boolean;
 	message: string;
 }
 
-export interface EndpointView {
-	record: EndpointRecord;
-	alive: boolean;
-	load?: EndpointLoad;
-}
-
 export interface SubscriberView {
 	member: PeerMember;
+	/** Revision that the subscriber has confirmed as in force. */
 	revision: number;
+	demands: TenantDemand[];
+	reports: DemandReport[];
 }
 
+export type ProposeReply =
+	| {kind: 'outcome'; outcome: CommandOutcome}
+	/** There is no acknowledgement; `applied` tells whether the command can still have an effect. */
+	| {kind: 'unavailable'; applied: 'no' | 'unknown'; message: string};
+
+/** A call of the operators' interface, passed on to a process that can answer it. */
+export interface OperatorCall {
+	method: string;
+	params: unknown;
+	/** Processes that the call went through; bounds forwarding. */
+	hops: number;
+}
+
+export type OperatorReply =
+	| {ok: true; result: unknown}
+	| {ok: false; code: string; message: string; hint?: string};
+
 /** Parameters and result by method name. Notifications have the result `void`. */
 export interface PeerMethods {
 	'log.message': {params: {payload: unknown}; result: {payload: unknown}};
-	'control.propose': {params: {command: ControlCommand}; result: CommandOutcome};
-	'control.subscribe': {params: SubscribeParams; result: {page: ItemPage; controllers: string[]; endpoints: EndpointView[]; leaseMs: number}};
+	'control.propose': {params: {command: ControlCommand; forwarded?: boolean}; result: ProposeReply};
+	'control.subscribe': {params: SubscribeParams; result: SubscribeResult};
 	'control.items': {params: {page: ItemPage}; result: void};
 	'control.lease': {params: LeaseTick; result: LeaseReply};
 	'control.shares': {params: {shares: TenantShare[]}; result: void};
-	'control.endpoints': {params: {endpoints: EndpointView[]; complete: boolean}; result: void};
 	'control.status': {params: Record<string, never>; result: {instance: string; leader?: string; term: number; quorumAgeMs: number; revision: number}};
-	'control.subscribers': {params: Record<string, never>; result: {subscribers: SubscriberView[]; reports: DemandReport[]; demands: TenantDemand[]}};
-	'control.read-claim': {params: {tenant: string; key: string}; result: {claim?: Claim}};
-	'control.alive': {params: {instance: string; incarnation: string}; result: {alive: boolean}};
-	'agent.register': {params: {record: Omit<EndpointRecord, 'epoch'>}; result: EpochGrant};
+	'control.subscribers': {params: Record<string, never>; result: {subscribers: SubscriberView[]}};
+	'control.read-claim': {params: {tenant: string; key: string; forwarded?: boolean}; result: {claim?: Claim}};
+	'agent.register': {params: {record: EndpointRegistration}; result: EpochGrant};
 	'agent.order': {params: {order: FencedOrder}; result: OrderReply};
 	'agent.progress': {params: Record<string, never>; result: DrainProgress};
 	'agent.hand-over': {params: {fence: FencedOrder['fence']}; result: {handedOver: number}};
+	'operator.call': {params: OperatorCall; result: OperatorReply};
 	'work.submit': {params: WorkSubmission; result: SubmissionReply};
 	'work.pieces': {params: PieceBatch; result: void};
 	'work.acknowledge': {params: {received: Array<{attempt: string; next: number}>}; result: void};
 	'work.resume': {params: {attempt: string; from: number}; result: {known: boolean}};
 	'work.cancel': {params: {attempt: string}; result: void};
-	'work.resolve': {params: {attempt: string}; result: AttemptResolution};
+	'work.resolve': {params: {attempt: string; cancel: boolean}; result: AttemptResolution};
 	'items.fetch': {params: {revision: number}; result: ItemPage};
 	'state.dump': {params: Record<string, never>; result: {state: unknown}};
 }
--- a/packages/core/types/src/work.ts
+++ b/packages/core/types/src/work.ts
@@ -7,8 +7,10 @@
 
 export interface GenerationWork {
 	kind: 'generation';
+	api: 'chat' | 'completions';
 	model: string;
-	prompt: string;
+	/** The caller's request body. */
+	body: Record<string, unknown>;
 	/** Tokens of the prompt, by estimate. */
 	promptTokens: number;
 	maxTokens: number;
@@ -90,7 +92,10 @@
 
 /** What an agent knows about an attempt that its entry lost sight of. */
 export type AttemptResolution =
+	/** The engine never saw it and never will: the attempt is barred. */
 	| {state: 'never-written'}
+	/** It waits in queue, or the agent has not heard of it yet. */
+	| {state: 'not-started'}
 	| {state: 'running'}
 	| {state: 'ended'; end: AttemptEnd}
 	| {state: 'unknown'};
--- /dev/null
+++ b/packages/daemon/kernel/src/operator-server.ts
@@ -0,0 +1,136 @@
+/**
+ * The operators' interface of a process: JSON-RPC 2.0 over HTTP at `POST /rpc`, with a key in the `Authorization` header.
+ * A method that the process does not have goes to the fallback, which asks a controller.
+ */
+import {createHash, timingSafeEqual} from 'node:crypto';
+import {createServer, type IncomingMessage, type Server, type ServerResponse} from 'node:http';
+import {Buffer} from 'node:buffer';
+import {createJSONRPCErrorResponse, createJSONRPCSuccessResponse, isJSONRPCRequest, type JSONRPCRequest, type JSONRPCResponse} from 'json-rpc-2.0';
+import {err, ok, type Result} from 'neverthrow';
+import {describeError, HickorytrackError} from '@hickorytrack/errors';
+import type {OperatorReply} from '@hickorytrack/types/peer-methods';
+import type {OperatorFallback, OperatorMethod} from './plugin.js';
+
+const maximumBodyBytes = 4 * 1024 * 1024;
+const parseErrorCode = -32_700;
+const invalidRequestCode = -32_600;
+const applicationErrorCode = -32_000;
+
+export interface OperatorServerOptions {
+	keys: readonly string[];
+}
+
+export class OperatorServer {
+	readonly #methods = new Map<string, OperatorMethod>();
+	readonly #keys: ReadonlyArray<{name: string; digest: Buffer}>;
+	readonly #server: Server;
+	#fallback: OperatorFallback | undefined;
+
+	constructor(opts: OperatorServerOptions) {
+		this.#keys = opts.keys.map((key, index) => ({name: `operator key ${index + 1}`, digest: digestKey(key)}));
+		this.#server = createServer((request, response) => {
+			void this.#serve(request, response);
+		});
+	}
+
+	add(name: string, method: OperatorMethod): void {
+		this.#methods.set(name, method);
+	}
+
+	setFallback(fallback: OperatorFallback): void {
+		this.#fallback = fallback;
+	}
+
+	async listen(host: string, port: number): Promise<Result<void, HickorytrackError>> {
+		return new Promise(resolve => {
+			this.#server.once('error', error => {
+				resolve(err(new HickorytrackError('ERR_HICKORYTRACK_LISTEN', `Can't listen for operators on ${host}:${port}: ${error.message}`, {cause: error, hint: 'Choose another --operator-listen.'})));
+			});
+			this.#server.listen(port, host, () => {
+				resolve(ok(undefined));
+			});
+		});
+	}
+
+	/** Runs a method of this process, or the fallback. */
+	async call(method: string, params: unknown, opts: {operator: string; hops: number}): Promise<OperatorReply> {
+		const own = this.#methods.get(method);
+		try {
+			if (own) {
+				return await own(params ?? {}, opts);
+			}
+
+			return await this.#fallback?.(method, params ?? {}, opts) ?? {ok: false, code: 'ERR_HICKORYTRACK_UNKNOWN_METHOD', message: `There is no method ${method}`};
+		} catch (error) {
+			return {ok: false, code: error instanceof HickorytrackError ? error.code : 'ERR_HICKORYTRACK_INTERNAL', message: describeError(error)};
+		}
+	}
+
+	async stop(): Promise<void> {
+		this.#server.closeAllConnections();
+		await new Promise<void>(resolve => {
+			this.#server.close(() => {
+				resolve();
+			});
+		});
+	}
+
+	async #serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
+		const operator = this.#authenticate(request);
+		if (operator === undefined) {
+			this.#send(response, 401, createJSONRPCErrorResponse(0, invalidRequestCode, 'The operator key is missing or wrong', {hint: 'Pass --key or set HICKORYTRACK_OPERATOR_KEY.'}));
+			return;
+		}
+
+		const rpc = await this.#readRequest(request);
+		if (!rpc) {
+			this.#send(response, 400, createJSONRPCErrorResponse(0, parseErrorCode, 'The body is no JSON-RPC 2.0 request'));
+			return;
+		}
+
+		const reply = await this.call(rpc.method, rpc.params, {operator, hops: 0});
+		const id = rpc.id ?? 0;
+		this.#send(response, 200, reply.ok
+			? createJSONRPCSuccessResponse(id, reply.result ?? {})
+			: createJSONRPCErrorResponse(id, applicationErrorCode, reply.message, {code: reply.code, hint: reply.hint}));
+	}
+
+	#authenticate(request: IncomingMessage): string | undefined {
+		if (this.#keys.length === 0) {
+			const address = request.socket.remoteAddress ?? '';
+			return address.startsWith('127.') || address === '::1' ? 'loopback' : undefined;
+		}
+
+		const given = digestKey((request.headers.authorization ?? '').replace(/^Bearer /, ''));
+		return this.#keys.filter(key => timingSafeEqual(key.digest, given))[0]?.name;
+	}
+
+	async #readRequest(request: IncomingMessage): Promise<JSONRPCRequest | undefined> {
+		const chunks: Buffer[] = [];
+		let size = 0;
+		for await (const chunk of request as AsyncIterable<Buffer>) {
+			size += chunk.length;
+			if (size > maximumBodyBytes) {
+				return undefined;
+			}
+
+			chunks.push(chunk);
+		}
+
+		try {
+			const parsed: unknown = JSON.parse(Buffer.concat(chunks).toString('utf8'));
+			return isJSONRPCRequest(parsed) ? parsed : undefined;
+		} catch {
+			return undefined;
+		}
+	}
+
+	#send(response: ServerResponse, status: number, body: JSONRPCResponse): void {
+		response.writeHead(status, {'content-type': 'application/json'});
+		response.end(JSON.stringify(body));
+	}
+}
+
+function digestKey(key: string): Buffer {
+	return createHash('sha256').update(key).digest();
+}
--- a/packages/net/peer-link/src/peer-connection.ts
+++ b/packages/net/peer-link/src/peer-connection.ts
@@ -162,7 +162,9 @@
 
 	#dispatch(message: unknown): void {
 		if (!isHeartbeat(message)) {
-			void this.#rpc.receiveAndSend(message, undefined, undefined);
+			this.#rpc.receiveAndSend(message, undefined, undefined).catch(() => {
+				// The reply can't be sent any more; the other side learns it from the closed connection.
+			});
 		}
 	}
 
--- /dev/null
+++ b/packages/plugins/agent/src/job.ts
@@ -0,0 +1,58 @@
+/** One attempt at the agent, from its admission until its answer is confirmed. */
+import {AnswerTail} from '@hickorytrack/answer-stream/answer-tail';
+import type {AttemptEnd, WorkSubmission} from '@hickorytrack/types/work';
+
+export const jobPhases = {queued: 'queued', running: 'running', ended: 'ended'} as const;
+export type JobPhase = typeof jobPhases[keyof typeof jobPhases];
+
+export class Job {
+	readonly submission: WorkSubmission;
+	readonly tail: AnswerTail;
+	readonly abort = new AbortController();
+	phase: JobPhase = 'queued';
+	/** True once the engine can have seen the request. */
+	isWritten = false;
+	/** Monotonic times in milliseconds. */
+	queuedAt: number;
+	startedAt = 0;
+	endedAt = 0;
+	firstPieceAt: number | undefined;
+	priority = 0;
+	share = 1;
+	costMs = 0;
+	betweenTokensMs = Number.POSITIVE_INFINITY;
+
+	constructor(submission: WorkSubmission, queuedAt: number) {
+		this.submission = submission;
+		this.tail = new AnswerTail(submission.attempt);
+		this.queuedAt = queuedAt;
+	}
+
+	get attempt(): string {
+		return this.submission.attempt;
+	}
+
+	get isIsolated(): boolean {
+		return this.submission.isolated;
+	}
+
+	/** Tokens of the prompt that are still to be computed, by estimate. */
+	get pendingPrefillTokens(): number {
+		const {work} = this.submission;
+		return work.kind === 'generation' && this.firstPieceAt === undefined ? work.promptTokens : 0;
+	}
+
+	get pendingDecodeTokens(): number {
+		const {work} = this.submission;
+		return work.kind === 'generation' ? Math.max(0, work.maxTokens - work.resumeFrom - this.tail.length) : 0;
+	}
+
+	/** Ends the attempt; only the first end counts. */
+	finish(end: AttemptEnd, at: number): void {
+		if (this.phase !== 'ended') {
+			this.phase = 'ended';
+			this.endedAt = at;
+			this.tail.finish(end);
+		}
+	}
+}
--- /dev/null
+++ b/packages/plugins/agent/src/piece-sender.ts
@@ -0,0 +1,31 @@
+/** Joins the pieces of all attempts on one connection that are ready in the same turn of the event loop. */
+import type {TailSink} from '@hickorytrack/answer-stream/answer-tail';
+import type {PeerConnection} from '@hickorytrack/peer-link/peer-connection';
+import type {EndpointLoad} from '@hickorytrack/types/endpoint';
+import type {PieceRun} from '@hickorytrack/types/work';
+
+export class PieceSender implements TailSink {
+	readonly #connection: PeerConnection;
+	readonly #getLoad: () => EndpointLoad;
+	#runs: PieceRun[] = [];
+
+	constructor(connection: PeerConnection, getLoad: () => EndpointLoad) {
+		this.#connection = connection;
+		this.#getLoad = getLoad;
+	}
+
+	send(run: PieceRun): void {
+		this.#runs.push(run);
+		if (this.#runs.length === 1) {
+			setImmediate(() => {
+				this.#flush();
+			});
+		}
+	}
+
+	#flush(): void {
+		const runs = this.#runs;
+		this.#runs = [];
+		this.#connection.notify('work.pieces', {runs, load: this.#getLoad()});
+	}
+}
--- /dev/null
+++ b/packages/plugins/agent/src/work-desk.ts
@@ -0,0 +1,556 @@
+/**
+ * The agent's work: it has the last word on admission, orders the work among tenants, runs it on the engine and keeps the
+ * answers until they are confirmed. Each running attempt is one task.
+ */
+import {waitAtMost, type Clock} from '@hickorytrack/clock';
+import type {ControlClient} from '@hickorytrack/control-client';
+import {FairQueue, type QueuedWork} from '@hickorytrack/fair-queue';
+import type {ProcessContext} from '@hickorytrack/kernel/plugin';
+import type {PeerConnection} from '@hickorytrack/peer-link/peer-connection';
+import {AdaptiveLimit} from '@hickorytrack/rate-limit/adaptive-limit';
+import type {EndpointLoad, EndpointPhase} from '@hickorytrack/types/endpoint';
+import type {EngineAdapter, EngineError, EngineEvent} from '@hickorytrack/types/engine-adapter';
+import type {DemandReport} from '@hickorytrack/types/peer-methods';
+import type {AttemptEnd, AttemptResolution, GenerationWork, RefusalReason, ServiceWork, SubmissionReply, WorkSubmission} from '@hickorytrack/types/work';
+import {DemandMeter} from './demand-meter.js';
+import type {EngineWatch} from './engine-watch.js';
+import {Job} from './job.js';
+import {JobBook} from './job-book.js';
+import {PieceSender} from './piece-sender.js';
+
+const maximumQueueLength = 2000;
+const housekeepingMs = 25;
+const adaptWindowMs = 1000;
+const msPerSecond = 1000;
+const crashReportTimeoutMs = 2000;
+/** Output tokens expected of a request that allows more. */
+const expectedOutputTokens = 128;
+
+export interface WorkDeskOptions {
+	context: ProcessContext;
+	control: ControlClient;
+	adapter: EngineAdapter;
+	watch: EngineWatch;
+}
+
+type Admission = {isAdmitted: true} | {isAdmitted: false; reason: RefusalReason};
+
+export class WorkDesk {
+	readonly #opts: WorkDeskOptions;
+	readonly #clock: Clock;
+	readonly #queue: FairQueue<Job>;
+	readonly #running = new Set<Job>();
+	readonly #book: JobBook;
+	readonly #senders = new WeakMap<PeerConnection, PieceSender>();
+	readonly #meter: DemandMeter;
+	readonly #stopped = new AbortController();
+	#limit: AdaptiveLimit | undefined;
+	#phase: EndpointPhase = 'serving';
+	#isStopping = false;
+	#sequence = 0;
+	#crashes = 0;
+
+	constructor(opts: WorkDeskOptions) {
+		this.#opts = opts;
+		this.#clock = opts.context.clock;
+		this.#queue = new FairQueue({clock: this.#clock, maximumLength: maximumQueueLength});
+		this.#book = new JobBook(this.#clock);
+		this.#meter = new DemandMeter(this.#clock);
+	}
+
+	get phase(): EndpointPhase {
+		return this.#phase;
+	}
+
+	get running(): number {
+		return this.#running.size;
+	}
+
+	get queued(): number {
+		return this.#queue.length;
+	}
+
+	start(): void {
+		void this.#keepHouse();
+	}
+
+	stop(): void {
+		this.#stopped.abort();
+		for (const job of this.#running) {
+			job.abort.abort();
+		}
+	}
+
+	/** Judges a submission; an accepted one will end with exactly one end on its stream. */
+	async submit(submission: WorkSubmission, connection: PeerConnection): Promise<SubmissionReply> {
+		const known = this.#book.find(submission.attempt);
+		if (known) {
+			known.tail.attach(this.#findSender(connection), 0);
+			return {accepted: true, load: this.getLoad(), revision: this.#opts.control.revision};
+		}
+
+		await this.#catchUp(submission, connection);
+		const admission = this.#admit(submission);
+		const reply = {load: this.getLoad(), revision: this.#opts.control.revision};
+		if (!admission.isAdmitted) {
+			return {accepted: false, reason: admission.reason, ...reply};
+		}
+
+		const job = this.#enqueue(submission, connection);
+		if (!job) {
+			return {accepted: false, reason: 'queue-full', ...reply};
+		}
+
+		this.#pump();
+		return {accepted: true, load: this.getLoad(), revision: this.#opts.control.revision};
+	}
+
+	/** Goes on with an answer over another connection. */
+	resume(attempt: string, from: number, connection: PeerConnection): boolean {
+		return this.#book.find(attempt)?.tail.attach(this.#findSender(connection), from) ?? false;
+	}
+
+	confirm(received: ReadonlyArray<{attempt: string; next: number}>): void {
+		for (const {attempt, next} of received) {
+			this.#book.find(attempt)?.tail.confirm(next);
+		}
+	}
+
+	cancel(attempt: string): void {
+		const job = this.#book.find(attempt);
+		const mayCancel = job?.submission.work.kind === 'generation' || job?.phase === 'queued';
+		if (job && mayCancel && job.phase !== 'ended') {
+			this.#endEarly(job, {kind: 'cancelled', written: job.isWritten});
+		}
+	}
+
+	/** Says what became of an attempt; with `cancel`, bars one that has not reached the engine. */
+	resolve(attempt: string, opts: {cancel: boolean}): AttemptResolution {
+		const job = this.#book.find(attempt);
+		if (!job) {
+			if (this.#book.isForgotten(attempt)) {
+				return {state: 'unknown'};
+			}
+
+			return opts.cancel && this.#book.bar(attempt) ? {state: 'never-written'} : {state: 'not-started'};
+		}
+
+		if (job.phase === 'ended') {
+			return {state: 'ended', end: job.tail.end!};
+		}
+
+		if (job.isWritten) {
+			return {state: 'running'};
+		}
+
+		if (!opts.cancel) {
+			return {state: 'not-started'};
+		}
+
+		this.#endEarly(job, {kind: 'cancelled', written: false});
+		return {state: 'never-written'};
+	}
+
+	/** Takes the phase that the controllers want. Leaving work is refused from this moment on. */
+	setPhase(phase: EndpointPhase): void {
+		if (phase !== this.#phase) {
+			this.#phase = phase;
+			this.#opts.context.events.emit('phaseChanged', {endpoint: this.#opts.context.settings.endpoint, phase});
+		}
+
+		if (phase !== 'serving') {
+			this.#refuseQueued('draining');
+		}
+	}
+
+	/** Refuses everything that has not begun, for a stop of this process. */
+	refuseNewWork(): void {
+		this.#isStopping = true;
+		this.#refuseQueued('stopping');
+	}
+
+	/** Gives the generations in hand back to their entries, which go on elsewhere. Returns their number. */
+	handOver(): number {
+		const jobs = [...this.#running].filter(job => job.submission.work.kind === 'generation');
+		for (const job of jobs) {
+			this.#endEarly(job, {kind: 'handed-over'});
+		}
+
+		return jobs.length;
+	}
+
+	/** Resolves when no work is in hand and every answer is confirmed, or when the signal aborts. */
+	async waitUntilIdle(signal: AbortSignal): Promise<void> {
+		while (!signal.aborted && (this.#running.size > 0 || this.#queue.length > 0)) {
+			await this.#clock.sleep(housekeepingMs, signal);
+		}
+
+		const until = this.#clock.monotonic() + msPerSecond;
+		while (this.#clock.monotonic() < until && this.#book.hasUnconfirmed()) {
+			await this.#clock.sleep(housekeepingMs);
+		}
+	}
+
+	/** Refuses what waits, because the engine is gone; what runs is judged by its own task. */
+	noteEngineLost(): void {
+		this.#refuseQueued('not-ready');
+	}
+
+	getLoad(): EndpointLoad {
+		let pendingPrefillTokens = 0;
+		let pendingDecodeTokens = 0;
+		for (const job of this.#book.listOpen()) {
+			pendingPrefillTokens += job.pendingPrefillTokens;
+			pendingDecodeTokens += Math.min(expectedOutputTokens, job.pendingDecodeTokens);
+		}
+
+		this.#sequence++;
+		return {
+			running: this.#running.size,
+			queued: this.#queue.length,
+			pendingPrefillTokens,
+			pendingDecodeTokens,
+			role: this.#opts.watch.description?.role ?? 'mixed',
+			phase: this.#isStopping ? 'draining' : this.#phase,
+			sequence: this.#sequence,
+		};
+	}
+
+	collectReports(): DemandReport[] {
+		return this.#meter.collect(this.#opts.context.settings.endpoint);
+	}
+
+	listOpenWork(): string[] {
+		return this.#book.listOpen().map(job => `${job.attempt} of ${job.submission.tenant}: ${job.phase}, ${job.tail.length} pieces`);
+	}
+
+	dump(): unknown {
+		return {
+			phase: this.#phase, load: this.getLoad(), limit: this.#limit?.value, crashes: this.#crashes, kept: this.#book.size,
+			running: [...this.#running].map(job => ({attempt: job.attempt, tenant: job.submission.tenant, pieces: job.tail.length})),
+		};
+	}
+
+	/** Fetches the configuration from an entry that is ahead. */
+	async #catchUp(submission: WorkSubmission, connection: PeerConnection): Promise<void> {
+		const {control} = this.#opts;
+		const isMissing = control.items.read(`contract/${submission.tenant}`) === undefined;
+		if (submission.revision > control.revision && isMissing) {
+			const page = await connection.request('items.fetch', {revision: control.revision});
+			page.map(items => {
+				control.merge(items);
+			});
+		}
+	}
+
+	#admit(submission: WorkSubmission): Admission {
+		const {control, watch} = this.#opts;
+		const refuse = (reason: RefusalReason): Admission => ({isAdmitted: false, reason});
+		if (this.#book.isBarred(submission.attempt)) {
+			return refuse('tombstone');
+		}
+
+		if (this.#isStopping) {
+			return refuse('stopping');
+		}
+
+		if (this.#phase !== 'serving') {
+			return refuse('draining');
+		}
+
+		if (!control.isFresh || !watch.description) {
+			return refuse('not-ready');
+		}
+
+		const name = submission.work.kind === 'generation' ? submission.work.model : submission.work.service;
+		if (!watch.description.names.includes(name)) {
+			return refuse('wrong-endpoint');
+		}
+
+		const contract = control.items.read(`contract/${submission.tenant}`)?.value;
+		if (contract?.kind !== 'contract') {
+			return refuse('unknown-tenant');
+		}
+
+		const waitMs = this.#queue.costMs / this.#countSlots();
+		return waitMs > contract.contract.limits.queueMs ? refuse('queue-time') : {isAdmitted: true};
+	}
+
+	#enqueue(submission: WorkSubmission, connection: PeerConnection): Job | undefined {
+		const item = this.#opts.control.items.read(`contract/${submission.tenant}`)!.value;
+		const contract = item.kind === 'contract' ? item.contract : undefined;
+		const job = new Job(submission, this.#clock.monotonic());
+		job.priority = contract?.priority ?? 0;
+		job.share = contract?.share ?? 1;
+		job.betweenTokensMs = contract?.targets.betweenTokensMs ?? Number.POSITIVE_INFINITY;
+		job.costMs = this.#computeCost(job);
+		const work: QueuedWork<Job> = {
+			tenant: submission.tenant, priority: job.priority, share: job.share, costMs: job.costMs, queueMs: Math.min(contract?.limits.queueMs ?? 0, submission.deadlineMs), item: job,
+		};
+		const isPushed = this.#queue.push(work, {onDisplaced: displaced => {
+			this.#end(displaced, {kind: 'refused', reason: 'queue-full'});
+		}});
+		if (!isPushed) {
+			return undefined;
+		}
+
+		this.#book.add(job);
+		job.tail.attach(this.#findSender(connection), 0);
+		return job;
+	}
+
+	/** Prices work in milliseconds of the whole engine: prefill and decode both count. */
+	#computeCost(job: Job): number {
+		const {work} = job.submission;
+		const speed = this.#opts.watch.description?.speed ?? {prefillTokensPerSecond: 1000, decodeTokensPerSecond: 1000};
+		if (work.kind === 'service') {
+			return msPerSecond / speed.decodeTokensPerSecond;
+		}
+
+		const outputTokens = Math.min(expectedOutputTokens, work.maxTokens - work.resumeFrom);
+		return ((work.promptTokens / speed.prefillTokensPerSecond) + (outputTokens / speed.decodeTokensPerSecond)) * msPerSecond;
+	}
+
+	#countSlots(): number {
+		const capacity = this.#opts.watch.description?.capacity ?? 1;
+		this.#limit ??= new AdaptiveLimit({clock: this.#clock, minimum: 1, maximum: capacity, windowMs: adaptWindowMs});
+		return Math.min(capacity, this.#limit.value);
+	}
+
+	/** Starts work while there is room. An isolated one waits for an empty engine and keeps it for itself. */
+	#pump(): void {
+		while (this.#running.size < this.#countSlots() && this.#opts.watch.description) {
+			const hasIsolated = [...this.#running].some(job => job.isIsolated);
+			if (hasIsolated || this.#isolatedNext) {
+				if (this.#running.size > 0 || !this.#isolatedNext) {
+					return;
+				}
+			}
+
+			const job = this.#isolatedNext ?? this.#queue.pop()?.item;
+			if (!job) {
+				return;
+			}
+
+			if (job.isIsolated && this.#running.size > 0) {
+				this.#isolatedNext = job;
+				return;
+			}
+
+			this.#isolatedNext = undefined;
+			if (job.phase === 'queued') {
+				this.#running.add(job);
+				void this.#run(job);
+			}
+		}
+	}
+
+	/** Taken from the queue, waiting for the engine to be empty. */
+	#isolatedNext: Job | undefined;
+
+	async #run(job: Job): Promise<void> {
+		const {context} = this.#opts;
+		job.phase = 'running';
+		job.startedAt = this.#clock.monotonic();
+		context.metrics.time('agent.queue_ms', job.startedAt - job.queuedAt);
+		try {
+			await context.steps.reach('request.handed-to-engine', context.settings.endpoint);
+			const {work} = job.submission;
+			const incarnation = this.#opts.watch.description?.incarnation ?? '';
+			const end = await (work.kind === 'generation' ? this.#generate(job, work) : this.#callService(job, work));
+			if (end) {
+				this.#end(job, end);
+			} else if (job.phase === 'running') {
+				await this.#judgeFailure(job, incarnation);
+			}
+		} finally {
+			this.#running.delete(job);
+			this.#pump();
+		}
+	}
+
+	/** Runs a generation; returns `undefined` when it failed in a way that has to be judged. */
+	async #generate(job: Job, work: GenerationWork): Promise<AttemptEnd | undefined> {
+		const stream = this.#opts.adapter.generate(work, {
+			attempt: job.attempt, tenant: job.submission.tenant, priority: job.priority, signal: job.abort.signal, onWrite() {
+				job.isWritten = true;
+			},
+		})[Symbol.asyncIterator]();
+		for (;;) {
+			const event = await this.#readEvent(stream, job);
+			if (event === 'stalled') {
+				job.abort.abort();
+				this.#opts.context.events.emit('engineSilent', {attempt: job.attempt});
+				return {kind: 'engine-failed', written: true, message: 'The engine stream stalled'};
+			}
+
+			if (event.kind === 'end') {
+				this.#meter.note(job, {cachedTokens: event.cachedTokens, outputTokens: event.outputTokens, speed: this.#opts.watch.description?.speed});
+				const {kind, ...usage} = event;
+				return {kind: 'complete', ...usage};
+			}
+
+			if (event.kind === 'failed') {
+				return this.#convertFailure(job, event.error);
+			}
+
+			await this.#takeTexts(job, event.texts);
+		}
+	}
+
+	async #takeTexts(job: Job, texts: string[]): Promise<void> {
+		const {steps, settings} = this.#opts.context;
+		const isFirst = job.firstPieceAt === undefined;
+		const now = this.#clock.monotonic();
+		job.firstPieceAt ??= now;
+		job.tail.write(texts);
+		await steps.reach(isFirst ? 'request.first-piece' : 'request.mid-stream', settings.endpoint);
+		const elapsed = now - job.firstPieceAt;
+		if (!isFirst && job.tail.length > 1) {
+			this.#limit?.observe(elapsed / (job.tail.length - 1), job.betweenTokensMs);
+		}
+
+		await job.tail.waitForRoom(job.abort.signal);
+	}
+
+	/** Reads the next event; a stream that is silent for too long is probed on another connection. */
+	async #readEvent(stream: AsyncIterator<EngineEvent>, job: Job): Promise<EngineEvent | 'stalled'> {
+		const next = stream.next();
+		for (;;) {
+			const result = await waitAtMost(next, this.#opts.context.settings.stallMs, this.#clock);
+			if (result) {
+				return result.done ? {kind: 'failed', error: createCutError()} : result.value;
+			}
+
+			const isSilent = job.firstPieceAt !== undefined || this.#running.size > 0;
+			if (isSilent && await this.#opts.adapter.probe(job.attempt) !== 'running') {
+				return 'stalled';
+			}
+
+			// An engine that still has the work but sends nothing for long has lost the stream.
+			if (job.firstPieceAt !== undefined) {
+				return 'stalled';
+			}
+		}
+	}
+
+	async #callService(job: Job, work: ServiceWork): Promise<AttemptEnd | undefined> {
+		const result = await this.#opts.adapter.callService(work, {
+			attempt: job.attempt, tenant: job.submission.tenant, priority: job.priority, signal: job.abort.signal, onWrite() {
+				job.isWritten = true;
+			},
+		});
+		return result.isOk() ? {kind: 'service-answer', answer: result.value} : this.#convertFailure(job, result.error);
+	}
+
+	#convertFailure(job: Job, error: EngineError): AttemptEnd | undefined {
+		if (job.phase === 'ended') {
+			return undefined;
+		}
+
+		if (!error.written) {
+			job.isWritten = false;
+			this.#opts.watch.noteLost();
+			return {kind: 'refused', reason: 'not-ready'};
+		}
+
+		return error.code === 'ERR_HICKORYTRACK_ENGINE_REFUSED' ? {kind: 'engine-failed', written: true, message: error.message} : undefined;
+	}
+
+	/** Finds out whether the engine crashed; if so, everything that ran becomes a suspect. */
+	async #judgeFailure(job: Job, incarnation: string): Promise<void> {
+		const ran = [...this.#running].filter(other => other.isWritten && other.phase === 'running');
+		const isCrash = await this.#opts.watch.checkCrash(incarnation);
+		if (job.phase === 'ended') {
+			return;
+		}
+
+		if (!isCrash) {
+			this.#end(job, {kind: 'engine-failed', written: true, message: 'The engine cut the stream'});
+			return;
+		}
+
+		await this.#reportCrash(incarnation, ran);
+	}
+
+	async #reportCrash(incarnation: string, ran: readonly Job[]): Promise<void> {
+		const {context, control, watch} = this.#opts;
+		const {endpoint} = context.settings;
+		this.#crashes++;
+		context.events.emit('engineCrashed', {endpoint, suspects: ran.length});
+		context.metrics.count('agent.engine_crashes');
+		const suspects = ran.map(({submission}) => ({fingerprint: submission.fingerprint, tenant: submission.tenant}));
+		await control.propose({kind: 'report-crash', reportId: `${endpoint}/${incarnation}`, endpoint, suspects, at: 0}, {timeoutMs: crashReportTimeoutMs, isIdempotent: true});
+		for (const job of ran) {
+			job.abort.abort();
+			this.#end(job, {kind: 'engine-crashed', written: true, alone: ran.length === 1});
+		}
+
+		watch.noteLost();
+	}
+
+	#endEarly(job: Job, end: AttemptEnd): void {
+		for (const work of this.#queue.takeWhere(queued => queued === job)) {
+			void work;
+		}
+
+		if (this.#isolatedNext === job) {
+			this.#isolatedNext = undefined;
+		}
+
+		const wasRunning = job.phase === 'running';
+		this.#end(job, end);
+		job.abort.abort();
+		if (wasRunning && job.submission.work.kind === 'generation') {
+			void this.#opts.adapter.cancel(job.attempt);
+		}
+	}
+
+	#end(job: Job, end: AttemptEnd): void {
+		job.finish(end, this.#clock.monotonic());
+		this.#book.noteEnded(job);
+	}
+
+	#refuseQueued(reason: RefusalReason): void {
+		const jobs = this.#queue.takeWhere(() => true).map(work => work.item);
+		if (this.#isolatedNext) {
+			jobs.push(this.#isolatedNext);
+			this.#isolatedNext = undefined;
+		}
+
+		for (const job of jobs) {
+			this.#end(job, {kind: 'refused', reason});
+		}
+	}
+
+	#findSender(connection: PeerConnection): PieceSender {
+		let sender = this.#senders.get(connection);
+		if (!sender) {
+			sender = new PieceSender(connection, () => this.getLoad());
+			this.#senders.set(connection, sender);
+		}
+
+		return sender;
+	}
+
+	async #keepHouse(): Promise<void> {
+		const {metrics} = this.#opts.context;
+		while (!this.#stopped.signal.aborted) {
+			await this.#clock.sleep(housekeepingMs, this.#stopped.signal);
+			for (const work of this.#queue.takeExpired()) {
+				this.#end(work.item, {kind: 'refused', reason: 'queue-time'});
+			}
+
+			this.#book.forgetOld();
+			this.#pump();
+			metrics.gauge('agent.queue_length', this.#queue.length);
+			metrics.gauge('agent.running', this.#running.size);
+		}
+	}
+}
+
+function createCutError(): EngineError {
+	const error = new Error('The engine stream ended without an end') as EngineError;
+	Object.assign(error, {code: 'ERR_HICKORYTRACK_ENGINE_CUT', written: true});
+	return error;
+}
--- /dev/null
+++ b/packages/plugins/controller/src/controller-core.ts
@@ -0,0 +1,99 @@
+/** What the parts of the controller share: the replicated log, its state machine, and the way to the leader. */
+import type {Result} from 'neverthrow';
+import type {ProcessContext} from '@hickorytrack/kernel/plugin';
+import type {ReplicatedLog} from '@hickorytrack/replicated-log';
+import type {ReplicatedLogError} from '@hickorytrack/replicated-log/member-state';
+import type {ControlState} from '@hickorytrack/control-state';
+import type {CommandOutcome, ControlCommand} from '@hickorytrack/types/control';
+import type {ProposeReply} from '@hickorytrack/types/peer-methods';
+import type {PeerConnection} from '@hickorytrack/peer-link/peer-connection';
+import type {PeerMemberTransport} from './member-transport.js';
+
+const leaderWaitMs = 2500;
+const leaderPollMs = 25;
+const forwardTimeoutMs = 5000;
+
+export interface ControllerCoreOptions {
+	context: ProcessContext;
+	log: ReplicatedLog;
+	state: ControlState;
+	transport: PeerMemberTransport;
+}
+
+export class ControllerCore {
+	readonly context: ProcessContext;
+	readonly log: ReplicatedLog;
+	readonly state: ControlState;
+	readonly transport: PeerMemberTransport;
+	readonly stopped = new AbortController();
+
+	constructor(opts: ControllerCoreOptions) {
+		this.context = opts.context;
+		this.log = opts.log;
+		this.state = opts.state;
+		this.transport = opts.transport;
+	}
+
+	/** Proposes a command here or at the leader. */
+	async propose(command: ControlCommand, opts: {forwarded?: boolean} = {}): Promise<ProposeReply> {
+		const {clock} = this.context;
+		const until = clock.monotonic() + leaderWaitMs;
+		while (clock.monotonic() < until && !this.stopped.signal.aborted) {
+			if (this.log.isLeader) {
+				return this.#proposeHere(command);
+			}
+
+			const connection = opts.forwarded ? undefined : this.findLeaderConnection();
+			if (connection) {
+				const reply = await connection.request('control.propose', {command, forwarded: true}, {timeoutMs: forwardTimeoutMs});
+				if (reply.isOk() && !(reply.value.kind === 'unavailable' && reply.value.applied === 'no')) {
+					return reply.value;
+				}
+
+				if (reply.isErr() && reply.error.sent) {
+					return {kind: 'unavailable', applied: 'unknown', message: reply.error.message};
+				}
+			}
+
+			if (opts.forwarded) {
+				break;
+			}
+
+			await clock.sleep(leaderPollMs, this.stopped.signal);
+		}
+
+		return {kind: 'unavailable', applied: 'no', message: 'There is no leader'};
+	}
+
+	/** Proposes at this member and returns the outcome only while it leads. */
+	async proposeAsLeader(command: ControlCommand): Promise<CommandOutcome | undefined> {
+		const reply = await this.#proposeHere(command);
+		return reply.kind === 'outcome' ? reply.outcome : undefined;
+	}
+
+	findLeaderConnection(): PeerConnection | undefined {
+		const {leader} = this.log;
+		const member = this.log.getStatus().members.find(candidate => candidate.id === leader);
+		return member && member.id !== this.log.id ? this.transport.findLink(member.address).connection : undefined;
+	}
+
+	async readBarrier(): Promise<Result<number, ReplicatedLogError>> {
+		return this.log.readBarrier({timeoutMs: leaderWaitMs});
+	}
+
+	async #proposeHere(command: ControlCommand): Promise<ProposeReply> {
+		const {clock, steps, metrics, settings} = this.context;
+		const startedAt = clock.monotonic();
+		await steps.reach('control.proposed', settings.instance);
+		// The leader's wall time is the time of the command on every member.
+		const stamped = 'at' in command ? {...command, at: clock.now()} : command;
+		const result = await this.log.propose(stamped);
+		metrics.time('controller.commit_ms', clock.monotonic() - startedAt);
+		if (result.isErr()) {
+			return {kind: 'unavailable', applied: result.error.applied, message: result.error.message};
+		}
+
+		await steps.reach('control.committed', settings.instance);
+		return {kind: 'outcome', outcome: result.value as CommandOutcome};
+	}
+}
--- /dev/null
+++ b/packages/plugins/controller/src/controller.ts
@@ -0,0 +1,197 @@
+/** The controller plug-in: it stores what the deployment has agreed on, tells everyone, and carries out planned changes. */
+import {err, ok, type Result} from 'neverthrow';
+import {ControlState} from '@hickorytrack/control-state';
+import {HickorytrackError} from '@hickorytrack/errors';
+import {computeSuccessorWait} from '@hickorytrack/fence/lease';
+import type {Plugin, PluginRegistry, ProcessContext} from '@hickorytrack/kernel/plugin';
+import {FileLogStorage} from '@hickorytrack/log-storage/file-log-storage';
+import {ReplicatedLog} from '@hickorytrack/replicated-log';
+import type {MemberMessage} from '@hickorytrack/replicated-log/member-messages';
+import type {Claim} from '@hickorytrack/types/claim';
+import type {EndpointRegistration, EpochGrant} from '@hickorytrack/types/control';
+import {ChangeRunner} from './change-runner.js';
+import {ControllerCore} from './controller-core.js';
+import {FleetView} from './fleet-view.js';
+import {PeerMemberTransport} from './member-transport.js';
+import {OperatorApi} from './operator-api.js';
+import {SubscriberDesk} from './subscriber-desk.js';
+
+const expireMs = 5000;
+const watchMs = 100;
+/** An endpoint that no controller has seen for this long is forgotten. */
+const forgetMs = 60_000;
+/** Longest time from an agent's check of its lease to the last byte of an order. */
+export const orderTimeLimitMs = 1000;
+
+export class ControllerPlugin implements Plugin {
+	readonly #context: ProcessContext;
+	readonly #core: ControllerCore;
+	readonly #desk: SubscriberDesk;
+	readonly #fleet: FleetView;
+	readonly #changes: ChangeRunner;
+
+	constructor(context: ProcessContext) {
+		this.#context = context;
+		const {settings} = context;
+		const state = new ControlState();
+		const transport = new PeerMemberTransport(context.peers);
+		const log = new ReplicatedLog({
+			id: settings.instance,
+			initialMembers: settings.join ? [] : settings.controllers.map(({id, address}) => ({id, address, voter: true})),
+			storage: new FileLogStorage(settings.data!),
+			transport,
+			stateMachine: {
+				apply: (command, index) => {
+					const outcome = state.apply(command, index);
+					this.#desk.schedulePush();
+					return outcome;
+				},
+				takeSnapshot: () => state.takeSnapshot(),
+				restoreSnapshot: snapshot => {
+					state.restoreSnapshot(snapshot);
+					this.#desk.schedulePush();
+				},
+			},
+			clock: context.clock,
+			random: context.random,
+			timing: {electionMinMs: settings.electionMs, electionMaxMs: settings.electionMs * 2, heartbeatMs: Math.max(10, settings.electionMs / 6)},
+			steps: context.steps,
+		});
+		this.#core = new ControllerCore({context, log, state, transport});
+		this.#desk = new SubscriberDesk(this.#core);
+		this.#fleet = new FleetView(this.#core, this.#desk);
+		this.#changes = new ChangeRunner(this.#core);
+		this.#registerHandlers();
+		void new OperatorApi(this.#core, this.#fleet);
+	}
+
+	async start(): Promise<Result<void, HickorytrackError>> {
+		const started = await this.#core.log.start();
+		if (started.isErr()) {
+			return err(started.error);
+		}
+
+		this.#fleet.start();
+		this.#changes.start();
+		void this.#expire();
+		void this.#watchLead();
+		return ok(undefined);
+	}
+
+	async drain(): Promise<void> {
+		// Every acknowledged change is on a majority already; there is nothing to finish.
+	}
+
+	async stop(): Promise<void> {
+		this.#core.stopped.abort();
+		this.#core.transport.stop();
+		await this.#core.log.stop();
+	}
+
+	dump(): unknown {
+		const {state, log} = this.#core;
+		return {
+			log: log.getStatus(),
+			revision: state.items.revision,
+			subscribers: this.#desk.list().map(view => ({instance: view.member.instance, revision: view.revision})),
+			endpoints: [...state.endpoints.values()],
+			claims: state.claims.size,
+			changes: state.listOpenChanges(),
+			quarantine: state.quarantine.list(),
+		};
+	}
+
+	listOpenWork(): string[] {
+		return this.#core.log.isLeader ? this.#core.state.listOpenChanges().map(change => `change ${change.id} at ${change.step}`) : [];
+	}
+
+	#registerHandlers(): void {
+		const {peers, settings} = this.#context;
+		peers.handle('log.message', async ({payload}) => ({payload: await this.#core.log.handle(payload as MemberMessage)}));
+		peers.handle('control.propose', async ({command, forwarded}) => this.#core.propose(command, {forwarded}));
+		peers.handle('control.status', () => ({
+			instance: settings.instance, leader: this.#core.log.leader, term: this.#core.log.term, quorumAgeMs: this.#core.log.computeQuorumAge(), revision: this.#core.state.items.revision,
+		}));
+		peers.handle('control.read-claim', async params => this.#readClaim(params));
+		peers.handle('agent.register', async ({record}) => this.#registerEndpoint(record));
+	}
+
+	/** Reads a claim at the leader, behind everything that was acknowledged. */
+	async #readClaim(params: {tenant: string; key: string; forwarded?: boolean}): Promise<{claim?: Claim}> {
+		if (this.#core.log.isLeader) {
+			const barrier = await this.#core.readBarrier();
+			return barrier.isOk() ? {claim: this.#core.state.claims.read(params.tenant, params.key)} : {};
+		}
+
+		const connection = params.forwarded ? undefined : this.#core.findLeaderConnection();
+		const reply = await connection?.request('control.read-claim', {...params, forwarded: true});
+		return reply?.isOk() ? reply.value : {};
+	}
+
+	async #registerEndpoint(record: EndpointRegistration): Promise<EpochGrant> {
+		const reply = await this.#core.propose({kind: 'grant-epoch', record});
+		if (reply.kind === 'unavailable' || !reply.outcome.ok) {
+			throw new HickorytrackError('ERR_HICKORYTRACK_NOT_ACKNOWLEDGED', 'The epoch was not acknowledged');
+		}
+
+		const {epoch, succeeds} = reply.outcome.value as {epoch: number; succeeds: boolean};
+		const waitMs = succeeds ? computeSuccessorWait({leaseMs: this.#context.settings.leaseMs, orderTimeLimitMs}) : 0;
+		return {endpoint: record.announcement.endpoint, epoch, term: this.#core.log.term, waitMs};
+	}
+
+	/** Lets the leader remove what has run out, and endpoints that are gone. */
+	async #expire(): Promise<void> {
+		const {clock, events} = this.#context;
+		while (!this.#core.stopped.signal.aborted) {
+			await clock.sleep(expireMs, this.#core.stopped.signal);
+			if (!this.#core.log.isLeader) {
+				continue;
+			}
+
+			if (this.#hasExpired()) {
+				await this.#core.proposeAsLeader({kind: 'expire', at: 0});
+			}
+
+			for (const record of [...this.#core.state.endpoints.values()]) {
+				this.#fleet.noteKnown(record.agent);
+				if (this.#fleet.computeSilence(record.agent) > forgetMs) {
+					const {endpoint} = record.announcement;
+					await this.#core.proposeAsLeader({kind: 'forget-endpoint', endpoint, agentIncarnation: record.agentIncarnation});
+					events.emit('endpointForgotten', {endpoint});
+				}
+			}
+		}
+	}
+
+	#hasExpired(): boolean {
+		const now = this.#context.clock.now();
+		const {quarantine, claims} = this.#core.state;
+		return quarantine.list().some(entry => entry.until <= now) || claims.hasExpired(now);
+	}
+
+	async #watchLead(): Promise<void> {
+		const {clock, events} = this.#context;
+		let wasLeader = false;
+		let hadFault = false;
+		while (!this.#core.stopped.signal.aborted) {
+			const {isLeader, term} = this.#core.log;
+			const {diskFault} = this.#core.log.getStatus();
+			if (isLeader !== wasLeader) {
+				events.emit(isLeader ? 'leaderElected' : 'leadLost', {term});
+			}
+
+			if (diskFault && !hadFault) {
+				events.emit('diskFault', {data: this.#context.settings.data});
+			}
+
+			wasLeader = isLeader;
+			hadFault = diskFault;
+			await clock.sleep(watchMs, this.#core.stopped.signal);
+		}
+	}
+}
+
+/** Registers the controller role. */
+export function registerController(registry: PluginRegistry): void {
+	registry.registerRole({role: 'controller', order: 1, create: context => new ControllerPlugin(context)});
+}
--- /dev/null
+++ b/packages/plugins/controller/src/member-transport.ts
@@ -0,0 +1,41 @@
+/** Carries the messages of the replicated log over kept links between the controllers. */
+import type {KeptLink, PeerNode} from '@hickorytrack/peer-link/peer-node';
+import {HickorytrackError} from '@hickorytrack/errors';
+import type {MemberMessage, MemberReply, MemberTransport} from '@hickorytrack/replicated-log/member-messages';
+import type {MemberInfo} from '@hickorytrack/replicated-log/member-set';
+
+export class PeerMemberTransport implements MemberTransport {
+	readonly #peers: PeerNode;
+	readonly #links = new Map<string, KeptLink>();
+
+	constructor(peers: PeerNode) {
+		this.#peers = peers;
+	}
+
+	async call(to: MemberInfo, message: MemberMessage, timeoutMs: number): Promise<MemberReply> {
+		const {connection} = this.findLink(to.address);
+		const reply = await connection?.request('log.message', {payload: message}, {timeoutMs});
+		if (!reply?.isOk()) {
+			throw new HickorytrackError('ERR_HICKORYTRACK_MEMBER_UNREACHABLE', `No reply from ${to.id}`);
+		}
+
+		return reply.value.payload as MemberReply;
+	}
+
+	/** Returns the link to an address, opening it at first use. */
+	findLink(address: string): KeptLink {
+		let link = this.#links.get(address);
+		if (!link) {
+			link = this.#peers.keepLink(address);
+			this.#links.set(address, link);
+		}
+
+		return link;
+	}
+
+	stop(): void {
+		for (const link of this.#links.values()) {
+			link.stop();
+		}
+	}
+}
--- /dev/null
+++ b/packages/plugins/controller/src/operator-api.ts
@@ -0,0 +1,208 @@
+/**
+ * The operators' methods that the controllers answer. Reads go through the leader and a read barrier, so that each
+ * acknowledged write is seen by each later read; every read gives the revision it shows. A follower passes the call on.
+ */
+import type {CommandOutcome, ControlCommand} from '@hickorytrack/types/control';
+import type {OperatorReply} from '@hickorytrack/types/peer-methods';
+import type {OperatorCaller, OperatorMethod} from '@hickorytrack/kernel/plugin';
+import {settingRules} from '@hickorytrack/control-state/setting-rules';
+import {z} from 'zod';
+import {checkContract} from '@hickorytrack/contract-schema';
+import type {ControllerCore} from './controller-core.js';
+import type {FleetView} from './fleet-view.js';
+
+const forwardTimeoutMs = 8000;
+const maximumHops = 3;
+const aliveMs = 3000;
+const learnerPatienceMs = 30_000;
+const learnerPollMs = 100;
+
+const schemas = {
+	none: z.object({}).loose(),
+	tenant: z.object({tenant: z.string().min(1)}),
+	putContract: z.object({changeId: z.string().min(1), expectedVersion: z.number().int().min(0), tenant: z.string().min(1), contract: z.unknown().optional()}),
+	putSetting: z.object({changeId: z.string().min(1), expectedVersion: z.number().int().min(0), name: z.string(), value: z.union([z.string(), z.number(), z.boolean()])}),
+	endpoint: z.object({endpoint: z.string().min(1)}),
+	startChange: z.object({changeId: z.string().min(1), endpoint: z.string().min(1), kind: z.enum(['drain', 'withdraw', 'replace', 'restore'])}),
+	setRole: z.object({changeId: z.string().min(1), endpoint: z.string().min(1), role: z.enum(['mixed', 'prefill', 'decode'])}),
+	load: z.object({changeId: z.string().min(1), endpoint: z.string().min(1), model: z.string().optional(), version: z.string().optional(), adapter: z.string().optional()}),
+	pin: z.object({changeId: z.string().min(1), endpoint: z.string().min(1), pinned: z.boolean()}),
+	change: z.object({changeId: z.string().min(1)}),
+	fingerprint: z.object({changeId: z.string().min(1), fingerprint: z.string().min(1)}),
+	revision: z.object({revision: z.number().int().min(0)}),
+	controller: z.object({id: z.string().min(1), address: z.string().optional()}),
+};
+
+type Handler<T> = (params: T, caller: OperatorCaller) => Promise<OperatorReply> | OperatorReply;
+
+const accept = (result: unknown): OperatorReply => ({ok: true, result});
+const refuse = (code: string, message: string, hint?: string): OperatorReply => ({ok: false, code, message, hint});
+
+export class OperatorApi {
+	readonly #core: ControllerCore;
+	readonly #fleet: FleetView;
+
+	constructor(core: ControllerCore, fleet: FleetView) {
+		this.#core = core;
+		this.#fleet = fleet;
+		this.#addContractMethods();
+		this.#addEndpointMethods();
+		this.#addOtherMethods();
+		this.#addControllerMethods();
+	}
+
+	#addContractMethods(): void {
+		const {state} = this.#core;
+		this.#add('contract.list', schemas.none, () => accept({revision: state.items.revision, contracts: state.listContracts()}));
+		this.#add('contract.get', schemas.tenant, ({tenant}) => {
+			const found = state.readContract(tenant);
+			return found ? accept({revision: state.items.revision, ...found}) : refuse('ERR_HICKORYTRACK_NOT_FOUND', `There is no contract of ${tenant}`, 'See hickorytrack contract list.');
+		});
+		this.#add('contract.history', schemas.tenant, ({tenant}) => accept({revision: state.items.revision, versions: state.readHistory(tenant)}));
+		this.#add('contract.put', schemas.putContract, async params => {
+			const contract = params.contract === undefined ? undefined : checkContract(params.contract);
+			if (contract?.isErr()) {
+				return refuse(contract.error.code, contract.error.faults.map(fault => `${fault.path}: ${fault.message}`).join('; '), 'Nothing was changed.');
+			}
+
+			return this.#propose({kind: 'put-contract', ...params, contract: contract?.isOk() ? contract.value : undefined});
+		});
+	}
+
+	#addEndpointMethods(): void {
+		const {state} = this.#core;
+		const describe = (endpoint: string) => {
+			const record = state.endpoints.get(endpoint)!;
+			const silenceMs = this.#fleet.computeSilence(record.agent);
+			return {...record, directive: state.readDirective(endpoint), isAlive: silenceMs < aliveMs, change: state.listOpenChanges().find(change => change.endpoint === endpoint)};
+		};
+
+		this.#add('endpoint.list', schemas.none, () => accept({revision: state.items.revision, endpoints: [...state.endpoints.keys()].map(endpoint => describe(endpoint))}));
+		this.#add('endpoint.get', schemas.endpoint, ({endpoint}) => state.endpoints.has(endpoint)
+			? accept({revision: state.items.revision, ...describe(endpoint)})
+			: refuse('ERR_HICKORYTRACK_NOT_FOUND', `There is no endpoint ${endpoint}`, 'See hickorytrack endpoint list.'));
+		this.#add('change.start', schemas.startChange, async ({changeId, endpoint, kind}, caller) =>
+			this.#propose({kind: 'start-change', changeId, endpoint, changeKind: kind, requestedBy: caller.operator, at: 0}));
+		this.#add('role.set', schemas.setRole, async ({changeId, endpoint, role}, caller) =>
+			this.#propose({kind: 'start-change', changeId, endpoint, changeKind: 'set-role', order: {kind: 'set-role', role}, requestedBy: caller.operator, at: 0}));
+		this.#add('role.pin', schemas.pin, async params => this.#propose({kind: 'pin-role', ...params}));
+		this.#add('endpoint.load', schemas.load, async ({changeId, endpoint, model, version, adapter}, caller) => {
+			const order = adapter === undefined ? {kind: 'load-model' as const, model: model ?? '', version: version ?? 'latest'} : {kind: 'load-adapter' as const, adapter};
+			return this.#propose({kind: 'start-change', changeId, endpoint, changeKind: order.kind, order, requestedBy: caller.operator, at: 0});
+		});
+	}
+
+	#addOtherMethods(): void {
+		const {state} = this.#core;
+		this.#add('change.list', schemas.none, () => accept({revision: state.items.revision, changes: [...state.changes.values()]}));
+		this.#add('change.get', schemas.change, ({changeId}) => state.changes.has(changeId)
+			? accept(state.changes.get(changeId))
+			: refuse('ERR_HICKORYTRACK_NOT_FOUND', `There is no change ${changeId}`, 'See hickorytrack change list.'));
+		this.#add('change.cancel', schemas.change, async ({changeId}) => this.#propose({kind: 'cancel-change', changeId, at: 0}));
+		this.#add('config.list', schemas.none, () => accept({revision: state.items.revision, settings: settingRules.map(rule => ({...rule, ...state.readSetting(rule.name)}))}));
+		this.#add('config.set', schemas.putSetting, async params => this.#propose({kind: 'put-setting', ...params}));
+		this.#add('quarantine.list', schemas.none, () => accept({revision: state.items.revision, entries: state.quarantine.list()}));
+		this.#add('quarantine.lift', schemas.fingerprint, async params => this.#propose({kind: 'lift-quarantine', ...params}));
+		this.#add('force.get', schemas.revision, ({revision}) => {
+			const missing = this.#fleet.list().filter(view => view.revision < revision).map(view => view.member.instance);
+			return accept({revision, subscribers: this.#fleet.list().length, missing, isInForce: missing.length === 0});
+		});
+		this.#add('status.get', schemas.none, () => accept({
+			revision: state.items.revision,
+			leader: this.#core.log.id,
+			log: this.#core.log.getStatus(),
+			subscribers: this.#fleet.list().map(view => ({...view.member, revision: view.revision})),
+			endpoints: state.endpoints.size,
+			contracts: state.listContracts().length,
+			claims: state.claims.size,
+			openChanges: state.listOpenChanges(),
+			quarantine: state.quarantine.list().length,
+		}));
+	}
+
+	#addControllerMethods(): void {
+		const {log} = this.#core;
+		this.#add('controller.list', schemas.none, () => accept({
+			leader: log.id,
+			members: log.getStatus().members.map(member => ({...member, ...log.getMemberProgress(member.id)})),
+		}));
+		this.#add('controller.add', schemas.controller, async ({id, address}) => {
+			const added = await log.addLearner({id, address: address ?? ''});
+			return added.isErr() ? refuse(added.error.code, added.error.message, added.error.hint) : this.#promote(id);
+		});
+		this.#add('controller.remove', schemas.controller, async ({id}) => {
+			const removed = await log.removeMember(id);
+			return removed.isErr() ? refuse(removed.error.code, removed.error.message, removed.error.hint) : accept({removed: id});
+		});
+		this.#add('controller.replace', schemas.controller, async ({id}) => {
+			const demoted = await log.demoteMember(id);
+			return demoted.isErr() ? refuse(demoted.error.code, demoted.error.message, demoted.error.hint) : this.#promote(id);
+		});
+	}
+
+	/** Waits until a learner holds the whole log, then gives it its vote. */
+	async #promote(id: string): Promise<OperatorReply> {
+		const {clock} = this.#core.context;
+		const until = clock.monotonic() + learnerPatienceMs;
+		let message = '';
+		while (clock.monotonic() < until) {
+			const promoted = await this.#core.log.promoteLearner(id);
+			if (promoted.isOk()) {
+				return accept({promoted: id});
+			}
+
+			message = promoted.error.message;
+			await clock.sleep(learnerPollMs, this.#core.stopped.signal);
+		}
+
+		return refuse('ERR_HICKORYTRACK_MEMBERS_REFUSED', `${id} is a learner now but was not promoted: ${message}`, 'Start it, then run the command again.');
+	}
+
+	#add<T>(name: string, schema: z.ZodType<T>, handler: Handler<T>): void {
+		const method: OperatorMethod = async (params, caller) => {
+			if (!this.#core.log.isLeader) {
+				return this.#forward(name, params, caller);
+			}
+
+			const parsed = schema.safeParse(params);
+			if (!parsed.success) {
+				return refuse('ERR_HICKORYTRACK_BAD_PARAMS', z.prettifyError(parsed.error), 'See docs/interfaces/operators.md.');
+			}
+
+			const barrier = await this.#core.readBarrier();
+			return barrier.isErr() ? refuse(barrier.error.code, barrier.error.message, 'Try again.') : handler(parsed.data, caller);
+		};
+
+		this.#core.context.addOperatorMethod(name, method);
+	}
+
+	async #forward(name: string, params: unknown, caller: OperatorCaller): Promise<OperatorReply> {
+		const connection = this.#core.findLeaderConnection();
+		if (!connection || caller.hops >= maximumHops) {
+			return refuse('ERR_HICKORYTRACK_NO_LEADER', 'The controllers have no leader now', 'Try again; if it stays so, bring back a majority of the controllers.');
+		}
+
+		const reply = await connection.request('operator.call', {method: name, params, hops: caller.hops + 1}, {timeoutMs: forwardTimeoutMs});
+		return reply.isOk() ? reply.value : refuse(reply.error.code, reply.error.message, 'Send it again under the same change id.');
+	}
+
+	async #propose(command: ControlCommand): Promise<OperatorReply> {
+		const reply = await this.#core.propose(command);
+		if (reply.kind === 'unavailable') {
+			const hint = reply.applied === 'no' ? 'Nothing was changed; try again.' : 'It may still be applied; send it again under the same change id.';
+			return refuse('ERR_HICKORYTRACK_NOT_ACKNOWLEDGED', reply.message, hint);
+		}
+
+		await this.#core.context.steps.reach('control.answered', this.#core.context.settings.instance);
+		return this.#convertOutcome(reply.outcome);
+	}
+
+	#convertOutcome(outcome: CommandOutcome): OperatorReply {
+		if (outcome.ok) {
+			return accept({revision: outcome.revision, value: outcome.value});
+		}
+
+		const codes = {conflict: 'ERR_HICKORYTRACK_CONFLICT', 'not-found': 'ERR_HICKORYTRACK_NOT_FOUND', refused: 'ERR_HICKORYTRACK_REFUSED', 'reused-change-id': 'ERR_HICKORYTRACK_REUSED_CHANGE_ID', invalid: 'ERR_HICKORYTRACK_INVALID'} as const;
+		return refuse(codes[outcome.code], outcome.message, outcome.code === 'conflict' ? 'Read the version in force, then decide again.' : undefined);
+	}
+}
--- /dev/null
+++ b/packages/plugins/controller/src/subscriber-desk.ts
@@ -0,0 +1,116 @@
+/**
+ * The controller's side of its subscribers. One task for each of them sends lease ticks and takes the replies; changes of
+ * the items are pushed to all at once, each receiving only the topics it asked for.
+ */
+import type {PeerConnection} from '@hickorytrack/peer-link/peer-connection';
+import type {ItemPage} from '@hickorytrack/types/control';
+import type {PeerMember, SubscribeParams, SubscribeResult, SubscriberView, TenantShare} from '@hickorytrack/types/peer-methods';
+import type {ControllerCore} from './controller-core.js';
+
+interface Subscriber {
+	connection: PeerConnection;
+	member: PeerMember;
+	topics: string[];
+	/** Revision up to which items were sent. */
+	sentRevision: number;
+	confirmedRevision: number;
+	demands: SubscriberView['demands'];
+	reports: SubscriberView['reports'];
+}
+
+const tickFraction = 6;
+const longestTickMs = 1000;
+
+export class SubscriberDesk {
+	readonly #core: ControllerCore;
+	readonly #subscribers = new Map<string, Subscriber>();
+	#isPushDue = false;
+
+	constructor(core: ControllerCore) {
+		this.#core = core;
+		const {peers} = core.context;
+		peers.handle('control.subscribe', (params, connection) => this.#subscribe(params, connection));
+		peers.handle('control.subscribers', () => ({subscribers: this.list()}));
+		peers.handle('items.fetch', ({revision}) => core.state.items.listSince(revision));
+	}
+
+	get size(): number {
+		return this.#subscribers.size;
+	}
+
+	list(): SubscriberView[] {
+		return [...this.#subscribers.values()].map(({member, confirmedRevision, demands, reports}) => ({member, revision: confirmedRevision, demands, reports}));
+	}
+
+	/** Pushes what has changed, once for all changes of this turn of the event loop. */
+	schedulePush(): void {
+		if (this.#isPushDue) {
+			return;
+		}
+
+		this.#isPushDue = true;
+		setImmediate(() => {
+			this.#isPushDue = false;
+			for (const subscriber of this.#subscribers.values()) {
+				this.#push(subscriber);
+			}
+		});
+	}
+
+	sendShares(instance: string, shares: TenantShare[]): void {
+		this.#subscribers.get(instance)?.connection.notify('control.shares', {shares});
+	}
+
+	#subscribe(params: SubscribeParams, connection: PeerConnection): SubscribeResult {
+		const {member, topics, revision} = params;
+		const page = this.#selectPage(topics, revision);
+		const subscriber: Subscriber = {connection, member, topics, sentRevision: page.revision, confirmedRevision: 0, demands: [], reports: []};
+		this.#subscribers.set(member.instance, subscriber);
+		void this.#tick(subscriber);
+		this.#core.context.metrics.gauge('controller.subscribers', this.#subscribers.size);
+		return {page, leaseMs: this.#core.context.settings.leaseMs};
+	}
+
+	async #tick(subscriber: Subscriber): Promise<void> {
+		const {clock, settings, steps} = this.#core.context;
+		const intervalMs = Math.min(longestTickMs, settings.leaseMs / tickFraction);
+		const {connection} = subscriber;
+		while (connection.isOpen && !this.#core.stopped.signal.aborted) {
+			const page = this.#selectPage(subscriber.topics, subscriber.sentRevision);
+			const quorumAgeMs = this.#core.log.computeQuorumAge();
+			subscriber.sentRevision = page.revision;
+			const reply = await connection.request('control.lease', {revision: page.revision, quorumAgeMs, term: this.#core.log.term, page}, {timeoutMs: settings.silenceMs});
+			if (reply.isOk()) {
+				subscriber.confirmedRevision = reply.value.revision;
+				subscriber.demands = reply.value.demands;
+				subscriber.reports = reply.value.reports;
+				await steps.reach('control.confirmed', settings.instance);
+			}
+
+			// A subscriber that missed a page gets everything from what it confirmed.
+			if (reply.isErr() || reply.value.revision < page.revision) {
+				subscriber.sentRevision = Math.min(subscriber.sentRevision, subscriber.confirmedRevision);
+			}
+
+			await clock.sleep(intervalMs);
+		}
+
+		if (this.#subscribers.get(subscriber.member.instance) === subscriber) {
+			this.#subscribers.delete(subscriber.member.instance);
+		}
+	}
+
+	#push(subscriber: Subscriber): void {
+		const page = this.#selectPage(subscriber.topics, subscriber.sentRevision);
+		if (page.items.length > 0 && subscriber.connection.isOpen) {
+			subscriber.sentRevision = page.revision;
+			subscriber.connection.notify('control.items', {page});
+			void this.#core.context.steps.reach('control.pushed', this.#core.context.settings.instance);
+		}
+	}
+
+	#selectPage(topics: readonly string[], since: number): ItemPage {
+		const page = this.#core.state.items.listSince(since);
+		return {...page, items: page.items.filter(item => topics.some(topic => item.key.startsWith(topic)))};
+	}
+}
--- /dev/null
+++ b/packages/plugins/engine-http/src/http-model-engine.ts
@@ -0,0 +1,211 @@
+/**
+ * Adapter for a model engine that speaks the usual completions API over HTTP, with the extensions that
+ * `docs/interfaces/endpoints.md` describes. An engine without the extensions serves too, with defaults for what it does
+ * not say about itself.
+ */
+import {createParser} from 'eventsource-parser';
+import {err, ok, type Result} from 'neverthrow';
+import {Agent, request} from 'undici';
+import {describeError, HickorytrackError} from '@hickorytrack/errors';
+import type {EngineRole, FencedOrder} from '@hickorytrack/types/endpoint';
+import type {EngineAdapter, EngineAdapterFactory, EngineDescription, EngineError, EngineEvent, GenerateOptions} from '@hickorytrack/types/engine-adapter';
+import type {GenerationWork, ServiceAnswer} from '@hickorytrack/types/work';
+import {HttpEngineError, isPossiblyWritten} from './engine-http-error.js';
+
+const infoTimeoutMs = 1000;
+const orderTimeoutMs = 120_000;
+const defaultCapacity = 16;
+const defaultSpeed = {prefillTokensPerSecond: 4000, decodeTokensPerSecond: 800};
+const notFound = 404;
+const conflict = 409;
+
+interface InfoBody {
+	models: string[];
+	adapters: string[];
+	roles: EngineRole[];
+	role: EngineRole;
+	capacity: number;
+	prefill_tokens_per_second: number;
+	decode_tokens_per_second: number;
+	incarnation: string;
+	checks_fencing: boolean;
+}
+
+interface ChunkBody {
+	choices?: Array<{text?: string; delta?: {content?: string}; finish_reason?: string}>;
+	usage?: {prompt_tokens?: number; completion_tokens?: number; prompt_tokens_details?: {cached_tokens?: number}};
+	error?: {message?: string};
+}
+
+export class HttpModelEngine implements EngineAdapter {
+	readonly #url: string;
+	readonly #dispatcher = new Agent({bodyTimeout: 0, headersTimeout: 0, connections: null, pipelining: 1}); // eslint-disable-line @typescript-eslint/no-restricted-types
+
+	constructor(url: string) {
+		this.#url = url;
+	}
+
+	async describe(): Promise<Result<EngineDescription, HickorytrackError>> {
+		try {
+			const response = await request(`${this.#url}/engine/info`, {reset: true, headersTimeout: infoTimeoutMs, bodyTimeout: infoTimeoutMs});
+			if (response.statusCode === notFound) {
+				await response.body.dump();
+				return await this.#describePlainEngine();
+			}
+
+			return ok(this.#convertInfo(await response.body.json() as InfoBody));
+		} catch (error) {
+			return err(new HickorytrackError('ERR_HICKORYTRACK_ENGINE_UNREACHABLE', `The engine at ${this.#url} does not answer: ${describeError(error)}`, {cause: error}));
+		}
+	}
+
+	async * generate(work: GenerationWork, opts: GenerateOptions): AsyncGenerator<EngineEvent> {
+		opts.onWrite();
+		try {
+			const response = await request(`${this.#url}/v1/${work.api === 'chat' ? 'chat/completions' : 'completions'}`, {
+				method: 'POST',
+				dispatcher: this.#dispatcher,
+				headers: {'content-type': 'application/json', 'x-request-id': opts.attempt},
+				body: JSON.stringify(this.#composeBody(work, opts)),
+				signal: opts.signal,
+			});
+			if (response.statusCode !== 200) {
+				const text = await response.body.text();
+				yield {kind: 'failed', error: new HttpEngineError('ERR_HICKORYTRACK_ENGINE_REFUSED', `The engine answered ${response.statusCode}: ${text.slice(0, 200)}`, {written: true})};
+				return;
+			}
+
+			yield * this.#readStream(response.body);
+		} catch (error) {
+			yield {kind: 'failed', error: this.#convertError(error)};
+		}
+	}
+
+	async callService(): Promise<Result<ServiceAnswer, EngineError>> {
+		return err(new HttpEngineError('ERR_HICKORYTRACK_ENGINE_REFUSED', 'A model engine takes no service calls', {written: false}));
+	}
+
+	async probe(attempt: string): Promise<'running' | 'gone' | 'unreachable'> {
+		try {
+			const response = await request(`${this.#url}/engine/requests/${encodeURIComponent(attempt)}`, {reset: true, headersTimeout: infoTimeoutMs, bodyTimeout: infoTimeoutMs});
+			await response.body.dump();
+			return response.statusCode === 200 ? 'running' : 'gone';
+		} catch {
+			return 'unreachable';
+		}
+	}
+
+	async cancel(attempt: string): Promise<void> {
+		try {
+			const response = await request(`${this.#url}/engine/cancel`, {
+				method: 'POST', reset: true, headersTimeout: infoTimeoutMs, headers: {'content-type': 'application/json'}, body: JSON.stringify({request: attempt}),
+			});
+			await response.body.dump();
+		} catch {
+			// The engine also ends the work when its connection closes.
+		}
+	}
+
+	async order(order: FencedOrder): Promise<Result<void, HickorytrackError>> {
+		try {
+			const response = await request(`${this.#url}/engine/orders`, {
+				method: 'POST', reset: true, headersTimeout: orderTimeoutMs, headers: {'content-type': 'application/json'},
+				body: JSON.stringify({fence: order.fence, change: order.changeId, order: order.order}),
+			});
+			const text = await response.body.text();
+			if (response.statusCode === 200) {
+				return ok(undefined);
+			}
+
+			const code = response.statusCode === conflict ? 'ERR_HICKORYTRACK_ORDER_FENCED' : 'ERR_HICKORYTRACK_ORDER_FAILED';
+			return err(new HickorytrackError(code, `The engine answered ${response.statusCode}: ${text.slice(0, 200)}`));
+		} catch (error) {
+			return err(new HickorytrackError('ERR_HICKORYTRACK_ORDER_FAILED', `The order did not reach the engine: ${describeError(error)}`, {cause: error}));
+		}
+	}
+
+	/** Asks an engine without the extensions for its models. */
+	async #describePlainEngine(): Promise<Result<EngineDescription, HickorytrackError>> {
+		const response = await request(`${this.#url}/v1/models`, {reset: true, headersTimeout: infoTimeoutMs});
+		const body = await response.body.json() as {data?: Array<{id: string}>};
+		const names = (body.data ?? []).map(model => model.id);
+		return ok({
+			kind: 'model', names, adapters: [], roles: ['mixed'], role: 'mixed', capacity: defaultCapacity, speed: defaultSpeed, incarnation: 'unknown', checksFencing: false,
+		});
+	}
+
+	#convertInfo(info: InfoBody): EngineDescription {
+		return {
+			kind: 'model',
+			names: info.models,
+			adapters: info.adapters,
+			roles: info.roles,
+			role: info.role,
+			capacity: info.capacity,
+			speed: {prefillTokensPerSecond: info.prefill_tokens_per_second, decodeTokensPerSecond: info.decode_tokens_per_second},
+			incarnation: info.incarnation,
+			checksFencing: info.checks_fencing,
+		};
+	}
+
+	#composeBody(work: GenerationWork, opts: GenerateOptions): Record<string, unknown> {
+		const body: Record<string, unknown> = {
+			...work.body, model: work.model, stream: true, stream_options: {include_usage: true}, max_tokens: work.maxTokens, priority: opts.priority,
+		};
+		if (work.resumeFrom > 0) {
+			body.resume_tokens = work.resumeFrom;
+			body.resume_text = work.resumeText;
+		}
+
+		return body;
+	}
+
+	async * #readStream(body: AsyncIterable<Uint8Array>): AsyncGenerator<EngineEvent> {
+		const decoder = new TextDecoder();
+		let texts: string[] = [];
+		let finishReason: string | undefined;
+		let usage: ChunkBody['usage'];
+		let failure: string | undefined;
+		const parser = createParser({
+			onEvent({data}) {
+				if (data === '[DONE]') {
+					return;
+				}
+
+				const chunk = JSON.parse(data) as ChunkBody;
+				const choice = chunk.choices?.[0];
+				const text = choice?.text ?? choice?.delta?.content;
+				if (text) {
+					texts.push(text);
+				}
+
+				finishReason = choice?.finish_reason ?? finishReason;
+				usage = chunk.usage ?? usage;
+				failure = chunk.error?.message ?? failure;
+			},
+		});
+		for await (const bytes of body) {
+			parser.feed(decoder.decode(bytes, {stream: true}));
+			if (texts.length > 0) {
+				yield {kind: 'texts', texts};
+				texts = [];
+			}
+		}
+
+		// A stream that closes without a finish reason was cut.
+		if (finishReason === undefined || failure !== undefined) {
+			yield {kind: 'failed', error: new HttpEngineError('ERR_HICKORYTRACK_ENGINE_CUT', failure ?? 'The stream of the engine ended early', {written: true})};
+			return;
+		}
+
+		yield {
+			kind: 'end', finishReason, promptTokens: usage?.prompt_tokens ?? 0, outputTokens: usage?.completion_tokens ?? 0, cachedTokens: usage?.prompt_tokens_details?.cached_tokens ?? 0,
+		};
+	}
+
+	#convertError(error: unknown): HttpEngineError {
+		return new HttpEngineError('ERR_HICKORYTRACK_ENGINE_LOST', `The connection to the engine failed: ${describeError(error)}`, {written: isPossiblyWritten(error), cause: error});
+	}
+}
+
+export const httpModelEngineFactory: EngineAdapterFactory = {name: 'model', create: ({url}) => new HttpModelEngine(url)};
--- /dev/null
+++ b/packages/plugins/entry/src/caller-api.ts
@@ -0,0 +1,392 @@
+/**
+ * The HTTP interface towards callers and the balancer. Each request is one task: authenticate, check the limits of the
+ * contract, run, answer. Every answer carries the request id.
+ */
+import {randomUUID} from 'node:crypto';
+import {createServer, type IncomingMessage, type Server, type ServerResponse} from 'node:http';
+import {Buffer} from 'node:buffer';
+import findMyWay, {type HTTPMethod} from 'find-my-way';
+import {err, ok, type Result} from 'neverthrow';
+import {HickorytrackError} from '@hickorytrack/errors';
+import type {PeerAddress} from '@hickorytrack/peer-link/peer-node';
+import {computeFingerprint} from '@hickorytrack/quarantine/fingerprint';
+import type {ServiceCall as ServiceCallRule} from '@hickorytrack/types/contract';
+import type {RunState} from '@hickorytrack/types/work';
+import {GenerationCall, type GenerationServices} from './generation-call.js';
+import {formatAnswer, formatChunk, formatStreamEnd, formatStreamError, parseModelRequest, type AnswerIdentity, type ModelApiName, type ParsedModelRequest} from './model-api.js';
+import {createProblem, type Problem, type ProblemCode} from './problem.js';
+import {ServiceCall} from './service-call.js';
+import type {Tenant, TenantDirectory} from './tenant-directory.js';
+
+const headerTimeoutMs = 10_000;
+const bodyTimeoutMs = 15_000;
+const maximumHeaderBytes = 16 * 1024;
+const overloadRetryMs = 1000;
+const serviceMethods: HTTPMethod[] = ['GET', 'HEAD', 'POST', 'PUT', 'PATCH', 'DELETE'];
+
+interface Call {
+	request: IncomingMessage;
+	response: ServerResponse;
+	requestId: string;
+	/** Monotonic time of arrival. */
+	arrivedAt: number;
+	/** Aborts when the caller goes away. */
+	signal: AbortSignal;
+}
+
+export interface CallerApiOptions {
+	services: GenerationServices;
+	tenants: TenantDirectory;
+	/** Tells whether new work may be taken. */
+	isReady: () => boolean;
+}
+
+export class CallerApi {
+	readonly #opts: CallerApiOptions;
+	readonly #server: Server;
+	readonly #router = findMyWay({defaultRoute: (request, response) => {
+		this.#refuse(this.#createCall(request, response), 'not-found');
+	}});
+	#inFlight = 0;
+	#isDraining = false;
+
+	constructor(opts: CallerApiOptions) {
+		this.#opts = opts;
+		this.#addRoutes();
+		this.#server = createServer({headersTimeout: headerTimeoutMs, requestTimeout: 0, maxHeaderSize: maximumHeaderBytes, keepAliveTimeout: 60_000, noDelay: true}, (request, response) => {
+			this.#router.lookup(request, response);
+		});
+	}
+
+	get inFlight(): number {
+		return this.#inFlight;
+	}
+
+	async listen(address: PeerAddress): Promise<Result<void, HickorytrackError>> {
+		return new Promise(resolve => {
+			this.#server.once('error', error => {
+				resolve(err(new HickorytrackError('ERR_HICKORYTRACK_LISTEN', `Can't listen for callers on ${address.host}:${address.port}: ${error.message}`, {cause: error, hint: 'Choose another --caller-listen.'})));
+			});
+			this.#server.listen(address.port, address.host, () => {
+				resolve(ok(undefined));
+			});
+		});
+	}
+
+	/** Lets readiness fall; requests that arrive all the same are still served. */
+	startDraining(): void {
+		this.#isDraining = true;
+	}
+
+	/** Closes the listener and every idle connection. */
+	async stop(): Promise<void> {
+		this.#server.closeIdleConnections();
+		await new Promise<void>(resolve => {
+			this.#server.close(() => {
+				resolve();
+			});
+			this.#server.closeAllConnections();
+		});
+	}
+
+	#addRoutes(): void {
+		this.#router.on('GET', '/healthz', (_request, response) => {
+			response.writeHead(200).end('alive\n');
+		});
+		this.#router.on('GET', '/readyz', (_request, response) => {
+			const isReady = this.#opts.isReady() && !this.#isDraining;
+			response.writeHead(isReady ? 200 : 503).end(isReady ? 'ready\n' : 'not ready\n');
+		});
+		this.#router.on('POST', '/v1/chat/completions', (request, response) => {
+			void this.#serve(request, response, async (call, tenant) => this.#generate(call, tenant, 'chat'));
+		});
+		this.#router.on('POST', '/v1/completions', (request, response) => {
+			void this.#serve(request, response, async (call, tenant) => this.#generate(call, tenant, 'completions'));
+		});
+		this.#router.on('GET', '/v1/models', (request, response) => {
+			void this.#serve(request, response, async (call, tenant) => {
+				this.#listModels(call, tenant);
+			});
+		});
+		this.#router.on(serviceMethods, '/services/:name/*', (request, response, params) => {
+			void this.#serve(request, response, async (call, tenant) => this.#callService(call, tenant, params.name!));
+		});
+	}
+
+	#createCall(request: IncomingMessage, response: ServerResponse): Call {
+		const given = request.headers['x-request-id'];
+		const requestId = typeof given === 'string' && /^[\w.\-]{1,64}$/.test(given) ? given : randomUUID();
+		const gone = new AbortController();
+		response.on('close', () => {
+			if (!response.writableFinished) {
+				gone.abort();
+			}
+		});
+		response.setHeader('x-request-id', requestId);
+		return {request, response, requestId, arrivedAt: this.#clock.monotonic(), signal: gone.signal};
+	}
+
+	/** Runs a handler for an authenticated tenant within its limits. */
+	async #serve(request: IncomingMessage, response: ServerResponse, handler: (call: Call, tenant: Tenant) => Promise<void>): Promise<void> {
+		const call = this.#createCall(request, response);
+		const key = /^Bearer (?<key>\S+)$/.exec(request.headers.authorization ?? '')?.groups?.key;
+		if (key === undefined) {
+			this.#refuse(call, 'missing-key');
+			return;
+		}
+
+		const tenant = this.#opts.tenants.find(key);
+		if (!this.#opts.isReady()) {
+			this.#refuse(call, 'not-ready', {retryAfterMs: overloadRetryMs});
+			return;
+		}
+
+		if (!tenant) {
+			this.#refuse(call, 'unknown-key');
+			return;
+		}
+
+		const waitMs = tenant.takeRate();
+		if (waitMs > 0 || tenant.isAtConcurrencyLimit) {
+			this.#refuse(call, waitMs > 0 ? 'rate-limited' : 'concurrency-limited', {retryAfterMs: waitMs || overloadRetryMs});
+			return;
+		}
+
+		await this.#runCounted(call, tenant, handler);
+	}
+
+	async #runCounted(call: Call, tenant: Tenant, handler: (call: Call, tenant: Tenant) => Promise<void>): Promise<void> {
+		const {context} = this.#opts.services;
+		tenant.inFlight++;
+		this.#inFlight++;
+		context.metrics.gauge('entry.in_flight', this.#inFlight);
+		try {
+			await context.steps.reach('request.authenticated', context.settings.instance);
+			await handler(call, tenant);
+		} catch (error) {
+			context.events.emit('unexpectedError', {requestId: call.requestId, error: String(error)});
+			if (call.response.headersSent) {
+				call.response.destroy();
+			} else {
+				this.#refuse(call, 'answer-lost', {run: 'may-have-run'});
+			}
+		} finally {
+			tenant.inFlight--;
+			this.#inFlight--;
+		}
+	}
+
+	async #generate(call: Call, tenant: Tenant, api: ModelApiName): Promise<void> {
+		const body = await this.#readBody(call, tenant);
+		if (body === undefined) {
+			return;
+		}
+
+		const parsed = parseModelRequest(api, body);
+		if (parsed.isErr()) {
+			this.#refuse(call, 'bad-request', {detail: parsed.error});
+			return;
+		}
+
+		const request = parsed.value;
+		if (!tenant.contract.models.includes(request.model)) {
+			this.#refuse(call, 'model-not-allowed', {detail: request.model});
+			return;
+		}
+
+		await this.#answerGeneration(call, tenant, request);
+	}
+
+	async #answerGeneration(call: Call, tenant: Tenant, request: ParsedModelRequest): Promise<void> {
+		const {services} = this.#opts;
+		const identity: AnswerIdentity = {api: request.api, requestId: call.requestId, model: request.model, createdAt: this.#clock.now()};
+		const texts: string[] = [];
+		let hasPiece = false;
+		const generation = new GenerationCall(services, {
+			...request, requestId: call.requestId, tenant, fingerprint: computeFingerprint(tenant.contract.tenant, request.body),
+		}, {
+			signal: call.signal,
+			onTexts: async fresh => {
+				if (!hasPiece) {
+					hasPiece = true;
+					services.context.metrics.time('entry.first_token_ms', this.#clock.monotonic() - call.arrivedAt, {tenant: tenant.contract.tenant});
+				}
+
+				if (request.isStreamed) {
+					await this.#writeChunks(call, identity, fresh);
+				} else {
+					texts.push(...fresh);
+				}
+			},
+		});
+		const result = await generation.run();
+		if (result.kind === 'refused') {
+			this.#answerProblem(call, result.problem);
+		} else if (result.kind === 'caller-gone') {
+			services.context.events.emit('callerLost', {requestId: call.requestId});
+			call.response.destroy();
+		} else {
+			await services.context.steps.reach('request.last-piece', services.context.settings.instance);
+			this.#count(tenant, 'answered');
+			if (request.isStreamed) {
+				this.#openStream(call);
+				call.response.end(formatStreamEnd(identity, result.usage));
+			} else {
+				call.response.writeHead(200, {'content-type': 'application/json'}).end(formatAnswer(identity, texts.join(''), result.usage));
+			}
+
+			await services.context.steps.reach('request.answered', services.context.settings.instance);
+		}
+	}
+
+	/** Writes pieces that came together as one write and waits while the caller is slow to read. */
+	async #writeChunks(call: Call, identity: AnswerIdentity, texts: readonly string[]): Promise<void> {
+		this.#openStream(call);
+		const hasRoom = call.response.write(texts.map(text => formatChunk(identity, text)).join(''));
+		if (!hasRoom && !call.signal.aborted) {
+			await new Promise<void>(resolve => {
+				call.response.once('drain', resolve);
+				call.response.once('close', resolve);
+			});
+		}
+	}
+
+	#openStream(call: Call): void {
+		if (!call.response.headersSent) {
+			call.response.writeHead(200, {'content-type': 'text/event-stream', 'cache-control': 'no-cache'});
+		}
+	}
+
+	#listModels(call: Call, tenant: Tenant): void {
+		const data = tenant.contract.models.map(id => ({id, object: 'model', owned_by: 'hickorytrack'}));
+		call.response.writeHead(200, {'content-type': 'application/json'}).end(JSON.stringify({object: 'list', data}));
+	}
+
+	async #callService(call: Call, tenant: Tenant, name: string): Promise<void> {
+		const {request} = call;
+		const path = request.url!.slice(`/services/${name}`.length);
+		const rule = findRule(tenant, {name, method: request.method!, path});
+		if (!rule) {
+			this.#refuse(call, 'call-not-allowed', {detail: `${request.method} ${path} of ${name}`});
+			return;
+		}
+
+		const key = request.headers['idempotency-key'];
+		if (!rule.repeatable && (typeof key !== 'string' || key === '' || key.length > 256)) {
+			this.#refuse(call, 'idempotency-key-required');
+			return;
+		}
+
+		const body = await this.#readBody(call, tenant);
+		if (body === undefined) {
+			return;
+		}
+
+		await this.#answerServiceCall(call, tenant, {name, path, body, repeatable: rule.repeatable, key: rule.repeatable ? undefined : String(key)});
+	}
+
+	async #answerServiceCall(call: Call, tenant: Tenant, opts: {name: string; path: string; body: string; repeatable: boolean; key?: string}): Promise<void> {
+		const {request, response, requestId} = call;
+		const {name, path, body, repeatable, key} = opts;
+		const result = await new ServiceCall(this.#opts.services, {
+			requestId, tenant, service: name, method: request.method!, path, body, repeatable, key,
+			contentType: request.headers['content-type'] ?? 'application/octet-stream',
+			fingerprint: computeFingerprint(tenant.contract.tenant, [name, request.method, path, body]),
+		}, call.signal).run();
+		if (result.kind === 'refused') {
+			this.#answerProblem(call, result.problem);
+		} else if (result.kind === 'caller-gone') {
+			response.destroy();
+		} else {
+			this.#count(tenant, 'answered');
+			const {status, contentType, body: answer} = result.answer;
+			response.writeHead(status, {'content-type': contentType, ...(result.replayed && {'idempotency-replayed': 'true'})}).end(answer);
+			await this.#opts.services.context.steps.reach('request.answered', this.#opts.services.context.settings.instance);
+		}
+	}
+
+	/** Reads the body within the contract's size and the time limit; answers the refusal itself when it can't. */
+	async #readBody(call: Call, tenant: Tenant): Promise<string | undefined> {
+		const limit = tenant.contract.limits.bodyBytes;
+		if (Number(call.request.headers['content-length'] ?? 0) > limit) {
+			this.#refuseAndClose(call, 'body-too-large', limit);
+			return undefined;
+		}
+
+		const finished = new AbortController();
+		let isLate = false;
+		void this.#clock.sleep(bodyTimeoutMs, finished.signal).then(() => {
+			if (!finished.signal.aborted) {
+				isLate = true;
+				this.#refuseAndClose(call, 'request-too-slow', bodyTimeoutMs);
+			}
+		});
+		const chunks: Buffer[] = [];
+		let size = 0;
+		try {
+			for await (const chunk of call.request as AsyncIterable<Buffer>) {
+				size += chunk.length;
+				if (size > limit) {
+					this.#refuseAndClose(call, 'body-too-large', limit);
+					return undefined;
+				}
+
+				chunks.push(chunk);
+			}
+		} catch {
+			return undefined;
+		} finally {
+			finished.abort();
+		}
+
+		return isLate ? undefined : Buffer.concat(chunks).toString('utf8');
+	}
+
+	/** Refuses while the body is still on its way, so the connection can't be used again. */
+	#refuseAndClose(call: Call, code: ProblemCode, limit: number): void {
+		call.response.setHeader('connection', 'close');
+		this.#refuse(call, code, {detail: `The limit is ${limit}`});
+		call.response.once('finish', () => {
+			call.request.destroy();
+		});
+	}
+
+	#refuse(call: Call, code: ProblemCode, opts: {detail?: string; retryAfterMs?: number; run?: RunState} = {}): void {
+		this.#answerProblem(call, createProblem(code, {requestId: call.requestId, ...opts}));
+	}
+
+	#answerProblem(call: Call, problem: Problem): void {
+		const {context} = this.#opts.services;
+		context.events.emit('requestRefused', {requestId: problem.requestId, code: problem.code, run: problem.run});
+		context.metrics.count('entry.requests', {outcome: problem.code});
+		if (call.response.headersSent) {
+			context.events.emit('answerBroken', {requestId: problem.requestId, code: problem.code});
+			call.response.end(formatStreamError(problem));
+			return;
+		}
+
+		const headers: Record<string, string> = {'content-type': 'application/problem+json'};
+		if (problem.retryAfter !== undefined) {
+			headers['retry-after'] = String(problem.retryAfter);
+		}
+
+		call.response.writeHead(problem.status, headers).end(JSON.stringify(problem));
+	}
+
+	#count(tenant: Tenant, outcome: string): void {
+		this.#opts.services.context.metrics.count('entry.requests', {outcome, tenant: tenant.contract.tenant});
+	}
+
+	get #clock() {
+		return this.#opts.services.context.clock;
+	}
+}
+
+/** Finds the rule with the longest path that covers a call. */
+function findRule(tenant: Tenant, call: {name: string; method: string; path: string}): ServiceCallRule | undefined {
+	const service = tenant.contract.services.find(candidate => candidate.name === call.name);
+	const path = call.path.split('?')[0]!;
+	return service?.calls
+		.filter(rule => rule.method === call.method && (path === rule.path || path.startsWith(rule.path.endsWith('/') ? rule.path : `${rule.path}/`)))
+		.sort((a, b) => b.path.length - a.path.length)[0];
+}
--- /dev/null
+++ b/packages/plugins/entry/src/endpoint-directory.ts
@@ -0,0 +1,224 @@
+/**
+ * The endpoints that this entry works with: a subset of all, chosen by rendezvous hashing so that the subsets of many
+ * entries overlap evenly, with a kept link to the agent of each. It holds what the entry believes about their load.
+ */
+import {createHash} from 'node:crypto';
+import type {Clock} from '@hickorytrack/clock';
+import type {PeerConnection} from '@hickorytrack/peer-link/peer-connection';
+import type {KeptLink, PeerNode} from '@hickorytrack/peer-link/peer-node';
+import {CacheView} from '@hickorytrack/placement/cache-view';
+import type {PlacementCandidate} from '@hickorytrack/placement';
+import type {ControlItem, EndpointRecord} from '@hickorytrack/types/control';
+import type {EndpointLoad, EndpointPhase} from '@hickorytrack/types/endpoint';
+
+/** Endpoints of one model or service that an entry keeps links to. */
+export const subsetSize = 48;
+
+interface OutstandingWork {
+	sentAt: number;
+	prefillTokens: number;
+	decodeTokens: number;
+}
+
+export class EndpointHandle {
+	record: EndpointRecord;
+	phase: EndpointPhase = 'serving';
+	load: EndpointLoad | undefined;
+	loadAt = Number.NEGATIVE_INFINITY;
+	readonly cache = new CacheView();
+	readonly link: KeptLink;
+	readonly #outstanding = new Map<string, OutstandingWork>();
+	/** Monotonic time until which the endpoint is left out after it could not be reached. */
+	shunnedUntil = Number.NEGATIVE_INFINITY;
+
+	constructor(record: EndpointRecord, link: KeptLink) {
+		this.record = record;
+		this.link = link;
+	}
+
+	get endpoint(): string {
+		return this.record.announcement.endpoint;
+	}
+
+	get connection(): PeerConnection | undefined {
+		return this.link.connection;
+	}
+
+	noteSent(attempt: string, work: OutstandingWork): void {
+		this.#outstanding.set(attempt, work);
+	}
+
+	noteFinished(attempt: string): void {
+		this.#outstanding.delete(attempt);
+	}
+
+	noteLoad(load: EndpointLoad, at: number): void {
+		if (!this.load || load.sequence > this.load.sequence || at - this.loadAt > staleLoadMs) {
+			this.load = load;
+			this.loadAt = at;
+		}
+	}
+
+	/** Sums up the work sent after the last report. */
+	sumUnreported(): {requests: number; prefillTokens: number; decodeTokens: number} {
+		const sum = {requests: 0, prefillTokens: 0, decodeTokens: 0};
+		for (const work of this.#outstanding.values()) {
+			if (work.sentAt > this.loadAt) {
+				sum.requests++;
+				sum.prefillTokens += work.prefillTokens;
+				sum.decodeTokens += work.decodeTokens;
+			}
+		}
+
+		return sum;
+	}
+}
+
+/** After this long a report counts whatever its number, because the agent may have restarted. */
+const staleLoadMs = 5000;
+
+export interface EndpointDirectoryOptions {
+	clock: Clock;
+	peers: PeerNode;
+}
+
+export class EndpointDirectory {
+	readonly #opts: EndpointDirectoryOptions;
+	readonly #records = new Map<string, EndpointRecord>();
+	readonly #phases = new Map<string, EndpointPhase>();
+	readonly #handles = new Map<string, EndpointHandle>();
+	readonly #byAgent = new Map<string, EndpointHandle>();
+
+	constructor(opts: EndpointDirectoryOptions) {
+		this.#opts = opts;
+	}
+
+	get handles(): ReadonlyMap<string, EndpointHandle> {
+		return this.#handles;
+	}
+
+	noteItems(items: readonly ControlItem[]): void {
+		for (const {key, value} of items) {
+			if (value.kind === 'endpoint') {
+				this.#records.set(value.record.announcement.endpoint, value.record);
+			} else if (key.startsWith('endpoint/')) {
+				this.#records.delete(key.slice('endpoint/'.length));
+			} else if (value.kind === 'directive') {
+				this.#phases.set(value.directive.endpoint, value.directive.phase);
+			}
+		}
+
+		this.#refresh();
+	}
+
+	noteLoad(agent: string, load: EndpointLoad): void {
+		this.#byAgent.get(agent)?.noteLoad(load, this.#opts.clock.monotonic());
+	}
+
+	find(endpoint: string): EndpointHandle | undefined {
+		return this.#handles.get(endpoint);
+	}
+
+	/** Returns the record of any endpoint, whether this entry works with it or not. */
+	findRecord(endpoint: string): EndpointRecord | undefined {
+		return this.#records.get(endpoint);
+	}
+
+	/** Returns the endpoints that can be tried for a model or service. */
+	listUsable(name: string, opts: {excluded?: ReadonlySet<string>} = {}): EndpointHandle[] {
+		const now = this.#opts.clock.monotonic();
+		return [...this.#handles.values()].filter(handle =>
+			handle.record.announcement.names.includes(name)
+			&& handle.phase === 'serving'
+			&& handle.load?.phase !== 'draining'
+			&& handle.connection !== undefined
+			&& handle.shunnedUntil <= now
+			&& !opts.excluded?.has(handle.endpoint));
+	}
+
+	createCandidate(handle: EndpointHandle): PlacementCandidate {
+		const {announcement} = handle.record;
+		return {
+			endpoint: handle.endpoint,
+			availabilityZone: announcement.availabilityZone,
+			speed: announcement.speed,
+			capacity: announcement.capacity,
+			role: announcement.role,
+			load: handle.load,
+			loadAgeMs: this.#opts.clock.monotonic() - handle.loadAt,
+			unreported: handle.sumUnreported(),
+			cache: handle.cache,
+		};
+	}
+
+	dump(): unknown {
+		return [...this.#handles.values()].map(handle => ({endpoint: handle.endpoint, phase: handle.phase, connected: handle.connection !== undefined, load: handle.load}));
+	}
+
+	#refresh(): void {
+		const wanted = this.#chooseSubset();
+		for (const [endpoint, handle] of this.#handles) {
+			const record = wanted.get(endpoint);
+			if (record?.agentAddress !== handle.record.agentAddress) {
+				handle.link.stop();
+				this.#handles.delete(endpoint);
+				this.#byAgent.delete(handle.record.agent);
+			}
+		}
+
+		for (const [endpoint, record] of wanted) {
+			const handle = this.#handles.get(endpoint) ?? this.#open(record);
+			if (handle.record.announcement.incarnation !== record.announcement.incarnation) {
+				handle.cache.clear();
+				handle.shunnedUntil = Number.NEGATIVE_INFINITY;
+			}
+
+			if (handle.record.agentIncarnation !== record.agentIncarnation) {
+				handle.load = undefined;
+			}
+
+			handle.record = record;
+			handle.phase = this.#phases.get(endpoint) ?? 'serving';
+			if (handle.load && handle.phase === 'serving' && handle.load.phase === 'draining') {
+				// The report is older than the directive.
+				handle.load = undefined;
+			}
+
+			this.#byAgent.set(record.agent, handle);
+		}
+	}
+
+	#open(record: EndpointRecord): EndpointHandle {
+		const handle = new EndpointHandle(record, this.#opts.peers.keepLink(record.agentAddress));
+		this.#handles.set(record.announcement.endpoint, handle);
+		return handle;
+	}
+
+	/** Chooses the endpoints with the highest hash of entry and endpoint, for each model or service. */
+	#chooseSubset(): Map<string, EndpointRecord> {
+		const byName = new Map<string, EndpointRecord[]>();
+		for (const record of this.#records.values()) {
+			for (const name of record.announcement.names) {
+				byName.set(name, [...byName.get(name) ?? [], record]);
+			}
+		}
+
+		const chosen = new Map<string, EndpointRecord>();
+		for (const records of byName.values()) {
+			const ranked = records.length <= subsetSize ? records : this.#rank(records).slice(0, subsetSize);
+			for (const record of ranked) {
+				chosen.set(record.announcement.endpoint, record);
+			}
+		}
+
+		return chosen;
+	}
+
+	#rank(records: readonly EndpointRecord[]): EndpointRecord[] {
+		const entry = this.#opts.peers.member.instance;
+		return records
+			.map(record => ({record, weight: createHash('sha1').update(`${entry} ${record.announcement.endpoint}`).digest('hex')}))
+			.sort((a, b) => (a.weight < b.weight ? 1 : -1))
+			.map(ranked => ranked.record);
+	}
+}
--- /dev/null
+++ b/packages/plugins/entry/src/entry.ts
@@ -0,0 +1,76 @@
+/** The entry plug-in: it stands between callers and agents and keeps nothing that must survive. */
+import type {Result} from 'neverthrow';
+import type {HickorytrackError} from '@hickorytrack/errors';
+import type {Plugin, PluginRegistry, ProcessContext} from '@hickorytrack/kernel/plugin';
+import {parseAddress} from '@hickorytrack/peer-link/peer-node';
+import {ExpectedTimePlacer} from '@hickorytrack/placement';
+import {RetryBudget} from '@hickorytrack/rate-limit/retry-budget';
+import {AttemptRunner} from './attempt-runner.js';
+import {CallerApi} from './caller-api.js';
+import {EndpointDirectory} from './endpoint-directory.js';
+import {TenantDirectory} from './tenant-directory.js';
+
+const crossZoneMs = 3;
+/** Time between falling readiness and the closing of the listener, so that the balancer sees it. */
+const balancerNoticeMs = 1000;
+const drainPollMs = 25;
+
+class EntryPlugin implements Plugin {
+	readonly #context: ProcessContext;
+	readonly #api: CallerApi;
+	readonly #endpoints: EndpointDirectory;
+	readonly #tenants: TenantDirectory;
+	readonly #attempts: AttemptRunner;
+
+	constructor(context: ProcessContext) {
+		this.#context = context;
+		const {clock, peers, control, random} = context;
+		this.#tenants = new TenantDirectory(clock);
+		this.#endpoints = new EndpointDirectory({clock, peers});
+		this.#attempts = new AttemptRunner(context, this.#endpoints);
+		control.onItems(items => {
+			this.#tenants.noteItems(items);
+			this.#endpoints.noteItems(items);
+		});
+		control.onShares(shares => {
+			this.#tenants.setShares(shares);
+		});
+		control.addDemandSource(() => ({demands: this.#tenants.collectDemand(), reports: []}));
+		this.#api = new CallerApi({
+			services: {
+				context, control, endpoints: this.#endpoints, attempts: this.#attempts, placer: new ExpectedTimePlacer({random, crossZoneMs}), retryBudget: new RetryBudget(clock),
+			},
+			tenants: this.#tenants,
+			isReady: () => control.isFresh,
+		});
+	}
+
+	async start(): Promise<Result<void, HickorytrackError>> {
+		return this.#api.listen(parseAddress(this.#context.settings.callerListen));
+	}
+
+	async drain(signal: AbortSignal): Promise<void> {
+		this.#api.startDraining();
+		await this.#context.clock.sleep(balancerNoticeMs, signal);
+		while (!signal.aborted && this.#api.inFlight > 0) {
+			await this.#context.clock.sleep(drainPollMs, signal);
+		}
+	}
+
+	async stop(): Promise<void> {
+		await this.#api.stop();
+	}
+
+	dump(): unknown {
+		return {inFlight: this.#api.inFlight, tenants: this.#tenants.size, attempts: this.#attempts.open, endpoints: this.#endpoints.dump()};
+	}
+
+	listOpenWork(): string[] {
+		return this.#api.inFlight > 0 ? [`${this.#api.inFlight} requests in flight`] : [];
+	}
+}
+
+/** Registers the entry role. */
+export function registerEntry(registry: PluginRegistry): void {
+	registry.registerRole({role: 'entry', order: 3, create: context => new EntryPlugin(context)});
+}
--- /dev/null
+++ b/packages/plugins/entry/src/tenant-directory.ts
@@ -0,0 +1,131 @@
+/**
+ * The tenants as the entry sees them: whose key it is, and what is left of the contract's limits here. Keys are compared
+ * by digest, so that the time of a comparison says nothing about a key.
+ */
+import {createHash, timingSafeEqual} from 'node:crypto';
+import {Buffer} from 'node:buffer';
+import type {Clock} from '@hickorytrack/clock';
+import {TokenBucket} from '@hickorytrack/rate-limit/token-bucket';
+import type {Contract} from '@hickorytrack/types/contract';
+import type {ControlItem} from '@hickorytrack/types/control';
+import type {TenantDemand, TenantShare} from '@hickorytrack/types/peer-methods';
+
+const msPerSecond = 1000;
+const demandSmoothing = 0.5;
+
+export class Tenant {
+	contract: Contract;
+	inFlight = 0;
+	readonly #bucket: TokenBucket;
+	#fraction = 1;
+	#arrivals = 0;
+	#rate = 0;
+
+	constructor(contract: Contract, clock: Clock) {
+		this.contract = contract;
+		this.#bucket = new TokenBucket(clock, contract.limits.requestsPerSecond, contract.limits.burst);
+	}
+
+	update(contract: Contract): void {
+		this.contract = contract;
+		this.#setLimits();
+	}
+
+	/** Takes the part of the fleet-wide limits that this entry may use. */
+	setFraction(fraction: number): void {
+		this.#fraction = fraction;
+		this.#setLimits();
+	}
+
+	/** Notes an arrival; returns 0, or the milliseconds until the rate allows another one. */
+	takeRate(): number {
+		this.#arrivals++;
+		return this.#bucket.take();
+	}
+
+	get isAtConcurrencyLimit(): boolean {
+		return this.inFlight >= Math.max(1, Math.ceil(this.contract.limits.concurrency * this.#fraction));
+	}
+
+	/** Returns the smoothed demand in requests a second since the last call. */
+	collectDemand(intervalMs: number): number {
+		const rate = this.#arrivals / Math.max(1, intervalMs) * msPerSecond;
+		this.#arrivals = 0;
+		this.#rate = (this.#rate * demandSmoothing) + (rate * (1 - demandSmoothing));
+		return this.#rate;
+	}
+
+	#setLimits(): void {
+		const {requestsPerSecond, burst} = this.contract.limits;
+		this.#bucket.setLimits(requestsPerSecond * this.#fraction, Math.max(1, burst * this.#fraction));
+	}
+}
+
+export class TenantDirectory {
+	readonly #clock: Clock;
+	readonly #tenants = new Map<string, Tenant>();
+	readonly #keys = new Map<string, {digest: Buffer; tenant: Tenant}>();
+	#collectedAt: number;
+
+	constructor(clock: Clock) {
+		this.#clock = clock;
+		this.#collectedAt = clock.monotonic();
+	}
+
+	get size(): number {
+		return this.#tenants.size;
+	}
+
+	noteItems(items: readonly ControlItem[]): void {
+		for (const {key, value} of items.filter(item => item.key.startsWith('contract/'))) {
+			if (value.kind === 'contract') {
+				this.#put(value.contract);
+			} else {
+				this.#tenants.delete(key.slice('contract/'.length));
+			}
+		}
+
+		this.#rebuildKeys();
+	}
+
+	find(key: string): Tenant | undefined {
+		const digest = createHash('sha256').update(key).digest();
+		const found = this.#keys.get(digest.toString('hex'));
+		return found && timingSafeEqual(found.digest, digest) ? found.tenant : undefined;
+	}
+
+	setShares(shares: readonly TenantShare[]): void {
+		const byTenant = new Map(shares.map(share => [share.tenant, share.fraction]));
+		for (const [name, tenant] of this.#tenants) {
+			tenant.setFraction(byTenant.get(name) ?? byTenant.get('') ?? 1);
+		}
+	}
+
+	/** Returns the demand of the tenants that have any. */
+	collectDemand(): TenantDemand[] {
+		const now = this.#clock.monotonic();
+		const intervalMs = now - this.#collectedAt;
+		this.#collectedAt = now;
+		return [...this.#tenants]
+			.map(([tenant, state]) => ({tenant, requestsPerSecond: state.collectDemand(intervalMs)}))
+			.filter(demand => demand.requestsPerSecond > 0.01);
+	}
+
+	#put(contract: Contract): void {
+		const held = this.#tenants.get(contract.tenant);
+		if (held) {
+			held.update(contract);
+		} else {
+			this.#tenants.set(contract.tenant, new Tenant(contract, this.#clock));
+		}
+	}
+
+	#rebuildKeys(): void {
+		this.#keys.clear();
+		for (const tenant of this.#tenants.values()) {
+			for (const {sha256} of tenant.contract.apiKeys) {
+				this.#keys.set(sha256, {digest: Buffer.from(sha256, 'hex'), tenant});
+			}
+		}
+	}
+}
--- /dev/null
+++ b/packages/serving/answer-stream/test/answer-stream.test.ts
@@ -0,0 +1,68 @@
+import {expect} from 'chai';
+import type {AttemptEnd, PieceRun} from '@hickorytrack/types/work';
+import {AnswerReader} from '../src/answer-reader.js';
+import {AnswerTail, maximumUnconfirmedPieces} from '../src/answer-tail.js';
+
+const end: AttemptEnd = {kind: 'complete', finishReason: 'stop', promptTokens: 1, outputTokens: 3, cachedTokens: 0};
+
+const readAll = async (reader: AnswerReader): Promise<string> => {
+	let text = '';
+	for (;;) {
+		const item = await reader.read(AbortSignal.timeout(1000));
+		if (item?.kind !== 'texts') {
+			return text + (item?.kind ?? 'nothing');
+		}
+
+		text += item.texts.join('');
+	}
+};
+
+describe('answer stream', () => {
+	it('goes on over a second connection without losing or doubling a piece', async () => {
+		const tail = new AnswerTail('a1');
+		const reader = new AnswerReader('a1');
+		const lost: PieceRun[] = [];
+		tail.attach({send: run => {
+			reader.accept(run);
+		}}, 0);
+		tail.write(['a', 'b']);
+		tail.attach({send: run => {
+			lost.push(run);
+		}}, 2);
+		tail.write(['c']);
+		tail.finish(end);
+		expect(lost).to.have.length(2);
+		reader.breakOff();
+		reader.mend();
+		tail.attach({send: run => {
+			reader.accept(run);
+		}}, 1);
+		expect(await readAll(reader)).to.equal('abcend');
+	});
+
+	it('reports a missing piece as a break, never as an end', async () => {
+		const reader = new AnswerReader('a1');
+		reader.accept({attempt: 'a1', first: 0, texts: ['a']});
+		reader.accept({attempt: 'a1', first: 2, texts: ['c'], end});
+		expect(await readAll(reader)).to.equal('abroken');
+	});
+
+	it('makes the writer wait for a reader that confirms nothing', async () => {
+		const tail = new AnswerTail('a1');
+		tail.write(Array.from({length: maximumUnconfirmedPieces}, () => 'x'));
+		let hasRoom = false;
+		void tail.waitForRoom(new AbortController().signal).then(() => {
+			hasRoom = true;
+		});
+		await Promise.resolve();
+		expect(hasRoom).to.equal(false);
+		tail.confirm(10);
+		await new Promise(resolve => {
+			setImmediate(resolve);
+		});
+		expect(hasRoom).to.equal(true);
+		expect(tail.attach({send() {
+			// Not reached.
+		}}, 5)).to.equal(false);
+	});
+});
--- /dev/null
+++ b/stand-ins/src/load-generator.ts
@@ -0,0 +1,170 @@
+/** Sends requests as a caller would and records what came back, compared with what the prompt must yield. */
+import {request} from 'undici';
+import {createParser} from 'eventsource-parser';
+import {composeExpectedAnswer, joinChatMessages} from './expected-answer.js';
+
+export interface GenerationTry {
+	url: string;
+	key: string;
+	model: string;
+	prompt: string;
+	maxTokens: number;
+	api?: 'chat' | 'completions';
+	isStreamed?: boolean;
+	signal?: AbortSignal;
+}
+
+export interface Refusal {
+	status: number;
+	code: string;
+	run: string;
+	retryAfter?: number;
+}
+
+export interface TryRecord {
+	outcome: 'answered' | 'refused' | 'cut' | 'wrong';
+	/** Milliseconds from sending to the first text. */
+	firstTokenMs?: number;
+	/** Mean milliseconds between tokens. */
+	betweenTokensMs?: number;
+	totalMs: number;
+	text: string;
+	refusal?: Refusal;
+	detail?: string;
+}
+
+interface StreamState {
+	text: string;
+	tokens: number;
+	firstAt?: number;
+	lastAt?: number;
+	finishReason?: string;
+	refusal?: Refusal;
+}
+
+/** Runs one generation and judges its answer. */
+export async function tryGeneration(attempt: GenerationTry): Promise<TryRecord> {
+	const startedAt = performance.now();
+	const state: StreamState = {text: '', tokens: 0};
+	let detail: string | undefined;
+	try {
+		await readGeneration(attempt, state);
+	} catch (error) {
+		detail = error instanceof Error ? error.message : String(error);
+	}
+
+	return judge(attempt, state, {startedAt, detail});
+}
+
+async function readGeneration(attempt: GenerationTry, state: StreamState): Promise<void> {
+	const {url, key, model, prompt, maxTokens, api = 'completions', isStreamed = true} = attempt;
+	const content = api === 'chat' ? {messages: [{role: 'user', content: prompt}]} : {prompt};
+	const response = await request(`${url}/v1/${api === 'chat' ? 'chat/completions' : 'completions'}`, {
+		method: 'POST', headersTimeout: 0, bodyTimeout: 0, signal: attempt.signal,
+		headers: {'content-type': 'application/json', authorization: `Bearer ${key}`},
+		body: JSON.stringify({model, max_tokens: maxTokens, stream: isStreamed, ...content}),
+	});
+	if (response.statusCode !== 200) {
+		const problem = await response.body.json() as Refusal;
+		state.refusal = {status: response.statusCode, code: problem.code, run: problem.run, retryAfter: problem.retryAfter};
+		return;
+	}
+
+	if (!isStreamed) {
+		const body = await response.body.json() as {choices: Array<{text?: string; message?: {content: string}; finish_reason: string}>};
+		state.text = body.choices[0]!.text ?? body.choices[0]!.message!.content;
+		state.finishReason = body.choices[0]!.finish_reason;
+		return;
+	}
+
+	await readStream(response.body, state);
+}
+
+async function readStream(body: AsyncIterable<Uint8Array>, state: StreamState): Promise<void> {
+	const decoder = new TextDecoder();
+	const parser = createParser({
+		onEvent({event, data}) {
+			if (data === '[DONE]') {
+				return;
+			}
+
+			const parsed = JSON.parse(data) as {choices?: Array<{text?: string; delta?: {content?: string}; finish_reason?: string}>; error?: Refusal};
+			if (event === 'error') {
+				state.refusal = {status: 200, code: parsed.error!.code, run: parsed.error!.run};
+				return;
+			}
+
+			const choice = parsed.choices?.[0];
+			const text = choice?.text ?? choice?.delta?.content;
+			if (text) {
+				state.text += text;
+				state.tokens++;
+				state.lastAt = performance.now();
+				state.firstAt ??= state.lastAt;
+			}
+
+			state.finishReason = choice?.finish_reason ?? state.finishReason;
+		},
+	});
+	for await (const bytes of body) {
+		parser.feed(decoder.decode(bytes, {stream: true}));
+	}
+}
+
+function judge(attempt: GenerationTry, state: StreamState, opts: {startedAt: number; detail?: string}): TryRecord {
+	const record: TryRecord = {
+		outcome: 'answered',
+		totalMs: performance.now() - opts.startedAt,
+		text: state.text,
+		firstTokenMs: state.firstAt === undefined ? undefined : state.firstAt - opts.startedAt,
+		betweenTokensMs: state.tokens > 1 ? (state.lastAt! - state.firstAt!) / (state.tokens - 1) : undefined,
+		refusal: state.refusal,
+		detail: opts.detail,
+	};
+	if (state.refusal) {
+		record.outcome = state.text === '' ? 'refused' : 'cut';
+	} else if (state.finishReason === undefined) {
+		record.outcome = 'cut';
+	} else {
+		const prompt = attempt.api === 'chat' ? joinChatMessages([{role: 'user', content: attempt.prompt}]) : attempt.prompt;
+		record.outcome = state.text === composeExpectedAnswer(prompt, attempt.maxTokens) ? 'answered' : 'wrong';
+	}
+
+	return record;
+}
+
+export interface ServiceTry {
+	url: string;
+	key: string;
+	service: string;
+	method: string;
+	path: string;
+	body?: string;
+	idempotencyKey?: string;
+}
+
+export interface ServiceRecord {
+	status: number;
+	body: string;
+	isReplayed: boolean;
+	refusal?: Refusal;
+	detail?: string;
+}
+
+/** Calls a plain service through an entry. */
+export async function tryService(attempt: ServiceTry): Promise<ServiceRecord> {
+	try {
+		const response = await request(`${attempt.url}/services/${attempt.service}${attempt.path}`, {
+			method: attempt.method as 'POST', headersTimeout: 0, bodyTimeout: 0, body: attempt.body,
+			headers: {
+				authorization: `Bearer ${attempt.key}`, 'content-type': 'application/json',
+				...(attempt.idempotencyKey !== undefined && {'idempotency-key': attempt.idempotencyKey}),
+			},
+		});
+		const body = await response.body.text();
+		const isProblem = String(response.headers['content-type']).startsWith('application/problem');
+		return {status: response.statusCode, body, isReplayed: response.headers['idempotency-replayed'] === 'true', refusal: isProblem ? JSON.parse(body) as Refusal : undefined};
+	} catch (error) {
+		return {status: 0, body: '', isReplayed: false, detail: error instanceof Error ? error.message : String(error)};
+	}
+}
--- /dev/null
+++ b/stand-ins/src/model-engine.ts
@@ -0,0 +1,376 @@
+/**
+ * A stand-in for a model engine: the completions API with streaming, continuous batching, a prefix cache, cancel, resume
+ * from a token, orders with or without fencing checks, role changes that take time, and faults on request. It keeps a
+ * ledger of what it was told, by which tests check the system from outside.
+ */
+import {randomUUID} from 'node:crypto';
+import {createServer, type IncomingMessage, type Server, type ServerResponse} from 'node:http';
+import {Buffer} from 'node:buffer';
+import type {AddressInfo, Socket} from 'node:net';
+import {AnswerSource, joinChatMessages} from './expected-answer.js';
+import {BatchModel, type BatchSpeed, type ModelRole} from './batch-model.js';
+import {PrefixCache} from './prefix-cache.js';
+
+export const crashMarker = 'CRASH-ENGINE';
+export const stallMarker = 'STALL-ENGINE';
+
+const charactersPerToken = 4;
+const msPerSecond = 1000;
+
+export interface Fence {
+	term: number;
+	epoch: number;
+	orderNumber: number;
+}
+
+export interface LedgerOrder {
+	fence: Fence;
+	change: string;
+	order: {kind: string; role?: ModelRole};
+	isAccepted: boolean;
+}
+
+export interface LedgerRequest {
+	request: string;
+	resumedFrom: number;
+	promptCharacters: number;
+	state: 'running' | 'complete' | 'cancelled';
+}
+
+export interface ModelEngineOptions {
+	models: string[];
+	speed: BatchSpeed;
+	role?: ModelRole;
+	cacheBlocks?: number;
+	checksFencing?: boolean;
+	/** Duration of a role change in milliseconds. */
+	roleChangeMs?: number;
+	stepMs?: number;
+	/** What a crash does; by default the engine stops and starts again after this many milliseconds. */
+	restartMs?: number;
+	onCrash?: () => void;
+}
+
+interface OpenRequest {
+	id: string;
+	source: AnswerSource;
+	response: ServerResponse;
+	next: number;
+	isChat: boolean;
+	model: string;
+	promptTokens: number;
+	cachedTokens: number;
+	isStalled: boolean;
+	ledger: LedgerRequest;
+}
+
+interface CompletionBody {
+	model: string;
+	prompt?: string;
+	messages?: Array<{role: string; content: string}>;
+	max_tokens?: number;
+	priority?: number;
+	resume_tokens?: number;
+}
+
+export class ModelEngine {
+	readonly orders: LedgerOrder[] = [];
+	readonly requests: LedgerRequest[] = [];
+	crashes = 0;
+	incarnation = randomUUID();
+	/** While true, connections stay open but nothing is sent on them. */
+	isSilent = false;
+	readonly #opts: ModelEngineOptions;
+	readonly #batch: BatchModel;
+	readonly #cache: PrefixCache;
+	readonly #open = new Map<string, OpenRequest>();
+	readonly #sockets = new Set<Socket>();
+	#server: Server | undefined;
+	#timer: NodeJS.Timeout | undefined;
+	#port = 0;
+	#steppedAt = 0;
+	#highest: Fence | undefined;
+	#isChanging = false;
+
+	constructor(opts: ModelEngineOptions) {
+		this.#opts = opts;
+		this.#batch = new BatchModel(opts.speed, opts.role);
+		this.#cache = new PrefixCache(opts.cacheBlocks ?? 512);
+	}
+
+	get url(): string {
+		return `http://127.0.0.1:${this.#port}`;
+	}
+
+	get role(): ModelRole {
+		return this.#batch.role;
+	}
+
+	get isRunning(): boolean {
+		return this.#server !== undefined;
+	}
+
+	async start(port = this.#port): Promise<void> {
+		const server = createServer((request, response) => {
+			void this.#handle(request, response).catch(() => {
+				response.destroy();
+			});
+		});
+		server.on('connection', socket => {
+			this.#sockets.add(socket);
+			socket.on('close', () => this.#sockets.delete(socket));
+		});
+		this.#server = server;
+		await new Promise<void>((resolve, reject) => {
+			server.once('error', reject);
+			server.listen(port, '127.0.0.1', resolve);
+		});
+		this.#port = (server.address() as AddressInfo).port;
+		this.#steppedAt = performance.now();
+		this.#timer = setInterval(() => {
+			this.#step();
+		}, this.#opts.stepMs ?? 5);
+	}
+
+	async stop(): Promise<void> {
+		clearInterval(this.#timer);
+		const server = this.#server;
+		this.#server = undefined;
+		for (const socket of this.#sockets) {
+			socket.destroy();
+		}
+
+		this.#batch.clear();
+		this.#open.clear();
+		await new Promise<void>(resolve => {
+			if (server) {
+				server.close(() => {
+					resolve();
+				});
+			} else {
+				resolve();
+			}
+		});
+	}
+
+	/** Crashes as a process would: every connection breaks and all work is gone; by default it comes back later. */
+	crash(): void {
+		this.crashes++;
+		if (this.#opts.onCrash) {
+			this.#opts.onCrash();
+			return;
+		}
+
+		void this.stop().then(() => {
+			setTimeout(() => {
+				this.incarnation = randomUUID();
+				this.#cache.clear();
+				void this.start().catch(() => undefined);
+			}, this.#opts.restartMs ?? 300);
+		});
+	}
+
+	async #handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
+		const url = new URL(request.url!, 'http://engine');
+		if (request.method === 'POST') {
+			const body = await readJson(request);
+			await this.#handlePost(url.pathname, {request, response, body});
+			return;
+		}
+
+		if (url.pathname === '/engine/info') {
+			send(response, 200, this.#describe());
+		} else if (url.pathname.startsWith('/engine/requests/')) {
+			const isKnown = this.#open.has(decodeURIComponent(url.pathname.slice('/engine/requests/'.length)));
+			send(response, isKnown ? 200 : 404, {});
+		} else if (url.pathname === '/engine/cache-events') {
+			send(response, 200, this.#cache.listEvents(Number(url.searchParams.get('since') ?? 0)));
+		} else if (url.pathname === '/engine/load') {
+			send(response, 200, {running: this.#batch.running, waiting: this.#batch.waiting});
+		} else if (url.pathname === '/ledger') {
+			send(response, 200, {orders: this.orders, requests: this.requests, crashes: this.crashes, incarnation: this.incarnation});
+		} else if (url.pathname === '/v1/models') {
+			send(response, 200, {data: this.#opts.models.map(id => ({id}))});
+		} else {
+			send(response, 404, {});
+		}
+	}
+
+	async #handlePost(path: string, call: {request: IncomingMessage; response: ServerResponse; body: unknown}): Promise<void> {
+		const {request, response, body} = call;
+		switch (path) {
+			case '/v1/completions':
+			case '/v1/chat/completions': {
+				this.#complete(request, response, body as CompletionBody);
+				return;
+			}
+
+			case '/engine/cancel': {
+				this.#cancel((body as {request: string}).request);
+				send(response, 200, {});
+				return;
+			}
+
+			case '/engine/orders': {
+				await this.#order(response, body as Omit<LedgerOrder, 'isAccepted'>);
+				return;
+			}
+
+			case '/fault': {
+				this.#applyFault((body as {kind: string}).kind);
+				send(response, 200, {});
+				return;
+			}
+
+			default: {
+				send(response, 404, {});
+			}
+		}
+	}
+
+	#describe(): unknown {
+		const {models, speed, checksFencing} = this.#opts;
+		return {
+			models, adapters: [], roles: ['mixed', 'prefill', 'decode'], role: this.#batch.role, capacity: speed.capacity,
+			prefill_tokens_per_second: speed.prefillTokensPerSecond, decode_tokens_per_second: speed.decodeTokensPerSecond,
+			incarnation: this.incarnation, checks_fencing: checksFencing ?? true,
+		};
+	}
+
+	#complete(request: IncomingMessage, response: ServerResponse, body: CompletionBody): void {
+		const isChat = request.url!.includes('/chat/');
+		const prompt = isChat ? joinChatMessages(body.messages ?? []) : body.prompt ?? '';
+		const id = String(request.headers['x-request-id'] ?? randomUUID());
+		const resumedFrom = body.resume_tokens ?? 0;
+		const promptTokens = Math.ceil(prompt.length / charactersPerToken);
+		const cachedTokens = Math.min(promptTokens, Math.floor(this.#cache.use(prompt) / charactersPerToken));
+		const ledger: LedgerRequest = {request: id, resumedFrom, promptCharacters: prompt.length, state: 'running'};
+		this.requests.push(ledger);
+		response.writeHead(200, {'content-type': 'text/event-stream'});
+		response.flushHeaders();
+		const open: OpenRequest = {
+			id, source: new AnswerSource(prompt), response, next: resumedFrom, isChat, model: body.model, promptTokens, cachedTokens, isStalled: prompt.includes(stallMarker), ledger,
+		};
+		this.#open.set(id, open);
+		this.#batch.add({
+			id, priority: body.priority ?? 0, prefillLeft: promptTokens - cachedTokens + resumedFrom, decodeLeft: Math.max(0, (body.max_tokens ?? 16) - resumedFrom), partial: 0,
+		});
+		response.on('close', () => {
+			this.#cancel(id);
+		});
+		if (prompt.includes(crashMarker)) {
+			setTimeout(() => {
+				if (this.#open.get(id) === open) {
+					this.crash();
+				}
+			}, 20);
+		}
+	}
+
+	#step(): void {
+		const now = performance.now();
+		const seconds = (now - this.#steppedAt) / msPerSecond;
+		this.#steppedAt = now;
+		if (this.#isChanging || this.isSilent) {
+			return;
+		}
+
+		const {produced, finished} = this.#batch.step(seconds);
+		for (const {id, count} of produced) {
+			const open = this.#open.get(id);
+			if (open && !open.isStalled) {
+				this.#write(open, count);
+			}
+		}
+
+		for (const id of finished) {
+			const open = this.#open.get(id);
+			if (open && !open.isStalled) {
+				this.#finish(open);
+			}
+		}
+	}
+
+	#write(open: OpenRequest, count: number): void {
+		let text = '';
+		for (let index = 0; index < count; index++) {
+			text += formatChunk(open, {token: open.source.token(open.next + index)});
+		}
+
+		open.next += count;
+		open.response.write(text);
+	}
+
+	#finish(open: OpenRequest): void {
+		this.#open.delete(open.id);
+		open.ledger.state = 'complete';
+		open.response.end(`${formatChunk(open, {finishReason: 'length'})}data: [DONE]\n\n`);
+	}
+
+	#cancel(id: string): void {
+		const open = this.#open.get(id);
+		if (open) {
+			this.#open.delete(id);
+			this.#batch.remove(id);
+			open.ledger.state = 'cancelled';
+			open.response.destroy();
+		}
+	}
+
+	async #order(response: ServerResponse, body: Omit<LedgerOrder, 'isAccepted'>): Promise<void> {
+		const isStale = this.#opts.checksFencing !== false && this.#highest !== undefined && compareFences(body.fence, this.#highest) < 0;
+		this.orders.push({...body, isAccepted: !isStale});
+		if (isStale) {
+			send(response, 409, {error: 'stale fence'});
+			return;
+		}
+
+		this.#highest = body.fence;
+		if (body.order.kind === 'set-role' && body.order.role) {
+			this.#isChanging = true;
+			await new Promise(resolve => {
+				setTimeout(resolve, this.#opts.roleChangeMs ?? 1000);
+			});
+			this.#batch.role = body.order.role;
+			this.#cache.clear();
+			this.#isChanging = false;
+			this.#steppedAt = performance.now();
+		}
+
+		send(response, 200, {});
+	}
+
+	#applyFault(kind: string): void {
+		if (kind === 'crash') {
+			this.crash();
+		} else if (kind === 'silence') {
+			this.isSilent = true;
+		} else if (kind === 'heal') {
+			this.isSilent = false;
+		}
+	}
+}
+
+function compareFences(a: Fence, b: Fence): number {
+	return (a.term - b.term) || (a.epoch - b.epoch) || (a.orderNumber - b.orderNumber);
+}
+
+function formatChunk(open: OpenRequest, opts: {token?: string; finishReason?: string}): string {
+	const {token, finishReason} = opts;
+	const choice = open.isChat ? {index: 0, delta: {content: token}, finish_reason: finishReason} : {index: 0, text: token ?? '', finish_reason: finishReason};
+	const usage = finishReason && {prompt_tokens: open.promptTokens, completion_tokens: open.next, prompt_tokens_details: {cached_tokens: open.cachedTokens}};
+	return `data: ${JSON.stringify({id: open.id, model: open.model, choices: [choice], ...(usage && {usage})})}\n\n`;
+}
+
+async function readJson(request: IncomingMessage): Promise<unknown> {
+	const chunks: Buffer[] = [];
+	for await (const chunk of request as AsyncIterable<Buffer>) {
+		chunks.push(chunk);
+	}
+
+	return JSON.parse(Buffer.concat(chunks).toString('utf8') || '{}') as unknown;
+}
+
+function send(response: ServerResponse, status: number, body: unknown): void {
+	response.writeHead(status, {'content-type': 'application/json'}).end(JSON.stringify(body));
+}
