--- a/packages/cli/hickorytrack/src/commands.ts
+++ b/packages/cli/hickorytrack/src/commands.ts
@@ -1,7 +1,13 @@
 /** The table of commands that oclif reads. */
-import {ContractApply, ContractDiff, ContractGet, ContractHistory, ContractList, ContractRemove} from './contract-commands.js';
-import {ChangeCancel, ChangeList, ChangeShow, EndpointDrain, EndpointList, EndpointLoad, EndpointReplace, EndpointRestore, EndpointShow, EndpointWithdraw, RoleSet} from './endpoint-commands.js';
-import {ConfigGet, ConfigSet, ControllerAdd, ControllerList, ControllerRemove, ControllerReplace, QuarantineLift, QuarantineList, StateDump, Status, Tail} from './other-commands.js';
+import {
+	ContractApply, ContractDiff, ContractGet, ContractHistory, ContractList, ContractRemove,
+} from './contract-commands.js';
+import {
+	ChangeCancel, ChangeList, ChangeShow, EndpointDrain, EndpointList, EndpointLoad, EndpointReplace, EndpointRestore, EndpointShow, EndpointWithdraw, RoleSet,
+} from './endpoint-commands.js';
+import {
+	ConfigGet, ConfigSet, ControllerAdd, ControllerList, ControllerRemove, ControllerReplace, QuarantineLift, QuarantineList, StateDump, Status, Tail,
+} from './other-commands.js';
 
 export const commands = {
 	'contract:apply': ContractApply,
--- a/packages/cli/hickorytrack/src/contract-commands.ts
+++ b/packages/cli/hickorytrack/src/contract-commands.ts
@@ -10,21 +10,21 @@
 import {exitCodes} from './operator-client.js';
 import {OperatorCommand, type ServerFlags} from './operator-command.js';
 
-interface VersionedContract {
+type VersionedContract = {
 	version: number;
 	contract: Contract;
-}
+};
 
-interface WriteResult {
+type WriteResult = {
 	revision: number;
 	value: {tenant: string; version: number};
-}
+};
 
-interface ForceResult {
+type ForceResult = {
 	isInForce: boolean;
 	missing: string[];
 	subscribers: number;
-}
+};
 
 const forcePollMs = 200;
 const msPerSecond = 1000;
--- a/packages/cli/hickorytrack/src/endpoint-commands.ts
+++ b/packages/cli/hickorytrack/src/endpoint-commands.ts
@@ -6,16 +6,16 @@
 import {exitCodes} from './operator-client.js';
 import {OperatorCommand, type ServerFlags} from './operator-command.js';
 
-interface EndpointState extends EndpointRecord {
+type EndpointState = {
 	directive: EndpointDirective;
 	isAlive: boolean;
 	change?: PlannedChange;
-}
+} & EndpointRecord;
 
-interface StartResult {
+type StartResult = {
 	revision: number;
 	value: PlannedChange;
-}
+};
 
 const pollMs = 200;
 const msPerSecond = 1000;
@@ -26,7 +26,7 @@
 };
 
 abstract class ChangeCommand extends OperatorCommand {
-	protected async startChange(flags: ServerFlags & {'change-id'?: string; 'wait-seconds': number}, method: string, params: object): Promise<PlannedChange> {
+	protected async startChange(flags: ServerFlags & {'change-id'?: string; 'wait-seconds': number}, method: string, params: Record<string, unknown>): Promise<PlannedChange> {
 		const changeId = flags['change-id'] ?? randomUUID();
 		const {value} = await this.callServer<StartResult>(flags, method, {changeId, ...params});
 		this.log(`Change ${changeId} is accepted.`);
@@ -63,8 +63,15 @@
 		const {flags} = await this.parse(EndpointList);
 		const result = await this.callServer<{revision: number; endpoints: EndpointState[]}>(flags, 'endpoint.list');
 		this.printTable(['endpoint', 'kind', 'serves', 'role', 'phase', 'zone', 'epoch', 'alive', 'change'], result.endpoints.map(endpoint => [
-			endpoint.announcement.endpoint, endpoint.announcement.kind, endpoint.announcement.names.join(','), endpoint.announcement.role, endpoint.directive.phase,
-			endpoint.announcement.availabilityZone, endpoint.epoch, endpoint.isAlive, endpoint.change?.step,
+			endpoint.announcement.endpoint,
+			endpoint.announcement.kind,
+			endpoint.announcement.names.join(','),
+			endpoint.announcement.role,
+			endpoint.directive.phase,
+			endpoint.announcement.availabilityZone,
+			endpoint.epoch,
+			endpoint.isAlive,
+			endpoint.change?.step,
 		]));
 		return result;
 	}
@@ -138,7 +145,9 @@
 
 	async run(): Promise<unknown> {
 		const {args, flags} = await this.parse(EndpointLoad);
-		return this.startChange(flags, 'endpoint.load', {endpoint: args.endpoint, model: flags.model, version: flags.version, adapter: flags.adapter});
+		return this.startChange(flags, 'endpoint.load', {
+			endpoint: args.endpoint, model: flags.model, version: flags.version, adapter: flags.adapter,
+		});
 	}
 }
 
--- a/packages/cli/hickorytrack/src/operator-client.ts
+++ b/packages/cli/hickorytrack/src/operator-client.ts
@@ -5,17 +5,19 @@
 import {request} from 'undici';
 import {describeError, HickorytrackError} from '@hickorytrack/errors';
 
-export interface OperatorClientOptions {
+export type OperatorClientOptions = {
 	/** URL of the operators' interface. */
 	server: string;
 	key?: string;
 	timeoutMs?: number;
-}
+};
 
 const defaultTimeoutMs = 40_000;
 
 /** Exit codes of the tool, for scripts. */
-export const exitCodes = {failed: 1, usage: 2, refused: 3, unreachable: 4, notInForce: 5} as const;
+export const exitCodes = {
+	failed: 1, usage: 2, refused: 3, unreachable: 4, notInForce: 5,
+} as const;
 
 const refusedCodes = new Set(['ERR_HICKORYTRACK_CONFLICT', 'ERR_HICKORYTRACK_REFUSED', 'ERR_HICKORYTRACK_REUSED_CHANGE_ID', 'ERR_HICKORYTRACK_INVALID', 'ERR_HICKORYTRACK_NOT_FOUND', 'ERR_HICKORYTRACK_BAD_CONTRACT']);
 
@@ -35,7 +37,7 @@
 		this.#opts = opts;
 	}
 
-	async call<T>(method: string, params: object = {}): Promise<Result<T, OperatorError>> {
+	async call<T>(method: string, params: Record<string, unknown> = {}): Promise<Result<T, OperatorError>> {
 		const timeoutMs = this.#opts.timeoutMs ?? defaultTimeoutMs;
 		try {
 			const response = await request(`${this.#opts.server}/rpc`, {
--- a/packages/cli/hickorytrack/src/operator-command.ts
+++ b/packages/cli/hickorytrack/src/operator-command.ts
@@ -1,6 +1,6 @@
 /** The base of every command: the flags that all share, calls with errors that name the next step, and plain tables. */
 import {Command, Flags, type Interfaces} from '@oclif/core';
-import {OperatorClient, OperatorError} from './operator-client.js';
+import {OperatorClient, type OperatorError} from './operator-client.js';
 
 export const serverFlags = {
 	server: Flags.string({description: 'operators\' interface of any instance', env: 'HICKORYTRACK_SERVER', default: 'http://127.0.0.1:7490'}),
@@ -14,7 +14,7 @@
 	static override baseFlags = serverFlags;
 
 	/** Calls a method and ends the command with a clear error when it fails. */
-	protected async callServer<T>(flags: ServerFlags, method: string, params: object = {}): Promise<T> {
+	protected async callServer<T>(flags: ServerFlags, method: string, params: Record<string, unknown> = {}): Promise<T> {
 		const result = await new OperatorClient(flags).call<T>(method, params);
 		if (result.isErr()) {
 			this.failWith(result.error);
--- a/packages/cli/hickorytrack/src/other-commands.ts
+++ b/packages/cli/hickorytrack/src/other-commands.ts
@@ -5,23 +5,23 @@
 import type {QuarantineEntry} from '@hickorytrack/types/control';
 import {OperatorCommand} from './operator-command.js';
 
-interface SettingState {
+type SettingState = {
 	name: string;
 	value: string | number | boolean;
 	version: number;
 	description: string;
-}
+};
 
-interface LoggedEvent {
+type LoggedEvent = {
 	sequence: number;
 	at: number;
 	number: number;
 	name: string;
 	text: string;
 	fields: Record<string, unknown>;
-}
+};
 
-interface StatusResult {
+type StatusResult = {
 	revision: number;
 	leader: string;
 	endpoints: number;
@@ -31,7 +31,7 @@
 	openChanges: unknown[];
 	log: {term: number; commitIndex: number};
 	subscribers: Array<{instance: string; roles: string[]; availabilityZone: string; revision: number}>;
-}
+};
 
 const tailPollMs = 500;
 
--- a/packages/control/contract-schema/src/contract-schema.ts
+++ b/packages/control/contract-schema/src/contract-schema.ts
@@ -4,17 +4,19 @@
  */
 import {createHash} from 'node:crypto';
 import {err, ok, type Result} from 'neverthrow';
-import {isMap, isScalar, isSeq, LineCounter, parseDocument, type Document} from 'yaml';
+import {
+	isMap, isScalar, isSeq, LineCounter, parseDocument, type Document,
+} from 'yaml';
 import {z} from 'zod';
 import {HickorytrackError} from '@hickorytrack/errors';
 import type {Contract} from '@hickorytrack/types/contract';
 
-export interface ContractFault {
+export type ContractFault = {
 	path: string;
 	/** Line in the file, from 1; missing where there is no file. */
 	line?: number;
 	message: string;
-}
+};
 
 export class ContractError extends HickorytrackError {
 	readonly faults: ContractFault[];
@@ -105,7 +107,7 @@
 }
 
 function findLine(document: Document, opts: {path: readonly PropertyKey[]; lines: LineCounter}): number | undefined {
-	for (let length = opts.path.length; length >= 0; length--) {
+	for (let {length} = opts.path; length >= 0; length--) {
 		const node = document.getIn(opts.path.slice(0, length), true);
 		const range = isMap(node) || isSeq(node) || isScalar(node) ? node.range : undefined;
 		if (range) {
--- a/packages/control/contract-schema/test/contract-schema.test.ts
+++ b/packages/control/contract-schema/test/contract-schema.test.ts
@@ -21,7 +21,7 @@
 	});
 
 	it('refuses what is no contract at all', () => {
-		for (const value of [undefined, null, 7, 'x', []]) { // eslint-disable-line @typescript-eslint/no-restricted-types
+		for (const value of [undefined, null, 7, 'x', []]) {
 			expect(checkContract(value).isErr()).to.equal(true);
 		}
 	});
--- a/packages/control/control-client/src/control-client.ts
+++ b/packages/control/control-client/src/control-client.ts
@@ -16,8 +16,12 @@
 import type {PeerNode} from '@hickorytrack/peer-link/peer-node';
 import {computeBackoff, type Random} from '@hickorytrack/random';
 import type {Claim} from '@hickorytrack/types/claim';
-import type {CommandOutcome, ControlCommand, ControlItem, EndpointRegistration, EpochGrant, ItemPage} from '@hickorytrack/types/control';
-import type {DemandReport, LeaseTick, OperatorReply, TenantDemand, TenantShare} from '@hickorytrack/types/peer-methods';
+import type {
+	CommandOutcome, ControlCommand, ControlItem, EndpointRegistration, EpochGrant, ItemPage,
+} from '@hickorytrack/types/control';
+import type {
+	DemandReport, LeaseTick, OperatorReply, TenantDemand, TenantShare,
+} from '@hickorytrack/types/peer-methods';
 
 export class ControlError extends HickorytrackError {
 	/** Whether the command can have been applied. */
@@ -29,7 +33,7 @@
 	}
 }
 
-export interface ControlClientOptions {
+export type ControlClientOptions = {
 	peers: PeerNode;
 	clock: Clock;
 	random: Random;
@@ -39,7 +43,7 @@
 	/** Prefixes of the item keys that this process needs. */
 	topics: string[];
 	leaseMs: number;
-}
+};
 
 /** What a role reports with each lease reply: what happened since the last one. */
 export type DemandSource = () => {demands: TenantDemand[]; reports: DemandReport[]};
@@ -183,7 +187,11 @@
 	/** Passes an operator's call on to the controller. */
 	async callOperator(method: string, params: unknown, hops: number): Promise<OperatorReply> {
 		const reply = await this.#current?.request('operator.call', {method, params, hops: hops + 1}, {timeoutMs: 10_000});
-		return reply?.isOk() ? reply.value : {ok: false, code: 'ERR_HICKORYTRACK_CONTROL_UNAVAILABLE', message: 'No controller can be reached', hint: 'Try another instance.'};
+		return reply?.isOk()
+			? reply.value
+			: {
+				ok: false, code: 'ERR_HICKORYTRACK_CONTROL_UNAVAILABLE', message: 'No controller can be reached', hint: 'Try another instance.',
+			};
 	}
 
 	dump(): unknown {
@@ -297,7 +305,6 @@
 
 			this.#noLeaderLease.renew(0);
 		}
-
 	}
 
 	async #askController(address: string): Promise<'leader' | 'no-leader' | 'refused' | 'silent'> {
--- a/packages/control/control-state/src/control-state.ts
+++ b/packages/control/control-state/src/control-state.ts
@@ -12,22 +12,24 @@
 import {ItemStore} from '@hickorytrack/item-store';
 import {QuarantineTable, type QuarantineDump} from '@hickorytrack/quarantine';
 import {computeCommandDigest, OutcomeMemory, type RememberedOutcome} from './outcome-memory.js';
-import {isAllowedMove, isCancellable, isEnded, loadsWeights, takesCapacity} from './planned-change.js';
+import {
+	isAllowedMove, isCancellable, isEnded, loadsWeights, takesCapacity,
+} from './planned-change.js';
 import {checkSetting, settingRules} from './setting-rules.js';
 
 const historyLength = 50;
 /** Ended planned changes that are kept to be shown. */
 const endedChangesKept = 200;
 
-export interface ContractVersion {
+export type ContractVersion = {
 	version: number;
 	changeId: string;
 	revision: number;
 	/** Missing when this version removed the contract. */
 	contract?: Contract;
-}
+};
 
-export interface ControlSnapshot {
+export type ControlSnapshot = {
 	items: ItemPage;
 	outcomes: RememberedOutcome[];
 	claims: Claim[];
@@ -36,7 +38,7 @@
 	history: Array<{tenant: string; versions: ContractVersion[]}>;
 	lastOrderNumber: number;
 	crashReports: string[];
-}
+};
 
 type CommandOf<K extends ControlCommand['kind']> = ControlCommand & {kind: K};
 type Refusal = CommandOutcome & {ok: false};
@@ -238,7 +240,9 @@
 
 		const next = version + 1;
 		this.items.write(key, contract ? {kind: 'contract', version: next, contract} : {kind: 'removed', was: 'contract', version: next}, this.#index);
-		const versions = [...this.readHistory(tenant), {version: next, changeId: command.changeId, revision: this.#index, contract}];
+		const versions = [...this.readHistory(tenant), {
+			version: next, changeId: command.changeId, revision: this.#index, contract,
+		}];
 		this.#history.set(tenant, versions.slice(-historyLength));
 		return this.#accept({tenant, version: next});
 	}
@@ -266,7 +270,9 @@
 			return this.#refuse('conflict', `The setting ${command.name} has version ${version}, the change expects version ${command.expectedVersion}`);
 		}
 
-		this.items.write(`setting/${command.name}`, {kind: 'setting', version: version + 1, name: command.name, value: command.value}, this.#index);
+		this.items.write(`setting/${command.name}`, {
+			kind: 'setting', version: version + 1, name: command.name, value: command.value,
+		}, this.#index);
 		return this.#accept({name: command.name, version: version + 1});
 	}
 
@@ -392,7 +398,9 @@
 			this.#writeDirective({...directive, phase: 'draining'});
 		} else if (change.step === 'restoring') {
 			const role = change.order?.kind === 'set-role' ? change.order.role : directive.role;
-			this.#writeDirective({...directive, phase: 'serving', role, pinned: directive.pinned});
+			this.#writeDirective({
+				...directive, phase: 'serving', role, pinned: directive.pinned,
+			});
 		} else if (change.step === 'finished' && (change.kind === 'drain' || change.kind === 'withdraw')) {
 			this.#writeDirective({...directive, phase: 'withdrawn'});
 		} else if (change.step === 'failed' && takesCapacity(change.kind)) {
@@ -475,6 +483,8 @@
 	}
 
 	#refuse(code: Refusal['code'], message: string): Refusal {
-		return {ok: false, code, message, revision: this.items.revision};
+		return {
+			ok: false, code, message, revision: this.items.revision,
+		};
 	}
 }
--- a/packages/control/control-state/src/outcome-memory.ts
+++ b/packages/control/control-state/src/outcome-memory.ts
@@ -5,11 +5,11 @@
 /** Outcomes kept; older ones are forgotten first. */
 const maximumOutcomes = 20_000;
 
-export interface RememberedOutcome {
+export type RememberedOutcome = {
 	changeId: string;
 	digest: string;
 	outcome: CommandOutcome;
-}
+};
 
 export function computeCommandDigest(command: unknown): string {
 	return createHash('sha256').update(JSON.stringify(command)).digest('hex');
--- a/packages/control/control-state/src/setting-rules.ts
+++ b/packages/control/control-state/src/setting-rules.ts
@@ -1,22 +1,36 @@
 /** The settings that hold for the whole deployment, with their type, default and bounds. */
 
-export interface SettingRule {
+export type SettingRule = {
 	name: string;
 	description: string;
 	defaultValue: string | number | boolean;
 	minimum?: number;
 	maximum?: number;
 	choices?: readonly string[];
-}
+};
 
 export const settingRules: readonly SettingRule[] = [
-	{name: 'changes.atOnce', description: 'Planned changes that may be under way at once.', defaultValue: 2, minimum: 1, maximum: 1000},
-	{name: 'weights.loadsAtOnce', description: 'Loads from the weight store that may be under way at once.', defaultValue: 2, minimum: 1, maximum: 1000},
-	{name: 'capacity.minimumPerModel', description: 'Endpoints of a model or service that planned changes leave serving.', defaultValue: 1, minimum: 0, maximum: 10_000},
-	{name: 'drain.limitSeconds', description: 'Time after which streams on a draining endpoint are handed over, in seconds.', defaultValue: 20, minimum: 1, maximum: 3600},
-	{name: 'roles.planner', description: 'Planner that decides role changes.', defaultValue: 'off', choices: ['off', 'price', 'greedy']},
-	{name: 'roles.changeWeight', description: 'Weight of one role change against goodput: 1 counts only the capacity it removes, more makes changes rarer.', defaultValue: 1, minimum: 0.1, maximum: 100},
-	{name: 'lease.whenAllSilent', description: 'What an entry does when every controller is silent: refuse new work or go on.', defaultValue: 'refuse', choices: ['refuse', 'serve']},
+	{
+		name: 'changes.atOnce', description: 'Planned changes that may be under way at once.', defaultValue: 2, minimum: 1, maximum: 1000,
+	},
+	{
+		name: 'weights.loadsAtOnce', description: 'Loads from the weight store that may be under way at once.', defaultValue: 2, minimum: 1, maximum: 1000,
+	},
+	{
+		name: 'capacity.minimumPerModel', description: 'Endpoints of a model or service that planned changes leave serving.', defaultValue: 1, minimum: 0, maximum: 10_000,
+	},
+	{
+		name: 'drain.limitSeconds', description: 'Time after which streams on a draining endpoint are handed over, in seconds.', defaultValue: 20, minimum: 1, maximum: 3600,
+	},
+	{
+		name: 'roles.planner', description: 'Planner that decides role changes.', defaultValue: 'off', choices: ['off', 'price', 'greedy'],
+	},
+	{
+		name: 'roles.changeWeight', description: 'Weight of one role change against goodput: 1 counts only the capacity it removes, more makes changes rarer.', defaultValue: 1, minimum: 0.1, maximum: 100,
+	},
+	{
+		name: 'lease.whenAllSilent', description: 'What an entry does when every controller is silent: refuse new work or go on.', defaultValue: 'refuse', choices: ['refuse', 'serve'],
+	},
 ];
 
 /** Returns why a value is not allowed, or `undefined` when it is. */
--- a/packages/control/control-state/test/control-state.test.ts
+++ b/packages/control/control-state/test/control-state.test.ts
@@ -5,7 +5,9 @@
 
 const createContract = (tenant: string, sha256 = tenant): Contract => ({
 	tenant, apiKeys: [{id: `${tenant}-key`, sha256}], models: ['m'], services: [], priority: 1, share: 1,
-	limits: {requestsPerSecond: 10, burst: 10, concurrency: 10, bodyBytes: 1000, queueMs: 1000},
+	limits: {
+		requestsPerSecond: 10, burst: 10, concurrency: 10, bodyBytes: 1000, queueMs: 1000,
+	},
 	targets: {firstTokenMs: 460, betweenTokensMs: 79}, answerRetentionSeconds: 60,
 });
 
@@ -23,11 +25,17 @@
 
 	const apply = (command: ControlCommand): CommandOutcome => state.apply(structuredClone(command), ++index);
 	const putContract = (changeId: string, expectedVersion: number, contract = createContract('cuenca')): CommandOutcome =>
-		apply({kind: 'put-contract', changeId, expectedVersion, tenant: contract.tenant, contract});
+		apply({
+			kind: 'put-contract', changeId, expectedVersion, tenant: contract.tenant, contract,
+		});
 	const start = (changeId: string, endpoint: string, changeKind: 'drain' | 'set-role' | 'withdraw' = 'drain'): CommandOutcome =>
-		apply({kind: 'start-change', changeId, changeKind, endpoint, requestedBy: 'test', at: 0, ...(changeKind === 'set-role' && {order: {kind: 'set-role', role: 'decode'}})});
+		apply({
+			kind: 'start-change', changeId, changeKind, endpoint, requestedBy: 'test', at: 0, ...(changeKind === 'set-role' && {order: {kind: 'set-role', role: 'decode'}}),
+		});
 	const advance = (changeId: string, from: 'planned' | 'draining' | 'ordering', to: 'draining' | 'ordering' | 'finished'): CommandOutcome =>
-		apply({kind: 'advance-change', changeId, from, to, message: '', at: 1});
+		apply({
+			kind: 'advance-change', changeId, from, to, message: '', at: 1,
+		});
 
 	beforeEach(() => {
 		state = new ControlState();
@@ -99,15 +107,21 @@
 	});
 
 	it('counts a crash report once', () => {
-		const report = {kind: 'report-crash', reportId: 'r1', endpoint: 'a', suspects: [{fingerprint: 'f', tenant: 't'}], at: 0} as const;
+		const report = {
+			kind: 'report-crash', reportId: 'r1', endpoint: 'a', suspects: [{fingerprint: 'f', tenant: 't'}], at: 0,
+		} as const;
 		apply({...report, suspects: [...report.suspects]});
 		apply({...report, suspects: [...report.suspects]});
 		expect(state.quarantine.read('f')!.crashes).to.equal(1);
 	});
 
 	it('checks settings', () => {
-		expect(apply({kind: 'put-setting', changeId: 's1', expectedVersion: 0, name: 'changes.atOnce', value: 0})).to.include({ok: false, code: 'invalid'});
-		expect(apply({kind: 'put-setting', changeId: 's2', expectedVersion: 0, name: 'changes.atOnce', value: 5}).ok).to.equal(true);
+		expect(apply({
+			kind: 'put-setting', changeId: 's1', expectedVersion: 0, name: 'changes.atOnce', value: 0,
+		})).to.include({ok: false, code: 'invalid'});
+		expect(apply({
+			kind: 'put-setting', changeId: 's2', expectedVersion: 0, name: 'changes.atOnce', value: 5,
+		}).ok).to.equal(true);
 		expect(state.readSetting('changes.atOnce').value).to.equal(5);
 	});
 });
--- a/packages/coordination/claims/src/claims.ts
+++ b/packages/coordination/claims/src/claims.ts
@@ -4,7 +4,9 @@
  * The table is deterministic, so that it can stand in a replicated state machine.
  */
 import {createHash} from 'node:crypto';
-import type {Claim, ClaimReply, ClaimRequest, ClaimSettlement} from '@hickorytrack/types/claim';
+import type {
+	Claim, ClaimReply, ClaimRequest, ClaimSettlement,
+} from '@hickorytrack/types/claim';
 
 const msPerSecond = 1000;
 /** A larger answer is not kept; a resend then learns that the call ran. */
@@ -44,7 +46,7 @@
 			}
 
 			if (held.attempt === request.attempt) {
-				return {granted: held.state === 'open', conflict: false, claim: held} as ClaimReply;
+				return {granted: held.state === 'open', conflict: false, claim: held};
 			}
 
 			if (held.state !== 'not-run') {
--- a/packages/coordination/claims/test/claims.test.ts
+++ b/packages/coordination/claims/test/claims.test.ts
@@ -28,24 +28,32 @@
 
 	it('never lets a claim run again whose outcome was lost', () => {
 		table.open(createRequest('a1'), 0);
-		table.settle({tenant: 'cuenca', key: 'k1', attempt: 'a1', state: 'may-have-run'});
+		table.settle({
+			tenant: 'cuenca', key: 'k1', attempt: 'a1', state: 'may-have-run',
+		});
 		expect(table.open(createRequest('a2'), 1).granted).to.equal(false);
 	});
 
 	it('lets a new attempt take over what is confirmed as not run, and then ignores the old one', () => {
 		table.open(createRequest('a1'), 0);
-		table.settle({tenant: 'cuenca', key: 'k1', attempt: 'a1', state: 'not-run'});
+		table.settle({
+			tenant: 'cuenca', key: 'k1', attempt: 'a1', state: 'not-run',
+		});
 		const second = table.open(createRequest('a2'), 1);
 		expect(second.granted).to.equal(true);
 		expect(second.claim.attemptNumber).to.equal(2);
-		table.settle({tenant: 'cuenca', key: 'k1', attempt: 'a1', state: 'answered', answer: {status: 200, contentType: 'text/plain', body: 'old'}});
+		table.settle({
+			tenant: 'cuenca', key: 'k1', attempt: 'a1', state: 'answered', answer: {status: 200, contentType: 'text/plain', body: 'old'},
+		});
 		expect(table.read('cuenca', 'k1')!.state).to.equal('open');
 	});
 
 	it('keeps the answer for resends and forgets it after the retention', () => {
 		table.open(createRequest('a1'), 0);
 		const answer = {status: 201, contentType: 'application/json', body: '{"truck":7}'};
-		table.settle({tenant: 'cuenca', key: 'k1', attempt: 'a1', state: 'answered', answer});
+		table.settle({
+			tenant: 'cuenca', key: 'k1', attempt: 'a1', state: 'answered', answer,
+		});
 		expect(table.open(createRequest('a2'), 59_999).claim.answer).to.deep.equal(answer);
 		expect(table.expire(60_000)).to.equal(1);
 		expect(table.open(createRequest('a3'), 60_001).granted).to.equal(true);
--- a/packages/coordination/fair-queue/src/fair-queue.ts
+++ b/packages/coordination/fair-queue/src/fair-queue.ts
@@ -5,7 +5,7 @@
  */
 import type {Clock} from '@hickorytrack/clock';
 
-export interface QueuedWork<T> {
+export type QueuedWork<T> = {
 	tenant: string;
 	/** A lower number goes first. */
 	priority: number;
@@ -16,18 +16,18 @@
 	/** Longest time in queue, in milliseconds. */
 	queueMs: number;
 	item: T;
-}
+};
 
-interface Entry<T> extends QueuedWork<T> {
+type Entry<T> = {
 	start: number;
 	expiresAt: number;
-}
+} & QueuedWork<T>;
 
-interface TenantLine<T> {
+type TenantLine<T> = {
 	finish: number;
 	share: number;
 	entries: Array<Entry<T>>;
-}
+};
 
 /** The tenants of one priority with their virtual time. */
 class PriorityClass<T> {
@@ -93,11 +93,11 @@
 	}
 }
 
-export interface FairQueueOptions {
+export type FairQueueOptions = {
 	clock: Clock;
 	/** Entries that may wait at once, over all tenants. */
 	maximumLength: number;
-}
+};
 
 export class FairQueue<T> {
 	readonly #clock: Clock;
--- a/packages/coordination/fence/src/fence.ts
+++ b/packages/coordination/fence/src/fence.ts
@@ -9,7 +9,9 @@
 	return (a.term - b.term) || (a.epoch - b.epoch) || (a.orderNumber - b.orderNumber);
 }
 
-export const fenceVerdicts = {admitted: 'admitted', repeated: 'repeated', stale: 'stale', noEpoch: 'no-epoch'} as const;
+export const fenceVerdicts = {
+	admitted: 'admitted', repeated: 'repeated', stale: 'stale', noEpoch: 'no-epoch',
+} as const;
 export type FenceVerdict = typeof fenceVerdicts[keyof typeof fenceVerdicts];
 
 export class FenceGuard {
--- a/packages/coordination/fence/src/lease.ts
+++ b/packages/coordination/fence/src/lease.ts
@@ -31,10 +31,10 @@
 	}
 }
 
-export interface SuccessorWaitOptions {
+export type SuccessorWaitOptions = {
 	leaseMs: number;
 	orderTimeLimitMs: number;
-}
+};
 
 /** Returns how long a successor waits until no order of its predecessor can still be written, in milliseconds. */
 export function computeSuccessorWait(opts: SuccessorWaitOptions): number {
--- a/packages/coordination/item-store/test/item-store.test.ts
+++ b/packages/coordination/item-store/test/item-store.test.ts
@@ -2,7 +2,9 @@
 import type {ItemValue} from '@hickorytrack/types/control';
 import {ItemStore} from '../src/item-store.js';
 
-const createValue = (version: number): ItemValue => ({kind: 'setting', version, name: 'x', value: version});
+const createValue = (version: number): ItemValue => ({
+	kind: 'setting', version, name: 'x', value: version,
+});
 
 describe('item store', () => {
 	it('brings a store that missed hundreds of changes up to date in one page', () => {
--- a/packages/coordination/log-storage/src/file-log-storage.ts
+++ b/packages/coordination/log-storage/src/file-log-storage.ts
@@ -3,30 +3,36 @@
  * are replaced by writing a new one, syncing it, renaming it and syncing the folder.
  */
 import {randomUUID} from 'node:crypto';
-import {mkdir, open, readFile, rename, type FileHandle} from 'node:fs/promises';
+import {
+	mkdir, open, readFile, rename, type FileHandle,
+} from 'node:fs/promises';
 import path from 'node:path';
 import {Buffer} from 'node:buffer';
 import {crc32} from 'node:zlib';
 import {err, ok, type Result} from 'neverthrow';
 import {describeError} from '@hickorytrack/errors';
 import {acquireFolderLock, type FolderLock} from './folder-lock.js';
-import {LogStorageError, type LogRecord, type LogStorage, type OpenedLog, type SnapshotRecord, type VoteState} from './log-storage.js';
-import {decodeLog, encodeHeader, encodeRecord, formatVersion, headerBytes} from './record-codec.js';
+import {
+	LogStorageError, type LogRecord, type LogStorage, type OpenedLog, type SnapshotRecord, type VoteState,
+} from './log-storage.js';
+import {
+	decodeLog, encodeHeader, encodeRecord, formatVersion, headerBytes,
+} from './record-codec.js';
 
 /** Stands between the storage and the disk, so that tests can make a write or a sync fail. */
-export interface DiskGuard {
+export type DiskGuard = {
 	check(operation: 'write' | 'sync'): void;
-}
+};
 
-export interface FileLogStorageOptions {
+export type FileLogStorageOptions = {
 	guard?: DiskGuard;
-}
+};
 
-interface CheckedFile {
+type CheckedFile = {
 	format: number;
 	checksum: number;
 	text: string;
-}
+};
 
 const isFull = (error: unknown): boolean => error instanceof Error && 'code' in error && (error.code === 'ENOSPC' || error.code === 'EDQUOT');
 const isMissing = (error: unknown): boolean => error instanceof Error && 'code' in error && error.code === 'ENOENT';
--- a/packages/coordination/log-storage/src/folder-lock.ts
+++ b/packages/coordination/log-storage/src/folder-lock.ts
@@ -8,9 +8,9 @@
 import {err, ok, type Result} from 'neverthrow';
 import {LogStorageError} from './log-storage.js';
 
-export interface FolderLock {
+export type FolderLock = {
 	release(): Promise<void>;
-}
+};
 
 export async function acquireFolderLock(folder: string): Promise<Result<FolderLock, LogStorageError>> {
 	const {dev, ino} = await stat(folder);
--- a/packages/coordination/log-storage/src/log-storage.ts
+++ b/packages/coordination/log-storage/src/log-storage.ts
@@ -12,35 +12,35 @@
 export const recordKinds = {command: 'command', noop: 'noop', members: 'members'} as const;
 export type RecordKind = typeof recordKinds[keyof typeof recordKinds];
 
-export interface LogRecord {
+export type LogRecord = {
 	index: number;
 	term: number;
 	kind: RecordKind;
 	payload: unknown;
-}
+};
 
-export interface VoteState {
+export type VoteState = {
 	term: number;
 	votedFor?: string;
-}
+};
 
-export interface SnapshotRecord {
+export type SnapshotRecord = {
 	/** Index of the last record that the snapshot covers. */
 	index: number;
 	term: number;
 	members: unknown;
 	state: unknown;
-}
+};
 
-export interface OpenedLog {
+export type OpenedLog = {
 	/** Identity of the data folder, made at its first opening. A folder that was lost and made anew has another one. */
 	folder: string;
 	vote: VoteState;
 	snapshot?: SnapshotRecord;
 	records: LogRecord[];
-}
+};
 
-export interface LogStorage {
+export type LogStorage = {
 	open(): Promise<Result<OpenedLog, LogStorageError>>;
 	saveVote(vote: VoteState): Promise<Result<void, LogStorageError>>;
 	append(records: readonly LogRecord[]): Promise<Result<void, LogStorageError>>;
@@ -49,4 +49,4 @@
 	/** Saves the snapshot, then keeps only `remaining` of the log. */
 	saveSnapshot(snapshot: SnapshotRecord, remaining: readonly LogRecord[]): Promise<Result<void, LogStorageError>>;
 	close(): Promise<void>;
-}
+};
--- a/packages/coordination/log-storage/src/memory-log-storage.ts
+++ b/packages/coordination/log-storage/src/memory-log-storage.ts
@@ -1,6 +1,8 @@
 /** Storage in memory, for tests and for embedders that need no durability. It can be told to fail. */
 import {err, ok, type Result} from 'neverthrow';
-import {LogStorageError, type LogRecord, type LogStorage, type OpenedLog, type SnapshotRecord, type VoteState} from './log-storage.js';
+import {
+	LogStorageError, type LogRecord, type LogStorage, type OpenedLog, type SnapshotRecord, type VoteState,
+} from './log-storage.js';
 
 export class MemoryLogStorage implements LogStorage {
 	/** While true, every write fails as on a full disk. */
@@ -15,7 +17,9 @@
 	}
 
 	async open(): Promise<Result<OpenedLog, LogStorageError>> {
-		return ok({folder: this.#folder, vote: {...this.#vote}, snapshot: structuredClone(this.#snapshot), records: structuredClone(this.#records)});
+		return ok({
+			folder: this.#folder, vote: {...this.#vote}, snapshot: structuredClone(this.#snapshot), records: structuredClone(this.#records),
+		});
 	}
 
 	async saveVote(vote: VoteState): Promise<Result<void, LogStorageError>> {
--- a/packages/coordination/log-storage/src/record-codec.ts
+++ b/packages/coordination/log-storage/src/record-codec.ts
@@ -13,13 +13,13 @@
 export const headerBytes = 8;
 const prefixBytes = 8;
 
-export interface DecodedLog {
+export type DecodedLog = {
 	records: LogRecord[];
 	/** Offset in bytes of each record. */
 	offsets: number[];
 	/** Bytes that hold valid data; what follows is a torn tail. */
 	validBytes: number;
-}
+};
 
 export function encodeHeader(): Buffer {
 	const header = Buffer.alloc(headerBytes);
@@ -72,10 +72,10 @@
 	return bytes.toString('latin1', 0, 4) === magic ? bytes.readUInt32BE(4) : 0;
 }
 
-interface ReadRecord {
+type ReadRecord = {
 	value: LogRecord;
 	end: number;
-}
+};
 
 function readRecord(bytes: Buffer, offset: number): ReadRecord | undefined {
 	if (offset + prefixBytes > bytes.length) {
--- a/packages/coordination/log-storage/test/file-log-storage.test.ts
+++ b/packages/coordination/log-storage/test/file-log-storage.test.ts
@@ -1,11 +1,15 @@
-import {appendFile, mkdtemp, readFile, rm, writeFile} from 'node:fs/promises';
+import {
+	appendFile, mkdtemp, readFile, rm, writeFile,
+} from 'node:fs/promises';
 import {tmpdir} from 'node:os';
 import path from 'node:path';
 import {expect} from 'chai';
 import {FileLogStorage, type DiskGuard} from '../src/file-log-storage.js';
 import type {LogRecord, OpenedLog} from '../src/log-storage.js';
 
-const createRecord = (index: number): LogRecord => ({index, term: 1, kind: 'command', payload: {text: `change ${index}`}});
+const createRecord = (index: number): LogRecord => ({
+	index, term: 1, kind: 'command', payload: {text: `change ${index}`},
+});
 
 describe('file log storage', () => {
 	let folder: string;
@@ -106,7 +110,9 @@
 	it('keeps the snapshot and what came behind it', async () => {
 		const [storage] = await openStorage();
 		await storage.append([createRecord(1), createRecord(2), createRecord(3)]);
-		await storage.saveSnapshot({index: 2, term: 1, members: [], state: {sum: 2}}, [createRecord(3)]);
+		await storage.saveSnapshot({
+			index: 2, term: 1, members: [], state: {sum: 2},
+		}, [createRecord(3)]);
 		await storage.truncateFrom(3);
 		await storage.append([{...createRecord(3), term: 2}]);
 		await storage.close();
--- a/packages/coordination/quarantine/src/quarantine.ts
+++ b/packages/coordination/quarantine/src/quarantine.ts
@@ -11,17 +11,17 @@
 export const permitMs = 30 * 1000;
 const crashesToQuarantine = 2;
 
-export interface SuspectPermit {
+export type SuspectPermit = {
 	fingerprint: string;
 	attempt: string;
 	/** Wall time in milliseconds. */
 	until: number;
-}
+};
 
-export interface QuarantineDump {
+export type QuarantineDump = {
 	entries: QuarantineEntry[];
 	permits: SuspectPermit[];
-}
+};
 
 export class QuarantineTable {
 	readonly #entries = new Map<string, QuarantineEntry>();
--- a/packages/coordination/rate-limit/src/retry-budget.ts
+++ b/packages/coordination/rate-limit/src/retry-budget.ts
@@ -4,14 +4,14 @@
  */
 import type {Clock} from '@hickorytrack/clock';
 
-export interface RetryBudgetOptions {
+export type RetryBudgetOptions = {
 	/** Retries earned by one success. */
 	ratio: number;
 	/** Retries that can be held. */
 	maximum: number;
 	/** Retries earned in a second without any success. */
 	reservePerSecond: number;
-}
+};
 
 export const defaultRetryBudget: RetryBudgetOptions = {ratio: 0.2, maximum: 100, reservePerSecond: 2};
 
--- a/packages/coordination/rate-limit/src/share-divider.ts
+++ b/packages/coordination/rate-limit/src/share-divider.ts
@@ -5,10 +5,10 @@
 
 const evenPart = 0.2;
 
-export interface HolderDemand {
+export type HolderDemand = {
 	holder: string;
 	demand: number;
-}
+};
 
 /** Returns the fraction of the limit for each holder; the fractions add up to 1. */
 export function divideShares(demands: readonly HolderDemand[]): Map<string, number> {
--- a/packages/coordination/rate-limit/test/rate-limit.test.ts
+++ b/packages/coordination/rate-limit/test/rate-limit.test.ts
@@ -44,18 +44,19 @@
 describe('adaptive limit', () => {
 	it('falls while work is late and recovers when it is not', async () => {
 		const clock = new ManualClock();
-		const limit = new AdaptiveLimit({clock, minimum: 2, maximum: 16, windowMs: 100});
-		for (let round = 0; round < 20; round++) {
-			await clock.advance(100);
-			limit.observe(200, 100);
-		}
-
+		const limit = new AdaptiveLimit({
+			clock, minimum: 2, maximum: 16, windowMs: 100,
+		});
+		const observeFor = async (rounds: number, latencyMs: number) => {
+			for (let round = 0; round < rounds; round++) {
+				await clock.advance(20);
+				limit.observe(latencyMs, {targetMs: 100, concurrency: limit.value});
+			}
+		};
+
+		await observeFor(400, 200);
 		expect(limit.value).to.equal(2);
-		for (let round = 0; round < 20; round++) {
-			await clock.advance(100);
-			limit.observe(50, 100);
-		}
-
+		await observeFor(400, 50);
 		expect(limit.value).to.equal(16);
 	});
 });
--- a/packages/coordination/replicated-log/src/elector.ts
+++ b/packages/coordination/replicated-log/src/elector.ts
@@ -5,10 +5,11 @@
 import type {Clock} from '@hickorytrack/clock';
 import type {Random} from '@hickorytrack/random';
 import type {StepPoints} from '@hickorytrack/step-points';
-import type {MemberReply, MemberTransport} from './member-messages.js';
+import type {MemberMessage, MemberTransport} from './member-messages.js';
+import type {MemberInfo} from './member-set.js';
 import type {LogTiming, MemberState} from './member-state.js';
 
-export interface ElectorOptions {
+export type ElectorOptions = {
 	clock: Clock;
 	random: Random;
 	transport: MemberTransport;
@@ -16,7 +17,7 @@
 	steps: StepPoints;
 	signal: AbortSignal;
 	onElected: () => void;
-}
+};
 
 export class Elector {
 	readonly #state: MemberState;
@@ -85,26 +86,35 @@
 			return true;
 		}
 
+		const message = {
+			kind, from: id, folder, term, lastIndex: window.lastIndex, lastTerm: window.lastTerm,
+		};
 		return new Promise(resolve => {
-			for (const member of others) {
-				const message = {kind, from: id, folder, term, lastIndex: window.lastIndex, lastTerm: window.lastTerm};
-				const settle = (reply?: MemberReply) => {
-					open--;
-					if (reply?.kind === 'vote' && reply.granted && members.isSameFolder(member.id, reply.folder)) {
-						missing--;
-					} else if (reply && reply.term > this.#state.term && kind === 'vote') {
-						void this.#state.adoptTerm(reply.term);
-					}
-
-					if (missing <= 0 || open < missing) {
-						resolve(missing <= 0);
-					}
-				};
+			const ask = async (member: MemberInfo) => {
+				const isGranted = await this.#askForVote(member, message);
+				open--;
+				missing -= isGranted ? 1 : 0;
+				if (missing <= 0 || open < missing) {
+					resolve(missing <= 0);
+				}
+			};
 
-				this.#opts.transport.call(member, message, this.#opts.timing.electionMinMs).then(settle, () => {
-					settle();
-				});
+			for (const member of others) {
+				void ask(member);
 			}
 		});
 	}
+
+	async #askForVote(member: MemberInfo, message: MemberMessage & {kind: 'pre-vote' | 'vote'}): Promise<boolean> {
+		try {
+			const reply = await this.#opts.transport.call(member, message, this.#opts.timing.electionMinMs);
+			if (reply.term > this.#state.term && message.kind === 'vote') {
+				await this.#state.adoptTerm(reply.term);
+			}
+
+			return reply.kind === 'vote' && reply.granted && this.#state.members.isSameFolder(member.id, reply.folder);
+		} catch {
+			return false;
+		}
+	}
 }
--- a/packages/coordination/replicated-log/src/member-messages.ts
+++ b/packages/coordination/replicated-log/src/member-messages.ts
@@ -13,6 +13,6 @@
 	| {kind: 'append'; folder: string; term: number; accepted: boolean; lastIndex: number; durableIndex: number; diskFault: boolean};
 
 /** Carries one message to a member and brings its reply; rejects when there is none in time. */
-export interface MemberTransport {
+export type MemberTransport = {
 	call(to: MemberInfo, message: MemberMessage, timeoutMs: number): Promise<MemberReply>;
-}
+};
--- a/packages/coordination/replicated-log/src/member-set.ts
+++ b/packages/coordination/replicated-log/src/member-set.ts
@@ -1,6 +1,6 @@
 /** The members of a replicated log and the arithmetic of their majority. */
 
-export interface MemberInfo {
+export type MemberInfo = {
 	id: string;
 	/** Address of the member's peer listener. */
 	address: string;
@@ -8,7 +8,7 @@
 	voter: boolean;
 	/** Identity of the data folder that the member's promises stand on; a member with another folder is not counted. */
 	folder?: string;
-}
+};
 
 export class MemberSet {
 	readonly members: readonly MemberInfo[];
--- a/packages/coordination/replicated-log/src/member-state.ts
+++ b/packages/coordination/replicated-log/src/member-state.ts
@@ -5,7 +5,9 @@
 import {Mutex} from 'async-mutex';
 import type {Clock} from '@hickorytrack/clock';
 import {HickorytrackError} from '@hickorytrack/errors';
-import type {LogRecord, LogStorage, OpenedLog, SnapshotRecord, VoteState} from '@hickorytrack/log-storage';
+import type {
+	LogRecord, LogStorage, OpenedLog, SnapshotRecord, VoteState,
+} from '@hickorytrack/log-storage';
 import {MemberSet, type MemberInfo} from './member-set.js';
 import {RecordWindow} from './record-window.js';
 
@@ -22,7 +24,7 @@
 	}
 }
 
-export interface LogTiming {
+export type LogTiming = {
 	heartbeatMs: number;
 	/** A follower that hears nothing for a random time between these bounds starts an election. */
 	electionMinMs: number;
@@ -31,7 +33,7 @@
 	snapshotRecords: number;
 	/** Records in one message. */
 	batchRecords: number;
-}
+};
 
 export const defaultLogTiming: LogTiming = {
 	heartbeatMs: 100, electionMinMs: 600, electionMaxMs: 1200, snapshotRecords: 5000, batchRecords: 500,
--- a/packages/coordination/replicated-log/src/replicated-log.ts
+++ b/packages/coordination/replicated-log/src/replicated-log.ts
@@ -11,21 +11,25 @@
 import {waitAtMost, type Clock} from '@hickorytrack/clock';
 import type {Random} from '@hickorytrack/random';
 import {noStepPoints, type StepPoints} from '@hickorytrack/step-points';
-import type {LogRecord, LogStorage, LogStorageError, RecordKind} from '@hickorytrack/log-storage';
+import type {
+	LogRecord, LogStorage, LogStorageError, RecordKind,
+} from '@hickorytrack/log-storage';
 import {Elector} from './elector.js';
 import type {MemberMessage, MemberReply, MemberTransport} from './member-messages.js';
-import {MemberSet, type MemberInfo} from './member-set.js';
-import {defaultLogTiming, MemberState, ReplicatedLogError, type LogTiming, type MemberRole} from './member-state.js';
+import {type MemberSet, type MemberInfo} from './member-set.js';
+import {
+	defaultLogTiming, MemberState, ReplicatedLogError, type LogTiming, type MemberRole,
+} from './member-state.js';
 import {Replicator} from './replicator.js';
 
 /** What the log drives. It must be deterministic: the same commands in the same order give the same state. */
-export interface StateMachine {
+export type StateMachine = {
 	apply(command: unknown, index: number): unknown;
 	takeSnapshot(): unknown;
 	restoreSnapshot(state: unknown): void;
-}
+};
 
-export interface ReplicatedLogOptions {
+export type ReplicatedLogOptions = {
 	id: string;
 	/** Members of a new log; none for a member that joins an existing one. */
 	initialMembers: readonly MemberInfo[];
@@ -36,9 +40,9 @@
 	random: Random;
 	timing?: Partial<LogTiming>;
 	steps?: StepPoints;
-}
+};
 
-export interface LogStatus {
+export type LogStatus = {
 	id: string;
 	role: MemberRole;
 	term: number;
@@ -50,12 +54,12 @@
 	quorumAgeMs: number;
 	diskFault: boolean;
 	members: MemberInfo[];
-}
+};
 
-interface Waiter {
+type Waiter = {
 	term: number;
 	settle: (result: Result<unknown, ReplicatedLogError>) => void;
-}
+};
 
 const defaultProposeTimeoutMs = 5000;
 const barrierPollMs = 5;
@@ -157,7 +161,7 @@
 		}
 
 		const askedAt = clock.monotonic();
-		const term = this.term;
+		const {term} = this;
 		const until = askedAt + (opts.timeoutMs ?? defaultProposeTimeoutMs);
 		const index = Math.max(this.#state!.commitIndex, this.#firstIndexOfTerm);
 		this.#replicator!.wake();
@@ -253,11 +257,15 @@
 
 		switch (message.kind) {
 			case 'pre-vote': {
-				return {kind: 'vote', folder: state.folder, term: state.term, granted: this.#wouldVote(message)};
+				return {
+					kind: 'vote', folder: state.folder, term: state.term, granted: this.#wouldVote(message),
+				};
 			}
 
 			case 'vote': {
-				return this.#inOrder.runExclusive(async () => ({kind: 'vote', folder: state.folder, granted: await this.#vote(message), term: state.term}));
+				return this.#inOrder.runExclusive(async () => ({
+					kind: 'vote', folder: state.folder, granted: await this.#vote(message), term: state.term,
+				}));
 			}
 
 			case 'append': {
@@ -456,7 +464,9 @@
 
 	async #proposeRecord(kind: RecordKind, payload: unknown, timeoutMs = defaultProposeTimeoutMs): Promise<Result<unknown, ReplicatedLogError>> {
 		const state = this.#state!;
-		const record: LogRecord = {index: state.window.lastIndex + 1, term: state.term, kind, payload};
+		const record: LogRecord = {
+			index: state.window.lastIndex + 1, term: state.term, kind, payload,
+		};
 		const outcome = new Promise<Result<unknown, ReplicatedLogError>>(resolve => {
 			this.#waiters.set(record.index, {term: record.term, settle: resolve});
 		});
--- a/packages/coordination/replicated-log/src/replicator.ts
+++ b/packages/coordination/replicated-log/src/replicator.ts
@@ -8,7 +8,7 @@
 import type {LogTiming, MemberState} from './member-state.js';
 
 /** What the leader knows of one member. */
-interface Progress {
+type Progress = {
 	member: MemberInfo;
 	nextIndex: number;
 	matchIndex: number;
@@ -17,9 +17,9 @@
 	/** Folder the member answered from. */
 	folder?: string;
 	wake: () => void;
-}
+};
 
-export interface ReplicatorOptions {
+export type ReplicatorOptions = {
 	clock: Clock;
 	transport: MemberTransport;
 	timing: LogTiming;
@@ -27,7 +27,7 @@
 	onProgress: () => void;
 	/** Called when a member answers with a higher term. */
 	onHigherTerm: (term: number) => void;
-}
+};
 
 export class Replicator {
 	readonly #state: MemberState;
@@ -166,7 +166,9 @@
 		const previousIndex = progress.nextIndex - 1;
 		const previousTerm = window.readTerm(previousIndex);
 		if (previousTerm === undefined && snapshot) {
-			return {kind: 'snapshot', from: this.#state.id, term: this.#term, snapshot};
+			return {
+				kind: 'snapshot', from: this.#state.id, term: this.#term, snapshot,
+			};
 		}
 
 		return {
--- a/packages/coordination/replicated-log/test/replicated-log.test.ts
+++ b/packages/coordination/replicated-log/test/replicated-log.test.ts
@@ -166,14 +166,27 @@
 			for (let round = 0; round < 60; round++) {
 				const action = chance.nextInteger(6);
 				const id = chance.pick(ids);
-				if (action === 0) {
-					cluster.isolate(id);
-				} else if (action === 1) {
-					cluster.heal();
-				} else if (action === 2) {
-					const {storage} = await cluster.stopMember(id);
-					await cluster.clock.advance(chance.nextInteger(800));
-					await cluster.startMember(id, ids, storage);
+				switch (action) {
+					case 0: {
+						cluster.isolate(id);
+
+						break;
+					}
+
+					case 1: {
+						cluster.heal();
+
+						break;
+					}
+
+					case 2: {
+						const {storage} = await cluster.stopMember(id);
+						await cluster.clock.advance(chance.nextInteger(800));
+						await cluster.startMember(id, ids, storage);
+
+						break;
+					}
+				// No default
 				}
 
 				const leader = cluster.leaders.at(-1) ?? chance.pick([...cluster.members.values()]);
--- a/packages/coordination/replicated-log/test/test-cluster.ts
+++ b/packages/coordination/replicated-log/test/test-cluster.ts
@@ -23,11 +23,11 @@
 	}
 }
 
-export interface TestMember {
+export type TestMember = {
 	log: ReplicatedLog;
 	machine: ListMachine;
 	storage: MemoryLogStorage;
-}
+};
 
 export class TestCluster {
 	readonly clock = new ManualClock();
--- a/packages/core/clock/src/clock.ts
+++ b/packages/core/clock/src/clock.ts
@@ -3,14 +3,14 @@
  * Wall time is for records that people read; all intervals, leases and deadlines use monotonic time.
  */
 
-export interface Clock {
+export type Clock = {
 	/** Returns wall time in milliseconds since the epoch. */
 	now(): number;
 	/** Returns monotonic time in milliseconds from an arbitrary start. */
 	monotonic(): number;
 	/** Resolves after `ms` milliseconds, or at once when `signal` aborts. It never rejects. */
 	sleep(ms: number, signal?: AbortSignal): Promise<void>;
-}
+};
 
 /** Rejects with the signal's reason once `signal` aborts; never resolves otherwise. */
 export async function waitForAbort(signal: AbortSignal): Promise<never> {
--- a/packages/core/clock/src/manual-clock.ts
+++ b/packages/core/clock/src/manual-clock.ts
@@ -4,11 +4,11 @@
  */
 import type {Clock} from './clock.js';
 
-interface Timer {
+type Timer = {
 	deadline: number;
 	order: number;
 	fire: () => void;
-}
+};
 
 const loopTurnsPerTimer = 3;
 
--- a/packages/core/errors/src/errors.ts
+++ b/packages/core/errors/src/errors.ts
@@ -5,11 +5,11 @@
 
 export type ErrorCode = `ERR_HICKORYTRACK_${string}`;
 
-export interface HickorytrackErrorOptions {
+export type HickorytrackErrorOptions = {
 	/** What the reader can do next, in one sentence. */
 	hint?: string;
 	cause?: unknown;
-}
+};
 
 export class HickorytrackError extends Error {
 	readonly code: ErrorCode;
--- a/packages/core/events/src/events.ts
+++ b/packages/core/events/src/events.ts
@@ -8,7 +8,7 @@
 
 export type EventFields = Record<string, unknown>;
 
-export interface LoggedEvent {
+export type LoggedEvent = {
 	/** Rises by one with each event of the process. */
 	sequence: number;
 	/** Wall time in milliseconds. */
@@ -18,13 +18,13 @@
 	level: string;
 	text: string;
 	fields: EventFields;
-}
+};
 
-export interface EventLogOptions {
+export type EventLogOptions = {
 	clock: Clock;
 	/** Where events are written; without it they are only kept. */
 	logger?: Logger;
-}
+};
 
 export class EventLog {
 	readonly #opts: EventLogOptions;
@@ -43,7 +43,9 @@
 		}
 
 		this.#sequence++;
-		this.#kept.push({sequence: this.#sequence, at: this.#opts.clock.now(), number, name, level, text, fields});
+		this.#kept.push({
+			sequence: this.#sequence, at: this.#opts.clock.now(), number, name, level, text, fields,
+		});
 		if (this.#kept.length > keptEvents) {
 			this.#kept.shift();
 		}
--- a/packages/core/events/src/metrics.ts
+++ b/packages/core/events/src/metrics.ts
@@ -17,11 +17,11 @@
 
 export type MetricName = keyof typeof metricCatalogue;
 
-export interface MetricsOptions {
+export type MetricsOptions = {
 	/** Host and port of the StatsD listener. */
 	address?: string;
 	instance: string;
-}
+};
 
 export class Metrics {
 	readonly #client: StatsD;
--- a/packages/core/random/src/random.ts
+++ b/packages/core/random/src/random.ts
@@ -37,11 +37,11 @@
 	}
 }
 
-export interface BackoffOptions {
+export type BackoffOptions = {
 	baseMs: number;
 	capMs: number;
 	random: Random;
-}
+};
 
 /** Returns the delay before attempt number `attempt` (from 0): exponential with full jitter, in milliseconds. */
 export function computeBackoff(attempt: number, opts: BackoffOptions): number {
--- a/packages/core/step-points/src/step-points.ts
+++ b/packages/core/step-points/src/step-points.ts
@@ -31,10 +31,10 @@
 
 export type StepName = typeof stepNames[number];
 
-export interface StepPoints {
+export type StepPoints = {
 	/** Called when the code reaches the step; `owner` names the process or member that does. */
 	reach(step: StepName, owner: string): Promise<void> | void;
-}
+};
 
 export const noStepPoints: StepPoints = {
 	reach() {
--- a/packages/core/types/src/claim.ts
+++ b/packages/core/types/src/claim.ts
@@ -1,10 +1,12 @@
 /** Claims of calls that may not be repeated. */
 import type {ServiceAnswer} from './work.js';
 
-export const claimStates = {open: 'open', answered: 'answered', mayHaveRun: 'may-have-run', notRun: 'not-run'} as const;
+export const claimStates = {
+	open: 'open', answered: 'answered', mayHaveRun: 'may-have-run', notRun: 'not-run',
+} as const;
 export type ClaimState = typeof claimStates[keyof typeof claimStates];
 
-export interface Claim {
+export type Claim = {
 	tenant: string;
 	key: string;
 	bodyDigest: string;
@@ -22,9 +24,9 @@
 	openedAt: number;
 	expiresAt: number;
 	answer?: ServiceAnswer;
-}
+};
 
-export interface ClaimRequest {
+export type ClaimRequest = {
 	tenant: string;
 	key: string;
 	bodyDigest: string;
@@ -33,16 +35,16 @@
 	attempt: string;
 	owner: string;
 	retentionSeconds: number;
-}
+};
 
 export type ClaimReply =
 	| {granted: true; claim: Claim}
 	| {granted: false; conflict: boolean; claim: Claim};
 
-export interface ClaimSettlement {
+export type ClaimSettlement = {
 	tenant: string;
 	key: string;
 	attempt: string;
 	state: 'answered' | 'may-have-run' | 'not-run';
 	answer?: ServiceAnswer;
-}
+};
--- a/packages/core/types/src/contract.ts
+++ b/packages/core/types/src/contract.ts
@@ -1,26 +1,26 @@
 /** The contract of a tenant: what it may call, how much, how fast it is to be answered, and its share of the fleet. */
 
-export interface ApiKey {
+export type ApiKey = {
 	/** Name of the key, shown to operators. */
 	id: string;
 	/** SHA-256 of the key in lower-case hex; the key itself is never stored. */
 	sha256: string;
-}
+};
 
-export interface ServiceCall {
+export type ServiceCall = {
 	method: string;
 	/** Path below the service, matched as a prefix. */
 	path: string;
 	/** Whether the call may run more than once without harm. */
 	repeatable: boolean;
-}
+};
 
-export interface ServiceGrant {
+export type ServiceGrant = {
 	name: string;
 	calls: ServiceCall[];
-}
+};
 
-export interface ContractLimits {
+export type ContractLimits = {
 	requestsPerSecond: number;
 	/** Requests that may arrive at once above the rate. */
 	burst: number;
@@ -29,14 +29,14 @@
 	bodyBytes: number;
 	/** Longest time in queue before the request is refused as not run, in milliseconds. */
 	queueMs: number;
-}
+};
 
-export interface ContractTargets {
+export type ContractTargets = {
 	firstTokenMs: number;
 	betweenTokensMs: number;
-}
+};
 
-export interface Contract {
+export type Contract = {
 	tenant: string;
 	apiKeys: ApiKey[];
 	models: string[];
@@ -49,4 +49,4 @@
 	targets: ContractTargets;
 	/** How long answers to calls that may not be repeated are kept, in seconds. */
 	answerRetentionSeconds: number;
-}
+};
--- a/packages/core/types/src/control.ts
+++ b/packages/core/types/src/control.ts
@@ -1,18 +1,20 @@
 /** Control items: the state that controllers agree on and push to every entry and agent. */
 import type {ClaimRequest, ClaimSettlement} from './claim.js';
 import type {Contract} from './contract.js';
-import type {EndpointAnnouncement, EndpointPhase, EngineRole, EngineOrder} from './endpoint.js';
+import type {
+	EndpointAnnouncement, EndpointPhase, EngineRole, EngineOrder,
+} from './endpoint.js';
 
 /** What the controllers want of an endpoint. */
-export interface EndpointDirective {
+export type EndpointDirective = {
 	endpoint: string;
 	phase: EndpointPhase;
 	role?: EngineRole;
 	/** A pinned role is left alone by the planner. */
 	pinned: boolean;
-}
+};
 
-export interface QuarantineEntry {
+export type QuarantineEntry = {
 	fingerprint: string;
 	tenant: string;
 	/** Crashes it was seen in. */
@@ -20,7 +22,7 @@
 	state: 'suspect' | 'quarantined' | 'cleared';
 	/** Wall time in milliseconds after which the entry is void. */
 	until: number;
-}
+};
 
 export type ItemValue =
 	| {kind: 'contract'; version: number; contract: Contract}
@@ -31,27 +33,27 @@
 	| {kind: 'removed'; was: string; version: number};
 
 /** One versioned item. Its revision is the index of the log record that wrote it and only rises. */
-export interface ControlItem {
+export type ControlItem = {
 	key: string;
 	revision: number;
 	value: ItemValue;
-}
+};
 
-export interface ItemPage {
+export type ItemPage = {
 	/** The page holds everything that was written after this revision. */
 	since: number;
 	/** The receiver has everything up to this revision once it holds the items. */
 	revision: number;
 	items: ControlItem[];
-}
+};
 
-export interface EpochGrant {
+export type EpochGrant = {
 	endpoint: string;
 	epoch: number;
 	term: number;
 	/** Orders may be written to the engine after this wait, in milliseconds. */
 	waitMs: number;
-}
+};
 
 export const changeKinds = {
 	drain: 'drain',
@@ -76,7 +78,7 @@
 export type ChangeStep = typeof changeSteps[keyof typeof changeSteps];
 
 /** A planned change: a small durable workflow in the log. */
-export interface PlannedChange {
+export type PlannedChange = {
 	id: string;
 	kind: ChangeKind;
 	endpoint: string;
@@ -89,9 +91,9 @@
 	startedAt: number;
 	updatedAt: number;
 	message: string;
-}
+};
 
-export interface EndpointRecord {
+export type EndpointRecord = {
 	announcement: EndpointAnnouncement;
 	epoch: number;
 	agent: string;
@@ -100,7 +102,7 @@
 	agentAddress: string;
 	/** Whether another agent held the endpoint before, whose last orders have to be waited out. */
 	succeeds: boolean;
-}
+};
 
 /** What an agent asks to have recorded; the rest follows from the state. */
 export type EndpointRegistration = Omit<EndpointRecord, 'epoch' | 'succeeds'>;
--- a/packages/core/types/src/endpoint.ts
+++ b/packages/core/types/src/endpoint.ts
@@ -9,13 +9,13 @@
 export const endpointPhases = {serving: 'serving', draining: 'draining', withdrawn: 'withdrawn'} as const;
 export type EndpointPhase = typeof endpointPhases[keyof typeof endpointPhases];
 
-export interface EndpointSpeed {
+export type EndpointSpeed = {
 	prefillTokensPerSecond: number;
 	decodeTokensPerSecond: number;
-}
+};
 
 /** What an endpoint announces about itself through its agent. */
-export interface EndpointAnnouncement {
+export type EndpointAnnouncement = {
 	endpoint: string;
 	kind: EndpointKind;
 	/** Models or, for a plain service, the name of the service. */
@@ -30,12 +30,14 @@
 	/** Differs for every start of the engine process. */
 	incarnation: string;
 	checksFencing: boolean;
-}
+};
 
 /** Load of an endpoint, as its agent sees it; carried on every reply. */
-export interface EndpointLoad {
+export type EndpointLoad = {
 	running: number;
 	queued: number;
+	/** Requests the agent lets run at once now. */
+	slots: number;
 	/** Prefill tokens that wait in queue or are being computed. */
 	pendingPrefillTokens: number;
 	/** Decode tokens still to be produced for running and queued work, by estimate. */
@@ -44,14 +46,14 @@
 	phase: EndpointPhase;
 	/** Rises with every report of one agent. */
 	sequence: number;
-}
+};
 
 /** Fencing of an order. Compared in this order: term, epoch, order number. */
-export interface FenceToken {
+export type FenceToken = {
 	term: number;
 	epoch: number;
 	orderNumber: number;
-}
+};
 
 export type EngineOrder =
 	| {kind: 'set-role'; role: EngineRole}
@@ -59,10 +61,10 @@
 	| {kind: 'load-adapter'; adapter: string}
 	| {kind: 'set-phase'; phase: EndpointPhase};
 
-export interface FencedOrder {
+export type FencedOrder = {
 	fence: FenceToken;
 	changeId: string;
 	order: EngineOrder;
 	/** The order is not written to the engine later than this many milliseconds after the agent took it. */
 	timeLimitMs: number;
-}
+};
--- a/packages/core/types/src/engine-adapter.ts
+++ b/packages/core/types/src/engine-adapter.ts
@@ -7,17 +7,17 @@
 /** What an engine says about itself. */
 export type EngineDescription = Omit<EndpointAnnouncement, 'endpoint' | 'availabilityZone'>;
 
-export interface EngineError extends HickorytrackError {
+export type EngineError = {
 	/** Whether the engine can have seen any of the request. */
 	readonly written: boolean;
-}
+} & HickorytrackError;
 
 export type EngineEvent =
 	| {kind: 'texts'; texts: string[]}
 	| {kind: 'end'; finishReason: string; promptTokens: number; outputTokens: number; cachedTokens: number}
 	| {kind: 'failed'; error: EngineError};
 
-export interface GenerateOptions {
+export type GenerateOptions = {
 	tenant: string;
 	/** Identity of the attempt at the engine. */
 	attempt: string;
@@ -25,16 +25,16 @@
 	signal: AbortSignal;
 	/** Called once the first byte of the request is about to be written. */
 	onWrite: () => void;
-}
+};
 
-export interface CacheEventPage {
+export type CacheEventPage = {
 	/** Sequence number behind the last event. A first number above what was asked for means a gap. */
 	first: number;
 	next: number;
 	events: Array<{kind: 'stored' | 'evicted'; block: string}>;
-}
+};
 
-export interface EngineAdapter {
+export type EngineAdapter = {
 	/** Asks the engine about itself; fails while it is not there. */
 	describe(): Promise<Result<EngineDescription, HickorytrackError>>;
 	/** Runs a generation; the last event is `end` or `failed`. */
@@ -45,9 +45,9 @@
 	cancel(attempt: string): Promise<void>;
 	/** Writes an order to the engine and resolves once it is carried out. */
 	order(order: FencedOrder): Promise<Result<void, HickorytrackError>>;
-}
+};
 
-export interface EngineAdapterFactory {
+export type EngineAdapterFactory = {
 	name: string;
 	create(opts: {url: string; service?: string}): EngineAdapter;
-}
+};
--- a/packages/core/types/src/peer-methods.ts
+++ b/packages/core/types/src/peer-methods.ts
@@ -1,89 +1,93 @@
 /** Every JSON-RPC method that processes call on one another, with its parameters and its result. */
 import type {EndpointPhase, FencedOrder} from './endpoint.js';
-import type {AttemptResolution, PieceBatch, SubmissionReply, WorkSubmission} from './work.js';
-import type {CommandOutcome, ControlCommand, EndpointRegistration, EpochGrant, ItemPage} from './control.js';
+import type {
+	AttemptResolution, PieceBatch, SubmissionReply, WorkSubmission,
+} from './work.js';
+import type {
+	CommandOutcome, ControlCommand, EndpointRegistration, EpochGrant, ItemPage,
+} from './control.js';
 import type {Claim} from './claim.js';
 
-export interface PeerMember {
+export type PeerMember = {
 	instance: string;
 	roles: string[];
 	availabilityZone: string;
 	address: string;
 	incarnation: string;
-}
+};
 
 /** Demand of one tenant at one entry, in requests a second, over the last reporting interval. */
-export interface TenantDemand {
+export type TenantDemand = {
 	tenant: string;
 	requestsPerSecond: number;
-}
+};
 
-export interface TenantShare {
+export type TenantShare = {
 	tenant: string;
 	/** Fraction of the tenant's fleet-wide limits that this entry may use. */
 	fraction: number;
-}
+};
 
 /** Work that one endpoint did over the last interval, in engine seconds, and whether it kept its targets. */
-export interface DemandReport {
+export type DemandReport = {
 	endpoint: string;
 	model: string;
 	prefillSeconds: number;
 	decodeSeconds: number;
 	intervalMs: number;
-}
+};
 
-export interface SubscribeParams {
+export type SubscribeParams = {
 	member: PeerMember;
 	revision: number;
 	/** Prefixes of the item keys that the subscriber wants. */
 	topics: string[];
-}
+};
 
-export interface SubscribeResult {
+export type SubscribeResult = {
 	page: ItemPage;
 	leaseMs: number;
-}
+};
 
-export interface LeaseTick {
+export type LeaseTick = {
 	revision: number;
 	/** Age in milliseconds of the last evidence that a majority of the controllers is in touch with the sender. */
 	quorumAgeMs: number;
 	term: number;
 	/** What the subscriber misses up to the revision. */
 	page: ItemPage;
-}
+};
 
-export interface LeaseReply {
+export type LeaseReply = {
 	/** Revision that is in force at the subscriber. */
 	revision: number;
 	demands: TenantDemand[];
 	reports: DemandReport[];
-}
+};
 
-export interface DrainProgress {
+export type DrainProgress = {
 	endpoint: string;
 	phase: EndpointPhase;
 	running: number;
 	queued: number;
-}
+};
 
-export interface OrderReply {
+export type OrderReply = {
 	accepted: boolean;
 	/** True once the engine has carried the order out. */
 	done: boolean;
 	/** True when sending the order again can't help. */
 	isFinal: boolean;
 	message: string;
-}
+};
 
-export interface SubscriberView {
+export type SubscriberView = {
 	member: PeerMember;
 	/** Revision that the subscriber has confirmed as in force. */
 	revision: number;
 	demands: TenantDemand[];
 	reports: DemandReport[];
-}
+};
 
 export type ProposeReply =
 	| {kind: 'outcome'; outcome: CommandOutcome}
@@ -91,19 +95,19 @@
 	| {kind: 'unavailable'; applied: 'no' | 'unknown'; message: string};
 
 /** A call of the operators' interface, passed on to a process that can answer it. */
-export interface OperatorCall {
+export type OperatorCall = {
 	method: string;
 	params: unknown;
 	/** Processes that the call went through; bounds forwarding. */
 	hops: number;
-}
+};
 
 export type OperatorReply =
 	| {ok: true; result: unknown}
 	| {ok: false; code: string; message: string; hint?: string};
 
 /** Parameters and result by method name. Notifications have the result `void`. */
-export interface PeerMethods {
+export type PeerMethods = {
 	'log.message': {params: {payload: unknown}; result: {payload: unknown}};
 	'control.propose': {params: {command: ControlCommand; forwarded?: boolean}; result: ProposeReply};
 	'control.subscribe': {params: SubscribeParams; result: SubscribeResult};
@@ -126,6 +130,6 @@
 	'work.resolve': {params: {attempt: string; cancel: boolean}; result: AttemptResolution};
 	'items.fetch': {params: {revision: number}; result: ItemPage};
 	'state.dump': {params: Record<string, never>; result: {state: unknown}};
-}
+};
 
 export type PeerMethodName = keyof PeerMethods;
--- a/packages/core/types/src/work.ts
+++ b/packages/core/types/src/work.ts
@@ -5,7 +5,7 @@
 export const runStates = {notRun: 'not-run', mayHaveRun: 'may-have-run', ran: 'ran'} as const;
 export type RunState = typeof runStates[keyof typeof runStates];
 
-export interface GenerationWork {
+export type GenerationWork = {
 	kind: 'generation';
 	api: 'chat' | 'completions';
 	model: string;
@@ -18,9 +18,9 @@
 	resumeFrom: number;
 	/** Text of those tokens. */
 	resumeText: string;
-}
+};
 
-export interface ServiceWork {
+export type ServiceWork = {
 	kind: 'service';
 	service: string;
 	method: string;
@@ -28,9 +28,9 @@
 	contentType: string;
 	body: string;
 	repeatable: boolean;
-}
+};
 
-export interface WorkSubmission {
+export type WorkSubmission = {
 	attempt: string;
 	requestId: string;
 	tenant: string;
@@ -42,7 +42,7 @@
 	/** A suspect runs with no other work on the engine. */
 	isolated: boolean;
 	work: GenerationWork | ServiceWork;
-}
+};
 
 export const refusalReasons = {
 	draining: 'draining',
@@ -60,11 +60,11 @@
 	| {accepted: true; load: EndpointLoad; revision: number}
 	| {accepted: false; reason: RefusalReason; load: EndpointLoad; revision: number};
 
-export interface ServiceAnswer {
+export type ServiceAnswer = {
 	status: number;
 	contentType: string;
 	body: string;
-}
+};
 
 /** How an attempt ended at its agent. */
 export type AttemptEnd =
@@ -77,18 +77,18 @@
 	| {kind: 'cancelled'; written: boolean};
 
 /** Consecutive pieces of one attempt; `end` follows the last one. */
-export interface PieceRun {
+export type PieceRun = {
 	attempt: string;
 	/** Sequence number of the first text. */
 	first: number;
 	texts: string[];
 	end?: AttemptEnd;
-}
+};
 
-export interface PieceBatch {
+export type PieceBatch = {
 	runs: PieceRun[];
 	load: EndpointLoad;
-}
+};
 
 /** What an agent knows about an attempt that its entry lost sight of. */
 export type AttemptResolution =
--- a/packages/daemon/hickorytrackd/src/daemon.ts
+++ b/packages/daemon/hickorytrackd/src/daemon.ts
@@ -14,10 +14,10 @@
 import type {DaemonSettings} from '@hickorytrack/settings';
 import {noStepPoints, type StepPoints} from '@hickorytrack/step-points';
 
-export interface DaemonOptions {
+export type DaemonOptions = {
 	clock: Clock;
 	steps?: StepPoints;
-}
+};
 
 const seedRange = 2 ** 32;
 
--- a/packages/daemon/hickorytrackd/src/main.ts
+++ b/packages/daemon/hickorytrackd/src/main.ts
@@ -40,7 +40,7 @@
 
 		isStopping = true;
 		await kernel.stop();
-		process.exit(0); // eslint-disable-line unicorn/no-process-exit
+		process.exit(0);
 	};
 
 	process.on('SIGTERM', stop);
@@ -53,7 +53,7 @@
 		const {code, message, hint} = started.error;
 		events.emit('startFailed', {code, message, hint});
 		process.stderr.write(`hickorytrackd can't start: ${message}\n${hint ?? ''}\n`);
-		process.exit(startExitCode); // eslint-disable-line unicorn/no-process-exit
+		process.exit(startExitCode);
 	}
 }
 
--- a/packages/daemon/kernel/src/kernel.ts
+++ b/packages/daemon/kernel/src/kernel.ts
@@ -16,7 +16,7 @@
 import {OperatorServer} from './operator-server.js';
 import type {Plugin, PluginRegistry, ProcessContext} from './plugin.js';
 
-export interface KernelOptions {
+export type KernelOptions = {
 	settings: DaemonSettings;
 	registry: PluginRegistry;
 	clock: Clock;
@@ -26,7 +26,7 @@
 	steps: StepPoints;
 	/** Differs for every start of the process. */
 	incarnation: string;
-}
+};
 
 const msPerSecond = 1000;
 const agentTopics = ['contract/', 'setting/'];
@@ -42,7 +42,9 @@
 	constructor(opts: KernelOptions) {
 		this.#opts = opts;
 		const {settings, registry} = opts;
-		const member = {instance: settings.instance, roles: settings.roles, availabilityZone: settings.availabilityZone, address: settings.peerListen, incarnation: opts.incarnation};
+		const member = {
+			instance: settings.instance, roles: settings.roles, availabilityZone: settings.availabilityZone, address: settings.peerListen, incarnation: opts.incarnation,
+		};
 		const peers = new PeerNode({
 			clock: opts.clock,
 			random: opts.random,
--- a/packages/daemon/kernel/src/operator-server.ts
+++ b/packages/daemon/kernel/src/operator-server.ts
@@ -3,9 +3,13 @@
  * A method that the process does not have goes to the fallback, which asks a controller.
  */
 import {createHash, timingSafeEqual} from 'node:crypto';
-import {createServer, type IncomingMessage, type Server, type ServerResponse} from 'node:http';
+import {
+	createServer, type IncomingMessage, type Server, type ServerResponse,
+} from 'node:http';
 import {Buffer} from 'node:buffer';
-import {createJSONRPCErrorResponse, createJSONRPCSuccessResponse, isJSONRPCRequest, type JSONRPCRequest, type JSONRPCResponse} from 'json-rpc-2.0';
+import {
+	createJSONRPCErrorResponse, createJSONRPCSuccessResponse, isJSONRPCRequest, type JSONRPCRequest, type JSONRPCResponse,
+} from 'json-rpc-2.0';
 import {err, ok, type Result} from 'neverthrow';
 import {describeError, HickorytrackError} from '@hickorytrack/errors';
 import type {OperatorReply} from '@hickorytrack/types/peer-methods';
@@ -16,9 +20,9 @@
 const invalidRequestCode = -32_600;
 const applicationErrorCode = -32_000;
 
-export interface OperatorServerOptions {
+export type OperatorServerOptions = {
 	keys: readonly string[];
-}
+};
 
 export class OperatorServer {
 	readonly #methods = new Map<string, OperatorMethod>();
@@ -102,7 +106,7 @@
 		}
 
 		const given = digestKey((request.headers.authorization ?? '').replace(/^Bearer /, ''));
-		return this.#keys.filter(key => timingSafeEqual(key.digest, given))[0]?.name;
+		return this.#keys.find(key => timingSafeEqual(key.digest, given))?.name;
 	}
 
 	async #readRequest(request: IncomingMessage): Promise<JSONRPCRequest | undefined> {
--- a/packages/daemon/kernel/src/plugin.ts
+++ b/packages/daemon/kernel/src/plugin.ts
@@ -12,19 +12,19 @@
 import type {EngineAdapterFactory} from '@hickorytrack/types/engine-adapter';
 import type {OperatorReply, PeerMember} from '@hickorytrack/types/peer-methods';
 
-export interface OperatorCaller {
+export type OperatorCaller = {
 	/** Name of the operator's key, for the record. */
 	operator: string;
 	/** Processes that the call went through. */
 	hops: number;
-}
+};
 
 export type OperatorMethod = (params: unknown, caller: OperatorCaller) => Promise<OperatorReply> | OperatorReply;
 
 /** Answers a call whose method this process does not have. */
 export type OperatorFallback = (method: string, params: unknown, caller: OperatorCaller) => Promise<OperatorReply>;
 
-export interface ProcessContext {
+export type ProcessContext = {
 	settings: DaemonSettings;
 	clock: Clock;
 	random: Random;
@@ -39,9 +39,9 @@
 	findEngineAdapter(name: string): EngineAdapterFactory | undefined;
 	/** Adds a method to the operators' interface of this process. */
 	addOperatorMethod(name: string, method: OperatorMethod): void;
-}
+};
 
-export interface Plugin {
+export type Plugin = {
 	start(): Promise<Result<void, HickorytrackError>>;
 	/** Takes no new work from now on and resolves when the work in hand is done or handed over. */
 	drain(signal: AbortSignal): Promise<void>;
@@ -49,14 +49,14 @@
 	dump(): unknown;
 	/** One line for each piece of work that is still open. */
 	listOpenWork(): string[];
-}
+};
 
-export interface RolePlugin {
+export type RolePlugin = {
 	role: string;
 	/** Plug-ins start in rising order and stop in falling order. */
 	order: number;
 	create(context: ProcessContext): Plugin;
-}
+};
 
 export class PluginRegistry {
 	readonly #roles = new Map<string, RolePlugin>();
--- a/packages/daemon/settings/src/settings.ts
+++ b/packages/daemon/settings/src/settings.ts
@@ -7,12 +7,12 @@
 import {HickorytrackError} from '@hickorytrack/errors';
 import {formatVariable, settingsCatalogue, type SettingDefinition} from './settings-catalogue.js';
 
-export interface ControllerAddress {
+export type ControllerAddress = {
 	id: string;
 	address: string;
-}
+};
 
-export interface DaemonSettings {
+export type DaemonSettings = {
 	instance: string;
 	availabilityZone: string;
 	roles: string[];
@@ -38,14 +38,14 @@
 	logLevel: string;
 	statsd?: string;
 	seed?: number;
-}
+};
 
-export interface SettingMistake {
+export type SettingMistake = {
 	flag: string;
 	value?: string;
 	reason: string;
 	hint: string;
-}
+};
 
 export class SettingsError extends HickorytrackError {
 	readonly mistakes: SettingMistake[];
@@ -66,7 +66,9 @@
 		const text = texts.get(definition.flag);
 		const reason = text === undefined ? undefined : definition.check?.(text);
 		if (reason) {
-			mistakes.push({flag: definition.flag, value: definition.isSecret ? undefined : text, reason, hint: `${definition.description} Set --${definition.flag} or ${formatVariable(definition.flag)}.`});
+			mistakes.push({
+				flag: definition.flag, value: definition.isSecret ? undefined : text, reason, hint: `${definition.description} Set --${definition.flag} or ${formatVariable(definition.flag)}.`,
+			});
 		}
 	}
 
@@ -97,7 +99,9 @@
 	}
 
 	const options = Object.fromEntries(settingsCatalogue.map(({flag}) => [flag, {type: 'string' as const}]));
-	const parsed = parseArgs({args: [...args], options, strict: false, allowPositionals: true, tokens: true});
+	const parsed = parseArgs({
+		args: [...args], options, strict: false, allowPositionals: true, tokens: true,
+	});
 	for (const token of parsed.tokens) {
 		if (token.kind === 'option' && token.name in options && typeof token.value === 'string') {
 			texts.set(token.name, token.value);
@@ -167,11 +171,15 @@
 	}
 
 	if (isController && !settings.join && !settings.controllers.some(controller => controller.id === settings.instance)) {
-		mistakes.push({flag: 'controllers', value: texts.get('controllers'), reason: `this controller (${settings.instance}) is not in the list`, hint: 'Add it, or start with --join true.'});
+		mistakes.push({
+			flag: 'controllers', value: texts.get('controllers'), reason: `this controller (${settings.instance}) is not in the list`, hint: 'Add it, or start with --join true.',
+		});
 	}
 
 	if (settings.silenceMs <= settings.heartbeatMs) {
-		mistakes.push({flag: 'silence-ms', value: texts.get('silence-ms'), reason: 'the silence limit must be longer than the heartbeat', hint: 'Four heartbeats are usual.'});
+		mistakes.push({
+			flag: 'silence-ms', value: texts.get('silence-ms'), reason: 'the silence limit must be longer than the heartbeat', hint: 'Four heartbeats are usual.',
+		});
 	}
 
 	return mistakes;
--- a/packages/net/peer-link/src/handshake.ts
+++ b/packages/net/peer-link/src/handshake.ts
@@ -11,36 +11,36 @@
 export const protocolVersion = 1;
 const nonceBytes = 16;
 
-export interface HelloMessage {
+export type HelloMessage = {
 	protocol: number;
 	member: PeerMember;
 	nonce: string;
-}
+};
 
-export interface WelcomeMessage {
+export type WelcomeMessage = {
 	protocol: number;
 	member: PeerMember;
 	nonce: string;
 	proofs: string[];
-}
+};
 
-export interface ProofMessage {
+export type ProofMessage = {
 	proof: string;
-}
+};
 
-export interface ReadyMessage {
+export type ReadyMessage = {
 	ready: true;
-}
+};
 
 export function createNonce(): string {
 	return randomBytes(nonceBytes).toString('hex');
 }
 
-export interface ProofSubject {
+export type ProofSubject = {
 	direction: 'accepting' | 'connecting';
 	hello: HelloMessage;
 	welcome: Pick<WelcomeMessage, 'member' | 'nonce'>;
-}
+};
 
 export function computeProof(key: string, subject: ProofSubject): string {
 	const {direction, hello, welcome} = subject;
--- a/packages/net/peer-link/src/peer-connection.ts
+++ b/packages/net/peer-link/src/peer-connection.ts
@@ -4,19 +4,21 @@
  * limit: something between the two ends may have lost track of the connection.
  */
 import type {Socket} from 'node:net';
-import {JSONRPCClient, JSONRPCServer, JSONRPCServerAndClient, type JSONRPCParams} from 'json-rpc-2.0';
+import {
+	JSONRPCClient, JSONRPCServer, JSONRPCServerAndClient, type JSONRPCParams,
+} from 'json-rpc-2.0';
 import {err, ok, type Result} from 'neverthrow';
 import {HickorytrackError, describeError, type ErrorCode} from '@hickorytrack/errors';
 import {waitAtMost, type Clock} from '@hickorytrack/clock';
 import type {PeerMember, PeerMethodName, PeerMethods} from '@hickorytrack/types/peer-methods';
-import {encodeFrame, FrameDecoder} from './frame-codec.js';
+import {encodeFrame, type FrameDecoder} from './frame-codec.js';
 
-export interface PeerTiming {
+export type PeerTiming = {
 	heartbeatMs: number;
 	/** A connection on which nothing arrives for this long is closed. */
 	silenceMs: number;
 	requestTimeoutMs: number;
-}
+};
 
 export const defaultPeerTiming: PeerTiming = {heartbeatMs: 500, silenceMs: 2000, requestTimeoutMs: 3000};
 
@@ -38,7 +40,7 @@
 	connection: PeerConnection,
 ) => Promise<PeerMethods[M]['result']> | PeerMethods[M]['result'];
 
-export interface PeerConnectionOptions {
+export type PeerConnectionOptions = {
 	clock: Clock;
 	timing: PeerTiming;
 	remote: PeerMember;
@@ -46,11 +48,11 @@
 	/** Bytes that arrived behind the handshake. */
 	early: unknown[];
 	decoder: FrameDecoder;
-}
+};
 
-interface HeartbeatFrame {
+type HeartbeatFrame = {
 	heartbeat: true;
-}
+};
 
 const isHeartbeat = (message: unknown): message is HeartbeatFrame => typeof message === 'object' && message !== null && 'heartbeat' in message;
 
@@ -113,11 +115,13 @@
 	}
 
 	#createRpc(handlers: ReadonlyMap<string, PeerHandler<PeerMethodName>>): JSONRPCServerAndClient {
-		const server = new JSONRPCServer({errorListener() {
+		const server = new JSONRPCServer({
+			errorListener() {
 			// The error goes back to the caller, who decides whether it is worth an event.
-		}});
+			},
+		});
 		for (const [method, handler] of handlers) {
-			server.addMethod(method, async params => (await handler(params as PeerMethods[PeerMethodName]['params'], this)) ?? null); // eslint-disable-line @typescript-eslint/no-restricted-types
+			server.addMethod(method, async params => (await handler(params as PeerMethods[PeerMethodName]['params'], this)) ?? null);
 		}
 
 		const client = new JSONRPCClient(payload => {
--- a/packages/net/peer-link/src/peer-node.ts
+++ b/packages/net/peer-link/src/peer-node.ts
@@ -2,21 +2,27 @@
  * The peer side of a process: it listens for other processes, connects to them, and keeps links to chosen addresses open
  * with jittered reconnects. All connections share one table of method handlers.
  */
-import {connect, createServer, type Server, type Socket} from 'node:net';
+import {
+	connect, createServer, type Server, type Socket,
+} from 'node:net';
 import {err, ok, type Result} from 'neverthrow';
 import {waitAtMost, type Clock} from '@hickorytrack/clock';
 import {computeBackoff, type Random} from '@hickorytrack/random';
 import {HickorytrackError} from '@hickorytrack/errors';
 import type {PeerMember, PeerMethodName} from '@hickorytrack/types/peer-methods';
 import {encodeFrame, FrameDecoder} from './frame-codec.js';
-import {computeProof, createNonce, findMatchingKey, protocolVersion, type HelloMessage, type ProofMessage, type ReadyMessage, type WelcomeMessage} from './handshake.js';
-import {PeerConnection, PeerLinkError, type PeerHandler, type PeerTiming} from './peer-connection.js';
+import {
+	computeProof, createNonce, findMatchingKey, protocolVersion, type HelloMessage, type ProofMessage, type ReadyMessage, type WelcomeMessage,
+} from './handshake.js';
+import {
+	PeerConnection, PeerLinkError, type PeerHandler, type PeerTiming,
+} from './peer-connection.js';
 
 const handshakeTimeoutMs = 2000;
 const reconnectBaseMs = 50;
 const reconnectCapMs = 1500;
 
-export interface PeerNodeOptions {
+export type PeerNodeOptions = {
 	clock: Clock;
 	random: Random;
 	timing: PeerTiming;
@@ -24,12 +30,12 @@
 	keys: readonly string[];
 	/** How this process presents itself; the address is filled in by `listen`. */
 	member: PeerMember;
-}
+};
 
-export interface PeerAddress {
+export type PeerAddress = {
 	host: string;
 	port: number;
-}
+};
 
 export function parseAddress(text: string): PeerAddress {
 	const split = text.lastIndexOf(':');
@@ -37,18 +43,18 @@
 }
 
 /** A link that reconnects until it is stopped. */
-export interface KeptLink {
+export type KeptLink = {
 	readonly address: string;
 	readonly connection: PeerConnection | undefined;
 	stop(): void;
-}
+};
 
-export interface KeepLinkOptions {
+export type KeepLinkOptions = {
 	/** Runs for each new connection; when it fails, the connection is closed and another one is tried. */
 	onConnected?: (connection: PeerConnection) => Promise<void> | void;
 	/** Runs after each failed attempt; `refused` tells that the other machine actively refused. */
 	onFailed?: (refused: boolean) => void;
-}
+};
 
 /** Reads whole frames of the handshake one at a time and gives what follows to the connection. */
 class HandshakeReader {
--- a/packages/plugins/agent/src/agent.ts
+++ b/packages/plugins/agent/src/agent.ts
@@ -37,8 +37,12 @@
 				// Work is started by the housekeeping of the work desk.
 			},
 		});
-		this.#work = new WorkDesk({context, control: this.#control, adapter, watch: this.#watch});
-		this.#orders = new OrderDesk({context, control: this.#control, adapter, guard: this.#guard, watch: this.#watch});
+		this.#work = new WorkDesk({
+			context, control: this.#control, adapter, watch: this.#watch,
+		});
+		this.#orders = new OrderDesk({
+			context, control: this.#control, adapter, guard: this.#guard, watch: this.#watch,
+		});
 		this.#registerHandlers();
 	}
 
@@ -82,7 +86,9 @@
 		});
 		peers.handle('work.resolve', ({attempt, cancel}) => this.#work.resolve(attempt, {cancel}));
 		peers.handle('agent.order', ({order}) => this.#orders.take(order));
-		peers.handle('agent.progress', () => ({endpoint: this.#context.settings.endpoint, phase: this.#work.phase, running: this.#work.running, queued: this.#work.queued}));
+		peers.handle('agent.progress', () => ({
+			endpoint: this.#context.settings.endpoint, phase: this.#work.phase, running: this.#work.running, queued: this.#work.queued,
+		}));
 		peers.handle('agent.hand-over', ({fence}) => ({handedOver: this.#guard.isCurrent(fence) ? this.#work.handOver() : 0}));
 	}
 
--- a/packages/plugins/agent/src/demand-meter.ts
+++ b/packages/plugins/agent/src/demand-meter.ts
@@ -4,10 +4,10 @@
 import type {DemandReport} from '@hickorytrack/types/peer-methods';
 import type {Job} from './job.js';
 
-interface ModelDemand {
+type ModelDemand = {
 	prefillSeconds: number;
 	decodeSeconds: number;
-}
+};
 
 export class DemandMeter {
 	readonly #clock: Clock;
@@ -35,7 +35,9 @@
 	collect(endpoint: string): DemandReport[] {
 		const now = this.#clock.monotonic();
 		const intervalMs = now - this.#since;
-		const reports = [...this.#models].map(([model, demand]) => ({endpoint, model, ...demand, intervalMs}));
+		const reports = [...this.#models].map(([model, demand]) => ({
+			endpoint, model, ...demand, intervalMs,
+		}));
 		this.#models.clear();
 		this.#since = now;
 		return reports;
--- a/packages/plugins/agent/src/engine-watch.ts
+++ b/packages/plugins/agent/src/engine-watch.ts
@@ -13,7 +13,7 @@
 const crashChecks = 3;
 const crashCheckMs = 60;
 
-export interface EngineWatchOptions {
+export type EngineWatchOptions = {
 	context: ProcessContext;
 	control: ControlClient;
 	adapter: EngineAdapter;
@@ -21,7 +21,7 @@
 	/** Called when the engine is gone or another process stands in its place. */
 	onLost: () => void;
 	onReady: () => void;
-}
+};
 
 export class EngineWatch {
 	readonly #opts: EngineWatchOptions;
--- a/packages/plugins/agent/src/order-desk.ts
+++ b/packages/plugins/agent/src/order-desk.ts
@@ -10,19 +10,19 @@
 import type {OrderReply} from '@hickorytrack/types/peer-methods';
 import type {EngineWatch} from './engine-watch.js';
 
-export interface OrderDeskOptions {
+export type OrderDeskOptions = {
 	context: ProcessContext;
 	control: ControlClient;
 	adapter: EngineAdapter;
 	guard: FenceGuard;
 	watch: EngineWatch;
-}
+};
 
-interface OrderState {
+type OrderState = {
 	changeId: string;
 	isDone: boolean;
 	failure?: string;
-}
+};
 
 export class OrderDesk {
 	readonly #opts: OrderDeskOptions;
@@ -40,14 +40,18 @@
 
 		const waitMs = this.#opts.watch.orderWaitMs;
 		if (waitMs > 0) {
-			return {accepted: false, done: false, isFinal: false, message: `The orders of the agent before have to be waited out for ${Math.ceil(waitMs)} ms`};
+			return {
+				accepted: false, done: false, isFinal: false, message: `The orders of the agent before have to be waited out for ${Math.ceil(waitMs)} ms`,
+			};
 		}
 
 		const verdict = this.#opts.guard.admit(order.fence);
 		if (verdict !== 'admitted') {
 			this.#opts.context.events.emit('orderRefused', {change: order.changeId, fence: order.fence, verdict});
 			// A stale order may be sent again by a leader that has learnt the new epoch.
-			return {accepted: false, done: false, isFinal: false, message: `The order is ${verdict}`};
+			return {
+				accepted: false, done: false, isFinal: false, message: `The order is ${verdict}`,
+			};
 		}
 
 		const state: OrderState = {changeId: order.changeId, isDone: false};
@@ -61,7 +65,9 @@
 	}
 
 	#describe(state: OrderState): OrderReply {
-		return {accepted: state.failure === undefined, done: state.isDone, isFinal: state.failure !== undefined, message: state.failure ?? ''};
+		return {
+			accepted: state.failure === undefined, done: state.isDone, isFinal: state.failure !== undefined, message: state.failure ?? '',
+		};
 	}
 
 	async #carryOut(order: FencedOrder, state: OrderState): Promise<void> {
--- a/packages/plugins/agent/src/work-desk.ts
+++ b/packages/plugins/agent/src/work-desk.ts
@@ -11,7 +11,9 @@
 import type {EndpointLoad, EndpointPhase} from '@hickorytrack/types/endpoint';
 import type {EngineAdapter, EngineError, EngineEvent} from '@hickorytrack/types/engine-adapter';
 import type {DemandReport} from '@hickorytrack/types/peer-methods';
-import type {AttemptEnd, AttemptResolution, GenerationWork, RefusalReason, ServiceWork, SubmissionReply, WorkSubmission} from '@hickorytrack/types/work';
+import type {
+	AttemptEnd, AttemptResolution, GenerationWork, RefusalReason, ServiceWork, SubmissionReply, WorkSubmission,
+} from '@hickorytrack/types/work';
 import {DemandMeter} from './demand-meter.js';
 import type {EngineWatch} from './engine-watch.js';
 import {Job} from './job.js';
@@ -21,17 +23,19 @@
 const maximumQueueLength = 2000;
 const housekeepingMs = 25;
 const adaptWindowMs = 1000;
+/** The limit on concurrency never falls under this part of the engine's capacity. */
+const leastSlotsPart = 4;
 const msPerSecond = 1000;
 const crashReportTimeoutMs = 2000;
 /** Output tokens expected of a request that allows more. */
 const expectedOutputTokens = 128;
 
-export interface WorkDeskOptions {
+export type WorkDeskOptions = {
 	context: ProcessContext;
 	control: ControlClient;
 	adapter: EngineAdapter;
 	watch: EngineWatch;
-}
+};
 
 type Admission = {isAdmitted: true} | {isAdmitted: false; reason: RefusalReason};
 
@@ -208,6 +212,7 @@
 		return {
 			running: this.#running.size,
 			queued: this.#queue.length,
+			slots: this.#countSlots(),
 			pendingPrefillTokens,
 			pendingDecodeTokens,
 			role: this.#opts.watch.description?.role ?? 'mixed',
@@ -287,9 +292,11 @@
 		const work: QueuedWork<Job> = {
 			tenant: submission.tenant, priority: job.priority, share: job.share, costMs: job.costMs, queueMs: Math.min(contract?.limits.queueMs ?? 0, submission.deadlineMs), item: job,
 		};
-		const isPushed = this.#queue.push(work, {onDisplaced: displaced => {
-			this.#end(displaced, {kind: 'refused', reason: 'queue-full'});
-		}});
+		const isPushed = this.#queue.push(work, {
+			onDisplaced: displaced => {
+				this.#end(displaced, {kind: 'refused', reason: 'queue-full'});
+			},
+		});
 		if (!isPushed) {
 			return undefined;
 		}
@@ -312,19 +319,27 @@
 	}
 
 	#countSlots(): number {
-		const capacity = this.#opts.watch.description?.capacity ?? 1;
-		this.#limit ??= new AdaptiveLimit({clock: this.#clock, minimum: 1, maximum: capacity, windowMs: adaptWindowMs});
-		return Math.min(capacity, this.#limit.value);
+		const capacity = this.#opts.watch.description?.capacity;
+		if (capacity === undefined) {
+			return 1;
+		}
+
+		// The limit is made only once the engine has said what it can do.
+		if (this.#limit?.maximum !== capacity) {
+			this.#limit = new AdaptiveLimit({
+				clock: this.#clock, minimum: Math.ceil(capacity / leastSlotsPart), maximum: capacity, windowMs: adaptWindowMs,
+			});
+		}
+
+		return this.#limit.value;
 	}
 
 	/** Starts work while there is room. An isolated one waits for an empty engine and keeps it for itself. */
 	#pump(): void {
 		while (this.#running.size < this.#countSlots() && this.#opts.watch.description) {
 			const hasIsolated = [...this.#running].some(job => job.isIsolated);
-			if (hasIsolated || this.#isolatedNext) {
-				if (this.#running.size > 0 || !this.#isolatedNext) {
-					return;
-				}
+			if ((hasIsolated || this.#isolatedNext) && (this.#running.size > 0 || !this.#isolatedNext)) {
+				return;
 			}
 
 			const job = this.#isolatedNext ?? this.#queue.pop()?.item;
@@ -385,6 +400,7 @@
 			}
 
 			if (event.kind === 'end') {
+				this.#observeLatency(job);
 				this.#meter.note(job, {cachedTokens: event.cachedTokens, outputTokens: event.outputTokens, speed: this.#opts.watch.description?.speed});
 				const {kind, ...usage} = event;
 				return {kind: 'complete', ...usage};
@@ -398,6 +414,13 @@
 		}
 	}
 
+	#observeLatency(job: Job): void {
+		if (job.firstPieceAt !== undefined && job.tail.length > 1) {
+			const betweenMs = (this.#clock.monotonic() - job.firstPieceAt) / (job.tail.length - 1);
+			this.#limit?.observe(betweenMs, {targetMs: job.betweenTokensMs, concurrency: this.#running.size});
+		}
+	}
+
 	async #takeTexts(job: Job, texts: string[]): Promise<void> {
 		const {steps, settings} = this.#opts.context;
 		const isFirst = job.firstPieceAt === undefined;
@@ -405,11 +428,6 @@
 		job.firstPieceAt ??= now;
 		job.tail.write(texts);
 		await steps.reach(isFirst ? 'request.first-piece' : 'request.mid-stream', settings.endpoint);
-		const elapsed = now - job.firstPieceAt;
-		if (!isFirst && job.tail.length > 1) {
-			this.#limit?.observe(elapsed / (job.tail.length - 1), job.betweenTokensMs);
-		}
-
 		await job.tail.waitForRoom(job.abort.signal);
 	}
 
@@ -480,7 +498,9 @@
 		context.events.emit('engineCrashed', {endpoint, suspects: ran.length});
 		context.metrics.count('agent.engine_crashes');
 		const suspects = ran.map(({submission}) => ({fingerprint: submission.fingerprint, tenant: submission.tenant}));
-		await control.propose({kind: 'report-crash', reportId: `${endpoint}/${incarnation}`, endpoint, suspects, at: 0}, {timeoutMs: crashReportTimeoutMs, isIdempotent: true});
+		await control.propose({
+			kind: 'report-crash', reportId: `${endpoint}/${incarnation}`, endpoint, suspects, at: 0,
+		}, {timeoutMs: crashReportTimeoutMs, isIdempotent: true});
 		for (const job of ran) {
 			job.abort.abort();
 			this.#end(job, {kind: 'engine-crashed', written: true, alone: ran.length === 1});
@@ -491,7 +511,7 @@
 
 	#endEarly(job: Job, end: AttemptEnd): void {
 		for (const work of this.#queue.takeWhere(queued => queued === job)) {
-			void work;
+			work;
 		}
 
 		if (this.#isolatedNext === job) {
--- a/packages/plugins/controller/src/change-runner.ts
+++ b/packages/plugins/controller/src/change-runner.ts
@@ -94,17 +94,23 @@
 
 	async #move(change: PlannedChange, to: ChangeStep, message: string): Promise<void> {
 		const {events, steps, settings, metrics, clock} = this.#core.context;
-		const outcome = await this.#core.proposeAsLeader({kind: 'advance-change', changeId: change.id, from: change.step, to, message, at: clock.now()});
+		const outcome = await this.#core.proposeAsLeader({
+			kind: 'advance-change', changeId: change.id, from: change.step, to, message, at: clock.now(),
+		});
 		if (!outcome?.ok) {
 			return;
 		}
 
-		events.emit(to === 'failed' ? 'changeFailed' : 'changeStep', {change: change.id, kind: change.kind, endpoint: change.endpoint, step: to, message});
+		events.emit(to === 'failed' ? 'changeFailed' : 'changeStep', {
+			change: change.id, kind: change.kind, endpoint: change.endpoint, step: to, message,
+		});
 		if (to === 'finished' || to === 'failed') {
 			metrics.count('controller.changes', {kind: change.kind, outcome: to});
 		}
 
-		const step = ({draining: 'change.started', ordering: 'change.drained', restoring: 'change.ordered', finished: 'change.finished'} as const)[to as 'draining'];
+		const step = ({
+			draining: 'change.started', ordering: 'change.drained', restoring: 'change.ordered', finished: 'change.finished',
+		} as const)[to as 'draining'];
 		if (step) {
 			await steps.reach(step, settings.instance);
 		}
@@ -155,7 +161,9 @@
 		const startedAt = clock.monotonic();
 		while (isMine() && change.order) {
 			const connection = await this.#connect(change.endpoint);
-			const order = {fence: this.#createFence(change), changeId: change.id, order: change.order, timeLimitMs: orderTimeLimitMs};
+			const order = {
+				fence: this.#createFence(change), changeId: change.id, order: change.order, timeLimitMs: orderTimeLimitMs,
+			};
 			const reply = await connection?.request('agent.order', {order}, {timeoutMs: callTimeoutMs});
 			connection?.close();
 			if (reply?.isOk() && reply.value.done) {
--- a/packages/plugins/controller/src/controller-core.ts
+++ b/packages/plugins/controller/src/controller-core.ts
@@ -13,12 +13,12 @@
 const leaderPollMs = 25;
 const forwardTimeoutMs = 5000;
 
-export interface ControllerCoreOptions {
+export type ControllerCoreOptions = {
 	context: ProcessContext;
 	log: ReplicatedLog;
 	state: ControlState;
 	transport: PeerMemberTransport;
-}
+};
 
 export class ControllerCore {
 	readonly context: ProcessContext;
--- a/packages/plugins/controller/src/controller.ts
+++ b/packages/plugins/controller/src/controller.ts
@@ -57,12 +57,14 @@
 			timing: {electionMinMs: settings.electionMs, electionMaxMs: settings.electionMs * 2, heartbeatMs: Math.max(10, settings.electionMs / 6)},
 			steps: context.steps,
 		});
-		this.#core = new ControllerCore({context, log, state, transport});
+		this.#core = new ControllerCore({
+			context, log, state, transport,
+		});
 		this.#desk = new SubscriberDesk(this.#core);
 		this.#fleet = new FleetView(this.#core, this.#desk);
 		this.#changes = new ChangeRunner(this.#core);
 		this.#registerHandlers();
-		void new OperatorApi(this.#core, this.#fleet);
+		new OperatorApi(this.#core, this.#fleet);
 	}
 
 	async start(): Promise<Result<void, HickorytrackError>> {
@@ -136,7 +138,9 @@
 
 		const {epoch, succeeds} = reply.outcome.value as {epoch: number; succeeds: boolean};
 		const waitMs = succeeds ? computeSuccessorWait({leaseMs: this.#context.settings.leaseMs, orderTimeLimitMs}) : 0;
-		return {endpoint: record.announcement.endpoint, epoch, term: this.#core.log.term, waitMs};
+		return {
+			endpoint: record.announcement.endpoint, epoch, term: this.#core.log.term, waitMs,
+		};
 	}
 
 	/** Lets the leader remove what has run out, and endpoints that are gone. */
@@ -152,7 +156,7 @@
 				await this.#core.proposeAsLeader({kind: 'expire', at: 0});
 			}
 
-			for (const record of [...this.#core.state.endpoints.values()]) {
+			for (const record of this.#core.state.endpoints.values()) {
 				this.#fleet.noteKnown(record.agent);
 				if (this.#fleet.computeSilence(record.agent) > forgetMs) {
 					const {endpoint} = record.announcement;
--- a/packages/plugins/controller/src/fleet-view.ts
+++ b/packages/plugins/controller/src/fleet-view.ts
@@ -10,10 +10,10 @@
 const pollMs = 1000;
 const pollTimeoutMs = 800;
 
-interface RemoteView {
+type RemoteView = {
 	subscribers: SubscriberView[];
 	seenAt: number;
-}
+};
 
 export class FleetView {
 	readonly #core: ControllerCore;
--- a/packages/plugins/controller/src/operator-api.ts
+++ b/packages/plugins/controller/src/operator-api.ts
@@ -20,12 +20,18 @@
 const schemas = {
 	none: z.object({}).loose(),
 	tenant: z.object({tenant: z.string().min(1)}),
-	putContract: z.object({changeId: z.string().min(1), expectedVersion: z.number().int().min(0), tenant: z.string().min(1), contract: z.unknown().optional()}),
-	putSetting: z.object({changeId: z.string().min(1), expectedVersion: z.number().int().min(0), name: z.string(), value: z.union([z.string(), z.number(), z.boolean()])}),
+	putContract: z.object({
+		changeId: z.string().min(1), expectedVersion: z.number().int().min(0), tenant: z.string().min(1), contract: z.unknown().optional(),
+	}),
+	putSetting: z.object({
+		changeId: z.string().min(1), expectedVersion: z.number().int().min(0), name: z.string(), value: z.union([z.string(), z.number(), z.boolean()]),
+	}),
 	endpoint: z.object({endpoint: z.string().min(1)}),
 	startChange: z.object({changeId: z.string().min(1), endpoint: z.string().min(1), kind: z.enum(['drain', 'withdraw', 'replace', 'restore'])}),
 	setRole: z.object({changeId: z.string().min(1), endpoint: z.string().min(1), role: z.enum(['mixed', 'prefill', 'decode'])}),
-	load: z.object({changeId: z.string().min(1), endpoint: z.string().min(1), model: z.string().optional(), version: z.string().optional(), adapter: z.string().optional()}),
+	load: z.object({
+		changeId: z.string().min(1), endpoint: z.string().min(1), model: z.string().optional(), version: z.string().optional(), adapter: z.string().optional(),
+	}),
 	pin: z.object({changeId: z.string().min(1), endpoint: z.string().min(1), pinned: z.boolean()}),
 	change: z.object({changeId: z.string().min(1)}),
 	fingerprint: z.object({changeId: z.string().min(1), fingerprint: z.string().min(1)}),
@@ -36,7 +42,9 @@
 type Handler<T> = (params: T, caller: OperatorCaller) => Promise<OperatorReply> | OperatorReply;
 
 const accept = (result: unknown): OperatorReply => ({ok: true, result});
-const refuse = (code: string, message: string, hint?: string): OperatorReply => ({ok: false, code, message, hint});
+const refuse = (code: string, message: string, hint?: string): OperatorReply => ({
+	ok: false, code, message, hint,
+});
 
 export class OperatorApi {
 	readonly #core: ControllerCore;
@@ -74,7 +82,9 @@
 		const describe = (endpoint: string) => {
 			const record = state.endpoints.get(endpoint)!;
 			const silenceMs = this.#fleet.computeSilence(record.agent);
-			return {...record, directive: state.readDirective(endpoint), isAlive: silenceMs < aliveMs, change: state.listOpenChanges().find(change => change.endpoint === endpoint)};
+			return {
+				...record, directive: state.readDirective(endpoint), isAlive: silenceMs < aliveMs, change: state.listOpenChanges().find(change => change.endpoint === endpoint),
+			};
 		};
 
 		this.#add('endpoint.list', schemas.none, () => accept({revision: state.items.revision, endpoints: [...state.endpoints.keys()].map(endpoint => describe(endpoint))}));
@@ -82,13 +92,19 @@
 			? accept({revision: state.items.revision, ...describe(endpoint)})
 			: refuse('ERR_HICKORYTRACK_NOT_FOUND', `There is no endpoint ${endpoint}`, 'See hickorytrack endpoint list.'));
 		this.#add('change.start', schemas.startChange, async ({changeId, endpoint, kind}, caller) =>
-			this.#propose({kind: 'start-change', changeId, endpoint, changeKind: kind, requestedBy: caller.operator, at: 0}));
+			this.#propose({
+				kind: 'start-change', changeId, endpoint, changeKind: kind, requestedBy: caller.operator, at: 0,
+			}));
 		this.#add('role.set', schemas.setRole, async ({changeId, endpoint, role}, caller) =>
-			this.#propose({kind: 'start-change', changeId, endpoint, changeKind: 'set-role', order: {kind: 'set-role', role}, requestedBy: caller.operator, at: 0}));
+			this.#propose({
+				kind: 'start-change', changeId, endpoint, changeKind: 'set-role', order: {kind: 'set-role', role}, requestedBy: caller.operator, at: 0,
+			}));
 		this.#add('role.pin', schemas.pin, async params => this.#propose({kind: 'pin-role', ...params}));
 		this.#add('endpoint.load', schemas.load, async ({changeId, endpoint, model, version, adapter}, caller) => {
 			const order = adapter === undefined ? {kind: 'load-model' as const, model: model ?? '', version: version ?? 'latest'} : {kind: 'load-adapter' as const, adapter};
-			return this.#propose({kind: 'start-change', changeId, endpoint, changeKind: order.kind, order, requestedBy: caller.operator, at: 0});
+			return this.#propose({
+				kind: 'start-change', changeId, endpoint, changeKind: order.kind, order, requestedBy: caller.operator, at: 0,
+			});
 		});
 	}
 
@@ -105,7 +121,9 @@
 		this.#add('quarantine.lift', schemas.fingerprint, async params => this.#propose({kind: 'lift-quarantine', ...params}));
 		this.#add('force.get', schemas.revision, ({revision}) => {
 			const missing = this.#fleet.list().filter(view => view.revision < revision).map(view => view.member.instance);
-			return accept({revision, subscribers: this.#fleet.list().length, missing, isInForce: missing.length === 0});
+			return accept({
+				revision, subscribers: this.#fleet.list().length, missing, isInForce: missing.length === 0,
+			});
 		});
 		this.#add('status.get', schemas.none, () => accept({
 			revision: state.items.revision,
@@ -202,7 +220,9 @@
 			return accept({revision: outcome.revision, value: outcome.value});
 		}
 
-		const codes = {conflict: 'ERR_HICKORYTRACK_CONFLICT', 'not-found': 'ERR_HICKORYTRACK_NOT_FOUND', refused: 'ERR_HICKORYTRACK_REFUSED', 'reused-change-id': 'ERR_HICKORYTRACK_REUSED_CHANGE_ID', invalid: 'ERR_HICKORYTRACK_INVALID'} as const;
+		const codes = {
+			conflict: 'ERR_HICKORYTRACK_CONFLICT', 'not-found': 'ERR_HICKORYTRACK_NOT_FOUND', refused: 'ERR_HICKORYTRACK_REFUSED', 'reused-change-id': 'ERR_HICKORYTRACK_REUSED_CHANGE_ID', invalid: 'ERR_HICKORYTRACK_INVALID',
+		} as const;
 		return refuse(codes[outcome.code], outcome.message, outcome.code === 'conflict' ? 'Read the version in force, then decide again.' : undefined);
 	}
 }
--- a/packages/plugins/controller/src/subscriber-desk.ts
+++ b/packages/plugins/controller/src/subscriber-desk.ts
@@ -4,10 +4,12 @@
  */
 import type {PeerConnection} from '@hickorytrack/peer-link/peer-connection';
 import type {ItemPage} from '@hickorytrack/types/control';
-import type {PeerMember, SubscribeParams, SubscribeResult, SubscriberView, TenantShare} from '@hickorytrack/types/peer-methods';
+import type {
+	PeerMember, SubscribeParams, SubscribeResult, SubscriberView, TenantShare,
+} from '@hickorytrack/types/peer-methods';
 import type {ControllerCore} from './controller-core.js';
 
-interface Subscriber {
+type Subscriber = {
 	connection: PeerConnection;
 	member: PeerMember;
 	topics: string[];
@@ -16,7 +18,7 @@
 	confirmedRevision: number;
 	demands: SubscriberView['demands'];
 	reports: SubscriberView['reports'];
-}
+};
 
 const tickFraction = 6;
 const longestTickMs = 1000;
@@ -39,7 +41,9 @@
 	}
 
 	list(): SubscriberView[] {
-		return [...this.#subscribers.values()].map(({member, confirmedRevision, demands, reports}) => ({member, revision: confirmedRevision, demands, reports}));
+		return [...this.#subscribers.values()].map(({member, confirmedRevision, demands, reports}) => ({
+			member, revision: confirmedRevision, demands, reports,
+		}));
 	}
 
 	/** Pushes what has changed, once for all changes of this turn of the event loop. */
@@ -64,7 +68,9 @@
 	#subscribe(params: SubscribeParams, connection: PeerConnection): SubscribeResult {
 		const {member, topics, revision} = params;
 		const page = this.#selectPage(topics, revision);
-		const subscriber: Subscriber = {connection, member, topics, sentRevision: page.revision, confirmedRevision: 0, demands: [], reports: []};
+		const subscriber: Subscriber = {
+			connection, member, topics, sentRevision: page.revision, confirmedRevision: 0, demands: [], reports: [],
+		};
 		this.#subscribers.set(member.instance, subscriber);
 		void this.#tick(subscriber);
 		this.#core.context.metrics.gauge('controller.subscribers', this.#subscribers.size);
@@ -79,7 +85,9 @@
 			const page = this.#selectPage(subscriber.topics, subscriber.sentRevision);
 			const quorumAgeMs = this.#core.log.computeQuorumAge();
 			subscriber.sentRevision = page.revision;
-			const reply = await connection.request('control.lease', {revision: page.revision, quorumAgeMs, term: this.#core.log.term, page}, {timeoutMs: settings.silenceMs});
+			const reply = await connection.request('control.lease', {
+				revision: page.revision, quorumAgeMs, term: this.#core.log.term, page,
+			}, {timeoutMs: settings.silenceMs});
 			if (reply.isOk()) {
 				subscriber.confirmedRevision = reply.value.revision;
 				subscriber.demands = reply.value.demands;
--- a/packages/plugins/engine-http/src/http-model-engine.ts
+++ b/packages/plugins/engine-http/src/http-model-engine.ts
@@ -8,7 +8,9 @@
 import {Agent, request} from 'undici';
 import {describeError, HickorytrackError} from '@hickorytrack/errors';
 import type {EngineRole, FencedOrder} from '@hickorytrack/types/endpoint';
-import type {EngineAdapter, EngineAdapterFactory, EngineDescription, EngineError, EngineEvent, GenerateOptions} from '@hickorytrack/types/engine-adapter';
+import type {
+	EngineAdapter, EngineAdapterFactory, EngineDescription, EngineError, EngineEvent, GenerateOptions,
+} from '@hickorytrack/types/engine-adapter';
 import type {GenerationWork, ServiceAnswer} from '@hickorytrack/types/work';
 import {HttpEngineError, isPossiblyWritten} from './engine-http-error.js';
 
@@ -19,7 +21,7 @@
 const notFound = 404;
 const conflict = 409;
 
-interface InfoBody {
+type InfoBody = {
 	models: string[];
 	adapters: string[];
 	roles: EngineRole[];
@@ -29,17 +31,19 @@
 	decode_tokens_per_second: number;
 	incarnation: string;
 	checks_fencing: boolean;
-}
+};
 
-interface ChunkBody {
+type ChunkBody = {
 	choices?: Array<{text?: string; delta?: {content?: string}; finish_reason?: string}>;
 	usage?: {prompt_tokens?: number; completion_tokens?: number; prompt_tokens_details?: {cached_tokens?: number}};
 	error?: {message?: string};
-}
+};
 
 export class HttpModelEngine implements EngineAdapter {
 	readonly #url: string;
-	readonly #dispatcher = new Agent({bodyTimeout: 0, headersTimeout: 0, connections: null, pipelining: 1}); // eslint-disable-line @typescript-eslint/no-restricted-types
+	readonly #dispatcher = new Agent({
+		bodyTimeout: 0, headersTimeout: 0, connections: null, pipelining: 1,
+	});
 
 	constructor(url: string) {
 		this.#url = url;
--- a/packages/plugins/engine-http/src/http-plain-service.ts
+++ b/packages/plugins/engine-http/src/http-plain-service.ts
@@ -5,7 +5,9 @@
 import {err, ok, type Result} from 'neverthrow';
 import {request} from 'undici';
 import {describeError, HickorytrackError} from '@hickorytrack/errors';
-import type {EngineAdapter, EngineAdapterFactory, EngineDescription, EngineError, EngineEvent, GenerateOptions} from '@hickorytrack/types/engine-adapter';
+import type {
+	EngineAdapter, EngineAdapterFactory, EngineDescription, EngineError, EngineEvent, GenerateOptions,
+} from '@hickorytrack/types/engine-adapter';
 import type {GenerationWork, ServiceAnswer, ServiceWork} from '@hickorytrack/types/work';
 import {HttpEngineError, isPossiblyWritten} from './engine-http-error.js';
 
--- a/packages/plugins/entry/src/attempt-runner.ts
+++ b/packages/plugins/entry/src/attempt-runner.ts
@@ -5,7 +5,9 @@
 import {AnswerReader} from '@hickorytrack/answer-stream/answer-reader';
 import type {PeerConnection} from '@hickorytrack/peer-link/peer-connection';
 import type {ProcessContext} from '@hickorytrack/kernel/plugin';
-import type {AttemptEnd, AttemptResolution, PieceBatch, RefusalReason, WorkSubmission} from '@hickorytrack/types/work';
+import type {
+	AttemptEnd, AttemptResolution, PieceBatch, RefusalReason, WorkSubmission,
+} from '@hickorytrack/types/work';
 import {Acknowledger} from './acknowledger.js';
 import type {EndpointDirectory, EndpointHandle} from './endpoint-directory.js';
 
@@ -22,11 +24,11 @@
 	| {kind: 'lost'}
 	| {kind: 'stopped'};
 
-export interface AttemptOptions {
+export type AttemptOptions = {
 	signal: AbortSignal;
 	/** Takes the texts in order; it resolves when the caller can take more. */
 	onTexts: (texts: string[]) => Promise<void>;
-}
+};
 
 export class AttemptRunner {
 	readonly #context: ProcessContext;
--- a/packages/plugins/entry/src/caller-api.ts
+++ b/packages/plugins/entry/src/caller-api.ts
@@ -3,7 +3,9 @@
  * contract, run, answer. Every answer carries the request id.
  */
 import {randomUUID} from 'node:crypto';
-import {createServer, type IncomingMessage, type Server, type ServerResponse} from 'node:http';
+import {
+	createServer, type IncomingMessage, type Server, type ServerResponse,
+} from 'node:http';
 import {Buffer} from 'node:buffer';
 import findMyWay, {type HTTPMethod} from 'find-my-way';
 import {err, ok, type Result} from 'neverthrow';
@@ -13,7 +15,9 @@
 import type {ServiceCall as ServiceCallRule} from '@hickorytrack/types/contract';
 import type {RunState} from '@hickorytrack/types/work';
 import {GenerationCall, type GenerationServices} from './generation-call.js';
-import {formatAnswer, formatChunk, formatStreamEnd, formatStreamError, parseModelRequest, type AnswerIdentity, type ModelApiName, type ParsedModelRequest} from './model-api.js';
+import {
+	formatAnswer, formatChunk, formatStreamEnd, formatStreamError, parseModelRequest, type AnswerIdentity, type ModelApiName, type ParsedModelRequest,
+} from './model-api.js';
 import {createProblem, type Problem, type ProblemCode} from './problem.js';
 import {ServiceCall} from './service-call.js';
 import type {Tenant, TenantDirectory} from './tenant-directory.js';
@@ -24,7 +28,7 @@
 const overloadRetryMs = 1000;
 const serviceMethods: HTTPMethod[] = ['GET', 'HEAD', 'POST', 'PUT', 'PATCH', 'DELETE'];
 
-interface Call {
+type Call = {
 	request: IncomingMessage;
 	response: ServerResponse;
 	requestId: string;
@@ -32,28 +36,33 @@
 	arrivedAt: number;
 	/** Aborts when the caller goes away. */
 	signal: AbortSignal;
-}
+};
 
-export interface CallerApiOptions {
+export type CallerApiOptions = {
 	services: GenerationServices;
 	tenants: TenantDirectory;
 	/** Tells whether new work may be taken. */
 	isReady: () => boolean;
-}
+};
 
 export class CallerApi {
 	readonly #opts: CallerApiOptions;
 	readonly #server: Server;
-	readonly #router = findMyWay({defaultRoute: (request, response) => {
-		this.#refuse(this.#createCall(request, response), 'not-found');
-	}});
+	readonly #router = findMyWay({
+		defaultRoute: (request, response) => {
+			this.#refuse(this.#createCall(request, response), 'not-found');
+		},
+	});
+
 	#inFlight = 0;
 	#isDraining = false;
 
 	constructor(opts: CallerApiOptions) {
 		this.#opts = opts;
 		this.#addRoutes();
-		this.#server = createServer({headersTimeout: headerTimeoutMs, requestTimeout: 0, maxHeaderSize: maximumHeaderBytes, keepAliveTimeout: 60_000, noDelay: true}, (request, response) => {
+		this.#server = createServer({
+			headersTimeout: headerTimeoutMs, requestTimeout: 0, maxHeaderSize: maximumHeaderBytes, keepAliveTimeout: 60_000, noDelay: true,
+		}, (request, response) => {
 			this.#router.lookup(request, response);
 		});
 	}
@@ -123,7 +132,9 @@
 			}
 		});
 		response.setHeader('x-request-id', requestId);
-		return {request, response, requestId, arrivedAt: this.#clock.monotonic(), signal: gone.signal};
+		return {
+			request, response, requestId, arrivedAt: this.#clock.monotonic(), signal: gone.signal,
+		};
 	}
 
 	/** Runs a handler for an authenticated tenant within its limits. */
@@ -199,7 +210,9 @@
 
 	async #answerGeneration(call: Call, tenant: Tenant, request: ParsedModelRequest): Promise<void> {
 		const {services} = this.#opts;
-		const identity: AnswerIdentity = {api: request.api, requestId: call.requestId, model: request.model, createdAt: this.#clock.now()};
+		const identity: AnswerIdentity = {
+			api: request.api, requestId: call.requestId, model: request.model, createdAt: this.#clock.now(),
+		};
 		const texts: string[] = [];
 		let hasPiece = false;
 		const generation = new GenerationCall(services, {
@@ -282,7 +295,9 @@
 			return;
 		}
 
-		await this.#answerServiceCall(call, tenant, {name, path, body, repeatable: rule.repeatable, key: rule.repeatable ? undefined : String(key)});
+		await this.#answerServiceCall(call, tenant, {
+			name, path, body, repeatable: rule.repeatable, key: rule.repeatable ? undefined : String(key),
+		});
 	}
 
 	async #answerServiceCall(call: Call, tenant: Tenant, opts: {name: string; path: string; body: string; repeatable: boolean; key?: string}): Promise<void> {
--- a/packages/plugins/entry/src/endpoint-directory.ts
+++ b/packages/plugins/entry/src/endpoint-directory.ts
@@ -14,11 +14,11 @@
 /** Endpoints of one model or service that an entry keeps links to. */
 export const subsetSize = 48;
 
-interface OutstandingWork {
+type OutstandingWork = {
 	sentAt: number;
 	prefillTokens: number;
 	decodeTokens: number;
-}
+};
 
 export class EndpointHandle {
 	record: EndpointRecord;
@@ -77,10 +77,10 @@
 /** After this long a report counts whatever its number, because the agent may have restarted. */
 const staleLoadMs = 5000;
 
-export interface EndpointDirectoryOptions {
+export type EndpointDirectoryOptions = {
 	clock: Clock;
 	peers: PeerNode;
-}
+};
 
 export class EndpointDirectory {
 	readonly #opts: EndpointDirectoryOptions;
@@ -152,7 +152,9 @@
 	}
 
 	dump(): unknown {
-		return [...this.#handles.values()].map(handle => ({endpoint: handle.endpoint, phase: handle.phase, connected: handle.connection !== undefined, load: handle.load}));
+		return [...this.#handles.values()].map(handle => ({
+			endpoint: handle.endpoint, phase: handle.phase, connected: handle.connection !== undefined, load: handle.load,
+		}));
 	}
 
 	#refresh(): void {
--- a/packages/plugins/entry/src/entry.ts
+++ b/packages/plugins/entry/src/entry.ts
@@ -62,7 +62,9 @@
 	}
 
 	dump(): unknown {
-		return {inFlight: this.#api.inFlight, tenants: this.#tenants.size, attempts: this.#attempts.open, endpoints: this.#endpoints.dump()};
+		return {
+			inFlight: this.#api.inFlight, tenants: this.#tenants.size, attempts: this.#attempts.open, endpoints: this.#endpoints.dump(),
+		};
 	}
 
 	listOpenWork(): string[] {
--- a/packages/plugins/entry/src/generation-call.ts
+++ b/packages/plugins/entry/src/generation-call.ts
@@ -24,7 +24,7 @@
 const emptyFleetPollMs = 50;
 const retryAfterMs = 1000;
 
-export interface GenerationRequest {
+export type GenerationRequest = {
 	requestId: string;
 	tenant: Tenant;
 	fingerprint: string;
@@ -35,34 +35,34 @@
 	prompt: string;
 	promptTokens: number;
 	maxTokens: number;
-}
+};
 
-export interface GenerationUsage {
+export type GenerationUsage = {
 	finishReason: string;
 	promptTokens: number;
 	outputTokens: number;
 	cachedTokens: number;
-}
+};
 
 export type GenerationResult =
 	| {kind: 'complete'; usage: GenerationUsage}
 	| {kind: 'refused'; problem: Problem}
 	| {kind: 'caller-gone'};
 
-export interface GenerationServices {
+export type GenerationServices = {
 	context: ProcessContext;
 	control: ControlClient;
 	endpoints: EndpointDirectory;
 	attempts: AttemptRunner;
 	placer: Placer;
 	retryBudget: RetryBudget;
-}
+};
 
-export interface GenerationOptions {
+export type GenerationOptions = {
 	/** Aborts when the caller goes away. */
 	signal: AbortSignal;
 	onTexts: (texts: string[]) => Promise<void>;
-}
+};
 
 type NextStep = {kind: 'result'; result: GenerationResult} | {kind: 'again'};
 
@@ -76,7 +76,7 @@
 	readonly #traces: AttemptTrace[] = [];
 	/** Endpoints that refused or failed this request. */
 	readonly #tried = new Set<string>();
-	#texts: string[] = [];
+	readonly #texts: string[] = [];
 	#isSuspect = false;
 	#attempts = 0;
 	#retries = 0;
@@ -148,10 +148,12 @@
 			revision: this.#services.control.revision,
 			isolated: this.#isSuspect,
 			work: this.#composeWork(),
-		}, {signal, onTexts: async texts => {
-			this.#texts.push(...texts);
-			await this.#opts.onTexts(texts);
-		}});
+		}, {
+			signal, onTexts: async texts => {
+				this.#texts.push(...texts);
+				await this.#opts.onTexts(texts);
+			},
+		});
 		renewal.abort();
 		return this.#judge(outcome, {handle, attempt});
 	}
@@ -238,7 +240,9 @@
 
 	#composeWork(): GenerationWork {
 		const {api, model, body, promptTokens, maxTokens} = this.#request;
-		return {kind: 'generation', api, model, body, promptTokens, maxTokens, resumeFrom: this.#texts.length, resumeText: this.#texts.join('')};
+		return {
+			kind: 'generation', api, model, body, promptTokens, maxTokens, resumeFrom: this.#texts.length, resumeText: this.#texts.join(''),
+		};
 	}
 
 	/** Waits a little when the fleet has no endpoint to offer, since one may be coming back. */
@@ -303,7 +307,9 @@
 	}
 
 	async #requestPermit(attempt: string): Promise<boolean> {
-		const reply = await this.#services.control.propose({kind: 'permit-suspect', fingerprint: this.#request.fingerprint, attempt, at: 0}, {isIdempotent: true});
+		const reply = await this.#services.control.propose({
+			kind: 'permit-suspect', fingerprint: this.#request.fingerprint, attempt, at: 0,
+		}, {isIdempotent: true});
 		return reply.isOk() && reply.value.ok && (reply.value.value as {permitted: boolean}).permitted;
 	}
 
--- a/packages/plugins/entry/src/model-api.ts
+++ b/packages/plugins/entry/src/model-api.ts
@@ -10,7 +10,7 @@
 
 export type ModelApiName = 'chat' | 'completions';
 
-export interface ParsedModelRequest {
+export type ParsedModelRequest = {
 	api: ModelApiName;
 	model: string;
 	prompt: string;
@@ -18,7 +18,7 @@
 	maxTokens: number;
 	isStreamed: boolean;
 	body: Record<string, unknown>;
-}
+};
 
 /** Reads the body of a request; the error says in one sentence what is wrong. */
 export function parseModelRequest(api: ModelApiName, text: string): Result<ParsedModelRequest, string> {
@@ -78,17 +78,17 @@
 	return lines.join('\n');
 }
 
-export interface AnswerIdentity {
+export type AnswerIdentity = {
 	api: ModelApiName;
 	requestId: string;
 	model: string;
 	/** Wall time in milliseconds. */
 	createdAt: number;
-}
+};
 
 /** Formats one chunk of a streamed answer as a server-sent event. */
 export function formatChunk(identity: AnswerIdentity, text: string): string {
-	const choice = identity.api === 'chat' ? {index: 0, delta: {content: text}, finish_reason: null} : {index: 0, text, finish_reason: null}; // eslint-disable-line @typescript-eslint/no-restricted-types
+	const choice = identity.api === 'chat' ? {index: 0, delta: {content: text}, finish_reason: null} : {index: 0, text, finish_reason: null};
 	return formatEvent({...formatHead(identity, true), choices: [choice]});
 }
 
@@ -112,7 +112,9 @@
 
 function formatHead(identity: AnswerIdentity, isChunk: boolean): Record<string, unknown> {
 	const chatObject = isChunk ? 'chat.completion.chunk' : 'chat.completion';
-	return {id: identity.requestId, object: identity.api === 'chat' ? chatObject : 'text_completion', created: Math.floor(identity.createdAt / msPerSecond), model: identity.model};
+	return {
+		id: identity.requestId, object: identity.api === 'chat' ? chatObject : 'text_completion', created: Math.floor(identity.createdAt / msPerSecond), model: identity.model,
+	};
 }
 
 function formatUsage(usage: GenerationUsage): Record<string, unknown> {
--- a/packages/plugins/entry/src/problem.ts
+++ b/packages/plugins/entry/src/problem.ts
@@ -28,7 +28,7 @@
 
 export type ProblemCode = keyof typeof problemCatalogue;
 
-export interface Problem {
+export type Problem = {
 	type: string;
 	title: string;
 	status: number;
@@ -38,14 +38,14 @@
 	requestId: string;
 	/** When a resend can help, in seconds. */
 	retryAfter?: number;
-}
+};
 
-export interface ProblemOptions {
+export type ProblemOptions = {
 	requestId: string;
 	run?: RunState;
 	detail?: string;
 	retryAfterMs?: number;
-}
+};
 
 const msPerSecond = 1000;
 
--- a/packages/plugins/entry/src/service-call.ts
+++ b/packages/plugins/entry/src/service-call.ts
@@ -24,7 +24,7 @@
 const emptyFleetPollMs = 50;
 const emptyFleetWaitMs = 1500;
 
-export interface ServiceRequest {
+export type ServiceRequest = {
 	requestId: string;
 	tenant: Tenant;
 	service: string;
@@ -36,7 +36,7 @@
 	/** Idempotency key of a call that may not be repeated. */
 	key?: string;
 	fingerprint: string;
-}
+};
 
 export type ServiceResult =
 	| {kind: 'answer'; answer: ServiceAnswer; replayed: boolean}
@@ -158,9 +158,11 @@
 		const outcome = await this.#services.attempts.run(handle, {
 			attempt, requestId, fingerprint, tenant: tenant.contract.tenant, deadlineMs: Math.max(1, this.#deadline - this.#clock.monotonic()),
 			revision: this.#services.control.revision, isolated: false, work: this.#composeWork(),
-		}, {signal, async onTexts() {
+		}, {
+			signal, async onTexts() {
 			// A service call has no pieces.
-		}});
+			},
+		});
 		switch (outcome.kind) {
 			case 'refused': {
 				this.#traces.push('not-written');
@@ -208,7 +210,7 @@
 			return this.#refuse('idempotency-key-reused');
 		}
 
-		let claim: Claim | undefined = reply.claim;
+		let {claim} = reply;
 		const joinedAt = this.#clock.monotonic();
 		while (claim && !this.#isOver && !this.#signal.aborted) {
 			const settled = this.#convertClaim(claim);
@@ -264,11 +266,7 @@
 			await this.#settle({attempt: claim.attempt, state: 'not-run'});
 		} else if (known?.state === 'ended') {
 			const trace = traceEnd(known.end);
-			if (known.end.kind === 'service-answer') {
-				await this.#settle({attempt: claim.attempt, state: 'answered', answer: known.end.answer});
-			} else {
-				await this.#settle({attempt: claim.attempt, state: trace === 'not-written' ? 'not-run' : 'may-have-run'});
-			}
+			await (known.end.kind === 'service-answer' ? this.#settle({attempt: claim.attempt, state: 'answered', answer: known.end.answer}) : this.#settle({attempt: claim.attempt, state: trace === 'not-written' ? 'not-run' : 'may-have-run'}));
 		} else if ((known?.state === 'agent-restarted' || known?.state === 'unknown') && waitedMs > outcomeLossMs) {
 			await this.#settle({attempt: claim.attempt, state: 'may-have-run'});
 		}
@@ -302,7 +300,9 @@
 		for (;;) {
 			const usable = endpoints.listUsable(this.#request.service, {excluded: this.#tried});
 			if (usable.length > 0) {
-				const ranked = placer.rank({promptTokens: 1, maxTokens: 1, blocks: [], availabilityZone: context.settings.availabilityZone}, usable.map(handle => endpoints.createCandidate(handle)));
+				const ranked = placer.rank({
+					promptTokens: 1, maxTokens: 1, blocks: [], availabilityZone: context.settings.availabilityZone,
+				}, usable.map(handle => endpoints.createCandidate(handle)));
 				return usable.find(handle => handle.endpoint === ranked[0]!.endpoint);
 			}
 
@@ -320,7 +320,9 @@
 
 	#composeWork(): ServiceWork {
 		const {service, method, path, contentType, body, repeatable} = this.#request;
-		return {kind: 'service', service, method, path, contentType, body, repeatable};
+		return {
+			kind: 'service', service, method, path, contentType, body, repeatable,
+		};
 	}
 
 	#refuse(code: ProblemCode, opts: {run?: 'not-run' | 'may-have-run' | 'ran'; retryAfterMs?: number; detail?: string} = {}): ServiceResult {
--- a/packages/serving/answer-stream/src/answer-tail.ts
+++ b/packages/serving/answer-stream/src/answer-tail.ts
@@ -7,13 +7,13 @@
 /** Pieces that may wait for confirmation before the writer pauses. */
 export const maximumUnconfirmedPieces = 2048;
 
-export interface TailSink {
+export type TailSink = {
 	send(run: PieceRun): void;
-}
+};
 
 export class AnswerTail {
 	readonly attempt: string;
-	#texts: string[] = [];
+	readonly #texts: string[] = [];
 	/** Sequence number of the first kept text. */
 	#first = 0;
 	#sent = 0;
--- a/packages/serving/answer-stream/test/answer-stream.test.ts
+++ b/packages/serving/answer-stream/test/answer-stream.test.ts
@@ -3,7 +3,9 @@
 import {AnswerReader} from '../src/answer-reader.js';
 import {AnswerTail, maximumUnconfirmedPieces} from '../src/answer-tail.js';
 
-const end: AttemptEnd = {kind: 'complete', finishReason: 'stop', promptTokens: 1, outputTokens: 3, cachedTokens: 0};
+const end: AttemptEnd = {
+	kind: 'complete', finishReason: 'stop', promptTokens: 1, outputTokens: 3, cachedTokens: 0,
+};
 
 const readAll = async (reader: AnswerReader): Promise<string> => {
 	let text = '';
@@ -22,28 +24,36 @@
 		const tail = new AnswerTail('a1');
 		const reader = new AnswerReader('a1');
 		const lost: PieceRun[] = [];
-		tail.attach({send: run => {
-			reader.accept(run);
-		}}, 0);
+		tail.attach({
+			send(run) {
+				reader.accept(run);
+			},
+		}, 0);
 		tail.write(['a', 'b']);
-		tail.attach({send: run => {
-			lost.push(run);
-		}}, 2);
+		tail.attach({
+			send(run) {
+				lost.push(run);
+			},
+		}, 2);
 		tail.write(['c']);
 		tail.finish(end);
 		expect(lost).to.have.length(2);
 		reader.breakOff();
 		reader.mend();
-		tail.attach({send: run => {
-			reader.accept(run);
-		}}, 1);
+		tail.attach({
+			send(run) {
+				reader.accept(run);
+			},
+		}, 1);
 		expect(await readAll(reader)).to.equal('abcend');
 	});
 
 	it('reports a missing piece as a break, never as an end', async () => {
 		const reader = new AnswerReader('a1');
 		reader.accept({attempt: 'a1', first: 0, texts: ['a']});
-		reader.accept({attempt: 'a1', first: 2, texts: ['c'], end});
+		reader.accept({
+			attempt: 'a1', first: 2, texts: ['c'], end,
+		});
 		expect(await readAll(reader)).to.equal('abroken');
 	});
 
@@ -61,8 +71,10 @@
 			setImmediate(resolve);
 		});
 		expect(hasRoom).to.equal(true);
-		expect(tail.attach({send() {
+		expect(tail.attach({
+			send() {
 			// Not reached.
-		}}, 5)).to.equal(false);
+			},
+		}, 5)).to.equal(false);
 	});
 });
--- a/packages/serving/placement/src/placement.ts
+++ b/packages/serving/placement/src/placement.ts
@@ -8,14 +8,14 @@
 import type {Random} from '@hickorytrack/random';
 import type {CacheView} from './cache-view.js';
 
-export interface PlacementRequest {
+export type PlacementRequest = {
 	promptTokens: number;
 	maxTokens: number;
 	blocks: readonly string[];
 	availabilityZone: string;
-}
+};
 
-export interface PlacementCandidate {
+export type PlacementCandidate = {
 	endpoint: string;
 	availabilityZone: string;
 	speed: EndpointSpeed;
@@ -28,33 +28,33 @@
 	/** Work that this entry sent and the report does not contain. */
 	unreported: {requests: number; prefillTokens: number; decodeTokens: number};
 	cache: CacheView;
-}
+};
 
-export interface Placer {
+export type Placer = {
 	readonly name: string;
 	/** Returns the candidates in the order in which they should be tried; the first is the choice. */
 	rank(request: PlacementRequest, candidates: readonly PlacementCandidate[]): PlacementCandidate[];
-}
+};
 
-export interface ExpectedTimePlacerOptions {
+export type ExpectedTimePlacerOptions = {
 	random: Random;
 	/** Time to reach another availability zone and return, in milliseconds. */
 	crossZoneMs: number;
 	/** Candidates within this fraction and these milliseconds of the best one count as equal. */
 	nearFraction?: number;
 	nearMs?: number;
-}
+};
 
 const msPerSecond = 1000;
 const defaultNearFraction = 0.1;
 const defaultNearMs = 10;
 
-export interface TimeEstimate {
+export type TimeEstimate = {
 	queueMs: number;
 	prefillMs: number;
 	zoneMs: number;
 	totalMs: number;
-}
+};
 
 export class ExpectedTimePlacer implements Placer {
 	readonly name = 'expected-time';
@@ -86,12 +86,14 @@
 		const pendingPrefill = (load?.pendingPrefillTokens ?? 0) + unreported.prefillTokens;
 		const pendingDecode = (load?.pendingDecodeTokens ?? 0) + unreported.decodeTokens;
 		const requests = (load?.running ?? 0) + (load?.queued ?? 0) + unreported.requests;
-		const excess = Math.max(0, requests + 1 - candidate.capacity);
+		const excess = Math.max(0, requests + 1 - (load?.slots ?? candidate.capacity));
 		// Work beyond the capacity waits until running work ends, at the pace of the whole engine.
 		const slotMs = excess > 0 && requests > 0 ? excess / requests * pendingDecode / speed.decodeTokensPerSecond * msPerSecond : 0;
 		const queueMs = (pendingPrefill / speed.prefillTokensPerSecond * msPerSecond) + slotMs;
 		const prefillMs = request.promptTokens * (1 - hit) / speed.prefillTokensPerSecond * msPerSecond;
 		const zoneMs = candidate.availabilityZone === request.availabilityZone ? 0 : this.#opts.crossZoneMs;
-		return {queueMs, prefillMs, zoneMs, totalMs: queueMs + prefillMs + zoneMs};
+		return {
+			queueMs, prefillMs, zoneMs, totalMs: queueMs + prefillMs + zoneMs,
+		};
 	}
 }
--- a/packages/serving/placement/test/placement.test.ts
+++ b/packages/serving/placement/test/placement.test.ts
@@ -9,7 +9,9 @@
 });
 
 const prompt = 'ordinance '.repeat(500);
-const request = {promptTokens: 1000, maxTokens: 50, blocks: computeBlocks(prompt), availabilityZone: 'z1'};
+const request = {
+	promptTokens: 1000, maxTokens: 50, blocks: computeBlocks(prompt), availabilityZone: 'z1',
+};
 
 describe('expected time placer', () => {
 	const placer = new ExpectedTimePlacer({random: new Random(1), crossZoneMs: 3});
--- a/stand-ins/src/batch-model.ts
+++ b/stand-ins/src/batch-model.ts
@@ -6,7 +6,7 @@
 
 export type ModelRole = 'mixed' | 'prefill' | 'decode';
 
-export interface BatchSpeed {
+export type BatchSpeed = {
 	prefillTokensPerSecond: number;
 	/** Tokens a second over the whole batch. */
 	decodeTokensPerSecond: number;
@@ -14,9 +14,9 @@
 	sequenceTokensPerSecond: number;
 	/** Sequences that run at once. */
 	capacity: number;
-}
+};
 
-export interface Sequence {
+export type Sequence = {
 	id: string;
 	/** Lower goes first. */
 	priority: number;
@@ -24,13 +24,13 @@
 	decodeLeft: number;
 	/** Fraction of the next token that is done. */
 	partial: number;
-}
+};
 
-export interface StepResult {
+export type StepResult = {
 	/** Tokens that each sequence produced, for those with any. */
 	produced: Array<{id: string; count: number}>;
 	finished: string[];
-}
+};
 
 /** Speed factors of each role for prefill and decode. */
 export const roleFactors: Record<ModelRole, {prefill: number; decode: number}> = {
--- a/stand-ins/src/engine-main.ts
+++ b/stand-ins/src/engine-main.ts
@@ -5,10 +5,12 @@
 const opts = JSON.parse(process.argv[3] ?? '{}') as Partial<ModelEngineOptions>;
 const engine = new ModelEngine({
 	models: ['ordinance', 'drafting'],
-	speed: {prefillTokensPerSecond: 20_000, decodeTokensPerSecond: 1600, sequenceTokensPerSecond: 60, capacity: 32},
+	speed: {
+		prefillTokensPerSecond: 20_000, decodeTokensPerSecond: 1600, sequenceTokensPerSecond: 60, capacity: 32,
+	},
 	...opts,
 });
 await engine.start(Number(process.argv[2]));
 process.on('SIGTERM', () => {
-	process.exit(0); // eslint-disable-line unicorn/no-process-exit
+	process.exit(0);
 });
--- a/stand-ins/src/expected-answer.ts
+++ b/stand-ins/src/expected-answer.ts
@@ -7,7 +7,7 @@
 /** Produces the tokens of the answer to a prompt, one at a time. */
 export class AnswerSource {
 	readonly #prompt: string;
-	#digests: Uint8Array[] = [];
+	readonly #digests: Uint8Array[] = [];
 
 	constructor(prompt: string) {
 		this.#prompt = createHash('sha256').update(prompt).digest('hex');
--- a/stand-ins/src/load-generator.ts
+++ b/stand-ins/src/load-generator.ts
@@ -3,7 +3,7 @@
 import {createParser} from 'eventsource-parser';
 import {composeExpectedAnswer, joinChatMessages} from './expected-answer.js';
 
-export interface GenerationTry {
+export type GenerationTry = {
 	url: string;
 	key: string;
 	model: string;
@@ -12,16 +12,16 @@
 	api?: 'chat' | 'completions';
 	isStreamed?: boolean;
 	signal?: AbortSignal;
-}
+};
 
-export interface Refusal {
+export type Refusal = {
 	status: number;
 	code: string;
 	run: string;
 	retryAfter?: number;
-}
+};
 
-export interface TryRecord {
+export type TryRecord = {
 	outcome: 'answered' | 'refused' | 'cut' | 'wrong';
 	/** Milliseconds from sending to the first text. */
 	firstTokenMs?: number;
@@ -31,16 +31,16 @@
 	text: string;
 	refusal?: Refusal;
 	detail?: string;
-}
+};
 
-interface StreamState {
+type StreamState = {
 	text: string;
 	tokens: number;
 	firstAt?: number;
 	lastAt?: number;
 	finishReason?: string;
 	refusal?: Refusal;
-}
+};
 
 /** Runs one generation and judges its answer. */
 export async function tryGeneration(attempt: GenerationTry): Promise<TryRecord> {
@@ -62,11 +62,15 @@
 	const response = await request(`${url}/v1/${api === 'chat' ? 'chat/completions' : 'completions'}`, {
 		method: 'POST', headersTimeout: 0, bodyTimeout: 0, signal: attempt.signal,
 		headers: {'content-type': 'application/json', authorization: `Bearer ${key}`},
-		body: JSON.stringify({model, max_tokens: maxTokens, stream: isStreamed, ...content}),
+		body: JSON.stringify({
+			model, max_tokens: maxTokens, stream: isStreamed, ...content,
+		}),
 	});
 	if (response.statusCode !== 200) {
 		const problem = await response.body.json() as Refusal;
-		state.refusal = {status: response.statusCode, code: problem.code, run: problem.run, retryAfter: problem.retryAfter};
+		state.refusal = {
+			status: response.statusCode, code: problem.code, run: problem.run, retryAfter: problem.retryAfter,
+		};
 		return;
 	}
 
@@ -133,7 +137,7 @@
 	return record;
 }
 
-export interface ServiceTry {
+export type ServiceTry = {
 	url: string;
 	key: string;
 	service: string;
@@ -141,15 +145,15 @@
 	path: string;
 	body?: string;
 	idempotencyKey?: string;
-}
+};
 
-export interface ServiceRecord {
+export type ServiceRecord = {
 	status: number;
 	body: string;
 	isReplayed: boolean;
 	refusal?: Refusal;
 	detail?: string;
-}
+};
 
 /** Calls a plain service through an entry. */
 export async function tryService(attempt: ServiceTry): Promise<ServiceRecord> {
@@ -163,8 +167,12 @@
 		});
 		const body = await response.body.text();
 		const isProblem = String(response.headers['content-type']).startsWith('application/problem');
-		return {status: response.statusCode, body, isReplayed: response.headers['idempotency-replayed'] === 'true', refusal: isProblem ? JSON.parse(body) as Refusal : undefined};
+		return {
+			status: response.statusCode, body, isReplayed: response.headers['idempotency-replayed'] === 'true', refusal: isProblem ? JSON.parse(body) as Refusal : undefined,
+		};
 	} catch (error) {
-		return {status: 0, body: '', isReplayed: false, detail: error instanceof Error ? error.message : String(error)};
+		return {
+			status: 0, body: '', isReplayed: false, detail: error instanceof Error ? error.message : String(error),
+		};
 	}
 }
--- a/stand-ins/src/model-engine.ts
+++ b/stand-ins/src/model-engine.ts
@@ -4,7 +4,9 @@
  * ledger of what it was told, by which tests check the system from outside.
  */
 import {randomUUID} from 'node:crypto';
-import {createServer, type IncomingMessage, type Server, type ServerResponse} from 'node:http';
+import {
+	createServer, type IncomingMessage, type Server, type ServerResponse,
+} from 'node:http';
 import {Buffer} from 'node:buffer';
 import type {AddressInfo, Socket} from 'node:net';
 import {AnswerSource, joinChatMessages} from './expected-answer.js';
@@ -17,27 +19,27 @@
 const charactersPerToken = 4;
 const msPerSecond = 1000;
 
-export interface Fence {
+export type Fence = {
 	term: number;
 	epoch: number;
 	orderNumber: number;
-}
+};
 
-export interface LedgerOrder {
+export type LedgerOrder = {
 	fence: Fence;
 	change: string;
 	order: {kind: string; role?: ModelRole};
 	isAccepted: boolean;
-}
+};
 
-export interface LedgerRequest {
+export type LedgerRequest = {
 	request: string;
 	resumedFrom: number;
 	promptCharacters: number;
 	state: 'running' | 'complete' | 'cancelled';
-}
+};
 
-export interface ModelEngineOptions {
+export type ModelEngineOptions = {
 	models: string[];
 	speed: BatchSpeed;
 	role?: ModelRole;
@@ -49,9 +51,9 @@
 	/** What a crash does; by default the engine stops and starts again after this many milliseconds. */
 	restartMs?: number;
 	onCrash?: () => void;
-}
+};
 
-interface OpenRequest {
+type OpenRequest = {
 	id: string;
 	source: AnswerSource;
 	response: ServerResponse;
@@ -62,16 +64,16 @@
 	cachedTokens: number;
 	isStalled: boolean;
 	ledger: LedgerRequest;
-}
+};
 
-interface CompletionBody {
+type CompletionBody = {
 	model: string;
 	prompt?: string;
 	messages?: Array<{role: string; content: string}>;
 	max_tokens?: number;
 	priority?: number;
 	resume_tokens?: number;
-}
+};
 
 export class ModelEngine {
 	readonly orders: LedgerOrder[] = [];
@@ -183,16 +185,38 @@
 		} else if (url.pathname.startsWith('/engine/requests/')) {
 			const isKnown = this.#open.has(decodeURIComponent(url.pathname.slice('/engine/requests/'.length)));
 			send(response, isKnown ? 200 : 404, {});
-		} else if (url.pathname === '/engine/cache-events') {
-			send(response, 200, this.#cache.listEvents(Number(url.searchParams.get('since') ?? 0)));
-		} else if (url.pathname === '/engine/load') {
-			send(response, 200, {running: this.#batch.running, waiting: this.#batch.waiting});
-		} else if (url.pathname === '/ledger') {
-			send(response, 200, {orders: this.orders, requests: this.requests, crashes: this.crashes, incarnation: this.incarnation});
-		} else if (url.pathname === '/v1/models') {
-			send(response, 200, {data: this.#opts.models.map(id => ({id}))});
 		} else {
-			send(response, 404, {});
+			switch (url.pathname) {
+				case '/engine/cache-events': {
+					send(response, 200, this.#cache.listEvents(Number(url.searchParams.get('since') ?? 0)));
+
+					break;
+				}
+
+				case '/engine/load': {
+					send(response, 200, {running: this.#batch.running, waiting: this.#batch.waiting});
+
+					break;
+				}
+
+				case '/ledger': {
+					send(response, 200, {
+						orders: this.orders, requests: this.requests, crashes: this.crashes, incarnation: this.incarnation,
+					});
+
+					break;
+				}
+
+				case '/v1/models': {
+					send(response, 200, {data: this.#opts.models.map(id => ({id}))});
+
+					break;
+				}
+
+				default: {
+					send(response, 404, {});
+				}
+			}
 		}
 	}
 
@@ -244,7 +268,9 @@
 		const resumedFrom = body.resume_tokens ?? 0;
 		const promptTokens = Math.ceil(prompt.length / charactersPerToken);
 		const cachedTokens = Math.min(promptTokens, Math.floor(this.#cache.use(prompt) / charactersPerToken));
-		const ledger: LedgerRequest = {request: id, resumedFrom, promptCharacters: prompt.length, state: 'running'};
+		const ledger: LedgerRequest = {
+			request: id, resumedFrom, promptCharacters: prompt.length, state: 'running',
+		};
 		this.requests.push(ledger);
 		response.writeHead(200, {'content-type': 'text/event-stream'});
 		response.flushHeaders();
@@ -341,12 +367,25 @@
 	}
 
 	#applyFault(kind: string): void {
-		if (kind === 'crash') {
-			this.crash();
-		} else if (kind === 'silence') {
-			this.isSilent = true;
-		} else if (kind === 'heal') {
-			this.isSilent = false;
+		switch (kind) {
+			case 'crash': {
+				this.crash();
+
+				break;
+			}
+
+			case 'silence': {
+				this.isSilent = true;
+
+				break;
+			}
+
+			case 'heal': {
+				this.isSilent = false;
+
+				break;
+			}
+		// No default
 		}
 	}
 }
@@ -359,7 +398,9 @@
 	const {token, finishReason} = opts;
 	const choice = open.isChat ? {index: 0, delta: {content: token}, finish_reason: finishReason} : {index: 0, text: token ?? '', finish_reason: finishReason};
 	const usage = finishReason && {prompt_tokens: open.promptTokens, completion_tokens: open.next, prompt_tokens_details: {cached_tokens: open.cachedTokens}};
-	return `data: ${JSON.stringify({id: open.id, model: open.model, choices: [choice], ...(usage && {usage})})}\n\n`;
+	return `data: ${JSON.stringify({
+		id: open.id, model: open.model, choices: [choice], ...(usage && {usage}),
+	})}\n\n`;
 }
 
 async function readJson(request: IncomingMessage): Promise<unknown> {
--- a/stand-ins/src/plain-service.ts
+++ b/stand-ins/src/plain-service.ts
@@ -1,10 +1,12 @@
 /** A stand-in for a plain service, such as dispatch sheets or a viewer, with a ledger of every call that it ran. */
 import {createHash, randomUUID} from 'node:crypto';
-import {createServer, type IncomingMessage, type Server, type ServerResponse} from 'node:http';
+import {
+	createServer, type IncomingMessage, type Server, type ServerResponse,
+} from 'node:http';
 import {Buffer} from 'node:buffer';
 import type {AddressInfo} from 'node:net';
 
-export interface LedgerCall {
+export type LedgerCall = {
 	sequence: number;
 	method: string;
 	path: string;
@@ -12,14 +14,14 @@
 	attempt: string;
 	bodyDigest: string;
 	body: string;
-}
+};
 
-export interface PlainServiceOptions {
+export type PlainServiceOptions = {
 	/** Time one call takes, in milliseconds. */
 	callMs?: number;
 	/** Called when a call has run and before its answer is sent; may end the service. */
 	onRan?: (call: LedgerCall) => Promise<void> | void;
-}
+};
 
 export class PlainService {
 	readonly calls: LedgerCall[] = [];
--- a/stand-ins/src/prefix-cache.ts
+++ b/stand-ins/src/prefix-cache.ts
@@ -4,10 +4,10 @@
 const blockCharacters = 1024;
 const digestDigits = 16;
 
-export interface CacheEvent {
+export type CacheEvent = {
 	kind: 'stored' | 'evicted';
 	block: string;
-}
+};
 
 export class PrefixCache {
 	readonly #maximumBlocks: number;
--- a/stand-ins/src/relay.ts
+++ b/stand-ins/src/relay.ts
@@ -1,14 +1,16 @@
 /** A TCP relay that tests put on a link: it can fall silent in one or both ways, reset connections, or refuse new ones. */
-import {connect, createServer, type AddressInfo, type Server, type Socket} from 'node:net';
+import {
+	connect, createServer, type AddressInfo, type Server, type Socket,
+} from 'node:net';
 
 export type RelayMode = 'pass' | 'silent' | 'silent-forward' | 'silent-back';
 
-interface Pair {
+type Pair = {
 	near: Socket;
 	far: Socket;
 	/** Mode of this pair; open connections can be silent while new ones work. */
 	mode: RelayMode;
-}
+};
 
 export class Relay {
 	readonly #target: {host: string; port: number};
--- a/stand-ins/src/service-main.ts
+++ b/stand-ins/src/service-main.ts
@@ -5,5 +5,5 @@
 const service = new PlainService();
 await service.start(Number(process.argv[2]));
 process.on('SIGTERM', () => {
-	process.exit(0); // eslint-disable-line unicorn/no-process-exit
+	process.exit(0);
 });
--- /dev/null
+++ b/tools/demo/src/demo.ts
@@ -0,0 +1,159 @@
+/**
+ * The demo: Cuenca's fleet on loopback, contracts applied by the tool, real text through it, one drain while streams run.
+ * It ends with a table by tenant and exits 0 only if nothing was cut, wrong or doubled.
+ */
+import {randomUUID} from 'node:crypto';
+import {readFile} from 'node:fs/promises';
+import process from 'node:process';
+import {fileURLToPath} from 'node:url';
+import {build} from 'hdr-histogram-js';
+import {request} from 'undici';
+import {Fleet} from '@hickorytrack/stand-ins/fleet';
+import {tryGeneration, tryService, type TryRecord} from '@hickorytrack/stand-ins/load-generator';
+
+const basePort = 17_000;
+const trafficMs = 20_000;
+const reportEveryMs = 110;
+const questionEveryMs = 60;
+const dispatchEveryMs = 250;
+const drainAfterMs = 5000;
+const root = new URL('../../../../', import.meta.url);
+
+const places = ['the chapel in El Vado', 'the school on Calle Larga', 'a shop shutter in Totoracocha', 'the bridge over the Tomebamba', 'a house in San Sebastian', 'the market hall of El Ejido'];
+const questions = ['Which layer holds the load-bearing walls?', 'Classify the part: hollow section, 60 by 40, two holes.', 'Does the markup on sheet A-104 contradict sheet S-201?', 'List the layers that changed since revision C.'];
+
+type Tally = {
+	tenant: string;
+	answered: number;
+	refused: number;
+	cut: number;
+	wrong: number;
+	firstToken: ReturnType<typeof build>;
+	betweenTokens: ReturnType<typeof build>;
+};
+
+const createTally = (tenant: string): Tally => ({
+	tenant, answered: 0, refused: 0, cut: 0, wrong: 0, firstToken: build(), betweenTokens: build(),
+});
+
+function note(tally: Tally, record: TryRecord): void {
+	tally[record.outcome]++;
+	if (record.firstTokenMs !== undefined) {
+		tally.firstToken.recordValue(record.firstTokenMs);
+	}
+
+	if (record.betweenTokensMs !== undefined) {
+		tally.betweenTokens.recordValue(record.betweenTokensMs);
+	}
+}
+
+const sleep = async (ms: number): Promise<void> => new Promise(resolve => {
+	setTimeout(resolve, ms);
+});
+
+/** Starts one piece of work every `everyMs` for the time of the traffic and waits for all of it. */
+async function runEvery(everyMs: number, work: (index: number) => Promise<void>): Promise<void> {
+	const until = performance.now() + trafficMs;
+	const open: Array<Promise<void>> = [];
+	for (let index = 0; performance.now() < until; index++) {
+		open.push(work(index));
+		await sleep(everyMs);
+	}
+
+	await Promise.all(open);
+}
+
+async function sendDispatch(fleet: Fleet, index: number): Promise<'ok' | 'failed'> {
+	const key = randomUUID();
+	const call = {
+		key: 'cuenca-demo-key', service: 'dispatch', method: 'POST', path: '/sheets', body: JSON.stringify({sheet: key, place: places[index % places.length]}), idempotencyKey: key,
+	};
+	// Every dispatch is sent twice, through two entries at once, as after a lost answer.
+	const urls = [0, 1].map(offset => fleet.instances[(index + offset) % fleet.instances.length]!.callerUrl);
+	const records = await Promise.all(urls.map(async url => tryService({...call, url})));
+	const bodies = new Set(records.map(record => record.body));
+	return records.every(record => record.status === 200) && bodies.size === 1 ? 'ok' : 'failed';
+}
+
+async function countDoubled(fleet: Fleet): Promise<{ran: number; doubled: number}> {
+	const seen = new Map<string, number>();
+	for (const agent of fleet.agents.filter(one => one.name.startsWith('dispatch'))) {
+		const response = await request(`${agent.engineUrl}/ledger`);
+		const {calls} = await response.body.json() as {calls: Array<{body: string; method: string}>};
+		for (const call of calls.filter(one => one.method === 'POST')) {
+			seen.set(call.body, (seen.get(call.body) ?? 0) + 1);
+		}
+	}
+
+	return {ran: seen.size, doubled: [...seen.values()].filter(count => count > 1).length};
+}
+
+function printTable(tallies: readonly Tally[]): void {
+	console.log('\ntenant    answered  refused  cut  wrong  first token p50/p95 ms  between tokens p95 ms');
+	for (const tally of tallies) {
+		const first = `${tally.firstToken.getValueAtPercentile(50)}/${tally.firstToken.getValueAtPercentile(95)}`;
+		console.log(`${tally.tenant.padEnd(10)}${String(tally.answered).padEnd(10)}${String(tally.refused).padEnd(9)}${String(tally.cut).padEnd(5)}${String(tally.wrong).padEnd(7)}${first.padEnd(24)}${tally.betweenTokens.getValueAtPercentile(95)}`);
+	}
+}
+
+async function applyContracts(fleet: Fleet): Promise<void> {
+	for (const tenant of ['cuenca', 'maraval']) {
+		const file = fileURLToPath(new URL(`examples/contracts/${tenant}.yaml`, root));
+		const applied = await fleet.runTool('contract', 'apply', '-f', file, '--wait-seconds', '10');
+		console.log(`contract of ${tenant}: ${applied.output.trim().split('\n').at(-1)}`);
+		if (applied.code !== 0) {
+			throw new Error(applied.output);
+		}
+	}
+}
+
+async function runTraffic(fleet: Fleet): Promise<{tallies: Tally[]; failedDispatches: number; drainCode: number}> {
+	const ordinance = await readFile(new URL('tools/demo/text/ordinance.txt', root), 'utf8');
+	const cuenca = createTally('cuenca');
+	const maraval = createTally('maraval');
+	let failedDispatches = 0;
+	let drainCode = -1;
+	const pickUrl = (index: number) => fleet.instances[index % fleet.instances.length]!.callerUrl;
+	const drain = async () => {
+		await sleep(drainAfterMs);
+		const drained = await fleet.runTool('endpoint', 'drain', 'engine-3', '--wait-seconds', '40');
+		drainCode = drained.code;
+		console.log(`drain of engine-3 while streams run: ${drained.output.trim().split('\n').at(-1)}`);
+	};
+
+	await Promise.all([
+		runEvery(reportEveryMs, async index => {
+			const prompt = `${ordinance}\n\nReport ${index}: there is paint on ${places[index % places.length]!}. Is the wall public or private? Draft a short reply.`;
+			note(cuenca, await tryGeneration({url: pickUrl(index), key: 'cuenca-demo-key', model: 'ordinance', api: 'chat', prompt, maxTokens: 120}));
+		}),
+		runEvery(questionEveryMs, async index => {
+			const prompt = `Question ${index}: ${questions[index % questions.length]!}`;
+			note(maraval, await tryGeneration({url: pickUrl(index), key: 'maraval-demo-key', model: 'drafting', prompt, maxTokens: 60, isStreamed: true}));
+		}),
+		runEvery(dispatchEveryMs, async index => {
+			failedDispatches += await sendDispatch(fleet, index) === 'ok' ? 0 : 1;
+		}),
+		drain(),
+	]);
+	return {tallies: [cuenca, maraval], failedDispatches, drainCode};
+}
+
+async function main(): Promise<number> {
+	const fleet = new Fleet({basePort, zones: ['el-ejido', 'totoracocha', 'el-centro'], engines: 8, services: ['dispatch', 'dispatch', 'dispatch']});
+	try {
+		console.log('starting 3 instances, 8 engines and 3 dispatch servers on loopback …');
+		await fleet.start();
+		await applyContracts(fleet);
+		console.log(`sending reports, questions and dispatches for ${trafficMs / 1000} s …`);
+		const {tallies, failedDispatches, drainCode} = await runTraffic(fleet);
+		const {ran, doubled} = await countDoubled(fleet);
+		printTable(tallies);
+		console.log(`dispatches: ${ran} ran, ${doubled} doubled, ${failedDispatches} pairs without two equal answers`);
+		const broken = tallies.reduce((sum, tally) => sum + tally.cut + tally.wrong, 0);
+		return broken + doubled + failedDispatches === 0 && drainCode === 0 ? 0 : 1;
+	} finally {
+		await fleet.stop();
+	}
+}
+
+process.exitCode = await main();
