feat(faults): fault matrix over real sockets with relays, and advertised peer addresses

Cause: the promises have to be shown under every fault at every step. Change: a fleet in one process with a relay before every peer listener, step points that hold or end a process, and invariants checked from outside against the ledgers of engines and services.

--- a/packages/daemon/kernel/src/kernel.ts
+++ b/packages/daemon/kernel/src/kernel.ts
@@ -51,6 +51,7 @@
 			timing: {...defaultPeerTiming, heartbeatMs: settings.heartbeatMs, silenceMs: settings.silenceMs},
 			keys: settings.peerKeys,
 			member,
+			advertise: settings.peerAdvertise,
 		});
 		const control = new ControlClient({
 			...opts,
--- a/packages/daemon/settings/src/settings-catalogue.ts
+++ b/packages/daemon/settings/src/settings-catalogue.ts
@@ -48,6 +48,9 @@
 	{
 		flag: 'peer-listen', value: 'ADDRESS', description: 'Where other processes reach this one. The agent holds its slot by this address.', defaultValue: '127.0.0.1:7400', check: checkAddress,
 	},
+	{
+		flag: 'peer-advertise', value: 'ADDRESS', description: 'Address given to other processes, where it differs from --peer-listen.', check: checkAddress,
+	},
 	{
 		flag: 'caller-listen', value: 'ADDRESS', description: 'Where callers reach the entry.', defaultValue: '127.0.0.1:7480', check: checkAddress,
 	},
--- a/packages/daemon/settings/src/settings.ts
+++ b/packages/daemon/settings/src/settings.ts
@@ -17,6 +17,7 @@
 	availabilityZone: string;
 	roles: string[];
 	peerListen: string;
+	peerAdvertise?: string;
 	callerListen: string;
 	operatorListen: string;
 	controllers: ControllerAddress[];
@@ -127,6 +128,7 @@
 		availabilityZone: texts.get('availability-zone')!,
 		roles,
 		peerListen: texts.get('peer-listen')!,
+		peerAdvertise: texts.get('peer-advertise'),
 		callerListen: texts.get('caller-listen')!,
 		operatorListen: texts.get('operator-listen')!,
 		controllers: named.length > 0 ? named : self,
--- a/packages/net/peer-link/src/peer-node.ts
+++ b/packages/net/peer-link/src/peer-node.ts
@@ -21,6 +21,7 @@
 const handshakeTimeoutMs = 2000;
 const reconnectBaseMs = 50;
 const reconnectCapMs = 1500;
+const anyHost = '0.0.0.0';
 
 export type PeerNodeOptions = {
 	clock: Clock;
@@ -30,6 +31,8 @@
 	keys: readonly string[];
 	/** How this process presents itself; the address is filled in by `listen`. */
 	member: PeerMember;
+	/** Address given to others, where it differs from the one that is listened on. */
+	advertise?: string;
 };
 
 export type PeerAddress = {
@@ -119,6 +122,7 @@
 	readonly #links = new Set<KeptLink>();
 	#server: Server | undefined;
 	#stopped = false;
+	#localHost: string | undefined;
 
 	constructor(opts: PeerNodeOptions) {
 		this.#opts = opts;
@@ -148,7 +152,10 @@
 			});
 			server.listen({host: address.host, port: address.port, exclusive: true}, () => {
 				const bound = server.address();
-				if (bound && typeof bound === 'object') {
+				this.#localHost = address.host === anyHost ? undefined : address.host;
+				if (this.#opts.advertise !== undefined) {
+					this.member.address = this.#opts.advertise;
+				} else if (bound && typeof bound === 'object') {
 					this.member.address = `${address.host}:${bound.port}`;
 				}
 
@@ -160,7 +167,10 @@
 	/** Opens one connection. */
 	async connect(address: string): Promise<Result<PeerConnection, PeerLinkError>> {
 		const {host, port} = parseAddress(address);
-		const socket = connect({host, port, noDelay: true});
+		// Connections leave from the address that this process listens on, so that both ends name it alike.
+		const socket = connect({
+			host, port, noDelay: true, localAddress: this.#localHost,
+		});
 		const failure = new Promise<Result<PeerConnection, PeerLinkError>>(resolve => {
 			socket.once('error', error => {
 				const refused = 'code' in error && error.code === 'ECONNREFUSED';
--- a/packages/plugins/agent/src/work-desk.ts
+++ b/packages/plugins/agent/src/work-desk.ts
@@ -23,6 +23,9 @@
 const maximumQueueLength = 2000;
 const housekeepingMs = 25;
 const adaptWindowMs = 1000;
+/** Silent periods after which a stream counts as lost although the engine still has the work. */
+const silentPeriodsBeforeFirstPiece = 10;
+const silentPeriodsInStream = 2;
 /** The limit on concurrency never falls under this part of the engine's capacity. */
 const leastSlotsPart = 4;
 const msPerSecond = 1000;
@@ -434,19 +437,15 @@
 	/** Reads the next event; a stream that is silent for too long is probed on another connection. */
 	async #readEvent(stream: AsyncIterator<EngineEvent>, job: Job): Promise<EngineEvent | 'stalled'> {
 		const next = stream.next();
-		for (;;) {
+		const patience = job.firstPieceAt === undefined ? silentPeriodsBeforeFirstPiece : silentPeriodsInStream;
+		for (let period = 1; ; period++) {
 			const result = await waitAtMost(next, this.#opts.context.settings.stallMs, this.#clock);
 			if (result) {
 				return result.done ? {kind: 'failed', error: createCutError()} : result.value;
 			}
 
-			const isSilent = job.firstPieceAt !== undefined || this.#running.size > 0;
-			if (isSilent && await this.#opts.adapter.probe(job.attempt) !== 'running') {
-				return 'stalled';
-			}
-
-			// An engine that still has the work but sends nothing for long has lost the stream.
-			if (job.firstPieceAt !== undefined) {
+			// An engine that has the work but sends nothing for long has lost track of the connection.
+			if (period >= patience || await this.#opts.adapter.probe(job.attempt) !== 'running') {
 				return 'stalled';
 			}
 		}
--- a/stand-ins/src/relay.ts
+++ b/stand-ins/src/relay.ts
@@ -1,22 +1,39 @@
-/** A TCP relay that tests put on a link: it can fall silent in one or both ways, reset connections, or refuse new ones. */
+/**
+ * A TCP relay that tests put before a listener. A rule by the address of the caller decides what passes, so that any pair
+ * of processes can be cut, in one direction or both; open connections can fall silent for good while new ones work; and
+ * bytes can be held or delayed.
+ */
 import {
 	connect, createServer, type AddressInfo, type Server, type Socket,
 } from 'node:net';
+import type {Buffer} from 'node:buffer';
 
-export type RelayMode = 'pass' | 'silent' | 'silent-forward' | 'silent-back';
+/** What happens to bytes of one direction: they pass, they vanish, or they wait until the rule changes. */
+export type Passage = 'pass' | 'drop' | 'hold';
+
+export type RelayRule = {
+	/** From the caller to the listener. */
+	forward: Passage;
+	/** From the listener to the caller. */
+	back: Passage;
+	delayMs: number;
+};
+
+export const openRule: RelayRule = {forward: 'pass', back: 'pass', delayMs: 0};
 
 type Pair = {
+	source: string;
 	near: Socket;
 	far: Socket;
-	/** Mode of this pair; open connections can be silent while new ones work. */
-	mode: RelayMode;
+	isSilenced: boolean;
+	held: Array<() => void>;
 };
 
 export class Relay {
 	readonly #target: {host: string; port: number};
 	readonly #pairs = new Set<Pair>();
+	#findRule: (source: string) => RelayRule = () => openRule;
 	#server: Server | undefined;
-	#mode: RelayMode = 'pass';
 
 	constructor(target: {host: string; port: number}) {
 		this.#target = target;
@@ -26,28 +43,36 @@
 		return (this.#server!.address() as AddressInfo).port;
 	}
 
-	async start(port = 0): Promise<void> {
+	async start(address: {host: string; port: number}): Promise<void> {
 		const server = createServer(near => {
 			this.#accept(near);
 		});
 		this.#server = server;
-		await new Promise<void>(resolve => {
-			server.listen(port, '127.0.0.1', resolve);
+		await new Promise<void>((resolve, reject) => {
+			server.once('error', reject);
+			server.listen(address.port, address.host, resolve);
 		});
 	}
 
-	/** Sets the mode of all connections, open and new. */
-	setMode(mode: RelayMode): void {
-		this.#mode = mode;
+	/** Sets the rule by source address, and lets go of what it no longer holds. */
+	setRule(findRule: (source: string) => RelayRule): void {
+		this.#findRule = findRule;
+		this.release();
+	}
+
+	/** Delivers what was held, as far as the rules now let it pass. */
+	release(): void {
 		for (const pair of this.#pairs) {
-			pair.mode = mode;
+			for (const deliver of pair.held.splice(0)) {
+				deliver();
+			}
 		}
 	}
 
 	/** Silences the open connections for good while new ones work. */
 	silenceOpenConnections(): void {
 		for (const pair of this.#pairs) {
-			pair.mode = 'silent';
+			pair.isSilenced = true;
 		}
 	}
 
@@ -69,31 +94,65 @@
 
 	#accept(near: Socket): void {
 		const far = connect(this.#target);
-		const pair: Pair = {near, far, mode: this.#mode};
+		const pair: Pair = {
+			source: near.remoteAddress ?? '', near, far, isSilenced: false, held: [],
+		};
 		this.#pairs.add(pair);
 		near.on('data', chunk => {
-			if (pair.mode === 'pass' || pair.mode === 'silent-back') {
-				far.write(chunk);
-			}
+			this.#carry(pair, 'forward', chunk);
 		});
 		far.on('data', chunk => {
-			if (pair.mode === 'pass' || pair.mode === 'silent-forward') {
-				near.write(chunk);
-			}
+			this.#carry(pair, 'back', chunk);
 		});
-		const close = (other: Socket) => () => {
-			if (pair.mode === 'pass') {
-				other.destroy();
+		this.#linkEnds(pair, near, far);
+		this.#linkEnds(pair, far, near);
+	}
+
+	#carry(pair: Pair, direction: 'forward' | 'back', chunk: Buffer): void {
+		const rule = this.#findRule(pair.source);
+		if (pair.isSilenced || rule[direction] === 'drop') {
+			return;
+		}
+
+		const deliver = () => {
+			this.#carry(pair, direction, chunk);
+		};
+
+		if (rule[direction] === 'hold' || pair.held.length > 0) {
+			this.#hold(pair, rule[direction] === 'hold', deliver);
+			return;
+		}
+
+		const target = direction === 'forward' ? pair.far : pair.near;
+		if (rule.delayMs > 0) {
+			setTimeout(() => {
+				target.write(chunk);
+			}, rule.delayMs);
+		} else {
+			target.write(chunk);
+		}
+	}
+
+	#hold(pair: Pair, isHeld: boolean, deliver: () => void): void {
+		pair.held.push(deliver);
+		if (!isHeld) {
+			this.release();
+		}
+	}
+
+	/** Passes a close on, unless the rule hides it from the other end. */
+	#linkEnds(pair: Pair, from: Socket, to: Socket): void {
+		from.on('error', () => undefined);
+		from.on('close', () => {
+			const rule = this.#findRule(pair.source);
+			const isSeen = !pair.isSilenced && rule.forward === 'pass' && rule.back === 'pass';
+			if (isSeen) {
+				to.destroy();
 			}
 
-			if (near.destroyed && far.destroyed) {
+			if (from.destroyed && to.destroyed) {
 				this.#pairs.delete(pair);
 			}
-		};
-
-		near.on('close', close(far));
-		far.on('close', close(near));
-		near.on('error', () => undefined);
-		far.on('error', () => undefined);
+		});
 	}
 }
--- /dev/null
+++ b/tools/faults/src/cells.ts
@@ -0,0 +1,46 @@
+/** The cells of the fault matrix: every fault at every step of every operation, and sampled pairs of faults. */
+import {Random} from '@hickorytrack/random';
+import {stepNames, type StepName} from '@hickorytrack/step-points';
+
+export const faultNames = [
+	'kill', 'pause', 'partition', 'partition-in', 'partition-out', 'silent-connections', 'reset', 'late', 'engine-crash', 'operators-race', 'missed-500', 'second-loss',
+] as const;
+export type FaultName = typeof faultNames[number];
+
+export type Cell = {
+	step: StepName;
+	/** One fault, or two at once. */
+	faults: FaultName[];
+};
+
+const processFaults: FaultName[] = ['kill', 'pause', 'partition', 'partition-in', 'partition-out', 'silent-connections', 'reset', 'late'];
+
+function listFaults(step: StepName): FaultName[] {
+	if (step.startsWith('request.') || step.startsWith('change.')) {
+		return [...processFaults, 'engine-crash'];
+	}
+
+	if (step.startsWith('control.')) {
+		return [...processFaults, 'operators-race', 'missed-500'];
+	}
+
+	return step === 'member.added' || step === 'snapshot.installed' ? [...processFaults, 'second-loss'] : processFaults;
+}
+
+/** Lists every single fault, then pairs drawn by the seed. */
+export function listCells(opts: {seed: number; pairs: number}): Cell[] {
+	const cells: Cell[] = stepNames.flatMap(step => listFaults(step).map(fault => ({step, faults: [fault]})));
+	const random = new Random(opts.seed);
+	for (let index = 0; index < opts.pairs; index++) {
+		const step = random.pick(stepNames);
+		const first = random.pick(listFaults(step));
+		const second = random.pick(listFaults(step).filter(fault => fault !== first));
+		cells.push({step, faults: [first, second]});
+	}
+
+	return cells;
+}
+
+export function formatCell(cell: Cell): string {
+	return `${cell.step}/${cell.faults.join('+')}`;
+}
--- /dev/null
+++ b/tools/faults/src/operations.ts
@@ -0,0 +1,130 @@
+/** The operations of a cell, as callers and operators do them, and what they saw. */
+import {randomUUID} from 'node:crypto';
+import {computeKeyDigest} from '@hickorytrack/contract-schema';
+import {OperatorClient} from '@hickorytrack/hickorytrack/operator-client';
+import {tryGeneration, tryService} from '@hickorytrack/stand-ins/load-generator';
+import type {Contract} from '@hickorytrack/types/contract';
+import type {PlannedChange} from '@hickorytrack/types/control';
+import {modelName, serviceName, type FaultFleet} from './fault-fleet.js';
+import type {Observations} from './observations.js';
+
+export const callerKey = 'fault-matrix-caller';
+export const tenantName = 'maraval';
+const settleMs = 20;
+const patienceMs = 12_000;
+
+export const sleep = async (ms: number): Promise<void> => new Promise(resolve => {
+	setTimeout(resolve, ms);
+});
+
+/** Waits until the condition holds; false when it does not in time. */
+export async function waitUntil(condition: () => Promise<boolean> | boolean, timeoutMs = patienceMs): Promise<boolean> {
+	const until = performance.now() + timeoutMs;
+	while (performance.now() < until) {
+		if (await condition()) {
+			return true;
+		}
+
+		await sleep(settleMs);
+	}
+
+	return false;
+}
+
+export function createContract(share: number): Contract {
+	return {
+		tenant: tenantName,
+		apiKeys: [{id: 'caller', sha256: computeKeyDigest(callerKey)}],
+		models: [modelName],
+		services: [{name: serviceName, calls: [{method: 'POST', path: '/sheets', repeatable: false}, {method: 'GET', path: '/sheets', repeatable: true}]}],
+		priority: 1,
+		share,
+		limits: {
+			requestsPerSecond: 1000, burst: 1000, concurrency: 1000, bodyBytes: 100_000, queueMs: 5000,
+		},
+		targets: {firstTokenMs: 460, betweenTokensMs: 79},
+		answerRetentionSeconds: 3600,
+	};
+}
+
+export async function runGeneration(fleet: FaultFleet, seen: Observations, opts: {entry: string; prompt: string; maxTokens: number}): Promise<void> {
+	const record = await tryGeneration({
+		url: fleet.getCallerUrl(opts.entry), key: callerKey, model: modelName, prompt: opts.prompt, maxTokens: opts.maxTokens, signal: AbortSignal.timeout(patienceMs * 2),
+	});
+	seen.generations.push({entry: opts.entry, record});
+}
+
+/** Sends a dispatch that may not be repeated, and sends it again through other entries until there is a final outcome. */
+export async function runDispatch(fleet: FaultFleet, seen: Observations, opts: {entries: readonly string[]; key?: string}): Promise<void> {
+	const key = opts.key ?? randomUUID();
+	for (const entry of opts.entries) {
+		const record = await tryService({
+			url: fleet.getCallerUrl(entry), key: callerKey, service: serviceName, method: 'POST', path: '/sheets', body: JSON.stringify({sheet: key}), idempotencyKey: key,
+		});
+		seen.dispatches.push({key, entry, record});
+	}
+}
+
+type PutReply = {revision: number; value: {version: number}};
+
+/** Writes a contract; a lost answer is followed by a resend under the same change id through another instance. */
+export async function putContract(fleet: FaultFleet, seen: Observations, opts: {share: number; expectedVersion: number; instances: readonly string[]; changeId?: string}): Promise<void> {
+	const changeId = opts.changeId ?? randomUUID();
+	const base = {tenant: tenantName, changeId, share: opts.share, expectedVersion: opts.expectedVersion};
+	for (const instance of opts.instances) {
+		const client = new OperatorClient({server: fleet.getOperatorUrl(instance), timeoutMs: 4000});
+		const result = await client.call<PutReply>('contract.put', {...base, contract: createContract(opts.share)});
+		if (result.isOk()) {
+			seen.writes.push({...base, outcome: 'accepted', version: result.value.value.version, revision: result.value.revision});
+			return;
+		}
+
+		if (result.error.exitCode === 3) {
+			seen.writes.push({...base, outcome: 'refused'});
+			return;
+		}
+
+		await sleep(200);
+	}
+
+	seen.writes.push({...base, outcome: 'unknown'});
+}
+
+export async function startChange(fleet: FaultFleet, seen: Observations, opts: {method: string; params: Record<string, unknown>}): Promise<void> {
+	const changeId = randomUUID();
+	seen.changeIds.push(changeId);
+	for (const instance of fleet.instances) {
+		const client = new OperatorClient({server: fleet.getOperatorUrl(instance.name), timeoutMs: 4000});
+		const result = await client.call(opts.method, {changeId, ...opts.params});
+		if (result.isOk()) {
+			return;
+		}
+
+		seen.notes.push(`change: ${result.error.message}`);
+		await sleep(200);
+	}
+}
+
+/** Asks any instance that answers. */
+export async function askAnyone<T>(fleet: FaultFleet, method: string, params: Record<string, unknown> = {}): Promise<T | undefined> {
+	for (const instance of fleet.instances) {
+		const result = await new OperatorClient({server: fleet.getOperatorUrl(instance.name), timeoutMs: 3000}).call<T>(method, params);
+		if (result.isOk()) {
+			return result.value;
+		}
+	}
+
+	return undefined;
+}
+
+/** Waits until the fleet serves: contract in force, every endpoint announced, every entry ready. */
+export async function waitUntilServing(fleet: FaultFleet): Promise<boolean> {
+	return waitUntil(async () => {
+		const status = await askAnyone<{endpoints: number; revision: number; subscribers: Array<{revision: number}>}>(fleet, 'status.get');
+		return status?.endpoints === 5 && status.subscribers.length === 8 && status.subscribers.every(one => one.revision >= status.revision);
+	});
+}
+
+export async function readChange(fleet: FaultFleet, changeId: string): Promise<PlannedChange | undefined> {
+	return askAnyone<PlannedChange>(fleet, 'change.get', {changeId});
+}
