fix(entry): a refusal before the claim is read no longer says not run

Ruled out: the agent's tombstones and the verdict of attempts, both right for the attempt itself. Change: a call under an Idempotency-Key is refused as may-have-run until its claim has been read; a reading tells none from unknown.

--- a/packages/control/contract-schema/src/contract-schema.ts
+++ b/packages/control/contract-schema/src/contract-schema.ts
@@ -27,7 +27,7 @@
 	}
 }
 
-const name = z.string().regex(/^[\w.\-]{1,64}$/, 'letters, digits, dots, dashes and underscores, 64 at most');
+const name = z.string().regex(/^[\w.-]{1,64}$/, 'letters, digits, dots, dashes and underscores, 64 at most');
 const digest = z.string().regex(/^[\da-f]{64}$/, 'a SHA-256 in lower-case hex');
 
 const schema = z.strictObject({
--- a/packages/control/control-client/src/control-client.ts
+++ b/packages/control/control-client/src/control-client.ts
@@ -15,7 +15,7 @@
 import type {PeerConnection} from '@hickorytrack/peer-link/peer-connection';
 import type {PeerNode} from '@hickorytrack/peer-link/peer-node';
 import {computeBackoff, type Random} from '@hickorytrack/random';
-import type {Claim} from '@hickorytrack/types/claim';
+import type {ClaimReading} from '@hickorytrack/types/claim';
 import type {
 	CommandOutcome, ControlCommand, ControlItem, EndpointRegistration, EpochGrant, ItemPage,
 } from '@hickorytrack/types/control';
@@ -170,10 +170,10 @@
 		return err(new ControlError('ERR_HICKORYTRACK_CONTROL_UNAVAILABLE', 'The controllers did not acknowledge the command in time', {applied}));
 	}
 
-	/** Reads a claim as the controllers hold it now; `undefined` when there is none or nobody can tell. */
-	async readClaim(tenant: string, key: string): Promise<Claim | undefined> {
+	/** Reads a claim as the controllers hold it now. */
+	async readClaim(tenant: string, key: string): Promise<ClaimReading> {
 		const reply = await this.#current?.request('control.read-claim', {tenant, key}, {timeoutMs: commandTimeoutMs});
-		return reply?.isOk() ? reply.value.claim : undefined;
+		return reply?.isOk() ? reply.value : {kind: 'unknown'};
 	}
 
 	/** Announces an endpoint and receives its epoch. */
--- a/packages/control/control-state/test/control-state.test.ts
+++ b/packages/control/control-state/test/control-state.test.ts
@@ -53,7 +53,8 @@
 	it('gives a resend the first answer, also after a snapshot, and refuses another content', () => {
 		const first = putContract('c1', 0);
 		const restored = new ControlState();
-		restored.restoreSnapshot(JSON.parse(JSON.stringify(state.takeSnapshot())));
+		const text = JSON.stringify(state.takeSnapshot());
+		restored.restoreSnapshot(JSON.parse(text));
 		state = restored;
 		expect(putContract('c1', 0)).to.deep.equal(first);
 		expect(putContract('c1', 0, {...createContract('cuenca'), share: 2})).to.include({ok: false, code: 'reused-change-id'});
--- a/packages/coordination/claims/src/claims.ts
+++ b/packages/coordination/claims/src/claims.ts
@@ -68,7 +68,7 @@
 	 */
 	settle(settlement: ClaimSettlement): Claim | undefined {
 		const held = this.read(settlement.tenant, settlement.key);
-		if (!held || held.attempt !== settlement.attempt) {
+		if (held?.attempt !== settlement.attempt) {
 			return held;
 		}
 
--- a/packages/coordination/replicated-log/src/replicated-log.ts
+++ b/packages/coordination/replicated-log/src/replicated-log.ts
@@ -6,6 +6,7 @@
  * A command is acknowledged only when a majority has synced it and the local state machine has applied it. Errors carry
  * `applied`: `no` means that the command has no effect now or later, `unknown` that it may have one.
  */
+import {setMaxListeners} from 'node:events';
 import {Mutex} from 'async-mutex';
 import {err, ok, type Result} from 'neverthrow';
 import {waitAtMost, type Clock} from '@hickorytrack/clock';
@@ -81,6 +82,8 @@
 	#ruleStartedAt = Number.NEGATIVE_INFINITY;
 
 	constructor(opts: ReplicatedLogOptions) {
+		// Every read barrier sleeps on this signal.
+		setMaxListeners(0, this.#ended.signal);
 		this.#opts = opts;
 		this.#timing = {...defaultLogTiming, ...opts.timing};
 		this.#steps = opts.steps ?? noStepPoints;
--- a/packages/coordination/replicated-log/test/test-cluster.ts
+++ b/packages/coordination/replicated-log/test/test-cluster.ts
@@ -118,19 +118,19 @@
 
 	/** Proposes at the member and moves time until there is an outcome. */
 	async settle<T>(work: Promise<T>): Promise<T> {
-		let outcome: {value: T} | undefined;
+		const outcomes: T[] = [];
 		void work.then(value => {
-			outcome = {value};
+			outcomes.push(value);
 		});
-		for (let round = 0; round < 1000 && !outcome; round++) {
-			await this.clock.advance(10);
-		}
+		for (let round = 0; round < 1000; round++) {
+			if (outcomes.length > 0) {
+				return outcomes[0]!;
+			}
 
-		if (!outcome) {
-			throw new Error('no outcome within ten seconds');
+			await this.clock.advance(10);
 		}
 
-		return outcome.value;
+		throw new Error('no outcome within ten seconds');
 	}
 
 	#isLost(from: string, to: string): boolean {
--- a/packages/core/random/src/random.ts
+++ b/packages/core/random/src/random.ts
@@ -13,7 +13,8 @@
 
 	/** Returns a number in [0, 1). */
 	next(): number {
-		return (this.#generator.next() >>> 0) / unsignedRange;
+		const value = this.#generator.next();
+		return (value < 0 ? value + unsignedRange : value) / unsignedRange;
 	}
 
 	/** Returns an integer in [0, bound). */
--- a/packages/core/types/src/claim.ts
+++ b/packages/core/types/src/claim.ts
@@ -41,6 +41,12 @@
 	| {granted: true; claim: Claim}
 	| {granted: false; conflict: boolean; claim: Claim};
 
+/** What a reading of a claim found. `unknown` means that nobody can tell now. */
+export type ClaimReading =
+	| {kind: 'found'; claim: Claim}
+	| {kind: 'none'}
+	| {kind: 'unknown'};
+
 export type ClaimSettlement = {
 	tenant: string;
 	key: string;
--- a/packages/daemon/settings/src/settings-catalogue.ts
+++ b/packages/daemon/settings/src/settings-catalogue.ts
@@ -33,7 +33,7 @@
 
 const checkUrl = (text: string): string | undefined => /^http:\/\/[^/]+$/.test(text) ? undefined : 'a URL such as http://127.0.0.1:8000 is wanted';
 
-const checkName = (text: string): string | undefined => /^[\w.\-]{1,64}$/.test(text) ? undefined : 'letters, digits, dots, dashes and underscores are allowed, 64 at most';
+const checkName = (text: string): string | undefined => /^[\w.-]{1,64}$/.test(text) ? undefined : 'letters, digits, dots, dashes and underscores are allowed, 64 at most';
 
 export const settingsCatalogue: readonly SettingDefinition[] = [
 	{
@@ -94,6 +94,9 @@
 	{
 		flag: 'election-ms', value: 'MS', description: 'Shortest silence of a leader before an election.', defaultValue: '600', check: checkNumber(50, 60_000),
 	},
+	{
+		flag: 'snapshot-records', value: 'NUMBER', description: 'Log records after which a controller takes a snapshot.', defaultValue: '5000', check: checkNumber(10, 1_000_000),
+	},
 	{
 		flag: 'request-timeout-ms', value: 'MS', description: 'Longest time for one request of a caller.', defaultValue: '120000', check: checkNumber(100, 3_600_000),
 	},
--- a/packages/daemon/settings/src/settings.ts
+++ b/packages/daemon/settings/src/settings.ts
@@ -33,6 +33,7 @@
 	heartbeatMs: number;
 	silenceMs: number;
 	electionMs: number;
+	snapshotRecords: number;
 	requestTimeoutMs: number;
 	stallMs: number;
 	stopSeconds: number;
@@ -144,6 +145,7 @@
 		heartbeatMs: number('heartbeat-ms'),
 		silenceMs: number('silence-ms'),
 		electionMs: number('election-ms'),
+		snapshotRecords: number('snapshot-records'),
 		requestTimeoutMs: number('request-timeout-ms'),
 		stallMs: number('stall-ms'),
 		stopSeconds: number('stop-seconds'),
--- a/packages/net/peer-link/src/peer-node.ts
+++ b/packages/net/peer-link/src/peer-node.ts
@@ -2,6 +2,7 @@
  * The peer side of a process: it listens for other processes, connects to them, and keeps links to chosen addresses open
  * with jittered reconnects. All connections share one table of method handlers.
  */
+import type {Buffer} from 'node:buffer';
 import {
 	connect, createServer, type Server, type Socket,
 } from 'node:net';
@@ -207,9 +208,10 @@
 			while (!stopped.signal.aborted && !this.#stopped) {
 				const result = await this.connect(address);
 				if (stopped.signal.aborted) {
-					result.map(connection => {
-						connection.close();
-					});
+					if (result.isOk()) {
+						result.value.close();
+					}
+
 					return;
 				}
 
--- a/packages/plugins/agent/src/work-desk.ts
+++ b/packages/plugins/agent/src/work-desk.ts
@@ -56,6 +56,8 @@
 	#isStopping = false;
 	#sequence = 0;
 	#crashes = 0;
+	/** Taken from the queue, waiting for the engine to be empty. */
+	#isolatedNext: Job | undefined;
 
 	constructor(opts: WorkDeskOptions) {
 		this.#opts = opts;
@@ -245,9 +247,9 @@
 		const isMissing = control.items.read(`contract/${submission.tenant}`) === undefined;
 		if (submission.revision > control.revision && isMissing) {
 			const page = await connection.request('items.fetch', {revision: control.revision});
-			page.map(items => {
-				control.merge(items);
-			});
+			if (page.isOk()) {
+				control.merge(page.value);
+			}
 		}
 	}
 
@@ -363,9 +365,6 @@
 		}
 	}
 
-	/** Taken from the queue, waiting for the engine to be empty. */
-	#isolatedNext: Job | undefined;
-
 	async #run(job: Job): Promise<void> {
 		const {context} = this.#opts;
 		job.phase = 'running';
@@ -509,10 +508,7 @@
 	}
 
 	#endEarly(job: Job, end: AttemptEnd): void {
-		for (const work of this.#queue.takeWhere(queued => queued === job)) {
-			work;
-		}
-
+		this.#queue.takeWhere(queued => queued === job);
 		if (this.#isolatedNext === job) {
 			this.#isolatedNext = undefined;
 		}
--- a/packages/plugins/controller/src/change-runner.ts
+++ b/packages/plugins/controller/src/change-runner.ts
@@ -88,7 +88,8 @@
 		}
 
 		// The message of a replacement keeps the incarnation that is to be replaced.
-		const before = change.message || (this.#core.state.endpoints.get(change.endpoint)?.announcement.incarnation ?? '');
+		const known = this.#core.state.endpoints.get(change.endpoint)?.announcement.incarnation ?? '';
+		const before = change.message.length > 0 ? change.message : known;
 		await this.#move(change, to, change.kind === 'replace' && to !== 'finished' ? before : '');
 	}
 
--- a/packages/plugins/controller/src/controller-core.ts
+++ b/packages/plugins/controller/src/controller-core.ts
@@ -1,4 +1,5 @@
 /** What the parts of the controller share: the replicated log, its state machine, and the way to the leader. */
+import {setMaxListeners} from 'node:events';
 import type {Result} from 'neverthrow';
 import type {ProcessContext} from '@hickorytrack/kernel/plugin';
 import type {ReplicatedLog} from '@hickorytrack/replicated-log';
@@ -28,6 +29,8 @@
 	readonly stopped = new AbortController();
 
 	constructor(opts: ControllerCoreOptions) {
+		// Every change and every subscriber sleeps on this signal.
+		setMaxListeners(0, this.stopped.signal);
 		this.context = opts.context;
 		this.log = opts.log;
 		this.state = opts.state;
--- a/packages/plugins/controller/src/controller.ts
+++ b/packages/plugins/controller/src/controller.ts
@@ -7,13 +7,13 @@
 import {FileLogStorage} from '@hickorytrack/log-storage/file-log-storage';
 import {ReplicatedLog} from '@hickorytrack/replicated-log';
 import type {MemberMessage} from '@hickorytrack/replicated-log/member-messages';
-import type {Claim} from '@hickorytrack/types/claim';
+import type {ClaimReading} from '@hickorytrack/types/claim';
 import type {EndpointRegistration, EpochGrant} from '@hickorytrack/types/control';
 import {ChangeRunner} from './change-runner.js';
 import {ControllerCore} from './controller-core.js';
 import {FleetView} from './fleet-view.js';
 import {PeerMemberTransport} from './member-transport.js';
-import {OperatorApi} from './operator-api.js';
+import {registerOperatorApi} from './operator-api.js';
 import {SubscriberDesk} from './subscriber-desk.js';
 
 const expireMs = 5000;
@@ -54,7 +54,9 @@
 			},
 			clock: context.clock,
 			random: context.random,
-			timing: {electionMinMs: settings.electionMs, electionMaxMs: settings.electionMs * 2, heartbeatMs: Math.max(10, settings.electionMs / 6)},
+			timing: {
+				electionMinMs: settings.electionMs, electionMaxMs: settings.electionMs * 2, heartbeatMs: Math.max(10, settings.electionMs / 6), snapshotRecords: settings.snapshotRecords,
+			},
 			steps: context.steps,
 		});
 		this.#core = new ControllerCore({
@@ -64,7 +66,7 @@
 		this.#fleet = new FleetView(this.#core, this.#desk);
 		this.#changes = new ChangeRunner(this.#core);
 		this.#registerHandlers();
-		new OperatorApi(this.#core, this.#fleet);
+		registerOperatorApi(this.#core, this.#fleet);
 	}
 
 	async start(): Promise<Result<void, HickorytrackError>> {
@@ -119,15 +121,20 @@
 	}
 
 	/** Reads a claim at the leader, behind everything that was acknowledged. */
-	async #readClaim(params: {tenant: string; key: string; forwarded?: boolean}): Promise<{claim?: Claim}> {
+	async #readClaim(params: {tenant: string; key: string; forwarded?: boolean}): Promise<ClaimReading> {
 		if (this.#core.log.isLeader) {
 			const barrier = await this.#core.readBarrier();
-			return barrier.isOk() ? {claim: this.#core.state.claims.read(params.tenant, params.key)} : {};
+			if (barrier.isErr()) {
+				return {kind: 'unknown'};
+			}
+
+			const claim = this.#core.state.claims.read(params.tenant, params.key);
+			return claim ? {kind: 'found', claim} : {kind: 'none'};
 		}
 
 		const connection = params.forwarded ? undefined : this.#core.findLeaderConnection();
 		const reply = await connection?.request('control.read-claim', {...params, forwarded: true});
-		return reply?.isOk() ? reply.value : {};
+		return reply?.isOk() ? reply.value : {kind: 'unknown'};
 	}
 
 	async #registerEndpoint(record: EndpointRegistration): Promise<EpochGrant> {
--- a/packages/plugins/controller/src/operator-api.ts
+++ b/packages/plugins/controller/src/operator-api.ts
@@ -46,13 +46,22 @@
 	ok: false, code, message, hint,
 });
 
-export class OperatorApi {
+/** Adds the methods of the controllers to the operators' interface of this process. */
+export function registerOperatorApi(core: ControllerCore, fleet: FleetView): void {
+	const api = new OperatorApi(core, fleet);
+	api.register();
+}
+
+class OperatorApi {
 	readonly #core: ControllerCore;
 	readonly #fleet: FleetView;
 
 	constructor(core: ControllerCore, fleet: FleetView) {
 		this.#core = core;
 		this.#fleet = fleet;
+	}
+
+	register(): void {
 		this.#addContractMethods();
 		this.#addEndpointMethods();
 		this.#addOtherMethods();
--- a/packages/plugins/entry/src/caller-api.ts
+++ b/packages/plugins/entry/src/caller-api.ts
@@ -124,7 +124,7 @@
 
 	#createCall(request: IncomingMessage, response: ServerResponse): Call {
 		const given = request.headers['x-request-id'];
-		const requestId = typeof given === 'string' && /^[\w.\-]{1,64}$/.test(given) ? given : randomUUID();
+		const requestId = typeof given === 'string' && /^[\w.-]{1,64}$/.test(given) ? given : randomUUID();
 		const gone = new AbortController();
 		response.on('close', () => {
 			if (!response.writableFinished) {
@@ -148,7 +148,7 @@
 
 		const tenant = this.#opts.tenants.find(key);
 		if (!this.#opts.isReady()) {
-			this.#refuse(call, 'not-ready', {retryAfterMs: overloadRetryMs});
+			this.#refuse(call, 'not-ready', {retryAfterMs: overloadRetryMs, run: decideEarlyRun(call)});
 			return;
 		}
 
@@ -159,7 +159,7 @@
 
 		const waitMs = tenant.takeRate();
 		if (waitMs > 0 || tenant.isAtConcurrencyLimit) {
-			this.#refuse(call, waitMs > 0 ? 'rate-limited' : 'concurrency-limited', {retryAfterMs: waitMs || overloadRetryMs});
+			this.#refuse(call, waitMs > 0 ? 'rate-limited' : 'concurrency-limited', {retryAfterMs: waitMs || overloadRetryMs, run: decideEarlyRun(call)});
 			return;
 		}
 
@@ -397,6 +397,14 @@
 	}
 }
 
+/**
+ * A call under an idempotency key may be a resend of one that ran; before its claim is read nobody can say that it did
+ * not.
+ */
+function decideEarlyRun(call: Call): RunState {
+	return call.request.headers['idempotency-key'] === undefined ? 'not-run' : 'may-have-run';
+}
+
 /** Finds the rule with the longest path that covers a call. */
 function findRule(tenant: Tenant, call: {name: string; method: string; path: string}): ServiceCallRule | undefined {
 	const service = tenant.contract.services.find(candidate => candidate.name === call.name);
--- a/packages/plugins/entry/src/service-call.ts
+++ b/packages/plugins/entry/src/service-call.ts
@@ -5,7 +5,9 @@
  */
 import {createHash} from 'node:crypto';
 import type {Clock} from '@hickorytrack/clock';
-import type {Claim, ClaimReply, ClaimSettlement} from '@hickorytrack/types/claim';
+import type {
+	Claim, ClaimReading, ClaimReply, ClaimSettlement,
+} from '@hickorytrack/types/claim';
 import type {ServiceAnswer, ServiceWork} from '@hickorytrack/types/work';
 import type {EndpointHandle} from './endpoint-directory.js';
 import type {GenerationServices} from './generation-call.js';
@@ -58,11 +60,14 @@
 	readonly #bodyDigest: string;
 	readonly #tried = new Set<string>();
 	readonly #traces: AttemptTrace[] = [];
+	/** Whether it is known what became of earlier sendings of this call. */
+	#isHistoryKnown: boolean;
 
 	constructor(services: GenerationServices, request: ServiceRequest, signal: AbortSignal) {
 		this.#services = services;
 		this.#request = request;
 		this.#signal = signal;
+		this.#isHistoryKnown = request.repeatable;
 		this.#clock = services.context.clock;
 		this.#deadline = this.#clock.monotonic() + services.context.settings.requestTimeoutMs;
 		this.#bodyDigest = createHash('sha256').update(JSON.stringify([request.service, request.method, request.path, request.body])).digest('hex');
@@ -113,6 +118,7 @@
 				return this.#refuse('not-ready', {retryAfterMs, detail: 'The claim was not acknowledged by the controllers'});
 			}
 
+			this.#isHistoryKnown = true;
 			if (!reply.granted) {
 				const result = await this.#joinClaim(reply);
 				if (result) {
@@ -224,7 +230,8 @@
 
 			await this.#resolveClaim(claim, this.#clock.monotonic() - joinedAt);
 			await this.#clock.sleep(claimPollMs, this.#signal);
-			claim = await this.#readClaim() ?? claim;
+			const reading = await this.#readClaim();
+			claim = reading.kind === 'found' ? reading.claim : claim;
 		}
 
 		return this.#signal.aborted ? {kind: 'caller-gone'} : this.#refuse('still-running', {run: 'may-have-run', retryAfterMs});
@@ -232,16 +239,21 @@
 
 	/** Answers from the record of a claim when no endpoint is there to run anything. */
 	async #findOutcome(): Promise<ServiceResult | undefined> {
-		const claim = await this.#readClaim();
-		if (claim && claim.bodyDigest !== this.#bodyDigest) {
+		const reading = await this.#readClaim();
+		this.#isHistoryKnown ||= reading.kind !== 'unknown';
+		if (reading.kind !== 'found') {
+			return undefined;
+		}
+
+		if (reading.claim.bodyDigest !== this.#bodyDigest) {
 			return this.#refuse('idempotency-key-reused');
 		}
 
-		if (claim?.state === 'open') {
+		if (reading.claim.state === 'open') {
 			return this.#refuse('still-running', {run: 'may-have-run', retryAfterMs});
 		}
 
-		return claim && this.#convertClaim(claim);
+		return this.#convertClaim(reading.claim);
 	}
 
 	#convertClaim(claim: Claim): ServiceResult | undefined {
@@ -272,7 +284,7 @@
 		}
 	}
 
-	async #readClaim(): Promise<Claim | undefined> {
+	async #readClaim(): Promise<ClaimReading> {
 		return this.#services.control.readClaim(this.#request.tenant.contract.tenant, this.#request.key!);
 	}
 
@@ -326,6 +338,7 @@
 	}
 
 	#refuse(code: ProblemCode, opts: {run?: 'not-run' | 'may-have-run' | 'ran'; retryAfterMs?: number; detail?: string} = {}): ServiceResult {
-		return {kind: 'refused', problem: createProblem(code, {requestId: this.#request.requestId, run: decideRun(this.#traces), ...opts})};
+		const run = this.#isHistoryKnown ? decideRun(this.#traces) : 'may-have-run';
+		return {kind: 'refused', problem: createProblem(code, {requestId: this.#request.requestId, run, ...opts})};
 	}
 }
--- a/packages/serving/answer-stream/src/answer-tail.ts
+++ b/packages/serving/answer-stream/src/answer-tail.ts
@@ -56,10 +56,13 @@
 	async waitForRoom(signal: AbortSignal): Promise<void> {
 		while (this.#texts.length >= maximumUnconfirmedPieces && !signal.aborted && this.#end === undefined) {
 			await new Promise<void>(resolve => {
-				this.#wakeWriter = resolve;
-				signal.addEventListener('abort', () => {
+				const finish = () => {
+					signal.removeEventListener('abort', finish);
 					resolve();
-				}, {once: true});
+				};
+
+				this.#wakeWriter = finish;
+				signal.addEventListener('abort', finish, {once: true});
 			});
 		}
 	}
--- a/stand-ins/src/fleet.ts
+++ b/stand-ins/src/fleet.ts
@@ -122,10 +122,25 @@
 		const callerPort = this.#takePort();
 		const operatorPort = this.#takePort();
 		const child = await this.#spawn([
-			daemonPath, '--instance', name, '--availability-zone', opts.zone, '--peer-listen', `127.0.0.1:${opts.peerPort}`,
-			'--caller-listen', `127.0.0.1:${callerPort}`, '--operator-listen', `127.0.0.1:${operatorPort}`, '--log-level', 'info', ...opts.flags, ...this.#opts.daemonFlags ?? [],
+			daemonPath,
+			'--instance',
+			name,
+			'--availability-zone',
+			opts.zone,
+			'--peer-listen',
+			`127.0.0.1:${opts.peerPort}`,
+			'--caller-listen',
+			`127.0.0.1:${callerPort}`,
+			'--operator-listen',
+			`127.0.0.1:${operatorPort}`,
+			'--log-level',
+			'info',
+			...opts.flags,
+			...this.#opts.daemonFlags ?? [],
 		], name);
-		return {name, child, callerUrl: `http://127.0.0.1:${callerPort}`, operatorUrl: `http://127.0.0.1:${operatorPort}`, engineUrl: ''};
+		return {
+			name, child, callerUrl: `http://127.0.0.1:${callerPort}`, operatorUrl: `http://127.0.0.1:${operatorPort}`, engineUrl: '',
+		};
 	}
 
 	async #spawn(args: string[], name: string): Promise<ChildProcess> {
--- a/tools/demo/src/demo.ts
+++ b/tools/demo/src/demo.ts
@@ -124,11 +124,15 @@
 	await Promise.all([
 		runEvery(reportEveryMs, async index => {
 			const prompt = `${ordinance}\n\nReport ${index}: there is paint on ${places[index % places.length]!}. Is the wall public or private? Draft a short reply.`;
-			note(cuenca, await tryGeneration({url: pickUrl(index), key: 'cuenca-demo-key', model: 'ordinance', api: 'chat', prompt, maxTokens: 120}));
+			note(cuenca, await tryGeneration({
+				url: pickUrl(index), key: 'cuenca-demo-key', model: 'ordinance', api: 'chat', prompt, maxTokens: 120,
+			}));
 		}),
 		runEvery(questionEveryMs, async index => {
 			const prompt = `Question ${index}: ${questions[index % questions.length]!}`;
-			note(maraval, await tryGeneration({url: pickUrl(index), key: 'maraval-demo-key', model: 'drafting', prompt, maxTokens: 60, isStreamed: true}));
+			note(maraval, await tryGeneration({
+				url: pickUrl(index), key: 'maraval-demo-key', model: 'drafting', prompt, maxTokens: 60, isStreamed: true,
+			}));
 		}),
 		runEvery(dispatchEveryMs, async index => {
 			failedDispatches += await sendDispatch(fleet, index) === 'ok' ? 0 : 1;
@@ -139,7 +143,9 @@
 }
 
 async function main(): Promise<number> {
-	const fleet = new Fleet({basePort, zones: ['el-ejido', 'totoracocha', 'el-centro'], engines: 8, services: ['dispatch', 'dispatch', 'dispatch']});
+	const fleet = new Fleet({
+		basePort, zones: ['el-ejido', 'totoracocha', 'el-centro'], engines: 8, services: ['dispatch', 'dispatch', 'dispatch'],
+	});
 	try {
 		console.log('starting 3 instances, 8 engines and 3 dispatch servers on loopback …');
 		await fleet.start();
--- a/tools/faults/src/cell-runner.ts
+++ b/tools/faults/src/cell-runner.ts
@@ -38,7 +38,8 @@
 	try {
 		await fleet.start();
 		await waitUntil(() => fleet.findLeader() !== undefined);
-		await putContract(fleet, seen, {share: 1, expectedVersion: 0, instances: ['instance-1', 'instance-2', 'instance-3']});
+		const names = fleet.instances.map(instance => instance.name);
+		await putContract(fleet, seen, {share: 1, expectedVersion: 0, instances: [...names, ...names, ...names, ...names]});
 		const isServing = await waitUntilServing(fleet);
 		if (!isServing || seen.writes[0]?.outcome !== 'accepted') {
 			return finish('failed', [`the fleet did not start: ${JSON.stringify(seen.writes)}`]);
@@ -47,7 +48,7 @@
 		opts.sabotage?.(fleet);
 		const isReached = await runWithFault(fleet, seen, cell);
 		const faults = await collectFaults(fleet, seen, opts.checks ?? invariants);
-		return finish(faults.length > 0 ? 'failed' : (isReached ? 'passed' : 'not-reached'), faults); // eslint-disable-line no-nested-ternary
+		return finish(faults.length > 0 ? 'failed' : (isReached ? 'passed' : 'not-reached'), faults);
 	} catch (error) {
 		return finish('failed', [`the cell broke: ${error instanceof Error ? error.stack ?? error.message : String(error)}`]);
 	} finally {
@@ -230,25 +231,39 @@
 async function applyWiderFault(fleet: FaultFleet, seen: Observations, opts: {fault: FaultName; owner: string}): Promise<void> {
 	const {fault, owner} = opts;
 	const names = fleet.instances.map(instance => instance.name);
-	if (fault === 'engine-crash') {
-		const engine = owner.startsWith('engine') ? owner : 'engine-1';
-		seen.crashedEngines.add(engine);
-		fleet.engines.get(engine)!.crash();
-	} else if (fault === 'operators-race') {
-		await Promise.all([5, 6, 7, 8].map(async share => putContract(fleet, seen, {share, expectedVersion: 2, instances: names})));
-	} else if (fault === 'missed-500') {
-		await fleet.kill('engine-3');
-		for (let index = 0; index < missedChanges; index++) {
-			await putSetting(fleet, index);
+	switch (fault) {
+		case 'engine-crash': {
+			const engine = owner.startsWith('engine') ? owner : 'engine-1';
+			seen.crashedEngines.add(engine);
+			fleet.engines.get(engine)!.crash();
+
+			break;
 		}
 
-		await fleet.startProcess('engine-3');
-	} else {
-		const other = names.find(name => name !== owner && name !== fleet.findLeader()) ?? names[0]!;
-		seen.disturbedEntries.add(other);
-		await fleet.kill(other);
-		await sleep(leaseMs / 2);
-		await fleet.startProcess(other);
+		case 'operators-race': {
+			await Promise.all([5, 6, 7, 8].map(async share => putContract(fleet, seen, {share, expectedVersion: 2, instances: names})));
+
+			break;
+		}
+
+		case 'missed-500': {
+			await fleet.kill('engine-3');
+			for (let index = 0; index < missedChanges; index++) {
+				await putSetting(fleet, index);
+			}
+
+			await fleet.startProcess('engine-3');
+
+			break;
+		}
+
+		default: {
+			const other = names.find(name => name !== owner && name !== fleet.findLeader()) ?? names[0]!;
+			seen.disturbedEntries.add(other);
+			await fleet.kill(other);
+			await sleep(leaseMs / 2);
+			await fleet.startProcess(other);
+		}
 	}
 }
 
--- a/tools/faults/src/fault-fleet.ts
+++ b/tools/faults/src/fault-fleet.ts
@@ -200,7 +200,9 @@
 		await this.listener(opts.step, opts.owner);
 		if (one.kernel !== opts.kernel()) {
 			// A killed process does nothing more.
-			await new Promise(() => undefined);
+			await new Promise(() => {
+				// It never resolves.
+			});
 		}
 
 		await one.clock.gate;
@@ -259,6 +261,7 @@
 			heartbeatMs: 80,
 			silenceMs: 350,
 			electionMs: 250,
+			snapshotRecords: 12,
 			requestTimeoutMs: 15_000,
 			stallMs: 600,
 			stopSeconds: 5,
--- a/tools/faults/src/invariants.ts
+++ b/tools/faults/src/invariants.ts
@@ -2,17 +2,18 @@
 import type {ModelEngine, LedgerOrder} from '@hickorytrack/stand-ins/model-engine';
 import type {Contract} from '@hickorytrack/types/contract';
 import type {FaultFleet} from './fault-fleet.js';
-import type {Observations} from './observations.js';
+import {type Observations, createObservations} from './observations.js';
 import {
 	askAnyone, readChange, runGeneration, tenantName, waitUntil,
 } from './operations.js';
-import {createObservations} from './observations.js';
 
 export type Invariant = {
 	name: string;
 	check: (fleet: FaultFleet, seen: Observations) => Promise<string[]> | string[];
 };
 
+type VersionView = {version: number; changeId: string; contract: Contract};
+
 const recoveryMs = 15_000;
 
 function compareTokens(a: LedgerOrder['fence'], b: LedgerOrder['fence']): number {
@@ -96,9 +97,18 @@
 		async check(fleet, seen) {
 			const faults = [...fleet.reversions];
 			const accepted = seen.writes.filter(write => write.outcome === 'accepted');
-			const history = await askAnyone<{versions: Array<{version: number; changeId: string; contract: Contract}>}>(fleet, 'contract.history', {tenant: tenantName});
+			let versions: VersionView[] | undefined;
+			await waitUntil(async () => {
+				const history = await askAnyone<{versions: VersionView[]}>(fleet, 'contract.history', {tenant: tenantName});
+				versions = history?.versions;
+				return versions !== undefined;
+			}, recoveryMs);
+			if (!versions) {
+				return [...faults, 'the history of the contract can\'t be read'];
+			}
+
 			for (const write of accepted) {
-				const found = history?.versions.find(one => one.changeId === write.changeId);
+				const found = versions.find(one => one.changeId === write.changeId);
 				if (found?.version !== write.version || found?.contract.share !== write.share) {
 					faults.push(`the acknowledged change to share ${write.share} is not in the history`);
 				}
--- a/tools/faults/src/operations.ts
+++ b/tools/faults/src/operations.ts
@@ -70,12 +70,16 @@
 /** Writes a contract; a lost answer is followed by a resend under the same change id through another instance. */
 export async function putContract(fleet: FaultFleet, seen: Observations, opts: {share: number; expectedVersion: number; instances: readonly string[]; changeId?: string}): Promise<void> {
 	const changeId = opts.changeId ?? randomUUID();
-	const base = {tenant: tenantName, changeId, share: opts.share, expectedVersion: opts.expectedVersion};
+	const base = {
+		tenant: tenantName, changeId, share: opts.share, expectedVersion: opts.expectedVersion,
+	};
 	for (const instance of opts.instances) {
 		const client = new OperatorClient({server: fleet.getOperatorUrl(instance), timeoutMs: 4000});
 		const result = await client.call<PutReply>('contract.put', {...base, contract: createContract(opts.share)});
 		if (result.isOk()) {
-			seen.writes.push({...base, outcome: 'accepted', version: result.value.value.version, revision: result.value.revision});
+			seen.writes.push({
+				...base, outcome: 'accepted', version: result.value.value.version, revision: result.value.revision,
+			});
 			return;
 		}
 
