--- a/packages/coordination/fair-queue/src/fair-queue.ts
+++ b/packages/coordination/fair-queue/src/fair-queue.ts
@@ -33,10 +33,15 @@
 class PriorityClass<T> {
 	readonly lines = new Map<string, TenantLine<T>>();
 	virtualTime = 0;
+	readonly burstMs: number;
+
+	constructor(burstMs: number) {
+		this.burstMs = burstMs;
+	}
 
 	push(entry: Entry<T>): void {
 		const line = this.#openLine(entry.tenant, entry.share);
-		entry.start = Math.max(this.virtualTime, line.finish);
+		entry.start = Math.max(this.virtualTime - (this.burstMs / entry.share), line.finish);
 		line.finish = entry.start + (entry.costMs / entry.share);
 		line.entries.push(entry);
 	}
@@ -72,10 +77,31 @@
 		}
 	}
 
+	/** Returns the start tag that new work of the tenant would get. */
+	findStart(tenant: string, share: number): number {
+		return Math.max(this.virtualTime - (this.burstMs / share), this.lines.get(tenant)?.finish ?? Number.NEGATIVE_INFINITY);
+	}
+
+	/** Sums up the cost of the entries whose turn comes before a start tag. */
+	sumCostBefore(start: number): number {
+		let sum = 0;
+		for (const line of this.lines.values()) {
+			for (const entry of line.entries) {
+				if (entry.start > start) {
+					break;
+				}
+
+				sum += entry.costMs;
+			}
+		}
+
+		return sum;
+	}
+
 	#openLine(tenant: string, share: number): TenantLine<T> {
 		let line = this.lines.get(tenant);
 		if (!line) {
-			line = {finish: 0, share, entries: []};
+			line = {finish: Number.NEGATIVE_INFINITY, share, entries: []};
 			this.lines.set(tenant, line);
 		}
 
@@ -86,7 +112,7 @@
 	/** An idle line whose finish tag lies in the past holds no information. */
 	#forgetIdleLines(): void {
 		for (const [tenant, line] of this.lines) {
-			if (line.entries.length === 0 && line.finish <= this.virtualTime) {
+			if (line.entries.length === 0 && line.finish <= this.virtualTime - (this.burstMs / line.share)) {
 				this.lines.delete(tenant);
 			}
 		}
@@ -97,11 +123,17 @@
 	clock: Clock;
 	/** Entries that may wait at once, over all tenants. */
 	maximumLength: number;
+	/**
+	 * Engine time in milliseconds by which a tenant that used less than its share may go ahead of the others. Without it a
+	 * tenant just under its share waits as long as if it had the engine to its share alone.
+	 */
+	burstMs?: number;
 };
 
 export class FairQueue<T> {
 	readonly #clock: Clock;
 	readonly #maximumLength: number;
+	readonly #burstMs: number;
 	readonly #classes = new Map<number, PriorityClass<T>>();
 	#length = 0;
 	#costMs = 0;
@@ -109,6 +141,7 @@
 	constructor(opts: FairQueueOptions) {
 		this.#clock = opts.clock;
 		this.#maximumLength = opts.maximumLength;
+		this.#burstMs = opts.burstMs ?? 0;
 	}
 
 	get length(): number {
@@ -161,6 +194,20 @@
 		return undefined;
 	}
 
+	/** Returns the engine time, in milliseconds, of the work that would go before new work of this tenant. */
+	estimateCostAhead(work: Pick<QueuedWork<T>, 'tenant' | 'priority' | 'share'>): number {
+		let ahead = 0;
+		for (const [priority, priorityClass] of this.#classes) {
+			if (priority < work.priority) {
+				ahead += priorityClass.sumCostBefore(Number.POSITIVE_INFINITY);
+			} else if (priority === work.priority) {
+				ahead += priorityClass.sumCostBefore(priorityClass.findStart(work.tenant, work.share));
+			}
+		}
+
+		return ahead;
+	}
+
 	/** Removes and returns all work that has waited longer than its bound. */
 	takeExpired(): Array<QueuedWork<T>> {
 		const now = this.#clock.monotonic();
@@ -180,7 +227,7 @@
 	#openClass(priority: number): PriorityClass<T> {
 		let priorityClass = this.#classes.get(priority);
 		if (!priorityClass) {
-			priorityClass = new PriorityClass();
+			priorityClass = new PriorityClass(this.#burstMs);
 			this.#classes.set(priority, priorityClass);
 		}
 
--- a/packages/coordination/fair-queue/test/fair-queue.test.ts
+++ b/packages/coordination/fair-queue/test/fair-queue.test.ts
@@ -55,6 +55,32 @@
 		expect(first.filter(tenant => tenant === 'late').length).to.be.within(4, 6);
 	});
 
+	it('tells a tenant what goes before it, not what a flood has queued behind it', () => {
+		for (let index = 0; index < 50; index++) {
+			queue.push(createWork('flood'));
+		}
+
+		expect(queue.estimateCostAhead({tenant: 'flood', priority: 1, share: 1})).to.equal(500);
+		expect(queue.estimateCostAhead({tenant: 'small', priority: 1, share: 1})).to.equal(10);
+		expect(queue.estimateCostAhead({tenant: 'urgent', priority: 0, share: 1})).to.equal(0);
+	});
+
+	it('lets a tenant under its share go ahead by its burst, and by no more', () => {
+		queue = new FairQueue({clock, maximumLength: 100, burstMs: 50});
+		for (let index = 0; index < 30; index++) {
+			queue.push(createWork('flood'));
+		}
+
+		popAll(20);
+		for (let index = 0; index < 20; index++) {
+			queue.push(createWork('late'));
+		}
+
+		const first = popAll(16);
+		expect(first.slice(0, 5)).to.deep.equal(['late', 'late', 'late', 'late', 'late']);
+		expect(first.filter(tenant => tenant === 'flood').length).to.be.within(4, 6);
+	});
+
 	it('serves a lower priority number first', () => {
 		queue.push(createWork('later', {priority: 2}));
 		queue.push(createWork('first', {priority: 0}));
--- a/packages/coordination/replicated-log/src/elector.ts
+++ b/packages/coordination/replicated-log/src/elector.ts
@@ -107,7 +107,7 @@
 
 	async #askForVote(member: MemberInfo, message: MemberMessage & {kind: 'pre-vote' | 'vote'}): Promise<boolean> {
 		try {
-			const reply = await this.#opts.transport.call(member, message, this.#opts.timing.electionMinMs);
+			const reply = await this.#opts.transport.call(member, message, this.#opts.timing.electionMaxMs);
 			if (reply.term > this.#state.term && message.kind === 'vote') {
 				await this.#state.adoptTerm(reply.term);
 			}
--- a/packages/coordination/replicated-log/src/replicated-log.ts
+++ b/packages/coordination/replicated-log/src/replicated-log.ts
@@ -265,6 +265,10 @@
 				};
 			}
 
+			case 'heartbeat': {
+				return this.#noteHeartbeat(message);
+			}
+
 			case 'vote': {
 				return this.#inOrder.runExclusive(async () => ({
 					kind: 'vote', folder: state.folder, granted: await this.#vote(message), term: state.term,
@@ -281,6 +285,19 @@
 		}
 	}
 
+	/** Answers without waiting for the disk or for other messages; an unknown term is left to the next append. */
+	#noteHeartbeat(message: MemberMessage & {kind: 'heartbeat'}): MemberReply {
+		const state = this.#state!;
+		const accepted = message.term === state.term && state.role === 'follower' && (state.leader ?? message.from) === message.from;
+		if (accepted) {
+			state.noteLeader(message.from, message.quorumAgeMs);
+		}
+
+		return {
+			kind: 'heartbeat', folder: state.folder, term: state.term, accepted,
+		};
+	}
+
 	#wouldVote(message: MemberMessage & {kind: 'pre-vote' | 'vote'}): boolean {
 		const state = this.#state!;
 		const hearsLeader = this.#checkRule() || this.#opts.clock.monotonic() - state.lastHeardAt < this.#timing.electionMinMs;
--- a/packages/coordination/replicated-log/src/replicator.ts
+++ b/packages/coordination/replicated-log/src/replicator.ts
@@ -63,6 +63,7 @@
 			};
 			this.#progress.set(member.id, progress);
 			void this.#replicate(progress);
+			void this.#beat(progress);
 		}
 
 		for (const id of this.#progress.keys()) {
@@ -148,6 +149,38 @@
 		}
 	}
 
+	/** Sends heartbeats at their interval, whether the ones before were answered or not. */
+	async #beat(progress: Progress): Promise<void> {
+		while (this.#isWanted(progress)) {
+			void this.#sendHeartbeat(progress);
+			await this.#opts.clock.sleep(this.#opts.timing.heartbeatMs, this.#stopped.signal);
+		}
+	}
+
+	async #sendHeartbeat(progress: Progress): Promise<void> {
+		const sentAt = this.#opts.clock.monotonic();
+		const reply = await this.#call(progress, {
+			kind: 'heartbeat', from: this.#state.id, term: this.#term, quorumAgeMs: this.computeQuorumAge(),
+		});
+		if (!reply || !this.#isWanted(progress)) {
+			return;
+		}
+
+		if (reply.term > this.#term) {
+			this.#opts.onHigherTerm(reply.term);
+		} else if (reply.kind === 'heartbeat' && reply.accepted) {
+			this.#noteFolder(progress, reply.folder);
+			progress.confirmedAt = Math.max(progress.confirmedAt, sentAt);
+		}
+	}
+
+	#noteFolder(progress: Progress, folder: string): void {
+		if (progress.folder !== folder) {
+			progress.folder = folder;
+			progress.matchIndex = 0;
+		}
+	}
+
 	#isWanted(progress: Progress): boolean {
 		return !this.#stopped.signal.aborted && !this.#state.stopped && this.#state.role === 'leader' && this.#state.term === this.#term
 			&& this.#progress.get(progress.member.id) === progress;
@@ -190,12 +223,8 @@
 			return;
 		}
 
-		if (progress.folder !== reply.folder) {
-			progress.folder = reply.folder;
-			progress.matchIndex = 0;
-		}
-
-		progress.confirmedAt = sentAt;
+		this.#noteFolder(progress, reply.folder);
+		progress.confirmedAt = Math.max(progress.confirmedAt, sentAt);
 		if (reply.accepted) {
 			const covered = message.kind === 'append' ? message.previousIndex + message.records.length : progress.nextIndex;
 			progress.matchIndex = Math.max(progress.matchIndex, message.kind === 'append' ? Math.min(reply.durableIndex, covered) : reply.durableIndex);
--- /dev/null
+++ b/packages/coordination/role-planner/src/price-planner.ts
@@ -0,0 +1,118 @@
+/**
+ * The planner in use. A change of a role is ordered only when the goodput it gains over a horizon is worth more than its
+ * price: the engine seconds it removes, times the deployment's weight on changes. The horizon is the time that the
+ * present mix has lasted, since a mix that has just changed may change back; from this follow dwell and hysteresis
+ * without settings of their own. The gain is counted at the pessimistic end of the forecast.
+ */
+import type {EngineRole} from '@hickorytrack/types/endpoint';
+import {
+	defaultRoleSpeeds, estimateServedFraction, type RoleCounts, type RoleSpeeds,
+} from './capacity-estimate.js';
+import type {ClassDemand} from './demand-model.js';
+import type {
+	ConsideredChange, PlannedEndpoint, PlannerInput, RoleDecision, RolePlanner,
+} from './role-planner.js';
+
+const msPerSecond = 1000;
+/** Shift of the prefill share of the whole demand that counts as another mix. */
+const mixShift = 0.12;
+const shortestHorizonSeconds = 5;
+const longestHorizonSeconds = 3600;
+const targetRoles: EngineRole[] = ['mixed', 'prefill', 'decode'];
+
+export function countRoles(endpoints: readonly PlannedEndpoint[]): RoleCounts {
+	const counts: RoleCounts = {mixed: 0, prefill: 0, decode: 0};
+	for (const endpoint of endpoints) {
+		counts[endpoint.role]++;
+	}
+
+	return counts;
+}
+
+export function sumDemand(demand: readonly ClassDemand[]): {prefill: number; decode: number} {
+	return {
+		prefill: demand.reduce((sum, one) => sum + one.prefill, 0),
+		decode: demand.reduce((sum, one) => sum + one.decode, 0),
+	};
+}
+
+export class PricePlanner implements RolePlanner {
+	readonly name = 'price';
+	readonly #speeds: RoleSpeeds;
+	#mixShare: number | undefined;
+	#mixSince = 0;
+
+	constructor(speeds: RoleSpeeds = defaultRoleSpeeds) {
+		this.#speeds = speeds;
+	}
+
+	plan(input: PlannerInput): RoleDecision {
+		const horizonSeconds = this.#trackMix(input);
+		const servedNow = estimateServedFraction(countRoles(input.endpoints), input.demand, this.#speeds);
+		if (input.endpoints.some(endpoint => endpoint.isBusy)) {
+			return {servedNow, considered: [], reason: 'a change is under way'};
+		}
+
+		const considered = this.#consider(input, {servedNow, horizonSeconds});
+		const best = considered.filter(one => one.gain > one.price).sort((a, b) => (b.gain - b.price) - (a.gain - a.price))[0];
+		if (!best) {
+			return {servedNow, considered, reason: servedNow >= 1 ? 'the present roles serve the whole demand' : 'no change is worth its price'};
+		}
+
+		return {
+			change: {endpoint: best.endpoint, role: best.to}, servedNow, considered, reason: `gains ${best.gain.toFixed(1)} engine seconds for ${best.price.toFixed(1)}`,
+		};
+	}
+
+	/** Returns how long the present mix has lasted, in seconds. */
+	#trackMix(input: PlannerInput): number {
+		const {prefill, decode} = sumDemand(input.demand);
+		const share = prefill / Math.max(Number.EPSILON, prefill + decode);
+		if (this.#mixShare === undefined || Math.abs(share - this.#mixShare) > mixShift) {
+			this.#mixShare = share;
+			this.#mixSince = input.at;
+		}
+
+		const lasted = (input.at - this.#mixSince) / msPerSecond;
+		return Math.min(longestHorizonSeconds, Math.max(shortestHorizonSeconds, lasted));
+	}
+
+	#consider(input: PlannerInput, opts: {servedNow: number; horizonSeconds: number}): ConsideredChange[] {
+		const {prefill, decode} = sumDemand(input.demand);
+		const uncertainty = input.demand.reduce((sum, one) => sum + one.uncertainty, 0);
+		// What is certain to be missing: the demand less its scatter.
+		const certainDemand = Math.max(0, prefill + decode - uncertainty);
+		const considered: ConsideredChange[] = [];
+		for (const {endpoint, from, to} of listCandidates(input.endpoints)) {
+			const after = input.endpoints.map(one => (one.endpoint === endpoint ? {...one, role: to} : one));
+			const servedAfter = estimateServedFraction(countRoles(after), input.demand, this.#speeds);
+			const gainedFraction = Math.min(1, servedAfter) - Math.min(1, opts.servedNow);
+			const gain = gainedFraction * certainDemand * Math.max(0, opts.horizonSeconds - input.changeSeconds);
+			considered.push({
+				endpoint, from, to, gain, price: this.#computePrice(input, endpoint, opts.servedNow),
+			});
+		}
+
+		return considered;
+	}
+
+	/** The goodput lost while the engine is away, and the weight on top of the engine seconds themselves. */
+	#computePrice(input: PlannerInput, endpoint: string, servedNow: number): number {
+		const {prefill, decode} = sumDemand(input.demand);
+		const without = estimateServedFraction(countRoles(input.endpoints.filter(one => one.endpoint !== endpoint)), input.demand, this.#speeds);
+		const lost = (Math.min(1, servedNow) - Math.min(1, without)) * (prefill + decode) * input.changeSeconds;
+		return lost + (input.changeWeight * input.changeSeconds);
+	}
+}
+
+/** One endpoint stands for all with the same role, since they are alike. */
+function listCandidates(endpoints: readonly PlannedEndpoint[]): Array<{endpoint: string; from: EngineRole; to: EngineRole}> {
+	const byRole = new Map<EngineRole, PlannedEndpoint>();
+	for (const endpoint of endpoints.filter(one => !one.isPinned && !one.isBusy)) {
+		byRole.set(endpoint.role, byRole.get(endpoint.role) ?? endpoint);
+	}
+
+	return [...byRole.values()].flatMap(endpoint => targetRoles
+		.filter(to => to !== endpoint.role && endpoint.roles.includes(to))
+		.map(to => ({endpoint: endpoint.endpoint, from: endpoint.role, to})));
+}
--- /dev/null
+++ b/packages/coordination/role-planner/test/role-planner.test.ts
@@ -0,0 +1,98 @@
+import {expect} from 'chai';
+import type {EngineRole} from '@hickorytrack/types/endpoint';
+import {estimateServedFraction} from '../src/capacity-estimate.js';
+import {DemandModel, type ClassDemand} from '../src/demand-model.js';
+import {PricePlanner} from '../src/price-planner.js';
+import {GreedyPlanner} from '../src/baseline-planners.js';
+import type {PlannedEndpoint, PlannerInput} from '../src/role-planner.js';
+
+const createEndpoints = (roles: EngineRole[]): PlannedEndpoint[] => roles.map((role, index) => ({
+	endpoint: `e${index}`, role, roles: ['mixed', 'prefill', 'decode'], isPinned: false, isBusy: false,
+}));
+
+const mixed: EngineRole[] = Array.from({length: 8}, () => 'mixed');
+const decodeHeavy: ClassDemand[] = [{
+	model: 'm', prefill: 0.5, decode: 9.5, uncertainty: 0,
+}];
+
+const createInput = (opts: Partial<PlannerInput> = {}): PlannerInput => ({
+	at: 0, endpoints: createEndpoints(mixed), demand: decodeHeavy, changeSeconds: 3, changeWeight: 1, ...opts,
+});
+
+describe('capacity estimate', () => {
+	it('is the plain ratio for mixed engines and grows where a role fits the demand', () => {
+		expect(estimateServedFraction({mixed: 8, prefill: 0, decode: 0}, decodeHeavy)).to.be.closeTo(0.8, 0.001);
+		expect(estimateServedFraction({mixed: 0, prefill: 0, decode: 8}, decodeHeavy)).to.be.greaterThan(0.9);
+		expect(estimateServedFraction({mixed: 0, prefill: 8, decode: 0}, decodeHeavy)).to.be.lessThan(0.4);
+	});
+});
+
+describe('price planner', () => {
+	it('changes nothing while the present roles serve the demand', () => {
+		const planner = new PricePlanner();
+		const demand = [{
+			model: 'm', prefill: 0.2, decode: 5, uncertainty: 0,
+		}];
+		expect(planner.plan(createInput({demand})).change).to.equal(undefined);
+		expect(planner.plan(createInput({demand, at: 600_000})).change).to.equal(undefined);
+	});
+
+	it('changes a role only once the mix has lasted long enough to pay the price', () => {
+		const planner = new PricePlanner();
+		expect(planner.plan(createInput()).change).to.equal(undefined);
+		const later = planner.plan(createInput({at: 600_000}));
+		expect(later.change?.role).to.equal('decode');
+	});
+
+	it('waits longer the more the deployment weighs changes', () => {
+		const light = new PricePlanner();
+		const heavy = new PricePlanner();
+		light.plan(createInput());
+		heavy.plan(createInput());
+		expect(light.plan(createInput({at: 60_000})).change).to.not.equal(undefined);
+		expect(heavy.plan(createInput({at: 60_000, changeWeight: 20})).change).to.equal(undefined);
+	});
+
+	it('never moves a pinned endpoint and never plans over a change under way', () => {
+		const planner = new PricePlanner();
+		const pinned = createEndpoints(mixed).map(one => ({...one, isPinned: true}));
+		planner.plan(createInput({endpoints: pinned}));
+		expect(planner.plan(createInput({endpoints: pinned, at: 600_000})).change).to.equal(undefined);
+		const busy = createEndpoints(mixed).map((one, index) => ({...one, isBusy: index === 0}));
+		expect(planner.plan(createInput({endpoints: busy, at: 900_000})).change).to.equal(undefined);
+	});
+
+	it('is calmer than greedy on a demand that is only just missed for a moment', () => {
+		const demand = [{
+			model: 'm', prefill: 0.4, decode: 8, uncertainty: 0.5,
+		}];
+		expect(new GreedyPlanner().plan(createInput({demand})).change).to.not.equal(undefined);
+		expect(new PricePlanner().plan(createInput({demand})).change).to.equal(undefined);
+	});
+});
+
+describe('demand model', () => {
+	it('follows a shift, sees its trend and keeps what it knows when reports are missing', () => {
+		const model = new DemandModel({fastMs: 1000, slowMs: 10_000});
+		const report = (prefillSeconds: number, at: number) => {
+			model.note([{
+				endpoint: 'e', model: 'm', prefillSeconds, decodeSeconds: 1, intervalMs: 1000,
+			}], at);
+		};
+
+		for (let second = 0; second < 20; second++) {
+			report(1, second * 1000);
+		}
+
+		for (let second = 20; second < 25; second++) {
+			report(3, second * 1000);
+		}
+
+		const [now] = model.forecast(0);
+		const [ahead] = model.forecast(9000);
+		expect(now!.prefill).to.be.within(2.8, 3.1);
+		expect(ahead!.prefill).to.be.greaterThan(now!.prefill);
+		model.note([], 60_000);
+		expect(model.forecast(0)[0]!.prefill).to.equal(now!.prefill);
+	});
+});
--- a/packages/core/types/src/work.ts
+++ b/packages/core/types/src/work.ts
@@ -14,6 +14,8 @@
 	/** Tokens of the prompt, by estimate. */
 	promptTokens: number;
 	maxTokens: number;
+	/** Tokens of the prompt that the entry expects in the engine's cache. */
+	expectedCachedTokens: number;
 	/** Tokens that the caller already has from an earlier attempt. */
 	resumeFrom: number;
 	/** Text of those tokens. */
@@ -37,6 +39,8 @@
 	fingerprint: string;
 	/** Time left for the whole request, in milliseconds. */
 	deadlineMs: number;
+	/** Time left until the contract's target for the first token; absent once there is one, and for service calls. */
+	firstTokenBudgetMs?: number;
 	/** Highest configuration revision of the sender. */
 	revision: number;
 	/** A suspect runs with no other work on the engine. */
--- a/packages/plugins/agent/src/job.ts
+++ b/packages/plugins/agent/src/job.ts
@@ -39,7 +39,7 @@
 	/** Tokens of the prompt that are still to be computed, by estimate. */
 	get pendingPrefillTokens(): number {
 		const {work} = this.submission;
-		return work.kind === 'generation' && this.firstPieceAt === undefined ? work.promptTokens : 0;
+		return work.kind === 'generation' && this.firstPieceAt === undefined ? Math.max(0, work.promptTokens - work.expectedCachedTokens) : 0;
 	}
 
 	get pendingDecodeTokens(): number {
--- a/packages/plugins/agent/src/work-desk.ts
+++ b/packages/plugins/agent/src/work-desk.ts
@@ -5,9 +5,11 @@
 import {waitAtMost, type Clock} from '@hickorytrack/clock';
 import type {ControlClient} from '@hickorytrack/control-client';
 import {FairQueue, type QueuedWork} from '@hickorytrack/fair-queue';
+import {isExpectedInTime} from '@hickorytrack/fair-queue/first-token-estimate';
 import type {ProcessContext} from '@hickorytrack/kernel/plugin';
 import type {PeerConnection} from '@hickorytrack/peer-link/peer-connection';
 import {AdaptiveLimit} from '@hickorytrack/rate-limit/adaptive-limit';
+import type {Contract} from '@hickorytrack/types/contract';
 import type {EndpointLoad, EndpointPhase} from '@hickorytrack/types/endpoint';
 import type {EngineAdapter, EngineError, EngineEvent} from '@hickorytrack/types/engine-adapter';
 import type {DemandReport} from '@hickorytrack/types/peer-methods';
@@ -21,6 +23,8 @@
 import {PieceSender} from './piece-sender.js';
 
 const maximumQueueLength = 2000;
+/** Engine time by which a tenant under its share may go ahead. */
+const tenantBurstMs = 500;
 const housekeepingMs = 25;
 const adaptWindowMs = 1000;
 /** Silent periods after which a stream counts as lost although the engine still has the work. */
@@ -62,7 +66,7 @@
 	constructor(opts: WorkDeskOptions) {
 		this.#opts = opts;
 		this.#clock = opts.context.clock;
-		this.#queue = new FairQueue({clock: this.#clock, maximumLength: maximumQueueLength});
+		this.#queue = new FairQueue({clock: this.#clock, maximumLength: maximumQueueLength, burstMs: tenantBurstMs});
 		this.#book = new JobBook(this.#clock);
 		this.#meter = new DemandMeter(this.#clock);
 	}
@@ -282,8 +286,40 @@
 			return refuse('unknown-tenant');
 		}
 
-		const waitMs = this.#queue.costMs / this.#countSlots();
-		return waitMs > contract.contract.limits.queueMs ? refuse('queue-time') : {isAdmitted: true};
+		return this.#isInTime(submission, contract.contract) ? {isAdmitted: true} : refuse('queue-time');
+	}
+
+	/** Tells whether the request can begin within its bound on the queue and its target for the first token. */
+	#isInTime(submission: WorkSubmission, contract: Contract): boolean {
+		const slots = this.#countSlots();
+		const costAheadMs = this.#queue.estimateCostAhead({tenant: submission.tenant, priority: contract.priority, share: contract.share});
+		const isWaiting = this.#running.size >= slots;
+		if (isWaiting && costAheadMs > contract.limits.queueMs) {
+			return false;
+		}
+
+		const {work, firstTokenBudgetMs} = submission;
+		if (work.kind !== 'generation' || firstTokenBudgetMs === undefined || this.#running.size === 0) {
+			return true;
+		}
+
+		return isExpectedInTime({
+			speed: this.#opts.watch.description!.speed,
+			costAheadMs,
+			running: this.#running.size,
+			slots,
+			runningPrefillTokens: this.#sumRunningPrefill(),
+			ownPrefillTokens: Math.max(0, work.promptTokens - work.expectedCachedTokens),
+		}, firstTokenBudgetMs);
+	}
+
+	#sumRunningPrefill(): number {
+		let sum = 0;
+		for (const job of this.#running) {
+			sum += job.pendingPrefillTokens;
+		}
+
+		return sum;
 	}
 
 	#enqueue(submission: WorkSubmission, connection: PeerConnection): Job | undefined {
@@ -295,7 +331,7 @@
 		job.betweenTokensMs = contract?.targets.betweenTokensMs ?? Number.POSITIVE_INFINITY;
 		job.costMs = this.#computeCost(job);
 		const work: QueuedWork<Job> = {
-			tenant: submission.tenant, priority: job.priority, share: job.share, costMs: job.costMs, queueMs: Math.min(contract?.limits.queueMs ?? 0, submission.deadlineMs), item: job,
+			tenant: submission.tenant, priority: job.priority, share: job.share, costMs: job.costMs, queueMs: Math.min(contract?.limits.queueMs ?? 0, submission.deadlineMs, submission.firstTokenBudgetMs ?? Number.POSITIVE_INFINITY), item: job,
 		};
 		const isPushed = this.#queue.push(work, {
 			onDisplaced: displaced => {
@@ -320,7 +356,8 @@
 		}
 
 		const outputTokens = Math.min(expectedOutputTokens, work.maxTokens - work.resumeFrom);
-		return ((work.promptTokens / speed.prefillTokensPerSecond) + (outputTokens / speed.decodeTokensPerSecond)) * msPerSecond;
+		const prefillTokens = Math.max(0, work.promptTokens - work.expectedCachedTokens);
+		return ((prefillTokens / speed.prefillTokensPerSecond) + (outputTokens / speed.decodeTokensPerSecond)) * msPerSecond;
 	}
 
 	#countSlots(): number {
--- a/packages/plugins/controller/src/change-runner.ts
+++ b/packages/plugins/controller/src/change-runner.ts
@@ -88,8 +88,11 @@
 		}
 
 		// The message of a replacement keeps the incarnation that is to be replaced.
-		const known = this.#core.state.endpoints.get(change.endpoint)?.announcement.incarnation ?? '';
-		const before = change.message.length > 0 ? change.message : known;
+		let before = change.message;
+		if (before === '') {
+			before = this.#core.state.endpoints.get(change.endpoint)?.announcement.incarnation ?? '';
+		}
+
 		await this.#move(change, to, change.kind === 'replace' && to !== 'finished' ? before : '');
 	}
 
@@ -171,7 +174,7 @@
 				return true;
 			}
 
-			const isRefused = reply?.isOk() && !reply.value.accepted && reply.value.isFinal;
+			const isRefused = reply?.isOk() === true && !reply.value.accepted && reply.value.isFinal;
 			if (isRefused || clock.monotonic() - startedAt > orderPatienceMs) {
 				await this.#move(change, 'failed', reply?.isOk() ? reply.value.message : 'The agent could not be reached');
 				return false;
--- a/packages/plugins/entry/src/entry.ts
+++ b/packages/plugins/entry/src/entry.ts
@@ -4,7 +4,6 @@
 import type {Plugin, PluginRegistry, ProcessContext} from '@hickorytrack/kernel/plugin';
 import {parseAddress} from '@hickorytrack/peer-link/peer-node';
 import {ExpectedTimePlacer} from '@hickorytrack/placement';
-import {RetryBudget} from '@hickorytrack/rate-limit/retry-budget';
 import {AttemptRunner} from './attempt-runner.js';
 import {CallerApi} from './caller-api.js';
 import {EndpointDirectory} from './endpoint-directory.js';
@@ -38,7 +37,7 @@
 		control.addDemandSource(() => ({demands: this.#tenants.collectDemand(), reports: []}));
 		this.#api = new CallerApi({
 			services: {
-				context, control, endpoints: this.#endpoints, attempts: this.#attempts, placer: new ExpectedTimePlacer({random, crossZoneMs}), retryBudget: new RetryBudget(clock),
+				context, control, endpoints: this.#endpoints, attempts: this.#attempts, placer: new ExpectedTimePlacer({random, crossZoneMs}),
 			},
 			tenants: this.#tenants,
 			isReady: () => control.isFresh,
--- a/packages/plugins/entry/src/generation-call.ts
+++ b/packages/plugins/entry/src/generation-call.ts
@@ -7,7 +7,6 @@
 import type {ProcessContext} from '@hickorytrack/kernel/plugin';
 import {computeBlocks} from '@hickorytrack/placement/cache-view';
 import type {Placer} from '@hickorytrack/placement';
-import type {RetryBudget} from '@hickorytrack/rate-limit/retry-budget';
 import type {QuarantineEntry} from '@hickorytrack/types/control';
 import type {AttemptEnd, GenerationWork, RefusalReason} from '@hickorytrack/types/work';
 import type {AttemptOutcome, AttemptRunner} from './attempt-runner.js';
@@ -55,7 +54,6 @@
 	endpoints: EndpointDirectory;
 	attempts: AttemptRunner;
 	placer: Placer;
-	retryBudget: RetryBudget;
 };
 
 export type GenerationOptions = {
@@ -71,6 +69,7 @@
 	readonly #request: GenerationRequest;
 	readonly #opts: GenerationOptions;
 	readonly #clock: Clock;
+	readonly #startedAt: number;
 	readonly #deadline: number;
 	readonly #blocks: string[];
 	readonly #traces: AttemptTrace[] = [];
@@ -86,7 +85,8 @@
 		this.#request = request;
 		this.#opts = opts;
 		this.#clock = services.context.clock;
-		this.#deadline = this.#clock.monotonic() + services.context.settings.requestTimeoutMs;
+		this.#startedAt = this.#clock.monotonic();
+		this.#deadline = this.#startedAt + services.context.settings.requestTimeoutMs;
 		this.#blocks = computeBlocks(request.prompt);
 	}
 
@@ -133,6 +133,7 @@
 
 	async #attempt(handle: EndpointHandle, attempt: string, signal: AbortSignal): Promise<NextStep> {
 		this.#attempts++;
+		const expectedCachedTokens = Math.floor(handle.cache.computeHitFraction(this.#blocks) * this.#request.promptTokens);
 		handle.cache.noteStored(this.#blocks);
 		const renewal = new AbortController();
 		if (this.#isSuspect) {
@@ -147,7 +148,8 @@
 			deadlineMs: Math.max(1, this.#deadline - this.#clock.monotonic()),
 			revision: this.#services.control.revision,
 			isolated: this.#isSuspect,
-			work: this.#composeWork(),
+			firstTokenBudgetMs: this.#computeFirstTokenBudget(),
+			work: this.#composeWork(expectedCachedTokens),
 		}, {
 			signal, onTexts: async texts => {
 				this.#texts.push(...texts);
@@ -155,6 +157,10 @@
 			},
 		});
 		renewal.abort();
+		if (outcome.kind === 'ended' && outcome.end.kind === 'complete') {
+			handle.cache.noteOutcome(expectedCachedTokens, outcome.end.cachedTokens);
+		}
+
 		return this.#judge(outcome, {handle, attempt});
 	}
 
@@ -185,7 +191,7 @@
 	#judgeEnd(end: AttemptEnd, opts: {handle: EndpointHandle; attempt: string}): NextStep {
 		switch (end.kind) {
 			case 'complete': {
-				this.#services.retryBudget.noteSuccess();
+				this.#request.tenant.retryBudget.noteSuccess();
 				if (this.#isSuspect) {
 					void this.#services.control.propose({kind: 'clear-suspect', fingerprint: this.#request.fingerprint, attempt: opts.attempt}, {isIdempotent: true});
 				}
@@ -222,7 +228,7 @@
 		this.#tried.add(handle.endpoint);
 		const isFree = opts.reason === 'draining' || opts.reason === 'stopping' || opts.reason === 'not-ready' || this.#texts.length > 0;
 		this.#retries++;
-		if (!isFree && !this.#services.retryBudget.take()) {
+		if (!isFree && !this.#request.tenant.retryBudget.take()) {
 			return {kind: 'result', result: this.#refuse('overloaded', {retryAfterMs})};
 		}
 
@@ -238,13 +244,23 @@
 		return {kind: 'again'};
 	}
 
-	#composeWork(): GenerationWork {
+	#composeWork(expectedCachedTokens: number): GenerationWork {
 		const {api, model, body, promptTokens, maxTokens} = this.#request;
 		return {
-			kind: 'generation', api, model, body, promptTokens, maxTokens, resumeFrom: this.#texts.length, resumeText: this.#texts.join(''),
+			kind: 'generation', api, model, body, promptTokens, maxTokens, expectedCachedTokens, resumeFrom: this.#texts.length, resumeText: this.#texts.join(''),
 		};
 	}
 
+	/** Time left to the target; a request that began, or that is a suspect, is finished whatever it takes. */
+	#computeFirstTokenBudget(): number | undefined {
+		if (this.#texts.length > 0 || this.#isSuspect) {
+			return undefined;
+		}
+
+		const elapsed = this.#clock.monotonic() - this.#startedAt;
+		return Math.max(1, this.#request.tenant.contract.targets.firstTokenMs - elapsed);
+	}
+
 	/** Waits a little when the fleet has no endpoint to offer, since one may be coming back. */
 	async #chooseEndpoint(signal: AbortSignal): Promise<EndpointHandle | undefined> {
 		const until = this.#clock.monotonic() + emptyFleetWaitMs;
--- a/packages/plugins/entry/src/service-call.ts
+++ b/packages/plugins/entry/src/service-call.ts
@@ -86,7 +86,7 @@
 
 			const outcome = await this.#dispatch(handle, this.#services.attempts.createAttemptId(), this.#signal);
 			if (outcome.kind === 'answer') {
-				this.#services.retryBudget.noteSuccess();
+				this.#request.tenant.retryBudget.noteSuccess();
 				return {...outcome, replayed: false};
 			}
 
@@ -95,7 +95,7 @@
 			}
 
 			this.#tried.add(handle.endpoint);
-			if (!this.#services.retryBudget.take()) {
+			if (!this.#request.tenant.retryBudget.take()) {
 				break;
 			}
 		}
@@ -151,7 +151,7 @@
 		if (outcome.kind === 'not-run') {
 			this.#tried.add(handle.endpoint);
 			await this.#settle({attempt, state: 'not-run'});
-			return this.#services.retryBudget.take() ? undefined : this.#refuse('overloaded', {retryAfterMs});
+			return this.#request.tenant.retryBudget.take() ? undefined : this.#refuse('overloaded', {retryAfterMs});
 		}
 
 		this.#services.context.events.emit('outcomeUnknown', {requestId: this.#request.requestId, tenant: this.#request.tenant.contract.tenant, endpoint: handle.endpoint});
--- a/packages/plugins/entry/src/tenant-directory.ts
+++ b/packages/plugins/entry/src/tenant-directory.ts
@@ -5,6 +5,7 @@
 import {createHash, timingSafeEqual} from 'node:crypto';
 import {Buffer} from 'node:buffer';
 import type {Clock} from '@hickorytrack/clock';
+import {RetryBudget} from '@hickorytrack/rate-limit/retry-budget';
 import {TokenBucket} from '@hickorytrack/rate-limit/token-bucket';
 import type {Contract} from '@hickorytrack/types/contract';
 import type {ControlItem} from '@hickorytrack/types/control';
@@ -16,6 +17,8 @@
 export class Tenant {
 	contract: Contract;
 	inFlight = 0;
+	/** Its own, so that no tenant can spend another's retries. */
+	readonly retryBudget: RetryBudget;
 	readonly #bucket: TokenBucket;
 	#fraction = 1;
 	#arrivals = 0;
@@ -23,6 +26,7 @@
 
 	constructor(contract: Contract, clock: Clock) {
 		this.contract = contract;
+		this.retryBudget = new RetryBudget(clock);
 		this.#bucket = new TokenBucket(clock, contract.limits.requestsPerSecond, contract.limits.burst);
 	}
 
--- a/packages/serving/placement/src/cache-view.ts
+++ b/packages/serving/placement/src/cache-view.ts
@@ -8,6 +8,8 @@
 /** Characters of prompt text in one block. */
 export const blockCharacters = 1024;
 const blockDigits = 16;
+const learningRate = 0.1;
+const leastConfidence = 0.1;
 
 /** Returns the chained digests of the whole blocks of a prompt. */
 export function computeBlocks(prompt: string, maximumBlocks = 256): string[] {
@@ -28,6 +30,8 @@
 	/** In order of last use. */
 	readonly #blocks = new Set<string>();
 	#nextEvent = 0;
+	/** How much of what was expected in the cache was really there, over the last outcomes. */
+	#confidence = 1;
 
 	constructor(maximumBlocks = 4096) {
 		this.#maximumBlocks = maximumBlocks;
@@ -44,7 +48,15 @@
 		}
 
 		const miss = blocks.findIndex(block => !this.#blocks.has(block));
-		return (miss === -1 ? blocks.length : miss) / blocks.length;
+		return (miss === -1 ? blocks.length : miss) / blocks.length * this.#confidence;
+	}
+
+	/** Learns from an answer how far the view can be trusted; both numbers are tokens. */
+	noteOutcome(expected: number, actual: number): void {
+		if (expected > 0) {
+			this.#confidence += (Math.min(1, actual / expected) - this.#confidence) * learningRate;
+			this.#confidence = Math.max(leastConfidence, this.#confidence);
+		}
 	}
 
 	noteStored(blocks: readonly string[]): void {
--- /dev/null
+++ b/tools/bench/src/placement-bench.ts
@@ -0,0 +1,78 @@
+/** `placement`: the placer in use beside the baselines, on three mixes and three ages of the load reports. */
+import {Random} from '@hickorytrack/random';
+import {LeastLoadedPlacer, PrefixHashPlacer, RoundRobinPlacer} from '@hickorytrack/placement/baseline-placers';
+import {ExpectedTimePlacer, type Placer} from '@hickorytrack/placement';
+import {runFleet} from './simulated-run.js';
+import {
+	cuencaShape, drawArrivals, maravalShape, mergeArrivals,
+} from './traces.js';
+
+const durationMs = 60_000;
+const crossZoneMs = 3;
+
+const mixes = {
+	cuenca: {cuenca: 60, maraval: 0},
+	maraval: {cuenca: 0, maraval: 170},
+	mix: {cuenca: 45, maraval: 60},
+} as const;
+
+const placers: Record<string, (random: Random) => Placer> = {
+	'round-robin': () => new RoundRobinPlacer(),
+	'least-loaded-by-report': random => new LeastLoadedPlacer(random),
+	'prefix-hash': () => new PrefixHashPlacer(),
+	'expected-time': random => new ExpectedTimePlacer({random, crossZoneMs}),
+};
+
+export function benchPlacement(seed: number): Record<string, unknown> {
+	const byScenario: Record<string, unknown> = {};
+	let worstGoodput = Number.POSITIVE_INFINITY;
+	let worstFirstToken = 0;
+	let hitRate = 0;
+	let mixGoodput = Number.POSITIVE_INFINITY;
+	for (const [mix, rates] of Object.entries(mixes)) {
+		for (const reportDelayMs of [0, 1000, 5000]) {
+			const results = Object.entries(placers).map(([name, create]) => {
+				const random = new Random(seed);
+				const arrivals = mergeArrivals(
+					drawArrivals(cuencaShape, {
+						random, durationMs, rateAt: () => rates.cuenca, highestRate: Math.max(1, rates.cuenca),
+					}),
+					drawArrivals(maravalShape, {
+						random, durationMs, rateAt: () => rates.maraval, highestRate: Math.max(1, rates.maraval),
+					}),
+				);
+				return {
+					name, ...runFleet({
+						arrivals, durationMs, createPlacer: () => create(new Random(seed)), random: new Random(seed + 1), reportDelayMs,
+					}),
+				};
+			});
+			const ours = results.at(-1)!;
+			const baselines = results.slice(0, -1);
+			const bestGoodput = Math.max(...baselines.map(one => one.goodputPerSecond));
+			const bestFirst = Math.min(...baselines.map(one => one.firstTokenP95Ms));
+			const scenario = {
+				goodput: Object.fromEntries(results.map(one => [one.name, round(one.goodputPerSecond)])),
+				firstTokenP95Ms: Object.fromEntries(results.map(one => [one.name, one.firstTokenP95Ms])),
+				cacheHitRate: Object.fromEntries(results.map(one => [one.name, round(one.cacheHitRate)])),
+				goodputVsBestBaseline: round(ours.goodputPerSecond / bestGoodput),
+			};
+			byScenario[`${mix}, reports ${reportDelayMs / 1000} s late`] = scenario;
+			console.log(mix, `${reportDelayMs} ms late`, JSON.stringify(scenario));
+			worstGoodput = Math.min(worstGoodput, ours.goodputPerSecond / bestGoodput);
+			worstFirstToken = Math.max(worstFirstToken, ours.firstTokenP95Ms / bestFirst);
+			if (mix === 'mix') {
+				mixGoodput = Math.min(mixGoodput, ours.goodputPerSecond / bestGoodput);
+				hitRate = ours.cacheHitRate;
+			}
+		}
+	}
+
+	return {
+		goodputVsBestBaseline: round(worstGoodput), mixGoodputVsBestBaseline: round(mixGoodput), firstTokenP95VsBestBaseline: round(worstFirstToken), cacheHitRate: round(hitRate), byScenario,
+	};
+}
+
+export function round(value: number): number {
+	return Math.round(value * 1000) / 1000;
+}
--- a/tools/faults/src/cell-runner.ts
+++ b/tools/faults/src/cell-runner.ts
@@ -25,6 +25,9 @@
 };
 
 const missedChanges = 500;
+const changesAtOnce = 25;
+/** A step behind the operation, such as the end of a change, may come later than its answer. */
+const stepPatienceMs = 8000;
 const longStreamTokens = 400;
 const shortStreamTokens = 40;
 
@@ -80,7 +83,7 @@
 	};
 
 	await runOperations(fleet, seen, cell);
-	await waitUntil(() => reached !== undefined, 1000);
+	await waitUntil(() => reached !== undefined, stepPatienceMs);
 	await endFaults;
 	fleet.heal();
 	await reviveAll(fleet);
@@ -248,8 +251,8 @@
 
 		case 'missed-500': {
 			await fleet.kill('engine-3');
-			for (let index = 0; index < missedChanges; index++) {
-				await putSetting(fleet, index);
+			for (let index = 0; index < missedChanges; index += changesAtOnce) {
+				await Promise.all(Array.from({length: changesAtOnce}, async (_, offset) => pinRole(fleet, index + offset)));
 			}
 
 			await fleet.startProcess('engine-3');
@@ -267,9 +270,7 @@
 	}
 }
 
-async function putSetting(fleet: FaultFleet, index: number): Promise<void> {
+async function pinRole(fleet: FaultFleet, index: number): Promise<void> {
 	const client = new OperatorClient({server: fleet.getOperatorUrl('instance-1'), timeoutMs: 4000});
-	await client.call('config.set', {
-		changeId: `missed-${index}`, expectedVersion: index, name: 'changes.atOnce', value: 2 + (index % 3),
-	});
+	await client.call('role.pin', {changeId: `missed-${index}`, endpoint: 'engine-3', pinned: index % 2 === 0});
 }
--- a/tools/faults/src/fault-fleet.ts
+++ b/tools/faults/src/fault-fleet.ts
@@ -99,7 +99,9 @@
 		await Promise.all([...this.processes.values()].map(async one => one.kernel?.crash()));
 		await Promise.all([...this.processes.values()].map(async one => one.relay.stop()));
 		await Promise.all([...this.engines.values(), ...this.services.values()].map(async one => one.stop()));
-		await rm(this.#folder, {recursive: true, force: true});
+		await rm(this.#folder, {
+			recursive: true, force: true, maxRetries: 10, retryDelay: 100,
+		});
 	}
 
 	/** Starts a process, or starts it again after it was killed. */
