--- a/packages/daemon/kernel/src/kernel.ts
+++ b/packages/daemon/kernel/src/kernel.ts
@@ -160,6 +160,7 @@
 			incarnation: this.#opts.incarnation,
 			settings: {...settings, peerKeys: `${settings.peerKeys.length} key(s)`, operatorKeys: `${settings.operatorKeys.length} key(s)`},
 			control: this.context.control.dump(),
+			traffic: {...this.context.peers.traffic},
 			connections: [...this.context.peers.connections].map(connection => connection.remote),
 			plugins: Object.fromEntries(this.#plugins.map(({role, plugin}) => [role, plugin.dump()])),
 			openWork: this.listOpenWork(),
--- a/packages/net/peer-link/src/peer-connection.ts
+++ b/packages/net/peer-link/src/peer-connection.ts
@@ -35,6 +35,11 @@
 	}
 }
 
+export type PeerTraffic = {
+	sentBytes: number;
+	receivedBytes: number;
+};
+
 export type PeerHandler<M extends PeerMethodName> = (
 	params: PeerMethods[M]['params'],
 	connection: PeerConnection,
@@ -47,6 +52,8 @@
 	handlers: ReadonlyMap<string, PeerHandler<PeerMethodName>>;
 	/** Bytes that arrived behind the handshake. */
 	early: unknown[];
+	/** Counts the bytes of all connections of the process. */
+	traffic: PeerTraffic;
 	decoder: FrameDecoder;
 };
 
@@ -63,6 +70,7 @@
 	readonly #socket: Socket;
 	readonly #clock: Clock;
 	readonly #timing: PeerTiming;
+	readonly #traffic: PeerTraffic;
 	readonly #rpc: JSONRPCServerAndClient;
 	readonly #ended = new AbortController();
 	#lastReceived: number;
@@ -73,6 +81,7 @@
 		this.#socket = socket;
 		this.#clock = opts.clock;
 		this.#timing = opts.timing;
+		this.#traffic = opts.traffic;
 		this.remote = opts.remote;
 		this.#lastReceived = opts.clock.monotonic();
 		this.#lastSent = this.#lastReceived;
@@ -141,6 +150,7 @@
 	#listen(opts: PeerConnectionOptions): void {
 		this.#socket.on('data', chunk => {
 			this.#lastReceived = this.#clock.monotonic();
+			this.#traffic.receivedBytes += chunk.length;
 			try {
 				for (const message of opts.decoder.decode(chunk)) {
 					this.#dispatch(message);
@@ -179,7 +189,9 @@
 
 		this.#lastSent = this.#clock.monotonic();
 		this.#cork();
-		this.#socket.write(encodeFrame(message));
+		const frame = encodeFrame(message);
+		this.#traffic.sentBytes += frame.length;
+		this.#socket.write(frame);
 		if (this.#socket.writableLength > maximumWriteBacklogBytes) {
 			this.#finish();
 		}
--- a/packages/net/peer-link/src/peer-node.ts
+++ b/packages/net/peer-link/src/peer-node.ts
@@ -16,7 +16,7 @@
 	computeProof, createNonce, findMatchingKey, protocolVersion, type HelloMessage, type ProofMessage, type ReadyMessage, type WelcomeMessage,
 } from './handshake.js';
 import {
-	PeerConnection, PeerLinkError, type PeerHandler, type PeerTiming,
+	PeerConnection, PeerLinkError, type PeerHandler, type PeerTiming, type PeerTraffic,
 } from './peer-connection.js';
 
 const handshakeTimeoutMs = 2000;
@@ -117,6 +117,8 @@
 
 export class PeerNode {
 	readonly member: PeerMember;
+	/** Bytes of all messages since the start. */
+	readonly traffic: PeerTraffic = {sentBytes: 0, receivedBytes: 0};
 	readonly #opts: PeerNodeOptions;
 	readonly #handlers = new Map<string, PeerHandler<PeerMethodName>>();
 	readonly #connections = new Set<PeerConnection>();
@@ -323,7 +325,7 @@
 	#open(socket: Socket, remote: PeerMember, reader: HandshakeReader): PeerConnection {
 		const early = reader.release();
 		const connection = new PeerConnection(socket, {
-			clock: this.#opts.clock, timing: this.#opts.timing, remote, handlers: this.#handlers, early, decoder: reader.decoder,
+			clock: this.#opts.clock, timing: this.#opts.timing, remote, handlers: this.#handlers, early, decoder: reader.decoder, traffic: this.traffic,
 		});
 		this.#connections.add(connection);
 		void connection.closed.then(() => this.#connections.delete(connection));
--- a/tools/bench/src/bench.ts
+++ b/tools/bench/src/bench.ts
@@ -1,10 +1,13 @@
 /** `npm run bench -- NAME --seed N`: runs one benchmark; its last line is one JSON object. */
 import process from 'node:process';
 import {parseArgs} from 'node:util';
+import {benchControl} from './control-bench.js';
 import {benchFairness} from './fairness-bench.js';
 import {benchMix} from './mix-bench.js';
 import {benchOverload} from './overload-bench.js';
+import {benchPath} from './path-bench.js';
 import {benchPlacement} from './placement-bench.js';
+import {benchPoison} from './poison-bench.js';
 
 const {values, positionals} = parseArgs({allowPositionals: true, options: {seed: {type: 'string', default: '1'}, deployment: {type: 'string', default: 'cuenca'}, plot: {type: 'string'}}});
 const seed = Number(values.seed);
@@ -12,6 +15,9 @@
 const benches: Record<string, () => Promise<unknown> | unknown> = {
 	placement: () => benchPlacement(seed),
 	fairness: () => benchFairness(seed),
+	path: async () => benchPath(),
+	poison: async () => benchPoison(seed),
+	control: async () => benchControl(seed),
 	overload: () => benchOverload(seed),
 	mix: async () => benchMix({seed, deployment: values.deployment, plotFolder: values.plot === undefined ? undefined : new URL(`${values.plot}/`, `file://${process.cwd()}/`)}),
 };
--- /dev/null
+++ b/tools/bench/src/path-bench.ts
@@ -0,0 +1,156 @@
+/** `path`: an engine called directly beside the same through entry and agent, and what one entry process carries. */
+import {writeFile} from 'node:fs/promises';
+import path from 'node:path';
+import {build} from 'hdr-histogram-js';
+import {Agent, request} from 'undici';
+import {Fleet} from '@hickorytrack/stand-ins/fleet';
+import {tryGeneration} from '@hickorytrack/stand-ins/load-generator';
+import {round} from './placement-bench.js';
+import {readUsage} from './process-usage.js';
+
+const key = 'bench-key';
+const latencyRate = 200;
+const latencyMs = 8000;
+const throughputMs = 8000;
+const openStreams = 500;
+const contract = `tenant: bench
+apiKeys: [{id: bench, key: ${key}}]
+models: [drafting]
+limits: {requestsPerSecond: 100000, burst: 100000, concurrency: 100000, bodyBytes: 1000000, queueMs: 60000}
+targets: {firstTokenMs: 60000, betweenTokensMs: 1000}
+`;
+
+const sleep = async (ms: number): Promise<void> => new Promise(resolve => {
+	setTimeout(resolve, ms);
+});
+
+/** Sends at a fixed rate and returns the first-token latencies in microseconds. */
+async function measureLatency(urlOf: (index: number) => string): Promise<ReturnType<typeof build>> {
+	const histogram = build();
+	const open: Array<Promise<void>> = [];
+	const startedAt = performance.now();
+	for (let index = 0; performance.now() - startedAt < latencyMs; index++) {
+		const send = async () => {
+			const record = await tryGeneration({
+				url: urlOf(index), key, model: 'drafting', prompt: `question ${index}`, maxTokens: 8,
+			});
+			if (record.outcome !== 'answered') {
+				throw new Error(`path bench: ${record.outcome} ${JSON.stringify(record.refusal)} ${record.detail}`);
+			}
+
+			histogram.recordValue(Math.round(record.firstTokenMs! * 1000));
+		};
+
+		open.push(send());
+		await sleep(Math.max(0, (index + 1) * 1000 / latencyRate - (performance.now() - startedAt)));
+	}
+
+	await Promise.all(open);
+	return histogram;
+}
+
+/** Streams answers and counts their pieces without reading them. */
+async function drainStream(url: string, dispatcher: Agent, maxTokens: number): Promise<number> {
+	const response = await request(`${url}/v1/completions`, {
+		method: 'POST', dispatcher, headers: {authorization: `Bearer ${key}`, 'content-type': 'application/json'},
+		body: JSON.stringify({
+			model: 'drafting', prompt: `stream ${Math.round(performance.now() * 1000)}`, max_tokens: maxTokens, stream: true,
+		}),
+	});
+	let bytes = 0;
+	for await (const chunk of response.body) {
+		bytes += (chunk as Uint8Array).length;
+	}
+
+	return response.statusCode === 200 && bytes > 0 ? maxTokens : 0;
+}
+
+async function measureThroughput(url: string, opts: {concurrency: number; maxTokens: number; pid: number}): Promise<{perSecond: number; requestsPerSecond: number; cpuSeconds: number; requests: number; pieces: number}> {
+	const dispatcher = new Agent({connections: opts.concurrency, bodyTimeout: 0, headersTimeout: 0});
+	const startedAt = performance.now();
+	const before = await readUsage(opts.pid);
+	let pieces = 0;
+	let requests = 0;
+	await Promise.all(Array.from({length: opts.concurrency}, async () => {
+		while (performance.now() - startedAt < throughputMs) {
+			pieces += await drainStream(url, dispatcher, opts.maxTokens);
+			requests++;
+		}
+	}));
+	const seconds = (performance.now() - startedAt) / 1000;
+	const after = await readUsage(opts.pid);
+	await dispatcher.destroy();
+	return {
+		perSecond: pieces / seconds, requestsPerSecond: requests / seconds, cpuSeconds: after.cpuSeconds - before.cpuSeconds, requests, pieces,
+	};
+}
+
+async function measureOpenStreams(url: string, pid: number): Promise<number> {
+	const stop = new AbortController();
+	const before = await readUsage(pid);
+	const dispatcher = new Agent({connections: openStreams, bodyTimeout: 0, headersTimeout: 0});
+	const streams = Array.from({length: openStreams}, async (_, index) => {
+		try {
+			const response = await request(`${url}/v1/completions`, {
+				method: 'POST', dispatcher, signal: stop.signal, headers: {authorization: `Bearer ${key}`},
+				body: JSON.stringify({
+					model: 'drafting', prompt: `STALL-ENGINE ${index}`, max_tokens: 100, stream: true,
+				}),
+			});
+			await response.body.dump();
+		} catch {
+			// The streams are ended by the bench.
+		}
+	});
+	await sleep(4000);
+	const after = await readUsage(pid);
+	stop.abort();
+	await Promise.all(streams);
+	await dispatcher.destroy();
+	return (after.residentBytes - before.residentBytes) / openStreams;
+}
+
+export async function benchPath(): Promise<Record<string, unknown>> {
+	const fleet = new Fleet({
+		basePort: 21_000, zones: ['a'], engines: 4, services: [], daemonFlags: ['--log-level', 'warn'],
+		engineOptions: {
+			models: ['drafting'], stepMs: 2, speed: {
+				prefillTokensPerSecond: 1_000_000, decodeTokensPerSecond: 400_000, sequenceTokensPerSecond: 1000, capacity: 1000,
+			},
+		},
+	});
+	try {
+		await fleet.start();
+		const file = path.join(fleet.folder, 'bench.yaml');
+		await writeFile(file, contract);
+		const applied = await fleet.runTool('contract', 'apply', '-f', file, '--wait-seconds', '10');
+		if (applied.code !== 0) {
+			throw new Error(applied.output);
+		}
+
+		const entry = fleet.instances[0]!;
+		const pid = entry.child.pid!;
+		await measureLatency(() => entry.callerUrl);
+		const direct = await measureLatency(index => fleet.agents[index % fleet.agents.length]!.engineUrl);
+		const through = await measureLatency(() => entry.callerUrl);
+		const streams = await measureThroughput(entry.callerUrl, {concurrency: 120, maxTokens: 400, pid});
+		const requests = await measureThroughput(entry.callerUrl, {concurrency: 48, maxTokens: 1, pid});
+		const bytesPerOpenStream = await measureOpenStreams(entry.callerUrl, pid);
+		const usage = await readUsage(pid);
+		const at = (histogram: ReturnType<typeof build>, percentile: number) => histogram.getValueAtPercentile(percentile) / 1000;
+		return {
+			addedFirstTokenP50Ms: round(at(through, 50) - at(direct, 50)),
+			addedFirstTokenP99Ms: round(at(through, 99) - at(direct, 99)),
+			directP99Ms: at(direct, 99),
+			piecesPerSecondPerEntry: Math.round(streams.perSecond),
+			entryCpuMicrosecondsPerPiece: round(streams.cpuSeconds / streams.pieces * 1e6),
+			entryCoresAtThatRate: round(streams.cpuSeconds / throughputMs * 1000),
+			requestsPerSecondPerEntry: Math.round(requests.requestsPerSecond),
+			entryCpuMicrosecondsPerRequest: Math.round(requests.cpuSeconds / requests.requests * 1e6),
+			bytesPerOpenStream: Math.round(bytesPerOpenStream),
+			entryResidentMegabytes: Math.round(usage.residentBytes / 1e6),
+		};
+	} finally {
+		await fleet.stop();
+	}
+}
--- a/tools/faults/src/fault-fleet.ts
+++ b/tools/faults/src/fault-fleet.ts
@@ -49,11 +49,13 @@
 	listener: StepListener = () => undefined;
 	readonly #slot: number;
 	readonly #seed: number;
+	readonly #overrides: Partial<DaemonSettings>;
 	readonly #cuts = new Map<string, RelayRule>();
 	#folder = '';
 	#watch: NodeJS.Timeout | undefined;
 
-	constructor(opts: {slot: number; seed: number}) {
+	constructor(opts: {slot: number; seed: number; settings?: Partial<DaemonSettings>}) {
+		this.#overrides = opts.settings ?? {};
 		this.#slot = opts.slot;
 		this.#seed = opts.seed;
 	}
@@ -269,6 +271,7 @@
 			stopSeconds: 5,
 			logLevel: 'silent',
 			seed: (this.#seed * 100) + opts.number,
+			...this.#overrides,
 		};
 	}
 
