feat(bench): slopes and control at the product's own timings; price of the way there

Change: slopes bench, corrected sums, one page per push for all subscribers at the same revision. Conclusion: the planner's first change of a move is still too cheap; recorded.

--- a/packages/cli/hickorytrack/src/role-commands.ts
+++ b/packages/cli/hickorytrack/src/role-commands.ts
@@ -56,7 +56,9 @@
 		const rows = text.split('\n').filter(Boolean).map(line => {
 			const recorded = JSON.parse(line) as LoggedDecision;
 			const decision = planner.plan(recorded.input);
-			return {at: recorded.at, recorded: recorded.decision.change, replayed: decision.change, reason: decision.reason};
+			return {
+				at: recorded.at, recorded: recorded.decision.change, replayed: decision.change, reason: decision.reason,
+			};
 		});
 		this.printTable(['time', 'recorded', 'replayed', 'reason'], rows.map(row => [
 			new Date(row.at).toISOString(), row.recorded ? `${row.recorded.endpoint} ${row.recorded.role}` : '-', row.replayed ? `${row.replayed.endpoint} ${row.replayed.role}` : '-', row.reason,
--- a/packages/coordination/role-planner/src/price-planner.ts
+++ b/packages/coordination/role-planner/src/price-planner.ts
@@ -99,13 +99,29 @@
 			const gainedFraction = Math.min(1, servedAfter) - Math.min(1, opts.servedNow);
 			const gain = gainedFraction * certainDemand * Math.max(0, opts.horizonSeconds - (count * input.changeSeconds));
 			considered.push({
-				endpoint, from, to, count, gain, price: (count * this.#computePrice(input, endpoint, opts.servedNow)) + this.#priceWayBack(input, after, count),
+				endpoint, from, to, count, gain, price: (count * this.#computePrice(input, endpoint, opts.servedNow)) + this.#priceWayBack(input, after, count) + this.#priceWayThere(input, {from, to, count}, opts.servedNow),
 			});
 		}
 
 		return considered;
 	}
 
+	/** The goodput lost while only a part of the move is done: a lone engine in a role of its own serves less than before. */
+	#priceWayThere(input: PlannerInput, move: Omit<RoleMove, 'endpoint'>, servedNow: number): number {
+		if (move.count === 1) {
+			return 0;
+		}
+
+		const {prefill, decode} = sumDemand(input.demand);
+		let lost = 0;
+		for (let count = 1; count < move.count; count++) {
+			const served = estimateServedFraction(countRoles(moveEndpoints(input.endpoints, {...move, count})), input.demand, this.#speeds);
+			lost += Math.max(0, Math.min(1, servedNow) - Math.min(1, served)) * (prefill + decode) * input.changeSeconds;
+		}
+
+		return lost;
+	}
+
 	/** The goodput lost until the roles are changed back, if the classes trade places as they are known to do. */
 	#priceWayBack(input: PlannerInput, after: readonly PlannedEndpoint[], count: number): number {
 		const mirrored = mirrorDemand(input.demand);
--- a/packages/net/peer-link/test/peer-link.test.ts
+++ b/packages/net/peer-link/test/peer-link.test.ts
@@ -1,5 +1,7 @@
 import {Buffer} from 'node:buffer';
-import {connect, type Server, createServer, type AddressInfo} from 'node:net';
+import {
+	connect, type Server, createServer, type AddressInfo,
+} from 'node:net';
 import {expect} from 'chai';
 import {SystemClock} from '@hickorytrack/clock/system-clock';
 import {Random} from '@hickorytrack/random';
--- a/packages/plugins/controller/src/role-runner.ts
+++ b/packages/plugins/controller/src/role-runner.ts
@@ -120,7 +120,7 @@
 			endpoints: records.map(({announcement}) => {
 				const directive = state.readDirective(announcement.endpoint);
 				return {
-					endpoint: announcement.endpoint, role: announcement.role, roles: announcement.roles, isPinned: directive.pinned, isBusy: open.has(announcement.endpoint) || directive.phase !== 'serving',
+					endpoint: announcement.endpoint, role: announcement.role, roles: announcement.roles, isPinned: directive.pinned, isBusy: directive.phase !== 'serving' || open.has(announcement.endpoint),
 				};
 			}),
 			demand: this.#demand.forecast(this.#computeChangeSeconds() * msPerSecond).filter(one => names.has(one.model)),
@@ -133,7 +133,7 @@
 	#computeChangeSeconds(): number {
 		const ended = [...this.#core.state.changes.values()].filter(change => change.kind === 'set-role' && change.step === 'finished');
 		const seconds = ended.map(change => (change.updatedAt - change.startedAt) / msPerSecond);
-		return seconds.length === 0 ? firstChangeSeconds : seconds.reduce((sum, one) => sum + one, 0) / seconds.length; // eslint-disable-line unicorn/no-array-reduce
+		return seconds.length === 0 ? firstChangeSeconds : seconds.reduce((sum, one) => sum + one, 0) / seconds.length;
 	}
 
 	async #order(change: {endpoint: string; role: 'mixed' | 'prefill' | 'decode'}): Promise<void> {
--- a/packages/plugins/controller/src/subscriber-desk.ts
+++ b/packages/plugins/controller/src/subscriber-desk.ts
@@ -55,8 +55,10 @@
 		this.#isPushDue = true;
 		setImmediate(() => {
 			this.#isPushDue = false;
+			// Most subscribers are at the same revision, so a page is made once for all of them.
+			const pages = new Map<number, ItemPage>();
 			for (const subscriber of this.#subscribers.values()) {
-				this.#push(subscriber);
+				this.#push(subscriber, pages);
 			}
 		});
 	}
@@ -108,8 +110,10 @@
 		}
 	}
 
-	#push(subscriber: Subscriber): void {
-		const page = this.#selectPage(subscriber.topics, subscriber.sentRevision);
+	#push(subscriber: Subscriber, pages: Map<number, ItemPage>): void {
+		const whole = pages.get(subscriber.sentRevision) ?? this.#core.state.items.listSince(subscriber.sentRevision);
+		pages.set(subscriber.sentRevision, whole);
+		const page = filterPage(whole, subscriber.topics);
 		if (page.items.length > 0 && subscriber.connection.isOpen) {
 			subscriber.sentRevision = page.revision;
 			subscriber.connection.notify('control.items', {page});
@@ -118,7 +122,10 @@
 	}
 
 	#selectPage(topics: readonly string[], since: number): ItemPage {
-		const page = this.#core.state.items.listSince(since);
-		return {...page, items: page.items.filter(item => topics.some(topic => item.key.startsWith(topic)))};
+		return filterPage(this.#core.state.items.listSince(since), topics);
 	}
 }
+
+function filterPage(page: ItemPage, topics: readonly string[]): ItemPage {
+	return {...page, items: page.items.filter(item => topics.some(topic => item.key.startsWith(topic)))};
+}
--- a/stand-ins/src/fleet.ts
+++ b/stand-ins/src/fleet.ts
@@ -27,6 +27,8 @@
 	/** Options of the engine stand-in. */
 	engineOptions?: Record<string, unknown>;
 	daemonFlags?: readonly string[];
+	/** Flags of Node.js for the daemons, for example to profile them. */
+	nodeFlags?: readonly string[];
 };
 
 export type FleetMember = {
--- a/tools/bench/src/bench.ts
+++ b/tools/bench/src/bench.ts
@@ -8,6 +8,7 @@
 import {benchPath} from './path-bench.js';
 import {benchPlacement} from './placement-bench.js';
 import {benchPoison} from './poison-bench.js';
+import {benchSlopes} from './slopes-bench.js';
 
 const {values, positionals} = parseArgs({allowPositionals: true, options: {seed: {type: 'string', default: '1'}, deployment: {type: 'string', default: 'cuenca'}, plot: {type: 'string'}}});
 const seed = Number(values.seed);
@@ -16,6 +17,7 @@
 	placement: () => benchPlacement(seed),
 	fairness: () => benchFairness(seed),
 	path: async () => benchPath(),
+	slopes: async () => benchSlopes(new URL('../../../../docs/measurements/', import.meta.url)),
 	poison: async () => benchPoison(seed),
 	control: async () => benchControl(seed),
 	overload: () => benchOverload(seed),
--- a/tools/bench/src/poison-bench.ts
+++ b/tools/bench/src/poison-bench.ts
@@ -42,7 +42,7 @@
 		};
 
 		await Promise.all([resend(), ...Array.from({length: 9}, async (_, worker) => work(worker))]);
-		const crashes = [...fleet.engines.values()].map(engine => engine.crashes).reduce((sum, count) => sum + count, 0); // eslint-disable-line unicorn/no-array-reduce
+		const crashes = [...fleet.engines.values()].map(engine => engine.crashes).reduce((sum, count) => sum + count, 0);
 		const lost = seen.generations.filter(one => one.record.outcome !== 'answered');
 		return {
 			crashes,
--- a/tools/bench/src/simulated-fleet.ts
+++ b/tools/bench/src/simulated-fleet.ts
@@ -10,7 +10,9 @@
 import {isExpectedInTime} from '@hickorytrack/fair-queue/first-token-estimate';
 import {CacheView} from '@hickorytrack/placement/cache-view';
 import type {PlacementCandidate, Placer} from '@hickorytrack/placement';
-import {BatchModel, roleFactors, type BatchSpeed, type ModelRole} from '@hickorytrack/stand-ins/batch-model';
+import {
+	BatchModel, roleFactors, type BatchSpeed, type ModelRole,
+} from '@hickorytrack/stand-ins/batch-model';
 import type {EndpointLoad, EndpointSpeed} from '@hickorytrack/types/endpoint';
 
 export class SteppedClock implements Clock {
--- a/tools/demo/src/demo.ts
+++ b/tools/demo/src/demo.ts
@@ -135,7 +135,8 @@
 			}));
 		}),
 		runEvery(dispatchEveryMs, async index => {
-			failedDispatches += await sendDispatch(fleet, index) === 'ok' ? 0 : 1;
+			const outcome = await sendDispatch(fleet, index);
+			failedDispatches += outcome === 'ok' ? 0 : 1;
 		}),
 		drain(),
 	]);
