--- a/packages/plugins/controller/src/role-runner.ts
+++ b/packages/plugins/controller/src/role-runner.ts
@@ -113,14 +113,16 @@
 
 	#createInput(records: readonly EndpointRecord[]): PlannerInput {
 		const {state, context} = this.#core;
-		const open = new Set(state.listOpenChanges().map(change => change.endpoint));
+		const changing = state.listOpenChanges().map(change => change.endpoint);
+		const notServing = records.map(record => record.announcement.endpoint).filter(endpoint => state.readDirective(endpoint).phase !== 'serving');
+		const busy = new Set([...changing, ...notServing]);
 		const names = new Set(records.flatMap(record => record.announcement.names));
 		return {
 			at: context.clock.monotonic(),
 			endpoints: records.map(({announcement}) => {
 				const directive = state.readDirective(announcement.endpoint);
 				return {
-					endpoint: announcement.endpoint, role: announcement.role, roles: announcement.roles, isPinned: directive.pinned, isBusy: directive.phase !== 'serving' || open.has(announcement.endpoint),
+					endpoint: announcement.endpoint, role: announcement.role, roles: announcement.roles, isPinned: directive.pinned, isBusy: busy.has(announcement.endpoint),
 				};
 			}),
 			demand: this.#demand.forecast(this.#computeChangeSeconds() * msPerSecond).filter(one => names.has(one.model)),
@@ -158,8 +160,8 @@
 	}
 
 	#note(entry: LoggedDecision): void {
-		const last = this.#log.at(-1);
-		if (entry.decision.change || last?.decision.reason !== entry.decision.reason) {
+		const isNews = this.#log.at(-1)?.decision.reason !== entry.decision.reason;
+		if (isNews || entry.decision.change !== undefined) {
 			this.#core.context.events.emit('roleDecision', {
 				planner: entry.planner, models: entry.models, change: entry.decision.change, reason: entry.decision.reason, served: entry.decision.servedNow,
 			});
--- /dev/null
+++ b/scripts/write-capacity.mjs
@@ -0,0 +1,72 @@
+// Writes docs/CAPACITY.md from the measured slopes in docs/measurements and the size that the users plan for.
+import fs from 'node:fs';
+
+const read = name => JSON.parse(fs.readFileSync(`docs/measurements/${name}.json`, 'utf8'));
+const {slopes} = read('slopes');
+const path = read('path');
+const control = read('control');
+const slopeOf = name => slopes.find(slope => slope.name === name).slope;
+const size = {
+	entries: 320, endpoints: 12_000, controllers: 5, requestsPerSecond: 20_000, tokensPerSecond: 4_100_000, tenants: 470, changesPerDay: 19_000, restartsPerDay: 2000, lossesPerDay: 130, zones: 21,
+};
+const secondsPerDay = 86_400;
+const subset = 48;
+const models = 12;
+const subscribers = size.entries + size.endpoints;
+const perController = subscribers / size.controllers;
+const round = (value, digits = 2) => Number(value.toFixed(digits));
+const megabytes = bytes => round(bytes / 1e6);
+
+const rows = [];
+const add = (role, what, value, budget, mechanism, state, isOver = false) => rows.push({
+	role, what, value, budget, mechanism, state, isOver,
+});
+
+const recordBytes = slopeOf('endpoint record in an item store');
+const contractBytes = slopeOf('contract in an item store');
+const connectionBytes = slopeOf('open connection, both sides') / 2;
+const requestMicros = slopeOf('request and reply between two processes, both sides') / 2;
+const pushMicros = slopeOf('configuration change pushed to one subscriber');
+const claimMicros = slopeOf('claim opened and settled in the state machine');
+const recordMicros = slopeOf('log record, proposed and applied');
+const handshakeMicros = slopeOf('connection opened with its handshake, both sides') / 2;
+const links = models * subset;
+
+const entryState = megabytes((size.endpoints * recordBytes) + (size.tenants * contractBytes) + (links * connectionBytes));
+add('entry', 'state: all endpoint records, contracts, links to 48 endpoints of each of 12 models', `${entryState} MB`, '32 MB', 'subset by rendezvous hashing for links; records are held whole', 'exists; records by subset only named', entryState > 32);
+const heartbeatsPerSecond = links * 2;
+const entryHeartbeatPercent = round(heartbeatsPerSecond * requestMicros / 2 / 1e4);
+add('entry', `heartbeats on ${links} links, 2 a second each`, `${entryHeartbeatPercent}% of a core`, '2.9%', 'subset; one timer a link', 'exists; one timer for all links only named', entryHeartbeatPercent > 2.9);
+add('entry', 'pieces a second (4.1 M over 320)', `${Math.round(size.tokensPerSecond / size.entries)}, ${round(size.tokensPerSecond / size.entries * path.entryCpuMicrosecondsPerPiece / 1e4)}% of a core`, 'not control', 'batched pieces', 'exists');
+add('entry', 'requests a second (20,000 over 320)', `${size.requestsPerSecond / size.entries}, ${round(size.requestsPerSecond / size.entries * path.entryCpuMicrosecondsPerRequest / 1e4)}% of a core`, 'not control', 'no message to a controller but claims', 'exists');
+add('agent', 'state: contracts and its own directive', `${megabytes(size.tenants * contractBytes)} MB`, '32 MB', 'topics of a subscription', 'exists');
+add('agent', 'processor time of an idle agent, measured', `${control.controlCpuPercentPerNode}% of a core`, '2.9%', 'timers of 25 ms to 1 s', 'exists', control.controlCpuPercentPerNode > 2.9);
+add('agent', 'control traffic of an idle agent, measured', `${control.controlBytesPerSecondPerNode} bytes/s`, '4 KB/s', 'lease ticks once a second', 'exists', control.controlBytesPerSecondPerNode > 4096);
+add('agent', 'resident memory of the process, measured; an empty Node.js process is in it', `${control.agentMegabytes} MB (empty: ${control.emptyMegabytes} MB)`, '32 MB', 'none; Node.js itself is over the budget', 'a smaller runtime or one agent for several engines would bring it under', true);
+add('controller', `lease ticks of ${Math.round(perController)} subscribers, once a second`, `${round(perController * requestMicros / 1e4)}% of a core`, 'set aside', 'subscribers spread over the controllers', 'exists');
+add('controller', 'pushes of 19,000 changes a day to its subscribers', `${round(size.changesPerDay / secondsPerDay * perController * pushMicros / 1e4)}% of a core`, 'set aside', 'one page for all at the same revision', 'exists');
+add('controller', 'time to push one change to all its subscribers', `${round(perController * pushMicros / 1e6, 3)} s`, '13 s', 'push, ticks as the net below it', 'exists; relay tree only named');
+add('controller', 'memory of connections', `${megabytes(perController * connectionBytes)} MB`, 'set aside', 'connections spread over the controllers', 'exists; regional controllers only named');
+add('controller', 'claims, if 1 in 100 requests may not be repeated', `${size.requestsPerSecond / 100}/s, ${round(size.requestsPerSecond / 100 * ((2 * recordMicros) + claimMicros) / 1e4)}% of a core, ${round(size.requestsPerSecond / 100 * 2 * slopeOf('claim in the log') / 1e3)} KB/s of log`, 'set aside', 'claims sharded by key over groups', 'group number exists, one group today');
+add('controller', 'claims kept for a day at that rate', `${Math.round(size.requestsPerSecond / 100 * secondsPerDay * slopeOf('claim in the claim table') / 1e6)} MB`, 'set aside', 'sharded claims; shorter retention in the contract', 'only named', true);
+add('controller', 'snapshot: all items and a day of claims in one message', `${Math.round((size.endpoints * recordBytes / 1e6) + (size.requestsPerSecond / 100 * secondsPerDay * slopeOf('claim in the claim table') / 1e6))} MB`, '64 MB a frame', 'snapshot in pieces', 'only named', true);
+add('failures', '2,000 restarts and 130 losses a day', `${round((size.restartsPerDay + size.lossesPerDay) / secondsPerDay * handshakeMicros / 1e4, 5)}% of a controller's core`, 'set aside', 'jittered reconnects', 'exists');
+add('failures', 'an availability zone returns: 1/21 of the subscribers at one controller group', `${Math.round(subscribers / size.zones)} handshakes, ${round(subscribers / size.zones / size.controllers * (handshakeMicros + recordMicros) / 1e6, 2)} s of one core at each controller`, '13 s', 'jittered reconnects, epochs batched into syncs', 'exists');
+add('failures', 'a region is cut off for an hour', `at most ${Math.round(size.changesPerDay / 24)} changes missed, one page of at most ${Math.round(size.changesPerDay / 24 * contractBytes / 1e3)} KB`, '13 s', 'everything since a revision in one page', 'exists; what serves inside the region meanwhile needs regional controllers, only named');
+add('failures', 'leader lost', `${control.failoverP95Ms} ms at p95, measured`, '13 s', 'election with pre-vote', 'exists');
+
+const lines = [
+	'# Capacity at the size to design for', '',
+	'Written by `node scripts/write-capacity.mjs` from `docs/measurements/{slopes,path,control}.json`; don\'t edit it. The size is that of the users\' first letter: 320 nodes before 12,000 servers, 20,000 requests and 4.1 M tokens a second, 470 workspaces, 12 models, 21 availability zones, 19,000 changes a day.', '',
+	'Five controllers are counted (15 instances may be set aside). A row over its budget is marked **over**. "Only named" means that the mechanism is not built.', '',
+	'## What one more of each costs', '', '| what | slope | intercept | fit | sizes |', '| --- | --- | --- | --- | --- |',
+	...slopes.map(slope => `| ${slope.name} | ${round(slope.slope, 1)} ${slope.unit} | ${round(slope.intercept, 0)} | ${round(slope.fit, 3)} | ${slope.points.map(point => point.size).join(', ')} |`),
+	`| piece streamed through an entry | ${path.entryCpuMicrosecondsPerPiece} microseconds | | one size | |`,
+	`| request through an entry | ${path.entryCpuMicrosecondsPerRequest} microseconds | | one size | |`,
+	`| open stream at an entry | ${path.bytesPerOpenStream} bytes | | one size | |`, '',
+	'A fit under 0.9 means that the line explains little and the row that uses it is rough.', '',
+	'## Sums', '', '| role | what | sum | budget | mechanism | does it exist |', '| --- | --- | --- | --- | --- | --- |',
+	...rows.map(row => `| ${row.role} | ${row.what} | ${row.isOver ? '**over** ' : ''}${row.value} | ${row.budget} | ${row.mechanism} | ${row.state} |`), '',
+	'## Not in the sums', '', '- 5,300 GB/s of KV: export and import of KV between engines is not built; a request resumes from its tokens instead, which costs prefill.', '- Traffic between regions: there is one group of controllers, so all regions depend on its majority.', '- The figures are from one machine with loopback; see each measurement for its command.', '',
+];
+fs.writeFileSync('docs/CAPACITY.md', lines.join('\n'));
--- a/tools/bench/src/slopes-bench.ts
+++ b/tools/bench/src/slopes-bench.ts
@@ -1,5 +1,7 @@
 /** `slopes`: what one more of each thing costs, measured at four sizes each and fitted by a line; writes the measurement file of docs/CAPACITY.md. */
-import {mkdtemp, rm, stat, writeFile} from 'node:fs/promises';
+import {
+	mkdtemp, rm, stat, writeFile,
+} from 'node:fs/promises';
 import {tmpdir} from 'node:os';
 import path from 'node:path';
 import process from 'node:process';
@@ -40,8 +42,8 @@
 
 function fitLine(name: string, unit: string, points: Array<{size: number; value: number}>): Slope {
 	const count = points.length;
-	const meanX = points.map(one => one.size).reduce((a, b) => a + b, 0) / count; // eslint-disable-line unicorn/no-array-reduce
-	const meanY = points.map(one => one.value).reduce((a, b) => a + b, 0) / count; // eslint-disable-line unicorn/no-array-reduce
+	const meanX = points.map(one => one.size).reduce((a, b) => a + b, 0) / count;
+	const meanY = points.map(one => one.value).reduce((a, b) => a + b, 0) / count;
 	let covariance = 0;
 	let varianceX = 0;
 	let varianceY = 0;
@@ -115,7 +117,8 @@
 		instance: '', term: 1, quorumAgeMs: 0, revision: 1,
 	}));
 	for (let index = 0; index < size; index++) {
-		(await caller.connect(listener.member.address))._unsafeUnwrap();
+		const connected = await caller.connect(listener.member.address);
+		connected._unsafeUnwrap();
 	}
 
 	const value = await use({listener, caller});
@@ -151,8 +154,10 @@
 	let next = 1;
 	for (const size of sizes) {
 		const before = (await stat(path.join(folder, 'log'))).size; // eslint-disable-line unicorn/no-await-expression-member
-		await storage.append(Array.from({length: size}, () => ({
-			index: next++, term: 1, kind: 'command' as const, payload: {kind: 'open-claim', at: 1, request: createClaim(next)},
+		const first = next;
+		next += size;
+		await storage.append(Array.from({length: size}, (_, index) => ({
+			index: first + index, term: 1, kind: 'command' as const, payload: {kind: 'open-claim', at: 1, request: createClaim(first + index)},
 		})));
 		points.push({size, value: (await stat(path.join(folder, 'log'))).size - before}); // eslint-disable-line unicorn/no-await-expression-member
 	}
