--- a/scripts/write-capacity.mjs
+++ b/scripts/write-capacity.mjs
@@ -18,6 +18,7 @@
 const megabytes = bytes => round(bytes / 1e6);
 
 const rows = [];
+// eslint-disable-next-line max-params -- one call is one row of the table
 const add = (role, what, value, budget, mechanism, state, isOver = false) => rows.push({
 	role, what, value, budget, mechanism, state, isOver,
 });
@@ -56,17 +57,34 @@
 add('failures', 'leader lost', `${control.failoverP95Ms} ms at p95, measured`, '13 s', 'election with pre-vote', 'exists');
 
 const lines = [
-	'# Capacity at the size to design for', '',
-	'Written by `node scripts/write-capacity.mjs` from `docs/measurements/{slopes,path,control}.json`; don\'t edit it. The size is that of the users\' first letter: 320 nodes before 12,000 servers, 20,000 requests and 4.1 M tokens a second, 470 workspaces, 12 models, 21 availability zones, 19,000 changes a day.', '',
-	'Five controllers are counted (15 instances may be set aside). A row over its budget is marked **over**. "Only named" means that the mechanism is not built.', '',
-	'## What one more of each costs', '', '| what | slope | intercept | fit | sizes |', '| --- | --- | --- | --- | --- |',
+	'# Capacity at the size to design for',
+	'',
+	'Written by `node scripts/write-capacity.mjs` from `docs/measurements/{slopes,path,control}.json`; don\'t edit it. The size is that of the users\' first letter: 320 nodes before 12,000 servers, 20,000 requests and 4.1 M tokens a second, 470 workspaces, 12 models, 21 availability zones, 19,000 changes a day.',
+	'',
+	'Five controllers are counted (15 instances may be set aside). A row over its budget is marked **over**. "Only named" means that the mechanism is not built.',
+	'',
+	'## What one more of each costs',
+	'',
+	'| what | slope | intercept | fit | sizes |',
+	'| --- | --- | --- | --- | --- |',
 	...slopes.map(slope => `| ${slope.name} | ${round(slope.slope, 1)} ${slope.unit} | ${round(slope.intercept, 0)} | ${round(slope.fit, 3)} | ${slope.points.map(point => point.size).join(', ')} |`),
 	`| piece streamed through an entry | ${path.entryCpuMicrosecondsPerPiece} microseconds | | one size | |`,
 	`| request through an entry | ${path.entryCpuMicrosecondsPerRequest} microseconds | | one size | |`,
-	`| open stream at an entry | ${path.bytesPerOpenStream} bytes | | one size | |`, '',
-	'A fit under 0.9 means that the line explains little and the row that uses it is rough.', '',
-	'## Sums', '', '| role | what | sum | budget | mechanism | does it exist |', '| --- | --- | --- | --- | --- | --- |',
-	...rows.map(row => `| ${row.role} | ${row.what} | ${row.isOver ? '**over** ' : ''}${row.value} | ${row.budget} | ${row.mechanism} | ${row.state} |`), '',
-	'## Not in the sums', '', '- 5,300 GB/s of KV: export and import of KV between engines is not built; a request resumes from its tokens instead, which costs prefill.', '- Traffic between regions: there is one group of controllers, so all regions depend on its majority.', '- The figures are from one machine with loopback; see each measurement for its command.', '',
+	`| open stream at an entry | ${path.bytesPerOpenStream} bytes | | one size | |`,
+	'',
+	'A fit under 0.9 means that the line explains little and the row that uses it is rough.',
+	'',
+	'## Sums',
+	'',
+	'| role | what | sum | budget | mechanism | does it exist |',
+	'| --- | --- | --- | --- | --- | --- |',
+	...rows.map(row => `| ${row.role} | ${row.what} | ${row.isOver ? '**over** ' : ''}${row.value} | ${row.budget} | ${row.mechanism} | ${row.state} |`),
+	'',
+	'## Not in the sums',
+	'',
+	'- 5,300 GB/s of KV: export and import of KV between engines is not built; a request resumes from its tokens instead, which costs prefill.',
+	'- Traffic between regions: there is one group of controllers, so all regions depend on its majority.',
+	'- The figures are from one machine with loopback; see each measurement for its command.',
+	'',
 ];
 fs.writeFileSync('docs/CAPACITY.md', lines.join('\n'));
--- /dev/null
+++ b/tools/demo/test/readme-examples.test.ts
@@ -0,0 +1,25 @@
+/** Runs the examples in the READMEs of the packages that are meant to be embedded. */
+import {readdir, readFile, writeFile} from 'node:fs/promises';
+
+const root = new URL('../../../../', import.meta.url);
+
+const listFolders = async (): Promise<string[]> => {
+	const names = await readdir(new URL('packages/coordination/', root));
+	return ['packages/net/peer-link/', ...names.map(name => `packages/coordination/${name}/`)];
+};
+
+describe('examples in READMEs', () => {
+	it('run as they stand', async () => {
+		for (const folder of await listFolders()) {
+			const text = await readFile(new URL(`${folder}README.md`, root), 'utf8');
+			const example = /```js\n(?<code>.*?)```/s.exec(text)?.groups?.code;
+			if (example === undefined) {
+				throw new Error(`${folder} has no example`);
+			}
+
+			const file = new URL(`${folder}lib/readme-example.mjs`, root);
+			await writeFile(file, example);
+			await import(file.href);
+		}
+	});
+});
