--- a/packages/coordination/replicated-log/src/replicated-log.ts
+++ b/packages/coordination/replicated-log/src/replicated-log.ts
@@ -7,7 +7,6 @@
  * `applied`: `no` means that the command has no effect now or later, `unknown` that it may have one.
  */
 import {setMaxListeners} from 'node:events';
-import {Mutex} from 'async-mutex';
 import {err, ok, type Result} from 'neverthrow';
 import {waitAtMost, type Clock} from '@hickorytrack/clock';
 import type {Random} from '@hickorytrack/random';
@@ -16,6 +15,7 @@
 	LogRecord, LogStorage, LogStorageError, RecordKind,
 } from '@hickorytrack/log-storage';
 import {Elector} from './elector.js';
+import {Follower} from './follower.js';
 import type {MemberMessage, MemberReply, MemberTransport} from './member-messages.js';
 import {type MemberSet, type MemberInfo} from './member-set.js';
 import {
@@ -70,10 +70,9 @@
 	readonly #timing: LogTiming;
 	readonly #steps: StepPoints;
 	readonly #ended = new AbortController();
-	/** Messages that change the log are handled one at a time. */
-	readonly #inOrder = new Mutex();
 	readonly #waiters = new Map<number, Waiter>();
 	#state: MemberState | undefined;
+	#follower: Follower | undefined;
 	#replicator: Replicator | undefined;
 	#appliedIndex = 0;
 	#isWriting = false;
@@ -122,6 +121,28 @@
 
 		const state = new MemberState(this.id, opened.value, {storage: this.#opts.storage, clock: this.#opts.clock, initialMembers: this.#opts.initialMembers});
 		this.#state = state;
+		this.#follower = new Follower(state, {
+			clock: this.#opts.clock,
+			timing: this.#timing,
+			isRuling: () => this.#checkRule(),
+			endRule: () => {
+				if (this.#replicator) {
+					this.#endRule();
+				}
+			},
+			commitUpTo: index => {
+				this.#advanceCommit(index);
+			},
+			forgetFrom: index => {
+				this.#failWaitersFrom(index);
+			},
+			restore: async snapshot => {
+				this.#opts.stateMachine.restoreSnapshot(snapshot.state);
+				this.#appliedIndex = snapshot.index;
+				state.commitIndex = snapshot.index;
+				await this.#steps.reach('snapshot.installed', this.id);
+			},
+		});
 		if (state.snapshot) {
 			this.#opts.stateMachine.restoreSnapshot(state.snapshot.state);
 			this.#appliedIndex = state.snapshot.index;
@@ -254,162 +275,11 @@
 	/** Handles a message from another member. */
 	async handle(message: MemberMessage): Promise<MemberReply> {
 		const state = this.#state;
-		if (!state || state.stopped) {
+		if (!state || state.stopped || !this.#follower) {
 			throw new ReplicatedLogError('ERR_HICKORYTRACK_LOG_STOPPED', 'This member is not running', {applied: 'no'});
 		}
 
-		switch (message.kind) {
-			case 'pre-vote': {
-				return {
-					kind: 'vote', folder: state.folder, term: state.term, granted: this.#wouldVote(message),
-				};
-			}
-
-			case 'heartbeat': {
-				return this.#noteHeartbeat(message);
-			}
-
-			case 'vote': {
-				return this.#inOrder.runExclusive(async () => ({
-					kind: 'vote', folder: state.folder, granted: await this.#vote(message), term: state.term,
-				}));
-			}
-
-			case 'append': {
-				return this.#inOrder.runExclusive(async () => this.#append(message));
-			}
-
-			case 'snapshot': {
-				return this.#inOrder.runExclusive(async () => this.#installSnapshot(message));
-			}
-		}
-	}
-
-	/** Answers without waiting for the disk or for other messages; an unknown term is left to the next append. */
-	#noteHeartbeat(message: MemberMessage & {kind: 'heartbeat'}): MemberReply {
-		const state = this.#state!;
-		const accepted = message.term === state.term && state.role === 'follower' && (state.leader ?? message.from) === message.from;
-		if (accepted) {
-			state.noteLeader(message.from, message.quorumAgeMs);
-		}
-
-		return {
-			kind: 'heartbeat', folder: state.folder, term: state.term, accepted,
-		};
-	}
-
-	#wouldVote(message: MemberMessage & {kind: 'pre-vote' | 'vote'}): boolean {
-		const state = this.#state!;
-		const hearsLeader = this.#checkRule() || this.#opts.clock.monotonic() - state.lastHeardAt < this.#timing.electionMinMs;
-		const isUpToDate = message.lastTerm > state.window.lastTerm
-			|| (message.lastTerm === state.window.lastTerm && message.lastIndex >= state.window.lastIndex);
-		return !hearsLeader && isUpToDate && message.term >= state.term && state.members.isSameFolder(message.from, message.folder);
-	}
-
-	async #vote(message: MemberMessage & {kind: 'vote'}): Promise<boolean> {
-		const state = this.#state!;
-		if (message.term < state.term || !this.#wouldVote(message)) {
-			return false;
-		}
-
-		this.#endRule();
-		const isGiven = await state.giveVote(message.term, message.from);
-		if (isGiven) {
-			state.lastHeardAt = this.#opts.clock.monotonic();
-		}
-
-		return isGiven;
-	}
-
-	async #append(message: MemberMessage & {kind: 'append'}): Promise<MemberReply> {
-		const state = this.#state!;
-		if (!await this.#followLeader(message.from, message.term, message.quorumAgeMs)) {
-			return this.#replyToAppend(false);
-		}
-
-		const previousTerm = state.window.readTerm(message.previousIndex);
-		if (message.previousIndex > state.window.lastIndex || (previousTerm !== undefined && previousTerm !== message.previousTerm)) {
-			return this.#replyToAppend(false, Math.min(state.window.lastIndex, message.previousIndex - 1));
-		}
-
-		const fresh = message.records.filter(record => record.index > state.window.baseIndex && state.window.readTerm(record.index) !== record.term);
-		const first = fresh[0];
-		if (first && first.index <= state.window.lastIndex && !await this.#dropConflict(first)) {
-			return this.#replyToAppend(false);
-		}
-
-		const missing = fresh.filter(record => record.index > state.window.lastIndex);
-		state.appendInMemory(missing);
-		if (!await state.persist()) {
-			return this.#replyToAppend(true);
-		}
-
-		if (state.term === message.term) {
-			this.#advanceCommit(Math.min(message.commitIndex, message.previousIndex + message.records.length));
-		}
-
-		return this.#replyToAppend(true);
-	}
-
-	async #dropConflict(first: LogRecord): Promise<boolean> {
-		if (first.index <= this.#state!.commitIndex) {
-			throw new ReplicatedLogError('ERR_HICKORYTRACK_LOG_DIVERGED', `The leader contradicts the committed record ${first.index}`, {applied: 'no'});
-		}
-
-		const isDropped = await this.#state!.truncateFrom(first.index);
-		if (isDropped) {
-			this.#failWaitersFrom(first.index);
-		}
-
-		return isDropped;
-	}
-
-	async #installSnapshot(message: MemberMessage & {kind: 'snapshot'}): Promise<MemberReply> {
-		const state = this.#state!;
-		if (!await this.#followLeader(message.from, message.term, 0)) {
-			return this.#replyToAppend(false);
-		}
-
-		const {snapshot} = message;
-		if (snapshot.index <= state.commitIndex) {
-			return this.#replyToAppend(true);
-		}
-
-		if (!await state.installSnapshot(snapshot)) {
-			return this.#replyToAppend(false);
-		}
-
-		this.#opts.stateMachine.restoreSnapshot(snapshot.state);
-		this.#appliedIndex = snapshot.index;
-		state.commitIndex = snapshot.index;
-		await this.#steps.reach('snapshot.installed', this.id);
-		return this.#replyToAppend(true);
-	}
-
-	async #followLeader(leader: string, term: number, quorumAgeMs: number): Promise<boolean> {
-		const state = this.#state!;
-		if (term < state.term) {
-			return false;
-		}
-
-		if (term > state.term && !await state.adoptTerm(term)) {
-			return false;
-		}
-
-		if (this.#replicator) {
-			this.#endRule();
-		}
-
-		state.role = 'follower';
-		state.noteLeader(leader, quorumAgeMs);
-		return true;
-	}
-
-	#replyToAppend(accepted: boolean, lastIndex?: number): MemberReply {
-		const state = this.#state!;
-		return {
-			kind: 'append', folder: state.folder, term: state.term, accepted, lastIndex: lastIndex ?? state.window.lastIndex, durableIndex: state.durableIndex, diskFault: state.diskFault,
-		};
+		return this.#follower.handle(message);
 	}
 
 	/** Tells whether this member may rule now; a leader that lost its majority finds out here, by its own clock. */
--- a/packages/plugins/agent/src/work-desk.ts
+++ b/packages/plugins/agent/src/work-desk.ts
@@ -20,6 +20,7 @@
 import type {EngineWatch} from './engine-watch.js';
 import {Job} from './job.js';
 import {JobBook} from './job-book.js';
+import {JobRunner} from './job-runner.js';
 import {PieceSender} from './piece-sender.js';
 
 const maximumQueueLength = 2000;
@@ -27,9 +28,6 @@
 const tenantBurstMs = 500;
 const housekeepingMs = 25;
 const adaptWindowMs = 1000;
-/** Silent periods after which a stream counts as lost although the engine still has the work. */
-const silentPeriodsBeforeFirstPiece = 10;
-const silentPeriodsInStream = 2;
 /** The limit on concurrency never falls under this part of the engine's capacity. */
 const leastSlotsPart = 4;
 const msPerSecond = 1000;
@@ -54,6 +52,7 @@
 	readonly #book: JobBook;
 	readonly #senders = new WeakMap<PeerConnection, PieceSender>();
 	readonly #meter: DemandMeter;
+	readonly #runner: JobRunner;
 	readonly #stopped = new AbortController();
 	#limit: AdaptiveLimit | undefined;
 	#phase: EndpointPhase = 'serving';
@@ -69,6 +68,7 @@
 		this.#queue = new FairQueue({clock: this.#clock, maximumLength: maximumQueueLength, burstMs: tenantBurstMs});
 		this.#book = new JobBook(this.#clock);
 		this.#meter = new DemandMeter(this.#clock);
+		this.#runner = new JobRunner(opts);
 	}
 
 	get phase(): EndpointPhase {
@@ -413,10 +413,10 @@
 		context.metrics.time('agent.queue_ms', job.startedAt - job.queuedAt);
 		try {
 			await context.steps.reach('request.handed-to-engine', context.settings.endpoint);
-			const {work} = job.submission;
 			const incarnation = this.#opts.watch.description?.incarnation ?? '';
-			const end = await (work.kind === 'generation' ? this.#generate(job, work) : this.#callService(job, work));
+			const end = await this.#runner.run(job);
 			if (end) {
+				this.#noteOutput(job, end);
 				this.#end(job, end);
 			} else if (job.phase === 'running') {
 				await this.#judgeFailure(job, incarnation);
@@ -427,33 +427,11 @@
 		}
 	}
 
-	/** Runs a generation; returns `undefined` when it failed in a way that has to be judged. */
-	async #generate(job: Job, work: GenerationWork): Promise<AttemptEnd | undefined> {
-		const stream = this.#opts.adapter.generate(work, {
-			attempt: job.attempt, tenant: job.submission.tenant, priority: job.priority, signal: job.abort.signal, onWrite() {
-				job.isWritten = true;
-			},
-		})[Symbol.asyncIterator]();
-		for (;;) {
-			const event = await this.#readEvent(stream, job);
-			if (event === 'stalled') {
-				job.abort.abort();
-				this.#opts.context.events.emit('engineSilent', {attempt: job.attempt});
-				return {kind: 'engine-failed', written: true, message: 'The engine stream stalled'};
-			}
-
-			if (event.kind === 'end') {
-				this.#observeLatency(job);
-				this.#meter.noteOutput(work.model, event.outputTokens);
-				const {kind, ...usage} = event;
-				return {kind: 'complete', ...usage};
-			}
-
-			if (event.kind === 'failed') {
-				return this.#convertFailure(job, event.error);
-			}
-
-			await this.#takeTexts(job, event.texts);
+	#noteOutput(job: Job, end: AttemptEnd): void {
+		const {work} = job.submission;
+		if (end.kind === 'complete' && work.kind === 'generation') {
+			this.#observeLatency(job);
+			this.#meter.noteOutput(work.model, end.outputTokens);
 		}
 	}
 
@@ -464,56 +442,6 @@
 		}
 	}
 
-	async #takeTexts(job: Job, texts: string[]): Promise<void> {
-		const {steps, settings} = this.#opts.context;
-		const isFirst = job.firstPieceAt === undefined;
-		const now = this.#clock.monotonic();
-		job.firstPieceAt ??= now;
-		job.tail.write(texts);
-		await steps.reach(isFirst ? 'request.first-piece' : 'request.mid-stream', settings.endpoint);
-		await job.tail.waitForRoom(job.abort.signal);
-	}
-
-	/** Reads the next event; a stream that is silent for too long is probed on another connection. */
-	async #readEvent(stream: AsyncIterator<EngineEvent>, job: Job): Promise<EngineEvent | 'stalled'> {
-		const next = stream.next();
-		const patience = job.firstPieceAt === undefined ? silentPeriodsBeforeFirstPiece : silentPeriodsInStream;
-		for (let period = 1; ; period++) {
-			const result = await waitAtMost(next, this.#opts.context.settings.stallMs, this.#clock);
-			if (result) {
-				return result.done ? {kind: 'failed', error: createCutError()} : result.value;
-			}
-
-			// An engine that has the work but sends nothing for long has lost track of the connection.
-			if (period >= patience || await this.#opts.adapter.probe(job.attempt) !== 'running') {
-				return 'stalled';
-			}
-		}
-	}
-
-	async #callService(job: Job, work: ServiceWork): Promise<AttemptEnd | undefined> {
-		const result = await this.#opts.adapter.callService(work, {
-			attempt: job.attempt, tenant: job.submission.tenant, priority: job.priority, signal: job.abort.signal, onWrite() {
-				job.isWritten = true;
-			},
-		});
-		return result.isOk() ? {kind: 'service-answer', answer: result.value} : this.#convertFailure(job, result.error);
-	}
-
-	#convertFailure(job: Job, error: EngineError): AttemptEnd | undefined {
-		if (job.phase === 'ended') {
-			return undefined;
-		}
-
-		if (!error.written) {
-			job.isWritten = false;
-			this.#opts.watch.noteLost();
-			return {kind: 'refused', reason: 'not-ready'};
-		}
-
-		return error.code === 'ERR_HICKORYTRACK_ENGINE_REFUSED' ? {kind: 'engine-failed', written: true, message: error.message} : undefined;
-	}
-
 	/** Finds out whether the engine crashed; if so, everything that ran becomes a suspect. */
 	async #judgeFailure(job: Job, incarnation: string): Promise<void> {
 		const ran = [...this.#running].filter(other => other.isWritten && other.phase === 'running');
@@ -604,9 +532,3 @@
 		}
 	}
 }
-
-function createCutError(): EngineError {
-	const error = new Error('The engine stream ended without an end') as EngineError;
-	Object.assign(error, {code: 'ERR_HICKORYTRACK_ENGINE_CUT', written: true});
-	return error;
-}
