fix(controller): a stopping controller no longer spins while it waits for a learner

Cause: the wait for a learner slept on the signal that a stop aborts, so after the stop it slept no more and held the event loop for up to 30 s. In the matrix, where many processes share one loop, this starved other cells: member.added cells took 25-40 s and one did not start. Ruled out: slow syncs (first suspected; the profile shows 35 s in the promote loop), elections. Change: the loop ends with the process. The new test fails without the change and passes with it. Conclusion: fixed.

--- a/packages/plugins/controller/src/operator-api.ts
+++ b/packages/plugins/controller/src/operator-api.ts
@@ -181,7 +181,7 @@
 		const {clock} = this.#core.context;
 		const until = clock.monotonic() + learnerPatienceMs;
 		let message = '';
-		while (clock.monotonic() < until) {
+		while (clock.monotonic() < until && !this.#core.stopped.signal.aborted) {
 			const promoted = await this.#core.log.promoteLearner(id);
 			if (promoted.isOk()) {
 				return accept({promoted: id});
--- a/tools/faults/test/checks-can-fail.test.ts
+++ b/tools/faults/test/checks-can-fail.test.ts
@@ -7,6 +7,8 @@
 import {PeerNode} from '@hickorytrack/peer-link/peer-node';
 import {defaultPeerTiming} from '@hickorytrack/peer-link/peer-connection';
 import {Random} from '@hickorytrack/random';
+import {OperatorClient} from '@hickorytrack/hickorytrack/operator-client';
+import {ReplicatedLog} from '@hickorytrack/replicated-log';
 import {SystemClock} from '@hickorytrack/clock/system-clock';
 import {AnswerReader} from '@hickorytrack/answer-stream/answer-reader';
 import type {PieceRun} from '@hickorytrack/types/work';
@@ -142,6 +144,26 @@
 		expect(await check('changes-end')).to.have.length(1);
 	});
 
+	it('a controller that stops while it waits for a learner does not go on asking', async () => {
+		const leader = fleet.findLeader()!;
+		const lost = fleet.instances.map(one => one.name).find(name => name !== leader)!;
+		await fleet.kill(lost);
+		let isStopped = false;
+		let callsAfterStop = 0;
+		const {promoteLearner} = ReplicatedLog.prototype;
+		restore = replaceMethod(ReplicatedLog.prototype, 'promoteLearner', async function (this: ReplicatedLog, id) {
+			callsAfterStop += isStopped ? 1 : 0;
+			return promoteLearner.call(this, id);
+		});
+		const replaced = new OperatorClient({server: fleet.getOperatorUrl(leader), timeoutMs: 3000}).call('controller.replace', {id: lost});
+		await waitUntil(() => fleet.find(leader).kernel!.dump() !== undefined);
+		await replaced;
+		isStopped = true;
+		await fleet.kill(leader);
+		// One call may be under way and one may have slept; a loop that does not stop makes thousands.
+		expect(callsAfterStop).to.be.at.most(5);
+	});
+
 	it('serves-again: red when every endpoint is gone', async () => {
 		expect(await check('serves-again')).to.deep.equal([]);
 		for (const engine of fleet.engines.values()) {
