--- a/xo.config.js
+++ b/xo.config.js
@@ -36,9 +36,17 @@
 	'@typescript-eslint/no-unused-expressions': 'off',
 };
 
+const inScripts = {
+	// Scripts are plain JavaScript and use the packages of the workspace.
+	'n/no-extraneous-import': 'off',
+	'import-x/no-extraneous-dependencies': 'off',
+	'unicorn/prevent-abbreviations': 'off',
+	'@stylistic/max-len': 'off',
+};
+
 export default [
 	{ignores: ['**/lib/**', 'docs/**', '**/*.md']},
-	{rules: relaxed},
 	{files: ['**/*.ts'], rules: relaxed},
-	{files: ['**/test/**/*.ts', 'scripts/**'], rules: inTests},
+	{files: ['**/*.js', '**/*.mjs'], rules: inScripts},
+	{files: ['**/test/**/*.ts'], rules: inTests},
 ];
