--- a/packages/cli/hickorytrack/src/contract-commands.ts
+++ b/packages/cli/hickorytrack/src/contract-commands.ts
@@ -17,7 +17,7 @@
 
 type WriteResult = {
 	revision: number;
-	value: {tenant: string; version: number};
+	value: {workspace: string; version: number};
 };
 
 type ForceResult = {
@@ -42,9 +42,9 @@
 		return parsed._unsafeUnwrap();
 	}
 
-	protected async findContract(flags: ServerFlags, tenant: string): Promise<VersionedContract | undefined> {
+	protected async findContract(flags: ServerFlags, workspace: string): Promise<VersionedContract | undefined> {
 		const {contracts} = await this.callServer<{contracts: VersionedContract[]}>(flags, 'contract.list');
-		return contracts.find(held => held.contract.tenant === tenant);
+		return contracts.find(held => held.contract.workspace === workspace);
 	}
 
 	/** Waits until every entry and agent has confirmed the revision. */
@@ -84,7 +84,7 @@
 	async run(): Promise<unknown> {
 		const {flags} = await this.parse(ContractApply);
 		const contract = await this.readFile(flags.file);
-		const held = await this.findContract(flags, contract.tenant);
+		const held = await this.findContract(flags, contract.workspace);
 		const difference = diffObjects(held?.contract ?? {}, contract);
 		this.log(difference.length > 0 ? difference.join('\n') : 'No difference.');
 		if (flags['dry-run'] || difference.length === 0) {
@@ -92,9 +92,9 @@
 		}
 
 		const written = await this.callServer<WriteResult>(flags, 'contract.put', {
-			changeId: flags['change-id'] ?? randomUUID(), expectedVersion: flags['expect-version'] ?? held?.version ?? await this.findLastVersion(flags, contract.tenant), tenant: contract.tenant, contract,
+			changeId: flags['change-id'] ?? randomUUID(), expectedVersion: flags['expect-version'] ?? held?.version ?? await this.findLastVersion(flags, contract.workspace), workspace: contract.workspace, contract,
 		});
-		this.log(`Contract of ${contract.tenant} is accepted as version ${written.value.version}, revision ${written.revision}.`);
+		this.log(`Contract of ${contract.workspace} is accepted as version ${written.value.version}, revision ${written.revision}.`);
 		if (flags['wait-seconds'] > 0) {
 			await this.waitUntilInForce(flags, written.revision, flags['wait-seconds']);
 		}
@@ -102,35 +102,35 @@
 		return {difference, written: true, ...written};
 	}
 
-	private async findLastVersion(flags: ServerFlags, tenant: string): Promise<number> {
-		const {versions} = await this.callServer<{versions: Array<{version: number}>}>(flags, 'contract.history', {tenant});
+	private async findLastVersion(flags: ServerFlags, workspace: string): Promise<number> {
+		const {versions} = await this.callServer<{versions: Array<{version: number}>}>(flags, 'contract.history', {workspace});
 		return versions.at(-1)?.version ?? 0;
 	}
 }
 
 export class ContractRemove extends ContractCommand {
-	static override description = 'Remove the contract of a tenant; its requests are refused from then on.';
-	static override args = {tenant: Args.string({required: true})};
+	static override description = 'Remove the contract of a workspace; its requests are refused from then on.';
+	static override args = {workspace: Args.string({required: true})};
 	static override flags = changeFlags;
 
 	async run(): Promise<unknown> {
 		const {args, flags} = await this.parse(ContractRemove);
-		const held = await this.callServer<VersionedContract>(flags, 'contract.get', {tenant: args.tenant});
+		const held = await this.callServer<VersionedContract>(flags, 'contract.get', {workspace: args.workspace});
 		const written = await this.callServer<WriteResult>(flags, 'contract.put', {
-			changeId: flags['change-id'] ?? randomUUID(), expectedVersion: flags['expect-version'] ?? held.version, tenant: args.tenant,
+			changeId: flags['change-id'] ?? randomUUID(), expectedVersion: flags['expect-version'] ?? held.version, workspace: args.workspace,
 		});
-		this.log(`Contract of ${args.tenant} is removed, revision ${written.revision}.`);
+		this.log(`Contract of ${args.workspace} is removed, revision ${written.revision}.`);
 		return written;
 	}
 }
 
 export class ContractGet extends ContractCommand {
-	static override description = 'Show the contract of a tenant.';
-	static override args = {tenant: Args.string({required: true})};
+	static override description = 'Show the contract of a workspace.';
+	static override args = {workspace: Args.string({required: true})};
 
 	async run(): Promise<unknown> {
 		const {args, flags} = await this.parse(ContractGet);
-		const held = await this.callServer<VersionedContract>(flags, 'contract.get', {tenant: args.tenant});
+		const held = await this.callServer<VersionedContract>(flags, 'contract.get', {workspace: args.workspace});
 		this.log(JSON.stringify(held, undefined, 2));
 		return held;
 	}
@@ -142,19 +142,19 @@
 	async run(): Promise<unknown> {
 		const {flags} = await this.parse(ContractList);
 		const result = await this.callServer<{revision: number; contracts: VersionedContract[]}>(flags, 'contract.list');
-		this.printTable(['tenant', 'version', 'priority', 'share', 'requests/s', 'models'], result.contracts.map(({version, contract}) =>
-			[contract.tenant, version, contract.priority, contract.share, contract.limits.requestsPerSecond, contract.models.join(',')]));
+		this.printTable(['workspace', 'version', 'priority', 'share', 'requests/s', 'models'], result.contracts.map(({version, contract}) =>
+			[contract.workspace, version, contract.priority, contract.share, contract.limits.requestsPerSecond, contract.models.join(',')]));
 		return result;
 	}
 }
 
 export class ContractHistory extends ContractCommand {
 	static override description = 'List the versions of a contract.';
-	static override args = {tenant: Args.string({required: true})};
+	static override args = {workspace: Args.string({required: true})};
 
 	async run(): Promise<unknown> {
 		const {args, flags} = await this.parse(ContractHistory);
-		const result = await this.callServer<{versions: Array<{version: number; revision: number; changeId: string; contract?: Contract}>}>(flags, 'contract.history', {tenant: args.tenant});
+		const result = await this.callServer<{versions: Array<{version: number; revision: number; changeId: string; contract?: Contract}>}>(flags, 'contract.history', {workspace: args.workspace});
 		this.printTable(['version', 'revision', 'change', 'state'], result.versions.map(entry => [entry.version, entry.revision, entry.changeId, entry.contract ? 'written' : 'removed']));
 		return result;
 	}
@@ -167,7 +167,7 @@
 	async run(): Promise<unknown> {
 		const {flags} = await this.parse(ContractDiff);
 		const contract = await this.readFile(flags.file);
-		const held = await this.findContract(flags, contract.tenant);
+		const held = await this.findContract(flags, contract.workspace);
 		const difference = diffObjects(held?.contract ?? {}, contract);
 		this.log(difference.length > 0 ? difference.join('\n') : 'No difference.');
 		return {difference};
--- a/packages/cli/hickorytrack/src/other-commands.ts
+++ b/packages/cli/hickorytrack/src/other-commands.ts
@@ -88,8 +88,8 @@
 	async run(): Promise<unknown> {
 		const {flags} = await this.parse(QuarantineList);
 		const result = await this.callServer<{entries: QuarantineEntry[]}>(flags, 'quarantine.list');
-		this.printTable(['fingerprint', 'tenant', 'state', 'crashes', 'until'], result.entries.map(entry =>
-			[entry.fingerprint, entry.tenant, entry.state, entry.crashes, new Date(entry.until).toISOString()]));
+		this.printTable(['fingerprint', 'workspace', 'state', 'crashes', 'until'], result.entries.map(entry =>
+			[entry.fingerprint, entry.workspace, entry.state, entry.crashes, new Date(entry.until).toISOString()]));
 		return result;
 	}
 }
--- a/packages/control/contract-schema/src/contract-schema.ts
+++ b/packages/control/contract-schema/src/contract-schema.ts
@@ -31,7 +31,7 @@
 const digest = z.string().regex(/^[\da-f]{64}$/, 'a SHA-256 in lower-case hex');
 
 const schema = z.strictObject({
-	tenant: name,
+	workspace: name,
 	apiKeys: z.array(z.strictObject({id: name, sha256: digest})).min(1).max(8),
 	models: z.array(z.string().min(1)).default([]),
 	services: z.array(z.strictObject({
--- a/packages/control/contract-schema/test/contract-schema.test.ts
+++ b/packages/control/contract-schema/test/contract-schema.test.ts
@@ -3,20 +3,20 @@
 
 describe('contract schema', () => {
 	it('fills defaults and keeps only the digest of a key', () => {
-		const contract = parseContract('tenant: cuenca\napiKeys:\n  - id: app\n    key: secret-key\nmodels: [drafts]\n')._unsafeUnwrap();
+		const contract = parseContract('workspace: cuenca\napiKeys:\n  - id: app\n    key: secret-key\nmodels: [drafts]\n')._unsafeUnwrap();
 		expect(contract.apiKeys[0]).to.deep.equal({id: 'app', sha256: computeKeyDigest('secret-key')});
 		expect(contract.targets.firstTokenMs).to.equal(460);
 		expect(JSON.stringify(contract)).to.not.contain('secret-key');
 	});
 
 	it('reports every fault with line and path', () => {
-		const {faults} = parseContract('tenant: cuenca\napiKeys: []\nlimits:\n  burst: none\n  colour: red\n')._unsafeUnwrapErr();
+		const {faults} = parseContract('workspace: cuenca\napiKeys: []\nlimits:\n  burst: none\n  colour: red\n')._unsafeUnwrapErr();
 		expect(faults.map(fault => fault.path)).to.include.members(['apiKeys', 'limits.burst', 'limits']);
 		expect(faults.find(fault => fault.path === 'limits.burst')!.line).to.equal(4);
 	});
 
 	it('reports broken YAML with its line', () => {
-		const {faults} = parseContract('tenant: [\n')._unsafeUnwrapErr();
+		const {faults} = parseContract('workspace: [\n')._unsafeUnwrapErr();
 		expect(faults[0]!.line).to.be.a('number');
 	});
 
--- a/packages/control/control-client/src/control-client.ts
+++ b/packages/control/control-client/src/control-client.ts
@@ -20,7 +20,7 @@
 	CommandOutcome, ControlCommand, ControlItem, EndpointRegistration, EpochGrant, ItemPage,
 } from '@hickorytrack/types/control';
 import type {
-	DemandReport, LeaseTick, OperatorReply, TenantDemand, TenantShare,
+	DemandReport, LeaseTick, OperatorReply, WorkspaceDemand, WorkspaceShare,
 } from '@hickorytrack/types/peer-methods';
 
 export class ControlError extends HickorytrackError {
@@ -46,9 +46,9 @@
 };
 
 /** What a role reports with each lease reply: what happened since the last one. */
-export type DemandSource = () => {demands: TenantDemand[]; reports: DemandReport[]};
+export type DemandSource = () => {demands: WorkspaceDemand[]; reports: DemandReport[]};
 export type ItemListener = (items: readonly ControlItem[]) => void;
-export type ShareListener = (shares: readonly TenantShare[]) => void;
+export type ShareListener = (shares: readonly WorkspaceShare[]) => void;
 
 const retryBaseMs = 50;
 const retryCapMs = 1000;
@@ -171,8 +171,8 @@
 	}
 
 	/** Reads a claim as the controllers hold it now. */
-	async readClaim(tenant: string, key: string): Promise<ClaimReading> {
-		const reply = await this.#current?.request('control.read-claim', {tenant, key}, {timeoutMs: commandTimeoutMs});
+	async readClaim(workspace: string, key: string): Promise<ClaimReading> {
+		const reply = await this.#current?.request('control.read-claim', {workspace, key}, {timeoutMs: commandTimeoutMs});
 		return reply?.isOk() ? reply.value : {kind: 'unknown'};
 	}
 
--- a/packages/control/control-state/src/control-state.ts
+++ b/packages/control/control-state/src/control-state.ts
@@ -35,7 +35,7 @@
 	claims: Claim[];
 	quarantine: QuarantineDump;
 	changes: PlannedChange[];
-	history: Array<{tenant: string; versions: ContractVersion[]}>;
+	history: Array<{workspace: string; versions: ContractVersion[]}>;
 	lastOrderNumber: number;
 	crashReports: string[];
 };
@@ -82,7 +82,7 @@
 			claims: this.claims.dump(),
 			quarantine: this.quarantine.dump(),
 			changes: structuredClone([...this.changes.values()]),
-			history: structuredClone([...this.#history].map(([tenant, versions]) => ({tenant, versions}))),
+			history: structuredClone([...this.#history].map(([workspace, versions]) => ({workspace, versions}))),
 			lastOrderNumber: this.#lastOrderNumber,
 			crashReports: [...this.#crashReports],
 		};
@@ -107,16 +107,16 @@
 			this.changes.set(change.id, change);
 		}
 
-		for (const {tenant, versions} of snapshot.history) {
-			this.#history.set(tenant, versions);
+		for (const {workspace, versions} of snapshot.history) {
+			this.#history.set(workspace, versions);
 		}
 
 		this.#lastOrderNumber = snapshot.lastOrderNumber;
 		this.#crashReports = [...snapshot.crashReports];
 	}
 
-	readContract(tenant: string): (ItemValue & {kind: 'contract'}) | undefined {
-		const value = this.items.read(`contract/${tenant}`)?.value;
+	readContract(workspace: string): (ItemValue & {kind: 'contract'}) | undefined {
+		const value = this.items.read(`contract/${workspace}`)?.value;
 		return value?.kind === 'contract' ? value : undefined;
 	}
 
@@ -124,8 +124,8 @@
 		return this.items.list('contract/').map(item => item.value).filter(value => value.kind === 'contract');
 	}
 
-	readHistory(tenant: string): ContractVersion[] {
-		return this.#history.get(tenant) ?? [];
+	readHistory(workspace: string): ContractVersion[] {
+		return this.#history.get(workspace) ?? [];
 	}
 
 	readSetting(name: string): {value: string | number | boolean; version: number} {
@@ -221,36 +221,36 @@
 	}
 
 	#putContract(command: CommandOf<'put-contract'>): CommandOutcome {
-		const {tenant, contract} = command;
-		const key = `contract/${tenant}`;
+		const {workspace, contract} = command;
+		const key = `contract/${workspace}`;
 		const held = this.items.read(key)?.value;
 		const version = held?.kind === 'contract' || held?.kind === 'removed' ? held.version : 0;
 		if (version !== command.expectedVersion) {
-			return this.#refuse('conflict', `The contract of ${tenant} has version ${version}, the change expects version ${command.expectedVersion}`);
+			return this.#refuse('conflict', `The contract of ${workspace} has version ${version}, the change expects version ${command.expectedVersion}`);
 		}
 
 		if (!contract && held?.kind !== 'contract') {
-			return this.#refuse('not-found', `There is no contract of ${tenant}`);
+			return this.#refuse('not-found', `There is no contract of ${workspace}`);
 		}
 
 		const clash = contract && this.#findForeignKey(contract);
 		if (clash) {
-			return this.#refuse('refused', `The key ${clash} is used by another tenant`);
+			return this.#refuse('refused', `The key ${clash} is used by another workspace`);
 		}
 
 		const next = version + 1;
 		this.items.write(key, contract ? {kind: 'contract', version: next, contract} : {kind: 'removed', was: 'contract', version: next}, this.#index);
-		const versions = [...this.readHistory(tenant), {
+		const versions = [...this.readHistory(workspace), {
 			version: next, changeId: command.changeId, revision: this.#index, contract,
 		}];
-		this.#history.set(tenant, versions.slice(-historyLength));
-		return this.#accept({tenant, version: next});
+		this.#history.set(workspace, versions.slice(-historyLength));
+		return this.#accept({workspace, version: next});
 	}
 
 	#findForeignKey(contract: Contract): string | undefined {
 		const digests = new Set(contract.apiKeys.map(key => key.sha256));
 		for (const other of this.listContracts()) {
-			const clash = other.contract.tenant !== contract.tenant && other.contract.apiKeys.find(key => digests.has(key.sha256));
+			const clash = other.contract.workspace !== contract.workspace && other.contract.apiKeys.find(key => digests.has(key.sha256));
 			if (clash) {
 				return clash.id;
 			}
--- a/packages/control/control-state/test/control-state.test.ts
+++ b/packages/control/control-state/test/control-state.test.ts
@@ -3,8 +3,8 @@
 import type {CommandOutcome, ControlCommand, EndpointRegistration} from '@hickorytrack/types/control';
 import {ControlState} from '../src/control-state.js';
 
-const createContract = (tenant: string, sha256 = tenant): Contract => ({
-	tenant, apiKeys: [{id: `${tenant}-key`, sha256}], models: ['m'], services: [], priority: 1, share: 1,
+const createContract = (workspace: string, sha256 = workspace): Contract => ({
+	workspace, apiKeys: [{id: `${workspace}-key`, sha256}], models: ['m'], services: [], priority: 1, share: 1,
 	limits: {
 		requestsPerSecond: 10, burst: 10, concurrency: 10, bodyBytes: 1000, queueMs: 1000,
 	},
@@ -26,7 +26,7 @@
 	const apply = (command: ControlCommand): CommandOutcome => state.apply(structuredClone(command), ++index);
 	const putContract = (changeId: string, expectedVersion: number, contract = createContract('cuenca')): CommandOutcome =>
 		apply({
-			kind: 'put-contract', changeId, expectedVersion, tenant: contract.tenant, contract,
+			kind: 'put-contract', changeId, expectedVersion, workspace: contract.workspace, contract,
 		});
 	const start = (changeId: string, endpoint: string, changeKind: 'drain' | 'set-role' | 'withdraw' = 'drain'): CommandOutcome =>
 		apply({
@@ -60,7 +60,7 @@
 		expect(putContract('c1', 0, {...createContract('cuenca'), share: 2})).to.include({ok: false, code: 'reused-change-id'});
 	});
 
-	it('does not let two tenants share a key', () => {
+	it('does not let two workspaces share a key', () => {
 		putContract('c1', 0);
 		expect(putContract('c2', 0, createContract('maraval', 'cuenca'))).to.include({ok: false, code: 'refused'});
 	});
@@ -109,7 +109,7 @@
 
 	it('counts a crash report once', () => {
 		const report = {
-			kind: 'report-crash', reportId: 'r1', endpoint: 'a', suspects: [{fingerprint: 'f', tenant: 't'}], at: 0,
+			kind: 'report-crash', reportId: 'r1', endpoint: 'a', suspects: [{fingerprint: 'f', workspace: 't'}], at: 0,
 		} as const;
 		apply({...report, suspects: [...report.suspects]});
 		apply({...report, suspects: [...report.suspects]});
--- a/packages/coordination/claims/src/claims.ts
+++ b/packages/coordination/claims/src/claims.ts
@@ -16,12 +16,12 @@
 export const claimGroups = 1;
 
 /** Returns the group of replicas that keeps the claim. */
-export function computeClaimGroup(tenant: string, key: string, groups = claimGroups): number {
-	const digest = createHash('sha256').update(JSON.stringify([tenant, key])).digest();
+export function computeClaimGroup(workspace: string, key: string, groups = claimGroups): number {
+	const digest = createHash('sha256').update(JSON.stringify([workspace, key])).digest();
 	return digest.readUInt32BE(0) % groups;
 }
 
-const createName = (tenant: string, key: string): string => JSON.stringify([tenant, key]);
+const createName = (workspace: string, key: string): string => JSON.stringify([workspace, key]);
 
 export class ClaimTable {
 	#claims = new Map<string, Claim>();
@@ -30,8 +30,8 @@
 		return this.#claims.size;
 	}
 
-	read(tenant: string, key: string): Claim | undefined {
-		return this.#claims.get(createName(tenant, key));
+	read(workspace: string, key: string): Claim | undefined {
+		return this.#claims.get(createName(workspace, key));
 	}
 
 	/**
@@ -39,7 +39,7 @@
 	 * attempt takes it over. Another body under the same key is a conflict.
 	 */
 	open(request: ClaimRequest, at: number): ClaimReply {
-		const held = this.read(request.tenant, request.key);
+		const held = this.read(request.workspace, request.key);
 		if (held && held.expiresAt > at) {
 			if (held.bodyDigest !== request.bodyDigest) {
 				return {granted: false, conflict: true, claim: held};
@@ -58,7 +58,7 @@
 		const claim: Claim = {
 			...rest, state: 'open', attemptNumber: (held?.attemptNumber ?? 0) + 1, openedAt: at, expiresAt: at + (retentionSeconds * msPerSecond),
 		};
-		this.#claims.set(createName(request.tenant, request.key), claim);
+		this.#claims.set(createName(request.workspace, request.key), claim);
 		return {granted: true, claim};
 	}
 
@@ -67,7 +67,7 @@
 	 * an answer that arrives late replaces `may-have-run`, because it says more.
 	 */
 	settle(settlement: ClaimSettlement): Claim | undefined {
-		const held = this.read(settlement.tenant, settlement.key);
+		const held = this.read(settlement.workspace, settlement.key);
 		if (held?.attempt !== settlement.attempt) {
 			return held;
 		}
@@ -79,7 +79,7 @@
 
 		const isKept = settlement.answer !== undefined && settlement.answer.body.length <= maximumAnswerBytes;
 		const settled: Claim = {...held, state: settlement.state, ...(isKept && {answer: settlement.answer})};
-		this.#claims.set(createName(settlement.tenant, settlement.key), settled);
+		this.#claims.set(createName(settlement.workspace, settlement.key), settled);
 		return settled;
 	}
 
@@ -112,6 +112,6 @@
 	}
 
 	restore(claims: readonly Claim[]): void {
-		this.#claims = new Map(claims.map(claim => [createName(claim.tenant, claim.key), claim]));
+		this.#claims = new Map(claims.map(claim => [createName(claim.workspace, claim.key), claim]));
 	}
 }
--- a/packages/coordination/claims/test/claims.test.ts
+++ b/packages/coordination/claims/test/claims.test.ts
@@ -3,7 +3,7 @@
 import {ClaimTable, computeClaimGroup} from '../src/claims.js';
 
 const createRequest = (attempt: string, opts: Partial<ClaimRequest> = {}): ClaimRequest => ({
-	tenant: 'cuenca', key: 'k1', bodyDigest: 'd1', endpoint: 'dispatch-1', agentIncarnation: 'i1', attempt, owner: 'entry-1', retentionSeconds: 60, ...opts,
+	workspace: 'cuenca', key: 'k1', bodyDigest: 'd1', endpoint: 'dispatch-1', agentIncarnation: 'i1', attempt, owner: 'entry-1', retentionSeconds: 60, ...opts,
 });
 
 describe('claim table', () => {
@@ -29,7 +29,7 @@
 	it('never lets a claim run again whose outcome was lost', () => {
 		table.open(createRequest('a1'), 0);
 		table.settle({
-			tenant: 'cuenca', key: 'k1', attempt: 'a1', state: 'may-have-run',
+			workspace: 'cuenca', key: 'k1', attempt: 'a1', state: 'may-have-run',
 		});
 		expect(table.open(createRequest('a2'), 1).granted).to.equal(false);
 	});
@@ -37,13 +37,13 @@
 	it('lets a new attempt take over what is confirmed as not run, and then ignores the old one', () => {
 		table.open(createRequest('a1'), 0);
 		table.settle({
-			tenant: 'cuenca', key: 'k1', attempt: 'a1', state: 'not-run',
+			workspace: 'cuenca', key: 'k1', attempt: 'a1', state: 'not-run',
 		});
 		const second = table.open(createRequest('a2'), 1);
 		expect(second.granted).to.equal(true);
 		expect(second.claim.attemptNumber).to.equal(2);
 		table.settle({
-			tenant: 'cuenca', key: 'k1', attempt: 'a1', state: 'answered', answer: {status: 200, contentType: 'text/plain', body: 'old'},
+			workspace: 'cuenca', key: 'k1', attempt: 'a1', state: 'answered', answer: {status: 200, contentType: 'text/plain', body: 'old'},
 		});
 		expect(table.read('cuenca', 'k1')!.state).to.equal('open');
 	});
@@ -52,7 +52,7 @@
 		table.open(createRequest('a1'), 0);
 		const answer = {status: 201, contentType: 'application/json', body: '{"truck":7}'};
 		table.settle({
-			tenant: 'cuenca', key: 'k1', attempt: 'a1', state: 'answered', answer,
+			workspace: 'cuenca', key: 'k1', attempt: 'a1', state: 'answered', answer,
 		});
 		expect(table.open(createRequest('a2'), 59_999).claim.answer).to.deep.equal(answer);
 		expect(table.expire(60_000)).to.equal(1);
--- a/packages/coordination/fair-queue/src/fair-queue.ts
+++ b/packages/coordination/fair-queue/src/fair-queue.ts
@@ -1,15 +1,15 @@
 /**
- * Order of work among tenants: strict priority first, then start-time fair queueing (Goyal, Vin and Cheng, 1996) in units
- * of engine time. A tenant's unused share goes to the others; a tenant that was idle does not collect credit. Work that
+ * Order of work among workspaces: strict priority first, then start-time fair queueing (Goyal, Vin and Cheng, 1996) in units
+ * of engine time. A workspace's unused share goes to the others; a workspace that was idle does not collect credit. Work that
  * has waited longer than its bound is given back as expired, so that it is refused early instead of answered late.
  */
 import type {Clock} from '@hickorytrack/clock';
 
 export type QueuedWork<T> = {
-	tenant: string;
+	workspace: string;
 	/** A lower number goes first. */
 	priority: number;
-	/** Weight among tenants of one priority. */
+	/** Weight among workspaces of one priority. */
 	share: number;
 	/** Expected engine time in milliseconds. */
 	costMs: number;
@@ -23,15 +23,15 @@
 	expiresAt: number;
 } & QueuedWork<T>;
 
-type TenantLine<T> = {
+type WorkspaceLine<T> = {
 	finish: number;
 	share: number;
 	entries: Array<Entry<T>>;
 };
 
-/** The tenants of one priority with their virtual time. */
+/** The workspaces of one priority with their virtual time. */
 class PriorityClass<T> {
-	readonly lines = new Map<string, TenantLine<T>>();
+	readonly lines = new Map<string, WorkspaceLine<T>>();
 	virtualTime = 0;
 	readonly burstMs: number;
 
@@ -40,7 +40,7 @@
 	}
 
 	push(entry: Entry<T>): void {
-		const line = this.#openLine(entry.tenant, entry.share);
+		const line = this.#openLine(entry.workspace, entry.share);
 		entry.start = Math.max(this.virtualTime - (this.burstMs / entry.share), line.finish);
 		line.finish = entry.start + (entry.costMs / entry.share);
 		line.entries.push(entry);
@@ -64,22 +64,22 @@
 	}
 
 	remove(entry: Entry<T>): void {
-		const line = this.lines.get(entry.tenant)!;
+		const line = this.lines.get(entry.workspace)!;
 		line.entries.splice(line.entries.indexOf(entry), 1);
 		this.#forgetIdleLines();
 	}
 
 	/** Charges or refunds the difference between expected and real cost. */
-	charge(tenant: string, differenceMs: number): void {
-		const line = this.lines.get(tenant);
+	charge(workspace: string, differenceMs: number): void {
+		const line = this.lines.get(workspace);
 		if (line) {
 			line.finish += differenceMs / line.share;
 		}
 	}
 
-	/** Returns the start tag that new work of the tenant would get. */
-	findStart(tenant: string, share: number): number {
-		return Math.max(this.virtualTime - (this.burstMs / share), this.lines.get(tenant)?.finish ?? Number.NEGATIVE_INFINITY);
+	/** Returns the start tag that new work of the workspace would get. */
+	findStart(workspace: string, share: number): number {
+		return Math.max(this.virtualTime - (this.burstMs / share), this.lines.get(workspace)?.finish ?? Number.NEGATIVE_INFINITY);
 	}
 
 	/** Sums up the cost of the entries whose turn comes before a start tag. */
@@ -98,11 +98,11 @@
 		return sum;
 	}
 
-	#openLine(tenant: string, share: number): TenantLine<T> {
-		let line = this.lines.get(tenant);
+	#openLine(workspace: string, share: number): WorkspaceLine<T> {
+		let line = this.lines.get(workspace);
 		if (!line) {
 			line = {finish: Number.NEGATIVE_INFINITY, share, entries: []};
-			this.lines.set(tenant, line);
+			this.lines.set(workspace, line);
 		}
 
 		line.share = share;
@@ -111,9 +111,9 @@
 
 	/** An idle line whose finish tag lies in the past holds no information. */
 	#forgetIdleLines(): void {
-		for (const [tenant, line] of this.lines) {
+		for (const [workspace, line] of this.lines) {
 			if (line.entries.length === 0 && line.finish <= this.virtualTime - (this.burstMs / line.share)) {
-				this.lines.delete(tenant);
+				this.lines.delete(workspace);
 			}
 		}
 	}
@@ -121,11 +121,11 @@
 
 export type FairQueueOptions = {
 	clock: Clock;
-	/** Entries that may wait at once, over all tenants. */
+	/** Entries that may wait at once, over all workspaces. */
 	maximumLength: number;
 	/**
-	 * Engine time in milliseconds by which a tenant that used less than its share may go ahead of the others. Without it a
-	 * tenant just under its share waits as long as if it had the engine to its share alone.
+	 * Engine time in milliseconds by which a workspace that used less than its share may go ahead of the others. Without it a
+	 * workspace just under its share waits as long as if it had the engine to its share alone.
 	 */
 	burstMs?: number;
 };
@@ -153,19 +153,19 @@
 		return this.#costMs;
 	}
 
-	/** Returns how many entries of the tenant wait. */
-	countTenant(tenant: string): number {
+	/** Returns how many entries of the workspace wait. */
+	countWorkspace(workspace: string): number {
 		let count = 0;
 		for (const priorityClass of this.#classes.values()) {
-			count += priorityClass.lines.get(tenant)?.entries.length ?? 0;
+			count += priorityClass.lines.get(workspace)?.entries.length ?? 0;
 		}
 
 		return count;
 	}
 
 	/**
-	 * Adds work; false when the queue is full. A full queue still takes work of a tenant that holds less than its part of
-	 * it, by giving back the newest entry of the tenant that holds most through `displaced`.
+	 * Adds work; false when the queue is full. A full queue still takes work of a workspace that holds less than its part of
+	 * it, by giving back the newest entry of the workspace that holds most through `displaced`.
 	 */
 	push(work: QueuedWork<T>, opts: {onDisplaced?: (item: T) => void} = {}): boolean {
 		if (this.#length >= this.#maximumLength && !this.#displace(work, opts.onDisplaced)) {
@@ -194,14 +194,14 @@
 		return undefined;
 	}
 
-	/** Returns the engine time, in milliseconds, of the work that would go before new work of this tenant. */
-	estimateCostAhead(work: Pick<QueuedWork<T>, 'tenant' | 'priority' | 'share'>): number {
+	/** Returns the engine time, in milliseconds, of the work that would go before new work of this workspace. */
+	estimateCostAhead(work: Pick<QueuedWork<T>, 'workspace' | 'priority' | 'share'>): number {
 		let ahead = 0;
 		for (const [priority, priorityClass] of this.#classes) {
 			if (priority < work.priority) {
 				ahead += priorityClass.sumCostBefore(Number.POSITIVE_INFINITY);
 			} else if (priority === work.priority) {
-				ahead += priorityClass.sumCostBefore(priorityClass.findStart(work.tenant, work.share));
+				ahead += priorityClass.sumCostBefore(priorityClass.findStart(work.workspace, work.share));
 			}
 		}
 
@@ -219,9 +219,9 @@
 		return this.#removeWhere(entry => predicate(entry.item));
 	}
 
-	/** Corrects a tenant's account once the real cost is known. */
+	/** Corrects a workspace's account once the real cost is known. */
 	charge(work: QueuedWork<T>, realCostMs: number): void {
-		this.#classes.get(work.priority)?.charge(work.tenant, realCostMs - work.costMs);
+		this.#classes.get(work.priority)?.charge(work.workspace, realCostMs - work.costMs);
 	}
 
 	#openClass(priority: number): PriorityClass<T> {
@@ -240,7 +240,7 @@
 			const found = [...priorityClass.lines.values()].flatMap(line => line.entries.filter(entry => predicate(entry)));
 			for (const entry of found) {
 				priorityClass.remove(entry);
-				priorityClass.charge(entry.tenant, -entry.costMs);
+				priorityClass.charge(entry.workspace, -entry.costMs);
 				this.#forget(entry);
 			}
 
@@ -264,7 +264,7 @@
 			}
 		}
 
-		if (!largest || !onDisplaced || largest.tenant === work.tenant || (this.countTenant(work.tenant) + 1) / work.share >= largestHeld) {
+		if (!largest || !onDisplaced || largest.workspace === work.workspace || (this.countWorkspace(work.workspace) + 1) / work.share >= largestHeld) {
 			return false;
 		}
 
--- a/packages/coordination/fair-queue/test/fair-queue.test.ts
+++ b/packages/coordination/fair-queue/test/fair-queue.test.ts
@@ -2,8 +2,8 @@
 import {ManualClock} from '@hickorytrack/clock/manual-clock';
 import {FairQueue, type QueuedWork} from '../src/fair-queue.js';
 
-const createWork = (tenant: string, opts: Partial<QueuedWork<string>> = {}): QueuedWork<string> => ({
-	tenant, priority: 1, share: 1, costMs: 10, queueMs: 1000, item: tenant, ...opts,
+const createWork = (workspace: string, opts: Partial<QueuedWork<string>> = {}): QueuedWork<string> => ({
+	workspace, priority: 1, share: 1, costMs: 10, queueMs: 1000, item: workspace, ...opts,
 });
 
 describe('fair queue', () => {
@@ -17,7 +17,7 @@
 
 	const popAll = (count: number): string[] => Array.from({length: count}, () => queue.pop()!.item);
 
-	it('divides engine time by share, however much one tenant offers', () => {
+	it('divides engine time by share, however much one workspace offers', () => {
 		for (let index = 0; index < 60; index++) {
 			queue.push(createWork('flood'));
 		}
@@ -27,7 +27,7 @@
 		}
 
 		const first = popAll(20);
-		expect(first.filter(tenant => tenant === 'small')).to.have.length(10);
+		expect(first.filter(workspace => workspace === 'small')).to.have.length(10);
 	});
 
 	it('counts engine time, not requests', () => {
@@ -37,7 +37,7 @@
 		}
 
 		const first = popAll(20);
-		expect(first.filter(tenant => tenant === 'short').length).to.be.within(15, 17);
+		expect(first.filter(workspace => workspace === 'short').length).to.be.within(15, 17);
 	});
 
 	it('lends an unused share without letting idle time collect as credit', () => {
@@ -52,20 +52,20 @@
 		}
 
 		const first = popAll(10);
-		expect(first.filter(tenant => tenant === 'late').length).to.be.within(4, 6);
+		expect(first.filter(workspace => workspace === 'late').length).to.be.within(4, 6);
 	});
 
-	it('tells a tenant what goes before it, not what a flood has queued behind it', () => {
+	it('tells a workspace what goes before it, not what a flood has queued behind it', () => {
 		for (let index = 0; index < 50; index++) {
 			queue.push(createWork('flood'));
 		}
 
-		expect(queue.estimateCostAhead({tenant: 'flood', priority: 1, share: 1})).to.equal(500);
-		expect(queue.estimateCostAhead({tenant: 'small', priority: 1, share: 1})).to.equal(10);
-		expect(queue.estimateCostAhead({tenant: 'urgent', priority: 0, share: 1})).to.equal(0);
+		expect(queue.estimateCostAhead({workspace: 'flood', priority: 1, share: 1})).to.equal(500);
+		expect(queue.estimateCostAhead({workspace: 'small', priority: 1, share: 1})).to.equal(10);
+		expect(queue.estimateCostAhead({workspace: 'urgent', priority: 0, share: 1})).to.equal(0);
 	});
 
-	it('lets a tenant under its share go ahead by its burst, and by no more', () => {
+	it('lets a workspace under its share go ahead by its burst, and by no more', () => {
 		queue = new FairQueue({clock, maximumLength: 100, burstMs: 50});
 		for (let index = 0; index < 30; index++) {
 			queue.push(createWork('flood'));
@@ -78,7 +78,7 @@
 
 		const first = popAll(16);
 		expect(first.slice(0, 5)).to.deep.equal(['late', 'late', 'late', 'late', 'late']);
-		expect(first.filter(tenant => tenant === 'flood').length).to.be.within(4, 6);
+		expect(first.filter(workspace => workspace === 'flood').length).to.be.within(4, 6);
 	});
 
 	it('serves a lower priority number first', () => {
@@ -96,7 +96,7 @@
 		expect(queue.costMs).to.equal(10);
 	});
 
-	it('makes room in a full queue for a tenant that holds little of it', () => {
+	it('makes room in a full queue for a workspace that holds little of it', () => {
 		const displaced: string[] = [];
 		const onDisplaced = (item: string) => {
 			displaced.push(item);
--- a/packages/coordination/quarantine/src/fingerprint.ts
+++ b/packages/coordination/quarantine/src/fingerprint.ts
@@ -1,11 +1,11 @@
-/** The fingerprint of a request: tenant and digest of its normalised body. */
+/** The fingerprint of a request: workspace and digest of its normalised body. */
 import {createHash} from 'node:crypto';
 
 const fingerprintHexDigits = 32;
 
 /** Returns the same fingerprint for bodies that differ only in the order of their fields. */
-export function computeFingerprint(tenant: string, body: unknown): string {
-	const text = JSON.stringify([tenant, normalise(body)]);
+export function computeFingerprint(workspace: string, body: unknown): string {
+	const text = JSON.stringify([workspace, normalise(body)]);
 	return createHash('sha256').update(text).digest('hex').slice(0, fingerprintHexDigits);
 }
 
--- a/packages/coordination/quarantine/src/quarantine.ts
+++ b/packages/coordination/quarantine/src/quarantine.ts
@@ -36,13 +36,13 @@
 	}
 
 	/** Notes a crash and returns the entries that changed. */
-	noteCrash(suspects: ReadonlyArray<{fingerprint: string; tenant: string}>, at: number): QuarantineEntry[] {
-		return suspects.map(({fingerprint, tenant}) => {
+	noteCrash(suspects: ReadonlyArray<{fingerprint: string; workspace: string}>, at: number): QuarantineEntry[] {
+		return suspects.map(({fingerprint, workspace}) => {
 			const held = this.#entries.get(fingerprint);
 			const crashes = (held && held.until > at ? held.crashes : 0) + 1;
 			const isQuarantined = crashes >= crashesToQuarantine;
 			const entry: QuarantineEntry = {
-				fingerprint, tenant, crashes, state: isQuarantined ? 'quarantined' : 'suspect', until: at + (isQuarantined ? quarantineMs : suspectMs),
+				fingerprint, workspace, crashes, state: isQuarantined ? 'quarantined' : 'suspect', until: at + (isQuarantined ? quarantineMs : suspectMs),
 			};
 			this.#entries.set(fingerprint, entry);
 			this.#permits.delete(fingerprint);
--- a/packages/coordination/quarantine/test/quarantine.test.ts
+++ b/packages/coordination/quarantine/test/quarantine.test.ts
@@ -2,7 +2,7 @@
 import {computeFingerprint} from '../src/fingerprint.js';
 import {QuarantineTable} from '../src/quarantine.js';
 
-const suspects = ['poison', 'neighbour'].map(fingerprint => ({fingerprint, tenant: 'maraval'}));
+const suspects = ['poison', 'neighbour'].map(fingerprint => ({fingerprint, workspace: 'maraval'}));
 
 describe('quarantine table', () => {
 	it('quarantines after two crashes and clears the neighbour that finished', () => {
@@ -28,7 +28,7 @@
 });
 
 describe('fingerprint', () => {
-	it('ignores the order of fields and tells tenants apart', () => {
+	it('ignores the order of fields and tells workspaces apart', () => {
 		expect(computeFingerprint('a', {x: 1, y: ' z'})).to.equal(computeFingerprint('a', {y: 'z', x: 1, stream: true}));
 		expect(computeFingerprint('a', {x: 1})).to.not.equal(computeFingerprint('b', {x: 1}));
 	});
--- a/packages/core/events/src/event-catalogue.ts
+++ b/packages/core/events/src/event-catalogue.ts
@@ -51,7 +51,7 @@
 		number: 1205, level: 'info', text: 'Subscribed to a controller', action: none,
 	},
 	requestRefused: {
-		number: 1301, level: 'info', text: 'A request was refused', action: 'Compare the code with the contract of the tenant.',
+		number: 1301, level: 'info', text: 'A request was refused', action: 'Compare the code with the contract of the workspace.',
 	},
 	requestAnswered: {
 		number: 1302, level: 'debug', text: 'A request was answered', action: none,
--- a/packages/core/events/src/metrics.ts
+++ b/packages/core/events/src/metrics.ts
@@ -2,7 +2,7 @@
 import {StatsD} from 'hot-shots';
 
 export const metricCatalogue = {
-	'entry.requests': 'Requests by tenant and outcome.',
+	'entry.requests': 'Requests by workspace and outcome.',
 	'entry.first_token_ms': 'Time to the first piece as the entry sees it, in milliseconds.',
 	'entry.attempts': 'Attempts by outcome.',
 	'entry.in_flight': 'Requests in flight.',
--- a/packages/core/types/src/claim.ts
+++ b/packages/core/types/src/claim.ts
@@ -7,7 +7,7 @@
 export type ClaimState = typeof claimStates[keyof typeof claimStates];
 
 export type Claim = {
-	tenant: string;
+	workspace: string;
 	key: string;
 	bodyDigest: string;
 	state: ClaimState;
@@ -27,7 +27,7 @@
 };
 
 export type ClaimRequest = {
-	tenant: string;
+	workspace: string;
 	key: string;
 	bodyDigest: string;
 	endpoint: string;
@@ -48,7 +48,7 @@
 	| {kind: 'unknown'};
 
 export type ClaimSettlement = {
-	tenant: string;
+	workspace: string;
 	key: string;
 	attempt: string;
 	state: 'answered' | 'may-have-run' | 'not-run';
--- a/packages/core/types/src/contract.ts
+++ b/packages/core/types/src/contract.ts
@@ -1,4 +1,4 @@
-/** The contract of a tenant: what it may call, how much, how fast it is to be answered, and its share of the fleet. */
+/** The contract of a workspace: what it may call, how much, how fast it is to be answered, and its share of the fleet. */
 
 export type ApiKey = {
 	/** Name of the key, shown to operators. */
@@ -37,13 +37,13 @@
 };
 
 export type Contract = {
-	tenant: string;
+	workspace: string;
 	apiKeys: ApiKey[];
 	models: string[];
 	services: ServiceGrant[];
 	/** Strict priority: a lower number goes first. */
 	priority: number;
-	/** Weight of the tenant in the division of engine time among tenants of one priority. */
+	/** Weight of the workspace in the division of engine time among workspaces of one priority. */
 	share: number;
 	limits: ContractLimits;
 	targets: ContractTargets;
--- a/packages/core/types/src/control.ts
+++ b/packages/core/types/src/control.ts
@@ -16,7 +16,7 @@
 
 export type QuarantineEntry = {
 	fingerprint: string;
-	tenant: string;
+	workspace: string;
 	/** Crashes it was seen in. */
 	crashes: number;
 	state: 'suspect' | 'quarantined' | 'cleared';
@@ -108,7 +108,7 @@
 export type EndpointRegistration = Omit<EndpointRecord, 'epoch' | 'succeeds'>;
 
 export type ControlCommand =
-	| {kind: 'put-contract'; changeId: string; expectedVersion: number; tenant: string; contract?: Contract}
+	| {kind: 'put-contract'; changeId: string; expectedVersion: number; workspace: string; contract?: Contract}
 	| {kind: 'put-setting'; changeId: string; expectedVersion: number; name: string; value: string | number | boolean}
 	| {kind: 'grant-epoch'; record: EndpointRegistration}
 	| {kind: 'open-claim'; request: ClaimRequest; at: number}
@@ -119,7 +119,7 @@
 	| {kind: 'cancel-change'; changeId: string; at: number}
 	| {kind: 'pin-role'; changeId: string; endpoint: string; pinned: boolean}
 	| {kind: 'forget-endpoint'; endpoint: string; agentIncarnation: string}
-	| {kind: 'report-crash'; reportId: string; endpoint: string; suspects: Array<{fingerprint: string; tenant: string}>; at: number}
+	| {kind: 'report-crash'; reportId: string; endpoint: string; suspects: Array<{fingerprint: string; workspace: string}>; at: number}
 	| {kind: 'permit-suspect'; fingerprint: string; attempt: string; at: number}
 	| {kind: 'clear-suspect'; fingerprint: string; attempt: string}
 	| {kind: 'lift-quarantine'; changeId: string; fingerprint: string};
--- a/packages/core/types/src/engine-adapter.ts
+++ b/packages/core/types/src/engine-adapter.ts
@@ -18,7 +18,7 @@
 	| {kind: 'failed'; error: EngineError};
 
 export type GenerateOptions = {
-	tenant: string;
+	workspace: string;
 	/** Identity of the attempt at the engine. */
 	attempt: string;
 	priority: number;
--- a/packages/core/types/src/peer-methods.ts
+++ b/packages/core/types/src/peer-methods.ts
@@ -16,15 +16,15 @@
 	incarnation: string;
 };
 
-/** Demand of one tenant at one entry, in requests a second, over the last reporting interval. */
-export type TenantDemand = {
-	tenant: string;
+/** Demand of one workspace at one entry, in requests a second, over the last reporting interval. */
+export type WorkspaceDemand = {
+	workspace: string;
 	requestsPerSecond: number;
 };
 
-export type TenantShare = {
-	tenant: string;
-	/** Fraction of the tenant's fleet-wide limits that this entry may use. */
+export type WorkspaceShare = {
+	workspace: string;
+	/** Fraction of the workspace's fleet-wide limits that this entry may use. */
 	fraction: number;
 };
 
@@ -62,7 +62,7 @@
 export type LeaseReply = {
 	/** Revision that is in force at the subscriber. */
 	revision: number;
-	demands: TenantDemand[];
+	demands: WorkspaceDemand[];
 	reports: DemandReport[];
 };
 
@@ -86,7 +86,7 @@
 	member: PeerMember;
 	/** Revision that the subscriber has confirmed as in force. */
 	revision: number;
-	demands: TenantDemand[];
+	demands: WorkspaceDemand[];
 	reports: DemandReport[];
 };
 
@@ -114,10 +114,10 @@
 	'control.subscribe': {params: SubscribeParams; result: SubscribeResult};
 	'control.items': {params: {page: ItemPage}; result: void};
 	'control.lease': {params: LeaseTick; result: LeaseReply};
-	'control.shares': {params: {shares: TenantShare[]}; result: void};
+	'control.shares': {params: {shares: WorkspaceShare[]}; result: void};
 	'control.status': {params: Record<string, never>; result: {instance: string; leader?: string; term: number; quorumAgeMs: number; revision: number}};
 	'control.subscribers': {params: Record<string, never>; result: {subscribers: SubscriberView[]}};
-	'control.read-claim': {params: {tenant: string; key: string; forwarded?: boolean}; result: ClaimReading};
+	'control.read-claim': {params: {workspace: string; key: string; forwarded?: boolean}; result: ClaimReading};
 	'agent.register': {params: {record: EndpointRegistration}; result: EpochGrant};
 	'agent.order': {params: {order: FencedOrder}; result: OrderReply};
 	'agent.progress': {params: Record<string, never>; result: DrainProgress};
--- a/packages/core/types/src/work.ts
+++ b/packages/core/types/src/work.ts
@@ -35,7 +35,7 @@
 export type WorkSubmission = {
 	attempt: string;
 	requestId: string;
-	tenant: string;
+	workspace: string;
 	fingerprint: string;
 	/** Time left for the whole request, in milliseconds. */
 	deadlineMs: number;
@@ -52,7 +52,7 @@
 	draining: 'draining',
 	queueFull: 'queue-full',
 	queueTime: 'queue-time',
-	unknownTenant: 'unknown-tenant',
+	unknownWorkspace: 'unknown-workspace',
 	wrongEndpoint: 'wrong-endpoint',
 	notReady: 'not-ready',
 	tombstone: 'tombstone',
--- a/packages/plugins/agent/src/job-runner.ts
+++ b/packages/plugins/agent/src/job-runner.ts
@@ -35,7 +35,7 @@
 	/** Runs a generation; returns `undefined` when it failed in a way that has to be judged. */
 	async #generate(job: Job, work: GenerationWork): Promise<AttemptEnd | undefined> {
 		const stream = this.#opts.adapter.generate(work, {
-			attempt: job.attempt, tenant: job.submission.tenant, priority: job.priority, signal: job.abort.signal, onWrite() {
+			attempt: job.attempt, workspace: job.submission.workspace, priority: job.priority, signal: job.abort.signal, onWrite() {
 				job.isWritten = true;
 			},
 		})[Symbol.asyncIterator]();
@@ -89,7 +89,7 @@
 
 	async #callService(job: Job, work: ServiceWork): Promise<AttemptEnd | undefined> {
 		const result = await this.#opts.adapter.callService(work, {
-			attempt: job.attempt, tenant: job.submission.tenant, priority: job.priority, signal: job.abort.signal, onWrite() {
+			attempt: job.attempt, workspace: job.submission.workspace, priority: job.priority, signal: job.abort.signal, onWrite() {
 				job.isWritten = true;
 			},
 		});
--- a/packages/plugins/agent/src/work-desk.ts
+++ b/packages/plugins/agent/src/work-desk.ts
@@ -1,5 +1,5 @@
 /**
- * The agent's work: it has the last word on admission, orders the work among tenants, runs it on the engine and keeps the
+ * The agent's work: it has the last word on admission, orders the work among workspaces, runs it on the engine and keeps the
  * answers until they are confirmed. Each running attempt is one task.
  */
 import {waitAtMost, type Clock} from '@hickorytrack/clock';
@@ -24,8 +24,8 @@
 import {PieceSender} from './piece-sender.js';
 
 const maximumQueueLength = 2000;
-/** Engine time by which a tenant under its share may go ahead. */
-const tenantBurstMs = 500;
+/** Engine time by which a workspace under its share may go ahead. */
+const workspaceBurstMs = 500;
 const housekeepingMs = 25;
 const adaptWindowMs = 1000;
 /** The limit on concurrency never falls under this part of the engine's capacity. */
@@ -65,7 +65,7 @@
 	constructor(opts: WorkDeskOptions) {
 		this.#opts = opts;
 		this.#clock = opts.context.clock;
-		this.#queue = new FairQueue({clock: this.#clock, maximumLength: maximumQueueLength, burstMs: tenantBurstMs});
+		this.#queue = new FairQueue({clock: this.#clock, maximumLength: maximumQueueLength, burstMs: workspaceBurstMs});
 		this.#book = new JobBook(this.#clock);
 		this.#meter = new DemandMeter(this.#clock);
 		this.#runner = new JobRunner(opts);
@@ -235,20 +235,20 @@
 	}
 
 	listOpenWork(): string[] {
-		return this.#book.listOpen().map(job => `${job.attempt} of ${job.submission.tenant}: ${job.phase}, ${job.tail.length} pieces`);
+		return this.#book.listOpen().map(job => `${job.attempt} of ${job.submission.workspace}: ${job.phase}, ${job.tail.length} pieces`);
 	}
 
 	dump(): unknown {
 		return {
 			phase: this.#phase, load: this.getLoad(), limit: this.#limit?.value, crashes: this.#crashes, kept: this.#book.size,
-			running: [...this.#running].map(job => ({attempt: job.attempt, tenant: job.submission.tenant, pieces: job.tail.length})),
+			running: [...this.#running].map(job => ({attempt: job.attempt, workspace: job.submission.workspace, pieces: job.tail.length})),
 		};
 	}
 
 	/** Fetches the configuration from an entry that is ahead. */
 	async #catchUp(submission: WorkSubmission, connection: PeerConnection): Promise<void> {
 		const {control} = this.#opts;
-		const isMissing = control.items.read(`contract/${submission.tenant}`) === undefined;
+		const isMissing = control.items.read(`contract/${submission.workspace}`) === undefined;
 		if (submission.revision > control.revision && isMissing) {
 			const page = await connection.request('items.fetch', {revision: control.revision});
 			if (page.isOk()) {
@@ -281,9 +281,9 @@
 			return refuse('wrong-endpoint');
 		}
 
-		const contract = control.items.read(`contract/${submission.tenant}`)?.value;
+		const contract = control.items.read(`contract/${submission.workspace}`)?.value;
 		if (contract?.kind !== 'contract') {
-			return refuse('unknown-tenant');
+			return refuse('unknown-workspace');
 		}
 
 		return this.#isInTime(submission, contract.contract) ? {isAdmitted: true} : refuse('queue-time');
@@ -292,7 +292,7 @@
 	/** Tells whether the request can begin within its bound on the queue and its target for the first token. */
 	#isInTime(submission: WorkSubmission, contract: Contract): boolean {
 		const slots = this.#countSlots();
-		const costAheadMs = this.#queue.estimateCostAhead({tenant: submission.tenant, priority: contract.priority, share: contract.share});
+		const costAheadMs = this.#queue.estimateCostAhead({workspace: submission.workspace, priority: contract.priority, share: contract.share});
 		const isWaiting = this.#running.size >= slots;
 		if (isWaiting && costAheadMs > contract.limits.queueMs) {
 			return false;
@@ -323,7 +323,7 @@
 	}
 
 	#enqueue(submission: WorkSubmission, connection: PeerConnection): Job | undefined {
-		const item = this.#opts.control.items.read(`contract/${submission.tenant}`)!.value;
+		const item = this.#opts.control.items.read(`contract/${submission.workspace}`)!.value;
 		const contract = item.kind === 'contract' ? item.contract : undefined;
 		const job = new Job(submission, this.#clock.monotonic());
 		job.priority = contract?.priority ?? 0;
@@ -331,7 +331,7 @@
 		job.betweenTokensMs = contract?.targets.betweenTokensMs ?? Number.POSITIVE_INFINITY;
 		job.costMs = this.#computeCost(job);
 		const work: QueuedWork<Job> = {
-			tenant: submission.tenant, priority: job.priority, share: job.share, costMs: job.costMs, queueMs: Math.min(contract?.limits.queueMs ?? 0, submission.deadlineMs, submission.firstTokenBudgetMs ?? Number.POSITIVE_INFINITY), item: job,
+			workspace: submission.workspace, priority: job.priority, share: job.share, costMs: job.costMs, queueMs: Math.min(contract?.limits.queueMs ?? 0, submission.deadlineMs, submission.firstTokenBudgetMs ?? Number.POSITIVE_INFINITY), item: job,
 		};
 		const isPushed = this.#queue.push(work, {
 			onDisplaced: displaced => {
@@ -464,7 +464,7 @@
 		this.#crashes++;
 		context.events.emit('engineCrashed', {endpoint, suspects: ran.length});
 		context.metrics.count('agent.engine_crashes');
-		const suspects = ran.map(({submission}) => ({fingerprint: submission.fingerprint, tenant: submission.tenant}));
+		const suspects = ran.map(({submission}) => ({fingerprint: submission.fingerprint, workspace: submission.workspace}));
 		await control.propose({
 			kind: 'report-crash', reportId: `${endpoint}/${incarnation}`, endpoint, suspects, at: 0,
 		}, {timeoutMs: crashReportTimeoutMs, isIdempotent: true});
--- a/packages/plugins/controller/src/controller.ts
+++ b/packages/plugins/controller/src/controller.ts
@@ -125,14 +125,14 @@
 	}
 
 	/** Reads a claim at the leader, behind everything that was acknowledged. */
-	async #readClaim(params: {tenant: string; key: string; forwarded?: boolean}): Promise<ClaimReading> {
+	async #readClaim(params: {workspace: string; key: string; forwarded?: boolean}): Promise<ClaimReading> {
 		if (this.#core.log.isLeader) {
 			const barrier = await this.#core.readBarrier();
 			if (barrier.isErr()) {
 				return {kind: 'unknown'};
 			}
 
-			const claim = this.#core.state.claims.read(params.tenant, params.key);
+			const claim = this.#core.state.claims.read(params.workspace, params.key);
 			return claim ? {kind: 'found', claim} : {kind: 'none'};
 		}
 
--- a/packages/plugins/controller/src/fleet-view.ts
+++ b/packages/plugins/controller/src/fleet-view.ts
@@ -2,7 +2,7 @@
  * What a controller knows of the whole fleet: its own subscribers and, asked once a second, those of the other
  * controllers. It is a hint with an age: liveness of endpoints, demand, and who has confirmed a revision.
  */
-import type {DemandReport, SubscriberView, TenantShare} from '@hickorytrack/types/peer-methods';
+import type {DemandReport, SubscriberView, WorkspaceShare} from '@hickorytrack/types/peer-methods';
 import {divideShares} from '@hickorytrack/rate-limit/share-divider';
 import type {ControllerCore} from './controller-core.js';
 import type {SubscriberDesk} from './subscriber-desk.js';
@@ -89,18 +89,18 @@
 	/** Tells each entry subscribed here which part of the fleet-wide limits it may use. */
 	#shareLimits(): void {
 		const entries = this.list().filter(view => view.member.roles.includes('entry'));
-		const tenants = new Set(entries.flatMap(view => view.demands.map(demand => demand.tenant)));
-		const shares = new Map<string, TenantShare[]>(entries.map(view => [view.member.instance, []]));
-		for (const tenant of tenants) {
-			const demands = entries.map(view => ({holder: view.member.instance, demand: view.demands.find(demand => demand.tenant === tenant)?.requestsPerSecond ?? 0}));
+		const workspaces = new Set(entries.flatMap(view => view.demands.map(demand => demand.workspace)));
+		const shares = new Map<string, WorkspaceShare[]>(entries.map(view => [view.member.instance, []]));
+		for (const workspace of workspaces) {
+			const demands = entries.map(view => ({holder: view.member.instance, demand: view.demands.find(demand => demand.workspace === workspace)?.requestsPerSecond ?? 0}));
 			for (const [holder, fraction] of divideShares(demands)) {
-				shares.get(holder)!.push({tenant, fraction});
+				shares.get(holder)!.push({workspace, fraction});
 			}
 		}
 
 		for (const [instance, list] of shares) {
-			// The fraction under the empty name is for tenants without demand anywhere.
-			this.#desk.sendShares(instance, [...list, {tenant: '', fraction: 1 / entries.length}]);
+			// The fraction under the empty name is for workspaces without demand anywhere.
+			this.#desk.sendShares(instance, [...list, {workspace: '', fraction: 1 / entries.length}]);
 		}
 	}
 }
--- a/packages/plugins/controller/src/operator-api.ts
+++ b/packages/plugins/controller/src/operator-api.ts
@@ -20,9 +20,9 @@
 
 const schemas = {
 	none: z.object({}).loose(),
-	tenant: z.object({tenant: z.string().min(1)}),
+	workspace: z.object({workspace: z.string().min(1)}),
 	putContract: z.object({
-		changeId: z.string().min(1), expectedVersion: z.number().int().min(0), tenant: z.string().min(1), contract: z.unknown().optional(),
+		changeId: z.string().min(1), expectedVersion: z.number().int().min(0), workspace: z.string().min(1), contract: z.unknown().optional(),
 	}),
 	putSetting: z.object({
 		changeId: z.string().min(1), expectedVersion: z.number().int().min(0), name: z.string(), value: z.union([z.string(), z.number(), z.boolean()]),
@@ -79,11 +79,11 @@
 	#addContractMethods(): void {
 		const {state} = this.#core;
 		this.#add('contract.list', schemas.none, () => accept({revision: state.items.revision, contracts: state.listContracts()}));
-		this.#add('contract.get', schemas.tenant, ({tenant}) => {
-			const found = state.readContract(tenant);
-			return found ? accept({revision: state.items.revision, ...found}) : refuse('ERR_HICKORYTRACK_NOT_FOUND', `There is no contract of ${tenant}`, 'See hickorytrack contract list.');
+		this.#add('contract.get', schemas.workspace, ({workspace}) => {
+			const found = state.readContract(workspace);
+			return found ? accept({revision: state.items.revision, ...found}) : refuse('ERR_HICKORYTRACK_NOT_FOUND', `There is no contract of ${workspace}`, 'See hickorytrack contract list.');
 		});
-		this.#add('contract.history', schemas.tenant, ({tenant}) => accept({revision: state.items.revision, versions: state.readHistory(tenant)}));
+		this.#add('contract.history', schemas.workspace, ({workspace}) => accept({revision: state.items.revision, versions: state.readHistory(workspace)}));
 		this.#add('contract.put', schemas.putContract, async params => {
 			const contract = params.contract === undefined ? undefined : checkContract(params.contract);
 			if (contract?.isErr()) {
--- a/packages/plugins/controller/src/subscriber-desk.ts
+++ b/packages/plugins/controller/src/subscriber-desk.ts
@@ -5,7 +5,7 @@
 import type {PeerConnection} from '@hickorytrack/peer-link/peer-connection';
 import type {ItemPage} from '@hickorytrack/types/control';
 import type {
-	PeerMember, SubscribeParams, SubscribeResult, SubscriberView, TenantShare,
+	PeerMember, SubscribeParams, SubscribeResult, SubscriberView, WorkspaceShare,
 } from '@hickorytrack/types/peer-methods';
 import type {ControllerCore} from './controller-core.js';
 
@@ -63,7 +63,7 @@
 		});
 	}
 
-	sendShares(instance: string, shares: TenantShare[]): void {
+	sendShares(instance: string, shares: WorkspaceShare[]): void {
 		this.#subscribers.get(instance)?.connection.notify('control.shares', {shares});
 	}
 
--- a/packages/plugins/engine-http/src/http-plain-service.ts
+++ b/packages/plugins/engine-http/src/http-plain-service.ts
@@ -56,7 +56,7 @@
 			const response = await request(`${this.#url}${work.path}`, {
 				method: work.method as 'GET',
 				reset: true,
-				headers: {'x-request-id': opts.attempt, 'x-tenant': opts.tenant, ...(hasBody && {'content-type': work.contentType})},
+				headers: {'x-request-id': opts.attempt, 'x-workspace': opts.workspace, ...(hasBody && {'content-type': work.contentType})},
 				body: hasBody ? work.body : undefined,
 				signal: opts.signal,
 			});
--- a/packages/plugins/entry/src/caller-api.ts
+++ b/packages/plugins/entry/src/caller-api.ts
@@ -20,7 +20,7 @@
 } from './model-api.js';
 import {createProblem, type Problem, type ProblemCode} from './problem.js';
 import {ServiceCall} from './service-call.js';
-import type {Tenant, TenantDirectory} from './tenant-directory.js';
+import type {Workspace, WorkspaceDirectory} from './workspace-directory.js';
 
 const headerTimeoutMs = 10_000;
 const bodyTimeoutMs = 15_000;
@@ -40,7 +40,7 @@
 
 export type CallerApiOptions = {
 	services: GenerationServices;
-	tenants: TenantDirectory;
+	workspaces: WorkspaceDirectory;
 	/** Tells whether new work may be taken. */
 	isReady: () => boolean;
 };
@@ -107,18 +107,18 @@
 			response.writeHead(isReady ? 200 : 503).end(isReady ? 'ready\n' : 'not ready\n');
 		});
 		this.#router.on('POST', '/v1/chat/completions', (request, response) => {
-			void this.#serve(request, response, async (call, tenant) => this.#generate(call, tenant, 'chat'));
+			void this.#serve(request, response, async (call, workspace) => this.#generate(call, workspace, 'chat'));
 		});
 		this.#router.on('POST', '/v1/completions', (request, response) => {
-			void this.#serve(request, response, async (call, tenant) => this.#generate(call, tenant, 'completions'));
+			void this.#serve(request, response, async (call, workspace) => this.#generate(call, workspace, 'completions'));
 		});
 		this.#router.on('GET', '/v1/models', (request, response) => {
-			void this.#serve(request, response, async (call, tenant) => {
-				this.#listModels(call, tenant);
+			void this.#serve(request, response, async (call, workspace) => {
+				this.#listModels(call, workspace);
 			});
 		});
 		this.#router.on(serviceMethods, '/services/:name/*', (request, response, params) => {
-			void this.#serve(request, response, async (call, tenant) => this.#callService(call, tenant, params.name!));
+			void this.#serve(request, response, async (call, workspace) => this.#callService(call, workspace, params.name!));
 		});
 	}
 
@@ -137,8 +137,8 @@
 		};
 	}
 
-	/** Runs a handler for an authenticated tenant within its limits. */
-	async #serve(request: IncomingMessage, response: ServerResponse, handler: (call: Call, tenant: Tenant) => Promise<void>): Promise<void> {
+	/** Runs a handler for an authenticated workspace within its limits. */
+	async #serve(request: IncomingMessage, response: ServerResponse, handler: (call: Call, workspace: Workspace) => Promise<void>): Promise<void> {
 		const call = this.#createCall(request, response);
 		const key = /^Bearer (?<key>\S+)$/.exec(request.headers.authorization ?? '')?.groups?.key;
 		if (key === undefined) {
@@ -146,34 +146,34 @@
 			return;
 		}
 
-		const tenant = this.#opts.tenants.find(key);
+		const workspace = this.#opts.workspaces.find(key);
 		if (!this.#opts.isReady()) {
 			this.#refuse(call, 'not-ready', {retryAfterMs: overloadRetryMs, run: decideEarlyRun(call)});
 			return;
 		}
 
-		if (!tenant) {
+		if (!workspace) {
 			this.#refuse(call, 'unknown-key');
 			return;
 		}
 
-		const waitMs = tenant.takeRate();
-		if (waitMs > 0 || tenant.isAtConcurrencyLimit) {
+		const waitMs = workspace.takeRate();
+		if (waitMs > 0 || workspace.isAtConcurrencyLimit) {
 			this.#refuse(call, waitMs > 0 ? 'rate-limited' : 'concurrency-limited', {retryAfterMs: waitMs || overloadRetryMs, run: decideEarlyRun(call)});
 			return;
 		}
 
-		await this.#runCounted(call, tenant, handler);
+		await this.#runCounted(call, workspace, handler);
 	}
 
-	async #runCounted(call: Call, tenant: Tenant, handler: (call: Call, tenant: Tenant) => Promise<void>): Promise<void> {
+	async #runCounted(call: Call, workspace: Workspace, handler: (call: Call, workspace: Workspace) => Promise<void>): Promise<void> {
 		const {context} = this.#opts.services;
-		tenant.inFlight++;
+		workspace.inFlight++;
 		this.#inFlight++;
 		context.metrics.gauge('entry.in_flight', this.#inFlight);
 		try {
 			await context.steps.reach('request.authenticated', context.settings.instance);
-			await handler(call, tenant);
+			await handler(call, workspace);
 		} catch (error) {
 			context.events.emit('unexpectedError', {requestId: call.requestId, error: String(error)});
 			if (call.response.headersSent) {
@@ -182,13 +182,13 @@
 				this.#refuse(call, 'answer-lost', {run: 'may-have-run'});
 			}
 		} finally {
-			tenant.inFlight--;
+			workspace.inFlight--;
 			this.#inFlight--;
 		}
 	}
 
-	async #generate(call: Call, tenant: Tenant, api: ModelApiName): Promise<void> {
-		const body = await this.#readBody(call, tenant);
+	async #generate(call: Call, workspace: Workspace, api: ModelApiName): Promise<void> {
+		const body = await this.#readBody(call, workspace);
 		if (body === undefined) {
 			return;
 		}
@@ -200,15 +200,15 @@
 		}
 
 		const request = parsed.value;
-		if (!tenant.contract.models.includes(request.model)) {
+		if (!workspace.contract.models.includes(request.model)) {
 			this.#refuse(call, 'model-not-allowed', {detail: request.model});
 			return;
 		}
 
-		await this.#answerGeneration(call, tenant, request);
+		await this.#answerGeneration(call, workspace, request);
 	}
 
-	async #answerGeneration(call: Call, tenant: Tenant, request: ParsedModelRequest): Promise<void> {
+	async #answerGeneration(call: Call, workspace: Workspace, request: ParsedModelRequest): Promise<void> {
 		const {services} = this.#opts;
 		const identity: AnswerIdentity = {
 			api: request.api, requestId: call.requestId, model: request.model, createdAt: this.#clock.now(),
@@ -216,13 +216,13 @@
 		const texts: string[] = [];
 		let hasPiece = false;
 		const generation = new GenerationCall(services, {
-			...request, requestId: call.requestId, tenant, fingerprint: computeFingerprint(tenant.contract.tenant, request.body),
+			...request, requestId: call.requestId, workspace, fingerprint: computeFingerprint(workspace.contract.workspace, request.body),
 		}, {
 			signal: call.signal,
 			onTexts: async fresh => {
 				if (!hasPiece) {
 					hasPiece = true;
-					services.context.metrics.time('entry.first_token_ms', this.#clock.monotonic() - call.arrivedAt, {tenant: tenant.contract.tenant});
+					services.context.metrics.time('entry.first_token_ms', this.#clock.monotonic() - call.arrivedAt, {workspace: workspace.contract.workspace});
 				}
 
 				if (request.isStreamed) {
@@ -240,7 +240,7 @@
 			call.response.destroy();
 		} else {
 			await services.context.steps.reach('request.last-piece', services.context.settings.instance);
-			this.#count(tenant, 'answered');
+			this.#count(workspace, 'answered');
 			if (request.isStreamed) {
 				this.#openStream(call);
 				call.response.end(formatStreamEnd(identity, result.usage));
@@ -270,15 +270,15 @@
 		}
 	}
 
-	#listModels(call: Call, tenant: Tenant): void {
-		const data = tenant.contract.models.map(id => ({id, object: 'model', owned_by: 'hickorytrack'}));
+	#listModels(call: Call, workspace: Workspace): void {
+		const data = workspace.contract.models.map(id => ({id, object: 'model', owned_by: 'hickorytrack'}));
 		call.response.writeHead(200, {'content-type': 'application/json'}).end(JSON.stringify({object: 'list', data}));
 	}
 
-	async #callService(call: Call, tenant: Tenant, name: string): Promise<void> {
+	async #callService(call: Call, workspace: Workspace, name: string): Promise<void> {
 		const {request} = call;
 		const path = request.url!.slice(`/services/${name}`.length);
-		const rule = findRule(tenant, {name, method: request.method!, path});
+		const rule = findRule(workspace, {name, method: request.method!, path});
 		if (!rule) {
 			this.#refuse(call, 'call-not-allowed', {detail: `${request.method} ${path} of ${name}`});
 			return;
@@ -290,30 +290,30 @@
 			return;
 		}
 
-		const body = await this.#readBody(call, tenant);
+		const body = await this.#readBody(call, workspace);
 		if (body === undefined) {
 			return;
 		}
 
-		await this.#answerServiceCall(call, tenant, {
+		await this.#answerServiceCall(call, workspace, {
 			name, path, body, repeatable: rule.repeatable, key: rule.repeatable ? undefined : String(key),
 		});
 	}
 
-	async #answerServiceCall(call: Call, tenant: Tenant, opts: {name: string; path: string; body: string; repeatable: boolean; key?: string}): Promise<void> {
+	async #answerServiceCall(call: Call, workspace: Workspace, opts: {name: string; path: string; body: string; repeatable: boolean; key?: string}): Promise<void> {
 		const {request, response, requestId} = call;
 		const {name, path, body, repeatable, key} = opts;
 		const result = await new ServiceCall(this.#opts.services, {
-			requestId, tenant, service: name, method: request.method!, path, body, repeatable, key,
+			requestId, workspace, service: name, method: request.method!, path, body, repeatable, key,
 			contentType: request.headers['content-type'] ?? 'application/octet-stream',
-			fingerprint: computeFingerprint(tenant.contract.tenant, [name, request.method, path, body]),
+			fingerprint: computeFingerprint(workspace.contract.workspace, [name, request.method, path, body]),
 		}, call.signal).run();
 		if (result.kind === 'refused') {
 			this.#answerProblem(call, result.problem);
 		} else if (result.kind === 'caller-gone') {
 			response.destroy();
 		} else {
-			this.#count(tenant, 'answered');
+			this.#count(workspace, 'answered');
 			const {status, contentType, body: answer} = result.answer;
 			response.writeHead(status, {'content-type': contentType, ...(result.replayed && {'idempotency-replayed': 'true'})}).end(answer);
 			await this.#opts.services.context.steps.reach('request.answered', this.#opts.services.context.settings.instance);
@@ -321,8 +321,8 @@
 	}
 
 	/** Reads the body within the contract's size and the time limit; answers the refusal itself when it can't. */
-	async #readBody(call: Call, tenant: Tenant): Promise<string | undefined> {
-		const limit = tenant.contract.limits.bodyBytes;
+	async #readBody(call: Call, workspace: Workspace): Promise<string | undefined> {
+		const limit = workspace.contract.limits.bodyBytes;
 		if (Number(call.request.headers['content-length'] ?? 0) > limit) {
 			this.#refuseAndClose(call, 'body-too-large', limit);
 			return undefined;
@@ -388,8 +388,8 @@
 		call.response.writeHead(problem.status, headers).end(JSON.stringify(problem));
 	}
 
-	#count(tenant: Tenant, outcome: string): void {
-		this.#opts.services.context.metrics.count('entry.requests', {outcome, tenant: tenant.contract.tenant});
+	#count(workspace: Workspace, outcome: string): void {
+		this.#opts.services.context.metrics.count('entry.requests', {outcome, workspace: workspace.contract.workspace});
 	}
 
 	get #clock() {
@@ -406,8 +406,8 @@
 }
 
 /** Finds the rule with the longest path that covers a call. */
-function findRule(tenant: Tenant, call: {name: string; method: string; path: string}): ServiceCallRule | undefined {
-	const service = tenant.contract.services.find(candidate => candidate.name === call.name);
+function findRule(workspace: Workspace, call: {name: string; method: string; path: string}): ServiceCallRule | undefined {
+	const service = workspace.contract.services.find(candidate => candidate.name === call.name);
 	const path = call.path.split('?')[0]!;
 	return service?.calls
 		.filter(rule => rule.method === call.method && (path === rule.path || path.startsWith(rule.path.endsWith('/') ? rule.path : `${rule.path}/`)))
--- a/packages/plugins/entry/src/entry.ts
+++ b/packages/plugins/entry/src/entry.ts
@@ -7,7 +7,7 @@
 import {AttemptRunner} from './attempt-runner.js';
 import {CallerApi} from './caller-api.js';
 import {EndpointDirectory} from './endpoint-directory.js';
-import {TenantDirectory} from './tenant-directory.js';
+import {WorkspaceDirectory} from './workspace-directory.js';
 
 const crossZoneMs = 3;
 /** Time between falling readiness and the closing of the listener, so that the balancer sees it. */
@@ -18,28 +18,28 @@
 	readonly #context: ProcessContext;
 	readonly #api: CallerApi;
 	readonly #endpoints: EndpointDirectory;
-	readonly #tenants: TenantDirectory;
+	readonly #workspaces: WorkspaceDirectory;
 	readonly #attempts: AttemptRunner;
 
 	constructor(context: ProcessContext) {
 		this.#context = context;
 		const {clock, peers, control, random} = context;
-		this.#tenants = new TenantDirectory(clock);
+		this.#workspaces = new WorkspaceDirectory(clock);
 		this.#endpoints = new EndpointDirectory({clock, peers});
 		this.#attempts = new AttemptRunner(context, this.#endpoints);
 		control.onItems(items => {
-			this.#tenants.noteItems(items);
+			this.#workspaces.noteItems(items);
 			this.#endpoints.noteItems(items);
 		});
 		control.onShares(shares => {
-			this.#tenants.setShares(shares);
+			this.#workspaces.setShares(shares);
 		});
-		control.addDemandSource(() => ({demands: this.#tenants.collectDemand(), reports: []}));
+		control.addDemandSource(() => ({demands: this.#workspaces.collectDemand(), reports: []}));
 		this.#api = new CallerApi({
 			services: {
 				context, control, endpoints: this.#endpoints, attempts: this.#attempts, placer: new ExpectedTimePlacer({random, crossZoneMs}),
 			},
-			tenants: this.#tenants,
+			workspaces: this.#workspaces,
 			isReady: () => control.isFresh,
 		});
 	}
@@ -62,7 +62,7 @@
 
 	dump(): unknown {
 		return {
-			inFlight: this.#api.inFlight, tenants: this.#tenants.size, attempts: this.#attempts.open, endpoints: this.#endpoints.dump(),
+			inFlight: this.#api.inFlight, workspaces: this.#workspaces.size, attempts: this.#attempts.open, endpoints: this.#endpoints.dump(),
 		};
 	}
 
--- a/packages/plugins/entry/src/generation-call.ts
+++ b/packages/plugins/entry/src/generation-call.ts
@@ -13,7 +13,7 @@
 import type {EndpointDirectory, EndpointHandle} from './endpoint-directory.js';
 import {createProblem, type Problem, type ProblemCode} from './problem.js';
 import {decideRun, traceEnd, type AttemptTrace} from './run-verdict.js';
-import type {Tenant} from './tenant-directory.js';
+import type {Workspace} from './workspace-directory.js';
 
 const maximumAttempts = 8;
 const suspectPollMs = 200;
@@ -25,7 +25,7 @@
 
 export type GenerationRequest = {
 	requestId: string;
-	tenant: Tenant;
+	workspace: Workspace;
 	fingerprint: string;
 	api: 'chat' | 'completions';
 	model: string;
@@ -146,7 +146,7 @@
 		const outcome = await this.#services.attempts.run(handle, {
 			attempt,
 			requestId: this.#request.requestId,
-			tenant: this.#request.tenant.contract.tenant,
+			workspace: this.#request.workspace.contract.workspace,
 			fingerprint: this.#request.fingerprint,
 			deadlineMs: Math.max(1, this.#deadline - this.#clock.monotonic()),
 			revision: this.#services.control.revision,
@@ -194,7 +194,7 @@
 	#judgeEnd(end: AttemptEnd, opts: {handle: EndpointHandle; attempt: string}): NextStep {
 		switch (end.kind) {
 			case 'complete': {
-				this.#request.tenant.retryBudget.noteSuccess();
+				this.#request.workspace.retryBudget.noteSuccess();
 				if (this.#isSuspect) {
 					void this.#services.control.propose({kind: 'clear-suspect', fingerprint: this.#request.fingerprint, attempt: this.#permitHolder}, {isIdempotent: true});
 				}
@@ -231,7 +231,7 @@
 		this.#tried.add(handle.endpoint);
 		const isFree = opts.reason === 'draining' || opts.reason === 'stopping' || opts.reason === 'not-ready' || this.#texts.length > 0;
 		this.#retries++;
-		if (!isFree && !this.#request.tenant.retryBudget.take()) {
+		if (!isFree && !this.#request.workspace.retryBudget.take()) {
 			return {kind: 'result', result: this.#refuse('overloaded', {retryAfterMs})};
 		}
 
@@ -261,7 +261,7 @@
 		}
 
 		const elapsed = this.#clock.monotonic() - this.#startedAt;
-		return Math.max(1, this.#request.tenant.contract.targets.firstTokenMs - elapsed);
+		return Math.max(1, this.#request.workspace.contract.targets.firstTokenMs - elapsed);
 	}
 
 	/** Waits a little when the fleet has no endpoint to offer, since one may be coming back. */
--- a/packages/plugins/entry/src/service-call.ts
+++ b/packages/plugins/entry/src/service-call.ts
@@ -13,7 +13,7 @@
 import type {GenerationServices} from './generation-call.js';
 import {createProblem, type Problem, type ProblemCode} from './problem.js';
 import {decideRun, traceEnd, type AttemptTrace} from './run-verdict.js';
-import type {Tenant} from './tenant-directory.js';
+import type {Workspace} from './workspace-directory.js';
 
 const maximumAttempts = 6;
 const claimPollMs = 100;
@@ -28,7 +28,7 @@
 
 export type ServiceRequest = {
 	requestId: string;
-	tenant: Tenant;
+	workspace: Workspace;
 	service: string;
 	method: string;
 	path: string;
@@ -86,7 +86,7 @@
 
 			const outcome = await this.#dispatch(handle, this.#services.attempts.createAttemptId(), this.#signal);
 			if (outcome.kind === 'answer') {
-				this.#request.tenant.retryBudget.noteSuccess();
+				this.#request.workspace.retryBudget.noteSuccess();
 				return {...outcome, replayed: false};
 			}
 
@@ -95,7 +95,7 @@
 			}
 
 			this.#tried.add(handle.endpoint);
-			if (!this.#request.tenant.retryBudget.take()) {
+			if (!this.#request.workspace.retryBudget.take()) {
 				break;
 			}
 		}
@@ -151,18 +151,18 @@
 		if (outcome.kind === 'not-run') {
 			this.#tried.add(handle.endpoint);
 			await this.#settle({attempt, state: 'not-run'});
-			return this.#request.tenant.retryBudget.take() ? undefined : this.#refuse('overloaded', {retryAfterMs});
+			return this.#request.workspace.retryBudget.take() ? undefined : this.#refuse('overloaded', {retryAfterMs});
 		}
 
-		this.#services.context.events.emit('outcomeUnknown', {requestId: this.#request.requestId, tenant: this.#request.tenant.contract.tenant, endpoint: handle.endpoint});
+		this.#services.context.events.emit('outcomeUnknown', {requestId: this.#request.requestId, workspace: this.#request.workspace.contract.workspace, endpoint: handle.endpoint});
 		await this.#settle({attempt, state: 'may-have-run'});
 		return this.#refuse('outcome-unknown');
 	}
 
 	async #dispatch(handle: EndpointHandle, attempt: string, signal: AbortSignal): Promise<DispatchOutcome> {
-		const {requestId, tenant, fingerprint} = this.#request;
+		const {requestId, workspace, fingerprint} = this.#request;
 		const outcome = await this.#services.attempts.run(handle, {
-			attempt, requestId, fingerprint, tenant: tenant.contract.tenant, deadlineMs: Math.max(1, this.#deadline - this.#clock.monotonic()),
+			attempt, requestId, fingerprint, workspace: workspace.contract.workspace, deadlineMs: Math.max(1, this.#deadline - this.#clock.monotonic()),
 			revision: this.#services.control.revision, isolated: false, work: this.#composeWork(),
 		}, {
 			signal, async onTexts() {
@@ -197,13 +197,13 @@
 	}
 
 	async #openClaim(handle: EndpointHandle, attempt: string): Promise<ClaimReply | undefined> {
-		const {tenant, key} = this.#request;
-		const {contract} = tenant;
+		const {workspace, key} = this.#request;
+		const {contract} = workspace;
 		const reply = await this.#services.control.propose({
 			kind: 'open-claim',
 			at: 0,
 			request: {
-				tenant: contract.tenant, key: key!, bodyDigest: this.#bodyDigest, endpoint: handle.endpoint, agentIncarnation: handle.record.agentIncarnation,
+				workspace: contract.workspace, key: key!, bodyDigest: this.#bodyDigest, endpoint: handle.endpoint, agentIncarnation: handle.record.agentIncarnation,
 				attempt, owner: this.#services.context.settings.instance, retentionSeconds: contract.answerRetentionSeconds,
 			},
 		}, {isIdempotent: true});
@@ -285,11 +285,11 @@
 	}
 
 	async #readClaim(): Promise<ClaimReading> {
-		return this.#services.control.readClaim(this.#request.tenant.contract.tenant, this.#request.key!);
+		return this.#services.control.readClaim(this.#request.workspace.contract.workspace, this.#request.key!);
 	}
 
 	async #settle(settlement: Pick<ClaimSettlement, 'attempt' | 'state' | 'answer'>): Promise<void> {
-		const command = {kind: 'settle-claim', settlement: {tenant: this.#request.tenant.contract.tenant, key: this.#request.key!, ...settlement}} as const;
+		const command = {kind: 'settle-claim', settlement: {workspace: this.#request.workspace.contract.workspace, key: this.#request.key!, ...settlement}} as const;
 		const first = await this.#services.control.propose(command, {isIdempotent: true, timeoutMs: settleTimeoutMs});
 		if (first.isErr()) {
 			void this.#settleLater(command);
--- a/packages/plugins/entry/src/tenant-directory.ts
+++ b/packages/plugins/entry/src/workspace-directory.ts
@@ -1,5 +1,5 @@
 /**
- * The tenants as the entry sees them: whose key it is, and what is left of the contract's limits here. Keys are compared
+ * The workspaces as the entry sees them: whose key it is, and what is left of the contract's limits here. Keys are compared
  * by digest, so that the time of a comparison says nothing about a key.
  */
 import {createHash, timingSafeEqual} from 'node:crypto';
@@ -9,15 +9,15 @@
 import {TokenBucket} from '@hickorytrack/rate-limit/token-bucket';
 import type {Contract} from '@hickorytrack/types/contract';
 import type {ControlItem} from '@hickorytrack/types/control';
-import type {TenantDemand, TenantShare} from '@hickorytrack/types/peer-methods';
+import type {WorkspaceDemand, WorkspaceShare} from '@hickorytrack/types/peer-methods';
 
 const msPerSecond = 1000;
 const demandSmoothing = 0.5;
 
-export class Tenant {
+export class Workspace {
 	contract: Contract;
 	inFlight = 0;
-	/** Its own, so that no tenant can spend another's retries. */
+	/** Its own, so that no workspace can spend another's retries. */
 	readonly retryBudget: RetryBudget;
 	readonly #bucket: TokenBucket;
 	#fraction = 1;
@@ -65,10 +65,10 @@
 	}
 }
 
-export class TenantDirectory {
+export class WorkspaceDirectory {
 	readonly #clock: Clock;
-	readonly #tenants = new Map<string, Tenant>();
-	readonly #keys = new Map<string, {digest: Buffer; tenant: Tenant}>();
+	readonly #workspaces = new Map<string, Workspace>();
+	readonly #keys = new Map<string, {digest: Buffer; workspace: Workspace}>();
 	#collectedAt: number;
 
 	constructor(clock: Clock) {
@@ -77,7 +77,7 @@
 	}
 
 	get size(): number {
-		return this.#tenants.size;
+		return this.#workspaces.size;
 	}
 
 	noteItems(items: readonly ControlItem[]): void {
@@ -85,50 +85,50 @@
 			if (value.kind === 'contract') {
 				this.#put(value.contract);
 			} else {
-				this.#tenants.delete(key.slice('contract/'.length));
+				this.#workspaces.delete(key.slice('contract/'.length));
 			}
 		}
 
 		this.#rebuildKeys();
 	}
 
-	find(key: string): Tenant | undefined {
+	find(key: string): Workspace | undefined {
 		const digest = createHash('sha256').update(key).digest();
 		const found = this.#keys.get(digest.toString('hex'));
-		return found && timingSafeEqual(found.digest, digest) ? found.tenant : undefined;
+		return found && timingSafeEqual(found.digest, digest) ? found.workspace : undefined;
 	}
 
-	setShares(shares: readonly TenantShare[]): void {
-		const byTenant = new Map(shares.map(share => [share.tenant, share.fraction]));
-		for (const [name, tenant] of this.#tenants) {
-			tenant.setFraction(byTenant.get(name) ?? byTenant.get('') ?? 1);
+	setShares(shares: readonly WorkspaceShare[]): void {
+		const byWorkspace = new Map(shares.map(share => [share.workspace, share.fraction]));
+		for (const [name, workspace] of this.#workspaces) {
+			workspace.setFraction(byWorkspace.get(name) ?? byWorkspace.get('') ?? 1);
 		}
 	}
 
-	/** Returns the demand of the tenants that have any. */
-	collectDemand(): TenantDemand[] {
+	/** Returns the demand of the workspaces that have any. */
+	collectDemand(): WorkspaceDemand[] {
 		const now = this.#clock.monotonic();
 		const intervalMs = now - this.#collectedAt;
 		this.#collectedAt = now;
-		return [...this.#tenants]
-			.map(([tenant, state]) => ({tenant, requestsPerSecond: state.collectDemand(intervalMs)}))
+		return [...this.#workspaces]
+			.map(([workspace, state]) => ({workspace, requestsPerSecond: state.collectDemand(intervalMs)}))
 			.filter(demand => demand.requestsPerSecond > 0.01);
 	}
 
 	#put(contract: Contract): void {
-		const held = this.#tenants.get(contract.tenant);
+		const held = this.#workspaces.get(contract.workspace);
 		if (held) {
 			held.update(contract);
 		} else {
-			this.#tenants.set(contract.tenant, new Tenant(contract, this.#clock));
+			this.#workspaces.set(contract.workspace, new Workspace(contract, this.#clock));
 		}
 	}
 
 	#rebuildKeys(): void {
 		this.#keys.clear();
-		for (const tenant of this.#tenants.values()) {
-			for (const {sha256} of tenant.contract.apiKeys) {
-				this.#keys.set(sha256, {digest: Buffer.from(sha256, 'hex'), tenant});
+		for (const workspace of this.#workspaces.values()) {
+			for (const {sha256} of workspace.contract.apiKeys) {
+				this.#keys.set(sha256, {digest: Buffer.from(sha256, 'hex'), workspace});
 			}
 		}
 	}
--- a/scripts/write-capacity.mjs
+++ b/scripts/write-capacity.mjs
@@ -7,7 +7,7 @@
 const control = read('control');
 const slopeOf = name => slopes.find(slope => slope.name === name).slope;
 const size = {
-	entries: 320, endpoints: 12_000, controllers: 5, requestsPerSecond: 20_000, tokensPerSecond: 4_100_000, tenants: 470, changesPerDay: 19_000, restartsPerDay: 2000, lossesPerDay: 130, zones: 21,
+	entries: 320, endpoints: 12_000, controllers: 5, requestsPerSecond: 20_000, tokensPerSecond: 4_100_000, workspaces: 470, changesPerDay: 19_000, restartsPerDay: 2000, lossesPerDay: 130, zones: 21,
 };
 const secondsPerDay = 86_400;
 const subset = 48;
@@ -33,14 +33,14 @@
 const handshakeMicros = slopeOf('connection opened with its handshake, both sides') / 2;
 const links = models * subset;
 
-const entryState = megabytes((size.endpoints * recordBytes) + (size.tenants * contractBytes) + (links * connectionBytes));
+const entryState = megabytes((size.endpoints * recordBytes) + (size.workspaces * contractBytes) + (links * connectionBytes));
 add('entry', 'state: all endpoint records, contracts, links to 48 endpoints of each of 12 models', `${entryState} MB`, '32 MB', 'subset by rendezvous hashing for links; records are held whole', 'exists; records by subset only named', entryState > 32);
 const heartbeatsPerSecond = links * 2;
 const entryHeartbeatPercent = round(heartbeatsPerSecond * requestMicros / 2 / 1e4);
 add('entry', `heartbeats on ${links} links, 2 a second each`, `${entryHeartbeatPercent}% of a core`, '2.9%', 'subset; one timer a link', 'exists; one timer for all links only named', entryHeartbeatPercent > 2.9);
 add('entry', 'pieces a second (4.1 M over 320)', `${Math.round(size.tokensPerSecond / size.entries)}, ${round(size.tokensPerSecond / size.entries * path.entryCpuMicrosecondsPerPiece / 1e4)}% of a core`, 'not control', 'batched pieces', 'exists');
 add('entry', 'requests a second (20,000 over 320)', `${size.requestsPerSecond / size.entries}, ${round(size.requestsPerSecond / size.entries * path.entryCpuMicrosecondsPerRequest / 1e4)}% of a core`, 'not control', 'no message to a controller but claims', 'exists');
-add('agent', 'state: contracts and its own directive', `${megabytes(size.tenants * contractBytes)} MB`, '32 MB', 'topics of a subscription', 'exists');
+add('agent', 'state: contracts and its own directive', `${megabytes(size.workspaces * contractBytes)} MB`, '32 MB', 'topics of a subscription', 'exists');
 add('agent', 'processor time of an idle agent, measured', `${control.controlCpuPercentPerNode}% of a core`, '2.9%', 'timers of 25 ms to 1 s', 'exists', control.controlCpuPercentPerNode > 2.9);
 add('agent', 'control traffic of an idle agent, measured', `${control.controlBytesPerSecondPerNode} bytes/s`, '4 KB/s', 'lease ticks once a second', 'exists', control.controlBytesPerSecondPerNode > 4096);
 add('agent', 'resident memory of the process, measured; an empty Node.js process is in it', `${control.agentMegabytes} MB (empty: ${control.emptyMegabytes} MB)`, '32 MB', 'none; Node.js itself is over the budget', 'a smaller runtime or one agent for several engines would bring it under', true);
--- a/stand-ins/src/plain-service.ts
+++ b/stand-ins/src/plain-service.ts
@@ -10,7 +10,7 @@
 	sequence: number;
 	method: string;
 	path: string;
-	tenant: string;
+	workspace: string;
 	attempt: string;
 	bodyDigest: string;
 	body: string;
@@ -96,7 +96,7 @@
 
 		const body = Buffer.concat(chunks).toString('utf8');
 		const call: LedgerCall = {
-			sequence: this.calls.length + 1, method: request.method!, path: request.url!, tenant: String(request.headers['x-tenant']), attempt: String(request.headers['x-request-id']),
+			sequence: this.calls.length + 1, method: request.method!, path: request.url!, workspace: String(request.headers['x-workspace']), attempt: String(request.headers['x-request-id']),
 			bodyDigest: createHash('sha256').update(body).digest('hex').slice(0, 16), body,
 		};
 		this.calls.push(call);
--- a/stand-ins/test/bad-input.test.ts
+++ b/stand-ins/test/bad-input.test.ts
@@ -17,7 +17,7 @@
 const callerUrl = 'http://127.0.0.31:7480';
 
 const createContract = (keys: string[]): Contract => ({
-	tenant: 'maraval', apiKeys: keys.map(key => ({id: key, sha256: computeKeyDigest(key)})), models: ['drafting'], services: [], priority: 1, share: 1,
+	workspace: 'maraval', apiKeys: keys.map(key => ({id: key, sha256: computeKeyDigest(key)})), models: ['drafting'], services: [], priority: 1, share: 1,
 	limits: {
 		requestsPerSecond: 10_000, burst: 10_000, concurrency: 1000, bodyBytes: 4096, queueMs: 2000,
 	},
@@ -35,7 +35,7 @@
 		const response = await request('http://127.0.0.31:7490/rpc', {
 			method: 'POST', body: JSON.stringify({
 				jsonrpc: '2.0', id: 1, method: 'contract.put', params: {
-					changeId: `c${version}`, expectedVersion: version, tenant: 'maraval', contract: createContract(keys),
+					changeId: `c${version}`, expectedVersion: version, workspace: 'maraval', contract: createContract(keys),
 				},
 			}),
 		});
--- a/tools/bench/src/control-bench.ts
+++ b/tools/bench/src/control-bench.ts
@@ -99,7 +99,7 @@
 	try {
 		await fleet.start();
 		const file = path.join(fleet.folder, 'idle.yaml');
-		await writeFile(file, 'tenant: idle\napiKeys: [{id: idle, key: idle-key}]\nmodels: [drafting]\n');
+		await writeFile(file, 'workspace: idle\napiKeys: [{id: idle, key: idle-key}]\nmodels: [drafting]\n');
 		await fleet.runTool('contract', 'apply', '-f', file, '--wait-seconds', '10');
 		const members = [...fleet.agents, ...fleet.instances];
 		const before = await Promise.all(members.map(async one => readUsage(one.child.pid!)));
--- a/tools/bench/src/fairness-bench.ts
+++ b/tools/bench/src/fairness-bench.ts
@@ -1,4 +1,4 @@
-/** `fairness`: one tenant offers ten times its share; every other tenant is compared with what it has alone. */
+/** `fairness`: one workspace offers ten times its share; every other workspace is compared with what it has alone. */
 import {Random} from '@hickorytrack/random';
 import {ExpectedTimePlacer} from '@hickorytrack/placement';
 import {round} from './placement-bench.js';
@@ -7,27 +7,27 @@
 import {drawArrivals, mergeArrivals, type Shape} from './traces.js';
 
 const durationMs = 60_000;
-const tenants = 4;
-/** Requests a second that a tenant's share of the fleet can carry: a quarter of eight engines. */
+const workspaces = 4;
+/** Requests a second that a workspace's share of the fleet can carry: a quarter of eight engines. */
 const fairRate = 50;
 const victimRate = 40;
 
-const createShape = (tenant: string): Shape => ({
-	tenant, model: 'drafting', promptTokens: 120, prefixTokens: 0, prefixes: 1, outputTokens: 60, share: 1, queueMs: 2000,
+const createShape = (workspace: string): Shape => ({
+	workspace, model: 'drafting', promptTokens: 120, prefixTokens: 0, prefixes: 1, outputTokens: 60, share: 1, queueMs: 2000,
 });
 
 export function benchFairness(seed: number): Record<string, unknown> {
-	const draw = (tenant: string, rate: number, index: number) => drawArrivals(createShape(tenant), {
+	const draw = (workspace: string, rate: number, index: number) => drawArrivals(createShape(workspace), {
 		random: new Random(seed + index), durationMs, rateAt: () => rate, highestRate: rate,
 	});
 	const run = (lists: Array<ReturnType<typeof draw>>) => runFleet({
 		arrivals: mergeArrivals(...lists), durationMs, random: new Random(seed), reportDelayMs: 1000, createPlacer: () => new ExpectedTimePlacer({random: new Random(seed), crossZoneMs: 3}),
 	});
-	const victims = Array.from({length: tenants - 1}, (_, index) => `victim-${index}`);
-	const alone = victims.map((victim, index) => run([draw(victim, victimRate, index)]).goodByTenant.get(victim) ?? 0);
+	const victims = Array.from({length: workspaces - 1}, (_, index) => `victim-${index}`);
+	const alone = victims.map((victim, index) => run([draw(victim, victimRate, index)]).goodByWorkspace.get(victim) ?? 0);
 	const together = run([...victims.map((victim, index) => draw(victim, victimRate, index)), draw('flood', fairRate * 10, 99)]);
-	const kept = victims.map((victim, index) => (together.goodByTenant.get(victim) ?? 0) / alone[index]!);
-	const victimRequests = together.requests.filter(one => one.tenant !== 'flood');
+	const kept = victims.map((victim, index) => (together.goodByWorkspace.get(victim) ?? 0) / alone[index]!);
+	const victimRequests = together.requests.filter(one => one.workspace !== 'flood');
 	const refused = victimRequests.filter(one => one.outcome === 'refused').length;
 	const late = victimRequests.filter(one => one.outcome === 'complete' && !isGood(one)).length;
 	const lent = run([draw('flood', fairRate * 10, 99)]);
@@ -38,6 +38,6 @@
 		victimsLate: late,
 		victimsOffered: victimRequests.length,
 		utilisation: round(together.utilisation),
-		utilisationOfOneTenantAlone: round(lent.utilisation),
+		utilisationOfOneWorkspaceAlone: round(lent.utilisation),
 	};
 }
--- a/tools/bench/src/path-bench.ts
+++ b/tools/bench/src/path-bench.ts
@@ -13,7 +13,7 @@
 const latencyMs = 8000;
 const throughputMs = 8000;
 const openStreams = 500;
-const contract = `tenant: bench
+const contract = `workspace: bench
 apiKeys: [{id: bench, key: ${key}}]
 models: [drafting]
 limits: {requestsPerSecond: 100000, burst: 100000, concurrency: 100000, bodyBytes: 1000000, queueMs: 60000}
--- a/tools/bench/src/simulated-fleet.ts
+++ b/tools/bench/src/simulated-fleet.ts
@@ -33,7 +33,7 @@
 
 export type SimulatedRequest = {
 	id: string;
-	tenant: string;
+	workspace: string;
 	model: string;
 	priority: number;
 	share: number;
@@ -149,7 +149,7 @@
 		}
 
 		const work: QueuedWork<SimulatedRequest> = {
-			tenant: request.tenant, priority: request.priority, share: request.share, item: request,
+			workspace: request.workspace, priority: request.priority, share: request.share, item: request,
 			queueMs: request.produced > 0 ? request.queueMs : Math.min(request.queueMs, Math.max(1, budgetMs)),
 			costMs: ((prefillTokens / this.speed.prefillTokensPerSecond) + (request.outputTokens / this.speed.decodeTokensPerSecond)) * msPerSecond,
 		};
@@ -316,7 +316,7 @@
 export class SimulatedEntry {
 	readonly #opts: EntryOptions;
 	readonly #views = new Map<string, View>();
-	/** Each tenant has a budget of its own, so that none can spend another's. */
+	/** Each workspace has a budget of its own, so that none can spend another's. */
 	readonly #retryBudgets = new Map<string, RetryBudget>();
 	readonly #reports: Array<{at: number; engine: string; load: EndpointLoad}> = [];
 
@@ -344,7 +344,7 @@
 			promptTokens: request.promptTokens, maxTokens: request.outputTokens, blocks, availabilityZone: this.#opts.availabilityZone,
 		}, usable);
 		for (const [index, candidate] of ranked.slice(0, this.#opts.maximumTries ?? 3).entries()) {
-			if (index > 0 && !this.#findBudget(request.tenant).take()) {
+			if (index > 0 && !this.#findBudget(request.workspace).take()) {
 				return false;
 			}
 
@@ -366,9 +366,9 @@
 		this.#views.get(engine)!.cache.clear();
 	}
 
-	#findBudget(tenant: string): RetryBudget {
-		const budget = this.#retryBudgets.get(tenant) ?? new RetryBudget(this.#opts.clock);
-		this.#retryBudgets.set(tenant, budget);
+	#findBudget(workspace: string): RetryBudget {
+		const budget = this.#retryBudgets.get(workspace) ?? new RetryBudget(this.#opts.clock);
+		this.#retryBudgets.set(workspace, budget);
 		return budget;
 	}
 
@@ -381,7 +381,7 @@
 			view.takenAt = report.at;
 			for (const {request} of view.sent.filter(one => one.request.outcome === 'complete')) {
 				view.cache.noteOutcome(request.expectedCached, request.cachedTokens);
-				this.#findBudget(request.tenant).noteSuccess();
+				this.#findBudget(request.workspace).noteSuccess();
 			}
 
 			view.sent = view.sent.filter(one => one.at > report.at && one.request.outcome === undefined);
--- a/tools/bench/src/simulated-run.ts
+++ b/tools/bench/src/simulated-run.ts
@@ -36,7 +36,7 @@
 	goodputPerSecond: number;
 	firstTokenP95Ms: number;
 	cacheHitRate: number;
-	goodByTenant: Map<string, number>;
+	goodByWorkspace: Map<string, number>;
 	/** Engine seconds used over engine seconds there were. */
 	utilisation: number;
 };
@@ -97,7 +97,7 @@
 
 function summarise(requests: SimulatedRequest[], opts: {durationMs: number; busySeconds: number; engines: number}): RunResult {
 	const first = build();
-	const goodByTenant = new Map<string, number>();
+	const goodByWorkspace = new Map<string, number>();
 	let promptTokens = 0;
 	let cachedTokens = 0;
 	for (const request of requests) {
@@ -108,17 +108,17 @@
 		}
 
 		if (isGood(request)) {
-			goodByTenant.set(request.tenant, (goodByTenant.get(request.tenant) ?? 0) + 1);
+			goodByWorkspace.set(request.workspace, (goodByWorkspace.get(request.workspace) ?? 0) + 1);
 		}
 	}
 
-	const good = [...goodByTenant.values()].reduce((sum, count) => sum + count, 0);
+	const good = [...goodByWorkspace.values()].reduce((sum, count) => sum + count, 0);
 	return {
 		requests,
 		goodputPerSecond: good / opts.durationMs * msPerSecond,
 		firstTokenP95Ms: first.getValueAtPercentile(95),
 		cacheHitRate: cachedTokens / Math.max(1, promptTokens),
-		goodByTenant,
+		goodByWorkspace,
 		utilisation: opts.busySeconds / (opts.durationMs / msPerSecond * opts.engines),
 	};
 }
--- a/tools/bench/src/slopes-bench.ts
+++ b/tools/bench/src/slopes-bench.ts
@@ -88,8 +88,8 @@
 	return fitLine(name, 'microseconds of processor time', points);
 }
 
-const createContract = (tenant: string): Contract => ({
-	tenant, apiKeys: [{id: 'a', sha256: 'f'.repeat(64)}, {id: 'b', sha256: 'e'.repeat(64)}], models: ['m1', 'm2'], services: [{name: 'dispatch', calls: [{method: 'POST', path: '/sheets', repeatable: false}]}],
+const createContract = (workspace: string): Contract => ({
+	workspace, apiKeys: [{id: 'a', sha256: 'f'.repeat(64)}, {id: 'b', sha256: 'e'.repeat(64)}], models: ['m1', 'm2'], services: [{name: 'dispatch', calls: [{method: 'POST', path: '/sheets', repeatable: false}]}],
 	priority: 1, share: 1, limits: {
 		requestsPerSecond: 10, burst: 10, concurrency: 10, bodyBytes: 1000, queueMs: 1000,
 	}, targets: {firstTokenMs: 460, betweenTokensMs: 79}, answerRetentionSeconds: 3600,
@@ -168,7 +168,7 @@
 }
 
 const createClaim = (index: number) => ({
-	tenant: 'cuenca', key: `0a1b2c3d-0000-4000-8000-${String(index).padStart(12, '0')}`, bodyDigest: 'd'.repeat(64), endpoint: 'dispatch-1', agentIncarnation: 'a'.repeat(36), attempt: `instance-1.abcdef12.${index}`, owner: 'instance-1', retentionSeconds: 86_400,
+	workspace: 'cuenca', key: `0a1b2c3d-0000-4000-8000-${String(index).padStart(12, '0')}`, bodyDigest: 'd'.repeat(64), endpoint: 'dispatch-1', agentIncarnation: 'a'.repeat(36), attempt: `instance-1.abcdef12.${index}`, owner: 'instance-1', retentionSeconds: 86_400,
 });
 
 export async function benchSlopes(folder: URL): Promise<Record<string, unknown>> {
@@ -205,7 +205,7 @@
 				state.apply({kind: 'open-claim', request, at: 1}, (2 * index) + 1);
 				state.apply({
 					kind: 'settle-claim', settlement: {
-						tenant: request.tenant, key: request.key, attempt: request.attempt, state: 'answered', answer: {status: 200, contentType: 'application/json', body: '{}'},
+						workspace: request.workspace, key: request.key, attempt: request.attempt, state: 'answered', answer: {status: 200, contentType: 'application/json', body: '{}'},
 					},
 				}, (2 * index) + 2);
 			}
--- a/tools/bench/src/traces.ts
+++ b/tools/bench/src/traces.ts
@@ -6,7 +6,7 @@
 const ordinances = 12;
 
 export type Shape = {
-	tenant: string;
+	workspace: string;
 	model: string;
 	promptTokens: number;
 	prefixTokens: number;
@@ -19,11 +19,11 @@
 };
 
 export const cuencaShape: Shape = {
-	tenant: 'cuenca', model: 'ordinance', promptTokens: 3700, prefixTokens: 3584, prefixes: ordinances, outputTokens: 100, share: 4, queueMs: 2000,
+	workspace: 'cuenca', model: 'ordinance', promptTokens: 3700, prefixTokens: 3584, prefixes: ordinances, outputTokens: 100, share: 4, queueMs: 2000,
 };
 
 export const maravalShape: Shape = {
-	tenant: 'maraval', model: 'drafting', promptTokens: 120, prefixTokens: 0, prefixes: 1, outputTokens: 60, share: 4, queueMs: 2000,
+	workspace: 'maraval', model: 'drafting', promptTokens: 120, prefixTokens: 0, prefixes: 1, outputTokens: 60, share: 4, queueMs: 2000,
 };
 
 /** Draws arrivals with a rate, in requests a second, that may change over time. */
@@ -38,9 +38,9 @@
 
 		if (opts.random.next() < opts.rateAt(at) / opts.highestRate) {
 			arrivals.push({
-				tenant: shape.tenant, model: shape.model, priority: shape.priority ?? 1, share: shape.share ?? 1, queueMs: shape.queueMs ?? 2000, arrivedAt: at,
+				workspace: shape.workspace, model: shape.model, priority: shape.priority ?? 1, share: shape.share ?? 1, queueMs: shape.queueMs ?? 2000, arrivedAt: at,
 				promptTokens: Math.max(shape.prefixTokens + 1, Math.round(shape.promptTokens * opts.random.nextBetween(0.97, 1.06))),
-				prefix: `${shape.tenant}-${opts.random.nextInteger(shape.prefixes)}`, prefixTokens: shape.prefixTokens,
+				prefix: `${shape.workspace}-${opts.random.nextInteger(shape.prefixes)}`, prefixTokens: shape.prefixTokens,
 				outputTokens: Math.max(2, Math.round(shape.outputTokens * opts.random.nextBetween(0.6, 1.4))),
 			});
 		}
--- a/tools/demo/src/demo.ts
+++ b/tools/demo/src/demo.ts
@@ -1,6 +1,6 @@
 /**
  * The demo: Cuenca's fleet on loopback, contracts applied by the tool, real text through it, one drain while streams run.
- * It ends with a table by tenant and exits 0 only if nothing was cut, wrong or doubled.
+ * It ends with a table by workspace and exits 0 only if nothing was cut, wrong or doubled.
  */
 import {randomUUID} from 'node:crypto';
 import {readFile} from 'node:fs/promises';
@@ -23,7 +23,7 @@
 const questions = ['Which layer holds the load-bearing walls?', 'Classify the part: hollow section, 60 by 40, two holes.', 'Does the markup on sheet A-104 contradict sheet S-201?', 'List the layers that changed since revision C.'];
 
 type Tally = {
-	tenant: string;
+	workspace: string;
 	answered: number;
 	refused: number;
 	cut: number;
@@ -32,8 +32,8 @@
 	betweenTokens: ReturnType<typeof build>;
 };
 
-const createTally = (tenant: string): Tally => ({
-	tenant, answered: 0, refused: 0, cut: 0, wrong: 0, firstToken: build(), betweenTokens: build(),
+const createTally = (workspace: string): Tally => ({
+	workspace, answered: 0, refused: 0, cut: 0, wrong: 0, firstToken: build(), betweenTokens: build(),
 });
 
 function note(tally: Tally, record: TryRecord): void {
@@ -89,18 +89,18 @@
 }
 
 function printTable(tallies: readonly Tally[]): void {
-	console.log('\ntenant    answered  refused  cut  wrong  first token p50/p95 ms  between tokens p95 ms');
+	console.log('\nworkspace    answered  refused  cut  wrong  first token p50/p95 ms  between tokens p95 ms');
 	for (const tally of tallies) {
 		const first = `${tally.firstToken.getValueAtPercentile(50)}/${tally.firstToken.getValueAtPercentile(95)}`;
-		console.log(`${tally.tenant.padEnd(10)}${String(tally.answered).padEnd(10)}${String(tally.refused).padEnd(9)}${String(tally.cut).padEnd(5)}${String(tally.wrong).padEnd(7)}${first.padEnd(24)}${tally.betweenTokens.getValueAtPercentile(95)}`);
+		console.log(`${tally.workspace.padEnd(10)}${String(tally.answered).padEnd(10)}${String(tally.refused).padEnd(9)}${String(tally.cut).padEnd(5)}${String(tally.wrong).padEnd(7)}${first.padEnd(24)}${tally.betweenTokens.getValueAtPercentile(95)}`);
 	}
 }
 
 async function applyContracts(fleet: Fleet): Promise<void> {
-	for (const tenant of ['cuenca', 'maraval']) {
-		const file = fileURLToPath(new URL(`examples/contracts/${tenant}.yaml`, root));
+	for (const workspace of ['cuenca', 'maraval']) {
+		const file = fileURLToPath(new URL(`examples/contracts/${workspace}.yaml`, root));
 		const applied = await fleet.runTool('contract', 'apply', '-f', file, '--wait-seconds', '10');
-		console.log(`contract of ${tenant}: ${applied.output.trim().split('\n').at(-1)}`);
+		console.log(`contract of ${workspace}: ${applied.output.trim().split('\n').at(-1)}`);
 		if (applied.code !== 0) {
 			throw new Error(applied.output);
 		}
--- a/tools/faults/src/invariants.ts
+++ b/tools/faults/src/invariants.ts
@@ -4,7 +4,7 @@
 import type {FaultFleet} from './fault-fleet.js';
 import {type Observations, createObservations} from './observations.js';
 import {
-	askAnyone, readChange, runGeneration, tenantName, waitUntil,
+	askAnyone, readChange, runGeneration, workspaceName, waitUntil,
 } from './operations.js';
 
 export type Invariant = {
@@ -99,7 +99,7 @@
 			const accepted = seen.writes.filter(write => write.outcome === 'accepted');
 			let versions: VersionView[] | undefined;
 			await waitUntil(async () => {
-				const history = await askAnyone<{versions: VersionView[]}>(fleet, 'contract.history', {tenant: tenantName});
+				const history = await askAnyone<{versions: VersionView[]}>(fleet, 'contract.history', {workspace: workspaceName});
 				versions = history?.versions;
 				return versions !== undefined;
 			}, recoveryMs);
@@ -126,9 +126,9 @@
 		name: 'in-force',
 		async check(fleet) {
 			const isInForce = await waitUntil(async () => {
-				const current = await askAnyone<{revision: number; contract: Contract}>(fleet, 'contract.get', {tenant: tenantName});
+				const current = await askAnyone<{revision: number; contract: Contract}>(fleet, 'contract.get', {workspace: workspaceName});
 				return current !== undefined && [...fleet.processes.values()].every(({kernel}) => {
-					const value = kernel?.context.control.items.read(`contract/${tenantName}`)?.value;
+					const value = kernel?.context.control.items.read(`contract/${workspaceName}`)?.value;
 					return value?.kind === 'contract' && value.contract.share === current.contract.share;
 				});
 			}, recoveryMs);
--- a/tools/faults/src/observations.ts
+++ b/tools/faults/src/observations.ts
@@ -14,7 +14,7 @@
 };
 
 export type WriteObservation = {
-	tenant: string;
+	workspace: string;
 	changeId: string;
 	/** Share that the change writes, by which versions are told apart. */
 	share: number;
--- a/tools/faults/src/operations.ts
+++ b/tools/faults/src/operations.ts
@@ -9,7 +9,7 @@
 import type {Observations} from './observations.js';
 
 export const callerKey = 'fault-matrix-caller';
-export const tenantName = 'maraval';
+export const workspaceName = 'maraval';
 const settleMs = 20;
 const patienceMs = 12_000;
 
@@ -33,7 +33,7 @@
 
 export function createContract(share: number): Contract {
 	return {
-		tenant: tenantName,
+		workspace: workspaceName,
 		apiKeys: [{id: 'caller', sha256: computeKeyDigest(callerKey)}],
 		models: [modelName],
 		services: [{name: serviceName, calls: [{method: 'POST', path: '/sheets', repeatable: false}, {method: 'GET', path: '/sheets', repeatable: true}]}],
@@ -71,7 +71,7 @@
 export async function putContract(fleet: FaultFleet, seen: Observations, opts: {share: number; expectedVersion: number; instances: readonly string[]; changeId?: string}): Promise<void> {
 	const changeId = opts.changeId ?? randomUUID();
 	const base = {
-		tenant: tenantName, changeId, share: opts.share, expectedVersion: opts.expectedVersion,
+		workspace: workspaceName, changeId, share: opts.share, expectedVersion: opts.expectedVersion,
 	};
 	for (const instance of opts.instances) {
 		const client = new OperatorClient({server: fleet.getOperatorUrl(instance), timeoutMs: 4000});
