--- a/packages/routing/endpoint-registry/src/endpoint-registry.ts
+++ b/packages/routing/endpoint-registry/src/endpoint-registry.ts
@@ -15,7 +15,7 @@
 export type ServerReport = {
 	/** Name of the server; another start may have the same one. */
 	id: string;
-	/** Wall time in milliseconds at which this start of the server began. */
+	/** Wall time in milliseconds at which this start of the server began; 0 where it does not tell. */
 	startedAt: number;
 	/** Rises with each report of one start. */
 	sequence: number;
@@ -34,6 +34,8 @@
 export type KnownServer = ServerReport & {
 	/** Monotonic time at which the newest report arrived here. */
 	heardAt: number;
+	/** Place among all starts of servers in the order in which they became known here. */
+	order: number;
 };
 
 export type RegistryOptions = {
@@ -49,6 +51,7 @@
 	readonly #opts: RegistryOptions;
 	readonly #servers = new Map<string, KnownServer>();
 	readonly #byService = new Map<string, KnownServer[]>();
+	#starts = 0;
 
 	constructor(opts: RegistryOptions) {
 		this.#opts = opts;
@@ -61,11 +64,14 @@
 			return false;
 		}
 
-		if (this.#isOvertakenAtItsAddress(report)) {
+		const isSameStart = known?.startedAt === report.startedAt;
+		const server = {...report, heardAt: this.#opts.clock.monotonic(), order: isSameStart ? known.order : this.#starts + 1};
+		if (this.#isOvertakenAtItsAddress(server)) {
 			return false;
 		}
 
-		this.#servers.set(report.id, {...report, heardAt: this.#opts.clock.monotonic()});
+		this.#starts = Math.max(this.#starts, server.order);
+		this.#servers.set(report.id, server);
 		this.#byService.clear();
 		return true;
 	}
@@ -77,7 +83,7 @@
 			return undefined;
 		}
 
-		const {heardAt: _, ...report} = known;
+		const report = describe(known);
 		// No later report of this start counts.
 		const left = {...report, state: serverStates.left, sequence: Number.MAX_SAFE_INTEGER};
 		this.note(left);
@@ -109,12 +115,14 @@
 	/** Lists everything that is known, for an instance that has just connected. */
 	list(): ServerReport[] {
 		this.#forgetOld();
-		return [...this.#servers.values()].map(({heardAt: _, ...report}) => report);
+		return [...this.#servers.values()].sort((a, b) => a.order - b.order).map(server => describe(server));
 	}
 
-	#isOvertakenAtItsAddress(report: ServerReport): boolean {
+	/** Without known starts, the server that became known last holds the address. */
+	#isOvertakenAtItsAddress(server: KnownServer): boolean {
 		for (const other of this.#servers.values()) {
-			if (other.address === report.address && other.id !== report.id && other.startedAt > report.startedAt) {
+			const isLater = other.startedAt === server.startedAt ? other.order > server.order : other.startedAt > server.startedAt;
+			if (other.address === server.address && other.id !== server.id && isLater) {
 				return true;
 			}
 		}
@@ -133,6 +141,10 @@
 	}
 }
 
+function describe({heardAt: _heardAt, order: _order, ...report}: KnownServer): ServerReport {
+	return report;
+}
+
 function isNewer(report: ServerReport, known: ServerReport): boolean {
 	return report.startedAt === known.startedAt ? report.sequence > known.sequence : report.startedAt > known.startedAt;
 }
--- a/packages/routing/endpoint-registry/test/endpoint-registry.test.ts
+++ b/packages/routing/endpoint-registry/test/endpoint-registry.test.ts
@@ -46,6 +46,14 @@
 		expect(registry.note({...report, sequence: 8})).to.equal(false);
 	});
 
+	it('orders servers that do not tell their start by the time at which they became known', () => {
+		const first = {...report, startedAt: 0, address: '10.0.0.2:80', id: 'first'};
+		registry.note(first);
+		registry.note({...first, id: 'second'});
+		expect(registry.note({...first, sequence: 9})).to.equal(false);
+		expect(listIds()).to.deep.equal(['a', 'second']);
+	});
+
 	it('no longer uses a server that is silent', async () => {
 		await clock.advance(5001);
 		expect(listIds()).to.deep.equal([]);
