--- a/packages/coordination/log-storage/src/file-log-storage.ts
+++ b/packages/coordination/log-storage/src/file-log-storage.ts
@@ -137,9 +137,12 @@
 
 	async #acquireLock(): Promise<Result<void, LogStorageError>> {
 		const lock = await acquireFolderLock(this.#folder);
-		return lock.map(value => {
-			this.#lock = value;
-		});
+		if (lock.isErr()) {
+			return err(lock.error);
+		}
+
+		this.#lock = lock.value;
+		return ok(undefined);
 	}
 
 	async #readAll(): Promise<Result<OpenedLog, LogStorageError>> {
--- a/packages/net/mesh/src/mesh.ts
+++ b/packages/net/mesh/src/mesh.ts
@@ -141,8 +141,12 @@
 
 	#link(address: string): Entry {
 		const known = this.#entries.get(address);
-		if (known || address === this.address) {
-			return known ?? this.#createUnlinked(address);
+		if (known) {
+			return known;
+		}
+
+		if (address === this.address) {
+			return this.#createUnlinked(address);
 		}
 
 		const entry: Entry = {
@@ -159,9 +163,13 @@
 	}
 
 	#createUnlinked(address: string): Entry {
-		return {reachedAt: 0, link: {address, connection: undefined, stop() {
-			// There is no link to oneself.
-		}}};
+		return {
+			reachedAt: 0, link: {
+				address, connection: undefined, stop() {
+					// There is no link to oneself.
+				},
+			},
+		};
 	}
 
 	async #greet(entry: Entry, connection: PeerConnection): Promise<void> {
--- a/packages/plugins/edge/src/edge.ts
+++ b/packages/plugins/edge/src/edge.ts
@@ -7,7 +7,9 @@
 import {err, ok, type Result} from 'neverthrow';
 import type {Clock} from '@hickorytrack/clock';
 import {EndpointClient} from '@hickorytrack/endpoint-client';
-import {EndpointRegistry, serverStates, type KnownServer, type ServerReport} from '@hickorytrack/endpoint-registry';
+import {
+	EndpointRegistry, serverStates, type KnownServer, type ServerReport,
+} from '@hickorytrack/endpoint-registry';
 import {HickorytrackError, describeError} from '@hickorytrack/errors';
 import type {EventLog} from '@hickorytrack/events';
 import type {LogStorage} from '@hickorytrack/log-storage';
--- a/packages/plugins/edge/src/front-server.ts
+++ b/packages/plugins/edge/src/front-server.ts
@@ -4,7 +4,9 @@
  */
 import {createHash} from 'node:crypto';
 import {Buffer} from 'node:buffer';
-import {createServer, type IncomingMessage, type Server, type ServerResponse} from 'node:http';
+import {
+	createServer, type IncomingMessage, type Server, type ServerResponse,
+} from 'node:http';
 import type {Socket} from 'node:net';
 import type {Clock} from '@hickorytrack/clock';
 import type {Random} from '@hickorytrack/random';
@@ -110,7 +112,9 @@
 		}
 
 		if (body === 'too-large') {
-			sendOwnAnswer(response, {status: 413, code: 'body-too-large', detail: `The body is over ${routes.configuration.limits.maxBodyBytes} bytes.`, headers: {connection: 'close'}});
+			sendOwnAnswer(response, {
+				status: 413, code: 'body-too-large', detail: `The body is over ${routes.configuration.limits.maxBodyBytes} bytes.`, headers: {connection: 'close'},
+			});
 			return;
 		}
 
--- a/packages/plugins/edge/src/plain-run.ts
+++ b/packages/plugins/edge/src/plain-run.ts
@@ -7,7 +7,9 @@
 import {attemptEnds, runAttempt, type AttemptResult} from './attempt.js';
 import {sendAnswer, sendOwnAnswer} from './answers.js';
 import {requestOutcomes, type CallerRequest, type RequestEnd} from './caller-request.js';
-import {composeOutbound, computeRemainingMs, defaultRetryAfterMs, type RunContext} from './run-context.js';
+import {
+	composeOutbound, computeRemainingMs, defaultRetryAfterMs, type RunContext,
+} from './run-context.js';
 
 /** A request that may repeat leaves a silent server after this share of the time it has left. */
 const firstAttemptShare = 0.55;
--- a/packages/plugins/edge/src/prompt-run.ts
+++ b/packages/plugins/edge/src/prompt-run.ts
@@ -11,7 +11,9 @@
 import {requestOutcomes, type CallerRequest, type RequestEnd} from './caller-request.js';
 import {EventRelay} from './event-relay.js';
 import type {ReadHandle} from './request-codec.js';
-import {composeOutbound, computeRemainingMs, defaultRetryAfterMs, type RunContext} from './run-context.js';
+import {
+	composeOutbound, computeRemainingMs, defaultRetryAfterMs, type RunContext,
+} from './run-context.js';
 
 const emptyPrompt: Prompt = {parts: [], tokens: 0, maxOutputTokens: 0};
 const minimumRetryMs = 20; // Less time than this is not enough for another attempt.
@@ -159,7 +161,7 @@
 				isProvenWanted: !this.#mayRepeat,
 				priority: this.#priority,
 				takeFrom: handle,
-				fetchFrom: handle || placement.fetchFrom?.id === server.id ? undefined : placement.fetchFrom?.address,
+				fetchFrom: handle === undefined && placement.fetchFrom?.id !== server.id ? placement.fetchFrom?.address : undefined,
 				lastEventId: this.#relay.lastEventId ?? this.#request.marks.lastEventId,
 			}),
 		});
--- a/packages/plugins/edge/src/run-context.ts
+++ b/packages/plugins/edge/src/run-context.ts
@@ -1,18 +1,17 @@
 /** What the runs of requests share at one instance. */
 import type {Clock} from '@hickorytrack/clock';
-import type {EndpointClient} from '@hickorytrack/endpoint-client';
+import type {EndpointClient, OutboundRequest} from '@hickorytrack/endpoint-client';
 import type {EndpointRegistry, KnownServer} from '@hickorytrack/endpoint-registry';
 import type {LoadBoard} from '@hickorytrack/prompt-placement/load-board';
 import type {PlainPlacement} from '@hickorytrack/prompt-placement/plain-placement';
 import type {PromptPlacement} from '@hickorytrack/prompt-placement';
 import type {Random} from '@hickorytrack/random';
-import type {CallerRequest, RequestEnd} from './caller-request.js';
+import type {CallerRequest} from './caller-request.js';
 import type {DecisionLog} from './decision-log.js';
 import type {PoisonWatch} from './poison-watch.js';
 import type {RequestCodec, ServerMarks} from './request-codec.js';
 import type {RetryShares} from './retry-shares.js';
 import type {ServerHealth} from './server-health.js';
-import type {OutboundRequest} from '@hickorytrack/endpoint-client';
 
 export type RunContext = {
 	clock: Clock;
@@ -56,5 +55,3 @@
 		connectionLimit: context.readConnectionLimit(request.service),
 	};
 }
-
-export type EndOptions = Omit<RequestEnd, 'outcome' | 'servers'>;
--- a/packages/routing/endpoint-client/src/endpoint-client.ts
+++ b/packages/routing/endpoint-client/src/endpoint-client.ts
@@ -142,7 +142,7 @@
 		};
 		try {
 			connection.client.dispatch({
-				method: request.method as Dispatcher.HttpMethod, path: request.path, headers: request.headers, body: request.body && request.body.length > 0 ? request.body : null,
+				method: request.method, path: request.path, headers: request.headers, body: request.body && request.body.length > 0 ? request.body : null,
 			}, handler);
 		} catch (error) {
 			this.#fail('ERR_HICKORYTRACK_ENDPOINT_REQUEST', `The request to ${this.#address} can't be written`, error);
--- a/packages/routing/endpoint-client/src/server-connections.ts
+++ b/packages/routing/endpoint-client/src/server-connections.ts
@@ -78,10 +78,9 @@
 
 	/** Closes the idle connections to a server that left. */
 	forget(address: string): void {
-		for (const connection of [...this.#byAddress.get(address) ?? []]) {
-			if (!connection.isBusy) {
-				this.discard(address, connection);
-			}
+		const idle = this.#byAddress.get(address)?.filter(connection => !connection.isBusy) ?? [];
+		for (const connection of idle) {
+			this.discard(address, connection);
 		}
 
 		if (this.#byAddress.get(address)?.length === 0) {
@@ -91,8 +90,8 @@
 
 	close(): void {
 		for (const [address, connections] of this.#byAddress) {
-			for (const connection of [...connections]) {
-				this.discard(address, connection);
+			while (connections.length > 0) {
+				this.discard(address, connections[0]!);
 			}
 		}
 	}
--- a/packages/routing/endpoint-registry/test/endpoint-registry.test.ts
+++ b/packages/routing/endpoint-registry/test/endpoint-registry.test.ts
@@ -40,14 +40,18 @@
 	});
 
 	it('gives an address to the server that started last at it', () => {
-		registry.note({...report, id: 'b', startedAt: 2000, service: 't'});
+		registry.note({
+			...report, id: 'b', startedAt: 2000, service: 't',
+		});
 		expect(listIds()).to.deep.equal([]);
 		expect(registry.isUsable(report)).to.equal(false);
 		expect(registry.note({...report, sequence: 8})).to.equal(false);
 	});
 
 	it('orders servers that do not tell their start by the time at which they became known', () => {
-		const first = {...report, startedAt: 0, address: '10.0.0.2:80', id: 'first'};
+		const first = {
+			...report, startedAt: 0, address: '10.0.0.2:80', id: 'first',
+		};
 		registry.note(first);
 		registry.note({...first, id: 'second'});
 		expect(registry.note({...first, sequence: 9})).to.equal(false);
--- a/packages/routing/prompt-placement/src/prompt-placement.ts
+++ b/packages/routing/prompt-placement/src/prompt-placement.ts
@@ -7,6 +7,7 @@
  */
 import type {Clock} from '@hickorytrack/clock';
 import type {KnownServer} from '@hickorytrack/endpoint-registry';
+import {HomeOrder} from '@hickorytrack/placement/home-order';
 import type {Random} from '@hickorytrack/random';
 import type {LoadBoard} from './load-board.js';
 import {ReadRate} from './read-rate.js';
@@ -57,11 +58,14 @@
 const sharedPartKept = 0.5;
 /** A generating server reads prompts at this share of a reading server's speed. */
 const generatorReadShare = 0.5;
+/** Parts from the beginning of a prompt that decide its home. */
+const homeParts = 2;
 const maxRequestsPerSlot = 1;
 
 export class PromptPlacement {
 	readonly #opts: PlacementOptions;
 	readonly readRate = new ReadRate();
+	readonly #homes = new HomeOrder();
 
 	constructor(opts: PlacementOptions) {
 		this.#opts = opts;
@@ -101,7 +105,7 @@
 
 	#placeLong(request: PlacementRequest, {generators, readers}: {generators: readonly KnownServer[]; readers: readonly KnownServer[]}): Placement {
 		const {prompt, objectiveMs} = request;
-		const home = findHome(prompt, generators);
+		const home = this.#findHome(prompt, generators);
 		const readTokens = estimateReadTokens(prompt);
 		const limitMs = objectiveMs * queueShare;
 		const reader = readers.length > 0 ? this.#pickLeast(readers, server => this.predictQueueMs(server)) : undefined;
@@ -124,6 +128,13 @@
 		return {kind: 'refuse', retryAfterMs: Math.max(0, shortestMs - limitMs), reason: `the shortest queue takes ${Math.round(shortestMs)} ms`};
 	}
 
+	/** Returns the server that keeps the shared beginning of a prompt; all instances agree without speaking. */
+	#findHome(prompt: Prompt, servers: readonly KnownServer[]): KnownServer {
+		const shared = prompt.parts.slice(0, Math.max(1, prompt.parts.length - 1)).slice(0, homeParts).map(part => part.id).join('/');
+		const ranks = this.#homes.findRanks(shared, servers.map(server => server.id));
+		return servers.find(server => ranks.get(server.id) === 0) ?? servers[0]!;
+	}
+
 	#readSpeed(server: KnownServer): number {
 		return this.readRate.tokensPerMs * (server.stage === 'prefill' ? 1 : generatorReadShare);
 	}
@@ -137,22 +148,6 @@
 	}
 }
 
-/** Returns the server that keeps the shared beginning of a prompt; all instances agree without speaking. */
-export function findHome(prompt: Prompt, servers: readonly KnownServer[]): KnownServer {
-	const shared = prompt.parts.slice(0, Math.max(1, prompt.parts.length - 1)).slice(0, 2).map(part => part.id).join('/');
-	let best = servers[0]!;
-	let bestScore = -1;
-	for (const server of servers) {
-		const score = hashText(`${shared}|${server.id}`);
-		if (score > bestScore) {
-			bestScore = score;
-			best = server;
-		}
-	}
-
-	return best;
-}
-
 /** Tokens of a prompt that a reader will have to read after it has fetched what the home keeps. */
 export function estimateReadTokens(prompt: Prompt): number {
 	let tokens = 0;
@@ -164,15 +159,3 @@
 
 	return Math.max(1, tokens);
 }
-
-/** FNV-1a with a final mix, so that texts with a common beginning spread. */
-function hashText(text: string): number {
-	let hash = 0x81_1C_9D_C5;
-	for (let position = 0; position < text.length; position++) {
-		hash = Math.imul(hash ^ text.codePointAt(position)!, 0x01_00_01_93);
-	}
-
-	hash = Math.imul(hash ^ (hash >>> 16), 0x85_EB_CA_6B);
-	hash = Math.imul(hash ^ (hash >>> 13), 0xC2_B2_AE_35);
-	return (hash ^ (hash >>> 16)) >>> 0;
-}
--- a/packages/routing/route-store/src/configuration-follower.ts
+++ b/packages/routing/route-store/src/configuration-follower.ts
@@ -115,7 +115,9 @@
 	}
 
 	dump(): unknown {
-		return {version: this.#held?.version, isConfirmed: this.#isConfirmed, leader: this.#leader?.address, core: this.#core?.dump()};
+		return {
+			version: this.#held?.version, isConfirmed: this.#isConfirmed, leader: this.#leader?.address, core: this.#core?.dump(),
+		};
 	}
 
 	/** Repeats the question until it is answered or the caller's patience ends. */
--- a/packages/routing/route-store/src/core-member.ts
+++ b/packages/routing/route-store/src/core-member.ts
@@ -13,7 +13,9 @@
 import {ReplicatedLog} from '@hickorytrack/replicated-log';
 import type {MemberMessage, MemberReply} from '@hickorytrack/replicated-log/member-messages';
 import type {MemberInfo} from '@hickorytrack/replicated-log/member-set';
-import {RouteStore, storeOutcomes, type StoredConfiguration, type StoreOutcome} from './route-store.js';
+import {
+	RouteStore, storeOutcomes, type StoredConfiguration, type StoreOutcome,
+} from './route-store.js';
 
 /** The role under which members of the core present themselves to other instances. */
 export const coreRole = 'core';
--- a/packages/routing/route-table/test/route-table.test.ts
+++ b/packages/routing/route-table/test/route-table.test.ts
@@ -40,7 +40,9 @@
 			...configuration, routes: [
 				{...route, targets: [{service: 'missing', weight: 1}]},
 				{...route, name: 'same place'},
-				{...route, name: 'no weight', pathPrefix: '/w/', targets: [{service: 's', weight: 0}]},
+				{
+					...route, name: 'no weight', pathPrefix: '/w/', targets: [{service: 's', weight: 0}],
+				},
 				{
 					...route, name: 'no timeout', pathPrefix: '/t/', timeoutMs: 0,
 				},
