fix(endpoint-client): an answer without a length that a reset ended is not whole

Cause: the HTTP client takes a body without a length as complete when the connection is reset after the head. Ruled out: a truncated body with a length (it fails) and a close without a reset (it is how such answers end).

Change: the connection notes resets before the client sees them; an exchange on it fails. The new test failed before and passes now.

--- a/packages/routing/endpoint-client/src/endpoint-client.ts
+++ b/packages/routing/endpoint-client/src/endpoint-client.ts
@@ -134,7 +134,11 @@
 				}
 			},
 			onResponseEnd: () => {
-				this.#finish();
+				if (connection.isReset) {
+					this.#fail('ERR_HICKORYTRACK_ENDPOINT_BROKEN', `The connection to ${this.#address} was reset before the end of the answer`, undefined);
+				} else {
+					this.#finish();
+				}
 			},
 			onResponseError: (_controller, error) => {
 				this.#fail('ERR_HICKORYTRACK_ENDPOINT_BROKEN', `The connection to ${this.#address} broke: ${error.message}`, error);
--- a/packages/routing/endpoint-client/src/server-connections.ts
+++ b/packages/routing/endpoint-client/src/server-connections.ts
@@ -3,7 +3,7 @@
  * few are open; a request that must not run twice takes only one that has answered a moment ago, or a new one, because a
  * connection that was lost silently would leave it open whether the request ran.
  */
-import {Client} from 'undici';
+import {buildConnector, Client} from 'undici';
 import type {Clock} from '@hickorytrack/clock';
 
 export type ServerConnection = {
@@ -12,6 +12,8 @@
 	provenAt: number;
 	isBusy: boolean;
 	isClosed: boolean;
+	/** The other end has reset the connection, so what arrived on it last may not be whole. */
+	isReset: boolean;
 };
 
 export type ServerConnectionsOptions = {
@@ -117,11 +119,30 @@
 	}
 
 	#open(address: string): ServerConnection {
+		const connect = buildConnector({timeout: this.#opts.connectTimeoutMs});
 		const client = new Client(`http://${address}`, {
-			pipelining: 1, headersTimeout: 0, bodyTimeout: 0, keepAliveTimeout: idleMs, maxHeaderSize: maxHeaderBytes, connect: {timeout: this.#opts.connectTimeoutMs},
+			pipelining: 1,
+			headersTimeout: 0,
+			bodyTimeout: 0,
+			keepAliveTimeout: idleMs,
+			maxHeaderSize: maxHeaderBytes,
+			connect(options, callback) {
+				connect(options, (...[error, socket]) => {
+					// The client takes a body without a length as whole also when a reset ended it; this listener comes first.
+					socket?.prependListener('error', () => {
+						connection.isReset = true;
+					});
+					if (error) {
+						callback(error, null);
+					} else {
+						connection.isReset = false;
+						callback(null, socket);
+					}
+				});
+			},
 		});
 		const connection: ServerConnection = {
-			client, provenAt: Number.NEGATIVE_INFINITY, isBusy: true, isClosed: false,
+			client, provenAt: Number.NEGATIVE_INFINITY, isBusy: true, isClosed: false, isReset: false,
 		};
 		client.on('disconnect', () => {
 			// A client that connects again by itself has not been proven.
--- /dev/null
+++ b/packages/routing/endpoint-client/test/endpoint-client.test.ts
@@ -0,0 +1,134 @@
+import {createServer, type AddressInfo, type Server, type Socket} from 'node:net';
+import {Buffer} from 'node:buffer';
+import {expect} from 'chai';
+import {SystemClock} from '@hickorytrack/clock/system-clock';
+import {EndpointClient, type AnswerHead, type EndpointClientError} from '../src/endpoint-client.js';
+
+type Answer = {head?: AnswerHead; body: string; error?: EndpointClientError};
+
+/** Starts a server that hands each connection and everything it reads to a script. */
+async function startServer(onRequest: (socket: Socket, text: string) => void): Promise<{server: Server; address: string}> {
+	const server = createServer(socket => {
+		socket.on('data', chunk => {
+			onRequest(socket, chunk.toString());
+		});
+		socket.on('error', () => {
+			// Resets are what these tests are about.
+		});
+	});
+	await new Promise<void>(resolve => {
+		server.listen(0, '127.0.0.1', resolve);
+	});
+	return {server, address: `127.0.0.1:${(server.address() as AddressInfo).port}`};
+}
+
+describe('endpoint client', () => {
+	let client: EndpointClient;
+	let server: Server | undefined;
+
+	beforeEach(() => {
+		client = new EndpointClient({clock: new SystemClock(), connectTimeoutMs: 500});
+	});
+
+	afterEach(() => {
+		client.close();
+		server?.close();
+	});
+
+	const send = async (address: string, opts: {isProvenWanted?: boolean; connectionLimit?: number} = {}) => new Promise<Answer>(resolve => {
+		const answer: Answer = {body: ''};
+		client.send(address, {
+			method: 'GET', path: '/a', headers: ['host', 'a.example'], isProvenWanted: false, connectionLimit: 4, ...opts,
+		}, {
+			onHead(head) {
+				answer.head = head;
+			},
+			onData(chunk) {
+				answer.body += chunk.toString();
+			},
+			onEnd() {
+				resolve(answer);
+			},
+			onFailure(error) {
+				resolve({...answer, error});
+			},
+		});
+	});
+
+	it('does not take a body without a length as whole when a reset ended it', async () => {
+		const started = await startServer(socket => {
+			socket.write('HTTP/1.1 200 OK\r\nX-Response-Stamp: s\r\n\r\nhalf', () => {
+				setTimeout(() => socket.resetAndDestroy(), 20);
+			});
+		});
+		server = started.server;
+		const answer = await send(started.address);
+		expect(answer.error?.isWritten).to.equal(true);
+	});
+
+	it('takes a body without a length as whole when the server closed after it', async () => {
+		const started = await startServer(socket => {
+			socket.end('HTTP/1.1 200 OK\r\n\r\nwhole');
+		});
+		server = started.server;
+		const answer = await send(started.address);
+		expect(answer.error).to.equal(undefined);
+		expect(answer.body).to.equal('whole');
+	});
+
+	it('says that nothing was written when no connection could be opened', async () => {
+		const started = await startServer(() => {
+			// Nothing is answered.
+		});
+		await new Promise(resolve => {
+			started.server.close(resolve);
+		});
+		const answer = await send(started.address);
+		expect(answer.error?.isWritten).to.equal(false);
+	});
+
+	it('says that the request may have run when a kept connection breaks under it', async () => {
+		let count = 0;
+		const started = await startServer(socket => {
+			count++;
+			if (count === 1) {
+				socket.write('HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok');
+			} else {
+				socket.resetAndDestroy();
+			}
+		});
+		server = started.server;
+		expect((await send(started.address)).body).to.equal('ok');
+		expect((await send(started.address)).error?.isWritten).to.equal(true);
+	});
+
+	it('drops bytes that follow a whole answer', async () => {
+		const started = await startServer((socket, text) => {
+			const [, path] = text.split(' ');
+			socket.write(`HTTP/1.1 200 OK\r\nContent-Length: ${path!.length}\r\n\r\n${path}`);
+			setTimeout(() => {
+				socket.write('HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nextra');
+			}, 5);
+		});
+		server = started.server;
+		expect((await send(started.address)).body).to.equal('/a');
+		await new Promise(resolve => {
+			setTimeout(resolve, 30);
+		});
+		const second = await send(started.address);
+		expect(second.body).to.equal('/a');
+	});
+
+	it('refuses at once when all connections are busy', async () => {
+		const sockets: Socket[] = [];
+		const started = await startServer(socket => {
+			sockets.push(socket);
+		});
+		server = started.server;
+		void send(started.address, {connectionLimit: 1});
+		const answer = await send(started.address, {connectionLimit: 1});
+		expect(answer.error?.code).to.equal('ERR_HICKORYTRACK_CONNECTIONS_BUSY');
+		expect(answer.error?.isWritten).to.equal(false);
+		expect(Buffer.byteLength(answer.body)).to.equal(0);
+	});
+});
