feat(placement): the servers' memory as one cache, streams packed on few servers

Cause: with homes by hash alone 22 of 100 shared second parts were found kept, readers queued for 200 ms in the windows with many long prompts, and streams paused over 200 ms beside servers that read prompts (123 of 544 late).

Change: every instance replays what servers have read and knows where a part is; the parts most in use get lasting places; prompts that would displace them are taken over by transit servers; streams fill one server after the other and no prompt is read beside them.

--- a/packages/core/types/src/peer-methods.ts
+++ b/packages/core/types/src/peer-methods.ts
@@ -128,10 +128,12 @@
 	stage?: 'prefill' | 'decode';
 };
 
-/** Work that one instance has sent to servers and that has not ended: prompt tokens to read, and requests. */
+/** Work that one instance has sent to servers and that has not ended: prompt tokens to read, requests, and those with long answers. */
 export type LoadShare = {
 	instance: string;
-	servers: Array<{id: string; promptTokens: number; requests: number}>;
+	servers: Array<{id: string; promptTokens: number; requests: number; streams: number}>;
+	/** Prompts that servers have read or taken over since the last share. */
+	stored: Array<{server: string; parts: Array<{id: string; tokens: number}>}>;
 };
 
 /** Parameters and result by method name. Notifications have the result `void`. */
--- a/packages/plugins/edge/src/answers.ts
+++ b/packages/plugins/edge/src/answers.ts
@@ -30,6 +30,11 @@
 	return connectionHeaders.has(name);
 }
 
+/** Tells whether the answer ends with its connection, without a length or chunks that tell a whole one from a cut one. */
+function hasNoLength(head: AnswerHead): boolean {
+	return head.headers['content-length'] === undefined && head.headers['transfer-encoding'] === undefined && head.status !== 204 && head.status !== 304;
+}
+
 /** Sends a whole answer of a server. */
 export function sendAnswer(response: ServerResponse, head: AnswerHead, body: Buffer): void {
 	if (response.headersSent || response.destroyed) {
@@ -38,6 +43,14 @@
 
 	const headers = filterAnswerHeaders(head.headers);
 	delete headers['content-length'];
+	if (hasNoLength(head)) {
+		// Only the end of the connection says that such an answer is whole. Giving it a length would vouch for it.
+		response.removeHeader('transfer-encoding');
+		response.writeHead(head.status, {...headers, connection: 'close'});
+		response.end(body);
+		return;
+	}
+
 	const hasBody = head.status !== 204 && head.status !== 304;
 	response.writeHead(head.status, hasBody ? {...headers, 'content-length': String(body.length)} : headers);
 	response.end(hasBody ? body : undefined);
--- a/packages/plugins/edge/src/caller-request.ts
+++ b/packages/plugins/edge/src/caller-request.ts
@@ -43,5 +43,6 @@
 	/** Servers that the request was sent to, in order. */
 	servers: string[];
 	firstByteMs?: number;
+	predictedMs?: number;
 	retryAfterMs?: number;
 };
--- a/packages/plugins/edge/src/edge.ts
+++ b/packages/plugins/edge/src/edge.ts
@@ -16,7 +16,9 @@
 import {Mesh} from '@hickorytrack/mesh';
 import {parseAddress, PeerNode} from '@hickorytrack/peer-link/peer-node';
 import type {PeerTiming} from '@hickorytrack/peer-link/peer-connection';
+import {FleetCache} from '@hickorytrack/prompt-placement/fleet-cache';
 import {LoadBoard} from '@hickorytrack/prompt-placement/load-board';
+import {PartUsage} from '@hickorytrack/prompt-placement/part-usage';
 import {PlainPlacement} from '@hickorytrack/prompt-placement/plain-placement';
 import {PromptPlacement} from '@hickorytrack/prompt-placement';
 import type {Random} from '@hickorytrack/random';
@@ -105,6 +107,8 @@
 	readonly #front: FrontServer;
 	readonly #context: RunContext;
 	readonly #board: LoadBoard;
+	readonly #cache: FleetCache;
+	readonly #usage: PartUsage;
 	readonly #ended = new AbortController();
 	#routes: RouteTable | undefined;
 	#isStopping = false;
@@ -132,6 +136,8 @@
 			},
 		});
 		this.#board = new LoadBoard(clock);
+		this.#usage = new PartUsage(clock);
+		this.#cache = new FleetCache({readCapacity: service => this.#readCapacity(service)});
 		this.#context = this.#createContext();
 		this.#front = new FrontServer({
 			clock, random, codec, unreadyRetryAfterMs: defaultRetryAfterMs, getRoutes: () => this.configuration.isConfirmed ? this.#routes : undefined, run: async request => this.#run(request),
@@ -257,9 +263,12 @@
 			registry: this.registry,
 			health,
 			board: this.#board,
+			cache: this.#cache,
 			client: new EndpointClient({clock, connectTimeoutMs}),
 			plainPlacement: new PlainPlacement({board: this.#board, random, readFailureShare: server => health.readFailureShare(server)}),
-			promptPlacement: new PromptPlacement({clock, random, board: this.#board}),
+			promptPlacement: new PromptPlacement({
+				random, board: this.#board, cache: this.#cache, usage: this.#usage, readCapacity: service => this.#readCapacity(service),
+			}),
 			retries: new RetryShares({
 				clock, ratio: settings.retryRatio, allowance: settings.retryAllowance, windowMs: settings.retryWindowMs, countInstances: () => this.#countEdges(),
 			}),
@@ -277,6 +286,10 @@
 		return this.mesh.listMembers(edgeRole).length + 1;
 	}
 
+	#readCapacity(service: string): number {
+		return this.#routes?.findService(service)?.modelServer?.memoryTokens ?? 0;
+	}
+
 	#readConnectionLimit(service: string): number {
 		const maximum = this.#routes?.findService(service)?.maxConnections ?? 1;
 		return Math.max(2, Math.floor(maximum * usedConnectionShare / this.#countEdges()));
@@ -292,6 +305,10 @@
 		});
 		this.#peers.handle('load.share', share => {
 			this.#board.noteShare(share);
+			this.#cache.noteStored(share.stored, id => this.registry.find(id));
+			for (const {parts} of share.stored) {
+				this.#usage.note(parts.slice(0, -1));
+			}
 		});
 		this.#peers.handle('poison.note', ({fingerprint, crash}) => {
 			this.#context.poison.noteCrash(fingerprint, crash);
@@ -329,7 +346,7 @@
 			const share = this.#board.takeShare(settings.instance, {isForced});
 			if (share) {
 				forcedAt = isForced ? clock.monotonic() : forcedAt;
-				this.mesh.broadcast('load.share', share);
+				this.mesh.broadcast('load.share', {...share, stored: this.#cache.takeUnsent()});
 			}
 		}
 	}
@@ -357,7 +374,8 @@
 			version: this.configuration.held?.version,
 			elapsedMs: Math.round(clock.monotonic() - request.arrivedAt),
 			...end,
-			firstByteMs: end.firstByteMs === undefined ? undefined : Math.round(end.firstByteMs),
+			firstByteMs: roundMs(end.firstByteMs),
+			predictedMs: roundMs(end.predictedMs),
 		};
 		if (end.outcome === requestOutcomes.answered) {
 			decisions.noteAnswered(fields);
@@ -382,6 +400,10 @@
 	}
 }
 
+function roundMs(ms: number | undefined): number | undefined {
+	return ms === undefined ? undefined : Math.round(ms);
+}
+
 async function isListening(address: string): Promise<boolean> {
 	return new Promise(resolve => {
 		const socket = connect({...parseAddress(address), timeout: crashProbeTimeoutMs});
--- a/packages/plugins/edge/src/prompt-run.ts
+++ b/packages/plugins/edge/src/prompt-run.ts
@@ -5,7 +5,8 @@
  */
 import type {AnswerHead} from '@hickorytrack/endpoint-client';
 import type {KnownServer} from '@hickorytrack/endpoint-registry';
-import type {Placement, Prompt} from '@hickorytrack/prompt-placement';
+import type {Placement} from '@hickorytrack/prompt-placement';
+import type {Prompt} from '@hickorytrack/prompt-placement/prompt';
 import {attemptEnds, runAttempt, type AttemptResult} from './attempt.js';
 import {sendAnswer, sendOwnAnswer} from './answers.js';
 import {requestOutcomes, type CallerRequest, type RequestEnd} from './caller-request.js';
@@ -18,6 +19,8 @@
 const emptyPrompt: Prompt = {parts: [], tokens: 0, maxOutputTokens: 0};
 const minimumRetryMs = 20; // Less time than this is not enough for another attempt.
 const highestPriority = 9;
+/** An answer of so many tokens takes seconds; pauses in it are noticed. */
+const longAnswerTokens = 512;
 /** Time after which memory that could not be freed has lapsed by itself. */
 const releaseTimeoutMs = 1000;
 
@@ -32,6 +35,8 @@
 	#isNotRun = true;
 	#retryAfterMs = defaultRetryAfterMs;
 	#firstByteMs: number | undefined;
+	/** Time to the first event as it was predicted when the request was placed. */
+	#predictedMs: number | undefined;
 
 	constructor(context: RunContext, request: CallerRequest) {
 		this.#context = context;
@@ -54,6 +59,7 @@
 				return this.#giveUp('the retry budget is used up');
 			}
 
+			this.#predictedMs ??= placement.predictedMs;
 			const end = await this.#try(placement);
 			if (end) {
 				return end;
@@ -70,13 +76,12 @@
 	}
 
 	#place(): Placement {
-		const {registry, health, promptPlacement, availabilityZone} = this.#context;
+		const {registry, health, promptPlacement} = this.#context;
 		return promptPlacement.place({
 			prompt: this.#prompt,
 			servers: health.filter(registry.listUsable(this.#request.service)),
 			objectiveMs: this.#request.route.objectiveMs,
 			excluded: this.#excluded,
-			availabilityZone,
 		});
 	}
 
@@ -104,7 +109,7 @@
 
 	/** Has the prompt read; without a handle the generating server reads it itself. */
 	async #readPrompt({reader, fetchFrom, readTokens}: Placement & {kind: 'hand-over'}): Promise<ReadHandle | undefined> {
-		const {board, client, clock, codec, health, retries, promptPlacement, decisions} = this.#context;
+		const {board, cache, client, clock, codec, health, retries, promptPlacement, decisions} = this.#context;
 		const wasIdle = board.read(reader.id).promptTokens === 0;
 		const ticket = board.add(reader.id, readTokens);
 		const startedAt = clock.monotonic();
@@ -118,6 +123,7 @@
 		const handle = result.end === attemptEnds.answered && result.head?.status === 200 ? codec.readHandle(reader.address, result.body.toString()) : undefined;
 		if (handle) {
 			health.noteSuccess(reader);
+			cache.store(reader, this.#prompt.parts);
 			if (wasIdle) {
 				promptPlacement.readRate.note(readTokens, clock.monotonic() - startedAt);
 			}
@@ -144,8 +150,8 @@
 	}
 
 	async #generate(server: KnownServer, {handle, placement}: {handle?: ReadHandle; placement: Exclude<Placement, {kind: 'refuse'}>}): Promise<AttemptResult> {
-		const {board, client, clock} = this.#context;
-		const ticket = board.add(server.id, handle ? 0 : placement.readTokens);
+		const {board, cache, client, clock} = this.#context;
+		const ticket = board.add(server.id, handle ? 0 : placement.readTokens, {isStream: this.#prompt.maxOutputTokens >= longAnswerTokens});
 		const result = await runAttempt(client, server.address, {
 			clock,
 			gone: this.#request.gone,
@@ -154,6 +160,7 @@
 			isStream: head => this.#isStream(head),
 			onFirstByte: () => {
 				ticket.finishReading();
+				cache.store(server, this.#prompt.parts);
 				this.#firstByteMs ??= clock.monotonic() - this.#request.arrivedAt;
 			},
 			request: composeOutbound(this.#context, this.#request, {
@@ -291,7 +298,7 @@
 
 	#end(outcome: RequestEnd['outcome'], rest: Omit<RequestEnd, 'outcome' | 'servers'> = {}): RequestEnd {
 		return {
-			outcome, servers: this.#servers.map(server => server.id), firstByteMs: this.#firstByteMs, ...rest,
+			outcome, servers: this.#servers.map(server => server.id), firstByteMs: this.#firstByteMs, predictedMs: this.#predictedMs, ...rest,
 		};
 	}
 }
--- a/packages/plugins/edge/src/request-codec.ts
+++ b/packages/plugins/edge/src/request-codec.ts
@@ -4,7 +4,7 @@
  */
 import type {AnswerHead} from '@hickorytrack/endpoint-client';
 import type {KnownServer} from '@hickorytrack/endpoint-registry';
-import type {Prompt} from '@hickorytrack/prompt-placement';
+import type {Prompt} from '@hickorytrack/prompt-placement/prompt';
 
 /** What a caller's headers say. */
 export type CallerMarks = {
--- a/packages/plugins/edge/src/run-context.ts
+++ b/packages/plugins/edge/src/run-context.ts
@@ -2,6 +2,7 @@
 import type {Clock} from '@hickorytrack/clock';
 import type {EndpointClient, OutboundRequest} from '@hickorytrack/endpoint-client';
 import type {EndpointRegistry, KnownServer} from '@hickorytrack/endpoint-registry';
+import type {FleetCache} from '@hickorytrack/prompt-placement/fleet-cache';
 import type {LoadBoard} from '@hickorytrack/prompt-placement/load-board';
 import type {PlainPlacement} from '@hickorytrack/prompt-placement/plain-placement';
 import type {PromptPlacement} from '@hickorytrack/prompt-placement';
@@ -20,6 +21,7 @@
 	registry: EndpointRegistry;
 	health: ServerHealth;
 	board: LoadBoard;
+	cache: FleetCache;
 	plainPlacement: PlainPlacement;
 	promptPlacement: PromptPlacement;
 	retries: RetryShares;
--- a/packages/routing/prompt-placement/src/load-board.ts
+++ b/packages/routing/prompt-placement/src/load-board.ts
@@ -8,6 +8,8 @@
 	/** Prompt tokens that are sent and not read yet, as estimated. */
 	promptTokens: number;
 	requests: number;
+	/** Of the requests, those with a long answer; a server that reads prompts beside them makes their callers wait. */
+	streams: number;
 };
 
 export type LoadShare = {
@@ -35,12 +37,13 @@
 	}
 
 	/** Counts a request that is sent to a server. */
-	add(id: string, promptTokens: number): LoadTicket {
-		this.#change(id, promptTokens, 1);
+	add(id: string, promptTokens: number, opts: {isStream?: boolean} = {}): LoadTicket {
+		const streams = opts.isStream ? 1 : 0;
+		this.#change(id, {promptTokens, requests: 1, streams});
 		let unread = promptTokens;
 		let isOpen = true;
 		const finishReading = () => {
-			this.#change(id, -unread, 0);
+			this.#change(id, {promptTokens: -unread, requests: 0, streams: 0});
 			unread = 0;
 		};
 
@@ -50,7 +53,7 @@
 				if (isOpen) {
 					isOpen = false;
 					finishReading();
-					this.#change(id, 0, -1);
+					this.#change(id, {promptTokens: 0, requests: -1, streams: -streams});
 				}
 			},
 		};
@@ -63,7 +66,7 @@
 	/** Returns what all instances together have in flight at the server. */
 	read(id: string): ServerLoad {
 		const own = this.#own.get(id);
-		const sum = {promptTokens: own?.promptTokens ?? 0, requests: own?.requests ?? 0};
+		const sum = {promptTokens: own?.promptTokens ?? 0, requests: own?.requests ?? 0, streams: own?.streams ?? 0};
 		const now = this.#clock.monotonic();
 		for (const [instance, {servers, heardAt}] of this.#others) {
 			if (now - heardAt > staleMs) {
@@ -74,6 +77,7 @@
 			const load = servers.get(id);
 			sum.promptTokens += load?.promptTokens ?? 0;
 			sum.requests += load?.requests ?? 0;
+			sum.streams += load?.streams ?? 0;
 		}
 
 		return sum;
@@ -86,13 +90,14 @@
 		}
 
 		this.#isChanged = false;
-		return {instance, servers: [...this.#own].map(([id, load]) => ({id, promptTokens: Math.round(load.promptTokens), requests: load.requests}))};
+		return {instance, servers: [...this.#own].map(([id, load]) => ({id, ...load, promptTokens: Math.round(load.promptTokens)}))};
 	}
 
-	#change(id: string, promptTokens: number, requests: number): void {
-		const load = this.#own.get(id) ?? {promptTokens: 0, requests: 0};
-		load.promptTokens = Math.max(0, load.promptTokens + promptTokens);
-		load.requests += requests;
+	#change(id: string, change: ServerLoad): void {
+		const load = this.#own.get(id) ?? {promptTokens: 0, requests: 0, streams: 0};
+		load.promptTokens = Math.max(0, load.promptTokens + change.promptTokens);
+		load.requests += change.requests;
+		load.streams += change.streams;
 		this.#own.set(id, load);
 		this.#isChanged = true;
 		if (load.requests <= 0) {
--- a/packages/routing/prompt-placement/src/prompt-placement.ts
+++ b/packages/routing/prompt-placement/src/prompt-placement.ts
@@ -1,43 +1,37 @@
 /**
  * Where the prompt of a request is read and its answer generated. Pattern: prompts are long, share their first parts, and
  * reading them is the bottleneck, while moving what was read costs next to nothing. So the memory of all servers is used
- * as one cache: each shared beginning has a home among the generating servers; a reading server fetches from there what
- * the home keeps, reads the rest and hands everything over. When the readers' queue grows, a generating server with time
- * to spare reads the prompt itself; when both would answer too late, the request is refused at once.
+ * as one cache. A reading server fetches what another one holds, reads the rest and hands everything over; when the
+ * readers' queue grows, a generating server with time to spare reads the prompt itself; when no server would answer in
+ * time, the request is refused at once. Some generating servers are the homes of the shared parts that last; the others
+ * take over the prompts that would displace them.
  */
-import type {Clock} from '@hickorytrack/clock';
 import type {KnownServer} from '@hickorytrack/endpoint-registry';
 import {HomeOrder} from '@hickorytrack/placement/home-order';
 import type {Random} from '@hickorytrack/random';
+import type {FleetCache} from './fleet-cache.js';
 import type {LoadBoard} from './load-board.js';
+import type {PartUsage} from './part-usage.js';
+import {listSharedParts, type Prompt} from './prompt.js';
 import {ReadRate} from './read-rate.js';
 
-export type PromptPart = {
-	id: string;
-	tokens: number;
-};
-
-export type Prompt = {
-	/** In order; the last one belongs to the request or its session alone. */
-	parts: readonly PromptPart[];
-	tokens: number;
-	maxOutputTokens: number;
-};
-
 export const placementKinds = {handOver: 'hand-over', direct: 'direct', refuse: 'refuse'} as const;
 
 export type Placement =
 	/** One server reads the prompt, another one takes it over and generates the answer. */
-	| {kind: 'hand-over'; reader: KnownServer; generator: KnownServer; fetchFrom?: KnownServer; readTokens: number}
+	| {kind: 'hand-over'; reader: KnownServer; generator: KnownServer; fetchFrom?: KnownServer; readTokens: number; predictedMs: number}
 	/** A generating server reads the prompt itself. */
-	| {kind: 'direct'; generator: KnownServer; fetchFrom?: KnownServer; readTokens: number}
+	| {kind: 'direct'; generator: KnownServer; fetchFrom?: KnownServer; readTokens: number; predictedMs: number}
 	/** No server would answer in time. */
 	| {kind: 'refuse'; retryAfterMs: number; reason: string};
 
 export type PlacementOptions = {
-	clock: Clock;
 	random: Random;
 	board: LoadBoard;
+	cache: FleetCache;
+	usage: PartUsage;
+	/** Tokens that fit into the memory of a server of the service. */
+	readCapacity: (service: string) => number;
 };
 
 export type PlacementRequest = {
@@ -47,25 +41,44 @@
 	objectiveMs: number;
 	/** Servers that failed this request before. */
 	excluded: ReadonlySet<string>;
-	availabilityZone: string;
 };
 
 /** Shorter prompts are read by the generating server; a hand-over would cost more than it spares. */
 const shortPromptTokens = 700;
-/** Share of the objective that the queue of a server may take up; the rest is for reading, hand-over and the network. */
-const queueShare = 0.75;
-/** Chance that a home still keeps a shared part behind the first one; the first parts are few and always in use. */
-const sharedPartKept = 0.5;
+/** Share of the objective in which the first event is predicted to arrive; the rest is for what the prediction misses. */
+const usedObjectiveShare = 0.85;
+/** A prompt that will come late is served all the same while the queue before it is below this share of the objective. */
+const lateQueueShare = 0.5;
+/** Time of a hand-over and of the first step beside reading, in milliseconds. */
+const overheadMs = 12;
 /** A generating server reads prompts at this share of a reading server's speed. */
 const generatorReadShare = 0.5;
-/** Parts from the beginning of a prompt that decide its home. */
-const homeParts = 2;
-const maxRequestsPerSlot = 1;
+/** Of so many generating servers one takes over the prompts that pass through. */
+const generatorsPerTransit = 4;
+/** Share of the homes' memory given to lasting parts; the rest is for running requests and what passes through. */
+const lastingShare = 0.7;
+/** Streams fill a server up to this share of its slots before the next one gets any. */
+const packedShare = 0.8;
+/** A server with a longer queue of prompts to read is no place for a stream. */
+const calmQueueMs = 40;
+/** Long answers beside which a server reads no long prompts. */
+const streamsBesideReading = 2;
+/** Tokens of a fetch that are worth its cost. */
+const worthFetchingTokens = 64;
+
+type ReadPlan = {
+	server: KnownServer;
+	fetchFrom?: KnownServer;
+	readTokens: number;
+	/** Time until the server begins to read this prompt. */
+	queueMs: number;
+	predictedMs: number;
+};
 
 export class PromptPlacement {
-	readonly #opts: PlacementOptions;
 	readonly readRate = new ReadRate();
-	readonly #homes = new HomeOrder();
+	readonly #opts: PlacementOptions;
+	readonly #homeOrder = new HomeOrder();
 
 	constructor(opts: PlacementOptions) {
 		this.#opts = opts;
@@ -74,7 +87,6 @@
 	place(request: PlacementRequest): Placement {
 		const usable = request.servers.filter(server => !request.excluded.has(server.id));
 		const generators = usable.filter(server => server.stage !== 'prefill');
-		const readers = usable.filter(server => server.stage === 'prefill');
 		if (generators.length === 0) {
 			return {kind: 'refuse', retryAfterMs: request.objectiveMs, reason: 'no generating server is known'};
 		}
@@ -83,79 +95,117 @@
 			return this.#placeShort(request, generators);
 		}
 
-		return this.#placeLong(request, {generators, readers});
+		return this.#placeLong(request, {generators, readers: usable.filter(server => server.stage === 'prefill')});
 	}
 
 	/** Time until the server has read what it was sent, in milliseconds. */
 	predictQueueMs(server: KnownServer): number {
-		const {promptTokens} = this.#opts.board.read(server.id);
-		return promptTokens / this.#readSpeed(server);
+		return this.#opts.board.read(server.id).promptTokens / this.#readSpeed(server);
 	}
 
 	#placeShort(request: PlacementRequest, generators: readonly KnownServer[]): Placement {
-		const generator = this.#pickLeast(generators, server => (this.#opts.board.read(server.id).requests / server.slots) + (this.predictQueueMs(server) / request.objectiveMs));
-		const {requests} = this.#opts.board.read(generator.id);
-		const queueMs = this.predictQueueMs(generator);
-		if (requests > generator.slots * maxRequestsPerSlot || queueMs > request.objectiveMs) {
-			return {kind: 'refuse', retryAfterMs: queueMs, reason: `every generating server is full: ${requests} requests, ${Math.round(queueMs)} ms to read`};
+		const {board} = this.#opts;
+		const generator = this.#pickForStream(generators);
+		const readTokens = request.prompt.tokens;
+		const predictedMs = this.predictQueueMs(generator) + (readTokens / this.#readSpeed(generator));
+		if (board.read(generator.id).requests >= generator.slots || predictedMs > request.objectiveMs) {
+			return {kind: 'refuse', retryAfterMs: predictedMs, reason: `every generating server is full; the first event is ${Math.round(predictedMs)} ms away`};
 		}
 
-		return {kind: 'direct', generator, readTokens: request.prompt.tokens};
+		return {
+			kind: 'direct', generator, readTokens, predictedMs,
+		};
+	}
+
+	/**
+	 * Picks the first server with room, in an order that all instances share: streams are packed on few servers, so that
+	 * the others can read long prompts without making any stream pause.
+	 */
+	#pickForStream(generators: readonly KnownServer[]): KnownServer {
+		const {board} = this.#opts;
+		const {transits, homes} = divideGenerators(generators);
+		const packed = [...transits, ...homes].find(server => board.read(server.id).requests < server.slots * packedShare && this.predictQueueMs(server) < calmQueueMs);
+		return packed ?? this.#pickLeast(generators, server => board.read(server.id).requests);
 	}
 
 	#placeLong(request: PlacementRequest, {generators, readers}: {generators: readonly KnownServer[]; readers: readonly KnownServer[]}): Placement {
 		const {prompt, objectiveMs} = request;
-		const home = this.#findHome(prompt, generators);
-		const readTokens = estimateReadTokens(prompt);
-		const limitMs = objectiveMs * queueShare;
-		const reader = readers.length > 0 ? this.#pickLeast(readers, server => this.predictQueueMs(server)) : undefined;
-		const readerQueueMs = reader ? this.predictQueueMs(reader) : Number.POSITIVE_INFINITY;
-		if (reader && readerQueueMs <= limitMs) {
-			return {
-				kind: 'hand-over', reader, generator: home, fetchFrom: home, readTokens,
-			};
+		const {usage, board} = this.#opts;
+		usage.note(listSharedParts(prompt));
+		const {homes, transits} = divideGenerators(generators);
+		const home = this.#findHome(prompt, homes);
+		const isLasting = this.#isLasting(prompt, homes);
+		const holder = this.#opts.cache.findHolder(listSharedParts(prompt), [...homes, ...readers, ...transits]);
+		const free = generators.filter(server => board.read(server.id).requests < server.slots && board.read(server.id).streams <= streamsBesideReading);
+		const plans = [...readers, ...free].map(server => this.#planRead(server, {prompt, holder, isPreferred: server.stage === 'prefill' || transits.includes(server) || (isLasting && server === home)}));
+		const best = plans.length > 0 ? this.#pickLeast(plans, plan => plan.predictedMs) : undefined;
+		const limitMs = objectiveMs * usedObjectiveShare;
+		if (!best || (best.predictedMs > limitMs && best.queueMs > objectiveMs * lateQueueShare)) {
+			const shortestMs = best?.predictedMs ?? objectiveMs;
+			return {kind: 'refuse', retryAfterMs: Math.max(0, shortestMs - limitMs), reason: `the first event is ${Math.round(shortestMs)} ms away`};
 		}
 
-		const spare = this.#pickLeast(generators, server => this.predictQueueMs(server) + (server === home ? 0 : 1));
-		const spareQueueMs = this.predictQueueMs(spare);
-		if (spareQueueMs <= limitMs && this.#opts.board.read(spare.id).requests < spare.slots * maxRequestsPerSlot) {
-			return {
-				kind: 'direct', generator: spare, fetchFrom: spare === home ? undefined : home, readTokens,
-			};
+		const {server, queueMs: _, ...rest} = best;
+		if (server.stage !== 'prefill') {
+			return {kind: 'direct', generator: server, ...rest};
 		}
 
-		const shortestMs = Math.min(readerQueueMs, spareQueueMs);
-		return {kind: 'refuse', retryAfterMs: Math.max(0, shortestMs - limitMs), reason: `the shortest queue takes ${Math.round(shortestMs)} ms`};
+		const isMissingAtHome = this.#opts.cache.countHeld(home, listSharedParts(prompt)) < countTokens(listSharedParts(prompt));
+		const generator = isLasting && isMissingAtHome ? home : this.#pickLeast(transits, transit => board.read(transit.id).requests);
+		return {
+			kind: 'hand-over', reader: server, generator, ...rest,
+		};
+	}
+
+	#planRead(server: KnownServer, {prompt, holder, isPreferred}: {prompt: Prompt; holder?: {server: KnownServer; tokens: number}; isPreferred: boolean}): ReadPlan {
+		const own = this.#opts.cache.countHeld(server, listSharedParts(prompt));
+		const isFetchWorth = holder !== undefined && holder.server.id !== server.id && holder.tokens - own >= worthFetchingTokens;
+		const readTokens = Math.max(1, prompt.tokens - (isFetchWorth ? holder.tokens : own));
+		// Reading at a home displaces what lasts there, so another server is preferred among near-equals.
+		const displacementMs = isPreferred ? 0 : overheadMs;
+		const queueMs = this.predictQueueMs(server);
+		return {
+			server,
+			fetchFrom: isFetchWorth ? holder.server : undefined,
+			readTokens,
+			queueMs,
+			predictedMs: queueMs + (readTokens / this.#readSpeed(server)) + overheadMs + displacementMs,
+		};
+	}
+
+	#isLasting(prompt: Prompt, homes: readonly KnownServer[]): boolean {
+		const last = listSharedParts(prompt).at(-1);
+		const budget = homes.reduce((sum, server) => sum + this.#opts.readCapacity(server.service), 0) * lastingShare;
+		return last !== undefined && this.#opts.usage.isLasting(last, budget);
 	}
 
 	/** Returns the server that keeps the shared beginning of a prompt; all instances agree without speaking. */
-	#findHome(prompt: Prompt, servers: readonly KnownServer[]): KnownServer {
-		const shared = prompt.parts.slice(0, Math.max(1, prompt.parts.length - 1)).slice(0, homeParts).map(part => part.id).join('/');
-		const ranks = this.#homes.findRanks(shared, servers.map(server => server.id));
-		return servers.find(server => ranks.get(server.id) === 0) ?? servers[0]!;
+	#findHome(prompt: Prompt, homes: readonly KnownServer[]): KnownServer {
+		const shared = listSharedParts(prompt).map(part => part.id).join('/');
+		const ranks = this.#homeOrder.findRanks(shared, homes.map(server => server.id));
+		return homes.find(server => ranks.get(server.id) === 0) ?? homes[0]!;
 	}
 
 	#readSpeed(server: KnownServer): number {
 		return this.readRate.tokensPerMs * (server.stage === 'prefill' ? 1 : generatorReadShare);
 	}
 
-	/** Picks the server with the least value; near-equals are drawn by lot, so that instances don't move in step. */
-	#pickLeast(servers: readonly KnownServer[], valueOf: (server: KnownServer) => number): KnownServer {
-		const valued = servers.map(server => ({server, value: valueOf(server)}));
+	/** Picks the least valued; near-equals are drawn by lot, so that instances don't move in step. */
+	#pickLeast<T>(candidates: readonly T[], valueOf: (candidate: T) => number): T {
+		const valued = candidates.map(candidate => ({candidate, value: valueOf(candidate)}));
 		const least = Math.min(...valued.map(({value}) => value));
 		const close = valued.filter(({value}) => value <= least + (Math.abs(least) * 0.02));
-		return this.#opts.random.pick(close).server;
+		return this.#opts.random.pick(close).candidate;
 	}
 }
 
-/** Tokens of a prompt that a reader will have to read after it has fetched what the home keeps. */
-export function estimateReadTokens(prompt: Prompt): number {
-	let tokens = 0;
-	for (const [position, part] of prompt.parts.entries()) {
-		const isLast = position === prompt.parts.length - 1;
-		const shareToRead = isLast ? 1 : (position === 0 ? 0 : 1 - sharedPartKept);
-		tokens += part.tokens * shareToRead;
-	}
+/** Divides the generating servers, the same way at every instance. */
+function divideGenerators(generators: readonly KnownServer[]): {homes: readonly KnownServer[]; transits: readonly KnownServer[]} {
+	const sorted = [...generators].sort((a, b) => (a.id < b.id ? -1 : 1));
+	const count = Math.max(1, Math.round(sorted.length / generatorsPerTransit));
+	return {transits: sorted.slice(0, count), homes: sorted.length > count ? sorted.slice(count) : sorted};
+}
 
-	return Math.max(1, tokens);
+function countTokens(parts: ReadonlyArray<{tokens: number}>): number {
+	return parts.reduce((sum, part) => sum + part.tokens, 0);
 }
