feat(edge): streams go on from a copy of their memory; silent servers are left

Change: the memory of long answers is copied to a second server as it grows; when the first breaks off or is silent for three allowed pauses, the stream goes on there behind its last event. A reader or generator that takes twice the predicted time and 250 ms is given up where the request may go elsewhere; a server that fell silent is left out until it reports again.

--- a/packages/core/events/src/event-catalogue.ts
+++ b/packages/core/events/src/event-catalogue.ts
@@ -188,6 +188,9 @@
 	readFailed: {
 		number: 1755, level: 'warn', text: 'A server did not read a prompt', action: 'Look at the server if it repeats.',
 	},
+	streamMoved: {
+		number: 1758, level: 'warn', text: 'A stream goes on at the server that holds a copy of its memory', action: 'Look at the server that was lost.',
+	},
 	poisonRefused: {
 		number: 1756, level: 'warn', text: 'A request that crashed several servers was refused', action: 'Look at the request.',
 	},
--- a/packages/plugins/edge/src/attempt.ts
+++ b/packages/plugins/edge/src/attempt.ts
@@ -11,6 +11,8 @@
 	answered: 'answered',
 	broken: 'broken',
 	timedOut: 'timed-out',
+	/** Nothing arrived for longer than the attempt allows. */
+	stalled: 'stalled',
 	/** The caller has gone. */
 	cancelled: 'cancelled',
 } as const;
@@ -39,6 +41,10 @@
 	/** Tells whether an answer with this head may be passed on as a stream. */
 	isStream?: (head: AnswerHead) => boolean;
 	onFirstByte?: () => void;
+	/** Silence before the first byte after which the attempt is cancelled, in milliseconds. */
+	maxFirstByteMs?: number;
+	/** Silence between two pieces of the answer after which the attempt is cancelled, in milliseconds. */
+	maxPauseMs?: number;
 };
 
 /** Sends the request and resolves when the attempt has ended, in whatever way. It never rejects. */
@@ -51,6 +57,7 @@
 		});
 		const sent = client.send(address, opts.request, collector);
 		collector.attach(sent);
+		void collector.watchSilence(finished.signal);
 		if (opts.gone.aborted) {
 			collector.cancel(attemptEnds.cancelled);
 		}
@@ -75,16 +82,37 @@
 	#isStreamed = false;
 	#cancelledAs: AttemptEnd | undefined;
 	#isFirst = true;
+	#heardAt: number;
 
 	constructor(opts: AttemptOptions, resolve: (result: AttemptResult) => void) {
 		this.#opts = opts;
 		this.#resolve = resolve;
+		this.#heardAt = opts.clock.monotonic();
 	}
 
 	attach(sent: SentRequest): void {
 		this.#sent = sent;
 	}
 
+	/** Cancels the attempt when nothing arrives for longer than it allows. */
+	async watchSilence(finished: AbortSignal): Promise<void> {
+		const {clock, maxFirstByteMs, maxPauseMs} = this.#opts;
+		while (!finished.aborted) {
+			const limitMs = this.#isFirst ? maxFirstByteMs : maxPauseMs;
+			if (limitMs === undefined && maxPauseMs === undefined) {
+				return;
+			}
+
+			const silenceMs = clock.monotonic() - this.#heardAt;
+			if (limitMs !== undefined && silenceMs >= limitMs) {
+				this.cancel(attemptEnds.stalled);
+				return;
+			}
+
+			await clock.sleep((limitMs ?? maxPauseMs!) - (limitMs === undefined ? 0 : silenceMs), finished);
+		}
+	}
+
 	cancel(end: AttemptEnd): void {
 		this.#cancelledAs = end;
 		this.#sent?.cancel();
@@ -99,6 +127,7 @@
 	}
 
 	onData(chunk: Buffer): void {
+		this.#heardAt = this.#opts.clock.monotonic();
 		if (this.#isFirst) {
 			this.#isFirst = false;
 			this.#opts.onFirstByte?.();
--- a/packages/plugins/edge/src/plain-run.ts
+++ b/packages/plugins/edge/src/plain-run.ts
@@ -90,7 +90,12 @@
 			return this.#end(requestOutcomes.callerGone);
 		}
 
-		health.noteBreak(server);
+		if (result.isWritten && result.end === attemptEnds.broken) {
+			health.noteBreak(server);
+		} else {
+			health.noteSilence(server);
+		}
+
 		this.#isNotRun &&= !result.isWritten;
 		decisions.note('attemptFailed', {
 			request: this.#request.marks.requestId, server: server.id, end: result.end, isWritten: result.isWritten, reason: result.error?.message,
--- a/packages/plugins/edge/src/prompt-run.ts
+++ b/packages/plugins/edge/src/prompt-run.ts
@@ -21,6 +21,12 @@
 const highestPriority = 9;
 /** An answer of so many tokens takes seconds; pauses in it are noticed. */
 const longAnswerTokens = 512;
+/** A server that takes this many times the predicted time and the patience on top is taken for lost. */
+const patienceFactor = 2;
+const patienceMs = 250;
+/** A stream whose server is silent for this many of its allowed pauses goes on elsewhere, where it can. */
+const stallFactor = 3;
+const leastStallMs = 500;
 /** Time after which memory that could not be freed has lapsed by itself. */
 const releaseTimeoutMs = 1000;
 
@@ -33,6 +39,9 @@
 	readonly #servers: KnownServer[] = [];
 	readonly #excluded = new Set<string>();
 	#isNotRun = true;
+	#reads = 0;
+	/** Keeps a copy of the run's memory, from which the stream can go on when its server is lost. */
+	#backup: KnownServer | undefined;
 	#retryAfterMs = defaultRetryAfterMs;
 	#firstByteMs: number | undefined;
 	/** Time to the first event as it was predicted when the request was placed. */
@@ -55,7 +64,7 @@
 				return this.#giveUp(placement.reason);
 			}
 
-			if (this.#servers.length > 0 && !retries.take(this.#request.service)) {
+			if ((this.#servers.length > 0 || this.#reads > 0) && !retries.take(this.#request.service)) {
 				return this.#giveUp('the retry budget is used up');
 			}
 
@@ -90,6 +99,7 @@
 		let handle: ReadHandle | undefined;
 		if (placement.kind === 'hand-over') {
 			handle = await this.#readPrompt(placement);
+			this.#reads++;
 			if (this.#request.gone.aborted) {
 				this.#release(handle);
 				return this.#end(requestOutcomes.callerGone);
@@ -99,22 +109,63 @@
 				this.#release(handle);
 				return this.#giveUp('the prompt was not read in time');
 			}
+
+			if (!handle) {
+				return undefined;
+			}
 		}
 
 		const {generator} = placement;
 		this.#servers.push(generator);
 		const result = await this.#generate(generator, {handle, placement});
+		if (this.#backup && this.#relay.lastEventId !== undefined && (result.end === attemptEnds.broken || result.end === attemptEnds.stalled)) {
+			return this.#goOnAtBackup(generator, result);
+		}
+
 		return this.#judge(generator, result, handle);
 	}
 
+	/** Goes on behind the last event from the copy of the run's memory; it counts as the same run. */
+	async #goOnAtBackup(lost: KnownServer, broken: AttemptResult): Promise<RequestEnd> {
+		const {decisions, health, registry, retries, onBreak} = this.#context;
+		const backup = this.#backup!;
+		health.noteSilence(lost);
+		if (broken.end === attemptEnds.broken) {
+			onBreak(this.#request, lost);
+		}
+
+		this.#isNotRun = false;
+		this.#relay.dropPartial();
+		const mayGoOn = registry.isUsable(backup) && retries.take(this.#request.service);
+		decisions.note('streamMoved', {
+			request: this.#request.marks.requestId, from: lost.id, to: backup.id, end: broken.end, lastEvent: this.#relay.lastEventId, mayGoOn,
+		});
+		if (!mayGoOn) {
+			return this.#giveUp(`the attempt ended as ${broken.end}`);
+		}
+
+		this.#servers.push(backup);
+		const result = await this.#generate(backup, {
+			handle: {address: backup.address, handle: this.#request.marks.requestId!},
+			placement: {
+				kind: 'direct', generator: backup, readTokens: 0, predictedMs: 0,
+			},
+		});
+		if (result.end === attemptEnds.answered && result.isStreamed) {
+			return this.#finishStream(backup);
+		}
+
+		return result.end === attemptEnds.cancelled ? this.#end(requestOutcomes.callerGone) : this.#giveUp(`the stream could not go on: ${result.end} ${result.head?.status ?? ''}`);
+	}
+
 	/** Has the prompt read; without a handle the generating server reads it itself. */
-	async #readPrompt({reader, fetchFrom, readTokens}: Placement & {kind: 'hand-over'}): Promise<ReadHandle | undefined> {
+	async #readPrompt({reader, fetchFrom, readTokens, predictedMs}: Placement & {kind: 'hand-over'}): Promise<ReadHandle | undefined> {
 		const {board, cache, client, clock, codec, health, retries, promptPlacement, decisions} = this.#context;
 		const wasIdle = board.read(reader.id).promptTokens === 0;
 		const ticket = board.add(reader.id, readTokens);
 		const startedAt = clock.monotonic();
 		const result = await runAttempt(client, reader.address, {
-			clock, gone: this.#request.gone, maxMs: computeRemainingMs(this.#context, this.#request), request: composeOutbound(this.#context, this.#request, {
+			clock, gone: this.#request.gone, maxMs: Math.min(computeRemainingMs(this.#context, this.#request), (predictedMs * patienceFactor) + patienceMs), request: composeOutbound(this.#context, this.#request, {
 				server: reader, isProvenWanted: false, priority: this.#priority, isReadOnly: true, fetchFrom: fetchFrom?.address,
 			}),
 		});
@@ -140,7 +191,7 @@
 		if (marks?.isNotRun) {
 			retries.noteExtra(this.#request.service);
 		} else {
-			health.noteBreak(reader);
+			health.noteSilence(reader);
 		}
 
 		decisions.note('readFailed', {
@@ -151,13 +202,18 @@
 
 	async #generate(server: KnownServer, {handle, placement}: {handle?: ReadHandle; placement: Exclude<Placement, {kind: 'refuse'}>}): Promise<AttemptResult> {
 		const {board, cache, client, clock} = this.#context;
-		const ticket = board.add(server.id, handle ? 0 : placement.readTokens, {isStream: this.#prompt.maxOutputTokens >= longAnswerTokens});
+		const isLong = this.#prompt.maxOutputTokens >= longAnswerTokens;
+		this.#backup = isLong ? this.#pickBackup(server) : undefined;
+		const canMove = this.#mayRepeat && this.#servers.length < this.#request.route.maxServers;
+		const ticket = board.add(server.id, handle ? 0 : placement.readTokens, {isStream: isLong});
 		const result = await runAttempt(client, server.address, {
 			clock,
 			gone: this.#request.gone,
 			maxMs: computeRemainingMs(this.#context, this.#request),
 			relay: this.#relay,
 			isStream: head => this.#isStream(head),
+			maxFirstByteMs: canMove ? (placement.predictedMs * patienceFactor) + patienceMs : undefined,
+			maxPauseMs: canMove || this.#backup ? Math.max(leastStallMs, (this.#request.route.pauseObjectiveMs ?? 0) * stallFactor) : undefined,
 			onFirstByte: () => {
 				ticket.finishReading();
 				cache.store(server, this.#prompt.parts);
@@ -168,6 +224,7 @@
 				isProvenWanted: !this.#mayRepeat,
 				priority: this.#priority,
 				takeFrom: handle,
+				backupAt: this.#backup?.address,
 				fetchFrom: handle === undefined && placement.fetchFrom?.id !== server.id ? placement.fetchFrom?.address : undefined,
 				lastEventId: this.#relay.lastEventId ?? this.#request.marks.lastEventId,
 			}),
@@ -176,6 +233,13 @@
 		return result;
 	}
 
+	/** Picks the server with the least work beside the one that generates. */
+	#pickBackup(generator: KnownServer): KnownServer | undefined {
+		const {registry, health, board} = this.#context;
+		const others = health.filter(registry.listUsable(this.#request.service)).filter(server => server.id !== generator.id && server.stage !== 'prefill');
+		return others.sort((a, b) => board.read(a.id).requests - board.read(b.id).requests)[0];
+	}
+
 	get #priority(): number {
 		return Math.min(highestPriority, this.#request.route.priority);
 	}
@@ -206,9 +270,9 @@
 		decisions.note('attemptFailed', {
 			request: this.#request.marks.requestId, server: server.id, end: result.end, isWritten: result.isWritten, lastEvent: this.#relay.lastEventId, reason: result.error?.message,
 		});
-		if (result.end === attemptEnds.broken) {
-			health.noteBreak(server);
-			if (result.isWritten) {
+		if (result.end === attemptEnds.broken || result.end === attemptEnds.stalled) {
+			health.noteSilence(server);
+			if (result.end === attemptEnds.broken && result.isWritten) {
 				onBreak(this.#request, server);
 			}
 
--- a/packages/plugins/edge/src/request-codec.ts
+++ b/packages/plugins/edge/src/request-codec.ts
@@ -37,6 +37,8 @@
 	takeFrom?: ReadHandle;
 	/** A server whose cache may hold the beginning of the prompt. */
 	fetchFrom?: string;
+	/** Address of a server that keeps a copy of the run's memory as it grows. */
+	backupAt?: string;
 	/** The stream goes on behind this event. */
 	lastEventId?: string;
 };
--- a/packages/plugins/edge/src/server-health.ts
+++ b/packages/plugins/edge/src/server-health.ts
@@ -11,6 +11,8 @@
 	failureShare: number;
 	breaks: number;
 	excludedUntil: number;
+	/** Monotonic time at which the server fell silent; it is left out until it reports again. */
+	silentSince?: number;
 };
 
 const weightOfNew = 0.1;
@@ -30,6 +32,7 @@
 		health.failureShare -= health.failureShare * weightOfNew;
 		health.breaks = 0;
 		health.excludedUntil = 0;
+		health.silentSince = undefined;
 	}
 
 	/** Notes an answer that is a failure of the server's own. */
@@ -47,6 +50,12 @@
 		health.excludedUntil = this.#clock.monotonic() + exclusionMs;
 	}
 
+	/** Notes that the server did not answer or could not be reached; it may be gone without a word. */
+	noteSilence(server: KnownServer): void {
+		this.noteBreak(server);
+		this.#read(server).silentSince ??= this.#clock.monotonic();
+	}
+
 	readFailureShare(server: KnownServer): number {
 		return this.#read(server).failureShare;
 	}
@@ -54,10 +63,15 @@
 	/** Leaves out servers that broke off lately, unless none would remain. */
 	filter(servers: readonly KnownServer[]): KnownServer[] {
 		const now = this.#clock.monotonic();
-		const sound = servers.filter(server => this.#read(server).excludedUntil <= now);
+		const sound = servers.filter(server => this.#isSound(server, now));
 		return sound.length > 0 ? sound : [...servers];
 	}
 
+	#isSound(server: KnownServer, now: number): boolean {
+		const {excludedUntil, silentSince} = this.#read(server);
+		return excludedUntil <= now && (silentSince === undefined || server.heardAt > silentSince);
+	}
+
 	#read(server: KnownServer): Health {
 		let health = this.#servers.get(server.id);
 		if (health?.startedAt !== server.startedAt) {
