feat(placement): refused callers come back later; the known queue is a little old

Change: Retry-After is at least two and a half objectives; 25 ms are taken off a queue for the age of what is known; late prompts wait behind a quarter of the objective at most.

--- a/packages/routing/prompt-placement/src/prompt-placement.ts
+++ b/packages/routing/prompt-placement/src/prompt-placement.ts
@@ -48,7 +48,11 @@
 /** Share of the objective in which the first event is predicted to arrive; the rest is for what the prediction misses. */
 const usedObjectiveShare = 0.85;
 /** A prompt that will come late is served all the same while the queue before it is below this share of the objective. */
-const lateQueueShare = 0.5;
+const lateQueueShare = 0.25;
+/** A refused caller is asked to come back after so many objectives; sooner it would meet the same queue. */
+const returnObjectives = 2.5;
+/** What is known of a queue is so old on average; a server reads on in the meantime. */
+const knownAgeMs = 25;
 /** Time of a hand-over and of the first step beside reading, in milliseconds. */
 const overheadMs = 12;
 /** A generating server reads prompts at this share of a reading server's speed. */
@@ -100,7 +104,8 @@
 
 	/** Time until the server has read what it was sent, in milliseconds. */
 	predictQueueMs(server: KnownServer): number {
-		return this.#opts.board.read(server.id).promptTokens / this.#readSpeed(server);
+		const queueMs = this.#opts.board.read(server.id).promptTokens / this.#readSpeed(server);
+		return Math.max(0, queueMs - knownAgeMs);
 	}
 
 	#placeShort(request: PlacementRequest, generators: readonly KnownServer[]): Placement {
@@ -142,7 +147,7 @@
 		const limitMs = objectiveMs * usedObjectiveShare;
 		if (!best || (best.predictedMs > limitMs && best.queueMs > objectiveMs * lateQueueShare)) {
 			const shortestMs = best?.predictedMs ?? objectiveMs;
-			return {kind: 'refuse', retryAfterMs: Math.max(0, shortestMs - limitMs), reason: `the first event is ${Math.round(shortestMs)} ms away`};
+			return {kind: 'refuse', retryAfterMs: Math.max(objectiveMs * returnObjectives, shortestMs - limitMs), reason: `the first event is ${Math.round(shortestMs)} ms away`};
 		}
 
 		const {server, queueMs: _, ...rest} = best;
