--- /dev/null
+++ b/packages/core/metrics-registry/src/metrics-registry.ts
@@ -0,0 +1,84 @@
+/**
+ * The metrics of one process. Every metric is in the catalogue below, from which `docs/metrics.md` is written; a metric
+ * that is not in it can't be counted.
+ */
+import {
+	Counter, Gauge, Histogram, Registry,
+} from 'prom-client';
+
+export const metricKinds = {counter: 'counter', gauge: 'gauge', histogram: 'histogram'} as const;
+
+export type MetricDefinition = {
+	kind: typeof metricKinds[keyof typeof metricKinds];
+	help: string;
+	labels: readonly string[];
+};
+
+export const metricsCatalogue = {
+	requests_total: {kind: 'counter', help: 'Requests of callers by route and outcome.', labels: ['route', 'outcome']},
+	first_byte_ms: {kind: 'histogram', help: 'Time to the first byte of a streamed answer, in milliseconds.', labels: ['route']},
+	request_ms: {kind: 'histogram', help: 'Time to the end of a request, in milliseconds.', labels: ['route']},
+	servers_per_request: {kind: 'histogram', help: 'Servers that one request was sent to.', labels: ['route']},
+	configuration_version: {kind: 'gauge', help: 'Version of the route configuration in force.', labels: []},
+	ready: {kind: 'gauge', help: '1 while new connections are welcome.', labels: []},
+	members: {kind: 'gauge', help: 'Other instances that are linked.', labels: []},
+	servers: {kind: 'gauge', help: 'Usable servers by service.', labels: ['service']},
+	open_requests: {kind: 'gauge', help: 'Requests of callers that are open.', labels: []},
+	log_lines_dropped_total: {kind: 'gauge', help: 'Decision lines left out since the start to bound the volume.', labels: []},
+} as const satisfies Record<string, MetricDefinition>;
+
+export type MetricName = keyof typeof metricsCatalogue;
+
+const prefix = 'hickorytrack_';
+/** Upper bounds in milliseconds, dense around the objectives of today's routes. */
+const msBuckets = [5, 10, 20, 50, 80, 120, 160, 200, 250, 300, 400, 600, 1000, 2000, 5000, 15_000];
+const countBuckets = [0, 1, 2, 3, 5];
+
+export class MetricsRegistry {
+	readonly #registry = new Registry();
+	readonly #metrics = new Map<MetricName, Counter | Gauge | Histogram>();
+	readonly #readers: Array<() => void> = [];
+
+	constructor() {
+		for (const [name, definition] of Object.entries(metricsCatalogue)) {
+			this.#metrics.set(name as MetricName, this.#create(name, definition));
+		}
+	}
+
+	count(name: MetricName, labels: Record<string, string> = {}): void {
+		(this.#metrics.get(name) as Counter).inc(labels);
+	}
+
+	observe(name: MetricName, value: number, labels: Record<string, string> = {}): void {
+		(this.#metrics.get(name) as Histogram).observe(labels, value);
+	}
+
+	set(name: MetricName, value: number, labels: Record<string, string> = {}): void {
+		(this.#metrics.get(name) as Gauge).set(labels, value);
+	}
+
+	/** Registers a function that brings gauges up to date just before the metrics are read. */
+	onRead(reader: () => void): void {
+		this.#readers.push(reader);
+	}
+
+	/** Returns all metrics as text. */
+	async format(): Promise<string> {
+		for (const reader of this.#readers) {
+			reader();
+		}
+
+		return this.#registry.metrics();
+	}
+
+	#create(name: string, {kind, help, labels}: MetricDefinition): Counter | Gauge | Histogram {
+		const options = {
+			name: `${prefix}${name}`, help, labelNames: [...labels], registers: [this.#registry],
+		};
+		if (kind === metricKinds.counter) {
+			return new Counter(options);
+		}
+
+		return kind === metricKinds.gauge ? new Gauge(options) : new Histogram({...options, buckets: name.endsWith('_ms') ? msBuckets : countBuckets});
+	}
+}
--- a/packages/plugins/edge/src/edge.ts
+++ b/packages/plugins/edge/src/edge.ts
@@ -21,6 +21,7 @@
 import {PartUsage} from '@hickorytrack/prompt-placement/part-usage';
 import {PlainPlacement} from '@hickorytrack/prompt-placement/plain-placement';
 import {PromptPlacement} from '@hickorytrack/prompt-placement';
+import type {MetricsRegistry} from '@hickorytrack/metrics-registry';
 import type {Random} from '@hickorytrack/random';
 import {ConfigurationFollower} from '@hickorytrack/route-store/configuration-follower';
 import {CoreMember, coreRole, type CoreMemberError} from '@hickorytrack/route-store/core-member';
@@ -74,6 +75,7 @@
 	/** Only on machines of the core. */
 	storage?: LogStorage;
 	incarnation: string;
+	metrics: MetricsRegistry;
 };
 
 const peerTiming: PeerTiming = {heartbeatMs: 300, silenceMs: 1000, requestTimeoutMs: 1500};
@@ -143,6 +145,9 @@
 			clock, random, codec, unreadyRetryAfterMs: defaultRetryAfterMs, getRoutes: () => this.configuration.isConfirmed ? this.#routes : undefined, run: async request => this.#run(request),
 		});
 		this.#addPeerMethods();
+		opts.metrics.onRead(() => {
+			this.#readGauges();
+		});
 	}
 
 	/** True while new connections are welcome. */
@@ -366,8 +371,32 @@
 		this.#logEnd(request, end);
 	}
 
+	#readGauges(): void {
+		const {metrics} = this.#opts;
+		metrics.set('ready', this.isReady ? 1 : 0);
+		metrics.set('configuration_version', this.configuration.held?.version ?? 0);
+		metrics.set('members', this.mesh.listConnections().length);
+		metrics.set('open_requests', this.#front.openRequests);
+		metrics.set('log_lines_dropped_total', this.#context.decisions.droppedTotal);
+		for (const {name} of this.#routes?.configuration.services ?? []) {
+			metrics.set('servers', this.registry.listUsable(name).length, {service: name});
+		}
+	}
+
+	#measureEnd(request: CallerRequest, end: RequestEnd): void {
+		const {metrics, clock} = this.#opts;
+		const route = request.route.name;
+		metrics.count('requests_total', {route, outcome: end.outcome});
+		metrics.observe('request_ms', clock.monotonic() - request.arrivedAt, {route});
+		metrics.observe('servers_per_request', end.servers.length, {route});
+		if (end.firstByteMs !== undefined) {
+			metrics.observe('first_byte_ms', end.firstByteMs, {route});
+		}
+	}
+
 	#logEnd(request: CallerRequest, end: RequestEnd): void {
 		const {decisions, clock} = this.#context;
+		this.#measureEnd(request, end);
 		const fields = {
 			request: request.marks.requestId,
 			route: request.route.name,
--- /dev/null
+++ b/packages/plugins/edge/test/edge-parts.test.ts
@@ -0,0 +1,160 @@
+import {Buffer} from 'node:buffer';
+import type {ServerResponse} from 'node:http';
+import {expect} from 'chai';
+import {ManualClock} from '@hickorytrack/clock/manual-clock';
+import type {KnownServer} from '@hickorytrack/endpoint-registry';
+import {EventLog} from '@hickorytrack/events';
+import {DecisionLog} from '../src/decision-log.js';
+import {EventRelay} from '../src/event-relay.js';
+import {PoisonWatch} from '../src/poison-watch.js';
+import {RetryShares} from '../src/retry-shares.js';
+import {ServerHealth} from '../src/server-health.js';
+
+const server: KnownServer = {
+	id: 'a', startedAt: 1, sequence: 1, service: 's', address: '10.0.0.1:80', availabilityZone: 'z', slots: 6, state: 'ready', coldMs: 0, heardAt: 0, order: 1,
+};
+
+describe('retry shares', () => {
+	const create = (clock: ManualClock, instances: number) => new RetryShares({
+		clock, ratio: 0.2, allowance: 64, windowMs: 10_000, countInstances: () => instances,
+	});
+
+	// Pattern: an outage in which every request fails at every instance.
+	it('keeps all instances together within the bound of every window', async () => {
+		const clock = new ManualClock();
+		const instances = Array.from({length: 8}, () => create(clock, 8));
+		let retries = 0;
+		let requests = 0;
+		for (let second = 0; second < 10; second++) {
+			for (const shares of instances) {
+				for (let i = 0; i < 5; i++) {
+					shares.noteRequest('s');
+					requests++;
+					retries += shares.take('s') ? 1 : 0;
+				}
+			}
+
+			await clock.advance(999);
+		}
+
+		expect(retries).to.be.greaterThan(0);
+		expect(retries).to.be.at.most((0.2 * requests) + 64);
+	});
+
+	it('counts rejected arrivals and forgets what left the window', async () => {
+		const clock = new ManualClock();
+		const shares = create(clock, 64);
+		shares.noteExtra('s');
+		expect(shares.take('s')).to.equal(false);
+		await clock.advance(10_001);
+		for (let i = 0; i < 10; i++) {
+			shares.noteRequest('s');
+		}
+
+		expect(shares.take('s')).to.equal(true);
+	});
+});
+
+describe('poison watch', () => {
+	it('blocks a request that was running in two crashes, once each', () => {
+		const watch = new PoisonWatch(new ManualClock());
+		watch.noteCrash('f', 'server/1');
+		watch.noteCrash('f', 'server/1');
+		expect(watch.isBlocked('f')).to.equal(false);
+		watch.noteCrash('f', 'server/2');
+		expect(watch.isBlocked('f')).to.equal(true);
+	});
+
+	it('clears a request that was answered, and forgets after a while', async () => {
+		const clock = new ManualClock();
+		const watch = new PoisonWatch(clock);
+		watch.noteCrash('f', '1');
+		watch.noteSuccess('f');
+		watch.noteCrash('f', '2');
+		expect(watch.isBlocked('f')).to.equal(false);
+		watch.noteCrash('f', '3');
+		await clock.advance(60_001);
+		expect(watch.isBlocked('f')).to.equal(false);
+	});
+});
+
+describe('server health', () => {
+	it('leaves out a server that broke off, for longer each time, unless none would remain', async () => {
+		const clock = new ManualClock();
+		const health = new ServerHealth(clock);
+		const other = {...server, id: 'b'};
+		health.noteBreak(server);
+		expect(health.filter([server, other])).to.deep.equal([other]);
+		expect(health.filter([server])).to.deep.equal([server]);
+		await clock.advance(500);
+		expect(health.filter([server, other])).to.have.length(2);
+	});
+
+	it('leaves out a silent server until it reports again', async () => {
+		const clock = new ManualClock();
+		const health = new ServerHealth(clock);
+		const other = {...server, id: 'b'};
+		health.noteSilence(server);
+		await clock.advance(20_000);
+		expect(health.filter([server, other])).to.deep.equal([other]);
+		expect(health.filter([{...server, heardAt: clock.monotonic()}, other])).to.have.length(2);
+	});
+});
+
+describe('event relay', () => {
+	const create = () => {
+		const written: string[] = [];
+		const response = {
+			headersSent: true,
+			destroyed: false,
+			write(bytes: Buffer) {
+				written.push(bytes.toString());
+				return true;
+			},
+			end(bytes?: Buffer) {
+				written.push(`${bytes?.toString() ?? ''}<end>`);
+			},
+			destroy() {
+				written.push('<cut>');
+			},
+		};
+		return {written, relay: new EventRelay(response as unknown as ServerResponse)};
+	};
+
+	it('passes on whole events only and knows the last one', () => {
+		const {written, relay} = create();
+		relay.push(Buffer.from('id: 1\ndata: a\n\nid: 2\nda'));
+		expect(written).to.deep.equal(['id: 1\ndata: a\n\n']);
+		expect(relay.lastEventId).to.equal('1');
+		relay.push(Buffer.from('ta: b\n\n'));
+		expect(written.join('')).to.equal('id: 1\ndata: a\n\nid: 2\ndata: b\n\n');
+		expect(relay.lastEventId).to.equal('2');
+	});
+
+	it('drops half an event of a broken server before another one goes on', () => {
+		const {written, relay} = create();
+		relay.push(Buffer.from('id: 1\ndata: a\n\nid: 2\nda'));
+		relay.dropPartial();
+		relay.push(Buffer.from('id: 2\ndata: b\n\n'));
+		relay.finish();
+		expect(written.join('')).to.equal('id: 1\ndata: a\n\nid: 2\ndata: b\n\n<end>');
+	});
+});
+
+describe('decision log', () => {
+	it('bounds the volume and counts what it left out', async () => {
+		const clock = new ManualClock();
+		const events = new EventLog({clock});
+		const log = new DecisionLog(clock, events);
+		for (let i = 0; i < 500; i++) {
+			log.note('forwardRefused', {request: String(i)});
+		}
+
+		const lines = events.listSince(0);
+		expect(lines.length).to.be.lessThan(200);
+		expect(log.droppedTotal).to.equal(500 - lines.length);
+		await clock.advance(1000);
+		log.note('forwardRefused', {request: 'next'});
+		expect(events.listSince(0).at(-1)!.fields.linesDropped).to.equal(500 - lines.length);
+	});
+});
