fix(route-store): a disk that fails at the start does not keep the front closed

Cause: an edge of the core waited for its log before it listened; a full disk or a corrupt log ended the process, again and again.

Change: the log is opened beside the front and tried again until the disk works; a corrupt log is discarded and the member joins again as one whose disk was lost. The new test fails without it.

--- a/packages/coordination/log-storage/src/file-log-storage.ts
+++ b/packages/coordination/log-storage/src/file-log-storage.ts
@@ -4,7 +4,7 @@
  */
 import {randomUUID} from 'node:crypto';
 import {
-	mkdir, open, readFile, rename, type FileHandle,
+	mkdir, open, readFile, rename, rm, type FileHandle,
 } from 'node:fs/promises';
 import path from 'node:path';
 import {Buffer} from 'node:buffer';
@@ -128,6 +128,17 @@
 		});
 	}
 
+	async discard(): Promise<Result<void, LogStorageError>> {
+		return this.#attempt(async () => {
+			// The identity goes first: without it the other files belong to nobody.
+			for (const name of ['folder', 'vote', 'snapshot', 'log']) {
+				await rm(path.join(this.#folder, name), {force: true});
+			}
+
+			await this.#syncFolder();
+		});
+	}
+
 	async close(): Promise<void> {
 		await this.#log?.close();
 		this.#log = undefined;
--- a/packages/coordination/log-storage/src/log-storage.ts
+++ b/packages/coordination/log-storage/src/log-storage.ts
@@ -48,5 +48,7 @@
 	truncateFrom(index: number): Promise<Result<void, LogStorageError>>;
 	/** Saves the snapshot, then keeps only `remaining` of the log. */
 	saveSnapshot(snapshot: SnapshotRecord, remaining: readonly LogRecord[]): Promise<Result<void, LogStorageError>>;
+	/** Removes everything, so that the next `open` finds a new folder. For a log that is corrupt and has to come from its peers. */
+	discard(): Promise<Result<void, LogStorageError>>;
 	close(): Promise<void>;
 };
--- a/packages/coordination/log-storage/src/memory-log-storage.ts
+++ b/packages/coordination/log-storage/src/memory-log-storage.ts
@@ -11,6 +11,7 @@
 	#vote: VoteState = {term: 0};
 	#snapshot: SnapshotRecord | undefined;
 	#records: LogRecord[] = [];
+	#discards = 0;
 
 	constructor(folder = 'memory') {
 		this.#folder = folder;
@@ -18,7 +19,7 @@
 
 	async open(): Promise<Result<OpenedLog, LogStorageError>> {
 		return ok({
-			folder: this.#folder, vote: {...this.#vote}, snapshot: structuredClone(this.#snapshot), records: structuredClone(this.#records),
+			folder: this.#discards === 0 ? this.#folder : `${this.#folder}/${this.#discards}`, vote: {...this.#vote}, snapshot: structuredClone(this.#snapshot), records: structuredClone(this.#records),
 		});
 	}
 
@@ -47,6 +48,15 @@
 		});
 	}
 
+	async discard(): Promise<Result<void, LogStorageError>> {
+		return this.#write(() => {
+			this.#vote = {term: 0};
+			this.#snapshot = undefined;
+			this.#records = [];
+			this.#discards++;
+		});
+	}
+
 	async close(): Promise<void> {
 		// Nothing is held open.
 	}
--- a/packages/plugins/edge/src/edge.ts
+++ b/packages/plugins/edge/src/edge.ts
@@ -157,11 +157,6 @@
 
 	async start(): Promise<Result<void, HickorytrackError>> {
 		const {settings, events} = this.#opts;
-		const opened = await this.#core?.start();
-		if (opened?.isErr()) {
-			return err(opened.error);
-		}
-
 		const listening = await this.#peers.listen(parseAddress(settings.peerAddress));
 		if (listening.isErr()) {
 			return listening;
@@ -175,6 +170,8 @@
 		}
 
 		this.mesh.start();
+		// A slow disk must not keep the front waiting.
+		void this.#core?.run();
 		this.configuration.start(this.#core);
 		void this.#shareLoad();
 		events.emit('edgeStarted', {instance: settings.instance, isCore: this.#core !== undefined, isFirstStart: settings.isFirstStart});
--- a/packages/routing/route-store/src/core-member.ts
+++ b/packages/routing/route-store/src/core-member.ts
@@ -39,6 +39,7 @@
 const proposeTimeoutMs = 900;
 const readTimeoutMs = 700;
 const keepIntervalMs = 150;
+const diskRetryMs = 500;
 /** A voter that is silent for so long yields its place when another machine stands ready for it. */
 const silentVoterMs = 2500;
 /** A learner that is silent for so long is dropped. */
@@ -61,6 +62,7 @@
 	#wasLeader = false;
 	#ledSince = Number.POSITIVE_INFINITY;
 	#isJoining = false;
+	#hasLostDisk = false;
 
 	constructor(opts: CoreMemberOptions) {
 		this.#opts = opts;
@@ -86,14 +88,28 @@
 		return this.#log?.term ?? 0;
 	}
 
-	async start(): Promise<Result<void, LogStorageError>> {
-		const opened = await this.#openLog([]);
-		if (opened.isErr()) {
-			return opened;
-		}
+	/**
+	 * Opens the log and takes part in the core. A disk that fails is tried again until it works; a log that is corrupt is
+	 * dropped, and this member joins again as one whose disk was lost.
+	 */
+	async run(): Promise<void> {
+		const {clock, events, storage} = this.#opts;
+		while (!this.#ended.signal.aborted) {
+			const opened = await this.#openLog([]);
+			if (opened.isOk()) {
+				await this.#keepMembers();
+				return;
+			}
 
-		void this.#keepMembers();
-		return ok(undefined);
+			const {code, message} = opened.error;
+			events.emit('diskFault', {code, message});
+			if (code === 'ERR_HICKORYTRACK_LOG_CORRUPT') {
+				await storage.discard();
+				this.#hasLostDisk = true;
+			}
+
+			await clock.sleep(diskRetryMs, this.#ended.signal);
+		}
 	}
 
 	async stop(): Promise<void> {
@@ -208,7 +224,7 @@
 	/** Exactly one machine begins the log: the first seed that is a member of the core. */
 	#mayFound(): boolean {
 		const {isFirstStart, seeds, mesh, clock} = this.#opts;
-		if (!isFirstStart || this.#isJoining || this.#log!.getStatus().members.length > 0) {
+		if (!isFirstStart || this.#hasLostDisk || this.#isJoining || this.#log!.getStatus().members.length > 0) {
 			return false;
 		}
 
--- a/packages/routing/route-store/test/core-fleet.ts
+++ b/packages/routing/route-store/test/core-fleet.ts
@@ -45,17 +45,13 @@
 			follower.hold(stored);
 		},
 	});
-	const opened = await core?.start();
-	if (opened?.isErr()) {
-		throw opened.error;
-	}
-
 	const listening = await peers.listen(parseAddress(address));
 	if (listening.isErr()) {
 		throw listening.error;
 	}
 
 	mesh.start();
+	void core?.run();
 	follower.start(core);
 	return {
 		address, storage: opts.storage, mesh, core, follower, installed, async stop() {
--- a/packages/routing/route-store/test/route-store.test.ts
+++ b/packages/routing/route-store/test/route-store.test.ts
@@ -1,5 +1,7 @@
 import {createServer, type AddressInfo} from 'node:net';
 import {expect} from 'chai';
+import {err} from 'neverthrow';
+import {LogStorageError} from '@hickorytrack/log-storage';
 import {MemoryLogStorage} from '@hickorytrack/log-storage/memory-log-storage';
 import {RouteStore} from '../src/route-store.js';
 import {
@@ -34,6 +36,20 @@
 	});
 });
 
+/** A storage whose log can't be read until it has been discarded. */
+class CorruptOnce extends MemoryLogStorage {
+	isDiscarded = false;
+
+	override async open() {
+		return this.isDiscarded ? super.open() : err(new LogStorageError('ERR_HICKORYTRACK_LOG_CORRUPT', 'broken'));
+	}
+
+	override async discard() {
+		this.isDiscarded = true;
+		return super.discard();
+	}
+}
+
 describe('core of the route configuration', () => {
 	let instances: CoreInstance[];
 	let addresses: string[];
@@ -55,7 +71,7 @@
 		await instance.stop();
 	};
 
-	const listVoters = (instance: CoreInstance) => (instance.core!.dump() as {status: {members: Array<{id: string; voter: boolean}>}}).status.members.filter(member => member.voter).map(member => member.id);
+	const listVoters = (instance: CoreInstance) => ((instance.core!.dump() as {status?: {members: Array<{id: string; voter: boolean}>}}).status?.members ?? []).filter(member => member.voter).map(member => member.id);
 	const countVoters = (instance: CoreInstance) => listVoters(instance).length;
 
 	beforeEach(async () => {
@@ -124,6 +140,18 @@
 		expect(await readUntilAnswered(members[0]!)).to.equal(2);
 	});
 
+	it('joins anew, without a vote at first, when its log turns out to be corrupt', async () => {
+		const members = await startThree();
+		await putUntilAnswered(members[0]!, createDocument(1));
+		const [, hurt] = members;
+		await waitFor(() => countVoters(hurt!) === 3 || undefined);
+		await stop(hurt!);
+		const storage = new CorruptOnce('hurt');
+		const again = await start(hurt!.address, {storage});
+		await waitFor(() => (storage.isDiscarded && countVoters(again) === 3 && again.installed.includes(1)) || undefined);
+		expect(await putUntilAnswered(again, createDocument(2))).to.equal('stored');
+	});
+
 	it('keeps everything over a stop of all members, and answers no read before a majority is back', async () => {
 		const members = await startThree();
 		await putUntilAnswered(members[0]!, createDocument(3));
