--- a/packages/plugins/edge/src/edge.ts
+++ b/packages/plugins/edge/src/edge.ts
@@ -200,6 +200,11 @@
 		}
 
 		events.emit('edgeStopped', {openRequests: this.#front.openRequests});
+		await this.kill();
+	}
+
+	/** Ends everything at once. */
+	async kill(): Promise<void> {
 		this.#front.close();
 		this.#ended.abort();
 		this.configuration.stop();
--- /dev/null
+++ b/stand-ins/src/platform-server.ts
@@ -0,0 +1,211 @@
+/**
+ * A server of the users' platform, as their pages describe it: it answers with a stamp and the request's id, checks that
+ * it is the one that was meant, reads prompts apart, hands their memory over, streams events and keeps copies of runs.
+ * It can be told to misbehave.
+ */
+import {Buffer} from 'node:buffer';
+import {
+	createServer, type IncomingMessage, type Server, type ServerResponse,
+} from 'node:http';
+import type {AddressInfo, Socket} from 'node:net';
+import type {Clock} from '@hickorytrack/clock';
+
+export const platformFaults = {
+	none: 'none',
+	/** Resets the connection once the request has run. */
+	reset: 'reset',
+	/** Says that it is full and has not run the request. */
+	full: 'full',
+	/** Never answers. */
+	silent: 'silent',
+	/** Answers for another request. */
+	foreign: 'foreign',
+	/** Breaks a stream off after its second event, in the middle of the third. */
+	cut: 'cut',
+	/** Fails requests of its own. */
+	failing: 'failing',
+} as const;
+export type PlatformFault = typeof platformFaults[keyof typeof platformFaults];
+
+export type PlatformServerOptions = {
+	id: string;
+	clock: Clock;
+	stage?: 'prefill' | 'decode';
+	/** Events of a stream, and the time between two. */
+	events?: number;
+	eventMs?: number;
+};
+
+export type SeenRequest = {
+	requestId: string;
+	path: string;
+	body: string;
+	deadlineMs: number;
+	headers: IncomingMessage['headers'];
+	hasRun: boolean;
+};
+
+const defaultEvents = 4;
+
+export class PlatformServer {
+	readonly seen: SeenRequest[] = [];
+	/** Handles that were given out and not taken yet. */
+	readonly handles = new Set<string>();
+	/** Runs whose client has closed the connection before the end. */
+	readonly abandoned: string[] = [];
+	fault: PlatformFault = platformFaults.none;
+	readonly #opts: PlatformServerOptions;
+	readonly #server: Server;
+	readonly #sockets = new Set<Socket>();
+
+	constructor(opts: PlatformServerOptions) {
+		this.#opts = opts;
+		this.#server = createServer((request, response) => {
+			void this.#handle(request, response);
+		});
+		this.#server.on('connection', socket => {
+			this.#sockets.add(socket);
+			socket.on('close', () => this.#sockets.delete(socket));
+		});
+	}
+
+	get id(): string {
+		return this.#opts.id;
+	}
+
+	get address(): string {
+		return `127.0.0.1:${(this.#server.address() as AddressInfo).port}`;
+	}
+
+	/** What the server says of itself to the system. */
+	describe(service: string, state = 'ready', sequence = 1): Record<string, unknown> {
+		return {
+			service, address: this.address, zone: 'z', version: 'v1', slots: 8, state, seq: sequence, 'cold-left-ms': 0, stage: this.#opts.stage,
+		};
+	}
+
+	async start(): Promise<void> {
+		await new Promise<void>(resolve => {
+			this.#server.listen(0, '127.0.0.1', resolve);
+		});
+	}
+
+	async stop(): Promise<void> {
+		for (const socket of this.#sockets) {
+			socket.destroy();
+		}
+
+		await new Promise(resolve => {
+			this.#server.close(resolve);
+		});
+	}
+
+	countRuns(requestId: string): number {
+		return this.seen.filter(request => request.requestId === requestId && request.hasRun).length;
+	}
+
+	async #handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
+		const chunks: Buffer[] = [];
+		for await (const chunk of request as AsyncIterable<Buffer>) {
+			chunks.push(chunk);
+		}
+
+		const seen: SeenRequest = {
+			requestId: String(request.headers['x-request-id']), path: request.url!, body: Buffer.concat(chunks).toString(), deadlineMs: Number(request.headers['x-deadline-ms']), headers: request.headers, hasRun: false,
+		};
+		if (request.url!.startsWith('/api/kv-handle/')) {
+			this.handles.delete(request.url!.split('/').at(-1)!);
+			response.end();
+			return;
+		}
+
+		this.seen.push(seen);
+		if (request.headers['x-expect-instance'] !== this.id) {
+			this.#send(response, 421, {'x-not-executed': '1'}, '');
+			return;
+		}
+
+		await this.#answer(request, response, seen);
+	}
+
+	async #answer(request: IncomingMessage, response: ServerResponse, seen: SeenRequest): Promise<void> {
+		switch (this.fault) {
+			case platformFaults.full: {
+				this.#send(response, 503, {'x-not-executed': '1', 'retry-after': '0.2'}, '');
+				return;
+			}
+
+			case platformFaults.silent: {
+				seen.hasRun = true;
+				return;
+			}
+
+			case platformFaults.reset: {
+				seen.hasRun = true;
+				request.socket.resetAndDestroy();
+				return;
+			}
+
+			default: {
+				await this.#serve(request, response, seen);
+			}
+		}
+	}
+
+	async #serve(request: IncomingMessage, response: ServerResponse, seen: SeenRequest): Promise<void> {
+		const {stage} = this.#opts;
+		if (stage === 'prefill' && request.headers['x-stage'] !== 'prefill') {
+			this.#send(response, 421, {'x-not-executed': '1'}, '');
+			return;
+		}
+
+		if (request.headers['x-stage'] === 'prefill') {
+			const handle = `handle-${seen.requestId}`;
+			this.handles.add(handle);
+			this.#send(response, 200, {'content-type': 'application/json'}, JSON.stringify({'kv-handle': handle, tokens: 1, version: 1}));
+			return;
+		}
+
+		seen.hasRun = true;
+		if (stage === undefined) {
+			const status = this.fault === platformFaults.failing ? 500 : 200;
+			this.#send(response, status, this.#sign(this.fault === platformFaults.foreign ? 'another' : seen.requestId), `${this.id} ${seen.body}`);
+			return;
+		}
+
+		await this.#stream(request, response, seen);
+	}
+
+	async #stream(request: IncomingMessage, response: ServerResponse, seen: SeenRequest): Promise<void> {
+		const {clock, events = defaultEvents, eventMs = 5} = this.#opts;
+		response.writeHead(200, {...this.#sign(seen.requestId), 'content-type': 'text/event-stream'});
+		response.on('close', () => {
+			if (!response.writableFinished && this.fault !== platformFaults.cut) {
+				this.abandoned.push(seen.requestId);
+			}
+		});
+		const first = Number(request.headers['last-event-id'] ?? 0) + 1;
+		for (let event = first; event <= events && !response.destroyed; event++) {
+			if (this.fault === platformFaults.cut && event === first + 2) {
+				response.write(`id: ${event}\ndata: ha`);
+				await clock.sleep(eventMs);
+				request.socket.resetAndDestroy();
+				return;
+			}
+
+			response.write(`id: ${event}\ndata: event ${event}\n\n`);
+			await clock.sleep(eventMs);
+		}
+
+		response.end();
+	}
+
+	#sign(requestId: string): Record<string, string> {
+		return {'x-response-stamp': `stamp-${this.id}`, 'x-request-id': requestId};
+	}
+
+	#send(response: ServerResponse, status: number, headers: Record<string, string>, body: string): void {
+		response.writeHead(status, {...headers, 'content-length': String(Buffer.byteLength(body))});
+		response.end(body);
+	}
+}
