--- a/packages/coordination/replicated-log/src/elector.ts
+++ b/packages/coordination/replicated-log/src/elector.ts
@@ -29,11 +29,12 @@
 	}
 
 	async run(): Promise<void> {
-		const {clock, random, timing, signal} = this.#opts;
+		const {clock, timing, signal} = this.#opts;
 		let waitedFrom = clock.monotonic();
+		let isFirst = true;
 		while (!signal.aborted) {
 			const isAlone = this.#state.members.voters.length === 1;
-			const timeout = isAlone ? 0 : random.nextBetween(timing.electionMinMs, timing.electionMaxMs);
+			const timeout = isAlone ? 0 : this.#drawTimeout(isFirst);
 			await clock.sleep(Math.max(timing.heartbeatMs / 2, Math.max(waitedFrom, this.#state.lastHeardAt) + timeout - clock.monotonic()), signal);
 			const silence = clock.monotonic() - Math.max(waitedFrom, this.#state.lastHeardAt);
 			if (signal.aborted || this.#state.role === 'leader' || silence < timeout || !this.#mayStand()) {
@@ -41,10 +42,18 @@
 			}
 
 			waitedFrom = clock.monotonic();
+			isFirst = false;
 			await this.#campaign();
 		}
 	}
 
+	#drawTimeout(isFirst: boolean): number {
+		const {random, timing} = this.#opts;
+		return isFirst && this.#state.lastHeardAt === Number.NEGATIVE_INFINITY
+			? random.nextBetween(timing.firstElectionMinMs, timing.firstElectionMaxMs)
+			: random.nextBetween(timing.electionMinMs, timing.electionMaxMs);
+	}
+
 	/** A voter whose data folder is not the one that the members know has forgotten its votes and must not stand. */
 	#mayStand(): boolean {
 		const {members, id, folder} = this.#state;
--- a/packages/coordination/replicated-log/src/member-state.ts
+++ b/packages/coordination/replicated-log/src/member-state.ts
@@ -29,6 +29,9 @@
 	/** A follower that hears nothing for a random time between these bounds starts an election. */
 	electionMinMs: number;
 	electionMaxMs: number;
+	/** Bounds of the first such wait after the start; pre-vote keeps a member from standing against a leader that others hear. */
+	firstElectionMinMs: number;
+	firstElectionMaxMs: number;
 	/** Records behind the snapshot after which a new one is taken. */
 	snapshotRecords: number;
 	/** Records in one message. */
@@ -36,7 +39,7 @@
 };
 
 export const defaultLogTiming: LogTiming = {
-	heartbeatMs: 100, electionMinMs: 600, electionMaxMs: 1200, snapshotRecords: 5000, batchRecords: 500,
+	heartbeatMs: 100, electionMinMs: 600, electionMaxMs: 1200, firstElectionMinMs: 600, firstElectionMaxMs: 1200, snapshotRecords: 5000, batchRecords: 500,
 };
 
 export const memberRoles = {follower: 'follower', candidate: 'candidate', leader: 'leader'} as const;
--- a/packages/routing/route-store/src/core-member.ts
+++ b/packages/routing/route-store/src/core-member.ts
@@ -46,6 +46,9 @@
 const silentLearnerMs = 10_000;
 /** Time after the start at which a founder is chosen among the known members when no seed is one. */
 const seedlessFounderMs = 2500;
+/** After a stop of all members nobody leads; the first wait only has to cover the links' opening. */
+const firstElectionMinMs = 120;
+const firstElectionMaxMs = 400;
 const snapshotRecords = 64; // A record holds a whole configuration, up to some hundred kilobytes.
 
 export class CoreMemberError extends HickorytrackError {}
@@ -59,6 +62,7 @@
 	readonly #applicants = new Map<string, {folder: string; askedAt: number}>();
 	#log: ReplicatedLog | undefined;
 	#folder = '';
+	#unannounced: StoredConfiguration | undefined;
 	#wasLeader = false;
 	#ledSince = Number.POSITIVE_INFINITY;
 	#isJoining = false;
@@ -67,7 +71,9 @@
 	constructor(opts: CoreMemberOptions) {
 		this.#opts = opts;
 		this.#startedAt = opts.clock.monotonic();
-		this.store = new RouteStore(opts.onStored);
+		this.store = new RouteStore(stored => {
+			this.#announceStored(stored);
+		});
 		const {mesh} = opts;
 		mesh.peers.handle('log.message', async ({payload}) => ({payload: await this.#handleMessage(payload as MemberMessage)}));
 		mesh.peers.handle('core.join', ({address, folder}) => {
@@ -154,10 +160,22 @@
 		return {status: this.#log?.getStatus(), version: this.store.held?.version, applicants: [...this.#applicants.keys()]};
 	}
 
+	/** After a start, many records are applied in one turn; only the newest configuration matters. */
+	#announceStored(stored: StoredConfiguration): void {
+		const isWaiting = this.#unannounced !== undefined;
+		this.#unannounced = stored;
+		if (!isWaiting) {
+			queueMicrotask(() => {
+				this.#opts.onStored(this.#unannounced!);
+				this.#unannounced = undefined;
+			});
+		}
+	}
+
 	async #openLog(initialMembers: MemberInfo[]): Promise<Result<void, LogStorageError>> {
 		const {clock, random, storage, mesh} = this.#opts;
 		const log = new ReplicatedLog({
-			id: mesh.address, initialMembers, storage, clock, random, stateMachine: this.store, timing: {snapshotRecords}, transport: {
+			id: mesh.address, initialMembers, storage, clock, random, stateMachine: this.store, timing: {snapshotRecords, firstElectionMinMs, firstElectionMaxMs}, transport: {
 				call: async (to, message, timeoutMs) => this.#callMember(to, message, timeoutMs),
 			},
 		});
