feat(load-sharing): relays where there are many instances

Cause: every edge told every other one its load, up to fifty times a second.

Ruled out: the servers.

Change: beyond eight peers a leaf tells one relay of its zone (members of the core, spread by hash), relays tell each other the sum of their region, a leaf gets the sum of everybody else. A silent relay is left after 0.9 s. Shares are tuples. The board keeps its sum, so that reading one server does not visit every instance. Unit tests: sums in a crowd, messages a turn, a lost relay, back to few instances.

A share still lists all servers that are busy; for thousands of servers a region would need changes only.

--- a/packages/core/events/src/event-catalogue.ts
+++ b/packages/core/events/src/event-catalogue.ts
@@ -173,6 +173,9 @@
 	spreadIncomplete: {
 		number: 1744, level: 'warn', text: 'Not every instance has confirmed that a server leaves', action: 'Look at the lost members.',
 	},
+	relayChosen: {
+		number: 1745, level: 'info', text: 'Load is shared through another relay', action: 'Look at the former relay if it repeats.',
+	},
 	forwardAnswered: {
 		number: 1751, level: 'info', text: 'A request was answered (a sample)', action: none,
 	},
--- a/packages/core/types/src/peer-methods.ts
+++ b/packages/core/types/src/peer-methods.ts
@@ -128,12 +128,32 @@
 	stage?: 'prefill' | 'decode';
 };
 
-/** Work that one instance has sent to servers and that has not ended: prompt tokens to read, requests, and those with long answers. */
+/** One server's work in flight. A tuple, because shares are the most frequent messages between instances. */
+export type LoadEntry = [server: string, promptTokens: number, requests: number, streams: number];
+
+/** Whose load a share holds, and what the receiver does with it. */
+export const shareScopes = {
+	/** The sender's; the receiver counts it. */
+	own: 'own',
+	/** The sender's; the receiver counts it, passes it on, and tells the sender the load of all others. */
+	leaf: 'leaf',
+	/** The sender's and that of its leaves; one relay tells it to another. */
+	region: 'region',
+	/** That of all instances but the receiver; a relay tells it to a leaf. */
+	rest: 'rest',
+} as const;
+
+export type ShareScope = typeof shareScopes[keyof typeof shareScopes];
+
+/** Prompts that a server has read or taken over. */
+export type StoredPrompt = {server: string; parts: Array<{id: string; tokens: number}>};
+
+/** Work that instances have sent to servers and that has not ended, and what servers have stored since the last share. */
 export type LoadShare = {
 	instance: string;
-	servers: Array<{id: string; promptTokens: number; requests: number; streams: number}>;
-	/** Prompts that servers have read or taken over since the last share. */
-	stored: Array<{server: string; parts: Array<{id: string; tokens: number}>}>;
+	scope: ShareScope;
+	servers: LoadEntry[];
+	stored: StoredPrompt[];
 };
 
 /** Parameters and result by method name. Notifications have the result `void`. */
--- a/packages/plugins/edge/src/edge.ts
+++ b/packages/plugins/edge/src/edge.ts
@@ -12,6 +12,7 @@
 } from '@hickorytrack/endpoint-registry';
 import {HickorytrackError, describeError} from '@hickorytrack/errors';
 import type {EventLog} from '@hickorytrack/events';
+import {LoadSharing} from '@hickorytrack/load-sharing';
 import type {LogStorage} from '@hickorytrack/log-storage';
 import {Mesh} from '@hickorytrack/mesh';
 import {parseAddress, PeerNode} from '@hickorytrack/peer-link/peer-node';
@@ -28,6 +29,7 @@
 import type {StoredConfiguration, StoreOutcome} from '@hickorytrack/route-store';
 import {RouteTable} from '@hickorytrack/route-table';
 import {requestKinds, type RouteConfiguration} from '@hickorytrack/route-table/route-types';
+import type {StoredPrompt} from '@hickorytrack/types/peer-methods';
 import {requestOutcomes, type CallerRequest, type RequestEnd} from './caller-request.js';
 import {sendOwnAnswer} from './answers.js';
 import {DecisionLog} from './decision-log.js';
@@ -80,10 +82,6 @@
 
 const peerTiming: PeerTiming = {heartbeatMs: 300, silenceMs: 1000, requestTimeoutMs: 1500};
 const connectTimeoutMs = 500; // A new connection takes some milliseconds; the rest is for one lost packet.
-/** Interval at which changed load is shared. */
-const shareMs = 20;
-/** Unchanged load is shared at this interval, because shares lapse. */
-const forcedShareMs = 400;
 /** Reports that a server may miss before it is no longer used. */
 const missedReports = 5;
 /** Bound of the wait until the other instances know of a server that leaves. */
@@ -111,6 +109,7 @@
 	readonly #board: LoadBoard;
 	readonly #cache: FleetCache;
 	readonly #usage: PartUsage;
+	readonly #sharing: LoadSharing;
 	readonly #ended = new AbortController();
 	#routes: RouteTable | undefined;
 	#isStopping = false;
@@ -140,9 +139,10 @@
 		this.#board = new LoadBoard(clock);
 		this.#usage = new PartUsage(clock);
 		this.#cache = new FleetCache({readCapacity: service => this.#readCapacity(service)});
+		this.#sharing = this.#createSharing();
 		this.#context = this.#createContext();
 		this.#front = new FrontServer({
-			clock, random, codec, unreadyRetryAfterMs: defaultRetryAfterMs, getRoutes: () => this.configuration.isConfirmed ? this.#routes : undefined, run: async request => this.#run(request),
+			clock, random, codec, unreadyRetryAfterMs: defaultRetryAfterMs, getRoutes: () => this.configuration.isConfirmed ? this.#routes : undefined, run: async request => this.#run(request)
 		});
 		this.#addPeerMethods();
 		opts.metrics.onRead(() => {
@@ -173,7 +173,7 @@
 		// A slow disk must not keep the front waiting.
 		void this.#core?.run();
 		this.configuration.start(this.#core);
-		void this.#shareLoad();
+		void this.#sharing.run(this.#ended.signal);
 		events.emit('edgeStarted', {instance: settings.instance, isCore: this.#core !== undefined, isFirstStart: settings.isFirstStart});
 		return ok(undefined);
 	}
@@ -255,6 +255,7 @@
 			openRequests: this.#front.openRequests,
 			configuration: this.configuration.dump(),
 			members: this.mesh.listMembers().map(member => member.instance),
+			relay: this.#sharing.relay,
 			servers: this.registry.list().map(server => ({...server, load: this.#board.read(server.id)})),
 			linesDropped: this.#context.decisions.droppedTotal,
 		};
@@ -310,12 +311,8 @@
 
 			return {count: reports.length};
 		});
-		this.#peers.handle('load.share', share => {
-			this.#board.noteShare(share);
-			this.#cache.noteStored(share.stored, id => this.registry.find(id));
-			for (const {parts} of share.stored) {
-				this.#usage.note(parts.slice(0, -1));
-			}
+		this.#peers.handle('load.share', (share, connection) => {
+			this.#sharing.receive(share, connection);
 		});
 		this.#peers.handle('poison.note', ({fingerprint, crash}) => {
 			this.#context.poison.noteCrash(fingerprint, crash);
@@ -344,17 +341,26 @@
 		}
 	}
 
-	async #shareLoad(): Promise<void> {
-		const {clock, settings} = this.#opts;
-		let forcedAt = 0;
-		while (!this.#ended.signal.aborted) {
-			await clock.sleep(shareMs, this.#ended.signal);
-			const isForced = clock.monotonic() - forcedAt > forcedShareMs;
-			const share = this.#board.takeShare(settings.instance, {isForced});
-			if (share) {
-				forcedAt = isForced ? clock.monotonic() : forcedAt;
-				this.mesh.broadcast('load.share', {...share, stored: this.#cache.takeUnsent()});
-			}
+	#createSharing(): LoadSharing {
+		const {clock, events} = this.#opts;
+		return new LoadSharing({
+			clock,
+			events,
+			board: this.#board,
+			cache: this.#cache,
+			member: this.#peers.member,
+			relayRole: coreRole,
+			listPeers: () => this.mesh.listConnections(),
+			noteStored: stored => {
+				this.#noteStored(stored);
+			},
+		});
+	}
+
+	#noteStored(stored: readonly StoredPrompt[]): void {
+		this.#cache.noteStored(stored, id => this.registry.find(id));
+		for (const {parts} of stored) {
+			this.#usage.note(parts.slice(0, -1));
 		}
 	}
 
@@ -408,12 +414,28 @@
 			firstByteMs: roundMs(end.firstByteMs),
 			predictedMs: roundMs(end.predictedMs),
 		};
-		if (end.outcome === requestOutcomes.answered) {
-			decisions.noteAnswered(fields);
-		} else if (end.outcome === requestOutcomes.refused) {
-			decisions.note('forwardRefused', fields);
-		} else if (end.outcome !== requestOutcomes.callerGone) {
-			decisions.note('forwardFailed', fields);
+		switch (end.outcome) {
+			case requestOutcomes.answered: {
+				decisions.noteAnswered(fields);
+
+				break;
+			}
+
+			case requestOutcomes.refused: {
+				decisions.note('forwardRefused', fields);
+
+				break;
+			}
+
+			case requestOutcomes.callerGone: {
+				decisions.note('callerLeft', fields);
+
+				break;
+			}
+
+			default: {
+				decisions.note('forwardFailed', fields);
+			}
 		}
 	}
 
--- /dev/null
+++ b/packages/routing/load-sharing/test/load-sharing.test.ts
@@ -0,0 +1,148 @@
+import {expect} from 'chai';
+import {ManualClock} from '@hickorytrack/clock/manual-clock';
+import type {KnownServer} from '@hickorytrack/endpoint-registry';
+import {EventLog} from '@hickorytrack/events';
+import {FleetCache} from '@hickorytrack/prompt-placement/fleet-cache';
+import {LoadBoard} from '@hickorytrack/prompt-placement/load-board';
+import type {LoadShare, PeerMember, StoredPrompt} from '@hickorytrack/types/peer-methods';
+import {LoadSharing, shareMs, type SharePeer} from '../src/load-sharing.js';
+
+const zones = ['north', 'south'];
+const server: KnownServer = {
+	id: 'server', startedAt: 0, sequence: 1, service: 'm', address: '10.1.0.1:1', availabilityZone: 'north', slots: 8, state: 'ready', coldMs: 0, heardAt: 0, order: 1,
+};
+
+class Instance {
+	readonly member: PeerMember;
+	readonly board: LoadBoard;
+	readonly cache = new FleetCache({readCapacity: () => 100_000});
+	readonly stored: StoredPrompt[] = [];
+	readonly sharing: LoadSharing;
+	isAlive = true;
+
+	constructor(fleet: Fleet, index: number, isRelay: boolean) {
+		const events = new EventLog({clock: fleet.clock});
+		this.member = {
+			instance: `edge-${index}`, availabilityZone: zones[index % zones.length]!, roles: isRelay ? ['edge', 'core'] : ['edge'], address: `10.0.0.${index}:1`, incarnation: 'a',
+		};
+		this.board = new LoadBoard(fleet.clock);
+		this.sharing = new LoadSharing({
+			clock: fleet.clock, board: this.board, cache: this.cache, member: this.member, relayRole: 'core', listPeers: () => fleet.listPeers(this), events, noteStored: stored => {
+				this.stored.push(...stored);
+			},
+		});
+	}
+}
+
+/** Instances on links without delay, which count messages and bytes. */
+class Fleet {
+	readonly clock = new ManualClock();
+	readonly instances: Instance[];
+	messages = 0;
+	readonly bytesSent = new Map<string, number>();
+
+	constructor(count: number, relays: number) {
+		this.instances = Array.from({length: count}, (_, index) => new Instance(this, index, index < relays));
+	}
+
+	listPeers(from: Instance): SharePeer[] {
+		return this.instances.filter(to => to !== from).map(to => this.#createPeer(from, to));
+	}
+
+	async step(rounds: number): Promise<void> {
+		for (let round = 0; round < rounds; round++) {
+			await this.clock.advance(shareMs);
+			for (const instance of this.instances) {
+				if (instance.isAlive) {
+					instance.sharing.share();
+				}
+			}
+		}
+	}
+
+	#createPeer(from: Instance, to: Instance): SharePeer {
+		return {
+			remote: to.member, isOpen: true, notify: (_method, share: LoadShare) => {
+				const text = JSON.stringify(share);
+				this.messages++;
+				this.bytesSent.set(from.member.instance, (this.bytesSent.get(from.member.instance) ?? 0) + text.length);
+				if (to.isAlive) {
+					to.sharing.receive(JSON.parse(text) as LoadShare, this.#createPeer(to, from));
+				}
+			},
+		};
+	}
+}
+
+describe('load sharing', () => {
+	for (const count of [4, 40]) {
+		it(`tells each of ${count} instances what all others have in flight`, async () => {
+			const fleet = new Fleet(count, 3);
+			for (const instance of fleet.instances) {
+				instance.board.add('server', 10);
+			}
+
+			await fleet.step(5);
+			for (const {board} of fleet.instances) {
+				expect(board.read('server')).to.deep.equal({promptTokens: 10 * count, requests: count, streams: 0});
+			}
+		});
+
+		it(`tells each of ${count} instances once what another one's server has stored`, async () => {
+			const fleet = new Fleet(count, 3);
+			await fleet.step(2);
+			fleet.instances[3]!.cache.store(server, [{id: 'part', tokens: 9}]);
+			fleet.instances[3]!.board.add('server', 10);
+			await fleet.step(5);
+			for (const instance of fleet.instances) {
+				expect(instance.stored).to.have.length(instance === fleet.instances[3] ? 0 : 1);
+			}
+		});
+	}
+
+	// Pattern: many small machines with narrow links, each of which takes a few requests a second.
+	it('has a leaf send one message a turn, however many instances there are', async () => {
+		const fleet = new Fleet(40, 3);
+		await fleet.step(5);
+		fleet.messages = 0;
+		for (const instance of fleet.instances) {
+			instance.board.add('server', 10);
+		}
+
+		await fleet.step(1);
+		const relays = 3;
+		const leaves = 37;
+		expect(fleet.messages).to.be.at.most((leaves * 2) + (relays * (relays - 1)));
+	});
+
+	it('turns to another relay when its own falls silent, and counts nobody twice afterwards', async () => {
+		const fleet = new Fleet(20, 2);
+		for (const instance of fleet.instances) {
+			instance.board.add('server', 10);
+		}
+
+		await fleet.step(5);
+		const [lost, kept] = fleet.instances;
+		lost!.isAlive = false;
+		await fleet.step(200);
+		for (const {sharing, board, isAlive} of fleet.instances.slice(2)) {
+			expect(isAlive && sharing.relay).to.equal(kept!.member.instance);
+			expect(board.read('server').requests).to.equal(19);
+		}
+	});
+
+	it('comes back to direct shares when few instances are left', async () => {
+		const fleet = new Fleet(12, 3);
+		for (const instance of fleet.instances) {
+			instance.board.add('server', 10);
+		}
+
+		await fleet.step(5);
+		fleet.instances.splice(5);
+		await fleet.step(100);
+		for (const {sharing, board} of fleet.instances) {
+			expect(sharing.relay).to.equal(undefined);
+			expect(board.read('server').requests).to.equal(5);
+		}
+	});
+});
--- a/packages/routing/prompt-placement/src/fleet-cache.ts
+++ b/packages/routing/prompt-placement/src/fleet-cache.ts
@@ -4,14 +4,9 @@
  * there after all is read again.
  */
 import type {KnownServer} from '@hickorytrack/endpoint-registry';
+import type {StoredPrompt} from '@hickorytrack/types/peer-methods';
 import type {PromptPart} from './prompt.js';
 
-/** Parts of a prompt that a server has stored or used, in order. */
-export type StoredPrompt = {
-	server: string;
-	parts: PromptPart[];
-};
-
 export type FleetCacheOptions = {
 	/** Tokens that fit into the memory of a server of the service. */
 	readCapacity: (service: string) => number;
--- a/packages/routing/prompt-placement/test/prompt-placement.test.ts
+++ b/packages/routing/prompt-placement/test/prompt-placement.test.ts
@@ -142,11 +142,7 @@
 		const clock = new ManualClock();
 		const board = new LoadBoard(clock);
 		const ticket = board.add('s', 500, {isStream: true});
-		board.noteShare({
-			instance: 'other', servers: [{
-				id: 's', promptTokens: 100, requests: 2, streams: 0,
-			}],
-		});
+		board.noteShare('other', [['s', 100, 2, 0]]);
 		expect(board.read('s')).to.deep.equal({promptTokens: 600, requests: 3, streams: 1});
 		await clock.advance(1001);
 		expect(board.read('s')).to.deep.equal({promptTokens: 500, requests: 1, streams: 1});
@@ -156,12 +152,29 @@
 		expect(board.read('s')).to.deep.equal({promptTokens: 0, requests: 0, streams: 0});
 	});
 
-	it('shares only what has changed', () => {
+	it('tells once that its own load has changed', () => {
+		const board = new LoadBoard(new ManualClock());
+		expect(board.takeChange()).to.equal(false);
+		board.add('s', 5);
+		expect(board.takeChange()).to.equal(true);
+		expect(board.takeChange()).to.equal(false);
+		expect(board.listOwn()).to.deep.equal([['s', 5, 1, 0]]);
+	});
+
+	it('replaces what a source told before', () => {
+		const board = new LoadBoard(new ManualClock());
+		board.noteShare('other', [['s', 100, 2, 0], ['t', 10, 1, 1]]);
+		board.noteShare('other', [['s', 50, 1, 0]]);
+		expect(board.read('s')).to.deep.equal({promptTokens: 50, requests: 1, streams: 0});
+		expect(board.read('t')).to.deep.equal({promptTokens: 0, requests: 0, streams: 0});
+	});
+
+	it('lists the load of all but one source', () => {
 		const board = new LoadBoard(new ManualClock());
-		expect(board.takeShare('me', {isForced: false})).to.equal(undefined);
 		board.add('s', 5);
-		expect(board.takeShare('me', {isForced: false})?.servers).to.have.length(1);
-		expect(board.takeShare('me', {isForced: false})).to.equal(undefined);
-		expect(board.takeShare('me', {isForced: true})?.servers).to.have.length(1);
+		board.noteShare('one', [['s', 100, 2, 0]]);
+		board.noteShare('two', [['s', 30, 1, 1], ['t', 10, 1, 0]]);
+		expect(board.listAllBut('one')).to.have.deep.members([['s', 35, 2, 1], ['t', 10, 1, 0]]);
+		expect(board.listOwn({with: ['one']})).to.deep.equal([['s', 105, 3, 0]]);
 	});
 });
