feat(stage-control): idle generating servers read prompts, by fenced orders of the leader

Cause: reading prompts binds in bursts.

Ruled out: the cache (56 of at least 53 million tokens were read once), slots, transfers of memory, a prediction that is too careful (of 405 handed over, 26 came later than 250 ms).

Change: StageControl at the leader of the core. The fencing token is the term; a new leader waits a lease and a second, confirms its lead before each order, binds it to the server's report; an unanswered order counts as possible for 12 s; changing servers are left out everywhere. Crash probing moved out of edge.ts.

--- a/packages/core/events/src/event-catalogue.ts
+++ b/packages/core/events/src/event-catalogue.ts
@@ -176,6 +176,9 @@
 	relayChosen: {
 		number: 1745, level: 'info', text: 'Load is shared through another relay', action: 'Look at the former relay if it repeats.',
 	},
+	stageOrdered: {
+		number: 1746, level: 'info', text: 'A server was ordered to read prompts or to generate', action: 'For conflict or overtaken, look whether another system gives orders too.',
+	},
 	forwardAnswered: {
 		number: 1751, level: 'info', text: 'A request was answered (a sample)', action: none,
 	},
--- a/packages/core/types/src/peer-methods.ts
+++ b/packages/core/types/src/peer-methods.ts
@@ -188,6 +188,8 @@
 	'configuration.put': {params: {stored: ConfigurationDocument}; result: {outcome?: 'stored' | 'same' | 'overtaken' | 'conflict'}};
 	'configuration.read': {params: Record<string, never>; result: {isConfirmed: boolean; stored?: ConfigurationDocument}};
 	'registry.note': {params: {reports: ServerRecord[]}; result: {count: number}};
+	/** A server was ordered to change its stage; it is left out until its reports show it. */
+	'stage.note': {params: {server: string; startedAt: number; stage: 'prefill' | 'decode'}; result: void};
 	'load.share': {params: LoadShare; result: void};
 	'poison.note': {params: {fingerprint: string; crash: string}; result: void};
 	'state.dump': {params: Record<string, never>; result: {state: unknown}};
--- /dev/null
+++ b/packages/plugins/edge/src/crash-watch.ts
@@ -0,0 +1,60 @@
+/** Finds out whether a server that broke off has crashed, and tells all instances which request it was running. */
+import {connect} from 'node:net';
+import type {Clock} from '@hickorytrack/clock';
+import type {KnownServer} from '@hickorytrack/endpoint-registry';
+import type {Mesh} from '@hickorytrack/mesh';
+import {parseAddress} from '@hickorytrack/peer-link/peer-node';
+import type {CallerRequest} from './caller-request.js';
+import type {DecisionLog} from './decision-log.js';
+import type {PoisonWatch} from './poison-watch.js';
+
+const crashProbeDelayMs = 30; // A process that crashed has closed its listener by then.
+const crashProbeTimeoutMs = 300;
+
+export type CrashWatchOptions = {
+	clock: Clock;
+	mesh: Mesh;
+	poison: PoisonWatch;
+	decisions: DecisionLog;
+};
+
+export class CrashWatch {
+	readonly #opts: CrashWatchOptions;
+
+	constructor(opts: CrashWatchOptions) {
+		this.#opts = opts;
+	}
+
+	async noteBreak(request: CallerRequest, server: KnownServer): Promise<void> {
+		const {clock, mesh, poison, decisions} = this.#opts;
+		await clock.sleep(crashProbeDelayMs);
+		if (await isListening(server.address)) {
+			return;
+		}
+
+		const crash = `${server.id}/${server.startedAt}`;
+		poison.noteCrash(request.fingerprint, crash);
+		mesh.broadcast('poison.note', {fingerprint: request.fingerprint, crash});
+		decisions.note('crashSuspected', {request: request.marks.requestId, server: server.id});
+	}
+}
+
+async function isListening(address: string): Promise<boolean> {
+	return new Promise(resolve => {
+		const socket = connect({...parseAddress(address), timeout: crashProbeTimeoutMs});
+		const finish = (isOpen: boolean) => {
+			socket.destroy();
+			resolve(isOpen);
+		};
+
+		socket.on('connect', () => {
+			finish(true);
+		});
+		socket.on('timeout', () => {
+			finish(false);
+		});
+		socket.on('error', () => {
+			finish(false);
+		});
+	});
+}
--- a/packages/plugins/edge/src/edge.ts
+++ b/packages/plugins/edge/src/edge.ts
@@ -3,7 +3,6 @@
  * servers together with the other instances, and runs each request. On a machine of the core it holds a member of the
  * replicated configuration too.
  */
-import {connect} from 'node:net';
 import {err, ok, type Result} from 'neverthrow';
 import type {Clock} from '@hickorytrack/clock';
 import {EndpointClient} from '@hickorytrack/endpoint-client';
@@ -29,9 +28,12 @@
 import type {StoredConfiguration, StoreOutcome} from '@hickorytrack/route-store';
 import {RouteTable} from '@hickorytrack/route-table';
 import {requestKinds, type RouteConfiguration} from '@hickorytrack/route-table/route-types';
+import {StageControl} from '@hickorytrack/stage-control';
+import {FollowMix, KeepStages} from '@hickorytrack/stage-control/stage-planner';
 import type {StoredPrompt} from '@hickorytrack/types/peer-methods';
 import {requestOutcomes, type CallerRequest, type RequestEnd} from './caller-request.js';
 import {sendOwnAnswer} from './answers.js';
+import {CrashWatch} from './crash-watch.js';
 import {DecisionLog} from './decision-log.js';
 import {FrontServer, type TurnedAway} from './front-server.js';
 import {PlainRun} from './plain-run.js';
@@ -41,10 +43,17 @@
 import {RetryShares} from './retry-shares.js';
 import {defaultRetryAfterMs, type RunContext} from './run-context.js';
 import {ServerHealth} from './server-health.js';
+import {EdgeStageClient} from './stage-client.js';
 
 /** The role under which edges present themselves to other instances. */
 export const edgeRole = 'edge';
 
+/** Planners of the servers' stages by the name that settings use. */
+export const stagePlanners = {
+	'follow-mix': new FollowMix(),
+	'keep-stages': new KeepStages(),
+} as const;
+
 export type EdgeSettings = {
 	instance: string;
 	availabilityZone: string;
@@ -62,6 +71,9 @@
 	retryRatio: number;
 	retryAllowance: number;
 	retryWindowMs: number;
+	/** Time for which an order to a server may still count, in milliseconds. */
+	leaseMs: number;
+	stagePlanner: keyof typeof stagePlanners;
 	/** Time from the stop signal until the process is ended, in milliseconds. */
 	graceMs: number;
 };
@@ -86,8 +98,6 @@
 const missedReports = 5;
 /** Bound of the wait until the other instances know of a server that leaves. */
 const spreadTimeoutMs = 400;
-const crashProbeDelayMs = 30;
-const crashProbeTimeoutMs = 300;
 /** Share of a server's connections that all instances together use. */
 const usedConnectionShare = 0.8;
 /** Time kept back from the grace period for closing down. */
@@ -110,6 +120,8 @@
 	readonly #cache: FleetCache;
 	readonly #usage: PartUsage;
 	readonly #sharing: LoadSharing;
+	readonly #crashes: CrashWatch;
+	readonly #stages: StageControl | undefined;
 	readonly #ended = new AbortController();
 	#routes: RouteTable | undefined;
 	#isStopping = false;
@@ -141,6 +153,10 @@
 		this.#cache = new FleetCache({readCapacity: service => this.#readCapacity(service)});
 		this.#sharing = this.#createSharing();
 		this.#context = this.#createContext();
+		this.#crashes = new CrashWatch({
+			clock, mesh: this.mesh, poison: this.#context.poison, decisions: this.#context.decisions,
+		});
+		this.#stages = this.#core && this.#createStageControl(this.#core);
 		this.#front = new FrontServer({
 			clock, random, codec, unreadyRetryAfterMs: defaultRetryAfterMs, getRoutes: () => this.configuration.isConfirmed ? this.#routes : undefined, run: async request => this.#run(request), onTurnedAway: turned => {
 				this.#noteTurnedAway(turned);
@@ -176,6 +192,7 @@
 		void this.#core?.run();
 		this.configuration.start(this.#core);
 		void this.#sharing.run(this.#ended.signal);
+		void this.#stages?.run(this.#ended.signal);
 		events.emit('edgeStarted', {instance: settings.instance, isCore: this.#core !== undefined, isFirstStart: settings.isFirstStart});
 		return ok(undefined);
 	}
@@ -258,6 +275,7 @@
 			configuration: this.configuration.dump(),
 			members: this.mesh.listMembers().map(member => member.instance),
 			relay: this.#sharing.relay,
+			stages: this.#stages?.dump(),
 			servers: this.registry.list().map(server => ({...server, load: this.#board.read(server.id)})),
 			linesDropped: this.#context.decisions.droppedTotal,
 		};
@@ -287,7 +305,7 @@
 			availabilityZone: settings.availabilityZone,
 			readConnectionLimit: service => this.#readConnectionLimit(service),
 			onBreak: (request, server) => {
-				void this.#noteBreak(request, server);
+				void this.#crashes.noteBreak(request, server);
 			},
 		};
 	}
@@ -316,6 +334,9 @@
 		this.#peers.handle('load.share', (share, connection) => {
 			this.#sharing.receive(share, connection);
 		});
+		this.#peers.handle('stage.note', ({server, ...awaited}) => {
+			this.registry.awaitStage(server, awaited);
+		});
 		this.#peers.handle('poison.note', ({fingerprint, crash}) => {
 			this.#context.poison.noteCrash(fingerprint, crash);
 		});
@@ -343,6 +364,31 @@
 		}
 	}
 
+	#createStageControl(core: CoreMember): StageControl {
+		const {clock, events, codec, settings} = this.#opts;
+		return new StageControl({
+			clock,
+			events,
+			registry: this.registry,
+			planner: stagePlanners[settings.stagePlanner],
+			client: new EdgeStageClient({clock, codec, client: this.#context.client}),
+			leadership: {
+				get ledForMs() {
+					return core.ledForMs;
+				},
+				confirm: async () => core.confirmLead(),
+			},
+			holder: settings.instance,
+			leaseMs: settings.leaseMs,
+			listServices: () => (this.#routes?.configuration.services ?? []).filter(service => service.modelServer).map(service => service.name),
+			readLoad: server => this.#board.read(server),
+			announce: (server, stage) => {
+				this.registry.awaitStage(server.id, {startedAt: server.startedAt, stage});
+				this.mesh.broadcast('stage.note', {server: server.id, startedAt: server.startedAt, stage});
+			},
+		});
+	}
+
 	#createSharing(): LoadSharing {
 		const {clock, events} = this.#opts;
 		return new LoadSharing({
@@ -445,41 +491,8 @@
 		this.#opts.metrics.count('turned_away_total', {reason: turned.reason});
 		this.#context.decisions.note('turnedAway', {request: requestId, version: this.configuration.held?.version, ...turned});
 	}
-
-	/** Finds out whether a server that broke off has crashed, and tells all instances which request it was running. */
-	async #noteBreak(request: CallerRequest, server: KnownServer): Promise<void> {
-		await this.#opts.clock.sleep(crashProbeDelayMs);
-		if (await isListening(server.address)) {
-			return;
-		}
-
-		const crash = `${server.id}/${server.startedAt}`;
-		this.#context.poison.noteCrash(request.fingerprint, crash);
-		this.mesh.broadcast('poison.note', {fingerprint: request.fingerprint, crash});
-		this.#context.decisions.note('crashSuspected', {request: request.marks.requestId, server: server.id});
-	}
 }
 
 function roundMs(ms: number | undefined): number | undefined {
 	return ms === undefined ? undefined : Math.round(ms);
 }
-
-async function isListening(address: string): Promise<boolean> {
-	return new Promise(resolve => {
-		const socket = connect({...parseAddress(address), timeout: crashProbeTimeoutMs});
-		const finish = (isOpen: boolean) => {
-			socket.destroy();
-			resolve(isOpen);
-		};
-
-		socket.on('connect', () => {
-			finish(true);
-		});
-		socket.on('timeout', () => {
-			finish(false);
-		});
-		socket.on('error', () => {
-			finish(false);
-		});
-	});
-}
--- a/packages/plugins/edge/src/request-codec.ts
+++ b/packages/plugins/edge/src/request-codec.ts
@@ -2,9 +2,11 @@
  * What the edge needs to know of the headers that callers and servers use. A deployment supplies the codec; the edge
  * itself knows no header by name.
  */
+import type {Buffer} from 'node:buffer';
 import type {AnswerHead} from '@hickorytrack/endpoint-client';
 import type {KnownServer} from '@hickorytrack/endpoint-registry';
 import type {Prompt} from '@hickorytrack/prompt-placement/prompt';
+import type {OrderOutcome, ServerCondition, StageOrder} from '@hickorytrack/stage-control';
 
 /** What a caller's headers say. */
 export type CallerMarks = {
@@ -56,6 +58,9 @@
 export type SystemCall = {
 	method: string;
 	path: string;
+	/** Names and values in turn. */
+	headers?: string[];
+	body?: Buffer;
 };
 
 export type RequestCodec = {
@@ -66,6 +71,13 @@
 	readHandle(address: string, body: string): ReadHandle | undefined;
 	/** The call that frees memory nobody will take. */
 	composeRelease(handle: ReadHandle): SystemCall;
+	/** The call that asks a server for its condition. */
+	composeConditionCall(server: string): SystemCall;
+	/** Reads a server's condition; undefined when the bytes are none. */
+	readCondition(body: string): ServerCondition | undefined;
+	/** The call that orders a server to change its stage. */
+	composeStageOrder(server: string, order: StageOrder): SystemCall;
+	readOrderOutcome(status: number): OrderOutcome;
 	/** Headers of a refusal that tell the caller when to come back. */
 	writeRetryAfter(ms: number): Record<string, string>;
 };
--- /dev/null
+++ b/packages/plugins/edge/src/stage-client.ts
@@ -0,0 +1,49 @@
+/** Calls to servers about their stage, over the connections that requests use too. */
+import {Buffer} from 'node:buffer';
+import type {Clock} from '@hickorytrack/clock';
+import type {EndpointClient} from '@hickorytrack/endpoint-client';
+import type {KnownServer} from '@hickorytrack/endpoint-registry';
+import {
+	orderOutcomes, type OrderOutcome, type ServerCondition, type StageClient, type StageOrder,
+} from '@hickorytrack/stage-control';
+import {attemptEnds, runAttempt, type AttemptResult} from './attempt.js';
+import type {RequestCodec, SystemCall} from './request-codec.js';
+
+/** A server answers such a call in some milliseconds; one that doesn't is asked again later. */
+const callTimeoutMs = 500;
+/** Connections to one server for these calls; there is one call at a time. */
+const connectionLimit = 2;
+
+export class EdgeStageClient implements StageClient {
+	readonly #opts: {clock: Clock; client: EndpointClient; codec: RequestCodec};
+
+	constructor(opts: {clock: Clock; client: EndpointClient; codec: RequestCodec}) {
+		this.#opts = opts;
+	}
+
+	async readCondition(server: KnownServer): Promise<ServerCondition | undefined> {
+		const {codec} = this.#opts;
+		const result = await this.#call(server, codec.composeConditionCall(server.id));
+		const isWhole = result.end === attemptEnds.answered && result.head?.status === 200;
+		return isWhole ? codec.readCondition(result.body.toString()) : undefined;
+	}
+
+	async order(server: KnownServer, order: StageOrder): Promise<OrderOutcome> {
+		const {codec} = this.#opts;
+		const result = await this.#call(server, codec.composeStageOrder(server.id, order));
+		if (result.end === attemptEnds.answered) {
+			return codec.readOrderOutcome(result.head!.status);
+		}
+
+		return result.isWritten ? orderOutcomes.unknown : orderOutcomes.refused;
+	}
+
+	async #call(server: KnownServer, {method, path, headers, body}: SystemCall): Promise<AttemptResult> {
+		const {clock, client} = this.#opts;
+		return runAttempt(client, server.address, {
+			clock, gone: new AbortController().signal, maxMs: callTimeoutMs, request: {
+				method, path, headers: headers ?? [], body: body ?? Buffer.alloc(0), isProvenWanted: true, connectionLimit,
+			},
+		});
+	}
+}
--- a/packages/routing/endpoint-registry/src/endpoint-registry.ts
+++ b/packages/routing/endpoint-registry/src/endpoint-registry.ts
@@ -44,6 +44,15 @@
 	silentMs: number;
 };
 
+/** A server that was ordered to change its stage is used again after this time, whatever its reports say. */
+const stageTimeoutMs = 12_000;
+
+type AwaitedStage = {
+	startedAt: number;
+	stage: ServerStage;
+	until: number;
+};
+
 /** Servers that left or fell silent are remembered this long, against late reports. */
 const rememberMs = 120_000;
 
@@ -51,6 +60,8 @@
 	readonly #opts: RegistryOptions;
 	readonly #servers = new Map<string, KnownServer>();
 	readonly #byService = new Map<string, KnownServer[]>();
+	/** Stages that servers were ordered to have. */
+	readonly #awaitedStages = new Map<string, AwaitedStage>();
 	#starts = 0;
 
 	constructor(opts: RegistryOptions) {
@@ -90,8 +101,19 @@
 		return left;
 	}
 
+	/** Leaves a server out until its reports show the stage that it was ordered to have. */
+	awaitStage(id: string, awaited: {startedAt: number; stage: ServerStage}): void {
+		this.#awaitedStages.set(id, {...awaited, until: this.#opts.clock.monotonic() + stageTimeoutMs});
+	}
+
 	/** Lists the servers of a service that may be sent new requests. */
 	listUsable(service: string): KnownServer[] {
+		const ready = this.listReady(service);
+		return this.#awaitedStages.size === 0 ? ready : ready.filter(server => !this.#isChanging(server));
+	}
+
+	/** Lists the servers of a service that are ready, also those that are changing their stage. */
+	listReady(service: string): KnownServer[] {
 		const now = this.#opts.clock.monotonic();
 		let servers = this.#byService.get(service);
 		if (!servers) {
@@ -118,6 +140,20 @@
 		return [...this.#servers.values()].sort((a, b) => a.order - b.order).map(server => describe(server));
 	}
 
+	#isChanging(server: KnownServer): boolean {
+		const awaited = this.#awaitedStages.get(server.id);
+		if (!awaited) {
+			return false;
+		}
+
+		const isOver = awaited.startedAt !== server.startedAt || awaited.stage === server.stage || this.#opts.clock.monotonic() > awaited.until;
+		if (isOver) {
+			this.#awaitedStages.delete(server.id);
+		}
+
+		return !isOver;
+	}
+
 	/** Without known starts, the server that became known last holds the address. */
 	#isOvertakenAtItsAddress(server: KnownServer): boolean {
 		for (const other of this.#servers.values()) {
--- a/packages/routing/route-store/src/core-member.ts
+++ b/packages/routing/route-store/src/core-member.ts
@@ -94,6 +94,23 @@
 		return this.#log?.term ?? 0;
 	}
 
+	/** Time for which this member has led without a break, in milliseconds; undefined while it does not lead. */
+	get ledForMs(): number | undefined {
+		return this.isLeader && this.#wasLeader ? this.#opts.clock.monotonic() - this.#ledSince : undefined;
+	}
+
+	/** Returns the term once a majority has confirmed that this member leads; undefined when it may not. */
+	async confirmLead(): Promise<number | undefined> {
+		const log = this.#log;
+		if (!log?.isLeader) {
+			return undefined;
+		}
+
+		const {term} = log;
+		const confirmed = await log.readBarrier({timeoutMs: readTimeoutMs});
+		return confirmed.isOk() && log.isLeader && log.term === term ? term : undefined;
+	}
+
 	/**
 	 * Opens the log and takes part in the core. A disk that fails is tried again until it works; a log that is corrupt is
 	 * dropped, and this member joins again as one whose disk was lost.
--- /dev/null
+++ b/packages/routing/stage-control/src/stage-control.ts
@@ -0,0 +1,226 @@
+/**
+ * Carries out the planner's changes. Only the leader of the core gives orders, under its term, which no other leader ever
+ * has; it waits out a lease first, so that orders of two leaders never mix. Before an order it reads the server's own
+ * report, and the order holds only as long as nobody else has changed the server since. An order without an answer may
+ * still be carried out later, so its server counts as changing until its reports show the stage.
+ */
+import type {Clock} from '@hickorytrack/clock';
+import type {EndpointRegistry, KnownServer, ServerStage} from '@hickorytrack/endpoint-registry';
+import type {EventLog} from '@hickorytrack/events';
+import type {StageChange, StagePlanner, StageServer} from './stage-planner.js';
+import {WorkObserver} from './work-observer.js';
+
+/** The core's leadership as this instance sees it. */
+export type Leadership = {
+	/** Time for which this instance has led without a break, in milliseconds; undefined while it doesn't lead. */
+	readonly ledForMs: number | undefined;
+	/** Returns the term once a majority has confirmed that this instance leads. */
+	confirm(): Promise<number | undefined>;
+};
+
+export type StageOrder = {
+	stage: ServerStage;
+	holder: string;
+	fencingToken: number;
+	/** The order is void if the server has carried out another one since. */
+	expectedSequence: number;
+};
+
+export type ServerCondition = {
+	stage: ServerStage;
+	sequence: number;
+	isBusy: boolean;
+};
+
+export const orderOutcomes = {
+	accepted: 'accepted',
+	/** Another order is being carried out, or the server has changed since its report. */
+	conflict: 'conflict',
+	/** Another leader has given an order under a later term. */
+	overtaken: 'overtaken',
+	refused: 'refused',
+	/** No answer; the order may be carried out or not, now or later. */
+	unknown: 'unknown',
+} as const;
+export type OrderOutcome = typeof orderOutcomes[keyof typeof orderOutcomes];
+
+/** Calls to servers about their stage. */
+export type StageClient = {
+	readCondition(server: KnownServer): Promise<ServerCondition | undefined>;
+	order(server: KnownServer, order: StageOrder): Promise<OrderOutcome>;
+};
+
+export type StageControlOptions = {
+	clock: Clock;
+	events: EventLog;
+	registry: EndpointRegistry;
+	planner: StagePlanner;
+	client: StageClient;
+	leadership: Leadership;
+	/** Name of this instance. */
+	holder: string;
+	/** Time for which orders of a former leader may still count, in milliseconds. */
+	leaseMs: number;
+	/** Lists the services whose servers have stages. */
+	listServices: () => readonly string[];
+	readLoad: (server: string) => {streams: number; promptTokens: number};
+	/** Tells all instances that the server will have the stage, so that they leave it out until then. */
+	announce: (server: KnownServer, stage: ServerStage) => void;
+};
+
+/** Interval at which work is watched and a change considered, in milliseconds. */
+const watchMs = 100;
+/** Beyond the lease: an order of the former leader may have been on its way. */
+const leaseMarginMs = 1000;
+/** Share of a service's servers that may change at once, one at least. */
+const changingShare = 0.1;
+/** A change is given up when the server's reports don't show it by then. */
+const changeTimeoutMs = 12_000;
+/** A server that refused an order, or could not be read, is left alone for this time. */
+const retryMs = 3000;
+
+type Pending = {
+	startedAt: number;
+	stage: ServerStage;
+	until: number;
+};
+
+export class StageControl {
+	readonly #opts: StageControlOptions;
+	readonly #observers = new Map<string, WorkObserver>();
+	/** Changes under way by server. */
+	readonly #pending = new Map<string, Pending>();
+	readonly #avoidedUntil = new Map<string, number>();
+	#overtakenTerm = -1;
+
+	constructor(opts: StageControlOptions) {
+		this.#opts = opts;
+	}
+
+	async run(signal: AbortSignal): Promise<void> {
+		while (!signal.aborted) {
+			await this.#opts.clock.sleep(watchMs, signal);
+			await this.step();
+		}
+	}
+
+	/** Watches the work and, while this instance leads, has at most one change of each service begun. */
+	async step(): Promise<void> {
+		this.#settle();
+		for (const service of this.#opts.listServices()) {
+			const servers = this.#listServers(service);
+			const observer = this.#findObserver(service);
+			observer.note(servers);
+			if (this.#mayOrder() && this.#hasRoom(servers)) {
+				await this.#change(servers, observer);
+			}
+		}
+	}
+
+	dump(): unknown {
+		return {
+			pending: Object.fromEntries(this.#pending),
+			services: Object.fromEntries([...this.#observers].map(([service, {peakStreams, readingShare, isWarm}]) => [service, {peakStreams, readingShare, isWarm}])),
+		};
+	}
+
+	#mayOrder(): boolean {
+		const {ledForMs} = this.#opts.leadership;
+		return ledForMs !== undefined && ledForMs > this.#opts.leaseMs + leaseMarginMs;
+	}
+
+	#hasRoom(servers: readonly StageServer[]): boolean {
+		const changing = servers.filter(server => server.isChanging).length;
+		return changing < Math.max(1, Math.floor(servers.length * changingShare));
+	}
+
+	async #change(servers: readonly StageServer[], observer: WorkObserver): Promise<void> {
+		const {planner, registry} = this.#opts;
+		const {hasTraffic, isWarm, peakStreams, readingShare} = observer;
+		const now = this.#opts.clock.monotonic();
+		const candidates = servers.map(server => ({...server, isChanging: server.isChanging || (this.#avoidedUntil.get(server.id) ?? 0) > now}));
+		const change = planner.plan({
+			servers: candidates, hasTraffic, isWarm, peakStreams, readingShare,
+		});
+		const server = change && registry.find(change.server);
+		if (server) {
+			await this.#order(server, change);
+		}
+	}
+
+	async #order(server: KnownServer, change: StageChange): Promise<void> {
+		const {client, leadership, holder, events, clock} = this.#opts;
+		const condition = await client.readCondition(server);
+		if (!condition || condition.isBusy || condition.stage === change.stage) {
+			this.#avoid(server);
+			return;
+		}
+
+		const term = await leadership.confirm();
+		if (term === undefined || term === this.#overtakenTerm) {
+			return;
+		}
+
+		this.#opts.announce(server, change.stage);
+		this.#pending.set(server.id, {startedAt: server.startedAt, stage: change.stage, until: clock.monotonic() + changeTimeoutMs});
+		const outcome = await client.order(server, {
+			stage: change.stage, holder, fencingToken: term, expectedSequence: condition.sequence,
+		});
+		events.emit('stageOrdered', {
+			server: server.id, stage: change.stage, term, sequence: condition.sequence, outcome, reason: change.reason,
+		});
+		if (outcome === orderOutcomes.accepted || outcome === orderOutcomes.unknown) {
+			return;
+		}
+
+		if (outcome === orderOutcomes.overtaken) {
+			this.#overtakenTerm = term;
+		}
+
+		this.#pending.delete(server.id);
+		this.#avoid(server);
+		this.#opts.announce(server, condition.stage);
+	}
+
+	#avoid(server: KnownServer): void {
+		this.#avoidedUntil.set(server.id, this.#opts.clock.monotonic() + retryMs);
+	}
+
+	/** Ends the changes that reports show, and those that never came. */
+	#settle(): void {
+		const {registry, clock} = this.#opts;
+		for (const [id, {startedAt, stage, until}] of this.#pending) {
+			const server = registry.find(id);
+			const isDone = server?.startedAt !== startedAt || server.stage === stage;
+			if (isDone || clock.monotonic() > until) {
+				this.#pending.delete(id);
+			}
+		}
+	}
+
+	/** Lists servers as they will be once the changes under way are done. */
+	#listServers(service: string): StageServer[] {
+		const {registry, readLoad} = this.#opts;
+		const servers: StageServer[] = [];
+		for (const {id, stage, slots} of registry.listReady(service)) {
+			if (stage !== undefined) {
+				const pending = this.#pending.get(id);
+				servers.push({
+					id, slots, ...readLoad(id), stage: pending?.stage ?? stage, isChanging: pending !== undefined,
+				});
+			}
+		}
+
+		return servers;
+	}
+
+	#findObserver(service: string): WorkObserver {
+		let observer = this.#observers.get(service);
+		if (!observer) {
+			observer = new WorkObserver(this.#opts.clock);
+			this.#observers.set(service, observer);
+		}
+
+		return observer;
+	}
+}
--- a/stand-ins/src/platform-server.ts
+++ b/stand-ins/src/platform-server.ts
@@ -45,6 +45,14 @@
 	hasRun: boolean;
 };
 
+/** An order as it stands on the wire. */
+export type StageOrder = {
+	stage: 'prefill' | 'decode';
+	holder: string;
+	fence: number;
+	precondition: number;
+};
+
 const defaultEvents = 4;
 
 export class PlatformServer {
@@ -53,13 +61,17 @@
 	readonly handles = new Set<string>();
 	/** Runs whose client has closed the connection before the end. */
 	readonly abandoned: string[] = [];
+	/** Orders that were carried out. */
+	readonly orders: StageOrder[] = [];
 	fault: PlatformFault = platformFaults.none;
+	#stage: 'prefill' | 'decode' | undefined;
 	readonly #opts: PlatformServerOptions;
 	readonly #server: Server;
 	readonly #sockets = new Set<Socket>();
 
 	constructor(opts: PlatformServerOptions) {
 		this.#opts = opts;
+		this.#stage = opts.stage;
 		this.#server = createServer((request, response) => {
 			void this.#handle(request, response);
 		});
@@ -80,7 +92,7 @@
 	/** What the server says of itself to the system. */
 	describe(service: string, state = 'ready', sequence = 1): Record<string, unknown> {
 		return {
-			service, address: this.address, zone: 'z', version: 'v1', slots: 8, state, seq: sequence, 'cold-left-ms': 0, stage: this.#opts.stage,
+			service, address: this.address, zone: 'z', version: 'v1', slots: 8, state, seq: sequence, 'cold-left-ms': 0, stage: this.#stage,
 		};
 	}
 
@@ -119,6 +131,11 @@
 			return;
 		}
 
+		if (request.url === '/api/report' || request.url === '/api/order') {
+			this.#handleOperation(request, response, seen.body);
+			return;
+		}
+
 		this.seen.push(seen);
 		if (request.headers['x-expect-instance'] !== this.id) {
 			this.#send(response, 421, {'x-not-executed': '1'}, '');
@@ -128,6 +145,30 @@
 		await this.#answer(request, response, seen);
 	}
 
+	/** Tells the condition, or changes the stage at once. */
+	#handleOperation(request: IncomingMessage, response: ServerResponse, body: string): void {
+		if (request.headers['x-expect-instance'] !== this.id) {
+			this.#send(response, 421, {'x-not-executed': '1'}, '');
+			return;
+		}
+
+		if (request.url === '/api/report') {
+			this.#send(response, 200, {'content-type': 'application/json'}, JSON.stringify({stage: this.#stage, busy: false, seq: this.orders.length}));
+			return;
+		}
+
+		const order = JSON.parse(body) as StageOrder;
+		const lastFence = this.orders.at(-1)?.fence ?? 0;
+		if (order.fence < lastFence || order.precondition !== this.orders.length) {
+			this.#send(response, order.fence < lastFence ? 412 : 409, {}, '');
+			return;
+		}
+
+		this.orders.push(order);
+		this.#stage = order.stage;
+		this.#send(response, 202, {}, '');
+	}
+
 	async #answer(request: IncomingMessage, response: ServerResponse, seen: SeenRequest): Promise<void> {
 		switch (this.fault) {
 			case platformFaults.full: {
@@ -153,7 +194,7 @@
 	}
 
 	async #serve(request: IncomingMessage, response: ServerResponse, seen: SeenRequest): Promise<void> {
-		const {stage} = this.#opts;
+		const stage = this.#stage;
 		if (stage === 'prefill' && request.headers['x-stage'] !== 'prefill') {
 			this.#send(response, 421, {'x-not-executed': '1'}, '');
 			return;
