fix(endpoint-client): a connection that was lost at rest is no evidence against its server

Cause: at larger scale servers drop idle channels without notice, sooner than before, and reset what is sent next.

Change: a kept connection that breaks at its first request after a rest of 50 ms or more, before any answer, is stale: no health penalty, no crash probe, and connections to that server are trusted for half that rest from then on, for a minute. Requests that must not run twice take a connection that answered within 0.5 s (1.5 s before) or a new one. The test failed before.

--- a/packages/plugins/edge/src/plain-run.ts
+++ b/packages/plugins/edge/src/plain-run.ts
@@ -90,7 +90,10 @@
 			return this.#end(requestOutcomes.callerGone);
 		}
 
-		if (result.isWritten && result.end === attemptEnds.broken) {
+		const isStale = result.error?.isStale ?? false;
+		if (isStale) {
+			// A connection that was lost at rest is no evidence against the server.
+		} else if (result.isWritten && result.end === attemptEnds.broken) {
 			health.noteBreak(server);
 		} else {
 			health.noteSilence(server);
@@ -98,9 +101,9 @@
 
 		this.#isNotRun &&= !result.isWritten;
 		decisions.note('attemptFailed', {
-			request: this.#request.marks.requestId, server: server.id, end: result.end, isWritten: result.isWritten, reason: result.error?.message,
+			request: this.#request.marks.requestId, server: server.id, end: result.end, isWritten: result.isWritten, isStale, reason: result.error?.message,
 		});
-		if (result.end === attemptEnds.broken && result.isWritten) {
+		if (result.end === attemptEnds.broken && result.isWritten && !isStale) {
 			onBreak(this.#request, server);
 		}
 
--- a/packages/plugins/edge/src/prompt-run.ts
+++ b/packages/plugins/edge/src/prompt-run.ts
@@ -190,12 +190,12 @@
 		// A rejected call counts as an arrival beyond the first.
 		if (marks?.isNotRun) {
 			retries.noteExtra(this.#request.service);
-		} else {
+		} else if (!result.error?.isStale) {
 			health.noteSilence(reader);
 		}
 
 		decisions.note('readFailed', {
-			request: this.#request.marks.requestId, server: reader.id, end: result.end, status: result.head?.status, reason: result.error?.message,
+			request: this.#request.marks.requestId, server: reader.id, end: result.end, status: result.head?.status, isStale: result.error?.isStale ?? false, reason: result.error?.message,
 		});
 		return undefined;
 	}
@@ -271,8 +271,12 @@
 			request: this.#request.marks.requestId, server: server.id, end: result.end, isWritten: result.isWritten, lastEvent: this.#relay.lastEventId, reason: result.error?.message,
 		});
 		if (result.end === attemptEnds.broken || result.end === attemptEnds.stalled) {
-			health.noteSilence(server);
-			if (result.end === attemptEnds.broken && result.isWritten) {
+			const isStale = result.error?.isStale ?? false;
+			if (!isStale) {
+				health.noteSilence(server);
+			}
+
+			if (result.end === attemptEnds.broken && result.isWritten && !isStale) {
 				onBreak(this.#request, server);
 			}
 
--- a/packages/routing/endpoint-client/src/endpoint-client.ts
+++ b/packages/routing/endpoint-client/src/endpoint-client.ts
@@ -40,11 +40,14 @@
 	readonly isWritten: boolean;
 	/** True when the attempt was cancelled from this side. */
 	readonly isCancelled: boolean;
+	/** True when a kept connection broke at the first request after a rest; that says nothing about the server's health. */
+	readonly isStale: boolean;
 
-	constructor(code: HickorytrackError['code'], message: string, opts: {isWritten: boolean; isCancelled?: boolean; cause?: unknown}) {
+	constructor(code: HickorytrackError['code'], message: string, opts: {isWritten: boolean; isCancelled?: boolean; isStale?: boolean; cause?: unknown}) {
 		super(code, message, {cause: opts.cause});
 		this.isWritten = opts.isWritten;
 		this.isCancelled = opts.isCancelled ?? false;
+		this.isStale = opts.isStale ?? false;
 	}
 }
 
@@ -101,6 +104,7 @@
 	#isWritten = false;
 	#isOver = false;
 	#mayReuse = true;
+	#isHeard = false;
 
 	constructor(address: string, opts: ExchangeOptions) {
 		this.#address = address;
@@ -125,6 +129,7 @@
 					return;
 				}
 
+				this.#isHeard = true;
 				this.#mayReuse &&= headers.connection !== 'close';
 				sink.onHead({status, headers});
 			},
@@ -195,7 +200,8 @@
 
 		const {connection, connections, sink} = this.#opts;
 		this.#isOver = true;
+		const isStale = !this.#isHeard && connections.noteBroken(this.#address, connection);
 		connections.discard(this.#address, connection);
-		sink.onFailure(new EndpointClientError(code, message, {isWritten: this.#isWritten, cause}));
+		sink.onFailure(new EndpointClientError(code, message, {isWritten: this.#isWritten, isStale, cause}));
 	}
 }
--- a/packages/routing/endpoint-client/src/server-connections.ts
+++ b/packages/routing/endpoint-client/src/server-connections.ts
@@ -1,7 +1,8 @@
 /**
  * Kept connections to servers, one request at a time on each. The most recently used connection is taken first, so that
  * few are open; a request that must not run twice takes only one that has answered a moment ago, or a new one, because a
- * connection that was lost silently would leave it open whether the request ran.
+ * connection that was lost silently would leave it open whether the request ran. Some servers drop idle connections
+ * without a word and reset them at the next request; how long theirs last is learned from each such reset.
  */
 import {buildConnector, Client} from 'undici';
 import type {Clock} from '@hickorytrack/clock';
@@ -10,6 +11,8 @@
 	readonly client: Client;
 	/** Monotonic time of the last whole answer on this connection. */
 	provenAt: number;
+	/** Time for which the connection was idle before its present request; undefined for the first one. */
+	idleMsBefore?: number;
 	isBusy: boolean;
 	isClosed: boolean;
 	/** The other end has reset the connection, so what arrived on it last may not be whole. */
@@ -22,15 +25,23 @@
 	connectTimeoutMs: number;
 };
 
-/** A connection that answered within this time is believed to work. */
-const provenMs = 1500;
+/** A connection that answered within this time is believed to work; a new one costs a millisecond or two. */
+const provenMs = 500;
+/** After a reset, connections are used again only while idle for less than this share of what the lost one was. */
+const trustedShare = 0.5;
+/** What a reset has taught is forgotten after this time. */
+const lessonMs = 60_000;
 /** Idle connections are closed after this time unless the server names a shorter one. */
 const idleMs = 8000;
+/** A reset after a shorter rest says nothing about idle connections. */
+const shortestIdleMs = 50;
 const maxHeaderBytes = 65_536;
 
 export class ServerConnections {
 	readonly #opts: ServerConnectionsOptions;
 	readonly #byAddress = new Map<string, ServerConnection[]>();
+	/** Idle time up to which connections to a server are trusted, where a reset has taught it. */
+	readonly #lessons = new Map<string, {trustedMs: number; until: number}>();
 
 	constructor(opts: ServerConnectionsOptions) {
 		this.#opts = opts;
@@ -40,9 +51,11 @@
 	acquire(address: string, opts: {limit: number; isProvenWanted: boolean}): ServerConnection | undefined {
 		const connections = this.#byAddress.get(address) ?? [];
 		this.#byAddress.set(address, connections);
-		const idle = connections.findLast(connection => !connection.isBusy && (!opts.isProvenWanted || this.#isProven(connection)));
+		const trustedMs = Math.min(opts.isProvenWanted ? provenMs : Number.POSITIVE_INFINITY, this.#readTrustedMs(address));
+		const idle = connections.findLast(connection => !connection.isBusy && this.#readIdleMs(connection) <= trustedMs);
 		if (idle) {
 			idle.isBusy = true;
+			idle.idleMsBefore = this.#readIdleMs(idle);
 			this.#moveToEnd(connections, idle);
 			return idle;
 		}
@@ -62,6 +75,18 @@
 		connection.isBusy = false;
 	}
 
+	/** Tells whether a broken connection was lost while it was idle, and if so remembers how long it had been. */
+	noteBroken(address: string, connection: ServerConnection): boolean {
+		const {idleMsBefore} = connection;
+		if (idleMsBefore === undefined || idleMsBefore < shortestIdleMs) {
+			return false;
+		}
+
+		const trustedMs = Math.min(this.#readTrustedMs(address), idleMsBefore * trustedShare);
+		this.#lessons.set(address, {trustedMs, until: this.#opts.clock.monotonic() + lessonMs});
+		return true;
+	}
+
 	/** Closes a connection whose state is unknown. */
 	discard(address: string, connection: ServerConnection): void {
 		connection.isClosed = true;
@@ -98,8 +123,18 @@
 		}
 	}
 
-	#isProven(connection: ServerConnection): boolean {
-		return this.#opts.clock.monotonic() - connection.provenAt <= provenMs;
+	#readIdleMs(connection: ServerConnection): number {
+		return this.#opts.clock.monotonic() - connection.provenAt;
+	}
+
+	#readTrustedMs(address: string): number {
+		const lesson = this.#lessons.get(address);
+		if (lesson && lesson.until < this.#opts.clock.monotonic()) {
+			this.#lessons.delete(address);
+			return Number.POSITIVE_INFINITY;
+		}
+
+		return lesson?.trustedMs ?? Number.POSITIVE_INFINITY;
 	}
 
 	#moveToEnd(connections: ServerConnection[], connection: ServerConnection): void {
--- a/packages/routing/endpoint-client/test/endpoint-client.test.ts
+++ b/packages/routing/endpoint-client/test/endpoint-client.test.ts
@@ -3,6 +3,7 @@
 } from 'node:net';
 import {Buffer} from 'node:buffer';
 import {expect} from 'chai';
+import {ManualClock} from '@hickorytrack/clock/manual-clock';
 import {SystemClock} from '@hickorytrack/clock/system-clock';
 import {EndpointClient, type AnswerHead, type EndpointClientError} from '../src/endpoint-client.js';
 
@@ -104,6 +105,34 @@
 		expect((await send(started.address)).error?.isWritten).to.equal(true);
 	});
 
+	// Pattern: servers that drop idle connections without a word and reset them at the next request.
+	it('tells a connection that was lost at rest from a server that breaks, and trusts such rests no longer', async () => {
+		const used = new Set<Socket>();
+		const started = await startServer(socket => {
+			if (used.has(socket)) {
+				socket.resetAndDestroy();
+				return;
+			}
+
+			used.add(socket);
+			socket.write('HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok');
+		});
+		server = started.server;
+		const clock = new ManualClock();
+		client = new EndpointClient({clock, connectTimeoutMs: 500});
+		expect((await send(started.address)).body).to.equal('ok');
+		await clock.advance(400);
+		const lost = await send(started.address);
+		expect(lost.error).to.include({isStale: true, isWritten: true});
+		expect((await send(started.address)).body).to.equal('ok');
+		await clock.advance(250);
+		expect((await send(started.address)).body).to.equal('ok');
+		expect(used.size).to.equal(3);
+		await clock.advance(10);
+		const broken = await send(started.address);
+		expect(broken.error).to.include({isStale: false, isWritten: true});
+	});
+
 	it('drops bytes that follow a whole answer', async () => {
 		const started = await startServer((socket, text) => {
 			const [, path] = text.split(' ');
