fix(entry): waiting for a slow caller leaves no listeners behind

Cause: each wait for room added a listener for drain and one for close; only the one that fired was removed, so a caller that read slowly gathered listeners and Node.js warned at eleven.

Change: both go when either fires. The test on slow callers now fails on any warning of the process; it failed before.

--- a/packages/plugins/entry/src/caller-api.ts
+++ b/packages/plugins/entry/src/caller-api.ts
@@ -257,10 +257,7 @@
 		this.#openStream(call);
 		const hasRoom = call.response.write(texts.map(text => formatChunk(identity, text)).join(''));
 		if (!hasRoom && !call.signal.aborted) {
-			await new Promise<void>(resolve => {
-				call.response.once('drain', resolve);
-				call.response.once('close', resolve);
-			});
+			await waitForRoom(call.response);
 		}
 	}
 
@@ -413,3 +410,17 @@
 		.filter(rule => rule.method === call.method && (path === rule.path || path.startsWith(rule.path.endsWith('/') ? rule.path : `${rule.path}/`)))
 		.sort((a, b) => b.path.length - a.path.length)[0];
 }
+
+/** Resolves when the caller has read on, or has gone. */
+async function waitForRoom(response: ServerResponse): Promise<void> {
+	return new Promise(resolve => {
+		const finish = () => {
+			response.off('drain', finish);
+			response.off('close', finish);
+			resolve();
+		};
+
+		response.on('drain', finish);
+		response.on('close', finish);
+	});
+}
--- a/stand-ins/test/bad-input.test.ts
+++ b/stand-ins/test/bad-input.test.ts
@@ -3,6 +3,7 @@
 import {connect, type Socket} from 'node:net';
 import {tmpdir} from 'node:os';
 import path from 'node:path';
+import process from 'node:process';
 import {expect} from 'chai';
 import {request} from 'undici';
 import {SystemClock} from '@hickorytrack/clock/system-clock';
@@ -138,6 +139,12 @@
 	});
 
 	it('bounds what a caller costs that stops reading', async () => {
+		const warnings: Error[] = [];
+		const noteWarning = (warning: Error) => {
+			warnings.push(warning);
+		};
+
+		process.on('warning', noteWarning);
 		const socket = connect({host: '127.0.0.31', port: 7480});
 		const body = JSON.stringify({
 			model: 'drafting', prompt: 'slow reader', max_tokens: 30_000, stream: true,
@@ -155,6 +162,8 @@
 
 		expect(last, 'the agent stops reading from the engine').to.be.lessThan(25_000);
 		expect((await ask()).outcome).to.equal('answered');
+		expect(warnings, 'waiting for the caller leaves no listeners behind').to.deep.equal([]);
+		process.off('warning', noteWarning);
 		socket.destroy();
 	});
 
