--- a/packages/plugins/edge/src/edge.ts
+++ b/packages/plugins/edge/src/edge.ts
@@ -4,15 +4,12 @@
  * replicated configuration too.
  */
 import {err, ok, type Result} from 'neverthrow';
-import type {Clock} from '@hickorytrack/clock';
 import {EndpointClient} from '@hickorytrack/endpoint-client';
 import {
 	EndpointRegistry, serverStates, type KnownServer, type ServerReport,
 } from '@hickorytrack/endpoint-registry';
 import {HickorytrackError, describeError} from '@hickorytrack/errors';
-import type {EventLog} from '@hickorytrack/events';
 import {LoadSharing} from '@hickorytrack/load-sharing';
-import type {LogStorage} from '@hickorytrack/log-storage';
 import {Mesh} from '@hickorytrack/mesh';
 import {parseAddress, PeerNode} from '@hickorytrack/peer-link/peer-node';
 import type {PeerTiming} from '@hickorytrack/peer-link/peer-connection';
@@ -21,25 +18,23 @@
 import {PartUsage} from '@hickorytrack/prompt-placement/part-usage';
 import {PlainPlacement} from '@hickorytrack/prompt-placement/plain-placement';
 import {PromptPlacement} from '@hickorytrack/prompt-placement';
-import type {MetricsRegistry} from '@hickorytrack/metrics-registry';
-import type {Random} from '@hickorytrack/random';
 import {ConfigurationFollower} from '@hickorytrack/route-store/configuration-follower';
 import {CoreMember, coreRole, type CoreMemberError} from '@hickorytrack/route-store/core-member';
 import type {StoredConfiguration, StoreOutcome} from '@hickorytrack/route-store';
 import {RouteTable} from '@hickorytrack/route-table';
-import {requestKinds, type RouteConfiguration} from '@hickorytrack/route-table/route-types';
+import {requestKinds} from '@hickorytrack/route-table/route-types';
 import {StageControl} from '@hickorytrack/stage-control';
-import {FollowMix, KeepStages} from '@hickorytrack/stage-control/stage-planner';
 import type {StoredPrompt} from '@hickorytrack/types/peer-methods';
-import {requestOutcomes, type CallerRequest, type RequestEnd} from './caller-request.js';
+import type {CallerRequest} from './caller-request.js';
 import {sendOwnAnswer} from './answers.js';
 import {CrashWatch} from './crash-watch.js';
 import {DecisionLog} from './decision-log.js';
-import {FrontServer, type TurnedAway} from './front-server.js';
+import {stagePlanners, type EdgeOptions} from './edge-settings.js';
+import {FrontServer} from './front-server.js';
 import {PlainRun} from './plain-run.js';
 import {PoisonWatch} from './poison-watch.js';
 import {PromptRun} from './prompt-run.js';
-import type {RequestCodec} from './request-codec.js';
+import {RequestLog} from './request-log.js';
 import {RetryShares} from './retry-shares.js';
 import {defaultRetryAfterMs, type RunContext} from './run-context.js';
 import {ServerHealth} from './server-health.js';
@@ -48,50 +43,6 @@
 /** The role under which edges present themselves to other instances. */
 export const edgeRole = 'edge';
 
-/** Planners of the servers' stages by the name that settings use. */
-export const stagePlanners = {
-	'follow-mix': new FollowMix(),
-	'keep-stages': new KeepStages(),
-} as const;
-
-export type EdgeSettings = {
-	instance: string;
-	availabilityZone: string;
-	/** IP and port for other instances. */
-	peerAddress: string;
-	peerKey: string;
-	frontAddress: string;
-	/** Peer addresses of the seeds. */
-	seeds: readonly string[];
-	isFirstStart: boolean;
-	/** Members of the core that may be lost at once. */
-	toleratedLosses: number;
-	/** Interval at which servers report, in milliseconds. */
-	reportIntervalMs: number;
-	retryRatio: number;
-	retryAllowance: number;
-	retryWindowMs: number;
-	/** Time for which an order to a server may still count, in milliseconds. */
-	leaseMs: number;
-	stagePlanner: keyof typeof stagePlanners;
-	/** Time from the stop signal until the process is ended, in milliseconds. */
-	graceMs: number;
-};
-
-export type EdgeOptions = {
-	settings: EdgeSettings;
-	clock: Clock;
-	random: Random;
-	events: EventLog;
-	codec: RequestCodec;
-	/** Turns a stored document into routes; the document was checked before it was stored. */
-	decodeConfiguration: (document: unknown) => RouteConfiguration;
-	/** Only on machines of the core. */
-	storage?: LogStorage;
-	incarnation: string;
-	metrics: MetricsRegistry;
-};
-
 const peerTiming: PeerTiming = {heartbeatMs: 300, silenceMs: 1000, requestTimeoutMs: 1500};
 const connectTimeoutMs = 500; // A new connection takes some milliseconds; the rest is for one lost packet.
 /** Reports that a server may miss before it is no longer used. */
@@ -121,6 +72,7 @@
 	readonly #usage: PartUsage;
 	readonly #sharing: LoadSharing;
 	readonly #crashes: CrashWatch;
+	readonly #requestLog: RequestLog;
 	readonly #stages: StageControl | undefined;
 	readonly #ended = new AbortController();
 	#routes: RouteTable | undefined;
@@ -156,10 +108,13 @@
 		this.#crashes = new CrashWatch({
 			clock, mesh: this.mesh, poison: this.#context.poison, decisions: this.#context.decisions,
 		});
+		this.#requestLog = new RequestLog({
+			clock, metrics: opts.metrics, decisions: this.#context.decisions, readVersion: () => this.configuration.held?.version,
+		});
 		this.#stages = this.#core && this.#createStageControl(this.#core);
 		this.#front = new FrontServer({
 			clock, random, codec, unreadyRetryAfterMs: defaultRetryAfterMs, getRoutes: () => this.configuration.isConfirmed ? this.#routes : undefined, run: async request => this.#run(request), onTurnedAway: turned => {
-				this.#noteTurnedAway(turned);
+				this.#requestLog.noteTurnedAway(turned);
 			},
 		});
 		this.#addPeerMethods();
@@ -424,7 +379,7 @@
 
 		const run = request.route.kind === requestKinds.streaming ? new PromptRun(this.#context, request) : new PlainRun(this.#context, request);
 		const end = await run.run();
-		this.#logEnd(request, end);
+		this.#requestLog.noteEnd(request, end);
 	}
 
 	#readGauges(): void {
@@ -438,61 +393,4 @@
 			metrics.set('servers', this.registry.listUsable(name).length, {service: name});
 		}
 	}
-
-	#measureEnd(request: CallerRequest, end: RequestEnd): void {
-		const {metrics, clock} = this.#opts;
-		const route = request.route.name;
-		metrics.count('requests_total', {route, outcome: end.outcome});
-		metrics.observe('request_ms', clock.monotonic() - request.arrivedAt, {route});
-		metrics.observe('servers_per_request', end.servers.length, {route});
-		if (end.firstByteMs !== undefined) {
-			metrics.observe('first_byte_ms', end.firstByteMs, {route});
-		}
-	}
-
-	#logEnd(request: CallerRequest, end: RequestEnd): void {
-		const {decisions, clock} = this.#context;
-		this.#measureEnd(request, end);
-		const fields = {
-			request: request.marks.requestId,
-			route: request.route.name,
-			version: this.configuration.held?.version,
-			elapsedMs: Math.round(clock.monotonic() - request.arrivedAt),
-			...end,
-			firstByteMs: roundMs(end.firstByteMs),
-			predictedMs: roundMs(end.predictedMs),
-		};
-		switch (end.outcome) {
-			case requestOutcomes.answered: {
-				decisions.noteAnswered(fields);
-
-				break;
-			}
-
-			case requestOutcomes.refused: {
-				decisions.note('forwardRefused', fields);
-
-				break;
-			}
-
-			case requestOutcomes.callerGone: {
-				decisions.note('callerLeft', fields);
-
-				break;
-			}
-
-			default: {
-				decisions.note('forwardFailed', fields);
-			}
-		}
-	}
-
-	#noteTurnedAway({requestId, ...turned}: TurnedAway): void {
-		this.#opts.metrics.count('turned_away_total', {reason: turned.reason});
-		this.#context.decisions.note('turnedAway', {request: requestId, version: this.configuration.held?.version, ...turned});
-	}
-}
-
-function roundMs(ms: number | undefined): number | undefined {
-	return ms === undefined ? undefined : Math.round(ms);
 }
--- /dev/null
+++ b/packages/plugins/edge/src/request-log.ts
@@ -0,0 +1,78 @@
+/** Logs and counts how requests end. */
+import type {Clock} from '@hickorytrack/clock';
+import type {MetricsRegistry} from '@hickorytrack/metrics-registry';
+import {requestOutcomes, type CallerRequest, type RequestEnd} from './caller-request.js';
+import type {DecisionLog} from './decision-log.js';
+import type {TurnedAway} from './front-server.js';
+
+export type RequestLogOptions = {
+	clock: Clock;
+	decisions: DecisionLog;
+	metrics: MetricsRegistry;
+	/** Version of the route configuration in force. */
+	readVersion: () => number | undefined;
+};
+
+export class RequestLog {
+	readonly #opts: RequestLogOptions;
+
+	constructor(opts: RequestLogOptions) {
+		this.#opts = opts;
+	}
+
+	noteEnd(request: CallerRequest, end: RequestEnd): void {
+		const {decisions, clock, readVersion} = this.#opts;
+		this.#measure(request, end);
+		const fields = {
+			request: request.marks.requestId,
+			route: request.route.name,
+			version: readVersion(),
+			elapsedMs: Math.round(clock.monotonic() - request.arrivedAt),
+			...end,
+			firstByteMs: roundMs(end.firstByteMs),
+			predictedMs: roundMs(end.predictedMs),
+		};
+		switch (end.outcome) {
+			case requestOutcomes.answered: {
+				decisions.noteAnswered(fields);
+				break;
+			}
+
+			case requestOutcomes.refused: {
+				decisions.note('forwardRefused', fields);
+				break;
+			}
+
+			case requestOutcomes.callerGone: {
+				decisions.note('callerLeft', fields);
+				break;
+			}
+
+			default: {
+				decisions.note('forwardFailed', fields);
+			}
+		}
+	}
+
+	/** Notes a request that the front did not run. */
+	noteTurnedAway({requestId, ...turned}: TurnedAway): void {
+		const {decisions, metrics, readVersion} = this.#opts;
+		metrics.count('turned_away_total', {reason: turned.reason});
+		decisions.note('turnedAway', {request: requestId, version: readVersion(), ...turned});
+	}
+
+	#measure(request: CallerRequest, end: RequestEnd): void {
+		const {metrics, clock} = this.#opts;
+		const route = request.route.name;
+		metrics.count('requests_total', {route, outcome: end.outcome});
+		metrics.observe('request_ms', clock.monotonic() - request.arrivedAt, {route});
+		metrics.observe('servers_per_request', end.servers.length, {route});
+		if (end.firstByteMs !== undefined) {
+			metrics.observe('first_byte_ms', end.firstByteMs, {route});
+		}
+	}
+}
+
+function roundMs(ms: number | undefined): number | undefined {
+	return ms === undefined ? undefined : Math.round(ms);
+}
