--- a/packages/routing/load-sharing/src/load-sharing.ts
+++ b/packages/routing/load-sharing/src/load-sharing.ts
@@ -35,7 +35,7 @@
 	noteStored: (stored: readonly StoredPrompt[]) => void;
 };
 
-/** Interval at which changed load is shared, in milliseconds; a queue of a heavy moment grows by half an objective in it. */
+/** Interval at which changed load is shared, in milliseconds; a server reads some 4,000 tokens in it, half a long prompt. */
 export const shareMs = 20;
 /** Unchanged load is shared at this interval, because shares lapse after a second. */
 const forcedShareMs = 400;
--- a/packages/routing/stage-control/src/stage-planner.ts
+++ b/packages/routing/stage-control/src/stage-planner.ts
@@ -62,6 +62,7 @@
 export class FollowMix implements StagePlanner {
 	plan(view: FleetView): StageChange | undefined {
 		const {servers, hasTraffic, isWarm} = view;
+		// Between the first request and a judgement of the work, neither the prior nor what was seen counts.
 		if (servers.length < minServers || hasTraffic !== isWarm) {
 			return undefined;
 		}
