fix(edge): a lost server is not taken for a connection that was dropped at rest

Cause: read again, the change on stale connections was wrong in two ways. A client whose kept connection was seen to close opens a new one by itself; its rest counted as endless, so that a refused connection to a dead server was called stale and the server was not left out. And a request that crashed its server over a connection that had rested was not probed, so poison was missed.

Change: stale is only what was written on a connection that was open until then. Every break of a written request is probed again; a server that is found not to listen is left out until it reports.

--- a/packages/plugins/edge/src/crash-watch.ts
+++ b/packages/plugins/edge/src/crash-watch.ts
@@ -7,6 +7,7 @@
 import type {CallerRequest} from './caller-request.js';
 import type {DecisionLog} from './decision-log.js';
 import type {PoisonWatch} from './poison-watch.js';
+import type {ServerHealth} from './server-health.js';
 
 const crashProbeDelayMs = 30; // A process that crashed has closed its listener by then.
 const crashProbeTimeoutMs = 300;
@@ -16,6 +17,7 @@
 	mesh: Mesh;
 	poison: PoisonWatch;
 	decisions: DecisionLog;
+	health: ServerHealth;
 };
 
 export class CrashWatch {
@@ -26,12 +28,13 @@
 	}
 
 	async noteBreak(request: CallerRequest, server: KnownServer): Promise<void> {
-		const {clock, mesh, poison, decisions} = this.#opts;
+		const {clock, mesh, poison, decisions, health} = this.#opts;
 		await clock.sleep(crashProbeDelayMs);
 		if (await isListening(server.address)) {
 			return;
 		}
 
+		health.noteSilence(server);
 		const crash = `${server.id}/${server.startedAt}`;
 		poison.noteCrash(request.fingerprint, crash);
 		mesh.broadcast('poison.note', {fingerprint: request.fingerprint, crash});
--- a/packages/plugins/edge/src/edge.ts
+++ b/packages/plugins/edge/src/edge.ts
@@ -106,7 +106,7 @@
 		this.#sharing = this.#createSharing();
 		this.#context = this.#createContext();
 		this.#crashes = new CrashWatch({
-			clock, mesh: this.mesh, poison: this.#context.poison, decisions: this.#context.decisions,
+			clock, mesh: this.mesh, poison: this.#context.poison, decisions: this.#context.decisions, health: this.#context.health,
 		});
 		this.#requestLog = new RequestLog({
 			clock, metrics: opts.metrics, decisions: this.#context.decisions, readVersion: () => this.configuration.held?.version,
--- a/packages/plugins/edge/src/plain-run.ts
+++ b/packages/plugins/edge/src/plain-run.ts
@@ -92,7 +92,7 @@
 
 		const isStale = result.error?.isStale ?? false;
 		if (isStale) {
-			// A connection that was lost at rest is no evidence against the server.
+			// The server may be well; onBreak finds out.
 		} else if (result.isWritten && result.end === attemptEnds.broken) {
 			health.noteBreak(server);
 		} else {
@@ -103,7 +103,7 @@
 		decisions.note('attemptFailed', {
 			request: this.#request.marks.requestId, server: server.id, end: result.end, isWritten: result.isWritten, isStale, reason: result.error?.message,
 		});
-		if (result.end === attemptEnds.broken && result.isWritten && !isStale) {
+		if (result.end === attemptEnds.broken && result.isWritten) {
 			onBreak(this.#request, server);
 		}
 
--- a/packages/plugins/edge/src/prompt-run.ts
+++ b/packages/plugins/edge/src/prompt-run.ts
@@ -276,7 +276,7 @@
 				health.noteSilence(server);
 			}
 
-			if (result.end === attemptEnds.broken && result.isWritten && !isStale) {
+			if (result.end === attemptEnds.broken && result.isWritten) {
 				onBreak(this.#request, server);
 			}
 
--- a/packages/routing/endpoint-client/src/endpoint-client.ts
+++ b/packages/routing/endpoint-client/src/endpoint-client.ts
@@ -40,7 +40,7 @@
 	readonly isWritten: boolean;
 	/** True when the attempt was cancelled from this side. */
 	readonly isCancelled: boolean;
-	/** True when a kept connection broke at the first request after a rest; that says nothing about the server's health. */
+	/** True when a kept connection broke at the first request after a rest; the server may be well. */
 	readonly isStale: boolean;
 
 	constructor(code: HickorytrackError['code'], message: string, opts: {isWritten: boolean; isCancelled?: boolean; isStale?: boolean; cause?: unknown}) {
@@ -200,7 +200,7 @@
 
 		const {connection, connections, sink} = this.#opts;
 		this.#isOver = true;
-		const isStale = !this.#isHeard && connections.noteBroken(this.#address, connection);
+		const isStale = this.#isWritten && !this.#isHeard && connections.noteBroken(this.#address, connection);
 		connections.discard(this.#address, connection);
 		sink.onFailure(new EndpointClientError(code, message, {isWritten: this.#isWritten, isStale, cause}));
 	}
--- a/packages/routing/endpoint-client/src/server-connections.ts
+++ b/packages/routing/endpoint-client/src/server-connections.ts
@@ -11,7 +11,7 @@
 	readonly client: Client;
 	/** Monotonic time of the last whole answer on this connection. */
 	provenAt: number;
-	/** Time for which the connection was idle before its present request; undefined for the first one. */
+	/** Time for which the connection was idle before its present request; undefined for the first one on it. */
 	idleMsBefore?: number;
 	isBusy: boolean;
 	isClosed: boolean;
@@ -55,7 +55,8 @@
 		const idle = connections.findLast(connection => !connection.isBusy && this.#readIdleMs(connection) <= trustedMs);
 		if (idle) {
 			idle.isBusy = true;
-			idle.idleMsBefore = this.#readIdleMs(idle);
+			// A client whose connection was seen to close opens a new one, which has not rested.
+			idle.idleMsBefore = Number.isFinite(idle.provenAt) ? this.#readIdleMs(idle) : undefined;
 			this.#moveToEnd(connections, idle);
 			return idle;
 		}
--- a/packages/routing/endpoint-client/test/endpoint-client.test.ts
+++ b/packages/routing/endpoint-client/test/endpoint-client.test.ts
@@ -133,6 +133,27 @@
 		expect(broken.error).to.include({isStale: false, isWritten: true});
 	});
 
+	it('takes no server that is gone for one that has dropped a connection at rest', async () => {
+		const sockets: Socket[] = [];
+		const started = await startServer(socket => {
+			sockets.push(socket);
+			socket.write('HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok');
+		});
+		server = started.server;
+		const clock = new ManualClock();
+		client = new EndpointClient({clock, connectTimeoutMs: 500});
+		expect((await send(started.address)).body).to.equal('ok');
+		const isClosed = new Promise(resolve => {
+			sockets[0]!.once('close', resolve);
+		});
+		server.close();
+		sockets[0]!.destroy();
+		await isClosed;
+		await clock.advance(400);
+		const refused = await send(started.address);
+		expect(refused.error).to.include({isStale: false, isWritten: false});
+	});
+
 	it('drops bytes that follow a whole answer', async () => {
 		const started = await startServer((socket, text) => {
 			const [, path] = text.split(' ');
--- a/stand-ins/src/platform-server.ts
+++ b/stand-ins/src/platform-server.ts
@@ -14,6 +14,8 @@
 	none: 'none',
 	/** Resets the connection once the request has run. */
 	reset: 'reset',
+	/** Dies under the request: its connections are reset and it listens no more. */
+	crash: 'crash',
 	/** Says that it is full and has not run the request. */
 	full: 'full',
 	/** Never answers. */
@@ -104,7 +106,7 @@
 
 	async stop(): Promise<void> {
 		for (const socket of this.#sockets) {
-			socket.destroy();
+			socket.resetAndDestroy();
 		}
 
 		await new Promise(resolve => {
@@ -181,6 +183,12 @@
 				return;
 			}
 
+			case platformFaults.crash: {
+				seen.hasRun = true;
+				await this.stop();
+				return;
+			}
+
 			case platformFaults.reset: {
 				seen.hasRun = true;
 				request.socket.resetAndDestroy();
