fix(load-sharing): one line when there is no relay

Cause: without any relay a leaf wrote the event on a new relay at each share, up to fifty a second; the log has to be bounded. The comment on eight peers claimed a figure that nothing shows, and the test's count of bytes was unused.

Change: the event only when the relay differs; the comment gives the sum; the count now shows that a leaf sends the same among twenty and forty instances.

--- a/packages/routing/load-sharing/src/load-sharing.ts
+++ b/packages/routing/load-sharing/src/load-sharing.ts
@@ -45,7 +45,7 @@
 const avoidMs = 5000;
 /** A relay forgets a leaf that has told it nothing for so long. */
 const leafSilenceMs = 1000;
-/** With more peers than this, relays are used; up to here, direct shares cost a small link (7 Mbit/s) less than a tenth. */
+/** With more peers than this, relays are used. At eight, a share of a dozen servers, some 350 bytes, makes 140 KB/s. */
 const maxDirectPeers = 8;
 
 type Leaf = {
@@ -218,7 +218,10 @@
 
 		const welcome = open.filter(peer => (this.#avoidedUntil.get(peer.remote.instance) ?? 0) <= now);
 		const [next] = rankRelays(welcome.length > 0 ? welcome : open, this.#opts.member);
-		this.#opts.events.emit('relayChosen', {relay: next?.remote.instance, former: this.#relay?.instance, candidates: open.length});
+		if (next?.remote.instance !== this.#relay?.instance) {
+			this.#opts.events.emit('relayChosen', {relay: next?.remote.instance, former: this.#relay?.instance, candidates: open.length});
+		}
+
 		this.#relay = next && {instance: next.remote.instance, heardAt: now};
 		return next;
 	}
--- a/packages/routing/load-sharing/test/load-sharing.test.ts
+++ b/packages/routing/load-sharing/test/load-sharing.test.ts
@@ -18,16 +18,17 @@
 	readonly cache = new FleetCache({readCapacity: () => 100_000});
 	readonly stored: StoredPrompt[] = [];
 	readonly sharing: LoadSharing;
+	readonly events: EventLog;
 	isAlive = true;
 
 	constructor(fleet: Fleet, index: number, isRelay: boolean) {
-		const events = new EventLog({clock: fleet.clock});
+		this.events = new EventLog({clock: fleet.clock});
 		this.member = {
 			instance: `edge-${index}`, availabilityZone: zones[index % zones.length]!, roles: isRelay ? ['edge', 'core'] : ['edge'], address: `10.0.0.${index}:1`, incarnation: 'a',
 		};
 		this.board = new LoadBoard(fleet.clock);
 		this.sharing = new LoadSharing({
-			clock: fleet.clock, board: this.board, cache: this.cache, member: this.member, relayRole: 'core', listPeers: () => fleet.listPeers(this), events, noteStored: stored => {
+			clock: fleet.clock, board: this.board, cache: this.cache, member: this.member, relayRole: 'core', listPeers: () => fleet.listPeers(this), events: this.events, noteStored: stored => {
 				this.stored.push(...stored);
 			},
 		});
@@ -115,6 +116,30 @@
 		expect(fleet.messages).to.be.at.most((leaves * 2) + (relays * (relays - 1)));
 	});
 
+	it('has a leaf send as many bytes among forty instances as among twenty', async () => {
+		const bytes = await Promise.all([20, 40].map(async count => {
+			const fleet = new Fleet(count, 3);
+			const leaf = fleet.instances[count - 1]!;
+			leaf.board.add('server', 10);
+			await fleet.step(100);
+			return fleet.bytesSent.get(leaf.member.instance);
+		}));
+		expect(bytes[0]).to.be.greaterThan(0);
+		expect(bytes[1]).to.equal(bytes[0]);
+	});
+
+	it('says once that it has no relay', async () => {
+		const fleet = new Fleet(12, 0);
+		await fleet.step(200);
+		expect(fleet.instances[0]!.events.listSince(0)).to.have.length(0);
+		const withRelay = new Fleet(12, 1);
+		await withRelay.step(5);
+		const leaf = withRelay.instances[5]!;
+		withRelay.instances[0]!.member.roles.splice(1);
+		await withRelay.step(200);
+		expect(leaf.events.listSince(0).map(event => event.fields['relay'])).to.deep.equal(['edge-0', undefined]);
+	});
+
 	it('turns to another relay when its own falls silent, and counts nobody twice afterwards', async () => {
 		const fleet = new Fleet(20, 2);
 		for (const instance of fleet.instances) {
