fix(edge): a line on a request that is turned away has a bounded length

Cause: it held the whole path, up to 64 KB, at 40 lines a second.

Change: 200 characters of host and path.

--- a/packages/plugins/edge/src/front-server.ts
+++ b/packages/plugins/edge/src/front-server.ts
@@ -36,6 +36,8 @@
 	reason: 'body-broken' | 'not-ready' | 'no-route' | 'body-too-large' | 'stopping';
 };
 
+/** Part of a path or host that is reported; it tells the route, and a head may have 64 KB. */
+const maxLoggedCharacters = 200;
 /** Upper bound of a request's head; the limit in force may be lower. */
 const maxHeadBytes = 65_536;
 /** A connection stays open this much longer than callers may leave it idle, so that none is closed under a request. */
@@ -109,7 +111,7 @@
 		const marks = this.#opts.codec.readCaller(incoming.rawHeaders);
 		const turnAway = (reason: TurnedAway['reason']) => {
 			this.#opts.onTurnedAway({
-				requestId: marks.requestId, host: incoming.headers.host, path: path!, reason,
+				requestId: marks.requestId, host: incoming.headers.host?.slice(0, maxLoggedCharacters), path: path!.slice(0, maxLoggedCharacters), reason,
 			});
 		};
 
