refactor(stage-control): changes under way are kept in one place

Cause: StageControl kept the changes it had begun, and the registry the stages that servers were ordered to have: the same fields, the same twelve seconds, the same rule for their end. A new leader did not know its predecessor's.

Change: the registry alone; its findAwaitedStage says what a server will be. A new leader, which notes the announcements like any instance, leaves those servers alone (test). The registry's test covers report, restart and lapse. /state shows awaitedStage.

--- a/packages/plugins/edge/src/edge.ts
+++ b/packages/plugins/edge/src/edge.ts
@@ -231,7 +231,7 @@
 			members: this.mesh.listMembers().map(member => member.instance),
 			relay: this.#sharing.relay,
 			stages: this.#stages?.dump(),
-			servers: this.registry.list().map(server => ({...server, load: this.#board.read(server.id)})),
+			servers: this.registry.list().map(server => ({...server, load: this.#board.read(server.id), awaitedStage: this.registry.findAwaitedStage(this.registry.find(server.id)!)})),
 			linesDropped: this.#context.decisions.droppedTotal,
 		};
 	}
@@ -338,7 +338,6 @@
 			listServices: () => (this.#routes?.configuration.services ?? []).filter(service => service.modelServer).map(service => service.name),
 			readLoad: server => this.#board.read(server),
 			announce: (server, stage) => {
-				this.registry.awaitStage(server.id, {startedAt: server.startedAt, stage});
 				this.mesh.broadcast('stage.note', {server: server.id, startedAt: server.startedAt, stage});
 			},
 		});
--- a/packages/routing/endpoint-registry/src/endpoint-registry.ts
+++ b/packages/routing/endpoint-registry/src/endpoint-registry.ts
@@ -106,10 +106,26 @@
 		this.#awaitedStages.set(id, {...awaited, until: this.#opts.clock.monotonic() + stageTimeoutMs});
 	}
 
+	/** Returns the stage that the server was ordered to have, until its reports show it or it has started again. */
+	findAwaitedStage(server: KnownServer): ServerStage | undefined {
+		const awaited = this.#awaitedStages.get(server.id);
+		if (!awaited) {
+			return undefined;
+		}
+
+		const isOver = awaited.startedAt !== server.startedAt || awaited.stage === server.stage || this.#opts.clock.monotonic() > awaited.until;
+		if (isOver) {
+			this.#awaitedStages.delete(server.id);
+			return undefined;
+		}
+
+		return awaited.stage;
+	}
+
 	/** Lists the servers of a service that may be sent new requests. */
 	listUsable(service: string): KnownServer[] {
 		const ready = this.listReady(service);
-		return this.#awaitedStages.size === 0 ? ready : ready.filter(server => !this.#isChanging(server));
+		return this.#awaitedStages.size === 0 ? ready : ready.filter(server => this.findAwaitedStage(server) === undefined);
 	}
 
 	/** Lists the servers of a service that are ready, also those that are changing their stage. */
@@ -140,20 +156,6 @@
 		return [...this.#servers.values()].sort((a, b) => a.order - b.order).map(server => describe(server));
 	}
 
-	#isChanging(server: KnownServer): boolean {
-		const awaited = this.#awaitedStages.get(server.id);
-		if (!awaited) {
-			return false;
-		}
-
-		const isOver = awaited.startedAt !== server.startedAt || awaited.stage === server.stage || this.#opts.clock.monotonic() > awaited.until;
-		if (isOver) {
-			this.#awaitedStages.delete(server.id);
-		}
-
-		return !isOver;
-	}
-
 	/** Without known starts, the server that became known last holds the address. */
 	#isOvertakenAtItsAddress(server: KnownServer): boolean {
 		for (const other of this.#servers.values()) {
@@ -171,6 +173,7 @@
 		for (const [id, server] of this.#servers) {
 			if (now - server.heardAt > rememberMs) {
 				this.#servers.delete(id);
+				this.#awaitedStages.delete(id);
 				this.#byService.clear();
 			}
 		}
--- a/packages/routing/endpoint-registry/test/endpoint-registry.test.ts
+++ b/packages/routing/endpoint-registry/test/endpoint-registry.test.ts
@@ -30,6 +30,32 @@
 		expect(registry.note({...report, sequence: 10})).to.equal(false);
 	});
 
+	it('leaves a server out until its reports show the stage that it was ordered to have', async () => {
+		const model: ServerReport = {...report, stage: 'decode', sequence: 2};
+		registry.note(model);
+		registry.awaitStage('a', {startedAt: 1000, stage: 'prefill'});
+		expect(listIds()).to.deep.equal([]);
+		expect(registry.listReady('s')).to.have.length(1);
+		registry.note({...model, sequence: 3});
+		expect(registry.findAwaitedStage(registry.find('a')!)).to.equal('prefill');
+		registry.note({...model, sequence: 4, stage: 'prefill'});
+		expect(listIds()).to.deep.equal(['a']);
+		registry.awaitStage('a', {startedAt: 1000, stage: 'decode'});
+		registry.note({
+			...model, startedAt: 2000, sequence: 1, stage: 'prefill',
+		});
+		expect(listIds(), 'a new start has no order').to.deep.equal(['a']);
+		registry.awaitStage('a', {startedAt: 2000, stage: 'decode'});
+		for (let sequence = 2; sequence < 9; sequence++) {
+			await clock.advance(2000);
+			registry.note({
+				...model, startedAt: 2000, sequence, stage: 'prefill',
+			});
+		}
+
+		expect(listIds(), 'an order that never acts is given up').to.deep.equal(['a']);
+	});
+
 	it('is not revived by a late report after it left', () => {
 		registry.noteLeft('a', 1000);
 		expect(registry.note({...report, sequence: 50})).to.equal(false);
--- a/packages/routing/load-sharing/test/load-sharing.test.ts
+++ b/packages/routing/load-sharing/test/load-sharing.test.ts
@@ -137,7 +137,7 @@
 		const leaf = withRelay.instances[5]!;
 		withRelay.instances[0]!.member.roles.splice(1);
 		await withRelay.step(200);
-		expect(leaf.events.listSince(0).map(event => event.fields['relay'])).to.deep.equal(['edge-0', undefined]);
+		expect(leaf.events.listSince(0).map(event => event.fields.relay)).to.deep.equal(['edge-0', undefined]);
 	});
 
 	it('turns to another relay when its own falls silent, and counts nobody twice afterwards', async () => {
--- a/packages/routing/stage-control/src/stage-control.ts
+++ b/packages/routing/stage-control/src/stage-control.ts
@@ -2,7 +2,8 @@
  * Carries out the planner's changes. Only the leader of the core gives orders, under its term, which no other leader ever
  * has; it waits out a lease first, so that orders of two leaders never mix. Before an order it reads the server's own
  * report, and the order holds only as long as nobody else has changed the server since. An order without an answer may
- * still be carried out later, so its server counts as changing until its reports show the stage.
+ * still be carried out later, so its server counts as changing until its reports show the stage. All instances note that,
+ * so a new leader knows the changes that its predecessor began.
  */
 import type {Clock} from '@hickorytrack/clock';
 import type {EndpointRegistry, KnownServer, ServerStage} from '@hickorytrack/endpoint-registry';
@@ -64,7 +65,7 @@
 	/** Lists the services whose servers have stages. */
 	listServices: () => readonly string[];
 	readLoad: (server: string) => {streams: number; promptTokens: number};
-	/** Tells all instances that the server will have the stage, so that they leave it out until then. */
+	/** Tells the other instances that the server will have the stage, so that they leave it out until then. */
 	announce: (server: KnownServer, stage: ServerStage) => void;
 };
 
@@ -74,22 +75,12 @@
 const leaseMarginMs = 1000;
 /** Share of a service's servers that may change at once, one at least. */
 const changingShare = 0.1;
-/** A change is given up when the server's reports don't show it by then. */
-const changeTimeoutMs = 12_000;
 /** A server that refused an order, or could not be read, is left alone for this time. */
 const retryMs = 3000;
 
-type Pending = {
-	startedAt: number;
-	stage: ServerStage;
-	until: number;
-};
-
 export class StageControl {
 	readonly #opts: StageControlOptions;
 	readonly #observers = new Map<string, WorkObserver>();
-	/** Changes under way by server. */
-	readonly #pending = new Map<string, Pending>();
 	readonly #avoidedUntil = new Map<string, number>();
 	#overtakenTerm = -1;
 
@@ -106,7 +97,6 @@
 
 	/** Watches the work and, while this instance leads, has at most one change of each service begun. */
 	async step(): Promise<void> {
-		this.#settle();
 		for (const service of this.#opts.listServices()) {
 			const servers = this.#listServers(service);
 			const observer = this.#findObserver(service);
@@ -119,7 +109,6 @@
 
 	dump(): unknown {
 		return {
-			pending: Object.fromEntries(this.#pending),
 			services: Object.fromEntries([...this.#observers].map(([service, {peakStreams, readingShare, isWarm}]) => [service, {peakStreams, readingShare, isWarm}])),
 		};
 	}
@@ -149,7 +138,7 @@
 	}
 
 	async #order(server: KnownServer, change: StageChange): Promise<void> {
-		const {client, leadership, holder, events, clock} = this.#opts;
+		const {client, leadership, holder, events} = this.#opts;
 		const condition = await client.readCondition(server);
 		if (!condition || condition.isBusy || condition.stage === change.stage) {
 			this.#avoid(server);
@@ -161,8 +150,7 @@
 			return;
 		}
 
-		this.#opts.announce(server, change.stage);
-		this.#pending.set(server.id, {startedAt: server.startedAt, stage: change.stage, until: clock.monotonic() + changeTimeoutMs});
+		this.#await(server, change.stage);
 		const outcome = await client.order(server, {
 			stage: change.stage, holder, fencingToken: term, expectedSequence: condition.sequence,
 		});
@@ -177,36 +165,31 @@
 			this.#overtakenTerm = term;
 		}
 
-		this.#pending.delete(server.id);
 		this.#avoid(server);
-		this.#opts.announce(server, condition.stage);
+		this.#await(server, condition.stage);
 	}
 
-	#avoid(server: KnownServer): void {
-		this.#avoidedUntil.set(server.id, this.#opts.clock.monotonic() + retryMs);
+	/** Has every instance leave the server out until its reports show the stage. */
+	#await(server: KnownServer, stage: ServerStage): void {
+		this.#opts.registry.awaitStage(server.id, {startedAt: server.startedAt, stage});
+		this.#opts.announce(server, stage);
 	}
 
-	/** Ends the changes that reports show, and those that never came. */
-	#settle(): void {
-		const {registry, clock} = this.#opts;
-		for (const [id, {startedAt, stage, until}] of this.#pending) {
-			const server = registry.find(id);
-			const isDone = server?.startedAt !== startedAt || server.stage === stage;
-			if (isDone || clock.monotonic() > until) {
-				this.#pending.delete(id);
-			}
-		}
+	#avoid(server: KnownServer): void {
+		this.#avoidedUntil.set(server.id, this.#opts.clock.monotonic() + retryMs);
 	}
 
 	/** Lists servers as they will be once the changes under way are done. */
 	#listServers(service: string): StageServer[] {
 		const {registry, readLoad} = this.#opts;
 		const servers: StageServer[] = [];
-		for (const {id, stage, slots} of registry.listReady(service)) {
+		for (const server of registry.listReady(service)) {
+			const {id, stage, slots} = server;
 			if (stage !== undefined) {
-				const pending = this.#pending.get(id);
+				const awaited = registry.findAwaitedStage(server);
+				const {streams, promptTokens} = readLoad(id);
 				servers.push({
-					id, slots, ...readLoad(id), stage: pending?.stage ?? stage, isChanging: pending !== undefined,
+					id, slots, streams, promptTokens, stage: awaited ?? stage, isChanging: awaited !== undefined,
 				});
 			}
 		}
--- a/packages/routing/stage-control/test/stage-control.test.ts
+++ b/packages/routing/stage-control/test/stage-control.test.ts
@@ -80,7 +80,6 @@
 			readLoad: () => ({streams: 0, promptTokens: 0}),
 			announce(server, stage) {
 				announced.push({server: server.id, stage});
-				registry.awaitStage(server.id, {startedAt: server.startedAt, stage});
 			},
 		});
 		report('s1', 'decode');
@@ -146,6 +145,15 @@
 		expect(perServer).to.be.within(1, 2);
 	});
 
+	it('knows the changes that a former leader began', async () => {
+		registry.awaitStage('s1', {startedAt: 0, stage: 'prefill'});
+		await step(3);
+		expect(client.orders).to.have.length(0);
+		report('s1', 'prefill');
+		await step();
+		expect(client.orders.map(order => order.server)).to.deep.equal(['s2']);
+	});
+
 	it('forgets a change when its server has started again', async () => {
 		await step();
 		registry.note({
