--- a/packages/routing/route-store/test/core-model.ts
+++ b/packages/routing/route-store/test/core-model.ts
@@ -2,79 +2,24 @@
  * A core of three members in one process without a network: the members' own code on a manual clock, with links and disks
  * that the checker controls. It plays one schedule of events and says which promise was broken, if any.
  */
-import {err, ok, type Result} from 'neverthrow';
 import {ManualClock} from '@hickorytrack/clock/manual-clock';
 import {EventLog} from '@hickorytrack/events';
-import {
-	LogStorageError, type LogRecord, type SnapshotRecord, type VoteState,
-} from '@hickorytrack/log-storage';
-import {MemoryLogStorage} from '@hickorytrack/log-storage/memory-log-storage';
-import type {Mesh} from '@hickorytrack/mesh';
 import {Random} from '@hickorytrack/random';
-import type {PeerMember} from '@hickorytrack/types/peer-methods';
-import {CoreMember, coreRole} from '../src/core-member.js';
+import {CoreMember} from '../src/core-member.js';
 import {storeOutcomes, type StoredConfiguration} from '../src/route-store.js';
+import {ModelDisk} from './model-disk.js';
+import {ModelNetwork, type ModelNode} from './model-network.js';
 
 /** What can happen; `leader` and `follower` are those of the moment, and the member that is dead for longest is revived. */
 export const modelEvents = ['put', 'put and wait', 'conflicting put', 'kill leader', 'kill follower', 'wipe leader', 'wipe follower', 'replace follower', 'cut leader', 'power loss', 'revive', 'heal'] as const;
 export type ModelEvent = typeof modelEvents[number];
 
-type Handler = (params: unknown) => unknown;
-
-type Node = {
-	address: string;
-	storage: ModelDisk;
-	core?: CoreMember;
-	handlers: Map<string, Handler>;
-	/** Time of the last kill. */
-	killedAt?: number;
-};
-
-/** A disk that takes some milliseconds to sync; what was not synced is lost with the power. */
-class ModelDisk extends MemoryLogStorage {
-	readonly #clock: ManualClock;
-	#powerCuts = 0;
-
-	constructor(folder: string, clock: ManualClock) {
-		super(folder);
-		this.#clock = clock;
-	}
-
-	cutPower(): void {
-		this.#powerCuts++;
-	}
-
-	override async saveVote(vote: VoteState): Promise<Result<void, LogStorageError>> {
-		return this.#sync(async () => super.saveVote(vote));
-	}
-
-	override async append(records: readonly LogRecord[]): Promise<Result<void, LogStorageError>> {
-		return this.#sync(async () => super.append(records));
-	}
-
-	override async truncateFrom(index: number): Promise<Result<void, LogStorageError>> {
-		return this.#sync(async () => super.truncateFrom(index));
-	}
-
-	override async saveSnapshot(snapshot: SnapshotRecord, remaining: readonly LogRecord[]): Promise<Result<void, LogStorageError>> {
-		return this.#sync(async () => super.saveSnapshot(snapshot, remaining));
-	}
-
-	async #sync(write: () => Promise<Result<void, LogStorageError>>): Promise<Result<void, LogStorageError>> {
-		const cuts = this.#powerCuts;
-		await this.#clock.sleep(syncMs);
-		return cuts === this.#powerCuts ? write() : err(new LogStorageError('ERR_HICKORYTRACK_LOG_IO', 'The power was lost before the sync'));
-	}
-}
-
 export type ModelOptions = {
 	seed: number;
 	/** The bug put in on purpose: a disk that was lost comes back under its old identity, so its member keeps its vote. */
 	hasForgottenVotes?: boolean;
 };
 
-const linkMs = 2;
-const syncMs = 5;
 const stopMs = 2000; // Longer than any task of a member sleeps.
 const formLimitMs = 20_000;
 const settleLimitMs = 20_000;
@@ -85,8 +30,7 @@
 	readonly clock = new ManualClock();
 	readonly #opts: ModelOptions;
 	readonly #random: Random;
-	readonly #nodes = new Map<string, Node>();
-	readonly #cut = new Set<string>();
+	readonly #network = new ModelNetwork(this.clock);
 	readonly #acknowledged = new Map<number, string>();
 	#version = 0;
 	#diskLosses = 0;
@@ -101,7 +45,7 @@
 	/** Forms the core and has one configuration acknowledged. */
 	async form(): Promise<void> {
 		for (const address of ['a', 'b', 'c']) {
-			this.#start({address, storage: new ModelDisk(`disk of ${address}`, this.clock), handlers: new Map()}, {isFirstStart: true});
+			this.#start({address, disk: new ModelDisk(`disk of ${address}`, this.clock), handlers: new Map()}, {isFirstStart: true});
 		}
 
 		await this.#putUntil(formLimitMs);
@@ -117,7 +61,7 @@
 		this.#heal();
 		await this.#readUntil(settleLimitMs);
 		await this.#putUntil(settleLimitMs);
-		for (const node of this.#nodes.values()) {
+		for (const node of this.#network.nodes.values()) {
 			this.#checkHeld(node.core?.store.held, `held by ${node.address} at the end`, {isNewest: node.core?.isLeader ?? false});
 		}
 
@@ -125,7 +69,7 @@
 	}
 
 	async stop(): Promise<void> {
-		for (const node of this.#nodes.values()) {
+		for (const node of this.#network.nodes.values()) {
 			void node.core?.stop();
 		}
 
@@ -134,7 +78,7 @@
 
 	async #happen(event: ModelEvent): Promise<void> {
 		const leader = this.#findLeader();
-		const follower = [...this.#nodes.values()].find(node => node.core && node !== leader);
+		const follower = [...this.#network.nodes.values()].find(node => node.core && node !== leader);
 		switch (event) {
 			case 'put': {
 				this.#put(this.#createDocument('a'));
@@ -180,14 +124,14 @@
 
 			case 'cut leader': {
 				if (leader) {
-					this.#cut.add(leader.address);
+					this.#network.cut.add(leader.address);
 				}
 
 				break;
 			}
 
 			case 'power loss': {
-				for (const node of this.#nodes.values()) {
+				for (const node of this.#network.nodes.values()) {
 					this.#kill(node);
 				}
 
@@ -196,7 +140,7 @@
 			}
 
 			case 'revive': {
-				const [dead] = [...this.#nodes.values()].filter(node => !node.core).sort((a, b) => a.killedAt! - b.killedAt!);
+				const [dead] = [...this.#network.nodes.values()].filter(node => !node.core).sort((a, b) => a.killedAt! - b.killedAt!);
 				if (dead) {
 					this.#start(dead, {isFirstStart: false});
 				}
@@ -217,14 +161,14 @@
 
 	/** Sends a change to whichever members believe that they lead, as edges pass changes on. */
 	#put(stored: StoredConfiguration): void {
-		for (const node of this.#nodes.values()) {
+		for (const node of this.#network.nodes.values()) {
 			if (node.core?.isLeader) {
 				void this.#putAt(node, stored);
 			}
 		}
 	}
 
-	async #putAt(node: Node, stored: StoredConfiguration): Promise<boolean> {
+	async #putAt(node: ModelNode, stored: StoredConfiguration): Promise<boolean> {
 		const result = await node.core!.put(stored);
 		const isAcknowledged = result.isOk() && (result.value === storeOutcomes.stored || result.value === storeOutcomes.same);
 		if (isAcknowledged) {
@@ -268,7 +212,7 @@
 	}
 
 	/** Tries at whoever leads until it succeeds once. */
-	async #repeat(limitMs: number, attempt: (leader: Node) => Promise<boolean>): Promise<boolean> {
+	async #repeat(limitMs: number, attempt: (leader: ModelNode) => Promise<boolean>): Promise<boolean> {
 		let isDone = false;
 		for (let waitedMs = 0; waitedMs < limitMs && !isDone; waitedMs += 100) {
 			const leader = this.#findLeader();
@@ -296,29 +240,29 @@
 		}
 	}
 
-	#findLeader(): Node | undefined {
-		return [...this.#nodes.values()].filter(node => node.core?.isLeader).sort((a, b) => b.core!.term - a.core!.term)[0];
+	#findLeader(): ModelNode | undefined {
+		return [...this.#network.nodes.values()].filter(node => node.core?.isLeader).sort((a, b) => b.core!.term - a.core!.term)[0];
 	}
 
 	#heal(): void {
-		this.#cut.clear();
+		this.#network.cut.clear();
 		this.#restartAll();
 	}
 
 	#restartAll(): void {
-		for (const node of this.#nodes.values()) {
+		for (const node of this.#network.nodes.values()) {
 			if (!node.core) {
 				this.#start(node, {isFirstStart: false});
 			}
 		}
 	}
 
-	#kill(node: Node | undefined): void {
+	#kill(node: ModelNode | undefined): void {
 		if (node?.core) {
 			const {core} = node;
 			node.core = undefined;
 			node.killedAt = this.clock.monotonic();
-			node.storage.cutPower();
+			node.disk.cutPower();
 			node.handlers.clear();
 			// A write that waits for the disk ends only as time goes on.
 			void core.stop();
@@ -326,18 +270,18 @@
 	}
 
 	/** One disk may be lost in a schedule; more are not tolerated by three members. */
-	#wipe(node: Node | undefined): void {
+	#wipe(node: ModelNode | undefined): void {
 		if (!node || this.#diskLosses > 0) {
 			return;
 		}
 
 		this.#diskLosses++;
 		this.#kill(node);
-		node.storage = new ModelDisk(this.#opts.hasForgottenVotes ? `disk of ${node.address}` : `new disk of ${node.address}`, this.clock);
+		node.disk = new ModelDisk(this.#opts.hasForgottenVotes ? `disk of ${node.address}` : `new disk of ${node.address}`, this.clock);
 		this.#start(node, {isFirstStart: false});
 	}
 
-	#replace(node: Node | undefined): void {
+	#replace(node: ModelNode | undefined): void {
 		if (!node || this.#diskLosses > 0) {
 			return;
 		}
@@ -345,62 +289,20 @@
 		this.#diskLosses++;
 		this.#added++;
 		this.#kill(node);
-		this.#nodes.delete(node.address);
+		this.#network.nodes.delete(node.address);
 		const address = `new ${this.#added}`;
-		this.#start({address, storage: new ModelDisk(`disk of ${address}`, this.clock), handlers: new Map()}, {isFirstStart: false});
+		this.#start({address, disk: new ModelDisk(`disk of ${address}`, this.clock), handlers: new Map()}, {isFirstStart: false});
 	}
 
-	#start(node: Node, opts: {isFirstStart: boolean}): void {
-		this.#nodes.set(node.address, node);
+	#start(node: ModelNode, opts: {isFirstStart: boolean}): void {
+		this.#network.nodes.set(node.address, node);
 		const {clock} = this;
 		node.core = new CoreMember({
-			mesh: this.#createMesh(node), storage: node.storage, clock, random: this.#random, events: new EventLog({clock}), toleratedLosses: 1, isFirstStart: opts.isFirstStart, seeds: ['a', 'b', 'c'], onStored(stored) {
+			mesh: this.#network.createMesh(node), storage: node.disk, clock, random: this.#random, events: new EventLog({clock}), toleratedLosses: 1, isFirstStart: opts.isFirstStart, seeds: ['a', 'b', 'c'], onStored(stored) {
 				// Only what is acknowledged or read counts.
 				stored;
 			},
 		});
 		void node.core.run();
 	}
-
-	#createMesh(node: Node): Mesh {
-		const describe = (address: string): PeerMember => ({
-			instance: address, address, roles: [coreRole], availabilityZone: 'z', incarnation: address,
-		});
-		const mesh = {
-			address: node.address,
-			peers: {
-				handle(method: string, handler: Handler) {
-					node.handlers.set(method, handler);
-				},
-			},
-			listMembers: () => [...this.#nodes.keys()].filter(address => address !== node.address).map(address => describe(address)),
-			findMember: (address: string) => this.#nodes.has(address) ? describe(address) : undefined,
-			findConnection: (address: string) => ({
-				request: async (method: string, params: unknown) => this.#carry(node, {address, method, params}),
-			}),
-		};
-		return mesh as unknown as Mesh;
-	}
-
-	async #carry(from: Node, {address, method, params}: {address: string; method: string; params: unknown}) {
-		const sender = from.core;
-		await this.clock.sleep(linkMs);
-		const handler = this.#isReachable(from.address, address) ? this.#nodes.get(address)?.handlers.get(method) : undefined;
-		if (!handler) {
-			return err(new Error('unreachable'));
-		}
-
-		try {
-			const reply = await handler(structuredClone(params));
-			await this.clock.sleep(linkMs);
-			const arrives = this.#isReachable(address, from.address) && from.core === sender;
-			return arrives ? ok(structuredClone(reply)) : err(new Error('the reply was lost'));
-		} catch (error) {
-			return err(error as Error);
-		}
-	}
-
-	#isReachable(from: string, to: string): boolean {
-		return !this.#cut.has(from) && !this.#cut.has(to);
-	}
 }
