refactor(stand-ins): the clock is passed in

Cause: stand-ins, demo and fault matrix read the clock themselves; only its one implementation may.

The engine's steps, restarts and crashes are plain tasks instead of timers. Benchmarks still measure with performance.now.

--- a/stand-ins/src/fleet.ts
+++ b/stand-ins/src/fleet.ts
@@ -8,6 +8,7 @@
 import path from 'node:path';
 import process from 'node:process';
 import {fileURLToPath} from 'node:url';
+import type {Clock} from '@hickorytrack/clock';
 import {request} from 'undici';
 
 const daemonPath = fileURLToPath(import.meta.resolve('@hickorytrack/hickorytrackd/main'));
@@ -18,6 +19,7 @@
 const readyTimeoutMs = 30_000;
 
 export type FleetOptions = {
+	clock: Clock;
 	/** First port that the fleet uses. */
 	basePort: number;
 	zones: readonly string[];
@@ -78,7 +80,7 @@
 		}
 
 		for (const instance of this.instances) {
-			await waitUntilAnswered(`${instance.callerUrl}/readyz`);
+			await waitUntilAnswered(`${instance.callerUrl}/readyz`, this.#opts.clock);
 		}
 	}
 
@@ -171,9 +173,9 @@
 	});
 }
 
-async function waitUntilAnswered(url: string): Promise<void> {
-	const until = performance.now() + readyTimeoutMs;
-	while (performance.now() < until) {
+async function waitUntilAnswered(url: string, clock: Clock): Promise<void> {
+	const until = clock.monotonic() + readyTimeoutMs;
+	while (clock.monotonic() < until) {
 		try {
 			const response = await request(url);
 			await response.body.dump();
@@ -184,9 +186,7 @@
 			// It is not there yet.
 		}
 
-		await new Promise(resolve => {
-			setTimeout(resolve, readyPollMs);
-		});
+		await clock.sleep(readyPollMs);
 	}
 
 	throw new Error(`${url} was not ready in time`);
--- a/stand-ins/src/load-generator.ts
+++ b/stand-ins/src/load-generator.ts
@@ -1,9 +1,11 @@
 /** Sends requests as a caller would and records what came back, compared with what the prompt must yield. */
+import type {Clock} from '@hickorytrack/clock';
 import {request} from 'undici';
 import {createParser} from 'eventsource-parser';
 import {composeExpectedAnswer, joinChatMessages} from './expected-answer.js';
 
 export type GenerationTry = {
+	clock: Clock;
 	url: string;
 	key: string;
 	model: string;
@@ -44,7 +46,7 @@
 
 /** Runs one generation and judges its answer. */
 export async function tryGeneration(attempt: GenerationTry): Promise<TryRecord> {
-	const startedAt = performance.now();
+	const startedAt = attempt.clock.monotonic();
 	const state: StreamState = {text: '', tokens: 0};
 	let detail: string | undefined;
 	try {
@@ -81,10 +83,10 @@
 		return;
 	}
 
-	await readStream(response.body, state);
+	await readStream(response.body, {state, clock: attempt.clock});
 }
 
-async function readStream(body: AsyncIterable<Uint8Array>, state: StreamState): Promise<void> {
+async function readStream(body: AsyncIterable<Uint8Array>, {state, clock}: {state: StreamState; clock: Clock}): Promise<void> {
 	const decoder = new TextDecoder();
 	const parser = createParser({
 		onEvent({event, data}) {
@@ -103,7 +105,7 @@
 			if (text) {
 				state.text += text;
 				state.tokens++;
-				state.lastAt = performance.now();
+				state.lastAt = clock.monotonic();
 				state.firstAt ??= state.lastAt;
 			}
 
@@ -118,7 +120,7 @@
 function judge(attempt: GenerationTry, state: StreamState, opts: {startedAt: number; detail?: string}): TryRecord {
 	const record: TryRecord = {
 		outcome: 'answered',
-		totalMs: performance.now() - opts.startedAt,
+		totalMs: attempt.clock.monotonic() - opts.startedAt,
 		text: state.text,
 		firstTokenMs: state.firstAt === undefined ? undefined : state.firstAt - opts.startedAt,
 		betweenTokensMs: state.tokens > 1 ? (state.lastAt! - state.firstAt!) / (state.tokens - 1) : undefined,
--- a/stand-ins/src/model-engine.ts
+++ b/stand-ins/src/model-engine.ts
@@ -9,6 +9,7 @@
 } from 'node:http';
 import {Buffer} from 'node:buffer';
 import type {AddressInfo, Socket} from 'node:net';
+import type {Clock} from '@hickorytrack/clock';
 import {AnswerSource, joinChatMessages} from './expected-answer.js';
 import {
 	BatchModel, roleFactors, type BatchSpeed, type ModelRole,
@@ -20,6 +21,10 @@
 
 const charactersPerToken = 4;
 const msPerSecond = 1000;
+const defaultStepMs = 5;
+const defaultRestartMs = 300;
+const defaultRoleChangeMs = 1000;
+const crashDelayMs = 20; // A request runs for a moment before it crashes the engine.
 
 export type Fence = {
 	term: number;
@@ -42,6 +47,7 @@
 };
 
 export type ModelEngineOptions = {
+	clock: Clock;
 	models: string[];
 	speed: BatchSpeed;
 	role?: ModelRole;
@@ -90,7 +96,6 @@
 	readonly #open = new Map<string, OpenRequest>();
 	readonly #sockets = new Set<Socket>();
 	#server: Server | undefined;
-	#timer: NodeJS.Timeout | undefined;
 	#port = 0;
 	#steppedAt = 0;
 	#highest: Fence | undefined;
@@ -130,14 +135,11 @@
 			server.listen(port, '127.0.0.1', resolve);
 		});
 		this.#port = (server.address() as AddressInfo).port;
-		this.#steppedAt = performance.now();
-		this.#timer = setInterval(() => {
-			this.#step();
-		}, this.#opts.stepMs ?? 5);
+		this.#steppedAt = this.#opts.clock.monotonic();
+		void this.#runSteps(server);
 	}
 
 	async stop(): Promise<void> {
-		clearInterval(this.#timer);
 		const server = this.#server;
 		this.#server = undefined;
 		for (const socket of this.#sockets) {
@@ -165,13 +167,16 @@
 			return;
 		}
 
-		void this.stop().then(() => {
-			setTimeout(() => {
-				this.incarnation = randomUUID();
-				this.#cache.clear();
-				void this.start().catch(() => undefined);
-			}, this.#opts.restartMs ?? 300);
-		});
+		void this.#restart();
+	}
+
+	async #restart(): Promise<void> {
+		await this.stop();
+		await this.#opts.clock.sleep(this.#opts.restartMs ?? defaultRestartMs);
+		this.incarnation = randomUUID();
+		this.#cache.clear();
+		// The port may be taken by then; a test that ends meanwhile no longer looks.
+		await this.start().catch(() => undefined);
 	}
 
 	async #handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
@@ -290,16 +295,26 @@
 			this.#cancel(id);
 		});
 		if (prompt.includes(crashMarker)) {
-			setTimeout(() => {
-				if (this.#open.get(id) === open) {
-					this.crash();
-				}
-			}, 20);
+			void this.#crashUnder(open);
+		}
+	}
+
+	async #crashUnder(open: OpenRequest): Promise<void> {
+		await this.#opts.clock.sleep(crashDelayMs);
+		if (this.#open.get(open.id) === open) {
+			this.crash();
+		}
+	}
+
+	async #runSteps(server: Server): Promise<void> {
+		while (this.#server === server) {
+			await this.#opts.clock.sleep(this.#opts.stepMs ?? defaultStepMs);
+			this.#step();
 		}
 	}
 
 	#step(): void {
-		const now = performance.now();
+		const now = this.#opts.clock.monotonic();
 		const seconds = (now - this.#steppedAt) / msPerSecond;
 		this.#steppedAt = now;
 		if (this.#isChanging || this.isSilent) {
@@ -359,13 +374,11 @@
 		this.#highest = body.fence;
 		if (body.order.kind === 'set-role' && body.order.role) {
 			this.#isChanging = true;
-			await new Promise(resolve => {
-				setTimeout(resolve, this.#opts.roleChangeMs ?? 1000);
-			});
+			await this.#opts.clock.sleep(this.#opts.roleChangeMs ?? defaultRoleChangeMs);
 			this.#batch.role = body.order.role;
 			this.#cache.clear();
 			this.#isChanging = false;
-			this.#steppedAt = performance.now();
+			this.#steppedAt = this.#opts.clock.monotonic();
 		}
 
 		send(response, 200, {});
--- a/stand-ins/test/bad-input.test.ts
+++ b/stand-ins/test/bad-input.test.ts
@@ -26,6 +26,7 @@
 });
 
 describe('bad input', function () {
+	const clock = new SystemClock();
 	this.timeout(60_000);
 	let kernel: Kernel;
 	let engine: ModelEngine;
@@ -53,7 +54,7 @@
 	};
 
 	const ask = async (key = 'key-one') => tryGeneration({
-		url: callerUrl, key, model: 'drafting', prompt: 'a question', maxTokens: 5,
+		clock, url: callerUrl, key, model: 'drafting', prompt: 'a question', maxTokens: 5,
 	});
 
 	const waitUntilAnswered = async (key: string) => {
@@ -63,9 +64,7 @@
 				return;
 			}
 
-			await new Promise(resolve => {
-				setTimeout(resolve, 50);
-			});
+			await clock.sleep(50);
 		}
 
 		throw new Error('the process does not serve');
@@ -74,7 +73,7 @@
 	before(async () => {
 		folder = await mkdtemp(path.join(tmpdir(), 'hickorytrack-input-'));
 		engine = new ModelEngine({
-			models: ['drafting'], speed: {
+			clock, models: ['drafting'], speed: {
 				prefillTokensPerSecond: 50_000, decodeTokensPerSecond: 50_000, sequenceTokensPerSecond: 20_000, capacity: 16,
 			},
 		});
@@ -82,16 +81,14 @@
 		const settings = readSettings([
 			'--engine', engine.url, '--data', folder, '--log-level', 'silent', '--peer-listen', '127.0.0.31:7400', '--caller-listen', '127.0.0.31:7480', '--operator-listen', '127.0.0.31:7490',
 		], {})._unsafeUnwrap();
-		kernel = createDaemon(settings, {clock: new SystemClock()});
+		kernel = createDaemon(settings, {clock});
 		(await kernel.start())._unsafeUnwrap();
 		for (let round = 0; round < 100; round++) {
 			if (version > 0) {
 				break;
 			}
 
-			await putContract(['key-one', 'key-two']).catch(async () => new Promise(resolve => {
-				setTimeout(resolve, 50);
-			}));
+			await putContract(['key-one', 'key-two']).catch(async () => clock.sleep(50));
 		}
 
 		await waitUntilAnswered('key-one');
--- a/tools/bench/src/bench.ts
+++ b/tools/bench/src/bench.ts
@@ -1,6 +1,7 @@
 /** `npm run bench -- NAME --seed N`: runs one benchmark; its last line is one JSON object. */
 import process from 'node:process';
 import {parseArgs} from 'node:util';
+import {SystemClock} from '@hickorytrack/clock/system-clock';
 import {benchControl} from './control-bench.js';
 import {benchFairness} from './fairness-bench.js';
 import {benchMix} from './mix-bench.js';
@@ -12,14 +13,15 @@
 
 const {values, positionals} = parseArgs({allowPositionals: true, options: {seed: {type: 'string', default: '1'}, deployment: {type: 'string', default: 'cuenca'}, plot: {type: 'string'}}});
 const seed = Number(values.seed);
+const clock = new SystemClock();
 
 const benches: Record<string, () => Promise<unknown> | unknown> = {
 	placement: () => benchPlacement(seed),
 	fairness: () => benchFairness(seed),
-	path: async () => benchPath(),
+	path: async () => benchPath({clock}),
 	slopes: async () => benchSlopes(new URL('../../../../docs/measurements/', import.meta.url)),
-	poison: async () => benchPoison(seed),
-	control: async () => benchControl(seed),
+	poison: async () => benchPoison(seed, {clock}),
+	control: async () => benchControl(seed, {clock}),
 	overload: () => benchOverload(seed),
 	mix: async () => benchMix({seed, deployment: values.deployment, plotFolder: values.plot === undefined ? undefined : new URL(`${values.plot}/`, `file://${process.cwd()}/`)}),
 };
--- a/tools/bench/src/control-bench.ts
+++ b/tools/bench/src/control-bench.ts
@@ -2,6 +2,7 @@
 import {stat, writeFile} from 'node:fs/promises';
 import path from 'node:path';
 import {build} from 'hdr-histogram-js';
+import type {Clock} from '@hickorytrack/clock';
 import {FaultFleet} from '@hickorytrack/faults/fault-fleet';
 import {createObservations} from '@hickorytrack/faults/observations';
 import {putContract, waitUntil, waitUntilServing} from '@hickorytrack/faults/operations';
@@ -25,7 +26,7 @@
 }
 
 async function measureFailover(fleet: FaultFleet, round: number): Promise<number> {
-	await waitUntil(() => fleet.findLeader() !== undefined);
+	await waitUntil(fleet.clock, () => fleet.findLeader() !== undefined);
 	const leader = fleet.findLeader()!;
 	const others = fleet.instances.map(one => one.name).filter(name => name !== leader);
 	const startedAt = performance.now();
@@ -50,7 +51,7 @@
 async function measureInForce(fleet: FaultFleet, name: string, index: number): Promise<number> {
 	const startedAt = performance.now();
 	const written = await pin(fleet, name, `force-${index}${'x'.repeat(index % 2)}`);
-	await waitUntil(() => [...fleet.processes.values()].filter(one => one.kernel).every(one => one.kernel!.context.control.revision >= written!.revision));
+	await waitUntil(fleet.clock, () => [...fleet.processes.values()].filter(one => one.kernel).every(one => one.kernel!.context.control.revision >= written!.revision));
 	return performance.now() - startedAt;
 }
 
@@ -77,7 +78,7 @@
 	const {revision} = fleet.find('engine-1').kernel!.context.control;
 	const startedAt = performance.now();
 	await fleet.startProcess('engine-3');
-	await waitUntil(() => fleet.find('engine-3').kernel!.context.control.revision >= revision);
+	await waitUntil(fleet.clock, () => fleet.find('engine-3').kernel!.context.control.revision >= revision);
 	return performance.now() - startedAt;
 }
 
@@ -92,9 +93,9 @@
 }
 
 /** Processor time and traffic of idle processes, in real processes. */
-async function measureIdle(agents: number): Promise<{agents: number; agentCpuPercent: number; instanceCpuPercent: number; agentMegabytes: number; bytesPerSecond: number}> {
+async function measureIdle(agents: number, {clock}: {clock: Clock}): Promise<{agents: number; agentCpuPercent: number; instanceCpuPercent: number; agentMegabytes: number; bytesPerSecond: number}> {
 	const fleet = new Fleet({
-		basePort: 23_000, zones: ['a', 'b', 'c'], engines: agents, services: [], daemonFlags: ['--log-level', 'warn'],
+		clock, basePort: 23_000, zones: ['a', 'b', 'c'], engines: agents, services: [], daemonFlags: ['--log-level', 'warn'],
 	});
 	try {
 		await fleet.start();
@@ -128,14 +129,16 @@
 	return result.map(state => state.traffic.sentBytes + state.traffic.receivedBytes).unwrapOr(0);
 }
 
-export async function benchControl(seed: number): Promise<Record<string, unknown>> {
-	const fleet = new FaultFleet({slot: 41, seed, settings: productTiming});
+export async function benchControl(seed: number, {clock}: {clock: Clock}): Promise<Record<string, unknown>> {
+	const fleet = new FaultFleet({
+		clock, slot: 41, seed, settings: productTiming,
+	});
 	const seen = createObservations();
 	const failover = build();
 	const inForce = build();
 	try {
 		await fleet.start();
-		await waitUntil(() => fleet.findLeader() !== undefined);
+		await waitUntil(fleet.clock, () => fleet.findLeader() !== undefined);
 		const names = fleet.instances.map(one => one.name);
 		await putContract(fleet, seen, {share: 1, expectedVersion: 0, instances: [...names, ...names, ...names]});
 		await waitUntilServing(fleet);
@@ -159,7 +162,7 @@
 		await fleet.stop();
 		const bySize = [];
 		for (const agents of sizes) {
-			bySize.push(await measureIdle(agents));
+			bySize.push(await measureIdle(agents, {clock}));
 		}
 
 		return {
--- a/tools/bench/src/path-bench.ts
+++ b/tools/bench/src/path-bench.ts
@@ -3,6 +3,7 @@
 import path from 'node:path';
 import {build} from 'hdr-histogram-js';
 import {Agent, request} from 'undici';
+import type {Clock} from '@hickorytrack/clock';
 import {Fleet} from '@hickorytrack/stand-ins/fleet';
 import {tryGeneration} from '@hickorytrack/stand-ins/load-generator';
 import {round} from './placement-bench.js';
@@ -25,14 +26,14 @@
 });
 
 /** Sends at a fixed rate and returns the first-token latencies in microseconds. */
-async function measureLatency(urlOf: (index: number) => string): Promise<ReturnType<typeof build>> {
+async function measureLatency(urlOf: (index: number) => string, {clock}: {clock: Clock}): Promise<ReturnType<typeof build>> {
 	const histogram = build();
 	const open: Array<Promise<void>> = [];
 	const startedAt = performance.now();
 	for (let index = 0; performance.now() - startedAt < latencyMs; index++) {
 		const send = async () => {
 			const record = await tryGeneration({
-				url: urlOf(index), key, model: 'drafting', prompt: `question ${index}`, maxTokens: 8,
+				clock, url: urlOf(index), key, model: 'drafting', prompt: `question ${index}`, maxTokens: 8,
 			});
 			if (record.outcome !== 'answered') {
 				throw new Error(`path bench: ${record.outcome} ${JSON.stringify(record.refusal)} ${record.detail}`);
@@ -115,9 +116,9 @@
 	return (after.residentBytes - before.residentBytes) / openStreams;
 }
 
-export async function benchPath(): Promise<Record<string, unknown>> {
+export async function benchPath({clock}: {clock: Clock}): Promise<Record<string, unknown>> {
 	const fleet = new Fleet({
-		basePort: 21_000, zones: ['a'], engines: 4, services: [], daemonFlags: ['--log-level', 'warn'],
+		clock, basePort: 21_000, zones: ['a'], engines: 4, services: [], daemonFlags: ['--log-level', 'warn'],
 		engineOptions: {
 			models: ['drafting'], stepMs: 2, speed: {
 				prefillTokensPerSecond: 1_000_000, decodeTokensPerSecond: 400_000, sequenceTokensPerSecond: 1000, capacity: 1000,
@@ -135,9 +136,9 @@
 
 		const entry = fleet.instances[0]!;
 		const pid = entry.child.pid!;
-		await measureLatency(() => entry.callerUrl);
-		const direct = await measureLatency(index => fleet.agents[index % fleet.agents.length]!.engineUrl);
-		const through = await measureLatency(() => entry.callerUrl);
+		await measureLatency(() => entry.callerUrl, {clock});
+		const direct = await measureLatency(index => fleet.agents[index % fleet.agents.length]!.engineUrl, {clock});
+		const through = await measureLatency(() => entry.callerUrl, {clock});
 		const streams = await measureThroughput(entry.callerUrl, {concurrency: 120, maxTokens: 400, pid});
 		const requests = await measureThroughput(entry.callerUrl, {concurrency: 48, maxTokens: 1, pid});
 		const bytesPerOpenStream = await measureOpenStreams(entry.callerUrl, pid);
--- a/tools/bench/src/poison-bench.ts
+++ b/tools/bench/src/poison-bench.ts
@@ -1,4 +1,5 @@
 /** `poison`: one request that crashes every engine that runs it, resent without end through all entries, beside innocent streams. */
+import type {Clock} from '@hickorytrack/clock';
 import {FaultFleet} from '@hickorytrack/faults/fault-fleet';
 import {createObservations} from '@hickorytrack/faults/observations';
 import {
@@ -10,13 +11,13 @@
 const benchMs = 12_000;
 const resendMs = 100;
 
-export async function benchPoison(seed: number): Promise<Record<string, unknown>> {
-	const fleet = new FaultFleet({slot: 40, seed});
+export async function benchPoison(seed: number, {clock}: {clock: Clock}): Promise<Record<string, unknown>> {
+	const fleet = new FaultFleet({clock, slot: 40, seed});
 	const seen = createObservations();
 	const poison = createObservations();
 	try {
 		await fleet.start();
-		await waitUntil(() => fleet.findLeader() !== undefined);
+		await waitUntil(clock, () => fleet.findLeader() !== undefined);
 		const names = fleet.instances.map(instance => instance.name);
 		await putContract(fleet, seen, {share: 1, expectedVersion: 0, instances: [...names, ...names]});
 		await waitUntilServing(fleet);
--- a/tools/demo/src/demo.ts
+++ b/tools/demo/src/demo.ts
@@ -8,9 +8,11 @@
 import {fileURLToPath} from 'node:url';
 import {build} from 'hdr-histogram-js';
 import {request} from 'undici';
+import {SystemClock} from '@hickorytrack/clock/system-clock';
 import {Fleet} from '@hickorytrack/stand-ins/fleet';
 import {tryGeneration, tryService, type TryRecord} from '@hickorytrack/stand-ins/load-generator';
 
+const clock = new SystemClock();
 const basePort = 17_000;
 const trafficMs = 20_000;
 const reportEveryMs = 110;
@@ -47,17 +49,13 @@
 	}
 }
 
-const sleep = async (ms: number): Promise<void> => new Promise(resolve => {
-	setTimeout(resolve, ms);
-});
-
 /** Starts one piece of work every `everyMs` for the time of the traffic and waits for all of it. */
 async function runEvery(everyMs: number, work: (index: number) => Promise<void>): Promise<void> {
-	const until = performance.now() + trafficMs;
+	const until = clock.monotonic() + trafficMs;
 	const open: Array<Promise<void>> = [];
-	for (let index = 0; performance.now() < until; index++) {
+	for (let index = 0; clock.monotonic() < until; index++) {
 		open.push(work(index));
-		await sleep(everyMs);
+		await clock.sleep(everyMs);
 	}
 
 	await Promise.all(open);
@@ -115,7 +113,7 @@
 	let drainCode = -1;
 	const pickUrl = (index: number) => fleet.instances[index % fleet.instances.length]!.callerUrl;
 	const drain = async () => {
-		await sleep(drainAfterMs);
+		await clock.sleep(drainAfterMs);
 		const drained = await fleet.runTool('endpoint', 'drain', 'engine-3', '--wait-seconds', '40');
 		drainCode = drained.code;
 		console.log(`drain of engine-3 while streams run: ${drained.output.trim().split('\n').at(-1)}`);
@@ -125,13 +123,13 @@
 		runEvery(reportEveryMs, async index => {
 			const prompt = `${ordinance}\n\nReport ${index}: there is paint on ${places[index % places.length]!}. Is the wall public or private? Draft a short reply.`;
 			note(cuenca, await tryGeneration({
-				url: pickUrl(index), key: 'cuenca-demo-key', model: 'ordinance', api: 'chat', prompt, maxTokens: 120,
+				clock, url: pickUrl(index), key: 'cuenca-demo-key', model: 'ordinance', api: 'chat', prompt, maxTokens: 120,
 			}));
 		}),
 		runEvery(questionEveryMs, async index => {
 			const prompt = `Question ${index}: ${questions[index % questions.length]!}`;
 			note(maraval, await tryGeneration({
-				url: pickUrl(index), key: 'maraval-demo-key', model: 'drafting', prompt, maxTokens: 60, isStreamed: true,
+				clock, url: pickUrl(index), key: 'maraval-demo-key', model: 'drafting', prompt, maxTokens: 60, isStreamed: true,
 			}));
 		}),
 		runEvery(dispatchEveryMs, async index => {
@@ -145,7 +143,7 @@
 
 async function main(): Promise<number> {
 	const fleet = new Fleet({
-		basePort, zones: ['el-ejido', 'totoracocha', 'el-centro'], engines: 8, services: ['dispatch', 'dispatch', 'dispatch'],
+		clock, basePort, zones: ['el-ejido', 'totoracocha', 'el-centro'], engines: 8, services: ['dispatch', 'dispatch', 'dispatch'],
 	});
 	try {
 		console.log('starting 3 instances, 8 engines and 3 dispatch servers on loopback …');
--- a/tools/faults/src/cell-runner.ts
+++ b/tools/faults/src/cell-runner.ts
@@ -1,4 +1,5 @@
 /** Runs one cell: the operations of the step, the fault when the step is reached, the end of the fault, the invariants. */
+import type {Clock} from '@hickorytrack/clock';
 import type {StepName} from '@hickorytrack/step-points';
 import {OperatorClient} from '@hickorytrack/hickorytrack/operator-client';
 import type {Cell, FaultName} from './cells.js';
@@ -6,7 +7,7 @@
 import {invariants, type Invariant} from './invariants.js';
 import {createObservations, type Observations} from './observations.js';
 import {
-	putContract, runDispatch, runGeneration, sleep, startChange, waitUntil, waitUntilServing,
+	putContract, runDispatch, runGeneration, startChange, waitUntil, waitUntilServing,
 } from './operations.js';
 
 export type CellResult = {
@@ -17,6 +18,7 @@
 };
 
 export type CellRunOptions = {
+	clock: Clock;
 	slot: number;
 	seed: number;
 	/** Changes the fleet before the operations; tests break the product with it. */
@@ -32,15 +34,16 @@
 const shortStreamTokens = 40;
 
 export async function runCell(cell: Cell, opts: CellRunOptions): Promise<CellResult> {
-	const startedAt = performance.now();
+	const {clock} = opts;
+	const startedAt = clock.monotonic();
 	const fleet = new FaultFleet(opts);
 	const seen = createObservations();
 	const finish = (outcome: CellResult['outcome'], faults: string[]): CellResult => ({
-		cell, outcome, faults, seconds: (performance.now() - startedAt) / 1000,
+		cell, outcome, faults, seconds: (clock.monotonic() - startedAt) / 1000,
 	});
 	try {
 		await fleet.start();
-		await waitUntil(() => fleet.findLeader() !== undefined);
+		await waitUntil(fleet.clock, () => fleet.findLeader() !== undefined);
 		const names = fleet.instances.map(instance => instance.name);
 		await putContract(fleet, seen, {share: 1, expectedVersion: 0, instances: [...names, ...names, ...names, ...names]});
 		const isServing = await waitUntilServing(fleet);
@@ -83,7 +86,7 @@
 	};
 
 	await runOperations(fleet, seen, cell);
-	await waitUntil(() => reached !== undefined, stepPatienceMs);
+	await waitUntil(fleet.clock, () => reached !== undefined, stepPatienceMs);
 	await endFaults;
 	fleet.heal();
 	await reviveAll(fleet);
@@ -133,7 +136,7 @@
 	const names = fleet.instances.map(instance => instance.name);
 	const streams = names.flatMap((entry, index) => [0, 1].map(async round =>
 		runGeneration(fleet, seen, {entry, prompt: `stream ${index} ${round} over a role change`, maxTokens: longStreamTokens})));
-	await sleep(150);
+	await fleet.clock.sleep(150);
 	await startChange(fleet, seen, {method: 'role.set', params: {endpoint: 'engine-1', role: 'decode'}});
 	await Promise.all(streams);
 }
@@ -188,14 +191,14 @@
 	switch (fault) {
 		case 'kill': {
 			await fleet.kill(owner);
-			await sleep(leaseMs / 2);
+			await fleet.clock.sleep(leaseMs / 2);
 			await fleet.startProcess(owner);
 			return;
 		}
 
 		case 'pause': {
 			fleet.pause(owner);
-			await sleep(leaseMs * 2);
+			await fleet.clock.sleep(leaseMs * 2);
 			fleet.resume(owner);
 			return;
 		}
@@ -204,7 +207,7 @@
 		case 'partition-in':
 		case 'partition-out': {
 			fleet.isolate(owner, {incoming: fault !== 'partition-out', outgoing: fault !== 'partition-in'});
-			await sleep(leaseMs * 1.5);
+			await fleet.clock.sleep(leaseMs * 1.5);
 			fleet.heal();
 			return;
 		}
@@ -221,7 +224,7 @@
 
 		case 'late': {
 			fleet.slowDown(owner, 150);
-			await sleep(leaseMs);
+			await fleet.clock.sleep(leaseMs);
 			fleet.heal();
 			return;
 		}
@@ -266,7 +269,7 @@
 			const other = names.find(name => name !== owner && name !== fleet.findLeader()) ?? names[0]!;
 			seen.disturbedEntries.add(other);
 			await fleet.kill(other);
-			await sleep(leaseMs / 2);
+			await fleet.clock.sleep(leaseMs / 2);
 			await fleet.startProcess(other);
 		}
 	}
--- a/tools/faults/src/fault-fleet.ts
+++ b/tools/faults/src/fault-fleet.ts
@@ -6,7 +6,7 @@
 import {mkdtemp, rm} from 'node:fs/promises';
 import {tmpdir} from 'node:os';
 import path from 'node:path';
-import {SystemClock} from '@hickorytrack/clock/system-clock';
+import type {Clock} from '@hickorytrack/clock';
 import type {Kernel} from '@hickorytrack/kernel';
 import {createDaemon} from '@hickorytrack/hickorytrackd/daemon';
 import type {DaemonSettings} from '@hickorytrack/settings';
@@ -41,6 +41,7 @@
 const serviceNames = ['dispatch-1', 'dispatch-2'];
 
 export class FaultFleet {
+	readonly clock: Clock;
 	readonly processes = new Map<string, FleetProcess>();
 	readonly engines = new Map<string, ModelEngine>();
 	readonly services = new Map<string, PlainService>();
@@ -54,8 +55,9 @@
 	#folder = '';
 	#watch: NodeJS.Timeout | undefined;
 
-	constructor(opts: {slot: number; seed: number; settings?: Partial<DaemonSettings>}) {
+	constructor(opts: {clock: Clock; slot: number; seed: number; settings?: Partial<DaemonSettings>}) {
 		this.#overrides = opts.settings ?? {};
+		this.clock = opts.clock;
 		this.#slot = opts.slot;
 		this.#seed = opts.seed;
 	}
@@ -109,7 +111,7 @@
 	/** Starts a process, or starts it again after it was killed. */
 	async startProcess(name: string): Promise<void> {
 		const one = this.find(name);
-		one.clock = new HeldClock(new SystemClock());
+		one.clock = new HeldClock(this.clock);
 		const kernel = createDaemon(one.settings, {clock: one.clock, steps: {reach: async (step, owner) => this.#reach(one, {step, owner, kernel: () => kernel})}});
 		one.kernel = kernel;
 		const started = await kernel.start();
@@ -215,7 +217,7 @@
 	async #startStandIns(): Promise<void> {
 		for (const name of engineNames) {
 			const engine = new ModelEngine({
-				models: [modelName], roleChangeMs: 200, restartMs: 250, checksFencing: name !== 'engine-2',
+				clock: this.clock, models: [modelName], roleChangeMs: 200, restartMs: 250, checksFencing: name !== 'engine-2',
 				speed: {
 					prefillTokensPerSecond: 50_000, decodeTokensPerSecond: 4000, sequenceTokensPerSecond: 250, capacity: 16,
 				},
@@ -237,7 +239,7 @@
 		const relay = new Relay({host, port: peerPort});
 		await relay.start({host: relayHost, port: peerPort});
 		this.processes.set(name, {
-			name, host, relayHost, relay, settings: this.#createSettings(name, {host, relayHost, number}), clock: new HeldClock(new SystemClock()), kernel: undefined, isPaused: false,
+			name, host, relayHost, relay, settings: this.#createSettings(name, {host, relayHost, number}), clock: new HeldClock(this.clock), kernel: undefined, isPaused: false,
 		});
 	}
 
--- a/tools/faults/src/faults.ts
+++ b/tools/faults/src/faults.ts
@@ -2,6 +2,7 @@
 import {readFile, writeFile} from 'node:fs/promises';
 import process from 'node:process';
 import {parseArgs} from 'node:util';
+import {SystemClock} from '@hickorytrack/clock/system-clock';
 import {formatCell, listCells, type Cell} from './cells.js';
 import {runCell, type CellResult} from './cell-runner.js';
 
@@ -12,6 +13,7 @@
 	},
 });
 const seed = Number(values.seed);
+const clock = new SystemClock();
 
 /** Reads the cells that KNOWN-RED.txt lists, one a line as `faults: STEP/FAULT`. */
 async function readKnownRed(): Promise<Set<string>> {
@@ -25,7 +27,7 @@
 	const work = async (slot: number) => {
 		for (let next = queue.shift(); next; next = queue.shift()) {
 			const [index, cell] = next;
-			const result = await runCell(cell, {slot, seed: seed + index});
+			const result = await runCell(cell, {clock, slot, seed: seed + index});
 			results.push(result);
 			console.log(`${result.outcome.padEnd(11)} ${formatCell(cell)} ${result.seconds.toFixed(1)} s${result.faults.map(fault => `\n            ${fault}`).join('')}`);
 		}
--- a/tools/faults/src/invariants.ts
+++ b/tools/faults/src/invariants.ts
@@ -98,7 +98,7 @@
 			const faults = [...fleet.reversions];
 			const accepted = seen.writes.filter(write => write.outcome === 'accepted');
 			let versions: VersionView[] | undefined;
-			await waitUntil(async () => {
+			await waitUntil(fleet.clock, async () => {
 				const history = await askAnyone<{versions: VersionView[]}>(fleet, 'contract.history', {workspace: workspaceName});
 				versions = history?.versions;
 				return versions !== undefined;
@@ -125,7 +125,7 @@
 	{
 		name: 'in-force',
 		async check(fleet) {
-			const isInForce = await waitUntil(async () => {
+			const isInForce = await waitUntil(fleet.clock, async () => {
 				const current = await askAnyone<{revision: number; contract: Contract}>(fleet, 'contract.get', {workspace: workspaceName});
 				return current !== undefined && [...fleet.processes.values()].every(({kernel}) => {
 					const value = kernel?.context.control.items.read(`contract/${workspaceName}`)?.value;
@@ -140,7 +140,7 @@
 		async check(fleet, seen) {
 			const faults: string[] = [];
 			for (const changeId of seen.changeIds) {
-				const hasEnded = await waitUntil(async () => {
+				const hasEnded = await waitUntil(fleet.clock, async () => {
 					const change = await readChange(fleet, changeId);
 					return change === undefined || ['finished', 'failed', 'cancelled'].includes(change.step);
 				}, recoveryMs);
@@ -157,7 +157,7 @@
 		name: 'serves-again',
 		async check(fleet) {
 			const seen = createObservations();
-			const isServing = await waitUntil(async () => {
+			const isServing = await waitUntil(fleet.clock, async () => {
 				seen.generations.length = 0;
 				await Promise.all(fleet.instances.map(async instance => runGeneration(fleet, seen, {entry: instance.name, prompt: `after the fault through ${instance.name}`, maxTokens: 5})));
 				return seen.generations.every(one => one.record.outcome === 'answered');
--- a/tools/faults/src/operations.ts
+++ b/tools/faults/src/operations.ts
@@ -1,5 +1,6 @@
 /** The operations of a cell, as callers and operators do them, and what they saw. */
 import {randomUUID} from 'node:crypto';
+import type {Clock} from '@hickorytrack/clock';
 import {computeKeyDigest} from '@hickorytrack/contract-schema';
 import {OperatorClient} from '@hickorytrack/hickorytrack/operator-client';
 import {tryGeneration, tryService} from '@hickorytrack/stand-ins/load-generator';
@@ -11,21 +12,18 @@
 export const callerKey = 'fault-matrix-caller';
 export const workspaceName = 'maraval';
 const settleMs = 20;
+const resendMs = 200;
 const patienceMs = 12_000;
 
-export const sleep = async (ms: number): Promise<void> => new Promise(resolve => {
-	setTimeout(resolve, ms);
-});
-
 /** Waits until the condition holds; false when it does not in time. */
-export async function waitUntil(condition: () => Promise<boolean> | boolean, timeoutMs = patienceMs): Promise<boolean> {
-	const until = performance.now() + timeoutMs;
-	while (performance.now() < until) {
+export async function waitUntil(clock: Clock, condition: () => Promise<boolean> | boolean, timeoutMs = patienceMs): Promise<boolean> {
+	const until = clock.monotonic() + timeoutMs;
+	while (clock.monotonic() < until) {
 		if (await condition()) {
 			return true;
 		}
 
-		await sleep(settleMs);
+		await clock.sleep(settleMs);
 	}
 
 	return false;
@@ -49,7 +47,7 @@
 
 export async function runGeneration(fleet: FaultFleet, seen: Observations, opts: {entry: string; prompt: string; maxTokens: number}): Promise<void> {
 	const record = await tryGeneration({
-		url: fleet.getCallerUrl(opts.entry), key: callerKey, model: modelName, prompt: opts.prompt, maxTokens: opts.maxTokens, signal: AbortSignal.timeout(patienceMs * 2),
+		clock: fleet.clock, url: fleet.getCallerUrl(opts.entry), key: callerKey, model: modelName, prompt: opts.prompt, maxTokens: opts.maxTokens, signal: AbortSignal.timeout(patienceMs * 2),
 	});
 	seen.generations.push({entry: opts.entry, record});
 }
@@ -88,7 +86,7 @@
 			return;
 		}
 
-		await sleep(200);
+		await fleet.clock.sleep(resendMs);
 	}
 
 	seen.writes.push({...base, outcome: 'unknown'});
@@ -105,7 +103,7 @@
 		}
 
 		seen.notes.push(`change: ${result.error.message}`);
-		await sleep(200);
+		await fleet.clock.sleep(resendMs);
 	}
 }
 
@@ -123,7 +121,7 @@
 
 /** Waits until the fleet serves: contract in force, every endpoint announced, every entry ready. */
 export async function waitUntilServing(fleet: FaultFleet): Promise<boolean> {
-	return waitUntil(async () => {
+	return waitUntil(fleet.clock, async () => {
 		const status = await askAnyone<{endpoints: number; revision: number; subscribers: Array<{revision: number}>}>(fleet, 'status.get');
 		return status?.endpoints === 5 && status.subscribers.length === 8 && status.subscribers.every(one => one.revision >= status.revision);
 	});
--- a/tools/faults/test/checks-can-fail.test.ts
+++ b/tools/faults/test/checks-can-fail.test.ts
@@ -39,10 +39,10 @@
 	const check = async (name: string) => invariants.find(one => one.name === name)!.check(fleet, seen);
 
 	beforeEach(async () => {
-		fleet = new FaultFleet({slot: testSlot, seed: 5});
+		fleet = new FaultFleet({clock: new SystemClock(), slot: testSlot, seed: 5});
 		seen = createObservations();
 		await fleet.start();
-		await waitUntil(() => fleet.findLeader() !== undefined);
+		await waitUntil(fleet.clock, () => fleet.findLeader() !== undefined);
 		const names = fleet.instances.map(instance => instance.name);
 		await putContract(fleet, seen, {share: 1, expectedVersion: 0, instances: [...names, ...names, ...names]});
 		expect(await waitUntilServing(fleet)).to.equal(true);
@@ -78,7 +78,7 @@
 		expect(checkOrders('engine-2', engine)).to.deep.equal([]);
 		restore = replaceMethod(FenceGuard.prototype, 'admit', () => 'admitted');
 		await sendOrder(2);
-		await waitUntil(() => engine.orders.length > 1);
+		await waitUntil(fleet.clock, () => engine.orders.length > 1);
 		expect(checkOrders('engine-2', engine)).to.have.length(1);
 	});
 
@@ -156,7 +156,7 @@
 			return promoteLearner.call(this, id);
 		});
 		const replaced = new OperatorClient({server: fleet.getOperatorUrl(leader), timeoutMs: 3000}).call('controller.replace', {id: lost});
-		await waitUntil(() => fleet.find(leader).kernel!.dump() !== undefined);
+		await waitUntil(fleet.clock, () => fleet.find(leader).kernel!.dump() !== undefined);
 		await replaced;
 		isStopped = true;
 		await fleet.kill(leader);
