--- a/packages/plugins/entry/src/caller-api.ts
+++ b/packages/plugins/entry/src/caller-api.ts
@@ -6,7 +6,6 @@
 import {
 	createServer, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
-import {Buffer} from 'node:buffer';
 import findMyWay, {type HTTPMethod} from 'find-my-way';
 import {err, ok, type Result} from 'neverthrow';
 import {HickorytrackError} from '@hickorytrack/errors';
@@ -19,6 +18,7 @@
 	formatAnswer, formatChunk, formatStreamEnd, formatStreamError, parseModelRequest, type AnswerIdentity, type ModelApiName, type ParsedModelRequest,
 } from './model-api.js';
 import {createProblem, type Problem, type ProblemCode} from './problem.js';
+import {readBody} from './request-body.js';
 import {ServiceCall} from './service-call.js';
 import type {Workspace, WorkspaceDirectory} from './workspace-directory.js';
 
@@ -319,39 +319,16 @@
 
 	/** Reads the body within the contract's size and the time limit; answers the refusal itself when it can't. */
 	async #readBody(call: Call, workspace: Workspace): Promise<string | undefined> {
-		const limit = workspace.contract.limits.bodyBytes;
-		if (Number(call.request.headers['content-length'] ?? 0) > limit) {
-			this.#refuseAndClose(call, 'body-too-large', limit);
-			return undefined;
+		const body = await readBody(call.request, {maxBytes: workspace.contract.limits.bodyBytes, timeoutMs: bodyTimeoutMs, clock: this.#clock});
+		if (body.isOk()) {
+			return body.value;
 		}
 
-		const finished = new AbortController();
-		let isLate = false;
-		void this.#clock.sleep(bodyTimeoutMs, finished.signal).then(() => {
-			if (!finished.signal.aborted) {
-				isLate = true;
-				this.#refuseAndClose(call, 'request-too-slow', bodyTimeoutMs);
-			}
-		});
-		const chunks: Buffer[] = [];
-		let size = 0;
-		try {
-			for await (const chunk of call.request as AsyncIterable<Buffer>) {
-				size += chunk.length;
-				if (size > limit) {
-					this.#refuseAndClose(call, 'body-too-large', limit);
-					return undefined;
-				}
-
-				chunks.push(chunk);
-			}
-		} catch {
-			return undefined;
-		} finally {
-			finished.abort();
+		if (body.error.code !== 'body-broken') {
+			this.#refuseAndClose(call, body.error.code, body.error.limit);
 		}
 
-		return isLate ? undefined : Buffer.concat(chunks).toString('utf8');
+		return undefined;
 	}
 
 	/** Refuses while the body is still on its way, so the connection can't be used again. */
--- /dev/null
+++ b/packages/plugins/entry/src/request-body.ts
@@ -0,0 +1,56 @@
+/** Reads the body of a caller's request within bounds of size and time. */
+import {Buffer} from 'node:buffer';
+import type {IncomingMessage} from 'node:http';
+import {err, ok, type Result} from 'neverthrow';
+import type {Clock} from '@hickorytrack/clock';
+
+export type BodyError =
+	/** The limit is in bytes or milliseconds. */
+	| {code: 'body-too-large' | 'request-too-slow'; limit: number}
+	/** The caller went away in the middle. */
+	| {code: 'body-broken'};
+
+export type ReadBodyOptions = {
+	maxBytes: number;
+	timeoutMs: number;
+	clock: Clock;
+};
+
+/** Reads the body as text. After an error the rest of it is still on its way, so the connection can't be used again. */
+export async function readBody(request: IncomingMessage, opts: ReadBodyOptions): Promise<Result<string, BodyError>> {
+	const {maxBytes, timeoutMs, clock} = opts;
+	if (Number(request.headers['content-length'] ?? 0) > maxBytes) {
+		return err({code: 'body-too-large', limit: maxBytes});
+	}
+
+	const finished = new AbortController();
+	const lapse = async (): Promise<Result<string, BodyError>> => {
+		await clock.sleep(timeoutMs, finished.signal);
+		return err({code: 'request-too-slow', limit: timeoutMs});
+	};
+
+	try {
+		return await Promise.race([collect(request, maxBytes), lapse()]);
+	} finally {
+		finished.abort();
+	}
+}
+
+async function collect(request: IncomingMessage, maxBytes: number): Promise<Result<string, BodyError>> {
+	const chunks: Buffer[] = [];
+	let size = 0;
+	try {
+		for await (const chunk of request as AsyncIterable<Buffer>) {
+			size += chunk.length;
+			if (size > maxBytes) {
+				return err({code: 'body-too-large', limit: maxBytes});
+			}
+
+			chunks.push(chunk);
+		}
+	} catch {
+		return err({code: 'body-broken'});
+	}
+
+	return ok(Buffer.concat(chunks).toString('utf8'));
+}
--- a/stand-ins/src/model-engine.ts
+++ b/stand-ins/src/model-engine.ts
@@ -7,13 +7,15 @@
 import {
 	createServer, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
-import {Buffer} from 'node:buffer';
 import type {AddressInfo, Socket} from 'node:net';
 import type {Clock} from '@hickorytrack/clock';
 import {AnswerSource, joinChatMessages} from './expected-answer.js';
 import {
 	BatchModel, roleFactors, type BatchSpeed, type ModelRole,
 } from './batch-model.js';
+import {
+	compareFences, formatChunk, readJson, send, type CompletionBody, type Fence, type LedgerOrder, type LedgerRequest, type OpenRequest,
+} from './engine-messages.js';
 import {PrefixCache} from './prefix-cache.js';
 
 export const crashMarker = 'CRASH-ENGINE';
@@ -26,26 +28,6 @@
 const defaultRoleChangeMs = 1000;
 const crashDelayMs = 20; // A request runs for a moment before it crashes the engine.
 
-export type Fence = {
-	term: number;
-	epoch: number;
-	orderNumber: number;
-};
-
-export type LedgerOrder = {
-	fence: Fence;
-	change: string;
-	order: {kind: string; role?: ModelRole};
-	isAccepted: boolean;
-};
-
-export type LedgerRequest = {
-	request: string;
-	resumedFrom: number;
-	promptCharacters: number;
-	state: 'running' | 'complete' | 'cancelled';
-};
-
 export type ModelEngineOptions = {
 	clock: Clock;
 	models: string[];
@@ -61,28 +43,6 @@
 	onCrash?: () => void;
 };
 
-type OpenRequest = {
-	id: string;
-	source: AnswerSource;
-	response: ServerResponse;
-	next: number;
-	isChat: boolean;
-	model: string;
-	promptTokens: number;
-	cachedTokens: number;
-	isStalled: boolean;
-	ledger: LedgerRequest;
-};
-
-type CompletionBody = {
-	model: string;
-	prompt?: string;
-	messages?: Array<{role: string; content: string}>;
-	max_tokens?: number;
-	priority?: number;
-	resume_tokens?: number;
-};
-
 export class ModelEngine {
 	readonly orders: LedgerOrder[] = [];
 	readonly requests: LedgerRequest[] = [];
@@ -407,29 +367,3 @@
 		}
 	}
 }
-
-function compareFences(a: Fence, b: Fence): number {
-	return (a.term - b.term) || (a.epoch - b.epoch) || (a.orderNumber - b.orderNumber);
-}
-
-function formatChunk(open: OpenRequest, opts: {token?: string; finishReason?: string}): string {
-	const {token, finishReason} = opts;
-	const choice = open.isChat ? {index: 0, delta: {content: token}, finish_reason: finishReason} : {index: 0, text: token ?? '', finish_reason: finishReason};
-	const usage = finishReason && {prompt_tokens: open.promptTokens, completion_tokens: open.next, prompt_tokens_details: {cached_tokens: open.cachedTokens}};
-	return `data: ${JSON.stringify({
-		id: open.id, model: open.model, choices: [choice], ...(usage && {usage}),
-	})}\n\n`;
-}
-
-async function readJson(request: IncomingMessage): Promise<unknown> {
-	const chunks: Buffer[] = [];
-	for await (const chunk of request as AsyncIterable<Buffer>) {
-		chunks.push(chunk);
-	}
-
-	return JSON.parse(Buffer.concat(chunks).toString('utf8') || '{}') as unknown;
-}
-
-function send(response: ServerResponse, status: number, body: unknown): void {
-	response.writeHead(status, {'content-type': 'application/json'}).end(JSON.stringify(body));
-}
--- a/tools/faults/src/invariants.ts
+++ b/tools/faults/src/invariants.ts
@@ -1,5 +1,6 @@
 /** The invariants that are checked from outside after each cell. Each returns what it found wrong. */
-import type {ModelEngine, LedgerOrder} from '@hickorytrack/stand-ins/model-engine';
+import type {LedgerOrder} from '@hickorytrack/stand-ins/engine-messages';
+import type {ModelEngine} from '@hickorytrack/stand-ins/model-engine';
 import type {Contract} from '@hickorytrack/types/contract';
 import type {FaultFleet} from './fault-fleet.js';
 import {type Observations, createObservations} from './observations.js';
