feat(engine-profile): learn the speed of the engines from their answers

Cause: placement started from 200 prompt tokens/ms and moved by 5 % a sample from idle prefill servers only. Every prediction was four times too short, the first-byte timeout (twice the prediction) cancelled prompts that were merely being read, and they were read again elsewhere.

Change: package engine-profile fits latency = fixed part + slope x tokens for each service and stage, with a factor for each server, from all answered prefills (queue included), bounded against outliers. Samples travel with the stored prompts, so every instance learns from all. Before the first sample nothing is refused or cancelled on a guess. A server that answers others is not taken for lost (SilenceDetector). The length of a short prompt, the queue limit of streams and the margin between close predictions follow from the objective, the time of a hand-over is learnt.

--- a/packages/core/types/src/peer-methods.ts
+++ b/packages/core/types/src/peer-methods.ts
@@ -145,8 +145,11 @@
 
 export type ShareScope = typeof shareScopes[keyof typeof shareScopes];
 
-/** Prompts that a server has prefilled or whose KV cache was transferred to it. */
-export type StoredPrompt = {server: string; parts: Array<{id: string; tokens: number}>};
+/** Tokens that a server had to prefill until the end of a prompt, and the time that it took, in milliseconds. */
+export type PrefillTiming = [tokens: number, elapsedMs: number];
+
+/** Prompts that a server has prefilled or whose KV cache was transferred to it. The timing is set if it was measured. */
+export type StoredPrompt = {server: string; parts: Array<{id: string; tokens: number}>; timing?: PrefillTiming};
 
 /** Unfinished work that instances have sent to servers, and the prompts that servers have stored since the last share. */
 export type LoadShare = {
--- a/packages/plugins/edge/src/attempt.ts
+++ b/packages/plugins/edge/src/attempt.ts
@@ -43,6 +43,8 @@
 	onFirstByte?: () => void;
 	/** Time without a first byte after which the attempt is cancelled, in milliseconds. */
 	firstByteTimeoutMs?: number;
+	/** Called when the first-byte timeout expires; when it returns false, the timeout starts again. */
+	isLost?: () => boolean;
 	/** Time between two chunks of the response after which the attempt is cancelled, in milliseconds. */
 	idleTimeoutMs?: number;
 };
@@ -96,17 +98,24 @@
 
 	/** Cancels the attempt when the first-byte timeout or the idle timeout expires. */
 	async watchTimeouts(finished: AbortSignal): Promise<void> {
-		const {clock, firstByteTimeoutMs, idleTimeoutMs} = this.#opts;
+		const {clock, firstByteTimeoutMs, idleTimeoutMs, isLost} = this.#opts;
+		let waitingSince = this.#lastByteAt;
 		while (!finished.aborted) {
 			const limitMs = this.#isAwaitingFirstByte ? firstByteTimeoutMs : idleTimeoutMs;
 			if (limitMs === undefined && idleTimeoutMs === undefined) {
 				return;
 			}
 
-			const idleMs = clock.monotonic() - this.#lastByteAt;
+			waitingSince = Math.max(waitingSince, this.#lastByteAt);
+			let idleMs = clock.monotonic() - waitingSince;
 			if (limitMs !== undefined && idleMs >= limitMs) {
-				this.cancel(attemptOutcomes.stalled);
-				return;
+				if (!this.#isAwaitingFirstByte || !isLost || isLost()) {
+					this.cancel(attemptOutcomes.stalled);
+					return;
+				}
+
+				waitingSince = clock.monotonic();
+				idleMs = 0;
 			}
 
 			await clock.sleep((limitMs ?? idleTimeoutMs!) - (limitMs === undefined ? 0 : idleMs), finished);
--- a/packages/plugins/edge/src/edge.ts
+++ b/packages/plugins/edge/src/edge.ts
@@ -8,6 +8,7 @@
 import {
 	EndpointRegistry, serverStates, type KnownServer, type ServerReport,
 } from '@hickorytrack/endpoint-registry';
+import {EngineProfile} from '@hickorytrack/engine-profile';
 import {HickorytrackError, describeError} from '@hickorytrack/errors';
 import {LoadSharing} from '@hickorytrack/load-sharing';
 import {Mesh} from '@hickorytrack/mesh';
@@ -70,6 +71,7 @@
 	readonly #loadTracker: LoadTracker;
 	readonly #cacheIndex: PrefixCacheIndex;
 	readonly #partUsage: PartUsage;
+	readonly #profile = new EngineProfile();
 	readonly #loadSharing: LoadSharing;
 	readonly #crashDetector: CrashDetector;
 	readonly #requestLog: RequestLog;
@@ -234,6 +236,7 @@
 			members: this.mesh.listMembers().map(member => member.instance),
 			relay: this.#loadSharing.relay,
 			stages: this.#stageControl?.dump(),
+			profile: this.#profile.dump(),
 			servers: this.registry.list().map(server => ({...server, load: this.#loadTracker.getLoad(server.id), awaitedStage: this.registry.findPendingStage(this.registry.find(server.id)!)})),
 			linesDropped: this.#context.eventLog.droppedTotal,
 		};
@@ -250,10 +253,11 @@
 			health,
 			loadTracker: this.#loadTracker,
 			cacheIndex: this.#cacheIndex,
+			profile: this.#profile,
 			client: new EndpointClient({clock, connectTimeoutMs}),
 			leastLoadPlacement: new LeastLoadPlacement({loadTracker: this.#loadTracker, random, getFailureRate: server => health.getFailureRate(server)}),
 			promptPlacement: new PromptPlacement({
-				random, loadTracker: this.#loadTracker, cacheIndex: this.#cacheIndex, usage: this.#partUsage, getKvCapacity: service => this.#getKvCapacity(service),
+				random, loadTracker: this.#loadTracker, cacheIndex: this.#cacheIndex, usage: this.#partUsage, profile: this.#profile, getKvCapacity: service => this.#getKvCapacity(service),
 			}),
 			retryBudget: new RetryBudget({
 				clock, ratio: settings.retryRatio, allowance: settings.retryAllowance, windowMs: settings.retryWindowMs, countInstances: () => this.#countEdges(),
@@ -364,8 +368,14 @@
 
 	#recordStored(stored: readonly StoredPrompt[]): void {
 		this.#cacheIndex.mergeRemotePrompts(stored, id => this.registry.find(id));
-		for (const {parts} of stored) {
+		for (const {server: id, parts, timing} of stored) {
 			this.#partUsage.record(parts.slice(0, -1));
+			const server = this.registry.find(id);
+			if (server && timing) {
+				const [tokens, elapsedMs] = timing;
+				this.#profile.record(server, {tokens, elapsedMs});
+				this.#context.health.recordSignOfLife(server);
+			}
 		}
 	}
 
--- a/packages/plugins/edge/src/forward-context.ts
+++ b/packages/plugins/edge/src/forward-context.ts
@@ -1,6 +1,7 @@
 /** State and services that all forwarders of an instance share. */
 import type {Clock} from '@hickorytrack/clock';
 import type {EndpointClient, OutboundRequest} from '@hickorytrack/endpoint-client';
+import type {EngineProfile} from '@hickorytrack/engine-profile';
 import type {EndpointRegistry, KnownServer} from '@hickorytrack/endpoint-registry';
 import type {PrefixCacheIndex} from '@hickorytrack/prompt-placement/prefix-cache-index';
 import type {LoadTracker} from '@hickorytrack/prompt-placement/load-tracker';
@@ -22,6 +23,7 @@
 	health: ServerHealth;
 	loadTracker: LoadTracker;
 	cacheIndex: PrefixCacheIndex;
+	profile: EngineProfile;
 	leastLoadPlacement: LeastLoadPlacement;
 	promptPlacement: PromptPlacement;
 	retryBudget: RetryBudget;
--- a/packages/plugins/edge/src/server-health.ts
+++ b/packages/plugins/edge/src/server-health.ts
@@ -15,6 +15,8 @@
 	excludedUntil: number;
 	/** Monotonic time at which the server became unresponsive; it is excluded until it reports again. */
 	unresponsiveSince?: number;
+	/** Monotonic time of the last response or prefill that this or another instance saw from the server. */
+	aliveAt?: number;
 };
 
 const smoothingFactor = 0.1;
@@ -31,12 +33,23 @@
 
 	recordSuccess(server: KnownServer): void {
 		const health = this.#getHealth(server);
+		this.recordSignOfLife(server);
 		health.failureRate -= health.failureRate * smoothingFactor;
 		health.brokenResponses = 0;
 		health.excludedUntil = 0;
 		health.unresponsiveSince = undefined;
 	}
 
+	/** Records that the server has answered a request of this or another instance. */
+	recordSignOfLife(server: KnownServer): void {
+		this.#getHealth(server).aliveAt = this.#clock.monotonic();
+	}
+
+	/** Returns whether any instance has had an answer of the server since then. */
+	isAliveSince(server: KnownServer, since: number): boolean {
+		return (this.#getHealth(server).aliveAt ?? Number.NEGATIVE_INFINITY) > since;
+	}
+
 	/** Records a response that reports a failure of the server itself. */
 	recordFailure(server: KnownServer): void {
 		const health = this.#getHealth(server);
--- a/packages/plugins/edge/src/streaming-forwarder.ts
+++ b/packages/plugins/edge/src/streaming-forwarder.ts
@@ -12,6 +12,7 @@
 import {requestOutcomes, type CallerRequest, type RequestResult} from './caller-request.js';
 import {EventRelay} from './event-relay.js';
 import type {KvHandle} from './request-codec.js';
+import {SilenceDetector} from './silence-detector.js';
 import {
 	createOutboundRequest, computeRemainingMs, defaultRetryAfterMs, type ForwardContext,
 } from './forward-context.js';
@@ -21,9 +22,6 @@
 const maxPriorityValue = 9;
 /** A response of this many tokens takes seconds, so that a caller notices pauses in it. */
 const longOutputTokens = 512;
-/** A server that takes longer than the predicted time, multiplied by this factor, plus the margin counts as lost. */
-const firstByteTimeoutFactor = 2;
-const firstByteTimeoutMarginMs = 250;
 /** A stream whose server sends nothing for this many times the pause objective resumes at another server, if it can. */
 const idleTimeoutFactor = 3;
 const minimumIdleTimeoutMs = 500;
@@ -160,12 +158,13 @@
 
 	/** Prefills the prompt at another server. Returns the handle of its KV cache; undefined when the request needs a new placement. */
 	async #runPrefill({prefillServer, kvSource, prefillTokens, predictedMs}: Placement & {kind: 'hand-over'}): Promise<KvHandle | undefined> {
-		const {loadTracker, cacheIndex, client, clock, codec, health, retryBudget, promptPlacement, eventLog} = this.#context;
-		const wasIdle = loadTracker.getLoad(prefillServer.id).promptTokens === 0;
+		const {loadTracker, cacheIndex, client, clock, codec, health, retryBudget, profile, eventLog} = this.#context;
+		const totalTokens = loadTracker.getLoad(prefillServer.id).promptTokens + prefillTokens;
 		const inFlightLoad = loadTracker.add(prefillServer.id, prefillTokens);
 		const startedAt = clock.monotonic();
+		const silence = this.#createSilenceDetector(prefillServer, predictedMs);
 		const result = await runAttempt(client, prefillServer.address, {
-			clock, signal: this.#request.signal, timeoutMs: Math.min(computeRemainingMs(this.#context, this.#request), (predictedMs * firstByteTimeoutFactor) + firstByteTimeoutMarginMs), request: createOutboundRequest(this.#context, this.#request, {
+			clock, signal: this.#request.signal, timeoutMs: computeRemainingMs(this.#context, this.#request), firstByteTimeoutMs: silence.intervalMs, isLost: () => silence.isLost(clock.monotonic(), computeRemainingMs(this.#context, this.#request)), request: createOutboundRequest(this.#context, this.#request, {
 				server: prefillServer, needsVerifiedConnection: false, priority: this.#priority, isPrefillOnly: true, prefixCacheAddress: kvSource?.address,
 			}),
 		});
@@ -173,12 +172,10 @@
 		const metadata = result.head && codec.decodeResponseHead(result.head);
 		const handle = result.outcome === attemptOutcomes.answered && result.head?.status === 200 ? codec.decodeKvHandle(prefillServer.address, result.body.toString()) : undefined;
 		if (handle) {
+			const elapsedMs = clock.monotonic() - startedAt;
 			health.recordSuccess(prefillServer);
-			cacheIndex.recordPrompt(prefillServer, this.#prompt.parts);
-			if (wasIdle) {
-				promptPlacement.prefillRate.record(prefillTokens, clock.monotonic() - startedAt);
-			}
-
+			cacheIndex.recordPrompt(prefillServer, this.#prompt.parts, [totalTokens, Math.round(elapsedMs)]);
+			profile.record(prefillServer, {tokens: totalTokens, elapsedMs});
 			return handle;
 		}
 
@@ -201,23 +198,30 @@
 	}
 
 	async #generate(server: KnownServer, {handle, placement}: {handle?: KvHandle; placement: Exclude<Placement, {kind: 'refuse'}>}): Promise<AttemptResult> {
-		const {loadTracker, cacheIndex, client, clock} = this.#context;
+		const {loadTracker, client, clock} = this.#context;
 		const isLongOutput = this.#prompt.maxOutputTokens >= longOutputTokens;
 		this.#backupServer = isLongOutput ? this.#selectBackup(server) : undefined;
 		const canFailOver = this.#isRetryable && this.#servers.length < this.#request.route.maxServers;
+		const silence = this.#createSilenceDetector(server, placement.predictedMs);
+		const load = loadTracker.getLoad(server.id);
+		const hadFreeSlot = load.requests < server.slots;
+		const totalTokens = load.promptTokens + placement.prefillTokens;
 		const inFlightLoad = loadTracker.add(server.id, handle ? 0 : placement.prefillTokens, {isStream: isLongOutput});
+		const startedAt = clock.monotonic();
 		const result = await runAttempt(client, server.address, {
 			clock,
 			signal: this.#request.signal,
 			timeoutMs: computeRemainingMs(this.#context, this.#request),
 			relay: this.#relay,
 			isStream: head => this.#isStream(head),
-			firstByteTimeoutMs: canFailOver ? (placement.predictedMs * firstByteTimeoutFactor) + firstByteTimeoutMarginMs : undefined,
+			firstByteTimeoutMs: canFailOver ? silence.intervalMs : undefined,
+			isLost: () => silence.isLost(clock.monotonic(), computeRemainingMs(this.#context, this.#request)),
 			idleTimeoutMs: canFailOver || this.#backupServer ? Math.max(minimumIdleTimeoutMs, (this.#request.route.pauseObjectiveMs ?? 0) * idleTimeoutFactor) : undefined,
 			onFirstByte: () => {
 				inFlightLoad.releasePrefill();
-				cacheIndex.recordPrompt(server, this.#prompt.parts);
-				this.#firstByteMs ??= clock.monotonic() - this.#request.arrivedAt;
+				this.#recordFirstByte(server, {
+					handle, hadFreeSlot, totalTokens, elapsedMs: clock.monotonic() - startedAt,
+				});
 			},
 			request: createOutboundRequest(this.#context, this.#request, {
 				server,
@@ -233,6 +237,26 @@
 		return result;
 	}
 
+	#recordFirstByte(server: KnownServer, {handle, hadFreeSlot, totalTokens, elapsedMs}: {handle?: KvHandle; hadFreeSlot: boolean; totalTokens: number; elapsedMs: number}): void {
+		const {cacheIndex, profile, health, clock} = this.#context;
+		this.#firstByteMs ??= clock.monotonic() - this.#request.arrivedAt;
+		health.recordSignOfLife(server);
+		// A wait for a slot says nothing about the speed of the server.
+		const isMeasured = hadFreeSlot && handle === undefined && totalTokens > 0;
+		cacheIndex.recordPrompt(server, this.#prompt.parts, isMeasured ? [totalTokens, Math.round(elapsedMs)] : undefined);
+		if (isMeasured) {
+			profile.record(server, {tokens: totalTokens, elapsedMs});
+		} else if (handle && hadFreeSlot) {
+			profile.recordHandOver(server, {tokens: this.#prompt.tokens, elapsedMs});
+		}
+	}
+
+	/** Without a measured speed, the prediction is a guess, and no attempt is cancelled because of it. */
+	#createSilenceDetector(server: KnownServer, predictedMs: number): SilenceDetector {
+		const {health, profile, clock} = this.#context;
+		return new SilenceDetector(health, {server, predictedMs: profile.isKnown(server.service) ? predictedMs : undefined, startedAt: clock.monotonic()});
+	}
+
 	/** Selects the server with the fewest requests among those that generate, other than the given one. */
 	#selectBackup(decodeServer: KnownServer): KnownServer | undefined {
 		const {registry, health, loadTracker} = this.#context;
--- a/packages/plugins/edge/test/edge-parts.test.ts
+++ b/packages/plugins/edge/test/edge-parts.test.ts
@@ -9,6 +9,7 @@
 import {PoisonRequestTracker} from '../src/poison-request-tracker.js';
 import {RetryBudget} from '../src/retry-budget.js';
 import {ServerHealth} from '../src/server-health.js';
+import {SilenceDetector} from '../src/silence-detector.js';
 
 const server: KnownServer = {
 	id: 'a', startedAt: 1, sequence: 1, service: 's', address: '10.0.0.1:80', availabilityZone: 'z', slots: 6, state: 'ready', coldMs: 0, heardAt: 0, order: 1,
@@ -55,6 +56,43 @@
 	});
 });
 
+describe('silence detector', () => {
+	// Guards against prompts that are prefilled twice because their queue was longer than predicted.
+	it('waits for a server that answers others, and gives up on one that answers nobody', async () => {
+		const clock = new ManualClock();
+		const health = new ServerHealth(clock);
+		const create = () => new SilenceDetector(health, {server, predictedMs: 100, startedAt: clock.monotonic()});
+		const alive = create();
+		await clock.advance(alive.intervalMs!);
+		health.recordSignOfLife(server);
+		expect(alive.isLost(clock.monotonic(), 5000)).to.equal(false);
+		const silent = create();
+		await clock.advance(silent.intervalMs! + 1);
+		expect(silent.isLost(clock.monotonic(), 5000)).to.equal(true);
+	});
+
+	it('gives up after several intervals although the server answers others, unless no time is left for another one', async () => {
+		const clock = new ManualClock();
+		const health = new ServerHealth(clock);
+		const detector = new SilenceDetector(health, {server, predictedMs: 100, startedAt: 0});
+		const checkAfterInterval = async (remainingMs: number) => {
+			await clock.advance(detector.intervalMs!);
+			health.recordSignOfLife(server);
+			return detector.isLost(clock.monotonic(), remainingMs);
+		};
+
+		expect(await checkAfterInterval(5000)).to.equal(false);
+		expect(await checkAfterInterval(5000)).to.equal(false);
+		expect(await checkAfterInterval(5000)).to.equal(false);
+		expect(await checkAfterInterval(50)).to.equal(false);
+		expect(await checkAfterInterval(5000)).to.equal(true);
+	});
+
+	it('cancels nothing without a prediction', () => {
+		expect(new SilenceDetector(new ServerHealth(new ManualClock()), {server, predictedMs: undefined, startedAt: 0}).intervalMs).to.equal(undefined);
+	});
+});
+
 describe('poison request tracker', () => {
 	it('blocks a request after two crashes and counts each crash once', () => {
 		const tracker = new PoisonRequestTracker(new ManualClock());
--- /dev/null
+++ b/packages/routing/engine-profile/test/engine-profile.test.ts
@@ -0,0 +1,82 @@
+import {expect} from 'chai';
+import type {KnownServer} from '@hickorytrack/endpoint-registry';
+import {Random} from '@hickorytrack/random';
+import {EngineProfile} from '../src/engine-profile.js';
+
+const createServer = (id: string, stage: 'prefill' | 'decode' = 'prefill'): KnownServer => ({
+	id, startedAt: 0, sequence: 1, service: 'm', address: `10.0.0.1:${id}`, availabilityZone: 'z', slots: 8, state: 'ready', coldMs: 0, stage, heardAt: 0, order: 1,
+});
+
+describe('engine profile', () => {
+	it('says that it knows nothing before the first sample', () => {
+		const profile = new EngineProfile();
+		expect(profile.isKnown('m')).to.equal(false);
+		expect(profile.estimateMs(createServer('a'), 9000)).to.equal(0);
+	});
+
+	// Guards against an assumed speed: engines between 10 and 500 tokens/ms were served as if all had 200.
+	for (const tokensPerMs of [10, 48.2, 236, 500]) {
+		it(`predicts a prefill at ${tokensPerMs} tokens/ms after three samples, with queues of any length`, () => {
+			const profile = new EngineProfile();
+			const server = createServer('a');
+			for (const tokens of [9000, 24_000, 3000]) {
+				profile.record(server, {tokens, elapsedMs: 5 + (tokens / tokensPerMs)});
+			}
+
+			for (const tokens of [500, 12_000, 60_000]) {
+				const actualMs = 5 + (tokens / tokensPerMs);
+				expect(profile.estimateMs(server, tokens)).to.be.within(actualMs * 0.8, actualMs * 1.2);
+			}
+		});
+	}
+
+	it('estimates a decode server from prefill servers until it has samples of its own', () => {
+		const profile = new EngineProfile();
+		profile.record(createServer('a'), {tokens: 1000, elapsedMs: 20});
+		const decodeServer = createServer('b', 'decode');
+		expect(profile.estimateMs(decodeServer, 1000)).to.be.closeTo(40, 1);
+		profile.record(decodeServer, {tokens: 1000, elapsedMs: 60});
+		expect(profile.estimateMs(decodeServer, 1000)).to.be.closeTo(60, 6);
+	});
+
+	it('tells a slow server from the others and forgets it when it restarts', () => {
+		const profile = new EngineProfile();
+		const random = new Random(3);
+		const servers = ['a', 'b', 'c'].map(id => createServer(id));
+		for (let i = 0; i < 300; i++) {
+			const server = servers[i % 3]!;
+			const tokens = 1000 + (random.next() * 20_000);
+			profile.record(server, {tokens, elapsedMs: (tokens / 50) * (server.id === 'c' ? 2 : 1)});
+		}
+
+		const slowMs = profile.estimateMs(servers[2]!, 9000);
+		expect(slowMs / profile.estimateMs(servers[0]!, 9000)).to.be.within(1.8, 2.2);
+		expect(profile.estimateMs({...servers[2]!, startedAt: 5}, 9000)).to.be.lessThan(slowMs * 0.8);
+	});
+
+	it('ignores a server that freezes for a second and follows a lasting change', () => {
+		const profile = new EngineProfile();
+		const servers = Array.from({length: 10}, (_, index) => createServer(`s${index}`));
+		const recordAll = (msPerToken: number, rounds: number) => {
+			for (let round = 0; round < rounds; round++) {
+				for (const server of servers) {
+					const tokens = 4000 + (round % 5 * 2000);
+					profile.record(server, {tokens, elapsedMs: tokens * msPerToken});
+				}
+			}
+		};
+
+		recordAll(0.02, 20);
+		profile.record(servers[0]!, {tokens: 9000, elapsedMs: 3000});
+		expect(profile.estimateMs(servers[1]!, 9000)).to.be.within(170, 200);
+		recordAll(0.06, 60);
+		expect(profile.estimateMs(servers[1]!, 9000)).to.be.within(480, 600);
+	});
+
+	it('ignores samples without tokens or time', () => {
+		const profile = new EngineProfile();
+		profile.record(createServer('a'), {tokens: 0, elapsedMs: 20});
+		profile.record(createServer('a'), {tokens: Number.NaN, elapsedMs: 20});
+		expect(profile.isKnown('m')).to.equal(false);
+	});
+});
--- a/packages/routing/prompt-placement/src/prefix-cache-index.ts
+++ b/packages/routing/prompt-placement/src/prefix-cache-index.ts
@@ -4,7 +4,7 @@
  * may be wrong; a part that turns out to be missing is prefilled again.
  */
 import type {KnownServer} from '@hickorytrack/endpoint-registry';
-import type {StoredPrompt} from '@hickorytrack/types/peer-methods';
+import type {PrefillTiming, StoredPrompt} from '@hickorytrack/types/peer-methods';
 import type {PromptPart} from './prompt.js';
 
 export type PrefixCacheIndexOptions = {
@@ -26,11 +26,11 @@
 		this.#opts = opts;
 	}
 
-	/** Records that a server has prefilled a prompt or received its KV cache. */
-	recordPrompt(server: KnownServer, parts: readonly PromptPart[]): void {
+	/** Records that a server has prefilled a prompt or received its KV cache. The timing is for the other instances. */
+	recordPrompt(server: KnownServer, parts: readonly PromptPart[], timing?: PrefillTiming): void {
 		this.#getCacheModel(server).add(parts);
 		if (this.#unsent.length < maxUnsentPrompts) {
-			this.#unsent.push({server: server.id, parts: [...parts]});
+			this.#unsent.push({server: server.id, parts: [...parts], ...(timing && {timing})});
 		}
 	}
 
--- a/packages/routing/prompt-placement/src/prompt-placement.ts
+++ b/packages/routing/prompt-placement/src/prompt-placement.ts
@@ -9,11 +9,11 @@
  * are scratch servers and take the prompts whose parts would evict hot ones.
  */
 import type {KnownServer} from '@hickorytrack/endpoint-registry';
+import type {EngineProfile} from '@hickorytrack/engine-profile';
 import {RendezvousRanking} from '@hickorytrack/placement/rendezvous-ranking';
 import type {Random} from '@hickorytrack/random';
 import type {LoadTracker} from './load-tracker.js';
 import type {PartUsage} from './part-usage.js';
-import {PrefillRate} from './prefill-rate.js';
 import type {PrefixCacheIndex} from './prefix-cache-index.js';
 import {listSharedParts, type Prompt} from './prompt.js';
 
@@ -32,6 +32,7 @@
 	loadTracker: LoadTracker;
 	cacheIndex: PrefixCacheIndex;
 	usage: PartUsage;
+	profile: EngineProfile;
 	/** Returns the KV cache capacity of a server of the service, in tokens. */
 	getKvCapacity: (service: string) => number;
 };
@@ -45,8 +46,8 @@
 	excluded: ReadonlySet<string>;
 };
 
-/** Shorter prompts are prefilled by the decode server; a hand-over would cost more time than it saves. */
-const minHandOverTokens = 700;
+/** A prompt that a decode server prefills within this fraction of the objective is not handed over. */
+const maxShortPrefillFraction = 0.03;
 /** Fraction of the objective within which the first event must be predicted; the rest is a margin for prediction errors. */
 const plannedObjectiveFraction = 0.85;
 /** A request predicted to be late is still accepted while its queue is below this fraction of the objective. */
@@ -55,18 +56,16 @@
 const retryAfterObjectives = 2.5;
 /** Average age of the known load; in this time the server has prefilled a part of its queue. */
 const loadAgeMs = 25;
-/** Time of a hand-over and of the first decode step, prefill not included, in milliseconds. */
-const overheadMs = 12;
-/** Prefill speed of a decode server, as a fraction of that of a prefill server. */
-const decodeServerPrefillFraction = 0.5;
+/** Predictions that differ by less than this fraction of the objective count as close. */
+const closePredictionFraction = 0.05;
 /** One of this many decode servers is a scratch server. */
 const decodeServersPerScratchServer = 4;
 /** Fraction of the home servers' KV cache for hot parts; the rest is for running requests and parts that are not hot. */
 const hotPartsFraction = 0.7;
 /** Streams fill a server up to this fraction of its slots before they are sent to the next one. */
 const maxPackedSlotFraction = 0.8;
-/** A server with a longer prefill queue gets no streams while another one has free capacity. */
-const maxStreamQueueMs = 40;
+/** A server whose prefill queue is longer than this fraction of the objective gets no streams while another one has free capacity. */
+const maxStreamQueueFraction = 0.2;
 /** A decode server with more streams than this prefills no long prompts. */
 const maxStreamsBesidePrefill = 2;
 /** A fetch that saves fewer tokens costs more than it saves. */
@@ -82,7 +81,6 @@
 };
 
 export class PromptPlacement {
-	readonly prefillRate = new PrefillRate();
 	readonly #opts: PlacementOptions;
 	readonly #homeRanking = new RendezvousRanking();
 
@@ -97,7 +95,7 @@
 			return {kind: 'refuse', retryAfterMs: request.objectiveMs, reason: 'no generating server is known'};
 		}
 
-		if (request.prompt.tokens < minHandOverTokens) {
+		if (this.#isShort(request, decodeServers[0]!)) {
 			return this.#planShort(request, decodeServers);
 		}
 
@@ -106,15 +104,21 @@
 
 	/** Returns the time until the server has prefilled the prompts already sent to it, in milliseconds. */
 	estimateQueueMs(server: KnownServer): number {
-		const queueMs = this.#opts.loadTracker.getLoad(server.id).promptTokens / this.#getPrefillSpeed(server);
+		const queueMs = this.#opts.loadTracker.getLoad(server.id).promptTokens * this.#opts.profile.getMsPerToken(server);
 		return Math.max(0, queueMs - loadAgeMs);
 	}
 
+	/** Until the speed of the servers is known, every prompt counts as long. */
+	#isShort({prompt, objectiveMs}: PlacementRequest, decodeServer: KnownServer): boolean {
+		const {profile} = this.#opts;
+		return profile.isKnown(decodeServer.service) && prompt.tokens * profile.getMsPerToken(decodeServer) < objectiveMs * maxShortPrefillFraction;
+	}
+
 	#planShort(request: PlacementRequest, decodeServers: readonly KnownServer[]): Placement {
-		const {loadTracker} = this.#opts;
-		const decodeServer = this.#selectForStream(decodeServers);
+		const {loadTracker, profile} = this.#opts;
+		const decodeServer = this.#selectForStream(decodeServers, request.objectiveMs);
 		const prefillTokens = request.prompt.tokens;
-		const predictedMs = this.estimateQueueMs(decodeServer) + (prefillTokens / this.#getPrefillSpeed(decodeServer));
+		const predictedMs = this.estimateQueueMs(decodeServer) + profile.estimateMs(decodeServer, prefillTokens);
 		if (loadTracker.getLoad(decodeServer.id).requests >= decodeServer.slots || predictedMs > request.objectiveMs) {
 			return {kind: 'refuse', retryAfterMs: predictedMs, reason: `every generating server is full; the first event is ${Math.round(predictedMs)} ms away`};
 		}
@@ -128,24 +132,28 @@
 	 * Selects the first server with free capacity, in an order that is the same on every instance. Streams are packed on few
 	 * servers, so that the others can prefill long prompts without stalling a stream.
 	 */
-	#selectForStream(decodeServers: readonly KnownServer[]): KnownServer {
+	#selectForStream(decodeServers: readonly KnownServer[], objectiveMs: number): KnownServer {
 		const {loadTracker} = this.#opts;
 		const {scratchServers, homeServers} = splitDecodeServers(decodeServers);
-		const packed = [...scratchServers, ...homeServers].find(server => loadTracker.getLoad(server.id).requests < server.slots * maxPackedSlotFraction && this.estimateQueueMs(server) < maxStreamQueueMs);
+		const packed = [...scratchServers, ...homeServers].find(server => loadTracker.getLoad(server.id).requests < server.slots * maxPackedSlotFraction && this.estimateQueueMs(server) < objectiveMs * maxStreamQueueFraction);
 		return packed ?? this.#selectLeast(decodeServers, server => loadTracker.getLoad(server.id).requests);
 	}
 
 	#planLong(request: PlacementRequest, {decodeServers, prefillServers}: {decodeServers: readonly KnownServer[]; prefillServers: readonly KnownServer[]}): Placement {
 		const {prompt, objectiveMs} = request;
-		const {usage, loadTracker} = this.#opts;
+		const {usage, loadTracker, profile} = this.#opts;
 		usage.record(listSharedParts(prompt));
 		const {homeServers, scratchServers} = splitDecodeServers(decodeServers);
 		const homeServer = this.#findHome(prompt, homeServers);
 		const isHot = this.#isHot(prompt, homeServers);
 		const longestMatch = this.#opts.cacheIndex.findLongestMatch(listSharedParts(prompt), [...homeServers, ...prefillServers, ...scratchServers]);
 		const freeDecodeServers = decodeServers.filter(server => loadTracker.getLoad(server.id).requests < server.slots && loadTracker.getLoad(server.id).streams <= maxStreamsBesidePrefill);
-		const plans = [...prefillServers, ...freeDecodeServers].map(server => this.#planPrefill(server, {prompt, longestMatch, isPreferred: server.stage === 'prefill' || scratchServers.includes(server) || (isHot && server === homeServer)}));
-		const best = plans.length > 0 ? this.#selectLeast(plans, plan => plan.predictedMs) : undefined;
+		const plans = [...prefillServers, ...freeDecodeServers].map(server => this.#planPrefill(server, {
+			prompt, longestMatch, objectiveMs, isPreferred: server.stage === 'prefill' || scratchServers.includes(server) || (isHot && server === homeServer),
+		}));
+		const isKnown = profile.isKnown(decodeServers[0]!.service);
+		// Before the first measurement, the shortest queue is selected and nothing is refused.
+		const best = plans.length > 0 ? this.#selectLeast(plans, plan => isKnown ? plan.predictedMs : loadTracker.getLoad(plan.server.id).promptTokens + plan.prefillTokens) : undefined;
 		const limitMs = objectiveMs * plannedObjectiveFraction;
 		if (!best || (best.predictedMs > limitMs && best.queueMs > objectiveMs * maxLateQueueFraction)) {
 			const shortestMs = best?.predictedMs ?? objectiveMs;
@@ -164,19 +172,21 @@
 		};
 	}
 
-	#planPrefill(server: KnownServer, {prompt, longestMatch, isPreferred}: {prompt: Prompt; longestMatch?: {server: KnownServer; tokens: number}; isPreferred: boolean}): PrefillPlan {
+	#planPrefill(server: KnownServer, {prompt, longestMatch, objectiveMs, isPreferred}: {prompt: Prompt; longestMatch?: {server: KnownServer; tokens: number}; objectiveMs: number; isPreferred: boolean}): PrefillPlan {
+		const {profile} = this.#opts;
 		const cachedTokens = this.#opts.cacheIndex.countCachedTokens(server, listSharedParts(prompt));
 		const isFetched = longestMatch !== undefined && longestMatch.server.id !== server.id && longestMatch.tokens - cachedTokens >= minFetchTokens;
 		const prefillTokens = Math.max(1, prompt.tokens - (isFetched ? longestMatch.tokens : cachedTokens));
 		// Prefill on a home server evicts hot parts, so another server is preferred when the predictions are close.
-		const evictionPenaltyMs = isPreferred ? 0 : overheadMs;
+		const evictionPenaltyMs = isPreferred ? 0 : objectiveMs * closePredictionFraction;
+		const handOverMs = server.stage === 'prefill' ? profile.estimateHandOverMs(server.service, prompt.tokens) : 0;
 		const queueMs = this.estimateQueueMs(server);
 		return {
 			server,
 			kvSource: isFetched ? longestMatch.server : undefined,
 			prefillTokens,
 			queueMs,
-			predictedMs: queueMs + (prefillTokens / this.#getPrefillSpeed(server)) + overheadMs + evictionPenaltyMs,
+			predictedMs: queueMs + profile.estimateMs(server, prefillTokens) + handOverMs + evictionPenaltyMs,
 		};
 	}
 
@@ -193,10 +203,6 @@
 		return homeServers.find(server => ranks.get(server.id) === 0) ?? homeServers[0]!;
 	}
 
-	#getPrefillSpeed(server: KnownServer): number {
-		return this.prefillRate.tokensPerMs * (server.stage === 'prefill' ? 1 : decodeServerPrefillFraction);
-	}
-
 	/** Selects at random among the candidates within 2 % of the lowest value, so that instances don't all select the same one. */
 	#selectLeast<T>(candidates: readonly T[], valueOf: (candidate: T) => number): T {
 		const valued = candidates.map(candidate => ({candidate, value: valueOf(candidate)}));
--- a/packages/routing/prompt-placement/test/prompt-placement.test.ts
+++ b/packages/routing/prompt-placement/test/prompt-placement.test.ts
@@ -1,6 +1,7 @@
 import {expect} from 'chai';
 import {ManualClock} from '@hickorytrack/clock/manual-clock';
 import type {KnownServer} from '@hickorytrack/endpoint-registry';
+import {EngineProfile} from '@hickorytrack/engine-profile';
 import {Random} from '@hickorytrack/random';
 import {LoadTracker} from '../src/load-tracker.js';
 import {PartUsage} from '../src/part-usage.js';
@@ -21,6 +22,7 @@
 	let clock: ManualClock;
 	let loadTracker: LoadTracker;
 	let cacheIndex: PrefixCacheIndex;
+	let profile: EngineProfile;
 	let promptPlacement: PromptPlacement;
 	const plan = (opts: Partial<PlacementRequest> = {}) => promptPlacement.plan({
 		prompt: createPrompt('s', 'q'), servers: [...prefillServers, ...decodeServers], objectiveMs: 200, excluded: new Set(), ...opts,
@@ -30,8 +32,10 @@
 		clock = new ManualClock();
 		loadTracker = new LoadTracker(clock);
 		cacheIndex = new PrefixCacheIndex({getKvCapacity: () => capacityTokens});
+		profile = new EngineProfile();
+		profile.record(prefillServers[0]!, {tokens: 10_000, elapsedMs: 50});
 		promptPlacement = new PromptPlacement({
-			random: new Random(1), loadTracker, cacheIndex, usage: new PartUsage(clock), getKvCapacity: () => capacityTokens,
+			random: new Random(1), loadTracker, cacheIndex, usage: new PartUsage(clock), profile, getKvCapacity: () => capacityTokens,
 		});
 	});
 
@@ -88,6 +92,35 @@
 		}
 	});
 
+	// Guards against refusals and cancelled prompts before the speed of the engines is known.
+	it('refuses nothing and takes the shortest queue before the first measurement', () => {
+		promptPlacement = new PromptPlacement({
+			random: new Random(1), loadTracker, cacheIndex, usage: new PartUsage(clock), profile: new EngineProfile(), getKvCapacity: () => capacityTokens,
+		});
+		for (const server of [...prefillServers, ...decodeServers]) {
+			loadTracker.add(server.id, server.id === 'r2' ? 30_000 : 60_000);
+		}
+
+		const placement = plan();
+		expect(placement.kind === 'hand-over' && placement.prefillServer.id).to.equal('r2');
+	});
+
+	// Engines at a quarter of the speed: the same queue that is fine for fast ones is too long.
+	it('refuses by the measured speed of the engines', () => {
+		for (const server of [...prefillServers, ...decodeServers]) {
+			loadTracker.add(server.id, 15_000);
+		}
+
+		expect(plan().kind).to.equal('hand-over');
+		for (let i = 0; i < 50; i++) {
+			for (const server of prefillServers) {
+				profile.record(server, {tokens: 10_000, elapsedMs: 200});
+			}
+		}
+
+		expect(plan().kind).to.equal('refuse');
+	});
+
 	it('excludes servers that failed the request', () => {
 		const placement = plan({excluded: new Set(['r1', 'r2'])});
 		expect(placement.kind).to.equal('direct');
