fix(engine-profile): let idle servers decide the speed; select decode servers by their slots

Cause 1: the fit took waits that no instance knew of for slow engines. So requests were refused with servers free. Cause 2: hand-overs went to the scratch servers only, a quarter of the decode servers, which streams fill first; engines with 8 slots have no room there. Short prompts were refused as soon as all slots were taken, although their callers wait for seconds.

Change: samples of idle servers weigh 20 times those of busy ones, samples above the line 0.4 of those below. The decode server is selected after the prefill, by the wait for a slot (DecodeSlots, from how long streams and short answers hold theirs) and by what the prompt evicts. A short prompt waits up to half of the time for which its caller waits.

--- a/packages/core/types/src/peer-methods.ts
+++ b/packages/core/types/src/peer-methods.ts
@@ -145,8 +145,8 @@
 
 export type ShareScope = typeof shareScopes[keyof typeof shareScopes];
 
-/** Tokens that a server had to prefill until the end of a prompt, and the time that it took, in milliseconds. */
-export type PrefillTiming = [tokens: number, elapsedMs: number];
+/** Tokens that a server had to prefill until the end of a prompt, the time that it took, in milliseconds, and whether it was idle before. */
+export type PrefillTiming = [tokens: number, elapsedMs: number, isIdle: boolean];
 
 /** Prompts that a server has prefilled or whose KV cache was transferred to it. The timing is set if it was measured. */
 export type StoredPrompt = {server: string; parts: Array<{id: string; tokens: number}>; timing?: PrefillTiming};
--- a/packages/plugins/edge/src/edge.ts
+++ b/packages/plugins/edge/src/edge.ts
@@ -367,7 +367,7 @@
 			registry: this.registry,
 			listPeers: () => this.mesh.listConnections().filter(({remote}) => !this.mesh.usesHubs || remote.roles.includes(coreRole)),
 			listLeaves: () => this.#loadSharing.leaves,
-			onUnconfirmed: (server, missing) => {
+			onUnconfirmed(server, missing) {
 				events.emit('spreadIncomplete', {server, missing});
 			},
 		});
@@ -379,8 +379,8 @@
 			this.#partUsage.record(parts.slice(0, -1));
 			const server = this.registry.find(id);
 			if (server && timing) {
-				const [tokens, elapsedMs] = timing;
-				this.#profile.record(server, {tokens, elapsedMs});
+				const [tokens, elapsedMs, isIdle] = timing;
+				this.#profile.record(server, {tokens, elapsedMs, isIdle});
 				this.#context.health.recordSignOfLife(server);
 			}
 		}
--- a/packages/plugins/edge/src/streaming-forwarder.ts
+++ b/packages/plugins/edge/src/streaming-forwarder.ts
@@ -6,7 +6,10 @@
 import type {ResponseHead} from '@hickorytrack/endpoint-client';
 import type {KnownServer} from '@hickorytrack/endpoint-registry';
 import type {Placement} from '@hickorytrack/prompt-placement';
+import type {PrefillSample} from '@hickorytrack/engine-profile';
+import type {ServerLoad} from '@hickorytrack/prompt-placement/load-tracker';
 import type {Prompt} from '@hickorytrack/prompt-placement/prompt';
+import type {PrefillTiming} from '@hickorytrack/types/peer-methods';
 import {attemptOutcomes, runAttempt, type AttemptResult} from './attempt.js';
 import {forwardResponse, sendProblem} from './responses.js';
 import {requestOutcomes, type CallerRequest, type RequestResult} from './caller-request.js';
@@ -82,12 +85,21 @@
 		return this.#request.route.isResumable;
 	}
 
+	/** Time for which the caller still waits for the first event. */
+	get #maxWaitMs(): number {
+		const {clock} = this.#context;
+		const {route, arrivedAt} = this.#request;
+		const patienceMs = arrivedAt + (route.patienceMs ?? Number.POSITIVE_INFINITY) - clock.monotonic();
+		return Math.min(patienceMs, computeRemainingMs(this.#context, this.#request));
+	}
+
 	#selectPlacement(): Placement {
 		const {registry, health, promptPlacement} = this.#context;
 		return promptPlacement.plan({
 			prompt: this.#prompt,
 			servers: health.selectHealthy(registry.listUsable(this.#request.service)),
 			objectiveMs: this.#request.route.objectiveMs,
+			maxWaitMs: this.#maxWaitMs,
 			excluded: this.#excluded,
 		});
 	}
@@ -113,7 +125,7 @@
 			}
 		}
 
-		const {decodeServer} = placement;
+		const decodeServer = handle ? this.#reselectDecodeServer(placement.decodeServer) : placement.decodeServer;
 		this.#servers.push(decodeServer);
 		const result = await this.#generate(decodeServer, {handle, placement});
 		if (this.#backupServer && this.#relay.lastEventId !== undefined && (result.outcome === attemptOutcomes.broken || result.outcome === attemptOutcomes.stalled)) {
@@ -123,6 +135,13 @@
 		return this.#handleResult(decodeServer, result, handle);
 	}
 
+	/** The load of the decode servers has changed while the prompt was prefilled. */
+	#reselectDecodeServer(planned: KnownServer): KnownServer {
+		const {registry, health, promptPlacement} = this.#context;
+		const servers = health.selectHealthy(registry.listUsable(this.#request.service));
+		return promptPlacement.selectDecodeServer({prompt: this.#prompt, objectiveMs: this.#request.route.objectiveMs, excluded: this.#excluded}, servers) ?? planned;
+	}
+
 	/** Resumes the stream after its last event at the backup server, from the copy of the KV cache. It counts as the same run. */
 	async #resumeAtBackup(failedServer: KnownServer, failedResult: AttemptResult): Promise<RequestResult> {
 		const {eventLog, health, registry, retryBudget, onConnectionLost} = this.#context;
@@ -159,7 +178,7 @@
 	/** Prefills the prompt at another server. Returns the handle of its KV cache; undefined when the request needs a new placement. */
 	async #runPrefill({prefillServer, kvSource, prefillTokens, predictedMs}: Placement & {kind: 'hand-over'}): Promise<KvHandle | undefined> {
 		const {loadTracker, cacheIndex, client, clock, codec, health, retryBudget, profile, eventLog} = this.#context;
-		const totalTokens = loadTracker.getLoad(prefillServer.id).promptTokens + prefillTokens;
+		const queuedTokens = loadTracker.getLoad(prefillServer.id).promptTokens;
 		const inFlightLoad = loadTracker.add(prefillServer.id, prefillTokens);
 		const startedAt = clock.monotonic();
 		const silence = this.#createSilenceDetector(prefillServer, predictedMs);
@@ -174,8 +193,9 @@
 		if (handle) {
 			const elapsedMs = clock.monotonic() - startedAt;
 			health.recordSuccess(prefillServer);
-			cacheIndex.recordPrompt(prefillServer, this.#prompt.parts, [totalTokens, Math.round(elapsedMs)]);
-			profile.record(prefillServer, {tokens: totalTokens, elapsedMs});
+			const sample = {tokens: queuedTokens + prefillTokens, elapsedMs, isIdle: queuedTokens === 0};
+			cacheIndex.recordPrompt(prefillServer, this.#prompt.parts, encodeTiming(sample));
+			profile.record(prefillServer, sample);
 			return handle;
 		}
 
@@ -198,15 +218,14 @@
 	}
 
 	async #generate(server: KnownServer, {handle, placement}: {handle?: KvHandle; placement: Exclude<Placement, {kind: 'refuse'}>}): Promise<AttemptResult> {
-		const {loadTracker, client, clock} = this.#context;
+		const {loadTracker, client, clock, profile} = this.#context;
 		const isLongOutput = this.#prompt.maxOutputTokens >= longOutputTokens;
 		this.#backupServer = isLongOutput ? this.#selectBackup(server) : undefined;
 		const canFailOver = this.#isRetryable && this.#servers.length < this.#request.route.maxServers;
 		const silence = this.#createSilenceDetector(server, placement.predictedMs);
 		const load = loadTracker.getLoad(server.id);
-		const hadFreeSlot = load.requests < server.slots;
-		const totalTokens = load.promptTokens + placement.prefillTokens;
 		const inFlightLoad = loadTracker.add(server.id, handle ? 0 : placement.prefillTokens, {isStream: isLongOutput});
+		let firstByteAt: number | undefined;
 		const startedAt = clock.monotonic();
 		const result = await runAttempt(client, server.address, {
 			clock,
@@ -219,8 +238,9 @@
 			idleTimeoutMs: canFailOver || this.#backupServer ? Math.max(minimumIdleTimeoutMs, (this.#request.route.pauseObjectiveMs ?? 0) * idleTimeoutFactor) : undefined,
 			onFirstByte: () => {
 				inFlightLoad.releasePrefill();
+				firstByteAt = clock.monotonic();
 				this.#recordFirstByte(server, {
-					handle, hadFreeSlot, totalTokens, elapsedMs: clock.monotonic() - startedAt,
+					load, prefillTokens: handle ? 0 : placement.prefillTokens, elapsedMs: firstByteAt - startedAt,
 				});
 			},
 			request: createOutboundRequest(this.#context, this.#request, {
@@ -234,19 +254,28 @@
 			}),
 		});
 		inFlightLoad.release();
+		if (firstByteAt !== undefined && result.outcome === attemptOutcomes.answered) {
+			profile.recordHold(server.service, {isStream: isLongOutput, elapsedMs: clock.monotonic() - firstByteAt});
+		}
+
 		return result;
 	}
 
-	#recordFirstByte(server: KnownServer, {handle, hadFreeSlot, totalTokens, elapsedMs}: {handle?: KvHandle; hadFreeSlot: boolean; totalTokens: number; elapsedMs: number}): void {
+	/** Measures the server, unless the request had to wait for a slot. `load` is that of the server when the request was sent. */
+	#recordFirstByte(server: KnownServer, {load, prefillTokens, elapsedMs}: {load: ServerLoad; prefillTokens: number; elapsedMs: number}): void {
 		const {cacheIndex, profile, health, clock} = this.#context;
 		this.#firstByteMs ??= clock.monotonic() - this.#request.arrivedAt;
 		health.recordSignOfLife(server);
-		// A wait for a slot says nothing about the speed of the server.
-		const isMeasured = hadFreeSlot && handle === undefined && totalTokens > 0;
-		cacheIndex.recordPrompt(server, this.#prompt.parts, isMeasured ? [totalTokens, Math.round(elapsedMs)] : undefined);
-		if (isMeasured) {
-			profile.record(server, {tokens: totalTokens, elapsedMs});
-		} else if (handle && hadFreeSlot) {
+		const hadFreeSlot = load.requests < server.slots;
+		if (prefillTokens > 0 && hadFreeSlot) {
+			const sample = {tokens: load.promptTokens + prefillTokens, elapsedMs, isIdle: load.requests === 0};
+			cacheIndex.recordPrompt(server, this.#prompt.parts, encodeTiming(sample));
+			profile.record(server, sample);
+			return;
+		}
+
+		cacheIndex.recordPrompt(server, this.#prompt.parts);
+		if (prefillTokens === 0 && hadFreeSlot && load.promptTokens === 0) {
 			profile.recordHandOver(server, {tokens: this.#prompt.tokens, elapsedMs});
 		}
 	}
@@ -394,3 +423,7 @@
 		};
 	}
 }
+
+function encodeTiming({tokens, elapsedMs, isIdle}: PrefillSample): PrefillTiming {
+	return [tokens, Math.round(elapsedMs), isIdle];
+}
--- a/packages/routing/engine-profile/src/engine-profile.ts
+++ b/packages/routing/engine-profile/src/engine-profile.ts
@@ -11,15 +11,22 @@
 	tokens: number;
 	/** Time from sending the request to the end of its prefill, in milliseconds. */
 	elapsedMs: number;
+	/** Nothing else ran or waited at the server, as far as known; the time is that of the prefill alone. */
+	isIdle: boolean;
 };
 
 /** A decode server prefills at half the speed of a prefill server; used while only one of the two has samples. */
 const decodeSlowdown = 2;
+/** Weight of a sample from a busy server, whose queue is known a little late; it counts until there are better ones. */
+const busySampleWeight = 0.05;
 /** Weight of a new sample in the moving average of a server's factor. */
 const factorWeight = 0.1;
 /** Bounds of a server's factor; a server outside them is unhealthy rather than slow. */
 const maxFactor = 5;
 
+/** Weight of a new sample in the moving average of the time for which a slot is held. */
+const holdWeight = 0.1;
+
 type ServerFactor = {
 	startedAt: number;
 	/** Logarithm of the ratio between the server's latency and that of the average server. */
@@ -29,25 +36,26 @@
 export class EngineProfile {
 	readonly #fits = new Map<string, LatencyFit>();
 	readonly #factors = new Map<string, ServerFactor>();
+	readonly #holdMs = new Map<string, number>();
 
-	record(server: KnownServer, {tokens, elapsedMs}: PrefillSample): void {
+	record(server: KnownServer, {tokens, elapsedMs, isIdle}: PrefillSample): void {
 		if (!(tokens > 0 && elapsedMs > 0)) {
 			return;
 		}
 
 		const fit = this.#getFit(server.service, server.stage === 'prefill');
 		const factor = this.#getFactor(server);
-		if (fit.isKnown) {
+		if (fit.isKnown && isIdle) {
 			const ratio = Math.log(elapsedMs / fit.estimateMs(tokens));
 			const bound = Math.log(maxFactor);
 			factor.logarithm += (Math.max(-bound, Math.min(bound, ratio)) - factor.logarithm) * factorWeight;
 		}
 
-		fit.record(tokens, elapsedMs / Math.exp(factor.logarithm));
+		fit.record(tokens, elapsedMs / Math.exp(factor.logarithm), isIdle ? 1 : busySampleWeight);
 	}
 
 	/** Records the time from a hand-over of the KV cache of this many tokens to the first event of the answer. */
-	recordHandOver(server: KnownServer, {tokens, elapsedMs}: PrefillSample): void {
+	recordHandOver(server: KnownServer, {tokens, elapsedMs}: Omit<PrefillSample, 'isIdle'>): void {
 		if (tokens > 0 && elapsedMs > 0) {
 			this.#getHandOverFit(server.service).record(tokens, elapsedMs);
 		}
@@ -58,6 +66,18 @@
 		return this.#getHandOverFit(service).estimateMs(tokens);
 	}
 
+	/** Records for how long a request held its slot at a server of the service, from its first event to its end. */
+	recordHold(service: string, {isStream, elapsedMs}: {isStream: boolean; elapsedMs: number}): void {
+		const key = formatHoldKey(service, isStream);
+		const known = this.#holdMs.get(key);
+		this.#holdMs.set(key, known === undefined ? elapsedMs : known + ((elapsedMs - known) * holdWeight));
+	}
+
+	/** Mean time for which a request holds its slot, in milliseconds; undefined before the first one has ended. */
+	estimateHoldMs(service: string, isStream: boolean): number | undefined {
+		return this.#holdMs.get(formatHoldKey(service, isStream)) ?? this.#holdMs.get(formatHoldKey(service, !isStream));
+	}
+
 	/** Returns whether any prefill of the service has been observed. */
 	isKnown(service: string): boolean {
 		return this.#getFit(service, true).isKnown || this.#getFit(service, false).isKnown;
@@ -117,3 +137,7 @@
 		return factor;
 	}
 }
+
+function formatHoldKey(service: string, isStream: boolean): string {
+	return `${service}/${isStream ? 'stream' : 'short'}`;
+}
--- a/packages/routing/engine-profile/src/latency-fit.ts
+++ b/packages/routing/engine-profile/src/latency-fit.ts
@@ -1,7 +1,8 @@
 /**
- * Online fit of a straight line: latency = fixed part + slope x tokens. Older samples lose weight exponentially. An
- * outlier counts only up to a bound around the prediction, so that a frozen server does not distort the fit, while a
- * lasting change of speed is followed within some samples.
+ * Online fit of a straight line: latency = fixed part + slope x tokens. Older samples lose weight exponentially. Waits that
+ * nobody knew of only lengthen a latency, so a sample above the line weighs less than one below it. An outlier counts only
+ * up to a bound around the prediction, so that a frozen server does not distort the fit, while a lasting change of speed is
+ * followed within some samples.
  */
 
 /** Factor by which the weight of all earlier samples shrinks with each new one; about 200 samples count. */
@@ -10,6 +11,8 @@
 const minSamplesForBounds = 8;
 /** A latency beyond the prediction multiplied or divided by this factor counts as an outlier. */
 const outlierFactor = 3;
+/** Weight of a sample above the prediction, relative to one below it. */
+const slowSampleWeight = 0.4;
 /** With a smaller relative spread of token counts, the slope can't be told from the fixed part. */
 const minRelativeSpread = 0.1;
 
@@ -36,14 +39,18 @@
 		return this.#msPerToken;
 	}
 
-	record(tokens: number, elapsedMs: number): void {
+	/** Records a sample; `weight` is its weight relative to a reliable one. */
+	record(tokens: number, elapsedMs: number, weight = 1): void {
 		const boundedMs = this.#boundOutlier(tokens, elapsedMs);
+		const isSlow = this.#samples > 0 && boundedMs > this.estimateMs(tokens);
+		const sampleWeight = weight * (isSlow ? slowSampleWeight : 1);
+		const kept = retention ** sampleWeight;
 		this.#samples++;
-		this.#weight = (this.#weight * retention) + 1;
-		this.#sumTokens = (this.#sumTokens * retention) + tokens;
-		this.#sumMs = (this.#sumMs * retention) + boundedMs;
-		this.#sumTokensSquared = (this.#sumTokensSquared * retention) + (tokens * tokens);
-		this.#sumProducts = (this.#sumProducts * retention) + (tokens * boundedMs);
+		this.#weight = (this.#weight * kept) + sampleWeight;
+		this.#sumTokens = (this.#sumTokens * kept) + (tokens * sampleWeight);
+		this.#sumMs = (this.#sumMs * kept) + (boundedMs * sampleWeight);
+		this.#sumTokensSquared = (this.#sumTokensSquared * kept) + (tokens * tokens * sampleWeight);
+		this.#sumProducts = (this.#sumProducts * kept) + (tokens * boundedMs * sampleWeight);
 		this.#update();
 	}
 
--- a/packages/routing/engine-profile/test/engine-profile.test.ts
+++ b/packages/routing/engine-profile/test/engine-profile.test.ts
@@ -20,7 +20,7 @@
 			const profile = new EngineProfile();
 			const server = createServer('a');
 			for (const tokens of [9000, 24_000, 3000]) {
-				profile.record(server, {tokens, elapsedMs: 5 + (tokens / tokensPerMs)});
+				profile.record(server, {tokens, elapsedMs: 5 + (tokens / tokensPerMs), isIdle: true});
 			}
 
 			for (const tokens of [500, 12_000, 60_000]) {
@@ -32,10 +32,10 @@
 
 	it('estimates a decode server from prefill servers until it has samples of its own', () => {
 		const profile = new EngineProfile();
-		profile.record(createServer('a'), {tokens: 1000, elapsedMs: 20});
+		profile.record(createServer('a'), {tokens: 1000, elapsedMs: 20, isIdle: true});
 		const decodeServer = createServer('b', 'decode');
 		expect(profile.estimateMs(decodeServer, 1000)).to.be.closeTo(40, 1);
-		profile.record(decodeServer, {tokens: 1000, elapsedMs: 60});
+		profile.record(decodeServer, {tokens: 1000, elapsedMs: 60, isIdle: true});
 		expect(profile.estimateMs(decodeServer, 1000)).to.be.closeTo(60, 6);
 	});
 
@@ -46,7 +46,7 @@
 		for (let i = 0; i < 300; i++) {
 			const server = servers[i % 3]!;
 			const tokens = 1000 + (random.next() * 20_000);
-			profile.record(server, {tokens, elapsedMs: (tokens / 50) * (server.id === 'c' ? 2 : 1)});
+			profile.record(server, {tokens, elapsedMs: (tokens / 50) * (server.id === 'c' ? 2 : 1), isIdle: true});
 		}
 
 		const slowMs = profile.estimateMs(servers[2]!, 9000);
@@ -61,22 +61,36 @@
 			for (let round = 0; round < rounds; round++) {
 				for (const server of servers) {
 					const tokens = 4000 + (round % 5 * 2000);
-					profile.record(server, {tokens, elapsedMs: tokens * msPerToken});
+					profile.record(server, {tokens, elapsedMs: tokens * msPerToken, isIdle: true});
 				}
 			}
 		};
 
 		recordAll(0.02, 20);
-		profile.record(servers[0]!, {tokens: 9000, elapsedMs: 3000});
+		profile.record(servers[0]!, {tokens: 9000, elapsedMs: 3000, isIdle: true});
 		expect(profile.estimateMs(servers[1]!, 9000)).to.be.within(170, 200);
 		recordAll(0.06, 60);
 		expect(profile.estimateMs(servers[1]!, 9000)).to.be.within(480, 600);
 	});
 
+	// Punctual prompts wait behind work that this instance does not know of, most of all while the servers are overloaded.
+	it('is not slowed down by samples of busy servers', () => {
+		const profile = new EngineProfile();
+		const random = new Random(4);
+		const server = createServer('a');
+		for (let i = 0; i < 400; i++) {
+			const tokens = 2000 + (random.next() * 20_000);
+			const isIdle = i % 10 === 0;
+			profile.record(server, {tokens, elapsedMs: (tokens / 200) + (isIdle ? random.next() * 5 : random.next() * 300), isIdle});
+		}
+
+		expect(profile.estimateMs(server, 10_000)).to.be.within(48, 75);
+	});
+
 	it('ignores samples without tokens or time', () => {
 		const profile = new EngineProfile();
-		profile.record(createServer('a'), {tokens: 0, elapsedMs: 20});
-		profile.record(createServer('a'), {tokens: Number.NaN, elapsedMs: 20});
+		profile.record(createServer('a'), {tokens: 0, elapsedMs: 20, isIdle: true});
+		profile.record(createServer('a'), {tokens: Number.NaN, elapsedMs: 20, isIdle: true});
 		expect(profile.isKnown('m')).to.equal(false);
 	});
 });
--- a/packages/routing/prompt-placement/src/prompt-placement.ts
+++ b/packages/routing/prompt-placement/src/prompt-placement.ts
@@ -3,7 +3,8 @@
  * parts, prefill is the bottleneck, and a transfer of KV cache takes far less time than prefill. So the memory of all
  * servers is used as one KV cache: a prefill server fetches the cached prefix from another server, prefills the rest and
  * hands the whole KV cache over. While the prefill servers have a queue, a decode server with spare capacity prefills
- * the prompt itself. When no server would answer within the latency objective, the request is refused at once.
+ * the prompt itself. When no server would answer within the latency objective, the request is refused at once. A short
+ * prompt waits for a slot instead, because waiting costs no prefill and its caller waits for long.
  *
  * Most decode servers are home servers: each keeps the hot (most used) shared parts that are assigned to it. The others
  * are scratch servers and take the prompts whose parts would evict hot ones.
@@ -12,6 +13,7 @@
 import type {EngineProfile} from '@hickorytrack/engine-profile';
 import {RendezvousRanking} from '@hickorytrack/placement/rendezvous-ranking';
 import type {Random} from '@hickorytrack/random';
+import {DecodeSlots} from './decode-slots.js';
 import type {LoadTracker} from './load-tracker.js';
 import type {PartUsage} from './part-usage.js';
 import type {PrefixCacheIndex} from './prefix-cache-index.js';
@@ -19,12 +21,21 @@
 
 export const placementKinds = {handOver: 'hand-over', direct: 'direct', refuse: 'refuse'} as const;
 
+type AcceptedPlacement = {
+	decodeServer: KnownServer;
+	/** Another server that has more of the prompt cached. */
+	kvSource?: KnownServer;
+	prefillTokens: number;
+	/** Predicted time to the first event, in milliseconds. */
+	predictedMs: number;
+};
+
 export type Placement =
 	/** One server prefills the prompt and hands its KV cache over to another one, which decodes the answer. */
-	| {kind: 'hand-over'; prefillServer: KnownServer; decodeServer: KnownServer; kvSource?: KnownServer; prefillTokens: number; predictedMs: number}
+	| ({kind: 'hand-over'; prefillServer: KnownServer} & AcceptedPlacement)
 	/** A decode server prefills the prompt itself. */
-	| {kind: 'direct'; decodeServer: KnownServer; kvSource?: KnownServer; prefillTokens: number; predictedMs: number}
-	/** No server would answer within the objective. */
+	| ({kind: 'direct'} & AcceptedPlacement)
+	/** No server would answer in time. */
 	| {kind: 'refuse'; retryAfterMs: number; reason: string};
 
 export type PlacementOptions = {
@@ -42,6 +53,8 @@
 	servers: readonly KnownServer[];
 	/** Objective for the time to the first event, in milliseconds; a later answer loses part of its value. */
 	objectiveMs: number;
+	/** Time for which the caller waits for the first event, in milliseconds. */
+	maxWaitMs: number;
 	/** Ids of servers on which this request has failed. */
 	excluded: ReadonlySet<string>;
 };
@@ -50,8 +63,10 @@
 const maxShortPrefillFraction = 0.03;
 /** Fraction of the objective within which the first event must be predicted; the rest is a margin for prediction errors. */
 const plannedObjectiveFraction = 0.85;
-/** A request predicted to be late is still accepted while its queue is below this fraction of the objective. */
+/** A long prompt predicted to be late is still accepted while its queue is below this fraction of the objective. */
 const maxLateQueueFraction = 0.25;
+/** A short prompt waits for a slot up to this fraction of the time for which its caller waits. */
+const maxSlotWaitFraction = 0.5;
 /** Retry delay of a refused caller, as a multiple of the objective; an earlier retry would meet the same queue. */
 const retryAfterObjectives = 2.5;
 /** Average age of the known load; in this time the server has prefilled a part of its queue. */
@@ -83,9 +98,11 @@
 export class PromptPlacement {
 	readonly #opts: PlacementOptions;
 	readonly #homeRanking = new RendezvousRanking();
+	readonly #slots: DecodeSlots;
 
 	constructor(opts: PlacementOptions) {
 		this.#opts = opts;
+		this.#slots = new DecodeSlots(opts);
 	}
 
 	plan(request: PlacementRequest): Placement {
@@ -103,7 +120,7 @@
 	}
 
 	/** Returns the time until the server has prefilled the prompts already sent to it, in milliseconds. */
-	estimateQueueMs(server: KnownServer): number {
+	#estimateQueueMs(server: KnownServer): number {
 		const queueMs = this.#opts.loadTracker.getLoad(server.id).promptTokens * this.#opts.profile.getMsPerToken(server);
 		return Math.max(0, queueMs - loadAgeMs);
 	}
@@ -115,12 +132,14 @@
 	}
 
 	#planShort(request: PlacementRequest, decodeServers: readonly KnownServer[]): Placement {
-		const {loadTracker, profile} = this.#opts;
-		const decodeServer = this.#selectForStream(decodeServers, request.objectiveMs);
+		const {profile} = this.#opts;
+		const {objectiveMs, maxWaitMs} = request;
 		const prefillTokens = request.prompt.tokens;
-		const predictedMs = this.estimateQueueMs(decodeServer) + profile.estimateMs(decodeServer, prefillTokens);
-		if (loadTracker.getLoad(decodeServer.id).requests >= decodeServer.slots || predictedMs > request.objectiveMs) {
-			return {kind: 'refuse', retryAfterMs: predictedMs, reason: `every generating server is full; the first event is ${Math.round(predictedMs)} ms away`};
+		const predictMs = (server: KnownServer) => this.#estimateQueueMs(server) + this.#slots.estimateWaitMs(server) + profile.estimateMs(server, prefillTokens);
+		const decodeServer = this.#selectForStream(decodeServers, objectiveMs) ?? this.#selectLeast(decodeServers, server => predictMs(server));
+		const predictedMs = predictMs(decodeServer);
+		if (predictedMs > Math.max(objectiveMs, maxWaitMs * maxSlotWaitFraction)) {
+			return {kind: 'refuse', retryAfterMs: Math.max(objectiveMs, predictedMs - objectiveMs), reason: `every generating server is full; the first event is ${Math.round(predictedMs)} ms away`};
 		}
 
 		return {
@@ -132,44 +151,70 @@
 	 * Selects the first server with free capacity, in an order that is the same on every instance. Streams are packed on few
 	 * servers, so that the others can prefill long prompts without stalling a stream.
 	 */
-	#selectForStream(decodeServers: readonly KnownServer[], objectiveMs: number): KnownServer {
-		const {loadTracker} = this.#opts;
+	#selectForStream(decodeServers: readonly KnownServer[], objectiveMs: number): KnownServer | undefined {
 		const {scratchServers, homeServers} = splitDecodeServers(decodeServers);
-		const packed = [...scratchServers, ...homeServers].find(server => loadTracker.getLoad(server.id).requests < server.slots * maxPackedSlotFraction && this.estimateQueueMs(server) < objectiveMs * maxStreamQueueFraction);
-		return packed ?? this.#selectLeast(decodeServers, server => loadTracker.getLoad(server.id).requests);
+		return [...scratchServers, ...homeServers].find(server => this.#slots.getLoadFraction(server) < maxPackedSlotFraction && this.#estimateQueueMs(server) < objectiveMs * maxStreamQueueFraction);
 	}
 
 	#planLong(request: PlacementRequest, {decodeServers, prefillServers}: {decodeServers: readonly KnownServer[]; prefillServers: readonly KnownServer[]}): Placement {
 		const {prompt, objectiveMs} = request;
-		const {usage, loadTracker, profile} = this.#opts;
+		const {usage, loadTracker, profile, cacheIndex} = this.#opts;
 		usage.record(listSharedParts(prompt));
 		const {homeServers, scratchServers} = splitDecodeServers(decodeServers);
 		const homeServer = this.#findHome(prompt, homeServers);
 		const isHot = this.#isHot(prompt, homeServers);
-		const longestMatch = this.#opts.cacheIndex.findLongestMatch(listSharedParts(prompt), [...homeServers, ...prefillServers, ...scratchServers]);
-		const freeDecodeServers = decodeServers.filter(server => loadTracker.getLoad(server.id).requests < server.slots && loadTracker.getLoad(server.id).streams <= maxStreamsBesidePrefill);
+		const longestMatch = cacheIndex.findLongestMatch(listSharedParts(prompt), [...homeServers, ...prefillServers, ...scratchServers]);
+		const freeDecodeServers = decodeServers.filter(server => this.#slots.hasFreeSlot(server) && loadTracker.getLoad(server.id).streams <= maxStreamsBesidePrefill);
 		const plans = [...prefillServers, ...freeDecodeServers].map(server => this.#planPrefill(server, {
 			prompt, longestMatch, objectiveMs, isPreferred: server.stage === 'prefill' || scratchServers.includes(server) || (isHot && server === homeServer),
 		}));
-		const isKnown = profile.isKnown(decodeServers[0]!.service);
-		// Before the first measurement, the shortest queue is selected and nothing is refused.
-		const best = plans.length > 0 ? this.#selectLeast(plans, plan => isKnown ? plan.predictedMs : loadTracker.getLoad(plan.server.id).promptTokens + plan.prefillTokens) : undefined;
-		const limitMs = objectiveMs * plannedObjectiveFraction;
-		if (!best || (best.predictedMs > limitMs && best.queueMs > objectiveMs * maxLateQueueFraction)) {
+		const best = this.#selectPlan(plans);
+		const isLate = best !== undefined && profile.isKnown(best.server.service) && best.predictedMs > objectiveMs * plannedObjectiveFraction;
+		if (!best || (isLate && best.queueMs > objectiveMs * maxLateQueueFraction)) {
 			const shortestMs = best?.predictedMs ?? objectiveMs;
-			return {kind: 'refuse', retryAfterMs: Math.max(objectiveMs * retryAfterObjectives, shortestMs - limitMs), reason: `the first event is ${Math.round(shortestMs)} ms away`};
+			return {kind: 'refuse', retryAfterMs: Math.max(objectiveMs * retryAfterObjectives, shortestMs - objectiveMs), reason: `the first event is ${Math.round(shortestMs)} ms away`};
 		}
 
-		const {server, queueMs: _, ...rest} = best;
-		if (server.stage !== 'prefill') {
-			return {kind: 'direct', decodeServer: server, ...rest};
+		const {server, queueMs: _, ...accepted} = best;
+		return server.stage === 'prefill'
+			? {
+				kind: 'hand-over', prefillServer: server, decodeServer: this.selectDecodeServer(request, decodeServers)!, ...accepted,
+			}
+			: {kind: 'direct', decodeServer: server, ...accepted};
+	}
+
+	/**
+	 * Selects the server that decodes the answer after a hand-over: the home server of a hot prefix that it lacks, otherwise
+	 * one with a free slot, scratch servers first because the KV cache of the prompt evicts others there.
+	 */
+	selectDecodeServer({prompt, objectiveMs, excluded}: Pick<PlacementRequest, 'prompt' | 'objectiveMs' | 'excluded'>, servers: readonly KnownServer[]): KnownServer | undefined {
+		const decodeServers = servers.filter(server => server.stage !== 'prefill' && !excluded.has(server.id));
+		if (decodeServers.length === 0) {
+			return undefined;
 		}
 
-		const isMissingAtHome = this.#opts.cacheIndex.countCachedTokens(homeServer, listSharedParts(prompt)) < countTokens(listSharedParts(prompt));
-		const decodeServer = isHot && isMissingAtHome ? homeServer : this.#selectLeast(scratchServers, candidate => loadTracker.getLoad(candidate.id).requests);
-		return {
-			kind: 'hand-over', prefillServer: server, decodeServer, ...rest,
-		};
+		const {homeServers, scratchServers} = splitDecodeServers(decodeServers);
+		const homeServer = this.#findHome(prompt, homeServers);
+		const shared = listSharedParts(prompt);
+		const isMissingAtHome = this.#opts.cacheIndex.countCachedTokens(homeServer, shared) < countTokens(shared);
+		if (isMissingAtHome && this.#slots.hasFreeSlot(homeServer) && this.#isHot(prompt, homeServers)) {
+			return homeServer;
+		}
+
+		const evictionPenaltyMs = objectiveMs * closePredictionFraction;
+		const scratch = new Set(scratchServers);
+		return this.#selectLeast(decodeServers, server => this.#slots.estimateWaitMs(server) + (evictionPenaltyMs * (this.#slots.getLoadFraction(server) + (scratch.has(server) ? 0 : 1))));
+	}
+
+	/** Before the first measurement, the plan with the shortest queue is selected. */
+	#selectPlan(plans: readonly PrefillPlan[]): PrefillPlan | undefined {
+		const {profile, loadTracker} = this.#opts;
+		if (plans.length === 0) {
+			return undefined;
+		}
+
+		const isKnown = profile.isKnown(plans[0]!.server.service);
+		return this.#selectLeast(plans, plan => isKnown ? plan.predictedMs : loadTracker.getLoad(plan.server.id).promptTokens + plan.prefillTokens);
 	}
 
 	#planPrefill(server: KnownServer, {prompt, longestMatch, objectiveMs, isPreferred}: {prompt: Prompt; longestMatch?: {server: KnownServer; tokens: number}; objectiveMs: number; isPreferred: boolean}): PrefillPlan {
@@ -180,7 +225,7 @@
 		// Prefill on a home server evicts hot parts, so another server is preferred when the predictions are close.
 		const evictionPenaltyMs = isPreferred ? 0 : objectiveMs * closePredictionFraction;
 		const handOverMs = server.stage === 'prefill' ? profile.estimateHandOverMs(server.service, prompt.tokens) : 0;
-		const queueMs = this.estimateQueueMs(server);
+		const queueMs = this.#estimateQueueMs(server);
 		return {
 			server,
 			kvSource: isFetched ? longestMatch.server : undefined,
--- a/packages/routing/prompt-placement/test/prompt-placement.test.ts
+++ b/packages/routing/prompt-placement/test/prompt-placement.test.ts
@@ -25,7 +25,7 @@
 	let profile: EngineProfile;
 	let promptPlacement: PromptPlacement;
 	const plan = (opts: Partial<PlacementRequest> = {}) => promptPlacement.plan({
-		prompt: createPrompt('s', 'q'), servers: [...prefillServers, ...decodeServers], objectiveMs: 200, excluded: new Set(), ...opts,
+		prompt: createPrompt('s', 'q'), servers: [...prefillServers, ...decodeServers], objectiveMs: 200, maxWaitMs: 2000, excluded: new Set(), ...opts,
 	});
 
 	beforeEach(() => {
@@ -33,7 +33,7 @@
 		loadTracker = new LoadTracker(clock);
 		cacheIndex = new PrefixCacheIndex({getKvCapacity: () => capacityTokens});
 		profile = new EngineProfile();
-		profile.record(prefillServers[0]!, {tokens: 10_000, elapsedMs: 50});
+		profile.record(prefillServers[0]!, {tokens: 10_000, elapsedMs: 50, isIdle: true});
 		promptPlacement = new PromptPlacement({
 			random: new Random(1), loadTracker, cacheIndex, usage: new PartUsage(clock), profile, getKvCapacity: () => capacityTokens,
 		});
@@ -114,13 +114,42 @@
 		expect(plan().kind).to.equal('hand-over');
 		for (let i = 0; i < 50; i++) {
 			for (const server of prefillServers) {
-				profile.record(server, {tokens: 10_000, elapsedMs: 200});
+				profile.record(server, {tokens: 10_000, elapsedMs: 200, isIdle: true});
 			}
 		}
 
 		expect(plan().kind).to.equal('refuse');
 	});
 
+	// Engines with few slots: long streams fill the scratch servers, and hand-overs queued there while others were idle.
+	it('hands over to a server with a free slot', () => {
+		for (let i = 0; i < 8; i++) {
+			loadTracker.add('g1', 0, {isStream: true});
+		}
+
+		profile.recordHold('m', {isStream: true, elapsedMs: 4000});
+		profile.recordHold('m', {isStream: false, elapsedMs: 80});
+		for (let i = 0; i < 20; i++) {
+			const placement = plan({prompt: createPrompt(`s${i}`, `q${i}`)});
+			expect(placement.kind === 'hand-over' && placement.decodeServer.id).to.not.equal('g1');
+		}
+	});
+
+	// Engines with few slots, all taken by streams that last seconds.
+	it('lets a short prompt wait for a slot that frees in time, and refuses it otherwise', () => {
+		const short = {parts: [{id: 'h', tokens: 50}, {id: 'x', tokens: 50}], tokens: 100, maxOutputTokens: 4000};
+		for (const {id, slots} of decodeServers) {
+			for (let i = 0; i < slots; i++) {
+				loadTracker.add(id, 0, {isStream: true});
+			}
+		}
+
+		profile.recordHold('m', {isStream: true, elapsedMs: 800});
+		profile.recordHold('m', {isStream: false, elapsedMs: 80});
+		expect(plan({prompt: short, objectiveMs: 50}).kind).to.equal('direct');
+		expect(plan({prompt: short, objectiveMs: 50, maxWaitMs: 150}).kind).to.equal('refuse');
+	});
+
 	it('excludes servers that failed the request', () => {
 		const placement = plan({excluded: new Set(['r1', 'r2'])});
 		expect(placement.kind).to.equal('direct');
@@ -194,6 +223,14 @@
 		expect(loadTracker.listOwn()).to.deep.equal([['s', 5, 1, 0]]);
 	});
 
+	it('tells whether the entries of a source have changed', () => {
+		const loadTracker = new LoadTracker(new ManualClock());
+		expect(loadTracker.replaceSource('x', [['s', 10, 1, 0]])).to.equal(true);
+		expect(loadTracker.replaceSource('x', [['s', 10, 1, 0]])).to.equal(false);
+		expect(loadTracker.replaceSource('x', [['s', 10, 2, 0]])).to.equal(true);
+		expect(loadTracker.replaceSource('x', [])).to.equal(true);
+	});
+
 	it('replaces the entries of a source', () => {
 		const loadTracker = new LoadTracker(new ManualClock());
 		loadTracker.replaceSource('other', [['s', 100, 2, 0], ['t', 10, 1, 1]]);
--- a/packages/routing/route-table/src/route-types.ts
+++ b/packages/routing/route-table/src/route-types.ts
@@ -26,6 +26,8 @@
 	timeoutMs: number;
 	/** Latency objective for a complete response, or for the first event of a stream; a later one has a lower value to the caller. */
 	objectiveMs: number;
+	/** Time without an event after which callers of a stream give up, in milliseconds; undefined if they wait for the timeout. */
+	patienceMs?: number;
 	/** 0 is the highest priority. */
 	priority: number;
 	targets: readonly RouteTarget[];
