feat(prompt-placement): random choice among near-equal queues, own zone first

Change: servers whose predictions are within half of the prompt's own prefill of the best one count as equal; one of the own zone is selected at random, else any. The same for decode servers within half of the eviction penalty. Tests of that load: "spreads prompts over servers with nearly equal queues", "prefers a server of its own zone".

--- a/packages/plugins/edge/src/streaming-forwarder.ts
+++ b/packages/plugins/edge/src/streaming-forwarder.ts
@@ -100,6 +100,7 @@
 			servers: health.selectHealthy(registry.listUsable(this.#request.service)),
 			objectiveMs: this.#request.route.objectiveMs,
 			maxWaitMs: this.#maxWaitMs,
+			availabilityZone: this.#context.availabilityZone,
 			excluded: this.#excluded,
 		});
 	}
@@ -137,9 +138,11 @@
 
 	/** The load of the decode servers has changed while the prompt was prefilled. */
 	#reselectDecodeServer(planned: KnownServer): KnownServer {
-		const {registry, health, promptPlacement} = this.#context;
+		const {registry, health, promptPlacement, availabilityZone} = this.#context;
 		const servers = health.selectHealthy(registry.listUsable(this.#request.service));
-		return promptPlacement.selectDecodeServer({prompt: this.#prompt, objectiveMs: this.#request.route.objectiveMs, excluded: this.#excluded}, servers) ?? planned;
+		return promptPlacement.selectDecodeServer({
+			prompt: this.#prompt, objectiveMs: this.#request.route.objectiveMs, excluded: this.#excluded, availabilityZone,
+		}, servers) ?? planned;
 	}
 
 	/** Resumes the stream after its last event at the backup server, from the copy of the KV cache. It counts as the same run. */
--- a/packages/routing/prompt-placement/src/prompt-placement.ts
+++ b/packages/routing/prompt-placement/src/prompt-placement.ts
@@ -53,6 +53,8 @@
 	servers: readonly KnownServer[];
 	/** Objective for the time to the first event, in milliseconds; a later answer loses part of its value. */
 	objectiveMs: number;
+	/** Zone of this instance. */
+	availabilityZone: string;
 	/** Time for which the caller waits for the first event, in milliseconds. */
 	maxWaitMs: number;
 	/** Ids of servers on which this request has failed. */
@@ -73,6 +75,12 @@
 const loadAgeMs = 25;
 /** Predictions that differ by less than this fraction of the objective count as close. */
 const closePredictionFraction = 0.05;
+/**
+ * The load of the servers is known a little late. If all instances chose the shortest queue meanwhile, they would choose the
+ * same one, so each chooses at random among queues that are longer by up to this part of the prompt's own prefill, and
+ * among these the servers of its own zone, because traffic between zones is billed.
+ */
+const blindPrefillFraction = 0.5;
 /** One of this many decode servers is a scratch server. */
 const decodeServersPerScratchServer = 4;
 /** Fraction of the home servers' KV cache for hot parts; the rest is for running requests and parts that are not hot. */
@@ -92,6 +100,8 @@
 	prefillTokens: number;
 	/** Estimated time until the server starts to prefill this prompt, in milliseconds. */
 	queueMs: number;
+	/** Estimated time in which the server prefills this prompt alone, in milliseconds. */
+	prefillMs: number;
 	predictedMs: number;
 };
 
@@ -168,14 +178,14 @@
 		const plans = [...prefillServers, ...freeDecodeServers].map(server => this.#planPrefill(server, {
 			prompt, longestMatch, objectiveMs, isPreferred: server.stage === 'prefill' || scratchServers.includes(server) || (isHot && server === homeServer),
 		}));
-		const best = this.#selectPlan(plans);
+		const best = this.#selectPlan(plans, request.availabilityZone);
 		const isLate = best !== undefined && profile.isKnown(best.server.service) && best.predictedMs > objectiveMs * plannedObjectiveFraction;
 		if (!best || (isLate && best.queueMs > objectiveMs * maxLateQueueFraction)) {
 			const shortestMs = best?.predictedMs ?? objectiveMs;
 			return {kind: 'refuse', retryAfterMs: Math.max(objectiveMs * retryAfterObjectives, shortestMs - objectiveMs), reason: `the first event is ${Math.round(shortestMs)} ms away`};
 		}
 
-		const {server, queueMs: _, ...accepted} = best;
+		const {server, queueMs: _queueMs, prefillMs: _prefillMs, ...accepted} = best;
 		return server.stage === 'prefill'
 			? {
 				kind: 'hand-over', prefillServer: server, decodeServer: this.selectDecodeServer(request, decodeServers)!, ...accepted,
@@ -187,7 +197,7 @@
 	 * Selects the server that decodes the answer after a hand-over: the home server of a hot prefix that it lacks, otherwise
 	 * one with a free slot, scratch servers first because the KV cache of the prompt evicts others there.
 	 */
-	selectDecodeServer({prompt, objectiveMs, excluded}: Pick<PlacementRequest, 'prompt' | 'objectiveMs' | 'excluded'>, servers: readonly KnownServer[]): KnownServer | undefined {
+	selectDecodeServer({prompt, objectiveMs, excluded, availabilityZone}: Pick<PlacementRequest, 'prompt' | 'objectiveMs' | 'excluded' | 'availabilityZone'>, servers: readonly KnownServer[]): KnownServer | undefined {
 		const decodeServers = servers.filter(server => server.stage !== 'prefill' && !excluded.has(server.id));
 		if (decodeServers.length === 0) {
 			return undefined;
@@ -203,18 +213,22 @@
 
 		const evictionPenaltyMs = objectiveMs * closePredictionFraction;
 		const scratch = new Set(scratchServers);
-		return this.#selectLeast(decodeServers, server => this.#slots.estimateWaitMs(server) + (evictionPenaltyMs * (this.#slots.getLoadFraction(server) + (scratch.has(server) ? 0 : 1))));
+		return this.#selectLeast(decodeServers, server => this.#slots.estimateWaitMs(server) + (evictionPenaltyMs * (this.#slots.getLoadFraction(server) + (scratch.has(server) ? 0 : 1))), {tolerance: evictionPenaltyMs / 2, isPreferred: server => server.availabilityZone === availabilityZone});
 	}
 
 	/** Before the first measurement, the plan with the shortest queue is selected. */
-	#selectPlan(plans: readonly PrefillPlan[]): PrefillPlan | undefined {
+	#selectPlan(plans: readonly PrefillPlan[], availabilityZone: string): PrefillPlan | undefined {
 		const {profile, loadTracker} = this.#opts;
 		if (plans.length === 0) {
 			return undefined;
 		}
 
-		const isKnown = profile.isKnown(plans[0]!.server.service);
-		return this.#selectLeast(plans, plan => isKnown ? plan.predictedMs : loadTracker.getLoad(plan.server.id).promptTokens + plan.prefillTokens);
+		if (!profile.isKnown(plans[0]!.server.service)) {
+			return this.#selectLeast(plans, plan => loadTracker.getLoad(plan.server.id).promptTokens + plan.prefillTokens);
+		}
+
+		const blindMs = Math.min(...plans.map(plan => plan.prefillMs)) * blindPrefillFraction;
+		return this.#selectLeast(plans, plan => plan.predictedMs, {tolerance: blindMs, isPreferred: ({server}) => server.availabilityZone === availabilityZone});
 	}
 
 	#planPrefill(server: KnownServer, {prompt, longestMatch, objectiveMs, isPreferred}: {prompt: Prompt; longestMatch?: {server: KnownServer; tokens: number}; objectiveMs: number; isPreferred: boolean}): PrefillPlan {
@@ -226,12 +240,14 @@
 		const evictionPenaltyMs = isPreferred ? 0 : objectiveMs * closePredictionFraction;
 		const handOverMs = server.stage === 'prefill' ? profile.estimateHandOverMs(server.service, prompt.tokens) : 0;
 		const queueMs = this.#estimateQueueMs(server);
+		const prefillMs = profile.estimateMs(server, prefillTokens);
 		return {
 			server,
 			kvSource: isFetched ? longestMatch.server : undefined,
 			prefillTokens,
 			queueMs,
-			predictedMs: queueMs + profile.estimateMs(server, prefillTokens) + handOverMs + evictionPenaltyMs,
+			prefillMs,
+			predictedMs: queueMs + prefillMs + handOverMs + evictionPenaltyMs,
 		};
 	}
 
@@ -248,12 +264,16 @@
 		return homeServers.find(server => ranks.get(server.id) === 0) ?? homeServers[0]!;
 	}
 
-	/** Selects at random among the candidates within 2 % of the lowest value, so that instances don't all select the same one. */
-	#selectLeast<T>(candidates: readonly T[], valueOf: (candidate: T) => number): T {
+	/**
+	 * Selects at random among the candidates within 2 % or the tolerance of the lowest value, preferred ones first, so that
+	 * instances don't all select the same one.
+	 */
+	#selectLeast<T>(candidates: readonly T[], valueOf: (candidate: T) => number, {tolerance = 0, isPreferred}: {tolerance?: number; isPreferred?: (candidate: T) => boolean} = {}): T {
 		const valued = candidates.map(candidate => ({candidate, value: valueOf(candidate)}));
 		const least = Math.min(...valued.map(({value}) => value));
-		const nearEqual = valued.filter(({value}) => value <= least + (Math.abs(least) * 0.02));
-		return this.#opts.random.select(nearEqual).candidate;
+		const nearEqual = valued.filter(({value}) => value <= least + Math.max(tolerance, Math.abs(least) * 0.02)).map(({candidate}) => candidate);
+		const preferred = isPreferred ? nearEqual.filter(candidate => isPreferred(candidate)) : [];
+		return this.#opts.random.select(preferred.length > 0 ? preferred : nearEqual);
 	}
 }
 
--- a/packages/routing/prompt-placement/test/prompt-placement.test.ts
+++ b/packages/routing/prompt-placement/test/prompt-placement.test.ts
@@ -25,7 +25,7 @@
 	let profile: EngineProfile;
 	let promptPlacement: PromptPlacement;
 	const plan = (opts: Partial<PlacementRequest> = {}) => promptPlacement.plan({
-		prompt: createPrompt('s', 'q'), servers: [...prefillServers, ...decodeServers], objectiveMs: 200, maxWaitMs: 2000, excluded: new Set(), ...opts,
+		prompt: createPrompt('s', 'q'), servers: [...prefillServers, ...decodeServers], objectiveMs: 200, maxWaitMs: 2000, availabilityZone: 'z', excluded: new Set(), ...opts,
 	});
 
 	beforeEach(() => {
@@ -150,6 +150,36 @@
 		expect(plan({prompt: short, objectiveMs: 50, maxWaitMs: 150}).kind).to.equal('refuse');
 	});
 
+	// Many instances, each of which knows the load of the servers some tens of milliseconds late.
+	it('spreads prompts over servers with nearly equal queues', () => {
+		loadTracker.add('r1', 300);
+		const selected = new Set<string>();
+		for (let i = 0; i < 30; i++) {
+			const placement = plan();
+			selected.add(placement.kind === 'hand-over' ? placement.prefillServer.id : '');
+		}
+
+		expect([...selected].sort()).to.deep.equal(['r1', 'r2']);
+		loadTracker.add('r1', 12_000);
+		const placement = plan();
+		expect(placement.kind === 'hand-over' && placement.prefillServer.id).to.equal('r2');
+	});
+
+	it('prefers a server of its own zone unless its queue is longer', () => {
+		const elsewhere = {...createServer('r3', 'prefill'), availabilityZone: 'other'};
+		const servers = [elsewhere, prefillServers[0]!, ...decodeServers];
+		const long = createPrompt('s', 'q');
+		const select = (availabilityZone: string) => {
+			const placement = plan({prompt: {...long, parts: long.parts.slice(0, 1), tokens: 1500}, servers, availabilityZone});
+			return placement.kind === 'hand-over' && placement.prefillServer.id;
+		};
+
+		expect(select('z')).to.equal('r1');
+		expect(select('other')).to.equal('r3');
+		loadTracker.add('r3', 12_000);
+		expect(select('other')).to.equal('r1');
+	});
+
 	it('excludes servers that failed the request', () => {
 		const placement = plan({excluded: new Set(['r1', 'r2'])});
 		expect(placement.kind).to.equal('direct');
