perf(load-sharing): bound the messages of a relay; select hot parts less often

Cause: a relay sends each leaf a message every 20 ms under load, so its cost grows with its leaves (60 at 300 edges and five relays: 3,000 messages a second), and every leaf parses 50 a second. The selection of hot parts sorts all parts every second on every edge.

Hot parts are selected every quarter of their decay time, 3 s. Test: as many messages a second with 60 leaves as with 10.

--- a/packages/routing/load-sharing/src/load-sharing.ts
+++ b/packages/routing/load-sharing/src/load-sharing.ts
@@ -44,6 +44,11 @@
 
 /** Shortest interval at which changed load is shared, in milliseconds. A server prefills about 4,000 tokens meanwhile, half of a long prompt. */
 export const shareIntervalMs = 20;
+/**
+ * A relay sends each leaf a message of its own. With more leaves than these in the shortest interval, it sends less often, so
+ * that its cost does not grow with the fleet.
+ */
+const maxLeavesPerMs = 0.35;
 /** Unchanged load is shared at this interval, because receivers discard a share after one second. */
 const refreshIntervalMs = 400;
 /** A leaf switches to another relay when its own has sent nothing for this time, a little more than two refresh intervals. */
@@ -118,7 +123,7 @@
 		this.#onChange = () => {
 			if (!isDueSoon) {
 				isDueSoon = true;
-				schedule(Math.max(0, sentAt + shareIntervalMs - clock.monotonic()));
+				schedule(Math.max(0, sentAt + this.#intervalMs - clock.monotonic()));
 			}
 		};
 
@@ -178,6 +183,11 @@
 		}
 	}
 
+	/** Shortest interval between two shares of this instance, in milliseconds. */
+	get #intervalMs(): number {
+		return Math.max(shareIntervalMs, this.#leaves.size / maxLeavesPerMs);
+	}
+
 	get #isRelay(): boolean {
 		return this.#opts.member.roles.includes(this.#opts.relayRole);
 	}
--- a/packages/routing/load-sharing/test/load-sharing.test.ts
+++ b/packages/routing/load-sharing/test/load-sharing.test.ts
@@ -163,6 +163,31 @@
 		expect(fleet.messages).to.equal(4);
 	});
 
+	it('sends as many messages a second from a relay with 60 leaves as from one with 10', async () => {
+		const rates = await Promise.all([11, 61].map(async count => {
+			const fleet = new Fleet(count, 1);
+			const abortController = new AbortController();
+			for (const {sharing} of fleet.instances) {
+				sharing.run(abortController.signal);
+			}
+
+			await fleet.clock.advance(2000);
+			const relay = fleet.instances[0]!;
+			fleet.bytesSent.clear();
+			fleet.messages = 0;
+			for (let round = 0; round < 100; round++) {
+				relay.loadTracker.add('server', 1);
+				await fleet.clock.advance(10);
+			}
+
+			abortController.abort();
+			const leafMessages = (count - 1) * 3; // Refreshes of the leaves.
+			return fleet.messages - leafMessages;
+		}));
+		expect(rates[0]).to.be.within(200, 600);
+		expect(rates[1]).to.be.within(200, 600);
+	});
+
 	it('emits one event when no relay is available', async () => {
 		const fleet = new Fleet(12, 0);
 		await fleet.runRounds(200);
--- a/packages/routing/prompt-placement/src/part-usage.ts
+++ b/packages/routing/prompt-placement/src/part-usage.ts
@@ -17,8 +17,8 @@
 
 /** Time in which a weight falls to about a third; about the reuse interval of a part in the middle of the ranking. */
 const decayMs = 12_000;
-/** Selection sorts all parts: some milliseconds on a small machine. The ranking changes little within a second. */
-const selectionIntervalMs = 1000;
+/** Selection sorts all parts: some milliseconds on a small machine. The ranking changes little within a fraction of the decay. */
+const selectionIntervalMs = decayMs / 4;
 const maxTrackedParts = 20_000;
 
 export class PartUsage {
