--- a/packages/core/types/src/peer-methods.ts
+++ b/packages/core/types/src/peer-methods.ts
@@ -14,8 +14,15 @@
 	availabilityZone: string;
 	address: string;
 	incarnation: string;
+	/** Messages beyond the first protocol that the instance understands; missing on older versions. */
+	features?: string[];
 };
 
+export const peerFeatures = {
+	/** Understands `registry.repeat`; others get each report in full. */
+	reportRepeats: 'report-repeats',
+} as const;
+
 /** Demand of one workspace at one entry over the last reporting interval, in requests per second. */
 export type WorkspaceDemand = {
 	workspace: string;
--- a/packages/plugins/edge/src/edge.ts
+++ b/packages/plugins/edge/src/edge.ts
@@ -23,7 +23,7 @@
 import {RouteTable} from '@hickorytrack/route-table';
 import {requestKinds} from '@hickorytrack/route-table/route-types';
 import {StageControl} from '@hickorytrack/stage-control';
-import type {StoredPrompt} from '@hickorytrack/types/peer-methods';
+import {peerFeatures, type StoredPrompt} from '@hickorytrack/types/peer-methods';
 import type {CallerRequest} from './caller-request.js';
 import {sendProblem} from './responses.js';
 import {CrashDetector} from './crash-detector.js';
@@ -83,7 +83,7 @@
 		const {settings, clock, random, events, codec} = opts;
 		this.#peers = new PeerNode({
 			clock, random, timing: peerTiming, keys: [settings.peerKey], member: {
-				instance: settings.instance, roles: opts.storage ? [edgeRole, coreRole] : [edgeRole], availabilityZone: settings.availabilityZone, address: settings.peerAddress, incarnation: opts.incarnation,
+				instance: settings.instance, roles: opts.storage ? [edgeRole, coreRole] : [edgeRole], availabilityZone: settings.availabilityZone, address: settings.peerAddress, incarnation: opts.incarnation, features: [peerFeatures.reportRepeats],
 			},
 		});
 		this.mesh = new Mesh({
--- a/packages/plugins/edge/src/report-sharing.ts
+++ b/packages/plugins/edge/src/report-sharing.ts
@@ -10,7 +10,7 @@
 	isRepeat, serverStates, type EndpointRegistry, type KnownServer, type ReportRepeat, type ServerReport,
 } from '@hickorytrack/endpoint-registry';
 import type {PeerConnection} from '@hickorytrack/peer-link/peer-connection';
-import type {PeerMethods} from '@hickorytrack/types/peer-methods';
+import {peerFeatures, type PeerMethods} from '@hickorytrack/types/peer-methods';
 
 /** A connection to another instance, as far as reports need it. */
 export type ReportPeer = Pick<PeerConnection, 'remote' | 'notify' | 'request'>;
@@ -63,7 +63,7 @@
 			const repeat = createRepeat(report);
 			this.#collectRepeat(repeat);
 			for (const peer of withoutAll(peers, leaves)) {
-				peer.notify('registry.repeat', {repeats: [repeat]});
+				this.#notifyRepeats(peer, [repeat]);
 			}
 		} else if (report.state === serverStates.ready) {
 			for (const peer of peers) {
@@ -127,11 +127,20 @@
 		this.#repeats.clear();
 		if (repeats.length > 0) {
 			for (const leaf of this.#opts.listLeaves()) {
-				leaf.notify('registry.repeat', {repeats});
+				this.#notifyRepeats(leaf, repeats);
 			}
 		}
 	}
 
+	/** An instance of an older version gets the reports in full. */
+	#notifyRepeats(peer: ReportPeer, repeats: Repeat[]): void {
+		if (peer.remote.features?.includes(peerFeatures.reportRepeats)) {
+			peer.notify('registry.repeat', {repeats});
+		} else {
+			peer.notify('registry.note', {reports: this.listReports(repeats.map(([id]) => id))});
+		}
+	}
+
 	#collectRepeat(repeat: Repeat): void {
 		this.#repeats.set(repeat[0], repeat);
 	}
--- a/packages/plugins/edge/test/report-sharing.test.ts
+++ b/packages/plugins/edge/test/report-sharing.test.ts
@@ -3,7 +3,7 @@
 import {ManualClock} from '@hickorytrack/clock/manual-clock';
 import {EndpointRegistry, type ServerReport} from '@hickorytrack/endpoint-registry';
 import {HickorytrackError} from '@hickorytrack/errors';
-import type {PeerMember} from '@hickorytrack/types/peer-methods';
+import {peerFeatures, type PeerMember} from '@hickorytrack/types/peer-methods';
 import {ReportSharing, type ReportPeer} from '../src/report-sharing.js';
 
 const report: ServerReport = {
@@ -17,6 +17,8 @@
 	readonly sharings = new Map<string, ReportSharing>();
 	readonly unconfirmed: string[] = [];
 	readonly down = new Set<string>();
+	/** Instances of an older version, which do not understand repeats. */
+	readonly old = new Set<string>();
 	messages = 0;
 
 	constructor() {
@@ -67,6 +69,7 @@
 				}
 
 				case 'registry.repeat': {
+					expect(this.old.has(to)).to.equal(false);
 					await sharing.handleRepeats(repeats, back);
 					return ok(undefined);
 				}
@@ -78,7 +81,7 @@
 		};
 
 		return {
-			remote: {address: to, instance: to} as PeerMember, // eslint-disable-line @typescript-eslint/consistent-type-assertions
+			remote: {address: to, instance: to, features: this.old.has(to) ? undefined : [peerFeatures.reportRepeats]} as unknown as PeerMember,
 			notify(method: string, params: unknown) {
 				void dispatch(method, params);
 			},
@@ -134,6 +137,20 @@
 		expect(fleet.listKnowing(server => server.sequence === 11)).to.deep.equal(allNames);
 	});
 
+	// A rolling release: without full reports, an instance of the old version would take its servers for silent.
+	it('sends full reports to instances of an older version', async () => {
+		fleet.old.add('hub2');
+		fleet.old.add('leaf2');
+		await fleet.report('leaf1', {sequence: 2});
+		await fleet.clock.advance(1);
+		for (const sharing of fleet.sharings.values()) {
+			sharing.sendRepeats();
+		}
+
+		await fleet.clock.advance(1);
+		expect(fleet.listKnowing(server => server.sequence === 2)).to.include.members(['hub1', 'hub2', 'leaf1', 'leaf2']);
+	});
+
 	it('fetches the report that a repeat refers to when it was missed', async () => {
 		fleet.down.add('leaf4');
 		await fleet.report('leaf1', {sequence: 1, startedAt: 2000, stage: 'decode'});
--- a/scripts/write-capacity.mjs
+++ b/scripts/write-capacity.mjs
@@ -5,6 +5,7 @@
 const {slopes} = readMeasurement('slopes');
 const pathMeasurement = readMeasurement('path');
 const controlMeasurement = readMeasurement('control');
+const sweep = readMeasurement('sweep');
 const getSlope = name => slopes.find(slope => slope.name === name).slope;
 const deployment = {
 	entries: 320, endpoints: 12_000, controllers: 5, requestsPerSecond: 20_000, tokensPerSecond: 4_100_000, workspaces: 470, changesPerDay: 19_000, restartsPerDay: 2000, lossesPerDay: 130, zones: 21,
@@ -59,7 +60,7 @@
 const lines = [
 	'# Capacity at the size to design for',
 	'',
-	'Written by `node scripts/write-capacity.mjs` from `docs/measurements/{slopes,path,control}.json`; don\'t edit it. The size is that of the users\' first letter: 320 nodes before 12,000 servers, 20,000 requests and 4.1 M tokens a second, 470 workspaces, 12 models, 21 availability zones, 19,000 changes a day.',
+	'Written by `node scripts/write-capacity.mjs` from `docs/measurements/{slopes,path,control,sweep}.json`; don\'t edit it. The size is that of the users\' first letter: 320 nodes before 12,000 servers, 20,000 requests and 4.1 M tokens a second, 470 workspaces, 12 models, 21 availability zones, 19,000 changes a day.',
 	'',
 	'Five controllers are counted (15 instances may be set aside). A row over its budget is marked **over**. "Only named" means that the mechanism is not built.',
 	'',
@@ -80,6 +81,16 @@
 	'| --- | --- | --- | --- | --- | --- |',
 	...rows.map(row => `| ${row.role} | ${row.quantity} | ${row.isOverBudget ? '**over** ' : ''}${row.value} | ${row.budget} | ${row.mechanism} | ${row.state} |`),
 	'',
+	'## Edges on the platform',
+	'',
+	`\`${sweep.command}\` on ${sweep.code}: the busiest edge with 10, 30 and 101 edges before ${sweep.servers.join(', ')} servers. "Power" is how the figure grows with the machines; the last column carries that on to 323 machines and was not played. The day at 300 machines was not run.`,
+	'',
+	'| an edge | 10 | 30 | 101 | power | at 323 |',
+	'| --- | --- | --- | --- | --- | --- |',
+	...sweep.rows.map(row => `| ${row.join(' | ')} |`),
+	'',
+	'The day at 101 edges breaks a rule (requests sent on after their callers had left) and serves next to nothing: the edges are out of processor time. A load share lists every busy server, up to 50 times a second, and each request prices every server. Both have to be limited to a subset of the servers before this size is met. It is listed in KNOWN-RED.txt.',
+	'',
 	'## Not in the sums',
 	'',
 	'- 5,300 GB/s of KV: export and import of KV between engines is not built; a request resumes from its tokens instead, which costs prefill.',
