fix(mesh): no hubs while a hub of an older version is known

Cause: an older hub forwards no reports, so in a mixed fleet edges that used it as their relay knew 9 to 12 of 20 servers. Change: members advertise the feature "hubs"; a large mesh stays full until every hub has it. Test: "stays a full mesh while a hub lacks the feature".

--- a/packages/core/types/src/peer-methods.ts
+++ b/packages/core/types/src/peer-methods.ts
@@ -21,6 +21,8 @@
 export const peerFeatures = {
 	/** Understands `registry.repeat`; others get each report in full. */
 	reportRepeats: 'report-repeats',
+	/** Forwards what others report, if it has the role of a hub. */
+	hubs: 'hubs',
 } as const;
 
 /** Demand of one workspace at one entry over the last reporting interval, in requests per second. */
--- a/packages/net/mesh/src/mesh.ts
+++ b/packages/net/mesh/src/mesh.ts
@@ -12,7 +12,9 @@
 import type {EventLog} from '@hickorytrack/events';
 import type {PeerConnection} from '@hickorytrack/peer-link/peer-connection';
 import type {PersistentLink, PeerNode} from '@hickorytrack/peer-link/peer-node';
-import type {PeerMember, PeerMethodName, PeerMethods} from '@hickorytrack/types/peer-methods';
+import {
+	peerFeatures, type PeerMember, type PeerMethodName, type PeerMethods,
+} from '@hickorytrack/types/peer-methods';
 
 export type MeshOptions = {
 	peers: PeerNode;
@@ -239,9 +241,11 @@
 
 	#updateMode(): void {
 		const peers = this.memberCount - 1;
-		const hubs = this.#opts.hubRole === undefined ? 0 : this.listMembers(this.#opts.hubRole).length;
+		const hubs = [this.peers.member, ...this.listMembers()].filter(member => isHub(member, this.#opts.hubRole));
+		// During a rolling release, a hub of an older version forwards nothing.
+		const canUseHubs = hubs.length > 0 && hubs.every(hub => hub.features?.includes(peerFeatures.hubs));
 		const limit = this.#usesHubs ? maxFullMeshPeers - hubModeHysteresis : maxFullMeshPeers;
-		this.#usesHubs = peers > limit && (hubs > 0 || this.#isHub);
+		this.#usesHubs = peers > limit && canUseHubs;
 	}
 
 	#needsLink(address: string, entry: MemberEntry, hasHub: boolean): boolean {
--- a/packages/net/mesh/test/mesh.test.ts
+++ b/packages/net/mesh/test/mesh.test.ts
@@ -1,6 +1,7 @@
 import {expect} from 'chai';
 import {ManualClock} from '@hickorytrack/clock/manual-clock';
 import {EventLog} from '@hickorytrack/events';
+import {peerFeatures} from '@hickorytrack/types/peer-methods';
 import {Mesh} from '../src/mesh.js';
 import {PeerNetwork} from './peer-network.js';
 
@@ -22,11 +23,11 @@
 		return this.meshes.filter(mesh => !mesh.peers.member.roles.includes(hubRole));
 	}
 
-	add(index: number, isHub: boolean, seeds: readonly string[]): Mesh {
+	add(index: number, isHub: boolean, seeds: readonly string[], features: string[] = [peerFeatures.hubs]): Mesh {
 		const address = `m${index}`;
 		const mesh = new Mesh({
 			peers: this.network.createNode({
-				instance: address, roles: isHub ? ['edge', hubRole] : ['edge'], availabilityZone: 'z', address, incarnation: 'a',
+				instance: address, roles: isHub ? ['edge', hubRole] : ['edge'], availabilityZone: 'z', address, incarnation: 'a', features,
 			}), clock: this.clock, events: new EventLog({clock: this.clock}), seeds, linkedRoles: ['edge'], hubRole,
 		});
 		this.meshes.push(mesh);
@@ -116,6 +117,25 @@
 		}
 	});
 
+	// A rolling release: a hub of the older version forwards no reports.
+	it('stays a full mesh while a hub lacks the feature, and uses hubs once it is gone', async () => {
+		const fleet = new Fleet(12, 2);
+		const old = fleet.add(12, true, ['m5'], []);
+		await fleet.clock.advance(8000);
+		for (const mesh of fleet.meshes) {
+			expect(mesh.usesHubs).to.equal(false);
+			expect(mesh.listConnections()).to.have.length(12);
+		}
+
+		old.stop();
+		fleet.network.nodes.get(old.address)!.setUp(false);
+		await fleet.clock.advance(40_000);
+		for (const leaf of fleet.leaves) {
+			expect(leaf.usesHubs).to.equal(true);
+			expect(leaf.listConnections()).to.have.length(2);
+		}
+	});
+
 	it('links to the hubs again when all of them restart at once', async () => {
 		const fleet = new Fleet(20, 3);
 		await fleet.clock.advance(8000);
--- a/packages/plugins/edge/src/edge.ts
+++ b/packages/plugins/edge/src/edge.ts
@@ -9,7 +9,7 @@
 import {EngineProfile} from '@hickorytrack/engine-profile';
 import {HickorytrackError, describeError} from '@hickorytrack/errors';
 import {LoadSharing} from '@hickorytrack/load-sharing';
-import {Mesh} from '@hickorytrack/mesh';
+import {Mesh, maxFullMeshPeers} from '@hickorytrack/mesh';
 import {parseAddress, PeerNode} from '@hickorytrack/peer-link/peer-node';
 import type {PeerConnection, PeerTiming} from '@hickorytrack/peer-link/peer-connection';
 import {PrefixCacheIndex} from '@hickorytrack/prompt-placement/prefix-cache-index';
@@ -83,7 +83,7 @@
 		const {settings, clock, random, events, codec} = opts;
 		this.#peers = new PeerNode({
 			clock, random, timing: peerTiming, keys: [settings.peerKey], member: {
-				instance: settings.instance, roles: opts.storage ? [edgeRole, coreRole] : [edgeRole], availabilityZone: settings.availabilityZone, address: settings.peerAddress, incarnation: opts.incarnation, features: [peerFeatures.reportRepeats],
+				instance: settings.instance, roles: opts.storage ? [edgeRole, coreRole] : [edgeRole], availabilityZone: settings.availabilityZone, address: settings.peerAddress, incarnation: opts.incarnation, features: Object.values(peerFeatures),
 			},
 		});
 		this.mesh = new Mesh({
@@ -349,7 +349,7 @@
 			member: this.#peers.member,
 			relayRole: coreRole,
 			listPeers: () => this.mesh.listConnections(),
-			usesRelays: () => this.mesh.usesHubs,
+			usesRelays: () => this.mesh.usesHubs || this.mesh.listConnections().length > maxFullMeshPeers,
 			onLeafAdded: leaf => {
 				// While it changed its relay, it may have missed reports.
 				leaf.notify('registry.note', {reports: this.registry.list()});
