fix(edge): charge each repeated arrival to the retry budget once

Cause: a rejected prefill was charged when it was rejected and again before the next call, so the budget ran out with servers free; a second prefill and run after a failed run were charged once in place of twice. Change: charges are made where a call is sent: rejected prefills, accepted ones after the first, runs after the first. A repeat needs a free budget before it is placed.

--- a/packages/plugins/edge/src/streaming-forwarder.ts
+++ b/packages/plugins/edge/src/streaming-forwarder.ts
@@ -40,7 +40,9 @@
 	readonly #servers: KnownServer[] = [];
 	readonly #excluded = new Set<string>();
 	#isNotExecuted = true;
-	#prefillCount = 0;
+	/** Calls for a prefill that a server may have carried out, and those that servers rejected. */
+	#acceptedPrefills = 0;
+	#rejectedPrefills = 0;
 	/** Keeps a copy of the request's KV cache, from which the stream can resume when the decode server fails. */
 	#backupServer: KnownServer | undefined;
 	#retryAfterMs = defaultRetryAfterMs;
@@ -65,7 +67,8 @@
 				return this.#fail(placement.reason);
 			}
 
-			if ((this.#servers.length > 0 || this.#prefillCount > 0) && !retryBudget.acquire(this.#request.service)) {
+			const isRepeat = this.#servers.length > 0 || this.#acceptedPrefills > 0 || this.#rejectedPrefills > 0;
+			if (isRepeat && !retryBudget.canRetry(this.#request.service)) {
 				return this.#fail('the retry budget is used up');
 			}
 
@@ -110,7 +113,6 @@
 		let handle: KvHandle | undefined;
 		if (placement.kind === 'hand-over') {
 			handle = await this.#runPrefill(placement);
-			this.#prefillCount++;
 			if (this.#request.signal.aborted) {
 				this.#releaseKvHandle(handle);
 				return this.#createResult(requestOutcomes.callerGone);
@@ -127,6 +129,10 @@
 		}
 
 		const decodeServer = handle ? this.#reselectDecodeServer(placement.decodeServer) : placement.decodeServer;
+		if (this.#servers.length > 0) {
+			this.#context.retryBudget.recordRetry(this.#request.service);
+		}
+
 		this.#servers.push(decodeServer);
 		const result = await this.#generate(decodeServer, {handle, placement});
 		if (this.#backupServer && this.#relay.lastEventId !== undefined && (result.outcome === attemptOutcomes.broken || result.outcome === attemptOutcomes.stalled)) {
@@ -180,7 +186,7 @@
 
 	/** Prefills the prompt at another server. Returns the handle of its KV cache; undefined when the request needs a new placement. */
 	async #runPrefill({prefillServer, kvSource, prefillTokens, predictedMs}: Placement & {kind: 'hand-over'}): Promise<KvHandle | undefined> {
-		const {loadTracker, cacheIndex, client, clock, codec, health, retryBudget, profile, eventLog} = this.#context;
+		const {loadTracker, cacheIndex, client, clock, codec, health, profile, eventLog} = this.#context;
 		const queuedTokens = loadTracker.getLoad(prefillServer.id).promptTokens;
 		const inFlightLoad = loadTracker.add(prefillServer.id, prefillTokens);
 		const startedAt = clock.monotonic();
@@ -192,6 +198,7 @@
 		});
 		inFlightLoad.release();
 		const metadata = result.head && codec.decodeResponseHead(result.head);
+		this.#countPrefill({isRejected: metadata?.isNotExecuted ?? false});
 		const handle = result.outcome === attemptOutcomes.answered && result.head?.status === 200 ? codec.decodeKvHandle(prefillServer.address, result.body.toString()) : undefined;
 		if (handle) {
 			const elapsedMs = clock.monotonic() - startedAt;
@@ -207,10 +214,7 @@
 			return undefined;
 		}
 
-		// A rejected call still reached a server and counts as a retry.
-		if (metadata?.isNotExecuted) {
-			retryBudget.recordRetry(this.#request.service);
-		} else if (!result.error?.isStale) {
+		if (!metadata?.isNotExecuted && !result.error?.isStale) {
 			health.recordUnresponsive(prefillServer);
 		}
 
@@ -220,6 +224,19 @@
 		return undefined;
 	}
 
+	/** The first accepted call for a prefill is no retry; further ones and rejected ones are, because they reached a server too. */
+	#countPrefill({isRejected}: {isRejected: boolean}): void {
+		if (isRejected || this.#acceptedPrefills > 0) {
+			this.#context.retryBudget.recordRetry(this.#request.service);
+		}
+
+		if (isRejected) {
+			this.#rejectedPrefills++;
+		} else {
+			this.#acceptedPrefills++;
+		}
+	}
+
 	async #generate(server: KnownServer, {handle, placement}: {handle?: KvHandle; placement: Exclude<Placement, {kind: 'refuse'}>}): Promise<AttemptResult> {
 		const {loadTracker, client, clock, profile} = this.#context;
 		const isLongOutput = this.#prompt.maxOutputTokens >= longOutputTokens;
--- a/stand-ins/src/platform-server.ts
+++ b/stand-ins/src/platform-server.ts
@@ -37,6 +37,8 @@
 	/** Number of events in a stream, and the interval between two of them. */
 	events?: number;
 	eventMs?: number;
+	/** Time that the prefill of a prompt takes; without it a prompt is prefilled at once. */
+	prefillMs?: number;
 };
 
 export type ReceivedRequest = {
@@ -209,6 +211,10 @@
 			return;
 		}
 
+		if (request.headers['x-kv-source'] === undefined && this.#opts.prefillMs !== undefined) {
+			await this.#opts.clock.sleep(this.#opts.prefillMs);
+		}
+
 		if (request.headers['x-stage'] === 'prefill') {
 			const handle = `handle-${receivedRequest.requestId}`;
 			this.handles.add(handle);
