fix(mesh): give up unanswered attempts to connect after 250 ms

An opening packet to a machine without power is lost, and the operating system sends it again after a second. Change: links of the mesh have a connect timeout of 250 ms (a connection opens in milliseconds) and a back-off of at most 300 ms. After a pause of the process the socket is looked at only after a poll for events. Test: "gives up an attempt to connect that gets no response and tries again", red before. LoadSharing plans its refresh before it sends, so that a change during the send is not put off.

--- a/packages/net/mesh/src/mesh.ts
+++ b/packages/net/mesh/src/mesh.ts
@@ -36,6 +36,12 @@
 const hubModeHysteresis = 2;
 /** Interval at which an instance asks another one for members. */
 const refreshIntervalMs = 1000;
+/**
+ * After a stop of all machines the members start a little apart. The core elects no leader, and nobody serves, before a
+ * majority has found each other, so a member that does not respond is soon tried again. A connection opens in milliseconds.
+ */
+const connectTimeoutMs = 250;
+const reconnectCapMs = 300;
 /** The number of members that a hub has told counts for this time. */
 const memberCountTtlMs = 5000;
 
@@ -260,6 +266,8 @@
 
 	#openLink(address: string, entry: MemberEntry): PersistentLink {
 		return this.peers.openLink(address, {
+			connectTimeoutMs,
+			reconnectCapMs,
 			onConnected: async connection => this.#exchangeMembers(entry, connection),
 			onFailed: () => {
 				this.#removeIfExpired(address, entry);
--- a/packages/net/peer-link/src/peer-node.ts
+++ b/packages/net/peer-link/src/peer-node.ts
@@ -4,7 +4,7 @@
  */
 import type {Buffer} from 'node:buffer';
 import {
-	connect, createServer, type Server, type Socket,
+	connect, createServer, type Server, type Socket, type TcpNetConnectOpts,
 } from 'node:net';
 import {err, ok, type Result} from 'neverthrow';
 import {waitWithTimeout, type Clock} from '@hickorytrack/clock';
@@ -21,7 +21,7 @@
 
 const handshakeTimeoutMs = 2000;
 const reconnectBaseMs = 50;
-const reconnectCapMs = 1500;
+const defaultReconnectCapMs = 1500;
 const wildcardHost = '0.0.0.0';
 
 export type PeerNodeOptions = {
@@ -34,6 +34,8 @@
 	member: PeerMember;
 	/** Address sent to other processes, if it differs from the listen address. */
 	advertise?: string;
+	/** Opens a socket; only tests replace it. */
+	openSocket?: (options: TcpNetConnectOpts) => Socket;
 };
 
 export type PeerAddress = {
@@ -54,6 +56,13 @@
 };
 
 export type PersistentLinkOptions = {
+	/** Longest pause between two attempts to connect, in milliseconds; 1,500 if it is not set. */
+	reconnectCapMs?: number;
+	/**
+	 * Time after which an attempt to connect is given up, in milliseconds; 2,000 if it is not set. An opening packet to a
+	 * machine that is not up yet is lost, and the operating system sends it again only after a second.
+	 */
+	connectTimeoutMs?: number;
 	/** Runs for each new connection; if it fails, the connection is closed and a new one is opened. */
 	onConnected?: (connection: PeerConnection) => Promise<void> | void;
 	/** Runs after each failed attempt; `refused` is true if the other machine refused the connection. */
@@ -168,12 +177,21 @@
 	}
 
 	/** Opens one connection, without reconnecting. */
-	async connect(address: string): Promise<Result<PeerConnection, PeerLinkError>> {
+	async connect(address: string, opts: Pick<PersistentLinkOptions, 'connectTimeoutMs'> = {}): Promise<Result<PeerConnection, PeerLinkError>> {
 		const {host, port} = parseAddress(address);
+		const {clock, openSocket = connect} = this.#opts;
 		// Connects from the address that this process listens on, so that both processes identify it by the same host.
-		const socket = connect({
+		const socket = openSocket({
 			host, port, noDelay: true, localAddress: this.#localHost,
 		});
+		const cancelConnectTimer = clock.startTimer(opts.connectTimeoutMs ?? handshakeTimeoutMs, () => {
+			// If this process was paused, the connection may be open already; that is known after the next poll for events.
+			setImmediate(() => {
+				if (socket.connecting) {
+					socket.destroy(new Error('the other machine did not respond'));
+				}
+			});
+		});
 		const failure = new Promise<Result<PeerConnection, PeerLinkError>>(resolve => {
 			socket.once('error', error => {
 				const refused = 'code' in error && error.code === 'ECONNREFUSED';
@@ -181,7 +199,8 @@
 			});
 		});
 		const attempt = Promise.race([failure, this.#runClientHandshake(socket, address)]);
-		const result = await waitWithTimeout(attempt, handshakeTimeoutMs, this.#opts.clock);
+		const result = await waitWithTimeout(attempt, handshakeTimeoutMs, clock);
+		cancelConnectTimer();
 		if (!result || result.isErr()) {
 			socket.destroy();
 		}
@@ -208,7 +227,7 @@
 		const runReconnectLoop = async () => {
 			let failures = 0;
 			while (!abortController.signal.aborted && !this.#stopped) {
-				const result = await this.connect(address);
+				const result = await this.connect(address, opts);
 				if (abortController.signal.aborted) {
 					if (result.isOk()) {
 						result.value.close();
@@ -226,7 +245,7 @@
 					opts.onFailed?.(result.error.code === 'ERR_HICKORYTRACK_PEER_REFUSED');
 				}
 
-				await this.#opts.clock.sleep(computeBackoff(failures, {baseMs: reconnectBaseMs, capMs: reconnectCapMs, random: this.#opts.random}), abortController.signal);
+				await this.#opts.clock.sleep(computeBackoff(failures, {baseMs: reconnectBaseMs, capMs: opts.reconnectCapMs ?? defaultReconnectCapMs, random: this.#opts.random}), abortController.signal);
 			}
 		};
 
--- a/packages/net/peer-link/test/peer-link.test.ts
+++ b/packages/net/peer-link/test/peer-link.test.ts
@@ -1,8 +1,9 @@
 import {Buffer} from 'node:buffer';
 import {
-	connect, type Server, createServer, type AddressInfo,
+	connect, type Server, createServer, type AddressInfo, Socket,
 } from 'node:net';
 import {expect} from 'chai';
+import {ManualClock} from '@hickorytrack/clock/manual-clock';
 import {SystemClock} from '@hickorytrack/clock/system-clock';
 import {Random} from '@hickorytrack/random';
 import {PeerNode} from '../src/peer-node.js';
@@ -17,6 +18,11 @@
 	},
 });
 
+/** A socket whose opening packet is lost. */
+class UnansweredSocket extends Socket {
+	override readonly connecting = true;
+}
+
 describe('peer link', () => {
 	const nodes: PeerNode[] = [];
 	let server: Server | undefined;
@@ -41,6 +47,26 @@
 		server = undefined;
 	});
 
+	// After a power loss the opening packet to a machine that starts a little later is lost; it was sent again after a second.
+	it('gives up an attempt to connect that gets no response and tries again', async () => {
+		const clock = new ManualClock();
+		let attempts = 0;
+		const node = new PeerNode({
+			clock, random: new Random(1), timing, keys: ['shared-key'], member: {
+				instance: 'a', roles: [], availabilityZone: 'z', address: '', incarnation: 'a-1',
+			}, openSocket() {
+				attempts++;
+				return new UnansweredSocket();
+			},
+		});
+		nodes.push(node);
+		node.openLink('10.0.0.1:1', {connectTimeoutMs: 250, reconnectCapMs: 300});
+		await clock.advance(200);
+		expect(attempts).to.equal(1);
+		await clock.advance(1000);
+		expect(attempts).to.be.greaterThan(2);
+	});
+
 	it('answers requests and returns an error when the remote handler fails', async () => {
 		const a = await startNode('a', ['shared-key']);
 		const b = await startNode('b', ['shared-key']);
--- a/packages/routing/load-sharing/src/load-sharing.ts
+++ b/packages/routing/load-sharing/src/load-sharing.ts
@@ -115,8 +115,8 @@
 			cancelTimer = clock.startTimer(delayMs, () => {
 				sentAt = clock.monotonic();
 				isDueSoon = false;
-				this.sendShares();
 				schedule(refreshIntervalMs);
+				this.sendShares();
 			});
 		};
 
