--- a/packages/plugins/edge/src/edge.ts
+++ b/packages/plugins/edge/src/edge.ts
@@ -8,10 +8,9 @@
 import {EndpointRegistry, type KnownServer, type ServerReport} from '@hickorytrack/endpoint-registry';
 import {EngineProfile} from '@hickorytrack/engine-profile';
 import {HickorytrackError, describeError} from '@hickorytrack/errors';
-import {LoadSharing} from '@hickorytrack/load-sharing';
-import {Mesh, maxFullMeshPeers} from '@hickorytrack/mesh';
+import {Mesh} from '@hickorytrack/mesh';
 import {parseAddress, PeerNode} from '@hickorytrack/peer-link/peer-node';
-import type {PeerConnection, PeerTiming} from '@hickorytrack/peer-link/peer-connection';
+import type {PeerTiming} from '@hickorytrack/peer-link/peer-connection';
 import {PrefixCacheIndex} from '@hickorytrack/prompt-placement/prefix-cache-index';
 import {LoadTracker} from '@hickorytrack/prompt-placement/load-tracker';
 import {PartUsage} from '@hickorytrack/prompt-placement/part-usage';
@@ -23,7 +22,8 @@
 import {RouteTable} from '@hickorytrack/route-table';
 import {requestKinds} from '@hickorytrack/route-table/route-types';
 import {StageControl} from '@hickorytrack/stage-control';
-import {peerFeatures, type StoredPrompt} from '@hickorytrack/types/peer-methods';
+import {peerFeatures} from '@hickorytrack/types/peer-methods';
+import {AnswerMeasurements} from './answer-measurements.js';
 import type {CallerRequest} from './caller-request.js';
 import {sendProblem} from './responses.js';
 import {CrashDetector} from './crash-detector.js';
@@ -32,13 +32,13 @@
 import {HttpFrontend} from './http-frontend.js';
 import {BufferedForwarder} from './buffered-forwarder.js';
 import {PoisonRequestTracker} from './poison-request-tracker.js';
-import {ReportSharing} from './report-sharing.js';
 import {StreamingForwarder} from './streaming-forwarder.js';
 import {RequestLog} from './request-log.js';
 import {RetryBudget} from './retry-budget.js';
 import {defaultRetryAfterMs, type ForwardContext} from './forward-context.js';
 import {ServerHealth} from './server-health.js';
 import {EdgeStageClient} from './stage-client.js';
+import {StateSharing} from './state-sharing.js';
 
 /** Role that edges announce to other instances. */
 export const edgeRole = 'edge';
@@ -69,8 +69,7 @@
 	readonly #cacheIndex: PrefixCacheIndex;
 	readonly #partUsage: PartUsage;
 	readonly #profile = new EngineProfile();
-	readonly #loadSharing: LoadSharing<PeerConnection>;
-	readonly #reportSharing: ReportSharing;
+	readonly #stateSharing: StateSharing;
 	readonly #crashDetector: CrashDetector;
 	readonly #requestLog: RequestLog;
 	readonly #stageControl: StageControl | undefined;
@@ -103,9 +102,10 @@
 		this.#loadTracker = new LoadTracker(clock);
 		this.#partUsage = new PartUsage(clock);
 		this.#cacheIndex = new PrefixCacheIndex({getKvCapacity: service => this.#getKvCapacity(service)});
-		this.#loadSharing = this.#createLoadSharing();
-		this.#reportSharing = this.#createReportSharing();
 		this.#context = this.#createContext();
+		this.#stateSharing = new StateSharing({
+			clock, events, mesh: this.mesh, registry: this.registry, loadTracker: this.#loadTracker, cacheIndex: this.#cacheIndex, partUsage: this.#partUsage, context: this.#context,
+		});
 		this.#crashDetector = new CrashDetector({
 			clock, mesh: this.mesh, poisonRequests: this.#context.poisonRequests, eventLog: this.#context.eventLog, health: this.#context.health,
 		});
@@ -118,7 +118,6 @@
 				this.#requestLog.recordRejected(rejected);
 			},
 		});
-		this.#addPeerMethods();
 		opts.metrics.onRead(() => {
 			this.#updateGauges();
 		});
@@ -147,8 +146,7 @@
 		// Not awaited: a slow disk must not delay the frontend.
 		void this.#core?.run();
 		this.configuration.start(this.#core);
-		this.#loadSharing.run(this.#abortController.signal);
-		void this.#reportSharing.run(this.#abortController.signal);
+		this.#stateSharing.run(this.#abortController.signal);
 		void this.#stageControl?.run(this.#abortController.signal);
 		events.emit('edgeStarted', {instance: settings.instance, isCore: this.#core !== undefined, isFirstStart: settings.isFirstStart});
 		return ok(undefined);
@@ -207,7 +205,7 @@
 			});
 		}
 
-		await this.#reportSharing.send(report, previous);
+		await this.#stateSharing.sendReport(report, previous);
 	}
 
 	/** Records that a server has deregistered and tells the other instances. */
@@ -216,7 +214,7 @@
 		if (report) {
 			this.#opts.events.emit('serverLeft', {server: id, address: report.address});
 			this.#context.client.closeIdle(report.address);
-			await this.#reportSharing.send(report, undefined);
+			await this.#stateSharing.sendReport(report, undefined);
 		}
 	}
 
@@ -234,7 +232,7 @@
 			openRequests: this.#frontend.openRequests,
 			configuration: this.configuration.dump(),
 			members: this.mesh.listMembers().map(member => member.instance),
-			relay: this.#loadSharing.relay,
+			relay: this.#stateSharing.relay,
 			stages: this.#stageControl?.dump(),
 			profile: this.#profile.dump(),
 			servers: this.registry.list().map(server => ({...server, load: this.#loadTracker.getLoad(server.id), awaitedStage: this.registry.findPendingStage(this.registry.find(server.id)!)})),
@@ -252,8 +250,8 @@
 			registry: this.registry,
 			health,
 			loadTracker: this.#loadTracker,
-			cacheIndex: this.#cacheIndex,
 			profile: this.#profile,
+			measurements: new AnswerMeasurements({cacheIndex: this.#cacheIndex, profile: this.#profile, health}),
 			client: new EndpointClient({clock, connectTimeoutMs}),
 			leastLoadPlacement: new LeastLoadPlacement({loadTracker: this.#loadTracker, random, getFailureRate: server => health.getFailureRate(server)}),
 			promptPlacement: new PromptPlacement({
@@ -285,29 +283,6 @@
 		return Math.max(2, Math.floor(maximum * usedConnectionFraction / this.#countEdges()));
 	}
 
-	#addPeerMethods(): void {
-		this.#peers.handle('registry.note', async ({reports}, connection) => this.#reportSharing.handleNote(reports, connection));
-		this.#peers.handle('registry.repeat', async ({repeats}, connection) => this.#reportSharing.handleRepeats(repeats, connection));
-		this.#peers.handle('registry.fetch', ({servers}) => ({reports: this.#reportSharing.listReports(servers)}));
-		this.#peers.handle('load.share', (share, connection) => {
-			this.#loadSharing.handleShare(share, connection);
-		});
-		this.#peers.handle('stage.note', ({server, ...awaited}) => {
-			this.registry.setPendingStage(server, awaited);
-		});
-		this.#peers.handle('poison.note', ({fingerprint, crash}, connection) => {
-			this.#context.poisonRequests.recordCrash(fingerprint, crash);
-			for (const leaf of this.#loadSharing.leaves) {
-				if (leaf.remote.address !== connection.remote.address) {
-					leaf.notify('poison.note', {fingerprint, crash});
-				}
-			}
-		});
-		this.mesh.onConnected(async connection => {
-			await connection.request('registry.note', {reports: this.registry.list()});
-		});
-	}
-
 	#install(stored: StoredConfiguration): void {
 		const configuration = this.#opts.decodeConfiguration(stored.document);
 		this.#routes = new RouteTable(configuration);
@@ -339,53 +314,6 @@
 		});
 	}
 
-	#createLoadSharing(): LoadSharing<PeerConnection> {
-		const {clock, events} = this.#opts;
-		return new LoadSharing<PeerConnection>({
-			clock,
-			events,
-			loadTracker: this.#loadTracker,
-			cacheIndex: this.#cacheIndex,
-			member: this.#peers.member,
-			relayRole: coreRole,
-			listPeers: () => this.mesh.listConnections(),
-			usesRelays: () => this.mesh.usesHubs || this.mesh.listConnections().length > maxFullMeshPeers,
-			onLeafAdded: leaf => {
-				// While it changed its relay, it may have missed reports.
-				leaf.notify('registry.note', {reports: this.registry.list()});
-			},
-			onStored: stored => {
-				this.#recordStored(stored);
-			},
-		});
-	}
-
-	#createReportSharing(): ReportSharing {
-		const {clock, events} = this.#opts;
-		return new ReportSharing({
-			clock,
-			registry: this.registry,
-			listPeers: () => this.mesh.listConnections().filter(({remote}) => !this.mesh.usesHubs || remote.roles.includes(coreRole)),
-			listLeaves: () => this.#loadSharing.leaves,
-			onUnconfirmed(server, missing) {
-				events.emit('spreadIncomplete', {server, missing});
-			},
-		});
-	}
-
-	#recordStored(stored: readonly StoredPrompt[]): void {
-		this.#cacheIndex.mergeRemotePrompts(stored, id => this.registry.find(id));
-		for (const {server: id, parts, timing} of stored) {
-			this.#partUsage.record(parts.slice(0, -1));
-			const server = this.registry.find(id);
-			if (server && timing) {
-				const [tokens, elapsedMs, isIdle] = timing;
-				this.#profile.record(server, {tokens, elapsedMs, isIdle});
-				this.#context.health.recordSignOfLife(server);
-			}
-		}
-	}
-
 	async #forward(request: CallerRequest): Promise<void> {
 		const {poisonRequests, codec, eventLog} = this.#context;
 		if (poisonRequests.isBlocked(request.fingerprint)) {
--- a/packages/plugins/edge/src/streaming-forwarder.ts
+++ b/packages/plugins/edge/src/streaming-forwarder.ts
@@ -6,10 +6,7 @@
 import type {ResponseHead} from '@hickorytrack/endpoint-client';
 import type {KnownServer} from '@hickorytrack/endpoint-registry';
 import type {Placement} from '@hickorytrack/prompt-placement';
-import type {PrefillSample} from '@hickorytrack/engine-profile';
-import type {ServerLoad} from '@hickorytrack/prompt-placement/load-tracker';
 import type {Prompt} from '@hickorytrack/prompt-placement/prompt';
-import type {PrefillTiming} from '@hickorytrack/types/peer-methods';
 import {attemptOutcomes, runAttempt, type AttemptResult} from './attempt.js';
 import {forwardResponse, sendProblem} from './responses.js';
 import {requestOutcomes, type CallerRequest, type RequestResult} from './caller-request.js';
@@ -186,7 +183,7 @@
 
 	/** Prefills the prompt at another server. Returns the handle of its KV cache; undefined when the request needs a new placement. */
 	async #runPrefill({prefillServer, kvSource, prefillTokens, predictedMs}: Placement & {kind: 'hand-over'}): Promise<KvHandle | undefined> {
-		const {loadTracker, cacheIndex, client, clock, codec, health, profile, eventLog} = this.#context;
+		const {loadTracker, client, clock, codec, health, measurements, eventLog} = this.#context;
 		const queuedTokens = loadTracker.getLoad(prefillServer.id).promptTokens;
 		const inFlightLoad = loadTracker.add(prefillServer.id, prefillTokens);
 		const startedAt = clock.monotonic();
@@ -203,9 +200,9 @@
 		if (handle) {
 			const elapsedMs = clock.monotonic() - startedAt;
 			health.recordSuccess(prefillServer);
-			const sample = {tokens: queuedTokens + prefillTokens, elapsedMs, isIdle: queuedTokens === 0};
-			cacheIndex.recordPrompt(prefillServer, this.#prompt.parts, encodeTiming(sample));
-			profile.record(prefillServer, sample);
+			measurements.recordPrefill(prefillServer, {
+				prompt: this.#prompt, queuedTokens, prefillTokens, elapsedMs,
+			});
 			return handle;
 		}
 
@@ -238,7 +235,7 @@
 	}
 
 	async #generate(server: KnownServer, {handle, placement}: {handle?: KvHandle; placement: Exclude<Placement, {kind: 'refuse'}>}): Promise<AttemptResult> {
-		const {loadTracker, client, clock, profile} = this.#context;
+		const {loadTracker, client, clock, measurements} = this.#context;
 		const isLongOutput = this.#prompt.maxOutputTokens >= longOutputTokens;
 		this.#backupServer = isLongOutput ? this.#selectBackup(server) : undefined;
 		const canFailOver = this.#isRetryable && this.#servers.length < this.#request.route.maxServers;
@@ -259,8 +256,9 @@
 			onFirstByte: () => {
 				inFlightLoad.releasePrefill();
 				firstByteAt = clock.monotonic();
-				this.#recordFirstByte(server, {
-					load, prefillTokens: handle ? 0 : placement.prefillTokens, elapsedMs: firstByteAt - startedAt,
+				this.#firstByteMs ??= firstByteAt - this.#request.arrivedAt;
+				measurements.recordFirstByte(server, {
+					prompt: this.#prompt, load, prefillTokens: handle ? 0 : placement.prefillTokens, elapsedMs: firstByteAt - startedAt,
 				});
 			},
 			request: createOutboundRequest(this.#context, this.#request, {
@@ -275,31 +273,12 @@
 		});
 		inFlightLoad.release();
 		if (firstByteAt !== undefined && result.outcome === attemptOutcomes.answered) {
-			profile.recordHold(server.service, {isStream: isLongOutput, elapsedMs: clock.monotonic() - firstByteAt});
+			measurements.recordEnd(server, {isStream: isLongOutput, holdMs: clock.monotonic() - firstByteAt});
 		}
 
 		return result;
 	}
 
-	/** Measures the server, unless the request had to wait for a slot. `load` is that of the server when the request was sent. */
-	#recordFirstByte(server: KnownServer, {load, prefillTokens, elapsedMs}: {load: ServerLoad; prefillTokens: number; elapsedMs: number}): void {
-		const {cacheIndex, profile, health, clock} = this.#context;
-		this.#firstByteMs ??= clock.monotonic() - this.#request.arrivedAt;
-		health.recordSignOfLife(server);
-		const hadFreeSlot = load.requests < server.slots;
-		if (prefillTokens > 0 && hadFreeSlot) {
-			const sample = {tokens: load.promptTokens + prefillTokens, elapsedMs, isIdle: load.requests === 0};
-			cacheIndex.recordPrompt(server, this.#prompt.parts, encodeTiming(sample));
-			profile.record(server, sample);
-			return;
-		}
-
-		cacheIndex.recordPrompt(server, this.#prompt.parts);
-		if (prefillTokens === 0 && hadFreeSlot && load.promptTokens === 0) {
-			profile.recordHandOver(server, {tokens: this.#prompt.tokens, elapsedMs});
-		}
-	}
-
 	/** Without a measured speed, the prediction is a guess, and no attempt is cancelled because of it. */
 	#createSilenceDetector(server: KnownServer, predictedMs: number): SilenceDetector {
 		const {health, profile, clock} = this.#context;
@@ -443,7 +422,3 @@
 		};
 	}
 }
-
-function encodeTiming({tokens, elapsedMs, isIdle}: PrefillSample): PrefillTiming {
-	return [tokens, Math.round(elapsedMs), isIdle];
-}
