fix(edge): no refusal to a caller without the server's word that the request has not run

What callers saw: a request of a non_idempotent route, or of a stream that can't be resumed, was answered 503 (or 429, 408) and had run. The status is a promise to callers that the request has not run, after which they send it again.

Cause: an answer without the statement that the request has not run was forwarded with its status in both forwarders. A server's own 503 says nothing about the run.

Change: the codec says which statuses callers read as that promise. Where the server does not make it, a request that must not repeat ends in the edge's own 502 with the code may-have-run, without the server's stamp and Retry-After. A request that may be repeated gets the server's answer unchanged, as before.

Evidence: with a stand-in that runs the request and answers 503 without the statement, the two new tests (buffered, streaming) failed before with 'expected 503 to equal 502' after one run at the server, and pass now. The third one, for what stays unchanged, passed before and after.

--- a/packages/plugins/edge/src/buffered-forwarder.ts
+++ b/packages/plugins/edge/src/buffered-forwarder.ts
@@ -132,8 +132,8 @@
 
 		if (head.status >= 500) {
 			health.recordFailure(server);
-			this.#failedResult = result;
 			if (this.#isRetryable) {
+				this.#failedResult = result;
 				return undefined;
 			}
 		} else {
@@ -141,6 +141,10 @@
 			poisonRequests.recordSuccess(this.#request.fingerprint);
 		}
 
+		if (metadata.isReadAsNotExecuted && !this.#isRetryable) {
+			return this.#fail(`the server answered ${head.status} and did not state that it has not run`);
+		}
+
 		forwardResponse(this.#request.response, head, result.body);
 		return this.#createResult(requestOutcomes.answered, {status: head.status});
 	}
--- a/packages/plugins/edge/src/request-codec.ts
+++ b/packages/plugins/edge/src/request-codec.ts
@@ -50,6 +50,8 @@
 	requestId?: string;
 	/** The server states that it did not and will not run the request. */
 	isNotExecuted: boolean;
+	/** Callers read the status as a promise that the request has not run, whatever the server states. */
+	isReadAsNotExecuted: boolean;
 	/** The head has the headers with which the server marks its own responses. */
 	isAuthentic: boolean;
 	retryAfterMs?: number;
--- a/packages/plugins/edge/src/streaming-forwarder.ts
+++ b/packages/plugins/edge/src/streaming-forwarder.ts
@@ -378,6 +378,10 @@
 			}
 		}
 
+		if (metadata.isReadAsNotExecuted && !this.#isRetryable) {
+			return this.#fail(`the server answered ${head.status} and did not state that it has not run`);
+		}
+
 		forwardResponse(this.#request.response, head, result.body);
 		return this.#createResult(requestOutcomes.answered, {status: head.status});
 	}
--- a/stand-ins/src/platform-server.ts
+++ b/stand-ins/src/platform-server.ts
@@ -27,6 +27,8 @@
 	cut: 'cut',
 	/** Answers 500 after the request has run. */
 	failing: 'failing',
+	/** Answers 503 after the request has run, without `x-not-executed`. */
+	unstated: 'unstated',
 } as const;
 export type PlatformFault = typeof platformFaults[keyof typeof platformFaults];
 
@@ -223,6 +225,11 @@
 		}
 
 		receivedRequest.hasRun = true;
+		if (this.fault === platformFaults.unstated) {
+			this.#send(response, 503, {...this.#createStampHeaders(receivedRequest.requestId), 'retry-after': '0.2'}, '');
+			return;
+		}
+
 		if (stage === undefined) {
 			const status = this.fault === platformFaults.failing ? 500 : 200;
 			this.#send(response, status, this.#createStampHeaders(this.fault === platformFaults.foreign ? 'another' : receivedRequest.requestId), `${this.id} ${receivedRequest.body}`);
