fix(edge): a request in flight is not answered 408, 400 or 431 for the bytes behind it

What callers saw: a request that a server was running was answered 408 (a promise that it has not run), 400 or 431, and its connection was closed. It takes a caller that sends anything behind a complete request: a part of the next head that does not arrive within header-timeout-ms, bytes that are no request, or a head above the limit.

Cause: Node's HTTP server answers such bytes itself and at once. It writes that answer while the request before them waits for its response, unless the response head has left already; then it breaks the response off.

Change: the frontend handles these errors. Without a request in flight the caller gets the same status as before. With one, its response is sent, and the connection closes behind it; nothing more of the connection is forwarded. Each case is logged as turnedAway with the reason 'unreadable' and its status, and counted.

Evidence: new tests with a raw connection. Before the change 7 of 9 failed: the bytes received for the running request were 'HTTP/1.1 408 Request Timeout', '400 Bad Request' and '431 Request Header Fields Too Large', a running stream was cut, and nothing was logged. All 9 pass now.

--- a/packages/plugins/edge/src/http-frontend.ts
+++ b/packages/plugins/edge/src/http-frontend.ts
@@ -5,7 +5,7 @@
 import {createHash} from 'node:crypto';
 import {Buffer} from 'node:buffer';
 import {
-	createServer, type IncomingMessage, type Server, type ServerResponse,
+	createServer, STATUS_CODES, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
 import type {Socket} from 'node:net';
 import type {Clock} from '@hickorytrack/clock';
@@ -33,9 +33,20 @@
 	requestId: string | undefined;
 	host: string | undefined;
 	path: string;
-	reason: 'body-broken' | 'not-ready' | 'no-route' | 'body-too-large' | 'stopping';
+	/** `unreadable` for bytes that are no request, or no complete one in time; no id, host or path is known of them. */
+	reason: 'body-broken' | 'not-ready' | 'no-route' | 'body-too-large' | 'stopping' | 'unreadable';
+	/** Status of the answer to unreadable bytes. */
+	status?: number;
 };
 
+/** Status by the error code of the HTTP parser; any other error is a bad request. */
+const unreadableStatuses: Readonly<Record<string, number>> = {
+	ERR_HTTP_REQUEST_TIMEOUT: 408,
+	HPE_CHUNK_EXTENSIONS_OVERFLOW: 413,
+	HPE_HEADER_OVERFLOW: 431,
+};
+const badRequestStatus = 400;
+
 /** Logged characters of a path or host: enough to identify the route, while a request head may have 64 KB. */
 const maxLoggedCharacters = 200;
 /** Upper bound for the size of a request head; the configured limit may be lower. */
@@ -49,7 +60,10 @@
 export class HttpFrontend {
 	readonly #opts: HttpFrontendOptions;
 	readonly #server: Server;
-	readonly #sockets = new Set<Socket>();
+	/** Response to the last request of each connection that was read completely, while it is open. */
+	readonly #lastResponses = new WeakMap<Socket, ServerResponse>();
+	/** Connections that close after their open responses; no further request of them is read. */
+	readonly #closingSockets = new WeakSet<Socket>();
 	#stoppingSince: number | undefined;
 	#openRequests = 0;
 
@@ -58,9 +72,8 @@
 		this.#server = createServer({maxHeaderSize: maxHeadBytes, connectionsCheckingInterval: connectionsCheckMs, noDelay: true}, (request, response) => {
 			void this.#handle(request, response);
 		});
-		this.#server.on('connection', socket => {
-			this.#sockets.add(socket);
-			socket.on('close', () => this.#sockets.delete(socket));
+		this.#server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
+			this.#handleClientError(error, socket as Socket);
 		});
 	}
 
@@ -95,6 +108,10 @@
 	}
 
 	async #handle(incoming: IncomingMessage, response: ServerResponse): Promise<void> {
+		if (this.#closingSockets.has(incoming.socket)) {
+			return;
+		}
+
 		this.#openRequests++;
 		response.once('close', () => {
 			this.#openRequests--;
@@ -147,6 +164,7 @@
 			return;
 		}
 
+		this.#lastResponses.set(incoming.socket, response);
 		const abortController = new AbortController();
 		response.once('close', () => {
 			if (!response.writableFinished) {
@@ -169,6 +187,40 @@
 		});
 	}
 
+	/**
+	 * Answers bytes that are no request. While a request of the connection is forwarded, its caller would take that answer for
+	 * its own, so the connection closes after the response to that request instead.
+	 */
+	#handleClientError(error: NodeJS.ErrnoException, socket: Socket): void {
+		if (!socket.writable || this.#closingSockets.has(socket)) {
+			// The connection itself failed, or its close was planned after an earlier error.
+			if (!socket.writable) {
+				socket.destroy(error);
+			}
+
+			return;
+		}
+
+		const status = unreadableStatuses[error.code ?? ''] ?? badRequestStatus;
+		this.#opts.onRejected({
+			requestId: undefined, host: undefined, path: '', reason: 'unreadable', status,
+		});
+		this.#closingSockets.add(socket);
+		const response = this.#lastResponses.get(socket);
+		if (!response || response.closed) {
+			socket.end(`HTTP/1.1 ${status} ${STATUS_CODES[status]}\r\nConnection: close\r\n\r\n`);
+			socket.destroySoon();
+			return;
+		}
+
+		response.once('close', () => {
+			socket.destroySoon();
+		});
+		if (!response.headersSent) {
+			response.setHeader('connection', 'close');
+		}
+	}
+
 	#sendUnavailable(response: ServerResponse, code: string, detail: string): void {
 		sendProblem(response, {
 			status: 503, code, detail: `The request has not run: ${detail}`, headers: this.#opts.codec.encodeRetryAfter(this.#opts.notReadyRetryAfterMs),
--- /dev/null
+++ b/packages/plugins/edge/test/http-frontend.test.ts
@@ -0,0 +1,140 @@
+import {
+	connect, createServer, type AddressInfo, type Socket,
+} from 'node:net';
+import {expect} from 'chai';
+import {SystemClock} from '@hickorytrack/clock/system-clock';
+import {Random} from '@hickorytrack/random';
+import {RouteTable} from '@hickorytrack/route-table';
+import {requestKinds} from '@hickorytrack/route-table/route-types';
+import type {CallerRequest} from '../src/caller-request.js';
+import {HttpFrontend, type RejectedRequest} from '../src/http-frontend.js';
+import type {RequestCodec} from '../src/request-codec.js';
+
+const clock = new SystemClock();
+const headerTimeoutMs = 50;
+const routes = new RouteTable({
+	version: 1, services: [{name: 's', healthPath: '/healthz', maxConnections: 8}], limits: {
+		maxHeaderBytes: 16_384, maxBodyBytes: 1000, headerTimeoutMs, idleTimeoutMs: 5000,
+	}, routes: [{
+		name: 'r', host: 'a', pathPrefix: '/', kind: requestKinds.nonIdempotent, timeoutMs: 10_000, objectiveMs: 100, priority: 0, targets: [{service: 's', weight: 1}], maxServers: 1, usesPromptCache: false, isResumable: false,
+	}],
+});
+const codec = {
+	decodeRequestHeaders: (headers: readonly string[]) => ({headers: [...headers]}),
+	encodeRetryAfter: () => ({}),
+} as unknown as RequestCodec;
+
+async function findPort(): Promise<number> {
+	const server = createServer();
+	await new Promise<void>(resolve => {
+		server.listen(0, '127.0.0.1', resolve);
+	});
+	const {port} = server.address() as AddressInfo;
+	await new Promise(resolve => {
+		server.close(resolve);
+	});
+	return port;
+}
+
+describe('HTTP frontend', () => {
+	let frontend: HttpFrontend;
+	let forwarded: CallerRequest[];
+	let rejected: RejectedRequest[];
+	let socket: Socket;
+	let received: string;
+
+	const waitFor = async (isReached: () => boolean) => {
+		while (!isReached()) {
+			await clock.sleep(5);
+		}
+	};
+
+	const request = 'POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n\r\nhi';
+
+	beforeEach(async () => {
+		forwarded = [];
+		rejected = [];
+		received = '';
+		frontend = new HttpFrontend({
+			clock, random: new Random(1), codec, notReadyRetryAfterMs: 100, getRoutes: () => routes, async forward(callerRequest) {
+				forwarded.push(callerRequest);
+			}, onRejected(rejectedRequest) {
+				rejected.push(rejectedRequest);
+			},
+		});
+		const port = await findPort();
+		await frontend.listen('127.0.0.1', port);
+		frontend.applyLimits(routes.configuration.limits);
+		socket = connect(port, '127.0.0.1');
+		socket.on('data', chunk => {
+			received += String(chunk);
+		});
+		socket.on('error', () => {
+			// The frontend may reset the connection.
+		});
+	});
+
+	afterEach(() => {
+		socket.destroy();
+		frontend.close();
+	});
+
+	// Guards against a status for unreadable bytes that a caller takes for the answer to its request before them, which runs.
+	for (const {bytes, status, name} of [
+		{bytes: 'POST /y HTTP/1.1\r\nHost: a\r\n', status: 408, name: 'a head that does not arrive in time'},
+		{bytes: 'no request\r\n\r\n', status: 400, name: 'bytes that are no request'},
+		{bytes: `POST /y HTTP/1.1\r\nA: ${'a'.repeat(70_000)}\r\n`, status: 431, name: 'a head that is too large'},
+	]) {
+		it(`answers the request that is running, and not ${status}, when ${name} follow${name.startsWith('bytes') ? '' : 's'} on its connection`, async () => {
+			socket.write(request);
+			await waitFor(() => forwarded.length === 1);
+			socket.write(bytes);
+			await waitFor(() => rejected.length === 1 || socket.destroyed);
+			forwarded[0]!.response.writeHead(200, {'content-length': '4'}).end('done');
+			await waitFor(() => socket.destroyed);
+			expect(received).to.match(/^HTTP\/1.1 200 OK\r\n[^]*\r\n\r\ndone$/);
+			expect(forwarded).to.have.length(1);
+			expect(rejected[0]).to.include({reason: 'unreadable', status});
+		});
+
+		it(`answers ${status} to ${name} when no request is running on the connection`, async () => {
+			socket.write(bytes);
+			await waitFor(() => socket.destroyed);
+			expect(received).to.match(new RegExp(`^HTTP/1.1 ${status} `));
+			expect(rejected[0]).to.include({reason: 'unreadable', status});
+		});
+	}
+
+	it('completes the stream that is running when bytes that are no request follow on its connection', async () => {
+		socket.write(request);
+		await waitFor(() => forwarded.length === 1);
+		const {response} = forwarded[0]!;
+		response.writeHead(200);
+		response.write('first ');
+		await waitFor(() => received.includes('first'));
+		socket.write('no request\r\n\r\n');
+		await waitFor(() => rejected.length === 1 || socket.destroyed);
+		response.end('last');
+		await waitFor(() => socket.destroyed);
+		expect(received).to.contain('last\r\n0\r\n\r\n');
+	});
+
+	it('does not forward a request that completes after its head was late', async () => {
+		socket.write(request);
+		await waitFor(() => forwarded.length === 1);
+		socket.write('POST /y HTTP/1.1\r\nHost: a\r\n');
+		await waitFor(() => rejected.length === 1 || socket.destroyed);
+		socket.write('\r\n');
+		await clock.sleep(20);
+		forwarded[0]!.response.writeHead(200, {'content-length': '4'}).end('done');
+		await waitFor(() => socket.destroyed);
+		expect(forwarded).to.have.length(1);
+	});
+
+	it('closes the connection when the body of a request can\'t be read', async () => {
+		socket.write('POST /x HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\nno size\r\n');
+		await waitFor(() => socket.destroyed);
+		expect(forwarded).to.have.length(0);
+		expect(received).to.match(/^HTTP\/1.1 400 /);
+	});
+});
