fix(engine-http): a host lost on an open connection does not mean 'not written'

What callers could see: 'not-run' for a call that the service had received, and a second run of a call that must not repeat, at another endpoint.

Cause: ECONNREFUSED, EHOSTUNREACH and ENETUNREACH counted as proof that the connection was never opened. The system reports them for an open connection too, when the host behind it can no longer be reached.

Change: they count only as errors of 'connect'; a host with several addresses, by its error for each.

Evidence: the new tests with the errors as Node creates them failed before for all three codes ('expected false to equal true') and pass now; connections that are refused at one or at all addresses of a host still count as not written. The case on a real connection was not run: it takes a firewall.

--- a/packages/plugins/engine-http/src/engine-http-error.ts
+++ b/packages/plugins/engine-http/src/engine-http-error.ts
@@ -11,10 +11,17 @@
 	}
 }
 
-const connectErrorCodes = new Set(['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH', 'UND_ERR_CONNECT_TIMEOUT']);
+const connectErrorCodes = new Set(['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH']);
+const connectTimeoutCode = 'UND_ERR_CONNECT_TIMEOUT';
 
 /** Returns whether a failed request may have reached the engine; it has not if the connection was never opened. */
 export function isPossiblyWritten(error: unknown): boolean {
-	const code = typeof error === 'object' && error !== null && 'code' in error ? String(error.code) : '';
-	return !connectErrorCodes.has(code);
+	if (error instanceof AggregateError) {
+		// The host has several addresses; there is one error for each.
+		return error.errors.some(cause => isPossiblyWritten(cause));
+	}
+
+	const {code, syscall} = (typeof error === 'object' && error !== null ? error : {}) as {code?: unknown; syscall?: unknown};
+	// The same codes are reported for an open connection when its host can no longer be reached.
+	return code !== connectTimeoutCode && !(syscall === 'connect' && connectErrorCodes.has(String(code)));
 }
