fix(entry): a call whose claim another entry took over is not refused as 'not-run'

What callers could see: 503 with run 'not-run' for a call that must not repeat, of which a resend through another entry ran or was running.

Cause: an entry whose attempt is late (paused for more than 3 s before it reaches its agent) loses the claim: another entry has a tombstone set, takes the claim over and runs the call. The late attempt is refused by the tombstone. That is true of the attempt, and the entry said it of the call: it had read the claim once, before.

Change: after an attempt is confirmed as not run the claim counts as unknown again. It is read before the call is refused: the caller gets the recorded outcome if there is one, 'may-have-run' while the claim is held or can't be read, and 'not-run' only of a claim that is free.

Evidence: the new test with a claim taken over failed before (refused, 'not-run') and passes now, with the cases open, free and unreadable.

--- a/packages/plugins/entry/src/service-call.ts
+++ b/packages/plugins/entry/src/service-call.ts
@@ -135,7 +135,7 @@
 			}
 		}
 
-		return this.#reject('overloaded', {retryAfterMs});
+		return await this.#findOutcome() ?? this.#reject('overloaded', {retryAfterMs});
 	}
 
 	/** Runs the attempt that holds the claim. Returns `undefined` if it is confirmed as not run and may be retried. */
@@ -151,7 +151,9 @@
 		if (outcome.kind === 'not-run') {
 			this.#triedEndpoints.add(handle.endpoint);
 			await this.#recordOutcome({attempt, state: 'not-run'});
-			return this.#request.workspace.retryBudget.acquire() ? undefined : this.#reject('overloaded', {retryAfterMs});
+			// Another sending may hold the claim: it took the claim over while this attempt was delayed, or takes it now.
+			this.#isPriorOutcomeKnown = false;
+			return this.#request.workspace.retryBudget.acquire() ? undefined : await this.#findOutcome() ?? this.#reject('overloaded', {retryAfterMs});
 		}
 
 		this.#services.context.events.emit('outcomeUnknown', {requestId: this.#request.requestId, workspace: this.#request.workspace.contract.workspace, endpoint: handle.endpoint});
@@ -237,7 +239,7 @@
 		return this.#signal.aborted ? {kind: 'caller-gone'} : this.#reject('still-running', {run: 'may-have-run', retryAfterMs});
 	}
 
-	/** Returns the recorded outcome of the claim when no endpoint is available to run the call. */
+	/** Returns the recorded outcome of the claim when the call can't be run here. */
 	async #findOutcome(): Promise<ServiceResult | undefined> {
 		const reading = await this.#readClaim();
 		this.#isPriorOutcomeKnown ||= reading.kind !== 'unknown';
