fix(entry): no refusal before the claim is read says 'not-run' of a call with a key

What callers saw: a resend of a call that had run, refused for its body (413, 408), its path or its key, with run 'not-run'.

Cause: only the refusals for readiness, rate and concurrency used the state that holds before the claim is read; every other one took the default of the catalogue.

Change: the refusals of the caller API take that state.

Evidence: the first of the new tests failed before (413 with 'not-run' under an idempotency key) and passes now.

--- a/packages/plugins/entry/src/caller-api.ts
+++ b/packages/plugins/entry/src/caller-api.ts
@@ -148,7 +148,7 @@
 
 		const workspace = this.#opts.workspaces.find(key);
 		if (!this.#opts.isReady()) {
-			this.#reject(call, 'not-ready', {retryAfterMs: defaultRetryAfterMs, run: getRunStateBeforeClaim(call)});
+			this.#reject(call, 'not-ready', {retryAfterMs: defaultRetryAfterMs});
 			return;
 		}
 
@@ -159,7 +159,7 @@
 
 		const waitMs = workspace.acquireRateToken();
 		if (waitMs > 0 || workspace.isAtConcurrencyLimit) {
-			this.#reject(call, waitMs > 0 ? 'rate-limited' : 'concurrency-limited', {retryAfterMs: waitMs || defaultRetryAfterMs, run: getRunStateBeforeClaim(call)});
+			this.#reject(call, waitMs > 0 ? 'rate-limited' : 'concurrency-limited', {retryAfterMs: waitMs || defaultRetryAfterMs});
 			return;
 		}
 
@@ -340,8 +340,9 @@
 		});
 	}
 
+	/** Rejects a call whose claim, if it has one, has not been read. */
 	#reject(call: Call, code: ProblemCode, opts: {detail?: string; retryAfterMs?: number; run?: RunState} = {}): void {
-		this.#sendProblem(call, createProblem(code, {requestId: call.requestId, ...opts}));
+		this.#sendProblem(call, createProblem(code, {requestId: call.requestId, run: getRunStateBeforeClaim(call), ...opts}));
 	}
 
 	#sendProblem(call: Call, problem: Problem): void {
--- /dev/null
+++ b/packages/plugins/entry/test/caller-api.test.ts
@@ -0,0 +1,109 @@
+import {createServer, connect, type AddressInfo} from 'node:net';
+import {expect} from 'chai';
+import {SystemClock} from '@hickorytrack/clock/system-clock';
+import {CallerApi} from '../src/caller-api.js';
+import type {GenerationServices} from '../src/generation-call.js';
+import type {Workspace, WorkspaceDirectory} from '../src/workspace-directory.js';
+
+const clock = new SystemClock();
+const rule = {method: 'POST', path: '/', repeatable: false};
+
+async function findPort(): Promise<number> {
+	const server = createServer();
+	await new Promise<void>(resolve => {
+		server.listen(0, '127.0.0.1', resolve);
+	});
+	const {port} = server.address() as AddressInfo;
+	await new Promise(resolve => {
+		server.close(resolve);
+	});
+	return port;
+}
+
+describe('caller API', () => {
+	let api: CallerApi;
+	let port: number;
+	/** Resolves the step at which the next call is held. */
+	let releaseCall: (() => void) | undefined;
+
+	beforeEach(async () => {
+		releaseCall = undefined;
+		const workspace = {
+			acquireRateToken: () => 0, isAtConcurrencyLimit: false, inFlight: 0, contract: {
+				workspace: 'w', models: ['m'], limits: {bodyBytes: 10}, services: [{name: 's', calls: [rule]}],
+			},
+		} as unknown as Workspace;
+		const services = {
+			context: {
+				clock, settings: {instance: 'entry-1'}, events: {emit() {/* Not checked. */}}, metrics: {gauge() {/* Not checked. */}, count() {/* Not checked. */}}, steps: {
+					async onStep() {
+						await new Promise<void>(resolve => {
+							releaseCall = resolve;
+						});
+					},
+				},
+			},
+		} as unknown as GenerationServices;
+		api = new CallerApi({services, workspaces: {find: () => workspace} as unknown as WorkspaceDirectory, isReady: () => true});
+		port = await findPort();
+		expect((await api.listen({host: '127.0.0.1', port})).isOk()).to.equal(true);
+	});
+
+	afterEach(async () => {
+		releaseCall?.();
+		await api.stop();
+	});
+
+	const open = () => {
+		const connection = {received: '', isClosed: false, socket: connect(port, '127.0.0.1')};
+		connection.socket.on('data', chunk => {
+			connection.received += String(chunk);
+		});
+		connection.socket.on('error', () => {
+			// The API may reset the connection.
+		});
+		connection.socket.on('close', () => {
+			connection.isClosed = true;
+		});
+		return connection;
+	};
+
+	const waitFor = async (isReached: () => boolean) => {
+		while (!isReached()) {
+			await clock.sleep(5);
+		}
+	};
+
+	const head = (method: string, path: string, headers = '') => `${method} ${path} HTTP/1.1\r\nHost: a\r\nAuthorization: Bearer k\r\n${headers}\r\n`;
+
+	// Guards against 'not-run' for the resend of a call that ran: its claim has not been read yet.
+	it('says of a call with an idempotency key that it may have run when its body is refused', async () => {
+		for (const {key, run} of [{key: 'Idempotency-Key: k\r\n', run: 'may-have-run'}, {key: '', run: 'not-run'}]) {
+			const connection = open();
+			connection.socket.write(head('POST', key ? '/services/s/' : '/v1/completions', `${key}Content-Length: 11\r\n`));
+			await waitFor(() => releaseCall !== undefined);
+			releaseCall!();
+			releaseCall = undefined;
+			await waitFor(() => connection.isClosed);
+			expect(connection.received).to.match(/^HTTP\/1.1 413 /);
+			expect(connection.received).to.contain(`"run":"${run}"`);
+		}
+	});
+
+	// Guards against a status for unreadable bytes that a caller takes for the answer to its call before them, which runs.
+	it('answers the call that is running, and not 400, when bytes that are no request follow on its connection', async () => {
+		const connection = open();
+		connection.socket.write(head('GET', '/v1/models'));
+		await waitFor(() => releaseCall !== undefined);
+		connection.socket.write('no request\r\n\r\n');
+		await clock.sleep(20);
+		expect(connection.received).to.equal('');
+		releaseCall!();
+		await waitFor(() => connection.isClosed);
+		expect(connection.received).to.match(/^HTTP\/1.1 200 OK\r\n[^]*"object":"list"/);
+		const idle = open();
+		idle.socket.write('no request\r\n\r\n');
+		await waitFor(() => idle.isClosed);
+		expect(idle.received).to.match(/^HTTP\/1.1 400 /);
+	});
+});
