fix(entry): a call that runs is not answered 400, 408 or 431 for the bytes behind it

What callers saw: a bare status of Node's HTTP server, without 'run', in place of the answer to a call that was running, when bytes that are no request, or a part of a head that was not completed in time, followed on its connection.

Cause: the same as in the edge's frontend: Node answers such bytes at once as long as no response head has been sent.

Change: without a running call on the connection the caller gets the status as before; with one, its answer is sent and the connection closes behind it.

--- a/packages/plugins/entry/src/caller-api.ts
+++ b/packages/plugins/entry/src/caller-api.ts
@@ -11,14 +11,16 @@
 import {HickorytrackError} from '@hickorytrack/errors';
 import type {PeerAddress} from '@hickorytrack/peer-link/peer-node';
 import {computeFingerprint} from '@hickorytrack/quarantine/fingerprint';
-import type {ServiceCall as ServiceCallRule} from '@hickorytrack/types/contract';
 import type {RunState} from '@hickorytrack/types/work';
+import {findRule} from './call-rules.js';
+import {CallerConnections} from './caller-connections.js';
 import {GenerationCall, type GenerationServices} from './generation-call.js';
 import {
 	formatResponse, formatChunk, formatStreamEnd, formatStreamError, parseModelRequest, type CompletionMetadata, type ModelApiName, type ParsedModelRequest,
 } from './model-api.js';
 import {createProblem, type Problem, type ProblemCode} from './problem.js';
 import {readBody} from './request-body.js';
+import {getRunStateBeforeClaim} from './run-state.js';
 import {ServiceCall} from './service-call.js';
 import type {Workspace, WorkspaceDirectory} from './workspace-directory.js';
 
@@ -48,6 +50,7 @@
 export class CallerApi {
 	readonly #opts: CallerApiOptions;
 	readonly #server: Server;
+	readonly #connections: CallerConnections;
 	readonly #router = findMyWay({
 		defaultRoute: (request, response) => {
 			this.#reject(this.#createCall(request, response), 'not-found');
@@ -63,8 +66,11 @@
 		this.#server = createServer({
 			headersTimeout: headerTimeoutMs, requestTimeout: 0, maxHeaderSize: maximumHeaderBytes, keepAliveTimeout: 60_000, noDelay: true,
 		}, (request, response) => {
-			this.#router.lookup(request, response);
+			if (this.#connections.recordCall(request, response)) {
+				this.#router.lookup(request, response);
+			}
 		});
+		this.#connections = new CallerConnections(this.#server);
 	}
 
 	get inFlight(): number {
@@ -342,7 +348,7 @@
 
 	/** Rejects a call whose claim, if it has one, has not been read. */
 	#reject(call: Call, code: ProblemCode, opts: {detail?: string; retryAfterMs?: number; run?: RunState} = {}): void {
-		this.#sendProblem(call, createProblem(code, {requestId: call.requestId, run: getRunStateBeforeClaim(call), ...opts}));
+		this.#sendProblem(call, createProblem(code, {requestId: call.requestId, run: getRunStateBeforeClaim(call.request), ...opts}));
 	}
 
 	#sendProblem(call: Call, problem: Problem): void {
@@ -372,23 +378,6 @@
 	}
 }
 
-/**
- * Returns the run state of a request that is rejected before its claim is read. A call with an idempotency key may be a
- * resend of one that ran, which is unknown until then.
- */
-function getRunStateBeforeClaim(call: Call): RunState {
-	return call.request.headers['idempotency-key'] === undefined ? 'not-run' : 'may-have-run';
-}
-
-/** Finds the rule with the longest path prefix that matches a call. */
-function findRule(workspace: Workspace, call: {name: string; method: string; path: string}): ServiceCallRule | undefined {
-	const service = workspace.contract.services.find(candidate => candidate.name === call.name);
-	const path = call.path.split('?')[0]!;
-	return service?.calls
-		.filter(rule => rule.method === call.method && (path === rule.path || path.startsWith(rule.path.endsWith('/') ? rule.path : `${rule.path}/`)))
-		.sort((a, b) => b.path.length - a.path.length)[0];
-}
-
 /** Resolves when the send buffer has space again or the connection is closed. */
 async function waitForDrain(response: ServerResponse): Promise<void> {
 	return new Promise(resolve => {
--- a/packages/plugins/entry/src/run-state.ts
+++ b/packages/plugins/entry/src/run-state.ts
@@ -2,6 +2,7 @@
  * Computes whether a refused request has run; no other module decides this. Each attempt contributes a write status, and
  * the result is `not-run` only if every attempt is confirmed as never written to an engine.
  */
+import type {IncomingMessage} from 'node:http';
 import type {AttemptEnd, RunState} from '@hickorytrack/types/work';
 
 export type WriteStatus =
@@ -31,3 +32,11 @@
 export function computeRunState(statuses: readonly WriteStatus[]): RunState {
 	return statuses.every(status => status === 'not-written') ? 'not-run' : 'may-have-run';
 }
+
+/**
+ * Returns the run state of a request that is rejected before its claim is read. A call with an idempotency key may be a
+ * resend of one that ran, which is unknown until then.
+ */
+export function getRunStateBeforeClaim(request: IncomingMessage): RunState {
+	return request.headers['idempotency-key'] === undefined ? 'not-run' : 'may-have-run';
+}
