feat(edge): report answers that are not the request's own

What callers saw: answers and KV handles of other requests, and 503 for requests that had run. The log could not tell why: it named the request, not the id in the answer, the connection's age or the kind of call. Change: each request to a server states how its answer proves that it is its own (AnswerIdentity, made by the codec); the client compares and reports a mismatch as event 1771 (expected and received id, status, server, kind of call, exchanges that the connection had carried) and in hickorytrack_foreign_answers_total by kind of call. Nothing else changes yet. Conclusion: the id can be required of answers to runs and prefill calls; the other calls need another way.

--- a/packages/plugins/edge/src/edge.ts
+++ b/packages/plugins/edge/src/edge.ts
@@ -252,7 +252,11 @@
 			loadTracker: this.#loadTracker,
 			profile: this.#profile,
 			measurements: new AnswerMeasurements({cacheIndex: this.#cacheIndex, profile: this.#profile, health}),
-			client: new EndpointClient({clock, connectTimeoutMs}),
+			client: new EndpointClient({
+				clock, connectTimeoutMs, onForeignAnswer: answer => {
+					this.#requestLog.recordForeignAnswer(answer, this.registry.list().find(server => server.address === answer.address)?.id);
+				},
+			}),
 			leastLoadPlacement: new LeastLoadPlacement({loadTracker: this.#loadTracker, random, getFailureRate: server => health.getFailureRate(server)}),
 			promptPlacement: new PromptPlacement({
 				random, loadTracker: this.#loadTracker, cacheIndex: this.#cacheIndex, usage: this.#partUsage, profile: this.#profile, getKvCapacity: service => this.#getKvCapacity(service),
--- a/packages/plugins/edge/src/forward-context.ts
+++ b/packages/plugins/edge/src/forward-context.ts
@@ -7,6 +7,7 @@
 import type {LeastLoadPlacement} from '@hickorytrack/prompt-placement/least-load-placement';
 import type {PromptPlacement} from '@hickorytrack/prompt-placement';
 import type {Random} from '@hickorytrack/random';
+import {callKinds} from './call-kinds.js';
 import type {AnswerMeasurements} from './answer-measurements.js';
 import type {CallerRequest} from './caller-request.js';
 import type {RateLimitedEventLog} from './rate-limited-event-log.js';
@@ -50,7 +51,10 @@
 export function createOutboundRequest(context: ForwardContext, request: CallerRequest, metadata: Omit<ForwardMetadata, 'remainingMs'> & {needsVerifiedConnection: boolean}): OutboundRequest {
 	const {needsVerifiedConnection, ...rest} = metadata;
 	const remainingMs = Math.max(1, Math.floor(computeRemainingMs(context, request) - responseMarginMs));
+	const {requestId} = request.metadata;
 	return {
+		callKind: metadata.isPrefillOnly ? callKinds.prefill : callKinds.run,
+		identity: requestId === undefined ? undefined : context.codec.createAnswerIdentity(requestId),
 		method: request.method,
 		path: request.path,
 		body: request.body,
--- a/packages/plugins/edge/src/request-codec.ts
+++ b/packages/plugins/edge/src/request-codec.ts
@@ -4,6 +4,7 @@
  */
 import type {Buffer} from 'node:buffer';
 import type {ResponseHead} from '@hickorytrack/endpoint-client';
+import type {AnswerIdentity} from '@hickorytrack/endpoint-client/answer-identity';
 import type {KnownServer} from '@hickorytrack/endpoint-registry';
 import type {Prompt} from '@hickorytrack/prompt-placement/prompt';
 import type {OrderOutcome, ServerStageStatus, StageOrder} from '@hickorytrack/stage-control';
@@ -67,6 +68,8 @@
 export type RequestCodec = {
 	decodeRequestHeaders(rawHeaders: readonly string[]): RequestMetadata;
 	encodeForwardHeaders(headers: readonly string[], metadata: ForwardMetadata): string[];
+	/** Creates the proof that an answer belongs to the request with this id. */
+	createAnswerIdentity(requestId: string): AnswerIdentity;
 	decodeResponseHead(head: ResponseHead): ResponseMetadata;
 	/** Decodes the response of a server that has prefilled a prompt. */
 	decodeKvHandle(address: string, body: string): KvHandle | undefined;
--- a/packages/plugins/edge/src/request-log.ts
+++ b/packages/plugins/edge/src/request-log.ts
@@ -1,5 +1,6 @@
 /** Logs the results of requests and records their metrics. */
 import type {Clock} from '@hickorytrack/clock';
+import type {ForeignAnswer} from '@hickorytrack/endpoint-client/answer-identity';
 import type {MetricsRegistry} from '@hickorytrack/metrics-registry';
 import {requestOutcomes, type CallerRequest, type RequestResult} from './caller-request.js';
 import type {RateLimitedEventLog} from './rate-limited-event-log.js';
@@ -61,6 +62,15 @@
 		eventLog.emit('turnedAway', {request: requestId, version: getVersion(), ...rejected});
 	}
 
+	/** Records an answer that was read where that of a request was due. */
+	recordForeignAnswer({expectedId, callKind, ...answer}: ForeignAnswer, server: string | undefined): void {
+		const {eventLog, metrics} = this.#opts;
+		metrics.count('foreign_answers_total', {call: callKind});
+		eventLog.emit('foreignAnswer', {
+			request: expectedId, call: callKind, server, ...answer,
+		});
+	}
+
 	#recordMetrics(request: CallerRequest, result: RequestResult): void {
 		const {metrics, clock} = this.#opts;
 		const route = request.route.name;
--- a/packages/plugins/edge/src/stage-client.ts
+++ b/packages/plugins/edge/src/stage-client.ts
@@ -6,6 +6,7 @@
 import {
 	orderOutcomes, type OrderOutcome, type ServerStageStatus, type StageClient, type StageOrder,
 } from '@hickorytrack/stage-control';
+import {callKinds, type CallKind} from './call-kinds.js';
 import {attemptOutcomes, runAttempt, type AttemptResult} from './attempt.js';
 import type {RequestCodec, ServerCall} from './request-codec.js';
 
@@ -23,14 +24,14 @@
 
 	async readStatus(server: KnownServer): Promise<ServerStageStatus | undefined> {
 		const {codec} = this.#opts;
-		const result = await this.#call(server, codec.createStageStatusCall(server.id));
+		const result = await this.#call(server, callKinds.stageStatus, codec.createStageStatusCall(server.id));
 		const isSuccessful = result.outcome === attemptOutcomes.answered && result.head?.status === 200;
 		return isSuccessful ? codec.decodeStageStatus(result.body.toString()) : undefined;
 	}
 
 	async sendOrder(server: KnownServer, order: StageOrder): Promise<OrderOutcome> {
 		const {codec} = this.#opts;
-		const result = await this.#call(server, codec.createStageOrderCall(server.id, order));
+		const result = await this.#call(server, callKinds.stageOrder, codec.createStageOrderCall(server.id, order));
 		if (result.outcome === attemptOutcomes.answered) {
 			return codec.decodeOrderOutcome(result.head!.status);
 		}
@@ -38,11 +39,11 @@
 		return result.isWritten ? orderOutcomes.unknown : orderOutcomes.refused;
 	}
 
-	async #call(server: KnownServer, {method, path, headers, body}: ServerCall): Promise<AttemptResult> {
+	async #call(server: KnownServer, callKind: CallKind, {method, path, headers, body}: ServerCall): Promise<AttemptResult> {
 		const {clock, client} = this.#opts;
 		return runAttempt(client, server.address, {
 			clock, signal: new AbortController().signal, timeoutMs: callTimeoutMs, request: {
-				method, path, headers: headers ?? [], body: body ?? Buffer.alloc(0), needsVerifiedConnection: true, connectionLimit,
+				callKind, method, path, headers: headers ?? [], body: body ?? Buffer.alloc(0), needsVerifiedConnection: true, connectionLimit,
 			},
 		});
 	}
--- a/packages/plugins/edge/src/streaming-forwarder.ts
+++ b/packages/plugins/edge/src/streaming-forwarder.ts
@@ -10,6 +10,7 @@
 import {attemptOutcomes, runAttempt, type AttemptResult} from './attempt.js';
 import {forwardResponse, sendProblem} from './responses.js';
 import {requestOutcomes, type CallerRequest, type RequestResult} from './caller-request.js';
+import {callKinds} from './call-kinds.js';
 import {EventRelay} from './event-relay.js';
 import type {KvHandle} from './request-codec.js';
 import {SilenceDetector} from './silence-detector.js';
@@ -392,7 +393,7 @@
 		const {method, path} = codec.createReleaseCall(handle);
 		void runAttempt(client, handle.address, {
 			clock, signal: new AbortController().signal, timeoutMs: releaseTimeoutMs, request: {
-				method, path, headers: [], needsVerifiedConnection: false, connectionLimit: this.#context.getConnectionLimit(this.#request.service),
+				callKind: callKinds.release, method, path, headers: [], needsVerifiedConnection: false, connectionLimit: this.#context.getConnectionLimit(this.#request.service),
 			},
 		});
 	}
--- a/packages/routing/endpoint-client/src/endpoint-client.ts
+++ b/packages/routing/endpoint-client/src/endpoint-client.ts
@@ -4,9 +4,9 @@
  */
 import type {Buffer} from 'node:buffer';
 import type {Dispatcher} from 'undici';
-import type {Clock} from '@hickorytrack/clock';
 import {HickorytrackError} from '@hickorytrack/errors';
-import {ServerConnections, type ServerConnection} from './server-connections.js';
+import type {AnswerIdentity, ForeignAnswer} from './answer-identity.js';
+import {ServerConnections, type ServerConnection, type ServerConnectionsOptions} from './server-connections.js';
 
 export type OutboundRequest = {
 	method: string;
@@ -14,6 +14,10 @@
 	/** Alternating names and values. */
 	headers: string[];
 	body?: Buffer;
+	/** Kind of the call, for reports about its answer. */
+	callKind: string;
+	/** Undefined for calls whose answers bear no id. */
+	identity?: AnswerIdentity;
 	/** Uses only a connection that is known to work, for requests that must not run twice. */
 	needsVerifiedConnection: boolean;
 	/** Maximum number of connections from this instance to the server. */
@@ -58,10 +62,17 @@
 	resume(): void;
 };
 
+export type EndpointClientOptions = ServerConnectionsOptions & {
+	/** Called for each answer that is not its request's own. */
+	onForeignAnswer?: (answer: ForeignAnswer) => void;
+};
+
 export class EndpointClient {
+	readonly #opts: EndpointClientOptions;
 	readonly #connections: ServerConnections;
 
-	constructor(opts: {clock: Clock; connectTimeoutMs: number}) {
+	constructor(opts: EndpointClientOptions) {
+		this.#opts = opts;
 		this.#connections = new ServerConnections(opts);
 	}
 
@@ -85,7 +96,9 @@
 			return {cancel() {/* Nothing was sent. */}, pause() {/* Nothing was sent. */}, resume() {/* Nothing was sent. */}};
 		}
 
-		const exchange = new Exchange(address, {connection, connections: this.#connections, handler});
+		const exchange = new Exchange(address, {
+			connection, connections: this.#connections, handler, onForeignAnswer: this.#opts.onForeignAnswer,
+		});
 		exchange.start(request);
 		return exchange;
 	}
@@ -95,6 +108,7 @@
 	connection: ServerConnection;
 	connections: ServerConnections;
 	handler: ResponseHandler;
+	onForeignAnswer?: (answer: ForeignAnswer) => void;
 };
 
 class Exchange implements SentRequest {
@@ -130,6 +144,7 @@
 				}
 
 				this.#hasResponse = true;
+				this.#checkIdentity(request, {status, headers});
 				this.#canReuse &&= headers.connection !== 'close';
 				handler.onHead({status, headers});
 			},
@@ -177,6 +192,16 @@
 		this.#controller?.resume();
 	}
 
+	#checkIdentity({identity, callKind}: OutboundRequest, head: ResponseHead): void {
+		const receivedId = identity?.readId(head);
+		if (identity && receivedId !== identity.expectedId) {
+			const {connection, onForeignAnswer} = this.#opts;
+			onForeignAnswer?.({
+				address: this.#address, callKind, expectedId: identity.expectedId, receivedId, status: head.status, exchanges: connection.exchanges,
+			});
+		}
+	}
+
 	#finish(): void {
 		if (this.#isSettled) {
 			return;
--- a/packages/routing/endpoint-client/src/server-connections.ts
+++ b/packages/routing/endpoint-client/src/server-connections.ts
@@ -14,6 +14,8 @@
 	lastResponseAt: number;
 	/** Idle time of the connection before its current request; undefined for its first request. */
 	idleMsBefore?: number;
+	/** Complete exchanges since the connection was opened. */
+	exchanges: number;
 	isBusy: boolean;
 	isClosed: boolean;
 	/** The server has reset the connection, so the last response on it may be incomplete. */
@@ -74,6 +76,7 @@
 	/** Makes a connection available again after a complete response. */
 	release(connection: ServerConnection): void {
 		connection.lastResponseAt = this.#opts.clock.monotonic();
+		connection.exchanges++;
 		connection.isBusy = false;
 	}
 
@@ -179,11 +182,12 @@
 			},
 		});
 		const connection: ServerConnection = {
-			client, lastResponseAt: Number.NEGATIVE_INFINITY, isBusy: true, isClosed: false, isReset: false,
+			client, lastResponseAt: Number.NEGATIVE_INFINITY, exchanges: 0, isBusy: true, isClosed: false, isReset: false,
 		};
 		client.on('disconnect', () => {
 			// After an automatic reconnect, no response has been completed on the new connection.
 			connection.lastResponseAt = Number.NEGATIVE_INFINITY;
+			connection.exchanges = 0;
 		});
 		return connection;
 	}
--- a/packages/routing/endpoint-client/test/endpoint-client.test.ts
+++ b/packages/routing/endpoint-client/test/endpoint-client.test.ts
@@ -41,7 +41,7 @@
 	const send = async (address: string, opts: {needsVerifiedConnection?: boolean; connectionLimit?: number} = {}) => new Promise<ReceivedResponse>(resolve => {
 		const response: ReceivedResponse = {body: ''};
 		client.send(address, {
-			method: 'GET', path: '/a', headers: ['host', 'a.example'], needsVerifiedConnection: false, connectionLimit: 4, ...opts,
+			callKind: 'run', method: 'GET', path: '/a', headers: ['host', 'a.example'], needsVerifiedConnection: false, connectionLimit: 4, ...opts,
 		}, {
 			onHead(head) {
 				response.head = head;
