fix(endpoint-client): release an answer only once it is proved to be the request's own

What callers saw: streams that went on from the KV handle of another request (MIXED), and 503 for requests that may not repeat and had run (REFUSED). Cause: a server that stutters sends the answer to request A a second time when request B is already on the connection. The client handed it up as the answer to B, and each caller of the client had to remember to compare the ids: the prefill call did not; both forwarders looked for the refusal first; an answer without an id passed; release, stage status and stage order calls could not compare at all. Before anyone had compared, the connection was back in the pool, and each later request on it read the answer of the one before. Change: OutboundRequest.identity says how the answer proves that it is its own, and the exchange checks it before anything goes up. Any other answer breaks the connection and ends the attempt with ERR_HICKORYTRACK_FOREIGN_ANSWER, written, so that nobody reads "not run" from it. Calls whose answers bear no id get a connection of their own, closed afterwards. A connection is not used for the id that it answered last. A failure (300 and up) without an id counts as own on a connection that has carried nothing else; a success always needs its id. A late answer is a sign of life of its server, not a failure; another id on a new connection is a failure. The stand-in PlatformServer now echoes the id in refusals and prefill answers, as the protocol says, and has the fault `stutter`. Conclusion: no layer above the client can forget the check. Behind each late answer a request that may not repeat still ends in 502; next.

--- a/packages/plugins/edge/src/attempt.ts
+++ b/packages/plugins/edge/src/attempt.ts
@@ -49,6 +49,11 @@
 	idleTimeoutMs?: number;
 };
 
+/** Returns why an attempt without a usable response failed, for the caller. */
+export function describeFailure({outcome, error}: AttemptResult): string {
+	return error?.foreignAnswer ? 'the server sent an answer that is not its own' : `the attempt ended as ${outcome}`;
+}
+
 /** Sends the request and resolves when the attempt has ended, whatever its outcome. Never rejects. */
 export async function runAttempt(client: EndpointClient, address: string, opts: AttemptOptions & {request: OutboundRequest}): Promise<AttemptResult> {
 	return new Promise(resolve => {
--- a/packages/plugins/edge/src/buffered-forwarder.ts
+++ b/packages/plugins/edge/src/buffered-forwarder.ts
@@ -4,7 +4,9 @@
  */
 import type {KnownServer} from '@hickorytrack/endpoint-registry';
 import {requestKinds} from '@hickorytrack/route-table/route-types';
-import {attemptOutcomes, runAttempt, type AttemptResult} from './attempt.js';
+import {
+	attemptOutcomes, describeFailure, runAttempt, type AttemptResult,
+} from './attempt.js';
 import {forwardResponse, sendProblem} from './responses.js';
 import {requestOutcomes, type CallerRequest, type RequestResult} from './caller-request.js';
 import {
@@ -91,7 +93,10 @@
 		}
 
 		const isStale = result.error?.isStale ?? false;
-		if (isStale) {
+		const foreignAnswer = result.error?.foreignAnswer;
+		if (foreignAnswer) {
+			health.recordForeignAnswer(server, foreignAnswer);
+		} else if (isStale) {
 			// A stale connection does not mean that the server is unhealthy; onConnectionLost probes it.
 		} else if (result.isWritten && result.outcome === attemptOutcomes.broken) {
 			health.recordBrokenResponse(server);
@@ -103,7 +108,7 @@
 		eventLog.emit('attemptFailed', {
 			request: this.#request.metadata.requestId, server: server.id, end: result.outcome, isWritten: result.isWritten, isStale, reason: result.error?.message,
 		});
-		if (result.outcome === attemptOutcomes.broken && result.isWritten) {
+		if (result.outcome === attemptOutcomes.broken && result.isWritten && !foreignAnswer) {
 			onConnectionLost(this.#request, server);
 		}
 
@@ -111,7 +116,7 @@
 			return undefined;
 		}
 
-		return this.#fail(`the attempt ended as ${result.outcome}`);
+		return this.#fail(describeFailure(result));
 	}
 
 	#handleResponse(server: KnownServer, result: AttemptResult): RequestResult | undefined {
@@ -124,8 +129,7 @@
 		}
 
 		this.#isNotExecuted = false;
-		const isMismatched = metadata.requestId !== undefined && metadata.requestId !== this.#request.metadata.requestId;
-		if (isMismatched || (head.status < 300 && (!metadata.isAuthentic || metadata.requestId === undefined))) {
+		if (head.status < 300 && !metadata.isAuthentic) {
 			health.recordBrokenResponse(server);
 			return this.#isRetryable ? undefined : this.#fail('the server sent an answer that is not its own');
 		}
--- a/packages/plugins/edge/src/request-codec.ts
+++ b/packages/plugins/edge/src/request-codec.ts
@@ -48,7 +48,6 @@
 
 /** Metadata of a server's response, decoded from its head. */
 export type ResponseMetadata = {
-	requestId?: string;
 	/** The server states that it did not and will not run the request. */
 	isNotExecuted: boolean;
 	/** The head has the headers with which the server marks its own responses. */
--- a/packages/plugins/edge/src/server-health.ts
+++ b/packages/plugins/edge/src/server-health.ts
@@ -5,6 +5,7 @@
  * account.
  */
 import type {Clock} from '@hickorytrack/clock';
+import type {ForeignAnswer} from '@hickorytrack/endpoint-client/answer-identity';
 import type {KnownServer} from '@hickorytrack/endpoint-registry';
 
 type Health = {
@@ -65,6 +66,15 @@
 		health.excludedUntil = this.#clock.monotonic() + exclusionMs;
 	}
 
+	/** Records an answer of the server to another request. A late one says that the server works; any other one that it does not. */
+	recordForeignAnswer(server: KnownServer, {exchanges}: ForeignAnswer): void {
+		if (exchanges > 0) {
+			this.recordSignOfLife(server);
+		} else {
+			this.recordBrokenResponse(server);
+		}
+	}
+
 	/** Records that the server did not respond or could not be reached; it may have stopped without deregistering. */
 	recordUnresponsive(server: KnownServer): void {
 		this.recordBrokenResponse(server);
--- a/packages/plugins/edge/src/streaming-forwarder.ts
+++ b/packages/plugins/edge/src/streaming-forwarder.ts
@@ -7,11 +7,13 @@
 import type {KnownServer} from '@hickorytrack/endpoint-registry';
 import type {Placement} from '@hickorytrack/prompt-placement';
 import type {Prompt} from '@hickorytrack/prompt-placement/prompt';
-import {attemptOutcomes, runAttempt, type AttemptResult} from './attempt.js';
+import {
+	attemptOutcomes, describeFailure, runAttempt, type AttemptResult,
+} from './attempt.js';
 import {forwardResponse, sendProblem} from './responses.js';
 import {requestOutcomes, type CallerRequest, type RequestResult} from './caller-request.js';
-import {callKinds} from './call-kinds.js';
 import {EventRelay} from './event-relay.js';
+import {releaseKvCache} from './kv-release.js';
 import type {KvHandle} from './request-codec.js';
 import {SilenceDetector} from './silence-detector.js';
 import {
@@ -26,8 +28,6 @@
 /** A stream whose server sends nothing for this many times the pause objective resumes at another server, if it can. */
 const idleTimeoutFactor = 3;
 const minimumIdleTimeoutMs = 500;
-/** After this time a KV cache that was not released has expired at its server. */
-const releaseTimeoutMs = 1000;
 
 export class StreamingForwarder {
 	readonly #context: ForwardContext;
@@ -133,7 +133,7 @@
 
 		this.#servers.push(decodeServer);
 		const result = await this.#generate(decodeServer, {handle, placement});
-		if (this.#backupServer && this.#relay.lastEventId !== undefined && (result.outcome === attemptOutcomes.broken || result.outcome === attemptOutcomes.stalled)) {
+		if (this.#backupServer && this.#relay.lastEventId !== undefined && !result.error?.foreignAnswer && (result.outcome === attemptOutcomes.broken || result.outcome === attemptOutcomes.stalled)) {
 			return this.#resumeAtBackup(decodeServer, result);
 		}
 
@@ -212,7 +212,9 @@
 			return undefined;
 		}
 
-		if (!metadata?.isNotExecuted && !result.error?.isStale) {
+		if (result.error?.foreignAnswer) {
+			health.recordForeignAnswer(prefillServer, result.error.foreignAnswer);
+		} else if (!metadata?.isNotExecuted && !result.error?.isStale) {
 			health.recordUnresponsive(prefillServer);
 		}
 
@@ -300,7 +302,7 @@
 	#isStream(head: ResponseHead): boolean {
 		const metadata = this.#context.codec.decodeResponseHead(head);
 		const type = String(head.headers['content-type'] ?? '');
-		return head.status === 200 && metadata.isAuthentic && metadata.requestId === this.#request.metadata.requestId && type.startsWith('text/event-stream');
+		return head.status === 200 && metadata.isAuthentic && type.startsWith('text/event-stream');
 	}
 
 	#handleResult(server: KnownServer, result: AttemptResult, handle: KvHandle | undefined): RequestResult | undefined {
@@ -313,6 +315,7 @@
 		}
 
 		const {health, eventLog, onConnectionLost} = this.#context;
+		const foreignAnswer = result.error?.foreignAnswer;
 		this.#isNotExecuted &&= !result.isWritten;
 		if (!result.isWritten) {
 			this.#releaseKvHandle(handle);
@@ -324,12 +327,13 @@
 			request: this.#request.metadata.requestId, server: server.id, end: result.outcome, isWritten: result.isWritten, lastEvent: this.#relay.lastEventId, reason: result.error?.message,
 		});
 		if (result.outcome === attemptOutcomes.broken || result.outcome === attemptOutcomes.stalled) {
-			const isStale = result.error?.isStale ?? false;
-			if (!isStale) {
+			if (foreignAnswer) {
+				health.recordForeignAnswer(server, foreignAnswer);
+			} else if (!result.error?.isStale) {
 				health.recordUnresponsive(server);
 			}
 
-			if (result.outcome === attemptOutcomes.broken && result.isWritten) {
+			if (result.outcome === attemptOutcomes.broken && result.isWritten && !foreignAnswer) {
 				onConnectionLost(this.#request, server);
 			}
 
@@ -338,7 +342,7 @@
 			}
 		}
 
-		return this.#fail(`the attempt ended as ${result.outcome}`);
+		return this.#fail(describeFailure(result));
 	}
 
 	#finishStream(server: KnownServer): RequestResult {
@@ -360,8 +364,7 @@
 		}
 
 		this.#isNotExecuted = false;
-		const isMismatched = metadata.requestId !== undefined && metadata.requestId !== this.#request.metadata.requestId;
-		if (isMismatched || (head.status < 300 && !metadata.isAuthentic)) {
+		if (head.status < 300 && !metadata.isAuthentic) {
 			this.#context.health.recordBrokenResponse(server);
 			this.#excluded.add(server.id);
 			return this.#isRetryable ? undefined : this.#fail('the server sent an answer that is not its own');
@@ -385,17 +388,9 @@
 
 	/** Releases a KV cache that no server will fetch. */
 	#releaseKvHandle(handle: KvHandle | undefined): void {
-		if (!handle) {
-			return;
+		if (handle) {
+			releaseKvCache(this.#context, this.#request.service, handle);
 		}
-
-		const {client, codec, clock} = this.#context;
-		const {method, path} = codec.createReleaseCall(handle);
-		void runAttempt(client, handle.address, {
-			clock, signal: new AbortController().signal, timeoutMs: releaseTimeoutMs, request: {
-				callKind: callKinds.release, method, path, headers: [], needsVerifiedConnection: false, connectionLimit: this.#context.getConnectionLimit(this.#request.service),
-			},
-		});
 	}
 
 	#fail(reason: string): RequestResult {
--- /dev/null
+++ b/packages/plugins/edge/test/server-health.test.ts
@@ -0,0 +1,23 @@
+import {expect} from 'chai';
+import {ManualClock} from '@hickorytrack/clock/manual-clock';
+import type {KnownServer} from '@hickorytrack/endpoint-registry';
+import {ServerHealth} from '../src/server-health.js';
+
+const createServer = (id: string): KnownServer => ({
+	id, startedAt: 1, sequence: 1, service: 's', address: `10.0.0.1:${id}`, availabilityZone: 'z', slots: 6, state: 'ready', coldMs: 0, heardAt: 0, order: 1,
+});
+const answer = {
+	address: '10.0.0.1:80', callKind: 'run', expectedId: 'b', receivedId: 'a', status: 200,
+};
+
+describe('health of servers', () => {
+	// One late answer took a server out of service: streams until its next report, other requests for up to 5 s.
+	it('keeps using a server that answers twice, but not one that answers with another id on a new connection', () => {
+		const health = new ServerHealth(new ManualClock());
+		const servers = [createServer('1'), createServer('2')];
+		health.recordForeignAnswer(servers[0]!, {...answer, exchanges: 3});
+		expect(health.selectHealthy(servers)).to.deep.equal(servers);
+		health.recordForeignAnswer(servers[0]!, {...answer, exchanges: 0});
+		expect(health.selectHealthy(servers)).to.deep.equal([servers[1]]);
+	});
+});
--- a/packages/routing/endpoint-client/src/endpoint-client.ts
+++ b/packages/routing/endpoint-client/src/endpoint-client.ts
@@ -1,6 +1,8 @@
 /**
- * Sends one request to one server and reports the response. The outcome of an attempt tells whether the server may have
- * executed the request: it cannot have when no byte of the request was written, or when the response says so.
+ * Sends one request to one server and reports the response. A response is released to the handler only after its head has
+ * proved that it belongs to the request; any other one breaks the connection. The outcome of an attempt tells whether the
+ * server may have executed the request: it cannot have when no byte of the request was written, or when the response says
+ * so.
  */
 import type {Buffer} from 'node:buffer';
 import type {Dispatcher} from 'undici';
@@ -16,7 +18,7 @@
 	body?: Buffer;
 	/** Kind of the call, for reports about its answer. */
 	callKind: string;
-	/** Undefined for calls whose answers bear no id. */
+	/** Undefined for calls whose answers bear no id; such a call has a connection of its own. */
 	identity?: AnswerIdentity;
 	/** Uses only a connection that is known to work, for requests that must not run twice. */
 	needsVerifiedConnection: boolean;
@@ -39,6 +41,9 @@
 	onFailure(error: EndpointClientError): void;
 };
 
+/** Lower statuses are successes, which bear their id. */
+const firstFailureStatus = 300;
+
 export class EndpointClientError extends HickorytrackError {
 	/** False when no byte of the request left this process. */
 	readonly isWritten: boolean;
@@ -46,12 +51,15 @@
 	readonly isCancelled: boolean;
 	/** True when a reused connection failed at the first request after an idle period; the server itself may be healthy. */
 	readonly isStale: boolean;
+	/** The answer of another request that was read instead; this request may have run. */
+	readonly foreignAnswer: ForeignAnswer | undefined;
 
-	constructor(code: HickorytrackError['code'], message: string, opts: {isWritten: boolean; isCancelled?: boolean; isStale?: boolean; cause?: unknown}) {
+	constructor(code: HickorytrackError['code'], message: string, opts: {isWritten: boolean; isCancelled?: boolean; isStale?: boolean; foreignAnswer?: ForeignAnswer; cause?: unknown}) {
 		super(code, message, {cause: opts.cause});
 		this.isWritten = opts.isWritten;
 		this.isCancelled = opts.isCancelled ?? false;
 		this.isStale = opts.isStale ?? false;
+		this.foreignAnswer = opts.foreignAnswer;
 	}
 }
 
@@ -90,16 +98,18 @@
 	}
 
 	send(address: string, request: OutboundRequest, handler: ResponseHandler): SentRequest {
-		const connection = this.#connections.acquire(address, {limit: request.connectionLimit, needsVerifiedConnection: request.needsVerifiedConnection});
+		const connection = this.#connections.acquire(address, {
+			limit: request.connectionLimit, needsVerifiedConnection: request.needsVerifiedConnection, answerId: request.identity?.expectedId,
+		});
 		if (!connection) {
 			handler.onFailure(new EndpointClientError('ERR_HICKORYTRACK_CONNECTIONS_BUSY', `All connections to ${address} are busy`, {isWritten: false}));
 			return {cancel() {/* Nothing was sent. */}, pause() {/* Nothing was sent. */}, resume() {/* Nothing was sent. */}};
 		}
 
 		const exchange = new Exchange(address, {
-			connection, connections: this.#connections, handler, onForeignAnswer: this.#opts.onForeignAnswer,
+			connection, connections: this.#connections, request, handler, onForeignAnswer: this.#opts.onForeignAnswer,
 		});
-		exchange.start(request);
+		exchange.start();
 		return exchange;
 	}
 }
@@ -107,6 +117,7 @@
 type ExchangeOptions = {
 	connection: ServerConnection;
 	connections: ServerConnections;
+	request: OutboundRequest;
 	handler: ResponseHandler;
 	onForeignAnswer?: (answer: ForeignAnswer) => void;
 };
@@ -125,8 +136,8 @@
 		this.#opts = opts;
 	}
 
-	start(request: OutboundRequest): void {
-		const {connection, handler} = this.#opts;
+	start(): void {
+		const {connection, request, handler} = this.#opts;
 		const dispatchHandler: Dispatcher.DispatchHandler = {
 			onRequestStart: controller => {
 				this.#controller = controller;
@@ -144,7 +155,12 @@
 				}
 
 				this.#hasResponse = true;
-				this.#checkIdentity(request, {status, headers});
+				const foreignAnswer = this.#findForeignAnswer({status, headers});
+				if (foreignAnswer) {
+					this.#rejectAnswer(foreignAnswer);
+					return;
+				}
+
 				this.#canReuse &&= headers.connection !== 'close';
 				handler.onHead({status, headers});
 			},
@@ -192,14 +208,26 @@
 		this.#controller?.resume();
 	}
 
-	#checkIdentity({identity, callKind}: OutboundRequest, head: ResponseHead): void {
+	/** Returns the report about a response that does not prove to be the request's own. */
+	#findForeignAnswer(head: ResponseHead): ForeignAnswer | undefined {
+		const {connection: {exchanges}, request: {identity, callKind}} = this.#opts;
 		const receivedId = identity?.readId(head);
-		if (identity && receivedId !== identity.expectedId) {
-			const {connection, onForeignAnswer} = this.#opts;
-			onForeignAnswer?.({
-				address: this.#address, callKind, expectedId: identity.expectedId, receivedId, status: head.status, exchanges: connection.exchanges,
-			});
-		}
+		// On a connection that has carried no other request, a failure without an id can only be the request's own.
+		const isOwnFailure = receivedId === undefined && exchanges === 0 && head.status >= firstFailureStatus;
+		const isOwn = !identity || receivedId === identity.expectedId || isOwnFailure;
+		return isOwn
+			? undefined
+			: {
+				address: this.#address, callKind, expectedId: identity.expectedId, receivedId, status: head.status, exchanges,
+			};
+	}
+
+	#rejectAnswer(foreignAnswer: ForeignAnswer): void {
+		const {connection, connections, handler, onForeignAnswer} = this.#opts;
+		this.#isSettled = true;
+		connections.discard(this.#address, connection);
+		onForeignAnswer?.(foreignAnswer);
+		handler.onFailure(new EndpointClientError('ERR_HICKORYTRACK_FOREIGN_ANSWER', `The answer of ${this.#address} belongs to another request`, {isWritten: this.#isWritten, foreignAnswer}));
 	}
 
 	#finish(): void {
@@ -207,10 +235,10 @@
 			return;
 		}
 
-		const {connection, connections, handler} = this.#opts;
+		const {connection, connections, request, handler} = this.#opts;
 		this.#isSettled = true;
-		if (this.#canReuse) {
-			connections.release(connection);
+		if (this.#canReuse && request.identity) {
+			connections.release(connection, request.identity.expectedId);
 		} else {
 			connections.discard(this.#address, connection);
 		}
--- a/packages/routing/endpoint-client/src/server-connections.ts
+++ b/packages/routing/endpoint-client/src/server-connections.ts
@@ -16,6 +16,8 @@
 	idleMsBefore?: number;
 	/** Complete exchanges since the connection was opened. */
 	exchanges: number;
+	/** Id that the last answer on this connection bore. */
+	lastAnswerId?: string;
 	isBusy: boolean;
 	isClosed: boolean;
 	/** The server has reset the connection, so the last response on it may be incomplete. */
@@ -50,12 +52,16 @@
 		this.#opts = opts;
 	}
 
-	/** Returns an idle connection, or a new one while there are fewer than `limit`; undefined when all are busy. */
-	acquire(address: string, opts: {limit: number; needsVerifiedConnection: boolean}): ServerConnection | undefined {
+	/**
+	 * Returns an idle connection, or a new one while there are fewer than `limit`; undefined when all are busy. A request whose
+	 * answer bears no id gets a new one, and so does one whose answer would bear the id of the last answer.
+	 */
+	acquire(address: string, opts: {limit: number; needsVerifiedConnection: boolean; answerId: string | undefined}): ServerConnection | undefined {
 		const connections = this.#byAddress.get(address) ?? [];
 		this.#byAddress.set(address, connections);
 		const maxIdleMs = Math.min(opts.needsVerifiedConnection ? verifiedMs : Number.POSITIVE_INFINITY, this.#getMaxIdleMs(address));
-		const idle = connections.findLast(connection => !connection.isBusy && this.#getIdleMs(connection) <= maxIdleMs);
+		const canReuse = opts.answerId !== undefined;
+		const idle = canReuse ? connections.findLast(connection => !connection.isBusy && this.#getIdleMs(connection) <= maxIdleMs && connection.lastAnswerId !== opts.answerId) : undefined;
 		if (idle) {
 			idle.isBusy = true;
 			// A client that has seen its connection close opens a new one, which has not been idle.
@@ -74,9 +80,10 @@
 	}
 
 	/** Makes a connection available again after a complete response. */
-	release(connection: ServerConnection): void {
+	release(connection: ServerConnection, answerId: string): void {
 		connection.lastResponseAt = this.#opts.clock.monotonic();
 		connection.exchanges++;
+		connection.lastAnswerId = answerId;
 		connection.isBusy = false;
 	}
 
--- a/packages/routing/endpoint-client/test/endpoint-client.test.ts
+++ b/packages/routing/endpoint-client/test/endpoint-client.test.ts
@@ -28,6 +28,7 @@
 describe('endpoint client', () => {
 	let client: EndpointClient;
 	let server: Server | undefined;
+	let count = 0;
 
 	beforeEach(() => {
 		client = new EndpointClient({clock: new SystemClock(), connectTimeoutMs: 500});
@@ -40,8 +41,10 @@
 
 	const send = async (address: string, opts: {needsVerifiedConnection?: boolean; connectionLimit?: number} = {}) => new Promise<ReceivedResponse>(resolve => {
 		const response: ReceivedResponse = {body: ''};
+		count++;
+		const id = String(count);
 		client.send(address, {
-			callKind: 'run', method: 'GET', path: '/a', headers: ['host', 'a.example'], needsVerifiedConnection: false, connectionLimit: 4, ...opts,
+			callKind: 'run', method: 'GET', path: '/a', headers: ['host', 'a.example'], needsVerifiedConnection: false, connectionLimit: 4, identity: {expectedId: id, readId: () => id}, ...opts,
 		}, {
 			onHead(head) {
 				response.head = head;
--- a/stand-ins/src/platform-server.ts
+++ b/stand-ins/src/platform-server.ts
@@ -10,6 +10,7 @@
 } from 'node:http';
 import type {AddressInfo, Socket} from 'node:net';
 import type {Clock} from '@hickorytrack/clock';
+import {AnswerRepeater} from './answer-repeater.js';
 
 export const platformFaults = {
 	none: 'none',
@@ -27,6 +28,8 @@
 	cut: 'cut',
 	/** Answers 500 after the request has run. */
 	failing: 'failing',
+	/** Sends each answer again just before the next answer on the same connection. */
+	stutter: 'stutter',
 } as const;
 export type PlatformFault = typeof platformFaults[keyof typeof platformFaults];
 
@@ -59,6 +62,8 @@
 };
 
 const defaultEvents = 4;
+/** Time between an answer that is sent again and the next answer, in which a client may take the first for the second. */
+const repeatGapMs = 10;
 
 export class PlatformServer {
 	readonly receivedRequests: ReceivedRequest[] = [];
@@ -72,7 +77,7 @@
 	#stage: 'prefill' | 'decode' | undefined;
 	readonly #opts: PlatformServerOptions;
 	readonly #server: Server;
-	readonly #sockets = new Set<Socket>();
+	readonly #sockets = new Map<Socket, AnswerRepeater>();
 
 	constructor(opts: PlatformServerOptions) {
 		this.#opts = opts;
@@ -81,7 +86,7 @@
 			void this.#handle(request, response);
 		});
 		this.#server.on('connection', socket => {
-			this.#sockets.add(socket);
+			this.#sockets.set(socket, new AnswerRepeater(socket));
 			socket.on('close', () => this.#sockets.delete(socket));
 		});
 	}
@@ -108,7 +113,7 @@
 	}
 
 	async stop(): Promise<void> {
-		for (const socket of this.#sockets) {
+		for (const socket of this.#sockets.keys()) {
 			socket.resetAndDestroy();
 		}
 
@@ -130,6 +135,10 @@
 		const receivedRequest: ReceivedRequest = {
 			requestId: String(request.headers['x-request-id']), path: request.url!, body: Buffer.concat(chunks).toString(), deadlineMs: Number(request.headers['x-deadline-ms']), headers: request.headers, hasRun: false,
 		};
+		if (await this.#sockets.get(request.socket)?.startAnswer(response, {isRepeating: this.fault === platformFaults.stutter})) {
+			await this.#opts.clock.sleep(repeatGapMs);
+		}
+
 		if (request.url!.startsWith('/api/kv-handle/')) {
 			this.handles.delete(request.url!.split('/').at(-1)!);
 			response.end();
@@ -143,7 +152,7 @@
 
 		this.receivedRequests.push(receivedRequest);
 		if (request.headers['x-expect-instance'] !== this.id) {
-			this.#send(response, 421, {'x-not-executed': '1'}, '');
+			this.#sendForRequest(response, receivedRequest, {status: 421, headers: {'x-not-executed': '1'}});
 			return;
 		}
 
@@ -177,7 +186,7 @@
 	async #respond(request: IncomingMessage, response: ServerResponse, receivedRequest: ReceivedRequest): Promise<void> {
 		switch (this.fault) {
 			case platformFaults.full: {
-				this.#send(response, 503, {'x-not-executed': '1', 'retry-after': '0.2'}, '');
+				this.#sendForRequest(response, receivedRequest, {status: 503, headers: {'x-not-executed': '1', 'retry-after': '0.2'}});
 				return;
 			}
 
@@ -207,7 +216,7 @@
 	async #handleRequest(request: IncomingMessage, response: ServerResponse, receivedRequest: ReceivedRequest): Promise<void> {
 		const stage = this.#stage;
 		if (stage === 'prefill' && request.headers['x-stage'] !== 'prefill') {
-			this.#send(response, 421, {'x-not-executed': '1'}, '');
+			this.#sendForRequest(response, receivedRequest, {status: 421, headers: {'x-not-executed': '1'}});
 			return;
 		}
 
@@ -218,7 +227,7 @@
 		if (request.headers['x-stage'] === 'prefill') {
 			const handle = `handle-${receivedRequest.requestId}`;
 			this.handles.add(handle);
-			this.#send(response, 200, {'content-type': 'application/json'}, JSON.stringify({'kv-handle': handle, tokens: 1, version: 1}));
+			this.#sendForRequest(response, receivedRequest, {status: 200, headers: {'content-type': 'application/json'}, body: JSON.stringify({'kv-handle': handle, tokens: 1, version: 1})});
 			return;
 		}
 
@@ -260,6 +269,11 @@
 		return {'x-response-stamp': `stamp-${this.id}`, 'x-request-id': requestId};
 	}
 
+	/** Sends an answer that bears the id of the request. */
+	#sendForRequest(response: ServerResponse, {requestId}: ReceivedRequest, {status, headers, body = ''}: {status: number; headers: Record<string, string>; body?: string}): void {
+		this.#send(response, status, {...headers, 'x-request-id': requestId}, body);
+	}
+
 	#send(response: ServerResponse, status: number, headers: Record<string, string>, body: string): void {
 		response.writeHead(status, {...headers, 'content-length': String(Buffer.byteLength(body))});
 		response.end(body);
