--- a/packages/routing/endpoint-client/test/written-requests.test.ts
+++ b/packages/routing/endpoint-client/test/written-requests.test.ts
@@ -93,6 +93,7 @@
 describe('requests of the endpoint client', () => {
 	let server: RecordingServer;
 	let client: EndpointClient;
+	let count = 0;
 
 	beforeEach(async () => {
 		server = new RecordingServer();
@@ -107,10 +108,12 @@
 
 	const send = (path: string, opts: Partial<OutboundRequest> = {}, address = server.address) => {
 		let cancel = () => {/* Replaced below, unless the request has failed. */};
+		count++;
+		const id = String(count);
 		const outcome = new Promise<Outcome>(resolve => {
 			let status: number | undefined;
 			const sent = client.send(address, {
-				method: 'POST', path, headers: ['host', 'a.example'], needsVerifiedConnection: false, connectionLimit: 4, ...opts,
+				method: 'POST', path, headers: ['host', 'a.example'], needsVerifiedConnection: false, connectionLimit: 4, callKind: 'run', identity: {expectedId: id, readId: () => id}, ...opts,
 			}, {
 				onHead(head) {
 					status = head.status;
