fix(endpoint-client): give each request to a server that answered late a connection of its own

What callers saw: behind each late answer a request that may not repeat ended in 502, and other requests used up a repeat. Cause: the connection was closed, but the next one to the same server was kept open and met the next late answer. Change: for 60 s after a late answer (or bytes that are no answer on a connection that had carried one), connections to that address carry one request each; its idle ones are closed. A second answer on a closed connection reaches nobody.

Price: a connection for each request to such a server.

--- a/packages/routing/endpoint-client/src/endpoint-client.ts
+++ b/packages/routing/endpoint-client/src/endpoint-client.ts
@@ -5,7 +5,7 @@
  * so.
  */
 import type {Buffer} from 'node:buffer';
-import type {Dispatcher} from 'undici';
+import {errors, type Dispatcher} from 'undici';
 import {HickorytrackError} from '@hickorytrack/errors';
 import type {AnswerIdentity, ForeignAnswer} from './answer-identity.js';
 import {ServerConnections, type ServerConnection, type ServerConnectionsOptions} from './server-connections.js';
@@ -137,7 +137,7 @@
 	}
 
 	start(): void {
-		const {connection, request, handler} = this.#opts;
+		const {connection, connections, request, handler} = this.#opts;
 		const dispatchHandler: Dispatcher.DispatchHandler = {
 			onRequestStart: controller => {
 				this.#controller = controller;
@@ -177,6 +177,10 @@
 				}
 			},
 			onResponseError: (_controller, error) => {
+				if (error instanceof errors.HTTPParserError && !this.#hasResponse && connection.exchanges > 0) {
+					connections.recordLateAnswer(this.#address);
+				}
+
 				this.#fail('ERR_HICKORYTRACK_ENDPOINT_BROKEN', `The connection to ${this.#address} failed: ${error.message}`, error);
 			},
 		};
@@ -225,6 +229,10 @@
 	#rejectAnswer(foreignAnswer: ForeignAnswer): void {
 		const {connection, connections, handler, onForeignAnswer} = this.#opts;
 		this.#isSettled = true;
+		if (foreignAnswer.exchanges > 0) {
+			connections.recordLateAnswer(this.#address);
+		}
+
 		connections.discard(this.#address, connection);
 		onForeignAnswer?.(foreignAnswer);
 		handler.onFailure(new EndpointClientError('ERR_HICKORYTRACK_FOREIGN_ANSWER', `The answer of ${this.#address} belongs to another request`, {isWritten: this.#isWritten, foreignAnswer}));
@@ -238,7 +246,7 @@
 		const {connection, connections, request, handler} = this.#opts;
 		this.#isSettled = true;
 		if (this.#canReuse && request.identity) {
-			connections.release(connection, request.identity.expectedId);
+			connections.release(this.#address, connection, request.identity.expectedId);
 		} else {
 			connections.discard(this.#address, connection);
 		}
--- a/packages/routing/endpoint-client/src/server-connections.ts
+++ b/packages/routing/endpoint-client/src/server-connections.ts
@@ -3,7 +3,9 @@
  * first, which keeps the number of open connections low. A request that must not run twice uses only a connection that
  * has completed a response recently, or a new one: on a connection that was lost without a close it would be unknown
  * whether the request ran. Some servers drop idle connections without closing them and reset them at the next request.
- * From each such reset this class estimates how long connections to that server stay usable.
+ * From each such reset this class estimates how long connections to that server stay usable. A server that answers twice
+ * sends the second answer when the next request is already on its way; such a server gets each request on a new connection
+ * for a while.
  */
 import {buildConnector, Client} from 'undici';
 import type {Clock} from '@hickorytrack/clock';
@@ -38,6 +40,8 @@
 const idleLimitTtlMs = 60_000;
 /** Idle connections are closed after this time unless the server specifies a shorter one. */
 const keepAliveTimeoutMs = 8000;
+/** Time after a late answer during which connections to that server carry one request each. */
+const lateAnswerTtlMs = 60_000;
 /** A reset after a shorter idle time is not attributed to the idle time. */
 const minIdleMs = 50;
 const maxHeaderBytes = 65_536;
@@ -47,6 +51,8 @@
 	readonly #byAddress = new Map<string, ServerConnection[]>();
 	/** Idle time up to which connections are reused, for each address with a recent reset after an idle period. */
 	readonly #idleLimits = new Map<string, {maxIdleMs: number; expiresAt: number}>();
+	/** Time until which connections carry one request each, for each address with a recent late answer. */
+	readonly #singleUseUntil = new Map<string, number>();
 
 	constructor(opts: ServerConnectionsOptions) {
 		this.#opts = opts;
@@ -60,7 +66,7 @@
 		const connections = this.#byAddress.get(address) ?? [];
 		this.#byAddress.set(address, connections);
 		const maxIdleMs = Math.min(opts.needsVerifiedConnection ? verifiedMs : Number.POSITIVE_INFINITY, this.#getMaxIdleMs(address));
-		const canReuse = opts.answerId !== undefined;
+		const canReuse = opts.answerId !== undefined && !this.#isSingleUse(address);
 		const idle = canReuse ? connections.findLast(connection => !connection.isBusy && this.#getIdleMs(connection) <= maxIdleMs && connection.lastAnswerId !== opts.answerId) : undefined;
 		if (idle) {
 			idle.isBusy = true;
@@ -80,7 +86,12 @@
 	}
 
 	/** Makes a connection available again after a complete response. */
-	release(connection: ServerConnection, answerId: string): void {
+	release(address: string, connection: ServerConnection, answerId: string): void {
+		if (this.#isSingleUse(address)) {
+			this.discard(address, connection);
+			return;
+		}
+
 		connection.lastResponseAt = this.#opts.clock.monotonic();
 		connection.exchanges++;
 		connection.lastAnswerId = answerId;
@@ -99,6 +110,12 @@
 		return true;
 	}
 
+	/** Records that an answer to an earlier request, or bytes behind it, were read where the answer to the next one was due. */
+	recordLateAnswer(address: string): void {
+		this.#singleUseUntil.set(address, this.#opts.clock.monotonic() + lateAnswerTtlMs);
+		this.closeIdle(address);
+	}
+
 	/** Closes a connection whose state is unknown. */
 	discard(address: string, connection: ServerConnection): void {
 		connection.isClosed = true;
@@ -135,6 +152,16 @@
 		}
 	}
 
+	#isSingleUse(address: string): boolean {
+		const until = this.#singleUseUntil.get(address);
+		if (until !== undefined && until < this.#opts.clock.monotonic()) {
+			this.#singleUseUntil.delete(address);
+			return false;
+		}
+
+		return until !== undefined;
+	}
+
 	#getIdleMs(connection: ServerConnection): number {
 		return this.#opts.clock.monotonic() - connection.lastResponseAt;
 	}
