fix(engine-http): send each generation on a connection of its own

What callers would see: the text of another generation. Cause: the client of a model engine kept its connections, and engines do not echo the id of an attempt, so a second answer to one attempt was read as the answer to the next, as in the edge. Change: a connection for each generation, as for all other calls of the adapters. The peers' links match replies by id: the new test, each reply sent again before the next, passed without a change. Figures: none measured; a connection to the engine beside the agent is opened for each generation.

--- a/packages/net/peer-link/test/peer-link.test.ts
+++ b/packages/net/peer-link/test/peer-link.test.ts
@@ -77,6 +77,45 @@
 		expect(connection.remote.instance).to.equal('a');
 	});
 
+	// A reply that came twice would be taken for that of the next request if replies were matched by their order.
+	it('matches replies to requests by id, also when each comes twice', async () => {
+		const a = await startNode('a', ['shared-key']);
+		const target = a.member.address.split(':');
+		let copies = 0;
+		server = createServer(clientSocket => {
+			const upstreamSocket = connect({host: target[0], port: Number(target[1])});
+			const decoder = new FrameDecoder();
+			let lateReplies: unknown[] = [];
+			clientSocket.on('data', chunk => upstreamSocket.write(chunk));
+			upstreamSocket.on('data', chunk => {
+				for (const message of decoder.decode(chunk)) {
+					const isReply = typeof message === 'object' && message !== null && 'jsonrpc' in message;
+					for (const sent of isReply ? [...lateReplies, message] : [message]) {
+						clientSocket.write(encodeFrame(sent));
+					}
+
+					if (isReply) {
+						copies += lateReplies.length;
+						lateReplies = [message];
+					}
+				}
+			});
+			clientSocket.on('error', () => undefined);
+			upstreamSocket.on('error', () => undefined);
+		});
+		await new Promise<void>(resolve => {
+			server!.listen(0, '127.0.0.1', resolve);
+		});
+		const b = await startNode('b', ['shared-key']);
+		const connection = (await b.connect(`127.0.0.1:${(server.address() as AddressInfo).port}`))._unsafeUnwrap();
+		for (const attempt of ['x', 'bad', 'x', 'bad']) {
+			const reply = await connection.request('work.resolve', {attempt, cancel: false});
+			expect(reply.isOk()).to.equal(attempt === 'x');
+		}
+
+		expect(copies).to.equal(3);
+	});
+
 	it('refuses a process without a shared key and accepts either key during a rotation', async () => {
 		const a = await startNode('a', ['new-key', 'old-key']);
 		const unauthorisedNode = await startNode('c', ['other-key']);
--- a/packages/plugins/engine-http/src/http-model-engine.ts
+++ b/packages/plugins/engine-http/src/http-model-engine.ts
@@ -1,7 +1,8 @@
 /**
  * Adapter for a model engine with an OpenAI-compatible completions API over HTTP and the extensions that
  * `docs/interfaces/endpoints.md` describes. An engine without the extensions is supported too, with defaults for what it
- * does not report.
+ * does not report. Engines do not echo the id of an attempt, so each generation has a connection of its own: on one that is kept,
+ * a second answer to the attempt before could be read as the answer to this one.
  */
 import {createParser} from 'eventsource-parser';
 import {err, ok, type Result} from 'neverthrow';
@@ -71,6 +72,7 @@
 			const response = await request(`${this.#url}/v1/${work.api === 'chat' ? 'chat/completions' : 'completions'}`, {
 				method: 'POST',
 				dispatcher: this.#dispatcher,
+				reset: true,
 				headers: {'content-type': 'application/json', 'x-request-id': opts.attempt},
 				body: JSON.stringify(this.#createBody(work, opts)),
 				signal: opts.signal,
