--- /dev/null
+++ b/tools/soak/src/caller-connection.ts
@@ -0,0 +1,118 @@
+/** A caller's connection to an edge. It is used until it breaks or the edge closes it, one request at a time. */
+import type {Buffer} from 'node:buffer';
+import {connect, type Socket} from 'node:net';
+import type {Clock} from '@hickorytrack/clock';
+import {HttpMessageReader, type HttpMessage} from './http-message-reader.js';
+
+export type Exchange = {
+	end: 'answered' | 'closed' | 'late' | 'invalid';
+	/** The answer, or the part of it that arrived. */
+	answer?: HttpMessage;
+};
+
+const connectTimeoutMs = 1000;
+
+export class CallerConnection {
+	readonly #clock: Clock;
+	readonly #socket: Socket;
+	readonly #reader = new HttpMessageReader();
+	#settle: ((exchange: Exchange) => void) | undefined;
+	#isOpen = true;
+	/** Answers and bytes that arrived while no request waited. */
+	#extraAnswers = 0;
+
+	constructor(clock: Clock, socket: Socket) {
+		this.#clock = clock;
+		this.#socket = socket;
+		socket.setNoDelay(true);
+		socket.on('error', () => undefined);
+		socket.on('data', chunk => {
+			this.#receive(chunk);
+		});
+		socket.on('close', hadError => {
+			this.#isOpen = false;
+			const closed = hadError ? undefined : this.#reader.finish();
+			this.#finish(closed ? {end: 'answered', answer: closed} : {end: 'closed', answer: this.#reader.openMessage});
+		});
+	}
+
+	get isOpen(): boolean {
+		return this.#isOpen;
+	}
+
+	/** Returns the number of extra answers since the last call. */
+	readExtraAnswers(): number {
+		const count = this.#extraAnswers;
+		this.#extraAnswers = 0;
+		return count;
+	}
+
+	/** Sends a request and waits for its answer. A connection without one in time is closed. */
+	async send(bytes: Buffer, timeoutMs: number): Promise<Exchange> {
+		return new Promise(resolve => {
+			const cancelTimer = this.#clock.startTimer(timeoutMs, () => {
+				this.#finish({end: 'late', answer: this.#reader.openMessage});
+				this.close();
+			});
+			this.#settle = exchange => {
+				cancelTimer();
+				resolve(exchange);
+			};
+
+			if (this.#isOpen) {
+				this.#socket.write(bytes);
+			} else {
+				this.#finish({end: 'closed'});
+			}
+		});
+	}
+
+	close(): void {
+		this.#isOpen = false;
+		this.#socket.destroy();
+	}
+
+	#receive(chunk: Buffer): void {
+		try {
+			for (const answer of this.#reader.push(chunk)) {
+				if (answer.headers.connection === 'close') {
+					this.close();
+				}
+
+				this.#finish({end: 'answered', answer});
+			}
+		} catch {
+			this.#finish({end: 'invalid'});
+			this.close();
+		}
+	}
+
+	#finish(exchange: Exchange): void {
+		const settle = this.#settle;
+		this.#settle = undefined;
+		if (settle) {
+			settle(exchange);
+		} else if (exchange.end === 'answered' || exchange.end === 'invalid') {
+			this.#extraAnswers++;
+		}
+	}
+}
+
+/** Opens a connection; undefined if the edge does not accept one. */
+export async function openConnection(address: {host: string; port: number}, clock: Clock): Promise<CallerConnection | undefined> {
+	return new Promise(resolve => {
+		const socket = connect(address);
+		const cancelTimer = clock.startTimer(connectTimeoutMs, () => {
+			socket.destroy();
+		});
+		socket.once('connect', () => {
+			cancelTimer();
+			resolve(new CallerConnection(clock, socket));
+		});
+		socket.once('error', () => undefined);
+		socket.once('close', () => {
+			cancelTimer();
+			resolve(undefined);
+		});
+	});
+}
--- /dev/null
+++ b/tools/soak/src/caller.ts
@@ -0,0 +1,163 @@
+/**
+ * A caller: sends requests on a connection that it keeps, and retries by the users' rules: an idempotent request after any
+ * failure, others only after a status that promises that the request has not run, each attempt with an id of its own.
+ */
+import type {Clock} from '@hickorytrack/clock';
+import type {Random} from '@hickorytrack/random';
+import {type CallerConnection, openConnection, type Exchange} from './caller-connection.js';
+import {formatMessage} from './http-message-reader.js';
+import type {CallerRecord, SoakRoute} from './records.js';
+
+export type CallerOptions = {
+	index: number;
+	clock: Clock;
+	random: Random;
+	host: string;
+	routes: readonly SoakRoute[];
+	/** Addresses of the edges for callers. */
+	edges: ReadonlyArray<{name: string; host: string; port: number}>;
+	record: (record: CallerRecord) => void;
+};
+
+type Draft = {
+	route: SoakRoute;
+	path: string;
+	headers: Record<string, string>;
+	body: string;
+	deadlineAt: number;
+};
+
+const meanPauseMs = 50;
+const requestDeadlineMs = 2500;
+/** A caller waits a little beyond the deadline that it has sent, so that a late answer is seen. */
+const lateMarginMs = 1000;
+const maxAttempts = 4;
+const maxEvents = 12;
+const longPromptTokens = 1500;
+const shortPromptTokens = 50;
+const longPromptFraction = 0.5;
+const longOutputFraction = 0.2;
+const leaveFraction = 0.01;
+const reconnectMs = 50;
+/** These statuses promise that the request has not run. */
+export const promisingStatuses: ReadonlySet<number> = new Set([408, 421, 429, 503]);
+/** After these, and after a success, no request is retried. */
+const finalStatuses: ReadonlySet<number> = new Set([400, 401, 404, 413, 431]);
+
+export class Caller {
+	readonly #opts: CallerOptions;
+	#edge: number;
+	#connection: CallerConnection | undefined;
+	#requests = 0;
+
+	constructor(opts: CallerOptions) {
+		this.#opts = opts;
+		this.#edge = opts.index % opts.edges.length;
+	}
+
+	async run(signal: AbortSignal): Promise<void> {
+		while (!signal.aborted) {
+			await this.#opts.clock.sleep(this.#opts.random.nextExponential(meanPauseMs), signal);
+			await this.#runRequest(this.#createDraft());
+		}
+
+		this.#connection?.close();
+	}
+
+	#createDraft(): Draft {
+		const {random, routes, index, clock} = this.#opts;
+		this.#requests++;
+		const route = random.select(routes);
+		const key = `${index}-${this.#requests}`;
+		const path = `/${route.name}/${key}${route.kind === 'streaming' ? `/${1 + random.nextInteger(maxEvents)}` : ''}`;
+		const headers: Record<string, string> = {};
+		if (route.kind === 'streaming') {
+			const tokens = random.next() < longPromptFraction ? longPromptTokens : shortPromptTokens;
+			headers['x-model'] = 'm';
+			headers['x-token-counts'] = `${tokens},${random.next() < longOutputFraction ? 1000 : 50}`;
+			headers['x-prompt-prefix'] = `${key}:${tokens}`;
+		}
+
+		return {
+			route, path, headers, body: `body of ${key}`, deadlineAt: clock.monotonic() + requestDeadlineMs,
+		};
+	}
+
+	async #runRequest(draft: Draft): Promise<void> {
+		const {clock} = this.#opts;
+		let lastEventId = 0;
+		for (let attempt = 1; attempt <= maxAttempts; attempt++) {
+			const record = await this.#runAttempt(draft, {attempt, lastEventId});
+			const remainingMs = draft.deadlineAt - clock.monotonic();
+			if (!record || !isRetryable(draft.route, record) || remainingMs < 1) {
+				return;
+			}
+
+			if (draft.route.isResumable) {
+				lastEventId = Math.max(lastEventId, findLastEventId(record.body));
+			}
+
+			await clock.sleep(Math.min(remainingMs / 3, record.retryAfterMs));
+			this.#connection?.close();
+			this.#edge++;
+		}
+	}
+
+	async #runAttempt({route, path, headers, body, deadlineAt}: Draft, {attempt, lastEventId}: {attempt: number; lastEventId: number}): Promise<CallerRecord & {retryAfterMs: number} | undefined> {
+		const {clock, index, host, record: addRecord} = this.#opts;
+		const connection = await this.#connect();
+		const remainingMs = deadlineAt - clock.monotonic();
+		if (!connection || remainingMs < 1) {
+			return undefined;
+		}
+
+		const requestId = `c${index}-${this.#requests}-${attempt}`;
+		const sentAt = clock.now();
+		const isLeaving = this.#opts.random.next() < leaveFraction;
+		const exchange = await connection.send(formatMessage(`POST ${path} HTTP/1.1`, {
+			host, 'x-request-id': requestId, 'x-deadline-ms': String(Math.ceil(remainingMs)), ...headers, ...(lastEventId > 0 ? {'last-event-id': String(lastEventId)} : {}),
+		}, body), isLeaving ? this.#opts.random.nextBetween(1, 30) : remainingMs + lateMarginMs);
+		const record: CallerRecord = {
+			requestId, caller: index, edge: this.#opts.edges[this.#edge % this.#opts.edges.length]!.name, route: route.name, path, sentAt, endedAt: clock.now(), lastEventId, extraAnswers: connection.readExtraAnswers(), ...describeExchange(exchange),
+		};
+		addRecord(record);
+		return isLeaving ? undefined : {...record, retryAfterMs: Number(exchange.answer?.headers['retry-after'] ?? 0) * 1000};
+	}
+
+	async #connect(): Promise<CallerConnection | undefined> {
+		const {clock, edges} = this.#opts;
+		if (this.#connection?.isOpen) {
+			return this.#connection;
+		}
+
+		for (const _ of edges) {
+			this.#connection = await openConnection(edges[this.#edge % edges.length]!, clock);
+			if (this.#connection) {
+				return this.#connection;
+			}
+
+			this.#edge++;
+		}
+
+		await clock.sleep(reconnectMs);
+		return undefined;
+	}
+}
+
+function describeExchange({end, answer}: Exchange): Pick<CallerRecord, 'end' | 'status' | 'stamp' | 'answerId' | 'body'> {
+	return {
+		end, status: answer && Number(answer.startLine.split(' ')[1]), stamp: answer?.headers['x-response-stamp'], answerId: answer?.headers['x-request-id'], body: answer?.body.toString() ?? '',
+	};
+}
+
+export function findLastEventId(body: string): number {
+	return Number([...body.matchAll(/^id: (?<id>\d+)\n.*\n\n/gm)].at(-1)?.groups!.id ?? 0);
+}
+
+function isRetryable(route: SoakRoute, {end, status}: CallerRecord): boolean {
+	if (end === 'answered' && (status! < 300 || finalStatuses.has(status!))) {
+		return false;
+	}
+
+	return route.kind === 'idempotent' || route.isResumable || (end === 'answered' && promisingStatuses.has(status!));
+}
--- /dev/null
+++ b/tools/soak/src/check-answers.ts
@@ -0,0 +1,91 @@
+/**
+ * Rules for single requests, checked from the records of callers and servers.
+ *
+ * MIXED: a success is the request's own, whole, and was given by a server; a stream goes on from its own KV cache only.
+ * REFUSED: a status that promises that a request has not run is true, when the request must not be repeated.
+ * TWICE: a request that must not be repeated runs once at most.
+ * ORDER: the events of a stream follow each other without a gap, and an end that looks complete is complete.
+ */
+import {promisingStatuses} from './caller.js';
+import {collectByKey} from './collect-by-key.js';
+import {
+	countEvents, createEvent, createPlainBody, createStamp,
+} from './expected-body.js';
+import type {
+	CallerRecord, FateRecord, RuleCase, SoakRecords, SoakRoute,
+} from './records.js';
+
+type Fates = ReadonlyMap<string, readonly FateRecord[]>;
+
+export function checkAnswers(records: SoakRecords): RuleCase[] {
+	const routes = new Map(records.routes.map(route => [route.name, route]));
+	const fates = collectByKey(records.fates, fate => fate.requestId);
+	return [...records.callers.flatMap(record => checkAttempt(record, routes.get(record.route)!, fates)), ...records.fates.flatMap(fate => checkHandle(fate))];
+}
+
+function checkAttempt(record: CallerRecord, route: SoakRoute, fates: Fates): RuleCase[] {
+	const cases: RuleCase[] = [];
+	const add = (rule: RuleCase['rule'], detail: string) => {
+		cases.push({rule, requestId: record.requestId, detail: `${detail} (${record.edge}, ${record.path})`});
+	};
+
+	const own = fates.get(record.requestId) ?? [];
+	const runs = own.filter(fate => fate.hasRun && !fate.isSameRun);
+	const isRepeatable = route.kind === 'idempotent' || route.isResumable;
+	if (!isRepeatable && runs.length > 1) {
+		add('TWICE', `ran at ${runs.map(run => run.server).join(' and ')}`);
+	}
+
+	if (record.extraAnswers > 0 || record.end === 'invalid') {
+		add('MIXED', record.end === 'invalid' ? 'bytes that are no answer' : `${record.extraAnswers} answers while no request was waiting`);
+	}
+
+	if (record.status !== undefined && record.answerId !== undefined && record.answerId !== record.requestId) {
+		add('MIXED', `the answer belongs to ${record.answerId}`);
+	}
+
+	if (record.end === 'answered' && record.status! >= 300) {
+		if (!isRepeatable && promisingStatuses.has(record.status!) && runs.length > 0) {
+			add('REFUSED', `answered ${record.status}, ran at ${runs.map(run => `${run.server} (${run.answer} ${run.status})`).join(' and ')}`);
+		}
+
+		if (record.stamp !== undefined && !own.some(fate => fate.status === record.status && fate.stamp === record.stamp)) {
+			add('MIXED', `status ${record.status} with a stamp of a server that gave another`);
+		}
+	} else if (record.status === 200) {
+		checkSuccess(record, {route, own}, add);
+	}
+
+	return cases;
+}
+
+function checkSuccess(record: CallerRecord, {route, own}: {route: SoakRoute; own: readonly FateRecord[]}, add: (rule: 'MIXED' | 'ORDER', detail: string) => void): void {
+	if (record.answerId === undefined || record.stamp !== createStamp(record.requestId, record.path)) {
+		add('MIXED', 'a success without the id or the stamp of the request');
+		return;
+	}
+
+	if (!own.some(fate => fate.status === 200 && fate.stamp !== undefined)) {
+		add('MIXED', 'a success that no server gave');
+	}
+
+	const isWhole = record.end === 'answered';
+	if (route.kind !== 'streaming') {
+		if (isWhole && record.body !== createPlainBody(record.requestId, record.path)) {
+			add('MIXED', `${record.body.length} bytes that are not the body of the request`);
+		}
+
+		return;
+	}
+
+	const count = countEvents(record.path);
+	const expected = Array.from({length: Math.max(0, count - record.lastEventId)}, (_, index) => createEvent(record.requestId, record.lastEventId + index + 1, count)).join('');
+	if (isWhole ? record.body !== expected : !expected.startsWith(record.body)) {
+		const isForeign = [...record.body.matchAll(/^data: (?<id>\S+) /gm)].some(match => match.groups!.id !== record.requestId);
+		add(isForeign ? 'MIXED' : 'ORDER', `events ${[...record.body.matchAll(/^id: (?<id>\d+)/gm)].map(match => match.groups!.id).join(',')} of ${count} after ${record.lastEventId}`);
+	}
+}
+
+function checkHandle({requestId, hasRun, handle, handleOwner, server}: FateRecord): RuleCase[] {
+	return hasRun && handleOwner !== undefined && handleOwner !== requestId ? [{rule: 'MIXED', requestId, detail: `${server} went on from handle ${handle} of ${handleOwner}`}] : [];
+}
--- /dev/null
+++ b/tools/soak/src/edge-process.ts
@@ -0,0 +1,76 @@
+/** Starts an edge: the platform's program with a settings file of its own. */
+import {mkdirSync, writeFileSync} from 'node:fs';
+import path from 'node:path';
+import {fileURLToPath} from 'node:url';
+import type {RetryBounds} from './records.js';
+import {ManagedProcess} from './managed-process.js';
+
+export type EdgeOptions = {
+	name: string;
+	ip: string;
+	folder: string;
+	/** Core members keep the configuration on disk. */
+	isCore: boolean;
+	/** Control addresses of the seeds. */
+	seeds: readonly string[];
+	bounds: RetryBounds;
+	reportIntervalMs: number;
+};
+
+export const edgePorts = {
+	front: 7440, ready: 7441, control: 7442, peer: 7443,
+} as const;
+export const graceMs = 6000;
+const leaseMs = 2000;
+const msPerSecond = 1000;
+const mainPath = fileURLToPath(import.meta.resolve('@hickorytrack/platform'));
+
+export class EdgeProcess extends ManagedProcess {
+	readonly ip: string;
+	readonly isCore: boolean;
+
+	constructor(opts: EdgeOptions) {
+		const settingsPath = path.join(opts.folder, `${opts.name}.json`);
+		let starts = 0;
+		super({
+			name: opts.name,
+			logPath: path.join(opts.folder, `${opts.name}.log`),
+			env: {HICKORYTRACK_BOOT: settingsPath},
+			createArgs() {
+				writeSettings(settingsPath, opts, starts === 0);
+				starts++;
+				return [mainPath];
+			},
+		});
+		this.ip = opts.ip;
+		this.isCore = opts.isCore;
+	}
+
+	get controlAddress(): string {
+		return `${this.ip}:${edgePorts.control}`;
+	}
+}
+
+function writeSettings(file: string, {name, ip, folder, isCore, seeds, bounds, reportIntervalMs}: EdgeOptions, isFirstStart: boolean): void {
+	const dataFolder = path.join(folder, `${name}-data`);
+	if (isCore) {
+		mkdirSync(dataFolder, {recursive: true});
+	}
+
+	writeFileSync(file, JSON.stringify({
+		'node-name': name,
+		zone: 'z',
+		ip,
+		listen: {front: `${ip}:${edgePorts.front}`, 'ready-addr': `${ip}:${edgePorts.ready}`, control: `${ip}:${edgePorts.control}`},
+		'port-range': [edgePorts.peer, edgePorts.peer + 10],
+		seeds,
+		bootstrap: isFirstStart,
+		'bears-loss': isCore,
+		'data-dir': isCore ? dataFolder : undefined,
+		'heartbeat-ms': reportIntervalMs,
+		'fault-tolerance': {machines: 1},
+		bounds: {
+			'retry-budget-ratio': bounds.ratio, 'retry-budget-slack': bounds.slack, 'budget-window-s': bounds.windowMs / msPerSecond, 'grace-s': graceMs / msPerSecond, 'lease-ms': leaseMs,
+		},
+	}));
+}
--- /dev/null
+++ b/tools/soak/src/expected-body.ts
@@ -0,0 +1,23 @@
+/** The answers of the soak's servers. They follow from the request alone, so that the checks can tell a foreign or damaged one. */
+import {createHash} from 'node:crypto';
+
+const fillerBytes = 200;
+const stampCharacters = 20;
+
+export function createPlainBody(requestId: string, path: string): string {
+	return `${requestId} ${path} ${'.'.repeat(fillerBytes)} ${requestId}`;
+}
+
+/** Returns event `number` of a stream of `count` events. */
+export function createEvent(requestId: string, number: number, count: number): string {
+	return `id: ${number}\ndata: ${requestId} ${number}/${count}\n\n`;
+}
+
+/** Number of events of the stream at this path: its last part. */
+export function countEvents(path: string): number {
+	return Number(path.split('/').at(-1));
+}
+
+export function createStamp(requestId: string, path: string): string {
+	return createHash('sha256').update(`${requestId} ${path}`).digest('hex').slice(0, stampCharacters);
+}
--- /dev/null
+++ b/tools/soak/src/managed-process.ts
@@ -0,0 +1,66 @@
+/** A process of the soak that can be started again. Its output goes to a log; only processes started here are signalled. */
+import {spawn, type ChildProcess} from 'node:child_process';
+import {open} from 'node:fs/promises';
+import process from 'node:process';
+
+export type ManagedProcessOptions = {
+	name: string;
+	logPath: string;
+	/** Arguments of Node.js, read at each start. */
+	createArgs: () => string[];
+	env?: Record<string, string>;
+	/** Called when the process ends that nobody has stopped. */
+	onEnded?: (code: number | null) => void;
+};
+
+export class ManagedProcess {
+	readonly #opts: ManagedProcessOptions;
+	#child: ChildProcess | undefined;
+	#isEndExpected = false;
+
+	constructor(opts: ManagedProcessOptions) {
+		this.#opts = opts;
+	}
+
+	get name(): string {
+		return this.#opts.name;
+	}
+
+	get isRunning(): boolean {
+		return this.#child !== undefined;
+	}
+
+	async start(): Promise<void> {
+		const log = await open(this.#opts.logPath, 'a');
+		const child = spawn(process.execPath, this.#opts.createArgs(), {stdio: ['ignore', log.fd, log.fd], env: {...process.env, ...this.#opts.env}});
+		await log.close();
+		this.#child = child;
+		this.#isEndExpected = false;
+		child.once('exit', code => {
+			this.#child = undefined;
+			if (!this.#isEndExpected) {
+				this.#opts.onEnded?.(code);
+			}
+		});
+	}
+
+	signal(name: 'SIGTERM' | 'SIGKILL' | 'SIGSTOP' | 'SIGCONT'): void {
+		this.#isEndExpected ||= name === 'SIGTERM' || name === 'SIGKILL';
+		this.#child?.kill(name);
+	}
+
+	async waitForEnd(): Promise<void> {
+		const child = this.#child;
+		if (child) {
+			await new Promise(resolve => {
+				child.once('exit', resolve);
+			});
+		}
+	}
+
+	async kill(): Promise<void> {
+		const ended = this.waitForEnd();
+		this.signal('SIGKILL');
+		await ended;
+	}
+}
--- /dev/null
+++ b/tools/soak/src/records.ts
@@ -0,0 +1,102 @@
+/** What callers, servers and the operator record; the checks compare nothing else. Times are wall times of one machine. */
+
+export type RouteKind = 'idempotent' | 'non_idempotent' | 'streaming';
+
+export type SoakRoute = {
+	name: string;
+	kind: RouteKind;
+	service: string;
+	isResumable: boolean;
+	maxServers: number;
+};
+
+/** One attempt of a caller, with its own request id. */
+export type CallerRecord = {
+	requestId: string;
+	caller: number;
+	edge: string;
+	route: string;
+	path: string;
+	sentAt: number;
+	endedAt: number;
+	/** `closed`: the connection ended first, `late`: no answer in time, `invalid`: the bytes were no HTTP message. */
+	end: 'answered' | 'closed' | 'late' | 'invalid';
+	/** Status, headers and body of the answer, or of the part that arrived. */
+	status?: number;
+	stamp?: string;
+	answerId?: string;
+	body: string;
+	/** The event after which the caller asked the stream to go on. */
+	lastEventId: number;
+	/** Answers on the same connection while no request was waiting for one. */
+	extraAnswers: number;
+};
+
+/** A request that reached a server; `number` counts those of one start of the server. */
+export type ArrivalRecord = {
+	type: 'arrival';
+	at: number;
+	server: string;
+	startedAt: number;
+	number: number;
+	service: string;
+	requestId: string;
+	isPrefill: boolean;
+};
+
+/** What a server did with an arrival; a request that waited when its server crashed has none. */
+export type FateRecord = {
+	type: 'fate';
+	at: number;
+	server: string;
+	startedAt: number;
+	number: number;
+	requestId: string;
+	/** True once the server works on the request; a call that only prefills does not count. */
+	hasRun: boolean;
+	/** The run goes on from the copy that another server made of the same run. */
+	isSameRun?: boolean;
+	/** What the server sent, or how it misbehaved. */
+	answer: string;
+	status?: number;
+	stamp?: string;
+	handle?: string;
+	/** The request whose prefill or run made the handle. */
+	handleOwner?: string;
+};
+
+export type ServerRecord = ArrivalRecord | FateRecord;
+
+export type OperatorRecord = {
+	version: number;
+	document: unknown;
+	isAcknowledged: boolean;
+};
+
+/** The configuration that an edge returned at the end. */
+export type ReadBack = {
+	edge: string;
+	document?: {version: number};
+};
+
+export type RetryBounds = {
+	ratio: number;
+	slack: number;
+	windowMs: number;
+};
+
+export type SoakRecords = {
+	routes: readonly SoakRoute[];
+	callers: readonly CallerRecord[];
+	arrivals: readonly ArrivalRecord[];
+	fates: readonly FateRecord[];
+	operator: readonly OperatorRecord[];
+	readBacks: readonly ReadBack[];
+	bounds: RetryBounds;
+};
+
+export type RuleCase = {
+	rule: 'MIXED' | 'REFUSED' | 'TWICE' | 'BUDGET' | 'ORDER' | 'LOST';
+	requestId?: string;
+	detail: string;
+};
--- /dev/null
+++ b/tools/soak/test/checks-can-fail.test.ts
@@ -0,0 +1,134 @@
+/** Each check reports the violation that is planted in otherwise correct records. */
+import {expect} from 'chai';
+import {checkAnswers} from '../src/check-answers.js';
+import {checkBudget} from '../src/check-budget.js';
+import {checkConfiguration} from '../src/check-configuration.js';
+import {createEvent, createPlainBody, createStamp} from '../src/expected-body.js';
+import type {
+	ArrivalRecord, CallerRecord, FateRecord, RouteKind, SoakRecords, SoakRoute,
+} from '../src/records.js';
+
+const createRoute = (name: string, kind: RouteKind, isResumable = false): SoakRoute => ({
+	name, kind, isResumable, service: 'service', maxServers: 2,
+});
+const routes = [createRoute('once', 'non_idempotent'), createRoute('again', 'idempotent'), createRoute('tell', 'streaming'), createRoute('talk', 'streaming', true)];
+const bounds = {ratio: 0.1, slack: 2, windowMs: 1000};
+const requestId = 'r1';
+
+const createEvents = (from: number, to: number, count: number, id = requestId) => Array.from({length: to - from + 1}, (_, index) => createEvent(id, from + index, count)).join('');
+
+function createCaller(route: string, changes: Partial<CallerRecord> = {}): CallerRecord {
+	const path = route === 'tell' || route === 'talk' ? `/${route}/1/4` : `/${route}/1`;
+	return {
+		requestId, caller: 0, edge: 'edge-1', route, path, sentAt: 10, endedAt: 20, end: 'answered', status: 200, stamp: createStamp(requestId, path), answerId: requestId, body: path.endsWith('/4') ? createEvents(1, 4, 4) : createPlainBody(requestId, path), lastEventId: 0, extraAnswers: 0, ...changes,
+	};
+}
+
+const createFate = (path: string, changes: Partial<FateRecord> = {}): FateRecord => ({
+	type: 'fate', at: 15, server: 's1', startedAt: 1, number: 1, requestId, hasRun: true, answer: 'answered', status: 200, stamp: createStamp(requestId, path), ...changes,
+});
+
+const createArrival = (number: number, changes: Partial<ArrivalRecord> = {}): ArrivalRecord => ({
+	type: 'arrival', at: 10 + number, server: 's1', startedAt: 1, number, service: 'service', requestId, isPrefill: false, ...changes,
+});
+
+const createRecords = (changes: Partial<SoakRecords>): SoakRecords => ({
+	routes, bounds, callers: [], arrivals: [], fates: [], operator: [], readBacks: [], ...changes,
+});
+
+const listRules = (caller: CallerRecord, fates: FateRecord[] = [createFate(caller.path)]) => checkAnswers(createRecords({callers: [caller], fates})).map(({rule}) => rule);
+
+describe('checks of the soak', () => {
+	// A check that reports correct records as violations would hide real ones.
+	it('reports nothing for correct answers', () => {
+		for (const route of ['once', 'again', 'tell', 'talk']) {
+			expect(listRules(createCaller(route))).to.deep.equal([]);
+		}
+
+		expect(listRules(createCaller('talk', {lastEventId: 2, body: createEvents(3, 4, 4)}))).to.deep.equal([]);
+		expect(listRules(createCaller('tell', {end: 'closed', body: createEvents(1, 2, 4)}))).to.deep.equal([]);
+		expect(listRules(createCaller('once', {
+			status: 502, stamp: undefined, answerId: undefined, body: '',
+		}))).to.deep.equal([]);
+		expect(listRules(createCaller('once', {
+			status: 503, stamp: undefined, answerId: undefined, body: '',
+		}), [createFate('', {hasRun: false, answer: 'refused', status: 503})])).to.deep.equal([]);
+	});
+
+	// MIXED: an answer of another request, a damaged one, or one that no server gave.
+	it('reports answers that are not the own and whole one of a server', () => {
+		expect(listRules(createCaller('once', {answerId: 'r2'}))).to.deep.equal(['MIXED']);
+		expect(listRules(createCaller('once', {body: createPlainBody('r2', '/once/1')}))).to.deep.equal(['MIXED']);
+		expect(listRules(createCaller('once', {body: createPlainBody(requestId, '/once/1').slice(0, -1)}))).to.deep.equal(['MIXED']);
+		expect(listRules(createCaller('once', {stamp: undefined}))).to.deep.equal(['MIXED']);
+		expect(listRules(createCaller('once', {stamp: createStamp('r2', '/once/1')}))).to.deep.equal(['MIXED']);
+		expect(listRules(createCaller('once'), [])).to.deep.equal(['MIXED']);
+		expect(listRules(createCaller('once', {status: 500}))).to.deep.equal(['MIXED']);
+		expect(listRules(createCaller('once', {extraAnswers: 1}))).to.deep.equal(['MIXED']);
+		expect(listRules(createCaller('once', {end: 'invalid', status: undefined}))).to.deep.equal(['MIXED']);
+		expect(listRules(createCaller('tell', {body: createEvents(1, 4, 4, 'r2')}))).to.deep.equal(['MIXED']);
+	});
+
+	// MIXED: a stream went on from the KV cache of another request.
+	it('reports a run from a foreign handle', () => {
+		const fate = createFate('/tell/1/4', {handle: 'kv-1', handleOwner: 'r2'});
+		expect(listRules(createCaller('tell'), [fate])).to.deep.equal(['MIXED']);
+		expect(listRules(createCaller('tell'), [{...fate, handleOwner: requestId}])).to.deep.equal([]);
+		expect(listRules(createCaller('tell'), [createFate('/tell/1/4'), {...fate, hasRun: false}])).to.deep.equal([]);
+	});
+
+	// REFUSED: a promise that the request has not run, for one that ran, also after the answer.
+	it('reports untrue refusals of requests that must not be repeated', () => {
+		for (const status of [408, 421, 429, 503]) {
+			const refused = {
+				status, stamp: undefined, answerId: undefined, body: '',
+			};
+			expect(listRules(createCaller('once', refused))).to.deep.equal(['REFUSED']);
+			expect(listRules(createCaller('tell', refused), [createFate('/tell/1/4', {at: 900})])).to.deep.equal(['REFUSED']);
+			expect(listRules(createCaller('again', refused))).to.deep.equal([]);
+			expect(listRules(createCaller('talk', refused))).to.deep.equal([]);
+		}
+	});
+
+	// TWICE: two servers ran a request that must not be repeated.
+	it('reports a second run', () => {
+		const fates = (path: string) => [createFate(path), createFate(path, {server: 's2'})];
+		expect(listRules(createCaller('once'), fates('/once/1'))).to.deep.equal(['TWICE']);
+		expect(listRules(createCaller('tell', {end: 'closed', body: ''}), fates('/tell/1/4'))).to.deep.equal(['TWICE']);
+		expect(listRules(createCaller('again'), fates('/again/1'))).to.deep.equal([]);
+		expect(listRules(createCaller('tell'), [createFate('/tell/1/4'), createFate('/tell/1/4', {server: 's2', isSameRun: true})])).to.deep.equal([]);
+	});
+
+	// ORDER: a lost, repeated or missing last event.
+	it('reports streams with gaps, repeats or an early end', () => {
+		expect(listRules(createCaller('talk', {body: createEvents(1, 3, 4)}))).to.deep.equal(['ORDER']);
+		expect(listRules(createCaller('talk', {body: createEvents(1, 2, 4) + createEvents(4, 4, 4)}))).to.deep.equal(['ORDER']);
+		expect(listRules(createCaller('talk', {end: 'closed', body: createEvents(1, 2, 4) + createEvents(2, 3, 4)}))).to.deep.equal(['ORDER']);
+		expect(listRules(createCaller('talk', {lastEventId: 2, body: createEvents(2, 4, 4)}))).to.deep.equal(['ORDER']);
+	});
+
+	// BUDGET: one arrival too many in a window that no whole second shows.
+	it('reports extra arrivals beyond ratio and slack in a sliding window', () => {
+		const callers = Array.from({length: 10}, (_, index) => createCaller('again', {requestId: `q${index}`, sentAt: 600}));
+		const listBudget = (arrivals: ArrivalRecord[], fates: FateRecord[] = []) => checkBudget(createRecords({callers, arrivals, fates})).map(({rule}) => rule);
+		const repeats = [600, 1400, 1450, 1500].map((at, index) => createArrival(index, {at}));
+		expect(listBudget(repeats)).to.deep.equal([]);
+		expect(listBudget([...repeats, createArrival(4, {at: 1550})])).to.deep.equal(['BUDGET']);
+		expect(listBudget([...repeats, createArrival(4, {at: 2500})])).to.deep.equal([]);
+		const prefills = repeats.map(arrival => ({...arrival, isPrefill: true}));
+		expect(listBudget(prefills)).to.deep.equal([]);
+		expect(listBudget(prefills, [createFate('', {number: 0, answer: 'refused', hasRun: false})])).to.deep.equal([]);
+		expect(listBudget(prefills, prefills.map(({number}) => createFate('', {number, answer: 'refused', hasRun: false})))).to.deep.equal(['BUDGET']);
+	});
+
+	// LOST: an edge that is back without the acknowledged configuration.
+	it('reports acknowledged configurations that are not read back', () => {
+		const operator = [1, 4, 6].map(version => ({version, document: {version}, isAcknowledged: version < 6}));
+		const listLost = (document?: {version: number}) => checkConfiguration(createRecords({operator, readBacks: [{edge: 'edge-1', document}]})).map(({rule}) => rule);
+		expect(listLost({version: 4})).to.deep.equal([]);
+		expect(listLost({version: 6})).to.deep.equal([]);
+		expect(listLost({version: 1})).to.deep.equal(['LOST']);
+		expect(listLost({version: 5})).to.deep.equal(['LOST']);
+		expect(listLost()).to.deep.equal(['LOST']);
+	});
+});
