fix(stand-ins): relay passes one direction while it holds the other

A chunk of the direction that passes released the held chunks, which were held again, which released them, until the call stack was exceeded. Each direction now has a queue of its own. Chunks behind a delay that had ended overtook the delayed ones; they now wait for them. The test of the first failed before with the recursion, that of the second by its timeout (bytes arrived out of order). A stop closes connections instead of resetting them, as the end of a process does, and a reset leaves out sockets that are ending, whose handle Node.js leaks (a soak kept a core busy after its end).

--- a/stand-ins/src/relay.ts
+++ b/stand-ins/src/relay.ts
@@ -25,12 +25,17 @@
 
 export const passThroughRule: RelayRule = {forward: 'pass', back: 'pass', delayMs: 0};
 
+type Direction = 'forward' | 'back';
+
 type RelayedConnection = {
 	source: string;
 	callerSocket: Socket;
 	listenerSocket: Socket;
 	isDeliveryStopped: boolean;
-	held: Array<() => void>;
+	/** Bytes of each direction that are held until its rule changes. */
+	held: Record<Direction, Buffer[]>;
+	/** Bytes of each direction that wait for their delay, in order. */
+	delayed: Record<Direction, Buffer[]>;
 };
 
 export class Relay {
@@ -67,8 +72,10 @@
 	/** Applies the current rule to the held bytes: forwards them, discards them or keeps them held. */
 	release(): void {
 		for (const connection of this.#connections) {
-			for (const deliver of connection.held.splice(0)) {
-				deliver();
+			for (const direction of ['forward', 'back'] as const) {
+				for (const chunk of connection.held[direction].splice(0)) {
+					this.#forward(connection, direction, chunk);
+				}
 			}
 		}
 	}
@@ -82,24 +89,33 @@
 
 	resetConnections(): void {
 		for (const {callerSocket, listenerSocket} of this.#connections) {
-			callerSocket.resetAndDestroy();
-			listenerSocket.resetAndDestroy();
+			resetSocket(callerSocket);
+			resetSocket(listenerSocket);
 		}
 	}
 
+	/** Stops listening and closes the connections, as the end of a process does. */
 	async stop(): Promise<void> {
-		this.resetConnections();
-		await new Promise<void>(resolve => {
-			this.#server?.close(() => {
-				resolve();
+		for (const {callerSocket, listenerSocket} of this.#connections) {
+			callerSocket.destroy();
+			listenerSocket.destroy();
+		}
+
+		const server = this.#server;
+		this.#server = undefined;
+		if (server) {
+			await new Promise<void>(resolve => {
+				server.close(() => {
+					resolve();
+				});
 			});
-		});
+		}
 	}
 
 	#accept(callerSocket: Socket): void {
 		const listenerSocket = connect(this.#target);
 		const connection: RelayedConnection = {
-			source: callerSocket.remoteAddress ?? '', callerSocket, listenerSocket, isDeliveryStopped: false, held: [],
+			source: callerSocket.remoteAddress ?? '', callerSocket, listenerSocket, isDeliveryStopped: false, held: {forward: [], back: []}, delayed: {forward: [], back: []},
 		};
 		this.#connections.add(connection);
 		callerSocket.on('data', chunk => {
@@ -112,37 +128,35 @@
 		this.#forwardClose(connection, listenerSocket, callerSocket);
 	}
 
-	#forward(connection: RelayedConnection, direction: 'forward' | 'back', chunk: Buffer): void {
+	#forward(connection: RelayedConnection, direction: Direction, chunk: Buffer): void {
 		const rule = this.#findRule(connection.source);
 		if (connection.isDeliveryStopped || rule[direction] === 'drop') {
 			return;
 		}
 
-		const deliver = () => {
-			this.#forward(connection, direction, chunk);
-		};
-
-		// A chunk of a direction that passes is queued behind the held chunks.
-		if (rule[direction] === 'hold' || connection.held.length > 0) {
-			this.#enqueueDelivery(connection, rule[direction] === 'hold', deliver);
+		const held = connection.held[direction];
+		if (rule[direction] === 'hold') {
+			held.push(chunk);
 			return;
 		}
 
-		const target = direction === 'forward' ? connection.listenerSocket : connection.callerSocket;
-		if (rule.delayMs > 0) {
-			setTimeout(() => {
-				target.write(chunk);
-			}, rule.delayMs);
-		} else {
-			target.write(chunk);
+		for (const next of [...held.splice(0), chunk]) {
+			this.#deliver(connection, direction, {chunk: next, delayMs: rule.delayMs});
 		}
 	}
 
-	#enqueueDelivery(connection: RelayedConnection, isDirectionHeld: boolean, deliver: () => void): void {
-		connection.held.push(deliver);
-		if (!isDirectionHeld) {
-			this.release();
+	/** Writes a chunk after its delay, behind the chunks that wait for theirs. */
+	#deliver(connection: RelayedConnection, direction: Direction, {chunk, delayMs}: {chunk: Buffer; delayMs: number}): void {
+		const delayed = connection.delayed[direction];
+		if (delayMs === 0 && delayed.length === 0) {
+			getTarget(connection, direction).write(chunk);
+			return;
 		}
+
+		delayed.push(chunk);
+		setTimeout(() => {
+			writeDelayed(connection, direction, delayed.indexOf(chunk) + 1);
+		}, delayMs);
 	}
 
 	/** Forwards a close to the other socket, unless its delivery is stopped or a direction does not pass. */
@@ -152,7 +166,9 @@
 			const rule = this.#findRule(connection.source);
 			const isForwarded = !connection.isDeliveryStopped && rule.forward === 'pass' && rule.back === 'pass';
 			if (isForwarded) {
-				to.destroy();
+				const direction = to === connection.listenerSocket ? 'forward' : 'back';
+				writeDelayed(connection, direction, connection.delayed[direction].length);
+				to.destroySoon();
 			}
 
 			if (from.destroyed && to.destroyed) {
@@ -161,3 +177,23 @@
 		});
 	}
 }
+
+function getTarget({callerSocket, listenerSocket}: RelayedConnection, direction: Direction): Socket {
+	return direction === 'forward' ? listenerSocket : callerSocket;
+}
+
+/** Node.js leaks the handle of a socket that is reset while it ends. */
+function resetSocket(socket: Socket): void {
+	if (socket.writableEnded) {
+		socket.destroy();
+	} else {
+		socket.resetAndDestroy();
+	}
+}
+
+/** Writes the first chunks of those that wait for their delay. */
+function writeDelayed(connection: RelayedConnection, direction: Direction, count: number): void {
+	for (const chunk of connection.delayed[direction].splice(0, count)) {
+		getTarget(connection, direction).write(chunk);
+	}
+}
