feat(soak): signals, restarts and relays on a seeded schedule

Edges are stopped, killed one by one or all of the core at once, paused, and started again on the same data; links between edges and to servers are delayed, cut, silenced in one direction, reset or left dead for open connections. Faults come in series and overlap; the schedule follows from the seed and is kept with the records. A module loaded into the edges sends their connections to each other through the relays, so the programs run unchanged.

--- a/tools/soak/src/edge-process.ts
+++ b/tools/soak/src/edge-process.ts
@@ -2,6 +2,7 @@
 import {mkdirSync, writeFileSync} from 'node:fs';
 import path from 'node:path';
 import {fileURLToPath} from 'node:url';
+import {redirectVariable, type RedirectOptions} from './connection-redirect.js';
 import type {RetryBounds} from './records.js';
 import {ManagedProcess} from './managed-process.js';
 
@@ -15,6 +16,10 @@
 	seeds: readonly string[];
 	bounds: RetryBounds;
 	reportIntervalMs: number;
+	redirect: RedirectOptions;
+	onStarted: () => void;
+	/** Called at each end; `isExpected` is true after a signal that ends the process. */
+	onEnded: (isExpected: boolean) => void;
 };
 
 export const edgePorts = {
@@ -23,6 +28,7 @@
 export const graceMs = 6000;
 const leaseMs = 2000;
 const msPerSecond = 1000;
+const redirectUrl = new URL('connection-redirect.js', import.meta.url).href;
 const mainPath = fileURLToPath(import.meta.resolve('@hickorytrack/platform'));
 
 export class EdgeProcess extends ManagedProcess {
@@ -35,11 +41,13 @@
 		super({
 			name: opts.name,
 			logPath: path.join(opts.folder, `${opts.name}.log`),
-			env: {HICKORYTRACK_BOOT: settingsPath},
+			env: {HICKORYTRACK_BOOT: settingsPath, [redirectVariable]: JSON.stringify(opts.redirect)},
+			onStarted: opts.onStarted,
+			onEnded: opts.onEnded,
 			createArgs() {
 				writeSettings(settingsPath, opts, starts === 0);
 				starts++;
-				return [mainPath];
+				return ['--import', redirectUrl, mainPath];
 			},
 		});
 		this.ip = opts.ip;
--- a/tools/soak/src/faults.ts
+++ b/tools/soak/src/faults.ts
@@ -1,4 +1,6 @@
 /** Names of the faults that a run can enable. */
+import {outsideFaults, type OutsideFault} from './fault-schedule.js';
 import {serverFaultRates} from './server-faults.js';
 
-export const allFaults: readonly string[] = [...Object.keys(serverFaultRates), 'stutter', 'idle-close'];
+export const allOutsideFaults: readonly OutsideFault[] = Object.values(outsideFaults);
+export const allFaults: readonly string[] = [...Object.keys(serverFaultRates), 'stutter', 'idle-close', ...allOutsideFaults];
--- a/tools/soak/src/managed-process.ts
+++ b/tools/soak/src/managed-process.ts
@@ -9,8 +9,9 @@
 	/** Arguments of Node.js, read at each start. */
 	createArgs: () => string[];
 	env?: Record<string, string>;
-	/** Called when the process ends that nobody has stopped. */
-	onEnded?: (code: number | null) => void;
+	onStarted?: () => void;
+	/** Called at each end; `isExpected` is true after a signal that ends the process. */
+	onEnded?: (isExpected: boolean) => void;
 };
 
 export class ManagedProcess {
@@ -26,22 +27,17 @@
 		return this.#opts.name;
 	}
 
-	get isRunning(): boolean {
-		return this.#child !== undefined;
-	}
-
 	async start(): Promise<void> {
 		const log = await open(this.#opts.logPath, 'a');
 		const child = spawn(process.execPath, this.#opts.createArgs(), {stdio: ['ignore', log.fd, log.fd], env: {...process.env, ...this.#opts.env}});
 		await log.close();
 		this.#child = child;
 		this.#isEndExpected = false;
-		child.once('exit', code => {
+		child.once('exit', () => {
 			this.#child = undefined;
-			if (!this.#isEndExpected) {
-				this.#opts.onEnded?.(code);
-			}
+			this.#opts.onEnded?.(this.#isEndExpected);
 		});
+		this.#opts.onStarted?.();
 	}
 
 	signal(name: 'SIGTERM' | 'SIGKILL' | 'SIGSTOP' | 'SIGCONT'): void {
--- a/tools/soak/src/records.ts
+++ b/tools/soak/src/records.ts
@@ -96,7 +96,7 @@
 };
 
 export type RuleCase = {
-	rule: 'MIXED' | 'REFUSED' | 'TWICE' | 'BUDGET' | 'ORDER' | 'LOST';
+	rule: 'MIXED' | 'REFUSED' | 'TWICE' | 'BUDGET' | 'ORDER' | 'LOST' | 'ENDED';
 	requestId?: string;
 	detail: string;
 };
--- a/tools/soak/src/server-main.ts
+++ b/tools/soak/src/server-main.ts
@@ -4,7 +4,8 @@
 import {request} from 'undici';
 import {SystemClock} from '@hickorytrack/clock/system-clock';
 import {Random} from '@hickorytrack/random';
-import {SoakServer, type Stage} from './soak-server.js';
+import type {Stage} from './server-operations.js';
+import {SoakServer} from './soak-server.js';
 
 export type ServerProcessOptions = {
 	id: string;
--- a/tools/soak/src/soak-run.ts
+++ b/tools/soak/src/soak-run.ts
@@ -1,23 +1,24 @@
 /** One run of the soak: starts the processes, lets callers, operator and faults work, stops, and checks the records. */
-import {mkdirSync} from 'node:fs';
 import {setMaxListeners} from 'node:events';
+import {mkdirSync} from 'node:fs';
 import {readFile, readdir, writeFile} from 'node:fs/promises';
 import path from 'node:path';
-import {fileURLToPath} from 'node:url';
 import type {Clock} from '@hickorytrack/clock';
 import {Random} from '@hickorytrack/random';
-import {acquireAddressBlock, type AddressBlock} from './address-block.js';
+import {acquireAddressBlock} from './address-block.js';
 import {Caller} from './caller.js';
 import {checkAnswers} from './check-answers.js';
 import {checkBudget} from './check-budget.js';
 import {checkConfiguration} from './check-configuration.js';
-import {EdgeProcess, edgePorts} from './edge-process.js';
-import {ManagedProcess} from './managed-process.js';
+import {edgePorts} from './edge-process.js';
+import {FaultRunner} from './fault-runner.js';
+import {createSchedule} from './fault-schedule.js';
+import {allOutsideFaults} from './faults.js';
 import {Operator} from './operator.js';
 import type {
 	ArrivalRecord, CallerRecord, FateRecord, RuleCase, ServerRecord, SoakRecords, SoakRoute,
 } from './records.js';
-import type {ServerProcessOptions} from './server-main.js';
+import {SoakFleet} from './soak-fleet.js';
 
 export type SoakOptions = {
 	clock: Clock;
@@ -52,138 +53,90 @@
 	},
 ];
 const bounds = {ratio: 0.1, slack: 30, windowMs: 10_000};
-const reportIntervalMs = 500;
-const coreMembers = 3;
-const firstEdgeHost = 10;
-const firstServerHost = 100;
-const serverPort = 8080;
-const plainFraction = 0.4;
-const prefillFraction = 0.4;
-const maxRestartMs = 1500;
+/** A request that was refused may still run; the run waits this long before it stops the servers. */
 const settleMs = 4000;
 const seedRange = 2 ** 31;
-const serverMainPath = fileURLToPath(new URL('server-main.js', import.meta.url));
-
-export class SoakRun {
-	readonly #opts: SoakOptions;
-	readonly #random: Random;
-	readonly #edges: EdgeProcess[] = [];
-	readonly #servers: ManagedProcess[] = [];
-	readonly #callers: CallerRecord[] = [];
-	readonly #abortController = new AbortController();
-
-	constructor(opts: SoakOptions) {
-		this.#opts = opts;
-		this.#random = new Random(opts.seed);
-	}
 
-	async run(): Promise<SoakResult> {
-		mkdirSync(this.#opts.folder, {recursive: true});
-		const block = await acquireAddressBlock(this.#createRandom());
-		try {
-			this.#createEdges(block);
-			this.#createServers(block);
-			return await this.#runProcesses();
-		} finally {
-			await Promise.all([...this.#edges, ...this.#servers].map(async member => member.kill()));
-			block.release();
-		}
-	}
-
-	async #runProcesses(): Promise<SoakResult> {
-		const {clock, seconds} = this.#opts;
-		const {signal} = this.#abortController;
-		setMaxListeners(0, signal);
-		await Promise.all([...this.#edges, ...this.#servers].map(async member => member.start()));
-		const operator = new Operator({
-			clock, random: this.#createRandom(), host, routes, edges: this.#edges,
-		});
-		await operator.putNext(signal);
-		const edges = this.#edges.map(({name, ip}) => ({name, host: ip, port: edgePorts.front}));
-		const work = [operator.run(signal), ...Array.from({length: this.#opts.callers}, async (_, index) => new Caller({
-			index, clock, random: this.#createRandom(), host, routes, edges, record: record => {
-				this.#callers.push(record);
-			},
-		}).run(signal))];
-		await clock.sleep(seconds * 1000);
-		this.#abortController.abort();
-		await Promise.all(work);
-		// A request that was refused may still run.
-		await clock.sleep(settleMs);
-		const readBacks = await operator.readBack();
-		for (const server of this.#servers) {
-			server.signal('SIGTERM');
-		}
-
-		await Promise.all(this.#servers.map(async server => server.waitForEnd()));
-		const serverRecords = await this.#readServerRecords();
-		return this.#check({
-			routes, bounds, callers: this.#callers, operator: operator.records, readBacks, arrivals: serverRecords.filter((record): record is ArrivalRecord => record.type === 'arrival'), fates: serverRecords.filter((record): record is FateRecord => record.type === 'fate'),
-		});
+/** Runs the soak for one seed. */
+export async function runSoak(opts: SoakOptions): Promise<SoakResult> {
+	const {clock, seed, folder, edges, servers, faults} = opts;
+	mkdirSync(folder, {recursive: true});
+	const random = new Random(seed);
+	const block = await acquireAddressBlock(random);
+	const fleet = new SoakFleet({
+		clock, random: createRandom(random), block, edges, servers, faults, bounds, folder,
+	});
+	try {
+		const records = await runFleet(fleet, createRandom(random), opts);
+		const cases: RuleCase[] = [...checkAnswers(records), ...checkBudget(records), ...checkConfiguration(records), ...fleet.endedEdges.map(name => ({rule: 'ENDED', detail: `${name} ended by itself`} as const))];
+		await writeLines(path.join(folder, 'cases.jsonl'), cases);
+		return {cases, summary: createSummary(records)};
+	} finally {
+		await fleet.stop();
+		block.release();
 	}
+}
 
-	async #check(records: SoakRecords): Promise<SoakResult> {
-		const cases = [...checkAnswers(records), ...checkBudget(records), ...checkConfiguration(records)];
-		const count = (isCounted: (record: CallerRecord) => boolean) => records.callers.filter(record => isCounted(record)).length;
-		const summary = {
-			requests: records.callers.length,
-			served: count(({end, status}) => end === 'answered' && status === 200),
-			refused: count(({end, status}) => end === 'answered' && status === 503),
-			failed: count(({end, status}) => end !== 'answered' || (status !== 200 && status !== 503)),
-			arrivals: records.arrivals.length,
-			runs: records.fates.filter(fate => fate.hasRun).length,
-			configurations: records.operator.length,
-		};
-		const write = async (name: string, lines: readonly unknown[]) => writeFile(path.join(this.#opts.folder, name), lines.map(line => `${JSON.stringify(line)}\n`).join(''));
-		await write('callers.jsonl', records.callers);
-		await write('operator.jsonl', [...records.operator, ...records.readBacks]);
-		await write('cases.jsonl', cases);
-		return {cases, summary};
-	}
+async function runFleet(fleet: SoakFleet, random: Random, {clock, seconds, callers: callerCount, faults, folder}: SoakOptions): Promise<SoakRecords> {
+	const callers: CallerRecord[] = [];
+	const abortController = new AbortController();
+	const {signal} = abortController;
+	setMaxListeners(0, signal);
+	const schedule = createSchedule({
+		random: createRandom(random), seconds, kinds: allOutsideFaults.filter(kind => faults.includes(kind)), edges: fleet.edges.map(({name}) => name), servers: fleet.servers.map(({name}) => name),
+	});
+	await writeLines(path.join(folder, 'schedule.jsonl'), schedule);
+	await fleet.start();
+	const operator = new Operator({
+		clock, random: createRandom(random), host, routes, edges: fleet.edges,
+	});
+	await operator.putNext(signal);
+	const edges = fleet.edges.map(({name, ip}) => ({name, host: ip, port: edgePorts.front}));
+	const work = [operator.run(signal), ...Array.from({length: callerCount}, async (_, index) => new Caller({
+		index, clock, random: createRandom(random), host, routes, edges, record(record) {
+			callers.push(record);
+		},
+	}).run(signal))];
+	const faultsEnded = new FaultRunner({clock, ...fleet}).run(schedule);
+	await clock.sleep(seconds * 1000);
+	abortController.abort();
+	await Promise.all([...work, faultsEnded]);
+	await clock.sleep(settleMs);
+	const readBacks = await operator.readBack();
+	await fleet.stopServers();
+	const serverRecords = await readServerRecords(folder);
+	await writeLines(path.join(folder, 'callers.jsonl'), callers);
+	await writeLines(path.join(folder, 'operator.jsonl'), [...operator.records, ...readBacks]);
+	return {
+		routes, bounds, callers, operator: operator.records, readBacks, arrivals: serverRecords.filter((record): record is ArrivalRecord => record.type === 'arrival'), fates: serverRecords.filter((record): record is FateRecord => record.type === 'fate'),
+	};
+}
 
-	#createEdges(block: AddressBlock): void {
-		const ips = Array.from({length: this.#opts.edges}, (_, index) => block.getIp(firstEdgeHost + index));
-		const seeds = ips.slice(0, coreMembers).map(ip => `${ip}:${edgePorts.control}`);
-		for (const [index, ip] of ips.entries()) {
-			this.#edges.push(new EdgeProcess({
-				name: `edge-${index + 1}`, ip, folder: this.#opts.folder, isCore: index < coreMembers, seeds, bounds, reportIntervalMs,
-			}));
-		}
-	}
+function createSummary(records: SoakRecords): Record<string, number> {
+	const count = (isCounted: (record: CallerRecord) => boolean) => records.callers.filter(record => isCounted(record)).length;
+	return {
+		requests: records.callers.length,
+		served: count(({end, status}) => end === 'answered' && status === 200),
+		refused: count(({end, status}) => end === 'answered' && status === 503),
+		failed: count(({end, status}) => end !== 'answered' || (status !== 200 && status !== 503)),
+		arrivals: records.arrivals.length,
+		runs: records.fates.filter(fate => fate.hasRun).length,
+		configurations: records.operator.filter(record => record.isAcknowledged).length,
+	};
+}
 
-	/** Two fifths of the servers are plain, and two fifths of the others prefill. */
-	#createServers(block: AddressBlock): void {
-		const {servers, folder, faults, clock} = this.#opts;
-		const plainServers = Math.floor(servers * plainFraction);
-		const prefillServers = Math.ceil((servers - plainServers) * prefillFraction);
-		for (let index = 0; index < servers; index++) {
-			const id = `s${index + 1}`;
-			const ip = block.getIp(firstServerHost + index);
-			const modelStage = index < plainServers + prefillServers ? 'prefill' : 'decode';
-			const random = this.#createRandom();
-			const server: ManagedProcess = new ManagedProcess({
-				name: id,
-				logPath: path.join(folder, `${id}.log`),
-				createArgs: () => [serverMainPath, JSON.stringify({
-					id, service: index < plainServers ? 'plain' : 'model', stage: index < plainServers ? undefined : modelStage, listen: {host: ip, port: serverPort}, address: `${ip}:${serverPort}`, faults: [...faults], seed: random.nextInteger(seedRange), recordPath: path.join(folder, `${id}.jsonl`), controls: this.#edges.map(edge => edge.controlAddress), reportIntervalMs,
-				} satisfies ServerProcessOptions)],
-				onEnded: () => {
-					void clock.sleep(random.nextBetween(0, maxRestartMs), this.#abortController.signal).then(async () => server.start());
-				},
-			});
-			this.#servers.push(server);
-		}
-	}
+async function readServerRecords(folder: string): Promise<ServerRecord[]> {
+	const names = await readdir(folder);
+	const files = names.filter(name => /^s\d+\.jsonl$/.test(name));
+	const texts = await Promise.all(files.map(async file => readFile(path.join(folder, file), 'utf8')));
+	return texts.flatMap(text => text.split('\n').filter(line => line !== '').map(line => JSON.parse(line) as ServerRecord));
+}
 
-	async #readServerRecords(): Promise<ServerRecord[]> {
-		const {folder} = this.#opts;
-		const names = await readdir(folder);
-		const files = names.filter(name => /^s\d+\.jsonl$/.test(name));
-		const texts = await Promise.all(files.map(async file => readFile(path.join(folder, file), 'utf8')));
-		return texts.flatMap(text => text.split('\n').filter(line => line !== '').map(line => JSON.parse(line) as ServerRecord));
-	}
+async function writeLines(file: string, lines: readonly unknown[]): Promise<void> {
+	await writeFile(file, lines.map(line => `${JSON.stringify(line)}\n`).join(''));
+}
 
-	#createRandom(): Random {
-		return new Random(this.#random.nextInteger(seedRange));
-	}
+/** Creates a generator of its own for a part of the run, so that the parts do not disturb each other's sequences. */
+function createRandom(random: Random): Random {
+	return new Random(random.nextInteger(seedRange));
 }
--- a/tools/soak/src/soak-server.ts
+++ b/tools/soak/src/soak-server.ts
@@ -3,7 +3,6 @@
  * arrival and what became of it, and misbehaves with seeded probabilities.
  */
 import {createServer, type Server} from 'node:net';
-import {request as sendRequest} from 'undici';
 import type {Clock} from '@hickorytrack/clock';
 import type {Random} from '@hickorytrack/random';
 import {
@@ -12,11 +11,10 @@
 import {formatChunk, formatMessage, type HttpMessage} from './http-message-reader.js';
 import type {FateRecord, ServerRecord} from './records.js';
 import {ServerChannel} from './server-channel.js';
+import {ServerOperations, type Stage} from './server-operations.js';
 import {selectFault, stutterRate, type ServerFault} from './server-faults.js';
 import {WorkSlots} from './work-slots.js';
 
-export type Stage = 'prefill' | 'decode';
-
 export type SoakServerOptions = {
 	id: string;
 	startedAt: number;
@@ -40,8 +38,6 @@
 	deadlineAt: number;
 };
 
-type StoredKv = {owner: string; eventsMade: number};
-
 const slots = 8;
 const maxWaiting = 6;
 const maxWorkMs = 10;
@@ -52,7 +48,6 @@
 const maxQueueMs = 250;
 const minIdleMs = 300;
 const maxIdleMs = 3000;
-const transferTimeoutMs = 500;
 const closeRate = 0.02;
 const msPerSecond = 1000;
 
@@ -60,18 +55,14 @@
 	readonly #opts: SoakServerOptions;
 	readonly #slots: WorkSlots;
 	readonly #server: Server;
-	/** KV caches that may be taken: of prefills by their handle, and copies of runs by the request's id. */
-	readonly #stored = new Map<string, StoredKv>();
+	readonly #operations: ServerOperations;
 	readonly #channels = new Set<ServerChannel>();
-	#stage: Stage | undefined;
 	#prefills: Promise<void> = Promise.resolve();
-	#orders = 0;
-	#lastFence = 0;
 	#arrivals = 0;
 
 	constructor(opts: SoakServerOptions) {
 		this.#opts = opts;
-		this.#stage = opts.stage;
+		this.#operations = new ServerOperations(opts);
 		this.#slots = new WorkSlots({clock: opts.clock, slots, maxWaiting});
 		const {clock, random, faults} = opts;
 		this.#server = createServer(socket => {
@@ -104,14 +95,16 @@
 	describe(sequence: number): Record<string, unknown> {
 		const {service, address, startedAt} = this.#opts;
 		return {
-			service, address, zone: 'z', version: 'v1', slots, state: 'ready', 'cold-left-ms': 0, stage: this.#stage, seq: sequence, born: startedAt,
+			service, address, zone: 'z', version: 'v1', slots, state: 'ready', 'cold-left-ms': 0, stage: this.#operations.stage, seq: sequence, born: startedAt,
 		};
 	}
 
 	async #handle(channel: ServerChannel, message: HttpMessage): Promise<void> {
 		const [method, path] = message.startLine.split(' ') as [string, string];
 		if (path.startsWith('/api/') || path.startsWith('/soak/') || path === '/healthz') {
-			this.#handleOperation(channel, {message, method, path});
+			const {status, body} = this.#operations.handle({method, path, body: message.body.toString()});
+			channel.send(formatMessage(`HTTP/1.1 ${status} Status`, {'content-type': 'application/json', 'x-instance-id': this.#opts.id}, JSON.stringify(body)));
+			channel.finish();
 			return;
 		}
 
@@ -132,46 +125,9 @@
 		await this.#admit(channel, arrival);
 	}
 
-	/** Handles a call that is no request of a caller. */
-	#handleOperation(channel: ServerChannel, {message, method, path}: {message: HttpMessage; method: string; path: string}): void {
-		const name = path.split('/').at(-1)!;
-		if (path.startsWith('/api/kv-handle/') && method === 'DELETE') {
-			this.#stored.delete(name);
-			this.#sendJson(channel, 200, {});
-		} else if (path === '/api/report') {
-			this.#sendJson(channel, 200, {stage: this.#stage, busy: false, seq: this.#orders});
-		} else if (path === '/api/order') {
-			this.#sendJson(channel, this.#handleOrder(JSON.parse(message.body.toString()) as {stage: Stage; fence: number; precondition?: number}), {});
-		} else if (path.startsWith('/soak/take/')) {
-			const stored = this.#stored.get(name);
-			this.#stored.delete(name);
-			this.#sendJson(channel, stored ? 200 : 404, stored ?? {});
-		} else if (path.startsWith('/soak/copy/')) {
-			this.#stored.set(name, JSON.parse(message.body.toString()) as StoredKv);
-			this.#sendJson(channel, 200, {});
-		} else {
-			this.#sendJson(channel, path === '/healthz' ? 200 : 404, {});
-		}
-	}
-
-	#handleOrder({stage, fence, precondition}: {stage: Stage; fence: number; precondition?: number}): number {
-		if (fence < this.#lastFence) {
-			return 412;
-		}
-
-		if (precondition !== undefined && precondition !== this.#orders) {
-			return 409;
-		}
-
-		this.#lastFence = fence;
-		this.#orders++;
-		this.#stage = stage;
-		return 202;
-	}
-
 	/** A prefill server only prefills; a decode server only generates. */
 	#isForStage(message: HttpMessage): boolean {
-		return this.#stage === undefined || (this.#stage === 'prefill') === (message.headers['x-stage'] === 'prefill');
+		return this.#operations.stage === undefined || (this.#operations.stage === 'prefill') === (message.headers['x-stage'] === 'prefill');
 	}
 
 	async #admit(channel: ServerChannel, arrival: Arrival): Promise<void> {
@@ -212,7 +168,7 @@
 		const {startedAt} = this.#opts;
 		await this.#prefillPrompt(arrival, prefillMsPerToken);
 		const handle = `kv-${startedAt}-${arrival.number}`;
-		this.#stored.set(handle, {owner: arrival.requestId, eventsMade: 0});
+		this.#operations.addKv(handle, {owner: arrival.requestId});
 		this.#recordFate(arrival, {
 			hasRun: false, answer: fault ?? 'prefilled', status: 200, handle, handleOwner: arrival.requestId,
 		});
@@ -233,7 +189,7 @@
 	async #run(channel: ServerChannel, arrival: Arrival, fault: ServerFault | undefined): Promise<void> {
 		const {clock, random} = this.#opts;
 		const source = arrival.message.headers['x-kv-source'];
-		const kv = source === undefined ? undefined : await this.#fetchKv(source);
+		const kv = source === undefined ? undefined : await this.#operations.fetchKv(source);
 		if (source !== undefined && !kv) {
 			this.#refuse(channel, arrival, 503);
 			return;
@@ -245,12 +201,12 @@
 		this.#recordFate(arrival, {
 			hasRun: true, isSameRun, answer: fault ?? 'answered', status, stamp, handle: source, handleOwner: kv?.owner,
 		});
-		await (this.#stage === undefined ? clock.sleep(random.nextBetween(0, maxWorkMs)) : this.#prefillPrompt(arrival, kv ? 0 : prefillMsPerToken * decodeSlowdown));
+		await (this.#operations.stage === undefined ? clock.sleep(random.nextBetween(0, maxWorkMs)) : this.#prefillPrompt(arrival, kv ? 0 : prefillMsPerToken * decodeSlowdown));
 		if (this.#applyFault(channel, arrival, fault)) {
 			return;
 		}
 
-		if (this.#stage === undefined || status !== 200) {
+		if (this.#operations.stage === undefined || status !== 200) {
 			this.#send(channel, arrival, {status, headers: {'x-response-stamp': stamp}, body: createPlainBody(arrival.requestId, arrival.path)});
 			return;
 		}
@@ -258,26 +214,6 @@
 		await this.#sendEvents(channel, arrival, {stamp, isTruncated: fault === 'truncated'});
 	}
 
-	/** Takes a KV cache from this server or the one that made it. Like the users' servers, it does not check whose it is. */
-	async #fetchKv(source: string): Promise<StoredKv | undefined> {
-		const [address, name] = source.split('/') as [string, string];
-		if (address === this.#opts.address) {
-			const stored = this.#stored.get(name);
-			this.#stored.delete(name);
-			return stored;
-		}
-
-		try {
-			const response = await sendRequest(`http://${address}/soak/take/${name}`, {
-				method: 'POST', headersTimeout: transferTimeoutMs, bodyTimeout: transferTimeoutMs, reset: true,
-			});
-			const stored = await response.body.json() as StoredKv;
-			return response.statusCode === 200 ? stored : undefined;
-		} catch {
-			return undefined;
-		}
-	}
-
 	async #sendEvents(channel: ServerChannel, arrival: Arrival, {stamp, isTruncated}: {stamp: string; isTruncated: boolean}): Promise<void> {
 		const {clock, random} = this.#opts;
 		const {headers} = arrival.message;
@@ -296,7 +232,7 @@
 
 			channel.send(formatChunk(text));
 			if (headers['x-kv-backup'] !== undefined) {
-				void this.#copyKv(headers['x-kv-backup'], arrival.requestId, event);
+				void this.#operations.copyKv(headers['x-kv-backup'], arrival.requestId);
 			}
 
 			await clock.sleep(random.nextBetween(1, maxEventMs));
@@ -306,18 +242,6 @@
 		channel.finish();
 	}
 
-	/** Sends the run's memory to its backup server. */
-	async #copyKv(address: string, requestId: string, eventsMade: number): Promise<void> {
-		try {
-			const response = await sendRequest(`http://${address}/soak/copy/${requestId}`, {
-				method: 'POST', body: JSON.stringify({owner: requestId, eventsMade}), headersTimeout: transferTimeoutMs, bodyTimeout: transferTimeoutMs,
-			});
-			await response.body.dump();
-		} catch {
-			// The backup then has an older copy, or none.
-		}
-	}
-
 	/** Returns true if the request gets no regular answer. */
 	#applyFault(channel: ServerChannel, arrival: Arrival, fault: ServerFault | undefined): boolean {
 		switch (fault) {
@@ -343,7 +267,7 @@
 			}
 
 			case 'truncated': {
-				if (this.#stage !== undefined && arrival.message.headers['x-stage'] !== 'prefill') {
+				if (this.#operations.stage !== undefined && arrival.message.headers['x-stage'] !== 'prefill') {
 					return false;
 				}
 
@@ -369,11 +293,6 @@
 		}
 	}
 
-	#sendJson(channel: ServerChannel, status: number, body: unknown): void {
-		channel.send(formatMessage(`HTTP/1.1 ${status} Status`, {'content-type': 'application/json', 'x-instance-id': this.#opts.id}, JSON.stringify(body)));
-		channel.finish();
-	}
-
 	#recordFate(arrival: Arrival, fate: Pick<FateRecord, 'hasRun' | 'answer'> & Partial<FateRecord>): void {
 		const {clock, id, startedAt} = this.#opts;
 		this.#opts.record({
--- a/tools/soak/src/soak.ts
+++ b/tools/soak/src/soak.ts
@@ -10,7 +10,7 @@
 import {SystemClock} from '@hickorytrack/clock/system-clock';
 import {collectByKey} from './collect-by-key.js';
 import {allFaults} from './faults.js';
-import {SoakRun} from './soak-run.js';
+import {runSoak} from './soak-run.js';
 
 const shownCasesByRule = 5;
 const {values} = parseArgs({
@@ -28,9 +28,9 @@
 for (let seed = Number(values.seed); seed < Number(values.seed) + Number(values.seeds); seed++) {
 	const folder = path.join(values.folder, `seed-${seed}`);
 	await rm(folder, {recursive: true, force: true});
-	const {cases, summary} = await new SoakRun({
+	const {cases, summary} = await runSoak({
 		clock: new SystemClock(), seed, seconds: Number(values.seconds), edges: Number(values.edges), servers: Number(values.servers), callers: Number(values.callers), faults, folder,
-	}).run();
+	});
 	const casesByRule = collectByKey(cases, ({rule}) => rule);
 	const counts = Object.fromEntries([...casesByRule].map(([rule, list]) => [rule, list.length]));
 	console.log(JSON.stringify({
@@ -48,4 +48,4 @@
 	}
 }
 
-process.exitCode = failedSeeds > 0 ? 1 : 0;
+process.exit(failedSeeds > 0 ? 1 : 0); // eslint-disable-line unicorn/no-process-exit
