--- a/packages/plugins/edge/src/request-codec.ts
+++ b/packages/plugins/edge/src/request-codec.ts
@@ -4,6 +4,7 @@
  */
 import type {Buffer} from 'node:buffer';
 import type {ResponseHead} from '@hickorytrack/endpoint-client';
+import type {AnswerIdentity} from '@hickorytrack/endpoint-client/answer-identity';
 import type {KnownServer} from '@hickorytrack/endpoint-registry';
 import type {Prompt} from '@hickorytrack/prompt-placement/prompt';
 import type {OrderOutcome, ServerStageStatus, StageOrder} from '@hickorytrack/stage-control';
@@ -47,9 +48,10 @@
 
 /** Metadata of a server's response, decoded from its head. */
 export type ResponseMetadata = {
-	requestId?: string;
 	/** The server states that it did not and will not run the request. */
 	isNotExecuted: boolean;
+	/** Callers read the status as a promise that the request has not run, whatever the server states. */
+	isReadAsNotExecuted: boolean;
 	/** The head has the headers with which the server marks its own responses. */
 	isAuthentic: boolean;
 	retryAfterMs?: number;
@@ -67,6 +69,8 @@
 export type RequestCodec = {
 	decodeRequestHeaders(rawHeaders: readonly string[]): RequestMetadata;
 	encodeForwardHeaders(headers: readonly string[], metadata: ForwardMetadata): string[];
+	/** Creates the proof that an answer belongs to the request with this id. */
+	createAnswerIdentity(requestId: string): AnswerIdentity;
 	decodeResponseHead(head: ResponseHead): ResponseMetadata;
 	/** Decodes the response of a server that has prefilled a prompt. */
 	decodeKvHandle(address: string, body: string): KvHandle | undefined;
--- a/packages/routing/endpoint-client/src/server-connections.ts
+++ b/packages/routing/endpoint-client/src/server-connections.ts
@@ -3,7 +3,9 @@
  * first, which keeps the number of open connections low. A request that must not run twice uses only a connection that
  * has completed a response recently, or a new one: on a connection that was lost without a close it would be unknown
  * whether the request ran. Some servers drop idle connections without closing them and reset them at the next request.
- * From each such reset this class estimates how long connections to that server stay usable.
+ * From each such reset this class estimates how long connections to that server stay usable. A server that answers twice
+ * sends the second answer when the next request is already on its way; such a server gets each request on a new connection
+ * for a while.
  */
 import {buildConnector, Client} from 'undici';
 import type {Clock} from '@hickorytrack/clock';
@@ -14,6 +16,10 @@
 	lastResponseAt: number;
 	/** Idle time of the connection before its current request; undefined for its first request. */
 	idleMsBefore?: number;
+	/** Complete exchanges since the connection was opened. */
+	exchanges: number;
+	/** Id that the last answer on this connection bore. */
+	lastAnswerId?: string;
 	isBusy: boolean;
 	isClosed: boolean;
 	/** The server has reset the connection, so the last response on it may be incomplete. */
@@ -34,6 +40,8 @@
 const idleLimitTtlMs = 60_000;
 /** Idle connections are closed after this time unless the server specifies a shorter one. */
 const keepAliveTimeoutMs = 8000;
+/** Time after a late answer during which connections to that server carry one request each. */
+const lateAnswerTtlMs = 60_000;
 /** A reset after a shorter idle time is not attributed to the idle time. */
 const minIdleMs = 50;
 const maxHeaderBytes = 65_536;
@@ -43,17 +51,23 @@
 	readonly #byAddress = new Map<string, ServerConnection[]>();
 	/** Idle time up to which connections are reused, for each address with a recent reset after an idle period. */
 	readonly #idleLimits = new Map<string, {maxIdleMs: number; expiresAt: number}>();
+	/** Time until which connections carry one request each, for each address with a recent late answer. */
+	readonly #singleUseUntil = new Map<string, number>();
 
 	constructor(opts: ServerConnectionsOptions) {
 		this.#opts = opts;
 	}
 
-	/** Returns an idle connection, or a new one while there are fewer than `limit`; undefined when all are busy. */
-	acquire(address: string, opts: {limit: number; needsVerifiedConnection: boolean}): ServerConnection | undefined {
+	/**
+	 * Returns an idle connection, or a new one while there are fewer than `limit`; undefined when all are busy. A request whose
+	 * answer bears no id gets a new one, and so does one whose answer would bear the id of the last answer.
+	 */
+	acquire(address: string, opts: {limit: number; needsVerifiedConnection: boolean; answerId: string | undefined}): ServerConnection | undefined {
 		const connections = this.#byAddress.get(address) ?? [];
 		this.#byAddress.set(address, connections);
 		const maxIdleMs = Math.min(opts.needsVerifiedConnection ? verifiedMs : Number.POSITIVE_INFINITY, this.#getMaxIdleMs(address));
-		const idle = connections.findLast(connection => !connection.isBusy && this.#getIdleMs(connection) <= maxIdleMs);
+		const canReuse = opts.answerId !== undefined && !this.#isSingleUse(address);
+		const idle = canReuse ? connections.findLast(connection => !connection.isBusy && this.#getIdleMs(connection) <= maxIdleMs && connection.lastAnswerId !== opts.answerId) : undefined;
 		if (idle) {
 			idle.isBusy = true;
 			// A client that has seen its connection close opens a new one, which has not been idle.
@@ -72,8 +86,15 @@
 	}
 
 	/** Makes a connection available again after a complete response. */
-	release(connection: ServerConnection): void {
+	release(address: string, connection: ServerConnection, answerId: string): void {
+		if (this.#isSingleUse(address)) {
+			this.discard(address, connection);
+			return;
+		}
+
 		connection.lastResponseAt = this.#opts.clock.monotonic();
+		connection.exchanges++;
+		connection.lastAnswerId = answerId;
 		connection.isBusy = false;
 	}
 
@@ -89,6 +110,12 @@
 		return true;
 	}
 
+	/** Records that an answer to an earlier request, or bytes behind it, were read where the answer to the next one was due. */
+	recordLateAnswer(address: string): void {
+		this.#singleUseUntil.set(address, this.#opts.clock.monotonic() + lateAnswerTtlMs);
+		this.closeIdle(address);
+	}
+
 	/** Closes a connection whose state is unknown. */
 	discard(address: string, connection: ServerConnection): void {
 		connection.isClosed = true;
@@ -125,6 +152,16 @@
 		}
 	}
 
+	#isSingleUse(address: string): boolean {
+		const until = this.#singleUseUntil.get(address);
+		if (until !== undefined && until < this.#opts.clock.monotonic()) {
+			this.#singleUseUntil.delete(address);
+			return false;
+		}
+
+		return until !== undefined;
+	}
+
 	#getIdleMs(connection: ServerConnection): number {
 		return this.#opts.clock.monotonic() - connection.lastResponseAt;
 	}
@@ -179,11 +216,12 @@
 			},
 		});
 		const connection: ServerConnection = {
-			client, lastResponseAt: Number.NEGATIVE_INFINITY, isBusy: true, isClosed: false, isReset: false,
+			client, lastResponseAt: Number.NEGATIVE_INFINITY, exchanges: 0, isBusy: true, isClosed: false, isReset: false,
 		};
 		client.on('disconnect', () => {
 			// After an automatic reconnect, no response has been completed on the new connection.
 			connection.lastResponseAt = Number.NEGATIVE_INFINITY;
+			connection.exchanges = 0;
 		});
 		return connection;
 	}
