feat(edge): show what the retry budget held

A report of repeats beyond the budget named a server and a count; logs and metrics held nothing of the budget, so no hypothesis could be told from another. Added: event 1771 for each call that the budget did not allow, 1772 once a window when most of a share is used, both with requests, retries, share and number of instances; counters of retries and denied retries by service and kind; gauges of what is left and of the instances by which the allowance is divided. No change of what is allowed.

--- a/packages/core/events/src/event-catalogue.ts
+++ b/packages/core/events/src/event-catalogue.ts
@@ -203,6 +203,12 @@
 	streamMoved: {
 		number: 1758, level: 'warn', text: 'A stream was cut; mayGoOn says whether it continues at the server with a copy of its KV cache', action: 'Check the server that was lost.',
 	},
+	retryDenied: {
+		number: 1771, level: 'warn', text: 'A call to a server was not made because the retry budget of its service is used up', action: 'Search the failed attempts for its id; check the servers that reject or break requests.',
+	},
+	retryBudgetLow: {
+		number: 1772, level: 'warn', text: 'Most of the retry budget of a service is used up (at most one line per window)', action: 'Check the servers that reject or break requests.',
+	},
 	poisonRefused: {
 		number: 1756, level: 'warn', text: 'A request that crashed several servers was refused', action: 'Check the request.',
 	},
--- a/packages/core/metrics-registry/src/metrics-registry.ts
+++ b/packages/core/metrics-registry/src/metrics-registry.ts
@@ -25,6 +25,10 @@
 	members: {kind: 'gauge', help: 'Other instances with an open link.', labels: []},
 	servers: {kind: 'gauge', help: 'Usable servers by service.', labels: ['service']},
 	open_requests: {kind: 'gauge', help: 'Requests from callers in progress.', labels: []},
+	retries_total: {kind: 'counter', help: 'Calls to servers that count against the retry budget, by service and kind.', labels: ['service', 'kind']},
+	retries_denied_total: {kind: 'counter', help: 'Calls to servers that were not made because the retry budget was used up, by service and kind.', labels: ['service', 'kind']},
+	retry_budget_left: {kind: 'gauge', help: 'Retries that this instance may still make in the current window, by service.', labels: ['service']},
+	retry_budget_instances: {kind: 'gauge', help: 'Instances by which the allowance of the retry budget is divided.', labels: []},
 	log_lines_dropped_total: {kind: 'gauge', help: 'Event log lines dropped since the start to limit the log volume.', labels: []},
 } as const satisfies Record<string, MetricDefinition>;
 
--- a/packages/plugins/edge/src/buffered-forwarder.ts
+++ b/packages/plugins/edge/src/buffered-forwarder.ts
@@ -6,6 +6,7 @@
 import {requestKinds} from '@hickorytrack/route-table/route-types';
 import {attemptOutcomes, runAttempt, type AttemptResult} from './attempt.js';
 import {forwardResponse, sendProblem} from './responses.js';
+import {retryKinds} from './retry-budget.js';
 import {requestOutcomes, type CallerRequest, type RequestResult} from './caller-request.js';
 import {
 	createOutboundRequest, computeRemainingMs, defaultRetryAfterMs, type ForwardContext,
@@ -40,7 +41,7 @@
 			}
 
 			const isRetry = this.#servers.length > 0;
-			if (isRetry && !retryBudget.acquire(this.#request.service)) {
+			if (isRetry && !retryBudget.acquire(this.#request.service, {kind: retryKinds.run, requestId: this.#request.metadata.requestId})) {
 				return this.#fail('the retry budget is used up');
 			}
 
--- a/packages/plugins/edge/src/edge.ts
+++ b/packages/plugins/edge/src/edge.ts
@@ -241,8 +241,9 @@
 	}
 
 	#createContext(): ForwardContext {
-		const {clock, random, codec, events, settings} = this.#opts;
+		const {clock, random, codec, events, metrics, settings} = this.#opts;
 		const health = new ServerHealth(clock);
+		const eventLog = new RateLimitedEventLog(clock, events);
 		return {
 			clock,
 			random,
@@ -258,10 +259,10 @@
 				random, loadTracker: this.#loadTracker, cacheIndex: this.#cacheIndex, usage: this.#partUsage, profile: this.#profile, getKvCapacity: service => this.#getKvCapacity(service),
 			}),
 			retryBudget: new RetryBudget({
-				clock, ratio: settings.retryRatio, allowance: settings.retryAllowance, windowMs: settings.retryWindowMs, countInstances: () => this.#countEdges(),
+				clock, ratio: settings.retryRatio, allowance: settings.retryAllowance, windowMs: settings.retryWindowMs, countInstances: () => this.#countEdges(), eventLog, metrics,
 			}),
 			poisonRequests: new PoisonRequestTracker(clock),
-			eventLog: new RateLimitedEventLog(clock, events),
+			eventLog,
 			availabilityZone: settings.availabilityZone,
 			getConnectionLimit: service => this.#getConnectionLimit(service),
 			onConnectionLost: (request, server) => {
@@ -334,10 +335,13 @@
 		metrics.set('ready', this.isReady ? 1 : 0);
 		metrics.set('configuration_version', this.configuration.current?.version ?? 0);
 		metrics.set('members', this.mesh.listConnections().length);
+		metrics.set('retry_budget_instances', this.#countEdges());
 		metrics.set('open_requests', this.#frontend.openRequests);
 		metrics.set('log_lines_dropped_total', this.#context.eventLog.droppedTotal);
 		for (const {name} of this.#routes?.configuration.services ?? []) {
 			metrics.set('servers', this.registry.listUsable(name).length, {service: name});
+			const {allowed, retries} = this.#context.retryBudget.describe(name);
+			metrics.set('retry_budget_left', Math.max(0, Math.floor(allowed - retries)), {service: name});
 		}
 	}
 }
--- a/packages/plugins/edge/src/streaming-forwarder.ts
+++ b/packages/plugins/edge/src/streaming-forwarder.ts
@@ -12,6 +12,7 @@
 import {requestOutcomes, type CallerRequest, type RequestResult} from './caller-request.js';
 import {EventRelay} from './event-relay.js';
 import type {KvHandle} from './request-codec.js';
+import {retryKinds} from './retry-budget.js';
 import {SilenceDetector} from './silence-detector.js';
 import {
 	createOutboundRequest, computeRemainingMs, defaultRetryAfterMs, type ForwardContext,
@@ -65,7 +66,7 @@
 			}
 
 			const isRepeat = this.#servers.length > 0 || this.#acceptedPrefills > 0 || this.#rejectedPrefills > 0;
-			if (isRepeat && !retryBudget.canRetry(this.#request.service)) {
+			if (isRepeat && !retryBudget.canRetry(this.#request.service, {kind: retryKinds.run, requestId: this.#request.metadata.requestId})) {
 				return this.#fail('the retry budget is used up');
 			}
 
@@ -127,7 +128,7 @@
 
 		const decodeServer = handle ? this.#reselectDecodeServer(placement.decodeServer) : placement.decodeServer;
 		if (this.#servers.length > 0) {
-			this.#context.retryBudget.recordRetry(this.#request.service);
+			this.#context.retryBudget.recordRetry(this.#request.service, retryKinds.run);
 		}
 
 		this.#servers.push(decodeServer);
@@ -159,7 +160,7 @@
 
 		this.#isNotExecuted = false;
 		this.#relay.clearPartialEvent();
-		const canResume = registry.isUsable(backup) && retryBudget.acquire(this.#request.service);
+		const canResume = registry.isUsable(backup) && retryBudget.acquire(this.#request.service, {kind: retryKinds.resume, requestId: this.#request.metadata.requestId});
 		eventLog.emit('streamMoved', {
 			request: this.#request.metadata.requestId, from: failedServer.id, to: backup.id, end: failedResult.outcome, lastEvent: this.#relay.lastEventId, mayGoOn: canResume,
 		});
@@ -224,7 +225,7 @@
 	/** The first accepted call for a prefill is no retry; further ones and rejected ones are, because they reached a server too. */
 	#countPrefill({isRejected}: {isRejected: boolean}): void {
 		if (isRejected || this.#acceptedPrefills > 0) {
-			this.#context.retryBudget.recordRetry(this.#request.service);
+			this.#context.retryBudget.recordRetry(this.#request.service, retryKinds.prefill);
 		}
 
 		if (isRejected) {
@@ -372,7 +373,7 @@
 
 		if (head.status >= 500) {
 			this.#context.health.recordFailure(server);
-			if (this.#isRetryable && this.#servers.length < this.#request.route.maxServers && this.#context.retryBudget.canRetry(this.#request.service)) {
+			if (this.#isRetryable && this.#servers.length < this.#request.route.maxServers && this.#context.retryBudget.canRetry(this.#request.service, {kind: retryKinds.run, requestId: this.#request.metadata.requestId})) {
 				this.#excluded.add(server.id);
 				return undefined;
 			}
--- a/packages/plugins/edge/test/edge-parts.test.ts
+++ b/packages/plugins/edge/test/edge-parts.test.ts
@@ -4,10 +4,11 @@
 import {ManualClock} from '@hickorytrack/clock/manual-clock';
 import type {KnownServer} from '@hickorytrack/endpoint-registry';
 import {EventLog} from '@hickorytrack/events';
+import {MetricsRegistry} from '@hickorytrack/metrics-registry';
 import {RateLimitedEventLog} from '../src/rate-limited-event-log.js';
 import {EventRelay} from '../src/event-relay.js';
 import {PoisonRequestTracker} from '../src/poison-request-tracker.js';
-import {RetryBudget} from '../src/retry-budget.js';
+import {RetryBudget, retryKinds} from '../src/retry-budget.js';
 import {ServerHealth} from '../src/server-health.js';
 import {SilenceDetector} from '../src/silence-detector.js';
 
@@ -17,8 +18,9 @@
 
 describe('retry budget', () => {
 	const create = (clock: ManualClock, instances: number) => new RetryBudget({
-		clock, ratio: 0.2, allowance: 64, windowMs: 10_000, countInstances: () => instances,
+		clock, ratio: 0.2, allowance: 64, windowMs: 10_000, countInstances: () => instances, eventLog: new RateLimitedEventLog(clock, new EventLog({clock})), metrics: new MetricsRegistry(),
 	});
+	const retry = {kind: retryKinds.run};
 
 	// Guards against a retry storm: during an outage, every request fails at every instance.
 	it('keeps the retries of all instances within the budget of a window', async () => {
@@ -31,7 +33,7 @@
 				for (let i = 0; i < 5; i++) {
 					budget.recordRequest('s');
 					requests++;
-					retries += budget.acquire('s') ? 1 : 0;
+					retries += budget.acquire('s', retry) ? 1 : 0;
 				}
 			}
 
@@ -45,14 +47,14 @@
 	it('counts retries without a check and drops them after the window', async () => {
 		const clock = new ManualClock();
 		const budget = create(clock, 64);
-		budget.recordRetry('s');
-		expect(budget.acquire('s')).to.equal(false);
+		budget.recordRetry('s', retryKinds.run);
+		expect(budget.acquire('s', retry)).to.equal(false);
 		await clock.advance(10_001);
 		for (let i = 0; i < 10; i++) {
 			budget.recordRequest('s');
 		}
 
-		expect(budget.acquire('s')).to.equal(true);
+		expect(budget.acquire('s', retry)).to.equal(true);
 	});
 });
 
