fix(edge): reserve retries before they are planned

What callers and servers saw: more arrivals at a service than the retry budget allows, and requests refused with "the retry budget is used up" while decode servers were free.

Cause: the streaming forwarder checked the budget when it placed a retry and charged it when it sent it, after the prefill it had waited for, so requests that waited together all passed the same check. First prefills had no check at all, but count when a server rejects them: once a prefill server rejected everything, every request sent one more. A restarted edge began with an empty window and, until it knew the others, with the whole allowance.

Change: a retry is reserved before anything is awaited and recorded when it is sent; what was not sent, or reached no server, is returned. createOutboundRequest takes a SendPermit, so no request to a server can be made without one. A first prefill is reserved as conditional and returned when it is accepted; without room for it the prompt goes to a decode server. An edge that has been restarted has no part of the allowance in its first window; at the first start of a deployment nothing was spent before.

--- a/packages/plugins/edge/src/buffered-forwarder.ts
+++ b/packages/plugins/edge/src/buffered-forwarder.ts
@@ -7,6 +7,7 @@
 import {attemptOutcomes, runAttempt, type AttemptResult} from './attempt.js';
 import {forwardResponse, sendProblem} from './responses.js';
 import {retryKinds} from './retry-budget.js';
+import {SendPermits, type SendPermit} from './send-permits.js';
 import {requestOutcomes, type CallerRequest, type RequestResult} from './caller-request.js';
 import {
 	createOutboundRequest, computeRemainingMs, defaultRetryAfterMs, type ForwardContext,
@@ -19,6 +20,7 @@
 export class BufferedForwarder {
 	readonly #context: ForwardContext;
 	readonly #request: CallerRequest;
+	readonly #permits: SendPermits;
 	readonly #servers: KnownServer[] = [];
 	/** True until a server may have started to run the request. */
 	#isNotExecuted = true;
@@ -29,24 +31,23 @@
 	constructor(context: ForwardContext, request: CallerRequest) {
 		this.#context = context;
 		this.#request = request;
+		this.#permits = new SendPermits(context.retryBudget, request);
 	}
 
 	async forward(): Promise<RequestResult> {
-		const {retryBudget} = this.#context;
-		retryBudget.recordRequest(this.#request.service);
 		for (;;) {
 			const server = this.#selectServer();
 			if (!server) {
 				return this.#fail('no usable server is known');
 			}
 
-			const isRetry = this.#servers.length > 0;
-			if (isRetry && !retryBudget.acquire(this.#request.service, {kind: retryKinds.run, requestId: this.#request.metadata.requestId})) {
+			const permit = this.#permits.acquire(retryKinds.run);
+			if (!permit) {
 				return this.#fail('the retry budget is used up');
 			}
 
 			this.#servers.push(server);
-			const result = await this.#runAttempt(server);
+			const result = await this.#runAttempt(server, permit);
 			const requestResult = this.#handleResult(server, result);
 			if (requestResult) {
 				return requestResult;
@@ -68,15 +69,16 @@
 		return leastLoadPlacement.select(servers, {excluded: new Set(this.#servers.map(server => server.id)), availabilityZone});
 	}
 
-	async #runAttempt(server: KnownServer): Promise<AttemptResult> {
+	async #runAttempt(server: KnownServer, permit: SendPermit): Promise<AttemptResult> {
 		const {clock, client, loadTracker} = this.#context;
 		const remainingMs = computeRemainingMs(this.#context, this.#request);
 		const canRetry = this.#isRetryable && this.#servers.length < this.#request.route.maxServers;
 		const inFlightLoad = loadTracker.add(server.id, 0);
 		const result = await runAttempt(client, server.address, {
-			clock, signal: this.#request.signal, timeoutMs: canRetry ? remainingMs * attemptTimeoutFraction : remainingMs, request: createOutboundRequest(this.#context, this.#request, {server, needsVerifiedConnection: !this.#isRetryable}),
+			clock, signal: this.#request.signal, timeoutMs: canRetry ? remainingMs * attemptTimeoutFraction : remainingMs, request: createOutboundRequest(this.#context, this.#request, {server, permit, needsVerifiedConnection: !this.#isRetryable}),
 		});
 		inFlightLoad.release();
+		permit.finish({isWritten: result.isWritten, isAccepted: true});
 		return result;
 	}
 
--- a/packages/plugins/edge/src/edge.ts
+++ b/packages/plugins/edge/src/edge.ts
@@ -259,7 +259,7 @@
 				random, loadTracker: this.#loadTracker, cacheIndex: this.#cacheIndex, usage: this.#partUsage, profile: this.#profile, getKvCapacity: service => this.#getKvCapacity(service),
 			}),
 			retryBudget: new RetryBudget({
-				clock, ratio: settings.retryRatio, allowance: settings.retryAllowance, windowMs: settings.retryWindowMs, countInstances: () => this.#countEdges(), eventLog, metrics,
+				clock, ratio: settings.retryRatio, allowance: settings.retryAllowance, windowMs: settings.retryWindowMs, isFirstStart: settings.isFirstStart, countInstances: () => this.#countEdges(), eventLog, metrics,
 			}),
 			poisonRequests: new PoisonRequestTracker(clock),
 			eventLog,
@@ -340,8 +340,7 @@
 		metrics.set('log_lines_dropped_total', this.#context.eventLog.droppedTotal);
 		for (const {name} of this.#routes?.configuration.services ?? []) {
 			metrics.set('servers', this.registry.listUsable(name).length, {service: name});
-			const {allowed, retries} = this.#context.retryBudget.describe(name);
-			metrics.set('retry_budget_left', Math.max(0, Math.floor(allowed - retries)), {service: name});
+			metrics.set('retry_budget_left', this.#context.retryBudget.countLeft(name), {service: name});
 		}
 	}
 }
--- a/packages/plugins/edge/src/forward-context.ts
+++ b/packages/plugins/edge/src/forward-context.ts
@@ -13,6 +13,7 @@
 import type {PoisonRequestTracker} from './poison-request-tracker.js';
 import type {RequestCodec, ForwardMetadata} from './request-codec.js';
 import type {RetryBudget} from './retry-budget.js';
+import type {SendPermit} from './send-permits.js';
 import type {ServerHealth} from './server-health.js';
 
 export type ForwardContext = {
@@ -46,9 +47,10 @@
 	return request.deadlineAt - context.clock.monotonic();
 }
 
-/** Creates the request to a server for a caller's request. */
-export function createOutboundRequest(context: ForwardContext, request: CallerRequest, metadata: Omit<ForwardMetadata, 'remainingMs'> & {needsVerifiedConnection: boolean}): OutboundRequest {
-	const {needsVerifiedConnection, ...rest} = metadata;
+/** Creates the request to a server for a caller's request, which is sent at once. */
+export function createOutboundRequest(context: ForwardContext, request: CallerRequest, metadata: Omit<ForwardMetadata, 'remainingMs'> & {needsVerifiedConnection: boolean; permit: SendPermit}): OutboundRequest {
+	const {needsVerifiedConnection, permit, ...rest} = metadata;
+	permit.start();
 	const remainingMs = Math.max(1, Math.floor(computeRemainingMs(context, request) - responseMarginMs));
 	return {
 		method: request.method,
--- a/packages/plugins/edge/src/retry-budget.ts
+++ b/packages/plugins/edge/src/retry-budget.ts
@@ -1,7 +1,10 @@
 /**
- * This instance's share of the retry budget of all instances. In any time window, the retries at a service (the attempts
+ * This instance's share of the retry budget of all instances. In any time window, the retries at a service (the arrivals
  * after the first one of each request) may not exceed a ratio of the requests plus a fixed allowance. The ratio applies
  * to each instance's own requests; the allowance is divided by the number of instances.
+ *
+ * A retry is reserved before anything is awaited for it, so that requests that wait together can't all pass the same check.
+ * It is recorded when the call is sent, or released when it isn't needed.
  */
 import type {Clock} from '@hickorytrack/clock';
 import type {MetricsRegistry} from '@hickorytrack/metrics-registry';
@@ -25,6 +28,9 @@
 	/** Additional retries per window, shared by all instances. */
 	allowance: number;
 	windowMs: number;
+	/** No earlier process of this instance can have made retries. */
+	isFirstStart: boolean;
+	/** The highest number of instances that may share the allowance in this window. */
 	countInstances: () => number;
 	eventLog: Pick<RateLimitedEventLog, 'emit'>;
 	metrics: Pick<MetricsRegistry, 'count'>;
@@ -34,81 +40,145 @@
 export type RetryBudgetState = {
 	requests: number;
 	retries: number;
-	allowed: number;
+	/** Retries that are reserved and not made yet. */
+	reserved: number;
+	/** Retries that this instance may make in a window. */
+	share: number;
 	instances: number;
 };
 
+export type RetryOptions = {
+	kind: RetryKind;
+	requestId?: string;
+	/** The call counts as a retry only if it fails. Such calls may also use a part of the margin. */
+	isConditional?: boolean;
+};
+
 type Window = {
 	requests: number[];
 	retries: number[];
+	reserved: number;
+	/** The part of the reserved retries that is conditional. */
+	conditional: number;
 	lowReportedAt: number;
 };
 
-/** Fraction of the budget that is used; the rest is a margin, because the instances do not know the retries of each other. */
+/**
+ * Fraction of the share for retries. The rest is a margin: the window of a service is that of the arrivals, while an instance
+ * knows when it sent them.
+ */
 const usedFraction = 0.8;
+/** Fraction of the share for retries and conditional ones together; few of the conditional ones become retries. */
+const conditionalFraction = 0.95;
 /** The use of the budget is reported from this fraction on. */
 const lowFraction = 0.8;
 
+/** A reserved retry. */
+export class RetryPermit {
+	readonly #opts: {onRecord: () => void; onRelease: (isRecorded: boolean) => void};
+	#state: 'reserved' | 'recorded' | 'released' = 'reserved';
+
+	constructor(opts: {onRecord: () => void; onRelease: (isRecorded: boolean) => void}) {
+		this.#opts = opts;
+	}
+
+	/** Counts the retry as made now. */
+	record(): void {
+		if (this.#state === 'reserved') {
+			this.#state = 'recorded';
+			this.#opts.onRecord();
+		}
+	}
+
+	/** Returns the retry to the budget, because no server has received the call or because it does not count. */
+	release(): void {
+		if (this.#state !== 'released') {
+			const isRecorded = this.#state === 'recorded';
+			this.#state = 'released';
+			this.#opts.onRelease(isRecorded);
+		}
+	}
+}
+
 export class RetryBudget {
 	readonly #opts: RetryBudgetOptions;
 	readonly #services = new Map<string, Window>();
+	/** Until then, the retries of an earlier process of this instance may still count. */
+	readonly #allowanceFrom: number;
 
 	constructor(opts: RetryBudgetOptions) {
 		this.#opts = opts;
+		this.#allowanceFrom = opts.isFirstStart ? Number.NEGATIVE_INFINITY : opts.clock.monotonic() + opts.windowMs;
 	}
 
 	recordRequest(service: string): void {
 		this.#getWindow(service).requests.push(this.#opts.clock.monotonic());
 	}
 
-	/** Counts a retry without a check of the budget, such as a call that a server has already rejected. */
-	recordRetry(service: string, kind: RetryKind): void {
+	/** Reserves one retry. Returns undefined when this instance's share of the window is used up or reserved. */
+	acquire(service: string, {kind, requestId, isConditional = false}: RetryOptions): RetryPermit | undefined {
 		const window = this.#getWindow(service);
-		window.retries.push(this.#opts.clock.monotonic());
-		this.#opts.metrics.count('retries_total', {service, kind});
-		this.#reportIfLow(service, window);
-	}
-
-	/** Records the state of the budget when it does not allow the retry. */
-	canRetry(service: string, retry: {kind: RetryKind; requestId?: string}): boolean {
-		const {retries, allowed} = this.describe(service);
-		const isAllowed = retries + 1 <= allowed;
-		if (!isAllowed) {
-			this.#opts.metrics.count('retries_denied_total', {service, kind: retry.kind});
-			this.#opts.eventLog.emit('retryDenied', {request: retry.requestId, kind: retry.kind, ...this.#format(service)});
+		const {share, retries, reserved} = this.describe(service);
+		const unconditional = retries + reserved - window.conditional;
+		const isDenied = retries + reserved + 1 > share * conditionalFraction || (!isConditional && unconditional + 1 > share * usedFraction);
+		if (isDenied) {
+			this.#opts.metrics.count('retries_denied_total', {service, kind});
+			this.#opts.eventLog.emit('retryDenied', {request: requestId, kind, ...this.#format(service)});
+			return undefined;
 		}
 
-		return isAllowed;
-	}
-
-	/** Acquires one retry. Returns false when this instance's share of the window is used up. */
-	acquire(service: string, retry: {kind: RetryKind; requestId?: string}): boolean {
-		const isAllowed = this.canRetry(service, retry);
-		if (isAllowed) {
-			this.recordRetry(service, retry.kind);
-		}
+		const conditional = isConditional ? 1 : 0;
+		window.reserved++;
+		window.conditional += conditional;
+		const cancelReservation = () => {
+			window.reserved--;
+			window.conditional -= conditional;
+		};
 
-		return isAllowed;
+		let recordedAt = 0;
+		return new RetryPermit({
+			onRecord: () => {
+				cancelReservation();
+				recordedAt = this.#opts.clock.monotonic();
+				window.retries.push(recordedAt);
+				this.#opts.metrics.count('retries_total', {service, kind});
+				this.#reportIfLow(service, window);
+			},
+			onRelease(isRecorded) {
+				if (isRecorded) {
+					removeTime(window.retries, recordedAt);
+				} else {
+					cancelReservation();
+				}
+			},
+		});
 	}
 
 	describe(service: string): RetryBudgetState {
-		const {ratio, allowance, countInstances} = this.#opts;
-		const {requests, retries} = this.#getWindow(service);
+		const {ratio, allowance, countInstances, clock} = this.#opts;
+		const {requests, retries, reserved} = this.#getWindow(service);
 		const instances = Math.max(1, countInstances());
+		const usableAllowance = clock.monotonic() < this.#allowanceFrom ? 0 : allowance / instances;
 		return {
-			requests: requests.length, retries: retries.length, allowed: usedFraction * ((ratio * requests.length) + (allowance / instances)), instances,
+			requests: requests.length, retries: retries.length, reserved, share: (ratio * requests.length) + usableAllowance, instances,
 		};
 	}
 
+	/** Number of retries that may still be reserved. */
+	countLeft(service: string): number {
+		const {share, retries, reserved} = this.describe(service);
+		return Math.max(0, Math.floor((share * usedFraction) - retries - reserved));
+	}
+
 	#format(service: string): Record<string, string | number> {
-		const {allowed, ...state} = this.describe(service);
-		return {service, ...state, allowed: Math.floor(allowed)};
+		const {share, ...state} = this.describe(service);
+		return {service, ...state, share: Math.floor(share)};
 	}
 
 	#reportIfLow(service: string, window: Window): void {
 		const {clock, windowMs, eventLog} = this.#opts;
 		const now = clock.monotonic();
-		if (window.retries.length >= this.describe(service).allowed * lowFraction && now - window.lowReportedAt >= windowMs) {
+		if (window.retries.length >= this.describe(service).share * usedFraction * lowFraction && now - window.lowReportedAt >= windowMs) {
 			window.lowReportedAt = now;
 			eventLog.emit('retryBudgetLow', this.#format(service));
 		}
@@ -117,7 +187,9 @@
 	#getWindow(service: string): Window {
 		let window = this.#services.get(service);
 		if (!window) {
-			window = {requests: [], retries: [], lowReportedAt: Number.NEGATIVE_INFINITY};
+			window = {
+				requests: [], retries: [], reserved: 0, conditional: 0, lowReportedAt: Number.NEGATIVE_INFINITY,
+			};
 			this.#services.set(service, window);
 		}
 
@@ -132,3 +204,11 @@
 	const firstKept = times.findIndex(time => time >= from);
 	times.splice(0, firstKept === -1 ? times.length : firstKept);
 }
+
+/** The time may have left the window already. */
+function removeTime(times: number[], time: number): void {
+	const index = times.lastIndexOf(time);
+	if (index !== -1) {
+		times.splice(index, 1);
+	}
+}
--- a/packages/plugins/edge/src/streaming-forwarder.ts
+++ b/packages/plugins/edge/src/streaming-forwarder.ts
@@ -13,6 +13,7 @@
 import {EventRelay} from './event-relay.js';
 import type {KvHandle} from './request-codec.js';
 import {retryKinds} from './retry-budget.js';
+import {SendPermits, type SendPermit} from './send-permits.js';
 import {SilenceDetector} from './silence-detector.js';
 import {
 	createOutboundRequest, computeRemainingMs, defaultRetryAfterMs, type ForwardContext,
@@ -34,13 +35,11 @@
 	readonly #request: CallerRequest;
 	readonly #relay: EventRelay;
 	readonly #prompt: Prompt;
+	readonly #permits: SendPermits;
 	/** Servers that were asked to generate the response. */
 	readonly #servers: KnownServer[] = [];
 	readonly #excluded = new Set<string>();
 	#isNotExecuted = true;
-	/** Calls for a prefill that a server may have carried out, and those that servers rejected. */
-	#acceptedPrefills = 0;
-	#rejectedPrefills = 0;
 	/** Keeps a copy of the request's KV cache, from which the stream can resume when the decode server fails. */
 	#backupServer: KnownServer | undefined;
 	#retryAfterMs = defaultRetryAfterMs;
@@ -53,25 +52,18 @@
 		this.#request = request;
 		this.#relay = new EventRelay(request.response);
 		this.#prompt = request.metadata.prompt ?? emptyPrompt;
+		this.#permits = new SendPermits(context.retryBudget, request);
 	}
 
 	async forward(): Promise<RequestResult> {
-		const {retryBudget} = this.#context;
-		retryBudget.recordRequest(this.#request.service);
 		for (;;) {
-			const placement = this.#selectPlacement();
-			if (placement.kind === 'refuse') {
-				this.#retryAfterMs = Math.max(this.#retryAfterMs, placement.retryAfterMs);
-				return this.#fail(placement.reason);
-			}
-
-			const isRepeat = this.#servers.length > 0 || this.#acceptedPrefills > 0 || this.#rejectedPrefills > 0;
-			if (isRepeat && !retryBudget.canRetry(this.#request.service, {kind: retryKinds.run, requestId: this.#request.metadata.requestId})) {
+			const run = this.#permits.acquire(retryKinds.run);
+			if (!run) {
 				return this.#fail('the retry budget is used up');
 			}
 
-			this.#predictedMs ??= placement.predictedMs;
-			const result = await this.#runPlacement(placement);
+			const result = await this.#runNext(run);
+			run.release();
 			if (result) {
 				return result;
 			}
@@ -94,11 +86,28 @@
 		return Math.min(patienceMs, computeRemainingMs(this.#context, this.#request));
 	}
 
-	#selectPlacement(): Placement {
+	/** Places the request with all permits that the placement needs. Without one for a prefill, a decode server prefills the prompt. */
+	async #runNext(run: SendPermit): Promise<RequestResult | undefined> {
+		let placement = this.#selectPlacement();
+		const prefill = placement.kind === 'hand-over' ? this.#permits.acquire(retryKinds.prefill) : undefined;
+		if (placement.kind === 'hand-over' && !prefill) {
+			placement = this.#selectPlacement({canPrefill: false});
+		}
+
+		if (placement.kind === 'refuse') {
+			this.#retryAfterMs = Math.max(this.#retryAfterMs, placement.retryAfterMs);
+			return this.#fail(placement.reason);
+		}
+
+		this.#predictedMs ??= placement.predictedMs;
+		return this.#runPlacement(placement, {run, prefill});
+	}
+
+	#selectPlacement({canPrefill = true} = {}): Placement {
 		const {registry, health, promptPlacement} = this.#context;
 		return promptPlacement.plan({
 			prompt: this.#prompt,
-			servers: health.selectHealthy(registry.listUsable(this.#request.service)),
+			servers: health.selectHealthy(registry.listUsable(this.#request.service)).filter(server => canPrefill || server.stage !== 'prefill'),
 			objectiveMs: this.#request.route.objectiveMs,
 			maxWaitMs: this.#maxWaitMs,
 			availabilityZone: this.#context.availabilityZone,
@@ -107,10 +116,10 @@
 	}
 
 	/** Returns the result of the request, or undefined when another server may be tried. */
-	async #runPlacement(placement: Exclude<Placement, {kind: 'refuse'}>): Promise<RequestResult | undefined> {
+	async #runPlacement(placement: Exclude<Placement, {kind: 'refuse'}>, {run, prefill}: {run: SendPermit; prefill: SendPermit | undefined}): Promise<RequestResult | undefined> {
 		let handle: KvHandle | undefined;
 		if (placement.kind === 'hand-over') {
-			handle = await this.#runPrefill(placement);
+			handle = await this.#runPrefill(placement, prefill!);
 			if (this.#request.signal.aborted) {
 				this.#releaseKvHandle(handle);
 				return this.#createResult(requestOutcomes.callerGone);
@@ -127,12 +136,8 @@
 		}
 
 		const decodeServer = handle ? this.#reselectDecodeServer(placement.decodeServer) : placement.decodeServer;
-		if (this.#servers.length > 0) {
-			this.#context.retryBudget.recordRetry(this.#request.service, retryKinds.run);
-		}
-
 		this.#servers.push(decodeServer);
-		const result = await this.#generate(decodeServer, {handle, placement});
+		const result = await this.#generate(decodeServer, {permit: run, handle, placement});
 		if (this.#backupServer && this.#relay.lastEventId !== undefined && (result.outcome === attemptOutcomes.broken || result.outcome === attemptOutcomes.stalled)) {
 			return this.#resumeAtBackup(decodeServer, result);
 		}
@@ -151,7 +156,7 @@
 
 	/** Resumes the stream after its last event at the backup server, from the copy of the KV cache. It counts as the same run. */
 	async #resumeAtBackup(failedServer: KnownServer, failedResult: AttemptResult): Promise<RequestResult> {
-		const {eventLog, health, registry, retryBudget, onConnectionLost} = this.#context;
+		const {eventLog, health, registry, onConnectionLost} = this.#context;
 		const backup = this.#backupServer!;
 		health.recordUnresponsive(failedServer);
 		if (failedResult.outcome === attemptOutcomes.broken) {
@@ -160,16 +165,17 @@
 
 		this.#isNotExecuted = false;
 		this.#relay.clearPartialEvent();
-		const canResume = registry.isUsable(backup) && retryBudget.acquire(this.#request.service, {kind: retryKinds.resume, requestId: this.#request.metadata.requestId});
+		const permit = registry.isUsable(backup) ? this.#permits.acquire(retryKinds.resume) : undefined;
 		eventLog.emit('streamMoved', {
-			request: this.#request.metadata.requestId, from: failedServer.id, to: backup.id, end: failedResult.outcome, lastEvent: this.#relay.lastEventId, mayGoOn: canResume,
+			request: this.#request.metadata.requestId, from: failedServer.id, to: backup.id, end: failedResult.outcome, lastEvent: this.#relay.lastEventId, mayGoOn: permit !== undefined,
 		});
-		if (!canResume) {
+		if (!permit) {
 			return this.#fail(`the attempt ended as ${failedResult.outcome}`);
 		}
 
 		this.#servers.push(backup);
 		const result = await this.#generate(backup, {
+			permit,
 			handle: {address: backup.address, handle: this.#request.metadata.requestId!},
 			placement: {
 				kind: 'direct', decodeServer: backup, prefillTokens: 0, predictedMs: 0,
@@ -183,7 +189,7 @@
 	}
 
 	/** Prefills the prompt at another server. Returns the handle of its KV cache; undefined when the request needs a new placement. */
-	async #runPrefill({prefillServer, kvSource, prefillTokens, predictedMs}: Placement & {kind: 'hand-over'}): Promise<KvHandle | undefined> {
+	async #runPrefill({prefillServer, kvSource, prefillTokens, predictedMs}: Placement & {kind: 'hand-over'}, permit: SendPermit): Promise<KvHandle | undefined> {
 		const {loadTracker, client, clock, codec, health, measurements, eventLog} = this.#context;
 		const queuedTokens = loadTracker.getLoad(prefillServer.id).promptTokens;
 		const inFlightLoad = loadTracker.add(prefillServer.id, prefillTokens);
@@ -191,13 +197,13 @@
 		const silence = this.#createSilenceDetector(prefillServer, predictedMs);
 		const result = await runAttempt(client, prefillServer.address, {
 			clock, signal: this.#request.signal, timeoutMs: computeRemainingMs(this.#context, this.#request), firstByteTimeoutMs: silence.intervalMs, isLost: () => silence.isLost(clock.monotonic(), computeRemainingMs(this.#context, this.#request)), request: createOutboundRequest(this.#context, this.#request, {
-				server: prefillServer, needsVerifiedConnection: false, priority: this.#priority, isPrefillOnly: true, prefixCacheAddress: kvSource?.address,
+				server: prefillServer, permit, needsVerifiedConnection: false, priority: this.#priority, isPrefillOnly: true, prefixCacheAddress: kvSource?.address,
 			}),
 		});
 		inFlightLoad.release();
 		const metadata = result.head && codec.decodeResponseHead(result.head);
-		this.#countPrefill({isRejected: metadata?.isNotExecuted ?? false});
 		const handle = result.outcome === attemptOutcomes.answered && result.head?.status === 200 ? codec.decodeKvHandle(prefillServer.address, result.body.toString()) : undefined;
+		permit.finish({isWritten: result.isWritten, isAccepted: handle !== undefined});
 		if (handle) {
 			const elapsedMs = clock.monotonic() - startedAt;
 			health.recordSuccess(prefillServer);
@@ -222,20 +228,7 @@
 		return undefined;
 	}
 
-	/** The first accepted call for a prefill is no retry; further ones and rejected ones are, because they reached a server too. */
-	#countPrefill({isRejected}: {isRejected: boolean}): void {
-		if (isRejected || this.#acceptedPrefills > 0) {
-			this.#context.retryBudget.recordRetry(this.#request.service, retryKinds.prefill);
-		}
-
-		if (isRejected) {
-			this.#rejectedPrefills++;
-		} else {
-			this.#acceptedPrefills++;
-		}
-	}
-
-	async #generate(server: KnownServer, {handle, placement}: {handle?: KvHandle; placement: Exclude<Placement, {kind: 'refuse'}>}): Promise<AttemptResult> {
+	async #generate(server: KnownServer, {permit, handle, placement}: {permit: SendPermit; handle?: KvHandle; placement: Exclude<Placement, {kind: 'refuse'}>}): Promise<AttemptResult> {
 		const {loadTracker, client, clock, measurements} = this.#context;
 		const isLongOutput = this.#prompt.maxOutputTokens >= longOutputTokens;
 		this.#backupServer = isLongOutput ? this.#selectBackup(server) : undefined;
@@ -264,6 +257,7 @@
 			},
 			request: createOutboundRequest(this.#context, this.#request, {
 				server,
+				permit,
 				needsVerifiedConnection: !this.#isRetryable,
 				priority: this.#priority,
 				kvHandle: handle,
@@ -273,6 +267,7 @@
 			}),
 		});
 		inFlightLoad.release();
+		permit.finish({isWritten: result.isWritten, isAccepted: true});
 		if (firstByteAt !== undefined && result.outcome === attemptOutcomes.answered) {
 			measurements.recordEnd(server, {isStream: isLongOutput, holdMs: clock.monotonic() - firstByteAt});
 		}
@@ -373,7 +368,7 @@
 
 		if (head.status >= 500) {
 			this.#context.health.recordFailure(server);
-			if (this.#isRetryable && this.#servers.length < this.#request.route.maxServers && this.#context.retryBudget.canRetry(this.#request.service, {kind: retryKinds.run, requestId: this.#request.metadata.requestId})) {
+			if (this.#isRetryable && this.#servers.length < this.#request.route.maxServers && this.#context.retryBudget.countLeft(this.#request.service) > 0) {
 				this.#excluded.add(server.id);
 				return undefined;
 			}
--- a/packages/plugins/edge/test/edge-parts.test.ts
+++ b/packages/plugins/edge/test/edge-parts.test.ts
@@ -17,8 +17,8 @@
 };
 
 describe('retry budget', () => {
-	const create = (clock: ManualClock, instances: number) => new RetryBudget({
-		clock, ratio: 0.2, allowance: 64, windowMs: 10_000, countInstances: () => instances, eventLog: new RateLimitedEventLog(clock, new EventLog({clock})), metrics: new MetricsRegistry(),
+	const create = (clock: ManualClock, instances: number, isFirstStart = true) => new RetryBudget({
+		clock, ratio: 0.2, allowance: 64, windowMs: 10_000, isFirstStart, countInstances: () => instances, eventLog: new RateLimitedEventLog(clock, new EventLog({clock})), metrics: new MetricsRegistry(),
 	});
 	const retry = {kind: retryKinds.run};
 
@@ -33,7 +33,9 @@
 				for (let i = 0; i < 5; i++) {
 					budget.recordRequest('s');
 					requests++;
-					retries += budget.acquire('s', retry) ? 1 : 0;
+					const permit = budget.acquire('s', retry);
+					permit?.record();
+					retries += permit ? 1 : 0;
 				}
 			}
 
@@ -44,17 +46,49 @@
 		expect(retries).to.be.at.most((0.2 * requests) + 64);
 	});
 
-	it('counts retries without a check and drops them after the window', async () => {
+	// Guards against requests that wait together and pass the same check, and against retries that are lost when none was made.
+	it('counts reserved retries until they are released, and recorded ones until the end of the window', async () => {
 		const clock = new ManualClock();
-		const budget = create(clock, 64);
-		budget.recordRetry('s', retryKinds.run);
-		expect(budget.acquire('s', retry)).to.equal(false);
+		const budget = create(clock, 8);
+		const acquireAll = () => {
+			const permits = [];
+			for (let permit = budget.acquire('s', retry); permit; permit = budget.acquire('s', retry)) {
+				permits.push(permit);
+			}
+
+			return permits;
+		};
+
+		const [unused, unwritten, open, ...sent] = acquireAll();
+		expect(sent).to.have.length(3);
+		unused!.release();
+		unused!.release();
+		unwritten!.record();
+		unwritten!.release();
+		for (const permit of sent) {
+			permit.record();
+		}
+
+		expect(acquireAll()).to.have.length(2);
 		await clock.advance(10_001);
+		expect(acquireAll()).to.have.length(3);
+		open!.release();
+		expect(acquireAll()).to.have.length(1);
+	});
+
+	// Guards against retries of the process before that still count in the window.
+	it('gets no part of the allowance in the first window after a restart', async () => {
+		const clock = new ManualClock();
+		const budget = create(clock, 1, false);
+		expect(budget.acquire('s', retry)).to.equal(undefined);
 		for (let i = 0; i < 10; i++) {
 			budget.recordRequest('s');
 		}
 
-		expect(budget.acquire('s', retry)).to.equal(true);
+		budget.acquire('s', retry)!.record();
+		expect(budget.acquire('s', retry)).to.equal(undefined);
+		await clock.advance(10_001);
+		expect(budget.acquire('s', retry)).not.to.equal(undefined);
 	});
 });
 
