fix(mesh): divide shared limits by the most members of the last two minutes

What could be seen: edges that were cut off from the others used more of the retry budget, and opened more connections to a server, than their part.

Cause: each edge divides the allowance and the connection limit by the members it knows at that moment. With hubs, an edge that is cut off knows only the hubs once the number they told has expired, 5 s after contact was lost, while the window of the budget is 10 s; without hubs it forgets the others after 30 s. An edge can't tell an instance that has stopped from one that is cut off.

Change: the mesh remembers the highest number of members for two minutes; the retry budget and the connection limit are divided by it. When instances really leave, the others keep the smaller part for up to two and a half minutes.

A cut of more than two minutes is not covered.

--- a/packages/net/mesh/src/mesh.ts
+++ b/packages/net/mesh/src/mesh.ts
@@ -15,6 +15,7 @@
 import {
 	peerFeatures, type PeerMember, type PeerMethodName, type PeerMethods,
 } from '@hickorytrack/types/peer-methods';
+import {RecentMaximum} from './recent-maximum.js';
 
 export type MeshOptions = {
 	peers: PeerNode;
@@ -44,6 +45,8 @@
 const reconnectCapMs = 300;
 /** The number of members that a hub has told counts for this time. */
 const memberCountTtlMs = 5000;
+/** An instance that can't be reached may be cut off and still running; a cut is taken to end within this time. */
+const memberMemoryMs = 120_000;
 
 type MemberEntry = {
 	member?: PeerMember;
@@ -60,6 +63,7 @@
 	readonly #listeners: Array<(connection: PeerConnection) => Promise<void> | void> = [];
 	/** Numbers of members that hubs have told, by hub. */
 	readonly #reportedCounts = new Map<string, {count: number; heardAt: number}>();
+	readonly #highestCount: RecentMaximum;
 	readonly #abortController = new AbortController();
 	#seeds: readonly string[];
 	#isStarted = false;
@@ -70,6 +74,7 @@
 		this.#opts = opts;
 		this.peers = opts.peers;
 		this.#seeds = opts.seeds;
+		this.#highestCount = new RecentMaximum(opts.clock, memberMemoryMs);
 		this.peers.handle('mesh.exchange', ({members}, connection) => this.#handleExchange(members, connection));
 	}
 
@@ -94,6 +99,15 @@
 		return count;
 	}
 
+	/**
+	 * The highest number of instances in the last minutes. Limits that all instances share are divided by it, because those
+	 * that are cut off from this one use their shares too.
+	 */
+	get highestMemberCount(): number {
+		this.#highestCount.record(this.memberCount);
+		return this.#highestCount.value;
+	}
+
 	start(): void {
 		this.#isStarted = true;
 		this.setSeeds(this.#seeds);
@@ -312,6 +326,7 @@
 		const {signal} = this.#abortController;
 		while (!signal.aborted) {
 			await clock.sleep(refreshIntervalMs, signal);
+			this.#highestCount.record(this.memberCount);
 			this.#removeExpired();
 			this.#updateLinks();
 			const connections = this.listConnections();
--- a/packages/net/mesh/test/mesh.test.ts
+++ b/packages/net/mesh/test/mesh.test.ts
@@ -136,6 +136,25 @@
 		}
 	});
 
+	// Guards against instances that are cut off, know few others and divide shared limits by their number.
+	it('lets the shares of all instances add up to no more than the whole while some are cut off', async () => {
+		const fleet = new Fleet(20, 3);
+		await fleet.clock.advance(8000);
+		const cutOff = fleet.leaves.slice(0, 6);
+		for (const {address} of cutOff) {
+			fleet.network.nodes.get(address)!.setUp(false);
+		}
+
+		for (let second = 0; second < 60; second++) {
+			await fleet.clock.advance(1000);
+			const shares = fleet.meshes.map(mesh => 1 / mesh.highestMemberCount);
+			expect(shares.reduce((sum, share) => sum + share, 0)).to.be.at.most(1.000_001);
+		}
+
+		await fleet.clock.advance(200_000);
+		expect(fleet.meshes[0]!.highestMemberCount).to.equal(14);
+	});
+
 	it('links to the hubs again when all of them restart at once', async () => {
 		const fleet = new Fleet(20, 3);
 		await fleet.clock.advance(8000);
--- a/packages/plugins/edge/src/edge.ts
+++ b/packages/plugins/edge/src/edge.ts
@@ -271,8 +271,9 @@
 		};
 	}
 
+	/** Instances by which limits that all of them share are divided. */
 	#countEdges(): number {
-		return this.mesh.memberCount;
+		return this.mesh.highestMemberCount;
 	}
 
 	#getKvCapacity(service: string): number {
