fix(edge): grant retries for requests that every window with them counts

What could be seen: after two bursts of requests a little less than a window apart, more retries than the budget of any window.

Cause: the ratio was taken of the requests in the last window. A retry falls into all windows that begin up to a window's length ago; the budget of one that holds only the second burst knows half of these requests.

Change: requests are counted in buckets of a twentieth of the window over two windows; a retry is granted for the fewest requests that count for any window with it, each with the best of itself, the one before and the one half a window before.

Evidence: simulated fleet of 8 edges, two bursts of some 400 requests 9.8 s apart, the second rejected by all servers.

--- a/packages/plugins/edge/src/retry-budget.ts
+++ b/packages/plugins/edge/src/retry-budget.ts
@@ -9,6 +9,7 @@
 import type {Clock} from '@hickorytrack/clock';
 import type {MetricsRegistry} from '@hickorytrack/metrics-registry';
 import type {RateLimitedEventLog} from './rate-limited-event-log.js';
+import {RequestHistory} from './request-history.js';
 
 /** Calls to servers that count against the budget. */
 export const retryKinds = {
@@ -55,7 +56,7 @@
 };
 
 type Window = {
-	requests: number[];
+	requests: RequestHistory;
 	retries: number[];
 	reserved: number;
 	/** The part of the reserved retries that is conditional. */
@@ -112,7 +113,7 @@
 	}
 
 	recordRequest(service: string): void {
-		this.#getWindow(service).requests.push(this.#opts.clock.monotonic());
+		this.#getWindow(service).requests.record();
 	}
 
 	/** Reserves one retry. Returns undefined when this instance's share of the window is used up or reserved. */
@@ -156,11 +157,12 @@
 
 	describe(service: string): RetryBudgetState {
 		const {ratio, allowance, countInstances, clock} = this.#opts;
-		const {requests, retries, reserved} = this.#getWindow(service);
+		const {requests: history, retries, reserved} = this.#getWindow(service);
+		const requests = history.count();
 		const instances = Math.max(1, countInstances());
 		const usableAllowance = clock.monotonic() < this.#allowanceFrom ? 0 : allowance / instances;
 		return {
-			requests: requests.length, retries: retries.length, reserved, share: (ratio * requests.length) + usableAllowance, instances,
+			requests, retries: retries.length, reserved, share: (ratio * requests) + usableAllowance, instances,
 		};
 	}
 
@@ -188,14 +190,12 @@
 		let window = this.#services.get(service);
 		if (!window) {
 			window = {
-				requests: [], retries: [], reserved: 0, conditional: 0, lowReportedAt: Number.NEGATIVE_INFINITY,
+				requests: new RequestHistory(this.#opts.clock, this.#opts.windowMs), retries: [], reserved: 0, conditional: 0, lowReportedAt: Number.NEGATIVE_INFINITY,
 			};
 			this.#services.set(service, window);
 		}
 
-		const windowStart = this.#opts.clock.monotonic() - this.#opts.windowMs;
-		removeBefore(window.requests, windowStart);
-		removeBefore(window.retries, windowStart);
+		removeBefore(window.retries, this.#opts.clock.monotonic() - this.#opts.windowMs);
 		return window;
 	}
 }
--- a/packages/plugins/edge/test/retry-budget.test.ts
+++ b/packages/plugins/edge/test/retry-budget.test.ts
@@ -57,5 +57,16 @@
 			await fleet.run(12_000, {intervalMs: 20});
 			expect(fleet.computeExcess()).to.be.at.most(0);
 		});
+
+		// Guards against retries for requests that no window with these retries counts.
+		it(`holds when a second burst, rejected by all servers, comes just within a window of the first (seed ${seed})`, async () => {
+			const fleet = await startFleet(seed);
+			await fleet.run(200, {intervalMs: 0.5, streamFraction: 0});
+			await fleet.run(9600, {intervalMs: 10_000});
+			fleet.faults.set('run', {rejectsAtOnce: 1});
+			await fleet.run(200, {intervalMs: 0.5, streamFraction: 0});
+			await fleet.run(6000, {intervalMs: 10_000});
+			expect(fleet.computeExcess()).to.be.at.most(0);
+		});
 	}
 });
