--- /dev/null
+++ b/tools/soak/src/soak-run.ts
@@ -0,0 +1,142 @@
+/** One run of the soak: starts the processes, lets callers, operator and faults work, stops, and checks the records. */
+import {setMaxListeners} from 'node:events';
+import {mkdirSync} from 'node:fs';
+import {readFile, readdir, writeFile} from 'node:fs/promises';
+import path from 'node:path';
+import type {Clock} from '@hickorytrack/clock';
+import {Random} from '@hickorytrack/random';
+import {acquireAddressBlock} from './address-block.js';
+import {Caller} from './caller.js';
+import {checkAnswers} from './check-answers.js';
+import {checkBudget} from './check-budget.js';
+import {checkConfiguration} from './check-configuration.js';
+import {edgePorts} from './edge-process.js';
+import {FaultRunner} from './fault-runner.js';
+import {createSchedule} from './fault-schedule.js';
+import {allOutsideFaults} from './faults.js';
+import {Operator} from './operator.js';
+import type {
+	ArrivalRecord, CallerRecord, FateRecord, RuleCase, ServerRecord, SoakRecords, SoakRoute,
+} from './records.js';
+import {SoakFleet} from './soak-fleet.js';
+
+export type SoakOptions = {
+	clock: Clock;
+	seed: number;
+	seconds: number;
+	edges: number;
+	servers: number;
+	callers: number;
+	faults: readonly string[];
+	/** Receives settings, logs and records. */
+	folder: string;
+};
+
+export type SoakResult = {
+	cases: RuleCase[];
+	summary: Record<string, number>;
+};
+
+const host = 'soak.example';
+const routes: readonly SoakRoute[] = [
+	{
+		name: 'once', kind: 'non_idempotent', service: 'plain', isResumable: false, maxServers: 2,
+	},
+	{
+		name: 'again', kind: 'idempotent', service: 'plain', isResumable: false, maxServers: 3,
+	},
+	{
+		name: 'tell', kind: 'streaming', service: 'model', isResumable: false, maxServers: 2,
+	},
+	{
+		name: 'talk', kind: 'streaming', service: 'model', isResumable: true, maxServers: 3,
+	},
+];
+const bounds = {ratio: 0.1, slack: 30, windowMs: 10_000};
+/** A request that was refused may still run; the run waits this long before it stops the servers. */
+const settleMs = 4000;
+const seedRange = 2 ** 31;
+
+/** Runs the soak for one seed. */
+export async function runSoak(opts: SoakOptions): Promise<SoakResult> {
+	const {clock, seed, folder, edges, servers, faults} = opts;
+	mkdirSync(folder, {recursive: true});
+	const random = new Random(seed);
+	const block = await acquireAddressBlock(random);
+	const fleet = new SoakFleet({
+		clock, random: createRandom(random), block, edges, servers, faults, bounds, folder,
+	});
+	try {
+		const records = await runFleet(fleet, createRandom(random), opts);
+		const cases: RuleCase[] = [...checkAnswers(records), ...checkBudget(records), ...checkConfiguration(records), ...fleet.endedEdges.map(name => ({rule: 'ENDED', detail: `${name} ended by itself`} as const))];
+		await writeLines(path.join(folder, 'cases.jsonl'), cases);
+		return {cases, summary: createSummary(records)};
+	} finally {
+		await fleet.stop();
+		block.release();
+	}
+}
+
+async function runFleet(fleet: SoakFleet, random: Random, {clock, seconds, callers: callerCount, faults, folder}: SoakOptions): Promise<SoakRecords> {
+	const callers: CallerRecord[] = [];
+	const abortController = new AbortController();
+	const {signal} = abortController;
+	setMaxListeners(0, signal);
+	const schedule = createSchedule({
+		random: createRandom(random), seconds, kinds: allOutsideFaults.filter(kind => faults.includes(kind)), edges: fleet.edges.map(({name}) => name), servers: fleet.servers.map(({name}) => name),
+	});
+	await writeLines(path.join(folder, 'schedule.jsonl'), schedule);
+	await fleet.start();
+	const operator = new Operator({
+		clock, random: createRandom(random), host, routes, edges: fleet.edges,
+	});
+	await operator.putNext(signal);
+	const edges = fleet.edges.map(({name, ip}) => ({name, host: ip, port: edgePorts.front}));
+	const work = [operator.run(signal), ...Array.from({length: callerCount}, async (_, index) => new Caller({
+		index, clock, random: createRandom(random), host, routes, edges, record(record) {
+			callers.push(record);
+		},
+	}).run(signal))];
+	const faultsEnded = new FaultRunner({clock, ...fleet}).run(schedule);
+	await clock.sleep(seconds * 1000);
+	abortController.abort();
+	await Promise.all([...work, faultsEnded]);
+	await clock.sleep(settleMs);
+	const readBacks = await operator.readBack();
+	await fleet.stopServers();
+	const serverRecords = await readServerRecords(folder);
+	await writeLines(path.join(folder, 'callers.jsonl'), callers);
+	await writeLines(path.join(folder, 'operator.jsonl'), [...operator.records, ...readBacks]);
+	return {
+		routes, bounds, callers, operator: operator.records, readBacks, arrivals: serverRecords.filter((record): record is ArrivalRecord => record.type === 'arrival'), fates: serverRecords.filter((record): record is FateRecord => record.type === 'fate'),
+	};
+}
+
+function createSummary(records: SoakRecords): Record<string, number> {
+	const count = (isCounted: (record: CallerRecord) => boolean) => records.callers.filter(record => isCounted(record)).length;
+	return {
+		requests: records.callers.length,
+		served: count(({end, status}) => end === 'answered' && status === 200),
+		refused: count(({end, status}) => end === 'answered' && status === 503),
+		failed: count(({end, status}) => end !== 'answered' || (status !== 200 && status !== 503)),
+		arrivals: records.arrivals.length,
+		runs: records.fates.filter(fate => fate.hasRun).length,
+		configurations: records.operator.filter(record => record.isAcknowledged).length,
+	};
+}
+
+async function readServerRecords(folder: string): Promise<ServerRecord[]> {
+	const names = await readdir(folder);
+	const files = names.filter(name => /^s\d+\.jsonl$/.test(name));
+	const texts = await Promise.all(files.map(async file => readFile(path.join(folder, file), 'utf8')));
+	return texts.flatMap(text => text.split('\n').filter(line => line !== '').map(line => JSON.parse(line) as ServerRecord));
+}
+
+async function writeLines(file: string, lines: readonly unknown[]): Promise<void> {
+	await writeFile(file, lines.map(line => `${JSON.stringify(line)}\n`).join(''));
+}
+
+/** Creates a generator of its own for a part of the run, so that the parts do not disturb each other's sequences. */
+function createRandom(random: Random): Random {
+	return new Random(random.nextInteger(seedRange));
+}
--- /dev/null
+++ b/tools/soak/src/soak-server.ts
@@ -0,0 +1,302 @@
+/**
+ * A server of the soak: a plain service or a model server in a stage. It follows the users' wire protocol, records each
+ * arrival and what became of it, and misbehaves with seeded probabilities.
+ */
+import {createServer, type Server} from 'node:net';
+import type {Clock} from '@hickorytrack/clock';
+import type {Random} from '@hickorytrack/random';
+import {
+	countEvents, createEvent, createPlainBody, createStamp,
+} from './expected-body.js';
+import {formatChunk, formatMessage, type HttpMessage} from './http-message-reader.js';
+import type {FateRecord, ServerRecord} from './records.js';
+import {ServerChannel} from './server-channel.js';
+import {ServerOperations, type Stage} from './server-operations.js';
+import {selectFault, stutterRate, type ServerFault} from './server-faults.js';
+import {WorkSlots} from './work-slots.js';
+
+export type SoakServerOptions = {
+	id: string;
+	startedAt: number;
+	service: string;
+	stage?: Stage;
+	listen: {host: string; port: number};
+	/** Address in reports; a relay may stand between it and the server. */
+	address: string;
+	faults: ReadonlySet<string>;
+	clock: Clock;
+	random: Random;
+	record: (record: ServerRecord) => void;
+	crash: () => void;
+};
+
+type Arrival = {
+	message: HttpMessage;
+	path: string;
+	requestId: string;
+	number: number;
+	deadlineAt: number;
+};
+
+const slots = 8;
+const maxWaiting = 6;
+const maxWorkMs = 10;
+const prefillMsPerToken = 0.01;
+/** A decode server prefills at half the speed. */
+const decodeSlowdown = 2;
+const maxEventMs = 8;
+const maxQueueMs = 250;
+const minIdleMs = 300;
+const maxIdleMs = 3000;
+const closeRate = 0.02;
+const msPerSecond = 1000;
+
+export class SoakServer {
+	readonly #opts: SoakServerOptions;
+	readonly #slots: WorkSlots;
+	readonly #server: Server;
+	readonly #operations: ServerOperations;
+	readonly #channels = new Set<ServerChannel>();
+	#prefills: Promise<void> = Promise.resolve();
+	#arrivals = 0;
+
+	constructor(opts: SoakServerOptions) {
+		this.#opts = opts;
+		this.#operations = new ServerOperations(opts);
+		this.#slots = new WorkSlots({clock: opts.clock, slots, maxWaiting});
+		const {clock, random, faults} = opts;
+		this.#server = createServer(socket => {
+			const channel = new ServerChannel(socket, {
+				clock, random, stutterRate: faults.has('stutter') ? stutterRate : 0, idleMs: faults.has('idle-close') ? random.nextBetween(minIdleMs, maxIdleMs) : undefined, handle: async (self, message) => this.#handle(self, message),
+			});
+			this.#channels.add(channel);
+			channel.signal.addEventListener('abort', () => {
+				this.#channels.delete(channel);
+			}, {once: true});
+		});
+	}
+
+	async start(): Promise<void> {
+		await new Promise<void>((resolve, reject) => {
+			this.#server.once('error', reject);
+			this.#server.listen(this.#opts.listen, resolve);
+		});
+	}
+
+	/** Stops listening and resets all connections. */
+	close(): void {
+		this.#server.close();
+		for (const channel of this.#channels) {
+			channel.reset();
+		}
+	}
+
+	/** Returns the body of a report to the system. */
+	describe(sequence: number): Record<string, unknown> {
+		const {service, address, startedAt} = this.#opts;
+		return {
+			service, address, zone: 'z', version: 'v1', slots, state: 'ready', 'cold-left-ms': 0, stage: this.#operations.stage, seq: sequence, born: startedAt,
+		};
+	}
+
+	async #handle(channel: ServerChannel, message: HttpMessage): Promise<void> {
+		const [method, path] = message.startLine.split(' ') as [string, string];
+		if (path.startsWith('/api/') || path.startsWith('/soak/') || path === '/healthz') {
+			const {status, body} = this.#operations.handle({method, path, body: message.body.toString()});
+			channel.send(formatMessage(`HTTP/1.1 ${status} Status`, {'content-type': 'application/json', 'x-instance-id': this.#opts.id}, JSON.stringify(body)));
+			channel.finish();
+			return;
+		}
+
+		this.#arrivals++;
+		const {clock, id, startedAt, service} = this.#opts;
+		const requestId = message.headers['x-request-id'] ?? '';
+		const arrival = {
+			message, path, requestId, number: this.#arrivals, deadlineAt: clock.monotonic() + Number(message.headers['x-deadline-ms'] ?? msPerSecond),
+		};
+		this.#opts.record({
+			type: 'arrival', at: clock.now(), server: id, startedAt, number: arrival.number, service, requestId, isPrefill: message.headers['x-stage'] === 'prefill',
+		});
+		if (message.headers['x-expect-instance'] !== id || !this.#isForStage(message)) {
+			this.#refuse(channel, arrival, 421);
+			return;
+		}
+
+		await this.#admit(channel, arrival);
+	}
+
+	/** A prefill server only prefills; a decode server only generates. */
+	#isForStage(message: HttpMessage): boolean {
+		return this.#operations.stage === undefined || (this.#operations.stage === 'prefill') === (message.headers['x-stage'] === 'prefill');
+	}
+
+	async #admit(channel: ServerChannel, arrival: Arrival): Promise<void> {
+		const {clock, random, faults} = this.#opts;
+		const fault = selectFault(random, faults);
+		if (fault === 'refuse') {
+			this.#refuse(channel, arrival, 503);
+			return;
+		}
+
+		const waitMs = Math.max(0, Math.min(maxQueueMs, arrival.deadlineAt - clock.monotonic()));
+		const outcome = await this.#slots.acquire(waitMs, channel.signal);
+		if (outcome !== 'acquired') {
+			this.#refuse(channel, arrival, 503);
+			return;
+		}
+
+		try {
+			if (fault === 'refuse-late') {
+				await clock.sleep(random.nextBetween(0, waitMs));
+				this.#refuse(channel, arrival, 503);
+				return;
+			}
+
+			await (arrival.message.headers['x-stage'] === 'prefill' ? this.#prefill(channel, arrival, fault) : this.#run(channel, arrival, fault));
+		} finally {
+			this.#slots.release();
+		}
+	}
+
+	#refuse(channel: ServerChannel, arrival: Arrival, status: number): void {
+		const retryAfter: Record<string, string> = this.#opts.random.next() < 0.5 ? {'retry-after': this.#opts.random.nextBetween(0.02, 0.3).toFixed(3)} : {};
+		this.#recordFate(arrival, {hasRun: false, answer: 'refused', status});
+		this.#send(channel, arrival, {status, headers: {'x-not-executed': '1', ...retryAfter}, body: ''});
+	}
+
+	async #prefill(channel: ServerChannel, arrival: Arrival, fault: ServerFault | undefined): Promise<void> {
+		const {startedAt} = this.#opts;
+		await this.#prefillPrompt(arrival, prefillMsPerToken);
+		const handle = `kv-${startedAt}-${arrival.number}`;
+		this.#operations.addKv(handle, {owner: arrival.requestId});
+		this.#recordFate(arrival, {
+			hasRun: false, answer: fault ?? 'prefilled', status: 200, handle, handleOwner: arrival.requestId,
+		});
+		if (this.#applyFault(channel, arrival, fault)) {
+			return;
+		}
+
+		this.#send(channel, arrival, {status: 200, headers: {'content-type': 'application/json'}, body: JSON.stringify({'kv-handle': handle, tokens: 1, version: 1})});
+	}
+
+	/** Prompts are prefilled one after another. */
+	async #prefillPrompt(arrival: Arrival, msPerToken: number): Promise<void> {
+		const tokens = Number(arrival.message.headers['x-token-counts']?.split(',')[0] ?? 0);
+		this.#prefills = this.#prefills.then(async () => this.#opts.clock.sleep(tokens * msPerToken));
+		await this.#prefills;
+	}
+
+	async #run(channel: ServerChannel, arrival: Arrival, fault: ServerFault | undefined): Promise<void> {
+		const {clock, random} = this.#opts;
+		const source = arrival.message.headers['x-kv-source'];
+		const kv = source === undefined ? undefined : await this.#operations.fetchKv(source);
+		if (source !== undefined && !kv) {
+			this.#refuse(channel, arrival, 503);
+			return;
+		}
+
+		const isSameRun = source === `${this.#opts.address}/${arrival.requestId}`;
+		const status = fault === 'failing' ? 500 : 200;
+		const stamp = createStamp(arrival.requestId, arrival.path);
+		this.#recordFate(arrival, {
+			hasRun: true, isSameRun, answer: fault ?? 'answered', status, stamp, handle: source, handleOwner: kv?.owner,
+		});
+		await (this.#operations.stage === undefined ? clock.sleep(random.nextBetween(0, maxWorkMs)) : this.#prefillPrompt(arrival, kv ? 0 : prefillMsPerToken * decodeSlowdown));
+		if (this.#applyFault(channel, arrival, fault)) {
+			return;
+		}
+
+		if (this.#operations.stage === undefined || status !== 200) {
+			this.#send(channel, arrival, {status, headers: {'x-response-stamp': stamp}, body: createPlainBody(arrival.requestId, arrival.path)});
+			return;
+		}
+
+		await this.#sendEvents(channel, arrival, {stamp, isTruncated: fault === 'truncated'});
+	}
+
+	async #sendEvents(channel: ServerChannel, arrival: Arrival, {stamp, isTruncated}: {stamp: string; isTruncated: boolean}): Promise<void> {
+		const {clock, random} = this.#opts;
+		const {headers} = arrival.message;
+		const count = countEvents(arrival.path);
+		const first = Number(headers['last-event-id'] ?? 0) + 1;
+		channel.send(formatMessage('HTTP/1.1 200 OK', {
+			'x-request-id': arrival.requestId, 'x-response-stamp': stamp, 'content-type': 'text/event-stream', 'transfer-encoding': 'chunked',
+		}));
+		for (let event = first; event <= count && !channel.signal.aborted; event++) {
+			const text = createEvent(arrival.requestId, event, count);
+			if (isTruncated && event === count) {
+				channel.send(formatChunk(text.slice(0, -8)));
+				channel.reset();
+				return;
+			}
+
+			channel.send(formatChunk(text));
+			if (headers['x-kv-backup'] !== undefined) {
+				void this.#operations.copyKv(headers['x-kv-backup'], arrival.requestId);
+			}
+
+			await clock.sleep(random.nextBetween(1, maxEventMs));
+		}
+
+		channel.send(formatChunk(''));
+		channel.finish();
+	}
+
+	/** Returns true if the request gets no regular answer. */
+	#applyFault(channel: ServerChannel, arrival: Arrival, fault: ServerFault | undefined): boolean {
+		switch (fault) {
+			case 'crash': {
+				this.close();
+				this.#opts.crash();
+				return true;
+			}
+
+			case 'lost': {
+				channel.reset();
+				return true;
+			}
+
+			case 'silent': {
+				return true;
+			}
+
+			case 'garbage': {
+				channel.send(`${arrival.requestId} is no answer\r\n\r\n`);
+				channel.end();
+				return true;
+			}
+
+			case 'truncated': {
+				if (this.#operations.stage !== undefined && arrival.message.headers['x-stage'] !== 'prefill') {
+					return false;
+				}
+
+				const body = createPlainBody(arrival.requestId, arrival.path);
+				channel.send(formatMessage('HTTP/1.1 200 OK', {'x-request-id': arrival.requestId, 'x-response-stamp': createStamp(arrival.requestId, arrival.path), 'content-length': String(body.length)}, body.slice(0, body.length / 2)));
+				channel.end();
+				return true;
+			}
+
+			default: {
+				return false;
+			}
+		}
+	}
+
+	#send(channel: ServerChannel, arrival: Arrival, {status, headers, body}: {status: number; headers: Record<string, string>; body: string}): void {
+		const isLast = this.#opts.faults.has('idle-close') && this.#opts.random.next() < closeRate;
+		channel.send(formatMessage(`HTTP/1.1 ${status} Status`, {'x-request-id': arrival.requestId, ...headers, ...(isLast ? {connection: 'close'} : {})}, body));
+		if (isLast) {
+			channel.end();
+		} else {
+			channel.finish();
+		}
+	}
+
+	#recordFate(arrival: Arrival, fate: Pick<FateRecord, 'hasRun' | 'answer'> & Partial<FateRecord>): void {
+		const {clock, id, startedAt} = this.#opts;
+		this.#opts.record({
+			type: 'fate', at: clock.now(), server: id, startedAt, number: arrival.number, requestId: arrival.requestId, ...fate,
+		});
+	}
+}
