fix(events): a number of its own for answers that are not the request's own

Change: 1761, beside the other events of requests. The test of the catalogue ("uses each number once") failed before and passes now.

--- a/packages/core/events/src/event-catalogue.ts
+++ b/packages/core/events/src/event-catalogue.ts
@@ -216,7 +216,7 @@
 		number: 1757, level: 'warn', text: 'A server crashed while it ran a request', action: 'Check the server and, if this repeats, the request.',
 	},
 	foreignAnswer: {
-		number: 1771, level: 'warn', text: 'An answer of a server does not bear the id of the request whose answer was due', action: 'Check the server if exchanges is 0; otherwise it answered an earlier request twice.',
+		number: 1761, level: 'warn', text: 'An answer of a server does not bear the id of the request whose answer was due', action: 'Check the server if exchanges is 0; otherwise it answered an earlier request twice.',
 	},
 } as const satisfies Record<string, EventDefinition>;
 
