fix(entry): give a new workspace this entry's part of its limits

Found while looking for shares that are momentarily wrong. Cause: a new workspace began with the whole limit at each entry and got its part when the controller sent shares the next time; with four entries a workspace could start four times its burst and concurrency. Change: the directory keeps the last shares and applies them to a new workspace. Left: an entry that has just started has no shares yet and uses the whole limit until they arrive.

--- a/packages/plugins/entry/src/workspace-directory.ts
+++ b/packages/plugins/entry/src/workspace-directory.ts
@@ -69,6 +69,8 @@
 	readonly #clock: Clock;
 	readonly #workspaces = new Map<string, Workspace>();
 	readonly #keys = new Map<string, {digest: Buffer; workspace: Workspace}>();
+	/** Fractions by workspace; the one under the empty name is for all others. */
+	#fractions: ReadonlyMap<string, number> = new Map();
 	#collectedAt: number;
 
 	constructor(clock: Clock) {
@@ -99,9 +101,9 @@
 	}
 
 	setShares(shares: readonly WorkspaceShare[]): void {
-		const byWorkspace = new Map(shares.map(share => [share.workspace, share.fraction]));
+		this.#fractions = new Map(shares.map(share => [share.workspace, share.fraction]));
 		for (const [name, workspace] of this.#workspaces) {
-			workspace.setFraction(byWorkspace.get(name) ?? byWorkspace.get('') ?? 1);
+			workspace.setFraction(this.#findFraction(name));
 		}
 	}
 
@@ -120,10 +122,16 @@
 		if (existing) {
 			existing.update(contract);
 		} else {
-			this.#workspaces.set(contract.workspace, new Workspace(contract, this.#clock));
+			const workspace = new Workspace(contract, this.#clock);
+			workspace.setFraction(this.#findFraction(contract.workspace));
+			this.#workspaces.set(contract.workspace, workspace);
 		}
 	}
 
+	#findFraction(workspace: string): number {
+		return this.#fractions.get(workspace) ?? this.#fractions.get('') ?? 1;
+	}
+
 	#rebuildKeys(): void {
 		this.#keys.clear();
 		for (const workspace of this.#workspaces.values()) {
