--- a/stand-ins/src/platform-server.ts
+++ b/stand-ins/src/platform-server.ts
@@ -80,6 +80,7 @@
 	readonly #opts: PlatformServerOptions;
 	readonly #server: Server;
 	readonly #sockets = new Map<Socket, AnswerRepeater>();
+	#port = 0;
 
 	constructor(opts: PlatformServerOptions) {
 		this.#opts = opts;
@@ -98,7 +99,7 @@
 	}
 
 	get address(): string {
-		return `127.0.0.1:${(this.#server.address() as AddressInfo).port}`;
+		return `127.0.0.1:${this.#port}`;
 	}
 
 	/** Returns the report that the server sends to the system. */
@@ -112,6 +113,18 @@
 		await new Promise<void>(resolve => {
 			this.#server.listen(0, '127.0.0.1', resolve);
 		});
+		this.#port = (this.#server.address() as AddressInfo).port;
+	}
+
+	/** Starts again at the same address after a crash. */
+	async restart(): Promise<void> {
+		await new Promise<void>(resolve => {
+			this.#server.listen(this.#port, '127.0.0.1', resolve);
+		});
+	}
+
+	get isRunning(): boolean {
+		return this.#server.listening;
 	}
 
 	async stop(): Promise<void> {
@@ -186,6 +199,8 @@
 	}
 
 	async #respond(request: IncomingMessage, response: ServerResponse, receivedRequest: ReceivedRequest): Promise<void> {
+		// A call for a prefill is no run of the request.
+		const isRun = request.headers['x-stage'] !== 'prefill';
 		switch (this.fault) {
 			case platformFaults.full: {
 				this.#sendForRequest(response, receivedRequest, {status: 503, headers: {'x-not-executed': '1', 'retry-after': '0.2'}});
@@ -193,18 +208,18 @@
 			}
 
 			case platformFaults.silent: {
-				receivedRequest.hasRun = true;
+				receivedRequest.hasRun = isRun;
 				return;
 			}
 
 			case platformFaults.crash: {
-				receivedRequest.hasRun = true;
+				receivedRequest.hasRun = isRun;
 				await this.stop();
 				return;
 			}
 
 			case platformFaults.reset: {
-				receivedRequest.hasRun = true;
+				receivedRequest.hasRun = isRun;
 				request.socket.resetAndDestroy();
 				return;
 			}
