feat(edge): log on whose word a request counts as not run

What could not be told from the log of the incident: whether a request that was refused had been refused by the edge before anything was sent, by a server (which one, with what status and for which id), or because nothing was written.

Change: forwardRefused (and the other results) carry `grounds`, one entry for each run or prefill call that ended without a run. An empty list is the edge's own refusal before any call; `servers` counts the attempts, as before.

--- a/packages/core/events/src/event-catalogue.ts
+++ b/packages/core/events/src/event-catalogue.ts
@@ -183,7 +183,7 @@
 		number: 1751, level: 'info', text: 'A request was answered (sampled)', action: noAction,
 	},
 	forwardRefused: {
-		number: 1752, level: 'info', text: 'A request was refused and was not run', action: 'Read the reason; add servers if the queue was too long.',
+		number: 1752, level: 'info', text: 'A request was refused and was not run; grounds lists on whose word, for each call to a server, and is empty if there was none', action: 'Read the reason; add servers if the queue was too long.',
 	},
 	forwardFailed: {
 		number: 1753, level: 'warn', text: 'A request ended without a complete answer', action: 'Search the failed attempts for its id.',
--- a/packages/plugins/edge/src/buffered-forwarder.ts
+++ b/packages/plugins/edge/src/buffered-forwarder.ts
@@ -10,9 +10,11 @@
 import {forwardResponse, sendProblem} from './responses.js';
 import {retryKinds} from './retry-budget.js';
 import {SendPermits, type SendPermit} from './send-permits.js';
+import {callKinds} from './call-kinds.js';
+import {RefusalGrounds} from './refusal-grounds.js';
 import {requestOutcomes, type CallerRequest, type RequestResult} from './caller-request.js';
 import {
-	createOutboundRequest, computeRemainingMs, defaultRetryAfterMs, type ForwardContext,
+	createAnswerIdentity, createOutboundRequest, computeRemainingMs, defaultRetryAfterMs, type ForwardContext,
 } from './forward-context.js';
 
 /** Timeout of an attempt after which the request can still be retried, as a fraction of the time until its deadline. */
@@ -26,6 +28,7 @@
 	readonly #servers: KnownServer[] = [];
 	/** True until a server may have started to run the request. */
 	#isNotExecuted = true;
+	readonly #grounds: RefusalGrounds;
 	#retryAfterMs = defaultRetryAfterMs;
 	/** The last 5xx response of a server, forwarded when no other server gives a better one. */
 	#failedResult: AttemptResult | undefined;
@@ -34,6 +37,7 @@
 		this.#context = context;
 		this.#request = request;
 		this.#permits = new SendPermits(context.retryBudget, request);
+		this.#grounds = new RefusalGrounds(createAnswerIdentity(context, request));
 	}
 
 	async forward(): Promise<RequestResult> {
@@ -108,6 +112,7 @@
 		}
 
 		this.#isNotExecuted &&= !result.isWritten;
+		this.#grounds.add(callKinds.run, server, {result, isNotExecuted: false});
 		eventLog.emit('attemptFailed', {
 			request: this.#request.metadata.requestId, server: server.id, end: result.outcome, isWritten: result.isWritten, isStale, reason: result.error?.message,
 		});
@@ -127,6 +132,7 @@
 		const head = result.head!;
 		const metadata = codec.decodeResponseHead(head);
 		if (metadata.isNotExecuted) {
+			this.#grounds.add(callKinds.run, server, {result, isNotExecuted: true});
 			this.#retryAfterMs = metadata.retryAfterMs ?? this.#retryAfterMs;
 			return undefined;
 		}
@@ -177,6 +183,8 @@
 	}
 
 	#createResult(outcome: RequestResult['outcome'], rest: Omit<RequestResult, 'outcome' | 'servers'> = {}): RequestResult {
-		return {outcome, servers: this.#servers.map(server => server.id), ...rest};
+		return {
+			outcome, servers: this.#servers.map(server => server.id), grounds: this.#grounds.list, ...rest,
+		};
 	}
 }
--- a/packages/plugins/edge/src/caller-request.ts
+++ b/packages/plugins/edge/src/caller-request.ts
@@ -2,6 +2,7 @@
 import type {Buffer} from 'node:buffer';
 import type {ServerResponse} from 'node:http';
 import type {Route} from '@hickorytrack/route-table/route-types';
+import type {RefusalGround} from './refusal-grounds.js';
 import type {RequestMetadata} from './request-codec.js';
 
 export type CallerRequest = {
@@ -42,6 +43,8 @@
 	reason?: string;
 	/** Servers that the request was sent to, in order. */
 	servers: string[];
+	/** Calls to servers that ended without a run. */
+	grounds?: readonly RefusalGround[];
 	firstByteMs?: number;
 	predictedMs?: number;
 	retryAfterMs?: number;
--- a/packages/plugins/edge/src/forward-context.ts
+++ b/packages/plugins/edge/src/forward-context.ts
@@ -1,6 +1,7 @@
 /** State and services that all forwarders of an instance share. */
 import type {Clock} from '@hickorytrack/clock';
 import type {EndpointClient, OutboundRequest} from '@hickorytrack/endpoint-client';
+import type {AnswerIdentity} from '@hickorytrack/endpoint-client/answer-identity';
 import type {EngineProfile} from '@hickorytrack/engine-profile';
 import type {EndpointRegistry, KnownServer} from '@hickorytrack/endpoint-registry';
 import type {LoadTracker} from '@hickorytrack/prompt-placement/load-tracker';
@@ -48,15 +49,19 @@
 	return request.deadlineAt - context.clock.monotonic();
 }
 
+/** Creates the proof that an answer belongs to the request; undefined for a request without an id. */
+export function createAnswerIdentity({codec}: ForwardContext, {metadata: {requestId}}: CallerRequest): AnswerIdentity | undefined {
+	return requestId === undefined ? undefined : codec.createAnswerIdentity(requestId);
+}
+
 /** Creates the request to a server for a caller's request, which is sent at once. */
 export function createOutboundRequest(context: ForwardContext, request: CallerRequest, metadata: Omit<ForwardMetadata, 'remainingMs'> & {needsVerifiedConnection: boolean; permit: SendPermit}): OutboundRequest {
 	const {needsVerifiedConnection, permit, ...rest} = metadata;
 	permit.start();
 	const remainingMs = Math.max(1, Math.floor(computeRemainingMs(context, request) - responseMarginMs));
-	const {requestId} = request.metadata;
 	return {
 		callKind: metadata.isPrefillOnly ? callKinds.prefill : callKinds.run,
-		identity: requestId === undefined ? undefined : context.codec.createAnswerIdentity(requestId),
+		identity: createAnswerIdentity(context, request),
 		method: request.method,
 		path: request.path,
 		body: request.body,
--- a/packages/plugins/edge/src/streaming-forwarder.ts
+++ b/packages/plugins/edge/src/streaming-forwarder.ts
@@ -11,6 +11,9 @@
 	attemptOutcomes, describeFailure, runAttempt, type AttemptResult,
 } from './attempt.js';
 import {forwardResponse, sendProblem} from './responses.js';
+import {selectBackup} from './backup-server.js';
+import {callKinds} from './call-kinds.js';
+import {RefusalGrounds} from './refusal-grounds.js';
 import {requestOutcomes, type CallerRequest, type RequestResult} from './caller-request.js';
 import {EventRelay} from './event-relay.js';
 import {releaseKvCache} from './kv-release.js';
@@ -19,7 +22,7 @@
 import {SendPermits, type SendPermit} from './send-permits.js';
 import {SilenceDetector} from './silence-detector.js';
 import {
-	createOutboundRequest, computeRemainingMs, defaultRetryAfterMs, type ForwardContext,
+	createAnswerIdentity, createOutboundRequest, computeRemainingMs, defaultRetryAfterMs, type ForwardContext,
 } from './forward-context.js';
 
 const emptyPrompt: Prompt = {parts: [], tokens: 0, maxOutputTokens: 0};
@@ -41,6 +44,7 @@
 	readonly #servers: KnownServer[] = [];
 	readonly #excluded = new Set<string>();
 	#isNotExecuted = true;
+	readonly #grounds: RefusalGrounds;
 	/** Keeps a copy of the request's KV cache, from which the stream can resume when the decode server fails. */
 	#backupServer: KnownServer | undefined;
 	#retryAfterMs = defaultRetryAfterMs;
@@ -51,6 +55,7 @@
 	constructor(context: ForwardContext, request: CallerRequest) {
 		this.#context = context;
 		this.#request = request;
+		this.#grounds = new RefusalGrounds(createAnswerIdentity(context, request));
 		this.#relay = new EventRelay(request.response);
 		this.#prompt = request.metadata.prompt ?? emptyPrompt;
 		this.#permits = new SendPermits(context.retryBudget, request);
@@ -215,6 +220,7 @@
 		}
 
 		this.#excluded.add(prefillServer.id);
+		this.#grounds.add(callKinds.prefill, prefillServer, {result, isNotExecuted: metadata?.isNotExecuted ?? false});
 		if (result.outcome === attemptOutcomes.cancelled) {
 			return undefined;
 		}
@@ -234,7 +240,7 @@
 	async #generate(server: KnownServer, {permit, handle, placement}: {permit: SendPermit; handle?: KvHandle; placement: Exclude<Placement, {kind: 'refuse'}>}): Promise<AttemptResult> {
 		const {loadTracker, client, clock, measurements} = this.#context;
 		const isLongOutput = this.#prompt.maxOutputTokens >= longOutputTokens;
-		this.#backupServer = isLongOutput ? this.#selectBackup(server) : undefined;
+		this.#backupServer = isLongOutput ? selectBackup(this.#context, this.#request.service, server) : undefined;
 		const canFailOver = this.#isRetryable && this.#servers.length < this.#request.route.maxServers;
 		const silence = this.#createSilenceDetector(server, placement.predictedMs);
 		const load = loadTracker.getLoad(server.id);
@@ -284,13 +290,6 @@
 		return new SilenceDetector(health, {server, predictedMs: profile.isKnown(server.service) ? predictedMs : undefined, startedAt: clock.monotonic()});
 	}
 
-	/** Selects the server with the fewest requests among those that generate, other than the given one. */
-	#selectBackup(decodeServer: KnownServer): KnownServer | undefined {
-		const {registry, health, loadTracker} = this.#context;
-		const others = health.selectHealthy(registry.listUsable(this.#request.service)).filter(server => server.id !== decodeServer.id && server.stage !== 'prefill');
-		return others.sort((a, b) => loadTracker.getLoad(a.id).requests - loadTracker.getLoad(b.id).requests)[0];
-	}
-
 	get #priority(): number {
 		return Math.min(maxPriorityValue, this.#request.route.priority);
 	}
@@ -313,6 +312,7 @@
 		const {health, eventLog, onConnectionLost} = this.#context;
 		const foreignAnswer = result.error?.foreignAnswer;
 		this.#isNotExecuted &&= !result.isWritten;
+		this.#grounds.add(callKinds.run, server, {result, isNotExecuted: false});
 		if (!result.isWritten) {
 			this.#releaseKvHandle(handle);
 		}
@@ -353,6 +353,7 @@
 		const head = result.head!;
 		const metadata = this.#context.codec.decodeResponseHead(head);
 		if (metadata.isNotExecuted) {
+			this.#grounds.add(callKinds.run, server, {result, isNotExecuted: true});
 			this.#excluded.add(server.id);
 			this.#releaseKvHandle(handle);
 			this.#retryAfterMs = metadata.retryAfterMs ?? this.#retryAfterMs;
@@ -414,7 +415,7 @@
 
 	#createResult(outcome: RequestResult['outcome'], rest: Omit<RequestResult, 'outcome' | 'servers'> = {}): RequestResult {
 		return {
-			outcome, servers: this.#servers.map(server => server.id), firstByteMs: this.#firstByteMs, predictedMs: this.#predictedMs, ...rest,
+			outcome, servers: this.#servers.map(server => server.id), grounds: this.#grounds.list, firstByteMs: this.#firstByteMs, predictedMs: this.#predictedMs, ...rest,
 		};
 	}
 }
