--- a/packages/plugins/edge/test/http-frontend.test.ts
+++ b/packages/plugins/edge/test/http-frontend.test.ts
@@ -2,6 +2,7 @@
 	connect, createServer, type AddressInfo, type Socket,
 } from 'node:net';
 import {expect} from 'chai';
+import {ManualClock} from '@hickorytrack/clock/manual-clock';
 import {SystemClock} from '@hickorytrack/clock/system-clock';
 import {Random} from '@hickorytrack/random';
 import {RouteTable} from '@hickorytrack/route-table';
@@ -137,4 +138,43 @@
 		expect(forwarded).to.have.length(0);
 		expect(received).to.match(/^HTTP\/1.1 400 /);
 	});
+
+	// Guards against a part of a body that is read as a request of its own.
+	it('answers a request that it does not forward only after its whole body', async () => {
+		socket.write('POST /x HTTP/1.1\r\nHost: none\r\nContent-Length: 60\r\n\r\n');
+		await clock.sleep(20);
+		expect(received).to.equal('');
+		socket.write('POST /y HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n'.padEnd(60));
+		await waitFor(() => received.includes('no-route'));
+		socket.write(request);
+		await waitFor(() => forwarded.length === 1);
+		expect(forwarded[0]!.path).to.equal('/x');
+		expect(received.match(/HTTP\/1.1 /g)).to.have.length(1);
+	});
+
+	it('refuses a request that arrives late in the drain, and does not forward it', async () => {
+		const clock = new ManualClock();
+		const draining = new HttpFrontend({
+			clock, random: new Random(1), codec, notReadyRetryAfterMs: 100, getRoutes: () => routes, async forward(callerRequest) {
+				forwarded.push(callerRequest);
+			}, onRejected(rejectedRequest) {
+				rejected.push(rejectedRequest);
+			},
+		});
+		const port = await findPort();
+		await draining.listen('127.0.0.1', port);
+		draining.startDrain();
+		await clock.advance(2600);
+		const late = connect(port, '127.0.0.1');
+		late.on('data', chunk => {
+			received += String(chunk);
+		});
+		late.write(request);
+		await waitFor(() => late.destroyed);
+		expect(received).to.match(/^HTTP\/1.1 503 /);
+		expect(received).to.match(/\r\nconnection: close\r\n/i);
+		expect(forwarded).to.have.length(0);
+		expect(rejected[0]).to.include({reason: 'stopping'});
+		draining.close();
+	});
 });
