fix(edge): requests that wait behind another one end when their caller leaves

A caller that pipelines requests and closes its connection left all but the first one open: their work at servers went on for nobody, open_requests never fell back to 0, and each drain then took the whole grace period.

Cause: Node emits the close of a response only once it has its turn on the connection.

Change: a request also ends with its connection.

Evidence: the new test failed before (signal of the second request not aborted) and passes now with 20 requests in flight.

--- a/packages/plugins/edge/src/http-frontend.ts
+++ b/packages/plugins/edge/src/http-frontend.ts
@@ -72,6 +72,10 @@
 		this.#server = createServer({maxHeaderSize: maxHeadBytes, connectionsCheckingInterval: connectionsCheckMs, noDelay: true}, (request, response) => {
 			void this.#handle(request, response);
 		});
+		this.#server.on('connection', (socket: Socket) => {
+			// Each open request of a connection listens for its close.
+			socket.setMaxListeners(0);
+		});
 		this.#server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
 			this.#handleClientError(error, socket as Socket);
 		});
@@ -113,7 +117,7 @@
 		}
 
 		this.#openRequests++;
-		response.once('close', () => {
+		onceClosed(response, () => {
 			this.#openRequests--;
 		});
 		if (this.#stoppingSince !== undefined) {
@@ -166,7 +170,7 @@
 
 		this.#lastResponses.set(incoming.socket, response);
 		const abortController = new AbortController();
-		response.once('close', () => {
+		onceClosed(response, () => {
 			if (!response.writableFinished) {
 				abortController.abort();
 			}
@@ -228,6 +232,23 @@
 	}
 }
 
+/** Calls the listener when the response is complete or its connection has closed. */
+function onceClosed(response: ServerResponse, listener: () => void): void {
+	const {socket} = response.req;
+	let isClosed = false;
+	const finish = () => {
+		if (!isClosed) {
+			isClosed = true;
+			socket.off('close', finish);
+			listener();
+		}
+	};
+
+	response.once('close', finish);
+	// A response that waits behind another one on its connection does not emit the event when the connection closes.
+	socket.once('close', finish);
+}
+
 async function readBody(incoming: IncomingMessage, maxBytes: number): Promise<Buffer | 'too-large' | 'broken'> {
 	const chunks: Buffer[] = [];
 	let size = 0;
--- a/packages/plugins/edge/test/http-frontend.test.ts
+++ b/packages/plugins/edge/test/http-frontend.test.ts
@@ -152,6 +152,17 @@
 		expect(received.match(/HTTP\/1.1 /g)).to.have.length(1);
 	});
 
+	// Guards against a drain that waits for a request without a caller, and against work for that caller.
+	it('ends all requests of a connection that its caller closes', async () => {
+		socket.write(request.repeat(20));
+		await waitFor(() => forwarded.length === 20);
+		socket.destroy();
+		await waitFor(() => forwarded[0]!.signal.aborted);
+		await clock.sleep(20);
+		expect(forwarded.filter(({signal}) => signal.aborted)).to.have.length(20);
+		expect(frontend.openRequests).to.equal(0);
+	});
+
 	it('refuses a request that arrives late in the drain, and does not forward it', async () => {
 		const clock = new ManualClock();
 		const draining = new HttpFrontend({
