--- a/tools/soak/src/check-answers.ts
+++ b/tools/soak/src/check-answers.ts
@@ -3,6 +3,7 @@
  *
  * MIXED: a success is the request's own, whole, and was given by a server; a stream goes on from its own KV cache only.
  * REFUSED: a status that promises that a request has not run is true, when the request must not be repeated.
+ * BUDGET: no more than three requests run, in one attempt of their caller, at more servers than their route allows.
  * TWICE: a request that must not be repeated runs once at most.
  * ORDER: the events of a stream follow each other without a gap, and an end that looks complete is complete.
  */
@@ -15,12 +16,26 @@
 	CallerRecord, FateRecord, RuleCase, SoakRecords, SoakRoute,
 } from './records.js';
 
+const toleratedExceeding = 3;
+
 type Fates = ReadonlyMap<string, readonly FateRecord[]>;
 
 export function checkAnswers(records: SoakRecords): RuleCase[] {
 	const routes = new Map(records.routes.map(route => [route.name, route]));
 	const fates = collectByKey(records.fates, fate => fate.requestId);
-	return [...records.callers.flatMap(record => checkAttempt(record, routes.get(record.route)!, fates)), ...records.fates.flatMap(fate => checkHandle(fate))];
+	return [
+		...records.callers.flatMap(record => checkAttempt(record, routes.get(record.route)!, fates)),
+		...records.fates.flatMap(fate => checkHandle(fate)),
+		...checkServerCounts(records.callers.filter(({requestId, route}) => listRuns(fates, requestId).length > routes.get(route)!.maxServers)),
+	];
+}
+
+function listRuns(fates: Fates, requestId: string): FateRecord[] {
+	return fates.get(requestId)?.filter(fate => fate.hasRun && !fate.isSameRun) ?? [];
+}
+
+function checkServerCounts(exceeding: readonly CallerRecord[]): RuleCase[] {
+	return exceeding.length > toleratedExceeding ? exceeding.map(({requestId, path}) => ({rule: 'BUDGET', requestId, detail: `${path} ran at too many servers`})) : [];
 }
 
 function checkAttempt(record: CallerRecord, route: SoakRoute, fates: Fates): RuleCase[] {
@@ -30,7 +45,7 @@
 	};
 
 	const own = fates.get(record.requestId) ?? [];
-	const runs = own.filter(fate => fate.hasRun && !fate.isSameRun);
+	const runs = listRuns(fates, record.requestId);
 	const isRepeatable = route.kind === 'idempotent' || route.isResumable;
 	if (!isRepeatable && runs.length > 1) {
 		add('TWICE', `ran at ${runs.map(run => run.server).join(' and ')}`);
--- a/tools/soak/src/check-budget.ts
+++ b/tools/soak/src/check-budget.ts
@@ -7,14 +7,28 @@
 	ArrivalRecord, FateRecord, RuleCase, SoakRecords,
 } from './records.js';
 
-export function checkBudget({routes, callers, arrivals, fates, bounds}: SoakRecords): RuleCase[] {
+/** The window of a service in which most of its budget was used. */
+export type BudgetUse = {
+	service: string;
+	extra: number;
+	allowed: number;
+	/** The last extra arrival. */
+	requestId: string;
+	at: number;
+};
+
+export function checkBudget(records: SoakRecords): RuleCase[] {
+	return findBudgetUses(records).filter(({extra, allowed}) => extra > allowed).map(({service, extra, allowed, requestId, at}) => ({rule: 'BUDGET', requestId, detail: `${service} got ${extra} extra arrivals in the window to ${at}, ${allowed.toFixed(1)} are allowed`}));
+}
+
+export function findBudgetUses({routes, callers, arrivals, fates, bounds}: SoakRecords): BudgetUse[] {
 	const services = new Set(routes.map(route => route.service));
 	const serviceOfRoute = new Map(routes.map(route => [route.name, route.service]));
 	const fatesByArrival = new Map(fates.map(fate => [formatArrival(fate), fate]));
 	return [...services].flatMap(service => {
 		const requestTimes = callers.filter(record => serviceOfRoute.get(record.route) === service).map(record => record.sentAt).sort((a, b) => a - b);
 		const extra = listExtraArrivals(arrivals.filter(arrival => arrival.service === service), fatesByArrival);
-		return findWorstWindow(service, {requestTimes, extra, bounds});
+		return findFullestWindow(service, {requestTimes, extra, bounds});
 	});
 }
 
@@ -39,22 +53,17 @@
 	});
 }
 
-/** Returns the window in which the budget is exceeded most, as a case. */
-function findWorstWindow(service: string, {requestTimes, extra, bounds}: {requestTimes: readonly number[]; extra: readonly ArrivalRecord[]; bounds: SoakRecords['bounds']}): RuleCase[] {
+function findFullestWindow(service: string, {requestTimes, extra, bounds}: {requestTimes: readonly number[]; extra: readonly ArrivalRecord[]; bounds: SoakRecords['bounds']}): BudgetUse[] {
 	const {ratio, slack, windowMs} = bounds;
 	const countRequests = (end: number) => countIn(requestTimes, end - windowMs, end);
-	let worst: {excess: number; detail: string; requestId: string} | undefined;
-	for (const [index, {at, requestId}] of extra.entries()) {
+	const uses = extra.map(({at, requestId}, index) => {
 		const first = extra.findIndex(arrival => arrival.at > at - windowMs);
-		const count = index - first + 1;
 		const requests = Math.max(countRequests(at), countRequests(at - windowMs), countRequests(at - (windowMs / 2)));
-		const excess = count - ((ratio * requests) + slack);
-		if (excess > (worst?.excess ?? 0)) {
-			worst = {excess, requestId, detail: `${service} got ${count} extra arrivals for ${requests} requests in the window to ${at}`};
-		}
-	}
-
-	return worst ? [{rule: 'BUDGET', requestId: worst.requestId, detail: worst.detail}] : [];
+		return {
+			service, extra: index - first + 1, allowed: (ratio * requests) + slack, requestId, at,
+		};
+	});
+	return uses.sort((a, b) => (b.extra / b.allowed) - (a.extra / a.allowed)).slice(0, 1);
 }
 
 /** Number of sorted times after `from` and up to `to`. */
--- a/tools/soak/src/operator.ts
+++ b/tools/soak/src/operator.ts
@@ -16,7 +16,7 @@
 const callTimeoutMs = 1500;
 const pauseMs = 100;
 const meanChangeMs = 2500;
-const readBackTimeoutMs = 20_000;
+const readBackTimeoutMs = 60_000;
 const routeTimeoutMs = 4000;
 const maxVersionStep = 5;
 
--- a/tools/soak/src/soak-fleet.ts
+++ b/tools/soak/src/soak-fleet.ts
@@ -97,17 +97,20 @@
 		const {block, servers, faults, folder, random} = this.#opts;
 		const plainServers = Math.floor(servers * plainFraction);
 		const prefillServers = Math.ceil((servers - plainServers) * prefillFraction);
-		const id = `s${index + 1}`;
+		const name = `s${index + 1}`;
 		const listen = {host: block.getIp(hosts.server + index), port: serverPort};
 		const relayAddress = {host: block.getIp(hosts.serverRelay + index), port: serverPort};
-		this.links.add({name: id, address: listen, relayAddress});
+		this.links.add({name, address: listen, relayAddress});
 		const modelStage = index < plainServers + prefillServers ? 'prefill' : 'decode';
 		const seeds = new Random(random.nextInteger(seedRange));
+		let starts = 0;
+		// A server comes back under its id or under a new one.
+		const createId = () => seeds.next() < 0.5 ? name : `${name}-${starts++}`;
 		const createArgs = () => [serverMainPath, JSON.stringify({
-			id, service: index < plainServers ? 'plain' : 'model', stage: index < plainServers ? undefined : modelStage, listen, address: `${relayAddress.host}:${relayAddress.port}`, faults: [...faults], seed: seeds.nextInteger(seedRange), recordPath: path.join(folder, `${id}.jsonl`), controls: this.edges.map(edge => edge.controlAddress), reportIntervalMs,
+			id: createId(), service: index < plainServers ? 'plain' : 'model', stage: index < plainServers ? undefined : modelStage, listen, address: `${relayAddress.host}:${relayAddress.port}`, faults: [...faults], seed: seeds.nextInteger(seedRange), recordPath: path.join(folder, `${name}.jsonl`), controls: this.edges.map(edge => edge.controlAddress), reportIntervalMs,
 		} satisfies ServerProcessOptions)];
 		const server: ManagedProcess = new ManagedProcess({
-			name: id, logPath: path.join(folder, `${id}.log`), createArgs, ...this.#createListeners(id, () => server),
+			name, logPath: path.join(folder, `${name}.log`), createArgs, ...this.#createListeners(name, () => server),
 		});
 		this.servers.push(server);
 	}
--- a/tools/soak/src/soak-run.ts
+++ b/tools/soak/src/soak-run.ts
@@ -8,7 +8,7 @@
 import {acquireAddressBlock} from './address-block.js';
 import {Caller} from './caller.js';
 import {checkAnswers} from './check-answers.js';
-import {checkBudget} from './check-budget.js';
+import {checkBudget, findBudgetUses} from './check-budget.js';
 import {checkConfiguration} from './check-configuration.js';
 import {edgePorts} from './edge-process.js';
 import {FaultRunner} from './fault-runner.js';
@@ -121,6 +121,7 @@
 		failed: count(({end, status}) => end !== 'answered' || (status !== 200 && status !== 503)),
 		arrivals: records.arrivals.length,
 		runs: records.fates.filter(fate => fate.hasRun).length,
+		budgetUsed: Math.max(0, ...findBudgetUses(records).map(({extra, allowed}) => Math.round(100 * extra / allowed) / 100)),
 		configurations: records.operator.filter(record => record.isAcknowledged).length,
 	};
 }
--- a/tools/soak/src/soak-server.ts
+++ b/tools/soak/src/soak-server.ts
@@ -49,6 +49,8 @@
 const minIdleMs = 300;
 const maxIdleMs = 3000;
 const closeRate = 0.02;
+const keepsAbandonedFraction = 0.3;
+const neverAborted = new AbortController().signal;
 const msPerSecond = 1000;
 
 export class SoakServer {
@@ -57,6 +59,8 @@
 	readonly #server: Server;
 	readonly #operations: ServerOperations;
 	readonly #channels = new Set<ServerChannel>();
+	/** Most servers drop a waiting request whose connection closes; some run it. */
+	readonly #keepsAbandoned: boolean;
 	#prefills: Promise<void> = Promise.resolve();
 	#arrivals = 0;
 
@@ -65,6 +69,7 @@
 		this.#operations = new ServerOperations(opts);
 		this.#slots = new WorkSlots({clock: opts.clock, slots, maxWaiting});
 		const {clock, random, faults} = opts;
+		this.#keepsAbandoned = random.next() < keepsAbandonedFraction;
 		this.#server = createServer(socket => {
 			const channel = new ServerChannel(socket, {
 				clock, random, stutterRate: faults.has('stutter') ? stutterRate : 0, idleMs: faults.has('idle-close') ? random.nextBetween(minIdleMs, maxIdleMs) : undefined, handle: async (self, message) => this.#handle(self, message),
@@ -139,7 +144,7 @@
 		}
 
 		const waitMs = Math.max(0, Math.min(maxQueueMs, arrival.deadlineAt - clock.monotonic()));
-		const outcome = await this.#slots.acquire(waitMs, channel.signal);
+		const outcome = await this.#slots.acquire(waitMs, this.#keepsAbandoned ? neverAborted : channel.signal);
 		if (outcome !== 'acquired') {
 			this.#refuse(channel, arrival, 503);
 			return;
--- a/tools/soak/test/checks-can-fail.test.ts
+++ b/tools/soak/test/checks-can-fail.test.ts
@@ -99,6 +99,20 @@
 		expect(listRules(createCaller('tell'), [createFate('/tell/1/4'), createFate('/tell/1/4', {server: 's2', isSameRun: true})])).to.deep.equal([]);
 	});
 
+	// BUDGET: more servers than the route allows, in more than three requests.
+	it('reports requests that ran at too many servers', () => {
+		const listBudget = (count: number) => {
+			const callers = Array.from({length: count}, (_, index) => createCaller('again', {
+				requestId: `q${index}`, end: 'closed', status: undefined, answerId: undefined,
+			}));
+			const fates = callers.flatMap(caller => ['s1', 's2', 's3'].map(server => createFate(caller.path, {requestId: caller.requestId, server})));
+			return checkAnswers(createRecords({callers, fates})).map(({rule}) => rule);
+		};
+
+		expect(listBudget(3)).to.deep.equal([]);
+		expect(listBudget(4)).to.deep.equal(['BUDGET', 'BUDGET', 'BUDGET', 'BUDGET']);
+	});
+
 	// ORDER: a lost, repeated or missing last event.
 	it('reports streams with gaps, repeats or an early end', () => {
 		expect(listRules(createCaller('talk', {body: createEvents(1, 3, 4)}))).to.deep.equal(['ORDER']);
