--- a/tools/soak/src/managed-process.ts
+++ b/tools/soak/src/managed-process.ts
@@ -14,6 +14,14 @@
 	onEnded?: (isExpected: boolean) => void;
 };
 
+/** No process of a run outlives it, also when it is interrupted. */
+const children = new Set<ChildProcess>();
+process.once('exit', () => {
+	for (const child of children) {
+		child.kill('SIGKILL');
+	}
+});
+
 export class ManagedProcess {
 	readonly #opts: ManagedProcessOptions;
 	#child: ChildProcess | undefined;
@@ -33,7 +41,9 @@
 		await log.close();
 		this.#child = child;
 		this.#isEndExpected = false;
+		children.add(child);
 		child.once('exit', () => {
+			children.delete(child);
 			this.#child = undefined;
 			this.#opts.onEnded?.(this.#isEndExpected);
 		});
--- a/tools/soak/src/soak.ts
+++ b/tools/soak/src/soak.ts
@@ -24,6 +24,12 @@
 	throw new TypeError(`Unknown faults ${unknownFaults.join(', ')}; expected some of ${allFaults.join(', ')}`);
 }
 
+for (const signal of ['SIGINT', 'SIGTERM'] as const) {
+	process.once(signal, () => {
+		process.exit(1);
+	});
+}
+
 let failedSeeds = 0;
 for (let seed = Number(values.seed); seed < Number(values.seed) + Number(values.seeds); seed++) {
 	const folder = path.join(values.folder, `seed-${seed}`);
