--- a/tools/soak/src/caller.ts
+++ b/tools/soak/src/caller.ts
@@ -118,7 +118,7 @@
 			host, 'x-request-id': requestId, 'x-deadline-ms': String(Math.ceil(remainingMs)), ...headers, ...(lastEventId > 0 ? {'last-event-id': String(lastEventId)} : {}),
 		}, body), isLeaving ? this.#opts.random.nextBetween(1, 30) : remainingMs + lateMarginMs);
 		const record: CallerRecord = {
-			requestId, caller: index, edge: this.#opts.edges[this.#edge % this.#opts.edges.length]!.name, route: route.name, path, sentAt, endedAt: clock.now(), lastEventId, extraAnswers: connection.readExtraAnswers(), ...describeExchange(exchange),
+			requestId, caller: index, edge: this.#opts.edges[this.#edge % this.#opts.edges.length]!.name, route: route.name, path, sentBody: body, sentAt, endedAt: clock.now(), lastEventId, extraAnswers: connection.readExtraAnswers(), ...describeExchange(exchange),
 		};
 		addRecord(record);
 		return isLeaving ? undefined : {...record, retryAfterMs: Number(exchange.answer?.headers['retry-after'] ?? 0) * 1000};
--- a/tools/soak/src/check-answers.ts
+++ b/tools/soak/src/check-answers.ts
@@ -1,6 +1,7 @@
 /**
  * Rules for single requests, checked from the records of callers and servers.
  *
+ * UNASKED: what reaches a server is what a caller sent.
  * MIXED: a success is the request's own, whole, and was given by a server; a stream goes on from its own KV cache only.
  * REFUSED: a status that promises that a request has not run is true, when the request must not be repeated.
  * BUDGET: no more than three requests run, in one attempt of their caller, at more servers than their route allows.
@@ -26,10 +27,16 @@
 	return [
 		...records.callers.flatMap(record => checkAttempt(record, routes.get(record.route)!, fates)),
 		...records.fates.flatMap(fate => checkHandle(fate)),
+		...checkArrivals(records),
 		...checkServerCounts(records.callers.filter(({requestId, route}) => listRuns(fates, requestId).length > routes.get(route)!.maxServers)),
 	];
 }
 
+function checkArrivals({arrivals, callers}: SoakRecords): RuleCase[] {
+	const sent = new Map(callers.map(record => [record.requestId, record]));
+	return arrivals.filter(({requestId, path, body}) => sent.get(requestId)?.path !== path || sent.get(requestId)?.sentBody !== body).map(({requestId, path, server}) => ({rule: 'UNASKED', requestId, detail: `${server} got ${path}, which no caller sent so`}));
+}
+
 function listRuns(fates: Fates, requestId: string): FateRecord[] {
 	return fates.get(requestId)?.filter(fate => fate.hasRun && !fate.isSameRun) ?? [];
 }
--- a/tools/soak/src/records.ts
+++ b/tools/soak/src/records.ts
@@ -17,6 +17,7 @@
 	edge: string;
 	route: string;
 	path: string;
+	sentBody: string;
 	sentAt: number;
 	endedAt: number;
 	/** `closed`: the connection ended first, `late`: no answer in time, `invalid`: the bytes were no HTTP message. */
@@ -41,6 +42,8 @@
 	number: number;
 	service: string;
 	requestId: string;
+	path: string;
+	body: string;
 	isPrefill: boolean;
 };
 
@@ -96,7 +99,7 @@
 };
 
 export type RuleCase = {
-	rule: 'MIXED' | 'REFUSED' | 'TWICE' | 'BUDGET' | 'ORDER' | 'LOST' | 'ENDED';
+	rule: 'MIXED' | 'REFUSED' | 'TWICE' | 'BUDGET' | 'ORDER' | 'LOST' | 'UNASKED' | 'ENDED';
 	requestId?: string;
 	detail: string;
 };
--- a/tools/soak/src/soak-server.ts
+++ b/tools/soak/src/soak-server.ts
@@ -49,6 +49,9 @@
 const minIdleMs = 300;
 const maxIdleMs = 3000;
 const closeRate = 0.02;
+const meanCalmMs = 6000;
+const maxOverloadMs = 3000;
+const overloadRefusedFraction = 0.8;
 const keepsAbandonedFraction = 0.3;
 const neverAborted = new AbortController().signal;
 const msPerSecond = 1000;
@@ -62,6 +65,7 @@
 	/** Most servers drop a waiting request whose connection closes; some run it. */
 	readonly #keepsAbandoned: boolean;
 	#prefills: Promise<void> = Promise.resolve();
+	#overload = {from: Number.POSITIVE_INFINITY, until: 0};
 	#arrivals = 0;
 
 	constructor(opts: SoakServerOptions) {
@@ -120,7 +124,7 @@
 			message, path, requestId, number: this.#arrivals, deadlineAt: clock.monotonic() + Number(message.headers['x-deadline-ms'] ?? msPerSecond),
 		};
 		this.#opts.record({
-			type: 'arrival', at: clock.now(), server: id, startedAt, number: arrival.number, service, requestId, isPrefill: message.headers['x-stage'] === 'prefill',
+			type: 'arrival', at: clock.now(), server: id, startedAt, number: arrival.number, service, requestId, path, body: message.body.toString(), isPrefill: message.headers['x-stage'] === 'prefill',
 		});
 		if (message.headers['x-expect-instance'] !== id || !this.#isForStage(message)) {
 			this.#refuse(channel, arrival, 421);
@@ -137,7 +141,7 @@
 
 	async #admit(channel: ServerChannel, arrival: Arrival): Promise<void> {
 		const {clock, random, faults} = this.#opts;
-		const fault = selectFault(random, faults);
+		const fault = this.#isOverloaded() && random.next() < overloadRefusedFraction ? 'refuse' : selectFault(random, faults);
 		if (fault === 'refuse') {
 			this.#refuse(channel, arrival, 503);
 			return;
@@ -163,6 +167,18 @@
 		}
 	}
 
+	/** From time to time a server refuses most requests for a while. */
+	#isOverloaded(): boolean {
+		const {clock, random, faults} = this.#opts;
+		const now = clock.monotonic();
+		if (faults.has('overload') && now > this.#overload.until) {
+			const from = now + random.nextExponential(meanCalmMs);
+			this.#overload = {from, until: from + random.nextBetween(0, maxOverloadMs)};
+		}
+
+		return now >= this.#overload.from && now < this.#overload.until;
+	}
+
 	#refuse(channel: ServerChannel, arrival: Arrival, status: number): void {
 		const retryAfter: Record<string, string> = this.#opts.random.next() < 0.5 ? {'retry-after': this.#opts.random.nextBetween(0.02, 0.3).toFixed(3)} : {};
 		this.#recordFate(arrival, {hasRun: false, answer: 'refused', status});
--- a/tools/soak/src/soak.ts
+++ b/tools/soak/src/soak.ts
@@ -1,6 +1,7 @@
 /**
- * `npm run soak -- --seed N --seconds S [--seeds COUNT] [--edges N] [--servers N] [--callers N] [--faults LIST] [--folder PATH]`: runs
- * the soak for COUNT seeds from N and prints the cases of broken rules. A failing seed leaves its records and logs in its folder.
+ * `npm run soak -- --seed N --seconds S [--seeds COUNT] [--edges N] [--servers N] [--callers N] [--faults LIST] [--folder PATH] [--keep]`: runs
+ * the soak for COUNT seeds from N and prints the cases of broken rules. A failing seed, or each one with `--keep`, leaves
+ * its records and logs in its folder.
  */
 import {rm} from 'node:fs/promises';
 import {tmpdir} from 'node:os';
@@ -15,7 +16,7 @@
 const shownCasesByRule = 5;
 const {values} = parseArgs({
 	options: {
-		seed: {type: 'string', default: '1'}, seeds: {type: 'string', default: '1'}, seconds: {type: 'string', default: '30'}, edges: {type: 'string', default: '3'}, servers: {type: 'string', default: '6'}, callers: {type: 'string', default: '36'}, faults: {type: 'string', default: allFaults.join(',')}, folder: {type: 'string', default: path.join(tmpdir(), 'hickorytrack-soak')},
+		seed: {type: 'string', default: '1'}, seeds: {type: 'string', default: '1'}, seconds: {type: 'string', default: '30'}, edges: {type: 'string', default: '3'}, servers: {type: 'string', default: '6'}, callers: {type: 'string', default: '36'}, keep: {type: 'boolean', default: false}, faults: {type: 'string', default: allFaults.join(',')}, folder: {type: 'string', default: path.join(tmpdir(), 'hickorytrack-soak')},
 	},
 });
 const faults = values.faults.split(',').filter(fault => fault !== '');
@@ -49,7 +50,7 @@
 	if (cases.length > 0) {
 		failedSeeds++;
 		console.log(`  records and logs: ${folder}`);
-	} else {
+	} else if (!values.keep) {
 		await rm(folder, {recursive: true, force: true});
 	}
 }
--- a/tools/soak/test/checks-can-fail.test.ts
+++ b/tools/soak/test/checks-can-fail.test.ts
@@ -20,7 +20,7 @@
 function createCaller(route: string, changes: Partial<CallerRecord> = {}): CallerRecord {
 	const path = route === 'tell' || route === 'talk' ? `/${route}/1/4` : `/${route}/1`;
 	return {
-		requestId, caller: 0, edge: 'edge-1', route, path, sentAt: 10, endedAt: 20, end: 'answered', status: 200, stamp: createStamp(requestId, path), answerId: requestId, body: path.endsWith('/4') ? createEvents(1, 4, 4) : createPlainBody(requestId, path), lastEventId: 0, extraAnswers: 0, ...changes,
+		requestId, caller: 0, edge: 'edge-1', route, path, sentBody: 'body', sentAt: 10, endedAt: 20, end: 'answered', status: 200, stamp: createStamp(requestId, path), answerId: requestId, body: path.endsWith('/4') ? createEvents(1, 4, 4) : createPlainBody(requestId, path), lastEventId: 0, extraAnswers: 0, ...changes,
 	};
 }
 
@@ -29,7 +29,7 @@
 });
 
 const createArrival = (number: number, changes: Partial<ArrivalRecord> = {}): ArrivalRecord => ({
-	type: 'arrival', at: 10 + number, server: 's1', startedAt: 1, number, service: 'service', requestId, isPrefill: false, ...changes,
+	type: 'arrival', at: 10 + number, server: 's1', startedAt: 1, number, service: 'service', requestId, path: '/once/1', body: 'body', isPrefill: false, ...changes,
 });
 
 const createRecords = (changes: Partial<SoakRecords>): SoakRecords => ({
@@ -99,6 +99,15 @@
 		expect(listRules(createCaller('tell'), [createFate('/tell/1/4'), createFate('/tell/1/4', {server: 's2', isSameRun: true})])).to.deep.equal([]);
 	});
 
+	// UNASKED: a request that no caller sent, or that was changed on its way.
+	it('reports arrivals that differ from what was sent', () => {
+		const listUnasked = (changes: Partial<ArrivalRecord>) => checkAnswers(createRecords({callers: [createCaller('once', {end: 'closed', status: undefined})], arrivals: [createArrival(1, changes)]})).map(({rule}) => rule);
+		expect(listUnasked({})).to.deep.equal([]);
+		expect(listUnasked({requestId: 'r2'})).to.deep.equal(['UNASKED']);
+		expect(listUnasked({path: '/once/2'})).to.deep.equal(['UNASKED']);
+		expect(listUnasked({body: 'other'})).to.deep.equal(['UNASKED']);
+	});
+
 	// BUDGET: more servers than the route allows, in more than three requests.
 	it('reports requests that ran at too many servers', () => {
 		const listBudget = (count: number) => {
