--- a/tools/soak/src/soak-server.ts
+++ b/tools/soak/src/soak-server.ts
@@ -49,6 +49,11 @@
 const minIdleMs = 300;
 const maxIdleMs = 3000;
 const closeRate = 0.02;
+const meanCalmMs = 6000;
+const maxOverloadMs = 3000;
+const overloadRefusedFraction = 0.8;
+const keepsAbandonedFraction = 0.3;
+const neverAborted = new AbortController().signal;
 const msPerSecond = 1000;
 
 export class SoakServer {
@@ -57,7 +62,10 @@
 	readonly #server: Server;
 	readonly #operations: ServerOperations;
 	readonly #channels = new Set<ServerChannel>();
+	/** Most servers drop a waiting request whose connection closes; some run it. */
+	readonly #keepsAbandoned: boolean;
 	#prefills: Promise<void> = Promise.resolve();
+	#overload = {from: Number.POSITIVE_INFINITY, until: 0};
 	#arrivals = 0;
 
 	constructor(opts: SoakServerOptions) {
@@ -65,6 +73,7 @@
 		this.#operations = new ServerOperations(opts);
 		this.#slots = new WorkSlots({clock: opts.clock, slots, maxWaiting});
 		const {clock, random, faults} = opts;
+		this.#keepsAbandoned = random.next() < keepsAbandonedFraction;
 		this.#server = createServer(socket => {
 			const channel = new ServerChannel(socket, {
 				clock, random, stutterRate: faults.has('stutter') ? stutterRate : 0, idleMs: faults.has('idle-close') ? random.nextBetween(minIdleMs, maxIdleMs) : undefined, handle: async (self, message) => this.#handle(self, message),
@@ -115,7 +124,7 @@
 			message, path, requestId, number: this.#arrivals, deadlineAt: clock.monotonic() + Number(message.headers['x-deadline-ms'] ?? msPerSecond),
 		};
 		this.#opts.record({
-			type: 'arrival', at: clock.now(), server: id, startedAt, number: arrival.number, service, requestId, isPrefill: message.headers['x-stage'] === 'prefill',
+			type: 'arrival', at: clock.now(), server: id, startedAt, number: arrival.number, service, requestId, path, body: message.body.toString(), isPrefill: message.headers['x-stage'] === 'prefill',
 		});
 		if (message.headers['x-expect-instance'] !== id || !this.#isForStage(message)) {
 			this.#refuse(channel, arrival, 421);
@@ -132,14 +141,14 @@
 
 	async #admit(channel: ServerChannel, arrival: Arrival): Promise<void> {
 		const {clock, random, faults} = this.#opts;
-		const fault = selectFault(random, faults);
+		const fault = this.#isOverloaded() && random.next() < overloadRefusedFraction ? 'refuse' : selectFault(random, faults);
 		if (fault === 'refuse') {
 			this.#refuse(channel, arrival, 503);
 			return;
 		}
 
 		const waitMs = Math.max(0, Math.min(maxQueueMs, arrival.deadlineAt - clock.monotonic()));
-		const outcome = await this.#slots.acquire(waitMs, channel.signal);
+		const outcome = await this.#slots.acquire(waitMs, this.#keepsAbandoned ? neverAborted : channel.signal);
 		if (outcome !== 'acquired') {
 			this.#refuse(channel, arrival, 503);
 			return;
@@ -158,6 +167,18 @@
 		}
 	}
 
+	/** From time to time a server refuses most requests for a while. */
+	#isOverloaded(): boolean {
+		const {clock, random, faults} = this.#opts;
+		const now = clock.monotonic();
+		if (faults.has('overload') && now > this.#overload.until) {
+			const from = now + random.nextExponential(meanCalmMs);
+			this.#overload = {from, until: from + random.nextBetween(0, maxOverloadMs)};
+		}
+
+		return now >= this.#overload.from && now < this.#overload.until;
+	}
+
 	#refuse(channel: ServerChannel, arrival: Arrival, status: number): void {
 		const retryAfter: Record<string, string> = this.#opts.random.next() < 0.5 ? {'retry-after': this.#opts.random.nextBetween(0.02, 0.3).toFixed(3)} : {};
 		this.#recordFate(arrival, {hasRun: false, answer: 'refused', status});
