--- a/packages/plugins/edge/test/retry-fleet.ts
+++ b/packages/plugins/edge/test/retry-fleet.ts
@@ -59,7 +59,8 @@
 
 const codec = {
 	encodeForwardHeaders: (headers: string[], {isPrefillOnly, kvHandle, lastEventId}: ForwardMetadata) => [...headers, isPrefillOnly ? 'prefill' : 'run', kvHandle ?? lastEventId ? 'prefilled' : 'whole'],
-	decodeResponseHead: ({headers}: {headers: Record<string, string>}) => ({requestId: headers.id, isNotExecuted: headers.rejected !== undefined, isAuthentic: true}),
+	createAnswerIdentity: (requestId: string) => ({expectedId: requestId, readId: ({headers}: {headers: Record<string, string>}) => headers.id}),
+	decodeResponseHead: ({headers}: {headers: Record<string, string>}) => ({isNotExecuted: headers.rejected !== undefined, isAuthentic: true}),
 	decodeKvHandle: (address: string, handle: string) => ({address, handle}),
 	createReleaseCall: () => ({method: 'DELETE', path: '/release'}),
 	encodeRetryAfter: () => ({}),
