--- a/tools/soak/src/links.ts
+++ b/tools/soak/src/links.ts
@@ -17,7 +17,7 @@
 
 export class Links {
 	readonly #clock: Clock;
-	readonly #relays = new Map<string, {target: LinkTarget; relay: Relay; rules: Set<{source?: string; rule: RelayRule}>; isOpen: boolean}>();
+	readonly #relays = new Map<string, {target: LinkTarget; relay: Relay; rules: Set<{source?: string; rule: RelayRule}>; opening?: symbol}>();
 
 	constructor(clock: Clock) {
 		this.#clock = clock;
@@ -25,18 +25,19 @@
 
 	add(target: LinkTarget): void {
 		this.#relays.set(target.name, {
-			target, relay: new Relay(target.address), rules: new Set(), isOpen: false,
+			target, relay: new Relay(target.address), rules: new Set(),
 		});
 	}
 
 	/** Listens for a target as soon as the target does. */
 	async open(name: string, signal: AbortSignal): Promise<void> {
 		const link = this.#relays.get(name)!;
-		link.isOpen = true;
-		while (link.isOpen && !signal.aborted) {
+		const opening = Symbol(name);
+		link.opening = opening;
+		while (link.opening === opening && !signal.aborted) {
 			if (!await canConnect(link.target.address)) {
 				await this.#clock.sleep(pollMs, signal);
-			} else if (link.isOpen) {
+			} else if (link.opening === opening) {
 				await link.relay.start(link.target.relayAddress);
 				return;
 			}
@@ -46,7 +47,7 @@
 	/** Stops listening for a target that has ended and resets its connections. */
 	async close(name: string): Promise<void> {
 		const link = this.#relays.get(name)!;
-		link.isOpen = false;
+		link.opening = undefined;
 		await link.relay.stop();
 	}
 
