--- a/tools/soak/src/links.ts
+++ b/tools/soak/src/links.ts
@@ -17,7 +17,7 @@
 
 export class Links {
 	readonly #clock: Clock;
-	readonly #relays = new Map<string, {target: LinkTarget; relay: Relay; rules: Set<{source?: string; rule: RelayRule}>; opening?: symbol}>();
+	readonly #relays = new Map<string, {target: LinkTarget; relay: Relay; rules: Set<{source?: string; rule: RelayRule}>; opening?: symbol; lastChange: Promise<void>}>();
 
 	constructor(clock: Clock) {
 		this.#clock = clock;
@@ -25,7 +25,7 @@
 
 	add(target: LinkTarget): void {
 		this.#relays.set(target.name, {
-			target, relay: new Relay(target.address), rules: new Set(),
+			target, relay: new Relay(target.address), rules: new Set(), lastChange: Promise.resolve(),
 		});
 	}
 
@@ -38,7 +38,7 @@
 			if (!await canConnect(link.target.address)) {
 				await this.#clock.sleep(pollMs, signal);
 			} else if (link.opening === opening) {
-				await link.relay.start(link.target.relayAddress);
+				await applyChange(link, async () => link.relay.start(link.target.relayAddress));
 				return;
 			}
 		}
@@ -48,7 +48,7 @@
 	async close(name: string): Promise<void> {
 		const link = this.#relays.get(name)!;
 		link.opening = undefined;
-		await link.relay.stop();
+		await applyChange(link, async () => link.relay.stop());
 	}
 
 	/** Applies a rule to a link, until the returned function is called. */
@@ -81,6 +81,12 @@
 	}
 }
 
+/** A relay that is stopped while it starts would go on listening, so starts and stops wait for each other. */
+async function applyChange(link: {lastChange: Promise<void>}, work: () => Promise<void>): Promise<void> {
+	link.lastChange = link.lastChange.then(work);
+	await link.lastChange;
+}
+
 async function canConnect(address: {host: string; port: number}): Promise<boolean> {
 	return new Promise(resolve => {
 		const socket = connect(address);
