fix(edge): tell an edge that connects about poison requests

Found while looking for state that is lost at a restart. Cause: a crash is told to the other edges once, when it is seen. An edge that starts later, or was cut off then, forwards the request to further servers until it has seen two crashes itself. Change: both ends of a new connection send the crashes of their suspects, as they do with the reports of servers; a crash that is known already does not extend the time for which its request is blocked.

--- a/packages/plugins/edge/src/poison-request-tracker.ts
+++ b/packages/plugins/edge/src/poison-request-tracker.ts
@@ -26,6 +26,10 @@
 
 	recordCrash(fingerprint: string, crashId: string): void {
 		const suspect = this.#suspects.get(fingerprint) ?? {crashIds: new Set(), lastCrashAt: 0};
+		if (suspect.crashIds.has(crashId)) {
+			return;
+		}
+
 		suspect.crashIds.add(crashId);
 		suspect.lastCrashAt = this.#clock.monotonic();
 		this.#suspects.delete(fingerprint);
@@ -37,6 +41,12 @@
 		this.#suspects.delete(fingerprint);
 	}
 
+	/** Lists the crashes of all suspects, for instances that have not heard of them. */
+	listCrashes(): Array<{fingerprint: string; crash: string}> {
+		this.#removeOld();
+		return [...this.#suspects].flatMap(([fingerprint, {crashIds}]) => [...crashIds].map(crash => ({fingerprint, crash})));
+	}
+
 	isBlocked(fingerprint: string): boolean {
 		const suspect = this.#suspects.get(fingerprint);
 		return suspect !== undefined && suspect.crashIds.size >= blockThreshold && this.#clock.monotonic() - suspect.lastCrashAt < suspectTtlMs;
--- a/packages/plugins/edge/src/state-sharing.ts
+++ b/packages/plugins/edge/src/state-sharing.ts
@@ -77,6 +77,11 @@
 			}
 		});
 		mesh.onConnected(async connection => {
+			// An instance that has started or was cut off has missed the crashes that were reported meanwhile.
+			for (const crash of context.poisonRequests.listCrashes()) {
+				connection.notify('poison.note', crash);
+			}
+
 			await connection.request('registry.note', {reports: registry.list()});
 		});
 	}
