feat(endpoint-registry): news that a server leaves is final for its start

A server may say in any of its answers that it leaves. Recorded as a draining report, this news was undone by the next report of the same start that says "ready", which may have been sent before the answer, come from another instance, or be the server's own, if it reports ready until it is gone. It was also forgotten with the record of the server.

Change: `recordLeaving` puts the incarnation that answered into the state `leaving`. It is shared as a report with this state and outdated only by the departure of the server or by a later start. Reports of the same incarnation keep the record from expiring; a draining report still counts as new, so that it is forwarded and confirmed before its acknowledgement. Reports without a start time have a new id with each start. Such a server that is first heard of when it leaves is recorded as the earliest one at its address, so that late news does not displace its successor.

Conclusion: no instance selects a start of a server after it has heard that it leaves, and its next start is usable with its first report.

--- a/packages/core/types/src/peer-methods.ts
+++ b/packages/core/types/src/peer-methods.ts
@@ -132,7 +132,7 @@
 	address: string;
 	availabilityZone: string;
 	slots: number;
-	state: 'ready' | 'draining' | 'left';
+	state: 'ready' | 'draining' | 'leaving' | 'left';
 	coldMs: number;
 	stage?: 'prefill' | 'decode';
 };
--- a/packages/routing/endpoint-registry/src/endpoint-registry.ts
+++ b/packages/routing/endpoint-registry/src/endpoint-registry.ts
@@ -1,19 +1,27 @@
 /**
  * The servers known to this instance. Servers announce themselves with reports, which may arrive late, twice, out of order
  * or from an earlier incarnation of a server. A report is newer when its incarnation started later or, within one
- * incarnation, when its sequence number is higher. A server that has left is kept for a while, so that a late report can't
- * restore it. An address belongs to the server that started last at it.
+ * incarnation, when its sequence number is higher. A server may also say in an answer that it leaves; this is final for its
+ * incarnation, whatever the reports say, because a report may have been sent before the answer and arrive after it. A
+ * server that has left is kept for a while, so that a late report can't restore it. An address belongs to the server that
+ * started last at it.
  */
 import type {Clock} from '@hickorytrack/clock';
 
-export const serverStates = {ready: 'ready', draining: 'draining', left: 'left'} as const;
+export const serverStates = {
+	ready: 'ready',
+	draining: 'draining',
+	/** Said in an answer that it leaves. No report of the same incarnation restores it. */
+	leaving: 'leaving',
+	left: 'left',
+} as const;
 export type ServerState = typeof serverStates[keyof typeof serverStates];
 
 export const serverStages = {prefill: 'prefill', decode: 'decode'} as const;
 export type ServerStage = typeof serverStages[keyof typeof serverStages];
 
 export type ServerReport = {
-	/** Name of the server; all its incarnations may have the same one. */
+	/** Name of the server; all its incarnations may have the same one if it reports when it started. */
 	id: string;
 	/** Wall time in milliseconds at which this incarnation started; 0 when the server does not report it. */
 	startedAt: number;
@@ -31,6 +39,9 @@
 	stage?: ServerStage;
 };
 
+/** One start of a server. */
+export type Incarnation = Pick<ServerReport, 'id' | 'startedAt'>;
+
 /** A report that differs from the previous one of its server in its sequence number only. */
 export type ReportRepeat = Pick<ServerReport, 'id' | 'startedAt' | 'sequence'>;
 
@@ -77,22 +88,40 @@
 	/** Records a report. Returns false when it is outdated or its address belongs to a server that started later. */
 	recordReport(report: ServerReport): boolean {
 		const known = this.#servers.get(report.id);
-		if (known && !isNewer(report, known)) {
+		if (known?.startedAt === report.startedAt) {
+			return report.state === serverStates.leaving ? this.recordLeaving(report) !== undefined : this.#updateIncarnation(known, report);
+		}
+
+		if (known && known.startedAt > report.startedAt) {
 			return false;
 		}
 
-		const isSameIncarnation = known?.startedAt === report.startedAt;
-		const server = {...report, heardAt: this.#opts.clock.monotonic(), order: isSameIncarnation ? known.order : this.#lastOrder + 1};
-		if (this.#isAddressReassigned(server)) {
+		const server = {...report, heardAt: this.#opts.clock.monotonic(), order: this.#createOrder(report)};
+		// A leaving server is recorded at any address: its late reports must not take the address from its successor.
+		if (report.state !== serverStates.leaving && this.#isAddressReassigned(server)) {
 			return false;
 		}
 
 		this.#lastOrder = Math.max(this.#lastOrder, server.order);
-		this.#servers.set(report.id, server);
-		this.#byService.clear();
+		this.#setServer(server);
 		return true;
 	}
 
+	/**
+	 * Records that an incarnation of a server has said in an answer that it leaves. Returns the report for the other instances;
+	 * undefined when nothing changes because it is known already or another incarnation has started since.
+	 */
+	recordLeaving({id, startedAt}: Incarnation): ServerReport | undefined {
+		const known = this.#servers.get(id);
+		if (known?.startedAt !== startedAt || known.state === serverStates.leaving || known.state === serverStates.left) {
+			return undefined;
+		}
+
+		const server = {...known, state: serverStates.leaving, heardAt: this.#opts.clock.monotonic()};
+		this.#setServer(server);
+		return createReport(server);
+	}
+
 	/**
 	 * Records that a ready server has reported again without a change. Returns false when this instance lacks the report
 	 * that it repeats.
@@ -106,6 +135,8 @@
 		if (known.startedAt === startedAt && known.state === serverStates.ready && sequence > known.sequence) {
 			known.sequence = sequence;
 			known.heardAt = this.#opts.clock.monotonic();
+		} else if (known.startedAt === startedAt && known.state === serverStates.leaving) {
+			known.heardAt = this.#opts.clock.monotonic();
 		}
 
 		return true;
@@ -180,6 +211,35 @@
 		return [...this.#servers.values()].sort((a, b) => a.order - b.order).map(server => createReport(server));
 	}
 
+	/** Records a report of the known incarnation. */
+	#updateIncarnation(known: KnownServer, report: ServerReport): boolean {
+		const heardAt = this.#opts.clock.monotonic();
+		const isLeaving = known.state === serverStates.leaving && report.state !== serverStates.left;
+		if (isLeaving) {
+			// Kept for as long as reports arrive, or a later one would restore it.
+			known.heardAt = heardAt;
+		}
+
+		const isOutdated = report.sequence <= known.sequence || (isLeaving && report.state === serverStates.ready);
+		const server = {...report, heardAt, order: known.order};
+		if (isOutdated || this.#isAddressReassigned(server)) {
+			return false;
+		}
+
+		this.#setServer(isLeaving ? {...server, state: serverStates.leaving} : server);
+		return true;
+	}
+
+	/** A server without a start time that is first heard of when it leaves started before those that are known. */
+	#createOrder({startedAt, state}: ServerReport): number {
+		return startedAt === 0 && state === serverStates.leaving ? 0 : this.#lastOrder + 1;
+	}
+
+	#setServer(server: KnownServer): void {
+		this.#servers.set(server.id, server);
+		this.#byService.clear();
+	}
+
 	/** Among servers with the same or no start time, the address belongs to the one that became known last. */
 	#isAddressReassigned(server: KnownServer): boolean {
 		for (const other of this.#servers.values()) {
@@ -212,7 +272,3 @@
 function createReport({heardAt: _heardAt, order: _order, ...report}: KnownServer): ServerReport {
 	return report;
 }
-
-function isNewer(report: ServerReport, known: ServerReport): boolean {
-	return report.startedAt === known.startedAt ? report.sequence > known.sequence : report.startedAt > known.startedAt;
-}
--- a/packages/routing/endpoint-registry/test/endpoint-registry.test.ts
+++ b/packages/routing/endpoint-registry/test/endpoint-registry.test.ts
@@ -65,6 +65,73 @@
 		expect(listIds()).to.deep.equal(['a']);
 	});
 
+	describe('a server that says in an answer that it leaves', () => {
+		beforeEach(() => {
+			registry.recordLeaving({id: 'a', startedAt: 1000});
+		});
+
+		it('gets nothing more, and is reported to the other instances once', () => {
+			expect([listIds(), registry.listReady('s'), registry.isUsable(report)]).to.deep.equal([[], [], false]);
+			expect(registry.list()).to.deep.equal([{...report, state: 'leaving'}]);
+			expect(registry.recordLeaving({id: 'a', startedAt: 1000})).to.equal(undefined);
+		});
+
+		// A report that was sent before the answer, or by a server that reports ready until it is gone, made it usable again.
+		it('is not restored by any report, repeat or note of the same start', () => {
+			registry.recordReport({...report, sequence: 5});
+			registry.recordRepeat({id: 'a', startedAt: 1000, sequence: 6});
+			registry.recordReport({...report, sequence: 7, state: 'draining'});
+			registry.recordReport({...report, sequence: 8, coldMs: 5});
+			expect([listIds(), registry.isUsable(report)]).to.deep.equal([[], false]);
+		});
+
+		// Forgotten after a time without a report that counted, a server was usable again with its next report.
+		it('is not forgotten while it reports', async () => {
+			for (let sequence = 2; sequence < 60; sequence++) {
+				await clock.advance(2500);
+				registry.list();
+				registry.recordReport({...report, sequence});
+				registry.recordRepeat({id: 'a', startedAt: 1000, sequence});
+			}
+
+			expect(listIds()).to.deep.equal([]);
+		});
+
+		// An acknowledged report promises that every instance knows: one that changes nothing here must still be passed on.
+		it('passes on its report that it drains, and that it has left', () => {
+			expect(registry.recordReport({...report, sequence: 2, state: 'draining'})).to.equal(true);
+			expect(registry.find('a')!.state).to.equal('leaving');
+			expect(registry.recordDeparture('a', 1000)).to.include({state: 'left'});
+		});
+
+		it('is usable as soon as a new start is known, under its id or at its address', () => {
+			registry.recordReport({...report, startedAt: 2000});
+			expect(listIds()).to.deep.equal(['a']);
+			registry.recordLeaving({id: 'a', startedAt: 2000});
+			registry.recordReport({...report, id: 'b', startedAt: 3000});
+			expect(listIds()).to.deep.equal(['b']);
+		});
+
+		it('does not harm its new start with late news of the earlier one', () => {
+			registry.recordReport({...report, startedAt: 2000});
+			expect(registry.recordLeaving({id: 'a', startedAt: 1000})).to.equal(undefined);
+			expect(registry.recordReport({...report, sequence: 9, state: 'leaving'})).to.equal(false);
+			expect(listIds()).to.deep.equal(['a']);
+		});
+
+		// Late news of a server that was never known took the address from its successor when neither reports a start time.
+		it('takes no address from a server without a start time', () => {
+			const successor = {
+				...report, startedAt: 0, id: 'successor', address: '10.0.0.2:80',
+			};
+			registry.recordReport(successor);
+			registry.recordReport({...successor, id: 'predecessor', state: 'leaving'});
+			expect(listIds()).to.deep.equal(['successor']);
+			registry.recordReport({...successor, id: 'predecessor', sequence: 9});
+			expect(listIds()).to.deep.equal(['successor']);
+		});
+	});
+
 	it('assigns an address to the server that started last at it', () => {
 		registry.recordReport({
 			...report, id: 'b', startedAt: 2000, service: 't',
