feat(endpoint-client): report the head of each answer with the start of the server it came from

News that a server puts into its answers needs the start of the server that answered. Connections are pooled by address, so an idle connection to an earlier start, or to another server that had the address, was used for requests to the next start: what its process answers would be taken for the word of the new one.

Change: a request names its recipient (id and start time of the server), a connection carries requests to one recipient only, and `onAnswer` gets the recipient and the head of each answer before the handler does. The answer of another request is not reported: it may be garbage, and the server says it again in its own answers.

A server that restarts while a request is on its way to an address may answer for the start before; its answers to later requests correct that, because they use new connections.

Conclusion: the head of an answer can be attributed to one start of a server.

--- a/packages/routing/endpoint-client/src/endpoint-client.ts
+++ b/packages/routing/endpoint-client/src/endpoint-client.ts
@@ -8,7 +8,9 @@
 import type {Dispatcher} from 'undici';
 import {HickorytrackError} from '@hickorytrack/errors';
 import type {AnswerIdentity, ForeignAnswer} from './answer-identity.js';
-import {ServerConnections, type ServerConnection, type ServerConnectionsOptions} from './server-connections.js';
+import {
+	ServerConnections, type Recipient, type ServerConnection, type ServerConnectionsOptions,
+} from './server-connections.js';
 
 export type OutboundRequest = {
 	method: string;
@@ -18,6 +20,8 @@
 	body?: Buffer;
 	/** Kind of the call, for reports about its answer. */
 	callKind: string;
+	/** The start of a server that the request is meant for; undefined when it is not known who owns the address. */
+	recipient?: Recipient;
 	/** Undefined for calls whose answers bear no id; such a call has a connection of its own. */
 	identity?: AnswerIdentity;
 	/** Uses only a connection that is known to work, for requests that must not run twice. */
@@ -71,6 +75,8 @@
 };
 
 export type EndpointClientOptions = ServerConnectionsOptions & {
+	/** Called for the head of each answer to a request with a recipient, before the handler. */
+	onAnswer?: (recipient: Recipient, head: ResponseHead) => void;
 	/** Called for each answer that is not its request's own. */
 	onForeignAnswer?: (answer: ForeignAnswer) => void;
 };
@@ -99,7 +105,7 @@
 
 	send(address: string, request: OutboundRequest, handler: ResponseHandler): SentRequest {
 		const connection = this.#connections.acquire(address, {
-			limit: request.connectionLimit, needsVerifiedConnection: request.needsVerifiedConnection, answerId: request.identity?.expectedId,
+			limit: request.connectionLimit, needsVerifiedConnection: request.needsVerifiedConnection, answerId: request.identity?.expectedId, recipient: request.recipient,
 		});
 		if (!connection) {
 			handler.onFailure(new EndpointClientError('ERR_HICKORYTRACK_CONNECTIONS_BUSY', `All connections to ${address} are busy`, {isWritten: false}));
@@ -107,7 +113,7 @@
 		}
 
 		const exchange = new Exchange(address, {
-			connection, connections: this.#connections, request, handler, onForeignAnswer: this.#opts.onForeignAnswer,
+			connection, connections: this.#connections, request, handler, onAnswer: this.#opts.onAnswer, onForeignAnswer: this.#opts.onForeignAnswer,
 		});
 		exchange.start();
 		return exchange;
@@ -119,6 +125,7 @@
 	connections: ServerConnections;
 	request: OutboundRequest;
 	handler: ResponseHandler;
+	onAnswer?: EndpointClientOptions['onAnswer'];
 	onForeignAnswer?: (answer: ForeignAnswer) => void;
 };
 
@@ -137,7 +144,7 @@
 	}
 
 	start(): void {
-		const {connection, request, handler} = this.#opts;
+		const {connection, request, handler, onAnswer} = this.#opts;
 		const dispatchHandler: Dispatcher.DispatchHandler = {
 			onRequestStart: controller => {
 				this.#controller = controller;
@@ -162,6 +169,10 @@
 				}
 
 				this.#canReuse &&= headers.connection !== 'close';
+				if (request.recipient) {
+					onAnswer?.(request.recipient, {status, headers});
+				}
+
 				handler.onHead({status, headers});
 			},
 			onResponseData: (_controller, chunk) => {
--- a/packages/routing/endpoint-client/src/server-connections.ts
+++ b/packages/routing/endpoint-client/src/server-connections.ts
@@ -8,8 +8,12 @@
 import {buildConnector, Client} from 'undici';
 import type {Clock} from '@hickorytrack/clock';
 
+/** One start of a server. A connection carries requests to a single one, so that its answers come from that one. */
+export type Recipient = {readonly id: string; readonly startedAt: number};
+
 export type ServerConnection = {
 	readonly client: Client;
+	readonly recipient: Recipient | undefined;
 	/** Monotonic time of the last complete response on this connection; -Infinity before the first one and after a disconnect. */
 	lastResponseAt: number;
 	/** Idle time of the connection before its current request; undefined for its first request. */
@@ -54,9 +58,14 @@
 
 	/**
 	 * Returns an idle connection, or a new one while there are fewer than `limit`; undefined when all are busy. A request whose
-	 * answer bears no id gets a new one, and so does one whose answer would bear the id of the last answer.
+	 * answer bears no id gets a new one, and so does one whose answer would bear the id of the last answer. Idle connections to
+	 * an earlier start of the server, or to another server at the address, are closed.
 	 */
-	acquire(address: string, opts: {limit: number; needsVerifiedConnection: boolean; answerId: string | undefined}): ServerConnection | undefined {
+	acquire(address: string, opts: {limit: number; needsVerifiedConnection: boolean; answerId: string | undefined; recipient?: Recipient}): ServerConnection | undefined {
+		if (opts.recipient) {
+			this.#closeIdleOfOthers(address, opts.recipient);
+		}
+
 		const connections = this.#byAddress.get(address) ?? [];
 		this.#byAddress.set(address, connections);
 		const maxIdleMs = Math.min(opts.needsVerifiedConnection ? verifiedMs : Number.POSITIVE_INFINITY, this.#getMaxIdleMs(address));
@@ -74,7 +83,7 @@
 			return undefined;
 		}
 
-		const opened = this.#open(address);
+		const opened = this.#open(address, opts.recipient);
 		connections.push(opened);
 		return opened;
 	}
@@ -165,7 +174,14 @@
 		return idle !== undefined;
 	}
 
-	#open(address: string): ServerConnection {
+	#closeIdleOfOthers(address: string, {id, startedAt}: Recipient): void {
+		const others = this.#byAddress.get(address)?.filter(({isBusy, recipient}) => !isBusy && (recipient?.id !== id || recipient.startedAt !== startedAt)) ?? [];
+		for (const connection of others) {
+			this.discard(address, connection);
+		}
+	}
+
+	#open(address: string, recipient: Recipient | undefined): ServerConnection {
 		const connect = buildConnector({timeout: this.#opts.connectTimeoutMs});
 		const client = new Client(`http://${address}`, {
 			pipelining: 1,
@@ -189,7 +205,7 @@
 			},
 		});
 		const connection: ServerConnection = {
-			client, lastResponseAt: Number.NEGATIVE_INFINITY, exchanges: 0, isBusy: true, isClosed: false, isReset: false,
+			client, recipient, lastResponseAt: Number.NEGATIVE_INFINITY, exchanges: 0, isBusy: true, isClosed: false, isReset: false,
 		};
 		client.on('disconnect', () => {
 			// After an automatic reconnect, no response has been completed on the new connection.
