feat(edge): stop using a server at once when an answer says that it leaves

Callers of a server that says `Server-Leaving: 1` in its answers were sent to it until its draining report had arrived at some edge and reached this one; an edge without contact to the others sent requests until the server was gone.

Change: the codec decodes the header; the edge reads it in the head of every answer with a recipient (runs, streams, prefill calls, releases, stage calls; successes, failures, refusals, early and broken ones) and records it in the registry, from which new requests, retries, prefill calls, hand-overs, backups, sources of KV cache and continued streams are selected. The news goes to the other edges like a drain. Event 1747 and the counter `servers_leaving_total` say which start leaves and who told. The stand-in server can say so with any fault.

Conclusion: one answer is enough, at this edge and, while they are in contact, at all others.

--- a/packages/core/events/src/event-catalogue.ts
+++ b/packages/core/events/src/event-catalogue.ts
@@ -179,6 +179,9 @@
 	stageOrdered: {
 		number: 1746, level: 'info', text: 'A server was ordered to run the prefill or the decode stage', action: 'For conflict or overtaken, check whether another system sends orders too.',
 	},
+	serverLeaving: {
+		number: 1747, level: 'info', text: 'A server said in an answer that it leaves; it gets no new requests', action: noAction,
+	},
 	forwardAnswered: {
 		number: 1751, level: 'info', text: 'A request was answered (sampled)', action: noAction,
 	},
--- a/packages/plugins/edge/src/edge.ts
+++ b/packages/plugins/edge/src/edge.ts
@@ -5,7 +5,9 @@
  */
 import {err, ok, type Result} from 'neverthrow';
 import {EndpointClient} from '@hickorytrack/endpoint-client';
-import {EndpointRegistry, type KnownServer, type ServerReport} from '@hickorytrack/endpoint-registry';
+import {
+	EndpointRegistry, type Incarnation, type KnownServer, type ServerReport,
+} from '@hickorytrack/endpoint-registry';
 import {EngineProfile} from '@hickorytrack/engine-profile';
 import {HickorytrackError, describeError} from '@hickorytrack/errors';
 import {Mesh} from '@hickorytrack/mesh';
@@ -54,6 +56,9 @@
 const minimumDrainMs = 3200; // The load balancer stops sending requests after two failed health checks, one second apart.
 const drainPollMs = 50;
 
+/** How this instance has learnt that a server said in an answer that it leaves. */
+const leavingSources = {answer: 'answer', peer: 'peer'} as const;
+
 export class EdgeError extends HickorytrackError {}
 
 export class Edge {
@@ -104,7 +109,9 @@
 		this.#cacheIndex = new PrefixCacheIndex({getKvCapacity: service => this.#getKvCapacity(service)});
 		this.#context = this.#createContext();
 		this.#stateSharing = new StateSharing({
-			clock, events, mesh: this.mesh, registry: this.registry, loadTracker: this.#loadTracker, cacheIndex: this.#cacheIndex, partUsage: this.#partUsage, context: this.#context,
+			clock, events, mesh: this.mesh, registry: this.registry, loadTracker: this.#loadTracker, cacheIndex: this.#cacheIndex, partUsage: this.#partUsage, context: this.#context, onLeaving: (report, peer) => {
+				this.#reportLeaving(report, {source: leavingSources.peer, peer});
+			},
 		});
 		this.#crashDetector = new CrashDetector({
 			clock, mesh: this.mesh, poisonRequests: this.#context.poisonRequests, eventLog: this.#context.eventLog, health: this.#context.health,
@@ -199,7 +206,7 @@
 			return;
 		}
 
-		if (previous?.state !== report.state || previous.startedAt !== report.startedAt) {
+		if (previous?.state !== this.registry.find(report.id)?.state || previous?.startedAt !== report.startedAt) {
 			this.#opts.events.emit('serverReported', {
 				server: report.id, service: report.service, address: report.address, state: report.state, stage: report.stage, startedAt: report.startedAt, sequence: report.sequence,
 			});
@@ -253,7 +260,11 @@
 			profile: this.#profile,
 			measurements: new AnswerMeasurements({cacheIndex: this.#cacheIndex, profile: this.#profile, health}),
 			client: new EndpointClient({
-				clock, connectTimeoutMs, onForeignAnswer: answer => {
+				clock, connectTimeoutMs, onAnswer: (server, head) => {
+					if (codec.decodeResponseHead(head).isLeaving) {
+						this.#recordLeaving(server);
+					}
+				}, onForeignAnswer: answer => {
 					this.#requestLog.recordForeignAnswer(answer, this.registry.list().find(server => server.address === answer.address)?.id);
 				},
 			}),
@@ -333,6 +344,22 @@
 		this.#requestLog.recordResult(request, result);
 	}
 
+	/** Records that a server has said in an answer that it leaves, and tells the other instances. */
+	#recordLeaving(server: Incarnation): void {
+		const report = this.registry.recordLeaving(server);
+		if (report) {
+			this.#reportLeaving(report, {source: leavingSources.answer});
+			void this.#stateSharing.sendReport(report, undefined);
+		}
+	}
+
+	#reportLeaving({id, service, address, startedAt}: ServerReport, told: {source: keyof typeof leavingSources; peer?: string}): void {
+		this.#opts.metrics.count('servers_leaving_total', {source: told.source});
+		this.#opts.events.emit('serverLeaving', {
+			server: id, service, address, startedAt, ...told,
+		});
+	}
+
 	#updateGauges(): void {
 		const {metrics} = this.#opts;
 		metrics.set('ready', this.isReady ? 1 : 0);
--- a/packages/plugins/edge/src/forward-context.ts
+++ b/packages/plugins/edge/src/forward-context.ts
@@ -54,6 +54,7 @@
 	const {requestId} = request.metadata;
 	return {
 		callKind: metadata.isPrefillOnly ? callKinds.prefill : callKinds.run,
+		recipient: metadata.server,
 		identity: requestId === undefined ? undefined : context.codec.createAnswerIdentity(requestId),
 		method: request.method,
 		path: request.path,
--- a/packages/plugins/edge/src/report-sharing.ts
+++ b/packages/plugins/edge/src/report-sharing.ts
@@ -22,6 +22,8 @@
 	listPeers: () => readonly ReportPeer[];
 	/** Instances that this one forwards the reports of others to. */
 	listLeaves: () => readonly ReportPeer[];
+	/** Called when another instance has told of a server that said in an answer that it leaves. */
+	onLeaving: (report: ServerReport, from: ReportPeer) => void;
 	/** Called when not every instance has confirmed that a server leaves. */
 	onUnconfirmed: (server: string, missing: number) => void;
 };
@@ -80,6 +82,10 @@
 	/** Records reports from another instance and forwards them to the leaves. Resolves when the leaves know of leaving servers. */
 	async handleNote(reports: readonly ServerReport[], from: ReportPeer): Promise<PeerMethods['registry.note']['result']> {
 		const changed = reports.filter(report => this.#opts.registry.recordReport(report));
+		for (const report of changed.filter(({state}) => state === serverStates.leaving)) {
+			this.#opts.onLeaving(report, from);
+		}
+
 		const leaves = withoutAll(this.#opts.listLeaves(), [from]);
 		const leaving = changed.filter(report => report.state !== serverStates.ready);
 		const ready = changed.filter(report => report.state === serverStates.ready);
--- a/packages/plugins/edge/src/request-codec.ts
+++ b/packages/plugins/edge/src/request-codec.ts
@@ -54,6 +54,8 @@
 	isReadAsNotExecuted: boolean;
 	/** The head has the headers with which the server marks its own responses. */
 	isAuthentic: boolean;
+	/** The server states that it leaves: it serves what it has and takes no new requests. */
+	isLeaving: boolean;
 	retryAfterMs?: number;
 };
 
--- a/packages/plugins/edge/src/stage-client.ts
+++ b/packages/plugins/edge/src/stage-client.ts
@@ -43,7 +43,7 @@
 		const {clock, client} = this.#opts;
 		return runAttempt(client, server.address, {
 			clock, signal: new AbortController().signal, timeoutMs: callTimeoutMs, request: {
-				callKind, method, path, headers: headers ?? [], body: body ?? Buffer.alloc(0), needsVerifiedConnection: true, connectionLimit,
+				recipient: server, callKind, method, path, headers: headers ?? [], body: body ?? Buffer.alloc(0), needsVerifiedConnection: true, connectionLimit,
 			},
 		});
 	}
--- a/packages/plugins/edge/src/state-sharing.ts
+++ b/packages/plugins/edge/src/state-sharing.ts
@@ -26,6 +26,8 @@
 	partUsage: PartUsage;
 	/** Receives the measured speeds, signs of life and crashes that other instances report. */
 	context: Pick<ForwardContext, 'profile' | 'health' | 'poisonRequests'>;
+	/** Called when another instance has told of a server that said in an answer that it leaves. */
+	onLeaving: (report: ServerReport, peer: string) => void;
 };
 
 export class StateSharing {
@@ -103,12 +105,15 @@
 	}
 
 	#createReportSharing(): ReportSharing {
-		const {clock, events, mesh, registry} = this.#opts;
+		const {clock, events, mesh, registry, onLeaving} = this.#opts;
 		return new ReportSharing({
 			clock,
 			registry,
 			listPeers: () => mesh.listConnections().filter(({remote}) => !mesh.usesHubs || remote.roles.includes(coreRole)),
 			listLeaves: () => this.#loadSharing.leaves,
+			onLeaving(report, {remote}) {
+				onLeaving(report, remote.instance);
+			},
 			onUnconfirmed(server, missing) {
 				events.emit('spreadIncomplete', {server, missing});
 			},
--- a/packages/plugins/edge/test/report-sharing.test.ts
+++ b/packages/plugins/edge/test/report-sharing.test.ts
@@ -16,6 +16,7 @@
 	readonly registries = new Map<string, EndpointRegistry>();
 	readonly sharings = new Map<string, ReportSharing>();
 	readonly unconfirmed: string[] = [];
+	readonly leaving: string[] = [];
 	readonly down = new Set<string>();
 	/** Instances of an older version, which do not understand repeats. */
 	readonly old = new Set<string>();
@@ -31,6 +32,9 @@
 				registry,
 				listPeers: () => ['hub1', 'hub2'].filter(hub => hub !== name).map(hub => this.#createPeer(name, hub)),
 				listLeaves: () => (leavesByHub[name] ?? []).map(leaf => this.#createPeer(name, leaf)),
+				onLeaving: ({id, startedAt}, {remote}) => {
+					this.leaving.push(`${name} ${id}/${startedAt} from ${remote.instance}`);
+				},
 				onUnconfirmed: (server, missing) => {
 					this.unconfirmed.push(`${name} ${server} ${missing}`);
 				},
@@ -46,6 +50,24 @@
 		await this.sharings.get(at)!.send(next, previous);
 	}
 
+	/** The server says in an answer to this instance that it leaves. */
+	async answerLeaving(at: string, startedAt = report.startedAt): Promise<void> {
+		const left = this.registries.get(at)!.recordLeaving({id: report.id, startedAt});
+		if (left) {
+			await this.sharings.get(at)!.send(left, undefined);
+		}
+	}
+
+	/** Exchanges what two instances know when a connection between them opens. */
+	async connect(from: string, to: string): Promise<void> {
+		await this.sharings.get(to)!.handleNote(this.registries.get(from)!.list(), this.#createPeer(to, from));
+		await this.sharings.get(from)!.handleNote(this.registries.get(to)!.list(), this.#createPeer(from, to));
+	}
+
+	listUsing(): string[] {
+		return [...this.registries].filter(([, registry]) => registry.listUsable('s').length > 0).map(([name]) => name);
+	}
+
 	listKnowing(predicate: (server: ServerReport) => boolean): string[] {
 		return [...this.registries].filter(([, registry]) => {
 			const server = registry.find('server');
@@ -114,6 +136,68 @@
 		expect(fleet.listKnowing(server => server.state === 'left')).to.deep.equal(allNames);
 	});
 
+	describe('of a server that says in an answer that it leaves', () => {
+		it('tells every instance, which each say once who told them', async () => {
+			await fleet.answerLeaving('leaf1');
+			await fleet.answerLeaving('leaf1');
+			expect(fleet.listUsing()).to.deep.equal([]);
+			expect(fleet.leaving.map(line => line.split(' from ')[0])).to.have.members(['hub1', 'hub2', 'leaf2', 'leaf3', 'leaf4'].map(name => `${name} server/1000`));
+			expect(fleet.unconfirmed).to.deep.equal([]);
+		});
+
+		// A report that was sent later, or reached an instance that had not heard the news, made the server usable again.
+		it('is not undone by a later report or by an instance that has not heard it', async () => {
+			fleet.down.add('leaf4');
+			await fleet.answerLeaving('leaf1');
+			fleet.down.delete('leaf4');
+			expect(fleet.listUsing()).to.deep.equal(['leaf4']);
+			for (const [sequence, at] of ['leaf4', 'leaf1', 'hub1', 'hub2'].entries()) {
+				await fleet.report(at, {sequence: sequence + 2});
+				await fleet.clock.advance(1);
+				for (const sharing of fleet.sharings.values()) {
+					sharing.sendRepeats();
+				}
+			}
+
+			await fleet.clock.advance(1);
+			expect(fleet.listUsing()).to.deep.equal(['leaf4']);
+			await fleet.connect('leaf4', 'hub2');
+			expect(fleet.listUsing()).to.deep.equal([]);
+		});
+
+		it('survives the loss of every other instance and reaches them afterwards', async () => {
+			for (const name of allNames) {
+				fleet.down.add(name);
+			}
+
+			await fleet.answerLeaving('leaf1');
+			expect(fleet.listUsing()).to.deep.equal(['hub1', 'hub2', 'leaf2', 'leaf3', 'leaf4']);
+			fleet.down.clear();
+			await fleet.connect('hub1', 'leaf1');
+			expect(fleet.listUsing()).to.deep.equal(['hub2', 'leaf3', 'leaf4']);
+			await fleet.connect('hub1', 'hub2');
+			expect(fleet.listUsing()).to.deep.equal([]);
+		});
+
+		// Promise: no request is sent to a server after the acknowledgement that it leaves, also where the news was not heard.
+		it('still tells every instance that it drains before its report is acknowledged', async () => {
+			fleet.down.add('hub2');
+			await fleet.answerLeaving('leaf1');
+			fleet.down.delete('hub2');
+			expect(fleet.listUsing()).to.deep.equal(['hub2', 'leaf3', 'leaf4']);
+			await fleet.report('hub1', {sequence: 2, state: 'draining'});
+			expect(fleet.listUsing()).to.deep.equal([]);
+		});
+
+		it('is used everywhere with its next start', async () => {
+			await fleet.answerLeaving('leaf1');
+			await fleet.report('leaf3', {startedAt: 2000});
+			await fleet.answerLeaving('leaf2');
+			await fleet.clock.advance(1);
+			expect(fleet.listUsing()).to.deep.equal(allNames);
+		});
+	});
+
 	it('says how many instances have not confirmed', async () => {
 		fleet.down.add('leaf3');
 		await fleet.report('leaf1', {sequence: 2, state: 'draining'});
--- /dev/null
+++ b/packages/plugins/edge/test/server-calls.test.ts
@@ -0,0 +1,69 @@
+import {createServer, type Server} from 'node:http';
+import type {AddressInfo} from 'node:net';
+import {expect} from 'chai';
+import {SystemClock} from '@hickorytrack/clock/system-clock';
+import {EndpointClient} from '@hickorytrack/endpoint-client';
+import {EndpointRegistry} from '@hickorytrack/endpoint-registry';
+import type {ForwardContext} from '../src/forward-context.js';
+import {releaseKvCache} from '../src/kv-release.js';
+import type {RequestCodec} from '../src/request-codec.js';
+import {EdgeStageClient} from '../src/stage-client.js';
+
+const clock = new SystemClock();
+const codec = {
+	createReleaseCall: () => ({method: 'DELETE', path: '/release'}),
+	createStageStatusCall: () => ({method: 'GET', path: '/status'}),
+	createStageOrderCall: () => ({method: 'POST', path: '/order'}),
+	decodeStageStatus: () => undefined,
+	decodeOrderOutcome: () => 'accepted',
+} as unknown as RequestCodec;
+
+describe('calls of the edge itself', () => {
+	let server: Server;
+	let client: EndpointClient;
+	let registry: EndpointRegistry;
+	let answers: string[];
+
+	beforeEach(async () => {
+		answers = [];
+		server = createServer((request, response) => {
+			response.end(request.url);
+		});
+		await new Promise<void>(resolve => {
+			server.listen(0, '127.0.0.1', resolve);
+		});
+		client = new EndpointClient({
+			clock, connectTimeoutMs: 500, onAnswer(recipient, head) {
+				answers.push(`${recipient.id}/${recipient.startedAt} ${head.status}`);
+			},
+		});
+		registry = new EndpointRegistry({clock, reportTimeoutMs: 5000});
+		registry.recordReport({
+			id: 'a', startedAt: 1000, sequence: 1, service: 's', address: `127.0.0.1:${(server.address() as AddressInfo).port}`, availabilityZone: 'z', slots: 6, state: 'ready', coldMs: 0,
+		});
+	});
+
+	afterEach(() => {
+		client.close();
+		server.close();
+	});
+
+	// What a server says in the answers to these calls was not read.
+	it('report the answers with their server', async () => {
+		const known = registry.find('a')!;
+		const stageClient = new EdgeStageClient({clock, client, codec});
+		await stageClient.readStatus(known);
+		await stageClient.sendOrder(known, {
+			stage: 'decode', holder: 'edge-1', fencingToken: 1, expectedSequence: 0,
+		});
+		const context: Partial<ForwardContext> = {
+			client, codec, clock, registry, getConnectionLimit: () => 2,
+		};
+		releaseKvCache(context as ForwardContext, 's', {address: known.address, handle: 'h'});
+		while (answers.length < 3) {
+			await clock.sleep(5);
+		}
+
+		expect(answers).to.deep.equal(['a/1000 200', 'a/1000 200', 'a/1000 200']);
+	});
+});
--- a/packages/routing/endpoint-registry/src/endpoint-registry.ts
+++ b/packages/routing/endpoint-registry/src/endpoint-registry.ts
@@ -205,6 +205,11 @@
 		return this.#servers.get(id);
 	}
 
+	/** Returns the server that owns the address. */
+	findByAddress(address: string): KnownServer | undefined {
+		return [...this.#servers.values()].find(server => server.address === address && !this.#isAddressReassigned(server));
+	}
+
 	/** Lists the newest report of every known server, for an instance that has just connected. */
 	list(): ServerReport[] {
 		this.#removeExpired();
--- a/stand-ins/src/platform-server.ts
+++ b/stand-ins/src/platform-server.ts
@@ -39,6 +39,8 @@
 	id: string;
 	clock: Clock;
 	stage?: 'prefill' | 'decode';
+	/** Start time that the server reports, in milliseconds; without it, each start must have an id of its own. */
+	startedAt?: number;
 	/** Number of events in a stream, and the interval between two of them. */
 	events?: number;
 	eventMs?: number;
@@ -76,10 +78,13 @@
 	/** Accepted stage orders. */
 	readonly orders: StageOrder[] = [];
 	fault: PlatformFault = platformFaults.none;
+	/** Says in all its answers that it leaves, with any fault. */
+	isLeaving = false;
 	#stage: 'prefill' | 'decode' | undefined;
 	readonly #opts: PlatformServerOptions;
 	readonly #server: Server;
 	readonly #sockets = new Map<Socket, AnswerRepeater>();
+	#port = 0;
 
 	constructor(opts: PlatformServerOptions) {
 		this.#opts = opts;
@@ -98,20 +103,22 @@
 	}
 
 	get address(): string {
-		return `127.0.0.1:${(this.#server.address() as AddressInfo).port}`;
+		return `127.0.0.1:${this.#port}`;
 	}
 
 	/** Returns the report that the server sends to the system. */
 	describe(service: string, state = 'ready', sequence = 1): Record<string, unknown> {
 		return {
-			service, address: this.address, zone: 'z', version: 'v1', slots: 8, state, seq: sequence, 'cold-left-ms': 0, stage: this.#stage,
+			service, address: this.address, born: this.#opts.startedAt, zone: 'z', version: 'v1', slots: 8, state, seq: sequence, 'cold-left-ms': 0, stage: this.#stage,
 		};
 	}
 
-	async start(): Promise<void> {
+	/** Listens at a free port, or at that of an earlier start. */
+	async start(port = 0): Promise<void> {
 		await new Promise<void>(resolve => {
-			this.#server.listen(0, '127.0.0.1', resolve);
+			this.#server.listen(port, '127.0.0.1', resolve);
 		});
+		this.#port = (this.#server.address() as AddressInfo).port;
 	}
 
 	async stop(): Promise<void> {
@@ -134,6 +141,10 @@
 			chunks.push(chunk);
 		}
 
+		if (this.isLeaving) {
+			response.setHeader('server-leaving', '1');
+		}
+
 		const receivedRequest: ReceivedRequest = {
 			requestId: String(request.headers['x-request-id']), path: request.url!, body: Buffer.concat(chunks).toString(), deadlineMs: Number(request.headers['x-deadline-ms']), headers: request.headers, hasRun: false,
 		};
