fix(edge): ask again whether a server is usable after a wait

A server selected before a wait was used after it although it had left meanwhile: a prompt went to the decode server that was planned before its prefill when no other was left, and a stage order to a server that said in the answer with its status that it leaves.

Change: the planned decode server is used only while the registry says that it may be; otherwise the KV cache is released and the request is placed again or refused at once. Stage control asks the registry after the status and the confirmation of the leadership.

--- a/packages/plugins/edge/src/streaming-forwarder.ts
+++ b/packages/plugins/edge/src/streaming-forwarder.ts
@@ -127,6 +127,11 @@
 		}
 
 		const decodeServer = handle ? this.#reselectDecodeServer(placement.decodeServer) : placement.decodeServer;
+		if (!decodeServer) {
+			this.#releaseKvHandle(handle);
+			return undefined;
+		}
+
 		if (this.#servers.length > 0) {
 			this.#context.retryBudget.recordRetry(this.#request.service);
 		}
@@ -140,13 +145,13 @@
 		return this.#handleResult(decodeServer, result, handle);
 	}
 
-	/** The load of the decode servers has changed while the prompt was prefilled. */
-	#reselectDecodeServer(planned: KnownServer): KnownServer {
+	/** The load of the decode servers has changed while the prompt was prefilled, and all of them may have left. */
+	#reselectDecodeServer(planned: KnownServer): KnownServer | undefined {
 		const {registry, health, promptPlacement, availabilityZone} = this.#context;
 		const servers = health.selectHealthy(registry.listUsable(this.#request.service));
 		return promptPlacement.selectDecodeServer({
 			prompt: this.#prompt, objectiveMs: this.#request.route.objectiveMs, excluded: this.#excluded, availabilityZone,
-		}, servers) ?? planned;
+		}, servers) ?? (registry.isUsable(planned) ? planned : undefined);
 	}
 
 	/** Resumes the stream after its last event at the backup server, from the copy of the KV cache. It counts as the same run. */
--- a/packages/routing/stage-control/src/stage-control.ts
+++ b/packages/routing/stage-control/src/stage-control.ts
@@ -147,7 +147,8 @@
 		}
 
 		const term = await leadership.confirm();
-		if (term === undefined || term === this.#supersededTerm) {
+		const mayOrder = term !== undefined && term !== this.#supersededTerm;
+		if (!mayOrder || !this.#opts.registry.isUsable(server)) {
 			return;
 		}
 
--- a/packages/routing/stage-control/test/stage-control.test.ts
+++ b/packages/routing/stage-control/test/stage-control.test.ts
@@ -12,7 +12,7 @@
 	outcome: OrderOutcome = orderOutcomes.accepted;
 	status: ServerStageStatus | undefined = {stage: 'decode', sequence: 7, isBusy: false};
 
-	async readStatus(): Promise<ServerStageStatus | undefined> {
+	async readStatus(_server: KnownServer): Promise<ServerStageStatus | undefined> {
 		return this.status;
 	}
 
@@ -106,6 +106,18 @@
 		expect(client.orders).to.have.length(0);
 	});
 
+	// The order went to a server that said so in the answer with its status, or while a majority confirmed the leadership.
+	it('sends no order to a server that leaves after it was selected', async () => {
+		client.readStatus = async server => {
+			registry.recordLeaving(server);
+			return client.status;
+		};
+
+		await runRounds(3);
+		expect(client.orders).to.have.length(0);
+		expect(broadcasts).to.have.length(0);
+	});
+
 	it('sends no order without confirmation by a majority', async () => {
 		term = undefined;
 		await runRounds(3);
