--- a/packages/plugins/edge/src/forward-context.ts
+++ b/packages/plugins/edge/src/forward-context.ts
@@ -61,6 +61,7 @@
 	const remainingMs = Math.max(1, Math.floor(computeRemainingMs(context, request) - responseMarginMs));
 	return {
 		callKind: metadata.isPrefillOnly ? callKinds.prefill : callKinds.run,
+		recipient: metadata.server,
 		identity: createAnswerIdentity(context, request),
 		method: request.method,
 		path: request.path,
--- a/packages/plugins/edge/src/streaming-forwarder.ts
+++ b/packages/plugins/edge/src/streaming-forwarder.ts
@@ -142,6 +142,11 @@
 		}
 
 		const decodeServer = handle ? this.#reselectDecodeServer(placement.decodeServer) : placement.decodeServer;
+		if (!decodeServer) {
+			this.#releaseKvHandle(handle);
+			return undefined;
+		}
+
 		this.#servers.push(decodeServer);
 		const result = await this.#generate(decodeServer, {permit: run, handle, placement});
 		if (this.#backupServer && this.#relay.lastEventId !== undefined && !result.error?.foreignAnswer && (result.outcome === attemptOutcomes.broken || result.outcome === attemptOutcomes.stalled)) {
@@ -151,13 +156,13 @@
 		return this.#handleResult(decodeServer, result, handle);
 	}
 
-	/** The load of the decode servers has changed while the prompt was prefilled. */
-	#reselectDecodeServer(planned: KnownServer): KnownServer {
+	/** The load of the decode servers has changed while the prompt was prefilled, and all of them may have left. */
+	#reselectDecodeServer(planned: KnownServer): KnownServer | undefined {
 		const {registry, health, promptPlacement, availabilityZone} = this.#context;
 		const servers = health.selectHealthy(registry.listUsable(this.#request.service));
 		return promptPlacement.selectDecodeServer({
 			prompt: this.#prompt, objectiveMs: this.#request.route.objectiveMs, excluded: this.#excluded, availabilityZone,
-		}, servers) ?? planned;
+		}, servers) ?? (registry.isUsable(planned) ? planned : undefined);
 	}
 
 	/** Resumes the stream after its last event at the backup server, from the copy of the KV cache. It counts as the same run. */
--- a/packages/plugins/edge/test/state-sharing.test.ts
+++ b/packages/plugins/edge/test/state-sharing.test.ts
@@ -31,6 +31,9 @@
 		};
 		const sharing = new StateSharing({
 			clock, events: new EventLog({clock}), mesh: mesh as unknown as Mesh, registry: new EndpointRegistry({clock, reportTimeoutMs: 1000}), loadTracker: new LoadTracker(clock), cacheIndex: new PrefixCacheIndex({getKvCapacity: () => 0}), partUsage: new PartUsage(clock), context: {profile: new EngineProfile(), health: new ServerHealth(clock), poisonRequests: this.poisonRequests},
+			onLeaving() {
+				// No server leaves here.
+			},
 		});
 		expect(sharing.relay).to.equal(undefined);
 	}
