fix(edge): bytes that arrive together with a request do not answer it with 400

What callers saw: 400 for a request that then ran, when bytes that are no request came in the same segment behind it (found in review; covers bytes that come later). Cause: the response counted as open only once the body had been read, one turn after the parser had reported the error. Change: a request counts from its arrival; the one that the error belongs to is told by its body, which is not complete. Evidence: the new test failed before (400 sent, signal aborted, request forwarded all the same) and passes now, with the 12 others.

--- a/packages/plugins/edge/src/http-frontend.ts
+++ b/packages/plugins/edge/src/http-frontend.ts
@@ -39,6 +39,11 @@
 	status?: number;
 };
 
+type OpenExchange = {
+	incoming: IncomingMessage;
+	response: ServerResponse;
+};
+
 /** Status by the error code of the HTTP parser; any other error is a bad request. */
 const unreadableStatuses: Readonly<Record<string, number>> = {
 	ERR_HTTP_REQUEST_TIMEOUT: 408,
@@ -60,8 +65,8 @@
 export class HttpFrontend {
 	readonly #opts: HttpFrontendOptions;
 	readonly #server: Server;
-	/** Response to the last request of each connection that was read completely, while it is open. */
-	readonly #lastResponses = new WeakMap<Socket, ServerResponse>();
+	/** Requests of each connection whose responses are open, in the order of their arrival. */
+	readonly #openExchanges = new WeakMap<Socket, Set<OpenExchange>>();
 	/** Connections that close after their open responses; no further request of them is read. */
 	readonly #closingSockets = new WeakSet<Socket>();
 	#stoppingSince: number | undefined;
@@ -116,10 +121,7 @@
 			return;
 		}
 
-		this.#openRequests++;
-		onceClosed(response, () => {
-			this.#openRequests--;
-		});
+		this.#recordExchange({incoming, response});
 		if (this.#stoppingSince !== undefined) {
 			response.setHeader('connection', 'close');
 		}
@@ -168,7 +170,6 @@
 			return;
 		}
 
-		this.#lastResponses.set(incoming.socket, response);
 		const abortController = new AbortController();
 		onceClosed(response, () => {
 			if (!response.writableFinished) {
@@ -191,9 +192,21 @@
 		});
 	}
 
+	/** Records the request as open until its response is complete or its connection has closed. */
+	#recordExchange(exchange: OpenExchange): void {
+		const {socket} = exchange.incoming;
+		const exchanges = this.#openExchanges.get(socket) ?? new Set();
+		this.#openExchanges.set(socket, exchanges.add(exchange));
+		this.#openRequests++;
+		onceClosed(exchange.response, () => {
+			exchanges.delete(exchange);
+			this.#openRequests--;
+		});
+	}
+
 	/**
-	 * Answers bytes that are no request. While a request of the connection is forwarded, its caller would take that answer for
-	 * its own, so the connection closes after the response to that request instead.
+	 * Answers bytes that are no request. While a request of the connection waits for its response, its caller would take that
+	 * answer for its own, so the connection closes after the response to that request instead.
 	 */
 	#handleClientError(error: NodeJS.ErrnoException, socket: Socket): void {
 		if (!socket.writable || this.#closingSockets.has(socket)) {
@@ -210,8 +223,9 @@
 			requestId: undefined, host: undefined, path: '', reason: 'unreadable', status,
 		});
 		this.#closingSockets.add(socket);
-		const response = this.#lastResponses.get(socket);
-		if (!response || response.closed) {
+		// A request that has not arrived completely is the one that can't be read.
+		const response = [...this.#openExchanges.get(socket) ?? []].findLast(({incoming}) => incoming.complete)?.response;
+		if (!response) {
 			socket.end(`HTTP/1.1 ${status} ${STATUS_CODES[status]}\r\nConnection: close\r\n\r\n`);
 			socket.destroySoon();
 			return;
--- a/packages/plugins/edge/test/http-frontend.test.ts
+++ b/packages/plugins/edge/test/http-frontend.test.ts
@@ -106,6 +106,17 @@
 		});
 	}
 
+	// The error of the parser came before the request had been read, in the same segment.
+	it('answers the request and not 400 when bytes that are no request arrive together with it', async () => {
+		socket.write(`${request}no request\r\n\r\n`);
+		await waitFor(() => forwarded.length === 1);
+		expect(forwarded[0]!.signal.aborted).to.equal(false);
+		forwarded[0]!.response.writeHead(200, {'content-length': '4'}).end('done');
+		await waitFor(() => socket.destroyed);
+		expect(received).to.match(/^HTTP\/1.1 200 OK\r\n[^]*\r\n\r\ndone$/);
+		expect(rejected[0]).to.include({reason: 'unreadable', status: 400});
+	});
+
 	it('completes the stream that is running when bytes that are no request follow on its connection', async () => {
 		socket.write(request);
 		await waitFor(() => forwarded.length === 1);
