feat(edge): send nothing to a server that asked for a pause

Cause: a server that rejects a request with 503 may say for how long it wants no others of this instance; the edge read the value as a hint for its callers only and went on sending. Change: every choice of a server leaves out those in a pause (listCandidates), and one chosen before a wait is asked about again. A pause belongs to one edge and one start of the server; after it the load returns over a time as long as the pause. With all servers of a service paused the caller is refused at once and told when the first pause ends.

--- a/packages/core/events/src/event-catalogue.ts
+++ b/packages/core/events/src/event-catalogue.ts
@@ -182,6 +182,9 @@
 	serverLeaving: {
 		number: 1747, level: 'info', text: 'A server said in an answer that it leaves; it gets no new requests', action: noAction,
 	},
+	serverPaused: {
+		number: 1748, level: 'info', text: 'A server rejected a request and wants no others of this instance for a while', action: 'Add servers if this repeats.',
+	},
 	forwardAnswered: {
 		number: 1751, level: 'info', text: 'A request was answered (sampled)', action: noAction,
 	},
--- a/packages/core/metrics-registry/src/metrics-registry.ts
+++ b/packages/core/metrics-registry/src/metrics-registry.ts
@@ -19,6 +19,7 @@
 	turned_away_total: {kind: 'counter', help: 'Requests that the HTTP front end rejected without running them, by reason.', labels: ['reason']},
 	foreign_answers_total: {kind: 'counter', help: 'Answers of servers that were not the own answer of the request, by kind of call.', labels: ['call']},
 	servers_leaving_total: {kind: 'counter', help: 'Starts of servers that said in an answer that they leave, by source of the news: an answer, or another instance.', labels: ['source']},
+	server_pauses_total: {kind: 'counter', help: 'Rejections of servers that asked for a time without requests.', labels: []},
 	first_byte_ms: {kind: 'histogram', help: 'Time to the first byte of a streamed answer, in milliseconds.', labels: ['route']},
 	request_ms: {kind: 'histogram', help: 'Time to the end of a request, in milliseconds.', labels: ['route']},
 	servers_per_request: {kind: 'histogram', help: 'Number of servers that a request was sent to.', labels: ['route']},
--- a/packages/plugins/edge/src/buffered-forwarder.ts
+++ b/packages/plugins/edge/src/buffered-forwarder.ts
@@ -7,6 +7,7 @@
 import {
 	attemptOutcomes, describeFailure, runAttempt, type AttemptResult,
 } from './attempt.js';
+import {computeRetryAfterMs, listCandidates} from './candidate-servers.js';
 import {forwardResponse, sendProblem} from './responses.js';
 import {retryKinds} from './retry-budget.js';
 import {SendPermits, type SendPermit} from './send-permits.js';
@@ -70,8 +71,8 @@
 	}
 
 	#selectServer(): KnownServer | undefined {
-		const {registry, health, leastLoadPlacement, availabilityZone} = this.#context;
-		const servers = health.selectHealthy(registry.listUsable(this.#request.service));
+		const {leastLoadPlacement, availabilityZone} = this.#context;
+		const servers = listCandidates(this.#context, this.#request.service);
 		return leastLoadPlacement.select(servers, {excluded: new Set(this.#servers.map(server => server.id)), availabilityZone});
 	}
 
@@ -133,7 +134,10 @@
 		const metadata = codec.decodeResponseHead(head);
 		if (metadata.isNotExecuted) {
 			this.#grounds.add(callKinds.run, server, {result, isNotExecuted: true});
-			this.#retryAfterMs = metadata.retryAfterMs ?? this.#retryAfterMs;
+			if (metadata.pauseMs === undefined) {
+				this.#retryAfterMs = metadata.retryAfterMs ?? this.#retryAfterMs;
+			}
+
 			return undefined;
 		}
 
@@ -171,10 +175,11 @@
 		}
 
 		if (this.#isNotExecuted) {
+			const retryAfterMs = computeRetryAfterMs(this.#context, this.#request.service, this.#retryAfterMs);
 			sendProblem(response, {
-				status: 503, code: 'not-run', detail: `The request has not run: ${reason}.`, headers: codec.encodeRetryAfter(this.#retryAfterMs),
+				status: 503, code: 'not-run', detail: `The request has not run: ${reason}.`, headers: codec.encodeRetryAfter(retryAfterMs),
 			});
-			return this.#createResult(requestOutcomes.refused, {status: 503, reason, retryAfterMs: this.#retryAfterMs});
+			return this.#createResult(requestOutcomes.refused, {status: 503, reason, retryAfterMs});
 		}
 
 		const isPastDeadline = computeRemainingMs(this.#context, this.#request) <= 1;
--- a/packages/plugins/edge/src/edge.ts
+++ b/packages/plugins/edge/src/edge.ts
@@ -39,6 +39,7 @@
 import {RetryBudget} from './retry-budget.js';
 import {defaultRetryAfterMs, type ForwardContext} from './forward-context.js';
 import {ServerHealth} from './server-health.js';
+import {ServerPauses} from './server-pauses.js';
 import {EdgeStageClient} from './stage-client.js';
 import {StateSharing} from './state-sharing.js';
 
@@ -250,6 +251,7 @@
 	#createContext(): ForwardContext {
 		const {clock, random, codec, events, metrics, settings} = this.#opts;
 		const health = new ServerHealth(clock);
+		const pauses = new ServerPauses({clock, loadTracker: this.#loadTracker});
 		const eventLog = new RateLimitedEventLog(clock, events);
 		return {
 			clock,
@@ -257,14 +259,20 @@
 			codec,
 			registry: this.registry,
 			health,
+			pauses,
 			loadTracker: this.#loadTracker,
 			profile: this.#profile,
 			measurements: new AnswerMeasurements({cacheIndex: this.#cacheIndex, profile: this.#profile, health}),
 			client: new EndpointClient({
 				clock, connectTimeoutMs, onAnswer: (server, head) => {
-					if (codec.decodeResponseHead(head).isLeaving) {
+					const metadata = codec.decodeResponseHead(head);
+					if (metadata.isLeaving) {
 						this.#recordLeaving(server);
 					}
+
+					if (metadata.pauseMs !== undefined && metadata.pauseMs > 0) {
+						this.#recordPause(server, metadata.pauseMs);
+					}
 				}, onForeignAnswer: answer => {
 					this.#requestLog.recordForeignAnswer(answer, this.registry.list().find(server => server.address === answer.address)?.id);
 				},
@@ -355,6 +363,13 @@
 		}
 	}
 
+	/** Records that a server wants no requests of this instance for a while. */
+	#recordPause(server: Incarnation, pauseMs: number): void {
+		this.#context.pauses.record(server, pauseMs);
+		this.#opts.metrics.count('server_pauses_total');
+		this.#context.eventLog.emit('serverPaused', {server: server.id, startedAt: server.startedAt, pauseMs});
+	}
+
 	#reportLeaving({id, service, address, startedAt}: ServerReport, told: {source: keyof typeof leavingSources; peer?: string}): void {
 		this.#opts.metrics.count('servers_leaving_total', {source: told.source});
 		this.#opts.events.emit('serverLeaving', {
--- a/packages/plugins/edge/src/forward-context.ts
+++ b/packages/plugins/edge/src/forward-context.ts
@@ -17,6 +17,7 @@
 import type {RetryBudget} from './retry-budget.js';
 import type {SendPermit} from './send-permits.js';
 import type {ServerHealth} from './server-health.js';
+import type {ServerPauses} from './server-pauses.js';
 
 export type ForwardContext = {
 	clock: Clock;
@@ -24,6 +25,7 @@
 	client: EndpointClient;
 	registry: EndpointRegistry;
 	health: ServerHealth;
+	pauses: ServerPauses;
 	loadTracker: LoadTracker;
 	profile: EngineProfile;
 	measurements: AnswerMeasurements;
--- a/packages/plugins/edge/src/kv-release.ts
+++ b/packages/plugins/edge/src/kv-release.ts
@@ -8,11 +8,17 @@
 const releaseTimeoutMs = 1000;
 
 /** Asks the server that holds the KV cache to release it; a call that fails is not repeated. */
-export function releaseKvCache({client, codec, clock, registry, getConnectionLimit}: ForwardContext, service: string, handle: KvHandle): void {
+export function releaseKvCache({client, codec, clock, registry, pauses, getConnectionLimit}: ForwardContext, service: string, handle: KvHandle): void {
+	const recipient = registry.findByAddress(handle.address);
+	if (recipient && pauses.isPaused(recipient)) {
+		// The server wants no calls, and the KV cache expires by itself.
+		return;
+	}
+
 	const {method, path} = codec.createReleaseCall(handle);
 	void runAttempt(client, handle.address, {
 		clock, signal: new AbortController().signal, timeoutMs: releaseTimeoutMs, request: {
-			recipient: registry.findByAddress(handle.address), callKind: callKinds.release, method, path, headers: [], needsVerifiedConnection: false, connectionLimit: getConnectionLimit(service),
+			recipient, callKind: callKinds.release, method, path, headers: [], needsVerifiedConnection: false, connectionLimit: getConnectionLimit(service),
 		},
 	});
 }
--- a/packages/plugins/edge/src/request-codec.ts
+++ b/packages/plugins/edge/src/request-codec.ts
@@ -57,6 +57,8 @@
 	/** The server states that it leaves: it serves what it has and takes no new requests. */
 	isLeaving: boolean;
 	retryAfterMs?: number;
+	/** The server rejects the request for lack of capacity and wants no other one of this instance for this time. */
+	pauseMs?: number;
 };
 
 /** A request that the edge itself sends to a server. */
--- a/packages/plugins/edge/src/streaming-forwarder.ts
+++ b/packages/plugins/edge/src/streaming-forwarder.ts
@@ -10,6 +10,7 @@
 import {
 	attemptOutcomes, describeFailure, runAttempt, type AttemptResult,
 } from './attempt.js';
+import {computeRetryAfterMs, isCandidate, listCandidates} from './candidate-servers.js';
 import {forwardResponse, sendProblem} from './responses.js';
 import {selectBackup} from './backup-server.js';
 import {callKinds} from './call-kinds.js';
@@ -110,10 +111,10 @@
 	}
 
 	#selectPlacement({canPrefill = true} = {}): Placement {
-		const {registry, health, promptPlacement} = this.#context;
+		const {promptPlacement} = this.#context;
 		return promptPlacement.plan({
 			prompt: this.#prompt,
-			servers: health.selectHealthy(registry.listUsable(this.#request.service)).filter(server => canPrefill || server.stage !== 'prefill'),
+			servers: listCandidates(this.#context, this.#request.service).filter(server => canPrefill || server.stage !== 'prefill'),
 			objectiveMs: this.#request.route.objectiveMs,
 			maxWaitMs: this.#maxWaitMs,
 			availabilityZone: this.#context.availabilityZone,
@@ -158,16 +159,16 @@
 
 	/** The load of the decode servers has changed while the prompt was prefilled, and all of them may have left. */
 	#reselectDecodeServer(planned: KnownServer): KnownServer | undefined {
-		const {registry, health, promptPlacement, availabilityZone} = this.#context;
-		const servers = health.selectHealthy(registry.listUsable(this.#request.service));
+		const {promptPlacement, availabilityZone} = this.#context;
+		const servers = listCandidates(this.#context, this.#request.service);
 		return promptPlacement.selectDecodeServer({
 			prompt: this.#prompt, objectiveMs: this.#request.route.objectiveMs, excluded: this.#excluded, availabilityZone,
-		}, servers) ?? (registry.isUsable(planned) ? planned : undefined);
+		}, servers) ?? (isCandidate(this.#context, planned) ? planned : undefined);
 	}
 
 	/** Resumes the stream after its last event at the backup server, from the copy of the KV cache. It counts as the same run. */
 	async #resumeAtBackup(failedServer: KnownServer, failedResult: AttemptResult): Promise<RequestResult> {
-		const {eventLog, health, registry, onConnectionLost} = this.#context;
+		const {eventLog, health, onConnectionLost} = this.#context;
 		const backup = this.#backupServer!;
 		health.recordUnresponsive(failedServer);
 		if (failedResult.outcome === attemptOutcomes.broken) {
@@ -176,7 +177,7 @@
 
 		this.#isNotExecuted = false;
 		this.#relay.clearPartialEvent();
-		const permit = registry.isUsable(backup) ? this.#permits.acquire(retryKinds.resume) : undefined;
+		const permit = isCandidate(this.#context, backup) ? this.#permits.acquire(retryKinds.resume) : undefined;
 		eventLog.emit('streamMoved', {
 			request: this.#request.metadata.requestId, from: failedServer.id, to: backup.id, end: failedResult.outcome, lastEvent: this.#relay.lastEventId, mayGoOn: permit !== undefined,
 		});
@@ -361,7 +362,10 @@
 			this.#grounds.add(callKinds.run, server, {result, isNotExecuted: true});
 			this.#excluded.add(server.id);
 			this.#releaseKvHandle(handle);
-			this.#retryAfterMs = metadata.retryAfterMs ?? this.#retryAfterMs;
+			if (metadata.pauseMs === undefined) {
+				this.#retryAfterMs = metadata.retryAfterMs ?? this.#retryAfterMs;
+			}
+
 			return undefined;
 		}
 
@@ -408,10 +412,11 @@
 
 		const isPastDeadline = computeRemainingMs(this.#context, this.#request) <= 1;
 		if (this.#isNotExecuted && !isPastDeadline) {
+			const retryAfterMs = computeRetryAfterMs(this.#context, this.#request.service, this.#retryAfterMs);
 			sendProblem(response, {
-				status: 503, code: 'not-run', detail: `The request has not run: ${reason}.`, headers: this.#context.codec.encodeRetryAfter(this.#retryAfterMs),
+				status: 503, code: 'not-run', detail: `The request has not run: ${reason}.`, headers: this.#context.codec.encodeRetryAfter(retryAfterMs),
 			});
-			return this.#createResult(requestOutcomes.refused, {status: 503, reason, retryAfterMs: this.#retryAfterMs});
+			return this.#createResult(requestOutcomes.refused, {status: 503, reason, retryAfterMs});
 		}
 
 		sendProblem(response, {status: isPastDeadline ? 504 : 502, code: 'may-have-run', detail: `The request may have run: ${reason}.`});
--- a/packages/plugins/edge/test/retry-fleet.ts
+++ b/packages/plugins/edge/test/retry-fleet.ts
@@ -29,6 +29,7 @@
 import type {ForwardMetadata, RequestCodec} from '../src/request-codec.js';
 import {RetryBudget} from '../src/retry-budget.js';
 import {ServerHealth} from '../src/server-health.js';
+import {ServerPauses} from '../src/server-pauses.js';
 import {StreamingForwarder} from '../src/streaming-forwarder.js';
 
 export const budgetBounds = {ratio: 0.2, allowance: 64, windowMs: 10_000} as const;
@@ -202,6 +203,7 @@
 			random,
 			codec,
 			health,
+			pauses: new ServerPauses({clock, loadTracker}),
 			loadTracker,
 			profile,
 			eventLog,
--- a/packages/plugins/edge/test/server-calls.test.ts
+++ b/packages/plugins/edge/test/server-calls.test.ts
@@ -4,9 +4,11 @@
 import {SystemClock} from '@hickorytrack/clock/system-clock';
 import {EndpointClient} from '@hickorytrack/endpoint-client';
 import {EndpointRegistry} from '@hickorytrack/endpoint-registry';
+import {LoadTracker} from '@hickorytrack/prompt-placement/load-tracker';
 import type {ForwardContext} from '../src/forward-context.js';
 import {releaseKvCache} from '../src/kv-release.js';
 import type {RequestCodec} from '../src/request-codec.js';
+import {ServerPauses} from '../src/server-pauses.js';
 import {EdgeStageClient} from '../src/stage-client.js';
 
 const clock = new SystemClock();
@@ -56,8 +58,9 @@
 		await stageClient.sendOrder(known, {
 			stage: 'decode', holder: 'edge-1', fencingToken: 1, expectedSequence: 0,
 		});
+		const pauses = new ServerPauses({clock, loadTracker: new LoadTracker(clock)});
 		const context: Partial<ForwardContext> = {
-			client, codec, clock, registry, getConnectionLimit: () => 2,
+			client, codec, clock, registry, pauses, getConnectionLimit: () => 2,
 		};
 		releaseKvCache(context as ForwardContext, 's', {address: known.address, handle: 'h'});
 		while (answers.length < 3) {
--- a/stand-ins/src/platform-server.ts
+++ b/stand-ins/src/platform-server.ts
@@ -39,6 +39,8 @@
 	id: string;
 	clock: Clock;
 	stage?: 'prefill' | 'decode';
+	/** Value of `retry-after` in answers with status 503; they have none without it. */
+	retryAfterSeconds?: number | string;
 	/** Start time that the server reports, in milliseconds; without it, each start must have an id of its own. */
 	startedAt?: number;
 	/** Number of events in a stream, and the interval between two of them. */
@@ -210,7 +212,7 @@
 		const isRun = request.headers['x-stage'] !== 'prefill';
 		switch (this.fault) {
 			case platformFaults.full: {
-				this.#sendForRequest(response, receivedRequest, {status: 503, headers: {'x-not-executed': '1', 'retry-after': '0.2'}});
+				this.#sendForRequest(response, receivedRequest, {status: 503, headers: {'x-not-executed': '1', ...this.#createRetryAfterHeaders()}});
 				return;
 			}
 
@@ -257,7 +259,7 @@
 
 		receivedRequest.hasRun = true;
 		if (this.fault === platformFaults.unstated) {
-			this.#send(response, 503, {...this.#createStampHeaders(receivedRequest.requestId), 'retry-after': '0.2'}, '');
+			this.#send(response, 503, {...this.#createStampHeaders(receivedRequest.requestId), ...this.#createRetryAfterHeaders()}, '');
 			return;
 		}
 
@@ -294,6 +296,11 @@
 		response.end();
 	}
 
+	#createRetryAfterHeaders(): Record<string, string> {
+		const {retryAfterSeconds} = this.#opts;
+		return retryAfterSeconds === undefined ? {} : {'retry-after': String(retryAfterSeconds)};
+	}
+
 	#createStampHeaders(requestId: string): Record<string, string> {
 		return {'x-response-stamp': `stamp-${this.id}`, 'x-request-id': requestId};
 	}
