test(endpoint-client): written requests are sent with an identity that is compared

Change: the ids of the answers are read and compared, and the cases run with and without late answers.

--- a/packages/routing/endpoint-client/test/written-requests.test.ts
+++ b/packages/routing/endpoint-client/test/written-requests.test.ts
@@ -9,12 +9,15 @@
 import {EndpointClient, type EndpointClientError, type OutboundRequest} from '../src/endpoint-client.js';
 
 const clock = new SystemClock();
-const okResponse = 'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok';
 /** Larger than the socket buffers, so that a part of the body waits in this process. */
 const largeBodyBytes = 3_000_000;
 
 type Arrival = {path: string; bodyBytes: number; bodyLength: number; socket: Socket};
 
+function createAnswer({path}: Arrival, {status = '200 OK', header = ''} = {}): string {
+	return `HTTP/1.1 ${status}\r\nX-Id: ${path}\r\n${header}Content-Length: 2\r\n\r\nok`;
+}
+
 /** Handles a request when its head has arrived, and again when its body is complete. */
 type RequestListener = (arrival: Arrival) => void;
 
@@ -93,7 +96,6 @@
 describe('requests of the endpoint client', () => {
 	let server: RecordingServer;
 	let client: EndpointClient;
-	let count = 0;
 
 	beforeEach(async () => {
 		server = new RecordingServer();
@@ -108,12 +110,10 @@
 
 	const send = (path: string, opts: Partial<OutboundRequest> = {}, address = server.address) => {
 		let cancel = () => {/* Replaced below, unless the request has failed. */};
-		count++;
-		const id = String(count);
 		const outcome = new Promise<Outcome>(resolve => {
 			let status: number | undefined;
 			const sent = client.send(address, {
-				method: 'POST', path, headers: ['host', 'a.example'], needsVerifiedConnection: false, connectionLimit: 4, callKind: 'run', identity: {expectedId: id, readId: () => id}, ...opts,
+				method: 'POST', path, headers: ['host', 'a.example'], callKind: 'test', identity: {expectedId: path, readId: head => head.headers['x-id']?.toString()}, needsVerifiedConnection: false, connectionLimit: 4, ...opts,
 			}, {
 				onHead(head) {
 					status = head.status;
@@ -141,16 +141,16 @@
 	// Guards against a refusal to the caller, or a second run elsewhere, of a request whose bytes are on their way.
 	for (const isReused of [false, true]) {
 		it(`reports a cancelled request as not written only if it never arrives, on a ${isReused ? 'reused' : 'new'} connection`, async () => {
-			server.onBody = ({socket, path}) => {
-				if (path === '/first') {
-					socket.write(okResponse);
+			server.onBody = arrival => {
+				if (arrival.path.startsWith('/first')) {
+					arrival.socket.write(createAnswer(arrival));
 				}
 			};
 
 			const unwritten: string[] = [];
 			for (let turns = 0; turns < 12; turns++) {
 				if (isReused) {
-					await send('/first').outcome;
+					await send(`/first-${turns}`).outcome;
 				}
 
 				const path = `/cancelled-${turns}`;
@@ -182,8 +182,8 @@
 		const {error} = await send('/lost', {}, address).outcome;
 		expect(error?.isWritten).to.equal(false);
 		server = new RecordingServer();
-		server.onBody = ({socket}) => {
-			socket.write(okResponse);
+		server.onBody = arrival => {
+			arrival.socket.write(createAnswer(arrival));
 		};
 
 		await server.start(port);
@@ -193,8 +193,8 @@
 	});
 
 	it('sends the rest of a long body before the next request when the server answers early', async () => {
-		server.onHead = ({socket}) => {
-			socket.write(okResponse);
+		server.onHead = arrival => {
+			arrival.socket.write(createAnswer(arrival));
 		};
 
 		const body = Buffer.alloc(largeBodyBytes);
@@ -229,8 +229,9 @@
 	});
 
 	it('does not forward an informational response as the final one, and fails on a continue that it has not asked for', async () => {
-		server.onHead = ({socket, path}) => {
-			socket.write(path === '/continue' ? `HTTP/1.1 100 Continue\r\n\r\n${okResponse}` : `HTTP/1.1 103 Early Hints\r\nX-Any: 1\r\n\r\n${okResponse}`);
+		server.onHead = arrival => {
+			const informational = arrival.path === '/continue' ? 'HTTP/1.1 100 Continue' : 'HTTP/1.1 103 Early Hints\r\nX-Any: 1';
+			arrival.socket.write(`${informational}\r\n\r\n${createAnswer(arrival)}`);
 		};
 
 		expect(await send('/hints').outcome).to.deep.equal({status: 200});
@@ -250,74 +251,84 @@
 		expect(server.arrivals).to.have.length(0);
 	});
 
-	// Each server behaves at random: early and late answers, resets, silence, closes while a connection is idle.
-	it('lets each request arrive at most once, and never one that it reports as not written', async () => {
-		const random = new Random(11);
-		const answers: readonly RequestListener[] = [
-			({socket}) => socket.write(okResponse),
-			({socket}) => socket.write(okResponse),
-			({socket}) => socket.write('HTTP/1.1 503 Full\r\nContent-Length: 0\r\n\r\n'),
-			({socket}) => socket.end(`${okResponse.replace('\r\n', '\r\nConnection: close\r\n')}`),
-			({socket}) => socket.end(okResponse),
-			({socket}) => socket.write(okResponse.replace('\r\n', '\r\nKeep-Alive: timeout=1\r\n')),
-			({socket}) => {
-				socket.write(`${okResponse}${okResponse}`);
-			},
-			({socket}) => {
-				socket.write(okResponse);
-				void clock.sleep(random.nextInteger(6)).then(() => socket.write(okResponse));
-			},
-			({socket}) => {
-				socket.write(okResponse);
-				void clock.sleep(random.nextInteger(6)).then(() => socket.destroy());
-			},
-			({socket}) => {
-				socket.write(okResponse);
-				void clock.sleep(random.nextInteger(6)).then(() => socket.resetAndDestroy());
-			},
-			({socket}) => socket.write(okResponse.slice(0, random.nextInteger(okResponse.length)), () => socket.resetAndDestroy()),
-			({socket}) => socket.resetAndDestroy(),
-			({socket}) => socket.destroy(),
-			() => {/* Silence. */},
-		];
-		const early = new Set<Arrival>();
-		server.onHead = arrival => {
-			if (random.next() < 0.2) {
-				early.add(arrival);
-				random.select(answers)(arrival);
-			}
-		};
+	// Each answer is drawn at random: early ones, refusals, resets, silence, closes while a connection is idle, and late ones.
+	for (const hasLateAnswers of [false, true]) {
+		it(`lets each request arrive at most once, and never one that it reports as not written, ${hasLateAnswers ? 'with' : 'without'} late answers`, async () => {
+			const random = new Random(11);
+			const runLater = (act: () => void) => {
+				void clock.sleep(random.nextInteger(6)).then(act);
+			};
 
-		server.onBody = arrival => {
-			if (!early.has(arrival)) {
-				random.select(answers)(arrival);
+			const write = (arrival: Arrival, opts: {status?: string; header?: string} = {}) => arrival.socket.write(createAnswer(arrival, opts));
+			const listeners: RequestListener[] = [
+				write,
+				write,
+				arrival => write(arrival, {status: '503 Full'}),
+				arrival => write(arrival, {header: 'Keep-Alive: timeout=1\r\n'}),
+				arrival => arrival.socket.end(createAnswer(arrival, {header: 'Connection: close\r\n'})),
+				arrival => arrival.socket.end(createAnswer(arrival)),
+				arrival => {
+					write(arrival);
+					runLater(() => arrival.socket.destroy());
+				},
+				arrival => {
+					write(arrival);
+					runLater(() => arrival.socket.resetAndDestroy());
+				},
+				arrival => arrival.socket.write(createAnswer(arrival).slice(0, random.nextInteger(50)), () => arrival.socket.resetAndDestroy()),
+				({socket}) => socket.resetAndDestroy(),
+				({socket}) => socket.destroy(),
+				() => {/* Silence. */},
+			];
+			if (hasLateAnswers) {
+				listeners.push(arrival => {
+					write(arrival);
+					write(arrival, {status: '503 Full'});
+				}, arrival => {
+					write(arrival);
+					runLater(() => write(arrival, {status: '503 Full'}));
+				});
 			}
-		};
 
-		const unwritten: string[] = [];
-		const runCaller = async (caller: number) => {
-			for (let count = 0; count < 60; count++) {
-				const path = `/${caller}-${count}`;
-				const {outcome, cancel} = send(path, {
-					method: random.select(['GET', 'POST']), body: Buffer.alloc(random.select([0, 10, 10, 300_000])), needsVerifiedConnection: random.next() < 0.5,
-				});
-				const cancelTimer = random.next() < 0.3 ? waitForTurn().then(async () => clock.sleep(random.nextInteger(3))) : clock.sleep(40);
-				void cancelTimer.then(cancel);
-				const {error} = await outcome;
-				if (error && !error.isWritten) {
-					unwritten.push(path);
+			const early = new Set<Arrival>();
+			server.onHead = arrival => {
+				if (random.next() < 0.2) {
+					early.add(arrival);
+					random.select(listeners)(arrival);
 				}
+			};
 
-				await clock.sleep(random.nextInteger(8));
-			}
-		};
+			server.onBody = arrival => {
+				if (!early.has(arrival)) {
+					random.select(listeners)(arrival);
+				}
+			};
 
-		await Promise.all(Array.from({length: 8}, async (_, caller) => runCaller(caller)));
-		await settle();
-		const counts = server.arrivals.map(({path}) => server.count(path));
-		expect(counts).not.to.have.length(0);
-		expect(counts.filter(count => count > 1)).to.have.length(0);
-		expect(unwritten).not.to.have.length(0);
-		expect(unwritten.filter(path => server.count(path) > 0)).to.have.length(0);
-	});
+			const unwritten: string[] = [];
+			const runCaller = async (caller: number) => {
+				for (let count = 0; count < 60; count++) {
+					const path = `/${caller}-${count}`;
+					const {outcome, cancel} = send(path, {
+						method: random.select(['GET', 'POST']), body: Buffer.alloc(random.select([0, 10, 10, 300_000])), needsVerifiedConnection: random.next() < 0.5,
+					});
+					const waitMs = random.next() < 0.3 ? random.nextInteger(3) : 40;
+					void waitForTurn().then(async () => clock.sleep(waitMs)).then(cancel);
+					const {error} = await outcome;
+					if (error && !error.isWritten) {
+						unwritten.push(path);
+					}
+
+					await clock.sleep(random.nextInteger(8));
+				}
+			};
+
+			await Promise.all(Array.from({length: 8}, async (_, caller) => runCaller(caller)));
+			await settle();
+			const counts = server.arrivals.map(({path}) => server.count(path));
+			expect(counts).not.to.have.length(0);
+			expect(counts.filter(count => count > 1)).to.have.length(0);
+			expect(unwritten).not.to.have.length(0);
+			expect(unwritten.filter(path => server.count(path) > 0)).to.have.length(0);
+		});
+	}
 });
