fix(soak): starts and stops of a process and its relay can't overlap

A process starts once at a time, starts and stops of a relay wait for each other, and a stop ends an open start. The answers of a server are a module of their own.

--- a/tools/soak/src/links.ts
+++ b/tools/soak/src/links.ts
@@ -17,7 +17,7 @@
 
 export class Links {
 	readonly #clock: Clock;
-	readonly #relays = new Map<string, {target: LinkTarget; relay: Relay; rules: Set<{source?: string; rule: RelayRule}>; isOpen: boolean}>();
+	readonly #relays = new Map<string, {target: LinkTarget; relay: Relay; rules: Set<{source?: string; rule: RelayRule}>; opening?: symbol; lastChange: Promise<void>}>();
 
 	constructor(clock: Clock) {
 		this.#clock = clock;
@@ -25,19 +25,20 @@
 
 	add(target: LinkTarget): void {
 		this.#relays.set(target.name, {
-			target, relay: new Relay(target.address), rules: new Set(), isOpen: false,
+			target, relay: new Relay(target.address), rules: new Set(), lastChange: Promise.resolve(),
 		});
 	}
 
 	/** Listens for a target as soon as the target does. */
 	async open(name: string, signal: AbortSignal): Promise<void> {
 		const link = this.#relays.get(name)!;
-		link.isOpen = true;
-		while (link.isOpen && !signal.aborted) {
+		const opening = Symbol(name);
+		link.opening = opening;
+		while (link.opening === opening && !signal.aborted) {
 			if (!await canConnect(link.target.address)) {
 				await this.#clock.sleep(pollMs, signal);
-			} else if (link.isOpen) {
-				await link.relay.start(link.target.relayAddress);
+			} else if (link.opening === opening) {
+				await applyChange(link, async () => link.relay.start(link.target.relayAddress));
 				return;
 			}
 		}
@@ -46,8 +47,8 @@
 	/** Stops listening for a target that has ended and resets its connections. */
 	async close(name: string): Promise<void> {
 		const link = this.#relays.get(name)!;
-		link.isOpen = false;
-		await link.relay.stop();
+		link.opening = undefined;
+		await applyChange(link, async () => link.relay.stop());
 	}
 
 	/** Applies a rule to a link, until the returned function is called. */
@@ -80,6 +81,12 @@
 	}
 }
 
+/** A relay that is stopped while it starts would go on listening, so starts and stops wait for each other. */
+async function applyChange(link: {lastChange: Promise<void>}, work: () => Promise<void>): Promise<void> {
+	link.lastChange = link.lastChange.then(work);
+	await link.lastChange;
+}
+
 async function canConnect(address: {host: string; port: number}): Promise<boolean> {
 	return new Promise(resolve => {
 		const socket = connect(address);
--- a/tools/soak/src/managed-process.ts
+++ b/tools/soak/src/managed-process.ts
@@ -25,6 +25,7 @@
 export class ManagedProcess {
 	readonly #opts: ManagedProcessOptions;
 	#child: ChildProcess | undefined;
+	#isStarted = false;
 	#isEndExpected = false;
 
 	constructor(opts: ManagedProcessOptions) {
@@ -35,7 +36,13 @@
 		return this.#opts.name;
 	}
 
+	/** Starts the process unless it runs. */
 	async start(): Promise<void> {
+		if (this.#isStarted) {
+			return;
+		}
+
+		this.#isStarted = true;
 		const log = await open(this.#opts.logPath, 'a');
 		const child = spawn(process.execPath, this.#opts.createArgs(), {stdio: ['ignore', log.fd, log.fd], env: {...process.env, ...this.#opts.env}});
 		await log.close();
@@ -45,6 +52,7 @@
 		child.once('exit', () => {
 			children.delete(child);
 			this.#child = undefined;
+			this.#isStarted = false;
 			this.#opts.onEnded?.(this.#isEndExpected);
 		});
 		this.#opts.onStarted?.();
--- a/tools/soak/src/server-channel.ts
+++ b/tools/soak/src/server-channel.ts
@@ -88,7 +88,12 @@
 	}
 
 	reset(): void {
-		this.#socket.resetAndDestroy();
+		// Node.js leaks the handle of a socket that is reset while it ends.
+		if (this.#socket.writableEnded) {
+			this.#socket.destroy();
+		} else {
+			this.#socket.resetAndDestroy();
+		}
 	}
 
 	#receive(chunk: Buffer): void {
--- a/tools/soak/src/soak-server.ts
+++ b/tools/soak/src/soak-server.ts
@@ -5,11 +5,10 @@
 import {createServer, type Server} from 'node:net';
 import type {Clock} from '@hickorytrack/clock';
 import type {Random} from '@hickorytrack/random';
-import {
-	countEvents, createEvent, createPlainBody, createStamp,
-} from './expected-body.js';
-import {formatChunk, formatMessage, type HttpMessage} from './http-message-reader.js';
+import {createPlainBody, createStamp} from './expected-body.js';
+import {formatMessage, type HttpMessage} from './http-message-reader.js';
 import type {FateRecord, ServerRecord} from './records.js';
+import {ServerAnswers, type Arrival} from './server-answers.js';
 import {ServerChannel} from './server-channel.js';
 import {ServerOperations, type Stage} from './server-operations.js';
 import {selectFault, stutterRate, type ServerFault} from './server-faults.js';
@@ -30,25 +29,15 @@
 	crash: () => void;
 };
 
-type Arrival = {
-	message: HttpMessage;
-	path: string;
-	requestId: string;
-	number: number;
-	deadlineAt: number;
-};
-
 const slots = 8;
 const maxWaiting = 6;
 const maxWorkMs = 10;
 const prefillMsPerToken = 0.01;
 /** A decode server prefills at half the speed. */
 const decodeSlowdown = 2;
-const maxEventMs = 8;
 const maxQueueMs = 250;
 const minIdleMs = 300;
 const maxIdleMs = 3000;
-const closeRate = 0.02;
 const meanCalmMs = 6000;
 const maxOverloadMs = 3000;
 const overloadRefusedFraction = 0.8;
@@ -61,6 +50,7 @@
 	readonly #slots: WorkSlots;
 	readonly #server: Server;
 	readonly #operations: ServerOperations;
+	readonly #answers: ServerAnswers;
 	readonly #channels = new Set<ServerChannel>();
 	/** Most servers drop a waiting request whose connection closes; some run it. */
 	readonly #keepsAbandoned: boolean;
@@ -71,6 +61,12 @@
 	constructor(opts: SoakServerOptions) {
 		this.#opts = opts;
 		this.#operations = new ServerOperations(opts);
+		this.#answers = new ServerAnswers({
+			...opts, operations: this.#operations, crash: () => {
+				this.close();
+				opts.crash();
+			},
+		});
 		this.#slots = new WorkSlots({clock: opts.clock, slots, maxWaiting});
 		const {clock, random, faults} = opts;
 		this.#keepsAbandoned = random.next() < keepsAbandonedFraction;
@@ -182,7 +178,7 @@
 	#refuse(channel: ServerChannel, arrival: Arrival, status: number): void {
 		const retryAfter: Record<string, string> = this.#opts.random.next() < 0.5 ? {'retry-after': this.#opts.random.nextBetween(0.02, 0.3).toFixed(3)} : {};
 		this.#recordFate(arrival, {hasRun: false, answer: 'refused', status});
-		this.#send(channel, arrival, {status, headers: {'x-not-executed': '1', ...retryAfter}, body: ''});
+		this.#answers.send(channel, arrival, {status, headers: {'x-not-executed': '1', ...retryAfter}, body: ''});
 	}
 
 	async #prefill(channel: ServerChannel, arrival: Arrival, fault: ServerFault | undefined): Promise<void> {
@@ -193,11 +189,11 @@
 		this.#recordFate(arrival, {
 			hasRun: false, answer: fault ?? 'prefilled', status: 200, handle, handleOwner: arrival.requestId,
 		});
-		if (this.#applyFault(channel, arrival, fault)) {
+		if (this.#answers.applyFault(channel, arrival, fault)) {
 			return;
 		}
 
-		this.#send(channel, arrival, {status: 200, headers: {'content-type': 'application/json'}, body: JSON.stringify({'kv-handle': handle, tokens: 1, version: 1})});
+		this.#answers.send(channel, arrival, {status: 200, headers: {'content-type': 'application/json'}, body: JSON.stringify({'kv-handle': handle, tokens: 1, version: 1})});
 	}
 
 	/** Prompts are prefilled one after another. */
@@ -223,95 +219,16 @@
 			hasRun: true, isSameRun, answer: fault ?? 'answered', status, stamp, handle: source, handleOwner: kv?.owner,
 		});
 		await (this.#operations.stage === undefined ? clock.sleep(random.nextBetween(0, maxWorkMs)) : this.#prefillPrompt(arrival, kv ? 0 : prefillMsPerToken * decodeSlowdown));
-		if (this.#applyFault(channel, arrival, fault)) {
+		if (this.#answers.applyFault(channel, arrival, fault)) {
 			return;
 		}
 
 		if (this.#operations.stage === undefined || status !== 200) {
-			this.#send(channel, arrival, {status, headers: {'x-response-stamp': stamp}, body: createPlainBody(arrival.requestId, arrival.path)});
+			this.#answers.send(channel, arrival, {status, headers: {'x-response-stamp': stamp}, body: createPlainBody(arrival.requestId, arrival.path)});
 			return;
 		}
 
-		await this.#sendEvents(channel, arrival, {stamp, isTruncated: fault === 'truncated'});
-	}
-
-	async #sendEvents(channel: ServerChannel, arrival: Arrival, {stamp, isTruncated}: {stamp: string; isTruncated: boolean}): Promise<void> {
-		const {clock, random} = this.#opts;
-		const {headers} = arrival.message;
-		const count = countEvents(arrival.path);
-		const first = Number(headers['last-event-id'] ?? 0) + 1;
-		channel.send(formatMessage('HTTP/1.1 200 OK', {
-			'x-request-id': arrival.requestId, 'x-response-stamp': stamp, 'content-type': 'text/event-stream', 'transfer-encoding': 'chunked',
-		}));
-		for (let event = first; event <= count && !channel.signal.aborted; event++) {
-			const text = createEvent(arrival.requestId, event, count);
-			if (isTruncated && event === count) {
-				channel.send(formatChunk(text.slice(0, -8)));
-				channel.reset();
-				return;
-			}
-
-			channel.send(formatChunk(text));
-			if (headers['x-kv-backup'] !== undefined) {
-				void this.#operations.copyKv(headers['x-kv-backup'], arrival.requestId);
-			}
-
-			await clock.sleep(random.nextBetween(1, maxEventMs));
-		}
-
-		channel.send(formatChunk(''));
-		channel.finish();
-	}
-
-	/** Returns true if the request gets no regular answer. */
-	#applyFault(channel: ServerChannel, arrival: Arrival, fault: ServerFault | undefined): boolean {
-		switch (fault) {
-			case 'crash': {
-				this.close();
-				this.#opts.crash();
-				return true;
-			}
-
-			case 'lost': {
-				channel.reset();
-				return true;
-			}
-
-			case 'silent': {
-				return true;
-			}
-
-			case 'garbage': {
-				channel.send(`${arrival.requestId} is no answer\r\n\r\n`);
-				channel.end();
-				return true;
-			}
-
-			case 'truncated': {
-				if (this.#operations.stage !== undefined && arrival.message.headers['x-stage'] !== 'prefill') {
-					return false;
-				}
-
-				const body = createPlainBody(arrival.requestId, arrival.path);
-				channel.send(formatMessage('HTTP/1.1 200 OK', {'x-request-id': arrival.requestId, 'x-response-stamp': createStamp(arrival.requestId, arrival.path), 'content-length': String(body.length)}, body.slice(0, body.length / 2)));
-				channel.end();
-				return true;
-			}
-
-			default: {
-				return false;
-			}
-		}
-	}
-
-	#send(channel: ServerChannel, arrival: Arrival, {status, headers, body}: {status: number; headers: Record<string, string>; body: string}): void {
-		const isLast = this.#opts.faults.has('idle-close') && this.#opts.random.next() < closeRate;
-		channel.send(formatMessage(`HTTP/1.1 ${status} Status`, {'x-request-id': arrival.requestId, ...headers, ...(isLast ? {connection: 'close'} : {})}, body));
-		if (isLast) {
-			channel.end();
-		} else {
-			channel.finish();
-		}
+		await this.#answers.sendEvents(channel, arrival, fault);
 	}
 
 	#recordFate(arrival: Arrival, fate: Pick<FateRecord, 'hasRun' | 'answer'> & Partial<FateRecord>): void {
