--- a/packages/plugins/edge/src/http-frontend.ts
+++ b/packages/plugins/edge/src/http-frontend.ts
@@ -171,7 +171,7 @@
 		}
 
 		const abortController = new AbortController();
-		onceClosed(response, () => {
+		onClosed(response, () => {
 			if (!response.writableFinished) {
 				abortController.abort();
 			}
@@ -198,7 +198,7 @@
 		const exchanges = this.#openExchanges.get(socket) ?? new Set();
 		this.#openExchanges.set(socket, exchanges.add(exchange));
 		this.#openRequests++;
-		onceClosed(exchange.response, () => {
+		onClosed(exchange.response, () => {
 			exchanges.delete(exchange);
 			this.#openRequests--;
 		});
@@ -247,7 +247,7 @@
 }
 
 /** Calls the listener when the response is complete or its connection has closed. */
-function onceClosed(response: ServerResponse, listener: () => void): void {
+function onClosed(response: ServerResponse, listener: () => void): void {
 	const {socket} = response.req;
 	let isClosed = false;
 	const finish = () => {
--- a/stand-ins/src/relay.ts
+++ b/stand-ins/src/relay.ts
@@ -89,8 +89,8 @@
 
 	resetConnections(): void {
 		for (const {callerSocket, listenerSocket} of this.#connections) {
-			resetSocket(callerSocket);
-			resetSocket(listenerSocket);
+			closeByReset(callerSocket);
+			closeByReset(listenerSocket);
 		}
 	}
 
@@ -183,7 +183,7 @@
 }
 
 /** Node.js leaks the handle of a socket that is reset while it ends. */
-function resetSocket(socket: Socket): void {
+function closeByReset(socket: Socket): void {
 	if (socket.writableEnded) {
 		socket.destroy();
 	} else {
--- a/tools/soak/src/check-answers.ts
+++ b/tools/soak/src/check-answers.ts
@@ -14,21 +14,21 @@
 	countEvents, createEvent, createPlainBody, createStamp,
 } from './expected-body.js';
 import type {
-	CallerRecord, FateRecord, RuleCase, SoakRecords, SoakRoute,
+	CallerRecord, OutcomeRecord, RuleCase, SoakRecords, SoakRoute,
 } from './records.js';
 
 const toleratedExceeding = 3;
 
-type Fates = ReadonlyMap<string, readonly FateRecord[]>;
+type Outcomes = ReadonlyMap<string, readonly OutcomeRecord[]>;
 
 export function checkAnswers(records: SoakRecords): RuleCase[] {
 	const routes = new Map(records.routes.map(route => [route.name, route]));
-	const fates = collectByKey(records.fates, fate => fate.requestId);
+	const outcomes = collectByKey(records.outcomes, outcome => outcome.requestId);
 	return [
-		...records.callers.flatMap(record => checkAttempt(record, routes.get(record.route)!, fates)),
-		...records.fates.flatMap(fate => checkHandle(fate)),
+		...records.callers.flatMap(record => checkAttempt(record, routes.get(record.route)!, outcomes)),
+		...records.outcomes.flatMap(outcome => checkHandle(outcome)),
 		...checkArrivals(records),
-		...checkServerCounts(records.callers.filter(({requestId, route}) => listRuns(fates, requestId).length > routes.get(route)!.maxServers)),
+		...checkServerCounts(records.callers.filter(({requestId, route}) => listRuns(outcomes, requestId).length > routes.get(route)!.maxServers)),
 	];
 }
 
@@ -37,22 +37,22 @@
 	return arrivals.filter(({requestId, path, body}) => sent.get(requestId)?.path !== path || sent.get(requestId)?.sentBody !== body).map(({requestId, path, server}) => ({rule: 'UNASKED', requestId, detail: `${server} got ${path}, which no caller sent so`}));
 }
 
-function listRuns(fates: Fates, requestId: string): FateRecord[] {
-	return fates.get(requestId)?.filter(fate => fate.hasRun && !fate.isSameRun) ?? [];
+function listRuns(outcomes: Outcomes, requestId: string): OutcomeRecord[] {
+	return outcomes.get(requestId)?.filter(outcome => outcome.hasRun && !outcome.isSameRun) ?? [];
 }
 
 function checkServerCounts(exceeding: readonly CallerRecord[]): RuleCase[] {
 	return exceeding.length > toleratedExceeding ? exceeding.map(({requestId, path}) => ({rule: 'BUDGET', requestId, detail: `${path} ran at too many servers`})) : [];
 }
 
-function checkAttempt(record: CallerRecord, route: SoakRoute, fates: Fates): RuleCase[] {
+function checkAttempt(record: CallerRecord, route: SoakRoute, outcomes: Outcomes): RuleCase[] {
 	const cases: RuleCase[] = [];
 	const add = (rule: RuleCase['rule'], detail: string) => {
 		cases.push({rule, requestId: record.requestId, detail: `${detail} (${record.edge}, ${record.path})`});
 	};
 
-	const own = fates.get(record.requestId) ?? [];
-	const runs = listRuns(fates, record.requestId);
+	const own = outcomes.get(record.requestId) ?? [];
+	const runs = listRuns(outcomes, record.requestId);
 	const isRepeatable = route.kind === 'idempotent' || route.isResumable;
 	if (!isRepeatable && runs.length > 1) {
 		add('TWICE', `ran at ${runs.map(run => run.server).join(' and ')}`);
@@ -71,7 +71,7 @@
 			add('REFUSED', `answered ${record.status}, ran at ${runs.map(run => `${run.server} (${run.answer} ${run.status})`).join(' and ')}`);
 		}
 
-		if (record.stamp !== undefined && !own.some(fate => fate.status === record.status && fate.stamp === record.stamp)) {
+		if (record.stamp !== undefined && !own.some(outcome => outcome.status === record.status && outcome.stamp === record.stamp)) {
 			add('MIXED', `status ${record.status} with a stamp of a server that gave another`);
 		}
 	} else if (record.status === 200) {
@@ -81,13 +81,13 @@
 	return cases;
 }
 
-function checkSuccess(record: CallerRecord, {route, own}: {route: SoakRoute; own: readonly FateRecord[]}, add: (rule: 'MIXED' | 'ORDER', detail: string) => void): void {
+function checkSuccess(record: CallerRecord, {route, own}: {route: SoakRoute; own: readonly OutcomeRecord[]}, add: (rule: 'MIXED' | 'ORDER', detail: string) => void): void {
 	if (record.answerId === undefined || record.stamp !== createStamp(record.requestId, record.path)) {
 		add('MIXED', 'a success without the id or the stamp of the request');
 		return;
 	}
 
-	if (!own.some(fate => fate.status === 200 && fate.stamp !== undefined)) {
+	if (!own.some(outcome => outcome.status === 200 && outcome.stamp !== undefined)) {
 		add('MIXED', 'a success that no server gave');
 	}
 
@@ -108,6 +108,6 @@
 	}
 }
 
-function checkHandle({requestId, hasRun, handle, handleOwner, server}: FateRecord): RuleCase[] {
+function checkHandle({requestId, hasRun, handle, handleOwner, server}: OutcomeRecord): RuleCase[] {
 	return hasRun && handleOwner !== undefined && handleOwner !== requestId ? [{rule: 'MIXED', requestId, detail: `${server} went on from handle ${handle} of ${handleOwner}`}] : [];
 }
--- a/tools/soak/src/check-budget.ts
+++ b/tools/soak/src/check-budget.ts
@@ -4,7 +4,7 @@
  * it, whichever has most. The first prefill that a server accepts is not extra.
  */
 import type {
-	ArrivalRecord, FateRecord, RuleCase, SoakRecords,
+	ArrivalRecord, OutcomeRecord, RuleCase, SoakRecords,
 } from './records.js';
 
 /** The window of a service in which most of its budget was used. */
@@ -21,24 +21,24 @@
 	return findBudgetUses(records).filter(({extra, allowed}) => extra > allowed).map(({service, extra, allowed, requestId, at}) => ({rule: 'BUDGET', requestId, detail: `${service} got ${extra} extra arrivals in the window to ${at}, ${allowed.toFixed(1)} are allowed`}));
 }
 
-export function findBudgetUses({routes, callers, arrivals, fates, bounds}: SoakRecords): BudgetUse[] {
+export function findBudgetUses({routes, callers, arrivals, outcomes, bounds}: SoakRecords): BudgetUse[] {
 	const services = new Set(routes.map(route => route.service));
 	const serviceOfRoute = new Map(routes.map(route => [route.name, route.service]));
-	const fatesByArrival = new Map(fates.map(fate => [formatArrival(fate), fate]));
+	const outcomesByArrival = new Map(outcomes.map(outcome => [formatArrival(outcome), outcome]));
 	return [...services].flatMap(service => {
 		const requestTimes = callers.filter(record => serviceOfRoute.get(record.route) === service).map(record => record.sentAt).sort((a, b) => a - b);
-		const extra = listExtraArrivals(arrivals.filter(arrival => arrival.service === service), fatesByArrival);
+		const extra = listExtraArrivals(arrivals.filter(arrival => arrival.service === service), outcomesByArrival);
 		return findFullestWindow(service, {requestTimes, extra, bounds});
 	});
 }
 
 /** Returns the arrivals beyond the first of each request, in the order of time. */
-export function listExtraArrivals(arrivals: readonly ArrivalRecord[], fates: ReadonlyMap<string, FateRecord>): ArrivalRecord[] {
+export function listExtraArrivals(arrivals: readonly ArrivalRecord[], outcomes: ReadonlyMap<string, OutcomeRecord>): ArrivalRecord[] {
 	const hasArrived = new Set<string>();
 	const isPrefilled = new Set<string>();
 	return [...arrivals].sort((a, b) => a.at - b.at).filter(arrival => {
 		if (arrival.isPrefill) {
-			const isRejected = fates.get(formatArrival(arrival))?.answer === 'refused';
+			const isRejected = outcomes.get(formatArrival(arrival))?.answer === 'refused';
 			const isFirst = !isRejected && !isPrefilled.has(arrival.requestId);
 			if (isFirst) {
 				isPrefilled.add(arrival.requestId);
@@ -86,6 +86,6 @@
 	return countUpTo(to) - countUpTo(from);
 }
 
-function formatArrival({server, startedAt, number}: ArrivalRecord | FateRecord): string {
+function formatArrival({server, startedAt, number}: ArrivalRecord | OutcomeRecord): string {
 	return `${server} ${startedAt} ${number}`;
 }
--- a/tools/soak/src/records.ts
+++ b/tools/soak/src/records.ts
@@ -48,8 +48,8 @@
 };
 
 /** What a server did with an arrival; a request that waited when its server crashed has none. */
-export type FateRecord = {
-	type: 'fate';
+export type OutcomeRecord = {
+	type: 'outcome';
 	at: number;
 	server: string;
 	startedAt: number;
@@ -68,7 +68,7 @@
 	handleOwner?: string;
 };
 
-export type ServerRecord = ArrivalRecord | FateRecord;
+export type ServerRecord = ArrivalRecord | OutcomeRecord;
 
 export type OperatorRecord = {
 	version: number;
@@ -92,7 +92,7 @@
 	routes: readonly SoakRoute[];
 	callers: readonly CallerRecord[];
 	arrivals: readonly ArrivalRecord[];
-	fates: readonly FateRecord[];
+	outcomes: readonly OutcomeRecord[];
 	operator: readonly OperatorRecord[];
 	readBacks: readonly ReadBack[];
 	bounds: RetryBounds;
--- a/tools/soak/src/soak-run.ts
+++ b/tools/soak/src/soak-run.ts
@@ -16,7 +16,7 @@
 import {allOutsideFaults} from './faults.js';
 import {Operator} from './operator.js';
 import type {
-	ArrivalRecord, CallerRecord, FateRecord, RuleCase, ServerRecord, SoakRecords, SoakRoute,
+	ArrivalRecord, CallerRecord, OutcomeRecord, RuleCase, ServerRecord, SoakRecords, SoakRoute,
 } from './records.js';
 import {SoakFleet} from './soak-fleet.js';
 
@@ -108,7 +108,7 @@
 	await writeLines(path.join(folder, 'callers.jsonl'), callers);
 	await writeLines(path.join(folder, 'operator.jsonl'), [...operator.records, ...readBacks]);
 	return {
-		routes, bounds, callers, operator: operator.records, readBacks, arrivals: serverRecords.filter((record): record is ArrivalRecord => record.type === 'arrival'), fates: serverRecords.filter((record): record is FateRecord => record.type === 'fate'),
+		routes, bounds, callers, operator: operator.records, readBacks, arrivals: serverRecords.filter((record): record is ArrivalRecord => record.type === 'arrival'), outcomes: serverRecords.filter((record): record is OutcomeRecord => record.type === 'outcome'),
 	};
 }
 
@@ -120,7 +120,7 @@
 		refused: count(({end, status}) => end === 'answered' && status === 503),
 		failed: count(({end, status}) => end !== 'answered' || (status !== 200 && status !== 503)),
 		arrivals: records.arrivals.length,
-		runs: records.fates.filter(fate => fate.hasRun).length,
+		runs: records.outcomes.filter(outcome => outcome.hasRun).length,
 		budgetUsed: Math.max(0, ...findBudgetUses(records).map(({extra, allowed}) => Math.round(100 * extra / allowed) / 100)),
 		configurations: records.operator.filter(record => record.isAcknowledged).length,
 	};
--- a/tools/soak/src/soak-server.ts
+++ b/tools/soak/src/soak-server.ts
@@ -7,7 +7,7 @@
 import type {Random} from '@hickorytrack/random';
 import {createPlainBody, createStamp} from './expected-body.js';
 import {formatMessage, type HttpMessage} from './http-message-reader.js';
-import type {FateRecord, ServerRecord} from './records.js';
+import type {OutcomeRecord, ServerRecord} from './records.js';
 import {ServerAnswers, type Arrival} from './server-answers.js';
 import {ServerChannel} from './server-channel.js';
 import {ServerOperations, type Stage} from './server-operations.js';
@@ -177,7 +177,7 @@
 
 	#refuse(channel: ServerChannel, arrival: Arrival, status: number): void {
 		const retryAfter: Record<string, string> = this.#opts.random.next() < 0.5 ? {'retry-after': this.#opts.random.nextBetween(0.02, 0.3).toFixed(3)} : {};
-		this.#recordFate(arrival, {hasRun: false, answer: 'refused', status});
+		this.#recordOutcome(arrival, {hasRun: false, answer: 'refused', status});
 		this.#answers.send(channel, arrival, {status, headers: {'x-not-executed': '1', ...retryAfter}, body: ''});
 	}
 
@@ -186,7 +186,7 @@
 		await this.#prefillPrompt(arrival, prefillMsPerToken);
 		const handle = `kv-${startedAt}-${arrival.number}`;
 		this.#operations.addKv(handle, {owner: arrival.requestId});
-		this.#recordFate(arrival, {
+		this.#recordOutcome(arrival, {
 			hasRun: false, answer: fault ?? 'prefilled', status: 200, handle, handleOwner: arrival.requestId,
 		});
 		if (this.#answers.applyFault(channel, arrival, fault)) {
@@ -215,7 +215,7 @@
 		const isSameRun = source === `${this.#opts.address}/${arrival.requestId}`;
 		const status = fault === 'failing' ? 500 : 200;
 		const stamp = createStamp(arrival.requestId, arrival.path);
-		this.#recordFate(arrival, {
+		this.#recordOutcome(arrival, {
 			hasRun: true, isSameRun, answer: fault ?? 'answered', status, stamp, handle: source, handleOwner: kv?.owner,
 		});
 		await (this.#operations.stage === undefined ? clock.sleep(random.nextBetween(0, maxWorkMs)) : this.#prefillPrompt(arrival, kv ? 0 : prefillMsPerToken * decodeSlowdown));
@@ -231,10 +231,10 @@
 		await this.#answers.sendEvents(channel, arrival, fault);
 	}
 
-	#recordFate(arrival: Arrival, fate: Pick<FateRecord, 'hasRun' | 'answer'> & Partial<FateRecord>): void {
+	#recordOutcome(arrival: Arrival, outcome: Pick<OutcomeRecord, 'hasRun' | 'answer'> & Partial<OutcomeRecord>): void {
 		const {clock, id, startedAt} = this.#opts;
 		this.#opts.record({
-			type: 'fate', at: clock.now(), server: id, startedAt, number: arrival.number, requestId: arrival.requestId, ...fate,
+			type: 'outcome', at: clock.now(), server: id, startedAt, number: arrival.number, requestId: arrival.requestId, ...outcome,
 		});
 	}
 }
--- a/tools/soak/test/checks-can-fail.test.ts
+++ b/tools/soak/test/checks-can-fail.test.ts
@@ -5,7 +5,7 @@
 import {checkConfiguration} from '../src/check-configuration.js';
 import {createEvent, createPlainBody, createStamp} from '../src/expected-body.js';
 import type {
-	ArrivalRecord, CallerRecord, FateRecord, RouteKind, SoakRecords, SoakRoute,
+	ArrivalRecord, CallerRecord, OutcomeRecord, RouteKind, SoakRecords, SoakRoute,
 } from '../src/records.js';
 
 const createRoute = (name: string, kind: RouteKind, isResumable = false): SoakRoute => ({
@@ -24,8 +24,8 @@
 	};
 }
 
-const createFate = (path: string, changes: Partial<FateRecord> = {}): FateRecord => ({
-	type: 'fate', at: 15, server: 's1', startedAt: 1, number: 1, requestId, hasRun: true, answer: 'answered', status: 200, stamp: createStamp(requestId, path), ...changes,
+const createOutcome = (path: string, changes: Partial<OutcomeRecord> = {}): OutcomeRecord => ({
+	type: 'outcome', at: 15, server: 's1', startedAt: 1, number: 1, requestId, hasRun: true, answer: 'answered', status: 200, stamp: createStamp(requestId, path), ...changes,
 });
 
 const createArrival = (number: number, changes: Partial<ArrivalRecord> = {}): ArrivalRecord => ({
@@ -33,10 +33,10 @@
 });
 
 const createRecords = (changes: Partial<SoakRecords>): SoakRecords => ({
-	routes, bounds, callers: [], arrivals: [], fates: [], operator: [], readBacks: [], ...changes,
+	routes, bounds, callers: [], arrivals: [], outcomes: [], operator: [], readBacks: [], ...changes,
 });
 
-const listRules = (caller: CallerRecord, fates: FateRecord[] = [createFate(caller.path)]) => checkAnswers(createRecords({callers: [caller], fates})).map(({rule}) => rule);
+const listRules = (caller: CallerRecord, outcomes: OutcomeRecord[] = [createOutcome(caller.path)]) => checkAnswers(createRecords({callers: [caller], outcomes})).map(({rule}) => rule);
 
 describe('checks of the soak', () => {
 	// A check that reports correct records as violations would hide real ones.
@@ -52,7 +52,7 @@
 		}))).to.deep.equal([]);
 		expect(listRules(createCaller('once', {
 			status: 503, stamp: undefined, answerId: undefined, body: '',
-		}), [createFate('', {hasRun: false, answer: 'refused', status: 503})])).to.deep.equal([]);
+		}), [createOutcome('', {hasRun: false, answer: 'refused', status: 503})])).to.deep.equal([]);
 	});
 
 	// MIXED: an answer of another request, a damaged one, or one that no server gave.
@@ -71,10 +71,10 @@
 
 	// MIXED: a stream went on from the KV cache of another request.
 	it('reports a run from a foreign handle', () => {
-		const fate = createFate('/tell/1/4', {handle: 'kv-1', handleOwner: 'r2'});
-		expect(listRules(createCaller('tell'), [fate])).to.deep.equal(['MIXED']);
-		expect(listRules(createCaller('tell'), [{...fate, handleOwner: requestId}])).to.deep.equal([]);
-		expect(listRules(createCaller('tell'), [createFate('/tell/1/4'), {...fate, hasRun: false}])).to.deep.equal([]);
+		const outcome = createOutcome('/tell/1/4', {handle: 'kv-1', handleOwner: 'r2'});
+		expect(listRules(createCaller('tell'), [outcome])).to.deep.equal(['MIXED']);
+		expect(listRules(createCaller('tell'), [{...outcome, handleOwner: requestId}])).to.deep.equal([]);
+		expect(listRules(createCaller('tell'), [createOutcome('/tell/1/4'), {...outcome, hasRun: false}])).to.deep.equal([]);
 	});
 
 	// REFUSED: a promise that the request has not run, for one that ran, also after the answer.
@@ -84,7 +84,7 @@
 				status, stamp: undefined, answerId: undefined, body: '',
 			};
 			expect(listRules(createCaller('once', refused))).to.deep.equal(['REFUSED']);
-			expect(listRules(createCaller('tell', refused), [createFate('/tell/1/4', {at: 900})])).to.deep.equal(['REFUSED']);
+			expect(listRules(createCaller('tell', refused), [createOutcome('/tell/1/4', {at: 900})])).to.deep.equal(['REFUSED']);
 			expect(listRules(createCaller('again', refused))).to.deep.equal([]);
 			expect(listRules(createCaller('talk', refused))).to.deep.equal([]);
 		}
@@ -92,11 +92,11 @@
 
 	// TWICE: two servers ran a request that must not be repeated.
 	it('reports a second run', () => {
-		const fates = (path: string) => [createFate(path), createFate(path, {server: 's2'})];
-		expect(listRules(createCaller('once'), fates('/once/1'))).to.deep.equal(['TWICE']);
-		expect(listRules(createCaller('tell', {end: 'closed', body: ''}), fates('/tell/1/4'))).to.deep.equal(['TWICE']);
-		expect(listRules(createCaller('again'), fates('/again/1'))).to.deep.equal([]);
-		expect(listRules(createCaller('tell'), [createFate('/tell/1/4'), createFate('/tell/1/4', {server: 's2', isSameRun: true})])).to.deep.equal([]);
+		const outcomes = (path: string) => [createOutcome(path), createOutcome(path, {server: 's2'})];
+		expect(listRules(createCaller('once'), outcomes('/once/1'))).to.deep.equal(['TWICE']);
+		expect(listRules(createCaller('tell', {end: 'closed', body: ''}), outcomes('/tell/1/4'))).to.deep.equal(['TWICE']);
+		expect(listRules(createCaller('again'), outcomes('/again/1'))).to.deep.equal([]);
+		expect(listRules(createCaller('tell'), [createOutcome('/tell/1/4'), createOutcome('/tell/1/4', {server: 's2', isSameRun: true})])).to.deep.equal([]);
 	});
 
 	// UNASKED: a request that no caller sent, or that was changed on its way.
@@ -114,8 +114,8 @@
 			const callers = Array.from({length: count}, (_, index) => createCaller('again', {
 				requestId: `q${index}`, end: 'closed', status: undefined, answerId: undefined,
 			}));
-			const fates = callers.flatMap(caller => ['s1', 's2', 's3'].map(server => createFate(caller.path, {requestId: caller.requestId, server})));
-			return checkAnswers(createRecords({callers, fates})).map(({rule}) => rule);
+			const outcomes = callers.flatMap(caller => ['s1', 's2', 's3'].map(server => createOutcome(caller.path, {requestId: caller.requestId, server})));
+			return checkAnswers(createRecords({callers, outcomes})).map(({rule}) => rule);
 		};
 
 		expect(listBudget(3)).to.deep.equal([]);
@@ -133,15 +133,15 @@
 	// BUDGET: one arrival too many in a window that no whole second shows.
 	it('reports extra arrivals beyond ratio and slack in a sliding window', () => {
 		const callers = Array.from({length: 10}, (_, index) => createCaller('again', {requestId: `q${index}`, sentAt: 600}));
-		const listBudget = (arrivals: ArrivalRecord[], fates: FateRecord[] = []) => checkBudget(createRecords({callers, arrivals, fates})).map(({rule}) => rule);
+		const listBudget = (arrivals: ArrivalRecord[], outcomes: OutcomeRecord[] = []) => checkBudget(createRecords({callers, arrivals, outcomes})).map(({rule}) => rule);
 		const repeats = [600, 1400, 1450, 1500].map((at, index) => createArrival(index, {at}));
 		expect(listBudget(repeats)).to.deep.equal([]);
 		expect(listBudget([...repeats, createArrival(4, {at: 1550})])).to.deep.equal(['BUDGET']);
 		expect(listBudget([...repeats, createArrival(4, {at: 2500})])).to.deep.equal([]);
 		const prefills = repeats.map(arrival => ({...arrival, isPrefill: true}));
 		expect(listBudget(prefills)).to.deep.equal([]);
-		expect(listBudget(prefills, [createFate('', {number: 0, answer: 'refused', hasRun: false})])).to.deep.equal([]);
-		expect(listBudget(prefills, prefills.map(({number}) => createFate('', {number, answer: 'refused', hasRun: false})))).to.deep.equal(['BUDGET']);
+		expect(listBudget(prefills, [createOutcome('', {number: 0, answer: 'refused', hasRun: false})])).to.deep.equal([]);
+		expect(listBudget(prefills, prefills.map(({number}) => createOutcome('', {number, answer: 'refused', hasRun: false})))).to.deep.equal(['BUDGET']);
 	});
 
 	// LOST: an edge that is back without the acknowledged configuration.
