feat(edge): log and count how the answers of servers are delimited and how they ended

Change: 1751 to 1754 carry `answer` with these; an answer that ended with its connection is always logged (1762) instead of sampled; metric server_answers_total. What is done with an answer stays as it was.

--- a/packages/core/events/src/event-catalogue.ts
+++ b/packages/core/events/src/event-catalogue.ts
@@ -224,6 +224,9 @@
 	foreignAnswer: {
 		number: 1761, level: 'warn', text: 'An answer of a server does not bear the id of the request whose answer was due', action: 'Check the server if exchanges is 0; otherwise it answered an earlier request twice.',
 	},
+	answerEndedByConnection: {
+		number: 1762, level: 'info', text: 'A request was answered with neither a length nor chunks; the end of the connection ended the answer', action: 'Check the server if its answers usually have a length or chunks.',
+	},
 } as const satisfies Record<string, EventDefinition>;
 
 export type EventName = keyof typeof eventCatalogue;
--- a/packages/plugins/edge/src/attempt.ts
+++ b/packages/plugins/edge/src/attempt.ts
@@ -4,6 +4,7 @@
 import type {
 	ResponseHead, ResponseHandler, EndpointClient, EndpointClientError, OutboundRequest, SentRequest,
 } from '@hickorytrack/endpoint-client';
+import type {ReceivedAnswer} from '@hickorytrack/endpoint-client/answer-framing';
 import type {EventRelay} from './event-relay.js';
 
 export const attemptOutcomes = {
@@ -27,6 +28,10 @@
 	isWritten: boolean;
 	/** The response was forwarded as a stream. */
 	isStreamed: boolean;
+	/** What was received of the answer; undefined before its head. */
+	answer?: ReceivedAnswer;
+	/** Bytes of the answer behind its last complete event; undefined for a buffered response. */
+	unfinishedBytes?: number;
 	error?: EndpointClientError;
 };
 
@@ -179,21 +184,23 @@
 		}
 	}
 
-	onEnd(): void {
-		this.#settle({outcome: attemptOutcomes.answered, isWritten: true});
+	onEnd(answer: ReceivedAnswer): void {
+		this.#settle({outcome: attemptOutcomes.answered, isWritten: true, answer});
 	}
 
 	onFailure(error: EndpointClientError): void {
-		this.#settle({outcome: this.#cancelOutcome ?? attemptOutcomes.broken, isWritten: error.isWritten, error});
+		this.#settle({
+			outcome: this.#cancelOutcome ?? attemptOutcomes.broken, isWritten: error.isWritten, answer: error.answer, error,
+		});
 	}
 
-	#settle(result: Pick<AttemptResult, 'outcome' | 'isWritten' | 'error'>): void {
+	#settle(result: Pick<AttemptResult, 'outcome' | 'isWritten' | 'answer' | 'error'>): void {
 		this.#isSettled = true;
 		this.#cancelDeadlineTimer?.();
 		this.#cancelSilenceTimer?.();
 
 		this.#resolve({
-			...result, head: this.#head, body: Buffer.concat(this.#chunks), isStreamed: this.#isStreamed,
+			...result, head: this.#head, body: Buffer.concat(this.#chunks), isStreamed: this.#isStreamed, unfinishedBytes: this.#isStreamed ? this.#opts.relay!.unfinishedBytes : undefined,
 		});
 	}
 }
--- a/packages/plugins/edge/src/buffered-forwarder.ts
+++ b/packages/plugins/edge/src/buffered-forwarder.ts
@@ -13,7 +13,9 @@
 import {SendPermits, type SendPermit} from './send-permits.js';
 import {callKinds} from './call-kinds.js';
 import {RefusalGrounds} from './refusal-grounds.js';
-import {requestOutcomes, type CallerRequest, type RequestResult} from './caller-request.js';
+import {
+	requestOutcomes, type CallerRequest, type RequestResult, type ServerAnswerEnd,
+} from './caller-request.js';
 import {
 	createAnswerIdentity, createOutboundRequest, computeRemainingMs, defaultRetryAfterMs, type ForwardContext,
 } from './forward-context.js';
@@ -33,6 +35,7 @@
 	#retryAfterMs = defaultRetryAfterMs;
 	/** The last 5xx response of a server, forwarded when no other server gives a better one. */
 	#failedResult: AttemptResult | undefined;
+	#lastAnswer: ServerAnswerEnd | undefined;
 
 	constructor(context: ForwardContext, request: CallerRequest) {
 		this.#context = context;
@@ -86,6 +89,7 @@
 		});
 		inFlightLoad.release();
 		permit.finish({isWritten: result.isWritten, isAccepted: true});
+		this.#lastAnswer = result.answer;
 		return result;
 	}
 
@@ -115,7 +119,7 @@
 		this.#isNotExecuted &&= !result.isWritten;
 		this.#grounds.add(callKinds.run, server, {result, isNotExecuted: false});
 		eventLog.emit('attemptFailed', {
-			request: this.#request.metadata.requestId, server: server.id, end: result.outcome, isWritten: result.isWritten, isStale, reason: result.error?.message,
+			request: this.#request.metadata.requestId, server: server.id, end: result.outcome, isWritten: result.isWritten, isStale, reason: result.error?.message, answer: result.answer,
 		});
 		if (result.outcome === attemptOutcomes.broken && result.isWritten && !foreignAnswer) {
 			onConnectionLost(this.#request, server);
@@ -189,7 +193,7 @@
 
 	#createResult(outcome: RequestResult['outcome'], rest: Omit<RequestResult, 'outcome' | 'servers'> = {}): RequestResult {
 		return {
-			outcome, servers: this.#servers.map(server => server.id), grounds: this.#grounds.list, ...rest,
+			outcome, servers: this.#servers.map(server => server.id), grounds: this.#grounds.list, answer: this.#lastAnswer, ...rest,
 		};
 	}
 }
--- a/packages/plugins/edge/src/event-relay.ts
+++ b/packages/plugins/edge/src/event-relay.ts
@@ -25,6 +25,11 @@
 		return this.#response.headersSent;
 	}
 
+	/** Bytes behind the last complete event. */
+	get unfinishedBytes(): number {
+		return this.#pending.length;
+	}
+
 	/** Sends the response head of the first server; the heads of later servers are dropped. */
 	open(head: ResponseHead): void {
 		if (this.isOpen || this.#response.destroyed) {
--- a/packages/plugins/edge/src/request-log.ts
+++ b/packages/plugins/edge/src/request-log.ts
@@ -1,5 +1,6 @@
 /** Logs the results of requests and records their metrics. */
 import type {Clock} from '@hickorytrack/clock';
+import {answerFramings} from '@hickorytrack/endpoint-client/answer-framing';
 import type {ForeignAnswer} from '@hickorytrack/endpoint-client/answer-identity';
 import type {MetricsRegistry} from '@hickorytrack/metrics-registry';
 import {requestOutcomes, type CallerRequest, type RequestResult} from './caller-request.js';
@@ -35,7 +36,13 @@
 		};
 		switch (result.outcome) {
 			case requestOutcomes.answered: {
-				eventLog.emitAnswered(fields);
+				if (result.answer?.framing === answerFramings.connection) {
+					// Whether such an answer is complete can't be read from its framing.
+					eventLog.emit('answerEndedByConnection', fields);
+				} else {
+					eventLog.emitAnswered(fields);
+				}
+
 				break;
 			}
 
@@ -77,6 +84,11 @@
 		metrics.count('requests_total', {route, outcome: result.outcome});
 		metrics.observe('request_ms', clock.monotonic() - request.arrivedAt, {route});
 		metrics.observe('servers_per_request', result.servers.length, {route});
+		if (result.answer) {
+			const {framing, connectionEnd} = result.answer;
+			metrics.count('server_answers_total', {framing, connection: connectionEnd, outcome: result.outcome});
+		}
+
 		if (result.firstByteMs !== undefined) {
 			metrics.observe('first_byte_ms', result.firstByteMs, {route});
 		}
--- a/packages/plugins/edge/src/streaming-forwarder.ts
+++ b/packages/plugins/edge/src/streaming-forwarder.ts
@@ -15,7 +15,9 @@
 import {selectBackup} from './backup-server.js';
 import {callKinds} from './call-kinds.js';
 import {RefusalGrounds} from './refusal-grounds.js';
-import {requestOutcomes, type CallerRequest, type RequestResult} from './caller-request.js';
+import {
+	requestOutcomes, type CallerRequest, type RequestResult, type ServerAnswerEnd,
+} from './caller-request.js';
 import {EventRelay} from './event-relay.js';
 import {releaseKvCache} from './kv-release.js';
 import type {KvHandle} from './request-codec.js';
@@ -49,6 +51,7 @@
 	/** Keeps a copy of the request's KV cache, from which the stream can resume when the decode server fails. */
 	#backupServer: KnownServer | undefined;
 	#retryAfterMs = defaultRetryAfterMs;
+	#lastAnswer: ServerAnswerEnd | undefined;
 	#firstByteMs: number | undefined;
 	/** Time to the first event, as predicted when the request was first placed, in milliseconds. */
 	#predictedMs: number | undefined;
@@ -283,6 +286,7 @@
 		});
 		inFlightLoad.release();
 		permit.finish({isWritten: result.isWritten, isAccepted: true});
+		this.#lastAnswer = result.answer && {...result.answer, unfinishedBytes: result.unfinishedBytes};
 		if (firstByteAt !== undefined && result.outcome === attemptOutcomes.answered) {
 			measurements.recordEnd(server, {isStream: isLongOutput, holdMs: clock.monotonic() - firstByteAt});
 		}
@@ -326,7 +330,7 @@
 		this.#excluded.add(server.id);
 		this.#relay.clearPartialEvent();
 		eventLog.emit('attemptFailed', {
-			request: this.#request.metadata.requestId, server: server.id, end: result.outcome, isWritten: result.isWritten, lastEvent: this.#relay.lastEventId, reason: result.error?.message,
+			request: this.#request.metadata.requestId, server: server.id, end: result.outcome, isWritten: result.isWritten, lastEvent: this.#relay.lastEventId, reason: result.error?.message, answer: this.#lastAnswer,
 		});
 		if (result.outcome === attemptOutcomes.broken || result.outcome === attemptOutcomes.stalled) {
 			if (foreignAnswer) {
@@ -425,7 +429,7 @@
 
 	#createResult(outcome: RequestResult['outcome'], rest: Omit<RequestResult, 'outcome' | 'servers'> = {}): RequestResult {
 		return {
-			outcome, servers: this.#servers.map(server => server.id), grounds: this.#grounds.list, firstByteMs: this.#firstByteMs, predictedMs: this.#predictedMs, ...rest,
+			outcome, servers: this.#servers.map(server => server.id), grounds: this.#grounds.list, answer: this.#lastAnswer, firstByteMs: this.#firstByteMs, predictedMs: this.#predictedMs, ...rest,
 		};
 	}
 }
--- a/packages/plugins/edge/test/retry-fleet.ts
+++ b/packages/plugins/edge/test/retry-fleet.ts
@@ -9,6 +9,7 @@
 import {
 	EndpointClientError, type EndpointClient, type OutboundRequest, type ResponseHandler,
 } from '@hickorytrack/endpoint-client';
+import {answerFramings, connectionEnds} from '@hickorytrack/endpoint-client/answer-framing';
 import {EndpointRegistry} from '@hickorytrack/endpoint-registry';
 import {EngineProfile} from '@hickorytrack/engine-profile';
 import {EventLog} from '@hickorytrack/events';
@@ -52,6 +53,7 @@
 const prefillMs = {least: 100, most: 600} as const;
 const decodeMs = {least: 5, most: 40} as const;
 const serversPerStage = 4;
+const wholeAnswer = {framing: answerFramings.chunks, bodyBytes: 0, connectionEnd: connectionEnds.open};
 const eventBytes = Buffer.from('id: 1\ndata: a\n\n');
 
 const route: Route = {
@@ -254,7 +256,7 @@
 		const reject = () => {
 			arrival.isRejected = true;
 			handler.onHead({status: 503, headers: {id: requestId, rejected: '1'}});
-			handler.onEnd();
+			handler.onEnd(wholeAnswer);
 		};
 
 		await this.#clock.sleep(2, signal);
@@ -278,7 +280,7 @@
 		} else {
 			handler.onHead({status: 200, headers: {id: requestId, 'content-type': 'text/event-stream'}});
 			handler.onData(isPrefill ? Buffer.from(requestId) : eventBytes);
-			handler.onEnd();
+			handler.onEnd(wholeAnswer);
 		}
 	}
 }
--- a/packages/routing/endpoint-client/src/endpoint-client.ts
+++ b/packages/routing/endpoint-client/src/endpoint-client.ts
@@ -7,6 +7,9 @@
 import type {Buffer} from 'node:buffer';
 import {errors, type Dispatcher} from 'undici';
 import {HickorytrackError} from '@hickorytrack/errors';
+import {
+	connectionEnds, findFraming, type AnswerFraming, type ReceivedAnswer,
+} from './answer-framing.js';
 import type {AnswerIdentity, ForeignAnswer} from './answer-identity.js';
 import {
 	ServerConnections, type Recipient, type ServerConnection, type ServerConnectionsOptions,
@@ -41,7 +44,7 @@
 	onHead(head: ResponseHead): void;
 	onData(chunk: Buffer): void;
 	/** The response is complete. */
-	onEnd(): void;
+	onEnd(answer: ReceivedAnswer): void;
 	onFailure(error: EndpointClientError): void;
 };
 
@@ -57,13 +60,16 @@
 	readonly isStale: boolean;
 	/** The answer of another request that was read instead; this request may have run. */
 	readonly foreignAnswer: ForeignAnswer | undefined;
+	/** What was received of the answer; undefined before its head. */
+	readonly answer: ReceivedAnswer | undefined;
 
-	constructor(code: HickorytrackError['code'], message: string, opts: {isWritten: boolean; isCancelled?: boolean; isStale?: boolean; foreignAnswer?: ForeignAnswer; cause?: unknown}) {
+	constructor(code: HickorytrackError['code'], message: string, opts: {isWritten: boolean; isCancelled?: boolean; isStale?: boolean; foreignAnswer?: ForeignAnswer; answer?: ReceivedAnswer; cause?: unknown}) {
 		super(code, message, {cause: opts.cause});
 		this.isWritten = opts.isWritten;
 		this.isCancelled = opts.isCancelled ?? false;
 		this.isStale = opts.isStale ?? false;
 		this.foreignAnswer = opts.foreignAnswer;
+		this.answer = opts.answer;
 	}
 }
 
@@ -137,6 +143,8 @@
 	#isSettled = false;
 	#canReuse = true;
 	#hasResponse = false;
+	#framing: AnswerFraming | undefined;
+	#bodyBytes = 0;
 
 	constructor(address: string, opts: ExchangeOptions) {
 		this.#address = address;
@@ -168,6 +176,7 @@
 					return;
 				}
 
+				this.#framing = findFraming({status, headers}, request.method);
 				this.#canReuse &&= headers.connection !== 'close';
 				if (request.recipient) {
 					onAnswer?.(request.recipient, {status, headers});
@@ -177,11 +186,12 @@
 			},
 			onResponseData: (_controller, chunk) => {
 				if (!this.#isSettled) {
+					this.#bodyBytes += chunk.length;
 					handler.onData(chunk);
 				}
 			},
 			onResponseEnd: () => {
-				if (connection.isReset) {
+				if (connection.end === connectionEnds.reset) {
 					this.#fail('ERR_HICKORYTRACK_ENDPOINT_BROKEN', `The connection to ${this.#address} was reset before the response was complete`, undefined);
 				} else {
 					this.#finish();
@@ -212,7 +222,7 @@
 		const {connection, connections, handler} = this.#opts;
 		this.#isSettled = true;
 		connections.discard(this.#address, connection);
-		handler.onFailure(new EndpointClientError('ERR_HICKORYTRACK_ENDPOINT_CANCELLED', `The request to ${this.#address} was cancelled`, {isWritten: this.#isWritten, isCancelled: true}));
+		handler.onFailure(new EndpointClientError('ERR_HICKORYTRACK_ENDPOINT_CANCELLED', `The request to ${this.#address} was cancelled`, {isWritten: this.#isWritten, isCancelled: true, answer: this.#describeAnswer()}));
 	}
 
 	pause(): void {
@@ -262,7 +272,11 @@
 			connections.discard(this.#address, connection);
 		}
 
-		handler.onEnd();
+		handler.onEnd(this.#describeAnswer()!);
+	}
+
+	#describeAnswer(): ReceivedAnswer | undefined {
+		return this.#framing && {framing: this.#framing, bodyBytes: this.#bodyBytes, connectionEnd: this.#opts.connection.end};
 	}
 
 	#fail(code: HickorytrackError['code'], message: string, cause: unknown): void {
@@ -274,6 +288,8 @@
 		this.#isSettled = true;
 		const isStale = this.#isWritten && !this.#hasResponse && connections.recordFailure(this.#address, connection);
 		connections.discard(this.#address, connection);
-		handler.onFailure(new EndpointClientError(code, message, {isWritten: this.#isWritten, isStale, cause}));
+		handler.onFailure(new EndpointClientError(code, message, {
+			isWritten: this.#isWritten, isStale, answer: this.#describeAnswer(), cause,
+		}));
 	}
 }
--- a/packages/routing/endpoint-client/src/server-connections.ts
+++ b/packages/routing/endpoint-client/src/server-connections.ts
@@ -9,6 +9,7 @@
  */
 import {buildConnector, Client} from 'undici';
 import type {Clock} from '@hickorytrack/clock';
+import {connectionEnds, type ConnectionEnd} from './answer-framing.js';
 
 /** One start of a server. A connection carries requests to a single one, so that its answers come from that one. */
 export type Recipient = {readonly id: string; readonly startedAt: number};
@@ -26,8 +27,8 @@
 	lastAnswerId?: string;
 	isBusy: boolean;
 	isClosed: boolean;
-	/** The server has reset the connection, so the last response on it may be incomplete. */
-	isReset: boolean;
+	/** How the server has ended the connection; after a reset the last response on it may be incomplete. */
+	end: ConnectionEnd;
 };
 
 export type ServerConnectionsOptions = {
@@ -218,21 +219,24 @@
 			maxHeaderSize: maxHeaderBytes,
 			connect(options, callback) {
 				connect(options, (...[error, socket]) => {
-					// Undici treats a body without a content length as complete, even when a reset ended it. This listener runs before undici's.
+					// Undici treats a body without a content length as complete, even when a reset ended it. These listeners run before undici's.
 					socket?.prependListener('error', () => {
-						connection.isReset = true;
+						connection.end = connectionEnds.reset;
+					});
+					socket?.prependListener('end', () => {
+						connection.end = connectionEnds.closed;
 					});
 					if (error) {
 						callback(error, null);
 					} else {
-						connection.isReset = false;
+						connection.end = connectionEnds.open;
 						callback(null, socket);
 					}
 				});
 			},
 		});
 		const connection: ServerConnection = {
-			client, recipient, lastResponseAt: Number.NEGATIVE_INFINITY, exchanges: 0, isBusy: true, isClosed: false, isReset: false,
+			client, recipient, lastResponseAt: Number.NEGATIVE_INFINITY, exchanges: 0, isBusy: true, isClosed: false, end: connectionEnds.open,
 		};
 		client.on('disconnect', () => {
 			// After an automatic reconnect, no response has been completed on the new connection.
