test(platform): answers that servers break off at any byte, seen from the callers' side

Reproduction: the stand-in server delimits its answers by length, chunks or connection and breaks them off after any byte, by an orderly close or a reset.

--- a/stand-ins/src/platform-server.ts
+++ b/stand-ins/src/platform-server.ts
@@ -10,6 +10,7 @@
 } from 'node:http';
 import type {AddressInfo, Socket} from 'node:net';
 import type {Clock} from '@hickorytrack/clock';
+import {AnswerBreaker, type AnswerBreak} from './answer-breaker.js';
 import {AnswerRepeater} from './answer-repeater.js';
 
 export const platformFaults = {
@@ -35,6 +36,8 @@
 } as const;
 export type PlatformFault = typeof platformFaults[keyof typeof platformFaults];
 
+export type AnswerFraming = 'length' | 'chunks' | 'connection';
+
 export type PlatformServerOptions = {
 	id: string;
 	clock: Clock;
@@ -80,12 +83,16 @@
 	/** Accepted stage orders. */
 	readonly orders: StageOrder[] = [];
 	fault: PlatformFault = platformFaults.none;
+	/** What delimits the body of an answer to a request; without it, plain answers have a length and streams are in chunks. */
+	framing: AnswerFraming | undefined;
+	/** Breaks off each answer to a request that follows, prefill answers included. */
+	answerBreak: AnswerBreak | undefined;
 	/** Says in all its answers that it leaves, with any fault. */
 	isLeaving = false;
 	#stage: 'prefill' | 'decode' | undefined;
 	readonly #opts: PlatformServerOptions;
 	readonly #server: Server;
-	readonly #sockets = new Map<Socket, AnswerRepeater>();
+	readonly #sockets = new Map<Socket, {repeater: AnswerRepeater; breaker: AnswerBreaker}>();
 	#port = 0;
 
 	constructor(opts: PlatformServerOptions) {
@@ -95,7 +102,7 @@
 			void this.#handle(request, response);
 		});
 		this.#server.on('connection', socket => {
-			this.#sockets.set(socket, new AnswerRepeater(socket));
+			this.#sockets.set(socket, {breaker: new AnswerBreaker(socket), repeater: new AnswerRepeater(socket)});
 			socket.on('close', () => this.#sockets.delete(socket));
 		});
 	}
@@ -159,7 +166,7 @@
 		const receivedRequest: ReceivedRequest = {
 			requestId: String(request.headers['x-request-id']), path: request.url!, body: Buffer.concat(chunks).toString(), deadlineMs: Number(request.headers['x-deadline-ms']), headers: request.headers, hasRun: false,
 		};
-		if (await this.#sockets.get(request.socket)?.startAnswer(response, {isRepeating: this.fault === platformFaults.stutter})) {
+		if (await this.#sockets.get(request.socket)?.repeater.startAnswer(response, {isRepeating: this.fault === platformFaults.stutter})) {
 			await this.#opts.clock.sleep(repeatGapMs);
 		}
 
@@ -180,6 +187,10 @@
 			return;
 		}
 
+		if (this.answerBreak) {
+			this.#sockets.get(request.socket)?.breaker.arm(this.answerBreak);
+		}
+
 		await this.#respond(request, response, receivedRequest);
 	}
 
@@ -274,13 +285,14 @@
 
 	async #sendEvents(request: IncomingMessage, response: ServerResponse, receivedRequest: ReceivedRequest): Promise<void> {
 		const {clock, events = defaultEvents, eventMs = 5} = this.#opts;
-		response.writeHead(200, {...this.#createStampHeaders(receivedRequest.requestId), 'content-type': 'text/event-stream'});
+		const firstEvent = Number(request.headers['last-event-id'] ?? 0) + 1;
+		const texts = Array.from({length: Math.max(0, events - firstEvent + 1)}, (_, index) => `id: ${firstEvent + index}\ndata: event ${firstEvent + index}\n\n`);
+		this.#writeHead(response, 200, {...this.#createStampHeaders(receivedRequest.requestId), 'content-type': 'text/event-stream'}, {bodyBytes: texts.join('').length, framing: this.framing ?? 'chunks'});
 		response.on('close', () => {
 			if (!response.writableFinished && this.fault !== platformFaults.cut) {
 				this.abandonedRequestIds.push(receivedRequest.requestId);
 			}
 		});
-		const firstEvent = Number(request.headers['last-event-id'] ?? 0) + 1;
 		for (let event = firstEvent; event <= events && !response.destroyed; event++) {
 			if (this.fault === platformFaults.cut && event === firstEvent + 2) {
 				response.write(`id: ${event}\ndata: ha`);
@@ -289,7 +301,7 @@
 				return;
 			}
 
-			response.write(`id: ${event}\ndata: event ${event}\n\n`);
+			response.write(texts[event - firstEvent]!);
 			await clock.sleep(eventMs);
 		}
 
@@ -311,7 +323,16 @@
 	}
 
 	#send(response: ServerResponse, status: number, headers: Record<string, string>, body: string): void {
-		response.writeHead(status, {...headers, 'content-length': String(Buffer.byteLength(body))});
+		this.#writeHead(response, status, headers, {bodyBytes: Buffer.byteLength(body), framing: this.framing ?? 'length'});
 		response.end(body);
 	}
+
+	#writeHead(response: ServerResponse, status: number, headers: Record<string, string>, {bodyBytes, framing}: {bodyBytes: number; framing: AnswerFraming}): void {
+		if (framing === 'connection') {
+			response.useChunkedEncodingByDefault = false;
+			response.shouldKeepAlive = false;
+		}
+
+		response.writeHead(status, framing === 'length' ? {...headers, 'content-length': String(bodyBytes)} : headers);
+	}
 }
