fix(edge): a stream that its server breaks off is never completed for its caller

Cause: the end of a connection was taken for the end of an answer. For a stream with neither a length nor chunks the client reported the close of the connection as the end, and the relay, which alone knew that an event was open, sent the open bytes and ended the response in chunks. So a resumable stream was not resumed either, and the server's health and the poison tracker recorded a success. Change: one part decides, before anything above acts on the end (new package http-answer): from the framing, the end of the connection and the format an answer is whole, broken off, or can't be told. A broken-off answer ends as a failure, with any framing. The client releases complete events only. The relay ends a response only by the verdict; a stream that only its connection delimits reaches the caller in the same way, so that the edge never declares complete what it can't know, and breaks off with a reset instead of an orderly close. Two tests of the event relay move to the part that holds back open events, where every cut of a stream into chunks is tried; the relay's remaining tests add the two verdicts on which it must not end a response. In the test rig a caller now takes a reset as a truncation, which Node.js reports as an error beside a complete response.

--- /dev/null
+++ b/packages/net/http-answer/src/body-format.ts
@@ -0,0 +1,136 @@
+/**
+ * Formats of bodies. An event stream shows by itself where it is complete: a stream that ends inside an event has been broken
+ * off. Of any other format nothing is known.
+ */
+import {Buffer} from 'node:buffer';
+
+export type BodyFormat = {
+	/** Takes the next bytes and returns those that may be released: all up to the end of the last complete unit. */
+	read(chunk: Buffer): Buffer;
+	/** Bytes that are held back until their unit is complete. */
+	readonly heldBytes: number;
+	/** Returns the held bytes of a body that is whole. */
+	finish(): Buffer;
+	/** True when the body breaks off if it ends here. */
+	readonly isInsideUnit: boolean;
+	/** True when the format has units and none of them is complete yet. */
+	readonly isWithoutUnit: boolean;
+};
+
+const noBytes = Buffer.alloc(0);
+
+/** A body whose format shows nothing about its end. */
+export class OpaqueBody implements BodyFormat {
+	readonly heldBytes = 0;
+	readonly isInsideUnit = false;
+	readonly isWithoutUnit = false;
+
+	read(chunk: Buffer): Buffer {
+		return chunk;
+	}
+
+	finish(): Buffer {
+		return noBytes;
+	}
+}
+
+const lineFeed = 0x0A;
+const carriageReturn = 0x0D;
+const colon = 0x3A;
+
+/**
+ * A stream of server-sent events. An empty line ends an event; lines end with LF, CR or CRLF. Comments, which begin with a
+ * colon, belong to no event. Each byte is looked at once, however the stream is cut into chunks.
+ */
+export class EventStreamBody implements BodyFormat {
+	#held: Buffer[] = [];
+	#heldBytes = 0;
+	#isAtLineStart = true;
+	#isAfterCarriageReturn = false;
+	#isEventOpen = false;
+	#hasEvent = false;
+
+	get heldBytes(): number {
+		return this.#heldBytes;
+	}
+
+	get isInsideUnit(): boolean {
+		return this.#isEventOpen;
+	}
+
+	get isWithoutUnit(): boolean {
+		return !this.#hasEvent;
+	}
+
+	read(chunk: Buffer): Buffer {
+		const end = this.#scan(chunk);
+		if (end === 0) {
+			this.#hold(chunk);
+			return noBytes;
+		}
+
+		const released = this.#heldBytes === 0 ? chunk.subarray(0, end) : Buffer.concat([...this.#held, chunk.subarray(0, end)]);
+		this.#held = [];
+		this.#heldBytes = 0;
+		this.#hold(chunk.subarray(end));
+		return released;
+	}
+
+	finish(): Buffer {
+		const rest = Buffer.concat(this.#held);
+		this.#held = [];
+		this.#heldBytes = 0;
+		return rest;
+	}
+
+	#hold(bytes: Buffer): void {
+		if (bytes.length > 0) {
+			// A copy: the caller may use its buffer again.
+			this.#held.push(Buffer.from(bytes));
+			this.#heldBytes += bytes.length;
+		}
+	}
+
+	/** Returns the offset up to which the chunk may be released: the end of the last line after which no event is open. */
+	#scan(chunk: Buffer): number {
+		let end = 0;
+		for (const [offset, element] of chunk.entries()) {
+			const byte = element;
+			if (byte === lineFeed && this.#isAfterCarriageReturn) {
+				this.#isAfterCarriageReturn = false;
+				end = end === offset && !this.#isEventOpen ? offset + 1 : end;
+				continue;
+			}
+
+			this.#isAfterCarriageReturn = byte === carriageReturn;
+			if (byte === lineFeed || byte === carriageReturn) {
+				this.#endLine();
+				end = this.#isEventOpen ? end : offset + 1;
+				continue;
+			}
+
+			if (this.#isAtLineStart) {
+				this.#isAtLineStart = false;
+				this.#isEventOpen ||= byte !== colon;
+			}
+		}
+
+		return end;
+	}
+
+	#endLine(): void {
+		if (this.#isAtLineStart && this.#isEventOpen) {
+			this.#isEventOpen = false;
+			this.#hasEvent = true;
+		}
+
+		this.#isAtLineStart = true;
+	}
+}
+
+const eventStreamPattern = /^\s*text\/event-stream\s*(?:;|$)/i;
+
+/** Creates the format that an answer with this content type is read as. */
+export function createBodyFormat(contentType: string | string[] | undefined): BodyFormat {
+	return eventStreamPattern.test(String(contentType ?? '')) ? new EventStreamBody() : new OpaqueBody();
+}
--- a/packages/plugins/edge/src/attempt.ts
+++ b/packages/plugins/edge/src/attempt.ts
@@ -4,7 +4,7 @@
 import type {
 	ResponseHead, ResponseHandler, EndpointClient, EndpointClientError, OutboundRequest, SentRequest,
 } from '@hickorytrack/endpoint-client';
-import type {ReceivedAnswer} from '@hickorytrack/endpoint-client/answer-framing';
+import type {ReceivedAnswer} from '@hickorytrack/http-answer/answer-reader';
 import type {EventRelay} from './event-relay.js';
 
 export const attemptOutcomes = {
@@ -30,8 +30,6 @@
 	isStreamed: boolean;
 	/** What was received of the answer; undefined before its head. */
 	answer?: ReceivedAnswer;
-	/** Bytes of the answer behind its last complete event; undefined for a buffered response. */
-	unfinishedBytes?: number;
 	error?: EndpointClientError;
 };
 
@@ -200,7 +198,7 @@
 		this.#cancelSilenceTimer?.();
 
 		this.#resolve({
-			...result, head: this.#head, body: Buffer.concat(this.#chunks), isStreamed: this.#isStreamed, unfinishedBytes: this.#isStreamed ? this.#opts.relay!.unfinishedBytes : undefined,
+			...result, head: this.#head, body: Buffer.concat(this.#chunks), isStreamed: this.#isStreamed,
 		});
 	}
 }
--- a/packages/plugins/edge/src/buffered-forwarder.ts
+++ b/packages/plugins/edge/src/buffered-forwarder.ts
@@ -2,6 +2,7 @@
  * Forwards a request and buffers the whole response before the caller gets any of it, so that a truncated response never
  * looks complete. Another server gets the request only if it is idempotent or is known not to have run.
  */
+import type {ReceivedAnswer} from '@hickorytrack/http-answer/answer-reader';
 import type {KnownServer} from '@hickorytrack/endpoint-registry';
 import {requestKinds} from '@hickorytrack/route-table/route-types';
 import {
@@ -14,7 +15,7 @@
 import {callKinds} from './call-kinds.js';
 import {RefusalGrounds} from './refusal-grounds.js';
 import {
-	requestOutcomes, type CallerRequest, type RequestResult, type ServerAnswerEnd,
+	requestOutcomes, type CallerRequest, type RequestResult,
 } from './caller-request.js';
 import {
 	createAnswerIdentity, createOutboundRequest, computeRemainingMs, defaultRetryAfterMs, type ForwardContext,
@@ -35,7 +36,7 @@
 	#retryAfterMs = defaultRetryAfterMs;
 	/** The last 5xx response of a server, forwarded when no other server gives a better one. */
 	#failedResult: AttemptResult | undefined;
-	#lastAnswer: ServerAnswerEnd | undefined;
+	#lastAnswer: ReceivedAnswer | undefined;
 
 	constructor(context: ForwardContext, request: CallerRequest) {
 		this.#context = context;
--- a/packages/plugins/edge/src/caller-request.ts
+++ b/packages/plugins/edge/src/caller-request.ts
@@ -1,7 +1,7 @@
 /** A caller's request while the edge handles it, and its possible outcomes. */
 import type {Buffer} from 'node:buffer';
 import type {ServerResponse} from 'node:http';
-import type {ReceivedAnswer} from '@hickorytrack/endpoint-client/answer-framing';
+import type {ReceivedAnswer} from '@hickorytrack/http-answer/answer-reader';
 import type {Route} from '@hickorytrack/route-table/route-types';
 import type {RefusalGround} from './refusal-grounds.js';
 import type {RequestMetadata} from './request-codec.js';
@@ -38,8 +38,6 @@
 } as const;
 export type RequestOutcome = typeof requestOutcomes[keyof typeof requestOutcomes];
 
-export type ServerAnswerEnd = ReceivedAnswer & {unfinishedBytes?: number};
-
 export type RequestResult = {
 	outcome: RequestOutcome;
 	status?: number;
@@ -48,8 +46,8 @@
 	servers: string[];
 	/** Calls to servers that ended without a run. */
 	grounds?: readonly RefusalGround[];
-	/** The last answer of a server: how it was delimited and ended, and what of an event was left. */
-	answer?: ServerAnswerEnd;
+	/** The last answer of a server. */
+	answer?: ReceivedAnswer;
 	firstByteMs?: number;
 	predictedMs?: number;
 	retryAfterMs?: number;
--- a/packages/plugins/edge/src/request-log.ts
+++ b/packages/plugins/edge/src/request-log.ts
@@ -1,6 +1,6 @@
 /** Logs the results of requests and records their metrics. */
 import type {Clock} from '@hickorytrack/clock';
-import {answerFramings} from '@hickorytrack/endpoint-client/answer-framing';
+import {answerFramings} from '@hickorytrack/http-answer/answer-framing';
 import type {ForeignAnswer} from '@hickorytrack/endpoint-client/answer-identity';
 import type {MetricsRegistry} from '@hickorytrack/metrics-registry';
 import {requestOutcomes, type CallerRequest, type RequestResult} from './caller-request.js';
--- a/packages/plugins/edge/src/responses.ts
+++ b/packages/plugins/edge/src/responses.ts
@@ -2,6 +2,7 @@
 import {Buffer} from 'node:buffer';
 import type {ServerResponse} from 'node:http';
 import type {ResponseHead} from '@hickorytrack/endpoint-client';
+import {answerFramings, findFraming} from '@hickorytrack/http-answer/answer-framing';
 
 /** Headers that apply to a single connection and are not forwarded. */
 const hopByHopHeaders = new Set(['connection', 'keep-alive', 'proxy-connection', 'te', 'trailer', 'transfer-encoding', 'upgrade', 'proxy-authenticate', 'proxy-authorization']);
@@ -30,9 +31,19 @@
 	return hopByHopHeaders.has(name);
 }
 
-/** True when only the end of the connection ends the response: with neither a length nor chunks, a truncated body can't be detected. */
-function isCloseDelimited(head: ResponseHead): boolean {
-	return head.headers['content-length'] === undefined && head.headers['transfer-encoding'] === undefined && head.status !== 204 && head.status !== 304;
+/**
+ * Writes the head of a server's response whose body length is not known. A response that only the end of the server's
+ * connection delimits stays one, because chunks would declare it complete.
+ */
+export function writeUndelimitedHead(response: ServerResponse, head: ResponseHead): void {
+	const headers = removeHopByHopHeaders(head.headers);
+	delete headers['content-length'];
+	if (findFraming(head) === answerFramings.connection) {
+		response.removeHeader('transfer-encoding');
+		headers.connection = 'close';
+	}
+
+	response.writeHead(head.status, headers);
 }
 
 /** Forwards the buffered response of a server. */
@@ -41,16 +52,14 @@
 		return;
 	}
 
-	const headers = removeHopByHopHeaders(head.headers);
-	delete headers['content-length'];
-	if (isCloseDelimited(head)) {
-		// The body may be truncated without a sign of it. A content-length would declare it complete.
-		response.removeHeader('transfer-encoding');
-		response.writeHead(head.status, {...headers, connection: 'close'});
+	if (findFraming(head) === answerFramings.connection) {
+		writeUndelimitedHead(response, head);
 		response.end(body);
 		return;
 	}
 
+	const headers = removeHopByHopHeaders(head.headers);
+	delete headers['content-length'];
 	const hasBody = head.status !== 204 && head.status !== 304;
 	response.writeHead(head.status, hasBody ? {...headers, 'content-length': String(body.length)} : headers);
 	response.end(hasBody ? body : undefined);
--- a/packages/plugins/edge/src/streaming-forwarder.ts
+++ b/packages/plugins/edge/src/streaming-forwarder.ts
@@ -4,6 +4,7 @@
  * continues at another server after its last complete event; any other request runs at most once.
  */
 import type {ResponseHead} from '@hickorytrack/endpoint-client';
+import type {ReceivedAnswer} from '@hickorytrack/http-answer/answer-reader';
 import type {KnownServer} from '@hickorytrack/endpoint-registry';
 import type {Placement} from '@hickorytrack/prompt-placement';
 import type {Prompt} from '@hickorytrack/prompt-placement/prompt';
@@ -16,7 +17,7 @@
 import {callKinds} from './call-kinds.js';
 import {RefusalGrounds} from './refusal-grounds.js';
 import {
-	requestOutcomes, type CallerRequest, type RequestResult, type ServerAnswerEnd,
+	requestOutcomes, type CallerRequest, type RequestResult,
 } from './caller-request.js';
 import {EventRelay} from './event-relay.js';
 import {releaseKvCache} from './kv-release.js';
@@ -51,7 +52,7 @@
 	/** Keeps a copy of the request's KV cache, from which the stream can resume when the decode server fails. */
 	#backupServer: KnownServer | undefined;
 	#retryAfterMs = defaultRetryAfterMs;
-	#lastAnswer: ServerAnswerEnd | undefined;
+	#lastAnswer: ReceivedAnswer | undefined;
 	#firstByteMs: number | undefined;
 	/** Time to the first event, as predicted when the request was first placed, in milliseconds. */
 	#predictedMs: number | undefined;
@@ -179,7 +180,6 @@
 		}
 
 		this.#isNotExecuted = false;
-		this.#relay.clearPartialEvent();
 		const permit = isCandidate(this.#context, backup) ? this.#permits.acquire(retryKinds.resume) : undefined;
 		eventLog.emit('streamMoved', {
 			request: this.#request.metadata.requestId, from: failedServer.id, to: backup.id, end: failedResult.outcome, lastEvent: this.#relay.lastEventId, mayGoOn: permit !== undefined,
@@ -197,7 +197,7 @@
 			},
 		});
 		if (result.outcome === attemptOutcomes.answered && result.isStreamed) {
-			return this.#finishStream(backup);
+			return this.#finishStream(backup, result.answer!);
 		}
 
 		return result.outcome === attemptOutcomes.cancelled ? this.#createResult(requestOutcomes.callerGone) : this.#fail(`the stream could not go on: ${result.outcome} ${result.head?.status ?? ''}`);
@@ -286,7 +286,7 @@
 		});
 		inFlightLoad.release();
 		permit.finish({isWritten: result.isWritten, isAccepted: true});
-		this.#lastAnswer = result.answer && {...result.answer, unfinishedBytes: result.unfinishedBytes};
+		this.#lastAnswer = result.answer;
 		if (firstByteAt !== undefined && result.outcome === attemptOutcomes.answered) {
 			measurements.recordEnd(server, {isStream: isLongOutput, holdMs: clock.monotonic() - firstByteAt});
 		}
@@ -312,7 +312,7 @@
 
 	#handleResult(server: KnownServer, result: AttemptResult, handle: KvHandle | undefined): RequestResult | undefined {
 		if (result.outcome === attemptOutcomes.answered) {
-			return result.isStreamed ? this.#finishStream(server) : this.#handleResponse(server, result, handle);
+			return result.isStreamed ? this.#finishStream(server, result.answer!) : this.#handleResponse(server, result, handle);
 		}
 
 		if (result.outcome === attemptOutcomes.cancelled) {
@@ -328,7 +328,6 @@
 		}
 
 		this.#excluded.add(server.id);
-		this.#relay.clearPartialEvent();
 		eventLog.emit('attemptFailed', {
 			request: this.#request.metadata.requestId, server: server.id, end: result.outcome, isWritten: result.isWritten, lastEvent: this.#relay.lastEventId, reason: result.error?.message, answer: this.#lastAnswer,
 		});
@@ -351,11 +350,14 @@
 		return this.#fail(describeFailure(result));
 	}
 
-	#finishStream(server: KnownServer): RequestResult {
+	#finishStream(server: KnownServer, answer: ReceivedAnswer): RequestResult {
 		const {health, poisonRequests} = this.#context;
 		health.recordSuccess(server);
 		poisonRequests.recordSuccess(this.#request.fingerprint);
-		this.#relay.finish();
+		if (!this.#relay.finish(answer)) {
+			return this.#fail('the end of the resumed stream can\'t be told from a break');
+		}
+
 		return this.#createResult(requestOutcomes.answered, {status: 200});
 	}
 
--- a/packages/routing/endpoint-client/src/server-connections.ts
+++ b/packages/routing/endpoint-client/src/server-connections.ts
@@ -9,7 +9,7 @@
  */
 import {buildConnector, Client} from 'undici';
 import type {Clock} from '@hickorytrack/clock';
-import {connectionEnds, type ConnectionEnd} from './answer-framing.js';
+import {ConnectionWatch} from '@hickorytrack/http-answer/connection-watch';
 
 /** One start of a server. A connection carries requests to a single one, so that its answers come from that one. */
 export type Recipient = {readonly id: string; readonly startedAt: number};
@@ -27,8 +27,7 @@
 	lastAnswerId?: string;
 	isBusy: boolean;
 	isClosed: boolean;
-	/** How the server has ended the connection; after a reset the last response on it may be incomplete. */
-	end: ConnectionEnd;
+	readonly watch: ConnectionWatch;
 };
 
 export type ServerConnectionsOptions = {
@@ -219,24 +218,17 @@
 			maxHeaderSize: maxHeaderBytes,
 			connect(options, callback) {
 				connect(options, (...[error, socket]) => {
-					// Undici treats a body without a content length as complete, even when a reset ended it. These listeners run before undici's.
-					socket?.prependListener('error', () => {
-						connection.end = connectionEnds.reset;
-					});
-					socket?.prependListener('end', () => {
-						connection.end = connectionEnds.closed;
-					});
 					if (error) {
 						callback(error, null);
 					} else {
-						connection.end = connectionEnds.open;
+						connection.watch.watch(socket);
 						callback(null, socket);
 					}
 				});
 			},
 		});
 		const connection: ServerConnection = {
-			client, recipient, lastResponseAt: Number.NEGATIVE_INFINITY, exchanges: 0, isBusy: true, isClosed: false, end: connectionEnds.open,
+			client, recipient, lastResponseAt: Number.NEGATIVE_INFINITY, exchanges: 0, isBusy: true, isClosed: false, watch: new ConnectionWatch(),
 		};
 		client.on('disconnect', () => {
 			// After an automatic reconnect, no response has been completed on the new connection.
