fix(endpoint-client): the end of a connection while the reader of its answer is paused does not end the process

Cause: undici ends an answer on the end of its connection, and asserts that its parser is not paused then. With a caller that reads more slowly than its server writes, the relay pauses the answer. If the server then closed or reset the connection of an answer that does not keep it alive, the assertion was thrown out of the event loop, which ends an edge with all its requests. A connection is discarded only with a resumed reader.

--- a/packages/routing/endpoint-client/src/endpoint-client.ts
+++ b/packages/routing/endpoint-client/src/endpoint-client.ts
@@ -214,16 +214,26 @@
 
 		const {connection, connections, handler} = this.#opts;
 		this.#isSettled = true;
-		connections.discard(this.#address, connection);
+		this.#discardConnection();
 		handler.onFailure(new EndpointClientError('ERR_HICKORYTRACK_ENDPOINT_CANCELLED', `The request to ${this.#address} was cancelled`, {isWritten: this.#isWritten, isCancelled: true, answer: this.#describeFailure()}));
 	}
 
 	pause(): void {
+		this.#opts.connection.watch.pause();
 		this.#controller?.pause();
 	}
 
 	resume(): void {
-		this.#controller?.resume();
+		this.#opts.connection.watch.resume(() => {
+			this.#controller?.resume();
+		});
+	}
+
+	#discardConnection(): void {
+		const {connection, connections} = this.#opts;
+		// Undici must not see the end of a connection while its reader is paused.
+		this.resume();
+		connections.discard(this.#address, connection);
 	}
 
 	/** Returns the report about a response that does not prove to be the request's own. */
@@ -247,7 +257,7 @@
 			connections.recordLateAnswer(this.#address);
 		}
 
-		connections.discard(this.#address, connection);
+		this.#discardConnection();
 		onForeignAnswer?.(foreignAnswer);
 		handler.onFailure(new EndpointClientError('ERR_HICKORYTRACK_FOREIGN_ANSWER', `The answer of ${this.#address} belongs to another request`, {isWritten: this.#isWritten, foreignAnswer}));
 	}
@@ -269,7 +279,7 @@
 		if (this.#canReuse && request.identity) {
 			connections.release(this.#address, connection, request.identity.expectedId);
 		} else {
-			connections.discard(this.#address, connection);
+			this.#discardConnection();
 		}
 
 		handler.onEnd(answer);
@@ -293,7 +303,7 @@
 		const {connection, connections, handler} = this.#opts;
 		this.#isSettled = true;
 		const isStale = this.#isWritten && !this.#hasResponse && connections.recordFailure(this.#address, connection);
-		connections.discard(this.#address, connection);
+		this.#discardConnection();
 		handler.onFailure(new EndpointClientError(code, message, {
 			isWritten: this.#isWritten, isStale, answer: this.#describeFailure(), cause,
 		}));
--- a/packages/routing/endpoint-client/test/endpoint-client.test.ts
+++ b/packages/routing/endpoint-client/test/endpoint-client.test.ts
@@ -72,6 +72,57 @@
 		expect(response.error?.isWritten).to.equal(true);
 	});
 
+	// The HTTP client threw out of the event loop when a connection ended while its reader was paused, which ended the process.
+	for (const [name, head, encode] of [
+		['a body without a length', '', (text: string) => text],
+		['chunks', 'Connection: close\r\nTransfer-Encoding: chunked\r\n', (text: string) => `${text.length.toString(16)}\r\n${text}\r\n`],
+	] as const) {
+		for (const end of ['reset', 'close', 'close and cancel', 'cancel'] as const) {
+			it(`survives the ${end} of ${name} while its reader is paused`, async () => {
+				const started = await startServer(socket => {
+					socket.write(`HTTP/1.1 200 OK\r\n${head}\r\n${encode('x'.repeat(100_000))}`, () => {
+						setTimeout(() => {
+							if (end === 'reset') {
+								socket.resetAndDestroy();
+							} else if (end.startsWith('close')) {
+								socket.end();
+							}
+						}, 20);
+					});
+				});
+				server = started.server;
+				let bodyBytes = 0;
+				const outcome = await new Promise(resolve => {
+					const sent = client.send(started.address, {
+						callKind: 'run', method: 'GET', path: '/a', headers: ['host', 'a.example'], needsVerifiedConnection: false, connectionLimit: 4, identity: {expectedId: '1', readId: () => '1'},
+					}, {
+						onHead() {/* The test looks at the end only. */},
+						onData(chunk) {
+							bodyBytes += chunk.length;
+							sent.pause();
+							setTimeout(() => {
+								if (end.endsWith('cancel')) {
+									sent.cancel();
+								} else {
+									sent.resume();
+								}
+							}, 50);
+						},
+						onEnd() {
+							resolve('ended');
+						},
+						onFailure() {
+							resolve('failed');
+						},
+					});
+				});
+				const isWhole = end === 'close' && head === '';
+				expect(outcome).to.equal(isWhole ? 'ended' : 'failed');
+				expect(bodyBytes === 100_000).to.equal(end === 'close');
+			});
+		}
+	}
+
 	it('treats a body without a length as complete when the server closed the connection after it', async () => {
 		const started = await startServer(socket => {
 			socket.end('HTTP/1.1 200 OK\r\n\r\nwhole');
