fix(endpoint-client): a reset that arrives together with data does not end an answer as whole

Cause: when data and a reset arrive together, Node.js reports the end of the stream instead of the error (a partial read, then the hang-up of the poll). An answer without a length that is reset right behind its last bytes was taken for one that its server had closed; another program sees the reset on the same connection. Change: at the end of a stream the watch asks for the address of the peer, which the system has forgotten after a reset and still knows after an orderly close. The new test failed before (an answer that is reset after "half" came back as complete) and passes now.

--- a/packages/net/http-answer/src/connection-watch.ts
+++ b/packages/net/http-answer/src/connection-watch.ts
@@ -1,4 +1,7 @@
-/** Watches how the server ends a connection. The HTTP client completes a body without a length also when a reset ended it. */
+/**
+ * Watches how the server ends a connection. The HTTP client completes a body without a length also when the connection was
+ * reset, and Node.js reports a reset that arrives together with data as an orderly close.
+ */
 import type {Socket} from 'node:net';
 
 /** How the server's side of a connection ended. */
@@ -47,7 +50,8 @@
 			}
 		});
 		socket.prependListener('end', () => {
-			this.#end = connectionEnds.closed;
+			// After a reset the system no longer knows a peer, after an orderly close it does. Node.js keeps an address that it has read before.
+			this.#end = socket.remoteAddress === undefined ? connectionEnds.reset : connectionEnds.closed;
 		});
 	}
 
--- a/packages/routing/endpoint-client/test/endpoint-client.test.ts
+++ b/packages/routing/endpoint-client/test/endpoint-client.test.ts
@@ -72,6 +72,19 @@
 		expect(response.error?.isWritten).to.equal(true);
 	});
 
+	// Node.js reports a reset that arrives together with data as an orderly close.
+	it('treats a body without a length as incomplete when a reset followed its last bytes at once', async () => {
+		const started = await startServer(socket => {
+			socket.write('HTTP/1.1 200 OK\r\nX-Any: s\r\n\r\nhalf');
+			socket.resetAndDestroy();
+		});
+		server = started.server;
+		for (let i = 0; i < 20; i++) {
+			const response = await send(started.address);
+			expect(response.error?.isWritten).to.equal(true);
+		}
+	});
+
 	// The HTTP client threw out of the event loop when a connection ended while its reader was paused, which ended the process.
 	for (const [name, head, encode] of [
 		['a body without a length', '', (text: string) => text],
