fix(edge): the reset of a stream without a length is sent apart from its last bytes

It is a program on Node.js, which takes a reset that arrives together with data for an orderly close. Change: the edge resets such a response 20 ms after it has given it up. A caller on Node.js that doesn't read for longer than that can still take the reset for an end; the stream then ends without a length and without chunks.

--- a/packages/plugins/edge/src/event-relay.ts
+++ b/packages/plugins/edge/src/event-relay.ts
@@ -4,22 +4,27 @@
  */
 import type {Buffer} from 'node:buffer';
 import type {ServerResponse} from 'node:http';
+import type {Clock} from '@hickorytrack/clock';
 import type {ResponseHead} from '@hickorytrack/endpoint-client';
 import {answerFramings, findFraming} from '@hickorytrack/http-answer/answer-framing';
 import {answerVerdicts, type ReceivedAnswer} from '@hickorytrack/http-answer/answer-reader';
 import {writeUndelimitedHead} from './responses.js';
 
+/** Callers on Node.js take a reset that arrives together with the last bytes for an orderly close. */
+const resetDelayMs = 20;
 const idPattern = /^id: ?(.*)$/m;
 
 export class EventRelay {
 	/** Id of the last event that was forwarded. */
 	lastEventId: string | undefined;
 	readonly #response: ServerResponse;
+	readonly #clock: Clock;
 	/** The caller gets the stream as the first server sent it: with neither a length nor chunks, its connection ends it. */
 	#isDelimitedByConnection = false;
 
-	constructor(response: ServerResponse) {
+	constructor(response: ServerResponse, opts: {clock: Clock}) {
 		this.#response = response;
+		this.#clock = opts.clock;
 	}
 
 	get isOpen(): boolean {
@@ -63,7 +68,9 @@
 			this.#response.destroy();
 		} else {
 			// An orderly close would end the stream.
-			this.#response.socket?.resetAndDestroy();
+			this.#clock.startTimer(resetDelayMs, () => {
+				this.#response.socket?.resetAndDestroy();
+			});
 		}
 	}
 
--- a/packages/plugins/edge/src/streaming-forwarder.ts
+++ b/packages/plugins/edge/src/streaming-forwarder.ts
@@ -61,7 +61,7 @@
 		this.#context = context;
 		this.#request = request;
 		this.#grounds = new RefusalGrounds(createAnswerIdentity(context, request));
-		this.#relay = new EventRelay(request.response);
+		this.#relay = new EventRelay(request.response, {clock: context.clock});
 		this.#prompt = request.metadata.prompt ?? emptyPrompt;
 		this.#permits = new SendPermits(context.retryBudget, request);
 	}
--- a/packages/plugins/edge/test/edge-parts.test.ts
+++ b/packages/plugins/edge/test/edge-parts.test.ts
@@ -198,7 +198,7 @@
 				written.push('<cut>');
 			},
 		};
-		return {written, relay: new EventRelay(response as unknown as ServerResponse)};
+		return {written, relay: new EventRelay(response as unknown as ServerResponse, {clock: new ManualClock()})};
 	};
 
 	const answer: ReceivedAnswer = {
