fix(engine-http): the adapters and the tool read answers by the verdict, and with limits

Cause: undici's request() ends a body without a length as whole when it is reset, and the request's own connection: close makes every answer a candidate. The adapter of plain services passed such an answer on, the entry in chunks, so the caller had it declared complete. All of these clients read answers without a limit and with a time limit for each part only. Change: a call over a connection of its own (http-call) with the verdict, a limit for the body and one for the time of the whole call; used by both adapters and the operators' client. An answer that only an orderly close delimits is marked, kept so with its claim, and reaches the caller without a length and without chunks. Bytes beside the body (heads, chunk extensions, early hints without end) close the connection. A stream of an engine that broke off was judged right before, by its finish reason, and the reset under a slow reader ended no process there.

--- a/packages/cli/hickorytrack/src/operator-client.ts
+++ b/packages/cli/hickorytrack/src/operator-client.ts
@@ -2,8 +2,8 @@
 import {randomUUID} from 'node:crypto';
 import {createJSONRPCRequest, type JSONRPCResponse} from 'json-rpc-2.0';
 import {err, ok, type Result} from 'neverthrow';
-import {request} from 'undici';
 import {describeError, HickorytrackError} from '@hickorytrack/errors';
+import {sendCall} from '@hickorytrack/http-answer/http-call';
 
 export type OperatorClientOptions = {
 	/** Base URL of the operator interface. */
@@ -13,6 +13,8 @@
 };
 
 const defaultTimeoutMs = 40_000;
+/** For the state of a process with thousands of endpoints. */
+const maxReplyBytes = 16 * 1024 * 1024;
 
 /** Exit codes of the command-line tool. Scripts depend on them. */
 export const exitCodes = {
@@ -40,13 +42,14 @@
 	async call<T>(method: string, params: Record<string, unknown> = {}): Promise<Result<T, OperatorError>> {
 		const timeoutMs = this.#opts.timeoutMs ?? defaultTimeoutMs;
 		try {
-			const response = await request(`${this.#opts.server}/rpc`, {
+			const {body} = await sendCall(`${this.#opts.server}/rpc`, {
 				method: 'POST',
-				headersTimeout: timeoutMs,
+				timeoutMs,
+				maxBodyBytes: maxReplyBytes,
 				headers: {'content-type': 'application/json', ...(this.#opts.key !== undefined && {authorization: `Bearer ${this.#opts.key}`})},
 				body: JSON.stringify(createJSONRPCRequest(randomUUID(), method, params)),
 			});
-			return this.#convertReply<T>(await response.body.json() as JSONRPCResponse);
+			return this.#convertReply<T>(JSON.parse(body.toString()) as JSONRPCResponse);
 		} catch (error) {
 			return err(new OperatorError('ERR_HICKORYTRACK_UNREACHABLE', `The operator interface at ${this.#opts.server} does not answer: ${describeError(error)}`, {
 				hint: 'Check --server, or use the operator interface of another instance: every instance accepts operator calls.', exitCode: exitCodes.unreachable, cause: error,
--- a/packages/core/types/src/work.ts
+++ b/packages/core/types/src/work.ts
@@ -68,6 +68,8 @@
 	status: number;
 	contentType: string;
 	body: string;
+	/** Only the end of its connection delimited the answer, so it may be truncated. */
+	hasUnknownEnd?: boolean;
 };
 
 /** How an attempt ended at its agent. */
--- a/packages/net/http-answer/src/body-format.ts
+++ b/packages/net/http-answer/src/body-format.ts
@@ -3,6 +3,7 @@
  * off. Of any other format nothing is known.
  */
 import {Buffer} from 'node:buffer';
+import {ByteCollector} from './byte-collector.js';
 
 export type BodyFormat = {
 	/** Takes the next bytes and returns those that may be released: all up to the end of the last complete unit. */
@@ -43,15 +44,14 @@
  * colon, belong to no event. Each byte is looked at once, however the stream is cut into chunks.
  */
 export class EventStreamBody implements BodyFormat {
-	#held: Buffer[] = [];
-	#heldBytes = 0;
+	readonly #held = new ByteCollector();
 	#isAtLineStart = true;
 	#isAfterCarriageReturn = false;
 	#isEventOpen = false;
 	#hasEvent = false;
 
 	get heldBytes(): number {
-		return this.#heldBytes;
+		return this.#held.size;
 	}
 
 	get isInsideUnit(): boolean {
@@ -64,31 +64,24 @@
 
 	read(chunk: Buffer): Buffer {
 		const end = this.#scan(chunk);
+		if (end > 0 && this.#held.size === 0) {
+			this.#held.append(chunk.subarray(end));
+			return chunk.subarray(0, end);
+		}
+
 		if (end === 0) {
-			this.#hold(chunk);
+			this.#held.append(chunk);
 			return noBytes;
 		}
 
-		const released = this.#heldBytes === 0 ? chunk.subarray(0, end) : Buffer.concat([...this.#held, chunk.subarray(0, end)]);
-		this.#held = [];
-		this.#heldBytes = 0;
-		this.#hold(chunk.subarray(end));
+		this.#held.append(chunk.subarray(0, end));
+		const released = this.#held.take();
+		this.#held.append(chunk.subarray(end));
 		return released;
 	}
 
 	finish(): Buffer {
-		const rest = Buffer.concat(this.#held);
-		this.#held = [];
-		this.#heldBytes = 0;
-		return rest;
-	}
-
-	#hold(bytes: Buffer): void {
-		if (bytes.length > 0) {
-			// A copy: the caller may use its buffer again.
-			this.#held.push(Buffer.from(bytes));
-			this.#heldBytes += bytes.length;
-		}
+		return this.#held.take();
 	}
 
 	/** Returns the offset up to which the chunk may be released: the end of the last line after which no event is open. */
--- a/packages/net/http-answer/src/connection-watch.ts
+++ b/packages/net/http-answer/src/connection-watch.ts
@@ -3,6 +3,7 @@
  * reset, and Node.js reports a reset that arrives together with data as an orderly close.
  */
 import type {Socket} from 'node:net';
+import {HickorytrackError} from '@hickorytrack/errors';
 
 /** How the server's side of a connection ended. */
 export const connectionEnds = {open: 'open', closed: 'closed', reset: 'reset'} as const;
@@ -12,7 +13,16 @@
 /** Undici ends a body without a length on the code of a reset; with another one it fails the request. */
 const watchedResetCode = 'ERR_HICKORYTRACK_CONNECTION_RESET';
 
+/** Bytes of an answer beside its body that are accepted: a head, and what the socket buffers. */
+const maxOverheadBytes = 262_144;
+/** Accepted overhead of chunks for each byte of a body; a chunk of one byte has five others. */
+const maxChunkOverhead = 8;
+
 export class ConnectionWatch {
+	#socket: Socket | undefined;
+	/** Bytes that the connection had received before the current answer, and bytes of its body. */
+	#bytesBefore = 0;
+	#bodyBytes = 0;
 	#end: ConnectionEnd = connectionEnds.open;
 	#isPaused = false;
 	/** Emits the end of the connection, which came while the reader was paused. */
@@ -22,6 +32,17 @@
 		return this.#end;
 	}
 
+	/** Call this before each request on the connection. */
+	startAnswer(): void {
+		this.#bytesBefore = this.#socket?.bytesRead ?? 0;
+		this.#bodyBytes = 0;
+	}
+
+	/** Call this for the bytes of the answer's body. What is received beyond them and is no body is limited. */
+	recordBody(bytes: number): void {
+		this.#bodyBytes += bytes;
+	}
+
 	/** Call this when the reader of the answer pauses: undici throws out of the event loop if a connection ends meanwhile. */
 	pause(): void {
 		this.#isPaused = true;
@@ -39,10 +60,16 @@
 
 	/** Watches a socket that has just connected, instead of the one before. Its listeners run before those of the HTTP client. */
 	watch(socket: Socket): void {
+		this.#socket = socket;
+		this.#bytesBefore = 0;
+		this.#bodyBytes = 0;
 		this.#end = connectionEnds.open;
 		this.#isPaused = false;
 		this.#emitEnd = undefined;
 		this.#holdEnd(socket);
+		socket.prependListener('readable', () => {
+			this.#checkOverhead(socket);
+		});
 		socket.prependListener('error', (error: NodeJS.ErrnoException) => {
 			this.#end = connectionEnds.reset;
 			if (error.code === resetCode) {
@@ -55,6 +82,14 @@
 		});
 	}
 
+	/** Closes a connection that sends a head, chunk extensions or trailers without an end. */
+	#checkOverhead(socket: Socket): void {
+		const overhead = socket.bytesRead - this.#bytesBefore - this.#bodyBytes;
+		if (overhead > maxOverheadBytes + (this.#bodyBytes * maxChunkOverhead)) {
+			socket.destroy(new HickorytrackError('ERR_HICKORYTRACK_ANSWER_UNREADABLE', `The answer has ${overhead} bytes beside its body`));
+		}
+	}
+
 	/** Holds the event back while the reader is paused. Half-open, the socket stays usable until then; undici closes it on the event. */
 	#holdEnd(socket: Socket): void {
 		socket.allowHalfOpen = true;
--- a/packages/plugins/engine-http/src/http-model-engine.ts
+++ b/packages/plugins/engine-http/src/http-model-engine.ts
@@ -6,8 +6,8 @@
  */
 import {createParser} from 'eventsource-parser';
 import {err, ok, type Result} from 'neverthrow';
-import {Agent, request} from 'undici';
 import {describeError, HickorytrackError} from '@hickorytrack/errors';
+import {HttpCall, sendCall, type HttpAnswer} from '@hickorytrack/http-answer/http-call';
 import type {EngineRole, FencedOrder} from '@hickorytrack/types/endpoint';
 import type {
 	EngineAdapter, EngineAdapterFactory, EngineDescription, EngineError, EngineEvent, GenerateOptions,
@@ -22,6 +22,9 @@
 const notFound = 404;
 const conflict = 409;
 
+/** For answers about the engine, and for an event of a stream, which carries one token or a few. */
+const maxBodyBytes = 1024 * 1024;
+
 type InfoBody = {
 	models: string[];
 	adapters: string[];
@@ -44,9 +47,6 @@
 
 export class HttpModelEngine implements EngineAdapter {
 	readonly #url: string;
-	readonly #dispatcher = new Agent({
-		bodyTimeout: 0, headersTimeout: 0, connections: null, pipelining: 1,
-	});
 
 	constructor(url: string) {
 		this.#url = url;
@@ -54,13 +54,8 @@
 
 	async describe(): Promise<Result<EngineDescription, HickorytrackError>> {
 		try {
-			const response = await request(`${this.#url}/engine/info`, {reset: true, headersTimeout: queryTimeoutMs, bodyTimeout: queryTimeoutMs});
-			if (response.statusCode === notFound) {
-				await response.body.dump();
-				return await this.#describePlainEngine();
-			}
-
-			return ok(this.#convertInfo(await response.body.json() as InfoBody));
+			const answer = await this.#sendQuery('/engine/info');
+			return answer.status === notFound ? await this.#describePlainEngine() : ok(this.#convertInfo(parseBody(answer) as InfoBody));
 		} catch (error) {
 			return err(new HickorytrackError('ERR_HICKORYTRACK_ENGINE_UNREACHABLE', `The engine at ${this.#url} does not answer: ${describeError(error)}`, {cause: error}));
 		}
@@ -69,21 +64,21 @@
 	async * generate(work: GenerationWork, opts: GenerateOptions): AsyncGenerator<EngineEvent> {
 		opts.onWrite();
 		try {
-			const response = await request(`${this.#url}/v1/${work.api === 'chat' ? 'chat/completions' : 'completions'}`, {
+			const call = new HttpCall(`${this.#url}/v1/${work.api === 'chat' ? 'chat/completions' : 'completions'}`, {
 				method: 'POST',
-				dispatcher: this.#dispatcher,
-				reset: true,
 				headers: {'content-type': 'application/json', 'x-request-id': opts.attempt},
 				body: JSON.stringify(this.#createBody(work, opts)),
 				signal: opts.signal,
+				maxBodyBytes,
 			});
-			if (response.statusCode !== 200) {
-				const text = await response.body.text();
-				yield {kind: 'failed', error: new HttpEngineError('ERR_HICKORYTRACK_ENGINE_REFUSED', `The engine answered ${response.statusCode}: ${text.slice(0, 200)}`, {written: true})};
+			const {status} = await call.waitForHead();
+			if (status !== 200) {
+				const {body} = await call.readAll();
+				yield {kind: 'failed', error: new HttpEngineError('ERR_HICKORYTRACK_ENGINE_REFUSED', `The engine answered ${status}: ${body.toString().slice(0, 200)}`, {written: true})};
 				return;
 			}
 
-			yield * this.#readStream(response.body);
+			yield * this.#readStream(call.readBody());
 		} catch (error) {
 			yield {kind: 'failed', error: this.#convertError(error)};
 		}
@@ -95,9 +90,8 @@
 
 	async probe(attempt: string): Promise<'running' | 'gone' | 'unreachable'> {
 		try {
-			const response = await request(`${this.#url}/engine/requests/${encodeURIComponent(attempt)}`, {reset: true, headersTimeout: queryTimeoutMs, bodyTimeout: queryTimeoutMs});
-			await response.body.dump();
-			return response.statusCode === 200 ? 'running' : 'gone';
+			const {status} = await this.#sendQuery(`/engine/requests/${encodeURIComponent(attempt)}`);
+			return status === 200 ? 'running' : 'gone';
 		} catch {
 			return 'unreachable';
 		}
@@ -105,10 +99,9 @@
 
 	async cancel(attempt: string): Promise<void> {
 		try {
-			const response = await request(`${this.#url}/engine/cancel`, {
-				method: 'POST', reset: true, headersTimeout: queryTimeoutMs, headers: {'content-type': 'application/json'}, body: JSON.stringify({request: attempt}),
+			await sendCall(`${this.#url}/engine/cancel`, {
+				method: 'POST', timeoutMs: queryTimeoutMs, headers: {'content-type': 'application/json'}, body: JSON.stringify({request: attempt}), maxBodyBytes,
 			});
-			await response.body.dump();
 		} catch {
 			// The error is ignored: the engine also stops the work when the connection of the request closes.
 		}
@@ -116,17 +109,16 @@
 
 	async order(order: FencedOrder): Promise<Result<void, HickorytrackError>> {
 		try {
-			const response = await request(`${this.#url}/engine/orders`, {
-				method: 'POST', reset: true, headersTimeout: orderTimeoutMs, headers: {'content-type': 'application/json'},
-				body: JSON.stringify({fence: order.fence, change: order.changeId, order: order.order}),
+			const {status, body} = await sendCall(`${this.#url}/engine/orders`, {
+				method: 'POST', timeoutMs: orderTimeoutMs, headers: {'content-type': 'application/json'},
+				body: JSON.stringify({fence: order.fence, change: order.changeId, order: order.order}), maxBodyBytes,
 			});
-			const text = await response.body.text();
-			if (response.statusCode === 200) {
+			if (status === 200) {
 				return ok(undefined);
 			}
 
-			const code = response.statusCode === conflict ? 'ERR_HICKORYTRACK_ORDER_FENCED' : 'ERR_HICKORYTRACK_ORDER_FAILED';
-			return err(new HickorytrackError(code, `The engine answered ${response.statusCode}: ${text.slice(0, 200)}`));
+			const code = status === conflict ? 'ERR_HICKORYTRACK_ORDER_FENCED' : 'ERR_HICKORYTRACK_ORDER_FAILED';
+			return err(new HickorytrackError(code, `The engine answered ${status}: ${body.toString().slice(0, 200)}`));
 		} catch (error) {
 			return err(new HickorytrackError('ERR_HICKORYTRACK_ORDER_FAILED', `Sending the order to the engine failed: ${describeError(error)}`, {cause: error}));
 		}
@@ -134,14 +126,17 @@
 
 	/** Describes an engine without the extensions: its list of models, and defaults for the rest. */
 	async #describePlainEngine(): Promise<Result<EngineDescription, HickorytrackError>> {
-		const response = await request(`${this.#url}/v1/models`, {reset: true, headersTimeout: queryTimeoutMs});
-		const body = await response.body.json() as {data?: Array<{id: string}>};
+		const body = parseBody(await this.#sendQuery('/v1/models')) as {data?: Array<{id: string}>};
 		const names = (body.data ?? []).map(model => model.id);
 		return ok({
 			kind: 'model', names, adapters: [], roles: ['mixed'], role: 'mixed', capacity: defaultCapacity, speed: defaultSpeed, mixedSpeed: defaultSpeed, incarnation: 'unknown', checksFencing: false,
 		});
 	}
 
+	async #sendQuery(path: string): Promise<HttpAnswer> {
+		return sendCall(`${this.#url}${path}`, {timeoutMs: queryTimeoutMs, maxBodyBytes});
+	}
+
 	#convertInfo(info: InfoBody): EngineDescription {
 		return {
 			kind: 'model',
@@ -178,8 +173,11 @@
 		let finishReason: string | undefined;
 		let usage: ChunkBody['usage'];
 		let failure: string | undefined;
+		/** Bytes since the last event. */
+		let openBytes = 0;
 		const parser = createParser({
 			onEvent({data}) {
+				openBytes = 0;
 				if (data === '[DONE]') {
 					return;
 				}
@@ -196,11 +194,23 @@
 				failure = chunk.error?.message ?? failure;
 			},
 		});
-		for await (const bytes of body) {
-			parser.feed(decoder.decode(bytes, {stream: true}));
-			if (texts.length > 0) {
-				yield {kind: 'texts', texts};
-				texts = [];
+		try {
+			for await (const bytes of body) {
+				openBytes += bytes.length;
+				parser.feed(decoder.decode(bytes, {stream: true}));
+				if (openBytes > maxBodyBytes) {
+					throw new HttpEngineError('ERR_HICKORYTRACK_ENGINE_CUT', `An event of the engine stream exceeds ${maxBodyBytes} bytes`, {written: true});
+				}
+
+				if (texts.length > 0) {
+					yield {kind: 'texts', texts};
+					texts = [];
+				}
+			}
+		} catch (error) {
+			// With a finish reason all texts have arrived, however the connection ends.
+			if (finishReason === undefined) {
+				throw error;
 			}
 		}
 
@@ -220,4 +230,8 @@
 	}
 }
 
+function parseBody({body}: HttpAnswer): unknown {
+	return JSON.parse(body.toString());
+}
+
 export const httpModelEngineFactory: EngineAdapterFactory = {name: 'model', create: ({url}) => new HttpModelEngine(url)};
--- a/packages/plugins/engine-http/src/http-plain-service.ts
+++ b/packages/plugins/engine-http/src/http-plain-service.ts
@@ -3,8 +3,10 @@
  * the service never received the call.
  */
 import {err, ok, type Result} from 'neverthrow';
-import {request} from 'undici';
 import {describeError, HickorytrackError} from '@hickorytrack/errors';
+import {answerVerdicts} from '@hickorytrack/http-answer/answer-reader';
+import {ByteBudget} from '@hickorytrack/http-answer/byte-budget';
+import {sendCall} from '@hickorytrack/http-answer/http-call';
 import type {
 	EngineAdapter, EngineAdapterFactory, EngineDescription, EngineError, EngineEvent, GenerateOptions,
 } from '@hickorytrack/types/engine-adapter';
@@ -14,10 +16,14 @@
 const healthTimeoutMs = 1000;
 const defaultCapacity = 64;
 const defaultCallsPerSecond = 1000;
+/** JSON may encode a byte as six, and a frame between processes holds 64 MiB. */
+const maxAnswerBytes = 8 * 1024 * 1024;
+const maxTotalAnswerBytes = 4 * maxAnswerBytes;
 
 export class HttpPlainService implements EngineAdapter {
 	readonly #url: string;
 	readonly #service: string;
+	readonly #budget = new ByteBudget(maxTotalAnswerBytes);
 
 	constructor(opts: {url: string; service: string}) {
 		this.#url = opts.url;
@@ -26,8 +32,7 @@
 
 	async describe(): Promise<Result<EngineDescription, HickorytrackError>> {
 		try {
-			const response = await request(`${this.#url}/`, {method: 'HEAD', reset: true, headersTimeout: healthTimeoutMs});
-			await response.body.dump();
+			const {headers} = await sendCall(`${this.#url}/`, {method: 'HEAD', timeoutMs: healthTimeoutMs, maxBodyBytes: 0});
 			return ok({
 				kind: 'service',
 				names: [this.#service],
@@ -37,7 +42,7 @@
 				capacity: defaultCapacity,
 				speed: {prefillTokensPerSecond: defaultCallsPerSecond, decodeTokensPerSecond: defaultCallsPerSecond},
 				mixedSpeed: {prefillTokensPerSecond: defaultCallsPerSecond, decodeTokensPerSecond: defaultCallsPerSecond},
-				incarnation: String(response.headers['x-incarnation'] ?? 'unknown'),
+				incarnation: String(headers['x-incarnation'] ?? 'unknown'),
 				checksFencing: false,
 			});
 		} catch (error) {
@@ -53,15 +58,17 @@
 		opts.onWrite();
 		try {
 			const hasBody = work.body.length > 0;
-			const response = await request(`${this.#url}${work.path}`, {
-				method: work.method as 'GET',
-				reset: true,
+			const {status, headers, body, received} = await sendCall(`${this.#url}${work.path}`, {
+				method: work.method,
 				headers: {'x-request-id': opts.attempt, 'x-workspace': opts.workspace, ...(hasBody && {'content-type': work.contentType})},
 				body: hasBody ? work.body : undefined,
 				signal: opts.signal,
+				maxBodyBytes: maxAnswerBytes,
+				budget: this.#budget,
+			});
+			return ok({
+				status, contentType: String(headers['content-type'] ?? 'application/octet-stream'), body: body.toString(), ...(received.verdict === answerVerdicts.unknown && {hasUnknownEnd: true}),
 			});
-			const body = await response.body.text();
-			return ok({status: response.statusCode, contentType: String(response.headers['content-type'] ?? 'application/octet-stream'), body});
 		} catch (error) {
 			return err(new HttpEngineError('ERR_HICKORYTRACK_ENGINE_LOST', `The call to the service failed: ${describeError(error)}`, {written: isPossiblyWritten(error), cause: error}));
 		}
--- a/packages/plugins/entry/src/caller-api.ts
+++ b/packages/plugins/entry/src/caller-api.ts
@@ -21,6 +21,7 @@
 import {createProblem, type Problem, type ProblemCode} from './problem.js';
 import {readBody} from './request-body.js';
 import {getRunStateBeforeClaim} from './run-state.js';
+import {sendServiceAnswer} from './service-answer.js';
 import {ServiceCall} from './service-call.js';
 import type {Workspace, WorkspaceDirectory} from './workspace-directory.js';
 
@@ -317,8 +318,7 @@
 			response.destroy();
 		} else {
 			this.#countRequest(workspace, 'answered');
-			const {status, contentType, body: answer} = result.answer;
-			response.writeHead(status, {'content-type': contentType, ...(result.replayed && {'idempotency-replayed': 'true'})}).end(answer);
+			sendServiceAnswer(response, result.answer, {isReplayed: result.replayed});
 			await this.#opts.services.context.steps.onStep('request.answered', this.#opts.services.context.settings.instance);
 		}
 	}
