feat(edge): limit what answers hold in memory before they are passed on

Cause: a buffered answer and an open event grew without a limit, and a buffer for each received piece cost far more than its bytes. What exceeds it closes the connection and counts as broken off: 502, resumed, or a new placement after a prefill; never 503. Pieces are collected into blocks; the bytes of an event are looked at once. A server whose complete events do not end is held up by its caller.

--- a/packages/plugins/edge/src/attempt.ts
+++ b/packages/plugins/edge/src/attempt.ts
@@ -2,8 +2,9 @@
 import {Buffer} from 'node:buffer';
 import type {Clock} from '@hickorytrack/clock';
 import type {
-	ResponseHead, ResponseHandler, EndpointClient, EndpointClientError, OutboundRequest, SentRequest,
+	AnswerLimits, ResponseHead, ResponseHandler, EndpointClient, EndpointClientError, OutboundRequest, SentRequest,
 } from '@hickorytrack/endpoint-client';
+import {ByteCollector} from '@hickorytrack/http-answer/byte-collector';
 import type {ReceivedAnswer} from '@hickorytrack/http-answer/answer-reader';
 import type {EventRelay} from './event-relay.js';
 
@@ -64,7 +65,7 @@
 			collector.cancel(attemptOutcomes.cancelled);
 		};
 
-		const collector = new ResponseCollector(opts, result => {
+		const collector = new ResponseCollector({...opts, limits: client.limits}, result => {
 			opts.signal.removeEventListener('abort', cancelAttempt);
 			resolve(result);
 		});
@@ -77,10 +78,12 @@
 	});
 }
 
+type CollectorOptions = AttemptOptions & {limits: AnswerLimits};
+
 class ResponseCollector implements ResponseHandler {
-	readonly #opts: AttemptOptions;
+	readonly #opts: CollectorOptions;
 	readonly #resolve: (result: AttemptResult) => void;
-	readonly #chunks: Buffer[] = [];
+	readonly #body = new ByteCollector();
 	#cancelDeadlineTimer: (() => void) | undefined;
 	#cancelSilenceTimer: (() => void) | undefined;
 	#sentRequest: SentRequest | undefined;
@@ -91,7 +94,7 @@
 	#isAwaitingFirstByte = true;
 	#waitingSince: number;
 
-	constructor(opts: AttemptOptions, resolve: (result: AttemptResult) => void) {
+	constructor(opts: CollectorOptions, resolve: (result: AttemptResult) => void) {
 		this.#opts = opts;
 		this.#resolve = resolve;
 		this.#waitingSince = opts.clock.monotonic();
@@ -146,9 +149,9 @@
 		this.#startSilenceTimer();
 	}
 
-	cancel(outcome: AttemptOutcome): void {
+	cancel(outcome: AttemptOutcome, reason?: string): void {
 		this.#cancelOutcome = outcome;
-		this.#sentRequest?.cancel();
+		this.#sentRequest?.cancel(reason);
 	}
 
 	onHead(head: ResponseHead): void {
@@ -169,7 +172,7 @@
 		}
 
 		if (!this.#isStreamed) {
-			this.#chunks.push(Buffer.from(chunk));
+			this.#buffer(chunk);
 			return;
 		}
 
@@ -182,6 +185,17 @@
 		}
 	}
 
+	/** Buffers a part of the response. One that exceeds the limits is the server's failure. */
+	#buffer(chunk: Buffer): void {
+		const {maxAnswerBytes, budget} = this.#opts.limits;
+		if (this.#body.size + chunk.length > maxAnswerBytes || !budget.acquire(chunk.length)) {
+			this.cancel(attemptOutcomes.broken, `was cancelled: its answer has more than ${this.#body.size} bytes; the limit is ${maxAnswerBytes} for one and ${budget.limit} for all`);
+			return;
+		}
+
+		this.#body.append(chunk);
+	}
+
 	onEnd(answer: ReceivedAnswer): void {
 		this.#settle({outcome: attemptOutcomes.answered, isWritten: true, answer});
 	}
@@ -197,8 +211,9 @@
 		this.#cancelDeadlineTimer?.();
 		this.#cancelSilenceTimer?.();
 
+		this.#opts.limits.budget.release(this.#body.size);
 		this.#resolve({
-			...result, head: this.#head, body: Buffer.concat(this.#chunks), isStreamed: this.#isStreamed,
+			...result, head: this.#head, body: this.#body.take(), isStreamed: this.#isStreamed,
 		});
 	}
 }
--- a/packages/plugins/edge/src/edge-settings.ts
+++ b/packages/plugins/edge/src/edge-settings.ts
@@ -36,6 +36,8 @@
 	stagePlanner: keyof typeof stagePlanners;
 	/** Time from the stop signal until the process is killed, in milliseconds. */
 	graceMs: number;
+	/** Bytes that all answers together may hold in memory before they are passed on; one may hold a quarter of them. */
+	answerMemoryBytes: number;
 };
 
 export type EdgeOptions = {
--- a/packages/plugins/edge/src/edge.ts
+++ b/packages/plugins/edge/src/edge.ts
@@ -10,6 +10,7 @@
 } from '@hickorytrack/endpoint-registry';
 import {EngineProfile} from '@hickorytrack/engine-profile';
 import {HickorytrackError, describeError} from '@hickorytrack/errors';
+import {ByteBudget} from '@hickorytrack/http-answer/byte-budget';
 import {Mesh} from '@hickorytrack/mesh';
 import {parseAddress, PeerNode} from '@hickorytrack/peer-link/peer-node';
 import type {PeerTiming} from '@hickorytrack/peer-link/peer-connection';
@@ -56,6 +57,8 @@
 const stopMarginMs = 700;
 const minimumDrainMs = 3200; // The load balancer stops sending requests after two failed health checks, one second apart.
 const drainPollMs = 50;
+/** Number of the largest answers that fit into the memory for answers. */
+const answersInMemory = 4;
 
 /** How this instance has learnt that a server said in an answer that it leaves. */
 const leavingSources = {answer: 'answer', peer: 'peer'} as const;
@@ -264,7 +267,7 @@
 			profile: this.#profile,
 			measurements: new AnswerMeasurements({cacheIndex: this.#cacheIndex, profile: this.#profile, health}),
 			client: new EndpointClient({
-				clock, connectTimeoutMs, onAnswer: (server, head) => {
+				clock, connectTimeoutMs, limits: {maxAnswerBytes: Math.floor(settings.answerMemoryBytes / answersInMemory), budget: new ByteBudget(settings.answerMemoryBytes)}, onAnswer: (server, head) => {
 					const metadata = codec.decodeResponseHead(head);
 					if (metadata.isLeaving) {
 						this.#recordLeaving(server);
--- a/packages/plugins/edge/test/retry-fleet.ts
+++ b/packages/plugins/edge/test/retry-fleet.ts
@@ -11,6 +11,7 @@
 } from '@hickorytrack/endpoint-client';
 import {answerFramings} from '@hickorytrack/http-answer/answer-framing';
 import {answerVerdicts} from '@hickorytrack/http-answer/answer-reader';
+import {ByteBudget} from '@hickorytrack/http-answer/byte-budget';
 import {connectionEnds} from '@hickorytrack/http-answer/connection-watch';
 import {EndpointRegistry} from '@hickorytrack/endpoint-registry';
 import {EngineProfile} from '@hickorytrack/engine-profile';
@@ -213,7 +214,7 @@
 			loadTracker,
 			profile,
 			eventLog,
-			client: {send: (_address: string, request: OutboundRequest, handler: ResponseHandler) => this.#handleCall(request, handler)} as unknown as EndpointClient,
+			client: {limits: {maxAnswerBytes: 1e6, budget: new ByteBudget(1e9)}, send: (_address: string, request: OutboundRequest, handler: ResponseHandler) => this.#handleCall(request, handler)} as unknown as EndpointClient,
 			registry: new EndpointRegistry({clock, reportTimeoutMs: 60_000}),
 			measurements: new AnswerMeasurements({cacheIndex, profile, health}),
 			leastLoadPlacement: new LeastLoadPlacement({loadTracker, random, getFailureRate: () => 0}),
--- a/packages/routing/endpoint-client/src/endpoint-client.ts
+++ b/packages/routing/endpoint-client/src/endpoint-client.ts
@@ -9,6 +9,7 @@
 import {HickorytrackError} from '@hickorytrack/errors';
 import type {AnswerHead} from '@hickorytrack/http-answer/answer-framing';
 import {AnswerReader, answerVerdicts, type ReceivedAnswer} from '@hickorytrack/http-answer/answer-reader';
+import {ByteBudget} from '@hickorytrack/http-answer/byte-budget';
 import type {AnswerIdentity, ForeignAnswer} from './answer-identity.js';
 import {
 	ServerConnections, type Recipient, type ServerConnection, type ServerConnectionsOptions,
@@ -73,25 +74,38 @@
 }
 
 export type SentRequest = {
-	/** Closes the connection of the attempt, so that the server stops work on it. The handler receives a failure. */
-	cancel(): void;
+	/** Closes the connection of the attempt, so that the server stops work on it. The handler receives a failure with the reason. */
+	cancel(reason?: string): void;
 	pause(): void;
 	resume(): void;
 };
 
+/** Bounds for what answers hold in memory before it can be passed on. */
+export type AnswerLimits = {
+	/** For a buffered answer, and for an open event of a stream. */
+	maxAnswerBytes: number;
+	/** For all of them together. */
+	budget: ByteBudget;
+};
+
 export type EndpointClientOptions = ServerConnectionsOptions & {
+	limits?: AnswerLimits;
 	/** Called for the head of each answer to a request with a recipient, before the handler. */
 	onAnswer?: (recipient: Recipient, head: ResponseHead) => void;
 	/** Called for each answer that is not its request's own. */
 	onForeignAnswer?: (answer: ForeignAnswer) => void;
 };
 
+const defaultMaxAnswerBytes = 16 * 1024 * 1024;
+
 export class EndpointClient {
+	readonly limits: AnswerLimits;
 	readonly #opts: EndpointClientOptions;
 	readonly #connections: ServerConnections;
 
 	constructor(opts: EndpointClientOptions) {
 		this.#opts = opts;
+		this.limits = opts.limits ?? {maxAnswerBytes: defaultMaxAnswerBytes, budget: new ByteBudget(defaultMaxAnswerBytes)};
 		this.#connections = new ServerConnections(opts);
 	}
 
@@ -117,8 +131,9 @@
 			return {cancel() {/* Nothing was sent. */}, pause() {/* Nothing was sent. */}, resume() {/* Nothing was sent. */}};
 		}
 
+		connection.watch.startAnswer();
 		const exchange = new Exchange(address, {
-			connection, connections: this.#connections, request, handler, onAnswer: this.#opts.onAnswer, onForeignAnswer: this.#opts.onForeignAnswer,
+			connection, connections: this.#connections, limits: this.limits, request, handler, onAnswer: this.#opts.onAnswer, onForeignAnswer: this.#opts.onForeignAnswer,
 		});
 		exchange.start();
 		return exchange;
@@ -128,6 +143,7 @@
 type ExchangeOptions = {
 	connection: ServerConnection;
 	connections: ServerConnections;
+	limits: AnswerLimits;
 	request: OutboundRequest;
 	handler: ResponseHandler;
 	onAnswer?: EndpointClientOptions['onAnswer'];
@@ -143,6 +159,8 @@
 	#canReuse = true;
 	#hasResponse = false;
 	#reader: AnswerReader | undefined;
+	/** Bytes of the open event that count in the budget. */
+	#chargedBytes = 0;
 
 	constructor(address: string, opts: ExchangeOptions) {
 		this.#address = address;
@@ -184,7 +202,8 @@
 			},
 			onResponseData: (_controller, chunk) => {
 				if (!this.#isSettled) {
-					this.#release(this.#reader!.read(chunk));
+					connection.watch.recordBody(chunk.length);
+					this.#read(chunk);
 				}
 			},
 			onResponseEnd: () => {
@@ -207,15 +226,15 @@
 		}
 	}
 
-	cancel(): void {
+	cancel(reason = 'was cancelled'): void {
 		if (this.#isSettled) {
 			return;
 		}
 
 		const {connection, connections, handler} = this.#opts;
-		this.#isSettled = true;
+		this.#settle();
 		this.#discardConnection();
-		handler.onFailure(new EndpointClientError('ERR_HICKORYTRACK_ENDPOINT_CANCELLED', `The request to ${this.#address} was cancelled`, {isWritten: this.#isWritten, isCancelled: true, answer: this.#describeFailure()}));
+		handler.onFailure(new EndpointClientError('ERR_HICKORYTRACK_ENDPOINT_CANCELLED', `The request to ${this.#address} ${reason}`, {isWritten: this.#isWritten, isCancelled: true, answer: this.#describeFailure()}));
 	}
 
 	pause(): void {
@@ -229,6 +248,12 @@
 		});
 	}
 
+	#settle(): void {
+		this.#isSettled = true;
+		this.#opts.limits.budget.release(this.#chargedBytes);
+		this.#chargedBytes = 0;
+	}
+
 	#discardConnection(): void {
 		const {connection, connections} = this.#opts;
 		// Undici must not see the end of a connection while its reader is paused.
@@ -252,7 +277,7 @@
 
 	#rejectAnswer(foreignAnswer: ForeignAnswer): void {
 		const {connection, connections, handler, onForeignAnswer} = this.#opts;
-		this.#isSettled = true;
+		this.#settle();
 		if (foreignAnswer.exchanges > 0) {
 			connections.recordLateAnswer(this.#address);
 		}
@@ -275,7 +300,7 @@
 		}
 
 		this.#release(this.#reader!.finish());
-		this.#isSettled = true;
+		this.#settle();
 		if (this.#canReuse && request.identity) {
 			connections.release(this.#address, connection, request.identity.expectedId);
 		} else {
@@ -285,6 +310,22 @@
 		handler.onEnd(answer);
 	}
 
+	/** Releases what the format allows, and fails the answer when what is held back exceeds the limits. */
+	#read(chunk: Buffer): void {
+		const {limits: {maxAnswerBytes, budget}} = this.#opts;
+		const bytes = this.#reader!.read(chunk);
+		const {heldBytes} = this.#reader!;
+		budget.release(this.#chargedBytes);
+		this.#chargedBytes = 0;
+		if (heldBytes > maxAnswerBytes || !budget.acquire(heldBytes)) {
+			this.#fail('ERR_HICKORYTRACK_ANSWER_TOO_LARGE', `An event of ${this.#address} has more than ${heldBytes} bytes; the limit is ${maxAnswerBytes} for one and ${budget.limit} for all`, undefined);
+			return;
+		}
+
+		this.#chargedBytes = heldBytes;
+		this.#release(bytes);
+	}
+
 	#release(bytes: Buffer): void {
 		if (bytes.length > 0) {
 			this.#opts.handler.onData(bytes);
@@ -301,7 +342,7 @@
 		}
 
 		const {connection, connections, handler} = this.#opts;
-		this.#isSettled = true;
+		this.#settle();
 		const isStale = this.#isWritten && !this.#hasResponse && connections.recordFailure(this.#address, connection);
 		this.#discardConnection();
 		handler.onFailure(new EndpointClientError(code, message, {
