test(soak): answers without a length, broken off at any byte, and bytes without an end

Change: servers of the soak answer a part of the requests with neither a length nor chunks, break answers of any framing off after any byte by an orderly close or a reset (also one that arrives with the last bytes), and send bytes without an end in a head, a body, chunks or an event. Callers record whether anything declared an answer complete. A short answer is a case, unless nothing declared it complete and a server broke it off or a process on its way ended; a stream never ends inside an event. That an edge which is killed ends such a stream like an orderly close is listed as open.

--- a/tools/soak/src/caller-connection.ts
+++ b/tools/soak/src/caller-connection.ts
@@ -8,6 +8,8 @@
 	end: 'answered' | 'closed' | 'late' | 'invalid';
 	/** The answer, or the part of it that arrived. */
 	answer?: HttpMessage;
+	/** Only the orderly end of the connection ended the answer. */
+	hasUnknownEnd?: boolean;
 };
 
 const connectTimeoutMs = 1000;
@@ -29,10 +31,15 @@
 		socket.on('data', chunk => {
 			this.#receive(chunk);
 		});
+		let hasReset = false;
+		socket.prependListener('end', () => {
+			// Node.js reports a reset that arrives together with data as an end; the system then knows no peer.
+			hasReset = socket.remoteAddress === undefined;
+		});
 		socket.on('close', hadError => {
 			this.#isOpen = false;
-			const closed = hadError ? undefined : this.#reader.finish();
-			this.#finish(closed ? {end: 'answered', answer: closed} : {end: 'closed', answer: this.#reader.openMessage});
+			const closed = hadError || hasReset ? undefined : this.#reader.finish();
+			this.#finish(closed ? {end: 'answered', answer: closed, hasUnknownEnd: true} : {end: 'closed', answer: this.#reader.openMessage});
 		});
 	}
 
--- a/tools/soak/src/caller.ts
+++ b/tools/soak/src/caller.ts
@@ -144,9 +144,9 @@
 	}
 }
 
-function describeExchange({end, answer}: Exchange): Pick<CallerRecord, 'end' | 'status' | 'stamp' | 'answerId' | 'body'> {
+function describeExchange({end, answer, hasUnknownEnd}: Exchange): Pick<CallerRecord, 'end' | 'hasUnknownEnd' | 'status' | 'stamp' | 'answerId' | 'body'> {
 	return {
-		end, status: answer && Number(answer.startLine.split(' ')[1]), stamp: answer?.headers['x-response-stamp'], answerId: answer?.headers['x-request-id'], body: answer?.body.toString() ?? '',
+		end, hasUnknownEnd, status: answer && Number(answer.startLine.split(' ')[1]), stamp: answer?.headers['x-response-stamp'], answerId: answer?.headers['x-request-id'], body: answer?.body.toString() ?? '',
 	};
 }
 
--- a/tools/soak/src/check-answers.ts
+++ b/tools/soak/src/check-answers.ts
@@ -14,10 +14,12 @@
 	countEvents, createEvent, createPlainBody, createStamp,
 } from './expected-body.js';
 import type {
-	CallerRecord, OutcomeRecord, RuleCase, SoakRecords, SoakRoute,
+	CallerRecord, OutcomeRecord, ProcessEnd, RuleCase, SoakRecords, SoakRoute,
 } from './records.js';
 
 const toleratedExceeding = 3;
+/** The end of a process is noticed after its connections have closed. */
+const processEndMarginMs = 100;
 
 type Outcomes = ReadonlyMap<string, readonly OutcomeRecord[]>;
 
@@ -25,7 +27,7 @@
 	const routes = new Map(records.routes.map(route => [route.name, route]));
 	const outcomes = collectByKey(records.outcomes, outcome => outcome.requestId);
 	return [
-		...records.callers.flatMap(record => checkAttempt(record, routes.get(record.route)!, outcomes)),
+		...records.callers.flatMap(record => checkAttempt(record, {route: routes.get(record.route)!, outcomes, processEnds: records.processEnds})),
 		...records.outcomes.flatMap(outcome => checkHandle(outcome)),
 		...checkArrivals(records),
 		...checkServerCounts(records.callers.filter(({requestId, route}) => listRuns(outcomes, requestId).length > routes.get(route)!.maxServers)),
@@ -45,7 +47,7 @@
 	return exceeding.length > toleratedExceeding ? exceeding.map(({requestId, path}) => ({rule: 'BUDGET', requestId, detail: `${path} ran at too many servers`})) : [];
 }
 
-function checkAttempt(record: CallerRecord, route: SoakRoute, outcomes: Outcomes): RuleCase[] {
+function checkAttempt(record: CallerRecord, {route, outcomes, processEnds}: {route: SoakRoute; outcomes: Outcomes; processEnds: readonly ProcessEnd[]}): RuleCase[] {
 	const cases: RuleCase[] = [];
 	const add = (rule: RuleCase['rule'], detail: string) => {
 		cases.push({rule, requestId: record.requestId, detail: `${detail} (${record.edge}, ${record.path})`});
@@ -75,13 +77,13 @@
 			add('MIXED', `status ${record.status} with a stamp of a server that gave another`);
 		}
 	} else if (record.status === 200) {
-		checkSuccess(record, {route, own}, add);
+		checkSuccess(record, {route, own, processEnds}, add);
 	}
 
 	return cases;
 }
 
-function checkSuccess(record: CallerRecord, {route, own}: {route: SoakRoute; own: readonly OutcomeRecord[]}, add: (rule: 'MIXED' | 'ORDER', detail: string) => void): void {
+function checkSuccess(record: CallerRecord, {route, own, processEnds}: {route: SoakRoute; own: readonly OutcomeRecord[]; processEnds: readonly ProcessEnd[]}, add: (rule: 'MIXED' | 'ORDER', detail: string) => void): void {
 	if (record.answerId === undefined || record.stamp !== createStamp(record.requestId, record.path)) {
 		add('MIXED', 'a success without the id or the stamp of the request');
 		return;
@@ -91,9 +93,11 @@
 		add('MIXED', 'a success that no server gave');
 	}
 
-	const isWhole = record.end === 'answered';
+	const mayBeShort = record.hasUnknownEnd === true && isBrokenOff(record, own, processEnds);
+	const isWhole = record.end === 'answered' && !mayBeShort;
 	if (route.kind !== 'streaming') {
-		if (isWhole && record.body !== createPlainBody(record.requestId, record.path)) {
+		const body = createPlainBody(record.requestId, record.path);
+		if (isWhole ? record.body !== body : !body.startsWith(record.body)) {
 			add('MIXED', `${record.body.length} bytes that are not the body of the request`);
 		}
 
@@ -102,12 +106,22 @@
 
 	const count = countEvents(record.path);
 	const expected = Array.from({length: Math.max(0, count - record.lastEventId)}, (_, index) => createEvent(record.requestId, record.lastEventId + index + 1, count)).join('');
-	if (isWhole ? record.body !== expected : !expected.startsWith(record.body)) {
+	const isInsideEvent = mayBeShort && !record.body.endsWith('\n\n');
+	if (isWhole ? record.body !== expected : !expected.startsWith(record.body) || isInsideEvent) {
 		const isForeign = [...record.body.matchAll(/^data: (?<id>\S+) /gm)].some(match => match.groups!.id !== record.requestId);
 		add(isForeign ? 'MIXED' : 'ORDER', `events ${[...record.body.matchAll(/^id: (?<id>\d+)/gm)].map(match => match.groups!.id).join(',')} of ${count} after ${record.lastEventId}`);
 	}
 }
 
+/**
+ * An answer that reached its caller without a length and chunks, so that nothing declared it complete, may be as short as a
+ * server or the end of a process on its way made it; but a stream does not end inside an event.
+ */
+function isBrokenOff({edge, sentAt, endedAt}: CallerRecord, own: readonly OutcomeRecord[], processEnds: readonly ProcessEnd[]): boolean {
+	const isOnWay = (name: string) => name === edge || own.some(({server}) => server.startsWith(`${name}-`));
+	return own.some(({answer}) => answer === 'broken-off') || processEnds.some(({name, at}) => isOnWay(name) && at >= sentAt && at <= endedAt + processEndMarginMs);
+}
+
 function checkHandle({requestId, hasRun, handle, handleOwner, server}: OutcomeRecord): RuleCase[] {
 	return hasRun && handleOwner !== undefined && handleOwner !== requestId ? [{rule: 'MIXED', requestId, detail: `${server} went on from handle ${handle} of ${handleOwner}`}] : [];
 }
--- a/tools/soak/src/faults.ts
+++ b/tools/soak/src/faults.ts
@@ -3,4 +3,4 @@
 import {serverFaultRates} from './server-faults.js';
 
 export const allOutsideFaults: readonly OutsideFault[] = Object.values(outsideFaults);
-export const allFaults: readonly string[] = [...Object.keys(serverFaultRates), 'stutter', 'idle-close', 'overload', ...allOutsideFaults];
+export const allFaults: readonly string[] = [...Object.keys(serverFaultRates), 'stutter', 'unframed', 'idle-close', 'overload', ...allOutsideFaults];
--- a/tools/soak/src/http-message-reader.ts
+++ b/tools/soak/src/http-message-reader.ts
@@ -114,9 +114,9 @@
 	return /^HTTP\/1\.1 (?!1|204|304)/.test(startLine) && headers['content-length'] === undefined && headers['transfer-encoding'] === undefined;
 }
 
-/** Formats a message; the body gets a content length unless the headers say how it ends. */
-export function formatMessage(startLine: string, headers: Readonly<Record<string, string>>, body = ''): Buffer {
-	const isFramed = headers['transfer-encoding'] !== undefined || headers['content-length'] !== undefined;
+/** Formats a message; the body gets a content length unless the headers say how it ends, or only its connection does. */
+export function formatMessage(startLine: string, headers: Readonly<Record<string, string>>, body = '', opts: {isUnframed?: boolean} = {}): Buffer {
+	const isFramed = opts.isUnframed === true || headers['transfer-encoding'] !== undefined || headers['content-length'] !== undefined;
 	const all = isFramed ? headers : {...headers, 'content-length': String(Buffer.byteLength(body))};
 	const lines = Object.entries(all).map(([name, value]) => `${name}: ${value}${lineEnd}`).join('');
 	return Buffer.from(`${startLine}${lineEnd}${lines}${lineEnd}${body}`);
--- a/tools/soak/src/records.ts
+++ b/tools/soak/src/records.ts
@@ -22,6 +22,8 @@
 	endedAt: number;
 	/** `closed`: the connection ended first, `late`: no answer in time, `invalid`: the bytes were no HTTP message. */
 	end: 'answered' | 'closed' | 'late' | 'invalid';
+	/** Neither a length nor chunks declared the answer complete; an orderly close ended it. */
+	hasUnknownEnd?: boolean;
 	/** Status, headers and body of the answer, or of the part that arrived. */
 	status?: number;
 	stamp?: string;
@@ -88,7 +90,14 @@
 	windowMs: number;
 };
 
+export type ProcessEnd = {
+	/** Of an edge or a server. */
+	name: string;
+	at: number;
+};
+
 export type SoakRecords = {
+	processEnds: readonly ProcessEnd[];
 	routes: readonly SoakRoute[];
 	callers: readonly CallerRecord[];
 	arrivals: readonly ArrivalRecord[];
--- a/tools/soak/src/server-answers.ts
+++ b/tools/soak/src/server-answers.ts
@@ -1,4 +1,5 @@
 /** Sends the answers of a server, regular ones and those of a server that misbehaves. */
+import {Buffer} from 'node:buffer';
 import type {Clock} from '@hickorytrack/clock';
 import type {Random} from '@hickorytrack/random';
 import {
@@ -6,7 +7,7 @@
 } from './expected-body.js';
 import {formatChunk, formatMessage, type HttpMessage} from './http-message-reader.js';
 import type {ServerChannel} from './server-channel.js';
-import type {ServerFault} from './server-faults.js';
+import {unframedRate, type ServerFault} from './server-faults.js';
 import type {ServerOperations} from './server-operations.js';
 
 export type Arrival = {
@@ -28,6 +29,7 @@
 
 const maxEventMs = 8;
 const closeRate = 0.02;
+const endlessWriteBytes = 65_536;
 /** A truncated stream lacks the end of its last event. */
 const truncatedCharacters = 8;
 
@@ -38,9 +40,12 @@
 		this.#opts = opts;
 	}
 
-	send(channel: ServerChannel, {requestId}: Arrival, {status, headers, body}: {status: number; headers: Record<string, string>; body: string}): void {
-		const isLast = this.#opts.faults.has('idle-close') && this.#opts.random.next() < closeRate;
-		channel.send(formatMessage(`HTTP/1.1 ${status} Status`, {'x-request-id': requestId, ...headers, ...(isLast ? {connection: 'close'} : {})}, body));
+	send(channel: ServerChannel, {requestId}: Arrival, {status, headers, body, fault}: {status: number; headers: Record<string, string>; body: string; fault?: ServerFault}): void {
+		const isUnframed = this.#isUnframed();
+		const isLast = isUnframed || (this.#opts.faults.has('idle-close') && this.#opts.random.next() < closeRate);
+		const bytes = formatMessage(`HTTP/1.1 ${status} Status`, {'x-request-id': requestId, ...headers, ...(isLast ? {connection: 'close'} : {})}, body, {isUnframed});
+		this.#planBreak(channel, fault, bytes.length);
+		channel.send(bytes);
 		if (isLast) {
 			channel.end();
 		} else {
@@ -53,18 +58,22 @@
 		const count = countEvents(path);
 		const first = Number(message.headers['last-event-id'] ?? 0) + 1;
 		const backup = message.headers['x-kv-backup'];
-		channel.send(formatMessage('HTTP/1.1 200 OK', {
-			'x-request-id': requestId, 'x-response-stamp': createStamp(requestId, path), 'content-type': 'text/event-stream', 'transfer-encoding': 'chunked',
-		}));
+		const isUnframed = this.#isUnframed();
+		const format = (text: string) => isUnframed ? text : formatChunk(text);
+		const head = formatMessage('HTTP/1.1 200 OK', {
+			'x-request-id': requestId, 'x-response-stamp': createStamp(requestId, path), 'content-type': 'text/event-stream', ...(isUnframed ? {connection: 'close'} : {'transfer-encoding': 'chunked'}),
+		}, '', {isUnframed});
+		this.#planBreak(channel, fault, head.length + (Math.max(0, count - first + 1) * format(createEvent(requestId, count, count)).length));
+		channel.send(head);
 		for (let event = first; event <= count && !channel.signal.aborted; event++) {
 			const text = createEvent(requestId, event, count);
 			if (fault === 'truncated' && event === count) {
-				channel.send(formatChunk(text.slice(0, -truncatedCharacters)));
+				channel.send(format(text.slice(0, -truncatedCharacters)));
 				channel.reset();
 				return;
 			}
 
-			channel.send(formatChunk(text));
+			channel.send(format(text));
 			if (backup !== undefined) {
 				void operations.copyKv(backup, requestId);
 			}
@@ -72,12 +81,43 @@
 			await clock.sleep(random.nextBetween(1, maxEventMs));
 		}
 
-		channel.send(formatChunk(''));
-		channel.finish();
+		if (isUnframed) {
+			channel.end();
+		} else {
+			channel.send(formatChunk(''));
+			channel.finish();
+		}
+	}
+
+	#isUnframed(): boolean {
+		const {faults, random} = this.#opts;
+		return faults.has('unframed') && random.next() < unframedRate;
+	}
+
+	#planBreak(channel: ServerChannel, fault: ServerFault | undefined, answerBytes: number): void {
+		const {random} = this.#opts;
+		if (fault === 'broken-off') {
+			channel.breakOff({afterBytes: Math.floor(random.nextBetween(0, answerBytes)), by: random.next() < 0.5 ? 'close' : 'reset', delayMs: random.next() < 0.5 ? 0 : random.nextBetween(1, maxEventMs)});
+		}
+	}
+
+	#sendEndlessly(channel: ServerChannel, {requestId, path}: Arrival): void {
+		const head = {'x-request-id': requestId, 'x-response-stamp': createStamp(requestId, path)};
+		const format = (headers: Record<string, string>) => formatMessage('HTTP/1.1 200 OK', headers, '', {isUnframed: true}).toString();
+		const [start, piece] = this.#opts.random.select([
+			[format(head), 'x'],
+			[format({...head, 'transfer-encoding': 'chunked'}), formatChunk('abcde')],
+			[`${format({...head, 'content-type': 'text/event-stream'})}data: `, 'x'],
+			['HTTP/1.1 200 OK\r\nX-Any: ', 'x'],
+			['', 'x'],
+		] as const);
+		channel.send(start);
+		channel.sendEndlessly(Buffer.from(piece.repeat(endlessWriteBytes / piece.length)));
 	}
 
 	/** Returns true if the request gets no regular answer. */
-	applyFault(channel: ServerChannel, {message, path, requestId}: Arrival, fault: ServerFault | undefined): boolean {
+	applyFault(channel: ServerChannel, arrival: Arrival, fault: ServerFault | undefined): boolean {
+		const {message, path, requestId} = arrival;
 		switch (fault) {
 			case 'crash': {
 				this.#opts.crash();
@@ -93,6 +133,11 @@
 				return true;
 			}
 
+			case 'endless': {
+				this.#sendEndlessly(channel, arrival);
+				return true;
+			}
+
 			case 'garbage': {
 				channel.send(`${requestId} is no answer\r\n\r\n`);
 				channel.end();
--- a/tools/soak/src/server-channel.ts
+++ b/tools/soak/src/server-channel.ts
@@ -17,6 +17,14 @@
 	handle: (channel: ServerChannel, message: HttpMessage) => Promise<void>;
 };
 
+export type AnswerBreak = {
+	/** Bytes of the answer that are sent, its head included. */
+	afterBytes: number;
+	by: 'close' | 'reset';
+	/** Time between the last bytes and a reset; without any, they may arrive together. */
+	delayMs: number;
+};
+
 /** Fraction of the late answers that are sent with the next answer; the others are sent between two answers. */
 const lateWithNextFraction = 0.5;
 const maxStutterMs = 60;
@@ -29,6 +37,8 @@
 	#work: Promise<void> = Promise.resolve();
 	#late: Buffer | undefined;
 	readonly #sent: Buffer[] = [];
+	#break: AnswerBreak | undefined;
+	#isBroken = false;
 	#cancelIdle: (() => void) | undefined;
 
 	constructor(socket: Socket, opts: ServerChannelOptions) {
@@ -51,20 +61,63 @@
 		return this.#abortController.signal;
 	}
 
+	/** Breaks off the next answer after a number of bytes. */
+	breakOff(planned: AnswerBreak): void {
+		this.#break = planned;
+	}
+
+	/** Sends the same bytes until the other side closes the connection. */
+	sendEndlessly(bytes: Buffer): void {
+		if (!this.#socket.destroyed) {
+			this.#socket.write(bytes, () => {
+				setImmediate(() => {
+					this.sendEndlessly(bytes);
+				});
+			});
+		}
+	}
+
 	/** Sends a part of an answer. The first part is preceded by the late answer to the request before. */
 	send(bytes: Buffer | string): void {
+		if (this.#isBroken) {
+			return;
+		}
+
 		if (this.#late && this.#sent.length === 0) {
 			this.#socket.write(this.#late);
 			this.#late = undefined;
 		}
 
+		const sentBytes = this.#sent.reduce((sum, {length}) => sum + length, 0);
 		this.#sent.push(Buffer.from(bytes));
-		this.#socket.write(bytes);
+		if (this.#break && sentBytes + bytes.length >= this.#break.afterBytes) {
+			this.#socket.write(Buffer.from(bytes).subarray(0, Math.max(0, this.#break.afterBytes - sentBytes)));
+			this.#applyBreak(this.#break);
+		} else {
+			this.#socket.write(bytes);
+		}
+	}
+
+	#applyBreak({by, delayMs}: AnswerBreak): void {
+		this.#isBroken = true;
+		if (by === 'close') {
+			this.#socket.end();
+		} else if (delayMs === 0) {
+			this.reset();
+		} else {
+			this.#opts.clock.startTimer(delayMs, () => {
+				this.reset();
+			});
+		}
 	}
 
 	/** Ends the answer. It may be sent once more, late. */
 	finish(): void {
 		const answer = Buffer.concat(this.#sent.splice(0));
+		if (this.#isBroken) {
+			return;
+		}
+
 		if (this.#opts.random.next() >= this.#opts.stutterRate) {
 			return;
 		}
@@ -84,7 +137,9 @@
 	}
 
 	end(): void {
-		this.#socket.end();
+		if (!this.#isBroken) {
+			this.#socket.end();
+		}
 	}
 
 	reset(): void {
--- a/tools/soak/src/server-faults.ts
+++ b/tools/soak/src/server-faults.ts
@@ -12,6 +12,10 @@
 	/** Runs the request and sends bytes that are no answer, or ends its answer early. */
 	garbage: 0.002,
 	truncated: 0.004,
+	/** Runs the request and breaks its answer off after any byte, by an orderly close or a reset. */
+	'broken-off': 0.015,
+	/** Runs the request and sends bytes without an end, in a head or a body. */
+	endless: 0.0008,
 	/** Runs the request and answers 500. */
 	failing: 0.01,
 	/** Exits while it runs the request. */
@@ -19,6 +23,9 @@
 } as const;
 export type ServerFault = keyof typeof serverFaultRates;
 
+/** Fraction of answers that have neither a length nor chunks and end with their connection. */
+export const unframedRate = 0.15;
+
 /** Fraction of answers that are sent a second time, late. */
 export const stutterRate = 0.12;
 
--- a/tools/soak/src/soak-fleet.ts
+++ b/tools/soak/src/soak-fleet.ts
@@ -8,7 +8,7 @@
 import {EdgeProcess, edgePorts} from './edge-process.js';
 import {Links} from './links.js';
 import {ManagedProcess} from './managed-process.js';
-import type {RetryBounds} from './records.js';
+import type {RetryBounds, ProcessEnd} from './records.js';
 import type {ServerProcessOptions} from './server-main.js';
 
 export type SoakFleetOptions = {
@@ -45,6 +45,9 @@
 	readonly #opts: SoakFleetOptions;
 	readonly #abortController = new AbortController();
 
+	/** Ends of edges and servers, by a signal or by themselves. */
+	readonly processEnds: ProcessEnd[] = [];
+
 	constructor(opts: SoakFleetOptions) {
 		this.#opts = opts;
 		setMaxListeners(0, this.#abortController.signal);
@@ -124,6 +127,7 @@
 				void this.links.open(name, signal);
 			},
 			onEnded: isExpected => {
+				this.processEnds.push({name, at: clock.now()});
 				void this.links.close(name);
 				if (!isExpected && !signal.aborted) {
 					const ended = onUnexpectedEnd();
--- a/tools/soak/src/soak-run.ts
+++ b/tools/soak/src/soak-run.ts
@@ -108,7 +108,7 @@
 	await writeLines(path.join(folder, 'callers.jsonl'), callers);
 	await writeLines(path.join(folder, 'operator.jsonl'), [...operator.records, ...readBacks]);
 	return {
-		routes, bounds, callers, operator: operator.records, readBacks, arrivals: serverRecords.filter((record): record is ArrivalRecord => record.type === 'arrival'), outcomes: serverRecords.filter((record): record is OutcomeRecord => record.type === 'outcome'),
+		routes, bounds, callers, processEnds: fleet.processEnds, operator: operator.records, readBacks, arrivals: serverRecords.filter((record): record is ArrivalRecord => record.type === 'arrival'), outcomes: serverRecords.filter((record): record is OutcomeRecord => record.type === 'outcome'),
 	};
 }
 
--- a/tools/soak/src/soak-server.ts
+++ b/tools/soak/src/soak-server.ts
@@ -193,7 +193,9 @@
 			return;
 		}
 
-		this.#answers.send(channel, arrival, {status: 200, headers: {'content-type': 'application/json'}, body: JSON.stringify({'kv-handle': handle, tokens: 1, version: 1})});
+		this.#answers.send(channel, arrival, {
+			status: 200, headers: {'content-type': 'application/json'}, body: JSON.stringify({'kv-handle': handle, tokens: 1, version: 1}), fault,
+		});
 	}
 
 	/** Prompts are prefilled one after another. */
@@ -224,7 +226,9 @@
 		}
 
 		if (this.#operations.stage === undefined || status !== 200) {
-			this.#answers.send(channel, arrival, {status, headers: {'x-response-stamp': stamp}, body: createPlainBody(arrival.requestId, arrival.path)});
+			this.#answers.send(channel, arrival, {
+				status, headers: {'x-response-stamp': stamp}, body: createPlainBody(arrival.requestId, arrival.path), fault,
+			});
 			return;
 		}
 
