--- a/packages/net/http-answer/src/answer-reader.ts
+++ b/packages/net/http-answer/src/answer-reader.ts
@@ -38,10 +38,6 @@
 		this.#format = createBodyFormat(head.headers['content-type']);
 	}
 
-	get bodyBytes(): number {
-		return this.#bodyBytes;
-	}
-
 	get heldBytes(): number {
 		return this.#format.heldBytes;
 	}
@@ -59,7 +55,7 @@
 
 	/** Describes an answer whose end was reported. */
 	describeEnd(connectionEnd: ConnectionEnd): ReceivedAnswer {
-		return this.#describe(connectionEnd, this.#judge(connectionEnd));
+		return this.#describe(connectionEnd, this.#resolveVerdict(connectionEnd));
 	}
 
 	/** Describes an answer that failed before its end. */
@@ -73,7 +69,7 @@
 		};
 	}
 
-	#judge(connectionEnd: ConnectionEnd): AnswerVerdict {
+	#resolveVerdict(connectionEnd: ConnectionEnd): AnswerVerdict {
 		if (this.framing === answerFramings.noBody) {
 			return answerVerdicts.whole;
 		}
--- a/packages/net/http-answer/src/body-format.ts
+++ b/packages/net/http-answer/src/body-format.ts
@@ -63,7 +63,7 @@
 	}
 
 	read(chunk: Buffer): Buffer {
-		const end = this.#scan(chunk);
+		const end = this.#findReleasableEnd(chunk);
 		if (end > 0 && this.#held.size === 0) {
 			this.#held.append(chunk.subarray(end));
 			return chunk.subarray(0, end);
@@ -75,20 +75,20 @@
 		}
 
 		this.#held.append(chunk.subarray(0, end));
-		const released = this.#held.take();
+		const released = this.#held.drain();
 		this.#held.append(chunk.subarray(end));
 		return released;
 	}
 
 	finish(): Buffer {
-		return this.#held.take();
+		return this.#held.drain();
 	}
 
-	/** Returns the offset up to which the chunk may be released: the end of the last line after which no event is open. */
-	#scan(chunk: Buffer): number {
+	/** Reads the chunk and returns the offset up to which it may be released: the end of the last line after which no event is open. */
+	#findReleasableEnd(chunk: Buffer): number {
 		let end = 0;
-		for (const [offset, element] of chunk.entries()) {
-			const byte = element;
+		for (let offset = 0; offset < chunk.length; offset++) {
+			const byte = chunk.readUInt8(offset);
 			if (byte === lineFeed && this.#isAfterCarriageReturn) {
 				this.#isAfterCarriageReturn = false;
 				end = end === offset && !this.#isEventOpen ? offset + 1 : end;
--- a/packages/net/http-answer/src/byte-budget.ts
+++ b/packages/net/http-answer/src/byte-budget.ts
@@ -8,10 +8,6 @@
 		this.limit = limit;
 	}
 
-	get used(): number {
-		return this.#used;
-	}
-
 	/** Returns false, and takes nothing, when the bytes would exceed the limit. */
 	acquire(bytes: number): boolean {
 		if (this.#used + bytes > this.limit) {
--- a/packages/net/http-answer/src/byte-collector.ts
+++ b/packages/net/http-answer/src/byte-collector.ts
@@ -28,7 +28,7 @@
 	}
 
 	/** Returns all bytes and forgets them. */
-	take(): Buffer {
+	drain(): Buffer {
 		this.#closeTail();
 		const [first, ...rest] = this.#blocks;
 		const bytes = first && rest.length === 0 ? first : Buffer.concat(this.#blocks);
--- a/packages/net/http-answer/src/connection-watch.ts
+++ b/packages/net/http-answer/src/connection-watch.ts
@@ -66,7 +66,7 @@
 		this.#end = connectionEnds.open;
 		this.#isPaused = false;
 		this.#emitEnd = undefined;
-		this.#holdEnd(socket);
+		this.#pauseEndEvent(socket);
 		socket.prependListener('readable', () => {
 			this.#checkOverhead(socket);
 		});
@@ -91,7 +91,7 @@
 	}
 
 	/** Holds the event back while the reader is paused. Half-open, the socket stays usable until then; undici closes it on the event. */
-	#holdEnd(socket: Socket): void {
+	#pauseEndEvent(socket: Socket): void {
 		socket.allowHalfOpen = true;
 		const emit = socket.emit.bind(socket) as (name: string | symbol, ...parameters: unknown[]) => boolean;
 		socket.emit = (name: string | symbol, ...parameters: unknown[]) => {
--- a/packages/net/http-answer/src/http-call.ts
+++ b/packages/net/http-answer/src/http-call.ts
@@ -138,7 +138,7 @@
 		try {
 			for (;;) {
 				if (this.#waiting.size > 0) {
-					const bytes = this.#waiting.take();
+					const bytes = this.#waiting.drain();
 					this.#resume();
 					yield bytes;
 				} else if (this.received) {
@@ -168,7 +168,7 @@
 				body.append(chunk);
 			}
 
-			return {...head, body: body.take(), received: this.received!};
+			return {...head, body: body.drain(), received: this.received!};
 		} finally {
 			budget?.release(heldBytes);
 		}
--- a/packages/plugins/edge/src/attempt.ts
+++ b/packages/plugins/edge/src/attempt.ts
@@ -172,7 +172,7 @@
 		}
 
 		if (!this.#isStreamed) {
-			this.#buffer(chunk);
+			this.#append(chunk);
 			return;
 		}
 
@@ -185,8 +185,8 @@
 		}
 	}
 
-	/** Buffers a part of the response. One that exceeds the limits is the server's failure. */
-	#buffer(chunk: Buffer): void {
+	/** Appends a part to the buffered response. One that exceeds the limits is the server's failure. */
+	#append(chunk: Buffer): void {
 		const {maxAnswerBytes, budget} = this.#opts.limits;
 		if (this.#body.size + chunk.length > maxAnswerBytes || !budget.acquire(chunk.length)) {
 			this.cancel(attemptOutcomes.broken, `was cancelled: its answer has more than ${this.#body.size} bytes; the limit is ${maxAnswerBytes} for one and ${budget.limit} for all`);
@@ -213,7 +213,7 @@
 
 		this.#opts.limits.budget.release(this.#body.size);
 		this.#resolve({
-			...result, head: this.#head, body: this.#body.take(), isStreamed: this.#isStreamed,
+			...result, head: this.#head, body: this.#body.drain(), isStreamed: this.#isStreamed,
 		});
 	}
 }
--- a/packages/routing/endpoint-client/src/endpoint-client.ts
+++ b/packages/routing/endpoint-client/src/endpoint-client.ts
@@ -232,7 +232,7 @@
 		}
 
 		const {connection, connections, handler} = this.#opts;
-		this.#settle();
+		this.#recordSettled();
 		this.#discardConnection();
 		handler.onFailure(new EndpointClientError('ERR_HICKORYTRACK_ENDPOINT_CANCELLED', `The request to ${this.#address} ${reason}`, {isWritten: this.#isWritten, isCancelled: true, answer: this.#describeFailure()}));
 	}
@@ -248,7 +248,7 @@
 		});
 	}
 
-	#settle(): void {
+	#recordSettled(): void {
 		this.#isSettled = true;
 		this.#opts.limits.budget.release(this.#chargedBytes);
 		this.#chargedBytes = 0;
@@ -277,7 +277,7 @@
 
 	#rejectAnswer(foreignAnswer: ForeignAnswer): void {
 		const {connection, connections, handler, onForeignAnswer} = this.#opts;
-		this.#settle();
+		this.#recordSettled();
 		if (foreignAnswer.exchanges > 0) {
 			connections.recordLateAnswer(this.#address);
 		}
@@ -300,7 +300,7 @@
 		}
 
 		this.#release(this.#reader!.finish());
-		this.#settle();
+		this.#recordSettled();
 		if (this.#canReuse && request.identity) {
 			connections.release(this.#address, connection, request.identity.expectedId);
 		} else {
@@ -342,7 +342,7 @@
 		}
 
 		const {connection, connections, handler} = this.#opts;
-		this.#settle();
+		this.#recordSettled();
 		const isStale = this.#isWritten && !this.#hasResponse && connections.recordFailure(this.#address, connection);
 		this.#discardConnection();
 		handler.onFailure(new EndpointClientError(code, message, {
--- a/stand-ins/src/answer-breaker.ts
+++ b/stand-ins/src/answer-breaker.ts
@@ -39,7 +39,7 @@
 			}
 
 			this.#isBroken = true;
-			this.#ignoreEnd();
+			this.#replaceEnd();
 			if (allowed === 0) {
 				this.#end();
 				return true;
@@ -52,13 +52,13 @@
 	}
 
 	/** Breaks off the answer that is written from now on. */
-	arm(planned: AnswerBreak): void {
+	planBreak(planned: AnswerBreak): void {
 		this.#break = planned;
 		this.#sentBytes = 0;
 	}
 
 	/** The HTTP server ends the connection of an answer that nothing else delimits; here, the break does. */
-	#ignoreEnd(): void {
+	#replaceEnd(): void {
 		this.#endSocket = this.#socket.end.bind(this.#socket);
 		this.#socket.end = () => this.#socket;
 		this.#socket.destroySoon = () => {
--- a/stand-ins/src/platform-server.ts
+++ b/stand-ins/src/platform-server.ts
@@ -188,7 +188,7 @@
 		}
 
 		if (this.answerBreak) {
-			this.#sockets.get(request.socket)?.breaker.arm(this.answerBreak);
+			this.#sockets.get(request.socket)?.breaker.planBreak(this.answerBreak);
 		}
 
 		await this.#respond(request, response, receivedRequest);
--- a/tools/soak/src/server-answers.ts
+++ b/tools/soak/src/server-answers.ts
@@ -97,7 +97,7 @@
 	#planBreak(channel: ServerChannel, fault: ServerFault | undefined, answerBytes: number): void {
 		const {random} = this.#opts;
 		if (fault === 'broken-off') {
-			channel.breakOff({afterBytes: Math.floor(random.nextBetween(0, answerBytes)), by: random.next() < 0.5 ? 'close' : 'reset', delayMs: random.next() < 0.5 ? 0 : random.nextBetween(1, maxEventMs)});
+			channel.planBreak({afterBytes: Math.floor(random.nextBetween(0, answerBytes)), by: random.next() < 0.5 ? 'close' : 'reset', delayMs: random.next() < 0.5 ? 0 : random.nextBetween(1, maxEventMs)});
 		}
 	}
 
--- a/tools/soak/src/server-channel.ts
+++ b/tools/soak/src/server-channel.ts
@@ -62,7 +62,7 @@
 	}
 
 	/** Breaks off the next answer after a number of bytes. */
-	breakOff(planned: AnswerBreak): void {
+	planBreak(planned: AnswerBreak): void {
 		this.#break = planned;
 	}
 
