--- a/packages/plugins/edge/src/attempt.ts
+++ b/packages/plugins/edge/src/attempt.ts
@@ -31,6 +31,8 @@
 	isStreamed: boolean;
 	/** What was received of the answer; undefined before its head. */
 	answer?: ReceivedAnswer;
+	/** Time since the last byte of the body, or since the start of the attempt, in milliseconds. */
+	silentMs: number;
 	error?: EndpointClientError;
 };
 
@@ -93,11 +95,13 @@
 	#cancelOutcome: AttemptOutcome | undefined;
 	#isAwaitingFirstByte = true;
 	#waitingSince: number;
+	#lastByteAt: number;
 
 	constructor(opts: CollectorOptions, resolve: (result: AttemptResult) => void) {
 		this.#opts = opts;
 		this.#resolve = resolve;
 		this.#waitingSince = opts.clock.monotonic();
+		this.#lastByteAt = this.#waitingSince;
 	}
 
 	setSentRequest(sentRequest: SentRequest): void {
@@ -163,7 +167,8 @@
 	}
 
 	onData(chunk: Buffer): void {
-		this.#waitingSince = this.#opts.clock.monotonic();
+		this.#lastByteAt = this.#opts.clock.monotonic();
+		this.#waitingSince = this.#lastByteAt;
 		if (this.#isAwaitingFirstByte) {
 			this.#isAwaitingFirstByte = false;
 			this.#cancelSilenceTimer?.();
@@ -213,7 +218,7 @@
 
 		this.#opts.limits.budget.release(this.#body.size);
 		this.#resolve({
-			...result, head: this.#head, body: this.#body.drain(), isStreamed: this.#isStreamed,
+			...result, head: this.#head, body: this.#body.drain(), isStreamed: this.#isStreamed, silentMs: Math.round(this.#opts.clock.monotonic() - this.#lastByteAt),
 		});
 	}
 }
--- a/packages/plugins/edge/src/buffered-forwarder.ts
+++ b/packages/plugins/edge/src/buffered-forwarder.ts
@@ -120,7 +120,7 @@
 		this.#isNotExecuted &&= !result.isWritten;
 		this.#grounds.add(callKinds.run, server, {result, isNotExecuted: false});
 		eventLog.emit('attemptFailed', {
-			request: this.#request.metadata.requestId, server: server.id, end: result.outcome, isWritten: result.isWritten, isStale, reason: result.error?.message, answer: result.answer,
+			request: this.#request.metadata.requestId, server: server.id, end: result.outcome, isWritten: result.isWritten, isStale, silentMs: result.silentMs, lastAnswerMs: health.measureSilence(server), reason: result.error?.message, answer: result.answer,
 		});
 		if (result.outcome === attemptOutcomes.broken && result.isWritten && !foreignAnswer) {
 			onConnectionLost(this.#request, server);
--- a/packages/plugins/edge/src/server-health.ts
+++ b/packages/plugins/edge/src/server-health.ts
@@ -51,6 +51,12 @@
 		return (this.#getHealth(server).aliveAt ?? Number.NEGATIVE_INFINITY) > since;
 	}
 
+	/** Returns the time since any instance had an answer of the server, in milliseconds; undefined if none is known. */
+	measureSilence(server: KnownServer): number | undefined {
+		const {aliveAt} = this.#getHealth(server);
+		return aliveAt === undefined ? undefined : Math.round(this.#clock.monotonic() - aliveAt);
+	}
+
 	/** Records a response that reports a failure of the server itself. */
 	recordFailure(server: KnownServer): void {
 		const health = this.#getHealth(server);
--- a/packages/plugins/edge/src/streaming-forwarder.ts
+++ b/packages/plugins/edge/src/streaming-forwarder.ts
@@ -182,7 +182,7 @@
 		this.#isNotExecuted = false;
 		const permit = isCandidate(this.#context, backup) ? this.#permits.acquire(retryKinds.resume) : undefined;
 		eventLog.emit('streamMoved', {
-			request: this.#request.metadata.requestId, from: failedServer.id, to: backup.id, end: failedResult.outcome, lastEvent: this.#relay.lastEventId, mayGoOn: permit !== undefined,
+			request: this.#request.metadata.requestId, from: failedServer.id, to: backup.id, end: failedResult.outcome, silentMs: failedResult.silentMs, lastEvent: this.#relay.lastEventId, mayGoOn: permit !== undefined,
 		});
 		if (!permit) {
 			return this.#fail(`the attempt ended as ${failedResult.outcome}`);
@@ -241,7 +241,7 @@
 		}
 
 		eventLog.emit('readFailed', {
-			request: this.#request.metadata.requestId, server: prefillServer.id, end: result.outcome, status: result.head?.status, isStale: result.error?.isStale ?? false, reason: result.error?.message,
+			request: this.#request.metadata.requestId, server: prefillServer.id, end: result.outcome, status: result.head?.status, isStale: result.error?.isStale ?? false, silentMs: result.silentMs, lastAnswerMs: health.measureSilence(prefillServer), reason: result.error?.message,
 		});
 		return undefined;
 	}
@@ -329,7 +329,7 @@
 
 		this.#excluded.add(server.id);
 		eventLog.emit('attemptFailed', {
-			request: this.#request.metadata.requestId, server: server.id, end: result.outcome, isWritten: result.isWritten, lastEvent: this.#relay.lastEventId, reason: result.error?.message, answer: this.#lastAnswer,
+			request: this.#request.metadata.requestId, server: server.id, end: result.outcome, isWritten: result.isWritten, silentMs: result.silentMs, lastAnswerMs: health.measureSilence(server), lastEvent: this.#relay.lastEventId, reason: result.error?.message, answer: this.#lastAnswer,
 		});
 		if (result.outcome === attemptOutcomes.broken || result.outcome === attemptOutcomes.stalled) {
 			if (foreignAnswer) {
