test(platform): servers that fall silent and go on, failing

What callers saw: streams whose connection was closed midway, 502 and 503 for requests whose server was sound. The stand-in for servers falls silent on request and goes on; a test lets it go on once the edge has noticed the silence, so no verdict depends on a duration.

--- a/stand-ins/src/platform-server.ts
+++ b/stand-ins/src/platform-server.ts
@@ -11,6 +11,7 @@
 import type {AddressInfo, Socket} from 'node:net';
 import type {Clock} from '@hickorytrack/clock';
 import {AnswerBreaker, type AnswerBreak} from './answer-breaker.js';
+import {AnswerHold} from './answer-hold.js';
 import {AnswerRepeater} from './answer-repeater.js';
 
 export const platformFaults = {
@@ -38,6 +39,9 @@
 
 export type AnswerFraming = 'length' | 'chunks' | 'connection';
 
+/** Where in its work on a request a server falls silent: before its answer, behind the head of a stream, or behind that many events. */
+export type PausePoint = 'request' | 'head' | number;
+
 export type PlatformServerOptions = {
 	id: string;
 	clock: Clock;
@@ -87,12 +91,15 @@
 	framing: AnswerFraming | undefined;
 	/** Breaks off each answer to a request that follows, prefill answers included. */
 	answerBreak: AnswerBreak | undefined;
+	/** Falls silent at the next request that gets there, prefills included. */
+	pauseAt: PausePoint | undefined;
 	/** Says in all its answers that it leaves, with any fault. */
 	isLeaving = false;
 	#stage: 'prefill' | 'decode' | undefined;
 	readonly #opts: PlatformServerOptions;
 	readonly #server: Server;
-	readonly #sockets = new Map<Socket, {repeater: AnswerRepeater; breaker: AnswerBreaker}>();
+	readonly #sockets = new Map<Socket, {repeater: AnswerRepeater; breaker: AnswerBreaker; hold: AnswerHold}>();
+	#isPaused = false;
 	#port = 0;
 
 	constructor(opts: PlatformServerOptions) {
@@ -102,7 +109,12 @@
 			void this.#handle(request, response);
 		});
 		this.#server.on('connection', socket => {
-			this.#sockets.set(socket, {breaker: new AnswerBreaker(socket), repeater: new AnswerRepeater(socket)});
+			const hold = new AnswerHold(socket);
+			this.#sockets.set(socket, {breaker: new AnswerBreaker(socket), repeater: new AnswerRepeater(socket), hold});
+			if (this.#isPaused) {
+				hold.pause();
+			}
+
 			socket.on('close', () => this.#sockets.delete(socket));
 		});
 	}
@@ -135,10 +147,33 @@
 		await this.start(this.#port);
 	}
 
+	get openConnections(): number {
+		return this.#sockets.size;
+	}
+
+	get isPaused(): boolean {
+		return this.#isPaused;
+	}
+
 	get isRunning(): boolean {
 		return this.#server.listening;
 	}
 
+	/** Falls silent: goes on with its work, and holds everything that it would send until it resumes. */
+	pause(): void {
+		this.#isPaused = true;
+		for (const {hold} of this.#sockets.values()) {
+			hold.pause();
+		}
+	}
+
+	resume(): void {
+		this.#isPaused = false;
+		for (const {hold} of this.#sockets.values()) {
+			hold.resume();
+		}
+	}
+
 	async stop(): Promise<void> {
 		for (const socket of this.#sockets.keys()) {
 			socket.resetAndDestroy();
@@ -187,6 +222,7 @@
 			return;
 		}
 
+		this.#pauseAt('request');
 		if (this.answerBreak) {
 			this.#sockets.get(request.socket)?.breaker.planBreak(this.answerBreak);
 		}
@@ -293,7 +329,10 @@
 				this.abandonedRequestIds.push(receivedRequest.requestId);
 			}
 		});
+		response.flushHeaders();
+		this.#pauseAt('head');
 		for (let event = firstEvent; event <= events && !response.destroyed; event++) {
+			this.#pauseAt(event - firstEvent);
 			if (this.fault === platformFaults.cut && event === firstEvent + 2) {
 				response.write(`id: ${event}\ndata: ha`);
 				await clock.sleep(eventMs);
@@ -308,6 +347,13 @@
 		response.end();
 	}
 
+	#pauseAt(point: PausePoint): void {
+		if (this.pauseAt === point) {
+			this.pauseAt = undefined;
+			this.pause();
+		}
+	}
+
 	#createRetryAfterHeaders(): Record<string, string> {
 		const {retryAfterSeconds} = this.#opts;
 		return retryAfterSeconds === undefined ? {} : {'retry-after': String(retryAfterSeconds)};
