--- a/packages/core/events/src/event-catalogue.ts
+++ b/packages/core/events/src/event-catalogue.ts
@@ -209,6 +209,12 @@
 	streamMoved: {
 		number: 1758, level: 'warn', text: 'A stream was cut; mayGoOn says whether it continues at the server with a copy of its KV cache', action: 'Check the server that was lost.',
 	},
+	serverSilent: {
+		number: 1763, level: 'warn', text: 'A server sends nothing where more of an answer was due; the request stays there until another server delivers', action: 'Check the server if this repeats.',
+	},
+	requestTakenOver: {
+		number: 1764, level: 'info', text: 'Another server delivers the answer instead of a silent one', action: 'Check the silent server if this repeats.',
+	},
 	retryDenied: {
 		number: 1771, level: 'warn', text: 'A call to a server was not made because the retry budget of its service is used up', action: 'Search the failed attempts for its id; check the servers that reject or break requests.',
 	},
--- a/packages/core/metrics-registry/src/metrics-registry.ts
+++ b/packages/core/metrics-registry/src/metrics-registry.ts
@@ -20,6 +20,8 @@
 	foreign_answers_total: {kind: 'counter', help: 'Answers of servers that were not the own answer of the request, by kind of call.', labels: ['call']},
 	server_answers_total: {kind: 'counter', help: 'Last answers of servers to requests, by what delimits them, how the server had ended the connection by then, and the outcome of the request.', labels: ['framing', 'connection', 'outcome']},
 	servers_leaving_total: {kind: 'counter', help: 'Starts of servers that said in an answer that they leave, by source of the news: an answer, or another instance.', labels: ['source']},
+	silent_servers_total: {kind: 'counter', help: 'Requests whose server sent nothing where more was due, by service and decision: wait, or start the request at another server beside it.', labels: ['service', 'decision']},
+	takeovers_total: {kind: 'counter', help: 'Requests at a silent server that were started at another one, by service and by who answered.', labels: ['service', 'by']},
 	server_pauses_total: {kind: 'counter', help: 'Rejections of servers that asked for a time without requests.', labels: []},
 	first_byte_ms: {kind: 'histogram', help: 'Time to the first byte of a streamed answer, in milliseconds.', labels: ['route']},
 	request_ms: {kind: 'histogram', help: 'Time to the end of a request, in milliseconds.', labels: ['route']},
--- a/packages/plugins/edge/src/attempt.ts
+++ b/packages/plugins/edge/src/attempt.ts
@@ -6,15 +6,15 @@
 } from '@hickorytrack/endpoint-client';
 import {ByteCollector} from '@hickorytrack/http-answer/byte-collector';
 import type {ReceivedAnswer} from '@hickorytrack/http-answer/answer-reader';
-import type {EventRelay} from './event-relay.js';
+import type {EventSink} from './event-relay.js';
 
 export const attemptOutcomes = {
 	/** A complete response arrived, or a stream was forwarded to its end. */
 	answered: 'answered',
 	broken: 'broken',
 	timedOut: 'timed-out',
-	/** The first-byte timeout or the idle timeout expired. */
-	stalled: 'stalled',
+	/** Another attempt delivers the answer. */
+	replaced: 'replaced',
 	/** The caller disconnected. */
 	cancelled: 'cancelled',
 } as const;
@@ -42,19 +42,52 @@
 	signal: AbortSignal;
 	/** Time after which the attempt is cancelled, in milliseconds. */
 	timeoutMs: number;
+	/** Ends the attempt when another one delivers the answer. */
+	canceller?: AttemptCanceller;
 	/** Forwards the events of a stream; without it the response is buffered. */
-	relay?: EventRelay;
+	relay?: EventSink;
 	/** Tells whether a response with this head may be forwarded as a stream. */
 	isStream?: (head: ResponseHead) => boolean;
 	onFirstByte?: () => void;
-	/** Time without a first byte after which the attempt is cancelled, in milliseconds. */
-	firstByteTimeoutMs?: number;
-	/** Called when the first-byte timeout expires; when it returns false, the timeout starts again. */
-	isLost?: () => boolean;
-	/** Time between two chunks of the response after which the attempt is cancelled, in milliseconds. */
-	idleTimeoutMs?: number;
+	/** Watches for silence of the server; without it, nothing is reported. */
+	silence?: SilenceOptions;
 };
 
+/** A silence is reported and ends nothing: the server may be sound and go on. */
+export type SilenceOptions = {
+	/** Time without a first byte after which the server is checked, in milliseconds; undefined while it may take any time. */
+	firstByteMs?: number;
+	/** Tells at each check before the first byte whether the server counts as lost. */
+	isLost: () => boolean;
+	/** Time between two parts of the response after which a silence is reported, in milliseconds. */
+	idleMs?: number;
+	/** Called at each check that finds the server silent, with the time since its last byte in milliseconds. */
+	onSilent: (silentMs: number) => void;
+};
+
+/** Ends the attempts of a run that is no longer needed. */
+export class AttemptCanceller {
+	#isCancelled = false;
+	#cancelAttempt: (() => void) | undefined;
+
+	get isCancelled(): boolean {
+		return this.#isCancelled;
+	}
+
+	cancel(): void {
+		this.#isCancelled = true;
+		this.#cancelAttempt?.();
+	}
+
+	/** Sets what ends the present attempt. */
+	setAttempt(cancelAttempt: () => void): void {
+		this.#cancelAttempt = cancelAttempt;
+		if (this.#isCancelled) {
+			cancelAttempt();
+		}
+	}
+}
+
 /** Returns why an attempt without a usable response failed, for the caller. */
 export function describeFailure({outcome, error}: AttemptResult): string {
 	return error?.foreignAnswer ? 'the server sent an answer that is not its own' : `the attempt ended as ${outcome}`;
@@ -74,6 +107,9 @@
 		opts.signal.addEventListener('abort', cancelAttempt);
 		collector.setSentRequest(client.send(address, opts.request, collector));
 		collector.startTimers();
+		opts.canceller?.setAttempt(() => {
+			collector.cancel(attemptOutcomes.replaced);
+		});
 		if (opts.signal.aborted) {
 			cancelAttempt();
 		}
@@ -94,6 +130,7 @@
 	#isSettled = false;
 	#cancelOutcome: AttemptOutcome | undefined;
 	#isAwaitingFirstByte = true;
+	#isReaderPaused = false;
 	#waitingSince: number;
 	#lastByteAt: number;
 
@@ -108,7 +145,7 @@
 		this.#sentRequest = sentRequest;
 	}
 
-	/** Cancels the attempt when its timeout, the first-byte timeout or the idle timeout expires. */
+	/** Cancels the attempt when its timeout expires, and checks for silence. */
 	startTimers(): void {
 		if (this.#isSettled) {
 			return;
@@ -120,9 +157,9 @@
 		this.#startSilenceTimer();
 	}
 
-	/** Time without a byte after which the attempt is checked; undefined while it may take any time. */
+	/** Time without a byte after which the server is checked; undefined while it may take any time. */
 	get #silenceLimitMs(): number | undefined {
-		return this.#isAwaitingFirstByte ? this.#opts.firstByteTimeoutMs : this.#opts.idleTimeoutMs;
+		return this.#isAwaitingFirstByte ? this.#opts.silence?.firstByteMs : this.#opts.silence?.idleMs;
 	}
 
 	#startSilenceTimer(): void {
@@ -136,21 +173,26 @@
 	}
 
 	#checkSilence(limitMs: number): void {
-		const {clock, isLost} = this.#opts;
 		if (this.#isSettled) {
 			return;
 		}
 
-		if (clock.monotonic() - this.#waitingSince >= limitMs) {
-			if (!this.#isAwaitingFirstByte || !isLost || isLost()) {
-				this.cancel(attemptOutcomes.stalled);
-				return;
+		const now = this.#opts.clock.monotonic();
+		if (this.#isReaderPaused) {
+			// The caller reads slowly; nothing is known of the server.
+			this.#waitingSince = now;
+		} else if (now - this.#waitingSince >= limitMs) {
+			const {isLost, onSilent} = this.#opts.silence!;
+			if (!this.#isAwaitingFirstByte || isLost()) {
+				onSilent(Math.round(now - this.#lastByteAt));
 			}
 
-			this.#waitingSince = clock.monotonic();
+			this.#waitingSince = now;
 		}
 
-		this.#startSilenceTimer();
+		if (!this.#isSettled) {
+			this.#startSilenceTimer();
+		}
 	}
 
 	cancel(outcome: AttemptOutcome, reason?: string): void {
@@ -183,8 +225,11 @@
 
 		const {relay} = this.#opts;
 		if (!relay!.write(Buffer.from(chunk))) {
+			this.#isReaderPaused = true;
 			this.#sentRequest?.pause();
 			relay!.onDrain(() => {
+				this.#isReaderPaused = false;
+				this.#waitingSince = this.#opts.clock.monotonic();
 				this.#sentRequest?.resume();
 			});
 		}
--- a/packages/plugins/edge/src/buffered-forwarder.ts
+++ b/packages/plugins/edge/src/buffered-forwarder.ts
@@ -1,12 +1,13 @@
 /**
  * Forwards a request and buffers the whole response before the caller gets any of it, so that a truncated response never
- * looks complete. Another server gets the request only if it is idempotent or is known not to have run.
+ * looks complete. Another server gets the request only if it is idempotent or is known not to have run. An idempotent
+ * request whose server takes long is started at another one beside it; the first usable answer ends the other attempt.
  */
 import type {ReceivedAnswer} from '@hickorytrack/http-answer/answer-reader';
 import type {KnownServer} from '@hickorytrack/endpoint-registry';
 import {requestKinds} from '@hickorytrack/route-table/route-types';
 import {
-	attemptOutcomes, describeFailure, runAttempt, type AttemptResult,
+	AttemptCanceller, attemptOutcomes, describeFailure, runAttempt, type AttemptResult,
 } from './attempt.js';
 import {computeRetryAfterMs, listCandidates} from './candidate-servers.js';
 import {forwardResponse, sendProblem} from './responses.js';
@@ -21,15 +22,21 @@
 	createAnswerIdentity, createOutboundRequest, computeRemainingMs, defaultRetryAfterMs, type ForwardContext,
 } from './forward-context.js';
 
-/** Timeout of an attempt after which the request can still be retried, as a fraction of the time until its deadline. */
-const attemptTimeoutFraction = 0.55;
+/** Time after which an idempotent request is started at another server as well, as a fraction of the time until its deadline. */
+const overdueFraction = 0.55;
 const minimumRetryMs = 20; // With less time left, another attempt would not complete before the deadline.
 
+type EndedAttempt = {server: KnownServer; result: AttemptResult};
+
 export class BufferedForwarder {
 	readonly #context: ForwardContext;
 	readonly #request: CallerRequest;
 	readonly #permits: SendPermits;
 	readonly #servers: KnownServer[] = [];
+	readonly #runningAttempts = new Set<AttemptCanceller>();
+	readonly #endedAttempts: EndedAttempt[] = [];
+	#onAttemptEnded: (() => void) | undefined;
+	#cancelOverdueTimer: (() => void) | undefined;
 	/** True until a server may have started to run the request. */
 	#isNotExecuted = true;
 	readonly #grounds: RefusalGrounds;
@@ -46,30 +53,44 @@
 	}
 
 	async forward(): Promise<RequestResult> {
-		for (;;) {
-			const server = this.#selectServer();
-			if (!server) {
-				return this.#fail('no usable server is known');
-			}
+		const result = await this.#runAttempts();
+		this.#cancelOverdueTimer?.();
+		for (const canceller of this.#runningAttempts) {
+			canceller.cancel();
+		}
 
-			const permit = this.#permits.acquire(retryKinds.run);
-			if (!permit) {
-				return this.#fail('the retry budget is used up');
+		return result;
+	}
+
+	async #runAttempts(): Promise<RequestResult> {
+		for (;;) {
+			if (this.#runningAttempts.size === 0) {
+				const refusal = this.#startAttempt();
+				if (refusal !== undefined) {
+					return this.#fail(refusal);
+				}
 			}
 
-			this.#servers.push(server);
-			const result = await this.#runAttempt(server, permit);
+			const {server, result} = await this.#waitForAttempt();
 			const requestResult = this.#handleResult(server, result);
 			if (requestResult) {
 				return requestResult;
 			}
 
-			if (this.#servers.length >= this.#request.route.maxServers || computeRemainingMs(this.#context, this.#request) < minimumRetryMs) {
+			if (this.#runningAttempts.size === 0 && !this.#canStartAnother) {
 				return this.#fail('no further server is allowed');
 			}
 		}
 	}
 
+	get #remainingMs(): number {
+		return computeRemainingMs(this.#context, this.#request);
+	}
+
+	get #canStartAnother(): boolean {
+		return this.#servers.length < this.#request.route.maxServers && this.#remainingMs >= minimumRetryMs;
+	}
+
 	get #isRetryable(): boolean {
 		return this.#request.route.kind === requestKinds.idempotent;
 	}
@@ -80,18 +101,79 @@
 		return leastLoadPlacement.select(servers, {excluded: new Set(this.#servers.map(server => server.id)), availabilityZone});
 	}
 
-	async #runAttempt(server: KnownServer, permit: SendPermit): Promise<AttemptResult> {
+	/** Starts an attempt at the next server, or returns why there is none. */
+	#startAttempt(): string | undefined {
+		const server = this.#selectServer();
+		if (!server) {
+			return 'no usable server is known';
+		}
+
+		const permit = this.#permits.acquire(retryKinds.run);
+		if (!permit) {
+			return 'the retry budget is used up';
+		}
+
+		this.#servers.push(server);
+		void this.#runAttempt(server, permit);
+		if (this.#isRetryable) {
+			this.#startOverdueTimer(server);
+		}
+
+		return undefined;
+	}
+
+	async #runAttempt(server: KnownServer, permit: SendPermit): Promise<void> {
 		const {clock, client, loadTracker} = this.#context;
-		const remainingMs = computeRemainingMs(this.#context, this.#request);
-		const canRetry = this.#isRetryable && this.#servers.length < this.#request.route.maxServers;
+		const canceller = new AttemptCanceller();
+		this.#runningAttempts.add(canceller);
 		const inFlightLoad = loadTracker.add(server.id, 0);
 		const result = await runAttempt(client, server.address, {
-			clock, signal: this.#request.signal, timeoutMs: canRetry ? remainingMs * attemptTimeoutFraction : remainingMs, request: createOutboundRequest(this.#context, this.#request, {server, permit, needsVerifiedConnection: !this.#isRetryable}),
+			clock, signal: this.#request.signal, timeoutMs: this.#remainingMs, canceller, request: createOutboundRequest(this.#context, this.#request, {server, permit, needsVerifiedConnection: !this.#isRetryable}),
 		});
 		inFlightLoad.release();
 		permit.finish({isWritten: result.isWritten, isAccepted: true});
-		this.#lastAnswer = result.answer;
-		return result;
+		this.#runningAttempts.delete(canceller);
+		this.#endedAttempts.push({server, result});
+		this.#onAttemptEnded?.();
+	}
+
+	async #waitForAttempt(): Promise<EndedAttempt> {
+		if (this.#endedAttempts.length === 0) {
+			await new Promise<void>(resolve => {
+				this.#onAttemptEnded = resolve;
+			});
+		}
+
+		const ended = this.#endedAttempts.shift()!;
+		this.#lastAnswer = ended.result.answer;
+		return ended;
+	}
+
+	/** The server may be sound and silent for a moment, so its attempt goes on. */
+	#startOverdueTimer(server: KnownServer): void {
+		this.#cancelOverdueTimer?.();
+		const startedAt = this.#context.clock.monotonic();
+		this.#cancelOverdueTimer = this.#context.clock.startTimer(this.#remainingMs * overdueFraction, () => {
+			this.#handleOverdue(server, this.#context.clock.monotonic() - startedAt);
+		});
+	}
+
+	#handleOverdue(server: KnownServer, silentMs: number): void {
+		if (!this.#canStartAnother) {
+			return;
+		}
+
+		const {health, eventLog, metrics} = this.#context;
+		health.recordSilent(server);
+		const refusal = this.#startAttempt();
+		const isTakenOver = refusal === undefined;
+		metrics.count('silent_servers_total', {service: server.service, decision: isTakenOver ? 'another-server' : 'wait'});
+		eventLog.emit('serverSilent', {
+			request: this.#request.metadata.requestId, server: server.id, isGenerating: true, silentMs: Math.round(silentMs), lastAnswerMs: health.measureSilence(server), isTakenOver, reason: refusal,
+		});
+		if (!isTakenOver) {
+			this.#startOverdueTimer(server);
+		}
 	}
 
 	/** Returns the result of the request, or undefined when another server may be tried. */
--- a/packages/plugins/edge/src/edge.ts
+++ b/packages/plugins/edge/src/edge.ts
@@ -289,6 +289,7 @@
 			}),
 			poisonRequests: new PoisonRequestTracker(clock),
 			eventLog,
+			metrics,
 			availabilityZone: settings.availabilityZone,
 			getConnectionLimit: service => this.#getConnectionLimit(service),
 			onConnectionLost: (request, server) => {
--- a/packages/plugins/edge/src/event-relay.ts
+++ b/packages/plugins/edge/src/event-relay.ts
@@ -14,7 +14,15 @@
 const resetDelayMs = 20;
 const idPattern = /^id: ?(.*)$/m;
 
-export class EventRelay {
+/** Receives the events of a stream. */
+export type EventSink = {
+	open(head: ResponseHead): void;
+	/** Returns false when no more events should come until the sink has drained. */
+	write(events: Buffer): boolean;
+	onDrain(listener: () => void): void;
+};
+
+export class EventRelay implements EventSink {
 	/** Id of the last event that was forwarded. */
 	lastEventId: string | undefined;
 	readonly #response: ServerResponse;
--- a/packages/plugins/edge/src/forward-context.ts
+++ b/packages/plugins/edge/src/forward-context.ts
@@ -7,6 +7,7 @@
 import type {LoadTracker} from '@hickorytrack/prompt-placement/load-tracker';
 import type {LeastLoadPlacement} from '@hickorytrack/prompt-placement/least-load-placement';
 import type {PromptPlacement} from '@hickorytrack/prompt-placement';
+import type {MetricsRegistry} from '@hickorytrack/metrics-registry';
 import type {Random} from '@hickorytrack/random';
 import {callKinds} from './call-kinds.js';
 import type {AnswerMeasurements} from './answer-measurements.js';
@@ -35,6 +36,7 @@
 	poisonRequests: PoisonRequestTracker;
 	codec: RequestCodec;
 	eventLog: RateLimitedEventLog;
+	metrics: Pick<MetricsRegistry, 'count'>;
 	availabilityZone: string;
 	/** Number of connections that this instance may open to one server of the service. */
 	getConnectionLimit: (service: string) => number;
--- a/packages/plugins/edge/src/send-permits.ts
+++ b/packages/plugins/edge/src/send-permits.ts
@@ -12,47 +12,56 @@
 export class SendPermit {
 	readonly kind: RetryKind;
 	readonly #retry: RetryPermit | undefined;
-	readonly #isConditional: boolean;
-	readonly #onArrived: () => void;
+	readonly #opts: {kind: RetryKind; retry?: RetryPermit; isConditional?: boolean; onArrived: () => boolean; onUnused?: () => void};
 	#isStarted = false;
+	#isFinished = false;
 
-	constructor(opts: {kind: RetryKind; retry?: RetryPermit; isConditional?: boolean; onArrived: () => void}) {
+	/**
+	 * `onArrived` is called once a server has received the call, for a prefill once it has accepted it, and returns whether it
+	 * was the first one. `onUnused` is called when no server has received it.
+	 */
+	constructor(opts: {kind: RetryKind; retry?: RetryPermit; isConditional?: boolean; onArrived: () => boolean; onUnused?: () => void}) {
 		this.kind = opts.kind;
-		this.#retry = opts.retry;
-		this.#isConditional = opts.isConditional ?? false;
-		this.#onArrived = opts.onArrived;
+		this.#opts = opts;
 	}
 
 	/** Called when the call is sent. */
 	start(): void {
 		this.#isStarted = true;
-		if (!this.#isConditional) {
-			this.#retry?.record();
+		if (!this.#opts.isConditional) {
+			this.#opts.retry?.record();
 		}
 	}
 
 	/** Called with the outcome of the call. Until then, the call counts as one that has arrived. */
 	finish({isWritten, isAccepted}: {isWritten: boolean; isAccepted: boolean}): void {
+		const {retry, isConditional, onArrived} = this.#opts;
 		if (!isWritten) {
-			this.#retry?.release();
+			this.#discard();
 			return;
 		}
 
-		if (isAccepted || this.kind !== retryKinds.prefill) {
-			this.#onArrived();
-		}
-
-		if (isAccepted && this.#isConditional) {
-			this.#retry?.release();
+		this.#isFinished = true;
+		const isFirst = (isAccepted || this.kind !== retryKinds.prefill) && onArrived();
+		if (isAccepted && isConditional && isFirst) {
+			retry?.release();
 		} else {
-			this.#retry?.record();
+			retry?.record();
 		}
 	}
 
 	/** Returns the permit if no call was sent with it. */
 	release(): void {
 		if (!this.#isStarted) {
-			this.#retry?.release();
+			this.#discard();
+		}
+	}
+
+	#discard(): void {
+		if (!this.#isFinished) {
+			this.#isFinished = true;
+			this.#opts.retry?.release();
+			this.#opts.onUnused?.();
 		}
 	}
 }
@@ -60,7 +69,8 @@
 export class SendPermits {
 	readonly #budget: RetryBudget;
 	readonly #request: CallerRequest;
-	#hasRun = false;
+	/** The free run is permitted, is on its way or has arrived. */
+	#isFreeRunTaken = false;
 	#hasPrefilled = false;
 
 	constructor(budget: RetryBudget, request: CallerRequest) {
@@ -72,19 +82,23 @@
 	/** Returns undefined when the call would be a retry that the budget does not allow. */
 	acquire(kind: RetryKind): SendPermit | undefined {
 		const isPrefill = kind === retryKinds.prefill;
-		const onArrived = () => {
-			this.#hasPrefilled ||= isPrefill;
-			this.#hasRun ||= !isPrefill;
-		};
-
-		if (!isPrefill && !this.#hasRun) {
-			return new SendPermit({kind, onArrived});
+		if (!isPrefill && !this.#isFreeRunTaken) {
+			this.#isFreeRunTaken = true;
+			return new SendPermit({
+				kind, onArrived: () => true, onUnused: () => {
+					this.#isFreeRunTaken = false;
+				},
+			});
 		}
 
 		const isConditional = isPrefill && !this.#hasPrefilled;
 		const retry = this.#budget.acquire(this.#request.service, {kind, requestId: this.#request.metadata.requestId, isConditional});
 		return retry && new SendPermit({
-			kind, retry, isConditional, onArrived,
+			kind, retry, isConditional, onArrived: () => {
+				const isFirst = isPrefill && !this.#hasPrefilled;
+				this.#hasPrefilled ||= isPrefill;
+				return isFirst;
+			},
 		});
 	}
 }
--- a/packages/plugins/edge/src/server-health.ts
+++ b/packages/plugins/edge/src/server-health.ts
@@ -87,6 +87,11 @@
 		this.#getHealth(server).unresponsiveSince ??= this.#clock.monotonic();
 	}
 
+	/** Records that the server sends nothing where more was due. It may be sound, so only new requests avoid it until it reports or answers again. */
+	recordSilent(server: KnownServer): void {
+		this.#getHealth(server).unresponsiveSince ??= this.#clock.monotonic();
+	}
+
 	getFailureRate(server: KnownServer): number {
 		return this.#getHealth(server).failureRate;
 	}
--- /dev/null
+++ b/packages/plugins/edge/src/stream-run.ts
@@ -0,0 +1,86 @@
+/**
+ * One way to the answer of a streaming request: a prefill, if the prompt is handed over, and a generation. A request has a
+ * second run while the server of the first one is silent. The first run that delivers an event ends the others.
+ */
+import type {Buffer} from 'node:buffer';
+import type {ResponseHead} from '@hickorytrack/endpoint-client';
+import type {KnownServer} from '@hickorytrack/endpoint-registry';
+import {AttemptCanceller} from './attempt.js';
+import type {RequestResult} from './caller-request.js';
+import type {EventRelay, EventSink} from './event-relay.js';
+import type {SendPermit} from './send-permits.js';
+
+/** How a run ended. */
+export type RunEnding = {
+	/** False for a failure, which the caller gets only if no other run answers. */
+	isAnswer: boolean;
+	/** Ends the caller's response. */
+	finish: () => RequestResult;
+};
+
+export type StreamRunOptions = {
+	relay: EventRelay;
+	/** For the generation. */
+	permit?: SendPermit;
+	/** The run at a silent server beside which this one was started. */
+	predecessor?: StreamRun;
+	/** Called for each delivery, before it. */
+	onDelivery: (run: StreamRun) => void;
+};
+
+export class StreamRun implements EventSink {
+	readonly canceller = new AttemptCanceller();
+	/** Undefined while the successor of a run uses it. */
+	permit: SendPermit | undefined;
+	/** The run was sent to a server that generates. */
+	isGenerating = false;
+	/** Keeps a copy of the KV cache of the generation, from which the stream can resume. */
+	backupServer: KnownServer | undefined;
+	/** Server of the present attempt. */
+	server: KnownServer | undefined;
+	/** The run that was started because this one's server is silent. */
+	successor: StreamRun | undefined;
+	/** Resolves when the last successor has ended. */
+	successorEnding: Promise<RunEnding | undefined> | undefined;
+	isSilenceReported = false;
+	readonly #opts: StreamRunOptions;
+	#head: ResponseHead | undefined;
+
+	constructor(opts: StreamRunOptions) {
+		this.#opts = opts;
+		this.permit = opts.permit;
+	}
+
+	get isCancelled(): boolean {
+		return this.canceller.isCancelled;
+	}
+
+	get hasPredecessor(): boolean {
+		return this.#opts.predecessor !== undefined;
+	}
+
+	/** Servers of this run and of the runs before it, all of which are silent when a successor is started. */
+	listServers(): KnownServer[] {
+		const earlier = this.#opts.predecessor?.listServers() ?? [];
+		return this.server ? [...earlier, this.server] : earlier;
+	}
+
+	/** The response starts with the head of the run that delivers first. */
+	open(head: ResponseHead): void {
+		this.#head = head;
+		if (!this.hasPredecessor) {
+			this.#opts.relay.open(head);
+		}
+	}
+
+	write(events: Buffer): boolean {
+		const {relay, onDelivery} = this.#opts;
+		onDelivery(this);
+		relay.open(this.#head!);
+		return relay.write(events);
+	}
+
+	onDrain(listener: () => void): void {
+		this.#opts.relay.onDrain(listener);
+	}
+}
--- a/packages/plugins/edge/src/streaming-forwarder.ts
+++ b/packages/plugins/edge/src/streaming-forwarder.ts
@@ -2,6 +2,9 @@
  * Forwards a request whose response is a stream of events. A long prompt is prefilled by one server, whose KV cache is
  * handed over to the server that generates; the events are forwarded to the caller as they arrive. A resumable stream
  * continues at another server after its last complete event; any other request runs at most once.
+ *
+ * A silent server may be sound and go on. So silence ends no attempt: another run is started beside it, if one is allowed and
+ * a server takes it, and whichever delivers first ends the other.
  */
 import type {ResponseHead} from '@hickorytrack/endpoint-client';
 import type {ReceivedAnswer} from '@hickorytrack/http-answer/answer-reader';
@@ -9,7 +12,7 @@
 import type {Placement} from '@hickorytrack/prompt-placement';
 import type {Prompt} from '@hickorytrack/prompt-placement/prompt';
 import {
-	attemptOutcomes, describeFailure, runAttempt, type AttemptResult,
+	attemptOutcomes, describeFailure, runAttempt, type AttemptResult, type SilenceOptions,
 } from './attempt.js';
 import {computeRetryAfterMs, isCandidate, listCandidates} from './candidate-servers.js';
 import {forwardResponse, sendProblem} from './responses.js';
@@ -25,6 +28,7 @@
 import {retryKinds} from './retry-budget.js';
 import {SendPermits, type SendPermit} from './send-permits.js';
 import {SilenceDetector} from './silence-detector.js';
+import {StreamRun, type RunEnding} from './stream-run.js';
 import {
 	createAnswerIdentity, createOutboundRequest, computeRemainingMs, defaultRetryAfterMs, type ForwardContext,
 } from './forward-context.js';
@@ -34,9 +38,15 @@
 const maxPriorityValue = 9;
 /** A response of this many tokens takes seconds, so that a caller notices pauses in it. */
 const longOutputTokens = 512;
-/** A stream whose server sends nothing for this many times the pause objective resumes at another server, if it can. */
-const idleTimeoutFactor = 3;
-const minimumIdleTimeoutMs = 500;
+/** When its server sends nothing for this many times the pause objective, a stream may be taken over by another server. */
+const silenceFactor = 3;
+const minimumSilenceMs = 500;
+
+type AcceptedPlacement = Exclude<Placement, {kind: 'refuse'}>;
+type Plan = {placement: Placement; prefillPermit?: SendPermit};
+/** How another server takes over. */
+type Takeover = {run: StreamRun; start: () => Promise<RunEnding | undefined>};
+type DeniedTakeover = {reason: string};
 
 export class StreamingForwarder {
 	readonly #context: ForwardContext;
@@ -49,8 +59,8 @@
 	readonly #excluded = new Set<string>();
 	#isNotExecuted = true;
 	readonly #grounds: RefusalGrounds;
-	/** Keeps a copy of the request's KV cache, from which the stream can resume when the decode server fails. */
-	#backupServer: KnownServer | undefined;
+	/** Runs that have not ended. */
+	readonly #runs = new Set<StreamRun>();
 	#retryAfterMs = defaultRetryAfterMs;
 	#lastAnswer: ReceivedAnswer | undefined;
 	#firstByteMs: number | undefined;
@@ -68,18 +78,18 @@
 
 	async forward(): Promise<RequestResult> {
 		for (;;) {
-			const run = this.#permits.acquire(retryKinds.run);
-			if (!run) {
+			const permit = this.#permits.acquire(retryKinds.run);
+			if (!permit) {
 				return this.#fail('the retry budget is used up');
 			}
 
-			const result = await this.#runNext(run);
-			run.release();
-			if (result) {
-				return result;
+			const run = this.#createRun({permit});
+			const ending = await this.#runToEnd(run, async () => this.#followPlan(run, this.#plan(run)));
+			if (ending) {
+				return ending.finish();
 			}
 
-			if (this.#servers.length >= this.#request.route.maxServers || computeRemainingMs(this.#context, this.#request) < minimumRetryMs) {
+			if (this.#servers.length >= this.#request.route.maxServers || this.#remainingMs < minimumRetryMs) {
 				return this.#fail('no further server is allowed');
 			}
 		}
@@ -89,32 +99,72 @@
 		return this.#request.route.isResumable;
 	}
 
+	get #remainingMs(): number {
+		return computeRemainingMs(this.#context, this.#request);
+	}
+
 	/** Time for which the caller still waits for the first event. */
 	get #maxWaitMs(): number {
 		const {clock} = this.#context;
 		const {route, arrivedAt} = this.#request;
 		const patienceMs = arrivedAt + (route.patienceMs ?? Number.POSITIVE_INFINITY) - clock.monotonic();
-		return Math.min(patienceMs, computeRemainingMs(this.#context, this.#request));
+		return Math.min(patienceMs, this.#remainingMs);
+	}
+
+	#createRun(opts: {permit?: SendPermit; predecessor?: StreamRun}): StreamRun {
+		const run = new StreamRun({
+			...opts, relay: this.#relay, onDelivery: () => {
+				this.#cancelOthers(run);
+			},
+		});
+		return run;
 	}
 
-	/** Places the request with all permits that the placement needs. Without one for a prefill, a decode server prefills the prompt. */
-	async #runNext(run: SendPermit): Promise<RequestResult | undefined> {
-		let placement = this.#selectPlacement();
-		const prefill = placement.kind === 'hand-over' ? this.#permits.acquire(retryKinds.prefill) : undefined;
-		if (placement.kind === 'hand-over' && !prefill) {
-			placement = this.#selectPlacement({canPrefill: false});
+	/** Ends the runs that are no longer needed because this one answers. */
+	#cancelOthers(run: StreamRun): void {
+		if (this.#runs.size > 1) {
+			for (const other of this.#runs) {
+				if (other !== run && !other.isCancelled) {
+					other.canceller.cancel();
+					this.#reportTakeover(other, run);
+				}
+			}
 		}
+	}
 
-		if (placement.kind === 'refuse') {
-			this.#retryAfterMs = Math.max(this.#retryAfterMs, placement.retryAfterMs);
-			return this.#fail(placement.reason);
+	/** Resolves when the run and the runs that were started beside it have ended. Undefined when another server may be tried. */
+	async #runToEnd(run: StreamRun, start: () => Promise<RunEnding | undefined>): Promise<RunEnding | undefined> {
+		this.#runs.add(run);
+		const ending = await start();
+		this.#runs.delete(run);
+		run.permit?.release();
+		if (ending?.isAnswer) {
+			this.#cancelOthers(run);
+			return ending;
 		}
 
-		this.#predictedMs ??= placement.predictedMs;
-		return this.#runPlacement(placement, {run, prefill});
+		const successorEnding = await run.successorEnding;
+		return successorEnding?.isAnswer ? successorEnding : ending ?? successorEnding;
+	}
+
+	/** Plans the run with all permits that its placement needs. Without one for a prefill, a decode server prefills the prompt. */
+	#plan(run: StreamRun): Plan {
+		const excluded = this.#listExcluded(run);
+		const placement = this.#selectPlacement({excluded});
+		if (placement.kind !== 'hand-over') {
+			return {placement};
+		}
+
+		const prefillPermit = this.#permits.acquire(retryKinds.prefill);
+		return prefillPermit ? {placement, prefillPermit} : {placement: this.#selectPlacement({excluded, canPrefill: false})};
 	}
 
-	#selectPlacement({canPrefill = true} = {}): Placement {
+	/** Servers at which this request has failed, and those that are silent. */
+	#listExcluded(run: StreamRun): Set<string> {
+		return new Set([...this.#excluded, ...run.listServers().map(({id}) => id)]);
+	}
+
+	#selectPlacement({excluded, canPrefill = true}: {excluded: ReadonlySet<string>; canPrefill?: boolean}): Placement {
 		const {promptPlacement} = this.#context;
 		return promptPlacement.plan({
 			prompt: this.#prompt,
@@ -122,74 +172,91 @@
 			objectiveMs: this.#request.route.objectiveMs,
 			maxWaitMs: this.#maxWaitMs,
 			availabilityZone: this.#context.availabilityZone,
-			excluded: this.#excluded,
+			excluded,
 		});
 	}
 
-	/** Returns the result of the request, or undefined when another server may be tried. */
-	async #runPlacement(placement: Exclude<Placement, {kind: 'refuse'}>, {run, prefill}: {run: SendPermit; prefill: SendPermit | undefined}): Promise<RequestResult | undefined> {
-		let handle: KvHandle | undefined;
-		if (placement.kind === 'hand-over') {
-			handle = await this.#runPrefill(placement, prefill!);
-			if (this.#request.signal.aborted) {
-				this.#releaseKvHandle(handle);
-				return this.#createResult(requestOutcomes.callerGone);
-			}
+	async #followPlan(run: StreamRun, {placement, prefillPermit}: Plan): Promise<RunEnding | undefined> {
+		if (placement.kind === 'refuse') {
+			this.#retryAfterMs = Math.max(this.#retryAfterMs, placement.retryAfterMs);
+			return this.#createFailure(placement.reason);
+		}
 
-			if (computeRemainingMs(this.#context, this.#request) < 1) {
-				this.#releaseKvHandle(handle);
-				return this.#fail('the prefill did not finish before the deadline');
-			}
+		this.#predictedMs ??= placement.predictedMs;
+		const handle = placement.kind === 'hand-over' ? await this.#runPrefill(run, placement, prefillPermit!) : undefined;
+		if (this.#request.signal.aborted) {
+			this.#releaseKvHandle(handle);
+			return this.#createCallerGone();
+		}
 
-			if (!handle) {
-				return undefined;
-			}
+		if (placement.kind === 'hand-over' && (!handle || !await this.#canGenerate(run))) {
+			this.#releaseKvHandle(handle);
+			return this.#remainingMs < 1 ? this.#createFailure('the prefill did not finish before the deadline') : undefined;
 		}
 
-		const decodeServer = handle ? this.#reselectDecodeServer(placement.decodeServer) : placement.decodeServer;
+		const decodeServer = handle ? this.#reselectDecodeServer(run, placement.decodeServer) : placement.decodeServer;
 		if (!decodeServer) {
 			this.#releaseKvHandle(handle);
 			return undefined;
 		}
 
 		this.#servers.push(decodeServer);
-		const result = await this.#generate(decodeServer, {permit: run, handle, placement});
-		if (this.#backupServer && this.#relay.lastEventId !== undefined && !result.error?.foreignAnswer && (result.outcome === attemptOutcomes.broken || result.outcome === attemptOutcomes.stalled)) {
-			return this.#resumeAtBackup(decodeServer, result);
+		const result = await this.#generate(run, decodeServer, {permit: run.permit!, handle, placement});
+		if (run.backupServer && !run.successor && this.#relay.lastEventId !== undefined && !result.error?.foreignAnswer && result.outcome === attemptOutcomes.broken) {
+			return this.#resumeAtBackup(run, decodeServer, result);
 		}
 
-		return this.#handleResult(decodeServer, result, handle);
+		return this.#handleResult(run, {server: decodeServer, result, handle});
+	}
+
+	/** Tells after a prefill whether the run may go on. Another one that was started meanwhile ends, unless it generates already. */
+	async #canGenerate(run: StreamRun): Promise<boolean> {
+		if (run.isCancelled || this.#remainingMs < 1) {
+			return false;
+		}
+
+		const {successor} = run;
+		if (successor) {
+			if (successor.isGenerating) {
+				return false;
+			}
+
+			successor.canceller.cancel();
+			await run.successorEnding;
+		}
+
+		run.permit ??= this.#permits.acquire(retryKinds.run);
+		const isAllowed = this.#isNotExecuted || this.#isRetryable;
+		return isAllowed && run.permit !== undefined && this.#servers.length < this.#request.route.maxServers;
 	}
 
 	/** The load of the decode servers has changed while the prompt was prefilled, and all of them may have left. */
-	#reselectDecodeServer(planned: KnownServer): KnownServer | undefined {
+	#reselectDecodeServer(run: StreamRun, planned: KnownServer): KnownServer | undefined {
 		const {promptPlacement, availabilityZone} = this.#context;
 		const servers = listCandidates(this.#context, this.#request.service);
 		return promptPlacement.selectDecodeServer({
-			prompt: this.#prompt, objectiveMs: this.#request.route.objectiveMs, excluded: this.#excluded, availabilityZone,
+			prompt: this.#prompt, objectiveMs: this.#request.route.objectiveMs, excluded: this.#listExcluded(run), availabilityZone,
 		}, servers) ?? (isCandidate(this.#context, planned) ? planned : undefined);
 	}
 
-	/** Resumes the stream after its last event at the backup server, from the copy of the KV cache. It counts as the same run. */
-	async #resumeAtBackup(failedServer: KnownServer, failedResult: AttemptResult): Promise<RequestResult> {
+	/** Resumes the stream at the backup server after the connection to its server has broken. */
+	async #resumeAtBackup(run: StreamRun, failedServer: KnownServer, failedResult: AttemptResult): Promise<RunEnding> {
 		const {eventLog, health, onConnectionLost} = this.#context;
-		const backup = this.#backupServer!;
+		const backup = run.backupServer!;
 		health.recordUnresponsive(failedServer);
-		if (failedResult.outcome === attemptOutcomes.broken) {
-			onConnectionLost(this.#request, failedServer);
-		}
-
+		onConnectionLost(this.#request, failedServer);
 		this.#isNotExecuted = false;
 		const permit = isCandidate(this.#context, backup) ? this.#permits.acquire(retryKinds.resume) : undefined;
 		eventLog.emit('streamMoved', {
 			request: this.#request.metadata.requestId, from: failedServer.id, to: backup.id, end: failedResult.outcome, silentMs: failedResult.silentMs, lastEvent: this.#relay.lastEventId, mayGoOn: permit !== undefined,
 		});
-		if (!permit) {
-			return this.#fail(`the attempt ended as ${failedResult.outcome}`);
-		}
+		return permit ? this.#resumeAt(run, backup, permit) : this.#createFailure(`the attempt ended as ${failedResult.outcome}`);
+	}
 
+	/** Resumes the stream after its last event from the copy of the KV cache at a server. It counts as the same run. */
+	async #resumeAt(run: StreamRun, backup: KnownServer, permit: SendPermit): Promise<RunEnding> {
 		this.#servers.push(backup);
-		const result = await this.#generate(backup, {
+		const result = await this.#generate(run, backup, {
 			permit,
 			handle: {address: backup.address, handle: this.#request.metadata.requestId!},
 			placement: {
@@ -200,18 +267,102 @@
 			return this.#finishStream(backup, result.answer!);
 		}
 
-		return result.outcome === attemptOutcomes.cancelled ? this.#createResult(requestOutcomes.callerGone) : this.#fail(`the stream could not go on: ${result.outcome} ${result.head?.status ?? ''}`);
+		return result.outcome === attemptOutcomes.cancelled ? this.#createCallerGone() : this.#createFailure(`the stream could not go on: ${result.outcome} ${result.head?.status ?? ''}`);
+	}
+
+	/** Starts another run beside one whose server is silent, if one is allowed. */
+	#handleSilence(run: StreamRun, server: KnownServer, silentMs: number): void {
+		if (run.isCancelled || run.successor) {
+			return;
+		}
+
+		const {health, eventLog, metrics} = this.#context;
+		health.recordSilent(server);
+		const takeover = this.#planTakeover(run);
+		const isTakenOver = 'run' in takeover;
+		if (isTakenOver || !run.isSilenceReported) {
+			run.isSilenceReported = true;
+			metrics.count('silent_servers_total', {service: server.service, decision: isTakenOver ? 'another-server' : 'wait'});
+			eventLog.emit('serverSilent', {
+				request: this.#request.metadata.requestId, server: server.id, isGenerating: run.isGenerating, silentMs, lastAnswerMs: health.measureSilence(server), lastEvent: this.#relay.lastEventId, isTakenOver, reason: isTakenOver ? undefined : takeover.reason,
+			});
+		}
+
+		if (isTakenOver) {
+			run.successor = takeover.run;
+			run.successorEnding = this.#runSuccessor(run, takeover);
+		}
+	}
+
+	async #runSuccessor(run: StreamRun, takeover: Takeover): Promise<RunEnding | undefined> {
+		const ending = await this.#runToEnd(takeover.run, takeover.start);
+		// A run that did not answer leaves room for another one.
+		run.successor = undefined;
+		return ending;
+	}
+
+	#planTakeover(run: StreamRun): Takeover | DeniedTakeover {
+		const backup = run.backupServer;
+		if (run.isGenerating && backup && this.#relay.lastEventId !== undefined && isCandidate(this.#context, backup)) {
+			const permit = this.#permits.acquire(retryKinds.resume);
+			if (permit) {
+				// The copy can be used once.
+				run.backupServer = undefined;
+				const successor = this.#createRun({predecessor: run});
+				return {run: successor, start: async () => this.#resumeAt(successor, backup, permit)};
+			}
+		}
+
+		if (run.isGenerating ? !this.#isRetryable : run.successorEnding) {
+			return {reason: run.isGenerating ? 'the request must not run twice' : 'another run has failed'};
+		}
+
+		if (this.#servers.length >= this.#request.route.maxServers || this.#remainingMs < minimumRetryMs) {
+			return {reason: 'no further server is allowed'};
+		}
+
+		return this.#planSuccessor(run);
+	}
+
+	/** Before its generation, a run lends its permit to its successor. */
+	#planSuccessor(run: StreamRun): Takeover | DeniedTakeover {
+		const permit = run.isGenerating ? this.#permits.acquire(retryKinds.run) : run.permit;
+		if (!permit) {
+			return {reason: 'the retry budget is used up'};
+		}
+
+		const successor = this.#createRun({permit, predecessor: run});
+		const plan = this.#plan(successor);
+		if (plan.placement.kind === 'refuse') {
+			if (run.isGenerating) {
+				permit.release();
+			}
+
+			return {reason: plan.placement.reason};
+		}
+
+		run.permit = run.isGenerating ? run.permit : undefined;
+		return {run: successor, start: async () => this.#followPlan(successor, plan)};
+	}
+
+	#reportTakeover(run: StreamRun, by: StreamRun): void {
+		const {eventLog, metrics} = this.#context;
+		const isSilenceOver = by.successor === run;
+		metrics.count('takeovers_total', {service: this.#request.service, by: isSilenceOver ? 'silent-server' : 'another-server'});
+		eventLog.emit('requestTakenOver', {
+			request: this.#request.metadata.requestId, from: run.server?.id, to: by.server?.id, lastEvent: this.#relay.lastEventId, isSilenceOver,
+		});
 	}
 
 	/** Prefills the prompt at another server. Returns the handle of its KV cache; undefined when the request needs a new placement. */
-	async #runPrefill({prefillServer, kvSource, prefillTokens, predictedMs}: Placement & {kind: 'hand-over'}, permit: SendPermit): Promise<KvHandle | undefined> {
+	async #runPrefill(run: StreamRun, {prefillServer, kvSource, prefillTokens, predictedMs}: Placement & {kind: 'hand-over'}, permit: SendPermit): Promise<KvHandle | undefined> {
 		const {loadTracker, client, clock, codec, health, measurements, eventLog} = this.#context;
 		const queuedTokens = loadTracker.getLoad(prefillServer.id).promptTokens;
 		const inFlightLoad = loadTracker.add(prefillServer.id, prefillTokens);
 		const startedAt = clock.monotonic();
-		const silence = this.#createSilenceDetector(prefillServer, predictedMs);
+		run.server = prefillServer;
 		const result = await runAttempt(client, prefillServer.address, {
-			clock, signal: this.#request.signal, timeoutMs: computeRemainingMs(this.#context, this.#request), firstByteTimeoutMs: silence.intervalMs, isLost: () => silence.isLost(clock.monotonic(), computeRemainingMs(this.#context, this.#request)), request: createOutboundRequest(this.#context, this.#request, {
+			clock, signal: this.#request.signal, timeoutMs: this.#remainingMs, canceller: run.canceller, silence: this.#createSilenceOptions(run, prefillServer, predictedMs), request: createOutboundRequest(this.#context, this.#request, {
 				server: prefillServer, permit, needsVerifiedConnection: false, priority: this.#priority, isPrefillOnly: true, prefixCacheAddress: kvSource?.address,
 			}),
 		});
@@ -230,7 +381,7 @@
 
 		this.#excluded.add(prefillServer.id);
 		this.#grounds.add(callKinds.prefill, prefillServer, {result, isNotExecuted: metadata?.isNotExecuted ?? false});
-		if (result.outcome === attemptOutcomes.cancelled) {
+		if (result.outcome === attemptOutcomes.cancelled || result.outcome === attemptOutcomes.replaced) {
 			return undefined;
 		}
 
@@ -246,12 +397,12 @@
 		return undefined;
 	}
 
-	async #generate(server: KnownServer, {permit, handle, placement}: {permit: SendPermit; handle?: KvHandle; placement: Exclude<Placement, {kind: 'refuse'}>}): Promise<AttemptResult> {
+	async #generate(run: StreamRun, server: KnownServer, {permit, handle, placement}: {permit: SendPermit; handle?: KvHandle; placement: AcceptedPlacement}): Promise<AttemptResult> {
 		const {loadTracker, client, clock, measurements} = this.#context;
 		const isLongOutput = this.#prompt.maxOutputTokens >= longOutputTokens;
-		this.#backupServer = isLongOutput ? selectBackup(this.#context, this.#request.service, server) : undefined;
-		const canFailOver = this.#isRetryable && this.#servers.length < this.#request.route.maxServers;
-		const silence = this.#createSilenceDetector(server, placement.predictedMs);
+		run.server = server;
+		run.isGenerating = true;
+		run.backupServer = isLongOutput ? selectBackup(this.#context, this.#request.service, server) : undefined;
 		const load = loadTracker.getLoad(server.id);
 		const inFlightLoad = loadTracker.add(server.id, handle ? 0 : placement.prefillTokens, {isStream: isLongOutput});
 		let firstByteAt: number | undefined;
@@ -259,12 +410,11 @@
 		const result = await runAttempt(client, server.address, {
 			clock,
 			signal: this.#request.signal,
-			timeoutMs: computeRemainingMs(this.#context, this.#request),
-			relay: this.#relay,
+			timeoutMs: this.#remainingMs,
+			canceller: run.canceller,
+			relay: run,
 			isStream: head => this.#isStream(head),
-			firstByteTimeoutMs: canFailOver ? silence.intervalMs : undefined,
-			isLost: () => silence.isLost(clock.monotonic(), computeRemainingMs(this.#context, this.#request)),
-			idleTimeoutMs: canFailOver || this.#backupServer ? Math.max(minimumIdleTimeoutMs, (this.#request.route.pauseObjectiveMs ?? 0) * idleTimeoutFactor) : undefined,
+			silence: this.#isRetryable || run.backupServer ? this.#createSilenceOptions(run, server, placement.predictedMs) : undefined,
 			onFirstByte: () => {
 				inFlightLoad.releasePrefill();
 				firstByteAt = clock.monotonic();
@@ -279,14 +429,17 @@
 				needsVerifiedConnection: !this.#isRetryable,
 				priority: this.#priority,
 				kvHandle: handle,
-				kvBackupAddress: this.#backupServer?.address,
+				kvBackupAddress: run.backupServer?.address,
 				prefixCacheAddress: handle === undefined && placement.kvSource?.id !== server.id ? placement.kvSource?.address : undefined,
 				lastEventId: this.#relay.lastEventId ?? this.#request.metadata.lastEventId,
 			}),
 		});
 		inFlightLoad.release();
 		permit.finish({isWritten: result.isWritten, isAccepted: true});
-		this.#lastAnswer = result.answer;
+		if (result.outcome !== attemptOutcomes.replaced) {
+			this.#lastAnswer = result.answer;
+		}
+
 		if (firstByteAt !== undefined && result.outcome === attemptOutcomes.answered) {
 			measurements.recordEnd(server, {isStream: isLongOutput, holdMs: clock.monotonic() - firstByteAt});
 		}
@@ -294,10 +447,18 @@
 		return result;
 	}
 
-	/** Without a measured speed, the prediction is a guess, and no attempt is cancelled because of it. */
-	#createSilenceDetector(server: KnownServer, predictedMs: number): SilenceDetector {
+	/** Without a measured speed, the prediction is a guess, and no server counts as lost because of it. */
+	#createSilenceOptions(run: StreamRun, server: KnownServer, predictedMs: number): SilenceOptions {
 		const {health, profile, clock} = this.#context;
-		return new SilenceDetector(health, {server, predictedMs: profile.isKnown(server.service) ? predictedMs : undefined, startedAt: clock.monotonic()});
+		const detector = new SilenceDetector(health, {server, predictedMs: profile.isKnown(server.service) ? predictedMs : undefined, startedAt: clock.monotonic()});
+		return {
+			firstByteMs: detector.intervalMs,
+			isLost: () => detector.isLost(clock.monotonic(), this.#remainingMs),
+			idleMs: Math.max(minimumSilenceMs, (this.#request.route.pauseObjectiveMs ?? 0) * silenceFactor),
+			onSilent: silentMs => {
+				this.#handleSilence(run, server, silentMs);
+			},
+		};
 	}
 
 	get #priority(): number {
@@ -310,35 +471,52 @@
 		return head.status === 200 && metadata.isAuthentic && type.startsWith('text/event-stream');
 	}
 
-	#handleResult(server: KnownServer, result: AttemptResult, handle: KvHandle | undefined): RequestResult | undefined {
-		if (result.outcome === attemptOutcomes.answered) {
-			return result.isStreamed ? this.#finishStream(server, result.answer!) : this.#handleResponse(server, result, handle);
+	#handleResult(run: StreamRun, {server, result, handle}: {server: KnownServer; result: AttemptResult; handle: KvHandle | undefined}): RunEnding | undefined {
+		switch (result.outcome) {
+			case attemptOutcomes.answered: {
+				return result.isStreamed ? this.#finishStream(server, result.answer!) : this.#handleResponse(server, result, handle);
+			}
+
+			case attemptOutcomes.cancelled: {
+				return this.#createCallerGone();
+			}
+
+			case attemptOutcomes.replaced: {
+				this.#recordNotAnswered(result, handle);
+				return undefined;
+			}
+
+			default: {
+				return this.#handleFailure(server, result, handle);
+			}
 		}
+	}
 
-		if (result.outcome === attemptOutcomes.cancelled) {
-			return this.#createResult(requestOutcomes.callerGone);
+	/** Records whether the server may have run the request, and releases the KV cache that it did not fetch. */
+	#recordNotAnswered({isWritten}: AttemptResult, handle: KvHandle | undefined): void {
+		this.#isNotExecuted &&= !isWritten;
+		if (!isWritten) {
+			this.#releaseKvHandle(handle);
 		}
+	}
 
+	#handleFailure(server: KnownServer, result: AttemptResult, handle: KvHandle | undefined): RunEnding | undefined {
 		const {health, eventLog, onConnectionLost} = this.#context;
 		const foreignAnswer = result.error?.foreignAnswer;
-		this.#isNotExecuted &&= !result.isWritten;
+		this.#recordNotAnswered(result, handle);
 		this.#grounds.add(callKinds.run, server, {result, isNotExecuted: false});
-		if (!result.isWritten) {
-			this.#releaseKvHandle(handle);
-		}
-
 		this.#excluded.add(server.id);
 		eventLog.emit('attemptFailed', {
 			request: this.#request.metadata.requestId, server: server.id, end: result.outcome, isWritten: result.isWritten, silentMs: result.silentMs, lastAnswerMs: health.measureSilence(server), lastEvent: this.#relay.lastEventId, reason: result.error?.message, answer: this.#lastAnswer,
 		});
-		if (result.outcome === attemptOutcomes.broken || result.outcome === attemptOutcomes.stalled) {
+		if (result.outcome === attemptOutcomes.broken) {
 			if (foreignAnswer) {
 				health.recordForeignAnswer(server, foreignAnswer);
 			} else if (!result.error?.isStale) {
 				health.recordUnresponsive(server);
 			}
 
-			if (result.outcome === attemptOutcomes.broken && result.isWritten && !foreignAnswer) {
+			if (result.isWritten && !foreignAnswer) {
 				onConnectionLost(this.#request, server);
 			}
 
@@ -347,21 +525,19 @@
 			}
 		}
 
-		return this.#fail(describeFailure(result));
+		return this.#createFailure(describeFailure(result));
 	}
 
-	#finishStream(server: KnownServer, answer: ReceivedAnswer): RequestResult {
+	#finishStream(server: KnownServer, answer: ReceivedAnswer): RunEnding {
 		const {health, poisonRequests} = this.#context;
 		health.recordSuccess(server);
 		poisonRequests.recordSuccess(this.#request.fingerprint);
-		if (!this.#relay.finish(answer)) {
-			return this.#fail('the end of the resumed stream can\'t be told from a break');
-		}
-
-		return this.#createResult(requestOutcomes.answered, {status: 200});
+		return {
+			isAnswer: true, finish: () => this.#relay.finish(answer) ? this.#createResult(requestOutcomes.answered, {status: 200}) : this.#fail('the end of the resumed stream can\'t be told from a break'),
+		};
 	}
 
-	#handleResponse(server: KnownServer, result: AttemptResult, handle: KvHandle | undefined): RequestResult | undefined {
+	#handleResponse(server: KnownServer, result: AttemptResult, handle: KvHandle | undefined): RunEnding | undefined {
 		const head = result.head!;
 		const metadata = this.#context.codec.decodeResponseHead(head);
 		if (metadata.isNotExecuted) {
@@ -379,11 +555,11 @@
 		if (head.status < 300 && !metadata.isAuthentic) {
 			this.#context.health.recordBrokenResponse(server);
 			this.#excluded.add(server.id);
-			return this.#isRetryable ? undefined : this.#fail('the server sent an answer that is not its own');
+			return this.#isRetryable ? undefined : this.#createFailure('the server sent an answer that is not its own');
 		}
 
 		if (this.#relay.isOpen) {
-			return this.#isRetryable ? undefined : this.#fail('the stream could not be resumed');
+			return this.#isRetryable ? undefined : this.#createFailure('the stream could not be resumed');
 		}
 
 		if (head.status >= 500) {
@@ -395,11 +571,23 @@
 		}
 
 		if (metadata.isReadAsNotExecuted && !this.#isRetryable) {
-			return this.#fail(`the server answered ${head.status} and did not state that it has not run`);
+			return this.#createFailure(`the server answered ${head.status} and did not state that it has not run`);
 		}
 
-		forwardResponse(this.#request.response, head, result.body);
-		return this.#createResult(requestOutcomes.answered, {status: head.status});
+		return {
+			isAnswer: head.status < 500, finish: () => {
+				forwardResponse(this.#request.response, head, result.body);
+				return this.#createResult(requestOutcomes.answered, {status: head.status});
+			},
+		};
+	}
+
+	#createCallerGone(): RunEnding {
+		return {isAnswer: true, finish: () => this.#createResult(requestOutcomes.callerGone)};
+	}
+
+	#createFailure(reason: string): RunEnding {
+		return {isAnswer: false, finish: () => this.#fail(reason)};
 	}
 
 	/** Releases a KV cache that no server will fetch. */
--- /dev/null
+++ b/packages/plugins/edge/test/attempt.test.ts
@@ -0,0 +1,108 @@
+import {Buffer} from 'node:buffer';
+import {expect} from 'chai';
+import {ManualClock} from '@hickorytrack/clock/manual-clock';
+import type {EndpointClient, OutboundRequest, ResponseHandler} from '@hickorytrack/endpoint-client';
+import {ByteBudget} from '@hickorytrack/http-answer/byte-budget';
+import {
+	AttemptCanceller, attemptOutcomes, runAttempt, type AttemptResult,
+} from '../src/attempt.js';
+
+const idleMs = 600;
+const firstByteMs = 200;
+const request: OutboundRequest = {
+	callKind: 'run', method: 'POST', path: '/', headers: [], needsVerifiedConnection: false, connectionLimit: 1,
+};
+const event = Buffer.from('id: 1\ndata: x\n\n');
+
+describe('attempt', () => {
+	let clock: ManualClock;
+	let handler: ResponseHandler;
+	let silences: number[];
+	let isLost: boolean;
+	let canWrite: boolean;
+	let drain: (() => void) | undefined;
+	let canceller: AttemptCanceller;
+	let result: AttemptResult | undefined;
+
+	const start = () => {
+		const client = {
+			limits: {maxAnswerBytes: 1000, budget: new ByteBudget(1000)}, send(_address: string, _request: OutboundRequest, given: ResponseHandler) {
+				handler = given;
+				return {
+					cancel() {
+						handler.onFailure({isWritten: true} as never);
+					}, pause() {/* The test sends no more. */}, resume() {/* The test sends on. */},
+				};
+			},
+		} as unknown as EndpointClient;
+		const relay = {
+			open() {/* The head is not looked at. */}, write: () => canWrite, onDrain(listener: () => void) {
+				drain = listener;
+			},
+		};
+		const silence = {
+			firstByteMs, idleMs, isLost: () => isLost, onSilent(silentMs: number) {
+				silences.push(silentMs);
+			},
+		};
+		void runAttempt(client, 'a:1', {
+			clock, signal: new AbortController().signal, timeoutMs: 10_000, relay, isStream: () => true, silence, canceller, request,
+		}).then(ended => {
+			result = ended;
+		});
+	};
+
+	beforeEach(() => {
+		clock = new ManualClock();
+		silences = [];
+		isLost = true;
+		canWrite = true;
+		drain = undefined;
+		canceller = new AttemptCanceller();
+		result = undefined;
+		start();
+	});
+
+	it('goes on at a server that is silent, and reports each check', async () => {
+		await clock.advance(firstByteMs);
+		await clock.advance(firstByteMs);
+		handler.onHead({status: 200, headers: {}});
+		handler.onData(event);
+		await clock.advance(idleMs);
+		expect(silences).to.deep.equal([firstByteMs, 2 * firstByteMs, idleMs]);
+		expect(result).to.equal(undefined);
+		handler.onEnd({} as never);
+		await clock.advance(1);
+		expect(result?.outcome).to.equal(attemptOutcomes.answered);
+	});
+
+	it('reports no silence before the first byte while the server does not count as lost', async () => {
+		isLost = false;
+		await clock.advance(firstByteMs * 3);
+		expect(silences).to.deep.equal([]);
+	});
+
+	// The server was held to be silent while its stream waited for a caller that read slowly.
+	it('reports no silence while the caller reads slowly', async () => {
+		canWrite = false;
+		handler.onHead({status: 200, headers: {}});
+		handler.onData(event);
+		await clock.advance(idleMs * 3);
+		expect(silences).to.deep.equal([]);
+		drain!();
+		await clock.advance(idleMs - 1);
+		expect(silences).to.deep.equal([]);
+		await clock.advance(idleMs);
+		expect(silences).to.have.length(1);
+	});
+
+	it('ends when another attempt delivers, also one that was cancelled before it started', async () => {
+		canceller.cancel();
+		await clock.advance(1);
+		expect(result?.outcome).to.equal(attemptOutcomes.replaced);
+		result = undefined;
+		start();
+		await clock.advance(1);
+		expect(result).to.have.property('outcome', attemptOutcomes.replaced);
+	});
+});
--- a/packages/plugins/edge/test/retry-fleet.ts
+++ b/packages/plugins/edge/test/retry-fleet.ts
@@ -227,6 +227,7 @@
 			poisonRequests: new PoisonRequestTracker(clock),
 			availabilityZone: 'z',
 			getConnectionLimit: () => 100,
+			metrics: new MetricsRegistry(),
 			onConnectionLost() {/* No server crashes here. */},
 		};
 	}
