feat(edge): log requests whose connection the edge ended, and by what a request was routed

A connection that the edge ended with an open request looked like a caller that left (1760), a request behind unreadable bytes was dropped without a line, and the end of a request named the configuration at its end only.

Event 1766 and hickorytrack_requests_dropped_total report each request that was read whole and whose connection this side ended, or let end, without a complete answer: which one, why, for how long it was open and whether it had been passed on. 1760 is written only when the caller ended the connection; otherwise the request ends as 1753 with the outcome dropped. All ends of requests carry routedVersion, timeoutMs and timeoutBy beside the version at the end. No change of how a request is handled.

--- a/packages/core/events/src/event-catalogue.ts
+++ b/packages/core/events/src/event-catalogue.ts
@@ -227,6 +227,9 @@
 	answerEndedByConnection: {
 		number: 1762, level: 'info', text: 'A request was answered with neither a length nor chunks; the end of the connection ended the answer', action: 'Check the server if its answers usually have a length or chunks.',
 	},
+	requestDropped: {
+		number: 1766, level: 'warn', text: 'This side ended the connection of a request that it had read and not answered completely; the reason says why', action: 'For cut, search the failed attempts for its id; report any other reason.',
+	},
 } as const satisfies Record<string, EventDefinition>;
 
 export type EventName = keyof typeof eventCatalogue;
--- a/packages/plugins/edge/src/caller-request.ts
+++ b/packages/plugins/edge/src/caller-request.ts
@@ -6,6 +6,34 @@
 import type {RefusalGround} from './refusal-grounds.js';
 import type {RequestMetadata} from './request-codec.js';
 
+/** Whose timeout is the earlier one. */
+export const timeoutSources = {caller: 'caller', route: 'route'} as const;
+export type TimeoutSource = typeof timeoutSources[keyof typeof timeoutSources];
+
+export type RequestRouting = {
+	/** Version of the configuration. */
+	version: number;
+	/** The caller's or the route's timeout, whichever is shorter. */
+	timeoutMs: number;
+	timeoutBy: TimeoutSource;
+};
+
+/** Why this side ended the connection of a request that it had read and not answered completely. */
+export const dropReasons = {
+	/** The time for a request head, or the idle timeout, expired. */
+	limit: 'limit',
+	stop: 'stop',
+	/** Bytes behind the request could not be read. */
+	unreadable: 'unreadable',
+	/** The answer to an earlier request of the connection ended it. */
+	earlierAnswer: 'earlier-answer',
+	/** The answer had begun and was broken off. */
+	cut: 'cut',
+	exit: 'exit',
+	error: 'error',
+} as const;
+export type DropReason = typeof dropReasons[keyof typeof dropReasons];
+
 export type CallerRequest = {
 	metadata: RequestMetadata;
 	method: string;
@@ -17,8 +45,10 @@
 	arrivedAt: number;
 	/** Monotonic time at which the caller's or the route's timeout expires, whichever is earlier. */
 	deadlineAt: number;
+	/** By what the request was routed; later configurations don't change it. Undefined if no configuration routed it. */
+	routing?: RequestRouting;
 	response: ServerResponse;
-	/** Aborts when the caller disconnects. */
+	/** Aborts when the caller disconnects, and with a drop reason when this side ends the caller's connection. */
 	signal: AbortSignal;
 	/** Identifies repeats of the same request, at whichever instance they arrive. */
 	fingerprint: string;
@@ -35,6 +65,8 @@
 	/** The stream broke after it had started. */
 	cut: 'cut',
 	callerGone: 'caller-gone',
+	/** This side ended the connection of the caller. */
+	dropped: 'dropped',
 } as const;
 export type RequestOutcome = typeof requestOutcomes[keyof typeof requestOutcomes];
 
--- a/packages/plugins/edge/src/edge.ts
+++ b/packages/plugins/edge/src/edge.ts
@@ -127,6 +127,8 @@
 		this.#frontend = new HttpFrontend({
 			clock, random, codec, notReadyRetryAfterMs: defaultRetryAfterMs, getRoutes: () => this.configuration.isConfirmed ? this.#routes : undefined, forward: async request => this.#forward(request), onRejected: rejected => {
 				this.#requestLog.recordRejected(rejected);
+			}, onDropped: dropped => {
+				this.#requestLog.recordDropped(dropped);
 			},
 		});
 		opts.metrics.onRead(() => {
@@ -186,6 +188,12 @@
 
 		events.emit('edgeStopped', {openRequests: this.#frontend.openRequests});
 		await this.kill();
+		this.recordExit();
+	}
+
+	/** Reports the requests that the exit of the process leaves without an answer. */
+	recordExit(): void {
+		this.#frontend.recordExit();
 	}
 
 	/** Stops at once, without a drain. */
@@ -348,7 +356,7 @@
 			sendProblem(request.response, {
 				status: 503, code: 'poison', detail: 'The request has not run: identical requests crashed the servers that ran them.', headers: codec.encodeRetryAfter(request.route.timeoutMs),
 			});
-			eventLog.emit('poisonRefused', {request: request.metadata.requestId, route: request.route.name});
+			eventLog.emit('poisonRefused', {request: request.metadata.requestId, route: request.route.name, routedVersion: request.routing?.version});
 			return;
 		}
 
--- a/packages/plugins/edge/src/http-frontend.ts
+++ b/packages/plugins/edge/src/http-frontend.ts
@@ -12,7 +12,9 @@
 import type {Random} from '@hickorytrack/random';
 import {selectTarget, type RouteTable} from '@hickorytrack/route-table';
 import {sendProblem} from './responses.js';
-import type {CallerRequest} from './caller-request.js';
+import {
+	dropReasons, timeoutSources, type CallerRequest, type DropReason,
+} from './caller-request.js';
 import type {RequestCodec} from './request-codec.js';
 
 export type HttpFrontendOptions = {
@@ -24,6 +26,8 @@
 	forward: (request: CallerRequest) => Promise<void>;
 	/** Called for each request that is rejected without being forwarded. */
 	onRejected: (rejected: RejectedRequest) => void;
+	/** Called for each request that was read whole and whose connection this side ended without a complete answer. */
+	onDropped: (dropped: DroppedRequest) => void;
 	/** Retry-After of 503 responses of the frontend, in milliseconds. */
 	notReadyRetryAfterMs: number;
 };
@@ -37,13 +41,33 @@
 	reason: 'body-broken' | 'not-ready' | 'no-route' | 'body-too-large' | 'stopping' | 'unreadable';
 	/** Status of the answer to unreadable bytes. */
 	status?: number;
+	/** Version of the configuration in which its route was looked up. */
+	routedVersion?: number;
+};
+
+/** A request that was read whole and whose connection this side ended, or let end, without a complete answer. */
+export type DroppedRequest = {
+	requestId: string | undefined;
+	host: string | undefined;
+	path: string;
+	reason: DropReason;
+	/** The request was passed on, so that a server may have run it. */
+	isForwarded: boolean;
+	/** Time since the head of the request had been read. */
+	openMs: number;
 };
 
 type OpenExchange = {
 	incoming: IncomingMessage;
 	response: ServerResponse;
+	arrivedAt: number;
+	isForwarded: boolean;
+	isReported: boolean;
 };
 
+/** Who or what ended a connection. */
+type ConnectionEnd = DropReason | 'caller';
+
 /** Status by the error code of the HTTP parser; any other error is a bad request. */
 const unreadableStatuses: Readonly<Record<string, number>> = {
 	ERR_HTTP_REQUEST_TIMEOUT: 408,
@@ -52,6 +76,8 @@
 };
 const badRequestStatus = 400;
 
+const timeoutStatus = 408;
+
 /** Logged characters of a path or host: enough to identify the route, while a request head may have 64 KB. */
 const maxLoggedCharacters = 200;
 /** Upper bound for the size of a request head; the configured limit may be lower. */
@@ -69,8 +95,10 @@
 	readonly #openExchanges = new WeakMap<Socket, Set<OpenExchange>>();
 	/** Connections that close after their open responses; no further request of them is read. */
 	readonly #closingSockets = new WeakSet<Socket>();
+	readonly #connectionEnds = new WeakMap<Socket, ConnectionEnd>();
+	readonly #exchanges = new Set<OpenExchange>();
 	#stoppingSince: number | undefined;
-	#openRequests = 0;
+	#isClosed = false;
 
 	constructor(opts: HttpFrontendOptions) {
 		this.#opts = opts;
@@ -80,6 +108,13 @@
 		this.#server.on('connection', (socket: Socket) => {
 			// Each open request of a connection listens for its close.
 			socket.setMaxListeners(0);
+			// Before the listener of the server, which may find the bytes before the end unreadable.
+			socket.prependListener('end', () => {
+				this.#recordCallerEnd(socket);
+			});
+			socket.on('timeout', () => {
+				this.#connectionEnds.set(socket, dropReasons.limit);
+			});
 		});
 		this.#server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
 			this.#handleClientError(error, socket as Socket);
@@ -87,7 +122,7 @@
 	}
 
 	get openRequests(): number {
-		return this.#openRequests;
+		return this.#exchanges.size;
 	}
 
 	async listen(host: string, port: number): Promise<void> {
@@ -112,21 +147,29 @@
 
 	/** Closes the listener and idle connections. */
 	close(): void {
+		this.#isClosed = true;
 		this.#server.close();
 		this.#server.closeIdleConnections();
 	}
 
+	/** Reports the requests that are still open when the process exits. */
+	recordExit(): void {
+		for (const exchange of this.#exchanges) {
+			this.#recordDropped(exchange, dropReasons.exit);
+		}
+	}
+
 	async #handle(incoming: IncomingMessage, response: ServerResponse): Promise<void> {
+		const exchange = this.#recordExchange(incoming, response);
 		if (this.#closingSockets.has(incoming.socket)) {
 			return;
 		}
 
-		this.#recordExchange({incoming, response});
 		if (this.#stoppingSince !== undefined) {
 			response.setHeader('connection', 'close');
 		}
 
-		const arrivedAt = this.#opts.clock.monotonic();
+		const {arrivedAt} = exchange;
 		const routes = this.#opts.getRoutes();
 		const [path] = incoming.url!.split('?', 1);
 		const route = routes?.findRoute(incoming.headers.host ?? '', path!);
@@ -134,7 +177,7 @@
 		const metadata = this.#opts.codec.decodeRequestHeaders(incoming.rawHeaders);
 		const reportRejected = (reason: RejectedRequest['reason']) => {
 			this.#opts.onRejected({
-				requestId: metadata.requestId, host: incoming.headers.host?.slice(0, maxLoggedCharacters), path: path!.slice(0, maxLoggedCharacters), reason,
+				requestId: metadata.requestId, host: incoming.headers.host?.slice(0, maxLoggedCharacters), path: path!.slice(0, maxLoggedCharacters), reason, routedVersion: routes?.configuration.version,
 			});
 		};
 
@@ -173,10 +216,12 @@
 		const abortController = new AbortController();
 		onClosed(response, () => {
 			if (!response.writableFinished) {
-				abortController.abort();
+				const end = this.#findEnd(exchange);
+				abortController.abort(end === 'caller' ? undefined : end);
 			}
 		});
 		const waitMs = Math.min(metadata.waitMs ?? route.timeoutMs, route.timeoutMs);
+		exchange.isForwarded = true;
 		await this.#opts.forward({
 			metadata,
 			method: incoming.method!,
@@ -186,6 +231,7 @@
 			service: selectTarget(route, this.#opts.random),
 			arrivedAt,
 			deadlineAt: arrivedAt + waitMs,
+			routing: {version: routes.configuration.version, timeoutMs: waitMs, timeoutBy: waitMs < route.timeoutMs ? timeoutSources.caller : timeoutSources.route},
 			response,
 			signal: abortController.signal,
 			fingerprint: createHash('sha1').update(`${incoming.method} ${incoming.headers.host} ${incoming.url}\n`).update(body).digest('base64'),
@@ -193,15 +239,65 @@
 	}
 
 	/** Records the request as open until its response is complete or its connection has closed. */
-	#recordExchange(exchange: OpenExchange): void {
-		const {socket} = exchange.incoming;
+	#recordExchange(incoming: IncomingMessage, response: ServerResponse): OpenExchange {
+		const {socket} = incoming;
+		const exchange = {
+			incoming, response, arrivedAt: this.#opts.clock.monotonic(), isForwarded: false, isReported: false,
+		};
 		const exchanges = this.#openExchanges.get(socket) ?? new Set();
 		this.#openExchanges.set(socket, exchanges.add(exchange));
-		this.#openRequests++;
-		onClosed(exchange.response, () => {
+		this.#exchanges.add(exchange);
+		onClosed(response, () => {
 			exchanges.delete(exchange);
-			this.#openRequests--;
+			this.#exchanges.delete(exchange);
+			const end = this.#findEnd(exchange);
+			if (!response.writableFinished && end !== 'caller') {
+				this.#recordDropped(exchange, end);
+			}
 		});
+		return exchange;
+	}
+
+	/** The caller has ended the connection, unless this side has done so before. */
+	#recordCallerEnd(socket: Socket): void {
+		if (!socket.writableEnded) {
+			this.#connectionEnds.set(socket, 'caller');
+		}
+	}
+
+	/** Returns why the connection of the exchange has ended. */
+	#findEnd({incoming: {socket}, response}: OpenExchange): ConnectionEnd {
+		const end = this.#connectionEnds.get(socket);
+		if (end) {
+			return end;
+		}
+
+		if (response.headersSent) {
+			return dropReasons.cut;
+		}
+
+		if (this.#isClosed) {
+			return dropReasons.stop;
+		}
+
+		// A connection that ends in an orderly way was ended by the response before.
+		return socket.writableEnded ? dropReasons.earlierAnswer : dropReasons.error;
+	}
+
+	/** Reports a request once, if it was read whole. */
+	#recordDropped(exchange: OpenExchange, reason: DropReason): void {
+		const {incoming, arrivedAt, isForwarded} = exchange;
+		if (incoming.complete && !exchange.isReported) {
+			exchange.isReported = true;
+			this.#opts.onDropped({
+				requestId: this.#opts.codec.decodeRequestHeaders(incoming.rawHeaders).requestId,
+				host: incoming.headers.host?.slice(0, maxLoggedCharacters),
+				path: incoming.url!.split('?', 1)[0]!.slice(0, maxLoggedCharacters),
+				reason,
+				isForwarded,
+				openMs: Math.round(this.#opts.clock.monotonic() - arrivedAt),
+			});
+		}
 	}
 
 	/**
@@ -212,6 +308,7 @@
 		if (!socket.writable || this.#closingSockets.has(socket)) {
 			// The connection itself failed, or its close was planned after an earlier error.
 			if (!socket.writable) {
+				this.#recordCallerEnd(socket);
 				socket.destroy(error);
 			}
 
@@ -223,6 +320,10 @@
 			requestId: undefined, host: undefined, path: '', reason: 'unreadable', status,
 		});
 		this.#closingSockets.add(socket);
+		if (this.#connectionEnds.get(socket) !== 'caller') {
+			this.#connectionEnds.set(socket, status === timeoutStatus ? dropReasons.limit : dropReasons.unreadable);
+		}
+
 		// A request that has not arrived completely is the one that can't be read.
 		const response = [...this.#openExchanges.get(socket) ?? []].findLast(({incoming}) => incoming.complete)?.response;
 		if (!response) {
--- a/packages/plugins/edge/src/request-log.ts
+++ b/packages/plugins/edge/src/request-log.ts
@@ -3,9 +3,11 @@
 import {answerFramings} from '@hickorytrack/http-answer/answer-framing';
 import type {ForeignAnswer} from '@hickorytrack/endpoint-client/answer-identity';
 import type {MetricsRegistry} from '@hickorytrack/metrics-registry';
-import {requestOutcomes, type CallerRequest, type RequestResult} from './caller-request.js';
+import {
+	dropReasons, requestOutcomes, type CallerRequest, type RequestResult,
+} from './caller-request.js';
 import type {RateLimitedEventLog} from './rate-limited-event-log.js';
-import type {RejectedRequest} from './http-frontend.js';
+import type {DroppedRequest, RejectedRequest} from './http-frontend.js';
 
 export type RequestLogOptions = {
 	clock: Clock;
@@ -22,13 +24,17 @@
 		this.#opts = opts;
 	}
 
-	recordResult(request: CallerRequest, result: RequestResult): void {
+	recordResult(request: CallerRequest, forwardResult: RequestResult): void {
 		const {eventLog, clock, getVersion} = this.#opts;
+		const result = checkCallerGone(request, forwardResult);
 		this.#recordMetrics(request, result);
 		const fields = {
 			request: request.metadata.requestId,
 			route: request.route.name,
 			version: getVersion(),
+			routedVersion: request.routing?.version,
+			timeoutMs: roundToWholeMs(request.routing?.timeoutMs),
+			timeoutBy: request.routing?.timeoutBy,
 			elapsedMs: Math.round(clock.monotonic() - request.arrivedAt),
 			...result,
 			firstByteMs: roundToWholeMs(result.firstByteMs),
@@ -69,6 +75,13 @@
 		eventLog.emit('turnedAway', {request: requestId, version: getVersion(), ...rejected});
 	}
 
+	/** Records a request whose connection this side ended without a complete answer. */
+	recordDropped({requestId, ...dropped}: DroppedRequest): void {
+		const {eventLog, metrics, getVersion} = this.#opts;
+		metrics.count('requests_dropped_total', {reason: dropped.reason});
+		eventLog.emit('requestDropped', {request: requestId, version: getVersion(), ...dropped});
+	}
+
 	/** Records an answer that was read where that of a request was due. */
 	recordForeignAnswer({expectedId, callKind, ...answer}: ForeignAnswer, server: string | undefined): void {
 		const {eventLog, metrics} = this.#opts;
@@ -95,6 +108,12 @@
 	}
 }
 
+/** A forwarder can't tell who ended the caller's connection; the reason of the signal can. */
+function checkCallerGone({signal}: CallerRequest, result: RequestResult): RequestResult {
+	const dropReason = Object.values(dropReasons).find(reason => reason === signal.reason);
+	return result.outcome === requestOutcomes.callerGone && dropReason ? {...result, outcome: requestOutcomes.dropped, reason: `the connection of the caller was ended here: ${dropReason}`} : result;
+}
+
 function roundToWholeMs(ms: number | undefined): number | undefined {
 	return ms === undefined ? undefined : Math.round(ms);
 }
--- a/packages/plugins/edge/test/http-frontend.test.ts
+++ b/packages/plugins/edge/test/http-frontend.test.ts
@@ -7,8 +7,8 @@
 import {Random} from '@hickorytrack/random';
 import {RouteTable} from '@hickorytrack/route-table';
 import {requestKinds} from '@hickorytrack/route-table/route-types';
-import type {CallerRequest} from '../src/caller-request.js';
-import {HttpFrontend, type RejectedRequest} from '../src/http-frontend.js';
+import {dropReasons, type CallerRequest} from '../src/caller-request.js';
+import {HttpFrontend, type DroppedRequest, type RejectedRequest} from '../src/http-frontend.js';
 import type {RequestCodec} from '../src/request-codec.js';
 
 const clock = new SystemClock();
@@ -41,6 +41,7 @@
 	let frontend: HttpFrontend;
 	let forwarded: CallerRequest[];
 	let rejected: RejectedRequest[];
+	let dropped: DroppedRequest[];
 	let socket: Socket;
 	let received: string;
 
@@ -55,12 +56,15 @@
 	beforeEach(async () => {
 		forwarded = [];
 		rejected = [];
+		dropped = [];
 		received = '';
 		frontend = new HttpFrontend({
 			clock, random: new Random(1), codec, notReadyRetryAfterMs: 100, getRoutes: () => routes, async forward(callerRequest) {
 				forwarded.push(callerRequest);
 			}, onRejected(rejectedRequest) {
 				rejected.push(rejectedRequest);
+			}, onDropped(droppedRequest) {
+				dropped.push(droppedRequest);
 			},
 		});
 		const port = await findPort();
@@ -141,6 +145,8 @@
 		forwarded[0]!.response.writeHead(200, {'content-length': '4'}).end('done');
 		await waitFor(() => socket.destroyed);
 		expect(forwarded).to.have.length(1);
+		await waitFor(() => dropped.length === 1);
+		expect(dropped[0]).to.include({path: '/y', reason: 'limit', isForwarded: false});
 	});
 
 	it('closes the connection when the body of a request can\'t be read', async () => {
@@ -172,6 +178,58 @@
 		await clock.sleep(20);
 		expect(forwarded.filter(({signal}) => signal.aborted)).to.have.length(20);
 		expect(frontend.openRequests).to.equal(0);
+		expect(dropped).to.have.length(0);
+		expect(Object.values(dropReasons)).not.to.include(forwarded[0]!.signal.reason);
+	});
+
+	// The log could not tell a caller that left from a connection that was ended here.
+	describe('names why a request that was read has no complete answer', () => {
+		for (const {name, reason, end} of [
+			{
+				name: 'its answer was broken off', reason: 'cut', end(request: CallerRequest) {
+					request.response.writeHead(200).write('first ');
+					request.response.destroy();
+				},
+			},
+			{
+				name: 'its connection was destroyed before the answer', reason: 'error', end(request: CallerRequest) {
+					request.response.destroy();
+				},
+			},
+			{
+				name: 'the process exits', reason: 'exit', end() {
+					frontend.recordExit();
+				},
+			},
+		]) {
+			it(name, async () => {
+				socket.write(request);
+				await waitFor(() => forwarded.length === 1);
+				end(forwarded[0]!);
+				await waitFor(() => dropped.length === 1);
+				expect(dropped[0]).to.include({path: '/x', reason, isForwarded: true});
+				// The exit reports the request while its connection is still open.
+				expect(forwarded[0]!.signal.aborted ? forwarded[0]!.signal.reason : 'exit').to.equal(reason);
+				socket.destroy();
+				await waitFor(() => frontend.openRequests === 0 && forwarded[0]!.signal.aborted);
+				expect(dropped).to.have.length(1);
+			});
+		}
+
+		it('the answer before it ended the connection', async () => {
+			socket.write(request.repeat(2));
+			await waitFor(() => forwarded.length === 2);
+			forwarded[0]!.response.writeHead(200, {connection: 'close', 'content-length': '4'}).end('done');
+			await waitFor(() => dropped.length === 1);
+			expect(dropped[0]).to.include({reason: 'earlier-answer', isForwarded: true});
+			expect(forwarded[1]!.signal.reason).to.equal('earlier-answer');
+		});
+	});
+
+	it('passes on by what the request is routed', async () => {
+		socket.write(request);
+		await waitFor(() => forwarded.length === 1);
+		expect(forwarded[0]!.routing).to.deep.equal({version: 1, timeoutMs: 10_000, timeoutBy: 'route'});
 	});
 
 	it('refuses a request that arrives late in the drain, and does not forward it', async () => {
@@ -181,6 +239,8 @@
 				forwarded.push(callerRequest);
 			}, onRejected(rejectedRequest) {
 				rejected.push(rejectedRequest);
+			}, onDropped(droppedRequest) {
+				dropped.push(droppedRequest);
 			},
 		});
 		const port = await findPort();
