--- a/packages/plugins/edge/test/http-frontend.test.ts
+++ b/packages/plugins/edge/test/http-frontend.test.ts
@@ -44,6 +44,8 @@
 	let dropped: DroppedRequest[];
 	let socket: Socket;
 	let received: string;
+	let forward: (request: CallerRequest) => Promise<void>;
+	let decodeRequestHeaders: RequestCodec['decodeRequestHeaders'];
 
 	const waitFor = async (isReached: () => boolean) => {
 		while (!isReached()) {
@@ -58,9 +60,14 @@
 		rejected = [];
 		dropped = [];
 		received = '';
+		forward = async callerRequest => {
+			forwarded.push(callerRequest);
+		};
+
+		decodeRequestHeaders = codec.decodeRequestHeaders;
 		frontend = new HttpFrontend({
-			clock, random: new Random(1), codec, notReadyRetryAfterMs: 100, getRoutes: () => routes, async forward(callerRequest) {
-				forwarded.push(callerRequest);
+			clock, random: new Random(1), codec: {...codec, decodeRequestHeaders: headers => decodeRequestHeaders(headers)}, notReadyRetryAfterMs: 100, getRoutes: () => routes, async forward(callerRequest) {
+				return forward(callerRequest);
 			}, onRejected(rejectedRequest) {
 				rejected.push(rejectedRequest);
 			}, onDropped(droppedRequest) {
@@ -232,6 +239,68 @@
 		expect(forwarded[0]!.routing).to.deep.equal({version: 1, timeoutMs: 10_000, timeoutBy: 'route'});
 	});
 
+	// An exception on the way ended the process, with all its requests.
+	for (const {name, fail} of [
+		{
+			name: 'forwarding', fail() {
+				forward = async () => {
+					throw new Error('unexpected');
+				};
+			},
+		},
+		{
+			name: 'forwarding after the head of its answer', fail() {
+				forward = async ({response}) => {
+					response.writeHead(200).flushHeaders();
+					throw new Error('unexpected');
+				};
+			},
+		},
+		{
+			name: 'reading its headers', fail() {
+				decodeRequestHeaders = () => {
+					throw new Error('unexpected');
+				};
+			},
+		},
+	]) {
+		it(`ends a request whose ${name} throws, and serves others`, async () => {
+			fail();
+			socket.write(request);
+			await waitFor(() => received.includes('\r\n\r\n') || socket.destroyed);
+			if (received.startsWith('HTTP/1.1 200')) {
+				await waitFor(() => socket.destroyed);
+				expect(received).not.to.contain('\r\n0\r\n\r\n');
+			} else {
+				expect(received).to.match(/^HTTP\/1.1 502 /);
+			}
+
+			await waitFor(() => frontend.openRequests === 0);
+		});
+	}
+
+	// The end of the sending side can't be told from the end of the connection before something is written.
+	it('takes a caller that ends its sending side for one that has left', async () => {
+		socket.write(request);
+		await waitFor(() => forwarded.length === 1);
+		socket.end();
+		await waitFor(() => forwarded[0]!.signal.aborted && frontend.openRequests === 0);
+		expect(dropped).to.have.length(0);
+	});
+
+	// A process that does not run for a while finds the timer and the bytes of a request at once.
+	it('reads a request that arrived before the idle timeout, also when it runs only afterwards', async () => {
+		frontend.applyLimits({headerTimeoutMs, idleTimeoutMs: 0});
+		socket.write(request);
+		await waitFor(() => forwarded.length === 1);
+		forwarded[0]!.response.writeHead(200, {'content-length': '4'}).end('done');
+		await waitFor(() => received.includes('done'));
+		socket.write(request);
+		Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, 3000);
+		await waitFor(() => forwarded.length === 2 || socket.destroyed);
+		expect(forwarded).to.have.length(2);
+	});
+
 	it('refuses a request that arrives late in the drain, and does not forward it', async () => {
 		const clock = new ManualClock();
 		const draining = new HttpFrontend({
