fix(edge): a second stop signal waits for the drain

Callers whose requests were open lost their connections when a process got a second stop signal: stop() returned at once, and the platform's program exits when stop() has ended. It now returns the end of the one drain to everybody.

--- a/packages/plugins/edge/src/edge.ts
+++ b/packages/plugins/edge/src/edge.ts
@@ -85,6 +85,7 @@
 	readonly #abortController = new AbortController();
 	#routes: RouteTable | undefined;
 	#isStopping = false;
+	#stopped: Promise<void> | undefined;
 
 	constructor(opts: EdgeOptions) {
 		this.#opts = opts;
@@ -167,28 +168,8 @@
 
 	/** Drains and stops: waits until the load balancer sends no more requests and open requests have ended, at most for the grace period. */
 	async stop(): Promise<void> {
-		if (this.#isStopping) {
-			return;
-		}
-
-		const {clock, settings, events} = this.#opts;
-		this.#isStopping = true;
-		this.#frontend.startDrain();
-		const startedAt = clock.monotonic();
-		events.emit('edgeStopping', {openRequests: this.#frontend.openRequests});
-		for (;;) {
-			const elapsedMs = clock.monotonic() - startedAt;
-			const isDrained = elapsedMs > minimumDrainMs && this.#frontend.openRequests === 0;
-			if (isDrained || elapsedMs > settings.graceMs - stopMarginMs) {
-				break;
-			}
-
-			await clock.sleep(drainPollMs);
-		}
-
-		events.emit('edgeStopped', {openRequests: this.#frontend.openRequests});
-		await this.kill();
-		this.recordExit();
+		this.#stopped ??= this.#drain();
+		return this.#stopped;
 	}
 
 	/** Reports the requests that the exit of the process leaves without an answer. */
@@ -259,6 +240,27 @@
 		};
 	}
 
+	async #drain(): Promise<void> {
+		const {clock, settings, events} = this.#opts;
+		this.#isStopping = true;
+		this.#frontend.startDrain();
+		const startedAt = clock.monotonic();
+		events.emit('edgeStopping', {openRequests: this.#frontend.openRequests});
+		for (;;) {
+			const elapsedMs = clock.monotonic() - startedAt;
+			const isDrained = elapsedMs > minimumDrainMs && this.#frontend.openRequests === 0;
+			if (isDrained || elapsedMs > settings.graceMs - stopMarginMs) {
+				break;
+			}
+
+			await clock.sleep(drainPollMs);
+		}
+
+		events.emit('edgeStopped', {openRequests: this.#frontend.openRequests});
+		await this.kill();
+		this.recordExit();
+	}
+
 	#createContext(): ForwardContext {
 		const {clock, random, codec, events, metrics, settings} = this.#opts;
 		const health = new ServerHealth(clock);
