fix(edge): a stop ends open requests with an error before the process exits

At the end of the grace period callers got a closed connection without an answer: stop() ended, and with it the process, before the 502 was written. Requests that may repeat got none at all, because the forwarder sent them to another server over a new connection after the client had been closed; a request that came meanwhile was forwarded as well.

The front end now ends what is open before the connections to the servers are closed: 502 if the answer has not begun, otherwise a break that does not look complete, also without a length; the work is cancelled, and stop() waits until it is written, 200 ms at most. What is read later is refused with 503.

--- a/packages/plugins/edge/src/edge.ts
+++ b/packages/plugins/edge/src/edge.ts
@@ -180,6 +180,8 @@
 	/** Stops at once, without a drain. */
 	async kill(): Promise<void> {
 		this.#frontend.close();
+		// Before the connections to the servers are closed, so that no request is sent to another server for lack of them.
+		await this.#frontend.finishOpenRequests();
 		this.#abortController.abort();
 		this.configuration.stop();
 		await this.#core?.stop();
--- a/packages/plugins/edge/src/http-frontend.ts
+++ b/packages/plugins/edge/src/http-frontend.ts
@@ -61,7 +61,8 @@
 	incoming: IncomingMessage;
 	response: ServerResponse;
 	arrivedAt: number;
-	isForwarded: boolean;
+	/** Ends the work on the request; undefined until it is forwarded. */
+	abortController: AbortController | undefined;
 	isReported: boolean;
 };
 
@@ -87,6 +88,11 @@
 const connectionsCheckMs = 1000;
 /** Requests that arrive later than this after the start of the drain are refused; they might not end in time. */
 const drainAcceptWindowMs = 2500;
+/** Time for callers to read what a stop writes to them. */
+const flushTimeoutMs = 200;
+const flushPollMs = 5;
+/** Callers on Node.js take a reset that arrives together with the last bytes for an orderly close. */
+const resetDelayMs = 20;
 
 export class HttpFrontend {
 	readonly #opts: HttpFrontendOptions;
@@ -145,13 +151,41 @@
 		this.#stoppingSince = this.#opts.clock.monotonic();
 	}
 
-	/** Closes the listener and idle connections. */
+	/** Closes the listener and idle connections. Requests that arrive from now on are refused. */
 	close(): void {
 		this.#isClosed = true;
 		this.#server.close();
 		this.#server.closeIdleConnections();
 	}
 
+	/**
+	 * Ends the requests that are still open: those whose answer has not begun get an error, and begun answers are broken off.
+	 * Resolves when this has been written, at the latest after the flush timeout.
+	 */
+	async finishOpenRequests(): Promise<void> {
+		const {clock} = this.#opts;
+		for (const {response, abortController} of this.#exchanges) {
+			if (!abortController || response.writableEnded) {
+				continue;
+			}
+
+			if (response.headersSent) {
+				breakOff(response, clock);
+			} else {
+				sendProblem(response, {
+					status: 502, code: 'may-have-run', detail: 'The request may have run: this instance stops.', headers: {connection: 'close'},
+				});
+			}
+
+			abortController.abort(dropReasons.stop);
+		}
+
+		const until = clock.monotonic() + flushTimeoutMs;
+		while ([...this.#exchanges].some(({incoming}) => incoming.complete) && clock.monotonic() < until) {
+			await clock.sleep(flushPollMs);
+		}
+	}
+
 	/** Reports the requests that are still open when the process exits. */
 	recordExit(): void {
 		for (const exchange of this.#exchanges) {
@@ -165,7 +199,7 @@
 			return;
 		}
 
-		if (this.#stoppingSince !== undefined) {
+		if (this.#isClosed || this.#stoppingSince !== undefined) {
 			response.setHeader('connection', 'close');
 		}
 
@@ -207,7 +241,7 @@
 			return;
 		}
 
-		if (this.#stoppingSince !== undefined && arrivedAt - this.#stoppingSince > drainAcceptWindowMs) {
+		if (this.#isClosed || (this.#stoppingSince !== undefined && arrivedAt - this.#stoppingSince > drainAcceptWindowMs)) {
 			reportRejected('stopping');
 			this.#sendUnavailable(response, 'stopping', 'this instance is stopping.');
 			return;
@@ -221,7 +255,7 @@
 			}
 		});
 		const waitMs = Math.min(metadata.waitMs ?? route.timeoutMs, route.timeoutMs);
-		exchange.isForwarded = true;
+		exchange.abortController = abortController;
 		await this.#opts.forward({
 			metadata,
 			method: incoming.method!,
@@ -241,8 +275,8 @@
 	/** Records the request as open until its response is complete or its connection has closed. */
 	#recordExchange(incoming: IncomingMessage, response: ServerResponse): OpenExchange {
 		const {socket} = incoming;
-		const exchange = {
-			incoming, response, arrivedAt: this.#opts.clock.monotonic(), isForwarded: false, isReported: false,
+		const exchange: OpenExchange = {
+			incoming, response, arrivedAt: this.#opts.clock.monotonic(), abortController: undefined, isReported: false,
 		};
 		const exchanges = this.#openExchanges.get(socket) ?? new Set();
 		this.#openExchanges.set(socket, exchanges.add(exchange));
@@ -286,7 +320,7 @@
 
 	/** Reports a request once, if it was read whole. */
 	#recordDropped(exchange: OpenExchange, reason: DropReason): void {
-		const {incoming, arrivedAt, isForwarded} = exchange;
+		const {incoming, arrivedAt, abortController} = exchange;
 		if (incoming.complete && !exchange.isReported) {
 			exchange.isReported = true;
 			this.#opts.onDropped({
@@ -294,7 +328,7 @@
 				host: incoming.headers.host?.slice(0, maxLoggedCharacters),
 				path: incoming.url!.split('?', 1)[0]!.slice(0, maxLoggedCharacters),
 				reason,
-				isForwarded,
+				isForwarded: abortController !== undefined,
 				openMs: Math.round(this.#opts.clock.monotonic() - arrivedAt),
 			});
 		}
@@ -364,6 +398,19 @@
 	socket.once('close', finish);
 }
 
+/** Breaks the connection, so that the answer does not look complete. */
+function breakOff(response: ServerResponse, clock: Clock): void {
+	const {socket} = response;
+	if (response.chunkedEncoding || !socket) {
+		response.destroy();
+		return;
+	}
+
+	clock.startTimer(resetDelayMs, () => {
+		socket.resetAndDestroy();
+	});
+}
+
 async function readBody(incoming: IncomingMessage, maxBytes: number): Promise<Buffer | 'too-large' | 'broken'> {
 	const chunks: Buffer[] = [];
 	let size = 0;
--- a/packages/plugins/edge/src/request-log.ts
+++ b/packages/plugins/edge/src/request-log.ts
@@ -108,10 +108,18 @@
 	}
 }
 
-/** A forwarder can't tell who ended the caller's connection; the reason of the signal can. */
-function checkCallerGone({signal}: CallerRequest, result: RequestResult): RequestResult {
+/** A forwarder can't tell who ended the caller's connection or the work for it; the reason of the signal can. */
+function checkCallerGone({signal, response}: CallerRequest, result: RequestResult): RequestResult {
 	const dropReason = Object.values(dropReasons).find(reason => reason === signal.reason);
-	return result.outcome === requestOutcomes.callerGone && dropReason ? {...result, outcome: requestOutcomes.dropped, reason: `the connection of the caller was ended here: ${dropReason}`} : result;
+	if (result.outcome !== requestOutcomes.callerGone || !dropReason) {
+		return result;
+	}
+
+	return response.writableEnded
+		? {
+			...result, outcome: requestOutcomes.failed, status: response.statusCode, reason: `the request was ended here: ${dropReason}`,
+		}
+		: {...result, outcome: requestOutcomes.dropped, reason: `the connection of the caller was ended here: ${dropReason}`};
 }
 
 function roundToWholeMs(ms: number | undefined): number | undefined {
--- a/packages/plugins/edge/test/http-frontend.test.ts
+++ b/packages/plugins/edge/test/http-frontend.test.ts
@@ -239,6 +239,19 @@
 		expect(forwarded[0]!.routing).to.deep.equal({version: 1, timeoutMs: 10_000, timeoutBy: 'route'});
 	});
 
+	// Guards against a request that is read and passed on while the process only waits for its exit.
+	it('refuses a request that is read after the front end has been closed', async () => {
+		await waitFor(() => !socket.connecting);
+		socket.write(request.slice(0, 10));
+		await clock.sleep(20);
+		frontend.close();
+		socket.write(request.slice(10));
+		await waitFor(() => socket.destroyed);
+		expect(received).to.match(/^HTTP\/1.1 503 /);
+		expect(forwarded).to.have.length(0);
+		expect(rejected[0]).to.include({reason: 'stopping'});
+	});
+
 	// An exception on the way ended the process, with all its requests.
 	for (const {name, fail} of [
 		{
