fix(edge): an error in the handling of one request ends that request only

An exception anywhere between the head of a request and the end of its answer left the request without an answer, and as an unhandled rejection it ended the process with all other requests. No request that does this is known: heads of servers with bytes above ASCII reach callers and throw nothing.

--- a/packages/plugins/edge/src/edge.ts
+++ b/packages/plugins/edge/src/edge.ts
@@ -130,6 +130,8 @@
 				this.#requestLog.recordRejected(rejected);
 			}, onDropped: dropped => {
 				this.#requestLog.recordDropped(dropped);
+			}, onFailed: failed => {
+				this.#requestLog.recordFailed(failed);
 			},
 		});
 		opts.metrics.onRead(() => {
--- a/packages/plugins/edge/src/http-frontend.ts
+++ b/packages/plugins/edge/src/http-frontend.ts
@@ -28,6 +28,8 @@
 	onRejected: (rejected: RejectedRequest) => void;
 	/** Called for each request that was read whole and whose connection this side ended without a complete answer. */
 	onDropped: (dropped: DroppedRequest) => void;
+	/** Called for each request whose handling threw an error. */
+	onFailed: (failed: FailedRequest) => void;
 	/** Retry-After of 503 responses of the frontend, in milliseconds. */
 	notReadyRetryAfterMs: number;
 };
@@ -45,6 +47,13 @@
 	routedVersion?: number;
 };
 
+/** A request whose handling threw an error. */
+export type FailedRequest = {
+	requestId: string | undefined;
+	path: string;
+	error: unknown;
+};
+
 /** A request that was read whole and whose connection this side ended, or let end, without a complete answer. */
 export type DroppedRequest = {
 	requestId: string | undefined;
@@ -169,14 +178,7 @@
 				continue;
 			}
 
-			if (response.headersSent) {
-				breakOff(response, clock);
-			} else {
-				sendProblem(response, {
-					status: 502, code: 'may-have-run', detail: 'The request may have run: this instance stops.', headers: {connection: 'close'},
-				});
-			}
-
+			this.#endWithError(response, 'this instance stops.');
 			abortController.abort(dropReasons.stop);
 		}
 
@@ -199,6 +201,15 @@
 			return;
 		}
 
+		try {
+			await this.#handleExchange(exchange);
+		} catch (error) {
+			this.#handleFailure(exchange, error);
+		}
+	}
+
+	async #handleExchange(exchange: OpenExchange): Promise<void> {
+		const {incoming, response} = exchange;
 		if (this.#isClosed || this.#stoppingSince !== undefined) {
 			response.setHeader('connection', 'close');
 		}
@@ -272,6 +283,42 @@
 		});
 	}
 
+	/** Ends the request whose handling threw an error. It may have run. */
+	#handleFailure({incoming, response, abortController}: OpenExchange, error: unknown): void {
+		this.#opts.onFailed({requestId: this.#readRequestId(incoming), path: readLoggedPath(incoming), error});
+		if (!response.writableEnded) {
+			this.#endWithError(response, 'this instance failed to handle it.');
+		}
+
+		abortController?.abort(dropReasons.error);
+	}
+
+	/** Ends a response that is open: with an error if it has not begun, otherwise with a break. */
+	#endWithError(response: ServerResponse, detail: string): void {
+		if (response.headersSent) {
+			breakOff(response, this.#opts.clock);
+			return;
+		}
+
+		// A head that could not be written may have left some of its headers.
+		for (const name of response.getHeaderNames()) {
+			response.removeHeader(name);
+		}
+
+		sendProblem(response, {
+			status: 502, code: 'may-have-run', detail: `The request may have run: ${detail}`, headers: {connection: 'close'},
+		});
+	}
+
+	/** Reads the id of a request for a report about it, whatever is wrong with the request. */
+	#readRequestId(incoming: IncomingMessage): string | undefined {
+		try {
+			return this.#opts.codec.decodeRequestHeaders(incoming.rawHeaders).requestId;
+		} catch {
+			return undefined;
+		}
+	}
+
 	/** Records the request as open until its response is complete or its connection has closed. */
 	#recordExchange(incoming: IncomingMessage, response: ServerResponse): OpenExchange {
 		const {socket} = incoming;
@@ -324,9 +371,9 @@
 		if (incoming.complete && !exchange.isReported) {
 			exchange.isReported = true;
 			this.#opts.onDropped({
-				requestId: this.#opts.codec.decodeRequestHeaders(incoming.rawHeaders).requestId,
+				requestId: this.#readRequestId(incoming),
 				host: incoming.headers.host?.slice(0, maxLoggedCharacters),
-				path: incoming.url!.split('?', 1)[0]!.slice(0, maxLoggedCharacters),
+				path: readLoggedPath(incoming),
 				reason,
 				isForwarded: abortController !== undefined,
 				openMs: Math.round(this.#opts.clock.monotonic() - arrivedAt),
@@ -398,6 +445,10 @@
 	socket.once('close', finish);
 }
 
+function readLoggedPath(incoming: IncomingMessage): string {
+	return incoming.url!.split('?', 1)[0]!.slice(0, maxLoggedCharacters);
+}
+
 /** Breaks the connection, so that the answer does not look complete. */
 function breakOff(response: ServerResponse, clock: Clock): void {
 	const {socket} = response;
--- a/packages/plugins/edge/src/request-log.ts
+++ b/packages/plugins/edge/src/request-log.ts
@@ -1,5 +1,6 @@
 /** Logs the results of requests and records their metrics. */
 import type {Clock} from '@hickorytrack/clock';
+import {describeError} from '@hickorytrack/errors';
 import {answerFramings} from '@hickorytrack/http-answer/answer-framing';
 import type {ForeignAnswer} from '@hickorytrack/endpoint-client/answer-identity';
 import type {MetricsRegistry} from '@hickorytrack/metrics-registry';
@@ -7,7 +8,7 @@
 	dropReasons, requestOutcomes, type CallerRequest, type RequestResult,
 } from './caller-request.js';
 import type {RateLimitedEventLog} from './rate-limited-event-log.js';
-import type {DroppedRequest, RejectedRequest} from './http-frontend.js';
+import type {DroppedRequest, FailedRequest, RejectedRequest} from './http-frontend.js';
 
 export type RequestLogOptions = {
 	clock: Clock;
@@ -82,6 +83,13 @@
 		eventLog.emit('requestDropped', {request: requestId, version: getVersion(), ...dropped});
 	}
 
+	/** Records a request whose handling threw an error. */
+	recordFailed({requestId, path, error}: FailedRequest): void {
+		this.#opts.eventLog.emit('unexpectedError', {
+			request: requestId, call: path, message: describeError(error), stack: error instanceof Error ? error.stack : undefined,
+		});
+	}
+
 	/** Records an answer that was read where that of a request was due. */
 	recordForeignAnswer({expectedId, callKind, ...answer}: ForeignAnswer, server: string | undefined): void {
 		const {eventLog, metrics} = this.#opts;
--- a/packages/plugins/edge/test/http-frontend.test.ts
+++ b/packages/plugins/edge/test/http-frontend.test.ts
@@ -8,7 +8,9 @@
 import {RouteTable} from '@hickorytrack/route-table';
 import {requestKinds} from '@hickorytrack/route-table/route-types';
 import {dropReasons, type CallerRequest} from '../src/caller-request.js';
-import {HttpFrontend, type DroppedRequest, type RejectedRequest} from '../src/http-frontend.js';
+import {
+	HttpFrontend, type DroppedRequest, type FailedRequest, type RejectedRequest,
+} from '../src/http-frontend.js';
 import type {RequestCodec} from '../src/request-codec.js';
 
 const clock = new SystemClock();
@@ -42,6 +44,7 @@
 	let forwarded: CallerRequest[];
 	let rejected: RejectedRequest[];
 	let dropped: DroppedRequest[];
+	let failed: FailedRequest[];
 	let socket: Socket;
 	let received: string;
 	let forward: (request: CallerRequest) => Promise<void>;
@@ -59,6 +62,7 @@
 		forwarded = [];
 		rejected = [];
 		dropped = [];
+		failed = [];
 		received = '';
 		forward = async callerRequest => {
 			forwarded.push(callerRequest);
@@ -72,6 +76,8 @@
 				rejected.push(rejectedRequest);
 			}, onDropped(droppedRequest) {
 				dropped.push(droppedRequest);
+			}, onFailed(failedRequest) {
+				failed.push(failedRequest);
 			},
 		});
 		const port = await findPort();
@@ -278,6 +284,11 @@
 		},
 	]) {
 		it(`ends a request whose ${name} throws, and serves others`, async () => {
+			const port = socket.remotePort ?? await new Promise<number>(resolve => {
+				socket.once('connect', () => {
+					resolve(socket.remotePort!);
+				});
+			});
 			fail();
 			socket.write(request);
 			await waitFor(() => received.includes('\r\n\r\n') || socket.destroyed);
@@ -289,6 +300,18 @@
 			}
 
 			await waitFor(() => frontend.openRequests === 0);
+			expect(failed).to.have.length(1);
+			expect(failed[0]).to.include({path: '/x'});
+			expect(String(failed[0]!.error)).to.equal('Error: unexpected');
+			decodeRequestHeaders = codec.decodeRequestHeaders;
+			forward = async callerRequest => {
+				forwarded.push(callerRequest);
+			};
+
+			const other = connect(port, '127.0.0.1');
+			other.write(request);
+			await waitFor(() => forwarded.length === 1);
+			other.destroy();
 		});
 	}
 
@@ -323,6 +346,8 @@
 				rejected.push(rejectedRequest);
 			}, onDropped(droppedRequest) {
 				dropped.push(droppedRequest);
+			}, onFailed(failedRequest) {
+				failed.push(failedRequest);
 			},
 		});
 		const port = await findPort();
