fix(edge): idle connections close by the limit that their callers know

Callers that reuse a connection by the newest idle limit, or by what its last response said, met a close: the timer of a connection is set by the limits at the end of its last response, so a raised limit did not hold for connections that were idle, and a limit lowered while a request ran closed its connection sooner than the response had said. The request that crosses the close is not read; its caller may send it again, on a new connection.

When the timer expires the front end now goes by whichever is longer, what the response said or the limit in force, and sets the timer again for the rest. Idle connections still close, also those whose request the HTTP server of Node.js answered itself (two guards).

--- a/packages/plugins/edge/src/http-frontend.ts
+++ b/packages/plugins/edge/src/http-frontend.ts
@@ -72,9 +72,18 @@
 	arrivedAt: number;
 	/** Ends the work on the request; undefined until it is forwarded. */
 	abortController: AbortController | undefined;
+	/** Time for which the connection stays open after the response, as the response says, in milliseconds. */
+	keepAliveMs: number;
 	isReported: boolean;
 };
 
+/** A connection without an open request. */
+type IdleConnection = {
+	since: number;
+	/** Time for which its last response said that it stays open, in milliseconds. */
+	keepAliveMs: number;
+};
+
 /** Who or what ended a connection. */
 type ConnectionEnd = DropReason | 'caller';
 
@@ -94,6 +103,8 @@
 const maxHeadBytes = 65_536;
 /** Added to the idle timeout that callers know, so that no connection is closed while a request is on its way. */
 const idleMarginMs = 1000;
+/** Added by Node.js to the time that a response states. */
+const keepAliveBufferMs = 1000;
 const connectionsCheckMs = 1000;
 /** Requests that arrive later than this after the start of the drain are refused; they might not end in time. */
 const drainAcceptWindowMs = 2500;
@@ -112,6 +123,7 @@
 	readonly #closingSockets = new WeakSet<Socket>();
 	readonly #connectionEnds = new WeakMap<Socket, ConnectionEnd>();
 	readonly #exchanges = new Set<OpenExchange>();
+	readonly #idleConnections = new WeakMap<Socket, IdleConnection>();
 	#stoppingSince: number | undefined;
 	#isClosed = false;
 
@@ -127,9 +139,9 @@
 			socket.prependListener('end', () => {
 				this.#recordCallerEnd(socket);
 			});
-			socket.on('timeout', () => {
-				this.#connectionEnds.set(socket, dropReasons.limit);
-			});
+		});
+		this.#server.on('timeout', (socket: Socket) => {
+			this.#checkIdle(socket);
 		});
 		this.#server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
 			this.#handleClientError(error, socket as Socket);
@@ -323,7 +335,7 @@
 	#recordExchange(incoming: IncomingMessage, response: ServerResponse): OpenExchange {
 		const {socket} = incoming;
 		const exchange: OpenExchange = {
-			incoming, response, arrivedAt: this.#opts.clock.monotonic(), abortController: undefined, isReported: false,
+			incoming, response, arrivedAt: this.#opts.clock.monotonic(), abortController: undefined, keepAliveMs: this.#server.keepAliveTimeout, isReported: false,
 		};
 		const exchanges = this.#openExchanges.get(socket) ?? new Set();
 		this.#openExchanges.set(socket, exchanges.add(exchange));
@@ -331,6 +343,10 @@
 		onClosed(response, () => {
 			exchanges.delete(exchange);
 			this.#exchanges.delete(exchange);
+			if (exchanges.size === 0) {
+				this.#idleConnections.set(socket, {since: this.#opts.clock.monotonic(), keepAliveMs: exchange.keepAliveMs});
+			}
+
 			const end = this.#findEnd(exchange);
 			if (!response.writableFinished && end !== 'caller') {
 				this.#recordDropped(exchange, end);
@@ -339,6 +355,27 @@
 		return exchange;
 	}
 
+	/**
+	 * Closes a connection whose idle timer has expired. The timer is that of the limits at the end of the last response; callers
+	 * go by what that response said and by the newest limits, so whichever is longer holds.
+	 */
+	#checkIdle(socket: Socket): void {
+		if (this.#openExchanges.get(socket)?.size) {
+			return;
+		}
+
+		const {since, keepAliveMs} = this.#idleConnections.get(socket) ?? {since: Number.NEGATIVE_INFINITY, keepAliveMs: 0};
+		const closesAt = since + Math.max(keepAliveMs, this.#server.keepAliveTimeout) + keepAliveBufferMs;
+		const remainingMs = Math.ceil(closesAt - this.#opts.clock.monotonic());
+		if (remainingMs > 0) {
+			socket.setTimeout(remainingMs);
+			return;
+		}
+
+		this.#connectionEnds.set(socket, dropReasons.limit);
+		socket.destroy();
+	}
+
 	/** The caller has ended the connection, unless this side has done so before. */
 	#recordCallerEnd(socket: Socket): void {
 		if (!socket.writableEnded) {
--- a/packages/plugins/edge/test/http-frontend.test.ts
+++ b/packages/plugins/edge/test/http-frontend.test.ts
@@ -90,6 +90,7 @@
 		socket.on('error', () => {
 			// The frontend may reset the connection.
 		});
+		await waitFor(() => !socket.connecting);
 	});
 
 	afterEach(() => {
@@ -247,7 +248,6 @@
 
 	// Guards against a request that is read and passed on while the process only waits for its exit.
 	it('refuses a request that is read after the front end has been closed', async () => {
-		await waitFor(() => !socket.connecting);
 		socket.write(request.slice(0, 10));
 		await clock.sleep(20);
 		frontend.close();
@@ -284,11 +284,7 @@
 		},
 	]) {
 		it(`ends a request whose ${name} throws, and serves others`, async () => {
-			const port = socket.remotePort ?? await new Promise<number>(resolve => {
-				socket.once('connect', () => {
-					resolve(socket.remotePort!);
-				});
-			});
+			const port = socket.remotePort!;
 			fail();
 			socket.write(request);
 			await waitFor(() => received.includes('\r\n\r\n') || socket.destroyed);
@@ -324,6 +320,23 @@
 		expect(dropped).to.have.length(0);
 	});
 
+	it('closes a connection after the idle limit', async () => {
+		frontend.applyLimits({headerTimeoutMs, idleTimeoutMs: 0});
+		socket.write(request);
+		await waitFor(() => forwarded.length === 1);
+		forwarded[0]!.response.writeHead(200, {'content-length': '4'}).end('done');
+		await waitFor(() => socket.destroyed);
+		expect(received).to.match(/done$/);
+		expect(dropped).to.have.length(0);
+	});
+
+	it('closes a connection after the idle limit when the server itself has answered its request', async () => {
+		frontend.applyLimits({headerTimeoutMs, idleTimeoutMs: 0});
+		socket.write(request.replace('Content-Length', 'Expect: more\r\nContent-Length'));
+		await waitFor(() => socket.destroyed);
+		expect(received).to.match(/^HTTP\/1.1 417 /);
+	});
+
 	// A process that does not run for a while finds the timer and the bytes of a request at once.
 	it('reads a request that arrived before the idle timeout, also when it runs only afterwards', async () => {
 		frontend.applyLimits({headerTimeoutMs, idleTimeoutMs: 0});
