fix(edge): an idle connection is closed only after its bytes have been looked at

A process that had not run for longer than the idle timeout closed connections on which a request had arrived in time, because it finds expired timers before the bytes. The request was not read, so callers could send it again; they met a close all the same.

The close waits until the bytes that arrived have been read, in the same turn of the event loop.

--- a/packages/plugins/edge/src/http-frontend.ts
+++ b/packages/plugins/edge/src/http-frontend.ts
@@ -372,8 +372,14 @@
 			return;
 		}
 
-		this.#connectionEnds.set(socket, dropReasons.limit);
-		socket.destroy();
+		// A process that has not run for a while finds its timers before the bytes that arrived meanwhile.
+		const {bytesRead} = socket;
+		setImmediate(() => {
+			if (socket.bytesRead === bytesRead) {
+				this.#connectionEnds.set(socket, dropReasons.limit);
+				socket.destroy();
+			}
+		});
 	}
 
 	/** The caller has ended the connection, unless this side has done so before. */
