fix(edge): requests sent together are answered while the edge stops

Of the requests that a caller sent together on a connection, one that arrived in the drain got an answer with connection: close, and the ones behind it none, although they had been read and passed on. A 413 did the same at any time, and a request that came behind a response that had said so was passed on too.

Only the last open response of a connection says that it closes.

--- a/packages/plugins/edge/src/http-frontend.ts
+++ b/packages/plugins/edge/src/http-frontend.ts
@@ -72,6 +72,8 @@
 	arrivedAt: number;
 	/** Ends the work on the request; undefined until it is forwarded. */
 	abortController: AbortController | undefined;
+	/** The response says that the connection closes after it. */
+	closesConnection: boolean;
 	/** Time for which the connection stays open after the response, as the response says, in milliseconds. */
 	keepAliveMs: number;
 	isReported: boolean;
@@ -185,12 +187,13 @@
 	 */
 	async finishOpenRequests(): Promise<void> {
 		const {clock} = this.#opts;
-		for (const {response, abortController} of this.#exchanges) {
+		for (const exchange of this.#exchanges) {
+			const {response, abortController} = exchange;
 			if (!abortController || response.writableEnded) {
 				continue;
 			}
 
-			this.#endWithError(response, 'this instance stops.');
+			this.#endWithError(exchange, 'this instance stops.');
 			abortController.abort(dropReasons.stop);
 		}
 
@@ -209,7 +212,7 @@
 
 	async #handle(incoming: IncomingMessage, response: ServerResponse): Promise<void> {
 		const exchange = this.#recordExchange(incoming, response);
-		if (this.#closingSockets.has(incoming.socket)) {
+		if (this.#isClosing(incoming.socket)) {
 			return;
 		}
 
@@ -223,7 +226,7 @@
 	async #handleExchange(exchange: OpenExchange): Promise<void> {
 		const {incoming, response} = exchange;
 		if (this.#isClosed || this.#stoppingSince !== undefined) {
-			response.setHeader('connection', 'close');
+			this.#announceClose(exchange);
 		}
 
 		const {arrivedAt} = exchange;
@@ -258,9 +261,8 @@
 
 		if (body === 'too-large') {
 			reportRejected('body-too-large');
-			sendProblem(response, {
-				status: 413, code: 'body-too-large', detail: `The body exceeds the limit of ${routes.configuration.limits.maxBodyBytes} bytes.`, headers: {connection: 'close'},
-			});
+			this.#announceClose(exchange);
+			sendProblem(response, {status: 413, code: 'body-too-large', detail: `The body exceeds the limit of ${routes.configuration.limits.maxBodyBytes} bytes.`});
 			return;
 		}
 
@@ -295,18 +297,44 @@
 		});
 	}
 
+	/** True if a request of the connection gets no answer any more; it is not passed on. */
+	#isClosing(socket: Socket): boolean {
+		return socket.writableEnded || this.#closingSockets.has(socket)
+			|| [...this.#openExchanges.get(socket) ?? []].some(({response, closesConnection}) => closesConnection && response.headersSent);
+	}
+
+	/** Lets the connection close after the response, unless further requests wait behind it: the last response says it then. */
+	#announceClose(exchange: OpenExchange): void {
+		const exchanges = [...this.#openExchanges.get(exchange.incoming.socket) ?? []];
+		if (exchanges.at(-1) !== exchange) {
+			return;
+		}
+
+		for (const earlier of exchanges) {
+			if (earlier.closesConnection && !earlier.response.headersSent && earlier.response.shouldKeepAlive) {
+				earlier.closesConnection = false;
+				earlier.response.setHeader('connection', 'keep-alive');
+			}
+		}
+
+		exchange.closesConnection = true;
+		exchange.response.setHeader('connection', 'close');
+	}
+
 	/** Ends the request whose handling threw an error. It may have run. */
-	#handleFailure({incoming, response, abortController}: OpenExchange, error: unknown): void {
+	#handleFailure(exchange: OpenExchange, error: unknown): void {
+		const {incoming, response, abortController} = exchange;
 		this.#opts.onFailed({requestId: this.#readRequestId(incoming), path: readLoggedPath(incoming), error});
 		if (!response.writableEnded) {
-			this.#endWithError(response, 'this instance failed to handle it.');
+			this.#endWithError(exchange, 'this instance failed to handle it.');
 		}
 
 		abortController?.abort(dropReasons.error);
 	}
 
 	/** Ends a response that is open: with an error if it has not begun, otherwise with a break. */
-	#endWithError(response: ServerResponse, detail: string): void {
+	#endWithError(exchange: OpenExchange, detail: string): void {
+		const {response} = exchange;
 		if (response.headersSent) {
 			breakOff(response, this.#opts.clock);
 			return;
@@ -317,9 +345,8 @@
 			response.removeHeader(name);
 		}
 
-		sendProblem(response, {
-			status: 502, code: 'may-have-run', detail: `The request may have run: ${detail}`, headers: {connection: 'close'},
-		});
+		this.#announceClose(exchange);
+		sendProblem(response, {status: 502, code: 'may-have-run', detail: `The request may have run: ${detail}`});
 	}
 
 	/** Reads the id of a request for a report about it, whatever is wrong with the request. */
@@ -335,7 +362,7 @@
 	#recordExchange(incoming: IncomingMessage, response: ServerResponse): OpenExchange {
 		const {socket} = incoming;
 		const exchange: OpenExchange = {
-			incoming, response, arrivedAt: this.#opts.clock.monotonic(), abortController: undefined, keepAliveMs: this.#server.keepAliveTimeout, isReported: false,
+			incoming, response, arrivedAt: this.#opts.clock.monotonic(), abortController: undefined, closesConnection: false, keepAliveMs: this.#server.keepAliveTimeout, isReported: false,
 		};
 		const exchanges = this.#openExchanges.get(socket) ?? new Set();
 		this.#openExchanges.set(socket, exchanges.add(exchange));
--- a/packages/plugins/edge/test/http-frontend.test.ts
+++ b/packages/plugins/edge/test/http-frontend.test.ts
@@ -350,6 +350,47 @@
 		expect(forwarded).to.have.length(2);
 	});
 
+	// Guards against work for a request whose connection ends before its answer.
+	it('does not pass on a request behind a response that has said that the connection closes', async () => {
+		frontend.startDrain();
+		socket.write(request);
+		await waitFor(() => forwarded.length === 1);
+		const {response} = forwarded[0]!;
+		response.writeHead(200);
+		response.write('first ');
+		await waitFor(() => received.includes('first'));
+		socket.write(request.replace('/x', '/y'));
+		await waitFor(() => frontend.openRequests === 2);
+		response.end('last');
+		await waitFor(() => socket.destroyed && dropped.length === 1);
+		expect(received).to.match(/connection: close/i).and.to.contain('last\r\n0\r\n\r\n');
+		expect(forwarded).to.have.length(1);
+		expect(dropped[0]).to.include({path: '/y', reason: 'earlier-answer', isForwarded: false});
+	});
+
+	it('answers each request that is sent before the last response has begun while the front end drains', async () => {
+		frontend.startDrain();
+		socket.write(request.repeat(2));
+		await waitFor(() => forwarded.length === 2);
+		forwarded[0]!.response.writeHead(200, {'content-length': '5'}).end('first');
+		await waitFor(() => received.includes('first'));
+		expect(received).not.to.match(/connection: close/i);
+		socket.write(request);
+		await waitFor(() => forwarded.length === 3 || socket.destroyed);
+		forwarded[1]!.response.writeHead(200, {'content-length': '6'}).end('second');
+		forwarded[2]?.response.writeHead(200, {'content-length': '5'}).end('third');
+		await waitFor(() => socket.destroyed);
+		expect(received).to.match(/first[^]*second[^]*connection: close[^]*third$/i);
+	});
+
+	it('answers a request behind one whose body is too large', async () => {
+		socket.write(`POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: 2000\r\n\r\n${'x'.repeat(2000)}${request}`);
+		await waitFor(() => forwarded.length === 1 || socket.destroyed);
+		forwarded[0]?.response.writeHead(200, {'content-length': '4'}).end('done');
+		await waitFor(() => received.endsWith('done') || socket.destroyed);
+		expect(received).to.match(/^HTTP\/1.1 413 [^]*HTTP\/1.1 200 OK/);
+	});
+
 	it('refuses a request that arrives late in the drain, and does not forward it', async () => {
 		const clock = new ManualClock();
 		const draining = new HttpFrontend({
