--- a/packages/plugins/edge/src/edge.ts
+++ b/packages/plugins/edge/src/edge.ts
@@ -85,6 +85,7 @@
 	readonly #abortController = new AbortController();
 	#routes: RouteTable | undefined;
 	#isStopping = false;
+	#stopped: Promise<void> | undefined;
 
 	constructor(opts: EdgeOptions) {
 		this.#opts = opts;
@@ -127,6 +128,10 @@
 		this.#frontend = new HttpFrontend({
 			clock, random, codec, notReadyRetryAfterMs: defaultRetryAfterMs, getRoutes: () => this.configuration.isConfirmed ? this.#routes : undefined, forward: async request => this.#forward(request), onRejected: rejected => {
 				this.#requestLog.recordRejected(rejected);
+			}, onDropped: dropped => {
+				this.#requestLog.recordDropped(dropped);
+			}, onFailed: failed => {
+				this.#requestLog.recordFailed(failed);
 			},
 		});
 		opts.metrics.onRead(() => {
@@ -165,32 +170,20 @@
 
 	/** Drains and stops: waits until the load balancer sends no more requests and open requests have ended, at most for the grace period. */
 	async stop(): Promise<void> {
-		if (this.#isStopping) {
-			return;
-		}
-
-		const {clock, settings, events} = this.#opts;
-		this.#isStopping = true;
-		this.#frontend.startDrain();
-		const startedAt = clock.monotonic();
-		events.emit('edgeStopping', {openRequests: this.#frontend.openRequests});
-		for (;;) {
-			const elapsedMs = clock.monotonic() - startedAt;
-			const isDrained = elapsedMs > minimumDrainMs && this.#frontend.openRequests === 0;
-			if (isDrained || elapsedMs > settings.graceMs - stopMarginMs) {
-				break;
-			}
-
-			await clock.sleep(drainPollMs);
-		}
+		this.#stopped ??= this.#drain();
+		return this.#stopped;
+	}
 
-		events.emit('edgeStopped', {openRequests: this.#frontend.openRequests});
-		await this.kill();
+	/** Reports the requests that the exit of the process leaves without an answer. */
+	recordExit(): void {
+		this.#frontend.recordExit();
 	}
 
 	/** Stops at once, without a drain. */
 	async kill(): Promise<void> {
 		this.#frontend.close();
+		// Before the connections to the servers are closed, so that no request is sent to another server for lack of them.
+		await this.#frontend.finishOpenRequests();
 		this.#abortController.abort();
 		this.configuration.stop();
 		await this.#core?.stop();
@@ -251,6 +244,27 @@
 		};
 	}
 
+	async #drain(): Promise<void> {
+		const {clock, settings, events} = this.#opts;
+		this.#isStopping = true;
+		this.#frontend.startDrain();
+		const startedAt = clock.monotonic();
+		events.emit('edgeStopping', {openRequests: this.#frontend.openRequests});
+		for (;;) {
+			const elapsedMs = clock.monotonic() - startedAt;
+			const isDrained = elapsedMs > minimumDrainMs && this.#frontend.openRequests === 0;
+			if (isDrained || elapsedMs > settings.graceMs - stopMarginMs) {
+				break;
+			}
+
+			await clock.sleep(drainPollMs);
+		}
+
+		events.emit('edgeStopped', {openRequests: this.#frontend.openRequests});
+		await this.kill();
+		this.recordExit();
+	}
+
 	#createContext(): ForwardContext {
 		const {clock, random, codec, events, metrics, settings} = this.#opts;
 		const health = new ServerHealth(clock);
@@ -349,7 +363,7 @@
 			sendProblem(request.response, {
 				status: 503, code: 'poison', detail: 'The request has not run: identical requests crashed the servers that ran them.', headers: codec.encodeRetryAfter(request.route.timeoutMs),
 			});
-			eventLog.emit('poisonRefused', {request: request.metadata.requestId, route: request.route.name});
+			eventLog.emit('poisonRefused', {request: request.metadata.requestId, route: request.route.name, routedVersion: request.routing?.version});
 			return;
 		}
 
--- a/packages/plugins/edge/src/http-frontend.ts
+++ b/packages/plugins/edge/src/http-frontend.ts
@@ -12,7 +12,9 @@
 import type {Random} from '@hickorytrack/random';
 import {selectTarget, type RouteTable} from '@hickorytrack/route-table';
 import {sendProblem} from './responses.js';
-import type {CallerRequest} from './caller-request.js';
+import {
+	dropReasons, timeoutSources, type CallerRequest, type DropReason,
+} from './caller-request.js';
 import type {RequestCodec} from './request-codec.js';
 
 export type HttpFrontendOptions = {
@@ -24,6 +26,10 @@
 	forward: (request: CallerRequest) => Promise<void>;
 	/** Called for each request that is rejected without being forwarded. */
 	onRejected: (rejected: RejectedRequest) => void;
+	/** Called for each request that was read whole and whose connection this side ended without a complete answer. */
+	onDropped: (dropped: DroppedRequest) => void;
+	/** Called for each request whose handling threw an error. */
+	onFailed: (failed: FailedRequest) => void;
 	/** Retry-After of 503 responses of the frontend, in milliseconds. */
 	notReadyRetryAfterMs: number;
 };
@@ -37,13 +43,52 @@
 	reason: 'body-broken' | 'not-ready' | 'no-route' | 'body-too-large' | 'stopping' | 'unreadable';
 	/** Status of the answer to unreadable bytes. */
 	status?: number;
+	/** Version of the configuration in which its route was looked up. */
+	routedVersion?: number;
+};
+
+/** A request whose handling threw an error. */
+export type FailedRequest = {
+	requestId: string | undefined;
+	path: string;
+	error: unknown;
+};
+
+/** A request that was read whole and whose connection this side ended, or let end, without a complete answer. */
+export type DroppedRequest = {
+	requestId: string | undefined;
+	host: string | undefined;
+	path: string;
+	reason: DropReason;
+	/** The request was passed on, so that a server may have run it. */
+	isForwarded: boolean;
+	/** Time since the head of the request had been read. */
+	openMs: number;
 };
 
 type OpenExchange = {
 	incoming: IncomingMessage;
 	response: ServerResponse;
+	arrivedAt: number;
+	/** Ends the work on the request; undefined until it is forwarded. */
+	abortController: AbortController | undefined;
+	/** The response says that the connection closes after it. */
+	closesConnection: boolean;
+	/** Time for which the connection stays open after the response, as the response says, in milliseconds. */
+	keepAliveMs: number;
+	isReported: boolean;
 };
 
+/** A connection without an open request. */
+type IdleConnection = {
+	since: number;
+	/** Time for which its last response said that it stays open, in milliseconds. */
+	keepAliveMs: number;
+};
+
+/** Who or what ended a connection. */
+type ConnectionEnd = DropReason | 'caller';
+
 /** Status by the error code of the HTTP parser; any other error is a bad request. */
 const unreadableStatuses: Readonly<Record<string, number>> = {
 	ERR_HTTP_REQUEST_TIMEOUT: 408,
@@ -52,15 +97,24 @@
 };
 const badRequestStatus = 400;
 
+const timeoutStatus = 408;
+
 /** Logged characters of a path or host: enough to identify the route, while a request head may have 64 KB. */
 const maxLoggedCharacters = 200;
 /** Upper bound for the size of a request head; the configured limit may be lower. */
 const maxHeadBytes = 65_536;
 /** Added to the idle timeout that callers know, so that no connection is closed while a request is on its way. */
 const idleMarginMs = 1000;
+/** Added by Node.js to the time that a response states. */
+const keepAliveBufferMs = 1000;
 const connectionsCheckMs = 1000;
 /** Requests that arrive later than this after the start of the drain are refused; they might not end in time. */
 const drainAcceptWindowMs = 2500;
+/** Time for callers to read what a stop writes to them. */
+const flushTimeoutMs = 200;
+const flushPollMs = 5;
+/** Callers on Node.js take a reset that arrives together with the last bytes for an orderly close. */
+const resetDelayMs = 20;
 
 export class HttpFrontend {
 	readonly #opts: HttpFrontendOptions;
@@ -69,8 +123,11 @@
 	readonly #openExchanges = new WeakMap<Socket, Set<OpenExchange>>();
 	/** Connections that close after their open responses; no further request of them is read. */
 	readonly #closingSockets = new WeakSet<Socket>();
+	readonly #connectionEnds = new WeakMap<Socket, ConnectionEnd>();
+	readonly #exchanges = new Set<OpenExchange>();
+	readonly #idleConnections = new WeakMap<Socket, IdleConnection>();
 	#stoppingSince: number | undefined;
-	#openRequests = 0;
+	#isClosed = false;
 
 	constructor(opts: HttpFrontendOptions) {
 		this.#opts = opts;
@@ -80,6 +137,13 @@
 		this.#server.on('connection', (socket: Socket) => {
 			// Each open request of a connection listens for its close.
 			socket.setMaxListeners(0);
+			// Before the listener of the server, which may find the bytes before the end unreadable.
+			socket.prependListener('end', () => {
+				this.#recordCallerEnd(socket);
+			});
+		});
+		this.#server.on('timeout', (socket: Socket) => {
+			this.#checkIdle(socket);
 		});
 		this.#server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
 			this.#handleClientError(error, socket as Socket);
@@ -87,7 +151,7 @@
 	}
 
 	get openRequests(): number {
-		return this.#openRequests;
+		return this.#exchanges.size;
 	}
 
 	async listen(host: string, port: number): Promise<void> {
@@ -110,23 +174,62 @@
 		this.#stoppingSince = this.#opts.clock.monotonic();
 	}
 
-	/** Closes the listener and idle connections. */
+	/** Closes the listener and idle connections. Requests that arrive from now on are refused. */
 	close(): void {
+		this.#isClosed = true;
 		this.#server.close();
 		this.#server.closeIdleConnections();
 	}
 
+	/**
+	 * Ends the requests that are still open: those whose answer has not begun get an error, and begun answers are broken off.
+	 * Resolves when this has been written, at the latest after the flush timeout.
+	 */
+	async finishOpenRequests(): Promise<void> {
+		const {clock} = this.#opts;
+		for (const exchange of this.#exchanges) {
+			const {response, abortController} = exchange;
+			if (!abortController || response.writableEnded) {
+				continue;
+			}
+
+			this.#endWithError(exchange, 'this instance stops.');
+			abortController.abort(dropReasons.stop);
+		}
+
+		const until = clock.monotonic() + flushTimeoutMs;
+		while ([...this.#exchanges].some(({incoming}) => incoming.complete) && clock.monotonic() < until) {
+			await clock.sleep(flushPollMs);
+		}
+	}
+
+	/** Reports the requests that are still open when the process exits. */
+	recordExit(): void {
+		for (const exchange of this.#exchanges) {
+			this.#recordDropped(exchange, dropReasons.exit);
+		}
+	}
+
 	async #handle(incoming: IncomingMessage, response: ServerResponse): Promise<void> {
-		if (this.#closingSockets.has(incoming.socket)) {
+		const exchange = this.#recordExchange(incoming, response);
+		if (this.#isClosing(incoming.socket)) {
 			return;
 		}
 
-		this.#recordExchange({incoming, response});
-		if (this.#stoppingSince !== undefined) {
-			response.setHeader('connection', 'close');
+		try {
+			await this.#handleExchange(exchange);
+		} catch (error) {
+			this.#handleFailure(exchange, error);
+		}
+	}
+
+	async #handleExchange(exchange: OpenExchange): Promise<void> {
+		const {incoming, response} = exchange;
+		if (this.#isClosed || this.#stoppingSince !== undefined) {
+			this.#announceClose(exchange);
 		}
 
-		const arrivedAt = this.#opts.clock.monotonic();
+		const {arrivedAt} = exchange;
 		const routes = this.#opts.getRoutes();
 		const [path] = incoming.url!.split('?', 1);
 		const route = routes?.findRoute(incoming.headers.host ?? '', path!);
@@ -134,7 +237,7 @@
 		const metadata = this.#opts.codec.decodeRequestHeaders(incoming.rawHeaders);
 		const reportRejected = (reason: RejectedRequest['reason']) => {
 			this.#opts.onRejected({
-				requestId: metadata.requestId, host: incoming.headers.host?.slice(0, maxLoggedCharacters), path: path!.slice(0, maxLoggedCharacters), reason,
+				requestId: metadata.requestId, host: incoming.headers.host?.slice(0, maxLoggedCharacters), path: path!.slice(0, maxLoggedCharacters), reason, routedVersion: routes?.configuration.version,
 			});
 		};
 
@@ -158,13 +261,12 @@
 
 		if (body === 'too-large') {
 			reportRejected('body-too-large');
-			sendProblem(response, {
-				status: 413, code: 'body-too-large', detail: `The body exceeds the limit of ${routes.configuration.limits.maxBodyBytes} bytes.`, headers: {connection: 'close'},
-			});
+			this.#announceClose(exchange);
+			sendProblem(response, {status: 413, code: 'body-too-large', detail: `The body exceeds the limit of ${routes.configuration.limits.maxBodyBytes} bytes.`});
 			return;
 		}
 
-		if (this.#stoppingSince !== undefined && arrivedAt - this.#stoppingSince > drainAcceptWindowMs) {
+		if (this.#isClosed || (this.#stoppingSince !== undefined && arrivedAt - this.#stoppingSince > drainAcceptWindowMs)) {
 			reportRejected('stopping');
 			this.#sendUnavailable(response, 'stopping', 'this instance is stopping.');
 			return;
@@ -173,10 +275,12 @@
 		const abortController = new AbortController();
 		onClosed(response, () => {
 			if (!response.writableFinished) {
-				abortController.abort();
+				const end = this.#findEnd(exchange);
+				abortController.abort(end === 'caller' ? undefined : end);
 			}
 		});
 		const waitMs = Math.min(metadata.waitMs ?? route.timeoutMs, route.timeoutMs);
+		exchange.abortController = abortController;
 		await this.#opts.forward({
 			metadata,
 			method: incoming.method!,
@@ -186,24 +290,167 @@
 			service: selectTarget(route, this.#opts.random),
 			arrivedAt,
 			deadlineAt: arrivedAt + waitMs,
+			routing: {version: routes.configuration.version, timeoutMs: waitMs, timeoutBy: waitMs < route.timeoutMs ? timeoutSources.caller : timeoutSources.route},
 			response,
 			signal: abortController.signal,
 			fingerprint: createHash('sha1').update(`${incoming.method} ${incoming.headers.host} ${incoming.url}\n`).update(body).digest('base64'),
 		});
 	}
 
+	/** True if a request of the connection gets no answer any more; it is not passed on. */
+	#isClosing(socket: Socket): boolean {
+		return socket.writableEnded || this.#closingSockets.has(socket)
+			|| [...this.#openExchanges.get(socket) ?? []].some(({response, closesConnection}) => closesConnection && response.headersSent);
+	}
+
+	/** Lets the connection close after the response, unless further requests wait behind it: the last response says it then. */
+	#announceClose(exchange: OpenExchange): void {
+		const exchanges = [...this.#openExchanges.get(exchange.incoming.socket) ?? []];
+		if (exchanges.at(-1) !== exchange) {
+			return;
+		}
+
+		for (const earlier of exchanges) {
+			if (earlier.closesConnection && !earlier.response.headersSent && earlier.response.shouldKeepAlive) {
+				earlier.closesConnection = false;
+				earlier.response.setHeader('connection', 'keep-alive');
+			}
+		}
+
+		exchange.closesConnection = true;
+		exchange.response.setHeader('connection', 'close');
+	}
+
+	/** Ends the request whose handling threw an error. It may have run. */
+	#handleFailure(exchange: OpenExchange, error: unknown): void {
+		const {incoming, response, abortController} = exchange;
+		this.#opts.onFailed({requestId: this.#readRequestId(incoming), path: readLoggedPath(incoming), error});
+		if (!response.writableEnded) {
+			this.#endWithError(exchange, 'this instance failed to handle it.');
+		}
+
+		abortController?.abort(dropReasons.error);
+	}
+
+	/** Ends a response that is open: with an error if it has not begun, otherwise with a break. */
+	#endWithError(exchange: OpenExchange, detail: string): void {
+		const {response} = exchange;
+		if (response.headersSent) {
+			breakOff(response, this.#opts.clock);
+			return;
+		}
+
+		// A head that could not be written may have left some of its headers.
+		for (const name of response.getHeaderNames()) {
+			response.removeHeader(name);
+		}
+
+		this.#announceClose(exchange);
+		sendProblem(response, {status: 502, code: 'may-have-run', detail: `The request may have run: ${detail}`});
+	}
+
+	/** Reads the id of a request for a report about it, whatever is wrong with the request. */
+	#readRequestId(incoming: IncomingMessage): string | undefined {
+		try {
+			return this.#opts.codec.decodeRequestHeaders(incoming.rawHeaders).requestId;
+		} catch {
+			return undefined;
+		}
+	}
+
 	/** Records the request as open until its response is complete or its connection has closed. */
-	#recordExchange(exchange: OpenExchange): void {
-		const {socket} = exchange.incoming;
+	#recordExchange(incoming: IncomingMessage, response: ServerResponse): OpenExchange {
+		const {socket} = incoming;
+		const exchange: OpenExchange = {
+			incoming, response, arrivedAt: this.#opts.clock.monotonic(), abortController: undefined, closesConnection: false, keepAliveMs: this.#server.keepAliveTimeout, isReported: false,
+		};
 		const exchanges = this.#openExchanges.get(socket) ?? new Set();
 		this.#openExchanges.set(socket, exchanges.add(exchange));
-		this.#openRequests++;
-		onClosed(exchange.response, () => {
+		this.#exchanges.add(exchange);
+		onClosed(response, () => {
 			exchanges.delete(exchange);
-			this.#openRequests--;
+			this.#exchanges.delete(exchange);
+			if (exchanges.size === 0) {
+				this.#idleConnections.set(socket, {since: this.#opts.clock.monotonic(), keepAliveMs: exchange.keepAliveMs});
+			}
+
+			const end = this.#findEnd(exchange);
+			if (!response.writableFinished && end !== 'caller') {
+				this.#recordDropped(exchange, end);
+			}
+		});
+		return exchange;
+	}
+
+	/**
+	 * Closes a connection whose idle timer has expired. The timer is that of the limits at the end of the last response; callers
+	 * go by what that response said and by the newest limits, so whichever is longer holds.
+	 */
+	#checkIdle(socket: Socket): void {
+		if (this.#openExchanges.get(socket)?.size) {
+			return;
+		}
+
+		const {since, keepAliveMs} = this.#idleConnections.get(socket) ?? {since: Number.NEGATIVE_INFINITY, keepAliveMs: 0};
+		const closesAt = since + Math.max(keepAliveMs, this.#server.keepAliveTimeout) + keepAliveBufferMs;
+		const remainingMs = Math.ceil(closesAt - this.#opts.clock.monotonic());
+		if (remainingMs > 0) {
+			socket.setTimeout(remainingMs);
+			return;
+		}
+
+		// A process that has not run for a while finds its timers before the bytes that arrived meanwhile.
+		const {bytesRead} = socket;
+		setImmediate(() => {
+			if (socket.bytesRead === bytesRead) {
+				this.#connectionEnds.set(socket, dropReasons.limit);
+				socket.destroy();
+			}
 		});
 	}
 
+	/** The caller has ended the connection, unless this side has done so before. */
+	#recordCallerEnd(socket: Socket): void {
+		if (!socket.writableEnded) {
+			this.#connectionEnds.set(socket, 'caller');
+		}
+	}
+
+	/** Returns why the connection of the exchange has ended. */
+	#findEnd({incoming: {socket}, response}: OpenExchange): ConnectionEnd {
+		const end = this.#connectionEnds.get(socket);
+		if (end) {
+			return end;
+		}
+
+		if (response.headersSent) {
+			return dropReasons.cut;
+		}
+
+		if (this.#isClosed) {
+			return dropReasons.stop;
+		}
+
+		// A connection that ends in an orderly way was ended by the response before.
+		return socket.writableEnded ? dropReasons.earlierAnswer : dropReasons.error;
+	}
+
+	/** Reports a request once, if it was read whole. */
+	#recordDropped(exchange: OpenExchange, reason: DropReason): void {
+		const {incoming, arrivedAt, abortController} = exchange;
+		if (incoming.complete && !exchange.isReported) {
+			exchange.isReported = true;
+			this.#opts.onDropped({
+				requestId: this.#readRequestId(incoming),
+				host: incoming.headers.host?.slice(0, maxLoggedCharacters),
+				path: readLoggedPath(incoming),
+				reason,
+				isForwarded: abortController !== undefined,
+				openMs: Math.round(this.#opts.clock.monotonic() - arrivedAt),
+			});
+		}
+	}
+
 	/**
 	 * Answers bytes that are no request. While a request of the connection waits for its response, its caller would take that
 	 * answer for its own, so the connection closes after the response to that request instead.
@@ -212,6 +459,7 @@
 		if (!socket.writable || this.#closingSockets.has(socket)) {
 			// The connection itself failed, or its close was planned after an earlier error.
 			if (!socket.writable) {
+				this.#recordCallerEnd(socket);
 				socket.destroy(error);
 			}
 
@@ -223,6 +471,10 @@
 			requestId: undefined, host: undefined, path: '', reason: 'unreadable', status,
 		});
 		this.#closingSockets.add(socket);
+		if (this.#connectionEnds.get(socket) !== 'caller') {
+			this.#connectionEnds.set(socket, status === timeoutStatus ? dropReasons.limit : dropReasons.unreadable);
+		}
+
 		// A request that has not arrived completely is the one that can't be read.
 		const response = [...this.#openExchanges.get(socket) ?? []].findLast(({incoming}) => incoming.complete)?.response;
 		if (!response) {
@@ -263,6 +515,23 @@
 	socket.once('close', finish);
 }
 
+function readLoggedPath(incoming: IncomingMessage): string {
+	return incoming.url!.split('?', 1)[0]!.slice(0, maxLoggedCharacters);
+}
+
+/** Breaks the connection, so that the answer does not look complete. */
+function breakOff(response: ServerResponse, clock: Clock): void {
+	const {socket} = response;
+	if (response.chunkedEncoding || !socket) {
+		response.destroy();
+		return;
+	}
+
+	clock.startTimer(resetDelayMs, () => {
+		socket.resetAndDestroy();
+	});
+}
+
 async function readBody(incoming: IncomingMessage, maxBytes: number): Promise<Buffer | 'too-large' | 'broken'> {
 	const chunks: Buffer[] = [];
 	let size = 0;
--- a/packages/plugins/edge/test/http-frontend.test.ts
+++ b/packages/plugins/edge/test/http-frontend.test.ts
@@ -7,8 +7,10 @@
 import {Random} from '@hickorytrack/random';
 import {RouteTable} from '@hickorytrack/route-table';
 import {requestKinds} from '@hickorytrack/route-table/route-types';
-import type {CallerRequest} from '../src/caller-request.js';
-import {HttpFrontend, type RejectedRequest} from '../src/http-frontend.js';
+import {dropReasons, type CallerRequest} from '../src/caller-request.js';
+import {
+	HttpFrontend, type DroppedRequest, type FailedRequest, type RejectedRequest,
+} from '../src/http-frontend.js';
 import type {RequestCodec} from '../src/request-codec.js';
 
 const clock = new SystemClock();
@@ -41,8 +43,12 @@
 	let frontend: HttpFrontend;
 	let forwarded: CallerRequest[];
 	let rejected: RejectedRequest[];
+	let dropped: DroppedRequest[];
+	let failed: FailedRequest[];
 	let socket: Socket;
 	let received: string;
+	let forward: (request: CallerRequest) => Promise<void>;
+	let decodeRequestHeaders: RequestCodec['decodeRequestHeaders'];
 
 	const waitFor = async (isReached: () => boolean) => {
 		while (!isReached()) {
@@ -55,12 +61,23 @@
 	beforeEach(async () => {
 		forwarded = [];
 		rejected = [];
+		dropped = [];
+		failed = [];
 		received = '';
+		forward = async callerRequest => {
+			forwarded.push(callerRequest);
+		};
+
+		decodeRequestHeaders = codec.decodeRequestHeaders;
 		frontend = new HttpFrontend({
-			clock, random: new Random(1), codec, notReadyRetryAfterMs: 100, getRoutes: () => routes, async forward(callerRequest) {
-				forwarded.push(callerRequest);
+			clock, random: new Random(1), codec: {...codec, decodeRequestHeaders: headers => decodeRequestHeaders(headers)}, notReadyRetryAfterMs: 100, getRoutes: () => routes, async forward(callerRequest) {
+				return forward(callerRequest);
 			}, onRejected(rejectedRequest) {
 				rejected.push(rejectedRequest);
+			}, onDropped(droppedRequest) {
+				dropped.push(droppedRequest);
+			}, onFailed(failedRequest) {
+				failed.push(failedRequest);
 			},
 		});
 		const port = await findPort();
@@ -73,6 +90,7 @@
 		socket.on('error', () => {
 			// The frontend may reset the connection.
 		});
+		await waitFor(() => !socket.connecting);
 	});
 
 	afterEach(() => {
@@ -141,6 +159,8 @@
 		forwarded[0]!.response.writeHead(200, {'content-length': '4'}).end('done');
 		await waitFor(() => socket.destroyed);
 		expect(forwarded).to.have.length(1);
+		await waitFor(() => dropped.length === 1);
+		expect(dropped[0]).to.include({path: '/y', reason: 'limit', isForwarded: false});
 	});
 
 	it('closes the connection when the body of a request can\'t be read', async () => {
@@ -172,6 +192,203 @@
 		await clock.sleep(20);
 		expect(forwarded.filter(({signal}) => signal.aborted)).to.have.length(20);
 		expect(frontend.openRequests).to.equal(0);
+		expect(dropped).to.have.length(0);
+		expect(Object.values(dropReasons)).not.to.include(forwarded[0]!.signal.reason);
+	});
+
+	// The log could not tell a caller that left from a connection that was ended here.
+	describe('names why a request that was read has no complete answer', () => {
+		for (const {name, reason, end} of [
+			{
+				name: 'its answer was broken off', reason: 'cut', end(request: CallerRequest) {
+					request.response.writeHead(200).write('first ');
+					request.response.destroy();
+				},
+			},
+			{
+				name: 'its connection was destroyed before the answer', reason: 'error', end(request: CallerRequest) {
+					request.response.destroy();
+				},
+			},
+			{
+				name: 'the process exits', reason: 'exit', end() {
+					frontend.recordExit();
+				},
+			},
+		]) {
+			it(name, async () => {
+				socket.write(request);
+				await waitFor(() => forwarded.length === 1);
+				end(forwarded[0]!);
+				await waitFor(() => dropped.length === 1);
+				expect(dropped[0]).to.include({path: '/x', reason, isForwarded: true});
+				// The exit reports the request while its connection is still open.
+				expect(forwarded[0]!.signal.aborted ? forwarded[0]!.signal.reason : 'exit').to.equal(reason);
+				socket.destroy();
+				await waitFor(() => frontend.openRequests === 0 && forwarded[0]!.signal.aborted);
+				expect(dropped).to.have.length(1);
+			});
+		}
+
+		it('the answer before it ended the connection', async () => {
+			socket.write(request.repeat(2));
+			await waitFor(() => forwarded.length === 2);
+			forwarded[0]!.response.writeHead(200, {connection: 'close', 'content-length': '4'}).end('done');
+			await waitFor(() => dropped.length === 1);
+			expect(dropped[0]).to.include({reason: 'earlier-answer', isForwarded: true});
+			expect(forwarded[1]!.signal.reason).to.equal('earlier-answer');
+		});
+	});
+
+	it('passes on by what the request is routed', async () => {
+		socket.write(request);
+		await waitFor(() => forwarded.length === 1);
+		expect(forwarded[0]!.routing).to.deep.equal({version: 1, timeoutMs: 10_000, timeoutBy: 'route'});
+	});
+
+	// Guards against a request that is read and passed on while the process only waits for its exit.
+	it('refuses a request that is read after the front end has been closed', async () => {
+		socket.write(request.slice(0, 10));
+		await clock.sleep(20);
+		frontend.close();
+		socket.write(request.slice(10));
+		await waitFor(() => socket.destroyed);
+		expect(received).to.match(/^HTTP\/1.1 503 /);
+		expect(forwarded).to.have.length(0);
+		expect(rejected[0]).to.include({reason: 'stopping'});
+	});
+
+	// An exception on the way ended the process, with all its requests.
+	for (const {name, fail} of [
+		{
+			name: 'forwarding', fail() {
+				forward = async () => {
+					throw new Error('unexpected');
+				};
+			},
+		},
+		{
+			name: 'forwarding after the head of its answer', fail() {
+				forward = async ({response}) => {
+					response.writeHead(200).flushHeaders();
+					throw new Error('unexpected');
+				};
+			},
+		},
+		{
+			name: 'reading its headers', fail() {
+				decodeRequestHeaders = () => {
+					throw new Error('unexpected');
+				};
+			},
+		},
+	]) {
+		it(`ends a request whose ${name} throws, and serves others`, async () => {
+			const port = socket.remotePort!;
+			fail();
+			socket.write(request);
+			await waitFor(() => received.includes('\r\n\r\n') || socket.destroyed);
+			if (received.startsWith('HTTP/1.1 200')) {
+				await waitFor(() => socket.destroyed);
+				expect(received).not.to.contain('\r\n0\r\n\r\n');
+			} else {
+				expect(received).to.match(/^HTTP\/1.1 502 /);
+			}
+
+			await waitFor(() => frontend.openRequests === 0);
+			expect(failed).to.have.length(1);
+			expect(failed[0]).to.include({path: '/x'});
+			expect(String(failed[0]!.error)).to.equal('Error: unexpected');
+			decodeRequestHeaders = codec.decodeRequestHeaders;
+			forward = async callerRequest => {
+				forwarded.push(callerRequest);
+			};
+
+			const other = connect(port, '127.0.0.1');
+			other.write(request);
+			await waitFor(() => forwarded.length === 1);
+			other.destroy();
+		});
+	}
+
+	// The end of the sending side can't be told from the end of the connection before something is written.
+	it('takes a caller that ends its sending side for one that has left', async () => {
+		socket.write(request);
+		await waitFor(() => forwarded.length === 1);
+		socket.end();
+		await waitFor(() => forwarded[0]!.signal.aborted && frontend.openRequests === 0);
+		expect(dropped).to.have.length(0);
+	});
+
+	it('closes a connection after the idle limit', async () => {
+		frontend.applyLimits({headerTimeoutMs, idleTimeoutMs: 0});
+		socket.write(request);
+		await waitFor(() => forwarded.length === 1);
+		forwarded[0]!.response.writeHead(200, {'content-length': '4'}).end('done');
+		await waitFor(() => socket.destroyed);
+		expect(received).to.match(/done$/);
+		expect(dropped).to.have.length(0);
+	});
+
+	it('closes a connection after the idle limit when the server itself has answered its request', async () => {
+		frontend.applyLimits({headerTimeoutMs, idleTimeoutMs: 0});
+		socket.write(request.replace('Content-Length', 'Expect: more\r\nContent-Length'));
+		await waitFor(() => socket.destroyed);
+		expect(received).to.match(/^HTTP\/1.1 417 /);
+	});
+
+	// A process that does not run for a while finds the timer and the bytes of a request at once.
+	it('reads a request that arrived before the idle timeout, also when it runs only afterwards', async () => {
+		frontend.applyLimits({headerTimeoutMs, idleTimeoutMs: 0});
+		socket.write(request);
+		await waitFor(() => forwarded.length === 1);
+		forwarded[0]!.response.writeHead(200, {'content-length': '4'}).end('done');
+		await waitFor(() => received.includes('done'));
+		socket.write(request);
+		Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, 3000);
+		await waitFor(() => forwarded.length === 2 || socket.destroyed);
+		expect(forwarded).to.have.length(2);
+	});
+
+	// Guards against work for a request whose connection ends before its answer.
+	it('does not pass on a request behind a response that has said that the connection closes', async () => {
+		frontend.startDrain();
+		socket.write(request);
+		await waitFor(() => forwarded.length === 1);
+		const {response} = forwarded[0]!;
+		response.writeHead(200);
+		response.write('first ');
+		await waitFor(() => received.includes('first'));
+		socket.write(request.replace('/x', '/y'));
+		await waitFor(() => frontend.openRequests === 2);
+		response.end('last');
+		await waitFor(() => socket.destroyed && dropped.length === 1);
+		expect(received).to.match(/connection: close/i).and.to.contain('last\r\n0\r\n\r\n');
+		expect(forwarded).to.have.length(1);
+		expect(dropped[0]).to.include({path: '/y', reason: 'earlier-answer', isForwarded: false});
+	});
+
+	it('answers each request that is sent before the last response has begun while the front end drains', async () => {
+		frontend.startDrain();
+		socket.write(request.repeat(2));
+		await waitFor(() => forwarded.length === 2);
+		forwarded[0]!.response.writeHead(200, {'content-length': '5'}).end('first');
+		await waitFor(() => received.includes('first'));
+		expect(received).not.to.match(/connection: close/i);
+		socket.write(request);
+		await waitFor(() => forwarded.length === 3 || socket.destroyed);
+		forwarded[1]!.response.writeHead(200, {'content-length': '6'}).end('second');
+		forwarded[2]?.response.writeHead(200, {'content-length': '5'}).end('third');
+		await waitFor(() => socket.destroyed);
+		expect(received).to.match(/first[^]*second[^]*connection: close[^]*third$/i);
+	});
+
+	it('answers a request behind one whose body is too large', async () => {
+		socket.write(`POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: 2000\r\n\r\n${'x'.repeat(2000)}${request}`);
+		await waitFor(() => forwarded.length === 1 || socket.destroyed);
+		forwarded[0]?.response.writeHead(200, {'content-length': '4'}).end('done');
+		await waitFor(() => received.endsWith('done') || socket.destroyed);
+		expect(received).to.match(/^HTTP\/1.1 413 [^]*HTTP\/1.1 200 OK/);
 	});
 
 	it('refuses a request that arrives late in the drain, and does not forward it', async () => {
@@ -181,6 +398,10 @@
 				forwarded.push(callerRequest);
 			}, onRejected(rejectedRequest) {
 				rejected.push(rejectedRequest);
+			}, onDropped(droppedRequest) {
+				dropped.push(droppedRequest);
+			}, onFailed(failedRequest) {
+				failed.push(failedRequest);
 			},
 		});
 		const port = await findPort();
