test(stand-ins): engines and services that fall silent and go on

A sound server may send nothing for a second and go on. The stand-ins could only stop generating (`silence`) or crash.

SendGate holds the writes and the ends of all connections of a server, below HTTP, and then sends them in order. The server still accepts connections and works meanwhile. `pauseSending` and `resumeSending` for tests in one process, the fault `pause` with a time for stand-ins that run as processes; its reply goes out before the silence.

--- a/stand-ins/src/model-engine.ts
+++ b/stand-ins/src/model-engine.ts
@@ -17,6 +17,7 @@
 	compareFenceTokens, formatChunk, readJson, sendJson, type CompletionBody, type FenceToken, type LedgerOrder, type LedgerRequest, type OpenRequest,
 } from './engine-messages.js';
 import {PrefixCache} from './prefix-cache.js';
+import {SendGate} from './send-gate.js';
 
 export const crashMarker = 'CRASH-ENGINE';
 export const stallMarker = 'STALL-ENGINE';
@@ -55,6 +56,7 @@
 	readonly #cache: PrefixCache;
 	readonly #openRequests = new Map<string, OpenRequest>();
 	readonly #sockets = new Set<Socket>();
+	readonly #gate = new SendGate();
 	#server: Server | undefined;
 	#port = 0;
 	#lastStepAt = 0;
@@ -86,6 +88,7 @@
 			});
 		});
 		server.on('connection', socket => {
+			this.#gate.watch(socket);
 			this.#sockets.add(socket);
 			socket.on('close', () => this.#sockets.delete(socket));
 		});
@@ -106,6 +109,7 @@
 			socket.destroy();
 		}
 
+		this.#gate.open();
 		this.#batch.clear();
 		this.#openRequests.clear();
 		await new Promise<void>(resolve => {
@@ -119,6 +123,15 @@
 		});
 	}
 
+	/** Falls silent until `resumeSending`: holds what it would send on all connections, and goes on working. */
+	pauseSending(): void {
+		this.#gate.close();
+	}
+
+	resumeSending(): void {
+		this.#gate.open();
+	}
+
 	/** Simulates a process crash: all connections are closed and all requests are lost. Without `onCrash`, the engine restarts. */
 	crash(): void {
 		this.crashes++;
@@ -208,7 +221,13 @@
 			}
 
 			case '/fault': {
-				this.#applyFault((body as {kind: string}).kind);
+				const {kind, ms} = body as {kind: string; ms?: number};
+				if (kind === 'pause') {
+					this.#gate.closeAfter(response, {ms: ms ?? 0, clock: this.#opts.clock});
+				} else {
+					this.#applyFault(kind);
+				}
+
 				sendJson(response, 200, {});
 				return;
 			}
--- a/stand-ins/src/plain-service.ts
+++ b/stand-ins/src/plain-service.ts
@@ -5,6 +5,10 @@
 } from 'node:http';
 import {Buffer} from 'node:buffer';
 import type {AddressInfo} from 'node:net';
+import type {Clock} from '@hickorytrack/clock';
+import {SystemClock} from '@hickorytrack/clock/system-clock';
+import {readJson, sendJson} from './engine-messages.js';
+import {SendGate} from './send-gate.js';
 
 export type LedgerCall = {
 	sequence: number;
@@ -19,6 +23,8 @@
 export type PlainServiceOptions = {
 	/** Duration of one call in milliseconds. */
 	callMs?: number;
+	/** Times the fault `pause`. */
+	clock?: Clock;
 	/** Called after a call has been executed and before its response is sent; may stop the service. */
 	onExecuted?: (call: LedgerCall) => Promise<void> | void;
 };
@@ -27,6 +33,7 @@
 	readonly calls: LedgerCall[] = [];
 	incarnation = randomUUID();
 	readonly #opts: PlainServiceOptions;
+	readonly #gate = new SendGate();
 	#server: Server | undefined;
 	#port = 0;
 
@@ -44,6 +51,9 @@
 				response.destroy();
 			});
 		});
+		server.on('connection', socket => {
+			this.#gate.watch(socket);
+		});
 		this.#server = server;
 		await new Promise<void>((resolve, reject) => {
 			server.once('error', reject);
@@ -60,9 +70,19 @@
 				resolve();
 			});
 			server?.closeAllConnections();
+			this.#gate.open();
 		});
 	}
 
+	/** Falls silent until `resumeSending`: holds what it would send on all connections, and goes on working. */
+	pauseSending(): void {
+		this.#gate.close();
+	}
+
+	resumeSending(): void {
+		this.#gate.open();
+	}
+
 	async crash(restartMs: number): Promise<void> {
 		await this.stop();
 		this.incarnation = randomUUID();
@@ -83,6 +103,13 @@
 			return;
 		}
 
+		if (request.url === '/fault') {
+			const {ms} = await readJson(request) as {kind: 'pause'; ms: number};
+			this.#gate.closeAfter(response, {ms, clock: this.#opts.clock ?? new SystemClock()});
+			sendJson(response, 200, {});
+			return;
+		}
+
 		const call = await this.#runCall(request);
 		await this.#opts.onExecuted?.(call);
 		response.writeHead(200, {'content-type': 'application/json'}).end(JSON.stringify({sequence: call.sequence, path: call.path, bodyDigest: call.bodyDigest}));
