fix(agent): an engine that leaves a query unanswered keeps its accepted requests

What callers saw: 503 `overloaded` for requests that an agent had accepted, when their engine was silent for about a second and was their only endpoint.

Cause: the monitor asks the engine once a second with a timeout of a second. One query without an answer counted as the loss of the engine, like a refused connection, and the agent refused its whole queue before anything else had taken a request over.

Change: the adapters tell a query that got no answer in time (ERR_HICKORYTRACK_ENGINE_SILENT) from an engine that can't be reached. While an engine is silent, the queue stays, bounded by the queue time of its contract, no work starts and new work is refused. Events 1409 and 1410 give the duration and the limit.

Conclusion: silence of an engine no longer empties a queue; a refused connection still does.

--- a/packages/core/events/src/event-catalogue.ts
+++ b/packages/core/events/src/event-catalogue.ts
@@ -92,6 +92,12 @@
 	engineMissing: {
 		number: 1408, level: 'warn', text: 'The engine does not answer', action: 'Start the engine; the agent announces it automatically.',
 	},
+	engineFellSilent: {
+		number: 1409, level: 'warn', text: 'The engine left a query unanswered; it keeps its work, accepted requests wait, and no work starts on it until it answers', action: 'Check the engine if this repeats or 1410 does not follow.',
+	},
+	engineAnswersAgain: {
+		number: 1410, level: 'info', text: 'The engine answers again after a silence', action: noAction,
+	},
 	leaderElected: {
 		number: 1501, level: 'info', text: 'This controller is now the leader', action: noAction,
 	},
--- a/packages/core/types/src/engine-adapter.ts
+++ b/packages/core/types/src/engine-adapter.ts
@@ -35,7 +35,10 @@
 };
 
 export type EngineAdapter = {
-	/** Requests the description of the engine; fails while the engine is unreachable. */
+	/**
+	 * Requests the description of the engine. Fails with `ERR_HICKORYTRACK_ENGINE_SILENT` if no answer came in time, which does
+	 * not show that the engine is gone, and with another code if it can't be reached.
+	 */
 	describe(): Promise<Result<EngineDescription, HickorytrackError>>;
 	/** Runs a generation; the last event is `end` or `failed`. */
 	generate(work: GenerationWork, opts: GenerateOptions): AsyncIterable<EngineEvent>;
--- a/packages/plugins/agent/src/engine-monitor.ts
+++ b/packages/plugins/agent/src/engine-monitor.ts
@@ -1,9 +1,11 @@
 /**
  * Monitors the engine. One task polls its description, registers the endpoint when the description changed, and detects a
- * new engine process. The monitor also decides whether a failed request was caused by a crash of the engine.
+ * new engine process. The monitor also decides whether a failed request was caused by a crash of the engine. An engine that
+ * leaves a query unanswered may be sound: no work starts on it until it answers, and what it has or what waits for it stays.
  */
 import type {Clock} from '@hickorytrack/clock';
 import type {ControlClient} from '@hickorytrack/control-client';
+import type {HickorytrackError} from '@hickorytrack/errors';
 import type {FenceGuard} from '@hickorytrack/fence';
 import type {ProcessContext} from '@hickorytrack/kernel/plugin';
 import type {EngineAdapter, EngineDescription} from '@hickorytrack/types/engine-adapter';
@@ -30,6 +32,8 @@
 	#sleepAbortController = new AbortController();
 	#description: EngineDescription | undefined;
 	#registeredText: string | undefined;
+	#answeredAt = 0;
+	#isSilent = false;
 	#ordersAllowedAt = Number.POSITIVE_INFINITY;
 
 	constructor(opts: EngineMonitorOptions) {
@@ -37,11 +41,16 @@
 		this.#clock = opts.context.clock;
 	}
 
-	/** The last description that the engine returned; `undefined` while it is unreachable. */
+	/** The last description that the engine returned; `undefined` while it is unreachable, but kept while it is silent. */
 	get description(): EngineDescription | undefined {
 		return this.#description;
 	}
 
+	/** Whether the engine answered the last query. */
+	get isAnswering(): boolean {
+		return this.#description !== undefined && !this.#isSilent;
+	}
+
 	/** Milliseconds until orders of the current epoch may be written. */
 	get orderWaitMs(): number {
 		return Math.max(0, this.#ordersAllowedAt - this.#clock.monotonic());
@@ -80,6 +89,7 @@
 	}
 
 	handleLoss(): void {
+		this.#isSilent = false;
 		if (this.#description) {
 			this.#description = undefined;
 			this.#registeredText = undefined;
@@ -94,27 +104,52 @@
 		while (!this.#abortController.signal.aborted) {
 			this.#sleepAbortController = new AbortController();
 			const described = await this.#opts.adapter.describe();
-			if (described.isErr()) {
+			let isMissing = false;
+			if (described.isOk()) {
+				await this.#handleDescription(described.value);
+			} else if (this.#description && isSilence(described.error)) {
+				this.#recordSilence(described.error);
+			} else {
+				isMissing = true;
 				this.handleLoss();
 				this.#sleepAbortController = new AbortController();
 				if (!wasMissing) {
 					this.#opts.context.events.emit('engineMissing', {message: described.error.message});
 				}
-			} else {
-				await this.#handleDescription(described.value);
 			}
 
-			wasMissing = described.isErr();
-			await this.#clock.sleep(this.#registeredText === undefined ? retryIntervalMs : pollIntervalMs, this.#sleepAbortController.signal);
+			wasMissing = isMissing;
+			await this.#clock.sleep(this.#isSilent || this.#registeredText === undefined ? retryIntervalMs : pollIntervalMs, this.#sleepAbortController.signal);
+		}
+	}
+
+	#recordSilence(error: HickorytrackError): void {
+		if (!this.#isSilent) {
+			this.#isSilent = true;
+			this.#opts.context.events.emit('engineFellSilent', {silentMs: this.#computeSilentMs(), limit: error.message});
 		}
 	}
 
+	#recordAnswer(): void {
+		if (this.#isSilent) {
+			this.#isSilent = false;
+			this.#opts.context.events.emit('engineAnswersAgain', {silentMs: this.#computeSilentMs()});
+		}
+
+		this.#answeredAt = this.#clock.monotonic();
+	}
+
+	#computeSilentMs(): number {
+		return Math.round(this.#clock.monotonic() - this.#answeredAt);
+	}
+
 	async #handleDescription(description: EngineDescription): Promise<void> {
 		const isNewProcess = this.#description !== undefined && this.#description.incarnation !== description.incarnation;
 		if (isNewProcess) {
 			this.handleLoss();
 		}
 
+		this.#recordAnswer();
 		this.#description = description;
 		const text = JSON.stringify(description);
 		if (text !== this.#registeredText && await this.#register(description)) {
@@ -146,3 +181,7 @@
 		return true;
 	}
 }
+
+function isSilence(error: HickorytrackError): boolean {
+	return error.code === 'ERR_HICKORYTRACK_ENGINE_SILENT';
+}
--- a/packages/plugins/agent/src/work-scheduler.ts
+++ b/packages/plugins/agent/src/work-scheduler.ts
@@ -272,7 +272,7 @@
 			return reject('draining');
 		}
 
-		if (!control.isFresh || !monitor.description) {
+		if (!control.isFresh || !monitor.isAnswering || !monitor.description) {
 			return reject('not-ready');
 		}
 
@@ -382,7 +382,7 @@
 
 	/** Starts jobs while slots are free. An isolated job waits until no other job runs, and no other starts while it runs. */
 	#startJobs(): void {
-		while (this.#running.size < this.#countSlots() && this.#opts.monitor.description) {
+		while (this.#running.size < this.#countSlots() && this.#opts.monitor.isAnswering) {
 			const hasIsolated = [...this.#running].some(job => job.isIsolated);
 			if ((hasIsolated || this.#waitingIsolatedJob) && (this.#running.size > 0 || !this.#waitingIsolatedJob)) {
 				return;
--- a/packages/plugins/engine-http/src/engine-http-error.ts
+++ b/packages/plugins/engine-http/src/engine-http-error.ts
@@ -1,5 +1,5 @@
 /** The error of the engine adapters; `written` tells whether the engine may have received the request. */
-import {HickorytrackError, type ErrorCode} from '@hickorytrack/errors';
+import {describeError, HickorytrackError, type ErrorCode} from '@hickorytrack/errors';
 import type {EngineError} from '@hickorytrack/types/engine-adapter';
 
 export class HttpEngineError extends HickorytrackError implements EngineError {
@@ -11,6 +11,14 @@
 	}
 }
 
+/** Converts the failure of a query whose only reason to be cancelled is its timeout. */
+export function convertQueryError(error: unknown, {url, timeoutMs}: {url: string; timeoutMs: number}): HickorytrackError {
+	const isSilent = error instanceof HickorytrackError && error.code === 'ERR_HICKORYTRACK_CALL_CANCELLED';
+	return isSilent
+		? new HickorytrackError('ERR_HICKORYTRACK_ENGINE_SILENT', `${url} did not answer a query within ${timeoutMs} ms`, {cause: error})
+		: new HickorytrackError('ERR_HICKORYTRACK_ENGINE_UNREACHABLE', `${url} can't be reached: ${describeError(error)}`, {cause: error});
+}
+
 const connectErrorCodes = new Set(['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH']);
 const connectTimeoutCode = 'UND_ERR_CONNECT_TIMEOUT';
 
--- a/packages/plugins/engine-http/src/http-model-engine.ts
+++ b/packages/plugins/engine-http/src/http-model-engine.ts
@@ -13,7 +13,7 @@
 	EngineAdapter, EngineAdapterFactory, EngineDescription, EngineError, EngineEvent, GenerateOptions,
 } from '@hickorytrack/types/engine-adapter';
 import type {GenerationWork, ServiceAnswer} from '@hickorytrack/types/work';
-import {HttpEngineError, isPossiblyWritten} from './engine-http-error.js';
+import {convertQueryError, HttpEngineError, isPossiblyWritten} from './engine-http-error.js';
 
 const queryTimeoutMs = 1000;
 const orderTimeoutMs = 120_000;
@@ -57,7 +57,7 @@
 			const answer = await this.#sendQuery('/engine/info');
 			return answer.status === notFound ? await this.#describePlainEngine() : ok(this.#convertInfo(parseBody(answer) as InfoBody));
 		} catch (error) {
-			return err(new HickorytrackError('ERR_HICKORYTRACK_ENGINE_UNREACHABLE', `The engine at ${this.#url} does not answer: ${describeError(error)}`, {cause: error}));
+			return err(convertQueryError(error, {url: this.#url, timeoutMs: queryTimeoutMs}));
 		}
 	}
 
--- a/packages/plugins/engine-http/src/http-plain-service.ts
+++ b/packages/plugins/engine-http/src/http-plain-service.ts
@@ -11,7 +11,7 @@
 	EngineAdapter, EngineAdapterFactory, EngineDescription, EngineError, EngineEvent, GenerateOptions,
 } from '@hickorytrack/types/engine-adapter';
 import type {GenerationWork, ServiceAnswer, ServiceWork} from '@hickorytrack/types/work';
-import {HttpEngineError, isPossiblyWritten} from './engine-http-error.js';
+import {convertQueryError, HttpEngineError, isPossiblyWritten} from './engine-http-error.js';
 
 const healthTimeoutMs = 1000;
 const defaultCapacity = 64;
@@ -46,7 +46,7 @@
 				checksFencing: false,
 			});
 		} catch (error) {
-			return err(new HickorytrackError('ERR_HICKORYTRACK_ENGINE_UNREACHABLE', `The service at ${this.#url} does not answer: ${describeError(error)}`, {cause: error}));
+			return err(convertQueryError(error, {url: this.#url, timeoutMs: healthTimeoutMs}));
 		}
 	}
 
