fix(entry): a request waits for an endpoint that is not ready for a moment

What callers saw: 503 `overloaded` at once for new requests while the only engine or service of their model was silent.

Cause: an endpoint that refused a request as not ready counted as tried for the rest of the request, as if it had judged the request, and without another endpoint the request was refused without the wait that an endpoint without a connection gets. Calls of services also paid for it from the retry budget.

Change: such an endpoint is left out for 250 ms for all requests of this entry, so that others are preferred, and may then be tried again. Attempts and the wait for an endpoint are limited as before.

Conclusion: a silence of about a second delays new requests at an only endpoint; one of more than two seconds still refuses them, as not run.

--- a/packages/plugins/entry/src/attempt-runner.ts
+++ b/packages/plugins/entry/src/attempt-runner.ts
@@ -16,6 +16,8 @@
 const recoveryPollIntervalMs = 20;
 const resolveTimeoutMs = 1000;
 const submitFailureBackOffMs = 1000;
+/** Its agent or engine may be silent for a moment. */
+const notReadyBackOffMs = 250;
 
 export type AttemptOutcome =
 	| {kind: 'refused'; reason: RefusalReason}
@@ -24,6 +26,12 @@
 	| {kind: 'lost'}
 	| {kind: 'stopped'};
 
+/** Returns whether the endpoint was not ready. That says nothing about the request: the endpoint may take it a moment later. */
+export function isNotReady(outcome: AttemptOutcome): boolean {
+	const refusal = outcome.kind === 'ended' ? outcome.end : outcome;
+	return refusal.kind === 'refused' && refusal.reason === 'not-ready';
+}
+
 export type AttemptOptions = {
 	signal: AbortSignal;
 	/** Receives the texts in order; resolves when the caller can receive more. */
@@ -61,7 +69,12 @@
 		this.#readers.set(submission.attempt, reader);
 		this.#recordSent(handle, submission);
 		try {
-			return await this.#sendSubmission(handle, submission, {...opts, reader});
+			const outcome = await this.#sendSubmission(handle, submission, {...opts, reader});
+			if (isNotReady(outcome)) {
+				handle.backOffUntil = Math.max(handle.backOffUntil, this.#context.clock.monotonic() + notReadyBackOffMs);
+			}
+
+			return outcome;
 		} finally {
 			this.#readers.delete(submission.attempt);
 			handle.recordFinished(submission.attempt);
--- a/packages/plugins/entry/src/endpoint-directory.ts
+++ b/packages/plugins/entry/src/endpoint-directory.ts
@@ -29,7 +29,7 @@
 	readonly cache = new CacheView();
 	readonly link: PersistentLink;
 	readonly #outstanding = new Map<string, OutstandingWork>();
-	/** Monotonic time until which the endpoint is not selected, because a submission to it failed. */
+	/** Monotonic time until which the endpoint is not selected, because a submission to it failed or it was not ready. */
 	backOffUntil = Number.NEGATIVE_INFINITY;
 
 	constructor(record: EndpointRecord, link: PersistentLink) {
@@ -129,14 +129,12 @@
 
 	/** Returns the endpoints of a model or service that can receive a request now. */
 	listUsable(name: string, opts: {excluded?: ReadonlySet<string>} = {}): EndpointHandle[] {
-		const now = this.#opts.clock.monotonic();
-		return [...this.#handles.values()].filter(handle =>
-			handle.record.announcement.names.includes(name)
-			&& handle.phase === 'serving'
-			&& handle.load?.phase !== 'draining'
-			&& handle.connection !== undefined
-			&& handle.backOffUntil <= now
-			&& !opts.excluded?.has(handle.endpoint));
+		return this.#listServing(name, opts).filter(handle => !this.#isBackingOff(handle));
+	}
+
+	/** Returns whether an endpoint of a model or service is left out only for a while. */
+	hasBackingOff(name: string, opts: {excluded?: ReadonlySet<string>} = {}): boolean {
+		return this.#listServing(name, opts).some(handle => this.#isBackingOff(handle));
 	}
 
 	createCandidate(handle: EndpointHandle): PlacementCandidate {
@@ -156,10 +154,23 @@
 
 	dump(): unknown {
 		return [...this.#handles.values()].map(handle => ({
-			endpoint: handle.endpoint, phase: handle.phase, connected: handle.connection !== undefined, load: handle.load,
+			endpoint: handle.endpoint, phase: handle.phase, connected: handle.connection !== undefined, isBackingOff: this.#isBackingOff(handle), load: handle.load,
 		}));
 	}
 
+	#listServing(name: string, {excluded}: {excluded?: ReadonlySet<string>}): EndpointHandle[] {
+		return [...this.#handles.values()].filter(handle =>
+			handle.record.announcement.names.includes(name)
+			&& handle.phase === 'serving'
+			&& handle.load?.phase !== 'draining'
+			&& handle.connection !== undefined
+			&& !excluded?.has(handle.endpoint));
+	}
+
+	#isBackingOff(handle: EndpointHandle): boolean {
+		return handle.backOffUntil > this.#opts.clock.monotonic();
+	}
+
 	#updateHandles(): void {
 		const selected = this.#selectSubset();
 		for (const [endpoint, handle] of this.#handles) {
--- a/packages/plugins/entry/src/generation-call.ts
+++ b/packages/plugins/entry/src/generation-call.ts
@@ -228,10 +228,13 @@
 
 	/**
 	 * Retries at another endpoint if the retry budget allows it. No budget is charged if the endpoint is draining, stopping
-	 * or not ready, or if the generation has output.
+	 * or not ready, or if the generation has output. An endpoint that was not ready may be tried again after a pause.
 	 */
 	#retryElsewhere(handle: EndpointHandle, opts: {reason?: RefusalReason}): NextStep {
-		this.#triedEndpoints.add(handle.endpoint);
+		if (opts.reason !== 'not-ready') {
+			this.#triedEndpoints.add(handle.endpoint);
+		}
+
 		const isBudgetExempt = opts.reason === 'draining' || opts.reason === 'stopping' || opts.reason === 'not-ready' || this.#texts.length > 0;
 		this.#retries++;
 		if (!isBudgetExempt && !this.#request.workspace.retryBudget.acquire()) {
@@ -279,7 +282,7 @@
 			// A generation with output, or a suspect, may return to an endpoint that was already tried.
 			if (this.#texts.length > 0 || this.#isSuspect) {
 				this.#triedEndpoints.clear();
-			} else if (this.#triedEndpoints.size > 0) {
+			} else if (this.#triedEndpoints.size > 0 && !this.#services.endpoints.hasBackingOff(this.#request.model, {excluded: this.#triedEndpoints})) {
 				return undefined;
 			}
 
--- a/packages/plugins/entry/src/service-call.ts
+++ b/packages/plugins/entry/src/service-call.ts
@@ -9,6 +9,7 @@
 	Claim, ClaimReadResult, ClaimReply, ClaimSettlement,
 } from '@hickorytrack/types/claim';
 import type {ServiceAnswer, ServiceWork} from '@hickorytrack/types/work';
+import {isNotReady} from './attempt-runner.js';
 import type {EndpointHandle} from './endpoint-directory.js';
 import type {GenerationServices} from './generation-call.js';
 import {createProblem, type Problem, type ProblemCode} from './problem.js';
@@ -47,7 +48,7 @@
 
 type DispatchOutcome =
 	| {kind: 'answer'; answer: ServiceAnswer}
-	| {kind: 'not-run'}
+	| {kind: 'not-run'; isNotReady: boolean}
 	| {kind: 'unknown'}
 	| {kind: 'caller-gone'};
 
@@ -94,8 +95,7 @@
 				return outcome;
 			}
 
-			this.#triedEndpoints.add(handle.endpoint);
-			if (!this.#request.workspace.retryBudget.acquire()) {
+			if (!this.#acquireRetry(handle, outcome)) {
 				break;
 			}
 		}
@@ -149,11 +149,10 @@
 		}
 
 		if (outcome.kind === 'not-run') {
-			this.#triedEndpoints.add(handle.endpoint);
 			await this.#recordOutcome({attempt, state: 'not-run'});
 			// Another sending may hold the claim: it took the claim over while this attempt was delayed, or takes it now.
 			this.#isPriorOutcomeKnown = false;
-			return this.#request.workspace.retryBudget.acquire() ? undefined : await this.#findOutcome() ?? this.#reject('overloaded', {retryAfterMs});
+			return this.#acquireRetry(handle, outcome) ? undefined : await this.#findOutcome() ?? this.#reject('overloaded', {retryAfterMs});
 		}
 
 		this.#services.context.events.emit('outcomeUnknown', {requestId: this.#request.requestId, workspace: this.#request.workspace.contract.workspace, endpoint: handle.endpoint});
@@ -161,6 +160,16 @@
 		return this.#reject('outcome-unknown');
 	}
 
+	/** An endpoint that was not ready may be tried again after a pause, and costs none of the retry budget. */
+	#acquireRetry(handle: EndpointHandle, outcome: DispatchOutcome): boolean {
+		if (outcome.kind === 'not-run' && outcome.isNotReady) {
+			return true;
+		}
+
+		this.#triedEndpoints.add(handle.endpoint);
+		return this.#request.workspace.retryBudget.acquire();
+	}
+
 	async #dispatch(handle: EndpointHandle, attempt: string, signal: AbortSignal): Promise<DispatchOutcome> {
 		const {requestId, workspace, fingerprint} = this.#request;
 		const outcome = await this.#services.attempts.run(handle, {
@@ -174,7 +183,7 @@
 		switch (outcome.kind) {
 			case 'refused': {
 				this.#writeStatuses.push('not-written');
-				return {kind: 'not-run'};
+				return {kind: 'not-run', isNotReady: isNotReady(outcome)};
 			}
 
 			case 'ended': {
@@ -184,7 +193,7 @@
 
 				const status = getWriteStatus(outcome.end);
 				this.#writeStatuses.push(status);
-				return {kind: status === 'not-written' ? 'not-run' : 'unknown'};
+				return status === 'not-written' ? {kind: 'not-run', isNotReady: isNotReady(outcome)} : {kind: 'unknown'};
 			}
 
 			case 'lost': {
@@ -320,7 +329,8 @@
 				return usable.find(handle => handle.endpoint === ranked[0]!.endpoint);
 			}
 
-			if (this.#triedEndpoints.size > 0 || this.#clock.monotonic() > until || this.#signal.aborted) {
+			const isExhausted = this.#triedEndpoints.size > 0 && !endpoints.hasBackingOff(this.#request.service, {excluded: this.#triedEndpoints});
+			if (isExhausted || this.#clock.monotonic() > until || this.#signal.aborted) {
 				return undefined;
 			}
 
