--- a/packages/net/peer-link/test/peer-link.test.ts
+++ b/packages/net/peer-link/test/peer-link.test.ts
@@ -3,9 +3,11 @@
 	connect, type Server, createServer, type AddressInfo, Socket,
 } from 'node:net';
 import {expect} from 'chai';
+import type {Clock} from '@hickorytrack/clock';
 import {ManualClock} from '@hickorytrack/clock/manual-clock';
 import {SystemClock} from '@hickorytrack/clock/system-clock';
 import {Random} from '@hickorytrack/random';
+import type {PeerConnection} from '../src/peer-connection.js';
 import {PeerNode} from '../src/peer-node.js';
 import {FrameDecoder, encodeFrame} from '../src/frame-codec.js';
 
@@ -23,6 +25,68 @@
 	override readonly connecting = true;
 }
 
+/** A clock that stands still, and jumps as that of a process does that was paused. */
+class JumpingClock implements Clock {
+	#time = 0;
+	readonly #sleepers: Array<() => void> = [];
+	readonly #onSleeper: Array<() => void> = [];
+
+	now(): number {
+		return this.#time;
+	}
+
+	monotonic(): number {
+		return this.#time;
+	}
+
+	async sleep(_ms: number, signal?: AbortSignal): Promise<void> {
+		await new Promise<void>(resolve => {
+			this.#sleepers.push(resolve);
+			signal?.addEventListener('abort', () => {
+				resolve();
+			}, {once: true});
+			for (const notify of this.#onSleeper.splice(0)) {
+				notify();
+			}
+		});
+	}
+
+	/** The timers of this clock never fire; they are for timeouts of handshakes. */
+	startTimer(): () => void {
+		return () => undefined;
+	}
+
+	jump(ms: number): void {
+		this.#time += ms;
+		for (const wake of this.#sleepers.splice(0)) {
+			wake();
+		}
+	}
+
+	/** Waits until a task that was woken sleeps again, or has ended. */
+	async waitForSleeper(): Promise<void> {
+		if (this.#sleepers.length === 0) {
+			await Promise.race([
+				new Promise<void>(resolve => {
+					this.#onSleeper.push(resolve);
+				}),
+				new SystemClock().sleep(1000),
+			]);
+		}
+	}
+}
+
+async function waitForConnection(node: PeerNode): Promise<PeerConnection> {
+	for (;;) {
+		const [connection] = node.connections;
+		if (connection) {
+			return connection;
+		}
+
+		await new SystemClock().sleep(1);
+	}
+}
+
 describe('peer link', () => {
 	const nodes: PeerNode[] = [];
 	let server: Server | undefined;
@@ -149,6 +213,32 @@
 		expect((await connection.request('work.resolve', {attempt: 'x', cancel: false}))._unsafeUnwrapErr().sent).to.equal(false);
 	});
 
+	// A process that resumed after a pause closed all its connections before it read what had arrived.
+	it('reads what has arrived before it takes a connection for silent', async () => {
+		const a = await startNode('a', ['shared-key']);
+		const clock = new JumpingClock();
+		const b = new PeerNode({
+			clock, random: new Random(1), timing, keys: ['shared-key'], member: {
+				instance: 'b', roles: [], availabilityZone: 'z', address: '', incarnation: 'b-1',
+			},
+		});
+		nodes.push(b);
+		const connection = (await b.connect(a.member.address))._unsafeUnwrap();
+		const accepted = await waitForConnection(a);
+		accepted.notify('work.cancel', {attempt: 'x'});
+		// The frame is sent in this turn of the event loop, right before the clock of the other node jumps.
+		await new Promise<void>(resolve => {
+			setImmediate(() => {
+				clock.jump(timing.silenceMs * 10);
+				resolve();
+			});
+		});
+		await clock.waitForSleeper();
+		expect(connection.isOpen).to.equal(true);
+		clock.jump(timing.silenceMs * 10);
+		await connection.closed;
+	});
+
 	it('accepts connections after invalid data on its listener', async () => {
 		const a = await startNode('a', ['shared-key']);
 		const [host, port] = a.member.address.split(':');
--- a/stand-ins/src/model-engine.ts
+++ b/stand-ins/src/model-engine.ts
@@ -210,7 +210,7 @@
 			}
 
 			case '/engine/cancel': {
-				this.#cancel((body as {request: string}).request);
+				this.cancel((body as {request: string}).request);
 				sendJson(response, 200, {});
 				return;
 			}
@@ -271,7 +271,7 @@
 			id, priority: body.priority ?? 0, prefillLeft: promptTokens - cachedTokens + resumedFrom, decodeLeft: Math.max(0, (body.max_tokens ?? 16) - resumedFrom), partial: 0,
 		});
 		response.on('close', () => {
-			this.#cancel(id);
+			this.cancel(id);
 		});
 		if (prompt.includes(crashMarker)) {
 			void this.#crashDuring(openRequest);
@@ -332,7 +332,8 @@
 		openRequest.response.end(`${formatChunk(openRequest, {finishReason: 'length'})}data: [DONE]\n\n`);
 	}
 
-	#cancel(id: string): void {
+	/** Stops a request and closes its connection. */
+	cancel(id: string): void {
 		const openRequest = this.#openRequests.get(id);
 		if (openRequest) {
 			this.#openRequests.delete(id);
--- a/tools/faults/test/silence.test.ts
+++ b/tools/faults/test/silence.test.ts
@@ -134,6 +134,20 @@
 			expect([read.status, dispatch.status]).to.deep.equal([200, 200]);
 		});
 
+		// Three unanswered queries counted as a crash: all requests of the engine were aborted, reported as suspects and run again.
+		it('goes on with the other requests of a silent engine when the connection of one breaks', async () => {
+			await startFleet({stallMs: longMs}, {stopped});
+			const generations = [generate('kiosk', 250), generate('arcade', 250)];
+			await waitUntil(clock, () => engine.requests.length === 2);
+			engine.pauseSending();
+			engine.cancel(engine.requests[0]!.request);
+			expect(await waitUntil(clock, () => listEvents('engine-1').includes('engineCrashed') || listEvents(entryName).includes('attemptMoved'), longMs)).to.equal(true);
+			engine.resumeSending();
+			expectWhole(await Promise.all(generations));
+			expect(listEvents('engine-1')).not.to.include('engineCrashed');
+			expect(engine.requests.length, 'runs of the requests').to.equal(3);
+		});
+
 		it('answers calls that run while their service is silent', async () => {
 			await startFleet({}, {stopped});
 			const work = Promise.all([call('GET'), call('POST')]);
