fix(agent): silence of an engine is no crash

What callers saw: all requests of an engine ended when the connection of one broke while the engine was silent, and each became a suspect, which runs alone and counts towards quarantine.

Cause: after a failed request the monitor asks the engine three times; no answer in time counted like a refused connection. Three unanswered queries, 3.1 s, were a crash.

Change: a crash is another process that answers, or no process that can be reached at the last query. Silence shows neither; only the request whose connection broke moves.

Conclusion: one broken connection no longer ends the others.

--- a/packages/plugins/agent/src/engine-monitor.ts
+++ b/packages/plugins/agent/src/engine-monitor.ts
@@ -74,18 +74,23 @@
 		this.#sleepAbortController.abort();
 	}
 
-	/** Returns whether the engine process with this incarnation is gone: another process answers, or no attempt gets an answer. */
+	/**
+	 * Returns whether the engine process with this incarnation is gone: another process answers, or none can be reached. Silence
+	 * shows neither.
+	 */
 	async checkCrash(incarnation: string): Promise<boolean> {
+		let isReachable = true;
 		for (let check = 0; check < crashCheckAttempts; check++) {
 			const described = await this.#opts.adapter.describe();
 			if (described.isOk()) {
 				return described.value.incarnation !== incarnation;
 			}
 
+			isReachable = isSilence(described.error);
 			await this.#clock.sleep(crashCheckIntervalMs, this.#abortController.signal);
 		}
 
-		return true;
+		return !isReachable;
 	}
 
 	handleLoss(): void {
