fix(entry): a change of the endpoints ends no attempts

What callers saw, by reading: beside a change of the endpoints, a call under a claim ended as 409 `outcome-unknown` although its agent had the answer, and a stream paused for three seconds and moved.

Cause: the directory stopped the link to an endpoint as soon as it was removed, had moved or had left the subset of 48, with attempts in flight over it. They then waited for a link that nobody opens again.

Change: such a handle gets no further requests, and its link stops when its last attempt has ended.

Conclusion: what runs over a link decides when it stops.

--- a/packages/plugins/entry/src/endpoint-directory.ts
+++ b/packages/plugins/entry/src/endpoint-directory.ts
@@ -29,6 +29,7 @@
 	readonly cache = new CacheView();
 	readonly link: PersistentLink;
 	readonly #outstanding = new Map<string, OutstandingWork>();
+	#isDiscarded = false;
 	/** Monotonic time until which the endpoint is not selected, because a submission to it failed or it was not ready. */
 	backOffUntil = Number.NEGATIVE_INFINITY;
 
@@ -51,6 +52,13 @@
 
 	recordFinished(attempt: string): void {
 		this.#outstanding.delete(attempt);
+		this.#stopUnusedLink();
+	}
+
+	/** Stops the link once no attempt runs over it. The endpoint gets no others. */
+	discard(): void {
+		this.#isDiscarded = true;
+		this.#stopUnusedLink();
 	}
 
 	updateLoad(load: EndpointLoad, at: number): void {
@@ -73,6 +81,12 @@
 
 		return sum;
 	}
+
+	#stopUnusedLink(): void {
+		if (this.#isDiscarded && this.#outstanding.size === 0) {
+			this.link.stop();
+		}
+	}
 }
 
 /** A load report that was received longer ago than this is replaced by any new one whatever its sequence, as the agent may have restarted. */
@@ -176,7 +190,7 @@
 		for (const [endpoint, handle] of this.#handles) {
 			const record = selected.get(endpoint);
 			if (record?.agentAddress !== handle.record.agentAddress) {
-				handle.link.stop();
+				handle.discard();
 				this.#handles.delete(endpoint);
 				this.#handleByAgent.delete(handle.record.agent);
 			}
