fix(peer-link): a pause of the own process is no silence of the other

What callers saw: nothing by itself; streams resumed over new connections. A submission that waited for its reply was withdrawn and moved.

Cause: the heartbeat task compares the time of the last data with the clock when its timer runs. After a pause, timers run before the poll for events, so a process closed all its connections before it read what had arrived.

Change: silence is checked again after the next poll.

Conclusion: only silence that this process could have noticed counts.

--- a/packages/net/peer-link/src/peer-connection.ts
+++ b/packages/net/peer-link/src/peer-connection.ts
@@ -214,18 +214,29 @@
 	async #runHeartbeats(): Promise<void> {
 		while (this.isOpen) {
 			await this.#clock.sleep(this.#timing.heartbeatMs, this.#abortController.signal);
-			const now = this.#clock.monotonic();
-			if (now - this.#lastReceivedAt > this.#timing.silenceMs) {
+			if (this.#isSilent && await this.#isSilentAfterPoll()) {
 				this.#closeSocket();
 				return;
 			}
 
-			if (this.isOpen && now - this.#lastSentAt >= this.#timing.heartbeatMs / 2) {
+			if (this.isOpen && this.#clock.monotonic() - this.#lastSentAt >= this.#timing.heartbeatMs / 2) {
 				this.#write({heartbeat: true} satisfies HeartbeatFrame);
 			}
 		}
 	}
 
+	get #isSilent(): boolean {
+		return this.#clock.monotonic() - this.#lastReceivedAt > this.#timing.silenceMs;
+	}
+
+	/** If this process was paused, data may have arrived that it has not read; it reads it in the next poll for events. */
+	async #isSilentAfterPoll(): Promise<boolean> {
+		await new Promise<void>(resolve => {
+			setImmediate(resolve);
+		});
+		return this.#isSilent;
+	}
+
 	#closeSocket(): void {
 		if (!this.isOpen) {
 			return;
