fix(entry): a silent attempt ends once another endpoint has accepted its work

What callers saw: 503 `overloaded`, `may-have-run`, when the only engine of a model was silent before the first token for longer than `--stall-ms` and the timeout of a probe (4 s by default, 1.1 s in the tests). Between tokens the request was run a second time at the same engine.

Cause: the agent aborted an attempt whose stream and probe were silent, and the entry looked for another endpoint only then.

Change: the agent ends an attempt only if the engine doesn't know it, can't be reached, or the time of the request is over. Otherwise it reports the stall in the stream of pieces and goes on. The entry submits the rest of the generation elsewhere and cancels the attempt when another agent has accepted it; if pieces come first it cancels the other one. Without output that costs retry budget, as before. An engine that answers probes but sends nothing may get the generation again. A suspect isn't moved, since it runs at one endpoint at a time.

Events: 1411 for a stall (duration, limit), 1303 with from, to, duration and limit when another endpoint takes over, 1403 with duration and probe.

Conclusion: silence alone ends no generation. A hung engine that is the only endpoint holds its requests until their deadline; before, they were refused after 4 s.

--- a/packages/core/events/src/event-catalogue.ts
+++ b/packages/core/events/src/event-catalogue.ts
@@ -57,7 +57,7 @@
 		number: 1302, level: 'debug', text: 'A request was answered', action: noAction,
 	},
 	attemptMoved: {
-		number: 1303, level: 'info', text: 'A request continues at another endpoint', action: noAction,
+		number: 1303, level: 'info', text: 'A request continues at another endpoint; with silentMs and limit, because the one before was silent, which held it until then', action: noAction,
 	},
 	answerBroken: {
 		number: 1304, level: 'error', text: 'An answer could not be completed and ended with an error event', action: 'Check the endpoint that served the request.',
@@ -75,7 +75,7 @@
 		number: 1402, level: 'error', text: 'The engine crashed', action: 'Check which requests were running, and check the quarantine list.',
 	},
 	engineSilent: {
-		number: 1403, level: 'warn', text: 'The stream of an attempt stalled and the engine no longer runs the attempt', action: 'Check the engine.',
+		number: 1403, level: 'warn', text: 'The stream of an attempt was silent for silentMs and the engine no longer runs the attempt, can not be reached, or the time of the request is over', action: 'Check the engine.',
 	},
 	orderRefused: {
 		number: 1404, level: 'warn', text: 'An order was refused by the check of its fencing token', action: 'Nothing if a leader or an agent has just changed.',
@@ -98,6 +98,9 @@
 	engineAnswersAgain: {
 		number: 1410, level: 'info', text: 'The engine answers again after a silence', action: noAction,
 	},
+	attemptStalled: {
+		number: 1411, level: 'warn', text: 'The stream of an attempt is silent; the attempt goes on until it answers or another endpoint has taken it over', action: 'Check the engine if this repeats; search the entry for 1303 with its silentMs.',
+	},
 	leaderElected: {
 		number: 1501, level: 'info', text: 'This controller is now the leader', action: noAction,
 	},
--- a/packages/core/types/src/engine-adapter.ts
+++ b/packages/core/types/src/engine-adapter.ts
@@ -43,8 +43,8 @@
 	/** Runs a generation; the last event is `end` or `failed`. */
 	generate(work: GenerationWork, opts: GenerateOptions): AsyncIterable<EngineEvent>;
 	callService(work: ServiceWork, opts: GenerateOptions): Promise<Result<ServiceAnswer, EngineError>>;
-	/** Checks on a separate connection whether the engine is still running an attempt. */
-	probe(attempt: string): Promise<'running' | 'gone' | 'unreachable'>;
+	/** Checks on a separate connection whether the engine is still running an attempt. `silent`: no answer came in time. */
+	probe(attempt: string): Promise<'running' | 'gone' | 'unreachable' | 'silent'>;
 	cancel(attempt: string): Promise<void>;
 	/** Sends an order to the engine and resolves once the engine has carried it out. */
 	order(order: FencedOrder): Promise<Result<void, HickorytrackError>>;
--- a/packages/core/types/src/work.ts
+++ b/packages/core/types/src/work.ts
@@ -82,6 +82,19 @@
 	| {kind: 'handed-over'}
 	| {kind: 'cancelled'; written: boolean};
 
+export const stallLimits = {
+	/** The engine left a query about the attempt unanswered. */
+	query: 'query',
+	/** The engine answers queries and has the attempt, but sends nothing for it. */
+	stream: 'stream',
+} as const;
+
+/** The engine has sent nothing for an attempt for so long that the entry should look for another endpoint. The attempt goes on. */
+export type Stall = {
+	silentMs: number;
+	limit: typeof stallLimits[keyof typeof stallLimits];
+};
+
 /** Consecutive pieces of one attempt; `end` follows the last one. */
 export type PieceRun = {
 	attempt: string;
@@ -89,6 +102,7 @@
 	first: number;
 	texts: string[];
 	end?: AttemptEnd;
+	stall?: Stall;
 };
 
 export type PieceBatch = {
--- a/packages/plugins/agent/src/job-runner.ts
+++ b/packages/plugins/agent/src/job-runner.ts
@@ -1,16 +1,19 @@
 /**
  * Runs one attempt on the engine: a generation, whose answer arrives in pieces, or a call of a plain service. When a stream
- * is silent, the engine is probed over another connection. The runner returns how the attempt ended, or `undefined` if the
- * caller has to check for a crash of the engine.
+ * is silent, the engine is probed over another connection. Silence ends no attempt: the entry is told, and cancels the attempt
+ * once another endpoint holds the work. The runner returns how the attempt ended, or `undefined` if the caller has to check
+ * for a crash of the engine.
  */
 import {waitWithTimeout} from '@hickorytrack/clock';
 import type {ProcessContext} from '@hickorytrack/kernel/plugin';
 import type {EngineAdapter, EngineError, EngineEvent} from '@hickorytrack/types/engine-adapter';
-import type {AttemptEnd, GenerationWork, ServiceWork} from '@hickorytrack/types/work';
+import {
+	stallLimits, type AttemptEnd, type GenerationWork, type ServiceWork,
+} from '@hickorytrack/types/work';
 import type {EngineMonitor} from './engine-monitor.js';
 import type {Job} from './job.js';
 
-/** Number of silent periods of `stallMs` after which a stream counts as lost even if the engine still runs the work. */
+/** Number of silent periods of `stallMs` after which a stream counts as stalled even if the engine still runs the work. */
 const maximumSilentPeriodsBeforeFirstPiece = 10;
 const maximumSilentPeriodsInStream = 2;
 
@@ -42,10 +45,9 @@
 		})[Symbol.asyncIterator]();
 		for (;;) {
 			const event = await this.#readEvent(stream, job);
-			if (event === 'stalled') {
+			if (event === 'lost') {
 				job.abortController.abort();
-				this.#opts.context.events.emit('engineSilent', {attempt: job.attempt});
-				return {kind: 'engine-failed', written: true, message: 'The engine stream stalled'};
+				return {kind: 'engine-failed', written: true, message: 'The engine has lost the attempt'};
 			}
 
 			if (event.kind === 'end') {
@@ -71,23 +73,44 @@
 		await job.writer.waitForCapacity(job.abortController.signal);
 	}
 
-	/** Reads the next event. After each silent period, the engine is probed over another connection. */
-	async #readEvent(stream: AsyncIterator<EngineEvent>, job: Job): Promise<EngineEvent | 'stalled'> {
+	/**
+	 * Reads the next event. After each silent period, the engine is probed over another connection; it has lost the attempt if
+	 * it doesn't know it or can't be reached. What nobody took over in the time of the request is lost too.
+	 */
+	async #readEvent(stream: AsyncIterator<EngineEvent>, job: Job): Promise<EngineEvent | 'lost'> {
+		const {clock, settings, events} = this.#opts.context;
+		const startedAt = clock.monotonic();
 		const next = stream.next();
 		const maximumSilentPeriods = job.firstPieceAt === undefined ? maximumSilentPeriodsBeforeFirstPiece : maximumSilentPeriodsInStream;
 		for (let period = 1; ; period++) {
-			const result = await waitWithTimeout(next, this.#opts.context.settings.stallMs, this.#opts.context.clock);
-			if (result) {
+			const result = await waitWithTimeout(next, settings.stallMs, clock) ?? await this.#probe(next, job);
+			if (typeof result === 'object') {
 				return result.done ? {kind: 'failed', error: createTruncatedStreamError()} : result.value;
 			}
 
-			// An engine that still runs the work but has sent nothing for this long no longer writes to this connection.
-			if (period >= maximumSilentPeriods || await this.#opts.adapter.probe(job.attempt) !== 'running') {
-				return 'stalled';
+			const silentMs = Math.round(clock.monotonic() - startedAt);
+			const isLost = result === 'gone' || result === 'unreachable' || clock.monotonic() - job.queuedAt > job.submission.deadlineMs;
+			if (isLost) {
+				events.emit('engineSilent', {
+					attempt: job.attempt, silentMs, limit: 'stall-ms', probe: result,
+				});
+				return 'lost';
+			}
+
+			// An engine that still runs the work but has sent nothing for this long may no longer write to this connection.
+			if (result === 'silent' || period >= maximumSilentPeriods) {
+				const limit = result === 'silent' ? stallLimits.query : stallLimits.stream;
+				events.emit('attemptStalled', {attempt: job.attempt, silentMs, limit});
+				job.writer.reportStall({silentMs, limit});
 			}
 		}
 	}
 
+	/** Probes the engine; returns the next event instead if it comes meanwhile. */
+	async #probe(next: Promise<IteratorResult<EngineEvent>>, job: Job): Promise<IteratorResult<EngineEvent> | 'running' | 'gone' | 'unreachable' | 'silent'> {
+		return Promise.race([next, this.#opts.adapter.probe(job.attempt)]);
+	}
+
 	async #callService(job: Job, work: ServiceWork): Promise<AttemptEnd | undefined> {
 		const result = await this.#opts.adapter.callService(work, {
 			attempt: job.attempt, workspace: job.submission.workspace, priority: job.priority, signal: job.abortController.signal, onWrite() {
--- a/packages/plugins/engine-http/src/engine-http-error.ts
+++ b/packages/plugins/engine-http/src/engine-http-error.ts
@@ -11,10 +11,14 @@
 	}
 }
 
-/** Converts the failure of a query whose only reason to be cancelled is its timeout. */
+/** Returns whether a call was cancelled; a query is only by its timeout. */
+export function isCancelled(error: unknown): boolean {
+	return error instanceof HickorytrackError && error.code === 'ERR_HICKORYTRACK_CALL_CANCELLED';
+}
+
+/** Converts the failure of a query. */
 export function convertQueryError(error: unknown, {url, timeoutMs}: {url: string; timeoutMs: number}): HickorytrackError {
-	const isSilent = error instanceof HickorytrackError && error.code === 'ERR_HICKORYTRACK_CALL_CANCELLED';
-	return isSilent
+	return isCancelled(error)
 		? new HickorytrackError('ERR_HICKORYTRACK_ENGINE_SILENT', `${url} did not answer a query within ${timeoutMs} ms`, {cause: error})
 		: new HickorytrackError('ERR_HICKORYTRACK_ENGINE_UNREACHABLE', `${url} can't be reached: ${describeError(error)}`, {cause: error});
 }
--- a/packages/plugins/engine-http/src/http-model-engine.ts
+++ b/packages/plugins/engine-http/src/http-model-engine.ts
@@ -13,7 +13,9 @@
 	EngineAdapter, EngineAdapterFactory, EngineDescription, EngineError, EngineEvent, GenerateOptions,
 } from '@hickorytrack/types/engine-adapter';
 import type {GenerationWork, ServiceAnswer} from '@hickorytrack/types/work';
-import {convertQueryError, HttpEngineError, isPossiblyWritten} from './engine-http-error.js';
+import {
+	convertQueryError, HttpEngineError, isCancelled, isPossiblyWritten,
+} from './engine-http-error.js';
 
 const queryTimeoutMs = 1000;
 const orderTimeoutMs = 120_000;
@@ -88,12 +90,12 @@
 		return err(new HttpEngineError('ERR_HICKORYTRACK_ENGINE_REFUSED', 'A model engine does not support service calls', {written: false}));
 	}
 
-	async probe(attempt: string): Promise<'running' | 'gone' | 'unreachable'> {
+	async probe(attempt: string): Promise<'running' | 'gone' | 'unreachable' | 'silent'> {
 		try {
 			const {status} = await this.#sendQuery(`/engine/requests/${encodeURIComponent(attempt)}`);
 			return status === 200 ? 'running' : 'gone';
-		} catch {
-			return 'unreachable';
+		} catch (error) {
+			return isCancelled(error) ? 'silent' : 'unreachable';
 		}
 	}
 
--- a/packages/plugins/engine-http/src/http-plain-service.ts
+++ b/packages/plugins/engine-http/src/http-plain-service.ts
@@ -74,9 +74,9 @@
 		}
 	}
 
-	async probe(): Promise<'running' | 'gone' | 'unreachable'> {
+	async probe(): Promise<'running' | 'unreachable' | 'silent'> {
 		const described = await this.describe();
-		return described.isOk() ? 'running' : 'unreachable';
+		return described.match(() => 'running', error => error.code === 'ERR_HICKORYTRACK_ENGINE_SILENT' ? 'silent' : 'unreachable');
 	}
 
 	async cancel(): Promise<void> {
--- a/packages/plugins/entry/src/attempt-runner.ts
+++ b/packages/plugins/entry/src/attempt-runner.ts
@@ -1,12 +1,13 @@
 /**
  * Runs one attempt at one agent: submits it, forwards its pieces in order, and resolves its outcome when the connection to
- * the agent breaks. The callers of this module decide on further attempts.
+ * the agent breaks. The callers of this module decide on further attempts. An attempt whose engine is silent is cancelled only
+ * once another agent has accepted the work.
  */
 import {AnswerReader} from '@hickorytrack/answer-stream/answer-reader';
 import type {PeerConnection} from '@hickorytrack/peer-link/peer-connection';
 import type {ProcessContext} from '@hickorytrack/kernel/plugin';
 import type {
-	AttemptEnd, AttemptResolution, PieceBatch, RefusalReason, WorkSubmission,
+	AttemptEnd, AttemptResolution, PieceBatch, RefusalReason, Stall, WorkSubmission,
 } from '@hickorytrack/types/work';
 import {Acknowledger} from './acknowledger.js';
 import type {EndpointDirectory, EndpointHandle} from './endpoint-directory.js';
@@ -32,10 +33,23 @@
 	return refusal.kind === 'refused' && refusal.reason === 'not-ready';
 }
 
+/** An attempt that its agent has accepted, or may have accepted. */
+export type AcceptedAttempt = {
+	kind: 'accepted';
+	handle: EndpointHandle;
+	submission: WorkSubmission;
+	connection: PeerConnection;
+	reader: AnswerReader;
+};
+
 export type AttemptOptions = {
 	signal: AbortSignal;
 	/** Receives the texts in order; resolves when the caller can receive more. */
 	onTexts: (texts: string[]) => Promise<void>;
+	/** Submits the rest of the work elsewhere because the engine is silent; returns `undefined` if nobody accepts it. */
+	findTakeover?: (stall: Stall) => Promise<AcceptedAttempt | undefined>;
+	/** Runs when the texts come from this attempt from now on. */
+	onTakenOver?: (attempt: AcceptedAttempt, stall: Stall) => void;
 };
 
 export class AttemptRunner {
@@ -65,19 +79,51 @@
 	}
 
 	async run(handle: EndpointHandle, submission: WorkSubmission, opts: AttemptOptions): Promise<AttemptOutcome> {
+		let current = await this.submit(handle, submission, opts.signal);
+		while (current.kind === 'accepted') {
+			current = await this.#follow(current, opts);
+		}
+
+		return current;
+	}
+
+	/** Submits an attempt. If it is accepted, the caller has to run it or cancel it. */
+	async submit(handle: EndpointHandle, submission: WorkSubmission, signal: AbortSignal): Promise<AcceptedAttempt | AttemptOutcome> {
 		const reader = new AnswerReader(submission.attempt);
 		this.#readers.set(submission.attempt, reader);
 		this.#recordSent(handle, submission);
+		let result: AcceptedAttempt | AttemptOutcome | undefined;
 		try {
-			const outcome = await this.#sendSubmission(handle, submission, {...opts, reader});
-			if (isNotReady(outcome)) {
-				handle.backOffUntil = Math.max(handle.backOffUntil, this.#context.clock.monotonic() + notReadyBackOffMs);
+			result = await this.#sendSubmission(handle, submission, {reader, signal});
+			return result;
+		} finally {
+			if (result?.kind !== 'accepted') {
+				this.#finish(handle, submission, result);
 			}
+		}
+	}
+
+	cancel({connection, handle, submission}: AcceptedAttempt): void {
+		connection.notify('work.cancel', {attempt: submission.attempt});
+		this.#finish(handle, submission);
+	}
 
-			return outcome;
+	/** Follows an attempt to its outcome, or until another one has taken it over. */
+	async #follow(accepted: AcceptedAttempt, opts: AttemptOptions): Promise<AcceptedAttempt | AttemptOutcome> {
+		let result: AcceptedAttempt | AttemptOutcome | undefined;
+		try {
+			result = await this.#forwardPieces(accepted, opts);
+			return result;
 		} finally {
-			this.#readers.delete(submission.attempt);
-			handle.recordFinished(submission.attempt);
+			this.#finish(accepted.handle, accepted.submission, result);
+		}
+	}
+
+	#finish(handle: EndpointHandle, submission: WorkSubmission, result?: AcceptedAttempt | AttemptOutcome): void {
+		this.#readers.delete(submission.attempt);
+		handle.recordFinished(submission.attempt);
+		if (result && result.kind !== 'accepted' && isNotReady(result)) {
+			handle.backOffUntil = Math.max(handle.backOffUntil, this.#context.clock.monotonic() + notReadyBackOffMs);
 		}
 	}
 
@@ -103,7 +149,7 @@
 		return reply.isOk() ? reply.value : undefined;
 	}
 
-	async #sendSubmission(handle: EndpointHandle, submission: WorkSubmission, opts: AttemptOptions & {reader: AnswerReader}): Promise<AttemptOutcome> {
+	async #sendSubmission(handle: EndpointHandle, submission: WorkSubmission, opts: {reader: AnswerReader; signal: AbortSignal}): Promise<AcceptedAttempt | AttemptOutcome> {
 		const {connection} = handle;
 		if (!connection) {
 			return {kind: 'refused', reason: 'not-ready'};
@@ -121,13 +167,16 @@
 		}
 
 		await this.#context.steps.onStep('request.handed-to-agent', this.#context.settings.instance);
-		return this.#forwardPieces(handle, submission, {...opts, connection});
+		return {
+			kind: 'accepted', handle, submission, connection, reader: opts.reader,
+		};
 	}
 
 	/** Forwards pieces until the end and resumes over a new connection when the current one breaks. */
-	async #forwardPieces(handle: EndpointHandle, submission: WorkSubmission, opts: AttemptOptions & {reader: AnswerReader; connection: PeerConnection}): Promise<AttemptOutcome> {
-		const {reader, signal} = opts;
-		let {connection} = opts;
+	async #forwardPieces(accepted: AcceptedAttempt, opts: AttemptOptions): Promise<AcceptedAttempt | AttemptOutcome> {
+		const {handle, submission, reader} = accepted;
+		const {signal} = opts;
+		let {connection} = accepted;
 		this.#watchClose(reader, connection);
 		for (;;) {
 			const item = await reader.read(signal);
@@ -136,21 +185,54 @@
 				return {kind: 'stopped'};
 			}
 
-			if (item.kind === 'texts') {
-				await opts.onTexts(item.texts);
-				this.#acknowledger.record(connection, submission.attempt, reader.next);
-			} else if (item.kind === 'end') {
-				this.#acknowledger.record(connection, submission.attempt, reader.next);
-				return {kind: 'ended', end: item.end};
-			} else {
-				const next = await this.#resumeStream(handle, {reader, incarnation: connection.remote.incarnation, signal});
-				if (!next) {
-					return {kind: 'lost'};
+			switch (item.kind) {
+				case 'texts': {
+					await opts.onTexts(item.texts);
+					this.#acknowledger.record(connection, submission.attempt, reader.next);
+
+					break;
 				}
 
-				connection = next;
+				case 'end': {
+					this.#acknowledger.record(connection, submission.attempt, reader.next);
+					return {kind: 'ended', end: item.end};
+				}
+
+				case 'stalled': {
+					const takeover = await this.#findTakeover(reader, item.stall, opts);
+					if (takeover) {
+						connection.notify('work.cancel', {attempt: submission.attempt});
+						return takeover;
+					}
+
+					break;
+				}
+
+				default: {
+					const next = await this.#resumeStream(handle, {reader, incarnation: connection.remote.incarnation, signal});
+					if (!next) {
+						return {kind: 'lost'};
+					}
+
+					connection = next;
+				}
+			}
+		}
+	}
+
+	/** Submits the work elsewhere. The attempt keeps it if its engine goes on before another agent has accepted it. */
+	async #findTakeover(reader: AnswerReader, stall: Stall, opts: AttemptOptions): Promise<AcceptedAttempt | undefined> {
+		const takeover = await opts.findTakeover?.(stall);
+		if (!takeover || reader.hasProgress || opts.signal.aborted) {
+			if (takeover) {
+				this.cancel(takeover);
 			}
+
+			return undefined;
 		}
+
+		opts.onTakenOver?.(takeover, stall);
+		return takeover;
 	}
 
 	async #resumeStream(handle: EndpointHandle, opts: {reader: AnswerReader; incarnation: string; signal: AbortSignal}): Promise<PeerConnection | undefined> {
@@ -182,7 +264,7 @@
 	}
 
 	/** Resolves a submission that got no reply: the agent adds a tombstone for the attempt if it has not begun. */
-	async #resolveUnansweredSubmission(handle: EndpointHandle, submission: WorkSubmission, opts: AttemptOptions & {reader: AnswerReader; connection: PeerConnection}): Promise<AttemptOutcome> {
+	async #resolveUnansweredSubmission(handle: EndpointHandle, submission: WorkSubmission, opts: {reader: AnswerReader; signal: AbortSignal; connection: PeerConnection}): Promise<AcceptedAttempt | AttemptOutcome> {
 		const {clock} = this.#context;
 		const until = clock.monotonic() + recoveryTimeoutMs;
 		while (clock.monotonic() < until && !opts.signal.aborted) {
@@ -193,7 +275,9 @@
 
 			if (resolution?.state === 'running' || resolution?.state === 'ended') {
 				opts.reader.setBroken();
-				return this.#forwardPieces(handle, submission, opts);
+				return {
+					kind: 'accepted', handle, submission, connection: opts.connection, reader: opts.reader,
+				};
 			}
 
 			if (resolution) {
--- a/packages/plugins/entry/src/generation-call.ts
+++ b/packages/plugins/entry/src/generation-call.ts
@@ -4,12 +4,17 @@
  */
 import type {Clock} from '@hickorytrack/clock';
 import type {ControlClient} from '@hickorytrack/control-client';
+import type {EventFields} from '@hickorytrack/events';
 import type {ProcessContext} from '@hickorytrack/kernel/plugin';
 import {computeBlockDigests} from '@hickorytrack/placement/cache-view';
 import type {Placer} from '@hickorytrack/placement';
 import type {QuarantineEntry} from '@hickorytrack/types/control';
-import type {AttemptEnd, GenerationWork, RefusalReason} from '@hickorytrack/types/work';
-import type {AttemptOutcome, AttemptRunner} from './attempt-runner.js';
+import {
+	stallLimits, type AttemptEnd, type GenerationWork, type RefusalReason, type Stall, type WorkSubmission,
+} from '@hickorytrack/types/work';
+import {
+	isNotReady, type AcceptedAttempt, type AttemptOutcome, type AttemptRunner,
+} from './attempt-runner.js';
 import type {EndpointDirectory, EndpointHandle} from './endpoint-directory.js';
 import {createProblem, type Problem, type ProblemCode} from './problem.js';
 import {computeRunState, getWriteStatus, type WriteStatus} from './run-state.js';
@@ -135,15 +140,39 @@
 	}
 
 	async #runAttempt(handle: EndpointHandle, attempt: string, signal: AbortSignal): Promise<NextStep> {
-		this.#attempts++;
-		const expectedCachedTokens = Math.floor(handle.cache.computeHitFraction(this.#promptBlocks) * this.#request.promptTokens);
-		handle.cache.addBlocks(this.#promptBlocks);
+		let current = {handle, submission: this.#createSubmission(handle, attempt)};
 		const renewalAbortController = new AbortController();
 		if (this.#isSuspect) {
 			void this.#renewPermit(renewalAbortController.signal);
 		}
 
-		const outcome = await this.#services.attempts.run(handle, {
+		const outcome = await this.#services.attempts.run(handle, current.submission, {
+			signal,
+			onTexts: async texts => {
+				this.#texts.push(...texts);
+				await this.#opts.onTexts(texts);
+			},
+			findTakeover: async stall => this.#submitElsewhere(current.handle, stall, signal),
+			onTakenOver: (accepted, stall) => {
+				this.#writeStatuses.push('written-or-unknown');
+				this.#emitMoved({from: current.handle.endpoint, to: accepted.handle.endpoint, ...stall});
+				current = accepted;
+			},
+		});
+		renewalAbortController.abort();
+		if (outcome.kind === 'ended' && outcome.end.kind === 'complete') {
+			const {work} = current.submission;
+			current.handle.cache.updateConfidence(work.kind === 'generation' ? work.expectedCachedTokens : 0, outcome.end.cachedTokens);
+		}
+
+		return this.#handleOutcome(outcome, {handle: current.handle, attempt: current.submission.attempt});
+	}
+
+	#createSubmission(handle: EndpointHandle, attempt: string): WorkSubmission {
+		this.#attempts++;
+		const expectedCachedTokens = Math.floor(handle.cache.computeHitFraction(this.#promptBlocks) * this.#request.promptTokens);
+		handle.cache.addBlocks(this.#promptBlocks);
+		return {
 			attempt,
 			requestId: this.#request.requestId,
 			workspace: this.#request.workspace.contract.workspace,
@@ -153,18 +182,40 @@
 			isolated: this.#isSuspect,
 			firstTokenBudgetMs: this.#computeFirstTokenBudget(),
 			work: this.#createWork(expectedCachedTokens),
-		}, {
-			signal, onTexts: async texts => {
-				this.#texts.push(...texts);
-				await this.#opts.onTexts(texts);
-			},
-		});
-		renewalAbortController.abort();
-		if (outcome.kind === 'ended' && outcome.end.kind === 'complete') {
-			handle.cache.updateConfidence(expectedCachedTokens, outcome.end.cachedTokens);
+		};
+	}
+
+	/**
+	 * Submits the rest of the generation to another endpoint while its attempt at a silent engine goes on. An engine that
+	 * answers queries may get it again. A suspect runs at one endpoint at a time. Without output it costs retry budget.
+	 */
+	async #submitElsewhere(silent: EndpointHandle, {limit}: Stall, signal: AbortSignal): Promise<AcceptedAttempt | undefined> {
+		const {attempts, endpoints} = this.#services;
+		const isBudgetExempt = this.#texts.length > 0;
+		const excluded = limit === stallLimits.query ? new Set([...this.#triedEndpoints, silent.endpoint]) : this.#triedEndpoints;
+		const usable = endpoints.listUsable(this.#request.model, {excluded});
+		if (usable.length === 0 || this.#isSuspect || this.#attempts >= maximumAttempts || !(isBudgetExempt || this.#request.workspace.retryBudget.acquire())) {
+			return undefined;
+		}
+
+		const handle = this.#selectBestEndpoint(usable);
+		const result = await attempts.submit(handle, this.#createSubmission(handle, attempts.createAttemptId()), signal);
+		if (result.kind === 'accepted') {
+			return result;
 		}
 
-		return this.#handleOutcome(outcome, {handle, attempt});
+		this.#writeStatuses.push(result.kind === 'refused' ? 'not-written' : 'written-or-unknown');
+		if (!isNotReady(result)) {
+			this.#triedEndpoints.add(handle.endpoint);
+		}
+
+		return undefined;
+	}
+
+	#emitMoved(fields: EventFields): void {
+		this.#services.context.events.emit('attemptMoved', {
+			requestId: this.#request.requestId, attempts: this.#attempts, pieces: this.#texts.length, ...fields,
+		});
 	}
 
 	#handleOutcome(outcome: AttemptOutcome, opts: {handle: EndpointHandle; attempt: string}): NextStep {
@@ -249,7 +300,7 @@
 			return {kind: 'result', result: this.#reject(this.#texts.length > 0 ? 'answer-lost' : 'overloaded', {retryAfterMs})};
 		}
 
-		this.#services.context.events.emit('attemptMoved', {requestId: this.#request.requestId, attempts: this.#attempts, pieces: this.#texts.length});
+		this.#emitMoved({});
 		return {kind: 'again'};
 	}
 
--- a/packages/serving/answer-stream/src/answer-reader.ts
+++ b/packages/serving/answer-stream/src/answer-reader.ts
@@ -2,11 +2,13 @@
  * The receiving side of an answer, at the entry. It accepts the pieces of one attempt in order, drops duplicates, and
  * passes the pieces to one consumer. Each attempt has its own reader, so a reader never receives pieces of another attempt.
  */
-import type {AttemptEnd, PieceRun} from '@hickorytrack/types/work';
+import type {AttemptEnd, PieceRun, Stall} from '@hickorytrack/types/work';
 
 export type ReadItem =
 	| {kind: 'texts'; texts: string[]}
 	| {kind: 'end'; end: AttemptEnd}
+	/** The engine is silent; pieces may still follow. */
+	| {kind: 'stalled'; stall: Stall}
 	/** The connection to the agent broke, or a piece is missing. The reader has all pieces before its `next`. */
 	| {kind: 'broken'};
 
@@ -15,6 +17,7 @@
 	#next = 0;
 	#texts: string[] = [];
 	#end: AttemptEnd | undefined;
+	#stall: Stall | undefined;
 	#isBroken = false;
 	#notifyConsumer: (() => void) | undefined;
 
@@ -27,6 +30,11 @@
 		return this.#next;
 	}
 
+	/** Whether pieces or the end of the whole answer wait to be read. */
+	get hasProgress(): boolean {
+		return this.#texts.length > 0 || this.#end?.kind === 'complete';
+	}
+
 	append(run: PieceRun): void {
 		if (this.#end) {
 			return;
@@ -40,6 +48,7 @@
 		const newTexts = run.texts.slice(this.#next - run.first);
 		this.#texts.push(...newTexts);
 		this.#next += newTexts.length;
+		this.#stall = run.stall;
 		if (run.end && run.first + run.texts.length === this.#next) {
 			this.#end = run.end;
 		}
@@ -77,6 +86,12 @@
 				return {kind: 'broken'};
 			}
 
+			if (this.#stall) {
+				const stall = this.#stall;
+				this.#stall = undefined;
+				return {kind: 'stalled', stall};
+			}
+
 			if (signal.aborted) {
 				return undefined;
 			}
--- a/packages/serving/answer-stream/src/answer-writer.ts
+++ b/packages/serving/answer-stream/src/answer-writer.ts
@@ -3,7 +3,7 @@
  * not confirmed, so that sending can resume from any of them after a broken connection. A reader that confirms nothing
  * makes the producer wait (back-pressure).
  */
-import type {AttemptEnd, PieceRun} from '@hickorytrack/types/work';
+import type {AttemptEnd, PieceRun, Stall} from '@hickorytrack/types/work';
 
 /** Maximum number of unconfirmed pieces before the producer has to wait. */
 export const maximumUnconfirmedPieces = 2048;
@@ -54,6 +54,15 @@
 		}
 	}
 
+	/** Reports a stall in its place behind the pieces so far. It is lost if no sink is connected. */
+	reportStall(stall: Stall): void {
+		if (this.#end === undefined) {
+			this.#sink?.send({
+				attempt: this.attempt, first: this.#nextToSend, texts: [], stall,
+			});
+		}
+	}
+
 	/** Waits while the number of unconfirmed pieces is at its maximum. */
 	async waitForCapacity(signal: AbortSignal): Promise<void> {
 		while (this.#texts.length >= maximumUnconfirmedPieces && !signal.aborted && this.#end === undefined) {
--- a/packages/serving/answer-stream/test/answer-stream.test.ts
+++ b/packages/serving/answer-stream/test/answer-stream.test.ts
@@ -20,6 +20,29 @@
 };
 
 describe('answer stream', () => {
+	it('reports a stall behind the pieces before it, and no more once a piece has followed', async () => {
+		const writer = new AnswerWriter('a1');
+		const reader = new AnswerReader('a1');
+		const stall = {silentMs: 1, limit: 'query'} as const;
+		const {signal} = new AbortController();
+		writer.connectSink({
+			send(run) {
+				reader.append(run);
+			},
+		}, 0);
+		writer.write(['a']);
+		writer.reportStall(stall);
+		expect(reader.hasProgress).to.equal(true);
+		expect(await reader.read(signal)).to.deep.equal({kind: 'texts', texts: ['a']});
+		expect(await reader.read(signal)).to.deep.equal({kind: 'stalled', stall});
+		expect(reader.hasProgress).to.equal(false);
+		writer.reportStall(stall);
+		writer.write(['b']);
+		writer.close(end);
+		expect(await reader.read(signal)).to.deep.equal({kind: 'texts', texts: ['b']});
+		expect(await reader.read(signal)).to.deep.equal({kind: 'end', end});
+	});
+
 	it('resumes over a second connection without losing or duplicating a piece', async () => {
 		const writer = new AnswerWriter('a1');
 		const reader = new AnswerReader('a1');
