--- a/tools/faults/test/silence.test.ts
+++ b/tools/faults/test/silence.test.ts
@@ -244,6 +244,23 @@
 			await stop;
 		});
 
+		// Their submissions were withdrawn, and their only endpoint counted as tried.
+		it('answers requests that are submitted to an agent which is silent for longer than the limit of its connections', async () => {
+			await startFleet({stallMs: longMs}, {stopped});
+			const {peers} = fleet.find(entryName).kernel!.context;
+			const connections = [...peers.connections].filter(({remote}) => ['engine-1', 'dispatch-1'].includes(remote.instance));
+			fleet.pause('engine-1');
+			fleet.pause('dispatch-1');
+			const work = Promise.all([generate('tower', 20), call('GET'), call('POST')]);
+			await Promise.all(connections.map(async ({closed}) => closed));
+			fleet.resume('engine-1');
+			fleet.resume('dispatch-1');
+			const [generation, read, dispatch] = await work;
+			expectWhole([generation]);
+			expect([read.status, dispatch.status]).to.deep.equal([200, 200]);
+			expect(service.calls.filter(({method}) => method === 'POST').length, 'runs of the call that may not be repeated').to.equal(1);
+		});
+
 		it('answers the requests of an agent that is silent for longer than the limit of its connections', async () => {
 			await startFleet({stallMs: longMs}, {stopped});
 			const generation = generate('station', 250);
