--- a/packages/plugins/entry/test/caller-api.test.ts
+++ b/packages/plugins/entry/test/caller-api.test.ts
@@ -23,14 +23,16 @@
 describe('caller API', () => {
 	let api: CallerApi;
 	let port: number;
+	let models: string[];
 	/** Resolves the step at which the next call is held. */
 	let releaseCall: (() => void) | undefined;
 
 	beforeEach(async () => {
 		releaseCall = undefined;
+		models = ['m'];
 		const workspace = {
 			acquireRateToken: () => 0, isAtConcurrencyLimit: false, inFlight: 0, contract: {
-				workspace: 'w', models: ['m'], limits: {bodyBytes: 10}, services: [{name: 's', calls: [rule]}],
+				workspace: 'w', models, limits: {bodyBytes: 10}, services: [{name: 's', calls: [rule]}],
 			},
 		} as unknown as Workspace;
 		const services = {
@@ -90,6 +92,29 @@
 		}
 	});
 
+	// A stop closed the connection of a caller that had not read its answer yet.
+	it('counts a call as in flight until its caller has the whole answer or has left', async () => {
+		models.push('a'.repeat(50_000_000));
+		const slow = open();
+		const leaving = open();
+		for (const {socket} of [slow, leaving]) {
+			socket.pause();
+			socket.write(head('GET', '/v1/models'));
+			await waitFor(() => releaseCall !== undefined);
+			releaseCall!();
+			releaseCall = undefined;
+		}
+
+		await clock.sleep(20);
+		const stopped = waitFor(() => api.inFlight === 0).then(async () => api.stop());
+		await clock.sleep(20);
+		leaving.socket.destroy();
+		slow.socket.resume();
+		await stopped;
+		await waitFor(() => slow.isClosed);
+		expect(slow.received.endsWith('"owned_by":"hickorytrack"}]}')).to.equal(true);
+	});
+
 	// Guards against a status for unreadable bytes that a caller takes for the answer to its call before them, which runs.
 	it('answers the call that is running, and not 400, when bytes that are no request follow on its connection', async () => {
 		const connection = open();
