fix(entry): a stop waits until answers have been sent

What callers saw: an answer that was cut when the entry stopped while the caller read slowly.

Cause: a call no longer counted as in flight once its answer had been handed to the HTTP server, so the stop closed its connection with bytes still to send.

The limit of requests at once still counts the running ones only.

--- a/packages/plugins/entry/src/caller-api.ts
+++ b/packages/plugins/entry/src/caller-api.ts
@@ -39,6 +39,8 @@
 	arrivedAt: number;
 	/** Aborts when the caller disconnects. */
 	signal: AbortSignal;
+	/** Resolves when the answer has been sent or the caller has disconnected. */
+	closed: Promise<void>;
 };
 
 export type CallerApiOptions = {
@@ -74,6 +76,7 @@
 		this.#connections = new CallerConnections(this.#server);
 	}
 
+	/** Calls that run, or whose answers have not been sent whole. */
 	get inFlight(): number {
 		return this.#inFlight;
 	}
@@ -133,14 +136,18 @@
 		const requestedId = request.headers['x-request-id'];
 		const requestId = typeof requestedId === 'string' && /^[\w.-]{1,64}$/.test(requestedId) ? requestedId : randomUUID();
 		const disconnected = new AbortController();
-		response.on('close', () => {
-			if (!response.writableFinished) {
-				disconnected.abort();
-			}
+		const closed = new Promise<void>(resolve => {
+			response.on('close', () => {
+				if (!response.writableFinished) {
+					disconnected.abort();
+				}
+
+				resolve();
+			});
 		});
 		response.setHeader('x-request-id', requestId);
 		return {
-			request, response, requestId, arrivedAt: this.#clock.monotonic(), signal: disconnected.signal,
+			request, response, requestId, arrivedAt: this.#clock.monotonic(), signal: disconnected.signal, closed,
 		};
 	}
 
@@ -190,7 +197,9 @@
 			}
 		} finally {
 			workspace.inFlight--;
-			this.#inFlight--;
+			void call.closed.then(() => {
+				this.#inFlight--;
+			});
 		}
 	}
 
--- a/packages/plugins/entry/test/caller-api.test.ts
+++ b/packages/plugins/entry/test/caller-api.test.ts
@@ -112,7 +112,8 @@
 		slow.socket.resume();
 		await stopped;
 		await waitFor(() => slow.isClosed);
-		expect(slow.received.endsWith('"owned_by":"hickorytrack"}]}')).to.equal(true);
+		// The last chunk ends the answer.
+		expect(slow.received.endsWith('"owned_by":"hickorytrack"}]}\r\n0\r\n\r\n')).to.equal(true);
 	});
 
 	// Guards against a status for unreadable bytes that a caller takes for the answer to its call before them, which runs.
