--- a/packages/serving/answer-stream/test/answer-stream.test.ts
+++ b/packages/serving/answer-stream/test/answer-stream.test.ts
@@ -71,6 +71,31 @@
 		expect(await readAll(reader)).to.equal('abcend');
 	});
 
+	// An agent that stopped closed its connections when the answer of a service had been handed to one, before it was sent.
+	it('is confirmed once the entry has the end, also of an answer without pieces', () => {
+		for (const texts of [[], ['a', 'b']]) {
+			const writer = new AnswerWriter('a1');
+			writer.connectSink({
+				send() {
+					// The entry has not received it yet.
+				},
+			}, 0);
+			writer.write(texts);
+			writer.close(end);
+			writer.confirm(texts.length);
+			expect(writer.isConfirmed).to.equal(false);
+			writer.confirm(texts.length + 1);
+			expect(writer.isConfirmed).to.equal(true);
+		}
+	});
+
+	it('expects no confirmation of an attempt that its entry has cancelled', () => {
+		const writer = new AnswerWriter('a1');
+		writer.write(['a']);
+		writer.close({kind: 'cancelled', written: true});
+		expect(writer.isConfirmed).to.equal(true);
+	});
+
 	it('reports a missing piece as broken, never as the end', async () => {
 		const reader = new AnswerReader('a1');
 		reader.append({attempt: 'a1', first: 0, texts: ['a']});
