fix(answer-stream): the end of an answer is confirmed by the entry

What callers saw, by reading: a call of a service whose agent stopped right after the answer came could end as 409 `outcome-unknown` or be run again.

Cause: an end counted as confirmed when it was handed to a connection. For an answer without pieces the agent then waited for nothing, and the stop destroyed the connection, perhaps before the frame was written.

Change: the entry confirms the end as the piece behind the last one. An attempt that its entry has cancelled needs no confirmation.

--- a/packages/plugins/entry/src/attempt-runner.ts
+++ b/packages/plugins/entry/src/attempt-runner.ts
@@ -194,7 +194,7 @@
 				}
 
 				case 'end': {
-					this.#acknowledger.record(connection, submission.attempt, reader.next);
+					this.#acknowledger.record(connection, submission.attempt, reader.next + 1);
 					return {kind: 'ended', end: item.end};
 				}
 
--- a/packages/plugins/entry/test/attempt-runner.test.ts
+++ b/packages/plugins/entry/test/attempt-runner.test.ts
@@ -16,6 +16,7 @@
 
 describe('takeover of a silent attempt', () => {
 	let cancelled: string[];
+	let confirmed: Array<{attempt: string; next: number}>;
 	let handlePieces: (batch: PieceBatch, connection: PeerConnection) => void;
 	let runner: AttemptRunner;
 	let connection: PeerConnection;
@@ -35,6 +36,7 @@
 
 	beforeEach(() => {
 		cancelled = [];
+		confirmed = [];
 		texts = [];
 		takenOver = [];
 		onAccepted = () => undefined;
@@ -44,10 +46,12 @@
 				// Stays open.
 			}),
 			request: async () => ok({accepted: true, load: {}, revision: 1}),
-			notify(method: string, params: {attempt: string}) {
+			notify(method: string, params: {attempt: string; received?: Array<{attempt: string; next: number}>}) {
 				if (method === 'work.cancel') {
 					cancelled.push(params.attempt);
 				}
+
+				confirmed.push(...params.received ?? []);
 			},
 		} as unknown as PeerConnection;
 		handle = {
@@ -107,6 +111,21 @@
 		expect(runner.openCount).to.equal(0);
 	});
 
+	it('confirms the end as the piece behind the last one', async () => {
+		onAccepted = () => {
+			sendPieces({
+				attempt: 'first', first: 1, texts: ['b'], end,
+			});
+		};
+
+		await outcome;
+		while (!confirmed.some(({next}) => next > 2)) {
+			await new SystemClock().sleep(5);
+		}
+
+		expect(confirmed.at(-1)).to.deep.equal({attempt: 'first', next: 3});
+	});
+
 	it('cancels both when the caller leaves meanwhile', async () => {
 		onAccepted = () => {
 			caller.abort();
--- a/packages/serving/answer-stream/src/answer-reader.ts
+++ b/packages/serving/answer-stream/src/answer-reader.ts
@@ -25,7 +25,7 @@
 		this.attempt = attempt;
 	}
 
-	/** Sequence number of the next expected piece. */
+	/** Sequence number of the next expected piece. The end has the one after the last piece. */
 	get next(): number {
 		return this.#next;
 	}
--- a/packages/serving/answer-stream/src/answer-writer.ts
+++ b/packages/serving/answer-stream/src/answer-writer.ts
@@ -21,6 +21,7 @@
 	#nextToSend = 0;
 	#end: AttemptEnd | undefined;
 	#isEndSent = false;
+	#isEndConfirmed = false;
 	#sink: PieceSink | undefined;
 	#notifyProducer: (() => void) | undefined;
 
@@ -37,8 +38,9 @@
 		return this.#first + this.#texts.length;
 	}
 
+	/** Whether the entry has the whole answer, or wants no more of it. */
 	get isConfirmed(): boolean {
-		return this.#isEndSent && this.#texts.length === 0;
+		return this.#end?.kind === 'cancelled' || this.#isEndConfirmed;
 	}
 
 	write(texts: readonly string[]): void {
@@ -98,8 +100,9 @@
 		}
 	}
 
-	/** Records that the entry has received every piece before `next`. */
+	/** Records that the entry has received every piece before `next`; the end counts as one. */
 	confirm(next: number): void {
+		this.#isEndConfirmed ||= this.#isEndSent && next > this.length;
 		const count = Math.min(next, this.length) - this.#first;
 		if (count > 0) {
 			this.#texts.splice(0, count);
