--- a/tools/faults/test/silence.test.ts
+++ b/tools/faults/test/silence.test.ts
@@ -244,7 +244,6 @@
 			await stop;
 		});
 
-		// Their submissions were withdrawn, and their only endpoint counted as tried.
 		it('answers requests that are submitted to an agent which is silent for longer than the limit of its connections', async () => {
 			await startFleet({stallMs: longMs}, {stopped});
 			const {peers} = fleet.find(entryName).kernel!.context;
@@ -261,6 +260,20 @@
 			expect(service.calls.filter(({method}) => method === 'POST').length, 'runs of the call that may not be repeated').to.equal(1);
 		});
 
+		// Its submission was withdrawn from the queue, and its only endpoint counted as tried.
+		it('answers a request that a silent agent has queued without a reply', async () => {
+			await startFleet({stallMs: longMs}, {stopped});
+			const running = Array.from({length: slots}, async (_, index) => generate(`tram ${index}`, 1500));
+			await waitUntil(clock, () => getLoad('engine-1').running === slots);
+			const {peers} = fleet.find(entryName).kernel!.context;
+			const connections = [...peers.connections].filter(({remote}) => remote.instance === 'engine-1');
+			fleet.pause('engine-1');
+			const queued = generate('depot', 20);
+			await Promise.all(connections.map(async ({closed}) => closed));
+			fleet.resume('engine-1');
+			expectWhole(await Promise.all([...running, queued]));
+		});
+
 		it('answers the requests of an agent that is silent for longer than the limit of its connections', async () => {
 			await startFleet({stallMs: longMs}, {stopped});
 			const generation = generate('station', 250);
