fix(entry): a withdrawn submission doesn't rule its endpoint out

What callers saw: 503 `overloaded` for a request that an agent had queued when it fell silent for longer than the limit of its connections, at the only endpoint of its model.

Cause: the entry withdraws a submission without a reply, so that it surely never runs, and then took the endpoint for one that had refused the request.

Change: a withdrawal says as little about the request as an endpoint that isn't ready: the endpoint is left out for a moment, may be tried again and costs no retry budget.

Conclusion: an endpoint is ruled out only by what it said.

--- a/packages/plugins/entry/src/attempt-runner.ts
+++ b/packages/plugins/entry/src/attempt-runner.ts
@@ -6,8 +6,8 @@
 import {AnswerReader} from '@hickorytrack/answer-stream/answer-reader';
 import type {PeerConnection} from '@hickorytrack/peer-link/peer-connection';
 import type {ProcessContext} from '@hickorytrack/kernel/plugin';
-import type {
-	AttemptEnd, AttemptResolution, PieceBatch, RefusalReason, Stall, WorkSubmission,
+import {
+	refusalReasons, type AttemptEnd, type AttemptResolution, type PieceBatch, type RefusalReason, type Stall, type WorkSubmission,
 } from '@hickorytrack/types/work';
 import {Acknowledger} from './acknowledger.js';
 import type {EndpointDirectory, EndpointHandle} from './endpoint-directory.js';
@@ -18,7 +18,7 @@
 const resolveTimeoutMs = 1000;
 const submitFailureBackOffMs = 1000;
 /** Its agent or engine may be silent for a moment. */
-const notReadyBackOffMs = 250;
+const temporaryBackOffMs = 250;
 
 export type AttemptOutcome =
 	| {kind: 'refused'; reason: RefusalReason}
@@ -27,10 +27,19 @@
 	| {kind: 'lost'}
 	| {kind: 'stopped'};
 
-/** Returns whether the endpoint was not ready. That says nothing about the request: the endpoint may take it a moment later. */
-export function isNotReady(outcome: AttemptOutcome): boolean {
+const temporaryReasons: ReadonlySet<RefusalReason | undefined> = new Set([refusalReasons.notReady, refusalReasons.tombstone]);
+
+/**
+ * Returns whether a refusal says nothing about the request, so that the endpoint may take it a moment later: it was not ready,
+ * or the attempt was withdrawn because its agent did not reply.
+ */
+export function isTemporaryReason(reason: RefusalReason | undefined): boolean {
+	return temporaryReasons.has(reason);
+}
+
+export function isTemporaryRefusal(outcome: AttemptOutcome): boolean {
 	const refusal = outcome.kind === 'ended' ? outcome.end : outcome;
-	return refusal.kind === 'refused' && refusal.reason === 'not-ready';
+	return refusal.kind === 'refused' && isTemporaryReason(refusal.reason);
 }
 
 /** An attempt that its agent has accepted, or may have accepted. */
@@ -122,8 +131,8 @@
 	#finish(handle: EndpointHandle, submission: WorkSubmission, result?: AcceptedAttempt | AttemptOutcome): void {
 		this.#readers.delete(submission.attempt);
 		handle.recordFinished(submission.attempt);
-		if (result && result.kind !== 'accepted' && isNotReady(result)) {
-			handle.backOffUntil = Math.max(handle.backOffUntil, this.#context.clock.monotonic() + notReadyBackOffMs);
+		if (result && result.kind !== 'accepted' && isTemporaryRefusal(result)) {
+			handle.backOffUntil = Math.max(handle.backOffUntil, this.#context.clock.monotonic() + temporaryBackOffMs);
 		}
 	}
 
--- a/packages/plugins/entry/src/generation-call.ts
+++ b/packages/plugins/entry/src/generation-call.ts
@@ -13,7 +13,7 @@
 	stallLimits, type AttemptEnd, type GenerationWork, type RefusalReason, type Stall, type WorkSubmission,
 } from '@hickorytrack/types/work';
 import {
-	isNotReady, type AcceptedAttempt, type AttemptOutcome, type AttemptRunner,
+	isTemporaryReason, isTemporaryRefusal, type AcceptedAttempt, type AttemptOutcome, type AttemptRunner,
 } from './attempt-runner.js';
 import type {EndpointDirectory, EndpointHandle} from './endpoint-directory.js';
 import {createProblem, type Problem, type ProblemCode} from './problem.js';
@@ -205,7 +205,7 @@
 		}
 
 		this.#writeStatuses.push(result.kind === 'refused' ? 'not-written' : 'written-or-unknown');
-		if (!isNotReady(result)) {
+		if (!isTemporaryRefusal(result)) {
 			this.#triedEndpoints.add(handle.endpoint);
 		}
 
@@ -278,15 +278,17 @@
 	}
 
 	/**
-	 * Retries at another endpoint if the retry budget allows it. No budget is charged if the endpoint is draining, stopping
-	 * or not ready, or if the generation has output. An endpoint that was not ready may be tried again after a pause.
+	 * Retries at another endpoint if the retry budget allows it. No budget is charged if the endpoint is draining or stopping
+	 * or refused for the moment, or if the generation has output. One that refused for the moment may be tried again after a
+	 * pause.
 	 */
 	#retryElsewhere(handle: EndpointHandle, opts: {reason?: RefusalReason}): NextStep {
-		if (opts.reason !== 'not-ready') {
+		const isTemporary = isTemporaryReason(opts.reason);
+		if (!isTemporary) {
 			this.#triedEndpoints.add(handle.endpoint);
 		}
 
-		const isBudgetExempt = opts.reason === 'draining' || opts.reason === 'stopping' || opts.reason === 'not-ready' || this.#texts.length > 0;
+		const isBudgetExempt = opts.reason === 'draining' || opts.reason === 'stopping' || isTemporary || this.#texts.length > 0;
 		this.#retries++;
 		if (!isBudgetExempt && !this.#request.workspace.retryBudget.acquire()) {
 			return {kind: 'result', result: this.#reject('overloaded', {retryAfterMs})};
--- a/packages/plugins/entry/src/service-call.ts
+++ b/packages/plugins/entry/src/service-call.ts
@@ -9,7 +9,7 @@
 	Claim, ClaimReadResult, ClaimReply, ClaimSettlement,
 } from '@hickorytrack/types/claim';
 import type {ServiceAnswer, ServiceWork} from '@hickorytrack/types/work';
-import {isNotReady} from './attempt-runner.js';
+import {isTemporaryRefusal} from './attempt-runner.js';
 import type {EndpointHandle} from './endpoint-directory.js';
 import type {GenerationServices} from './generation-call.js';
 import {createProblem, type Problem, type ProblemCode} from './problem.js';
@@ -48,7 +48,7 @@
 
 type DispatchOutcome =
 	| {kind: 'answer'; answer: ServiceAnswer}
-	| {kind: 'not-run'; isNotReady: boolean}
+	| {kind: 'not-run'; isTemporary: boolean}
 	| {kind: 'unknown'}
 	| {kind: 'caller-gone'};
 
@@ -160,9 +160,9 @@
 		return this.#reject('outcome-unknown');
 	}
 
-	/** An endpoint that was not ready may be tried again after a pause, and costs none of the retry budget. */
+	/** An endpoint that refused for the moment may be tried again after a pause, and costs none of the retry budget. */
 	#acquireRetry(handle: EndpointHandle, outcome: DispatchOutcome): boolean {
-		if (outcome.kind === 'not-run' && outcome.isNotReady) {
+		if (outcome.kind === 'not-run' && outcome.isTemporary) {
 			return true;
 		}
 
@@ -183,7 +183,7 @@
 		switch (outcome.kind) {
 			case 'refused': {
 				this.#writeStatuses.push('not-written');
-				return {kind: 'not-run', isNotReady: isNotReady(outcome)};
+				return {kind: 'not-run', isTemporary: isTemporaryRefusal(outcome)};
 			}
 
 			case 'ended': {
@@ -193,7 +193,7 @@
 
 				const status = getWriteStatus(outcome.end);
 				this.#writeStatuses.push(status);
-				return status === 'not-written' ? {kind: 'not-run', isNotReady: isNotReady(outcome)} : {kind: 'unknown'};
+				return status === 'not-written' ? {kind: 'not-run', isTemporary: isTemporaryRefusal(outcome)} : {kind: 'unknown'};
 			}
 
 			case 'lost': {
