--- a/packages/plugins/entry/src/endpoint-directory.ts
+++ b/packages/plugins/entry/src/endpoint-directory.ts
@@ -29,7 +29,8 @@
 	readonly cache = new CacheView();
 	readonly link: PersistentLink;
 	readonly #outstanding = new Map<string, OutstandingWork>();
-	/** Monotonic time until which the endpoint is not selected, because a submission to it failed. */
+	#isDiscarded = false;
+	/** Monotonic time until which the endpoint is not selected, because a submission to it failed or it was not ready. */
 	backOffUntil = Number.NEGATIVE_INFINITY;
 
 	constructor(record: EndpointRecord, link: PersistentLink) {
@@ -51,6 +52,13 @@
 
 	recordFinished(attempt: string): void {
 		this.#outstanding.delete(attempt);
+		this.#stopUnusedLink();
+	}
+
+	/** Stops the link once no attempt runs over it. The endpoint gets no others. */
+	discard(): void {
+		this.#isDiscarded = true;
+		this.#stopUnusedLink();
 	}
 
 	updateLoad(load: EndpointLoad, at: number): void {
@@ -73,6 +81,12 @@
 
 		return sum;
 	}
+
+	#stopUnusedLink(): void {
+		if (this.#isDiscarded && this.#outstanding.size === 0) {
+			this.link.stop();
+		}
+	}
 }
 
 /** A load report that was received longer ago than this is replaced by any new one whatever its sequence, as the agent may have restarted. */
@@ -129,14 +143,12 @@
 
 	/** Returns the endpoints of a model or service that can receive a request now. */
 	listUsable(name: string, opts: {excluded?: ReadonlySet<string>} = {}): EndpointHandle[] {
-		const now = this.#opts.clock.monotonic();
-		return [...this.#handles.values()].filter(handle =>
-			handle.record.announcement.names.includes(name)
-			&& handle.phase === 'serving'
-			&& handle.load?.phase !== 'draining'
-			&& handle.connection !== undefined
-			&& handle.backOffUntil <= now
-			&& !opts.excluded?.has(handle.endpoint));
+		return this.#listServing(name, opts).filter(handle => !this.#isBackingOff(handle));
+	}
+
+	/** Returns whether an endpoint of a model or service is left out only for a while. */
+	hasBackingOff(name: string, opts: {excluded?: ReadonlySet<string>} = {}): boolean {
+		return this.#listServing(name, opts).some(handle => this.#isBackingOff(handle));
 	}
 
 	createCandidate(handle: EndpointHandle): PlacementCandidate {
@@ -156,16 +168,29 @@
 
 	dump(): unknown {
 		return [...this.#handles.values()].map(handle => ({
-			endpoint: handle.endpoint, phase: handle.phase, connected: handle.connection !== undefined, load: handle.load,
+			endpoint: handle.endpoint, phase: handle.phase, connected: handle.connection !== undefined, isBackingOff: this.#isBackingOff(handle), load: handle.load,
 		}));
 	}
 
+	#listServing(name: string, {excluded}: {excluded?: ReadonlySet<string>}): EndpointHandle[] {
+		return [...this.#handles.values()].filter(handle =>
+			handle.record.announcement.names.includes(name)
+			&& handle.phase === 'serving'
+			&& handle.load?.phase !== 'draining'
+			&& handle.connection !== undefined
+			&& !excluded?.has(handle.endpoint));
+	}
+
+	#isBackingOff(handle: EndpointHandle): boolean {
+		return handle.backOffUntil > this.#opts.clock.monotonic();
+	}
+
 	#updateHandles(): void {
 		const selected = this.#selectSubset();
 		for (const [endpoint, handle] of this.#handles) {
 			const record = selected.get(endpoint);
 			if (record?.agentAddress !== handle.record.agentAddress) {
-				handle.link.stop();
+				handle.discard();
 				this.#handles.delete(endpoint);
 				this.#handleByAgent.delete(handle.record.agent);
 			}
--- a/packages/serving/answer-stream/src/answer-writer.ts
+++ b/packages/serving/answer-stream/src/answer-writer.ts
@@ -3,7 +3,7 @@
  * not confirmed, so that sending can resume from any of them after a broken connection. A reader that confirms nothing
  * makes the producer wait (back-pressure).
  */
-import type {AttemptEnd, PieceRun} from '@hickorytrack/types/work';
+import type {AttemptEnd, PieceRun, Stall} from '@hickorytrack/types/work';
 
 /** Maximum number of unconfirmed pieces before the producer has to wait. */
 export const maximumUnconfirmedPieces = 2048;
@@ -21,6 +21,7 @@
 	#nextToSend = 0;
 	#end: AttemptEnd | undefined;
 	#isEndSent = false;
+	#isEndConfirmed = false;
 	#sink: PieceSink | undefined;
 	#notifyProducer: (() => void) | undefined;
 
@@ -37,8 +38,9 @@
 		return this.#first + this.#texts.length;
 	}
 
+	/** Whether the entry has the whole answer, or wants no more of it. */
 	get isConfirmed(): boolean {
-		return this.#isEndSent && this.#texts.length === 0;
+		return this.#end?.kind === 'cancelled' || this.#isEndConfirmed;
 	}
 
 	write(texts: readonly string[]): void {
@@ -54,6 +56,15 @@
 		}
 	}
 
+	/** Reports a stall in its place behind the pieces so far. It is lost if no sink is connected. */
+	reportStall(stall: Stall): void {
+		if (this.#end === undefined) {
+			this.#sink?.send({
+				attempt: this.attempt, first: this.#nextToSend, texts: [], stall,
+			});
+		}
+	}
+
 	/** Waits while the number of unconfirmed pieces is at its maximum. */
 	async waitForCapacity(signal: AbortSignal): Promise<void> {
 		while (this.#texts.length >= maximumUnconfirmedPieces && !signal.aborted && this.#end === undefined) {
@@ -89,8 +100,9 @@
 		}
 	}
 
-	/** Records that the entry has received every piece before `next`. */
+	/** Records that the entry has received every piece before `next`; the end counts as one. */
 	confirm(next: number): void {
+		this.#isEndConfirmed ||= this.#isEndSent && next > this.length;
 		const count = Math.min(next, this.length) - this.#first;
 		if (count > 0) {
 			this.#texts.splice(0, count);
