fix(edge): other requests are not refused while the only server that generates is silent

Callers saw: 503 with "no generating server is known" while one server was silent for a moment and only prefill servers were left.

Cause: a silent server is left out as long as any other server remains, also when none of these generates.

Change: servers that generate are left out only while another one that generates is healthy.

--- a/packages/plugins/edge/src/server-health.ts
+++ b/packages/plugins/edge/src/server-health.ts
@@ -96,11 +96,18 @@
 		return this.#getHealth(server).failureRate;
 	}
 
-	/** Returns the servers that are not excluded, or all of them if none would remain. */
+	/** Returns the servers that are not excluded; if none would remain, or none that generates, those that would be missing as well. */
 	selectHealthy(servers: readonly KnownServer[]): KnownServer[] {
 		const now = this.#clock.monotonic();
+		const canGenerate = ({stage}: KnownServer) => stage !== 'prefill';
 		const healthy = servers.filter(server => this.#isHealthy(server, now));
-		return healthy.length > 0 ? healthy : [...servers];
+		if (healthy.some(server => canGenerate(server))) {
+			return healthy;
+		}
+
+		const generating = servers.filter(server => canGenerate(server));
+		const remaining = [...healthy, ...generating];
+		return remaining.length > 0 ? remaining : [...servers];
 	}
 
 	#isHealthy(server: KnownServer, now: number): boolean {
--- a/packages/plugins/edge/test/server-health.test.ts
+++ b/packages/plugins/edge/test/server-health.test.ts
@@ -20,4 +20,29 @@
 		health.recordForeignAnswer(servers[0]!, {...answer, exchanges: 0});
 		expect(health.selectHealthy(servers)).to.deep.equal([servers[1]]);
 	});
+
+	// While the only server that generates was silent, every other request was refused because no such server was known.
+	it('keeps using silent servers if no other one generates, and avoids them otherwise', () => {
+		const health = new ServerHealth(new ManualClock());
+		const [first, second] = [createServer('1'), createServer('2')];
+		const prefillServer: KnownServer = {...createServer('3'), stage: 'prefill'};
+		health.recordSilent(first);
+		expect(health.selectHealthy([first, second, prefillServer])).to.deep.equal([second, prefillServer]);
+		expect(health.selectHealthy([first, prefillServer])).to.have.members([first, prefillServer]);
+		health.recordSilent(prefillServer);
+		expect(health.selectHealthy([first, second, prefillServer])).to.deep.equal([second]);
+		expect(health.selectHealthy([first, prefillServer])).to.deep.equal([first]);
+		expect(health.selectHealthy([prefillServer])).to.deep.equal([prefillServer]);
+		expect(health.getFailureRate(first)).to.equal(0);
+	});
+
+	it('uses a silent server again once it reports or answers', () => {
+		const clock = new ManualClock();
+		const health = new ServerHealth(clock);
+		const servers = [createServer('1'), createServer('2')];
+		health.recordSilent(servers[0]!);
+		expect(health.selectHealthy([{...servers[0]!, heardAt: clock.monotonic() + 1}, servers[1]!])).to.have.length(2);
+		health.recordSuccess(servers[0]!);
+		expect(health.selectHealthy(servers)).to.deep.equal(servers);
+	});
 });
