fix(edge): a run beside a silent server that ends without an event ends the request

Cause: the failure of the second run was kept as an answer to send later, also behind a response that had begun meanwhile; a run that answers was taken out of the set of runs before the others were ended, and so ended none; the head of a second run was sent with its first event only.

Change: a kept failure breaks off a response that has begun; all other runs are ended by one that answers; its head is sent before its end.

--- a/packages/plugins/edge/src/stream-run.ts
+++ b/packages/plugins/edge/src/stream-run.ts
@@ -76,10 +76,17 @@
 	write(events: Buffer): boolean {
 		const {relay, onDelivery} = this.#opts;
 		onDelivery(this);
-		relay.open(this.#head!);
+		this.sendHead();
 		return relay.write(events);
 	}
 
+	/** Starts the response, also for a stream that ends without an event. */
+	sendHead(): void {
+		if (this.#head) {
+			this.#opts.relay.open(this.#head);
+		}
+	}
+
 	onDrain(listener: () => void): void {
 		this.#opts.relay.onDrain(listener);
 	}
--- a/packages/plugins/edge/src/streaming-forwarder.ts
+++ b/packages/plugins/edge/src/streaming-forwarder.ts
@@ -122,12 +122,10 @@
 
 	/** Ends the runs that are no longer needed because this one answers. */
 	#cancelOthers(run: StreamRun): void {
-		if (this.#runs.size > 1) {
-			for (const other of this.#runs) {
-				if (other !== run && !other.isCancelled) {
-					other.canceller.cancel();
-					this.#reportTakeover(other, run);
-				}
+		for (const other of this.#runs) {
+			if (other !== run && !other.isCancelled) {
+				other.canceller.cancel();
+				this.#reportTakeover(other, run);
 			}
 		}
 	}
@@ -264,7 +262,7 @@
 			},
 		});
 		if (result.outcome === attemptOutcomes.answered && result.isStreamed) {
-			return this.#finishStream(backup, result.answer!);
+			return this.#finishStream(run, backup, result.answer!);
 		}
 
 		return result.outcome === attemptOutcomes.cancelled ? this.#createCallerGone() : this.#createFailure(`the stream could not go on: ${result.outcome} ${result.head?.status ?? ''}`);
@@ -474,7 +472,7 @@
 	#handleResult(run: StreamRun, {server, result, handle}: {server: KnownServer; result: AttemptResult; handle: KvHandle | undefined}): RunEnding | undefined {
 		switch (result.outcome) {
 			case attemptOutcomes.answered: {
-				return result.isStreamed ? this.#finishStream(server, result.answer!) : this.#handleResponse(server, result, handle);
+				return result.isStreamed ? this.#finishStream(run, server, result.answer!) : this.#handleResponse(server, result, handle);
 			}
 
 			case attemptOutcomes.cancelled: {
@@ -528,12 +526,15 @@
 		return this.#createFailure(describeFailure(result));
 	}
 
-	#finishStream(server: KnownServer, answer: ReceivedAnswer): RunEnding {
+	#finishStream(run: StreamRun, server: KnownServer, answer: ReceivedAnswer): RunEnding {
 		const {health, poisonRequests} = this.#context;
 		health.recordSuccess(server);
 		poisonRequests.recordSuccess(this.#request.fingerprint);
 		return {
-			isAnswer: true, finish: () => this.#relay.finish(answer) ? this.#createResult(requestOutcomes.answered, {status: 200}) : this.#fail('the end of the resumed stream can\'t be told from a break'),
+			isAnswer: true, finish: () => {
+				run.sendHead();
+				return this.#relay.finish(answer) ? this.#createResult(requestOutcomes.answered, {status: 200}) : this.#fail('the end of the resumed stream can\'t be told from a break');
+			},
 		};
 	}
 
@@ -576,6 +577,11 @@
 
 		return {
 			isAnswer: head.status < 500, finish: () => {
+				if (this.#relay.isOpen) {
+					// Another run has delivered since.
+					return this.#fail('the stream could not be resumed');
+				}
+
 				forwardResponse(this.#request.response, head, result.body);
 				return this.#createResult(requestOutcomes.answered, {status: head.status});
 			},
