fix(edge): an error in the start of another run ends that request only

By the review: an exception in a plain attempt, or in the start of a run beside a silent server, was an unhandled rejection, on which the process exits with all open requests; before the runs were raced, such an error stayed in its request. Also from the review, by reading: a run that another one has ended during the wait for its successor does not generate any more, and a stream that has ended whole counts as run.

--- a/packages/plugins/edge/src/buffered-forwarder.ts
+++ b/packages/plugins/edge/src/buffered-forwarder.ts
@@ -27,6 +27,8 @@
 const minimumRetryMs = 20; // With less time left, another attempt would not complete before the deadline.
 
 type EndedAttempt = {server: KnownServer; result: AttemptResult};
+/** An attempt, or the start of one, that threw an error. */
+type FailedAttempt = {error: unknown};
 
 export class BufferedForwarder {
 	readonly #context: ForwardContext;
@@ -34,7 +36,7 @@
 	readonly #permits: SendPermits;
 	readonly #servers: KnownServer[] = [];
 	readonly #runningAttempts = new Set<AttemptCanceller>();
-	readonly #endedAttempts: EndedAttempt[] = [];
+	readonly #endedAttempts: Array<EndedAttempt | FailedAttempt> = [];
 	#onAttemptEnded: (() => void) | undefined;
 	#cancelOverdueTimer: (() => void) | undefined;
 	/** True until a server may have started to run the request. */
@@ -53,13 +55,14 @@
 	}
 
 	async forward(): Promise<RequestResult> {
-		const result = await this.#runAttempts();
-		this.#cancelOverdueTimer?.();
-		for (const canceller of this.#runningAttempts) {
-			canceller.cancel();
+		try {
+			return await this.#runAttempts();
+		} finally {
+			this.#cancelOverdueTimer?.();
+			for (const canceller of this.#runningAttempts) {
+				canceller.cancel();
+			}
 		}
-
-		return result;
 	}
 
 	async #runAttempts(): Promise<RequestResult> {
@@ -114,7 +117,7 @@
 		}
 
 		this.#servers.push(server);
-		void this.#runAttempt(server, permit);
+		void this.#runAndRecord(server, permit);
 		if (this.#isRetryable) {
 			this.#startOverdueTimer(server);
 		}
@@ -122,18 +125,36 @@
 		return undefined;
 	}
 
-	async #runAttempt(server: KnownServer, permit: SendPermit): Promise<void> {
-		const {clock, client, loadTracker} = this.#context;
+	/** The error of an attempt fails the request, whose handler waits for one of the attempts. */
+	async #runAndRecord(server: KnownServer, permit: SendPermit): Promise<void> {
 		const canceller = new AttemptCanceller();
 		this.#runningAttempts.add(canceller);
+		try {
+			const result = await this.#runAttempt(server, {permit, canceller});
+			this.#recordEnded({server, result});
+		} catch (error) {
+			this.#recordEnded({error});
+		} finally {
+			this.#runningAttempts.delete(canceller);
+		}
+	}
+
+	async #runAttempt(server: KnownServer, {permit, canceller}: {permit: SendPermit; canceller: AttemptCanceller}): Promise<AttemptResult> {
+		const {clock, client, loadTracker} = this.#context;
 		const inFlightLoad = loadTracker.add(server.id, 0);
-		const result = await runAttempt(client, server.address, {
-			clock, signal: this.#request.signal, timeoutMs: this.#remainingMs, canceller, request: createOutboundRequest(this.#context, this.#request, {server, permit, needsVerifiedConnection: !this.#isRetryable}),
-		});
-		inFlightLoad.release();
-		permit.finish({isWritten: result.isWritten, isAccepted: true});
-		this.#runningAttempts.delete(canceller);
-		this.#endedAttempts.push({server, result});
+		try {
+			const result = await runAttempt(client, server.address, {
+				clock, signal: this.#request.signal, timeoutMs: this.#remainingMs, canceller, request: createOutboundRequest(this.#context, this.#request, {server, permit, needsVerifiedConnection: !this.#isRetryable}),
+			});
+			permit.finish({isWritten: result.isWritten, isAccepted: true});
+			return result;
+		} finally {
+			inFlightLoad.release();
+		}
+	}
+
+	#recordEnded(ended: EndedAttempt | FailedAttempt): void {
+		this.#endedAttempts.push(ended);
 		this.#onAttemptEnded?.();
 	}
 
@@ -145,6 +166,10 @@
 		}
 
 		const ended = this.#endedAttempts.shift()!;
+		if ('error' in ended) {
+			throw ended.error;
+		}
+
 		this.#lastAnswer = ended.result.answer;
 		return ended;
 	}
@@ -154,7 +179,11 @@
 		this.#cancelOverdueTimer?.();
 		const startedAt = this.#context.clock.monotonic();
 		this.#cancelOverdueTimer = this.#context.clock.startTimer(this.#remainingMs * overdueFraction, () => {
-			this.#handleOverdue(server, this.#context.clock.monotonic() - startedAt);
+			try {
+				this.#handleOverdue(server, this.#context.clock.monotonic() - startedAt);
+			} catch (error) {
+				this.#recordEnded({error});
+			}
 		});
 	}
 
--- a/packages/plugins/edge/src/streaming-forwarder.ts
+++ b/packages/plugins/edge/src/streaming-forwarder.ts
@@ -6,6 +6,7 @@
  * A silent server may be sound and go on. So silence ends no attempt: another run is started beside it, if one is allowed and
  * a server takes it, and whichever delivers first ends the other.
  */
+import {describeError} from '@hickorytrack/errors';
 import type {ResponseHead} from '@hickorytrack/endpoint-client';
 import type {ReceivedAnswer} from '@hickorytrack/http-answer/answer-reader';
 import type {KnownServer} from '@hickorytrack/endpoint-registry';
@@ -133,9 +134,14 @@
 	/** Resolves when the run and the runs that were started beside it have ended. Undefined when another server may be tried. */
 	async #runToEnd(run: StreamRun, start: () => Promise<RunEnding | undefined>): Promise<RunEnding | undefined> {
 		this.#runs.add(run);
-		const ending = await start();
-		this.#runs.delete(run);
-		run.permit?.release();
+		let ending: RunEnding | undefined;
+		try {
+			ending = await start();
+		} finally {
+			this.#runs.delete(run);
+			run.permit?.release();
+		}
+
 		if (ending?.isAnswer) {
 			this.#cancelOthers(run);
 			return ending;
@@ -221,6 +227,9 @@
 
 			successor.canceller.cancel();
 			await run.successorEnding;
+			if (run.isCancelled || this.#request.signal.aborted) {
+				return false;
+			}
 		}
 
 		run.permit ??= this.#permits.acquire(retryKinds.run);
@@ -292,11 +301,24 @@
 		}
 	}
 
+	/** An error ends the second run only; the first one goes on. */
 	async #runSuccessor(run: StreamRun, takeover: Takeover): Promise<RunEnding | undefined> {
-		const ending = await this.#runToEnd(takeover.run, takeover.start);
-		// A run that did not answer leaves room for another one.
-		run.successor = undefined;
-		return ending;
+		try {
+			return await this.#runToEnd(takeover.run, takeover.start);
+		} catch (error) {
+			this.#reportError(error);
+			return undefined;
+		} finally {
+			// A run that did not answer leaves room for another one.
+			run.successor = undefined;
+		}
+	}
+
+	/** An error beside a run at a silent server does not end that run. */
+	#reportError(error: unknown): void {
+		this.#context.eventLog.emit('unexpectedError', {
+			request: this.#request.metadata.requestId, call: this.#request.path, message: describeError(error), stack: error instanceof Error ? error.stack : undefined,
+		});
 	}
 
 	#planTakeover(run: StreamRun): Takeover | DeniedTakeover {
@@ -454,7 +476,11 @@
 			isLost: () => detector.isLost(clock.monotonic(), this.#remainingMs),
 			idleMs: Math.max(minimumSilenceMs, (this.#request.route.pauseObjectiveMs ?? 0) * silenceFactor),
 			onSilent: silentMs => {
-				this.#handleSilence(run, server, silentMs);
+				try {
+					this.#handleSilence(run, server, silentMs);
+				} catch (error) {
+					this.#reportError(error);
+				}
 			},
 		};
 	}
@@ -528,6 +554,7 @@
 
 	#finishStream(run: StreamRun, server: KnownServer, answer: ReceivedAnswer): RunEnding {
 		const {health, poisonRequests} = this.#context;
+		this.#isNotExecuted = false;
 		health.recordSuccess(server);
 		poisonRequests.recordSuccess(this.#request.fingerprint);
 		return {
