--- a/tools/soak/src/check-lost.ts
+++ b/tools/soak/src/check-lost.ts
@@ -10,9 +10,14 @@
  * - the deadline, or the shortest timeout that the route may have had when the request was sent, was reached. A timeout
  *   that is sent later is no excuse. For a request without any end neither is;
  * - the server that had the request last crashed, broke off, lost or garbled its answer, or was frozen or on a harmed link:
- *   the edge could not know the rest. Its silence (`hush`) is no excuse, nor what another server did before;
- * - no server got the request, and the connection ended soon after the sending, as when the request crosses the close of
- *   an idle connection; or some server was disturbed, which may be the one that it was sent to.
+ *   the edge could not know the rest. Its silence (`hush`) is no excuse, nor what another server did before. Once the head
+ *   of an answer has been sent, a server that then refused to go on or only prefilled has not had the request: the edge
+ *   can't refuse any more;
+ * - the server goes on with a stream that another one broke off, and only the end of its connection ends its answer: the
+ *   edge may not declare that complete;
+ * - no server got the request, and the connection ended soon after the sending, or within a second and the edge had not
+ *   read the request by then, as when it crosses the close of an idle connection; or some server was disturbed, which may be
+ *   the one that it was sent to.
  */
 import {collectByKey} from './collect-by-key.js';
 import {listRouteVersions} from './configuration-history.js';
@@ -22,8 +27,9 @@
 
 const lateMs = 500;
 const contactMs = 2000;
-/** A connection that ends so soon may have been closed before the request was read. */
-const lossSlackMs = 250;
+/** Time within which a request that was not passed on may end with its connection, read or not. */
+const readSlackMs = 250;
+const unreadSlackMs = 1000;
 /** The end of a process that ends by itself is noticed after its connections have closed, later on a busy machine. */
 const processEndMarginMs = 500;
 const afterGraceMs = 1000;
@@ -35,14 +41,20 @@
 const excusingKinds: ReadonlySet<string> = new Set(['end', 'freeze', 'delay', 'silence', 'cut', 'reset', 'stall']);
 
 /** The last call of a request to a server. */
-type LastCall = {arrival: ArrivalRecord; outcome?: OutcomeRecord; end?: EndRecord};
+type LastCall = {
+	arrival: ArrivalRecord;
+	outcome?: OutcomeRecord;
+	end?: EndRecord;
+	/** A server broke off, lost or garbled its answer before. */
+	isRepeated: boolean;
+};
 
 export function checkLost(records: SoakRecords): RuleCase[] {
 	const suspected = records.callers.filter(caller => !caller.hasLeft && (caller.end === 'late' || caller.end === 'closed') && !isEdgeDisturbed(caller, records));
 	const ids = new Set(suspected.map(({requestId}) => requestId));
 	const arrivals = collectByKey(records.arrivals.filter(({requestId}) => ids.has(requestId)), ({requestId}) => requestId);
 	return suspected.flatMap((caller): RuleCase[] => {
-		const last = findLastCall(arrivals.get(caller.requestId) ?? [], records);
+		const last = findLastCall(caller, arrivals.get(caller.requestId) ?? [], records);
 		if (caller.end === 'late' ? caller.endedAt - caller.sentAt < caller.deadlineMs + lateMs : isExcused(caller, last, records)) {
 			return [];
 		}
@@ -51,10 +63,18 @@
 	});
 }
 
-function findLastCall(arrivals: readonly ArrivalRecord[], {outcomes, ends}: SoakRecords): LastCall | undefined {
-	const arrival = arrivals.toSorted((a, b) => a.at - b.at).at(-1);
-	const isSame = (other: OutcomeRecord | EndRecord) => other.requestId === arrival!.requestId && other.server === arrival!.server && other.startedAt === arrival!.startedAt && other.number === arrival!.number;
-	return arrival && {arrival, outcome: outcomes.find(other => isSame(other)), end: ends.find(other => isSame(other))};
+function findLastCall(caller: CallerRecord, arrivals: readonly ArrivalRecord[], {outcomes, ends}: SoakRecords): LastCall | undefined {
+	const calls = arrivals.toSorted((a, b) => a.at - b.at).map(arrival => {
+		const isSame = (other: OutcomeRecord | EndRecord) => other.requestId === arrival.requestId && other.server === arrival.server && other.startedAt === arrival.startedAt && other.number === arrival.number;
+		return {arrival, outcome: outcomes.find(other => isSame(other)), end: ends.find(other => isSame(other))};
+	});
+	const hasHead = caller.status !== undefined;
+	const last = calls.findLast(({outcome, end}) => !hasHead || outcome?.hasRun !== false || end?.hasLeft === true) ?? calls.at(-1);
+	return last && {...last, isRepeated: calls.slice(0, calls.indexOf(last)).some(({outcome}) => isUnsound(outcome))};
+}
+
+function isUnsound(outcome: OutcomeRecord | undefined): boolean {
+	return outcome !== undefined && !soundAnswers.has(outcome.answer);
 }
 
 function isEdgeDisturbed(caller: CallerRecord, {processEnds, disturbances, graceMs}: SoakRecords): boolean {
@@ -79,10 +99,11 @@
 	}
 
 	if (!last) {
-		return elapsedMs <= lossSlackMs || isServerDisturbed(caller, undefined, records);
+		const isRead = records.readRequests.has(caller.requestId);
+		return elapsedMs <= (isRead ? readSlackMs : unreadSlackMs) || isServerDisturbed(caller, undefined, records);
 	}
 
-	return (last.outcome !== undefined && !soundAnswers.has(last.outcome.answer)) || last.end?.isSound === false || isServerDisturbed(caller, last.arrival.server, records) || isAtWorkToTheLast(caller, last, records);
+	return isUnsound(last.outcome) || last.end?.isSound === false || (last.isRepeated && last.end?.hasUnknownEnd === true) || isServerDisturbed(caller, last.arrival.server, records) || isAtWorkToTheLast(caller, last, records);
 }
 
 /** Returns true if the server, or any if it isn't known, ended, was frozen or was on a harmed link. */
--- a/tools/soak/src/edge-process.ts
+++ b/tools/soak/src/edge-process.ts
@@ -5,6 +5,7 @@
 import {redirectVariable, type RedirectOptions} from './connection-redirect.js';
 import type {RetryBounds} from './records.js';
 import {ManagedProcess} from './managed-process.js';
+import {readPathVariable} from './read-witness.js';
 
 export type EdgeOptions = {
 	name: string;
@@ -29,6 +30,7 @@
 const leaseMs = 2000;
 const msPerSecond = 1000;
 const redirectUrl = new URL('connection-redirect.js', import.meta.url).href;
+const witnessUrl = new URL('read-witness.js', import.meta.url).href;
 const mainPath = fileURLToPath(import.meta.resolve('@hickorytrack/platform'));
 
 export class EdgeProcess extends ManagedProcess {
@@ -41,13 +43,13 @@
 		super({
 			name: opts.name,
 			logPath: path.join(opts.folder, `${opts.name}.log`),
-			env: {HICKORYTRACK_BOOT: settingsPath, [redirectVariable]: JSON.stringify(opts.redirect)},
+			env: {HICKORYTRACK_BOOT: settingsPath, [redirectVariable]: JSON.stringify(opts.redirect), [readPathVariable]: path.join(opts.folder, `${opts.name}.read`)},
 			onStarted: opts.onStarted,
 			onEnded: opts.onEnded,
 			createArgs() {
 				writeSettings(settingsPath, opts, starts === 0);
 				starts++;
-				return ['--import', redirectUrl, mainPath];
+				return ['--import', redirectUrl, '--import', witnessUrl, mainPath];
 			},
 		});
 		this.ip = opts.ip;
--- a/tools/soak/src/fault-runner.ts
+++ b/tools/soak/src/fault-runner.ts
@@ -69,7 +69,7 @@
 			}
 
 			case 'hush': {
-				const isCarriedOut = await hush(links.getAddress(target), durationMs);
+				const isCarriedOut = await startSilence(links.getAddress(target), durationMs);
 				await clock.sleep(durationMs);
 				return isCarriedOut;
 			}
@@ -150,7 +150,7 @@
 }
 
 /** Makes a server silent. Returns false if it doesn't run. */
-async function hush({host, port}: {host: string; port: number}, durationMs: number): Promise<boolean> {
+async function startSilence({host, port}: {host: string; port: number}, durationMs: number): Promise<boolean> {
 	try {
 		const {body} = await request(`http://${host}:${port}${hushPath}${durationMs}`, {
 			method: 'POST', reset: true, headersTimeout: hushTimeoutMs, bodyTimeout: hushTimeoutMs,
--- a/tools/soak/src/records.ts
+++ b/tools/soak/src/records.ts
@@ -89,6 +89,8 @@
 	isSound: boolean;
 	/** The other side closed the connection first. */
 	hasLeft: boolean;
+	/** Only the end of the connection ended the answer. */
+	hasUnknownEnd: boolean;
 };
 
 export type ServerRecord = ArrivalRecord | OutcomeRecord | EndRecord;
@@ -144,6 +146,8 @@
 	arrivals: readonly ArrivalRecord[];
 	outcomes: readonly OutcomeRecord[];
 	ends: readonly EndRecord[];
+	/** Requests that a process of an edge has read. */
+	readRequests: ReadonlySet<string>;
 	operator: readonly OperatorRecord[];
 	readBacks: readonly ReadBack[];
 	bounds: RetryBounds;
--- a/tools/soak/src/server-answers.ts
+++ b/tools/soak/src/server-answers.ts
@@ -50,7 +50,7 @@
 		this.#planBreak(channel, fault, bytes.length);
 		channel.send(bytes);
 		if (isLast) {
-			channel.end();
+			channel.end({isUnframed});
 		} else {
 			channel.finish();
 		}
@@ -86,7 +86,7 @@
 		}
 
 		if (isUnframed) {
-			channel.end();
+			channel.end({isUnframed});
 		} else {
 			channel.send(formatChunk(''));
 			channel.finish();
--- a/tools/soak/src/server-channel.ts
+++ b/tools/soak/src/server-channel.ts
@@ -43,6 +43,7 @@
 	#isBroken = false;
 	#hasEnded = false;
 	#hasStuttered = false;
+	#hasUnknownEnd = false;
 	#leftAt: number | undefined;
 	#cancelIdle: (() => void) | undefined;
 
@@ -77,6 +78,11 @@
 		return this.#hasStuttered;
 	}
 
+	/** Only the end of the connection ended the last answer. */
+	get hasUnknownEnd(): boolean {
+		return this.#hasUnknownEnd;
+	}
+
 	/** Time at which the other side closed the connection; undefined if this side did, or it is open. */
 	get leftAt(): number | undefined {
 		return this.#leftAt;
@@ -179,7 +185,9 @@
 		});
 	}
 
-	end(): void {
+	/** Closes the connection; `isUnframed` if nothing else ends the answer. */
+	end({isUnframed = false} = {}): void {
+		this.#hasUnknownEnd ||= isUnframed;
 		if (!this.#isBroken) {
 			this.#close();
 		}
--- a/tools/soak/src/soak-run.ts
+++ b/tools/soak/src/soak-run.ts
@@ -113,12 +113,14 @@
 	await clock.sleep(settleMs);
 	const readBacks = await operator.readBack();
 	await fleet.stopServers();
-	const serverRecords = await readServerRecords(folder);
+	const serverLines = await readLines(folder, /^s\d+\.jsonl$/);
+	const serverRecords = serverLines.map(line => JSON.parse(line) as ServerRecord);
+	const readRequests = new Set(await readLines(folder, /^edge-\d+\.read$/));
 	await writeLines(path.join(folder, 'callers.jsonl'), callers);
 	await writeLines(path.join(folder, 'operator.jsonl'), [...operator.records, ...readBacks]);
 	await writeLines(path.join(folder, 'disturbances.jsonl'), faultRunner.disturbances);
 	return {
-		routes, bounds, callers, processEnds: fleet.processEnds, disturbances: faultRunner.disturbances, graceMs, operator: operator.records, readBacks, arrivals: serverRecords.filter((record): record is ArrivalRecord => record.type === 'arrival'), outcomes: serverRecords.filter((record): record is OutcomeRecord => record.type === 'outcome'), ends: serverRecords.filter((record): record is EndRecord => record.type === 'end'),
+		routes, bounds, callers, processEnds: fleet.processEnds, disturbances: faultRunner.disturbances, graceMs, readRequests, operator: operator.records, readBacks, arrivals: serverRecords.filter((record): record is ArrivalRecord => record.type === 'arrival'), outcomes: serverRecords.filter((record): record is OutcomeRecord => record.type === 'outcome'), ends: serverRecords.filter((record): record is EndRecord => record.type === 'end'),
 	};
 }
 
@@ -136,11 +138,11 @@
 	};
 }
 
-async function readServerRecords(folder: string): Promise<ServerRecord[]> {
+/** Returns the lines of all files whose names match. */
+async function readLines(folder: string, pattern: RegExp): Promise<string[]> {
 	const names = await readdir(folder);
-	const files = names.filter(name => /^s\d+\.jsonl$/.test(name));
-	const texts = await Promise.all(files.map(async file => readFile(path.join(folder, file), 'utf8')));
-	return texts.flatMap(text => text.split('\n').filter(line => line !== '').map(line => JSON.parse(line) as ServerRecord));
+	const texts = await Promise.all(names.filter(name => pattern.test(name)).map(async name => readFile(path.join(folder, name), 'utf8')));
+	return texts.flatMap(text => text.split('\n').filter(line => line !== ''));
 }
 
 async function writeLines(file: string, lines: readonly unknown[]): Promise<void> {
--- a/tools/soak/src/soak-server.ts
+++ b/tools/soak/src/soak-server.ts
@@ -143,7 +143,7 @@
 
 		await channel.waitForSent();
 		this.#opts.record({
-			type: 'end', at: channel.leftAt ?? clock.now(), server: id, startedAt, number: arrival.number, requestId, isSound: !isLost && !channel.hasStuttered, hasLeft: channel.leftAt !== undefined,
+			type: 'end', at: channel.leftAt ?? clock.now(), server: id, startedAt, number: arrival.number, requestId, isSound: !isLost && !channel.hasStuttered, hasLeft: channel.leftAt !== undefined, hasUnknownEnd: channel.hasUnknownEnd,
 		});
 	}
 
