refactor(edge): the calls of a streaming request in a module of their own

StreamCalls makes the calls to servers and records what they tell about them; the forwarder plans, starts and ends runs.

--- /dev/null
+++ b/packages/plugins/edge/src/stream-calls.ts
@@ -0,0 +1,183 @@
+/**
+ * The calls that a streaming request makes to servers, with what they tell about the servers: their load while a call runs,
+ * their health, their speed and their silence.
+ */
+import type {ResponseHead} from '@hickorytrack/endpoint-client';
+import type {ReceivedAnswer} from '@hickorytrack/http-answer/answer-reader';
+import type {KnownServer} from '@hickorytrack/endpoint-registry';
+import type {Placement} from '@hickorytrack/prompt-placement';
+import type {Prompt} from '@hickorytrack/prompt-placement/prompt';
+import {
+	attemptOutcomes, runAttempt, type AttemptResult, type SilenceOptions,
+} from './attempt.js';
+import {selectBackup} from './backup-server.js';
+import type {CallerRequest} from './caller-request.js';
+import type {EventRelay} from './event-relay.js';
+import {createOutboundRequest, computeRemainingMs, type ForwardContext} from './forward-context.js';
+import type {KvHandle} from './request-codec.js';
+import type {SendPermit} from './send-permits.js';
+import {SilenceDetector} from './silence-detector.js';
+import type {StreamRun} from './stream-run.js';
+
+const emptyPrompt: Prompt = {parts: [], tokens: 0, maxOutputTokens: 0};
+const maxPriorityValue = 9;
+/** A response of this many tokens takes seconds, so that a caller notices pauses in it. */
+const longOutputTokens = 512;
+/** A server that sends nothing for this many times the pause objective is reported as silent. */
+const silenceFactor = 3;
+const minimumSilenceMs = 500;
+
+export type AcceptedPlacement = Exclude<Placement, {kind: 'refuse'}>;
+
+export type StreamCallsOptions = {
+	relay: EventRelay;
+	/** Called at each check that finds the server of a run silent. */
+	onSilent: (run: StreamRun, server: KnownServer, silentMs: number) => void;
+};
+
+/** The handle of a prefilled prompt's KV cache, or why there is none. */
+export type PrefillResult = {handle: KvHandle} | {handle?: undefined; result: AttemptResult; isNotExecuted: boolean};
+
+export class StreamCalls {
+	readonly prompt: Prompt;
+	/** Time from the arrival of the request to its first event, in milliseconds. */
+	firstByteMs: number | undefined;
+	/** The last answer of a server, other than those that another run has replaced. */
+	lastAnswer: ReceivedAnswer | undefined;
+	readonly #context: ForwardContext;
+	readonly #request: CallerRequest;
+	readonly #opts: StreamCallsOptions;
+
+	constructor(context: ForwardContext, request: CallerRequest, opts: StreamCallsOptions) {
+		this.#context = context;
+		this.#request = request;
+		this.#opts = opts;
+		this.prompt = request.metadata.prompt ?? emptyPrompt;
+	}
+
+	/** Has a server prefill the prompt. */
+	async prefill(run: StreamRun, {prefillServer, kvSource, prefillTokens, predictedMs}: Placement & {kind: 'hand-over'}, permit: SendPermit): Promise<PrefillResult> {
+		const {loadTracker, client, clock, codec, health, measurements} = this.#context;
+		const queuedTokens = loadTracker.getLoad(prefillServer.id).promptTokens;
+		const inFlightLoad = loadTracker.add(prefillServer.id, prefillTokens);
+		const startedAt = clock.monotonic();
+		run.server = prefillServer;
+		const result = await runAttempt(client, prefillServer.address, {
+			clock, signal: this.#request.signal, timeoutMs: this.#remainingMs, canceller: run.canceller, silence: this.#createSilenceOptions(run, prefillServer, predictedMs), request: createOutboundRequest(this.#context, this.#request, {
+				server: prefillServer, permit, needsVerifiedConnection: false, priority: this.#priority, isPrefillOnly: true, prefixCacheAddress: kvSource?.address,
+			}),
+		});
+		inFlightLoad.release();
+		const metadata = result.head && codec.decodeResponseHead(result.head);
+		const handle = result.outcome === attemptOutcomes.answered && result.head?.status === 200 ? codec.decodeKvHandle(prefillServer.address, result.body.toString()) : undefined;
+		permit.finish({isWritten: result.isWritten, isAccepted: handle !== undefined});
+		if (handle) {
+			const elapsedMs = clock.monotonic() - startedAt;
+			health.recordSuccess(prefillServer);
+			measurements.recordPrefill(prefillServer, {
+				prompt: this.prompt, queuedTokens, prefillTokens, elapsedMs,
+			});
+			return {handle};
+		}
+
+		const isNotExecuted = metadata?.isNotExecuted ?? false;
+		if (result.outcome !== attemptOutcomes.cancelled && result.outcome !== attemptOutcomes.replaced) {
+			this.#recordFailedPrefill(prefillServer, {result, isNotExecuted});
+		}
+
+		return {result, isNotExecuted};
+	}
+
+	#recordFailedPrefill(prefillServer: KnownServer, {result, isNotExecuted}: {result: AttemptResult; isNotExecuted: boolean}): void {
+		const {health, eventLog} = this.#context;
+		if (result.error?.foreignAnswer) {
+			health.recordForeignAnswer(prefillServer, result.error.foreignAnswer);
+		} else if (!isNotExecuted && !result.error?.isStale) {
+			health.recordUnresponsive(prefillServer);
+		}
+
+		eventLog.emit('readFailed', {
+			request: this.#request.metadata.requestId, server: prefillServer.id, end: result.outcome, status: result.head?.status, isStale: result.error?.isStale ?? false, silentMs: result.silentMs, lastAnswerMs: health.measureSilence(prefillServer), reason: result.error?.message,
+		});
+	}
+
+	/** Has a server generate the response, from the KV cache of the handle if there is one. */
+	async generate(run: StreamRun, server: KnownServer, {permit, handle, placement}: {permit: SendPermit; handle?: KvHandle; placement: AcceptedPlacement}): Promise<AttemptResult> {
+		const {loadTracker, client, clock, measurements} = this.#context;
+		const {isResumable: isRetryable} = this.#request.route;
+		const isLongOutput = this.prompt.maxOutputTokens >= longOutputTokens;
+		run.server = server;
+		run.isGenerating = true;
+		run.backupServer = isLongOutput ? selectBackup(this.#context, this.#request.service, server) : undefined;
+		const load = loadTracker.getLoad(server.id);
+		const inFlightLoad = loadTracker.add(server.id, handle ? 0 : placement.prefillTokens, {isStream: isLongOutput});
+		let firstByteAt: number | undefined;
+		const startedAt = clock.monotonic();
+		const result = await runAttempt(client, server.address, {
+			clock,
+			signal: this.#request.signal,
+			timeoutMs: this.#remainingMs,
+			canceller: run.canceller,
+			relay: run,
+			isStream: head => this.#isStream(head),
+			silence: isRetryable || run.backupServer ? this.#createSilenceOptions(run, server, placement.predictedMs) : undefined,
+			onFirstByte: () => {
+				inFlightLoad.releasePrefill();
+				firstByteAt = clock.monotonic();
+				this.firstByteMs ??= firstByteAt - this.#request.arrivedAt;
+				measurements.recordFirstByte(server, {
+					prompt: this.prompt, load, prefillTokens: handle ? 0 : placement.prefillTokens, elapsedMs: firstByteAt - startedAt,
+				});
+			},
+			request: createOutboundRequest(this.#context, this.#request, {
+				server,
+				permit,
+				needsVerifiedConnection: !isRetryable,
+				priority: this.#priority,
+				kvHandle: handle,
+				kvBackupAddress: run.backupServer?.address,
+				prefixCacheAddress: handle === undefined && placement.kvSource?.id !== server.id ? placement.kvSource?.address : undefined,
+				lastEventId: this.#opts.relay.lastEventId ?? this.#request.metadata.lastEventId,
+			}),
+		});
+		inFlightLoad.release();
+		permit.finish({isWritten: result.isWritten, isAccepted: true});
+		if (result.outcome !== attemptOutcomes.replaced) {
+			this.lastAnswer = result.answer;
+		}
+
+		if (firstByteAt !== undefined && result.outcome === attemptOutcomes.answered) {
+			measurements.recordEnd(server, {isStream: isLongOutput, holdMs: clock.monotonic() - firstByteAt});
+		}
+
+		return result;
+	}
+
+	/** Without a measured speed, the prediction is a guess, and no server counts as lost because of it. */
+	#createSilenceOptions(run: StreamRun, server: KnownServer, predictedMs: number): SilenceOptions {
+		const {health, profile, clock} = this.#context;
+		const detector = new SilenceDetector(health, {server, predictedMs: profile.isKnown(server.service) ? predictedMs : undefined, startedAt: clock.monotonic()});
+		return {
+			firstByteMs: detector.intervalMs,
+			isLost: () => detector.isLost(clock.monotonic(), this.#remainingMs),
+			idleMs: Math.max(minimumSilenceMs, (this.#request.route.pauseObjectiveMs ?? 0) * silenceFactor),
+			onSilent: silentMs => {
+				this.#opts.onSilent(run, server, silentMs);
+			},
+		};
+	}
+
+	get #remainingMs(): number {
+		return computeRemainingMs(this.#context, this.#request);
+	}
+
+	get #priority(): number {
+		return Math.min(maxPriorityValue, this.#request.route.priority);
+	}
+
+	#isStream(head: ResponseHead): boolean {
+		const metadata = this.#context.codec.decodeResponseHead(head);
+		const type = String(head.headers['content-type'] ?? '');
+		return head.status === 200 && metadata.isAuthentic && type.startsWith('text/event-stream');
+	}
+}
--- a/packages/plugins/edge/src/streaming-forwarder.ts
+++ b/packages/plugins/edge/src/streaming-forwarder.ts
@@ -7,17 +7,14 @@
  * a server takes it, and whichever delivers first ends the other.
  */
 import {describeError} from '@hickorytrack/errors';
-import type {ResponseHead} from '@hickorytrack/endpoint-client';
 import type {ReceivedAnswer} from '@hickorytrack/http-answer/answer-reader';
 import type {KnownServer} from '@hickorytrack/endpoint-registry';
 import type {Placement} from '@hickorytrack/prompt-placement';
-import type {Prompt} from '@hickorytrack/prompt-placement/prompt';
 import {
-	attemptOutcomes, describeFailure, runAttempt, type AttemptResult, type SilenceOptions,
+	attemptOutcomes, describeFailure, type AttemptResult,
 } from './attempt.js';
 import {computeRetryAfterMs, isCandidate, listCandidates} from './candidate-servers.js';
 import {forwardResponse, sendProblem} from './responses.js';
-import {selectBackup} from './backup-server.js';
 import {callKinds} from './call-kinds.js';
 import {RefusalGrounds} from './refusal-grounds.js';
 import {
@@ -28,22 +25,14 @@
 import type {KvHandle} from './request-codec.js';
 import {retryKinds} from './retry-budget.js';
 import {SendPermits, type SendPermit} from './send-permits.js';
-import {SilenceDetector} from './silence-detector.js';
+import {StreamCalls, type AcceptedPlacement} from './stream-calls.js';
 import {StreamRun, type RunEnding} from './stream-run.js';
 import {
-	createAnswerIdentity, createOutboundRequest, computeRemainingMs, defaultRetryAfterMs, type ForwardContext,
+	createAnswerIdentity, computeRemainingMs, defaultRetryAfterMs, type ForwardContext,
 } from './forward-context.js';
 
-const emptyPrompt: Prompt = {parts: [], tokens: 0, maxOutputTokens: 0};
 const minimumRetryMs = 20; // With less time left, another attempt would not complete before the deadline.
-const maxPriorityValue = 9;
-/** A response of this many tokens takes seconds, so that a caller notices pauses in it. */
-const longOutputTokens = 512;
-/** When its server sends nothing for this many times the pause objective, a stream may be taken over by another server. */
-const silenceFactor = 3;
-const minimumSilenceMs = 500;
-
-type AcceptedPlacement = Exclude<Placement, {kind: 'refuse'}>;
+
 type Plan = {placement: Placement; prefillPermit?: SendPermit};
 /** How another server takes over. */
 type Takeover = {run: StreamRun; start: () => Promise<RunEnding | undefined>};
@@ -53,7 +42,7 @@
 	readonly #context: ForwardContext;
 	readonly #request: CallerRequest;
 	readonly #relay: EventRelay;
-	readonly #prompt: Prompt;
+	readonly #calls: StreamCalls;
 	readonly #permits: SendPermits;
 	/** Servers that were asked to generate the response. */
 	readonly #servers: KnownServer[] = [];
@@ -63,8 +52,6 @@
 	/** Runs that have not ended. */
 	readonly #runs = new Set<StreamRun>();
 	#retryAfterMs = defaultRetryAfterMs;
-	#lastAnswer: ReceivedAnswer | undefined;
-	#firstByteMs: number | undefined;
 	/** Time to the first event, as predicted when the request was first placed, in milliseconds. */
 	#predictedMs: number | undefined;
 
@@ -73,7 +60,15 @@
 		this.#request = request;
 		this.#grounds = new RefusalGrounds(createAnswerIdentity(context, request));
 		this.#relay = new EventRelay(request.response, {clock: context.clock});
-		this.#prompt = request.metadata.prompt ?? emptyPrompt;
+		this.#calls = new StreamCalls(context, request, {
+			relay: this.#relay, onSilent: (run, server, silentMs) => {
+				try {
+					this.#handleSilence(run, server, silentMs);
+				} catch (error) {
+					this.#reportError(error);
+				}
+			},
+		});
 		this.#permits = new SendPermits(context.retryBudget, request);
 	}
 
@@ -171,7 +166,7 @@
 	#selectPlacement({excluded, canPrefill = true}: {excluded: ReadonlySet<string>; canPrefill?: boolean}): Placement {
 		const {promptPlacement} = this.#context;
 		return promptPlacement.plan({
-			prompt: this.#prompt,
+			prompt: this.#calls.prompt,
 			servers: listCandidates(this.#context, this.#request.service).filter(server => canPrefill || server.stage !== 'prefill'),
 			objectiveMs: this.#request.route.objectiveMs,
 			maxWaitMs: this.#maxWaitMs,
@@ -187,7 +182,7 @@
 		}
 
 		this.#predictedMs ??= placement.predictedMs;
-		const handle = placement.kind === 'hand-over' ? await this.#runPrefill(run, placement, prefillPermit!) : undefined;
+		const handle = placement.kind === 'hand-over' ? await this.#prefill(run, placement, prefillPermit!) : undefined;
 		if (this.#request.signal.aborted) {
 			this.#releaseKvHandle(handle);
 			return this.#createCallerGone();
@@ -205,7 +200,7 @@
 		}
 
 		this.#servers.push(decodeServer);
-		const result = await this.#generate(run, decodeServer, {permit: run.permit!, handle, placement});
+		const result = await this.#calls.generate(run, decodeServer, {permit: run.permit!, handle, placement});
 		if (run.backupServer && !run.successor && this.#relay.lastEventId !== undefined && !result.error?.foreignAnswer && result.outcome === attemptOutcomes.broken) {
 			return this.#resumeAtBackup(run, decodeServer, result);
 		}
@@ -213,6 +208,17 @@
 		return this.#handleResult(run, {server: decodeServer, result, handle});
 	}
 
+	/** Has a server prefill the prompt. Without a handle of its KV cache, the request needs a new placement. */
+	async #prefill(run: StreamRun, placement: Placement & {kind: 'hand-over'}, permit: SendPermit): Promise<KvHandle | undefined> {
+		const {handle, ...failure} = await this.#calls.prefill(run, placement, permit);
+		if ('result' in failure) {
+			this.#excluded.add(placement.prefillServer.id);
+			this.#grounds.add(callKinds.prefill, placement.prefillServer, failure);
+		}
+
+		return handle;
+	}
+
 	/** Tells after a prefill whether the run may go on. Another one that was started meanwhile ends, unless it generates already. */
 	async #canGenerate(run: StreamRun): Promise<boolean> {
 		if (run.isCancelled || this.#remainingMs < 1) {
@@ -242,7 +248,7 @@
 		const {promptPlacement, availabilityZone} = this.#context;
 		const servers = listCandidates(this.#context, this.#request.service);
 		return promptPlacement.selectDecodeServer({
-			prompt: this.#prompt, objectiveMs: this.#request.route.objectiveMs, excluded: this.#listExcluded(run), availabilityZone,
+			prompt: this.#calls.prompt, objectiveMs: this.#request.route.objectiveMs, excluded: this.#listExcluded(run), availabilityZone,
 		}, servers) ?? (isCandidate(this.#context, planned) ? planned : undefined);
 	}
 
@@ -263,7 +269,7 @@
 	/** Resumes the stream after its last event from the copy of the KV cache at a server. It counts as the same run. */
 	async #resumeAt(run: StreamRun, backup: KnownServer, permit: SendPermit): Promise<RunEnding> {
 		this.#servers.push(backup);
-		const result = await this.#generate(run, backup, {
+		const result = await this.#calls.generate(run, backup, {
 			permit,
 			handle: {address: backup.address, handle: this.#request.metadata.requestId!},
 			placement: {
@@ -374,127 +380,6 @@
 		});
 	}
 
-	/** Prefills the prompt at another server. Returns the handle of its KV cache; undefined when the request needs a new placement. */
-	async #runPrefill(run: StreamRun, {prefillServer, kvSource, prefillTokens, predictedMs}: Placement & {kind: 'hand-over'}, permit: SendPermit): Promise<KvHandle | undefined> {
-		const {loadTracker, client, clock, codec, health, measurements, eventLog} = this.#context;
-		const queuedTokens = loadTracker.getLoad(prefillServer.id).promptTokens;
-		const inFlightLoad = loadTracker.add(prefillServer.id, prefillTokens);
-		const startedAt = clock.monotonic();
-		run.server = prefillServer;
-		const result = await runAttempt(client, prefillServer.address, {
-			clock, signal: this.#request.signal, timeoutMs: this.#remainingMs, canceller: run.canceller, silence: this.#createSilenceOptions(run, prefillServer, predictedMs), request: createOutboundRequest(this.#context, this.#request, {
-				server: prefillServer, permit, needsVerifiedConnection: false, priority: this.#priority, isPrefillOnly: true, prefixCacheAddress: kvSource?.address,
-			}),
-		});
-		inFlightLoad.release();
-		const metadata = result.head && codec.decodeResponseHead(result.head);
-		const handle = result.outcome === attemptOutcomes.answered && result.head?.status === 200 ? codec.decodeKvHandle(prefillServer.address, result.body.toString()) : undefined;
-		permit.finish({isWritten: result.isWritten, isAccepted: handle !== undefined});
-		if (handle) {
-			const elapsedMs = clock.monotonic() - startedAt;
-			health.recordSuccess(prefillServer);
-			measurements.recordPrefill(prefillServer, {
-				prompt: this.#prompt, queuedTokens, prefillTokens, elapsedMs,
-			});
-			return handle;
-		}
-
-		this.#excluded.add(prefillServer.id);
-		this.#grounds.add(callKinds.prefill, prefillServer, {result, isNotExecuted: metadata?.isNotExecuted ?? false});
-		if (result.outcome === attemptOutcomes.cancelled || result.outcome === attemptOutcomes.replaced) {
-			return undefined;
-		}
-
-		if (result.error?.foreignAnswer) {
-			health.recordForeignAnswer(prefillServer, result.error.foreignAnswer);
-		} else if (!metadata?.isNotExecuted && !result.error?.isStale) {
-			health.recordUnresponsive(prefillServer);
-		}
-
-		eventLog.emit('readFailed', {
-			request: this.#request.metadata.requestId, server: prefillServer.id, end: result.outcome, status: result.head?.status, isStale: result.error?.isStale ?? false, silentMs: result.silentMs, lastAnswerMs: health.measureSilence(prefillServer), reason: result.error?.message,
-		});
-		return undefined;
-	}
-
-	async #generate(run: StreamRun, server: KnownServer, {permit, handle, placement}: {permit: SendPermit; handle?: KvHandle; placement: AcceptedPlacement}): Promise<AttemptResult> {
-		const {loadTracker, client, clock, measurements} = this.#context;
-		const isLongOutput = this.#prompt.maxOutputTokens >= longOutputTokens;
-		run.server = server;
-		run.isGenerating = true;
-		run.backupServer = isLongOutput ? selectBackup(this.#context, this.#request.service, server) : undefined;
-		const load = loadTracker.getLoad(server.id);
-		const inFlightLoad = loadTracker.add(server.id, handle ? 0 : placement.prefillTokens, {isStream: isLongOutput});
-		let firstByteAt: number | undefined;
-		const startedAt = clock.monotonic();
-		const result = await runAttempt(client, server.address, {
-			clock,
-			signal: this.#request.signal,
-			timeoutMs: this.#remainingMs,
-			canceller: run.canceller,
-			relay: run,
-			isStream: head => this.#isStream(head),
-			silence: this.#isRetryable || run.backupServer ? this.#createSilenceOptions(run, server, placement.predictedMs) : undefined,
-			onFirstByte: () => {
-				inFlightLoad.releasePrefill();
-				firstByteAt = clock.monotonic();
-				this.#firstByteMs ??= firstByteAt - this.#request.arrivedAt;
-				measurements.recordFirstByte(server, {
-					prompt: this.#prompt, load, prefillTokens: handle ? 0 : placement.prefillTokens, elapsedMs: firstByteAt - startedAt,
-				});
-			},
-			request: createOutboundRequest(this.#context, this.#request, {
-				server,
-				permit,
-				needsVerifiedConnection: !this.#isRetryable,
-				priority: this.#priority,
-				kvHandle: handle,
-				kvBackupAddress: run.backupServer?.address,
-				prefixCacheAddress: handle === undefined && placement.kvSource?.id !== server.id ? placement.kvSource?.address : undefined,
-				lastEventId: this.#relay.lastEventId ?? this.#request.metadata.lastEventId,
-			}),
-		});
-		inFlightLoad.release();
-		permit.finish({isWritten: result.isWritten, isAccepted: true});
-		if (result.outcome !== attemptOutcomes.replaced) {
-			this.#lastAnswer = result.answer;
-		}
-
-		if (firstByteAt !== undefined && result.outcome === attemptOutcomes.answered) {
-			measurements.recordEnd(server, {isStream: isLongOutput, holdMs: clock.monotonic() - firstByteAt});
-		}
-
-		return result;
-	}
-
-	/** Without a measured speed, the prediction is a guess, and no server counts as lost because of it. */
-	#createSilenceOptions(run: StreamRun, server: KnownServer, predictedMs: number): SilenceOptions {
-		const {health, profile, clock} = this.#context;
-		const detector = new SilenceDetector(health, {server, predictedMs: profile.isKnown(server.service) ? predictedMs : undefined, startedAt: clock.monotonic()});
-		return {
-			firstByteMs: detector.intervalMs,
-			isLost: () => detector.isLost(clock.monotonic(), this.#remainingMs),
-			idleMs: Math.max(minimumSilenceMs, (this.#request.route.pauseObjectiveMs ?? 0) * silenceFactor),
-			onSilent: silentMs => {
-				try {
-					this.#handleSilence(run, server, silentMs);
-				} catch (error) {
-					this.#reportError(error);
-				}
-			},
-		};
-	}
-
-	get #priority(): number {
-		return Math.min(maxPriorityValue, this.#request.route.priority);
-	}
-
-	#isStream(head: ResponseHead): boolean {
-		const metadata = this.#context.codec.decodeResponseHead(head);
-		const type = String(head.headers['content-type'] ?? '');
-		return head.status === 200 && metadata.isAuthentic && type.startsWith('text/event-stream');
-	}
-
 	#handleResult(run: StreamRun, {server, result, handle}: {server: KnownServer; result: AttemptResult; handle: KvHandle | undefined}): RunEnding | undefined {
 		switch (result.outcome) {
 			case attemptOutcomes.answered: {
@@ -531,7 +416,7 @@
 		this.#grounds.add(callKinds.run, server, {result, isNotExecuted: false});
 		this.#excluded.add(server.id);
 		eventLog.emit('attemptFailed', {
-			request: this.#request.metadata.requestId, server: server.id, end: result.outcome, isWritten: result.isWritten, silentMs: result.silentMs, lastAnswerMs: health.measureSilence(server), lastEvent: this.#relay.lastEventId, reason: result.error?.message, answer: this.#lastAnswer,
+			request: this.#request.metadata.requestId, server: server.id, end: result.outcome, isWritten: result.isWritten, silentMs: result.silentMs, lastAnswerMs: health.measureSilence(server), lastEvent: this.#relay.lastEventId, reason: result.error?.message, answer: this.#calls.lastAnswer,
 		});
 		if (result.outcome === attemptOutcomes.broken) {
 			if (foreignAnswer) {
@@ -652,7 +537,7 @@
 
 	#createResult(outcome: RequestResult['outcome'], rest: Omit<RequestResult, 'outcome' | 'servers'> = {}): RequestResult {
 		return {
-			outcome, servers: this.#servers.map(server => server.id), grounds: this.#grounds.list, answer: this.#lastAnswer, firstByteMs: this.#firstByteMs, predictedMs: this.#predictedMs, ...rest,
+			outcome, servers: this.#servers.map(server => server.id), grounds: this.#grounds.list, answer: this.#calls.lastAnswer, firstByteMs: this.#calls.firstByteMs, predictedMs: this.#predictedMs, ...rest,
 		};
 	}
 }
