--- a/packages/plugins/edge/src/backup-server.ts
+++ b/packages/plugins/edge/src/backup-server.ts
@@ -3,9 +3,10 @@
 import {listCandidates} from './candidate-servers.js';
 import type {ForwardContext} from './forward-context.js';
 
-/** Selects the server with the fewest requests among those that generate, other than the given one. */
-export function selectBackup(context: ForwardContext, service: string, decodeServer: KnownServer): KnownServer | undefined {
+/** Selects the server with the fewest requests among those that generate, other than the given ones. */
+export function selectBackup(context: ForwardContext, service: string, excluded: readonly KnownServer[]): KnownServer | undefined {
 	const {loadTracker} = context;
-	const others = listCandidates(context, service).filter(server => server.id !== decodeServer.id && server.stage !== 'prefill');
+	const excludedIds = new Set(excluded.map(({id}) => id));
+	const others = listCandidates(context, service).filter(server => !excludedIds.has(server.id) && server.stage !== 'prefill');
 	return others.sort((a, b) => loadTracker.getLoad(a.id).requests - loadTracker.getLoad(b.id).requests)[0];
 }
--- a/packages/plugins/edge/src/buffered-forwarder.ts
+++ b/packages/plugins/edge/src/buffered-forwarder.ts
@@ -220,8 +220,8 @@
 		const foreignAnswer = result.error?.foreignAnswer;
 		if (foreignAnswer) {
 			health.recordForeignAnswer(server, foreignAnswer);
-		} else if (isStale) {
-			// A stale connection does not mean that the server is unhealthy; onConnectionLost probes it.
+		} else if (isStale || result.error?.isBusy) {
+			// A stale connection does not mean that the server is unhealthy; onConnectionLost probes it. Nor does a lack of connections.
 		} else if (result.isWritten && result.outcome === attemptOutcomes.broken) {
 			health.recordBrokenResponse(server);
 		} else {
--- a/packages/plugins/edge/src/send-permits.ts
+++ b/packages/plugins/edge/src/send-permits.ts
@@ -11,7 +11,6 @@
 /** Allows one call to one server. A request to a server can't be created without one. */
 export class SendPermit {
 	readonly kind: RetryKind;
-	readonly #retry: RetryPermit | undefined;
 	readonly #opts: {kind: RetryKind; retry?: RetryPermit; isConditional?: boolean; onArrived: () => boolean; onUnused?: () => void};
 	#isStarted = false;
 	#isFinished = false;
--- a/packages/plugins/edge/src/stream-calls.ts
+++ b/packages/plugins/edge/src/stream-calls.ts
@@ -74,9 +74,13 @@
 		if (handle) {
 			const elapsedMs = clock.monotonic() - startedAt;
 			health.recordSuccess(prefillServer);
-			measurements.recordPrefill(prefillServer, {
-				prompt: this.prompt, queuedTokens, prefillTokens, elapsedMs,
-			});
+			// What a silence took says nothing about the speed of the server.
+			if (!run.isSilenceReported) {
+				measurements.recordPrefill(prefillServer, {
+					prompt: this.prompt, queuedTokens, prefillTokens, elapsedMs,
+				});
+			}
+
 			return {handle};
 		}
 
@@ -92,7 +96,7 @@
 		const {health, eventLog} = this.#context;
 		if (result.error?.foreignAnswer) {
 			health.recordForeignAnswer(prefillServer, result.error.foreignAnswer);
-		} else if (!isNotExecuted && !result.error?.isStale) {
+		} else if (!isNotExecuted && !result.error?.isStale && !result.error?.isBusy) {
 			health.recordUnresponsive(prefillServer);
 		}
 
@@ -108,7 +112,7 @@
 		const isLongOutput = this.prompt.maxOutputTokens >= longOutputTokens;
 		run.server = server;
 		run.isGenerating = true;
-		run.backupServer = isLongOutput ? selectBackup(this.#context, this.#request.service, server) : undefined;
+		run.backupServer = isLongOutput ? selectBackup(this.#context, this.#request.service, [server, ...run.listEarlierServers()]) : undefined;
 		const load = loadTracker.getLoad(server.id);
 		const inFlightLoad = loadTracker.add(server.id, handle ? 0 : placement.prefillTokens, {isStream: isLongOutput});
 		let firstByteAt: number | undefined;
@@ -125,9 +129,11 @@
 				inFlightLoad.releasePrefill();
 				firstByteAt = clock.monotonic();
 				this.firstByteMs ??= firstByteAt - this.#request.arrivedAt;
-				measurements.recordFirstByte(server, {
-					prompt: this.prompt, load, prefillTokens: handle ? 0 : placement.prefillTokens, elapsedMs: firstByteAt - startedAt,
-				});
+				if (!run.isSilenceReported) {
+					measurements.recordFirstByte(server, {
+						prompt: this.prompt, load, prefillTokens: handle ? 0 : placement.prefillTokens, elapsedMs: firstByteAt - startedAt,
+					});
+				}
 			},
 			request: createOutboundRequest(this.#context, this.#request, {
 				server,
@@ -146,7 +152,7 @@
 			this.lastAnswer = result.answer;
 		}
 
-		if (firstByteAt !== undefined && result.outcome === attemptOutcomes.answered) {
+		if (firstByteAt !== undefined && result.outcome === attemptOutcomes.answered && !run.isSilenceReported) {
 			measurements.recordEnd(server, {isStream: isLongOutput, holdMs: clock.monotonic() - firstByteAt});
 		}
 
--- a/packages/plugins/edge/src/stream-run.ts
+++ b/packages/plugins/edge/src/stream-run.ts
@@ -24,7 +24,7 @@
 	permit?: SendPermit;
 	/** The run at a silent server beside which this one was started. */
 	predecessor?: StreamRun;
-	/** Called for each delivery, before it. */
+	/** Called when a server accepts the run that was started at it, and for each delivery, before it. */
 	onDelivery: (run: StreamRun) => void;
 };
 
@@ -59,16 +59,27 @@
 		return this.#opts.predecessor !== undefined;
 	}
 
+	/** The silent servers of the runs before this one, and those that may hold a copy of their KV cache. */
+	listEarlierServers(): KnownServer[] {
+		const {predecessor} = this.#opts;
+		return predecessor ? [...predecessor.listEarlierServers(), predecessor.server, predecessor.backupServer].filter(server => server !== undefined) : [];
+	}
+
 	/** Servers of this run and of the runs before it, all of which are silent when a successor is started. */
 	listServers(): KnownServer[] {
 		const earlier = this.#opts.predecessor?.listServers() ?? [];
 		return this.server ? [...earlier, this.server] : earlier;
 	}
 
-	/** The response starts with the head of the run that delivers first. */
+	/**
+	 * The response starts with the head of the run that delivers first. A second server that accepts the request ends the run at
+	 * the silent one already now: both must not work on it.
+	 */
 	open(head: ResponseHead): void {
 		this.#head = head;
-		if (!this.hasPredecessor) {
+		if (this.hasPredecessor) {
+			this.#opts.onDelivery(this);
+		} else {
 			this.#opts.relay.open(head);
 		}
 	}
--- a/packages/plugins/edge/src/streaming-forwarder.ts
+++ b/packages/plugins/edge/src/streaming-forwarder.ts
@@ -329,7 +329,8 @@
 
 	#planTakeover(run: StreamRun): Takeover | DeniedTakeover {
 		const backup = run.backupServer;
-		if (run.isGenerating && backup && this.#relay.lastEventId !== undefined && isCandidate(this.#context, backup)) {
+		const isBackupHealthy = listCandidates(this.#context, this.#request.service).some(({id}) => id === backup?.id);
+		if (run.isGenerating && backup && isBackupHealthy && this.#relay.lastEventId !== undefined) {
 			const permit = this.#permits.acquire(retryKinds.resume);
 			if (permit) {
 				// The copy can be used once.
@@ -387,6 +388,7 @@
 			}
 
 			case attemptOutcomes.cancelled: {
+				this.#recordNotAnswered(result, handle);
 				return this.#createCallerGone();
 			}
 
@@ -421,7 +423,7 @@
 		if (result.outcome === attemptOutcomes.broken) {
 			if (foreignAnswer) {
 				health.recordForeignAnswer(server, foreignAnswer);
-			} else if (!result.error?.isStale) {
+			} else if (!result.error?.isStale && !result.error?.isBusy) {
 				health.recordUnresponsive(server);
 			}
 
--- a/packages/routing/endpoint-client/src/endpoint-client.ts
+++ b/packages/routing/endpoint-client/src/endpoint-client.ts
@@ -58,16 +58,19 @@
 	readonly isCancelled: boolean;
 	/** True when a reused connection failed at the first request after an idle period; the server itself may be healthy. */
 	readonly isStale: boolean;
+	/** True when all connections that this instance may open to the server were in use; nothing is known of the server. */
+	readonly isBusy: boolean;
 	/** The answer of another request that was read instead; this request may have run. */
 	readonly foreignAnswer: ForeignAnswer | undefined;
 	/** What was received of the answer; undefined before its head. */
 	readonly answer: ReceivedAnswer | undefined;
 
-	constructor(code: HickorytrackError['code'], message: string, opts: {isWritten: boolean; isCancelled?: boolean; isStale?: boolean; foreignAnswer?: ForeignAnswer; answer?: ReceivedAnswer; cause?: unknown}) {
+	constructor(code: HickorytrackError['code'], message: string, opts: {isWritten: boolean; isCancelled?: boolean; isStale?: boolean; isBusy?: boolean; foreignAnswer?: ForeignAnswer; answer?: ReceivedAnswer; cause?: unknown}) {
 		super(code, message, {cause: opts.cause});
 		this.isWritten = opts.isWritten;
 		this.isCancelled = opts.isCancelled ?? false;
 		this.isStale = opts.isStale ?? false;
+		this.isBusy = opts.isBusy ?? false;
 		this.foreignAnswer = opts.foreignAnswer;
 		this.answer = opts.answer;
 	}
@@ -127,7 +130,7 @@
 			limit: request.connectionLimit, needsVerifiedConnection: request.needsVerifiedConnection, answerId: request.identity?.expectedId, recipient: request.recipient,
 		});
 		if (!connection) {
-			handler.onFailure(new EndpointClientError('ERR_HICKORYTRACK_CONNECTIONS_BUSY', `All connections to ${address} are busy`, {isWritten: false}));
+			handler.onFailure(new EndpointClientError('ERR_HICKORYTRACK_CONNECTIONS_BUSY', `All connections to ${address} are busy`, {isWritten: false, isBusy: true}));
 			return {cancel() {/* Nothing was sent. */}, pause() {/* Nothing was sent. */}, resume() {/* Nothing was sent. */}};
 		}
 
--- a/stand-ins/src/platform-server.ts
+++ b/stand-ins/src/platform-server.ts
@@ -329,8 +329,12 @@
 				this.abandonedRequestIds.push(receivedRequest.requestId);
 			}
 		});
-		response.flushHeaders();
-		this.#pauseAt('head');
+		if (this.pauseAt === 'head') {
+			response.flushHeaders();
+			await clock.sleep(1); // The head is sent by then.
+			this.#pauseAt('head');
+		}
+
 		for (let event = firstEvent; event <= events && !response.destroyed; event++) {
 			this.#pauseAt(event - firstEvent);
 			if (this.fault === platformFaults.cut && event === firstEvent + 2) {
