fix(edge): a backup server that refuses does not decide how a stream ends

Callers would have seen: a resumable stream that is cut when its server crashes, although another server could go on with it, if its backup server had been full during an earlier silence.

Cause: the failure of the run at the backup server was kept while the first run went on, and taken for the end of the request when that run broke off later. Change: such a failure counts only if the second run had taken over.

--- a/packages/plugins/edge/src/streaming-forwarder.ts
+++ b/packages/plugins/edge/src/streaming-forwarder.ts
@@ -338,7 +338,13 @@
 				// The copy can be used once.
 				run.backupServer = undefined;
 				const successor = this.#createRun({predecessor: run});
-				return {run: successor, start: async () => this.#resumeAt(successor, backup, permit)};
+				return {
+					run: successor, start: async () => {
+						const ending = await this.#resumeAt(successor, backup, permit);
+						// While the stream goes on at its own server, a failure of the backup server decides nothing.
+						return ending.isAnswer || run.isCancelled ? ending : undefined;
+					},
+				};
 			}
 		}
 
