--- a/tools/soak/src/check-lost.ts
+++ b/tools/soak/src/check-lost.ts
@@ -1,6 +1,7 @@
 /**
  * LOST: a request that was sent whole ends with an answer or a refusal. Reported are a connection that ends without a
- * complete one, and half a second without any end past the deadline. Excused is:
+ * complete one, and half a second without any end past the deadline, which the edge counts from when it reads the request: on
+ * a busy machine that can be a second after the sending. Excused is:
  *
  * - the caller left;
  * - the edge's process ended otherwise than after SIGTERM, was frozen, or its links were harmed, up to `contactMs` before
@@ -55,7 +56,8 @@
 	const arrivals = collectByKey(records.arrivals.filter(({requestId}) => ids.has(requestId)), ({requestId}) => requestId);
 	return suspected.flatMap((caller): RuleCase[] => {
 		const last = findLastCall(caller, arrivals.get(caller.requestId) ?? [], records);
-		if (caller.end === 'late' ? caller.endedAt - caller.sentAt < caller.deadlineMs + lateMs : isExcused(caller, last, records)) {
+		const startedAt = records.readRequests.get(caller.requestId) ?? caller.sentAt;
+		if (caller.end === 'late' ? caller.endedAt - startedAt < caller.deadlineMs + lateMs : isExcused(caller, last, records)) {
 			return [];
 		}
 
--- a/tools/soak/src/read-witness.ts
+++ b/tools/soak/src/read-witness.ts
@@ -1,6 +1,6 @@
 /**
- * Loaded into each edge before its program: appends the id of each request that the process has read to a file. No one else
- * can tell a request that an edge has dropped from one that was still on its way when the connection closed.
+ * Loaded into each edge before its program: appends the time and the id of each request that the process has read to a file.
+ * No one else can tell a request that an edge has dropped or kept too long from one that was still on its way.
  */
 import {openSync, writeSync} from 'node:fs';
 import {Server, type IncomingMessage} from 'node:http';
@@ -16,7 +16,7 @@
 	Server.prototype.emit = function (this: Server, name: string, ...args: unknown[]): boolean {
 		const requestId = name === 'request' && (args[0] as IncomingMessage).headers['x-request-id'];
 		if (requestId) {
-			writeSync(file, `${String(requestId)}\n`);
+			writeSync(file, `${Date.now()} ${String(requestId)}\n`);
 		}
 
 		return emit.call(this, name, ...args);
--- a/tools/soak/src/records.ts
+++ b/tools/soak/src/records.ts
@@ -146,8 +146,8 @@
 	arrivals: readonly ArrivalRecord[];
 	outcomes: readonly OutcomeRecord[];
 	ends: readonly EndRecord[];
-	/** Requests that a process of an edge has read. */
-	readRequests: ReadonlySet<string>;
+	/** When a process of an edge has read each request, by id; in milliseconds since the epoch. */
+	readRequests: ReadonlyMap<string, number>;
 	operator: readonly OperatorRecord[];
 	readBacks: readonly ReadBack[];
 	bounds: RetryBounds;
--- a/tools/soak/src/soak-run.ts
+++ b/tools/soak/src/soak-run.ts
@@ -115,7 +115,8 @@
 	await fleet.stopServers();
 	const serverLines = await readLines(folder, /^s\d+\.jsonl$/);
 	const serverRecords = serverLines.map(line => JSON.parse(line) as ServerRecord);
-	const readRequests = new Set(await readLines(folder, /^edge-\d+\.read$/));
+	const readLinesOfEdges = await readLines(folder, /^edge-\d+\.read$/);
+	const readRequests = new Map(readLinesOfEdges.map(line => [line.slice(line.indexOf(' ') + 1), Number.parseInt(line, 10)]));
 	await writeLines(path.join(folder, 'callers.jsonl'), callers);
 	await writeLines(path.join(folder, 'operator.jsonl'), [...operator.records, ...readBacks]);
 	await writeLines(path.join(folder, 'disturbances.jsonl'), faultRunner.disturbances);
