refactor(edge): one way to break off an answer that has begun

EventRelay and the front end had the same function and constant; it is in responses.ts now, with the reason beside it. The soak's witness of reads takes the time from the system clock's one implementation.

--- a/packages/plugins/edge/src/event-relay.ts
+++ b/packages/plugins/edge/src/event-relay.ts
@@ -8,10 +8,8 @@
 import type {ResponseHead} from '@hickorytrack/endpoint-client';
 import {answerFramings, findFraming} from '@hickorytrack/http-answer/answer-framing';
 import {answerVerdicts, type ReceivedAnswer} from '@hickorytrack/http-answer/answer-reader';
-import {writeUndelimitedHead} from './responses.js';
+import {breakOff, writeUndelimitedHead} from './responses.js';
 
-/** Callers on Node.js take a reset that arrives together with the last bytes for an orderly close. */
-const resetDelayMs = 20;
 const idPattern = /^id: ?(.*)$/m;
 
 /** Receives the events of a stream. */
@@ -72,14 +70,7 @@
 
 	/** Breaks the connection, so that the truncated stream does not look complete. */
 	abort(): void {
-		if (this.#response.chunkedEncoding) {
-			this.#response.destroy();
-		} else {
-			// An orderly close would end the stream.
-			this.#clock.startTimer(resetDelayMs, () => {
-				this.#response.socket?.resetAndDestroy();
-			});
-		}
+		breakOff(this.#response, this.#clock);
 	}
 
 	onDrain(listener: () => void): void {
--- a/packages/plugins/edge/src/http-frontend.ts
+++ b/packages/plugins/edge/src/http-frontend.ts
@@ -11,7 +11,7 @@
 import type {Clock} from '@hickorytrack/clock';
 import type {Random} from '@hickorytrack/random';
 import {selectTarget, type RouteTable} from '@hickorytrack/route-table';
-import {sendProblem} from './responses.js';
+import {breakOff, sendProblem} from './responses.js';
 import {
 	dropReasons, timeoutSources, type CallerRequest, type DropReason,
 } from './caller-request.js';
@@ -113,8 +113,6 @@
 /** Time for callers to read what a stop writes to them. */
 const flushTimeoutMs = 200;
 const flushPollMs = 5;
-/** Callers on Node.js take a reset that arrives together with the last bytes for an orderly close. */
-const resetDelayMs = 20;
 
 export class HttpFrontend {
 	readonly #opts: HttpFrontendOptions;
@@ -519,19 +517,6 @@
 	return incoming.url!.split('?', 1)[0]!.slice(0, maxLoggedCharacters);
 }
 
-/** Breaks the connection, so that the answer does not look complete. */
-function breakOff(response: ServerResponse, clock: Clock): void {
-	const {socket} = response;
-	if (response.chunkedEncoding || !socket) {
-		response.destroy();
-		return;
-	}
-
-	clock.startTimer(resetDelayMs, () => {
-		socket.resetAndDestroy();
-	});
-}
-
 async function readBody(incoming: IncomingMessage, maxBytes: number): Promise<Buffer | 'too-large' | 'broken'> {
 	const chunks: Buffer[] = [];
 	let size = 0;
--- a/tools/soak/src/read-witness.ts
+++ b/tools/soak/src/read-witness.ts
@@ -5,9 +5,11 @@
 import {openSync, writeSync} from 'node:fs';
 import {Server, type IncomingMessage} from 'node:http';
 import process from 'node:process';
+import {SystemClock} from '@hickorytrack/clock/system-clock';
 
 export const readPathVariable = 'HICKORYTRACK_SOAK_READ_PATH';
 
+const clock = new SystemClock();
 const path = process.env[readPathVariable];
 const emit = Server.prototype.emit as (name: string, ...args: unknown[]) => boolean;
 
@@ -16,7 +18,7 @@
 	Server.prototype.emit = function (this: Server, name: string, ...args: unknown[]): boolean {
 		const requestId = name === 'request' && (args[0] as IncomingMessage).headers['x-request-id'];
 		if (requestId) {
-			writeSync(file, `${Date.now()} ${String(requestId)}\n`);
+			writeSync(file, `${clock.now()} ${String(requestId)}\n`);
 		}
 
 		return emit.call(this, name, ...args);
