test(platform): requests that share a crashing part of their prompt, failing

The stand-in server can crash over a part of a prompt now: before its answer, behind its head, between events and inside one, by a close or a reset, in a prefill.

--- a/stand-ins/src/platform-server.ts
+++ b/stand-ins/src/platform-server.ts
@@ -42,6 +42,19 @@
 /** Where in its work on a request a server falls silent: before its answer, behind the head of a stream, or behind that many events. */
 export type PausePoint = 'request' | 'head' | number;
 
+/** Where in its answer a server crashes, and how the connections of its process end. */
+export type CrashPoint = 'request' | 'head' | 'event' | 'inside-event';
+export type CrashEnd = 'close' | 'reset';
+
+export type CrashingPart = {
+	/** Id of the part; a server crashes when it begins to write an answer to any prompt that contains it. */
+	id: string;
+	at: CrashPoint;
+	end: CrashEnd;
+	/** A server crashes already when it prefills the part. */
+	isPrefill?: boolean;
+};
+
 export type PlatformServerOptions = {
 	id: string;
 	clock: Clock;
@@ -95,6 +108,7 @@
 	pauseAt: PausePoint | undefined;
 	/** Says in all its answers that it leaves, with any fault. */
 	isLeaving = false;
+	crashingPart: CrashingPart | undefined;
 	#stage: 'prefill' | 'decode' | undefined;
 	readonly #opts: PlatformServerOptions;
 	readonly #server: Server;
@@ -184,6 +198,35 @@
 		});
 	}
 
+	/** Ends like a process that crashes: stops listening, and the system ends all its connections. */
+	#crash(end: CrashEnd): void {
+		this.#server.close();
+		for (const socket of this.#sockets.keys()) {
+			if (end === 'reset') {
+				socket.resetAndDestroy();
+			} else {
+				socket.destroySoon();
+			}
+		}
+	}
+
+	/** The crashing part, if the prompt contains it. */
+	#findCrashingPart({headers}: ReceivedRequest): CrashingPart | undefined {
+		const parts = String(headers['x-prompt-prefix'] ?? '').split(',').map(entry => entry.split(':')[0]);
+		return this.crashingPart && parts.includes(this.crashingPart.id) ? this.crashingPart : undefined;
+	}
+
+	/** Crashes if the prompt contains the crashing part and the answer has got to the point; returns whether it has. */
+	#crashAt(point: CrashPoint, receivedRequest: ReceivedRequest): boolean {
+		const part = this.#findCrashingPart(receivedRequest);
+		if (part?.at !== point) {
+			return false;
+		}
+
+		this.#crash(part.end);
+		return true;
+	}
+
 	countRuns(requestId: string): number {
 		return this.receivedRequests.filter(request => request.requestId === requestId && request.hasRun).length;
 	}
@@ -298,6 +341,10 @@
 		}
 
 		if (request.headers['x-stage'] === 'prefill') {
+			if (this.crashingPart?.isPrefill && this.#crashAt(this.crashingPart.at, receivedRequest)) {
+				return;
+			}
+
 			const handle = `handle-${receivedRequest.requestId}`;
 			this.handles.add(handle);
 			this.#sendForRequest(response, receivedRequest, {status: 200, headers: {'content-type': 'application/json'}, body: JSON.stringify({'kv-handle': handle, tokens: 1, version: 1})});
@@ -305,6 +352,10 @@
 		}
 
 		receivedRequest.hasRun = true;
+		if (this.#crashAt('request', receivedRequest)) {
+			return;
+		}
+
 		if (this.fault === platformFaults.unstated) {
 			this.#send(response, 503, {...this.#createStampHeaders(receivedRequest.requestId), ...this.#createRetryAfterHeaders()}, '');
 			return;
@@ -335,6 +386,15 @@
 			this.#pauseAt('head');
 		}
 
+		const crashingPart = this.#findCrashingPart(receivedRequest);
+		if (crashingPart) {
+			response.flushHeaders();
+			await clock.sleep(1); // The head is sent by then.
+			if (this.#crashAt('head', receivedRequest)) {
+				return;
+			}
+		}
+
 		for (let event = firstEvent; event <= events && !response.destroyed; event++) {
 			this.#pauseAt(event - firstEvent);
 			if (this.fault === platformFaults.cut && event === firstEvent + 2) {
@@ -346,6 +406,14 @@
 
 			response.write(texts[event - firstEvent]!);
 			await clock.sleep(eventMs);
+			if (crashingPart?.at === 'inside-event') {
+				response.write(`id: ${event + 1}\ndata: ha`);
+				await clock.sleep(eventMs);
+			}
+
+			if (this.#crashAt('event', receivedRequest) || this.#crashAt('inside-event', receivedRequest)) {
+				return;
+			}
 		}
 
 		response.end();
