fix(edge): requests are refused by the part of their prompt that crashes servers

Cause: a crash was counted for the digest of the whole request, so nothing was ever seen twice but a request's own repeat. Beside it, crashes were missed: over a prefill, when the server listened again 30 ms later, and when a stream that only its connection delimits ended between two events, which even counted as a success.

Change: each crash counts for the request and for the shared parts of its prompt, at all instances, and whole answers count against them; the cause is attributed by the crash-attribution package. The edge asks before each call: on arrival, before a prefill, before a generation, a retry, a resumption and a second run. A run that shares a trait with an earlier crash waits for the outcome of the check before it goes to another server. A server that starts again tells of its crash by its first report; one that said that it leaves did not crash. Logs 1756, 1757, 1767 to 1769, metrics, the state dump.

--- a/packages/core/events/src/event-catalogue.ts
+++ b/packages/core/events/src/event-catalogue.ts
@@ -231,10 +231,19 @@
 		number: 1772, level: 'warn', text: 'Most of the retry budget of a service is used up (at most one line per window)', action: 'Check the servers that reject or break requests.',
 	},
 	poisonRefused: {
-		number: 1756, level: 'warn', text: 'A request that crashed several servers was refused', action: 'Check the request.',
+		number: 1756, level: 'warn', text: 'A request was refused because it, or a part of its prompt, crashed several servers; trait says which', action: 'Search the crashes of the trait in 1767, and check what it is.',
 	},
 	crashSuspected: {
-		number: 1757, level: 'warn', text: 'A server crashed while it ran a request', action: 'Check the server and, if this repeats, the request.',
+		number: 1757, level: 'warn', text: 'A server crashed while it ran a request; parts lists the shared parts of its prompt', action: 'Check the server and, if this repeats, the request.',
+	},
+	crashCauseFound: {
+		number: 1767, level: 'warn', text: 'A request or a part of prompts is held to be the cause of several crashes; it is refused from now on', action: 'Check the trait and the servers of the crashes; lift the ban if the servers were at fault.',
+	},
+	crashCauseTried: {
+		number: 1768, level: 'info', text: 'One request with a refused trait is tried', action: noAction,
+	},
+	crashCauseCleared: {
+		number: 1769, level: 'info', text: 'A trait is no longer refused: it was in a whole answer, or another one explains the crashes', action: noAction,
 	},
 	foreignAnswer: {
 		number: 1761, level: 'warn', text: 'An answer of a server does not bear the id of the request whose answer was due', action: 'Check the server if exchanges is 0; otherwise it answered an earlier request twice.',
--- a/packages/core/types/src/peer-methods.ts
+++ b/packages/core/types/src/peer-methods.ts
@@ -207,7 +207,12 @@
 	/** A server was ordered to change its stage; it is excluded from placement until its reports show the new stage. */
 	'stage.note': {params: {server: string; startedAt: number; stage: 'prefill' | 'decode'}; result: void};
 	'load.share': {params: LoadShare; result: void};
-	'poison.note': {params: {fingerprint: string; crash: string}; result: void};
+	/** A crash of a server with the runs that it ended; the fields are documented in `@hickorytrack/crash-attribution`. */
+	'crash.note': {params: {id: string; traits: ReadonlyArray<[trait: string, position: number]>; ageMs?: number; reporter?: string}; result: void};
+	/** Traits of runs that were in whole answers, with the time since then in milliseconds. */
+	'crash.sound': {params: {sound: ReadonlyArray<[trait: string, ageMs: number]>}; result: void};
+	/** Trials of banned traits, with the time since the last one in milliseconds and the number of failed ones. */
+	'crash.trial': {params: {trials: ReadonlyArray<[trait: string, ageMs: number, failed: number]>}; result: void};
 	'state.dump': {params: Record<string, never>; result: {state: unknown}};
 };
 
--- a/packages/plugins/edge/src/buffered-forwarder.ts
+++ b/packages/plugins/edge/src/buffered-forwarder.ts
@@ -75,7 +75,7 @@
 			}
 
 			const {server, result} = await this.#waitForAttempt();
-			const requestResult = this.#handleResult(server, result);
+			const requestResult = await this.#handleResult(server, result);
 			if (requestResult) {
 				return requestResult;
 			}
@@ -106,6 +106,10 @@
 
 	/** Starts an attempt at the next server, or returns why there is none. */
 	#startAttempt(): string | undefined {
+		if (this.#context.crashReports.findBan(this.#request)) {
+			return 'the request crashes servers';
+		}
+
 		const server = this.#selectServer();
 		if (!server) {
 			return 'no usable server is known';
@@ -206,12 +210,12 @@
 	}
 
 	/** Returns the result of the request, or undefined when another server may be tried. */
-	#handleResult(server: KnownServer, result: AttemptResult): RequestResult | undefined {
+	async #handleResult(server: KnownServer, result: AttemptResult): Promise<RequestResult | undefined> {
 		if (result.outcome === attemptOutcomes.answered) {
 			return this.#handleResponse(server, result);
 		}
 
-		const {health, eventLog, onConnectionLost} = this.#context;
+		const {health, eventLog, crashReports} = this.#context;
 		if (result.outcome === attemptOutcomes.cancelled) {
 			return this.#createResult(requestOutcomes.callerGone);
 		}
@@ -234,7 +238,7 @@
 			request: this.#request.metadata.requestId, server: server.id, end: result.outcome, isWritten: result.isWritten, isStale, silentMs: result.silentMs, lastAnswerMs: health.measureSilence(server), reason: result.error?.message, answer: result.answer,
 		});
 		if (result.outcome === attemptOutcomes.broken && result.isWritten && !foreignAnswer) {
-			onConnectionLost(this.#request, server);
+			await crashReports.handleLoss(this.#request, server);
 		}
 
 		if (this.#isNotExecuted || this.#isRetryable) {
@@ -245,7 +249,7 @@
 	}
 
 	#handleResponse(server: KnownServer, result: AttemptResult): RequestResult | undefined {
-		const {codec, health, poisonRequests} = this.#context;
+		const {codec, health, crashReports} = this.#context;
 		const head = result.head!;
 		const metadata = codec.decodeResponseHead(head);
 		if (metadata.isNotExecuted) {
@@ -271,7 +275,7 @@
 			}
 		} else {
 			health.recordSuccess(server);
-			poisonRequests.recordSuccess(this.#request.fingerprint);
+			void crashReports.recordAnswer(this.#request, server, result.answer?.verdict);
 		}
 
 		if (metadata.isReadAsNotExecuted && !this.#isRetryable) {
--- a/packages/plugins/edge/src/caller-request.ts
+++ b/packages/plugins/edge/src/caller-request.ts
@@ -1,6 +1,7 @@
 /** A caller's request while the edge handles it, and its possible outcomes. */
 import type {Buffer} from 'node:buffer';
 import type {ServerResponse} from 'node:http';
+import type {RunTraits} from '@hickorytrack/crash-attribution/run-traits';
 import type {ReceivedAnswer} from '@hickorytrack/http-answer/answer-reader';
 import type {Route} from '@hickorytrack/route-table/route-types';
 import type {RefusalGround} from './refusal-grounds.js';
@@ -50,8 +51,10 @@
 	response: ServerResponse;
 	/** Aborts when the caller disconnects, and with a drop reason when this side ends the caller's connection. */
 	signal: AbortSignal;
-	/** Identifies repeats of the same request, at whichever instance they arrive. */
-	fingerprint: string;
+	/** By what its runs are recognised in crashes of servers, at whichever instance they arrive. */
+	traits: RunTraits;
+	/** It tries whether a banned trait still crashes servers, in one run at one server. */
+	isTrial?: boolean;
 };
 
 /** How a request ended, for logs and metrics. */
--- /dev/null
+++ b/packages/plugins/edge/src/crash-reports.ts
@@ -0,0 +1,273 @@
+/**
+ * Notices crashes of servers, tells the other instances which runs they ended, and refuses further runs of the request or the
+ * part of a prompt that is the cause. When a connection breaks, the server is probed a moment later: a crash has closed its
+ * listener. If another start of it listens already, its next report tells. A server that had said that it leaves did not crash.
+ */
+import {connect} from 'node:net';
+import type {Clock} from '@hickorytrack/clock';
+import type {CrashAttribution} from '@hickorytrack/crash-attribution';
+import {
+	mergeTraits, verdicts, type Ban, type CrashReport, type RunTraits, type SoundTrait,
+} from '@hickorytrack/crash-attribution/run-traits';
+import {serverStates, type EndpointRegistry, type KnownServer} from '@hickorytrack/endpoint-registry';
+import {answerVerdicts, type AnswerVerdict} from '@hickorytrack/http-answer/answer-reader';
+import type {Mesh} from '@hickorytrack/mesh';
+import type {MetricsRegistry} from '@hickorytrack/metrics-registry';
+import {parseAddress} from '@hickorytrack/peer-link/peer-node';
+import type {CallerRequest} from './caller-request.js';
+import type {RateLimitedEventLog} from './rate-limited-event-log.js';
+import type {ServerHealth} from './server-health.js';
+
+const crashProbeDelayMs = 30; // By then the listener of a crashed process is closed.
+const crashProbeTimeoutMs = 300;
+/** For this many intervals between its reports, a server that listens after a lost connection may turn out to be another start. */
+const undecidedIntervals = 2;
+const loggedParts = 8;
+
+export type CrashReportsOptions = {
+	clock: Clock;
+	attribution: CrashAttribution;
+	/** Name of this instance. */
+	instance: string;
+	mesh: Pick<Mesh, 'broadcast'>;
+	registry: Pick<EndpointRegistry, 'find' | 'findByAddress'>;
+	eventLog: RateLimitedEventLog;
+	health: ServerHealth;
+	metrics: Pick<MetricsRegistry, 'count' | 'set'>;
+	/** Interval between two reports of a server, in milliseconds. */
+	reportIntervalMs: number;
+	/** Tells whether a server accepts connections. */
+	probe?: (address: string) => Promise<boolean>;
+};
+
+/** A check that further runs at the same server join while it waits. */
+type PendingCheck = {
+	/** Monotonic time in milliseconds. */
+	startedAt: number;
+	runs: RunTraits[];
+	requestIds: Array<string | undefined>;
+	hasCrashed: Promise<boolean>;
+};
+
+export class CrashReports {
+	readonly #opts: CrashReportsOptions;
+	/** By the start of the server. */
+	readonly #pendingChecks = new Map<string, PendingCheck>();
+	/** Lost connections to servers that listen, by the start of the server. */
+	readonly #undecided = new Map<string, {server: KnownServer; check: PendingCheck}>();
+	#reportedBans = new Map<string, Ban>();
+
+	constructor(opts: CrashReportsOptions) {
+		this.#opts = opts;
+	}
+
+	/**
+	 * Called when the connection to a server has broken during a run. A run that shares a trait with an earlier crash resolves
+	 * after the check, so that its request is not sent to the next server before this crash counts.
+	 */
+	async handleLoss(request: CallerRequest, server: KnownServer): Promise<void> {
+		const hasCrashed = this.checkForCrash(request, server);
+		if (this.#opts.attribution.isSuspect(request.traits)) {
+			await hasCrashed;
+		}
+	}
+
+	/** Checks whether the server of a run has crashed, and reports it with all runs that it has ended here. Never rejects. */
+	async checkForCrash({traits, metadata}: CallerRequest, server: KnownServer): Promise<boolean> {
+		const crashId = createCrashId(server);
+		let check = this.#pendingChecks.get(crashId);
+		if (!check) {
+			check = {
+				startedAt: this.#opts.clock.monotonic(), runs: [], requestIds: [], hasCrashed: this.#runCheck(crashId, server),
+			};
+			this.#pendingChecks.set(crashId, check);
+		}
+
+		check.runs.push(traits);
+		check.requestIds.push(metadata.requestId);
+		return check.hasCrashed;
+	}
+
+	/** Records an answer of a server. One that only its connection delimits may have been ended by a crash. */
+	async recordAnswer(request: CallerRequest, server: KnownServer, verdict: AnswerVerdict | undefined): Promise<void> {
+		const isWhole = verdict === answerVerdicts.whole || (this.#opts.attribution.isSuspect(request.traits) && !await this.checkForCrash(request, server));
+		if (isWhole) {
+			this.recordSound(request);
+		}
+	}
+
+	/** Records a whole answer, which clears the traits of its request. */
+	recordSound({traits}: CallerRequest): void {
+		const {attribution, mesh} = this.#opts;
+		const suspected = attribution.recordSound(traits);
+		if (suspected.length > 0) {
+			mesh.broadcast('crash.sound', {sound: suspected});
+			this.#reportBans();
+		}
+	}
+
+	/** Returns the ban that keeps the request from another server; undefined if it may be sent to one. A trial is sent once. */
+	findBan({traits, isTrial}: CallerRequest): Ban | undefined {
+		const judgement = this.#opts.attribution.judge(traits);
+		return judgement.verdict === verdicts.refused && !isTrial ? judgement.ban : undefined;
+	}
+
+	/** Decides about a request that has arrived. Only one instance tries a banned trait at a time. */
+	admit(traits: RunTraits): {ban?: Ban; isTrial: boolean} {
+		const {attribution, mesh, metrics, eventLog} = this.#opts;
+		const judgement = attribution.judge(traits);
+		if (judgement.verdict === verdicts.allowed) {
+			return {isTrial: false};
+		}
+
+		const {ban, verdict} = judgement;
+		metrics.count('banned_requests_total', {decision: verdict});
+		if (verdict === verdicts.refused) {
+			return {ban, isTrial: false};
+		}
+
+		attribution.recordTrial(ban.trait);
+		mesh.broadcast('crash.trial', {trials: [[ban.trait, 0, ban.failedTrials]]});
+		eventLog.emit('crashCauseTried', {trait: ban.trait, crashes: ban.crashes.length, failedTrials: ban.failedTrials});
+		return {isTrial: true};
+	}
+
+	/** Records what another instance tells of a crash; returns false if it was known. */
+	mergeCrash(report: CrashReport): boolean {
+		const isNew = this.#opts.attribution.recordCrash(report);
+		if (isNew) {
+			this.#tellDoubtful();
+			this.#reportBans();
+		}
+
+		return isNew;
+	}
+
+	/** Records what another instance tells of whole answers. */
+	mergeSound(sound: readonly SoundTrait[]): void {
+		this.#opts.attribution.mergeSound(sound);
+		this.#reportBans();
+	}
+
+	/** Called when a server has reported for the first time since it has started. */
+	handleStart(): void {
+		for (const [crashId, {server, check}] of this.#undecided) {
+			if (this.#hasStartedAgain(server)) {
+				this.#undecided.delete(crashId);
+				this.#report(server, check);
+			}
+		}
+	}
+
+	async #runCheck(crashId: string, server: KnownServer): Promise<boolean> {
+		const {clock, health, probe = isListening, reportIntervalMs} = this.#opts;
+		await clock.sleep(crashProbeDelayMs);
+		const isRunning = await probe(server.address);
+		const check = this.#pendingChecks.get(crashId)!;
+		this.#pendingChecks.delete(crashId);
+		if (!isRunning) {
+			health.recordUnresponsive(server);
+		}
+
+		if (!isRunning || this.#hasStartedAgain(server)) {
+			this.#report(server, check);
+			return true;
+		}
+
+		const earlier = this.#undecided.get(crashId)?.check;
+		check.runs.push(...earlier?.runs ?? []);
+		check.requestIds.push(...earlier?.requestIds ?? []);
+		this.#undecided.set(crashId, {server, check});
+		void clock.sleep(reportIntervalMs * undecidedIntervals).then(() => {
+			this.#undecided.delete(crashId);
+		});
+		return false;
+	}
+
+	#hasStartedAgain({id, startedAt, address}: KnownServer): boolean {
+		const {registry} = this.#opts;
+		const newer = registry.find(id);
+		const successor = registry.findByAddress(address);
+		return (newer !== undefined && newer.startedAt > startedAt) || (successor !== undefined && successor.id !== id);
+	}
+
+	/** A server that has said that it leaves, or that has deregistered, ends on purpose. */
+	#isPlanned({id, startedAt}: KnownServer): boolean {
+		const known = this.#opts.registry.find(id);
+		return known?.startedAt === startedAt && known.state !== serverStates.ready;
+	}
+
+	#report(server: KnownServer, {startedAt, runs, requestIds}: PendingCheck): void {
+		const {clock, attribution, instance, mesh, eventLog, metrics} = this.#opts;
+		if (this.#isPlanned(server)) {
+			return;
+		}
+
+		const report = {
+			id: createCrashId(server), traits: mergeTraits(runs), ageMs: clock.monotonic() - startedAt, reporter: instance,
+		};
+		attribution.recordCrash(report);
+		mesh.broadcast('crash.note', report);
+		metrics.count('server_crashes_total', {service: server.service});
+		for (const [index, {parts}] of runs.entries()) {
+			eventLog.emit('crashSuspected', {
+				request: requestIds[index], server: server.id, startedAt: server.startedAt, parts: parts.slice(0, loggedParts), runs: runs.length,
+			});
+		}
+
+		this.#tellDoubtful();
+		this.#reportBans();
+	}
+
+	#tellDoubtful(): void {
+		const {attribution, mesh} = this.#opts;
+		const sound = attribution.collectDoubtful();
+		if (sound.length > 0) {
+			mesh.broadcast('crash.sound', {sound});
+		}
+	}
+
+	/** Logs the bans that have begun or ended since the last call. */
+	#reportBans(): void {
+		const {attribution, eventLog, metrics} = this.#opts;
+		const bans = new Map(attribution.listBans().map(ban => [ban.trait, ban]));
+		for (const [trait, {crashes, reporters}] of bans) {
+			if (!this.#reportedBans.has(trait)) {
+				eventLog.emit('crashCauseFound', {trait, crashes, reporters});
+			}
+		}
+
+		for (const [trait, {crashes}] of this.#reportedBans) {
+			if (!bans.has(trait)) {
+				eventLog.emit('crashCauseCleared', {trait, crashes: crashes.length});
+			}
+		}
+
+		this.#reportedBans = bans;
+		metrics.set('crash_causes', bans.size);
+	}
+}
+
+function createCrashId({id, startedAt}: KnownServer): string {
+	return `${id}/${startedAt}`;
+}
+
+async function isListening(address: string): Promise<boolean> {
+	return new Promise(resolve => {
+		const socket = connect({...parseAddress(address), timeout: crashProbeTimeoutMs});
+		const finish = (isOpen: boolean) => {
+			socket.destroy();
+			resolve(isOpen);
+		};
+
+		socket.on('connect', () => {
+			finish(true);
+		});
+		socket.on('timeout', () => {
+			finish(false);
+		});
+		socket.on('error', () => {
+			finish(false);
+		});
+	});
+}
--- a/packages/plugins/edge/src/edge.ts
+++ b/packages/plugins/edge/src/edge.ts
@@ -4,6 +4,8 @@
  * On a machine of the core (the group that replicates the route configuration) it also runs a member of that group.
  */
 import {err, ok, type Result} from 'neverthrow';
+import {CrashAttribution} from '@hickorytrack/crash-attribution';
+import type {Ban} from '@hickorytrack/crash-attribution/run-traits';
 import {EndpointClient} from '@hickorytrack/endpoint-client';
 import {
 	EndpointRegistry, type Incarnation, type KnownServer, type ServerReport,
@@ -29,12 +31,11 @@
 import {AnswerMeasurements} from './answer-measurements.js';
 import type {CallerRequest} from './caller-request.js';
 import {sendProblem} from './responses.js';
-import {CrashDetector} from './crash-detector.js';
+import {CrashReports} from './crash-reports.js';
 import {RateLimitedEventLog} from './rate-limited-event-log.js';
 import {stagePlanners, type EdgeOptions} from './edge-settings.js';
 import {HttpFrontend} from './http-frontend.js';
 import {BufferedForwarder} from './buffered-forwarder.js';
-import {PoisonRequestTracker} from './poison-request-tracker.js';
 import {StreamingForwarder} from './streaming-forwarder.js';
 import {RequestLog} from './request-log.js';
 import {RetryBudget} from './retry-budget.js';
@@ -79,7 +80,8 @@
 	readonly #partUsage: PartUsage;
 	readonly #profile = new EngineProfile();
 	readonly #stateSharing: StateSharing;
-	readonly #crashDetector: CrashDetector;
+	readonly #crashAttribution: CrashAttribution;
+	readonly #crashReports: CrashReports;
 	readonly #requestLog: RequestLog;
 	readonly #stageControl: StageControl | undefined;
 	readonly #abortController = new AbortController();
@@ -98,7 +100,11 @@
 		this.mesh = new Mesh({
 			peers: this.#peers, clock, events, seeds: settings.seeds, linkedRoles: [edgeRole], hubRole: coreRole,
 		});
-		this.registry = new EndpointRegistry({clock, reportTimeoutMs: settings.reportIntervalMs * maxMissedReports});
+		this.registry = new EndpointRegistry({
+			clock, reportTimeoutMs: settings.reportIntervalMs * maxMissedReports, onStarted: () => {
+				this.#crashReports.handleStart();
+			},
+		});
 		this.configuration = new ConfigurationFollower({
 			mesh: this.mesh, clock, events, install: stored => {
 				this.#install(stored);
@@ -112,15 +118,18 @@
 		this.#loadTracker = new LoadTracker(clock);
 		this.#partUsage = new PartUsage(clock);
 		this.#cacheIndex = new PrefixCacheIndex({getKvCapacity: service => this.#getKvCapacity(service)});
-		this.#context = this.#createContext();
+		const eventLog = new RateLimitedEventLog(clock, events);
+		const health = new ServerHealth(clock);
+		this.#crashAttribution = new CrashAttribution({clock});
+		this.#crashReports = new CrashReports({
+			clock, attribution: this.#crashAttribution, instance: settings.instance, mesh: this.mesh, registry: this.registry, eventLog, health, metrics: opts.metrics, reportIntervalMs: settings.reportIntervalMs,
+		});
+		this.#context = this.#createContext({eventLog, health});
 		this.#stateSharing = new StateSharing({
-			clock, events, mesh: this.mesh, registry: this.registry, loadTracker: this.#loadTracker, cacheIndex: this.#cacheIndex, partUsage: this.#partUsage, context: this.#context, onLeaving: (report, peer) => {
+			clock, events, mesh: this.mesh, registry: this.registry, loadTracker: this.#loadTracker, cacheIndex: this.#cacheIndex, partUsage: this.#partUsage, context: this.#context, crashAttribution: this.#crashAttribution, crashReports: this.#crashReports, onLeaving: (report, peer) => {
 				this.#reportLeaving(report, {source: leavingSources.peer, peer});
 			},
 		});
-		this.#crashDetector = new CrashDetector({
-			clock, mesh: this.mesh, poisonRequests: this.#context.poisonRequests, eventLog: this.#context.eventLog, health: this.#context.health,
-		});
 		this.#requestLog = new RequestLog({
 			clock, metrics: opts.metrics, eventLog: this.#context.eventLog, getVersion: () => this.configuration.current?.version,
 		});
@@ -239,6 +248,7 @@
 			relay: this.#stateSharing.relay,
 			stages: this.#stageControl?.dump(),
 			profile: this.#profile.dump(),
+			crashCauses: this.#crashAttribution.listBans(),
 			servers: this.registry.list().map(server => ({...server, load: this.#loadTracker.getLoad(server.id), awaitedStage: this.registry.findPendingStage(this.registry.find(server.id)!)})),
 			linesDropped: this.#context.eventLog.droppedTotal,
 		};
@@ -265,11 +275,9 @@
 		this.recordExit();
 	}
 
-	#createContext(): ForwardContext {
-		const {clock, random, codec, events, metrics, settings} = this.#opts;
-		const health = new ServerHealth(clock);
+	#createContext({eventLog, health}: Pick<ForwardContext, 'eventLog' | 'health'>): ForwardContext {
+		const {clock, random, codec, metrics, settings} = this.#opts;
 		const pauses = new ServerPauses({clock, loadTracker: this.#loadTracker});
-		const eventLog = new RateLimitedEventLog(clock, events);
 		return {
 			clock,
 			random,
@@ -301,14 +309,11 @@
 			retryBudget: new RetryBudget({
 				clock, ratio: settings.retryRatio, allowance: settings.retryAllowance, windowMs: settings.retryWindowMs, isFirstStart: settings.isFirstStart, countInstances: () => this.#countEdges(), eventLog, metrics,
 			}),
-			poisonRequests: new PoisonRequestTracker(clock),
+			crashReports: this.#crashReports,
 			eventLog,
 			metrics,
 			availabilityZone: settings.availabilityZone,
 			getConnectionLimit: service => this.#getConnectionLimit(service),
-			onConnectionLost: (request, server) => {
-				void this.#crashDetector.checkForCrash(request, server);
-			},
 		};
 	}
 
@@ -358,20 +363,29 @@
 	}
 
 	async #forward(request: CallerRequest): Promise<void> {
-		const {poisonRequests, codec, eventLog} = this.#context;
-		if (poisonRequests.isBlocked(request.fingerprint)) {
-			sendProblem(request.response, {
-				status: 503, code: 'poison', detail: 'The request has not run: identical requests crashed the servers that ran them.', headers: codec.encodeRetryAfter(request.route.timeoutMs),
-			});
-			eventLog.emit('poisonRefused', {request: request.metadata.requestId, route: request.route.name, routedVersion: request.routing?.version});
+		const {ban, isTrial} = this.#crashReports.admit(request.traits);
+		if (ban) {
+			this.#refuseBanned(request, ban);
 			return;
 		}
 
-		const forwarder = request.route.kind === requestKinds.streaming ? new StreamingForwarder(this.#context, request) : new BufferedForwarder(this.#context, request);
+		const admitted = isTrial ? {...request, isTrial, route: {...request.route, maxServers: 1}} : request;
+		const forwarder = request.route.kind === requestKinds.streaming ? new StreamingForwarder(this.#context, admitted) : new BufferedForwarder(this.#context, admitted);
 		const result = await forwarder.forward();
 		this.#requestLog.recordResult(request, result);
 	}
 
+	/** The caller must not come back soon: as far as it waits, the answer would be the same. */
+	#refuseBanned({response, route, metadata, routing}: CallerRequest, {trait, crashes, reporters, lastCrashAgeMs, trialInMs}: Ban): void {
+		const {codec, eventLog} = this.#context;
+		sendProblem(response, {
+			status: 503, code: 'poison', detail: 'The request has not run: it, or a part of its prompt, crashed the servers that ran it.', headers: codec.encodeRetryAfter(route.timeoutMs),
+		});
+		eventLog.emit('poisonRefused', {
+			request: metadata.requestId, route: route.name, routedVersion: routing?.version, trait, crashes: crashes.length, reporters, lastCrashAgeMs: Math.round(lastCrashAgeMs), trialInMs: Math.round(trialInMs),
+		});
+	}
+
 	/** Records that a server has said in an answer that it leaves, and tells the other instances. */
 	#recordLeaving(server: Incarnation): void {
 		const report = this.registry.recordLeaving(server);
--- a/packages/plugins/edge/src/forward-context.ts
+++ b/packages/plugins/edge/src/forward-context.ts
@@ -13,7 +13,7 @@
 import type {AnswerMeasurements} from './answer-measurements.js';
 import type {CallerRequest} from './caller-request.js';
 import type {RateLimitedEventLog} from './rate-limited-event-log.js';
-import type {PoisonRequestTracker} from './poison-request-tracker.js';
+import type {CrashReports} from './crash-reports.js';
 import type {RequestCodec, ForwardMetadata} from './request-codec.js';
 import type {RetryBudget} from './retry-budget.js';
 import type {SendPermit} from './send-permits.js';
@@ -33,15 +33,13 @@
 	leastLoadPlacement: LeastLoadPlacement;
 	promptPlacement: PromptPlacement;
 	retryBudget: RetryBudget;
-	poisonRequests: PoisonRequestTracker;
+	crashReports: Pick<CrashReports, 'handleLoss' | 'checkForCrash' | 'recordAnswer' | 'recordSound' | 'findBan'>;
 	codec: RequestCodec;
 	eventLog: RateLimitedEventLog;
 	metrics: Pick<MetricsRegistry, 'count'>;
 	availabilityZone: string;
 	/** Number of connections that this instance may open to one server of the service. */
 	getConnectionLimit: (service: string) => number;
-	/** Called when the connection to a server breaks while the server runs the request. */
-	onConnectionLost: (request: CallerRequest, server: KnownServer) => void;
 };
 
 /** Part of the caller's deadline that is reserved for returning the response, in milliseconds. */
--- a/packages/plugins/edge/src/http-frontend.ts
+++ b/packages/plugins/edge/src/http-frontend.ts
@@ -9,6 +9,7 @@
 } from 'node:http';
 import type {Socket} from 'node:net';
 import type {Clock} from '@hickorytrack/clock';
+import {listSharedParts} from '@hickorytrack/prompt-placement/prompt';
 import type {Random} from '@hickorytrack/random';
 import {selectTarget, type RouteTable} from '@hickorytrack/route-table';
 import {breakOff, sendProblem} from './responses.js';
@@ -279,19 +280,23 @@
 		});
 		const waitMs = Math.min(metadata.waitMs ?? route.timeoutMs, route.timeoutMs);
 		exchange.abortController = abortController;
+		const service = selectTarget(route, this.#opts.random);
 		await this.#opts.forward({
 			metadata,
 			method: incoming.method!,
 			path: incoming.url!,
 			body,
 			route,
-			service: selectTarget(route, this.#opts.random),
+			service,
 			arrivedAt,
 			deadlineAt: arrivedAt + waitMs,
 			routing: {version: routes.configuration.version, timeoutMs: waitMs, timeoutBy: waitMs < route.timeoutMs ? timeoutSources.caller : timeoutSources.route},
 			response,
 			signal: abortController.signal,
-			fingerprint: createHash('sha1').update(`${incoming.method} ${incoming.headers.host} ${incoming.url}\n`).update(body).digest('base64'),
+			traits: {
+				request: createHash('sha1').update(`${incoming.method} ${incoming.headers.host} ${incoming.url}\n`).update(body).digest('base64'),
+				parts: metadata.prompt ? listSharedParts(metadata.prompt).map(({id}) => `${service}/${id}`) : [],
+			},
 		});
 	}
 
--- a/packages/plugins/edge/src/state-sharing.ts
+++ b/packages/plugins/edge/src/state-sharing.ts
@@ -1,8 +1,9 @@
 /**
  * What an edge shares with the other instances: reports of servers, work in flight, prompts that servers hold, measured speeds,
- * and requests that crash servers.
+ * and crashes of servers with the runs that they ended.
  */
 import type {Clock} from '@hickorytrack/clock';
+import type {CrashAttribution} from '@hickorytrack/crash-attribution';
 import type {EndpointRegistry, KnownServer, ServerReport} from '@hickorytrack/endpoint-registry';
 import type {EventLog} from '@hickorytrack/events';
 import {LoadSharing} from '@hickorytrack/load-sharing';
@@ -12,7 +13,8 @@
 import type {PartUsage} from '@hickorytrack/prompt-placement/part-usage';
 import type {PrefixCacheIndex} from '@hickorytrack/prompt-placement/prefix-cache-index';
 import {coreRole} from '@hickorytrack/route-store/core-member';
-import type {StoredPrompt} from '@hickorytrack/types/peer-methods';
+import type {PeerMethodName, PeerMethods, StoredPrompt} from '@hickorytrack/types/peer-methods';
+import type {CrashReports} from './crash-reports.js';
 import type {ForwardContext} from './forward-context.js';
 import {ReportSharing} from './report-sharing.js';
 
@@ -24,8 +26,11 @@
 	loadTracker: LoadTracker;
 	cacheIndex: PrefixCacheIndex;
 	partUsage: PartUsage;
-	/** Receives the measured speeds, signs of life and crashes that other instances report. */
-	context: Pick<ForwardContext, 'profile' | 'health' | 'poisonRequests'>;
+	/** Receives the measured speeds and signs of life that other instances report. */
+	context: Pick<ForwardContext, 'profile' | 'health'>;
+	crashAttribution: CrashAttribution;
+	/** Receives what other instances report of crashes. */
+	crashReports: Pick<CrashReports, 'mergeCrash' | 'mergeSound'>;
 	/** Called when another instance has told of a server that said in an answer that it leaves. */
 	onLeaving: (report: ServerReport, peer: string) => void;
 };
@@ -59,7 +64,7 @@
 	}
 
 	#addPeerMethods(): void {
-		const {mesh, registry, context} = this.#opts;
+		const {mesh, registry, crashAttribution, crashReports} = this.#opts;
 		const {peers} = mesh;
 		peers.handle('registry.note', async ({reports}, connection) => this.#reportSharing.handleNote(reports, connection));
 		peers.handle('registry.repeat', async ({repeats}, connection) => this.#reportSharing.handleRepeats(repeats, connection));
@@ -70,24 +75,40 @@
 		peers.handle('stage.note', ({server, ...awaited}) => {
 			registry.setPendingStage(server, awaited);
 		});
-		peers.handle('poison.note', ({fingerprint, crash}, connection) => {
-			context.poisonRequests.recordCrash(fingerprint, crash);
-			for (const leaf of this.#loadSharing.leaves) {
-				if (leaf.remote.address !== connection.remote.address) {
-					leaf.notify('poison.note', {fingerprint, crash});
-				}
-			}
+		peers.handle('crash.note', (report, connection) => {
+			crashReports.mergeCrash(report);
+			this.#forward('crash.note', report, connection);
+		});
+		peers.handle('crash.sound', ({sound}, connection) => {
+			crashReports.mergeSound(sound);
+			this.#forward('crash.sound', {sound}, connection);
+		});
+		peers.handle('crash.trial', ({trials}, connection) => {
+			crashAttribution.mergeTrials(trials);
+			this.#forward('crash.trial', {trials}, connection);
 		});
 		mesh.onConnected(async connection => {
 			// An instance that has started or was cut off has missed the crashes that were reported meanwhile.
-			for (const crash of context.poisonRequests.listCrashes()) {
-				connection.notify('poison.note', crash);
+			for (const report of crashAttribution.listCrashes()) {
+				connection.notify('crash.note', report);
 			}
 
+			connection.notify('crash.sound', {sound: crashAttribution.listSound()});
+			connection.notify('crash.trial', {trials: crashAttribution.listTrials()});
+
 			await connection.request('registry.note', {reports: registry.list()});
 		});
 	}
 
+	/** Passes on to the leaves of this instance what another one tells everybody. */
+	#forward<M extends PeerMethodName>(method: M, params: PeerMethods[M]['params'], sender: PeerConnection): void {
+		for (const leaf of this.#loadSharing.leaves) {
+			if (leaf.remote.address !== sender.remote.address) {
+				leaf.notify(method, params);
+			}
+		}
+	}
+
 	#createLoadSharing(): LoadSharing<PeerConnection> {
 		const {clock, events, mesh, registry, loadTracker, cacheIndex} = this.#opts;
 		return new LoadSharing<PeerConnection>({
--- a/packages/plugins/edge/src/stream-calls.ts
+++ b/packages/plugins/edge/src/stream-calls.ts
@@ -3,7 +3,7 @@
  * their health, their speed and their silence.
  */
 import type {ResponseHead} from '@hickorytrack/endpoint-client';
-import type {ReceivedAnswer} from '@hickorytrack/http-answer/answer-reader';
+import {answerVerdicts, type ReceivedAnswer} from '@hickorytrack/http-answer/answer-reader';
 import type {KnownServer} from '@hickorytrack/endpoint-registry';
 import type {Placement} from '@hickorytrack/prompt-placement';
 import type {Prompt} from '@hickorytrack/prompt-placement/prompt';
@@ -29,6 +29,8 @@
 
 export type AcceptedPlacement = Exclude<Placement, {kind: 'refuse'}>;
 
+export type GenerationOptions = {permit: SendPermit; handle?: KvHandle; placement: AcceptedPlacement};
+
 export type StreamCallsOptions = {
 	relay: EventRelay;
 	/** Called at each check that finds the server of a run silent. */
@@ -86,14 +88,14 @@
 
 		const isNotExecuted = metadata?.isNotExecuted ?? false;
 		if (result.outcome !== attemptOutcomes.cancelled && result.outcome !== attemptOutcomes.replaced) {
-			this.#recordFailedPrefill(prefillServer, {result, isNotExecuted});
+			await this.#recordFailedPrefill(prefillServer, {result, isNotExecuted});
 		}
 
 		return {result, isNotExecuted};
 	}
 
-	#recordFailedPrefill(prefillServer: KnownServer, {result, isNotExecuted}: {result: AttemptResult; isNotExecuted: boolean}): void {
-		const {health, eventLog} = this.#context;
+	async #recordFailedPrefill(prefillServer: KnownServer, {result, isNotExecuted}: {result: AttemptResult; isNotExecuted: boolean}): Promise<void> {
+		const {health, eventLog, crashReports} = this.#context;
 		if (result.error?.foreignAnswer) {
 			health.recordForeignAnswer(prefillServer, result.error.foreignAnswer);
 		} else if (!isNotExecuted && !result.error?.isStale && !result.error?.isBusy) {
@@ -103,10 +105,29 @@
 		eventLog.emit('readFailed', {
 			request: this.#request.metadata.requestId, server: prefillServer.id, end: result.outcome, status: result.head?.status, isStale: result.error?.isStale ?? false, silentMs: result.silentMs, lastAnswerMs: health.measureSilence(prefillServer), reason: result.error?.message,
 		});
+		if (result.outcome === attemptOutcomes.broken && result.isWritten && !result.error?.foreignAnswer) {
+			await crashReports.handleLoss(this.#request, prefillServer);
+		}
 	}
 
 	/** Has a server generate the response, from the KV cache of the handle if there is one. */
-	async generate(run: StreamRun, server: KnownServer, {permit, handle, placement}: {permit: SendPermit; handle?: KvHandle; placement: AcceptedPlacement}): Promise<AttemptResult> {
+	async generate(run: StreamRun, server: KnownServer, opts: GenerationOptions): Promise<AttemptResult> {
+		return this.#verifyEnd(server, await this.#generate(run, server, opts));
+	}
+
+	/** A stream that only its connection delimits ends with a crash of its server as it does when it is whole. */
+	async #verifyEnd(server: KnownServer, result: AttemptResult): Promise<AttemptResult> {
+		const {answer} = result;
+		const isUnknown = result.outcome === attemptOutcomes.answered && result.isStreamed && answer?.verdict === answerVerdicts.unknown;
+		if (!isUnknown || !await this.#context.crashReports.checkForCrash(this.#request, server)) {
+			return result;
+		}
+
+		this.lastAnswer = {...answer, verdict: answerVerdicts.brokenOff};
+		return {...result, outcome: attemptOutcomes.broken, answer: this.lastAnswer};
+	}
+
+	async #generate(run: StreamRun, server: KnownServer, {permit, handle, placement}: GenerationOptions): Promise<AttemptResult> {
 		const {loadTracker, client, clock, measurements} = this.#context;
 		const {isResumable: isRetryable} = this.#request.route;
 		const isLongOutput = this.prompt.maxOutputTokens >= longOutputTokens;
--- a/packages/plugins/edge/src/streaming-forwarder.ts
+++ b/packages/plugins/edge/src/streaming-forwarder.ts
@@ -32,6 +32,8 @@
 } from './forward-context.js';
 
 const minimumRetryMs = 20; // With less time left, another attempt would not complete before the deadline.
+/** A trait of the request was found to crash servers while it was on its way. */
+const bannedReason = 'the request or a part of its prompt crashes servers';
 
 type Plan = {placement: Placement; prefillPermit?: SendPermit};
 /** How another server takes over. */
@@ -74,6 +76,10 @@
 
 	async forward(): Promise<RequestResult> {
 		for (;;) {
+			if (this.#isBanned) {
+				return this.#fail(bannedReason);
+			}
+
 			const permit = this.#permits.acquire(retryKinds.run);
 			if (!permit) {
 				return this.#fail('the retry budget is used up');
@@ -95,6 +101,11 @@
 		return this.#request.route.isResumable;
 	}
 
+	/** Asked before each call: the crash that shows the cause may be told while the request is on its way. */
+	get #isBanned(): boolean {
+		return this.#context.crashReports.findBan(this.#request) !== undefined;
+	}
+
 	get #remainingMs(): number {
 		return computeRemainingMs(this.#context, this.#request);
 	}
@@ -151,7 +162,7 @@
 	/** Plans the run with all permits that its placement needs. Without one for a prefill, a decode server prefills the prompt. */
 	#plan(run: StreamRun): Plan {
 		const excluded = this.#listExcluded(run);
-		const placement = this.#selectPlacement({excluded});
+		const placement = this.#selectPlacement({excluded, canPrefill: !this.#request.isTrial});
 		if (placement.kind !== 'hand-over') {
 			return {placement};
 		}
@@ -223,7 +234,7 @@
 
 	/** Tells after a prefill whether the run may go on. Another one that was started meanwhile ends, unless it generates already. */
 	async #canGenerate(run: StreamRun): Promise<boolean> {
-		if (run.isCancelled || this.#remainingMs < 1) {
+		if (run.isCancelled || this.#remainingMs < 1 || this.#isBanned) {
 			return false;
 		}
 
@@ -235,7 +246,7 @@
 
 			successor.canceller.cancel();
 			await run.successorEnding;
-			if (run.isCancelled || this.#request.signal.aborted) {
+			if (run.isCancelled || this.#request.signal.aborted || this.#isBanned) {
 				return false;
 			}
 		}
@@ -256,11 +267,15 @@
 
 	/** Resumes the stream at the backup server after the connection to its server has broken. */
 	async #resumeAtBackup(run: StreamRun, failedServer: KnownServer, failedResult: AttemptResult): Promise<RunEnding> {
-		const {eventLog, health, onConnectionLost} = this.#context;
+		const {eventLog, health, crashReports} = this.#context;
 		const backup = run.backupServer!;
 		health.recordUnresponsive(failedServer);
-		onConnectionLost(this.#request, failedServer);
+		await crashReports.handleLoss(this.#request, failedServer);
 		this.#isNotExecuted = false;
+		if (this.#isBanned) {
+			return this.#createFailure(bannedReason);
+		}
+
 		const permit = isCandidate(this.#context, backup) ? this.#permits.acquire(retryKinds.resume) : undefined;
 		eventLog.emit('streamMoved', {
 			request: this.#request.metadata.requestId, from: failedServer.id, to: backup.id, end: failedResult.outcome, silentMs: failedResult.silentMs, lastEvent: this.#relay.lastEventId, mayGoOn: permit !== undefined,
@@ -330,6 +345,10 @@
 	}
 
 	#planTakeover(run: StreamRun): Takeover | DeniedTakeover {
+		if (this.#isBanned) {
+			return {reason: bannedReason};
+		}
+
 		const backup = run.backupServer;
 		const isBackupHealthy = listCandidates(this.#context, this.#request.service).some(({id}) => id === backup?.id);
 		if (run.isGenerating && backup && isBackupHealthy && this.#relay.lastEventId !== undefined) {
@@ -389,7 +408,7 @@
 		});
 	}
 
-	#handleResult(run: StreamRun, {server, result, handle}: {server: KnownServer; result: AttemptResult; handle: KvHandle | undefined}): RunEnding | undefined {
+	async #handleResult(run: StreamRun, {server, result, handle}: {server: KnownServer; result: AttemptResult; handle: KvHandle | undefined}): Promise<RunEnding | undefined> {
 		switch (result.outcome) {
 			case attemptOutcomes.answered: {
 				return result.isStreamed ? this.#finishStream(run, server, result.answer!) : this.#handleResponse(server, result, handle);
@@ -419,8 +438,8 @@
 		}
 	}
 
-	#handleFailure(server: KnownServer, result: AttemptResult, handle: KvHandle | undefined): RunEnding | undefined {
-		const {health, eventLog, onConnectionLost} = this.#context;
+	async #handleFailure(server: KnownServer, result: AttemptResult, handle: KvHandle | undefined): Promise<RunEnding | undefined> {
+		const {health, eventLog, crashReports} = this.#context;
 		const foreignAnswer = result.error?.foreignAnswer;
 		this.#recordNotAnswered(result, handle);
 		this.#grounds.add(callKinds.run, server, {result, isNotExecuted: false});
@@ -436,7 +455,7 @@
 			}
 
 			if (result.isWritten && !foreignAnswer) {
-				onConnectionLost(this.#request, server);
+				await crashReports.handleLoss(this.#request, server);
 			}
 
 			if (this.#isNotExecuted || this.#isRetryable) {
@@ -448,10 +467,10 @@
 	}
 
 	#finishStream(run: StreamRun, server: KnownServer, answer: ReceivedAnswer): RunEnding {
-		const {health, poisonRequests} = this.#context;
+		const {health, crashReports} = this.#context;
 		this.#isNotExecuted = false;
 		health.recordSuccess(server);
-		poisonRequests.recordSuccess(this.#request.fingerprint);
+		crashReports.recordSound(this.#request);
 		return {
 			isAnswer: true, finish: () => {
 				run.sendHead();
--- a/packages/plugins/edge/test/edge-parts.test.ts
+++ b/packages/plugins/edge/test/edge-parts.test.ts
@@ -10,7 +10,6 @@
 import {MetricsRegistry} from '@hickorytrack/metrics-registry';
 import {RateLimitedEventLog} from '../src/rate-limited-event-log.js';
 import {EventRelay} from '../src/event-relay.js';
-import {PoisonRequestTracker} from '../src/poison-request-tracker.js';
 import {RetryBudget, retryKinds} from '../src/retry-budget.js';
 import {ServerHealth} from '../src/server-health.js';
 import {SilenceDetector} from '../src/silence-detector.js';
@@ -132,29 +131,6 @@
 	});
 });
 
-describe('poison request tracker', () => {
-	it('blocks a request after two crashes and counts each crash once', () => {
-		const tracker = new PoisonRequestTracker(new ManualClock());
-		tracker.recordCrash('f', 'server/1');
-		tracker.recordCrash('f', 'server/1');
-		expect(tracker.isBlocked('f')).to.equal(false);
-		tracker.recordCrash('f', 'server/2');
-		expect(tracker.isBlocked('f')).to.equal(true);
-	});
-
-	it('clears a request that succeeded, and unblocks one after the retention time', async () => {
-		const clock = new ManualClock();
-		const tracker = new PoisonRequestTracker(clock);
-		tracker.recordCrash('f', '1');
-		tracker.recordSuccess('f');
-		tracker.recordCrash('f', '2');
-		expect(tracker.isBlocked('f')).to.equal(false);
-		tracker.recordCrash('f', '3');
-		await clock.advance(60_001);
-		expect(tracker.isBlocked('f')).to.equal(false);
-	});
-});
-
 describe('server health', () => {
 	it('excludes a server with a broken response for a while, unless none would remain', async () => {
 		const clock = new ManualClock();
--- a/packages/plugins/edge/test/retry-fleet.ts
+++ b/packages/plugins/edge/test/retry-fleet.ts
@@ -28,7 +28,6 @@
 import {BufferedForwarder} from '../src/buffered-forwarder.js';
 import type {RequestResult} from '../src/caller-request.js';
 import type {ForwardContext} from '../src/forward-context.js';
-import {PoisonRequestTracker} from '../src/poison-request-tracker.js';
 import {RateLimitedEventLog} from '../src/rate-limited-event-log.js';
 import type {ForwardMetadata, RequestCodec} from '../src/request-codec.js';
 import {RetryBudget} from '../src/retry-budget.js';
@@ -158,7 +157,7 @@
 			deadlineAt: now + timeoutMs,
 			response: createResponse(),
 			signal: new AbortController().signal,
-			fingerprint: requestId,
+			traits: {request: requestId, parts: []},
 		});
 		void forwarder.forward().then(result => {
 			this.results.push(result);
@@ -224,11 +223,17 @@
 			retryBudget: new RetryBudget({
 				clock, ...budgetBounds, isFirstStart, countInstances, eventLog, metrics: new MetricsRegistry(),
 			}),
-			poisonRequests: new PoisonRequestTracker(clock),
+			// No server crashes here.
+			crashReports: {
+				async handleLoss() {/* Nothing is lost by a crash. */},
+				checkForCrash: async () => false,
+				async recordAnswer() {/* Nothing is suspect. */},
+				recordSound() {/* Nothing is suspect. */},
+				findBan: () => undefined,
+			},
 			availabilityZone: 'z',
 			getConnectionLimit: () => 100,
 			metrics: new MetricsRegistry(),
-			onConnectionLost() {/* No server crashes here. */},
 		};
 	}
 
--- a/packages/plugins/edge/test/state-sharing.test.ts
+++ b/packages/plugins/edge/test/state-sharing.test.ts
@@ -1,5 +1,7 @@
 import {expect} from 'chai';
 import {ManualClock} from '@hickorytrack/clock/manual-clock';
+import {CrashAttribution} from '@hickorytrack/crash-attribution';
+import {mergeTraits, verdicts} from '@hickorytrack/crash-attribution/run-traits';
 import {EndpointRegistry} from '@hickorytrack/endpoint-registry';
 import {EngineProfile} from '@hickorytrack/engine-profile';
 import {EventLog} from '@hickorytrack/events';
@@ -8,7 +10,6 @@
 import {LoadTracker} from '@hickorytrack/prompt-placement/load-tracker';
 import {PartUsage} from '@hickorytrack/prompt-placement/part-usage';
 import {PrefixCacheIndex} from '@hickorytrack/prompt-placement/prefix-cache-index';
-import {PoisonRequestTracker} from '../src/poison-request-tracker.js';
 import {ServerHealth} from '../src/server-health.js';
 import {StateSharing} from '../src/state-sharing.js';
 
@@ -16,12 +17,12 @@
 
 /** What an edge shares, without a network. */
 class Instance {
-	readonly poisonRequests: PoisonRequestTracker;
+	readonly crashAttribution: CrashAttribution;
 	readonly handlers = new Map<string, Handler>();
 	connect!: (connection: PeerConnection) => Promise<void>;
 
 	constructor(clock: ManualClock) {
-		this.poisonRequests = new PoisonRequestTracker(clock);
+		this.crashAttribution = new CrashAttribution({clock});
 		const mesh = {
 			peers: {member: {address: 'a', roles: []}, handle: (method: string, handler: Handler) => this.handlers.set(method, handler)},
 			onConnected: (listener: (connection: PeerConnection) => Promise<void>) => {
@@ -30,7 +31,12 @@
 			listConnections: () => [],
 		};
 		const sharing = new StateSharing({
-			clock, events: new EventLog({clock}), mesh: mesh as unknown as Mesh, registry: new EndpointRegistry({clock, reportTimeoutMs: 1000}), loadTracker: new LoadTracker(clock), cacheIndex: new PrefixCacheIndex({getKvCapacity: () => 0}), partUsage: new PartUsage(clock), context: {profile: new EngineProfile(), health: new ServerHealth(clock), poisonRequests: this.poisonRequests},
+			clock, events: new EventLog({clock}), mesh: mesh as unknown as Mesh, registry: new EndpointRegistry({clock, reportTimeoutMs: 1000}), loadTracker: new LoadTracker(clock), cacheIndex: new PrefixCacheIndex({getKvCapacity: () => 0}), partUsage: new PartUsage(clock), context: {profile: new EngineProfile(), health: new ServerHealth(clock)}, crashAttribution: this.crashAttribution, crashReports: {
+				mergeCrash: report => this.crashAttribution.recordCrash(report),
+				mergeSound: sound => {
+					this.crashAttribution.mergeSound(sound);
+				},
+			},
 			onLeaving() {
 				// No server leaves here.
 			},
@@ -44,8 +50,11 @@
 	it('tells an instance that connects about the requests that crash servers', async () => {
 		const clock = new ManualClock();
 		const [informed, started] = [new Instance(clock), new Instance(clock)];
-		informed.poisonRequests.recordCrash('f', 'server/1');
-		informed.poisonRequests.recordCrash('f', 'server/2');
+		const run = {request: 'f', parts: ['bad']};
+		for (const id of ['server/1', 'server/2']) {
+			informed.crashAttribution.recordCrash({id, traits: mergeTraits([run])});
+		}
+
 		const connection = {
 			remote: {address: 'b'},
 			notify(method: string, params: unknown) {
@@ -54,10 +63,17 @@
 			async request() {/* The reports are not looked at here. */},
 		} as unknown as PeerConnection;
 		await informed.connect(connection);
-		expect(started.poisonRequests.isBlocked('f')).to.equal(true);
-		await clock.advance(50_000);
+		expect(started.crashAttribution.judge(run).verdict).to.equal(verdicts.refused);
+		await clock.advance(8000);
+		informed.crashAttribution.recordTrial('request:f');
+		await informed.connect(connection);
+		await clock.advance(4999);
+		expect(started.crashAttribution.judge(run).verdict).to.equal(verdicts.refused);
+		await clock.advance(1);
+		expect(started.crashAttribution.judge(run).verdict).to.equal(verdicts.trial);
+		informed.crashAttribution.recordSound(run);
+		informed.crashAttribution.recordCrash({id: 'server/3', traits: mergeTraits([{request: 'g', parts: ['bad']}])});
 		await informed.connect(connection);
-		await clock.advance(10_001);
-		expect(started.poisonRequests.isBlocked('f')).to.equal(false);
+		expect(started.crashAttribution.listCrashes().map(({id}) => id)).to.include('server/3');
 	});
 });
--- a/packages/routing/endpoint-registry/src/endpoint-registry.ts
+++ b/packages/routing/endpoint-registry/src/endpoint-registry.ts
@@ -56,6 +56,8 @@
 	clock: Clock;
 	/** Time without reports after which a server is no longer used. */
 	reportTimeoutMs: number;
+	/** Called when the first report of a start of a server is recorded. */
+	onStarted?: (server: KnownServer) => void;
 };
 
 /** A server with a pending stage is used again after this time, whatever its reports say. */
@@ -104,6 +106,7 @@
 
 		this.#lastOrder = Math.max(this.#lastOrder, server.order);
 		this.#setServer(server);
+		this.#opts.onStarted?.(server);
 		return true;
 	}
 
