test(soak): a part of prompts that crashes servers, and parts named with their service

The soak's prompts share parts; with the fault crashing-part, 8 % of them have one that makes each server crash that begins to answer: before its head, behind it, between two events or inside one, by a reset or a close, framed or not. New checks: BUDGET (at most three calls with the part later than 3 s after the fifth crash) and LOST (most sound requests refused for it), each found by its own test.

Traits: a part counts by itself and with its service, and the one that is shared wins a tie. Before, a part cost three crashes at each service that got it.

--- a/packages/coordination/crash-attribution/src/crash-attribution.ts
+++ b/packages/coordination/crash-attribution/src/crash-attribution.ts
@@ -36,7 +36,7 @@
 const maxCrashes = 200;
 /** Bounds the memory that one crash takes. */
 const maxTraitsPerCrash = 4000;
-const maxSoundParts = 10_000;
+const maxSoundParts = 20_000;
 /** Most requests are never sent again. */
 const maxSoundRequests = 2000;
 /** Traits of one crash only are of no use to an instance that joins later than this. */
--- a/packages/coordination/crash-attribution/src/run-traits.ts
+++ b/packages/coordination/crash-attribution/src/run-traits.ts
@@ -4,7 +4,7 @@
 export type RunTraits = {
 	/** Identifies the request, with all repeats of it. */
 	request: string;
-	/** Parts of the content that other requests may share, in their order. */
+	/** Parts of the content that other requests may share, in their order; one that is contained in another comes before it. */
 	parts: readonly string[];
 };
 
@@ -57,7 +57,7 @@
 const requestPrefix = 'request:';
 const partPrefix = 'part:';
 /** Parts beyond these are not looked at, so that a prompt of very many parts takes no memory from others. */
-const maxParts = 64;
+const maxParts = 128;
 
 /** Lists the traits of a run as keys; the request comes first, then the parts in order. */
 export function listTraits({request, parts}: RunTraits): string[] {
--- a/packages/coordination/crash-attribution/test/crash-attribution.test.ts
+++ b/packages/coordination/crash-attribution/test/crash-attribution.test.ts
@@ -131,6 +131,25 @@
 		expect(judge(createRun('head', 'tail'))).to.equal(verdicts.allowed);
 	});
 
+	// A part that is named with its service as well: it may crash that service only, or all that get it.
+	it('finds out at another service whether a part crashes servers there', async () => {
+		const createAt = (service: string) => createRun(`${service}/bad`, 'bad');
+		for (const id of ['1', '2', '3']) {
+			crash(id, createAt('a'));
+		}
+
+		expect(judge(createAt('a'))).to.equal(verdicts.refused);
+		expect(judge(createAt('b'))).to.equal(verdicts.refused);
+		await clock.advance(1000);
+		expect(judge(createAt('b'))).to.equal(verdicts.trial);
+		attribution.recordTrial('part:bad');
+		attribution.recordSound(createAt('b'));
+		expect(judge(createAt('b'))).to.equal(verdicts.allowed);
+		expect(judge(createAt('a'))).to.equal(verdicts.refused);
+		crash('4', createAt('c'));
+		expect(judge(createAt('c'))).to.equal(verdicts.allowed);
+	});
+
 	it('tries a banned part ever more rarely, one run at a time, and lifts the ban when the run is answered', async () => {
 		for (const id of ['1', '2', '3']) {
 			crash(id, createRun('bad'));
--- a/packages/plugins/edge/src/http-frontend.ts
+++ b/packages/plugins/edge/src/http-frontend.ts
@@ -295,7 +295,8 @@
 			signal: abortController.signal,
 			traits: {
 				request: createHash('sha1').update(`${incoming.method} ${incoming.headers.host} ${incoming.url}\n`).update(body).digest('base64'),
-				parts: metadata.prompt ? listSharedParts(metadata.prompt).map(({id}) => `${service}/${id}`) : [],
+				// A part may crash the servers of one service only, or those of all.
+				parts: metadata.prompt ? listSharedParts(metadata.prompt).flatMap(({id}) => [`${service}/${id}`, id]) : [],
 			},
 		});
 	}
--- a/tools/soak/src/caller.ts
+++ b/tools/soak/src/caller.ts
@@ -3,11 +3,12 @@
  * failure, others only after a status that promises that the request has not run, each attempt with an id of its own.
  */
 import type {Clock} from '@hickorytrack/clock';
-import type {Random} from '@hickorytrack/random';
+import {Random} from '@hickorytrack/random';
 import {
 	type CallerConnection, openConnection, reusedIdleFraction, type Exchange,
 } from './caller-connection.js';
 import {formatMessage} from './http-message-reader.js';
+import {createPromptParts, hasCrashingPart} from './crashing-part.js';
 import type {CallerRecord, SoakRoute} from './records.js';
 
 export type CallerOptions = {
@@ -20,6 +21,7 @@
 	edges: ReadonlyArray<{name: string; host: string; port: number}>;
 	/** Returns the idle limit that was acknowledged last. */
 	getIdleLimit: () => number;
+	faults: ReadonlySet<string>;
 	record: (record: CallerRecord) => void;
 };
 
@@ -53,12 +55,15 @@
 
 export class Caller {
 	readonly #opts: CallerOptions;
+	/** The parts of prompts have a generator of their own, so that they don't disturb the rest. */
+	readonly #promptRandom: Random;
 	#edge: number;
 	#connection: CallerConnection | undefined;
 	#requests = 0;
 
 	constructor(opts: CallerOptions) {
 		this.#opts = opts;
+		this.#promptRandom = new Random(opts.index);
 		this.#edge = opts.index % opts.edges.length;
 	}
 
@@ -87,7 +92,7 @@
 			const tokens = random.next() < longPromptFraction ? longPromptTokens : shortPromptTokens;
 			headers['x-model'] = 'm';
 			headers['x-token-counts'] = `${tokens},${random.next() < longOutputFraction ? 1000 : 50}`;
-			headers['x-prompt-prefix'] = `${key}:${tokens}`;
+			headers['x-prompt-prefix'] = createPromptParts(this.#promptRandom, {key, tokens, faults: this.#opts.faults});
 		}
 
 		return {
@@ -130,7 +135,7 @@
 			host, 'x-request-id': requestId, 'x-deadline-ms': String(Math.ceil(remainingMs)), ...headers, ...(lastEventId > 0 ? {'last-event-id': String(lastEventId)} : {}),
 		}, body), isLeaving ? this.#opts.random.nextBetween(1, 30) : remainingMs + lateMarginMs);
 		const record: CallerRecord = {
-			requestId, caller: index, edge: this.#opts.edges[this.#edge % this.#opts.edges.length]!.name, route: route.name, path, sentBody: body, sentAt, endedAt: clock.now(), deadlineMs: Math.ceil(remainingMs), hasLeft: isLeaving, lastEventId, extraAnswers: connection.readExtraAnswers(), ...describeExchange(exchange),
+			requestId, caller: index, edge: this.#opts.edges[this.#edge % this.#opts.edges.length]!.name, route: route.name, path, sentBody: body, sentAt, endedAt: clock.now(), deadlineMs: Math.ceil(remainingMs), hasLeft: isLeaving, isCrashing: route.kind === 'streaming' ? hasCrashingPart(headers['x-prompt-prefix']) : undefined, lastEventId, extraAnswers: connection.readExtraAnswers(), ...describeExchange(exchange),
 		};
 		addRecord(record);
 		return isLeaving ? undefined : {...record, retryAfterMs: Number(exchange.answer?.headers['retry-after'] ?? 0) * 1000};
--- a/tools/soak/src/check-answers.ts
+++ b/tools/soak/src/check-answers.ts
@@ -9,6 +9,7 @@
  * ORDER: the events of a stream follow each other without a gap, and an end that looks complete is complete.
  */
 import {promisingStatuses} from './caller.js';
+import {formatStart, listCrashedStarts} from './crashing-part.js';
 import {collectByKey} from './collect-by-key.js';
 import {
 	countEvents, createEvent, createPlainBody, createStamp,
@@ -21,13 +22,18 @@
 /** The end of a process is noticed after its connections have closed. */
 const processEndMarginMs = 100;
 
+/** What may end an answer early: ends of processes, and starts of servers that recorded a crash of theirs. */
+type Ends = {processEnds: readonly ProcessEnd[]; crashed: ReadonlySet<string>};
 type Outcomes = ReadonlyMap<string, readonly OutcomeRecord[]>;
 
 export function checkAnswers(records: SoakRecords): RuleCase[] {
 	const routes = new Map(records.routes.map(route => [route.name, route]));
 	const outcomes = collectByKey(records.outcomes, outcome => outcome.requestId);
+	const crashed = listCrashedStarts(records.outcomes);
 	return [
-		...records.callers.flatMap(record => checkAttempt(record, {route: routes.get(record.route)!, outcomes, processEnds: records.processEnds})),
+		...records.callers.flatMap(record => checkAttempt(record, {
+			route: routes.get(record.route)!, outcomes, processEnds: records.processEnds, crashed,
+		})),
 		...records.outcomes.flatMap(outcome => checkHandle(outcome)),
 		...checkArrivals(records),
 		...checkServerCounts(records.callers.filter(({requestId, route}) => listRuns(outcomes, requestId).length > routes.get(route)!.maxServers)),
@@ -47,7 +53,7 @@
 	return exceeding.length > toleratedExceeding ? exceeding.map(({requestId, path}) => ({rule: 'BUDGET', requestId, detail: `${path} ran at too many servers`})) : [];
 }
 
-function checkAttempt(record: CallerRecord, {route, outcomes, processEnds}: {route: SoakRoute; outcomes: Outcomes; processEnds: readonly ProcessEnd[]}): RuleCase[] {
+function checkAttempt(record: CallerRecord, {route, outcomes, ...ends}: {route: SoakRoute; outcomes: Outcomes} & Ends): RuleCase[] {
 	const cases: RuleCase[] = [];
 	const add = (rule: RuleCase['rule'], detail: string) => {
 		cases.push({rule, requestId: record.requestId, detail: `${detail} (${record.edge}, ${record.path})`});
@@ -77,13 +83,13 @@
 			add('MIXED', `status ${record.status} with a stamp of a server that gave another`);
 		}
 	} else if (record.status === 200) {
-		checkSuccess(record, {route, own, processEnds}, add);
+		checkSuccess(record, {route, own, ...ends}, add);
 	}
 
 	return cases;
 }
 
-function checkSuccess(record: CallerRecord, {route, own, processEnds}: {route: SoakRoute; own: readonly OutcomeRecord[]; processEnds: readonly ProcessEnd[]}, add: (rule: 'MIXED' | 'ORDER', detail: string) => void): void {
+function checkSuccess(record: CallerRecord, {route, own, ...ends}: {route: SoakRoute; own: readonly OutcomeRecord[]} & Ends, add: (rule: 'MIXED' | 'ORDER', detail: string) => void): void {
 	if (record.answerId === undefined || record.stamp !== createStamp(record.requestId, record.path)) {
 		add('MIXED', 'a success without the id or the stamp of the request');
 		return;
@@ -93,7 +99,7 @@
 		add('MIXED', 'a success that no server gave');
 	}
 
-	const mayBeShort = record.hasUnknownEnd === true && isBrokenOff(record, own, processEnds);
+	const mayBeShort = record.hasUnknownEnd === true && isBrokenOff(record, own, ends);
 	const isWhole = record.end === 'answered' && !mayBeShort;
 	if (route.kind !== 'streaming') {
 		const body = createPlainBody(record.requestId, record.path);
@@ -117,9 +123,9 @@
  * An answer that reached its caller without a length and chunks, so that nothing declared it complete, may be as short as a
  * server or the end of a process on its way made it; but a stream does not end inside an event.
  */
-function isBrokenOff({edge, sentAt, endedAt}: CallerRecord, own: readonly OutcomeRecord[], processEnds: readonly ProcessEnd[]): boolean {
+function isBrokenOff({edge, sentAt, endedAt}: CallerRecord, own: readonly OutcomeRecord[], {processEnds, crashed}: Ends): boolean {
 	const isOnWay = (name: string) => name === edge || own.some(({server}) => server.startsWith(`${name}-`));
-	return own.some(({answer}) => answer === 'broken-off') || processEnds.some(({name, at}) => isOnWay(name) && at >= sentAt && at <= endedAt + processEndMarginMs);
+	return own.some(outcome => outcome.answer === 'broken-off' || crashed.has(formatStart(outcome))) || processEnds.some(({name, at}) => isOnWay(name) && at >= sentAt && at <= endedAt + processEndMarginMs);
 }
 
 function checkHandle({requestId, hasRun, handle, handleOwner, server}: OutcomeRecord): RuleCase[] {
--- /dev/null
+++ b/tools/soak/src/crashing-part.ts
@@ -0,0 +1,32 @@
+/** The parts of the callers' prompts, one of which crashes each server that begins to write an answer to it. */
+import type {Random} from '@hickorytrack/random';
+import type {OutcomeRecord} from './records.js';
+
+export const crashingPartFault = 'crashing-part';
+/** Answer in the records of a server that a part has crashed. */
+export const partCrash = 'part-crash';
+const crashingPart = 'bad0';
+const crashingFraction = 0.08;
+const heads = 3;
+const topics = 40;
+const partTokens = 10;
+
+/** Creates the parts of a prompt; the last one is its own. */
+export function createPromptParts(random: Random, {key, tokens, faults}: {key: string; tokens: number; faults: ReadonlySet<string>}): string {
+	const isCrashing = faults.has(crashingPartFault) && random.next() < crashingFraction;
+	const shared = [`a${random.nextInteger(heads)}`, ...(isCrashing ? [crashingPart] : []), `b${random.nextInteger(topics)}`];
+	return [...shared.map(part => `${part}:${partTokens}`), `${key}:${tokens - (shared.length * partTokens)}`].join(',');
+}
+
+/** Starts of servers that have recorded a crash, by the names that `formatStart` gives them. */
+export function listCrashedStarts(outcomes: readonly OutcomeRecord[]): ReadonlySet<string> {
+	return new Set(outcomes.filter(({answer}) => answer === partCrash || answer === 'crash').map(outcome => formatStart(outcome)));
+}
+
+export function formatStart({server, startedAt}: Pick<OutcomeRecord, 'server' | 'startedAt'>): string {
+	return `${server}/${startedAt}`;
+}
+
+export function hasCrashingPart(prompt: string | undefined): boolean {
+	return prompt?.split(',').some(part => part.startsWith(`${crashingPart}:`)) ?? false;
+}
--- a/tools/soak/src/records.ts
+++ b/tools/soak/src/records.ts
@@ -36,6 +36,8 @@
 	stamp?: string;
 	answerId?: string;
 	body: string;
+	/** The prompt has the part that crashes servers; undefined for a request without a prompt. */
+	isCrashing?: boolean;
 	/** The event after which the caller asked the stream to go on. */
 	lastEventId: number;
 	/** Answers on the same connection while no request was waiting for one. */
--- a/tools/soak/src/server-answers.ts
+++ b/tools/soak/src/server-answers.ts
@@ -24,7 +24,10 @@
 	random: Random;
 	faults: ReadonlySet<string>;
 	operations: ServerOperations;
+	/** Ends the process after a reset of all its connections. */
 	crash: () => void;
+	/** Ends the process; the system closes its connections. */
+	exit: () => void;
 };
 
 const maxEventMs = 8;
@@ -98,6 +101,31 @@
 		return faults.has('unframed') && random.next() < unframedRate;
 	}
 
+	/** Begins to write an answer and crashes: before its head, behind it, between two events or inside one. */
+	async sendUntilCrash(channel: ServerChannel, {message, path, requestId}: Arrival): Promise<void> {
+		const {clock, random, crash, exit} = this.#opts;
+		const isUnframed = this.#isUnframed();
+		const count = countEvents(path);
+		const first = Number(message.headers['last-event-id'] ?? 0) + 1;
+		const event = first <= count ? createEvent(requestId, first, count) : '';
+		const head = formatMessage('HTTP/1.1 200 OK', {
+			'x-request-id': requestId, 'x-response-stamp': createStamp(requestId, path), 'content-type': 'text/event-stream', ...(isUnframed ? {connection: 'close'} : {'transfer-encoding': 'chunked'}),
+		}, '', {isUnframed});
+		const format = (text: string) => isUnframed ? text : formatChunk(text);
+		const texts = random.select(event === '' ? [[], [head]] : [[], [head], [head, format(event)], [head, format(event.slice(0, truncatedCharacters))]]);
+		for (const text of texts) {
+			channel.send(text);
+
+			await clock.sleep(random.nextBetween(0, maxEventMs));
+		}
+
+		if (random.next() < 0.5) {
+			crash();
+		} else {
+			exit();
+		}
+	}
+
 	#planBreak(channel: ServerChannel, fault: ServerFault | undefined, answerBytes: number): void {
 		const {random} = this.#opts;
 		if (fault === 'broken-off') {
--- a/tools/soak/src/server-channel.ts
+++ b/tools/soak/src/server-channel.ts
@@ -193,6 +193,12 @@
 		}
 	}
 
+	/** Closes the connection at once, as the system does when the process has ended. */
+	abandon(): void {
+		this.#hasEnded = true;
+		this.#socket.destroySoon();
+	}
+
 	reset(): void {
 		this.#hasEnded = true;
 		this.#opts.silence.run(() => {
--- a/tools/soak/src/soak-run.ts
+++ b/tools/soak/src/soak-run.ts
@@ -9,10 +9,12 @@
 import {Caller} from './caller.js';
 import {checkAnswers} from './check-answers.js';
 import {checkBudget, findBudgetUses} from './check-budget.js';
+import {checkCrashingPart} from './check-crashing-part.js';
 import {checkConfiguration} from './check-configuration.js';
 import {checkLost} from './check-lost.js';
 import {edgePorts, graceMs} from './edge-process.js';
 import {FaultRunner} from './fault-runner.js';
+import {partCrash} from './crashing-part.js';
 import {createChangeTimes, createSchedule} from './fault-schedule.js';
 import {allOutsideFaults} from './faults.js';
 import {Operator} from './operator.js';
@@ -75,7 +77,7 @@
 	});
 	try {
 		const records = await runFleet(fleet, createRandom(random), opts);
-		const cases: RuleCase[] = [...checkAnswers(records), ...checkBudget(records), ...checkConfiguration(records), ...checkLost(records), ...fleet.endedEdges.map(name => ({rule: 'ENDED', detail: `${name} ended by itself`} as const))];
+		const cases: RuleCase[] = [...checkAnswers(records), ...checkBudget(records), ...checkConfiguration(records), ...checkLost(records), ...checkCrashingPart(records), ...fleet.endedEdges.map(name => ({rule: 'ENDED', detail: `${name} ended by itself`} as const))];
 		await writeLines(path.join(folder, 'cases.jsonl'), cases);
 		return {cases, summary: createSummary(records)};
 	} finally {
@@ -101,7 +103,7 @@
 	await operator.putNext(signal);
 	const edges = fleet.edges.map(({name, ip}) => ({name, host: ip, port: edgePorts.front}));
 	const work = [operator.run(changesAtMs, signal), ...Array.from({length: callerCount}, async (_, index) => new Caller({
-		index, clock, random: createRandom(random), host, routes, edges, getIdleLimit: () => operator.idleTimeoutMs, record(record) {
+		index, clock, random: createRandom(random), host, routes, edges, getIdleLimit: () => operator.idleTimeoutMs, faults: new Set(faults), record(record) {
 			callers.push(record);
 		},
 	}).run(signal))];
@@ -135,6 +137,7 @@
 		arrivals: records.arrivals.length,
 		runs: records.outcomes.filter(outcome => outcome.hasRun).length,
 		budgetUsed: Math.max(0, ...findBudgetUses(records).map(({extra, allowed}) => Math.round(100 * extra / allowed) / 100)),
+		partCrashes: records.outcomes.filter(({answer}) => answer === partCrash).length,
 		configurations: records.operator.filter(({acknowledgedAt}) => acknowledgedAt !== undefined).length,
 	};
 }
--- a/tools/soak/src/soak-server.ts
+++ b/tools/soak/src/soak-server.ts
@@ -6,6 +6,7 @@
 import type {Clock} from '@hickorytrack/clock';
 import type {Random} from '@hickorytrack/random';
 import {createPlainBody, createStamp} from './expected-body.js';
+import {hasCrashingPart, partCrash} from './crashing-part.js';
 import {formatMessage, type HttpMessage} from './http-message-reader.js';
 import type {OutcomeRecord, ServerRecord} from './records.js';
 import {ServerAnswers, type Arrival} from './server-answers.js';
@@ -71,6 +72,13 @@
 		this.#answers = new ServerAnswers({
 			...opts, operations: this.#operations, crash: () => {
 				this.close();
+				opts.crash();
+			}, exit: () => {
+				this.#server.close();
+				for (const channel of this.#channels) {
+					channel.abandon();
+				}
+
 				opts.crash();
 			},
 		});
@@ -231,6 +239,14 @@
 			return;
 		}
 
+		if (hasCrashingPart(arrival.message.headers['x-prompt-prefix'])) {
+			this.#recordOutcome(arrival, {
+				hasRun: true, answer: partCrash, status: 200, stamp: createStamp(arrival.requestId, arrival.path), handle: source, handleOwner: kv?.owner,
+			});
+			await this.#answers.sendUntilCrash(channel, arrival);
+			return;
+		}
+
 		const isSameRun = source === `${this.#opts.address}/${arrival.requestId}`;
 		const status = fault === 'failing' ? 500 : 200;
 		const stamp = createStamp(arrival.requestId, arrival.path);
--- a/tools/soak/test/checks-can-fail.test.ts
+++ b/tools/soak/test/checks-can-fail.test.ts
@@ -2,8 +2,10 @@
 import {expect} from 'chai';
 import {checkAnswers} from '../src/check-answers.js';
 import {checkBudget} from '../src/check-budget.js';
+import {checkCrashingPart} from '../src/check-crashing-part.js';
 import {checkConfiguration} from '../src/check-configuration.js';
 import {checkLost} from '../src/check-lost.js';
+import {partCrash} from '../src/crashing-part.js';
 import {createEvent, createPlainBody, createStamp} from '../src/expected-body.js';
 import type {
 	ArrivalRecord, CallerRecord, EndRecord, OutcomeRecord, RouteKind, SoakRecords, SoakRoute,
@@ -40,6 +42,29 @@
 const listRules = (caller: CallerRecord, outcomes: OutcomeRecord[] = [createOutcome(caller.path)]) => checkAnswers(createRecords({callers: [caller], outcomes})).map(({rule}) => rule);
 
 describe('checks of the soak', () => {
+	// BUDGET and LOST around a part of prompts that crashes servers.
+	it('reports calls after the fifth crash by one part, and sound requests that are refused for it', () => {
+		const crashing = createCaller('talk', {isCrashing: true, end: 'closed'});
+		const outcomes = [1, 2, 3, 4, 5].map(number => createOutcome('', {answer: partCrash, at: 100 * number, number}));
+		const arrivals = [6, 7, 8, 9].map(number => createArrival(number, {at: 3500 + number}));
+		const listCases = (changes: Partial<SoakRecords>) => checkCrashingPart(createRecords({
+			callers: [crashing], outcomes, arrivals, ...changes,
+		})).map(({rule}) => rule);
+		expect(listCases({})).to.deep.equal(['BUDGET']);
+		expect(listCases({arrivals: arrivals.slice(1)})).to.deep.equal([]);
+		expect(listCases({outcomes: outcomes.slice(1)})).to.deep.equal([]);
+		expect(listCases({arrivals: arrivals.map(arrival => ({...arrival, at: 3499}))})).to.deep.equal([]);
+		expect(listCases({callers: [{...crashing, isCrashing: false}]})).to.deep.equal([]);
+		expect(listCases({processEnds: [{name: 'edge-1', at: 600}]})).to.deep.equal([]);
+		expect(listCases({processEnds: [{name: 'edge-1', at: 500}]})).to.deep.equal(['BUDGET']);
+		const sound = Array.from({length: 20}, (_, index) => createCaller('talk', {
+			isCrashing: false, sentAt: 6501, status: index < 11 ? 503 : 200, body: index < 11 ? '{"code":"poison"}' : '',
+		}));
+		expect(listCases({callers: sound, arrivals: []})).to.deep.equal(['LOST']);
+		expect(listCases({callers: sound.map(caller => ({...caller, sentAt: 6500})), arrivals: []})).to.deep.equal([]);
+		expect(listCases({callers: sound.slice(1), arrivals: []})).to.deep.equal([]);
+	});
+
 	// A check that reports correct records as violations would hide real ones.
 	it('reports nothing for correct answers', () => {
 		for (const route of ['once', 'again', 'tell', 'talk']) {
--- a/tools/soak/test/soak.test.ts
+++ b/tools/soak/test/soak.test.ts
@@ -24,6 +24,11 @@
 		await checkRun({seed: 7, seconds: 20, faults: allFaults});
 	});
 
+	// Requests that share a part of their prompt ended server after server.
+	it('ends few servers over a part of prompts that crashes them', async () => {
+		await checkRun({seed: 31, seconds: 18, faults: ['crashing-part', 'unframed', 'broken-off', 'term']});
+	});
+
 	// Streams were cut half a second after their sound server fell silent.
 	it('breaks no rule while servers fall silent beside changes and planned stops', async () => {
 		await checkRun({seed: 23, seconds: 14, faults: ['hush', 'term']});
