fix(quarantine): a part of prompts that crashes engines is quarantined

Cause: the quarantine counted by the fingerprint of the whole request, as the edge did.

Change: an agent's crash report carries the parts of the prompts that ran: the messages of a chat but the last one, or the beginnings of a text. The replicated table attributes crashes to them by the crash-attribution package, with the times of the commands, so that all members agree; entries refuse what is quarantined and clear suspect parts by whole answers.

--- a/packages/control/control-state/src/control-state.ts
+++ b/packages/control/control-state/src/control-state.ts
@@ -208,6 +208,12 @@
 				return this.#accept({cleared: cleared !== undefined});
 			}
 
+			case 'clear-parts': {
+				const cleared = this.quarantine.clearParts(command.parts, command.at);
+				this.#writeQuarantine(cleared);
+				return this.#accept({cleared: cleared.length});
+			}
+
 			case 'lift-quarantine': {
 				const lifted = this.quarantine.remove(command.fingerprint);
 				this.#writeQuarantine(lifted ? [lifted] : []);
@@ -438,7 +444,7 @@
 	#reportCrash(command: CommandOf<'report-crash'>): CommandOutcome {
 		if (!this.#crashReports.includes(command.reportId)) {
 			this.#crashReports = [...this.#crashReports, command.reportId].slice(-maximumCrashReports);
-			this.#writeQuarantine(this.quarantine.recordCrash(command.suspects, command.at));
+			this.#writeQuarantine(this.quarantine.recordCrash(command.suspects, {id: command.reportId, at: command.at}));
 		}
 
 		return this.#accept({});
--- a/packages/control/control-state/test/control-state.test.ts
+++ b/packages/control/control-state/test/control-state.test.ts
@@ -116,6 +116,19 @@
 		expect(state.quarantine.read('f')!.crashes).to.equal(1);
 	});
 
+	it('tells entries of a part of prompts that is quarantined, and that it was cleared', () => {
+		for (const index of [1, 2, 3]) {
+			apply({
+				kind: 'report-crash', reportId: `r${index}`, endpoint: 'a', suspects: [{fingerprint: `f${index}`, workspace: 't', parts: ['bad']}], at: index,
+			});
+		}
+
+		const readState = () => (state.items.read('quarantine/part:bad')!.value as {entry: {state: string}}).entry.state;
+		expect(readState()).to.equal('quarantined');
+		apply({kind: 'clear-parts', parts: ['bad', 'unknown'], at: 10});
+		expect(readState()).to.equal('cleared');
+	});
+
 	it('validates settings', () => {
 		expect(apply({
 			kind: 'put-setting', changeId: 's1', expectedVersion: 0, name: 'changes.atOnce', value: 0,
--- a/packages/coordination/crash-attribution/src/crash-attribution.ts
+++ b/packages/coordination/crash-attribution/src/crash-attribution.ts
@@ -70,12 +70,18 @@
 	isOpen: boolean;
 };
 
+export type CrashAttributionDump = {
+	crashes: Array<{id: string; at: number; traits: SuspectTrait[]; reporters: string[]}>;
+	sound: Array<[trait: string, at: number]>;
+	trials: Array<[trait: string, trials: Trials]>;
+};
+
 export type CrashAttributionOptions = {
-	clock: Clock;
+	clock: Pick<Clock, 'monotonic'>;
 };
 
 export class CrashAttribution {
-	readonly #clock: Clock;
+	readonly #clock: Pick<Clock, 'monotonic'>;
 	/** By id, oldest first. */
 	readonly #crashes = new Map<string, Crash>();
 	/** Traits that stand in crashes after their last whole answer. */
@@ -215,6 +221,47 @@
 		return [...this.#suspects.keys()].filter(trait => this.#isKnownSound(trait)).map(trait => [trait, now - this.#getMemory(trait).read(trait)!]);
 	}
 
+	/** Returns all records, for a snapshot; times are those of the clock. */
+	dump(): CrashAttributionDump {
+		return {
+			crashes: [...this.#crashes.values()].map(({id, at, traits, reporters}) => ({
+				id, at, traits: [...traits].map(trait => [trait, this.#suspects.get(trait)!.position]), reporters: [...reporters],
+			})),
+			sound: [...this.#soundParts.list(), ...this.#soundRequests.list()],
+			trials: [...this.#trials].map(([trait, trials]) => [trait, {...trials}]),
+		};
+	}
+
+	/** Replaces all records by those of a snapshot. */
+	restore({crashes, sound, trials}: CrashAttributionDump): void {
+		this.#crashes.clear();
+		this.#suspects.clear();
+		this.#sharedSound.clear();
+		this.#trials.clear();
+		this.#soundParts.clear();
+		this.#soundRequests.clear();
+		for (const [trait, at] of sound) {
+			this.#getMemory(trait).record(trait, at);
+		}
+
+		for (const {id, at, traits, reporters} of crashes) {
+			const crash: Crash = {
+				id, at, traits: new Set(), reporters: new Set(reporters),
+			};
+			this.#crashes.set(id, crash);
+			for (const [trait, position] of traits) {
+				this.#addSuspect(crash, trait, position);
+			}
+		}
+
+		for (const [trait, state] of trials) {
+			this.#trials.set(trait, {...state});
+		}
+
+		this.#causes = this.#findCauses();
+		this.#isOutdated = false;
+	}
+
 	/** Ends the ban of a trait, as for a whole answer. Returns false if it is not banned. */
 	lift(trait: string): boolean {
 		this.#update();
--- a/packages/coordination/crash-attribution/src/run-traits.ts
+++ b/packages/coordination/crash-attribution/src/run-traits.ts
@@ -59,9 +59,18 @@
 /** Parts beyond these are not looked at, so that a prompt of very many parts takes no memory from others. */
 const maxParts = 128;
 
+/** Returns the key of a part. */
+export function formatPart(part: string): string {
+	return `${partPrefix}${part}`;
+}
+
 /** Lists the traits of a run as keys; the request comes first, then the parts in order. */
 export function listTraits({request, parts}: RunTraits): string[] {
-	return [`${requestPrefix}${request}`, ...new Set(parts.slice(0, maxParts).map(part => `${partPrefix}${part}`))];
+	return [`${requestPrefix}${request}`, ...new Set(parts.slice(0, maxParts).map(part => formatPart(part)))];
+}
+
+export function isPartTrait(trait: string): boolean {
+	return trait.startsWith(partPrefix);
 }
 
 export function isRequestTrait(trait: string): boolean {
--- a/packages/coordination/crash-attribution/src/trait-memory.ts
+++ b/packages/coordination/crash-attribution/src/trait-memory.ts
@@ -17,6 +17,15 @@
 		return this.#times.get(trait);
 	}
 
+	/** Lists the traits with their times, least recently seen first. */
+	list(): Array<[trait: string, at: number]> {
+		return [...this.#times];
+	}
+
+	clear(): void {
+		this.#times.clear();
+	}
+
 	record(trait: string, at: number): void {
 		const latest = Math.max(at, this.#times.get(trait) ?? at);
 		this.#times.delete(trait);
--- a/packages/core/types/src/control.ts
+++ b/packages/core/types/src/control.ts
@@ -15,9 +15,10 @@
 };
 
 export type QuarantineEntry = {
+	/** Of a request, or `part:` and the digest of a part of prompts. */
 	fingerprint: string;
 	workspace: string;
-	/** Number of crashes during which a request with this fingerprint was running. */
+	/** Number of crashes during which a request with this fingerprint or part was running. */
 	crashes: number;
 	state: 'suspect' | 'quarantined' | 'cleared';
 	/** Wall time in milliseconds since the epoch at which the entry expires. */
@@ -119,9 +120,10 @@
 	| {kind: 'cancel-change'; changeId: string; at: number}
 	| {kind: 'pin-role'; changeId: string; endpoint: string; pinned: boolean}
 	| {kind: 'forget-endpoint'; endpoint: string; agentIncarnation: string}
-	| {kind: 'report-crash'; reportId: string; endpoint: string; suspects: Array<{fingerprint: string; workspace: string}>; at: number}
+	| {kind: 'report-crash'; reportId: string; endpoint: string; suspects: Array<{fingerprint: string; workspace: string; parts?: string[]}>; at: number}
 	| {kind: 'permit-suspect'; fingerprint: string; attempt: string; at: number}
 	| {kind: 'clear-suspect'; fingerprint: string; attempt: string}
+	| {kind: 'clear-parts'; parts: string[]; at: number}
 	| {kind: 'lift-quarantine'; changeId: string; fingerprint: string};
 
 /** Outcome of a command, stored by change id so that a resent command is idempotent. */
--- a/packages/core/types/src/work.ts
+++ b/packages/core/types/src/work.ts
@@ -37,6 +37,8 @@
 	requestId: string;
 	workspace: string;
 	fingerprint: string;
+	/** Digests of the parts of its prompt that other requests may share. */
+	parts?: string[];
 	/** Time remaining for the whole request, in milliseconds. */
 	deadlineMs: number;
 	/** Time remaining until the contract's first-token target; absent once a token was sent, and for service calls. */
--- a/packages/plugins/agent/src/work-scheduler.ts
+++ b/packages/plugins/agent/src/work-scheduler.ts
@@ -464,7 +464,7 @@
 		this.#crashes++;
 		context.events.emit('engineCrashed', {endpoint, suspects: ran.length});
 		context.metrics.count('agent.engine_crashes');
-		const suspects = ran.map(({submission}) => ({fingerprint: submission.fingerprint, workspace: submission.workspace}));
+		const suspects = ran.map(({submission}) => ({fingerprint: submission.fingerprint, workspace: submission.workspace, parts: submission.parts}));
 		await control.propose({
 			kind: 'report-crash', reportId: `${endpoint}/${incarnation}`, endpoint, suspects, at: 0,
 		}, {timeoutMs: crashReportTimeoutMs, isIdempotent: true});
--- a/packages/plugins/entry/src/generation-call.ts
+++ b/packages/plugins/entry/src/generation-call.ts
@@ -5,9 +5,11 @@
 import type {Clock} from '@hickorytrack/clock';
 import type {ControlClient} from '@hickorytrack/control-client';
 import type {EventFields} from '@hickorytrack/events';
+import {formatPart} from '@hickorytrack/crash-attribution/run-traits';
 import type {ProcessContext} from '@hickorytrack/kernel/plugin';
 import {computeBlockDigests} from '@hickorytrack/placement/cache-view';
 import type {Placer} from '@hickorytrack/placement';
+import {computePromptParts} from '@hickorytrack/quarantine/prompt-parts';
 import type {QuarantineEntry} from '@hickorytrack/types/control';
 import {
 	stallLimits, type AttemptEnd, type GenerationWork, type RefusalReason, type Stall, type WorkSubmission,
@@ -79,6 +81,7 @@
 	/** Holder id of the suspect's permit. All attempts share it, so that a refused attempt does not block the next one. */
 	readonly #permitHolder: string;
 	readonly #promptBlocks: string[];
+	readonly #parts: string[];
 	readonly #writeStatuses: WriteStatus[] = [];
 	/** Endpoints that refused or failed this request. */
 	readonly #triedEndpoints = new Set<string>();
@@ -96,6 +99,7 @@
 		this.#deadline = this.#startedAt + services.context.settings.requestTimeoutMs;
 		this.#permitHolder = services.attempts.createAttemptId();
 		this.#promptBlocks = computeBlockDigests(request.prompt);
+		this.#parts = computePromptParts(request.workspace.contract.workspace, {model: request.model, body: request.body, prefixes: this.#promptBlocks});
 	}
 
 	async run(): Promise<GenerationResult> {
@@ -177,6 +181,7 @@
 			requestId: this.#request.requestId,
 			workspace: this.#request.workspace.contract.workspace,
 			fingerprint: this.#request.fingerprint,
+			parts: this.#parts,
 			deadlineMs: Math.max(1, this.#deadline - this.#clock.monotonic()),
 			revision: this.#services.control.revision,
 			isolated: this.#isSuspect,
@@ -250,6 +255,7 @@
 					void this.#services.control.propose({kind: 'clear-suspect', fingerprint: this.#request.fingerprint, attempt: this.#permitHolder}, {isIdempotent: true});
 				}
 
+				this.#clearSuspectParts();
 				return {kind: 'result', result: {kind: 'complete', usage: {...end, promptTokens: end.promptTokens, outputTokens: this.#texts.length}}};
 			}
 
@@ -402,8 +408,22 @@
 		}
 	}
 
+	/** An answer shows that the parts of its prompt don't crash engines. */
+	#clearSuspectParts(): void {
+		const parts = this.#parts.filter(part => (this.#readQuarantineEntry(formatPart(part))?.state ?? 'cleared') !== 'cleared');
+		if (parts.length > 0) {
+			void this.#services.control.propose({kind: 'clear-parts', parts, at: 0}, {isIdempotent: true});
+		}
+	}
+
+	/** The entry of the request, or of a part of its prompt that is quarantined. */
 	#findQuarantineEntry(): QuarantineEntry | undefined {
-		const value = this.#services.control.items.read(`quarantine/${this.#request.fingerprint}`)?.value;
+		const parts = this.#parts.map(part => this.#readQuarantineEntry(formatPart(part)));
+		return parts.find(entry => entry?.state === 'quarantined') ?? this.#readQuarantineEntry(this.#request.fingerprint);
+	}
+
+	#readQuarantineEntry(fingerprint: string): QuarantineEntry | undefined {
+		const value = this.#services.control.items.read(`quarantine/${fingerprint}`)?.value;
 		const isValid = value?.kind === 'quarantine' && value.entry.until > this.#clock.now();
 		return isValid ? value.entry : undefined;
 	}
