feat(edge): a ban can be lifted, and crash reports have tests of their own

Tests without a network for what counts as a crash: once for all runs that it ended, not for a server that goes on or had said that it leaves, by the first report of another start, and for answers whose end is unknown.

--- a/packages/plugins/edge/src/crash-reports.ts
+++ b/packages/plugins/edge/src/crash-reports.ts
@@ -149,6 +149,18 @@
 		this.#reportBans();
 	}
 
+	/** Ends a ban at all instances. Returns false if the trait is not banned. */
+	lift(trait: string): boolean {
+		const {attribution, mesh} = this.#opts;
+		const isLifted = attribution.lift(trait);
+		if (isLifted) {
+			mesh.broadcast('crash.sound', {sound: [[trait, 0]]});
+			this.#reportBans();
+		}
+
+		return isLifted;
+	}
+
 	/** Called when a server has reported for the first time since it has started. */
 	handleStart(): void {
 		for (const [crashId, {server, check}] of this.#undecided) {
--- a/packages/plugins/edge/src/edge.ts
+++ b/packages/plugins/edge/src/edge.ts
@@ -237,6 +237,11 @@
 		return result;
 	}
 
+	/** Lets requests with a trait that was held to crash servers run again, at all instances. Returns false if it is not banned. */
+	liftBan(trait: string): boolean {
+		return this.#crashReports.lift(trait);
+	}
+
 	dump(): unknown {
 		return {
 			instance: this.#opts.settings.instance,
--- /dev/null
+++ b/packages/plugins/edge/test/crash-reports.test.ts
@@ -0,0 +1,167 @@
+import {expect} from 'chai';
+import {ManualClock} from '@hickorytrack/clock/manual-clock';
+import {CrashAttribution} from '@hickorytrack/crash-attribution';
+import {EndpointRegistry, type KnownServer, type ServerReport} from '@hickorytrack/endpoint-registry';
+import {EventLog} from '@hickorytrack/events';
+import {answerVerdicts} from '@hickorytrack/http-answer/answer-reader';
+import {MetricsRegistry} from '@hickorytrack/metrics-registry';
+import type {CallerRequest} from '../src/caller-request.js';
+import {CrashReports} from '../src/crash-reports.js';
+import {RateLimitedEventLog} from '../src/rate-limited-event-log.js';
+import {ServerHealth} from '../src/server-health.js';
+
+const reportIntervalMs = 1000;
+/** The time after which a server has been probed. */
+const probedMs = 30;
+
+describe('crash reports', () => {
+	let clock: ManualClock;
+	let registry: EndpointRegistry;
+	let attribution: CrashAttribution;
+	let reports: CrashReports;
+	let events: EventLog;
+	let running: Set<string>;
+	let told: Array<{method: string; params: unknown}>;
+	let requests = 0;
+
+	beforeEach(() => {
+		clock = new ManualClock();
+		events = new EventLog({clock});
+		running = new Set();
+		told = [];
+		attribution = new CrashAttribution({clock});
+		registry = new EndpointRegistry({
+			clock, reportTimeoutMs: 5000, onStarted() {
+				reports.handleStart();
+			},
+		});
+		reports = new CrashReports({
+			clock, attribution, instance: 'edge-1', registry, eventLog: new RateLimitedEventLog(clock, events), health: new ServerHealth(clock), metrics: new MetricsRegistry(), reportIntervalMs, probe: async address => running.has(address), mesh: {
+				broadcast(method, params) {
+					told.push({method, params});
+				},
+			},
+		});
+	});
+
+	const addServer = (id: string, changes: Partial<ServerReport> = {}): KnownServer => {
+		registry.recordReport({
+			id, startedAt: 1, sequence: 1, service: 's', address: `${id}:1`, availabilityZone: 'z', slots: 8, state: 'ready', coldMs: 0, ...changes,
+		});
+		return registry.find(id)!;
+	};
+
+	const createRequest = (...parts: string[]) => {
+		requests++;
+		return {traits: {request: `r${requests}`, parts}, metadata: {requestId: `r${requests}`, headers: []}} as unknown as CallerRequest;
+	};
+
+	const loseAll = async (server: KnownServer, ...lost: CallerRequest[]) => {
+		const checks = lost.map(async request => reports.checkForCrash(request, server));
+		await clock.advance(probedMs);
+		return Promise.all(checks);
+	};
+
+	const listCrashes = () => attribution.listCrashes().map(({id, traits}) => [id, traits.map(([trait]) => trait).filter(trait => trait.startsWith('part:'))]);
+
+	it('tells of a crash once, with all runs that it has ended', async () => {
+		const server = addServer('a');
+		expect(await loseAll(server, createRequest('x'), createRequest('y'))).to.deep.equal([true, true]);
+		expect(listCrashes()).to.deep.equal([['a/1', ['part:x', 'part:y']]]);
+		expect(told.map(({method}) => method)).to.deep.equal(['crash.note']);
+		expect(told[0]!.params).to.include({id: 'a/1', ageMs: probedMs, reporter: 'edge-1'});
+	});
+
+	// A connection that breaks while its server goes on, or an announced end, is no evidence against a request.
+	it('counts no loss at a server that goes on, or that had said that it leaves', async () => {
+		running.add('a:1');
+		const leaving = addServer('b', {state: 'draining'});
+		expect(await loseAll(addServer('a'), createRequest('x'))).to.deep.equal([false]);
+		await loseAll(leaving, createRequest('x'));
+		expect(listCrashes()).to.deep.equal([]);
+		expect(told).to.deep.equal([]);
+	});
+
+	for (const [name, successor] of [['under its id', {startedAt: 2}], ['under another id', {id: 'c', startedAt: 2}], ['under another id without a start time', {id: 'c'}]] as const) {
+		it(`notices that a server listens again ${name}, by its first report`, async () => {
+			running.add('a:1');
+			expect(await loseAll(addServer('a'), createRequest('x'))).to.deep.equal([false]);
+			await loseAll(registry.find('a')!, createRequest('y'));
+			addServer('id' in successor ? successor.id : 'a', {address: 'a:1', ...successor});
+			expect(listCrashes()).to.deep.equal([['a/1', ['part:y', 'part:x']]]);
+		});
+	}
+
+	it('takes a later start for no crash', async () => {
+		running.add('a:1');
+		await loseAll(addServer('a'), createRequest('x'));
+		await clock.advance(2 * reportIntervalMs);
+		addServer('a', {startedAt: 2});
+		expect(listCrashes()).to.deep.equal([]);
+	});
+
+	it('lets the next attempt of a suspect wait for the outcome, and that of another request go on', async () => {
+		await loseAll(addServer('a'), createRequest('x'));
+		const server = addServer('b');
+		await reports.handleLoss(createRequest('y'), server);
+		let hasEnded = false;
+		const waiting = reports.handleLoss(createRequest('x'), server).then(() => {
+			hasEnded = true;
+		});
+		await clock.advance(probedMs - 1);
+		expect(hasEnded).to.equal(false);
+		await clock.advance(1);
+		await waiting;
+		expect(listCrashes()).to.have.length(2);
+	});
+
+	it('refuses a banned part, tries one request, and tells the others of the trial and of its answer', async () => {
+		for (const id of ['a', 'b', 'c']) {
+			await loseAll(addServer(id), createRequest('x'));
+		}
+
+		expect(reports.admit(createRequest('x').traits).ban).to.include({trait: 'part:x'});
+		expect(reports.findBan(createRequest('x'))).to.include({trait: 'part:x'});
+		expect(events.listSince(0).map(({name}) => name)).to.include('crashCauseFound');
+		await clock.advance(10_000);
+		told = [];
+		const tried = createRequest('x');
+		expect(reports.admit(tried.traits)).to.deep.equal({isTrial: true});
+		expect(reports.findBan({...tried, isTrial: true})).to.equal(undefined);
+		expect(reports.admit(createRequest('x').traits).isTrial).to.equal(false);
+		await reports.recordAnswer(tried, registry.find('a')!, answerVerdicts.whole);
+		expect(told).to.deep.equal([{method: 'crash.trial', params: {trials: [['part:x', 0, 0]]}}, {method: 'crash.sound', params: {sound: [['part:x', 0]]}}]);
+		expect(events.listSince(0).map(({name}) => name)).to.include('crashCauseCleared');
+		expect(reports.admit(createRequest('x').traits)).to.deep.equal({isTrial: false});
+	});
+
+	// An answer that only its connection delimits may have been ended by a crash.
+	it('clears nothing by an answer of unknown end whose server has crashed', async () => {
+		await loseAll(addServer('a'), createRequest('x'));
+		for (const [isRunning, crashes] of [[false, 2], [true, 0]] as const) {
+			const server = addServer(`b${crashes}`);
+			if (isRunning) {
+				running.add(server.address);
+			}
+
+			const recorded = reports.recordAnswer(createRequest('x'), server, answerVerdicts.unknown);
+
+			await clock.advance(probedMs);
+
+			await recorded;
+			expect(listCrashes().filter(([, parts]) => parts.includes('part:x'))).to.have.length(crashes);
+		}
+	});
+
+	it('lifts a ban at all instances', async () => {
+		for (const id of ['a', 'b', 'c']) {
+			await loseAll(addServer(id), createRequest('x'));
+		}
+
+		told = [];
+		expect(reports.lift('part:y')).to.equal(false);
+		expect(reports.lift('part:x')).to.equal(true);
+		expect(told).to.deep.equal([{method: 'crash.sound', params: {sound: [['part:x', 0]]}}]);
+		expect(reports.findBan(createRequest('x'))).to.equal(undefined);
+	});
+});
