--- a/packages/plugins/edge/test/crash-reports.test.ts
+++ b/packages/plugins/edge/test/crash-reports.test.ts
@@ -149,7 +149,7 @@
 			await clock.advance(probedMs);
 
 			await recorded;
-			expect(listCrashes().filter(([, parts]) => parts.includes('part:x'))).to.have.length(crashes);
+			expect(listCrashes().filter(([, parts]) => parts?.includes('part:x'))).to.have.length(crashes);
 		}
 	});
 
