test(soak): a crash that a server has recorded excuses its other answers

The check knew of the crash by the end of the process alone, which was noticed over half a second later. It goes by the server's own record as well, up to the end of the caller's request. Two runs of one start that record its crash count as one crash.

--- a/tools/soak/src/check-answers.ts
+++ b/tools/soak/src/check-answers.ts
@@ -9,7 +9,7 @@
  * ORDER: the events of a stream follow each other without a gap, and an end that looks complete is complete.
  */
 import {promisingStatuses} from './caller.js';
-import {formatStart, listCrashedStarts} from './crashing-part.js';
+import {collectCrashTimes, formatStart} from './crashing-part.js';
 import {collectByKey} from './collect-by-key.js';
 import {
 	countEvents, createEvent, createPlainBody, createStamp,
@@ -22,17 +22,17 @@
 /** The end of a process is noticed after its connections have closed. */
 const processEndMarginMs = 100;
 
-/** What may end an answer early: ends of processes, and starts of servers that recorded a crash of theirs. */
-type Ends = {processEnds: readonly ProcessEnd[]; crashed: ReadonlySet<string>};
+/** What may end an answer early: ends of processes, and crashes that servers have recorded. */
+type Ends = {processEnds: readonly ProcessEnd[]; crashTimes: ReadonlyMap<string, number>};
 type Outcomes = ReadonlyMap<string, readonly OutcomeRecord[]>;
 
 export function checkAnswers(records: SoakRecords): RuleCase[] {
 	const routes = new Map(records.routes.map(route => [route.name, route]));
 	const outcomes = collectByKey(records.outcomes, outcome => outcome.requestId);
-	const crashed = listCrashedStarts(records.outcomes);
+	const crashTimes = collectCrashTimes(records.outcomes);
 	return [
 		...records.callers.flatMap(record => checkAttempt(record, {
-			route: routes.get(record.route)!, outcomes, processEnds: records.processEnds, crashed,
+			route: routes.get(record.route)!, outcomes, processEnds: records.processEnds, crashTimes,
 		})),
 		...records.outcomes.flatMap(outcome => checkHandle(outcome)),
 		...checkArrivals(records),
@@ -123,9 +123,9 @@
  * An answer that reached its caller without a length and chunks, so that nothing declared it complete, may be as short as a
  * server or the end of a process on its way made it; but a stream does not end inside an event.
  */
-function isBrokenOff({edge, sentAt, endedAt}: CallerRecord, own: readonly OutcomeRecord[], {processEnds, crashed}: Ends): boolean {
+function isBrokenOff({edge, sentAt, endedAt}: CallerRecord, own: readonly OutcomeRecord[], {processEnds, crashTimes}: Ends): boolean {
 	const isOnWay = (name: string) => name === edge || own.some(({server}) => server.startsWith(`${name}-`));
-	return own.some(outcome => outcome.answer === 'broken-off' || crashed.has(formatStart(outcome))) || processEnds.some(({name, at}) => isOnWay(name) && at >= sentAt && at <= endedAt + processEndMarginMs);
+	return own.some(outcome => outcome.answer === 'broken-off' || (crashTimes.get(formatStart(outcome)) ?? Number.POSITIVE_INFINITY) <= endedAt) || processEnds.some(({name, at}) => isOnWay(name) && at >= sentAt && at <= endedAt + processEndMarginMs);
 }
 
 function checkHandle({requestId, hasRun, handle, handleOwner, server}: OutcomeRecord): RuleCase[] {
--- a/tools/soak/src/check-crashing-part.ts
+++ b/tools/soak/src/check-crashing-part.ts
@@ -6,7 +6,8 @@
  * LOST: from twice that time on after the fifth crash, or the last one if there are fewer, at most half of the sound requests
  * with a prompt are refused because of what crashes servers.
  */
-import {partCrash} from './crashing-part.js';
+import {collectByKey} from './collect-by-key.js';
+import {formatStart, partCrash} from './crashing-part.js';
 import type {
 	ArrivalRecord, CallerRecord, RuleCase, SoakRecords,
 } from './records.js';
@@ -17,7 +18,9 @@
 const minRequests = 20;
 
 export function checkCrashingPart(records: SoakRecords): RuleCase[] {
-	const crashes = records.outcomes.filter(({answer}) => answer === partCrash).map(({at}) => at).sort((a, b) => a - b);
+	// Two runs of one start may both be recorded as its end.
+	const byStart = collectByKey(records.outcomes.filter(({answer}) => answer === partCrash), outcome => formatStart(outcome));
+	const crashes = [...byStart.values()].map(outcomes => Math.min(...outcomes.map(({at}) => at))).sort((a, b) => a - b);
 	if (crashes.length === 0) {
 		return [];
 	}
--- a/tools/soak/src/check-lost.ts
+++ b/tools/soak/src/check-lost.ts
@@ -21,6 +21,7 @@
  *   the one that it was sent to.
  */
 import {collectByKey} from './collect-by-key.js';
+import {collectCrashTimes, formatStart} from './crashing-part.js';
 import {listRouteVersions} from './configuration-history.js';
 import type {
 	ArrivalRecord, CallerRecord, Disturbance, EndRecord, OutcomeRecord, RuleCase, SoakRecords,
@@ -46,16 +47,19 @@
 	arrival: ArrivalRecord;
 	outcome?: OutcomeRecord;
 	end?: EndRecord;
-	/** A server broke off, lost or garbled its answer before. */
+	/** The server has recorded a crash of itself, before the caller's connection ended. */
+	hasCrashed: boolean;
+	/** A server crashed, broke off, lost or garbled its answer before. */
 	isRepeated: boolean;
 };
 
 export function checkLost(records: SoakRecords): RuleCase[] {
 	const suspected = records.callers.filter(caller => !caller.hasLeft && (caller.end === 'late' || caller.end === 'closed') && !isEdgeDisturbed(caller, records));
+	const crashTimes = collectCrashTimes(records.outcomes);
 	const ids = new Set(suspected.map(({requestId}) => requestId));
 	const arrivals = collectByKey(records.arrivals.filter(({requestId}) => ids.has(requestId)), ({requestId}) => requestId);
 	return suspected.flatMap((caller): RuleCase[] => {
-		const last = findLastCall(caller, arrivals.get(caller.requestId) ?? [], records);
+		const last = findLastCall(caller, arrivals.get(caller.requestId) ?? [], {...records, crashTimes});
 		const startedAt = records.readRequests.get(caller.requestId) ?? caller.sentAt;
 		if (caller.end === 'late' ? caller.endedAt - startedAt < caller.deadlineMs + lateMs : isExcused(caller, last, records)) {
 			return [];
@@ -65,14 +69,16 @@
 	});
 }
 
-function findLastCall(caller: CallerRecord, arrivals: readonly ArrivalRecord[], {outcomes, ends}: SoakRecords): LastCall | undefined {
+function findLastCall(caller: CallerRecord, arrivals: readonly ArrivalRecord[], {outcomes, ends, crashTimes}: SoakRecords & {crashTimes: ReadonlyMap<string, number>}): LastCall | undefined {
 	const calls = arrivals.toSorted((a, b) => a.at - b.at).map(arrival => {
 		const isSame = (other: OutcomeRecord | EndRecord) => other.requestId === arrival.requestId && other.server === arrival.server && other.startedAt === arrival.startedAt && other.number === arrival.number;
-		return {arrival, outcome: outcomes.find(other => isSame(other)), end: ends.find(other => isSame(other))};
+		return {
+			arrival, outcome: outcomes.find(other => isSame(other)), end: ends.find(other => isSame(other)), hasCrashed: (crashTimes.get(formatStart(arrival)) ?? Number.POSITIVE_INFINITY) <= caller.endedAt,
+		};
 	});
 	const hasHead = caller.status !== undefined;
 	const last = calls.findLast(({outcome, end}) => !hasHead || outcome?.hasRun !== false || end?.hasLeft === true) ?? calls.at(-1);
-	return last && {...last, isRepeated: calls.slice(0, calls.indexOf(last)).some(({outcome}) => isUnsound(outcome))};
+	return last && {...last, isRepeated: calls.slice(0, calls.indexOf(last)).some(({outcome, hasCrashed}) => hasCrashed || isUnsound(outcome))};
 }
 
 function isUnsound(outcome: OutcomeRecord | undefined): boolean {
@@ -105,7 +111,7 @@
 		return elapsedMs <= (isRead ? readSlackMs : unreadSlackMs) || isServerDisturbed(caller, undefined, records);
 	}
 
-	return isUnsound(last.outcome) || last.end?.isSound === false || (last.isRepeated && last.end?.hasUnknownEnd === true) || isServerDisturbed(caller, last.arrival.server, records) || isAtWorkToTheLast(caller, last, records);
+	return last.hasCrashed || isUnsound(last.outcome) || last.end?.isSound === false || (last.isRepeated && last.end?.hasUnknownEnd === true) || isServerDisturbed(caller, last.arrival.server, records) || isAtWorkToTheLast(caller, last, records);
 }
 
 /** Returns true if the server, or any if it isn't known, ended, was frozen or was on a harmed link. */
--- a/tools/soak/src/crashing-part.ts
+++ b/tools/soak/src/crashing-part.ts
@@ -18,9 +18,9 @@
 	return [...shared.map(part => `${part}:${partTokens}`), `${key}:${tokens - (shared.length * partTokens)}`].join(',');
 }
 
-/** Starts of servers that have recorded a crash, by the names that `formatStart` gives them. */
-export function listCrashedStarts(outcomes: readonly OutcomeRecord[]): ReadonlySet<string> {
-	return new Set(outcomes.filter(({answer}) => answer === partCrash || answer === 'crash').map(outcome => formatStart(outcome)));
+/** Times at which servers have recorded a crash of theirs, by the names that `formatStart` gives to their starts. */
+export function collectCrashTimes(outcomes: readonly OutcomeRecord[]): ReadonlyMap<string, number> {
+	return new Map(outcomes.filter(({answer}) => answer === partCrash || answer === 'crash').map(outcome => [formatStart(outcome), outcome.at]));
 }
 
 export function formatStart({server, startedAt}: Pick<OutcomeRecord, 'server' | 'startedAt'>): string {
