fix(edge): what shows nothing about a crash is no evidence

A stream that was resumed behind its last event ends whole without an event, and cleared the part that had crashed its first server; and a server that leaves the probe unanswered counted as crashed for the end of a sound stream that only its connection delimits, which was then cut. Now a whole answer counts with a body only, and such a stream is broken off only if nothing listens at its server's address, or another start.

--- a/packages/plugins/edge/src/crash-reports.ts
+++ b/packages/plugins/edge/src/crash-reports.ts
@@ -36,17 +36,26 @@
 	metrics: Pick<MetricsRegistry, 'count' | 'set'>;
 	/** Interval between two reports of a server, in milliseconds. */
 	reportIntervalMs: number;
-	/** Tells whether a server accepts connections. */
-	probe?: (address: string) => Promise<boolean>;
+	probe?: (address: string) => Promise<ServerCondition>;
 };
 
+/** What a probe of a server has found. */
+export const serverConditions = {
+	running: 'running',
+	/** Nothing listens at its address, or another start of it does. */
+	crashed: 'crashed',
+	/** It doesn't respond: it may have crashed with its machine, or be cut off. */
+	silent: 'silent',
+} as const;
+export type ServerCondition = typeof serverConditions[keyof typeof serverConditions];
+
 /** A check that further runs at the same server join while it waits. */
 type PendingCheck = {
 	/** Monotonic time in milliseconds. */
 	startedAt: number;
 	runs: RunTraits[];
 	requestIds: Array<string | undefined>;
-	hasCrashed: Promise<boolean>;
+	condition: Promise<ServerCondition>;
 };
 
 export class CrashReports {
@@ -66,31 +75,31 @@
 	 * after the check, so that its request is not sent to the next server before this crash counts.
 	 */
 	async handleLoss(request: CallerRequest, server: KnownServer): Promise<void> {
-		const hasCrashed = this.checkForCrash(request, server);
+		const condition = this.checkForCrash(request, server);
 		if (this.#opts.attribution.isSuspect(request.traits)) {
-			await hasCrashed;
+			await condition;
 		}
 	}
 
-	/** Checks whether the server of a run has crashed, and reports it with all runs that it has ended here. Never rejects. */
-	async checkForCrash({traits, metadata}: CallerRequest, server: KnownServer): Promise<boolean> {
+	/** Checks whether the server of a run has crashed, and reports it with all runs that it has ended here. A silent one counts as crashed. Never rejects. */
+	async checkForCrash({traits, metadata}: CallerRequest, server: KnownServer): Promise<ServerCondition> {
 		const crashId = createCrashId(server);
 		let check = this.#pendingChecks.get(crashId);
 		if (!check) {
 			check = {
-				startedAt: this.#opts.clock.monotonic(), runs: [], requestIds: [], hasCrashed: this.#runCheck(crashId, server),
+				startedAt: this.#opts.clock.monotonic(), runs: [], requestIds: [], condition: this.#runCheck(crashId, server),
 			};
 			this.#pendingChecks.set(crashId, check);
 		}
 
 		check.runs.push(traits);
 		check.requestIds.push(metadata.requestId);
-		return check.hasCrashed;
+		return check.condition;
 	}
 
 	/** Records an answer of a server. One that only its connection delimits may have been ended by a crash. */
 	async recordAnswer(request: CallerRequest, server: KnownServer, verdict: AnswerVerdict | undefined): Promise<void> {
-		const isWhole = verdict === answerVerdicts.whole || (this.#opts.attribution.isSuspect(request.traits) && !await this.checkForCrash(request, server));
+		const isWhole = verdict === answerVerdicts.whole || (this.#opts.attribution.isSuspect(request.traits) && await this.checkForCrash(request, server) === serverConditions.running);
 		if (isWhole) {
 			this.recordSound(request);
 		}
@@ -171,19 +180,21 @@
 		}
 	}
 
-	async #runCheck(crashId: string, server: KnownServer): Promise<boolean> {
-		const {clock, health, probe = isListening, reportIntervalMs} = this.#opts;
+	async #runCheck(crashId: string, server: KnownServer): Promise<ServerCondition> {
+		const {clock, health, probe = probeServer, reportIntervalMs} = this.#opts;
 		await clock.sleep(crashProbeDelayMs);
-		const isRunning = await probe(server.address);
+		const condition = await probe(server.address);
 		const check = this.#pendingChecks.get(crashId)!;
 		this.#pendingChecks.delete(crashId);
-		if (!isRunning) {
+		if (condition !== serverConditions.running) {
 			health.recordUnresponsive(server);
+			this.#report(server, check);
+			return condition;
 		}
 
-		if (!isRunning || this.#hasStartedAgain(server)) {
+		if (this.#hasStartedAgain(server)) {
 			this.#report(server, check);
-			return true;
+			return serverConditions.crashed;
 		}
 
 		const earlier = this.#undecided.get(crashId)?.check;
@@ -193,7 +204,7 @@
 		void clock.sleep(reportIntervalMs * undecidedIntervals).then(() => {
 			this.#undecided.delete(crashId);
 		});
-		return false;
+		return condition;
 	}
 
 	#hasStartedAgain({id, startedAt, address}: KnownServer): boolean {
@@ -264,22 +275,22 @@
 	return `${id}/${startedAt}`;
 }
 
-async function isListening(address: string): Promise<boolean> {
+async function probeServer(address: string): Promise<ServerCondition> {
 	return new Promise(resolve => {
 		const socket = connect({...parseAddress(address), timeout: crashProbeTimeoutMs});
-		const finish = (isOpen: boolean) => {
+		const finish = (condition: ServerCondition) => {
 			socket.destroy();
-			resolve(isOpen);
+			resolve(condition);
 		};
 
 		socket.on('connect', () => {
-			finish(true);
+			finish(serverConditions.running);
 		});
 		socket.on('timeout', () => {
-			finish(false);
+			finish(serverConditions.silent);
 		});
 		socket.on('error', () => {
-			finish(false);
+			finish(serverConditions.crashed);
 		});
 	});
 }
--- a/packages/plugins/edge/src/stream-calls.ts
+++ b/packages/plugins/edge/src/stream-calls.ts
@@ -12,6 +12,7 @@
 } from './attempt.js';
 import {selectBackup} from './backup-server.js';
 import type {CallerRequest} from './caller-request.js';
+import {serverConditions} from './crash-reports.js';
 import type {EventRelay} from './event-relay.js';
 import {createOutboundRequest, computeRemainingMs, type ForwardContext} from './forward-context.js';
 import type {KvHandle} from './request-codec.js';
@@ -119,7 +120,7 @@
 	async #verifyEnd(server: KnownServer, result: AttemptResult): Promise<AttemptResult> {
 		const {answer} = result;
 		const isUnknown = result.outcome === attemptOutcomes.answered && result.isStreamed && answer?.verdict === answerVerdicts.unknown;
-		if (!isUnknown || !await this.#context.crashReports.checkForCrash(this.#request, server)) {
+		if (!isUnknown || await this.#context.crashReports.checkForCrash(this.#request, server) !== serverConditions.crashed) {
 			return result;
 		}
 
--- a/packages/plugins/edge/src/streaming-forwarder.ts
+++ b/packages/plugins/edge/src/streaming-forwarder.ts
@@ -470,7 +470,11 @@
 		const {health, crashReports} = this.#context;
 		this.#isNotExecuted = false;
 		health.recordSuccess(server);
-		crashReports.recordSound(this.#request);
+		// A stream that had nothing left to send shows nothing.
+		if (answer.bodyBytes > 0) {
+			crashReports.recordSound(this.#request);
+		}
+
 		return {
 			isAnswer: true, finish: () => {
 				run.sendHead();
--- a/packages/plugins/edge/test/crash-reports.test.ts
+++ b/packages/plugins/edge/test/crash-reports.test.ts
@@ -36,7 +36,7 @@
 			},
 		});
 		reports = new CrashReports({
-			clock, attribution, instance: 'edge-1', registry, eventLog: new RateLimitedEventLog(clock, events), health: new ServerHealth(clock), metrics: new MetricsRegistry(), reportIntervalMs, probe: async address => running.has(address), mesh: {
+			clock, attribution, instance: 'edge-1', registry, eventLog: new RateLimitedEventLog(clock, events), health: new ServerHealth(clock), metrics: new MetricsRegistry(), reportIntervalMs, probe: async address => running.has(address) ? 'running' : 'crashed', mesh: {
 				broadcast(method, params) {
 					told.push({method, params});
 				},
@@ -66,7 +66,7 @@
 
 	it('tells of a crash once, with all runs that it has ended', async () => {
 		const server = addServer('a');
-		expect(await loseAll(server, createRequest('x'), createRequest('y'))).to.deep.equal([true, true]);
+		expect(await loseAll(server, createRequest('x'), createRequest('y'))).to.deep.equal(['crashed', 'crashed']);
 		expect(listCrashes()).to.deep.equal([['a/1', ['part:x', 'part:y']]]);
 		expect(told.map(({method}) => method)).to.deep.equal(['crash.note']);
 		expect(told[0]!.params).to.include({id: 'a/1', ageMs: probedMs, reporter: 'edge-1'});
@@ -76,7 +76,7 @@
 	it('counts no loss at a server that goes on, or that had said that it leaves', async () => {
 		running.add('a:1');
 		const leaving = addServer('b', {state: 'draining'});
-		expect(await loseAll(addServer('a'), createRequest('x'))).to.deep.equal([false]);
+		expect(await loseAll(addServer('a'), createRequest('x'))).to.deep.equal(['running']);
 		await loseAll(leaving, createRequest('x'));
 		expect(listCrashes()).to.deep.equal([]);
 		expect(told).to.deep.equal([]);
@@ -85,7 +85,7 @@
 	for (const [name, successor] of [['under its id', {startedAt: 2}], ['under another id', {id: 'c', startedAt: 2}], ['under another id without a start time', {id: 'c'}]] as const) {
 		it(`notices that a server listens again ${name}, by its first report`, async () => {
 			running.add('a:1');
-			expect(await loseAll(addServer('a'), createRequest('x'))).to.deep.equal([false]);
+			expect(await loseAll(addServer('a'), createRequest('x'))).to.deep.equal(['running']);
 			await loseAll(registry.find('a')!, createRequest('y'));
 			addServer('id' in successor ? successor.id : 'a', {address: 'a:1', ...successor});
 			expect(listCrashes()).to.deep.equal([['a/1', ['part:y', 'part:x']]]);
--- a/packages/plugins/edge/test/retry-fleet.ts
+++ b/packages/plugins/edge/test/retry-fleet.ts
@@ -226,7 +226,7 @@
 			// No server crashes here.
 			crashReports: {
 				async handleLoss() {/* Nothing is lost by a crash. */},
-				checkForCrash: async () => false,
+				checkForCrash: async () => 'running',
 				async recordAnswer() {/* Nothing is suspect. */},
 				recordSound() {/* Nothing is suspect. */},
 				findBan: () => undefined,
