--- a/tools/soak/src/server-channel.ts
+++ b/tools/soak/src/server-channel.ts
@@ -178,7 +178,8 @@
 		this.#opts.clock.startTimer(this.#opts.random.nextBetween(0, maxStutterMs), () => {
 			if (this.#sent.length > 0) {
 				this.#late = answer;
-			} else {
+			} else if (!this.#isBroken) {
+				// Within the length that a broken-off answer has declared, other bytes would be its body to any reader.
 				this.#hasStuttered = true;
 				this.#write(answer);
 			}
