fix(quarantine): entries hear of a part from its second crash on

A crash made an item of each part of each prompt that ran, for every subscriber: with 60 prompts of up to 32 parts, some 2,000 items of which nearly all stand in one crash only and need no answer. A part with one crash is kept in the table alone now.

--- a/packages/coordination/crash-attribution/src/crash-attribution.ts
+++ b/packages/coordination/crash-attribution/src/crash-attribution.ts
@@ -192,6 +192,11 @@
 		return [...this.#trials].map(([trait, {lastAt, failed}]) => [trait, now - lastAt, failed]);
 	}
 
+	/** Number of crashes in which the trait stands after its last whole answer. */
+	countCrashes(trait: string): number {
+		return this.#suspects.get(trait)?.crashes.size ?? 0;
+	}
+
 	/** True if a trait of the run stands in a crash and has not been in a whole answer. */
 	isSuspect(run: RunTraits): boolean {
 		return this.#suspects.size > 0 && listTraits(run).some(trait => this.#suspects.has(trait) && !this.#isKnownSound(trait));
--- a/packages/coordination/quarantine/src/quarantine.ts
+++ b/packages/coordination/quarantine/src/quarantine.ts
@@ -66,8 +66,10 @@
 			this.#permits.delete(fingerprint);
 			return entry;
 		});
-		const parts = [...workspaces].map(([fingerprint, workspace]): QuarantineEntry => ({
-			fingerprint, workspace, crashes: (this.#entries.get(fingerprint)?.crashes ?? 0) + 1, state: 'suspect', until: at + suspectDurationMs,
+		// Entries hear of a part from its second crash on: most parts beside a crash are in none before.
+		const repeated = [...workspaces].filter(([fingerprint]) => this.#attribution.countCrashes(fingerprint) > 1);
+		const parts = repeated.map(([fingerprint, workspace]): QuarantineEntry => ({
+			fingerprint, workspace, crashes: this.#attribution.countCrashes(fingerprint), state: 'suspect', until: at + suspectDurationMs,
 		}));
 		for (const entry of parts) {
 			this.#entries.set(entry.fingerprint, entry);
