fix(edge): an answer of unknown end clears a part only once its server has reported again

Trace: part:bad0 was banned after the third crash (1767) and cleared 120 ms later (1769), while the whole request stayed banned: a stream with neither a length nor chunks had ended between two events by a crash, the relay before the server still listened at the probe, and the answer counted as whole. Something before a server may listen for it.

Such an answer counts now when the same start of the server has reported again; a server that does not may still turn out to have crashed, by the report of another start within 20 of its intervals. The test of crash-reports for it failed with the code before (written together; the rule did not exist).

--- a/packages/coordination/crash-attribution/src/crash-attribution.ts
+++ b/packages/coordination/crash-attribution/src/crash-attribution.ts
@@ -117,9 +117,9 @@
 		return true;
 	}
 
-	/** Records a whole answer of a run. Returns the traits that other instances may hold to be the cause of a crash. */
-	recordSound(run: RunTraits): SoundTrait[] {
-		const sound = listTraits(run).map((trait): SoundTrait => [trait, 0]);
+	/** Records a whole answer of a run, now or some time ago. Returns the traits that other instances may hold to be the cause of a crash. */
+	recordSound(run: RunTraits, ageMs = 0): SoundTrait[] {
+		const sound = listTraits(run).map((trait): SoundTrait => [trait, ageMs]);
 		const suspected = sound.filter(([trait]) => this.#suspects.has(trait));
 		this.mergeSound(sound);
 		return suspected;
--- a/packages/plugins/edge/src/buffered-forwarder.ts
+++ b/packages/plugins/edge/src/buffered-forwarder.ts
@@ -275,7 +275,7 @@
 			}
 		} else {
 			health.recordSuccess(server);
-			void crashReports.recordAnswer(this.#request, server, result.answer?.verdict);
+			crashReports.recordAnswer(this.#request, server, result.answer?.verdict);
 		}
 
 		if (metadata.isReadAsNotExecuted && !this.#isRetryable) {
--- a/packages/plugins/edge/src/crash-reports.ts
+++ b/packages/plugins/edge/src/crash-reports.ts
@@ -21,7 +21,9 @@
 const crashProbeDelayMs = 30; // By then the listener of a crashed process is closed.
 const crashProbeTimeoutMs = 300;
 /** For this many intervals between its reports, a server that listens after a lost connection may turn out to be another start. */
-const undecidedIntervals = 2;
+const undecidedIntervals = 20;
+/** A report that arrives within this time after a crash may have been sent before it. */
+const lateReportMs = 250;
 const loggedParts = 8;
 
 export type CrashReportsOptions = {
@@ -55,6 +57,8 @@
 	startedAt: number;
 	runs: RunTraits[];
 	requestIds: Array<string | undefined>;
+	/** Runs whose answer is whole if the server has not crashed. */
+	unconfirmed: RunTraits[];
 	condition: Promise<ServerCondition>;
 };
 
@@ -63,7 +67,7 @@
 	/** By the start of the server. */
 	readonly #pendingChecks = new Map<string, PendingCheck>();
 	/** Lost connections to servers that listen, by the start of the server. */
-	readonly #undecided = new Map<string, {server: KnownServer; check: PendingCheck}>();
+	readonly #undecided = new Map<string, {server: KnownServer; check: PendingCheck; cancelTimer?: () => void}>();
 	#reportedBans = new Map<string, Ban>();
 
 	constructor(opts: CrashReportsOptions) {
@@ -87,7 +91,7 @@
 		let check = this.#pendingChecks.get(crashId);
 		if (!check) {
 			check = {
-				startedAt: this.#opts.clock.monotonic(), runs: [], requestIds: [], condition: this.#runCheck(crashId, server),
+				startedAt: this.#opts.clock.monotonic(), runs: [], requestIds: [], unconfirmed: [], condition: this.#runCheck(crashId, server),
 			};
 			this.#pendingChecks.set(crashId, check);
 		}
@@ -97,18 +101,28 @@
 		return check.condition;
 	}
 
-	/** Records an answer of a server. One that only its connection delimits may have been ended by a crash. */
-	async recordAnswer(request: CallerRequest, server: KnownServer, verdict: AnswerVerdict | undefined): Promise<void> {
-		const isWhole = verdict === answerVerdicts.whole || (this.#opts.attribution.isSuspect(request.traits) && await this.checkForCrash(request, server) === serverConditions.running);
-		if (isWhole) {
-			this.recordSound(request);
+	/** Records a whole answer, which clears the traits of its request. One that only its connection delimits may have been ended by a crash. */
+	recordAnswer(request: CallerRequest, server: KnownServer, verdict: AnswerVerdict | undefined): void {
+		if (verdict === answerVerdicts.whole) {
+			this.#recordSound(request.traits, 0);
+		} else if (this.#opts.attribution.isSuspect(request.traits)) {
+			void this.checkEnd(request, server);
 		}
 	}
 
-	/** Records a whole answer, which clears the traits of its request. */
-	recordSound({traits}: CallerRequest): void {
+	/**
+	 * Checks whether a crash of its server has ended an answer that only its connection delimits. What listens at the address may
+	 * be something before the server, so the answer counts as whole only once the same start of the server has reported again.
+	 */
+	async checkEnd(request: CallerRequest, server: KnownServer): Promise<ServerCondition> {
+		const condition = this.checkForCrash(request, server);
+		this.#pendingChecks.get(createCrashId(server))!.unconfirmed.push(request.traits);
+		return condition;
+	}
+
+	#recordSound(traits: RunTraits, ageMs: number): void {
 		const {attribution, mesh} = this.#opts;
-		const suspected = attribution.recordSound(traits);
+		const suspected = attribution.recordSound(traits, ageMs);
 		if (suspected.length > 0) {
 			mesh.broadcast('crash.sound', {sound: suspected});
 			this.#reportBans();
@@ -170,10 +184,20 @@
 		return isLifted;
 	}
 
+	/** Ends the wait for reports of servers that may have crashed. */
+	stop(): void {
+		for (const {cancelTimer} of this.#undecided.values()) {
+			cancelTimer?.();
+		}
+
+		this.#undecided.clear();
+	}
+
 	/** Called when a server has reported for the first time since it has started. */
 	handleStart(): void {
-		for (const [crashId, {server, check}] of this.#undecided) {
+		for (const [crashId, {server, check, cancelTimer}] of this.#undecided) {
 			if (this.#hasStartedAgain(server)) {
+				cancelTimer?.();
 				this.#undecided.delete(crashId);
 				this.#report(server, check);
 			}
@@ -200,11 +224,40 @@
 		const earlier = this.#undecided.get(crashId)?.check;
 		check.runs.push(...earlier?.runs ?? []);
 		check.requestIds.push(...earlier?.requestIds ?? []);
+		check.unconfirmed.push(...earlier?.unconfirmed ?? []);
+		this.#undecided.get(crashId)?.cancelTimer?.();
 		this.#undecided.set(crashId, {server, check});
-		void clock.sleep(reportIntervalMs * undecidedIntervals).then(() => {
+		this.#decide(crashId, undecidedIntervals);
+		return condition;
+	}
+
+	/** A server that reports again has not crashed. One that does not may still start again. */
+	#decide(crashId: string, intervalsLeft: number): void {
+		const {clock, reportIntervalMs} = this.#opts;
+		const undecided = this.#undecided.get(crashId);
+		if (!undecided) {
+			return;
+		}
+
+		const {server, check: {startedAt, unconfirmed}} = undecided;
+		const hasReported = this.#hasReportedSince(server, startedAt);
+		if (hasReported || intervalsLeft === 0) {
 			this.#undecided.delete(crashId);
+			for (const traits of hasReported ? unconfirmed : []) {
+				this.#recordSound(traits, clock.monotonic() - startedAt);
+			}
+
+			return;
+		}
+
+		undecided.cancelTimer = clock.startTimer(reportIntervalMs, () => {
+			this.#decide(crashId, intervalsLeft - 1);
 		});
-		return condition;
+	}
+
+	#hasReportedSince({id, startedAt}: KnownServer, at: number): boolean {
+		const known = this.#opts.registry.find(id);
+		return known?.startedAt === startedAt && known.heardAt > at + lateReportMs;
 	}
 
 	#hasStartedAgain({id, startedAt, address}: KnownServer): boolean {
--- a/packages/plugins/edge/src/edge.ts
+++ b/packages/plugins/edge/src/edge.ts
@@ -194,6 +194,7 @@
 		// Before the connections to the servers are closed, so that no request is sent to another server for lack of them.
 		await this.#frontend.finishOpenRequests();
 		this.#abortController.abort();
+		this.#crashReports.stop();
 		this.configuration.stop();
 		await this.#core?.stop();
 		this.mesh.stop();
--- a/packages/plugins/edge/src/forward-context.ts
+++ b/packages/plugins/edge/src/forward-context.ts
@@ -33,7 +33,7 @@
 	leastLoadPlacement: LeastLoadPlacement;
 	promptPlacement: PromptPlacement;
 	retryBudget: RetryBudget;
-	crashReports: Pick<CrashReports, 'handleLoss' | 'checkForCrash' | 'recordAnswer' | 'recordSound' | 'findBan'>;
+	crashReports: Pick<CrashReports, 'handleLoss' | 'checkEnd' | 'recordAnswer' | 'findBan'>;
 	codec: RequestCodec;
 	eventLog: RateLimitedEventLog;
 	metrics: Pick<MetricsRegistry, 'count'>;
--- a/packages/plugins/edge/src/stream-calls.ts
+++ b/packages/plugins/edge/src/stream-calls.ts
@@ -120,7 +120,7 @@
 	async #verifyEnd(server: KnownServer, result: AttemptResult): Promise<AttemptResult> {
 		const {answer} = result;
 		const isUnknown = result.outcome === attemptOutcomes.answered && result.isStreamed && answer?.verdict === answerVerdicts.unknown;
-		if (!isUnknown || await this.#context.crashReports.checkForCrash(this.#request, server) !== serverConditions.crashed) {
+		if (!isUnknown || await this.#context.crashReports.checkEnd(this.#request, server) !== serverConditions.crashed) {
 			return result;
 		}
 
--- a/packages/plugins/edge/src/streaming-forwarder.ts
+++ b/packages/plugins/edge/src/streaming-forwarder.ts
@@ -7,7 +7,7 @@
  * a server takes it, and whichever delivers first ends the other.
  */
 import {describeError} from '@hickorytrack/errors';
-import type {ReceivedAnswer} from '@hickorytrack/http-answer/answer-reader';
+import {answerVerdicts, type ReceivedAnswer} from '@hickorytrack/http-answer/answer-reader';
 import type {KnownServer} from '@hickorytrack/endpoint-registry';
 import type {Placement} from '@hickorytrack/prompt-placement';
 import {
@@ -470,9 +470,9 @@
 		const {health, crashReports} = this.#context;
 		this.#isNotExecuted = false;
 		health.recordSuccess(server);
-		// A stream that had nothing left to send shows nothing.
-		if (answer.bodyBytes > 0) {
-			crashReports.recordSound(this.#request);
+		// A stream that had nothing left to send shows nothing, and one of unknown end has been checked.
+		if (answer.bodyBytes > 0 && answer.verdict === answerVerdicts.whole) {
+			crashReports.recordAnswer(this.#request, server, answer.verdict);
 		}
 
 		return {
--- a/packages/plugins/edge/test/crash-reports.test.ts
+++ b/packages/plugins/edge/test/crash-reports.test.ts
@@ -13,6 +13,8 @@
 const reportIntervalMs = 1000;
 /** The time after which a server has been probed. */
 const probedMs = 30;
+/** A report within this time may have been sent before the crash. */
+const lateReportMs = 250;
 
 describe('crash reports', () => {
 	let clock: ManualClock;
@@ -95,7 +97,17 @@
 	it('takes a later start for no crash', async () => {
 		running.add('a:1');
 		await loseAll(addServer('a'), createRequest('x'));
-		await clock.advance(2 * reportIntervalMs);
+		await clock.advance(20 * reportIntervalMs);
+		addServer('a', {startedAt: 2});
+		expect(listCrashes()).to.deep.equal([]);
+	});
+
+	it('takes a server that reports again for running', async () => {
+		running.add('a:1');
+		await loseAll(addServer('a'), createRequest('x'));
+		await clock.advance(lateReportMs);
+		addServer('a', {sequence: 2});
+		await clock.advance(reportIntervalMs);
 		addServer('a', {startedAt: 2});
 		expect(listCrashes()).to.deep.equal([]);
 	});
@@ -129,27 +141,32 @@
 		expect(reports.admit(tried.traits)).to.deep.equal({isTrial: true});
 		expect(reports.findBan({...tried, isTrial: true})).to.equal(undefined);
 		expect(reports.admit(createRequest('x').traits).isTrial).to.equal(false);
-		await reports.recordAnswer(tried, registry.find('a')!, answerVerdicts.whole);
+		reports.recordAnswer(tried, registry.find('a')!, answerVerdicts.whole);
 		expect(told).to.deep.equal([{method: 'crash.trial', params: {trials: [['part:x', 0, 0]]}}, {method: 'crash.sound', params: {sound: [['part:x', 0]]}}]);
 		expect(events.listSince(0).map(({name}) => name)).to.include('crashCauseCleared');
 		expect(reports.admit(createRequest('x').traits)).to.deep.equal({isTrial: false});
 	});
 
-	// An answer that only its connection delimits may have been ended by a crash.
-	it('clears nothing by an answer of unknown end whose server has crashed', async () => {
+	// An answer that only its connection delimits may have been ended by a crash, while something before the server listens.
+	it('clears a part by an answer of unknown end only once the same start of the server has reported again', async () => {
+		const countCrashes = () => listCrashes().filter(([, parts]) => parts?.includes('part:x')).length;
 		await loseAll(addServer('a'), createRequest('x'));
-		for (const [isRunning, crashes] of [[false, 2], [true, 0]] as const) {
-			const server = addServer(`b${crashes}`);
-			if (isRunning) {
-				running.add(server.address);
-			}
-
-			const recorded = reports.recordAnswer(createRequest('x'), server, answerVerdicts.unknown);
+		const server = addServer('b');
+		reports.recordAnswer(createRequest('x'), server, answerVerdicts.unknown);
+		await clock.advance(probedMs);
+		expect(countCrashes()).to.equal(2);
+		for (const [id, next, crashes] of [['c', undefined, 2], ['d', {startedAt: 2}, 3], ['e', {sequence: 2}, 0]] as const) {
+			running.add(`${id}:1`);
+			reports.recordAnswer(createRequest('x'), addServer(id), answerVerdicts.unknown);
 
 			await clock.advance(probedMs);
+			await clock.advance(lateReportMs);
+			if (next) {
+				addServer(id, next);
+			}
 
-			await recorded;
-			expect(listCrashes().filter(([, parts]) => parts?.includes('part:x'))).to.have.length(crashes);
+			await clock.advance(2 * reportIntervalMs);
+			expect(countCrashes()).to.equal(crashes);
 		}
 	});
 
--- a/packages/plugins/edge/test/retry-fleet.ts
+++ b/packages/plugins/edge/test/retry-fleet.ts
@@ -226,9 +226,8 @@
 			// No server crashes here.
 			crashReports: {
 				async handleLoss() {/* Nothing is lost by a crash. */},
-				checkForCrash: async () => 'running',
-				async recordAnswer() {/* Nothing is suspect. */},
-				recordSound() {/* Nothing is suspect. */},
+				checkEnd: async () => 'running',
+				recordAnswer() {/* Nothing is suspect. */},
 				findBan: () => undefined,
 			},
 			availabilityZone: 'z',
