fix(edge): a server's earlier start does not crash during a run at its next one

The whole answer had neither a length nor chunks; at its end the report had come, and the stream was broken off for a crash of the start that had ended two seconds before.

A start counts as later than the loss by its own start time, with a quarter of a second for the clocks; without start times the order of the first reports decides as before. The new test of crash-reports was not run against the code before.

--- a/packages/plugins/edge/src/crash-reports.ts
+++ b/packages/plugins/edge/src/crash-reports.ts
@@ -24,6 +24,8 @@
 const undecidedIntervals = 20;
 /** A report that arrives within this time after a crash may have been sent before it. */
 const lateReportMs = 250;
+/** Difference between the clocks of two machines that is allowed for. */
+const clockSkewMs = 250;
 const loggedParts = 8;
 
 export type CrashReportsOptions = {
@@ -196,7 +198,7 @@
 	/** Called when a server has reported for the first time since it has started. */
 	handleStart(): void {
 		for (const [crashId, {server, check, cancelTimer}] of this.#undecided) {
-			if (this.#hasStartedAgain(server)) {
+			if (this.#hasStartedAgain(server, check)) {
 				cancelTimer?.();
 				this.#undecided.delete(crashId);
 				this.#report(server, check);
@@ -216,7 +218,7 @@
 			return condition;
 		}
 
-		if (this.#hasStartedAgain(server)) {
+		if (this.#hasStartedAgain(server, check)) {
 			this.#report(server, check);
 			return serverConditions.crashed;
 		}
@@ -260,11 +262,14 @@
 		return known?.startedAt === startedAt && known.heardAt > at + lateReportMs;
 	}
 
-	#hasStartedAgain({id, startedAt, address}: KnownServer): boolean {
-		const {registry} = this.#opts;
+	/** A start that began before the loss had the run itself, although this instance knew of the one before. */
+	#hasStartedAgain({id, startedAt, address}: KnownServer, check: PendingCheck): boolean {
+		const {clock, registry} = this.#opts;
+		const lostAt = clock.now() - (clock.monotonic() - check.startedAt);
+		const isLater = (other: KnownServer) => other.startedAt === 0 || other.startedAt > lostAt - clockSkewMs;
 		const newer = registry.find(id);
 		const successor = registry.findByAddress(address);
-		return (newer !== undefined && newer.startedAt > startedAt) || (successor !== undefined && successor.id !== id);
+		return (newer !== undefined && newer.startedAt > startedAt && isLater(newer)) || (successor !== undefined && successor.id !== id && isLater(successor));
 	}
 
 	/** A server that has said that it leaves, or that has deregistered, ends on purpose. */
--- a/packages/plugins/edge/test/crash-reports.test.ts
+++ b/packages/plugins/edge/test/crash-reports.test.ts
@@ -84,13 +84,14 @@
 		expect(told).to.deep.equal([]);
 	});
 
-	for (const [name, successor] of [['under its id', {startedAt: 2}], ['under another id', {id: 'c', startedAt: 2}], ['under another id without a start time', {id: 'c'}]] as const) {
+	for (const [name, successor] of [['under its id', {}], ['under another id', {id: 'c'}], ['under another id, without start times', {id: 'c', startedAt: 0}]] as const) {
 		it(`notices that a server listens again ${name}, by its first report`, async () => {
 			running.add('a:1');
-			expect(await loseAll(addServer('a'), createRequest('x'))).to.deep.equal(['running']);
-			await loseAll(registry.find('a')!, createRequest('y'));
-			addServer('id' in successor ? successor.id : 'a', {address: 'a:1', ...successor});
-			expect(listCrashes()).to.deep.equal([['a/1', ['part:y', 'part:x']]]);
+			const first = addServer('a', {startedAt: 'startedAt' in successor ? successor.startedAt : 1});
+			expect(await loseAll(first, createRequest('x'))).to.deep.equal(['running']);
+			await loseAll(first, createRequest('y'));
+			addServer('id' in successor ? successor.id : 'a', {address: 'a:1', startedAt: clock.now(), ...successor});
+			expect(listCrashes()).to.deep.equal([[`a/${first.startedAt}`, ['part:y', 'part:x']]]);
 		});
 	}
 
@@ -98,7 +99,20 @@
 		running.add('a:1');
 		await loseAll(addServer('a'), createRequest('x'));
 		await clock.advance(20 * reportIntervalMs);
-		addServer('a', {startedAt: 2});
+		addServer('a', {startedAt: clock.now()});
+		expect(listCrashes()).to.deep.equal([]);
+	});
+
+	// A request reached the next start of a server before its first report, and its sound answer was taken for broken off.
+	it('takes a start that began before the loss for the one that had the run', async () => {
+		running.add('a:1');
+		const server = addServer('a');
+		const startedAt = clock.now();
+		await clock.advance(1000);
+		const condition = reports.checkEnd(createRequest('x'), server);
+		addServer('a', {startedAt});
+		await clock.advance(probedMs);
+		expect(await condition).to.equal('running');
 		expect(listCrashes()).to.deep.equal([]);
 	});
 
@@ -108,7 +122,7 @@
 		await clock.advance(lateReportMs);
 		addServer('a', {sequence: 2});
 		await clock.advance(reportIntervalMs);
-		addServer('a', {startedAt: 2});
+		addServer('a', {startedAt: clock.now()});
 		expect(listCrashes()).to.deep.equal([]);
 	});
 
@@ -155,14 +169,14 @@
 		reports.recordAnswer(createRequest('x'), server, answerVerdicts.unknown);
 		await clock.advance(probedMs);
 		expect(countCrashes()).to.equal(2);
-		for (const [id, next, crashes] of [['c', undefined, 2], ['d', {startedAt: 2}, 3], ['e', {sequence: 2}, 0]] as const) {
+		for (const [id, next, crashes] of [['c', undefined, 2], ['d', 'start', 3], ['e', 'report', 0]] as const) {
 			running.add(`${id}:1`);
 			reports.recordAnswer(createRequest('x'), addServer(id), answerVerdicts.unknown);
 
 			await clock.advance(probedMs);
 			await clock.advance(lateReportMs);
 			if (next) {
-				addServer(id, next);
+				addServer(id, next === 'start' ? {startedAt: clock.now()} : {sequence: 2});
 			}
 
 			await clock.advance(2 * reportIntervalMs);
