refactor: names of functions by the verbs of CONTRIBUTING.md

judge, lift, admit, decide and others that are new in this work are checkRun, clearBan, checkArrival and resolveUndecided; no change of behaviour.

--- a/packages/coordination/crash-attribution/src/crash-attribution.ts
+++ b/packages/coordination/crash-attribution/src/crash-attribution.ts
@@ -157,7 +157,7 @@
 	}
 
 	/** Tells whether the run may start. For a trial, the caller records its start with `recordTrial`. */
-	judge(run: RunTraits): Judgement {
+	checkRun(run: RunTraits): Judgement {
 		this.#update();
 		if (this.#causes.size === 0) {
 			return {verdict: verdicts.allowed};
@@ -268,7 +268,7 @@
 	}
 
 	/** Ends the ban of a trait, as for a whole answer. Returns false if it is not banned. */
-	lift(trait: string): boolean {
+	clearBan(trait: string): boolean {
 		this.#update();
 		const isBanned = this.#causes.has(trait);
 		if (isBanned) {
@@ -367,7 +367,7 @@
 			const ranked = candidates
 				.map(([trait, {crashes, position}]) => ({trait, position, crashes: [...crashes].filter(crash => !explained.has(crash))}))
 				.filter(({trait, crashes}) => crashes.length >= this.#computeThreshold(trait))
-				.sort((a, b) => this.#compareCandidates(a, b));
+				.sort((a, b) => this.#rankCandidates(a, b));
 			const best = ranked.at(0);
 			if (!best) {
 				return causes;
@@ -382,7 +382,7 @@
 	}
 
 	/** Orders by the crashes beyond what is needed, then by their number. Of equals, the one that the fewest requests share is first. */
-	#compareCandidates(a: {trait: string; position: number; crashes: Crash[]}, b: {trait: string; position: number; crashes: Crash[]}): number {
+	#rankCandidates(a: {trait: string; position: number; crashes: Crash[]}, b: {trait: string; position: number; crashes: Crash[]}): number {
 		const excess = (b.crashes.length - this.#computeThreshold(b.trait)) - (a.crashes.length - this.#computeThreshold(a.trait));
 		return excess || b.crashes.length - a.crashes.length || Number(isRequestTrait(b.trait)) - Number(isRequestTrait(a.trait)) || b.position - a.position || (a.trait < b.trait ? -1 : 1);
 	}
--- a/packages/coordination/crash-attribution/test/crash-attribution.test.ts
+++ b/packages/coordination/crash-attribution/test/crash-attribution.test.ts
@@ -25,19 +25,19 @@
 	};
 
 	const crash = (id: string, ...runs: RunTraits[]) => attribution.recordCrash({id, traits: mergeTraits(runs)});
-	const judge = (run: RunTraits) => attribution.judge(run).verdict;
+	const checkVerdict = (run: RunTraits) => attribution.checkRun(run).verdict;
 	const listBanned = () => attribution.listBans().map(({trait}) => trait);
 
 	it('bans the part that stands in three crashes, whatever else the requests hold', () => {
 		crash('1', createRun('a', 'bad', 'x'), createRun('a', 'y'));
 		attribution.recordSound(createRun('a', 'z'));
 		crash('2', createRun('a', 'bad', 'v'));
-		expect(judge(createRun('a', 'bad'))).to.equal(verdicts.allowed);
+		expect(checkVerdict(createRun('a', 'bad'))).to.equal(verdicts.allowed);
 		attribution.recordSound(createRun('a', 'z'));
 		crash('3', createRun('a', 'bad', 'w'), createRun('a', 'y'));
-		expect(judge(createRun('a', 'bad', 'u'))).to.equal(verdicts.refused);
-		expect(judge(createRun('a', 'y'))).to.equal(verdicts.allowed);
-		expect(judge(createRun('c', 'bad'))).to.equal(verdicts.refused);
+		expect(checkVerdict(createRun('a', 'bad', 'u'))).to.equal(verdicts.refused);
+		expect(checkVerdict(createRun('a', 'y'))).to.equal(verdicts.allowed);
+		expect(checkVerdict(createRun('c', 'bad'))).to.equal(verdicts.refused);
 	});
 
 	it('counts a crash once that several instances report, each with its own runs', () => {
@@ -55,8 +55,8 @@
 		const run = createRun('a', 'bad');
 		crash('1', run);
 		crash('2', run);
-		expect(judge(run)).to.equal(verdicts.refused);
-		expect(judge(createRun('a', 'bad'))).to.equal(verdicts.allowed);
+		expect(checkVerdict(run)).to.equal(verdicts.refused);
+		expect(checkVerdict(createRun('a', 'bad'))).to.equal(verdicts.allowed);
 		crash('3', createRun('c', 'bad'));
 		expect(listBanned()).to.deep.equal(['part:bad']);
 	});
@@ -66,7 +66,7 @@
 		crash('1', innocent, createRun('b', 'bad'));
 		crash('2', innocent, createRun('c', 'bad'));
 		crash('3', createRun('d', 'bad'));
-		expect(judge(innocent)).to.equal(verdicts.allowed);
+		expect(checkVerdict(innocent)).to.equal(verdicts.allowed);
 	});
 
 	it('clears a trait by a whole answer, also when a report of an earlier crash comes later', async () => {
@@ -89,11 +89,11 @@
 		expect(listBanned()).to.deep.equal([]);
 		crash('5', createRun('a'));
 		expect(listBanned()).to.deep.equal(['part:a']);
-		expect(judge(createRun('a'))).to.equal(verdicts.trial);
+		expect(checkVerdict(createRun('a'))).to.equal(verdicts.trial);
 		attribution.recordTrial('part:a');
-		expect(judge(createRun('a'))).to.equal(verdicts.refused);
+		expect(checkVerdict(createRun('a'))).to.equal(verdicts.refused);
 		attribution.recordSound(createRun('a'));
-		expect(judge(createRun('a'))).to.equal(verdicts.allowed);
+		expect(checkVerdict(createRun('a'))).to.equal(verdicts.allowed);
 	});
 
 	it('tells others once that a part in several crashes was in a whole answer before, which lifts their ban', async () => {
@@ -122,13 +122,13 @@
 		}
 
 		expect(listBanned()).to.deep.equal(['part:tail']);
-		expect(judge(createRun('bad', 'tail'))).to.equal(verdicts.refused);
+		expect(checkVerdict(createRun('bad', 'tail'))).to.equal(verdicts.refused);
 		await clock.advance(1000);
-		expect(judge(createRun('bad', 'tail'))).to.equal(verdicts.refused);
-		expect(judge(createRun('head', 'tail'))).to.equal(verdicts.trial);
+		expect(checkVerdict(createRun('bad', 'tail'))).to.equal(verdicts.refused);
+		expect(checkVerdict(createRun('head', 'tail'))).to.equal(verdicts.trial);
 		attribution.recordSound(createRun('head', 'tail'));
 		expect(listBanned()).to.deep.equal(['part:bad']);
-		expect(judge(createRun('head', 'tail'))).to.equal(verdicts.allowed);
+		expect(checkVerdict(createRun('head', 'tail'))).to.equal(verdicts.allowed);
 	});
 
 	// A part that is named with its service as well: it may crash that service only, or all that get it.
@@ -138,16 +138,16 @@
 			crash(id, createAt('a'));
 		}
 
-		expect(judge(createAt('a'))).to.equal(verdicts.refused);
-		expect(judge(createAt('b'))).to.equal(verdicts.refused);
+		expect(checkVerdict(createAt('a'))).to.equal(verdicts.refused);
+		expect(checkVerdict(createAt('b'))).to.equal(verdicts.refused);
 		await clock.advance(1000);
-		expect(judge(createAt('b'))).to.equal(verdicts.trial);
+		expect(checkVerdict(createAt('b'))).to.equal(verdicts.trial);
 		attribution.recordTrial('part:bad');
 		attribution.recordSound(createAt('b'));
-		expect(judge(createAt('b'))).to.equal(verdicts.allowed);
-		expect(judge(createAt('a'))).to.equal(verdicts.refused);
+		expect(checkVerdict(createAt('b'))).to.equal(verdicts.allowed);
+		expect(checkVerdict(createAt('a'))).to.equal(verdicts.refused);
 		crash('4', createAt('c'));
-		expect(judge(createAt('c'))).to.equal(verdicts.allowed);
+		expect(checkVerdict(createAt('c'))).to.equal(verdicts.allowed);
 	});
 
 	it('tries a banned part ever more rarely, one run at a time, and lifts the ban when the run is answered', async () => {
@@ -156,29 +156,29 @@
 		}
 
 		await clock.advance(9999);
-		expect(judge(createRun('bad'))).to.equal(verdicts.refused);
+		expect(checkVerdict(createRun('bad'))).to.equal(verdicts.refused);
 		await clock.advance(1);
-		expect(judge(createRun('bad'))).to.equal(verdicts.trial);
+		expect(checkVerdict(createRun('bad'))).to.equal(verdicts.trial);
 		attribution.recordTrial('part:bad');
-		expect(judge(createRun('bad'))).to.equal(verdicts.refused);
+		expect(checkVerdict(createRun('bad'))).to.equal(verdicts.refused);
 		crash('4', createRun('bad'));
 		await clock.advance((5 * minuteMs) - 1);
-		expect(judge(createRun('bad'))).to.equal(verdicts.refused);
+		expect(checkVerdict(createRun('bad'))).to.equal(verdicts.refused);
 		await clock.advance(1);
-		expect(judge(createRun('bad'))).to.equal(verdicts.trial);
+		expect(checkVerdict(createRun('bad'))).to.equal(verdicts.trial);
 		attribution.recordTrial('part:bad');
 		crash('5', createRun('bad'));
 		await clock.advance(59 * minuteMs);
-		expect(judge(createRun('bad'))).to.equal(verdicts.refused);
+		expect(checkVerdict(createRun('bad'))).to.equal(verdicts.refused);
 		attribution.recordSound(createRun('bad'));
-		expect(judge(createRun('bad'))).to.equal(verdicts.allowed);
+		expect(checkVerdict(createRun('bad'))).to.equal(verdicts.allowed);
 	});
 
 	it('lets few runs of a crashing part through in a day', async () => {
 		const arrivals: number[] = [];
 		for (let minute = 0; minute < 24 * 60; minute++) {
 			const run = createRun('bad');
-			const judgement = attribution.judge(run);
+			const judgement = attribution.checkRun(run);
 			if (judgement.verdict !== verdicts.refused) {
 				if (judgement.verdict === verdicts.trial) {
 					attribution.recordTrial(judgement.ban.trait);
@@ -199,9 +199,9 @@
 			crash(id, createRun('bad'));
 		}
 
-		expect(attribution.lift('part:other')).to.equal(false);
-		expect(attribution.lift('part:bad')).to.equal(true);
-		expect(judge(createRun('bad'))).to.equal(verdicts.allowed);
+		expect(attribution.clearBan('part:other')).to.equal(false);
+		expect(attribution.clearBan('part:bad')).to.equal(true);
+		expect(checkVerdict(createRun('bad'))).to.equal(verdicts.allowed);
 	});
 
 	it('tells an instance that starts later what it knows, with the times', async () => {
@@ -217,9 +217,9 @@
 
 		started.mergeSound(attribution.listSound());
 		started.mergeTrials(attribution.listTrials());
-		expect(started.judge(createRun('a', 'bad')).verdict).to.equal(verdicts.refused);
+		expect(started.checkRun(createRun('a', 'bad')).verdict).to.equal(verdicts.refused);
 		await clock.advance(1000);
-		expect(started.judge(createRun('a', 'bad')).verdict).to.equal(verdicts.trial);
+		expect(started.checkRun(createRun('a', 'bad')).verdict).to.equal(verdicts.trial);
 		attribution.recordTrial('part:bad');
 		crash('4', createRun('a', 'bad'));
 		const later = new CrashAttribution({clock});
@@ -229,7 +229,7 @@
 
 		later.mergeTrials(attribution.listTrials());
 		await clock.advance(4 * minuteMs);
-		expect(later.judge(createRun('a', 'bad')).verdict).to.equal(verdicts.refused);
+		expect(later.checkRun(createRun('a', 'bad')).verdict).to.equal(verdicts.refused);
 	});
 
 	// A caller who fills the table with crashes of its own must not make it forget a ban.
@@ -238,13 +238,13 @@
 			crash(id, createRun('bad'));
 		}
 
-		expect(judge(createRun('bad'))).to.equal(verdicts.refused);
+		expect(checkVerdict(createRun('bad'))).to.equal(verdicts.refused);
 		for (let index = 0; index < 1000; index++) {
 			crash(`other-${index}`, createRun(`part-${index}`));
-			judge(createRun());
+			checkVerdict(createRun());
 		}
 
-		expect(judge(createRun('bad'))).to.equal(verdicts.refused);
+		expect(checkVerdict(createRun('bad'))).to.equal(verdicts.refused);
 		expect(attribution.listCrashes().length).to.be.at.most(200);
 	});
 
--- a/packages/coordination/crash-attribution/test/simulated-fleet.ts
+++ b/packages/coordination/crash-attribution/test/simulated-fleet.ts
@@ -128,7 +128,7 @@
 
 	/** Starts a run if it is allowed and a server is up. */
 	#start(run: Run, durationMs: number): boolean {
-		const {verdict, ...judgement} = this.#instances[run.instance]!.judge(run.traits);
+		const {verdict, ...judgement} = this.#instances[run.instance]!.checkRun(run.traits);
 		const up = this.#servers.filter(({isUp}) => isUp);
 		if (verdict === verdicts.refused || up.length === 0) {
 			return verdict !== verdicts.refused;
--- a/packages/plugins/edge/src/crash-reports.ts
+++ b/packages/plugins/edge/src/crash-reports.ts
@@ -133,14 +133,14 @@
 
 	/** Returns the ban that keeps the request from another server; undefined if it may be sent to one. A trial is sent once. */
 	findBan({traits, isTrial}: CallerRequest): Ban | undefined {
-		const judgement = this.#opts.attribution.judge(traits);
+		const judgement = this.#opts.attribution.checkRun(traits);
 		return judgement.verdict === verdicts.refused && !isTrial ? judgement.ban : undefined;
 	}
 
 	/** Decides about a request that has arrived. Only one instance tries a banned trait at a time. */
-	admit(traits: RunTraits): {ban?: Ban; isTrial: boolean} {
+	checkArrival(traits: RunTraits): {ban?: Ban; isTrial: boolean} {
 		const {attribution, mesh, metrics, eventLog} = this.#opts;
-		const judgement = attribution.judge(traits);
+		const judgement = attribution.checkRun(traits);
 		if (judgement.verdict === verdicts.allowed) {
 			return {isTrial: false};
 		}
@@ -161,7 +161,7 @@
 	mergeCrash(report: CrashReport): boolean {
 		const isNew = this.#opts.attribution.recordCrash(report);
 		if (isNew) {
-			this.#tellDoubtful();
+			this.#broadcastDoubtful();
 			this.#reportBans();
 		}
 
@@ -175,15 +175,15 @@
 	}
 
 	/** Ends a ban at all instances. Returns false if the trait is not banned. */
-	lift(trait: string): boolean {
+	clearBan(trait: string): boolean {
 		const {attribution, mesh} = this.#opts;
-		const isLifted = attribution.lift(trait);
-		if (isLifted) {
+		const isCleared = attribution.clearBan(trait);
+		if (isCleared) {
 			mesh.broadcast('crash.sound', {sound: [[trait, 0]]});
 			this.#reportBans();
 		}
 
-		return isLifted;
+		return isCleared;
 	}
 
 	/** Ends the wait for reports of servers that may have crashed. */
@@ -229,12 +229,12 @@
 		check.unconfirmed.push(...earlier?.unconfirmed ?? []);
 		this.#undecided.get(crashId)?.cancelTimer?.();
 		this.#undecided.set(crashId, {server, check});
-		this.#decide(crashId, undecidedIntervals);
+		this.#resolveUndecided(crashId, undecidedIntervals);
 		return condition;
 	}
 
 	/** A server that reports again has not crashed. One that does not may still start again. */
-	#decide(crashId: string, intervalsLeft: number): void {
+	#resolveUndecided(crashId: string, intervalsLeft: number): void {
 		const {clock, reportIntervalMs} = this.#opts;
 		const undecided = this.#undecided.get(crashId);
 		if (!undecided) {
@@ -253,7 +253,7 @@
 		}
 
 		undecided.cancelTimer = clock.startTimer(reportIntervalMs, () => {
-			this.#decide(crashId, intervalsLeft - 1);
+			this.#resolveUndecided(crashId, intervalsLeft - 1);
 		});
 	}
 
@@ -296,11 +296,11 @@
 			});
 		}
 
-		this.#tellDoubtful();
+		this.#broadcastDoubtful();
 		this.#reportBans();
 	}
 
-	#tellDoubtful(): void {
+	#broadcastDoubtful(): void {
 		const {attribution, mesh} = this.#opts;
 		const sound = attribution.collectDoubtful();
 		if (sound.length > 0) {
--- a/packages/plugins/edge/src/edge.ts
+++ b/packages/plugins/edge/src/edge.ts
@@ -239,8 +239,8 @@
 	}
 
 	/** Lets requests with a trait that was held to crash servers run again, at all instances. Returns false if it is not banned. */
-	liftBan(trait: string): boolean {
-		return this.#crashReports.lift(trait);
+	clearBan(trait: string): boolean {
+		return this.#crashReports.clearBan(trait);
 	}
 
 	dump(): unknown {
@@ -369,9 +369,9 @@
 	}
 
 	async #forward(request: CallerRequest): Promise<void> {
-		const {ban, isTrial} = this.#crashReports.admit(request.traits);
+		const {ban, isTrial} = this.#crashReports.checkArrival(request.traits);
 		if (ban) {
-			this.#refuseBanned(request, ban);
+			this.#rejectBanned(request, ban);
 			return;
 		}
 
@@ -382,7 +382,7 @@
 	}
 
 	/** The caller must not come back soon: as far as it waits, the answer would be the same. */
-	#refuseBanned({response, route, metadata, routing}: CallerRequest, {trait, crashes, reporters, lastCrashAgeMs, trialInMs}: Ban): void {
+	#rejectBanned({response, route, metadata, routing}: CallerRequest, {trait, crashes, reporters, lastCrashAgeMs, trialInMs}: Ban): void {
 		const {codec, eventLog} = this.#context;
 		sendProblem(response, {
 			status: 503, code: 'poison', detail: 'The request has not run: it, or a part of its prompt, crashed the servers that ran it.', headers: codec.encodeRetryAfter(route.timeoutMs),
--- a/packages/plugins/edge/test/crash-reports.test.ts
+++ b/packages/plugins/edge/test/crash-reports.test.ts
@@ -146,19 +146,19 @@
 			await loseAll(addServer(id), createRequest('x'));
 		}
 
-		expect(reports.admit(createRequest('x').traits).ban).to.include({trait: 'part:x'});
+		expect(reports.checkArrival(createRequest('x').traits).ban).to.include({trait: 'part:x'});
 		expect(reports.findBan(createRequest('x'))).to.include({trait: 'part:x'});
 		expect(events.listSince(0).map(({name}) => name)).to.include('crashCauseFound');
 		await clock.advance(10_000);
 		told = [];
 		const tried = createRequest('x');
-		expect(reports.admit(tried.traits)).to.deep.equal({isTrial: true});
+		expect(reports.checkArrival(tried.traits)).to.deep.equal({isTrial: true});
 		expect(reports.findBan({...tried, isTrial: true})).to.equal(undefined);
-		expect(reports.admit(createRequest('x').traits).isTrial).to.equal(false);
+		expect(reports.checkArrival(createRequest('x').traits).isTrial).to.equal(false);
 		reports.recordAnswer(tried, registry.find('a')!, answerVerdicts.whole);
 		expect(told).to.deep.equal([{method: 'crash.trial', params: {trials: [['part:x', 0, 0]]}}, {method: 'crash.sound', params: {sound: [['part:x', 0]]}}]);
 		expect(events.listSince(0).map(({name}) => name)).to.include('crashCauseCleared');
-		expect(reports.admit(createRequest('x').traits)).to.deep.equal({isTrial: false});
+		expect(reports.checkArrival(createRequest('x').traits)).to.deep.equal({isTrial: false});
 	});
 
 	// An answer that only its connection delimits may have been ended by a crash, while something before the server listens.
@@ -190,8 +190,8 @@
 		}
 
 		told = [];
-		expect(reports.lift('part:y')).to.equal(false);
-		expect(reports.lift('part:x')).to.equal(true);
+		expect(reports.clearBan('part:y')).to.equal(false);
+		expect(reports.clearBan('part:x')).to.equal(true);
 		expect(told).to.deep.equal([{method: 'crash.sound', params: {sound: [['part:x', 0]]}}]);
 		expect(reports.findBan(createRequest('x'))).to.equal(undefined);
 	});
--- a/packages/plugins/edge/test/state-sharing.test.ts
+++ b/packages/plugins/edge/test/state-sharing.test.ts
@@ -63,14 +63,14 @@
 			async request() {/* The reports are not looked at here. */},
 		} as unknown as PeerConnection;
 		await informed.connect(connection);
-		expect(started.crashAttribution.judge(run).verdict).to.equal(verdicts.refused);
+		expect(started.crashAttribution.checkRun(run).verdict).to.equal(verdicts.refused);
 		await clock.advance(8000);
 		informed.crashAttribution.recordTrial('request:f');
 		await informed.connect(connection);
 		await clock.advance(4999);
-		expect(started.crashAttribution.judge(run).verdict).to.equal(verdicts.refused);
+		expect(started.crashAttribution.checkRun(run).verdict).to.equal(verdicts.refused);
 		await clock.advance(1);
-		expect(started.crashAttribution.judge(run).verdict).to.equal(verdicts.trial);
+		expect(started.crashAttribution.checkRun(run).verdict).to.equal(verdicts.trial);
 		informed.crashAttribution.recordSound(run);
 		informed.crashAttribution.recordCrash({id: 'server/3', traits: mergeTraits([{request: 'g', parts: ['bad']}])});
 		await informed.connect(connection);
--- a/stand-ins/src/platform-server.ts
+++ b/stand-ins/src/platform-server.ts
@@ -199,7 +199,7 @@
 	}
 
 	/** Ends like a process that crashes: stops listening, and the system ends all its connections. */
-	#crash(end: CrashEnd): void {
+	#closeByCrash(end: CrashEnd): void {
 		this.#server.close();
 		for (const socket of this.#sockets.keys()) {
 			if (end === 'reset') {
@@ -217,13 +217,13 @@
 	}
 
 	/** Crashes if the prompt contains the crashing part and the answer has got to the point; returns whether it has. */
-	#crashAt(point: CrashPoint, receivedRequest: ReceivedRequest): boolean {
+	#runCrash(point: CrashPoint, receivedRequest: ReceivedRequest): boolean {
 		const part = this.#findCrashingPart(receivedRequest);
 		if (part?.at !== point) {
 			return false;
 		}
 
-		this.#crash(part.end);
+		this.#closeByCrash(part.end);
 		return true;
 	}
 
@@ -341,7 +341,7 @@
 		}
 
 		if (request.headers['x-stage'] === 'prefill') {
-			if (this.crashingPart?.isPrefill && this.#crashAt(this.crashingPart.at, receivedRequest)) {
+			if (this.crashingPart?.isPrefill && this.#runCrash(this.crashingPart.at, receivedRequest)) {
 				return;
 			}
 
@@ -352,7 +352,7 @@
 		}
 
 		receivedRequest.hasRun = true;
-		if (this.#crashAt('request', receivedRequest)) {
+		if (this.#runCrash('request', receivedRequest)) {
 			return;
 		}
 
@@ -390,7 +390,7 @@
 		if (crashingPart) {
 			response.flushHeaders();
 			await clock.sleep(1); // The head is sent by then.
-			if (this.#crashAt('head', receivedRequest)) {
+			if (this.#runCrash('head', receivedRequest)) {
 				return;
 			}
 		}
@@ -411,7 +411,7 @@
 				await clock.sleep(eventMs);
 			}
 
-			if (this.#crashAt('event', receivedRequest) || this.#crashAt('inside-event', receivedRequest)) {
+			if (this.#runCrash('event', receivedRequest) || this.#runCrash('inside-event', receivedRequest)) {
 				return;
 			}
 		}
--- a/tools/soak/src/server-channel.ts
+++ b/tools/soak/src/server-channel.ts
@@ -195,7 +195,7 @@
 	}
 
 	/** Closes the connection at once, as the system does when the process has ended. */
-	abandon(): void {
+	closeAtOnce(): void {
 		this.#hasEnded = true;
 		this.#socket.destroySoon();
 	}
--- a/tools/soak/src/soak-server.ts
+++ b/tools/soak/src/soak-server.ts
@@ -76,7 +76,7 @@
 			}, exit: () => {
 				this.#server.close();
 				for (const channel of this.#channels) {
-					channel.abandon();
+					channel.closeAtOnce();
 				}
 
 				opts.crash();
