feat(edge): report the limits that servers name

Change: an answer's limit is decoded (a rate, none, or unreadable; a 421 may be another server's and says nothing). Events 1749 and 1750, counters by source and by kind of call. A limit ends with an answer to a request that was sent after it was last named, because answers may overtake each other. What is sent where does not change. Conclusion: with it, the excess at a server shows by edge and by kind of call.

--- a/packages/core/events/src/event-catalogue.ts
+++ b/packages/core/events/src/event-catalogue.ts
@@ -194,6 +194,12 @@
 	serverPaused: {
 		number: 1748, level: 'info', text: 'A server rejected a request and wants no others of this instance for a while', action: 'Add servers if this repeats.',
 	},
+	serverLimited: {
+		number: 1749, level: 'info', text: 'A server named another limit for the requests of all instances together; without perSecond, it names none any more', action: 'Add servers if this repeats.',
+	},
+	serverLimitInvalid: {
+		number: 1750, level: 'warn', text: 'A server named a limit that is no decimal number; it is ignored', action: 'Check the server.',
+	},
 	forwardAnswered: {
 		number: 1751, level: 'info', text: 'A request was answered (sampled)', action: noAction,
 	},
--- a/packages/plugins/edge/src/edge.ts
+++ b/packages/plugins/edge/src/edge.ts
@@ -6,7 +6,7 @@
 import {err, ok, type Result} from 'neverthrow';
 import {CrashAttribution} from '@hickorytrack/crash-attribution';
 import type {Ban} from '@hickorytrack/crash-attribution/run-traits';
-import {EndpointClient} from '@hickorytrack/endpoint-client';
+import {EndpointClient, type AnsweredRequest} from '@hickorytrack/endpoint-client';
 import {
 	EndpointRegistry, type Incarnation, type KnownServer, type ServerReport,
 } from '@hickorytrack/endpoint-registry';
@@ -24,12 +24,14 @@
 import {ConfigurationFollower} from '@hickorytrack/route-store/configuration-follower';
 import {CoreMember, coreRole, type CoreMemberError} from '@hickorytrack/route-store/core-member';
 import type {StoredConfiguration, StoreOutcome} from '@hickorytrack/route-store';
+import {LimitNews} from '@hickorytrack/shared-rate/limit-news';
 import {RouteTable} from '@hickorytrack/route-table';
 import {requestKinds} from '@hickorytrack/route-table/route-types';
 import {StageControl} from '@hickorytrack/stage-control';
 import {peerFeatures} from '@hickorytrack/types/peer-methods';
 import {AnswerMeasurements} from './answer-measurements.js';
 import type {CallerRequest} from './caller-request.js';
+import type {LimitStatement} from './request-codec.js';
 import {sendProblem} from './responses.js';
 import {CrashReports} from './crash-reports.js';
 import {RateLimitedEventLog} from './rate-limited-event-log.js';
@@ -61,8 +63,8 @@
 /** Number of the largest answers that fit into the memory for answers. */
 const answersInMemory = 4;
 
-/** How this instance has learnt that a server said in an answer that it leaves. */
-const leavingSources = {answer: 'answer', peer: 'peer'} as const;
+/** How this instance has learnt what a server said in an answer. */
+const newsSources = {answer: 'answer', peer: 'peer'} as const;
 
 export class EdgeError extends HickorytrackError {}
 
@@ -83,6 +85,7 @@
 	readonly #crashAttribution: CrashAttribution;
 	readonly #crashReports: CrashReports;
 	readonly #requestLog: RequestLog;
+	readonly #limitNews: LimitNews;
 	readonly #stageControl: StageControl | undefined;
 	readonly #abortController = new AbortController();
 	#routes: RouteTable | undefined;
@@ -116,6 +119,7 @@
 			},
 		});
 		this.#loadTracker = new LoadTracker(clock);
+		this.#limitNews = new LimitNews(clock);
 		this.#partUsage = new PartUsage(clock);
 		this.#cacheIndex = new PrefixCacheIndex({getKvCapacity: service => this.#getKvCapacity(service)});
 		const eventLog = new RateLimitedEventLog(clock, events);
@@ -127,7 +131,7 @@
 		this.#context = this.#createContext({eventLog, health});
 		this.#stateSharing = new StateSharing({
 			clock, events, mesh: this.mesh, registry: this.registry, loadTracker: this.#loadTracker, cacheIndex: this.#cacheIndex, partUsage: this.#partUsage, context: this.#context, crashAttribution: this.#crashAttribution, crashReports: this.#crashReports, onLeaving: (report, peer) => {
-				this.#reportLeaving(report, {source: leavingSources.peer, peer});
+				this.#reportLeaving(report, {source: newsSources.peer, peer});
 			},
 		});
 		this.#requestLog = new RequestLog({
@@ -295,7 +299,7 @@
 			profile: this.#profile,
 			measurements: new AnswerMeasurements({cacheIndex: this.#cacheIndex, profile: this.#profile, health}),
 			client: new EndpointClient({
-				clock, connectTimeoutMs, limits: {maxAnswerBytes: Math.floor(settings.answerMemoryBytes / answersInMemory), budget: new ByteBudget(settings.answerMemoryBytes)}, onAnswer: (server, head) => {
+				clock, connectTimeoutMs, limits: {maxAnswerBytes: Math.floor(settings.answerMemoryBytes / answersInMemory), budget: new ByteBudget(settings.answerMemoryBytes)}, onAnswer: (server, head, request) => {
 					const metadata = codec.decodeResponseHead(head);
 					if (metadata.isLeaving) {
 						this.#recordLeaving(server);
@@ -304,6 +308,8 @@
 					if (metadata.pauseMs !== undefined && metadata.pauseMs > 0) {
 						this.#recordPause(server, metadata.pauseMs);
 					}
+
+					this.#recordLimit(server, metadata.limit, request);
 				}, onForeignAnswer: answer => {
 					this.#requestLog.recordForeignAnswer(answer, this.registry.list().find(server => server.address === answer.address)?.id);
 				},
@@ -396,7 +402,7 @@
 	#recordLeaving(server: Incarnation): void {
 		const report = this.registry.recordLeaving(server);
 		if (report) {
-			this.#reportLeaving(report, {source: leavingSources.answer});
+			this.#reportLeaving(report, {source: newsSources.answer});
 			void this.#stateSharing.sendReport(report, undefined);
 		}
 	}
@@ -408,7 +414,29 @@
 		this.#context.eventLog.emit('serverPaused', {server: server.id, startedAt: server.startedAt, pauseMs});
 	}
 
-	#reportLeaving({id, service, address, startedAt}: ServerReport, told: {source: keyof typeof leavingSources; peer?: string}): void {
+	/** Records what an answer says of the limit of its server. */
+	#recordLimit(server: Incarnation, limit: LimitStatement | undefined, {callKind, sentAt, isProved}: AnsweredRequest): void {
+		const {metrics} = this.#opts;
+		const formerly = this.#limitNews.find(server);
+		if (limit?.kind === 'invalid') {
+			metrics.count('server_limits_invalid_total');
+			this.#context.eventLog.emit('serverLimitInvalid', {server: server.id, startedAt: server.startedAt, text: limit.text});
+		} else if (limit?.kind === 'rate') {
+			metrics.count('limited_answers_total', {call: callKind});
+			if (this.#limitNews.record(server, limit.perSecond)) {
+				this.#reportLimit(server, {perSecond: limit.perSecond, formerly, source: newsSources.answer});
+			}
+		} else if (limit?.kind === 'none' && isProved && this.#limitNews.recordNone(server, sentAt)) {
+			this.#reportLimit(server, {formerly, source: newsSources.answer});
+		}
+	}
+
+	#reportLimit({id, startedAt}: Incarnation, told: {perSecond?: number; formerly?: number; source: keyof typeof newsSources; peer?: string}): void {
+		this.#opts.metrics.count('server_limits_total', {source: told.source});
+		this.#context.eventLog.emit('serverLimited', {server: id, startedAt, ...told});
+	}
+
+	#reportLeaving({id, service, address, startedAt}: ServerReport, told: {source: keyof typeof newsSources; peer?: string}): void {
 		this.#opts.metrics.count('servers_leaving_total', {source: told.source});
 		this.#opts.events.emit('serverLeaving', {
 			server: id, service, address, startedAt, ...told,
--- a/packages/plugins/edge/src/request-codec.ts
+++ b/packages/plugins/edge/src/request-codec.ts
@@ -46,6 +46,13 @@
 	lastEventId?: string;
 };
 
+/** What an answer says of the rate that its server takes from all instances together. */
+export type LimitStatement =
+	| {kind: 'none'}
+	| {kind: 'rate'; perSecond: number}
+	/** It can't be read. */
+	| {kind: 'invalid'; text: string};
+
 /** Metadata of a server's response, decoded from its head. */
 export type ResponseMetadata = {
 	/** The server states that it did not and will not run the request. */
@@ -56,6 +63,8 @@
 	isAuthentic: boolean;
 	/** The server states that it leaves: it serves what it has and takes no new requests. */
 	isLeaving: boolean;
+	/** Undefined if the answer may be that of another server. */
+	limit?: LimitStatement;
 	retryAfterMs?: number;
 	/** The server rejects the request for lack of capacity and wants no other one of this instance for this time. */
 	pauseMs?: number;
--- a/packages/routing/endpoint-client/src/endpoint-client.ts
+++ b/packages/routing/endpoint-client/src/endpoint-client.ts
@@ -6,6 +6,7 @@
  */
 import type {Buffer} from 'node:buffer';
 import {errors, type Dispatcher} from 'undici';
+import type {Clock} from '@hickorytrack/clock';
 import {HickorytrackError} from '@hickorytrack/errors';
 import type {AnswerHead} from '@hickorytrack/http-answer/answer-framing';
 import {AnswerReader, answerVerdicts, type ReceivedAnswer} from '@hickorytrack/http-answer/answer-reader';
@@ -91,10 +92,18 @@
 	budget: ByteBudget;
 };
 
+export type AnsweredRequest = {
+	callKind: string;
+	/** Monotonic time at which the request was written, in milliseconds. */
+	sentAt: number;
+	/** The answer bears the id of the request, so no other process at the address has sent it. */
+	isProved: boolean;
+};
+
 export type EndpointClientOptions = ServerConnectionsOptions & {
 	limits?: AnswerLimits;
 	/** Called for the head of each answer to a request with a recipient, before the handler. */
-	onAnswer?: (recipient: Recipient, head: ResponseHead) => void;
+	onAnswer?: (recipient: Recipient, head: ResponseHead, request: AnsweredRequest) => void;
 	/** Called for each answer that is not its request's own. */
 	onForeignAnswer?: (answer: ForeignAnswer) => void;
 };
@@ -136,7 +145,7 @@
 
 		connection.watch.startAnswer();
 		const exchange = new Exchange(address, {
-			connection, connections: this.#connections, limits: this.limits, request, handler, onAnswer: this.#opts.onAnswer, onForeignAnswer: this.#opts.onForeignAnswer,
+			clock: this.#opts.clock, connection, connections: this.#connections, limits: this.limits, request, handler, onAnswer: this.#opts.onAnswer, onForeignAnswer: this.#opts.onForeignAnswer,
 		});
 		exchange.start();
 		return exchange;
@@ -144,6 +153,7 @@
 }
 
 type ExchangeOptions = {
+	clock: Clock;
 	connection: ServerConnection;
 	connections: ServerConnections;
 	limits: AnswerLimits;
@@ -158,6 +168,7 @@
 	readonly #opts: ExchangeOptions;
 	#controller: Dispatcher.DispatchController | undefined;
 	#isWritten = false;
+	#sentAt = 0;
 	#isSettled = false;
 	#canReuse = true;
 	#hasResponse = false;
@@ -171,7 +182,7 @@
 	}
 
 	start(): void {
-		const {connection, connections, request, handler, onAnswer} = this.#opts;
+		const {clock, connection, connections, request, handler, onAnswer} = this.#opts;
 		const dispatchHandler: Dispatcher.DispatchHandler = {
 			onRequestStart: controller => {
 				this.#controller = controller;
@@ -181,6 +192,7 @@
 				}
 
 				this.#isWritten = true;
+				this.#sentAt = clock.monotonic();
 			},
 			onResponseStart: (_controller, status, headers) => {
 				// An informational response (1xx) precedes the final one.
@@ -198,7 +210,7 @@
 				this.#reader = new AnswerReader({status, headers}, {method: request.method});
 				this.#canReuse &&= headers.connection !== 'close';
 				if (request.recipient) {
-					onAnswer?.(request.recipient, {status, headers});
+					onAnswer?.(request.recipient, {status, headers}, {callKind: request.callKind, sentAt: this.#sentAt, isProved: request.identity !== undefined && request.identity.readId({status, headers}) === request.identity.expectedId});
 				}
 
 				handler.onHead({status, headers});
