--- a/stand-ins/src/platform-server.ts
+++ b/stand-ins/src/platform-server.ts
@@ -108,6 +108,10 @@
 	pauseAt: PausePoint | undefined;
 	/** Says in all its answers that it leaves, with any fault. */
 	isLeaving = false;
+	/** Value of `server-limit` in all its answers, with any fault; they have none without it. */
+	limit: number | string | undefined;
+	/** Monotonic times at which calls of any kind have arrived, in milliseconds. */
+	readonly callTimes: number[] = [];
 	crashingPart: CrashingPart | undefined;
 	#stage: 'prefill' | 'decode' | undefined;
 	readonly #opts: PlatformServerOptions;
@@ -237,10 +241,15 @@
 			chunks.push(chunk);
 		}
 
+		this.callTimes.push(this.#opts.clock.monotonic());
 		if (this.isLeaving) {
 			response.setHeader('server-leaving', '1');
 		}
 
+		if (this.limit !== undefined) {
+			response.setHeader('server-limit', String(this.limit));
+		}
+
 		const receivedRequest: ReceivedRequest = {
 			requestId: String(request.headers['x-request-id']), path: request.url!, body: Buffer.concat(chunks).toString(), deadlineMs: Number(request.headers['x-deadline-ms']), headers: request.headers, hasRun: false,
 		};
