--- a/packages/coordination/shared-rate/src/limit-news.ts
+++ b/packages/coordination/shared-rate/src/limit-news.ts
@@ -20,8 +20,18 @@
 	perSecond: number | undefined;
 	/** Monotonic time at which the server said so, in milliseconds. */
 	saidAt: number;
+	/** The limit that has ended, and when this instance has learnt it. */
+	ended?: {perSecond: number; at: number};
 };
 
+/** After the end of a limit, the load returns over this time: the rate is doubled again and again. */
+const returnMs = 2000;
+const doublingMs = 250;
+/** The load returns from this rate if the limit was lower, in requests per second. */
+const minReturnPerSecond = 4;
+/** A server that named a lower limit, or none at all, still gets requests at this rate: only its answers can tell that the limit has ended. */
+const minPerSecond = 0.25;
+
 /** An ended limit is kept for this time, so that late news does not restore it. */
 const endedRetentionMs = 120_000;
 /** A limit that no answer has named for this time is forgotten; the next answer names it again. */
@@ -36,6 +46,11 @@
 		this.#clock = clock;
 	}
 
+	/** False while no server is known to have named a limit. */
+	get isEmpty(): boolean {
+		return this.#entries.size === 0;
+	}
+
 	/** Records a limit that an answer names. Returns whether it is news. */
 	record({id, startedAt}: Subject, perSecond: number): boolean {
 		return this.#update({id, startedAt, perSecond}, this.#clock.monotonic());
@@ -57,6 +72,17 @@
 		return this.#findEntry(subject)?.perSecond;
 	}
 
+	/** Returns the rate at which all instances together may send to the server, in requests per second; undefined for any rate. */
+	getRate(subject: Subject): number | undefined {
+		const entry = this.#findEntry(subject);
+		if (entry?.perSecond !== undefined) {
+			return Math.max(minPerSecond, entry.perSecond);
+		}
+
+		const endedMs = entry?.ended === undefined ? returnMs : this.#clock.monotonic() - entry.ended.at;
+		return endedMs < returnMs ? Math.max(minReturnPerSecond, entry!.ended!.perSecond) * (2 ** (endedMs / doublingMs)) : undefined;
+	}
+
 	/** Lists all limits, and those that have ended of late, for an instance that may have missed them. */
 	list(): LimitNote[] {
 		const now = this.#clock.monotonic();
@@ -83,7 +109,12 @@
 			return false;
 		}
 
-		this.#entries.set(id, {startedAt, perSecond, saidAt});
-		return perSecond !== (known?.startedAt === startedAt ? known.perSecond : undefined);
+		const formerly = known?.startedAt === startedAt ? known : undefined;
+		const hasEnded = perSecond === undefined && formerly?.perSecond !== undefined;
+		const ended = hasEnded ? {perSecond: formerly.perSecond!, at: this.#clock.monotonic()} : (perSecond === undefined ? formerly?.ended : undefined);
+		this.#entries.set(id, {
+			startedAt, perSecond, saidAt, ended,
+		});
+		return perSecond !== formerly?.perSecond;
 	}
 }
--- /dev/null
+++ b/packages/coordination/shared-rate/test/send-schedule.test.ts
@@ -0,0 +1,35 @@
+import {expect} from 'chai';
+import {ManualClock} from '@hickorytrack/clock/manual-clock';
+import {SendSchedule} from '../src/send-schedule.js';
+
+describe('SendSchedule', () => {
+	it('starts without credit, and has that of half a second at most', async () => {
+		const clock = new ManualClock();
+		const schedule = new SendSchedule(clock, 10);
+		expect(schedule.reserve(0)).to.deep.equal({isGranted: false, delayMs: 100});
+		await clock.advance(60_000);
+		let count = 0;
+		while (schedule.reserve(0).isGranted) {
+			count++;
+		}
+
+		expect(count).to.equal(6);
+	});
+
+	it('reserves later times for requests that may wait, one after another', async () => {
+		const clock = new ManualClock();
+		const schedule = new SendSchedule(clock, 10);
+		expect([schedule.reserve(300), schedule.reserve(300), schedule.reserve(300), schedule.reserve(300)].map(({isGranted, delayMs}) => isGranted && delayMs)).to.deep.equal([100, 200, 300, false]);
+	});
+
+	it('keeps the number of reserved requests when the rate changes', () => {
+		const clock = new ManualClock();
+		const schedule = new SendSchedule(clock, 10);
+		schedule.reserve(1000);
+		schedule.reserve(1000);
+		schedule.setRate(1);
+		expect(schedule.reserve(0).delayMs).to.equal(3000);
+		schedule.setRate(100);
+		expect(schedule.reserve(0).delayMs).to.equal(30);
+	});
+});
