--- a/packages/core/types/src/peer-methods.ts
+++ b/packages/core/types/src/peer-methods.ts
@@ -207,6 +207,10 @@
 	/** A server was ordered to change its stage; it is excluded from placement until its reports show the new stage. */
 	'stage.note': {params: {server: string; startedAt: number; stage: 'prefill' | 'decode'}; result: void};
 	'load.share': {params: LoadShare; result: void};
+	/** Limits of servers, and those that have ended; the fields are documented in `@hickorytrack/shared-rate`. */
+	'limit.note': {params: {limits: ReadonlyArray<{id: string; startedAt: number; perSecond?: number; ageMs: number}>}; result: void};
+	/** Asks for grants to send requests to a limited server. One that does not issue them for this server grants none. */
+	'limit.acquire': {params: {server: string; startedAt: number; perSecond: number; maxDelayMs: number; count: number}; result: {isIssuer: boolean; granted: number; delayMs: number}};
 	/** A crash of a server with the runs that it ended; the fields are documented in `@hickorytrack/crash-attribution`. */
 	'crash.note': {params: {id: string; traits: ReadonlyArray<[trait: string, position: number]>; ageMs?: number; reporter?: string}; result: void};
 	/** Traits of runs that were in whole answers, with the time since then in milliseconds. */
--- a/packages/net/mesh/src/mesh.ts
+++ b/packages/net/mesh/src/mesh.ts
@@ -54,6 +54,8 @@
 	/** The newest connection that the member has opened. */
 	incoming?: PeerConnection;
 	lastReachableAt: number;
+	/** The last attempt to connect was refused: no process listens there. */
+	isRefused?: boolean;
 };
 
 export class Mesh {
@@ -152,6 +154,11 @@
 		return entry && findOpenConnection(entry);
 	}
 
+	/** Tells whether the address refuses connections, so that the member there has ended. One that is silent may still be running. */
+	isRefused(address: string): boolean {
+		return this.findConnection(address) === undefined && (this.#entries.get(address)?.isRefused ?? false);
+	}
+
 	/** Lists one open connection to each linked member. */
 	listConnections(): PeerConnection[] {
 		return [...this.#entries.values()].map(entry => findOpenConnection(entry)).filter(connection => connection !== undefined);
@@ -283,7 +290,8 @@
 			connectTimeoutMs,
 			reconnectCapMs,
 			onConnected: async connection => this.#exchangeMembers(entry, connection),
-			onFailed: () => {
+			onFailed: isRefused => {
+				entry.isRefused = isRefused;
 				this.#removeIfExpired(address, entry);
 			},
 		});
--- a/packages/plugins/edge/src/buffered-forwarder.ts
+++ b/packages/plugins/edge/src/buffered-forwarder.ts
@@ -3,13 +3,16 @@
  * looks complete. Another server gets the request only if it is idempotent or is known not to have run. An idempotent
  * request whose server takes long is started at another one beside it; the first usable answer ends the other attempt.
  */
+import {unlimitedGrant, type SendGrant} from '@hickorytrack/endpoint-client/send-grant';
 import type {ReceivedAnswer} from '@hickorytrack/http-answer/answer-reader';
 import type {KnownServer} from '@hickorytrack/endpoint-registry';
 import {requestKinds} from '@hickorytrack/route-table/route-types';
 import {
 	AttemptCanceller, attemptOutcomes, describeFailure, runAttempt, type AttemptResult,
 } from './attempt.js';
-import {computeRetryAfterMs, listCandidates} from './candidate-servers.js';
+import {
+	computeRetryAfterMs, isCandidate, listCandidates, listClosed,
+} from './candidate-servers.js';
 import {forwardResponse, sendProblem} from './responses.js';
 import {retryKinds} from './retry-budget.js';
 import {SendPermits, type SendPermit} from './send-permits.js';
@@ -18,6 +21,7 @@
 import {
 	requestOutcomes, type CallerRequest, type RequestResult,
 } from './caller-request.js';
+import {computeLimitWaitMs} from './server-limits.js';
 import {
 	createAnswerIdentity, createOutboundRequest, computeRemainingMs, defaultRetryAfterMs, type ForwardContext,
 } from './forward-context.js';
@@ -39,6 +43,7 @@
 	readonly #endedAttempts: Array<EndedAttempt | FailedAttempt> = [];
 	#onAttemptEnded: (() => void) | undefined;
 	#cancelOverdueTimer: (() => void) | undefined;
+	#isFinished = false;
 	/** True until a server may have started to run the request. */
 	#isNotExecuted = true;
 	readonly #grounds: RefusalGrounds;
@@ -58,6 +63,7 @@
 		try {
 			return await this.#runAttempts();
 		} finally {
+			this.#isFinished = true;
 			this.#cancelOverdueTimer?.();
 			for (const canceller of this.#runningAttempts) {
 				canceller.cancel();
@@ -68,9 +74,9 @@
 	async #runAttempts(): Promise<RequestResult> {
 		for (;;) {
 			if (this.#runningAttempts.size === 0) {
-				const refusal = this.#startAttempt();
+				const refusal = await this.#startAttempt();
 				if (refusal !== undefined) {
-					return this.#fail(refusal);
+					return this.#request.signal.aborted ? this.#createResult(requestOutcomes.callerGone) : this.#fail(refusal);
 				}
 			}
 
@@ -98,43 +104,66 @@
 		return this.#request.route.kind === requestKinds.idempotent;
 	}
 
-	#selectServer(): KnownServer | undefined {
+	/** Selects a server that takes the request now, or else one that takes it within the time. */
+	#selectServer(limitWaitMs: number): KnownServer | undefined {
 		const {leastLoadPlacement, availabilityZone} = this.#context;
-		const servers = listCandidates(this.#context, this.#request.service);
-		return leastLoadPlacement.select(servers, {excluded: new Set(this.#servers.map(server => server.id)), availabilityZone});
+		const select = (waitMs: number) => leastLoadPlacement.select(listCandidates(this.#context, this.#request.service, {limitWaitMs: waitMs}), {excluded: new Set(this.#servers.map(server => server.id)), availabilityZone});
+		return select(0) ?? select(limitWaitMs);
 	}
 
 	/** Starts an attempt at the next server, or returns why there is none. */
-	#startAttempt(): string | undefined {
-		if (this.#context.crashReports.findBan(this.#request)) {
-			return 'the request crashes servers';
-		}
+	async #startAttempt(): Promise<string | undefined> {
+		const {clock, crashReports, limits} = this.#context;
+		for (;;) {
+			if (crashReports.findBan(this.#request)) {
+				return 'the request crashes servers';
+			}
 
-		const server = this.#selectServer();
-		if (!server) {
-			return 'no usable server is known';
-		}
+			const limitWaitMs = computeLimitWaitMs(this.#request, clock.monotonic());
+			const server = this.#selectServer(limitWaitMs);
+			if (!server) {
+				return listClosed(this.#context, this.#request.service).length > 0 ? 'the servers are at the limits that they have named' : 'no usable server is known';
+			}
+
+			const permit = this.#permits.acquire(retryKinds.run);
+			if (!permit) {
+				return 'the retry budget is used up';
+			}
+
+			if (!limits.isLimited(server)) {
+				this.#sendTo(server, {permit, grant: unlimitedGrant});
+				return undefined;
+			}
 
-		const permit = this.#permits.acquire(retryKinds.run);
-		if (!permit) {
-			return 'the retry budget is used up';
+			const grant = await limits.acquire(server, {call: callKinds.run, maxWaitMs: limits.isOpen(server) ? 0 : limitWaitMs, signal: this.#request.signal});
+			const isWanted = !this.#isFinished && !this.#request.signal.aborted && this.#canStartAnother;
+			if (grant && isWanted && isCandidate(this.#context, server) && !this.#servers.includes(server)) {
+				this.#sendTo(server, {permit, grant});
+				return undefined;
+			}
+
+			grant?.release();
+			permit.release();
+			if (!isWanted) {
+				return 'no further server is allowed';
+			}
 		}
+	}
 
+	#sendTo(server: KnownServer, opts: {permit: SendPermit; grant: SendGrant}): void {
 		this.#servers.push(server);
-		void this.#runAndRecord(server, permit);
+		void this.#runAndRecord(server, opts);
 		if (this.#isRetryable) {
 			this.#startOverdueTimer(server);
 		}
-
-		return undefined;
 	}
 
 	/** The error of an attempt fails the request, whose handler waits for one of the attempts. */
-	async #runAndRecord(server: KnownServer, permit: SendPermit): Promise<void> {
+	async #runAndRecord(server: KnownServer, opts: {permit: SendPermit; grant: SendGrant}): Promise<void> {
 		const canceller = new AttemptCanceller();
 		this.#runningAttempts.add(canceller);
 		try {
-			const result = await this.#runAttempt(server, {permit, canceller});
+			const result = await this.#runAttempt(server, {...opts, canceller});
 			this.#recordEnded({server, result});
 		} catch (error) {
 			this.#recordEnded({error});
@@ -143,12 +172,14 @@
 		}
 	}
 
-	async #runAttempt(server: KnownServer, {permit, canceller}: {permit: SendPermit; canceller: AttemptCanceller}): Promise<AttemptResult> {
+	async #runAttempt(server: KnownServer, {permit, grant, canceller}: {permit: SendPermit; grant: SendGrant; canceller: AttemptCanceller}): Promise<AttemptResult> {
 		const {clock, client, loadTracker} = this.#context;
 		const inFlightLoad = loadTracker.add(server.id, 0);
 		try {
 			const result = await runAttempt(client, server.address, {
-				clock, signal: this.#request.signal, timeoutMs: this.#remainingMs, canceller, request: createOutboundRequest(this.#context, this.#request, {server, permit, needsVerifiedConnection: !this.#isRetryable}),
+				clock, signal: this.#request.signal, timeoutMs: this.#remainingMs, canceller, request: createOutboundRequest(this.#context, this.#request, {
+					server, permit, grant, needsVerifiedConnection: !this.#isRetryable,
+				}),
 			});
 			permit.finish({isWritten: result.isWritten, isAccepted: true});
 			return result;
@@ -183,22 +214,24 @@
 		this.#cancelOverdueTimer?.();
 		const startedAt = this.#context.clock.monotonic();
 		this.#cancelOverdueTimer = this.#context.clock.startTimer(this.#remainingMs * overdueFraction, () => {
-			try {
-				this.#handleOverdue(server, this.#context.clock.monotonic() - startedAt);
-			} catch (error) {
+			void this.#handleOverdue(server, this.#context.clock.monotonic() - startedAt).catch((error: unknown) => {
 				this.#recordEnded({error});
-			}
+			});
 		});
 	}
 
-	#handleOverdue(server: KnownServer, silentMs: number): void {
+	async #handleOverdue(server: KnownServer, silentMs: number): Promise<void> {
 		if (!this.#canStartAnother) {
 			return;
 		}
 
 		const {health, eventLog, metrics} = this.#context;
 		health.recordSilent(server);
-		const refusal = this.#startAttempt();
+		const refusal = await this.#startAttempt();
+		if (this.#isFinished) {
+			return;
+		}
+
 		const isTakenOver = refusal === undefined;
 		metrics.count('silent_servers_total', {service: server.service, decision: isTakenOver ? 'another-server' : 'wait'});
 		eventLog.emit('serverSilent', {
--- a/packages/plugins/edge/src/candidate-servers.ts
+++ b/packages/plugins/edge/src/candidate-servers.ts
@@ -2,19 +2,29 @@
 import type {KnownServer} from '@hickorytrack/endpoint-registry';
 import type {ForwardContext} from './forward-context.js';
 
-type Sources = Pick<ForwardContext, 'registry' | 'health' | 'pauses'>;
+type Sources = Pick<ForwardContext, 'registry' | 'health' | 'pauses' | 'limits'>;
 
-/** Lists the servers of a service that take requests: the healthy ones, or all if none is healthy. */
-export function listCandidates({registry, health, pauses}: Sources, service: string): KnownServer[] {
-	return health.selectHealthy(pauses.selectOpen(registry.listUsable(service)));
+/**
+ * Lists the servers of a service that take requests: the healthy ones, or all if none is healthy. Servers at their limits
+ * are left out, unless they take a request within the given time.
+ */
+export function listCandidates({registry, health, pauses, limits}: Sources, service: string, {limitWaitMs = 0}: {limitWaitMs?: number} = {}): KnownServer[] {
+	const servers = pauses.selectOpen(registry.listUsable(service));
+	return health.selectHealthy(limits.hasLimits ? servers.filter(server => limits.isOpen(server, limitWaitMs)) : servers);
+}
+
+/** Lists the servers of a service that take no request within the given time because they are at their limits. */
+export function listClosed({registry, limits}: Pick<Sources, 'registry' | 'limits'>, service: string, {limitWaitMs = 0}: {limitWaitMs?: number} = {}): KnownServer[] {
+	return limits.hasLimits ? registry.listUsable(service).filter(server => !limits.isOpen(server, limitWaitMs)) : [];
 }
 
 /** Tells whether a server that was selected before a wait may still be sent the request. */
-export function isCandidate({registry, pauses}: Sources, server: KnownServer): boolean {
+export function isCandidate({registry, pauses}: Pick<Sources, 'registry' | 'pauses'>, server: KnownServer): boolean {
 	return registry.isUsable(server) && !pauses.isPaused(server);
 }
 
 /** Returns when a caller that is refused should come back, in milliseconds: not before one of the servers takes requests again. */
-export function computeRetryAfterMs({registry, pauses}: Sources, service: string, defaultMs: number): number {
-	return Math.max(defaultMs, pauses.estimateWaitMs(registry.listUsable(service)));
+export function computeRetryAfterMs({registry, pauses, limits}: Sources, service: string, defaultMs: number): number {
+	const waits = registry.listUsable(service).map(server => Math.max(pauses.estimateWaitMs([server]), limits.estimateWaitMs(server)));
+	return Math.max(defaultMs, waits.length === 0 ? 0 : Math.min(...waits));
 }
--- a/packages/plugins/edge/src/edge.ts
+++ b/packages/plugins/edge/src/edge.ts
@@ -6,7 +6,7 @@
 import {err, ok, type Result} from 'neverthrow';
 import {CrashAttribution} from '@hickorytrack/crash-attribution';
 import type {Ban} from '@hickorytrack/crash-attribution/run-traits';
-import {EndpointClient, type AnsweredRequest} from '@hickorytrack/endpoint-client';
+import {EndpointClient} from '@hickorytrack/endpoint-client';
 import {
 	EndpointRegistry, type Incarnation, type KnownServer, type ServerReport,
 } from '@hickorytrack/endpoint-registry';
@@ -24,6 +24,7 @@
 import {ConfigurationFollower} from '@hickorytrack/route-store/configuration-follower';
 import {CoreMember, coreRole, type CoreMemberError} from '@hickorytrack/route-store/core-member';
 import type {StoredConfiguration, StoreOutcome} from '@hickorytrack/route-store';
+import {SharedRate} from '@hickorytrack/shared-rate';
 import {LimitNews} from '@hickorytrack/shared-rate/limit-news';
 import {RouteTable} from '@hickorytrack/route-table';
 import {requestKinds} from '@hickorytrack/route-table/route-types';
@@ -31,7 +32,6 @@
 import {peerFeatures} from '@hickorytrack/types/peer-methods';
 import {AnswerMeasurements} from './answer-measurements.js';
 import type {CallerRequest} from './caller-request.js';
-import type {LimitStatement} from './request-codec.js';
 import {sendProblem} from './responses.js';
 import {CrashReports} from './crash-reports.js';
 import {RateLimitedEventLog} from './rate-limited-event-log.js';
@@ -42,7 +42,9 @@
 import {RequestLog} from './request-log.js';
 import {RetryBudget} from './retry-budget.js';
 import {defaultRetryAfterMs, type ForwardContext} from './forward-context.js';
+import {LimitSharing} from './limit-sharing.js';
 import {ServerHealth} from './server-health.js';
+import {newsSources, ServerLimits, type NewsSource} from './server-limits.js';
 import {ServerPauses} from './server-pauses.js';
 import {EdgeStageClient} from './stage-client.js';
 import {StateSharing} from './state-sharing.js';
@@ -63,9 +65,6 @@
 /** Number of the largest answers that fit into the memory for answers. */
 const answersInMemory = 4;
 
-/** How this instance has learnt what a server said in an answer. */
-const newsSources = {answer: 'answer', peer: 'peer'} as const;
-
 export class EdgeError extends HickorytrackError {}
 
 export class Edge {
@@ -85,7 +84,9 @@
 	readonly #crashAttribution: CrashAttribution;
 	readonly #crashReports: CrashReports;
 	readonly #requestLog: RequestLog;
+	readonly #limits: ServerLimits;
 	readonly #limitNews: LimitNews;
+	readonly #limitSharing: LimitSharing;
 	readonly #stageControl: StageControl | undefined;
 	readonly #abortController = new AbortController();
 	#routes: RouteTable | undefined;
@@ -128,6 +129,18 @@
 		this.#crashReports = new CrashReports({
 			clock, attribution: this.#crashAttribution, instance: settings.instance, mesh: this.mesh, registry: this.registry, eventLog, health, metrics: opts.metrics, reportIntervalMs: settings.reportIntervalMs,
 		});
+		this.#limitSharing = new LimitSharing({
+			clock, mesh: this.mesh, news: this.#limitNews, listLeaves: () => this.#stateSharing.leaves, onNews: (note, {formerly, peer}) => {
+				this.#limits.reportNews(note, {formerly, source: newsSources.peer, peer});
+			},
+		});
+		this.#limits = new ServerLimits({
+			clock, news: this.#limitNews, eventLog, metrics: opts.metrics, rate: new SharedRate({
+				clock, random, ask: async (subject, ask) => this.#limitSharing.ask(subject, ask), countInstances: () => this.#countEdges(),
+			}), onNews: server => {
+				this.#limitSharing.sendNews(server);
+			},
+		});
 		this.#context = this.#createContext({eventLog, health});
 		this.#stateSharing = new StateSharing({
 			clock, events, mesh: this.mesh, registry: this.registry, loadTracker: this.#loadTracker, cacheIndex: this.#cacheIndex, partUsage: this.#partUsage, context: this.#context, crashAttribution: this.#crashAttribution, crashReports: this.#crashReports, onLeaving: (report, peer) => {
@@ -258,6 +271,7 @@
 			relay: this.#stateSharing.relay,
 			stages: this.#stageControl?.dump(),
 			profile: this.#profile.dump(),
+			limits: this.#limits.describe(this.registry.list()),
 			crashCauses: this.#crashAttribution.listBans(),
 			servers: this.registry.list().map(server => ({...server, load: this.#loadTracker.getLoad(server.id), awaitedStage: this.registry.findPendingStage(this.registry.find(server.id)!)})),
 			linesDropped: this.#context.eventLog.droppedTotal,
@@ -295,6 +309,7 @@
 			registry: this.registry,
 			health,
 			pauses,
+			limits: this.#limits,
 			loadTracker: this.#loadTracker,
 			profile: this.#profile,
 			measurements: new AnswerMeasurements({cacheIndex: this.#cacheIndex, profile: this.#profile, health}),
@@ -309,14 +324,14 @@
 						this.#recordPause(server, metadata.pauseMs);
 					}
 
-					this.#recordLimit(server, metadata.limit, request);
+					this.#limits.recordAnswer(server, metadata.limit, request);
 				}, onForeignAnswer: answer => {
 					this.#requestLog.recordForeignAnswer(answer, this.registry.list().find(server => server.address === answer.address)?.id);
 				},
 			}),
 			leastLoadPlacement: new LeastLoadPlacement({loadTracker: this.#loadTracker, random, getFailureRate: server => health.getFailureRate(server)}),
 			promptPlacement: new PromptPlacement({
-				random, loadTracker: this.#loadTracker, cacheIndex: this.#cacheIndex, usage: this.#partUsage, profile: this.#profile, getKvCapacity: service => this.#getKvCapacity(service),
+				random, loadTracker: this.#loadTracker, cacheIndex: this.#cacheIndex, usage: this.#partUsage, profile: this.#profile, getKvCapacity: service => this.#getKvCapacity(service), isLimited: server => this.#limits.isLimited(server),
 			}),
 			retryBudget: new RetryBudget({
 				clock, ratio: settings.retryRatio, allowance: settings.retryAllowance, windowMs: settings.retryWindowMs, isFirstStart: settings.isFirstStart, countInstances: () => this.#countEdges(), eventLog, metrics,
@@ -357,7 +372,9 @@
 			events,
 			registry: this.registry,
 			planner: stagePlanners[settings.stagePlanner],
-			client: new EdgeStageClient({clock, codec, client: this.#context.client}),
+			client: new EdgeStageClient({
+				clock, codec, client: this.#context.client, limits: this.#limits,
+			}),
 			leadership: {
 				get leadershipAgeMs() {
 					return core.leadershipAgeMs;
@@ -414,29 +431,7 @@
 		this.#context.eventLog.emit('serverPaused', {server: server.id, startedAt: server.startedAt, pauseMs});
 	}
 
-	/** Records what an answer says of the limit of its server. */
-	#recordLimit(server: Incarnation, limit: LimitStatement | undefined, {callKind, sentAt, isProved}: AnsweredRequest): void {
-		const {metrics} = this.#opts;
-		const formerly = this.#limitNews.find(server);
-		if (limit?.kind === 'invalid') {
-			metrics.count('server_limits_invalid_total');
-			this.#context.eventLog.emit('serverLimitInvalid', {server: server.id, startedAt: server.startedAt, text: limit.text});
-		} else if (limit?.kind === 'rate') {
-			metrics.count('limited_answers_total', {call: callKind});
-			if (this.#limitNews.record(server, limit.perSecond)) {
-				this.#reportLimit(server, {perSecond: limit.perSecond, formerly, source: newsSources.answer});
-			}
-		} else if (limit?.kind === 'none' && isProved && this.#limitNews.recordNone(server, sentAt)) {
-			this.#reportLimit(server, {formerly, source: newsSources.answer});
-		}
-	}
-
-	#reportLimit({id, startedAt}: Incarnation, told: {perSecond?: number; formerly?: number; source: keyof typeof newsSources; peer?: string}): void {
-		this.#opts.metrics.count('server_limits_total', {source: told.source});
-		this.#context.eventLog.emit('serverLimited', {server: id, startedAt, ...told});
-	}
-
-	#reportLeaving({id, service, address, startedAt}: ServerReport, told: {source: keyof typeof newsSources; peer?: string}): void {
+	#reportLeaving({id, service, address, startedAt}: ServerReport, told: {source: NewsSource; peer?: string}): void {
 		this.#opts.metrics.count('servers_leaving_total', {source: told.source});
 		this.#opts.events.emit('serverLeaving', {
 			server: id, service, address, startedAt, ...told,
@@ -453,7 +448,15 @@
 		metrics.set('log_lines_dropped_total', this.#context.eventLog.droppedTotal);
 		for (const {name} of this.#routes?.configuration.services ?? []) {
 			metrics.set('servers', this.registry.listUsable(name).length, {service: name});
+			const limits = this.#limits.describe(this.registry.listUsable(name));
+			metrics.set('limited_servers', limits.length, {service: name});
+			metrics.set('limit_per_second', sum(limits.map(({perSecond}) => perSecond)), {service: name});
+			metrics.set('limit_used_per_second', sum(limits.map(({ownPerSecond}) => ownPerSecond)), {service: name});
 			metrics.set('retry_budget_left', this.#context.retryBudget.countLeft(name), {service: name});
 		}
 	}
 }
+
+function sum(values: readonly number[]): number {
+	return values.reduce((total, value) => total + value, 0);
+}
--- a/packages/plugins/edge/src/forward-context.ts
+++ b/packages/plugins/edge/src/forward-context.ts
@@ -1,6 +1,7 @@
 /** State and services that all forwarders of an instance share. */
 import type {Clock} from '@hickorytrack/clock';
 import type {EndpointClient, OutboundRequest} from '@hickorytrack/endpoint-client';
+import type {SendGrant} from '@hickorytrack/endpoint-client/send-grant';
 import type {AnswerIdentity} from '@hickorytrack/endpoint-client/answer-identity';
 import type {EngineProfile} from '@hickorytrack/engine-profile';
 import type {EndpointRegistry, KnownServer} from '@hickorytrack/endpoint-registry';
@@ -18,6 +19,7 @@
 import type {RetryBudget} from './retry-budget.js';
 import type {SendPermit} from './send-permits.js';
 import type {ServerHealth} from './server-health.js';
+import type {ServerLimits} from './server-limits.js';
 import type {ServerPauses} from './server-pauses.js';
 
 export type ForwardContext = {
@@ -27,6 +29,7 @@
 	registry: EndpointRegistry;
 	health: ServerHealth;
 	pauses: ServerPauses;
+	limits: ServerLimits;
 	loadTracker: LoadTracker;
 	profile: EngineProfile;
 	measurements: AnswerMeasurements;
@@ -57,8 +60,8 @@
 }
 
 /** Creates the request to a server for a caller's request, which is sent at once. */
-export function createOutboundRequest(context: ForwardContext, request: CallerRequest, metadata: Omit<ForwardMetadata, 'remainingMs'> & {needsVerifiedConnection: boolean; permit: SendPermit}): OutboundRequest {
-	const {needsVerifiedConnection, permit, ...rest} = metadata;
+export function createOutboundRequest(context: ForwardContext, request: CallerRequest, metadata: Omit<ForwardMetadata, 'remainingMs'> & {needsVerifiedConnection: boolean; permit: SendPermit; grant: SendGrant}): OutboundRequest {
+	const {needsVerifiedConnection, permit, grant, ...rest} = metadata;
 	permit.start();
 	const remainingMs = Math.max(1, Math.floor(computeRemainingMs(context, request) - responseMarginMs));
 	return {
@@ -69,6 +72,7 @@
 		path: request.path,
 		body: request.body,
 		headers: context.codec.encodeForwardHeaders(request.metadata.headers, {...rest, remainingMs}),
+		grant,
 		needsVerifiedConnection,
 		connectionLimit: context.getConnectionLimit(request.service),
 	};
--- a/packages/plugins/edge/src/kv-release.ts
+++ b/packages/plugins/edge/src/kv-release.ts
@@ -1,4 +1,5 @@
 /** Releases KV caches that no server will fetch. */
+import {unlimitedGrant} from '@hickorytrack/endpoint-client/send-grant';
 import {runAttempt} from './attempt.js';
 import {callKinds} from './call-kinds.js';
 import type {ForwardContext} from './forward-context.js';
@@ -7,18 +8,26 @@
 /** After this time a KV cache that was not released has expired at its server. */
 const releaseTimeoutMs = 1000;
 
-/** Asks the server that holds the KV cache to release it; a call that fails is not repeated. */
-export function releaseKvCache({client, codec, clock, registry, pauses, getConnectionLimit}: ForwardContext, service: string, handle: KvHandle): void {
+/**
+ * Asks the server that holds the KV cache to release it; a call that fails is not repeated. A server that wants no calls gets
+ * none, and the KV cache expires by itself.
+ */
+export async function releaseKvCache({client, codec, clock, registry, pauses, limits, getConnectionLimit}: ForwardContext, service: string, handle: KvHandle): Promise<void> {
 	const recipient = registry.findByAddress(handle.address);
 	if (recipient && pauses.isPaused(recipient)) {
-		// The server wants no calls, and the KV cache expires by itself.
+		return;
+	}
+
+	const {signal} = new AbortController();
+	const grant = recipient ? await limits.acquire(recipient, {call: callKinds.release, maxWaitMs: 0, signal}) : unlimitedGrant;
+	if (!grant) {
 		return;
 	}
 
 	const {method, path} = codec.createReleaseCall(handle);
-	void runAttempt(client, handle.address, {
-		clock, signal: new AbortController().signal, timeoutMs: releaseTimeoutMs, request: {
-			recipient, callKind: callKinds.release, method, path, headers: [], needsVerifiedConnection: false, connectionLimit: getConnectionLimit(service),
+	await runAttempt(client, handle.address, {
+		clock, signal, timeoutMs: releaseTimeoutMs, request: {
+			recipient, callKind: callKinds.release, grant, method, path, headers: [], needsVerifiedConnection: false, connectionLimit: getConnectionLimit(service),
 		},
 	});
 }
--- /dev/null
+++ b/packages/plugins/edge/src/limit-sharing.ts
@@ -0,0 +1,141 @@
+/**
+ * What edges tell each other about the limits of servers: news of them, and grants to send. For each limited server one
+ * member of the core issues the grants, the first in an order that all edges compute alike. A member that can't reach one
+ * before it does not know whether that one still issues, so it issues a small part of the limit only.
+ */
+import type {Clock} from '@hickorytrack/clock';
+import type {Mesh} from '@hickorytrack/mesh';
+import type {PeerConnection} from '@hickorytrack/peer-link/peer-connection';
+import {RendezvousRanking} from '@hickorytrack/placement/rendezvous-ranking';
+import {coreRole} from '@hickorytrack/route-store/core-member';
+import type {LimitNews, LimitNote, Subject} from '@hickorytrack/shared-rate/limit-news';
+import {RateIssuer, type RateAsk, type RateReply} from '@hickorytrack/shared-rate/rate-issuer';
+
+export type LimitSharingOptions = {
+	clock: Clock;
+	mesh: Mesh;
+	news: LimitNews;
+	/** Instances to which this one passes on what others tell. */
+	listLeaves: () => readonly PeerConnection[];
+	/** Called for each limit that another instance has told and that was news here, with what held before. */
+	onNews: (note: LimitNote, opts: {formerly: number | undefined; peer: string}) => void;
+};
+
+/** News goes out after this time at the latest, together with other news of the meantime. */
+const noteIntervalMs = 50;
+/** An issuer answers within a few milliseconds; one that does not is treated as unreachable. */
+const askTimeoutMs = 150;
+/** Part of a limit that is issued while a member that comes first can't be reached and may still issue all of it. */
+const unconfirmedFraction = 0.25;
+
+export class LimitSharing {
+	readonly #opts: LimitSharingOptions;
+	readonly #issuer: RateIssuer;
+	readonly #ranking = new RendezvousRanking();
+	/** Servers with news that has not been sent, by id. */
+	readonly #unsent = new Set<string>();
+	#isSendDue = false;
+
+	constructor(opts: LimitSharingOptions) {
+		this.#opts = opts;
+		this.#issuer = new RateIssuer(opts.clock);
+		const {mesh, news} = opts;
+		mesh.peers.handle('limit.note', ({limits}, connection) => {
+			this.#handleNotes(limits, connection);
+		});
+		mesh.peers.handle('limit.acquire', ({server, startedAt, ...ask}) => {
+			const reply = this.#issue({id: server, startedAt}, ask);
+			return reply ? {isIssuer: true, ...reply} : {isIssuer: false, granted: 0, delayMs: 0};
+		});
+		mesh.onConnected(connection => {
+			// An instance that has started or was cut off has missed the news of the meantime.
+			connection.notify('limit.note', {limits: news.list()});
+		});
+	}
+
+	/** Tells the other instances what is known of the limit of a server. */
+	sendNews({id}: Subject): void {
+		this.#unsent.add(id);
+		if (!this.#isSendDue) {
+			this.#isSendDue = true;
+			this.#opts.clock.startTimer(noteIntervalMs, () => {
+				this.#isSendDue = false;
+				this.#opts.mesh.broadcast('limit.note', {limits: this.#drainUnsent()});
+			});
+		}
+	}
+
+	/** Asks the instance that issues grants for the server. Undefined if none could be asked. */
+	async ask(subject: Subject, ask: RateAsk): Promise<RateReply | undefined> {
+		const {mesh} = this.#opts;
+		for (const address of this.#rankIssuers(subject)) {
+			if (address === mesh.address) {
+				return this.#issue(subject, ask);
+			}
+
+			const connection = mesh.findConnection(address);
+			if (connection) {
+				const reply = await connection.request('limit.acquire', {server: subject.id, startedAt: subject.startedAt, ...ask}, {timeoutMs: askTimeoutMs});
+				return reply.isOk() && reply.value.isIssuer ? reply.value : undefined;
+			}
+		}
+
+		return undefined;
+	}
+
+	/** Undefined if another member issues the grants for this server. */
+	#issue(subject: Subject, ask: RateAsk): RateReply | undefined {
+		const fraction = this.#computeFraction(subject);
+		const perSecond = this.#opts.news.getRate(subject) ?? ask.perSecond;
+		return fraction === 0 ? undefined : this.#issuer.grant(subject, {...ask, perSecond}, {fraction});
+	}
+
+	/** Returns the part of the server's limit that this member issues. */
+	#computeFraction(subject: Subject): number {
+		const {mesh} = this.#opts;
+		let fraction = 1;
+		for (const address of this.#rankIssuers(subject)) {
+			if (address === mesh.address) {
+				return fraction;
+			}
+
+			if (mesh.findConnection(address)) {
+				return 0;
+			}
+
+			fraction = mesh.isRefused(address) ? fraction : unconfirmedFraction;
+		}
+
+		return 0;
+	}
+
+	/** Addresses of the members of the core, the one that issues grants for the server first. */
+	#rankIssuers({id, startedAt}: Subject): string[] {
+		const {mesh} = this.#opts;
+		const own = mesh.peers.member.roles.includes(coreRole) ? [mesh.address] : [];
+		const addresses = [...own, ...mesh.listMembers(coreRole).map(({address}) => address)].sort();
+		const ranks = this.#ranking.computeRanks(`${id} ${startedAt}`, addresses);
+		return addresses.sort((a, b) => ranks.get(a)! - ranks.get(b)!);
+	}
+
+	#handleNotes(notes: readonly LimitNote[], {remote}: PeerConnection): void {
+		const {news, listLeaves, onNews} = this.#opts;
+		const formerly = new Map(notes.map(note => [note.id, news.find(note)]));
+		const changed = news.merge(notes);
+		for (const note of changed) {
+			onNews(note, {formerly: formerly.get(note.id), peer: remote.instance});
+		}
+
+		for (const leaf of changed.length > 0 ? listLeaves() : []) {
+			if (leaf.remote.address !== remote.address) {
+				leaf.notify('limit.note', {limits: changed});
+			}
+		}
+	}
+
+	#drainUnsent(): LimitNote[] {
+		const ids = new Set(this.#unsent);
+		this.#unsent.clear();
+		return this.#opts.news.list().filter(({id}) => ids.has(id));
+	}
+}
--- a/packages/plugins/edge/src/stage-client.ts
+++ b/packages/plugins/edge/src/stage-client.ts
@@ -9,6 +9,7 @@
 import {callKinds, type CallKind} from './call-kinds.js';
 import {attemptOutcomes, runAttempt, type AttemptResult} from './attempt.js';
 import type {RequestCodec, ServerCall} from './request-codec.js';
+import type {ServerLimits} from './server-limits.js';
 
 /** A server answers such a call within a few milliseconds; one that does not is called again later. */
 const callTimeoutMs = 500;
@@ -16,34 +17,37 @@
 const connectionLimit = 2;
 
 export class EdgeStageClient implements StageClient {
-	readonly #opts: {clock: Clock; client: EndpointClient; codec: RequestCodec};
+	readonly #opts: {clock: Clock; client: EndpointClient; codec: RequestCodec; limits: Pick<ServerLimits, 'acquire'>};
 
-	constructor(opts: {clock: Clock; client: EndpointClient; codec: RequestCodec}) {
+	constructor(opts: {clock: Clock; client: EndpointClient; codec: RequestCodec; limits: Pick<ServerLimits, 'acquire'>}) {
 		this.#opts = opts;
 	}
 
 	async readStatus(server: KnownServer): Promise<ServerStageStatus | undefined> {
 		const {codec} = this.#opts;
 		const result = await this.#call(server, callKinds.stageStatus, codec.createStageStatusCall(server.id));
-		const isSuccessful = result.outcome === attemptOutcomes.answered && result.head?.status === 200;
+		const isSuccessful = result?.outcome === attemptOutcomes.answered && result.head?.status === 200;
 		return isSuccessful ? codec.decodeStageStatus(result.body.toString()) : undefined;
 	}
 
 	async sendOrder(server: KnownServer, order: StageOrder): Promise<OrderOutcome> {
 		const {codec} = this.#opts;
 		const result = await this.#call(server, callKinds.stageOrder, codec.createStageOrderCall(server.id, order));
-		if (result.outcome === attemptOutcomes.answered) {
+		if (result?.outcome === attemptOutcomes.answered) {
 			return codec.decodeOrderOutcome(result.head!.status);
 		}
 
-		return result.isWritten ? orderOutcomes.unknown : orderOutcomes.refused;
+		return result?.isWritten ? orderOutcomes.unknown : orderOutcomes.refused;
 	}
 
-	async #call(server: KnownServer, callKind: CallKind, {method, path, headers, body}: ServerCall): Promise<AttemptResult> {
-		const {clock, client} = this.#opts;
-		return runAttempt(client, server.address, {
-			clock, signal: new AbortController().signal, timeoutMs: callTimeoutMs, request: {
-				recipient: server, callKind, method, path, headers: headers ?? [], body: body ?? Buffer.alloc(0), needsVerifiedConnection: true, connectionLimit,
+	/** Undefined for a server that is at its limit; it is called again later. */
+	async #call(server: KnownServer, callKind: CallKind, {method, path, headers, body}: ServerCall): Promise<AttemptResult | undefined> {
+		const {clock, client, limits} = this.#opts;
+		const {signal} = new AbortController();
+		const grant = await limits.acquire(server, {call: callKind, maxWaitMs: 0, signal});
+		return grant && runAttempt(client, server.address, {
+			clock, signal, timeoutMs: callTimeoutMs, request: {
+				recipient: server, callKind, grant, method, path, headers: headers ?? [], body: body ?? Buffer.alloc(0), needsVerifiedConnection: true, connectionLimit,
 			},
 		});
 	}
--- a/packages/plugins/edge/src/state-sharing.ts
+++ b/packages/plugins/edge/src/state-sharing.ts
@@ -52,6 +52,11 @@
 		return this.#loadSharing.relay;
 	}
 
+	/** Instances that use this one as their relay, to which it passes on what others tell everybody. */
+	get leaves(): readonly PeerConnection[] {
+		return this.#loadSharing.leaves;
+	}
+
 	/** Shares state until the signal aborts. */
 	run(signal: AbortSignal): void {
 		this.#loadSharing.run(signal);
--- a/packages/plugins/edge/src/stream-calls.ts
+++ b/packages/plugins/edge/src/stream-calls.ts
@@ -3,6 +3,7 @@
  * their health, their speed and their silence.
  */
 import type {ResponseHead} from '@hickorytrack/endpoint-client';
+import type {SendGrant} from '@hickorytrack/endpoint-client/send-grant';
 import {answerVerdicts, type ReceivedAnswer} from '@hickorytrack/http-answer/answer-reader';
 import type {KnownServer} from '@hickorytrack/endpoint-registry';
 import type {Placement} from '@hickorytrack/prompt-placement';
@@ -30,7 +31,7 @@
 
 export type AcceptedPlacement = Exclude<Placement, {kind: 'refuse'}>;
 
-export type GenerationOptions = {permit: SendPermit; handle?: KvHandle; placement: AcceptedPlacement};
+export type GenerationOptions = {permit: SendPermit; grant: SendGrant; handle?: KvHandle; placement: AcceptedPlacement};
 
 export type StreamCallsOptions = {
 	relay: EventRelay;
@@ -59,7 +60,7 @@
 	}
 
 	/** Has a server prefill the prompt. */
-	async prefill(run: StreamRun, {prefillServer, kvSource, prefillTokens, predictedMs}: Placement & {kind: 'hand-over'}, permit: SendPermit): Promise<PrefillResult> {
+	async prefill(run: StreamRun, {prefillServer, kvSource, prefillTokens, predictedMs}: Placement & {kind: 'hand-over'}, {permit, grant}: {permit: SendPermit; grant: SendGrant}): Promise<PrefillResult> {
 		const {loadTracker, client, clock, codec, health, measurements} = this.#context;
 		const queuedTokens = loadTracker.getLoad(prefillServer.id).promptTokens;
 		const inFlightLoad = loadTracker.add(prefillServer.id, prefillTokens);
@@ -67,7 +68,7 @@
 		run.server = prefillServer;
 		const result = await runAttempt(client, prefillServer.address, {
 			clock, signal: this.#request.signal, timeoutMs: this.#remainingMs, canceller: run.canceller, silence: this.#createSilenceOptions(run, prefillServer, predictedMs), request: createOutboundRequest(this.#context, this.#request, {
-				server: prefillServer, permit, needsVerifiedConnection: false, priority: this.#priority, isPrefillOnly: true, prefixCacheAddress: kvSource?.address,
+				server: prefillServer, permit, grant, needsVerifiedConnection: false, priority: this.#priority, isPrefillOnly: true, prefixCacheAddress: kvSource?.address,
 			}),
 		});
 		inFlightLoad.release();
@@ -128,7 +129,7 @@
 		return {...result, outcome: attemptOutcomes.broken, answer: this.lastAnswer};
 	}
 
-	async #generate(run: StreamRun, server: KnownServer, {permit, handle, placement}: GenerationOptions): Promise<AttemptResult> {
+	async #generate(run: StreamRun, server: KnownServer, {permit, grant, handle, placement}: GenerationOptions): Promise<AttemptResult> {
 		const {loadTracker, client, clock, measurements} = this.#context;
 		const {isResumable: isRetryable} = this.#request.route;
 		const isLongOutput = this.prompt.maxOutputTokens >= longOutputTokens;
@@ -160,6 +161,7 @@
 			request: createOutboundRequest(this.#context, this.#request, {
 				server,
 				permit,
+				grant,
 				needsVerifiedConnection: !isRetryable,
 				priority: this.#priority,
 				kvHandle: handle,
--- a/packages/plugins/edge/src/streaming-forwarder.ts
+++ b/packages/plugins/edge/src/streaming-forwarder.ts
@@ -6,6 +6,7 @@
  * A silent server may be sound and go on. So silence ends no attempt: another run is started beside it, if one is allowed and
  * a server takes it, and whichever delivers first ends the other.
  */
+import {unlimitedGrant, type SendGrant} from '@hickorytrack/endpoint-client/send-grant';
 import {describeError} from '@hickorytrack/errors';
 import {answerVerdicts, type ReceivedAnswer} from '@hickorytrack/http-answer/answer-reader';
 import type {KnownServer} from '@hickorytrack/endpoint-registry';
@@ -13,9 +14,11 @@
 import {
 	attemptOutcomes, describeFailure, type AttemptResult,
 } from './attempt.js';
-import {computeRetryAfterMs, isCandidate, listCandidates} from './candidate-servers.js';
+import {
+	computeRetryAfterMs, isCandidate, listCandidates, listClosed,
+} from './candidate-servers.js';
 import {forwardResponse, sendProblem} from './responses.js';
-import {callKinds} from './call-kinds.js';
+import {callKinds, type CallKind} from './call-kinds.js';
 import {RefusalGrounds} from './refusal-grounds.js';
 import {
 	requestOutcomes, type CallerRequest, type RequestResult,
@@ -25,6 +28,7 @@
 import type {KvHandle} from './request-codec.js';
 import {retryKinds} from './retry-budget.js';
 import {SendPermits, type SendPermit} from './send-permits.js';
+import {computeLimitWaitMs} from './server-limits.js';
 import {StreamCalls, type AcceptedPlacement} from './stream-calls.js';
 import {StreamRun, type RunEnding} from './stream-run.js';
 import {
@@ -35,7 +39,15 @@
 /** A trait of the request was found to crash servers while it was on its way. */
 const bannedReason = 'the request or a part of its prompt crashes servers';
 
-type Plan = {placement: Placement; prefillPermit?: SendPermit};
+type Plan = {
+	placement: Placement;
+	prefillPermit?: SendPermit;
+	/** How long the request may wait for its turn at limited servers, in milliseconds. */
+	limitWaitMs: number;
+};
+/** The rights to send to the servers of a placement. */
+type Grants = {prefill: SendGrant; decode: SendGrant};
+type GrantedPlan = {placement: AcceptedPlacement; prefillPermit?: SendPermit; grants: Grants};
 /** How another server takes over. */
 type Takeover = {run: StreamRun; start: () => Promise<RunEnding | undefined>};
 type DeniedTakeover = {reason: string};
@@ -162,13 +174,14 @@
 	/** Plans the run with all permits that its placement needs. Without one for a prefill, a decode server prefills the prompt. */
 	#plan(run: StreamRun): Plan {
 		const excluded = this.#listExcluded(run);
-		const placement = this.#selectPlacement({excluded, canPrefill: !this.#request.isTrial});
+		const canPrefill = !this.#request.isTrial;
+		const {placement, limitWaitMs} = this.#selectPlacement({excluded, canPrefill});
 		if (placement.kind !== 'hand-over') {
-			return {placement};
+			return {placement, limitWaitMs};
 		}
 
 		const prefillPermit = this.#permits.acquire(retryKinds.prefill);
-		return prefillPermit ? {placement, prefillPermit} : {placement: this.#selectPlacement({excluded, canPrefill: false})};
+		return prefillPermit ? {placement, prefillPermit, limitWaitMs} : this.#selectPlacement({excluded, canPrefill: false});
 	}
 
 	/** Servers at which this request has failed, and those that are silent. */
@@ -176,26 +189,98 @@
 		return new Set([...this.#excluded, ...run.listServers().map(({id}) => id)]);
 	}
 
-	#selectPlacement({excluded, canPrefill = true}: {excluded: ReadonlySet<string>; canPrefill?: boolean}): Placement {
-		const {promptPlacement} = this.#context;
-		return promptPlacement.plan({
-			prompt: this.#calls.prompt,
-			servers: listCandidates(this.#context, this.#request.service).filter(server => canPrefill || server.stage !== 'prefill'),
-			objectiveMs: this.#request.route.objectiveMs,
-			maxWaitMs: this.#maxWaitMs,
-			availabilityZone: this.#context.availabilityZone,
-			excluded,
-		});
+	/** Selects servers that take the request now, or else ones that take it after a wait. */
+	#selectPlacement({excluded, canPrefill}: {excluded: ReadonlySet<string>; canPrefill: boolean}): Pick<Plan, 'placement' | 'limitWaitMs'> {
+		const {promptPlacement, availabilityZone, clock} = this.#context;
+		const {service, route} = this.#request;
+		const select = (limitWaitMs: number) => {
+			const isAllowed = (server: KnownServer) => canPrefill || server.stage !== 'prefill';
+			return promptPlacement.plan({
+				prompt: this.#calls.prompt,
+				servers: listCandidates(this.#context, service, {limitWaitMs}).filter(server => isAllowed(server)),
+				closed: listClosed(this.#context, service, {limitWaitMs}).filter(server => isAllowed(server)),
+				objectiveMs: route.objectiveMs,
+				maxWaitMs: this.#maxWaitMs,
+				availabilityZone,
+				excluded,
+			});
+		};
+
+		const placement = select(0);
+		if (placement.kind !== 'refuse' || listClosed(this.#context, service).length === 0) {
+			return {placement, limitWaitMs: 0};
+		}
+
+		const limitWaitMs = computeLimitWaitMs(this.#request, clock.monotonic());
+		return {placement: select(limitWaitMs), limitWaitMs};
 	}
 
-	async #followPlan(run: StreamRun, {placement, prefillPermit}: Plan): Promise<RunEnding | undefined> {
-		if (placement.kind === 'refuse') {
-			this.#retryAfterMs = Math.max(this.#retryAfterMs, placement.retryAfterMs);
-			return this.#createFailure(placement.reason);
+	/**
+	 * Waits for the rights to send to the servers of the plan. One whose limit turns out to be used up is left out, and the run
+	 * is planned anew. Undefined if the run is no longer needed.
+	 */
+	async #acquireGrants(run: StreamRun, first: Plan): Promise<GrantedPlan | Placement & {kind: 'refuse'} | undefined> {
+		let plan = first;
+		while (plan.placement.kind !== 'refuse') {
+			const {placement, prefillPermit} = plan;
+			const prefill = placement.kind === 'hand-over' ? await this.#acquireGrant(placement.prefillServer, callKinds.prefill, plan) : unlimitedGrant;
+			const decode = prefill && await this.#acquireGrant(placement.decodeServer, callKinds.run, plan);
+			const isNeeded = !run.isCancelled && !this.#request.signal.aborted;
+			if (prefill && decode && isNeeded) {
+				return {placement, prefillPermit, grants: {prefill, decode}};
+			}
+
+			prefill?.release();
+			decode?.release();
+			prefillPermit?.release();
+			if (!isNeeded) {
+				return undefined;
+			}
+
+			plan = this.#plan(run);
+		}
+
+		return plan.placement;
+	}
+
+	/** Undefined if the limit of the server is used up, or if it takes no requests any more after the wait. */
+	async #acquireGrant(server: KnownServer, call: CallKind, {limitWaitMs}: Pick<Plan, 'limitWaitMs'>): Promise<SendGrant | undefined> {
+		const {limits} = this.#context;
+		if (!limits.isLimited(server)) {
+			return unlimitedGrant;
 		}
 
+		const grant = await limits.acquire(server, {call, maxWaitMs: limitWaitMs, signal: this.#request.signal});
+		if (grant && !isCandidate(this.#context, server)) {
+			grant.release();
+			return undefined;
+		}
+
+		return grant;
+	}
+
+	async #followPlan(run: StreamRun, plan: Plan): Promise<RunEnding | undefined> {
+		const granted = await this.#acquireGrants(run, plan);
+		if (!granted) {
+			return this.#request.signal.aborted ? this.#createCallerGone() : undefined;
+		}
+
+		if ('kind' in granted) {
+			this.#retryAfterMs = Math.max(this.#retryAfterMs, granted.retryAfterMs);
+			return this.#createFailure(granted.reason);
+		}
+
+		try {
+			return await this.#runGranted(run, granted);
+		} finally {
+			granted.grants.prefill.release();
+			granted.grants.decode.release();
+		}
+	}
+
+	async #runGranted(run: StreamRun, {placement, prefillPermit, grants}: GrantedPlan): Promise<RunEnding | undefined> {
 		this.#predictedMs ??= placement.predictedMs;
-		const handle = placement.kind === 'hand-over' ? await this.#prefill(run, placement, prefillPermit!) : undefined;
+		const handle = placement.kind === 'hand-over' ? await this.#prefill(run, placement, {permit: prefillPermit!, grant: grants.prefill}) : undefined;
 		if (this.#request.signal.aborted) {
 			this.#releaseKvHandle(handle);
 			return this.#createCallerGone();
@@ -213,7 +298,10 @@
 		}
 
 		this.#servers.push(decodeServer);
-		const result = await this.#calls.generate(run, decodeServer, {permit: run.permit!, handle, placement});
+		const grant = decodeServer.id === placement.decodeServer.id ? grants.decode : unlimitedGrant;
+		const result = await this.#calls.generate(run, decodeServer, {
+			permit: run.permit!, grant, handle, placement,
+		});
 		if (run.backupServer && !run.successor && this.#relay.lastEventId !== undefined && !result.error?.foreignAnswer && result.outcome === attemptOutcomes.broken) {
 			return this.#resumeAtBackup(run, decodeServer, result);
 		}
@@ -222,8 +310,8 @@
 	}
 
 	/** Has a server prefill the prompt. Without a handle of its KV cache, the request needs a new placement. */
-	async #prefill(run: StreamRun, placement: Placement & {kind: 'hand-over'}, permit: SendPermit): Promise<KvHandle | undefined> {
-		const {handle, ...failure} = await this.#calls.prefill(run, placement, permit);
+	async #prefill(run: StreamRun, placement: Placement & {kind: 'hand-over'}, opts: {permit: SendPermit; grant: SendGrant}): Promise<KvHandle | undefined> {
+		const {handle, ...failure} = await this.#calls.prefill(run, placement, opts);
 		if ('result' in failure) {
 			this.#excluded.add(placement.prefillServer.id);
 			this.#grounds.add(callKinds.prefill, placement.prefillServer, failure);
@@ -256,12 +344,17 @@
 		return isAllowed && run.permit !== undefined && this.#servers.length < this.#request.route.maxServers;
 	}
 
-	/** The load of the decode servers has changed while the prompt was prefilled, and all of them may have left. */
+	/**
+	 * The load of the decode servers has changed while the prompt was prefilled, and all of them may have left. Limited servers
+	 * are no choice, but for the planned one, which the run may be sent to already.
+	 */
 	#reselectDecodeServer(run: StreamRun, planned: KnownServer): KnownServer | undefined {
-		const {promptPlacement, availabilityZone} = this.#context;
-		const servers = listCandidates(this.#context, this.#request.service);
+		const {promptPlacement, availabilityZone, limits, registry} = this.#context;
+		const {service, route} = this.#request;
+		const mayTakeRun = (server: KnownServer) => server.id === planned.id || !limits.isLimited(server);
+		const servers = listCandidates(this.#context, service, {limitWaitMs: Number.POSITIVE_INFINITY}).filter(server => mayTakeRun(server));
 		return promptPlacement.selectDecodeServer({
-			prompt: this.#calls.prompt, objectiveMs: this.#request.route.objectiveMs, excluded: this.#listExcluded(run), availabilityZone,
+			prompt: this.#calls.prompt, objectiveMs: route.objectiveMs, excluded: this.#listExcluded(run), availabilityZone, closed: registry.listUsable(service).filter(server => !mayTakeRun(server)),
 		}, servers) ?? (isCandidate(this.#context, planned) ? planned : undefined);
 	}
 
@@ -285,9 +378,17 @@
 
 	/** Resumes the stream after its last event from the copy of the KV cache at a server. It counts as the same run. */
 	async #resumeAt(run: StreamRun, backup: KnownServer, permit: SendPermit): Promise<RunEnding> {
+		// The caller waits for the next event, so the stream comes before new requests.
+		const grant = await this.#acquireGrant(backup, callKinds.run, {limitWaitMs: this.#maxWaitMs});
+		if (!grant) {
+			permit.release();
+			return this.#createFailure('the stream could not go on: its backup server is at the limit that it has named');
+		}
+
 		this.#servers.push(backup);
 		const result = await this.#calls.generate(run, backup, {
 			permit,
+			grant,
 			handle: {address: backup.address, handle: this.#request.metadata.requestId!},
 			placement: {
 				kind: 'direct', decodeServer: backup, prefillTokens: 0, predictedMs: 0,
@@ -544,7 +645,7 @@
 	/** Releases a KV cache that no server will fetch. */
 	#releaseKvHandle(handle: KvHandle | undefined): void {
 		if (handle) {
-			releaseKvCache(this.#context, this.#request.service, handle);
+			void releaseKvCache(this.#context, this.#request.service, handle);
 		}
 	}
 
--- a/packages/plugins/edge/test/attempt.test.ts
+++ b/packages/plugins/edge/test/attempt.test.ts
@@ -3,6 +3,7 @@
 import {ManualClock} from '@hickorytrack/clock/manual-clock';
 import type {EndpointClient, OutboundRequest, ResponseHandler} from '@hickorytrack/endpoint-client';
 import {ByteBudget} from '@hickorytrack/http-answer/byte-budget';
+import {unlimitedGrant} from '@hickorytrack/endpoint-client/send-grant';
 import {
 	AttemptCanceller, attemptOutcomes, runAttempt, type AttemptResult,
 } from '../src/attempt.js';
@@ -10,7 +11,7 @@
 const idleMs = 600;
 const firstByteMs = 200;
 const request: OutboundRequest = {
-	callKind: 'run', method: 'POST', path: '/', headers: [], needsVerifiedConnection: false, connectionLimit: 1,
+	callKind: 'run', method: 'POST', grant: unlimitedGrant, path: '/', headers: [], needsVerifiedConnection: false, connectionLimit: 1,
 };
 const event = Buffer.from('id: 1\ndata: x\n\n');
 
--- a/packages/plugins/edge/test/retry-fleet.ts
+++ b/packages/plugins/edge/test/retry-fleet.ts
@@ -22,7 +22,9 @@
 import {LoadTracker} from '@hickorytrack/prompt-placement/load-tracker';
 import {PartUsage} from '@hickorytrack/prompt-placement/part-usage';
 import {PrefixCacheIndex} from '@hickorytrack/prompt-placement/prefix-cache-index';
-import type {Random} from '@hickorytrack/random';
+import {Random} from '@hickorytrack/random';
+import {SharedRate} from '@hickorytrack/shared-rate';
+import {LimitNews} from '@hickorytrack/shared-rate/limit-news';
 import {requestKinds, type Route} from '@hickorytrack/route-table/route-types';
 import {AnswerMeasurements} from '../src/answer-measurements.js';
 import {BufferedForwarder} from '../src/buffered-forwarder.js';
@@ -32,6 +34,7 @@
 import type {ForwardMetadata, RequestCodec} from '../src/request-codec.js';
 import {RetryBudget} from '../src/retry-budget.js';
 import {ServerHealth} from '../src/server-health.js';
+import {ServerLimits} from '../src/server-limits.js';
 import {ServerPauses} from '../src/server-pauses.js';
 import {StreamingForwarder} from '../src/streaming-forwarder.js';
 
@@ -217,6 +220,8 @@
 			registry: new EndpointRegistry({clock, reportTimeoutMs: 60_000}),
 			measurements: new AnswerMeasurements({cacheIndex, profile, health}),
 			leastLoadPlacement: new LeastLoadPlacement({loadTracker, random, getFailureRate: () => 0}),
+			// No server names a limit here.
+			limits: createUnlimited(),
 			promptPlacement: new PromptPlacement({
 				random, loadTracker, cacheIndex, usage: new PartUsage(clock), profile, getKvCapacity: () => 1e6,
 			}),
@@ -295,6 +300,16 @@
 	}
 }
 
+function createUnlimited(): ServerLimits {
+	const clock = new ManualClock();
+	const metrics = new MetricsRegistry();
+	return new ServerLimits({
+		clock, news: new LimitNews(clock), eventLog: new RateLimitedEventLog(clock, new EventLog({clock})), metrics, onNews() {/* There is none. */}, rate: new SharedRate({
+			clock, random: new Random(1), ask: async () => undefined, countInstances: () => 1,
+		}),
+	});
+}
+
 function countBetween(times: readonly number[], start: number, lengthMs: number): number {
 	return times.filter(time => time > start && time <= start + lengthMs).length;
 }
--- a/packages/plugins/edge/test/server-calls.test.ts
+++ b/packages/plugins/edge/test/server-calls.test.ts
@@ -3,11 +3,13 @@
 import {expect} from 'chai';
 import {SystemClock} from '@hickorytrack/clock/system-clock';
 import {EndpointClient} from '@hickorytrack/endpoint-client';
+import {unlimitedGrant} from '@hickorytrack/endpoint-client/send-grant';
 import {EndpointRegistry} from '@hickorytrack/endpoint-registry';
 import {LoadTracker} from '@hickorytrack/prompt-placement/load-tracker';
 import type {ForwardContext} from '../src/forward-context.js';
 import {releaseKvCache} from '../src/kv-release.js';
 import type {RequestCodec} from '../src/request-codec.js';
+import type {ServerLimits} from '../src/server-limits.js';
 import {ServerPauses} from '../src/server-pauses.js';
 import {EdgeStageClient} from '../src/stage-client.js';
 
@@ -53,16 +55,19 @@
 	// What a server says in the answers to these calls was not read.
 	it('report the answers with their server', async () => {
 		const known = registry.find('a')!;
-		const stageClient = new EdgeStageClient({clock, client, codec});
+		const limits = {acquire: async () => unlimitedGrant} as unknown as ServerLimits;
+		const stageClient = new EdgeStageClient({
+			clock, client, codec, limits,
+		});
 		await stageClient.readStatus(known);
 		await stageClient.sendOrder(known, {
 			stage: 'decode', holder: 'edge-1', fencingToken: 1, expectedSequence: 0,
 		});
 		const pauses = new ServerPauses({clock, loadTracker: new LoadTracker(clock)});
 		const context: Partial<ForwardContext> = {
-			client, codec, clock, registry, pauses, getConnectionLimit: () => 2,
+			client, codec, clock, registry, pauses, limits, getConnectionLimit: () => 2,
 		};
-		releaseKvCache(context as ForwardContext, 's', {address: known.address, handle: 'h'});
+		void releaseKvCache(context as ForwardContext, 's', {address: known.address, handle: 'h'});
 		while (answers.length < 3) {
 			await clock.sleep(5);
 		}
--- a/packages/routing/endpoint-client/src/endpoint-client.ts
+++ b/packages/routing/endpoint-client/src/endpoint-client.ts
@@ -12,6 +12,7 @@
 import {AnswerReader, answerVerdicts, type ReceivedAnswer} from '@hickorytrack/http-answer/answer-reader';
 import {ByteBudget} from '@hickorytrack/http-answer/byte-budget';
 import type {AnswerIdentity, ForeignAnswer} from './answer-identity.js';
+import type {SendGrant} from './send-grant.js';
 import {
 	ServerConnections, type Recipient, type ServerConnection, type ServerConnectionsOptions,
 } from './server-connections.js';
@@ -28,6 +29,8 @@
 	recipient?: Recipient;
 	/** Undefined for calls whose answers bear no id; such a call has a connection of its own. */
 	identity?: AnswerIdentity;
+	/** Used when the request is written, released otherwise. */
+	grant: SendGrant;
 	/** Uses only a connection that is known to work, for requests that must not run twice. */
 	needsVerifiedConnection: boolean;
 	/** Maximum number of connections from this instance to the server. */
@@ -139,6 +142,7 @@
 			limit: request.connectionLimit, needsVerifiedConnection: request.needsVerifiedConnection, answerId: request.identity?.expectedId, recipient: request.recipient,
 		});
 		if (!connection) {
+			request.grant.release();
 			handler.onFailure(new EndpointClientError('ERR_HICKORYTRACK_CONNECTIONS_BUSY', `All connections to ${address} are busy`, {isWritten: false, isBusy: true}));
 			return {cancel() {/* Nothing was sent. */}, pause() {/* Nothing was sent. */}, resume() {/* Nothing was sent. */}};
 		}
@@ -193,6 +197,7 @@
 
 				this.#isWritten = true;
 				this.#sentAt = clock.monotonic();
+				request.grant.use();
 			},
 			onResponseStart: (_controller, status, headers) => {
 				// An informational response (1xx) precedes the final one.
@@ -265,6 +270,10 @@
 
 	#recordSettled(): void {
 		this.#isSettled = true;
+		if (!this.#isWritten) {
+			this.#opts.request.grant.release();
+		}
+
 		this.#opts.limits.budget.release(this.#chargedBytes);
 		this.#chargedBytes = 0;
 	}
--- a/packages/routing/endpoint-client/test/answer-identity.test.ts
+++ b/packages/routing/endpoint-client/test/answer-identity.test.ts
@@ -6,6 +6,7 @@
 import {ManualClock} from '@hickorytrack/clock/manual-clock';
 import {EndpointClient, type EndpointClientError, type ResponseHead} from '../src/endpoint-client.js';
 import type {AnswerIdentity, ForeignAnswer} from '../src/answer-identity.js';
+import {unlimitedGrant} from '../src/send-grant.js';
 
 type Result = {head?: ResponseHead; body: string; error?: EndpointClientError};
 /** What the test server does with the request of this number on one connection; the first is 1. */
@@ -71,7 +72,7 @@
 	const send = async (id: string, opts: {hasIdentity?: boolean; onHead?: () => void} = {}) => new Promise<Result>(resolve => {
 		const result: Result = {body: ''};
 		const sentRequest = client.send(address, {
-			callKind: 'run', method: 'GET', path: '/a', headers: ['host', 'a.example', 'x-id', id], needsVerifiedConnection: false, connectionLimit: 4, identity: opts.hasIdentity === false ? undefined : createIdentity(id),
+			callKind: 'run', method: 'GET', grant: unlimitedGrant, path: '/a', headers: ['host', 'a.example', 'x-id', id], needsVerifiedConnection: false, connectionLimit: 4, identity: opts.hasIdentity === false ? undefined : createIdentity(id),
 		}, {
 			onHead(head) {
 				result.head = head;
@@ -123,7 +124,7 @@
 			expect(second.body).to.equal('');
 			expect(foreignAnswers).to.have.length(1);
 			expect(foreignAnswers[0]).to.include({
-				address, callKind: 'run', expectedId: 'b', receivedId: 'a', exchanges: 1,
+				address, callKind: 'run', grant: unlimitedGrant, expectedId: 'b', receivedId: 'a', exchanges: 1,
 			});
 		});
 	}
@@ -284,7 +285,7 @@
 		const post = async (id: string) => new Promise<number | undefined>(resolve => {
 			let status: number | undefined;
 			client.send(earlyAddress, {
-				callKind: 'run', method: 'POST', path: '/a', headers: ['host', 'a.example', 'x-id', id], body, needsVerifiedConnection: false, connectionLimit: 1, identity: createIdentity(id),
+				callKind: 'run', method: 'POST', grant: unlimitedGrant, path: '/a', headers: ['host', 'a.example', 'x-id', id], body, needsVerifiedConnection: false, connectionLimit: 1, identity: createIdentity(id),
 			}, {
 				onHead(head) {
 					status = head.status;
--- a/packages/routing/endpoint-client/test/endpoint-client.test.ts
+++ b/packages/routing/endpoint-client/test/endpoint-client.test.ts
@@ -6,6 +6,7 @@
 import {ManualClock} from '@hickorytrack/clock/manual-clock';
 import {SystemClock} from '@hickorytrack/clock/system-clock';
 import {EndpointClient, type ResponseHead, type EndpointClientError} from '../src/endpoint-client.js';
+import {unlimitedGrant} from '../src/send-grant.js';
 
 type ReceivedResponse = {head?: ResponseHead; body: string; error?: EndpointClientError};
 
@@ -44,7 +45,7 @@
 		count++;
 		const id = String(count);
 		client.send(address, {
-			callKind: 'run', method: 'GET', path: '/a', headers: ['host', 'a.example'], needsVerifiedConnection: false, connectionLimit: 4, identity: {expectedId: id, readId: () => id}, ...opts,
+			callKind: 'run', method: 'GET', grant: unlimitedGrant, path: '/a', headers: ['host', 'a.example'], needsVerifiedConnection: false, connectionLimit: 4, identity: {expectedId: id, readId: () => id}, ...opts,
 		}, {
 			onHead(head) {
 				response.head = head;
@@ -107,7 +108,7 @@
 				let bodyBytes = 0;
 				const outcome = await new Promise(resolve => {
 					const sent = client.send(started.address, {
-						callKind: 'run', method: 'GET', path: '/a', headers: ['host', 'a.example'], needsVerifiedConnection: false, connectionLimit: 4, identity: {expectedId: '1', readId: () => '1'},
+						callKind: 'run', method: 'GET', grant: unlimitedGrant, path: '/a', headers: ['host', 'a.example'], needsVerifiedConnection: false, connectionLimit: 4, identity: {expectedId: '1', readId: () => '1'},
 					}, {
 						onHead() {/* The test looks at the end only. */},
 						onData(chunk) {
--- a/packages/routing/endpoint-client/test/recipients.test.ts
+++ b/packages/routing/endpoint-client/test/recipients.test.ts
@@ -6,6 +6,7 @@
 import {SystemClock} from '@hickorytrack/clock/system-clock';
 import {EndpointClient} from '../src/endpoint-client.js';
 import type {Recipient} from '../src/server-connections.js';
+import {unlimitedGrant} from '../src/send-grant.js';
 
 const createAnswer = (head: string, body = '') => `HTTP/1.1 ${head}\r\nX-Leaves: 1\r\nContent-Length: ${body.length}\r\n\r\n${body}`;
 
@@ -53,7 +54,7 @@
 		count++;
 		const id = String(count);
 		client.send(address, {
-			callKind: 'run', method: 'POST', path: '/a', headers: [], needsVerifiedConnection: false, connectionLimit: 4, recipient, body: opts.body, identity: {expectedId: id, readId: opts.readId ?? (() => id)},
+			callKind: 'run', method: 'POST', grant: unlimitedGrant, path: '/a', headers: [], needsVerifiedConnection: false, connectionLimit: 4, recipient, body: opts.body, identity: {expectedId: id, readId: opts.readId ?? (() => id)},
 		}, {
 			onHead() {
 				heads.push('handler');
--- a/packages/routing/endpoint-client/test/written-requests.test.ts
+++ b/packages/routing/endpoint-client/test/written-requests.test.ts
@@ -7,6 +7,7 @@
 import {SystemClock} from '@hickorytrack/clock/system-clock';
 import {Random} from '@hickorytrack/random';
 import {EndpointClient, type EndpointClientError, type OutboundRequest} from '../src/endpoint-client.js';
+import {unlimitedGrant} from '../src/send-grant.js';
 
 const clock = new SystemClock();
 /** Larger than the socket buffers, so that a part of the body waits in this process. */
@@ -113,7 +114,7 @@
 		const outcome = new Promise<Outcome>(resolve => {
 			let status: number | undefined;
 			const sent = client.send(address, {
-				method: 'POST', path, headers: ['host', 'a.example'], callKind: 'test', identity: {expectedId: path, readId: head => head.headers['x-id']?.toString()}, needsVerifiedConnection: false, connectionLimit: 4, ...opts,
+				method: 'POST', path, headers: ['host', 'a.example'], callKind: 'test', grant: unlimitedGrant, identity: {expectedId: path, readId: head => head.headers['x-id']?.toString()}, needsVerifiedConnection: false, connectionLimit: 4, ...opts,
 			}, {
 				onHead(head) {
 					status = head.status;
--- a/packages/routing/prompt-placement/src/prompt-placement.ts
+++ b/packages/routing/prompt-placement/src/prompt-placement.ts
@@ -46,11 +46,15 @@
 	profile: EngineProfile;
 	/** Returns the KV cache capacity of a server of the service, in tokens. */
 	getKvCapacity: (service: string) => number;
+	/** Tells whether a server limits the requests that it takes; what it takes is used first. */
+	isLimited?: (server: KnownServer) => boolean;
 };
 
 export type PlacementRequest = {
 	prompt: Prompt;
 	servers: readonly KnownServer[];
+	/** Servers that take no request at the moment. They keep their roles, so that those of the others don't change. */
+	closed?: readonly KnownServer[];
 	/** Objective for the time to the first event, in milliseconds; a later answer loses part of its value. */
 	objectiveMs: number;
 	/** Zone of this instance. */
@@ -94,6 +98,9 @@
 /** A fetch that saves fewer tokens costs more than it saves. */
 const minFetchTokens = 64;
 
+/** Roles of the decode servers, of those that take no request too. */
+type DecodeLayout = {homeServers: readonly KnownServer[]; scratchServers: readonly KnownServer[]};
+
 type PrefillPlan = {
 	server: KnownServer;
 	kvSource?: KnownServer;
@@ -146,7 +153,7 @@
 		const {objectiveMs, maxWaitMs} = request;
 		const prefillTokens = request.prompt.tokens;
 		const predictMs = (server: KnownServer) => this.#estimateQueueMs(server) + this.#slots.estimateWaitMs(server) + profile.estimateMs(server, prefillTokens);
-		const decodeServer = this.#selectForStream(decodeServers, objectiveMs) ?? this.#selectLeast(decodeServers, server => predictMs(server));
+		const decodeServer = this.#selectForStream(request, decodeServers) ?? this.#selectLeast(decodeServers, server => predictMs(server));
 		const predictedMs = predictMs(decodeServer);
 		if (predictedMs > Math.max(objectiveMs, maxWaitMs * maxSlotWaitFraction)) {
 			return {kind: 'refuse', retryAfterMs: Math.max(objectiveMs, predictedMs - objectiveMs), reason: `every generating server is full; the first event is ${Math.round(predictedMs)} ms away`};
@@ -161,22 +168,25 @@
 	 * Selects the first server with free capacity, in an order that is the same on every instance. Streams are packed on few
 	 * servers, so that the others can prefill long prompts without stalling a stream.
 	 */
-	#selectForStream(decodeServers: readonly KnownServer[], objectiveMs: number): KnownServer | undefined {
-		const {scratchServers, homeServers} = splitDecodeServers(decodeServers);
-		return [...scratchServers, ...homeServers].find(server => this.#slots.getLoadFraction(server) < maxPackedSlotFraction && this.#estimateQueueMs(server) < objectiveMs * maxStreamQueueFraction);
+	#selectForStream(request: PlacementRequest, decodeServers: readonly KnownServer[]): KnownServer | undefined {
+		const {objectiveMs} = request;
+		const {scratchServers, homeServers} = createLayout(request);
+		const open = [...scratchServers, ...homeServers].filter(server => decodeServers.includes(server));
+		const limited = open.filter(server => this.#opts.isLimited?.(server));
+		return [...limited, ...open].find(server => this.#slots.getLoadFraction(server) < maxPackedSlotFraction && this.#estimateQueueMs(server) < objectiveMs * maxStreamQueueFraction);
 	}
 
 	#planLong(request: PlacementRequest, {decodeServers, prefillServers}: {decodeServers: readonly KnownServer[]; prefillServers: readonly KnownServer[]}): Placement {
 		const {prompt, objectiveMs} = request;
 		const {usage, loadTracker, profile, cacheIndex} = this.#opts;
 		usage.record(listSharedParts(prompt));
-		const {homeServers, scratchServers} = splitDecodeServers(decodeServers);
+		const {homeServers, scratchServers} = createLayout(request);
 		const homeServer = this.#findHome(prompt, homeServers);
 		const isHot = this.#isHot(prompt, homeServers);
 		const longestMatch = cacheIndex.findLongestMatch(listSharedParts(prompt), [...homeServers, ...prefillServers, ...scratchServers]);
 		const freeDecodeServers = decodeServers.filter(server => this.#slots.hasFreeSlot(server) && loadTracker.getLoad(server.id).streams <= maxStreamsBesidePrefill);
 		const plans = [...prefillServers, ...freeDecodeServers].map(server => this.#planPrefill(server, {
-			prompt, longestMatch, objectiveMs, isPreferred: server.stage === 'prefill' || scratchServers.includes(server) || (isHot && server === homeServer),
+			prompt, longestMatch, objectiveMs, isPreferred: server.stage === 'prefill' || scratchServers.includes(server) || (isHot && server === homeServer) || this.#opts.isLimited?.(server) === true,
 		}));
 		const best = this.#selectPlan(plans, request.availabilityZone);
 		const isLate = best !== undefined && profile.isKnown(best.server.service) && best.predictedMs > objectiveMs * plannedObjectiveFraction;
@@ -197,23 +207,23 @@
 	 * Selects the server that decodes the answer after a hand-over: the home server of a hot prefix that it lacks, otherwise
 	 * one with a free slot, scratch servers first because the KV cache of the prompt evicts others there.
 	 */
-	selectDecodeServer({prompt, objectiveMs, excluded, availabilityZone}: Pick<PlacementRequest, 'prompt' | 'objectiveMs' | 'excluded' | 'availabilityZone'>, servers: readonly KnownServer[]): KnownServer | undefined {
+	selectDecodeServer({prompt, objectiveMs, excluded, availabilityZone, closed}: Pick<PlacementRequest, 'prompt' | 'objectiveMs' | 'excluded' | 'availabilityZone' | 'closed'>, servers: readonly KnownServer[]): KnownServer | undefined {
 		const decodeServers = servers.filter(server => server.stage !== 'prefill' && !excluded.has(server.id));
 		if (decodeServers.length === 0) {
 			return undefined;
 		}
 
-		const {homeServers, scratchServers} = splitDecodeServers(decodeServers);
+		const {homeServers, scratchServers} = createLayout({servers, closed, excluded});
 		const homeServer = this.#findHome(prompt, homeServers);
 		const shared = listSharedParts(prompt);
 		const isMissingAtHome = this.#opts.cacheIndex.countCachedTokens(homeServer, shared) < countTokens(shared);
-		if (isMissingAtHome && this.#slots.hasFreeSlot(homeServer) && this.#isHot(prompt, homeServers)) {
+		if (isMissingAtHome && decodeServers.includes(homeServer) && this.#slots.hasFreeSlot(homeServer) && this.#isHot(prompt, homeServers)) {
 			return homeServer;
 		}
 
 		const evictionPenaltyMs = objectiveMs * closePredictionFraction;
-		const scratch = new Set(scratchServers);
-		return this.#selectLeast(decodeServers, server => this.#slots.estimateWaitMs(server) + (evictionPenaltyMs * (this.#slots.getLoadFraction(server) + (scratch.has(server) ? 0 : 1))), {tolerance: evictionPenaltyMs / 2, isPreferred: server => server.availabilityZone === availabilityZone});
+		const preferred = new Set([...scratchServers, ...decodeServers.filter(server => this.#opts.isLimited?.(server))]);
+		return this.#selectLeast(decodeServers, server => this.#slots.estimateWaitMs(server) + (evictionPenaltyMs * (this.#slots.getLoadFraction(server) + (preferred.has(server) ? 0 : 1))), {tolerance: evictionPenaltyMs / 2, isPreferred: server => server.availabilityZone === availabilityZone});
 	}
 
 	/** Before the first measurement, the plan with the shortest queue is selected. */
@@ -278,8 +288,9 @@
 }
 
 /** Splits the decode servers into home and scratch servers; the result is the same on every instance. */
-function splitDecodeServers(decodeServers: readonly KnownServer[]): {homeServers: readonly KnownServer[]; scratchServers: readonly KnownServer[]} {
-	const sorted = [...decodeServers].sort((a, b) => (a.id < b.id ? -1 : 1));
+function createLayout({servers, closed = [], excluded}: Pick<PlacementRequest, 'servers' | 'closed' | 'excluded'>): DecodeLayout {
+	const decodeServers = [...servers, ...closed].filter(server => server.stage !== 'prefill' && !excluded.has(server.id));
+	const sorted = decodeServers.sort((a, b) => (a.id < b.id ? -1 : 1));
 	const count = Math.max(1, Math.round(sorted.length / decodeServersPerScratchServer));
 	return {scratchServers: sorted.slice(0, count), homeServers: sorted.length > count ? sorted.slice(count) : sorted};
 }
--- a/packages/routing/prompt-placement/test/prompt-placement.test.ts
+++ b/packages/routing/prompt-placement/test/prompt-placement.test.ts
@@ -51,6 +51,39 @@
 		expect(placement.kind !== 'refuse' && placement.prefillTokens).to.equal(3000);
 	});
 
+	// Prompts changed their homes, and lost what was cached there, each time that a limited server had taken its share.
+	it('keeps the roles of the other servers while one takes no requests', () => {
+		const findHome = (opts: Partial<PlacementRequest>, subject: string) => {
+			const placement = plan({...opts, prompt: createPrompt(subject, 'q')});
+			return placement.kind === 'hand-over' ? placement.decodeServer.id : undefined;
+		};
+
+		const subjects = Array.from({length: 20}, (_, index) => `subject-${index}`);
+		const homes = subjects.map(subject => findHome({}, subject));
+		const [closed, ...open] = decodeServers;
+		const servers = [...prefillServers, ...open];
+		const homesWhileClosed = subjects.map(subject => findHome({servers, closed: [closed!]}, subject));
+		for (const [index, home] of homes.entries()) {
+			if (home !== closed!.id) {
+				expect(homesWhileClosed[index]).to.equal(home);
+			}
+		}
+
+		expect(homesWhileClosed).not.to.include(closed!.id);
+	});
+
+	it('sends short prompts to limited servers first, as far as their limits allow', () => {
+		const limited = decodeServers[2]!;
+		promptPlacement = new PromptPlacement({
+			random: new Random(1), loadTracker, cacheIndex, usage: new PartUsage(clock), profile, getKvCapacity: () => capacityTokens, isLimited: server => server === limited,
+		});
+		const prompt = {parts: [{id: 'x', tokens: 100}], tokens: 100, maxOutputTokens: 20};
+		const open = plan({prompt});
+		expect(open.kind !== 'refuse' && open.decodeServer.id).to.equal(limited.id);
+		const closed = plan({prompt, servers: [...prefillServers, ...decodeServers.filter(server => server !== limited)], closed: [limited]});
+		expect(closed.kind !== 'refuse' && closed.decodeServer.id).to.equal('g1');
+	});
+
 	// Guards against late answers in a burst of long prompts that the prefill servers alone can't prefill in time.
 	it('prefills on a decode server while the prefill servers have a queue', () => {
 		for (const server of prefillServers) {
