test(soak): servers name limits that begin, change and end, and LIMIT is checked

The draws of limits have their own generator, so seeds of other faults stay what they were. A new schedule's first request waits half a second at most (a limit of 0.9 was used at 0.77 over 10 s), and a refusal says when limits are the reason.

--- a/packages/coordination/shared-rate/src/send-schedule.ts
+++ b/packages/coordination/shared-rate/src/send-schedule.ts
@@ -11,6 +11,8 @@
  * and one request may be sent.
  */
 const creditMs = 500;
+/** The first request of a schedule waits for its interval, at most for this time. */
+const maxFirstDelayMs = 500;
 
 export type Reservation = {
 	isGranted: boolean;
@@ -27,7 +29,7 @@
 	constructor(clock: Clock, perSecond: number) {
 		this.#clock = clock;
 		this.#intervalMs = msPerSecond / perSecond;
-		this.#nextAt = clock.monotonic() + this.#intervalMs + creditMs;
+		this.#nextAt = clock.monotonic() + Math.min(this.#intervalMs, maxFirstDelayMs) + creditMs;
 	}
 
 	/** Changes the rate. Requests that are ahead of their times stay ahead by as many. */
--- a/packages/coordination/shared-rate/test/send-schedule.test.ts
+++ b/packages/coordination/shared-rate/test/send-schedule.test.ts
@@ -16,6 +16,15 @@
 		expect(count).to.equal(6);
 	});
 
+	it('lets the first request of a small rate wait for half a second', async () => {
+		const clock = new ManualClock();
+		const schedule = new SendSchedule(clock, 0.25);
+		expect(schedule.reserve(0)).to.deep.equal({isGranted: false, delayMs: 500});
+		await clock.advance(500);
+		expect(schedule.reserve(0).isGranted).to.equal(true);
+		expect(schedule.reserve(0)).to.deep.equal({isGranted: false, delayMs: 4000});
+	});
+
 	it('reserves later times for requests that may wait, one after another', async () => {
 		const clock = new ManualClock();
 		const schedule = new SendSchedule(clock, 10);
--- a/packages/routing/prompt-placement/src/prompt-placement.ts
+++ b/packages/routing/prompt-placement/src/prompt-placement.ts
@@ -126,7 +126,7 @@
 		const usable = request.servers.filter(server => !request.excluded.has(server.id));
 		const decodeServers = usable.filter(server => server.stage !== 'prefill');
 		if (decodeServers.length === 0) {
-			return {kind: 'refuse', retryAfterMs: request.objectiveMs, reason: 'no generating server is known'};
+			return {kind: 'refuse', retryAfterMs: request.objectiveMs, reason: request.closed?.length ? 'no generating server takes a request at the moment' : 'no generating server is known'};
 		}
 
 		if (this.#isShort(request, decodeServers[0]!)) {
--- a/tools/soak/src/faults.ts
+++ b/tools/soak/src/faults.ts
@@ -4,4 +4,4 @@
 import {serverFaultRates} from './server-faults.js';
 
 export const allOutsideFaults: readonly OutsideFault[] = Object.values(outsideFaults);
-export const allFaults: readonly string[] = [...Object.keys(serverFaultRates), 'stutter', 'unframed', 'idle-close', 'overload', crashingPartFault, ...allOutsideFaults];
+export const allFaults: readonly string[] = [...Object.keys(serverFaultRates), 'stutter', 'unframed', 'idle-close', 'overload', 'limit', crashingPartFault, ...allOutsideFaults];
--- a/tools/soak/src/records.ts
+++ b/tools/soak/src/records.ts
@@ -95,7 +95,26 @@
 	hasUnknownEnd: boolean;
 };
 
-export type ServerRecord = ArrivalRecord | OutcomeRecord | EndRecord;
+/** A call to a server that is no request of a caller, such as the release of a KV cache. */
+export type CallRecord = {
+	type: 'call';
+	at: number;
+	server: string;
+	startedAt: number;
+	requestId: string;
+	path: string;
+};
+
+/** A server names another limit in its answers from now on, in requests per second, or none. */
+export type LimitRecord = {
+	type: 'limit';
+	at: number;
+	server: string;
+	startedAt: number;
+	perSecond?: number;
+};
+
+export type ServerRecord = ArrivalRecord | OutcomeRecord | EndRecord | CallRecord | LimitRecord;
 
 export type OperatorRecord = {
 	version: number;
@@ -148,6 +167,10 @@
 	arrivals: readonly ArrivalRecord[];
 	outcomes: readonly OutcomeRecord[];
 	ends: readonly EndRecord[];
+	calls: readonly CallRecord[];
+	limits: readonly LimitRecord[];
+	/** Names of the edges. */
+	edges: readonly string[];
 	/** When a process of an edge has read each request, by id; in milliseconds since the epoch. */
 	readRequests: ReadonlyMap<string, number>;
 	operator: readonly OperatorRecord[];
@@ -158,7 +181,7 @@
 };
 
 export type RuleCase = {
-	rule: 'MIXED' | 'REFUSED' | 'TWICE' | 'BUDGET' | 'ORDER' | 'LOST' | 'UNASKED' | 'ENDED';
+	rule: 'MIXED' | 'REFUSED' | 'TWICE' | 'BUDGET' | 'ORDER' | 'LOST' | 'LIMIT' | 'UNASKED' | 'ENDED';
 	requestId?: string;
 	detail: string;
 };
--- a/tools/soak/src/server-answers.ts
+++ b/tools/soak/src/server-answers.ts
@@ -6,6 +6,7 @@
 	countEvents, createEvent, createPlainBody, createStamp,
 } from './expected-body.js';
 import {formatChunk, formatMessage, type HttpMessage} from './http-message-reader.js';
+import type {NamedLimit} from './named-limit.js';
 import type {ServerChannel} from './server-channel.js';
 import {unframedRate, type ServerFault} from './server-faults.js';
 import type {ServerOperations} from './server-operations.js';
@@ -24,6 +25,7 @@
 	random: Random;
 	faults: ReadonlySet<string>;
 	operations: ServerOperations;
+	limit: NamedLimit;
 	/** Ends the process after a reset of all its connections. */
 	crash: () => void;
 	/** Ends the process; the system closes its connections. */
@@ -49,7 +51,9 @@
 	send(channel: ServerChannel, {requestId}: Arrival, {status, headers, body, fault}: {status: number; headers: Record<string, string>; body: string; fault?: ServerFault}): void {
 		const isUnframed = this.#isUnframed();
 		const isLast = isUnframed || (this.#opts.faults.has('idle-close') && this.#opts.random.next() < closeRate);
-		const bytes = formatMessage(`HTTP/1.1 ${status} Status`, {'x-request-id': requestId, ...headers, ...(isLast ? {connection: 'close'} : {})}, body, {isUnframed});
+		const bytes = formatMessage(`HTTP/1.1 ${status} Status`, {
+			'x-request-id': requestId, ...this.#opts.limit.createHeaders(), ...headers, ...(isLast ? {connection: 'close'} : {}),
+		}, body, {isUnframed});
 		this.#planBreak(channel, fault, bytes.length);
 		channel.send(bytes);
 		if (isLast) {
@@ -68,7 +72,7 @@
 		const maxMs = random.next() < slowFraction ? maxSlowEventMs : maxEventMs;
 		const format = (text: string) => isUnframed ? text : formatChunk(text);
 		const head = formatMessage('HTTP/1.1 200 OK', {
-			'x-request-id': requestId, 'x-response-stamp': createStamp(requestId, path), 'content-type': 'text/event-stream', ...(isUnframed ? {connection: 'close'} : {'transfer-encoding': 'chunked'}),
+			'x-request-id': requestId, 'x-response-stamp': createStamp(requestId, path), 'content-type': 'text/event-stream', ...this.#opts.limit.createHeaders(), ...(isUnframed ? {connection: 'close'} : {'transfer-encoding': 'chunked'}),
 		}, '', {isUnframed});
 		this.#planBreak(channel, fault, head.length + (Math.max(0, count - first + 1) * format(createEvent(requestId, count, count)).length));
 		channel.send(head);
@@ -109,7 +113,7 @@
 		const first = Number(message.headers['last-event-id'] ?? 0) + 1;
 		const event = first <= count ? createEvent(requestId, first, count) : '';
 		const head = formatMessage('HTTP/1.1 200 OK', {
-			'x-request-id': requestId, 'x-response-stamp': createStamp(requestId, path), 'content-type': 'text/event-stream', ...(isUnframed ? {connection: 'close'} : {'transfer-encoding': 'chunked'}),
+			'x-request-id': requestId, 'x-response-stamp': createStamp(requestId, path), 'content-type': 'text/event-stream', ...this.#opts.limit.createHeaders(), ...(isUnframed ? {connection: 'close'} : {'transfer-encoding': 'chunked'}),
 		}, '', {isUnframed});
 		const format = (text: string) => isUnframed ? text : formatChunk(text);
 		const texts = random.select(event === '' ? [[], [head]] : [[], [head], [head, format(event)], [head, format(event.slice(0, truncatedCharacters))]]);
--- a/tools/soak/src/server-main.ts
+++ b/tools/soak/src/server-main.ts
@@ -39,7 +39,7 @@
 
 const stopping = new AbortController();
 const server = new SoakServer({
-	...opts, startedAt, clock, random, faults: new Set(opts.faults), record(record) {
+	...opts, startedAt, clock, random, limitRandom: new Random(opts.seed + 1), faults: new Set(opts.faults), record(record) {
 		if (!stopping.signal.aborted) {
 			records.write(`${JSON.stringify(record)}\n`);
 		}
--- a/tools/soak/src/soak-run.ts
+++ b/tools/soak/src/soak-run.ts
@@ -11,6 +11,7 @@
 import {checkBudget, findBudgetUses} from './check-budget.js';
 import {checkCrashingPart} from './check-crashing-part.js';
 import {checkConfiguration} from './check-configuration.js';
+import {checkLimit, findLimitUses} from './check-limit.js';
 import {checkLost} from './check-lost.js';
 import {edgePorts, graceMs} from './edge-process.js';
 import {FaultRunner} from './fault-runner.js';
@@ -19,7 +20,7 @@
 import {allOutsideFaults} from './faults.js';
 import {Operator} from './operator.js';
 import type {
-	ArrivalRecord, CallerRecord, EndRecord, OutcomeRecord, RuleCase, ServerRecord, SoakRecords, SoakRoute,
+	CallerRecord, RuleCase, ServerRecord, SoakRecords, SoakRoute,
 } from './records.js';
 import {SoakFleet} from './soak-fleet.js';
 
@@ -77,7 +78,7 @@
 	});
 	try {
 		const records = await runFleet(fleet, createRandom(random), opts);
-		const cases: RuleCase[] = [...checkAnswers(records), ...checkBudget(records), ...checkConfiguration(records), ...checkLost(records), ...checkCrashingPart(records), ...fleet.endedEdges.map(name => ({rule: 'ENDED', detail: `${name} ended by itself`} as const))];
+		const cases: RuleCase[] = [...checkAnswers(records), ...checkBudget(records), ...checkConfiguration(records), ...checkLost(records), ...checkLimit(records), ...checkCrashingPart(records), ...fleet.endedEdges.map(name => ({rule: 'ENDED', detail: `${name} ended by itself`} as const))];
 		await writeLines(path.join(folder, 'cases.jsonl'), cases);
 		return {cases, summary: createSummary(records)};
 	} finally {
@@ -123,7 +124,17 @@
 	await writeLines(path.join(folder, 'operator.jsonl'), [...operator.records, ...readBacks]);
 	await writeLines(path.join(folder, 'disturbances.jsonl'), faultRunner.disturbances);
 	return {
-		routes, bounds, callers, processEnds: fleet.processEnds, disturbances: faultRunner.disturbances, graceMs, readRequests, operator: operator.records, readBacks, arrivals: serverRecords.filter((record): record is ArrivalRecord => record.type === 'arrival'), outcomes: serverRecords.filter((record): record is OutcomeRecord => record.type === 'outcome'), ends: serverRecords.filter((record): record is EndRecord => record.type === 'end'),
+		routes, bounds, callers, processEnds: fleet.processEnds, disturbances: faultRunner.disturbances, graceMs, readRequests, operator: operator.records, readBacks, edges: edges.map(({name}) => name), ...sortRecords(serverRecords),
+	};
+}
+
+function sortRecords(records: readonly ServerRecord[]): Pick<SoakRecords, 'arrivals' | 'outcomes' | 'ends' | 'calls' | 'limits'> {
+	return {
+		arrivals: records.filter(record => record.type === 'arrival'),
+		outcomes: records.filter(record => record.type === 'outcome'),
+		ends: records.filter(record => record.type === 'end'),
+		calls: records.filter(record => record.type === 'call'),
+		limits: records.filter(record => record.type === 'limit'),
 	};
 }
 
@@ -137,6 +148,8 @@
 		arrivals: records.arrivals.length,
 		runs: records.outcomes.filter(outcome => outcome.hasRun).length,
 		budgetUsed: Math.max(0, ...findBudgetUses(records).map(({extra, allowed}) => Math.round(100 * extra / allowed) / 100)),
+		limits: records.limits.filter(({perSecond}) => perSecond !== undefined).length,
+		limitUsed: Math.max(0, ...findLimitUses(records).map(({count, allowed}) => Math.round(100 * count / allowed) / 100)),
 		partCrashes: records.outcomes.filter(({answer}) => answer === partCrash).length,
 		configurations: records.operator.filter(({acknowledgedAt}) => acknowledgedAt !== undefined).length,
 	};
--- a/tools/soak/src/soak-server.ts
+++ b/tools/soak/src/soak-server.ts
@@ -8,6 +8,7 @@
 import {createPlainBody, createStamp} from './expected-body.js';
 import {hasCrashingPart, partCrash} from './crashing-part.js';
 import {formatMessage, type HttpMessage} from './http-message-reader.js';
+import {NamedLimit} from './named-limit.js';
 import type {OutcomeRecord, ServerRecord} from './records.js';
 import {ServerAnswers, type Arrival} from './server-answers.js';
 import {ServerChannel} from './server-channel.js';
@@ -27,6 +28,8 @@
 	faults: ReadonlySet<string>;
 	clock: Clock;
 	random: Random;
+	/** For the limits that it names. */
+	limitRandom: Random;
 	record: (record: ServerRecord) => void;
 	crash: () => void;
 };
@@ -59,6 +62,7 @@
 	readonly #operations: ServerOperations;
 	readonly #answers: ServerAnswers;
 	readonly #silence: Silence;
+	readonly #limit: NamedLimit;
 	readonly #channels = new Set<ServerChannel>();
 	/** Most servers drop a waiting request whose connection closes; some run it. */
 	readonly #keepsAbandoned: boolean;
@@ -69,8 +73,15 @@
 	constructor(opts: SoakServerOptions) {
 		this.#opts = opts;
 		this.#operations = new ServerOperations(opts);
+		this.#limit = new NamedLimit({
+			clock: opts.clock, random: opts.limitRandom, isEnabled: opts.faults.has('limit'), record(change) {
+				opts.record({
+					type: 'limit', server: opts.id, startedAt: opts.startedAt, ...change,
+				});
+			},
+		});
 		this.#answers = new ServerAnswers({
-			...opts, operations: this.#operations, crash: () => {
+			...opts, operations: this.#operations, limit: this.#limit, crash: () => {
 				this.close();
 				opts.crash();
 			}, exit: () => {
@@ -123,8 +134,9 @@
 	async #handle(channel: ServerChannel, message: HttpMessage): Promise<void> {
 		const [method, path] = message.startLine.split(' ') as [string, string];
 		if (path.startsWith('/api/') || path.startsWith('/soak/') || path === '/healthz') {
+			this.#recordCall(path, message);
 			const {status, body} = this.#operations.handle({method, path, body: message.body.toString()});
-			channel.send(formatMessage(`HTTP/1.1 ${status} Status`, {'content-type': 'application/json', 'x-instance-id': this.#opts.id}, JSON.stringify(body)));
+			channel.send(formatMessage(`HTTP/1.1 ${status} Status`, {'content-type': 'application/json', 'x-instance-id': this.#opts.id, ...this.#limit.createHeaders()}, JSON.stringify(body)));
 			channel.finish();
 			if (path.startsWith(hushPath)) {
 				this.#silence.start(Number(path.slice(hushPath.length)));
@@ -155,6 +167,16 @@
 		});
 	}
 
+	/** Records a call of an edge; calls under `/soak/` are those of servers and of the soak itself. */
+	#recordCall(path: string, {headers}: HttpMessage): void {
+		const {clock, id, startedAt, record} = this.#opts;
+		if (!path.startsWith('/soak/')) {
+			record({
+				type: 'call', at: clock.now(), server: id, startedAt, requestId: headers['x-request-id'] ?? '', path,
+			});
+		}
+	}
+
 	/** A prefill server only prefills; a decode server only generates. */
 	#isForStage(message: HttpMessage): boolean {
 		return this.#operations.stage === undefined || (this.#operations.stage === 'prefill') === (message.headers['x-stage'] === 'prefill');
