feat(agent): an engine names the rate of requests that it takes

Change: max_requests_per_second in the description of an engine; the agent, the only one that sends to it, paces its starts (SendSchedule) and rejects what would wait too long. A rate does not make the endpoint register again. Figures: 120 generations at once on three engines that name 4 a second: with a pace that allows everything the test fails (more than 29 at an engine in 4 s), with the pace all are answered within the bound. Conclusion: 429 with Retry-After of an engine is still read as a failure that may have run.

--- a/packages/coordination/shared-rate/src/send-schedule.ts
+++ b/packages/coordination/shared-rate/src/send-schedule.ts
@@ -44,15 +44,19 @@
 		}
 	}
 
+	/** Time until a request may be sent without a wait, in milliseconds. */
+	get delayMs(): number {
+		return Math.max(0, this.#nextAt - creditMs - this.#clock.monotonic());
+	}
+
 	/** Reserves the time of one request if it is at most `maxDelayMs` away. */
 	reserve(maxDelayMs: number): Reservation {
-		const now = this.#clock.monotonic();
-		const delayMs = Math.max(0, this.#nextAt - creditMs - now);
+		const {delayMs} = this;
 		if (delayMs > maxDelayMs) {
 			return {isGranted: false, delayMs};
 		}
 
-		this.#nextAt = Math.max(now, this.#nextAt) + this.#intervalMs;
+		this.#nextAt = Math.max(this.#clock.monotonic(), this.#nextAt) + this.#intervalMs;
 		return {isGranted: true, delayMs};
 	}
 }
--- a/packages/core/types/src/engine-adapter.ts
+++ b/packages/core/types/src/engine-adapter.ts
@@ -5,7 +5,10 @@
 import type {GenerationWork, ServiceAnswer, ServiceWork} from './work.js';
 
 /** Description that an engine returns about itself. */
-export type EngineDescription = Omit<EndpointAnnouncement, 'endpoint' | 'availabilityZone'>;
+export type EngineDescription = Omit<EndpointAnnouncement, 'endpoint' | 'availabilityZone'> & {
+	/** Requests that the engine takes per second; undefined if it names no limit. */
+	maxRequestsPerSecond?: number;
+};
 
 export type EngineError = {
 	/** Whether the engine may have received any part of the request. */
--- a/packages/plugins/agent/src/engine-monitor.ts
+++ b/packages/plugins/agent/src/engine-monitor.ts
@@ -156,8 +156,10 @@
 
 		this.#recordAnswer();
 		this.#description = description;
-		const text = JSON.stringify(description);
-		if (text !== this.#registeredText && await this.#register(description)) {
+		// The rate may change with each answer and is kept here only.
+		const {maxRequestsPerSecond: _maxRequestsPerSecond, ...announced} = description;
+		const text = JSON.stringify(announced);
+		if (text !== this.#registeredText && await this.#register(announced)) {
 			this.#registeredText = text;
 		}
 
--- a/packages/plugins/agent/src/work-scheduler.ts
+++ b/packages/plugins/agent/src/work-scheduler.ts
@@ -22,6 +22,7 @@
 import {JobRegistry} from './job-registry.js';
 import {JobRunner} from './job-runner.js';
 import {PieceSender} from './piece-sender.js';
+import {StartPace} from './start-pace.js';
 
 const maximumQueueLength = 2000;
 /** Engine time by which a workspace that used less than its share may go ahead of the others. */
@@ -54,6 +55,7 @@
 	readonly #meter: DemandMeter;
 	readonly #runner: JobRunner;
 	readonly #abortController = new AbortController();
+	readonly #pace: StartPace;
 	#limit: AdaptiveLimit | undefined;
 	#phase: EndpointPhase = 'serving';
 	#isStopping = false;
@@ -69,6 +71,7 @@
 		this.#jobs = new JobRegistry(this.#clock);
 		this.#meter = new DemandMeter(this.#clock);
 		this.#runner = new JobRunner(opts);
+		this.#pace = new StartPace(this.#clock);
 	}
 
 	get phase(): EndpointPhase {
@@ -240,7 +243,7 @@
 
 	dump(): unknown {
 		return {
-			phase: this.#phase, load: this.getLoad(), limit: this.#limit?.value, crashes: this.#crashes, kept: this.#jobs.size,
+			phase: this.#phase, load: this.getLoad(), limit: this.#limit?.value, maxRequestsPerSecond: this.#opts.monitor.description?.maxRequestsPerSecond, crashes: this.#crashes, kept: this.#jobs.size,
 			running: [...this.#running].map(job => ({attempt: job.attempt, workspace: job.submission.workspace, pieces: job.writer.length})),
 		};
 	}
@@ -292,6 +295,11 @@
 	/** Returns whether the request can start within its limit on queue time and meet its target for the first token. */
 	#canStartInTime(submission: WorkSubmission, contract: Contract): boolean {
 		const slots = this.#countSlots();
+		this.#updatePace();
+		if (this.#pace.estimateWaitMs(this.#queue.length) > contract.limits.queueMs) {
+			return false;
+		}
+
 		const costAheadMs = this.#queue.estimateCostAhead({workspace: submission.workspace, priority: contract.priority, share: contract.share});
 		const isWaiting = this.#running.size >= slots;
 		if (isWaiting && costAheadMs > contract.limits.queueMs) {
@@ -380,14 +388,27 @@
 		return this.#limit.value;
 	}
 
-	/** Starts jobs while slots are free. An isolated job waits until no other job runs, and no other starts while it runs. */
+	#updatePace(): void {
+		this.#pace.setRate(this.#opts.monitor.description?.maxRequestsPerSecond);
+	}
+
+	get #hasWork(): boolean {
+		return this.#queue.length > 0 || this.#waitingIsolatedJob !== undefined;
+	}
+
+	/** Starts jobs while slots are free, at the rate that the engine names. An isolated job waits until no other job runs, and no other starts while it runs. */
 	#startJobs(): void {
-		while (this.#running.size < this.#countSlots() && this.#opts.monitor.isAnswering) {
+		this.#updatePace();
+		while (this.#running.size < this.#countSlots() && this.#opts.monitor.isAnswering && this.#hasWork) {
 			const hasIsolated = [...this.#running].some(job => job.isIsolated);
 			if ((hasIsolated || this.#waitingIsolatedJob) && (this.#running.size > 0 || !this.#waitingIsolatedJob)) {
 				return;
 			}
 
+			if (!this.#pace.acquire()) {
+				return;
+			}
+
 			const job = this.#waitingIsolatedJob ?? this.#queue.pop()?.item;
 			if (!job) {
 				return;
--- a/packages/plugins/engine-http/src/http-model-engine.ts
+++ b/packages/plugins/engine-http/src/http-model-engine.ts
@@ -39,6 +39,7 @@
 	mixed_decode_tokens_per_second?: number;
 	incarnation: string;
 	checks_fencing: boolean;
+	max_requests_per_second?: unknown;
 };
 
 type ChunkBody = {
@@ -154,6 +155,7 @@
 			},
 			incarnation: info.incarnation,
 			checksFencing: info.checks_fencing,
+			maxRequestsPerSecond: parseRate(info.max_requests_per_second),
 		};
 	}
 
@@ -232,6 +234,11 @@
 	}
 }
 
+/** Undefined for what is no rate: the engine then counts as one that names no limit. */
+function parseRate(value: unknown): number | undefined {
+	return typeof value === 'number' && value >= 0 ? value : undefined;
+}
+
 function parseBody({body}: HttpAnswer): unknown {
 	return JSON.parse(body.toString());
 }
--- a/stand-ins/src/engine-messages.ts
+++ b/stand-ins/src/engine-messages.ts
@@ -18,6 +18,8 @@
 };
 
 export type LedgerRequest = {
+	/** Monotonic time of its arrival, in milliseconds. */
+	at: number;
 	request: string;
 	resumedFrom: number;
 	promptCharacters: number;
--- a/stand-ins/src/model-engine.ts
+++ b/stand-ins/src/model-engine.ts
@@ -51,6 +51,8 @@
 	incarnation = randomUUID();
 	/** While true, requests stay open but no tokens are sent for them. */
 	isSilent = false;
+	/** Rate that the engine names in its description; it takes more all the same. */
+	maxRequestsPerSecond: number | undefined;
 	readonly #opts: ModelEngineOptions;
 	readonly #batch: BatchModel;
 	readonly #cache: PrefixCache;
@@ -246,7 +248,7 @@
 			decode_tokens_per_second: speed.decodeTokensPerSecond * roleFactors[this.#batch.role].decode,
 			mixed_prefill_tokens_per_second: speed.prefillTokensPerSecond,
 			mixed_decode_tokens_per_second: speed.decodeTokensPerSecond,
-			incarnation: this.incarnation, checks_fencing: checksFencing ?? true,
+			incarnation: this.incarnation, checks_fencing: checksFencing ?? true, max_requests_per_second: this.maxRequestsPerSecond,
 		};
 	}
 
@@ -258,7 +260,7 @@
 		const promptTokens = Math.ceil(prompt.length / charactersPerToken);
 		const cachedTokens = Math.min(promptTokens, Math.floor(this.#cache.addPrompt(prompt) / charactersPerToken));
 		const ledger: LedgerRequest = {
-			request: id, resumedFrom, promptCharacters: prompt.length, state: 'running',
+			at: this.#opts.clock.monotonic(), request: id, resumedFrom, promptCharacters: prompt.length, state: 'running',
 		};
 		this.requests.push(ledger);
 		response.writeHead(200, {'content-type': 'text/event-stream'});
