fix(shared-rate): a question that fails, or a note that can't be read, holds up nothing

Cause, by reading: a question whose promise was rejected stayed the pending one of its server, so all later requests for it would fail; a note with an age that is no number could hold a limit for good. Change: the pending question ends with its failure, unreadable notes and questions are ignored. Conclusion: one malformed message costs itself.

--- a/packages/coordination/shared-rate/src/limit-news.ts
+++ b/packages/coordination/shared-rate/src/limit-news.ts
@@ -64,7 +64,7 @@
 	/** Records what another instance knows. Returns the notes that were news. */
 	merge(notes: readonly LimitNote[]): LimitNote[] {
 		const now = this.#clock.monotonic();
-		return notes.filter(note => this.#update(note, now - note.ageMs));
+		return notes.filter(note => isValid(note) && this.#update(note, now - note.ageMs));
 	}
 
 	/** Returns the limit in requests per second; undefined if the server has named none. */
@@ -118,3 +118,8 @@
 		return perSecond !== formerly?.perSecond;
 	}
 }
+
+/** A note may come from an instance of another version. */
+function isValid({id, startedAt, perSecond, ageMs}: LimitNote): boolean {
+	return typeof id === 'string' && [startedAt, ageMs, perSecond ?? 0].every(value => Number.isFinite(value) && value >= 0);
+}
--- a/packages/coordination/shared-rate/src/rate-issuer.ts
+++ b/packages/coordination/shared-rate/src/rate-issuer.ts
@@ -24,6 +24,9 @@
 /** A schedule that nobody has used for this time is dropped; the next one for the server starts without credit. */
 const retentionMs = 60_000;
 
+/** An instance that has asked what can't be read asks again after this time. */
+const invalidDelayMs = 1000;
+
 export class RateIssuer {
 	readonly #clock: Clock;
 	/** By server id. */
@@ -33,8 +36,12 @@
 		this.#clock = clock;
 	}
 
-	/** Grants requests within the given part of the limit. */
+	/** Grants requests within the given part of the limit. A question that can't be read gets nothing. */
 	grant({id, startedAt}: Subject, {perSecond, maxDelayMs, count}: RateAsk, opts: {fraction?: number} = {}): RateReply {
+		if (!(perSecond > 0) || !Number.isFinite(perSecond) || !(maxDelayMs >= 0) || !(count >= 1)) {
+			return {granted: 0, delayMs: invalidDelayMs};
+		}
+
 		const rate = perSecond * (opts.fraction ?? 1);
 		const now = this.#clock.monotonic();
 		let entry = this.#schedules.get(id);
--- a/packages/coordination/shared-rate/src/shared-rate.ts
+++ b/packages/coordination/shared-rate/src/shared-rate.ts
@@ -114,11 +114,13 @@
 
 			let delayMs = 0;
 			const question = this.#askForGrant(subject, account, {perSecond, maxDelayMs: maxWaitMs}).then(reply => {
-				account.pending = undefined;
 				delayMs = reply.delayMs;
 				return reply.granted > 0;
+			}).finally(() => {
+				account.pending = undefined;
 			});
-			account.pending = question.then(() => undefined);
+			// Its error is that of the request that asks; the others ask again.
+			account.pending = question.then(() => undefined, () => undefined);
 			if (await question) {
 				if (delayMs > 0) {
 					await clock.sleep(delayMs, signal);
--- a/packages/coordination/shared-rate/test/limit-news.test.ts
+++ b/packages/coordination/shared-rate/test/limit-news.test.ts
@@ -1,6 +1,6 @@
 import {expect} from 'chai';
 import {ManualClock} from '@hickorytrack/clock/manual-clock';
-import {LimitNews} from '../src/limit-news.js';
+import {LimitNews, type LimitNote} from '../src/limit-news.js';
 
 const server = {id: 's1', startedAt: 1000};
 
@@ -47,6 +47,15 @@
 		expect(news.merge([note])).to.deep.equal([]);
 	});
 
+	// One note that can't be read would hold a limit for good, or end the process.
+	it('ignores notes that can\'t be read', () => {
+		for (const note of [{...server, ageMs: Number.NaN}, {...server, perSecond: -1, ageMs: 0}, {...server, perSecond: '5', ageMs: 0}, {...server, perSecond: 5}, {id: 7, startedAt: 0, perSecond: 5, ageMs: 0}, {id: 's1', perSecond: 5, ageMs: 0}]) {
+			expect(news.merge([note as unknown as LimitNote])).to.deep.equal([]);
+		}
+
+		expect(news.list()).to.deep.equal([]);
+	});
+
 	it('keeps the limits of two starts of a server apart', async () => {
 		news.record(server, 5);
 		const next = {id: 's1', startedAt: 2000};
--- a/packages/coordination/shared-rate/test/shared-rate.test.ts
+++ b/packages/coordination/shared-rate/test/shared-rate.test.ts
@@ -1,7 +1,7 @@
 import {expect} from 'chai';
 import {ManualClock} from '@hickorytrack/clock/manual-clock';
 import {Random} from '@hickorytrack/random';
-import {RateIssuer, type RateReply} from '../src/rate-issuer.js';
+import {RateIssuer, type RateAsk, type RateReply} from '../src/rate-issuer.js';
 import {SharedRate} from '../src/shared-rate.js';
 
 const server = {id: 's1', startedAt: 1000};
@@ -151,6 +151,32 @@
 		expect(fleet.questions).to.equal(asked + 1);
 	});
 
+	it('asks again after a question that failed', async () => {
+		const clock = new ManualClock();
+		let questions = 0;
+		const rate = new SharedRate({
+			clock, random: new Random(1), countInstances: () => 1, async ask() {
+				questions++;
+				if (questions === 1) {
+					throw new Error('failed');
+				}
+
+				return {granted: 1, delayMs: 0};
+			},
+		});
+		const opts = {perSecond: 2, maxWaitMs: 0, signal: new AbortController().signal};
+		const [first, second] = await Promise.allSettled([rate.acquire(server, opts), rate.acquire(server, opts)]);
+		expect(first.status).to.equal('rejected');
+		expect(second.status === 'fulfilled' && second.value).to.be.an('object');
+	});
+
+	it('grants nothing to a question that can\'t be read', () => {
+		const issuer = new RateIssuer(new ManualClock());
+		for (const ask of [{perSecond: 0, maxDelayMs: 0, count: 1}, {perSecond: 5, maxDelayMs: Number.NaN, count: 1}, {perSecond: 5, maxDelayMs: 0, count: 0}, {maxDelayMs: 0, count: 1}, {perSecond: Number.POSITIVE_INFINITY, maxDelayMs: 0, count: 1}]) {
+			expect(issuer.grant(server, ask as RateAsk).granted).to.equal(0);
+		}
+	});
+
 	it('asks few questions when the rate is used up', async () => {
 		const fleet = new Fleet(1, 9);
 		await fleet.run({
