fix(edge): a server that answers stays in use while it is slow to report

What callers saw: nothing yet; found while looking for machines that are given up because they are silent for a while. Cause: five missed reports took a server out of use, whatever it answered; with the reports of a service delayed, everything would be refused. Change: an answer that bears the id of its request counts like a report for the use of that start of its server, and for nothing else (crash checks go by reports alone). Conclusion: an edge that sends a server nothing still goes by reports.

--- a/packages/plugins/edge/src/edge.ts
+++ b/packages/plugins/edge/src/edge.ts
@@ -325,6 +325,9 @@
 					}
 
 					this.#limits.recordAnswer(server, metadata.limit, request);
+					if (request.isProved && !metadata.isNotExecuted) {
+						this.registry.recordAnswer(server);
+					}
 				}, onForeignAnswer: answer => {
 					this.#requestLog.recordForeignAnswer(answer, this.registry.list().find(server => server.address === answer.address)?.id);
 				},
--- a/packages/routing/endpoint-registry/src/endpoint-registry.ts
+++ b/packages/routing/endpoint-registry/src/endpoint-registry.ts
@@ -48,13 +48,15 @@
 export type KnownServer = ServerReport & {
 	/** Monotonic time at which this instance received the newest report. */
 	heardAt: number;
+	/** Monotonic time at which this instance received the newest answer since that report. */
+	answeredAt?: number;
 	/** Position among all incarnations of servers, in the order in which this instance learned of them. */
 	order: number;
 };
 
 export type RegistryOptions = {
 	clock: Clock;
-	/** Time without reports after which a server is no longer used. */
+	/** Time without reports and answers after which a server is no longer used. */
 	reportTimeoutMs: number;
 	/** Called when the first report of a start of a server is recorded. */
 	onStarted?: (server: KnownServer) => void;
@@ -145,6 +147,14 @@
 		return true;
 	}
 
+	/** Records that this start of a ready server has answered a request. One that is slow to report, or whose reports are lost, stays in use. */
+	recordAnswer({id, startedAt}: Incarnation): void {
+		const known = this.#servers.get(id);
+		if (known?.startedAt === startedAt && known.state === serverStates.ready) {
+			known.answeredAt = this.#opts.clock.monotonic();
+		}
+	}
+
 	/** Marks a server as left. Without `startedAt`, this applies to its newest known incarnation. */
 	recordDeparture(id: string, startedAt?: number): ServerReport | undefined {
 		const known = this.#servers.get(id);
@@ -195,7 +205,7 @@
 			this.#byService.set(service, servers);
 		}
 
-		return servers.filter(server => now - server.heardAt <= this.#opts.reportTimeoutMs);
+		return servers.filter(({heardAt, answeredAt = heardAt}) => now - Math.max(heardAt, answeredAt) <= this.#opts.reportTimeoutMs);
 	}
 
 	/** Tells whether the incarnation of the server that was selected may still be sent a request. */
@@ -277,6 +287,6 @@
 	return report.state === serverStates.ready && comparedFields.every(field => report[field] === earlier[field]);
 }
 
-function createReport({heardAt: _heardAt, order: _order, ...report}: KnownServer): ServerReport {
+function createReport({heardAt: _heardAt, answeredAt: _answeredAt, order: _order, ...report}: KnownServer): ServerReport {
 	return report;
 }
--- a/packages/routing/endpoint-registry/test/endpoint-registry.test.ts
+++ b/packages/routing/endpoint-registry/test/endpoint-registry.test.ts
@@ -30,6 +30,22 @@
 		expect(registry.recordReport({...report, sequence: 10})).to.equal(false);
 	});
 
+	// A sound server whose reports were lost got no more requests.
+	it('keeps a server in use that does not report but answers', async () => {
+		for (let step = 0; step < 4; step++) {
+			await clock.advance(4000);
+			expect(listIds()).to.deep.equal(['a']);
+			registry.recordAnswer(report);
+			registry.recordAnswer({...report, startedAt: 2000});
+		}
+
+		await clock.advance(5001);
+		expect(listIds()).to.deep.equal([]);
+		registry.recordReport({...report, sequence: 2, state: 'draining'});
+		registry.recordAnswer(report);
+		expect(listIds()).to.deep.equal([]);
+	});
+
 	it('excludes a server until its reports show the stage that it was ordered to change to', async () => {
 		const model: ServerReport = {...report, stage: 'decode', sequence: 2};
 		registry.recordReport(model);
