feat(edge): a lost issuer of grants is replaced within a second, and one that is cut off issues little

Cause: a member of the core that can't reach the first one issued a quarter of a limit until that one was forgotten, 30 s after its machine was lost; and a first member that is cut off from all others went on to issue all of it, so both sides together could send one and a quarter times the limit at best. Change: a member asks those it reaches whether they have a connection to the first one, and issues all once nobody has; a member that reaches at most half of the instances issues a quarter. Conclusion: the use of a limit suffers for a second or two, the limit does not.

--- a/packages/coordination/shared-rate/src/shared-rate.ts
+++ b/packages/coordination/shared-rate/src/shared-rate.ts
@@ -120,7 +120,7 @@
 				account.pending = undefined;
 			});
 			// Its error is that of the request that asks; the others ask again.
-			account.pending = question.then(() => undefined, () => undefined);
+			account.pending = question.catch(() => undefined).then(() => undefined);
 			if (await question) {
 				if (delayMs > 0) {
 					await clock.sleep(delayMs, signal);
--- a/packages/coordination/shared-rate/test/limit-news.test.ts
+++ b/packages/coordination/shared-rate/test/limit-news.test.ts
@@ -49,7 +49,9 @@
 
 	// One note that can't be read would hold a limit for good, or end the process.
 	it('ignores notes that can\'t be read', () => {
-		for (const note of [{...server, ageMs: Number.NaN}, {...server, perSecond: -1, ageMs: 0}, {...server, perSecond: '5', ageMs: 0}, {...server, perSecond: 5}, {id: 7, startedAt: 0, perSecond: 5, ageMs: 0}, {id: 's1', perSecond: 5, ageMs: 0}]) {
+		for (const note of [{...server, ageMs: Number.NaN}, {...server, perSecond: -1, ageMs: 0}, {...server, perSecond: '5', ageMs: 0}, {...server, perSecond: 5}, {
+			id: 7, startedAt: 0, perSecond: 5, ageMs: 0,
+		}, {id: 's1', perSecond: 5, ageMs: 0}]) {
 			expect(news.merge([note as unknown as LimitNote])).to.deep.equal([]);
 		}
 
--- a/packages/core/types/src/peer-methods.ts
+++ b/packages/core/types/src/peer-methods.ts
@@ -211,6 +211,8 @@
 	'limit.note': {params: {limits: ReadonlyArray<{id: string; startedAt: number; perSecond?: number; ageMs: number}>}; result: void};
 	/** Asks for grants to send requests to a limited server. One that does not issue them for this server grants none. */
 	'limit.acquire': {params: {server: string; startedAt: number; perSecond: number; maxDelayMs: number; count: number}; result: {isIssuer: boolean; granted: number; delayMs: number}};
+	/** Asks whether the instance has a connection to the member at the address. */
+	'limit.reach': {params: {address: string}; result: {isConnected: boolean}};
 	/** A crash of a server with the runs that it ended; the fields are documented in `@hickorytrack/crash-attribution`. */
 	'crash.note': {params: {id: string; traits: ReadonlyArray<[trait: string, position: number]>; ageMs?: number; reporter?: string}; result: void};
 	/** Traits of runs that were in whole answers, with the time since then in milliseconds. */
--- a/packages/plugins/edge/src/limit-sharing.ts
+++ b/packages/plugins/edge/src/limit-sharing.ts
@@ -1,7 +1,8 @@
 /**
  * What edges tell each other about the limits of servers: news of them, and grants to send. For each limited server one
  * member of the core issues the grants, the first in an order that all edges compute alike. A member that can't reach one
- * before it does not know whether that one still issues, so it issues a small part of the limit only.
+ * before it does not know whether that one still issues, so it issues a small part of the limit only, until no instance that
+ * it reaches has a connection to that one. So does a member that reaches at most half of the instances.
  */
 import type {Clock} from '@hickorytrack/clock';
 import type {Mesh} from '@hickorytrack/mesh';
@@ -25,6 +26,9 @@
 const noteIntervalMs = 50;
 /** An issuer answers within a few milliseconds; one that does not is treated as unreachable. */
 const askTimeoutMs = 150;
+/** Interval at which the other instances are asked whether they reach a member, and the time for which their answers count. */
+const reachIntervalMs = 500;
+const reachTtlMs = 1500;
 /** Part of a limit that is issued while a member that comes first can't be reached and may still issue all of it. */
 const unconfirmedFraction = 0.25;
 
@@ -32,6 +36,8 @@
 	readonly #opts: LimitSharingOptions;
 	readonly #issuer: RateIssuer;
 	readonly #ranking = new RendezvousRanking();
+	/** Members that this one can't reach, by address, with what the other instances said of them last. */
+	readonly #unreachable = new Map<string, {isLost: boolean; askedAt: number}>();
 	/** Servers with news that has not been sent, by id. */
 	readonly #unsent = new Set<string>();
 	#isSendDue = false;
@@ -47,6 +53,7 @@
 			const reply = this.#issue({id: server, startedAt}, ask);
 			return reply ? {isIssuer: true, ...reply} : {isIssuer: false, granted: 0, delayMs: 0};
 		});
+		mesh.peers.handle('limit.reach', ({address}) => ({isConnected: mesh.findConnection(address) !== undefined}));
 		mesh.onConnected(connection => {
 			// An instance that has started or was cut off has missed the news of the meantime.
 			connection.notify('limit.note', {limits: news.list()});
@@ -93,7 +100,7 @@
 	/** Returns the part of the server's limit that this member issues. */
 	#computeFraction(subject: Subject): number {
 		const {mesh} = this.#opts;
-		let fraction = 1;
+		let fraction = this.#isCutOff ? unconfirmedFraction : 1;
 		for (const address of this.#rankIssuers(subject)) {
 			if (address === mesh.address) {
 				return fraction;
@@ -103,12 +110,38 @@
 				return 0;
 			}
 
-			fraction = mesh.isRefused(address) ? fraction : unconfirmedFraction;
+			fraction = mesh.isRefused(address) || this.#isLost(address) ? fraction : unconfirmedFraction;
 		}
 
 		return 0;
 	}
 
+	/** True while this member reaches at most half of the instances: the others may have another issuer. */
+	get #isCutOff(): boolean {
+		const {mesh} = this.#opts;
+		const running = mesh.listMembers().filter(({address}) => !mesh.isRefused(address)).length + 1;
+		return (mesh.listConnections().length + 1) * 2 <= running;
+	}
+
+	/** Tells whether no instance that this one reaches had a connection to the member when they were last asked, and asks them again. */
+	#isLost(address: string): boolean {
+		const now = this.#opts.clock.monotonic();
+		let known = this.#unreachable.get(address);
+		if (!known || now - known.askedAt > reachIntervalMs) {
+			known = {isLost: known !== undefined && known.isLost && now - known.askedAt < reachTtlMs, askedAt: now};
+			this.#unreachable.set(address, known);
+			void this.#askReach(address, known);
+		}
+
+		return known.isLost;
+	}
+
+	async #askReach(address: string, known: {isLost: boolean}): Promise<void> {
+		const connections = this.#opts.mesh.listConnections();
+		const replies = await Promise.all(connections.map(async connection => connection.request('limit.reach', {address}, {timeoutMs: askTimeoutMs})));
+		known.isLost = replies.length > 0 && replies.every(reply => reply.isOk() && !reply.value.isConnected);
+	}
+
 	/** Addresses of the members of the core, the one that issues grants for the server first. */
 	#rankIssuers({id, startedAt}: Subject): string[] {
 		const {mesh} = this.#opts;
--- a/packages/plugins/edge/test/server-limits.test.ts
+++ b/packages/plugins/edge/test/server-limits.test.ts
@@ -40,8 +40,9 @@
 			address,
 			peers: {member: {address, roles}, handle: (method: string, handler: Handler) => this.handlers.set(method, handler)},
 			onConnected() {/* All are connected from the start. */},
-			listMembers: (role: string) => network.instances.filter(other => other !== this && other.roles.includes(role)),
+			listMembers: (role?: string) => network.instances.filter(other => other !== this && (role === undefined || other.roles.includes(role))),
 			findConnection: (other: string) => network.findConnection(this, other),
+			listConnections: () => network.instances.map(other => network.findConnection(this, other.address)).filter(connection => connection !== undefined),
 			isRefused: (other: string) => network.refused.has(other),
 			broadcast: (method: string, params: unknown) => {
 				for (const other of network.instances) {
@@ -188,6 +189,24 @@
 		expect(await countGranted([issuer], 4) + await countGranted(others, 4)).to.be.below(1.5 * 40);
 	});
 
+	it('issues the whole rate once nobody reaches the member that came first', async () => {
+		network.isolate(issuer);
+		const others = network.instances.filter(instance => instance !== issuer);
+		await countGranted(others, 2);
+		expect(await countGranted(others, 10)).to.be.within(90, 106);
+	});
+
+	it('issues a small part while others reach the member that comes first', async () => {
+		const next = core.filter(member => member !== issuer);
+		for (const member of next) {
+			network.cut.add(`${issuer.address} ${member.address}`);
+			network.cut.add(`${member.address} ${issuer.address}`);
+		}
+
+		await countGranted(network.instances, 2);
+		expect(await countGranted(network.instances, 10)).to.be.below(1.3 * 100);
+	});
+
 	it('keeps the whole rate when the issuer has ended', async () => {
 		network.refused.add(issuer.address);
 		const others = network.instances.filter(instance => instance !== issuer);
