--- a/scripts/write-capacity.mjs
+++ b/scripts/write-capacity.mjs
@@ -32,6 +32,7 @@
 const claimMicros = getSlope('claim opened and settled in the state machine');
 const recordMicros = getSlope('log record, proposed and applied');
 const handshakeMicros = getSlope('connection opened with its handshake, both sides') / 2;
+const limitBytes = getSlope('limit of a server at one instance');
 const linkCount = modelCount * subsetSize;
 
 const entryStateMegabytes = convertToMegabytes((deployment.endpoints * recordBytes) + (deployment.workspaces * contractBytes) + (linkCount * connectionBytes));
@@ -52,6 +53,13 @@
 addRow('controller', 'claims, if 1 in 100 requests may not be repeated', `${deployment.requestsPerSecond / 100}/s, ${round(deployment.requestsPerSecond / 100 * ((2 * recordMicros) + claimMicros) / 1e4)}% of a core, ${round(deployment.requestsPerSecond / 100 * 2 * getSlope('claim in the log') / 1e3)} KB/s of log`, 'set aside', 'claims sharded by key over groups', 'group number exists, one group today');
 addRow('controller', 'claims kept for a day at that rate', `${Math.round(deployment.requestsPerSecond / 100 * secondsPerDay * getSlope('claim in the claim table') / 1e6)} MB`, 'set aside', 'sharded claims; shorter retention in the contract', 'only named', true);
 addRow('controller', 'snapshot: all items and a day of claims in one message', `${Math.round((deployment.endpoints * recordBytes / 1e6) + (deployment.requestsPerSecond / 100 * secondsPerDay * getSlope('claim in the claim table') / 1e6))} MB`, '64 MB a frame', 'snapshot in pieces', 'only named', true);
+const limitedServers = deployment.endpoints / 20;
+const grantsPerSecond = deployment.requestsPerSecond / deployment.endpoints * limitedServers;
+const questionsPerSecond = 2 * grantsPerSecond;
+addRow('edge', `limits: grants for ${limitedServers} limited servers (1 in 20) at their part of the requests, one question denied for each granted`, `${round(questionsPerSecond / deployment.entries, 1)} questions/s, ${round(questionsPerSecond / deployment.entries * requestMicros / 1e4, 3)}% of a core`, '2.9%', 'one question at a time for a server; a denial holds until the next time', 'exists');
+addRow('edge', 'limits: state', `${round(limitedServers * limitBytes / 1e6, 2)} MB`, '32 MB', 'by server; forgotten when no longer named', 'exists');
+addRow('core member', `limits: questions at one of ${deployment.controllers} issuers`, `${round(questionsPerSecond / deployment.controllers)}/s, ${round(questionsPerSecond / deployment.controllers * requestMicros / 1e4)}% of a core`, 'set aside', 'rendezvous hashing spreads the servers over the core', 'exists');
+addRow('core member', `limits: news, if each of them changes once a minute, to its ${Math.round(deployment.entries / deployment.controllers)} leaves`, `${round(limitedServers / 60 * deployment.entries / deployment.controllers)} notes/s, ${round(limitedServers / 60 * deployment.entries / deployment.controllers * pushMicros / 1e4, 3)}% of a core`, 'set aside', 'hubs pass news on to their leaves; changes of 50 ms in one note', 'exists');
 addRow('failures', '2,000 restarts and 130 losses a day', `${round((deployment.restartsPerDay + deployment.lossesPerDay) / secondsPerDay * handshakeMicros / 1e4, 5)}% of a controller's core`, 'set aside', 'jittered reconnects', 'exists');
 addRow('failures', 'an availability zone returns: 1/21 of the subscribers at one controller group', `${Math.round(subscriberCount / deployment.zones)} handshakes, ${round(subscriberCount / deployment.zones / deployment.controllers * (handshakeMicros + recordMicros) / 1e6, 2)} s of one core at each controller`, '13 s', 'jittered reconnects, epochs batched into syncs', 'exists');
 addRow('failures', 'a region is cut off for an hour', `at most ${Math.round(deployment.changesPerDay / 24)} changes missed, one page of at most ${Math.round(deployment.changesPerDay / 24 * contractBytes / 1e3)} KB`, '13 s', 'everything since a revision in one page', 'exists; what serves inside the region meanwhile needs regional controllers, only named');
--- a/tools/bench/src/slopes-bench.ts
+++ b/tools/bench/src/slopes-bench.ts
@@ -19,6 +19,9 @@
 import {encodeFrame} from '@hickorytrack/peer-link/frame-codec';
 import {Random} from '@hickorytrack/random';
 import {ReplicatedLog} from '@hickorytrack/replicated-log';
+import {SharedRate} from '@hickorytrack/shared-rate';
+import {LimitNews} from '@hickorytrack/shared-rate/limit-news';
+import {RateIssuer} from '@hickorytrack/shared-rate/rate-issuer';
 import type {Contract} from '@hickorytrack/types/contract';
 import type {EndpointRecord} from '@hickorytrack/types/control';
 
@@ -213,6 +216,27 @@
 				}, (2 * index) + 2);
 			}
 		}),
+		await measureHeap('limit of a server at one instance', [4000, 8000, 16_000, 32_000], async size => {
+			const news = new LimitNews(clock);
+			const rate = new SharedRate({
+				clock, random: new Random(1), ask: async () => ({granted: 1, delayMs: 0}), countInstances: () => 1,
+			});
+			const opts = {perSecond: 1, maxWaitMs: 0, signal: new AbortController().signal};
+			for (let index = 0; index < size; index++) {
+				const server = {id: `server-${index}`, startedAt: 1};
+				news.record(server, 1);
+				const grant = await rate.acquire(server, opts);
+				grant?.use();
+			}
+
+			return {news, rate};
+		}),
+		await measureCpu('grant of an issuer', [100_000, 200_000, 400_000, 800_000], size => {
+			const issuer = new RateIssuer(clock);
+			for (let index = 0; index < size; index++) {
+				issuer.grant({id: `server-${index % 600}`, startedAt: 1}, {perSecond: 1000, maxDelayMs: 0, count: 1});
+			}
+		}),
 		await measureCpu('configuration change pushed to one subscriber', [1000, 2000, 4000, 8000], size => {
 			const value = {kind: 'contract' as const, version: 1, contract: createContract('t')};
 			const page = {since: 1, revision: 2, items: [{key: 'contract/t', revision: 2, value}]};
