fix(edge): the end of a resumed stream that only its connection delimits is confirmed

What callers saw: of a stream that one server broke off and another one ended, all events, and then a cut; and a cut where they had asked for what comes behind the last event. Cause: the caller of a framed stream had been promised chunks, and the end of an answer with neither a length nor chunks can't be told from a break; a continuation that has nothing left to send was taken for one that broke off before its first event. The server is asked again for what comes behind the last event, within the retry budget; nothing, twice, is the end. Conclusion: an end that nobody may confirm is still a cut.

--- a/packages/net/http-answer/src/answer-reader.ts
+++ b/packages/net/http-answer/src/answer-reader.ts
@@ -31,9 +31,12 @@
 export class AnswerReader {
 	readonly framing: AnswerFraming;
 	readonly #format: BodyFormat;
+	readonly #mayBeEmpty: boolean;
 	#bodyBytes = 0;
 
-	constructor(head: AnswerHead, opts: {method: string}) {
+	/** `mayBeEmpty`: the answer goes on with an earlier one and may have nothing left to send. */
+	constructor(head: AnswerHead, opts: {method: string; mayBeEmpty?: boolean}) {
+		this.#mayBeEmpty = opts.mayBeEmpty ?? false;
 		this.framing = findFraming(head, opts.method);
 		this.#format = createBodyFormat(head.headers['content-type']);
 	}
@@ -82,6 +85,7 @@
 			return answerVerdicts.whole;
 		}
 
-		return connectionEnd === connectionEnds.reset || this.#format.isWithoutUnit ? answerVerdicts.brokenOff : answerVerdicts.unknown;
+		const isCutBefore = this.#format.isWithoutUnit && !this.#mayBeEmpty;
+		return connectionEnd === connectionEnds.reset || isCutBefore ? answerVerdicts.brokenOff : answerVerdicts.unknown;
 	}
 }
--- a/packages/plugins/edge/src/event-relay.ts
+++ b/packages/plugins/edge/src/event-relay.ts
@@ -55,12 +55,17 @@
 		return this.#response.destroyed || this.#response.write(events);
 	}
 
+	/** Tells whether the response may end with such an answer: not when that would declare complete what can't be told. */
+	canEnd({verdict}: ReceivedAnswer): boolean {
+		return verdict === answerVerdicts.whole || (verdict === answerVerdicts.unknown && this.#isDelimitedByConnection);
+	}
+
 	/**
 	 * Ends the response after the last server has ended its answer. Returns false, and leaves the response open, when that would
 	 * declare a stream complete whose completeness can't be told.
 	 */
-	finish({verdict}: ReceivedAnswer): boolean {
-		if (verdict === answerVerdicts.brokenOff || (verdict === answerVerdicts.unknown && !this.#isDelimitedByConnection)) {
+	finish(answer: ReceivedAnswer): boolean {
+		if (!this.canEnd(answer)) {
 			return false;
 		}
 
--- a/packages/plugins/edge/src/forward-context.ts
+++ b/packages/plugins/edge/src/forward-context.ts
@@ -73,6 +73,7 @@
 		body: request.body,
 		headers: context.codec.encodeForwardHeaders(request.metadata.headers, {...rest, remainingMs}),
 		grant,
+		isContinuation: metadata.lastEventId !== undefined,
 		needsVerifiedConnection,
 		connectionLimit: context.getConnectionLimit(request.service),
 	};
--- a/packages/plugins/edge/src/streaming-forwarder.ts
+++ b/packages/plugins/edge/src/streaming-forwarder.ts
@@ -359,7 +359,7 @@
 	}
 
 	/** Resumes the stream at the backup server after the connection to its server has broken. */
-	async #resumeAtBackup(run: StreamRun, failedServer: KnownServer, failedResult: AttemptResult): Promise<RunEnding> {
+	async #resumeAtBackup(run: StreamRun, failedServer: KnownServer, failedResult: AttemptResult): Promise<RunEnding | undefined> {
 		const {eventLog, health, crashReports} = this.#context;
 		const backup = run.backupServer!;
 		health.recordUnresponsive(failedServer);
@@ -377,7 +377,7 @@
 	}
 
 	/** Resumes the stream after its last event from the copy of the KV cache at a server. It counts as the same run. */
-	async #resumeAt(run: StreamRun, backup: KnownServer, permit: SendPermit): Promise<RunEnding> {
+	async #resumeAt(run: StreamRun, backup: KnownServer, permit: SendPermit): Promise<RunEnding | undefined> {
 		// The caller waits for the next event, so the stream comes before new requests.
 		const grant = await this.#acquireGrant(backup, callKinds.run, {limitWaitMs: this.#maxWaitMs});
 		if (!grant) {
@@ -462,7 +462,7 @@
 					run: successor, start: async () => {
 						const ending = await this.#resumeAt(successor, backup, permit);
 						// While the stream goes on at its own server, a failure of the backup server decides nothing.
-						return ending.isAnswer || run.isCancelled ? ending : undefined;
+						return ending?.isAnswer || run.isCancelled ? ending : undefined;
 					},
 				};
 			}
@@ -567,13 +567,18 @@
 		return this.#createFailure(describeFailure(result));
 	}
 
-	#finishStream(run: StreamRun, server: KnownServer, answer: ReceivedAnswer): RunEnding {
+	async #finishStream(run: StreamRun, server: KnownServer, received: ReceivedAnswer): Promise<RunEnding | undefined> {
 		const {health, crashReports} = this.#context;
 		this.#isNotExecuted = false;
 		health.recordSuccess(server);
+		const answer = this.#needsConfirmation(received) ? await this.#confirmEnd(run, server, received) : received;
+		if (run.isCancelled || this.#request.signal.aborted) {
+			return this.#request.signal.aborted ? this.#createCallerGone() : undefined;
+		}
+
 		// A stream that had nothing left to send shows nothing, and one of unknown end has been checked.
-		if (answer.bodyBytes > 0 && answer.verdict === answerVerdicts.whole) {
-			crashReports.recordAnswer(this.#request, server, answer.verdict);
+		if (received.bodyBytes > 0 && received.verdict === answerVerdicts.whole) {
+			crashReports.recordAnswer(this.#request, server, received.verdict);
 		}
 
 		return {
@@ -584,6 +589,48 @@
 		};
 	}
 
+	/** Tells whether the end of a stream that only its connection delimits has to be confirmed: the caller was promised more, or got nothing of it. */
+	#needsConfirmation(answer: ReceivedAnswer): boolean {
+		const isPromised = !this.#relay.canEnd(answer);
+		return this.#isRetryable && this.#relay.isOpen && answer.verdict === answerVerdicts.unknown && (isPromised || answer.bodyBytes === 0);
+	}
+
+	/**
+	 * Asks the server again for what comes behind the last event. If nothing does, the end was one: a break would have to come
+	 * at the same event twice. Returns the answer that the stream ends with.
+	 */
+	async #confirmEnd(run: StreamRun, server: KnownServer, received: ReceivedAnswer): Promise<ReceivedAnswer> {
+		let answer = received;
+		while (answer.verdict === answerVerdicts.unknown && this.#remainingMs >= minimumRetryMs && !this.#isBanned) {
+			const permit = this.#permits.acquire(retryKinds.run);
+			const grant = permit && await this.#acquireGrant(server, callKinds.run, {limitWaitMs: this.#maxWaitMs});
+			if (!permit || !grant || run.isCancelled || this.#request.signal.aborted) {
+				grant?.release();
+				permit?.release();
+				return answer;
+			}
+
+			const {lastEventId} = this.#relay;
+			const result = await this.#calls.generate(run, server, {
+				permit, grant, placement: {
+					kind: 'direct', decodeServer: server, prefillTokens: 0, predictedMs: this.#predictedMs ?? 0,
+				},
+			});
+			const hasEnded = result.outcome === attemptOutcomes.answered && result.isStreamed;
+			const hasMore = this.#relay.lastEventId !== lastEventId;
+			if (!hasEnded) {
+				return hasMore ? {...answer, verdict: answerVerdicts.brokenOff} : answer;
+			}
+
+			answer = result.answer!;
+			if (!hasMore) {
+				return answer.verdict === answerVerdicts.unknown ? {...answer, verdict: answerVerdicts.whole} : answer;
+			}
+		}
+
+		return answer;
+	}
+
 	#handleResponse(server: KnownServer, result: AttemptResult, handle: KvHandle | undefined): RunEnding | undefined {
 		const head = result.head!;
 		const metadata = this.#context.codec.decodeResponseHead(head);
--- a/packages/routing/endpoint-client/src/endpoint-client.ts
+++ b/packages/routing/endpoint-client/src/endpoint-client.ts
@@ -31,6 +31,8 @@
 	identity?: AnswerIdentity;
 	/** Used when the request is written, released otherwise. */
 	grant: SendGrant;
+	/** The answer goes on behind what the caller has, and may have nothing left to send. */
+	isContinuation?: boolean;
 	/** Uses only a connection that is known to work, for requests that must not run twice. */
 	needsVerifiedConnection: boolean;
 	/** Maximum number of connections from this instance to the server. */
@@ -212,7 +214,7 @@
 					return;
 				}
 
-				this.#reader = new AnswerReader({status, headers}, {method: request.method});
+				this.#reader = new AnswerReader({status, headers}, {method: request.method, mayBeEmpty: request.isContinuation});
 				this.#canReuse &&= headers.connection !== 'close';
 				if (request.recipient) {
 					onAnswer?.(request.recipient, {status, headers}, {callKind: request.callKind, sentAt: this.#sentAt, isProved: request.identity !== undefined && request.identity.readId({status, headers}) === request.identity.expectedId});
