--- a/packages/plugins/edge/src/streaming-forwarder.ts
+++ b/packages/plugins/edge/src/streaming-forwarder.ts
@@ -462,7 +462,7 @@
 					run: successor, start: async () => {
 						const ending = await this.#resumeAt(successor, backup, permit);
 						// While the stream goes on at its own server, a failure of the backup server decides nothing.
-						return ending?.isAnswer || run.isCancelled ? ending : undefined;
+						return ending?.isAnswer === true || run.isCancelled ? ending : undefined;
 					},
 				};
 			}
