--- a/packages/coordination/shared-rate/src/rate-issuer.ts
+++ b/packages/coordination/shared-rate/src/rate-issuer.ts
@@ -1,12 +1,12 @@
 /**
- * Grants the requests that a limited server takes to the instances that ask for them. One instance does so for a server at a
+ * Grants the requests that a limited server takes to the instances that request them. One instance does so for a server at a
  * time, so that the whole rate can be used wherever requests arrive, and no more than that.
  */
 import type {Clock} from '@hickorytrack/clock';
 import type {Subject} from './limit-news.js';
 import {SendSchedule} from './send-schedule.js';
 
-export type RateAsk = {
+export type GrantRequest = {
 	/** Limit of the server, in requests per second. */
 	perSecond: number;
 	/** How long the first of the requests may wait, in milliseconds. Further ones are granted only if they need not wait. */
@@ -15,7 +15,7 @@
 	count: number;
 };
 
-export type RateReply = {
+export type GrantReply = {
 	granted: number;
 	/** Time until the first granted request may be sent, in milliseconds; if none was granted, until one could be. */
 	delayMs: number;
@@ -24,7 +24,7 @@
 /** A schedule that nobody has used for this time is dropped; the next one for the server starts without credit. */
 const retentionMs = 60_000;
 
-/** An instance that has asked what can't be read asks again after this time. */
+/** A request that can't be read is denied for this time. */
 const invalidDelayMs = 1000;
 
 export class RateIssuer {
@@ -36,8 +36,8 @@
 		this.#clock = clock;
 	}
 
-	/** Grants requests within the given part of the limit. A question that can't be read gets nothing. */
-	grant({id, startedAt}: Subject, {perSecond, maxDelayMs, count}: RateAsk, opts: {fraction?: number} = {}): RateReply {
+	/** Grants requests within the given part of the limit. A request that can't be read gets none. */
+	acquire({id, startedAt}: Subject, {perSecond, maxDelayMs, count}: GrantRequest, opts: {fraction?: number} = {}): GrantReply {
 		if (!(perSecond > 0) || !Number.isFinite(perSecond) || !(maxDelayMs >= 0) || !(count >= 1)) {
 			return {granted: 0, delayMs: invalidDelayMs};
 		}
@@ -53,14 +53,14 @@
 
 		entry.usedAt = now;
 		entry.schedule.setRate(rate);
-		const {isGranted, delayMs} = entry.schedule.reserve(maxDelayMs);
+		const {isGranted, delayMs} = entry.schedule.acquire(maxDelayMs);
 		if (!isGranted) {
 			return {granted: 0, delayMs};
 		}
 
 		let granted = 1;
 		const maxGranted = delayMs === 0 ? count : 1;
-		while (granted < maxGranted && entry.schedule.reserve(0).isGranted) {
+		while (granted < maxGranted && entry.schedule.acquire(0).isGranted) {
 			granted++;
 		}
 
--- a/packages/coordination/shared-rate/src/send-schedule.ts
+++ b/packages/coordination/shared-rate/src/send-schedule.ts
@@ -50,7 +50,7 @@
 	}
 
 	/** Reserves the time of one request if it is at most `maxDelayMs` away. */
-	reserve(maxDelayMs: number): Reservation {
+	acquire(maxDelayMs: number): Reservation {
 		const {delayMs} = this;
 		if (delayMs > maxDelayMs) {
 			return {isGranted: false, delayMs};
--- a/packages/coordination/shared-rate/src/shared-rate.ts
+++ b/packages/coordination/shared-rate/src/shared-rate.ts
@@ -1,20 +1,20 @@
 /**
  * One instance's use of rates that all instances share. Before a request to a limited server is sent, it needs a grant of the
  * instance that issues them for the server. A grant whose request no server has received serves the next one. While no
- * issuer can be asked, an equal part of the rate is used, so that instances that are cut off from each other do not each use
+ * issuer can be reached, an equal part of the rate is used, so that instances that are cut off from each other do not each use
  * all of it.
  */
 import type {Clock} from '@hickorytrack/clock';
 import type {Random} from '@hickorytrack/random';
 import type {Subject} from './limit-news.js';
-import {RateIssuer, type RateAsk, type RateReply} from './rate-issuer.js';
+import {RateIssuer, type GrantRequest, type GrantReply} from './rate-issuer.js';
 
 export type SharedRateOptions = {
 	clock: Clock;
 	random: Random;
-	/** Asks the instance that issues grants for the server. Resolves with undefined if none could be asked. Never rejects. */
-	ask: (subject: Subject, ask: RateAsk) => Promise<RateReply | undefined>;
-	/** Number of instances among which a rate is divided while no issuer can be asked. */
+	/** Requests grants from the instance that issues them for the server. Resolves with undefined if none could be reached. Never rejects. */
+	requestGrants: (subject: Subject, request: GrantRequest) => Promise<GrantReply | undefined>;
+	/** Number of instances among which a rate is divided while no issuer can be reached. */
 	countInstances: () => number;
 };
 
@@ -29,20 +29,20 @@
 /** The right to send one request to a server. */
 export type RateGrant = {
 	/** Called when the request is written. */
-	use(): void;
+	recordUse(): void;
 	/** Returns the grant if it was not used; further calls have no effect. */
 	release(): void;
 };
 
-/** Requests that were sent within this time tell how many grants are asked for at once. */
+/** Requests that were sent within this time tell how many grants are requested at once. */
 const batchMs = 50;
 /** Requests within this time tell the rate at which this instance sends. */
 const rateWindowMs = 4000;
 /** An unused grant expires after this time: others may need it more. */
 const grantTtlMs = 250;
-/** After a failure to ask, the issuer is not asked again for this time. */
+/** After a request to the issuer has failed, no other one is sent to it for this time. */
 const failureBackoffMs = 500;
-/** Each denial in a row makes an instance wait longer by this part before it asks again, so that many do not ask at once. */
+/** Each denial in a row makes an instance wait longer by this part before its next request, so that many do not come at once. */
 const backoffPerDenial = 0.25;
 const maxBackoffDenials = 8;
 
@@ -56,7 +56,7 @@
 	closedUntil: number;
 	/** Denials since the last grant. */
 	denials: number;
-	/** The question that is on its way; requests that come meanwhile wait for its reply. */
+	/** Ends with the reply of the issuer that is awaited; requests that come meanwhile wait for it too. */
 	pending?: Promise<void>;
 	waiting: number;
 	isolatedUntil: number;
@@ -77,7 +77,7 @@
 		this.#isolated = new RateIssuer(opts.clock);
 	}
 
-	/** Returns the time until the server may get a request, in milliseconds, as far as this instance knows; 0 if it can be asked for. */
+	/** Returns the time until the server may get a request, in milliseconds, as far as this instance knows; 0 if it may get one now. */
 	estimateWaitMs({id, startedAt}: Subject): number {
 		const account = this.#accounts.get(id);
 		const now = this.#opts.clock.monotonic();
@@ -90,7 +90,7 @@
 		return account?.startedAt === startedAt ? countSince(account.sentAt, this.#opts.clock.monotonic() - rateWindowMs) * 1000 / rateWindowMs : 0;
 	}
 
-	/** Waits for a grant, at most for `maxWaitMs` beyond the question itself. Undefined if there is none in that time. */
+	/** Waits for a grant, at most for `maxWaitMs` beyond the reply of the issuer. Undefined if there is none in that time. */
 	async acquire(subject: Subject, {perSecond, maxWaitMs, signal}: GrantOptions): Promise<RateGrant | undefined> {
 		const {clock} = this.#opts;
 		const account = this.#openAccount(subject);
@@ -113,15 +113,15 @@
 			}
 
 			let delayMs = 0;
-			const question = this.#askForGrant(subject, account, {perSecond, maxDelayMs: maxWaitMs}).then(reply => {
+			const pendingReply = this.#requestFromIssuer(subject, account, {perSecond, maxDelayMs: maxWaitMs}).then(reply => {
 				delayMs = reply.delayMs;
 				return reply.granted > 0;
 			}).finally(() => {
 				account.pending = undefined;
 			});
-			// Its error is that of the request that asks; the others ask again.
-			account.pending = question.catch(() => undefined).then(() => undefined);
-			if (await question) {
+			// A failure is that of the request that has caused it; the others try again.
+			account.pending = pendingReply.catch(() => undefined).then(() => undefined);
+			if (await pendingReply) {
 				if (delayMs > 0) {
 					await clock.sleep(delayMs, signal);
 				}
@@ -131,12 +131,12 @@
 		}
 	}
 
-	async #askForGrant(subject: Subject, account: Account, {perSecond, maxDelayMs}: Pick<RateAsk, 'perSecond' | 'maxDelayMs'>): Promise<RateReply> {
+	async #requestFromIssuer(subject: Subject, account: Account, {perSecond, maxDelayMs}: Pick<GrantRequest, 'perSecond' | 'maxDelayMs'>): Promise<GrantReply> {
 		const {clock, random} = this.#opts;
 		const startedAt = clock.monotonic();
 		const count = 1 + account.waiting + countSince(account.sentAt, startedAt - batchMs);
-		const ask = {perSecond, maxDelayMs, count};
-		const reply = await this.#requestGrant(subject, account, ask);
+		const request = {perSecond, maxDelayMs, count};
+		const reply = await this.#requestGrants(subject, account, request);
 		const now = clock.monotonic();
 		if (reply.granted > 0) {
 			account.denials = 0;
@@ -151,11 +151,11 @@
 		return reply;
 	}
 
-	/** Asks the issuer, or takes this instance's own part of the rate while there is none. */
-	async #requestGrant(subject: Subject, account: Account, ask: RateAsk): Promise<RateReply> {
+	/** Requests grants from the issuer, or takes this instance's own part of the rate while there is none. */
+	async #requestGrants(subject: Subject, account: Account, request: GrantRequest): Promise<GrantReply> {
 		const {clock, countInstances} = this.#opts;
 		if (clock.monotonic() >= account.isolatedUntil) {
-			const reply = await this.#opts.ask(subject, ask);
+			const reply = await this.#opts.requestGrants(subject, request);
 			if (reply) {
 				return reply;
 			}
@@ -163,14 +163,14 @@
 			account.isolatedUntil = clock.monotonic() + failureBackoffMs;
 		}
 
-		return this.#isolated.grant(subject, ask, {fraction: 1 / Math.max(1, countInstances())});
+		return this.#isolated.acquire(subject, request, {fraction: 1 / Math.max(1, countInstances())});
 	}
 
 	#createGrant(account: Account): RateGrant {
 		const {clock} = this.#opts;
 		let isOpen = true;
 		return {
-			use() {
+			recordUse() {
 				isOpen = false;
 				const now = clock.monotonic();
 				account.sentAt = account.sentAt.filter(time => time >= now - rateWindowMs);
--- a/packages/coordination/shared-rate/test/shared-rate.test.ts
+++ b/packages/coordination/shared-rate/test/shared-rate.test.ts
@@ -1,7 +1,7 @@
 import {expect} from 'chai';
 import {ManualClock} from '@hickorytrack/clock/manual-clock';
 import {Random} from '@hickorytrack/random';
-import {RateIssuer, type RateAsk, type RateReply} from '../src/rate-issuer.js';
+import {RateIssuer, type GrantRequest, type GrantReply} from '../src/rate-issuer.js';
 import {SharedRate} from '../src/shared-rate.js';
 
 const server = {id: 's1', startedAt: 1000};
@@ -13,20 +13,20 @@
 	readonly clock = new ManualClock();
 	readonly sentAt: number[] = [];
 	readonly instances: SharedRate[];
-	questions = 0;
-	/** What the instances ask; by default one issuer. */
-	ask: (index: number) => RateIssuer | undefined;
+	requests = 0;
+	/** The issuer that an instance reaches; by default the same for all. */
+	findIssuer: (index: number) => RateIssuer | undefined;
 	readonly #random: Random;
 
 	constructor(count: number, seed: number) {
 		this.#random = new Random(seed);
 		const issuer = new RateIssuer(this.clock);
-		this.ask = () => issuer;
+		this.findIssuer = () => issuer;
 		this.instances = Array.from({length: count}, (_, index) => new SharedRate({
-			clock: this.clock, random: new Random(seed + index), countInstances: () => count, ask: async (subject, ask): Promise<RateReply | undefined> => {
-				this.questions++;
+			clock: this.clock, random: new Random(seed + index), countInstances: () => count, requestGrants: async (subject, request): Promise<GrantReply | undefined> => {
+				this.requests++;
 				await this.clock.sleep(hopMs);
-				const reply = this.ask(index)?.grant(subject, ask);
+				const reply = this.findIssuer(index)?.acquire(subject, request);
 				await this.clock.sleep(hopMs);
 				return reply;
 			},
@@ -37,7 +37,7 @@
 		const {maxWaitMs = 0, perSecond} = opts;
 		void this.instances[index]!.acquire(server, {perSecond, maxWaitMs, signal: new AbortController().signal}).then(grant => {
 			if (grant) {
-				grant.use();
+				grant.recordUse();
 				this.sentAt.push(this.clock.monotonic());
 			}
 		});
@@ -108,9 +108,9 @@
 		expect(fleet.sentAt.length).to.be.below(0.85 * ((1.5 * 1.7 * 4) + 5));
 	});
 
-	it('uses an equal part while no issuer can be asked', async () => {
+	it('uses an equal part while no issuer can be reached', async () => {
 		const fleet = new Fleet(8, 11);
-		fleet.ask = () => undefined;
+		fleet.findIssuer = () => undefined;
 		await fleet.run({
 			seconds: 40, demand: 160, perSecond: 18.8, select: selectEven(8),
 		});
@@ -121,7 +121,7 @@
 	it('keeps the limit when the issuer changes', async () => {
 		const fleet = new Fleet(8, 23);
 		let issuer = new RateIssuer(fleet.clock);
-		fleet.ask = () => issuer;
+		fleet.findIssuer = () => issuer;
 		for (let round = 0; round < 10; round++) {
 			await fleet.run({
 				seconds: 2, demand: 160, perSecond: 18.8, select: selectEven(8),
@@ -140,24 +140,24 @@
 		const pending = instance!.acquire(server, opts);
 		await fleet.clock.advance(1000);
 		const grant = await pending;
-		const asked = fleet.questions;
+		const requested = fleet.requests;
 		grant!.release();
 		const next = await instance!.acquire(server, opts);
-		next!.use();
+		next!.recordUse();
 		next!.release();
-		expect(fleet.questions).to.equal(asked);
-		// A used grant is gone: the next request asks again.
+		expect(fleet.requests).to.equal(requested);
+		// A used grant is gone: the next one has to be requested.
 		void instance!.acquire(server, opts);
-		expect(fleet.questions).to.equal(asked + 1);
+		expect(fleet.requests).to.equal(requested + 1);
 	});
 
-	it('asks again after a question that failed', async () => {
+	it('requests grants again after a failure', async () => {
 		const clock = new ManualClock();
-		let questions = 0;
+		let requests = 0;
 		const rate = new SharedRate({
-			clock, random: new Random(1), countInstances: () => 1, async ask() {
-				questions++;
-				if (questions === 1) {
+			clock, random: new Random(1), countInstances: () => 1, async requestGrants() {
+				requests++;
+				if (requests === 1) {
 					throw new Error('failed');
 				}
 
@@ -170,19 +170,19 @@
 		expect(second.status === 'fulfilled' && second.value).to.be.an('object');
 	});
 
-	it('grants nothing to a question that can\'t be read', () => {
+	it('grants nothing to a request that can\'t be read', () => {
 		const issuer = new RateIssuer(new ManualClock());
-		for (const ask of [{perSecond: 0, maxDelayMs: 0, count: 1}, {perSecond: 5, maxDelayMs: Number.NaN, count: 1}, {perSecond: 5, maxDelayMs: 0, count: 0}, {maxDelayMs: 0, count: 1}, {perSecond: Number.POSITIVE_INFINITY, maxDelayMs: 0, count: 1}]) {
-			expect(issuer.grant(server, ask as RateAsk).granted).to.equal(0);
+		for (const request of [{perSecond: 0, maxDelayMs: 0, count: 1}, {perSecond: 5, maxDelayMs: Number.NaN, count: 1}, {perSecond: 5, maxDelayMs: 0, count: 0}, {maxDelayMs: 0, count: 1}, {perSecond: Number.POSITIVE_INFINITY, maxDelayMs: 0, count: 1}]) {
+			expect(issuer.acquire(server, request as GrantRequest).granted).to.equal(0);
 		}
 	});
 
-	it('asks few questions when the rate is used up', async () => {
+	it('sends few requests to the issuer when the rate is used up', async () => {
 		const fleet = new Fleet(1, 9);
 		await fleet.run({
 			seconds: 10, demand: 500, perSecond: 10, select: first,
 		});
-		expect(fleet.questions).to.be.below(10 * 10 * 4);
+		expect(fleet.requests).to.be.below(10 * 10 * 4);
 	});
 
 	it('tells how long a server takes no request', async () => {
--- a/packages/plugins/agent/src/start-pace.ts
+++ b/packages/plugins/agent/src/start-pace.ts
@@ -32,7 +32,7 @@
 
 	/** Returns whether a request may start now; if so, it counts. */
 	acquire(): boolean {
-		return this.#schedule?.reserve(0).isGranted ?? true;
+		return this.#schedule?.acquire(0).isGranted ?? true;
 	}
 
 	/** Estimates how long a request waits behind those that are queued, in milliseconds. */
--- a/packages/plugins/edge/src/edge.ts
+++ b/packages/plugins/edge/src/edge.ts
@@ -136,7 +136,7 @@
 		});
 		this.#limits = new ServerLimits({
 			clock, news: this.#limitNews, eventLog, metrics: opts.metrics, rate: new SharedRate({
-				clock, random, ask: async (subject, ask) => this.#limitSharing.ask(subject, ask), countInstances: () => this.#countEdges(),
+				clock, random, requestGrants: async (subject, request) => this.#limitSharing.requestGrants(subject, request), countInstances: () => this.#countEdges(),
 			}), onNews: server => {
 				this.#limitSharing.sendNews(server);
 			},
@@ -453,13 +453,13 @@
 			metrics.set('servers', this.registry.listUsable(name).length, {service: name});
 			const limits = this.#limits.describe(this.registry.listUsable(name));
 			metrics.set('limited_servers', limits.length, {service: name});
-			metrics.set('limit_per_second', sum(limits.map(({perSecond}) => perSecond)), {service: name});
-			metrics.set('limit_used_per_second', sum(limits.map(({ownPerSecond}) => ownPerSecond)), {service: name});
+			metrics.set('limit_per_second', computeSum(limits.map(({perSecond}) => perSecond)), {service: name});
+			metrics.set('limit_used_per_second', computeSum(limits.map(({ownPerSecond}) => ownPerSecond)), {service: name});
 			metrics.set('retry_budget_left', this.#context.retryBudget.countLeft(name), {service: name});
 		}
 	}
 }
 
-function sum(values: readonly number[]): number {
+function computeSum(values: readonly number[]): number {
 	return values.reduce((total, value) => total + value, 0);
 }
--- a/packages/plugins/edge/src/limit-sharing.ts
+++ b/packages/plugins/edge/src/limit-sharing.ts
@@ -10,7 +10,7 @@
 import {RendezvousRanking} from '@hickorytrack/placement/rendezvous-ranking';
 import {coreRole} from '@hickorytrack/route-store/core-member';
 import type {LimitNews, LimitNote, Subject} from '@hickorytrack/shared-rate/limit-news';
-import {RateIssuer, type RateAsk, type RateReply} from '@hickorytrack/shared-rate/rate-issuer';
+import {RateIssuer, type GrantRequest, type GrantReply} from '@hickorytrack/shared-rate/rate-issuer';
 
 export type LimitSharingOptions = {
 	clock: Clock;
@@ -25,8 +25,8 @@
 /** News goes out after this time at the latest, together with other news of the meantime. */
 const noteIntervalMs = 50;
 /** An issuer answers within a few milliseconds; one that does not is treated as unreachable. */
-const askTimeoutMs = 150;
-/** Interval at which the other instances are asked whether they reach a member, and the time for which their answers count. */
+const requestTimeoutMs = 150;
+/** Interval at which the other instances are asked whether they reach a member, and the time for which the replies count. */
 const reachIntervalMs = 500;
 const reachTtlMs = 1500;
 /** Part of a limit that is issued while a member that comes first can't be reached and may still issue all of it. */
@@ -37,7 +37,7 @@
 	readonly #issuer: RateIssuer;
 	readonly #ranking = new RendezvousRanking();
 	/** Members that this one can't reach, by address, with what the other instances said of them last. */
-	readonly #unreachable = new Map<string, {isLost: boolean; askedAt: number}>();
+	readonly #unreachable = new Map<string, {isLost: boolean; checkedAt: number}>();
 	/** Servers with news that has not been sent, by id. */
 	readonly #unsent = new Set<string>();
 	#isSendDue = false;
@@ -49,8 +49,8 @@
 		mesh.peers.handle('limit.note', ({limits}, connection) => {
 			this.#handleNotes(limits, connection);
 		});
-		mesh.peers.handle('limit.acquire', ({server, startedAt, ...ask}) => {
-			const reply = this.#issue({id: server, startedAt}, ask);
+		mesh.peers.handle('limit.acquire', ({server, startedAt, ...request}) => {
+			const reply = this.#acquireGrants({id: server, startedAt}, request);
 			return reply ? {isIssuer: true, ...reply} : {isIssuer: false, granted: 0, delayMs: 0};
 		});
 		mesh.peers.handle('limit.reach', ({address}) => ({isConnected: mesh.findConnection(address) !== undefined}));
@@ -72,17 +72,17 @@
 		}
 	}
 
-	/** Asks the instance that issues grants for the server. Undefined if none could be asked. */
-	async ask(subject: Subject, ask: RateAsk): Promise<RateReply | undefined> {
+	/** Requests grants from the instance that issues them for the server. Undefined if none could be reached. */
+	async requestGrants(subject: Subject, request: GrantRequest): Promise<GrantReply | undefined> {
 		const {mesh} = this.#opts;
 		for (const address of this.#rankIssuers(subject)) {
 			if (address === mesh.address) {
-				return this.#issue(subject, ask);
+				return this.#acquireGrants(subject, request);
 			}
 
 			const connection = mesh.findConnection(address);
 			if (connection) {
-				const reply = await connection.request('limit.acquire', {server: subject.id, startedAt: subject.startedAt, ...ask}, {timeoutMs: askTimeoutMs});
+				const reply = await connection.request('limit.acquire', {server: subject.id, startedAt: subject.startedAt, ...request}, {timeoutMs: requestTimeoutMs});
 				return reply.isOk() && reply.value.isIssuer ? reply.value : undefined;
 			}
 		}
@@ -91,10 +91,10 @@
 	}
 
 	/** Undefined if another member issues the grants for this server. */
-	#issue(subject: Subject, ask: RateAsk): RateReply | undefined {
+	#acquireGrants(subject: Subject, request: GrantRequest): GrantReply | undefined {
 		const fraction = this.#computeFraction(subject);
-		const perSecond = this.#opts.news.getRate(subject) ?? ask.perSecond;
-		return fraction === 0 ? undefined : this.#issuer.grant(subject, {...ask, perSecond}, {fraction});
+		const perSecond = this.#opts.news.getRate(subject) ?? request.perSecond;
+		return fraction === 0 ? undefined : this.#issuer.acquire(subject, {...request, perSecond}, {fraction});
 	}
 
 	/** Returns the part of the server's limit that this member issues. */
@@ -110,7 +110,7 @@
 				return 0;
 			}
 
-			fraction = mesh.isRefused(address) || this.#isLost(address) ? fraction : unconfirmedFraction;
+			fraction = mesh.isRefused(address) || this.#checkLost(address) ? fraction : unconfirmedFraction;
 		}
 
 		return 0;
@@ -123,22 +123,22 @@
 		return (mesh.listConnections().length + 1) * 2 <= running;
 	}
 
-	/** Tells whether no instance that this one reaches had a connection to the member when they were last asked, and asks them again. */
-	#isLost(address: string): boolean {
+	/** Tells whether no instance that this one reaches had a connection to the member at the last check, and starts the next check. */
+	#checkLost(address: string): boolean {
 		const now = this.#opts.clock.monotonic();
 		let known = this.#unreachable.get(address);
-		if (!known || now - known.askedAt > reachIntervalMs) {
-			known = {isLost: known !== undefined && known.isLost && now - known.askedAt < reachTtlMs, askedAt: now};
+		if (!known || now - known.checkedAt > reachIntervalMs) {
+			known = {isLost: known !== undefined && known.isLost && now - known.checkedAt < reachTtlMs, checkedAt: now};
 			this.#unreachable.set(address, known);
-			void this.#askReach(address, known);
+			void this.#updateReach(address, known);
 		}
 
 		return known.isLost;
 	}
 
-	async #askReach(address: string, known: {isLost: boolean}): Promise<void> {
+	async #updateReach(address: string, known: {isLost: boolean}): Promise<void> {
 		const connections = this.#opts.mesh.listConnections();
-		const replies = await Promise.all(connections.map(async connection => connection.request('limit.reach', {address}, {timeoutMs: askTimeoutMs})));
+		const replies = await Promise.all(connections.map(async connection => connection.request('limit.reach', {address}, {timeoutMs: requestTimeoutMs})));
 		known.isLost = replies.length > 0 && replies.every(reply => reply.isOk() && !reply.value.isConnected);
 	}
 
--- a/packages/plugins/edge/src/server-limits.ts
+++ b/packages/plugins/edge/src/server-limits.ts
@@ -91,7 +91,7 @@
 
 	/** Tells whether the server may get a request within this time, in milliseconds, as far as this instance knows. */
 	isOpen(server: Incarnation, maxWaitMs = 0): boolean {
-		return !this.isLimited(server) || this.#takesRest(server, maxWaitMs) || this.#opts.rate.estimateWaitMs(server) <= maxWaitMs;
+		return !this.isLimited(server) || this.#canTakeRest(server, maxWaitMs) || this.#opts.rate.estimateWaitMs(server) <= maxWaitMs;
 	}
 
 	/** Returns the time until the server may get a request, in milliseconds; 0 if it may now. */
@@ -102,7 +102,7 @@
 	/** Waits for the right to send a call to the server. Undefined if the limit is used up; it counts as closed from then on. */
 	async acquire(server: Incarnation, {call, maxWaitMs, signal}: AcquireOptions): Promise<SendGrant | undefined> {
 		const perSecond = this.#opts.news.getRate(server);
-		if (perSecond === undefined || this.#takesRest(server, maxWaitMs)) {
+		if (perSecond === undefined || this.#canTakeRest(server, maxWaitMs)) {
 			return unlimitedGrant;
 		}
 
@@ -112,7 +112,7 @@
 	}
 
 	/** After its limit has ended, the load of a server returns gradually, but it takes at once what no other server takes without a wait. */
-	#takesRest(server: Incarnation, maxWaitMs: number): boolean {
+	#canTakeRest(server: Incarnation, maxWaitMs: number): boolean {
 		return maxWaitMs > 0 && this.#opts.news.find(server) === undefined;
 	}
 
--- a/packages/plugins/edge/src/streaming-forwarder.ts
+++ b/packages/plugins/edge/src/streaming-forwarder.ts
@@ -351,10 +351,10 @@
 	#reselectDecodeServer(run: StreamRun, planned: KnownServer): KnownServer | undefined {
 		const {promptPlacement, availabilityZone, limits, registry} = this.#context;
 		const {service, route} = this.#request;
-		const mayTakeRun = (server: KnownServer) => server.id === planned.id || !limits.isLimited(server);
-		const servers = listCandidates(this.#context, service, {limitWaitMs: Number.POSITIVE_INFINITY}).filter(server => mayTakeRun(server));
+		const canTakeRun = (server: KnownServer) => server.id === planned.id || !limits.isLimited(server);
+		const servers = listCandidates(this.#context, service, {limitWaitMs: Number.POSITIVE_INFINITY}).filter(server => canTakeRun(server));
 		return promptPlacement.selectDecodeServer({
-			prompt: this.#calls.prompt, objectiveMs: route.objectiveMs, excluded: this.#listExcluded(run), availabilityZone, closed: registry.listUsable(service).filter(server => !mayTakeRun(server)),
+			prompt: this.#calls.prompt, objectiveMs: route.objectiveMs, excluded: this.#listExcluded(run), availabilityZone, closed: registry.listUsable(service).filter(server => !canTakeRun(server)),
 		}, servers) ?? (isCandidate(this.#context, planned) ? planned : undefined);
 	}
 
@@ -571,7 +571,7 @@
 		const {health, crashReports} = this.#context;
 		this.#isNotExecuted = false;
 		health.recordSuccess(server);
-		const answer = this.#needsConfirmation(received) ? await this.#confirmEnd(run, server, received) : received;
+		const answer = this.#hasUnconfirmedEnd(received) ? await this.#confirmEnd(run, server, received) : received;
 		if (run.isCancelled || this.#request.signal.aborted) {
 			return this.#request.signal.aborted ? this.#createCallerGone() : undefined;
 		}
@@ -590,7 +590,7 @@
 	}
 
 	/** Tells whether the end of a stream that only its connection delimits has to be confirmed: the caller was promised more, or got nothing of it. */
-	#needsConfirmation(answer: ReceivedAnswer): boolean {
+	#hasUnconfirmedEnd(answer: ReceivedAnswer): boolean {
 		const isPromised = !this.#relay.canEnd(answer);
 		return this.#isRetryable && this.#relay.isOpen && answer.verdict === answerVerdicts.unknown && (isPromised || answer.bodyBytes === 0);
 	}
--- a/packages/plugins/edge/test/retry-fleet.ts
+++ b/packages/plugins/edge/test/retry-fleet.ts
@@ -305,7 +305,7 @@
 	const metrics = new MetricsRegistry();
 	return new ServerLimits({
 		clock, news: new LimitNews(clock), eventLog: new RateLimitedEventLog(clock, new EventLog({clock})), metrics, onNews() {/* There is none. */}, rate: new SharedRate({
-			clock, random: new Random(1), ask: async () => undefined, countInstances: () => 1,
+			clock, random: new Random(1), requestGrants: async () => undefined, countInstances: () => 1,
 		}),
 	});
 }
--- a/packages/plugins/edge/test/server-limits.test.ts
+++ b/packages/plugins/edge/test/server-limits.test.ts
@@ -7,7 +7,7 @@
 import {Random} from '@hickorytrack/random';
 import {SharedRate} from '@hickorytrack/shared-rate';
 import {LimitNews, type LimitNote} from '@hickorytrack/shared-rate/limit-news';
-import type {RateReply} from '@hickorytrack/shared-rate/rate-issuer';
+import type {GrantReply} from '@hickorytrack/shared-rate/rate-issuer';
 import {LimitSharing} from '../src/limit-sharing.js';
 import {RateLimitedEventLog} from '../src/rate-limited-event-log.js';
 import {computeLimitWaitMs, ServerLimits} from '../src/server-limits.js';
@@ -59,7 +59,7 @@
 			clock, news: this.news, metrics: new MetricsRegistry(), eventLog: new RateLimitedEventLog(clock, new EventLog({clock})), onNews: limited => {
 				this.sharing.sendNews(limited);
 			}, rate: new SharedRate({
-				clock, random: new Random(1), ask: async (subject, ask) => this.sharing.ask(subject, ask), countInstances: () => 4,
+				clock, random: new Random(1), requestGrants: async (subject, request) => this.sharing.requestGrants(subject, request), countInstances: () => 4,
 			}),
 		});
 	}
@@ -86,7 +86,7 @@
 				return count;
 			}
 
-			grant.use();
+			grant.recordUse();
 			count++;
 		}
 	}
@@ -126,7 +126,7 @@
 				target.handlers.get(method)!(params, {remote: {instance: from.address, address: from.address}});
 			},
 			async request(method: string, params: unknown) {
-				const value = target.handlers.get(method)!(params, {remote: {address: from.address}}) as RateReply;
+				const value = target.handlers.get(method)!(params, {remote: {address: from.address}}) as GrantReply;
 				return {isOk: () => true, value};
 			},
 		} as unknown as PeerConnection;
--- a/packages/routing/endpoint-client/src/endpoint-client.ts
+++ b/packages/routing/endpoint-client/src/endpoint-client.ts
@@ -199,7 +199,7 @@
 
 				this.#isWritten = true;
 				this.#sentAt = clock.monotonic();
-				request.grant.use();
+				request.grant.recordUse();
 			},
 			onResponseStart: (_controller, status, headers) => {
 				// An informational response (1xx) precedes the final one.
--- a/packages/routing/endpoint-client/src/send-grant.ts
+++ b/packages/routing/endpoint-client/src/send-grant.ts
@@ -2,13 +2,13 @@
 
 export type SendGrant = {
 	/** Called when the call is written. */
-	use(): void;
+	recordUse(): void;
 	/** Called when the call has ended without being written; has no effect after `use`. */
 	release(): void;
 };
 
 /** For a server that limits nothing. */
 export const unlimitedGrant: SendGrant = {
-	use() {/* Nothing is counted. */},
+	recordUse() {/* Nothing is counted. */},
 	release() {/* Nothing is counted. */},
 };
--- a/tools/bench/src/slopes-bench.ts
+++ b/tools/bench/src/slopes-bench.ts
@@ -219,14 +219,14 @@
 		await measureHeap('limit of a server at one instance', [4000, 8000, 16_000, 32_000], async size => {
 			const news = new LimitNews(clock);
 			const rate = new SharedRate({
-				clock, random: new Random(1), ask: async () => ({granted: 1, delayMs: 0}), countInstances: () => 1,
+				clock, random: new Random(1), requestGrants: async () => ({granted: 1, delayMs: 0}), countInstances: () => 1,
 			});
 			const opts = {perSecond: 1, maxWaitMs: 0, signal: new AbortController().signal};
 			for (let index = 0; index < size; index++) {
 				const server = {id: `server-${index}`, startedAt: 1};
 				news.record(server, 1);
 				const grant = await rate.acquire(server, opts);
-				grant?.use();
+				grant?.recordUse();
 			}
 
 			return {news, rate};
@@ -234,7 +234,7 @@
 		await measureCpu('grant of an issuer', [100_000, 200_000, 400_000, 800_000], size => {
 			const issuer = new RateIssuer(clock);
 			for (let index = 0; index < size; index++) {
-				issuer.grant({id: `server-${index % 600}`, startedAt: 1}, {perSecond: 1000, maxDelayMs: 0, count: 1});
+				issuer.acquire({id: `server-${index % 600}`, startedAt: 1}, {perSecond: 1000, maxDelayMs: 0, count: 1});
 			}
 		}),
 		await measureCpu('configuration change pushed to one subscriber', [1000, 2000, 4000, 8000], size => {
--- a/tools/soak/src/soak-run.ts
+++ b/tools/soak/src/soak-run.ts
@@ -124,11 +124,11 @@
 	await writeLines(path.join(folder, 'operator.jsonl'), [...operator.records, ...readBacks]);
 	await writeLines(path.join(folder, 'disturbances.jsonl'), faultRunner.disturbances);
 	return {
-		routes, bounds, callers, processEnds: fleet.processEnds, disturbances: faultRunner.disturbances, graceMs, readRequests, operator: operator.records, readBacks, edges: edges.map(({name}) => name), ...sortRecords(serverRecords),
+		routes, bounds, callers, processEnds: fleet.processEnds, disturbances: faultRunner.disturbances, graceMs, readRequests, operator: operator.records, readBacks, edges: edges.map(({name}) => name), ...collectRecords(serverRecords),
 	};
 }
 
-function sortRecords(records: readonly ServerRecord[]): Pick<SoakRecords, 'arrivals' | 'outcomes' | 'ends' | 'calls' | 'limits'> {
+function collectRecords(records: readonly ServerRecord[]): Pick<SoakRecords, 'arrivals' | 'outcomes' | 'ends' | 'calls' | 'limits'> {
 	return {
 		arrivals: records.filter(record => record.type === 'arrival'),
 		outcomes: records.filter(record => record.type === 'outcome'),
