fix(prompt-placement): a long prompt is not refused while a decode server has a free slot

Cause: decode servers with more than two streams prefill no long prompts; with the prefill servers at their limits no plan was left, and no plan reads as a late one. Change: with no other choice they do; a prediction that is late is still refused. Evidence: the new test fails before ('refuse' instead of 'direct'). Conclusion: streams on that server pause for the prompt; callers of both are served.

--- a/packages/routing/prompt-placement/src/prompt-placement.ts
+++ b/packages/routing/prompt-placement/src/prompt-placement.ts
@@ -93,7 +93,7 @@
 const maxPackedSlotFraction = 0.8;
 /** A server whose prefill queue is longer than this fraction of the objective gets no streams while another one has free capacity. */
 const maxStreamQueueFraction = 0.2;
-/** A decode server with more streams than this prefills no long prompts. */
+/** A decode server with more streams than this prefills no long prompts while another server can. */
 const maxStreamsBesidePrefill = 2;
 /** A fetch that saves fewer tokens costs more than it saves. */
 const minFetchTokens = 64;
@@ -184,8 +184,11 @@
 		const homeServer = this.#findHome(prompt, homeServers);
 		const isHot = this.#isHot(prompt, homeServers);
 		const longestMatch = cacheIndex.findLongestMatch(listSharedParts(prompt), [...homeServers, ...prefillServers, ...scratchServers]);
-		const freeDecodeServers = decodeServers.filter(server => this.#slots.hasFreeSlot(server) && loadTracker.getLoad(server.id).streams <= maxStreamsBesidePrefill);
-		const plans = [...prefillServers, ...freeDecodeServers].map(server => this.#planPrefill(server, {
+		const freeDecodeServers = decodeServers.filter(server => this.#slots.hasFreeSlot(server));
+		const calmDecodeServers = freeDecodeServers.filter(server => loadTracker.getLoad(server.id).streams <= maxStreamsBesidePrefill);
+		const preferred = [...prefillServers, ...calmDecodeServers];
+		// With no other choice, streams wait for a prompt rather than that its request is refused.
+		const plans = (preferred.length > 0 ? preferred : freeDecodeServers).map(server => this.#planPrefill(server, {
 			prompt, longestMatch, objectiveMs, isPreferred: server.stage === 'prefill' || scratchServers.includes(server) || (isHot && server === homeServer) || this.#opts.isLimited?.(server) === true,
 		}));
 		const best = this.#selectPlan(plans, request.availabilityZone);
--- a/packages/routing/prompt-placement/test/prompt-placement.test.ts
+++ b/packages/routing/prompt-placement/test/prompt-placement.test.ts
@@ -72,6 +72,19 @@
 		expect(homesWhileClosed).not.to.include(closed!.id);
 	});
 
+	// With all prefill servers at their limits, a long prompt was refused while decode servers with streams had free slots.
+	it('prefills beside streams when no other server can', () => {
+		for (const server of decodeServers) {
+			for (let stream = 0; stream < 3; stream++) {
+				loadTracker.add(server.id, 0, {isStream: true});
+			}
+		}
+
+		profile.record(decodeServers[0]!, {tokens: 10_000, elapsedMs: 80, isIdle: true});
+		expect(plan().kind).to.equal('hand-over');
+		expect(plan({servers: decodeServers, closed: prefillServers}).kind).to.equal('direct');
+	});
+
 	it('sends short prompts to limited servers first, as far as their limits allow', () => {
 		const limited = decodeServers[2]!;
 		promptPlacement = new PromptPlacement({
