test(soak): an empty answer behind the last event is whole, and faults are recorded with whom they strike

Change: an empty body is inside an event only if something was expected; resets, stalls, freezes, silences and signals are recorded without a source, since they strike all. The latter is stricter too: a frozen server no longer excuses what an edge that was drawn with it does elsewhere. Evidence: planted cases of both, and an empty body where an event is expected is still ORDER.

--- a/tools/soak/src/check-answers.ts
+++ b/tools/soak/src/check-answers.ts
@@ -112,7 +112,7 @@
 
 	const count = countEvents(record.path);
 	const expected = Array.from({length: Math.max(0, count - record.lastEventId)}, (_, index) => createEvent(record.requestId, record.lastEventId + index + 1, count)).join('');
-	const isInsideEvent = mayBeShort && !record.body.endsWith('\n\n');
+	const isInsideEvent = mayBeShort && expected !== '' && !record.body.endsWith('\n\n');
 	if (isWhole ? record.body !== expected : !expected.startsWith(record.body) || isInsideEvent) {
 		const isForeign = [...record.body.matchAll(/^data: (?<id>\S+) /gm)].some(match => match.groups!.id !== record.requestId);
 		add(isForeign ? 'MIXED' : 'ORDER', `events ${[...record.body.matchAll(/^id: (?<id>\d+)/gm)].map(match => match.groups!.id).join(',')} of ${count} after ${record.lastEventId}`);
--- a/tools/soak/src/fault-runner.ts
+++ b/tools/soak/src/fault-runner.ts
@@ -16,6 +16,8 @@
 	links: Links;
 };
 
+/** These strike all connections to their target, whatever source was drawn. */
+const strikesAll: ReadonlySet<string> = new Set(['reset', 'stall', 'freeze', 'hush', 'term', 'kill', 'kill-core']);
 const maxDelayMs = 250;
 const hushTimeoutMs = 200;
 
@@ -36,7 +38,7 @@
 			const from = this.#opts.clock.now();
 			if (await this.#runFault(fault)) {
 				this.disturbances.push({
-					kind: fault.kind, target: fault.target, source: fault.source, from, until: this.#opts.clock.now(),
+					kind: fault.kind, target: fault.target, source: strikesAll.has(fault.kind) ? undefined : fault.source, from, until: this.#opts.clock.now(),
 				});
 			}
 		}));
--- a/tools/soak/test/checks-can-fail.test.ts
+++ b/tools/soak/test/checks-can-fail.test.ts
@@ -1,5 +1,6 @@
 /** Each check reports the violation that is planted in otherwise correct records. */
 import {expect} from 'chai';
+import {ManualClock} from '@hickorytrack/clock/manual-clock';
 import {checkAnswers} from '../src/check-answers.js';
 import {checkBudget} from '../src/check-budget.js';
 import {checkCrashingPart} from '../src/check-crashing-part.js';
@@ -7,6 +8,8 @@
 import {checkLimit} from '../src/check-limit.js';
 import {checkLost} from '../src/check-lost.js';
 import {partCrash} from '../src/crashing-part.js';
+import {FaultRunner} from '../src/fault-runner.js';
+import type {Links} from '../src/links.js';
 import {createEvent, createPlainBody, createStamp} from '../src/expected-body.js';
 import type {
 	ArrivalRecord, CallerRecord, EndRecord, LimitRecord, OutcomeRecord, RouteKind, SoakRecords, SoakRoute,
@@ -141,6 +144,10 @@
 		expect(listRules(createCaller('tell', short), broken('/tell/1/4'))).to.deep.equal(['ORDER']);
 		expect(listRules(createCaller('tell', {...short, hasUnknownEnd: true}))).to.deep.equal(['ORDER']);
 		expect(listRules(createCaller('tell', {body: createEvents(1, 2, 4).slice(0, -3), hasUnknownEnd: true}), broken('/tell/1/4'))).to.deep.equal(['ORDER']);
+		// A caller that has all events gets none, which is not inside an event.
+		const empty = {body: '', hasUnknownEnd: true};
+		expect(listRules(createCaller('talk', {...empty, lastEventId: 4}), broken('/talk/1/4'))).to.deep.equal([]);
+		expect(listRules(createCaller('talk', {...empty, lastEventId: 3}), broken('/talk/1/4'))).to.deep.equal(['ORDER']);
 		expect(listRules(createCaller('once', {...shortBody, hasUnknownEnd: true}), broken('/once/1'))).to.deep.equal([]);
 		expect(listRules(createCaller('once', shortBody), broken('/once/1'))).to.deep.equal(['MIXED']);
 		expect(listRules(createCaller('once', {...shortBody, hasUnknownEnd: true}))).to.deep.equal(['MIXED']);
@@ -352,3 +359,23 @@
 		});
 	});
 });
+
+describe('faults of the soak', () => {
+	// A reset strikes the connections of all edges, but was recorded as one of a single edge's, which excused nothing at the others.
+	it('are recorded with the edge whose connections they strike, if it is a single one', async () => {
+		const clock = new ManualClock();
+		const links = {
+			resetConnections() {/* Nothing is connected. */}, addRule: () => () => {/* Nothing is connected. */},
+		} as unknown as Links;
+		const runner = new FaultRunner({
+			clock, edges: [], servers: [], links,
+		});
+		const createFault = (kind: 'reset' | 'cut') => ({
+			kind, atMs: 10, target: 's1', source: 'edge-2', durationMs: 100,
+		});
+		const ended = runner.run([createFault('reset'), createFault('cut')]);
+		await clock.advance(200);
+		await ended;
+		expect(runner.disturbances.map(({kind, source}) => ({kind, source}))).to.deep.equal([{kind: 'reset', source: undefined}, {kind: 'cut', source: 'edge-2'}]);
+	});
+});
