fix(edge): one request ends at most two servers before a crash is noticed

Cause, by trace: a loss is checked 30 ms later, and only a request that shares a trait with an earlier crash waits for it. The first request with the part went on at once to each server it was allowed: two prefill servers and two decode servers within 30 ms, four of the five; whether the next request met the bound depended on how soon it came. Change: a request that has lost a server before waits for the check of its next loss.

--- a/packages/plugins/edge/src/crash-reports.ts
+++ b/packages/plugins/edge/src/crash-reports.ts
@@ -70,6 +70,8 @@
 	readonly #pendingChecks = new Map<string, PendingCheck>();
 	/** Lost connections to servers that listen, by the start of the server. */
 	readonly #undecided = new Map<string, {server: KnownServer; check: PendingCheck; cancelTimer?: () => void}>();
+	/** Requests that have lost a server. */
+	readonly #lossRequests = new WeakSet<CallerRequest>();
 	#reportedBans = new Map<string, Ban>();
 
 	constructor(opts: CrashReportsOptions) {
@@ -77,12 +79,15 @@
 	}
 
 	/**
-	 * Called when the connection to a server has broken during a run. A run that shares a trait with an earlier crash resolves
-	 * after the check, so that its request is not sent to the next server before this crash counts.
+	 * Called when the connection to a server has broken during a run. A run that shares a trait with an earlier crash, or whose
+	 * request has lost a server before, resolves after the check, so that its request is not sent to the next server before
+	 * this crash counts.
 	 */
 	async handleLoss(request: CallerRequest, server: KnownServer): Promise<void> {
+		const isRepeated = this.#lossRequests.has(request);
+		this.#lossRequests.add(request);
 		const condition = this.checkForCrash(request, server);
-		if (this.#opts.attribution.isSuspect(request.traits)) {
+		if (isRepeated || this.#opts.attribution.isSuspect(request.traits)) {
 			await condition;
 		}
 	}
