--- /dev/null
+++ b/packages/plugins/edge/src/end-confirmation.ts
@@ -0,0 +1,76 @@
+/**
+ * Confirms the end of a resumable stream that only its connection delimits, when its caller was promised a delimited one or
+ * has got nothing: its server is asked again for what comes behind the last event.
+ */
+import {answerVerdicts, type ReceivedAnswer} from '@hickorytrack/http-answer/answer-reader';
+import type {KnownServer} from '@hickorytrack/endpoint-registry';
+import {attemptOutcomes} from './attempt.js';
+import type {CallerRequest} from './caller-request.js';
+import type {EventRelay} from './event-relay.js';
+import {retryKinds} from './retry-budget.js';
+import type {SendPermits} from './send-permits.js';
+import type {StreamCalls} from './stream-calls.js';
+import type {StreamPlanner} from './stream-planner.js';
+import type {StreamRun} from './stream-run.js';
+
+export type EndConfirmationOptions = {
+	request: CallerRequest;
+	relay: EventRelay;
+	calls: StreamCalls;
+	permits: SendPermits;
+	planner: StreamPlanner;
+	/** Tells whether the request may still be sent to a server. */
+	canSend: () => boolean;
+};
+
+export class EndConfirmation {
+	readonly #opts: EndConfirmationOptions;
+
+	constructor(opts: EndConfirmationOptions) {
+		this.#opts = opts;
+	}
+
+	/** Tells whether the end of a stream that only its connection delimits has to be confirmed: the caller was promised more, or got nothing of it. */
+	hasUnconfirmedEnd(answer: ReceivedAnswer): boolean {
+		const {request, relay} = this.#opts;
+		const isPromised = !relay.canEnd(answer);
+		return request.route.isResumable && relay.isOpen && answer.verdict === answerVerdicts.unknown && (isPromised || answer.bodyBytes === 0);
+	}
+
+	/**
+	 * Asks the server again for what comes behind the last event. If nothing does, the end was one: a break would have to come
+	 * at the same event twice. Returns the answer that the stream ends with.
+	 */
+	async confirm(run: StreamRun, server: KnownServer, opts: {received: ReceivedAnswer; predictedMs: number}): Promise<ReceivedAnswer> {
+		const {request, relay, calls, permits, planner, canSend} = this.#opts;
+		let answer = opts.received;
+		while (answer.verdict === answerVerdicts.unknown && canSend()) {
+			const permit = permits.acquire(retryKinds.run);
+			const grant = permit && await planner.acquireResumption(server);
+			if (!permit || !grant || run.isCancelled || request.signal.aborted) {
+				grant?.release();
+				permit?.release();
+				return answer;
+			}
+
+			const {lastEventId} = relay;
+			const result = await calls.generate(run, server, {
+				permit, grant, placement: {
+					kind: 'direct', decodeServer: server, prefillTokens: 0, predictedMs: opts.predictedMs,
+				},
+			});
+			const hasEnded = result.outcome === attemptOutcomes.answered && result.isStreamed;
+			const hasMore = relay.lastEventId !== lastEventId;
+			if (!hasEnded) {
+				return hasMore ? {...answer, verdict: answerVerdicts.brokenOff} : answer;
+			}
+
+			answer = result.answer!;
+			if (!hasMore) {
+				return answer.verdict === answerVerdicts.unknown ? {...answer, verdict: answerVerdicts.whole} : answer;
+			}
+		}
+
+		return answer;
+	}
+}
--- /dev/null
+++ b/packages/plugins/edge/src/stream-planner.ts
@@ -0,0 +1,164 @@
+/**
+ * Plans the runs of a streaming request: which servers prefill and generate, with all that a run needs before it may be sent
+ * to them, the permits of the retry budget and the grants of servers that limit their requests.
+ */
+import {unlimitedGrant, type SendGrant} from '@hickorytrack/endpoint-client/send-grant';
+import type {KnownServer} from '@hickorytrack/endpoint-registry';
+import type {Placement} from '@hickorytrack/prompt-placement';
+import type {Prompt} from '@hickorytrack/prompt-placement/prompt';
+import {callKinds, type CallKind} from './call-kinds.js';
+import type {CallerRequest} from './caller-request.js';
+import {isCandidate, listCandidates, listClosed} from './candidate-servers.js';
+import {computeRemainingMs, type ForwardContext} from './forward-context.js';
+import {retryKinds} from './retry-budget.js';
+import type {SendPermit, SendPermits} from './send-permits.js';
+import {computeLimitWaitMs} from './server-limits.js';
+import type {AcceptedPlacement} from './stream-calls.js';
+import type {StreamRun} from './stream-run.js';
+
+export type StreamPlan = {
+	placement: Placement;
+	prefillPermit?: SendPermit;
+	/** How long the request may wait for its turn at limited servers, in milliseconds. */
+	limitWaitMs: number;
+};
+/** The rights to send to the servers of a placement. */
+type Grants = {prefill: SendGrant; decode: SendGrant};
+export type GrantedPlan = {placement: AcceptedPlacement; prefillPermit?: SendPermit; grants: Grants};
+type Refusal = Placement & {kind: 'refuse'};
+
+export class StreamPlanner {
+	readonly #context: ForwardContext;
+	readonly #request: CallerRequest;
+	readonly #permits: SendPermits;
+	readonly #prompt: Prompt;
+	/** Ids of servers at which this request has failed. */
+	readonly #excluded = new Set<string>();
+
+	constructor(context: ForwardContext, request: CallerRequest, opts: {permits: SendPermits; prompt: Prompt}) {
+		this.#context = context;
+		this.#request = request;
+		this.#permits = opts.permits;
+		this.#prompt = opts.prompt;
+	}
+
+	/** Leaves a server out of further runs. */
+	rejectServer({id}: KnownServer): void {
+		this.#excluded.add(id);
+	}
+
+	/** Plans the run with all permits that its placement needs. Without one for a prefill, a decode server prefills the prompt. */
+	plan(run: StreamRun): StreamPlan {
+		const excluded = this.#listExcluded(run);
+		const canPrefill = !this.#request.isTrial;
+		const {placement, limitWaitMs} = this.#selectPlacement({excluded, canPrefill});
+		if (placement.kind !== 'hand-over') {
+			return {placement, limitWaitMs};
+		}
+
+		const prefillPermit = this.#permits.acquire(retryKinds.prefill);
+		return prefillPermit ? {placement, prefillPermit, limitWaitMs} : this.#selectPlacement({excluded, canPrefill: false});
+	}
+
+	/** Servers at which this request has failed, and those that are silent. */
+	#listExcluded(run: StreamRun): Set<string> {
+		return new Set([...this.#excluded, ...run.listServers().map(({id}) => id)]);
+	}
+
+	/** Selects servers that take the request now, or else ones that take it after a wait. */
+	#selectPlacement({excluded, canPrefill}: {excluded: ReadonlySet<string>; canPrefill: boolean}): Pick<StreamPlan, 'placement' | 'limitWaitMs'> {
+		const {promptPlacement, availabilityZone, clock} = this.#context;
+		const {service, route} = this.#request;
+		const select = (limitWaitMs: number) => {
+			const isAllowed = (server: KnownServer) => canPrefill || server.stage !== 'prefill';
+			return promptPlacement.plan({
+				prompt: this.#prompt,
+				servers: listCandidates(this.#context, service, {limitWaitMs}).filter(server => isAllowed(server)),
+				closed: listClosed(this.#context, service, {limitWaitMs}).filter(server => isAllowed(server)),
+				objectiveMs: route.objectiveMs,
+				maxWaitMs: this.#maxWaitMs,
+				availabilityZone,
+				excluded,
+			});
+		};
+
+		const placement = select(0);
+		if (placement.kind !== 'refuse' || listClosed(this.#context, service).length === 0) {
+			return {placement, limitWaitMs: 0};
+		}
+
+		const limitWaitMs = computeLimitWaitMs(this.#request, clock.monotonic());
+		return {placement: select(limitWaitMs), limitWaitMs};
+	}
+
+	/**
+	 * Waits for the rights to send to the servers of the plan. One whose limit turns out to be used up is left out, and the run
+	 * is planned anew. Undefined if the run is no longer needed.
+	 */
+	async acquireGrants(run: StreamRun, first: StreamPlan): Promise<GrantedPlan | Refusal | undefined> {
+		let plan = first;
+		while (plan.placement.kind !== 'refuse') {
+			const {placement, prefillPermit} = plan;
+			const prefill = placement.kind === 'hand-over' ? await this.#acquireGrant(placement.prefillServer, callKinds.prefill, plan.limitWaitMs) : unlimitedGrant;
+			const decode = prefill && await this.#acquireGrant(placement.decodeServer, callKinds.run, plan.limitWaitMs);
+			const isNeeded = !run.isCancelled && !this.#request.signal.aborted;
+			if (prefill && decode && isNeeded) {
+				return {placement, prefillPermit, grants: {prefill, decode}};
+			}
+
+			prefill?.release();
+			decode?.release();
+			prefillPermit?.release();
+			if (!isNeeded) {
+				return undefined;
+			}
+
+			plan = this.plan(run);
+		}
+
+		return plan.placement;
+	}
+
+	/** Undefined if the limit of the server is used up, or if it takes no requests any more after the wait. */
+	async #acquireGrant(server: KnownServer, call: CallKind, limitWaitMs: number): Promise<SendGrant | undefined> {
+		const {limits} = this.#context;
+		if (!limits.isLimited(server)) {
+			return unlimitedGrant;
+		}
+
+		const grant = await limits.acquire(server, {call, maxWaitMs: limitWaitMs, signal: this.#request.signal});
+		if (grant && !isCandidate(this.#context, server)) {
+			grant.release();
+			return undefined;
+		}
+
+		return grant;
+	}
+
+	/**
+	 * The load of the decode servers has changed while the prompt was prefilled, and all of them may have left. Limited servers
+	 * are no choice, but for the planned one, which the run may be sent to already.
+	 */
+	selectDecodeServer(run: StreamRun, planned: KnownServer): KnownServer | undefined {
+		const {promptPlacement, availabilityZone, limits, registry} = this.#context;
+		const {service, route} = this.#request;
+		const canTakeRun = (server: KnownServer) => server.id === planned.id || !limits.isLimited(server);
+		const servers = listCandidates(this.#context, service, {limitWaitMs: Number.POSITIVE_INFINITY}).filter(server => canTakeRun(server));
+		return promptPlacement.selectDecodeServer({
+			prompt: this.#prompt, objectiveMs: route.objectiveMs, excluded: this.#listExcluded(run), availabilityZone, closed: registry.listUsable(service).filter(server => !canTakeRun(server)),
+		}, servers) ?? (isCandidate(this.#context, planned) ? planned : undefined);
+	}
+
+	/** Waits for the right to go on with a stream at a server. The caller waits for the next event, so it comes before new requests. */
+	async acquireResumption(server: KnownServer): Promise<SendGrant | undefined> {
+		return this.#acquireGrant(server, callKinds.run, this.#maxWaitMs);
+	}
+
+	/** Time for which the caller still waits for the first event. */
+	get #maxWaitMs(): number {
+		const {clock} = this.#context;
+		const {route, arrivedAt} = this.#request;
+		const patienceMs = arrivedAt + (route.patienceMs ?? Number.POSITIVE_INFINITY) - clock.monotonic();
+		return Math.min(patienceMs, computeRemainingMs(this.#context, this.#request));
+	}
+}
--- a/packages/plugins/edge/src/streaming-forwarder.ts
+++ b/packages/plugins/edge/src/streaming-forwarder.ts
@@ -14,11 +14,9 @@
 import {
 	attemptOutcomes, describeFailure, type AttemptResult,
 } from './attempt.js';
-import {
-	computeRetryAfterMs, isCandidate, listCandidates, listClosed,
-} from './candidate-servers.js';
+import {computeRetryAfterMs, isCandidate, listCandidates} from './candidate-servers.js';
 import {forwardResponse, sendProblem} from './responses.js';
-import {callKinds, type CallKind} from './call-kinds.js';
+import {callKinds} from './call-kinds.js';
 import {RefusalGrounds} from './refusal-grounds.js';
 import {
 	requestOutcomes, type CallerRequest, type RequestResult,
@@ -28,8 +26,9 @@
 import type {KvHandle} from './request-codec.js';
 import {retryKinds} from './retry-budget.js';
 import {SendPermits, type SendPermit} from './send-permits.js';
-import {computeLimitWaitMs} from './server-limits.js';
-import {StreamCalls, type AcceptedPlacement} from './stream-calls.js';
+import {EndConfirmation} from './end-confirmation.js';
+import {StreamCalls} from './stream-calls.js';
+import {StreamPlanner, type GrantedPlan, type StreamPlan} from './stream-planner.js';
 import {StreamRun, type RunEnding} from './stream-run.js';
 import {
 	createAnswerIdentity, computeRemainingMs, defaultRetryAfterMs, type ForwardContext,
@@ -39,15 +38,6 @@
 /** A trait of the request was found to crash servers while it was on its way. */
 const bannedReason = 'the request or a part of its prompt crashes servers';
 
-type Plan = {
-	placement: Placement;
-	prefillPermit?: SendPermit;
-	/** How long the request may wait for its turn at limited servers, in milliseconds. */
-	limitWaitMs: number;
-};
-/** The rights to send to the servers of a placement. */
-type Grants = {prefill: SendGrant; decode: SendGrant};
-type GrantedPlan = {placement: AcceptedPlacement; prefillPermit?: SendPermit; grants: Grants};
 /** How another server takes over. */
 type Takeover = {run: StreamRun; start: () => Promise<RunEnding | undefined>};
 type DeniedTakeover = {reason: string};
@@ -60,7 +50,8 @@
 	readonly #permits: SendPermits;
 	/** Servers that were asked to generate the response. */
 	readonly #servers: KnownServer[] = [];
-	readonly #excluded = new Set<string>();
+	readonly #planner: StreamPlanner;
+	readonly #endConfirmation: EndConfirmation;
 	#isNotExecuted = true;
 	readonly #grounds: RefusalGrounds;
 	/** Runs that have not ended. */
@@ -84,6 +75,10 @@
 			},
 		});
 		this.#permits = new SendPermits(context.retryBudget, request);
+		this.#planner = new StreamPlanner(context, request, {permits: this.#permits, prompt: this.#calls.prompt});
+		this.#endConfirmation = new EndConfirmation({
+			request, relay: this.#relay, calls: this.#calls, permits: this.#permits, planner: this.#planner, canSend: () => !this.#isBanned && this.#remainingMs >= minimumRetryMs,
+		});
 	}
 
 	async forward(): Promise<RequestResult> {
@@ -98,7 +93,7 @@
 			}
 
 			const run = this.#createRun({permit});
-			const ending = await this.#runToEnd(run, async () => this.#followPlan(run, this.#plan(run)));
+			const ending = await this.#runToEnd(run, async () => this.#followPlan(run, this.#planner.plan(run)));
 			if (ending) {
 				return ending.finish();
 			}
@@ -122,14 +117,6 @@
 		return computeRemainingMs(this.#context, this.#request);
 	}
 
-	/** Time for which the caller still waits for the first event. */
-	get #maxWaitMs(): number {
-		const {clock} = this.#context;
-		const {route, arrivedAt} = this.#request;
-		const patienceMs = arrivedAt + (route.patienceMs ?? Number.POSITIVE_INFINITY) - clock.monotonic();
-		return Math.min(patienceMs, this.#remainingMs);
-	}
-
 	#createRun(opts: {permit?: SendPermit; predecessor?: StreamRun}): StreamRun {
 		const run = new StreamRun({
 			...opts, relay: this.#relay, onDelivery: () => {
@@ -171,96 +158,8 @@
 		return successorEnding?.isAnswer ? successorEnding : ending ?? successorEnding;
 	}
 
-	/** Plans the run with all permits that its placement needs. Without one for a prefill, a decode server prefills the prompt. */
-	#plan(run: StreamRun): Plan {
-		const excluded = this.#listExcluded(run);
-		const canPrefill = !this.#request.isTrial;
-		const {placement, limitWaitMs} = this.#selectPlacement({excluded, canPrefill});
-		if (placement.kind !== 'hand-over') {
-			return {placement, limitWaitMs};
-		}
-
-		const prefillPermit = this.#permits.acquire(retryKinds.prefill);
-		return prefillPermit ? {placement, prefillPermit, limitWaitMs} : this.#selectPlacement({excluded, canPrefill: false});
-	}
-
-	/** Servers at which this request has failed, and those that are silent. */
-	#listExcluded(run: StreamRun): Set<string> {
-		return new Set([...this.#excluded, ...run.listServers().map(({id}) => id)]);
-	}
-
-	/** Selects servers that take the request now, or else ones that take it after a wait. */
-	#selectPlacement({excluded, canPrefill}: {excluded: ReadonlySet<string>; canPrefill: boolean}): Pick<Plan, 'placement' | 'limitWaitMs'> {
-		const {promptPlacement, availabilityZone, clock} = this.#context;
-		const {service, route} = this.#request;
-		const select = (limitWaitMs: number) => {
-			const isAllowed = (server: KnownServer) => canPrefill || server.stage !== 'prefill';
-			return promptPlacement.plan({
-				prompt: this.#calls.prompt,
-				servers: listCandidates(this.#context, service, {limitWaitMs}).filter(server => isAllowed(server)),
-				closed: listClosed(this.#context, service, {limitWaitMs}).filter(server => isAllowed(server)),
-				objectiveMs: route.objectiveMs,
-				maxWaitMs: this.#maxWaitMs,
-				availabilityZone,
-				excluded,
-			});
-		};
-
-		const placement = select(0);
-		if (placement.kind !== 'refuse' || listClosed(this.#context, service).length === 0) {
-			return {placement, limitWaitMs: 0};
-		}
-
-		const limitWaitMs = computeLimitWaitMs(this.#request, clock.monotonic());
-		return {placement: select(limitWaitMs), limitWaitMs};
-	}
-
-	/**
-	 * Waits for the rights to send to the servers of the plan. One whose limit turns out to be used up is left out, and the run
-	 * is planned anew. Undefined if the run is no longer needed.
-	 */
-	async #acquireGrants(run: StreamRun, first: Plan): Promise<GrantedPlan | Placement & {kind: 'refuse'} | undefined> {
-		let plan = first;
-		while (plan.placement.kind !== 'refuse') {
-			const {placement, prefillPermit} = plan;
-			const prefill = placement.kind === 'hand-over' ? await this.#acquireGrant(placement.prefillServer, callKinds.prefill, plan) : unlimitedGrant;
-			const decode = prefill && await this.#acquireGrant(placement.decodeServer, callKinds.run, plan);
-			const isNeeded = !run.isCancelled && !this.#request.signal.aborted;
-			if (prefill && decode && isNeeded) {
-				return {placement, prefillPermit, grants: {prefill, decode}};
-			}
-
-			prefill?.release();
-			decode?.release();
-			prefillPermit?.release();
-			if (!isNeeded) {
-				return undefined;
-			}
-
-			plan = this.#plan(run);
-		}
-
-		return plan.placement;
-	}
-
-	/** Undefined if the limit of the server is used up, or if it takes no requests any more after the wait. */
-	async #acquireGrant(server: KnownServer, call: CallKind, {limitWaitMs}: Pick<Plan, 'limitWaitMs'>): Promise<SendGrant | undefined> {
-		const {limits} = this.#context;
-		if (!limits.isLimited(server)) {
-			return unlimitedGrant;
-		}
-
-		const grant = await limits.acquire(server, {call, maxWaitMs: limitWaitMs, signal: this.#request.signal});
-		if (grant && !isCandidate(this.#context, server)) {
-			grant.release();
-			return undefined;
-		}
-
-		return grant;
-	}
-
-	async #followPlan(run: StreamRun, plan: Plan): Promise<RunEnding | undefined> {
-		const granted = await this.#acquireGrants(run, plan);
+	async #followPlan(run: StreamRun, plan: StreamPlan): Promise<RunEnding | undefined> {
+		const granted = await this.#planner.acquireGrants(run, plan);
 		if (!granted) {
 			return this.#request.signal.aborted ? this.#createCallerGone() : undefined;
 		}
@@ -291,7 +190,7 @@
 			return this.#remainingMs < 1 ? this.#createFailure('the prefill did not finish before the deadline') : undefined;
 		}
 
-		const decodeServer = handle ? this.#reselectDecodeServer(run, placement.decodeServer) : placement.decodeServer;
+		const decodeServer = handle ? this.#planner.selectDecodeServer(run, placement.decodeServer) : placement.decodeServer;
 		if (!decodeServer) {
 			this.#releaseKvHandle(handle);
 			return undefined;
@@ -313,7 +212,7 @@
 	async #prefill(run: StreamRun, placement: Placement & {kind: 'hand-over'}, opts: {permit: SendPermit; grant: SendGrant}): Promise<KvHandle | undefined> {
 		const {handle, ...failure} = await this.#calls.prefill(run, placement, opts);
 		if ('result' in failure) {
-			this.#excluded.add(placement.prefillServer.id);
+			this.#planner.rejectServer(placement.prefillServer);
 			this.#grounds.add(callKinds.prefill, placement.prefillServer, failure);
 		}
 
@@ -344,20 +243,6 @@
 		return isAllowed && run.permit !== undefined && this.#servers.length < this.#request.route.maxServers;
 	}
 
-	/**
-	 * The load of the decode servers has changed while the prompt was prefilled, and all of them may have left. Limited servers
-	 * are no choice, but for the planned one, which the run may be sent to already.
-	 */
-	#reselectDecodeServer(run: StreamRun, planned: KnownServer): KnownServer | undefined {
-		const {promptPlacement, availabilityZone, limits, registry} = this.#context;
-		const {service, route} = this.#request;
-		const canTakeRun = (server: KnownServer) => server.id === planned.id || !limits.isLimited(server);
-		const servers = listCandidates(this.#context, service, {limitWaitMs: Number.POSITIVE_INFINITY}).filter(server => canTakeRun(server));
-		return promptPlacement.selectDecodeServer({
-			prompt: this.#calls.prompt, objectiveMs: route.objectiveMs, excluded: this.#listExcluded(run), availabilityZone, closed: registry.listUsable(service).filter(server => !canTakeRun(server)),
-		}, servers) ?? (isCandidate(this.#context, planned) ? planned : undefined);
-	}
-
 	/** Resumes the stream at the backup server after the connection to its server has broken. */
 	async #resumeAtBackup(run: StreamRun, failedServer: KnownServer, failedResult: AttemptResult): Promise<RunEnding | undefined> {
 		const {eventLog, health, crashReports} = this.#context;
@@ -378,8 +263,7 @@
 
 	/** Resumes the stream after its last event from the copy of the KV cache at a server. It counts as the same run. */
 	async #resumeAt(run: StreamRun, backup: KnownServer, permit: SendPermit): Promise<RunEnding | undefined> {
-		// The caller waits for the next event, so the stream comes before new requests.
-		const grant = await this.#acquireGrant(backup, callKinds.run, {limitWaitMs: this.#maxWaitMs});
+		const grant = await this.#planner.acquireResumption(backup);
 		if (!grant) {
 			permit.release();
 			return this.#createFailure('the stream could not go on: its backup server is at the limit that it has named');
@@ -487,7 +371,7 @@
 		}
 
 		const successor = this.#createRun({permit, predecessor: run});
-		const plan = this.#plan(successor);
+		const plan = this.#planner.plan(successor);
 		if (plan.placement.kind === 'refuse') {
 			if (run.isGenerating) {
 				permit.release();
@@ -544,7 +428,7 @@
 		const foreignAnswer = result.error?.foreignAnswer;
 		this.#recordNotAnswered(result, handle);
 		this.#grounds.add(callKinds.run, server, {result, isNotExecuted: false});
-		this.#excluded.add(server.id);
+		this.#planner.rejectServer(server);
 		eventLog.emit('attemptFailed', {
 			request: this.#request.metadata.requestId, server: server.id, end: result.outcome, isWritten: result.isWritten, silentMs: result.silentMs, lastAnswerMs: health.measureSilence(server), lastEvent: this.#relay.lastEventId, reason: result.error?.message, answer: this.#calls.lastAnswer,
 		});
@@ -571,7 +455,7 @@
 		const {health, crashReports} = this.#context;
 		this.#isNotExecuted = false;
 		health.recordSuccess(server);
-		const answer = this.#hasUnconfirmedEnd(received) ? await this.#confirmEnd(run, server, received) : received;
+		const answer = this.#endConfirmation.hasUnconfirmedEnd(received) ? await this.#endConfirmation.confirm(run, server, {received, predictedMs: this.#predictedMs ?? 0}) : received;
 		if (run.isCancelled || this.#request.signal.aborted) {
 			return this.#request.signal.aborted ? this.#createCallerGone() : undefined;
 		}
@@ -589,54 +473,12 @@
 		};
 	}
 
-	/** Tells whether the end of a stream that only its connection delimits has to be confirmed: the caller was promised more, or got nothing of it. */
-	#hasUnconfirmedEnd(answer: ReceivedAnswer): boolean {
-		const isPromised = !this.#relay.canEnd(answer);
-		return this.#isRetryable && this.#relay.isOpen && answer.verdict === answerVerdicts.unknown && (isPromised || answer.bodyBytes === 0);
-	}
-
-	/**
-	 * Asks the server again for what comes behind the last event. If nothing does, the end was one: a break would have to come
-	 * at the same event twice. Returns the answer that the stream ends with.
-	 */
-	async #confirmEnd(run: StreamRun, server: KnownServer, received: ReceivedAnswer): Promise<ReceivedAnswer> {
-		let answer = received;
-		while (answer.verdict === answerVerdicts.unknown && this.#remainingMs >= minimumRetryMs && !this.#isBanned) {
-			const permit = this.#permits.acquire(retryKinds.run);
-			const grant = permit && await this.#acquireGrant(server, callKinds.run, {limitWaitMs: this.#maxWaitMs});
-			if (!permit || !grant || run.isCancelled || this.#request.signal.aborted) {
-				grant?.release();
-				permit?.release();
-				return answer;
-			}
-
-			const {lastEventId} = this.#relay;
-			const result = await this.#calls.generate(run, server, {
-				permit, grant, placement: {
-					kind: 'direct', decodeServer: server, prefillTokens: 0, predictedMs: this.#predictedMs ?? 0,
-				},
-			});
-			const hasEnded = result.outcome === attemptOutcomes.answered && result.isStreamed;
-			const hasMore = this.#relay.lastEventId !== lastEventId;
-			if (!hasEnded) {
-				return hasMore ? {...answer, verdict: answerVerdicts.brokenOff} : answer;
-			}
-
-			answer = result.answer!;
-			if (!hasMore) {
-				return answer.verdict === answerVerdicts.unknown ? {...answer, verdict: answerVerdicts.whole} : answer;
-			}
-		}
-
-		return answer;
-	}
-
 	#handleResponse(server: KnownServer, result: AttemptResult, handle: KvHandle | undefined): RunEnding | undefined {
 		const head = result.head!;
 		const metadata = this.#context.codec.decodeResponseHead(head);
 		if (metadata.isNotExecuted) {
 			this.#grounds.add(callKinds.run, server, {result, isNotExecuted: true});
-			this.#excluded.add(server.id);
+			this.#planner.rejectServer(server);
 			this.#releaseKvHandle(handle);
 			if (metadata.pauseMs === undefined) {
 				this.#retryAfterMs = metadata.retryAfterMs ?? this.#retryAfterMs;
@@ -648,7 +490,7 @@
 		this.#isNotExecuted = false;
 		if (head.status < 300 && !metadata.isAuthentic) {
 			this.#context.health.recordBrokenResponse(server);
-			this.#excluded.add(server.id);
+			this.#planner.rejectServer(server);
 			return this.#isRetryable ? undefined : this.#createFailure('the server sent an answer that is not its own');
 		}
 
@@ -659,7 +501,7 @@
 		if (head.status >= 500) {
 			this.#context.health.recordFailure(server);
 			if (this.#isRetryable && this.#servers.length < this.#request.route.maxServers && this.#context.retryBudget.countLeft(this.#request.service) > 0) {
-				this.#excluded.add(server.id);
+				this.#planner.rejectServer(server);
 				return undefined;
 			}
 		}
