fix(edge): a long stream goes on at a limited server

Cause, by reading the diff: a resumption, and the call that confirms an end, might wait for a grant as long as the caller waits for the first event; in a stream older than that (2 s on the users' sites) the wait was negative, and every grant of a limited server was denied. Change: the caller's patience counts from now on, up to the deadline. Evidence: the new test fails with the old wait (undefined), 10 s into a stream.

--- a/packages/plugins/edge/src/stream-planner.ts
+++ b/packages/plugins/edge/src/stream-planner.ts
@@ -151,7 +151,8 @@
 
 	/** Waits for the right to go on with a stream at a server. The caller waits for the next event, so it comes before new requests. */
 	async acquireResumption(server: KnownServer): Promise<SendGrant | undefined> {
-		return this.#acquireGrant(server, callKinds.run, this.#maxWaitMs);
+		const remainingMs = computeRemainingMs(this.#context, this.#request);
+		return this.#acquireGrant(server, callKinds.run, Math.max(0, Math.min(this.#request.route.patienceMs ?? remainingMs, remainingMs)));
 	}
 
 	/** Time for which the caller still waits for the first event. */
--- /dev/null
+++ b/packages/plugins/edge/test/stream-planner.test.ts
@@ -0,0 +1,48 @@
+import {expect} from 'chai';
+import {ManualClock} from '@hickorytrack/clock/manual-clock';
+import {EndpointRegistry, type KnownServer} from '@hickorytrack/endpoint-registry';
+import {EventLog} from '@hickorytrack/events';
+import {MetricsRegistry} from '@hickorytrack/metrics-registry';
+import {LoadTracker} from '@hickorytrack/prompt-placement/load-tracker';
+import {Random} from '@hickorytrack/random';
+import {SharedRate} from '@hickorytrack/shared-rate';
+import {LimitNews} from '@hickorytrack/shared-rate/limit-news';
+import {RateIssuer} from '@hickorytrack/shared-rate/rate-issuer';
+import type {CallerRequest} from '../src/caller-request.js';
+import type {ForwardContext} from '../src/forward-context.js';
+import {RateLimitedEventLog} from '../src/rate-limited-event-log.js';
+import type {SendPermits} from '../src/send-permits.js';
+import {ServerLimits} from '../src/server-limits.js';
+import {ServerPauses} from '../src/server-pauses.js';
+import {StreamPlanner} from '../src/stream-planner.js';
+
+describe('StreamPlanner', () => {
+	// The time for which a caller waits for the first event was taken; in a long stream it is over, and each resumption was denied.
+	it('lets a long stream go on at a limited server', async () => {
+		const clock = new ManualClock();
+		const registry = new EndpointRegistry({clock, reportTimeoutMs: 60_000});
+		registry.recordReport({
+			id: 's1', startedAt: 1, sequence: 1, service: 's', address: 'a', availabilityZone: 'z', slots: 8, state: 'ready', coldMs: 0,
+		});
+		const server: KnownServer = registry.find('s1')!;
+		const news = new LimitNews(clock);
+		news.record(server, 10);
+		const issuer = new RateIssuer(clock);
+		const limits = new ServerLimits({
+			clock, news, metrics: new MetricsRegistry(), eventLog: new RateLimitedEventLog(clock, new EventLog({clock})), onNews() {/* Nobody else. */}, rate: new SharedRate({
+				clock, random: new Random(1), countInstances: () => 1, requestGrants: async (subject, request) => issuer.acquire(subject, request),
+			}),
+		});
+		const context = {
+			clock, registry, limits, pauses: new ServerPauses({clock, loadTracker: new LoadTracker(clock)}),
+		} as unknown as ForwardContext;
+		const request = {
+			arrivedAt: 0, deadlineAt: 15_000, route: {patienceMs: 2000, objectiveMs: 300, priority: 1}, signal: new AbortController().signal,
+		} as unknown as CallerRequest;
+		const planner = new StreamPlanner(context, request, {permits: {} as unknown as SendPermits, prompt: {parts: [], tokens: 0, maxOutputTokens: 0}});
+		await clock.advance(10_000);
+		const grant = planner.acquireResumption(server);
+		await clock.advance(1000);
+		expect(await grant).not.to.equal(undefined);
+	});
+});
