feat(edge): the time that an issuer may take to reply is learnt

Cause: 150 ms for a reply stood for machines that are near each other; with an issuer in another region, a round trip away of more than that, every call for grants would have timed out and each edge would have stayed at an equal part for good. Change: the usual round trip is measured, of late replies too, and counts three times besides 150 ms for pauses and lost packets.

--- a/packages/plugins/edge/src/limit-sharing.ts
+++ b/packages/plugins/edge/src/limit-sharing.ts
@@ -4,7 +4,7 @@
  * before it does not know whether that one still issues, so it issues a small part of the limit only, until no instance that
  * it reaches has a connection to that one. So does a member that reaches at most half of the instances.
  */
-import type {Clock} from '@hickorytrack/clock';
+import {waitWithTimeout, type Clock} from '@hickorytrack/clock';
 import type {Mesh} from '@hickorytrack/mesh';
 import type {PeerConnection} from '@hickorytrack/peer-link/peer-connection';
 import {RendezvousRanking} from '@hickorytrack/placement/rendezvous-ranking';
@@ -24,8 +24,11 @@
 
 /** News goes out after this time at the latest, together with other news of the meantime. */
 const noteIntervalMs = 50;
-/** An issuer answers within a few milliseconds; one that does not is treated as unreachable. */
-const requestTimeoutMs = 150;
+/** An issuer that takes longer than usual by this time, for a pause of its process or a lost packet, is treated as unreachable. */
+const replyMarginMs = 150;
+/** The usual round trip counts this many times, since it varies. */
+const roundTripFactor = 3;
+const smoothingFactor = 0.2;
 /** Interval at which the other instances are asked whether they reach a member, and the time for which the replies count. */
 const reachIntervalMs = 500;
 const reachTtlMs = 1500;
@@ -41,6 +44,8 @@
 	/** Servers with news that has not been sent, by id. */
 	readonly #unsent = new Set<string>();
 	#isSendDue = false;
+	/** Usual time until the reply of an issuer, which may be in another region, in milliseconds. */
+	#roundTripMs = 0;
 
 	constructor(opts: LimitSharingOptions) {
 		this.#opts = opts;
@@ -82,14 +87,32 @@
 
 			const connection = mesh.findConnection(address);
 			if (connection) {
-				const reply = await connection.request('limit.acquire', {server: subject.id, startedAt: subject.startedAt, ...request}, {timeoutMs: requestTimeoutMs});
-				return reply.isOk() && reply.value.isIssuer ? reply.value : undefined;
+				return this.#requestFrom(connection, subject, request);
 			}
 		}
 
 		return undefined;
 	}
 
+	/** Undefined without a reply in time; a later one still tells how long replies take. */
+	async #requestFrom(connection: PeerConnection, subject: Subject, request: GrantRequest): Promise<GrantReply | undefined> {
+		const {clock} = this.#opts;
+		const sentAt = clock.monotonic();
+		const replied = connection.request('limit.acquire', {server: subject.id, startedAt: subject.startedAt, ...request}).then(reply => {
+			if (reply.isErr()) {
+				return undefined;
+			}
+
+			this.#roundTripMs += (clock.monotonic() - sentAt - this.#roundTripMs) * smoothingFactor;
+			return reply.value.isIssuer ? reply.value : undefined;
+		});
+		return waitWithTimeout(replied, this.#replyTimeoutMs, clock);
+	}
+
+	get #replyTimeoutMs(): number {
+		return replyMarginMs + (this.#roundTripMs * roundTripFactor);
+	}
+
 	/** Undefined if another member issues the grants for this server. */
 	#acquireGrants(subject: Subject, request: GrantRequest): GrantReply | undefined {
 		const fraction = this.#computeFraction(subject);
@@ -138,7 +161,7 @@
 
 	async #updateReach(address: string, known: {isLost: boolean}): Promise<void> {
 		const connections = this.#opts.mesh.listConnections();
-		const replies = await Promise.all(connections.map(async connection => connection.request('limit.reach', {address}, {timeoutMs: requestTimeoutMs})));
+		const replies = await Promise.all(connections.map(async connection => connection.request('limit.reach', {address}, {timeoutMs: this.#replyTimeoutMs})));
 		known.isLost = replies.length > 0 && replies.every(reply => reply.isOk() && !reply.value.isConnected);
 	}
 
