--- a/stand-ins/src/platform-server.ts
+++ b/stand-ins/src/platform-server.ts
@@ -63,6 +63,8 @@
 	retryAfterSeconds?: number | string;
 	/** Start time that the server reports, in milliseconds; without it, each start must have an id of its own. */
 	startedAt?: number;
+	/** Version of its software; if given, each event names it. Servers of different versions can't go on with each other's streams, and don't check it. */
+	version?: string;
 	/** Number of events in a stream, and the interval between two of them. */
 	events?: number;
 	eventMs?: number;
@@ -148,7 +150,7 @@
 	/** Returns the report that the server sends to the system. */
 	describe(service: string, state = 'ready', sequence = 1): Record<string, unknown> {
 		return {
-			service, address: this.address, born: this.#opts.startedAt, zone: 'z', version: 'v1', slots: 8, state, seq: sequence, 'cold-left-ms': 0, stage: this.#stage,
+			service, address: this.address, born: this.#opts.startedAt, zone: 'z', version: this.#opts.version ?? 'v1', slots: 8, state, seq: sequence, 'cold-left-ms': 0, stage: this.#stage,
 		};
 	}
 
@@ -290,7 +292,7 @@
 		}
 
 		if (request.url === '/api/report') {
-			this.#send(response, 200, {'content-type': 'application/json'}, JSON.stringify({stage: this.#stage, busy: false, seq: this.orders.length}));
+			this.#send(response, 200, {'content-type': 'application/json'}, JSON.stringify({born: this.#opts.startedAt, stage: this.#stage, busy: false, seq: this.orders.length}));
 			return;
 		}
 
@@ -380,9 +382,10 @@
 	}
 
 	async #sendEvents(request: IncomingMessage, response: ServerResponse, receivedRequest: ReceivedRequest): Promise<void> {
-		const {clock, events = defaultEvents, eventMs = 5} = this.#opts;
+		const {clock, version, events = defaultEvents, eventMs = 5} = this.#opts;
+		const origin = version === undefined ? '' : ` of ${version}`;
 		const firstEvent = Number(request.headers['last-event-id'] ?? 0) + 1;
-		const texts = Array.from({length: Math.max(0, events - firstEvent + 1)}, (_, index) => `id: ${firstEvent + index}\ndata: event ${firstEvent + index}\n\n`);
+		const texts = Array.from({length: Math.max(0, events - firstEvent + 1)}, (_, index) => `id: ${firstEvent + index}\ndata: event ${firstEvent + index}${origin}\n\n`);
 		this.#writeHead(response, 200, {...this.#createStampHeaders(receivedRequest.requestId), 'content-type': 'text/event-stream'}, {bodyBytes: texts.join('').length, framing: this.framing ?? 'chunks'});
 		response.on('close', () => {
 			if (!response.writableFinished && this.fault !== platformFaults.cut) {
