fix(edge): nothing comes between the last check of a run and its sending

Cause, from reading: the wait for the version's record, also when there was nothing to wait for, let a second run pass its check before the first one counted as generating, so a stream that must not run twice could. The check is synchronous now unless a second version has to be recorded, which only concerns requests that may repeat.

--- a/packages/core/types/src/endpoint.ts
+++ b/packages/core/types/src/endpoint.ts
@@ -33,6 +33,8 @@
 	/** Unique for each start of the engine process. */
 	incarnation: string;
 	checksFencing: boolean;
+	/** Version of the engine's software; undefined if it states none. */
+	softwareVersion?: string;
 };
 
 /** Load of an endpoint as measured by its agent; included in every reply. */
--- a/packages/plugins/edge/src/request-origin.ts
+++ b/packages/plugins/edge/src/request-origin.ts
@@ -58,8 +58,11 @@
 		}
 	}
 
-	/** Called before the request is sent to a server that generates. Resolves with false if it must not be. */
-	async prepare(server: KnownServer): Promise<boolean> {
+	/**
+	 * Called before the request is sent to a server that generates; false if it must not be. A promise is returned only for a
+	 * request that may run twice, so that nothing comes between the last check of any other request and its sending.
+	 */
+	prepare(server: KnownServer): boolean | Promise<boolean> {
 		if (!this.canRun(server)) {
 			return false;
 		}
--- a/packages/plugins/edge/src/stream-calls.ts
+++ b/packages/plugins/edge/src/stream-calls.ts
@@ -144,17 +144,17 @@
 		let firstByteAt: number | undefined;
 		const startedAt = clock.monotonic();
 		const lastEventId = this.#opts.relay.lastEventId ?? this.#request.metadata.lastEventId;
-		const abortController = new AbortController();
+		const refutation = new AbortController();
 		const heldEvents = lastEventId === undefined
 			? undefined
 			: new HeldEvents({
 				sink: run, prove: async () => this.#opts.origin.proveContinuation(server), onRefuted() {
-					abortController.abort();
+					refutation.abort();
 				},
 			});
 		const result = await runAttempt(client, server.address, {
 			clock,
-			signal: AbortSignal.any([this.#request.signal, abortController.signal]),
+			signal: heldEvents ? AbortSignal.any([this.#request.signal, refutation.signal]) : this.#request.signal,
 			timeoutMs: this.#remainingMs,
 			canceller: run.canceller,
 			relay: heldEvents ?? run,
--- a/packages/plugins/edge/src/streaming-forwarder.ts
+++ b/packages/plugins/edge/src/streaming-forwarder.ts
@@ -220,10 +220,15 @@
 			return undefined;
 		}
 
-		if (!await this.#origin.prepare(decodeServer)) {
+		const prepared = this.#origin.prepare(decodeServer);
+		if (prepared !== true && (!await prepared || run.isCancelled || this.#request.signal.aborted)) {
 			this.#releaseKvHandle(handle);
 			this.#planner.rejectServer(decodeServer);
-			return this.#canRunElsewhere ? undefined : this.#createFailure('no server of the version that began the stream takes it');
+			if (this.#request.signal.aborted) {
+				return this.#createCallerGone();
+			}
+
+			return run.isCancelled || this.#canRunElsewhere ? undefined : this.#createFailure('no server of the version that began the stream takes it');
 		}
 
 		this.#servers.push(decodeServer);
@@ -300,7 +305,8 @@
 			return this.#createFailure('the stream could not go on: its backup server is at the limit that it has named');
 		}
 
-		if (!await this.#origin.prepare(backup)) {
+		// It is of the version that began the stream, so that there is nothing to record.
+		if (this.#origin.prepare(backup) !== true) {
 			grant.release();
 			permit.release();
 			return this.#createFailure('the stream could not go on: its backup server has another version');
--- a/packages/plugins/engine-http/src/http-model-engine.ts
+++ b/packages/plugins/engine-http/src/http-model-engine.ts
@@ -40,6 +40,7 @@
 	incarnation: string;
 	checks_fencing: boolean;
 	max_requests_per_second?: unknown;
+	software_version?: unknown;
 };
 
 type ChunkBody = {
@@ -156,6 +157,7 @@
 			incarnation: info.incarnation,
 			checksFencing: info.checks_fencing,
 			maxRequestsPerSecond: parseRate(info.max_requests_per_second),
+			softwareVersion: typeof info.software_version === 'string' ? info.software_version : undefined,
 		};
 	}
 
--- a/packages/plugins/entry/src/endpoint-directory.ts
+++ b/packages/plugins/entry/src/endpoint-directory.ts
@@ -21,6 +21,12 @@
 	decodeTokens: number;
 };
 
+export type EndpointFilter = {
+	excluded?: ReadonlySet<string>;
+	/** A generation that has output goes on only at endpoints with the software version that began it. Those that state none count as one version. */
+	begunAt?: {softwareVersion: string | undefined};
+};
+
 export class EndpointHandle {
 	record: EndpointRecord;
 	phase: EndpointPhase = 'serving';
@@ -42,6 +48,10 @@
 		return this.record.announcement.endpoint;
 	}
 
+	get softwareVersion(): string | undefined {
+		return this.record.announcement.softwareVersion;
+	}
+
 	get connection(): PeerConnection | undefined {
 		return this.link.connection;
 	}
@@ -142,12 +152,12 @@
 	}
 
 	/** Returns the endpoints of a model or service that can receive a request now. */
-	listUsable(name: string, opts: {excluded?: ReadonlySet<string>} = {}): EndpointHandle[] {
+	listUsable(name: string, opts: EndpointFilter = {}): EndpointHandle[] {
 		return this.#listServing(name, opts).filter(handle => !this.#isBackingOff(handle));
 	}
 
 	/** Returns whether an endpoint of a model or service is left out only for a while. */
-	hasBackingOff(name: string, opts: {excluded?: ReadonlySet<string>} = {}): boolean {
+	hasBackingOff(name: string, opts: EndpointFilter = {}): boolean {
 		return this.#listServing(name, opts).some(handle => this.#isBackingOff(handle));
 	}
 
@@ -172,13 +182,14 @@
 		}));
 	}
 
-	#listServing(name: string, {excluded}: {excluded?: ReadonlySet<string>}): EndpointHandle[] {
+	#listServing(name: string, {excluded, begunAt}: EndpointFilter): EndpointHandle[] {
 		return [...this.#handles.values()].filter(handle =>
 			handle.record.announcement.names.includes(name)
 			&& handle.phase === 'serving'
 			&& handle.load?.phase !== 'draining'
 			&& handle.connection !== undefined
-			&& !excluded?.has(handle.endpoint));
+			&& !excluded?.has(handle.endpoint)
+			&& (!begunAt || handle.softwareVersion === begunAt.softwareVersion));
 	}
 
 	#isBackingOff(handle: EndpointHandle): boolean {
--- a/packages/plugins/entry/src/generation-call.ts
+++ b/packages/plugins/entry/src/generation-call.ts
@@ -17,7 +17,7 @@
 import {
 	isTemporaryReason, isTemporaryRefusal, type AcceptedAttempt, type AttemptOutcome, type AttemptRunner,
 } from './attempt-runner.js';
-import type {EndpointDirectory, EndpointHandle} from './endpoint-directory.js';
+import type {EndpointDirectory, EndpointFilter, EndpointHandle} from './endpoint-directory.js';
 import {createProblem, type Problem, type ProblemCode} from './problem.js';
 import {computeRunState, getWriteStatus, type WriteStatus} from './run-state.js';
 import type {Workspace} from './workspace-directory.js';
@@ -87,6 +87,8 @@
 	readonly #triedEndpoints = new Set<string>();
 	readonly #texts: string[] = [];
 	#isSuspect = false;
+	/** Set with the first text. */
+	#begunAt: EndpointFilter['begunAt'];
 	#attempts = 0;
 	#retries = 0;
 
@@ -153,6 +155,7 @@
 		const outcome = await this.#services.attempts.run(handle, current.submission, {
 			signal,
 			onTexts: async texts => {
+				this.#begunAt ??= {softwareVersion: current.handle.softwareVersion};
 				this.#texts.push(...texts);
 				await this.#opts.onTexts(texts);
 			},
@@ -198,7 +201,7 @@
 		const {attempts, endpoints} = this.#services;
 		const isBudgetExempt = this.#texts.length > 0;
 		const excluded = limit === stallLimits.query ? new Set([...this.#triedEndpoints, silent.endpoint]) : this.#triedEndpoints;
-		const usable = endpoints.listUsable(this.#request.model, {excluded});
+		const usable = endpoints.listUsable(this.#request.model, {excluded, begunAt: this.#begunAt});
 		if (usable.length === 0 || this.#isSuspect || this.#attempts >= maximumAttempts || !(isBudgetExempt || this.#request.workspace.retryBudget.acquire())) {
 			return undefined;
 		}
@@ -333,7 +336,7 @@
 	async #selectEndpoint(signal: AbortSignal): Promise<EndpointHandle | undefined> {
 		const until = this.#clock.monotonic() + endpointWaitMs;
 		for (;;) {
-			const usable = this.#services.endpoints.listUsable(this.#request.model, {excluded: this.#triedEndpoints});
+			const usable = this.#services.endpoints.listUsable(this.#request.model, {excluded: this.#triedEndpoints, begunAt: this.#begunAt});
 			if (usable.length > 0) {
 				return this.#selectBestEndpoint(usable);
 			}
@@ -341,7 +344,7 @@
 			// A generation with output, or a suspect, may return to an endpoint that was already tried.
 			if (this.#texts.length > 0 || this.#isSuspect) {
 				this.#triedEndpoints.clear();
-			} else if (this.#triedEndpoints.size > 0 && !this.#services.endpoints.hasBackingOff(this.#request.model, {excluded: this.#triedEndpoints})) {
+			} else if (this.#triedEndpoints.size > 0 && !this.#services.endpoints.hasBackingOff(this.#request.model, {excluded: this.#triedEndpoints, begunAt: this.#begunAt})) {
 				return undefined;
 			}
 
--- a/packages/routing/stream-origins/src/origin-core.ts
+++ b/packages/routing/stream-origins/src/origin-core.ts
@@ -35,9 +35,9 @@
 	/** Stores what an instance writes. Undefined without a confirmation; it may then be stored or not. */
 	async write({admitted, streams}: StreamOriginWrite): Promise<StreamOriginView | undefined> {
 		const {store, confirm, clock} = this.#opts;
-		const isStored = await confirm() && await this.#store({
-			admitted: admitted.filter(([service, version]) => !store.hasVersion(service, version)), retired: [], streams,
-		});
+		const missing = admitted.filter(([service, version]) => !store.hasVersion(service, version));
+		// A record of the log is a confirmation itself.
+		const isStored = missing.length + streams.length === 0 ? await confirm() : await this.#store({admitted: missing, retired: [], streams});
 		return isStored ? store.describe(listServices(admitted, streams), {now: clock.now()}) : undefined;
 	}
 
@@ -54,10 +54,6 @@
 	}
 
 	async #store(batch: Batch): Promise<boolean> {
-		if (batch.admitted.length + batch.retired.length + batch.streams.length === 0) {
-			return true;
-		}
-
 		this.#pending.admitted.push(...batch.admitted);
 		this.#pending.retired.push(...batch.retired);
 		this.#pending.streams.push(...batch.streams);
--- a/packages/routing/stream-origins/src/stream-origins.ts
+++ b/packages/routing/stream-origins/src/stream-origins.ts
@@ -59,7 +59,7 @@
 export const clockSkewMs = 250;
 /** The core admits a version within the time of a few syncs. */
 const admissionTimeoutMs = 300;
-const refreshIntervalMs = 1000;
+const refreshIntervalMs = 2000;
 const maxRemembered = 20_000;
 
 type Remembered = {origin: BegunStream | undefined; expiresAt: number};
@@ -70,8 +70,8 @@
 	readonly #abortController = new AbortController();
 	/** Versions of each service by the newest view of the core. */
 	readonly #versions = new Map<string, ReadonlySet<string>>();
-	/** Versions at which streams may begin here. */
-	readonly #admitted = new Map<string, {service: string; version: string}>();
+	/** Versions at which streams may begin here, by service. */
+	readonly #admitted = new Map<string, Set<string>>();
 	readonly #requested = new Set<string>();
 	/** Open streams, and those that ended too early, by the id of the attempt that began them. */
 	readonly #open = new Set<OpenStream>();
@@ -110,7 +110,7 @@
 
 	/** Tells whether streams may begin at a server. Otherwise its version is sent to the core for admission. */
 	isAdmitted({service, version = unknownVersion}: OriginServer): boolean {
-		if (!this.#opts.leader.isSupported || this.#admitted.has(createKey(service, version))) {
+		if (this.#admitted.get(service)?.has(version) === true || !this.#opts.leader.isSupported) {
 			return true;
 		}
 
@@ -250,8 +250,10 @@
 			this.#versions.set(service, new Set(names));
 			for (const version of names) {
 				this.#requested.delete(createKey(service, version));
-				this.#admitted.set(createKey(service, version), {service, version});
 			}
+
+			// One that has gone may be retired at any time, so it is admitted again when it comes back.
+			this.#admitted.set(service, new Set(names.filter(version => this.#opts.hasVersion(service, version))));
 		}
 
 		for (const stream of this.#listKept()) {
@@ -265,17 +267,19 @@
 
 	#refresh(): void {
 		const {clock, hasVersion} = this.#opts;
-		for (const [key, {service, version}] of this.#admitted) {
-			// The core may retire a version that has gone. If it comes back, it is admitted again.
-			if (!hasVersion(service, version)) {
-				this.#admitted.delete(key);
+		const refreshed: Array<[service: string, version: string]> = [];
+		for (const [service, versions] of this.#admitted) {
+			for (const version of versions) {
+				if (!hasVersion(service, version)) {
+					versions.delete(version);
+				} else if (this.hasSeveralVersions([service])) {
+					refreshed.push([service, version]);
+				}
 			}
 		}
 
-		const several = new Set([...this.#versions.keys()].filter(service => this.hasSeveralVersions([service])));
-		const admitted = [...this.#admitted.values()].filter(({service}) => several.has(service));
-		if (admitted.length > 0) {
-			this.#writer.append({admitted: admitted.map(({service, version}) => [service, version])});
+		if (refreshed.length > 0) {
+			this.#writer.append({admitted: refreshed});
 		}
 
 		for (const kept of [this.#remembered, this.#brokenOff]) {
@@ -315,10 +319,10 @@
 	}
 
 	/**
-	 * Called before the stream is sent to a server that may begin it. Resolves with false if it must not be: a second version
-	 * has to be recorded beforehand, or the record would name the first one.
+	 * Called before the stream is sent to a server that may begin it. False if it must not be: a second version has to be
+	 * recorded beforehand, or the record would name the first one. Only this takes time.
 	 */
-	async prepare(server: OriginServer): Promise<boolean> {
+	prepare(server: OriginServer): boolean | Promise<boolean> {
 		const {version = unknownVersion} = server;
 		this.#sends.push({server, sentAt: this.#origins.now});
 		if (this.#sentVersions.has(version)) {
--- a/stand-ins/src/model-engine.ts
+++ b/stand-ins/src/model-engine.ts
@@ -53,6 +53,8 @@
 	isSilent = false;
 	/** Rate that the engine names in its description; it takes more all the same. */
 	maxRequestsPerSecond: number | undefined;
+	/** Version of its software that the engine states in its description. */
+	softwareVersion: string | undefined;
 	readonly #opts: ModelEngineOptions;
 	readonly #batch: BatchModel;
 	readonly #cache: PrefixCache;
@@ -248,7 +250,7 @@
 			decode_tokens_per_second: speed.decodeTokensPerSecond * roleFactors[this.#batch.role].decode,
 			mixed_prefill_tokens_per_second: speed.prefillTokensPerSecond,
 			mixed_decode_tokens_per_second: speed.decodeTokensPerSecond,
-			incarnation: this.incarnation, checks_fencing: checksFencing ?? true, max_requests_per_second: this.maxRequestsPerSecond,
+			incarnation: this.incarnation, checks_fencing: checksFencing ?? true, max_requests_per_second: this.maxRequestsPerSecond, software_version: this.softwareVersion,
 		};
 	}
 
