--- a/packages/plugins/edge/src/edge.ts
+++ b/packages/plugins/edge/src/edge.ts
@@ -4,6 +4,7 @@
  * On a machine of the core (the group that replicates the route configuration) it also runs a member of that group.
  */
 import {err, ok, type Result} from 'neverthrow';
+import {waitWithTimeout} from '@hickorytrack/clock';
 import {CrashAttribution} from '@hickorytrack/crash-attribution';
 import type {Ban} from '@hickorytrack/crash-attribution/run-traits';
 import {EndpointClient} from '@hickorytrack/endpoint-client';
@@ -25,7 +26,7 @@
 import {CoreMember, coreRole, type CoreMemberError} from '@hickorytrack/route-store/core-member';
 import type {StoredConfiguration, StoreOutcome} from '@hickorytrack/route-store';
 import {SharedRate} from '@hickorytrack/shared-rate';
-import {StreamOrigins, originGrounds} from '@hickorytrack/stream-origins';
+import {StreamOrigins, originGrounds, type FoundOrigin} from '@hickorytrack/stream-origins';
 import {VersionRetirement} from '@hickorytrack/stream-origins/version-retirement';
 import {LimitNews} from '@hickorytrack/shared-rate/limit-news';
 import {RouteTable} from '@hickorytrack/route-table';
@@ -33,7 +34,7 @@
 import {StageControl} from '@hickorytrack/stage-control';
 import {peerFeatures} from '@hickorytrack/types/peer-methods';
 import {AnswerMeasurements} from './answer-measurements.js';
-import type {CallerRequest} from './caller-request.js';
+import {requestOutcomes, type CallerRequest} from './caller-request.js';
 import {sendProblem} from './responses.js';
 import {CrashReports} from './crash-reports.js';
 import {RateLimitedEventLog} from './rate-limited-event-log.js';
@@ -67,6 +68,8 @@
 const stopMarginMs = 700;
 const minimumDrainMs = 3200; // The load balancer stops sending requests after two failed health checks, one second apart.
 const drainPollMs = 50;
+/** Part of a caller's time that is left for a refusal when the version of its stream is not found, in milliseconds. */
+const refusalMarginMs = 20;
 /** Number of the largest answers that fit into the memory for answers. */
 const answersInMemory = 4;
 
@@ -449,8 +452,15 @@
 			return request;
 		}
 
-		const {codec, eventLog} = this.#context;
-		const {ground, service, version} = await this.#origins.findOrigin(begunAs, route.targets.map(target => target.service));
+		const {codec, eventLog, clock} = this.#context;
+		const search = this.#origins.findOrigin(begunAs, route.targets.map(target => target.service));
+		const remainingMs = request.deadlineAt - clock.monotonic() - refusalMarginMs;
+		const {ground, service, version}: FoundOrigin = await waitWithTimeout(search, Math.max(0, remainingMs), clock) ?? {ground: originGrounds.unconfirmed};
+		if (request.signal.aborted) {
+			this.#requestLog.recordResult(request, {outcome: requestOutcomes.callerGone, servers: []});
+			return undefined;
+		}
+
 		this.#opts.metrics.count('stream_takeups_total', {ground});
 		eventLog.emit('streamTakenUp', {
 			request: requestId, begunAs, lastEvent: lastEventId, ground, service, version,
@@ -461,6 +471,9 @@
 
 		// The core may answer soon; whatever else is unknown stays so.
 		const retryAfterMs = ground === originGrounds.unconfirmed ? defaultRetryAfterMs : route.timeoutMs;
+		this.#requestLog.recordResult(request, {
+			outcome: requestOutcomes.refused, status: 503, reason: `the version that began the stream is not known: ${ground}`, retryAfterMs, servers: [],
+		});
 		sendProblem(response, {
 			status: 503, code: 'unknown-version', detail: 'The request has not run: it is not known which software version began the stream.', headers: codec.encodeRetryAfter(retryAfterMs),
 		});
