--- a/scripts/write-capacity.mjs
+++ b/scripts/write-capacity.mjs
@@ -103,6 +103,7 @@
 	'',
 	'- 5,300 GB/s of KV: export and import of KV between engines is not built; a request resumes from its tokens instead, which costs prefill.',
 	'- Traffic between regions: there is one group of controllers, so all regions depend on its majority.',
+	'- Records of streams while a service has several versions ([14](design/14-stream-versions.md)): reckoned, not measured, at some 70 bytes a stream 4.4 KB a second for each of 320 edges and 1.4 MB a second at the leader of the core, whose 50,000 records then last 2.5 s of the 30 s wanted. With one version there are none.',
 	'- The figures are from one machine with loopback; see each measurement for its command.',
 	'',
 ];
