test(soak): versions stand side by side from the start, and connections break later

With generators seeded by the server's number all servers drew the same first version, so versions met only after a release; and callers' connections broke within 30 ms, mostly before a first event.

--- a/tools/soak/src/caller.ts
+++ b/tools/soak/src/caller.ts
@@ -50,6 +50,8 @@
 const leaveFraction = 0.01;
 /** With servers of several versions, connections of streams break so often on the side of the caller, which takes them up. */
 const lostConnectionFraction = 0.08;
+const maxLeaveMs = 30;
+const maxLostConnectionMs = 150;
 const reconnectMs = 50;
 /** These statuses promise that the request has not run. */
 export const promisingStatuses: ReadonlySet<number> = new Set([408, 421, 429, 503]);
@@ -140,7 +142,7 @@
 		const isLeaving = this.#opts.random.next() < (canTakeUp ? lostConnectionFraction : leaveFraction);
 		const exchange = await connection.send(formatMessage(`POST ${path} HTTP/1.1`, {
 			host, 'x-request-id': requestId, 'x-deadline-ms': String(Math.ceil(remainingMs)), ...headers, ...(lastEventId > 0 ? {'last-event-id': String(lastEventId)} : {}), ...(begunAs === undefined ? {} : {resumes: begunAs}),
-		}, body), isLeaving ? this.#opts.random.nextBetween(1, 30) : remainingMs + lateMarginMs);
+		}, body), isLeaving ? this.#opts.random.nextBetween(1, canTakeUp ? maxLostConnectionMs : maxLeaveMs) : remainingMs + lateMarginMs);
 		const record: CallerRecord = {
 			requestId, caller: index, edge: this.#opts.edges[this.#edge % this.#opts.edges.length]!.name, route: route.name, path, sentBody: body, sentAt, endedAt: clock.now(), deadlineMs: Math.ceil(remainingMs), hasLeft: isLeaving, isCrashing: route.kind === 'streaming' ? hasCrashingPart(headers['x-prompt-prefix']) : undefined, lastEventId, begunAs, extraAnswers: connection.readExtraAnswers(), ...describeExchange(exchange),
 		};
--- a/tools/soak/src/soak-fleet.ts
+++ b/tools/soak/src/soak-fleet.ts
@@ -11,7 +11,7 @@
 import {getSecondService} from './operator.js';
 import type {RetryBounds, ProcessEnd} from './records.js';
 import type {ServerProcessOptions} from './server-main.js';
-import {selectVersion} from './server-versions.js';
+import {createVersionSeeds, selectVersion} from './server-versions.js';
 
 export type SoakFleetOptions = {
 	clock: Clock;
@@ -110,7 +110,7 @@
 		const service = index % 2 === 0 ? kind : getSecondService(kind);
 		const modelStage = index < plainServers + prefillServers ? 'prefill' : 'decode';
 		const seeds = new Random(random.nextInteger(seedRange));
-		const versionSeeds = new Random(index);
+		const versionSeeds = createVersionSeeds(index);
 		let starts = 0;
 		// A server comes back under its id or under a new one.
 		const createId = () => seeds.next() < 0.5 ? name : `${name}-${starts++}`;
