test(soak): a kill of all edges ends while their callers still wait

The edges were away for up to 4 s, longer than the callers of the soak wait, so hardly any stream was taken up afterwards.

--- a/tools/soak/src/fault-runner.ts
+++ b/tools/soak/src/fault-runner.ts
@@ -19,6 +19,8 @@
 /** These strike all connections to their target, whatever source was drawn. */
 const strikesAll: ReadonlySet<string> = new Set(['reset', 'stall', 'freeze', 'hush', 'term', 'kill', 'kill-core', 'kill-all', 'release']);
 const maxDelayMs = 250;
+/** All edges are back while callers still wait, so that they take their streams up. */
+const maxPowerLossMs = 500;
 const hushTimeoutMs = 200;
 
 export class FaultRunner {
@@ -63,7 +65,8 @@
 			}
 
 			case 'kill-all': {
-				await Promise.all(edges.map(async member => this.#restart(member, durationMs, async () => this.#kill(member))));
+				const pauseMs = Math.min(durationMs, maxPowerLossMs);
+				await Promise.all(edges.map(async member => this.#restart(member, pauseMs, async () => this.#kill(member))));
 				return true;
 			}
 
