test(soak): a stopped server excuses short answers from its signal on, under both of its ids

Traces: both servers got SIGTERM for a release 120 and 519 ms after the sending, before the end of the stream; the end of the first process was noticed 397 ms later, beyond the margin of the check, and the second had started again under its name alone, which the check took for another server. Such an answer may be as short as the end of a process on its way makes it; the check was right about neither time nor name. It now takes the signal's time and both forms of the id, with planted cases for each.

--- a/tools/soak/src/check-answers.ts
+++ b/tools/soak/src/check-answers.ts
@@ -30,9 +30,12 @@
 	const routes = new Map(records.routes.map(route => [route.name, route]));
 	const outcomes = collectByKey(records.outcomes, outcome => outcome.requestId);
 	const crashTimes = collectCrashTimes(records.outcomes);
+	// A process that gets a signal closes its connections before its end is noticed.
+	const signals = records.disturbances.filter(({kind}) => kind === 'end').map(({target, from}) => ({name: target, at: from}));
+	const processEnds = [...records.processEnds, ...signals];
 	return [
 		...records.callers.flatMap(record => checkAttempt(record, {
-			route: routes.get(record.route)!, outcomes, processEnds: records.processEnds, crashTimes,
+			route: routes.get(record.route)!, outcomes, processEnds, crashTimes,
 		})),
 		...records.outcomes.flatMap(outcome => checkHandle(outcome)),
 		...checkArrivals(records),
@@ -126,7 +129,7 @@
  * server or the end of a process on its way made it; but a stream does not end inside an event.
  */
 function isBrokenOff({edge, sentAt, endedAt}: CallerRecord, own: readonly OutcomeRecord[], {processEnds, crashTimes}: Ends): boolean {
-	const isOnWay = (name: string) => name === edge || own.some(({server}) => server.startsWith(`${name}-`));
+	const isOnWay = (name: string) => name === edge || own.some(({server}) => server === name || server.startsWith(`${name}-`));
 	return own.some(outcome => outcome.answer === 'broken-off' || (crashTimes.get(formatStart(outcome)) ?? Number.POSITIVE_INFINITY) <= endedAt) || processEnds.some(({name, at}) => isOnWay(name) && at >= sentAt && at <= endedAt + processEndMarginMs);
 }
 
--- a/tools/soak/test/checks-can-fail.test.ts
+++ b/tools/soak/test/checks-can-fail.test.ts
@@ -173,6 +173,17 @@
 		expect(listRules(createCaller('tell', short), broken('/tell/1/4'))).to.deep.equal(['ORDER']);
 		expect(listRules(createCaller('tell', {...short, hasUnknownEnd: true}))).to.deep.equal(['ORDER']);
 		expect(listRules(createCaller('tell', {body: createEvents(1, 2, 4).slice(0, -3), hasUnknownEnd: true}), broken('/tell/1/4'))).to.deep.equal(['ORDER']);
+		// The end of a process on its way excuses it, from the signal on and under either of the server's ids.
+		const listEnded = (changes: Partial<SoakRecords>, server = 's1') => checkAnswers(createRecords({callers: [createCaller('tell', {...short, hasUnknownEnd: true})], outcomes: [createOutcome('/tell/1/4', {server})], ...changes})).map(({rule}) => rule);
+		expect(listEnded({processEnds: [{name: 's1', at: 15}]})).to.deep.equal([]);
+		expect(listEnded({processEnds: [{name: 's1', at: 15}]}, 's1-2')).to.deep.equal([]);
+		const stop = {
+			kind: 'end', target: 's1', from: 15, until: 900,
+		};
+		expect(listEnded({disturbances: [stop]})).to.deep.equal([]);
+		expect(listEnded({disturbances: [{...stop, target: 's2'}]})).to.deep.equal(['ORDER']);
+		expect(listEnded({disturbances: [{...stop, from: 200}]})).to.deep.equal(['ORDER']);
+		expect(listEnded({disturbances: [{...stop, kind: 'hush'}]})).to.deep.equal(['ORDER']);
 		// A caller that has all events gets none, which is not inside an event.
 		const empty = {body: '', hasUnknownEnd: true};
 		expect(listRules(createCaller('talk', {...empty, lastEventId: 4}), broken('/talk/1/4'))).to.deep.equal([]);
