fix(edge): a connection is closed after a 417

Callers saw: nothing; a connection on which the edge had answered 417 stayed open for good, without an idle limit (Node.js 20.19.0 answers by itself and never sets the timer of the connection).

Change: the front end answers an unmet expectation itself, says that the connection closes, and reports the request as rejected (`unmet-expectation`), which it did not before.

Evidence: "closes a connection after the idle limit when the server itself has answered its request" timed out each time before (8 s without a close in a small program of its own) and passes now; the 29 tests of the file pass.

--- a/packages/plugins/edge/src/http-frontend.ts
+++ b/packages/plugins/edge/src/http-frontend.ts
@@ -41,7 +41,7 @@
 	host: string | undefined;
 	path: string;
 	/** `unreadable` for bytes that are no request, or no complete one in time; no id, host or path is known of them. */
-	reason: 'body-broken' | 'not-ready' | 'no-route' | 'body-too-large' | 'stopping' | 'unreadable';
+	reason: 'body-broken' | 'not-ready' | 'no-route' | 'body-too-large' | 'unmet-expectation' | 'stopping' | 'unreadable';
 	/** Status of the answer to unreadable bytes. */
 	status?: number;
 	/** Version of the configuration in which its route was looked up. */
@@ -133,6 +133,10 @@
 		this.#server = createServer({maxHeaderSize: maxHeadBytes, connectionsCheckingInterval: connectionsCheckMs, noDelay: true}, (request, response) => {
 			void this.#handle(request, response);
 		});
+		// Without this, Node.js answers by itself and leaves the connection open for good.
+		this.#server.on('checkExpectation', (request: IncomingMessage, response: ServerResponse) => {
+			this.#rejectExpectation(request, response);
+		});
 		this.#server.on('connection', (socket: Socket) => {
 			// Each open request of a connection listens for its close.
 			socket.setMaxListeners(0);
@@ -222,6 +226,20 @@
 		}
 	}
 
+	/** Its body may follow or not, so nothing can be read behind it. */
+	#rejectExpectation(incoming: IncomingMessage, response: ServerResponse): void {
+		const exchange = this.#recordExchange(incoming, response);
+		if (this.#isClosing(incoming.socket)) {
+			return;
+		}
+
+		this.#opts.onRejected({
+			requestId: this.#readRequestId(incoming), host: incoming.headers.host?.slice(0, maxLoggedCharacters), path: readLoggedPath(incoming), reason: 'unmet-expectation',
+		});
+		this.#announceClose(exchange);
+		sendProblem(response, {status: 417, code: 'unmet-expectation', detail: 'The server supports no expectation other than 100-continue.'});
+	}
+
 	async #handleExchange(exchange: OpenExchange): Promise<void> {
 		const {incoming, response} = exchange;
 		if (this.#isClosed || this.#stoppingSince !== undefined) {
