fix(edge): the version of a stream is known for as long as its caller waits

Callers saw: a stream taken up later than twice the timeout of its route went on at another version, if the servers of its own had left and all edges had been killed in between.

Cause: the time for which a stream counts as one that may be taken up was derived from the timeout of its route alone. A caller may wait for longer than its attempts (X-Deadline-Ms), and a configuration may shorten the timeout of streams that have begun. After that time the leader retired the version that had gone, so that the remaining one was taken for the only one.

Change: the time is twice the timeout or what the caller states, whichever is longer, up to two minutes; a version is retired no earlier than the longest such time of any configuration since it was heard of.

--- a/packages/plugins/edge/src/edge.ts
+++ b/packages/plugins/edge/src/edge.ts
@@ -48,7 +48,7 @@
 import {LimitSharing} from './limit-sharing.js';
 import {ServerHealth} from './server-health.js';
 import {OriginLink} from './origin-link.js';
-import {computeStreamLifetimeMs} from './request-origin.js';
+import {computeLongestLifetimeMs} from './request-origin.js';
 import {StartProof} from './start-proof.js';
 import {newsSources, ServerLimits, type NewsSource} from './server-limits.js';
 import {ServerPauses} from './server-pauses.js';
@@ -480,10 +480,10 @@
 		return undefined;
 	}
 
-	/** Time for which streams of a service may be taken up, in milliseconds. */
+	/** Longest time for which streams of a service may be taken up, in milliseconds. */
 	#computeLifetimeMs(service: string): number {
 		const routes = (this.#routes?.configuration.routes ?? []).filter(route => route.targets.some(target => target.service === service));
-		return Math.max(0, ...routes.map(route => computeStreamLifetimeMs(route.timeoutMs)));
+		return computeLongestLifetimeMs(routes.map(route => route.timeoutMs));
 	}
 
 	/** The caller must not come back soon: as far as it waits, the answer would be the same. */
--- a/packages/plugins/edge/src/request-origin.ts
+++ b/packages/plugins/edge/src/request-origin.ts
@@ -17,9 +17,17 @@
 /** A stream may be taken up by later attempts of its caller, each of which may take as long as the first one. */
 const lifetimeAttempts = 2;
 
-/** Time for which callers may take up a stream, by the timeout of its route, both in milliseconds. */
-export function computeStreamLifetimeMs(timeoutMs: number): number {
-	return lifetimeAttempts * timeoutMs;
+/** Upper bound for the time that a caller may state, so that it can't have its streams kept for longer. */
+const maxCallerWaitMs = 120_000;
+
+/** Time for which a caller may take up a stream, by the timeout of its route and the time for which it says that it waits, all in milliseconds. */
+export function computeStreamLifetimeMs(timeoutMs: number, callerWaitMs: number): number {
+	return Math.max(lifetimeAttempts * timeoutMs, Math.min(callerWaitMs, maxCallerWaitMs));
+}
+
+/** Time for which any caller may take up a stream of these routes, by their timeouts, all in milliseconds. */
+export function computeLongestLifetimeMs(timeoutsMs: readonly number[]): number {
+	return Math.max(...[0, ...timeoutsMs].map(timeoutMs => computeStreamLifetimeMs(timeoutMs, maxCallerWaitMs)));
 }
 
 export class RequestOrigin {
@@ -36,7 +44,7 @@
 			this.#pinned = {version: request.takenUp.version};
 		} else if (request.route.isResumable) {
 			this.#stream = opts.origins.open({
-				stream: request.metadata.requestId, service: request.service, services: request.route.targets.map(({service}) => service), lifetimeMs: computeStreamLifetimeMs(request.route.timeoutMs),
+				stream: request.metadata.requestId, service: request.service, services: request.route.targets.map(({service}) => service), lifetimeMs: computeStreamLifetimeMs(request.route.timeoutMs, request.metadata.waitMs ?? 0),
 			});
 		}
 	}
--- a/packages/routing/stream-origins/src/version-retirement.ts
+++ b/packages/routing/stream-origins/src/version-retirement.ts
@@ -22,10 +22,17 @@
 
 const intervalMs = 1000;
 
+type VersionTrace = {
+	/** Monotonic time in milliseconds. */
+	lastHeardAt: number;
+	/** The longest time so far: streams that began under an earlier configuration keep theirs. */
+	lifetimeMs: number;
+};
+
 export class VersionRetirement {
 	readonly #opts: VersionRetirementOptions;
-	/** Monotonic times in milliseconds, by service and version. */
-	readonly #lastHeardAt = new Map<string, number>();
+	/** By service and version. */
+	readonly #traces = new Map<string, VersionTrace>();
 
 	constructor(opts: VersionRetirementOptions) {
 		this.#opts = opts;
@@ -43,7 +50,7 @@
 		const {clock, core, store, getLeadershipAgeMs, isComplete, hasVersion, getLifetimeMs} = this.#opts;
 		const ageMs = getLeadershipAgeMs();
 		if (ageMs === undefined) {
-			this.#lastHeardAt.clear();
+			this.#traces.clear();
 			return;
 		}
 
@@ -52,11 +59,10 @@
 		for (const [service, versions] of store.listVersions()) {
 			const gone = versions.filter(version => {
 				const key = `${service}\n${version}`;
-				if (hasVersion(service, version) || !this.#lastHeardAt.has(key)) {
-					this.#lastHeardAt.set(key, now);
-				}
-
-				return now - this.#lastHeardAt.get(key)! > getLifetimeMs(service);
+				const known = this.#traces.get(key) ?? {lastHeardAt: now, lifetimeMs: 0};
+				const trace = {lastHeardAt: hasVersion(service, version) ? now : known.lastHeardAt, lifetimeMs: Math.max(known.lifetimeMs, getLifetimeMs(service))};
+				this.#traces.set(key, trace);
+				return now - trace.lastHeardAt > trace.lifetimeMs;
 			});
 			retired.push(...gone.slice(0, versions.length - 1).map((version): [string, string] => [service, version]));
 		}
--- a/packages/routing/stream-origins/test/stream-origins.test.ts
+++ b/packages/routing/stream-origins/test/stream-origins.test.ts
@@ -237,9 +237,9 @@
 			kind: 'stream-origins', at: 0, admitted: [[service, 'v1'], [service, 'v2']], retired: [], streams: [],
 		});
 		const heard = new Set(['v1', 'v2']);
-		const state: {leadershipAgeMs?: number; isComplete: boolean} = {isComplete: true};
+		const state: {leadershipAgeMs?: number; isComplete: boolean; lifetimeMs: number} = {isComplete: true, lifetimeMs};
 		const retirement = new VersionRetirement({
-			clock, store, hasVersion: (_, version) => heard.has(version), getLifetimeMs: () => lifetimeMs, getLeadershipAgeMs: () => state.leadershipAgeMs, isComplete: () => state.isComplete, core: {
+			clock, store, hasVersion: (_, version) => heard.has(version), getLifetimeMs: () => state.lifetimeMs, getLeadershipAgeMs: () => state.leadershipAgeMs, isComplete: () => state.isComplete, core: {
 				async retire(retired) {
 					store.apply({
 						kind: 'stream-origins', at: 0, admitted: [], retired, streams: [],
@@ -259,7 +259,11 @@
 		await run(2 * lifetimeMs);
 		expect(store.hasVersion(service, 'v1'), 'this instance does not lead').to.equal(true);
 		state.leadershipAgeMs = 0;
-		await run(lifetimeMs);
+		await run(1000);
+		state.lifetimeMs = lifetimeMs / 10;
+		await run(lifetimeMs / 2);
+		expect(store.hasVersion(service, 'v1'), 'streams have begun under a longer timeout').to.equal(true);
+		await run((lifetimeMs / 2) - 1000);
 		expect(store.hasVersion(service, 'v1'), 'the leader has heard of nothing for less than the lifetime').to.equal(true);
 		state.isComplete = false;
 		await run(2 * lifetimeMs);
