fix(stream-origins): an instance goes by what it knows of its own streams

A take-up at the edge that began the stream could be joined in two narrow cases.

Cause: an edge that knew its stream to be of an unknown version (its server had started anew with another one), or of a service to which the route no longer leads, treated it as one that it does not know and asked the core, whose record was still the earlier one, or which knew one version of the new service only.

Change: both are refused as ambiguous. `OpenStream` is a module of its own; nothing else in it has changed.

Evidence: "refuses a stream that it has disowned before the core knows it" and "does not go on at another service with a stream that it has begun, after its route was moved" failed without the change and pass with it.

Conclusion: other edges still take a stream up at the service to which its route was moved (known limits of the design).

--- a/packages/plugins/edge/src/request-origin.ts
+++ b/packages/plugins/edge/src/request-origin.ts
@@ -4,7 +4,8 @@
  * version that is not known equals no other.
  */
 import type {KnownServer} from '@hickorytrack/endpoint-registry';
-import type {OpenStream, StreamOrigins} from '@hickorytrack/stream-origins';
+import type {StreamOrigins} from '@hickorytrack/stream-origins';
+import type {OpenStream} from '@hickorytrack/stream-origins/open-stream';
 import type {CallerRequest} from './caller-request.js';
 import {startVerdicts, type StartProof} from './start-proof.js';
 
--- a/packages/plugins/edge/src/start-proof.ts
+++ b/packages/plugins/edge/src/start-proof.ts
@@ -7,7 +7,7 @@
 import type {Clock} from '@hickorytrack/clock';
 import type {EndpointClient} from '@hickorytrack/endpoint-client';
 import type {EndpointRegistry, KnownServer} from '@hickorytrack/endpoint-registry';
-import {clockSkewMs} from '@hickorytrack/stream-origins';
+import {clockSkewMs} from '@hickorytrack/stream-origins/open-stream';
 import {attemptOutcomes, runAttempt, type AttemptResult} from './attempt.js';
 import {callKinds} from './call-kinds.js';
 import type {RequestCodec} from './request-codec.js';
--- /dev/null
+++ b/packages/routing/stream-origins/src/open-stream.ts
@@ -0,0 +1,149 @@
+/**
+ * A stream that may be taken up later, while an instance serves it: the servers that it was sent to, the version that began
+ * it, and when that must be recorded.
+ */
+import {unknownVersion} from './origin-store.js';
+import type {BegunStream} from './origin-writer.js';
+
+/** A start of a server, as far as the origin of streams needs it. */
+export type OriginServer = {
+	id: string;
+	startedAt: number;
+	service: string;
+	version?: string;
+};
+
+export type StreamOptions = {
+	/** Id of the caller's attempt. */
+	stream: string | undefined;
+	/** Services that the route of the stream may select. */
+	services: readonly string[];
+	service: string;
+	/** Time for which callers may take the stream up, in milliseconds. */
+	lifetimeMs: number;
+};
+
+/** The instance that serves the stream. */
+export type StreamOwner = {
+	/** Wall time in milliseconds. */
+	readonly now: number;
+	/** Tells whether streams of these services may have begun at several versions. */
+	hasSeveralVersions(services: readonly string[]): boolean;
+	/** Queues the record of a stream. */
+	record(stream: OpenStream, change: {added?: string[]; dropped?: string[]}): void;
+	/** Resolves with true once the core has stored the record of a stream. */
+	recordConfirmed(stream: OpenStream, added: string[]): Promise<boolean>;
+	/** Keeps the version of a recorded stream. */
+	remember(stream: OpenStream, version: string): void;
+	/** Ends the stream; one that is not complete may be taken up. */
+	close(stream: OpenStream, end: {isComplete: boolean}): void;
+};
+
+/** Longer ids are not recorded. */
+const maxIdCharacters = 128;
+/** Difference between the clocks of two machines that is allowed for. */
+export const clockSkewMs = 250;
+
+/** A stream that may be taken up later, while this instance serves it. */
+export class OpenStream {
+	readonly key: string | undefined;
+	readonly service: string;
+	readonly lifetimeMs: number;
+	readonly #owner: StreamOwner;
+	readonly #services: readonly string[];
+	/** Versions of the servers to which it was sent. */
+	readonly #sentVersions = new Set<string>();
+	readonly #sends: Array<{server: OriginServer; sentAt: number}> = [];
+	#isRecorded = false;
+	#isDisowned = false;
+	#settledVersion: string | undefined;
+
+	constructor(owner: StreamOwner, {stream, service, services, lifetimeMs}: StreamOptions) {
+		this.#owner = owner;
+		this.#services = services;
+		this.key = createStreamKey(stream);
+		this.service = service;
+		this.lifetimeMs = lifetimeMs;
+	}
+
+	/**
+	 * Called before the stream is sent to a server that may begin it. False if it must not be: a second version has to be
+	 * recorded beforehand, or the record would name the first one. Only this takes time.
+	 */
+	prepare(server: OriginServer): boolean | Promise<boolean> {
+		const {version = unknownVersion} = server;
+		this.#sends.push({server, sentAt: this.#owner.now});
+		if (this.#sentVersions.has(version)) {
+			return true;
+		}
+
+		this.#sentVersions.add(version);
+		if (this.#sentVersions.size === 1) {
+			this.recordIfNeeded();
+			return true;
+		}
+
+		this.#isRecorded = true;
+		return this.#owner.recordConfirmed(this, [...this.#sentVersions]);
+	}
+
+	/** Undefined before the first event, and if the version is not known. */
+	get origin(): BegunStream | undefined {
+		return this.#isDisowned || this.#settledVersion === undefined || this.#settledVersion === unknownVersion ? undefined : {service: this.service, version: this.#settledVersion};
+	}
+
+	/** True once it is not known which version has begun the stream. */
+	get isDisowned(): boolean {
+		return this.#isDisowned;
+	}
+
+	/** Tells whether a request that was meant for an earlier start of the server may have reached this one, which has another version. */
+	mayBelongTo({id, startedAt, version}: OriginServer): boolean {
+		return this.#sends.some(({server, sentAt}) => server.id === id && server.startedAt < startedAt && sentAt >= startedAt - clockSkewMs && server.version !== version);
+	}
+
+	/** Called with the first event: the stream belongs to this version. */
+	settle(version = unknownVersion): void {
+		if (this.#isDisowned) {
+			return;
+		}
+
+		this.#settledVersion = version;
+		const dropped = [...this.#sentVersions].filter(other => other !== version);
+		if (dropped.length > 0) {
+			this.#owner.record(this, {dropped});
+		}
+
+		if (this.#isRecorded) {
+			this.#owner.remember(this, version);
+		}
+	}
+
+	/** Records that the version of the stream is unknown. Resolves once the core has stored it, or after a timeout. */
+	async disown(): Promise<void> {
+		if (this.#isDisowned) {
+			return;
+		}
+
+		this.#isDisowned = true;
+		this.#isRecorded = true;
+		this.#owner.remember(this, unknownVersion);
+		await this.#owner.recordConfirmed(this, [unknownVersion]);
+	}
+
+	recordIfNeeded(): void {
+		if (!this.#isRecorded && this.#sentVersions.size > 0 && this.#owner.hasSeveralVersions(this.#services)) {
+			this.#isRecorded = true;
+			this.#owner.record(this, {added: this.#settledVersion === undefined ? [...this.#sentVersions] : [this.#settledVersion]});
+		}
+	}
+
+	close(end: {isComplete: boolean}): void {
+		this.#owner.close(this, end);
+	}
+}
+
+/** Returns the id by which a stream is recorded; undefined for one that can't be. */
+export function createStreamKey(id: string | undefined): string | undefined {
+	return id !== undefined && id.length <= maxIdCharacters ? id : undefined;
+}
--- a/packages/routing/stream-origins/src/stream-origins.ts
+++ b/packages/routing/stream-origins/src/stream-origins.ts
@@ -6,17 +6,12 @@
  */
 import {waitWithTimeout, type Clock} from '@hickorytrack/clock';
 import type {StreamOriginView} from '@hickorytrack/types/peer-methods';
+import {
+	createStreamKey, OpenStream, type OriginServer, type StreamOptions, type StreamOwner,
+} from './open-stream.js';
 import {unknownVersion} from './origin-store.js';
 import {OriginWriter, type BegunStream, type OriginLeader} from './origin-writer.js';
 
-/** A start of a server, as far as the origin of streams needs it. */
-export type OriginServer = {
-	id: string;
-	startedAt: number;
-	service: string;
-	version?: string;
-};
-
 export type StreamOriginsOptions = {
 	clock: Clock;
 	leader: OriginLeader;
@@ -33,7 +28,7 @@
 	onlyVersion: 'only-version',
 	/** Several versions may have begun it, and it has no record. */
 	noRecord: 'no-record',
-	/** It was sent to servers of several versions, or to one whose version is unknown. */
+	/** It was sent to servers of several versions, to one whose version is unknown, or to another service. */
 	ambiguous: 'ambiguous',
 	/** The core did not confirm an answer in time. */
 	unconfirmed: 'unconfirmed',
@@ -43,20 +38,6 @@
 /** The origin of a stream; without a version it is unknown. */
 export type FoundOrigin = {ground: OriginGround; service?: string; version?: string};
 
-export type StreamOptions = {
-	/** Id of the caller's attempt. */
-	stream: string | undefined;
-	/** Services that the route of the stream may select. */
-	services: readonly string[];
-	service: string;
-	/** Time for which callers may take the stream up, in milliseconds. */
-	lifetimeMs: number;
-};
-
-/** Longer ids are not recorded. */
-const maxIdCharacters = 128;
-/** Difference between the clocks of two machines that is allowed for. */
-export const clockSkewMs = 250;
 /** The core admits a version within the time of a few syncs. */
 const admissionTimeoutMs = 300;
 const refreshIntervalMs = 2000;
@@ -64,7 +45,7 @@
 
 type Remembered = {origin: BegunStream | undefined; expiresAt: number};
 
-export class StreamOrigins {
+export class StreamOrigins implements StreamOwner {
 	readonly #opts: StreamOriginsOptions;
 	readonly #writer: OriginWriter;
 	readonly #abortController = new AbortController();
@@ -144,12 +125,7 @@
 
 	/** Returns the origin of a stream that this instance has begun; undefined if it does not know it. */
 	recall(key: string): BegunStream | undefined {
-		const kept = this.#remembered.get(key) ?? this.#brokenOff.get(key);
-		if (!kept || kept.expiresAt <= this.#opts.clock.monotonic()) {
-			return undefined;
-		}
-
-		return 'origin' in kept ? kept.origin : kept.stream.origin;
+		return this.#findKept(key)?.origin;
 	}
 
 	/** Tells whether streams of these services may have begun at several versions. */
@@ -160,9 +136,14 @@
 	/** Finds the origin of a stream that a caller takes up. */
 	async findOrigin(begunAs: string | undefined, services: readonly string[]): Promise<FoundOrigin> {
 		const stream = createStreamKey(begunAs);
-		const own = stream === undefined ? undefined : this.recall(stream);
-		if (own && services.includes(own.service)) {
-			return {ground: originGrounds.instance, ...own};
+		const own = stream === undefined ? undefined : this.#findKept(stream);
+		if (own?.isDisowned) {
+			return {ground: originGrounds.ambiguous};
+		}
+
+		if (own?.origin) {
+			// Its route may have been moved to another service since.
+			return services.includes(own.origin.service) ? {ground: originGrounds.instance, ...own.origin} : {ground: originGrounds.ambiguous};
 		}
 
 		let view = await this.#opts.leader.findOrigin(services, stream);
@@ -182,6 +163,15 @@
 		return recalled && services.includes(recalled.service) ? {ground: originGrounds.instance, ...recalled} : found;
 	}
 
+	#findKept(key: string): {origin: BegunStream | undefined; isDisowned: boolean} | undefined {
+		const kept = this.#remembered.get(key) ?? this.#brokenOff.get(key);
+		if (!kept || kept.expiresAt <= this.#opts.clock.monotonic()) {
+			return undefined;
+		}
+
+		return 'stream' in kept ? {origin: kept.stream.origin, isDisowned: kept.stream.isDisowned} : {origin: kept.origin, isDisowned: kept.origin === undefined};
+	}
+
 	#judge(view: StreamOriginView | undefined, services: readonly string[]): FoundOrigin {
 		if (!view) {
 			return {ground: originGrounds.unconfirmed};
@@ -296,105 +286,6 @@
 	}
 }
 
-/** A stream that may be taken up later, while this instance serves it. */
-export class OpenStream {
-	readonly key: string | undefined;
-	readonly service: string;
-	readonly lifetimeMs: number;
-	readonly #origins: StreamOrigins;
-	readonly #services: readonly string[];
-	/** Versions of the servers to which it was sent. */
-	readonly #sentVersions = new Set<string>();
-	readonly #sends: Array<{server: OriginServer; sentAt: number}> = [];
-	#isRecorded = false;
-	#isDisowned = false;
-	#settledVersion: string | undefined;
-
-	constructor(origins: StreamOrigins, {stream, service, services, lifetimeMs}: StreamOptions) {
-		this.#origins = origins;
-		this.#services = services;
-		this.key = createStreamKey(stream);
-		this.service = service;
-		this.lifetimeMs = lifetimeMs;
-	}
-
-	/**
-	 * Called before the stream is sent to a server that may begin it. False if it must not be: a second version has to be
-	 * recorded beforehand, or the record would name the first one. Only this takes time.
-	 */
-	prepare(server: OriginServer): boolean | Promise<boolean> {
-		const {version = unknownVersion} = server;
-		this.#sends.push({server, sentAt: this.#origins.now});
-		if (this.#sentVersions.has(version)) {
-			return true;
-		}
-
-		this.#sentVersions.add(version);
-		if (this.#sentVersions.size === 1) {
-			this.recordIfNeeded();
-			return true;
-		}
-
-		this.#isRecorded = true;
-		return this.#origins.recordConfirmed(this, [...this.#sentVersions]);
-	}
-
-	/** Undefined before the first event, and if the version is not known. */
-	get origin(): BegunStream | undefined {
-		return this.#isDisowned || this.#settledVersion === undefined || this.#settledVersion === unknownVersion ? undefined : {service: this.service, version: this.#settledVersion};
-	}
-
-	/** True once it is not known which version has begun the stream. */
-	get isDisowned(): boolean {
-		return this.#isDisowned;
-	}
-
-	/** Tells whether a request that was meant for an earlier start of the server may have reached this one, which has another version. */
-	mayBelongTo({id, startedAt, version}: OriginServer): boolean {
-		return this.#sends.some(({server, sentAt}) => server.id === id && server.startedAt < startedAt && sentAt >= startedAt - clockSkewMs && server.version !== version);
-	}
-
-	/** Called with the first event: the stream belongs to this version. */
-	settle(version = unknownVersion): void {
-		if (this.#isDisowned) {
-			return;
-		}
-
-		this.#settledVersion = version;
-		const dropped = [...this.#sentVersions].filter(other => other !== version);
-		if (dropped.length > 0) {
-			this.#origins.record(this, {dropped});
-		}
-
-		if (this.#isRecorded) {
-			this.#origins.remember(this, version);
-		}
-	}
-
-	/** Records that the version of the stream is unknown. Resolves once the core has stored it, or after a timeout. */
-	async disown(): Promise<void> {
-		if (this.#isDisowned) {
-			return;
-		}
-
-		this.#isDisowned = true;
-		this.#isRecorded = true;
-		this.#origins.remember(this, unknownVersion);
-		await this.#origins.recordConfirmed(this, [unknownVersion]);
-	}
-
-	recordIfNeeded(): void {
-		if (!this.#isRecorded && this.#sentVersions.size > 0 && this.#origins.hasSeveralVersions(this.#services)) {
-			this.#isRecorded = true;
-			this.#origins.record(this, {added: this.#settledVersion === undefined ? [...this.#sentVersions] : [this.#settledVersion]});
-		}
-	}
-
-	close(end: {isComplete: boolean}): void {
-		this.#origins.close(this, end);
-	}
-}
-
 function createKey(service: string, version: string): string {
 	return `${service}\n${version}`;
 }
@@ -409,7 +300,3 @@
 		kept.delete(kept.keys().next().value!);
 	}
 }
-
-function createStreamKey(id: string | undefined): string | undefined {
-	return id !== undefined && id.length <= maxIdCharacters ? id : undefined;
-}
--- a/packages/routing/stream-origins/test/stream-origins.test.ts
+++ b/packages/routing/stream-origins/test/stream-origins.test.ts
@@ -3,7 +3,8 @@
 import {OriginCore} from '../src/origin-core.js';
 import {OriginStore, unknownVersion, type OriginCommand} from '../src/origin-store.js';
 import type {BegunStream} from '../src/origin-writer.js';
-import {StreamOrigins, type OpenStream, type OriginServer} from '../src/stream-origins.js';
+import type {OpenStream, OriginServer} from '../src/open-stream.js';
+import {StreamOrigins} from '../src/stream-origins.js';
 import {VersionRetirement} from '../src/version-retirement.js';
 
 const service = 'model';
@@ -199,6 +200,26 @@
 		expect(await find('a3')).to.include({version: 'v1'});
 	});
 
+	// Until the core had stored that the version is unknown, its record still named the earlier one.
+	it('refuses a stream that it has disowned before the core knows it', async () => {
+		await admit('v1', 'v2');
+		await begin('a1', server('s1', 'v1', 0));
+		await wait();
+		core.isReachable = false;
+		instance.handleStart(server('s1', 'v2', core.clock.now()));
+		await wait(10);
+		core.isReachable = true;
+		expect(await find('a1', instance)).to.deep.equal({ground: 'ambiguous'});
+	});
+
+	it('does not go on at another service with a stream that it has begun, after its route was moved', async () => {
+		await admit('v1');
+		instance.isAdmitted({...server('s2', 'v1'), service: 'other'});
+		await wait();
+		(await begin('a1', server('s1', 'v1'))).close({isComplete: false});
+		expect(await find('a1', instance, ['other'])).to.deep.equal({ground: 'ambiguous'});
+	});
+
 	it('takes a version that is not known for none, also if no other one is there', async () => {
 		await admit(unknownVersion);
 		await begin('a1', server('s1'));
