fix(stream-origins): a record does not wait for the confirmation of an earlier one

Cause: an edge sent one batch of records at a time. A stream that began while a batch was on its way waited for its confirmation, a round trip to the leader and a commit by a majority, before its own record was sent.

Change: up to four batches are on their way at once. The order of two batches does not matter for safety: a record that is added again after it was dropped makes a stream ambiguous, never one of a wrong version.

"records a stream without waiting for the confirmation of an earlier record" failed before.

--- a/packages/routing/stream-origins/src/origin-writer.ts
+++ b/packages/routing/stream-origins/src/origin-writer.ts
@@ -1,6 +1,7 @@
 /**
- * Sends what this instance writes about streams to the leader of the core, in batches and in order. A write that is not
- * confirmed is sent again, before later ones.
+ * Sends what this instance writes about streams to the leader of the core, in batches. A batch does not wait for the one
+ * before, because callers may lose a stream until its record is stored. A batch that is not confirmed is sent again with the
+ * next one. Writes that arrive in another order never turn a stream of several versions into one of a single version.
  */
 import {waitWithTimeout, type Clock} from '@hickorytrack/clock';
 import type {StreamOriginView, StreamOriginWrite} from '@hickorytrack/types/peer-methods';
@@ -29,17 +30,23 @@
 /** Interval in which writes are collected. */
 const collectMs = 3;
 const retryMs = 60;
+/** Batches that may be on their way at the same time. */
+const maxInFlight = 4;
 /** A caller that waits for a confirmation goes on without it after this time. */
 const confirmTimeoutMs = 500;
 /** Writes kept while the leader can't be reached; the oldest are dropped first, so that their streams become unknown. */
 const maxQueued = 10_000;
 
+type Batch = StreamOriginWrite & {waiters: Array<() => void>};
+
 export class OriginWriter {
 	readonly #opts: OriginWriterOptions;
-	#admitted: StreamOriginWrite['admitted'] = [];
-	#streams: StreamOriginWrite['streams'] = [];
-	#waiters: Array<() => void> = [];
+	#queued = createBatch();
+	#inFlight = 0;
 	#isSending = false;
+	/** Monotonic time before which nothing is sent, after a batch that was not confirmed. */
+	#pausedUntil = Number.NEGATIVE_INFINITY;
+	#onDelivered: () => void = () => undefined;
 
 	constructor(opts: OriginWriterOptions) {
 		this.#opts = opts;
@@ -47,47 +54,78 @@
 
 	/** Queues a write. */
 	append({admitted = [], streams = []}: Partial<StreamOriginWrite>): void {
-		this.#admitted.push(...admitted);
-		this.#streams = [...this.#streams, ...streams].slice(-maxQueued);
-		if (!this.#isSending) {
-			void this.#send();
-		}
+		this.#queue({admitted, streams, waiters: []});
 	}
 
 	/** Queues a write and resolves with true once the core has stored it. */
-	async write(write: Partial<StreamOriginWrite>): Promise<boolean> {
+	async write({admitted = [], streams = []}: Partial<StreamOriginWrite>): Promise<boolean> {
 		const stored = new Promise<true>(resolve => {
-			this.#waiters.push(() => {
-				resolve(true);
+			this.#queue({
+				admitted, streams, waiters: [() => {
+					resolve(true);
+				}],
 			});
 		});
-		this.append(write);
 		return await waitWithTimeout(stored, confirmTimeoutMs, this.#opts.clock) ?? false;
 	}
 
+	#queue(batch: Batch): void {
+		this.#queued = joinBatches(this.#queued, batch);
+		if (!this.#isSending) {
+			void this.#send();
+		}
+	}
+
 	async #send(): Promise<void> {
-		const {clock, leader, onView, signal} = this.#opts;
+		const {clock, signal} = this.#opts;
 		this.#isSending = true;
-		await clock.sleep(collectMs);
-		while (this.#admitted.length + this.#streams.length > 0 && !signal.aborted) {
-			const [admitted, streams, waiters] = [this.#admitted, this.#streams, this.#waiters];
-			this.#admitted = [];
-			this.#streams = [];
-			this.#waiters = [];
-			const view = await leader.write({admitted, streams});
-			if (view) {
-				onView(view);
-				for (const resolve of waiters) {
-					resolve();
-				}
-			} else {
-				this.#admitted = [...admitted, ...this.#admitted];
-				this.#streams = [...streams, ...this.#streams].slice(-maxQueued);
-				this.#waiters = [...waiters, ...this.#waiters];
-				await clock.sleep(retryMs, signal);
+		while (!isEmpty(this.#queued) && !signal.aborted) {
+			await clock.sleep(Math.max(collectMs, this.#pausedUntil - clock.monotonic()), signal);
+			const batch = this.#queued;
+			this.#queued = createBatch();
+			void this.#deliver(batch);
+			if (this.#inFlight >= maxInFlight) {
+				await new Promise<void>(resolve => {
+					this.#onDelivered = resolve;
+				});
 			}
 		}
 
 		this.#isSending = false;
 	}
+
+	async #deliver({waiters, ...write}: Batch): Promise<void> {
+		const {clock, leader, onView} = this.#opts;
+		this.#inFlight++;
+		const view = await leader.write(write);
+		this.#inFlight--;
+		this.#onDelivered();
+		if (view) {
+			onView(view);
+			for (const resolve of waiters) {
+				resolve();
+			}
+
+			return;
+		}
+
+		this.#pausedUntil = clock.monotonic() + retryMs;
+		const later = this.#queued;
+		this.#queued = createBatch();
+		this.#queue(joinBatches({...write, waiters}, later));
+	}
+}
+
+function createBatch(): Batch {
+	return {admitted: [], streams: [], waiters: []};
+}
+
+function isEmpty({admitted, streams}: Batch): boolean {
+	return admitted.length + streams.length === 0;
+}
+
+function joinBatches(first: Batch, second: Batch): Batch {
+	return {
+		admitted: [...first.admitted, ...second.admitted], streams: [...first.streams, ...second.streams].slice(-maxQueued), waiters: [...first.waiters, ...second.waiters],
+	};
 }
--- a/packages/routing/stream-origins/test/stream-origins.test.ts
+++ b/packages/routing/stream-origins/test/stream-origins.test.ts
@@ -1,5 +1,6 @@
 import {expect} from 'chai';
 import {ManualClock} from '@hickorytrack/clock/manual-clock';
+import type {StreamOriginView, StreamOriginWrite} from '@hickorytrack/types/peer-methods';
 import {OriginCore} from '../src/origin-core.js';
 import {OriginStore, unknownVersion, type OriginCommand} from '../src/origin-store.js';
 import type {BegunStream} from '../src/origin-writer.js';
@@ -18,6 +19,8 @@
 	readonly clock = new ManualClock();
 	readonly commands: OriginCommand[] = [];
 	isReachable = true;
+	/** Time until an instance has the confirmation of a write. */
+	writeMs = 0;
 	store = new OriginStore();
 	readonly #instances: StreamOrigins[] = [];
 	#core = this.#createCore();
@@ -26,7 +29,7 @@
 	startInstance(): StreamOrigins {
 		const instance: StreamOrigins = new StreamOrigins({
 			clock: this.clock, hasVersion: () => true, leader: {
-				isSupported: true, write: async write => this.isReachable ? this.#core.write(write) : undefined, findOrigin: async (services, stream) => this.isReachable ? this.#core.findOrigin(services, stream) : undefined, recall: async stream => this.#recall(stream, instance),
+				isSupported: true, write: async write => this.#write(write), findOrigin: async (services, stream) => this.isReachable ? this.#core.findOrigin(services, stream) : undefined, recall: async stream => this.#recall(stream, instance),
 			},
 		});
 		this.#instances.push(instance);
@@ -45,6 +48,12 @@
 		this.#core = this.#createCore();
 	}
 
+	async #write(write: StreamOriginWrite): Promise<StreamOriginView | undefined> {
+		const view = this.isReachable ? await this.#core.write(write) : undefined;
+		await this.clock.sleep(this.writeMs);
+		return view;
+	}
+
 	#recall(stream: string, asking: StreamOrigins): BegunStream | undefined {
 		return this.#instances.filter(instance => instance !== asking).map(instance => instance.recall(stream)).find(origin => origin !== undefined);
 	}
@@ -156,6 +165,17 @@
 		expect(await find('a2')).to.deep.equal({ground: 'unconfirmed'});
 	});
 
+	// Until its record is stored, a stream is lost with its instance.
+	it('records a stream without waiting for the confirmation of an earlier record', async () => {
+		await admit('v1', 'v2');
+		core.writeMs = 100;
+		await begin('a1', server('s1', 'v1'));
+		await wait(20);
+		await begin('a2', server('s2', 'v2'));
+		await wait(20);
+		expect(core.store.streamCount).to.equal(2);
+	});
+
 	// The record would name the first version if the second one were sent the stream before it is stored.
 	it('sends a stream to a server of a second version only once both are recorded', async () => {
 		await admit('v1', 'v2');
