test(soak): callers take their streams up after a kill of all edges

Cause: a caller that found no edge gave its request up, waited 2.5 s and tried four times.

Change: a caller looks for an edge until its deadline. With servers of several versions, the callers of streams that can be resumed wait 7 s and try 16 times. LOST counts streams, as the rule says, not attempts: the refused attempts of a caller that tries again counted as streams of their own.

--- a/tools/soak/src/caller.ts
+++ b/tools/soak/src/caller.ts
@@ -32,6 +32,8 @@
 	headers: Record<string, string>;
 	body: string;
 	deadlineAt: number;
+	/** Servers of several versions may begin it, and the caller takes it up if it breaks. */
+	canTakeUp: boolean;
 };
 
 const meanPauseMs = 50;
@@ -39,9 +41,13 @@
 const longPauseFraction = 0.03;
 const maxPauseMs = 3500;
 const requestDeadlineMs = 2500;
+/** Callers that take up their streams wait until all edges are back after a kill. */
+const takeUpDeadlineMs = 7000;
 /** A caller waits a little beyond the deadline that it has sent, so that a late answer is seen. */
 const lateMarginMs = 1000;
 const maxAttempts = 4;
+/** Edges that are not ready yet refuse several attempts. */
+const maxTakeUpAttempts = 16;
 const maxEvents = 12;
 const longPromptTokens = 1500;
 const shortPromptTokens = 50;
@@ -100,8 +106,9 @@
 			headers['x-prompt-prefix'] = createPromptParts(this.#promptRandom, {key, tokens, faults: this.#opts.faults});
 		}
 
+		const canTakeUp = route.isResumable && this.#opts.faults.has(versionsFault);
 		return {
-			route, path, headers, body: `body of ${key}`, deadlineAt: clock.monotonic() + requestDeadlineMs,
+			route, path, headers, body: `body of ${key}`, deadlineAt: clock.monotonic() + (canTakeUp ? takeUpDeadlineMs : requestDeadlineMs), canTakeUp,
 		};
 	}
 
@@ -109,7 +116,7 @@
 		const {clock} = this.#opts;
 		let lastEventId = 0;
 		let begunAs: string | undefined;
-		for (let attempt = 1; attempt <= maxAttempts; attempt++) {
+		for (let attempt = 1; attempt <= (draft.canTakeUp ? maxTakeUpAttempts : maxAttempts); attempt++) {
 			const record = await this.#runAttempt(draft, {attempt, lastEventId, begunAs});
 			const remainingMs = draft.deadlineAt - clock.monotonic();
 			if (!record || !isRetryable(draft.route, record) || remainingMs < 1) {
@@ -128,9 +135,11 @@
 		}
 	}
 
-	async #runAttempt({route, path, headers, body, deadlineAt}: Draft, {attempt, lastEventId, begunAs}: {attempt: number; lastEventId: number; begunAs: string | undefined}): Promise<CallerRecord & {retryAfterMs: number} | undefined> {
+	async #runAttempt({
+		route, path, headers, body, deadlineAt, canTakeUp,
+	}: Draft, {attempt, lastEventId, begunAs}: {attempt: number; lastEventId: number; begunAs: string | undefined}): Promise<CallerRecord & {retryAfterMs: number} | undefined> {
 		const {clock, index, host, record: addRecord} = this.#opts;
-		const connection = await this.#connect();
+		const connection = await this.#connect(deadlineAt);
 		const remainingMs = deadlineAt - clock.monotonic();
 		if (!connection || remainingMs < 1) {
 			return undefined;
@@ -138,7 +147,6 @@
 
 		const requestId = `c${index}-${this.#requests}-${attempt}`;
 		const sentAt = clock.now();
-		const canTakeUp = route.isResumable && this.#opts.faults.has(versionsFault);
 		const isLeaving = this.#opts.random.next() < (canTakeUp ? lostConnectionFraction : leaveFraction);
 		const exchange = await connection.send(formatMessage(`POST ${path} HTTP/1.1`, {
 			host, 'x-request-id': requestId, 'x-deadline-ms': String(Math.ceil(remainingMs)), ...headers, ...(lastEventId > 0 ? {'last-event-id': String(lastEventId)} : {}), ...(begunAs === undefined ? {} : {resumes: begunAs}),
@@ -150,24 +158,27 @@
 		return isLeaving && !canTakeUp ? undefined : {...record, retryAfterMs: Number(exchange.answer?.headers['retry-after'] ?? 0) * 1000};
 	}
 
-	async #connect(): Promise<CallerConnection | undefined> {
+	/** Tries the edges one after the other until the deadline, as long as all of them are down. */
+	async #connect(deadlineAt: number): Promise<CallerConnection | undefined> {
 		const {clock, edges} = this.#opts;
 		if (this.#connection?.isReusable(this.#opts.getIdleLimit())) {
 			return this.#connection;
 		}
 
 		this.#connection?.close();
-
-		for (const _ of edges) {
-			this.#connection = await openConnection(edges[this.#edge % edges.length]!, clock);
-			if (this.#connection) {
-				return this.#connection;
+		while (clock.monotonic() < deadlineAt) {
+			for (const _ of edges) {
+				this.#connection = await openConnection(edges[this.#edge % edges.length]!, clock);
+				if (this.#connection) {
+					return this.#connection;
+				}
+
+				this.#edge++;
 			}
 
-			this.#edge++;
+			await clock.sleep(reconnectMs);
 		}
 
-		await clock.sleep(reconnectMs);
 		return undefined;
 	}
 }
--- a/tools/soak/src/check-versions.ts
+++ b/tools/soak/src/check-versions.ts
@@ -41,12 +41,18 @@
 	const attempts = records.callers.filter(caller => resumable.has(caller.route) && !caller.hasLeft && isInTouch(caller, records));
 	const versions = new Map(records.callers.map(({requestId, body}) => [requestId, listEventVersions(body)[0]]));
 	const takeUps = attempts.filter(({begunAs, sentAt}) => begunAs !== undefined && countServers(versions.get(begunAs)!, sentAt, records) >= neededServers);
-	if (takeUps.length < countedTakeUps) {
-		return [];
-	}
+	// A caller that is refused tries again, and its stream counts once.
+	const takenUp = countStreams(collectByKey(takeUps, ({begunAs}) => begunAs!));
+	const begun = countStreams(collectByKey(attempts.filter(({begunAs}) => begunAs === undefined), ({caller, path}) => `${caller} ${path}`));
+	return takenUp.count >= countedTakeUps && takenUp.share < begun.share / 2
+		? [{rule: 'LOST', detail: `of ${takenUp.count} streams that were taken up ${takenUp.share.toFixed(2)} went on, of new ones ${begun.share.toFixed(2)} began`}]
+		: [];
+}
 
-	const [takenUp, begun] = [takeUps, attempts.filter(({begunAs}) => begunAs === undefined)].map(list => list.filter(record => hasGoneOn(record)).length / list.length);
-	return takenUp! < begun! / 2 ? [{rule: 'LOST', detail: `of ${takeUps.length} streams that were taken up ${takenUp!.toFixed(2)} went on, of new ones ${begun!.toFixed(2)} began`}] : [];
+/** Counts streams, and the share of those with an attempt that was served. */
+function countStreams(streams: ReadonlyMap<string, CallerRecord[]>): {count: number; share: number} {
+	const served = [...streams.values()].filter(attempts => attempts.some(attempt => hasGoneOn(attempt)));
+	return {count: streams.size, share: served.length / streams.size};
 }
 
 function hasGoneOn({status}: CallerRecord): boolean {
