fix(edge): another server confirms the end of a stream when its own refuses

Cause: the end of a resumed stream that only its connection delimits is confirmed by asking its server for what comes behind the last event. A server that refused (503), or failed without an event, left the end unconfirmed, although others of the same version could have said it.

Change: another server is asked then, if the route allows one more and it may go on with the stream.

--- a/packages/plugins/edge/src/end-confirmation.ts
+++ b/packages/plugins/edge/src/end-confirmation.ts
@@ -1,6 +1,6 @@
 /**
  * Confirms the end of a resumable stream that only its connection delimits, when its caller was promised a delimited one or
- * has got nothing: its server is asked again for what comes behind the last event.
+ * has got nothing: its server is asked again for what comes behind the last event, or another one if it does not say.
  */
 import {answerVerdicts, type ReceivedAnswer} from '@hickorytrack/http-answer/answer-reader';
 import type {KnownServer} from '@hickorytrack/endpoint-registry';
@@ -21,6 +21,8 @@
 	planner: StreamPlanner;
 	/** Tells whether the request may still be sent to a server. */
 	canSend: () => boolean;
+	/** Selects another server that may go on with the stream, which counts as one that the request is sent to. */
+	selectOther: (asked: readonly KnownServer[]) => KnownServer | undefined;
 };
 
 export class EndConfirmation {
@@ -41,10 +43,12 @@
 	 * Asks the server again for what comes behind the last event. If nothing does, the end was one: a break would have to come
 	 * at the same event twice. Returns the answer that the stream ends with.
 	 */
-	async confirm(run: StreamRun, server: KnownServer, opts: {received: ReceivedAnswer; predictedMs: number}): Promise<ReceivedAnswer> {
-		const {request, relay, calls, permits, planner, canSend} = this.#opts;
+	async confirm(run: StreamRun, first: KnownServer, opts: {received: ReceivedAnswer; predictedMs: number}): Promise<ReceivedAnswer> {
+		const {request, relay, calls, permits, planner, canSend, selectOther} = this.#opts;
+		const asked = [first];
 		let answer = opts.received;
 		while (answer.verdict === answerVerdicts.unknown && canSend()) {
+			const server = asked.at(-1)!;
 			const permit = permits.acquire(retryKinds.run);
 			const grant = permit && await planner.acquireResumption(server);
 			if (!permit || !grant || run.isCancelled || request.signal.aborted) {
@@ -61,14 +65,25 @@
 			});
 			const hasEnded = result.outcome === attemptOutcomes.answered && result.isStreamed;
 			const hasMore = relay.lastEventId !== lastEventId;
-			if (!hasEnded) {
-				return hasMore ? {...answer, verdict: answerVerdicts.brokenOff} : answer;
+			if (hasEnded && hasMore) {
+				answer = result.answer!;
+				continue;
 			}
 
-			answer = result.answer!;
-			if (!hasMore) {
-				return answer.verdict === answerVerdicts.unknown ? {...answer, verdict: answerVerdicts.whole} : answer;
+			if (hasEnded) {
+				return result.answer!.verdict === answerVerdicts.unknown ? {...result.answer!, verdict: answerVerdicts.whole} : result.answer!;
 			}
+
+			if (hasMore) {
+				return {...answer, verdict: answerVerdicts.brokenOff};
+			}
+
+			const other = run.isCancelled || request.signal.aborted ? undefined : selectOther(asked);
+			if (!other) {
+				return answer;
+			}
+
+			asked.push(other);
 		}
 
 		return answer;
--- a/packages/plugins/edge/src/stream-planner.ts
+++ b/packages/plugins/edge/src/stream-planner.ts
@@ -152,6 +152,17 @@
 		}, servers) ?? (isCandidate(this.#context, planned) && canRun(planned) ? planned : undefined);
 	}
 
+	/** Selects a server that can tell what comes behind the last event of the stream, other than those that were asked. */
+	selectConfirmingServer(asked: readonly KnownServer[]): KnownServer | undefined {
+		const {promptPlacement, availabilityZone} = this.#context;
+		const {service, route} = this.#request;
+		const servers = listCandidates(this.#context, service, {canRun: server => this.#origin.canRun(server)});
+		const excluded = new Set([...this.#excluded, ...asked.map(({id}) => id)]);
+		return promptPlacement.selectDecodeServer({
+			prompt: this.#prompt, objectiveMs: route.objectiveMs, excluded, availabilityZone,
+		}, servers);
+	}
+
 	/** Waits for the right to go on with a stream at a server. The caller waits for the next event, so it comes before new requests. */
 	async acquireResumption(server: KnownServer): Promise<SendGrant | undefined> {
 		const remainingMs = computeRemainingMs(this.#context, this.#request);
--- a/packages/plugins/edge/src/streaming-forwarder.ts
+++ b/packages/plugins/edge/src/streaming-forwarder.ts
@@ -82,7 +82,7 @@
 		this.#permits = new SendPermits(context.retryBudget, request);
 		this.#planner = new StreamPlanner(context, request, {permits: this.#permits, prompt: this.#calls.prompt, origin: this.#origin});
 		this.#endConfirmation = new EndConfirmation({
-			request, relay: this.#relay, calls: this.#calls, permits: this.#permits, planner: this.#planner, canSend: () => !this.#isBanned && this.#remainingMs >= minimumRetryMs,
+			request, relay: this.#relay, calls: this.#calls, permits: this.#permits, planner: this.#planner, canSend: () => !this.#isBanned && this.#remainingMs >= minimumRetryMs, selectOther: asked => this.#selectConfirmingServer(asked),
 		});
 	}
 
@@ -496,6 +496,15 @@
 		return this.#createFailure(describeFailure(result));
 	}
 
+	#selectConfirmingServer(asked: readonly KnownServer[]): KnownServer | undefined {
+		const server = this.#canRunElsewhere ? this.#planner.selectConfirmingServer(asked) : undefined;
+		if (server) {
+			this.#servers.push(server);
+		}
+
+		return server;
+	}
+
 	async #finishStream(run: StreamRun, server: KnownServer, received: ReceivedAnswer): Promise<RunEnding | undefined> {
 		const {health, crashReports} = this.#context;
 		this.#isNotExecuted = false;
