--- a/packages/plugins/edge/src/end-confirmation.ts
+++ b/packages/plugins/edge/src/end-confirmation.ts
@@ -40,8 +40,8 @@
 	}
 
 	/**
-	 * Asks the server again for what comes behind the last event. If nothing does, the end was one: a break would have to come
-	 * at the same event twice. Returns the answer that the stream ends with.
+	 * Asks the first server again for what comes behind the last event, and others if it fails without an event. If nothing
+	 * comes, the end was one: a break would have to come at the same event twice. Returns the answer that the stream ends with.
 	 */
 	async confirm(run: StreamRun, first: KnownServer, opts: {received: ReceivedAnswer; predictedMs: number}): Promise<ReceivedAnswer> {
 		const {request, relay, calls, permits, planner, canSend, selectOther} = this.#opts;
--- a/packages/plugins/edge/src/http-frontend.ts
+++ b/packages/plugins/edge/src/http-frontend.ts
@@ -226,7 +226,7 @@
 		}
 	}
 
-	/** Its body may follow or not, so nothing can be read behind it. */
+	/** Answers 417 and lets the connection close: nobody knows whether the body follows, so no further request can be read. */
 	#rejectExpectation(incoming: IncomingMessage, response: ServerResponse): void {
 		const exchange = this.#recordExchange(incoming, response);
 		if (this.#isClosing(incoming.socket)) {
