fix(stream-origins): a restarted server makes only the streams unknown that it may have begun

Callers saw: during releases that start servers anew under their ids, take-ups were refused as `unknown-version` although servers of the version that began the stream served.

Change: the later start counts only for a stream that the start before began. A stream without an event is recorded as possibly of an unknown version until its first event, because all edges may be killed before it is known who began it.

Figures: the first new test failed before (`ambiguous`) and passes now; the second guards what must stay refused.

--- a/packages/plugins/edge/src/request-origin.ts
+++ b/packages/plugins/edge/src/request-origin.ts
@@ -84,7 +84,7 @@
 	accept(server: KnownServer): boolean {
 		if (!this.#pinned) {
 			this.#pinned = {version: server.version, server};
-			this.#stream?.settle(server.version);
+			this.#stream?.settle(server);
 		}
 
 		return isSameStart(server, this.#pinned.server) || this.canRun(server);
--- a/packages/routing/stream-origins/src/open-stream.ts
+++ b/packages/routing/stream-origins/src/open-stream.ts
@@ -54,9 +54,12 @@
 	/** Versions of the servers to which it was sent. */
 	readonly #sentVersions = new Set<string>();
 	readonly #sends: Array<{server: OriginServer; sentAt: number}> = [];
+	/** Starts with another version that may have got a request which was meant for the start before. */
+	readonly #laterStarts: OriginServer[] = [];
 	#isRecorded = false;
 	#isDisowned = false;
-	#settledVersion: string | undefined;
+	/** The server that sent the first event. */
+	#beginner: OriginServer | undefined;
 
 	constructor(owner: StreamOwner, {stream, service, services, lifetimeMs}: StreamOptions) {
 		this.#owner = owner;
@@ -89,7 +92,8 @@
 
 	/** Undefined before the first event, and if the version is not known. */
 	get origin(): BegunStream | undefined {
-		return this.#isDisowned || this.#settledVersion === undefined || this.#settledVersion === unknownVersion ? undefined : {service: this.service, version: this.#settledVersion};
+		const version = this.#beginner?.version ?? unknownVersion;
+		return this.#isDisowned || version === unknownVersion ? undefined : {service: this.service, version};
 	}
 
 	/** True once it is not known which version has begun the stream. */
@@ -97,18 +101,36 @@
 		return this.#isDisowned;
 	}
 
-	/** Tells whether a request that was meant for an earlier start of the server may have reached this one, which has another version. */
-	mayBelongTo({id, startedAt, version}: OriginServer): boolean {
-		return this.#sends.some(({server, sentAt}) => server.id === id && server.startedAt < startedAt && sentAt >= startedAt - clockSkewMs && server.version !== version);
+	/**
+	 * Called with the first report of a start of a server. The stream becomes unknown if that start may have begun it in place of
+	 * the one before. Until its first event, it only may: another server may still begin it.
+	 */
+	handleStart(start: OriginServer): void {
+		const mayHaveSentTo = this.#sends.some(({server, sentAt}) => server.id === start.id && server.startedAt < start.startedAt && sentAt >= start.startedAt - clockSkewMs && server.version !== start.version);
+		if (!mayHaveSentTo || this.#isDisowned) {
+			return;
+		}
+
+		this.#laterStarts.push(start);
+		if (this.#beginner) {
+			this.#disownIfReplaced(this.#beginner);
+			return;
+		}
+
+		this.#isRecorded = true;
+		this.#sentVersions.add(unknownVersion);
+		this.#owner.record(this, {added: [...this.#sentVersions]});
 	}
 
-	/** Called with the first event: the stream belongs to this version. */
-	settle(version = unknownVersion): void {
+	/** Called with the first event: the stream belongs to the version of the server that sent it. */
+	settle(server: OriginServer): void {
+		const {version = unknownVersion} = server;
+		this.#beginner = server;
+		this.#disownIfReplaced(server);
 		if (this.#isDisowned) {
 			return;
 		}
 
-		this.#settledVersion = version;
 		const dropped = [...this.#sentVersions].filter(other => other !== version);
 		if (dropped.length > 0) {
 			this.#owner.record(this, {dropped});
@@ -134,13 +156,19 @@
 	recordIfNeeded(): void {
 		if (!this.#isRecorded && this.#sentVersions.size > 0 && this.#owner.hasSeveralVersions(this.#services)) {
 			this.#isRecorded = true;
-			this.#owner.record(this, {added: this.#settledVersion === undefined ? [...this.#sentVersions] : [this.#settledVersion]});
+			this.#owner.record(this, {added: this.#beginner ? [this.#beginner.version ?? unknownVersion] : [...this.#sentVersions]});
 		}
 	}
 
 	close(end: {isComplete: boolean}): void {
 		this.#owner.close(this, end);
 	}
+
+	#disownIfReplaced(beginner: OriginServer): void {
+		if (this.#laterStarts.some(({id, startedAt}) => id === beginner.id && startedAt > beginner.startedAt)) {
+			void this.disown();
+		}
+	}
 }
 
 /** Returns the id by which a stream is recorded; undefined for one that can't be. */
--- a/packages/routing/stream-origins/src/stream-origins.ts
+++ b/packages/routing/stream-origins/src/stream-origins.ts
@@ -213,9 +213,7 @@
 	/** Called with the first report of a start of a server, possibly under the id of an earlier start. */
 	handleStart(server: OriginServer): void {
 		for (const stream of this.#listKept()) {
-			if (stream.mayBelongTo(server)) {
-				void stream.disown();
-			}
+			stream.handleStart(server);
 		}
 
 		this.isAdmitted(server);
--- a/packages/routing/stream-origins/test/stream-origins.test.ts
+++ b/packages/routing/stream-origins/test/stream-origins.test.ts
@@ -97,7 +97,7 @@
 	const begin = async (stream: string | undefined, begunAt: OriginServer): Promise<OpenStream> => {
 		const opened = open(stream);
 		expect(await opened.prepare(begunAt)).to.equal(true);
-		opened.settle(begunAt.version);
+		opened.settle(begunAt);
 		return opened;
 	};
 
@@ -199,7 +199,7 @@
 		const allowed = stream.prepare(server('s2', 'v2'));
 		await wait();
 		expect(await allowed).to.equal(true);
-		stream.settle('v2');
+		stream.settle(server('s2', 'v2'));
 		await wait();
 		core.killAll();
 		expect(await find('a1')).to.deep.equal({ground: 'record', service, version: 'v2'});
@@ -220,6 +220,50 @@
 		expect(await find('a3')).to.include({version: 'v1'});
 	});
 
+	// A release restarts many servers. Streams that one of them had refused were unknown, whichever server had begun them.
+	it('keeps the version of a stream that another server than the restarted one begins', async () => {
+		await admit('v1', 'v2');
+		const now = core.clock.now();
+		const stopped = server('s1', 'v1', now - 10_000);
+		const restarted = server('s1', 'v2', now);
+		const streams = await Promise.all(['a1', 'a2', 'a3'].map(async id => {
+			const stream = open(id);
+			await stream.prepare(stopped);
+			return stream;
+		})) as [OpenStream, OpenStream, OpenStream];
+		const beginAt = async (stream: OpenStream, begunAt: OriginServer) => {
+			const prepared = stream.prepare(begunAt);
+			await wait();
+			expect(await prepared).to.equal(true);
+			stream.settle(begunAt);
+		};
+
+		await beginAt(streams[0], server('s2', 'v1'));
+		instance.handleStart(restarted);
+		await beginAt(streams[1], server('s2', 'v1'));
+		await beginAt(streams[2], restarted);
+		await wait();
+		for (const at of [instance, core.startInstance()]) {
+			expect(await find('a1', at)).to.include({version: 'v1'});
+			expect(await find('a2', at)).to.include({version: 'v1'});
+			expect(await find('a3', at)).to.include({version: 'v2'});
+		}
+	});
+
+	it('disowns a stream without an event that may have gone to a later start of its server, unless another server begins it', async () => {
+		await admit('v1', 'v2');
+		const stream = open('a1');
+		const stopped = server('s1', 'v1', 0);
+		await stream.prepare(stopped);
+		instance.handleStart(server('s1', 'v2', core.clock.now()));
+		await wait();
+		expect(await find('a1')).to.deep.equal({ground: 'ambiguous'});
+		stream.settle(stopped);
+		await wait();
+		expect(await find('a1')).to.deep.equal({ground: 'ambiguous'});
+		expect(await find('a1', instance)).to.deep.equal({ground: 'ambiguous'});
+	});
+
 	// Until the core had stored that the version is unknown, its record still named the earlier one.
 	it('refuses a stream that it has disowned before the core knows it', async () => {
 		await admit('v1', 'v2');
