--- a/tools/soak/src/server-answers.ts
+++ b/tools/soak/src/server-answers.ts
@@ -189,7 +189,9 @@
 				}
 
 				const body = createPlainBody(requestId, path);
-				channel.send(formatMessage('HTTP/1.1 200 OK', {'x-request-id': requestId, 'x-response-stamp': createStamp(requestId, path), 'content-length': String(body.length)}, body.slice(0, body.length / 2)));
+				channel.send(formatMessage('HTTP/1.1 200 OK', {
+					'x-request-id': requestId, 'x-response-stamp': createStamp(requestId, path), ...this.#opts.limit.createHeaders(), 'content-length': String(body.length),
+				}, body.slice(0, body.length / 2)));
 				channel.end();
 				return true;
 			}
