--- a/review/1/case.mjs
+++ b/review/1/case.mjs
@@ -1,3 +1,4 @@
+/* eslint-disable no-await-in-loop, unicorn/no-process-exit, unicorn/no-await-expression-member -- Scripts that run step by step, outside the product. */
 /**
  * A planned replacement of a core machine with a freeze of another one in the middle, then the loss of one disk. Each
  * machine has had its time to catch up before the next one is lost, so no more than one is lost at once.
--- a/review/common/fleet.mjs
+++ b/review/common/fleet.mjs
@@ -1,9 +1,13 @@
+/* eslint-disable no-await-in-loop -- Scripts that run step by step, outside the product. */
 /**
  * Starts the project's program as separate processes on loopback addresses, with settings files as the platform writes them,
  * and plays the platform, the operator and clients. Uses built-in modules of Node.js only.
  */
+import {Buffer} from 'node:buffer';
 import {spawn} from 'node:child_process';
-import {appendFileSync, mkdirSync, mkdtempSync, readFileSync, rmSync, writeFileSync} from 'node:fs';
+import {
+	appendFileSync, mkdirSync, mkdtempSync, readFileSync, rmSync, writeFileSync,
+} from 'node:fs';
 import http from 'node:http';
 import net from 'node:net';
 import {tmpdir} from 'node:os';
@@ -13,7 +17,9 @@
 
 export const root = fileURLToPath(new URL('../../', import.meta.url));
 /** Ports are the same on all machines; the metrics port is that of the deploy file. */
-const ports = {front: 8144, ready: 8140, control: 8146, peerFirst: 7660, peerLast: 7675};
+const ports = {
+	front: 8144, ready: 8140, control: 8146, peerFirst: 7660, peerLast: 7675,
+};
 const startedAt = performance.now();
 
 export const sleep = ms => new Promise(resolve => {
@@ -24,6 +30,7 @@
 /** Lines of what was sent, answered and run, with the time since the start of the script. */
 export class Record {
 	#file;
+
 	constructor(file) {
 		this.#file = file;
 		writeFileSync(file, '');
@@ -130,7 +137,9 @@
 			seeds: this.#seeds,
 			bootstrap: isFirstStart,
 			'bears-loss': bearsLoss,
-			limits: {'cpu-share': 0.608, cores: 2, 'memory-mb': 350, 'max-fds': 4100, 'link-mbps': 1000, 'disk-mb': bearsLoss ? 64 : undefined},
+			limits: {
+				'cpu-share': 0.608, cores: 2, 'memory-mb': 350, 'max-fds': 4100, 'link-mbps': 1000, 'disk-mb': bearsLoss ? 64 : undefined,
+			},
 			'data-dir': bearsLoss ? dataFolder : undefined,
 			discovery: 'registry',
 			entry: 'vip',
--- a/review/common/server.mjs
+++ b/review/common/server.mjs
@@ -1,3 +1,4 @@
+/* eslint-disable no-void, max-nested-callbacks -- Scripts that run step by step, outside the product. */
 /**
  * A sound server of an application service, as a process of its own: it reports to the system, checks that it is the instance
  * that a request expects, works for a while and sends its answer in two parts. It answers with neither a length nor chunks if
--- a/review/common/stream-server.mjs
+++ b/review/common/stream-server.mjs
@@ -1,3 +1,4 @@
+/* eslint-disable no-await-in-loop, no-void, unicorn/prefer-switch -- Scripts that run step by step, outside the product. */
 /**
  * A sound model server, as a process of its own: it reports to the system, runs prefill and decode as separate stages, carries
  * out orders, streams events and goes on behind `Last-Event-Id`. From time to time it falls silent: it goes on with its work,
@@ -6,6 +7,7 @@
  * Arguments: a JSON object with id, ip, port, service, zone, controls, stage, events, eventMs, reportMs and hush
  * ({everyMs, minMs, maxMs}, or null for none). Prints what it runs and when it is silent.
  */
+import {Buffer} from 'node:buffer';
 import {randomBytes} from 'node:crypto';
 import http from 'node:http';
 import process from 'node:process';
@@ -87,7 +89,9 @@
 
 			isClosed = true;
 		});
-		send(() => response.writeHead(200, {'content-type': 'text/event-stream', 'x-request-id': requestId, 'x-response-stamp': `stamp-${requestId}`, 'x-weight-versions': '1'}));
+		send(() => response.writeHead(200, {
+			'content-type': 'text/event-stream', 'x-request-id': requestId, 'x-response-stamp': `stamp-${requestId}`, 'x-weight-versions': '1',
+		}));
 		const step = () => {
 			if (isClosed) {
 				return;
