--- a/review/common/stream-server.mjs
+++ b/review/common/stream-server.mjs
@@ -4,8 +4,9 @@
  * out orders, streams events and goes on behind `Last-Event-Id`. From time to time it falls silent: it goes on with its work,
  * holds everything that it would send, and sends it when the silence is over.
  *
- * Arguments: a JSON object with id, ip, port, service, zone, controls, stage, events, eventMs, reportMs and hush
- * ({everyMs, minMs, maxMs}, or null for none). Prints what it runs and when it is silent.
+ * Arguments: a JSON object with id, ip, port, service, zone, controls, stage, events, eventMs, reportMs, hush
+ * ({everyMs, minMs, maxMs}; without it, the server is never silent) and isUnframed (its streams have neither a length nor
+ * chunks and end with their channel). Prints what it runs and when it is silent.
  */
 import {Buffer} from 'node:buffer';
 import {randomBytes} from 'node:crypto';
@@ -24,7 +25,7 @@
 
 function main() {
 	const settings = JSON.parse(process.argv[2]);
-	const {id, ip, port, service, zone, controls, events, eventMs, reportMs, hush} = settings;
+	const {id, ip, port, service, zone, controls, events, eventMs, reportMs, hush, isUnframed} = settings;
 	const born = Date.now();
 	const say = text => process.stdout.write(`${id} ${text}\n`);
 	let {stage} = settings;
@@ -89,9 +90,17 @@
 
 			isClosed = true;
 		});
-		send(() => response.writeHead(200, {
-			'content-type': 'text/event-stream', 'x-request-id': requestId, 'x-response-stamp': `stamp-${requestId}`, 'x-weight-versions': '1',
-		}));
+		send(() => {
+			const headers = {
+				'content-type': 'text/event-stream', 'x-request-id': requestId, 'x-response-stamp': `stamp-${requestId}`, 'x-weight-versions': '1',
+			};
+			if (isUnframed) {
+				response.removeHeader('transfer-encoding');
+				headers.connection = 'close';
+			}
+
+			response.writeHead(200, headers);
+		});
 		const step = () => {
 			if (isClosed) {
 				return;
