--- a/review/common/stream-server.mjs
+++ b/review/common/stream-server.mjs
@@ -17,7 +17,7 @@
 const heartbeatMs = 1200;
 const switchMs = 3000;
 /** A short prompt is prefilled within a few milliseconds. */
-const firstEventMs = 5;
+const defaultFirstEventMs = 5;
 
 export function createEvent(requestId, number) {
 	return `id: ${number}\ndata: ${requestId}-${number}\n\n`;
@@ -25,7 +25,7 @@
 
 function main() {
 	const settings = JSON.parse(process.argv[2]);
-	const {id, ip, port, service, zone, controls, events, eventMs, reportMs, hush, isUnframed} = settings;
+	const {id, ip, port, service, zone, controls, events, eventMs, reportMs, hush, isUnframed, firstEventMs = defaultFirstEventMs} = settings;
 	const born = Date.now();
 	const say = text => process.stdout.write(`${id} ${text}\n`);
 	let {stage} = settings;
