--- a/review/common/fleet.mjs
+++ b/review/common/fleet.mjs
@@ -85,6 +85,12 @@
 		fleet.record = record;
 		fleet.folder = mkdtempSync(path.join(tmpdir(), 'hickorytrack-review-'));
 		fleet.block = await findBlock();
+		// Whatever ends this process, nothing that it started stays.
+		process.once('exit', () => fleet.#killAll());
+		for (const signal of ['SIGINT', 'SIGTERM', 'SIGHUP']) {
+			process.once(signal, () => process.exit(2));
+		}
+
 		return fleet;
 	}
 
@@ -227,12 +233,14 @@
 		return readFileSync(path.join(this.folder, `${name}.log`), 'utf8');
 	}
 
-	async close() {
+	#killAll() {
 		for (const child of this.#children) {
-			child.kill('SIGCONT');
 			child.kill('SIGKILL');
 		}
+	}
 
+	async close() {
+		this.#killAll();
 		while (this.#children.size > 0) {
 			await sleep(20);
 		}
--- a/review/common/stream-server.mjs
+++ b/review/common/stream-server.mjs
@@ -5,8 +5,8 @@
  * holds everything that it would send, and sends it when the silence is over.
  *
  * Arguments: a JSON object with id, ip, port, service, zone, controls, stage, events, eventMs, reportMs, hush
- * ({everyMs, minMs, maxMs}; without it, the server is never silent) and isUnframed (its streams have neither a length nor
- * chunks and end with their channel). Prints what it runs and when it is silent.
+ * ({everyMs, minMs, maxMs}; without it, the server is never silent) isUnframed (its streams have neither a length nor
+ * chunks and end with their channel) and crashingPart (a part of prompts: it crashes when it begins to write an answer to one). Prints what it runs and when it is silent.
  */
 import {Buffer} from 'node:buffer';
 import {randomBytes} from 'node:crypto';
@@ -25,7 +25,7 @@
 
 function main() {
 	const settings = JSON.parse(process.argv[2]);
-	const {id, ip, port, service, zone, controls, events, eventMs, reportMs, hush, isUnframed, firstEventMs = defaultFirstEventMs} = settings;
+	const {id, ip, port, service, zone, controls, events, eventMs, reportMs, hush, isUnframed, firstEventMs = defaultFirstEventMs, crashingPart} = settings;
 	const born = Date.now();
 	const say = text => process.stdout.write(`${id} ${text}\n`);
 	let {stage} = settings;
@@ -82,6 +82,11 @@
 		let isClosed = false;
 		running++;
 		say(`runs ${requestId} from event ${number + 1}`);
+		if (crashingPart !== undefined && request.headers['x-prompt-prefix']?.includes(`${crashingPart}:`)) {
+			process.stdout.write(`${id} crashes under ${requestId}\n`, () => process.kill(process.pid, 'SIGKILL'));
+			return;
+		}
+
 		response.once('close', () => {
 			running--;
 			if (!isClosed && number < events) {
