test(platform): two servers at work on one stream

A silent server may be sound and still at work when another one takes its stream over. With the 4 events of the other tests the server's work was over before the takeover, which is why none of them could show it.

--- a/stand-ins/src/platform-server.ts
+++ b/stand-ins/src/platform-server.ts
@@ -70,8 +70,15 @@
 	eventMs?: number;
 	/** Time that the prefill of a prompt takes; without it a prompt is prefilled at once. */
 	prefillMs?: number;
+	/** Time from the start of a generation to the head of its answer, with or without a KV cache. */
+	firstTokenMs?: number;
+	/** Time that the answer to a call for its report takes. */
+	reportMs?: number;
 };
 
+/** A generation of the server, by the time of day in milliseconds; `until` is undefined while the server works on it. */
+export type WorkPeriod = {requestId: string; from: number; until?: number};
+
 export type ReceivedRequest = {
 	requestId: string;
 	path: string;
@@ -101,6 +108,8 @@
 	readonly abandonedRequestIds: string[] = [];
 	/** Accepted stage orders. */
 	readonly orders: StageOrder[] = [];
+	/** What the server has worked on, calls for a prefill left out. */
+	readonly workPeriods: WorkPeriod[] = [];
 	fault: PlatformFault = platformFaults.none;
 	/** What delimits the body of an answer to a request; without it, plain answers have a length and streams are in chunks. */
 	framing: AnswerFraming | undefined;
@@ -266,7 +275,7 @@
 		}
 
 		if (request.url === '/api/report' || request.url === '/api/order') {
-			this.#handleOperation(request, response, receivedRequest.body);
+			await this.#handleOperation(request, response, receivedRequest.body);
 			return;
 		}
 
@@ -285,13 +294,14 @@
 	}
 
 	/** Handles a report request or a stage order; the stage changes immediately. */
-	#handleOperation(request: IncomingMessage, response: ServerResponse, body: string): void {
+	async #handleOperation(request: IncomingMessage, response: ServerResponse, body: string): Promise<void> {
 		if (request.headers['x-expect-instance'] !== this.id) {
 			this.#send(response, 421, {'x-not-executed': '1'}, '');
 			return;
 		}
 
 		if (request.url === '/api/report') {
+			await this.#opts.clock.sleep(this.#opts.reportMs ?? 0);
 			this.#send(response, 200, {'content-type': 'application/json'}, JSON.stringify({
 				born: this.#opts.startedAt, stage: this.#stage, busy: false, seq: this.orders.length,
 			}));
@@ -349,11 +359,14 @@
 			return;
 		}
 
-		if (request.headers['x-kv-source'] === undefined && this.#opts.prefillMs !== undefined) {
-			await this.#opts.clock.sleep(this.#opts.prefillMs);
+		const {clock, prefillMs, firstTokenMs} = this.#opts;
+		const isPrefillCall = request.headers['x-stage'] === 'prefill';
+		const period = isPrefillCall ? undefined : this.#recordWork(response, receivedRequest);
+		if (request.headers['x-kv-source'] === undefined && prefillMs !== undefined) {
+			await clock.sleep(prefillMs);
 		}
 
-		if (request.headers['x-stage'] === 'prefill') {
+		if (isPrefillCall) {
 			if (this.crashingPart?.isPrefill && this.#runCrash(this.crashingPart.at, receivedRequest)) {
 				return;
 			}
@@ -365,6 +378,10 @@
 		}
 
 		receivedRequest.hasRun = true;
+		if (firstTokenMs !== undefined) {
+			await clock.sleep(firstTokenMs);
+		}
+
 		if (this.#runCrash('request', receivedRequest)) {
 			return;
 		}
@@ -381,6 +398,18 @@
 		}
 
 		await this.#sendEvents(request, response, receivedRequest);
+		period!.until ??= clock.now();
+	}
+
+	/** Records the work on a request, which ends with its connection at the latest. */
+	#recordWork(response: ServerResponse, {requestId}: ReceivedRequest): WorkPeriod {
+		const {clock} = this.#opts;
+		const period: WorkPeriod = {requestId, from: clock.now()};
+		this.workPeriods.push(period);
+		response.on('close', () => {
+			period.until ??= clock.now();
+		});
+		return period;
 	}
 
 	async #sendEvents(request: IncomingMessage, response: ServerResponse, receivedRequest: ReceivedRequest): Promise<void> {
