test(stand-ins): a server that is silent sees that its connection has ended

The stand-in holds the bytes of a silent server by corking its sockets, which then don't close before the silence is over, so that its work seemed to last longer than it did. It now ends with the end of the connection that the server reads.

--- a/stand-ins/src/platform-server.ts
+++ b/stand-ins/src/platform-server.ts
@@ -127,7 +127,7 @@
 	#stage: 'prefill' | 'decode' | undefined;
 	readonly #opts: PlatformServerOptions;
 	readonly #server: Server;
-	readonly #sockets = new Map<Socket, {repeater: AnswerRepeater; breaker: AnswerBreaker; hold: AnswerHold}>();
+	readonly #sockets = new Map<Socket, {repeater: AnswerRepeater; breaker: AnswerBreaker; hold: AnswerHold; periods: Set<WorkPeriod>}>();
 	#isPaused = false;
 	#port = 0;
 
@@ -139,7 +139,17 @@
 		});
 		this.#server.on('connection', socket => {
 			const hold = new AnswerHold(socket);
-			this.#sockets.set(socket, {breaker: new AnswerBreaker(socket), repeater: new AnswerRepeater(socket), hold});
+			const periods = new Set<WorkPeriod>();
+			this.#sockets.set(socket, {
+				breaker: new AnswerBreaker(socket), repeater: new AnswerRepeater(socket), hold, periods,
+			});
+			// A socket whose answers are held does not close before they are sent.
+			for (const event of ['end', 'close']) {
+				socket.on(event, () => {
+					this.#endWork(periods);
+				});
+			}
+
 			if (this.#isPaused) {
 				hold.pause();
 			}
@@ -361,7 +371,7 @@
 
 		const {clock, prefillMs, firstTokenMs} = this.#opts;
 		const isPrefillCall = request.headers['x-stage'] === 'prefill';
-		const period = isPrefillCall ? undefined : this.#recordWork(response, receivedRequest);
+		const period = isPrefillCall ? undefined : this.#recordWork(request.socket, receivedRequest);
 		if (request.headers['x-kv-source'] === undefined && prefillMs !== undefined) {
 			await clock.sleep(prefillMs);
 		}
@@ -402,16 +412,19 @@
 	}
 
 	/** Records the work on a request, which ends with its connection at the latest. */
-	#recordWork(response: ServerResponse, {requestId}: ReceivedRequest): WorkPeriod {
-		const {clock} = this.#opts;
-		const period: WorkPeriod = {requestId, from: clock.now()};
+	#recordWork(socket: Socket, {requestId}: ReceivedRequest): WorkPeriod {
+		const period: WorkPeriod = {requestId, from: this.#opts.clock.now()};
 		this.workPeriods.push(period);
-		response.on('close', () => {
-			period.until ??= clock.now();
-		});
+		this.#sockets.get(socket)?.periods.add(period);
 		return period;
 	}
 
+	#endWork(periods: ReadonlySet<WorkPeriod>): void {
+		for (const period of periods) {
+			period.until ??= this.#opts.clock.now();
+		}
+	}
+
 	async #sendEvents(request: IncomingMessage, response: ServerResponse, receivedRequest: ReceivedRequest): Promise<void> {
 		const {clock, version, events = defaultEvents, eventMs = 5} = this.#opts;
 		const origin = version === undefined ? '' : ` of ${version}`;
