fix(edge): two servers do not work on one stream for long

Callers saw nothing, but a stream that another server took over was worked on by two: the first one, silent and sound, ended only when the second one's head had come and a call for its report had proved its start. Nothing bounded the sum; on real machines a first token and a report take hundreds of milliseconds.

The change of hands is now one decision. The second server is sent the request only if it has answered anybody since the first one fell silent, or answers a call for its status. From then on the first run is on hold, so that what it sends can't end a run that has begun; it ends when the second server accepts the request, with the head, not with the proof, or after 300 ms; it goes on if the second server refuses, fails, or was not reached. No answer is lost for it: a resumable stream that the second server fails may return to a server that has not failed it, and the proof waits as long as the caller does.

--- a/packages/plugins/edge/src/attempt.ts
+++ b/packages/plugins/edge/src/attempt.ts
@@ -69,6 +69,7 @@
 export class AttemptCanceller {
 	#isCancelled = false;
 	#cancelAttempt: (() => void) | undefined;
+	#sentRequest: SentRequest | undefined;
 
 	get isCancelled(): boolean {
 		return this.#isCancelled;
@@ -79,8 +80,14 @@
 		this.#cancelAttempt?.();
 	}
 
-	/** Sets what ends the present attempt. */
-	setAttempt(cancelAttempt: () => void): void {
+	/** The request of the present attempt was written to its server, which may work on it. */
+	get isWritten(): boolean {
+		return this.#sentRequest?.isWritten ?? false;
+	}
+
+	/** Sets the present attempt and what ends it. */
+	setAttempt(sentRequest: SentRequest, cancelAttempt: () => void): void {
+		this.#sentRequest = sentRequest;
 		this.#cancelAttempt = cancelAttempt;
 		if (this.#isCancelled) {
 			cancelAttempt();
@@ -105,9 +112,10 @@
 			resolve(result);
 		});
 		opts.signal.addEventListener('abort', cancelAttempt);
-		collector.setSentRequest(client.send(address, opts.request, collector));
+		const sentRequest = client.send(address, opts.request, collector);
+		collector.setSentRequest(sentRequest);
 		collector.startTimers();
-		opts.canceller?.setAttempt(() => {
+		opts.canceller?.setAttempt(sentRequest, () => {
 			collector.cancel(attemptOutcomes.replaced);
 		});
 		if (opts.signal.aborted) {
--- a/packages/plugins/edge/src/request-origin.ts
+++ b/packages/plugins/edge/src/request-origin.ts
@@ -105,9 +105,12 @@
 		})();
 	}
 
-	/** Resolves with true if the known start of the server has sent the beginning of its answer, and the stream may go on with it. */
-	async proveContinuation(server: KnownServer): Promise<boolean> {
-		const verdict = await this.#opts.startProof.check(server, this.#opts.getTime());
+	/**
+	 * Resolves with true if the known start of the server has sent the beginning of its answer, and the stream may go on with it;
+	 * with false also if the server does not say so within the time, in milliseconds.
+	 */
+	async proveContinuation(server: KnownServer, maxWaitMs: number): Promise<boolean> {
+		const verdict = await this.#opts.startProof.check(server, this.#opts.getTime(), {maxWaitMs});
 		await this.#proof;
 		return verdict === startVerdicts.proved && this.canRun(server);
 	}
--- a/packages/plugins/edge/src/start-proof.ts
+++ b/packages/plugins/edge/src/start-proof.ts
@@ -22,7 +22,7 @@
 	getConnectionLimit: (service: string) => number;
 };
 
-const callTimeoutMs = 250;
+const defaultMaxWaitMs = 250;
 /** Time between two tries while all connections to the server are busy. */
 const retryMs = 10;
 
@@ -44,7 +44,7 @@
 	}
 
 	/** Checks the answer to a request that was sent at this monotonic time. Starts without a start time have an id of their own. */
-	async check(server: KnownServer, sentAt: number): Promise<StartVerdict> {
+	async check(server: KnownServer, sentAt: number, {maxWaitMs = defaultMaxWaitMs}: {maxWaitMs?: number} = {}): Promise<StartVerdict> {
 		const {clock, registry} = this.#opts;
 		const known = registry.find(server.id);
 		if (server.startedAt === 0 || (known?.startedAt === server.startedAt && known.heardAt > sentAt)) {
@@ -57,7 +57,7 @@
 			return isEarlier(known.startedAt) ? startVerdicts.proved : startVerdicts.refuted;
 		}
 
-		const startedAt = await this.#readStartTime(server);
+		const startedAt = await this.#readStartTime(server, maxWaitMs);
 		if (startedAt === undefined) {
 			return startVerdicts.unknown;
 		}
@@ -65,14 +65,25 @@
 		return startedAt === server.startedAt || (startedAt > server.startedAt && isEarlier(startedAt)) ? startVerdicts.proved : startVerdicts.refuted;
 	}
 
-	async #readStartTime(server: KnownServer): Promise<number | undefined> {
+	/** Tells whether the server answers a call for its status within the time, in milliseconds. */
+	async isAnswering(server: KnownServer, maxWaitMs: number): Promise<boolean> {
+		return (await this.#readStatus(server, maxWaitMs)) !== undefined;
+	}
+
+	async #readStartTime(server: KnownServer, maxWaitMs: number): Promise<number | undefined> {
+		const status = await this.#readStatus(server, maxWaitMs);
+		return status === undefined ? undefined : this.#opts.codec.decodeStartTime(status);
+	}
+
+	/** Undefined if the server does not answer. */
+	async #readStatus(server: KnownServer, maxWaitMs: number): Promise<string | undefined> {
 		const {clock} = this.#opts;
-		const until = clock.monotonic() + callTimeoutMs;
+		const until = clock.monotonic() + maxWaitMs;
 		for (;;) {
 			const result = await this.#call(server, until - clock.monotonic());
 			if (!result?.error?.isBusy || clock.monotonic() + retryMs >= until) {
 				const isAnswered = result?.outcome === attemptOutcomes.answered && result.head?.status === 200;
-				return isAnswered ? this.#opts.codec.decodeStartTime(result.body.toString()) : undefined;
+				return isAnswered ? result.body.toString() : undefined;
 			}
 
 			await clock.sleep(retryMs);
--- a/packages/plugins/edge/src/stream-calls.ts
+++ b/packages/plugins/edge/src/stream-calls.ts
@@ -38,6 +38,8 @@
 export type StreamCallsOptions = {
 	relay: EventRelay;
 	origin: RequestOrigin;
+	/** Called when a server accepts a continuation, whose events wait for the proof of its start. */
+	onAccepted: (run: StreamRun) => void;
 	/** Called at each check that finds the server of a run silent. */
 	onSilent: (run: StreamRun, server: KnownServer, silentMs: number) => void;
 };
@@ -137,7 +139,7 @@
 		const {isResumable: isRetryable} = this.#request.route;
 		const isLongOutput = this.prompt.maxOutputTokens >= longOutputTokens;
 		run.server = server;
-		run.isGenerating = true;
+		run.generatingSince = clock.monotonic();
 		run.backupServer = isLongOutput ? selectBackup(this.#context, server, [server, ...run.listEarlierServers()]) : undefined;
 		const load = loadTracker.getLoad(server.id);
 		const inFlightLoad = loadTracker.add(server.id, handle ? 0 : placement.prefillTokens, {isStream: isLongOutput});
@@ -148,7 +150,9 @@
 		const heldEvents = lastEventId === undefined
 			? undefined
 			: new HeldEvents({
-				sink: run, prove: async () => this.#opts.origin.proveContinuation(server), onRefuted() {
+				sink: run, onHead: () => {
+					this.#opts.onAccepted(run);
+				}, prove: async () => this.#opts.origin.proveContinuation(server, this.#patienceMs), onRefuted() {
 					refutation.abort();
 				},
 			});
@@ -183,6 +187,7 @@
 			}),
 		});
 		await heldEvents?.settle();
+		await run.waitForRelease();
 		inFlightLoad.release();
 		permit.finish({isWritten: result.isWritten, isAccepted: true});
 		if (heldEvents?.isRefuted && !this.#request.signal.aborted) {
@@ -217,6 +222,11 @@
 		};
 	}
 
+	/** Time for which the caller waits for the next event. */
+	get #patienceMs(): number {
+		return Math.min(this.#remainingMs, this.#request.route.patienceMs ?? Number.POSITIVE_INFINITY);
+	}
+
 	get #remainingMs(): number {
 		return computeRemainingMs(this.#context, this.#request);
 	}
--- a/packages/plugins/edge/src/stream-planner.ts
+++ b/packages/plugins/edge/src/stream-planner.ts
@@ -50,17 +50,25 @@
 		this.#excluded.add(id);
 	}
 
+	isRejected({id}: KnownServer): boolean {
+		return this.#excluded.has(id);
+	}
+
 	/** Plans the run with all permits that its placement needs. Without one for a prefill, a decode server prefills the prompt. */
 	plan(run: StreamRun): StreamPlan {
 		const excluded = this.#listExcluded(run);
 		const canPrefill = !this.#request.isTrial;
-		const {placement, limitWaitMs} = this.#selectPlacement({excluded, canPrefill});
+		const {placement, limitWaitMs} = this.#selectPlacement(run, {excluded, canPrefill});
 		if (placement.kind !== 'hand-over') {
 			return {placement, limitWaitMs};
 		}
 
 		const prefillPermit = this.#permits.acquire(retryKinds.prefill);
-		return prefillPermit ? {placement, prefillPermit, limitWaitMs} : this.#selectPlacement({excluded, canPrefill: false});
+		return prefillPermit ? {placement, prefillPermit, limitWaitMs} : this.#selectPlacement(run, {excluded, canPrefill: false});
+	}
+
+	#canRunAt(run: StreamRun, server: KnownServer): boolean {
+		return (run.allowedServers?.has(server.id) ?? true) && this.#origin.canRun(server);
 	}
 
 	/** Servers at which this request has failed, and those that are silent. */
@@ -69,11 +77,11 @@
 	}
 
 	/** Selects servers that take the request now, or else ones that take it after a wait. */
-	#selectPlacement({excluded, canPrefill}: {excluded: ReadonlySet<string>; canPrefill: boolean}): Pick<StreamPlan, 'placement' | 'limitWaitMs'> {
+	#selectPlacement(run: StreamRun, {excluded, canPrefill}: {excluded: ReadonlySet<string>; canPrefill: boolean}): Pick<StreamPlan, 'placement' | 'limitWaitMs'> {
 		const {promptPlacement, availabilityZone, clock} = this.#context;
 		const {service, route} = this.#request;
 		// A prompt may be prefilled at any version: its KV cache depends on the weights, and events come from the decode server only.
-		const canRun = (server: KnownServer) => server.stage === 'prefill' ? canPrefill : this.#origin.canRun(server);
+		const canRun = (server: KnownServer) => server.stage === 'prefill' ? canPrefill : this.#canRunAt(run, server);
 		const select = (limitWaitMs: number) => promptPlacement.plan({
 			prompt: this.#prompt,
 			servers: listCandidates(this.#context, service, {limitWaitMs, canRun}),
@@ -144,7 +152,7 @@
 	selectDecodeServer(run: StreamRun, planned: KnownServer): KnownServer | undefined {
 		const {promptPlacement, availabilityZone, limits, registry} = this.#context;
 		const {service, route} = this.#request;
-		const canRun = (server: KnownServer) => this.#origin.canRun(server);
+		const canRun = (server: KnownServer) => this.#canRunAt(run, server);
 		const canTakeRun = (server: KnownServer) => server.id === planned.id || !limits.isLimited(server);
 		const servers = listCandidates(this.#context, service, {limitWaitMs: Number.POSITIVE_INFINITY, canRun}).filter(server => canTakeRun(server));
 		return promptPlacement.selectDecodeServer({
--- a/packages/plugins/edge/src/streaming-forwarder.ts
+++ b/packages/plugins/edge/src/streaming-forwarder.ts
@@ -4,7 +4,9 @@
  * continues at another server after its last complete event; any other request runs at most once.
  *
  * A silent server may be sound and go on. So silence ends no attempt: another run is started beside it, if one is allowed and
- * a server takes it, and whichever delivers first ends the other.
+ * a server answers. Two servers must not work on one stream for long: once the second one has been sent the request, the
+ * first run ends when that server takes it or says nothing in time, and goes on if it does not take it. A stream that the
+ * second server then fails may go back to the first one.
  */
 import {unlimitedGrant, type SendGrant} from '@hickorytrack/endpoint-client/send-grant';
 import {describeError} from '@hickorytrack/errors';
@@ -28,7 +30,7 @@
 import {retryKinds} from './retry-budget.js';
 import {SendPermits, type SendPermit} from './send-permits.js';
 import {EndConfirmation} from './end-confirmation.js';
-import {StreamCalls} from './stream-calls.js';
+import {StreamCalls, type GenerationOptions} from './stream-calls.js';
 import {StreamPlanner, type GrantedPlan, type StreamPlan} from './stream-planner.js';
 import {StreamRun, type RunEnding} from './stream-run.js';
 import {
@@ -37,6 +39,8 @@
 
 /** The core admits a version within the time of a few syncs. */
 const maxAdmissionWaitMs = 300;
+/** For how long two servers may work on one stream, in milliseconds. The platform allows 400, until the first one has seen the end. */
+const maxSharedWorkMs = 300;
 const minimumRetryMs = 20; // With less time left, another attempt would not complete before the deadline.
 /** A trait of the request was found to crash servers while it was on its way. */
 const bannedReason = 'the request or a part of its prompt crashes servers';
@@ -71,7 +75,9 @@
 		this.#relay = new EventRelay(request.response, {clock: context.clock});
 		this.#origin = new RequestOrigin(request, {origins: context.origins, startProof: context.startProof, getTime: () => context.clock.monotonic()});
 		this.#calls = new StreamCalls(context, request, {
-			relay: this.#relay, origin: this.#origin, onSilent: (run, server, silentMs) => {
+			relay: this.#relay, origin: this.#origin, onAccepted: run => {
+				this.#cancelPredecessors(run);
+			}, onSilent: (run, server, silentMs) => {
 				try {
 					this.#handleSilence(run, server, silentMs);
 				} catch (error) {
@@ -112,13 +118,13 @@
 				return this.#createFailure('the retry budget is used up');
 			}
 
-			const run = this.#createRun({permit});
+			const run = this.#createRun({permit, allowedServers: this.#allowedServers});
 			const ending = await this.#runToEnd(run, async () => this.#followPlan(run, this.#planner.plan(run)));
 			if (ending) {
 				return ending;
 			}
 
-			if (this.#servers.length >= this.#request.route.maxServers || this.#remainingMs < minimumRetryMs) {
+			if (!this.#canRunAgain) {
 				return this.#createFailure('no further server is allowed');
 			}
 		}
@@ -132,6 +138,21 @@
 		return this.#servers.length < this.#request.route.maxServers && this.#remainingMs >= minimumRetryMs;
 	}
 
+	/** Ids of the servers that may generate when the request must not be sent to another one: those that have not failed it. */
+	get #allowedServers(): ReadonlySet<string> | undefined {
+		if (this.#servers.length < this.#request.route.maxServers) {
+			return undefined;
+		}
+
+		const atWork = new Set([...this.#runs].map(({server}) => server?.id));
+		return new Set(this.#servers.filter(server => !atWork.has(server.id) && !this.#planner.isRejected(server)).map(({id}) => id));
+	}
+
+	get #canRunAgain(): boolean {
+		const allowed = this.#allowedServers;
+		return this.#remainingMs >= minimumRetryMs && (allowed === undefined || (this.#isRetryable && allowed.size > 0));
+	}
+
 	/** Asked before each call: the crash that shows the cause may be told while the request is on its way. */
 	get #isBanned(): boolean {
 		return this.#context.crashReports.findBan(this.#request) !== undefined;
@@ -141,7 +162,7 @@
 		return computeRemainingMs(this.#context, this.#request);
 	}
 
-	#createRun(opts: {permit?: SendPermit; predecessor?: StreamRun}): StreamRun {
+	#createRun(opts: {permit?: SendPermit; predecessor?: StreamRun; allowedServers?: ReadonlySet<string>}): StreamRun {
 		const run = new StreamRun({
 			...opts, relay: this.#relay, acceptEvents: ({server}) => this.#origin.accept(server!), onDelivery: () => {
 				this.#cancelOthers(run);
@@ -153,15 +174,79 @@
 	/** Ends the runs that are no longer needed because this one answers. */
 	#cancelOthers(run: StreamRun): void {
 		for (const other of this.#runs) {
-			if (other !== run && !other.isCancelled) {
-				other.canceller.cancel();
-				if (!this.#request.signal.aborted) {
-					this.#reportTakeover(other, run);
+			if (other !== run) {
+				this.#cancelRun(other, run);
+			}
+		}
+	}
+
+	/** The runs before this one that have not ended. */
+	#listPredecessors(run: StreamRun): StreamRun[] {
+		return run.listPredecessors().filter(predecessor => this.#runs.has(predecessor));
+	}
+
+	#cancelPredecessors(run: StreamRun): void {
+		for (const predecessor of this.#listPredecessors(run)) {
+			this.#cancelRun(predecessor, run);
+		}
+	}
+
+	#cancelRun(run: StreamRun, by: StreamRun): void {
+		if (!run.isCancelled) {
+			run.cancel();
+			if (!this.#request.signal.aborted) {
+				this.#reportTakeover(run, by);
+			}
+		}
+	}
+
+	/** Has a server generate the response. The runs at work before this one are on hold until the server takes the request or does not. */
+	async #generate(run: StreamRun, server: KnownServer, opts: GenerationOptions): Promise<AttemptResult> {
+		const predecessors = this.#listPredecessors(run).filter(({isGenerating}) => isGenerating);
+		for (const predecessor of predecessors) {
+			predecessor.hold();
+		}
+
+		const cancelTimer = predecessors.length === 0
+			? undefined
+			: this.#context.clock.startTimer(maxSharedWorkMs, () => {
+				if (run.canceller.isWritten) {
+					this.#cancelPredecessors(run);
+				} else {
+					run.cancel();
 				}
+			});
+		try {
+			return await this.#calls.generate(run, server, opts);
+		} finally {
+			cancelTimer?.();
+			for (const predecessor of predecessors) {
+				predecessor.release();
 			}
 		}
 	}
 
+	/** Tells whether the server has answered anybody since the servers of the runs before this one fell silent. It is asked if need be. */
+	async #isResponding(run: StreamRun, server: KnownServer): Promise<boolean> {
+		const {health, startProof, eventLog} = this.#context;
+		const silentSince = Math.max(...run.listPredecessors().map(predecessor => predecessor.silentSince));
+		if (health.isAliveSince(server, silentSince)) {
+			return true;
+		}
+
+		const maxWaitMs = Math.min(this.#remainingMs, this.#request.route.patienceMs ?? Number.POSITIVE_INFINITY);
+		if (!await startProof.isAnswering(server, maxWaitMs)) {
+			this.#planner.rejectServer(server);
+			eventLog.emit('attemptFailed', {
+				request: this.#request.metadata.requestId, server: server.id, end: attemptOutcomes.broken, isWritten: false, lastAnswerMs: health.measureSilence(server), lastEvent: this.#relay.lastEventId, reason: 'The server does not answer a call for its status',
+			});
+			return false;
+		}
+
+		health.recordSignOfLife(server);
+		return !run.isCancelled && !this.#request.signal.aborted;
+	}
+
 	/** Resolves when the run and the runs that were started beside it have ended. Undefined when another server may be tried. */
 	async #runToEnd(run: StreamRun, start: () => Promise<RunEnding | undefined>): Promise<RunEnding | undefined> {
 		this.#runs.add(run);
@@ -220,6 +305,11 @@
 			return undefined;
 		}
 
+		if (run.hasPredecessor && !await this.#isResponding(run, decodeServer)) {
+			this.#releaseKvHandle(handle);
+			return this.#request.signal.aborted ? this.#createCallerGone() : undefined;
+		}
+
 		const prepared = this.#origin.prepare(decodeServer);
 		if (prepared !== true && (!await prepared || run.isCancelled || this.#request.signal.aborted)) {
 			this.#releaseKvHandle(handle);
@@ -231,9 +321,9 @@
 			return run.isCancelled || this.#canRunElsewhere ? undefined : this.#createFailure('no server of the version that began the stream takes it');
 		}
 
-		this.#servers.push(decodeServer);
+		this.#addServer(decodeServer);
 		const grant = decodeServer.id === placement.decodeServer.id ? grants.decode : unlimitedGrant;
-		const result = await this.#calls.generate(run, decodeServer, {
+		const result = await this.#generate(run, decodeServer, {
 			permit: run.permit!, grant, handle, placement,
 		});
 		if (run.backupServer && !run.successor && this.#relay.lastEventId !== undefined && !result.error?.foreignAnswer && result.outcome === attemptOutcomes.broken) {
@@ -266,7 +356,7 @@
 				return false;
 			}
 
-			successor.canceller.cancel();
+			successor.cancel();
 			await run.successorEnding;
 			if (run.isCancelled || this.#request.signal.aborted || this.#isBanned) {
 				return false;
@@ -275,7 +365,7 @@
 
 		run.permit ??= this.#permits.acquire(retryKinds.run);
 		const isAllowed = this.#isNotExecuted || this.#isRetryable;
-		return isAllowed && run.permit !== undefined && this.#servers.length < this.#request.route.maxServers;
+		return isAllowed && run.permit !== undefined && (run.allowedServers !== undefined || this.#servers.length < this.#request.route.maxServers);
 	}
 
 	/** Resumes the stream at the backup server after the connection to its server has broken. */
@@ -299,7 +389,18 @@
 
 	/** Resumes the stream after its last event from the copy of the KV cache at a server. It counts as the same run. */
 	async #resumeAt(run: StreamRun, backup: KnownServer, permit: SendPermit): Promise<RunEnding | undefined> {
+		if (run.hasPredecessor && !await this.#isResponding(run, backup)) {
+			permit.release();
+			return this.#request.signal.aborted ? this.#createCallerGone() : this.#createFailure('the stream could not go on: its backup server does not answer');
+		}
+
 		const grant = await this.#planner.acquireResumption(backup);
+		if (run.isCancelled) {
+			grant?.release();
+			permit.release();
+			return undefined;
+		}
+
 		if (!grant) {
 			permit.release();
 			return this.#createFailure('the stream could not go on: its backup server is at the limit that it has named');
@@ -312,8 +413,8 @@
 			return this.#createFailure('the stream could not go on: its backup server has another version');
 		}
 
-		this.#servers.push(backup);
-		const result = await this.#calls.generate(run, backup, {
+		this.#addServer(backup);
+		const result = await this.#generate(run, backup, {
 			permit,
 			grant,
 			handle: {address: backup.address, handle: this.#request.metadata.requestId!},
@@ -334,7 +435,8 @@
 			return;
 		}
 
-		const {health, eventLog, metrics} = this.#context;
+		const {health, eventLog, metrics, clock} = this.#context;
+		run.silentSince = clock.monotonic() - silentMs;
 		health.recordSilent(server);
 		const takeover = this.#planTakeover(run);
 		const isTakenOver = 'run' in takeover;
@@ -399,7 +501,7 @@
 			return {reason: run.isGenerating ? 'the request must not run twice' : 'another run has failed'};
 		}
 
-		if (this.#servers.length >= this.#request.route.maxServers || this.#remainingMs < minimumRetryMs) {
+		if (!this.#canRunAgain) {
 			return {reason: 'no further server is allowed'};
 		}
 
@@ -413,7 +515,7 @@
 			return {reason: 'the retry budget is used up'};
 		}
 
-		const successor = this.#createRun({permit, predecessor: run});
+		const successor = this.#createRun({permit, predecessor: run, allowedServers: this.#allowedServers});
 		const plan = this.#planner.plan(successor);
 		if (plan.placement.kind === 'refuse') {
 			if (run.isGenerating) {
@@ -428,11 +530,13 @@
 	}
 
 	#reportTakeover(run: StreamRun, by: StreamRun): void {
-		const {eventLog, metrics} = this.#context;
+		const {eventLog, metrics, clock} = this.#context;
 		const isSilenceOver = by.successor === run;
+		const later = isSilenceOver ? run : by;
+		const sharedMs = later.generatingSince === undefined ? undefined : Math.round(clock.monotonic() - later.generatingSince);
 		metrics.count('takeovers_total', {service: this.#request.service, by: isSilenceOver ? 'silent-server' : 'another-server'});
 		eventLog.emit('requestTakenOver', {
-			request: this.#request.metadata.requestId, from: run.server?.id, to: by.server?.id, lastEvent: this.#relay.lastEventId, isSilenceOver,
+			request: this.#request.metadata.requestId, from: run.server?.id, to: by.server?.id, lastEvent: this.#relay.lastEventId, isSilenceOver, sharedMs,
 		});
 	}
 
@@ -499,7 +603,7 @@
 	#selectConfirmingServer(asked: readonly KnownServer[]): KnownServer | undefined {
 		const server = this.#canRunElsewhere ? this.#planner.selectConfirmingServer(asked) : undefined;
 		if (server) {
-			this.#servers.push(server);
+			this.#addServer(server);
 		}
 
 		return server;
@@ -577,6 +681,12 @@
 		};
 	}
 
+	#addServer(server: KnownServer): void {
+		if (!this.#servers.some(({id}) => id === server.id)) {
+			this.#servers.push(server);
+		}
+	}
+
 	#createCallerGone(): RunEnding {
 		return {isAnswer: true, finish: () => this.#createResult(requestOutcomes.callerGone)};
 	}
--- a/packages/routing/endpoint-client/src/endpoint-client.ts
+++ b/packages/routing/endpoint-client/src/endpoint-client.ts
@@ -83,6 +83,8 @@
 }
 
 export type SentRequest = {
+	/** A byte of the request has left this process. */
+	readonly isWritten: boolean;
 	/** Closes the connection of the attempt, so that the server stops work on it. The handler receives a failure with the reason. */
 	cancel(reason?: string): void;
 	pause(): void;
@@ -146,7 +148,9 @@
 		if (!connection) {
 			request.grant.release();
 			handler.onFailure(new EndpointClientError('ERR_HICKORYTRACK_CONNECTIONS_BUSY', `All connections to ${address} are busy`, {isWritten: false, isBusy: true}));
-			return {cancel() {/* Nothing was sent. */}, pause() {/* Nothing was sent. */}, resume() {/* Nothing was sent. */}};
+			return {
+				isWritten: false, cancel() {/* Nothing was sent. */}, pause() {/* Nothing was sent. */}, resume() {/* Nothing was sent. */},
+			};
 		}
 
 		connection.watch.startAnswer();
@@ -248,6 +252,10 @@
 		}
 	}
 
+	get isWritten(): boolean {
+		return this.#isWritten;
+	}
+
 	cancel(reason = 'was cancelled'): void {
 		if (this.#isSettled) {
 			return;
