fix(endpoint-client): settle cancelled exchanges whatever callback cancels them

Callers saw streams that stood still for ever, past the timeout of their route, when a silent server went on while another one was about to take over; the connection of the cancelled run stayed open.

Cause: cancel() resumed the paused reader of its connection before it closed it. Called in the data callback of another connection, the HTTP client refuses that: it runs one parser at a time. The assertion left cancel() after the exchange was marked as settled, before its handler was told and its connection closed, and then broke the stream whose callback it was.

An exchange now settles in steps that do not depend on each other: mark, close, tell the handler. A close needs no resumed reader, because it is an error for the HTTP client; only an orderly end must not reach it while it is paused. resume() acts in a microtask, where no parser runs, and not at all once the exchange has settled; a late pause() or resume() no longer reaches the next exchange of the connection. HttpCall has the same changes.

Evidence: 29 of 53 tests of nested-callbacks.test.ts failed before, none after. Two of them ("reads on in a call … from the data callback") also had a fault of their own: the callback ran twice and the test dropped the first part; it reads once now.

--- a/packages/net/http-answer/src/connection-watch.ts
+++ b/packages/net/http-answer/src/connection-watch.ts
@@ -38,6 +38,11 @@
 		this.#bodyBytes = 0;
 	}
 
+	/** Call this when an answer has ended and its connection is kept: its reader may have paused at the last part. */
+	finishAnswer(): void {
+		this.#isPaused = false;
+	}
+
 	/** Call this for the bytes of the answer's body. What is received beyond them and is no body is limited. */
 	recordBody(bytes: number): void {
 		this.#bodyBytes += bytes;
--- a/packages/net/http-answer/src/http-call.ts
+++ b/packages/net/http-answer/src/http-call.ts
@@ -196,13 +196,26 @@
 		this.#onProgress?.();
 	}
 
+	/** May be called in a callback of another connection. The HTTP client runs one parser at a time, so the reader resumes later. */
 	#resume(): void {
-		if (this.#isPaused && (this.#isClosed || this.#waiting.size <= highWaterBytes)) {
-			this.#isPaused = false;
-			this.#watch.resume(() => {
-				this.#controller?.resume();
-			});
+		if (!this.#isPaused || this.#waiting.size > highWaterBytes) {
+			return;
 		}
+
+		this.#isPaused = false;
+		queueMicrotask(() => {
+			if (this.#isClosed || this.#isPaused) {
+				return;
+			}
+
+			try {
+				this.#watch.resume(() => {
+					this.#controller?.resume();
+				});
+			} catch (error) {
+				this.#fail('ERR_HICKORYTRACK_ANSWER_BROKEN', `The answer could not be read on: ${describeError(error)}`);
+			}
+		});
 	}
 
 	async #waitForProgress(): Promise<void> {
@@ -236,9 +249,7 @@
 	}
 
 	#close(): void {
-		// Undici must not see the end of a connection while its reader is paused.
 		this.#isClosed = true;
-		this.#resume();
 		this.#onProgress?.();
 		void this.#client.destroy();
 	}
--- a/packages/plugins/edge/src/edge.ts
+++ b/packages/plugins/edge/src/edge.ts
@@ -344,6 +344,8 @@
 				}
 			}, onForeignAnswer: answer => {
 				this.#requestLog.recordForeignAnswer(answer, this.registry.list().find(server => server.address === answer.address)?.id);
+			}, onHandlerFailed: ({callKind, requestId, error}) => {
+				this.#requestLog.recordFailed({requestId, path: callKind, error});
 			},
 		});
 		return {
--- a/packages/routing/endpoint-client/src/endpoint-client.ts
+++ b/packages/routing/endpoint-client/src/endpoint-client.ts
@@ -7,7 +7,7 @@
 import type {Buffer} from 'node:buffer';
 import {errors, type Dispatcher} from 'undici';
 import type {Clock} from '@hickorytrack/clock';
-import {HickorytrackError} from '@hickorytrack/errors';
+import {describeError, HickorytrackError} from '@hickorytrack/errors';
 import type {AnswerHead} from '@hickorytrack/http-answer/answer-framing';
 import {AnswerReader, answerVerdicts, type ReceivedAnswer} from '@hickorytrack/http-answer/answer-reader';
 import {ByteBudget} from '@hickorytrack/http-answer/byte-budget';
@@ -105,12 +105,16 @@
 	isProved: boolean;
 };
 
+export type HandlerFailure = {callKind: string; requestId: string | undefined; error: unknown};
+
 export type EndpointClientOptions = ServerConnectionsOptions & {
 	limits?: AnswerLimits;
 	/** Called for the head of each answer to a request with a recipient, before the handler. */
 	onAnswer?: (recipient: Recipient, head: ResponseHead, request: AnsweredRequest) => void;
 	/** Called for each answer that is not its request's own. */
 	onForeignAnswer?: (answer: ForeignAnswer) => void;
+	/** Called when a handler throws an error. Its request fails, unless its answer had ended. */
+	onHandlerFailed?: (failure: HandlerFailure) => void;
 };
 
 const defaultMaxAnswerBytes = 16 * 1024 * 1024;
@@ -151,7 +155,7 @@
 
 		connection.watch.startAnswer();
 		const exchange = new Exchange(address, {
-			clock: this.#opts.clock, connection, connections: this.#connections, limits: this.limits, request, handler, onAnswer: this.#opts.onAnswer, onForeignAnswer: this.#opts.onForeignAnswer,
+			clock: this.#opts.clock, connection, connections: this.#connections, limits: this.limits, request, handler, onAnswer: this.#opts.onAnswer, onForeignAnswer: this.#opts.onForeignAnswer, onHandlerFailed: this.#opts.onHandlerFailed,
 		});
 		exchange.start();
 		return exchange;
@@ -167,6 +171,7 @@
 	handler: ResponseHandler;
 	onAnswer?: EndpointClientOptions['onAnswer'];
 	onForeignAnswer?: (answer: ForeignAnswer) => void;
+	onHandlerFailed?: EndpointClientOptions['onHandlerFailed'];
 };
 
 class Exchange implements SentRequest {
@@ -176,6 +181,7 @@
 	#isWritten = false;
 	#sentAt = 0;
 	#isSettled = false;
+	#isPaused = false;
 	#canReuse = true;
 	#hasResponse = false;
 	#reader: AnswerReader | undefined;
@@ -188,55 +194,32 @@
 	}
 
 	start(): void {
-		const {clock, connection, connections, request, handler, onAnswer} = this.#opts;
+		const {connection, request} = this.#opts;
 		const dispatchHandler: Dispatcher.DispatchHandler = {
 			onRequestStart: controller => {
-				this.#controller = controller;
-				if (this.#isSettled) {
-					controller.abort(new Error('The request was cancelled before it was written'));
-					return;
-				}
-
-				this.#isWritten = true;
-				this.#sentAt = clock.monotonic();
-				request.grant.recordUse();
+				this.#handleStart(controller);
 			},
 			onResponseStart: (_controller, status, headers) => {
 				// An informational response (1xx) precedes the final one.
-				if (status < 200 || this.#isSettled) {
-					return;
-				}
-
-				this.#hasResponse = true;
-				const foreignAnswer = this.#findForeignAnswer({status, headers});
-				if (foreignAnswer) {
-					this.#rejectAnswer(foreignAnswer);
-					return;
+				if (status >= 200) {
+					this.#handle(() => {
+						this.#handleHead({status, headers});
+					});
 				}
-
-				this.#reader = new AnswerReader({status, headers}, {method: request.method, mayBeEmpty: request.isContinuation});
-				this.#canReuse &&= headers.connection !== 'close';
-				if (request.recipient) {
-					onAnswer?.(request.recipient, {status, headers}, {callKind: request.callKind, sentAt: this.#sentAt, isProved: request.identity !== undefined && request.identity.readId({status, headers}) === request.identity.expectedId});
-				}
-
-				handler.onHead({status, headers});
 			},
 			onResponseData: (_controller, chunk) => {
-				if (!this.#isSettled) {
+				this.#handle(() => {
 					connection.watch.recordBody(chunk.length);
 					this.#read(chunk);
-				}
+				});
 			},
 			onResponseEnd: () => {
-				this.#finish();
+				this.#handle(() => {
+					this.#finish();
+				});
 			},
 			onResponseError: (_controller, error) => {
-				if (error instanceof errors.HTTPParserError && !this.#hasResponse && connection.exchanges > 0) {
-					connections.recordLateAnswer(this.#address);
-				}
-
-				this.#fail('ERR_HICKORYTRACK_ENDPOINT_BROKEN', `The connection to ${this.#address} failed: ${error.message}`, error);
+				this.#handleError(error);
 			},
 		};
 		try {
@@ -249,27 +232,120 @@
 	}
 
 	cancel(reason = 'was cancelled'): void {
-		if (this.#isSettled) {
-			return;
+		if (!this.#isSettled) {
+			this.#settleFailed(() => new EndpointClientError('ERR_HICKORYTRACK_ENDPOINT_CANCELLED', `The request to ${this.#address} ${reason}`, {isWritten: this.#isWritten, isCancelled: true, answer: this.#describeFailure()}));
 		}
-
-		const {connection, connections, handler} = this.#opts;
-		this.#recordSettled();
-		this.#discardConnection();
-		handler.onFailure(new EndpointClientError('ERR_HICKORYTRACK_ENDPOINT_CANCELLED', `The request to ${this.#address} ${reason}`, {isWritten: this.#isWritten, isCancelled: true, answer: this.#describeFailure()}));
 	}
 
 	pause(): void {
-		this.#opts.connection.watch.pause();
-		this.#controller?.pause();
+		if (!this.#isSettled) {
+			this.#isPaused = true;
+			this.#opts.connection.watch.pause();
+			this.#controller?.pause();
+		}
 	}
 
+	/** May be called in a callback of another connection. The HTTP client runs one parser at a time, so the reader resumes later. */
 	resume(): void {
-		this.#opts.connection.watch.resume(() => {
-			this.#controller?.resume();
+		this.#isPaused = false;
+		queueMicrotask(() => {
+			if (this.#isSettled || this.#isPaused) {
+				return;
+			}
+
+			try {
+				this.#opts.connection.watch.resume(() => {
+					this.#controller?.resume();
+				});
+			} catch (error) {
+				this.#fail('ERR_HICKORYTRACK_ENDPOINT_BROKEN', `The answer of ${this.#address} could not be read on: ${describeError(error)}`, error);
+			}
 		});
 	}
 
+	/** Runs a part of the work on the answer. What it throws is no failure of the server, and must not reach the HTTP client. */
+	#handle(handlePart: () => void): void {
+		if (this.#isSettled) {
+			return;
+		}
+
+		try {
+			handlePart();
+		} catch (error) {
+			this.#reportHandlerFailed(error);
+			this.#fail('ERR_HICKORYTRACK_ANSWER_UNHANDLED', `The answer of ${this.#address} could not be handled: ${describeError(error)}`, error);
+		}
+	}
+
+	/** Calls a final callback of the handler. The exchange has settled and its connection is released or closed by then. */
+	#notify(callHandler: () => void): void {
+		try {
+			callHandler();
+		} catch (error) {
+			this.#reportHandlerFailed(error);
+		}
+	}
+
+	#reportHandlerFailed(error: unknown): void {
+		const {onHandlerFailed, request} = this.#opts;
+		onHandlerFailed?.({callKind: request.callKind, requestId: request.identity?.expectedId, error});
+	}
+
+	#handleStart(controller: Dispatcher.DispatchController): void {
+		const {clock, request} = this.#opts;
+		this.#controller = controller;
+		if (this.#isSettled) {
+			controller.abort(new Error('The request was cancelled before it was written'));
+			return;
+		}
+
+		this.#isWritten = true;
+		this.#sentAt = clock.monotonic();
+		request.grant.recordUse();
+	}
+
+	#handleHead(head: ResponseHead): void {
+		const {request, handler, onAnswer} = this.#opts;
+		this.#hasResponse = true;
+		const foreignAnswer = this.#findForeignAnswer(head);
+		if (foreignAnswer) {
+			this.#rejectAnswer(foreignAnswer);
+			return;
+		}
+
+		this.#reader = new AnswerReader(head, {method: request.method, mayBeEmpty: request.isContinuation});
+		this.#canReuse &&= head.headers.connection !== 'close';
+		if (request.recipient) {
+			onAnswer?.(request.recipient, head, {callKind: request.callKind, sentAt: this.#sentAt, isProved: request.identity !== undefined && request.identity.readId(head) === request.identity.expectedId});
+		}
+
+		handler.onHead(head);
+	}
+
+	#handleError(error: Error): void {
+		const {connection, connections} = this.#opts;
+		if (error instanceof errors.HTTPParserError && !this.#hasResponse && connection.exchanges > 0) {
+			connections.recordLateAnswer(this.#address);
+		}
+
+		this.#fail('ERR_HICKORYTRACK_ENDPOINT_BROKEN', `The connection to ${this.#address} failed: ${error.message}`, error);
+	}
+
+	/** Settles the exchange as failed. Whatever one step throws, the connection closes and the handler is told. */
+	#settleFailed(createError: () => EndpointClientError): void {
+		try {
+			this.#recordSettled();
+		} finally {
+			try {
+				this.#discardConnection();
+			} finally {
+				this.#notify(() => {
+					this.#opts.handler.onFailure(createError());
+				});
+			}
+		}
+	}
+
 	#recordSettled(): void {
 		this.#isSettled = true;
 		if (!this.#isWritten) {
@@ -280,10 +356,12 @@
 		this.#chargedBytes = 0;
 	}
 
+	/**
+	 * Closes the connection, also while its reader is paused and in any callback. The close is an error for the HTTP client; only
+	 * an orderly end must not reach it while it is paused.
+	 */
 	#discardConnection(): void {
 		const {connection, connections} = this.#opts;
-		// Undici must not see the end of a connection while its reader is paused.
-		this.resume();
 		connections.discard(this.#address, connection);
 	}
 
@@ -302,22 +380,18 @@
 	}
 
 	#rejectAnswer(foreignAnswer: ForeignAnswer): void {
-		const {connection, connections, handler, onForeignAnswer} = this.#opts;
-		this.#recordSettled();
+		const {connections, onForeignAnswer} = this.#opts;
 		if (foreignAnswer.exchanges > 0) {
 			connections.recordLateAnswer(this.#address);
 		}
 
-		this.#discardConnection();
-		onForeignAnswer?.(foreignAnswer);
-		handler.onFailure(new EndpointClientError('ERR_HICKORYTRACK_FOREIGN_ANSWER', `The answer of ${this.#address} belongs to another request`, {isWritten: this.#isWritten, foreignAnswer}));
+		this.#notify(() => {
+			onForeignAnswer?.(foreignAnswer);
+		});
+		this.#settleFailed(() => new EndpointClientError('ERR_HICKORYTRACK_FOREIGN_ANSWER', `The answer of ${this.#address} belongs to another request`, {isWritten: this.#isWritten, foreignAnswer}));
 	}
 
 	#finish(): void {
-		if (this.#isSettled) {
-			return;
-		}
-
 		const {connection, connections, request, handler} = this.#opts;
 		const answer = this.#reader!.describeEnd(connection.watch.end);
 		if (answer.verdict === answerVerdicts.brokenOff) {
@@ -326,14 +400,22 @@
 		}
 
 		this.#release(this.#reader!.finish());
+		if (this.#isSettled) {
+			// The handler has cancelled the request at its last part.
+			return;
+		}
+
 		this.#recordSettled();
 		if (this.#canReuse && request.identity) {
+			connection.watch.finishAnswer();
 			connections.release(this.#address, connection, request.identity.expectedId);
 		} else {
 			this.#discardConnection();
 		}
 
-		handler.onEnd(answer);
+		this.#notify(() => {
+			handler.onEnd(answer);
+		});
 	}
 
 	/** Releases what the format allows, and fails the answer when what is held back exceeds the limits. */
@@ -367,11 +449,9 @@
 			return;
 		}
 
-		const {connection, connections, handler} = this.#opts;
-		this.#recordSettled();
+		const {connection, connections} = this.#opts;
 		const isStale = this.#isWritten && !this.#hasResponse && connections.recordFailure(this.#address, connection);
-		this.#discardConnection();
-		handler.onFailure(new EndpointClientError(code, message, {
+		this.#settleFailed(() => new EndpointClientError(code, message, {
 			isWritten: this.#isWritten, isStale, answer: this.#describeFailure(), cause,
 		}));
 	}
--- a/packages/routing/endpoint-client/test/nested-callbacks.test.ts
+++ b/packages/routing/endpoint-client/test/nested-callbacks.test.ts
@@ -296,7 +296,7 @@
 				const body = call.readBody();
 				let first: Promise<IteratorResult<Buffer, void>> | undefined;
 				const acting = await sendActing(callback, () => {
-					first = body.next();
+					first ??= body.next();
 				});
 				await expectOwnEnd(callback, acting.outcome);
 				socket.end();
