--- a/packages/core/events/src/event-catalogue.ts
+++ b/packages/core/events/src/event-catalogue.ts
@@ -239,6 +239,9 @@
 	streamTakenUp: {
 		number: 1773, level: 'info', text: 'A caller takes up a stream; version is the one at which it goes on, and without it the request is refused, for the reason that ground gives', action: 'If no-record or ambiguous repeats, read the section on versions of servers.',
 	},
+	requestOverrun: {
+		number: 1774, level: 'error', text: 'The work on a request did not end at its deadline; its attempts were cancelled and its response was ended', action: 'Report it with the events of the request and a state dump: this is a bug.',
+	},
 	poisonRefused: {
 		number: 1756, level: 'warn', text: 'A request was refused because it, or a part of its prompt, crashed several servers; trait says which', action: 'Search the crashes of the trait in 1767, and check what it is.',
 	},
--- a/packages/plugins/edge/src/edge.ts
+++ b/packages/plugins/edge/src/edge.ts
@@ -37,6 +37,7 @@
 import {requestOutcomes, type CallerRequest} from './caller-request.js';
 import {sendProblem} from './responses.js';
 import {CrashReports} from './crash-reports.js';
+import {DeadlineGuard} from './deadline-guard.js';
 import {RateLimitedEventLog} from './rate-limited-event-log.js';
 import {stagePlanners, type EdgeOptions} from './edge-settings.js';
 import {HttpFrontend} from './http-frontend.js';
@@ -94,6 +95,7 @@
 	readonly #crashAttribution: CrashAttribution;
 	readonly #crashReports: CrashReports;
 	readonly #requestLog: RequestLog;
+	readonly #deadlineGuard: DeadlineGuard;
 	readonly #limits: ServerLimits;
 	readonly #limitNews: LimitNews;
 	readonly #limitSharing: LimitSharing;
@@ -171,6 +173,7 @@
 		this.#requestLog = new RequestLog({
 			clock, metrics: opts.metrics, eventLog: this.#context.eventLog, getVersion: () => this.configuration.current?.version,
 		});
+		this.#deadlineGuard = new DeadlineGuard({clock, eventLog: this.#context.eventLog, metrics: opts.metrics});
 		this.#stageControl = this.#core && this.#createStageControl(this.#core);
 		this.#frontend = new HttpFrontend({
 			clock, random, codec, notReadyRetryAfterMs: defaultRetryAfterMs, getRoutes: () => this.configuration.isConfirmed ? this.#routes : undefined, forward: async request => this.#forward(request), onRejected: rejected => {
@@ -439,8 +442,10 @@
 		}
 
 		const admitted = isTrial ? {...takenUp, isTrial, route: {...request.route, maxServers: 1}} : takenUp;
-		const forwarder = request.route.kind === requestKinds.streaming ? new StreamingForwarder(this.#context, admitted) : new BufferedForwarder(this.#context, admitted);
-		const result = await forwarder.forward();
+		const result = await this.#deadlineGuard.run(admitted, async guarded => {
+			const forwarder = request.route.kind === requestKinds.streaming ? new StreamingForwarder(this.#context, guarded) : new BufferedForwarder(this.#context, guarded);
+			return forwarder.forward();
+		});
 		this.#requestLog.recordResult(request, result);
 	}
 
