refactor(endpoint-client): run each step of an exchange's end by itself

An error of a grant, the budget or the pool of connections kept the handler from being told, and left cancel(). Each step now runs whatever the step before throws, and errors are reported to onHandlerFailed.

--- a/packages/routing/endpoint-client/src/endpoint-client.ts
+++ b/packages/routing/endpoint-client/src/endpoint-client.ts
@@ -277,10 +277,10 @@
 		}
 	}
 
-	/** Calls a final callback of the handler. The exchange has settled and its connection is released or closed by then. */
-	#notify(callHandler: () => void): void {
+	/** Runs one step of the end of the exchange, so that what it throws keeps no other step from running. */
+	#runStep(run: () => void): void {
 		try {
-			callHandler();
+			run();
 		} catch (error) {
 			this.#reportHandlerFailed(error);
 		}
@@ -333,17 +333,15 @@
 
 	/** Settles the exchange as failed. Whatever one step throws, the connection closes and the handler is told. */
 	#settleFailed(createError: () => EndpointClientError): void {
-		try {
+		this.#runStep(() => {
 			this.#recordSettled();
-		} finally {
-			try {
-				this.#discardConnection();
-			} finally {
-				this.#notify(() => {
-					this.#opts.handler.onFailure(createError());
-				});
-			}
-		}
+		});
+		this.#runStep(() => {
+			this.#discardConnection();
+		});
+		this.#runStep(() => {
+			this.#opts.handler.onFailure(createError());
+		});
 	}
 
 	#recordSettled(): void {
@@ -385,7 +383,7 @@
 			connections.recordLateAnswer(this.#address);
 		}
 
-		this.#notify(() => {
+		this.#runStep(() => {
 			onForeignAnswer?.(foreignAnswer);
 		});
 		this.#settleFailed(() => new EndpointClientError('ERR_HICKORYTRACK_FOREIGN_ANSWER', `The answer of ${this.#address} belongs to another request`, {isWritten: this.#isWritten, foreignAnswer}));
@@ -405,15 +403,19 @@
 			return;
 		}
 
-		this.#recordSettled();
-		if (this.#canReuse && request.identity) {
-			connection.watch.finishAnswer();
-			connections.release(this.#address, connection, request.identity.expectedId);
-		} else {
-			this.#discardConnection();
-		}
+		this.#runStep(() => {
+			this.#recordSettled();
+		});
+		this.#runStep(() => {
+			if (this.#canReuse && request.identity) {
+				connection.watch.finishAnswer();
+				connections.release(this.#address, connection, request.identity.expectedId);
+			} else {
+				this.#discardConnection();
+			}
+		});
 
-		this.#notify(() => {
+		this.#runStep(() => {
 			handler.onEnd(answer);
 		});
 	}
