fix(edge): a run that has been ended delivers nothing more

Callers could see events twice, or lose a sound stream: events that a run held until the start of its server was proved were passed on when the proof came, although another run had delivered meanwhile. A second run that had been ended so also ended the run that delivered.

StreamRun now drops what comes after its end. The two tests failed before: the held event was written, and the ended run was reported as delivering, which ends the others.

--- a/packages/plugins/edge/src/stream-run.ts
+++ b/packages/plugins/edge/src/stream-run.ts
@@ -78,6 +78,11 @@
 	 * the silent one already now: both must not work on it.
 	 */
 	open(head: ResponseHead): void {
+		// Events that were held until their start was proved may be passed on after another run has delivered.
+		if (this.isCancelled) {
+			return;
+		}
+
 		this.#head = head;
 		if (this.hasPredecessor) {
 			this.#opts.onDelivery(this);
@@ -88,6 +93,10 @@
 
 	write(events: Buffer): boolean {
 		const {relay, acceptEvents, onDelivery} = this.#opts;
+		if (this.isCancelled) {
+			return true;
+		}
+
 		if (!acceptEvents(this)) {
 			this.canceller.cancel();
 			return true;
--- /dev/null
+++ b/packages/plugins/edge/test/stream-run.test.ts
@@ -0,0 +1,59 @@
+import {Buffer} from 'node:buffer';
+import {expect} from 'chai';
+import type {EventRelay} from '../src/event-relay.js';
+import {HeldEvents} from '../src/held-events.js';
+import {StreamRun} from '../src/stream-run.js';
+
+const head = {status: 200, headers: {}};
+const event = Buffer.from('id: 3\ndata: x\n\n');
+
+describe('runs of a stream', () => {
+	let written: string[];
+	let delivered: StreamRun[];
+
+	const createRun = (predecessor?: StreamRun): StreamRun => new StreamRun({
+		predecessor,
+		acceptEvents: () => true,
+		onDelivery(run) {
+			delivered.push(run);
+		},
+		relay: {
+			open() {/* The head is not looked at. */}, write(events: Buffer) {
+				written.push(events.toString());
+				return true;
+			},
+		} as unknown as EventRelay,
+	});
+
+	/** Has a run hold an event, ends it because another one delivers, and then proves its start. */
+	const proveAfterCancel = async (run: StreamRun) => {
+		let resolveProof: ((isProved: boolean) => void) | undefined;
+		const held = new HeldEvents({
+			sink: run, prove: async () => new Promise<boolean>(resolve => {
+				resolveProof = resolve;
+			}), onRefuted() {/* The start is proved. */},
+		});
+		held.open(head);
+		held.write(event);
+		run.canceller.cancel();
+		resolveProof!(true);
+		await held.settle();
+	};
+
+	beforeEach(() => {
+		written = [];
+		delivered = [];
+	});
+
+	// Events that waited for the proof of their start were passed on after another run had delivered the same ones.
+	it('write nothing after another one has delivered', async () => {
+		await proveAfterCancel(createRun());
+		expect(written).to.deep.equal([]);
+	});
+
+	// A second run whose proof came after the silent server had gone on ended the run that delivered.
+	it('end no other one after they have been ended', async () => {
+		await proveAfterCancel(createRun(createRun()));
+		expect(delivered).to.deep.equal([]);
+	});
+});
