fix(edge): an unconfirmed empty continuation ends no stream

A stream that only its connection delimits had broken off, and the next server sent a head and closed. Its end is unknown, so the server was asked again; when that failed with any error, or when the stream must not run twice and can't ask, the caller's connection was closed in an orderly way and the stream looked complete. The same came of any empty answer, asked twice, after a server had broken off inside an event, which shows that one is missing.

EventRelay.canEnd, which alone decides what ends an open response, now refuses both; the caller sees a break.

--- a/packages/plugins/edge/src/event-relay.ts
+++ b/packages/plugins/edge/src/event-relay.ts
@@ -27,6 +27,8 @@
 	readonly #clock: Clock;
 	/** The caller gets the stream as the first server sent it: with neither a length nor chunks, its connection ends it. */
 	#isDelimitedByConnection = false;
+	/** A server broke off inside an event behind the last one, so that there is more to come. */
+	#isEventOpen = false;
 
 	constructor(response: ServerResponse, opts: {clock: Clock}) {
 		this.#response = response;
@@ -52,12 +54,26 @@
 	write(events: Buffer): boolean {
 		const id = idPattern.exec(findLastEvent(events.toString('latin1')))?.[1];
 		this.lastEventId = id ?? this.lastEventId;
+		this.#isEventOpen = false;
 		return this.#response.destroyed || this.#response.write(events);
 	}
 
-	/** Tells whether the response may end with such an answer: not when that would declare complete what can't be told. */
-	canEnd({verdict}: ReceivedAnswer): boolean {
-		return verdict === answerVerdicts.whole || (verdict === answerVerdicts.unknown && this.#isDelimitedByConnection);
+	/** Call this when a server has broken off, with what it has sent. */
+	recordBreak({heldBytes}: ReceivedAnswer): void {
+		this.#isEventOpen = heldBytes > 0;
+	}
+
+	/**
+	 * Tells whether the response may end with such an answer: not when that would declare complete what can't be told. An empty
+	 * answer of a server that was asked to go on may as well be a failure, and is one if an event is missing.
+	 */
+	canEnd({verdict, bodyBytes}: ReceivedAnswer): boolean {
+		if (this.#isEventOpen) {
+			return false;
+		}
+
+		const isEmptyContinuation = bodyBytes === 0 && this.lastEventId !== undefined;
+		return verdict === answerVerdicts.whole || (verdict === answerVerdicts.unknown && this.#isDelimitedByConnection && !isEmptyContinuation);
 	}
 
 	/**
--- a/packages/plugins/edge/src/stream-calls.ts
+++ b/packages/plugins/edge/src/stream-calls.ts
@@ -196,6 +196,10 @@
 			this.lastAnswer = result.answer;
 		}
 
+		if (result.outcome === attemptOutcomes.broken && result.isStreamed && result.answer) {
+			this.#opts.relay.recordBreak(result.answer);
+		}
+
 		if (firstByteAt !== undefined && result.outcome === attemptOutcomes.answered && !run.isSilenceReported) {
 			measurements.recordEnd(server, {isStream: isLongOutput, holdMs: clock.monotonic() - firstByteAt});
 		}
--- a/stand-ins/src/platform-server.ts
+++ b/stand-ins/src/platform-server.ts
@@ -55,6 +55,16 @@
 	isPrefill?: boolean;
 };
 
+/** What a server writes to the connection in place of its answer, as it stands. */
+export type ScriptedAnswer = {
+	/** Written one after the other, with a pause behind each. */
+	segments: string[];
+	/** Time between two segments, in milliseconds. */
+	pauseMs?: number;
+	/** What follows the last segment; `crash` ends all connections of the server in an orderly way, and its listener. */
+	end: 'open' | 'close' | 'reset' | 'crash';
+};
+
 export type PlatformServerOptions = {
 	id: string;
 	clock: Clock;
@@ -115,6 +125,8 @@
 	/** Monotonic times at which calls of any kind have arrived, in milliseconds. */
 	readonly callTimes: number[] = [];
 	crashingPart: CrashingPart | undefined;
+	/** Answers a request, prefills included, in place of the server; for a request without a scripted answer the server does as always. */
+	scriptAnswer: ((request: ReceivedRequest) => ScriptedAnswer | undefined) | undefined;
 	#stage: 'prefill' | 'decode' | undefined;
 	readonly #opts: PlatformServerOptions;
 	readonly #server: Server;
@@ -271,6 +283,13 @@
 		}
 
 		this.receivedRequests.push(receivedRequest);
+		const scripted = this.scriptAnswer?.(receivedRequest);
+		if (scripted) {
+			receivedRequest.hasRun = true;
+			await this.#sendScripted(request.socket, scripted);
+			return;
+		}
+
 		if (request.headers['x-expect-instance'] !== this.id) {
 			this.#sendForRequest(response, receivedRequest, {status: 421, headers: {'x-not-executed': '1'}});
 			return;
@@ -433,6 +452,37 @@
 		response.end();
 	}
 
+	async #sendScripted(socket: Socket, {segments, pauseMs = 1, end}: ScriptedAnswer): Promise<void> {
+		for (const segment of segments) {
+			if (socket.destroyed) {
+				return;
+			}
+
+			socket.write(segment, 'latin1');
+			await this.#opts.clock.sleep(pauseMs);
+		}
+
+		switch (end) {
+			case 'open': {
+				return;
+			}
+
+			case 'close': {
+				socket.end();
+				return;
+			}
+
+			case 'reset': {
+				socket.resetAndDestroy();
+				return;
+			}
+
+			case 'crash': {
+				this.#closeByCrash('close');
+			}
+		}
+	}
+
 	#pauseAt(point: PausePoint): void {
 		if (this.pauseAt === point) {
 			this.pauseAt = undefined;
