fix(edge): half a buffered answer no longer looks complete after a crash

Callers got 200 with the first half of an answer and an orderly end when the server had crashed: the answer had neither a length nor chunks, and its connection ended as it does at the end of an answer. Streams asked whether the server had crashed, buffered answers didn't.

The decision is now made in answer-end.ts for both, also for buffered answers of streaming routes. An idempotent request goes to another server; the caller of any other one gets 502. A refusal that states that the request has not run needs no body, so nothing is asked for it. A server that doesn't respond to the check counts as not crashed, as for streams before.

--- /dev/null
+++ b/packages/plugins/edge/src/answer-end.ts
@@ -0,0 +1,21 @@
+/**
+ * Decides about the end of an answer that only its connection delimits. Such an answer ends with a crash of its server as it
+ * does when it is whole, so it counts as complete only if its server has not crashed.
+ */
+import {answerVerdicts} from '@hickorytrack/http-answer/answer-reader';
+import type {KnownServer} from '@hickorytrack/endpoint-registry';
+import {attemptOutcomes, type AttemptResult} from './attempt.js';
+import type {CallerRequest} from './caller-request.js';
+import {serverConditions} from './crash-reports.js';
+import type {ForwardContext} from './forward-context.js';
+
+/** Returns the result of an attempt, as broken if a crash of the server has ended its answer. A refusal to run the request needs no body. */
+export async function checkAnswerEnd({codec, crashReports}: Pick<ForwardContext, 'codec' | 'crashReports'>, request: CallerRequest, {server, result}: {server: KnownServer; result: AttemptResult}): Promise<AttemptResult> {
+	const {answer, head} = result;
+	const isUnknown = result.outcome === attemptOutcomes.answered && answer?.verdict === answerVerdicts.unknown && !codec.decodeResponseHead(head!).isNotExecuted;
+	if (!isUnknown || await crashReports.checkEnd(request, server) !== serverConditions.crashed) {
+		return result;
+	}
+
+	return {...result, outcome: attemptOutcomes.broken, answer: {...answer, verdict: answerVerdicts.brokenOff}};
+}
--- a/packages/plugins/edge/src/buffered-forwarder.ts
+++ b/packages/plugins/edge/src/buffered-forwarder.ts
@@ -4,9 +4,10 @@
  * request whose server takes long is started at another one beside it; the first usable answer ends the other attempt.
  */
 import {unlimitedGrant, type SendGrant} from '@hickorytrack/endpoint-client/send-grant';
-import type {ReceivedAnswer} from '@hickorytrack/http-answer/answer-reader';
+import {answerVerdicts, type ReceivedAnswer} from '@hickorytrack/http-answer/answer-reader';
 import type {KnownServer} from '@hickorytrack/endpoint-registry';
 import {requestKinds} from '@hickorytrack/route-table/route-types';
+import {checkAnswerEnd} from './answer-end.js';
 import {
 	AttemptCanceller, attemptOutcomes, describeFailure, runAttempt, type AttemptResult,
 } from './attempt.js';
@@ -80,7 +81,9 @@
 				}
 			}
 
-			const {server, result} = await this.#waitForAttempt();
+			const {server, result: received} = await this.#waitForAttempt();
+			const result = await checkAnswerEnd(this.#context, this.#request, {server, result: received});
+			this.#lastAnswer = result.answer;
 			const requestResult = await this.#handleResult(server, result);
 			if (requestResult) {
 				return requestResult;
@@ -205,7 +208,6 @@
 			throw ended.error;
 		}
 
-		this.#lastAnswer = ended.result.answer;
 		return ended;
 	}
 
@@ -308,7 +310,10 @@
 			}
 		} else {
 			health.recordSuccess(server);
-			crashReports.recordAnswer(this.#request, server, result.answer?.verdict);
+			// The end of any other answer has been checked.
+			if (result.answer?.verdict === answerVerdicts.whole) {
+				crashReports.recordAnswer(this.#request, server, result.answer.verdict);
+			}
 		}
 
 		if (metadata.isReadAsNotExecuted && !this.#isRetryable) {
--- a/packages/plugins/edge/src/stream-calls.ts
+++ b/packages/plugins/edge/src/stream-calls.ts
@@ -4,16 +4,16 @@
  */
 import type {ResponseHead} from '@hickorytrack/endpoint-client';
 import type {SendGrant} from '@hickorytrack/endpoint-client/send-grant';
-import {answerVerdicts, type ReceivedAnswer} from '@hickorytrack/http-answer/answer-reader';
+import type {ReceivedAnswer} from '@hickorytrack/http-answer/answer-reader';
 import type {KnownServer} from '@hickorytrack/endpoint-registry';
 import type {Placement} from '@hickorytrack/prompt-placement';
 import type {Prompt} from '@hickorytrack/prompt-placement/prompt';
+import {checkAnswerEnd} from './answer-end.js';
 import {
 	attemptOutcomes, runAttempt, type AttemptResult, type SilenceOptions,
 } from './attempt.js';
 import {selectBackup} from './backup-server.js';
 import type {CallerRequest} from './caller-request.js';
-import {serverConditions} from './crash-reports.js';
 import type {EventRelay} from './event-relay.js';
 import {HeldEvents} from './held-events.js';
 import {createOutboundRequest, computeRemainingMs, type ForwardContext} from './forward-context.js';
@@ -117,19 +117,16 @@
 
 	/** Has a server generate the response, from the KV cache of the handle if there is one. */
 	async generate(run: StreamRun, server: KnownServer, opts: GenerationOptions): Promise<AttemptResult> {
-		return this.#verifyEnd(server, await this.#generate(run, server, opts));
+		return this.#checkEnd(server, await this.#generate(run, server, opts));
 	}
 
-	/** A stream that only its connection delimits ends with a crash of its server as it does when it is whole. */
-	async #verifyEnd(server: KnownServer, result: AttemptResult): Promise<AttemptResult> {
-		const {answer} = result;
-		const isUnknown = result.outcome === attemptOutcomes.answered && result.isStreamed && answer?.verdict === answerVerdicts.unknown;
-		if (!isUnknown || await this.#context.crashReports.checkEnd(this.#request, server) !== serverConditions.crashed) {
-			return result;
+	async #checkEnd(server: KnownServer, received: AttemptResult): Promise<AttemptResult> {
+		const result = await checkAnswerEnd(this.#context, this.#request, {server, result: received});
+		if (result !== received) {
+			this.lastAnswer = result.answer;
 		}
 
-		this.lastAnswer = {...answer, verdict: answerVerdicts.brokenOff};
-		return {...result, outcome: attemptOutcomes.broken, answer: this.lastAnswer};
+		return result;
 	}
 
 	async #generate(run: StreamRun, server: KnownServer, {permit, grant, handle, placement}: GenerationOptions): Promise<AttemptResult> {
