test(soak): a server that stutters repeats earlier refusals too

Cause: the soak's servers repeated their last answer only, whole and with its id. What users reported is an earlier refusal that comes once more. Change: half of the late answers are one of the last eight refusals of the connection, if there is one: whole, without its id, cut inside its head, or both; some late answers between two answers come in two parts, the second one with the next answer. Heads are now cut inside a value or the reason of the status, where they can be taken for the next answer's.

--- a/tools/soak/src/server-channel.ts
+++ b/tools/soak/src/server-channel.ts
@@ -1,6 +1,7 @@
 /**
  * One connection of a server. It reads requests, sends one answer at a time, and stutters: an answer is sent a second time,
- * just before the next answer on the connection, or after a while, when the next request may be on its way.
+ * just before the next answer on the connection, or after a while, when the next request may be on its way. It is the last
+ * answer or an earlier refusal, which may lack its id, be cut inside its head, or come in two parts.
  */
 import {Buffer} from 'node:buffer';
 import type {Socket} from 'node:net';
@@ -30,6 +31,14 @@
 /** Fraction of the late answers that are sent with the next answer; the others are sent between two answers. */
 const lateWithNextFraction = 0.5;
 const maxStutterMs = 60;
+/** Fraction of the late answers that are an earlier refusal of the connection, if there is one. */
+const earlierRefusalFraction = 0.5;
+const maxKeptRefusals = 8;
+const refusalForms = ['whole', 'without-id', 'cut', 'cut-without-id'] as const;
+/** Fraction of the late answers between two answers whose end comes with the next answer. */
+const splitFraction = 0.3;
+const refusalPattern = /^HTTP\/1\.1 [45]\d\d [^]*?\r\nx-not-executed: /;
+const idLinePattern = /\r\nx-request-id: [^\r]*/;
 
 export class ServerChannel {
 	readonly #socket: Socket;
@@ -39,6 +48,7 @@
 	#work: Promise<void> = Promise.resolve();
 	#late: Buffer | undefined;
 	readonly #sent: Buffer[] = [];
+	readonly #refusals: string[] = [];
 	#break: AnswerBreak | undefined;
 	#isBroken = false;
 	#hasEnded = false;
@@ -166,26 +176,62 @@
 			return;
 		}
 
-		if (this.#opts.random.next() >= this.#opts.stutterRate) {
+		const {clock, random, stutterRate} = this.#opts;
+		const isStuttering = random.next() < stutterRate;
+		const late = isStuttering ? this.#selectLate(answer) : answer;
+		this.#recordRefusal(answer);
+		if (!isStuttering) {
 			return;
 		}
 
-		if (this.#opts.random.next() < lateWithNextFraction) {
-			this.#late = answer;
+		if (random.next() < lateWithNextFraction) {
+			this.#late = late;
 			return;
 		}
 
-		this.#opts.clock.startTimer(this.#opts.random.nextBetween(0, maxStutterMs), () => {
+		const firstBytes = random.next() < splitFraction ? Math.floor(random.nextBetween(1, late.length)) : late.length;
+		clock.startTimer(random.nextBetween(0, maxStutterMs), () => {
 			if (this.#sent.length > 0) {
-				this.#late = answer;
+				this.#late = late;
 			} else if (!this.#isBroken) {
 				// Within the length that a broken-off answer has declared, other bytes would be its body to any reader.
 				this.#hasStuttered = true;
-				this.#write(answer);
+				this.#write(late.subarray(0, firstBytes));
+				this.#late = firstBytes < late.length ? late.subarray(firstBytes) : undefined;
 			}
 		});
 	}
 
+	/** Returns the answer, or an earlier refusal in its place. */
+	#selectLate(answer: Buffer): Buffer {
+		const {random} = this.#opts;
+		if (this.#refusals.length === 0 || random.next() >= earlierRefusalFraction) {
+			return answer;
+		}
+
+		const form = random.select(refusalForms);
+		const refusal = random.select(this.#refusals);
+		const text = form.endsWith('without-id') ? refusal.replace(idLinePattern, '') : refusal;
+		return Buffer.from(form.startsWith('cut') ? this.#truncateHead(text) : text);
+	}
+
+	/** Ends a head inside one of its lines, behind the status or the name, where the next answer may look like its rest. */
+	#truncateHead(text: string): string {
+		const {random} = this.#opts;
+		const lines = text.slice(0, text.indexOf('\r\n\r\n')).split('\r\n');
+		const last = random.select([...lines.keys()]);
+		const line = lines[last]!;
+		return [...lines.slice(0, last), line.slice(0, Math.floor(random.nextBetween(line.indexOf(' ') + 1, line.length)))].join('\r\n');
+	}
+
+	#recordRefusal(answer: Buffer): void {
+		const text = answer.toString('latin1');
+		if (refusalPattern.test(text)) {
+			this.#refusals.push(text);
+			this.#refusals.splice(0, this.#refusals.length - maxKeptRefusals);
+		}
+	}
+
 	/** Closes the connection; `isUnframed` if nothing else ends the answer. */
 	end({isUnframed = false} = {}): void {
 		this.#hasUnknownEnd ||= isUnframed;
