test(endpoint-client): a late answer whose head is cut and goes on with the next answer

What callers saw: a refusal of a request that ran (REFUSED), or a second run of one (TWICE). Cause: a late answer that ends inside a value or the reason of its status makes the status line of the next answer a part of that value, and the next answer's id ends the joined head.

--- a/packages/routing/endpoint-client/test/answer-identity.test.ts
+++ b/packages/routing/endpoint-client/test/answer-identity.test.ts
@@ -4,6 +4,7 @@
 } from 'node:net';
 import {expect} from 'chai';
 import {ManualClock} from '@hickorytrack/clock/manual-clock';
+import {SystemClock} from '@hickorytrack/clock/system-clock';
 import {EndpointClient, type EndpointClientError, type ResponseHead} from '../src/endpoint-client.js';
 import type {AnswerIdentity, ForeignAnswer} from '../src/answer-identity.js';
 import {unlimitedGrant} from '../src/send-grant.js';
@@ -12,6 +13,7 @@
 /** What the test server does with the request of this number on one connection; the first is 1. */
 type Script = (socket: Socket, request: {id: string; position: number}) => void;
 
+const realClock = new SystemClock();
 const idPattern = /^x-id: (.*)\r$/m;
 
 function createAnswer(id: string | undefined, {status = 200, body = `body of ${id}`}: {status?: number; body?: string} = {}): string {
@@ -129,6 +131,51 @@
 		});
 	}
 
+	// The head of the next answer became the end of the late one: a refusal with the id of a request that ran.
+	for (const [name, cut] of Object.entries({
+		'in its reason': 'HTTP/1.1 421 Misdir',
+		'behind its status': 'HTTP/1.1 421 ',
+		'in a value': 'HTTP/1.1 503 S\r\nX-Not-Executed: 1\r\nServer: abc',
+		'before a value': 'HTTP/1.1 503 S\r\nX-Not-Executed: 1\r\nServer:',
+		'in a value of a success': 'HTTP/1.1 200 S\r\nX-Stamp: of-a\r\nServer: abc',
+	})) {
+		for (const delayed of ['in one segment', 'in two segments', 'while the connection is idle']) {
+			it(`releases nothing of a late answer that is cut ${name}, with the next answer ${delayed}`, async () => {
+				script = (socket, {id, position}) => {
+					if (position === 1) {
+						socket.write(createAnswer(id));
+						if (delayed === 'while the connection is idle') {
+							setTimeout(() => socket.write(cut), 5);
+						}
+					} else if (delayed === 'in one segment') {
+						socket.write(cut + createAnswer(id));
+					} else {
+						socket.write(delayed === 'in two segments' ? cut : '');
+						setTimeout(() => socket.write(createAnswer(id)), 20);
+					}
+				};
+
+				expect((await send('a')).error).to.equal(undefined);
+				await realClock.sleep(delayed === 'while the connection is idle' ? 20 : 0);
+				const second = await send('b');
+				// Bytes on an idle connection close it, and the request has another one.
+				expect([second.head?.status, second.body]).to.deep.be.oneOf([[undefined, ''], [200, 'body of b']]);
+				if (delayed !== 'while the connection is idle') {
+					expect(second.error).to.include({code: 'ERR_HICKORYTRACK_FOREIGN_ANSWER', isWritten: true});
+					expect((await send('c')).body).to.equal('body of c');
+					expect(foreignAnswers.map(({expectedId}) => expectedId)).to.deep.equal(['b']);
+				}
+			});
+		}
+	}
+
+	it('accepts an answer whose values name a version of HTTP', async () => {
+		script = (socket, {id}) => socket.write(createAnswer(id).replace('X-Id', 'Via: HTTP/1.1 proxy\r\nUpgrade: HTTP/2.0\r\nX-Id'));
+		expect((await send('a')).body).to.equal('body of a');
+		expect((await send('b')).body).to.equal('body of b');
+		expect(connectionCount).to.equal(1);
+	});
+
 	// The connection went back to the pool, so that every later request on it read the answer of the one before.
 	it('never uses a connection again on which an answer was late', async () => {
 		const pending: string[] = [];
