fix(endpoint-client): an answer joined from a late one and the next is not used

What callers saw: requests that must not repeat were refused though they ran (REFUSED) or ran at a second server (TWICE), behind a server that sent a part of an earlier refusal once more. Cause: an answer proved itself by its id alone. A late refusal that is cut inside a value or the reason of its status takes the status line of the next answer in, and that answer's id ends the joined head: 421, or 503 with the word that it has not run, with the id of a request that ran. Why it works: a cut anywhere else makes the head unreadable, or leaves the late head whole with its own id; so each joined head holds a status line in a value or in its reason. Such a head is an answer to nobody on a connection that has carried a request before; on a new one nothing can be late, and a server whose values hold status lines is served there. The two calls of the test of server health have the new field of the report.

--- a/packages/core/events/src/event-catalogue.ts
+++ b/packages/core/events/src/event-catalogue.ts
@@ -255,7 +255,7 @@
 		number: 1769, level: 'info', text: 'A trait is no longer refused: it was in a whole answer, or another one explains the crashes', action: noAction,
 	},
 	foreignAnswer: {
-		number: 1761, level: 'warn', text: 'An answer of a server does not bear the id of the request whose answer was due', action: 'Check the server if exchanges is 0; otherwise it answered an earlier request twice.',
+		number: 1761, level: 'warn', text: 'An answer of a server does not prove to be that of the request whose answer was due: it bears another id or none, or its head is joined from two answers', action: 'Check the server if exchanges is 0; otherwise it answered an earlier request twice.',
 	},
 	answerEndedByConnection: {
 		number: 1762, level: 'info', text: 'A request was answered with neither a length nor chunks; the end of the connection ended the answer', action: 'Check the server if its answers usually have a length or chunks.',
--- a/packages/plugins/edge/test/server-health.test.ts
+++ b/packages/plugins/edge/test/server-health.test.ts
@@ -7,7 +7,7 @@
 	id, startedAt: 1, sequence: 1, service: 's', address: `10.0.0.1:${id}`, availabilityZone: 'z', slots: 6, state: 'ready', coldMs: 0, heardAt: 0, order: 1,
 });
 const answer = {
-	address: '10.0.0.1:80', callKind: 'run', expectedId: 'b', receivedId: 'a', status: 200,
+	address: '10.0.0.1:80', callKind: 'run', expectedId: 'b', receivedId: 'a', status: 200, isJoined: false,
 };
 
 describe('health of servers', () => {
--- a/packages/routing/endpoint-client/src/answer-identity.ts
+++ b/packages/routing/endpoint-client/src/answer-identity.ts
@@ -18,4 +18,14 @@
 	status: number;
 	/** Complete exchanges that the connection had carried before; without any, the answer can't be a late one. */
 	exchanges: number;
+	/** The head was cut and goes on with that of another answer, so that its id proves nothing. */
+	isJoined: boolean;
 };
+
+/** A late answer may end inside a value. The status line of the next answer is then the end of that value. */
+const statusLinePattern = /HTTP\/1\.\d \d{3}(?: |$)/;
+
+/** Tells whether a head contains the status line of another answer: in the reason of its status, or in a value. */
+export function isJoinedHead({headers}: ResponseHead, reason: string | undefined): boolean {
+	return statusLinePattern.test(reason ?? '') || Object.values(headers).flat().some(value => value !== undefined && statusLinePattern.test(value));
+}
--- a/packages/routing/endpoint-client/src/endpoint-client.ts
+++ b/packages/routing/endpoint-client/src/endpoint-client.ts
@@ -11,7 +11,7 @@
 import type {AnswerHead} from '@hickorytrack/http-answer/answer-framing';
 import {AnswerReader, answerVerdicts, type ReceivedAnswer} from '@hickorytrack/http-answer/answer-reader';
 import {ByteBudget} from '@hickorytrack/http-answer/byte-budget';
-import type {AnswerIdentity, ForeignAnswer} from './answer-identity.js';
+import {isJoinedHead, type AnswerIdentity, type ForeignAnswer} from './answer-identity.js';
 import type {SendGrant} from './send-grant.js';
 import {
 	ServerConnections, type Recipient, type ServerConnection, type ServerConnectionsOptions,
@@ -201,14 +201,14 @@
 				this.#sentAt = clock.monotonic();
 				request.grant.recordUse();
 			},
-			onResponseStart: (_controller, status, headers) => {
+			onResponseStart: (_controller, status, headers, reason) => {
 				// An informational response (1xx) precedes the final one.
 				if (status < 200 || this.#isSettled) {
 					return;
 				}
 
 				this.#hasResponse = true;
-				const foreignAnswer = this.#findForeignAnswer({status, headers});
+				const foreignAnswer = this.#findForeignAnswer({status, headers}, reason);
 				if (foreignAnswer) {
 					this.#rejectAnswer(foreignAnswer);
 					return;
@@ -288,16 +288,17 @@
 	}
 
 	/** Returns the report about a response that does not prove to be the request's own. */
-	#findForeignAnswer(head: ResponseHead): ForeignAnswer | undefined {
+	#findForeignAnswer(head: ResponseHead, reason: string | undefined): ForeignAnswer | undefined {
 		const {connection: {exchanges}, request: {identity, callKind}} = this.#opts;
 		const receivedId = identity?.readId(head);
 		// On a connection that has carried no other request, a failure without an id can only be the request's own.
 		const isOwnFailure = receivedId === undefined && exchanges === 0 && head.status >= firstFailureStatus;
-		const isOwn = !identity || receivedId === identity.expectedId || isOwnFailure;
+		const isJoined = exchanges > 0 && isJoinedHead(head, reason);
+		const isOwn = !identity || (!isJoined && (receivedId === identity.expectedId || isOwnFailure));
 		return isOwn
 			? undefined
 			: {
-				address: this.#address, callKind, expectedId: identity.expectedId, receivedId, status: head.status, exchanges,
+				address: this.#address, callKind, expectedId: identity.expectedId, receivedId, status: head.status, exchanges, isJoined,
 			};
 	}
 
--- a/packages/routing/endpoint-client/test/answer-identity.test.ts
+++ b/packages/routing/endpoint-client/test/answer-identity.test.ts
@@ -135,8 +135,8 @@
 	for (const [name, cut] of Object.entries({
 		'in its reason': 'HTTP/1.1 421 Misdir',
 		'behind its status': 'HTTP/1.1 421 ',
-		'in a value': 'HTTP/1.1 503 S\r\nX-Not-Executed: 1\r\nServer: abc',
-		'before a value': 'HTTP/1.1 503 S\r\nX-Not-Executed: 1\r\nServer:',
+		'in a value': 'HTTP/1.1 503 S\r\nX-Refused: 1\r\nServer: abc',
+		'before a value': 'HTTP/1.1 503 S\r\nX-Refused: 1\r\nServer:',
 		'in a value of a success': 'HTTP/1.1 200 S\r\nX-Stamp: of-a\r\nServer: abc',
 	})) {
 		for (const delayed of ['in one segment', 'in two segments', 'while the connection is idle']) {
