--- a/packages/routing/endpoint-client/src/endpoint-client.ts
+++ b/packages/routing/endpoint-client/src/endpoint-client.ts
@@ -11,7 +11,7 @@
 import type {AnswerHead} from '@hickorytrack/http-answer/answer-framing';
 import {AnswerReader, answerVerdicts, type ReceivedAnswer} from '@hickorytrack/http-answer/answer-reader';
 import {ByteBudget} from '@hickorytrack/http-answer/byte-budget';
-import type {AnswerIdentity, ForeignAnswer} from './answer-identity.js';
+import {isJoinedHead, type AnswerIdentity, type ForeignAnswer} from './answer-identity.js';
 import type {SendGrant} from './send-grant.js';
 import {
 	ServerConnections, type Recipient, type ServerConnection, type ServerConnectionsOptions,
@@ -203,11 +203,11 @@
 			onRequestStart: controller => {
 				this.#handleStart(controller);
 			},
-			onResponseStart: (_controller, status, headers) => {
+			onResponseStart: (_controller, status, headers, reason) => {
 				// An informational response (1xx) precedes the final one.
 				if (status >= 200) {
 					this.#handle(() => {
-						this.#handleHead({status, headers});
+						this.#handleHead({status, headers}, reason);
 					});
 				}
 			},
@@ -312,10 +312,10 @@
 		request.grant.recordUse();
 	}
 
-	#handleHead(head: ResponseHead): void {
+	#handleHead(head: ResponseHead, reason: string | undefined): void {
 		const {request, handler, onAnswer} = this.#opts;
 		this.#hasResponse = true;
-		const foreignAnswer = this.#findForeignAnswer(head);
+		const foreignAnswer = this.#findForeignAnswer(head, reason);
 		if (foreignAnswer) {
 			this.#rejectAnswer(foreignAnswer);
 			return;
@@ -372,16 +372,17 @@
 	}
 
 	/** Returns the report about a response that does not prove to be the request's own. */
-	#findForeignAnswer(head: ResponseHead): ForeignAnswer | undefined {
+	#findForeignAnswer(head: ResponseHead, reason: string | undefined): ForeignAnswer | undefined {
 		const {connection: {exchanges}, request: {identity, callKind}} = this.#opts;
 		const receivedId = identity?.readId(head);
 		// On a connection that has carried no other request, a failure without an id can only be the request's own.
 		const isOwnFailure = receivedId === undefined && exchanges === 0 && head.status >= firstFailureStatus;
-		const isOwn = !identity || receivedId === identity.expectedId || isOwnFailure;
+		const isJoined = exchanges > 0 && isJoinedHead(head, reason);
+		const isOwn = !identity || (!isJoined && (receivedId === identity.expectedId || isOwnFailure));
 		return isOwn
 			? undefined
 			: {
-				address: this.#address, callKind, expectedId: identity.expectedId, receivedId, status: head.status, exchanges,
+				address: this.#address, callKind, expectedId: identity.expectedId, receivedId, status: head.status, exchanges, isJoined,
 			};
 	}
 
