fix(stream-origins): wait for the record of a second version each time

What callers could see: a stream of one version that went on at another one. An edge cut off from the core tried a server of a second version, got no confirmation of the record, rejected that server and sent the stream to the next server of the same version at once, because the version counted as recorded from the first try. The core still held the first version as the stream's only one, and an edge in touch would have taken it up there.

Evidence: the new test printed [false, true, true] instead of three times false. Now a version counts only once its record is confirmed; servers that are tried meanwhile wait for the same confirmation.

--- a/packages/routing/stream-origins/src/open-stream.ts
+++ b/packages/routing/stream-origins/src/open-stream.ts
@@ -51,8 +51,11 @@
 	readonly lifetimeMs: number;
 	readonly #owner: StreamOwner;
 	readonly #services: readonly string[];
-	/** Versions of the servers to which it was sent. */
+	/** Versions of the servers to which it was sent, or would have been if the core had confirmed the record. */
 	readonly #sentVersions = new Set<string>();
+	/** Versions to whose servers it may be sent: the first one, and those whose record is confirmed. */
+	readonly #preparedVersions = new Set<string>();
+	readonly #confirmations = new Map<string, Promise<boolean>>();
 	readonly #sends: Array<{server: OriginServer; sentAt: number}> = [];
 	/** Starts with another version that may have got a request which was meant for the start before. */
 	readonly #laterStarts: OriginServer[] = [];
@@ -76,18 +79,14 @@
 	prepare(server: OriginServer): boolean | Promise<boolean> {
 		const {version = unknownVersion} = server;
 		this.#sends.push({server, sentAt: this.#owner.now});
-		if (this.#sentVersions.has(version)) {
-			return true;
-		}
-
 		this.#sentVersions.add(version);
-		if (this.#sentVersions.size === 1) {
-			this.recordIfNeeded();
-			return true;
+		if (this.#preparedVersions.size > 0) {
+			return this.#preparedVersions.has(version) || this.#confirmVersion(version);
 		}
 
-		this.#isRecorded = true;
-		return this.#owner.recordConfirmed(this, [...this.#sentVersions]);
+		this.#preparedVersions.add(version);
+		this.recordIfNeeded();
+		return true;
 	}
 
 	/** Undefined before the first event, and if the version is not known. */
@@ -164,6 +163,20 @@
 		this.#owner.close(this, end);
 	}
 
+	/** Records a further version. Servers of it that are tried meanwhile wait for the same confirmation; a later one asks again. */
+	async #confirmVersion(version: string): Promise<boolean> {
+		this.#isRecorded = true;
+		const confirmation = this.#confirmations.get(version) ?? this.#owner.recordConfirmed(this, [...this.#sentVersions]);
+		this.#confirmations.set(version, confirmation);
+		const isConfirmed = await confirmation;
+		this.#confirmations.delete(version);
+		if (isConfirmed) {
+			this.#preparedVersions.add(version);
+		}
+
+		return isConfirmed;
+	}
+
 	#disownIfReplaced(beginner: OriginServer): void {
 		if (this.#laterStarts.some(({id, startedAt}) => id === beginner.id && startedAt > beginner.startedAt)) {
 			void this.disown();
--- a/packages/routing/stream-origins/test/stream-origins.test.ts
+++ b/packages/routing/stream-origins/test/stream-origins.test.ts
@@ -118,6 +118,27 @@
 		expect(instance.isAdmitted(server('s2', 'v2'))).to.equal(false);
 	});
 
+	// An edge that was cut off from the core sent a stream to a second server of a version whose record had not been confirmed; the core held the first version for its origin.
+	it('sends a stream to no server of a second version before the record of it is confirmed', async () => {
+		await admit('v1', 'v2');
+		const opened = open('a1');
+		expect(await opened.prepare(server('s1', 'v1'))).to.equal(true);
+		await wait();
+		core.isReachable = false;
+		const prepare = async (id: string) => opened.prepare(server(id, 'v2'));
+		const answers = [prepare('s2'), prepare('s3')];
+		await wait(600);
+		answers.push(prepare('s4'));
+		await wait(600);
+		expect(await Promise.all(answers)).to.deep.equal([false, false, false]);
+		expect(opened.prepare(server('s5', 'v1'))).to.equal(true);
+		core.isReachable = true;
+		const later = prepare('s2');
+		await wait();
+		expect(await later).to.equal(true);
+		expect(await find('a1')).to.deep.equal({ground: 'ambiguous'});
+	});
+
 	it('stores nothing for streams while a service has one version, and still knows it after the end of all instances', async () => {
 		await admit('v1');
 		const commands = core.commands.length;
