--- a/tools/soak/src/fault-schedule.ts
+++ b/tools/soak/src/fault-schedule.ts
@@ -18,12 +18,15 @@
 	hush: 'hush',
 	/** Servers start again one after the other, each with the next version of its software. */
 	release: 'release',
+	/** An edge stands still or is cut off from the others while a release goes on. */
+	outOfStep: 'out-of-step',
 } as const;
 export type OutsideFault = typeof outsideFaults[keyof typeof outsideFaults];
 
 export type ScheduledFault = {
 	atMs: number;
-	kind: OutsideFault;
+	/** An edge that is out of step is scheduled as what keeps it from taking part. */
+	kind: Exclude<OutsideFault, 'out-of-step'>;
 	target: string;
 	/** Edge whose connections to the target are meant; undefined for all. */
 	source?: string;
@@ -45,6 +48,10 @@
 const meanGapMs = 1200;
 const minDurationMs = 100;
 const maxDurationMs = 4000;
+/** An edge falls out of step up to this long before a release begins, and takes part again while callers still wait. */
+const outOfStepLeadMs = 1000;
+const minOutOfStepMs = 1000;
+const maxOutOfStepMs = 6000;
 /** Faults that strike edges only. */
 const edgeFaults: ReadonlySet<OutsideFault> = new Set([outsideFaults.term, outsideFaults.kill, outsideFaults.killCore, outsideFaults.killAll]);
 
@@ -74,8 +81,9 @@
 
 export function createSchedule({random, seconds, kinds, edges, servers, changesAtMs}: ScheduleOptions): ScheduledFault[] {
 	const schedule: ScheduledFault[] = [];
-	for (let atMs = startMs; kinds.length > 0 && atMs < (seconds * 1000) - endMs; atMs += random.nextExponential(meanGapMs)) {
-		const kind = random.select(kinds);
+	const drawn = kinds.filter(kind => kind !== 'out-of-step');
+	for (let atMs = startMs; drawn.length > 0 && atMs < (seconds * 1000) - endMs; atMs += random.nextExponential(meanGapMs)) {
+		const kind = random.select(drawn);
 		if (kind === 'hush') {
 			schedule.push(...createHushes(random, servers, atMs));
 			continue;
@@ -93,9 +101,32 @@
 		schedule.push(...planned.flatMap(atMs => createHushes(random, servers, atMs + random.nextBetween(-hushSpreadMs, hushSpreadMs))));
 	}
 
+	if (kinds.includes('out-of-step')) {
+		schedule.push(...createOutOfStepEdges(random, {
+			schedule, seconds, edges, servers,
+		}));
+	}
+
 	return removeJoinedHushes(schedule.sort((a, b) => a.atMs - b.atMs));
 }
 
+/** For each release, one edge that stands still or is cut off during a part of it. There is one release at least. */
+function createOutOfStepEdges(random: Random, {schedule, seconds, edges, servers}: Pick<ScheduleOptions, 'seconds' | 'edges' | 'servers'> & {schedule: readonly ScheduledFault[]}): ScheduledFault[] {
+	const planned = schedule.filter(({kind}) => kind === 'release');
+	const added: ScheduledFault[] = planned.length > 0
+		? []
+		: [{
+			atMs: startMs, kind: 'release', target: servers[0]!, durationMs: maxDurationMs,
+		}];
+	return [...added, ...[...planned, ...added].map(({atMs, durationMs}): ScheduledFault => {
+		const from = Math.max(0, Math.round(atMs + random.nextBetween(-outOfStepLeadMs, durationMs)));
+		const lastMs = Math.max(minOutOfStepMs, (seconds * 1000) - endMs - from);
+		return {
+			atMs: from, kind: random.select(['freeze', 'cut'] as const), target: random.select(edges), durationMs: Math.round(Math.min(lastMs, random.nextBetween(minOutOfStepMs, maxOutOfStepMs))),
+		};
+	})];
+}
+
 /** One server falls silent, or two at once. */
 function createHushes(random: Random, servers: readonly string[], atMs: number): ScheduledFault[] {
 	const first = random.nextInteger(servers.length);
