test(soak): a wrong version that an edge leaves behind when it stands still

An edge that is cut off from the one to which a new start of a server reports believes the start before, records its version and stands still; another edge takes the stream up by the record.

--- a/tools/soak/test/out-of-step-edges.test.ts
+++ b/tools/soak/test/out-of-step-edges.test.ts
@@ -104,4 +104,37 @@
 			});
 		}
 	}
+
+	// An edge that had not heard of a restart recorded the version of the start before; while it stood still, nothing corrected the record.
+	it('does not leave a wrong version behind when it stands still after a server has started anew with another version', async () => {
+		const leader = await fleet.findLeader();
+		const [told, ...rest] = fleet.edges.map(({name}) => name).filter(name => name !== leader && name !== 'edge-4');
+		expect(rest.length).to.equal(1);
+		const old = await fleet.addServer(told!, {id: 'anew', version: 'v1', startedAt: Date.now()});
+		const servers = [{id: 'v1-2', version: 'v1'}, {id: 'v2-1', version: 'v2'}, {id: 'v2-2', version: 'v2'}];
+		await Promise.all(servers.map(async server => fleet.addServer(told!, server)));
+		for (const edge of ['edge-4', leader]) {
+			await fleet.waitForServers(edge, ['anew', 'v1-2', 'v2-1', 'v2-2']);
+		}
+
+		await Promise.all(Array.from({length: 20}, async () => fleet.send('edge-4', '/talk/x')));
+		const heal = fleet.cut('edge-4', [told!]);
+		await fleet.crashServer(old);
+		await fleet.addServer(told!, {
+			id: 'anew', version: 'v2', startedAt: Date.now(), eventMs: 1500,
+		}, {address: old.address});
+		await fleet.clock.sleep(500);
+		// Those at other servers have ended by then; these still run when their edge stands still, and their callers leave.
+		const begun = Array.from({length: streamCount}, async () => fleet.send('edge-4', '/talk/x', {}, 900));
+		await fleet.clock.sleep(600);
+		const thaw = fleet.freeze('edge-4');
+		const streams = (await Promise.all(begun)).filter(({body}) => listVersions(body).length === 1);
+		expect(streams.length).to.be.greaterThan(0);
+		const results = await Promise.all(streams.map(async first => takeUpUntilServed(leader, first)));
+		thaw();
+		heal();
+		for (const versions of results) {
+			expect(new Set(versions).size).to.equal(1);
+		}
+	});
 });
