fix(stream-origins): check the starts that a recorded stream was sent to

What callers could see: a stream joined from two versions. An edge was cut off from the edge to which a server, started anew under its id with another version, reported. It recorded the version of the start before for streams that the new one began, and stood still before it could correct the records; another edge took the streams up by them.

Records name the starts that the stream was sent to and when, so that any edge that has heard of the later start takes the stream for unknown. Instances of earlier versions write none and are judged as before.

--- a/packages/core/types/src/peer-methods.ts
+++ b/packages/core/types/src/peer-methods.ts
@@ -143,13 +143,17 @@
 /** What an instance writes about streams; the fields are documented in `@hickorytrack/stream-origins/origin-store`. */
 export type StreamOriginWrite = {
 	admitted: Array<[service: string, version: string]>;
-	streams: Array<[stream: string, service: string, added: string[], dropped: string[], lifetimeMs: number]>;
+	streams: Array<[stream: string, service: string, added: string[], dropped: string[], lifetimeMs: number, sends?: StreamSend[]]>;
 };
 
+/** A stream was sent to a start of a server. Times are wall times in milliseconds. */
+export type StreamSend = [server: string, startedAt: number, sentAt: number];
+
 /** The versions with which each service may have begun streams, and with which one begun stream was sent to servers. */
 export type StreamOriginView = {
 	versions: Record<string, string[]>;
-	stream?: {service: string; versions: string[]};
+	/** Instances of earlier versions write no sends. */
+	stream?: {service: string; versions: string[]; sends?: StreamSend[]};
 };
 
 /** Work in flight at one server. A tuple for a compact encoding: load shares are the most frequent peer messages. */
--- a/packages/plugins/edge/src/edge.ts
+++ b/packages/plugins/edge/src/edge.ts
@@ -132,7 +132,7 @@
 		});
 		const hasVersion = (service: string, version: string) => this.registry.hasVersion(service, version);
 		this.#origins = new StreamOrigins({
-			clock, hasVersion, leader: new OriginLink({
+			clock, hasVersion, findServer: id => this.registry.find(id), leader: new OriginLink({
 				mesh: this.mesh, configuration: this.configuration, core: this.#core, recall: stream => this.#origins.recall(stream),
 			}),
 		});
--- a/packages/plugins/edge/test/retry-fleet.ts
+++ b/packages/plugins/edge/test/retry-fleet.ts
@@ -232,7 +232,7 @@
 			}),
 			// All servers have the same version, and no server starts again.
 			origins: new StreamOrigins({
-				clock, hasVersion: () => true, leader: {
+				clock, hasVersion: () => true, findServer: () => undefined, leader: {
 					isSupported: false, write: async () => undefined, findOrigin: async () => undefined, recall: async () => undefined,
 				},
 			}),
--- a/packages/routing/stream-origins/src/open-stream.ts
+++ b/packages/routing/stream-origins/src/open-stream.ts
@@ -2,6 +2,7 @@
  * A stream that may be taken up later, while an instance serves it: the servers that it was sent to, the version that began
  * it, and when that must be recorded.
  */
+import type {StreamSend} from '@hickorytrack/types/peer-methods';
 import {unknownVersion} from './origin-store.js';
 import type {BegunStream} from './origin-writer.js';
 
@@ -89,6 +90,12 @@
 		return true;
 	}
 
+	/** The starts of servers that may have begun it: once it has a first event, the one that sent it. */
+	get sends(): StreamSend[] {
+		const sends = this.#sends.filter(({server}) => !this.#beginner || isSameStart(server, this.#beginner));
+		return sends.map(({server: {id, startedAt}, sentAt}) => [id, startedAt, sentAt]);
+	}
+
 	/** Undefined before the first event, and if the version is not known. */
 	get origin(): BegunStream | undefined {
 		const version = this.#beginner?.version ?? unknownVersion;
@@ -105,7 +112,7 @@
 	 * the one before. Until its first event, it only may: another server may still begin it.
 	 */
 	handleStart(start: OriginServer): void {
-		const mayHaveSentTo = this.#sends.some(({server, sentAt}) => server.id === start.id && server.startedAt < start.startedAt && sentAt >= start.startedAt - clockSkewMs && server.version !== start.version);
+		const mayHaveSentTo = this.#sends.some(({server, sentAt}) => mayHaveReached(start, [server.id, server.startedAt, sentAt], server.version));
 		if (!mayHaveSentTo || this.#isDisowned) {
 			return;
 		}
@@ -184,6 +191,15 @@
 	}
 }
 
+function isSameStart(server: OriginServer, other: OriginServer): boolean {
+	return server.id === other.id && server.startedAt === other.startedAt;
+}
+
+/** Tells whether a request that was sent to a start of a server may have reached a later start of it with another version. */
+export function mayHaveReached(later: OriginServer, [server, startedAt, sentAt]: StreamSend, version: string | undefined): boolean {
+	return server === later.id && startedAt < later.startedAt && sentAt >= later.startedAt - clockSkewMs && version !== later.version;
+}
+
 /** Returns the id by which a stream is recorded; undefined for one that can't be. */
 export function createStreamKey(id: string | undefined): string | undefined {
 	return id !== undefined && id.length <= maxIdCharacters ? id : undefined;
--- a/packages/routing/stream-origins/src/origin-store.ts
+++ b/packages/routing/stream-origins/src/origin-store.ts
@@ -6,7 +6,7 @@
  * A stream whose record has one version was begun at that version. Without a record it was begun at the only version of its
  * service, if there is only one; otherwise its version is unknown.
  */
-import type {StreamOriginView, StreamOriginWrite} from '@hickorytrack/types/peer-methods';
+import type {StreamOriginView, StreamOriginWrite, StreamSend} from '@hickorytrack/types/peer-methods';
 
 /** Version of a server that reports none. It equals no version, itself included. */
 export const unknownVersion = '';
@@ -21,7 +21,7 @@
 	streams: StreamOriginWrite['streams'];
 };
 
-type StreamRecord = {service: string; versions: string[]; expiresAt: number};
+type StreamRecord = {service: string; versions: string[]; sends: StreamSend[]; expiresAt: number};
 type Snapshot = {versions: Array<[service: string, versions: string[]]>; streams: Array<[stream: string, record: StreamRecord]>};
 
 /** About 10 MB of memory. The oldest records are dropped first, so that their streams become unknown. */
@@ -52,10 +52,12 @@
 			this.#versions.get(service)?.delete(version);
 		}
 
-		for (const [stream, service, added, dropped, lifetimeMs] of streams) {
+		for (const [stream, service, added, dropped, lifetimeMs, sends = []] of streams) {
 			const earlier = this.#streams.get(stream);
 			const versions = [...new Set([...earlier?.versions ?? [], ...added])].filter(version => !dropped.includes(version));
-			this.#streams.set(stream, {service, versions, expiresAt: at + lifetimeMs});
+			this.#streams.set(stream, {
+				service, versions, sends: sends.length > 0 ? sends : earlier?.sends ?? [], expiresAt: at + lifetimeMs,
+			});
 		}
 
 		this.#removeExpired(at);
@@ -74,7 +76,7 @@
 		const record = stream === undefined ? undefined : this.#streams.get(stream);
 		return {
 			versions: Object.fromEntries(services.map(service => [service, [...this.#versions.get(service) ?? []]])),
-			stream: record && record.expiresAt > now ? {service: record.service, versions: record.versions} : undefined,
+			stream: record && record.expiresAt > now ? {service: record.service, versions: record.versions, sends: record.sends} : undefined,
 		};
 	}
 
--- a/packages/routing/stream-origins/src/stream-origins.ts
+++ b/packages/routing/stream-origins/src/stream-origins.ts
@@ -7,7 +7,7 @@
 import {waitWithTimeout, type Clock} from '@hickorytrack/clock';
 import type {StreamOriginView} from '@hickorytrack/types/peer-methods';
 import {
-	createStreamKey, OpenStream, type OriginServer, type StreamOptions, type StreamOwner,
+	createStreamKey, mayHaveReached, OpenStream, type OriginServer, type StreamOptions, type StreamOwner,
 } from './open-stream.js';
 import {unknownVersion} from './origin-store.js';
 import {OriginWriter, type BegunStream, type OriginLeader} from './origin-writer.js';
@@ -17,6 +17,8 @@
 	leader: OriginLeader;
 	/** Tells whether servers of the version have been heard of lately. */
 	hasVersion: (service: string, version: string) => boolean;
+	/** Returns the newest start of a server. */
+	findServer: (id: string) => OriginServer | undefined;
 };
 
 export const originGrounds = {
@@ -179,8 +181,13 @@
 
 		this.#mergeView(view);
 		if (view.stream) {
-			const {service, versions: [version, ...others]} = view.stream;
-			const isKnown = version !== undefined && version !== unknownVersion && others.length === 0 && services.includes(service);
+			const {service, versions: [version, ...others], sends = []} = view.stream;
+			// The instance that began it may not have heard of a restart, and may be out of step still.
+			const isReplaced = sends.some(send => {
+				const server = this.#opts.findServer(send[0]);
+				return server !== undefined && mayHaveReached(server, send, version);
+			});
+			const isKnown = version !== undefined && version !== unknownVersion && others.length === 0 && services.includes(service) && !isReplaced;
 			return isKnown ? {ground: originGrounds.record, service, version} : {ground: originGrounds.ambiguous};
 		}
 
@@ -192,13 +199,13 @@
 	/** Queues the record of a stream. */
 	record(stream: OpenStream, {added = [], dropped = []}: {added?: string[]; dropped?: string[]}): void {
 		if (stream.key !== undefined) {
-			this.#writer.append({streams: [[stream.key, stream.service, added, dropped, stream.lifetimeMs]]});
+			this.#writer.append({streams: [[stream.key, stream.service, added, dropped, stream.lifetimeMs, stream.sends]]});
 		}
 	}
 
 	/** Resolves with true once the core has stored the record of a stream. */
 	async recordConfirmed(stream: OpenStream, added: string[]): Promise<boolean> {
-		return stream.key !== undefined && this.#writer.write({streams: [[stream.key, stream.service, added, [], stream.lifetimeMs]]});
+		return stream.key !== undefined && this.#writer.write({streams: [[stream.key, stream.service, added, [], stream.lifetimeMs, stream.sends]]});
 	}
 
 	remember({key, service, lifetimeMs}: OpenStream, version: string): void {
--- a/packages/routing/stream-origins/test/stream-origins.test.ts
+++ b/packages/routing/stream-origins/test/stream-origins.test.ts
@@ -18,6 +18,8 @@
 class TestCore {
 	readonly clock = new ManualClock();
 	readonly commands: OriginCommand[] = [];
+	/** The newest start of each server that all instances know. */
+	readonly servers = new Map<string, OriginServer>();
 	isReachable = true;
 	/** Time until an instance has the confirmation of a write. */
 	writeMs = 0;
@@ -28,7 +30,7 @@
 	/** Starts an instance that knows nothing. */
 	startInstance(): StreamOrigins {
 		const instance: StreamOrigins = new StreamOrigins({
-			clock: this.clock, hasVersion: () => true, leader: {
+			clock: this.clock, hasVersion: () => true, findServer: id => this.servers.get(id), leader: {
 				isSupported: true, write: async write => this.#write(write), findOrigin: async (services, stream) => this.isReachable ? this.#core.findOrigin(services, stream) : undefined, recall: async stream => this.#recall(stream, instance),
 			},
 		});
@@ -285,6 +287,21 @@
 		expect(await find('a1', instance)).to.deep.equal({ground: 'ambiguous'});
 	});
 
+	// The instance that began the stream was out of step and left the version of the start before in the core.
+	it('takes a recorded stream for unknown if the instance that is asked knows a later start that may have begun it', async () => {
+		await admit('v1', 'v2');
+		const now = core.clock.now();
+		for (const [id, version, startedAt] of [['replaced', 'v2', now - 100], ['same-version', 'v1', now - 100], ['later', 'v2', now + 60_000]] as const) {
+			await begin(id, server(id, 'v1', now - 10_000));
+			core.servers.set(id, server(id, version, startedAt));
+		}
+
+		await wait();
+		expect(await find('replaced')).to.deep.equal({ground: 'ambiguous'});
+		expect(await find('same-version')).to.include({ground: 'record', version: 'v1'});
+		expect(await find('later')).to.include({ground: 'record', version: 'v1'});
+	});
+
 	// Until the core had stored that the version is unknown, its record still named the earlier one.
 	it('refuses a stream that it has disowned before the core knows it', async () => {
 		await admit('v1', 'v2');
