--- a/packages/routing/stream-origins/src/open-stream.ts
+++ b/packages/routing/stream-origins/src/open-stream.ts
@@ -2,6 +2,7 @@
  * A stream that may be taken up later, while an instance serves it: the servers that it was sent to, the version that began
  * it, and when that must be recorded.
  */
+import type {StreamSend} from '@hickorytrack/types/peer-methods';
 import {unknownVersion} from './origin-store.js';
 import type {BegunStream} from './origin-writer.js';
 
@@ -51,8 +52,11 @@
 	readonly lifetimeMs: number;
 	readonly #owner: StreamOwner;
 	readonly #services: readonly string[];
-	/** Versions of the servers to which it was sent. */
+	/** Versions of the servers to which it was sent, or would have been if the core had confirmed the record. */
 	readonly #sentVersions = new Set<string>();
+	/** Versions to whose servers it may be sent: the first one, and those whose record is confirmed. */
+	readonly #preparedVersions = new Set<string>();
+	readonly #confirmations = new Map<string, Promise<boolean>>();
 	readonly #sends: Array<{server: OriginServer; sentAt: number}> = [];
 	/** Starts with another version that may have got a request which was meant for the start before. */
 	readonly #laterStarts: OriginServer[] = [];
@@ -76,18 +80,20 @@
 	prepare(server: OriginServer): boolean | Promise<boolean> {
 		const {version = unknownVersion} = server;
 		this.#sends.push({server, sentAt: this.#owner.now});
-		if (this.#sentVersions.has(version)) {
-			return true;
-		}
-
 		this.#sentVersions.add(version);
-		if (this.#sentVersions.size === 1) {
-			this.recordIfNeeded();
-			return true;
+		if (this.#preparedVersions.size > 0) {
+			return this.#preparedVersions.has(version) || this.#confirmVersion(version);
 		}
 
-		this.#isRecorded = true;
-		return this.#owner.recordConfirmed(this, [...this.#sentVersions]);
+		this.#preparedVersions.add(version);
+		this.recordIfNeeded();
+		return true;
+	}
+
+	/** The starts of servers that may have begun it: once it has a first event, the one that sent it. */
+	get sends(): StreamSend[] {
+		const sends = this.#sends.filter(({server}) => !this.#beginner || isSameStart(server, this.#beginner));
+		return sends.map(({server: {id, startedAt}, sentAt}) => [id, startedAt, sentAt]);
 	}
 
 	/** Undefined before the first event, and if the version is not known. */
@@ -106,7 +112,7 @@
 	 * the one before. Until its first event, it only may: another server may still begin it.
 	 */
 	handleStart(start: OriginServer): void {
-		const mayHaveSentTo = this.#sends.some(({server, sentAt}) => server.id === start.id && server.startedAt < start.startedAt && sentAt >= start.startedAt - clockSkewMs && server.version !== start.version);
+		const mayHaveSentTo = this.#sends.some(({server, sentAt}) => mayHaveReached(start, [server.id, server.startedAt, sentAt], server.version));
 		if (!mayHaveSentTo || this.#isDisowned) {
 			return;
 		}
@@ -164,6 +170,20 @@
 		this.#owner.close(this, end);
 	}
 
+	/** Records a further version. Servers of it that are tried meanwhile wait for the same confirmation; a later one asks again. */
+	async #confirmVersion(version: string): Promise<boolean> {
+		this.#isRecorded = true;
+		const confirmation = this.#confirmations.get(version) ?? this.#owner.recordConfirmed(this, [...this.#sentVersions]);
+		this.#confirmations.set(version, confirmation);
+		const isConfirmed = await confirmation;
+		this.#confirmations.delete(version);
+		if (isConfirmed) {
+			this.#preparedVersions.add(version);
+		}
+
+		return isConfirmed;
+	}
+
 	#disownIfReplaced(beginner: OriginServer): void {
 		if (this.#laterStarts.some(({id, startedAt}) => id === beginner.id && startedAt > beginner.startedAt)) {
 			void this.disown();
@@ -171,6 +191,15 @@
 	}
 }
 
+function isSameStart(server: OriginServer, other: OriginServer): boolean {
+	return server.id === other.id && server.startedAt === other.startedAt;
+}
+
+/** Tells whether a request that was sent to a start of a server may have reached a later start of it with another version. */
+export function mayHaveReached(later: OriginServer, [server, startedAt, sentAt]: StreamSend, version: string | undefined): boolean {
+	return server === later.id && startedAt < later.startedAt && sentAt >= later.startedAt - clockSkewMs && version !== later.version;
+}
+
 /** Returns the id by which a stream is recorded; undefined for one that can't be. */
 export function createStreamKey(id: string | undefined): string | undefined {
 	return id !== undefined && id.length <= maxIdCharacters ? id : undefined;
