test(soak): slow servers, work that two servers share, and requests that hang

The soak could play neither: its servers answered reports at once, most of its streams were done within 100 ms, and it did not record when a server's work ended.

Change: the faults slow-report and slow-token; the beginning and the end of the work on each generation, also during a silence; delays of the event loops of servers and of the soak's own process. check-shared-work.ts reports a server that is at work more than 400 ms after the next one has begun (TWICE), check-overdue.ts a request without an end half a second after its route's timeout or its deadline (CONFIG).

--- a/tools/soak/src/check-lost.ts
+++ b/tools/soak/src/check-lost.ts
@@ -85,7 +85,8 @@
 	return outcome !== undefined && !soundAnswers.has(outcome.answer);
 }
 
-function isEdgeDisturbed(caller: CallerRecord, {processEnds, disturbances, graceMs}: SoakRecords): boolean {
+/** Returns true if the edge ended, was frozen or out of touch between the sending and the end. */
+export function isEdgeDisturbed(caller: CallerRecord, {processEnds, disturbances, graceMs}: SoakRecords): boolean {
 	const stops = listStops(caller, disturbances);
 	return processEnds.some(({name, at}) => name === caller.edge && isDuring(caller, at - processEndMarginMs, at) && !stops.some(({from}) => at >= from && at <= from + graceMs + afterGraceMs))
 		|| disturbances.some(({kind, target, source, from, until}) => excusingKinds.has(kind) && [target, source].includes(caller.edge) && isDuring(caller, from, until + contactMs));
@@ -115,7 +116,7 @@
 }
 
 /** Returns true if the server, or any if it isn't known, ended, was frozen or was on a harmed link. */
-function isServerDisturbed(caller: CallerRecord, server: string | undefined, {processEnds, disturbances}: SoakRecords): boolean {
+export function isServerDisturbed(caller: CallerRecord, server: string | undefined, {processEnds, disturbances}: SoakRecords): boolean {
 	// A server that starts again may have a number behind its name.
 	const isMeant = (name: string) => server === undefined ? !name.startsWith('edge-') : name === server || server.startsWith(`${name}-`);
 	return processEnds.some(({name, at}) => isMeant(name) && isDuring(caller, at - processEndMarginMs, at))
--- a/tools/soak/src/records.ts
+++ b/tools/soak/src/records.ts
@@ -69,6 +69,8 @@
 	requestId: string;
 	/** True once the server works on the request; a call that only prefills does not count. */
 	hasRun: boolean;
+	/** When a run that generates events got its slot; undefined if its connection had closed before. */
+	begunAt?: number;
 	/** The run goes on from the copy that another server made of the same run. */
 	isSameRun?: boolean;
 	/** What the server sent, or how it misbehaved. */
@@ -94,6 +96,16 @@
 	hasLeft: boolean;
 	/** Only the end of the connection ended the answer. */
 	hasUnknownEnd: boolean;
+	/** The server was done, or saw the connection close. What it had to send may have waited longer. */
+	workedUntil: number;
+};
+
+/** The event loop of a process stood still for this long until `at`. */
+export type LagRecord = {
+	type: 'lag';
+	at: number;
+	server: string;
+	delayMs: number;
 };
 
 /** A call to a server that is no request of a caller, such as the release of a KV cache. */
@@ -126,7 +138,7 @@
 	isGenerating: boolean;
 };
 
-export type ServerRecord = StartRecord | ArrivalRecord | OutcomeRecord | EndRecord | CallRecord | LimitRecord;
+export type ServerRecord = StartRecord | ArrivalRecord | OutcomeRecord | EndRecord | CallRecord | LimitRecord | LagRecord;
 
 export type OperatorRecord = {
 	version: number;
@@ -182,6 +194,7 @@
 	calls: readonly CallRecord[];
 	limits: readonly LimitRecord[];
 	starts: readonly StartRecord[];
+	lags: readonly LagRecord[];
 	/** Names of the edges. */
 	edges: readonly string[];
 	/** When a process of an edge has read each request, by id; in milliseconds since the epoch. */
@@ -194,7 +207,7 @@
 };
 
 export type RuleCase = {
-	rule: 'MIXED' | 'REFUSED' | 'TWICE' | 'BUDGET' | 'ORDER' | 'LOST' | 'LIMIT' | 'UNASKED' | 'ENDED';
+	rule: 'MIXED' | 'REFUSED' | 'TWICE' | 'BUDGET' | 'ORDER' | 'LOST' | 'LIMIT' | 'CONFIG' | 'UNASKED' | 'ENDED';
 	requestId?: string;
 	detail: string;
 };
--- a/tools/soak/src/server-answers.ts
+++ b/tools/soak/src/server-answers.ts
@@ -34,7 +34,7 @@
 	exit: () => void;
 };
 
-const maxEventMs = 8;
+const maxUsualEventMs = 8;
 /** Some streams take longer, so that changes and silences meet them midway. */
 const slowFraction = 0.25;
 const maxSlowEventMs = 60;
@@ -65,13 +65,13 @@
 		}
 	}
 
-	async sendEvents(channel: ServerChannel, {message, path, requestId}: Arrival, fault: ServerFault | undefined): Promise<void> {
+	async sendEvents(channel: ServerChannel, {message, path, requestId}: Arrival, {fault, maxEventMs}: {fault: ServerFault | undefined; maxEventMs: number | undefined}): Promise<void> {
 		const {clock, random, operations} = this.#opts;
 		const count = countEvents(path);
 		const first = Number(message.headers['last-event-id'] ?? 0) + 1;
 		const backup = message.headers['x-kv-backup'];
 		const isUnframed = this.#isUnframed();
-		const maxMs = random.next() < slowFraction ? maxSlowEventMs : maxEventMs;
+		const usualMs = random.next() < slowFraction ? maxSlowEventMs : maxUsualEventMs;
 		const format = (text: string) => isUnframed ? text : formatChunk(text);
 		const head = formatMessage('HTTP/1.1 200 OK', {
 			'x-request-id': requestId, 'x-response-stamp': createStamp(requestId, path), 'content-type': 'text/event-stream', ...this.#opts.limit.createHeaders(), ...(isUnframed ? {connection: 'close'} : {'transfer-encoding': 'chunked'}),
@@ -91,7 +91,7 @@
 				void operations.copyKv(backup, requestId);
 			}
 
-			await clock.sleep(random.nextBetween(1, maxMs));
+			await clock.sleep(random.nextBetween(1, maxEventMs ?? usualMs));
 		}
 
 		if (isUnframed) {
@@ -122,7 +122,7 @@
 		for (const text of texts) {
 			channel.send(text);
 
-			await clock.sleep(random.nextBetween(0, maxEventMs));
+			await clock.sleep(random.nextBetween(0, maxUsualEventMs));
 		}
 
 		if (random.next() < 0.5) {
@@ -135,7 +135,7 @@
 	#planBreak(channel: ServerChannel, fault: ServerFault | undefined, answerBytes: number): void {
 		const {random} = this.#opts;
 		if (fault === 'broken-off') {
-			channel.planBreak({afterBytes: Math.floor(random.nextBetween(0, answerBytes)), by: random.next() < 0.5 ? 'close' : 'reset', delayMs: random.next() < 0.5 ? 0 : random.nextBetween(1, maxEventMs)});
+			channel.planBreak({afterBytes: Math.floor(random.nextBetween(0, answerBytes)), by: random.next() < 0.5 ? 'close' : 'reset', delayMs: random.next() < 0.5 ? 0 : random.nextBetween(1, maxUsualEventMs)});
 		}
 	}
 
--- a/tools/soak/src/server-main.ts
+++ b/tools/soak/src/server-main.ts
@@ -4,7 +4,8 @@
 import {request} from 'undici';
 import {SystemClock} from '@hickorytrack/clock/system-clock';
 import {Random} from '@hickorytrack/random';
-import type {StartRecord} from './records.js';
+import {watchLoop} from './loop-lag.js';
+import type {ServerRecord, StartRecord} from './records.js';
 import type {Stage} from './server-operations.js';
 import {SoakServer} from './soak-server.js';
 
@@ -40,12 +41,14 @@
 };
 
 const stopping = new AbortController();
+const append = (record: ServerRecord) => {
+	if (!stopping.signal.aborted) {
+		records.write(`${JSON.stringify(record)}\n`);
+	}
+};
+
 const server = new SoakServer({
-	...opts, startedAt, clock, random, limitRandom: new Random(opts.seed + 1), faults: new Set(opts.faults), record(record) {
-		if (!stopping.signal.aborted) {
-			records.write(`${JSON.stringify(record)}\n`);
-		}
-	}, crash() {
+	...opts, startedAt, clock, random, limitRandom: new Random(opts.seed + 1), slowRandom: new Random(opts.seed + 2), faults: new Set(opts.faults), record: append, crash() {
 		stopping.abort();
 		exit(crashExitCode);
 	},
@@ -72,6 +75,9 @@
 	stopping.abort();
 	exit(0);
 });
+void watchLoop({
+	clock, server: opts.id, signal: stopping.signal, record: append,
+});
 for (let sequence = 1, target = random.nextInteger(opts.controls.length); !stopping.signal.aborted; sequence++) {
 	const isAcknowledged = await sendReport(sequence, opts.controls[target % opts.controls.length]!);
 	target += isAcknowledged ? 0 : 1;
--- /dev/null
+++ b/tools/soak/src/server-slowness.ts
@@ -0,0 +1,41 @@
+/** How slow a sound server is: its answers to `GET /api/report`, and the tokens of some of its runs, most of all the first. */
+import type {Random} from '@hickorytrack/random';
+
+export const slowFaults = {report: 'slow-report', token: 'slow-token'} as const;
+
+const minReportMs = 20;
+const maxReportMs = 400;
+const maxFirstTokenMs = 800;
+/** Fraction of the runs that are slow, at a server that is slow in this. */
+const slowRunFraction = 0.5;
+const maxSlowEventMs = 200;
+
+export type RunPace = {
+	/** Time until the head and the first event. */
+	firstTokenMs: number;
+	/** The longest time from one event to the next; undefined for the usual one. */
+	maxEventMs?: number;
+};
+
+export class ServerSlowness {
+	readonly #random: Random;
+	/** The longest times of this server; 0 if it is not slow. */
+	readonly #reportMs: number;
+	readonly #firstTokenMs: number;
+
+	constructor(random: Random, faults: ReadonlySet<string>) {
+		this.#random = random;
+		this.#reportMs = faults.has(slowFaults.report) ? random.nextBetween(minReportMs, maxReportMs) : 0;
+		this.#firstTokenMs = faults.has(slowFaults.token) ? random.nextBetween(0, maxFirstTokenMs) : 0;
+	}
+
+	/** Draws the time until a report is answered. */
+	createReportMs(): number {
+		return this.#reportMs === 0 ? 0 : this.#random.nextBetween(minReportMs, this.#reportMs);
+	}
+
+	createRunPace(): RunPace {
+		const isSlow = this.#firstTokenMs > 0 && this.#random.next() < slowRunFraction;
+		return isSlow ? {firstTokenMs: this.#random.nextBetween(0, this.#firstTokenMs), maxEventMs: maxSlowEventMs} : {firstTokenMs: 0};
+	}
+}
--- a/tools/soak/src/soak-run.ts
+++ b/tools/soak/src/soak-run.ts
@@ -13,15 +13,18 @@
 import {checkConfiguration} from './check-configuration.js';
 import {checkLimit, findLimitUses} from './check-limit.js';
 import {checkLost} from './check-lost.js';
+import {checkOverdue} from './check-overdue.js';
+import {checkSharedWork} from './check-shared-work.js';
 import {checkVersions, countTakeUps} from './check-versions.js';
 import {edgePorts, graceMs} from './edge-process.js';
 import {FaultRunner} from './fault-runner.js';
 import {partCrash} from './crashing-part.js';
 import {createChangeTimes, createSchedule} from './fault-schedule.js';
 import {allOutsideFaults} from './faults.js';
+import {soakProcess, watchLoop} from './loop-lag.js';
 import {Operator} from './operator.js';
 import type {
-	CallerRecord, RuleCase, ServerRecord, SoakRecords, SoakRoute,
+	CallerRecord, LagRecord, RuleCase, ServerRecord, SoakRecords, SoakRoute,
 } from './records.js';
 import {SoakFleet} from './soak-fleet.js';
 
@@ -79,7 +82,7 @@
 	});
 	try {
 		const records = await runFleet(fleet, createRandom(random), opts);
-		const cases: RuleCase[] = [...checkAnswers(records), ...checkBudget(records), ...checkConfiguration(records), ...checkLost(records), ...checkLimit(records), ...checkCrashingPart(records), ...checkVersions(records), ...fleet.endedEdges.map(name => ({rule: 'ENDED', detail: `${name} ended by itself`} as const))];
+		const cases: RuleCase[] = [...checkAnswers(records), ...checkBudget(records), ...checkConfiguration(records), ...checkLost(records), ...checkLimit(records), ...checkCrashingPart(records), ...checkVersions(records), ...checkSharedWork(records), ...checkOverdue(records), ...fleet.endedEdges.map(name => ({rule: 'ENDED', detail: `${name} ended by itself`} as const))];
 		await writeLines(path.join(folder, 'cases.jsonl'), cases);
 		return {cases, summary: createSummary(records)};
 	} finally {
@@ -90,6 +93,7 @@
 
 async function runFleet(fleet: SoakFleet, random: Random, {clock, seconds, callers: callerCount, faults, folder}: SoakOptions): Promise<SoakRecords> {
 	const callers: CallerRecord[] = [];
+	const lags: LagRecord[] = [];
 	const abortController = new AbortController();
 	const {signal} = abortController;
 	setMaxListeners(0, signal);
@@ -103,6 +107,12 @@
 		clock, random: createRandom(random), host, routes, edges: fleet.edges,
 	});
 	await operator.putNext(signal);
+	const stopping = new AbortController();
+	void watchLoop({
+		clock, server: soakProcess, signal: stopping.signal, record(lag) {
+			lags.push(lag);
+		},
+	});
 	const edges = fleet.edges.map(({name, ip}) => ({name, host: ip, port: edgePorts.front}));
 	const work = [operator.run(changesAtMs, signal), ...Array.from({length: callerCount}, async (_, index) => new Caller({
 		index, clock, random: createRandom(random), host, routes, edges, getIdleLimit: () => operator.idleTimeoutMs, faults: new Set(faults), record(record) {
@@ -117,6 +127,7 @@
 	await clock.sleep(settleMs);
 	const readBacks = await operator.readBack();
 	await fleet.stopServers();
+	stopping.abort();
 	const serverLines = await readLines(folder, /^s\d+\.jsonl$/);
 	const serverRecords = serverLines.map(line => JSON.parse(line) as ServerRecord);
 	const readLinesOfEdges = await readLines(folder, /^edge-\d+\.read$/);
@@ -125,11 +136,11 @@
 	await writeLines(path.join(folder, 'operator.jsonl'), [...operator.records, ...readBacks]);
 	await writeLines(path.join(folder, 'disturbances.jsonl'), faultRunner.disturbances);
 	return {
-		routes, bounds, callers, processEnds: fleet.processEnds, disturbances: faultRunner.disturbances, graceMs, readRequests, operator: operator.records, readBacks, edges: edges.map(({name}) => name), ...collectRecords(serverRecords),
+		routes, bounds, callers, processEnds: fleet.processEnds, disturbances: faultRunner.disturbances, graceMs, readRequests, operator: operator.records, readBacks, edges: edges.map(({name}) => name), ...collectRecords([...serverRecords, ...lags]),
 	};
 }
 
-function collectRecords(records: readonly ServerRecord[]): Pick<SoakRecords, 'arrivals' | 'outcomes' | 'ends' | 'calls' | 'limits' | 'starts'> {
+function collectRecords(records: readonly ServerRecord[]): Pick<SoakRecords, 'arrivals' | 'outcomes' | 'ends' | 'calls' | 'limits' | 'starts' | 'lags'> {
 	return {
 		arrivals: records.filter(record => record.type === 'arrival'),
 		outcomes: records.filter(record => record.type === 'outcome'),
@@ -137,6 +148,7 @@
 		calls: records.filter(record => record.type === 'call'),
 		limits: records.filter(record => record.type === 'limit'),
 		starts: records.filter(record => record.type === 'start'),
+		lags: records.filter(record => record.type === 'lag'),
 	};
 }
 
--- a/tools/soak/src/soak-server.ts
+++ b/tools/soak/src/soak-server.ts
@@ -14,6 +14,7 @@
 import {ServerChannel} from './server-channel.js';
 import {ServerOperations, type Stage} from './server-operations.js';
 import {selectFault, stutterRate, type ServerFault} from './server-faults.js';
+import {ServerSlowness} from './server-slowness.js';
 import {Silence} from './silence.js';
 import {WorkSlots} from './work-slots.js';
 
@@ -31,6 +32,8 @@
 	random: Random;
 	/** For the limits that it names. */
 	limitRandom: Random;
+	/** For its slowness. */
+	slowRandom: Random;
 	record: (record: ServerRecord) => void;
 	crash: () => void;
 };
@@ -64,6 +67,7 @@
 	readonly #answers: ServerAnswers;
 	readonly #silence: Silence;
 	readonly #limit: NamedLimit;
+	readonly #slowness: ServerSlowness;
 	readonly #channels = new Set<ServerChannel>();
 	/** Most servers drop a waiting request whose connection closes; some run it. */
 	readonly #keepsAbandoned: boolean;
@@ -74,6 +78,7 @@
 	constructor(opts: SoakServerOptions) {
 		this.#opts = opts;
 		this.#operations = new ServerOperations(opts);
+		this.#slowness = new ServerSlowness(opts.slowRandom, opts.faults);
 		this.#limit = new NamedLimit({
 			clock: opts.clock, random: opts.limitRandom, isEnabled: opts.faults.has('limit'), record(change) {
 				opts.record({
@@ -136,6 +141,10 @@
 		const [method, path] = message.startLine.split(' ') as [string, string];
 		if (path.startsWith('/api/') || path.startsWith('/soak/') || path === '/healthz') {
 			this.#recordCall(path, message);
+			if (path === '/api/report') {
+				await this.#opts.clock.sleep(this.#slowness.createReportMs());
+			}
+
 			const {status, body} = this.#operations.handle({method, path, body: message.body.toString()});
 			channel.send(formatMessage(`HTTP/1.1 ${status} Status`, {'content-type': 'application/json', 'x-instance-id': this.#opts.id, ...this.#limit.createHeaders()}, JSON.stringify(body)));
 			channel.finish();
@@ -162,9 +171,10 @@
 			await this.#admit(channel, arrival);
 		}
 
+		const doneAt = clock.now();
 		await channel.waitForSent();
 		this.#opts.record({
-			type: 'end', at: channel.leftAt ?? clock.now(), server: id, startedAt, number: arrival.number, requestId, isSound: !isLost && !channel.hasStuttered, hasLeft: channel.leftAt !== undefined, hasUnknownEnd: channel.hasUnknownEnd,
+			type: 'end', at: channel.leftAt ?? clock.now(), server: id, startedAt, number: arrival.number, requestId, isSound: !isLost && !channel.hasStuttered, hasLeft: channel.leftAt !== undefined, hasUnknownEnd: channel.hasUnknownEnd, workedUntil: Math.min(doneAt, channel.leftAt ?? doneAt),
 		});
 	}
 
@@ -255,6 +265,7 @@
 
 	async #run(channel: ServerChannel, arrival: Arrival, fault: ServerFault | undefined): Promise<void> {
 		const {clock, random} = this.#opts;
+		const begunAt = this.#operations.stage === undefined || channel.leftAt !== undefined ? undefined : clock.now();
 		const source = arrival.message.headers['x-kv-source'];
 		const kv = source === undefined ? undefined : await this.#operations.fetchKv(source);
 		if (source !== undefined && !kv) {
@@ -264,7 +275,7 @@
 
 		if (hasCrashingPart(arrival.message.headers['x-prompt-prefix'])) {
 			this.#recordOutcome(arrival, {
-				hasRun: true, answer: partCrash, status: 200, stamp: createStamp(arrival.requestId, arrival.path), handle: source, handleOwner: kv?.owner,
+				hasRun: true, begunAt, answer: partCrash, status: 200, stamp: createStamp(arrival.requestId, arrival.path), handle: source, handleOwner: kv?.owner,
 			});
 			await this.#answers.sendUntilCrash(channel, arrival);
 			return;
@@ -274,7 +285,7 @@
 		const status = fault === 'failing' ? 500 : 200;
 		const stamp = createStamp(arrival.requestId, arrival.path);
 		this.#recordOutcome(arrival, {
-			hasRun: true, isSameRun, answer: fault ?? 'answered', status, stamp, handle: source, handleOwner: kv?.owner,
+			hasRun: true, begunAt, isSameRun, answer: fault ?? 'answered', status, stamp, handle: source, handleOwner: kv?.owner,
 		});
 		await (this.#operations.stage === undefined ? clock.sleep(random.nextBetween(0, random.next() < slowFraction ? maxSlowWorkMs : maxWorkMs)) : this.#prefillPrompt(arrival, kv ? 0 : prefillMsPerToken * decodeSlowdown));
 		if (this.#answers.applyFault(channel, arrival, fault)) {
@@ -288,7 +299,9 @@
 			return;
 		}
 
-		await this.#answers.sendEvents(channel, arrival, fault);
+		const pace = this.#slowness.createRunPace();
+		await clock.sleep(pace.firstTokenMs, channel.signal);
+		await this.#answers.sendEvents(channel, arrival, {fault, maxEventMs: pace.maxEventMs});
 	}
 
 	#recordOutcome(arrival: Arrival, outcome: Pick<OutcomeRecord, 'hasRun' | 'answer'> & Partial<OutcomeRecord>): void {
