fix(edge): a stream that changes hands keeps a retry for its way back

The second server is now always asked right before it gets the request, and the first run is ended without an acceptance only with a retry in reserve; otherwise the second one ends. A run that was accepted is not judged again.

--- a/packages/plugins/edge/src/stream-run.ts
+++ b/packages/plugins/edge/src/stream-run.ts
@@ -39,8 +39,6 @@
 	permit: SendPermit | undefined;
 	/** Monotonic time at which the run was last sent to a server that generates, in milliseconds. */
 	generatingSince: number | undefined;
-	/** Monotonic time of the last sign of life of the server, set when it is found silent, in milliseconds. */
-	silentSince = Number.NEGATIVE_INFINITY;
 	/** Keeps a copy of the KV cache of the generation, from which the stream can resume. */
 	backupServer: KnownServer | undefined;
 	/** Server of the present attempt. */
--- a/packages/plugins/edge/src/streaming-forwarder.ts
+++ b/packages/plugins/edge/src/streaming-forwarder.ts
@@ -64,6 +64,8 @@
 	readonly #grounds: RefusalGrounds;
 	/** Runs that have not ended. */
 	readonly #runs = new Set<StreamRun>();
+	/** Kept for the return of the stream to a server whose run was ended before another one had accepted the request. */
+	#returnPermit: SendPermit | undefined;
 	#retryAfterMs = defaultRetryAfterMs;
 	/** Time to the first event, as predicted when the request was first placed, in milliseconds. */
 	#predictedMs: number | undefined;
@@ -102,6 +104,7 @@
 			isComplete = result.outcome === requestOutcomes.answered || !this.#relay.isOpen;
 			return result;
 		} finally {
+			this.#returnPermit?.release();
 			this.#origin.close({isComplete});
 		}
 	}
@@ -113,7 +116,7 @@
 				return this.#createFailure(bannedReason);
 			}
 
-			const permit = this.#permits.acquire(retryKinds.run);
+			const permit = this.#takeReturnPermit() ?? this.#permits.acquire(retryKinds.run);
 			if (!permit) {
 				return this.#createFailure('the retry budget is used up');
 			}
@@ -210,11 +213,7 @@
 		const cancelTimer = predecessors.length === 0
 			? undefined
 			: this.#context.clock.startTimer(maxSharedWorkMs, () => {
-				if (run.canceller.isWritten) {
-					this.#cancelPredecessors(run);
-				} else {
-					run.cancel();
-				}
+				this.#decideForWaiting(run);
 			});
 		try {
 			return await this.#calls.generate(run, server, opts);
@@ -226,14 +225,36 @@
 		}
 	}
 
-	/** Tells whether the server has answered anybody since the servers of the runs before this one fell silent. It is asked if need be. */
-	async #isResponding(run: StreamRun, server: KnownServer): Promise<boolean> {
-		const {health, startProof, eventLog} = this.#context;
-		const silentSince = Math.max(...run.listPredecessors().map(predecessor => predecessor.silentSince));
-		if (health.isAliveSince(server, silentSince)) {
-			return true;
+	/**
+	 * Ends one of two runs whose servers both say nothing: the first one if the second server was reached and the stream can still
+	 * go back, for which a retry is kept; the second one otherwise. A stream that can't go back has a copy of its KV cache there.
+	 */
+	#decideForWaiting(run: StreamRun): void {
+		if (this.#listPredecessors(run).length === 0) {
+			return;
+		}
+
+		if (this.#isRetryable) {
+			this.#returnPermit ??= this.#permits.acquire(retryKinds.run);
+		}
+
+		const canReturn = !this.#isRetryable || this.#returnPermit !== undefined;
+		if (run.canceller.isWritten && canReturn) {
+			this.#cancelPredecessors(run);
+		} else {
+			run.cancel();
 		}
+	}
 
+	#takeReturnPermit(): SendPermit | undefined {
+		const permit = this.#returnPermit;
+		this.#returnPermit = undefined;
+		return permit;
+	}
+
+	/** Tells whether the server answers right before it is sent the request of a silent one. */
+	async #isResponding(run: StreamRun, server: KnownServer): Promise<boolean> {
+		const {health, startProof, eventLog} = this.#context;
 		const maxWaitMs = Math.min(this.#remainingMs, this.#request.route.patienceMs ?? Number.POSITIVE_INFINITY);
 		if (!await startProof.isAnswering(server, maxWaitMs)) {
 			this.#planner.rejectServer(server);
@@ -435,8 +456,7 @@
 			return;
 		}
 
-		const {health, eventLog, metrics, clock} = this.#context;
-		run.silentSince = clock.monotonic() - silentMs;
+		const {health, eventLog, metrics} = this.#context;
 		health.recordSilent(server);
 		const takeover = this.#planTakeover(run);
 		const isTakenOver = 'run' in takeover;
@@ -510,7 +530,7 @@
 
 	/** Before its generation, a run lends its permit to its successor. */
 	#planSuccessor(run: StreamRun): Takeover | DeniedTakeover {
-		const permit = run.isGenerating ? this.#permits.acquire(retryKinds.run) : run.permit;
+		const permit = run.isGenerating ? this.#takeReturnPermit() ?? this.#permits.acquire(retryKinds.run) : run.permit;
 		if (!permit) {
 			return {reason: 'the retry budget is used up'};
 		}
--- a/packages/plugins/edge/test/stream-run.test.ts
+++ b/packages/plugins/edge/test/stream-run.test.ts
@@ -29,7 +29,7 @@
 	const proveAfterCancel = async (run: StreamRun) => {
 		let resolveProof: ((isProved: boolean) => void) | undefined;
 		const held = new HeldEvents({
-			sink: run, prove: async () => new Promise<boolean>(resolve => {
+			sink: run, onHead() {/* Nothing else runs. */}, prove: async () => new Promise<boolean>(resolve => {
 				resolveProof = resolve;
 			}), onRefuted() {/* The start is proved. */},
 		});
