--- a/packages/plugins/edge/src/streaming-forwarder.ts
+++ b/packages/plugins/edge/src/streaming-forwarder.ts
@@ -168,6 +168,7 @@
 	#createRun(opts: {permit?: SendPermit; predecessor?: StreamRun; allowedServers?: ReadonlySet<string>}): StreamRun {
 		const run = new StreamRun({
 			...opts, relay: this.#relay, acceptEvents: ({server}) => this.#origin.accept(server!), onDelivery: () => {
+				this.#takeReturnPermit()?.release();
 				this.#cancelOthers(run);
 			},
 		});
@@ -225,25 +226,23 @@
 		}
 	}
 
-	/**
-	 * Ends one of two runs whose servers both say nothing: the first one if the second server was reached and the stream can still
-	 * go back, for which a retry is kept; the second one otherwise. A stream that can't go back has a copy of its KV cache there.
-	 */
+	/** Ends one of two runs whose servers both say nothing: the first one, unless the second server was not reached. */
 	#decideForWaiting(run: StreamRun): void {
-		if (this.#listPredecessors(run).length === 0) {
-			return;
+		const predecessors = this.#listPredecessors(run);
+		if (run.canceller.isWritten) {
+			this.#cancelPredecessors(run);
+		} else if (predecessors.length > 0) {
+			run.cancel();
 		}
+	}
 
+	/** Keeps a retry with which a stream may go back from a second server; false if there is none. One with a copy of its KV cache does not go back. */
+	#reserveReturn(): boolean {
 		if (this.#isRetryable) {
 			this.#returnPermit ??= this.#permits.acquire(retryKinds.run);
 		}
 
-		const canReturn = !this.#isRetryable || this.#returnPermit !== undefined;
-		if (run.canceller.isWritten && canReturn) {
-			this.#cancelPredecessors(run);
-		} else {
-			run.cancel();
-		}
+		return !this.#isRetryable || this.#returnPermit !== undefined;
 	}
 
 	#takeReturnPermit(): SendPermit | undefined {
@@ -502,7 +501,7 @@
 		const backup = run.backupServer;
 		const isBackupHealthy = listCandidates(this.#context, this.#request.service, {canRun: server => server.version === backup?.version}).some(({id}) => id === backup?.id);
 		if (run.isGenerating && backup && isBackupHealthy && this.#relay.lastEventId !== undefined) {
-			const permit = this.#permits.acquire(retryKinds.resume);
+			const permit = this.#reserveReturn() ? this.#permits.acquire(retryKinds.resume) : undefined;
 			if (permit) {
 				// The copy can be used once.
 				run.backupServer = undefined;
@@ -530,7 +529,7 @@
 
 	/** Before its generation, a run lends its permit to its successor. */
 	#planSuccessor(run: StreamRun): Takeover | DeniedTakeover {
-		const permit = run.isGenerating ? this.#takeReturnPermit() ?? this.#permits.acquire(retryKinds.run) : run.permit;
+		const permit = run.isGenerating ? this.#acquireTakeover() : run.permit;
 		if (!permit) {
 			return {reason: 'the retry budget is used up'};
 		}
@@ -549,6 +548,10 @@
 		return {run: successor, start: async () => this.#followPlan(successor, plan)};
 	}
 
+	#acquireTakeover(): SendPermit | undefined {
+		return this.#reserveReturn() ? this.#permits.acquire(retryKinds.run) : undefined;
+	}
+
 	#reportTakeover(run: StreamRun, by: StreamRun): void {
 		const {eventLog, metrics, clock} = this.#context;
 		const isSilenceOver = by.successor === run;
