fix(route-store): a removed member of the core joins again

Callers saw a configuration that did not come any more: after a planned replacement of a core machine, during which another one stood still for 3.5 s, and the loss of one disk, every read was answered 503 and no change was acknowledged, for good, although three sound machines ran.

Cause: the leader removes a voter that has been silent for 2.5 s and sends it nothing from then on. The member's own log ends before its removal and lists it as a voter, so it never asked to join.

A member that has heard no leader for 1.5 s now asks to join, whatever its log says; a leader that counts it ignores the request. This covers every way of being removed, because a removed member is exactly one that no leader talks to. It comes back with its own log and votes, as a learner first. The reply says whether the leader counts the member, so that /state, events 1725 and 1726 and the gauge core_voter show a member that believes to be a voter and is none.

The model of the core gains planned replacements with a loss in their middle and another one behind them, and checks in every schedule that all running members vote in the end.

--- a/packages/coordination/replicated-log/src/replicated-log.ts
+++ b/packages/coordination/replicated-log/src/replicated-log.ts
@@ -80,6 +80,8 @@
 	#isSnapshotting = false;
 	#firstIndexOfTerm = 0;
 	#leadingSince = Number.NEGATIVE_INFINITY;
+	/** Monotonic time at which the storage was open. */
+	#startedAt = 0;
 
 	constructor(opts: ReplicatedLogOptions) {
 		// Each pending read barrier listens to this signal, so the listener limit is disabled.
@@ -127,6 +129,7 @@
 
 		const state = new MemberState(this.id, opened.value, {storage: this.#opts.storage, clock: this.#opts.clock, initialMembers: this.#opts.initialMembers});
 		this.#state = state;
+		this.#startedAt = this.#opts.clock.monotonic();
 		this.#follower = new Follower(state, {
 			clock: this.#opts.clock,
 			timing: this.#timing,
@@ -278,6 +281,11 @@
 		return this.#state?.computeQuorumAge() ?? Number.MAX_SAFE_INTEGER;
 	}
 
+	/** Returns the time in milliseconds since the last message from a leader, or since the start of this member; 0 on the leader. */
+	computeLeaderContactAge(): number {
+		return this.#checkLeadership() || !this.#state ? 0 : this.#opts.clock.monotonic() - Math.max(this.#startedAt, this.#state.lastHeardAt);
+	}
+
 	/** Handles a message from another member. */
 	async handle(message: MemberMessage): Promise<MemberReply> {
 		const state = this.#state;
--- a/packages/core/events/src/event-catalogue.ts
+++ b/packages/core/events/src/event-catalogue.ts
@@ -161,6 +161,12 @@
 	leaderFollowed: {
 		number: 1724, level: 'info', text: 'This instance follows a new leader of the core', action: noAction,
 	},
+	coreMembershipLost: {
+		number: 1725, level: 'warn', text: 'The leader of the core does not count this member as a voter, although its own log does; it joins again', action: 'Check for 1722 at the leader. If 1726 does not follow, check that a majority of the core is running.',
+	},
+	coreMembershipRestored: {
+		number: 1726, level: 'info', text: 'This member of the core is a voter again', action: noAction,
+	},
 	configurationPut: {
 		number: 1731, level: 'info', text: 'A request to change the route configuration was answered', action: noAction,
 	},
--- a/packages/core/metrics-registry/src/metrics-registry.ts
+++ b/packages/core/metrics-registry/src/metrics-registry.ts
@@ -39,6 +39,7 @@
 	first_byte_ms: {kind: 'histogram', help: 'Time to the first byte of a streamed answer, in milliseconds.', labels: ['route']},
 	request_ms: {kind: 'histogram', help: 'Time to the end of a request, in milliseconds.', labels: ['route']},
 	servers_per_request: {kind: 'histogram', help: 'Number of servers that a request was sent to.', labels: ['route']},
+	core_voter: {kind: 'gauge', help: '1 while this member of the core is a voter, 0 while it is a learner or has been removed; absent on instances outside the core.', labels: []},
 	configuration_version: {kind: 'gauge', help: 'Version of the route configuration in force.', labels: []},
 	ready: {kind: 'gauge', help: '1 while the instance is ready for new connections, otherwise 0.', labels: []},
 	members: {kind: 'gauge', help: 'Other instances with an open link.', labels: []},
--- a/packages/core/types/src/peer-methods.ts
+++ b/packages/core/types/src/peer-methods.ts
@@ -212,7 +212,8 @@
 	'items.fetch': {params: {revision: number}; result: ItemPage};
 	/** `count` is the number of instances that the replying one knows, itself included. */
 	'mesh.exchange': {params: {members: PeerMember[]}; result: {members: PeerMember[]; count?: number}};
-	'core.join': {params: {address: string; folder: string}; result: {leader?: string}};
+	/** `isVoter` is set by the leader only: whether it counts the member with this data folder as a voter. */
+	'core.join': {params: {address: string; folder: string}; result: {leader?: string; isVoter?: boolean}};
 	'configuration.announce': {params: {leader: string; term: number; version: number}; result: void};
 	'configuration.install': {params: {stored: ConfigurationDocument}; result: void};
 	'configuration.fetch': {params: Record<string, never>; result: {stored?: ConfigurationDocument}};
--- a/packages/plugins/edge/src/edge.ts
+++ b/packages/plugins/edge/src/edge.ts
@@ -530,6 +530,10 @@
 	#updateGauges(): void {
 		const {metrics} = this.#opts;
 		metrics.set('ready', this.isReady ? 1 : 0);
+		if (this.#core) {
+			metrics.set('core_voter', this.#core.isVoter ? 1 : 0);
+		}
+
 		metrics.set('configuration_version', this.configuration.current?.version ?? 0);
 		metrics.set('members', this.mesh.listConnections().length);
 		metrics.set('retry_budget_instances', this.#countEdges());
--- a/packages/routing/route-store/src/core-member.ts
+++ b/packages/routing/route-store/src/core-member.ts
@@ -47,6 +47,8 @@
 const voterTimeoutMs = 2500;
 /** A learner without contact for this time is removed. */
 const learnerTimeoutMs = 10_000;
+/** A member that has heard no leader for this time asks whether it is still a voter; longer than most elections take. */
+const leaderContactTimeoutMs = 1500;
 /** Delay after the start before the member with the lowest address bootstraps the log if no seed belongs to the core. */
 const seedlessBootstrapDelayMs = 2500;
 /** After a restart of all members there is no leader; the first election only has to wait until connections are open. */
@@ -71,6 +73,7 @@
 	#wasLeader = false;
 	#leaderSince = Number.POSITIVE_INFINITY;
 	#isJoining = false;
+	#isRemoved = false;
 	#hasLostDisk = false;
 
 	constructor(opts: CoreMemberOptions) {
@@ -89,7 +92,7 @@
 		mesh.peers.handle('log.message', async ({payload}) => ({payload: await this.#handleMessage(payload as MemberMessage)}));
 		mesh.peers.handle('core.join', ({address, folder}) => {
 			this.#joinRequests.set(address, {folder, requestedAt: opts.clock.monotonic()});
-			return {leader: this.leader};
+			return {leader: this.leader, isVoter: this.isLeader ? this.#findVoter(address, folder) !== undefined : undefined};
 		});
 	}
 
@@ -105,6 +108,16 @@
 		return this.#log?.term ?? 0;
 	}
 
+	/** False for a learner, and for a member that the leader has removed, even if its own log lists it as a voter. */
+	get isVoter(): boolean {
+		return this.#log !== undefined && !this.#isRemoved && this.#isListed();
+	}
+
+	/** Lists the addresses of the voters by the log of this member. */
+	listVoters(): string[] {
+		return (this.#log?.getStatus().members ?? []).filter(({voter}) => voter).map(({address}) => address);
+	}
+
 	/** Time since this member became the leader, in milliseconds; undefined while it does not lead. */
 	get leadershipAgeMs(): number | undefined {
 		return this.isLeader && this.#wasLeader ? this.#opts.clock.monotonic() - this.#leaderSince : undefined;
@@ -186,7 +199,7 @@
 
 	dump(): unknown {
 		return {
-			status: this.#log?.getStatus(), version: this.store.current?.version, streamOrigins: this.originStore.streamCount, versions: this.originStore.listVersions(), applicants: [...this.#joinRequests.keys()],
+			status: this.#log?.getStatus(), isVoter: this.isVoter, isRemoved: this.#isRemoved, version: this.store.current?.version, streamOrigins: this.originStore.streamCount, versions: this.originStore.listVersions(), applicants: [...this.#joinRequests.keys()],
 		};
 	}
 
@@ -253,20 +266,39 @@
 			}
 
 			if (log.isLeader) {
+				this.#setRemoved(false);
 				await this.#updateMembership();
 			} else if (this.#canBootstrap()) {
 				await this.#bootstrap();
-			} else if (!this.#isVoter()) {
+			} else if (!this.#isListed() || !this.#hasLeaderContact()) {
+				// A removed member gets no messages any more, so its own log may still list it as a voter.
 				this.#requestJoin();
+			} else {
+				this.#setRemoved(false);
 			}
 
 			await clock.sleep(membershipIntervalMs, this.#abortController.signal);
 		}
 	}
 
-	#isVoter(): boolean {
-		const self = this.#log!.getStatus().members.find(member => member.id === this.#opts.mesh.address);
-		return self !== undefined && self.voter && (self.folder === undefined || self.folder === this.#folder);
+	#findVoter(address: string, folder: string): MemberInfo | undefined {
+		return this.#log!.getStatus().members.find(member => member.id === address && member.voter && (member.folder === undefined || member.folder === folder));
+	}
+
+	/** Tells whether this member is a voter by its own log. */
+	#isListed(): boolean {
+		return this.#findVoter(this.#opts.mesh.address, this.#folder) !== undefined;
+	}
+
+	#hasLeaderContact(): boolean {
+		return this.#log!.computeLeaderContactAge() <= leaderContactTimeoutMs;
+	}
+
+	#setRemoved(isRemoved: boolean): void {
+		if (this.#isRemoved !== isRemoved) {
+			this.#isRemoved = isRemoved;
+			this.#opts.events.emit(isRemoved ? 'coreMembershipLost' : 'coreMembershipRestored', {address: this.#opts.mesh.address, term: this.term});
+		}
 	}
 
 	/** Returns whether this member creates the log. Exactly one member may: the first seed that belongs to the core. */
@@ -302,11 +334,20 @@
 		const {mesh} = this.#opts;
 		for (const member of mesh.listMembers(coreRole)) {
 			void mesh.findConnection(member.address)?.request('core.join', {address: mesh.address, folder: this.#folder}).then(reply => {
-				this.#isJoining ||= reply.isOk() && reply.value.leader !== undefined;
+				if (reply.isOk()) {
+					this.#handleJoinReply(reply.value);
+				}
 			});
 		}
 	}
 
+	#handleJoinReply({leader, isVoter}: {leader?: string; isVoter?: boolean}): void {
+		this.#isJoining ||= leader !== undefined;
+		if (isVoter === false && this.#isListed() && !this.#hasLeaderContact()) {
+			this.#setRemoved(true);
+		}
+	}
+
 	/** Makes the first due membership change; the log accepts one at a time. */
 	async #updateMembership(): Promise<void> {
 		const log = this.#log!;
--- a/packages/routing/route-store/test/core-model.test.ts
+++ b/packages/routing/route-store/test/core-model.test.ts
@@ -12,6 +12,28 @@
 /** Number of seeds with which the injected bug is searched for, because election times differ by seed. */
 const injectedBugSeeds = 10;
 
+const replacementSeeds = 1;
+/** Losses of one machine at a time, each of which ends before the next event. */
+const losses: Record<string, readonly ModelEvent[]> = {
+	'no loss': [],
+	'a follower cut off': ['isolate follower', 'stay lost', 'heal'],
+	'the leader cut off': ['isolate leader', 'stay lost', 'heal'],
+	'the new member cut off': ['isolate new member', 'stay lost', 'heal'],
+	'a follower killed': ['kill follower', 'stay lost', 'restart'],
+	'the leader killed': ['kill leader', 'stay lost', 'restart'],
+	'a disk lost': ['wipe follower'],
+	'the disk of the leader lost': ['wipe leader'],
+	'a loss of power': ['power loss'],
+};
+
+const fullDiskSeeds = 40;
+const fullDisks = 5;
+
+/** A disk is full for a few seconds, while changes come; then all have room, for a moment or longer. */
+function listFullDiskEvents(random: Random): ModelEvent[] {
+	return [random.select(['fill leader disk', 'fill follower disk']), ...Array.from({length: 1 + random.nextInteger(4)}, (): ModelEvent => random.select(['put', 'put and wait', 'conflicting put', 'stay lost'])), 'free disks', random.select(['put', 'put and wait', 'catch up'])];
+}
+
 async function runSchedule(schedule: readonly ModelEvent[], opts: ModelOptions): Promise<string | undefined> {
 	const model = new CoreModel(opts);
 	await model.bootstrap();
@@ -41,6 +63,28 @@
 		}
 	});
 
+	// Guards against a planned replacement that leaves fewer voters than before: a member that had been removed while it could not
+	// be reached was not told, never joined again, and the loss of one more disk ended the core for good.
+	for (const [first, firstEvents] of Object.entries(losses)) {
+		it(`keeps all members through a planned replacement with ${first} in its middle and any loss behind it`, async () => {
+			for (const [second, secondEvents] of Object.entries(losses)) {
+				for (let seed = 1; seed <= replacementSeeds; seed++) {
+					const schedule: ModelEvent[] = ['put and wait', 'add member', 'catch up', ...firstEvents, 'catch up', 'retire member', 'catch up', 'put and wait', ...secondEvents, 'catch up'];
+					expect(await runSchedule(schedule, {seed}), second).to.equal(undefined);
+				}
+			}
+		});
+	}
+
+	// Guards against a core that acknowledges nothing any more after the disks of its members were full, never two at once.
+	it('acknowledges changes after the disks of its members were full one after another', async () => {
+		for (let seed = 1; seed <= fullDiskSeeds; seed++) {
+			const random = new Random(seed);
+			const schedule = Array.from({length: fullDisks}, () => listFullDiskEvents(random)).flat();
+			expect(await runSchedule(schedule, {seed})).to.equal(undefined);
+		}
+	});
+
 	it('detects the injected bug that a wiped member keeps its vote', async () => {
 		// The change is acknowledged on two disks. One of them is wiped, and the other member is down when the third one returns.
 		const schedule: ModelEvent[] = ['kill follower', 'put and wait', 'wipe follower', 'kill leader', 'restart', 'put and wait'];
--- a/packages/routing/route-store/test/core-model.ts
+++ b/packages/routing/route-store/test/core-model.ts
@@ -12,7 +12,9 @@
 
 /** Events of a schedule. `leader` and `follower` are resolved when an event runs; `restart` takes the member stopped for longest. */
 export const modelEvents = ['put', 'put and wait', 'conflicting put', 'kill leader', 'kill follower', 'wipe leader', 'wipe follower', 'replace follower', 'isolate leader', 'power loss', 'restart', 'heal'] as const;
-export type ModelEvent = typeof modelEvents[number];
+/** Events of planned work, of losses that last and of full disks, for schedules that are written by hand. */
+export const plannedEvents = ['add member', 'retire member', 'isolate follower', 'isolate new member', 'stay lost', 'catch up', 'fill leader disk', 'fill follower disk', 'free disks'] as const;
+export type ModelEvent = typeof modelEvents[number] | typeof plannedEvents[number];
 
 export type ModelOptions = {
 	seed: number;
@@ -23,6 +25,12 @@
 const stopMs = 2000; // Longer than the longest sleep of a member's tasks.
 const bootstrapTimeoutMs = 20_000;
 const convergenceTimeoutMs = 20_000;
+/** Longer than the time after which a voter without contact is removed. */
+const lossMs = 3500;
+/** Time that the platform grants a machine that is back, before another one may be lost. */
+const catchUpMs = 4000;
+/** Address of the successor in a planned replacement. */
+const newMemberAddress = 'd';
 /** Time between two events of a schedule. A commit takes a few milliseconds, an election some hundred. */
 const eventGapMs = [3, 40, 700];
 
@@ -61,6 +69,7 @@
 		this.#clearFaults();
 		await this.#readUntilConfirmed(convergenceTimeoutMs);
 		await this.#putUntilAcknowledged(convergenceTimeoutMs);
+		await this.#waitUntilAllVote(convergenceTimeoutMs);
 		for (const node of this.#network.nodes.values()) {
 			this.#checkStored(node.core?.store.current, `stored on ${node.address} at the end`, {isNewest: node.core?.isLeader ?? false});
 		}
@@ -130,6 +139,54 @@
 				break;
 			}
 
+			case 'isolate follower': {
+				if (follower) {
+					this.#network.isolated.add(follower.address);
+				}
+
+				break;
+			}
+
+			case 'isolate new member': {
+				this.#network.isolated.add(newMemberAddress);
+				break;
+			}
+
+			case 'add member': {
+				this.#start({address: newMemberAddress, disk: new ModelDisk(`disk of ${newMemberAddress}`, this.clock), handlers: new Map()}, {isFirstStart: false});
+				break;
+			}
+
+			case 'retire member': {
+				this.#retire();
+				break;
+			}
+
+			case 'fill leader disk':
+			case 'fill follower disk': {
+				const filled = event === 'fill leader disk' ? leader : follower;
+				if (filled) {
+					filled.disk.full = true;
+				}
+
+				break;
+			}
+
+			case 'free disks': {
+				this.#freeDisks();
+				break;
+			}
+
+			case 'stay lost': {
+				await this.clock.advance(lossMs);
+				break;
+			}
+
+			case 'catch up': {
+				await this.clock.advance(catchUpMs);
+				break;
+			}
+
 			case 'power loss': {
 				for (const node of this.#network.nodes.values()) {
 					this.#kill(node);
@@ -211,6 +268,22 @@
 		}
 	}
 
+	/** Waits until the leader counts every running member as a voter. */
+	async #waitUntilAllVote(timeoutMs: number): Promise<void> {
+		const listMissing = () => {
+			const voters = this.#findLeader()?.core!.listVoters() ?? [];
+			return [...this.#network.nodes.keys()].filter(address => !voters.includes(address));
+		};
+
+		for (let waitedMs = 0; waitedMs < timeoutMs && listMissing().length > 0; waitedMs += 100) {
+			await this.clock.advance(100);
+		}
+
+		if (listMissing().length > 0) {
+			this.#violation ??= `${listMissing().join(', ')} run and are no voters after all faults were removed`;
+		}
+	}
+
 	/** Calls the attempt with the current leader every 100 ms until one succeeds. */
 	async #retryOnLeader(timeoutMs: number, attempt: (leader: ModelNode) => Promise<boolean>): Promise<boolean> {
 		let isDone = false;
@@ -244,8 +317,15 @@
 		return [...this.#network.nodes.values()].filter(node => node.core?.isLeader).sort((a, b) => b.core!.term - a.core!.term)[0];
 	}
 
+	#freeDisks(): void {
+		for (const {disk} of this.#network.nodes.values()) {
+			disk.full = false;
+		}
+	}
+
 	#clearFaults(): void {
 		this.#network.isolated.clear();
+		this.#freeDisks();
 		this.#restartAll();
 	}
 
@@ -294,6 +374,14 @@
 		this.#start({address, disk: new ModelDisk(`disk of ${address}`, this.clock), handlers: new Map()}, {isFirstStart: false});
 	}
 
+	/** Ends a member that does not lead, for good: the one with the highest address, since losses strike the one with the lowest. Its successor runs already. */
+	#retire(): void {
+		const leader = this.#findLeader();
+		const [node] = [...this.#network.nodes.values()].filter(candidate => candidate.core && candidate !== leader && candidate.address !== newMemberAddress).sort((a, b) => b.address.localeCompare(a.address));
+		this.#kill(node);
+		this.#network.nodes.delete(node?.address ?? '');
+	}
+
 	#start(node: ModelNode, opts: {isFirstStart: boolean}): void {
 		this.#network.nodes.set(node.address, node);
 		const {clock} = this;
