fix(edge): a leaf that its relay adds again gets crashes and limits too

The leaf believes in its relay all the while, on a connection that stays open; when it was added again it got the reports of servers and nothing else, so that it went on sending requests that are known to crash servers, or more than a server takes.

It now gets all three. The new test failed before: the crashes of the meantime were not known at the leaf.

--- a/packages/plugins/edge/src/edge.ts
+++ b/packages/plugins/edge/src/edge.ts
@@ -168,6 +168,8 @@
 		this.#stateSharing = new StateSharing({
 			clock, events, mesh: this.mesh, registry: this.registry, loadTracker: this.#loadTracker, cacheIndex: this.#cacheIndex, partUsage: this.#partUsage, context: this.#context, crashAttribution: this.#crashAttribution, crashReports: this.#crashReports, onLeaving: (report, peer) => {
 				this.#reportLeaving(report, {source: newsSources.peer, peer});
+			}, onLeafAdded: leaf => {
+				this.#limitSharing.sendAll(leaf);
 			},
 		});
 		this.#requestLog = new RequestLog({
--- a/packages/plugins/edge/src/limit-sharing.ts
+++ b/packages/plugins/edge/src/limit-sharing.ts
@@ -60,11 +60,15 @@
 		});
 		mesh.peers.handle('limit.reach', ({address}) => ({isConnected: mesh.findConnection(address) !== undefined}));
 		mesh.onConnected(connection => {
-			// An instance that has started or was cut off has missed the news of the meantime.
-			connection.notify('limit.note', {limits: news.list()});
+			this.sendAll(connection);
 		});
 	}
 
+	/** Sends all limits to an instance that has started, was cut off or uses another relay, and has missed the news of the meantime. */
+	sendAll(connection: PeerConnection): void {
+		connection.notify('limit.note', {limits: this.#opts.news.list()});
+	}
+
 	/** Tells the other instances what is known of the limit of a server. */
 	sendNews({id}: Subject): void {
 		this.#unsent.add(id);
--- a/packages/plugins/edge/src/state-sharing.ts
+++ b/packages/plugins/edge/src/state-sharing.ts
@@ -33,6 +33,8 @@
 	crashReports: Pick<CrashReports, 'mergeCrash' | 'mergeSound'>;
 	/** Called when another instance has told of a server that said in an answer that it leaves. */
 	onLeaving: (report: ServerReport, peer: string) => void;
+	/** Called when an instance starts to use this one as its relay. */
+	onLeafAdded: (leaf: PeerConnection) => void;
 };
 
 export class StateSharing {
@@ -94,17 +96,21 @@
 		});
 		mesh.onConnected(async connection => {
 			// An instance that has started or was cut off has missed the crashes that were reported meanwhile.
-			for (const report of crashAttribution.listCrashes()) {
-				connection.notify('crash.note', report);
-			}
-
-			connection.notify('crash.sound', {sound: crashAttribution.listSound()});
-			connection.notify('crash.trial', {trials: crashAttribution.listTrials()});
-
+			this.#sendCrashes(connection);
 			await connection.request('registry.note', {reports: registry.list()});
 		});
 	}
 
+	#sendCrashes(connection: PeerConnection): void {
+		const {crashAttribution} = this.#opts;
+		for (const report of crashAttribution.listCrashes()) {
+			connection.notify('crash.note', report);
+		}
+
+		connection.notify('crash.sound', {sound: crashAttribution.listSound()});
+		connection.notify('crash.trial', {trials: crashAttribution.listTrials()});
+	}
+
 	/** Passes on to the leaves of this instance what another one tells everybody. */
 	#forward<M extends PeerMethodName>(method: M, params: PeerMethods[M]['params'], sender: PeerConnection): void {
 		for (const leaf of this.#loadSharing.leaves) {
@@ -115,7 +121,7 @@
 	}
 
 	#createLoadSharing(): LoadSharing<PeerConnection> {
-		const {clock, events, mesh, registry, loadTracker, cacheIndex} = this.#opts;
+		const {clock, events, mesh, registry, loadTracker, cacheIndex, onLeafAdded} = this.#opts;
 		return new LoadSharing<PeerConnection>({
 			clock,
 			events,
@@ -125,9 +131,11 @@
 			relayRole: coreRole,
 			listPeers: () => mesh.listConnections(),
 			usesRelays: () => mesh.usesHubs || mesh.listConnections().length > maxFullMeshPeers,
-			onLeafAdded(leaf) {
-				// While it changed its relay, it may have missed reports.
+			onLeafAdded: leaf => {
+				// While its relay did not count it as a leaf, it has missed what relays pass on.
 				leaf.notify('registry.note', {reports: registry.list()});
+				this.#sendCrashes(leaf);
+				onLeafAdded(leaf);
 			},
 			onStored: stored => {
 				this.#recordStored(stored);
--- a/packages/plugins/edge/test/state-sharing.test.ts
+++ b/packages/plugins/edge/test/state-sharing.test.ts
@@ -19,6 +19,7 @@
 class Instance {
 	readonly crashAttribution: CrashAttribution;
 	readonly handlers = new Map<string, Handler>();
+	readonly addedLeaves: PeerConnection[] = [];
 	connect!: (connection: PeerConnection) => Promise<void>;
 
 	constructor(clock: ManualClock) {
@@ -40,12 +41,47 @@
 			onLeaving() {
 				// No server leaves here.
 			},
+			onLeafAdded: leaf => {
+				this.addedLeaves.push(leaf);
+			},
 		});
 		expect(sharing.relay).to.equal(undefined);
 	}
 }
 
 describe('state sharing', () => {
+	// A leaf that its relay had dropped for a moment, on a connection that stayed open, never heard of the crashes of that time:
+	// relays pass crashes on to those that they count as their leaves, and only the reports of servers were sent again.
+	it('tells a leaf about the requests that crash servers whenever it is added', async () => {
+		const clock = new ManualClock();
+		const [relay, leaf] = [new Instance(clock), new Instance(clock)];
+		const run = {request: 'f', parts: ['bad']};
+		const connection = {
+			remote: {address: 'b', instance: 'b'}, isOpen: true,
+			notify(method: string, params: unknown) {
+				leaf.handlers.get(method)!(params, {remote: {address: 'a'}});
+			},
+		} as unknown as PeerConnection;
+		const share = {
+			instance: 'b', scope: 'leaf', servers: [], stored: [],
+		};
+		relay.handlers.get('load.share')!(share, connection);
+		for (const id of ['server/1', 'server/2']) {
+			relay.crashAttribution.recordCrash({id, traits: mergeTraits([run])});
+		}
+
+		expect(leaf.crashAttribution.checkRun(run).verdict).to.equal(verdicts.allowed);
+		relay.handlers.get('load.share')!(share, connection);
+		expect(relay.addedLeaves).to.have.length(1);
+		// The relay drops a leaf that it has not heard of for a second.
+		await clock.advance(1500);
+		relay.handlers.get('crash.note')!({id: 'server/3', traits: mergeTraits([{request: 'g', parts: []}])}, {remote: {address: 'c'}});
+		relay.handlers.get('load.share')!(share, connection);
+		expect(relay.addedLeaves).to.have.length(2);
+		expect(leaf.crashAttribution.checkRun(run).verdict).to.equal(verdicts.refused);
+		expect(leaf.crashAttribution.listCrashes().map(({id}) => id)).to.include('server/3');
+	});
+
 	// Guards against an edge that starts after a poison request has crashed servers, and sends it to further ones.
 	it('tells an instance that connects about the requests that crash servers', async () => {
 		const clock = new ManualClock();
