fix(edge): the end of the edge's process is not the end of a stream

Callers saw streams that looked complete and were not: when the process of an edge was killed, those whose servers send neither a length nor chunks had status 200, some of their events, and an orderly end of their connection.

Cause: the edge leaves such a stream without framing, and the system closes the connections of a process that has ended in order, which ends the response.

A response without chunks now holds back the terminator of its last event until the next event or the decided end, and its head until the first event.

The soak no longer excuses short answers by a crash or the end of a process: only by a server that ends them in order and runs on, and, for streams without chunks that stop inside an event, by the end of their edge's process.

--- a/packages/plugins/edge/src/answer-end.ts
+++ b/packages/plugins/edge/src/answer-end.ts
@@ -1,6 +1,7 @@
 /**
  * Decides about the end of an answer that only its connection delimits. Such an answer ends with a crash of its server as it
- * does when it is whole, so it counts as complete only if its server has not crashed.
+ * does when it is whole, and the edge delimits what it sends to the caller. So it counts as complete only if its server is
+ * found running; a server that does not respond may have crashed with its machine.
  */
 import {answerVerdicts} from '@hickorytrack/http-answer/answer-reader';
 import type {KnownServer} from '@hickorytrack/endpoint-registry';
@@ -9,11 +10,11 @@
 import {serverConditions} from './crash-reports.js';
 import type {ForwardContext} from './forward-context.js';
 
-/** Returns the result of an attempt, as broken if a crash of the server has ended its answer. A refusal to run the request needs no body. */
+/** Returns the result of an attempt, as broken if a crash of the server may have ended its answer. A refusal to run the request needs no body. */
 export async function checkAnswerEnd({codec, crashReports}: Pick<ForwardContext, 'codec' | 'crashReports'>, request: CallerRequest, {server, result}: {server: KnownServer; result: AttemptResult}): Promise<AttemptResult> {
 	const {answer, head} = result;
 	const isUnknown = result.outcome === attemptOutcomes.answered && answer?.verdict === answerVerdicts.unknown && !codec.decodeResponseHead(head!).isNotExecuted;
-	if (!isUnknown || await crashReports.checkEnd(request, server) !== serverConditions.crashed) {
+	if (!isUnknown || await crashReports.checkEnd(request, server) === serverConditions.running) {
 		return result;
 	}
 
--- a/packages/plugins/edge/src/event-relay.ts
+++ b/packages/plugins/edge/src/event-relay.ts
@@ -1,16 +1,21 @@
 /**
- * Forwards a stream of events to a caller. It gets complete events only, so that another server can resume the stream after
- * the last one, and it ends the response only by the verdict on the server's answer.
+ * Forwards a stream of events to a caller. Another server can resume the stream after the last complete event, and the response
+ * ends only by the verdict on the server's answer.
+ *
+ * The system closes the connections of a process that has ended in order, which ends a response without chunks. So the
+ * terminator of the last event of such a response is held back until the next event or the end: what the caller has ends inside
+ * an event, which shows the break.
  */
-import type {Buffer} from 'node:buffer';
+import {Buffer} from 'node:buffer';
 import type {ServerResponse} from 'node:http';
 import type {Clock} from '@hickorytrack/clock';
 import type {ResponseHead} from '@hickorytrack/endpoint-client';
 import {answerFramings, findFraming} from '@hickorytrack/http-answer/answer-framing';
 import {answerVerdicts, type ReceivedAnswer} from '@hickorytrack/http-answer/answer-reader';
-import {breakOff, writeUndelimitedHead} from './responses.js';
+import {breakOff, writeStreamHead} from './responses.js';
 
 const idPattern = /^id: ?(.*)$/m;
+const terminatorBytes = 2; // An empty line, or its CR and LF.
 
 /** Receives the events of a stream. */
 export type EventSink = {
@@ -25,14 +30,19 @@
 	lastEventId: string | undefined;
 	readonly #response: ServerResponse;
 	readonly #clock: Clock;
-	/** The caller gets the stream as the first server sent it: with neither a length nor chunks, its connection ends it. */
+	readonly #isResumable: boolean;
+	/** The first server delimits its answer by its connection alone. */
 	#isDelimitedByConnection = false;
 	/** A server broke off inside an event behind the last one, so that there is more to come. */
 	#isEventOpen = false;
+	/** The terminator of the last event of a response without chunks. */
+	#heldBytes = Buffer.alloc(0);
 
-	constructor(response: ServerResponse, opts: {clock: Clock}) {
+	/** `isResumable`: a server may be asked for what comes behind the last event. */
+	constructor(response: ServerResponse, opts: {clock: Clock; isResumable: boolean}) {
 		this.#response = response;
 		this.#clock = opts.clock;
+		this.#isResumable = opts.isResumable;
 	}
 
 	get isOpen(): boolean {
@@ -46,8 +56,11 @@
 		}
 
 		this.#isDelimitedByConnection = findFraming(head) === answerFramings.connection;
-		writeUndelimitedHead(this.#response, head);
-		this.#response.flushHeaders();
+		writeStreamHead(this.#response, head);
+		// A head without an event would look like an empty stream.
+		if (this.#response.chunkedEncoding) {
+			this.#response.flushHeaders();
+		}
 	}
 
 	/** Forwards complete events. Returns false when the caller reads more slowly than the server writes. */
@@ -55,7 +68,7 @@
 		const id = idPattern.exec(findLastEvent(events.toString('latin1')))?.[1];
 		this.lastEventId = id ?? this.lastEventId;
 		this.#isEventOpen = false;
-		return this.#response.destroyed || this.#response.write(events);
+		return this.#response.destroyed || this.#response.write(this.#holdTerminator(events));
 	}
 
 	/** Call this when a server has broken off, with what it has sent. */
@@ -64,8 +77,9 @@
 	}
 
 	/**
-	 * Tells whether the response may end with such an answer: not when that would declare complete what can't be told. An empty
-	 * answer of a server that was asked to go on may as well be a failure, and is one if an event is missing.
+	 * Tells whether the response may end with such an answer, whose server runs if the verdict is unknown. An empty answer of a
+	 * server that was asked to go on may as well be a failure, and is one if an event is missing. If the first server delimited its
+	 * answer, one of unknown end ends the stream only if no server may be asked for more.
 	 */
 	canEnd({verdict, bodyBytes}: ReceivedAnswer): boolean {
 		if (this.#isEventOpen) {
@@ -73,7 +87,8 @@
 		}
 
 		const isEmptyContinuation = bodyBytes === 0 && this.lastEventId !== undefined;
-		return verdict === answerVerdicts.whole || (verdict === answerVerdicts.unknown && this.#isDelimitedByConnection && !isEmptyContinuation);
+		const isExpectedEnd = this.#isDelimitedByConnection || !this.#isResumable;
+		return verdict === answerVerdicts.whole || (verdict === answerVerdicts.unknown && isExpectedEnd && !isEmptyContinuation);
 	}
 
 	/**
@@ -85,18 +100,34 @@
 			return false;
 		}
 
-		this.#response.end();
+		this.#response.end(this.#heldBytes);
 		return true;
 	}
 
-	/** Breaks the connection, so that the truncated stream does not look complete. */
+	/** Breaks the connection, so that the truncated stream does not look complete. Its events are complete, because a reset shows the break. */
 	abort(): void {
+		this.#response.flushHeaders();
+		if (this.#heldBytes.length > 0) {
+			this.#response.write(this.#heldBytes);
+		}
+
 		breakOff(this.#response, this.#clock);
 	}
 
 	onDrain(listener: () => void): void {
 		this.#response.once('drain', listener);
 	}
+
+	/** Returns the bytes to be sent now: those held back before and these, without the last terminator if chunks don't show a break. */
+	#holdTerminator(events: Buffer): Buffer {
+		if (this.#response.chunkedEncoding) {
+			return events;
+		}
+
+		const bytes = Buffer.concat([this.#heldBytes, events]);
+		this.#heldBytes = bytes.subarray(-terminatorBytes);
+		return bytes.subarray(0, -terminatorBytes);
+	}
 }
 
 function findLastEvent(text: string): string {
--- a/packages/plugins/edge/src/streaming-forwarder.ts
+++ b/packages/plugins/edge/src/streaming-forwarder.ts
@@ -74,7 +74,7 @@
 		this.#context = context;
 		this.#request = request;
 		this.#grounds = new RefusalGrounds(createAnswerIdentity(context, request));
-		this.#relay = new EventRelay(request.response, {clock: context.clock});
+		this.#relay = new EventRelay(request.response, {clock: context.clock, isResumable: request.route.isResumable});
 		this.#origin = new RequestOrigin(request, {origins: context.origins, startProof: context.startProof, getTime: () => context.clock.monotonic()});
 		this.#calls = new StreamCalls(context, request, {
 			relay: this.#relay, origin: this.#origin, onAccepted: run => {
--- a/tools/soak/src/check-answers.ts
+++ b/tools/soak/src/check-answers.ts
@@ -9,33 +9,33 @@
  * ORDER: the events of a stream follow each other without a gap, and an end that looks complete is complete.
  */
 import {promisingStatuses} from './caller.js';
-import {collectCrashTimes, formatStart} from './crashing-part.js';
 import {collectByKey} from './collect-by-key.js';
 import {
 	countEvents, createEvent, createPlainBody, createStamp, listEventVersions,
 } from './expected-body.js';
 import type {
-	CallerRecord, OutcomeRecord, ProcessEnd, RuleCase, SoakRecords, SoakRoute,
+	CallerRecord, EndRecord, OutcomeRecord, ProcessEnd, RuleCase, SoakRecords, SoakRoute,
 } from './records.js';
 
 const toleratedExceeding = 3;
 /** The end of a process is noticed after its connections have closed. */
 const processEndMarginMs = 100;
 
-/** What may end an answer early: ends of processes, and crashes that servers have recorded. */
-type Ends = {processEnds: readonly ProcessEnd[]; crashTimes: ReadonlyMap<string, number>};
 type Outcomes = ReadonlyMap<string, readonly OutcomeRecord[]>;
+type Ends = ReadonlyMap<string, readonly EndRecord[]>;
+/** What may end an answer early: ends of edges' processes, and servers that end it themselves. */
+type EarlyEnds = {ends: readonly EndRecord[]; processEnds: readonly ProcessEnd[]};
 
 export function checkAnswers(records: SoakRecords): RuleCase[] {
 	const routes = new Map(records.routes.map(route => [route.name, route]));
 	const outcomes = collectByKey(records.outcomes, outcome => outcome.requestId);
-	const crashTimes = collectCrashTimes(records.outcomes);
+	const ends = collectByKey(records.ends, end => end.requestId);
 	// A process that gets a signal closes its connections before its end is noticed.
 	const signals = records.disturbances.filter(({kind}) => kind === 'end').map(({target, from}) => ({name: target, at: from}));
 	const processEnds = [...records.processEnds, ...signals];
 	return [
 		...records.callers.flatMap(record => checkAttempt(record, {
-			route: routes.get(record.route)!, outcomes, processEnds, crashTimes,
+			route: routes.get(record.route)!, outcomes, ends, processEnds,
 		})),
 		...records.outcomes.flatMap(outcome => checkHandle(outcome)),
 		...checkArrivals(records),
@@ -56,7 +56,7 @@
 	return exceeding.length > toleratedExceeding ? exceeding.map(({requestId, path}) => ({rule: 'BUDGET', requestId, detail: `${path} ran at too many servers`})) : [];
 }
 
-function checkAttempt(record: CallerRecord, {route, outcomes, ...ends}: {route: SoakRoute; outcomes: Outcomes} & Ends): RuleCase[] {
+function checkAttempt(record: CallerRecord, {route, outcomes, ends, processEnds}: {route: SoakRoute; outcomes: Outcomes; ends: Ends; processEnds: readonly ProcessEnd[]}): RuleCase[] {
 	const cases: RuleCase[] = [];
 	const add = (rule: RuleCase['rule'], detail: string) => {
 		cases.push({rule, requestId: record.requestId, detail: `${detail} (${record.edge}, ${record.path})`});
@@ -86,13 +86,15 @@
 			add('MIXED', `status ${record.status} with a stamp of a server that gave another`);
 		}
 	} else if (record.status === 200) {
-		checkSuccess(record, {route, own, ...ends}, add);
+		checkSuccess(record, {
+			route, own, ends: ends.get(record.requestId) ?? [], processEnds,
+		}, add);
 	}
 
 	return cases;
 }
 
-function checkSuccess(record: CallerRecord, {route, own, ...ends}: {route: SoakRoute; own: readonly OutcomeRecord[]} & Ends, add: (rule: 'MIXED' | 'ORDER', detail: string) => void): void {
+function checkSuccess(record: CallerRecord, {route, own, ends, processEnds}: {route: SoakRoute; own: readonly OutcomeRecord[]} & EarlyEnds, add: (rule: 'MIXED' | 'ORDER', detail: string) => void): void {
 	if (record.answerId === undefined || record.stamp !== createStamp(record.requestId, record.path)) {
 		add('MIXED', 'a success without the id or the stamp of the request');
 		return;
@@ -102,8 +104,8 @@
 		add('MIXED', 'a success that no server gave');
 	}
 
-	const mayBeShort = record.hasUnknownEnd === true && isBrokenOff(record, own, {...ends, isStreaming: route.kind === 'streaming'});
-	const isWhole = record.end === 'answered' && !mayBeShort;
+	const mayBeShort = isEndedInOrder(own, ends);
+	const isWhole = record.end === 'answered' && !mayBeShort && !(route.kind === 'streaming' && isVisiblyBroken(record, processEnds));
 	if (route.kind !== 'streaming') {
 		const body = createPlainBody(record.requestId, record.path);
 		if (isWhole ? record.body !== body : !body.startsWith(record.body)) {
@@ -117,7 +119,7 @@
 	// Whether the versions fit together is checked for all attempts of a stream.
 	const versions = listEventVersions(record.body);
 	const expected = Array.from({length: Math.max(0, count - record.lastEventId)}, (_, index) => createEvent(record.requestId, record.lastEventId + index + 1, count, versions[index])).join('');
-	const isInsideEvent = mayBeShort && expected !== '' && !record.body.endsWith('\n\n');
+	const isInsideEvent = mayBeShort && record.end === 'answered' && expected !== '' && !record.body.endsWith('\n\n');
 	if (isWhole ? record.body !== expected : !expected.startsWith(record.body) || isInsideEvent) {
 		const isForeign = [...record.body.matchAll(/^data: (?<id>\S+) /gm)].some(match => match.groups!.id !== record.requestId);
 		add(isForeign ? 'MIXED' : 'ORDER', `events ${[...record.body.matchAll(/^id: (?<id>\d+)/gm)].map(match => match.groups!.id).join(',')} of ${count} after ${record.lastEventId}`);
@@ -125,14 +127,16 @@
 }
 
 /**
- * An answer that reached its caller without a length and chunks, so that nothing declared it complete, may be as short as its
- * server made it that broke it off, or as the end of its edge's process made it. A stream may be as short as the end of a
- * server's process made it, but does not end inside an event. A plain answer may not: its edge holds it back and can ask
- * whether its server has crashed.
+ * A server that closes the connection of an answer without a length and chunks, in order, has ended the answer, even if it
+ * lacks a part; an edge can only ask whether the server runs.
  */
-function isBrokenOff({edge, sentAt, endedAt}: CallerRecord, own: readonly OutcomeRecord[], {isStreaming, processEnds, crashTimes}: Ends & {isStreaming: boolean}): boolean {
-	const isOnWay = (name: string) => name === edge || (isStreaming && own.some(({server}) => server === name || server.startsWith(`${name}-`)));
-	return own.some(outcome => outcome.answer === 'broken-off' || (isStreaming && (crashTimes.get(formatStart(outcome)) ?? Number.POSITIVE_INFINITY) <= endedAt)) || processEnds.some(({name, at}) => isOnWay(name) && at >= sentAt && at <= endedAt + processEndMarginMs);
+function isEndedInOrder(own: readonly OutcomeRecord[], ends: readonly EndRecord[]): boolean {
+	return own.some(({answer, server, startedAt, number}) => answer === 'broken-off' && ends.some(end => end.server === server && end.startedAt === startedAt && end.number === number && end.hasUnknownEnd));
+}
+
+/** A stream without a length and chunks that ends inside an event has been broken off. Only the end of its edge's process does that in order. */
+function isVisiblyBroken({edge, body, hasUnknownEnd, sentAt, endedAt}: CallerRecord, processEnds: readonly ProcessEnd[]): boolean {
+	return hasUnknownEnd === true && body !== '' && !body.endsWith('\n\n') && processEnds.some(({name, at}) => name === edge && at >= sentAt && at <= endedAt + processEndMarginMs);
 }
 
 function checkHandle({requestId, hasRun, handle, handleOwner, server}: OutcomeRecord): RuleCase[] {
--- a/tools/soak/src/server-channel.ts
+++ b/tools/soak/src/server-channel.ts
@@ -232,9 +232,9 @@
 		}
 	}
 
-	/** Closes the connection; `isUnframed` if nothing else ends the answer. */
+	/** Closes the connection; `isUnframed` if nothing else ends the answer. One that is broken off by a reset does not end so. */
 	end({isUnframed = false} = {}): void {
-		this.#hasUnknownEnd ||= isUnframed;
+		this.#hasUnknownEnd ||= isUnframed && !(this.#isBroken && this.#break?.by === 'reset');
 		if (!this.#isBroken) {
 			this.#close();
 		}
