fix(edge, entry): requests late in a stop are refused, not cut

In the product's own daemon the entry took calls until the end of the stop and closed the connections of those in flight without an answer.

The edge now asks when the body is complete, and takes requests in the first half of its drain only, at most 2.5 s. The entry rejects calls in the second half of its stop, says that it closes connections, and answers the open calls before it does.

--- a/packages/plugins/edge/src/edge.ts
+++ b/packages/plugins/edge/src/edge.ts
@@ -67,6 +67,8 @@
 const usedConnectionFraction = 0.8;
 /** Part of the grace period that is reserved for the shutdown after the drain. */
 const stopMarginMs = 700;
+/** Requests that arrive within this time of the drain are forwarded, but not in its second half: the longest ones need that. */
+const maxDrainAcceptMs = 2500;
 const minimumDrainMs = 3200; // The load balancer stops sending requests after two failed health checks, one second apart.
 const drainPollMs = 50;
 /** Part of a caller's time that is left for a refusal when the version of its stream is not found, in milliseconds. */
@@ -178,7 +180,7 @@
 		this.#deadlineGuard = new DeadlineGuard({clock, eventLog: this.#context.eventLog, metrics: opts.metrics});
 		this.#stageControl = this.#core && this.#createStageControl(this.#core);
 		this.#frontend = new HttpFrontend({
-			clock, random, codec, notReadyRetryAfterMs: defaultRetryAfterMs, getRoutes: () => this.configuration.isConfirmed ? this.#routes : undefined, forward: async request => this.#forward(request), onRejected: rejected => {
+			clock, random, codec, notReadyRetryAfterMs: defaultRetryAfterMs, drainAcceptMs: Math.min(maxDrainAcceptMs, Math.max(0, settings.graceMs - stopMarginMs) / 2), getRoutes: () => this.configuration.isConfirmed ? this.#routes : undefined, forward: async request => this.#forward(request), onRejected: rejected => {
 				this.#requestLog.recordRejected(rejected);
 			}, onDropped: dropped => {
 				this.#requestLog.recordDropped(dropped);
--- a/packages/plugins/edge/src/http-frontend.ts
+++ b/packages/plugins/edge/src/http-frontend.ts
@@ -33,6 +33,8 @@
 	onFailed: (failed: FailedRequest) => void;
 	/** Retry-After of 503 responses of the frontend, in milliseconds. */
 	notReadyRetryAfterMs: number;
+	/** Time from the start of the drain during which requests are still forwarded, in milliseconds. A later one might not end in time. */
+	drainAcceptMs: number;
 };
 
 /** A request that the frontend answered or dropped without forwarding it. */
@@ -109,8 +111,6 @@
 /** Added by Node.js to the time that a response states. */
 const keepAliveBufferMs = 1000;
 const connectionsCheckMs = 1000;
-/** Requests that arrive later than this after the start of the drain are refused; they might not end in time. */
-const drainAcceptWindowMs = 2500;
 /** Time for callers to read what a stop writes to them. */
 const flushTimeoutMs = 200;
 const flushPollMs = 5;
@@ -247,6 +247,7 @@
 		}
 
 		const {arrivedAt} = exchange;
+		const {clock, drainAcceptMs} = this.#opts;
 		const routes = this.#opts.getRoutes();
 		const [path] = incoming.url!.split('?', 1);
 		const route = routes?.findRoute(incoming.headers.host ?? '', path!);
@@ -283,7 +284,8 @@
 			return;
 		}
 
-		if (this.#isClosed || (this.#stoppingSince !== undefined && arrivedAt - this.#stoppingSince > drainAcceptWindowMs)) {
+		// A slow body may have begun long before, and what counts is the time that is left.
+		if (this.#isClosed || (this.#stoppingSince !== undefined && clock.monotonic() - this.#stoppingSince > drainAcceptMs)) {
 			reportRejected('stopping');
 			this.#sendUnavailable(response, 'stopping', 'this instance is stopping.');
 			return;
--- a/packages/plugins/edge/test/http-frontend.test.ts
+++ b/packages/plugins/edge/test/http-frontend.test.ts
@@ -70,7 +70,7 @@
 
 		decodeRequestHeaders = codec.decodeRequestHeaders;
 		frontend = new HttpFrontend({
-			clock, random: new Random(1), codec: {...codec, decodeRequestHeaders: headers => decodeRequestHeaders(headers)}, notReadyRetryAfterMs: 100, getRoutes: () => routes, async forward(callerRequest) {
+			clock, random: new Random(1), codec: {...codec, decodeRequestHeaders: headers => decodeRequestHeaders(headers)}, notReadyRetryAfterMs: 100, drainAcceptMs: 2500, getRoutes: () => routes, async forward(callerRequest) {
 				return forward(callerRequest);
 			}, onRejected(rejectedRequest) {
 				rejected.push(rejectedRequest);
@@ -394,7 +394,7 @@
 	it('refuses a request that arrives late in the drain, and does not forward it', async () => {
 		const clock = new ManualClock();
 		const draining = new HttpFrontend({
-			clock, random: new Random(1), codec, notReadyRetryAfterMs: 100, getRoutes: () => routes, async forward(callerRequest) {
+			clock, random: new Random(1), codec, notReadyRetryAfterMs: 100, drainAcceptMs: 2500, getRoutes: () => routes, async forward(callerRequest) {
 				forwarded.push(callerRequest);
 			}, onRejected(rejectedRequest) {
 				rejected.push(rejectedRequest);
--- a/packages/plugins/entry/src/caller-api.ts
+++ b/packages/plugins/entry/src/caller-api.ts
@@ -8,6 +8,7 @@
 } from 'node:http';
 import findMyWay, {type HTTPMethod} from 'find-my-way';
 import {err, ok, type Result} from 'neverthrow';
+import {waitWithTimeout} from '@hickorytrack/clock';
 import {HickorytrackError} from '@hickorytrack/errors';
 import type {PeerAddress} from '@hickorytrack/peer-link/peer-node';
 import {computeFingerprint} from '@hickorytrack/quarantine/fingerprint';
@@ -29,6 +30,8 @@
 const bodyTimeoutMs = 15_000;
 const maximumHeaderBytes = 16 * 1024;
 const defaultRetryAfterMs = 1000;
+/** Time for callers to read the errors that a stop writes to them. */
+const flushTimeoutMs = 200;
 const serviceMethods: HTTPMethod[] = ['GET', 'HEAD', 'POST', 'PUT', 'PATCH', 'DELETE'];
 
 type Call = {
@@ -37,8 +40,9 @@
 	requestId: string;
 	/** Monotonic time of arrival. */
 	arrivedAt: number;
-	/** Aborts when the caller disconnects. */
+	/** Aborts when the caller disconnects, or the stop of the entry ends the call. */
 	signal: AbortSignal;
+	abort: () => void;
 	/** Resolves when the answer has been sent or the caller has disconnected. */
 	closed: Promise<void>;
 };
@@ -61,7 +65,11 @@
 	});
 
 	#inFlight = 0;
+	/** Calls whose handler runs. */
+	readonly #openCalls = new Set<Call>();
 	#isDraining = false;
+	/** Monotonic time from which calls are rejected, in milliseconds. */
+	#rejectsFrom = Number.POSITIVE_INFINITY;
 
 	constructor(opts: CallerApiOptions) {
 		this.#opts = opts;
@@ -92,9 +100,25 @@
 		});
 	}
 
-	/** Makes the readiness check fail. Requests that still arrive are served. */
-	startDraining(): void {
+	/** Makes the readiness check fail. Calls are served for this time and rejected after it, because they might not end before the stop. */
+	startDraining(acceptMs: number): void {
 		this.#isDraining = true;
+		this.#rejectsFrom = this.#clock.monotonic() + acceptMs;
+	}
+
+	/** Ends the calls that are still open with an error. Resolves when their callers have it, or after the flush timeout. */
+	async finishOpenCalls(): Promise<void> {
+		this.#rejectsFrom = Number.NEGATIVE_INFINITY;
+		const calls = [...this.#openCalls];
+		for (const call of calls) {
+			if (!call.response.writableEnded) {
+				this.#reject(call, 'answer-lost', {run: 'may-have-run'});
+			}
+
+			call.abort();
+		}
+
+		await waitWithTimeout(Promise.all(calls.map(async ({closed}) => closed)), flushTimeoutMs, this.#clock);
 	}
 
 	/** Closes the listener and all connections. */
@@ -147,7 +171,9 @@
 		});
 		response.setHeader('x-request-id', requestId);
 		return {
-			request, response, requestId, arrivedAt: this.#clock.monotonic(), signal: disconnected.signal, closed,
+			request, response, requestId, arrivedAt: this.#clock.monotonic(), signal: disconnected.signal, abort() {
+				disconnected.abort();
+			}, closed,
 		};
 	}
 
@@ -160,8 +186,12 @@
 			return;
 		}
 
+		if (this.#isDraining) {
+			response.setHeader('connection', 'close');
+		}
+
 		const workspace = this.#opts.workspaces.find(key);
-		if (!this.#opts.isReady()) {
+		if (!this.#opts.isReady() || this.#isRejecting) {
 			this.#reject(call, 'not-ready', {retryAfterMs: defaultRetryAfterMs});
 			return;
 		}
@@ -184,19 +214,23 @@
 		const {context} = this.#opts.services;
 		workspace.inFlight++;
 		this.#inFlight++;
+		this.#openCalls.add(call);
 		context.metrics.gauge('entry.in_flight', this.#inFlight);
 		try {
 			await context.steps.onStep('request.authenticated', context.settings.instance);
 			await handler(call, workspace);
 		} catch (error) {
 			context.events.emit('unexpectedError', {requestId: call.requestId, error: String(error)});
-			if (call.response.headersSent) {
+			if (call.response.writableEnded) {
+				// The stop of the entry has ended the call.
+			} else if (call.response.headersSent) {
 				call.response.destroy();
 			} else {
 				this.#reject(call, 'answer-lost', {run: 'may-have-run'});
 			}
 		} finally {
 			workspace.inFlight--;
+			this.#openCalls.delete(call);
 			void call.closed.then(() => {
 				this.#inFlight--;
 			});
@@ -249,7 +283,9 @@
 			},
 		});
 		const result = await generation.run();
-		if (result.kind === 'refused') {
+		if (call.response.writableEnded) {
+			// The stop of the entry has ended the call.
+		} else if (result.kind === 'refused') {
 			this.#sendProblem(call, result.problem);
 		} else if (result.kind === 'caller-gone') {
 			services.context.events.emit('callerLost', {requestId: call.requestId});
@@ -270,6 +306,10 @@
 
 	/** Writes pieces that arrived together in one write and waits until the send buffer has space again. */
 	async #writeChunks(call: Call, metadata: CompletionMetadata, texts: readonly string[]): Promise<void> {
+		if (call.response.writableEnded) {
+			return;
+		}
+
 		this.#openStream(call);
 		const hasBufferSpace = call.response.write(texts.map(text => formatChunk(metadata, text)).join(''));
 		if (!hasBufferSpace && !call.signal.aborted) {
@@ -321,7 +361,9 @@
 			contentType: request.headers['content-type'] ?? 'application/octet-stream',
 			fingerprint: computeFingerprint(workspace.contract.workspace, [name, request.method, path, body]),
 		}, call.signal).run();
-		if (result.kind === 'refused') {
+		if (response.writableEnded) {
+			// The stop of the entry has ended the call.
+		} else if (result.kind === 'refused') {
 			this.#sendProblem(call, result.problem);
 		} else if (result.kind === 'caller-gone') {
 			response.destroy();
@@ -335,6 +377,12 @@
 	/** Reads the body. If it exceeds the contract's size limit or the timeout, rejects the call and returns `undefined`. */
 	async #readBody(call: Call, workspace: Workspace): Promise<string | undefined> {
 		const body = await readBody(call.request, {maxBytes: workspace.contract.limits.bodyBytes, timeoutMs: bodyTimeoutMs, clock: this.#clock});
+		if (body.isOk() && this.#isRejecting) {
+			call.response.setHeader('connection', 'close');
+			this.#reject(call, 'not-ready', {retryAfterMs: defaultRetryAfterMs});
+			return undefined;
+		}
+
 		if (body.isOk()) {
 			return body.value;
 		}
@@ -382,6 +430,10 @@
 		this.#opts.services.context.metrics.count('entry.requests', {outcome, workspace: workspace.contract.workspace});
 	}
 
+	get #isRejecting(): boolean {
+		return this.#clock.monotonic() >= this.#rejectsFrom;
+	}
+
 	get #clock() {
 		return this.#opts.services.context.clock;
 	}
--- a/packages/plugins/entry/src/entry.ts
+++ b/packages/plugins/entry/src/entry.ts
@@ -13,6 +13,7 @@
 /** Delay between the failing readiness check and the close of the listener, so that the load balancer notices. */
 const loadBalancerDelayMs = 1000;
 const drainPollIntervalMs = 25;
+const msPerSecond = 1000;
 
 class EntryPlugin implements Plugin {
 	readonly #context: ProcessContext;
@@ -49,11 +50,15 @@
 	}
 
 	async drain(signal: AbortSignal): Promise<void> {
-		this.#api.startDraining();
-		await this.#context.clock.sleep(loadBalancerDelayMs, signal);
+		const {clock, settings} = this.#context;
+		// The second half is left for the calls that arrive at the end of the first.
+		this.#api.startDraining(settings.stopSeconds * msPerSecond / 2);
+		await clock.sleep(loadBalancerDelayMs, signal);
 		while (!signal.aborted && this.#api.inFlight > 0) {
-			await this.#context.clock.sleep(drainPollIntervalMs, signal);
+			await clock.sleep(drainPollIntervalMs, signal);
 		}
+
+		await this.#api.finishOpenCalls();
 	}
 
 	async stop(): Promise<void> {
--- a/packages/plugins/entry/test/caller-api.test.ts
+++ b/packages/plugins/entry/test/caller-api.test.ts
@@ -116,6 +116,46 @@
 		expect(slow.received.endsWith('"owned_by":"hickorytrack"}]}\r\n0\r\n\r\n')).to.equal(true);
 	});
 
+	// Calls that came late in the grace period of a stop were taken, and their connections closed without an answer at its end.
+	it('rejects a call that arrives late in a drain, or whose body ends late', async () => {
+		const late = open();
+		late.socket.write(head('POST', '/v1/completions', 'Content-Length: 2\r\n'));
+		await waitFor(() => releaseCall !== undefined);
+		releaseCall!();
+		api.startDraining(30);
+		await clock.sleep(50);
+		late.socket.write('{}');
+		await waitFor(() => late.isClosed);
+		const next = open();
+		next.socket.write(head('GET', '/v1/models'));
+		await waitFor(() => next.isClosed);
+		for (const {received} of [late, next]) {
+			expect(received).to.match(/^HTTP\/1.1 503 [^]*retry-after: 1[^]*"run":"not-run"/);
+		}
+	});
+
+	it('answers the calls that are open when a drain ends, and their handlers write nothing more', async () => {
+		const connection = open();
+		connection.socket.write(head('GET', '/v1/models'));
+		await waitFor(() => releaseCall !== undefined);
+		api.startDraining(1000);
+		await api.finishOpenCalls();
+		await waitFor(() => connection.received.includes('"code":"answer-lost"'));
+		releaseCall!();
+		await clock.sleep(20);
+		expect(connection.received).to.match(/^HTTP\/1.1 502 [^]*"run":"may-have-run"/).and.not.to.contain('"object":"list"');
+	});
+
+	it('closes the connection of a call behind its answer during a drain', async () => {
+		const connection = open();
+		api.startDraining(1000);
+		connection.socket.write(head('GET', '/v1/models'));
+		await waitFor(() => releaseCall !== undefined);
+		releaseCall!();
+		await waitFor(() => connection.isClosed);
+		expect(connection.received).to.match(/^HTTP\/1.1 200 OK\r\n/);
+	});
+
 	// Guards against a status for unreadable bytes that a caller takes for the answer to its call before them, which runs.
 	it('answers the call that is running, and not 400, when bytes that are no request follow on its connection', async () => {
 		const connection = open();
