--- a/packages/coordination/log-storage/src/file-log-storage.ts
+++ b/packages/coordination/log-storage/src/file-log-storage.ts
@@ -20,9 +20,11 @@
 	decodeLog, encodeHeader, encodeRecord, formatVersion, headerBytes,
 } from './record-codec.js';
 
-/** Called before each write and sync; tests throw from it to simulate a failing disk. */
+/** Called before each write, sync and change of a file's length; tests throw from it to simulate a failing disk. */
 export type DiskFaultInjector = {
-	check(operation: 'write' | 'sync'): void;
+	check(operation: 'write' | 'sync' | 'truncate'): void;
+	/** Returns how many of the bytes of one write still fit on the disk. */
+	countWritable?(bytes: number): number;
 };
 
 export type FileLogStorageOptions = {
@@ -50,6 +52,10 @@
 	#offsets: number[] = [];
 	#firstIndex = 1;
 	#size = 0;
+	/** A failed append may have left bytes behind the last record. */
+	#hasPartialRecord = false;
+	/** The log has been replaced, and a loss of power may still bring the file before back. */
+	#isReplacementPending = false;
 
 	constructor(folder: string, opts: FileLogStorageOptions = {}) {
 		this.#folder = folder;
@@ -85,13 +91,16 @@
 		const frames = records.map(record => encodeRecord(record));
 		const start = this.#size;
 		const result = await this.#runWrite(async () => {
-			this.#faultInjector?.check('write');
-			await this.#log!.write(Buffer.concat(frames), undefined, undefined, start);
+			await this.#confirmReplacement();
+			await this.#removePartialRecord();
+			this.#hasPartialRecord = true;
+			await this.#writeAll(this.#log!, Buffer.concat(frames), start);
 			this.#faultInjector?.check('sync');
 			await this.#log!.datasync();
+			this.#hasPartialRecord = false;
 		});
 		if (result.isErr()) {
-			await this.#runWrite(async () => this.#log!.truncate(start));
+			await this.#runWrite(async () => this.#removePartialRecord());
 			return result;
 		}
 
@@ -115,6 +124,7 @@
 		}
 
 		return this.#runWrite(async () => {
+			this.#faultInjector?.check('truncate');
 			await this.#log!.truncate(offset);
 			await this.#log!.datasync();
 			this.#offsets.length = position;
@@ -213,13 +223,19 @@
 		const file = path.join(this.#folder, 'log');
 		const newLog = await open(`${file}.new`, 'w+');
 		const frames = records.map(record => encodeRecord(record));
-		this.#faultInjector?.check('write');
-		await newLog.write(Buffer.concat([encodeHeader(), ...frames]), undefined, undefined, 0);
-		await newLog.sync();
-		await rename(`${file}.new`, file);
-		await this.#syncFolder();
+		try {
+			await this.#writeAll(newLog, Buffer.concat([encodeHeader(), ...frames]), 0);
+			await newLog.sync();
+			await rename(`${file}.new`, file);
+		} catch (error) {
+			await newLog.close();
+			throw error;
+		}
+
 		await this.#log?.close();
 		this.#log = newLog;
+		this.#isReplacementPending = true;
+		this.#hasPartialRecord = false;
 		this.#offsets = [];
 		this.#firstIndex = records[0]?.index ?? 1;
 		this.#size = headerBytes;
@@ -227,6 +243,35 @@
 			this.#offsets.push(this.#size);
 			this.#size += frame.length;
 		}
+
+		await this.#confirmReplacement();
+	}
+
+	async #confirmReplacement(): Promise<void> {
+		if (this.#isReplacementPending) {
+			await this.#syncFolder();
+			this.#isReplacementPending = false;
+		}
+	}
+
+	/** Removes what a failed append has left, so that a shorter record does not leave a part of it behind. */
+	async #removePartialRecord(): Promise<void> {
+		if (this.#hasPartialRecord) {
+			this.#faultInjector?.check('truncate');
+			await this.#log!.truncate(this.#size);
+			this.#hasPartialRecord = false;
+		}
+	}
+
+	/** Writes all bytes. A disk that runs full takes a part of one write, and refuses the next one. */
+	async #writeAll(file: FileHandle, bytes: Buffer, position: number): Promise<void> {
+		let written = 0;
+		while (written < bytes.length) {
+			this.#faultInjector?.check('write');
+			const rest = bytes.length - written;
+			const {bytesWritten} = await file.write(bytes, written, this.#faultInjector?.countWritable?.(rest) ?? rest, position + written);
+			written += bytesWritten;
+		}
 	}
 
 	async #readChecksummedFile(name: string): Promise<string | undefined> {
--- a/packages/coordination/log-storage/test/file-log-storage.test.ts
+++ b/packages/coordination/log-storage/test/file-log-storage.test.ts
@@ -1,5 +1,5 @@
 import {
-	appendFile, mkdtemp, readFile, rm, writeFile,
+	appendFile, mkdtemp, readdir, readFile, rm, writeFile,
 } from 'node:fs/promises';
 import {tmpdir} from 'node:os';
 import path from 'node:path';
@@ -107,6 +107,83 @@
 		expect(reopened.records.map(record => record.index)).to.deep.equal([1, 2]);
 	});
 
+	// A disk that ran full in the middle of a write took a part of the record, which was acknowledged and lost at the next start.
+	it('acknowledges no record of which a part was written', async () => {
+		let room = Number.POSITIVE_INFINITY;
+		const [storage] = await openStorage({
+			check() {
+				if (room <= 0) {
+					throw Object.assign(new Error('no space left'), {code: 'ENOSPC'});
+				}
+			},
+			countWritable(bytes) {
+				const writable = Math.min(bytes, room);
+				room -= writable;
+				return writable;
+			},
+		});
+		await storage.append([createRecord(1)]);
+		room = 20;
+		expect((await storage.append([createRecord(2)]))._unsafeUnwrapErr().code).to.equal('ERR_HICKORYTRACK_DISK_FULL');
+		room = Number.POSITIVE_INFINITY;
+		expect((await storage.append([createRecord(2), createRecord(3)])).isOk()).to.equal(true);
+		await storage.close();
+		const [, reopened] = await openStorage();
+		expect(reopened.records.map(record => record.index)).to.deep.equal([1, 2, 3]);
+	});
+
+	// What a failed append had left stood behind the next, shorter record, so that the whole log counted as corrupt.
+	it('leaves nothing of a failed append behind a shorter record', async () => {
+		const failing = new Set<string>();
+		const [storage] = await openStorage({
+			check(operation) {
+				if (failing.has(operation)) {
+					throw Object.assign(new Error('no space left'), {code: 'ENOSPC'});
+				}
+			},
+		});
+		await storage.append([createRecord(1)]);
+		failing.add('sync').add('truncate');
+		expect((await storage.append([createRecord(2), createRecord(3), createRecord(4)])).isErr()).to.equal(true);
+		failing.clear();
+		expect((await storage.append([createRecord(2)])).isOk()).to.equal(true);
+		await storage.close();
+		const [, reopened] = await openStorage();
+		expect(reopened.records.map(record => record.index)).to.deep.equal([1, 2]);
+	});
+
+	// Each snapshot that failed on a full disk left a file open, until the process had none left.
+	it('leaves no file open when a snapshot fails', async () => {
+		let writes = 0;
+		let isFull = false;
+		const [storage] = await openStorage({
+			check(operation) {
+				writes += operation === 'write' ? 1 : 0;
+				// The snapshot is written, the log behind it is not.
+				if (isFull && writes % 2 === 0) {
+					throw Object.assign(new Error('no space left'), {code: 'ENOSPC'});
+				}
+			},
+		});
+		await storage.append([createRecord(1), createRecord(2)]);
+		const countOpen = async () => (await readdir('/proc/self/fd')).length;
+		const openBefore = await countOpen();
+		isFull = true;
+		for (let i = 0; i < 5; i++) {
+			writes = 0;
+			expect((await storage.saveSnapshot({
+				index: 1, term: 1, members: [], state: {sum: 1},
+			}, [createRecord(2)])).isErr()).to.equal(true);
+		}
+
+		expect(await countOpen()).to.equal(openBefore);
+		isFull = false;
+		expect((await storage.append([createRecord(3)])).isOk()).to.equal(true);
+		await storage.close();
+		const [, reopened] = await openStorage();
+		expect(reopened.records.map(record => record.index)).to.deep.equal([2, 3]);
+	});
+
 	it('keeps the snapshot and the records after it', async () => {
 		const [storage] = await openStorage();
 		await storage.append([createRecord(1), createRecord(2), createRecord(3)]);
--- a/packages/coordination/replicated-log/src/member-state.ts
+++ b/packages/coordination/replicated-log/src/member-state.ts
@@ -56,6 +56,7 @@
 	leader: string | undefined;
 	commitIndex: number;
 	durableIndex: number;
+	/** The last write to the storage failed. */
 	diskFault = false;
 	stopped = false;
 	snapshot: SnapshotRecord | undefined;
@@ -133,12 +134,12 @@
 		return this.#saveVote({term, votedFor: candidate});
 	}
 
-	/** Writes and syncs all records that are only in memory; returns true when the whole log is synced and the disk has no fault. */
+	/** Writes and syncs all records that are only in memory; returns true when the whole log is synced. */
 	async saveRecords(): Promise<boolean> {
 		return this.#lock.runExclusive(async () => {
 			const records = this.window.slice(this.durableIndex + 1, Number.MAX_SAFE_INTEGER);
 			if (records.length === 0) {
-				return !this.diskFault;
+				return true;
 			}
 
 			const result = await this.#storage.append(records);
@@ -155,8 +156,8 @@
 	async truncateFrom(index: number): Promise<boolean> {
 		return this.#lock.runExclusive(async () => {
 			const result = await this.#storage.truncateFrom(index);
+			this.diskFault = result.isErr();
 			if (result.isErr()) {
-				this.diskFault = true;
 				return false;
 			}
 
@@ -172,8 +173,8 @@
 		return this.#lock.runExclusive(async () => {
 			const remaining = this.window.slice(snapshot.index + 1, Math.max(0, this.durableIndex - snapshot.index));
 			const result = await this.#storage.saveSnapshot(snapshot, remaining);
+			this.diskFault = result.isErr();
 			if (result.isErr()) {
-				this.diskFault = true;
 				return false;
 			}
 
@@ -188,8 +189,8 @@
 	async installSnapshot(snapshot: SnapshotRecord): Promise<boolean> {
 		return this.#lock.runExclusive(async () => {
 			const result = await this.#storage.saveSnapshot(snapshot, []);
+			this.diskFault = result.isErr();
 			if (result.isErr()) {
-				this.diskFault = true;
 				return false;
 			}
 
@@ -231,8 +232,8 @@
 			}
 
 			const result = await this.#storage.saveVote(vote);
+			this.diskFault = result.isErr();
 			if (result.isErr()) {
-				this.diskFault = true;
 				return false;
 			}
 
