test(soak): a reset that the relay passes on as a close ends an answer

Traced: the edge saw an orderly close (1762, connection closed), because the relay in front of each server passes every end on as one. Such an answer is excused again, as it was before.

--- a/tools/soak/src/check-answers.ts
+++ b/tools/soak/src/check-answers.ts
@@ -128,7 +128,8 @@
 
 /**
  * A server that closes the connection of an answer without a length and chunks, in order, has ended the answer, even if it
- * lacks a part; an edge can only ask whether the server runs.
+ * lacks a part; an edge can only ask whether the server runs. A reset counts too, because the relay in front of the server passes
+ * it on as such a close.
  */
 function isEndedInOrder(own: readonly OutcomeRecord[], ends: readonly EndRecord[]): boolean {
 	return own.some(({answer, server, startedAt, number}) => answer === 'broken-off' && ends.some(end => end.server === server && end.startedAt === startedAt && end.number === number && end.hasUnknownEnd));
--- a/tools/soak/src/server-channel.ts
+++ b/tools/soak/src/server-channel.ts
@@ -232,9 +232,9 @@
 		}
 	}
 
-	/** Closes the connection; `isUnframed` if nothing else ends the answer. One that is broken off by a reset does not end so. */
+	/** Closes the connection; `isUnframed` if nothing else ends the answer. */
 	end({isUnframed = false} = {}): void {
-		this.#hasUnknownEnd ||= isUnframed && !(this.#isBroken && this.#break?.by === 'reset');
+		this.#hasUnknownEnd ||= isUnframed;
 		if (!this.#isBroken) {
 			this.#close();
 		}
