fix(edge): requests whose caller has gone are not sent on

A request sent at 7.985 s, whose caller gives up at 8.649 s, is read at 9.18 s, together with the end of its connection, which Node.js reports one turn of the event loop later.

It costs one turn of the loop.

The new test failed before.

--- a/packages/plugins/edge/src/http-frontend.ts
+++ b/packages/plugins/edge/src/http-frontend.ts
@@ -43,7 +43,7 @@
 	host: string | undefined;
 	path: string;
 	/** `unreadable` for bytes that are no request, or no complete one in time; no id, host or path is known of them. */
-	reason: 'body-broken' | 'not-ready' | 'no-route' | 'body-too-large' | 'unmet-expectation' | 'stopping' | 'unreadable';
+	reason: 'body-broken' | 'connection-ended' | 'not-ready' | 'no-route' | 'body-too-large' | 'unmet-expectation' | 'stopping' | 'unreadable';
 	/** Status of the answer to unreadable bytes. */
 	status?: number;
 	/** Version of the configuration in which its route was looked up. */
@@ -284,6 +284,12 @@
 			return;
 		}
 
+		await waitForNextRead();
+		if (incoming.socket.destroyed || incoming.socket.writableEnded) {
+			reportRejected('connection-ended');
+			return;
+		}
+
 		// A slow body may have begun long before, and what counts is the time that is left.
 		if (this.#isClosed || (this.#stoppingSince !== undefined && clock.monotonic() - this.#stoppingSince > drainAcceptMs)) {
 			reportRejected('stopping');
@@ -539,6 +545,18 @@
 	socket.once('close', finish);
 }
 
+/**
+ * Waits until the event loop has read all connections once more. Behind a request that was held up on its way, the end of its
+ * connection may have arrived already, and it is reported only then.
+ */
+async function waitForNextRead(): Promise<void> {
+	for (let turns = 0; turns < 2; turns++) {
+		await new Promise(resolve => {
+			setImmediate(resolve);
+		});
+	}
+}
+
 function readLoggedPath(incoming: IncomingMessage): string {
 	return incoming.url!.split('?', 1)[0]!.slice(0, maxLoggedCharacters);
 }
--- a/packages/plugins/edge/test/http-frontend.test.ts
+++ b/packages/plugins/edge/test/http-frontend.test.ts
@@ -98,6 +98,15 @@
 		frontend.close();
 	});
 
+	// Requests were sent on after their callers had left: at an edge that was behind, the end of the connection had arrived
+	// together with the request, and was read after it.
+	it('forwards no request whose connection had ended when it was read', async () => {
+		socket.end(request);
+		await waitFor(() => rejected.length === 1);
+		expect(rejected[0]).to.include({reason: 'connection-ended'});
+		expect(forwarded).to.have.length(0);
+	});
+
 	// Guards against a status for unreadable bytes that a caller takes for the answer to its request before them, which runs.
 	for (const {bytes, status, name} of [
 		{bytes: 'POST /y HTTP/1.1\r\nHost: a\r\n', status: 408, name: 'a head that does not arrive in time'},
