--- a/packages/plugins/edge/test/http-frontend.test.ts
+++ b/packages/plugins/edge/test/http-frontend.test.ts
@@ -70,7 +70,7 @@
 
 		decodeRequestHeaders = codec.decodeRequestHeaders;
 		frontend = new HttpFrontend({
-			clock, random: new Random(1), codec: {...codec, decodeRequestHeaders: headers => decodeRequestHeaders(headers)}, notReadyRetryAfterMs: 100, getRoutes: () => routes, async forward(callerRequest) {
+			clock, random: new Random(1), codec: {...codec, decodeRequestHeaders: headers => decodeRequestHeaders(headers)}, notReadyRetryAfterMs: 100, drainAcceptMs: 2500, getRoutes: () => routes, async forward(callerRequest) {
 				return forward(callerRequest);
 			}, onRejected(rejectedRequest) {
 				rejected.push(rejectedRequest);
@@ -98,6 +98,15 @@
 		frontend.close();
 	});
 
+	// Requests were sent on after their callers had left: at an edge that was behind, the end of the connection had arrived
+	// together with the request, and was read after it.
+	it('forwards no request whose connection had ended when it was read', async () => {
+		socket.end(request);
+		await waitFor(() => rejected.length === 1);
+		expect(rejected[0]).to.include({reason: 'connection-ended'});
+		expect(forwarded).to.have.length(0);
+	});
+
 	// Guards against a status for unreadable bytes that a caller takes for the answer to its request before them, which runs.
 	for (const {bytes, status, name} of [
 		{bytes: 'POST /y HTTP/1.1\r\nHost: a\r\n', status: 408, name: 'a head that does not arrive in time'},
@@ -394,7 +403,7 @@
 	it('refuses a request that arrives late in the drain, and does not forward it', async () => {
 		const clock = new ManualClock();
 		const draining = new HttpFrontend({
-			clock, random: new Random(1), codec, notReadyRetryAfterMs: 100, getRoutes: () => routes, async forward(callerRequest) {
+			clock, random: new Random(1), codec, notReadyRetryAfterMs: 100, drainAcceptMs: 2500, getRoutes: () => routes, async forward(callerRequest) {
 				forwarded.push(callerRequest);
 			}, onRejected(rejectedRequest) {
 				rejected.push(rejectedRequest);
