test(soak): a crash behind a relay excuses a stream without a length again

On the platform nothing stands before a server. The excuse of before the stricter check is back for streams without a length behind a crash of their server; the end of an edge's process and plain answers stay unexcused.

--- a/tools/soak/src/check-answers.ts
+++ b/tools/soak/src/check-answers.ts
@@ -9,6 +9,7 @@
  * ORDER: the events of a stream follow each other without a gap, and an end that looks complete is complete.
  */
 import {promisingStatuses} from './caller.js';
+import {collectCrashTimes, formatStart} from './crashing-part.js';
 import {collectByKey} from './collect-by-key.js';
 import {
 	countEvents, createEvent, createPlainBody, createStamp, listEventVersions,
@@ -23,19 +24,20 @@
 
 type Outcomes = ReadonlyMap<string, readonly OutcomeRecord[]>;
 type Ends = ReadonlyMap<string, readonly EndRecord[]>;
-/** What may end an answer early: ends of edges' processes, and servers that end it themselves. */
-type EarlyEnds = {ends: readonly EndRecord[]; processEnds: readonly ProcessEnd[]};
+/** What may end an answer early: ends of processes, crashes that servers have recorded, and servers that end it themselves. */
+type EarlyEnds = {ends: readonly EndRecord[]; processEnds: readonly ProcessEnd[]; crashTimes: ReadonlyMap<string, number>};
 
 export function checkAnswers(records: SoakRecords): RuleCase[] {
 	const routes = new Map(records.routes.map(route => [route.name, route]));
 	const outcomes = collectByKey(records.outcomes, outcome => outcome.requestId);
+	const crashTimes = collectCrashTimes(records.outcomes);
 	const ends = collectByKey(records.ends, end => end.requestId);
 	// A process that gets a signal closes its connections before its end is noticed.
 	const signals = records.disturbances.filter(({kind}) => kind === 'end').map(({target, from}) => ({name: target, at: from}));
 	const processEnds = [...records.processEnds, ...signals];
 	return [
 		...records.callers.flatMap(record => checkAttempt(record, {
-			route: routes.get(record.route)!, outcomes, ends, processEnds,
+			route: routes.get(record.route)!, outcomes, ends, processEnds, crashTimes,
 		})),
 		...records.outcomes.flatMap(outcome => checkHandle(outcome)),
 		...checkArrivals(records),
@@ -56,7 +58,7 @@
 	return exceeding.length > toleratedExceeding ? exceeding.map(({requestId, path}) => ({rule: 'BUDGET', requestId, detail: `${path} ran at too many servers`})) : [];
 }
 
-function checkAttempt(record: CallerRecord, {route, outcomes, ends, processEnds}: {route: SoakRoute; outcomes: Outcomes; ends: Ends; processEnds: readonly ProcessEnd[]}): RuleCase[] {
+function checkAttempt(record: CallerRecord, {route, outcomes, ends, ...early}: {route: SoakRoute; outcomes: Outcomes; ends: Ends} & Omit<EarlyEnds, 'ends'>): RuleCase[] {
 	const cases: RuleCase[] = [];
 	const add = (rule: RuleCase['rule'], detail: string) => {
 		cases.push({rule, requestId: record.requestId, detail: `${detail} (${record.edge}, ${record.path})`});
@@ -87,14 +89,14 @@
 		}
 	} else if (record.status === 200) {
 		checkSuccess(record, {
-			route, own, ends: ends.get(record.requestId) ?? [], processEnds,
+			route, own, ends: ends.get(record.requestId) ?? [], ...early,
 		}, add);
 	}
 
 	return cases;
 }
 
-function checkSuccess(record: CallerRecord, {route, own, ends, processEnds}: {route: SoakRoute; own: readonly OutcomeRecord[]} & EarlyEnds, add: (rule: 'MIXED' | 'ORDER', detail: string) => void): void {
+function checkSuccess(record: CallerRecord, {route, own, ends, processEnds, crashTimes}: {route: SoakRoute; own: readonly OutcomeRecord[]} & EarlyEnds, add: (rule: 'MIXED' | 'ORDER', detail: string) => void): void {
 	if (record.answerId === undefined || record.stamp !== createStamp(record.requestId, record.path)) {
 		add('MIXED', 'a success without the id or the stamp of the request');
 		return;
@@ -104,7 +106,7 @@
 		add('MIXED', 'a success that no server gave');
 	}
 
-	const mayBeShort = isEndedInOrder(own, ends);
+	const mayBeShort = isEndedInOrder(own, ends) || (route.kind === 'streaming' && isBehindLostServer(record, own, {processEnds, crashTimes}));
 	const isWhole = record.end === 'answered' && !mayBeShort && !(route.kind === 'streaming' && isVisiblyBroken(record, processEnds));
 	if (route.kind !== 'streaming') {
 		const body = createPlainBody(record.requestId, record.path);
@@ -135,6 +137,16 @@
 	return own.some(({answer, server, startedAt, number}) => answer === 'broken-off' && ends.some(end => end.server === server && end.startedAt === startedAt && end.number === number && end.hasUnknownEnd));
 }
 
+/**
+ * A stream without a length and chunks may be as short as the end of its server's process made it, but does not end inside an
+ * event: the relay in front of the server listens on for a moment, so that its edge finds the server running.
+ */
+function isBehindLostServer({hasUnknownEnd, sentAt, endedAt}: CallerRecord, own: readonly OutcomeRecord[], {processEnds, crashTimes}: Omit<EarlyEnds, 'ends'>): boolean {
+	const isOwn = (name: string) => own.some(({server}) => server === name || server.startsWith(`${name}-`));
+	const hasEnded = processEnds.some(({name, at}) => isOwn(name) && at >= sentAt && at <= endedAt + processEndMarginMs);
+	return hasUnknownEnd === true && (hasEnded || own.some(outcome => (crashTimes.get(formatStart(outcome)) ?? Number.POSITIVE_INFINITY) <= endedAt));
+}
+
 /** A stream without a length and chunks that ends inside an event has been broken off. Only the end of its edge's process does that in order. */
 function isVisiblyBroken({edge, body, hasUnknownEnd, sentAt, endedAt}: CallerRecord, processEnds: readonly ProcessEnd[]): boolean {
 	return hasUnknownEnd === true && body !== '' && !body.endsWith('\n\n') && processEnds.some(({name, at}) => name === edge && at >= sentAt && at <= endedAt + processEndMarginMs);
