--- a/packages/plugins/edge/src/answer-end.ts
+++ b/packages/plugins/edge/src/answer-end.ts
@@ -1,7 +1,7 @@
 /**
  * Decides about the end of an answer that only its connection delimits. Such an answer ends with a crash of its server as it
- * does when it is whole, and the edge delimits what it sends to the caller. So it counts as complete only if its server is
- * found running; a server that does not respond may have crashed with its machine.
+ * does when it is whole, so it counts as complete only if its server is found running. One that does not respond may have
+ * crashed with its machine.
  */
 import {answerVerdicts} from '@hickorytrack/http-answer/answer-reader';
 import type {KnownServer} from '@hickorytrack/endpoint-registry';
