edge: the patience of a caller counts from the last event

The planner refused because the caller would not wait for so long, counted from the arrival of the request. A caller whose stream has begun waits from its last event, so a stream that is older than the patience (2 s) was left at its silent server whenever the prediction was above the objective. Change: the planner counts from the last event that was forwarded.

--- a/packages/plugins/edge/src/event-relay.ts
+++ b/packages/plugins/edge/src/event-relay.ts
@@ -28,6 +28,8 @@
 export class EventRelay implements EventSink {
 	/** Id of the last event that was forwarded. */
 	lastEventId: string | undefined;
+	/** Monotonic time at which it was forwarded, in milliseconds. */
+	lastEventAt: number | undefined;
 	readonly #response: ServerResponse;
 	readonly #clock: Clock;
 	readonly #isResumable: boolean;
@@ -67,6 +69,7 @@
 	write(events: Buffer): boolean {
 		const id = idPattern.exec(findLastEvent(events.toString('latin1')))?.[1];
 		this.lastEventId = id ?? this.lastEventId;
+		this.lastEventAt = this.#clock.monotonic();
 		this.#isEventOpen = false;
 		return this.#response.destroyed || this.#response.write(this.#holdTerminator(events));
 	}
--- a/packages/plugins/edge/src/stream-planner.ts
+++ b/packages/plugins/edge/src/stream-planner.ts
@@ -9,6 +9,7 @@
 import {callKinds, type CallKind} from './call-kinds.js';
 import type {CallerRequest} from './caller-request.js';
 import {isCandidate, listCandidates, listClosed} from './candidate-servers.js';
+import type {EventRelay} from './event-relay.js';
 import {computeRemainingMs, type ForwardContext} from './forward-context.js';
 import {retryKinds} from './retry-budget.js';
 import type {SendPermit, SendPermits} from './send-permits.js';
@@ -34,15 +35,17 @@
 	readonly #permits: SendPermits;
 	readonly #prompt: Prompt;
 	readonly #origin: RequestOrigin;
+	readonly #relay: Pick<EventRelay, 'lastEventAt'>;
 	/** Ids of servers at which this request has failed. */
 	readonly #excluded = new Set<string>();
 
-	constructor(context: ForwardContext, request: CallerRequest, opts: {permits: SendPermits; prompt: Prompt; origin: RequestOrigin}) {
+	constructor(context: ForwardContext, request: CallerRequest, opts: {permits: SendPermits; prompt: Prompt; origin: RequestOrigin; relay: Pick<EventRelay, 'lastEventAt'>}) {
 		this.#context = context;
 		this.#request = request;
 		this.#permits = opts.permits;
 		this.#prompt = opts.prompt;
 		this.#origin = opts.origin;
+		this.#relay = opts.relay;
 	}
 
 	/** Leaves a server out of further runs. */
@@ -177,11 +180,12 @@
 		return this.#acquireGrant(server, callKinds.run, Math.max(0, Math.min(this.#request.route.patienceMs ?? remainingMs, remainingMs)));
 	}
 
-	/** Time for which the caller still waits for the first event. */
+	/** Time for which the caller still waits for the next event. */
 	get #maxWaitMs(): number {
 		const {clock} = this.#context;
 		const {route, arrivedAt} = this.#request;
-		const patienceMs = arrivedAt + (route.patienceMs ?? Number.POSITIVE_INFINITY) - clock.monotonic();
+		const waitingSince = this.#relay.lastEventAt ?? arrivedAt;
+		const patienceMs = waitingSince + (route.patienceMs ?? Number.POSITIVE_INFINITY) - clock.monotonic();
 		return Math.min(patienceMs, computeRemainingMs(this.#context, this.#request));
 	}
 }
--- a/packages/plugins/edge/src/streaming-forwarder.ts
+++ b/packages/plugins/edge/src/streaming-forwarder.ts
@@ -88,7 +88,9 @@
 			},
 		});
 		this.#permits = new SendPermits(context.retryBudget, request);
-		this.#planner = new StreamPlanner(context, request, {permits: this.#permits, prompt: this.#calls.prompt, origin: this.#origin});
+		this.#planner = new StreamPlanner(context, request, {
+			permits: this.#permits, prompt: this.#calls.prompt, origin: this.#origin, relay: this.#relay,
+		});
 		this.#endConfirmation = new EndConfirmation({
 			request, relay: this.#relay, calls: this.#calls, permits: this.#permits, planner: this.#planner, canSend: () => !this.#isBanned && this.#remainingMs >= minimumRetryMs, selectOther: asked => this.#selectConfirmingServer(asked),
 		});
--- a/packages/plugins/edge/test/stream-planner.test.ts
+++ b/packages/plugins/edge/test/stream-planner.test.ts
@@ -16,6 +16,7 @@
 import {ServerLimits} from '../src/server-limits.js';
 import {ServerPauses} from '../src/server-pauses.js';
 import {StreamPlanner} from '../src/stream-planner.js';
+import type {StreamRun} from '../src/stream-run.js';
 
 describe('StreamPlanner', () => {
 	// The time for which a caller waits for the first event was taken; in a long stream it is over, and each resumption was denied.
@@ -40,10 +41,41 @@
 		const request = {
 			arrivedAt: 0, deadlineAt: 15_000, route: {patienceMs: 2000, objectiveMs: 300, priority: 1}, signal: new AbortController().signal,
 		} as unknown as CallerRequest;
-		const planner = new StreamPlanner(context, request, {permits: {} as unknown as SendPermits, prompt: {parts: [], tokens: 0, maxOutputTokens: 0}, origin: {} as unknown as RequestOrigin});
+		const planner = new StreamPlanner(context, request, {
+			permits: {} as unknown as SendPermits, prompt: {parts: [], tokens: 0, maxOutputTokens: 0}, origin: {} as unknown as RequestOrigin, relay: {lastEventAt: undefined},
+		});
 		await clock.advance(10_000);
 		const grant = planner.acquireResumption(server);
 		await clock.advance(1000);
 		expect(await grant).not.to.equal(undefined);
 	});
+
+	// A stream that had gone on for longer than its caller waits for the first event was left at its silent server, because any
+	// other one seemed too slow.
+	it('counts the time for which a caller waits from the last event', async () => {
+		const clock = new ManualClock();
+		const waits: number[] = [];
+		const context = {
+			clock, registry: {listUsable: () => []}, pauses: {selectOpen: () => []}, limits: {hasLimits: false}, health: {selectHealthy: () => []}, promptPlacement: {
+				plan({maxWaitMs}: {maxWaitMs: number}) {
+					waits.push(maxWaitMs);
+					return {kind: 'refuse'};
+				},
+			},
+		} as unknown as ForwardContext;
+		const request = {
+			arrivedAt: 0, deadlineAt: 15_000, route: {patienceMs: 2000, objectiveMs: 300, priority: 1}, signal: new AbortController().signal,
+		} as unknown as CallerRequest;
+		const relay: {lastEventAt: number | undefined} = {lastEventAt: undefined};
+		const planner = new StreamPlanner(context, request, {
+			permits: {} as unknown as SendPermits, prompt: {parts: [], tokens: 0, maxOutputTokens: 0}, origin: {} as unknown as RequestOrigin, relay,
+		});
+		const run = {listServers: () => []} as unknown as StreamRun;
+		await clock.advance(500);
+		planner.plan(run);
+		await clock.advance(9500);
+		relay.lastEventAt = 9500;
+		planner.plan(run);
+		expect(waits).to.deep.equal([1500, 1500]);
+	});
 });
