edge: one table decides about the runs of a stream

Cause: the forwarder, the run, the relay, the held events, the canceller and the connection could each end, hold or go on with a run. Change: applyRunEvent decides, a pure function of the runs and an event with a row for each pair of state and event.

--- a/packages/plugins/edge/src/attempt.ts
+++ b/packages/plugins/edge/src/attempt.ts
@@ -67,16 +67,21 @@
 
 /** Ends the attempts of a run that is no longer needed. */
 export class AttemptCanceller {
-	#isCancelled = false;
+	readonly #controller = new AbortController();
 	#cancelAttempt: (() => void) | undefined;
 	#sentRequest: SentRequest | undefined;
 
 	get isCancelled(): boolean {
-		return this.#isCancelled;
+		return this.#controller.signal.aborted;
+	}
+
+	/** Aborts when the run ends, for what it waits for beside its attempts. */
+	get signal(): AbortSignal {
+		return this.#controller.signal;
 	}
 
 	cancel(): void {
-		this.#isCancelled = true;
+		this.#controller.abort();
 		this.#cancelAttempt?.();
 	}
 
@@ -89,7 +94,7 @@
 	setAttempt(sentRequest: SentRequest, cancelAttempt: () => void): void {
 		this.#sentRequest = sentRequest;
 		this.#cancelAttempt = cancelAttempt;
-		if (this.#isCancelled) {
+		if (this.isCancelled) {
 			cancelAttempt();
 		}
 	}
--- a/packages/plugins/edge/src/end-confirmation.ts
+++ b/packages/plugins/edge/src/end-confirmation.ts
@@ -50,7 +50,7 @@
 		while (answer.verdict === answerVerdicts.unknown && canSend()) {
 			const server = asked.at(-1)!;
 			const permit = permits.acquire(retryKinds.run);
-			const grant = permit && await planner.acquireResumption(server);
+			const grant = permit && await planner.acquireResumption(server, run);
 			if (!permit || !grant || run.isCancelled || request.signal.aborted) {
 				grant?.release();
 				permit?.release();
--- a/packages/plugins/edge/src/start-proof.ts
+++ b/packages/plugins/edge/src/start-proof.ts
@@ -18,7 +18,7 @@
 	clock: Clock;
 	client: EndpointClient;
 	codec: RequestCodec;
-	limits: Pick<ServerLimits, 'acquire'>;
+	limits: Pick<ServerLimits, 'acquire' | 'isOpen'>;
 	registry: Pick<EndpointRegistry, 'find'>;
 	getConnectionLimit: (service: string) => number;
 };
@@ -66,23 +66,27 @@
 		return startedAt === server.startedAt || (startedAt > server.startedAt && isEarlier(startedAt)) ? startVerdicts.proved : startVerdicts.refuted;
 	}
 
-	/** Tells whether the server answers a call for its status within the time, in milliseconds. */
-	async isAnswering(server: KnownServer, maxWaitMs: number): Promise<boolean> {
-		return (await this.#readStatus(server, maxWaitMs)) !== undefined;
+	/** Tells whether the server answers a call for its status within the time, in milliseconds. One whose limit allows no such call now counts as answering. */
+	async isAnswering(server: KnownServer, {maxWaitMs, signal}: {maxWaitMs: number; signal: AbortSignal}): Promise<boolean> {
+		if (!this.#opts.limits.isOpen(server, 0)) {
+			return true;
+		}
+
+		return (await this.#readStatus(server, {maxWaitMs, signal})) !== undefined;
 	}
 
 	async #readStartTime(server: KnownServer, maxWaitMs: number): Promise<number | undefined> {
-		const status = await this.#readStatus(server, maxWaitMs);
+		const status = await this.#readStatus(server, {maxWaitMs, signal: new AbortController().signal});
 		return status === undefined ? undefined : this.#opts.codec.decodeStartTime(status);
 	}
 
 	/** Undefined if the server does not answer. */
-	async #readStatus(server: KnownServer, maxWaitMs: number): Promise<string | undefined> {
+	async #readStatus(server: KnownServer, {maxWaitMs, signal}: {maxWaitMs: number; signal: AbortSignal}): Promise<string | undefined> {
 		const {clock} = this.#opts;
 		const until = clock.monotonic() + maxWaitMs;
 		for (;;) {
-			const result = await this.#call(server, until - clock.monotonic());
-			if (!result?.error?.isBusy || clock.monotonic() + retryMs >= until) {
+			const result = await this.#call(server, {timeoutMs: until - clock.monotonic(), signal});
+			if (!result?.error?.isBusy || signal.aborted || clock.monotonic() + retryMs >= until) {
 				const isAnswered = result?.outcome === attemptOutcomes.answered && result.head?.status === 200;
 				return isAnswered ? result.body.toString() : undefined;
 			}
@@ -92,9 +96,8 @@
 	}
 
 	/** Undefined for a server that is at its limit. */
-	async #call(server: KnownServer, timeoutMs: number): Promise<AttemptResult | undefined> {
+	async #call(server: KnownServer, {timeoutMs, signal}: {timeoutMs: number; signal: AbortSignal}): Promise<AttemptResult | undefined> {
 		const {clock, client, codec, limits, getConnectionLimit} = this.#opts;
-		const {signal} = new AbortController();
 		const grant = await limits.acquire(server, {call: callKinds.stageStatus, maxWaitMs: timeoutMs, signal});
 		if (!grant) {
 			return undefined;
--- a/packages/plugins/edge/src/stream-calls.ts
+++ b/packages/plugins/edge/src/stream-calls.ts
@@ -4,7 +4,7 @@
  */
 import type {ResponseHead} from '@hickorytrack/endpoint-client';
 import type {SendGrant} from '@hickorytrack/endpoint-client/send-grant';
-import type {ReceivedAnswer} from '@hickorytrack/http-answer/answer-reader';
+import {answerVerdicts, type ReceivedAnswer} from '@hickorytrack/http-answer/answer-reader';
 import type {KnownServer} from '@hickorytrack/endpoint-registry';
 import type {Placement} from '@hickorytrack/prompt-placement';
 import type {Prompt} from '@hickorytrack/prompt-placement/prompt';
@@ -22,6 +22,7 @@
 import type {SendPermit} from './send-permits.js';
 import {SilenceDetector} from './silence-detector.js';
 import type {StreamRun} from './stream-run.js';
+import type {RunEvent} from './stream-runs.js';
 
 const emptyPrompt: Prompt = {parts: [], tokens: 0, maxOutputTokens: 0};
 const maxPriorityValue = 9;
@@ -38,8 +39,8 @@
 export type StreamCallsOptions = {
 	relay: EventRelay;
 	origin: RequestOrigin;
-	/** Called when a server accepts a continuation, whose events wait for the proof of its start. */
-	onAccepted: (run: StreamRun) => void;
+	/** Reports an event to the table of runs. */
+	dispatch: (event: RunEvent) => void;
 	/** Called at each check that finds the server of a run silent. */
 	onSilent: (run: StreamRun, server: KnownServer, silentMs: number) => void;
 };
@@ -71,6 +72,7 @@
 		const inFlightLoad = loadTracker.add(prefillServer.id, prefillTokens);
 		const startedAt = clock.monotonic();
 		run.server = prefillServer;
+		this.#opts.dispatch({kind: 'prefilling', run: run.id});
 		const result = await runAttempt(client, prefillServer.address, {
 			clock, signal: this.#request.signal, timeoutMs: this.#remainingMs, canceller: run.canceller, silence: this.#createSilenceOptions(run, prefillServer, predictedMs), request: createOutboundRequest(this.#context, this.#request, {
 				server: prefillServer, permit, grant, needsVerifiedConnection: false, priority: this.#priority, isPrefillOnly: true, prefixCacheAddress: kvSource?.address,
@@ -138,6 +140,7 @@
 		run.server = server;
 		run.generatingSince = clock.monotonic();
 		run.backupServer = isLongOutput ? selectBackup(this.#context, server, [server, ...run.listEarlierServers()]) : undefined;
+		this.#opts.dispatch({kind: 'sent', run: run.id});
 		const load = loadTracker.getLoad(server.id);
 		const inFlightLoad = loadTracker.add(server.id, handle ? 0 : placement.prefillTokens, {isStream: isLongOutput});
 		let firstByteAt: number | undefined;
@@ -148,7 +151,7 @@
 			? undefined
 			: new HeldEvents({
 				sink: run, onHead: () => {
-					this.#opts.onAccepted(run);
+					this.#opts.dispatch({kind: 'accepted', run: run.id});
 				}, prove: async () => this.#opts.origin.proveContinuation(server, this.#patienceMs), onRefuted() {
 					refutation.abort();
 				},
@@ -184,7 +187,7 @@
 			}),
 		});
 		await heldEvents?.settle();
-		await run.waitForRelease();
+		await this.#settleRun(run, result, heldEvents?.isRefuted ?? false);
 		inFlightLoad.release();
 		permit.finish({isWritten: result.isWritten, isAccepted: true});
 		if (heldEvents?.isRefuted && !this.#request.signal.aborted) {
@@ -209,6 +212,22 @@
 		return result;
 	}
 
+	/** What an answer has brought while its run is on hold is used only if the run goes on. */
+	async #settleRun(run: StreamRun, {outcome, isStreamed, answer, head}: AttemptResult, isRefuted: boolean): Promise<void> {
+		const isAnswered = outcome === attemptOutcomes.answered && !isRefuted;
+		const isRefused = isAnswered && !isStreamed && this.#context.codec.decodeResponseHead(head!).isNotExecuted;
+		if (!isAnswered || isRefused) {
+			this.#opts.dispatch({kind: 'failed', run: run.id});
+			return;
+		}
+
+		if (isStreamed && answer?.verdict === answerVerdicts.whole) {
+			this.#opts.dispatch({kind: 'completed', run: run.id});
+		}
+
+		await run.waitForRelease();
+	}
+
 	/** Without a measured speed, the prediction is a guess, and no server counts as lost because of it. */
 	#createSilenceOptions(run: StreamRun, server: KnownServer, predictedMs: number): SilenceOptions {
 		const {health, profile, clock} = this.#context;
--- a/packages/plugins/edge/src/stream-planner.ts
+++ b/packages/plugins/edge/src/stream-planner.ts
@@ -112,8 +112,9 @@
 		let plan = first;
 		while (plan.placement.kind !== 'refuse') {
 			const {placement, prefillPermit} = plan;
-			const prefill = placement.kind === 'hand-over' ? await this.#acquireGrant(placement.prefillServer, callKinds.prefill, plan.limitWaitMs) : unlimitedGrant;
-			const decode = prefill && await this.#acquireGrant(placement.decodeServer, callKinds.run, plan.limitWaitMs);
+			const opts = {run, limitWaitMs: plan.limitWaitMs};
+			const prefill = placement.kind === 'hand-over' ? await this.#acquireGrant(placement.prefillServer, callKinds.prefill, opts) : unlimitedGrant;
+			const decode = prefill && await this.#acquireGrant(placement.decodeServer, callKinds.run, opts);
 			const isNeeded = !run.isCancelled && !this.#request.signal.aborted;
 			if (prefill && decode && isNeeded) {
 				return {placement, prefillPermit, grants: {prefill, decode}};
@@ -133,13 +134,14 @@
 	}
 
 	/** Undefined if the limit of the server is used up, or if it takes no requests any more after the wait. */
-	async #acquireGrant(server: KnownServer, call: CallKind, limitWaitMs: number): Promise<SendGrant | undefined> {
+	async #acquireGrant(server: KnownServer, call: CallKind, {limitWaitMs, run}: {limitWaitMs: number; run?: StreamRun}): Promise<SendGrant | undefined> {
 		const {limits} = this.#context;
 		if (!limits.isLimited(server)) {
 			return unlimitedGrant;
 		}
 
-		const grant = await limits.acquire(server, {call, maxWaitMs: limitWaitMs, signal: this.#request.signal});
+		const signal = run ? AbortSignal.any([this.#request.signal, run.canceller.signal]) : this.#request.signal;
+		const grant = await limits.acquire(server, {call, maxWaitMs: limitWaitMs, signal});
 		if (grant && !isCandidate(this.#context, server)) {
 			grant.release();
 			return undefined;
@@ -175,9 +177,9 @@
 	}
 
 	/** Waits for the right to go on with a stream at a server. The caller waits for the next event, so it comes before new requests. */
-	async acquireResumption(server: KnownServer): Promise<SendGrant | undefined> {
+	async acquireResumption(server: KnownServer, run: StreamRun): Promise<SendGrant | undefined> {
 		const remainingMs = computeRemainingMs(this.#context, this.#request);
-		return this.#acquireGrant(server, callKinds.run, Math.max(0, Math.min(this.#request.route.patienceMs ?? remainingMs, remainingMs)));
+		return this.#acquireGrant(server, callKinds.run, {limitWaitMs: Math.max(0, Math.min(this.#request.route.patienceMs ?? remainingMs, remainingMs)), run});
 	}
 
 	/** Time for which the caller still waits for the next event. */
--- a/packages/plugins/edge/src/stream-run.ts
+++ b/packages/plugins/edge/src/stream-run.ts
@@ -1,36 +1,35 @@
 /**
  * One way to the answer of a streaming request: a prefill, if the prompt is handed over, and a generation. A request has a
- * second run while the server of the first one is silent. Once the second run has been sent to a server that generates, the
- * first one is on hold: it delivers nothing, and goes on only if that server does not take the request.
+ * second run while the server of the first one is silent. While a run is on hold it delivers nothing. The table of runs decides
+ * which one is on hold and which one ends.
  */
 import {Buffer} from 'node:buffer';
 import type {ResponseHead} from '@hickorytrack/endpoint-client';
 import type {KnownServer} from '@hickorytrack/endpoint-registry';
 import {AttemptCanceller} from './attempt.js';
-import type {RequestResult} from './caller-request.js';
 import type {EventRelay, EventSink} from './event-relay.js';
 import type {SendPermit} from './send-permits.js';
+import type {RunEvent} from './stream-runs.js';
 
-/** How a run ended. */
-export type RunEnding = {
-	/** False for a failure, which the caller gets only if no other run answers. */
-	isAnswer: boolean;
-	/** Ends the caller's response. */
-	finish: () => RequestResult;
-};
+/** The rest of most streams, so that a whole answer is noticed while its run is on hold. */
+const maxHeldBytes = 64 * 1024;
 
 export type StreamRunOptions = {
+	/** Its number in the table of runs. */
+	id: number;
 	relay: EventRelay;
 	/** For the generation. */
 	permit?: SendPermit;
 	/** The run at a silent server beside which this one was started. */
 	predecessor?: StreamRun;
+	/** The permit is that of the predecessor. */
+	hasLentPermit?: boolean;
 	/** Ids of the only servers that may generate; without it, any may. */
 	allowedServers?: ReadonlySet<string>;
 	/** Called before each delivery; returns false if the stream must not go on with the events of this run. */
 	acceptEvents: (run: StreamRun) => boolean;
-	/** Called when a server accepts the run that was started at it, and before each delivery. */
-	onDelivery: (run: StreamRun) => void;
+	/** Reports an event to the table of runs. */
+	dispatch: (event: RunEvent) => void;
 };
 
 export class StreamRun implements EventSink {
@@ -43,13 +42,12 @@
 	backupServer: KnownServer | undefined;
 	/** Server of the present attempt. */
 	server: KnownServer | undefined;
-	/** The run that was started because this one's server is silent. */
-	successor: StreamRun | undefined;
-	/** Resolves when the last successor has ended. */
-	successorEnding: Promise<RunEnding | undefined> | undefined;
+	/** Stops the time after which the table of runs decides without an answer of the server. */
+	stopDecisionTimer: (() => void) | undefined;
 	isSilenceReported = false;
 	readonly #opts: StreamRunOptions;
 	readonly #heldEvents: Buffer[] = [];
+	#heldBytes = 0;
 	readonly #drainListeners: Array<() => void> = [];
 	readonly #holdListeners: Array<() => void> = [];
 	#isOnHold = false;
@@ -61,6 +59,10 @@
 		this.permit = opts.permit;
 	}
 
+	get id(): number {
+		return this.#opts.id;
+	}
+
 	get isCancelled(): boolean {
 		return this.canceller.isCancelled;
 	}
@@ -77,10 +79,19 @@
 		return this.#opts.allowedServers;
 	}
 
-	/** The runs beside whose silent servers this one was started, as far as they go on. */
-	listPredecessors(): StreamRun[] {
+	/** Tells whether this run was started beside the other one, or beside one that was. */
+	isAfter(other: StreamRun): boolean {
 		const {predecessor} = this.#opts;
-		return predecessor ? [...predecessor.listPredecessors(), predecessor].filter(({isCancelled}) => !isCancelled) : [];
+		return predecessor !== undefined && (predecessor === other || predecessor.isAfter(other));
+	}
+
+	/** Gives a permit that was lent back to the run before, unless the request was sent with it. */
+	returnPermit(): void {
+		const {predecessor, hasLentPermit} = this.#opts;
+		if (hasLentPermit && !this.isGenerating && this.permit) {
+			predecessor!.permit = this.permit;
+			this.permit = undefined;
+		}
 	}
 
 	/** Ends the run, because another one answers. */
@@ -106,6 +117,7 @@
 		}
 
 		const events = this.#heldEvents.splice(0);
+		this.#heldBytes = 0;
 		const canContinue = events.length === 0 || this.write(Buffer.concat(events));
 		for (const listener of this.#drainListeners.splice(0)) {
 			if (canContinue) {
@@ -141,13 +153,15 @@
 
 	/** Servers of this run and of the runs before it that go on, all of which are silent when a successor is started. */
 	listServers(): KnownServer[] {
-		return [...this.listPredecessors(), this].map(({server}) => server).filter(server => server !== undefined);
+		return [...this.#listPredecessors(), this].map(({server}) => server).filter(server => server !== undefined);
+	}
+
+	#listPredecessors(): StreamRun[] {
+		const {predecessor} = this.#opts;
+		return predecessor ? [...predecessor.#listPredecessors(), predecessor].filter(({isCancelled}) => !isCancelled) : [];
 	}
 
-	/**
-	 * The response starts with the head of the run that delivers first. A second server that accepts the request ends the run at
-	 * the silent one already now: both must not work on it.
-	 */
+	/** The response starts with the head of the run that delivers first. */
 	open(head: ResponseHead): void {
 		// Events that were held until their start was proved may be passed on after another run has delivered.
 		if (this.isCancelled) {
@@ -161,29 +175,30 @@
 		}
 
 		if (this.hasPredecessor) {
-			this.#opts.onDelivery(this);
+			this.#opts.dispatch({kind: 'accepted', run: this.id});
 		} else {
 			this.#opts.relay.open(head);
 		}
 	}
 
 	write(events: Buffer): boolean {
-		const {relay, acceptEvents, onDelivery} = this.#opts;
+		const {relay, acceptEvents, dispatch} = this.#opts;
 		if (this.isCancelled) {
 			return true;
 		}
 
 		if (this.#isOnHold) {
 			this.#heldEvents.push(events);
-			return false;
+			this.#heldBytes += events.length;
+			return this.#heldBytes < maxHeldBytes;
 		}
 
 		if (!acceptEvents(this)) {
-			this.cancel();
+			dispatch({kind: 'refuted', run: this.id});
 			return true;
 		}
 
-		onDelivery(this);
+		dispatch({kind: 'delivering', run: this.id});
 		this.sendHead();
 		return relay.write(events);
 	}
--- a/packages/plugins/edge/test/stream-planner.test.ts
+++ b/packages/plugins/edge/test/stream-planner.test.ts
@@ -9,6 +9,7 @@
 import {LimitNews} from '@hickorytrack/shared-rate/limit-news';
 import {RateIssuer} from '@hickorytrack/shared-rate/rate-issuer';
 import type {CallerRequest} from '../src/caller-request.js';
+import {AttemptCanceller} from '../src/attempt.js';
 import type {ForwardContext} from '../src/forward-context.js';
 import {RateLimitedEventLog} from '../src/rate-limited-event-log.js';
 import type {RequestOrigin} from '../src/request-origin.js';
@@ -45,7 +46,7 @@
 			permits: {} as unknown as SendPermits, prompt: {parts: [], tokens: 0, maxOutputTokens: 0}, origin: {} as unknown as RequestOrigin, relay: {lastEventAt: undefined},
 		});
 		await clock.advance(10_000);
-		const grant = planner.acquireResumption(server);
+		const grant = planner.acquireResumption(server, {canceller: new AttemptCanceller()} as StreamRun);
 		await clock.advance(1000);
 		expect(await grant).not.to.equal(undefined);
 	});
--- a/packages/plugins/edge/test/stream-run.test.ts
+++ b/packages/plugins/edge/test/stream-run.test.ts
@@ -3,19 +3,21 @@
 import type {EventRelay} from '../src/event-relay.js';
 import {HeldEvents} from '../src/held-events.js';
 import {StreamRun} from '../src/stream-run.js';
+import type {RunEvent} from '../src/stream-runs.js';
 
 const head = {status: 200, headers: {}};
 const event = Buffer.from('id: 3\ndata: x\n\n');
 
 describe('runs of a stream', () => {
 	let written: string[];
-	let delivered: StreamRun[];
+	let dispatched: RunEvent[];
 
 	const createRun = (predecessor?: StreamRun): StreamRun => new StreamRun({
+		id: predecessor ? 2 : 1,
 		predecessor,
 		acceptEvents: () => true,
-		onDelivery(run) {
-			delivered.push(run);
+		dispatch(event) {
+			dispatched.push(event);
 		},
 		relay: {
 			open() {/* The head is not looked at. */}, write(events: Buffer) {
@@ -42,7 +44,7 @@
 
 	beforeEach(() => {
 		written = [];
-		delivered = [];
+		dispatched = [];
 	});
 
 	// Events that waited for the proof of their start were passed on after another run had delivered the same ones.
@@ -54,6 +56,6 @@
 	// A second run whose proof came after the silent server had gone on ended the run that delivered.
 	it('end no other one after they have been ended', async () => {
 		await proveAfterCancel(createRun(createRun()));
-		expect(delivered).to.deep.equal([]);
+		expect(dispatched).to.deep.equal([]);
 	});
 });
