edge: the source folder shows its subjects

Cause: 46 files lay in one folder, so that a reader could not see which of them belong to streams, to callers or to the sharing between instances. Change: files move into front, streams, buffered, calls, limits, sharing and crashes; imports follow. Nothing else changes. Figures: the package's tests pass as before the move. Conclusion: without an effect on behaviour.

--- a/packages/plugins/edge/src/buffered-forwarder.ts
+++ b/packages/plugins/edge/src/buffered/buffered-forwarder.ts
@@ -7,25 +7,25 @@
 import {answerVerdicts, type ReceivedAnswer} from '@hickorytrack/http-answer/answer-reader';
 import type {KnownServer} from '@hickorytrack/endpoint-registry';
 import {requestKinds} from '@hickorytrack/route-table/route-types';
-import {checkAnswerEnd} from './answer-end.js';
+import {checkAnswerEnd} from '../calls/answer-end.js';
 import {
 	AttemptCanceller, attemptOutcomes, describeFailure, runAttempt, type AttemptResult,
-} from './attempt.js';
+} from '../calls/attempt.js';
 import {
 	computeRetryAfterMs, isCandidate, listCandidates, listClosed,
-} from './candidate-servers.js';
-import {forwardResponse, sendProblem} from './responses.js';
-import {retryKinds} from './retry-budget.js';
-import {SendPermits, type SendPermit} from './send-permits.js';
-import {callKinds} from './call-kinds.js';
-import {RefusalGrounds} from './refusal-grounds.js';
+} from '../calls/candidate-servers.js';
+import {forwardResponse, sendProblem} from '../front/responses.js';
+import {retryKinds} from '../limits/retry-budget.js';
+import {SendPermits, type SendPermit} from '../limits/send-permits.js';
+import {callKinds} from '../calls/call-kinds.js';
+import {RefusalGrounds} from '../calls/refusal-grounds.js';
 import {
 	requestOutcomes, type CallerRequest, type RequestResult,
-} from './caller-request.js';
-import {computeLimitWaitMs} from './server-limits.js';
+} from '../front/caller-request.js';
+import {computeLimitWaitMs} from '../limits/server-limits.js';
 import {
 	createAnswerIdentity, createOutboundRequest, computeRemainingMs, defaultRetryAfterMs, type ForwardContext,
-} from './forward-context.js';
+} from '../calls/forward-context.js';
 
 /** Time after which an idempotent request is started at another server as well, as a fraction of the time until its deadline. */
 const overdueFraction = 0.55;
--- a/packages/plugins/edge/src/answer-end.ts
+++ b/packages/plugins/edge/src/calls/answer-end.ts
@@ -5,9 +5,9 @@
  */
 import {answerVerdicts} from '@hickorytrack/http-answer/answer-reader';
 import type {KnownServer} from '@hickorytrack/endpoint-registry';
+import type {CallerRequest} from '../front/caller-request.js';
+import {serverConditions} from '../crashes/crash-reports.js';
 import {attemptOutcomes, type AttemptResult} from './attempt.js';
-import type {CallerRequest} from './caller-request.js';
-import {serverConditions} from './crash-reports.js';
 import type {ForwardContext} from './forward-context.js';
 
 /** Returns the result of an attempt, as broken if a crash of the server may have ended its answer. A refusal to run the request needs no body. */
--- a/packages/plugins/edge/src/attempt.ts
+++ b/packages/plugins/edge/src/calls/attempt.ts
@@ -6,7 +6,7 @@
 } from '@hickorytrack/endpoint-client';
 import {ByteCollector} from '@hickorytrack/http-answer/byte-collector';
 import type {ReceivedAnswer} from '@hickorytrack/http-answer/answer-reader';
-import type {EventSink} from './event-relay.js';
+import type {EventSink} from '../streams/event-relay.js';
 
 export const attemptOutcomes = {
 	/** A complete response arrived, or a stream was forwarded to its end. */
--- a/packages/plugins/edge/src/stage-client.ts
+++ b/packages/plugins/edge/src/calls/stage-client.ts
@@ -6,10 +6,10 @@
 import {
 	orderOutcomes, type OrderOutcome, type ServerStageStatus, type StageClient, type StageOrder,
 } from '@hickorytrack/stage-control';
+import type {RequestCodec, ServerCall} from '../request-codec.js';
+import type {ServerLimits} from '../limits/server-limits.js';
 import {callKinds, type CallKind} from './call-kinds.js';
 import {attemptOutcomes, runAttempt, type AttemptResult} from './attempt.js';
-import type {RequestCodec, ServerCall} from './request-codec.js';
-import type {ServerLimits} from './server-limits.js';
 
 /** A server answers such a call within a few milliseconds; one that does not is called again later. */
 const callTimeoutMs = 500;
--- a/packages/plugins/edge/src/crash-reports.ts
+++ b/packages/plugins/edge/src/crashes/crash-reports.ts
@@ -14,9 +14,9 @@
 import type {Mesh} from '@hickorytrack/mesh';
 import type {MetricsRegistry} from '@hickorytrack/metrics-registry';
 import {parseAddress} from '@hickorytrack/peer-link/peer-node';
-import type {CallerRequest} from './caller-request.js';
-import type {RateLimitedEventLog} from './rate-limited-event-log.js';
-import type {ServerHealth} from './server-health.js';
+import type {CallerRequest} from '../front/caller-request.js';
+import type {RateLimitedEventLog} from '../front/rate-limited-event-log.js';
+import type {ServerHealth} from '../calls/server-health.js';
 
 const crashProbeDelayMs = 30; // By then the listener of a crashed process is closed.
 const crashProbeTimeoutMs = 300;
--- a/packages/plugins/edge/src/caller-request.ts
+++ b/packages/plugins/edge/src/front/caller-request.ts
@@ -4,8 +4,8 @@
 import type {RunTraits} from '@hickorytrack/crash-attribution/run-traits';
 import type {ReceivedAnswer} from '@hickorytrack/http-answer/answer-reader';
 import type {Route} from '@hickorytrack/route-table/route-types';
-import type {RefusalGround} from './refusal-grounds.js';
-import type {RequestMetadata} from './request-codec.js';
+import type {RefusalGround} from '../calls/refusal-grounds.js';
+import type {RequestMetadata} from '../request-codec.js';
 
 /** Whose timeout is the earlier one. */
 export const timeoutSources = {caller: 'caller', route: 'route'} as const;
--- a/packages/plugins/edge/src/http-frontend.ts
+++ b/packages/plugins/edge/src/front/http-frontend.ts
@@ -12,11 +12,11 @@
 import {listSharedParts} from '@hickorytrack/prompt-placement/prompt';
 import type {Random} from '@hickorytrack/random';
 import {selectTarget, type RouteTable} from '@hickorytrack/route-table';
+import type {RequestCodec} from '../request-codec.js';
 import {breakOff, sendProblem} from './responses.js';
 import {
 	dropReasons, timeoutSources, type CallerRequest, type DropReason,
 } from './caller-request.js';
-import type {RequestCodec} from './request-codec.js';
 
 export type HttpFrontendOptions = {
 	clock: Clock;
--- a/packages/plugins/edge/src/retry-budget.ts
+++ b/packages/plugins/edge/src/limits/retry-budget.ts
@@ -8,7 +8,7 @@
  */
 import type {Clock} from '@hickorytrack/clock';
 import type {MetricsRegistry} from '@hickorytrack/metrics-registry';
-import type {RateLimitedEventLog} from './rate-limited-event-log.js';
+import type {RateLimitedEventLog} from '../front/rate-limited-event-log.js';
 import {RequestHistory} from './request-history.js';
 
 /** Calls to servers that count against the budget. */
--- a/packages/plugins/edge/src/send-permits.ts
+++ b/packages/plugins/edge/src/limits/send-permits.ts
@@ -3,7 +3,7 @@
  * once a server has accepted it; every other call needs a retry of the budget, reserved before the call is planned. A call
  * that no server has received changes nothing.
  */
-import type {CallerRequest} from './caller-request.js';
+import type {CallerRequest} from '../front/caller-request.js';
 import {
 	retryKinds, type RetryBudget, type RetryKind, type RetryPermit,
 } from './retry-budget.js';
--- a/packages/plugins/edge/src/server-limits.ts
+++ b/packages/plugins/edge/src/limits/server-limits.ts
@@ -10,10 +10,10 @@
 import type {MetricsRegistry} from '@hickorytrack/metrics-registry';
 import type {LimitNews} from '@hickorytrack/shared-rate/limit-news';
 import type {SharedRate} from '@hickorytrack/shared-rate';
-import type {CallKind} from './call-kinds.js';
-import type {CallerRequest} from './caller-request.js';
-import type {RateLimitedEventLog} from './rate-limited-event-log.js';
-import type {LimitStatement} from './request-codec.js';
+import type {CallKind} from '../calls/call-kinds.js';
+import type {CallerRequest} from '../front/caller-request.js';
+import type {RateLimitedEventLog} from '../front/rate-limited-event-log.js';
+import type {LimitStatement} from '../request-codec.js';
 
 /** How this instance has learnt what a server said in an answer. */
 export const newsSources = {answer: 'answer', peer: 'peer'} as const;
--- a/packages/plugins/edge/src/state-sharing.ts
+++ b/packages/plugins/edge/src/sharing/state-sharing.ts
@@ -14,8 +14,8 @@
 import type {PrefixCacheIndex} from '@hickorytrack/prompt-placement/prefix-cache-index';
 import {coreRole} from '@hickorytrack/route-store/core-member';
 import type {PeerMethodName, PeerMethods, StoredPrompt} from '@hickorytrack/types/peer-methods';
-import type {CrashReports} from './crash-reports.js';
-import type {ForwardContext} from './forward-context.js';
+import type {CrashReports} from '../crashes/crash-reports.js';
+import type {ForwardContext} from '../calls/forward-context.js';
 import {ReportSharing} from './report-sharing.js';
 
 export type StateSharingOptions = {
--- a/packages/plugins/edge/src/backup-server.ts
+++ b/packages/plugins/edge/src/streams/backup-server.ts
@@ -1,7 +1,7 @@
 /** Selects the server that keeps a copy of a stream's KV cache, from which the stream can resume. */
 import type {KnownServer} from '@hickorytrack/endpoint-registry';
-import {listCandidates} from './candidate-servers.js';
-import type {ForwardContext} from './forward-context.js';
+import {listCandidates} from '../calls/candidate-servers.js';
+import type {ForwardContext} from '../calls/forward-context.js';
 
 /**
  * Selects the server with the fewest requests among those that generate with the version of the stream's server, other than
--- a/packages/plugins/edge/src/end-confirmation.ts
+++ b/packages/plugins/edge/src/streams/end-confirmation.ts
@@ -4,11 +4,11 @@
  */
 import {answerVerdicts, type ReceivedAnswer} from '@hickorytrack/http-answer/answer-reader';
 import type {KnownServer} from '@hickorytrack/endpoint-registry';
-import {attemptOutcomes} from './attempt.js';
-import type {CallerRequest} from './caller-request.js';
+import {attemptOutcomes} from '../calls/attempt.js';
+import type {CallerRequest} from '../front/caller-request.js';
+import {retryKinds} from '../limits/retry-budget.js';
+import type {SendPermits} from '../limits/send-permits.js';
 import type {EventRelay} from './event-relay.js';
-import {retryKinds} from './retry-budget.js';
-import type {SendPermits} from './send-permits.js';
 import type {StreamCalls} from './stream-calls.js';
 import type {StreamPlanner} from './stream-planner.js';
 import type {StreamRun} from './stream-run.js';
--- a/packages/plugins/edge/src/event-relay.ts
+++ b/packages/plugins/edge/src/streams/event-relay.ts
@@ -12,7 +12,7 @@
 import type {ResponseHead} from '@hickorytrack/endpoint-client';
 import {answerFramings, findFraming} from '@hickorytrack/http-answer/answer-framing';
 import {answerVerdicts, type ReceivedAnswer} from '@hickorytrack/http-answer/answer-reader';
-import {breakOff, writeUndelimitedHead} from './responses.js';
+import {breakOff, writeUndelimitedHead} from '../front/responses.js';
 
 const idPattern = /^id: ?(.*)$/m;
 const terminatorBytes = 2; // An empty line, or its CR and LF.
--- a/packages/plugins/edge/src/kv-release.ts
+++ b/packages/plugins/edge/src/streams/kv-release.ts
@@ -1,9 +1,9 @@
 /** Releases KV caches that no server will fetch. */
 import {unlimitedGrant} from '@hickorytrack/endpoint-client/send-grant';
-import {runAttempt} from './attempt.js';
-import {callKinds} from './call-kinds.js';
-import type {ForwardContext} from './forward-context.js';
-import type {KvHandle} from './request-codec.js';
+import {runAttempt} from '../calls/attempt.js';
+import {callKinds} from '../calls/call-kinds.js';
+import type {ForwardContext} from '../calls/forward-context.js';
+import type {KvHandle} from '../request-codec.js';
 
 /** After this time a KV cache that was not released has expired at its server. */
 const releaseTimeoutMs = 1000;
--- a/packages/plugins/edge/src/request-origin.ts
+++ b/packages/plugins/edge/src/streams/request-origin.ts
@@ -6,7 +6,7 @@
 import type {KnownServer} from '@hickorytrack/endpoint-registry';
 import type {StreamOrigins} from '@hickorytrack/stream-origins';
 import type {OpenStream} from '@hickorytrack/stream-origins/open-stream';
-import type {CallerRequest} from './caller-request.js';
+import type {CallerRequest} from '../front/caller-request.js';
 import {startVerdicts, type StartProof} from './start-proof.js';
 
 export type RequestOriginOptions = {
--- a/packages/plugins/edge/src/silence-detector.ts
+++ b/packages/plugins/edge/src/streams/silence-detector.ts
@@ -4,7 +4,7 @@
  * again. Only when the wait is far longer than any queue that was predicted, the request itself counts as lost.
  */
 import type {KnownServer} from '@hickorytrack/endpoint-registry';
-import type {ServerHealth} from './server-health.js';
+import type {ServerHealth} from '../calls/server-health.js';
 
 /** A server that takes longer than the predicted time, multiplied by this factor, plus the margin is checked. */
 const checkFactor = 2;
--- a/packages/plugins/edge/src/start-proof.ts
+++ b/packages/plugins/edge/src/streams/start-proof.ts
@@ -9,10 +9,10 @@
 import type {EndpointClient} from '@hickorytrack/endpoint-client';
 import type {EndpointRegistry, KnownServer} from '@hickorytrack/endpoint-registry';
 import {clockSkewMs} from '@hickorytrack/stream-origins/open-stream';
-import {attemptOutcomes, runAttempt, type AttemptResult} from './attempt.js';
-import {callKinds} from './call-kinds.js';
-import type {RequestCodec} from './request-codec.js';
-import type {ServerLimits} from './server-limits.js';
+import {attemptOutcomes, runAttempt, type AttemptResult} from '../calls/attempt.js';
+import {callKinds} from '../calls/call-kinds.js';
+import type {RequestCodec} from '../request-codec.js';
+import type {ServerLimits} from '../limits/server-limits.js';
 
 export type StartProofOptions = {
 	clock: Clock;
--- a/packages/plugins/edge/src/stream-calls.ts
+++ b/packages/plugins/edge/src/streams/stream-calls.ts
@@ -8,18 +8,18 @@
 import type {KnownServer} from '@hickorytrack/endpoint-registry';
 import type {Placement} from '@hickorytrack/prompt-placement';
 import type {Prompt} from '@hickorytrack/prompt-placement/prompt';
-import {checkAnswerEnd} from './answer-end.js';
+import {checkAnswerEnd} from '../calls/answer-end.js';
 import {
 	attemptOutcomes, runAttempt, type AttemptResult, type SilenceOptions,
-} from './attempt.js';
+} from '../calls/attempt.js';
+import type {CallerRequest} from '../front/caller-request.js';
+import {createOutboundRequest, computeRemainingMs, type ForwardContext} from '../calls/forward-context.js';
+import type {KvHandle} from '../request-codec.js';
+import type {SendPermit} from '../limits/send-permits.js';
 import {selectBackup} from './backup-server.js';
-import type {CallerRequest} from './caller-request.js';
 import type {EventRelay} from './event-relay.js';
 import {HeldEvents} from './held-events.js';
-import {createOutboundRequest, computeRemainingMs, type ForwardContext} from './forward-context.js';
-import type {KvHandle} from './request-codec.js';
 import type {RequestOrigin} from './request-origin.js';
-import type {SendPermit} from './send-permits.js';
 import {SilenceDetector} from './silence-detector.js';
 import type {StreamRun} from './stream-run.js';
 import type {RunEvent} from './stream-runs.js';
--- a/packages/plugins/edge/src/stream-progress.ts
+++ b/packages/plugins/edge/src/streams/stream-progress.ts
@@ -1,15 +1,15 @@
 /** What is known of a streaming request over all of its runs, and how it ends for its caller. */
 import type {KnownServer} from '@hickorytrack/endpoint-registry';
-import {computeRetryAfterMs} from './candidate-servers.js';
+import {computeRetryAfterMs} from '../calls/candidate-servers.js';
 import {
 	requestOutcomes, type CallerRequest, type RequestResult,
-} from './caller-request.js';
-import type {EventRelay} from './event-relay.js';
+} from '../front/caller-request.js';
 import {
 	computeRemainingMs, createAnswerIdentity, defaultRetryAfterMs, type ForwardContext,
-} from './forward-context.js';
-import {RefusalGrounds} from './refusal-grounds.js';
-import {sendProblem} from './responses.js';
+} from '../calls/forward-context.js';
+import {RefusalGrounds} from '../calls/refusal-grounds.js';
+import {sendProblem} from '../front/responses.js';
+import type {EventRelay} from './event-relay.js';
 import type {StreamCalls} from './stream-calls.js';
 import {runOutcomes, type RunOutcome} from './stream-runs.js';
 
--- a/packages/plugins/edge/src/stream-results.ts
+++ b/packages/plugins/edge/src/streams/stream-results.ts
@@ -3,16 +3,16 @@
 import {answerVerdicts, type ReceivedAnswer} from '@hickorytrack/http-answer/answer-reader';
 import {
 	attemptOutcomes, describeFailure, type AttemptResult,
-} from './attempt.js';
-import {callKinds} from './call-kinds.js';
-import {requestOutcomes, type CallerRequest} from './caller-request.js';
+} from '../calls/attempt.js';
+import {callKinds} from '../calls/call-kinds.js';
+import {requestOutcomes, type CallerRequest} from '../front/caller-request.js';
+import type {ForwardContext} from '../calls/forward-context.js';
+import type {KvHandle} from '../request-codec.js';
+import {forwardResponse} from '../front/responses.js';
 import type {EndConfirmation} from './end-confirmation.js';
 import type {EventRelay} from './event-relay.js';
-import type {ForwardContext} from './forward-context.js';
 import {releaseKvCache} from './kv-release.js';
-import type {KvHandle} from './request-codec.js';
 import type {RequestOrigin} from './request-origin.js';
-import {forwardResponse} from './responses.js';
 import type {StreamCalls} from './stream-calls.js';
 import type {StreamPlanner} from './stream-planner.js';
 import type {RunEnding, StreamProgress} from './stream-progress.js';
--- a/packages/plugins/edge/src/stream-run.ts
+++ b/packages/plugins/edge/src/streams/stream-run.ts
@@ -6,9 +6,9 @@
 import {Buffer} from 'node:buffer';
 import type {ResponseHead} from '@hickorytrack/endpoint-client';
 import type {KnownServer} from '@hickorytrack/endpoint-registry';
-import {AttemptCanceller} from './attempt.js';
+import {AttemptCanceller} from '../calls/attempt.js';
+import type {SendPermit} from '../limits/send-permits.js';
 import type {EventRelay, EventSink} from './event-relay.js';
-import type {SendPermit} from './send-permits.js';
 import type {RunEvent} from './stream-runs.js';
 
 /** The rest of most streams, so that a whole answer is noticed while its run is on hold. */
--- a/packages/plugins/edge/src/streaming-forwarder.ts
+++ b/packages/plugins/edge/src/streams/streaming-forwarder.ts
@@ -7,17 +7,17 @@
  */
 import type {KnownServer} from '@hickorytrack/endpoint-registry';
 import {describeError} from '@hickorytrack/errors';
-import {listCandidates} from './candidate-servers.js';
+import {listCandidates} from '../calls/candidate-servers.js';
 import {
 	requestOutcomes, type CallerRequest, type RequestResult,
-} from './caller-request.js';
+} from '../front/caller-request.js';
+import type {ForwardContext} from '../calls/forward-context.js';
+import {retryKinds} from '../limits/retry-budget.js';
+import {SendPermits, type SendPermit} from '../limits/send-permits.js';
 import {EndConfirmation} from './end-confirmation.js';
 import {EventRelay} from './event-relay.js';
-import type {ForwardContext} from './forward-context.js';
 import {RequestOrigin} from './request-origin.js';
-import {retryKinds} from './retry-budget.js';
 import {applyRunEvent} from './run-table.js';
-import {SendPermits, type SendPermit} from './send-permits.js';
 import {StreamCalls} from './stream-calls.js';
 import {StreamPlanner} from './stream-planner.js';
 import {StreamProcedure} from './stream-procedure.js';
--- a/packages/plugins/edge/test/answer-end.test.ts
+++ b/packages/plugins/edge/test/answer-end.test.ts
@@ -4,11 +4,11 @@
 import {answerFramings} from '@hickorytrack/http-answer/answer-framing';
 import {answerVerdicts, type AnswerVerdict} from '@hickorytrack/http-answer/answer-reader';
 import {connectionEnds} from '@hickorytrack/http-answer/connection-watch';
-import {checkAnswerEnd} from '../src/answer-end.js';
-import {attemptOutcomes, type AttemptResult} from '../src/attempt.js';
-import type {CallerRequest} from '../src/caller-request.js';
-import {serverConditions, type ServerCondition} from '../src/crash-reports.js';
-import type {ForwardContext} from '../src/forward-context.js';
+import {checkAnswerEnd} from '../src/calls/answer-end.js';
+import {attemptOutcomes, type AttemptResult} from '../src/calls/attempt.js';
+import type {CallerRequest} from '../src/front/caller-request.js';
+import {serverConditions, type ServerCondition} from '../src/crashes/crash-reports.js';
+import type {ForwardContext} from '../src/calls/forward-context.js';
 
 const createResult = (verdict: AnswerVerdict): AttemptResult => ({
 	outcome: attemptOutcomes.answered, head: {status: 200, headers: {}}, body: Buffer.from('part'), isWritten: true, isStreamed: false, silentMs: 0, answer: {
--- a/packages/plugins/edge/test/attempt.test.ts
+++ b/packages/plugins/edge/test/attempt.test.ts
@@ -6,7 +6,7 @@
 import {unlimitedGrant} from '@hickorytrack/endpoint-client/send-grant';
 import {
 	AttemptCanceller, attemptOutcomes, runAttempt, type AttemptResult,
-} from '../src/attempt.js';
+} from '../src/calls/attempt.js';
 
 const idleMs = 600;
 const firstByteMs = 200;
--- a/packages/plugins/edge/test/crash-reports.test.ts
+++ b/packages/plugins/edge/test/crash-reports.test.ts
@@ -5,10 +5,10 @@
 import {EventLog} from '@hickorytrack/events';
 import {answerVerdicts} from '@hickorytrack/http-answer/answer-reader';
 import {MetricsRegistry} from '@hickorytrack/metrics-registry';
-import type {CallerRequest} from '../src/caller-request.js';
-import {CrashReports} from '../src/crash-reports.js';
-import {RateLimitedEventLog} from '../src/rate-limited-event-log.js';
-import {ServerHealth} from '../src/server-health.js';
+import type {CallerRequest} from '../src/front/caller-request.js';
+import {CrashReports} from '../src/crashes/crash-reports.js';
+import {RateLimitedEventLog} from '../src/front/rate-limited-event-log.js';
+import {ServerHealth} from '../src/calls/server-health.js';
 
 const reportIntervalMs = 1000;
 /** The time after which a server has been probed. */
--- a/packages/plugins/edge/test/deadline-guard.test.ts
+++ b/packages/plugins/edge/test/deadline-guard.test.ts
@@ -6,8 +6,8 @@
 import {expect} from 'chai';
 import {ManualClock} from '@hickorytrack/clock/manual-clock';
 import {MetricsRegistry} from '@hickorytrack/metrics-registry';
-import {requestOutcomes, type CallerRequest, type RequestResult} from '../src/caller-request.js';
-import {DeadlineGuard} from '../src/deadline-guard.js';
+import {requestOutcomes, type CallerRequest, type RequestResult} from '../src/front/caller-request.js';
+import {DeadlineGuard} from '../src/front/deadline-guard.js';
 
 const deadlineMs = 1000;
 const allowanceMs = 350;
--- a/packages/plugins/edge/test/http-frontend.test.ts
+++ b/packages/plugins/edge/test/http-frontend.test.ts
@@ -7,10 +7,10 @@
 import {Random} from '@hickorytrack/random';
 import {RouteTable} from '@hickorytrack/route-table';
 import {requestKinds} from '@hickorytrack/route-table/route-types';
-import {dropReasons, type CallerRequest} from '../src/caller-request.js';
+import {dropReasons, type CallerRequest} from '../src/front/caller-request.js';
 import {
 	HttpFrontend, type DroppedRequest, type FailedRequest, type RejectedRequest,
-} from '../src/http-frontend.js';
+} from '../src/front/http-frontend.js';
 import type {RequestCodec} from '../src/request-codec.js';
 
 const clock = new SystemClock();
--- a/packages/plugins/edge/test/report-sharing.test.ts
+++ b/packages/plugins/edge/test/report-sharing.test.ts
@@ -4,7 +4,7 @@
 import {EndpointRegistry, type ServerReport} from '@hickorytrack/endpoint-registry';
 import {HickorytrackError} from '@hickorytrack/errors';
 import {peerFeatures, type PeerMember} from '@hickorytrack/types/peer-methods';
-import {ReportSharing, type ReportPeer} from '../src/report-sharing.js';
+import {ReportSharing, type ReportPeer} from '../src/sharing/report-sharing.js';
 
 const report: ServerReport = {
 	id: 'server', startedAt: 1000, sequence: 1, service: 's', address: '10.0.0.1:80', availabilityZone: 'z', slots: 6, state: 'ready', coldMs: 0,
--- a/packages/plugins/edge/test/responses.test.ts
+++ b/packages/plugins/edge/test/responses.test.ts
@@ -3,7 +3,7 @@
 import {connect, type AddressInfo} from 'node:net';
 import {expect} from 'chai';
 import type {ResponseHead} from '@hickorytrack/endpoint-client';
-import {forwardResponse, writeUndelimitedHead} from '../src/responses.js';
+import {forwardResponse, writeUndelimitedHead} from '../src/front/responses.js';
 
 /** Serves one response and returns the bytes that a caller receives. */
 async function readRaw(head: ResponseHead, body: string, {isStream = false, version = '1.1'} = {}): Promise<string> {
--- a/packages/plugins/edge/test/run-orders.ts
+++ b/packages/plugins/edge/test/run-orders.ts
@@ -2,11 +2,11 @@
  * Plays the table of runs against servers that may do anything, in all orders, and checks what the platform's rules ask for.
  * States that were seen before are not played again, and the shortest order is found first.
  */
-import {applyRunEvent, giveUpReasons, type RunRows} from '../src/run-table.js';
+import {applyRunEvent, giveUpReasons, type RunRows} from '../src/streams/run-table.js';
 import {
 	createStreamRuns, findRun, isOnHold, permitSources, runOutcomes, runStates, runWays,
 	type RunAction, type RunEvent, type RunFacts, type RunOutcome, type RunWay, type StreamRuns,
-} from '../src/stream-runs.js';
+} from '../src/streams/stream-runs.js';
 
 export type OrderOptions = {
 	mayRunTwice: boolean;
--- a/packages/plugins/edge/test/run-table.test.ts
+++ b/packages/plugins/edge/test/run-table.test.ts
@@ -2,10 +2,10 @@
 import {expect} from 'chai';
 import {
 	applyRunEvent, rows, type RunRow, type RunRows,
-} from '../src/run-table.js';
+} from '../src/streams/run-table.js';
 import {
 	createStreamRuns, permitSources, runStates, type RunEvent, type RunFacts, type StreamRuns,
-} from '../src/stream-runs.js';
+} from '../src/streams/stream-runs.js';
 import {
 	invariants, playOrders, type Invariant, type OrderOptions,
 } from './run-orders.js';
--- a/packages/plugins/edge/test/send-permits.test.ts
+++ b/packages/plugins/edge/test/send-permits.test.ts
@@ -2,10 +2,10 @@
 import {ManualClock} from '@hickorytrack/clock/manual-clock';
 import {EventLog} from '@hickorytrack/events';
 import {MetricsRegistry} from '@hickorytrack/metrics-registry';
-import type {CallerRequest} from '../src/caller-request.js';
-import {RateLimitedEventLog} from '../src/rate-limited-event-log.js';
-import {RetryBudget, retryKinds} from '../src/retry-budget.js';
-import {SendPermits} from '../src/send-permits.js';
+import type {CallerRequest} from '../src/front/caller-request.js';
+import {RateLimitedEventLog} from '../src/front/rate-limited-event-log.js';
+import {RetryBudget, retryKinds} from '../src/limits/retry-budget.js';
+import {SendPermits} from '../src/limits/send-permits.js';
 
 // A request may be on its way to two servers at once while one of them is silent. Only one of its runs, and one accepted
 // prefill, are free; with both taken for free, the retries of the service would exceed their budget unnoticed.
--- a/packages/plugins/edge/test/server-calls.test.ts
+++ b/packages/plugins/edge/test/server-calls.test.ts
@@ -6,12 +6,12 @@
 import {unlimitedGrant} from '@hickorytrack/endpoint-client/send-grant';
 import {EndpointRegistry} from '@hickorytrack/endpoint-registry';
 import {LoadTracker} from '@hickorytrack/prompt-placement/load-tracker';
-import type {ForwardContext} from '../src/forward-context.js';
-import {releaseKvCache} from '../src/kv-release.js';
+import type {ForwardContext} from '../src/calls/forward-context.js';
+import {releaseKvCache} from '../src/streams/kv-release.js';
 import type {RequestCodec} from '../src/request-codec.js';
-import type {ServerLimits} from '../src/server-limits.js';
-import {ServerPauses} from '../src/server-pauses.js';
-import {EdgeStageClient} from '../src/stage-client.js';
+import type {ServerLimits} from '../src/limits/server-limits.js';
+import {ServerPauses} from '../src/limits/server-pauses.js';
+import {EdgeStageClient} from '../src/calls/stage-client.js';
 
 const clock = new SystemClock();
 const codec = {
--- a/packages/plugins/edge/test/server-health.test.ts
+++ b/packages/plugins/edge/test/server-health.test.ts
@@ -1,7 +1,7 @@
 import {expect} from 'chai';
 import {ManualClock} from '@hickorytrack/clock/manual-clock';
 import type {KnownServer} from '@hickorytrack/endpoint-registry';
-import {ServerHealth} from '../src/server-health.js';
+import {ServerHealth} from '../src/calls/server-health.js';
 
 const createServer = (id: string): KnownServer => ({
 	id, startedAt: 1, sequence: 1, service: 's', address: `10.0.0.1:${id}`, availabilityZone: 'z', slots: 6, state: 'ready', coldMs: 0, heardAt: 0, order: 1,
--- a/packages/plugins/edge/test/server-limits.test.ts
+++ b/packages/plugins/edge/test/server-limits.test.ts
@@ -8,9 +8,9 @@
 import {SharedRate} from '@hickorytrack/shared-rate';
 import {LimitNews, type LimitNote} from '@hickorytrack/shared-rate/limit-news';
 import type {GrantReply} from '@hickorytrack/shared-rate/rate-issuer';
-import {LimitSharing} from '../src/limit-sharing.js';
-import {RateLimitedEventLog} from '../src/rate-limited-event-log.js';
-import {computeLimitWaitMs, ServerLimits} from '../src/server-limits.js';
+import {LimitSharing} from '../src/sharing/limit-sharing.js';
+import {RateLimitedEventLog} from '../src/front/rate-limited-event-log.js';
+import {computeLimitWaitMs, ServerLimits} from '../src/limits/server-limits.js';
 
 type Handler = (params: unknown, connection: unknown) => unknown;
 
--- a/packages/plugins/edge/test/server-pauses.test.ts
+++ b/packages/plugins/edge/test/server-pauses.test.ts
@@ -2,7 +2,7 @@
 import {ManualClock} from '@hickorytrack/clock/manual-clock';
 import type {KnownServer} from '@hickorytrack/endpoint-registry';
 import {LoadTracker} from '@hickorytrack/prompt-placement/load-tracker';
-import {ServerPauses} from '../src/server-pauses.js';
+import {ServerPauses} from '../src/limits/server-pauses.js';
 
 describe('server pauses', () => {
 	let clock: ManualClock;
--- a/packages/plugins/edge/test/start-proof.test.ts
+++ b/packages/plugins/edge/test/start-proof.test.ts
@@ -1,7 +1,7 @@
 import {expect} from 'chai';
 import {ManualClock} from '@hickorytrack/clock/manual-clock';
 import type {KnownServer} from '@hickorytrack/endpoint-registry';
-import {StartProof, type StartProofOptions} from '../src/start-proof.js';
+import {StartProof, type StartProofOptions} from '../src/streams/start-proof.js';
 
 describe('start proof', () => {
 	// A silent stream was not moved to a sound server whose limit was used up but for the stream itself.
--- a/packages/plugins/edge/test/state-sharing.test.ts
+++ b/packages/plugins/edge/test/state-sharing.test.ts
@@ -10,8 +10,8 @@
 import {LoadTracker} from '@hickorytrack/prompt-placement/load-tracker';
 import {PartUsage} from '@hickorytrack/prompt-placement/part-usage';
 import {PrefixCacheIndex} from '@hickorytrack/prompt-placement/prefix-cache-index';
-import {ServerHealth} from '../src/server-health.js';
-import {StateSharing} from '../src/state-sharing.js';
+import {ServerHealth} from '../src/calls/server-health.js';
+import {StateSharing} from '../src/sharing/state-sharing.js';
 
 type Handler = (params: unknown, connection: unknown) => unknown;
 
--- a/packages/plugins/edge/test/stream-planner.test.ts
+++ b/packages/plugins/edge/test/stream-planner.test.ts
@@ -8,16 +8,16 @@
 import {SharedRate} from '@hickorytrack/shared-rate';
 import {LimitNews} from '@hickorytrack/shared-rate/limit-news';
 import {RateIssuer} from '@hickorytrack/shared-rate/rate-issuer';
-import type {CallerRequest} from '../src/caller-request.js';
-import {AttemptCanceller} from '../src/attempt.js';
-import type {ForwardContext} from '../src/forward-context.js';
-import {RateLimitedEventLog} from '../src/rate-limited-event-log.js';
-import type {RequestOrigin} from '../src/request-origin.js';
-import type {SendPermits} from '../src/send-permits.js';
-import {ServerLimits} from '../src/server-limits.js';
-import {ServerPauses} from '../src/server-pauses.js';
-import {StreamPlanner} from '../src/stream-planner.js';
-import type {StreamRun} from '../src/stream-run.js';
+import type {CallerRequest} from '../src/front/caller-request.js';
+import {AttemptCanceller} from '../src/calls/attempt.js';
+import type {ForwardContext} from '../src/calls/forward-context.js';
+import {RateLimitedEventLog} from '../src/front/rate-limited-event-log.js';
+import type {RequestOrigin} from '../src/streams/request-origin.js';
+import type {SendPermits} from '../src/limits/send-permits.js';
+import {ServerLimits} from '../src/limits/server-limits.js';
+import {ServerPauses} from '../src/limits/server-pauses.js';
+import {StreamPlanner} from '../src/streams/stream-planner.js';
+import type {StreamRun} from '../src/streams/stream-run.js';
 
 describe('StreamPlanner', () => {
 	// The time for which a caller waits for the first event was taken; in a long stream it is over, and each resumption was denied.
--- a/packages/plugins/edge/test/stream-run.test.ts
+++ b/packages/plugins/edge/test/stream-run.test.ts
@@ -1,9 +1,9 @@
 import {Buffer} from 'node:buffer';
 import {expect} from 'chai';
-import type {EventRelay} from '../src/event-relay.js';
-import {HeldEvents} from '../src/held-events.js';
-import {StreamRun} from '../src/stream-run.js';
-import type {RunEvent} from '../src/stream-runs.js';
+import type {EventRelay} from '../src/streams/event-relay.js';
+import {HeldEvents} from '../src/streams/held-events.js';
+import {StreamRun} from '../src/streams/stream-run.js';
+import type {RunEvent} from '../src/streams/stream-runs.js';
 
 const head = {status: 200, headers: {}};
 const event = Buffer.from('id: 3\ndata: x\n\n');
--- a/scripts/write-run-table.mjs
+++ b/scripts/write-run-table.mjs
@@ -1,6 +1,6 @@
 // Writes the table of docs/design/15-runs-of-a-stream.md from the code. Run it after `npm run build`.
 import fs from 'node:fs';
-import {rows} from '../packages/plugins/edge/lib/src/run-table.js';
+import {rows} from '../packages/plugins/edge/lib/src/streams/run-table.js';
 
 const path = 'docs/design/15-runs-of-a-stream.md';
 const heading = '## Table\n\n';
