--- /dev/null
+++ b/packages/plugins/edge/src/calls/create-forward-context.ts
@@ -0,0 +1,83 @@
+/** Puts together what all forwarders of an instance share, and reads what the answers of servers say about them. */
+import {EndpointClient, type EndpointClientOptions} from '@hickorytrack/endpoint-client';
+import type {Incarnation} from '@hickorytrack/endpoint-registry';
+import {ByteBudget} from '@hickorytrack/http-answer/byte-budget';
+import {PromptPlacement} from '@hickorytrack/prompt-placement';
+import {LeastLoadPlacement} from '@hickorytrack/prompt-placement/least-load-placement';
+import type {PartUsage} from '@hickorytrack/prompt-placement/part-usage';
+import type {PrefixCacheIndex} from '@hickorytrack/prompt-placement/prefix-cache-index';
+import type {EdgeOptions} from '../edge-settings.js';
+import {RetryBudget} from '../limits/retry-budget.js';
+import {ServerPauses} from '../limits/server-pauses.js';
+import {StartProof} from '../streams/start-proof.js';
+import {AnswerMeasurements} from './answer-measurements.js';
+import type {ForwardContext} from './forward-context.js';
+
+export type ForwardContextOptions = Pick<EdgeOptions, 'settings' | 'clock' | 'random' | 'codec' | 'metrics'>
+	& Pick<ForwardContext, 'registry' | 'health' | 'limits' | 'loadTracker' | 'profile' | 'crashReports' | 'origins' | 'eventLog' | 'getConnectionLimit'>
+	& Pick<EndpointClientOptions, 'onForeignAnswer' | 'onHandlerFailed'>
+	& {
+		cacheIndex: PrefixCacheIndex;
+		partUsage: PartUsage;
+		getKvCapacity: (service: string) => number;
+		/** Instances by which limits that all of them share are divided. */
+		countInstances: () => number;
+		/** Called when a server says in an answer that it leaves. */
+		onLeaving: (server: Incarnation) => void;
+		/** Called when a server says in an answer for how long it wants no requests, in milliseconds. */
+		onPause: (server: Incarnation, pauseMs: number) => void;
+	};
+
+const connectTimeoutMs = 500; // Connecting takes a few milliseconds; the rest allows for one lost packet.
+/** Number of the largest answers that fit into the memory for answers. */
+const answersInMemory = 4;
+
+export function createForwardContext(opts: ForwardContextOptions): ForwardContext {
+	const {settings, clock, random, codec, metrics, registry, health, limits, loadTracker, profile, cacheIndex, partUsage, eventLog, getKvCapacity, getConnectionLimit, countInstances} = opts;
+	const client = new EndpointClient({
+		clock, connectTimeoutMs, limits: {maxAnswerBytes: Math.floor(settings.answerMemoryBytes / answersInMemory), budget: new ByteBudget(settings.answerMemoryBytes)}, onAnswer(server, head, request) {
+			const metadata = codec.decodeResponseHead(head);
+			if (metadata.isLeaving) {
+				opts.onLeaving(server);
+			}
+
+			if (metadata.pauseMs !== undefined && metadata.pauseMs > 0) {
+				opts.onPause(server, metadata.pauseMs);
+			}
+
+			limits.recordAnswer(server, metadata.limit, request);
+			if (request.isProved && !metadata.isNotExecuted) {
+				registry.recordAnswer(server);
+			}
+		}, onForeignAnswer: opts.onForeignAnswer, onHandlerFailed: opts.onHandlerFailed,
+	});
+	return {
+		clock,
+		random,
+		codec,
+		registry,
+		health,
+		pauses: new ServerPauses({clock, loadTracker}),
+		limits,
+		loadTracker,
+		profile,
+		measurements: new AnswerMeasurements({cacheIndex, profile, health}),
+		client,
+		leastLoadPlacement: new LeastLoadPlacement({loadTracker, random, getFailureRate: server => health.getFailureRate(server)}),
+		promptPlacement: new PromptPlacement({
+			random, loadTracker, cacheIndex, usage: partUsage, profile, getKvCapacity, isLimited: server => limits.isLimited(server),
+		}),
+		retryBudget: new RetryBudget({
+			clock, ratio: settings.retryRatio, allowance: settings.retryAllowance, windowMs: settings.retryWindowMs, isFirstStart: settings.isFirstStart, countInstances, eventLog, metrics,
+		}),
+		crashReports: opts.crashReports,
+		origins: opts.origins,
+		startProof: new StartProof({
+			clock, client, codec, limits, registry, getConnectionLimit,
+		}),
+		eventLog,
+		metrics,
+		availabilityZone: settings.availabilityZone,
+		getConnectionLimit,
+	};
+}
--- /dev/null
+++ b/packages/plugins/edge/src/edge-gauges.ts
@@ -0,0 +1,46 @@
+/** The gauges of an instance and of the services that it serves. */
+import type {EndpointRegistry} from '@hickorytrack/endpoint-registry';
+import type {MetricsRegistry} from '@hickorytrack/metrics-registry';
+import type {RetryBudget} from './limits/retry-budget.js';
+import type {ServerLimits} from './limits/server-limits.js';
+
+type Gauges = Pick<MetricsRegistry, 'set'>;
+
+export type InstanceState = {
+	isReady: boolean;
+	/** Undefined for an instance outside the core. */
+	isVoter: boolean | undefined;
+	configurationVersion: number | undefined;
+	members: number;
+	/** Instances by which the retry budget is divided. */
+	instances: number;
+	openRequests: number;
+	linesDropped: number;
+};
+
+export function setGauges(metrics: Gauges, state: InstanceState): void {
+	metrics.set('ready', state.isReady ? 1 : 0);
+	if (state.isVoter !== undefined) {
+		metrics.set('core_voter', state.isVoter ? 1 : 0);
+	}
+
+	metrics.set('configuration_version', state.configurationVersion ?? 0);
+	metrics.set('members', state.members);
+	metrics.set('retry_budget_instances', state.instances);
+	metrics.set('open_requests', state.openRequests);
+	metrics.set('log_lines_dropped_total', state.linesDropped);
+}
+
+export function setServiceGauges(metrics: Gauges, service: string, {registry, limits, retryBudget}: {registry: EndpointRegistry; limits: ServerLimits; retryBudget: RetryBudget}): void {
+	const servers = registry.listUsable(service);
+	const known = limits.describe(servers);
+	metrics.set('servers', servers.length, {service});
+	metrics.set('limited_servers', known.length, {service});
+	metrics.set('limit_per_second', computeSum(known.map(({perSecond}) => perSecond)), {service});
+	metrics.set('limit_used_per_second', computeSum(known.map(({ownPerSecond}) => ownPerSecond)), {service});
+	metrics.set('retry_budget_left', retryBudget.countLeft(service), {service});
+}
+
+function computeSum(values: readonly number[]): number {
+	return values.reduce((total, value) => total + value, 0);
+}
--- a/packages/plugins/edge/src/front/http-frontend.ts
+++ b/packages/plugins/edge/src/front/http-frontend.ts
@@ -3,7 +3,6 @@
  * While the instance stops, connections are closed after their next response.
  */
 import {createHash} from 'node:crypto';
-import {Buffer} from 'node:buffer';
 import {
 	createServer, STATUS_CODES, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
@@ -13,6 +12,10 @@
 import type {Random} from '@hickorytrack/random';
 import {selectTarget, type RouteTable} from '@hickorytrack/route-table';
 import type {RequestCodec} from '../request-codec.js';
+import {CallerConnections, type OpenExchange} from './caller-connections.js';
+import type {DroppedRequest, FailedRequest, RejectedRequest} from './frontend-reports.js';
+import {onClosed} from './on-closed.js';
+import {readBody} from './read-body.js';
 import {breakOff, sendProblem} from './responses.js';
 import {
 	dropReasons, timeoutSources, type CallerRequest, type DropReason,
@@ -37,61 +40,6 @@
 	drainAcceptMs: number;
 };
 
-/** A request that the frontend answered or dropped without forwarding it. */
-export type RejectedRequest = {
-	requestId: string | undefined;
-	host: string | undefined;
-	path: string;
-	/** `unreadable` for bytes that are no request, or no complete one in time; no id, host or path is known of them. */
-	reason: 'body-broken' | 'connection-ended' | 'not-ready' | 'no-route' | 'body-too-large' | 'unmet-expectation' | 'stopping' | 'unreadable';
-	/** Status of the answer to unreadable bytes. */
-	status?: number;
-	/** Version of the configuration in which its route was looked up. */
-	routedVersion?: number;
-};
-
-/** A request whose handling threw an error. */
-export type FailedRequest = {
-	requestId: string | undefined;
-	path: string;
-	error: unknown;
-};
-
-/** A request that was read whole and whose connection this side ended, or let end, without a complete answer. */
-export type DroppedRequest = {
-	requestId: string | undefined;
-	host: string | undefined;
-	path: string;
-	reason: DropReason;
-	/** The request was passed on, so that a server may have run it. */
-	isForwarded: boolean;
-	/** Time since the head of the request had been read. */
-	openMs: number;
-};
-
-type OpenExchange = {
-	incoming: IncomingMessage;
-	response: ServerResponse;
-	arrivedAt: number;
-	/** Ends the work on the request; undefined until it is forwarded. */
-	abortController: AbortController | undefined;
-	/** The response says that the connection closes after it. */
-	closesConnection: boolean;
-	/** Time for which the connection stays open after the response, as the response says, in milliseconds. */
-	keepAliveMs: number;
-	isReported: boolean;
-};
-
-/** A connection without an open request. */
-type IdleConnection = {
-	since: number;
-	/** Time for which its last response said that it stays open, in milliseconds. */
-	keepAliveMs: number;
-};
-
-/** Who or what ended a connection. */
-type ConnectionEnd = DropReason | 'caller';
-
 /** Status by the error code of the HTTP parser; any other error is a bad request. */
 const unreadableStatuses: Readonly<Record<string, number>> = {
 	ERR_HTTP_REQUEST_TIMEOUT: 408,
@@ -108,8 +56,6 @@
 const maxHeadBytes = 65_536;
 /** Added to the idle timeout that callers know, so that no connection is closed while a request is on its way. */
 const idleMarginMs = 1000;
-/** Added by Node.js to the time that a response states. */
-const keepAliveBufferMs = 1000;
 const connectionsCheckMs = 1000;
 /** Time for callers to read what a stop writes to them. */
 const flushTimeoutMs = 200;
@@ -118,13 +64,7 @@
 export class HttpFrontend {
 	readonly #opts: HttpFrontendOptions;
 	readonly #server: Server;
-	/** Requests of each connection whose responses are open, in the order of their arrival. */
-	readonly #openExchanges = new WeakMap<Socket, Set<OpenExchange>>();
-	/** Connections that close after their open responses; no further request of them is read. */
-	readonly #closingSockets = new WeakSet<Socket>();
-	readonly #connectionEnds = new WeakMap<Socket, ConnectionEnd>();
-	readonly #exchanges = new Set<OpenExchange>();
-	readonly #idleConnections = new WeakMap<Socket, IdleConnection>();
+	readonly #connections: CallerConnections;
 	#stoppingSince: number | undefined;
 	#isClosed = false;
 
@@ -133,6 +73,11 @@
 		this.#server = createServer({maxHeaderSize: maxHeadBytes, connectionsCheckingInterval: connectionsCheckMs, noDelay: true}, (request, response) => {
 			void this.#handle(request, response);
 		});
+		this.#connections = new CallerConnections({
+			clock: opts.clock, getKeepAliveMs: () => this.#server.keepAliveTimeout, isStopped: () => this.#isClosed, onDropped: (exchange, reason) => {
+				this.#reportDropped(exchange, reason);
+			},
+		});
 		// Without this, Node.js answers by itself and leaves the connection open for good.
 		this.#server.on('checkExpectation', (request: IncomingMessage, response: ServerResponse) => {
 			this.#rejectExpectation(request, response);
@@ -142,11 +87,11 @@
 			socket.setMaxListeners(0);
 			// Before the listener of the server, which may find the bytes before the end unreadable.
 			socket.prependListener('end', () => {
-				this.#recordCallerEnd(socket);
+				this.#connections.recordCallerEnd(socket);
 			});
 		});
 		this.#server.on('timeout', (socket: Socket) => {
-			this.#checkIdle(socket);
+			this.#connections.checkIdle(socket);
 		});
 		this.#server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
 			this.#handleClientError(error, socket as Socket);
@@ -154,7 +99,7 @@
 	}
 
 	get openRequests(): number {
-		return this.#exchanges.size;
+		return this.#connections.exchanges.size;
 	}
 
 	async listen(host: string, port: number): Promise<void> {
@@ -190,7 +135,7 @@
 	 */
 	async finishOpenRequests(): Promise<void> {
 		const {clock} = this.#opts;
-		for (const exchange of this.#exchanges) {
+		for (const exchange of this.#connections.exchanges) {
 			const {response, abortController} = exchange;
 			if (!abortController || response.writableEnded) {
 				continue;
@@ -201,21 +146,21 @@
 		}
 
 		const until = clock.monotonic() + flushTimeoutMs;
-		while ([...this.#exchanges].some(({incoming}) => incoming.complete) && clock.monotonic() < until) {
+		while ([...this.#connections.exchanges].some(({incoming}) => incoming.complete) && clock.monotonic() < until) {
 			await clock.sleep(flushPollMs);
 		}
 	}
 
 	/** Reports the requests that are still open when the process exits. */
 	recordExit(): void {
-		for (const exchange of this.#exchanges) {
-			this.#recordDropped(exchange, dropReasons.exit);
+		for (const exchange of this.#connections.exchanges) {
+			this.#connections.reportDropped(exchange, dropReasons.exit);
 		}
 	}
 
 	async #handle(incoming: IncomingMessage, response: ServerResponse): Promise<void> {
-		const exchange = this.#recordExchange(incoming, response);
-		if (this.#isClosing(incoming.socket)) {
+		const exchange = this.#connections.record(incoming, response);
+		if (this.#connections.isClosing(incoming.socket)) {
 			return;
 		}
 
@@ -228,22 +173,22 @@
 
 	/** Answers 417 and lets the connection close: nobody knows whether the body follows, so no further request can be read. */
 	#rejectExpectation(incoming: IncomingMessage, response: ServerResponse): void {
-		const exchange = this.#recordExchange(incoming, response);
-		if (this.#isClosing(incoming.socket)) {
+		const exchange = this.#connections.record(incoming, response);
+		if (this.#connections.isClosing(incoming.socket)) {
 			return;
 		}
 
 		this.#opts.onRejected({
 			requestId: this.#readRequestId(incoming), host: incoming.headers.host?.slice(0, maxLoggedCharacters), path: readLoggedPath(incoming), reason: 'unmet-expectation',
 		});
-		this.#announceClose(exchange);
+		this.#connections.announceClose(exchange);
 		sendProblem(response, {status: 417, code: 'unmet-expectation', detail: 'The server supports no expectation other than 100-continue.'});
 	}
 
 	async #handleExchange(exchange: OpenExchange): Promise<void> {
 		const {incoming, response} = exchange;
 		if (this.#isClosed || this.#stoppingSince !== undefined) {
-			this.#announceClose(exchange);
+			this.#connections.announceClose(exchange);
 		}
 
 		const {arrivedAt} = exchange;
@@ -279,7 +224,7 @@
 
 		if (body === 'too-large') {
 			reportRejected('body-too-large');
-			this.#announceClose(exchange);
+			this.#connections.announceClose(exchange);
 			sendProblem(response, {status: 413, code: 'body-too-large', detail: `The body exceeds the limit of ${routes.configuration.limits.maxBodyBytes} bytes.`});
 			return;
 		}
@@ -300,7 +245,7 @@
 		const abortController = new AbortController();
 		onClosed(response, () => {
 			if (!response.writableFinished) {
-				const end = this.#findEnd(exchange);
+				const end = this.#connections.findEnd(exchange);
 				abortController.abort(end === 'caller' ? undefined : end);
 			}
 		});
@@ -327,30 +272,6 @@
 		});
 	}
 
-	/** True if a request of the connection gets no answer any more; it is not passed on. */
-	#isClosing(socket: Socket): boolean {
-		return socket.writableEnded || this.#closingSockets.has(socket)
-			|| [...this.#openExchanges.get(socket) ?? []].some(({response, closesConnection}) => closesConnection && response.headersSent);
-	}
-
-	/** Lets the connection close after the response, unless further requests wait behind it: the last response says it then. */
-	#announceClose(exchange: OpenExchange): void {
-		const exchanges = [...this.#openExchanges.get(exchange.incoming.socket) ?? []];
-		if (exchanges.at(-1) !== exchange) {
-			return;
-		}
-
-		for (const earlier of exchanges) {
-			if (earlier.closesConnection && !earlier.response.headersSent && earlier.response.shouldKeepAlive) {
-				earlier.closesConnection = false;
-				earlier.response.setHeader('connection', 'keep-alive');
-			}
-		}
-
-		exchange.closesConnection = true;
-		exchange.response.setHeader('connection', 'close');
-	}
-
 	/** Ends the request whose handling threw an error. It may have run. */
 	#handleFailure(exchange: OpenExchange, error: unknown): void {
 		const {incoming, response, abortController} = exchange;
@@ -375,121 +296,19 @@
 			response.removeHeader(name);
 		}
 
-		this.#announceClose(exchange);
+		this.#connections.announceClose(exchange);
 		sendProblem(response, {status: 502, code: 'may-have-run', detail: `The request may have run: ${detail}`});
 	}
 
-	/** Reads the id of a request for a report about it, whatever is wrong with the request. */
-	#readRequestId(incoming: IncomingMessage): string | undefined {
-		try {
-			return this.#opts.codec.decodeRequestHeaders(incoming.rawHeaders).requestId;
-		} catch {
-			return undefined;
-		}
-	}
-
-	/** Records the request as open until its response is complete or its connection has closed. */
-	#recordExchange(incoming: IncomingMessage, response: ServerResponse): OpenExchange {
-		const {socket} = incoming;
-		const exchange: OpenExchange = {
-			incoming, response, arrivedAt: this.#opts.clock.monotonic(), abortController: undefined, closesConnection: false, keepAliveMs: this.#server.keepAliveTimeout, isReported: false,
-		};
-		const exchanges = this.#openExchanges.get(socket) ?? new Set();
-		this.#openExchanges.set(socket, exchanges.add(exchange));
-		this.#exchanges.add(exchange);
-		onClosed(response, () => {
-			exchanges.delete(exchange);
-			this.#exchanges.delete(exchange);
-			if (exchanges.size === 0) {
-				this.#idleConnections.set(socket, {since: this.#opts.clock.monotonic(), keepAliveMs: exchange.keepAliveMs});
-			}
-
-			const end = this.#findEnd(exchange);
-			if (!response.writableFinished && end !== 'caller') {
-				this.#recordDropped(exchange, end);
-			}
-		});
-		return exchange;
-	}
-
-	/**
-	 * Closes a connection whose idle timer has expired. The timer is that of the limits at the end of the last response; callers
-	 * go by what that response said and by the newest limits, so whichever is longer holds.
-	 */
-	#checkIdle(socket: Socket): void {
-		if (this.#openExchanges.get(socket)?.size) {
-			return;
-		}
-
-		const {since, keepAliveMs} = this.#idleConnections.get(socket) ?? {since: Number.NEGATIVE_INFINITY, keepAliveMs: 0};
-		const closesAt = since + Math.max(keepAliveMs, this.#server.keepAliveTimeout) + keepAliveBufferMs;
-		const remainingMs = Math.ceil(closesAt - this.#opts.clock.monotonic());
-		if (remainingMs > 0) {
-			socket.setTimeout(remainingMs);
-			return;
-		}
-
-		// A process that has not run for a while finds its timers before the bytes that arrived meanwhile.
-		const {bytesRead} = socket;
-		setImmediate(() => {
-			if (socket.bytesRead === bytesRead) {
-				this.#connectionEnds.set(socket, dropReasons.limit);
-				socket.destroy();
-			}
-		});
-	}
-
-	/** The caller has ended the connection, unless this side has done so before. */
-	#recordCallerEnd(socket: Socket): void {
-		if (!socket.writableEnded) {
-			this.#connectionEnds.set(socket, 'caller');
-		}
-	}
-
-	/** Returns why the connection of the exchange has ended. */
-	#findEnd({incoming: {socket}, response}: OpenExchange): ConnectionEnd {
-		const end = this.#connectionEnds.get(socket);
-		if (end) {
-			return end;
-		}
-
-		if (response.headersSent) {
-			return dropReasons.cut;
-		}
-
-		if (this.#isClosed) {
-			return dropReasons.stop;
-		}
-
-		// A connection that ends in an orderly way was ended by the response before.
-		return socket.writableEnded ? dropReasons.earlierAnswer : dropReasons.error;
-	}
-
-	/** Reports a request once, if it was read whole. */
-	#recordDropped(exchange: OpenExchange, reason: DropReason): void {
-		const {incoming, arrivedAt, abortController} = exchange;
-		if (incoming.complete && !exchange.isReported) {
-			exchange.isReported = true;
-			this.#opts.onDropped({
-				requestId: this.#readRequestId(incoming),
-				host: incoming.headers.host?.slice(0, maxLoggedCharacters),
-				path: readLoggedPath(incoming),
-				reason,
-				isForwarded: abortController !== undefined,
-				openMs: Math.round(this.#opts.clock.monotonic() - arrivedAt),
-			});
-		}
-	}
-
 	/**
 	 * Answers bytes that are no request. While a request of the connection waits for its response, its caller would take that
 	 * answer for its own, so the connection closes after the response to that request instead.
 	 */
 	#handleClientError(error: NodeJS.ErrnoException, socket: Socket): void {
-		if (!socket.writable || this.#closingSockets.has(socket)) {
+		if (!socket.writable || this.#connections.closesAfterError(socket)) {
 			// The connection itself failed, or its close was planned after an earlier error.
 			if (!socket.writable) {
-				this.#recordCallerEnd(socket);
+				this.#connections.recordCallerEnd(socket);
 				socket.destroy(error);
 			}
 
@@ -500,13 +319,7 @@
 		this.#opts.onRejected({
 			requestId: undefined, host: undefined, path: '', reason: 'unreadable', status,
 		});
-		this.#closingSockets.add(socket);
-		if (this.#connectionEnds.get(socket) !== 'caller') {
-			this.#connectionEnds.set(socket, status === timeoutStatus ? dropReasons.limit : dropReasons.unreadable);
-		}
-
-		// A request that has not arrived completely is the one that can't be read.
-		const response = [...this.#openExchanges.get(socket) ?? []].findLast(({incoming}) => incoming.complete)?.response;
+		const response = this.#connections.closeAfterResponses(socket, status === timeoutStatus ? dropReasons.limit : dropReasons.unreadable);
 		if (!response) {
 			socket.end(`HTTP/1.1 ${status} ${STATUS_CODES[status]}\r\nConnection: close\r\n\r\n`);
 			socket.destroySoon();
@@ -526,23 +339,26 @@
 			status: 503, code, detail: `The request has not run: ${detail}`, headers: this.#opts.codec.encodeRetryAfter(this.#opts.notReadyRetryAfterMs),
 		});
 	}
-}
 
-/** Calls the listener when the response is complete or its connection has closed. */
-function onClosed(response: ServerResponse, listener: () => void): void {
-	const {socket} = response.req;
-	let isClosed = false;
-	const finish = () => {
-		if (!isClosed) {
-			isClosed = true;
-			socket.off('close', finish);
-			listener();
-		}
-	};
+	#reportDropped({incoming, arrivedAt, abortController}: OpenExchange, reason: DropReason): void {
+		this.#opts.onDropped({
+			requestId: this.#readRequestId(incoming),
+			host: incoming.headers.host?.slice(0, maxLoggedCharacters),
+			path: readLoggedPath(incoming),
+			reason,
+			isForwarded: abortController !== undefined,
+			openMs: Math.round(this.#opts.clock.monotonic() - arrivedAt),
+		});
+	}
 
-	response.once('close', finish);
-	// A response that waits behind another one on its connection does not emit the event when the connection closes.
-	socket.once('close', finish);
+	/** Reads the id of a request for a report about it, whatever is wrong with the request. */
+	#readRequestId(incoming: IncomingMessage): string | undefined {
+		try {
+			return this.#opts.codec.decodeRequestHeaders(incoming.rawHeaders).requestId;
+		} catch {
+			return undefined;
+		}
+	}
 }
 
 /**
@@ -560,20 +376,3 @@
 function readLoggedPath(incoming: IncomingMessage): string {
 	return incoming.url!.split('?', 1)[0]!.slice(0, maxLoggedCharacters);
 }
-
-async function readBody(incoming: IncomingMessage, maxBytes: number): Promise<Buffer | 'too-large' | 'broken'> {
-	const chunks: Buffer[] = [];
-	let size = 0;
-	try {
-		for await (const chunk of incoming as AsyncIterable<Buffer>) {
-			size += chunk.length;
-			if (size <= maxBytes) {
-				chunks.push(chunk);
-			}
-		}
-	} catch {
-		return 'broken';
-	}
-
-	return size > maxBytes ? 'too-large' : Buffer.concat(chunks);
-}
--- /dev/null
+++ b/packages/plugins/edge/src/front/on-closed.ts
@@ -0,0 +1,19 @@
+/** Watches the end of a response. */
+import type {ServerResponse} from 'node:http';
+
+/** Calls the listener when the response is complete or its connection has closed. */
+export function onClosed(response: ServerResponse, listener: () => void): void {
+	const {socket} = response.req;
+	let isClosed = false;
+	const finish = () => {
+		if (!isClosed) {
+			isClosed = true;
+			socket.off('close', finish);
+			listener();
+		}
+	};
+
+	response.once('close', finish);
+	// A response that waits behind another one on its connection does not emit the event when the connection closes.
+	socket.once('close', finish);
+}
--- a/packages/plugins/edge/src/front/request-log.ts
+++ b/packages/plugins/edge/src/front/request-log.ts
@@ -8,7 +8,7 @@
 	dropReasons, requestOutcomes, type CallerRequest, type RequestResult,
 } from './caller-request.js';
 import type {RateLimitedEventLog} from './rate-limited-event-log.js';
-import type {DroppedRequest, FailedRequest, RejectedRequest} from './http-frontend.js';
+import type {DroppedRequest, FailedRequest, RejectedRequest} from './frontend-reports.js';
 
 export type RequestLogOptions = {
 	clock: Clock;
--- a/packages/plugins/edge/src/streams/streaming-forwarder.ts
+++ b/packages/plugins/edge/src/streams/streaming-forwarder.ts
@@ -7,16 +7,15 @@
  */
 import type {KnownServer} from '@hickorytrack/endpoint-registry';
 import {describeError} from '@hickorytrack/errors';
-import {listCandidates} from '../calls/candidate-servers.js';
 import {
 	requestOutcomes, type CallerRequest, type RequestResult,
 } from '../front/caller-request.js';
 import type {ForwardContext} from '../calls/forward-context.js';
-import {retryKinds} from '../limits/retry-budget.js';
 import {SendPermits, type SendPermit} from '../limits/send-permits.js';
 import {EndConfirmation} from './end-confirmation.js';
 import {EventRelay} from './event-relay.js';
 import {RequestOrigin} from './request-origin.js';
+import {RunFactsSource} from './run-facts-source.js';
 import {applyRunEvent} from './run-table.js';
 import {StreamCalls} from './stream-calls.js';
 import {StreamPlanner} from './stream-planner.js';
@@ -26,7 +25,7 @@
 import {StreamRun} from './stream-run.js';
 import {
 	createStreamRuns, findRun, listPredecessors, listSuccessors, permitSources, runOutcomes, runWays,
-	type RunAction, type RunEvent, type RunFacts, type RunWay, type StreamRuns,
+	type RunAction, type RunEvent, type StreamRuns,
 } from './stream-runs.js';
 
 /** The core admits a version within the time of a few syncs. */
@@ -45,14 +44,13 @@
 	readonly #origin: RequestOrigin;
 	readonly #progress: StreamProgress;
 	readonly #procedure: StreamProcedure;
+	readonly #facts: RunFactsSource;
 	/** What the table decides about. */
 	#table: StreamRuns;
 	readonly #events: RunEvent[] = [];
 	#isDispatching = false;
 	readonly #runs = new Map<number, StreamRun>();
 	readonly #endings = new Map<number, RunEnding>();
-	/** Retries that were reserved for the event that is handled. */
-	#reserved: SendPermit[] = [];
 	/** Kept for the return of the stream to a server whose run was ended before another one had delivered. */
 	#returnPermit: SendPermit | undefined;
 	/** The silence that is handled. */
@@ -82,6 +80,7 @@
 		const parts = {
 			relay: this.#relay, calls, permits: this.#permits, planner: this.#planner, origin: this.#origin, progress: this.#progress,
 		};
+		this.#facts = new RunFactsSource(context, request, {...parts, runs: this.#runs});
 		const endConfirmation = new EndConfirmation({
 			...parts, request, canSend: () => !this.#progress.isBanned && this.#progress.hasTime, selectOther: asked => this.#selectConfirmingServer(asked),
 		});
@@ -115,7 +114,7 @@
 		await this.#origin.waitForAdmission(this.#context.registry.listUsable(this.#request.service), Math.min(maxAdmissionWaitMs, this.#progress.remainingMs));
 		return new Promise(resolve => {
 			this.#resolveEnding = resolve;
-			this.#dispatch({kind: 'begin', facts: this.#createFacts()});
+			this.#dispatch({kind: 'begin', facts: this.#facts.read()});
 		});
 	}
 
@@ -145,9 +144,7 @@
 			this.#carryOut(action);
 		}
 
-		for (const permit of this.#reserved.splice(0)) {
-			permit.release();
-		}
+		this.#facts.releaseReserved();
 	}
 
 	/** Ends all runs, and the request with them. */
@@ -218,17 +215,17 @@
 
 	#startRun({run: {id, predecessor: predecessorId, way}, permit: source, keepsReturn}: StartAction): void {
 		const predecessor = predecessorId === undefined ? undefined : this.#runs.get(predecessorId);
-		const permit = source === permitSources.kept ? this.#takeReturnPermit() : (source === permitSources.lent ? predecessor!.permit : this.#reserved.shift());
+		const permit = source === permitSources.kept ? this.#takeReturnPermit() : (source === permitSources.lent ? predecessor!.permit : this.#facts.takeReserved());
 		if (source === permitSources.lent) {
 			predecessor!.permit = undefined;
 		}
 
 		if (keepsReturn) {
-			this.#returnPermit = this.#reserved.shift();
+			this.#returnPermit = this.#facts.takeReserved();
 		}
 
 		const run = new StreamRun({
-			id, permit, predecessor, hasLentPermit: source === permitSources.lent, allowedServers: way === runWays.copy ? undefined : this.#allowedServers, relay: this.#relay, acceptEvents: ({server}) => this.#origin.accept(server!), dispatch: event => {
+			id, permit, predecessor, hasLentPermit: source === permitSources.lent, allowedServers: way === runWays.copy ? undefined : this.#facts.allowedServers, relay: this.#relay, acceptEvents: ({server}) => this.#origin.accept(server!), dispatch: event => {
 				this.#dispatch(event);
 			},
 		});
@@ -285,7 +282,7 @@
 		}
 
 		this.#dispatch({
-			kind: 'finished', run: run.id, as: ending?.as ?? runOutcomes.open, facts: this.#createFacts(),
+			kind: 'finished', run: run.id, as: ending?.as ?? runOutcomes.open, facts: this.#facts.read(),
 		});
 	}
 
@@ -329,51 +326,6 @@
 		return permit;
 	}
 
-	/** Ids of the servers that may generate when the request must not be sent to another one: those that have not failed it. */
-	get #allowedServers(): ReadonlySet<string> | undefined {
-		if (this.#progress.allowsServer) {
-			return undefined;
-		}
-
-		const atWork = new Set([...this.#runs.values()].map(({server}) => server?.id));
-		return new Set(this.#progress.servers.filter(server => !atWork.has(server.id) && !this.#planner.isRejected(server)).map(({id}) => id));
-	}
-
-	get #canRunAnew(): boolean {
-		const allowed = this.#allowedServers;
-		return this.#progress.hasTime && (allowed === undefined || (this.#request.route.isResumable && allowed.size > 0));
-	}
-
-	#createFacts(run?: StreamRun): RunFacts {
-		return {
-			isBanned: this.#progress.isBanned, isNotExecuted: this.#progress.isNotExecuted, canRunAnew: this.#canRunAnew, hasCopy: run !== undefined && this.#hasCopy(run), reserve: (way, count) => this.#reserve(way, count),
-		};
-	}
-
-	#hasCopy({backupServer}: StreamRun): boolean {
-		return backupServer !== undefined && this.#relay.lastEventId !== undefined
-			&& listCandidates(this.#context, this.#request.service, {canRun: server => server.version === backupServer.version}).some(({id}) => id === backupServer.id);
-	}
-
-	#reserve(way: RunWay, count: number): boolean {
-		const permits: SendPermit[] = [];
-		while (permits.length < count) {
-			const permit = this.#permits.acquire(way === runWays.copy && permits.length === 0 ? retryKinds.resume : retryKinds.run);
-			if (!permit) {
-				for (const reserved of permits) {
-					reserved.release();
-				}
-
-				return false;
-			}
-
-			permits.push(permit);
-		}
-
-		this.#reserved = permits;
-		return true;
-	}
-
 	/** Has the table decide whether another run is started beside that of a silent server. */
 	#handleSilence(run: StreamRun, server: KnownServer, silentMs: number): void {
 		const known = findRun(this.#table, run.id);
@@ -383,7 +335,7 @@
 
 		this.#context.health.recordSilent(server);
 		this.#silence = {run, server, silentMs};
-		this.#dispatch({kind: 'silent', run: run.id, facts: this.#createFacts(run)});
+		this.#dispatch({kind: 'silent', run: run.id, facts: this.#facts.read(run)});
 		this.#silence = undefined;
 	}
 
--- a/packages/plugins/edge/test/http-frontend.test.ts
+++ b/packages/plugins/edge/test/http-frontend.test.ts
@@ -8,9 +8,8 @@
 import {RouteTable} from '@hickorytrack/route-table';
 import {requestKinds} from '@hickorytrack/route-table/route-types';
 import {dropReasons, type CallerRequest} from '../src/front/caller-request.js';
-import {
-	HttpFrontend, type DroppedRequest, type FailedRequest, type RejectedRequest,
-} from '../src/front/http-frontend.js';
+import type {DroppedRequest, FailedRequest, RejectedRequest} from '../src/front/frontend-reports.js';
+import {HttpFrontend} from '../src/front/http-frontend.js';
 import type {RequestCodec} from '../src/request-codec.js';
 
 const clock = new SystemClock();
