crashes: bans outlive the end of all processes

Cause: crashes and bans were kept in the memory of the edges only. Change: the leader of the core writes the bans that it knows into the replicated log: the banned trait, those that explain the same crashes, the last eight crashes and the trials. Each member of the core gives what its log holds back to its memory and tells the others. Conclusion: crashes that have not led to a ban yet are still lost with all processes; they cost as many again as a first ban does.

--- a/packages/coordination/crash-attribution/src/crash-attribution.ts
+++ b/packages/coordination/crash-attribution/src/crash-attribution.ts
@@ -15,6 +15,7 @@
 import {
 	isRequestTrait, listTraits, verdicts, type Ban, type CrashReport, type Judgement, type RunTraits, type SoundTrait, type SuspectTrait, type TrialReport,
 } from './run-traits.js';
+import type {BanRecord} from './ban-store.js';
 import {TraitMemory} from './trait-memory.js';
 
 /** Crashes in which a trait must stand: two for all repeats of one request, as it has no neighbour in common with others. */
@@ -34,6 +35,8 @@
 const crashTtlMs = 3_600_000;
 const supportingCrashTtlMs = 86_400_000;
 const maxCrashes = 200;
+/** More than a ban needs, with the handicap of a trait that was in a whole answer. */
+const maxKeptCrashes = 8;
 /** Bounds the memory that one crash takes. */
 const maxTraitsPerCrash = 4000;
 const maxSoundParts = 20_000;
@@ -208,6 +211,22 @@
 		return [...this.#causes.keys()].map(trait => this.#describeBan(trait, [trait, ...this.#causes.get(trait)!.rivals]));
 	}
 
+	/** Lists the bans with what they rest on, for the replicated log; `now` is the wall time in milliseconds. */
+	listBanRecords(now: number): BanRecord[] {
+		this.#update();
+		const toWallTime = (at: number) => Math.round(now - (this.#clock.monotonic() - at));
+		return [...this.#causes].map(([trait, {crashes, rivals}]) => {
+			const trials = this.#trials.get(trait);
+			return {
+				trait,
+				suspects: [trait, ...rivals].map((name): SuspectTrait => [name, this.#suspects.get(name)?.position ?? 0]),
+				crashes: crashes.slice(-maxKeptCrashes).map(({id, at}): [string, number] => [id, toWallTime(at)]),
+				triedAt: trials && toWallTime(trials.lastAt),
+				failedTrials: trials?.failed ?? 0,
+			};
+		});
+	}
+
 	/** Lists the crashes with their suspects, for an instance that has not heard of them. */
 	listCrashes(): CrashReport[] {
 		this.#update();
--- a/packages/core/types/src/peer-methods.ts
+++ b/packages/core/types/src/peer-methods.ts
@@ -25,6 +25,8 @@
 	hubs: 'hubs',
 	/** Stores the versions that began streams, if it belongs to the core. */
 	streamOrigins: 'stream-origins',
+	/** Stores what is banned because it crashes servers, if it belongs to the core. */
+	crashBans: 'crash-bans',
 } as const;
 
 /** Demand of one workspace at one entry over the last reporting interval, in requests per second. */
--- a/packages/plugins/edge/src/crashes/crash-reports.ts
+++ b/packages/plugins/edge/src/crashes/crash-reports.ts
@@ -6,6 +6,7 @@
 import {connect} from 'node:net';
 import type {Clock} from '@hickorytrack/clock';
 import type {CrashAttribution} from '@hickorytrack/crash-attribution';
+import type {BanRecord} from '@hickorytrack/crash-attribution/ban-store';
 import {
 	mergeTraits, verdicts, type Ban, type CrashReport, type RunTraits, type SoundTrait,
 } from '@hickorytrack/crash-attribution/run-traits';
@@ -173,6 +174,24 @@
 		return isNew;
 	}
 
+	/** Records the bans of the replicated log. What is new of them is told to the other instances: they may have lost it, too. */
+	restoreBans(records: readonly BanRecord[]): void {
+		const {clock, attribution, mesh} = this.#opts;
+		const toAgeMs = (at: number) => Math.max(0, clock.now() - at);
+		for (const {trait, suspects, crashes, triedAt, failedTrials} of records) {
+			for (const [id, at] of crashes) {
+				const report = {id, traits: suspects, ageMs: toAgeMs(at)};
+				if (this.mergeCrash(report)) {
+					mesh.broadcast('crash.note', report);
+				}
+			}
+
+			if (triedAt !== undefined) {
+				attribution.mergeTrials([[trait, toAgeMs(triedAt), failedTrials]]);
+			}
+		}
+	}
+
 	/** Records what another instance tells of whole answers. */
 	mergeSound(sound: readonly SoundTrait[]): void {
 		this.#opts.attribution.mergeSound(sound);
--- a/packages/plugins/edge/src/edge.ts
+++ b/packages/plugins/edge/src/edge.ts
@@ -5,6 +5,7 @@
  */
 import {err, ok, type Result} from 'neverthrow';
 import {CrashAttribution} from '@hickorytrack/crash-attribution';
+import type {BanKeeper} from '@hickorytrack/crash-attribution/ban-keeper';
 import {
 	EndpointRegistry, type ServerReport,
 } from '@hickorytrack/endpoint-registry';
@@ -39,6 +40,7 @@
 import {waitForDrain} from './front/wait-for-drain.js';
 import {createForwardContext} from './calls/create-forward-context.js';
 import {createStageControl} from './calls/create-stage-control.js';
+import {createBanKeeper} from './crashes/create-ban-keeper.js';
 import {rejectBanned} from './crashes/reject-banned.js';
 import {defaultRetryAfterMs, type ForwardContext} from './calls/forward-context.js';
 import {LimitSharing} from './sharing/limit-sharing.js';
@@ -83,6 +85,7 @@
 	readonly #origins: StreamOrigins;
 	readonly #versionRetirement: VersionRetirement | undefined;
 	readonly #crashAttribution: CrashAttribution;
+	readonly #banKeeper: BanKeeper | undefined;
 	readonly #crashReports: CrashReports;
 	readonly #requestLog: RequestLog;
 	readonly #deadlineGuard: DeadlineGuard;
@@ -122,6 +125,8 @@
 		this.#core = opts.storage && new CoreMember({
 			mesh: this.mesh, storage: opts.storage, clock, random, events, toleratedLosses: settings.toleratedLosses, isFirstStart: settings.isFirstStart, seeds: settings.seeds, onStored: stored => {
 				this.configuration.update(stored);
+			}, onBans: records => {
+				this.#crashReports.restoreBans(records);
 			},
 		});
 		const hasVersion = (service: string, version: string) => this.registry.hasVersion(service, version);
@@ -134,13 +139,16 @@
 		this.#versionRetirement = core && new VersionRetirement({
 			clock, hasVersion, core: core.origins, store: core.originStore, getLeadershipAgeMs: () => core.leadershipAgeMs, isComplete: () => this.mesh.memberCount >= this.mesh.highestMemberCount, getLifetimeMs: service => this.#computeLifetimeMs(service),
 		});
+		this.#crashAttribution = new CrashAttribution({clock});
+		this.#banKeeper = core && createBanKeeper({
+			clock, attribution: this.#crashAttribution, core, mesh: this.mesh,
+		});
 		this.#loadTracker = new LoadTracker(clock);
 		this.#limitNews = new LimitNews(clock);
 		this.#partUsage = new PartUsage(clock);
 		this.#cacheIndex = new PrefixCacheIndex({getKvCapacity: service => this.#getKvCapacity(service)});
 		const eventLog = new RateLimitedEventLog(clock, events);
 		const health = new ServerHealth(clock);
-		this.#crashAttribution = new CrashAttribution({clock});
 		this.#crashReports = new CrashReports({
 			clock, attribution: this.#crashAttribution, instance: settings.instance, mesh: this.mesh, registry: this.registry, eventLog, health, metrics: opts.metrics, reportIntervalMs: settings.reportIntervalMs,
 		});
@@ -209,13 +217,7 @@
 			listServices: () => (this.#routes?.configuration.services ?? []).filter(service => service.modelServer).map(service => service.name),
 		});
 		this.#frontend = new HttpFrontend({
-			clock, random, codec, notReadyRetryAfterMs: defaultRetryAfterMs, drainAcceptMs: Math.min(maxDrainAcceptMs, Math.max(0, settings.graceMs - stopMarginMs) / 2), getRoutes: () => this.configuration.isConfirmed ? this.#routes : undefined, forward: async request => this.#forward(request), onRejected: rejected => {
-				this.#requestLog.recordRejected(rejected);
-			}, onDropped: dropped => {
-				this.#requestLog.recordDropped(dropped);
-			}, onFailed: failed => {
-				this.#requestLog.recordFailed(failed);
-			},
+			clock, random, codec, notReadyRetryAfterMs: defaultRetryAfterMs, drainAcceptMs: Math.min(maxDrainAcceptMs, Math.max(0, settings.graceMs - stopMarginMs) / 2), getRoutes: () => this.configuration.isConfirmed ? this.#routes : undefined, forward: async request => this.#forward(request), ...this.#requestLog.frontendListeners,
 		});
 		opts.metrics.onRead(() => {
 			this.#updateGauges();
@@ -249,6 +251,7 @@
 		void this.#stageControl?.run(this.#abortController.signal);
 		void this.#origins.run();
 		void this.#versionRetirement?.run(this.#abortController.signal);
+		void this.#banKeeper?.run(this.#abortController.signal);
 		events.emit('edgeStarted', {instance: settings.instance, isCore: this.#core !== undefined, isFirstStart: settings.isFirstStart});
 		return ok(undefined);
 	}
@@ -376,7 +379,7 @@
 
 	/** Longest time for which streams of a service may be taken up, in milliseconds. */
 	#computeLifetimeMs(service: string): number {
-		const routes = (this.#routes?.configuration.routes ?? []).filter(route => route.targets.some(target => target.service === service));
+		const routes = this.#routes?.configuration.routes.filter(({targets}) => targets.some(target => target.service === service)) ?? [];
 		return computeLongestLifetimeMs(routes.map(route => route.timeoutMs));
 	}
 
--- a/packages/plugins/edge/src/front/request-log.ts
+++ b/packages/plugins/edge/src/front/request-log.ts
@@ -8,6 +8,7 @@
 	dropReasons, requestOutcomes, type CallerRequest, type RequestResult,
 } from './caller-request.js';
 import type {RateLimitedEventLog} from './rate-limited-event-log.js';
+import type {HttpFrontendOptions} from './http-frontend.js';
 import type {DroppedRequest, FailedRequest, RejectedRequest} from './frontend-reports.js';
 
 export type RequestLogOptions = {
@@ -69,6 +70,19 @@
 		}
 	}
 
+	/** What the frontend tells of requests that it did not forward or that were not answered completely. */
+	get frontendListeners(): Pick<HttpFrontendOptions, 'onRejected' | 'onDropped' | 'onFailed'> {
+		return {
+			onRejected: rejected => {
+				this.recordRejected(rejected);
+			}, onDropped: dropped => {
+				this.recordDropped(dropped);
+			}, onFailed: failed => {
+				this.recordFailed(failed);
+			},
+		};
+	}
+
 	/** Records a request that the frontend rejected. */
 	recordRejected({requestId, ...rejected}: RejectedRequest): void {
 		const {eventLog, metrics, getVersion} = this.#opts;
--- a/packages/routing/route-store/src/core-member.ts
+++ b/packages/routing/route-store/src/core-member.ts
@@ -5,6 +5,7 @@
  */
 import {err, ok, type Result} from 'neverthrow';
 import type {Clock} from '@hickorytrack/clock';
+import {BanStore, type BanCommand, type BanRecord} from '@hickorytrack/crash-attribution/ban-store';
 import {HickorytrackError} from '@hickorytrack/errors';
 import type {EventLog} from '@hickorytrack/events';
 import type {LogStorage, LogStorageError} from '@hickorytrack/log-storage';
@@ -36,6 +37,8 @@
 	/** Addresses configured on all members at the first start, in the same order. */
 	seeds: readonly string[];
 	onStored: (stored: StoredConfiguration) => void;
+	/** Called with bans that the log of this member holds. */
+	onBans: (records: readonly BanRecord[]) => void;
 };
 
 /** Timeout of one proposal. Callers retry after their own timeout of 1 s, so it is shorter. */
@@ -62,6 +65,7 @@
 	readonly store: RouteStore;
 	readonly originStore = new OriginStore();
 	readonly origins: OriginCore;
+	readonly banStore: BanStore;
 	readonly #opts: CoreMemberOptions;
 	readonly #startedAt: number;
 	readonly #abortController = new AbortController();
@@ -82,6 +86,7 @@
 		this.store = new RouteStore(stored => {
 			this.#reportStored(stored);
 		});
+		this.banStore = new BanStore(opts.onBans);
 		this.origins = new OriginCore({
 			clock: opts.clock, store: this.originStore, propose: async command => {
 				const proposed = await this.#log?.propose(command, {timeoutMs: proposeTimeoutMs});
@@ -186,6 +191,12 @@
 		return proposed.map(outcome => outcome as StoreOutcome).mapErr(error => this.#createUnavailableError(error));
 	}
 
+	/** Stores a change of the bans; resolves with false without a confirmation by a majority. */
+	async putBans(command: BanCommand): Promise<boolean> {
+		const proposed = await this.#log?.propose(command, {timeoutMs: proposeTimeoutMs});
+		return proposed?.isOk() ?? false;
+	}
+
 	/** Returns the newest acknowledged configuration, confirmed by a majority. */
 	async read(): Promise<Result<StoredConfiguration | undefined, CoreMemberError>> {
 		const log = this.#log;
@@ -199,7 +210,7 @@
 
 	dump(): unknown {
 		return {
-			status: this.#log?.getStatus(), isVoter: this.isVoter, isRemoved: this.#isRemoved, version: this.store.current?.version, streamOrigins: this.originStore.streamCount, versions: this.originStore.listVersions(), applicants: [...this.#joinRequests.keys()],
+			status: this.#log?.getStatus(), isVoter: this.isVoter, isRemoved: this.#isRemoved, version: this.store.current?.version, streamOrigins: this.originStore.streamCount, versions: this.originStore.listVersions(), bans: this.banStore.list().map(({trait}) => trait), applicants: [...this.#joinRequests.keys()],
 		};
 	}
 
@@ -218,7 +229,7 @@
 	async #openLog(initialMembers: MemberInfo[]): Promise<Result<void, LogStorageError>> {
 		const {clock, random, storage, mesh} = this.#opts;
 		const log = new ReplicatedLog({
-			id: mesh.address, initialMembers, storage, clock, random, stateMachine: new CoreState(this.store, this.originStore), timing: {snapshotRecords, firstElectionMinMs, firstElectionMaxMs}, transport: {
+			id: mesh.address, initialMembers, storage, clock, random, stateMachine: new CoreState(this.store, {origins: this.originStore, bans: this.banStore}), timing: {snapshotRecords, firstElectionMinMs, firstElectionMaxMs}, transport: {
 				call: async (to, message, timeoutMs) => this.#callMember(to, message, timeoutMs),
 			},
 		});
--- a/packages/routing/route-store/src/core-state.ts
+++ b/packages/routing/route-store/src/core-state.ts
@@ -1,23 +1,32 @@
 /**
- * State machine of the core: the route configuration, and which versions have begun streams. A snapshot is the stored
- * configuration with one more field, so that a member of an older version can read it.
+ * State machine of the core: the route configuration, which versions have begun streams, and what is banned because it crashes
+ * servers. A snapshot is the stored configuration with further fields, so that a member of an older version can read it.
  */
+import {isBanCommand, type BanStore} from '@hickorytrack/crash-attribution/ban-store';
 import type {StateMachine} from '@hickorytrack/replicated-log';
 import {isOriginCommand, type OriginStore} from '@hickorytrack/stream-origins/origin-store';
 import type {RouteStore, StoredConfiguration} from './route-store.js';
 
-type Snapshot = StoredConfiguration & {streamOrigins?: unknown};
+type Snapshot = StoredConfiguration & {streamOrigins?: unknown; crashBans?: unknown};
 
 export class CoreState implements StateMachine {
 	readonly #routes: RouteStore;
 	readonly #origins: OriginStore;
 
-	constructor(routes: RouteStore, origins: OriginStore) {
+	readonly #bans: BanStore;
+
+	constructor(routes: RouteStore, parts: {origins: OriginStore; bans: BanStore}) {
 		this.#routes = routes;
-		this.#origins = origins;
+		this.#origins = parts.origins;
+		this.#bans = parts.bans;
 	}
 
 	apply(command: unknown): unknown {
+		if (isBanCommand(command)) {
+			this.#bans.apply(command);
+			return undefined;
+		}
+
 		if (!isOriginCommand(command)) {
 			return this.#routes.apply(command);
 		}
@@ -26,10 +35,10 @@
 		return undefined;
 	}
 
-	/** Streams begin only under a configuration, so there is no state without one. */
+	/** Streams begin and servers crash only under a configuration, so there is no state without one. */
 	createSnapshot(): unknown {
 		const configuration = this.#routes.createSnapshot() as StoredConfiguration | null;
-		return configuration && {...configuration, streamOrigins: this.#origins.createSnapshot()};
+		return configuration && {...configuration, streamOrigins: this.#origins.createSnapshot(), crashBans: this.#bans.createSnapshot()};
 	}
 
 	restoreSnapshot(state: unknown): void {
@@ -37,10 +46,14 @@
 			return;
 		}
 
-		const {streamOrigins, ...configuration} = state as Snapshot;
+		const {streamOrigins, crashBans, ...configuration} = state as Snapshot;
 		this.#routes.restoreSnapshot(configuration);
 		if (streamOrigins !== undefined) {
 			this.#origins.restoreSnapshot(streamOrigins);
 		}
+
+		if (crashBans !== undefined) {
+			this.#bans.restoreSnapshot(crashBans);
+		}
 	}
 }
--- a/packages/routing/route-store/test/core-instances.ts
+++ b/packages/routing/route-store/test/core-instances.ts
@@ -41,7 +41,7 @@
 		},
 	});
 	const core = opts.storage && new CoreMember({
-		mesh, storage: opts.storage, clock, random, events, toleratedLosses: 1, isFirstStart: opts.isFirstStart, seeds: opts.seeds, onStored(stored) {
+		mesh, storage: opts.storage, clock, random, events, toleratedLosses: 1, isFirstStart: opts.isFirstStart, seeds: opts.seeds, onBans() {/* No server crashes here. */}, onStored(stored) {
 			follower.update(stored);
 		},
 	});
--- a/packages/routing/route-store/test/core-model.ts
+++ b/packages/routing/route-store/test/core-model.ts
@@ -386,7 +386,7 @@
 		this.#network.nodes.set(node.address, node);
 		const {clock} = this;
 		node.core = new CoreMember({
-			mesh: this.#network.createMesh(node), storage: node.disk, clock, random: this.#random, events: new EventLog({clock}), toleratedLosses: 1, isFirstStart: opts.isFirstStart, seeds: ['a', 'b', 'c'], onStored(stored) {
+			mesh: this.#network.createMesh(node), storage: node.disk, clock, random: this.#random, events: new EventLog({clock}), toleratedLosses: 1, isFirstStart: opts.isFirstStart, seeds: ['a', 'b', 'c'], onBans() {/* No server crashes here. */}, onStored(stored) {
 				// Unused: the invariants cover only acknowledged and read configurations.
 				stored;
 			},
