edge: a request that an error ends is told that it may have run

Cause: an event without a row, or an exception in a run, ended the request as one that has not run if no attempt had settled, though a server could have it. Change: the forwarder counts such a request as one that may have run. The test is new. Conclusion: a 503 that says "not run" comes only from runs that have settled.

--- a/packages/plugins/edge/src/streams/streaming-forwarder.ts
+++ b/packages/plugins/edge/src/streams/streaming-forwarder.ts
@@ -147,10 +147,11 @@
 		this.#facts.releaseReserved();
 	}
 
-	/** Ends all runs, and the request with them. */
+	/** Ends all runs, and the request with them; it may have run. */
 	#handleError(error: unknown): void {
 		this.#events.length = 0;
 		this.#reportError(error);
+		this.#progress.isNotExecuted = false;
 		for (const run of this.#runs.values()) {
 			run.cancel();
 		}
@@ -271,6 +272,7 @@
 			ending = await follow();
 		} catch (error) {
 			this.#reportError(error);
+			this.#progress.isNotExecuted &&= !run.isGenerating;
 			ending = this.#progress.createFailure('an internal error');
 		}
 
--- a/packages/plugins/edge/test/run-table.test.ts
+++ b/packages/plugins/edge/test/run-table.test.ts
@@ -1,11 +1,13 @@
 import {readFile} from 'node:fs/promises';
 import {expect} from 'chai';
+import {Random} from '@hickorytrack/random';
 import {
 	applyRunEvent, rows, type RunRow, type RunRows,
 } from '../src/streams/run-table.js';
 import {
 	createStreamRuns, permitSources, runStates, type RunEvent, type RunFacts, type StreamRuns,
 } from '../src/streams/stream-runs.js';
+import {RetryFleet, WholeMsClock} from './retry-fleet.js';
 import {
 	invariants, playOrders, type Invariant, type OrderOptions,
 } from './run-orders.js';
@@ -128,4 +130,22 @@
 			expect(() => applyRunEvent(planned, event)).to.throw();
 		}
 	});
+
+	it('ends the request whose event has no row, and no other one', async () => {
+		const clock = new WholeMsClock();
+		const fleet = new RetryFleet(clock, new Random(1));
+		fleet.startEdge(0, {isFirstStart: true, countInstances: () => 1});
+		const {planned} = rows.sent;
+		rows.sent.planned = {text: 'taken out'};
+		try {
+			fleet.sendRequest({edge: 0, isStream: true});
+			await clock.advance(5000);
+		} finally {
+			rows.sent.planned = planned;
+		}
+
+		fleet.sendRequest({edge: 0, isStream: true});
+		await clock.advance(5000);
+		expect(fleet.results.map(({outcome}) => outcome)).to.deep.equal(['failed', 'answered']);
+	});
 });
