edge: an event of a stream costs the table of runs little

Each event of a stream built the table's state anew, and each run an AbortController. Change: a run that delivers alone leaves the state as it is; the controller is created for runs that wait for something beside their attempts. Conclusion: no decision changes; the orders of events are as before.

--- a/packages/plugins/edge/src/calls/attempt.ts
+++ b/packages/plugins/edge/src/calls/attempt.ts
@@ -67,21 +67,29 @@
 
 /** Ends the attempts of a run that is no longer needed. */
 export class AttemptCanceller {
-	readonly #controller = new AbortController();
+	#isCancelled = false;
+	/** Created for a run that waits for something beside its attempts; few do. */
+	#controller: AbortController | undefined;
 	#cancelAttempt: (() => void) | undefined;
 	#sentRequest: SentRequest | undefined;
 
 	get isCancelled(): boolean {
-		return this.#controller.signal.aborted;
+		return this.#isCancelled;
 	}
 
 	/** Aborts when the run ends, for what it waits for beside its attempts. */
 	get signal(): AbortSignal {
+		this.#controller ??= new AbortController();
+		if (this.#isCancelled) {
+			this.#controller.abort();
+		}
+
 		return this.#controller.signal;
 	}
 
 	cancel(): void {
-		this.#controller.abort();
+		this.#isCancelled = true;
+		this.#controller?.abort();
 		this.#cancelAttempt?.();
 	}
 
--- a/packages/plugins/edge/src/streams/run-table.ts
+++ b/packages/plugins/edge/src/streams/run-table.ts
@@ -143,7 +143,8 @@
 		throw new Error('A run that is on hold has delivered');
 	}
 
-	return endOthers(setState(stream, run, runStates.delivering), run);
+	const isAlone = run.state === runStates.delivering && stream.runs.every(({id, state}) => id === run.id || state === runStates.ended);
+	return isAlone ? {stream, actions: []} : endOthers(setState(stream, run, runStates.delivering), run);
 }
 
 /** A server that has ended its answer works on nothing any more, so that a run that is on hold may answer. */
@@ -372,6 +373,10 @@
 /** Returns the runs after an event, and what is to be done. Throws an error for an event that can't come in the state of its run. */
 export function applyRunEvent(before: StreamRuns, event: RunEvent, table: RunRows = rows): RunDecision {
 	const decision = decideEvent(before, event, table);
+	if (decision.stream === before) {
+		return decision;
+	}
+
 	const {stream, actions} = releaseReturn(decision.stream);
 	return {stream, actions: [...decision.actions, ...listHoldActions(before, stream), ...actions]};
 }
--- a/packages/plugins/edge/src/streams/stream-runs.ts
+++ b/packages/plugins/edge/src/streams/stream-runs.ts
@@ -138,7 +138,7 @@
 
 /** A run delivers nothing while a server decides about one that was started after it. */
 export function isOnHold(stream: StreamRuns, run: Run): boolean {
-	return run.state !== runStates.ended && stream.runs.some(other => other.state === runStates.deciding && listPredecessors(stream, other).includes(run));
+	return run.state !== runStates.ended && stream.runs.length > 1 && stream.runs.some(other => other.state === runStates.deciding && listPredecessors(stream, other).includes(run));
 }
 
 export function putRun(stream: StreamRuns, run: Run): StreamRuns {
