edge: events of a stream that goes on alone don't reach the table of runs

Change: while one run delivers and no other is left, its further events change nothing in the table, so the forwarder does not ask it. Conclusion: no decision changes; the orders of events are as before.

--- a/packages/plugins/edge/src/streams/run-table.ts
+++ b/packages/plugins/edge/src/streams/run-table.ts
@@ -8,7 +8,7 @@
  * it, or when the time for the decision is over; they go on if that server refuses or fails before.
  */
 import {
-	findRun, isGenerating, isOnHold, listLive, listPredecessors, listSuccessors, permitSources, putRun, runOutcomes, runStates, runWays,
+	findRun, findSoleDelivery, isGenerating, isOnHold, listLive, listPredecessors, listSuccessors, permitSources, putRun, runOutcomes, runStates, runWays,
 	type PermitSource, type Run, type RunAction, type RunEvent, type RunFacts, type RunState, type RunWay, type StreamRuns,
 } from './stream-runs.js';
 
@@ -143,8 +143,7 @@
 		throw new Error('A run that is on hold has delivered');
 	}
 
-	const isAlone = run.state === runStates.delivering && stream.runs.every(({id, state}) => id === run.id || state === runStates.ended);
-	return isAlone ? {stream, actions: []} : endOthers(setState(stream, run, runStates.delivering), run);
+	return findSoleDelivery(stream) === run ? {stream, actions: []} : endOthers(setState(stream, run, runStates.delivering), run);
 }
 
 /** A server that has ended its answer works on nothing any more, so that a run that is on hold may answer. */
--- a/packages/plugins/edge/src/streams/stream-runs.ts
+++ b/packages/plugins/edge/src/streams/stream-runs.ts
@@ -141,6 +141,12 @@
 	return run.state !== runStates.ended && stream.runs.length > 1 && stream.runs.some(other => other.state === runStates.deciding && listPredecessors(stream, other).includes(run));
 }
 
+/** Returns the run that delivers, if no other one is left: its further events change nothing. */
+export function findSoleDelivery(stream: StreamRuns): Run | undefined {
+	const live = listLive(stream);
+	return live.length === 1 && live[0]!.state === runStates.delivering ? live[0] : undefined;
+}
+
 export function putRun(stream: StreamRuns, run: Run): StreamRuns {
 	return {...stream, runs: [...stream.runs.filter(({id}) => id !== run.id), run].sort((a, b) => a.id - b.id)};
 }
--- a/packages/plugins/edge/src/streams/streaming-forwarder.ts
+++ b/packages/plugins/edge/src/streams/streaming-forwarder.ts
@@ -24,7 +24,7 @@
 import {StreamResults} from './stream-results.js';
 import {StreamRun} from './stream-run.js';
 import {
-	createStreamRuns, findRun, listPredecessors, listSuccessors, permitSources, runOutcomes, runWays,
+	createStreamRuns, findRun, findSoleDelivery, listPredecessors, listSuccessors, permitSources, runOutcomes, runWays,
 	type RunAction, type RunEvent, type StreamRuns,
 } from './stream-runs.js';
 
@@ -47,6 +47,8 @@
 	readonly #facts: RunFactsSource;
 	/** What the table decides about. */
 	#table: StreamRuns;
+	/** The run whose events change nothing in the table. */
+	#soleDelivery: number | undefined;
 	readonly #events: RunEvent[] = [];
 	#isDispatching = false;
 	readonly #runs = new Map<number, StreamRun>();
@@ -120,6 +122,11 @@
 
 	/** An event that comes while an action is carried out waits for its end. One that the table does not know ends the request. */
 	#dispatch(event: RunEvent): void {
+		// Most events are those of a stream that nothing else goes on beside.
+		if (event.kind === 'delivering' && event.run === this.#soleDelivery) {
+			return;
+		}
+
 		this.#events.push(event);
 		if (this.#isDispatching) {
 			return;
@@ -140,6 +147,7 @@
 	#handleEvent(event: RunEvent): void {
 		const {stream, actions} = applyRunEvent(this.#table, event);
 		this.#table = stream;
+		this.#soleDelivery = findSoleDelivery(stream)?.id;
 		for (const action of actions) {
 			this.#carryOut(action);
 		}
