--- a/packages/plugins/edge/src/streams/run-table.ts
+++ b/packages/plugins/edge/src/streams/run-table.ts
@@ -8,7 +8,7 @@
  * it, or when the time for the decision is over; they go on if that server refuses or fails before.
  */
 import {
-	findRun, isGenerating, isOnHold, listLive, listPredecessors, listSuccessors, permitSources, putRun, runOutcomes, runStates, runWays,
+	findRun, findSoleDelivery, isGenerating, isOnHold, listLive, listPredecessors, listSuccessors, permitSources, putRun, runOutcomes, runStates, runWays,
 	type PermitSource, type Run, type RunAction, type RunEvent, type RunFacts, type RunState, type RunWay, type StreamRuns,
 } from './stream-runs.js';
 
@@ -143,7 +143,7 @@
 		throw new Error('A run that is on hold has delivered');
 	}
 
-	return endOthers(setState(stream, run, runStates.delivering), run);
+	return findSoleDelivery(stream) === run ? {stream, actions: []} : endOthers(setState(stream, run, runStates.delivering), run);
 }
 
 /** A server that has ended its answer works on nothing any more, so that a run that is on hold may answer. */
@@ -372,6 +372,10 @@
 /** Returns the runs after an event, and what is to be done. Throws an error for an event that can't come in the state of its run. */
 export function applyRunEvent(before: StreamRuns, event: RunEvent, table: RunRows = rows): RunDecision {
 	const decision = decideEvent(before, event, table);
+	if (decision.stream === before) {
+		return decision;
+	}
+
 	const {stream, actions} = releaseReturn(decision.stream);
 	return {stream, actions: [...decision.actions, ...listHoldActions(before, stream), ...actions]};
 }
