edge: a copy that was refused in time is not asked for again

Change: only a copy that was not asked for stays known. Once no other run is left, its server is asked again as before.

--- a/packages/plugins/edge/src/streams/streaming-forwarder.ts
+++ b/packages/plugins/edge/src/streams/streaming-forwarder.ts
@@ -263,9 +263,8 @@
 
 		void this.#followRun(run, async () => {
 			const ending = predecessor ? await this.#procedure.resumeAt(run, backup, permit) : await this.#procedure.resumeAgain(run, backup, permit);
-			const isRefused = ending?.as === runOutcomes.refusedCopy;
-			this.#refusedBackup = isRefused ? backup : this.#refusedBackup;
-			if (predecessor && (isRefused || !run.isGenerating)) {
+			this.#refusedBackup = ending?.as === runOutcomes.refusedCopy ? backup : this.#refusedBackup;
+			if (predecessor && !run.isGenerating) {
 				predecessor.backupServer ??= backup;
 			}
 
