--- a/stand-ins/src/platform-server.ts
+++ b/stand-ins/src/platform-server.ts
@@ -80,6 +80,8 @@
 	eventMs?: number;
 	/** Time that the prefill of a prompt takes; without it a prompt is prefilled at once. */
 	prefillMs?: number;
+	/** Time for each token of a prompt that it prefills, in milliseconds. */
+	prefillMsPerToken?: number;
 	/** Time from the start of a generation to the head of its answer, with or without a KV cache. */
 	firstTokenMs?: number;
 	/** Time that the answer to a call for its report takes. */
@@ -388,13 +390,17 @@
 			return;
 		}
 
-		const {clock, prefillMs, firstTokenMs} = this.#opts;
+		const {clock, prefillMs, prefillMsPerToken, firstTokenMs} = this.#opts;
 		const isPrefillCall = request.headers['x-stage'] === 'prefill';
 		const period = isPrefillCall ? undefined : this.#recordWork(request.socket, receivedRequest);
 		if (request.headers['x-kv-source'] === undefined && prefillMs !== undefined) {
 			await clock.sleep(prefillMs);
 		}
 
+		if (request.headers['x-kv-source'] === undefined && prefillMsPerToken !== undefined) {
+			await clock.sleep(Number(String(request.headers['x-token-counts']).split(',', 1)[0]) * prefillMsPerToken);
+		}
+
 		if (isPrefillCall) {
 			if (this.crashingPart?.isPrefill && this.#runCrash(this.crashingPart.at, receivedRequest)) {
 				return;
