--- a/packages/core/events/src/event-catalogue.ts
+++ b/packages/core/events/src/event-catalogue.ts
@@ -29,6 +29,12 @@
 	unexpectedError: {
 		number: 1006, level: 'error', text: 'An unexpected error occurred', action: 'Report it with the event and a state dump.',
 	},
+	taskFailed: {
+		number: 1007, level: 'error', text: 'A background task, timer or listener threw an error; the process goes on, and a task that should run on is started again', action: 'Report it with the stack; the task names what did not happen.',
+	},
+	fatalError: {
+		number: 1008, level: 'error', text: 'An error reached the top of the process; it finishes the requests that it has accepted and exits', action: 'Report it with the stack.',
+	},
 	peerOpened: {
 		number: 1101, level: 'debug', text: 'A connection to another process opened', action: noAction,
 	},
@@ -137,6 +143,9 @@
 	settingsRefused: {
 		number: 1705, level: 'error', text: 'The settings are invalid; the previous ones stay in force', action: 'Correct the setting that the message names.',
 	},
+	seedsIgnored: {
+		number: 1706, level: 'warn', text: 'Seeds of the settings are not IPv4 addresses with a port and are not used', action: 'Correct them in the settings file.',
+	},
 	memberLearned: {
 		number: 1711, level: 'info', text: 'Another instance was discovered', action: noAction,
 	},
@@ -167,6 +176,9 @@
 	coreMembershipRestored: {
 		number: 1726, level: 'info', text: 'This member of the core is a voter again', action: noAction,
 	},
+	configurationUnusable: {
+		number: 1715, level: 'error', text: 'A stored configuration can\'t be used by this version; the one before stays in force', action: 'Put a configuration that corrects the field that the message names.',
+	},
 	configurationPut: {
 		number: 1731, level: 'info', text: 'A request to change the route configuration was answered', action: noAction,
 	},
@@ -284,6 +296,9 @@
 	linkRefused: {
 		number: 1781, level: 'warn', text: 'A connection of another instance was closed because of what it sent or did not read; without an instance, it had not proved the key', action: 'Check who connects from the address; the reason says what was wrong.',
 	},
+	peerMessageUnusable: {
+		number: 1783, level: 'warn', text: 'Another instance has sent a message, or an element of one, that can\'t be used; the rest of it holds', action: 'Check the version of the instance and who reports to it; the reason names the field.',
+	},
 	controlRefused: {
 		number: 1782, level: 'warn', text: 'A control call was refused, or its connection closed, so that calls of others have room; the reason says why', action: 'Check who calls from the address; a caller that got 503 calls again.',
 	},
--- /dev/null
+++ b/packages/core/types/src/parse-peer-message.ts
@@ -0,0 +1,252 @@
+/**
+ * The door of messages between instances. Another instance may run an earlier version and pass on what it has taken itself,
+ * so the parameters and the result of each method are parsed before they are used. An element of a list that can't be used is
+ * left out, and the others hold; a message that can't be used otherwise is an error for its sender.
+ */
+import {FieldError, Fields, maxDurationMs} from '@hickorytrack/fields';
+import {parsePeerMember} from './parse-peer-member.js';
+import {parseServerRecord} from './parse-server-record.js';
+import {
+	shareScopes, type ConfigurationDocument, type LoadEntry, type LoadShare, type PeerMethodName, type PeerMethods, type StoredPrompt, type StreamOriginView, type StreamOriginWrite, type StreamSend,
+} from './peer-methods.js';
+
+/** Called for each element of a list that is left out. */
+export type ElementListener = (error: Error) => void;
+
+type Door<M extends PeerMethodName> = {
+	params: (fields: Fields, onLeftOut: ElementListener) => PeerMethods[M]['params'];
+	result?: (fields: Fields, onLeftOut: ElementListener) => PeerMethods[M]['result'];
+};
+
+const notNegative = {min: 0, max: Number.MAX_SAFE_INTEGER};
+const wholeNumber = {...notNegative, isInteger: true};
+const age = {min: 0};
+const stages = ['prefill', 'decode'] as const;
+const putOutcomes = ['stored', 'same', 'overtaken', 'conflict'] as const;
+
+/** Reads the elements of a tuple by their positions. */
+function openTuple(value: unknown): Fields {
+	if (!Array.isArray(value)) {
+		throw new FieldError('an element is not an array');
+	}
+
+	return new Fields({...value as unknown[]}, {name: 'an element'});
+}
+
+function readEach<T>(values: readonly unknown[], parse: (value: unknown) => T, onLeftOut: ElementListener): T[] {
+	const parsed: T[] = [];
+	for (const value of values) {
+		try {
+			parsed.push(parse(value));
+		} catch (error) {
+			onLeftOut(error as Error);
+		}
+	}
+
+	return parsed;
+}
+
+function parseText(value: unknown): string {
+	if (typeof value !== 'string') {
+		throw new FieldError('an element is not a string');
+	}
+
+	return value;
+}
+
+/** An empty string is a text, unlike a missing one. */
+function readText(fields: Fields, name: string): string {
+	return parseText(fields.get(name));
+}
+
+function readOptionalText(fields: Fields, name: string): string | undefined {
+	return fields.has(name) ? readText(fields, name) : undefined;
+}
+
+function readTexts(fields: Fields, name: string): string[] {
+	return fields.readList(name).map(value => parseText(value));
+}
+
+function readAgeMs(fields: Fields, name: string): number {
+	return Math.min(maxDurationMs, fields.readNumber(name, age));
+}
+
+function readStored(fields: Fields): ConfigurationDocument {
+	const stored = fields.readFields('stored');
+	return {version: stored.readNumber('version', wholeNumber), digest: readText(stored, 'digest'), document: stored.get('document')};
+}
+
+function parseSend(value: unknown): StreamSend {
+	const send = openTuple(value);
+	return [readText(send, '0'), send.readNumber('1', wholeNumber), send.readNumber('2', notNegative)];
+}
+
+function parseAdmitted(value: unknown): [string, string] {
+	const admitted = openTuple(value);
+	return [readText(admitted, '0'), readText(admitted, '1')];
+}
+
+function parseOriginStream(value: unknown): StreamOriginWrite['streams'][number] {
+	const stream = openTuple(value);
+	const begun: StreamOriginWrite['streams'][number] = [readText(stream, '0'), readText(stream, '1'), readTexts(stream, '2'), readTexts(stream, '3'), readAgeMs(stream, '4')];
+	if (stream.has('5')) {
+		begun.push(stream.readList('5').map(send => parseSend(send)));
+	}
+
+	return begun;
+}
+
+function readView(fields: Fields): StreamOriginView | undefined {
+	const view = fields.readOptionalFields('view');
+	if (!view) {
+		return undefined;
+	}
+
+	const versions = view.readFields('versions');
+	const stream = view.readOptionalFields('stream');
+	return {
+		versions: Object.fromEntries(versions.names.map(service => [service, readTexts(versions, service)])),
+		stream: stream && {
+			service: readText(stream, 'service'), versions: readTexts(stream, 'versions'), ...(stream.has('sends') && {sends: stream.readList('sends').map(send => parseSend(send))}),
+		},
+	};
+}
+
+function parseLoad(value: unknown): LoadEntry {
+	const load = openTuple(value);
+	return [readText(load, '0'), load.readNumber('1', notNegative), load.readNumber('2', notNegative), load.readNumber('3', notNegative)];
+}
+
+function parsePart(value: unknown): {id: string; tokens: number} {
+	const part = new Fields(value, {name: 'a part'});
+	return {id: readText(part, 'id'), tokens: part.readNumber('tokens', notNegative)};
+}
+
+function parseStoredPrompt(value: unknown): StoredPrompt {
+	const prompt = new Fields(value, {name: 'a stored prompt'});
+	const timing = prompt.has('timing') ? openTuple(prompt.get('timing')) : undefined;
+	return {
+		server: readText(prompt, 'server'),
+		parts: prompt.readList('parts').map(part => parsePart(part)),
+		...(timing && {timing: [timing.readNumber('0', notNegative), timing.readNumber('1', notNegative), timing.get('2') === true]}),
+	};
+}
+
+function readShare(fields: Fields, onLeftOut: ElementListener): LoadShare {
+	return {
+		instance: readText(fields, 'instance'),
+		scope: fields.readOneOf('scope', Object.values(shareScopes)),
+		servers: readEach(fields.readList('servers'), parseLoad, onLeftOut),
+		stored: readEach(fields.readList('stored'), parseStoredPrompt, onLeftOut),
+	};
+}
+
+function parseRepeat(value: unknown): [string, number, number] {
+	const repeat = openTuple(value);
+	return [readText(repeat, '0'), repeat.readNumber('1', wholeNumber), repeat.readNumber('2', {min: Number.MIN_SAFE_INTEGER, max: Number.MAX_SAFE_INTEGER, isInteger: true})];
+}
+
+function parseLimit(value: unknown): PeerMethods['limit.note']['params']['limits'][number] {
+	const limit = new Fields(value, {name: 'a limit'});
+	return {
+		id: readText(limit, 'id'), startedAt: limit.readNumber('startedAt', wholeNumber), perSecond: limit.readOptionalNumber('perSecond', age), ageMs: readAgeMs(limit, 'ageMs'),
+	};
+}
+
+function parseSuspect(value: unknown): [string, number] {
+	const suspect = openTuple(value);
+	return [readText(suspect, '0'), suspect.readNumber('1')];
+}
+
+function parseSound(value: unknown): [string, number] {
+	const sound = openTuple(value);
+	return [readText(sound, '0'), readAgeMs(sound, '1')];
+}
+
+function parseTrial(value: unknown): [string, number, number] {
+	const trial = openTuple(value);
+	return [readText(trial, '0'), readAgeMs(trial, '1'), trial.readNumber('2', wholeNumber)];
+}
+
+const readMembers = (fields: Fields, onLeftOut: ElementListener) => readEach(fields.readList('members'), parsePeerMember, onLeftOut);
+const readReports = (fields: Fields, onLeftOut: ElementListener) => readEach(fields.readList('reports'), parseServerRecord, onLeftOut);
+
+/** The methods between edges. Those between the daemons of the product are parsed by their handlers. */
+const doors: {[M in PeerMethodName]?: Door<M>} = {
+	'mesh.exchange': {
+		params: (fields, onLeftOut) => ({members: readMembers(fields, onLeftOut)}),
+		result: (fields, onLeftOut) => ({members: readMembers(fields, onLeftOut), count: fields.readOptionalNumber('count', wholeNumber)}),
+	},
+	'core.join': {
+		params: fields => ({address: fields.readString('address'), folder: readText(fields, 'folder')}),
+		result: fields => ({leader: readOptionalText(fields, 'leader'), isVoter: fields.has('isVoter') ? fields.get('isVoter') === true : undefined}),
+	},
+	'configuration.announce': {
+		params: fields => ({leader: fields.readString('leader'), term: fields.readNumber('term', wholeNumber), version: fields.readNumber('version', wholeNumber)}),
+	},
+	'configuration.install': {params: fields => ({stored: readStored(fields)})},
+	'configuration.fetch': {params: () => ({}), result: fields => ({stored: fields.has('stored') ? readStored(fields) : undefined})},
+	'configuration.put': {
+		params: fields => ({stored: readStored(fields)}),
+		result: fields => ({outcome: fields.has('outcome') ? fields.readOneOf('outcome', putOutcomes) : undefined}),
+	},
+	'configuration.read': {
+		params: () => ({}),
+		result: fields => ({isConfirmed: fields.get('isConfirmed') === true, stored: fields.has('stored') ? readStored(fields) : undefined}),
+	},
+	'origins.write': {
+		params: (fields, onLeftOut) => ({admitted: readEach(fields.readList('admitted'), parseAdmitted, onLeftOut), streams: readEach(fields.readList('streams'), parseOriginStream, onLeftOut)}),
+		result: fields => ({view: readView(fields)}),
+	},
+	'origins.find': {
+		params: fields => ({services: readTexts(fields, 'services'), stream: readOptionalText(fields, 'stream')}),
+		result: fields => ({view: readView(fields)}),
+	},
+	'origins.recall': {
+		params: fields => ({stream: readText(fields, 'stream')}),
+		result(fields) {
+			const origin = fields.readOptionalFields('origin');
+			return {origin: origin && {service: readText(origin, 'service'), version: readText(origin, 'version')}};
+		},
+	},
+	'registry.repeat': {params: (fields, onLeftOut) => ({repeats: readEach(fields.readList('repeats'), parseRepeat, onLeftOut)})},
+	'registry.fetch': {
+		params: fields => ({servers: readTexts(fields, 'servers')}),
+		result: (fields, onLeftOut) => ({reports: readReports(fields, onLeftOut)}),
+	},
+	'registry.note': {
+		params: (fields, onLeftOut) => ({reports: readReports(fields, onLeftOut)}),
+		result: fields => ({count: fields.readNumber('count', wholeNumber)}),
+	},
+	'stage.note': {
+		params: fields => ({server: readText(fields, 'server'), startedAt: fields.readNumber('startedAt', wholeNumber), stage: fields.readOneOf('stage', stages)}),
+	},
+	'load.share': {params: readShare},
+	'limit.note': {params: (fields, onLeftOut) => ({limits: readEach(fields.readList('limits'), parseLimit, onLeftOut)})},
+	'limit.acquire': {
+		params: fields => ({
+			server: readText(fields, 'server'), startedAt: fields.readNumber('startedAt', wholeNumber), perSecond: fields.readNumber('perSecond', age), maxDelayMs: readAgeMs(fields, 'maxDelayMs'), count: fields.readNumber('count', wholeNumber),
+		}),
+		result: fields => ({isIssuer: fields.get('isIssuer') === true, granted: fields.readNumber('granted', wholeNumber), delayMs: readAgeMs(fields, 'delayMs')}),
+	},
+	'limit.reach': {params: fields => ({address: readText(fields, 'address')}), result: fields => ({isConnected: fields.get('isConnected') === true})},
+	'crash.note': {
+		params: (fields, onLeftOut) => ({
+			id: readText(fields, 'id'), traits: readEach(fields.readList('traits'), parseSuspect, onLeftOut), ageMs: fields.has('ageMs') ? readAgeMs(fields, 'ageMs') : undefined, reporter: readOptionalText(fields, 'reporter'),
+		}),
+	},
+	'crash.sound': {params: (fields, onLeftOut) => ({sound: readEach(fields.readList('sound'), parseSound, onLeftOut)})},
+	'crash.trial': {params: (fields, onLeftOut) => ({trials: readEach(fields.readList('trials'), parseTrial, onLeftOut)})},
+};
+
+/** Throws a `FieldError` if the parameters can't be used. */
+export function parsePeerParams<M extends PeerMethodName>(method: M, params: unknown, onLeftOut: ElementListener): PeerMethods[M]['params'] {
+	const door = doors[method];
+	return door ? door.params(new Fields(params, {name: `the parameters of ${method}`}), onLeftOut) : params as PeerMethods[M]['params'];
+}
+
+/** Throws a `FieldError` if the result can't be used. */
+export function parsePeerResult<M extends PeerMethodName>(method: M, result: unknown, onLeftOut: ElementListener): PeerMethods[M]['result'] {
+	const door = doors[method];
+	return door?.result ? door.result(new Fields(result, {name: `the result of ${method}`}), onLeftOut) : (result ?? undefined);
+}
--- a/packages/core/types/src/peer-methods.ts
+++ b/packages/core/types/src/peer-methods.ts
@@ -1,4 +1,5 @@
 /** The JSON-RPC methods between processes, with their parameters and results. */
+import type {SocketAddress} from '@hickorytrack/socket-address';
 import type {EndpointPhase, FencedOrder} from './endpoint.js';
 import type {
 	AttemptResolution, PieceBatch, SubmissionReply, WorkSubmission,
@@ -133,7 +134,7 @@
 	startedAt: number;
 	sequence: number;
 	service: string;
-	address: string;
+	address: SocketAddress;
 	availabilityZone: string;
 	slots: number;
 	state: 'ready' | 'draining' | 'leaving' | 'left';
--- a/packages/net/mesh/src/mesh.ts
+++ b/packages/net/mesh/src/mesh.ts
@@ -222,7 +222,7 @@
 
 	#mergeMembers(members: readonly PeerMember[]): void {
 		for (const member of members) {
-			if (member.address === this.address || !member.roles.some(role => this.#opts.linkedRoles.includes(role))) {
+			if (member.address === '' || member.address === this.address || !member.roles.some(role => this.#opts.linkedRoles.includes(role))) {
 				continue;
 			}
 
--- a/packages/net/peer-link/src/peer-connection.ts
+++ b/packages/net/peer-link/src/peer-connection.ts
@@ -10,6 +10,7 @@
 import {err, ok, type Result} from 'neverthrow';
 import {HickorytrackError, describeError, type ErrorCode} from '@hickorytrack/errors';
 import {waitWithTimeout, type Clock} from '@hickorytrack/clock';
+import {parsePeerParams, parsePeerResult} from '@hickorytrack/types/parse-peer-message';
 import type {PeerMember, PeerMethodName, PeerMethods} from '@hickorytrack/types/peer-methods';
 import {encodeFrame, maximumFrameBytes, type FrameDecoder} from './frame-codec.js';
 import type {ByteHolder, LinkBytes} from './link-bytes.js';
@@ -54,7 +55,7 @@
 	clock: Clock;
 	timing: PeerTiming;
 	remote: PeerMember;
-	handlers: ReadonlyMap<string, PeerHandler<PeerMethodName>>;
+	handlers: ReadonlyMap<PeerMethodName, PeerHandler<PeerMethodName>>;
 	/** Messages that were received together with the handshake and are dispatched first. */
 	bufferedMessages: unknown[];
 	/** Byte counters shared by all connections of the process. */
@@ -64,8 +65,12 @@
 	bytes: LinkBytes;
 	/** Called when this side closes the connection because of what the other side sent or did not read. */
 	onRefused: (reason: string) => void;
+	/** Called for a message, or an element of one, that can't be used. */
+	onUnusable: (unusable: UnusableMessage) => void;
 };
 
+export type UnusableMessage = {method: PeerMethodName; reason: string};
+
 type HeartbeatFrame = {
 	heartbeat: true;
 };
@@ -84,6 +89,7 @@
 	readonly #decoder: FrameDecoder;
 	readonly #bytes: LinkBytes;
 	readonly #onRefused: (reason: string) => void;
+	readonly #onUnusable: (unusable: UnusableMessage) => void;
 	readonly #abortController = new AbortController();
 	/** Acquired bytes of the write buffer. */
 	#backlogBytes = 0;
@@ -105,6 +111,7 @@
 		this.#decoder = opts.decoder;
 		this.#bytes = opts.bytes;
 		this.#onRefused = opts.onRefused;
+		this.#onUnusable = opts.onUnusable;
 		this.#rpc = this.#createRpc(opts.handlers);
 		this.closed = new Promise(resolve => {
 			this.#abortController.signal.addEventListener('abort', () => {
@@ -130,7 +137,7 @@
 		}
 
 		const call = Promise.resolve(this.#rpc.request(method, params as JSONRPCParams))
-			.then(value => ok<PeerMethods[M]['result'], PeerLinkError>((value ?? undefined) as PeerMethods[M]['result']))
+			.then(value => ok<PeerMethods[M]['result'], PeerLinkError>(this.#parse(method, () => parsePeerResult(method, value, this.#reportLeftOut(method)))))
 			.catch((error: unknown) => err<PeerMethods[M]['result'], PeerLinkError>(this.#convertError(method, error)));
 		const reply = await waitWithTimeout(call, opts.timeoutMs ?? this.#timing.requestTimeoutMs, this.#clock);
 		return reply ?? err(new PeerLinkError('ERR_HICKORYTRACK_PEER_TIMEOUT', `${this.remote.instance} did not answer ${method} before the timeout`, {sent: true}));
@@ -152,14 +159,14 @@
 		this.#closeSocket();
 	}
 
-	#createRpc(handlers: ReadonlyMap<string, PeerHandler<PeerMethodName>>): JSONRPCServerAndClient {
+	#createRpc(handlers: ReadonlyMap<PeerMethodName, PeerHandler<PeerMethodName>>): JSONRPCServerAndClient {
 		const server = new JSONRPCServer({
 			errorListener() {
 				// The error is returned to the caller, which decides whether to log it.
 			},
 		});
 		for (const [method, handler] of handlers) {
-			server.addMethod(method, async params => (await handler(params as PeerMethods[PeerMethodName]['params'], this)) ?? null);
+			server.addMethod(method, async params => (await handler(this.#parse(method, () => parsePeerParams(method, params, this.#reportLeftOut(method))), this)) ?? null);
 		}
 
 		const client = new JSONRPCClient(payload => {
@@ -168,6 +175,22 @@
 		return new JSONRPCServerAndClient(server, client);
 	}
 
+	/** Reports what the other side has sent that can't be used. */
+	#parse<T>(method: PeerMethodName, parse: () => T): T {
+		try {
+			return parse();
+		} catch (error) {
+			this.#onUnusable({method, reason: describeError(error)});
+			throw error;
+		}
+	}
+
+	#reportLeftOut(method: PeerMethodName): (error: Error) => void {
+		return ({message}) => {
+			this.#onUnusable({method, reason: message});
+		};
+	}
+
 	#convertError(method: string, error: unknown): PeerLinkError {
 		if (!this.isOpen) {
 			return new PeerLinkError('ERR_HICKORYTRACK_PEER_CLOSED', `The connection to ${this.remote.instance} closed during ${method}`, {sent: true, cause: error});
--- a/packages/net/peer-link/src/peer-node.ts
+++ b/packages/net/peer-link/src/peer-node.ts
@@ -11,6 +11,8 @@
 import {describeError, HickorytrackError} from '@hickorytrack/errors';
 import {ByteAccount} from '@hickorytrack/byte-account';
 import type {AccountPart} from '@hickorytrack/byte-account/account-part';
+import {parseSocketAddress, splitAddress} from '@hickorytrack/socket-address';
+import {parsePeerMember} from '@hickorytrack/types/parse-peer-member';
 import type {PeerMember, PeerMethodName} from '@hickorytrack/types/peer-methods';
 import {encodeFrame} from './frame-codec.js';
 import {HandshakeReader} from './handshake-reader.js';
@@ -20,7 +22,7 @@
 import {LinkBytes} from './link-bytes.js';
 import {PendingSockets} from './pending-sockets.js';
 import {
-	PeerConnection, PeerLinkError, type PeerHandler, type PeerTiming, type PeerTraffic,
+	PeerConnection, PeerLinkError, type PeerHandler, type PeerTiming, type PeerTraffic, type UnusableMessage,
 } from './peer-connection.js';
 
 const handshakeTimeoutMs = 2000;
@@ -51,6 +53,8 @@
 	/** Part of the process's account that bounds what all connections hold. */
 	part?: AccountPart;
 	onRefused?: (refusal: LinkRefusal) => void;
+	/** Called for a message, or an element of one, that can't be used. */
+	onUnusable?: (unusable: UnusableMessage & {instance: string}) => void;
 	/** Opens a socket; only tests replace it. */
 	openSocket?: (options: TcpNetConnectOpts) => Socket;
 };
@@ -91,7 +95,7 @@
 	/** Bytes sent and received on all connections since the process started. */
 	readonly traffic: PeerTraffic = {sentBytes: 0, receivedBytes: 0};
 	readonly #opts: PeerNodeOptions;
-	readonly #handlers = new Map<string, PeerHandler<PeerMethodName>>();
+	readonly #handlers = new Map<PeerMethodName, PeerHandler<PeerMethodName>>();
 	readonly #connections = new Set<PeerConnection>();
 	readonly #links = new Set<PersistentLink>();
 	readonly #bytes: LinkBytes;
@@ -156,7 +160,12 @@
 
 	/** Opens one connection, without reconnecting. */
 	async connect(address: string, opts: Pick<PersistentLinkOptions, 'connectTimeoutMs'> = {}): Promise<Result<PeerConnection, PeerLinkError>> {
-		const {host, port} = parseAddress(address);
+		const socketAddress = parseSocketAddress(address);
+		if (!socketAddress) {
+			return err(new PeerLinkError('ERR_HICKORYTRACK_PEER_ADDRESS', `"${address}" is not an address to which a connection can be opened`, {sent: false}));
+		}
+
+		const {host, port} = splitAddress(socketAddress);
 		const {clock, openSocket = connect} = this.#opts;
 		// Connects from the address that this process listens on, so that both processes identify it by the same host.
 		const socket = openSocket({
@@ -284,7 +293,7 @@
 			reader.raiseLimit();
 			socket.write(encodeFrame({proof: computeProof(key, {direction: 'connecting', hello, welcome})} satisfies ProofMessage));
 			const ready = await reader.read() as ReadyMessage;
-			return ready.ready ? ok(this.#createConnection(socket, welcome.member, reader)) : fail('rejected the proof of this process');
+			return ready.ready ? ok(this.#createConnection(socket, parsePeerMember(welcome.member), reader)) : fail('rejected the proof of this process');
 		} catch (error) {
 			return fail('the handshake failed', error);
 		}
@@ -323,7 +332,7 @@
 
 			reader.raiseLimit();
 			socket.write(encodeFrame({ready: true} satisfies ReadyMessage));
-			this.#createConnection(socket, hello.member, reader);
+			this.#createConnection(socket, parsePeerMember(hello.member), reader);
 		} catch (error) {
 			refuse(describeError(error));
 		} finally {
@@ -337,6 +346,8 @@
 		const connection = new PeerConnection(socket, {
 			clock: this.#opts.clock, timing: this.#opts.timing, remote, handlers: this.#handlers, bufferedMessages, decoder: reader.decoder, traffic: this.traffic, bytes: this.#bytes, onRefused: reason => {
 				this.#opts.onRefused?.({address: socket.remoteAddress ?? remote.address, instance: remote.instance, reason});
+			}, onUnusable: unusable => {
+				this.#opts.onUnusable?.({...unusable, instance: remote.instance});
 			},
 		});
 		this.#connections.add(connection);
--- a/packages/plugins/edge/src/calls/attempt.ts
+++ b/packages/plugins/edge/src/calls/attempt.ts
@@ -6,6 +6,7 @@
 } from '@hickorytrack/endpoint-client';
 import {ByteCollector} from '@hickorytrack/http-answer/byte-collector';
 import type {ReceivedAnswer} from '@hickorytrack/http-answer/answer-reader';
+import type {SocketAddress} from '@hickorytrack/socket-address';
 import type {EventSink} from '../streams/event-relay.js';
 import type {AnswerCharge, AnswerHold} from './answer-hold.js';
 
@@ -123,7 +124,7 @@
 }
 
 /** Sends the request and resolves when the attempt has ended, whatever its outcome. Never rejects. */
-export async function runAttempt(client: EndpointClient, address: string, opts: AttemptOptions & {request: OutboundRequest}): Promise<AttemptResult> {
+export async function runAttempt(client: EndpointClient, address: SocketAddress, opts: AttemptOptions & {request: OutboundRequest}): Promise<AttemptResult> {
 	return new Promise(resolve => {
 		const cancelAttempt = () => {
 			collector.cancel(attemptOutcomes.cancelled);
--- a/packages/plugins/edge/src/crashes/crash-reports.ts
+++ b/packages/plugins/edge/src/crashes/crash-reports.ts
@@ -14,7 +14,7 @@
 import {answerVerdicts, type AnswerVerdict} from '@hickorytrack/http-answer/answer-reader';
 import type {Mesh} from '@hickorytrack/mesh';
 import type {MetricsRegistry} from '@hickorytrack/metrics-registry';
-import {parseAddress} from '@hickorytrack/peer-link/peer-node';
+import {splitAddress, type SocketAddress} from '@hickorytrack/socket-address';
 import type {CallerRequest} from '../front/caller-request.js';
 import type {RateLimitedEventLog} from '../front/rate-limited-event-log.js';
 import {computeSettleMs} from '../calls/settle-time.js';
@@ -42,7 +42,7 @@
 	metrics: Pick<MetricsRegistry, 'count' | 'set'>;
 	/** Interval between two reports of a server, in milliseconds. */
 	reportIntervalMs: number;
-	probe?: (address: string) => Promise<ServerCondition>;
+	probe?: (address: SocketAddress) => Promise<ServerCondition>;
 };
 
 /** What a probe of a server has found. */
@@ -361,9 +361,9 @@
 	return `${id}/${startedAt}`;
 }
 
-async function probeServer(address: string): Promise<ServerCondition> {
+async function probeServer(address: SocketAddress): Promise<ServerCondition> {
 	return new Promise(resolve => {
-		const socket = connect({...parseAddress(address), timeout: crashProbeTimeoutMs});
+		const socket = connect({...splitAddress(address), timeout: crashProbeTimeoutMs});
 		const finish = (condition: ServerCondition) => {
 			socket.destroy();
 			resolve(condition);
--- a/packages/plugins/edge/src/front/http-frontend.ts
+++ b/packages/plugins/edge/src/front/http-frontend.ts
@@ -9,6 +9,7 @@
 import type {Socket} from 'node:net';
 import type {ByteAccount} from '@hickorytrack/byte-account';
 import type {Clock} from '@hickorytrack/clock';
+import {maxDurationMs} from '@hickorytrack/fields';
 import {LingeringClose, type CutClose} from '@hickorytrack/lingering-close';
 import {breakOff} from '@hickorytrack/lingering-close/break-off';
 import {listSharedParts} from '@hickorytrack/prompt-placement/prompt';
@@ -135,8 +136,8 @@
 
 	/** Applies the limits of a new configuration. */
 	applyLimits(limits: {headerTimeoutMs: number; idleTimeoutMs: number}): void {
-		this.#server.headersTimeout = limits.headerTimeoutMs;
-		this.#server.keepAliveTimeout = limits.idleTimeoutMs + idleMarginMs;
+		this.#server.headersTimeout = Math.round(limits.headerTimeoutMs);
+		this.#server.keepAliveTimeout = Math.min(maxDurationMs, limits.idleTimeoutMs + idleMarginMs);
 	}
 
 	/** Responses to requests that arrive from now on carry `connection: close`. */
--- a/packages/plugins/edge/src/request-codec.ts
+++ b/packages/plugins/edge/src/request-codec.ts
@@ -3,6 +3,7 @@
  * names.
  */
 import type {Buffer} from 'node:buffer';
+import type {SocketAddress} from '@hickorytrack/socket-address';
 import type {ResponseHead} from '@hickorytrack/endpoint-client';
 import type {AnswerIdentity} from '@hickorytrack/endpoint-client/answer-identity';
 import type {KnownServer} from '@hickorytrack/endpoint-registry';
@@ -27,7 +28,7 @@
 /** Handle of the KV cache of a prefilled prompt, which its server holds until another server fetches it. */
 export type KvHandle = {
 	/** IP address and port of the server that holds the KV cache. */
-	address: string;
+	address: SocketAddress;
 	handle: string;
 };
 
@@ -41,9 +42,9 @@
 	isPrefillOnly?: boolean;
 	kvHandle?: KvHandle;
 	/** Address of a server whose prefix cache may hold the beginning of the prompt. */
-	prefixCacheAddress?: string;
+	prefixCacheAddress?: SocketAddress;
 	/** Address of a server that keeps a copy of the request's KV cache while it grows. */
-	kvBackupAddress?: string;
+	kvBackupAddress?: SocketAddress;
 	/** Id of the event after which the stream resumes. */
 	lastEventId?: string;
 };
@@ -88,7 +89,7 @@
 	createAnswerIdentity(requestId: string): AnswerIdentity;
 	decodeResponseHead(head: ResponseHead): ResponseMetadata;
 	/** Decodes the response of a server that has prefilled a prompt. */
-	decodeKvHandle(address: string, body: string): KvHandle | undefined;
+	decodeKvHandle(address: SocketAddress, body: string): KvHandle | undefined;
 	/** Creates the call that releases a KV cache which no server will fetch. */
 	createReleaseCall(handle: KvHandle): ServerCall;
 	/** Creates the call that asks a server for its stage status. */
--- a/packages/plugins/edge/test/attempt.test.ts
+++ b/packages/plugins/edge/test/attempt.test.ts
@@ -4,6 +4,7 @@
 import type {EndpointClient, OutboundRequest, ResponseHandler} from '@hickorytrack/endpoint-client';
 import {ByteBudget} from '@hickorytrack/http-answer/byte-budget';
 import {unlimitedGrant} from '@hickorytrack/endpoint-client/send-grant';
+import type {SocketAddress} from '@hickorytrack/socket-address';
 import {
 	AttemptCanceller, attemptOutcomes, runAttempt, type AttemptResult,
 } from '../src/calls/attempt.js';
@@ -46,7 +47,7 @@
 				silences.push(silentMs);
 			},
 		};
-		void runAttempt(client, 'a:1', {
+		void runAttempt(client, 'a:1' as SocketAddress, {
 			clock, signal: new AbortController().signal, timeoutMs: 10_000, relay, isStream: () => true, silence, canceller, request,
 		}).then(ended => {
 			result = ended;
--- a/packages/plugins/edge/test/crash-reports.test.ts
+++ b/packages/plugins/edge/test/crash-reports.test.ts
@@ -5,6 +5,7 @@
 import {EventLog} from '@hickorytrack/events';
 import {answerVerdicts} from '@hickorytrack/http-answer/answer-reader';
 import {MetricsRegistry} from '@hickorytrack/metrics-registry';
+import type {SocketAddress} from '@hickorytrack/socket-address';
 import type {CallerRequest} from '../src/front/caller-request.js';
 import {CrashReports, type ServerCondition} from '../src/crashes/crash-reports.js';
 import {RateLimitedEventLog} from '../src/front/rate-limited-event-log.js';
@@ -53,7 +54,7 @@
 
 	const addServer = (id: string, changes: Partial<ServerReport> = {}): KnownServer => {
 		registry.recordReport({
-			id, startedAt: 1, sequence: 1, service: 's', address: `${id}:1`, availabilityZone: 'z', slots: 8, state: 'ready', coldMs: 0, ...changes,
+			id, startedAt: 1, sequence: 1, service: 's', address: `${id}:1` as SocketAddress, availabilityZone: 'z', slots: 8, state: 'ready', coldMs: 0, ...changes,
 		});
 		return registry.find(id)!;
 	};
@@ -95,7 +96,7 @@
 			const first = addServer('a', {startedAt: 'startedAt' in successor ? successor.startedAt : 1});
 			expect(await loseAll(first, createRequest('x'))).to.deep.equal(['running']);
 			await loseAll(first, createRequest('y'));
-			addServer('id' in successor ? successor.id : 'a', {address: 'a:1', startedAt: clock.now(), ...successor});
+			addServer('id' in successor ? successor.id : 'a', {address: 'a:1' as SocketAddress, startedAt: clock.now(), ...successor});
 			expect(listCrashes()).to.deep.equal([[`a/${first.startedAt}`, ['part:y', 'part:x']]]);
 		});
 	}
--- a/packages/plugins/edge/test/edge-parts.test.ts
+++ b/packages/plugins/edge/test/edge-parts.test.ts
@@ -8,6 +8,7 @@
 import {answerVerdicts, type ReceivedAnswer} from '@hickorytrack/http-answer/answer-reader';
 import {connectionEnds} from '@hickorytrack/http-answer/connection-watch';
 import {MetricsRegistry} from '@hickorytrack/metrics-registry';
+import type {SocketAddress} from '@hickorytrack/socket-address';
 import {RateLimitedEventLog} from '../src/front/rate-limited-event-log.js';
 import {EventRelay} from '../src/streams/event-relay.js';
 import {RetryBudget, retryKinds} from '../src/limits/retry-budget.js';
@@ -15,7 +16,7 @@
 import {SilenceDetector} from '../src/streams/silence-detector.js';
 
 const server: KnownServer = {
-	id: 'a', startedAt: 1, sequence: 1, service: 's', address: '10.0.0.1:80', availabilityZone: 'z', slots: 6, state: 'ready', coldMs: 0, heardAt: 0, order: 1,
+	id: 'a', startedAt: 1, sequence: 1, service: 's', address: '10.0.0.1:80' as SocketAddress, availabilityZone: 'z', slots: 6, state: 'ready', coldMs: 0, heardAt: 0, order: 1,
 };
 
 describe('retry budget', () => {
--- a/packages/plugins/edge/test/report-sharing.test.ts
+++ b/packages/plugins/edge/test/report-sharing.test.ts
@@ -4,10 +4,11 @@
 import {EndpointRegistry, type ServerReport} from '@hickorytrack/endpoint-registry';
 import {HickorytrackError} from '@hickorytrack/errors';
 import {peerFeatures, type PeerMember} from '@hickorytrack/types/peer-methods';
+import type {SocketAddress} from '@hickorytrack/socket-address';
 import {ReportSharing, type ReportPeer} from '../src/sharing/report-sharing.js';
 
 const report: ServerReport = {
-	id: 'server', startedAt: 1000, sequence: 1, service: 's', address: '10.0.0.1:80', availabilityZone: 'z', slots: 6, state: 'ready', coldMs: 0,
+	id: 'server', startedAt: 1000, sequence: 1, service: 's', address: '10.0.0.1:80' as SocketAddress, availabilityZone: 'z', slots: 6, state: 'ready', coldMs: 0,
 };
 
 /** Two hubs with two leaves each. Every leaf is connected to both hubs and uses one of them as its relay. */
--- a/packages/plugins/edge/test/retry-fleet.ts
+++ b/packages/plugins/edge/test/retry-fleet.ts
@@ -27,6 +27,7 @@
 import {SharedRate} from '@hickorytrack/shared-rate';
 import {LimitNews} from '@hickorytrack/shared-rate/limit-news';
 import {requestKinds, type Route} from '@hickorytrack/route-table/route-types';
+import type {SocketAddress} from '@hickorytrack/socket-address';
 import type {StartProof} from '../src/streams/start-proof.js';
 import {AnswerMeasurements} from '../src/calls/answer-measurements.js';
 import {BufferedForwarder} from '../src/buffered/buffered-forwarder.js';
@@ -116,7 +117,7 @@
 		for (const {registry} of this.#contexts) {
 			for (let index = 0; index < serversPerStage * 2; index++) {
 				registry.recordReport({
-					id: `s${index}`, startedAt: 1, sequence: this.#reports, service: 's', address: `s${index}`, availabilityZone: 'z', slots: 100, state: 'ready', coldMs: 0, stage: index < serversPerStage ? 'prefill' : 'decode',
+					id: `s${index}`, startedAt: 1, sequence: this.#reports, service: 's', address: `s${index}` as SocketAddress, availabilityZone: 'z', slots: 100, state: 'ready', coldMs: 0, stage: index < serversPerStage ? 'prefill' : 'decode',
 				});
 			}
 		}
--- a/packages/plugins/edge/test/server-calls.test.ts
+++ b/packages/plugins/edge/test/server-calls.test.ts
@@ -6,6 +6,7 @@
 import {unlimitedGrant} from '@hickorytrack/endpoint-client/send-grant';
 import {EndpointRegistry} from '@hickorytrack/endpoint-registry';
 import {LoadTracker} from '@hickorytrack/prompt-placement/load-tracker';
+import type {SocketAddress} from '@hickorytrack/socket-address';
 import type {ForwardContext} from '../src/calls/forward-context.js';
 import {releaseKvCache} from '../src/streams/kv-release.js';
 import type {RequestCodec} from '../src/request-codec.js';
@@ -43,7 +44,7 @@
 		});
 		registry = new EndpointRegistry({clock, reportTimeoutMs: 5000});
 		registry.recordReport({
-			id: 'a', startedAt: 1000, sequence: 1, service: 's', address: `127.0.0.1:${(server.address() as AddressInfo).port}`, availabilityZone: 'z', slots: 6, state: 'ready', coldMs: 0,
+			id: 'a', startedAt: 1000, sequence: 1, service: 's', address: `127.0.0.1:${(server.address() as AddressInfo).port}` as SocketAddress, availabilityZone: 'z', slots: 6, state: 'ready', coldMs: 0,
 		});
 	});
 
--- a/packages/plugins/edge/test/server-health.test.ts
+++ b/packages/plugins/edge/test/server-health.test.ts
@@ -1,10 +1,11 @@
 import {expect} from 'chai';
 import {ManualClock} from '@hickorytrack/clock/manual-clock';
 import type {KnownServer} from '@hickorytrack/endpoint-registry';
+import type {SocketAddress} from '@hickorytrack/socket-address';
 import {ServerHealth} from '../src/calls/server-health.js';
 
 const createServer = (id: string): KnownServer => ({
-	id, startedAt: 1, sequence: 1, service: 's', address: `10.0.0.1:${id}`, availabilityZone: 'z', slots: 6, state: 'ready', coldMs: 0, heardAt: 0, order: 1,
+	id, startedAt: 1, sequence: 1, service: 's', address: `10.0.0.1:${id}` as SocketAddress, availabilityZone: 'z', slots: 6, state: 'ready', coldMs: 0, heardAt: 0, order: 1,
 });
 const answer = {
 	address: '10.0.0.1:80', callKind: 'run', expectedId: 'b', receivedId: 'a', status: 200, isJoined: false,
--- a/packages/plugins/edge/test/server-pauses.test.ts
+++ b/packages/plugins/edge/test/server-pauses.test.ts
@@ -2,6 +2,7 @@
 import {ManualClock} from '@hickorytrack/clock/manual-clock';
 import type {KnownServer} from '@hickorytrack/endpoint-registry';
 import {LoadTracker} from '@hickorytrack/prompt-placement/load-tracker';
+import type {SocketAddress} from '@hickorytrack/socket-address';
 import {ServerPauses} from '../src/limits/server-pauses.js';
 
 describe('server pauses', () => {
@@ -9,7 +10,7 @@
 	let loadTracker: LoadTracker;
 	let pauses: ServerPauses;
 	const server: KnownServer = {
-		id: 's1', startedAt: 1000, sequence: 1, service: 's', address: '10.0.0.1:80', availabilityZone: 'z', slots: 8, state: 'ready', coldMs: 0, heardAt: 0, order: 1,
+		id: 's1', startedAt: 1000, sequence: 1, service: 's', address: '10.0.0.1:80' as SocketAddress, availabilityZone: 'z', slots: 8, state: 'ready', coldMs: 0, heardAt: 0, order: 1,
 	};
 	const other = {...server, id: 's2'};
 
--- a/packages/plugins/edge/test/stream-planner.test.ts
+++ b/packages/plugins/edge/test/stream-planner.test.ts
@@ -8,6 +8,7 @@
 import {SharedRate} from '@hickorytrack/shared-rate';
 import {LimitNews} from '@hickorytrack/shared-rate/limit-news';
 import {RateIssuer} from '@hickorytrack/shared-rate/rate-issuer';
+import type {SocketAddress} from '@hickorytrack/socket-address';
 import type {CallerRequest} from '../src/front/caller-request.js';
 import {AttemptCanceller} from '../src/calls/attempt.js';
 import type {ForwardContext} from '../src/calls/forward-context.js';
@@ -25,7 +26,7 @@
 		const clock = new ManualClock();
 		const registry = new EndpointRegistry({clock, reportTimeoutMs: 60_000});
 		registry.recordReport({
-			id: 's1', startedAt: 1, sequence: 1, service: 's', address: 'a', availabilityZone: 'z', slots: 8, state: 'ready', coldMs: 0,
+			id: 's1', startedAt: 1, sequence: 1, service: 's', address: 'a' as SocketAddress, availabilityZone: 'z', slots: 8, state: 'ready', coldMs: 0,
 		});
 		const server: KnownServer = registry.find('s1')!;
 		const news = new LimitNews(clock);
--- a/packages/routing/endpoint-client/src/endpoint-client.ts
+++ b/packages/routing/endpoint-client/src/endpoint-client.ts
@@ -7,6 +7,7 @@
 import type {Buffer} from 'node:buffer';
 import {errors, type Dispatcher} from 'undici';
 import type {Clock} from '@hickorytrack/clock';
+import type {SocketAddress} from '@hickorytrack/socket-address';
 import {describeError, HickorytrackError} from '@hickorytrack/errors';
 import type {AnswerHead} from '@hickorytrack/http-answer/answer-framing';
 import {AnswerReader, answerVerdicts, type ReceivedAnswer} from '@hickorytrack/http-answer/answer-reader';
@@ -135,11 +136,11 @@
 	}
 
 	/** Closes the idle connections to a server that has left. */
-	closeIdle(address: string): void {
+	closeIdle(address: SocketAddress): void {
 		this.#connections.closeIdle(address);
 	}
 
-	countBusy(address: string): number {
+	countBusy(address: SocketAddress): number {
 		return this.#connections.countBusy(address);
 	}
 
@@ -147,7 +148,7 @@
 		this.#connections.close();
 	}
 
-	send(address: string, request: OutboundRequest, handler: ResponseHandler): SentRequest {
+	send(address: SocketAddress, request: OutboundRequest, handler: ResponseHandler): SentRequest {
 		const connection = this.#connections.acquire(address, {
 			limit: request.connectionLimit, needsVerifiedConnection: request.needsVerifiedConnection, answerId: request.identity?.expectedId, recipient: request.recipient,
 		});
@@ -182,7 +183,7 @@
 };
 
 class Exchange implements SentRequest {
-	readonly #address: string;
+	readonly #address: SocketAddress;
 	readonly #opts: ExchangeOptions;
 	#controller: Dispatcher.DispatchController | undefined;
 	#isWritten = false;
@@ -200,7 +201,7 @@
 		},
 	};
 
-	constructor(address: string, opts: ExchangeOptions) {
+	constructor(address: SocketAddress, opts: ExchangeOptions) {
 		this.#address = address;
 		this.#opts = opts;
 	}
--- a/packages/routing/endpoint-client/src/server-connections.ts
+++ b/packages/routing/endpoint-client/src/server-connections.ts
@@ -9,6 +9,7 @@
  */
 import {buildConnector, Client} from 'undici';
 import type {Clock} from '@hickorytrack/clock';
+import type {SocketAddress} from '@hickorytrack/socket-address';
 import type {ByteBound} from '@hickorytrack/http-answer/byte-budget';
 import {ConnectionWatch} from '@hickorytrack/http-answer/connection-watch';
 
@@ -55,11 +56,11 @@
 
 export class ServerConnections {
 	readonly #opts: ServerConnectionsOptions;
-	readonly #byAddress = new Map<string, ServerConnection[]>();
+	readonly #byAddress = new Map<SocketAddress, ServerConnection[]>();
 	/** Idle time up to which connections are reused, for each address with a recent reset after an idle period. */
-	readonly #idleLimits = new Map<string, {maxIdleMs: number; expiresAt: number}>();
+	readonly #idleLimits = new Map<SocketAddress, {maxIdleMs: number; expiresAt: number}>();
 	/** Time until which connections carry one request each, for each address with a recent late answer. */
-	readonly #singleUseUntil = new Map<string, number>();
+	readonly #singleUseUntil = new Map<SocketAddress, number>();
 
 	constructor(opts: ServerConnectionsOptions) {
 		this.#opts = opts;
@@ -70,7 +71,7 @@
 	 * answer bears no id gets a new one, and so does one whose answer would bear the id of the last answer. Idle connections to
 	 * an earlier start of the server, or to another server at the address, are closed.
 	 */
-	acquire(address: string, opts: {limit: number; needsVerifiedConnection: boolean; answerId: string | undefined; recipient?: Recipient}): ServerConnection | undefined {
+	acquire(address: SocketAddress, opts: {limit: number; needsVerifiedConnection: boolean; answerId: string | undefined; recipient?: Recipient}): ServerConnection | undefined {
 		if (opts.recipient) {
 			this.#closeIdleOfOthers(address, opts.recipient);
 		}
@@ -98,7 +99,7 @@
 	}
 
 	/** Makes a connection available again after a complete response. */
-	release(address: string, connection: ServerConnection, answerId: string): void {
+	release(address: SocketAddress, connection: ServerConnection, answerId: string): void {
 		if (this.#isSingleUse(address)) {
 			this.discard(address, connection);
 			return;
@@ -111,7 +112,7 @@
 	}
 
 	/** Returns whether a failed connection was lost while it was idle, and if so lowers the idle limit of the address. */
-	recordFailure(address: string, connection: ServerConnection): boolean {
+	recordFailure(address: SocketAddress, connection: ServerConnection): boolean {
 		const {idleMsBefore} = connection;
 		if (idleMsBefore === undefined || idleMsBefore < minIdleMs) {
 			return false;
@@ -124,14 +125,14 @@
 	}
 
 	/** Records that an answer to an earlier request, or bytes behind it, were read where the answer to the next one was due. */
-	recordLateAnswer(address: string): void {
+	recordLateAnswer(address: SocketAddress): void {
 		this.#removeExpired();
 		this.#singleUseUntil.set(address, this.#opts.clock.monotonic() + lateAnswerTtlMs);
 		this.closeIdle(address);
 	}
 
 	/** Closes a connection whose state is unknown. */
-	discard(address: string, connection: ServerConnection): void {
+	discard(address: SocketAddress, connection: ServerConnection): void {
 		connection.isClosed = true;
 		const connections = this.#byAddress.get(address);
 		const index = connections?.indexOf(connection) ?? -1;
@@ -145,12 +146,12 @@
 		void connection.client.destroy();
 	}
 
-	countBusy(address: string): number {
+	countBusy(address: SocketAddress): number {
 		return this.#byAddress.get(address)?.filter(connection => connection.isBusy).length ?? 0;
 	}
 
 	/** Closes the idle connections to a server that has left. */
-	closeIdle(address: string): void {
+	closeIdle(address: SocketAddress): void {
 		const idle = this.#byAddress.get(address)?.filter(connection => !connection.isBusy) ?? [];
 		for (const connection of idle) {
 			this.discard(address, connection);
@@ -185,7 +186,7 @@
 		}
 	}
 
-	#isSingleUse(address: string): boolean {
+	#isSingleUse(address: SocketAddress): boolean {
 		const until = this.#singleUseUntil.get(address);
 		if (until !== undefined && until < this.#opts.clock.monotonic()) {
 			this.#singleUseUntil.delete(address);
@@ -199,7 +200,7 @@
 		return this.#opts.clock.monotonic() - connection.lastResponseAt;
 	}
 
-	#getMaxIdleMs(address: string): number {
+	#getMaxIdleMs(address: SocketAddress): number {
 		const idleLimit = this.#idleLimits.get(address);
 		if (idleLimit && idleLimit.expiresAt < this.#opts.clock.monotonic()) {
 			this.#idleLimits.delete(address);
@@ -225,14 +226,14 @@
 		return idle !== undefined;
 	}
 
-	#closeIdleOfOthers(address: string, {id, startedAt}: Recipient): void {
+	#closeIdleOfOthers(address: SocketAddress, {id, startedAt}: Recipient): void {
 		const others = this.#byAddress.get(address)?.filter(({isBusy, recipient}) => !isBusy && (recipient?.id !== id || recipient.startedAt !== startedAt)) ?? [];
 		for (const connection of others) {
 			this.discard(address, connection);
 		}
 	}
 
-	#open(address: string, recipient: Recipient | undefined): ServerConnection {
+	#open(address: SocketAddress, recipient: Recipient | undefined): ServerConnection {
 		const connect = buildConnector({timeout: this.#opts.connectTimeoutMs});
 		const client = new Client(`http://${address}`, {
 			pipelining: 1,
--- a/packages/routing/endpoint-client/test/answer-identity.test.ts
+++ b/packages/routing/endpoint-client/test/answer-identity.test.ts
@@ -5,6 +5,7 @@
 import {expect} from 'chai';
 import {ManualClock} from '@hickorytrack/clock/manual-clock';
 import {SystemClock} from '@hickorytrack/clock/system-clock';
+import type {SocketAddress} from '@hickorytrack/socket-address';
 import {EndpointClient, type EndpointClientError, type ResponseHead} from '../src/endpoint-client.js';
 import type {AnswerIdentity, ForeignAnswer} from '../src/answer-identity.js';
 import {unlimitedGrant} from '../src/send-grant.js';
@@ -73,7 +74,7 @@
 
 	const send = async (id: string, opts: {hasIdentity?: boolean; onHead?: () => void} = {}) => new Promise<Result>(resolve => {
 		const result: Result = {body: ''};
-		const sentRequest = client.send(address, {
+		const sentRequest = client.send(address as SocketAddress, {
 			callKind: 'run', method: 'GET', grant: unlimitedGrant, path: '/a', headers: ['host', 'a.example', 'x-id', id], needsVerifiedConnection: false, connectionLimit: 4, identity: opts.hasIdentity === false ? undefined : createIdentity(id),
 		}, {
 			onHead(head) {
@@ -331,7 +332,7 @@
 		const earlyAddress = `127.0.0.1:${(early.address() as AddressInfo).port}`;
 		const post = async (id: string) => new Promise<number | undefined>(resolve => {
 			let status: number | undefined;
-			client.send(earlyAddress, {
+			client.send(earlyAddress as SocketAddress, {
 				callKind: 'run', method: 'POST', grant: unlimitedGrant, path: '/a', headers: ['host', 'a.example', 'x-id', id], body, needsVerifiedConnection: false, connectionLimit: 1, identity: createIdentity(id),
 			}, {
 				onHead(head) {
--- a/packages/routing/endpoint-client/test/endpoint-client.test.ts
+++ b/packages/routing/endpoint-client/test/endpoint-client.test.ts
@@ -5,6 +5,7 @@
 import {expect} from 'chai';
 import {ManualClock} from '@hickorytrack/clock/manual-clock';
 import {SystemClock} from '@hickorytrack/clock/system-clock';
+import type {SocketAddress} from '@hickorytrack/socket-address';
 import {EndpointClient, type ResponseHead, type EndpointClientError} from '../src/endpoint-client.js';
 import {unlimitedGrant} from '../src/send-grant.js';
 
@@ -44,7 +45,7 @@
 		const response: ReceivedResponse = {body: ''};
 		count++;
 		const id = String(count);
-		client.send(address, {
+		client.send(address as SocketAddress, {
 			callKind: 'run', method: 'GET', grant: unlimitedGrant, path: '/a', headers: ['host', 'a.example'], needsVerifiedConnection: false, connectionLimit: 4, identity: {expectedId: id, readId: () => id}, ...opts,
 		}, {
 			onHead(head) {
@@ -107,7 +108,7 @@
 				server = started.server;
 				let bodyBytes = 0;
 				const outcome = await new Promise(resolve => {
-					const sent = client.send(started.address, {
+					const sent = client.send(started.address as SocketAddress, {
 						callKind: 'run', method: 'GET', grant: unlimitedGrant, path: '/a', headers: ['host', 'a.example'], needsVerifiedConnection: false, connectionLimit: 4, identity: {expectedId: '1', readId: () => '1'},
 					}, {
 						onHead() {/* The test looks at the end only. */},
--- a/packages/routing/endpoint-client/test/head-bounds.test.ts
+++ b/packages/routing/endpoint-client/test/head-bounds.test.ts
@@ -2,6 +2,7 @@
 import {expect} from 'chai';
 import {SystemClock} from '@hickorytrack/clock/system-clock';
 import {ByteBudget} from '@hickorytrack/http-answer/byte-budget';
+import type {SocketAddress} from '@hickorytrack/socket-address';
 import {EndpointClient} from '../src/endpoint-client.js';
 import {unlimitedGrant} from '../src/send-grant.js';
 
@@ -37,7 +38,7 @@
 	});
 
 	const send = async () => new Promise<string>(resolve => {
-		client.send(`127.0.0.1:${(server.address() as AddressInfo).port}`, {
+		client.send(`127.0.0.1:${(server.address() as AddressInfo).port}` as SocketAddress, {
 			callKind: 'run', method: 'GET', grant: unlimitedGrant, path: '/', headers: [], needsVerifiedConnection: false, connectionLimit: 10, identity: {expectedId: '1', readId: () => '1'},
 		}, {
 			onHead() {/* The end tells. */}, onData() {/* The end tells. */}, onEnd() {
--- a/packages/routing/endpoint-client/test/nested-callbacks.test.ts
+++ b/packages/routing/endpoint-client/test/nested-callbacks.test.ts
@@ -7,6 +7,7 @@
 import {expect} from 'chai';
 import {SystemClock} from '@hickorytrack/clock/system-clock';
 import {HttpCall} from '@hickorytrack/http-answer/http-call';
+import type {SocketAddress} from '@hickorytrack/socket-address';
 import {EndpointClient, type ResponseHandler, type SentRequest} from '../src/endpoint-client.js';
 import {unlimitedGrant} from '../src/send-grant.js';
 
@@ -106,7 +107,7 @@
 
 	const send = async (path: string, handler: Partial<ResponseHandler> = {}): Promise<{sent: SentRequest; outcome: Outcome}> => {
 		const outcome: Outcome = {settlements: [], body: ''};
-		const sent = client.send(address, {
+		const sent = client.send(address as SocketAddress, {
 			callKind: 'run', method: 'GET', grant: unlimitedGrant, path, headers: ['host', 'a.example'], needsVerifiedConnection: false, connectionLimit: 8, identity: {expectedId: path, readId: () => path},
 		}, {
 			onHead(head) {
--- a/packages/routing/endpoint-client/test/read-turns.test.ts
+++ b/packages/routing/endpoint-client/test/read-turns.test.ts
@@ -3,6 +3,7 @@
 import type {AddressInfo} from 'node:net';
 import {expect} from 'chai';
 import {SystemClock} from '@hickorytrack/clock/system-clock';
+import type {SocketAddress} from '@hickorytrack/socket-address';
 import {EndpointClient} from '../src/endpoint-client.js';
 import {ReadTurns, type TurnReader} from '../src/read-turns.js';
 import {unlimitedGrant} from '../src/send-grant.js';
@@ -41,7 +42,7 @@
 	/** Reads an answer and returns its size, and the most bytes of it that came in one turn of the event loop. */
 	const read = async (pause?: (resume: () => void) => void) => new Promise<{bytes: number; mostInTurn: number; end: string}>(resolve => {
 		let [bytes, turnBytes, mostInTurn] = [0, 0, 0];
-		const sent = client.send(`127.0.0.1:${(server.address() as AddressInfo).port}`, {
+		const sent = client.send(`127.0.0.1:${(server.address() as AddressInfo).port}` as SocketAddress, {
 			callKind: 'run', method: 'GET', grant: unlimitedGrant, path: '/a', headers: ['host', 'a.example'], needsVerifiedConnection: false, connectionLimit: 100, identity: {expectedId: '1', readId: () => '1'},
 		}, {
 			onHead() {/* Only the body counts. */},
--- a/packages/routing/endpoint-client/test/recipients.test.ts
+++ b/packages/routing/endpoint-client/test/recipients.test.ts
@@ -4,6 +4,7 @@
 } from 'node:net';
 import {expect} from 'chai';
 import {SystemClock} from '@hickorytrack/clock/system-clock';
+import type {SocketAddress} from '@hickorytrack/socket-address';
 import {EndpointClient} from '../src/endpoint-client.js';
 import type {Recipient} from '../src/server-connections.js';
 import {unlimitedGrant} from '../src/send-grant.js';
@@ -53,7 +54,7 @@
 	const send = async (recipient: Recipient | undefined, opts: {readId?: () => string; body?: Buffer} = {}) => new Promise<string>(resolve => {
 		count++;
 		const id = String(count);
-		client.send(address, {
+		client.send(address as SocketAddress, {
 			callKind: 'run', method: 'POST', grant: unlimitedGrant, path: '/a', headers: [], needsVerifiedConnection: false, connectionLimit: 4, recipient, body: opts.body, identity: {expectedId: id, readId: opts.readId ?? (() => id)},
 		}, {
 			onHead() {
--- a/packages/routing/endpoint-client/test/server-connections.test.ts
+++ b/packages/routing/endpoint-client/test/server-connections.test.ts
@@ -1,5 +1,6 @@
 import {expect} from 'chai';
 import {ManualClock} from '@hickorytrack/clock/manual-clock';
+import type {SocketAddress} from '@hickorytrack/socket-address';
 import {ServerConnections} from '../src/server-connections.js';
 
 describe('connections to servers', () => {
@@ -9,11 +10,11 @@
 		const connections = new ServerConnections({clock, connectTimeoutMs: 500});
 		for (let port = 1; port <= 300; port++) {
 			const address = `127.0.0.1:${port}`;
-			const connection = connections.acquire(address, {limit: 1, needsVerifiedConnection: false, answerId: 'a'})!;
+			const connection = connections.acquire(address as SocketAddress, {limit: 1, needsVerifiedConnection: false, answerId: 'a'})!;
 			connection.idleMsBefore = 1000;
-			expect(connections.recordFailure(address, connection)).to.equal(true);
-			connections.recordLateAnswer(address);
-			connections.discard(address, connection);
+			expect(connections.recordFailure(address as SocketAddress, connection)).to.equal(true);
+			connections.recordLateAnswer(address as SocketAddress);
+			connections.discard(address as SocketAddress, connection);
 			await clock.advance(1000);
 		}
 
--- a/packages/routing/endpoint-client/test/written-requests.test.ts
+++ b/packages/routing/endpoint-client/test/written-requests.test.ts
@@ -6,6 +6,7 @@
 import {expect} from 'chai';
 import {SystemClock} from '@hickorytrack/clock/system-clock';
 import {Random} from '@hickorytrack/random';
+import type {SocketAddress} from '@hickorytrack/socket-address';
 import {EndpointClient, type EndpointClientError, type OutboundRequest} from '../src/endpoint-client.js';
 import {unlimitedGrant} from '../src/send-grant.js';
 
@@ -113,7 +114,7 @@
 		let cancel = () => {/* Replaced below, unless the request has failed. */};
 		const outcome = new Promise<Outcome>(resolve => {
 			let status: number | undefined;
-			const sent = client.send(address, {
+			const sent = client.send(address as SocketAddress, {
 				method: 'POST', path, headers: ['host', 'a.example'], callKind: 'test', grant: unlimitedGrant, identity: {expectedId: path, readId: head => head.headers['x-id']?.toString()}, needsVerifiedConnection: false, connectionLimit: 4, ...opts,
 			}, {
 				onHead(head) {
--- a/packages/routing/endpoint-registry/src/endpoint-registry.ts
+++ b/packages/routing/endpoint-registry/src/endpoint-registry.ts
@@ -7,6 +7,7 @@
  * started last at it.
  */
 import type {Clock} from '@hickorytrack/clock';
+import type {SocketAddress} from '@hickorytrack/socket-address';
 
 export const serverStates = {
 	ready: 'ready',
@@ -28,8 +29,7 @@
 	/** Increases with each report of one incarnation. */
 	sequence: number;
 	service: string;
-	/** IP and port. */
-	address: string;
+	address: SocketAddress;
 	availabilityZone: string;
 	slots: number;
 	state: ServerState;
--- a/packages/routing/endpoint-registry/test/endpoint-registry.test.ts
+++ b/packages/routing/endpoint-registry/test/endpoint-registry.test.ts
@@ -1,9 +1,10 @@
 import {expect} from 'chai';
 import {ManualClock} from '@hickorytrack/clock/manual-clock';
+import type {SocketAddress} from '@hickorytrack/socket-address';
 import {EndpointRegistry, type ServerReport} from '../src/endpoint-registry.js';
 
 const report: ServerReport = {
-	id: 'a', startedAt: 1000, sequence: 1, service: 's', address: '10.0.0.1:80', availabilityZone: 'z', slots: 6, state: 'ready', coldMs: 0,
+	id: 'a', startedAt: 1000, sequence: 1, service: 's', address: '10.0.0.1:80' as SocketAddress, availabilityZone: 'z', slots: 6, state: 'ready', coldMs: 0,
 };
 
 describe('endpoint registry', () => {
@@ -156,7 +157,7 @@
 		// Late news of a server that was never known took the address from its successor when neither reports a start time.
 		it('takes no address from a server without a start time', () => {
 			const successor = {
-				...report, startedAt: 0, id: 'successor', address: '10.0.0.2:80',
+				...report, startedAt: 0, id: 'successor', address: '10.0.0.2:80' as SocketAddress,
 			};
 			registry.recordReport(successor);
 			registry.recordReport({...successor, id: 'predecessor', state: 'leaving'});
@@ -177,7 +178,7 @@
 
 	it('orders servers that report no start time by when they became known', () => {
 		const first = {
-			...report, startedAt: 0, address: '10.0.0.2:80', id: 'first',
+			...report, startedAt: 0, address: '10.0.0.2:80' as SocketAddress, id: 'first',
 		};
 		registry.recordReport(first);
 		registry.recordReport({...first, id: 'second'});
--- a/packages/routing/endpoint-registry/test/leaving-servers.test.ts
+++ b/packages/routing/endpoint-registry/test/leaving-servers.test.ts
@@ -2,6 +2,7 @@
 import {expect} from 'chai';
 import {ManualClock} from '@hickorytrack/clock/manual-clock';
 import {Random} from '@hickorytrack/random';
+import type {SocketAddress} from '@hickorytrack/socket-address';
 import {EndpointRegistry, type Incarnation, type ServerReport} from '../src/endpoint-registry.js';
 
 const seeds = 300;
@@ -116,7 +117,7 @@
 	#createStart(address: string, id: string): ServerReport {
 		this.#starts++;
 		return {
-			id, startedAt: this.#reportsStart ? this.#starts : 0, sequence: 0, service: 's', address, availabilityZone: 'z', slots: 1, state: 'ready', coldMs: 0,
+			id, startedAt: this.#reportsStart ? this.#starts : 0, sequence: 0, service: 's', address: address as SocketAddress, availabilityZone: 'z', slots: 1, state: 'ready', coldMs: 0,
 		};
 	}
 
--- a/packages/routing/engine-profile/test/engine-profile.test.ts
+++ b/packages/routing/engine-profile/test/engine-profile.test.ts
@@ -1,10 +1,11 @@
 import {expect} from 'chai';
 import type {KnownServer} from '@hickorytrack/endpoint-registry';
 import {Random} from '@hickorytrack/random';
+import type {SocketAddress} from '@hickorytrack/socket-address';
 import {EngineProfile} from '../src/engine-profile.js';
 
 const createServer = (id: string, stage: 'prefill' | 'decode' = 'prefill'): KnownServer => ({
-	id, startedAt: 0, sequence: 1, service: 'm', address: `10.0.0.1:${id}`, availabilityZone: 'z', slots: 8, state: 'ready', coldMs: 0, stage, heardAt: 0, order: 1,
+	id, startedAt: 0, sequence: 1, service: 'm', address: `10.0.0.1:${id}` as SocketAddress, availabilityZone: 'z', slots: 8, state: 'ready', coldMs: 0, stage, heardAt: 0, order: 1,
 });
 
 describe('engine profile', () => {
--- a/packages/routing/load-sharing/test/load-sharing.test.ts
+++ b/packages/routing/load-sharing/test/load-sharing.test.ts
@@ -5,12 +5,13 @@
 import {PrefixCacheIndex} from '@hickorytrack/prompt-placement/prefix-cache-index';
 import {LoadTracker} from '@hickorytrack/prompt-placement/load-tracker';
 import type {LoadShare, PeerMember, StoredPrompt} from '@hickorytrack/types/peer-methods';
+import type {SocketAddress} from '@hickorytrack/socket-address';
 import {LoadSharing, shareIntervalMs, type SharePeer} from '../src/load-sharing.js';
 
 const zones = ['north', 'south'];
 const maxDirectInstances = 9;
 const server: KnownServer = {
-	id: 'server', startedAt: 0, sequence: 1, service: 'm', address: '10.1.0.1:1', availabilityZone: 'north', slots: 8, state: 'ready', coldMs: 0, heardAt: 0, order: 1,
+	id: 'server', startedAt: 0, sequence: 1, service: 'm', address: '10.1.0.1:1' as SocketAddress, availabilityZone: 'north', slots: 8, state: 'ready', coldMs: 0, heardAt: 0, order: 1,
 };
 
 class Instance {
--- a/packages/routing/prompt-placement/test/prompt-placement.test.ts
+++ b/packages/routing/prompt-placement/test/prompt-placement.test.ts
@@ -3,6 +3,7 @@
 import type {KnownServer} from '@hickorytrack/endpoint-registry';
 import {EngineProfile} from '@hickorytrack/engine-profile';
 import {Random} from '@hickorytrack/random';
+import type {SocketAddress} from '@hickorytrack/socket-address';
 import {LoadTracker} from '../src/load-tracker.js';
 import {PartUsage} from '../src/part-usage.js';
 import {PrefixCacheIndex} from '../src/prefix-cache-index.js';
@@ -10,7 +11,7 @@
 
 const capacityTokens = 100_000;
 const createServer = (id: string, stage: 'prefill' | 'decode'): KnownServer => ({
-	id, startedAt: 0, sequence: 1, service: 'm', address: `10.0.0.1:${id}`, availabilityZone: 'z', slots: 8, state: 'ready', coldMs: 0, stage, heardAt: 0, order: 1,
+	id, startedAt: 0, sequence: 1, service: 'm', address: `10.0.0.1:${id}` as SocketAddress, availabilityZone: 'z', slots: 8, state: 'ready', coldMs: 0, stage, heardAt: 0, order: 1,
 });
 const prefillServers = ['r1', 'r2'].map(id => createServer(id, 'prefill'));
 const decodeServers = ['g1', 'g2', 'g3', 'g4'].map(id => createServer(id, 'decode'));
--- a/packages/routing/route-store/src/configuration-follower.ts
+++ b/packages/routing/route-store/src/configuration-follower.ts
@@ -5,6 +5,7 @@
  */
 import {err, ok, type Result} from 'neverthrow';
 import type {Clock} from '@hickorytrack/clock';
+import {describeError} from '@hickorytrack/errors';
 import type {EventLog} from '@hickorytrack/events';
 import type {Mesh} from '@hickorytrack/mesh';
 import type {PeerConnection} from '@hickorytrack/peer-link/peer-connection';
@@ -33,6 +34,8 @@
 	#leader: {address: string; term: number; heardAt: number} | undefined;
 	#isConfirmed = false;
 	#isFetching = false;
+	/** Version of the last configuration that could not be installed. */
+	#unusableVersion: number | undefined;
 
 	constructor(opts: ConfigurationFollowerOptions) {
 		this.#opts = opts;
@@ -76,14 +79,26 @@
 		this.#abortController.abort();
 	}
 
-	/** Installs a configuration received from the core, unless its version is not newer than the current one. */
+	/**
+	 * Installs a configuration received from the core, unless its version is not newer than the current one. One that this
+	 * version can't use, because another version has accepted it, leaves the current one in force.
+	 */
 	update(stored: StoredConfiguration): void {
 		if (this.#current && stored.version <= this.#current.version) {
 			return;
 		}
 
-		this.#current = stored;
-		this.#opts.install(stored);
+		if (stored.version === this.#unusableVersion) {
+			return;
+		}
+
+		try {
+			this.#opts.install(stored);
+			this.#current = stored;
+		} catch (error) {
+			this.#unusableVersion = stored.version;
+			this.#opts.events.emit('configurationUnusable', {version: stored.version, message: describeError(error)});
+		}
 	}
 
 	async put(stored: StoredConfiguration): Promise<Result<StoreOutcome, CoreMemberError>> {
--- a/packages/routing/stage-control/test/stage-control.test.ts
+++ b/packages/routing/stage-control/test/stage-control.test.ts
@@ -2,6 +2,7 @@
 import {ManualClock} from '@hickorytrack/clock/manual-clock';
 import {EndpointRegistry, type KnownServer, type ServerStage} from '@hickorytrack/endpoint-registry';
 import {EventLog} from '@hickorytrack/events';
+import type {SocketAddress} from '@hickorytrack/socket-address';
 import {
 	orderOutcomes, StageControl, type OrderOutcome, type ServerStageStatus, type StageClient, type StageOrder,
 } from '../src/stage-control.js';
@@ -43,7 +44,7 @@
 	const report = (id: string, stage: ServerStage) => {
 		sequence++;
 		registry.recordReport({
-			id, startedAt: 0, sequence, service: 'm', address: `10.0.0.1:${id.slice(1)}`, availabilityZone: 'z', slots: 64, state: 'ready', coldMs: 0, stage,
+			id, startedAt: 0, sequence, service: 'm', address: `10.0.0.1:${id.slice(1)}` as SocketAddress, availabilityZone: 'z', slots: 64, state: 'ready', coldMs: 0, stage,
 		});
 	};
 
@@ -169,7 +170,7 @@
 	it('drops a pending change when its server has restarted', async () => {
 		await runRounds();
 		registry.recordReport({
-			id: 's1', startedAt: 9, sequence: 1, service: 'm', address: '10.0.0.1:1', availabilityZone: 'z', slots: 64, state: 'ready', coldMs: 0, stage: 'decode',
+			id: 's1', startedAt: 9, sequence: 1, service: 'm', address: '10.0.0.1:1' as SocketAddress, availabilityZone: 'z', slots: 64, state: 'ready', coldMs: 0, stage: 'decode',
 		});
 		expect(registry.listUsable('m')).to.have.length(2);
 		await runRounds();
