fix: an error of a task that nobody waits for ends no process

Cause: StageControl.run and its like were started without a handler, so that a rejection ended the process at once, with all requests. Change: BackgroundTasks owns them: an error is logged (1007), counted, and the task is started again with a delay that grows. Timers of more than 2^31 ms wait as long as a timer can.

--- a/packages/core/clock/src/system-clock.ts
+++ b/packages/core/clock/src/system-clock.ts
@@ -1,6 +1,9 @@
 /** The clock implementation that reads the system time; the only one used in production. */
 import type {Clock} from './clock.js';
 
+/** Node.js ends a longer timer at once. */
+const maxTimerMs = (2 ** 31) - 1;
+
 export class SystemClock implements Clock {
 	now(): number {
 		return Date.now();
@@ -22,15 +25,19 @@
 				resolve();
 			};
 
-			const timer = setTimeout(finish, Math.max(0, ms));
+			const timer = setTimeout(finish, clampDelay(ms));
 			signal?.addEventListener('abort', finish, {once: true});
 		});
 	}
 
 	startTimer(ms: number, onExpired: () => void): () => void {
-		const timer = setTimeout(onExpired, Math.max(0, ms));
+		const timer = setTimeout(onExpired, clampDelay(ms));
 		return () => {
 			clearTimeout(timer);
 		};
 	}
 }
+
+function clampDelay(ms: number): number {
+	return Math.min(maxTimerMs, Math.max(0, ms));
+}
--- a/packages/plugins/edge/src/edge.ts
+++ b/packages/plugins/edge/src/edge.ts
@@ -4,6 +4,7 @@
  * On a machine of the core (the group that replicates the route configuration) it also runs a member of that group.
  */
 import {err, ok, type Result} from 'neverthrow';
+import type {BackgroundTasks} from '@hickorytrack/background-tasks';
 import {CrashAttribution} from '@hickorytrack/crash-attribution';
 import type {BanKeeper} from '@hickorytrack/crash-attribution/ban-keeper';
 import {
@@ -32,7 +33,8 @@
 import {CrashReports} from './crashes/crash-reports.js';
 import {DeadlineGuard} from './front/deadline-guard.js';
 import {RateLimitedEventLog} from './front/rate-limited-event-log.js';
-import {createRefusalListener} from './create-refusal-listener.js';
+import {createBackgroundTasks} from './create-background-tasks.js';
+import {createRefusalListener, createUnusableListener} from './create-refusal-listener.js';
 import type {EdgeOptions} from './edge-settings.js';
 import {HttpFrontend} from './front/http-frontend.js';
 import {BufferedForwarder} from './buffered/buffered-forwarder.js';
@@ -70,6 +72,8 @@
 	readonly registry: EndpointRegistry;
 	readonly configuration: ConfigurationFollower;
 	readonly mesh: Mesh;
+	/** Owner of the work that nobody waits for. */
+	readonly tasks: BackgroundTasks;
 	readonly #opts: EdgeOptions;
 	readonly #peers: PeerNode;
 	readonly #core: CoreMember | undefined;
@@ -94,15 +98,17 @@
 	readonly #limitSharing: LimitSharing;
 	readonly #stageControl: StageControl | undefined;
 	readonly #abortController = new AbortController();
+	readonly #stopController = new AbortController();
 	#routes: RouteTable | undefined;
 	#isStopping = false;
 	#stopped: Promise<void> | undefined;
 
 	constructor(opts: EdgeOptions) {
 		this.#opts = opts;
+		this.tasks = createBackgroundTasks(opts);
 		const {settings, clock, random, events, codec} = opts;
 		this.#peers = new PeerNode({
-			clock, random, timing: peerTiming, keys: [settings.peerKey], part: opts.account.getPart('links'), onRefused: createRefusalListener(opts), member: {
+			clock, random, timing: peerTiming, keys: [settings.peerKey], part: opts.account.getPart('links'), onRefused: createRefusalListener(opts), onUnusable: createUnusableListener(opts), member: {
 				instance: settings.instance, roles: opts.storage ? [edgeRole, coreRole] : [edgeRole], availabilityZone: settings.availabilityZone, address: settings.peerAddress, incarnation: opts.incarnation, features: Object.values(peerFeatures),
 			},
 		});
@@ -231,6 +237,11 @@
 		return !this.#isStopping && this.configuration.isConfirmed && this.#routes !== undefined;
 	}
 
+	/** Aborts when the edge begins to stop. */
+	get stopping(): AbortSignal {
+		return this.#stopController.signal;
+	}
+
 	async start(): Promise<Result<void, HickorytrackError>> {
 		const {settings, events} = this.#opts;
 		const listening = await this.#peers.listen(parseAddress(settings.peerAddress));
@@ -247,13 +258,13 @@
 
 		this.mesh.start();
 		// Not awaited: a slow disk must not delay the frontend.
-		void this.#core?.run();
+		this.#startTask('core', async () => this.#core?.run());
 		this.configuration.start(this.#core);
 		this.#stateSharing.run(this.#abortController.signal);
-		void this.#stageControl?.run(this.#abortController.signal);
-		void this.#origins.run();
-		void this.#versionRetirement?.run(this.#abortController.signal);
-		void this.#banKeeper?.run(this.#abortController.signal);
+		this.#startTask('stage-control', async signal => this.#stageControl?.run(signal));
+		this.#startTask('stream-origins', async () => this.#origins.run());
+		this.#startTask('version-retirement', async signal => this.#versionRetirement?.run(signal));
+		this.#startTask('ban-keeper', async signal => this.#banKeeper?.run(signal));
 		events.emit('edgeStarted', {instance: settings.instance, isCore: this.#core !== undefined, isFirstStart: settings.isFirstStart});
 		return ok(undefined);
 	}
@@ -334,10 +345,17 @@
 		};
 	}
 
+	/** Starts a task that goes on until the edge closes. */
+	#startTask(task: string, run: (signal: AbortSignal) => Promise<void>): void {
+		const {signal} = this.#abortController;
+		this.tasks.startUntil(signal, {task, clock: this.#opts.clock}, async () => run(signal));
+	}
+
 	async #drain(): Promise<void> {
 		const {clock, settings, events} = this.#opts;
 		const until = clock.monotonic() + settings.graceMs - stopMargins.exitMs;
 		this.#isStopping = true;
+		this.#stopController.abort();
 		this.#frontend.startDrain();
 		events.emit('edgeStopping', {openRequests: this.#frontend.openRequests});
 		await waitForDrain(this.#frontend, {clock, maxMs: settings.graceMs - stopMargins.drainMs});
--- a/packages/routing/route-store/src/core-member.ts
+++ b/packages/routing/route-store/src/core-member.ts
@@ -147,7 +147,8 @@
 	async run(): Promise<void> {
 		const {clock, events, storage} = this.#opts;
 		while (!this.#abortController.signal.aborted) {
-			const result = await this.#openLog([]);
+			// The log is open already if the membership has failed and is run again.
+			const result = this.#log ? ok(undefined) : await this.#openLog([]);
 			if (result.isOk()) {
 				await this.#runMembership();
 				return;
