--- a/packages/core/types/test/parse-peer-message.test.ts
+++ b/packages/core/types/test/parse-peer-message.test.ts
@@ -56,7 +56,7 @@
 	'limit.acquire': {isIssuer: true, granted: 1, delayMs: 5},
 	'limit.reach': {isConnected: true},
 };
-const oddValues: unknown[] = [undefined, null, '', 'x', '127.0.0.1:99999', '300.1.1.1:80', 'a\r\nb', 'x'.repeat(20_000), -1, 0, 1.5, 1e308, Number.POSITIVE_INFINITY, 2 ** 53, true, [], {}, [[]], [null], {constructor: 1}];
+const oddValues: unknown[] = [undefined, null, '', 'x', '127.0.0.1:99999', '300.1.1.1:80', 'a\r\nb', 'x'.repeat(20_000), -1, 0, 1.5, 1e308, Number.POSITIVE_INFINITY, Number.NEGATIVE_INFINITY, 2 ** 53, true, [], {}, [[]], [null], {constructor: 1}];
 
 /** Lists copies of a value in which one field or element has an odd value. */
 function listVariants(value: unknown): unknown[] {
