fix: -1e400 in a field from outside is no number

A document with -1e400 was accepted, and what was computed from it was no number. Cause: the lowest number of a range without a bound was -Infinity, which JSON.parse makes of -1e400. Change: the range begins at the lowest finite number. Conclusion: no field that is read as a number is infinite.

--- a/packages/core/fields/src/fields.ts
+++ b/packages/core/fields/src/fields.ts
@@ -90,7 +90,7 @@
 	}
 
 	/** Throws a `FieldError` unless the field is a number, and see `onOutOfRange`. */
-	readNumber(name: string, {min = Number.NEGATIVE_INFINITY, max = Number.MAX_VALUE, isInteger = false, defaultValue}: NumberRange = {}): number {
+	readNumber(name: string, {min = -Number.MAX_VALUE, max = Number.MAX_VALUE, isInteger = false, defaultValue}: NumberRange = {}): number {
 		const value = this.get(name) ?? defaultValue;
 		if (typeof value !== 'number' || Number.isNaN(value)) {
 			throw new FieldError(`"${name}" of ${this.#opts.name} is missing or not a number`);
--- a/packages/core/fields/test/fields.test.ts
+++ b/packages/core/fields/test/fields.test.ts
@@ -57,4 +57,14 @@
 		expect(read({}).readOptionalNumber('count')).to.equal(undefined);
 		expect(() => read({}).readNumber('count')).to.throw(FieldError);
 	});
+
+	// Guards against -1e400, which JSON.parse reads as a number and nothing can be computed with.
+	it('hold no infinite number, of either sign', () => {
+		for (const text of ['1e400', '-1e400']) {
+			const value: unknown = JSON.parse(`{"a":${text}}`);
+			expect(() => read(value).readNumber('a'), text).to.throw(FieldError, 'not a number from');
+			const nearest = new Fields(value, {name, onOutOfRange() {/* The nearest number counts. */}}).readNumber('a');
+			expect(Math.abs(nearest), text).to.equal(Number.MAX_VALUE);
+		}
+	});
 });
