fix: a live server gets in again behind a record that is not its own

Cause: a report of the same start counts only with a higher number, one of an earlier start never does, and an address belongs to the server that started last, for as long as that is known. One report with seq 2^53-1, born in the future or at the address of a real server outdates all of the real one's, until it is forgotten after 120 s without any. Change: a ready record that has not been heard of for the report timeout, neither by reports nor by answers, yields to a server whose reports, or repeats told by other instances, keep arriving with rising numbers for another report timeout, never further apart than half of it. Ids are indexed by address, so that a report costs no look at all servers. Bursts of late reports, a few over a long time, numbers that do not rise, servers that drain, leave or have left, and predecessors of servers that are heard of change nothing (5 tests). Conclusion: what holds a live server back ends by itself after two timeouts; an instance that connects with the foreign record meanwhile brings it back for as long again. Who reports foreign numbers that go on rising is not told apart.

--- a/packages/routing/endpoint-registry/src/endpoint-registry.ts
+++ b/packages/routing/endpoint-registry/src/endpoint-registry.ts
@@ -5,6 +5,12 @@
  * incarnation, whatever the reports say, because a report may have been sent before the answer and arrive after it. A
  * server that has left is kept for a while, so that a late report can't restore it. An address belongs to the server that
  * started last at it.
+ *
+ * A record may be wrong: a report with a number or a start time that its server never reaches would outdate all of the
+ * server's own, and one with another server's address would take it. So a ready server that has not been heard of for the
+ * report timeout yields to one whose own reports it holds back, once these have kept arriving, with rising numbers, for
+ * another timeout. Late reports of a dead boot come in a burst or thin out; a server that drains, leaves or has left never
+ * yields.
  */
 import type {Clock} from '@hickorytrack/clock';
 import type {SocketAddress} from '@hickorytrack/socket-address';
@@ -69,6 +75,18 @@
 /** A server with a pending stage is used again after this time, whatever its reports say. */
 const pendingStageTimeoutMs = 12_000;
 
+/** A server whose reports are held back by a record, while that is silent. */
+type Claim = {
+	startedAt: number;
+	sequence: number;
+	/** Monotonic times of the first and the newest of its reports. */
+	beganAt: number;
+	heardAt: number;
+};
+
+/** Reports of a claim may be apart by this part of the report timeout, so that two late ones are not enough. */
+const claimGapFraction = 0.5;
+
 type PendingStage = {
 	startedAt: number;
 	stage: ServerStage;
@@ -87,8 +105,12 @@
 	readonly #opts: RegistryOptions;
 	readonly #servers = new Map<string, KnownServer>();
 	readonly #byService = new Map<string, KnownServer[]>();
+	/** Ids of the servers at each address. */
+	readonly #byAddress = new Map<string, Set<string>>();
 	/** Stages that servers were ordered to change to, by server id. */
 	readonly #pendingStages = new Map<string, PendingStage>();
+	/** By server id. */
+	readonly #claims = new Map<string, Claim>();
 	#lastOrder = 0;
 	#removedAt = Number.NEGATIVE_INFINITY;
 
@@ -105,6 +127,10 @@
 	/** Records a report. Returns false when it is outdated or its address belongs to a server that started later. */
 	recordReport(report: ServerReport): boolean {
 		this.#removeExpiredIfDue();
+		if (report.state === serverStates.ready) {
+			this.#removeYielding(report);
+		}
+
 		const known = this.#servers.get(report.id);
 		if (known?.startedAt === report.startedAt) {
 			return report.state === serverStates.leaving ? this.recordLeaving(report) !== undefined : this.#updateIncarnation(known, report);
@@ -145,13 +171,20 @@
 	 * Records that a ready server has reported again without a change. Returns false when this instance lacks the report
 	 * that it repeats.
 	 */
-	recordRepeat({id, startedAt, sequence}: ReportRepeat): boolean {
+	recordRepeat(repeat: ReportRepeat): boolean {
+		const {id, startedAt, sequence} = repeat;
 		const known = this.#servers.get(id);
 		if (!known || known.startedAt < startedAt) {
 			return false;
 		}
 
+		const isOutdated = known.startedAt > startedAt || sequence < known.sequence;
+		if (isOutdated && this.#isClaimed(repeat, [known])) {
+			return false;
+		}
+
 		if (known.startedAt === startedAt && known.state === serverStates.ready && sequence > known.sequence) {
+			this.#removeYielding({...known, sequence});
 			known.sequence = sequence;
 			known.heardAt = this.#opts.clock.monotonic();
 		} else if (known.startedAt === startedAt && known.state === serverStates.leaving) {
@@ -271,26 +304,80 @@
 		return true;
 	}
 
+	/** Removes the records that hold back the report, if they yield to its server. */
+	#removeYielding(report: ServerReport): void {
+		const known = this.#servers.get(report.id);
+		const isOutdated = known && (known.startedAt > report.startedAt || (known.startedAt === report.startedAt && known.sequence >= report.sequence));
+		const order = known?.startedAt === report.startedAt ? known.order : this.#createOrder(report);
+		const holders = this.#listLaterAtAddress({...report, order});
+		if (isOutdated) {
+			holders.push(known);
+		}
+
+		if (holders.length > 0 && this.#isClaimed(report, holders)) {
+			this.#claims.delete(report.id);
+			for (const holder of holders) {
+				this.#removeServer(holder.id);
+			}
+		}
+	}
+
+	/** Records that a server reports whose reports are held back. Tells whether it has done so for long enough. */
+	#isClaimed({id, startedAt, sequence}: ReportRepeat, holders: readonly KnownServer[]): boolean {
+		const {clock, reportTimeoutMs} = this.#opts;
+		const now = clock.monotonic();
+		if (holders.some(({state, heardAt, answeredAt = heardAt}) => state !== serverStates.ready || now - Math.max(heardAt, answeredAt) <= reportTimeoutMs)) {
+			this.#claims.delete(id);
+			return false;
+		}
+
+		const claim = this.#claims.get(id);
+		if (claim?.startedAt !== startedAt || now - claim.heardAt > reportTimeoutMs * claimGapFraction) {
+			this.#claims.set(id, {
+				startedAt, sequence, beganAt: now, heardAt: now,
+			});
+			return false;
+		}
+
+		if (sequence > claim.sequence) {
+			claim.sequence = sequence;
+			claim.heardAt = now;
+		}
+
+		return sequence === claim.sequence && claim.heardAt - claim.beganAt >= reportTimeoutMs;
+	}
+
 	/** A server without a start time that is first heard of when it leaves started before those that are known. */
 	#createOrder({startedAt, state}: ServerReport): number {
 		return startedAt === 0 && state === serverStates.leaving ? 0 : this.#lastOrder + 1;
 	}
 
 	#setServer(server: KnownServer): void {
+		this.#removeFromAddress(server.id);
 		this.#servers.set(server.id, server);
+		const ids = this.#byAddress.get(server.address) ?? new Set();
+		this.#byAddress.set(server.address, ids.add(server.id));
 		this.#byService.clear();
 	}
 
+	#removeFromAddress(id: string): void {
+		const address = this.#servers.get(id)?.address;
+		const ids = address === undefined ? undefined : this.#byAddress.get(address);
+		ids?.delete(id);
+		if (ids?.size === 0) {
+			this.#byAddress.delete(address!);
+		}
+	}
+
 	/** Among servers with the same or no start time, the address belongs to the one that became known last. */
 	#isAddressReassigned(server: KnownServer): boolean {
-		for (const other of this.#servers.values()) {
-			const isLater = other.startedAt === server.startedAt ? other.order > server.order : other.startedAt > server.startedAt;
-			if (other.address === server.address && other.id !== server.id && isLater) {
-				return true;
-			}
-		}
+		return this.#listLaterAtAddress(server).length > 0;
+	}
 
-		return false;
+	/** Lists the servers that have taken the address of this one. */
+	#listLaterAtAddress({id, address, startedAt, order}: Pick<KnownServer, 'id' | 'address' | 'startedAt' | 'order'>): KnownServer[] {
+		const others = [...this.#byAddress.get(address) ?? []].map(other => this.#servers.get(other)!);
+		return others.filter(other => other.id !== id && (other.startedAt === startedAt ? other.order > order : other.startedAt > startedAt));
 	}
 
 	/** All servers are looked at, so it is not done for each report. */
@@ -305,13 +392,24 @@
 		this.#removedAt = now;
 		for (const [id, server] of this.#servers) {
 			if (now - server.heardAt > retentionMs) {
-				this.#servers.delete(id);
-				this.#pendingStages.delete(id);
-				this.#byService.clear();
-				this.#opts.onForgotten?.(id);
+				this.#removeServer(id);
+			}
+		}
+
+		for (const [id, {heardAt}] of this.#claims) {
+			if (now - heardAt > this.#opts.reportTimeoutMs) {
+				this.#claims.delete(id);
 			}
 		}
 	}
+
+	#removeServer(id: string): void {
+		this.#removeFromAddress(id);
+		this.#servers.delete(id);
+		this.#pendingStages.delete(id);
+		this.#byService.clear();
+		this.#opts.onForgotten?.(id);
+	}
 }
 
 /** Returns whether a report repeats an earlier one of the same server: nothing but its sequence number differs. */
--- a/packages/routing/endpoint-registry/test/endpoint-registry.test.ts
+++ b/packages/routing/endpoint-registry/test/endpoint-registry.test.ts
@@ -192,4 +192,95 @@
 		registry.recordReport({...report, sequence: 2});
 		expect(listIds()).to.deep.equal(['a']);
 	});
+
+	describe('a live server behind a record that is not its own', () => {
+		/** Records reports, or repeats of them, at the interval of reports. Returns when the server was first in use. */
+		async function recordSeries(first: ServerReport, {count, kind = 'report'}: {count: number; kind?: 'report' | 'repeat'}): Promise<number | undefined> {
+			for (let sent = 0; sent < count; sent++) {
+				await clock.advance(1000);
+				const next = {...first, sequence: first.sequence + sent};
+				const isKnown = kind === 'report' ? registry.recordReport(next) : registry.recordRepeat(next);
+				if (kind === 'repeat' && !isKnown) {
+					registry.recordReport(next);
+				}
+
+				if (registry.listUsable('s').some(({id, address, startedAt}) => id === first.id && address === first.address && startedAt === first.startedAt)) {
+					return clock.monotonic();
+				}
+			}
+
+			return undefined;
+		}
+
+		const foreign = [
+			{...report, sequence: Number.MAX_SAFE_INTEGER, address: '10.0.0.9:80' as SocketAddress},
+			{...report, startedAt: Number.MAX_SAFE_INTEGER, address: '10.0.0.9:80' as SocketAddress},
+			{...report, startedAt: Number.MAX_SAFE_INTEGER, id: 'foreign'},
+			{...report, sequence: Number.MAX_SAFE_INTEGER, service: 't'},
+		];
+
+		// Guards against one foreign report that keeps a live server out until it is forgotten, after two minutes.
+		it('gets in again while the foreign one is silent, by its reports and by the repeats of other instances', async () => {
+			for (const kind of ['report', 'repeat'] as const) {
+				for (const [index, other] of foreign.entries()) {
+					clock = new ManualClock();
+					registry = new EndpointRegistry({clock, reportTimeoutMs: 5000});
+					registry.recordReport(report);
+					registry.recordReport(other);
+					expect(await recordSeries({...report, sequence: 2}, {count: 15, kind}), `${kind} ${index}`).to.be.within(10_000, 12_000);
+				}
+			}
+		});
+
+		// Guards against a late report of a dead boot that revives it.
+		it('is not what a burst of late reports, or a few over a long time, make of a dead boot', async () => {
+			registry.recordReport({...report, startedAt: 2000, address: '10.0.0.9:80' as SocketAddress});
+			await clock.advance(6000);
+			for (let sequence = 2; sequence < 40; sequence++) {
+				expect(registry.recordReport({...report, sequence})).to.equal(false);
+			}
+
+			for (let sequence = 40; sequence < 50; sequence++) {
+				await clock.advance(5001);
+				expect(registry.recordReport({...report, sequence})).to.equal(false);
+			}
+		});
+
+		// Guards against repeated, outdated reports that count as the sign of a live server.
+		it('is not what reports make of it whose numbers do not rise', async () => {
+			registry.recordReport(foreign[0]!);
+			await clock.advance(6000);
+			for (let sequence = 40; sequence > 20; sequence--) {
+				await clock.advance(1000);
+				expect(registry.recordReport({...report, sequence})).to.equal(false);
+			}
+		});
+
+		// Guards against a drained, leaving or departed server that gets requests again.
+		it('is not what reports make of a server that drains, leaves or has left', async () => {
+			for (const state of ['draining', 'leaving', 'left'] as const) {
+				clock = new ManualClock();
+				registry = new EndpointRegistry({clock, reportTimeoutMs: 5000});
+				registry.recordReport(report);
+				registry.recordReport({...report, sequence: Number.MAX_SAFE_INTEGER, state});
+				expect(await recordSeries({...report, sequence: 2}, {count: 60}), state).to.equal(undefined);
+				expect(await recordSeries({...report, sequence: 70}, {count: 40, kind: 'repeat'}), state).to.equal(undefined);
+			}
+		});
+
+		// Guards against a successor that is given up while it reports or answers.
+		it('is not what reports make of the predecessor of a server that is heard of', async () => {
+			for (const listen of ['recordReport', 'recordAnswer'] as const) {
+				clock = new ManualClock();
+				registry = new EndpointRegistry({clock, reportTimeoutMs: 5000});
+				const successor = {...report, startedAt: 2000};
+				registry.recordReport(successor);
+				for (let sequence = 2; sequence < 40; sequence++) {
+					await clock.advance(1000);
+					expect(registry.recordReport({...report, sequence}), listen).to.equal(false);
+					registry[listen]({...successor, sequence});
+				}
+			}
+		});
+	});
 });
