fix: a server drains by its report, whatever number its ready one has

Change: a draining report of the same start and address counts against a ready one with any number, and leaves the highest number in place; only a later ready report makes the server usable again. Conclusion: what is confirmed is recorded. A late draining report keeps a server that drains no more out until its next report.

--- a/packages/routing/endpoint-registry/src/endpoint-registry.ts
+++ b/packages/routing/endpoint-registry/src/endpoint-registry.ts
@@ -294,8 +294,12 @@
 			known.heardAt = heardAt;
 		}
 
-		const isOutdated = report.sequence <= known.sequence || (isLeaving && report.state === serverStates.ready);
-		const server = {...report, heardAt, order: known.order};
+		// Confirming this report promises that the server gets nothing more, whatever number outdates it.
+		const isDraining = report.state === serverStates.draining && known.state === serverStates.ready && report.address === known.address;
+		const isOutdated = (report.sequence <= known.sequence && !isDraining) || (isLeaving && report.state === serverStates.ready);
+		const server = {
+			...report, sequence: Math.max(report.sequence, known.sequence), heardAt, order: known.order,
+		};
 		if (isOutdated || this.#isAddressReassigned(server)) {
 			return false;
 		}
--- a/packages/routing/endpoint-registry/test/endpoint-registry.test.ts
+++ b/packages/routing/endpoint-registry/test/endpoint-registry.test.ts
@@ -42,6 +42,26 @@
 		expect(listIds()).to.deep.equal([]);
 	});
 
+	// Guards against a server that has been told that its draining is known and gets more requests, because a foreign report outdates its own.
+	it('drains a server by its report, whatever number the ready one has', () => {
+		registry.recordReport({...report, sequence: Number.MAX_SAFE_INTEGER});
+		expect(registry.recordReport({...report, sequence: 2, state: 'draining'})).to.equal(true);
+		expect([listIds(), registry.isUsable(report)]).to.deep.equal([[], false]);
+		expect(registry.recordReport({...report, sequence: 3})).to.equal(false);
+		expect(listIds()).to.deep.equal([]);
+		expect(registry.recordReport({
+			...report, sequence: 2, state: 'draining', address: '10.0.0.9:80' as SocketAddress,
+		})).to.equal(false);
+	});
+
+	// Guards against a server that drains no more, and is kept out by a report of before.
+	it('uses a server again that reports ready with a higher number than a late report that it drains', () => {
+		registry.recordReport({...report, sequence: 5});
+		registry.recordReport({...report, sequence: 4, state: 'draining'});
+		expect(registry.recordReport({...report, sequence: 6})).to.equal(true);
+		expect(listIds()).to.deep.equal(['a']);
+	});
+
 	it('accepts a new incarnation under the same id, whose sequence starts again', () => {
 		registry.recordReport({...report, sequence: 9, state: 'draining'});
 		expect(registry.recordReport({...report, startedAt: 2000, sequence: 1})).to.equal(true);
