--- a/packages/core/types/src/parse-server-record.ts
+++ b/packages/core/types/src/parse-server-record.ts
@@ -30,7 +30,7 @@
 		service: fields.readString('service', {maxLength: maxNameLength}),
 		address,
 		availabilityZone: readText(fields, 'availabilityZone'),
-		slots: fields.readNumber('slots', {min: Number.MIN_VALUE}),
+		slots: fields.readNumber('slots', {min: 1, max: Number.MAX_SAFE_INTEGER}),
 		state: fields.readOneOf('state', states),
 		coldMs: Math.min(maxDurationMs, Math.max(0, fields.readNumber('coldMs'))),
 		stage: fields.has('stage') ? fields.readOneOf('stage', stages) : undefined,
