--- a/packages/coordination/crash-attribution/src/ban-store.ts
+++ b/packages/coordination/crash-attribution/src/ban-store.ts
@@ -2,6 +2,7 @@
  * State of the core about what crashes servers: the traits that are banned, with the crashes that led to each ban. It is a part
  * of the replicated state machine, so that a ban outlives the end of all processes. Nothing is written while nothing is banned.
  */
+import {parseBanCommand, parseBanRecords} from './parse-ban-command.js';
 import type {SuspectTrait} from './run-traits.js';
 
 export type BanRecord = {
@@ -31,7 +32,7 @@
 
 /** Tells whether a command of the replicated log is one of this state. */
 export function isBanCommand(command: unknown): command is BanCommand {
-	return (command as Partial<BanCommand>).kind === 'crash-bans';
+	return (command as Partial<BanCommand> | null | undefined)?.kind === 'crash-bans';
 }
 
 export class BanStore {
@@ -43,7 +44,9 @@
 		this.#onStored = onStored;
 	}
 
-	apply({at, put, removed}: BanCommand): void {
+	/** Throws a `FieldError`, and changes nothing, if the command can't be used. */
+	apply(command: unknown): void {
+		const {at, put, removed} = parseBanCommand(command);
 		for (const trait of removed) {
 			this.#records.delete(trait);
 		}
@@ -78,7 +81,7 @@
 
 	restoreSnapshot(state: unknown): void {
 		this.#records.clear();
-		for (const record of state as BanRecord[]) {
+		for (const record of parseBanRecords(state)) {
 			this.#records.set(record.trait, record);
 		}
 
--- a/packages/routing/route-store/src/route-store.ts
+++ b/packages/routing/route-store/src/route-store.ts
@@ -2,6 +2,7 @@
  * State machine of the replicated route configuration. It keeps one document: the committed one with the highest version.
  * A document with the same version but other content is a conflict and changes nothing.
  */
+import {Fields} from '@hickorytrack/fields';
 import type {StateMachine} from '@hickorytrack/replicated-log';
 
 export type StoredConfiguration = {
@@ -49,8 +50,9 @@
 		return candidate.digest === current.digest ? storeOutcomes.same : storeOutcomes.conflict;
 	}
 
+	/** Throws a `FieldError`, and changes nothing, if the command is no stored configuration. */
 	apply(command: unknown): StoreOutcome {
-		const candidate = command as StoredConfiguration;
+		const candidate = parseStored(command);
 		const outcome = this.getOutcome(candidate);
 		if (outcome === storeOutcomes.stored) {
 			this.#setCurrent(candidate);
@@ -63,9 +65,10 @@
 		return this.#current ?? null;
 	}
 
+	/** Throws a `FieldError`, and changes nothing, if the snapshot is no stored configuration. */
 	restoreSnapshot(state: unknown): void {
 		if (state !== null) {
-			this.#setCurrent(state as StoredConfiguration);
+			this.#setCurrent(parseStored(state));
 		}
 	}
 
@@ -74,3 +77,12 @@
 		this.#onStored(stored);
 	}
 }
+
+function parseStored(value: unknown): StoredConfiguration {
+	const fields = new Fields(value, {name: 'the stored configuration'});
+	return {
+		version: fields.readNumber('version', {min: 0, max: Number.MAX_SAFE_INTEGER, isInteger: true}),
+		digest: fields.readString('digest'),
+		document: fields.get('document'),
+	};
+}
--- a/packages/routing/stream-origins/src/origin-store.ts
+++ b/packages/routing/stream-origins/src/origin-store.ts
@@ -7,6 +7,7 @@
  * service, if there is only one; otherwise its version is unknown.
  */
 import type {StreamOriginView, StreamOriginWrite, StreamSend} from '@hickorytrack/types/peer-methods';
+import {parseOriginCommand, parseOriginSnapshot} from './parse-origin-command.js';
 
 /** Version of a server that reports none. It equals no version, itself included. */
 export const unknownVersion = '';
@@ -21,8 +22,8 @@
 	streams: StreamOriginWrite['streams'];
 };
 
-type StreamRecord = {service: string; versions: string[]; sends: StreamSend[]; expiresAt: number};
-type Snapshot = {versions: Array<[service: string, versions: string[]]>; streams: Array<[stream: string, record: StreamRecord]>};
+export type StreamRecord = {service: string; versions: string[]; sends: StreamSend[]; expiresAt: number};
+export type OriginSnapshot = {versions: Array<[service: string, versions: string[]]>; streams: Array<[stream: string, record: StreamRecord]>};
 
 /** About 10 MB of memory. The oldest records are dropped first, so that their streams become unknown. */
 const maxStreams = 50_000;
@@ -30,7 +31,7 @@
 
 /** Tells whether a command of the replicated log is one of this state. */
 export function isOriginCommand(command: unknown): command is OriginCommand {
-	return (command as Partial<OriginCommand>).kind === 'stream-origins';
+	return (command as Partial<OriginCommand> | null | undefined)?.kind === 'stream-origins';
 }
 
 export class OriginStore {
@@ -42,7 +43,9 @@
 		return this.#streams.size;
 	}
 
-	apply({at, admitted, retired, streams}: OriginCommand): void {
+	/** Throws a `FieldError`, and changes nothing, if the command can't be used. */
+	apply(command: unknown): void {
+		const {at, admitted, retired, streams} = parseOriginCommand(command);
 		for (const [service, version] of admitted) {
 			const versions = this.#versions.get(service) ?? new Set();
 			this.#versions.set(service, versions.add(version));
@@ -80,12 +83,13 @@
 		};
 	}
 
-	createSnapshot(): Snapshot {
+	createSnapshot(): OriginSnapshot {
 		return {versions: this.listVersions(), streams: [...this.#streams]};
 	}
 
+	/** Throws a `FieldError`, and changes nothing, if the snapshot can't be used. */
 	restoreSnapshot(state: unknown): void {
-		const {versions, streams} = state as Snapshot;
+		const {versions, streams} = parseOriginSnapshot(state);
 		this.#versions.clear();
 		this.#streams.clear();
 		for (const [service, names] of versions) {
