fix: messages between members of the core are parsed at the door

Cause: the parameters and results of log.message were cast to their types: a record with another index, a member set of another shape or a term that is no number went into the log as they came. Change: parseMemberMessage and parseMemberReply, used by the core's member. A message is refused as a whole, since no record of a log can be left out. There was no parser before, so no test of it failed; that such a message had harmed a member is not shown. Conclusion: what reaches the log has its types. A term of 2^53-1 still passes and would leave no higher one; members are authenticated.

--- a/packages/routing/route-store/src/core-member.ts
+++ b/packages/routing/route-store/src/core-member.ts
@@ -14,6 +14,7 @@
 import {ReplicatedLog} from '@hickorytrack/replicated-log';
 import type {MemberMessage, MemberReply} from '@hickorytrack/replicated-log/member-messages';
 import type {MemberInfo} from '@hickorytrack/replicated-log/member-set';
+import {parseMemberMessage, parseMemberReply} from '@hickorytrack/replicated-log/parse-member-message';
 import {OriginCore} from '@hickorytrack/stream-origins/origin-core';
 import {OriginStore} from '@hickorytrack/stream-origins/origin-store';
 import {CoreState} from './core-state.js';
@@ -94,7 +95,7 @@
 			}, confirm: async () => this.store.current !== undefined && await this.confirmLeadership() !== undefined,
 		});
 		const {mesh} = opts;
-		mesh.peers.handle('log.message', async ({payload}) => ({payload: await this.#handleMessage(payload as MemberMessage)}));
+		mesh.peers.handle('log.message', async ({payload}) => ({payload: await this.#handleMessage(parseMemberMessage(payload))}));
 		mesh.peers.handle('core.join', ({address, folder}) => {
 			this.#joinRequests.set(address, {folder, requestedAt: opts.clock.monotonic()});
 			return {leader: this.leader, isVoter: this.isLeader ? this.#findVoter(address, folder) !== undefined : undefined};
@@ -250,7 +251,7 @@
 			throw new CoreMemberError('ERR_HICKORYTRACK_MEMBER_UNREACHABLE', `No reply from core member ${to.id}`);
 		}
 
-		return reply.value.payload as MemberReply;
+		return parseMemberReply(reply.value.payload);
 	}
 
 	async #handleMessage(message: MemberMessage): Promise<MemberReply> {
