fix(crash-attribution): a part that was in no whole answer keeps its ban beside one that was

Cause, by a test and a simulated fleet whose servers also crash by themselves: the trait with the most crashes beyond its threshold took all of them. A part that is answered again and again and runs long stands in the crashes of the cause and in those that have none; once it had more, the cause was left without crashes and its ban ended, and the other one was refused.

Change: of candidates, a trait that was in no whole answer goes before one that was, whatever their numbers. The thresholds, trials and clearing stay.

Evidence: the new test fails before (bans part:answered, not part:bad) and passes; 30 tests of the attribution, 16 of state sharing and crash reports, 29 of crashing-parts.test.ts pass.

--- a/packages/coordination/crash-attribution/src/crash-attribution.ts
+++ b/packages/coordination/crash-attribution/src/crash-attribution.ts
@@ -5,7 +5,8 @@
  *
  * - Each crash has one cause. The trait that explains the most crashes is banned, and crashes that it explains are no evidence
  *   against others.
- * - A whole answer clears the traits of its run of all crashes before it. A trait that has been in one needs more crashes.
+ * - A whole answer clears the traits of its run of all crashes before it. A trait that has been in one needs more crashes, and
+ *   explains only those that no other trait does.
  * - A ban is never final: after a time that grows with each trial, one run may be tried. If it is answered, the ban ends.
  *
  * The verdict is computed from the records alone, so instances that have heard the same come to the same one, and a wrong one
@@ -400,10 +401,15 @@
 		}
 	}
 
-	/** Orders by the crashes beyond what is needed, then by their number. Of equals, the one that the fewest requests share is first. */
+	/**
+	 * Orders by whether the trait was in no whole answer, by the crashes beyond what is needed, then by their number. Of equals,
+	 * the one that the fewest requests share is first.
+	 */
 	#rankCandidates(a: {trait: string; position: number; crashes: Crash[]}, b: {trait: string; position: number; crashes: Crash[]}): number {
+		// What is answered between crashes runs beside the cause, and beside crashes that have none, more often than the cause itself.
+		const sound = Number(this.#isKnownSound(a.trait)) - Number(this.#isKnownSound(b.trait));
 		const excess = (b.crashes.length - this.#computeThreshold(b.trait)) - (a.crashes.length - this.#computeThreshold(a.trait));
-		return excess || b.crashes.length - a.crashes.length || Number(isRequestTrait(b.trait)) - Number(isRequestTrait(a.trait)) || b.position - a.position || (a.trait < b.trait ? -1 : 1);
+		return sound || excess || b.crashes.length - a.crashes.length || Number(isRequestTrait(b.trait)) - Number(isRequestTrait(a.trait)) || b.position - a.position || (a.trait < b.trait ? -1 : 1);
 	}
 
 	#computeThreshold(trait: string): number {
--- a/packages/coordination/crash-attribution/test/crash-attribution.test.ts
+++ b/packages/coordination/crash-attribution/test/crash-attribution.test.ts
@@ -96,6 +96,23 @@
 		expect(checkVerdict(createRun('a'))).to.equal(verdicts.allowed);
 	});
 
+	// Guards against a ban that leaves the cause for a part that is answered again and again, when servers also crash by themselves.
+	it('keeps the ban of a part that was in no whole answer when one that was stands in more crashes', async () => {
+		attribution.recordSound(createRun('answered'));
+		await clock.advance(10);
+		for (const id of ['1', '2', '3']) {
+			crash(id, createRun('bad'), createRun('answered'));
+		}
+
+		expect(listBanned()).to.deep.equal(['part:bad']);
+		for (const id of ['4', '5', '6']) {
+			crash(id, createRun('answered'));
+		}
+
+		expect(listBanned()).to.deep.equal(['part:bad']);
+		expect(checkVerdict(createRun('answered'))).to.equal(verdicts.allowed);
+	});
+
 	it('tells others once that a part in several crashes was in a whole answer before, which lifts their ban', async () => {
 		const other = new CrashAttribution({clock});
 		attribution.recordSound(createRun('a'));
