--- a/packages/core/background-tasks/src/background-tasks.ts
+++ b/packages/core/background-tasks/src/background-tasks.ts
@@ -4,12 +4,13 @@
  * and a task that should go on is started again after a delay, which grows while it fails at once.
  */
 import process from 'node:process';
+import {inspect} from 'node:util';
 import type {Clock} from '@hickorytrack/clock';
 
 export type TaskFailure = {task: string; error: unknown};
 
 export type BackgroundTasksOptions = {
-	/** Called for each error; must not throw. Without it, Node.js prints a warning. */
+	/** Called for each error. Without it, and for what it throws itself, Node.js prints a warning. */
 	onFailed?: (failure: TaskFailure) => void;
 };
 
@@ -60,9 +61,14 @@
 		};
 	}
 
-	/** Reports the error of a task. */
+	/** Reports the error of a task. Never throws. */
 	report(task: string, error: unknown): void {
-		this.#onFailed({task, error});
+		try {
+			this.#onFailed({task, error});
+		} catch (reportError) {
+			printFailure({task, error});
+			printFailure({task: 'report-failure', error: reportError});
+		}
 	}
 
 	async #runUntil(signal: AbortSignal, {task, clock}: {task: string; clock: Clock}, run: () => Promise<void>): Promise<void> {
@@ -83,5 +89,5 @@
 }
 
 function printFailure({task, error}: TaskFailure): void {
-	process.emitWarning(`The task "${task}" failed: ${error instanceof Error ? error.stack ?? error.message : String(error)}`);
+	process.emitWarning(`The task "${task}" failed: ${inspect(error)}`);
 }
--- a/packages/core/clock/src/system-clock.ts
+++ b/packages/core/clock/src/system-clock.ts
@@ -4,7 +4,18 @@
 /** Node.js ends a longer timer at once. */
 const maxTimerMs = (2 ** 31) - 1;
 
+export type SystemClockOptions = {
+	/** Called with what a listener of a timer throws; must not throw. Without it, the error reaches the top of the process. */
+	onFailed?: (error: unknown) => void;
+};
+
 export class SystemClock implements Clock {
+	readonly #onFailed: ((error: unknown) => void) | undefined;
+
+	constructor({onFailed}: SystemClockOptions = {}) {
+		this.#onFailed = onFailed;
+	}
+
 	now(): number {
 		return Date.now();
 	}
@@ -31,11 +42,26 @@
 	}
 
 	startTimer(ms: number, onExpired: () => void): () => void {
-		const timer = setTimeout(onExpired, clampDelay(ms));
+		const timer = setTimeout(() => {
+			this.#runListener(onExpired);
+		}, clampDelay(ms));
 		return () => {
 			clearTimeout(timer);
 		};
 	}
+
+	#runListener(onExpired: () => void): void {
+		if (!this.#onFailed) {
+			onExpired();
+			return;
+		}
+
+		try {
+			onExpired();
+		} catch (error) {
+			this.#onFailed(error);
+		}
+	}
 }
 
 function clampDelay(ms: number): number {
--- a/packages/core/errors/src/errors.ts
+++ b/packages/core/errors/src/errors.ts
@@ -2,6 +2,7 @@
  * The base error class. Each layer of the system derives its own class and wraps the errors of the layer below with
  * `cause`. Every error has a stable code that begins with `ERR_HICKORYTRACK_` and may have a hint for the user.
  */
+import {inspect} from 'node:util';
 
 export type ErrorCode = `ERR_HICKORYTRACK_${string}`;
 
@@ -29,5 +30,14 @@
 		return error.errors.map(inner => describeError(inner)).join('; ');
 	}
 
-	return error instanceof Error ? error.message : String(error);
+	if (error instanceof Error) {
+		return error.message;
+	}
+
+	try {
+		return String(error);
+	} catch {
+		// An object without a prototype has no text.
+		return inspect(error);
+	}
 }
--- a/packages/core/events/src/events.ts
+++ b/packages/core/events/src/events.ts
@@ -1,4 +1,5 @@
 /** The event log: writes typed, numbered events through pino and keeps the most recent ones in memory for operators. */
+import process from 'node:process';
 import type {Logger} from 'pino';
 import type {Clock} from '@hickorytrack/clock';
 import {eventCatalogue, type EventName} from './event-catalogue.js';
@@ -37,7 +38,13 @@
 
 	emit(name: EventName, fields: EventFields = {}): void {
 		const {number, level, text} = eventCatalogue[name];
-		this.#opts.logger?.[level]({event: number, ...fields}, text);
+		try {
+			this.#opts.logger?.[level]({event: number, ...fields}, text);
+		} catch (error) {
+			// Those who emit an event go on without its line; many are handlers of errors themselves.
+			process.emitWarning(`Event ${number} could not be written: ${error instanceof Error ? error.message : String(error)}`);
+		}
+
 		if (level === 'debug') {
 			return;
 		}
