--- a/packages/coordination/replicated-log/src/elector.ts
+++ b/packages/coordination/replicated-log/src/elector.ts
@@ -3,6 +3,7 @@
  * whether a majority would grant its vote, and then requests the votes. The pre-vote keeps a member that was partitioned
  * from the others from making the current leader step down when it reconnects.
  */
+import type {BackgroundTasks} from '@hickorytrack/background-tasks';
 import type {Clock} from '@hickorytrack/clock';
 import type {Random} from '@hickorytrack/random';
 import type {StepPoints} from '@hickorytrack/step-points';
@@ -17,6 +18,7 @@
 	timing: LogTiming;
 	steps: StepPoints;
 	signal: AbortSignal;
+	tasks: BackgroundTasks;
 	onElected: () => void;
 };
 
@@ -110,7 +112,7 @@
 			};
 
 			for (const member of others) {
-				void collectVote(member);
+				this.#opts.tasks.start('collect-vote', async () => collectVote(member));
 			}
 		});
 	}
--- a/packages/coordination/replicated-log/src/replicated-log.ts
+++ b/packages/coordination/replicated-log/src/replicated-log.ts
@@ -9,6 +9,7 @@
  */
 import {setMaxListeners} from 'node:events';
 import {err, ok, type Result} from 'neverthrow';
+import {BackgroundTasks} from '@hickorytrack/background-tasks';
 import {waitWithTimeout, type Clock} from '@hickorytrack/clock';
 import type {Random} from '@hickorytrack/random';
 import {noStepPoints, type StepPoints} from '@hickorytrack/step-points';
@@ -42,6 +43,8 @@
 	random: Random;
 	timing?: Partial<LogTiming>;
 	steps?: StepPoints;
+	/** Without it, errors of tasks are printed as warnings. */
+	tasks?: BackgroundTasks;
 };
 
 export type LogStatus = {
@@ -70,6 +73,7 @@
 	readonly #opts: ReplicatedLogOptions;
 	readonly #timing: LogTiming;
 	readonly #steps: StepPoints;
+	readonly #tasks: BackgroundTasks;
 	readonly #abortController = new AbortController();
 	readonly #waiters = new Map<number, Waiter>();
 	#state: MemberState | undefined;
@@ -89,6 +93,7 @@
 		this.#opts = opts;
 		this.#timing = {...defaultLogTiming, ...opts.timing};
 		this.#steps = opts.steps ?? noStepPoints;
+		this.#tasks = opts.tasks ?? new BackgroundTasks();
 	}
 
 	get id(): string {
@@ -158,12 +163,14 @@
 		}
 
 		const elector = new Elector(state, {
-			...this.#opts, timing: this.#timing, steps: this.#steps, signal: this.#abortController.signal, onElected: () => {
+			...this.#opts, timing: this.#timing, steps: this.#steps, tasks: this.#tasks, signal: this.#abortController.signal, onElected: () => {
 				this.#startLeading();
 			},
 		});
-		void elector.run();
-		void this.#watchLeadership();
+		const {signal} = this.#abortController;
+		const {clock} = this.#opts;
+		this.#tasks.startUntil(signal, {task: 'elections', clock}, async () => elector.run());
+		this.#tasks.startUntil(signal, {task: 'leadership', clock}, async () => this.#watchLeadership());
 		return ok(undefined);
 	}
 
@@ -312,7 +319,17 @@
 		return false;
 	}
 
+	/** A member that can't begin to lead steps down, so that another one is elected. */
 	#startLeading(): void {
+		try {
+			this.#beginToLead();
+		} catch (error) {
+			this.#stepDown();
+			throw error;
+		}
+	}
+
+	#beginToLead(): void {
 		const state = this.#state!;
 		state.role = 'leader';
 		state.leader = this.id;
@@ -321,18 +338,19 @@
 			clock: this.#opts.clock,
 			transport: this.#opts.transport,
 			timing: this.#timing,
+			tasks: this.#tasks,
 			onProgress: () => {
 				this.#commitAsLeader();
 			},
 			onHigherTerm: term => {
 				this.#stepDown();
-				void state.updateTerm(term);
+				this.#tasks.start('update-term', async () => state.updateTerm(term));
 			},
 		});
 		this.#firstIndexOfTerm = state.window.lastIndex + 1;
 		// The members of a new log are not on any disk yet, and without them no member leads after a restart.
-		void (state.hasStoredMembers ? this.#proposeRecord('noop', undefined) : this.#proposeRecord('members', state.members.members));
-		void this.#steps.onStep('election.won', this.id);
+		this.#tasks.start('first-record', async () => state.hasStoredMembers ? this.#proposeRecord('noop', undefined) : this.#proposeRecord('members', state.members.members));
+		this.#tasks.start('election-won', async () => this.#steps.onStep('election.won', this.id));
 	}
 
 	#stepDown(): void {
@@ -352,6 +370,8 @@
 		while (!this.#abortController.signal.aborted) {
 			await this.#opts.clock.sleep(this.#timing.heartbeatMs, this.#abortController.signal);
 			if (this.#checkLeadership()) {
+				// Records whose writing has failed by an error would otherwise wait for the next ones.
+				this.#tasks.start('write-records', async () => this.#writePending());
 				await this.#recordFolders();
 			}
 		}
@@ -381,7 +401,7 @@
 		}
 
 		this.#replicator?.wake();
-		void this.#writePending();
+		this.#tasks.start('write-records', async () => this.#writePending());
 		const result = await waitWithTimeout(outcome, timeoutMs, this.#opts.clock);
 		return result ?? err(new ReplicatedLogError('ERR_HICKORYTRACK_LOG_TIMEOUT', 'The command was not acknowledged before the timeout', {applied: 'unknown', hint: 'Retry the command with the same change id.'}));
 	}
@@ -437,7 +457,7 @@
 
 		this.#stepDownIfRemoved();
 		state.emitChange();
-		void this.#saveSnapshotIfDue();
+		this.#tasks.start('save-snapshot', async () => this.#saveSnapshotIfDue());
 	}
 
 	#resolveWaiter(record: LogRecord, value: unknown): void {
--- a/packages/coordination/replicated-log/src/replicator.ts
+++ b/packages/coordination/replicated-log/src/replicator.ts
@@ -3,6 +3,7 @@
  * before it sends the next message, and a second task sends heartbeats. The tasks end when this member no longer leads
  * the term in which they were started, on `stop`, and when their member is removed or its address changes.
  */
+import type {BackgroundTasks} from '@hickorytrack/background-tasks';
 import type {Clock} from '@hickorytrack/clock';
 import type {MemberMessage, MemberReply, MemberTransport} from './member-messages.js';
 import type {MemberInfo} from './member-set.js';
@@ -25,6 +26,7 @@
 	clock: Clock;
 	transport: MemberTransport;
 	timing: LogTiming;
+	tasks: BackgroundTasks;
 	/** Called after each reply to an append or a snapshot in the current term, because the commit index may advance. */
 	onProgress: () => void;
 	/** Called when a member replies with a higher term. */
@@ -64,8 +66,10 @@
 				},
 			};
 			this.#progress.set(member.id, progress);
-			void this.#replicate(progress);
-			void this.#sendHeartbeats(progress);
+			const {tasks, clock} = this.#opts;
+			const {signal} = this.#abortController;
+			tasks.startUntil(signal, {task: 'replication', clock}, async () => this.#replicate(progress));
+			tasks.startUntil(signal, {task: 'leader-heartbeats', clock}, async () => this.#sendHeartbeats(progress));
 		}
 
 		for (const id of this.#progress.keys()) {
@@ -155,7 +159,7 @@
 	/** Sends heartbeats at a fixed interval, without waiting for replies. */
 	async #sendHeartbeats(progress: Progress): Promise<void> {
 		while (this.#isActive(progress)) {
-			void this.#sendHeartbeat(progress);
+			this.#opts.tasks.start('leader-heartbeat', async () => this.#sendHeartbeat(progress));
 			await this.#opts.clock.sleep(this.#opts.timing.heartbeatMs, this.#abortController.signal);
 		}
 	}
--- a/packages/net/http-answer/src/http-call.ts
+++ b/packages/net/http-answer/src/http-call.ts
@@ -4,6 +4,7 @@
  */
 import type {Buffer} from 'node:buffer';
 import {buildConnector, Client, type Dispatcher} from 'undici';
+import {BackgroundTasks} from '@hickorytrack/background-tasks';
 import {describeError, HickorytrackError, type ErrorCode} from '@hickorytrack/errors';
 import type {AnswerHead} from './answer-framing.js';
 import {AnswerReader, answerVerdicts, type ReceivedAnswer} from './answer-reader.js';
@@ -12,6 +13,8 @@
 import {ConnectionWatch} from './connection-watch.js';
 
 export type HttpCallOptions = {
+	/** Without it, errors of tasks are printed as warnings. */
+	tasks?: BackgroundTasks;
 	method?: Dispatcher.HttpMethod;
 	headers?: Record<string, string>;
 	body?: string;
@@ -39,6 +42,7 @@
 	readonly #watch = new ConnectionWatch();
 	readonly #client: Client;
 	readonly #opts: HttpCallOptions;
+	readonly #tasks: BackgroundTasks;
 	/** Bytes that the reader has not taken yet. */
 	readonly #waiting = new ByteCollector();
 	#error: Error | undefined;
@@ -51,6 +55,7 @@
 	/** Opens the connection and sends the request. */
 	constructor(url: string, opts: HttpCallOptions) {
 		this.#opts = opts;
+		this.#tasks = opts.tasks ?? new BackgroundTasks();
 		const {origin, pathname, search} = new URL(url);
 		const connect = buildConnector({timeout: connectTimeoutMs});
 		this.#client = new Client(origin, {
@@ -251,7 +256,7 @@
 	#close(): void {
 		this.#isClosed = true;
 		this.#onProgress?.();
-		void this.#client.destroy();
+		this.#tasks.start('close-call', async () => this.#client.destroy());
 	}
 }
 
--- a/packages/net/mesh/src/mesh.ts
+++ b/packages/net/mesh/src/mesh.ts
@@ -8,6 +8,7 @@
  * instance that is no hub then depends on the number of hubs only. Hubs know every member from its link; the others ask a
  * hub regularly for the hubs and the number of members.
  */
+import {BackgroundTasks} from '@hickorytrack/background-tasks';
 import type {Clock} from '@hickorytrack/clock';
 import type {EventLog} from '@hickorytrack/events';
 import type {PeerConnection} from '@hickorytrack/peer-link/peer-connection';
@@ -27,6 +28,8 @@
 	linkedRoles: readonly string[];
 	/** Members with this role are the hubs of a large mesh; without it the mesh is always full. */
 	hubRole?: string;
+	/** Without it, errors of tasks and listeners are printed as warnings. */
+	tasks?: BackgroundTasks;
 };
 
 /** A member that is not a seed is removed after it has been unreachable for this long. */
@@ -61,6 +64,7 @@
 export class Mesh {
 	readonly peers: PeerNode;
 	readonly #opts: MeshOptions;
+	readonly #tasks: BackgroundTasks;
 	readonly #entries = new Map<string, MemberEntry>();
 	readonly #listeners: Array<(connection: PeerConnection) => Promise<void> | void> = [];
 	/** Numbers of members that hubs have told, by hub. */
@@ -74,6 +78,7 @@
 
 	constructor(opts: MeshOptions) {
 		this.#opts = opts;
+		this.#tasks = opts.tasks ?? new BackgroundTasks();
 		this.peers = opts.peers;
 		this.#seeds = opts.seeds;
 		this.#highestCount = new RecentMaximum(opts.clock, memberMemoryMs);
@@ -113,7 +118,7 @@
 	start(): void {
 		this.#isStarted = true;
 		this.setSeeds(this.#seeds);
-		void this.#runRefresh();
+		this.#tasks.startUntil(this.#abortController.signal, {task: 'mesh-refresh', clock: this.#opts.clock}, async () => this.#runRefresh());
 	}
 
 	/** Replaces the seed addresses, for example after the settings have changed. */
@@ -202,7 +207,8 @@
 	#addIncoming(entry: MemberEntry, connection: PeerConnection): void {
 		entry.incoming = connection;
 		entry.lastReachableAt = this.#opts.clock.monotonic();
-		void connection.closed.then(() => {
+		this.#tasks.start('mesh-incoming-closed', async () => {
+			await connection.closed;
 			if (entry.incoming === connection) {
 				entry.incoming = undefined;
 				entry.lastReachableAt = this.#opts.clock.monotonic();
@@ -210,13 +216,14 @@
 		});
 		// In a full mesh the listeners run for the link in the other direction.
 		if (!entry.link) {
-			void this.#notifyListeners(connection);
+			this.#tasks.start('mesh-connected', async () => this.#notifyListeners(connection));
 		}
 	}
 
+	/** A listener that fails keeps neither the others from their call nor the connection from its use. */
 	async #notifyListeners(connection: PeerConnection): Promise<void> {
 		for (const listener of this.#listeners) {
-			await listener(connection);
+			await this.#tasks.run('mesh-connected', async () => listener(connection));
 		}
 	}
 
@@ -304,7 +311,8 @@
 		await this.#requestMembers(connection);
 		events.emit('memberReached', {instance: connection.remote.instance, address: connection.remote.address});
 		await this.#notifyListeners(connection);
-		void connection.closed.then(() => {
+		this.#tasks.start('mesh-link-closed', async () => {
+			await connection.closed;
 			entry.lastReachableAt = clock.monotonic();
 			events.emit('memberLost', {instance: connection.remote.instance, address: connection.remote.address});
 		});
--- a/packages/net/peer-link/src/peer-connection.ts
+++ b/packages/net/peer-link/src/peer-connection.ts
@@ -3,11 +3,13 @@
  * when it has sent nothing else for an interval. It closes the connection when nothing has been received for `silenceMs`,
  * because a network device between the two processes may have dropped the connection without notice.
  */
+import type {Buffer} from 'node:buffer';
 import type {Socket} from 'node:net';
 import {
 	JSONRPCClient, JSONRPCServer, JSONRPCServerAndClient, type JSONRPCParams,
 } from 'json-rpc-2.0';
 import {err, ok, type Result} from 'neverthrow';
+import type {BackgroundTasks} from '@hickorytrack/background-tasks';
 import {HickorytrackError, describeError, type ErrorCode} from '@hickorytrack/errors';
 import {waitWithTimeout, type Clock} from '@hickorytrack/clock';
 import {parsePeerParams, parsePeerResult} from '@hickorytrack/types/parse-peer-message';
@@ -63,6 +65,7 @@
 	decoder: FrameDecoder;
 	/** Bytes held by all connections of the process. */
 	bytes: LinkBytes;
+	tasks: BackgroundTasks;
 	/** Called when this side closes the connection because of what the other side sent or did not read. */
 	onRefused: (reason: string) => void;
 	/** Called for a message, or an element of one, that can't be used. */
@@ -90,6 +93,7 @@
 	readonly #bytes: LinkBytes;
 	readonly #onRefused: (reason: string) => void;
 	readonly #onUnusable: (unusable: UnusableMessage) => void;
+	readonly #uncork: () => void;
 	readonly #abortController = new AbortController();
 	/** Acquired bytes of the write buffer. */
 	#backlogBytes = 0;
@@ -112,6 +116,10 @@
 		this.#bytes = opts.bytes;
 		this.#onRefused = opts.onRefused;
 		this.#onUnusable = opts.onUnusable;
+		this.#uncork = opts.tasks.createListener('uncork-link', () => {
+			this.#corked = false;
+			socket.uncork();
+		});
 		this.#rpc = this.#createRpc(opts.handlers);
 		this.closed = new Promise(resolve => {
 			this.#abortController.signal.addEventListener('abort', () => {
@@ -119,7 +127,7 @@
 			}, {once: true});
 		});
 		this.#listen(opts);
-		void this.#runHeartbeats();
+		opts.tasks.startUntil(this.#abortController.signal, {task: 'link-heartbeats', clock: this.#clock}, async () => this.#runHeartbeats());
 	}
 
 	get heldBytes(): number {
@@ -199,17 +207,17 @@
 		return new PeerLinkError('ERR_HICKORYTRACK_PEER_METHOD', `${this.remote.instance} failed ${method}: ${describeError(error)}`, {sent: true, cause: error});
 	}
 
-	#listen(opts: PeerConnectionOptions): void {
+	#listen({tasks, bufferedMessages}: PeerConnectionOptions): void {
 		this.#decoder.setLimit(Math.min(maximumFrameBytes, this.#bytes.limit), {
 			acquire: bytes => this.#bytes.acquire(bytes, this),
 			release: bytes => {
 				this.#bytes.release(bytes);
 			},
 		});
-		this.#socket.on('drain', () => {
+		this.#socket.on('drain', tasks.createListener('link-drain', () => {
 			this.#updateBacklog();
-		});
-		this.#socket.on('data', chunk => {
+		}));
+		this.#socket.on('data', tasks.createListener('link-data', (chunk: Buffer) => {
 			this.#lastReceivedAt = this.#clock.monotonic();
 			this.#traffic.receivedBytes += chunk.length;
 			try {
@@ -224,14 +232,13 @@
 			} catch (error) {
 				this.close(describeError(error));
 			}
-		});
-		this.#socket.on('error', () => {
+		}));
+		const closeSocket = tasks.createListener('link-close', () => {
 			this.#closeSocket();
 		});
-		this.#socket.on('close', () => {
-			this.#closeSocket();
-		});
-		for (const message of opts.bufferedMessages) {
+		this.#socket.on('error', closeSocket);
+		this.#socket.on('close', closeSocket);
+		for (const message of bufferedMessages) {
 			this.#dispatch(message);
 		}
 
@@ -286,10 +293,7 @@
 
 		this.#corked = true;
 		this.#socket.cork();
-		setImmediate(() => {
-			this.#corked = false;
-			this.#socket.uncork();
-		});
+		setImmediate(this.#uncork);
 	}
 
 	async #runHeartbeats(): Promise<void> {
--- a/packages/net/peer-link/src/peer-node.ts
+++ b/packages/net/peer-link/src/peer-node.ts
@@ -6,6 +6,7 @@
 	connect, createServer, type Server, type Socket, type TcpNetConnectOpts,
 } from 'node:net';
 import {err, ok, type Result} from 'neverthrow';
+import {BackgroundTasks} from '@hickorytrack/background-tasks';
 import {waitWithTimeout, type Clock} from '@hickorytrack/clock';
 import {computeBackoff, type Random} from '@hickorytrack/random';
 import {describeError, HickorytrackError} from '@hickorytrack/errors';
@@ -55,6 +56,8 @@
 	onRefused?: (refusal: LinkRefusal) => void;
 	/** Called for a message, or an element of one, that can't be used. */
 	onUnusable?: (unusable: UnusableMessage & {instance: string}) => void;
+	/** Owner of the tasks and listeners of all connections; without it, their errors are printed as warnings. */
+	tasks?: BackgroundTasks;
 	/** Opens a socket; only tests replace it. */
 	openSocket?: (options: TcpNetConnectOpts) => Socket;
 };
@@ -99,8 +102,11 @@
 	readonly #connections = new Set<PeerConnection>();
 	readonly #links = new Set<PersistentLink>();
 	readonly #bytes: LinkBytes;
+	readonly #tasks: BackgroundTasks;
+	readonly #reportRefused: (refusal: LinkRefusal) => void;
+	readonly #reportUnusable: (unusable: UnusableMessage & {instance: string}) => void;
 	readonly #pending = new PendingSockets(address => {
-		this.#opts.onRefused?.({address, reason: 'too many connections without a proof of the key'});
+		this.#reportRefused({address, reason: 'too many connections without a proof of the key'});
 	});
 
 	#server: Server | undefined;
@@ -109,6 +115,9 @@
 
 	constructor(opts: PeerNodeOptions) {
 		this.#opts = opts;
+		this.#tasks = opts.tasks ?? new BackgroundTasks();
+		this.#reportRefused = this.#tasks.createListener('link-refused', opts.onRefused ?? (() => undefined));
+		this.#reportUnusable = this.#tasks.createListener('link-unusable', opts.onUnusable ?? (() => undefined));
 		this.member = {...opts.member};
 		this.#bytes = new LinkBytes(opts.part ?? new ByteAccount(defaultAccountBytes).getPart('links'), this.#connections);
 	}
@@ -134,9 +143,7 @@
 
 	/** Listens for other processes. The bind is exclusive, so that an address can identify an agent's slot. */
 	async listen(address: PeerAddress): Promise<Result<void, HickorytrackError>> {
-		const server = createServer(socket => {
-			void this.#accept(socket);
-		});
+		const server = createServer(this.#tasks.createListener('accept-link', async (socket: Socket) => this.#accept(socket)));
 		this.#server = server;
 		return new Promise(resolve => {
 			server.once('error', error => {
@@ -145,6 +152,10 @@
 				})));
 			});
 			server.listen({host: address.host, port: address.port, exclusive: true}, () => {
+				// It may fail to accept a connection, for lack of descriptors, and goes on.
+				server.on('error', error => {
+					this.#tasks.report('accept-link', error);
+				});
 				const bound = server.address();
 				this.#localHost = address.host === wildcardHost ? undefined : address.host;
 				if (this.#opts.advertise !== undefined) {
@@ -236,7 +247,7 @@
 			}
 		};
 
-		void runReconnectLoop();
+		this.#tasks.startUntil(abortController.signal, {task: 'link', clock: this.#opts.clock}, runReconnectLoop);
 		return link;
 	}
 
@@ -265,8 +276,12 @@
 	async #runConnection(connection: PeerConnection, opts: PersistentLinkOptions): Promise<boolean> {
 		try {
 			await opts.onConnected?.(connection);
-		} catch {
+		} catch (error) {
 			connection.close();
+			if (!(error instanceof PeerLinkError)) {
+				this.#tasks.report('link-connected', error);
+			}
+
 			return false;
 		}
 
@@ -307,13 +322,14 @@
 		const refuse = (reason: string) => {
 			// A connection that had to go for others has been reported already, and one that the other side closed is no refusal.
 			if (!socket.destroyed) {
-				this.#opts.onRefused?.({address, reason});
+				this.#reportRefused({address, reason});
 				socket.destroy();
 			}
 		};
 
 		const timeout = new AbortController();
-		void this.#opts.clock.sleep(handshakeTimeoutMs, timeout.signal).then(() => {
+		this.#tasks.start('handshake-timeout', async () => {
+			await this.#opts.clock.sleep(handshakeTimeoutMs, timeout.signal);
 			if (!timeout.signal.aborted) {
 				refuse('no proof of the key in time');
 			}
@@ -344,14 +360,17 @@
 	#createConnection(socket: Socket, remote: PeerMember, reader: HandshakeReader): PeerConnection {
 		const bufferedMessages = reader.release();
 		const connection = new PeerConnection(socket, {
-			clock: this.#opts.clock, timing: this.#opts.timing, remote, handlers: this.#handlers, bufferedMessages, decoder: reader.decoder, traffic: this.traffic, bytes: this.#bytes, onRefused: reason => {
-				this.#opts.onRefused?.({address: socket.remoteAddress ?? remote.address, instance: remote.instance, reason});
+			clock: this.#opts.clock, timing: this.#opts.timing, remote, handlers: this.#handlers, bufferedMessages, decoder: reader.decoder, traffic: this.traffic, bytes: this.#bytes, tasks: this.#tasks, onRefused: reason => {
+				this.#reportRefused({address: socket.remoteAddress ?? remote.address, instance: remote.instance, reason});
 			}, onUnusable: unusable => {
-				this.#opts.onUnusable?.({...unusable, instance: remote.instance});
+				this.#reportUnusable({...unusable, instance: remote.instance});
 			},
 		});
 		this.#connections.add(connection);
-		void connection.closed.then(() => this.#connections.delete(connection));
+		this.#tasks.start('link-closed', async () => {
+			await connection.closed;
+			this.#connections.delete(connection);
+		});
 		return connection;
 	}
 }
--- a/packages/plugins/edge/src/buffered/buffered-forwarder.ts
+++ b/packages/plugins/edge/src/buffered/buffered-forwarder.ts
@@ -155,7 +155,7 @@
 
 	#sendTo(server: KnownServer, opts: {permit: SendPermit; grant: SendGrant}): void {
 		this.#servers.push(server);
-		void this.#runAndRecord(server, opts);
+		this.#context.tasks.start('buffered-run', async () => this.#runAndRecord(server, opts));
 		if (this.#isRetryable) {
 			this.#startOverdueTimer(server);
 		}
@@ -216,8 +216,12 @@
 		this.#cancelOverdueTimer?.();
 		const startedAt = this.#context.clock.monotonic();
 		this.#cancelOverdueTimer = this.#context.clock.startTimer(this.#remainingMs * overdueFraction, () => {
-			void this.#handleOverdue(server, this.#context.clock.monotonic() - startedAt).catch((error: unknown) => {
-				this.#recordEnded({error});
+			this.#context.tasks.start('overdue-run', async () => {
+				try {
+					await this.#handleOverdue(server, this.#context.clock.monotonic() - startedAt);
+				} catch (error) {
+					this.#recordEnded({error});
+				}
 			});
 		});
 	}
--- a/packages/plugins/edge/src/calls/create-forward-context.ts
+++ b/packages/plugins/edge/src/calls/create-forward-context.ts
@@ -15,7 +15,7 @@
 import type {ForwardContext} from './forward-context.js';
 
 export type ForwardContextOptions = Pick<EdgeOptions, 'settings' | 'clock' | 'random' | 'codec' | 'metrics' | 'account'>
-	& Pick<ForwardContext, 'registry' | 'health' | 'limits' | 'loadTracker' | 'profile' | 'crashReports' | 'origins' | 'eventLog' | 'getConnectionLimit'>
+	& Pick<ForwardContext, 'tasks' | 'registry' | 'health' | 'limits' | 'loadTracker' | 'profile' | 'crashReports' | 'origins' | 'eventLog' | 'getConnectionLimit'>
 	& Pick<EndpointClientOptions, 'onForeignAnswer' | 'onHandlerFailed'>
 	& {
 		cacheIndex: PrefixCacheIndex;
@@ -36,10 +36,10 @@
 const headMemoryDivisor = 8;
 
 export function createForwardContext(opts: ForwardContextOptions): ForwardContext {
-	const {settings, clock, random, codec, metrics, account, registry, health, limits, loadTracker, profile, cacheIndex, partUsage, eventLog, getKvCapacity, getConnectionLimit, countInstances} = opts;
+	const {settings, clock, tasks, random, codec, metrics, account, registry, health, limits, loadTracker, profile, cacheIndex, partUsage, eventLog, getKvCapacity, getConnectionLimit, countInstances} = opts;
 	reportFullParts(account, {clock, events: eventLog});
 	const client = new EndpointClient({
-		clock, connectTimeoutMs, headBound: new ByteBudget(Math.floor(account.limit / headMemoryDivisor)), limits: {maxAnswerBytes: Math.floor(settings.answerMemoryBytes / answersInMemory), budget: account.getPart('answers')}, onAnswer(server, head, request) {
+		clock, tasks, connectTimeoutMs, headBound: new ByteBudget(Math.floor(account.limit / headMemoryDivisor)), limits: {maxAnswerBytes: Math.floor(settings.answerMemoryBytes / answersInMemory), budget: account.getPart('answers')}, onAnswer(server, head, request) {
 			const metadata = codec.decodeResponseHead(head);
 			if (metadata.isLeaving) {
 				opts.onLeaving(server);
@@ -57,6 +57,7 @@
 	});
 	return {
 		clock,
+		tasks,
 		random,
 		codec,
 		registry,
--- a/packages/plugins/edge/src/calls/forward-context.ts
+++ b/packages/plugins/edge/src/calls/forward-context.ts
@@ -1,4 +1,5 @@
 /** State and services that all forwarders of an instance share. */
+import type {BackgroundTasks} from '@hickorytrack/background-tasks';
 import type {Clock} from '@hickorytrack/clock';
 import type {EndpointClient, OutboundRequest} from '@hickorytrack/endpoint-client';
 import type {SendGrant} from '@hickorytrack/endpoint-client/send-grant';
@@ -26,6 +27,7 @@
 
 export type ForwardContext = {
 	clock: Clock;
+	tasks: BackgroundTasks;
 	random: Random;
 	client: EndpointClient;
 	registry: EndpointRegistry;
--- a/packages/plugins/edge/src/crashes/crash-reports.ts
+++ b/packages/plugins/edge/src/crashes/crash-reports.ts
@@ -4,6 +4,7 @@
  * listener. If another start of it listens already, its next report tells. A server that had said that it leaves did not crash.
  */
 import {connect} from 'node:net';
+import type {BackgroundTasks} from '@hickorytrack/background-tasks';
 import {waitWithTimeout, type Clock} from '@hickorytrack/clock';
 import type {CrashAttribution} from '@hickorytrack/crash-attribution';
 import type {BanRecord} from '@hickorytrack/crash-attribution/ban-store';
@@ -32,6 +33,7 @@
 
 export type CrashReportsOptions = {
 	clock: Clock;
+	tasks: BackgroundTasks;
 	attribution: CrashAttribution;
 	/** Name of this instance. */
 	instance: string;
@@ -95,13 +97,16 @@
 		}
 	}
 
-	/** Checks whether the server of a run has crashed, and reports it with all runs that it has ended here. A silent one counts as crashed. Never rejects. */
+	/**
+	 * Checks whether the server of a run has crashed, and reports it with all runs that it has ended here. A silent one counts as
+	 * crashed, and so does one whose check fails. Never rejects.
+	 */
 	async checkForCrash({traits, metadata}: CallerRequest, server: KnownServer): Promise<ServerCondition> {
 		const crashId = createCrashId(server);
 		let check = this.#pendingChecks.get(crashId);
 		if (!check) {
 			check = {
-				startedAt: this.#opts.clock.monotonic(), runs: [], requestIds: [], unconfirmed: [], condition: this.#runCheck(crashId, server),
+				startedAt: this.#opts.clock.monotonic(), runs: [], requestIds: [], unconfirmed: [], condition: this.#checkOnce(crashId, server),
 			};
 			this.#pendingChecks.set(crashId, check);
 		}
@@ -116,7 +121,7 @@
 		if (verdict === answerVerdicts.whole) {
 			this.#recordSound(request.traits, 0);
 		} else if (this.#opts.attribution.isSuspect(request.traits)) {
-			void this.checkEnd(request, server);
+			this.#opts.tasks.start('check-for-crash', async () => this.checkEnd(request, server));
 		}
 	}
 
@@ -234,6 +239,16 @@
 		}
 	}
 
+	async #checkOnce(crashId: string, server: KnownServer): Promise<ServerCondition> {
+		let condition: ServerCondition = serverConditions.silent;
+		await this.#opts.tasks.run('check-for-crash', async () => {
+			condition = await this.#runCheck(crashId, server);
+		});
+		// Behind an error it would be joined for ever.
+		this.#pendingChecks.delete(crashId);
+		return condition;
+	}
+
 	async #runCheck(crashId: string, server: KnownServer): Promise<ServerCondition> {
 		const {clock, health, probe = probeServer, reportIntervalMs} = this.#opts;
 		await clock.sleep(crashProbeDelayMs);
--- a/packages/plugins/edge/src/edge.ts
+++ b/packages/plugins/edge/src/edge.ts
@@ -105,15 +105,16 @@
 
 	constructor(opts: EdgeOptions) {
 		this.#opts = opts;
-		this.tasks = createBackgroundTasks(opts);
+		const tasks = createBackgroundTasks(opts);
+		this.tasks = tasks;
 		const {settings, clock, random, events, codec} = opts;
 		this.#peers = new PeerNode({
-			clock, random, timing: peerTiming, keys: [settings.peerKey], part: opts.account.getPart('links'), onRefused: createRefusalListener(opts), onUnusable: createUnusableListener(opts), member: {
+			clock, random, tasks, timing: peerTiming, keys: [settings.peerKey], part: opts.account.getPart('links'), onRefused: createRefusalListener(opts), onUnusable: createUnusableListener(opts), member: {
 				instance: settings.instance, roles: opts.storage ? [edgeRole, coreRole] : [edgeRole], availabilityZone: settings.availabilityZone, address: settings.peerAddress, incarnation: opts.incarnation, features: Object.values(peerFeatures),
 			},
 		});
 		this.mesh = new Mesh({
-			peers: this.#peers, clock, events, seeds: settings.seeds, linkedRoles: [edgeRole], hubRole: coreRole,
+			peers: this.#peers, clock, events, tasks, seeds: settings.seeds, linkedRoles: [edgeRole], hubRole: coreRole,
 		});
 		const health = new ServerHealth(clock);
 		this.registry = new EndpointRegistry({
@@ -127,12 +128,12 @@
 			},
 		});
 		this.configuration = new ConfigurationFollower({
-			mesh: this.mesh, clock, events, install: stored => {
+			mesh: this.mesh, clock, events, tasks, install: stored => {
 				this.#install(stored);
 			},
 		});
 		this.#core = opts.storage && new CoreMember({
-			mesh: this.mesh, storage: opts.storage, clock, random, events, toleratedLosses: settings.toleratedLosses, isFirstStart: settings.isFirstStart, seeds: settings.seeds, onStored: stored => {
+			mesh: this.mesh, storage: opts.storage, clock, random, events, tasks, toleratedLosses: settings.toleratedLosses, isFirstStart: settings.isFirstStart, seeds: settings.seeds, onStored: stored => {
 				this.configuration.update(stored);
 			}, onBans: records => {
 				this.#crashReports.restoreBans(records);
@@ -140,8 +141,8 @@
 		});
 		const hasVersion = (service: string, version: string) => this.registry.hasVersion(service, version);
 		this.#origins = new StreamOrigins({
-			clock, hasVersion, findServer: id => this.registry.find(id), leader: new OriginLink({
-				mesh: this.mesh, configuration: this.configuration, core: this.#core, recall: stream => this.#origins.recall(stream),
+			clock, tasks, hasVersion, findServer: id => this.registry.find(id), leader: new OriginLink({
+				tasks, mesh: this.mesh, configuration: this.configuration, core: this.#core, recall: stream => this.#origins.recall(stream),
 			}),
 		});
 		const core = this.#core;
@@ -158,10 +159,10 @@
 		this.#cacheIndex = new PrefixCacheIndex({getKvCapacity: service => this.#getKvCapacity(service)});
 		const eventLog = new RateLimitedEventLog(clock, events);
 		this.#crashReports = new CrashReports({
-			clock, attribution: this.#crashAttribution, instance: settings.instance, mesh: this.mesh, registry: this.registry, eventLog, health, metrics: opts.metrics, reportIntervalMs: settings.reportIntervalMs,
+			clock, tasks, attribution: this.#crashAttribution, instance: settings.instance, mesh: this.mesh, registry: this.registry, eventLog, health, metrics: opts.metrics, reportIntervalMs: settings.reportIntervalMs,
 		});
 		this.#limitSharing = new LimitSharing({
-			clock, mesh: this.mesh, news: this.#limitNews, listLeaves: () => this.#stateSharing.leaves, onNews: (note, {formerly, peer}) => {
+			clock, tasks, mesh: this.mesh, news: this.#limitNews, listLeaves: () => this.#stateSharing.leaves, onNews: (note, {formerly, peer}) => {
 				this.#limits.reportNews(note, {formerly, source: newsSources.peer, peer});
 			},
 		});
@@ -174,6 +175,7 @@
 		});
 		this.#context = createForwardContext({
 			...opts,
+			tasks,
 			registry: this.registry,
 			health,
 			limits: this.#limits,
@@ -191,14 +193,16 @@
 				this.#serverNews.recordLeaving(server);
 			}, onPause: (server, pauseMs) => {
 				this.#serverNews.recordPause(server, pauseMs);
-			}, onForeignAnswer: answer => {
+			},
+			onForeignAnswer: tasks.createListener('foreign-answer', answer => {
 				this.#requestLog.recordForeignAnswer(answer, this.registry.list().find(server => server.address === answer.address)?.id);
-			}, onHandlerFailed: ({callKind, requestId, error}) => {
+			}),
+			onHandlerFailed: tasks.createListener('handler-failed', ({callKind, requestId, error}) => {
 				this.#requestLog.recordFailed({requestId, path: callKind, error});
-			},
+			}),
 		});
 		this.#stateSharing = new StateSharing({
-			clock, events, mesh: this.mesh, registry: this.registry, loadTracker: this.#loadTracker, cacheIndex: this.#cacheIndex, partUsage: this.#partUsage, context: this.#context, crashAttribution: this.#crashAttribution, crashReports: this.#crashReports, onLeaving: (report, peer) => {
+			clock, tasks, events, mesh: this.mesh, registry: this.registry, loadTracker: this.#loadTracker, cacheIndex: this.#cacheIndex, partUsage: this.#partUsage, context: this.#context, crashAttribution: this.#crashAttribution, crashReports: this.#crashReports, onLeaving: (report, peer) => {
 				this.#serverNews.reportLeaving(report, {source: newsSources.peer, peer});
 			}, onLeafAdded: leaf => {
 				this.#limitSharing.sendAll(leaf);
@@ -209,7 +213,7 @@
 		});
 		this.#deadlineGuard = new DeadlineGuard({clock, eventLog: this.#context.eventLog, metrics: opts.metrics});
 		this.#serverNews = new ServerNews({
-			registry: this.registry, pauses: this.#context.pauses, client: this.#context.client, stateSharing: this.#stateSharing, events, eventLog, metrics: opts.metrics,
+			tasks, registry: this.registry, pauses: this.#context.pauses, client: this.#context.client, stateSharing: this.#stateSharing, events, eventLog, metrics: opts.metrics,
 		});
 		this.#takeUps = new TakeUps({
 			clock, codec, eventLog: this.#context.eventLog, origins: this.#origins, requestLog: this.#requestLog, metrics: opts.metrics,
@@ -225,7 +229,7 @@
 			listServices: () => (this.#routes?.configuration.services ?? []).filter(service => service.modelServer).map(service => service.name),
 		});
 		this.#frontend = new HttpFrontend({
-			clock, random, codec, account: opts.account, notReadyRetryAfterMs: defaultRetryAfterMs, drainAcceptMs: computeDrainAcceptMs(settings.graceMs), getRoutes: () => this.configuration.isConfirmed ? this.#routes : undefined, forward: async request => this.#forward(request), ...this.#requestLog.frontendListeners,
+			clock, random, tasks, codec, account: opts.account, notReadyRetryAfterMs: defaultRetryAfterMs, drainAcceptMs: computeDrainAcceptMs(settings.graceMs), getRoutes: () => this.configuration.isConfirmed ? this.#routes : undefined, forward: async request => this.#forward(request), ...this.#requestLog.frontendListeners,
 		});
 		opts.metrics.onRead(() => {
 			this.#updateGauges();
--- a/packages/plugins/edge/src/front/body-reader.ts
+++ b/packages/plugins/edge/src/front/body-reader.ts
@@ -136,29 +136,38 @@
 	}
 
 	async read(): Promise<Buffer | BodyEnd> {
-		return new Promise(resolve => {
+		return new Promise((resolve, reject) => {
 			this.#resolve = resolve;
 			const {maxBytes} = this.#opts;
-			this.#incoming.on('error', () => {
+			// What a listener throws fails its request.
+			const guard = <A extends unknown[]>(listener: (...args: A) => void) => (...args: A) => {
+				try {
+					listener(...args);
+				} catch (error) {
+					reject(error);
+				}
+			};
+
+			this.#incoming.on('error', guard(() => {
 				this.#end(bodyEnds.broken);
-			});
-			this.#incoming.on('close', () => {
+			}));
+			this.#incoming.on('close', guard(() => {
 				this.#end(bodyEnds.broken);
-			});
-			this.#incoming.on('end', () => {
+			}));
+			this.#incoming.on('end', guard(() => {
 				this.#end(this.#isTooLarge ? bodyEnds.tooLarge : this.#body.drain());
-			});
+			}));
 			this.#isTooLarge = (this.#declaredBytes ?? 0) > maxBytes;
-			this.#acquire(this.#headBytes + (this.#isTooLarge ? 0 : this.#declaredBytes ?? 0), () => {
+			this.#acquire(this.#headBytes + (this.#isTooLarge ? 0 : this.#declaredBytes ?? 0), guard(() => {
 				this.lastByteAt = this.#opts.clock.monotonic();
 				if (!this.#isTooLarge) {
 					this.#body.reserve(this.#declaredBytes ?? 0);
 				}
 
-				this.#incoming.on('data', (chunk: Buffer) => {
+				this.#incoming.on('data', guard((chunk: Buffer) => {
 					this.#append(chunk);
-				});
-			});
+				}));
+			}));
 		});
 	}
 
--- a/packages/plugins/edge/src/front/http-frontend.ts
+++ b/packages/plugins/edge/src/front/http-frontend.ts
@@ -7,6 +7,8 @@
 	createServer, STATUS_CODES, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
 import type {Socket} from 'node:net';
+import type {Duplex} from 'node:stream';
+import type {BackgroundTasks} from '@hickorytrack/background-tasks';
 import type {ByteAccount} from '@hickorytrack/byte-account';
 import type {Clock} from '@hickorytrack/clock';
 import {maxDurationMs} from '@hickorytrack/fields';
@@ -29,6 +31,7 @@
 
 export type HttpFrontendOptions = {
 	clock: Clock;
+	tasks: BackgroundTasks;
 	random: Random;
 	codec: RequestCodec;
 	/** Bodies are charged to it. */
@@ -83,42 +86,50 @@
 	#isClosed = false;
 
 	constructor(opts: HttpFrontendOptions) {
-		this.#opts = opts;
+		const {tasks} = opts;
+		// Called in listeners of sockets, too, where nobody else handles what a report throws.
+		this.#opts = {
+			...opts,
+			onRejected: tasks.createListener('report-rejected', opts.onRejected),
+			onDropped: tasks.createListener('report-dropped', opts.onDropped),
+			onFailed: tasks.createListener('report-failed', opts.onFailed),
+			onCut: tasks.createListener('report-cut', opts.onCut),
+		};
 		this.#bodies = new BodyReader({clock: opts.clock, part: opts.account.getPart('bodies')});
 		this.#server = createServer({maxHeaderSize: maxHeadBytes, connectionsCheckingInterval: connectionsCheckMs, noDelay: true}, (request, response) => {
-			void this.#handle(request, response);
+			this.#startHandling(request, response);
 		});
 		this.#connections = new CallerConnections({
 			clock: opts.clock, getKeepAliveMs: () => this.#server.keepAliveTimeout, isStopped: () => this.#isClosed, onDropped: (exchange, reason) => {
 				this.#reportDropped(exchange, reason);
-			}, endConnection: socket => {
+			}, endConnection: tasks.createListener('front-idle', (socket: Socket) => {
 				this.#closes.end(socket);
-			},
+			}),
 		});
 		// Without this, Node.js answers by itself and leaves the connection open for good.
-		this.#server.on('checkExpectation', (request: IncomingMessage, response: ServerResponse) => {
+		this.#server.on('checkExpectation', tasks.createListener('front-expectation', (request: IncomingMessage, response: ServerResponse) => {
 			this.#rejectExpectation(request, response);
-		});
-		this.#closes = new LingeringClose(this.#server, {clock: opts.clock, onCut: opts.onCut});
+		}));
+		this.#closes = new LingeringClose(this.#server, {clock: opts.clock, onCut: this.#opts.onCut});
 		new OpenHeads({
 			clock: opts.clock, limit: opts.account.limit / headMemoryDivisor, maxHeadBytes, onEnd: socket => {
 				this.#endOpenHead(socket);
 			},
 		}).watch(this.#server);
-		this.#server.on('connection', (socket: Socket) => {
+		this.#server.on('connection', tasks.createListener('front-connection', (socket: Socket) => {
 			// Each open request of a connection listens for its close.
 			socket.setMaxListeners(0);
 			// Before the listener of the server, which may find the bytes before the end unreadable.
-			socket.prependListener('end', () => {
+			socket.prependListener('end', tasks.createListener('front-end', () => {
 				this.#connections.recordCallerEnd(socket);
-			});
-		});
-		this.#server.on('timeout', (socket: Socket) => {
+			}));
+		}));
+		this.#server.on('timeout', tasks.createListener('front-timeout', (socket: Socket) => {
 			this.#connections.checkIdle(socket);
-		});
-		this.#server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
+		}));
+		this.#server.on('clientError', tasks.createListener('front-client-error', (error: NodeJS.ErrnoException, socket: Duplex) => {
 			this.#handleClientError(error, socket as Socket);
-		});
+		}));
 	}
 
 	get openRequests(): number {
@@ -129,6 +140,10 @@
 		return new Promise((resolve, reject) => {
 			this.#server.once('error', reject);
 			this.#server.listen({host, port}, () => {
+				// It may fail to accept a connection, for lack of descriptors, and goes on.
+				this.#server.on('error', error => {
+					this.#opts.tasks.report('front-accept', error);
+				});
 				resolve();
 			});
 		});
@@ -185,6 +200,19 @@
 		}
 	}
 
+	/** A request whose failure could not be answered either loses its connection, so that its caller does not wait. */
+	#startHandling(incoming: IncomingMessage, response: ServerResponse): void {
+		const {tasks} = this.#opts;
+		tasks.start('front-request', async () => {
+			try {
+				await this.#handle(incoming, response);
+			} catch (error) {
+				response.destroy();
+				throw error;
+			}
+		});
+	}
+
 	async #handle(incoming: IncomingMessage, response: ServerResponse): Promise<void> {
 		const exchange = this.#connections.record(incoming, response);
 		if (this.#connections.isClosing(incoming.socket)) {
--- a/packages/plugins/edge/src/sharing/limit-sharing.ts
+++ b/packages/plugins/edge/src/sharing/limit-sharing.ts
@@ -4,6 +4,7 @@
  * before it does not know whether that one still issues, so it issues a small part of the limit only, until no instance that
  * it reaches has a connection to that one. So does a member that reaches at most half of the instances.
  */
+import type {BackgroundTasks} from '@hickorytrack/background-tasks';
 import {waitWithTimeout, type Clock} from '@hickorytrack/clock';
 import type {Mesh} from '@hickorytrack/mesh';
 import type {PeerConnection} from '@hickorytrack/peer-link/peer-connection';
@@ -14,6 +15,7 @@
 
 export type LimitSharingOptions = {
 	clock: Clock;
+	tasks: BackgroundTasks;
 	mesh: Mesh;
 	news: LimitNews;
 	/** Instances to which this one passes on what others tell. */
@@ -74,10 +76,11 @@
 		this.#unsent.add(id);
 		if (!this.#isSendDue) {
 			this.#isSendDue = true;
-			this.#opts.clock.startTimer(noteIntervalMs, () => {
+			const {clock, tasks} = this.#opts;
+			clock.startTimer(noteIntervalMs, tasks.createListener('limit-news', () => {
 				this.#isSendDue = false;
 				this.#opts.mesh.broadcast('limit.note', {limits: this.#drainUnsent()});
-			});
+			}));
 		}
 	}
 
@@ -157,7 +160,8 @@
 		if (!known || now - known.checkedAt > reachIntervalMs) {
 			known = {isLost: known !== undefined && known.isLost && now - known.checkedAt < reachTtlMs, checkedAt: now};
 			this.#unreachable.set(address, known);
-			void this.#updateReach(address, known);
+			const checked = known;
+			this.#opts.tasks.start('check-reach', async () => this.#updateReach(address, checked));
 		}
 
 		return known.isLost;
--- a/packages/plugins/edge/src/sharing/origin-link.ts
+++ b/packages/plugins/edge/src/sharing/origin-link.ts
@@ -1,4 +1,5 @@
 /** Connects stream origins to the leader of the core, in this process or another one. */
+import type {BackgroundTasks} from '@hickorytrack/background-tasks';
 import type {Mesh} from '@hickorytrack/mesh';
 import type {ConfigurationFollower} from '@hickorytrack/route-store/configuration-follower';
 import type {CoreMember} from '@hickorytrack/route-store/core-member';
@@ -6,6 +7,7 @@
 import {peerFeatures, type StreamOriginView, type StreamOriginWrite} from '@hickorytrack/types/peer-methods';
 
 export type OriginLinkOptions = {
+	tasks: BackgroundTasks;
 	mesh: Mesh;
 	configuration: ConfigurationFollower;
 	/** Only on core machines. */
@@ -54,7 +56,8 @@
 		});
 		const first = new Promise<BegunStream>(resolve => {
 			for (const reply of replies) {
-				void reply.then(origin => {
+				this.#opts.tasks.start('recall-stream', async () => {
+					const origin = await reply;
 					if (origin) {
 						resolve(origin);
 					}
--- a/packages/plugins/edge/src/sharing/server-news.ts
+++ b/packages/plugins/edge/src/sharing/server-news.ts
@@ -1,4 +1,5 @@
 /** What servers say of themselves, in reports and in answers: it is recorded, told to the other instances, and logged. */
+import type {BackgroundTasks} from '@hickorytrack/background-tasks';
 import type {EndpointClient} from '@hickorytrack/endpoint-client';
 import type {EndpointRegistry, Incarnation, ServerReport} from '@hickorytrack/endpoint-registry';
 import type {EventLog} from '@hickorytrack/events';
@@ -9,6 +10,7 @@
 import type {StateSharing} from './state-sharing.js';
 
 export type ServerNewsOptions = {
+	tasks: BackgroundTasks;
 	registry: EndpointRegistry;
 	pauses: ServerPauses;
 	client: Pick<EndpointClient, 'closeIdle'>;
@@ -62,7 +64,8 @@
 		const report = this.#opts.registry.recordLeaving(server);
 		if (report) {
 			this.reportLeaving(report, {source: newsSources.answer});
-			void this.#opts.stateSharing.sendReport(report, undefined);
+			const {tasks, stateSharing} = this.#opts;
+			tasks.start('send-report', async () => stateSharing.sendReport(report, undefined));
 		}
 	}
 
--- a/packages/plugins/edge/src/sharing/state-sharing.ts
+++ b/packages/plugins/edge/src/sharing/state-sharing.ts
@@ -2,6 +2,7 @@
  * What an edge shares with the other instances: reports of servers, work in flight, prompts that servers hold, measured speeds,
  * and crashes of servers with the runs that they ended.
  */
+import type {BackgroundTasks} from '@hickorytrack/background-tasks';
 import type {Clock} from '@hickorytrack/clock';
 import type {CrashAttribution} from '@hickorytrack/crash-attribution';
 import type {EndpointRegistry, KnownServer, ServerReport} from '@hickorytrack/endpoint-registry';
@@ -20,6 +21,7 @@
 
 export type StateSharingOptions = {
 	clock: Clock;
+	tasks: BackgroundTasks;
 	events: EventLog;
 	mesh: Mesh;
 	registry: EndpointRegistry;
@@ -62,7 +64,8 @@
 	/** Shares state until the signal aborts. */
 	run(signal: AbortSignal): void {
 		this.#loadSharing.run(signal);
-		void this.#reportSharing.run(signal);
+		const {tasks, clock} = this.#opts;
+		tasks.startUntil(signal, {task: 'report-sharing', clock}, async () => this.#reportSharing.run(signal));
 	}
 
 	/** Sends a report of one of this instance's own servers; see `ReportSharing.send`. */
@@ -121,9 +124,10 @@
 	}
 
 	#createLoadSharing(): LoadSharing<PeerConnection> {
-		const {clock, events, mesh, registry, loadTracker, cacheIndex, onLeafAdded} = this.#opts;
+		const {clock, tasks, events, mesh, registry, loadTracker, cacheIndex, onLeafAdded} = this.#opts;
 		return new LoadSharing<PeerConnection>({
 			clock,
+			tasks,
 			events,
 			loadTracker,
 			cacheIndex,
--- a/packages/plugins/edge/src/streams/stream-results.ts
+++ b/packages/plugins/edge/src/streams/stream-results.ts
@@ -93,7 +93,7 @@
 	/** Releases a KV cache that no server will fetch. */
 	releaseKvHandle(handle: KvHandle | undefined): void {
 		if (handle) {
-			void releaseKvCache(this.#context, this.#request.service, handle);
+			this.#context.tasks.start('release-kv-cache', async () => releaseKvCache(this.#context, this.#request.service, handle));
 		}
 	}
 
--- a/packages/plugins/edge/src/streams/streaming-forwarder.ts
+++ b/packages/plugins/edge/src/streams/streaming-forwarder.ts
@@ -253,7 +253,7 @@
 		const plan = this.#planner.plan(run);
 		const refusal = predecessor && plan.placement.kind === 'refuse' ? plan.placement : undefined;
 		this.#reportSilence(refusal?.reason);
-		void this.#followRun(run, async () => refusal ? undefined : this.#procedure.followPlan(run, plan));
+		this.#startFollowing(run, async () => refusal ? undefined : this.#procedure.followPlan(run, plan));
 	}
 
 	/** Starts a run beside another one from its copy, or once more from one whose server has refused. */
@@ -266,7 +266,7 @@
 			predecessor.backupServer = undefined;
 		}
 
-		void this.#followRun(run, async () => {
+		this.#startFollowing(run, async () => {
 			const ending = predecessor ? await this.#procedure.resumeAt(run, backup, permit) : await this.#procedure.resumeAgain(run, backup, permit);
 			this.#refusedBackup = ending?.as === runOutcomes.refusedCopy ? backup : this.#refusedBackup;
 			if (predecessor && !run.isGenerating) {
@@ -277,6 +277,10 @@
 		});
 	}
 
+	#startFollowing(run: StreamRun, follow: () => Promise<RunEnding | undefined>): void {
+		this.#context.tasks.start('stream-run', async () => this.#followRun(run, follow));
+	}
+
 	/** An error ends its run only. */
 	async #followRun(run: StreamRun, follow: () => Promise<RunEnding | undefined>): Promise<void> {
 		let ending: RunEnding | undefined;
--- a/packages/plugins/edge/test/crash-reports.test.ts
+++ b/packages/plugins/edge/test/crash-reports.test.ts
@@ -1,4 +1,5 @@
 import {expect} from 'chai';
+import {BackgroundTasks} from '@hickorytrack/background-tasks';
 import {ManualClock} from '@hickorytrack/clock/manual-clock';
 import {CrashAttribution} from '@hickorytrack/crash-attribution';
 import {EndpointRegistry, type KnownServer, type ServerReport} from '@hickorytrack/endpoint-registry';
@@ -44,6 +45,7 @@
 			},
 		});
 		reports = new CrashReports({
+			tasks: new BackgroundTasks(),
 			clock, attribution, instance: 'edge-1', registry, eventLog: new RateLimitedEventLog(clock, events), health: new ServerHealth(clock), metrics: new MetricsRegistry(), reportIntervalMs, probe: async address => probe(address), mesh: {
 				broadcast(method, params) {
 					told.push({method, params});
--- a/packages/plugins/edge/test/http-frontend.test.ts
+++ b/packages/plugins/edge/test/http-frontend.test.ts
@@ -3,6 +3,7 @@
 	connect, createServer, type AddressInfo, type Socket,
 } from 'node:net';
 import {expect} from 'chai';
+import {BackgroundTasks} from '@hickorytrack/background-tasks';
 import {ByteAccount} from '@hickorytrack/byte-account';
 import {ManualClock} from '@hickorytrack/clock/manual-clock';
 import {SystemClock} from '@hickorytrack/clock/system-clock';
@@ -72,6 +73,7 @@
 
 		decodeRequestHeaders = codec.decodeRequestHeaders;
 		frontend = new HttpFrontend({
+			tasks: new BackgroundTasks(),
 			clock, random: new Random(1), codec: {...codec, decodeRequestHeaders: headers => decodeRequestHeaders(headers)}, account: new ByteAccount(1_000_000), notReadyRetryAfterMs: 100, drainAcceptMs: 2500, getRoutes: () => routes, async forward(callerRequest) {
 				return forward(callerRequest);
 			}, onRejected(rejectedRequest) {
@@ -454,7 +456,7 @@
 	it('refuses a request that arrives late in the drain, and does not forward it', async () => {
 		const clock = new ManualClock();
 		const draining = new HttpFrontend({
-			clock, random: new Random(1), codec, account: new ByteAccount(1_000_000), notReadyRetryAfterMs: 100, drainAcceptMs: 2500, getRoutes: () => routes, async forward(callerRequest) {
+			tasks: new BackgroundTasks(), clock, random: new Random(1), codec, account: new ByteAccount(1_000_000), notReadyRetryAfterMs: 100, drainAcceptMs: 2500, getRoutes: () => routes, async forward(callerRequest) {
 				forwarded.push(callerRequest);
 			}, onRejected(rejectedRequest) {
 				rejected.push(rejectedRequest);
--- a/packages/plugins/edge/test/retry-fleet.ts
+++ b/packages/plugins/edge/test/retry-fleet.ts
@@ -5,6 +5,7 @@
  */
 import {Buffer} from 'node:buffer';
 import type {ServerResponse} from 'node:http';
+import {BackgroundTasks} from '@hickorytrack/background-tasks';
 import {ManualClock} from '@hickorytrack/clock/manual-clock';
 import {
 	EndpointClientError, type EndpointClient, type OutboundRequest, type ResponseHandler,
@@ -212,6 +213,7 @@
 		const eventLog = new RateLimitedEventLog(clock, new EventLog({clock}));
 		return {
 			clock,
+			tasks: new BackgroundTasks(),
 			random,
 			codec,
 			health,
--- a/packages/plugins/edge/test/server-limits.test.ts
+++ b/packages/plugins/edge/test/server-limits.test.ts
@@ -1,4 +1,5 @@
 import {expect} from 'chai';
+import {BackgroundTasks} from '@hickorytrack/background-tasks';
 import {ManualClock} from '@hickorytrack/clock/manual-clock';
 import {EventLog} from '@hickorytrack/events';
 import type {Mesh} from '@hickorytrack/mesh';
@@ -51,6 +52,7 @@
 			},
 		};
 		this.sharing = new LimitSharing({
+			tasks: new BackgroundTasks(),
 			clock, mesh: mesh as unknown as Mesh, news: this.news, listLeaves: () => [], onNews: note => {
 				this.told.push(note);
 			},
--- a/packages/plugins/edge/test/state-sharing.test.ts
+++ b/packages/plugins/edge/test/state-sharing.test.ts
@@ -1,4 +1,5 @@
 import {expect} from 'chai';
+import {BackgroundTasks} from '@hickorytrack/background-tasks';
 import {ManualClock} from '@hickorytrack/clock/manual-clock';
 import {CrashAttribution} from '@hickorytrack/crash-attribution';
 import {mergeTraits, verdicts} from '@hickorytrack/crash-attribution/run-traits';
@@ -32,6 +33,7 @@
 			listConnections: () => [],
 		};
 		const sharing = new StateSharing({
+			tasks: new BackgroundTasks(),
 			clock, events: new EventLog({clock}), mesh: mesh as unknown as Mesh, registry: new EndpointRegistry({clock, reportTimeoutMs: 1000}), loadTracker: new LoadTracker(clock), cacheIndex: new PrefixCacheIndex({getKvCapacity: () => 0}), partUsage: new PartUsage(clock), context: {profile: new EngineProfile(), health: new ServerHealth(clock)}, crashAttribution: this.crashAttribution, crashReports: {
 				mergeCrash: report => this.crashAttribution.recordCrash(report),
 				mergeSound: sound => {
--- a/packages/routing/endpoint-client/src/server-connections.ts
+++ b/packages/routing/endpoint-client/src/server-connections.ts
@@ -8,6 +8,7 @@
  * for a while.
  */
 import {buildConnector, Client} from 'undici';
+import {BackgroundTasks} from '@hickorytrack/background-tasks';
 import type {Clock} from '@hickorytrack/clock';
 import type {SocketAddress} from '@hickorytrack/socket-address';
 import type {ByteBound} from '@hickorytrack/http-answer/byte-budget';
@@ -38,6 +39,8 @@
 	connectTimeoutMs: number;
 	/** Bounds what the heads of all answers cost together while they are read. */
 	headBound?: ByteBound;
+	/** Without it, errors of tasks and listeners are printed as warnings. */
+	tasks?: BackgroundTasks;
 };
 
 /** A connection counts as verified for this time after a complete response. Opening a new one takes one or two milliseconds. */
@@ -56,6 +59,7 @@
 
 export class ServerConnections {
 	readonly #opts: ServerConnectionsOptions;
+	readonly #tasks: BackgroundTasks;
 	readonly #byAddress = new Map<SocketAddress, ServerConnection[]>();
 	/** Idle time up to which connections are reused, for each address with a recent reset after an idle period. */
 	readonly #idleLimits = new Map<SocketAddress, {maxIdleMs: number; expiresAt: number}>();
@@ -64,6 +68,7 @@
 
 	constructor(opts: ServerConnectionsOptions) {
 		this.#opts = opts;
+		this.#tasks = opts.tasks ?? new BackgroundTasks();
 	}
 
 	/**
@@ -143,7 +148,7 @@
 			}
 		}
 
-		void connection.client.destroy();
+		this.#close(connection);
 	}
 
 	countBusy(address: SocketAddress): number {
@@ -220,12 +225,16 @@
 		if (idle) {
 			connections.splice(connections.indexOf(idle), 1);
 			idle.isClosed = true;
-			void idle.client.destroy();
+			this.#close(idle);
 		}
 
 		return idle !== undefined;
 	}
 
+	#close({client}: ServerConnection): void {
+		this.#tasks.start('close-server-connection', async () => client.destroy());
+	}
+
 	#closeIdleOfOthers(address: SocketAddress, {id, startedAt}: Recipient): void {
 		const others = this.#byAddress.get(address)?.filter(({isBusy, recipient}) => !isBusy && (recipient?.id !== id || recipient.startedAt !== startedAt)) ?? [];
 		for (const connection of others) {
--- a/packages/routing/load-sharing/src/load-sharing.ts
+++ b/packages/routing/load-sharing/src/load-sharing.ts
@@ -8,6 +8,7 @@
  * relay and its leaves), and each leaf receives one message with the sum of all other instances. A leaf whose relay
  * stops sending switches to another relay.
  */
+import {BackgroundTasks} from '@hickorytrack/background-tasks';
 import type {Clock} from '@hickorytrack/clock';
 import type {EventLog} from '@hickorytrack/events';
 import type {PrefixCacheIndex} from '@hickorytrack/prompt-placement/prefix-cache-index';
@@ -40,6 +41,8 @@
 	onLeafAdded?: (peer: Peer) => void;
 	/** Called with the prompts that other instances report as stored. */
 	onStored: (stored: readonly StoredPrompt[]) => void;
+	/** Without it, errors of tasks are printed as warnings. */
+	tasks?: BackgroundTasks;
 };
 
 /** Shortest interval at which changed load is shared, in milliseconds. A server prefills about 4,000 tokens meanwhile, half of a long prompt. */
@@ -77,6 +80,7 @@
 
 export class LoadSharing<Peer extends SharePeer = SharePeer> {
 	readonly #opts: LoadSharingOptions<Peer>;
+	readonly #tasks: BackgroundTasks;
 	readonly #leaves = new Map<string, Leaf<Peer>>();
 	readonly #backoffUntil = new Map<string, number>();
 	#pendingForwards: PendingForward[] = [];
@@ -87,6 +91,7 @@
 
 	constructor(opts: LoadSharingOptions<Peer>) {
 		this.#opts = opts;
+		this.#tasks = opts.tasks ?? new BackgroundTasks();
 	}
 
 	/** The relay that this instance uses, if any. */
@@ -112,12 +117,12 @@
 				return;
 			}
 
-			cancelTimer = clock.startTimer(delayMs, () => {
+			cancelTimer = clock.startTimer(delayMs, this.#tasks.createListener('load-sharing', () => {
 				sentAt = clock.monotonic();
 				isDueSoon = false;
 				schedule(refreshIntervalMs);
 				this.sendShares();
-			});
+			}));
 		};
 
 		this.#onChange = () => {
--- a/packages/routing/route-store/src/configuration-follower.ts
+++ b/packages/routing/route-store/src/configuration-follower.ts
@@ -4,6 +4,7 @@
  * the announcements.
  */
 import {err, ok, type Result} from 'neverthrow';
+import {BackgroundTasks} from '@hickorytrack/background-tasks';
 import type {Clock} from '@hickorytrack/clock';
 import {describeError} from '@hickorytrack/errors';
 import type {EventLog} from '@hickorytrack/events';
@@ -18,6 +19,8 @@
 	events: EventLog;
 	/** Installs a configuration on this instance. Called with increasing versions only. */
 	install: (stored: StoredConfiguration) => void;
+	/** Without it, errors of tasks are printed as warnings. */
+	tasks?: BackgroundTasks;
 };
 
 const announceIntervalMs = 250;
@@ -28,6 +31,7 @@
 
 export class ConfigurationFollower {
 	readonly #opts: ConfigurationFollowerOptions;
+	readonly #tasks: BackgroundTasks;
 	readonly #abortController = new AbortController();
 	#core: CoreMember | undefined;
 	#current: StoredConfiguration | undefined;
@@ -39,6 +43,7 @@
 
 	constructor(opts: ConfigurationFollowerOptions) {
 		this.#opts = opts;
+		this.#tasks = opts.tasks ?? new BackgroundTasks();
 		const {peers} = opts.mesh;
 		peers.handle('configuration.announce', announcement => {
 			this.#updateLeader(announcement);
@@ -69,9 +74,11 @@
 
 	start(core: CoreMember | undefined): void {
 		this.#core = core;
-		void this.#confirmCurrent();
+		const {clock} = this.#opts;
+		const {signal} = this.#abortController;
+		this.#tasks.startUntil(signal, {task: 'confirm-configuration', clock}, async () => this.#confirmCurrent());
 		if (core) {
-			void this.#runAnnouncements(core);
+			this.#tasks.startUntil(signal, {task: 'announcements', clock}, async () => this.#runAnnouncements(core));
 		}
 	}
 
@@ -183,7 +190,7 @@
 
 		this.#leader = {address: leader, term, heardAt: this.#opts.clock.monotonic()};
 		if (version > (this.#current?.version ?? 0)) {
-			void this.#fetch(leader);
+			this.#tasks.start('fetch-configuration', async () => this.#fetch(leader));
 		}
 	}
 
@@ -193,10 +200,13 @@
 		}
 
 		this.#isFetching = true;
-		const reply = await this.#opts.mesh.findConnection(leader)?.request('configuration.fetch', {});
-		this.#isFetching = false;
-		if (reply?.isOk() && reply.value.stored) {
-			this.update(reply.value.stored);
+		try {
+			const reply = await this.#opts.mesh.findConnection(leader)?.request('configuration.fetch', {});
+			if (reply?.isOk() && reply.value.stored) {
+				this.update(reply.value.stored);
+			}
+		} finally {
+			this.#isFetching = false;
 		}
 	}
 
--- a/packages/routing/route-store/src/core-member.ts
+++ b/packages/routing/route-store/src/core-member.ts
@@ -4,6 +4,7 @@
  * replaces another one, joins as a learner and votes only once it has the whole log.
  */
 import {err, ok, type Result} from 'neverthrow';
+import {BackgroundTasks} from '@hickorytrack/background-tasks';
 import type {Clock} from '@hickorytrack/clock';
 import {BanStore, type BanCommand, type BanRecord} from '@hickorytrack/crash-attribution/ban-store';
 import {HickorytrackError} from '@hickorytrack/errors';
@@ -39,6 +40,8 @@
 	onStored: (stored: StoredConfiguration) => void;
 	/** Called with bans that the log of this member holds. */
 	onBans: (records: readonly BanRecord[]) => void;
+	/** Without it, errors of tasks and listeners are printed as warnings. */
+	tasks?: BackgroundTasks;
 };
 
 /** Timeout of one proposal. Callers retry after their own timeout of 1 s, so it is shorter. */
@@ -67,6 +70,8 @@
 	readonly origins: OriginCore;
 	readonly banStore: BanStore;
 	readonly #opts: CoreMemberOptions;
+	readonly #tasks: BackgroundTasks;
+	readonly #reportNewest: () => void;
 	readonly #startedAt: number;
 	readonly #abortController = new AbortController();
 	/** Pending join requests by address, with the identity of the member's data folder. */
@@ -82,11 +87,17 @@
 
 	constructor(opts: CoreMemberOptions) {
 		this.#opts = opts;
+		this.#tasks = opts.tasks ?? new BackgroundTasks();
+		this.#reportNewest = this.#tasks.createListener('configuration-stored', () => {
+			const stored = this.#pendingReport!;
+			this.#pendingReport = undefined;
+			opts.onStored(stored);
+		});
 		this.#startedAt = opts.clock.monotonic();
 		this.store = new RouteStore(stored => {
 			this.#reportStored(stored);
 		});
-		this.banStore = new BanStore(opts.onBans);
+		this.banStore = new BanStore(this.#tasks.createListener('bans-stored', opts.onBans));
 		this.origins = new OriginCore({
 			clock: opts.clock, store: this.originStore, propose: async command => {
 				const proposed = await this.#log?.propose(command, {timeoutMs: proposeTimeoutMs});
@@ -220,17 +231,14 @@
 		const isScheduled = this.#pendingReport !== undefined;
 		this.#pendingReport = stored;
 		if (!isScheduled) {
-			queueMicrotask(() => {
-				this.#opts.onStored(this.#pendingReport!);
-				this.#pendingReport = undefined;
-			});
+			queueMicrotask(this.#reportNewest);
 		}
 	}
 
 	async #openLog(initialMembers: MemberInfo[]): Promise<Result<void, LogStorageError>> {
 		const {clock, random, storage, mesh} = this.#opts;
 		const log = new ReplicatedLog({
-			id: mesh.address, initialMembers, storage, clock, random, stateMachine: new CoreState(this.store, {origins: this.originStore, bans: this.banStore}), timing: {snapshotRecords, firstElectionMinMs, firstElectionMaxMs}, transport: {
+			id: mesh.address, initialMembers, storage, clock, random, tasks: this.#tasks, stateMachine: new CoreState(this.store, {origins: this.originStore, bans: this.banStore}), timing: {snapshotRecords, firstElectionMinMs, firstElectionMaxMs}, transport: {
 				call: async (to, message, timeoutMs) => this.#callMember(to, message, timeoutMs),
 			},
 		});
@@ -345,8 +353,9 @@
 	#requestJoin(): void {
 		const {mesh} = this.#opts;
 		for (const member of mesh.listMembers(coreRole)) {
-			void mesh.findConnection(member.address)?.request('core.join', {address: mesh.address, folder: this.#folder}).then(reply => {
-				if (reply.isOk()) {
+			this.#tasks.start('core-join', async () => {
+				const reply = await mesh.findConnection(member.address)?.request('core.join', {address: mesh.address, folder: this.#folder});
+				if (reply?.isOk()) {
 					this.#handleJoinReply(reply.value);
 				}
 			});
--- a/packages/routing/stream-origins/src/open-stream.ts
+++ b/packages/routing/stream-origins/src/open-stream.ts
@@ -2,6 +2,7 @@
  * A stream that may be taken up later, while an instance serves it: the servers that it was sent to, the version that began
  * it, and when that must be recorded.
  */
+import type {BackgroundTasks} from '@hickorytrack/background-tasks';
 import type {StreamSend} from '@hickorytrack/types/peer-methods';
 import {unknownVersion} from './origin-store.js';
 import type {BegunStream} from './origin-writer.js';
@@ -28,6 +29,7 @@
 export type StreamOwner = {
 	/** Wall time in milliseconds. */
 	readonly now: number;
+	readonly tasks: BackgroundTasks;
 	/** Tells whether streams of these services may have begun at several versions. */
 	hasSeveralVersions(services: readonly string[]): boolean;
 	/** Queues the record of a stream. */
@@ -186,7 +188,7 @@
 
 	#disownIfReplaced(beginner: OriginServer): void {
 		if (this.#laterStarts.some(({id, startedAt}) => id === beginner.id && startedAt > beginner.startedAt)) {
-			void this.disown();
+			this.#owner.tasks.start('disown-stream', async () => this.disown());
 		}
 	}
 }
--- a/packages/routing/stream-origins/src/origin-writer.ts
+++ b/packages/routing/stream-origins/src/origin-writer.ts
@@ -3,6 +3,7 @@
  * before, because callers may lose a stream until its record is stored. A batch that is not confirmed is sent again with the
  * next one. Writes that arrive in another order never turn a stream of several versions into one of a single version.
  */
+import type {BackgroundTasks} from '@hickorytrack/background-tasks';
 import {waitWithTimeout, type Clock} from '@hickorytrack/clock';
 import type {StreamOriginView, StreamOriginWrite} from '@hickorytrack/types/peer-methods';
 
@@ -25,6 +26,7 @@
 	/** Called with the view after each confirmed write. */
 	onView: (view: StreamOriginView) => void;
 	signal: AbortSignal;
+	tasks: BackgroundTasks;
 };
 
 /** Interval in which writes are collected. */
@@ -72,18 +74,20 @@
 	#queue(batch: Batch): void {
 		this.#queued = joinBatches(this.#queued, batch);
 		if (!this.#isSending) {
-			void this.#send();
+			// Set here, since a task that has failed begins again only after a delay.
+			this.#isSending = true;
+			const {signal, clock, tasks} = this.#opts;
+			tasks.startUntil(signal, {task: 'write-origins', clock}, async () => this.#send());
 		}
 	}
 
 	async #send(): Promise<void> {
 		const {clock, signal} = this.#opts;
-		this.#isSending = true;
 		while (!isEmpty(this.#queued) && !signal.aborted) {
 			await clock.sleep(Math.max(collectMs, this.#pausedUntil - clock.monotonic()), signal);
 			const batch = this.#queued;
 			this.#queued = createBatch();
-			void this.#deliver(batch);
+			this.#opts.tasks.start('deliver-origins', async () => this.#deliver(batch));
 			if (this.#inFlight >= maxInFlight) {
 				await new Promise<void>(resolve => {
 					this.#onDelivered = resolve;
@@ -95,13 +99,10 @@
 	}
 
 	async #deliver({waiters, ...write}: Batch): Promise<void> {
-		const {clock, leader, onView} = this.#opts;
-		this.#inFlight++;
-		const view = await leader.write(write);
-		this.#inFlight--;
-		this.#onDelivered();
+		const {clock, tasks, onView} = this.#opts;
+		const view = await this.#sendBatch(write);
 		if (view) {
-			onView(view);
+			tasks.createListener('origins-view', onView)(view);
 			for (const resolve of waiters) {
 				resolve();
 			}
@@ -114,6 +115,21 @@
 		this.#queued = createBatch();
 		this.#queue(joinBatches({...write, waiters}, later));
 	}
+
+	/** Undefined if it is not confirmed, also for an error, so that the batch is sent again. */
+	async #sendBatch(write: StreamOriginWrite): Promise<StreamOriginView | undefined> {
+		const {leader, tasks} = this.#opts;
+		this.#inFlight++;
+		try {
+			return await leader.write(write);
+		} catch (error) {
+			tasks.report('deliver-origins', error);
+			return undefined;
+		} finally {
+			this.#inFlight--;
+			this.#onDelivered();
+		}
+	}
 }
 
 function createBatch(): Batch {
--- a/packages/routing/stream-origins/src/stream-origins.ts
+++ b/packages/routing/stream-origins/src/stream-origins.ts
@@ -4,6 +4,7 @@
  * version, nothing else is stored. While it has several, each stream is recorded with the version of the server that it is
  * sent to, without waiting for the record: a stream whose record is lost is unknown, and no unknown stream is continued.
  */
+import {BackgroundTasks} from '@hickorytrack/background-tasks';
 import {waitWithTimeout, type Clock} from '@hickorytrack/clock';
 import type {StreamOriginView} from '@hickorytrack/types/peer-methods';
 import {
@@ -19,6 +20,8 @@
 	hasVersion: (service: string, version: string) => boolean;
 	/** Returns the newest start of a server. */
 	findServer: (id: string) => OriginServer | undefined;
+	/** Without it, errors of tasks are printed as warnings. */
+	tasks?: BackgroundTasks;
 };
 
 export const originGrounds = {
@@ -48,6 +51,7 @@
 type Remembered = {origin: BegunStream | undefined; expiresAt: number};
 
 export class StreamOrigins implements StreamOwner {
+	readonly tasks: BackgroundTasks;
 	readonly #opts: StreamOriginsOptions;
 	readonly #writer: OriginWriter;
 	readonly #abortController = new AbortController();
@@ -65,8 +69,9 @@
 
 	constructor(opts: StreamOriginsOptions) {
 		this.#opts = opts;
+		this.tasks = opts.tasks ?? new BackgroundTasks();
 		this.#writer = new OriginWriter({
-			clock: opts.clock, leader: opts.leader, signal: this.#abortController.signal, onView: view => {
+			clock: opts.clock, leader: opts.leader, signal: this.#abortController.signal, tasks: this.tasks, onView: view => {
 				this.#mergeView(view);
 			},
 		});
