--- a/packages/plugins/edge/src/front/body-reader.ts
+++ b/packages/plugins/edge/src/front/body-reader.ts
@@ -7,6 +7,7 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {AccountPart} from '@hickorytrack/byte-account/account-part';
 import type {Clock} from '@hickorytrack/clock';
+import {describeError} from '@hickorytrack/errors';
 import {ByteCollector} from '@hickorytrack/http-answer/byte-collector';
 import {onClosed} from '@hickorytrack/lingering-close/on-closed';
 
@@ -144,7 +145,7 @@
 				try {
 					listener(...args);
 				} catch (error) {
-					reject(error);
+					reject(error instanceof Error ? error : new Error(describeError(error)));
 				}
 			};
 
--- a/xo.config.js
+++ b/xo.config.js
@@ -27,6 +27,16 @@
 	'unicorn/prefer-array-some': 'off',
 };
 
+const inOwnedSources = {
+	// A promise that nobody waits for has an owner, `BackgroundTasks`, so that its error ends no process; `void` hides one.
+	'@typescript-eslint/no-floating-promises': ['error', {ignoreVoid: false}],
+};
+
+const inTaskOwner = {
+	// The owner of tasks itself; the methods that it starts never reject.
+	'@typescript-eslint/no-floating-promises': ['error', {ignoreVoid: true}],
+};
+
 const inTests = {
 	// The test libraries are development dependencies of the whole workspace.
 	'n/no-extraneous-import': 'off',
@@ -47,6 +57,8 @@
 export default [
 	{ignores: ['**/lib/**', 'docs/**', '**/*.md']},
 	{files: ['**/*.ts'], rules: relaxed},
+	{files: ['platform/src/**/*.ts', 'packages/{core,net,coordination,routing,serving}/*/src/**/*.ts', 'packages/plugins/edge/src/**/*.ts'], rules: inOwnedSources},
+	{files: ['packages/core/background-tasks/src/**/*.ts'], rules: inTaskOwner},
 	{files: ['**/*.js', '**/*.mjs'], rules: inScripts},
 	{files: ['**/test/**/*.ts'], rules: inTests},
 ];
