--- a/packages/plugins/edge/src/front/body-reader.ts
+++ b/packages/plugins/edge/src/front/body-reader.ts
@@ -7,6 +7,7 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {AccountPart} from '@hickorytrack/byte-account/account-part';
 import type {Clock} from '@hickorytrack/clock';
+import {describeError} from '@hickorytrack/errors';
 import {ByteCollector} from '@hickorytrack/http-answer/byte-collector';
 import {onClosed} from '@hickorytrack/lingering-close/on-closed';
 
@@ -136,29 +137,38 @@
 	}
 
 	async read(): Promise<Buffer | BodyEnd> {
-		return new Promise(resolve => {
+		return new Promise((resolve, reject) => {
 			this.#resolve = resolve;
 			const {maxBytes} = this.#opts;
-			this.#incoming.on('error', () => {
+			// What a listener throws fails its request.
+			const guard = <A extends unknown[]>(listener: (...args: A) => void) => (...args: A) => {
+				try {
+					listener(...args);
+				} catch (error) {
+					reject(error instanceof Error ? error : new Error(describeError(error)));
+				}
+			};
+
+			this.#incoming.on('error', guard(() => {
 				this.#end(bodyEnds.broken);
-			});
-			this.#incoming.on('close', () => {
+			}));
+			this.#incoming.on('close', guard(() => {
 				this.#end(bodyEnds.broken);
-			});
-			this.#incoming.on('end', () => {
+			}));
+			this.#incoming.on('end', guard(() => {
 				this.#end(this.#isTooLarge ? bodyEnds.tooLarge : this.#body.drain());
-			});
+			}));
 			this.#isTooLarge = (this.#declaredBytes ?? 0) > maxBytes;
-			this.#acquire(this.#headBytes + (this.#isTooLarge ? 0 : this.#declaredBytes ?? 0), () => {
+			this.#acquire(this.#headBytes + (this.#isTooLarge ? 0 : this.#declaredBytes ?? 0), guard(() => {
 				this.lastByteAt = this.#opts.clock.monotonic();
 				if (!this.#isTooLarge) {
 					this.#body.reserve(this.#declaredBytes ?? 0);
 				}
 
-				this.#incoming.on('data', (chunk: Buffer) => {
+				this.#incoming.on('data', guard((chunk: Buffer) => {
 					this.#append(chunk);
-				});
-			});
+				}));
+			}));
 		});
 	}
 
