fix: a request that can't be sent is a failed attempt that was not written

Callers saw 502 (1006 'Invalid URL') while other servers were free. Cause: EndpointClient.send and runAttempt let an exception through that was thrown while a connection was opened; the handler and the grant heard nothing, and ServerConnections kept an empty entry for the address. Change: send settles the request as not written and gives the grant back once; runAttempt does so for whatever a client throws; acquire keeps nothing. Conclusion: both keep their word; such an attempt goes to the next server.

--- a/packages/plugins/edge/src/calls/attempt.ts
+++ b/packages/plugins/edge/src/calls/attempt.ts
@@ -1,9 +1,10 @@
 /** One attempt to send a request to one server. An event stream is forwarded as it arrives; any other response is buffered. */
 import {Buffer} from 'node:buffer';
 import type {Clock} from '@hickorytrack/clock';
-import type {
-	AnswerLimits, ResponseHead, ResponseHandler, EndpointClient, EndpointClientError, OutboundRequest, SentRequest,
+import {
+	EndpointClientError, type AnswerLimits, type ResponseHead, type ResponseHandler, type EndpointClient, type OutboundRequest, type SentRequest,
 } from '@hickorytrack/endpoint-client';
+import {describeError} from '@hickorytrack/errors';
 import {ByteCollector} from '@hickorytrack/http-answer/byte-collector';
 import type {ReceivedAnswer} from '@hickorytrack/http-answer/answer-reader';
 import type {SocketAddress} from '@hickorytrack/socket-address';
@@ -135,7 +136,15 @@
 			resolve(result);
 		});
 		opts.signal.addEventListener('abort', cancelAttempt);
-		const sentRequest = client.send(address, opts.request, collector);
+		let sentRequest: SentRequest;
+		try {
+			sentRequest = client.send(address, opts.request, collector);
+		} catch (error) {
+			opts.request.grant.release();
+			collector.onFailure(new EndpointClientError('ERR_HICKORYTRACK_ENDPOINT_REQUEST', `The request to ${address} could not be sent: ${describeError(error)}`, {isWritten: false, cause: error}));
+			return;
+		}
+
 		collector.setSentRequest(sentRequest);
 		collector.startTimers();
 		opts.canceller?.setAttempt(sentRequest, () => {
--- a/packages/plugins/edge/test/attempt.test.ts
+++ b/packages/plugins/edge/test/attempt.test.ts
@@ -148,3 +148,25 @@
 		expect(result).to.have.property('outcome', attemptOutcomes.replaced);
 	});
 });
+
+describe('an attempt whose request can\'t be sent', () => {
+	// Guards against an exception in the sending path that rejected an attempt, and so failed its request and kept its grant.
+	it('ends as broken and not written, and releases its grant once', async () => {
+		let releases = 0;
+		const grant = {
+			recordUse() {/* Nothing is written. */}, release() {
+				releases++;
+			},
+		};
+		const client = {
+			limits: {maxAnswerBytes: 1000, budget: new ByteBudget(1000)}, send() {
+				throw new TypeError('planted');
+			},
+		} as unknown as EndpointClient;
+		const ended = await runAttempt(client, 'a:1' as SocketAddress, {
+			clock: new ManualClock(), signal: new AbortController().signal, timeoutMs: 10_000, canceller: new AttemptCanceller(), request: {...request, grant},
+		});
+		expect(ended).to.include({outcome: attemptOutcomes.broken, isWritten: false});
+		expect(releases).to.equal(1);
+	});
+});
--- a/packages/routing/endpoint-client/src/endpoint-client.ts
+++ b/packages/routing/endpoint-client/src/endpoint-client.ts
@@ -148,16 +148,19 @@
 		this.#connections.close();
 	}
 
+	/** Never throws: a request that can't be written fails as any other that no byte was written of. */
 	send(address: SocketAddress, request: OutboundRequest, handler: ResponseHandler): SentRequest {
-		const connection = this.#connections.acquire(address, {
-			limit: request.connectionLimit, needsVerifiedConnection: request.needsVerifiedConnection, answerId: request.identity?.expectedId, recipient: request.recipient,
-		});
+		let connection: ServerConnection | undefined;
+		try {
+			connection = this.#connections.acquire(address, {
+				limit: request.connectionLimit, needsVerifiedConnection: request.needsVerifiedConnection, answerId: request.identity?.expectedId, recipient: request.recipient,
+			});
+		} catch (error) {
+			return this.#rejectRequest(request, handler, new EndpointClientError('ERR_HICKORYTRACK_ENDPOINT_REQUEST', `No connection to ${address} could be opened: ${describeError(error)}`, {isWritten: false, cause: error}));
+		}
+
 		if (!connection) {
-			request.grant.release();
-			handler.onFailure(new EndpointClientError('ERR_HICKORYTRACK_CONNECTIONS_BUSY', `All connections to ${address} are busy`, {isWritten: false, isBusy: true}));
-			return {
-				isWritten: false, cancel() {/* Nothing was sent. */}, pause() {/* Nothing was sent. */}, resume() {/* Nothing was sent. */},
-			};
+			return this.#rejectRequest(request, handler, new EndpointClientError('ERR_HICKORYTRACK_CONNECTIONS_BUSY', `All connections to ${address} are busy`, {isWritten: false, isBusy: true}));
 		}
 
 		connection.watch.startAnswer();
@@ -167,6 +170,25 @@
 		exchange.start();
 		return exchange;
 	}
+
+	/** Settles a request for which there is no connection. */
+	#rejectRequest({callKind, identity, grant}: OutboundRequest, handler: ResponseHandler, reason: EndpointClientError): SentRequest {
+		for (const run of [() => {
+			grant.release();
+		}, () => {
+			handler.onFailure(reason);
+		}]) {
+			try {
+				run();
+			} catch (error) {
+				this.#opts.onHandlerFailed?.({callKind, requestId: identity?.expectedId, error});
+			}
+		}
+
+		return {
+			isWritten: false, cancel() {/* Nothing was sent. */}, pause() {/* Nothing was sent. */}, resume() {/* Nothing was sent. */},
+		};
+	}
 }
 
 type ExchangeOptions = {
--- a/packages/routing/endpoint-client/src/server-connections.ts
+++ b/packages/routing/endpoint-client/src/server-connections.ts
@@ -69,7 +69,8 @@
 	/**
 	 * Returns an idle connection, or a new one while there are fewer than `limit`; undefined when all are busy. A request whose
 	 * answer bears no id gets a new one, and so does one whose answer would bear the id of the last answer. Idle connections to
-	 * an earlier start of the server, or to another server at the address, are closed.
+	 * an earlier start of the server, or to another server at the address, are closed. Throws an error, and keeps nothing, if no
+	 * connection can be opened to the address.
 	 */
 	acquire(address: SocketAddress, opts: {limit: number; needsVerifiedConnection: boolean; answerId: string | undefined; recipient?: Recipient}): ServerConnection | undefined {
 		if (opts.recipient) {
@@ -77,7 +78,6 @@
 		}
 
 		const connections = this.#byAddress.get(address) ?? [];
-		this.#byAddress.set(address, connections);
 		const maxIdleMs = Math.min(opts.needsVerifiedConnection ? verifiedMs : Number.POSITIVE_INFINITY, this.#getMaxIdleMs(address));
 		const canReuse = opts.answerId !== undefined && !this.#isSingleUse(address);
 		const idle = canReuse ? connections.findLast(connection => !connection.isBusy && this.#getIdleMs(connection) <= maxIdleMs && connection.lastAnswerId !== opts.answerId) : undefined;
@@ -93,8 +93,13 @@
 			return undefined;
 		}
 
+		if (connections.length === 0) {
+			this.#byAddress.delete(address);
+		}
+
 		const opened = this.#open(address, opts.recipient);
 		connections.push(opened);
+		this.#byAddress.set(address, connections);
 		return opened;
 	}
 
--- a/packages/routing/endpoint-client/test/endpoint-client.test.ts
+++ b/packages/routing/endpoint-client/test/endpoint-client.test.ts
@@ -252,4 +252,50 @@
 		expect(response.error?.isWritten).to.equal(false);
 		expect(Buffer.byteLength(response.body)).to.equal(0);
 	});
+
+	// Guards against an exception while a connection is opened that failed a request whose handler and grant heard nothing of it.
+	for (const address of ['300.1.1.1:80', '127.0.0.1:99999', 'not an address']) {
+		it(`fails a request as not written, and releases its grant once, if no connection can be opened: ${address}`, async () => {
+			let releases = 0;
+			let errors = 0;
+			const grant = {
+				recordUse() {/* Nothing is written. */}, release() {
+					releases++;
+				},
+			};
+			const sent = client.send(address as SocketAddress, {
+				callKind: 'run', method: 'GET', grant, path: '/a', headers: [], needsVerifiedConnection: false, connectionLimit: 4,
+			}, {
+				onHead() {/* There is no answer. */}, onData() {/* There is no answer. */}, onEnd() {/* There is no answer. */}, onFailure(error) {
+					errors++;
+					expect(error).to.include({isWritten: false, isBusy: false, isCancelled: false});
+				},
+			});
+			sent.cancel();
+			await new Promise(setImmediate);
+			expect({releases, errors, isWritten: sent.isWritten}).to.deep.equal({releases: 1, errors: 1, isWritten: false});
+			expect(client.countBusy(address as SocketAddress)).to.equal(0);
+		});
+	}
+
+	// Guards against taking a request that the HTTP client refuses to write, such as one with a line break in a header, for a written one.
+	it('fails a request that can\'t be dispatched as not written, and releases its grant once', async () => {
+		let releases = 0;
+		const {server: started, address} = await startServer(() => {/* Nothing arrives. */});
+		server = started;
+		const error = await new Promise<EndpointClientError>(resolve => {
+			client.send(address as SocketAddress, {
+				callKind: 'run', method: 'GET', path: '/a', headers: ['x-a', 'a\r\nb'], needsVerifiedConnection: false, connectionLimit: 4, grant: {
+					recordUse() {/* Nothing is written. */}, release() {
+						releases++;
+					},
+				},
+			}, {
+				onHead() {/* There is no answer. */}, onData() {/* There is no answer. */}, onEnd() {/* There is no answer. */}, onFailure: resolve,
+			});
+		});
+		expect(error.isWritten).to.equal(false);
+		expect(releases).to.equal(1);
+		expect(client.countBusy(address as SocketAddress)).to.equal(0);
+	});
 });
--- a/packages/routing/endpoint-client/test/server-connections.test.ts
+++ b/packages/routing/endpoint-client/test/server-connections.test.ts
@@ -21,4 +21,11 @@
 		expect(connections.addresses).to.be.at.most(62);
 		connections.close();
 	});
+
+	// Guards against an entry that was kept for good for each address to which no connection can be opened.
+	it('keep nothing of an address to which no connection can be opened', () => {
+		const connections = new ServerConnections({clock: new ManualClock(), connectTimeoutMs: 500});
+		expect(() => connections.acquire('300.1.1.1:80' as SocketAddress, {limit: 1, needsVerifiedConnection: false, answerId: 'a'})).to.throw();
+		expect(connections.addresses).to.equal(0);
+	});
 });
