fix: a crash probe that throws leaves the check to the server's reports

Cause: checkForCrash 'never rejects' and did when its probe threw (net.connect, for a port above 65535); the rejected check stayed pending, so that every later loss of that server joined it. Change: the error is logged (1778); the server counts as silent for the one who asks, and its reports tell whether it has started again. It is not reported as a crash, which would ban a request for an error of this side. Conclusion: a check ends whatever its probe does.

--- a/packages/core/events/src/event-catalogue.ts
+++ b/packages/core/events/src/event-catalogue.ts
@@ -272,6 +272,9 @@
 	crashSuspected: {
 		number: 1757, level: 'warn', text: 'A server crashed while it ran a request; parts lists the shared parts of its prompt', action: 'Check the server and, if this repeats, the request.',
 	},
+	crashProbeFailed: {
+		number: 1778, level: 'error', text: 'The check whether a server has crashed threw an error; the reports of the server tell instead', action: 'Report it with the stack.',
+	},
 	crashCauseFound: {
 		number: 1767, level: 'warn', text: 'A request or a part of prompts is held to be the cause of several crashes; it is refused from now on', action: 'Check the trait and the servers of the crashes; lift the ban if the servers were at fault.',
 	},
--- a/packages/plugins/edge/src/crashes/crash-reports.ts
+++ b/packages/plugins/edge/src/crashes/crash-reports.ts
@@ -12,6 +12,7 @@
 } from '@hickorytrack/crash-attribution/run-traits';
 import {serverStates, type EndpointRegistry, type KnownServer} from '@hickorytrack/endpoint-registry';
 import {answerVerdicts, type AnswerVerdict} from '@hickorytrack/http-answer/answer-reader';
+import {describeError} from '@hickorytrack/errors';
 import type {Mesh} from '@hickorytrack/mesh';
 import type {MetricsRegistry} from '@hickorytrack/metrics-registry';
 import {splitAddress, type SocketAddress} from '@hickorytrack/socket-address';
@@ -235,12 +236,20 @@
 	}
 
 	async #runCheck(crashId: string, server: KnownServer): Promise<ServerCondition> {
-		const {clock, health, probe = probeServer, reportIntervalMs} = this.#opts;
+		const {clock, health, eventLog, probe = probeServer, reportIntervalMs} = this.#opts;
 		await clock.sleep(crashProbeDelayMs);
-		const condition = await probe(server.address);
+		let condition: ServerCondition | undefined;
+		try {
+			condition = await probe(server.address);
+		} catch (error) {
+			eventLog.emit('crashProbeFailed', {
+				server: server.id, startedAt: server.startedAt, message: describeError(error), stack: error instanceof Error ? error.stack : undefined,
+			});
+		}
+
 		const check = this.#pendingChecks.get(crashId)!;
 		this.#pendingChecks.delete(crashId);
-		if (condition !== serverConditions.running) {
+		if (condition !== undefined && condition !== serverConditions.running) {
 			health.recordUnresponsive(server);
 			this.#report(server, check);
 			return condition;
@@ -258,7 +267,8 @@
 		this.#undecided.get(crashId)?.cancelTimer?.();
 		this.#undecided.set(crashId, {server, check});
 		this.#resolveUndecided(crashId, undecidedIntervals);
-		return condition;
+		// A probe that could not be made says nothing about the server; its reports tell.
+		return condition ?? serverConditions.silent;
 	}
 
 	/** A server that reports again has not crashed. One that does not may still start again. */
--- a/packages/plugins/edge/test/crash-reports.test.ts
+++ b/packages/plugins/edge/test/crash-reports.test.ts
@@ -237,4 +237,37 @@
 		expect(told).to.deep.equal([{method: 'crash.sound', params: {sound: [['part:x', 0]]}}]);
 		expect(reports.findBan(createRequest('x'))).to.equal(undefined);
 	});
+
+	// Guards against a check that rejected because its probe threw, and that all later checks of that server joined for good.
+	it('leaves a probe that throws to the reports of the server, and probes it again at the next loss', async () => {
+		const server = addServer('a');
+		const sound = probe;
+		probe = async () => {
+			throw new RangeError('planted');
+		};
+
+		const failed = reports.checkForCrash(createRequest('x'), server);
+		await clock.advance(probedMs);
+		expect(await failed).to.equal('silent');
+		expect(listCrashes()).to.have.length(0);
+		expect(events.listSince(0).map(({name}) => name)).to.include('crashProbeFailed');
+		probe = sound;
+		const repeated = reports.checkForCrash(createRequest('x'), server);
+		await clock.advance(probedMs);
+		expect(await repeated).to.equal('crashed');
+		expect(listCrashes()).to.have.length(1);
+	});
+
+	it('does not reject when the address of the server can\'t be dialled', async () => {
+		const known = addServer('a');
+		const checks = new CrashReports({
+			clock, attribution, instance: 'edge-1', registry, eventLog: new RateLimitedEventLog(clock, events), health: new ServerHealth(clock), metrics: new MetricsRegistry(), reportIntervalMs, mesh: {
+				broadcast() {/* Nobody listens. */},
+			},
+		});
+		const check = checks.checkForCrash(createRequest('x'), {...known, address: '127.0.0.1:99999' as SocketAddress});
+		await clock.advance(probedMs);
+		expect(await check).to.equal('silent');
+		checks.stop();
+	});
 });
