fix: a call that can't be created keeps no grant

Cause: releaseKvCache, StartProof, EndConfirmation and the forwarders created their request after they had got a grant of a limited server, or had counted the load; an exception in between kept both for good. Change: the request is created first, or the grant is given back at the end (one that was used stays used). Conclusion: exceptions of these calls cost no share of a server's limit. That EndConfirmation and the forwarders give back theirs has no test of its own.

--- a/packages/plugins/edge/src/buffered/buffered-forwarder.ts
+++ b/packages/plugins/edge/src/buffered/buffered-forwarder.ts
@@ -187,6 +187,8 @@
 			permit.finish({isWritten: result.isWritten, isAccepted: true});
 			return result;
 		} finally {
+			// A grant that was used stays used.
+			grant.release();
 			inFlightLoad.release();
 		}
 	}
--- a/packages/plugins/edge/src/streams/kv-release.ts
+++ b/packages/plugins/edge/src/streams/kv-release.ts
@@ -18,13 +18,14 @@
 		return;
 	}
 
+	// Before the grant, which an error would keep.
+	const {method, path} = codec.createReleaseCall(handle);
 	const {signal} = new AbortController();
 	const grant = recipient ? await limits.acquire(recipient, {call: callKinds.release, maxWaitMs: 0, signal}) : unlimitedGrant;
 	if (!grant) {
 		return;
 	}
 
-	const {method, path} = codec.createReleaseCall(handle);
 	await runAttempt(client, handle.address, {
 		clock, signal, timeoutMs: releaseTimeoutMs, request: {
 			recipient, callKind: callKinds.release, grant, method, path, headers: [], needsVerifiedConnection: false, connectionLimit: getConnectionLimit(service),
--- a/packages/plugins/edge/src/streams/start-proof.ts
+++ b/packages/plugins/edge/src/streams/start-proof.ts
@@ -12,7 +12,7 @@
 import {clockSkewMs} from '@hickorytrack/stream-origins/open-stream';
 import {attemptOutcomes, runAttempt, type AttemptResult} from '../calls/attempt.js';
 import {callKinds} from '../calls/call-kinds.js';
-import type {RequestCodec} from '../request-codec.js';
+import type {RequestCodec, ServerCall} from '../request-codec.js';
 import type {ServerLimits} from '../limits/server-limits.js';
 
 export type StartProofOptions = {
@@ -135,7 +135,15 @@
 			return undefined;
 		}
 
-		const {method, path, headers = []} = codec.createStageStatusCall(server.id);
+		let call: ServerCall;
+		try {
+			call = codec.createStageStatusCall(server.id);
+		} catch (error) {
+			grant.release();
+			throw error;
+		}
+
+		const {method, path, headers = []} = call;
 		return runAttempt(client, server.address, {
 			clock, signal, timeoutMs, request: {
 				recipient: server, callKind: callKinds.stageStatus, grant, method, path, headers, body: Buffer.alloc(0), needsVerifiedConnection: true, connectionLimit: getConnectionLimit(server.service),
--- a/packages/plugins/edge/src/streams/stream-calls.ts
+++ b/packages/plugins/edge/src/streams/stream-calls.ts
@@ -69,15 +69,16 @@
 	/** Has a server prefill the prompt. */
 	async prefill(run: StreamRun, {prefillServer, kvSource, prefillTokens, predictedMs}: Placement & {kind: 'hand-over'}, {permit, grant}: {permit: SendPermit; grant: SendGrant}): Promise<PrefillResult> {
 		const {loadTracker, client, clock, codec, health, measurements} = this.#context;
+		const request = createOutboundRequest(this.#context, this.#request, {
+			server: prefillServer, permit, grant, needsVerifiedConnection: false, priority: this.#priority, isPrefillOnly: true, prefixCacheAddress: kvSource?.address,
+		});
 		const queuedTokens = loadTracker.getLoad(prefillServer.id).promptTokens;
 		const inFlightLoad = loadTracker.add(prefillServer.id, prefillTokens);
 		const startedAt = clock.monotonic();
 		run.server = prefillServer;
 		this.#opts.dispatch({kind: 'prefilling', run: run.id});
 		const result = await runAttempt(client, prefillServer.address, {
-			clock, signal: this.#request.signal, timeoutMs: this.#remainingMs, canceller: run.canceller, silence: this.#createSilenceOptions(run, prefillServer, predictedMs), request: createOutboundRequest(this.#context, this.#request, {
-				server: prefillServer, permit, grant, needsVerifiedConnection: false, priority: this.#priority, isPrefillOnly: true, prefixCacheAddress: kvSource?.address,
-			}),
+			clock, signal: this.#request.signal, timeoutMs: this.#remainingMs, canceller: run.canceller, silence: this.#createSilenceOptions(run, prefillServer, predictedMs), request,
 		});
 		inFlightLoad.release();
 		const metadata = result.head && codec.decodeResponseHead(result.head);
@@ -122,7 +123,13 @@
 
 	/** Has a server generate the response, from the KV cache of the handle if there is one. */
 	async generate(run: StreamRun, server: KnownServer, opts: GenerationOptions): Promise<AttemptResult> {
-		return this.#checkEnd(server, await this.#generate(run, server, opts));
+		try {
+			return await this.#checkEnd(server, await this.#generate(run, server, opts));
+		} finally {
+			// Grants that were used stay used.
+			opts.grant.release();
+			opts.proofGrant?.release();
+		}
 	}
 
 	async #checkEnd(server: KnownServer, received: AttemptResult): Promise<AttemptResult> {
@@ -142,11 +149,22 @@
 		run.generatingSince = clock.monotonic();
 		run.backupServer = isLongOutput ? selectBackup(this.#context, server, [server, ...run.listEarlierServers()]) : undefined;
 		this.#opts.dispatch({kind: 'sent', run: run.id});
+		const lastEventId = this.#opts.relay.lastEventId ?? this.#request.metadata.lastEventId;
+		const request = createOutboundRequest(this.#context, this.#request, {
+			server,
+			permit,
+			grant,
+			needsVerifiedConnection: !isRetryable,
+			priority: this.#priority,
+			kvHandle: handle,
+			kvBackupAddress: run.backupServer?.address,
+			prefixCacheAddress: handle === undefined && placement.kvSource?.id !== server.id ? placement.kvSource?.address : undefined,
+			lastEventId,
+		});
 		const load = loadTracker.getLoad(server.id);
 		const inFlightLoad = loadTracker.add(server.id, handle ? 0 : placement.prefillTokens, {isStream: isLongOutput});
 		let firstByteAt: number | undefined;
 		const startedAt = clock.monotonic();
-		const lastEventId = this.#opts.relay.lastEventId ?? this.#request.metadata.lastEventId;
 		const refutation = new AbortController();
 		const heldEvents = lastEventId === undefined
 			? undefined
@@ -174,17 +192,7 @@
 					});
 				}
 			},
-			request: createOutboundRequest(this.#context, this.#request, {
-				server,
-				permit,
-				grant,
-				needsVerifiedConnection: !isRetryable,
-				priority: this.#priority,
-				kvHandle: handle,
-				kvBackupAddress: run.backupServer?.address,
-				prefixCacheAddress: handle === undefined && placement.kvSource?.id !== server.id ? placement.kvSource?.address : undefined,
-				lastEventId,
-			}),
+			request,
 		});
 		if (result.outcome === attemptOutcomes.replaced || (run.hasPredecessor && result.outcome === attemptOutcomes.broken)) {
 			heldEvents?.discard();
