fix: a connection that can't be opened fails when its timeout is over

Callers saw 504 on streaming routes beside two servers to whose address connecting takes until the timeout. Cause: the connect timeout of undici runs on timers with a step of half a second, so that 500 ms took about 1000 (two such servers: 2120 ms of a series). Change: the timeout runs on the clock that is passed in; that of the HTTP client, which comes later, closes the socket.

--- a/packages/routing/endpoint-client/src/server-connections.ts
+++ b/packages/routing/endpoint-client/src/server-connections.ts
@@ -7,7 +7,7 @@
  * sends the second answer when the next request is already on its way; such a server gets each request on a new connection
  * for a while.
  */
-import {buildConnector, Client} from 'undici';
+import {buildConnector, Client, errors} from 'undici';
 import type {Clock} from '@hickorytrack/clock';
 import type {SocketAddress} from '@hickorytrack/socket-address';
 import type {ByteBound} from '@hickorytrack/http-answer/byte-budget';
@@ -239,7 +239,8 @@
 	}
 
 	#open(address: SocketAddress, recipient: Recipient | undefined): ServerConnection {
-		const connect = buildConnector({timeout: this.#opts.connectTimeoutMs});
+		const {clock, connectTimeoutMs} = this.#opts;
+		const connect = buildConnector({timeout: connectTimeoutMs});
 		const client = new Client(`http://${address}`, {
 			pipelining: 1,
 			headersTimeout: 0,
@@ -247,8 +248,17 @@
 			keepAliveTimeout: keepAliveTimeoutMs,
 			maxHeaderSize: maxHeaderBytes,
 			connect(options, callback) {
+				let hasEnded = false;
+				// The timers of the HTTP client are late by up to half a second; its own timeout closes the socket.
+				const cancelTimer = clock.startTimer(connectTimeoutMs, () => {
+					hasEnded = true;
+					callback(new errors.ConnectTimeoutError(`No connection within ${connectTimeoutMs} ms`), null);
+				});
 				connect(options, (...[error, socket]) => {
-					if (error) {
+					cancelTimer();
+					if (hasEnded) {
+						socket?.destroy();
+					} else if (error) {
 						callback(error, null);
 					} else {
 						connection.watch.watch(socket);
