fix: a server that got no byte of a request doesn't count against max-attempts

Callers saw 503 while three sound servers were free. Cause: each server that an attempt was started at counted; PROTOCOL.md says 'the maximum number of servers to which one client attempt may be sent', and BUDGET counts the servers at which a request has run. Change: an attempt that ended before a byte was written is not counted, in buffered requests and in streams; its server is not tried again. The retry budget gave such a try back already; what is written counts as before. Conclusion: a request that has not run goes on while servers are free. A connection that is reset after the request was written may have run it, so once and long are answered 502 as before.

--- a/packages/plugins/edge/src/buffered/buffered-forwarder.ts
+++ b/packages/plugins/edge/src/buffered/buffered-forwarder.ts
@@ -40,6 +40,8 @@
 	readonly #request: CallerRequest;
 	readonly #permits: SendPermits;
 	readonly #servers: KnownServer[] = [];
+	/** Servers of which an attempt has ended before a byte of the request was written; the route's maximum doesn't count them. */
+	#unsentServers = 0;
 	readonly #runningAttempts = new Set<AttemptCanceller>();
 	readonly #endedAttempts: Array<EndedAttempt | FailedAttempt> = [];
 	#onAttemptEnded: (() => void) | undefined;
@@ -100,7 +102,7 @@
 	}
 
 	get #canStartAnother(): boolean {
-		return this.#servers.length < this.#request.route.maxServers && this.#remainingMs >= minimumRetryMs;
+		return this.#servers.length - this.#unsentServers < this.#request.route.maxServers && this.#remainingMs >= minimumRetryMs;
 	}
 
 	get #isRetryable(): boolean {
@@ -276,6 +278,7 @@
 		}
 
 		this.#isNotExecuted &&= !result.isWritten;
+		this.#unsentServers += result.isWritten ? 0 : 1;
 		this.#grounds.add(callKinds.run, server, {result, isNotExecuted: false});
 		eventLog.emit('attemptFailed', {
 			request: this.#request.metadata.requestId, server: server.id, end: result.outcome, isWritten: result.isWritten, isStale, silentMs: result.silentMs, lastAnswerMs: health.measureSilence(server), reason: result.error?.message, answer: result.answer,
--- a/packages/plugins/edge/src/streams/stream-progress.ts
+++ b/packages/plugins/edge/src/streams/stream-progress.ts
@@ -34,6 +34,10 @@
 	readonly #request: CallerRequest;
 	readonly #relay: EventRelay;
 	readonly #calls: StreamCalls;
+	/** Ids of servers that a byte of the request was written to. */
+	readonly #sent = new Set<string>();
+	/** Ids of servers at which all attempts have ended before that. */
+	readonly #unsent = new Set<string>();
 	#retryAfterMs = defaultRetryAfterMs;
 
 	constructor(context: ForwardContext, request: CallerRequest, opts: {relay: EventRelay; calls: StreamCalls}) {
@@ -53,9 +57,9 @@
 		return this.remainingMs >= minimumRetryMs;
 	}
 
-	/** The route allows another server. */
+	/** The route allows another server. One that the request was not written to doesn't count. */
 	get allowsServer(): boolean {
-		return this.servers.length < this.#request.route.maxServers;
+		return this.servers.length - this.#unsent.size < this.#request.route.maxServers;
 	}
 
 	/** Asked before each call: the crash that shows the cause may be told while the request is on its way. */
@@ -63,12 +67,23 @@
 		return this.#context.crashReports.findBan(this.#request) !== undefined;
 	}
 
+	/** Records that the request is to be sent to a server. */
 	addServer(server: KnownServer): void {
+		this.#unsent.delete(server.id);
 		if (!this.servers.some(({id}) => id === server.id)) {
 			this.servers.push(server);
 		}
 	}
 
+	/** Records the end of an attempt at a server that was added. */
+	recordAttempt({id}: KnownServer, {isWritten}: {isWritten: boolean}): void {
+		if (isWritten) {
+			this.#sent.add(id);
+		} else if (!this.#sent.has(id)) {
+			this.#unsent.add(id);
+		}
+	}
+
 	/** Sets how long the caller is told to wait, in milliseconds; without a time, it stays as it is. */
 	setRetryAfter(retryAfterMs: number | undefined): void {
 		this.#retryAfterMs = retryAfterMs ?? this.#retryAfterMs;
--- a/packages/plugins/edge/src/streams/stream-results.ts
+++ b/packages/plugins/edge/src/streams/stream-results.ts
@@ -41,6 +41,7 @@
 
 	/** Returns undefined when another server may be tried. */
 	async handleResult(run: StreamRun, {server, result, handle}: {server: KnownServer; result: AttemptResult; handle: KvHandle | undefined}): Promise<RunEnding | undefined> {
+		this.#opts.progress.recordAttempt(server, result);
 		switch (result.outcome) {
 			case attemptOutcomes.answered: {
 				return result.isStreamed ? this.finishStream(run, server, result.answer!) : this.#handleResponse(server, result, handle);
