fix: one request at a time tries a server that failed

Cause: when the exclusion of a failed server was over, all requests saw it as healthy and idle until the first of them had failed; with a connect timeout of 500 ms that is a herd each time. Each report let it in as well, also one that another writer sends. Change: the request that is sent to it keeps the others out for the present delay (400 ms, doubled up to 5 s), until it gets any answer. This holds for plain and model services and for prefill servers, since all requests are created in one place. A report still lets in a server that was silent only. If all servers are out, all are tried, as before. The four new tests can't run before (new methods). The tests of the edge package pass, file by file.

--- a/packages/plugins/edge/src/buffered/buffered-forwarder.ts
+++ b/packages/plugins/edge/src/buffered/buffered-forwarder.ts
@@ -298,6 +298,7 @@
 		const {codec, health, crashReports} = this.#context;
 		const head = result.head!;
 		const metadata = codec.decodeResponseHead(head);
+		health.recordAnswer(server);
 		if (metadata.isNotExecuted) {
 			this.#grounds.add(callKinds.run, server, {result, isNotExecuted: true});
 			if (metadata.pauseMs === undefined) {
--- a/packages/plugins/edge/src/calls/forward-context.ts
+++ b/packages/plugins/edge/src/calls/forward-context.ts
@@ -67,6 +67,7 @@
 export function createOutboundRequest(context: ForwardContext, request: CallerRequest, metadata: Omit<ForwardMetadata, 'remainingMs'> & {needsVerifiedConnection: boolean; permit: SendPermit; grant: SendGrant}): OutboundRequest {
 	const {needsVerifiedConnection, permit, grant, ...rest} = metadata;
 	permit.start();
+	context.health.recordSending(metadata.server);
 	const remainingMs = Math.max(1, Math.floor(computeRemainingMs(context, request) - responseMarginMs));
 	return {
 		callKind: metadata.isPrefillOnly ? callKinds.prefill : callKinds.run,
--- a/packages/plugins/edge/src/calls/server-health.ts
+++ b/packages/plugins/edge/src/calls/server-health.ts
@@ -1,7 +1,8 @@
 /**
  * Passive health checks: the health of servers as forwarded requests show it. A server that breaks a connection or is
  * unreachable is excluded for a time that doubles with each such failure up to a maximum; an unresponsive server stays
- * excluded until it reports again. Failed responses raise the failure rate of a server, which placement takes into
+ * excluded until it reports again. Its reports alone don't show that it can be reached, so after the time one request at a
+ * time tries it, until it answers. Failed responses raise the failure rate of a server, which placement takes into
  * account.
  */
 import type {Clock} from '@hickorytrack/clock';
@@ -14,6 +15,8 @@
 	failureRate: number;
 	brokenResponses: number;
 	excludedUntil: number;
+	/** It has failed and answered nothing since; `running` while a request tries it. */
+	trial?: 'due' | 'running';
 	/** Monotonic time at which the server became unresponsive; it is excluded until it reports again. */
 	unresponsiveSince?: number;
 	/** Monotonic time of the last response or prefill that this or another instance saw from the server. */
@@ -24,6 +27,10 @@
 const baseExclusionMs = 400;
 const maxExclusionMs = 5000;
 
+function computeExclusionMs({brokenResponses}: Pick<Health, 'brokenResponses'>): number {
+	return Math.min(maxExclusionMs, baseExclusionMs * (2 ** (brokenResponses - 1)));
+}
+
 export class ServerHealth {
 	readonly #clock: Clock;
 	readonly #servers = new Map<string, Health>();
@@ -43,9 +50,30 @@
 
 	/** Records that the server has answered a request of this or another instance. */
 	recordSignOfLife(server: KnownServer): void {
+		this.recordAnswer(server);
 		this.#getHealth(server).aliveAt = this.#clock.monotonic();
 	}
 
+	/** Records that a request is sent to the server. One that tries an excluded server keeps the others from it meanwhile. */
+	recordSending(server: KnownServer): void {
+		const health = this.#getHealth(server);
+		const now = this.#clock.monotonic();
+		if (health.trial !== undefined && health.excludedUntil <= now) {
+			health.trial = 'running';
+			health.excludedUntil = now + computeExclusionMs(health);
+		}
+	}
+
+	/** Records an answer of any kind, which ends a trial. */
+	recordAnswer(server: KnownServer): void {
+		const health = this.#getHealth(server);
+		if (health.trial === 'running') {
+			health.excludedUntil = 0;
+		}
+
+		health.trial = undefined;
+	}
+
 	/** Returns whether any instance has had an answer of the server since then. */
 	isAliveSince(server: KnownServer, since: number): boolean {
 		return (this.#getHealth(server).aliveAt ?? Number.NEGATIVE_INFINITY) > since;
@@ -68,8 +96,8 @@
 		const health = this.#getHealth(server);
 		this.recordFailure(server);
 		health.brokenResponses++;
-		const exclusionMs = Math.min(maxExclusionMs, baseExclusionMs * (2 ** (health.brokenResponses - 1)));
-		health.excludedUntil = this.#clock.monotonic() + exclusionMs;
+		health.trial = 'due';
+		health.excludedUntil = this.#clock.monotonic() + computeExclusionMs(health);
 	}
 
 	/** Records an answer of the server to another request. A late one says that the server works; any other one that it does not. */
--- a/packages/plugins/edge/src/streams/stream-calls.ts
+++ b/packages/plugins/edge/src/streams/stream-calls.ts
@@ -111,6 +111,8 @@
 			health.recordForeignAnswer(prefillServer, result.error.foreignAnswer);
 		} else if (!isNotExecuted && !result.error?.isStale && !result.error?.isBusy) {
 			health.recordUnresponsive(prefillServer);
+		} else if (isNotExecuted) {
+			health.recordAnswer(prefillServer);
 		}
 
 		eventLog.emit('readFailed', {
--- a/packages/plugins/edge/src/streams/stream-results.ts
+++ b/packages/plugins/edge/src/streams/stream-results.ts
@@ -142,6 +142,7 @@
 		const {response} = this.#request;
 		const head = result.head!;
 		const metadata = this.#context.codec.decodeResponseHead(head);
+		this.#context.health.recordAnswer(server);
 		if (metadata.isNotExecuted) {
 			progress.grounds.add(callKinds.run, server, {result, isNotExecuted: true});
 			planner.rejectServer(server);
--- a/packages/plugins/edge/test/server-health.test.ts
+++ b/packages/plugins/edge/test/server-health.test.ts
@@ -56,4 +56,47 @@
 		health.recordSuccess(servers[0]!);
 		expect(health.selectHealthy(servers)).to.deep.equal(servers);
 	});
+
+	// Guards against a herd of requests at a server that refuses every connection, and that each of its reports let in again.
+	for (const stage of [undefined, 'decode', 'prefill'] as const) {
+		it(`lets one request at a time try a server that failed, after a delay that grows, whatever its reports say: ${stage ?? 'plain'}`, async () => {
+			const clock = new ManualClock();
+			const health = new ServerHealth(clock);
+			const [failing, sound] = [{...createServer('1'), stage}, createServer('2')];
+			const isOpen = () => health.selectHealthy([{...failing, heardAt: clock.monotonic()}, sound]).length === 2;
+			const delays: number[] = [];
+			for (let trial = 0; trial < 6; trial++) {
+				health.recordUnresponsive(failing);
+				let delayMs = 0;
+				while (!isOpen()) {
+					await clock.advance(100);
+					delayMs += 100;
+				}
+
+				delays.push(delayMs);
+				health.recordSending(failing);
+				expect(isOpen()).to.equal(false);
+			}
+
+			expect(delays).to.deep.equal([400, 800, 1600, 3200, 5000, 5000]);
+			health.recordSending(sound);
+			health.recordAnswer(failing);
+			expect(isOpen()).to.equal(true);
+			health.recordSending(failing);
+			expect(isOpen()).to.equal(true);
+		});
+	}
+
+	// Guards against a server that is kept out for good, because the only request that tried it never ended.
+	it('lets another request try a server when the one before has not ended after the delay', async () => {
+		const clock = new ManualClock();
+		const health = new ServerHealth(clock);
+		const [failing, sound] = [createServer('1'), createServer('2')];
+		health.recordBrokenResponse(failing);
+		await clock.advance(400);
+		health.recordSending(failing);
+		expect(health.selectHealthy([failing, sound])).to.deep.equal([sound]);
+		await clock.advance(400);
+		expect(health.selectHealthy([failing, sound])).to.deep.equal([failing, sound]);
+	});
 });
