fix: absurd slots don't draw all requests of a service

Cause: LeastLoadPlacement divides the load by the slots that a server reports; 1e9 of them look idle for ever. Change: a server counts for no more than all others of its service together, each of which counts up to the median one (of two servers, the other one). A server that is alone counts as it reports. An honest server that is larger than all others together (counted so: 64 beside 4 and 4) gets as much as these, and less than it could take. Absurd servers still get more than they can run, and two of them beside three sound ones get most requests.

--- a/packages/routing/prompt-placement/src/least-load-placement.ts
+++ b/packages/routing/prompt-placement/src/least-load-placement.ts
@@ -1,6 +1,7 @@
 /**
  * Selects a server for services without prompt placement: the one with the least work in flight per slot, with penalties
- * for recent failures and for another zone.
+ * for recent failures and for another zone. What a server reports as its slots counts only as far as the others make it
+ * likely: it can't count for more than all others together, where each of these counts for the median one at most.
  */
 import type {KnownServer} from '@hickorytrack/endpoint-registry';
 import type {Random} from '@hickorytrack/random';
@@ -25,10 +26,11 @@
 	}
 
 	select(servers: readonly KnownServer[], opts: {excluded: ReadonlySet<string>; availabilityZone: string}): KnownServer | undefined {
+		const getSlots = createSlotBound(servers);
 		let best: KnownServer | undefined;
 		let bestScore = Number.POSITIVE_INFINITY;
 		for (const server of servers) {
-			const score = this.#computeScore(server, opts.availabilityZone);
+			const score = this.#computeScore(server, getSlots(server), opts.availabilityZone);
 			if (!opts.excluded.has(server.id) && score < bestScore) {
 				best = server;
 				bestScore = score;
@@ -38,10 +40,25 @@
 		return best;
 	}
 
-	#computeScore(server: KnownServer, availabilityZone: string): number {
+	#computeScore(server: KnownServer, slots: number, availabilityZone: string): number {
 		const {loadTracker, random, getFailureRate} = this.#opts;
-		const load = (loadTracker.getLoad(server.id).requests + 1) / Math.max(1, server.slots);
+		const load = (loadTracker.getLoad(server.id).requests + 1) / Math.max(1, slots);
 		const zonePenalty = server.availabilityZone === availabilityZone ? 0 : otherZonePenalty;
 		return ((load + zonePenalty) * (1 + (failurePenalty * getFailureRate(server)))) + (random.next() * 0.01);
 	}
 }
+
+/** Returns the slots that a server counts for. A fleet in which no server is much larger than most others counts as it reports. */
+function createSlotBound(servers: readonly KnownServer[]): (server: KnownServer) => number {
+	const all = servers.map(({slots}) => slots);
+	const others = servers.length - 1;
+	if (others < 1 || Math.max(...all) <= Math.min(...all) * others) {
+		return ({slots}) => slots;
+	}
+
+	const sorted = all.sort((a, b) => a - b);
+	// Of two servers, only the other one tells.
+	const median = others === 1 ? sorted[0]! : sorted[Math.floor(sorted.length / 2)]!;
+	const total = sorted.reduce((sum, slots) => sum + Math.min(slots, median), 0);
+	return ({slots}) => Math.min(slots, total - Math.min(slots, median));
+}
