--- a/packages/routing/endpoint-client/src/server-connections.ts
+++ b/packages/routing/endpoint-client/src/server-connections.ts
@@ -7,7 +7,7 @@
  * sends the second answer when the next request is already on its way; such a server gets each request on a new connection
  * for a while.
  */
-import {buildConnector, Client} from 'undici';
+import {buildConnector, Client, errors} from 'undici';
 import {BackgroundTasks} from '@hickorytrack/background-tasks';
 import type {Clock} from '@hickorytrack/clock';
 import type {SocketAddress} from '@hickorytrack/socket-address';
@@ -74,7 +74,8 @@
 	/**
 	 * Returns an idle connection, or a new one while there are fewer than `limit`; undefined when all are busy. A request whose
 	 * answer bears no id gets a new one, and so does one whose answer would bear the id of the last answer. Idle connections to
-	 * an earlier start of the server, or to another server at the address, are closed.
+	 * an earlier start of the server, or to another server at the address, are closed. Throws an error, and keeps nothing, if no
+	 * connection can be opened to the address.
 	 */
 	acquire(address: SocketAddress, opts: {limit: number; needsVerifiedConnection: boolean; answerId: string | undefined; recipient?: Recipient}): ServerConnection | undefined {
 		if (opts.recipient) {
@@ -82,7 +83,6 @@
 		}
 
 		const connections = this.#byAddress.get(address) ?? [];
-		this.#byAddress.set(address, connections);
 		const maxIdleMs = Math.min(opts.needsVerifiedConnection ? verifiedMs : Number.POSITIVE_INFINITY, this.#getMaxIdleMs(address));
 		const canReuse = opts.answerId !== undefined && !this.#isSingleUse(address);
 		const idle = canReuse ? connections.findLast(connection => !connection.isBusy && this.#getIdleMs(connection) <= maxIdleMs && connection.lastAnswerId !== opts.answerId) : undefined;
@@ -98,8 +98,13 @@
 			return undefined;
 		}
 
+		if (connections.length === 0) {
+			this.#byAddress.delete(address);
+		}
+
 		const opened = this.#open(address, opts.recipient);
 		connections.push(opened);
+		this.#byAddress.set(address, connections);
 		return opened;
 	}
 
@@ -243,7 +248,8 @@
 	}
 
 	#open(address: SocketAddress, recipient: Recipient | undefined): ServerConnection {
-		const connect = buildConnector({timeout: this.#opts.connectTimeoutMs});
+		const {clock, connectTimeoutMs} = this.#opts;
+		const connect = buildConnector({timeout: connectTimeoutMs});
 		const client = new Client(`http://${address}`, {
 			pipelining: 1,
 			headersTimeout: 0,
@@ -251,8 +257,17 @@
 			keepAliveTimeout: keepAliveTimeoutMs,
 			maxHeaderSize: maxHeaderBytes,
 			connect(options, callback) {
+				let hasEnded = false;
+				// The timers of the HTTP client are late by up to half a second; its own timeout closes the socket.
+				const cancelTimer = clock.startTimer(connectTimeoutMs, () => {
+					hasEnded = true;
+					callback(new errors.ConnectTimeoutError(`No connection within ${connectTimeoutMs} ms`), null);
+				});
 				connect(options, (...[error, socket]) => {
-					if (error) {
+					cancelTimer();
+					if (hasEnded) {
+						socket?.destroy();
+					} else if (error) {
 						callback(error, null);
 					} else {
 						connection.watch.watch(socket);
