--- a/tools/soak/src/faults.ts
+++ b/tools/soak/src/faults.ts
@@ -2,6 +2,7 @@
 import {lateFaults, outsideFaults, type OutsideFault} from './fault-schedule.js';
 import {pipelineFault} from './caller.js';
 import {crashingPartFault} from './crashing-part.js';
+import {foreignFaults} from './foreign-writer.js';
 import {fewConnectionsFault} from './operator.js';
 import {unbornFault} from './server-operations.js';
 import {versionsFault} from './server-versions.js';
@@ -11,4 +12,4 @@
 export const allOutsideFaults: readonly OutsideFault[] = Object.values(outsideFaults);
 export const allFaults: readonly string[] = [...Object.keys(serverFaultRates), 'stutter', 'unframed', 'idle-close', 'overload', 'limit', crashingPartFault, versionsFault, unbornFault, fewConnectionsFault, slowFaults.report, slowFaults.token, ...allOutsideFaults];
 /** Played only if they are listed: what they show is not mended yet (KNOWN-RED.txt), or each run of theirs has a test of its own. */
-export const listedFaults: readonly string[] = [pipelineFault, slowFaults.pause, ...Object.values(lateFaults)];
+export const listedFaults: readonly string[] = [foreignFaults.writer, foreignFaults.leave, pipelineFault, slowFaults.pause, ...Object.values(lateFaults)];
--- a/tools/soak/src/records.ts
+++ b/tools/soak/src/records.ts
@@ -187,6 +187,21 @@
 	until: number;
 };
 
+/** A call of another writer to the control address of an edge. */
+export type ForeignCall = {
+	edge: string;
+	sentAt: number;
+	endedAt: number;
+	call: 'odd-report' | 'closed-report' | 'own-report' | 'own-leave' | 'foreign-leave' | 'configuration';
+	/** What the rules say of the answer. */
+	expected: 'accepted' | 'refused' | 'clear';
+	/** The path and the begin of the body. */
+	text: string;
+	/** Undefined without an answer. */
+	status?: number;
+	failure?: string;
+};
+
 export type SoakRecords = {
 	processEnds: readonly ProcessEnd[];
 	disturbances: readonly Disturbance[];
@@ -204,6 +219,8 @@
 	/** When a process of an edge has read each request, by id; in milliseconds since the epoch. */
 	readRequests: ReadonlyMap<string, number>;
 	operator: readonly OperatorRecord[];
+	/** Undefined if no other writer took part. */
+	foreignCalls?: readonly ForeignCall[];
 	readBacks: readonly ReadBack[];
 	bounds: RetryBounds;
 	/** Between SIGTERM and SIGKILL of an edge. */
@@ -211,7 +228,7 @@
 };
 
 export type RuleCase = {
-	rule: 'MIXED' | 'REFUSED' | 'TWICE' | 'BUDGET' | 'ORDER' | 'LOST' | 'LIMIT' | 'CONFIG' | 'UNASKED' | 'ENDED';
+	rule: 'MIXED' | 'REFUSED' | 'TWICE' | 'BUDGET' | 'ORDER' | 'LOST' | 'LIMIT' | 'CONFIG' | 'UNASKED' | 'ENDED' | 'UNCLEAR' | 'ERROR' | 'FAILED' | 'GATE';
 	requestId?: string;
 	detail: string;
 };
--- a/tools/soak/src/soak-fleet.ts
+++ b/tools/soak/src/soak-fleet.ts
@@ -33,8 +33,9 @@
 const serverPort = 8080;
 /** Last parts of the addresses of edges and servers and of the relays in front of them. */
 const hosts = {
-	edge: 10, edgeRelay: 40, server: 100, serverRelay: 160,
+	edge: 10, edgeRelay: 40, server: 100, serverRelay: 160, closed: 230,
 } as const;
+const closedHosts = 6;
 const maxPauseMs = 1500;
 const seedRange = 2 ** 31;
 const serverMainPath = fileURLToPath(new URL('server-main.js', import.meta.url));
@@ -64,6 +65,11 @@
 		}
 	}
 
+	/** Addresses at which nothing listens. */
+	get closedAddresses(): string[] {
+		return Array.from({length: closedHosts}, (_, index) => `${this.#opts.block.getIp(hosts.closed + index)}:${serverPort}`);
+	}
+
 	async start(): Promise<void> {
 		await Promise.all([...this.edges, ...this.servers].map(async member => member.start()));
 	}
--- a/tools/soak/src/soak-run.ts
+++ b/tools/soak/src/soak-run.ts
@@ -11,6 +11,7 @@
 import {checkBudget, findBudgetUses} from './check-budget.js';
 import {checkCrashingPart} from './check-crashing-part.js';
 import {checkConfiguration} from './check-configuration.js';
+import {checkErrorEvents, checkForeignCalls, checkSoundRequests} from './check-foreign-writer.js';
 import {checkLimit, findLimitUses} from './check-limit.js';
 import {checkLost} from './check-lost.js';
 import {checkOverdue} from './check-overdue.js';
@@ -21,10 +22,11 @@
 import {partCrash} from './crashing-part.js';
 import {createChangeTimes, createSchedule, lateFaults} from './fault-schedule.js';
 import {allOutsideFaults} from './faults.js';
+import {foreignFaults, ForeignWriter} from './foreign-writer.js';
 import {soakProcess, watchLoop} from './loop-lag.js';
 import {Operator} from './operator.js';
 import type {
-	CallerRecord, LagRecord, RuleCase, ServerRecord, SoakRecords, SoakRoute,
+	CallerRecord, ForeignCall, LagRecord, RuleCase, ServerRecord, SoakRecords, SoakRoute,
 } from './records.js';
 import {SoakFleet} from './soak-fleet.js';
 
@@ -82,7 +84,7 @@
 	});
 	try {
 		const records = await runFleet(fleet, createRandom(random), opts);
-		const cases: RuleCase[] = [...checkAnswers(records), ...checkBudget(records), ...checkConfiguration(records), ...checkLost(records), ...checkLimit(records), ...checkCrashingPart(records), ...checkVersions(records), ...checkSharedWork(records), ...checkOverdue(records), ...records.faultCases, ...fleet.endedEdges.map(name => ({rule: 'ENDED', detail: `${name} ended by itself`} as const))];
+		const cases: RuleCase[] = [...checkAnswers(records), ...checkBudget(records), ...checkConfiguration(records), ...checkLost(records), ...checkLimit(records), ...checkCrashingPart(records), ...checkVersions(records), ...checkSharedWork(records), ...checkOverdue(records), ...(records.foreignCalls ? [...checkForeignCalls(records), ...checkErrorEvents(await readLines(folder, /^edge-\d+\.log$/)), ...checkSoundRequests(records)] : []), ...records.faultCases, ...fleet.endedEdges.map(name => ({rule: 'ENDED', detail: `${name} ended by itself`} as const))];
 		await writeLines(path.join(folder, 'cases.jsonl'), cases);
 		return {cases, summary: createSummary(records)};
 	} finally {
@@ -119,6 +121,17 @@
 			callers.push(record);
 		},
 	}).run(signal))];
+	const foreignCalls: ForeignCall[] = [];
+	const hasForeignWriter = Object.values(foreignFaults).some(fault => faults.includes(fault));
+	if (hasForeignWriter) {
+		// Drawn behind all others, so that these keep their times with and without it.
+		work.push(new ForeignWriter({
+			clock, random: createRandom(random), faults: new Set(faults), edges: fleet.edges, servers: fleet.servers.map(({name}) => name), closedAddresses: fleet.closedAddresses, record(call) {
+				foreignCalls.push(call);
+			},
+		}).run(signal));
+	}
+
 	const faultRunner = new FaultRunner({clock, ...fleet, waitForAcknowledgement: async () => operator.waitForAcknowledgement()});
 	const faultsEnded = faultRunner.run(schedule);
 	await clock.sleep(seconds * 1000);
@@ -134,9 +147,10 @@
 	const readRequests = new Map(readLinesOfEdges.map(line => [line.slice(line.indexOf(' ') + 1), Number.parseInt(line, 10)]));
 	await writeLines(path.join(folder, 'callers.jsonl'), callers);
 	await writeLines(path.join(folder, 'operator.jsonl'), [...operator.records, ...readBacks]);
+	await writeLines(path.join(folder, 'foreign.jsonl'), foreignCalls);
 	await writeLines(path.join(folder, 'disturbances.jsonl'), faultRunner.disturbances);
 	return {
-		routes, bounds, callers, processEnds: fleet.processEnds, disturbances: faultRunner.disturbances, faultCases: faultRunner.cases, graceMs, readRequests, operator: operator.records, readBacks, edges: edges.map(({name}) => name), ...collectRecords([...serverRecords, ...lags]),
+		routes, bounds, callers, processEnds: fleet.processEnds, disturbances: faultRunner.disturbances, faultCases: faultRunner.cases, graceMs, readRequests, operator: operator.records, foreignCalls: hasForeignWriter ? foreignCalls : undefined, readBacks, edges: edges.map(({name}) => name), ...collectRecords([...serverRecords, ...lags]),
 	};
 }
 
@@ -167,6 +181,7 @@
 		...countTakeUps(records),
 		partCrashes: records.outcomes.filter(({answer}) => answer === partCrash).length,
 		configurations: records.operator.filter(({acknowledgedAt}) => acknowledgedAt !== undefined).length,
+		...(records.foreignCalls && {foreignCalls: records.foreignCalls.length}),
 	};
 }
 
