test: odd reports look like sound ones, and the leader changes beside them

Change: 25 messages a second; two fifths of the odd reports have an odd address, and half of the values are those that look like sound ones.

--- a/stand-ins/src/wire-fields.ts
+++ b/stand-ins/src/wire-fields.ts
@@ -235,6 +235,12 @@
 	return listOdd(field).filter(text => field.isRefused(parseText(text)));
 }
 
+/** Those among the refused values that look most like sound ones, or all refused ones if the field has none. */
+export function listRefusedNear(field: WireField): JsonText[] {
+	const near = (field.odd ?? []).filter(text => field.isRefused(parseText(text)));
+	return near.length > 0 ? near : listRefused(field);
+}
+
 /** Odd values of a field; the pages don't refuse all of them. */
 export function listOdd({odd = []}: WireField): JsonText[] {
 	return [...oddJson, ...odd];
--- a/tools/soak/src/fault-runner.ts
+++ b/tools/soak/src/fault-runner.ts
@@ -2,8 +2,8 @@
 import {request} from 'undici';
 import {waitWithTimeout, type Clock} from '@hickorytrack/clock';
 import {passThroughRule, type RelayRule} from '@hickorytrack/stand-ins/relay';
-import {graceMs, type EdgeProcess} from './edge-process.js';
-import type {ScheduledFault} from './fault-schedule.js';
+import {edgePorts, graceMs, type EdgeProcess} from './edge-process.js';
+import {leaderTarget, type ScheduledFault} from './fault-schedule.js';
 import {floodEdge} from './flood.js';
 import type {Links} from './links.js';
 import type {ManagedProcess} from './managed-process.js';
@@ -24,6 +24,7 @@
 /** All edges are back while callers still wait, so that they take their streams up. */
 const maxPowerLossMs = 500;
 const hushTimeoutMs = 200;
+const stateTimeoutMs = 500;
 
 export class FaultRunner {
 	readonly disturbances: Disturbance[] = [];
@@ -41,10 +42,11 @@
 	async run(schedule: readonly ScheduledFault[]): Promise<void> {
 		await Promise.all(schedule.map(async fault => {
 			await this.#opts.clock.sleep(fault.atMs);
+			const target = fault.target === leaderTarget ? await findLeader(this.#opts.edges) : fault.target;
 			const from = this.#opts.clock.now();
-			if (await this.#runFault(fault)) {
+			if (target !== undefined && await this.#runFault({...fault, target})) {
 				this.disturbances.push({
-					kind: fault.kind, target: fault.target, source: strikesAll.has(fault.kind) ? undefined : fault.source, from, until: this.#opts.clock.now(),
+					kind: fault.kind, target, source: strikesAll.has(fault.kind) ? undefined : fault.source, from, until: this.#opts.clock.now(),
 				});
 			}
 		}));
@@ -189,6 +191,24 @@
 	}
 }
 
+/** Returns the name of the edge that leads the core, if an edge knows it. */
+async function findLeader(edges: readonly EdgeProcess[]): Promise<string | undefined> {
+	for (const {controlAddress} of edges) {
+		try {
+			const {body} = await request(`http://${controlAddress}/state`, {reset: true, headersTimeout: stateTimeoutMs, bodyTimeout: stateTimeoutMs});
+			const {configuration} = await body.json() as {configuration?: {leader?: string}};
+			const leader = edges.find(({ip}) => configuration?.leader === `${ip}:${edgePorts.peer}`);
+			if (leader) {
+				return leader.name;
+			}
+		} catch {
+			// It ends, starts or stands still.
+		}
+	}
+
+	return undefined;
+}
+
 /** Makes a server silent. Returns false if it doesn't run. */
 async function startSilence({host, port}: {host: string; port: number}, durationMs: number): Promise<boolean> {
 	try {
--- a/tools/soak/src/fault-schedule.ts
+++ b/tools/soak/src/fault-schedule.ts
@@ -32,6 +32,9 @@
 } as const;
 export type LateFault = typeof lateFaults[keyof typeof lateFaults];
 
+/** Target of a fault that strikes whichever edge leads the core by then. */
+export const leaderTarget = 'leader';
+
 export type ScheduledFault = {
 	atMs: number;
 	/** An edge that is out of step is scheduled as what keeps it from taking part. */
@@ -49,6 +52,8 @@
 	lateKinds?: readonly LateFault[];
 	edges: readonly string[];
 	servers: readonly string[];
+	/** The leader of the core is stopped, killed or frozen besides. */
+	hasLeaderChanges?: boolean;
 	/** Times of the operator's changes. */
 	changesAtMs: readonly number[];
 };
@@ -93,7 +98,7 @@
 	return times.map(time => Math.round(time)).sort((a, b) => a - b);
 }
 
-export function createSchedule({random, seconds, kinds, lateKinds = [], edges, servers, changesAtMs}: ScheduleOptions): ScheduledFault[] {
+export function createSchedule({random, seconds, kinds, lateKinds = [], hasLeaderChanges = false, edges, servers, changesAtMs}: ScheduleOptions): ScheduledFault[] {
 	const schedule: ScheduledFault[] = [];
 	const drawn = kinds.filter(kind => kind !== 'out-of-step');
 	for (let atMs = startMs; drawn.length > 0 && atMs < (seconds * 1000) - endMs; atMs += random.nextExponential(meanGapMs)) {
@@ -125,6 +130,10 @@
 		schedule.push(...createLateFaults(random, {kind, seconds, edges}));
 	}
 
+	if (hasLeaderChanges) {
+		schedule.push(...createLeaderChanges(random, seconds));
+	}
+
 	return removeJoinedHushes(schedule.sort((a, b) => a.atMs - b.atMs));
 }
 
@@ -135,6 +144,13 @@
 	}));
 }
 
+function createLeaderChanges(random: Random, seconds: number): ScheduledFault[] {
+	const lastMs = Math.max(startMs, (seconds * 1000) - endMs);
+	return Array.from({length: lateCount}, () => ({
+		atMs: Math.round(random.nextBetween(startMs, lastMs)), kind: random.select(['term', 'kill', 'freeze'] as const), target: leaderTarget, durationMs: Math.round(random.nextBetween(minLateMs, maxLateMs)),
+	}));
+}
+
 /** For each release, one edge that stands still or is cut off during a part of it. There is one release at least. */
 function createOutOfStepEdges(random: Random, {schedule, seconds, edges, servers}: Pick<ScheduleOptions, 'seconds' | 'edges' | 'servers'> & {schedule: readonly ScheduledFault[]}): ScheduledFault[] {
 	const planned = schedule.filter(({kind}) => kind === 'release');
--- a/tools/soak/src/foreign-writer.ts
+++ b/tools/soak/src/foreign-writer.ts
@@ -8,7 +8,7 @@
 import type {Clock} from '@hickorytrack/clock';
 import type {Random} from '@hickorytrack/random';
 import {
-	configurationFields, deregistrationFields, formatConfiguration, formatDocument, idField, listOdd, listRefused, otherDocuments, reportFields, unreadableBodies, type JsonText, type WireField,
+	configurationFields, deregistrationFields, formatConfiguration, formatDocument, idField, listOdd, listRefused, listRefusedNear, otherDocuments, reportFields, unreadableBodies, type JsonText, type WireField,
 } from '@hickorytrack/stand-ins/wire-fields';
 import type {ForeignCall} from './records.js';
 
@@ -35,13 +35,16 @@
 
 type Message = Pick<ForeignCall, 'call' | 'expected'> & {path: string; body: string};
 
-const meanGapMs = 120;
+const meanGapMs = 40;
 /** Callers of the control address go on to another node after a second without an answer. */
 const answerMs = 1000;
 const recordedCharacters = 200;
 const services = ['plain', 'model', 'plain-b', 'model-b'] as const;
 /** Chance that a document can't be read at all, and that a report is of a server of its own. */
 const unreadableRate = 0.15;
+/** Chance that an odd report has an odd address, and that a value looks like a sound one. */
+const addressRate = 0.4;
+const nearRate = 0.5;
 const ownRate = 0.3;
 const maxStarts = 3;
 
@@ -73,7 +76,7 @@
 			case 'odd-report': {
 				const id = random.next() < ownRate ? this.#createOwnId() : this.#createRealId();
 				return {
-					call: kind, expected: expectedAnswers.refused, path: `/api/Instances.Heartbeat/${id}`, body: this.#isUnreadable() ? this.#selectUnreadable() : this.#createReport(this.#drawChange(reportFields, listRefused)),
+					call: kind, expected: expectedAnswers.refused, path: `/api/Instances.Heartbeat/${id}`, body: this.#isUnreadable() ? this.#selectUnreadable() : this.#createReport(this.#drawRefusedChange()),
 				};
 			}
 
@@ -111,6 +114,12 @@
 		}
 	}
 
+	#drawRefusedChange(): Record<string, JsonText> {
+		const {random} = this.#opts;
+		const fields = random.next() < addressRate ? reportFields.filter(({name}) => name === 'address') : reportFields;
+		return this.#drawChange(fields, random.next() < nearRate ? listRefusedNear : listRefused);
+	}
+
 	/** Draws a field and a value for it. */
 	#drawChange(fields: readonly WireField[], listValues: (field: WireField) => JsonText[]): Record<string, JsonText> {
 		const {random} = this.#opts;
--- a/tools/soak/src/soak-run.ts
+++ b/tools/soak/src/soak-run.ts
@@ -100,8 +100,9 @@
 	const {signal} = abortController;
 	setMaxListeners(0, signal);
 	const changesAtMs = createChangeTimes(createRandom(random), seconds);
+	const hasForeignWriter = Object.values(foreignFaults).some(fault => faults.includes(fault));
 	const schedule = createSchedule({
-		random: createRandom(random), seconds, kinds: allOutsideFaults.filter(kind => faults.includes(kind)), lateKinds: Object.values(lateFaults).filter(kind => faults.includes(kind)), edges: fleet.edges.map(({name}) => name), servers: fleet.servers.map(({name}) => name), changesAtMs,
+		random: createRandom(random), seconds, kinds: allOutsideFaults.filter(kind => faults.includes(kind)), lateKinds: Object.values(lateFaults).filter(kind => faults.includes(kind)), hasLeaderChanges: hasForeignWriter, edges: fleet.edges.map(({name}) => name), servers: fleet.servers.map(({name}) => name), changesAtMs,
 	});
 	await writeLines(path.join(folder, 'schedule.jsonl'), schedule);
 	await fleet.start();
@@ -122,7 +123,6 @@
 		},
 	}).run(signal))];
 	const foreignCalls: ForeignCall[] = [];
-	const hasForeignWriter = Object.values(foreignFaults).some(fault => faults.includes(fault));
 	if (hasForeignWriter) {
 		// Drawn behind all others, so that these keep their times with and without it.
 		work.push(new ForeignWriter({
