--- a/tools/soak/src/foreign-writer.ts
+++ b/tools/soak/src/foreign-writer.ts
@@ -76,7 +76,7 @@
 			case 'odd-report': {
 				const id = random.next() < ownRate ? this.#createOwnId() : this.#createRealId();
 				return {
-					call: kind, expected: expectedAnswers.refused, path: `/api/Instances.Heartbeat/${id}`, body: this.#isUnreadable() ? this.#selectUnreadable() : this.#createReport(this.#drawRefusedChange()),
+					call: kind, expected: expectedAnswers.refused, path: `/api/Instances.Heartbeat/${id}`, body: this.#isUnreadable() ? this.#selectUnreadable() : this.#createReport(this.#createRefusedChange()),
 				};
 			}
 
@@ -89,39 +89,39 @@
 			case 'own-report': {
 				const id = random.next() < ownRate ? random.select(idField.odd) : this.#createOwnId();
 				return {
-					call: kind, expected: expectedAnswers.clear, path: `/api/Instances.Heartbeat/${id}`, body: this.#createReport(this.#drawChange(reportFields, listOdd)),
+					call: kind, expected: expectedAnswers.clear, path: `/api/Instances.Heartbeat/${id}`, body: this.#createReport(this.#createChange(reportFields, listOdd)),
 				};
 			}
 
 			case 'own-leave': {
 				const id = random.next() < ownRate ? random.select(idField.odd) : this.#createOwnId();
 				return {
-					call: kind, expected: expectedAnswers.clear, path: `/api/Instances.Deregister/${id}`, body: this.#isUnreadable() ? this.#selectUnreadable() : formatDocument(deregistrationFields, random, this.#drawChange(deregistrationFields, listOdd)),
+					call: kind, expected: expectedAnswers.clear, path: `/api/Instances.Deregister/${id}`, body: this.#isUnreadable() ? this.#selectUnreadable() : formatDocument(deregistrationFields, random, this.#createChange(deregistrationFields, listOdd)),
 				};
 			}
 
 			case 'foreign-leave': {
 				return {
-					call: kind, expected: expectedAnswers.refused, path: `/api/Instances.Deregister/${this.#createRealId()}`, body: this.#isUnreadable() ? random.select(unreadableBodies.filter(body => body.trim() !== '')) : formatDocument(deregistrationFields, random, this.#drawChange(deregistrationFields, listRefused)),
+					call: kind, expected: expectedAnswers.refused, path: `/api/Instances.Deregister/${this.#createRealId()}`, body: this.#isUnreadable() ? random.select(unreadableBodies.filter(body => body.trim() !== '')) : formatDocument(deregistrationFields, random, this.#createChange(deregistrationFields, listRefused)),
 				};
 			}
 
 			case 'configuration': {
 				return {
-					call: kind, expected: expectedAnswers.refused, path: '/api/Config.Put', body: this.#isUnreadable() ? this.#selectUnreadable() : formatConfiguration(random, this.#drawChange(configurationFields, listRefused)),
+					call: kind, expected: expectedAnswers.refused, path: '/api/Config.Put', body: this.#isUnreadable() ? this.#selectUnreadable() : formatConfiguration(random, this.#createChange(configurationFields, listRefused)),
 				};
 			}
 		}
 	}
 
-	#drawRefusedChange(): Record<string, JsonText> {
+	#createRefusedChange(): Record<string, JsonText> {
 		const {random} = this.#opts;
 		const fields = random.next() < addressRate ? reportFields.filter(({name}) => name === 'address') : reportFields;
-		return this.#drawChange(fields, random.next() < nearRate ? listRefusedNear : listRefused);
+		return this.#createChange(fields, random.next() < nearRate ? listRefusedNear : listRefused);
 	}
 
 	/** Draws a field and a value for it. */
-	#drawChange(fields: readonly WireField[], listValues: (field: WireField) => JsonText[]): Record<string, JsonText> {
+	#createChange(fields: readonly WireField[], listValues: (field: WireField) => JsonText[]): Record<string, JsonText> {
 		const {random} = this.#opts;
 		const field = random.select(fields.filter(candidate => listValues(candidate).length > 0));
 		return {[field.name]: random.select(listValues(field))};
--- a/tools/soak/test/checks-can-fail.test.ts
+++ b/tools/soak/test/checks-can-fail.test.ts
@@ -6,6 +6,7 @@
 import {checkBudget} from '../src/check-budget.js';
 import {checkCrashingPart} from '../src/check-crashing-part.js';
 import {checkConfiguration} from '../src/check-configuration.js';
+import {checkErrorEvents, checkForeignCalls, checkSoundRequests} from '../src/check-foreign-writer.js';
 import {checkLimit} from '../src/check-limit.js';
 import {checkLost} from '../src/check-lost.js';
 import {checkOverdue} from '../src/check-overdue.js';
@@ -18,7 +19,7 @@
 import type {Links} from '../src/links.js';
 import {createEvent, createPlainBody, createStamp} from '../src/expected-body.js';
 import type {
-	ArrivalRecord, CallerRecord, EndRecord, LimitRecord, OutcomeRecord, RouteKind, SoakRecords, SoakRoute, StartRecord,
+	ArrivalRecord, CallerRecord, EndRecord, ForeignCall, LimitRecord, OutcomeRecord, RouteKind, SoakRecords, SoakRoute, StartRecord,
 } from '../src/records.js';
 
 const createRoute = (name: string, kind: RouteKind, isResumable = false): SoakRoute => ({
@@ -558,6 +559,56 @@
 	});
 });
 
+describe('checks beside another writer', () => {
+	const call: ForeignCall = {
+		edge: 'edge-1', sentAt: 5000, endedAt: 5010, call: 'odd-report', expected: 'refused', text: '', status: 400,
+	};
+	const listRulesOf = (changes: Partial<ForeignCall>, records: Partial<SoakRecords> = {}) => checkForeignCalls(createRecords({foreignCalls: [{...call, ...changes}], ...records})).map(({rule}) => rule);
+
+	it('report an answer that is missing, unclear or another one than the pages say', () => {
+		expect([{}, {expected: 'clear'}, {call: 'configuration', status: 422}, {expected: 'accepted', status: 200}, {expected: 'clear', status: 200}].map(changes => listRulesOf(changes as Partial<ForeignCall>))).to.deep.equal([[], [], [], [], []]);
+		for (const changes of [{status: undefined}, {status: 200}, {status: 404}, {status: 500}, {status: 503}, {expected: 'accepted'}, {expected: 'clear', status: 500}, {call: 'own-leave', expected: 'clear', status: 429}, {call: 'configuration', status: 503}]) {
+			expect(listRulesOf(changes as Partial<ForeignCall>), JSON.stringify(changes)).to.deep.equal(['UNCLEAR']);
+		}
+
+		expect(listRulesOf({call: 'configuration', status: 200})).to.deep.equal(['CONFIG']);
+	});
+
+	it('excuse an edge that was away, and a second that the soak itself stood still', () => {
+		const lost = {status: undefined, endedAt: 6200};
+		const lag = {
+			type: 'lag', at: 5900, server: soakProcess, delayMs: 300,
+		} as const;
+		expect([listRulesOf(lost), listRulesOf(lost, {lags: [lag]}), listRulesOf({...lost, endedAt: 5010}, {lags: [lag]})]).to.deep.equal([['UNCLEAR'], [], ['UNCLEAR']]);
+		for (const [name, rules] of [['edge-1', []], ['edge-2', ['UNCLEAR']]] as const) {
+			expect(listRulesOf(lost, {processEnds: [{name, at: 4000}]})).to.deep.equal(rules);
+			expect(listRulesOf(lost, {
+				disturbances: [{
+					kind: 'freeze', target: name, from: 3000, until: 4000,
+				}],
+			})).to.deep.equal(rules);
+		}
+	});
+
+	it('report errors in the logs of edges', () => {
+		const lines = [1004, 1005, 1006, 1007, 1008, 1009].map(event => JSON.stringify({event}));
+		expect(checkErrorEvents([...lines, 'no JSON', 'null', '1006']).map(({detail}) => detail)).to.deep.equal(lines.slice(1, 5));
+	});
+
+	it('report a failure of the edge\'s own while no server had the request', () => {
+		const caller = createCaller('once', {status: 502});
+		const arrivals = [createArrival(1)];
+		const listFailed = (changes: Partial<SoakRecords>, status = 502) => checkSoundRequests(createRecords({callers: [{...caller, status}], ...changes})).map(({rule}) => rule);
+		expect([listFailed({}), listFailed({}, 503), listFailed({arrivals}), listFailed({processEnds: [{name: 's1', at: 0}]})]).to.deep.equal([['FAILED'], [], [], []]);
+	});
+
+	it('report that too few requests are served, of all or of a route', () => {
+		const createCallers = (route: string, served: number, count: number) => Array.from({length: count}, (_, index) => createCaller(route, {status: index < served ? 200 : 503}));
+		const countCases = (callers: CallerRecord[]) => checkSoundRequests(createRecords({callers})).length;
+		expect([countCases(createCallers('once', 40, 100)), countCases(createCallers('once', 39, 100)), countCases([...createCallers('once', 100, 100), ...createCallers('again', 4, 20)]), countCases([...createCallers('once', 100, 100), ...createCallers('again', 5, 20)])]).to.deep.equal([0, 1, 1, 0]);
+	});
+});
+
 describe('faults of the soak', () => {
 	// A reset strikes the connections of all edges, but was recorded as one of a single edge's, which excused nothing at the others.
 	it('are recorded with the edge whose connections they strike, if it is a single one', async () => {
@@ -577,6 +628,14 @@
 		expect(runner.disturbances.map(({kind, source}) => ({kind, source}))).to.deep.equal([{kind: 'reset', source: undefined}, {kind: 'cut', source: 'edge-2'}]);
 	});
 
+	it('strike the leader besides, and keep their times', () => {
+		const list = (hasLeaderChanges: boolean) => createSchedule({
+			random: new Random(5), seconds: 20, kinds: Object.values(outsideFaults), hasLeaderChanges, edges: ['edge-1', 'edge-2'], servers: ['s1', 's2'], changesAtMs: [4000, 9000],
+		});
+		expect(list(true).filter(({target}) => target === 'leader')).to.have.length(2);
+		expect(list(true).filter(({target}) => target !== 'leader')).to.deep.equal(list(false));
+	});
+
 	// A seed that has found something is played again after faults have been added.
 	it('keep their times when late ones are played beside them', () => {
 		const list = (lateKinds: LateFault[]) => createSchedule({
--- a/tools/soak/test/soak.test.ts
+++ b/tools/soak/test/soak.test.ts
@@ -74,6 +74,13 @@
 		});
 	});
 
+	// A server was reported at an address to which no connection can be opened, and the leader of the core ended by itself.
+	it('ends no edge and fails no request beside foreign reports and configurations while leaders change', async () => {
+		await checkRun({
+			seed: 6301, seconds: 10, faults: ['foreign-writer', 'term', 'kill', 'freeze', 'kill-core'], servers: 12, callers: 36,
+		});
+	});
+
 	it('loses no configuration that was acknowledged right before all edges end', async () => {
 		await checkRun({
 			seed: 9812, seconds: 10, faults: ['kill-acknowledged'], servers: 12, callers: 36,
