--- a/tools/soak/src/faults.ts
+++ b/tools/soak/src/faults.ts
@@ -10,6 +10,6 @@
 import {slowFaults} from './server-slowness.js';
 
 export const allOutsideFaults: readonly OutsideFault[] = Object.values(outsideFaults);
-export const allFaults: readonly string[] = [...Object.keys(serverFaultRates), 'stutter', 'unframed', 'idle-close', 'overload', 'limit', crashingPartFault, versionsFault, unbornFault, fewConnectionsFault, slowFaults.report, slowFaults.token, foreignFaults.writer, ...allOutsideFaults];
+export const allFaults: readonly string[] = [...Object.keys(serverFaultRates), 'stutter', 'unframed', 'idle-close', 'overload', 'limit', crashingPartFault, versionsFault, unbornFault, fewConnectionsFault, slowFaults.report, slowFaults.token, ...allOutsideFaults];
 /** Played only if they are listed: what they show is not mended yet (KNOWN-RED.txt), or each run of theirs has a test of its own. */
-export const listedFaults: readonly string[] = [foreignFaults.leave, pipelineFault, slowFaults.pause, ...Object.values(lateFaults)];
+export const listedFaults: readonly string[] = [foreignFaults.writer, foreignFaults.leave, pipelineFault, slowFaults.pause, ...Object.values(lateFaults)];
