--- a/packages/coordination/replicated-log/src/parse-member-message.ts
+++ b/packages/coordination/replicated-log/src/parse-member-message.ts
@@ -11,12 +11,13 @@
 const replyKinds = ['heartbeat', 'vote', 'append'] as const;
 const notNegative = {min: 0, max: Number.MAX_SAFE_INTEGER};
 const wholeNumber = {...notNegative, isInteger: true};
+const maxTerm = 2 ** 52;
 
 /** Throws a `FieldError` that names what can't be used. */
 export function parseMemberMessage(value: unknown): MemberMessage {
 	const fields = new Fields(value, {name: 'the message'});
 	const kind = fields.readOneOf('kind', messageKinds);
-	const sender = {from: fields.readString('from'), term: readCount(fields, 'term')};
+	const sender = {from: fields.readString('from'), term: readTerm(fields)};
 	switch (kind) {
 		case 'pre-vote':
 		case 'vote': {
@@ -52,7 +53,7 @@
 export function parseMemberReply(value: unknown): MemberReply {
 	const fields = new Fields(value, {name: 'the reply'});
 	const kind = fields.readOneOf('kind', replyKinds);
-	const sender = {folder: fields.readString('folder'), term: readCount(fields, 'term')};
+	const sender = {folder: fields.readString('folder'), term: readTerm(fields)};
 	switch (kind) {
 		case 'heartbeat': {
 			return {kind, ...sender, accepted: fields.get('accepted') === true};
@@ -70,6 +71,11 @@
 	}
 }
 
+/** A member that takes a term over stores it, so that there must be higher ones left. */
+function readTerm(fields: Fields): number {
+	return fields.readNumber('term', {...wholeNumber, max: maxTerm});
+}
+
 function readCount(fields: Fields, name: string): number {
 	return fields.readNumber(name, wholeNumber);
 }
--- a/packages/coordination/shared-rate/src/rate-issuer.ts
+++ b/packages/coordination/shared-rate/src/rate-issuer.ts
@@ -24,6 +24,9 @@
 /** A schedule that nobody has used for this time is dropped; the next one for the server starts without credit. */
 const retentionMs = 60_000;
 
+/** Each request is granted by itself, so that a call for more is answered in part. */
+const maxGrants = 10_000;
+
 /** A request that can't be read is denied for this time. */
 const invalidDelayMs = 1000;
 
@@ -59,7 +62,7 @@
 		}
 
 		let granted = 1;
-		const maxGranted = delayMs === 0 ? count : 1;
+		const maxGranted = delayMs === 0 ? Math.min(count, maxGrants) : 1;
 		while (granted < maxGranted && entry.schedule.acquire(0).isGranted) {
 			granted++;
 		}
--- a/packages/coordination/shared-rate/src/shared-rate.ts
+++ b/packages/coordination/shared-rate/src/shared-rate.ts
@@ -140,7 +140,7 @@
 		const now = clock.monotonic();
 		if (reply.granted > 0) {
 			account.denials = 0;
-			account.grants.push(...Array.from({length: reply.granted - 1}, () => now + grantTtlMs));
+			account.grants.push(...Array.from({length: Math.min(reply.granted, count) - 1}, () => now + grantTtlMs));
 			account.closedUntil = now;
 			return reply;
 		}
--- a/packages/core/types/src/parse-peer-message.ts
+++ b/packages/core/types/src/parse-peer-message.ts
@@ -21,6 +21,8 @@
 const notNegative = {min: 0, max: Number.MAX_SAFE_INTEGER};
 const wholeNumber = {...notNegative, isInteger: true};
 const age = {min: 0};
+/** Requests that one call for grants may ask for; each is granted by itself. */
+const grantCount = {min: 0, max: 10_000, isInteger: true};
 const stages = ['prefill', 'decode'] as const;
 const putOutcomes = ['stored', 'same', 'overtaken', 'conflict'] as const;
 
@@ -225,9 +227,9 @@
 	'limit.note': {params: (fields, onLeftOut) => ({limits: readEach(fields.readList('limits'), parseLimit, onLeftOut)})},
 	'limit.acquire': {
 		params: fields => ({
-			server: readText(fields, 'server'), startedAt: fields.readNumber('startedAt', wholeNumber), perSecond: fields.readNumber('perSecond', age), maxDelayMs: readAgeMs(fields, 'maxDelayMs'), count: fields.readNumber('count', wholeNumber),
+			server: readText(fields, 'server'), startedAt: fields.readNumber('startedAt', wholeNumber), perSecond: fields.readNumber('perSecond', age), maxDelayMs: readAgeMs(fields, 'maxDelayMs'), count: fields.readNumber('count', grantCount),
 		}),
-		result: fields => ({isIssuer: fields.get('isIssuer') === true, granted: fields.readNumber('granted', wholeNumber), delayMs: readAgeMs(fields, 'delayMs')}),
+		result: fields => ({isIssuer: fields.get('isIssuer') === true, granted: fields.readNumber('granted', grantCount), delayMs: readAgeMs(fields, 'delayMs')}),
 	},
 	'limit.reach': {params: fields => ({address: readText(fields, 'address')}), result: fields => ({isConnected: fields.get('isConnected') === true})},
 	'crash.note': {
--- a/packages/core/types/src/parse-server-record.ts
+++ b/packages/core/types/src/parse-server-record.ts
@@ -15,6 +15,7 @@
 	const fields = new Fields(value, {name: 'the report'});
 	const id = fields.readString('id', {maxLength: maxNameLength});
 	const address = parseSocketAddress(fields.get('address'));
+	const state = fields.readOneOf('state', states);
 	if (!idPattern.test(id)) {
 		throw new TypeError('the id of the report has characters that no header can hold');
 	}
@@ -30,8 +31,9 @@
 		service: fields.readString('service', {maxLength: maxNameLength}),
 		address,
 		availabilityZone: readText(fields, 'availabilityZone'),
-		slots: fields.readNumber('slots', {min: 1, max: Number.MAX_SAFE_INTEGER}),
-		state: fields.readOneOf('state', states),
+		// The end of a server's use must not be lost for a number that nothing uses then.
+		slots: state === 'ready' ? fields.readNumber('slots', {min: 1, max: Number.MAX_SAFE_INTEGER}) : Math.min(Number.MAX_SAFE_INTEGER, Math.max(1, fields.readNumber('slots'))),
+		state,
 		coldMs: Math.min(maxDurationMs, Math.max(0, fields.readNumber('coldMs'))),
 		stage: fields.has('stage') ? fields.readOneOf('stage', stages) : undefined,
 		version: fields.has('version') ? readText(fields, 'version') : undefined,
--- a/packages/plugins/edge/src/edge.ts
+++ b/packages/plugins/edge/src/edge.ts
@@ -241,6 +241,11 @@
 		return !this.#isStopping && this.configuration.isConfirmed && this.#routes !== undefined;
 	}
 
+	/** Number of requests that callers wait for. */
+	get openRequests(): number {
+		return this.#frontend.openRequests;
+	}
+
 	/** Aborts when the edge begins to stop. */
 	get stopping(): AbortSignal {
 		return this.#stopController.signal;
--- a/packages/routing/endpoint-registry/src/endpoint-registry.ts
+++ b/packages/routing/endpoint-registry/src/endpoint-registry.ts
@@ -10,7 +10,7 @@
  * server's own, and one with another server's address would take it. So a ready server that has not been heard of for the
  * report timeout yields to one whose own reports it holds back, once these have kept arriving, with rising numbers, for
  * another timeout. Late reports of a dead boot come in a burst or thin out; a server that drains, leaves or has left never
- * yields.
+ * yields to reports under its own id.
  */
 import type {Clock} from '@hickorytrack/clock';
 import type {SocketAddress} from '@hickorytrack/socket-address';
@@ -79,13 +79,14 @@
 type Claim = {
 	startedAt: number;
 	sequence: number;
+	reports: number;
 	/** Monotonic times of the first and the newest of its reports. */
 	beganAt: number;
 	heardAt: number;
 };
 
-/** Reports of a claim may be apart by this part of the report timeout, so that two late ones are not enough. */
-const claimGapFraction = 0.5;
+/** Reports that a claim takes, as two late ones are not enough. Those of a server may go to several instances in turn. */
+const minClaimReports = 3;
 
 type PendingStage = {
 	startedAt: number;
@@ -107,6 +108,8 @@
 	readonly #byService = new Map<string, KnownServer[]>();
 	/** Ids of the servers at each address. */
 	readonly #byAddress = new Map<string, Set<string>>();
+	/** The server that has started last at each address, as far as it was looked for since the last change there. */
+	readonly #owners = new Map<string, KnownServer>();
 	/** Stages that servers were ordered to change to, by server id. */
 	readonly #pendingStages = new Map<string, PendingStage>();
 	/** By server id. */
@@ -296,7 +299,8 @@
 
 		// Confirming this report promises that the server gets nothing more, whatever number outdates it.
 		const isDraining = report.state === serverStates.draining && known.state === serverStates.ready && report.address === known.address;
-		const isOutdated = (report.sequence <= known.sequence && !isDraining) || (isLeaving && report.state === serverStates.ready);
+		const isDeparture = report.state === serverStates.left && known.state !== serverStates.left;
+		const isOutdated = (report.sequence <= known.sequence && !isDraining && !isDeparture) || (isLeaving && report.state === serverStates.ready);
 		const server = {
 			...report, sequence: Math.max(report.sequence, known.sequence), heardAt, order: known.order,
 		};
@@ -313,7 +317,7 @@
 		const known = this.#servers.get(report.id);
 		const isOutdated = known && (known.startedAt > report.startedAt || (known.startedAt === report.startedAt && known.sequence >= report.sequence));
 		const order = known?.startedAt === report.startedAt ? known.order : this.#createOrder(report);
-		const holders = this.#listLaterAtAddress({...report, order});
+		const holders = this.#isAddressReassigned({...report, order}) ? this.#listLaterAtAddress({...report, order}) : [];
 		if (isOutdated) {
 			holders.push(known);
 		}
@@ -330,25 +334,36 @@
 	#isClaimed({id, startedAt, sequence}: ReportRepeat, holders: readonly KnownServer[]): boolean {
 		const {clock, reportTimeoutMs} = this.#opts;
 		const now = clock.monotonic();
-		if (holders.some(({state, heardAt, answeredAt = heardAt}) => state !== serverStates.ready || now - Math.max(heardAt, answeredAt) <= reportTimeoutMs)) {
+		if (holders.some(holder => this.#isHeld(holder, id))) {
 			this.#claims.delete(id);
 			return false;
 		}
 
 		const claim = this.#claims.get(id);
-		if (claim?.startedAt !== startedAt || now - claim.heardAt > reportTimeoutMs * claimGapFraction) {
+		if (claim?.startedAt !== startedAt || now - claim.heardAt > reportTimeoutMs) {
 			this.#claims.set(id, {
-				startedAt, sequence, beganAt: now, heardAt: now,
+				startedAt, sequence, reports: 1, beganAt: now, heardAt: now,
 			});
 			return false;
 		}
 
 		if (sequence > claim.sequence) {
 			claim.sequence = sequence;
+			claim.reports++;
 			claim.heardAt = now;
 		}
 
-		return sequence === claim.sequence && claim.heardAt - claim.beganAt >= reportTimeoutMs;
+		return sequence === claim.sequence && claim.reports >= minClaimReports && claim.heardAt - claim.beganAt >= reportTimeoutMs;
+	}
+
+	/**
+	 * Tells whether a record yields to no report of the server with this id. A start that lies ahead is not the one that answers,
+	 * so only reports count for it. A record of the same id that drains or has left stays; requests name their server, so that one
+	 * with another id may yield in any state.
+	 */
+	#isHeld({id, startedAt, state, heardAt, answeredAt = heardAt}: KnownServer, claimant: string): boolean {
+		const aliveAt = startedAt > this.#opts.clock.now() ? heardAt : Math.max(heardAt, answeredAt);
+		return (id === claimant && state !== serverStates.ready) || this.#opts.clock.monotonic() - aliveAt <= this.#opts.reportTimeoutMs;
 	}
 
 	/** A server without a start time that is first heard of when it leaves started before those that are known. */
@@ -361,6 +376,7 @@
 		this.#servers.set(server.id, server);
 		const ids = this.#byAddress.get(server.address) ?? new Set();
 		this.#byAddress.set(server.address, ids.add(server.id));
+		this.#owners.delete(server.address);
 		this.#byService.clear();
 	}
 
@@ -368,20 +384,46 @@
 		const address = this.#servers.get(id)?.address;
 		const ids = address === undefined ? undefined : this.#byAddress.get(address);
 		ids?.delete(id);
+		if (address !== undefined) {
+			this.#owners.delete(address);
+		}
+
 		if (ids?.size === 0) {
 			this.#byAddress.delete(address!);
 		}
 	}
 
 	/** Among servers with the same or no start time, the address belongs to the one that became known last. */
-	#isAddressReassigned(server: KnownServer): boolean {
-		return this.#listLaterAtAddress(server).length > 0;
+	#isAddressReassigned(server: Pick<KnownServer, 'id' | 'address' | 'startedAt' | 'order'>): boolean {
+		const owner = this.#findOwner(server.address);
+		if (owner && owner.id !== server.id) {
+			return isLaterStart(owner, server);
+		}
+
+		// Another server may come before the owner's next record.
+		return owner !== undefined && isLaterStart(owner, server) && this.#listLaterAtAddress(server).length > 0;
+	}
+
+	#findOwner(address: string): KnownServer | undefined {
+		let owner = this.#owners.get(address);
+		if (!owner) {
+			for (const id of this.#byAddress.get(address) ?? []) {
+				const server = this.#servers.get(id)!;
+				owner = owner === undefined || isLaterStart(server, owner) ? server : owner;
+			}
+
+			if (owner) {
+				this.#owners.set(address, owner);
+			}
+		}
+
+		return owner;
 	}
 
 	/** Lists the servers that have taken the address of this one. */
-	#listLaterAtAddress({id, address, startedAt, order}: Pick<KnownServer, 'id' | 'address' | 'startedAt' | 'order'>): KnownServer[] {
-		const others = [...this.#byAddress.get(address) ?? []].map(other => this.#servers.get(other)!);
-		return others.filter(other => other.id !== id && (other.startedAt === startedAt ? other.order > order : other.startedAt > startedAt));
+	#listLaterAtAddress(server: Pick<KnownServer, 'id' | 'address' | 'startedAt' | 'order'>): KnownServer[] {
+		const others = [...this.#byAddress.get(server.address) ?? []].map(other => this.#servers.get(other)!);
+		return others.filter(other => other.id !== server.id && isLaterStart(other, server));
 	}
 
 	/** All servers are looked at, so it is not done for each report. */
@@ -421,6 +463,10 @@
 	return report.state === serverStates.ready && comparedFields.every(field => report[field] === earlier[field]);
 }
 
+function isLaterStart(a: Pick<KnownServer, 'startedAt' | 'order'>, b: Pick<KnownServer, 'startedAt' | 'order'>): boolean {
+	return a.startedAt === b.startedAt ? a.order > b.order : a.startedAt > b.startedAt;
+}
+
 function createReport({heardAt: _heardAt, answeredAt: _answeredAt, order: _order, ...report}: KnownServer): ServerReport {
 	return report;
 }
