--- a/packages/routing/endpoint-registry/test/foreign-draining.test.ts
+++ b/packages/routing/endpoint-registry/test/foreign-draining.test.ts
@@ -14,7 +14,9 @@
 			const clock = new ManualClock();
 			const registry = new EndpointRegistry({clock, reportTimeoutMs: 5000});
 			registry.recordReport(report);
-			registry.recordReport({...report, id: 'b', startedAt: 2000, state});
+			registry.recordReport({
+				...report, id: 'b', startedAt: 2000, state,
+			});
 			for (let second = 1; second <= 30; second++) {
 				await clock.advance(1000);
 				registry.recordReport({...report, sequence: second + 1});
--- a/packages/routing/endpoint-registry/test/foreign-volume.test.ts
+++ b/packages/routing/endpoint-registry/test/foreign-volume.test.ts
@@ -12,7 +12,9 @@
 function measureListing(count: number, createAddress: (index: number) => string): number {
 	const registry = new EndpointRegistry({clock: new ManualClock(), reportTimeoutMs: 5000});
 	for (let index = 0; index < count; index++) {
-		registry.recordReport({...report, id: `a${index}`, startedAt: index + 1, address: createAddress(index) as SocketAddress});
+		registry.recordReport({
+			...report, id: `a${index}`, startedAt: index + 1, address: createAddress(index) as SocketAddress,
+		});
 	}
 
 	const startedAt = performance.now();
