refactor: tuples and texts of documents are read by Fields

Cause: three parsers had the same functions for the elements of arrays. Change: Fields.openTuple, readText and readTexts; no change of behaviour. Conclusion: one rule for texts and arrays from outside.

--- a/packages/coordination/crash-attribution/src/parse-ban-command.ts
+++ b/packages/coordination/crash-attribution/src/parse-ban-command.ts
@@ -2,7 +2,7 @@
  * Parses what is stored about bans. A record or a snapshot may come from another version, and every member has to read it
  * alike, from itself alone: a ban that can't be used is left out, and a command that can't be used changes nothing.
  */
-import {FieldError, Fields} from '@hickorytrack/fields';
+import {Fields} from '@hickorytrack/fields';
 import type {BanCommand, BanRecord} from './ban-store.js';
 
 const notNegative = {min: 0, max: Number.MAX_SAFE_INTEGER};
@@ -42,10 +42,6 @@
 
 /** A trait with its position, or a crash with its time. */
 function parsePair(value: unknown): [string, number] {
-	if (!Array.isArray(value)) {
-		throw new FieldError('an element is not an array');
-	}
-
-	const pair = new Fields({...value as unknown[]}, {name: 'an element'});
+	const pair = Fields.openTuple(value);
 	return [pair.readString('0'), pair.readNumber('1')];
 }
--- a/packages/core/fields/src/fields.ts
+++ b/packages/core/fields/src/fields.ts
@@ -42,6 +42,15 @@
 		this.#opts = opts;
 	}
 
+	/** Opens the elements of an array by their positions. Throws a `FieldError` if the value is none. */
+	static openTuple(value: unknown): Fields {
+		if (!Array.isArray(value)) {
+			throw new FieldError('an element is not an array');
+		}
+
+		return new Fields({...value as unknown[]}, {name: 'an element'});
+	}
+
 	/** Names of the fields that are there. */
 	get names(): string[] {
 		return Object.keys(this.#fields).filter(name => this.has(name));
@@ -74,6 +83,21 @@
 		return value;
 	}
 
+	/** Throws a `FieldError` unless the field is a string, which may be empty. */
+	readText(name: string, opts: {maxLength?: number} = {}): string {
+		return this.get(name) === '' ? '' : this.readString(name, opts);
+	}
+
+	/** Throws a `FieldError` unless the field is an array of strings. */
+	readTexts(name: string): string[] {
+		const values = this.readList(name);
+		if (!values.every(value => typeof value === 'string')) {
+			throw new FieldError(`"${name}" of ${this.#opts.name} is not an array of strings`);
+		}
+
+		return [...values];
+	}
+
 	/** Throws a `FieldError` if the field is neither missing nor a string. An empty string counts as missing. */
 	readOptionalString(name: string, opts: {maxLength?: number} = {}): string | undefined {
 		return this.has(name) && this.get(name) !== '' ? this.readString(name, opts) : undefined;
--- a/packages/core/fields/test/fields.test.ts
+++ b/packages/core/fields/test/fields.test.ts
@@ -23,7 +23,10 @@
 		expect(fields.readOptionalString('nothing')).to.equal(undefined);
 		expect(fields.readOptionalFields('missing')).to.equal(undefined);
 		expect(fields.readOneOf('text', ['x', 'y'])).to.equal('x');
-		for (const readOther of [() => fields.readString('number'), () => fields.readNumber('text'), () => fields.readList('part'), () => fields.readFields('list'), () => fields.readOneOf('text', ['y']), () => fields.readOptionalString('flag'), () => fields.readString('empty'), () => fields.readFieldsList('part')]) {
+		expect(fields.readText('empty')).to.equal('');
+		expect(read({texts: ['a', '']}).readTexts('texts')).to.deep.equal(['a', '']);
+		expect(Fields.openTuple(['a', 5]).readNumber('1')).to.equal(5);
+		for (const readOther of [() => fields.readString('number'), () => fields.readNumber('text'), () => fields.readList('part'), () => fields.readFields('list'), () => fields.readOneOf('text', ['y']), () => fields.readOptionalString('flag'), () => fields.readString('empty'), () => fields.readFieldsList('part'), () => fields.readText('number'), () => fields.readTexts('list'), () => Fields.openTuple({0: 'a'})]) {
 			expect(readOther).to.throw(FieldError);
 		}
 	});
--- a/packages/core/types/src/parse-peer-message.ts
+++ b/packages/core/types/src/parse-peer-message.ts
@@ -3,7 +3,7 @@
  * so the parameters and the result of each method are parsed before they are used. An element of a list that can't be used is
  * left out, and the others hold; a message that can't be used otherwise is an error for its sender.
  */
-import {FieldError, Fields, maxDurationMs} from '@hickorytrack/fields';
+import {Fields, maxDurationMs} from '@hickorytrack/fields';
 import {parsePeerMember} from './parse-peer-member.js';
 import {parseServerRecord} from './parse-server-record.js';
 import {
@@ -26,15 +26,6 @@
 const stages = ['prefill', 'decode'] as const;
 const putOutcomes = ['stored', 'same', 'overtaken', 'conflict'] as const;
 
-/** Reads the elements of a tuple by their positions. */
-function openTuple(value: unknown): Fields {
-	if (!Array.isArray(value)) {
-		throw new FieldError('an element is not an array');
-	}
-
-	return new Fields({...value as unknown[]}, {name: 'an element'});
-}
-
 function readEach<T>(values: readonly unknown[], parse: (value: unknown) => T, onLeftOut: ElementListener): T[] {
 	const parsed: T[] = [];
 	for (const value of values) {
@@ -48,25 +39,8 @@
 	return parsed;
 }
 
-function parseText(value: unknown): string {
-	if (typeof value !== 'string') {
-		throw new FieldError('an element is not a string');
-	}
-
-	return value;
-}
-
-/** An empty string is a text, unlike a missing one. */
-function readText(fields: Fields, name: string): string {
-	return parseText(fields.get(name));
-}
-
 function readOptionalText(fields: Fields, name: string): string | undefined {
-	return fields.has(name) ? readText(fields, name) : undefined;
-}
-
-function readTexts(fields: Fields, name: string): string[] {
-	return fields.readList(name).map(value => parseText(value));
+	return fields.has(name) ? fields.readText(name) : undefined;
 }
 
 function readAgeMs(fields: Fields, name: string): number {
@@ -75,22 +49,22 @@
 
 function readStored(fields: Fields): ConfigurationDocument {
 	const stored = fields.readFields('stored');
-	return {version: stored.readNumber('version', wholeNumber), digest: readText(stored, 'digest'), document: stored.get('document')};
+	return {version: stored.readNumber('version', wholeNumber), digest: stored.readText('digest'), document: stored.get('document')};
 }
 
 function parseSend(value: unknown): StreamSend {
-	const send = openTuple(value);
-	return [readText(send, '0'), send.readNumber('1', wholeNumber), send.readNumber('2', notNegative)];
+	const send = Fields.openTuple(value);
+	return [send.readText('0'), send.readNumber('1', wholeNumber), send.readNumber('2', notNegative)];
 }
 
 function parseAdmitted(value: unknown): [string, string] {
-	const admitted = openTuple(value);
-	return [readText(admitted, '0'), readText(admitted, '1')];
+	const admitted = Fields.openTuple(value);
+	return [admitted.readText('0'), admitted.readText('1')];
 }
 
 function parseOriginStream(value: unknown): StreamOriginWrite['streams'][number] {
-	const stream = openTuple(value);
-	const begun: StreamOriginWrite['streams'][number] = [readText(stream, '0'), readText(stream, '1'), readTexts(stream, '2'), readTexts(stream, '3'), readAgeMs(stream, '4')];
+	const stream = Fields.openTuple(value);
+	const begun: StreamOriginWrite['streams'][number] = [stream.readText('0'), stream.readText('1'), stream.readTexts('2'), stream.readTexts('3'), readAgeMs(stream, '4')];
 	if (stream.has('5')) {
 		begun.push(stream.readList('5').map(send => parseSend(send)));
 	}
@@ -107,28 +81,28 @@
 	const versions = view.readFields('versions');
 	const stream = view.readOptionalFields('stream');
 	return {
-		versions: Object.fromEntries(versions.names.map(service => [service, readTexts(versions, service)])),
+		versions: Object.fromEntries(versions.names.map(service => [service, versions.readTexts(service)])),
 		stream: stream && {
-			service: readText(stream, 'service'), versions: readTexts(stream, 'versions'), ...(stream.has('sends') && {sends: stream.readList('sends').map(send => parseSend(send))}),
+			service: stream.readText('service'), versions: stream.readTexts('versions'), ...(stream.has('sends') && {sends: stream.readList('sends').map(send => parseSend(send))}),
 		},
 	};
 }
 
 function parseLoad(value: unknown): LoadEntry {
-	const load = openTuple(value);
-	return [readText(load, '0'), load.readNumber('1', notNegative), load.readNumber('2', notNegative), load.readNumber('3', notNegative)];
+	const load = Fields.openTuple(value);
+	return [load.readText('0'), load.readNumber('1', notNegative), load.readNumber('2', notNegative), load.readNumber('3', notNegative)];
 }
 
 function parsePart(value: unknown): {id: string; tokens: number} {
 	const part = new Fields(value, {name: 'a part'});
-	return {id: readText(part, 'id'), tokens: part.readNumber('tokens', notNegative)};
+	return {id: part.readText('id'), tokens: part.readNumber('tokens', notNegative)};
 }
 
 function parseStoredPrompt(value: unknown): StoredPrompt {
 	const prompt = new Fields(value, {name: 'a stored prompt'});
-	const timing = prompt.has('timing') ? openTuple(prompt.get('timing')) : undefined;
+	const timing = prompt.has('timing') ? Fields.openTuple(prompt.get('timing')) : undefined;
 	return {
-		server: readText(prompt, 'server'),
+		server: prompt.readText('server'),
 		parts: prompt.readList('parts').map(part => parsePart(part)),
 		...(timing && {timing: [timing.readNumber('0', notNegative), timing.readNumber('1', notNegative), timing.get('2') === true]}),
 	};
@@ -136,7 +110,7 @@
 
 function readShare(fields: Fields, onLeftOut: ElementListener): LoadShare {
 	return {
-		instance: readText(fields, 'instance'),
+		instance: fields.readText('instance'),
 		scope: fields.readOneOf('scope', Object.values(shareScopes)),
 		servers: readEach(fields.readList('servers'), parseLoad, onLeftOut),
 		stored: readEach(fields.readList('stored'), parseStoredPrompt, onLeftOut),
@@ -144,30 +118,30 @@
 }
 
 function parseRepeat(value: unknown): [string, number, number] {
-	const repeat = openTuple(value);
-	return [readText(repeat, '0'), repeat.readNumber('1', wholeNumber), repeat.readNumber('2', {min: Number.MIN_SAFE_INTEGER, max: Number.MAX_SAFE_INTEGER, isInteger: true})];
+	const repeat = Fields.openTuple(value);
+	return [repeat.readText('0'), repeat.readNumber('1', wholeNumber), repeat.readNumber('2', {min: Number.MIN_SAFE_INTEGER, max: Number.MAX_SAFE_INTEGER, isInteger: true})];
 }
 
 function parseLimit(value: unknown): PeerMethods['limit.note']['params']['limits'][number] {
 	const limit = new Fields(value, {name: 'a limit'});
 	return {
-		id: readText(limit, 'id'), startedAt: limit.readNumber('startedAt', wholeNumber), perSecond: limit.readOptionalNumber('perSecond', age), ageMs: readAgeMs(limit, 'ageMs'),
+		id: limit.readText('id'), startedAt: limit.readNumber('startedAt', wholeNumber), perSecond: limit.readOptionalNumber('perSecond', age), ageMs: readAgeMs(limit, 'ageMs'),
 	};
 }
 
 function parseSuspect(value: unknown): [string, number] {
-	const suspect = openTuple(value);
-	return [readText(suspect, '0'), suspect.readNumber('1')];
+	const suspect = Fields.openTuple(value);
+	return [suspect.readText('0'), suspect.readNumber('1')];
 }
 
 function parseSound(value: unknown): [string, number] {
-	const sound = openTuple(value);
-	return [readText(sound, '0'), readAgeMs(sound, '1')];
+	const sound = Fields.openTuple(value);
+	return [sound.readText('0'), readAgeMs(sound, '1')];
 }
 
 function parseTrial(value: unknown): [string, number, number] {
-	const trial = openTuple(value);
-	return [readText(trial, '0'), readAgeMs(trial, '1'), trial.readNumber('2', wholeNumber)];
+	const trial = Fields.openTuple(value);
+	return [trial.readText('0'), readAgeMs(trial, '1'), trial.readNumber('2', wholeNumber)];
 }
 
 const readMembers = (fields: Fields, onLeftOut: ElementListener) => readEach(fields.readList('members'), parsePeerMember, onLeftOut);
@@ -180,7 +154,7 @@
 		result: (fields, onLeftOut) => ({members: readMembers(fields, onLeftOut), count: fields.readOptionalNumber('count', wholeNumber)}),
 	},
 	'core.join': {
-		params: fields => ({address: fields.readString('address'), folder: readText(fields, 'folder')}),
+		params: fields => ({address: fields.readString('address'), folder: fields.readText('folder')}),
 		result: fields => ({leader: readOptionalText(fields, 'leader'), isVoter: fields.has('isVoter') ? fields.get('isVoter') === true : undefined}),
 	},
 	'configuration.announce': {
@@ -201,19 +175,19 @@
 		result: fields => ({view: readView(fields)}),
 	},
 	'origins.find': {
-		params: fields => ({services: readTexts(fields, 'services'), stream: readOptionalText(fields, 'stream')}),
+		params: fields => ({services: fields.readTexts('services'), stream: readOptionalText(fields, 'stream')}),
 		result: fields => ({view: readView(fields)}),
 	},
 	'origins.recall': {
-		params: fields => ({stream: readText(fields, 'stream')}),
+		params: fields => ({stream: fields.readText('stream')}),
 		result(fields) {
 			const origin = fields.readOptionalFields('origin');
-			return {origin: origin && {service: readText(origin, 'service'), version: readText(origin, 'version')}};
+			return {origin: origin && {service: origin.readText('service'), version: origin.readText('version')}};
 		},
 	},
 	'registry.repeat': {params: (fields, onLeftOut) => ({repeats: readEach(fields.readList('repeats'), parseRepeat, onLeftOut)})},
 	'registry.fetch': {
-		params: fields => ({servers: readTexts(fields, 'servers')}),
+		params: fields => ({servers: fields.readTexts('servers')}),
 		result: (fields, onLeftOut) => ({reports: readReports(fields, onLeftOut)}),
 	},
 	'registry.note': {
@@ -221,20 +195,20 @@
 		result: fields => ({count: fields.readNumber('count', wholeNumber)}),
 	},
 	'stage.note': {
-		params: fields => ({server: readText(fields, 'server'), startedAt: fields.readNumber('startedAt', wholeNumber), stage: fields.readOneOf('stage', stages)}),
+		params: fields => ({server: fields.readText('server'), startedAt: fields.readNumber('startedAt', wholeNumber), stage: fields.readOneOf('stage', stages)}),
 	},
 	'load.share': {params: readShare},
 	'limit.note': {params: (fields, onLeftOut) => ({limits: readEach(fields.readList('limits'), parseLimit, onLeftOut)})},
 	'limit.acquire': {
 		params: fields => ({
-			server: readText(fields, 'server'), startedAt: fields.readNumber('startedAt', wholeNumber), perSecond: fields.readNumber('perSecond', age), maxDelayMs: readAgeMs(fields, 'maxDelayMs'), count: fields.readNumber('count', grantCount),
+			server: fields.readText('server'), startedAt: fields.readNumber('startedAt', wholeNumber), perSecond: fields.readNumber('perSecond', age), maxDelayMs: readAgeMs(fields, 'maxDelayMs'), count: fields.readNumber('count', grantCount),
 		}),
 		result: fields => ({isIssuer: fields.get('isIssuer') === true, granted: fields.readNumber('granted', grantCount), delayMs: readAgeMs(fields, 'delayMs')}),
 	},
-	'limit.reach': {params: fields => ({address: readText(fields, 'address')}), result: fields => ({isConnected: fields.get('isConnected') === true})},
+	'limit.reach': {params: fields => ({address: fields.readText('address')}), result: fields => ({isConnected: fields.get('isConnected') === true})},
 	'crash.note': {
 		params: (fields, onLeftOut) => ({
-			id: readText(fields, 'id'), traits: readEach(fields.readList('traits'), parseSuspect, onLeftOut), ageMs: fields.has('ageMs') ? readAgeMs(fields, 'ageMs') : undefined, reporter: readOptionalText(fields, 'reporter'),
+			id: fields.readText('id'), traits: readEach(fields.readList('traits'), parseSuspect, onLeftOut), ageMs: fields.has('ageMs') ? readAgeMs(fields, 'ageMs') : undefined, reporter: readOptionalText(fields, 'reporter'),
 		}),
 	},
 	'crash.sound': {params: (fields, onLeftOut) => ({sound: readEach(fields.readList('sound'), parseSound, onLeftOut)})},
--- a/packages/core/types/src/parse-server-record.ts
+++ b/packages/core/types/src/parse-server-record.ts
@@ -30,16 +30,12 @@
 		sequence: fields.readNumber('sequence', {min: Number.MIN_SAFE_INTEGER, max: Number.MAX_SAFE_INTEGER, isInteger: true}),
 		service: fields.readString('service', {maxLength: maxNameLength}),
 		address,
-		availabilityZone: readText(fields, 'availabilityZone'),
+		availabilityZone: fields.readText('availabilityZone', {maxLength: maxNameLength}),
 		// The end of a server's use must not be lost for a number that nothing uses then.
 		slots: state === 'ready' ? fields.readNumber('slots', {min: 1, max: Number.MAX_SAFE_INTEGER}) : Math.min(Number.MAX_SAFE_INTEGER, Math.max(1, fields.readNumber('slots'))),
 		state,
 		coldMs: Math.min(maxDurationMs, Math.max(0, fields.readNumber('coldMs'))),
 		stage: fields.has('stage') ? fields.readOneOf('stage', stages) : undefined,
-		version: fields.has('version') ? readText(fields, 'version') : undefined,
+		version: fields.has('version') ? fields.readText('version', {maxLength: maxNameLength}) : undefined,
 	};
 }
-
-function readText(fields: Fields, name: string): string {
-	return fields.get(name) === '' ? '' : fields.readString(name, {maxLength: maxNameLength});
-}
