--- a/packages/core/types/src/parse-peer-message.ts
+++ b/packages/core/types/src/parse-peer-message.ts
@@ -3,7 +3,7 @@
  * so the parameters and the result of each method are parsed before they are used. An element of a list that can't be used is
  * left out, and the others hold; a message that can't be used otherwise is an error for its sender.
  */
-import {Fields, maxDurationMs} from '@hickorytrack/fields';
+import {FieldError, Fields, maxDurationMs} from '@hickorytrack/fields';
 import {parsePeerMember} from './parse-peer-member.js';
 import {parseServerRecord} from './parse-server-record.js';
 import {
@@ -88,14 +88,31 @@
 	};
 }
 
+function isCount(value: unknown): value is number {
+	return typeof value === 'number' && value >= 0 && value <= Number.MAX_SAFE_INTEGER;
+}
+
+/** Load shares are the most frequent messages, so that what they consist of is read without `Fields`. */
 function parseLoad(value: unknown): LoadEntry {
-	const load = Fields.openTuple(value);
-	return [load.readText('0'), load.readNumber('1', notNegative), load.readNumber('2', notNegative), load.readNumber('3', notNegative)];
+	if (!Array.isArray(value)) {
+		throw new FieldError('an element of "servers" is not an array');
+	}
+
+	const [server, promptTokens, requests, streams] = value as unknown[];
+	if (typeof server !== 'string' || !isCount(promptTokens) || !isCount(requests) || !isCount(streams)) {
+		throw new FieldError('an element of "servers" is not an id with three counts');
+	}
+
+	return [server, promptTokens, requests, streams];
 }
 
 function parsePart(value: unknown): {id: string; tokens: number} {
-	const part = new Fields(value, {name: 'a part'});
-	return {id: part.readText('id'), tokens: part.readNumber('tokens', notNegative)};
+	const {id, tokens} = (value ?? {}) as Record<string, unknown>;
+	if (typeof id !== 'string' || !isCount(tokens)) {
+		throw new FieldError('an element of "parts" is not an id with a count');
+	}
+
+	return {id, tokens};
 }
 
 function parseStoredPrompt(value: unknown): StoredPrompt {
@@ -118,8 +135,16 @@
 }
 
 function parseRepeat(value: unknown): [string, number, number] {
-	const repeat = Fields.openTuple(value);
-	return [repeat.readText('0'), repeat.readNumber('1', wholeNumber), repeat.readNumber('2', {min: Number.MIN_SAFE_INTEGER, max: Number.MAX_SAFE_INTEGER, isInteger: true})];
+	if (!Array.isArray(value)) {
+		throw new FieldError('an element of "repeats" is not an array');
+	}
+
+	const [id, startedAt, sequence] = value as unknown[];
+	if (typeof id !== 'string' || !isCount(startedAt) || !Number.isInteger(startedAt) || !Number.isSafeInteger(sequence)) {
+		throw new FieldError('an element of "repeats" is not an id with a start and a number');
+	}
+
+	return [id, startedAt, sequence as number];
 }
 
 function parseLimit(value: unknown): PeerMethods['limit.note']['params']['limits'][number] {
