--- a/packages/plugins/edge/src/front/body-reader.ts
+++ b/packages/plugins/edge/src/front/body-reader.ts
@@ -141,7 +141,7 @@
 			this.#resolve = resolve;
 			const {maxBytes} = this.#opts;
 			// What a listener throws fails its request.
-			const guard = <A extends unknown[]>(listener: (...args: A) => void) => (...args: A) => {
+			const createListener = <A extends unknown[]>(listener: (...args: A) => void) => (...args: A) => {
 				try {
 					listener(...args);
 				} catch (error) {
@@ -149,23 +149,23 @@
 				}
 			};
 
-			this.#incoming.on('error', guard(() => {
+			this.#incoming.on('error', createListener(() => {
 				this.#end(bodyEnds.broken);
 			}));
-			this.#incoming.on('close', guard(() => {
+			this.#incoming.on('close', createListener(() => {
 				this.#end(bodyEnds.broken);
 			}));
-			this.#incoming.on('end', guard(() => {
+			this.#incoming.on('end', createListener(() => {
 				this.#end(this.#isTooLarge ? bodyEnds.tooLarge : this.#body.drain());
 			}));
 			this.#isTooLarge = (this.#declaredBytes ?? 0) > maxBytes;
-			this.#acquire(this.#headBytes + (this.#isTooLarge ? 0 : this.#declaredBytes ?? 0), guard(() => {
+			this.#acquire(this.#headBytes + (this.#isTooLarge ? 0 : this.#declaredBytes ?? 0), createListener(() => {
 				this.lastByteAt = this.#opts.clock.monotonic();
 				if (!this.#isTooLarge) {
 					this.#body.reserve(this.#declaredBytes ?? 0);
 				}
 
-				this.#incoming.on('data', guard((chunk: Buffer) => {
+				this.#incoming.on('data', createListener((chunk: Buffer) => {
 					this.#append(chunk);
 				}));
 			}));
