fix: statuses outside 100 to 599 and answers to unfinished uploads fail

Cause: statuses 600 and 999 were passed on to callers as the server's answer, and an answer without a length that ended by a close while its request was still being written counted as possibly whole. Change: the endpoint client and HTTP calls fail an answer with a status that the protocol does not know; the end of a connection with request bytes still unwritten breaks the answer off.

--- a/packages/net/http-answer/src/answer-framing.ts
+++ b/packages/net/http-answer/src/answer-framing.ts
@@ -16,6 +16,11 @@
 } as const;
 export type AnswerFraming = typeof answerFramings[keyof typeof answerFramings];
 
+/** Lower statuses are informational: the final answer follows. */
+export const firstFinalStatus = 200;
+const minStatus = 100;
+const maxStatus = 599;
+
 const bodylessStatuses: ReadonlySet<number> = new Set([204, 304]);
 const chunkedPattern = /(?:^|,)\s*chunked\s*$/i;
 
@@ -33,3 +38,8 @@
 
 	return headers['content-length'] === undefined ? answerFramings.connection : answerFramings.length;
 }
+
+/** Tells whether the protocol knows the status. An answer with another one is no answer: nobody can say what it means. */
+export function isValidStatus(status: number): boolean {
+	return status >= minStatus && status <= maxStatus;
+}
--- a/packages/net/http-answer/src/answer-reader.ts
+++ b/packages/net/http-answer/src/answer-reader.ts
@@ -56,9 +56,12 @@
 		return this.#format.finish();
 	}
 
-	/** Describes an answer whose end was reported. */
-	describeEnd(connectionEnd: ConnectionEnd): ReceivedAnswer {
-		return this.#describe(connectionEnd, this.#resolveVerdict(connectionEnd));
+	/**
+	 * Describes an answer whose end was reported. `isRequestUnread`: a part of the request has not left this process, so a server
+	 * that ended the connection has given up rather than answered.
+	 */
+	describeEnd(connectionEnd: ConnectionEnd, {isRequestUnread = false}: {isRequestUnread?: boolean} = {}): ReceivedAnswer {
+		return this.#describe(connectionEnd, this.#resolveVerdict(connectionEnd, isRequestUnread));
 	}
 
 	/** Describes an answer that failed before its end. */
@@ -72,7 +75,7 @@
 		};
 	}
 
-	#resolveVerdict(connectionEnd: ConnectionEnd): AnswerVerdict {
+	#resolveVerdict(connectionEnd: ConnectionEnd, isRequestUnread: boolean): AnswerVerdict {
 		if (this.framing === answerFramings.noBody) {
 			return answerVerdicts.whole;
 		}
@@ -86,6 +89,6 @@
 		}
 
 		const isCutBefore = this.#format.isWithoutUnit && !this.#mayBeEmpty;
-		return connectionEnd === connectionEnds.reset || isCutBefore ? answerVerdicts.brokenOff : answerVerdicts.unknown;
+		return connectionEnd === connectionEnds.reset || isRequestUnread || isCutBefore ? answerVerdicts.brokenOff : answerVerdicts.unknown;
 	}
 }
--- a/packages/net/http-answer/src/connection-watch.ts
+++ b/packages/net/http-answer/src/connection-watch.ts
@@ -29,6 +29,7 @@
 	#bytesBefore = 0;
 	#bodyBytes = 0;
 	#end: ConnectionEnd = connectionEnds.open;
+	#isRequestUnread = false;
 	#isPaused = false;
 	/** Emits the end of the connection, which came while the reader was paused. */
 	#emitEnd: (() => void) | undefined;
@@ -46,6 +47,11 @@
 		return this.#end;
 	}
 
+	/** Tells whether bytes of the request still waited in this process when the server ended the connection. */
+	get isRequestUnread(): boolean {
+		return this.#isRequestUnread;
+	}
+
 	/** Call this before each request on the connection. */
 	startAnswer(): void {
 		this.#bytesBefore = this.#socket?.bytesRead ?? 0;
@@ -85,6 +91,7 @@
 		this.#bytesBefore = 0;
 		this.#bodyBytes = 0;
 		this.#end = connectionEnds.open;
+		this.#isRequestUnread = false;
 		this.#isPaused = false;
 		this.#emitEnd = undefined;
 		this.#clearHead();
@@ -102,6 +109,8 @@
 		socket.prependListener('end', () => {
 			// After a reset the system no longer knows a peer, after an orderly close it does. Node.js keeps an address that it has read before.
 			this.#end = socket.remoteAddress === undefined ? connectionEnds.reset : connectionEnds.closed;
+			// The HTTP client destroys the socket before it reports the end of the answer.
+			this.#isRequestUnread = socket.writableLength > 0;
 		});
 	}
 
--- a/packages/net/http-answer/src/http-call.ts
+++ b/packages/net/http-answer/src/http-call.ts
@@ -6,7 +6,7 @@
 import {buildConnector, Client, type Dispatcher} from 'undici';
 import {BackgroundTasks} from '@hickorytrack/background-tasks';
 import {describeError, HickorytrackError, type ErrorCode} from '@hickorytrack/errors';
-import type {AnswerHead} from './answer-framing.js';
+import {firstFinalStatus, isValidStatus, type AnswerHead} from './answer-framing.js';
 import {AnswerReader, answerVerdicts, type ReceivedAnswer} from './answer-reader.js';
 import type {ByteBound} from './byte-budget.js';
 import {ByteCollector} from './byte-collector.js';
@@ -84,7 +84,13 @@
 	}
 
 	onResponseStart(_controller: Dispatcher.DispatchController, status: number, headers: AnswerHead['headers']): void {
-		if (status < 200) {
+		if (!isValidStatus(status)) {
+			this.#fail('ERR_HICKORYTRACK_ANSWER_BROKEN', `The answer has the status ${status}, which is not valid`);
+			return;
+		}
+
+		// An informational response precedes the final one.
+		if (status < firstFinalStatus) {
 			return;
 		}
 
@@ -113,7 +119,7 @@
 			return;
 		}
 
-		const received = this.#reader!.describeEnd(this.#watch.end);
+		const received = this.#reader!.describeEnd(this.#watch.end, {isRequestUnread: this.#watch.isRequestUnread});
 		if (received.verdict === answerVerdicts.brokenOff) {
 			this.#fail('ERR_HICKORYTRACK_ANSWER_BROKEN', `The answer broke off after ${received.bodyBytes} bytes`);
 			return;
--- a/packages/routing/endpoint-client/src/endpoint-client.ts
+++ b/packages/routing/endpoint-client/src/endpoint-client.ts
@@ -9,7 +9,7 @@
 import type {Clock} from '@hickorytrack/clock';
 import type {SocketAddress} from '@hickorytrack/socket-address';
 import {describeError, HickorytrackError} from '@hickorytrack/errors';
-import type {AnswerHead} from '@hickorytrack/http-answer/answer-framing';
+import {firstFinalStatus, isValidStatus, type AnswerHead} from '@hickorytrack/http-answer/answer-framing';
 import {AnswerReader, answerVerdicts, type ReceivedAnswer} from '@hickorytrack/http-answer/answer-reader';
 import {ByteBudget, type ByteBound} from '@hickorytrack/http-answer/byte-budget';
 import {isJoinedHead, type AnswerIdentity, type ForeignAnswer} from './answer-identity.js';
@@ -235,12 +235,9 @@
 				this.#handleStart(controller);
 			},
 			onResponseStart: (_controller, status, headers, reason) => {
-				// An informational response (1xx) precedes the final one.
-				if (status >= 200) {
-					this.#handle(() => {
-						this.#handleHead({status, headers}, reason);
-					});
-				}
+				this.#handle(() => {
+					this.#handleStatus({status, headers}, reason);
+				});
 			},
 			onResponseData: (_controller, chunk) => {
 				this.#handle(() => {
@@ -355,6 +352,19 @@
 		request.grant.recordUse();
 	}
 
+	#handleStatus(head: ResponseHead, reason: string | undefined): void {
+		if (!isValidStatus(head.status)) {
+			this.#hasResponse = true;
+			this.#fail('ERR_HICKORYTRACK_ENDPOINT_BROKEN', `The answer of ${this.#address} has the status ${head.status}, which is not valid`, undefined);
+			return;
+		}
+
+		// An informational response (1xx) precedes the final one.
+		if (head.status >= firstFinalStatus) {
+			this.#handleHead(head, reason);
+		}
+	}
+
 	#handleHead(head: ResponseHead, reason: string | undefined): void {
 		const {request, handler, onAnswer} = this.#opts;
 		this.#hasResponse = true;
@@ -444,7 +454,7 @@
 
 	#finish(): void {
 		const {connection, connections, request, handler} = this.#opts;
-		const answer = this.#reader!.describeEnd(connection.watch.end);
+		const answer = this.#reader!.describeEnd(connection.watch.end, {isRequestUnread: connection.watch.isRequestUnread});
 		if (answer.verdict === answerVerdicts.brokenOff) {
 			this.#fail('ERR_HICKORYTRACK_ENDPOINT_BROKEN', `The response of ${this.#address} broke off: ${answer.bodyBytes} bytes, ${answer.heldBytes} of them in an open event, connection ${answer.connectionEnd}`, undefined);
 			return;
--- a/packages/routing/endpoint-client/test/written-requests.test.ts
+++ b/packages/routing/endpoint-client/test/written-requests.test.ts
@@ -243,6 +243,41 @@
 		expect(server.count('/continue')).to.equal(1);
 	});
 
+	// Guards against a caller that gets the answer of a server in trouble as an answer: the protocol knows statuses from 100 to 599.
+	for (const status of ['000', '099', '600', '999']) {
+		it(`fails an answer with the status ${status}`, async () => {
+			server.onBody = arrival => {
+				arrival.socket.write(createAnswer(arrival, {status: `${status} Trouble`}));
+			};
+
+			const {status: received, error} = await send('/trouble').outcome;
+			expect(received).to.equal(undefined);
+			expect(error?.isWritten).to.equal(true);
+			await settle();
+			expect(server.count('/trouble')).to.equal(1);
+		});
+	}
+
+	// Guards against a part of an answer that looks complete: the server gives up the upload, and with it its answer.
+	for (const ending of ['close', 'reset'] as const) {
+		it(`fails an answer without a length that a ${ending} ends while the upload is being written`, async () => {
+			server.onHead = ({path, socket}) => {
+				socket.pause();
+				socket.write(`HTTP/1.1 200 OK\r\nX-Id: ${path}\r\n\r\npart`, () => {
+					if (ending === 'close') {
+						socket.end();
+					} else {
+						void clock.sleep(10).then(() => socket.resetAndDestroy());
+					}
+				});
+			};
+
+			// Beyond what the socket buffers of both sides can take while the server does not read.
+			const {error} = await send('/upload', {body: Buffer.alloc(8 * largeBodyBytes)}).outcome;
+			expect(error?.isWritten).to.equal(true);
+		});
+	}
+
 	it('reports a request whose headers can\'t be written as not written', async () => {
 		for (const headers of [['expect', '100-continue'], ['transfer-encoding', 'chunked'], ['a', 'b\r\nc']]) {
 			const {error} = await send('/invalid', {headers}).outcome;
