--- a/packages/coordination/fair-queue/src/fair-queue.ts
+++ b/packages/coordination/fair-queue/src/fair-queue.ts
@@ -17,6 +17,8 @@
 	/** Maximum time in the queue, in milliseconds. */
 	queueMs: number;
 	item: T;
+	/** Goes before the other work of its workspace that waits, in the place of the first of these. */
+	isFirst?: boolean;
 };
 
 type QueueEntry<T> = {
@@ -30,6 +32,19 @@
 	entries: Array<QueueEntry<T>>;
 };
 
+/**
+ * Inserts an entry behind those that go first as well. The entries keep their start tags in order, so that the place of the
+ * workspace among the others stays as it was.
+ */
+function insertFirst<T>(entries: Array<QueueEntry<T>>, entry: QueueEntry<T>): void {
+	const tags = [...entries.map(({startTag}) => startTag), entry.startTag];
+	const position = entries.findIndex(({isFirst}) => !isFirst);
+	entries.splice(position === -1 ? entries.length : position, 0, entry);
+	for (const [index, each] of entries.entries()) {
+		each.startTag = tags[index]!;
+	}
+}
+
 /** The queues of all workspaces of one priority, and their virtual time. */
 class PriorityClass<T> {
 	readonly queues = new Map<string, WorkspaceQueue<T>>();
@@ -44,7 +59,11 @@
 		const queue = this.#getOrCreateQueue(entry.workspace, entry.share);
 		entry.startTag = Math.max(this.virtualTime - (this.burstMs / entry.share), queue.finishTag);
 		queue.finishTag = entry.startTag + (entry.costMs / entry.share);
-		queue.entries.push(entry);
+		if (entry.isFirst) {
+			insertFirst(queue.entries, entry);
+		} else {
+			queue.entries.push(entry);
+		}
 	}
 
 	peek(): QueueEntry<T> | undefined {
