edge: keys of workspaces, and a lease for keyed requests

Cause: callers of several workspaces share a deployment; a server must know whose request it gets, and a key that is removed must end within a known time. Change: types of workspaces and public routes, CallerRequest.workspace and .priority, the check of the key in the HTTP front end, and the serving lease with its question to the leader of the core.

--- a/packages/core/events/src/event-catalogue.ts
+++ b/packages/core/events/src/event-catalogue.ts
@@ -296,6 +296,12 @@
 	requestDropped: {
 		number: 1766, level: 'warn', text: 'This side ended the connection of a request that it had read and not answered completely; the reason says why', action: 'For cut, search the failed attempts for its id; report any other reason.',
 	},
+	servingLeaseLost: {
+		number: 1780, level: 'warn', text: 'This instance has no lease any more: it refuses requests with keys until the leader of the core has confirmed its configuration again', action: 'Check the links between this instance and the members of the core, and whether the core has a leader.',
+	},
+	servingLeaseHeld: {
+		number: 1784, level: 'info', text: 'This instance holds a lease and serves requests with keys', action: noAction,
+	},
 	linkRefused: {
 		number: 1781, level: 'warn', text: 'A connection of another instance was closed because of what it sent or did not read; without an instance, it had not proved the key', action: 'Check who connects from the address; the reason says what was wrong.',
 	},
--- a/packages/core/metrics-registry/src/metrics-registry.ts
+++ b/packages/core/metrics-registry/src/metrics-registry.ts
@@ -17,6 +17,7 @@
 export const metricsCatalogue = {
 	requests_total: {kind: 'counter', help: 'Requests received from callers, by route and outcome.', labels: ['route', 'outcome']},
 	turned_away_total: {kind: 'counter', help: 'Requests that the HTTP front end rejected without running them, by reason.', labels: ['reason']},
+	serving_lease_ms: {kind: 'gauge', help: 'Time for which this instance may still serve requests with keys without another confirmation of the core, in milliseconds; only where the settings say strict revocation.', labels: []},
 	requests_dropped_total: {kind: 'counter', help: 'Requests that were read whole and whose connection this side ended without a complete answer, by reason.', labels: ['reason']},
 	closes_cut_total: {kind: 'counter', help: 'Connections of callers that were closed before the callers had closed their side, by address (front, control) and bound: time, count or stop.', labels: ['address', 'bound']},
 	requests_overrun_total: {kind: 'counter', help: 'Requests that were ended after their deadline because the work on them did not end, by route; a bug.', labels: ['route']},
--- a/packages/core/types/src/parse-peer-message.ts
+++ b/packages/core/types/src/parse-peer-message.ts
@@ -195,6 +195,10 @@
 		params: () => ({}),
 		result: fields => ({isConfirmed: fields.get('isConfirmed') === true, stored: fields.has('stored') ? readStored(fields) : undefined}),
 	},
+	'configuration.lease': {
+		params: () => ({}),
+		result: fields => ({version: fields.readOptionalNumber('version', wholeNumber), ageMs: fields.has('ageMs') ? readAgeMs(fields, 'ageMs') : undefined}),
+	},
 	'origins.write': {
 		params: (fields, onLeftOut) => ({admitted: readEach(fields.readList('admitted'), parseAdmitted, onLeftOut), streams: readEach(fields.readList('streams'), parseOriginStream, onLeftOut)}),
 		result: fields => ({view: readView(fields)}),
--- a/packages/core/types/src/peer-methods.ts
+++ b/packages/core/types/src/peer-methods.ts
@@ -223,6 +223,8 @@
 	/** Without an outcome, it is unknown whether the change takes effect. */
 	'configuration.put': {params: {stored: ConfigurationDocument}; result: {outcome?: 'stored' | 'same' | 'overtaken' | 'conflict'}};
 	'configuration.read': {params: Record<string, never>; result: {isConfirmed: boolean; stored?: ConfigurationDocument}};
+	/** Without a version, no majority has confirmed that the instance leads. The fields are documented in `@hickorytrack/serving-lease/lease-issuer`. */
+	'configuration.lease': {params: Record<string, never>; result: {version?: number; ageMs?: number}};
 	/** Without a view, the leader of the core has not confirmed the write. */
 	'origins.write': {params: StreamOriginWrite; result: {view?: StreamOriginView}};
 	/** Without a view, the leader of the core has not confirmed the answer. */
--- a/packages/plugins/edge/src/calls/forward-context.ts
+++ b/packages/plugins/edge/src/calls/forward-context.ts
@@ -78,7 +78,7 @@
 		method: request.method,
 		path: request.path,
 		body: request.body,
-		headers: context.codec.encodeForwardHeaders(request.metadata.headers, {...rest, remainingMs}),
+		headers: context.codec.encodeForwardHeaders(request.metadata.headers, {...rest, workspace: request.workspace, remainingMs}),
 		grant,
 		isContinuation: metadata.lastEventId !== undefined,
 		needsVerifiedConnection,
--- a/packages/plugins/edge/src/edge-settings.ts
+++ b/packages/plugins/edge/src/edge-settings.ts
@@ -37,6 +37,8 @@
 	stagePlanner: keyof typeof stagePlanners;
 	/** Time from the stop signal until the process is killed, in milliseconds. */
 	graceMs: number;
+	/** Time after the ack of a configuration from which no request with a removed key may run, in milliseconds; undefined if it need not be kept. */
+	revocationMs?: number;
 	/** One answer may hold a quarter of this in memory; all together are bounded by the account. */
 	answerMemoryBytes: number;
 };
--- a/packages/plugins/edge/src/edge.ts
+++ b/packages/plugins/edge/src/edge.ts
@@ -21,6 +21,7 @@
 import {ConfigurationFollower} from '@hickorytrack/route-store/configuration-follower';
 import {CoreMember, coreRole, type CoreMemberError} from '@hickorytrack/route-store/core-member';
 import type {StoredConfiguration, StoreOutcome} from '@hickorytrack/route-store';
+import type {ServingLease} from '@hickorytrack/serving-lease';
 import {SharedRate} from '@hickorytrack/shared-rate';
 import {StreamOrigins} from '@hickorytrack/stream-origins';
 import {VersionRetirement} from '@hickorytrack/stream-origins/version-retirement';
@@ -33,6 +34,8 @@
 import {CrashReports} from './crashes/crash-reports.js';
 import {DeadlineGuard} from './front/deadline-guard.js';
 import {RateLimitedEventLog} from './front/rate-limited-event-log.js';
+import {KeyCheck} from './front/key-check.js';
+import {createServingLease} from './create-serving-lease.js';
 import {createBackgroundTasks} from './create-background-tasks.js';
 import {createRefusalListener, createUnusableListener} from './create-refusal-listener.js';
 import type {EdgeOptions} from './edge-settings.js';
@@ -78,6 +81,8 @@
 	readonly #peers: PeerNode;
 	readonly #core: CoreMember | undefined;
 	readonly #frontend: HttpFrontend;
+	readonly #keyCheck: KeyCheck;
+	readonly #servingLease: ServingLease | undefined;
 	readonly #context: ForwardContext;
 	readonly #loadTracker: LoadTracker;
 	readonly #cacheIndex: PrefixCacheIndex;
@@ -228,8 +233,14 @@
 			loadTracker: this.#loadTracker,
 			listServices: () => (this.#routes?.configuration.services ?? []).filter(service => service.modelServer).map(service => service.name),
 		});
+		this.#servingLease = settings.revocationMs === undefined
+			? undefined
+			: createServingLease({
+				clock, events, mesh: this.mesh, configuration: this.configuration, core, revocationMs: settings.revocationMs,
+			});
+		this.#keyCheck = new KeyCheck({codec, lease: this.#servingLease});
 		this.#frontend = new HttpFrontend({
-			clock, random, tasks, codec, account: opts.account, notReadyRetryAfterMs: defaultRetryAfterMs, drainAcceptMs: computeDrainAcceptMs(settings.graceMs), getRoutes: () => this.configuration.isConfirmed ? this.#routes : undefined, forward: async request => this.#forward(request), ...this.#requestLog.frontendListeners,
+			keyCheck: this.#keyCheck, clock, random, tasks, codec, account: opts.account, notReadyRetryAfterMs: defaultRetryAfterMs, drainAcceptMs: computeDrainAcceptMs(settings.graceMs), getRoutes: () => this.configuration.isConfirmed ? this.#routes : undefined, forward: async request => this.#forward(request), ...this.#requestLog.frontendListeners,
 		});
 		opts.metrics.onRead(() => {
 			this.#updateGauges();
@@ -270,6 +281,7 @@
 		this.#startTask('core', async () => this.#core?.run());
 		this.configuration.start(this.#core);
 		this.#stateSharing.run(this.#abortController.signal);
+		this.#startTask('serving-lease', async signal => this.#servingLease?.run(signal));
 		this.#startTask('stage-control', async signal => this.#stageControl?.run(signal));
 		this.#startTask('stream-origins', async () => this.#origins.run());
 		this.#startTask('version-retirement', async signal => this.#versionRetirement?.run(signal));
@@ -390,6 +402,7 @@
 	#install(stored: StoredConfiguration): void {
 		const configuration = this.#opts.decodeConfiguration(stored.document);
 		this.#routes = new RouteTable(configuration);
+		this.#keyCheck.applyWorkspaces(configuration.workspaces);
 		this.#frontend.applyLimits(configuration.limits);
 		this.#opts.events.emit('configurationInstalled', {version: stored.version, routes: configuration.routes.length});
 	}
@@ -428,6 +441,10 @@
 			instances: this.#countEdges(),
 			openRequests: this.#frontend.openRequests, linesDropped: this.#context.eventLog.droppedTotal, unprovenLinks: this.#peers.pendingCount,
 		});
+		if (this.#servingLease) {
+			this.#opts.metrics.set('serving_lease_ms', this.#servingLease.remainingMs);
+		}
+
 		for (const {name} of this.#routes?.configuration.services ?? []) {
 			setServiceGauges(this.#opts.metrics, name, {registry: this.registry, limits: this.#limits, retryBudget: this.#context.retryBudget});
 		}
--- a/packages/plugins/edge/src/front/caller-request.ts
+++ b/packages/plugins/edge/src/front/caller-request.ts
@@ -43,6 +43,10 @@
 	body: Buffer;
 	route: Route;
 	service: string;
+	/** Name of the workspace that holds the caller's key; undefined on public routes and without workspaces. */
+	workspace?: string;
+	/** That of the workspace, otherwise that of the route; 0 is the highest priority. */
+	priority: number;
 	/** Monotonic time in milliseconds. */
 	arrivedAt: number;
 	/** Monotonic time at which the caller's or the route's timeout expires, whichever is earlier. */
--- a/packages/plugins/edge/src/front/frontend-reports.ts
+++ b/packages/plugins/edge/src/front/frontend-reports.ts
@@ -6,8 +6,8 @@
 	requestId: string | undefined;
 	host: string | undefined;
 	path: string;
-	/** `unreadable` for bytes that are no request, or no complete one in time; no id, host or path is known of them. */
-	reason: 'body-broken' | 'connection-ended' | 'not-ready' | 'no-route' | 'body-too-large' | 'body-slow' | 'no-room' | 'deadline-passed' | 'unmet-expectation' | 'stopping' | 'unreadable';
+	/** `key-unconfirmed` if no configuration here knows the key and the core has not confirmed that none does; `unreadable` for bytes that are no request, or no complete one in time; no id, host or path is known of them. */
+	reason: 'body-broken' | 'connection-ended' | 'not-ready' | 'no-route' | 'unknown-key' | 'key-unconfirmed' | 'no-lease' | 'body-too-large' | 'body-slow' | 'no-room' | 'deadline-passed' | 'unmet-expectation' | 'stopping' | 'unreadable';
 	/** Status of the answer to unreadable bytes. */
 	status?: number;
 	/** Version of the configuration in which its route was looked up. */
--- a/packages/plugins/edge/src/front/http-frontend.ts
+++ b/packages/plugins/edge/src/front/http-frontend.ts
@@ -17,11 +17,13 @@
 import {listSharedParts} from '@hickorytrack/prompt-placement/prompt';
 import type {Random} from '@hickorytrack/random';
 import {selectTarget, type RouteTable} from '@hickorytrack/route-table';
+import type {Route} from '@hickorytrack/route-table/route-types';
 import {OpenHeads} from '@hickorytrack/lingering-close/open-heads';
 import {onClosed} from '@hickorytrack/lingering-close/on-closed';
 import type {RequestCodec} from '../request-codec.js';
 import {CallerConnections, type OpenExchange} from './caller-connections.js';
 import type {DroppedRequest, FailedRequest, RejectedRequest} from './frontend-reports.js';
+import {keyDecisions, type KeyCheck} from './key-check.js';
 import {BodyReader, bodyEnds} from './body-reader.js';
 import {waitForNextRead} from './wait-for-next-read.js';
 import {sendProblem} from './responses.js';
@@ -38,6 +40,7 @@
 	account: ByteAccount;
 	/** The active routes; undefined until the configuration is confirmed to be the latest. */
 	getRoutes: () => RouteTable | undefined;
+	keyCheck: KeyCheck;
 	forward: (request: CallerRequest) => Promise<void>;
 	/** Called for each request that is rejected without being forwarded. */
 	onRejected: (rejected: RejectedRequest) => void;
@@ -62,6 +65,8 @@
 const badRequestStatus = 400;
 
 const timeoutStatus = 408;
+/** A 401 answer names the scheme of the credentials that it requires (RFC 9110). */
+const authenticateHeaders = {'www-authenticate': 'Bearer'};
 
 /** Logged characters of a path or host: enough to identify the route, while a request head may have 64 KB. */
 const maxLoggedCharacters = 200;
@@ -247,13 +252,15 @@
 		}
 
 		const {arrivedAt} = exchange;
-		const {clock, drainAcceptMs} = this.#opts;
+		const {clock, drainAcceptMs, keyCheck} = this.#opts;
 		const routes = this.#opts.getRoutes();
 		const [path] = incoming.url!.split('?', 1);
 		const route = routes?.findRoute(incoming.headers.host ?? '', path!);
-		const metadata = this.#opts.codec.decodeRequestHeaders(incoming.rawHeaders);
+		const {hasWorkspaces} = keyCheck;
+		const metadata = this.#opts.codec.decodeRequestHeaders(incoming.rawHeaders, {hasWorkspaces});
 		const waitMs = route ? Math.min(metadata.waitMs ?? route.timeoutMs, route.timeoutMs) : 0;
-		const body = await this.#bodies.read(exchange, {maxBytes: routes?.configuration.limits.maxBodyBytes ?? 0, waitMs});
+		const isRefused = route !== undefined && keyCheck.decide(route, incoming.rawHeaders).kind !== keyDecisions.admitted;
+		const body = await this.#bodies.read(exchange, {maxBytes: isRefused ? 0 : routes?.configuration.limits.maxBodyBytes ?? 0, waitMs});
 		const reportRejected = (reason: RejectedRequest['reason']) => {
 			this.#opts.onRejected({
 				requestId: metadata.requestId, host: incoming.headers.host?.slice(0, maxLoggedCharacters), path: path!.slice(0, maxLoggedCharacters), reason, routedVersion: routes?.configuration.version,
@@ -278,6 +285,11 @@
 			return;
 		}
 
+		if (isRefused) {
+			await this.#sendKeyRefusal(exchange, {route, waitMs: arrivedAt + waitMs - clock.monotonic(), reportRejected});
+			return;
+		}
+
 		if (body === bodyEnds.noRoom) {
 			reportRejected('no-room');
 			this.#sendUnavailable(response, 'no-room', 'this instance has no memory left for its body.');
@@ -318,6 +330,13 @@
 			return;
 		}
 
+		// The configuration and the lease of this moment count, not those of the moment at which the body began.
+		const decision = keyCheck.decide(route, incoming.rawHeaders);
+		if (decision.kind !== keyDecisions.admitted || keyCheck.hasWorkspaces !== hasWorkspaces) {
+			await this.#sendKeyRefusal(exchange, {route, waitMs: arrivedAt + waitMs - clock.monotonic(), reportRejected});
+			return;
+		}
+
 		const abortController = new AbortController();
 		onClosed(response, () => {
 			if (!response.writableFinished) {
@@ -334,6 +353,8 @@
 			body,
 			route,
 			service,
+			workspace: decision.workspace,
+			priority: decision.priority,
 			arrivedAt,
 			deadlineAt: arrivedAt + waitMs,
 			routing: {version: routes.configuration.version, timeoutMs: waitMs, timeoutBy: waitMs < route.timeoutMs ? timeoutSources.caller : timeoutSources.route},
@@ -347,6 +368,28 @@
 		});
 	}
 
+	/** Answers 401 if no configuration that may be in force knows the caller's key, and otherwise tells the caller to come back. */
+	async #sendKeyRefusal({incoming, response}: OpenExchange, {route, waitMs, reportRejected}: {route: Route; waitMs: number; reportRejected: (reason: RejectedRequest['reason']) => void}): Promise<void> {
+		const {keyCheck} = this.#opts;
+		const {kind} = keyCheck.decide(route, incoming.rawHeaders);
+		if (kind === keyDecisions.unknown && await keyCheck.confirmUnknown(route, incoming.rawHeaders, waitMs)) {
+			reportRejected('unknown-key');
+			sendProblem(response, {
+				status: 401, code: 'unknown-key', detail: 'The request has not run: it bears no key of a workspace.', headers: authenticateHeaders,
+			});
+			return;
+		}
+
+		if (kind === keyDecisions.unleased) {
+			reportRejected('no-lease');
+			this.#sendUnavailable(response, 'no-lease', 'the core has not confirmed the keys of this instance for too long.');
+			return;
+		}
+
+		reportRejected('key-unconfirmed');
+		this.#sendUnavailable(response, 'key-unconfirmed', 'the core has not confirmed yet which keys are in force.');
+	}
+
 	/** Ends the request whose handling threw an error. It may have run. */
 	#handleFailure(exchange: OpenExchange, error: unknown): void {
 		const {incoming, response, abortController} = exchange;
--- a/packages/plugins/edge/src/limits/server-limits.ts
+++ b/packages/plugins/edge/src/limits/server-limits.ts
@@ -39,8 +39,8 @@
 const maxWaitFraction = 0.4;
 
 /** Returns how long a request may wait for its turn at a limited server, in milliseconds. The more urgent one may wait longer, and so comes first. */
-export function computeLimitWaitMs({route, deadlineAt}: Pick<CallerRequest, 'route' | 'deadlineAt'>, now: number): number {
-	return Math.max(0, Math.min(route.objectiveMs, deadlineAt - now) * maxWaitFraction / (1 + route.priority));
+export function computeLimitWaitMs({route, priority, deadlineAt}: Pick<CallerRequest, 'route' | 'priority' | 'deadlineAt'>, now: number): number {
+	return Math.max(0, Math.min(route.objectiveMs, deadlineAt - now) * maxWaitFraction / (1 + priority));
 }
 
 export class ServerLimits {
--- a/packages/plugins/edge/src/request-codec.ts
+++ b/packages/plugins/edge/src/request-codec.ts
@@ -36,6 +36,8 @@
 export type ForwardMetadata = {
 	server: KnownServer;
 	remainingMs: number;
+	/** Name of the workspace whose request it is. */
+	workspace?: string;
 	/** Priority among the requests of the server; 0 is the most urgent. */
 	priority?: number;
 	/** The server only prefills the prompt; another server generates the response. */
@@ -82,8 +84,15 @@
 	body?: Buffer;
 };
 
+export type DecodeHeadersOptions = {
+	/** The configuration has workspaces: neither the caller's key nor a workspace that the caller names is forwarded. */
+	hasWorkspaces?: boolean;
+};
+
 export type RequestCodec = {
-	decodeRequestHeaders(rawHeaders: readonly string[]): RequestMetadata;
+	decodeRequestHeaders(rawHeaders: readonly string[], opts?: DecodeHeadersOptions): RequestMetadata;
+	/** Returns the key that the caller presents. It is kept out of the metadata, so that it is neither logged nor forwarded. */
+	findKey(rawHeaders: readonly string[]): string | undefined;
 	encodeForwardHeaders(headers: readonly string[], metadata: ForwardMetadata): string[];
 	/** Creates the proof that an answer belongs to the request with this id. */
 	createAnswerIdentity(requestId: string): AnswerIdentity;
--- a/packages/plugins/edge/src/streams/stream-calls.ts
+++ b/packages/plugins/edge/src/streams/stream-calls.ts
@@ -267,7 +267,7 @@
 	}
 
 	get #priority(): number {
-		return Math.min(maxPriorityValue, this.#request.route.priority);
+		return Math.min(maxPriorityValue, this.#request.priority);
 	}
 
 	#isStream(head: ResponseHead): boolean {
--- a/packages/plugins/edge/test/http-frontend.test.ts
+++ b/packages/plugins/edge/test/http-frontend.test.ts
@@ -13,6 +13,7 @@
 import {requestKinds} from '@hickorytrack/route-table/route-types';
 import {dropReasons, type CallerRequest} from '../src/front/caller-request.js';
 import type {DroppedRequest, FailedRequest, RejectedRequest} from '../src/front/frontend-reports.js';
+import {KeyCheck} from '../src/front/key-check.js';
 import {HttpFrontend} from '../src/front/http-frontend.js';
 import type {RequestCodec} from '../src/request-codec.js';
 
@@ -74,7 +75,7 @@
 		decodeRequestHeaders = codec.decodeRequestHeaders;
 		frontend = new HttpFrontend({
 			tasks: new BackgroundTasks(),
-			clock, random: new Random(1), codec: {...codec, decodeRequestHeaders: headers => decodeRequestHeaders(headers)}, account: new ByteAccount(1_000_000), notReadyRetryAfterMs: 100, drainAcceptMs: 2500, getRoutes: () => routes, async forward(callerRequest) {
+			clock, random: new Random(1), codec: {...codec, decodeRequestHeaders: headers => decodeRequestHeaders(headers)}, account: new ByteAccount(1_000_000), keyCheck: new KeyCheck({codec}), notReadyRetryAfterMs: 100, drainAcceptMs: 2500, getRoutes: () => routes, async forward(callerRequest) {
 				return forward(callerRequest);
 			}, onRejected(rejectedRequest) {
 				rejected.push(rejectedRequest);
@@ -456,7 +457,7 @@
 	it('refuses a request that arrives late in the drain, and does not forward it', async () => {
 		const clock = new ManualClock();
 		const draining = new HttpFrontend({
-			tasks: new BackgroundTasks(), clock, random: new Random(1), codec, account: new ByteAccount(1_000_000), notReadyRetryAfterMs: 100, drainAcceptMs: 2500, getRoutes: () => routes, async forward(callerRequest) {
+			tasks: new BackgroundTasks(), clock, random: new Random(1), codec, account: new ByteAccount(1_000_000), keyCheck: new KeyCheck({codec}), notReadyRetryAfterMs: 100, drainAcceptMs: 2500, getRoutes: () => routes, async forward(callerRequest) {
 				forwarded.push(callerRequest);
 			}, onRejected(rejectedRequest) {
 				rejected.push(rejectedRequest);
--- a/packages/plugins/edge/test/retry-fleet.ts
+++ b/packages/plugins/edge/test/retry-fleet.ts
@@ -160,6 +160,7 @@
 			body: Buffer.alloc(0),
 			route: isStream ? route : {...route, kind: requestKinds.idempotent},
 			service: 's',
+			priority: 0,
 			arrivedAt: now,
 			deadlineAt: now + timeoutMs,
 			response: createResponse(),
--- a/packages/plugins/edge/test/server-limits.test.ts
+++ b/packages/plugins/edge/test/server-limits.test.ts
@@ -272,7 +272,7 @@
 	});
 
 	it('lets more urgent requests wait longer', () => {
-		const createRequest = (priority: number) => ({route: {objectiveMs: 200, priority}, deadlineAt: 1000}) as unknown as Parameters<typeof computeLimitWaitMs>[0];
+		const createRequest = (priority: number) => ({route: {objectiveMs: 200, priority: 0}, priority, deadlineAt: 1000}) as unknown as Parameters<typeof computeLimitWaitMs>[0];
 		expect([0, 1, 3].map(priority => computeLimitWaitMs(createRequest(priority), 0))).to.deep.equal([80, 40, 20]);
 		expect(computeLimitWaitMs(createRequest(0), 2000)).to.equal(0);
 	});
--- a/packages/plugins/edge/test/stream-planner.test.ts
+++ b/packages/plugins/edge/test/stream-planner.test.ts
@@ -41,7 +41,7 @@
 			clock, registry, limits, pauses: new ServerPauses({clock, loadTracker: new LoadTracker(clock)}),
 		} as unknown as ForwardContext;
 		const request = {
-			arrivedAt: 0, deadlineAt: 15_000, route: {patienceMs: 2000, objectiveMs: 300, priority: 1}, signal: new AbortController().signal,
+			arrivedAt: 0, deadlineAt: 15_000, route: {patienceMs: 2000, objectiveMs: 300, priority: 1}, priority: 1, signal: new AbortController().signal,
 		} as unknown as CallerRequest;
 		const planner = new StreamPlanner(context, request, {
 			permits: {} as unknown as SendPermits, prompt: {parts: [], tokens: 0, maxOutputTokens: 0}, origin: {} as unknown as RequestOrigin, relay: {lastEventAt: undefined},
@@ -66,7 +66,7 @@
 			},
 		} as unknown as ForwardContext;
 		const request = {
-			arrivedAt: 0, deadlineAt: 15_000, route: {patienceMs: 2000, objectiveMs: 300, priority: 1}, signal: new AbortController().signal,
+			arrivedAt: 0, deadlineAt: 15_000, route: {patienceMs: 2000, objectiveMs: 300, priority: 1}, priority: 1, signal: new AbortController().signal,
 		} as unknown as CallerRequest;
 		const relay: {lastEventAt: number | undefined} = {lastEventAt: undefined};
 		const planner = new StreamPlanner(context, request, {
--- a/packages/routing/route-store/src/configuration-follower.ts
+++ b/packages/routing/route-store/src/configuration-follower.ts
@@ -150,6 +150,14 @@
 		return this.#opts.mesh.findConnection(leader.address);
 	}
 
+	/** Fetches the configuration of the leader and installs it if it is newer. */
+	async fetchCurrent(): Promise<void> {
+		const leader = this.#leader?.address;
+		if (leader !== undefined) {
+			await this.#fetch(leader);
+		}
+	}
+
 	/** Retries the call until it has an answer or the call timeout expires; undefined without one. */
 	async callLeader<T>(call: (remainingMs: number) => Promise<T | undefined>): Promise<T | undefined> {
 		const result = await this.#callLeader(call);
--- a/packages/routing/route-table/src/check-routes.ts
+++ b/packages/routing/route-table/src/check-routes.ts
@@ -1,11 +1,11 @@
 /** Validation of a decoded route configuration. */
-import type {Route, RouteConfiguration} from './route-types.js';
+import type {Route, RouteConfiguration, WorkspaceDefinition} from './route-types.js';
 
 /** Returns one sentence for each mistake; an empty list means that the configuration is valid. */
 export function checkRoutes(configuration: RouteConfiguration): string[] {
 	const services = new Set(configuration.services.map(service => service.name));
 	const mistakes = configuration.routes.flatMap(route => checkRoute(route, services));
-	return [...mistakes, ...findDuplicates(configuration)];
+	return [...mistakes, ...findDuplicates(configuration), ...checkWorkspaces(configuration.workspaces ?? [])];
 }
 
 function checkRoute(route: Route, services: ReadonlySet<string>): string[] {
@@ -49,3 +49,37 @@
 
 	return mistakes;
 }
+
+/** A mistake names workspaces, never their keys. */
+function checkWorkspaces(workspaces: readonly WorkspaceDefinition[]): string[] {
+	const mistakes: string[] = [];
+	const holders = new Map<string, WorkspaceDefinition>();
+	for (const workspace of workspaces) {
+		const {name, keys} = workspace;
+		if (hasControlCharacters(name)) {
+			mistakes.push(`the name of workspace ${JSON.stringify(name)} has control characters`);
+		}
+
+		if (keys.includes('')) {
+			mistakes.push(`workspace "${name}" has an empty key`);
+		}
+
+		const rivals = new Set<string>();
+		for (const key of keys) {
+			const holder = holders.get(key) ?? workspace;
+			holders.set(key, holder);
+			if (holder !== workspace && key !== '') {
+				rivals.add(holder.name);
+			}
+		}
+
+		mistakes.push(...[...rivals].map(rival => `workspaces "${rival}" and "${name}" hold the same key`));
+	}
+
+	return mistakes;
+}
+
+/** Servers get the name in a header, which can't have them. */
+function hasControlCharacters(name: string): boolean {
+	return [...name].some(character => character < ' ' || character === '\u007F');
+}
--- a/packages/routing/route-table/src/route-types.ts
+++ b/packages/routing/route-table/src/route-types.ts
@@ -39,6 +39,17 @@
 	isResumable: boolean;
 	/** Latency objective for the time between two events of a stream. */
 	pauseObjectiveMs?: number;
+	/** Requests need no key and belong to no workspace, also if the configuration has workspaces. */
+	isPublic?: boolean;
+};
+
+/** A group of callers that share keys. */
+export type WorkspaceDefinition = {
+	name: string;
+	/** Each authorises its caller for the workspace; secret. */
+	keys: readonly string[];
+	/** Takes precedence over the priority of the route; 0 is the highest priority. */
+	priority?: number;
 };
 
 /** Properties of the model servers of a service, as the operator configures them. */
@@ -74,4 +85,6 @@
 	routes: readonly Route[];
 	services: readonly ServiceDefinition[];
 	limits: CallerLimits;
+	/** If present, even without an element, each route that is not public requires a key of a workspace. */
+	workspaces?: readonly WorkspaceDefinition[];
 };
