edge: tests of keys of workspaces and of the serving lease

Cause: a key must not reach a server or a log, and a removed key must not run on an instance that is cut off, suspended or restarted.

--- a/packages/core/types/test/parse-peer-message.test.ts
+++ b/packages/core/types/test/parse-peer-message.test.ts
@@ -48,6 +48,7 @@
 	'configuration.fetch': {stored},
 	'configuration.put': {outcome: 'stored'},
 	'configuration.read': {isConfirmed: true, stored},
+	'configuration.lease': {version: 3, ageMs: 12.5},
 	'origins.write': {view},
 	'origins.find': {view},
 	'origins.recall': {origin: {service: 'model', version: 'v1'}},
--- a/packages/routing/route-table/test/route-table.test.ts
+++ b/packages/routing/route-table/test/route-table.test.ts
@@ -51,4 +51,13 @@
 		expect(checkRoutes(configuration)).to.deep.equal([]);
 		expect(checkRoutes(bad)).to.have.length(4);
 	});
+
+	it('reports workspaces that can\'t be told apart or named, without their keys', () => {
+		const check = (...workspaces: RouteConfiguration['workspaces'] & unknown[]) => checkRoutes({...configuration, workspaces});
+		expect(check()).to.deep.equal([]);
+		expect(check({name: 'a', keys: ['secret-1', 'secret-1']}, {name: 'b', keys: ['secret-2']}, {name: 'c', keys: []})).to.deep.equal([]);
+		expect(check({name: 'a', keys: ['secret-1']}, {name: 'b', keys: ['secret-2', 'secret-1']})).to.deep.equal(['workspaces "a" and "b" hold the same key']);
+		expect(check({name: 'a', keys: ['']})).to.deep.equal(['workspace "a" has an empty key']);
+		expect(check({name: 'a\r\nhost: b', keys: ['secret-1']})).to.have.length(1);
+	});
 });
