feat: buffered requests wait for free slots where workspaces share them

Cause: one workspace could take all slots of a moment, and refused callers got one time to return for all.

--- a/packages/plugins/edge/src/buffered/buffered-forwarder.ts
+++ b/packages/plugins/edge/src/buffered/buffered-forwarder.ts
@@ -3,6 +3,7 @@
  * looks complete. Another server gets the request only if it is idempotent or is known not to have run. An idempotent
  * request whose server takes long is started at another one beside it; the first usable answer ends the other attempt.
  */
+import {admissionDecisions} from '@hickorytrack/admission-queue';
 import {unlimitedGrant, type SendGrant} from '@hickorytrack/endpoint-client/send-grant';
 import {answerVerdicts, type ReceivedAnswer} from '@hickorytrack/http-answer/answer-reader';
 import type {KnownServer} from '@hickorytrack/endpoint-registry';
@@ -31,6 +32,12 @@
 const overdueFraction = 0.55;
 const minimumRetryMs = 20; // With less time left, another attempt would not complete before the deadline.
 
+/** Why a request that is not admitted is refused. */
+const admissionReasons = {
+	[admissionDecisions.late]: 'no server can answer it in time behind the requests that wait',
+	[admissionDecisions.full]: 'too many requests wait',
+} as const;
+
 type EndedAttempt = {server: KnownServer; result: AttemptResult};
 /** An attempt, or the start of one, that threw an error. */
 type FailedAttempt = {error: unknown};
@@ -75,6 +82,12 @@
 	}
 
 	async #runAttempts(): Promise<RequestResult> {
+		const decided = this.#context.admission.acquire(this.#request, this.#remainingMs);
+		const decision = typeof decided === 'string' ? decided : await decided;
+		if (decision !== admissionDecisions.admitted) {
+			return decision === admissionDecisions.cancelled ? this.#createResult(requestOutcomes.callerGone) : this.#fail(admissionReasons[decision]);
+		}
+
 		for (;;) {
 			if (this.#runningAttempts.size === 0) {
 				const refusal = await this.#startAttempt();
@@ -178,8 +191,9 @@
 	}
 
 	async #runAttempt(server: KnownServer, {permit, grant, canceller}: {permit: SendPermit; grant: SendGrant; canceller: AttemptCanceller}): Promise<AttemptResult> {
-		const {clock, client, loadTracker} = this.#context;
+		const {clock, client, loadTracker, admission} = this.#context;
 		const inFlightLoad = loadTracker.add(server.id, 0);
+		const sentAt = clock.monotonic();
 		try {
 			const result = await runAttempt(client, server.address, {
 				clock, signal: this.#request.signal, timeoutMs: this.#remainingMs, canceller, hold: this.#request.answerHold, request: createOutboundRequest(this.#context, this.#request, {
@@ -192,6 +206,7 @@
 			// A grant that was used stays used.
 			grant.release();
 			inFlightLoad.release();
+			admission.recordEnd(this.#request, clock.monotonic() - sentAt);
 		}
 	}
 
--- a/packages/plugins/edge/src/calls/candidate-servers.ts
+++ b/packages/plugins/edge/src/calls/candidate-servers.ts
@@ -29,8 +29,11 @@
 	return registry.isUsable(server) && !pauses.isPaused(server);
 }
 
-/** Returns when a caller that is refused should come back, in milliseconds: not before one of the servers takes requests again. */
-export function computeRetryAfterMs({registry, pauses, limits}: Sources, service: string, defaultMs: number): number {
+/**
+ * Returns when a caller that is refused should come back, in milliseconds: not before one of the servers takes requests again,
+ * and where requests wait here, spread over the time in which these are served.
+ */
+export function computeRetryAfterMs({registry, pauses, limits, admission}: Sources & Pick<ForwardContext, 'admission'>, service: string, defaultMs: number): number {
 	const waits = registry.listUsable(service).map(server => Math.max(pauses.estimateWaitMs([server]), limits.estimateWaitMs(server)));
-	return Math.max(defaultMs, waits.length === 0 ? 0 : Math.min(...waits));
+	return admission.computeReturnMs(service, Math.max(defaultMs, waits.length === 0 ? 0 : Math.min(...waits)));
 }
--- a/packages/plugins/edge/src/calls/create-forward-context.ts
+++ b/packages/plugins/edge/src/calls/create-forward-context.ts
@@ -9,9 +9,11 @@
 import type {EdgeOptions} from '../edge-settings.js';
 import {RetryBudget} from '../limits/retry-budget.js';
 import {ServerPauses} from '../limits/server-pauses.js';
+import {ServiceAdmission} from '../limits/service-admission.js';
 import {reportFullParts} from '../report-full-parts.js';
 import {StartProof} from '../streams/start-proof.js';
 import {AnswerMeasurements} from './answer-measurements.js';
+import {listCandidates} from './candidate-servers.js';
 import type {ForwardContext} from './forward-context.js';
 
 export type ForwardContextOptions = Pick<EdgeOptions, 'settings' | 'clock' | 'random' | 'codec' | 'metrics' | 'account'>
@@ -23,6 +25,8 @@
 		getKvCapacity: (service: string) => number;
 		/** Instances by which limits that all of them share are divided. */
 		countInstances: () => number;
+		/** Tells whether requests of the service wait at this instance while its slots are taken. */
+		isAdmissionEnabled: (service: string) => boolean;
 		/** Called when a server says in an answer that it leaves. */
 		onLeaving: (server: Incarnation) => void;
 		/** Called when a server says in an answer for how long it wants no requests, in milliseconds. */
@@ -55,6 +59,7 @@
 			}
 		}, onForeignAnswer: opts.onForeignAnswer, onHandlerFailed: opts.onHandlerFailed,
 	});
+	const pauses = new ServerPauses({clock, loadTracker});
 	return {
 		clock,
 		tasks,
@@ -62,7 +67,7 @@
 		codec,
 		registry,
 		health,
-		pauses: new ServerPauses({clock, loadTracker}),
+		pauses,
 		limits,
 		loadTracker,
 		profile,
@@ -72,6 +77,11 @@
 		promptPlacement: new PromptPlacement({
 			random, loadTracker, cacheIndex, usage: partUsage, profile, getKvCapacity, isLimited: server => limits.isLimited(server),
 		}),
+		admission: new ServiceAdmission({
+			clock, random, loadTracker, metrics, isEnabled: opts.isAdmissionEnabled, listServers: service => listCandidates({
+				registry, health, pauses, limits,
+			}, service), countInstances,
+		}),
 		retryBudget: new RetryBudget({
 			clock, ratio: settings.retryRatio, allowance: settings.retryAllowance, windowMs: settings.retryWindowMs, isFirstStart: settings.isFirstStart, countInstances, eventLog, metrics,
 		}),
--- a/packages/plugins/edge/src/calls/forward-context.ts
+++ b/packages/plugins/edge/src/calls/forward-context.ts
@@ -19,6 +19,7 @@
 import type {RetryBudget} from '../limits/retry-budget.js';
 import type {SendPermit} from '../limits/send-permits.js';
 import type {StartProof} from '../streams/start-proof.js';
+import type {ServiceAdmission} from '../limits/service-admission.js';
 import type {ServerLimits} from '../limits/server-limits.js';
 import type {ServerPauses} from '../limits/server-pauses.js';
 import type {ServerHealth} from './server-health.js';
@@ -39,6 +40,7 @@
 	measurements: AnswerMeasurements;
 	leastLoadPlacement: LeastLoadPlacement;
 	promptPlacement: PromptPlacement;
+	admission: ServiceAdmission;
 	retryBudget: RetryBudget;
 	origins: StreamOrigins;
 	startProof: StartProof;
--- a/packages/plugins/edge/src/edge-gauges.ts
+++ b/packages/plugins/edge/src/edge-gauges.ts
@@ -2,7 +2,7 @@
 import type {ByteAccount} from '@hickorytrack/byte-account';
 import type {EndpointRegistry} from '@hickorytrack/endpoint-registry';
 import type {MetricsRegistry} from '@hickorytrack/metrics-registry';
-import type {RetryBudget} from './limits/retry-budget.js';
+import type {ForwardContext} from './calls/forward-context.js';
 import type {ServerLimits} from './limits/server-limits.js';
 
 type Gauges = Pick<MetricsRegistry, 'set'>;
@@ -36,13 +36,14 @@
 	metrics.set('log_lines_dropped_total', state.linesDropped);
 }
 
-export function setServiceGauges(metrics: Gauges, service: string, {registry, limits, retryBudget}: {registry: EndpointRegistry; limits: ServerLimits; retryBudget: RetryBudget}): void {
+export function setServiceGauges(metrics: Gauges, service: string, {registry, limits, retryBudget, admission}: {registry: EndpointRegistry; limits: ServerLimits} & Pick<ForwardContext, 'retryBudget' | 'admission'>): void {
 	const servers = registry.listUsable(service);
 	const known = limits.describe(servers);
 	metrics.set('servers', servers.length, {service});
 	metrics.set('limited_servers', known.length, {service});
 	metrics.set('limit_per_second', computeSum(known.map(({perSecond}) => perSecond)), {service});
 	metrics.set('limit_used_per_second', computeSum(known.map(({ownPerSecond}) => ownPerSecond)), {service});
+	metrics.set('admission_waiting', admission.countWaiting(service), {service});
 	metrics.set('retry_budget_left', retryBudget.countLeft(service), {service});
 }
 
--- a/packages/plugins/edge/src/edge.ts
+++ b/packages/plugins/edge/src/edge.ts
@@ -194,6 +194,7 @@
 			getKvCapacity: service => this.#getKvCapacity(service),
 			getConnectionLimit: service => this.#getConnectionLimit(service),
 			countInstances: () => this.#countEdges(),
+			isAdmissionEnabled: () => this.#routes?.configuration.workspaces !== undefined,
 			onLeaving: server => {
 				this.#serverNews.recordLeaving(server);
 			}, onPause: (server, pauseMs) => {
@@ -446,7 +447,9 @@
 		}
 
 		for (const {name} of this.#routes?.configuration.services ?? []) {
-			setServiceGauges(this.#opts.metrics, name, {registry: this.registry, limits: this.#limits, retryBudget: this.#context.retryBudget});
+			setServiceGauges(this.#opts.metrics, name, {
+				registry: this.registry, limits: this.#limits, retryBudget: this.#context.retryBudget, admission: this.#context.admission,
+			});
 		}
 	}
 }
--- a/packages/plugins/edge/src/limits/service-admission.ts
+++ b/packages/plugins/edge/src/limits/service-admission.ts
@@ -67,8 +67,8 @@
 		return typeof decided === 'string' ? this.#count(service, decided) : this.#measure(service, decided);
 	}
 
-	/** Records how long a server took to answer a request, in milliseconds, and admits requests that wait. */
-	recordAnswer({service, route}: CallerRequest, elapsedMs: number): void {
+	/** Records how long an attempt at a server took, in milliseconds, and admits requests that wait. */
+	recordEnd({service, route}: CallerRequest, elapsedMs: number): void {
 		if (this.#opts.isEnabled(service)) {
 			this.#times.record(route.name, elapsedMs);
 			this.#queues.get(service)?.update();
--- a/packages/plugins/edge/test/retry-fleet.ts
+++ b/packages/plugins/edge/test/retry-fleet.ts
@@ -39,6 +39,7 @@
 import {RetryBudget} from '../src/limits/retry-budget.js';
 import {ServerHealth} from '../src/calls/server-health.js';
 import {ServerLimits} from '../src/limits/server-limits.js';
+import {ServiceAdmission} from '../src/limits/service-admission.js';
 import {ServerPauses} from '../src/limits/server-pauses.js';
 import {StreamingForwarder} from '../src/streams/streaming-forwarder.js';
 
@@ -231,6 +232,9 @@
 			promptPlacement: new PromptPlacement({
 				random, loadTracker, cacheIndex, usage: new PartUsage(clock), profile, getKvCapacity: () => 1e6,
 			}),
+			admission: new ServiceAdmission({
+				clock, random, loadTracker, metrics: new MetricsRegistry(), isEnabled: () => false, listServers: () => [], countInstances,
+			}),
 			retryBudget: new RetryBudget({
 				clock, ...budgetBounds, isFirstStart, countInstances, eventLog, metrics: new MetricsRegistry(),
 			}),
--- /dev/null
+++ b/packages/plugins/edge/test/service-admission.test.ts
@@ -0,0 +1,71 @@
+import {expect} from 'chai';
+import {ManualClock} from '@hickorytrack/clock/manual-clock';
+import type {KnownServer} from '@hickorytrack/endpoint-registry';
+import {MetricsRegistry} from '@hickorytrack/metrics-registry';
+import {LoadTracker} from '@hickorytrack/prompt-placement/load-tracker';
+import {Random} from '@hickorytrack/random';
+import type {SocketAddress} from '@hickorytrack/socket-address';
+import type {CallerRequest} from '../src/front/caller-request.js';
+import {ReturningCallers} from '../src/limits/returning-callers.js';
+import {ServiceAdmission} from '../src/limits/service-admission.js';
+
+const server: KnownServer = {
+	id: 's', startedAt: 1, sequence: 1, service: 'plain', address: '127.0.0.1:1' as SocketAddress, availabilityZone: 'z', slots: 4, state: 'ready', coldMs: 0, heardAt: 0, order: 1,
+};
+const request = {
+	service: 'plain', route: {name: 'r'}, workspace: 'a', priority: 1, metadata: {}, signal: new AbortController().signal,
+} as unknown as CallerRequest;
+
+describe('admission to services', () => {
+	const createAdmission = (isEnabled: boolean) => {
+		const clock = new ManualClock();
+		const loadTracker = new LoadTracker(clock);
+		const admission = new ServiceAdmission({
+			clock, random: new Random(1), loadTracker, metrics: new MetricsRegistry(), isEnabled: () => isEnabled, listServers: () => [server], countInstances: () => 1,
+		});
+		return {clock, loadTracker, admission};
+	};
+
+	// Guards against a change for deployments that did not ask for the queue.
+	it('sends everything at once where it is not in force', () => {
+		const {loadTracker, admission} = createAdmission(false);
+		for (let count = 0; count < 100; count++) {
+			loadTracker.add('s', 0);
+		}
+
+		expect(admission.acquire(request, 1)).to.equal('admitted');
+		expect(admission.computeReturnMs('plain', 150)).to.equal(150);
+	});
+
+	// Guards against a request that waits for good: an attempt that ends is the news of a free slot.
+	it('admits a waiting request once an attempt of this instance has ended', async () => {
+		const {clock, loadTracker, admission} = createAdmission(true);
+		const loads = Array.from({length: 5}, () => loadTracker.add('s', 0));
+		const decided = admission.acquire(request, 1000);
+		expect(admission.countWaiting('plain')).to.equal(1);
+		for (const load of loads) {
+			load.release();
+		}
+
+		admission.recordEnd(request, 30);
+		expect(await decided).to.equal('admitted');
+		await clock.advance(100);
+		expect(admission.countWaiting('plain')).to.equal(0);
+	});
+
+	it('refuses a request whose time is too short before it waits', () => {
+		const {loadTracker, admission} = createAdmission(true);
+		for (let count = 0; count < 5; count++) {
+			loadTracker.add('s', 0);
+		}
+
+		expect(admission.acquire(request, 40)).to.equal('late');
+	});
+});
+
+describe('callers that return', () => {
+	it('are told from new ones by the time for which they still wait', () => {
+		const callers = new ReturningCallers();
+		expect([1500, 1500, 1200, 1490, undefined].map(waitMs => callers.record('r', waitMs))).to.deep.equal([false, false, true, false, false]);
+	});
+});
--- a/packages/routing/prompt-placement/src/load-tracker.ts
+++ b/packages/routing/prompt-placement/src/load-tracker.ts
@@ -107,6 +107,11 @@
 		};
 	}
 
+	/** Returns the number of requests that this instance itself has in flight on the server. */
+	countOwnRequests(id: string): number {
+		return this.#own.get(id)?.requests ?? 0;
+	}
+
 	/** Returns whether this instance's own load has changed since the last call, and clears the flag. */
 	clearChanged(): boolean {
 		const isChanged = this.#isChanged;
