--- a/packages/core/types/src/peer-methods.ts
+++ b/packages/core/types/src/peer-methods.ts
@@ -28,6 +28,8 @@
 	streamOrigins: 'stream-origins',
 	/** Stores what is banned because it crashes servers, if it belongs to the core. */
 	crashBans: 'crash-bans',
+	/** Answers `configuration.lease`, if it leads the core and revocation is strict. */
+	servingLeases: 'serving-leases',
 } as const;
 
 /** Demand of one workspace at one entry over the last reporting interval, in requests per second. */
--- a/packages/plugins/edge/src/create-serving-lease.ts
+++ b/packages/plugins/edge/src/create-serving-lease.ts
@@ -6,6 +6,7 @@
 import type {CoreMember} from '@hickorytrack/route-store/core-member';
 import {ServingLease} from '@hickorytrack/serving-lease';
 import {LeaseIssuer} from '@hickorytrack/serving-lease/lease-issuer';
+import {peerFeatures} from '@hickorytrack/types/peer-methods';
 
 export type ServingLeaseSources = {
 	clock: Clock;
@@ -35,8 +36,13 @@
 				return issuer!.answer();
 			}
 
-			const reply = await configuration.findLeaderConnection()?.request('configuration.lease', {}, {timeoutMs: askTimeoutMs});
-			return reply?.isOk() ? reply.value : undefined;
+			const leader = configuration.findLeaderConnection();
+			if (!leader?.remote.features?.includes(peerFeatures.servingLeases)) {
+				return undefined;
+			}
+
+			const reply = await leader.request('configuration.lease', {}, {timeoutMs: askTimeoutMs});
+			return reply.isOk() ? reply.value : undefined;
 		}, onChanged(isValid) {
 			events.emit(isValid ? 'servingLeaseHeld' : 'servingLeaseLost', {version: configuration.current?.version});
 		},
--- a/packages/plugins/edge/src/front/request-log.ts
+++ b/packages/plugins/edge/src/front/request-log.ts
@@ -34,6 +34,7 @@
 		const fields = {
 			request: request.metadata.requestId,
 			route: request.route.name,
+			workspace: request.workspace,
 			version: getVersion(),
 			routedVersion: request.routing?.version,
 			timeoutMs: roundToWholeMs(request.routing?.timeoutMs),
