fix: a refused request with a slow body ends its connection

Cause: the refusal for a key came before the check of the body, so that bytes of a body that had not come could be read as the next request. Change: the check of the body goes first.

--- a/packages/plugins/edge/src/front/http-frontend.ts
+++ b/packages/plugins/edge/src/front/http-frontend.ts
@@ -285,11 +285,6 @@
 			return;
 		}
 
-		if (isRefused) {
-			await this.#sendKeyRefusal(exchange, {route, waitMs: arrivedAt + waitMs - clock.monotonic(), reportRejected});
-			return;
-		}
-
 		if (body === bodyEnds.noRoom) {
 			reportRejected('no-room');
 			this.#sendUnavailable(response, 'no-room', 'this instance has no memory left for its body.');
@@ -303,6 +298,11 @@
 			return;
 		}
 
+		if (isRefused) {
+			await this.#sendKeyRefusal(exchange, {route, waitMs: arrivedAt + waitMs - clock.monotonic(), reportRejected});
+			return;
+		}
+
 		if (body === bodyEnds.tooLarge) {
 			reportRejected('body-too-large');
 			this.#connections.announceClose(exchange);
