Add singleton duties and usage windows, and their state in the core

Cause: calls to the infrastructure are the duty of one instance at a time, and the usage of workspaces has to be reported once per window. Nothing creates them yet.

--- a/packages/core/events/src/event-catalogue.ts
+++ b/packages/core/events/src/event-catalogue.ts
@@ -305,6 +305,21 @@
 	controlRefused: {
 		number: 1782, level: 'warn', text: 'A control call was refused, or its connection closed, so that calls of others have room; the reason says why', action: 'Check who calls from the address; a caller that got 503 calls again.',
 	},
+	dutyHeld: {
+		number: 1785, level: 'info', text: 'This instance leads the core and makes its first call to the infrastructure; term is the fencing token', action: noAction,
+	},
+	dutyCallFailed: {
+		number: 1786, level: 'warn', text: 'A call to the infrastructure was not accepted and is repeated (at most one line in five seconds)', action: 'Check the infrastructure: the outcome and the status say what it answered; unanswered means that no whole answer came in time.',
+	},
+	dutyOvertaken: {
+		number: 1787, level: 'error', text: 'The infrastructure has seen a higher fencing token; this instance makes no further calls under its term', action: 'Check what else calls the infrastructure under this system\'s name; a new election of the core gives a higher term.',
+	},
+	usageWindowsDropped: {
+		number: 1788, level: 'error', text: 'The usage of windows is not reported: they were not decided within a minute of their end, or the infrastructure did not accept them for an hour', action: 'Check for how long the core had no leader (1502, 1724), or the infrastructure (1786).',
+	},
+	usageDecided: {
+		number: 1789, level: 'info', text: 'The usage of a window is decided; missing lists the instances whose counts of its end are not in it', action: 'Check the links of the instances in missing, if they repeat.',
+	},
 } as const satisfies Record<string, EventDefinition>;
 
 export type EventName = keyof typeof eventCatalogue;
--- a/packages/core/metrics-registry/src/metrics-registry.ts
+++ b/packages/core/metrics-registry/src/metrics-registry.ts
@@ -34,6 +34,8 @@
 	server_crashes_total: {kind: 'counter', help: 'Crashes of servers that this instance has noticed, by service.', labels: ['service']},
 	banned_requests_total: {kind: 'counter', help: 'Requests with a trait that is held to crash servers, by decision: refused, or trial.', labels: ['decision']},
 	crash_causes: {kind: 'gauge', help: 'Requests and parts of prompts that are held to crash servers and are refused.', labels: []},
+	duty_calls_total: {kind: 'counter', help: 'Calls to the infrastructure that this instance made while it led the core, by duty and outcome.', labels: ['duty', 'outcome']},
+	usage_windows_waiting: {kind: 'gauge', help: 'Windows of usage that are decided and that the infrastructure has not accepted, as the log of this member of the core says.', labels: []},
 	links_refused_total: {kind: 'counter', help: 'Connections of other instances that were closed because of what they sent or did not read, by whether they had proved the key.', labels: ['proven']},
 	peer_messages_unusable_total: {kind: 'counter', help: 'Messages of other instances, or elements of them, that could not be used, by method.', labels: ['method']},
 	task_failures_total: {kind: 'counter', help: 'Errors that background tasks, timers or listeners threw, by task; a bug.', labels: ['task']},
--- a/packages/core/types/src/parse-peer-message.ts
+++ b/packages/core/types/src/parse-peer-message.ts
@@ -7,7 +7,7 @@
 import {parsePeerMember} from './parse-peer-member.js';
 import {parseServerRecord} from './parse-server-record.js';
 import {
-	shareScopes, type ConfigurationDocument, type LoadEntry, type LoadShare, type PeerMethodName, type PeerMethods, type StoredPrompt, type StreamOriginView, type StreamOriginWrite, type StreamSend,
+	shareScopes, type ConfigurationDocument, type LoadEntry, type LoadShare, type PeerMethodName, type PeerMethods, type StoredPrompt, type StreamOriginView, type StreamOriginWrite, type StreamSend, type UsageReply, type WindowTotals, type WorkspaceCount,
 } from './peer-methods.js';
 
 /** Called for each element of a list that is left out. */
@@ -169,6 +169,23 @@
 	return [trial.readText('0'), readAgeMs(trial, '1'), trial.readNumber('2', wholeNumber)];
 }
 
+function parseWorkspaceCount(value: unknown): WorkspaceCount {
+	const count = Fields.openTuple(value);
+	return [count.readString('0'), count.readNumber('1', wholeNumber)];
+}
+
+function parseWindowTotals(value: unknown, onLeftOut: ElementListener): WindowTotals {
+	const totals = Fields.openTuple(value);
+	return [totals.readNumber('0', wholeNumber), readEach(totals.readList('1'), parseWorkspaceCount, onLeftOut)];
+}
+
+function readUsageReply(fields: Fields): UsageReply {
+	return {
+		...(fields.has('term') && {term: fields.readNumber('term', wholeNumber)}),
+		...(fields.has('decidedTo') && {decidedTo: fields.readNumber('decidedTo', {...wholeNumber, min: -1})}),
+	};
+}
+
 const readMembers = (fields: Fields, onLeftOut: ElementListener) => readEach(fields.readList('members'), parsePeerMember, onLeftOut);
 const readReports = (fields: Fields, onLeftOut: ElementListener) => readEach(fields.readList('reports'), parseServerRecord, onLeftOut);
 
@@ -237,6 +254,12 @@
 		}),
 	},
 	'crash.sound': {params: (fields, onLeftOut) => ({sound: readEach(fields.readList('sound'), parseSound, onLeftOut)})},
+	'usage.report': {
+		params: (fields, onLeftOut) => ({
+			sender: fields.readString('sender'), ...(fields.has('base') && {base: fields.readNumber('base', wholeNumber)}), until: fields.readNumber('until', notNegative), windows: readEach(fields.readList('windows'), value => parseWindowTotals(value, onLeftOut), onLeftOut),
+		}),
+		result: readUsageReply,
+	},
 	'crash.trial': {params: (fields, onLeftOut) => ({trials: readEach(fields.readList('trials'), parseTrial, onLeftOut)})},
 };
 
--- a/packages/core/types/src/peer-methods.ts
+++ b/packages/core/types/src/peer-methods.ts
@@ -28,6 +28,8 @@
 	streamOrigins: 'stream-origins',
 	/** Stores what is banned because it crashes servers, if it belongs to the core. */
 	crashBans: 'crash-bans',
+	/** Reports the requests of workspaces and, if it belongs to the core, stores decided windows. */
+	usageWindows: 'usage-windows',
 } as const;
 
 /** Demand of one workspace at one entry over the last reporting interval, in requests per second. */
@@ -190,6 +192,29 @@
 	stored: StoredPrompt[];
 };
 
+/** Requests of one workspace. */
+export type WorkspaceCount = [workspace: string, count: number];
+export type WindowTotals = [window: number, counts: WorkspaceCount[]];
+export type SenderTotals = [sender: string, windows: WindowTotals[]];
+
+/** Totals of one instance; the fields are documented in `@hickorytrack/usage-windows`. */
+export type UsageReport = {
+	/** Incarnation of the instance. */
+	sender: string;
+	/** Term of the leader that has all totals which are missing here; without it, none are missing. */
+	base?: number;
+	/** Wall time of the sender, in milliseconds, up to which the totals are complete. */
+	until: number;
+	windows: WindowTotals[];
+};
+
+export type UsageReply = {
+	/** Term of the replying instance; missing if it does not lead. */
+	term?: number;
+	/** All windows up to this one are decided. */
+	decidedTo?: number;
+};
+
 /** Parameters and result of each method, by name. Notifications have the result `void`. */
 export type PeerMethods = {
 	'log.message': {params: {payload: unknown}; result: {payload: unknown}};
@@ -248,6 +273,8 @@
 	'crash.sound': {params: {sound: ReadonlyArray<[trait: string, ageMs: number]>}; result: void};
 	/** Trials of banned traits, with the time since the last one in milliseconds and the number of failed ones. */
 	'crash.trial': {params: {trials: ReadonlyArray<[trait: string, ageMs: number, failed: number]>}; result: void};
+	/** Totals that have changed; the receiver is the leader of the core. */
+	'usage.report': {params: UsageReport; result: UsageReply};
 	'state.dump': {params: Record<string, never>; result: {state: unknown}};
 };
 
--- a/packages/core/types/test/parse-peer-message.test.ts
+++ b/packages/core/types/test/parse-peer-message.test.ts
@@ -41,6 +41,9 @@
 	},
 	'crash.sound': {sound: [['part:a', 10]]},
 	'crash.trial': {trials: [['part:a', 10, 1]]},
+	'usage.report': {
+		sender: 'i', base: 2, until: 1000, windows: [[3, [['w1', 4]]]],
+	},
 };
 const results: Partial<Record<PeerMethodName, unknown>> = {
 	'mesh.exchange': {members: [member], count: 4},
@@ -55,6 +58,7 @@
 	'registry.note': {count: 1},
 	'limit.acquire': {isIssuer: true, granted: 1, delayMs: 5},
 	'limit.reach': {isConnected: true},
+	'usage.report': {term: 2, decidedTo: 3},
 };
 const oddValues: unknown[] = [undefined, null, '', 'x', '127.0.0.1:99999', '300.1.1.1:80', 'a\r\nb', 'x'.repeat(20_000), -1, 0, 1.5, 1e308, Number.POSITIVE_INFINITY, Number.NEGATIVE_INFINITY, 2 ** 53, true, [], {}, [[]], [null], {constructor: 1}];
 
--- a/packages/net/http-answer/src/http-call.ts
+++ b/packages/net/http-answer/src/http-call.ts
@@ -3,6 +3,7 @@
  * reader, and is limited in size. A reader that is slow holds up the server.
  */
 import type {Buffer} from 'node:buffer';
+import type {Socket} from 'node:net';
 import {buildConnector, Client, type Dispatcher} from 'undici';
 import {BackgroundTasks} from '@hickorytrack/background-tasks';
 import {describeError, HickorytrackError, type ErrorCode} from '@hickorytrack/errors';
@@ -25,6 +26,10 @@
 	maxBodyBytes: number;
 	/** Bounds what all whole answers hold together while they are read. */
 	budget?: ByteBound;
+	/** Checked when the connection is open, right before the request is written; on false nothing is written. */
+	canSend?: () => boolean;
+	/** A call that ends early resets its connection, so that the system does not go on sending the request. */
+	isResetAtEnd?: boolean;
 };
 
 export class HttpCallError extends HickorytrackError {}
@@ -39,6 +44,8 @@
 	head: AnswerHead | undefined;
 	/** Set when the body has ended without an error. */
 	received: ReceivedAnswer | undefined;
+	/** The request was given to the connection; before, the server can't have any of it. */
+	isWritten = false;
 	readonly #watch = new ConnectionWatch();
 	readonly #client: Client;
 	readonly #opts: HttpCallOptions;
@@ -48,6 +55,7 @@
 	#error: Error | undefined;
 	#reader: AnswerReader | undefined;
 	#controller: Dispatcher.DispatchController | undefined;
+	#socket: Socket | undefined;
 	#isPaused = false;
 	#isClosed = false;
 	#onProgress: (() => void) | undefined;
@@ -67,6 +75,7 @@
 					if (error) {
 						callback(error, null);
 					} else {
+						this.#socket = socket;
 						this.#watch.watch(socket);
 						callback(null, socket);
 					}
@@ -81,6 +90,14 @@
 
 	onRequestStart(controller: Dispatcher.DispatchController): void {
 		this.#controller = controller;
+		// The client writes the request when this method returns, unless it is aborted here.
+		if (this.#isClosed || this.#opts.canSend?.() === false) {
+			this.#fail('ERR_HICKORYTRACK_CALL_CANCELLED', 'The call was not allowed any more when its connection was open');
+			controller.abort(this.#error!);
+			return;
+		}
+
+		this.isWritten = true;
 	}
 
 	onResponseStart(_controller: Dispatcher.DispatchController, status: number, headers: AnswerHead['headers']): void {
@@ -250,6 +267,10 @@
 
 	#fail(code: ErrorCode, message: string): void {
 		this.#error ??= new HttpCallError(code, message);
+		if (this.#opts.isResetAtEnd) {
+			this.#socket?.resetAndDestroy();
+		}
+
 		this.#close();
 	}
 
--- a/packages/routing/route-store/src/core-member.ts
+++ b/packages/routing/route-store/src/core-member.ts
@@ -18,6 +18,7 @@
 import {parseMemberMessage, parseMemberReply} from '@hickorytrack/replicated-log/parse-member-message';
 import {OriginCore} from '@hickorytrack/stream-origins/origin-core';
 import {OriginStore} from '@hickorytrack/stream-origins/origin-store';
+import {UsageStore, type UsageCommand} from '@hickorytrack/usage-windows/usage-store';
 import {CoreState} from './core-state.js';
 import {
 	RouteStore, storeOutcomes, type StoredConfiguration, type StoreOutcome,
@@ -70,6 +71,7 @@
 	readonly originStore = new OriginStore();
 	readonly origins: OriginCore;
 	readonly banStore: BanStore;
+	readonly usageStore = new UsageStore();
 	readonly #opts: CoreMemberOptions;
 	readonly #tasks: BackgroundTasks;
 	readonly #reportNewest: () => void;
@@ -210,6 +212,12 @@
 		return proposed?.isOk() ?? false;
 	}
 
+	/** Stores a change of the usage; resolves with false without a confirmation by a majority. */
+	async putUsage(command: UsageCommand): Promise<boolean> {
+		const proposed = await this.#log?.propose(command, {timeoutMs: proposeTimeoutMs});
+		return proposed?.isOk() ?? false;
+	}
+
 	/** Returns the newest acknowledged configuration, confirmed by a majority. */
 	async read(): Promise<Result<StoredConfiguration | undefined, CoreMemberError>> {
 		const log = this.#log;
@@ -223,7 +231,7 @@
 
 	dump(): unknown {
 		return {
-			status: this.#log?.getStatus(), isVoter: this.isVoter, isRemoved: this.#isRemoved, version: this.store.current?.version, streamOrigins: this.originStore.streamCount, versions: this.originStore.listVersions(), bans: this.banStore.list().map(({trait}) => trait), applicants: [...this.#joinRequests.keys()],
+			status: this.#log?.getStatus(), isVoter: this.isVoter, isRemoved: this.#isRemoved, version: this.store.current?.version, streamOrigins: this.originStore.streamCount, versions: this.originStore.listVersions(), bans: this.banStore.list().map(({trait}) => trait), usage: {decidedTo: this.usageStore.decidedTo, waiting: this.usageStore.waitingCount}, applicants: [...this.#joinRequests.keys()],
 		};
 	}
 
@@ -239,7 +247,7 @@
 	async #openLog(initialMembers: MemberInfo[]): Promise<Result<void, LogStorageError>> {
 		const {clock, random, storage, mesh} = this.#opts;
 		const log = new ReplicatedLog({
-			id: mesh.address, initialMembers, storage, clock, random, tasks: this.#tasks, stateMachine: new CoreState(this.store, {origins: this.originStore, bans: this.banStore}), timing: {snapshotRecords, firstElectionMinMs, firstElectionMaxMs}, transport: {
+			id: mesh.address, initialMembers, storage, clock, random, tasks: this.#tasks, stateMachine: new CoreState(this.store, {origins: this.originStore, bans: this.banStore, usage: this.usageStore}), timing: {snapshotRecords, firstElectionMinMs, firstElectionMaxMs}, transport: {
 				call: async (to, message, timeoutMs) => this.#callMember(to, message, timeoutMs),
 			},
 		});
--- a/packages/routing/route-store/src/core-state.ts
+++ b/packages/routing/route-store/src/core-state.ts
@@ -1,6 +1,6 @@
 /**
- * State machine of the core: the route configuration, which versions have begun streams, and what is banned because it crashes
- * servers. A snapshot is the stored configuration with further fields, so that a member of an older version can read it.
+ * State machine of the core: the route configuration, which versions have begun streams, what is banned because it crashes
+ * servers, and the decided windows of usage. A snapshot is the stored configuration with further fields, so that a member of an older version can read it.
  *
  * Whatever a record or a snapshot says, it is applied without an exception, since it would end all members, and again at each
  * start. What can't be used changes nothing, which each member decides alike, from the record alone.
@@ -9,9 +9,10 @@
 import {FieldError} from '@hickorytrack/fields';
 import type {StateMachine} from '@hickorytrack/replicated-log';
 import {isOriginCommand, type OriginStore} from '@hickorytrack/stream-origins/origin-store';
+import {isUsageCommand, type UsageStore} from '@hickorytrack/usage-windows/usage-store';
 import type {RouteStore, StoredConfiguration} from './route-store.js';
 
-type Snapshot = Partial<StoredConfiguration> & {streamOrigins?: unknown; crashBans?: unknown};
+type Snapshot = Partial<StoredConfiguration> & {streamOrigins?: unknown; crashBans?: unknown; usageWindows?: unknown};
 
 export class CoreState implements StateMachine {
 	readonly #routes: RouteStore;
@@ -19,10 +20,13 @@
 
 	readonly #bans: BanStore;
 
-	constructor(routes: RouteStore, parts: {origins: OriginStore; bans: BanStore}) {
+	readonly #usage: UsageStore;
+
+	constructor(routes: RouteStore, parts: {origins: OriginStore; bans: BanStore; usage: UsageStore}) {
 		this.#routes = routes;
 		this.#origins = parts.origins;
 		this.#bans = parts.bans;
+		this.#usage = parts.usage;
 	}
 
 	/** Returns undefined for a command that changes no configuration. */
@@ -30,10 +34,10 @@
 		return runOrSkip(() => this.#applyCommand(command));
 	}
 
-	/** Streams begin and servers crash only under a configuration, so there is no state without one. */
+	/** Streams begin, servers crash and requests are counted only under a configuration, so there is no state without one. */
 	createSnapshot(): unknown {
 		const configuration = this.#routes.createSnapshot() as StoredConfiguration | null;
-		return configuration && {...configuration, streamOrigins: this.#origins.createSnapshot(), crashBans: this.#bans.createSnapshot()};
+		return configuration && {...configuration, streamOrigins: this.#origins.createSnapshot(), crashBans: this.#bans.createSnapshot(), usageWindows: this.#usage.createSnapshot()};
 	}
 
 	restoreSnapshot(state: unknown): void {
@@ -44,7 +48,7 @@
 		runOrSkip(() => {
 			this.#routes.restoreSnapshot(state);
 		});
-		const {streamOrigins, crashBans} = (state ?? {}) as Snapshot;
+		const {streamOrigins, crashBans, usageWindows} = (state ?? {}) as Snapshot;
 		if (streamOrigins !== undefined) {
 			runOrSkip(() => {
 				this.#origins.restoreSnapshot(streamOrigins);
@@ -54,6 +58,12 @@
 		if (crashBans !== undefined) {
 			this.#bans.restoreSnapshot(crashBans);
 		}
+
+		if (usageWindows !== undefined) {
+			runOrSkip(() => {
+				this.#usage.restoreSnapshot(usageWindows);
+			});
+		}
 	}
 
 	#applyCommand(command: unknown): unknown {
@@ -62,6 +72,11 @@
 			return undefined;
 		}
 
+		if (isUsageCommand(command)) {
+			this.#usage.apply(command);
+			return undefined;
+		}
+
 		if (!isOriginCommand(command)) {
 			return this.#routes.apply(command);
 		}
--- a/packages/routing/route-store/test/core-state.test.ts
+++ b/packages/routing/route-store/test/core-state.test.ts
@@ -1,6 +1,7 @@
 import {expect} from 'chai';
 import {BanStore, type BanRecord} from '@hickorytrack/crash-attribution/ban-store';
 import {OriginStore} from '@hickorytrack/stream-origins/origin-store';
+import {UsageStore} from '@hickorytrack/usage-windows/usage-store';
 import {CoreState} from '../src/core-state.js';
 import {RouteStore} from '../src/route-store.js';
 
@@ -15,7 +16,10 @@
 		trait: 'part:bad', suspects: [['part:bad', 1]], crashes: [['s1/5', 900], ['s2/5', 950]], triedAt: 990, failedTrials: 1,
 	}], removed: ['part:other'],
 };
-const commands = {configuration, origins, bans};
+const usage = {
+	kind: 'usage-windows', begin: 7, totals: [['i1', [[9, [['w1', 2], ['w2', 1]]]]]], decided: [8, [['w1', 3]]], accepted: 8,
+};
+const commands = {configuration, origins, bans, usage};
 
 /** Lists copies of a value in which one field or element has an odd value. */
 function listVariants(value: unknown): unknown[] {
@@ -37,11 +41,12 @@
 	});
 
 	readonly routes = new RouteStore(() => {/* Read by `current`. */});
-	readonly state = new CoreState(this.routes, {origins: this.origins, bans: this.bans});
+	readonly usage = new UsageStore();
+	readonly state = new CoreState(this.routes, {origins: this.origins, bans: this.bans, usage: this.usage});
 
 	describe(): unknown {
 		return structuredClone({
-			configuration: this.routes.current, origins: this.origins.createSnapshot(), bans: this.bans.list(), view: this.origins.describe(['model'], {stream: 'stream', now: 1000}),
+			configuration: this.routes.current, origins: this.origins.createSnapshot(), bans: this.bans.list(), usage: this.usage.createSnapshot(), view: this.origins.describe(['model'], {stream: 'stream', now: 1000}),
 		});
 	}
 
@@ -56,7 +61,7 @@
 }
 
 /** Throws unless all that is stored has the types that its users need. */
-function expectUsable({routes, origins, bans, told}: Member, note: string): void {
+function expectUsable({routes, origins, bans, usage, told}: Member, note: string): void {
 	const {version, digest} = routes.current ?? configuration;
 	expect(Number.isSafeInteger(version) && typeof digest === 'string', note).to.equal(true);
 	const {versions, streams} = origins.createSnapshot();
@@ -69,6 +74,8 @@
 		expect([record.expiresAt, ...record.sends.flatMap(([, startedAt, ageMs]) => [startedAt, ageMs])].every(value => Number.isFinite(value)), note).to.equal(true);
 	}
 
+	expect(usage.findWaiting()?.counts.every(([name, count]) => typeof name === 'string' && Number.isSafeInteger(count)) ?? true, note).to.equal(true);
+	expect([usage.decidedTo ?? 0, ...usage.listSenders().flatMap(sender => usage.findTotals(sender)!.list()).flatMap(([window, counts]) => [window, ...counts.map(([, count]) => count)])].every(value => Number.isSafeInteger(value)), note).to.equal(true);
 	for (const {trait, suspects, crashes, triedAt = 0, failedTrials} of [...bans.list(), ...told]) {
 		expect([trait, ...suspects.map(([name]) => name), ...crashes.map(([id]) => id)].every(name => typeof name === 'string'), note).to.equal(true);
 		expect([triedAt, failedTrials, ...suspects.map(([, position]) => position), ...crashes.map(([, at]) => at)].every(value => Number.isFinite(value)), note).to.equal(true);
@@ -86,6 +93,9 @@
 				}]],
 			},
 			bans: bans.put,
+			usage: {
+				decidedTo: 8, droppedTo: undefined, windows: [{window: 8, counts: [['w1', 3]], isAccepted: true}], totals: [['i1', [[9, [['w1', 2], ['w2', 1]]]]]],
+			},
 			view: {versions: {model: ['v1']}, stream: {service: 'model', versions: ['v1'], sends: [['s1', 5, 10]]}},
 		});
 		const copy = new Member();
@@ -124,6 +134,18 @@
 		}
 	});
 
+	// Guards against members of two versions in one core: one that has never heard of usage reads and writes snapshots without it.
+	it('restores a snapshot without usage, and one with usage reads as a stored configuration', () => {
+		const {usageWindows, ...older} = new Member().applyAll().state.createSnapshot() as Record<string, unknown>;
+		const member = new Member();
+		member.state.restoreSnapshot(older);
+		expect(member.routes.current).to.deep.equal(configuration);
+		expect(member.usage.decidedTo).to.equal(undefined);
+		const olderRoutes = new RouteStore(() => undefined);
+		olderRoutes.restoreSnapshot({...older, usageWindows});
+		expect(olderRoutes.current).to.deep.equal(configuration);
+	});
+
 	// Guards against a part that can't be used and takes the sound ones with it.
 	it('keeps the elements beside one that can not be used', () => {
 		const member = new Member();
