--- a/packages/coordination/singleton-duty/src/singleton-duty.ts
+++ b/packages/coordination/singleton-duty/src/singleton-duty.ts
@@ -131,10 +131,6 @@
 			return;
 		}
 
-		if (result.outcome === callOutcomes.notSent) {
-			return;
-		}
-
 		if (result.outcome === callOutcomes.overtaken) {
 			this.#overtakenTerm = term;
 			events.emit('dutyOvertaken', {duty: duty.name, term});
@@ -144,7 +140,7 @@
 		if (result.outcome === callOutcomes.overloaded) {
 			setWait(this.#backoffMs);
 			this.#backoffMs = Math.min(maxBackoffMs, this.#backoffMs * 2);
-		} else {
+		} else if (result.outcome !== callOutcomes.notSent) {
 			setWait(retryDelayMs);
 		}
 
--- a/packages/coordination/usage-windows/src/usage-windows.ts
+++ b/packages/coordination/usage-windows/src/usage-windows.ts
@@ -103,6 +103,12 @@
 		await this.#decideOldest(decidedTo);
 	}
 
+	/** Stores what is not stored yet, before this instance stops. */
+	async finish(): Promise<void> {
+		this.#savedAt = Number.NEGATIVE_INFINITY;
+		await this.update();
+	}
+
 	#updateTerm(): number | undefined {
 		const term = this.#opts.getTerm();
 		if (this.#led?.term !== term) {
--- a/packages/net/http-answer/src/http-call.ts
+++ b/packages/net/http-answer/src/http-call.ts
@@ -44,8 +44,6 @@
 	head: AnswerHead | undefined;
 	/** Set when the body has ended without an error. */
 	received: ReceivedAnswer | undefined;
-	/** The request was given to the connection; before, the server can't have any of it. */
-	isWritten = false;
 	readonly #watch = new ConnectionWatch();
 	readonly #client: Client;
 	readonly #opts: HttpCallOptions;
@@ -94,10 +92,7 @@
 		if (this.#isClosed || this.#opts.canSend?.() === false) {
 			this.#fail('ERR_HICKORYTRACK_CALL_CANCELLED', 'The call was not allowed any more when its connection was open');
 			controller.abort(this.#error!);
-			return;
 		}
-
-		this.isWritten = true;
 	}
 
 	onResponseStart(_controller: Dispatcher.DispatchController, status: number, headers: AnswerHead['headers']): void {
--- a/packages/plugins/edge/src/buffered/buffered-forwarder.ts
+++ b/packages/plugins/edge/src/buffered/buffered-forwarder.ts
@@ -24,7 +24,7 @@
 } from '../front/caller-request.js';
 import {computeLimitWaitMs} from '../limits/server-limits.js';
 import {
-	createAnswerIdentity, createOutboundRequest, computeRemainingMs, defaultRetryAfterMs, type ForwardContext,
+	countAnsweredRun, createAnswerIdentity, createOutboundRequest, computeRemainingMs, defaultRetryAfterMs, type ForwardContext,
 } from '../calls/forward-context.js';
 
 /** Time after which an idempotent request is started at another server as well, as a fraction of the time until its deadline. */
@@ -182,11 +182,17 @@
 		const inFlightLoad = loadTracker.add(server.id, 0);
 		try {
 			const result = await runAttempt(client, server.address, {
-				clock, signal: this.#request.signal, timeoutMs: this.#remainingMs, canceller, hold: this.#request.answerHold, request: createOutboundRequest(this.#context, this.#request, {
+				clock, signal: this.#request.signal, timeoutMs: this.#remainingMs, canceller, hold: this.#request.answerHold, onHead: head => {
+					countAnsweredRun(this.#context, this.#request, head);
+				}, request: createOutboundRequest(this.#context, this.#request, {
 					server, permit, grant, needsVerifiedConnection: !this.#isRetryable,
 				}),
 			});
 			permit.finish({isWritten: result.isWritten, isAccepted: true});
+			if (result.outcome !== attemptOutcomes.answered && result.isWritten) {
+				this.#request.countRun?.();
+			}
+
 			return result;
 		} finally {
 			// A grant that was used stays used.
--- a/packages/plugins/edge/src/calls/attempt.ts
+++ b/packages/plugins/edge/src/calls/attempt.ts
@@ -55,6 +55,8 @@
 	relay?: EventSink;
 	/** Tells whether a response with this head may be forwarded as a stream. */
 	isStream?: (head: ResponseHead) => boolean;
+	/** Called with the head of the answer before any of its body. */
+	onHead?: (head: ResponseHead) => void;
 	onFirstByte?: () => void;
 	/** Holds the answer until the caller has it; without it, the answer is held no longer than the attempt. */
 	hold?: AnswerHold;
@@ -266,6 +268,7 @@
 
 	onHead(head: ResponseHead): void {
 		this.#head = head;
+		this.#opts.onHead?.(head);
 		if (this.#opts.relay && (this.#opts.isStream?.(head) ?? false)) {
 			this.#isStreamed = true;
 			this.#opts.relay.open(head);
--- a/packages/plugins/edge/src/calls/forward-context.ts
+++ b/packages/plugins/edge/src/calls/forward-context.ts
@@ -1,7 +1,7 @@
 /** State and services that all forwarders of an instance share. */
 import type {BackgroundTasks} from '@hickorytrack/background-tasks';
 import type {Clock} from '@hickorytrack/clock';
-import type {EndpointClient, OutboundRequest} from '@hickorytrack/endpoint-client';
+import type {EndpointClient, OutboundRequest, ResponseHead} from '@hickorytrack/endpoint-client';
 import type {SendGrant} from '@hickorytrack/endpoint-client/send-grant';
 import type {AnswerIdentity} from '@hickorytrack/endpoint-client/answer-identity';
 import type {EngineProfile} from '@hickorytrack/engine-profile';
@@ -65,6 +65,13 @@
 	return requestId === undefined ? undefined : codec.createAnswerIdentity(requestId);
 }
 
+/** Counts the request when the head of an answer says that a server has run it. */
+export function countAnsweredRun({codec}: ForwardContext, {countRun}: CallerRequest, head: ResponseHead): void {
+	if (countRun && !codec.decodeResponseHead(head).isNotExecuted) {
+		countRun();
+	}
+}
+
 /** Creates the request to a server for a caller's request, which is sent at once. */
 export function createOutboundRequest(context: ForwardContext, request: CallerRequest, metadata: Omit<ForwardMetadata, 'remainingMs'> & {needsVerifiedConnection: boolean; permit: SendPermit; grant: SendGrant}): OutboundRequest {
 	const {needsVerifiedConnection, permit, grant, ...rest} = metadata;
--- a/packages/plugins/edge/src/edge-settings.ts
+++ b/packages/plugins/edge/src/edge-settings.ts
@@ -6,7 +6,9 @@
 import type {MetricsRegistry} from '@hickorytrack/metrics-registry';
 import type {Random} from '@hickorytrack/random';
 import type {RouteConfiguration} from '@hickorytrack/route-table/route-types';
+import type {DutyTransport} from '@hickorytrack/singleton-duty/duty';
 import {TrafficMixStagePlanner, StaticStagePlanner} from '@hickorytrack/stage-control/stage-planner';
+import type {WindowReport} from '@hickorytrack/usage-windows/usage-duty';
 import type {RequestCodec} from './request-codec.js';
 
 /** Stage planners by their name in the settings. */
@@ -39,6 +41,17 @@
 	graceMs: number;
 	/** One answer may hold a quarter of this in memory; all together are bounded by the account. */
 	answerMemoryBytes: number;
+	/** Without it, requests are not counted. */
+	usage?: UsageSettings;
+};
+
+/** How the requests of workspaces are counted and reported. */
+export type UsageSettings = {
+	windowMs: number;
+	/** Time after the end of a window at which its report is due, in milliseconds. */
+	dueMs: number;
+	/** Calls to the infrastructure that all instances together may make. */
+	callsPerSecond: number;
 };
 
 export type EdgeOptions = {
@@ -49,6 +62,8 @@
 	codec: RequestCodec;
 	/** Decodes a stored document; the document was validated before it was stored. */
 	decodeConfiguration: (document: unknown) => RouteConfiguration;
+	/** Sends the calls to the infrastructure that one instance makes at a time; without it, none are made. */
+	dutyTransport?: DutyTransport<WindowReport>;
 	/** Only on core machines. */
 	storage?: LogStorage;
 	incarnation: string;
--- a/packages/plugins/edge/src/edge.ts
+++ b/packages/plugins/edge/src/edge.ts
@@ -5,6 +5,7 @@
  */
 import {err, ok, type Result} from 'neverthrow';
 import type {BackgroundTasks} from '@hickorytrack/background-tasks';
+import {waitWithTimeout} from '@hickorytrack/clock';
 import {CrashAttribution} from '@hickorytrack/crash-attribution';
 import type {BanKeeper} from '@hickorytrack/crash-attribution/ban-keeper';
 import {
@@ -51,6 +52,8 @@
 import {ServerHealth} from './calls/server-health.js';
 import {OriginLink} from './sharing/origin-link.js';
 import {computeLongestLifetimeMs} from './streams/request-origin.js';
+import {createUsageDuty, hasWorkspaces, type UsageDutyParts} from './usage/create-usage-duty.js';
+import {UsageLink} from './usage/usage-link.js';
 import {TakeUps} from './streams/take-ups.js';
 import {newsSources, ServerLimits} from './limits/server-limits.js';
 import {setGauges, setServiceGauges} from './edge-gauges.js';
@@ -64,6 +67,8 @@
 const peerTiming: PeerTiming = {heartbeatMs: 300, silenceMs: 1000, requestTimeoutMs: 1500};
 /** Number of reports that a server may miss before it is no longer used. */
 const maxMissedReports = 5;
+/** A few round trips between instances and a write to the disks of the core, in milliseconds. */
+const maxFinishUsageMs = 300;
 /** Fraction of a server's connection limit that all instances together use. */
 const usedConnectionFraction = 0.8;
 export class EdgeError extends HickorytrackError {}
@@ -97,6 +102,8 @@
 	readonly #limitNews: LimitNews;
 	readonly #limitSharing: LimitSharing;
 	readonly #stageControl: StageControl | undefined;
+	readonly #usageLink: UsageLink | undefined;
+	readonly #usageDuty: UsageDutyParts | undefined;
 	readonly #abortController = new AbortController();
 	readonly #stopController = new AbortController();
 	#routes: RouteTable | undefined;
@@ -228,6 +235,13 @@
 			loadTracker: this.#loadTracker,
 			listServices: () => (this.#routes?.configuration.services ?? []).filter(service => service.modelServer).map(service => service.name),
 		});
+		this.#usageLink = settings.usage && new UsageLink({
+			clock, tasks, mesh: this.mesh, configuration: this.configuration, windowMs: settings.usage.windowMs, incarnation: opts.incarnation,
+		});
+		this.#usageDuty = core && settings.usage && createUsageDuty({
+			...opts, usage: settings.usage, core, mesh: this.mesh, link: this.#usageLink!,
+		});
+		this.#usageLink?.answer(this.#usageDuty?.windows);
 		this.#frontend = new HttpFrontend({
 			clock, random, tasks, codec, account: opts.account, notReadyRetryAfterMs: defaultRetryAfterMs, drainAcceptMs: computeDrainAcceptMs(settings.graceMs), getRoutes: () => this.configuration.isConfirmed ? this.#routes : undefined, forward: async request => this.#forward(request), ...this.#requestLog.frontendListeners,
 		});
@@ -271,6 +285,9 @@
 		this.configuration.start(this.#core);
 		this.#stateSharing.run(this.#abortController.signal);
 		this.#startTask('stage-control', async signal => this.#stageControl?.run(signal));
+		this.#startTask('usage-link', async signal => this.#usageLink?.run(signal));
+		this.#startTask('usage-windows', async signal => this.#usageDuty?.windows.run(signal));
+		this.#startTask('usage-duty', async signal => this.#usageDuty?.duty?.run(signal));
 		this.#startTask('stream-origins', async () => this.#origins.run());
 		this.#startTask('version-retirement', async signal => this.#versionRetirement?.run(signal));
 		this.#startTask('ban-keeper', async signal => this.#banKeeper?.run(signal));
@@ -301,6 +318,7 @@
 		// Before the connections to the servers are closed, so that no request is sent to another server for lack of them.
 		await this.#frontend.finishOpenRequests(until - clock.monotonic());
 		await this.#frontend.finishCloses(until - clock.monotonic());
+		await this.#finishUsage(Math.min(maxFinishUsageMs, until - clock.monotonic()));
 		this.#abortController.abort();
 		this.#crashReports.stop();
 		this.#origins.stop();
@@ -345,6 +363,7 @@
 			members: this.mesh.listMembers().map(member => member.instance),
 			relay: this.#stateSharing.relay,
 			stages: this.#stageControl?.dump(),
+			duty: this.#usageDuty?.duty?.dump(),
 			profile: this.#profile.dump(),
 			limits: this.#limits.describe(this.registry.list()),
 			streamOrigins: this.#origins.dump(),
@@ -373,6 +392,13 @@
 		this.recordExit();
 	}
 
+	/** Passes on the counts of this instance, so that a planned stop loses none. */
+	async #finishUsage(maxMs: number): Promise<void> {
+		if (maxMs > 0 && this.#usageLink) {
+			await waitWithTimeout(this.#usageDuty && this.#core?.isLeader ? this.#usageDuty.windows.finish() : this.#usageLink.finish(), maxMs, this.#opts.clock);
+		}
+	}
+
 	/** Instances by which limits that all of them share are divided. */
 	#countEdges(): number {
 		return this.mesh.highestMemberCount;
@@ -391,6 +417,10 @@
 		const configuration = this.#opts.decodeConfiguration(stored.document);
 		this.#routes = new RouteTable(configuration);
 		this.#frontend.applyLimits(configuration.limits);
+		if (hasWorkspaces(configuration)) {
+			this.#usageLink?.counter.begin();
+		}
+
 		this.#opts.events.emit('configurationInstalled', {version: stored.version, routes: configuration.routes.length});
 	}
 
@@ -406,7 +436,9 @@
 			return;
 		}
 
-		const admitted = {...takenUp, answerHold: createAnswerHold(request, {...this.#opts, requestLog: this.#requestLog}), ...(isTrial && {isTrial, route: {...request.route, maxServers: 1}})};
+		const admitted = {
+			...takenUp, answerHold: createAnswerHold(request, {...this.#opts, requestLog: this.#requestLog}), countRun: this.#usageLink?.createRunCount(request.workspace), ...(isTrial && {isTrial, route: {...request.route, maxServers: 1}}),
+		};
 		const result = await this.#deadlineGuard.run(admitted, async guarded => {
 			const forwarder = request.route.kind === requestKinds.streaming ? new StreamingForwarder(this.#context, guarded) : new BufferedForwarder(this.#context, guarded);
 			return forwarder.forward();
--- a/packages/plugins/edge/src/front/caller-request.ts
+++ b/packages/plugins/edge/src/front/caller-request.ts
@@ -54,6 +54,10 @@
 	answerHold?: AnswerHold;
 	/** Aborts when the caller disconnects, and with a drop reason when this side ends the caller's connection. */
 	signal: AbortSignal;
+	/** Name of the workspace whose key it carries; undefined on public routes, and without workspaces. */
+	workspace?: string;
+	/** Counts the request for its workspace, once however often it is called; a server has run it or may have. */
+	countRun?: () => void;
 	/** By what its runs are recognised in crashes of servers, at whichever instance they arrive. */
 	traits: RunTraits;
 	/** The stream that it takes up: the version at which it must go on. */
--- a/packages/plugins/edge/src/streams/stream-calls.ts
+++ b/packages/plugins/edge/src/streams/stream-calls.ts
@@ -13,7 +13,9 @@
 	attemptOutcomes, runAttempt, type AttemptResult, type SilenceOptions,
 } from '../calls/attempt.js';
 import type {CallerRequest} from '../front/caller-request.js';
-import {createOutboundRequest, computeRemainingMs, type ForwardContext} from '../calls/forward-context.js';
+import {
+	countAnsweredRun, createOutboundRequest, computeRemainingMs, type ForwardContext,
+} from '../calls/forward-context.js';
 import type {KvHandle} from '../request-codec.js';
 import type {SendPermit} from '../limits/send-permits.js';
 import {selectBackup} from './backup-server.js';
@@ -166,6 +168,7 @@
 		const load = loadTracker.getLoad(server.id);
 		const inFlightLoad = loadTracker.add(server.id, handle ? 0 : placement.prefillTokens, {isStream: isLongOutput});
 		let firstByteAt: number | undefined;
+		let isStream = false;
 		const startedAt = clock.monotonic();
 		const refutation = new AbortController();
 		const heldEvents = lastEventId === undefined
@@ -184,7 +187,17 @@
 			relay: heldEvents ?? run,
 			isStream: head => this.#isStream(head),
 			silence: isRetryable || run.backupServer ? this.#createSilenceOptions(run, server, placement.predictedMs) : undefined,
+			onHead: head => {
+				isStream = this.#isStream(head);
+				if (!isStream) {
+					countAnsweredRun(this.#context, this.#request, head);
+				}
+			},
 			onFirstByte: () => {
+				if (isStream) {
+					this.#request.countRun?.();
+				}
+
 				inFlightLoad.releasePrefill();
 				firstByteAt = clock.monotonic();
 				this.firstByteMs ??= firstByteAt - this.#request.arrivedAt;
--- a/packages/plugins/edge/src/streams/stream-results.ts
+++ b/packages/plugins/edge/src/streams/stream-results.ts
@@ -68,6 +68,7 @@
 		const {health, crashReports} = this.#context;
 		const {relay, progress, endConfirmation} = this.#opts;
 		progress.isNotExecuted = false;
+		this.#request.countRun?.();
 		health.recordSuccess(server);
 		const answer = endConfirmation.hasUnconfirmedEnd(received) ? await endConfirmation.confirm(run, server, {received, predictedMs: progress.predictedMs ?? 0}) : received;
 		if (this.#request.signal.aborted) {
@@ -101,7 +102,9 @@
 	/** Records whether the server may have run the request, and releases the KV cache that it did not fetch. */
 	#recordNotAnswered({isWritten}: AttemptResult, handle: KvHandle | undefined): void {
 		this.#opts.progress.isNotExecuted &&= !isWritten;
-		if (!isWritten) {
+		if (isWritten) {
+			this.#request.countRun?.();
+		} else {
 			this.releaseKvHandle(handle);
 		}
 	}
--- a/packages/routing/route-store/src/core-state.ts
+++ b/packages/routing/route-store/src/core-state.ts
@@ -37,7 +37,9 @@
 	/** Streams begin, servers crash and requests are counted only under a configuration, so there is no state without one. */
 	createSnapshot(): unknown {
 		const configuration = this.#routes.createSnapshot() as StoredConfiguration | null;
-		return configuration && {...configuration, streamOrigins: this.#origins.createSnapshot(), crashBans: this.#bans.createSnapshot(), usageWindows: this.#usage.createSnapshot()};
+		return configuration && {
+			...configuration, streamOrigins: this.#origins.createSnapshot(), crashBans: this.#bans.createSnapshot(), usageWindows: this.#usage.createSnapshot(),
+		};
 	}
 
 	restoreSnapshot(state: unknown): void {
--- a/packages/routing/route-store/test/core-state.test.ts
+++ b/packages/routing/route-store/test/core-state.test.ts
@@ -19,7 +19,9 @@
 const usage = {
 	kind: 'usage-windows', begin: 7, totals: [['i1', [[9, [['w1', 2], ['w2', 1]]]]]], decided: [8, [['w1', 3]]], accepted: 8,
 };
-const commands = {configuration, origins, bans, usage};
+const commands = {
+	configuration, origins, bans, usage,
+};
 
 /** Lists copies of a value in which one field or element has an odd value. */
 function listVariants(value: unknown): unknown[] {
