--- a/packages/coordination/singleton-duty/test/singleton-duty.test.ts
+++ b/packages/coordination/singleton-duty/test/singleton-duty.test.ts
@@ -107,6 +107,10 @@
 		['suspended machine', async () => {
 			clock.wallOffsetMs += 4000;
 		}],
+		['stopped process whose wall clock was set back', async () => {
+			await clock.advance(4000);
+			clock.wallOffsetMs -= 4000;
+		}],
 		['machine whose wall clock was set back', async () => {
 			clock.wallOffsetMs -= 4000;
 		}],
--- a/packages/coordination/usage-windows/src/usage-windows.ts
+++ b/packages/coordination/usage-windows/src/usage-windows.ts
@@ -178,6 +178,12 @@
 			return;
 		}
 
+		// The wall clock of this instance may have been set ahead; a window that is decided too early has lost its requests.
+		const others = this.#listRecent().filter(([sender]) => sender !== this.#opts.counter.sender);
+		if (others.length > 0 && others.every(([, {until}]) => until < end)) {
+			return;
+		}
+
 		const counts = this.#sum(window);
 		await propose({kind: 'usage-windows', decided: [window, counts]});
 		if ((store.decidedTo ?? -1) < window) {
@@ -195,11 +201,15 @@
 
 	/** Lists the instances that are connected, or were heard of late, and have not reported past the time. */
 	#listMissing(end: number): string[] {
-		const now = this.#opts.clock.monotonic();
-		const recent = [...this.#collected].filter(([, {heardAt}]) => now - heardAt < latestMs).map(([sender]) => sender);
+		const recent = this.#listRecent().map(([sender]) => sender);
 		return [...new Set([...this.#opts.listSenders(), ...recent])].filter(sender => (this.#collected.get(sender)?.until ?? 0) < end);
 	}
 
+	#listRecent(): Array<[sender: string, collected: Collected]> {
+		const now = this.#opts.clock.monotonic();
+		return [...this.#collected].filter(([, {heardAt}]) => now - heardAt < latestMs);
+	}
+
 	/** Adds up the totals of all senders, each of them as high as it is known here or in the log. */
 	#sum(window: number): WorkspaceCount[] {
 		const {store} = this.#opts;
--- a/packages/coordination/usage-windows/test/usage-fleet.ts
+++ b/packages/coordination/usage-windows/test/usage-fleet.ts
@@ -2,6 +2,7 @@
  * A core of three members and further instances in simulated time, without a network: one log that all members apply, a leader
  * that the test elects, and an infrastructure that checks the rules of holders and of reports at each call.
  */
+import type {Clock} from '@hickorytrack/clock';
 import {ManualClock} from '@hickorytrack/clock/manual-clock';
 import {SingletonDuty} from '@hickorytrack/singleton-duty';
 import {callOutcomes, type CallResult, type DutyTransport} from '@hickorytrack/singleton-duty/duty';
@@ -49,7 +50,8 @@
 		let isAgain = true;
 		while (isAgain) {
 			const report = this.counter.createReport()!;
-			isAgain = this.counter.handleReply(report, leader.windows.collect(structuredClone(report)));
+			const reply = leader.windows.collect(structuredClone(report));
+			isAgain = !this.fleet.areRepliesLost && this.counter.handleReply(report, reply);
 		}
 	}
 }
@@ -61,6 +63,8 @@
 	/** The term in which it believes that it leads. */
 	term: number | undefined;
 	isFrozen = false;
+	/** By how much its wall clock is ahead, in milliseconds. */
+	clockOffsetMs = 0;
 	/** What a confirmation waits for. */
 	confirmation: Promise<void> = Promise.resolve();
 
@@ -71,8 +75,12 @@
 			this.store.apply(structuredClone(command));
 		}
 
+		const {clock} = fleet;
+		const ownClock: Clock = {
+			now: () => clock.now() + this.clockOffsetMs, monotonic: () => clock.monotonic(), sleep: async (ms, signal) => clock.sleep(ms, signal), startTimer: (ms, onExpired) => clock.startTimer(ms, onExpired),
+		};
 		this.windows = new UsageWindows({
-			clock: fleet.clock, events: fleet, windowMs, dueMs: 10_000, counter: this.counter, store: this.store, getTerm: () => this.term, listSenders: () => fleet.listOthers(this), propose,
+			clock: ownClock, events: fleet, windowMs, dueMs: 10_000, counter: this.counter, store: this.store, getTerm: () => this.term, listSenders: () => fleet.listOthers(this), propose,
 		});
 		this.duty = new SingletonDuty({
 			clock: fleet.clock, events: fleet, leadership: this,
@@ -97,6 +105,7 @@
 	/** Requests that were counted, by workspace. */
 	readonly counted: Record<string, number> = {};
 	leader: Member | undefined;
+	areRepliesLost = false;
 	term = 0;
 	/** What the infrastructure answers. */
 	answer: (call: SentCall) => Promise<CallResult> | CallResult = () => ({outcome: callOutcomes.accepted, status: 200});
--- a/packages/coordination/usage-windows/test/usage-windows.test.ts
+++ b/packages/coordination/usage-windows/test/usage-windows.test.ts
@@ -108,10 +108,10 @@
 
 	// Guards against a leader that decides before the instances have reported to it, and against a decision that waits for a lost one.
 	it('waits for an instance that is late, at most 5 s', async () => {
-		await fleet.run(20_000, countAll);
+		await fleet.run(23_000, countAll);
 		const late = fleet.others[1]!;
 		late.isCut = true;
-		await fleet.run(3000, countAll);
+		await fleet.run(4000, countAll);
 		late.isCut = false;
 		await fleet.run(30_000);
 		expect(fleet.reported).to.deep.equal(fleet.counted);
@@ -152,6 +152,29 @@
 		expect(fleet.calls.at(-1)!.window).to.be.above(Math.max(...windows));
 	});
 
+	// Guards against a leader whose clock is set ahead, which would decide the windows of the next hour as empty ones.
+	it('is not decided by the clock of the leader alone', async () => {
+		await fleet.run(12_000, countAll);
+		fleet.members[0]!.clockOffsetMs = 3_600_000;
+		await fleet.run(8000, countAll);
+		fleet.members[0]!.clockOffsetMs = 0;
+		await fleet.run(30_000);
+		expect(fleet.reported).to.deep.equal(fleet.counted);
+	});
+
+	// Guards against a new leader that takes what has changed since the last leader for all totals.
+	it('is not decided with the changes alone that instances send to a new leader', async () => {
+		await fleet.run(20_000, countAll);
+		fleet.others[0]!.count('w2');
+		await fleet.run(1100, countAll);
+		fleet.elect(fleet.members[1]!);
+		fleet.areRepliesLost = true;
+		await fleet.run(7500, countAll);
+		fleet.areRepliesLost = false;
+		await fleet.run(30_000);
+		expect(fleet.reported).to.deep.equal(fleet.counted);
+	});
+
 	// Guards against a state that grows for ever, and against a forgotten window that a late record decides again.
 	it('forgets accepted windows, and never decides one again', async () => {
 		await fleet.run(200_000);
--- a/packages/plugins/edge/src/edge.ts
+++ b/packages/plugins/edge/src/edge.ts
@@ -3,6 +3,7 @@
  * follows the route configuration, shares the registry of servers with the other instances, and forwards each request.
  * On a machine of the core (the group that replicates the route configuration) it also runs a member of that group.
  */
+import {setMaxListeners} from 'node:events';
 import {err, ok, type Result} from 'neverthrow';
 import type {BackgroundTasks} from '@hickorytrack/background-tasks';
 import {waitWithTimeout} from '@hickorytrack/clock';
@@ -112,6 +113,8 @@
 
 	constructor(opts: EdgeOptions) {
 		this.#opts = opts;
+		// Each task of the edge listens for its end.
+		setMaxListeners(0, this.#abortController.signal);
 		const tasks = createBackgroundTasks(opts);
 		this.tasks = tasks;
 		const {settings, clock, random, events, codec} = opts;
--- a/packages/plugins/edge/src/usage/usage-link.ts
+++ b/packages/plugins/edge/src/usage/usage-link.ts
@@ -58,7 +58,7 @@
 		while (!signal.aborted) {
 			await clock.sleep(Math.min(reportIntervalMs, this.counter.windowEndsInMs + afterEndMs), signal);
 			// A new leader asks for all totals in its answer to the first report.
-			if (await this.#report()) {
+			if (!signal.aborted && await this.#report()) {
 				await this.#report();
 			}
 		}
--- a/packages/plugins/edge/test/retry-fleet.ts
+++ b/packages/plugins/edge/test/retry-fleet.ts
@@ -95,6 +95,8 @@
 	/** Times at which callers sent requests. */
 	readonly requests: number[] = [];
 	readonly arrivals: Arrival[] = [];
+	/** Calls that count a request for its workspace, by request id. */
+	readonly runCounts = new Map<string, number>();
 	readonly results: RequestResult[] = [];
 	readonly faults = new Map<string, ServerFaults>();
 	readonly #clock: ManualClock;
@@ -164,6 +166,9 @@
 			deadlineAt: now + timeoutMs,
 			response: createResponse(),
 			signal: new AbortController().signal,
+			countRun: () => {
+				this.runCounts.set(requestId, (this.runCounts.get(requestId) ?? 0) + 1);
+			},
 			traits: {request: requestId, parts: []},
 		});
 		void forwarder.forward().then(result => {
