edge: placement counts the own link and processor, and readiness follows capacity

Cause: a hand-over writes the prompt twice over a link that may take as long as its prefill, weak instances keep their callers, and samples measured there include the wait for their own link. Change: own-resources models the link as a virtual queue and measures the delay of the event loop; placement and admission add both, prefill samples leave them out. Instances tell each other their capacity every second, and a weak one outside the ready set of its zone reports not ready and closes connections after its answers. Result: decision tests only; no load was run.

--- a/packages/core/events/src/event-catalogue.ts
+++ b/packages/core/events/src/event-catalogue.ts
@@ -305,6 +305,12 @@
 	controlRefused: {
 		number: 1782, level: 'warn', text: 'A control call was refused, or its connection closed, so that calls of others have room; the reason says why', action: 'Check who calls from the address; a caller that got 503 calls again.',
 	},
+	readySetLeft: {
+		number: 1792, level: 'info', text: 'The stronger instances of the zone carry its load, so this one reports not ready; it answers what it gets', action: 'Nothing; use --capacity-readiness off if it should stay ready.',
+	},
+	readySetEntered: {
+		number: 1793, level: 'info', text: 'The zone needs this instance, which reports ready again', action: noAction,
+	},
 } as const satisfies Record<string, EventDefinition>;
 
 export type EventName = keyof typeof eventCatalogue;
--- a/packages/core/types/src/parse-peer-message.ts
+++ b/packages/core/types/src/parse-peer-message.ts
@@ -7,7 +7,7 @@
 import {parsePeerMember} from './parse-peer-member.js';
 import {parseServerRecord} from './parse-server-record.js';
 import {
-	shareScopes, type ConfigurationDocument, type LoadEntry, type LoadShare, type PeerMethodName, type PeerMethods, type StoredPrompt, type StreamOriginView, type StreamOriginWrite, type StreamSend,
+	shareScopes, type CapacityEntry, type ConfigurationDocument, type LoadEntry, type LoadShare, type PeerMethodName, type PeerMethods, type StoredPrompt, type StreamOriginView, type StreamOriginWrite, type StreamSend,
 } from './peer-methods.js';
 
 /** Called for each element of a list that is left out. */
@@ -147,6 +147,11 @@
 	return [id, startedAt, sequence as number];
 }
 
+function parseCapacity(value: unknown): CapacityEntry {
+	const entry = Fields.openTuple(value);
+	return [entry.readText('0'), entry.readText('1'), entry.readNumber('2', notNegative), entry.readNumber('3', notNegative), entry.readNumber('4', notNegative), entry.readNumber('5', notNegative)];
+}
+
 function parseLimit(value: unknown): PeerMethods['limit.note']['params']['limits'][number] {
 	const limit = new Fields(value, {name: 'a limit'});
 	return {
@@ -223,6 +228,7 @@
 		params: fields => ({server: fields.readText('server'), startedAt: fields.readNumber('startedAt', wholeNumber), stage: fields.readOneOf('stage', stages)}),
 	},
 	'load.share': {params: readShare},
+	'capacity.note': {params: (fields, onLeftOut) => ({instances: readEach(fields.readList('instances'), parseCapacity, onLeftOut)})},
 	'limit.note': {params: (fields, onLeftOut) => ({limits: readEach(fields.readList('limits'), parseLimit, onLeftOut)})},
 	'limit.acquire': {
 		params: fields => ({
--- a/packages/core/types/src/peer-methods.ts
+++ b/packages/core/types/src/peer-methods.ts
@@ -190,6 +190,9 @@
 	stored: StoredPrompt[];
 };
 
+/** Capacity of an instance and what it uses of it; the fields are documented in `@hickorytrack/own-resources`. */
+export type CapacityEntry = [instance: string, availabilityZone: string, processorShare: number, linkMbps: number, usedProcessor: number, usedMbps: number];
+
 /** Parameters and result of each method, by name. Notifications have the result `void`. */
 export type PeerMethods = {
 	'log.message': {params: {payload: unknown}; result: {payload: unknown}};
@@ -236,6 +239,8 @@
 	/** A server was ordered to change its stage; it is excluded from placement until its reports show the new stage. */
 	'stage.note': {params: {server: string; startedAt: number; stage: 'prefill' | 'decode'}; result: void};
 	'load.share': {params: LoadShare; result: void};
+	/** The sender's own capacity, and from a relay to its leaf those of other instances of the leaf's zone. */
+	'capacity.note': {params: {instances: readonly CapacityEntry[]}; result: void};
 	/** Limits of servers, and those that have ended; the fields are documented in `@hickorytrack/shared-rate`. */
 	'limit.note': {params: {limits: ReadonlyArray<{id: string; startedAt: number; perSecond?: number; ageMs: number}>}; result: void};
 	/** Asks for grants to send requests to a limited server. One that does not issue them for this server grants none. */
--- a/packages/net/peer-link/src/peer-connection.ts
+++ b/packages/net/peer-link/src/peer-connection.ts
@@ -62,6 +62,8 @@
 	bufferedMessages: unknown[];
 	/** Byte counters shared by all connections of the process. */
 	traffic: PeerTraffic;
+	/** Called for each message that is written, with its size. */
+	onSent?: (bytes: number) => void;
 	decoder: FrameDecoder;
 	/** Bytes held by all connections of the process. */
 	bytes: LinkBytes;
@@ -88,6 +90,7 @@
 	readonly #clock: Clock;
 	readonly #timing: PeerTiming;
 	readonly #traffic: PeerTraffic;
+	readonly #onSent: ((bytes: number) => void) | undefined;
 	readonly #rpc: JSONRPCServerAndClient;
 	readonly #decoder: FrameDecoder;
 	readonly #bytes: LinkBytes;
@@ -108,6 +111,7 @@
 		this.#clock = opts.clock;
 		this.#timing = opts.timing;
 		this.#traffic = opts.traffic;
+		this.#onSent = opts.onSent;
 		this.remote = opts.remote;
 		this.#lastReceivedAt = opts.clock.monotonic();
 		this.#lastSentAt = this.#lastReceivedAt;
@@ -264,6 +268,7 @@
 		this.#cork();
 		const frame = encodeFrame(message);
 		this.#traffic.sentBytes += frame.length;
+		this.#onSent?.(frame.length);
 		this.#socket.write(frame);
 		this.#updateBacklog();
 	}
--- a/packages/net/peer-link/src/peer-node.ts
+++ b/packages/net/peer-link/src/peer-node.ts
@@ -56,6 +56,8 @@
 	onRefused?: (refusal: LinkRefusal) => void;
 	/** Called for a message, or an element of one, that can't be used. */
 	onUnusable?: (unusable: UnusableMessage & {instance: string}) => void;
+	/** Called for each message that is written on any connection, with its size. */
+	onSent?: (bytes: number) => void;
 	/** Owner of the tasks and listeners of all connections; without it, their errors are printed as warnings. */
 	tasks?: BackgroundTasks;
 	/** Opens a socket; only tests replace it. */
@@ -360,7 +362,7 @@
 	#createConnection(socket: Socket, remote: PeerMember, reader: HandshakeReader): PeerConnection {
 		const bufferedMessages = reader.release();
 		const connection = new PeerConnection(socket, {
-			clock: this.#opts.clock, timing: this.#opts.timing, remote, handlers: this.#handlers, bufferedMessages, decoder: reader.decoder, traffic: this.traffic, bytes: this.#bytes, tasks: this.#tasks, onRefused: reason => {
+			clock: this.#opts.clock, timing: this.#opts.timing, remote, handlers: this.#handlers, bufferedMessages, decoder: reader.decoder, traffic: this.traffic, onSent: this.#opts.onSent, bytes: this.#bytes, tasks: this.#tasks, onRefused: reason => {
 				this.#reportRefused({address: socket.remoteAddress ?? remote.address, instance: remote.instance, reason});
 			}, onUnusable: unusable => {
 				this.#reportUnusable({...unusable, instance: remote.instance});
--- a/packages/plugins/edge/src/calls/create-forward-context.ts
+++ b/packages/plugins/edge/src/calls/create-forward-context.ts
@@ -15,8 +15,8 @@
 import type {ForwardContext} from './forward-context.js';
 
 export type ForwardContextOptions = Pick<EdgeOptions, 'settings' | 'clock' | 'random' | 'codec' | 'metrics' | 'account'>
-	& Pick<ForwardContext, 'tasks' | 'registry' | 'health' | 'limits' | 'loadTracker' | 'profile' | 'crashReports' | 'origins' | 'eventLog' | 'getConnectionLimit'>
-	& Pick<EndpointClientOptions, 'onForeignAnswer' | 'onHandlerFailed'>
+	& Pick<ForwardContext, 'tasks' | 'registry' | 'health' | 'limits' | 'loadTracker' | 'profile' | 'ownResources' | 'crashReports' | 'origins' | 'eventLog' | 'getConnectionLimit'>
+	& Pick<EndpointClientOptions, 'onSent' | 'onForeignAnswer' | 'onHandlerFailed'>
 	& {
 		cacheIndex: PrefixCacheIndex;
 		partUsage: PartUsage;
@@ -53,7 +53,7 @@
 			if (request.isProved && !metadata.isNotExecuted) {
 				registry.recordAnswer(server);
 			}
-		}, onForeignAnswer: opts.onForeignAnswer, onHandlerFailed: opts.onHandlerFailed,
+		}, onSent: opts.onSent, onForeignAnswer: opts.onForeignAnswer, onHandlerFailed: opts.onHandlerFailed,
 	});
 	return {
 		clock,
@@ -66,6 +66,7 @@
 		limits,
 		loadTracker,
 		profile,
+		ownResources: opts.ownResources,
 		measurements: new AnswerMeasurements({cacheIndex, profile, health}),
 		client,
 		leastLoadPlacement: new LeastLoadPlacement({loadTracker, random, getFailureRate: server => health.getFailureRate(server)}),
--- a/packages/plugins/edge/src/calls/forward-context.ts
+++ b/packages/plugins/edge/src/calls/forward-context.ts
@@ -6,6 +6,7 @@
 import type {AnswerIdentity} from '@hickorytrack/endpoint-client/answer-identity';
 import type {EngineProfile} from '@hickorytrack/engine-profile';
 import type {EndpointRegistry, KnownServer} from '@hickorytrack/endpoint-registry';
+import type {OwnResources} from '@hickorytrack/own-resources';
 import type {LoadTracker} from '@hickorytrack/prompt-placement/load-tracker';
 import type {LeastLoadPlacement} from '@hickorytrack/prompt-placement/least-load-placement';
 import type {PromptPlacement} from '@hickorytrack/prompt-placement';
@@ -37,6 +38,8 @@
 	loadTracker: LoadTracker;
 	profile: EngineProfile;
 	measurements: AnswerMeasurements;
+	/** The link and processor of this instance; undefined unless one of them is weak. */
+	ownResources?: OwnResources;
 	leastLoadPlacement: LeastLoadPlacement;
 	promptPlacement: PromptPlacement;
 	retryBudget: RetryBudget;
@@ -51,11 +54,18 @@
 	getConnectionLimit: (service: string) => number;
 };
 
+/** Size of the head of a call, without its path. */
+const callHeadBytes = 500;
 /** Part of the caller's deadline that is reserved for returning the response, in milliseconds. */
 const responseMarginMs = 8;
 /** Retry-After of 503 responses without a better estimate, in milliseconds. */
 export const defaultRetryAfterMs = 150;
 
+/** Bytes that a call to a server sends for a caller's request. */
+export function countCallBytes({body}: CallerRequest): number {
+	return body.length + callHeadBytes;
+}
+
 export function computeRemainingMs(context: ForwardContext, request: CallerRequest): number {
 	return request.deadlineAt - context.clock.monotonic();
 }
--- a/packages/plugins/edge/src/edge-gauges.ts
+++ b/packages/plugins/edge/src/edge-gauges.ts
@@ -2,6 +2,7 @@
 import type {ByteAccount} from '@hickorytrack/byte-account';
 import type {EndpointRegistry} from '@hickorytrack/endpoint-registry';
 import type {MetricsRegistry} from '@hickorytrack/metrics-registry';
+import type {OwnResources} from '@hickorytrack/own-resources';
 import type {RetryBudget} from './limits/retry-budget.js';
 import type {ServerLimits} from './limits/server-limits.js';
 
@@ -36,6 +37,15 @@
 	metrics.set('log_lines_dropped_total', state.linesDropped);
 }
 
+/** The ready set is undefined where the instance does not take part in readiness by capacity. */
+export function setOwnGauges(metrics: Gauges, {link, processor, hasWeakProcessor}: OwnResources, readySetSize: number | undefined): void {
+	metrics.set('own_link_wait_ms', link.estimateWaitMs());
+	metrics.set('own_processor_wait_ms', processor.delayMs);
+	if (hasWeakProcessor && readySetSize !== undefined) {
+		metrics.set('ready_set_size', readySetSize);
+	}
+}
+
 export function setServiceGauges(metrics: Gauges, service: string, {registry, limits, retryBudget}: {registry: EndpointRegistry; limits: ServerLimits; retryBudget: RetryBudget}): void {
 	const servers = registry.listUsable(service);
 	const known = limits.describe(servers);
--- a/packages/plugins/edge/src/edge-settings.ts
+++ b/packages/plugins/edge/src/edge-settings.ts
@@ -4,6 +4,7 @@
 import type {EventLog} from '@hickorytrack/events';
 import type {LogStorage} from '@hickorytrack/log-storage';
 import type {MetricsRegistry} from '@hickorytrack/metrics-registry';
+import type {ResourceLimits} from '@hickorytrack/own-resources';
 import type {Random} from '@hickorytrack/random';
 import type {RouteConfiguration} from '@hickorytrack/route-table/route-types';
 import {TrafficMixStagePlanner, StaticStagePlanner} from '@hickorytrack/stage-control/stage-planner';
@@ -37,6 +38,10 @@
 	stagePlanner: keyof typeof stagePlanners;
 	/** Time from the stop signal until the process is killed, in milliseconds. */
 	graceMs: number;
+	/** What the machine gives the instance; a resource that is missing counts as unlimited. */
+	ownResources?: ResourceLimits;
+	/** A weak instance is ready only while its zone needs it; on unless false. */
+	hasCapacityReadiness?: boolean;
 	/** One answer may hold a quarter of this in memory; all together are bounded by the account. */
 	answerMemoryBytes: number;
 };
--- a/packages/plugins/edge/src/edge.ts
+++ b/packages/plugins/edge/src/edge.ts
@@ -12,6 +12,7 @@
 } from '@hickorytrack/endpoint-registry';
 import {EngineProfile} from '@hickorytrack/engine-profile';
 import {HickorytrackError, describeError} from '@hickorytrack/errors';
+import {OwnResources} from '@hickorytrack/own-resources';
 import {Mesh} from '@hickorytrack/mesh';
 import {parseAddress, PeerNode} from '@hickorytrack/peer-link/peer-node';
 import type {PeerTiming} from '@hickorytrack/peer-link/peer-connection';
@@ -53,9 +54,10 @@
 import {computeLongestLifetimeMs} from './streams/request-origin.js';
 import {TakeUps} from './streams/take-ups.js';
 import {newsSources, ServerLimits} from './limits/server-limits.js';
-import {setGauges, setServiceGauges} from './edge-gauges.js';
+import {setGauges, setOwnGauges, setServiceGauges} from './edge-gauges.js';
 import {ServerNews} from './sharing/server-news.js';
 import {computeDrainAcceptMs, stopMargins} from './stop-timing.js';
+import {CapacitySharing} from './sharing/capacity-sharing.js';
 import {StateSharing} from './sharing/state-sharing.js';
 
 /** Role that edges announce to other instances. */
@@ -97,6 +99,9 @@
 	readonly #limitNews: LimitNews;
 	readonly #limitSharing: LimitSharing;
 	readonly #stageControl: StageControl | undefined;
+	/** Undefined if the settings say nothing of the machine's link and processor. */
+	readonly #resources: OwnResources | undefined;
+	readonly #capacitySharing: CapacitySharing | undefined;
 	readonly #abortController = new AbortController();
 	readonly #stopController = new AbortController();
 	#routes: RouteTable | undefined;
@@ -108,8 +113,13 @@
 		const tasks = createBackgroundTasks(opts);
 		this.tasks = tasks;
 		const {settings, clock, random, events, codec} = opts;
+		this.#resources = settings.ownResources && new OwnResources({clock, ...settings.ownResources});
+		const resources = this.#resources;
+		const recordSent = resources && ((bytes: number) => {
+			resources.recordSent(bytes);
+		});
 		this.#peers = new PeerNode({
-			clock, random, tasks, timing: peerTiming, keys: [settings.peerKey], part: opts.account.getPart('links'), onRefused: createRefusalListener(opts), onUnusable: createUnusableListener(opts), member: {
+			clock, random, tasks, timing: peerTiming, keys: [settings.peerKey], part: opts.account.getPart('links'), onRefused: createRefusalListener(opts), onUnusable: createUnusableListener(opts), onSent: recordSent, member: {
 				instance: settings.instance, roles: opts.storage ? [edgeRole, coreRole] : [edgeRole], availabilityZone: settings.availabilityZone, address: settings.peerAddress, incarnation: opts.incarnation, features: Object.values(peerFeatures),
 			},
 		});
@@ -181,6 +191,8 @@
 			limits: this.#limits,
 			loadTracker: this.#loadTracker,
 			profile: this.#profile,
+			ownResources: resources?.isWeak ? resources : undefined,
+			onSent: recordSent,
 			cacheIndex: this.#cacheIndex,
 			partUsage: this.#partUsage,
 			crashReports: this.#crashReports,
@@ -208,6 +220,7 @@
 				this.#limitSharing.sendAll(leaf);
 			},
 		});
+		this.#capacitySharing = this.#createCapacitySharing();
 		this.#requestLog = new RequestLog({
 			clock, metrics: opts.metrics, eventLog: this.#context.eventLog, getVersion: () => this.configuration.current?.version,
 		});
@@ -229,7 +242,7 @@
 			listServices: () => (this.#routes?.configuration.services ?? []).filter(service => service.modelServer).map(service => service.name),
 		});
 		this.#frontend = new HttpFrontend({
-			clock, random, tasks, codec, account: opts.account, notReadyRetryAfterMs: defaultRetryAfterMs, drainAcceptMs: computeDrainAcceptMs(settings.graceMs), getRoutes: () => this.configuration.isConfirmed ? this.#routes : undefined, forward: async request => this.#forward(request), ...this.#requestLog.frontendListeners,
+			clock, random, tasks, codec, account: opts.account, notReadyRetryAfterMs: defaultRetryAfterMs, drainAcceptMs: computeDrainAcceptMs(settings.graceMs), getRoutes: () => this.configuration.isConfirmed ? this.#routes : undefined, forward: async request => this.#forward(request), isOutsideReadySet: () => this.#capacitySharing?.isOutside ?? false, onSent: recordSent, ...this.#requestLog.frontendListeners,
 		});
 		opts.metrics.onRead(() => {
 			this.#updateGauges();
@@ -238,6 +251,11 @@
 
 	/** Readiness: true while the instance accepts new connections. */
 	get isReady(): boolean {
+		return this.#isServing && !this.#capacitySharing?.isOutside;
+	}
+
+	/** Readiness, apart from the ready set of the zone. */
+	get #isServing(): boolean {
 		return !this.#isStopping && this.configuration.isConfirmed && this.#routes !== undefined;
 	}
 
@@ -273,6 +291,11 @@
 		this.#startTask('stage-control', async signal => this.#stageControl?.run(signal));
 		this.#startTask('stream-origins', async () => this.#origins.run());
 		this.#startTask('version-retirement', async signal => this.#versionRetirement?.run(signal));
+		if (this.#resources?.isWeak) {
+			this.#resources.processor.run(this.#abortController.signal);
+		}
+
+		this.#startTask('capacity-sharing', async signal => this.#capacitySharing?.run(signal));
 		this.#startTask('ban-keeper', async signal => this.#banKeeper?.run(signal));
 		events.emit('edgeStarted', {instance: settings.instance, isCore: this.#core !== undefined, isFirstStart: settings.isFirstStart});
 		return ok(undefined);
@@ -366,6 +389,7 @@
 		this.#isStopping = true;
 		this.#stopController.abort();
 		this.#frontend.startDrain();
+		this.#capacitySharing?.share();
 		events.emit('edgeStopping', {openRequests: this.#frontend.openRequests});
 		await waitForDrain(this.#frontend, {clock, maxMs: settings.graceMs - stopMargins.drainMs});
 		events.emit('edgeStopped', {openRequests: this.#frontend.openRequests});
@@ -373,6 +397,22 @@
 		this.recordExit();
 	}
 
+	#createCapacitySharing(): CapacitySharing | undefined {
+		const resources = this.#resources;
+		if (!resources || this.#opts.settings.hasCapacityReadiness === false) {
+			return undefined;
+		}
+
+		const {clock, events} = this.#opts;
+		const sharing = new CapacitySharing({
+			clock, events, resources, member: this.mesh.peers.member, relayRole: coreRole, listPeers: () => this.mesh.listConnections(), listLeaves: () => this.#stateSharing.leaves, isServing: () => this.#isServing,
+		});
+		this.#peers.handle('capacity.note', (note, connection) => {
+			sharing.handleNote(note, connection);
+		});
+		return sharing;
+	}
+
 	/** Instances by which limits that all of them share are divided. */
 	#countEdges(): number {
 		return this.mesh.highestMemberCount;
@@ -428,6 +468,10 @@
 			instances: this.#countEdges(),
 			openRequests: this.#frontend.openRequests, linesDropped: this.#context.eventLog.droppedTotal, unprovenLinks: this.#peers.pendingCount,
 		});
+		if (this.#resources?.isWeak) {
+			setOwnGauges(this.#opts.metrics, this.#resources, this.#capacitySharing?.readySetSize);
+		}
+
 		for (const {name} of this.#routes?.configuration.services ?? []) {
 			setServiceGauges(this.#opts.metrics, name, {registry: this.registry, limits: this.#limits, retryBudget: this.#context.retryBudget});
 		}
--- a/packages/plugins/edge/src/front/http-frontend.ts
+++ b/packages/plugins/edge/src/front/http-frontend.ts
@@ -4,7 +4,7 @@
  */
 import {createHash} from 'node:crypto';
 import {
-	createServer, STATUS_CODES, type IncomingMessage, type Server, type ServerResponse,
+	createServer, ServerResponse, STATUS_CODES, type IncomingMessage, type Server,
 } from 'node:http';
 import type {Socket} from 'node:net';
 import type {Duplex} from 'node:stream';
@@ -23,6 +23,7 @@
 import {CallerConnections, type OpenExchange} from './caller-connections.js';
 import type {DroppedRequest, FailedRequest, RejectedRequest} from './frontend-reports.js';
 import {BodyReader, bodyEnds} from './body-reader.js';
+import {createMeteredResponse} from './metered-response.js';
 import {waitForNextRead} from './wait-for-next-read.js';
 import {sendProblem} from './responses.js';
 import {
@@ -49,6 +50,10 @@
 	onCut: (cut: CutClose) => void;
 	/** Retry-After of 503 responses of the frontend, in milliseconds. */
 	notReadyRetryAfterMs: number;
+	/** Tells whether callers should connect to other instances: answers then carry `connection: close`. */
+	isOutsideReadySet?: () => boolean;
+	/** Called for each part of an answer that is written, with its size. */
+	onSent?: (bytes: number) => void;
 	/** Time from the start of the drain during which requests are still forwarded, in milliseconds. A later one might not end in time. */
 	drainAcceptMs: number;
 };
@@ -96,7 +101,9 @@
 			onCut: tasks.createListener('report-cut', opts.onCut),
 		};
 		this.#bodies = new BodyReader({clock: opts.clock, part: opts.account.getPart('bodies')});
-		this.#server = createServer({maxHeaderSize: maxHeadBytes, connectionsCheckingInterval: connectionsCheckMs, noDelay: true}, (request, response) => {
+		this.#server = createServer({
+			maxHeaderSize: maxHeadBytes, connectionsCheckingInterval: connectionsCheckMs, noDelay: true, ServerResponse: opts.onSent ? createMeteredResponse(opts.onSent) : ServerResponse,
+		}, (request, response) => {
 			this.#startHandling(request, response);
 		});
 		this.#connections = new CallerConnections({
@@ -242,7 +249,7 @@
 
 	async #handleExchange(exchange: OpenExchange): Promise<void> {
 		const {incoming, response} = exchange;
-		if (this.#isClosed || this.#stoppingSince !== undefined) {
+		if (this.#isClosed || this.#stoppingSince !== undefined || this.#opts.isOutsideReadySet?.()) {
 			this.#connections.announceClose(exchange);
 		}
 
--- a/packages/plugins/edge/src/streams/stream-calls.ts
+++ b/packages/plugins/edge/src/streams/stream-calls.ts
@@ -13,7 +13,9 @@
 	attemptOutcomes, runAttempt, type AttemptResult, type SilenceOptions,
 } from '../calls/attempt.js';
 import type {CallerRequest} from '../front/caller-request.js';
-import {createOutboundRequest, computeRemainingMs, type ForwardContext} from '../calls/forward-context.js';
+import {
+	createOutboundRequest, computeRemainingMs, countCallBytes, type ForwardContext,
+} from '../calls/forward-context.js';
 import type {KvHandle} from '../request-codec.js';
 import type {SendPermit} from '../limits/send-permits.js';
 import {selectBackup} from './backup-server.js';
@@ -31,6 +33,8 @@
 /** A server that sends nothing for this many times the pause objective is reported as silent. */
 const silenceFactor = 3;
 const minimumSilenceMs = 500;
+/** At least this fraction of a call's time counts as the server's; the wait at the own link is an estimate. */
+const minServerFraction = 0.25;
 
 export type AcceptedPlacement = Exclude<Placement, {kind: 'refuse'}>;
 
@@ -75,6 +79,7 @@
 		const queuedTokens = loadTracker.getLoad(prefillServer.id).promptTokens;
 		const inFlightLoad = loadTracker.add(prefillServer.id, prefillTokens);
 		const startedAt = clock.monotonic();
+		const measureServerMs = this.#createServerTimer();
 		run.server = prefillServer;
 		this.#opts.dispatch({kind: 'prefilling', run: run.id});
 		const result = await runAttempt(client, prefillServer.address, {
@@ -85,7 +90,7 @@
 		const handle = result.outcome === attemptOutcomes.answered && result.head?.status === 200 ? codec.decodeKvHandle(prefillServer.address, result.body.toString()) : undefined;
 		permit.finish({isWritten: result.isWritten, isAccepted: handle !== undefined});
 		if (handle) {
-			const elapsedMs = clock.monotonic() - startedAt;
+			const elapsedMs = measureServerMs(clock.monotonic() - startedAt);
 			health.recordSuccess(prefillServer);
 			// What a silence took says nothing about the speed of the server.
 			if (!run.isSilenceReported) {
@@ -167,6 +172,7 @@
 		const inFlightLoad = loadTracker.add(server.id, handle ? 0 : placement.prefillTokens, {isStream: isLongOutput});
 		let firstByteAt: number | undefined;
 		const startedAt = clock.monotonic();
+		const measureServerMs = this.#createServerTimer();
 		const refutation = new AbortController();
 		const heldEvents = lastEventId === undefined
 			? undefined
@@ -190,7 +196,7 @@
 				this.firstByteMs ??= firstByteAt - this.#request.arrivedAt;
 				if (!run.isSilenceReported) {
 					measurements.recordFirstByte(server, {
-						prompt: this.prompt, load, prefillTokens: handle ? 0 : placement.prefillTokens, elapsedMs: firstByteAt - startedAt,
+						prompt: this.prompt, load, prefillTokens: handle ? 0 : placement.prefillTokens, elapsedMs: measureServerMs(firstByteAt - startedAt),
 					});
 				}
 			},
@@ -257,6 +263,15 @@
 		};
 	}
 
+	/**
+	 * Returns a function that takes the wait at this instance out of the measured time of a call. The speeds that weak instances
+	 * measure are shared with all others, and placement counts the own wait by itself.
+	 */
+	#createServerTimer(): (elapsedMs: number) => number {
+		const ownMs = this.#context.ownResources?.estimateCallMs(countCallBytes(this.#request)) ?? 0;
+		return elapsedMs => Math.max(elapsedMs - ownMs, elapsedMs * minServerFraction);
+	}
+
 	/** Time for which the caller waits for the next event. */
 	get #patienceMs(): number {
 		return Math.min(this.#remainingMs, this.#request.route.patienceMs ?? Number.POSITIVE_INFINITY);
--- a/packages/plugins/edge/src/streams/stream-planner.ts
+++ b/packages/plugins/edge/src/streams/stream-planner.ts
@@ -9,7 +9,7 @@
 import {callKinds, type CallKind} from '../calls/call-kinds.js';
 import type {CallerRequest} from '../front/caller-request.js';
 import {isCandidate, listCandidates, listClosed} from '../calls/candidate-servers.js';
-import {computeRemainingMs, type ForwardContext} from '../calls/forward-context.js';
+import {computeRemainingMs, countCallBytes, type ForwardContext} from '../calls/forward-context.js';
 import {retryKinds} from '../limits/retry-budget.js';
 import type {SendPermit, SendPermits} from '../limits/send-permits.js';
 import {computeLimitWaitMs} from '../limits/server-limits.js';
@@ -85,6 +85,7 @@
 	#selectPlacement(run: StreamRun, {excluded, canPrefill}: {excluded: ReadonlySet<string>; canPrefill: boolean}): Pick<StreamPlan, 'placement' | 'limitWaitMs'> {
 		const {promptPlacement, availabilityZone, clock} = this.#context;
 		const {service, route} = this.#request;
+		const ownCost = this.#context.ownResources?.estimate(countCallBytes(this.#request));
 		// A prompt may be prefilled at any version: its KV cache depends on the weights, and events come from the decode server only.
 		const canRun = (server: KnownServer) => server.stage === 'prefill' ? canPrefill : this.#canRunAt(run, server);
 		const select = (limitWaitMs: number) => promptPlacement.plan({
@@ -95,6 +96,7 @@
 			maxWaitMs: this.#maxWaitMs,
 			availabilityZone,
 			excluded,
+			ownCost,
 		});
 
 		const placement = select(0);
--- a/packages/plugins/edge/test/http-frontend.test.ts
+++ b/packages/plugins/edge/test/http-frontend.test.ts
@@ -453,6 +453,42 @@
 		expect(received).to.match(/^HTTP\/1.1 413 [^]*HTTP\/1.1 200 OK/);
 	});
 
+	// Callers kept their connections to an instance that the load balancer no longer used.
+	it('answers as before outside the ready set, lets the connection close, and counts the bytes of the answer', async () => {
+		let isOutside = false;
+		let sentBytes = 0;
+		const weak = new HttpFrontend({
+			tasks: new BackgroundTasks(), clock, random: new Random(1), codec, account: new ByteAccount(1_000_000), notReadyRetryAfterMs: 100, drainAcceptMs: 2500, getRoutes: () => routes, async forward({response}) {
+				response.write('a'.repeat(1000));
+				response.end(Buffer.alloc(500));
+			}, onRejected: () => undefined, onDropped: () => undefined, onFailed: () => undefined, onCut: () => undefined, isOutsideReadySet: () => isOutside, onSent(bytes) {
+				sentBytes += bytes;
+			},
+		});
+		const port = await findPort();
+		await weak.listen('127.0.0.1', port);
+		let answer = '';
+		const caller = connect(port, '127.0.0.1').on('data', chunk => {
+			answer += String(chunk);
+		});
+		const call = async () => {
+			answer = '';
+			caller.write('GET /x HTTP/1.1\r\nHost: a\r\n\r\n');
+			await waitFor(() => answer.endsWith('0\r\n\r\n'));
+			return [answer.slice(0, 15), /connection: [a-z-]+/i.exec(answer)![0].toLowerCase()];
+		};
+
+		try {
+			expect(await call()).to.deep.equal(['HTTP/1.1 200 OK', 'connection: keep-alive']);
+			expect(sentBytes).to.be.within(1500, 2000);
+			isOutside = true;
+			expect(await call()).to.deep.equal(['HTTP/1.1 200 OK', 'connection: close']);
+		} finally {
+			caller.destroy();
+			weak.close();
+		}
+	});
+
 	it('refuses a request that arrives late in the drain, and does not forward it', async () => {
 		const clock = new ManualClock();
 		const draining = new HttpFrontend({
--- a/packages/routing/endpoint-client/src/endpoint-client.ts
+++ b/packages/routing/endpoint-client/src/endpoint-client.ts
@@ -115,6 +115,8 @@
 	limits?: AnswerLimits;
 	/** Called for the head of each answer to a request with a recipient, before the handler. */
 	onAnswer?: (recipient: Recipient, head: ResponseHead, request: AnsweredRequest) => void;
+	/** Called for each request that is written, with its size. */
+	onSent?: (bytes: number) => void;
 	/** Called for each answer that is not its request's own. */
 	onForeignAnswer?: (answer: ForeignAnswer) => void;
 	/** Called when a handler throws an error. Its request fails, unless its answer had ended. */
@@ -165,7 +167,7 @@
 
 		connection.watch.startAnswer();
 		const exchange = new Exchange(address, {
-			clock: this.#opts.clock, connection, connections: this.#connections, turns: this.#turns, limits: this.limits, request, handler, onAnswer: this.#opts.onAnswer, onForeignAnswer: this.#opts.onForeignAnswer, onHandlerFailed: this.#opts.onHandlerFailed,
+			clock: this.#opts.clock, connection, connections: this.#connections, turns: this.#turns, limits: this.limits, request, handler, onSent: this.#opts.onSent, onAnswer: this.#opts.onAnswer, onForeignAnswer: this.#opts.onForeignAnswer, onHandlerFailed: this.#opts.onHandlerFailed,
 		});
 		exchange.start();
 		return exchange;
@@ -199,6 +201,7 @@
 	limits: AnswerLimits;
 	request: OutboundRequest;
 	handler: ResponseHandler;
+	onSent?: EndpointClientOptions['onSent'];
 	onAnswer?: EndpointClientOptions['onAnswer'];
 	onForeignAnswer?: (answer: ForeignAnswer) => void;
 	onHandlerFailed?: EndpointClientOptions['onHandlerFailed'];
@@ -343,7 +346,7 @@
 	}
 
 	#handleStart(controller: Dispatcher.DispatchController): void {
-		const {clock, request} = this.#opts;
+		const {clock, request, onSent} = this.#opts;
 		this.#controller = controller;
 		if (this.#isSettled) {
 			controller.abort(new Error('The request was cancelled before it was written'));
@@ -353,6 +356,7 @@
 		this.#isWritten = true;
 		this.#sentAt = clock.monotonic();
 		request.grant.recordUse();
+		onSent?.(countRequestBytes(request));
 	}
 
 	#handleHead(head: ResponseHead, reason: string | undefined): void {
@@ -511,3 +515,8 @@
 		}));
 	}
 }
+
+/** The line ends and separators of each header count as four bytes. */
+function countRequestBytes({method, path, headers, body}: OutboundRequest): number {
+	return method.length + path.length + headers.reduce((sum, text) => sum + text.length + 2, 0) + (body?.length ?? 0);
+}
--- a/packages/routing/prompt-placement/src/prompt-placement.ts
+++ b/packages/routing/prompt-placement/src/prompt-placement.ts
@@ -63,8 +63,21 @@
 	maxWaitMs: number;
 	/** Ids of servers on which this request has failed. */
 	excluded: ReadonlySet<string>;
+	/** Time that the request spends at this instance, whose link and processor are weak; in milliseconds. */
+	ownCost?: OwnCost;
 };
 
+export type OwnCost = {
+	/** Wait for the link and the processor alone. */
+	waitMs: number;
+	/** With one call that carries the prompt. */
+	directMs: number;
+	/** With two calls, one after another, that both carry the prompt. */
+	handOverMs: number;
+};
+
+const noOwnCost: OwnCost = {waitMs: 0, directMs: 0, handOverMs: 0};
+
 /** A prompt that a decode server prefills within this fraction of the objective is not handed over. */
 const maxShortPrefillFraction = 0.03;
 /** Fraction of the objective within which the first event must be predicted; the rest is a margin for prediction errors. */
@@ -105,7 +118,7 @@
 	server: KnownServer;
 	kvSource?: KnownServer;
 	prefillTokens: number;
-	/** Estimated time until the server starts to prefill this prompt, in milliseconds. */
+	/** Estimated wait until the server starts to prefill this prompt, that at this instance included, in milliseconds. */
 	queueMs: number;
 	/** Estimated time in which the server prefills this prompt alone, in milliseconds. */
 	prefillMs: number;
@@ -150,9 +163,9 @@
 
 	#planShort(request: PlacementRequest, decodeServers: readonly KnownServer[]): Placement {
 		const {profile} = this.#opts;
-		const {objectiveMs, maxWaitMs} = request;
+		const {objectiveMs, maxWaitMs, ownCost = noOwnCost} = request;
 		const prefillTokens = request.prompt.tokens;
-		const predictMs = (server: KnownServer) => this.#estimateQueueMs(server) + this.#slots.estimateWaitMs(server) + profile.estimateMs(server, prefillTokens);
+		const predictMs = (server: KnownServer) => ownCost.directMs + this.#estimateQueueMs(server) + this.#slots.estimateWaitMs(server) + profile.estimateMs(server, prefillTokens);
 		const decodeServer = this.#selectForStream(request, decodeServers) ?? this.#selectLeast(decodeServers, server => predictMs(server));
 		const predictedMs = predictMs(decodeServer);
 		if (predictedMs > Math.max(objectiveMs, maxWaitMs * maxSlotWaitFraction)) {
@@ -177,7 +190,7 @@
 	}
 
 	#planLong(request: PlacementRequest, {decodeServers, prefillServers}: {decodeServers: readonly KnownServer[]; prefillServers: readonly KnownServer[]}): Placement {
-		const {prompt, objectiveMs} = request;
+		const {prompt, objectiveMs, ownCost} = request;
 		const {usage, loadTracker, profile, cacheIndex} = this.#opts;
 		usage.record(listSharedParts(prompt));
 		const {homeServers, scratchServers} = createLayout(request);
@@ -189,7 +202,7 @@
 		const preferred = [...prefillServers, ...calmDecodeServers];
 		// With no other choice, streams wait for a prompt rather than that its request is refused.
 		const plans = (preferred.length > 0 ? preferred : freeDecodeServers).map(server => this.#planPrefill(server, {
-			prompt, longestMatch, objectiveMs, isPreferred: server.stage === 'prefill' || scratchServers.includes(server) || (isHot && server === homeServer) || this.#opts.isLimited?.(server) === true,
+			prompt, longestMatch, objectiveMs, ownCost, isPreferred: server.stage === 'prefill' || scratchServers.includes(server) || (isHot && server === homeServer) || this.#opts.isLimited?.(server) === true,
 		}));
 		const best = this.#selectPlan(plans, request.availabilityZone);
 		const isLate = best !== undefined && profile.isKnown(best.server.service) && best.predictedMs > objectiveMs * plannedObjectiveFraction;
@@ -244,7 +257,7 @@
 		return this.#selectLeast(plans, plan => plan.predictedMs, {tolerance: blindMs, isPreferred: ({server}) => server.availabilityZone === availabilityZone});
 	}
 
-	#planPrefill(server: KnownServer, {prompt, longestMatch, objectiveMs, isPreferred}: {prompt: Prompt; longestMatch?: {server: KnownServer; tokens: number}; objectiveMs: number; isPreferred: boolean}): PrefillPlan {
+	#planPrefill(server: KnownServer, {prompt, longestMatch, objectiveMs, isPreferred, ownCost = noOwnCost}: {prompt: Prompt; longestMatch?: {server: KnownServer; tokens: number}; objectiveMs: number; isPreferred: boolean; ownCost?: OwnCost}): PrefillPlan {
 		const {profile} = this.#opts;
 		const cachedTokens = this.#opts.cacheIndex.countCachedTokens(server, listSharedParts(prompt));
 		const isFetched = longestMatch !== undefined && longestMatch.server.id !== server.id && longestMatch.tokens - cachedTokens >= minFetchTokens;
@@ -252,15 +265,16 @@
 		// Prefill on a home server evicts hot parts, so another server is preferred when the predictions are close.
 		const evictionPenaltyMs = isPreferred ? 0 : objectiveMs * closePredictionFraction;
 		const handOverMs = server.stage === 'prefill' ? profile.estimateHandOverMs(server.service, prompt.tokens) : 0;
+		const ownMs = server.stage === 'prefill' ? ownCost.handOverMs : ownCost.directMs;
 		const queueMs = this.#estimateQueueMs(server);
 		const prefillMs = profile.estimateMs(server, prefillTokens);
 		return {
 			server,
 			kvSource: isFetched ? longestMatch.server : undefined,
 			prefillTokens,
-			queueMs,
+			queueMs: queueMs + ownCost.waitMs,
 			prefillMs,
-			predictedMs: queueMs + prefillMs + handOverMs + evictionPenaltyMs,
+			predictedMs: queueMs + prefillMs + handOverMs + ownMs + evictionPenaltyMs,
 		};
 	}
 
--- a/packages/routing/prompt-placement/test/prompt-placement.test.ts
+++ b/packages/routing/prompt-placement/test/prompt-placement.test.ts
@@ -82,6 +82,49 @@
 		expect(homesWhileClosed).not.to.include(closed!.id);
 	});
 
+	describe('at an instance with a thin link', () => {
+		/** 9,200 bytes behind as many others on a link of 7 Mbit/s, and on one of 1,000. */
+		const thinCost = {waitMs: 10.5, directMs: 21, handOverMs: 34.3};
+		const fastCost = {waitMs: 0.1, directMs: 0.2, handOverMs: 0.3};
+
+		beforeEach(() => {
+			profile = new EngineProfile();
+			profile.record(prefillServers[0]!, {tokens: 10_000, elapsedMs: 25, isIdle: true});
+			profile.recordHandOver(decodeServers[0]!, {tokens: 9000, elapsedMs: 1});
+			for (const server of [...prefillServers, ...decodeServers]) {
+				cacheIndex.recordPrompt(server, createPrompt('s', 'earlier').parts);
+			}
+
+			promptPlacement = new PromptPlacement({
+				random: new Random(1), loadTracker, cacheIndex, usage: new PartUsage(clock), profile, getKvCapacity: () => capacityTokens,
+			});
+		});
+
+		// A hand-over writes the prompt twice, which took longer on the link than the prefill at half the speed.
+		it('has a calm decode server prefill', () => {
+			const placement = plan({ownCost: thinCost});
+			expect(placement.kind).to.equal('direct');
+			expect(placement.kind !== 'refuse' && placement.predictedMs).to.be.closeTo(36, 1);
+		});
+
+		it('hands over on a fast link, and where every decode server has streams', () => {
+			expect(plan().kind).to.equal('hand-over');
+			expect(plan({ownCost: fastCost}).kind).to.equal('hand-over');
+			for (const server of decodeServers) {
+				for (let stream = 0; stream < 3; stream++) {
+					loadTracker.add(server.id, 0, {isStream: true});
+				}
+			}
+
+			expect(plan({ownCost: thinCost}).kind).to.equal('hand-over');
+		});
+
+		// A request behind 200 ms of bytes was accepted and answered late.
+		it('refuses a request that would be late because of the own link or processor', () => {
+			expect(plan({ownCost: {waitMs: 200, directMs: 210, handOverMs: 220}}).kind).to.equal('refuse');
+		});
+	});
+
 	// With all prefill servers at their limits, a long prompt was refused while decode servers with streams had free slots.
 	it('prefills beside streams when no other server can', () => {
 		for (const server of decodeServers) {
