--- a/packages/core/events/src/event-catalogue.ts
+++ b/packages/core/events/src/event-catalogue.ts
@@ -326,6 +326,12 @@
 	usageDecided: {
 		number: 1789, level: 'info', text: 'The usage of a window is decided; missing lists the instances whose counts of its end are not in it', action: 'Check the links of the instances in missing, if they repeat.',
 	},
+	readySetLeft: {
+		number: 1792, level: 'info', text: 'The stronger instances of the zone carry its load, so this one reports not ready; it answers what it gets', action: 'Nothing; use --capacity-readiness off if it should stay ready.',
+	},
+	readySetEntered: {
+		number: 1793, level: 'info', text: 'The zone needs this instance, which reports ready again', action: noAction,
+	},
 } as const satisfies Record<string, EventDefinition>;
 
 export type EventName = keyof typeof eventCatalogue;
--- a/packages/plugins/edge/src/edge-settings.ts
+++ b/packages/plugins/edge/src/edge-settings.ts
@@ -4,6 +4,7 @@
 import type {EventLog} from '@hickorytrack/events';
 import type {LogStorage} from '@hickorytrack/log-storage';
 import type {MetricsRegistry} from '@hickorytrack/metrics-registry';
+import type {ResourceLimits} from '@hickorytrack/own-resources';
 import type {Random} from '@hickorytrack/random';
 import type {RouteConfiguration} from '@hickorytrack/route-table/route-types';
 import type {DutyTransport} from '@hickorytrack/singleton-duty/duty';
@@ -41,6 +42,10 @@
 	graceMs: number;
 	/** Time after the ack of a configuration from which no request with a removed key may run, in milliseconds; undefined if it need not be kept. */
 	revocationMs?: number;
+	/** What the machine gives the instance; a resource that is missing counts as unlimited. */
+	ownResources?: ResourceLimits;
+	/** A weak instance is ready only while its zone needs it; on unless false. */
+	hasCapacityReadiness?: boolean;
 	/** One answer may hold a quarter of this in memory; all together are bounded by the account. */
 	answerMemoryBytes: number;
 	/** Without it, requests are not counted. */
