--- a/packages/plugins/edge/src/streams/stream-procedure.ts
+++ b/packages/plugins/edge/src/streams/stream-procedure.ts
@@ -291,7 +291,7 @@
 		}
 
 		const failure = progress.createFailure(`the stream could not go on: ${result.outcome} ${result.head?.status ?? ''}`);
-		return result.outcome === attemptOutcomes.answered ? {...failure, as: runOutcomes.refusedCopy} : failure;
+		return result.outcome === attemptOutcomes.answered ? {...failure, as: runOutcomes.refusedCopy, refusedBy: backup} : failure;
 	}
 
 	/** Tells whether the caller has events already, so that further ones are passed on only with a proof. */
--- a/packages/plugins/edge/src/streams/stream-progress.ts
+++ b/packages/plugins/edge/src/streams/stream-progress.ts
@@ -18,6 +18,8 @@
 /** How a run ended that may decide the request. */
 export type RunEnding = {
 	as: Exclude<RunOutcome, 'open'>;
+	/** The server that has refused to go on from its copy. */
+	refusedBy?: KnownServer;
 	/** Ends the caller's response. */
 	finish: () => RequestResult;
 };
--- a/packages/plugins/edge/src/streams/streaming-forwarder.ts
+++ b/packages/plugins/edge/src/streams/streaming-forwarder.ts
@@ -268,7 +268,6 @@
 
 		this.#startFollowing(run, async () => {
 			const ending = predecessor ? await this.#procedure.resumeAt(run, backup, permit) : await this.#procedure.resumeAgain(run, backup, permit);
-			this.#refusedBackup = ending?.as === runOutcomes.refusedCopy ? backup : this.#refusedBackup;
 			if (predecessor && !run.isGenerating) {
 				predecessor.backupServer ??= backup;
 			}
@@ -295,6 +294,7 @@
 		run.stopDecisionTimer?.();
 		run.permit?.release();
 		this.#runs.delete(run.id);
+		this.#refusedBackup = ending?.refusedBy ?? this.#refusedBackup;
 		if (ending) {
 			this.#endings.set(run.id, ending);
 		}
