edge: weak instances exchange load shares less often

Cause: a weak leaf among 22 instances got 50 shares a second and sent 28, whatever its link and processor. Change: a weak leaf uses an interval of 60 to 100 ms that follows from its limits, and asks its relay for the same in its shares.

--- a/packages/core/types/src/parse-peer-message.ts
+++ b/packages/core/types/src/parse-peer-message.ts
@@ -23,6 +23,8 @@
 const age = {min: 0};
 /** Requests that one call for grants may ask for; each is granted by itself. */
 const grantCount = {min: 0, max: 10_000, isInteger: true};
+/** A relay keeps what it holds back for a leaf for no longer than the interval at which unchanged load is shared. */
+const shareInterval = {min: 0, max: 400};
 const stages = ['prefill', 'decode'] as const;
 const putOutcomes = ['stored', 'same', 'overtaken', 'conflict'] as const;
 
@@ -131,6 +133,7 @@
 		scope: fields.readOneOf('scope', Object.values(shareScopes)),
 		servers: readEach(fields.readList('servers'), parseLoad, onLeftOut),
 		stored: readEach(fields.readList('stored'), parseStoredPrompt, onLeftOut),
+		...(fields.has('intervalMs') && {intervalMs: fields.readNumber('intervalMs', shareInterval)}),
 	};
 }
 
--- a/packages/core/types/src/peer-methods.ts
+++ b/packages/core/types/src/peer-methods.ts
@@ -188,6 +188,8 @@
 	scope: ShareScope;
 	servers: LoadEntry[];
 	stored: StoredPrompt[];
+	/** Shortest interval at which a leaf takes shares of its relay, in milliseconds; only from a weak leaf. */
+	intervalMs?: number;
 };
 
 /** Capacity of an instance and what it uses of it; the fields are documented in `@hickorytrack/own-resources`. */
--- a/packages/net/own-resources/src/own-resources.ts
+++ b/packages/net/own-resources/src/own-resources.ts
@@ -31,6 +31,15 @@
 const weakLinkMbps = 50;
 /** With less of a core, the delay of the event loop takes part in the latency. */
 const weakProcessorShare = 0.7;
+/** Part of the link and of the processor that load shares may use. */
+const maxShareFraction = 0.1;
+/** With 27 servers and 250 prompts a second, a share from a relay had 1.8 KB at 50 a second, of which 0.4 KB are not prompts. */
+const shareBytes = 2500;
+/** Assumed time for a share in each direction on a whole core; not measured. */
+const shareProcessorMs = 1.2;
+/** Load that is known later than the longest interval misleads the placement more than a share costs. */
+const maxShareIntervalMs = 100;
+const minShareIntervalMs = 60;
 const minUseWindowMs = 500;
 /** Used where the settings name no limit; no instance uses as much. */
 const unlimited = {linkMbps: 10_000, processorShare: 1} as const;
@@ -61,6 +70,18 @@
 		return this.limits.processorShare < weakProcessorShare;
 	}
 
+	/** Shortest interval at which the instance exchanges load shares with a relay; undefined for one that is not weak. */
+	get shareIntervalMs(): number | undefined {
+		if (!this.isWeak) {
+			return undefined;
+		}
+
+		const {linkMbps, processorShare} = this.limits;
+		const linkMs = shareBytes / (linkMbps * bytesPerMsPerMbps) / maxShareFraction;
+		const processorMs = shareProcessorMs / processorShare / maxShareFraction;
+		return Math.min(maxShareIntervalMs, Math.max(minShareIntervalMs, linkMs, processorMs));
+	}
+
 	recordSent(bytes: number): void {
 		this.link.record(bytes);
 	}
--- a/packages/plugins/edge/src/edge.ts
+++ b/packages/plugins/edge/src/edge.ts
@@ -3,6 +3,7 @@
  * follows the route configuration, shares the registry of servers with the other instances, and forwards each request.
  * On a machine of the core (the group that replicates the route configuration) it also runs a member of that group.
  */
+import {setMaxListeners} from 'node:events';
 import {err, ok, type Result} from 'neverthrow';
 import type {BackgroundTasks} from '@hickorytrack/background-tasks';
 import {CrashAttribution} from '@hickorytrack/crash-attribution';
@@ -214,13 +215,15 @@
 			}),
 		});
 		this.#stateSharing = new StateSharing({
-			clock, tasks, events, mesh: this.mesh, registry: this.registry, loadTracker: this.#loadTracker, cacheIndex: this.#cacheIndex, partUsage: this.#partUsage, context: this.#context, crashAttribution: this.#crashAttribution, crashReports: this.#crashReports, onLeaving: (report, peer) => {
+			leafIntervalMs: resources?.shareIntervalMs, clock, tasks, events, mesh: this.mesh, registry: this.registry, loadTracker: this.#loadTracker, cacheIndex: this.#cacheIndex, partUsage: this.#partUsage, context: this.#context, crashAttribution: this.#crashAttribution, crashReports: this.#crashReports, onLeaving: (report, peer) => {
 				this.#serverNews.reportLeaving(report, {source: newsSources.peer, peer});
 			}, onLeafAdded: leaf => {
 				this.#limitSharing.sendAll(leaf);
 			},
 		});
 		this.#capacitySharing = this.#createCapacitySharing();
+		// Each task of the edge listens for its end.
+		setMaxListeners(0, this.#abortController.signal);
 		this.#requestLog = new RequestLog({
 			clock, metrics: opts.metrics, eventLog: this.#context.eventLog, getVersion: () => this.configuration.current?.version,
 		});
@@ -295,7 +298,10 @@
 			this.#resources.processor.run(this.#abortController.signal);
 		}
 
-		this.#startTask('capacity-sharing', async signal => this.#capacitySharing?.run(signal));
+		if (this.#capacitySharing) {
+			this.#startTask('capacity-sharing', async signal => this.#capacitySharing?.run(signal));
+		}
+
 		this.#startTask('ban-keeper', async signal => this.#banKeeper?.run(signal));
 		events.emit('edgeStarted', {instance: settings.instance, isCore: this.#core !== undefined, isFirstStart: settings.isFirstStart});
 		return ok(undefined);
--- a/packages/plugins/edge/src/sharing/state-sharing.ts
+++ b/packages/plugins/edge/src/sharing/state-sharing.ts
@@ -30,6 +30,8 @@
 	partUsage: PartUsage;
 	/** Receives the measured speeds and signs of life that other instances report. */
 	context: Pick<ForwardContext, 'profile' | 'health'>;
+	/** Shortest interval between two shares of this instance while it uses a relay; see `LoadSharing`. */
+	leafIntervalMs?: number;
 	crashAttribution: CrashAttribution;
 	/** Receives what other instances report of crashes. */
 	crashReports: Pick<CrashReports, 'mergeCrash' | 'mergeSound'>;
@@ -124,13 +126,14 @@
 	}
 
 	#createLoadSharing(): LoadSharing<PeerConnection> {
-		const {clock, tasks, events, mesh, registry, loadTracker, cacheIndex, onLeafAdded} = this.#opts;
+		const {clock, tasks, events, mesh, registry, loadTracker, cacheIndex, leafIntervalMs, onLeafAdded} = this.#opts;
 		return new LoadSharing<PeerConnection>({
 			clock,
 			tasks,
 			events,
 			loadTracker,
 			cacheIndex,
+			leafIntervalMs,
 			member: mesh.peers.member,
 			relayRole: coreRole,
 			listPeers: () => mesh.listConnections(),
--- a/packages/routing/load-sharing/src/load-sharing.ts
+++ b/packages/routing/load-sharing/src/load-sharing.ts
@@ -41,6 +41,8 @@
 	onLeafAdded?: (peer: Peer) => void;
 	/** Called with the prompts that other instances report as stored. */
 	onStored: (stored: readonly StoredPrompt[]) => void;
+	/** Shortest interval between two shares of this instance, and of its relay to it, while it is a leaf; in milliseconds. */
+	leafIntervalMs?: number;
 	/** Without it, errors of tasks are printed as warnings. */
 	tasks?: BackgroundTasks;
 };
@@ -64,6 +66,11 @@
 type Leaf<Peer> = {
 	peer: Peer;
 	heardAt: number;
+	/** Shortest interval at which the leaf takes shares, in milliseconds. */
+	intervalMs: number;
+	sentAt: number;
+	/** What changed since the last share to the leaf, if anything has. */
+	pending?: StoredPrompt[];
 };
 
 type Relay = {
@@ -153,8 +160,12 @@
 
 		const isChanged = this.#opts.loadTracker.replaceSource(share.instance, share.servers);
 		if (share.scope === shareScopes.leaf) {
-			const isNew = this.#leaves.get(share.instance)?.peer !== peer;
-			this.#leaves.set(share.instance, {peer, heardAt: this.#opts.clock.monotonic()});
+			const known = this.#leaves.get(share.instance);
+			const isNew = known?.peer !== peer;
+			const leaf = {
+				...(isNew ? {sentAt: Number.NEGATIVE_INFINITY} : known), peer, heardAt: this.#opts.clock.monotonic(), intervalMs: share.intervalMs ?? 0,
+			};
+			this.#leaves.set(share.instance, leaf);
 			if (isNew) {
 				this.#opts.onLeafAdded?.(peer);
 			}
@@ -174,6 +185,7 @@
 	sendShares(): void {
 		this.#removeStaleLeaves();
 		if (!this.#checkShareDue()) {
+			this.#sendToLeaves();
 			return;
 		}
 
@@ -190,7 +202,7 @@
 
 	/** Shortest interval between two shares of this instance, in milliseconds. */
 	get #intervalMs(): number {
-		return Math.max(shareIntervalMs, this.#leaves.size / maxLeavesPerMs);
+		return Math.max(shareIntervalMs, this.#leaves.size / maxLeavesPerMs, this.#relay ? this.#opts.leafIntervalMs ?? 0 : 0);
 	}
 
 	get #isRelay(): boolean {
@@ -209,8 +221,9 @@
 	#sendAsLeaf(peers: readonly Peer[]): void {
 		const relay = this.#findRelay(peers);
 		if (relay) {
-			const {loadTracker, cacheIndex} = this.#opts;
-			relay.notify('load.share', this.#createShare(shareScopes.leaf, {servers: loadTracker.listOwn(), stored: cacheIndex.drainUnsent()}));
+			const {loadTracker, cacheIndex, leafIntervalMs: intervalMs} = this.#opts;
+			const share = this.#createShare(shareScopes.leaf, {servers: loadTracker.listOwn(), stored: cacheIndex.drainUnsent()});
+			relay.notify('load.share', intervalMs === undefined ? share : {...share, intervalMs});
 		}
 	}
 
@@ -230,11 +243,30 @@
 			}
 		}
 
-		for (const [instance, {peer}] of this.#leaves) {
-			peer.notify('load.share', this.#createShare(shareScopes.rest, {
-				servers: loadTracker.listAllExcept(instance),
-				stored: [...stored, ...forwards.filter(forward => forward.from !== instance).flatMap(forward => forward.stored)],
-			}));
+		for (const [instance, leaf] of this.#leaves) {
+			leaf.pending = [...leaf.pending ?? [], ...stored, ...forwards.filter(forward => forward.from !== instance).flatMap(forward => forward.stored)];
+		}
+
+		this.#sendToLeaves();
+	}
+
+	/** Sends what has changed to each leaf that takes a share by now; the others get it later. */
+	#sendToLeaves(): void {
+		const now = this.#opts.clock.monotonic();
+		let isAnyLeft = false;
+		for (const [instance, leaf] of this.#leaves) {
+			const {peer, pending, sentAt, intervalMs} = leaf;
+			if (pending && now - sentAt >= intervalMs) {
+				leaf.pending = undefined;
+				leaf.sentAt = now;
+				peer.notify('load.share', this.#createShare(shareScopes.rest, {servers: this.#opts.loadTracker.listAllExcept(instance), stored: pending}));
+			} else {
+				isAnyLeft ||= pending !== undefined;
+			}
+		}
+
+		if (isAnyLeft) {
+			this.#onChange?.();
 		}
 	}
 
--- a/packages/routing/load-sharing/test/load-sharing.test.ts
+++ b/packages/routing/load-sharing/test/load-sharing.test.ts
@@ -23,14 +23,14 @@
 	readonly events: EventLog;
 	isAlive = true;
 
-	constructor(fleet: Fleet, index: number, isRelay: boolean) {
+	constructor(fleet: Fleet, index: number, {isRelay, leafIntervalMs}: {isRelay: boolean; leafIntervalMs?: number}) {
 		this.events = new EventLog({clock: fleet.clock});
 		this.member = {
 			instance: `edge-${index}`, availabilityZone: zones[index % zones.length]!, roles: isRelay ? ['edge', 'core'] : ['edge'], address: `10.0.0.${index}:1`, incarnation: 'a',
 		};
 		this.loadTracker = new LoadTracker(fleet.clock);
 		this.sharing = new LoadSharing({
-			clock: fleet.clock, loadTracker: this.loadTracker, cacheIndex: this.cacheIndex, member: this.member, relayRole: 'core', listPeers: () => fleet.listPeers(this), usesRelays: () => fleet.instances.length > maxDirectInstances, events: this.events, onStored: stored => {
+			clock: fleet.clock, loadTracker: this.loadTracker, cacheIndex: this.cacheIndex, member: this.member, relayRole: 'core', leafIntervalMs, listPeers: () => fleet.listPeers(this), usesRelays: () => fleet.instances.length > maxDirectInstances, events: this.events, onStored: stored => {
 				this.stored.push(...stored);
 			},
 		});
@@ -42,11 +42,13 @@
 	readonly clock = new ManualClock();
 	readonly instances: Instance[];
 	messages = 0;
+	/** Messages by sender and receiver. */
+	readonly sent = new Map<string, number>();
 	readonly bytesSent = new Map<string, number>();
 	readonly #peers = new Map<string, SharePeer>();
 
-	constructor(count: number, relays: number) {
-		this.instances = Array.from({length: count}, (_, index) => new Instance(this, index, index < relays));
+	constructor(count: number, relays: number, leafIntervalMs?: number) {
+		this.instances = Array.from({length: count}, (_, index) => new Instance(this, index, {isRelay: index < relays, leafIntervalMs}));
 	}
 
 	listPeers(from: Instance): SharePeer[] {
@@ -75,6 +77,7 @@
 			remote: to.member, isOpen: true, notify: (_method, share: LoadShare) => {
 				const text = JSON.stringify(share);
 				this.messages++;
+				this.sent.set(key, (this.sent.get(key) ?? 0) + 1);
 				this.bytesSent.set(from.member.instance, (this.bytesSent.get(from.member.instance) ?? 0) + text.length);
 				if (to.isAlive) {
 					to.sharing.handleShare(JSON.parse(text) as LoadShare, this.#createPeer(to, from));
@@ -189,6 +192,35 @@
 		expect(rates[1]).to.be.within(200, 600);
 	});
 
+	// A weak leaf among 22 instances got 50 shares a second and sent 28.
+	it('exchanges shares with a weak leaf at the interval that it asks for, and leaves nothing out', async () => {
+		const fleet = new Fleet(20, 3, 60);
+		const leaf = fleet.instances[19]!;
+		const {signal} = new AbortController();
+		for (const {sharing} of fleet.instances) {
+			sharing.run(signal);
+		}
+
+		await fleet.clock.advance(2000);
+		fleet.sent.clear();
+		for (let time = 0; time < 1000; time += 10) {
+			fleet.instances[0]!.loadTracker.add('server', 1);
+			leaf.loadTracker.add('server', 1);
+			fleet.instances[(time / 10) % 19]!.cacheIndex.recordPrompt(server, [{id: `part-${time}`, tokens: 9}]);
+			await fleet.clock.advance(10);
+		}
+
+		const relay = leaf.sharing.relay!;
+		for (const key of [`${relay} edge-19`, `edge-19 ${relay}`]) {
+			expect(fleet.sent.get(key)).to.be.within(12, 17);
+		}
+
+		await fleet.clock.advance(500);
+		expect(leaf.loadTracker.getLoad('server').requests).to.equal(200);
+		expect(new Set(leaf.stored.map(({parts}) => parts[0]!.id)).size).to.equal(100);
+		expect(leaf.stored).to.have.length(100);
+	});
+
 	it('emits one event when no relay is available', async () => {
 		const fleet = new Fleet(12, 0);
 		await fleet.runRounds(200);
