edge: an all-weak zone stays ready, and lost instances are dropped sooner

Change: an instance leaves the ready set only while one with a strong processor is in it, and an entry goes when its connection has closed.

--- a/packages/plugins/edge/src/sharing/capacity-sharing.ts
+++ b/packages/plugins/edge/src/sharing/capacity-sharing.ts
@@ -5,7 +5,7 @@
  */
 import type {Clock} from '@hickorytrack/clock';
 import type {EventLog} from '@hickorytrack/events';
-import type {OwnResources} from '@hickorytrack/own-resources';
+import {weakProcessorShare, type OwnResources} from '@hickorytrack/own-resources';
 import {selectReadySet, type InstanceCapacity} from '@hickorytrack/own-resources/ready-set';
 import {ReadyState} from '@hickorytrack/own-resources/ready-state';
 import type {CapacityEntry, PeerMember, PeerMethods} from '@hickorytrack/types/peer-methods';
@@ -123,8 +123,10 @@
 		const own = resources.measureCapacity(member.instance);
 		const readySet = selectReadySet([own, ...others.map(entry => convertEntry(entry))]);
 		const {isReady: wasReady} = this.#state;
+		// Among weak instances alone, a smaller set gains nothing.
+		const hasStrong = others.some(([instance, , processorShare]) => processorShare >= weakProcessorShare && readySet.has(instance));
 		// An instance that is starting or stopping begins outside the count; it is ready again as soon as it serves.
-		const isInside = others.length === 0 || !isServing() || readySet.has(member.instance);
+		const isInside = !hasStrong || !isServing() || readySet.has(member.instance);
 		const isReady = this.#state.update(isInside);
 		this.#readySetSize = readySet.size;
 		if (isReady !== wasReady) {
@@ -137,8 +139,9 @@
 
 	#removeStale(): void {
 		const now = this.#opts.clock.monotonic();
-		for (const [instance, {heardAt}] of this.#known) {
-			if (now - heardAt > entryTimeoutMs) {
+		const connected = new Set(this.#opts.listPeers().map(({remote}) => remote.instance));
+		for (const [instance, {heardAt, isDirect}] of this.#known) {
+			if (now - heardAt > entryTimeoutMs || (isDirect && !connected.has(instance))) {
 				this.#known.delete(instance);
 			}
 		}
--- a/packages/plugins/edge/test/capacity-sharing.test.ts
+++ b/packages/plugins/edge/test/capacity-sharing.test.ts
@@ -118,6 +118,17 @@
 		expect(leaf.sharing.isOutside).to.equal(false);
 	});
 
+	// Half of the instances of a zone would have been out of use though none is stronger than another.
+	it('leaves all instances ready where all of them are weak', async () => {
+		for (const instance of ['h1', 'h2']) {
+			fleet.add(instance, {roles: [relayRole], processorShare: 0.6});
+		}
+
+		fleet.add('w1', {processorShare: 0.6});
+		await fleet.run(20);
+		expect(fleet.listReady()).to.have.length(3);
+	});
+
 	it('sends nothing where no instance has a weak processor', async () => {
 		const hubs = [...addHubs(), fleet.add('s1', {processorShare: 0.9})];
 		await fleet.run(10);
