--- a/packages/core/types/src/peer-methods.ts
+++ b/packages/core/types/src/peer-methods.ts
@@ -192,6 +192,8 @@
 	scope: ShareScope;
 	servers: LoadEntry[];
 	stored: StoredPrompt[];
+	/** Shortest interval at which a leaf takes shares of its relay, in milliseconds; only from a weak leaf. */
+	intervalMs?: number;
 };
 
 /** Requests of one workspace. */
