bench: edge-cost hands prompts over as a deployment does

Cause: the stand-in prefilled any number of prompts at once, so the edges learnt that a decode server prefills for nothing. Change: with hasPrefixCache it prefills one prompt after the other and keeps shared parts; the bench counts calls by kind.

--- a/stand-ins/src/platform-server.ts
+++ b/stand-ins/src/platform-server.ts
@@ -82,6 +82,8 @@
 	prefillMs?: number;
 	/** Time for each token of a prompt that it prefills, in milliseconds. */
 	prefillMsPerToken?: number;
+	/** Keeps all parts of prompts but the last one in its prefix cache, or fetches them, and prefills one prompt after the other. */
+	hasPrefixCache?: boolean;
 	/** Time from the start of a generation to the head of its answer, with or without a KV cache. */
 	firstTokenMs?: number;
 	/** Time that the answer to a call for its report takes. */
@@ -144,6 +146,8 @@
 	readonly #opts: PlatformServerOptions;
 	readonly #server: Server;
 	readonly #sockets = new Map<Socket, {repeater: AnswerRepeater; breaker: AnswerBreaker; hold: AnswerHold; periods: Set<WorkPeriod>}>();
+	readonly #cachedParts = new Set<string>();
+	#prefilledAt = 0;
 	#isPaused = false;
 	#port = 0;
 
@@ -400,7 +404,7 @@
 		}
 
 		if (request.headers['x-kv-source'] === undefined && prefillMsPerToken !== undefined) {
-			await clock.sleep(Number(String(request.headers['x-token-counts']).split(',', 1)[0]) * prefillMsPerToken);
+			await this.#prefill(this.#countPrefillTokens(request) * prefillMsPerToken);
 		}
 
 		if (isPrefillCall) {
@@ -438,6 +442,29 @@
 		period!.until ??= clock.now();
 	}
 
+	async #prefill(ms: number): Promise<void> {
+		const {clock, hasPrefixCache} = this.#opts;
+		const now = clock.monotonic();
+		this.#prefilledAt = Math.max(now, hasPrefixCache ? this.#prefilledAt : now) + ms;
+		await clock.sleep(this.#prefilledAt - now);
+	}
+
+	/** Counts the tokens of the prompt that the server has to prefill. */
+	#countPrefillTokens({headers}: IncomingMessage): number {
+		const tokens = Number(String(headers['x-token-counts']).split(',', 1)[0]);
+		if (!this.#opts.hasPrefixCache) {
+			return tokens;
+		}
+
+		const shared = String(headers['x-prompt-prefix'] ?? '').split(',').slice(0, -1);
+		const cached = shared.filter(part => headers['kv-fetch'] !== undefined || this.#cachedParts.has(part));
+		for (const part of shared) {
+			this.#cachedParts.add(part);
+		}
+
+		return tokens - cached.reduce((sum, part) => sum + Number(part.split(':')[1]), 0);
+	}
+
 	/** Records the work on a request, which ends with its connection at the latest. */
 	#recordWork(socket: Socket, {requestId}: ReceivedRequest): WorkPeriod {
 		const period: WorkPeriod = {requestId, from: this.#opts.clock.now()};
--- a/tools/bench/src/edge-cost-bench.ts
+++ b/tools/bench/src/edge-cost-bench.ts
@@ -58,6 +58,8 @@
 	against?: EdgeCosts;
 	requests: number;
 	answers: Record<string, number>;
+	/** Calls to servers during the load, by kind. */
+	calls: Record<string, number>;
 };
 
 const rootUrl = new URL('../../../../', import.meta.url);
@@ -76,7 +78,7 @@
 const bytesPerKb = 1024;
 const listedSelfTimes = 45;
 /** Longer than those of a deployment, so that a busy machine causes no refusals. */
-const objectiveMs = 2000;
+const objectiveMs = 900;
 const timeoutMs = 14_000;
 
 const route = {host: costHost, priority: 0, 'max-attempts': 2};
@@ -125,11 +127,13 @@
 		const idle = await measure(clock, fleet, seconds);
 		await runCommand(load, {kind: 'load', fronts, perSecond: requestsPerSecond});
 		await clock.sleep(settleMs);
-		const before = sumCounts(await runCommand(load, {kind: 'count'}), fronts);
+		const countsBefore = await runCommand(load, {kind: 'count'});
+		const before = sumCounts(countsBefore, fronts);
 		const beganAt = process.hrtime.bigint();
 		const busy = await measure(clock, fleet, seconds);
 		const endedAt = process.hrtime.bigint();
-		const after = sumCounts(await runCommand(load, {kind: 'count'}), fronts);
+		const countsAfter = await runCommand(load, {kind: 'count'});
+		const after = sumCounts(countsAfter, fronts);
 		await runCommand(load, {kind: 'load', fronts, perSecond: 0});
 		const answers = Object.fromEntries(Object.entries(after).map(([status, count]) => [status, count - (before[status] ?? 0)]));
 		const requests = Object.values(answers).reduce((sum, count) => sum + count, 0);
@@ -146,7 +150,7 @@
 		};
 
 		return {
-			...computeCosts(bundles.own), against: against === undefined ? undefined : computeCosts(bundles.other), requests, answers,
+			...computeCosts(bundles.own), against: against === undefined ? undefined : computeCosts(bundles.other), requests, answers, calls: Object.fromEntries(Object.entries(countsAfter.calls!).map(([kind, count]) => [kind, count - countsBefore.calls![kind]!])),
 		};
 	} finally {
 		load.disconnect();
--- a/tools/bench/src/edge-cost-load.ts
+++ b/tools/bench/src/edge-cost-load.ts
@@ -12,12 +12,13 @@
 const decodeServers = 9;
 const plainServers = 9;
 /** So long that a prompt counts as long, which is handed over. */
-const prefillMsPerToken = {prefill: 0.01, decode: 0.03};
+const prefillMsPerToken = {prefill: 0.008, decode: 0.02};
 const events = 2;
 const streamFraction = 0.75;
 const subjects = 40;
 const sharedTokens = [4200, 2100];
-const ownTokens = 2890;
+/** They differ, so that the edges learn how long one more token takes. */
+const ownTokens = {min: 1500, max: 4280};
 const streamBody = Buffer.alloc(9200, 'x');
 const plainBody = Buffer.alloc(600, 'x');
 const deadlineMs = 15_000;
@@ -28,6 +29,8 @@
 const agent = new Agent({pipelining: 1});
 const counts: EdgeCostCounts = {};
 const servers: PlatformServer[] = [];
+/** Calls to servers: prefills, generations from a KV cache, and requests that one server carries out alone. */
+const calls = {prefill: 0, decode: 0, whole: 0};
 let random = new Random(1);
 let requests = 0;
 let loadController = new AbortController();
@@ -37,7 +40,7 @@
 	for (let index = 0; index < prefillServers + decodeServers + plainServers; index++) {
 		const modelStage = index < prefillServers ? 'prefill' : 'decode';
 		const server = new PlatformServer({
-			id: `s${index}`, clock, startedAt: 1, stage: index < prefillServers + decodeServers ? modelStage : undefined, prefillMsPerToken: prefillMsPerToken[modelStage], events,
+			id: `s${index}`, clock, startedAt: 1, stage: index < prefillServers + decodeServers ? modelStage : undefined, prefillMsPerToken: prefillMsPerToken[modelStage], hasPrefixCache: true, events,
 		});
 		await server.start();
 		servers.push(server);
@@ -46,6 +49,11 @@
 
 	setInterval(() => {
 		for (const server of servers) {
+			for (const {headers} of server.receivedRequests) {
+				const kind = headers['x-stage'] === 'prefill' ? 'prefill' : (headers['x-kv-source'] === undefined ? 'whole' : 'decode');
+				calls[kind]++;
+			}
+
 			server.receivedRequests.length = 0;
 			server.workPeriods.length = 0;
 			server.callTimes.length = 0;
@@ -87,7 +95,8 @@
 	const headers = {
 		host: costHost, 'x-request-id': `r${number}`, 'x-deadline-ms': String(deadlineMs), 'content-type': 'application/json',
 	};
-	const promptHeaders = {'x-prompt-prefix': `system:${sharedTokens[0]},subject-${subject}:${sharedTokens[1]},own-${number}:${ownTokens}`, 'x-token-counts': `${sharedTokens[0]! + sharedTokens[1]! + ownTokens},${events}`};
+	const own = Math.round(random.nextBetween(ownTokens.min, ownTokens.max));
+	const promptHeaders = {'x-prompt-prefix': `system:${sharedTokens[0]},subject-${subject}:${sharedTokens[1]},own-${number}:${own}`, 'x-token-counts': `${sharedTokens[0]! + sharedTokens[1]! + own},${events}`};
 	let status = 0;
 	try {
 		const response = await request(`http://${front}/${isStream ? 'dossier' : (number % 2 === 0 ? 'status' : 'payout')}/x`, {
@@ -114,7 +123,7 @@
 		}
 	}
 
-	return counts;
+	return {...counts, calls: {...calls}};
 }
 
 process.on('message', (command: EdgeCostCommand) => {
--- a/tools/bench/src/edge-cost-names.ts
+++ b/tools/bench/src/edge-cost-names.ts
@@ -4,7 +4,7 @@
 	| {kind: 'serve'; controls: readonly string[]; seed: number}
 	/** Sends so many requests a second to each of these edges, or none. */
 	| {kind: 'load'; fronts: readonly string[]; perSecond: number}
-	/** Asks for the number of answers by address and status; 0 stands for none. */
+	/** Asks for the number of answers by address and status, 0 for none, and of calls to servers by kind, under `calls`. */
 	| {kind: 'count'};
 
 export type EdgeCostCounts = Record<string, Record<string, number>>;
