peer messages: read stored prompts of load shares without Fields

Cause: a load share names every prompt that any instance has prefilled, some hundred a second, and each was read through two Fields objects and their options. Change: a stored prompt is read like the other elements of a load share, with the same checks.

--- a/packages/core/types/src/parse-peer-message.ts
+++ b/packages/core/types/src/parse-peer-message.ts
@@ -7,7 +7,7 @@
 import {parsePeerMember} from './parse-peer-member.js';
 import {parseServerRecord} from './parse-server-record.js';
 import {
-	shareScopes, type ConfigurationDocument, type LoadEntry, type LoadShare, type PeerMethodName, type PeerMethods, type StoredPrompt, type StreamOriginView, type StreamOriginWrite, type StreamSend,
+	shareScopes, type ConfigurationDocument, type LoadEntry, type LoadShare, type PeerMethodName, type PeerMethods, type PrefillTiming, type StoredPrompt, type StreamOriginView, type StreamOriginWrite, type StreamSend,
 } from './peer-methods.js';
 
 /** Called for each element of a list that is left out. */
@@ -116,13 +116,30 @@
 }
 
 function parseStoredPrompt(value: unknown): StoredPrompt {
-	const prompt = new Fields(value, {name: 'a stored prompt'});
-	const timing = prompt.has('timing') ? Fields.openTuple(prompt.get('timing')) : undefined;
-	return {
-		server: prompt.readText('server'),
-		parts: prompt.readList('parts').map(part => parsePart(part)),
-		...(timing && {timing: [timing.readNumber('0', notNegative), timing.readNumber('1', notNegative), timing.get('2') === true]}),
-	};
+	if (typeof value !== 'object' || value === null) {
+		throw new FieldError('an element of "stored" is not an object');
+	}
+
+	const {server, parts, timing} = value as Record<string, unknown>;
+	if (typeof server !== 'string' || !Array.isArray(parts)) {
+		throw new FieldError('an element of "stored" is not the id of a server with parts');
+	}
+
+	const prompt: StoredPrompt = {server, parts: parts.map(part => parsePart(part))};
+	if (timing !== undefined && timing !== null) {
+		prompt.timing = parseTiming(timing);
+	}
+
+	return prompt;
+}
+
+function parseTiming(value: unknown): PrefillTiming {
+	const [tokens, elapsedMs, isIdle] = Array.isArray(value) ? value as unknown[] : [];
+	if (!isCount(tokens) || !isCount(elapsedMs)) {
+		throw new FieldError('"timing" of a stored prompt is not two numbers with a flag');
+	}
+
+	return [tokens, elapsedMs, isIdle === true];
 }
 
 function readShare(fields: Fields, onLeftOut: ElementListener): LoadShare {
