expected-work: place requests by expected work where servers are uneven

Cause: requests went to the server with the fewest requests in flight, whatever its speed and their size. Change: work of requests and speed of servers are learned from answers; LeastLoadPlacement, EngineProfile and the choice of decode servers use them where the servers of a service have proved to be uneven. A model server gets no request that its KV cache would not hold.

--- a/packages/core/events/src/event-catalogue.ts
+++ b/packages/core/events/src/event-catalogue.ts
@@ -302,6 +302,12 @@
 	peerMessageUnusable: {
 		number: 1783, level: 'warn', text: 'Another instance has sent a message, or an element of one, that can\'t be used; the rest of it holds', action: 'Check the version of the instance and who reports to it; the reason names the field.',
 	},
+	serversUneven: {
+		number: 1790, level: 'info', text: 'The servers of a service, or of one stage of it, have proved to be uneven: some are slower than the others or have slow phases. Requests are placed by expected work and speed', action: noAction,
+	},
+	serversEven: {
+		number: 1791, level: 'info', text: 'The servers of a service have not proved to be uneven for a minute; placement follows their load again', action: noAction,
+	},
 	controlRefused: {
 		number: 1782, level: 'warn', text: 'A control call was refused, or its connection closed, so that calls of others have room; the reason says why', action: 'Check who calls from the address; a caller that got 503 calls again.',
 	},
--- a/packages/core/types/src/parse-peer-message.ts
+++ b/packages/core/types/src/parse-peer-message.ts
@@ -7,7 +7,7 @@
 import {parsePeerMember} from './parse-peer-member.js';
 import {parseServerRecord} from './parse-server-record.js';
 import {
-	shareScopes, type ConfigurationDocument, type LoadEntry, type LoadShare, type PeerMethodName, type PeerMethods, type StoredPrompt, type StreamOriginView, type StreamOriginWrite, type StreamSend,
+	shareScopes, type ConfigurationDocument, type LoadEntry, type LoadShare, type PeerMethodName, type PeerMethods, type SpeedNote, type StoredPrompt, type StreamOriginView, type StreamOriginWrite, type StreamSend,
 } from './peer-methods.js';
 
 /** Called for each element of a list that is left out. */
@@ -98,12 +98,12 @@
 		throw new FieldError('an element of "servers" is not an array');
 	}
 
-	const [server, promptTokens, requests, streams] = value as unknown[];
+	const [server, promptTokens, requests, streams, work] = value as unknown[];
 	if (typeof server !== 'string' || !isCount(promptTokens) || !isCount(requests) || !isCount(streams)) {
 		throw new FieldError('an element of "servers" is not an id with three counts');
 	}
 
-	return [server, promptTokens, requests, streams];
+	return isCount(work) ? [server, promptTokens, requests, streams, work] : [server, promptTokens, requests, streams];
 }
 
 function parsePart(value: unknown): {id: string; tokens: number} {
@@ -125,12 +125,26 @@
 	};
 }
 
+function parseSpeed(value: unknown): SpeedNote {
+	if (!Array.isArray(value)) {
+		throw new FieldError('an element of "speeds" is not an array');
+	}
+
+	const [server, samples, hundredths] = value as unknown[];
+	if (typeof server !== 'string' || !isCount(samples) || !Number.isSafeInteger(hundredths)) {
+		throw new FieldError('an element of "speeds" is not an id with two numbers');
+	}
+
+	return [server, samples, hundredths as number];
+}
+
 function readShare(fields: Fields, onLeftOut: ElementListener): LoadShare {
 	return {
 		instance: fields.readText('instance'),
 		scope: fields.readOneOf('scope', Object.values(shareScopes)),
 		servers: readEach(fields.readList('servers'), parseLoad, onLeftOut),
 		stored: readEach(fields.readList('stored'), parseStoredPrompt, onLeftOut),
+		...(fields.has('speeds') && {speeds: readEach(fields.readList('speeds'), parseSpeed, onLeftOut)}),
 	};
 }
 
--- a/packages/core/types/src/peer-methods.ts
+++ b/packages/core/types/src/peer-methods.ts
@@ -159,8 +159,11 @@
 	stream?: {service: string; versions: string[]; sends?: StreamSend[]};
 };
 
-/** Work in flight at one server. A tuple for a compact encoding: load shares are the most frequent peer messages. */
-export type LoadEntry = [server: string, promptTokens: number, requests: number, streams: number];
+/**
+ * Work in flight at one server. A tuple for a compact encoding: load shares are the most frequent peer messages. `work` is the
+ * expected work of the requests in units of 10 ms, where the servers are uneven; earlier versions ignore it.
+ */
+export type LoadEntry = [server: string, promptTokens: number, requests: number, streams: number, work?: number];
 
 /** Which instances' load a share contains, and what the receiver does with it. */
 export const shareScopes = {
@@ -182,12 +185,17 @@
 /** Prompts that a server has prefilled or whose KV cache was transferred to it. The timing is set if it was measured. */
 export type StoredPrompt = {server: string; parts: Array<{id: string; tokens: number}>; timing?: PrefillTiming};
 
+/** Answers of a server since the last share: their number, and the mean logarithm of their ratio to what was expected, in hundredths. */
+export type SpeedNote = [server: string, samples: number, hundredths: number];
+
 /** Unfinished work that instances have sent to servers, and the prompts that servers have stored since the last share. */
 export type LoadShare = {
 	instance: string;
 	scope: ShareScope;
 	servers: LoadEntry[];
 	stored: StoredPrompt[];
+	/** Measured speeds of servers without prompts; earlier versions ignore them. */
+	speeds?: SpeedNote[];
 };
 
 /** Parameters and result of each method, by name. Notifications have the result `void`. */
--- a/packages/plugins/edge/src/buffered/buffered-forwarder.ts
+++ b/packages/plugins/edge/src/buffered/buffered-forwarder.ts
@@ -5,7 +5,9 @@
  */
 import {unlimitedGrant, type SendGrant} from '@hickorytrack/endpoint-client/send-grant';
 import {answerVerdicts, type ReceivedAnswer} from '@hickorytrack/http-answer/answer-reader';
+import type {WorkKind} from '@hickorytrack/expected-work/work-estimates';
 import type {KnownServer} from '@hickorytrack/endpoint-registry';
+import {listSharedParts} from '@hickorytrack/prompt-placement/prompt';
 import {requestKinds} from '@hickorytrack/route-table/route-types';
 import {checkAnswerEnd} from '../calls/answer-end.js';
 import {
@@ -50,6 +52,7 @@
 	/** True until a server may have started to run the request. */
 	#isNotExecuted = true;
 	readonly #grounds: RefusalGrounds;
+	readonly #workKind: WorkKind;
 	#retryAfterMs = defaultRetryAfterMs;
 	/** The last 5xx response of a server, forwarded when no other server gives a better one. */
 	#failedResult: AttemptResult | undefined;
@@ -59,6 +62,7 @@
 		this.#context = context;
 		this.#request = request;
 		this.#permits = new SendPermits(context.retryBudget, request);
+		this.#workKind = createWorkKind(request);
 		this.#grounds = new RefusalGrounds(createAnswerIdentity(context, request));
 	}
 
@@ -111,8 +115,9 @@
 
 	/** Selects a server that takes the request now, or else one that takes it within the time. */
 	#selectServer(limitWaitMs: number): KnownServer | undefined {
-		const {leastLoadPlacement, availabilityZone} = this.#context;
-		const select = (waitMs: number) => leastLoadPlacement.select(listCandidates(this.#context, this.#request.service, {limitWaitMs: waitMs}), {excluded: new Set(this.#servers.map(server => server.id)), availabilityZone});
+		const {leastLoadPlacement, availabilityZone, expectedWork} = this.#context;
+		const workMs = expectedWork.isUneven(this.#request.service) ? expectedWork.estimateMs(this.#workKind) : undefined;
+		const select = (waitMs: number) => leastLoadPlacement.select(listCandidates(this.#context, this.#request.service, {limitWaitMs: waitMs}), {excluded: new Set(this.#servers.map(server => server.id)), availabilityZone, workMs});
 		return select(0) ?? select(limitWaitMs);
 	}
 
@@ -178,8 +183,10 @@
 	}
 
 	async #runAttempt(server: KnownServer, {permit, grant, canceller}: {permit: SendPermit; grant: SendGrant; canceller: AttemptCanceller}): Promise<AttemptResult> {
-		const {clock, client, loadTracker} = this.#context;
-		const inFlightLoad = loadTracker.add(server.id, 0);
+		const {clock, client, loadTracker, expectedWork} = this.#context;
+		const work = expectedWork.begin(server, this.#workKind, loadTracker.getRemoteLoad(server.id));
+		const inFlightLoad = loadTracker.add(server.id, 0, {workMs: expectedWork.isUneven(server.service) ? work.workMs : 0});
+		let isSample = false;
 		try {
 			const result = await runAttempt(client, server.address, {
 				clock, signal: this.#request.signal, timeoutMs: this.#remainingMs, canceller, hold: this.#request.answerHold, request: createOutboundRequest(this.#context, this.#request, {
@@ -187,14 +194,21 @@
 				}),
 			});
 			permit.finish({isWritten: result.isWritten, isAccepted: true});
+			isSample = this.#isWorkSample(server, result);
 			return result;
 		} finally {
 			// A grant that was used stays used.
 			grant.release();
 			inFlightLoad.release();
+			work.end({isSample});
 		}
 	}
 
+	/** Tells whether the time of the answer is that of the request's work. A failure may come early, and a cold server is slow for a while. */
+	#isWorkSample(server: KnownServer, {outcome, head, isHeldUp}: AttemptResult): boolean {
+		return outcome === attemptOutcomes.answered && isHeldUp !== true && head!.status < 500 && server.coldMs === 0 && !this.#context.codec.decodeResponseHead(head!).isNotExecuted;
+	}
+
 	#recordEnded(ended: EndedAttempt | FailedAttempt): void {
 		this.#endedAttempts.push(ended);
 		this.#onAttemptEnded?.();
@@ -367,3 +381,9 @@
 		};
 	}
 }
+
+function createWorkKind({service, route, metadata: {prompt}}: CallerRequest): WorkKind {
+	return {
+		service, route: route.name, outputTokens: prompt?.maxOutputTokens, promptTokens: prompt?.tokens, subject: prompt && listSharedParts(prompt).at(-1)?.id,
+	};
+}
--- a/packages/plugins/edge/src/calls/create-forward-context.ts
+++ b/packages/plugins/edge/src/calls/create-forward-context.ts
@@ -15,7 +15,7 @@
 import type {ForwardContext} from './forward-context.js';
 
 export type ForwardContextOptions = Pick<EdgeOptions, 'settings' | 'clock' | 'random' | 'codec' | 'metrics' | 'account'>
-	& Pick<ForwardContext, 'tasks' | 'registry' | 'health' | 'limits' | 'loadTracker' | 'profile' | 'crashReports' | 'origins' | 'eventLog' | 'getConnectionLimit'>
+	& Pick<ForwardContext, 'tasks' | 'registry' | 'health' | 'limits' | 'loadTracker' | 'profile' | 'expectedWork' | 'crashReports' | 'origins' | 'eventLog' | 'getConnectionLimit'>
 	& Pick<EndpointClientOptions, 'onForeignAnswer' | 'onHandlerFailed'>
 	& {
 		cacheIndex: PrefixCacheIndex;
@@ -36,7 +36,7 @@
 const headMemoryDivisor = 8;
 
 export function createForwardContext(opts: ForwardContextOptions): ForwardContext {
-	const {settings, clock, tasks, random, codec, metrics, account, registry, health, limits, loadTracker, profile, cacheIndex, partUsage, eventLog, getKvCapacity, getConnectionLimit, countInstances} = opts;
+	const {settings, clock, tasks, random, codec, metrics, account, registry, health, limits, loadTracker, profile, expectedWork, cacheIndex, partUsage, eventLog, getKvCapacity, getConnectionLimit, countInstances} = opts;
 	reportFullParts(account, {clock, events: eventLog});
 	const client = new EndpointClient({
 		clock, tasks, connectTimeoutMs, headBound: new ByteBudget(Math.floor(account.limit / headMemoryDivisor)), limits: {maxAnswerBytes: Math.floor(settings.answerMemoryBytes / answersInMemory), budget: account.getPart('answers')}, onAnswer(server, head, request) {
@@ -66,9 +66,12 @@
 		limits,
 		loadTracker,
 		profile,
+		expectedWork,
 		measurements: new AnswerMeasurements({cacheIndex, profile, health}),
 		client,
-		leastLoadPlacement: new LeastLoadPlacement({loadTracker, random, getFailureRate: server => health.getFailureRate(server)}),
+		leastLoadPlacement: new LeastLoadPlacement({
+			loadTracker, random, getFailureRate: server => health.getFailureRate(server), expectedWork,
+		}),
 		promptPlacement: new PromptPlacement({
 			random, loadTracker, cacheIndex, usage: partUsage, profile, getKvCapacity, isLimited: server => limits.isLimited(server),
 		}),
--- a/packages/plugins/edge/src/calls/forward-context.ts
+++ b/packages/plugins/edge/src/calls/forward-context.ts
@@ -5,6 +5,7 @@
 import type {SendGrant} from '@hickorytrack/endpoint-client/send-grant';
 import type {AnswerIdentity} from '@hickorytrack/endpoint-client/answer-identity';
 import type {EngineProfile} from '@hickorytrack/engine-profile';
+import type {ExpectedWork} from '@hickorytrack/expected-work';
 import type {EndpointRegistry, KnownServer} from '@hickorytrack/endpoint-registry';
 import type {LoadTracker} from '@hickorytrack/prompt-placement/load-tracker';
 import type {LeastLoadPlacement} from '@hickorytrack/prompt-placement/least-load-placement';
@@ -36,6 +37,8 @@
 	limits: ServerLimits;
 	loadTracker: LoadTracker;
 	profile: EngineProfile;
+	/** Of requests to services without prompt placement. */
+	expectedWork: ExpectedWork;
 	measurements: AnswerMeasurements;
 	leastLoadPlacement: LeastLoadPlacement;
 	promptPlacement: PromptPlacement;
--- a/packages/plugins/edge/src/edge.ts
+++ b/packages/plugins/edge/src/edge.ts
@@ -11,6 +11,8 @@
 	EndpointRegistry, type ServerReport,
 } from '@hickorytrack/endpoint-registry';
 import {EngineProfile} from '@hickorytrack/engine-profile';
+import {ExpectedWork} from '@hickorytrack/expected-work';
+import {ServerSpeeds} from '@hickorytrack/expected-work/server-speeds';
 import {HickorytrackError, describeError} from '@hickorytrack/errors';
 import {Mesh} from '@hickorytrack/mesh';
 import {parseAddress, PeerNode} from '@hickorytrack/peer-link/peer-node';
@@ -82,7 +84,8 @@
 	readonly #loadTracker: LoadTracker;
 	readonly #cacheIndex: PrefixCacheIndex;
 	readonly #partUsage: PartUsage;
-	readonly #profile = new EngineProfile();
+	readonly #profile: EngineProfile;
+	readonly #expectedWork: ExpectedWork;
 	readonly #stateSharing: StateSharing;
 	readonly #origins: StreamOrigins;
 	readonly #versionRetirement: VersionRetirement | undefined;
@@ -117,6 +120,12 @@
 			peers: this.#peers, clock, events, tasks, seeds: settings.seeds, linkedRoles: [edgeRole], hubRole: coreRole,
 		});
 		const health = new ServerHealth(clock);
+		const onUnevenChange = (service: string, isUneven: boolean) => {
+			events.emit(isUneven ? 'serversUneven' : 'serversEven', {service});
+		};
+
+		this.#expectedWork = new ExpectedWork(clock, onUnevenChange);
+		this.#profile = new EngineProfile({clock, speeds: new ServerSpeeds(clock, onUnevenChange)});
 		this.registry = new EndpointRegistry({
 			clock, reportTimeoutMs: settings.reportIntervalMs * maxMissedReports, onStarted: server => {
 				this.#crashReports.handleStart();
@@ -124,6 +133,7 @@
 			}, onForgotten: id => {
 				health.remove(id);
 				this.#profile.remove(id);
+				this.#expectedWork.speeds.remove(id);
 				this.#cacheIndex.remove(id);
 			},
 		});
@@ -181,6 +191,7 @@
 			limits: this.#limits,
 			loadTracker: this.#loadTracker,
 			profile: this.#profile,
+			expectedWork: this.#expectedWork,
 			cacheIndex: this.#cacheIndex,
 			partUsage: this.#partUsage,
 			crashReports: this.#crashReports,
@@ -346,6 +357,7 @@
 			relay: this.#stateSharing.relay,
 			stages: this.#stageControl?.dump(),
 			profile: this.#profile.dump(),
+			speeds: this.#expectedWork.speeds.dump(),
 			limits: this.#limits.describe(this.registry.list()),
 			streamOrigins: this.#origins.dump(),
 			crashCauses: this.#crashAttribution.listBans(),
--- a/packages/plugins/edge/src/sharing/state-sharing.ts
+++ b/packages/plugins/edge/src/sharing/state-sharing.ts
@@ -14,7 +14,9 @@
 import type {PartUsage} from '@hickorytrack/prompt-placement/part-usage';
 import type {PrefixCacheIndex} from '@hickorytrack/prompt-placement/prefix-cache-index';
 import {coreRole} from '@hickorytrack/route-store/core-member';
-import type {PeerMethodName, PeerMethods, StoredPrompt} from '@hickorytrack/types/peer-methods';
+import type {
+	PeerMethodName, PeerMethods, SpeedNote, StoredPrompt,
+} from '@hickorytrack/types/peer-methods';
 import type {CrashReports} from '../crashes/crash-reports.js';
 import type {ForwardContext} from '../calls/forward-context.js';
 import {ReportSharing} from './report-sharing.js';
@@ -29,7 +31,7 @@
 	cacheIndex: PrefixCacheIndex;
 	partUsage: PartUsage;
 	/** Receives the measured speeds and signs of life that other instances report. */
-	context: Pick<ForwardContext, 'profile' | 'health'>;
+	context: Pick<ForwardContext, 'profile' | 'health' | 'expectedWork'>;
 	crashAttribution: CrashAttribution;
 	/** Receives what other instances report of crashes. */
 	crashReports: Pick<CrashReports, 'mergeCrash' | 'mergeSound'>;
@@ -144,6 +146,10 @@
 			onStored: stored => {
 				this.#recordStored(stored);
 			},
+			drainSpeeds: maxNotes => this.#opts.context.expectedWork.speeds.drainNotes(maxNotes),
+			onSpeeds: speeds => {
+				this.#recordSpeeds(speeds);
+			},
 		});
 	}
 
@@ -163,6 +169,16 @@
 		});
 	}
 
+	#recordSpeeds(speeds: readonly SpeedNote[]): void {
+		const {registry, context} = this.#opts;
+		for (const note of speeds) {
+			const server = registry.find(note[0]);
+			if (server) {
+				context.expectedWork.speeds.merge(server.service, server, note);
+			}
+		}
+	}
+
 	#recordStored(stored: readonly StoredPrompt[]): void {
 		const {registry, cacheIndex, partUsage, context} = this.#opts;
 		cacheIndex.mergeRemotePrompts(stored, id => registry.find(id));
--- a/packages/plugins/edge/src/streams/stream-calls.ts
+++ b/packages/plugins/edge/src/streams/stream-calls.ts
@@ -6,7 +6,7 @@
 import type {SendGrant} from '@hickorytrack/endpoint-client/send-grant';
 import {answerVerdicts, type ReceivedAnswer} from '@hickorytrack/http-answer/answer-reader';
 import type {KnownServer} from '@hickorytrack/endpoint-registry';
-import type {Placement} from '@hickorytrack/prompt-placement';
+import {countMemoryTokens, type Placement} from '@hickorytrack/prompt-placement';
 import type {Prompt} from '@hickorytrack/prompt-placement/prompt';
 import {checkAnswerEnd} from '../calls/answer-end.js';
 import {
@@ -68,12 +68,13 @@
 
 	/** Has a server prefill the prompt. */
 	async prefill(run: StreamRun, {prefillServer, kvSource, prefillTokens, predictedMs}: Placement & {kind: 'hand-over'}, {permit, grant}: {permit: SendPermit; grant: SendGrant}): Promise<PrefillResult> {
-		const {loadTracker, client, clock, codec, health, measurements} = this.#context;
+		const {loadTracker, client, clock, codec, health, measurements, profile} = this.#context;
 		const request = createOutboundRequest(this.#context, this.#request, {
 			server: prefillServer, permit, grant, needsVerifiedConnection: false, priority: this.#priority, isPrefillOnly: true, prefixCacheAddress: kvSource?.address,
 		});
 		const queuedTokens = loadTracker.getLoad(prefillServer.id).promptTokens;
-		const inFlightLoad = loadTracker.add(prefillServer.id, prefillTokens);
+		const inFlightLoad = loadTracker.add(prefillServer.id, prefillTokens, {memoryTokens: countMemoryTokens(this.prompt, prefillServer)});
+		const endPrefill = profile.beginPrefill(prefillServer, queuedTokens + prefillTokens);
 		const startedAt = clock.monotonic();
 		run.server = prefillServer;
 		this.#opts.dispatch({kind: 'prefilling', run: run.id});
@@ -81,6 +82,7 @@
 			clock, signal: this.#request.signal, timeoutMs: this.#remainingMs, canceller: run.canceller, silence: this.#createSilenceOptions(run, prefillServer, predictedMs), request,
 		});
 		inFlightLoad.release();
+		endPrefill();
 		const metadata = result.head && codec.decodeResponseHead(result.head);
 		const handle = result.outcome === attemptOutcomes.answered && result.head?.status === 200 ? codec.decodeKvHandle(prefillServer.address, result.body.toString()) : undefined;
 		permit.finish({isWritten: result.isWritten, isAccepted: handle !== undefined});
@@ -164,7 +166,7 @@
 			lastEventId,
 		});
 		const load = loadTracker.getLoad(server.id);
-		const inFlightLoad = loadTracker.add(server.id, handle ? 0 : placement.prefillTokens, {isStream: isLongOutput});
+		const inFlightLoad = loadTracker.add(server.id, handle ? 0 : placement.prefillTokens, {isStream: isLongOutput, memoryTokens: countMemoryTokens(this.prompt, server)});
 		let firstByteAt: number | undefined;
 		const startedAt = clock.monotonic();
 		const refutation = new AbortController();
--- a/packages/plugins/edge/test/retry-fleet.ts
+++ b/packages/plugins/edge/test/retry-fleet.ts
@@ -15,6 +15,7 @@
 import {ByteBudget} from '@hickorytrack/http-answer/byte-budget';
 import {connectionEnds} from '@hickorytrack/http-answer/connection-watch';
 import {EndpointRegistry} from '@hickorytrack/endpoint-registry';
+import {ExpectedWork} from '@hickorytrack/expected-work';
 import {EngineProfile} from '@hickorytrack/engine-profile';
 import {EventLog} from '@hickorytrack/events';
 import {MetricsRegistry} from '@hickorytrack/metrics-registry';
@@ -209,6 +210,7 @@
 		const health = new ServerHealth(clock);
 		const loadTracker = new LoadTracker(clock);
 		const profile = new EngineProfile();
+		const expectedWork = new ExpectedWork(clock);
 		const cacheIndex = new PrefixCacheIndex({getKvCapacity: () => 1e6});
 		const eventLog = new RateLimitedEventLog(clock, new EventLog({clock}));
 		return {
@@ -220,6 +222,7 @@
 			pauses: new ServerPauses({clock, loadTracker}),
 			loadTracker,
 			profile,
+			expectedWork,
 			eventLog,
 			client: {limits: {maxAnswerBytes: 1e6, budget: new ByteBudget(1e9)}, send: (_address: string, request: OutboundRequest, handler: ResponseHandler) => this.#handleCall(request, handler)} as unknown as EndpointClient,
 			registry: new EndpointRegistry({clock, reportTimeoutMs: 60_000}),
--- a/packages/plugins/edge/test/state-sharing.test.ts
+++ b/packages/plugins/edge/test/state-sharing.test.ts
@@ -4,6 +4,7 @@
 import {CrashAttribution} from '@hickorytrack/crash-attribution';
 import {mergeTraits, verdicts} from '@hickorytrack/crash-attribution/run-traits';
 import {EndpointRegistry} from '@hickorytrack/endpoint-registry';
+import {ExpectedWork} from '@hickorytrack/expected-work';
 import {EngineProfile} from '@hickorytrack/engine-profile';
 import {EventLog} from '@hickorytrack/events';
 import type {Mesh} from '@hickorytrack/mesh';
@@ -34,7 +35,7 @@
 		};
 		const sharing = new StateSharing({
 			tasks: new BackgroundTasks(),
-			clock, events: new EventLog({clock}), mesh: mesh as unknown as Mesh, registry: new EndpointRegistry({clock, reportTimeoutMs: 1000}), loadTracker: new LoadTracker(clock), cacheIndex: new PrefixCacheIndex({getKvCapacity: () => 0}), partUsage: new PartUsage(clock), context: {profile: new EngineProfile(), health: new ServerHealth(clock)}, crashAttribution: this.crashAttribution, crashReports: {
+			clock, events: new EventLog({clock}), mesh: mesh as unknown as Mesh, registry: new EndpointRegistry({clock, reportTimeoutMs: 1000}), loadTracker: new LoadTracker(clock), cacheIndex: new PrefixCacheIndex({getKvCapacity: () => 0}), partUsage: new PartUsage(clock), context: {profile: new EngineProfile(), expectedWork: new ExpectedWork(clock), health: new ServerHealth(clock)}, crashAttribution: this.crashAttribution, crashReports: {
 				mergeCrash: report => this.crashAttribution.recordCrash(report),
 				mergeSound: sound => {
 					this.crashAttribution.mergeSound(sound);
--- a/packages/routing/engine-profile/src/engine-profile.ts
+++ b/packages/routing/engine-profile/src/engine-profile.ts
@@ -2,8 +2,13 @@
  * The speed of the servers of each service, learnt from the time that answered prefills and hand-overs took. Prefill servers
  * and decode servers have a fit each; a factor for each server covers servers that are faster or slower than the others.
  * All instances share their samples, so each of them knows the speed after the first answers of any instance.
+ *
+ * Where the servers have proved to be uneven, the factors are those of `ServerSpeeds`, which follow phases of some hundred
+ * milliseconds too, and a prefill of this instance that is overdue counts as evidence of a phase.
  */
+import type {Clock} from '@hickorytrack/clock';
 import type {KnownServer} from '@hickorytrack/endpoint-registry';
+import type {ServerSpeeds} from '@hickorytrack/expected-work/server-speeds';
 import {LatencyFit} from './latency-fit.js';
 
 export type PrefillSample = {
@@ -33,11 +38,33 @@
 	logarithm: number;
 };
 
+/** A prefill that runs longer than this many times what was expected is overdue. */
+const overdueFactor = 1.3;
+/** Samples after which the fit tells what a server of mean speed takes. */
+const minFitSamples = 30;
+
+export type EngineProfileOptions = {
+	clock: Pick<Clock, 'monotonic'>;
+	/** Of model servers only; their samples arrive by `record`. */
+	speeds: ServerSpeeds;
+};
+
+type RunningPrefill = {startedAt: number; expectedMs: number};
+
 export class EngineProfile {
+	readonly #opts: EngineProfileOptions | undefined;
+	/** Prefills of this instance by server id. */
+	readonly #running = new Map<string, Set<RunningPrefill>>();
+	readonly #overdue = {count: 0, sum: 0};
 	readonly #fits = new Map<string, LatencyFit>();
 	readonly #factors = new Map<string, ServerFactor>();
 	readonly #holdMs = new Map<string, number>();
 
+	/** Without options, the factors follow no phases. */
+	constructor(opts?: EngineProfileOptions) {
+		this.#opts = opts;
+	}
+
 	record(server: KnownServer, {tokens, elapsedMs, isIdle}: PrefillSample): void {
 		if (!(tokens > 0 && elapsedMs > 0)) {
 			return;
@@ -45,19 +72,27 @@
 
 		const fit = this.#getFit(server.service, server.stage === 'prefill');
 		const factor = this.#getFactor(server);
+		const fastFactor = this.#findUnevenFactor(server);
+		this.#recordSpeed(server, {
+			fit, tokens, elapsedMs, isIdle,
+		});
 		if (fit.isKnown && isIdle) {
 			const ratio = Math.log(elapsedMs / fit.estimateMs(tokens));
 			const bound = Math.log(maxFactor);
 			factor.logarithm += (Math.max(-bound, Math.min(bound, ratio)) - factor.logarithm) * factorWeight;
 		}
 
-		fit.record(tokens, elapsedMs / Math.exp(factor.logarithm), isIdle ? 1 : busySampleWeight);
+		fit.record(tokens, elapsedMs / (fastFactor ?? Math.exp(factor.logarithm)), isIdle ? 1 : busySampleWeight);
 	}
 
 	/** Records the time from a hand-over of the KV cache of this many tokens to the first event of the answer. */
 	recordHandOver(server: KnownServer, {tokens, elapsedMs}: Omit<PrefillSample, 'isIdle'>): void {
 		if (tokens > 0 && elapsedMs > 0) {
-			this.#getHandOverFit(server.service).record(tokens, elapsedMs);
+			const fit = this.#getHandOverFit(server.service);
+			this.#recordSpeed(server, {
+				fit, tokens, elapsedMs, isIdle: true,
+			});
+			fit.record(tokens, elapsedMs / (this.#findUnevenFactor(server) ?? 1));
 		}
 	}
 
@@ -94,9 +129,34 @@
 		return this.#findSpeed(server).msPerToken;
 	}
 
+	/** Factor by which the server takes longer now than the mean one; 1 while the servers have not proved to be uneven. */
+	getUnevenFactor(server: KnownServer): number {
+		return this.#findUnevenFactor(server) ?? 1;
+	}
+
+	/** Begins a prefill of this instance, with the tokens that the server has to prefill until its end. Returns a function that ends it. */
+	beginPrefill(server: KnownServer, tokens: number): () => void {
+		if (!this.#opts || !this.isKnown(server.service)) {
+			return () => undefined;
+		}
+
+		const slowFactor = this.#opts.speeds.getSlowFactor(formatSpeedGroup(server), server);
+		const prefill = {startedAt: this.#opts.clock.monotonic(), expectedMs: this.#getFit(server.service, server.stage === 'prefill').estimateMs(tokens) * slowFactor};
+		const running = this.#running.get(server.id) ?? new Set();
+		running.add(prefill);
+		this.#running.set(server.id, running);
+		return () => {
+			running.delete(prefill);
+			if (running.size === 0 && this.#running.get(server.id) === running) {
+				this.#running.delete(server.id);
+			}
+		};
+	}
+
 	/** Discards the factor of a server that is no longer known. */
 	remove(id: string): void {
 		this.#factors.delete(id);
+		this.#opts?.speeds.remove(id);
 	}
 
 	/** Returns the fits, in tokens per millisecond, for the state dump. */
@@ -104,12 +164,47 @@
 		return Object.fromEntries([...this.#fits].map(([key, fit]) => [key, {tokensPerMs: fit.isKnown ? 1 / fit.msPerToken : undefined, fixedMs: fit.fixedMs}]));
 	}
 
+	/** A busy server may have had a queue that nobody here knew of, so that its answers tell a phase only where there are phases. */
+	#recordSpeed(server: KnownServer, {fit, tokens, elapsedMs, isIdle}: PrefillSample & {fit: LatencyFit}): void {
+		if (this.#opts && fit.samples >= minFitSamples && server.coldMs === 0) {
+			const group = formatSpeedGroup(server);
+			this.#opts.speeds.record(group, server, elapsedMs / fit.estimateMs(tokens), {isWaitKnown: isIdle || this.#opts.speeds.isUneven(group)});
+		}
+	}
+
+	/** Undefined while the servers have not proved to be uneven. */
+	#findUnevenFactor(server: KnownServer): number | undefined {
+		const speeds = this.#opts?.speeds;
+		const group = speeds && formatSpeedGroup(server);
+		return group !== undefined && speeds!.isUneven(group) ? speeds!.getFactor(group, server, this.#measureOverdue(server.id)) : undefined;
+	}
+
+	#measureOverdue(id: string): {count: number; sum: number} | undefined {
+		const running = this.#running.get(id);
+		if (!running) {
+			return undefined;
+		}
+
+		const now = this.#opts!.clock.monotonic();
+		this.#overdue.count = 0;
+		this.#overdue.sum = 0;
+		for (const {startedAt, expectedMs} of running) {
+			const ratio = (now - startedAt) / expectedMs;
+			if (expectedMs > 0 && ratio > overdueFactor) {
+				this.#overdue.count++;
+				this.#overdue.sum += Math.log(ratio);
+			}
+		}
+
+		return this.#overdue;
+	}
+
 	#findSpeed(server: KnownServer): {fixedMs: number; msPerToken: number} {
 		const isPrefill = server.stage === 'prefill';
 		const own = this.#getFit(server.service, isPrefill);
 		const other = this.#getFit(server.service, !isPrefill);
 		const stageFactor = isPrefill ? 1 / decodeSlowdown : decodeSlowdown;
-		const factor = Math.exp(this.#getFactor(server).logarithm) * (own.isKnown ? 1 : stageFactor);
+		const factor = (this.#findUnevenFactor(server) ?? Math.exp(this.#getFactor(server).logarithm)) * (own.isKnown ? 1 : stageFactor);
 		const {fixedMs, msPerToken} = own.isKnown ? own : other;
 		return {fixedMs: fixedMs * factor, msPerToken: msPerToken * factor};
 	}
@@ -146,3 +241,7 @@
 function formatHoldKey(service: string, isStream: boolean): string {
 	return `${service}/${isStream ? 'stream' : 'short'}`;
 }
+
+function formatSpeedGroup({service, stage}: KnownServer): string {
+	return `${service}/${stage === 'prefill' ? 'prefill' : 'decode'}`;
+}
--- a/packages/routing/engine-profile/src/latency-fit.ts
+++ b/packages/routing/engine-profile/src/latency-fit.ts
@@ -31,6 +31,10 @@
 		return this.#samples > 0;
 	}
 
+	get samples(): number {
+		return this.#samples;
+	}
+
 	get fixedMs(): number {
 		return this.#fixedMs;
 	}
--- a/packages/routing/load-sharing/src/load-sharing.ts
+++ b/packages/routing/load-sharing/src/load-sharing.ts
@@ -14,8 +14,9 @@
 import type {PrefixCacheIndex} from '@hickorytrack/prompt-placement/prefix-cache-index';
 import type {LoadTracker} from '@hickorytrack/prompt-placement/load-tracker';
 import {
-	shareScopes, type LoadShare, type PeerMember, type StoredPrompt,
+	shareScopes, type LoadShare, type PeerMember, type SpeedNote, type StoredPrompt,
 } from '@hickorytrack/types/peer-methods';
+import {fitShare, measureSpareBytes, speedNoteBytes} from './fit-share.js';
 import {rankRelays} from './rank-relays.js';
 
 /** An open connection to another instance. */
@@ -41,6 +42,10 @@
 	onLeafAdded?: (peer: Peer) => void;
 	/** Called with the prompts that other instances report as stored. */
 	onStored: (stored: readonly StoredPrompt[]) => void;
+	/** Returns measured speeds for the other instances, at most as many as given. */
+	drainSpeeds?: (maxNotes: number) => SpeedNote[];
+	/** Called with the speeds that other instances have measured. */
+	onSpeeds?: (speeds: readonly SpeedNote[]) => void;
 	/** Without it, errors of tasks are printed as warnings. */
 	tasks?: BackgroundTasks;
 };
@@ -76,6 +81,7 @@
 	from: string;
 	isFromLeaf: boolean;
 	stored: readonly StoredPrompt[];
+	speeds: readonly SpeedNote[];
 };
 
 export class LoadSharing<Peer extends SharePeer = SharePeer> {
@@ -141,7 +147,9 @@
 
 	/** Handles a share from another instance. */
 	handleShare(share: LoadShare, peer: Peer): void {
+		const {speeds = []} = share;
 		this.#opts.onStored(share.stored);
+		this.#opts.onSpeeds?.(speeds);
 		if (share.scope === shareScopes.rest) {
 			this.#handleRelayShare(share);
 			return;
@@ -165,8 +173,10 @@
 			this.#onChange?.();
 		}
 
-		if (this.#isRelay && share.stored.length > 0) {
-			this.#pendingForwards.push({from: share.instance, isFromLeaf: share.scope === shareScopes.leaf, stored: share.stored});
+		if (this.#isRelay && (share.stored.length > 0 || speeds.length > 0)) {
+			this.#pendingForwards.push({
+				from: share.instance, isFromLeaf: share.scope === shareScopes.leaf, stored: share.stored, speeds,
+			});
 		}
 	}
 
@@ -200,7 +210,7 @@
 	#sendDirectly(peers: readonly Peer[]): void {
 		this.#relay = undefined;
 		this.#pendingForwards = [];
-		const share = this.#createShare(shareScopes.own, {servers: this.#opts.loadTracker.listOwn(), stored: this.#opts.cacheIndex.drainUnsent()});
+		const share = this.#createShare(shareScopes.own, this.#collectOwn());
 		for (const peer of peers) {
 			peer.notify('load.share', share);
 		}
@@ -209,8 +219,7 @@
 	#sendAsLeaf(peers: readonly Peer[]): void {
 		const relay = this.#findRelay(peers);
 		if (relay) {
-			const {loadTracker, cacheIndex} = this.#opts;
-			relay.notify('load.share', this.#createShare(shareScopes.leaf, {servers: loadTracker.listOwn(), stored: cacheIndex.drainUnsent()}));
+			relay.notify('load.share', this.#createShare(shareScopes.leaf, this.#collectOwn()));
 		}
 	}
 
@@ -220,8 +229,11 @@
 		this.#pendingForwards = [];
 		const {loadTracker, cacheIndex, relayRole} = this.#opts;
 		const stored = cacheIndex.drainUnsent();
+		const servers = loadTracker.listOwn({with: this.#leaves.keys()});
+		const speeds = this.#drainSpeeds({servers, stored});
 		const region = this.#createShare(shareScopes.region, {
-			servers: loadTracker.listOwn({with: this.#leaves.keys()}),
+			servers,
+			speeds: [...speeds, ...forwards.filter(forward => forward.isFromLeaf).flatMap(forward => forward.speeds)],
 			stored: [...stored, ...forwards.filter(forward => forward.isFromLeaf).flatMap(forward => forward.stored)],
 		});
 		for (const peer of peers) {
@@ -233,13 +245,24 @@
 		for (const [instance, {peer}] of this.#leaves) {
 			peer.notify('load.share', this.#createShare(shareScopes.rest, {
 				servers: loadTracker.listAllExcept(instance),
+				speeds: [...speeds, ...forwards.filter(forward => forward.from !== instance).flatMap(forward => forward.speeds)],
 				stored: [...stored, ...forwards.filter(forward => forward.from !== instance).flatMap(forward => forward.stored)],
 			}));
 		}
 	}
 
-	#createShare(scope: LoadShare['scope'], content: Pick<LoadShare, 'servers' | 'stored'>): LoadShare {
-		return {instance: this.#opts.member.instance, scope, ...content};
+	#collectOwn(): Pick<LoadShare, 'servers' | 'stored' | 'speeds'> {
+		const {loadTracker, cacheIndex} = this.#opts;
+		const content = {servers: loadTracker.listOwn(), stored: cacheIndex.drainUnsent()};
+		return {...content, speeds: this.#drainSpeeds(content)};
+	}
+
+	#drainSpeeds(content: Pick<LoadShare, 'servers' | 'stored'>): SpeedNote[] {
+		return this.#opts.drainSpeeds?.(Math.floor(measureSpareBytes(content) / speedNoteBytes)) ?? [];
+	}
+
+	#createShare(scope: LoadShare['scope'], content: Pick<LoadShare, 'servers' | 'stored' | 'speeds'>): LoadShare {
+		return fitShare({instance: this.#opts.member.instance, scope, ...content});
 	}
 
 	/** Returns whether a share is due, and clears the flags that made it due. */
--- a/packages/routing/prompt-placement/src/load-tracker.ts
+++ b/packages/routing/prompt-placement/src/load-tracker.ts
@@ -13,6 +13,14 @@
 	streams: number;
 };
 
+/** With the expected work, which placement by speed needs. */
+export type WorkLoad = ServerLoad & {
+	/** Expected work of the requests whose work is known, in milliseconds. */
+	workMs: number;
+	/** Number of the requests whose work is not known. */
+	unknownWork: number;
+};
+
 export type InFlightLoad = {
 	/** Removes the prompt tokens once prefill has ended; the request still counts. */
 	releasePrefill(): void;
@@ -20,6 +28,11 @@
 	release(): void;
 };
 
+/** Weight of a request in the mean of the tokens that requests hold. */
+const memorySampleWeight = 0.02;
+/** Unit of the work in a load share, in milliseconds. */
+const workUnitMs = 10;
+
 /** A source that has sent no load for this time may have crashed; its entries are removed. */
 const sourceTimeoutMs = 1000;
 
@@ -30,10 +43,14 @@
 
 export class LoadTracker {
 	readonly #clock: Clock;
-	readonly #own = new Map<string, ServerLoad>();
+	readonly #own = new Map<string, WorkLoad>();
 	readonly #sources = new Map<string, Source>();
 	/** Load of all sources by server, kept as a sum so that a look-up does not visit every source. */
-	readonly #remoteTotals = new Map<string, ServerLoad>();
+	readonly #remoteTotals = new Map<string, WorkLoad>();
+	/** Tokens of this instance's requests that the memory of each server holds. */
+	readonly #ownMemoryTokens = new Map<string, number>();
+	/** Mean of these tokens by request, by which those of the other instances count. */
+	#meanMemoryTokens = 0;
 	#expiresAt = Number.POSITIVE_INFINITY;
 	readonly #listeners: Array<() => void> = [];
 	#isChanged = false;
@@ -48,15 +65,22 @@
 	}
 
 	/** Adds a request that is sent to a server. */
-	add(id: string, promptTokens: number, opts: {isStream?: boolean} = {}): InFlightLoad {
+	add(id: string, promptTokens: number, opts: {isStream?: boolean; workMs?: number; memoryTokens?: number} = {}): InFlightLoad {
 		const streams = opts.isStream ? 1 : 0;
-		this.#updateOwn(id, {promptTokens, requests: 1, streams});
+		const {workMs = 0, memoryTokens = 0} = opts;
+		this.#updateMemory(id, memoryTokens);
+		const unknownWork = workMs > 0 ? 0 : 1;
+		this.#updateOwn(id, {
+			promptTokens, requests: 1, streams, workMs, unknownWork,
+		});
 		let isPending = true;
 		let isOpen = true;
 		const releasePrefill = () => {
 			if (isPending) {
 				isPending = false;
-				this.#updateOwn(id, {promptTokens: -promptTokens, requests: 0, streams: 0});
+				this.#updateOwn(id, {
+					promptTokens: -promptTokens, requests: 0, streams: 0, workMs: 0, unknownWork: 0,
+				});
 			}
 		};
 
@@ -66,7 +90,10 @@
 				if (isOpen) {
 					isOpen = false;
 					releasePrefill();
-					this.#updateOwn(id, {promptTokens: 0, requests: -1, streams: -streams});
+					this.#updateMemory(id, -memoryTokens);
+					this.#updateOwn(id, {
+						promptTokens: 0, requests: -1, streams: -streams, workMs: -workMs, unknownWork: -unknownWork,
+					});
 				}
 			},
 		};
@@ -107,6 +134,17 @@
 		};
 	}
 
+	/** Returns what the other instances have at the server. */
+	getRemoteLoad(id: string): Readonly<WorkLoad> {
+		this.#expireSources();
+		return this.#remoteTotals.get(id) ?? noLoad;
+	}
+
+	/** Estimates the tokens of the requests of all instances at a model server. */
+	estimateMemoryTokens(id: string): number {
+		return (this.#ownMemoryTokens.get(id) ?? 0) + (Math.max(0, this.getRemoteLoad(id).requests) * this.#meanMemoryTokens);
+	}
+
 	/** Returns whether this instance's own load has changed since the last call, and clears the flag. */
 	clearChanged(): boolean {
 		const isChanged = this.#isChanged;
@@ -166,11 +204,26 @@
 		}
 	}
 
-	#updateOwn(id: string, change: ServerLoad): void {
+	#updateMemory(id: string, change: number): void {
+		if (change > 0) {
+			this.#meanMemoryTokens += (change - this.#meanMemoryTokens) * (this.#meanMemoryTokens === 0 ? 1 : memorySampleWeight);
+		}
+
+		const tokens = (this.#ownMemoryTokens.get(id) ?? 0) + change;
+		if (tokens > 0) {
+			this.#ownMemoryTokens.set(id, tokens);
+		} else {
+			this.#ownMemoryTokens.delete(id);
+		}
+	}
+
+	#updateOwn(id: string, change: WorkLoad): void {
 		const load = this.#own.get(id) ?? createLoad();
 		load.promptTokens = Math.max(0, load.promptTokens + change.promptTokens);
 		load.requests += change.requests;
 		load.streams += change.streams;
+		load.workMs += change.workMs;
+		load.unknownWork += change.unknownWork;
 		this.#own.set(id, load);
 		this.#isChanged = true;
 		if (load.requests <= 0) {
@@ -187,21 +240,27 @@
 	return a.length === b.length && a.every((entry, index) => entry.every((value, position) => value === b[index]![position]));
 }
 
-function createLoad(): ServerLoad {
-	return {promptTokens: 0, requests: 0, streams: 0};
+const noLoad: Readonly<WorkLoad> = createLoad();
+
+function createLoad(): WorkLoad {
+	return {
+		promptTokens: 0, requests: 0, streams: 0, workMs: 0, unknownWork: 0,
+	};
 }
 
-function copyLoads(loads: ReadonlyMap<string, ServerLoad>): Map<string, ServerLoad> {
+function copyLoads(loads: ReadonlyMap<string, WorkLoad>): Map<string, WorkLoad> {
 	return new Map([...loads].map(([id, load]) => [id, {...load}]));
 }
 
 /** Adds an entry to a sum, or subtracts it; entries are integers, so the subtraction is exact. */
-function addEntry(sum: Map<string, ServerLoad>, entry: LoadEntry, sign: 1 | -1): void {
-	const [id, promptTokens, requests, streams] = entry;
+function addEntry(sum: Map<string, WorkLoad>, entry: LoadEntry, sign: 1 | -1): void {
+	const [id, promptTokens, requests, streams, work] = entry;
 	const load = sum.get(id) ?? createLoad();
 	load.promptTokens += sign * promptTokens;
 	load.requests += sign * requests;
 	load.streams += sign * streams;
+	load.workMs += sign * (work ?? 0) * workUnitMs;
+	load.unknownWork += work === undefined ? sign * requests : 0;
 	if (load.requests === 0 && load.promptTokens === 0) {
 		sum.delete(id);
 	} else {
@@ -209,6 +268,13 @@
 	}
 }
 
-function listEntries(loads: ReadonlyMap<string, ServerLoad>): LoadEntry[] {
-	return [...loads].map(([id, load]) => [id, Math.round(load.promptTokens), load.requests, load.streams]);
+function listEntries(loads: ReadonlyMap<string, WorkLoad>): LoadEntry[] {
+	const entries: LoadEntry[] = [];
+	for (const [id, {promptTokens, requests, streams, workMs, unknownWork}] of loads) {
+		// A server with some requests of unknown work counts by the number of its requests.
+		const isKnown = workMs > 0 && unknownWork === 0;
+		entries.push(isKnown ? [id, Math.round(promptTokens), requests, streams, Math.ceil(workMs / workUnitMs)] : [id, Math.round(promptTokens), requests, streams]);
+	}
+
+	return entries;
 }
--- a/packages/routing/prompt-placement/src/prompt-placement.ts
+++ b/packages/routing/prompt-placement/src/prompt-placement.ts
@@ -95,6 +95,8 @@
 const maxStreamQueueFraction = 0.2;
 /** A decode server with more streams than this prefills no long prompts while another server can. */
 const maxStreamsBesidePrefill = 2;
+/** A server that takes this many times as long as the mean one gets no streams while another one has free capacity. */
+const maxStreamSlowness = 1.5;
 /** A fetch that saves fewer tokens costs more than it saves. */
 const minFetchTokens = 64;
 
@@ -122,9 +124,14 @@
 		this.#slots = new DecodeSlots(opts);
 	}
 
-	plan(request: PlacementRequest): Placement {
+	plan(asked: PlacementRequest): Placement {
+		const request = this.#excludeFull(asked);
 		const usable = request.servers.filter(server => !request.excluded.has(server.id));
 		const decodeServers = usable.filter(server => server.stage !== 'prefill');
+		if (decodeServers.length === 0 && asked.servers.some(server => server.stage !== 'prefill' && !asked.excluded.has(server.id))) {
+			return {kind: 'refuse', retryAfterMs: request.objectiveMs, reason: 'no generating server has memory for the prompt'};
+		}
+
 		if (decodeServers.length === 0) {
 			return {kind: 'refuse', retryAfterMs: request.objectiveMs, reason: request.closed?.length ? 'no generating server takes a request at the moment' : 'no generating server is known'};
 		}
@@ -136,6 +143,19 @@
 		return this.#planLong(request, {decodeServers, prefillServers: usable.filter(server => server.stage === 'prefill')});
 	}
 
+	/** Treats the servers whose memory does not hold the request beside those in flight as closed. */
+	#excludeFull(request: PlacementRequest): PlacementRequest {
+		const {servers, prompt, closed = []} = request;
+		const full = servers.filter(server => !this.#hasMemory(server, prompt));
+		return full.length === 0 ? request : {...request, servers: servers.filter(server => !full.includes(server)), closed: [...closed, ...full]};
+	}
+
+	/** A server that holds more tokens than its memory crashes. Shared parts count for each request, so that the estimate is not too low. */
+	#hasMemory(server: KnownServer, prompt: Prompt): boolean {
+		const capacity = this.#opts.getKvCapacity(server.service);
+		return capacity <= 0 || this.#opts.loadTracker.estimateMemoryTokens(server.id) + countMemoryTokens(prompt, server) <= capacity;
+	}
+
 	/** Returns the time until the server has prefilled the prompts already sent to it, in milliseconds. */
 	#estimateQueueMs(server: KnownServer): number {
 		const queueMs = this.#opts.loadTracker.getLoad(server.id).promptTokens * this.#opts.profile.getMsPerToken(server);
@@ -173,7 +193,9 @@
 		const {scratchServers, homeServers} = createLayout(request);
 		const open = [...scratchServers, ...homeServers].filter(server => decodeServers.includes(server));
 		const limited = open.filter(server => this.#opts.isLimited?.(server));
-		return [...limited, ...open].find(server => this.#slots.getLoadFraction(server) < maxPackedSlotFraction && this.#estimateQueueMs(server) < objectiveMs * maxStreamQueueFraction);
+		const canTake = (server: KnownServer) => this.#slots.getLoadFraction(server) < maxPackedSlotFraction && this.#estimateQueueMs(server) < objectiveMs * maxStreamQueueFraction;
+		const ordered = [...limited, ...open];
+		return ordered.find(server => canTake(server) && this.#opts.profile.getUnevenFactor(server) < maxStreamSlowness) ?? ordered.find(server => canTake(server));
 	}
 
 	#planLong(request: PlacementRequest, {decodeServers, prefillServers}: {decodeServers: readonly KnownServer[]; prefillServers: readonly KnownServer[]}): Placement {
@@ -211,7 +233,7 @@
 	 * one with a free slot, scratch servers first because the KV cache of the prompt evicts others there.
 	 */
 	selectDecodeServer({prompt, objectiveMs, excluded, availabilityZone, closed}: Pick<PlacementRequest, 'prompt' | 'objectiveMs' | 'excluded' | 'availabilityZone' | 'closed'>, servers: readonly KnownServer[]): KnownServer | undefined {
-		const decodeServers = servers.filter(server => server.stage !== 'prefill' && !excluded.has(server.id));
+		const decodeServers = servers.filter(server => server.stage !== 'prefill' && !excluded.has(server.id) && this.#hasMemory(server, prompt));
 		if (decodeServers.length === 0) {
 			return undefined;
 		}
@@ -226,7 +248,14 @@
 
 		const evictionPenaltyMs = objectiveMs * closePredictionFraction;
 		const preferred = new Set([...scratchServers, ...decodeServers.filter(server => this.#opts.isLimited?.(server))]);
-		return this.#selectLeast(decodeServers, server => this.#slots.estimateWaitMs(server) + (evictionPenaltyMs * (this.#slots.getLoadFraction(server) + (preferred.has(server) ? 0 : 1))), {tolerance: evictionPenaltyMs / 2, isPreferred: server => server.availabilityZone === availabilityZone});
+		return this.#selectLeast(decodeServers, server => this.#slots.estimateWaitMs(server) + this.#estimateSlownessMs(server, prompt) + (evictionPenaltyMs * (this.#slots.getLoadFraction(server) + (preferred.has(server) ? 0 : 1))), {tolerance: evictionPenaltyMs / 2, isPreferred: server => server.availabilityZone === availabilityZone});
+	}
+
+	/** Time by which the first event comes later than from a server of mean speed; 0 where the servers have not proved to be uneven. */
+	#estimateSlownessMs(server: KnownServer, prompt: Prompt): number {
+		const {profile} = this.#opts;
+		const factor = profile.getUnevenFactor(server);
+		return factor === 1 ? 0 : profile.estimateHandOverMs(server.service, prompt.tokens) * (factor - 1);
 	}
 
 	/** Before the first measurement, the plan with the shortest queue is selected. */
@@ -301,3 +330,8 @@
 function countTokens(parts: ReadonlyArray<{tokens: number}>): number {
 	return parts.reduce((sum, part) => sum + part.tokens, 0);
 }
+
+/** Tokens that a request holds at a server: a prefill server keeps the prompt until its KV cache is fetched. */
+export function countMemoryTokens({tokens, maxOutputTokens}: Prompt, {stage}: Pick<KnownServer, 'stage'>): number {
+	return stage === 'prefill' ? tokens : tokens + maxOutputTokens;
+}
