expected-work: phases of prefill servers, memory and sharing under test

Cause: a phase of 600 ms was over before the factor of a server had followed it. Change: overdue prefills of this instance count as evidence, relative to its own usual delay; load shares keep within a tenth.

--- a/packages/core/metrics-registry/src/metrics-registry.ts
+++ b/packages/core/metrics-registry/src/metrics-registry.ts
@@ -47,6 +47,7 @@
 	server_limits_invalid_total: {kind: 'counter', help: 'Answers that named a limit which is no decimal number.', labels: []},
 	limited_answers_total: {kind: 'counter', help: 'Answers of servers that named a limit, by kind of call.', labels: ['call']},
 	limited_calls_total: {kind: 'counter', help: 'Calls planned to servers that have named a limit, by kind of call and decision: granted, or denied because the limit was used up.', labels: ['call', 'decision']},
+	servers_uneven: {kind: 'gauge', help: '1 while the servers of a service without prompt placement have proved to be uneven, so that requests are placed by expected work, by service.', labels: ['service']},
 	limited_servers: {kind: 'gauge', help: 'Usable servers that have named a limit, by service.', labels: ['service']},
 	limit_per_second: {kind: 'gauge', help: 'Sum of the limits of the usable servers, for all instances together, by service.', labels: ['service']},
 	limit_used_per_second: {kind: 'gauge', help: 'Requests per second of this instance to servers that have named a limit, by service.', labels: ['service']},
--- a/packages/core/types/test/parse-peer-message.test.ts
+++ b/packages/core/types/test/parse-peer-message.test.ts
@@ -25,7 +25,7 @@
 	'registry.note': {reports: [report]},
 	'stage.note': {server: 's1', startedAt: 5, stage: 'prefill'},
 	'load.share': {
-		instance: 'edge-2', scope: 'own', servers: [['s1', 100, 2, 1]], stored: [{server: 's1', parts: [{id: 'a', tokens: 10}], timing: [10, 5, true]}],
+		instance: 'edge-2', scope: 'own', servers: [['s1', 100, 2, 1], ['s2', 0, 1, 0, 4]], stored: [{server: 's1', parts: [{id: 'a', tokens: 10}], timing: [10, 5, true]}], speeds: [['s2', 3, -25]],
 	},
 	'limit.note': {
 		limits: [{
--- a/packages/plugins/edge/src/edge-gauges.ts
+++ b/packages/plugins/edge/src/edge-gauges.ts
@@ -1,6 +1,7 @@
 /** The gauges of an instance and of the services that it serves. */
 import type {ByteAccount} from '@hickorytrack/byte-account';
 import type {EndpointRegistry} from '@hickorytrack/endpoint-registry';
+import type {ExpectedWork} from '@hickorytrack/expected-work';
 import type {MetricsRegistry} from '@hickorytrack/metrics-registry';
 import type {RetryBudget} from './limits/retry-budget.js';
 import type {ServerLimits} from './limits/server-limits.js';
@@ -36,10 +37,11 @@
 	metrics.set('log_lines_dropped_total', state.linesDropped);
 }
 
-export function setServiceGauges(metrics: Gauges, service: string, {registry, limits, retryBudget}: {registry: EndpointRegistry; limits: ServerLimits; retryBudget: RetryBudget}): void {
+export function setServiceGauges(metrics: Gauges, service: string, {registry, limits, retryBudget, expectedWork}: {expectedWork: ExpectedWork; registry: EndpointRegistry; limits: ServerLimits; retryBudget: RetryBudget}): void {
 	const servers = registry.listUsable(service);
 	const known = limits.describe(servers);
 	metrics.set('servers', servers.length, {service});
+	metrics.set('servers_uneven', expectedWork.isUneven(service) ? 1 : 0, {service});
 	metrics.set('limited_servers', known.length, {service});
 	metrics.set('limit_per_second', computeSum(known.map(({perSecond}) => perSecond)), {service});
 	metrics.set('limit_used_per_second', computeSum(known.map(({ownPerSecond}) => ownPerSecond)), {service});
--- a/packages/plugins/edge/src/edge.ts
+++ b/packages/plugins/edge/src/edge.ts
@@ -441,7 +441,9 @@
 			openRequests: this.#frontend.openRequests, linesDropped: this.#context.eventLog.droppedTotal, unprovenLinks: this.#peers.pendingCount,
 		});
 		for (const {name} of this.#routes?.configuration.services ?? []) {
-			setServiceGauges(this.#opts.metrics, name, {registry: this.registry, limits: this.#limits, retryBudget: this.#context.retryBudget});
+			setServiceGauges(this.#opts.metrics, name, {
+				registry: this.registry, limits: this.#limits, retryBudget: this.#context.retryBudget, expectedWork: this.#expectedWork,
+			});
 		}
 	}
 }
--- a/packages/plugins/edge/src/streams/stream-calls.ts
+++ b/packages/plugins/edge/src/streams/stream-calls.ts
@@ -74,7 +74,7 @@
 		});
 		const queuedTokens = loadTracker.getLoad(prefillServer.id).promptTokens;
 		const inFlightLoad = loadTracker.add(prefillServer.id, prefillTokens, {memoryTokens: countMemoryTokens(this.prompt, prefillServer)});
-		const endPrefill = profile.beginPrefill(prefillServer, queuedTokens + prefillTokens);
+		const running = profile.beginPrefill(prefillServer, queuedTokens + prefillTokens);
 		const startedAt = clock.monotonic();
 		run.server = prefillServer;
 		this.#opts.dispatch({kind: 'prefilling', run: run.id});
@@ -82,9 +82,9 @@
 			clock, signal: this.#request.signal, timeoutMs: this.#remainingMs, canceller: run.canceller, silence: this.#createSilenceOptions(run, prefillServer, predictedMs), request,
 		});
 		inFlightLoad.release();
-		endPrefill();
 		const metadata = result.head && codec.decodeResponseHead(result.head);
 		const handle = result.outcome === attemptOutcomes.answered && result.head?.status === 200 ? codec.decodeKvHandle(prefillServer.address, result.body.toString()) : undefined;
+		running.end({isSample: handle !== undefined && !run.isSilenceReported});
 		permit.finish({isWritten: result.isWritten, isAccepted: handle !== undefined});
 		if (handle) {
 			const elapsedMs = clock.monotonic() - startedAt;
--- a/packages/routing/engine-profile/src/engine-profile.ts
+++ b/packages/routing/engine-profile/src/engine-profile.ts
@@ -40,6 +40,7 @@
 
 /** A prefill that runs longer than this many times what was expected is overdue. */
 const overdueFactor = 1.3;
+const ownDelayWeight = 0.02;
 /** Samples after which the fit tells what a server of mean speed takes. */
 const minFitSamples = 30;
 
@@ -49,12 +50,17 @@
 	speeds: ServerSpeeds;
 };
 
-type RunningPrefill = {startedAt: number; expectedMs: number};
+export type RunningPrefill = {
+	/** Ends the prefill. Only the time of a whole prefill is a sample. */
+	end(opts: {isSample: boolean}): void;
+};
 
 export class EngineProfile {
 	readonly #opts: EngineProfileOptions | undefined;
 	/** Prefills of this instance by server id. */
-	readonly #running = new Map<string, Set<RunningPrefill>>();
+	readonly #running = new Map<string, Set<{startedAt: number; expectedMs: number}>>();
+	/** Logarithm of the factor by which prefills take longer at this instance than at all together. */
+	#ownDelay = 0;
 	readonly #overdue = {count: 0, sum: 0};
 	readonly #fits = new Map<string, LatencyFit>();
 	readonly #factors = new Map<string, ServerFactor>();
@@ -134,22 +140,40 @@
 		return this.#findUnevenFactor(server) ?? 1;
 	}
 
-	/** Begins a prefill of this instance, with the tokens that the server has to prefill until its end. Returns a function that ends it. */
-	beginPrefill(server: KnownServer, tokens: number): () => void {
-		if (!this.#opts || !this.isKnown(server.service)) {
-			return () => undefined;
+	/**
+	 * Begins a prefill of this instance, with the tokens that the server has to prefill until its end. An instance with a slow
+	 * link or processor takes longer for all prefills; by how much is learned from those that have ended.
+	 */
+	beginPrefill(server: KnownServer, tokens: number): RunningPrefill {
+		const opts = this.#opts;
+		if (!opts || !this.isKnown(server.service)) {
+			return {
+				end() {
+				// Nothing is expected yet.
+				},
+			};
 		}
 
-		const slowFactor = this.#opts.speeds.getSlowFactor(formatSpeedGroup(server), server);
-		const prefill = {startedAt: this.#opts.clock.monotonic(), expectedMs: this.#getFit(server.service, server.stage === 'prefill').estimateMs(tokens) * slowFactor};
+		const {clock, speeds} = opts;
+		const startedAt = clock.monotonic();
+		const meanMs = this.#getFit(server.service, server.stage === 'prefill').estimateMs(tokens);
+		const prefill = {startedAt, expectedMs: meanMs * speeds.getSlowFactor(formatSpeedGroup(server), server) * Math.exp(this.#ownDelay)};
 		const running = this.#running.get(server.id) ?? new Set();
 		running.add(prefill);
 		this.#running.set(server.id, running);
-		return () => {
-			running.delete(prefill);
-			if (running.size === 0 && this.#running.get(server.id) === running) {
-				this.#running.delete(server.id);
-			}
+		return {
+			end: ({isSample}) => {
+				running.delete(prefill);
+				if (running.size === 0 && this.#running.get(server.id) === running) {
+					this.#running.delete(server.id);
+				}
+
+				const elapsedMs = clock.monotonic() - startedAt;
+				if (isSample && meanMs > 0 && elapsedMs > 0) {
+					const ratio = Math.log(elapsedMs / (meanMs * this.getUnevenFactor(server)));
+					this.#ownDelay += (Math.max(-Math.log(maxFactor), Math.min(Math.log(maxFactor), ratio)) - this.#ownDelay) * ownDelayWeight;
+				}
+			},
 		};
 	}
 
--- a/packages/routing/engine-profile/test/engine-profile.test.ts
+++ b/packages/routing/engine-profile/test/engine-profile.test.ts
@@ -1,5 +1,7 @@
 import {expect} from 'chai';
 import type {KnownServer} from '@hickorytrack/endpoint-registry';
+import {ManualClock} from '@hickorytrack/clock/manual-clock';
+import {ServerSpeeds} from '@hickorytrack/expected-work/server-speeds';
 import {Random} from '@hickorytrack/random';
 import type {SocketAddress} from '@hickorytrack/socket-address';
 import {EngineProfile} from '../src/engine-profile.js';
@@ -112,4 +114,38 @@
 		profile.record(createServer('a'), {tokens: Number.NaN, elapsedMs: 20, isIdle: true});
 		expect(profile.isKnown('m')).to.equal(false);
 	});
+
+	// A phase of 600 ms at 2.5 times the time was over before a factor that moves by a tenth with each idle sample followed it.
+	it('follows slow phases and forgets them within a second where servers have them', async () => {
+		const clock = new ManualClock();
+		const profile = new EngineProfile({clock, speeds: new ServerSpeeds(clock)});
+		const servers = Array.from({length: 6}, (_, index) => createServer(`s${index}`));
+		const random = new Random(1);
+		const runPhase = async (slow: KnownServer | undefined) => {
+			for (let round = 0; round < 30; round++) {
+				await clock.advance(20);
+				for (const server of servers) {
+					const tokens = random.nextBetween(1000, 9000);
+					profile.record(server, {tokens, elapsedMs: (2 + (tokens / 500)) * (server === slow ? 2.5 : 1) * random.nextBetween(0.9, 1.1), isIdle: true});
+				}
+			}
+		};
+
+		await runPhase(undefined);
+		const before = profile.estimateMs(servers[0]!, 5000);
+		for (let phase = 0; phase < 6; phase++) {
+			await runPhase(servers[phase]);
+			await runPhase(undefined);
+		}
+
+		await runPhase(servers[0]);
+		expect(profile.estimateMs(servers[0]!, 5000)).to.be.within(before * 2, before * 3);
+		expect(profile.estimateMs(servers[1]!, 5000)).to.be.within(before * 0.8, before * 1.25);
+		await clock.advance(1000);
+		expect(profile.estimateMs(servers[0]!, 5000)).to.be.below(before * 1.4);
+		// A prefill that is overdue shows the phase before any has ended.
+		profile.beginPrefill(servers[2]!, 5000);
+		await clock.advance(before * 3);
+		expect(profile.estimateMs(servers[2]!, 5000)).to.be.above(profile.estimateMs(servers[3]!, 5000) * 1.5);
+	});
 });
--- a/packages/routing/load-sharing/src/load-sharing.ts
+++ b/packages/routing/load-sharing/src/load-sharing.ts
@@ -16,7 +16,7 @@
 import {
 	shareScopes, type LoadShare, type PeerMember, type SpeedNote, type StoredPrompt,
 } from '@hickorytrack/types/peer-methods';
-import {fitShare, measureSpareBytes, speedNoteBytes} from './fit-share.js';
+import {countSpareNotes, fitShare} from './fit-share.js';
 import {rankRelays} from './rank-relays.js';
 
 /** An open connection to another instance. */
@@ -258,7 +258,7 @@
 	}
 
 	#drainSpeeds(content: Pick<LoadShare, 'servers' | 'stored'>): SpeedNote[] {
-		return this.#opts.drainSpeeds?.(Math.floor(measureSpareBytes(content) / speedNoteBytes)) ?? [];
+		return this.#opts.drainSpeeds?.(countSpareNotes(content)) ?? [];
 	}
 
 	#createShare(scope: LoadShare['scope'], content: Pick<LoadShare, 'servers' | 'stored' | 'speeds'>): LoadShare {
--- a/packages/routing/load-sharing/test/load-sharing.test.ts
+++ b/packages/routing/load-sharing/test/load-sharing.test.ts
@@ -4,8 +4,11 @@
 import {EventLog} from '@hickorytrack/events';
 import {PrefixCacheIndex} from '@hickorytrack/prompt-placement/prefix-cache-index';
 import {LoadTracker} from '@hickorytrack/prompt-placement/load-tracker';
-import type {LoadShare, PeerMember, StoredPrompt} from '@hickorytrack/types/peer-methods';
+import type {
+	LoadEntry, LoadShare, PeerMember, SpeedNote, StoredPrompt,
+} from '@hickorytrack/types/peer-methods';
 import type {SocketAddress} from '@hickorytrack/socket-address';
+import {fitShare} from '../src/fit-share.js';
 import {LoadSharing, shareIntervalMs, type SharePeer} from '../src/load-sharing.js';
 
 const zones = ['north', 'south'];
@@ -19,6 +22,8 @@
 	readonly loadTracker: LoadTracker;
 	readonly cacheIndex = new PrefixCacheIndex({getKvCapacity: () => 100_000});
 	readonly stored: StoredPrompt[] = [];
+	readonly speeds: SpeedNote[] = [];
+	unsentSpeeds: SpeedNote[] = [];
 	readonly sharing: LoadSharing;
 	readonly events: EventLog;
 	isAlive = true;
@@ -32,6 +37,8 @@
 		this.sharing = new LoadSharing({
 			clock: fleet.clock, loadTracker: this.loadTracker, cacheIndex: this.cacheIndex, member: this.member, relayRole: 'core', listPeers: () => fleet.listPeers(this), usesRelays: () => fleet.instances.length > maxDirectInstances, events: this.events, onStored: stored => {
 				this.stored.push(...stored);
+			}, drainSpeeds: maxNotes => this.unsentSpeeds.splice(0, maxNotes), onSpeeds: speeds => {
+				this.speeds.push(...speeds);
 			},
 		});
 	}
@@ -231,4 +238,34 @@
 			expect(loadTracker.getLoad('server').requests).to.equal(5);
 		}
 	});
+
+	for (const count of [4, 30]) {
+		it(`tells all ${count} instances once of measured speeds`, async () => {
+			const fleet = new Fleet(count, 3);
+			await fleet.runRounds(30);
+			fleet.instances.at(-1)!.unsentSpeeds = [['server', 3, 40]];
+			for (const {loadTracker} of fleet.instances) {
+				for (let index = 0; index < 15; index++) {
+					loadTracker.add(`server-${index}`, 0, {workMs: 30});
+				}
+			}
+
+			await fleet.runRounds(30);
+			expect(fleet.instances.slice(0, -1).map(({speeds}) => speeds)).to.deep.equal(Array.from({length: count - 1}, () => [['server', 3, 40]]));
+		});
+	}
+
+	// Links of small instances are slow, and load shares are the most frequent messages.
+	it('lengthens no share by more than a tenth', () => {
+		for (const count of [0, 1, 5, 30]) {
+			const servers = Array.from({length: count}, (_, index): LoadEntry => [`server-${index}`, 0, 3, 0, 10 + index]);
+			const speeds = servers.map(([id]): SpeedNote => [id, 12, -25]);
+			const share: LoadShare = {
+				instance: 'edge-1', scope: 'own', servers, stored: [], speeds,
+			};
+			const measure = (params: LoadShare) => JSON.stringify({jsonrpc: '2.0', method: 'load.share', params}).length;
+			const plain = {...share, servers: servers.map(([id, ...rest]): LoadEntry => [id, rest[0], rest[1], rest[2]]), speeds: undefined};
+			expect(measure(fitShare(share))).to.be.at.most(measure(plain) * 1.1);
+		}
+	});
 });
--- a/packages/routing/prompt-placement/src/load-tracker.ts
+++ b/packages/routing/prompt-placement/src/load-tracker.ts
@@ -237,7 +237,7 @@
 }
 
 function areEqual(a: readonly LoadEntry[], b: readonly LoadEntry[]): boolean {
-	return a.length === b.length && a.every((entry, index) => entry.every((value, position) => value === b[index]![position]));
+	return a.length === b.length && a.every((entry, index) => entry.length === b[index]!.length && entry.every((value, position) => value === b[index]![position]));
 }
 
 const noLoad: Readonly<WorkLoad> = createLoad();
--- a/packages/routing/prompt-placement/test/prompt-placement.test.ts
+++ b/packages/routing/prompt-placement/test/prompt-placement.test.ts
@@ -52,6 +52,23 @@
 		expect(placement.kind !== 'refuse' && placement.prefillTokens).to.equal(3000);
 	});
 
+	// A server that holds more tokens than its memory crashes, and with it all of its requests.
+	it('sends a server no request that its memory does not hold beside those of all instances', () => {
+		const releases = decodeServers.slice(1).map(({id}) => loadTracker.add(id, 0, {memoryTokens: 95_000}));
+		for (let count = 0; count < 10; count++) {
+			const placement = plan();
+			expect(placement.kind !== 'refuse' && placement.decodeServer.id).to.equal('g1');
+		}
+
+		// The other instances' requests count as those of this one.
+		loadTracker.replaceSource('other', [['g1', 0, 1, 0]]);
+		const refused = plan();
+		expect(refused.kind === 'refuse' && refused.reason).to.equal('no generating server has memory for the prompt');
+		releases[0]!.release();
+		const placement = plan();
+		expect(placement.kind !== 'refuse' && placement.decodeServer.id).to.equal('g2');
+	});
+
 	// Prompts changed their homes, and lost what was cached there, each time that a limited server had taken its share.
 	// The caches of servers whose ids change with each start were kept for good.
 	it('keeps no estimate of the cache of a server that is no longer known', () => {
