--- a/packages/plugins/edge/src/calls/answer-measurements.ts
+++ b/packages/plugins/edge/src/calls/answer-measurements.ts
@@ -43,7 +43,7 @@
 
 		cacheIndex.recordPrompt(server, prompt.parts);
 		if (prefillTokens === 0 && hadFreeSlot && load.promptTokens === 0) {
-			profile.recordHandOver(server, {tokens: prompt.tokens, elapsedMs});
+			profile.recordHandOver(server, {tokens: prompt.tokens, elapsedMs, isIdle: load.requests === 0});
 		}
 	}
 
--- a/packages/routing/engine-profile/src/engine-profile.ts
+++ b/packages/routing/engine-profile/src/engine-profile.ts
@@ -92,11 +92,11 @@
 	}
 
 	/** Records the time from a hand-over of the KV cache of this many tokens to the first event of the answer. */
-	recordHandOver(server: KnownServer, {tokens, elapsedMs}: Omit<PrefillSample, 'isIdle'>): void {
+	recordHandOver(server: KnownServer, {tokens, elapsedMs, isIdle = false}: Omit<PrefillSample, 'isIdle'> & {isIdle?: boolean}): void {
 		if (tokens > 0 && elapsedMs > 0) {
 			const fit = this.#getHandOverFit(server.service);
 			this.#recordSpeed(server, {
-				fit, tokens, elapsedMs, isIdle: true,
+				fit, tokens, elapsedMs, isIdle,
 			});
 			fit.record(tokens, elapsedMs / (this.#findUnevenFactor(server) ?? 1));
 		}
@@ -188,11 +188,20 @@
 		return Object.fromEntries([...this.#fits].map(([key, fit]) => [key, {tokensPerMs: fit.isKnown ? 1 / fit.msPerToken : undefined, fixedMs: fit.fixedMs}]));
 	}
 
-	/** A busy server may have had a queue that nobody here knew of, so that its answers tell a phase only where there are phases. */
+	/**
+	 * A busy server may have had a queue that nobody here knew of. Prefill servers have the same queues in the long run, but some
+	 * decode servers are busier than others by their roles, so that only idle ones can prove that decode servers are uneven.
+	 */
 	#recordSpeed(server: KnownServer, {fit, tokens, elapsedMs, isIdle}: PrefillSample & {fit: LatencyFit}): void {
-		if (this.#opts && fit.samples >= minFitSamples && server.coldMs === 0) {
-			const group = formatSpeedGroup(server);
-			this.#opts.speeds.record(group, server, elapsedMs / fit.estimateMs(tokens), {isWaitKnown: isIdle || this.#opts.speeds.isUneven(group)});
+		if (!this.#opts || fit.samples < minFitSamples || server.coldMs > 0) {
+			return;
+		}
+
+		const {speeds} = this.#opts;
+		const group = formatSpeedGroup(server);
+		const isWaitKnown = isIdle || speeds.isUneven(group);
+		if (isWaitKnown || server.stage === 'prefill') {
+			speeds.record(group, server, elapsedMs / fit.estimateMs(tokens), {isWaitKnown});
 		}
 	}
 
--- a/packages/routing/prompt-placement/src/load-tracker.ts
+++ b/packages/routing/prompt-placement/src/load-tracker.ts
@@ -271,9 +271,10 @@
 function listEntries(loads: ReadonlyMap<string, WorkLoad>): LoadEntry[] {
 	const entries: LoadEntry[] = [];
 	for (const [id, {promptTokens, requests, streams, workMs, unknownWork}] of loads) {
-		// A server with some requests of unknown work counts by the number of its requests.
-		const isKnown = workMs > 0 && unknownWork === 0;
-		entries.push(isKnown ? [id, Math.round(promptTokens), requests, streams, Math.ceil(workMs / workUnitMs)] : [id, Math.round(promptTokens), requests, streams]);
+		// Requests of unknown work count as the mean of the others, because a share has no room for the work of every server.
+		const known = requests - unknownWork;
+		const isKnown = workMs > 0 && known > 0;
+		entries.push(isKnown ? [id, Math.round(promptTokens), requests, streams, Math.max(1, Math.round(workMs * requests / known / workUnitMs))] : [id, Math.round(promptTokens), requests, streams]);
 	}
 
 	return entries;
--- a/packages/routing/prompt-placement/test/prompt-placement.test.ts
+++ b/packages/routing/prompt-placement/test/prompt-placement.test.ts
@@ -357,6 +357,16 @@
 		expect(loadTracker.getLoad('t')).to.deep.equal({promptTokens: 0, requests: 0, streams: 0});
 	});
 
+	it('lists expected work, with the mean for requests of unknown work', () => {
+		const loadTracker = new LoadTracker(new ManualClock());
+		loadTracker.add('s', 0, {workMs: 40});
+		loadTracker.replaceSource('one', [['s', 0, 2, 0, 4], ['t', 0, 1, 0]]);
+		loadTracker.replaceSource('two', [['s', 0, 1, 0]]);
+		expect(loadTracker.listAllExcept('none')).to.have.deep.members([['s', 0, 4, 0, 11], ['t', 0, 1, 0]]);
+		expect(loadTracker.getRemoteLoad('s')).to.include({requests: 3, workMs: 40, unknownWork: 1});
+		expect(loadTracker.listAllExcept('one')).to.have.deep.members([['s', 0, 2, 0, 8]]);
+	});
+
 	it('lists the load of all sources except one', () => {
 		const loadTracker = new LoadTracker(new ManualClock());
 		loadTracker.add('s', 5);
