--- a/packages/core/types/src/parse-peer-message.ts
+++ b/packages/core/types/src/parse-peer-message.ts
@@ -7,7 +7,7 @@
 import {parsePeerMember} from './parse-peer-member.js';
 import {parseServerRecord} from './parse-server-record.js';
 import {
-	shareScopes, type CapacityEntry, type ConfigurationDocument, type LoadEntry, type LoadShare, type PeerMethodName, type PeerMethods, type PrefillTiming, type StoredPrompt, type StreamOriginView, type StreamOriginWrite, type StreamSend, type UsageReply, type WindowTotals, type WorkspaceCount,
+	shareScopes, type CapacityEntry, type ConfigurationDocument, type LoadEntry, type LoadShare, type PeerMethodName, type PeerMethods, type PrefillTiming, type SpeedNote, type StoredPrompt, type StreamOriginView, type StreamOriginWrite, type StreamSend, type UsageReply, type WindowTotals, type WorkspaceCount,
 } from './peer-methods.js';
 
 /** Called for each element of a list that is left out. */
@@ -100,12 +100,12 @@
 		throw new FieldError('an element of "servers" is not an array');
 	}
 
-	const [server, promptTokens, requests, streams] = value as unknown[];
+	const [server, promptTokens, requests, streams, work] = value as unknown[];
 	if (typeof server !== 'string' || !isCount(promptTokens) || !isCount(requests) || !isCount(streams)) {
 		throw new FieldError('an element of "servers" is not an id with three counts');
 	}
 
-	return [server, promptTokens, requests, streams];
+	return isCount(work) ? [server, promptTokens, requests, streams, work] : [server, promptTokens, requests, streams];
 }
 
 function parsePart(value: unknown): {id: string; tokens: number} {
@@ -144,6 +144,19 @@
 	return [tokens, elapsedMs, isIdle === true];
 }
 
+function parseSpeed(value: unknown): SpeedNote {
+	if (!Array.isArray(value)) {
+		throw new FieldError('an element of "speeds" is not an array');
+	}
+
+	const [server, samples, hundredths] = value as unknown[];
+	if (typeof server !== 'string' || !isCount(samples) || !Number.isSafeInteger(hundredths)) {
+		throw new FieldError('an element of "speeds" is not an id with two numbers');
+	}
+
+	return [server, samples, hundredths as number];
+}
+
 function readShare(fields: Fields, onLeftOut: ElementListener): LoadShare {
 	return {
 		instance: fields.readText('instance'),
@@ -151,6 +164,7 @@
 		servers: readEach(fields.readList('servers'), parseLoad, onLeftOut),
 		stored: readEach(fields.readList('stored'), parseStoredPrompt, onLeftOut),
 		...(fields.has('intervalMs') && {intervalMs: fields.readNumber('intervalMs', shareInterval)}),
+		...(fields.has('speeds') && {speeds: readEach(fields.readList('speeds'), parseSpeed, onLeftOut)}),
 	};
 }
 
--- a/packages/core/types/src/peer-methods.ts
+++ b/packages/core/types/src/peer-methods.ts
@@ -163,8 +163,11 @@
 	stream?: {service: string; versions: string[]; sends?: StreamSend[]};
 };
 
-/** Work in flight at one server. A tuple for a compact encoding: load shares are the most frequent peer messages. */
-export type LoadEntry = [server: string, promptTokens: number, requests: number, streams: number];
+/**
+ * Work in flight at one server. A tuple for a compact encoding: load shares are the most frequent peer messages. `work` is the
+ * expected work of the requests in units of 10 ms, where the servers are uneven; earlier versions ignore it.
+ */
+export type LoadEntry = [server: string, promptTokens: number, requests: number, streams: number, work?: number];
 
 /** Which instances' load a share contains, and what the receiver does with it. */
 export const shareScopes = {
@@ -186,6 +189,9 @@
 /** Prompts that a server has prefilled or whose KV cache was transferred to it. The timing is set if it was measured. */
 export type StoredPrompt = {server: string; parts: Array<{id: string; tokens: number}>; timing?: PrefillTiming};
 
+/** Answers of a server since the last share: their number, and the mean logarithm of their ratio to what was expected, in hundredths. */
+export type SpeedNote = [server: string, samples: number, hundredths: number];
+
 /** Unfinished work that instances have sent to servers, and the prompts that servers have stored since the last share. */
 export type LoadShare = {
 	instance: string;
@@ -194,6 +200,8 @@
 	stored: StoredPrompt[];
 	/** Shortest interval at which a leaf takes shares of its relay, in milliseconds; only from a weak leaf. */
 	intervalMs?: number;
+	/** Measured speeds of servers without prompts; earlier versions ignore them. */
+	speeds?: SpeedNote[];
 };
 
 /** Requests of one workspace. */
--- a/packages/plugins/edge/src/calls/create-forward-context.ts
+++ b/packages/plugins/edge/src/calls/create-forward-context.ts
@@ -17,7 +17,7 @@
 import type {ForwardContext} from './forward-context.js';
 
 export type ForwardContextOptions = Pick<EdgeOptions, 'settings' | 'clock' | 'random' | 'codec' | 'metrics' | 'account'>
-	& Pick<ForwardContext, 'tasks' | 'registry' | 'health' | 'limits' | 'loadTracker' | 'profile' | 'ownResources' | 'crashReports' | 'origins' | 'eventLog' | 'getConnectionLimit'>
+	& Pick<ForwardContext, 'tasks' | 'registry' | 'health' | 'limits' | 'loadTracker' | 'profile' | 'expectedWork' | 'ownResources' | 'crashReports' | 'origins' | 'eventLog' | 'getConnectionLimit'>
 	& Pick<EndpointClientOptions, 'onSent' | 'onForeignAnswer' | 'onHandlerFailed'>
 	& {
 		cacheIndex: PrefixCacheIndex;
@@ -40,7 +40,7 @@
 const headMemoryDivisor = 8;
 
 export function createForwardContext(opts: ForwardContextOptions): ForwardContext {
-	const {settings, clock, tasks, random, codec, metrics, account, registry, health, limits, loadTracker, profile, cacheIndex, partUsage, eventLog, getKvCapacity, getConnectionLimit, countInstances} = opts;
+	const {settings, clock, tasks, random, codec, metrics, account, registry, health, limits, loadTracker, profile, expectedWork, cacheIndex, partUsage, eventLog, getKvCapacity, getConnectionLimit, countInstances} = opts;
 	reportFullParts(account, {clock, events: eventLog});
 	const client = new EndpointClient({
 		clock, tasks, connectTimeoutMs, headBound: new ByteBudget(Math.floor(account.limit / headMemoryDivisor)), limits: {maxAnswerBytes: Math.floor(settings.answerMemoryBytes / answersInMemory), budget: account.getPart('answers')}, onAnswer(server, head, request) {
@@ -72,9 +72,12 @@
 		loadTracker,
 		profile,
 		ownResources: opts.ownResources,
+		expectedWork,
 		measurements: new AnswerMeasurements({cacheIndex, profile, health}),
 		client,
-		leastLoadPlacement: new LeastLoadPlacement({loadTracker, random, getFailureRate: server => health.getFailureRate(server)}),
+		leastLoadPlacement: new LeastLoadPlacement({
+			loadTracker, random, getFailureRate: server => health.getFailureRate(server), expectedWork,
+		}),
 		promptPlacement: new PromptPlacement({
 			random, loadTracker, cacheIndex, usage: partUsage, profile, getKvCapacity, isLimited: server => limits.isLimited(server),
 		}),
--- a/packages/plugins/edge/src/calls/forward-context.ts
+++ b/packages/plugins/edge/src/calls/forward-context.ts
@@ -5,6 +5,7 @@
 import type {SendGrant} from '@hickorytrack/endpoint-client/send-grant';
 import type {AnswerIdentity} from '@hickorytrack/endpoint-client/answer-identity';
 import type {EngineProfile} from '@hickorytrack/engine-profile';
+import type {ExpectedWork} from '@hickorytrack/expected-work';
 import type {EndpointRegistry, KnownServer} from '@hickorytrack/endpoint-registry';
 import type {OwnResources} from '@hickorytrack/own-resources';
 import type {LoadTracker} from '@hickorytrack/prompt-placement/load-tracker';
@@ -38,6 +39,8 @@
 	limits: ServerLimits;
 	loadTracker: LoadTracker;
 	profile: EngineProfile;
+	/** Of requests to services without prompt placement. */
+	expectedWork: ExpectedWork;
 	measurements: AnswerMeasurements;
 	/** The link and processor of this instance; undefined unless one of them is weak. */
 	ownResources?: OwnResources;
--- a/packages/plugins/edge/src/edge-gauges.ts
+++ b/packages/plugins/edge/src/edge-gauges.ts
@@ -1,6 +1,7 @@
 /** The gauges of an instance and of the services that it serves. */
 import type {ByteAccount} from '@hickorytrack/byte-account';
 import type {EndpointRegistry} from '@hickorytrack/endpoint-registry';
+import type {ExpectedWork} from '@hickorytrack/expected-work';
 import type {MetricsRegistry} from '@hickorytrack/metrics-registry';
 import type {OwnResources} from '@hickorytrack/own-resources';
 import type {ForwardContext} from './calls/forward-context.js';
@@ -46,10 +47,11 @@
 	}
 }
 
-export function setServiceGauges(metrics: Gauges, service: string, {registry, limits, retryBudget, admission}: {registry: EndpointRegistry; limits: ServerLimits} & Pick<ForwardContext, 'retryBudget' | 'admission'>): void {
+export function setServiceGauges(metrics: Gauges, service: string, {registry, limits, retryBudget, admission, expectedWork}: {expectedWork: ExpectedWork; registry: EndpointRegistry; limits: ServerLimits} & Pick<ForwardContext, 'retryBudget' | 'admission'>): void {
 	const servers = registry.listUsable(service);
 	const known = limits.describe(servers);
 	metrics.set('servers', servers.length, {service});
+	metrics.set('servers_uneven', expectedWork.isUneven(service) ? 1 : 0, {service});
 	metrics.set('limited_servers', known.length, {service});
 	metrics.set('limit_per_second', computeSum(known.map(({perSecond}) => perSecond)), {service});
 	metrics.set('limit_used_per_second', computeSum(known.map(({ownPerSecond}) => ownPerSecond)), {service});
--- a/packages/plugins/edge/src/edge.ts
+++ b/packages/plugins/edge/src/edge.ts
@@ -13,6 +13,8 @@
 	EndpointRegistry, type ServerReport,
 } from '@hickorytrack/endpoint-registry';
 import {EngineProfile} from '@hickorytrack/engine-profile';
+import {ExpectedWork} from '@hickorytrack/expected-work';
+import {ServerSpeeds} from '@hickorytrack/expected-work/server-speeds';
 import {HickorytrackError, describeError} from '@hickorytrack/errors';
 import {OwnResources} from '@hickorytrack/own-resources';
 import {Mesh} from '@hickorytrack/mesh';
@@ -95,7 +97,8 @@
 	readonly #loadTracker: LoadTracker;
 	readonly #cacheIndex: PrefixCacheIndex;
 	readonly #partUsage: PartUsage;
-	readonly #profile = new EngineProfile();
+	readonly #profile: EngineProfile;
+	readonly #expectedWork: ExpectedWork;
 	readonly #stateSharing: StateSharing;
 	readonly #origins: StreamOrigins;
 	readonly #versionRetirement: VersionRetirement | undefined;
@@ -142,6 +145,12 @@
 			peers: this.#peers, clock, events, tasks, seeds: settings.seeds, linkedRoles: [edgeRole], hubRole: coreRole,
 		});
 		const health = new ServerHealth(clock);
+		const onUnevenChange = (service: string, isUneven: boolean) => {
+			events.emit(isUneven ? 'serversUneven' : 'serversEven', {service});
+		};
+
+		this.#expectedWork = new ExpectedWork(clock, onUnevenChange);
+		this.#profile = new EngineProfile({clock, speeds: new ServerSpeeds(clock, onUnevenChange)});
 		this.registry = new EndpointRegistry({
 			clock, reportTimeoutMs: settings.reportIntervalMs * maxMissedReports, onStarted: server => {
 				this.#crashReports.handleStart();
@@ -149,6 +158,7 @@
 			}, onForgotten: id => {
 				health.remove(id);
 				this.#profile.remove(id);
+				this.#expectedWork.speeds.remove(id);
 				this.#cacheIndex.remove(id);
 			},
 		});
@@ -208,6 +218,7 @@
 			profile: this.#profile,
 			ownResources: resources?.isWeak ? resources : undefined,
 			onSent: recordSent,
+			expectedWork: this.#expectedWork,
 			cacheIndex: this.#cacheIndex,
 			partUsage: this.#partUsage,
 			crashReports: this.#crashReports,
@@ -409,6 +420,7 @@
 			stages: this.#stageControl?.dump(),
 			duty: this.#usageDuty?.duty?.dump(),
 			profile: this.#profile.dump(),
+			speeds: this.#expectedWork.speeds.dump(),
 			limits: this.#limits.describe(this.registry.list()),
 			streamOrigins: this.#origins.dump(),
 			crashCauses: this.#crashAttribution.listBans(),
@@ -532,7 +544,7 @@
 
 		for (const {name} of this.#routes?.configuration.services ?? []) {
 			setServiceGauges(this.#opts.metrics, name, {
-				registry: this.registry, limits: this.#limits, retryBudget: this.#context.retryBudget, admission: this.#context.admission,
+				registry: this.registry, limits: this.#limits, retryBudget: this.#context.retryBudget, admission: this.#context.admission, expectedWork: this.#expectedWork,
 			});
 		}
 	}
--- a/packages/routing/load-sharing/src/load-sharing.ts
+++ b/packages/routing/load-sharing/src/load-sharing.ts
@@ -14,8 +14,9 @@
 import type {PrefixCacheIndex} from '@hickorytrack/prompt-placement/prefix-cache-index';
 import type {LoadTracker} from '@hickorytrack/prompt-placement/load-tracker';
 import {
-	shareScopes, type LoadShare, type PeerMember, type StoredPrompt,
+	shareScopes, type LoadShare, type PeerMember, type SpeedNote, type StoredPrompt,
 } from '@hickorytrack/types/peer-methods';
+import {countSpareNotes, fitShare} from './fit-share.js';
 import {rankRelays} from './rank-relays.js';
 
 /** An open connection to another instance. */
@@ -43,6 +44,10 @@
 	onStored: (stored: readonly StoredPrompt[]) => void;
 	/** Shortest interval between two shares of this instance, and of its relay to it, while it is a leaf; in milliseconds. */
 	leafIntervalMs?: number;
+	/** Returns measured speeds for the other instances, at most as many as given. */
+	drainSpeeds?: (maxNotes: number) => SpeedNote[];
+	/** Called with the speeds that other instances have measured. */
+	onSpeeds?: (speeds: readonly SpeedNote[]) => void;
 	/** Without it, errors of tasks are printed as warnings. */
 	tasks?: BackgroundTasks;
 };
@@ -70,7 +75,7 @@
 	intervalMs: number;
 	sentAt: number;
 	/** What changed since the last share to the leaf, if anything has. */
-	pending?: StoredPrompt[];
+	pending?: {speeds: SpeedNote[]; stored: StoredPrompt[]};
 };
 
 type Relay = {
@@ -83,6 +88,7 @@
 	from: string;
 	isFromLeaf: boolean;
 	stored: readonly StoredPrompt[];
+	speeds: readonly SpeedNote[];
 };
 
 export class LoadSharing<Peer extends SharePeer = SharePeer> {
@@ -148,7 +154,9 @@
 
 	/** Handles a share from another instance. */
 	handleShare(share: LoadShare, peer: Peer): void {
+		const {speeds = []} = share;
 		this.#opts.onStored(share.stored);
+		this.#opts.onSpeeds?.(speeds);
 		if (share.scope === shareScopes.rest) {
 			this.#handleRelayShare(share);
 			return;
@@ -176,8 +184,10 @@
 			this.#onChange?.();
 		}
 
-		if (this.#isRelay && share.stored.length > 0) {
-			this.#pendingForwards.push({from: share.instance, isFromLeaf: share.scope === shareScopes.leaf, stored: share.stored});
+		if (this.#isRelay && (share.stored.length > 0 || speeds.length > 0)) {
+			this.#pendingForwards.push({
+				from: share.instance, isFromLeaf: share.scope === shareScopes.leaf, stored: share.stored, speeds,
+			});
 		}
 	}
 
@@ -212,7 +222,7 @@
 	#sendDirectly(peers: readonly Peer[]): void {
 		this.#relay = undefined;
 		this.#pendingForwards = [];
-		const share = this.#createShare(shareScopes.own, {servers: this.#opts.loadTracker.listOwn(), stored: this.#opts.cacheIndex.drainUnsent()});
+		const share = this.#createShare(shareScopes.own, this.#collectOwn());
 		for (const peer of peers) {
 			peer.notify('load.share', share);
 		}
@@ -221,8 +231,8 @@
 	#sendAsLeaf(peers: readonly Peer[]): void {
 		const relay = this.#findRelay(peers);
 		if (relay) {
-			const {loadTracker, cacheIndex, leafIntervalMs: intervalMs} = this.#opts;
-			const share = this.#createShare(shareScopes.leaf, {servers: loadTracker.listOwn(), stored: cacheIndex.drainUnsent()});
+			const {leafIntervalMs: intervalMs} = this.#opts;
+			const share = this.#createShare(shareScopes.leaf, this.#collectOwn());
 			relay.notify('load.share', intervalMs === undefined ? share : {...share, intervalMs});
 		}
 	}
@@ -233,8 +243,11 @@
 		this.#pendingForwards = [];
 		const {loadTracker, cacheIndex, relayRole} = this.#opts;
 		const stored = cacheIndex.drainUnsent();
+		const servers = loadTracker.listOwn({with: this.#leaves.keys()});
+		const speeds = this.#drainSpeeds({servers, stored});
 		const region = this.#createShare(shareScopes.region, {
-			servers: loadTracker.listOwn({with: this.#leaves.keys()}),
+			servers,
+			speeds: [...speeds, ...forwards.filter(forward => forward.isFromLeaf).flatMap(forward => forward.speeds)],
 			stored: [...stored, ...forwards.filter(forward => forward.isFromLeaf).flatMap(forward => forward.stored)],
 		});
 		for (const peer of peers) {
@@ -244,7 +257,11 @@
 		}
 
 		for (const [instance, leaf] of this.#leaves) {
-			leaf.pending = [...leaf.pending ?? [], ...stored, ...forwards.filter(forward => forward.from !== instance).flatMap(forward => forward.stored)];
+			const forwarded = forwards.filter(forward => forward.from !== instance);
+			leaf.pending = {
+				speeds: [...leaf.pending?.speeds ?? [], ...speeds, ...forwarded.flatMap(forward => forward.speeds)],
+				stored: [...leaf.pending?.stored ?? [], ...stored, ...forwarded.flatMap(forward => forward.stored)],
+			};
 		}
 
 		this.#sendToLeaves();
@@ -259,7 +276,7 @@
 			if (pending && now - sentAt >= intervalMs) {
 				leaf.pending = undefined;
 				leaf.sentAt = now;
-				peer.notify('load.share', this.#createShare(shareScopes.rest, {servers: this.#opts.loadTracker.listAllExcept(instance), stored: pending}));
+				peer.notify('load.share', this.#createShare(shareScopes.rest, {servers: this.#opts.loadTracker.listAllExcept(instance), ...pending}));
 			} else {
 				isAnyLeft ||= pending !== undefined;
 			}
@@ -270,8 +287,18 @@
 		}
 	}
 
-	#createShare(scope: LoadShare['scope'], content: Pick<LoadShare, 'servers' | 'stored'>): LoadShare {
-		return {instance: this.#opts.member.instance, scope, ...content};
+	#collectOwn(): Pick<LoadShare, 'servers' | 'stored' | 'speeds'> {
+		const {loadTracker, cacheIndex} = this.#opts;
+		const content = {servers: loadTracker.listOwn(), stored: cacheIndex.drainUnsent()};
+		return {...content, speeds: this.#drainSpeeds(content)};
+	}
+
+	#drainSpeeds(content: Pick<LoadShare, 'servers' | 'stored'>): SpeedNote[] {
+		return this.#opts.drainSpeeds?.(countSpareNotes(content)) ?? [];
+	}
+
+	#createShare(scope: LoadShare['scope'], content: Pick<LoadShare, 'servers' | 'stored' | 'speeds'>): LoadShare {
+		return fitShare({instance: this.#opts.member.instance, scope, ...content});
 	}
 
 	/** Returns whether a share is due, and clears the flags that made it due. */
