feat: admission is in force for services with uneven servers too

Cause: behind a slow server, requests waited in its queue in the order of their arrival. Change: the queue is in force where the servers have proved to be uneven.

--- a/packages/plugins/edge/src/edge.ts
+++ b/packages/plugins/edge/src/edge.ts
@@ -227,7 +227,7 @@
 			getKvCapacity: service => this.#getKvCapacity(service),
 			getConnectionLimit: service => this.#getConnectionLimit(service),
 			countInstances: () => this.#countEdges(),
-			isAdmissionEnabled: () => this.#routes?.configuration.workspaces !== undefined,
+			isAdmissionEnabled: service => this.#routes?.configuration.workspaces !== undefined || this.#expectedWork.isUneven(service),
 			onLeaving: server => {
 				this.#serverNews.recordLeaving(server);
 			}, onPause: (server, pauseMs) => {
