fix: a leader keeps the totals of usage that it was told in its term

Cause: while a member of an older version belongs to the core, a leader has no term for usage. It discarded all totals then, and went on in the same term, in which the instances send it only what has changed: windows were decided without the totals that were sent before. Change: totals are discarded only in another term. Measured: the new test failed without the change (a count of 1 of 2141 was missing), passes with it; 14 of 14 tests of the package pass.

--- a/packages/coordination/usage-windows/src/usage-windows.ts
+++ b/packages/coordination/usage-windows/src/usage-windows.ts
@@ -82,6 +82,7 @@
 		const {decidedTo} = store;
 		if (decidedTo !== undefined) {
 			counter.recordDecided(decidedTo);
+			this.#discardTo(decidedTo);
 		}
 
 		if (term === undefined) {
@@ -97,7 +98,6 @@
 		}
 
 		this.#reportDropped();
-		this.#discardTo(decidedTo);
 		this.#record(counter.sender, {until: this.#opts.clock.now()}).merge(counter.counts.list(), window => this.#isOpen(window));
 		await this.#save();
 		await this.#decideOldest(decidedTo);
@@ -111,8 +111,9 @@
 
 	#updateTerm(): number | undefined {
 		const term = this.#opts.getTerm();
-		if (this.#led?.term !== term) {
-			this.#led = term === undefined ? undefined : {term, since: this.#opts.clock.monotonic()};
+		// A leader that for a moment must not write records goes on in the same term, in which instances send it changes alone.
+		if (term !== undefined && this.#led?.term !== term) {
+			this.#led = {term, since: this.#opts.clock.monotonic()};
 			this.#collected.clear();
 			this.#reportedDrop = this.#opts.store.droppedTo;
 		}
--- a/packages/coordination/usage-windows/test/usage-windows.test.ts
+++ b/packages/coordination/usage-windows/test/usage-windows.test.ts
@@ -175,6 +175,20 @@
 		expect(fleet.reported).to.deep.equal(fleet.counted);
 	});
 
+	// Guards against a leader that forgets the totals while an older member of the core forbids records: in the same term, the
+	// instances send only what has changed since its last answer.
+	it('holds what a leader was told before it could not write records for a moment', async () => {
+		await fleet.run(20_000, countAll);
+		fleet.others[0]!.count('w2');
+		await fleet.run(1100, countAll);
+		const leader = fleet.members[0]!;
+		leader.term = undefined;
+		await fleet.run(300, countAll);
+		leader.term = fleet.term;
+		await fleet.run(30_000);
+		expect(fleet.reported).to.deep.equal(fleet.counted);
+	});
+
 	// Guards against a state that grows for ever, and against a forgotten window that a late record decides again.
 	it('forgets accepted windows, and never decides one again', async () => {
 		await fleet.run(200_000);
