fix: a leader that loses the lead while it stores usage decides nothing

Cause: after the wait for the log, the decision went on without the lead. A report that arrived meanwhile made it throw a TypeError in the task. Change: the term is compared again before the decision. Measured: the new test failed before (TypeError; without the exception, a decision was proposed), passes now; 15 of 15 tests of the package pass.

--- a/packages/coordination/usage-windows/src/usage-windows.ts
+++ b/packages/coordination/usage-windows/src/usage-windows.ts
@@ -100,7 +100,9 @@
 		this.#reportDropped();
 		this.#record(counter.sender, {until: this.#opts.clock.now()}).merge(counter.counts.list(), window => this.#isOpen(window));
 		await this.#save();
-		await this.#decideOldest(decidedTo);
+		if (this.#updateTerm() === term) {
+			await this.#decideOldest(decidedTo);
+		}
 	}
 
 	/** Stores what is not stored yet, before this instance stops. */
--- a/packages/coordination/usage-windows/test/usage-windows.test.ts
+++ b/packages/coordination/usage-windows/test/usage-windows.test.ts
@@ -189,6 +189,20 @@
 		expect(fleet.reported).to.deep.equal(fleet.counted);
 	});
 
+	// Guards against an exception in the task of a leader that loses the lead while it stores totals, and against its decision.
+	it('is not decided by a leader that loses the lead while it stores totals', async () => {
+		await fleet.run(20_950, countAll);
+		const [former] = fleet.members;
+		const {decidedTo} = former!.store;
+		await fleet.clock.advance(100);
+		former!.counter.count('w1');
+		const finished = former!.windows.finish();
+		former!.term = undefined;
+		former!.windows.collect({sender: 'x', until: fleet.clock.now(), windows: []});
+		await finished;
+		expect(former!.store.decidedTo).to.equal(decidedTo);
+	});
+
 	// Guards against a state that grows for ever, and against a forgotten window that a late record decides again.
 	it('forgets accepted windows, and never decides one again', async () => {
 		await fleet.run(200_000);
