--- a/packages/coordination/usage-windows/src/usage-windows.ts
+++ b/packages/coordination/usage-windows/src/usage-windows.ts
@@ -134,9 +134,14 @@
 		return window > (store.decidedTo ?? -1) && window <= (clock.now() / windowMs) + maxWindowsAhead;
 	}
 
+	/** Discards the totals up to this window, and instances that have gone. */
 	#discardTo(window: number): void {
-		for (const {counts} of this.#collected.values()) {
+		const now = this.#opts.clock.monotonic();
+		for (const [sender, {counts, heardAt}] of this.#collected) {
 			counts.discardTo(window);
+			if (counts.isEmpty && now - heardAt >= latestMs) {
+				this.#collected.delete(sender);
+			}
 		}
 	}
 
--- a/packages/coordination/usage-windows/test/usage-windows.test.ts
+++ b/packages/coordination/usage-windows/test/usage-windows.test.ts
@@ -189,6 +189,18 @@
 		expect(fleet.reported).to.deep.equal(fleet.counted);
 	});
 
+	// Guards against a leader that keeps an entry for each start of an instance that crashes again and again.
+	it('forgets instances that have gone once their windows are decided', async () => {
+		await fleet.run(10_000, countAll);
+		for (let count = 0; count < 50; count++) {
+			fleet.members[0]!.windows.collect({sender: `gone-${count}`, until: fleet.clock.now(), windows: []});
+		}
+
+		await fleet.run(30_000);
+		const last = fleet.events.findLast(({name}) => name === 'usageDecided')!;
+		expect(last.fields.senders).to.equal(fleet.instances.length);
+	});
+
 	// Guards against an exception in the task of a leader that loses the lead while it stores totals, and against its decision.
 	it('is not decided by a leader that loses the lead while it stores totals', async () => {
 		await fleet.run(20_950, countAll);
