fix: admission learns the work of requests from answers alone

Cause: each ended attempt counted as a run, also those that a server refused in a few ms or did not answer until the deadline. Under load, work looked ten times shorter than it is, and a hanging server made it look too long to admit anything. Change: an attempt counts only if its answer says that it ran.

--- a/packages/plugins/edge/src/buffered/buffered-forwarder.ts
+++ b/packages/plugins/edge/src/buffered/buffered-forwarder.ts
@@ -191,9 +191,10 @@
 	}
 
 	async #runAttempt(server: KnownServer, {permit, grant, canceller}: {permit: SendPermit; grant: SendGrant; canceller: AttemptCanceller}): Promise<AttemptResult> {
-		const {clock, client, loadTracker, admission} = this.#context;
+		const {clock, client, codec, loadTracker, admission} = this.#context;
 		const inFlightLoad = loadTracker.add(server.id, 0);
 		const sentAt = clock.monotonic();
+		let runMs: number | undefined;
 		try {
 			const result = await runAttempt(client, server.address, {
 				clock, signal: this.#request.signal, timeoutMs: this.#remainingMs, canceller, hold: this.#request.answerHold, onHead: head => {
@@ -203,7 +204,9 @@
 				}),
 			});
 			permit.finish({isWritten: result.isWritten, isAccepted: true});
-			if (result.outcome !== attemptOutcomes.answered && result.isWritten) {
+			if (result.outcome === attemptOutcomes.answered) {
+				runMs = codec.decodeResponseHead(result.head!).isNotExecuted ? undefined : clock.monotonic() - sentAt;
+			} else if (result.isWritten) {
 				this.#request.countRun?.();
 			}
 
@@ -212,7 +215,7 @@
 			// A grant that was used stays used.
 			grant.release();
 			inFlightLoad.release();
-			admission.recordEnd(this.#request, clock.monotonic() - sentAt);
+			admission.recordEnd(this.#request, runMs);
 		}
 	}
 
--- a/packages/plugins/edge/src/limits/service-admission.ts
+++ b/packages/plugins/edge/src/limits/service-admission.ts
@@ -67,10 +67,16 @@
 		return typeof decided === 'string' ? this.#count(service, decided) : this.#measure(service, decided);
 	}
 
-	/** Records how long an attempt at a server took, in milliseconds, and admits requests that wait. */
-	recordEnd({service, route}: CallerRequest, elapsedMs: number): void {
+	/**
+	 * Records the end of an attempt, and admits requests that wait. `elapsedMs`: time in which a server ran the request, in
+	 * milliseconds; undefined if it refused it or did not answer, which says nothing about the work.
+	 */
+	recordEnd({service, route}: CallerRequest, elapsedMs: number | undefined): void {
 		if (this.#opts.isEnabled(service)) {
-			this.#times.record(route.name, elapsedMs);
+			if (elapsedMs !== undefined) {
+				this.#times.record(route.name, elapsedMs);
+			}
+
 			this.#queues.get(service)?.update();
 		}
 	}
--- a/packages/plugins/edge/test/retry-fleet.ts
+++ b/packages/plugins/edge/test/retry-fleet.ts
@@ -98,6 +98,8 @@
 	readonly arrivals: Arrival[] = [];
 	/** Calls that count a request for its workspace, by request id. */
 	readonly runCounts = new Map<string, number>();
+	/** What ended attempts without a stream told the admission about the work, in milliseconds. */
+	readonly runTimes: Array<number | undefined> = [];
 	readonly results: RequestResult[] = [];
 	readonly faults = new Map<string, ServerFaults>();
 	readonly #clock: ManualClock;
@@ -218,6 +220,13 @@
 		const profile = new EngineProfile();
 		const cacheIndex = new PrefixCacheIndex({getKvCapacity: () => 1e6});
 		const eventLog = new RateLimitedEventLog(clock, new EventLog({clock}));
+		const admission = new ServiceAdmission({
+			clock, random, loadTracker, metrics: new MetricsRegistry(), isEnabled: () => false, listServers: () => [], countInstances,
+		});
+		admission.recordEnd = (_request, runMs) => {
+			this.runTimes.push(runMs);
+		};
+
 		return {
 			clock,
 			tasks: new BackgroundTasks(),
@@ -237,9 +246,7 @@
 			promptPlacement: new PromptPlacement({
 				random, loadTracker, cacheIndex, usage: new PartUsage(clock), profile, getKvCapacity: () => 1e6,
 			}),
-			admission: new ServiceAdmission({
-				clock, random, loadTracker, metrics: new MetricsRegistry(), isEnabled: () => false, listServers: () => [], countInstances,
-			}),
+			admission,
 			retryBudget: new RetryBudget({
 				clock, ...budgetBounds, isFirstStart, countInstances, eventLog, metrics: new MetricsRegistry(),
 			}),
--- a/packages/plugins/edge/test/service-admission.test.ts
+++ b/packages/plugins/edge/test/service-admission.test.ts
@@ -8,6 +8,7 @@
 import type {CallerRequest} from '../src/front/caller-request.js';
 import {ReturningCallers} from '../src/limits/returning-callers.js';
 import {ServiceAdmission} from '../src/limits/service-admission.js';
+import {RetryFleet, WholeMsClock} from './retry-fleet.js';
 
 const server: KnownServer = {
 	id: 's', startedAt: 1, sequence: 1, service: 'plain', address: '127.0.0.1:1' as SocketAddress, availabilityZone: 'z', slots: 4, state: 'ready', coldMs: 0, heardAt: 0, order: 1,
@@ -61,6 +62,20 @@
 
 		expect(admission.acquire(request, 40)).to.equal('late');
 	});
+
+	// Guards against work that looks like nothing once servers shed load, so that requests wait until their answers are late.
+	it('learns the work of requests from answers alone, not from refusals', async () => {
+		const clock = new WholeMsClock();
+		const fleet = new RetryFleet(clock, new Random(5));
+		fleet.startEdge(0, {isFirstStart: true, countInstances: () => 1});
+		fleet.faults.set('run', {rejectsAtOnce: 0.4, rejectsLate: 0.2});
+		await fleet.run(5000, {intervalMs: 30, streamFraction: 0});
+		await clock.advance(10_000);
+		const answered = fleet.arrivals.filter(({isRejected}) => !isRejected);
+		expect(answered.length).to.be.within(20, fleet.arrivals.length / 2);
+		expect(fleet.runTimes).to.have.length(fleet.arrivals.length);
+		expect(fleet.runTimes.filter(runMs => runMs !== undefined)).to.have.length(answered.length);
+	});
 });
 
 describe('callers that return', () => {
