fix: a request that no server can answer in time is refused on arrival

Cause: with no known server, or while all of them pause, the queue saw no free slot and let requests wait until just before their deadline. Change: the admission asks when the first server takes requests; without one the forwarder refuses at once and says why, as it did before the queue.

--- a/packages/plugins/edge/src/calls/candidate-servers.ts
+++ b/packages/plugins/edge/src/calls/candidate-servers.ts
@@ -29,11 +29,16 @@
 	return registry.isUsable(server) && !pauses.isPaused(server);
 }
 
+/** Returns the time until one of the servers takes requests again, in milliseconds; undefined if none is known. */
+export function estimateOpenMs({registry, pauses, limits}: Pick<Sources, 'registry' | 'pauses' | 'limits'>, service: string): number | undefined {
+	const waits = registry.listUsable(service).map(server => Math.max(pauses.estimateWaitMs([server]), limits.estimateWaitMs(server)));
+	return waits.length === 0 ? undefined : Math.min(...waits);
+}
+
 /**
  * Returns when a caller that is refused should come back, in milliseconds: not before one of the servers takes requests again,
  * and where requests wait here, spread over the time in which these are served.
  */
-export function computeRetryAfterMs({registry, pauses, limits, admission}: Sources & Pick<ForwardContext, 'admission'>, service: string, defaultMs: number): number {
-	const waits = registry.listUsable(service).map(server => Math.max(pauses.estimateWaitMs([server]), limits.estimateWaitMs(server)));
-	return admission.computeReturnMs(service, Math.max(defaultMs, waits.length === 0 ? 0 : Math.min(...waits)));
+export function computeRetryAfterMs({admission, ...sources}: Pick<Sources, 'registry' | 'pauses' | 'limits'> & Pick<ForwardContext, 'admission'>, service: string, defaultMs: number): number {
+	return admission.computeReturnMs(service, Math.max(defaultMs, estimateOpenMs(sources, service) ?? 0));
 }
--- a/packages/plugins/edge/src/calls/create-forward-context.ts
+++ b/packages/plugins/edge/src/calls/create-forward-context.ts
@@ -13,7 +13,7 @@
 import {reportFullParts} from '../report-full-parts.js';
 import {StartProof} from '../streams/start-proof.js';
 import {AnswerMeasurements} from './answer-measurements.js';
-import {listCandidates} from './candidate-servers.js';
+import {estimateOpenMs, listCandidates} from './candidate-servers.js';
 import type {ForwardContext} from './forward-context.js';
 
 export type ForwardContextOptions = Pick<EdgeOptions, 'settings' | 'clock' | 'random' | 'codec' | 'metrics' | 'account'>
@@ -80,7 +80,7 @@
 		admission: new ServiceAdmission({
 			clock, random, loadTracker, metrics, isEnabled: opts.isAdmissionEnabled, listServers: service => listCandidates({
 				registry, health, pauses, limits,
-			}, service), countInstances,
+			}, service), estimateOpenMs: service => estimateOpenMs({registry, pauses, limits}, service), countInstances,
 		}),
 		retryBudget: new RetryBudget({
 			clock, ratio: settings.retryRatio, allowance: settings.retryAllowance, windowMs: settings.retryWindowMs, isFirstStart: settings.isFirstStart, countInstances, eventLog, metrics,
--- a/packages/plugins/edge/src/limits/service-admission.ts
+++ b/packages/plugins/edge/src/limits/service-admission.ts
@@ -25,6 +25,8 @@
 	isEnabled: (service: string) => boolean;
 	/** Lists the servers of the service that take requests. */
 	listServers: (service: string) => readonly KnownServer[];
+	/** Returns the time until one of its servers takes requests, in milliseconds; undefined if none is known. */
+	estimateOpenMs: (service: string) => number | undefined;
 	countInstances: () => number;
 };
 
@@ -55,13 +57,24 @@
 			return admissionDecisions.admitted;
 		}
 
+		const openMs = this.#opts.estimateOpenMs(service);
+		if (openMs === undefined) {
+			// Nobody knows of a slot to wait for; the forwarder refuses the request and says why.
+			return admissionDecisions.admitted;
+		}
+
 		const expectedMs = this.#times.estimateMs(route.name);
+		const maxWaitMs = remainingMs - (expectedMs * reservedServiceTimes) - transitMs;
+		if (openMs > maxWaitMs) {
+			return this.#count(service, admissionDecisions.late);
+		}
+
 		const decided = this.#getQueue(service).acquire({
 			workspace: request.workspace,
 			priority: request.priority,
 			isReturning: this.#returningCallers.record(route.name, waitMs),
 			expectedMs,
-			maxWaitMs: remainingMs - (expectedMs * reservedServiceTimes) - transitMs,
+			maxWaitMs,
 			signal: request.signal,
 		});
 		return typeof decided === 'string' ? this.#count(service, decided) : this.#measure(service, decided);
--- a/packages/plugins/edge/test/service-admission.test.ts
+++ b/packages/plugins/edge/test/service-admission.test.ts
@@ -18,11 +18,11 @@
 } as unknown as CallerRequest;
 
 describe('admission to services', () => {
-	const createAdmission = (isEnabled: boolean) => {
+	const createAdmission = (isEnabled: boolean, {servers = [server], openMs = 0}: {servers?: KnownServer[]; openMs?: number} = {}) => {
 		const clock = new ManualClock();
 		const loadTracker = new LoadTracker(clock);
 		const admission = new ServiceAdmission({
-			clock, random: new Random(1), loadTracker, metrics: new MetricsRegistry(), isEnabled: () => isEnabled, listServers: () => [server], countInstances: () => 1,
+			clock, random: new Random(1), loadTracker, metrics: new MetricsRegistry(), isEnabled: () => isEnabled, listServers: () => openMs === 0 ? servers : [], estimateOpenMs: () => servers.length === 0 ? undefined : openMs, countInstances: () => 1,
 		});
 		return {clock, loadTracker, admission};
 	};
@@ -63,6 +63,13 @@
 		expect(admission.acquire(request, 40)).to.equal('late');
 	});
 
+	// Guards against requests that wait until their deadline although no server is known, or all of them pause for longer.
+	it('lets no request wait that no server can answer in time', () => {
+		expect(createAdmission(true, {servers: []}).admission.acquire(request, 1000)).to.equal('admitted');
+		expect(createAdmission(true, {openMs: 950}).admission.acquire(request, 1000)).to.equal('late');
+		expect(createAdmission(true, {openMs: 500}).admission.acquire(request, 1000)).to.be.a('promise');
+	});
+
 	// Guards against work that looks like nothing once servers shed load, so that requests wait until their answers are late.
 	it('learns the work of requests from answers alone, not from refusals', async () => {
 		const clock = new WholeMsClock();
