fix: requests that wait for a slot are refused as not run when the instance stops

Cause: the end of the drain answered every open request with 502, may have run, also those that had never been sent; their callers must not repeat an order then. Change: the admission is closed first, and what waits gets 503 with a retry time.

--- a/packages/core/metrics-registry/src/metrics-registry.ts
+++ b/packages/core/metrics-registry/src/metrics-registry.ts
@@ -54,7 +54,7 @@
 	limit_per_second: {kind: 'gauge', help: 'Sum of the limits of the usable servers, for all instances together, by service.', labels: ['service']},
 	limit_used_per_second: {kind: 'gauge', help: 'Requests per second of this instance to servers that have named a limit, by service.', labels: ['service']},
 	admission_wait_ms: {kind: 'histogram', help: 'Time for which requests waited here for a free slot of their service, in milliseconds.', labels: ['service']},
-	admission_refused_total: {kind: 'counter', help: 'Requests that were not admitted to a service, by reason: late, full or cancelled.', labels: ['service', 'reason']},
+	admission_refused_total: {kind: 'counter', help: 'Requests that were not admitted to a service, by reason: late, full, stopping or cancelled.', labels: ['service', 'reason']},
 	admission_waiting: {kind: 'gauge', help: 'Requests that wait here for a free slot, by service.', labels: ['service']},
 	first_byte_ms: {kind: 'histogram', help: 'Time to the first byte of a streamed answer, in milliseconds.', labels: ['route']},
 	request_ms: {kind: 'histogram', help: 'Time to the end of a request, in milliseconds.', labels: ['route']},
--- a/packages/plugins/edge/src/buffered/buffered-forwarder.ts
+++ b/packages/plugins/edge/src/buffered/buffered-forwarder.ts
@@ -36,6 +36,7 @@
 const admissionReasons = {
 	[admissionDecisions.late]: 'no server can answer it in time behind the requests that wait',
 	[admissionDecisions.full]: 'too many requests wait',
+	[admissionDecisions.stopping]: 'this instance stops',
 } as const;
 
 type EndedAttempt = {server: KnownServer; result: AttemptResult};
--- a/packages/plugins/edge/src/edge.ts
+++ b/packages/plugins/edge/src/edge.ts
@@ -331,6 +331,11 @@
 	async #close(until: number): Promise<void> {
 		const {clock} = this.#opts;
 		this.#frontend.close();
+		// A request that has not been sent is refused as such, in the next turn of the event loop.
+		if (this.#context.admission.close() > 0) {
+			await clock.sleep(0);
+		}
+
 		// Before the connections to the servers are closed, so that no request is sent to another server for lack of them.
 		await this.#frontend.finishOpenRequests(until - clock.monotonic());
 		await this.#frontend.finishCloses(until - clock.monotonic());
--- a/packages/plugins/edge/src/limits/service-admission.ts
+++ b/packages/plugins/edge/src/limits/service-admission.ts
@@ -40,6 +40,7 @@
 	readonly #queues = new Map<string, AdmissionQueue>();
 	readonly #times = new ServiceTimes();
 	readonly #returningCallers = new ReturningCallers();
+	#isClosed = false;
 
 	constructor(opts: ServiceAdmissionOptions) {
 		this.#opts = opts;
@@ -57,6 +58,10 @@
 			return admissionDecisions.admitted;
 		}
 
+		if (this.#isClosed) {
+			return this.#count(service, admissionDecisions.stopping);
+		}
+
 		const openMs = this.#opts.estimateOpenMs(service);
 		if (openMs === undefined) {
 			// Nobody knows of a slot to wait for; the forwarder refuses the request and says why.
@@ -101,6 +106,17 @@
 			: earliestMs;
 	}
 
+	/** Refuses the requests that wait and those that come, when this instance stops. Returns the number of those that waited. */
+	close(): number {
+		this.#isClosed = true;
+		let refused = 0;
+		for (const queue of this.#queues.values()) {
+			refused += queue.close();
+		}
+
+		return refused;
+	}
+
 	#getQueue(service: string): AdmissionQueue {
 		let queue = this.#queues.get(service);
 		if (!queue) {
--- a/packages/routing/admission-queue/src/admission-queue.ts
+++ b/packages/routing/admission-queue/src/admission-queue.ts
@@ -13,6 +13,8 @@
 	late: 'late',
 	/** Others that wait leave no place. */
 	full: 'full',
+	/** This instance stops before there is room. */
+	stopping: 'stopping',
 	/** The caller has gone. */
 	cancelled: 'cancelled',
 } as const;
@@ -114,13 +116,15 @@
 		}
 	}
 
-	/** Refuses all that wait, when the instance stops. */
-	close(): void {
-		for (const {item} of this.#queue.removeWhere(() => true)) {
-			item.decide(admissionDecisions.full);
+	/** Refuses all that wait, when the instance stops. Returns their number. */
+	close(): number {
+		const refused = this.#queue.removeWhere(() => true);
+		for (const {item} of refused) {
+			item.decide(admissionDecisions.stopping);
 		}
 
 		this.update();
+		return refused.length;
 	}
 
 	#estimateWaitMs({workspace = noWorkspace, priority}: AdmissionRequest): number {
