fix: waiting requests are admitted at the pace of a server that returns from a pause

Cause: after a pause a server takes one request at first, and the queue counted all its slots: waiting requests were admitted together, and all but the first were refused for want of a server although they had time left. Change: while its load returns, a server counts with the requests that it may have.

--- a/packages/plugins/edge/src/calls/create-forward-context.ts
+++ b/packages/plugins/edge/src/calls/create-forward-context.ts
@@ -80,7 +80,7 @@
 		admission: new ServiceAdmission({
 			clock, random, loadTracker, metrics, isEnabled: opts.isAdmissionEnabled, listServers: service => listCandidates({
 				registry, health, pauses, limits,
-			}, service), estimateOpenMs: service => estimateOpenMs({registry, pauses, limits}, service), countInstances,
+			}, service), findMaxRequests: server => pauses.findMaxRequests(server), estimateOpenMs: service => estimateOpenMs({registry, pauses, limits}, service), countInstances,
 		}),
 		retryBudget: new RetryBudget({
 			clock, ratio: settings.retryRatio, allowance: settings.retryAllowance, windowMs: settings.retryWindowMs, isFirstStart: settings.isFirstStart, countInstances, eventLog, metrics,
--- a/packages/plugins/edge/src/limits/server-pauses.ts
+++ b/packages/plugins/edge/src/limits/server-pauses.ts
@@ -54,19 +54,24 @@
 		return pause?.startedAt === startedAt ? pause.endsAt - this.#opts.clock.monotonic() : 0;
 	}
 
-	#isOpen(server: KnownServer): boolean {
+	/** Returns how many requests the server may have in flight during a pause and while its load returns; undefined at other times. */
+	findMaxRequests(server: KnownServer): number | undefined {
 		const pause = this.#pauses.get(server.id);
 		if (!pause) {
-			return true;
+			return undefined;
 		}
 
 		const openMs = -this.#getRemainingMs(server);
 		if (pause.startedAt !== server.startedAt || openMs >= pause.durationMs) {
 			this.#pauses.delete(server.id);
-			return true;
+			return undefined;
 		}
 
-		const maxRequests = Math.max(1, server.slots * openMs / pause.durationMs);
-		return openMs >= 0 && this.#opts.loadTracker.getLoad(server.id).requests < maxRequests;
+		return openMs < 0 ? 0 : Math.max(1, Math.ceil(server.slots * openMs / pause.durationMs));
+	}
+
+	#isOpen(server: KnownServer): boolean {
+		const maxRequests = this.findMaxRequests(server);
+		return maxRequests === undefined || this.#opts.loadTracker.getLoad(server.id).requests < maxRequests;
 	}
 }
--- a/packages/plugins/edge/src/limits/service-admission.ts
+++ b/packages/plugins/edge/src/limits/service-admission.ts
@@ -7,7 +7,7 @@
 } from '@hickorytrack/admission-queue';
 import {computeReturnTimeMs} from '@hickorytrack/admission-queue/return-times';
 import {ServiceTimes} from '@hickorytrack/admission-queue/service-times';
-import {computeSlotShare, type SlotUse} from '@hickorytrack/admission-queue/slot-share';
+import {computeSlotShare, requestsPerSlot, type SlotUse} from '@hickorytrack/admission-queue/slot-share';
 import type {Clock} from '@hickorytrack/clock';
 import type {KnownServer} from '@hickorytrack/endpoint-registry';
 import type {MetricsRegistry} from '@hickorytrack/metrics-registry';
@@ -25,6 +25,8 @@
 	isEnabled: (service: string) => boolean;
 	/** Lists the servers of the service that take requests. */
 	listServers: (service: string) => readonly KnownServer[];
+	/** Returns how many requests the server may have in flight if this is less than its slots. */
+	findMaxRequests: (server: KnownServer) => number | undefined;
 	/** Returns the time until one of its servers takes requests, in milliseconds; undefined if none is known. */
 	estimateOpenMs: (service: string) => number | undefined;
 	countInstances: () => number;
@@ -123,7 +125,7 @@
 			const {clock, random} = this.#opts;
 			queue = new AdmissionQueue({
 				clock,
-				countRoom: () => computeSlotShare(this.#getSlotUse(service), random),
+				countRoom: () => computeSlotShare(this.#getSlotUse(service, {isNow: true}), random),
 				countOwnSlots: () => Math.max(1, this.#getSlotUse(service).slots / Math.max(1, this.#opts.countInstances())),
 			});
 			this.#queues.set(service, queue);
@@ -132,13 +134,16 @@
 		return queue;
 	}
 
-	#getSlotUse(service: string): SlotUse {
-		const {loadTracker, listServers, countInstances} = this.#opts;
+	/** `isNow`: leaves out the slots that servers will offer only some time after a pause. */
+	#getSlotUse(service: string, {isNow = false}: {isNow?: boolean} = {}): SlotUse {
+		const {loadTracker, listServers, findMaxRequests, countInstances} = this.#opts;
 		const use = {
 			slots: 0, requests: 0, ownRequests: 0, instances: countInstances(),
 		};
-		for (const {id, slots} of listServers(service)) {
-			use.slots += slots;
+		for (const server of listServers(service)) {
+			const {id, slots} = server;
+			const maxRequests = isNow ? findMaxRequests(server) : undefined;
+			use.slots += Math.min(slots, maxRequests === undefined ? slots : maxRequests / requestsPerSlot);
 			use.requests += loadTracker.getLoad(id).requests;
 			use.ownRequests += loadTracker.countOwnRequests(id);
 		}
--- a/packages/plugins/edge/test/retry-fleet.ts
+++ b/packages/plugins/edge/test/retry-fleet.ts
@@ -221,7 +221,7 @@
 		const cacheIndex = new PrefixCacheIndex({getKvCapacity: () => 1e6});
 		const eventLog = new RateLimitedEventLog(clock, new EventLog({clock}));
 		const admission = new ServiceAdmission({
-			clock, random, loadTracker, metrics: new MetricsRegistry(), isEnabled: () => false, listServers: () => [], estimateOpenMs: () => 0, countInstances,
+			clock, random, loadTracker, metrics: new MetricsRegistry(), isEnabled: () => false, listServers: () => [], findMaxRequests: () => undefined, estimateOpenMs: () => 0, countInstances,
 		});
 		admission.recordEnd = (_request, runMs) => {
 			this.runTimes.push(runMs);
--- a/packages/plugins/edge/test/service-admission.test.ts
+++ b/packages/plugins/edge/test/service-admission.test.ts
@@ -7,6 +7,7 @@
 import type {SocketAddress} from '@hickorytrack/socket-address';
 import type {CallerRequest} from '../src/front/caller-request.js';
 import {ReturningCallers} from '../src/limits/returning-callers.js';
+import {ServerPauses} from '../src/limits/server-pauses.js';
 import {ServiceAdmission} from '../src/limits/service-admission.js';
 import {RetryFleet, WholeMsClock} from './retry-fleet.js';
 
@@ -21,10 +22,13 @@
 	const createAdmission = (isEnabled: boolean, {servers = [server], openMs = 0}: {servers?: KnownServer[]; openMs?: number} = {}) => {
 		const clock = new ManualClock();
 		const loadTracker = new LoadTracker(clock);
+		const pauses = new ServerPauses({clock, loadTracker});
 		const admission = new ServiceAdmission({
-			clock, random: new Random(1), loadTracker, metrics: new MetricsRegistry(), isEnabled: () => isEnabled, listServers: () => openMs === 0 ? servers : [], estimateOpenMs: () => servers.length === 0 ? undefined : openMs, countInstances: () => 1,
+			clock, random: new Random(1), loadTracker, metrics: new MetricsRegistry(), isEnabled: () => isEnabled, listServers: () => openMs === 0 ? pauses.selectOpen(servers) : [], findMaxRequests: each => pauses.findMaxRequests(each), estimateOpenMs: () => servers.length === 0 ? undefined : openMs, countInstances: () => 1,
 		});
-		return {clock, loadTracker, admission};
+		return {
+			clock, loadTracker, pauses, admission,
+		};
 	};
 
 	// Guards against a change for deployments that did not ask for the queue.
@@ -70,6 +74,21 @@
 		expect(createAdmission(true, {openMs: 500}).admission.acquire(request, 1000)).to.be.a('promise');
 	});
 
+	// Guards against requests that are admitted together when a pause ends, of which the server may have only the first.
+	it('admits no more than a server may have whose load returns after a pause', async () => {
+		const {clock, loadTracker, pauses, admission} = createAdmission(true);
+		pauses.record(server, 100);
+		const found: number[] = [];
+		const requests = Array.from({length: 4}, async () => {
+			expect(await admission.acquire(request, 2000)).to.equal('admitted');
+			found.push(pauses.selectOpen([server]).length);
+			loadTracker.add('s', 0);
+		});
+		await clock.advance(400);
+		await Promise.all(requests);
+		expect(found).to.deep.equal([1, 1, 1, 1]);
+	});
+
 	// Guards against work that looks like nothing once servers shed load, so that requests wait until their answers are late.
 	it('learns the work of requests from answers alone, not from refusals', async () => {
 		const clock = new WholeMsClock();
--- a/packages/routing/admission-queue/src/slot-share.ts
+++ b/packages/routing/admission-queue/src/slot-share.ts
@@ -18,7 +18,7 @@
  * Requests that a server may have for each of its slots. A server needs a next request at hand while the news of a free slot
  * is on its way.
  */
-const requestsPerSlot = 1.25;
+export const requestsPerSlot = 1.25;
 
 /** Returns how many requests all instances together may still send. */
 export function countFreeSlots({slots, requests}: Pick<SlotUse, 'slots' | 'requests'>): number {
