fix: an unknown key is confirmed by the core also where revocation is not strict

Cause: without strict revocation the installed configuration alone decided, and an instance that was cut off answered 401, which is final, to keys that a newer configuration has. Change: the leader is asked for unknown keys everywhere; leases are still renewed and required only where revocation is strict.

--- a/packages/core/types/src/peer-methods.ts
+++ b/packages/core/types/src/peer-methods.ts
@@ -28,7 +28,7 @@
 	streamOrigins: 'stream-origins',
 	/** Stores what is banned because it crashes servers, if it belongs to the core. */
 	crashBans: 'crash-bans',
-	/** Answers `configuration.lease`, if it leads the core and revocation is strict. */
+	/** Answers `configuration.lease`, if it leads the core. */
 	servingLeases: 'serving-leases',
 	/** Reports the requests of workspaces and, if it belongs to the core, stores decided windows. */
 	usageWindows: 'usage-windows',
--- a/packages/plugins/edge/src/create-serving-lease.ts
+++ b/packages/plugins/edge/src/create-serving-lease.ts
@@ -14,6 +14,7 @@
 	mesh: Mesh;
 	configuration: ConfigurationFollower;
 	core: CoreMember | undefined;
+	/** 0 where revocation is not strict: the lease then never holds, and only confirms versions. */
 	revocationMs: number;
 };
 
--- a/packages/plugins/edge/src/edge.ts
+++ b/packages/plugins/edge/src/edge.ts
@@ -88,6 +88,7 @@
 	readonly #core: CoreMember | undefined;
 	readonly #frontend: HttpFrontend;
 	readonly #keyCheck: KeyCheck;
+	/** Renewed only where revocation is strict; undefined elsewhere. */
 	readonly #servingLease: ServingLease | undefined;
 	readonly #context: ForwardContext;
 	readonly #loadTracker: LoadTracker;
@@ -244,12 +245,11 @@
 			loadTracker: this.#loadTracker,
 			listServices: () => (this.#routes?.configuration.services ?? []).filter(service => service.modelServer).map(service => service.name),
 		});
-		this.#servingLease = settings.revocationMs === undefined
-			? undefined
-			: createServingLease({
-				clock, events, mesh: this.mesh, configuration: this.configuration, core, revocationMs: settings.revocationMs,
-			});
-		this.#keyCheck = new KeyCheck({codec, lease: this.#servingLease});
+		const lease = createServingLease({
+			clock, events, mesh: this.mesh, configuration: this.configuration, core, revocationMs: settings.revocationMs ?? 0,
+		});
+		this.#servingLease = settings.revocationMs === undefined ? undefined : lease;
+		this.#keyCheck = new KeyCheck({codec, lease, isStrict: settings.revocationMs !== undefined});
 		this.#usageLink = settings.usage && new UsageLink({
 			clock, tasks, mesh: this.mesh, configuration: this.configuration, windowMs: settings.usage.windowMs, incarnation: opts.incarnation,
 		});
--- a/packages/plugins/edge/src/front/key-check.ts
+++ b/packages/plugins/edge/src/front/key-check.ts
@@ -1,7 +1,7 @@
 /**
  * Decides whether the caller of a request may use its route. Where the configuration has workspaces, a route that is not public
- * requires a key; where revocation is strict, the instance serves keyed requests only under a lease, and rejects a key as
- * unknown only once the core has confirmed that no newer configuration may know it.
+ * requires a key, and the instance rejects a key as unknown only once the core has confirmed that no newer configuration may
+ * know it. Where revocation is strict, it serves keyed requests only under a lease.
  */
 import type {Route, WorkspaceDefinition} from '@hickorytrack/route-table/route-types';
 import type {ServingLease} from '@hickorytrack/serving-lease';
@@ -22,8 +22,9 @@
 
 export type KeyCheckOptions = {
 	codec: Pick<RequestCodec, 'findKey'>;
-	/** Undefined where revocation is not strict. */
-	lease?: Pick<ServingLease, 'isValid' | 'confirmVersion'>;
+	lease: Pick<ServingLease, 'isValid' | 'confirmVersion'>;
+	/** Keyed requests are served only under the lease. */
+	isStrict: boolean;
 };
 
 /** Time for the core to confirm that a key is unknown; callers without a confirmation come back. */
@@ -59,7 +60,7 @@
 			return {kind: keyDecisions.unknown};
 		}
 
-		return this.#opts.lease?.isValid ?? true
+		return !this.#opts.isStrict || this.#opts.lease.isValid
 			? {kind: keyDecisions.admitted, workspace: workspace.name, priority: workspace.priority ?? route.priority}
 			: {kind: keyDecisions.unleased};
 	}
@@ -67,7 +68,7 @@
 	/** Resolves with whether no configuration that may be in force knows the key. A request without a key needs no confirmation. */
 	async confirmUnknown(route: Route, rawHeaders: readonly string[], waitMs: number): Promise<boolean> {
 		const {lease, codec} = this.#opts;
-		if (lease && codec.findKey(rawHeaders) !== undefined && !await lease.confirmVersion(Math.min(maxConfirmMs, waitMs))) {
+		if (codec.findKey(rawHeaders) !== undefined && !await lease.confirmVersion(Math.min(maxConfirmMs, waitMs))) {
 			return false;
 		}
 
--- a/packages/plugins/edge/test/http-frontend.test.ts
+++ b/packages/plugins/edge/test/http-frontend.test.ts
@@ -30,6 +30,8 @@
 	decodeRequestHeaders: (headers: readonly string[]) => ({headers: [...headers]}),
 	encodeRetryAfter: () => ({}),
 } as unknown as RequestCodec;
+// No configuration here has workspaces.
+const keyCheck = new KeyCheck({codec, isStrict: false, lease: {isValid: false, confirmVersion: async () => false}});
 
 async function findPort(): Promise<number> {
 	const server = createServer();
@@ -75,7 +77,7 @@
 		decodeRequestHeaders = codec.decodeRequestHeaders;
 		frontend = new HttpFrontend({
 			tasks: new BackgroundTasks(),
-			clock, random: new Random(1), codec: {...codec, decodeRequestHeaders: headers => decodeRequestHeaders(headers)}, account: new ByteAccount(1_000_000), keyCheck: new KeyCheck({codec}), notReadyRetryAfterMs: 100, drainAcceptMs: 2500, getRoutes: () => routes, async forward(callerRequest) {
+			clock, random: new Random(1), codec: {...codec, decodeRequestHeaders: headers => decodeRequestHeaders(headers)}, account: new ByteAccount(1_000_000), keyCheck, notReadyRetryAfterMs: 100, drainAcceptMs: 2500, getRoutes: () => routes, async forward(callerRequest) {
 				return forward(callerRequest);
 			}, onRejected(rejectedRequest) {
 				rejected.push(rejectedRequest);
@@ -457,7 +459,7 @@
 	it('refuses a request that arrives late in the drain, and does not forward it', async () => {
 		const clock = new ManualClock();
 		const draining = new HttpFrontend({
-			tasks: new BackgroundTasks(), clock, random: new Random(1), codec, account: new ByteAccount(1_000_000), keyCheck: new KeyCheck({codec}), notReadyRetryAfterMs: 100, drainAcceptMs: 2500, getRoutes: () => routes, async forward(callerRequest) {
+			tasks: new BackgroundTasks(), clock, random: new Random(1), codec, account: new ByteAccount(1_000_000), keyCheck, notReadyRetryAfterMs: 100, drainAcceptMs: 2500, getRoutes: () => routes, async forward(callerRequest) {
 				forwarded.push(callerRequest);
 			}, onRejected(rejectedRequest) {
 				rejected.push(rejectedRequest);
--- a/packages/plugins/edge/test/key-check.test.ts
+++ b/packages/plugins/edge/test/key-check.test.ts
@@ -18,7 +18,7 @@
 		confirmations = 0;
 		confirmVersion = async () => true;
 		check = new KeyCheck({
-			codec, lease: {
+			codec, isStrict: true, lease: {
 				get isValid() {
 					return isValid;
 				},
@@ -41,13 +41,15 @@
 		expect(check.decide(route, ['k']).kind).to.equal(keyDecisions.unknown);
 	});
 
-	it('admits keyed requests only under a lease, and public ones without', () => {
+	it('admits keyed requests only under a lease, and public ones without', async () => {
 		isValid = false;
 		expect(check.decide(route, ['k']).kind).to.equal(keyDecisions.unleased);
 		expect(check.decide(publicRoute, []).kind).to.equal(keyDecisions.admitted);
-		const unleased = new KeyCheck({codec});
+		const unleased = new KeyCheck({codec, isStrict: false, lease: {isValid: false, confirmVersion: async () => false}});
 		unleased.applyWorkspaces(workspaces);
 		expect(unleased.decide(route, ['k']).kind).to.equal(keyDecisions.admitted);
+		// Nor does an instance that is not strict call a key unknown without a confirmation.
+		expect(await unleased.confirmUnknown(route, ['m'], 1000)).to.equal(false);
 	});
 
 	// A caller takes 401 as final, although its key may be in a configuration that has not arrived here.
