--- a/packages/coordination/usage-windows/src/usage-windows.ts
+++ b/packages/coordination/usage-windows/src/usage-windows.ts
@@ -82,6 +82,7 @@
 		const {decidedTo} = store;
 		if (decidedTo !== undefined) {
 			counter.recordDecided(decidedTo);
+			this.#discardTo(decidedTo);
 		}
 
 		if (term === undefined) {
@@ -97,10 +98,11 @@
 		}
 
 		this.#reportDropped();
-		this.#discardTo(decidedTo);
 		this.#record(counter.sender, {until: this.#opts.clock.now()}).merge(counter.counts.list(), window => this.#isOpen(window));
 		await this.#save();
-		await this.#decideOldest(decidedTo);
+		if (this.#updateTerm() === term) {
+			await this.#decideOldest(decidedTo);
+		}
 	}
 
 	/** Stores what is not stored yet, before this instance stops. */
@@ -111,8 +113,9 @@
 
 	#updateTerm(): number | undefined {
 		const term = this.#opts.getTerm();
-		if (this.#led?.term !== term) {
-			this.#led = term === undefined ? undefined : {term, since: this.#opts.clock.monotonic()};
+		// A leader that for a moment must not write records goes on in the same term, in which instances send it changes alone.
+		if (term !== undefined && this.#led?.term !== term) {
+			this.#led = {term, since: this.#opts.clock.monotonic()};
 			this.#collected.clear();
 			this.#reportedDrop = this.#opts.store.droppedTo;
 		}
@@ -131,9 +134,14 @@
 		return window > (store.decidedTo ?? -1) && window <= (clock.now() / windowMs) + maxWindowsAhead;
 	}
 
+	/** Discards the totals up to this window, and instances that have gone. */
 	#discardTo(window: number): void {
-		for (const {counts} of this.#collected.values()) {
+		const now = this.#opts.clock.monotonic();
+		for (const [sender, {counts, heardAt}] of this.#collected) {
 			counts.discardTo(window);
+			if (counts.isEmpty && now - heardAt >= latestMs) {
+				this.#collected.delete(sender);
+			}
 		}
 	}
 
--- a/packages/coordination/usage-windows/test/usage-windows.test.ts
+++ b/packages/coordination/usage-windows/test/usage-windows.test.ts
@@ -175,6 +175,46 @@
 		expect(fleet.reported).to.deep.equal(fleet.counted);
 	});
 
+	// Guards against a leader that forgets the totals while an older member of the core forbids records: in the same term, the
+	// instances send only what has changed since its last answer.
+	it('holds what a leader was told before it could not write records for a moment', async () => {
+		await fleet.run(20_000, countAll);
+		fleet.others[0]!.count('w2');
+		await fleet.run(1100, countAll);
+		const leader = fleet.members[0]!;
+		leader.term = undefined;
+		await fleet.run(300, countAll);
+		leader.term = fleet.term;
+		await fleet.run(30_000);
+		expect(fleet.reported).to.deep.equal(fleet.counted);
+	});
+
+	// Guards against a leader that keeps an entry for each start of an instance that crashes again and again.
+	it('forgets instances that have gone once their windows are decided', async () => {
+		await fleet.run(10_000, countAll);
+		for (let count = 0; count < 50; count++) {
+			fleet.members[0]!.windows.collect({sender: `gone-${count}`, until: fleet.clock.now(), windows: []});
+		}
+
+		await fleet.run(30_000);
+		const last = fleet.events.findLast(({name}) => name === 'usageDecided')!;
+		expect(last.fields.senders).to.equal(fleet.instances.length);
+	});
+
+	// Guards against an exception in the task of a leader that loses the lead while it stores totals, and against its decision.
+	it('is not decided by a leader that loses the lead while it stores totals', async () => {
+		await fleet.run(20_950, countAll);
+		const [former] = fleet.members;
+		const {decidedTo} = former!.store;
+		await fleet.clock.advance(100);
+		former!.counter.count('w1');
+		const finished = former!.windows.finish();
+		former!.term = undefined;
+		former!.windows.collect({sender: 'x', until: fleet.clock.now(), windows: []});
+		await finished;
+		expect(former!.store.decidedTo).to.equal(decidedTo);
+	});
+
 	// Guards against a state that grows for ever, and against a forgotten window that a late record decides again.
 	it('forgets accepted windows, and never decides one again', async () => {
 		await fleet.run(200_000);
--- a/packages/plugins/edge/src/buffered/buffered-forwarder.ts
+++ b/packages/plugins/edge/src/buffered/buffered-forwarder.ts
@@ -38,6 +38,7 @@
 const admissionReasons = {
 	[admissionDecisions.late]: 'no server can answer it in time behind the requests that wait',
 	[admissionDecisions.full]: 'too many requests wait',
+	[admissionDecisions.stopping]: 'this instance stops',
 } as const;
 
 type EndedAttempt = {server: KnownServer; result: AttemptResult};
@@ -196,10 +197,11 @@
 	}
 
 	async #runAttempt(server: KnownServer, {permit, grant, canceller}: {permit: SendPermit; grant: SendGrant; canceller: AttemptCanceller}): Promise<AttemptResult> {
-		const {clock, client, loadTracker, admission, expectedWork} = this.#context;
+		const {clock, client, codec, loadTracker, admission, expectedWork} = this.#context;
 		const sentAt = clock.monotonic();
 		const work = expectedWork.begin(server, this.#workKind, loadTracker.getRemoteLoad(server.id));
 		const inFlightLoad = loadTracker.add(server.id, 0, {workMs: expectedWork.isUneven(server.service) ? work.workMs : 0});
+		let runMs: number | undefined;
 		let isSample = false;
 		try {
 			const result = await runAttempt(client, server.address, {
@@ -210,7 +212,9 @@
 				}),
 			});
 			permit.finish({isWritten: result.isWritten, isAccepted: true});
-			if (result.outcome !== attemptOutcomes.answered && result.isWritten) {
+			if (result.outcome === attemptOutcomes.answered) {
+				runMs = codec.decodeResponseHead(result.head!).isNotExecuted ? undefined : clock.monotonic() - sentAt;
+			} else if (result.isWritten) {
 				this.#request.countRun?.();
 			}
 
@@ -220,7 +224,7 @@
 			// A grant that was used stays used.
 			grant.release();
 			inFlightLoad.release();
-			admission.recordEnd(this.#request, clock.monotonic() - sentAt);
+			admission.recordEnd(this.#request, runMs);
 			work.end({isSample});
 		}
 	}
--- a/packages/plugins/edge/src/edge.ts
+++ b/packages/plugins/edge/src/edge.ts
@@ -92,6 +92,7 @@
 	readonly #core: CoreMember | undefined;
 	readonly #frontend: HttpFrontend;
 	readonly #keyCheck: KeyCheck;
+	/** Renewed only where revocation is strict; undefined elsewhere. */
 	readonly #servingLease: ServingLease | undefined;
 	readonly #context: ForwardContext;
 	readonly #loadTracker: LoadTracker;
@@ -270,12 +271,11 @@
 			loadTracker: this.#loadTracker,
 			listServices: () => (this.#routes?.configuration.services ?? []).filter(service => service.modelServer).map(service => service.name),
 		});
-		this.#servingLease = settings.revocationMs === undefined
-			? undefined
-			: createServingLease({
-				clock, events, mesh: this.mesh, configuration: this.configuration, core, revocationMs: settings.revocationMs,
-			});
-		this.#keyCheck = new KeyCheck({codec, lease: this.#servingLease});
+		const lease = createServingLease({
+			clock, events, mesh: this.mesh, configuration: this.configuration, core, revocationMs: settings.revocationMs ?? 0,
+		});
+		this.#servingLease = settings.revocationMs === undefined ? undefined : lease;
+		this.#keyCheck = new KeyCheck({codec, lease, isStrict: settings.revocationMs !== undefined});
 		this.#usageLink = settings.usage && new UsageLink({
 			clock, tasks, mesh: this.mesh, configuration: this.configuration, windowMs: settings.usage.windowMs, incarnation: opts.incarnation,
 		});
@@ -370,6 +370,11 @@
 	async #close(until: number): Promise<void> {
 		const {clock} = this.#opts;
 		this.#frontend.close();
+		// A request that has not been sent is refused as such, in the next turn of the event loop.
+		if (this.#context.admission.close() > 0) {
+			await clock.sleep(0);
+		}
+
 		// Before the connections to the servers are closed, so that no request is sent to another server for lack of them.
 		await this.#frontend.finishOpenRequests(until - clock.monotonic());
 		await this.#frontend.finishCloses(until - clock.monotonic());
--- a/packages/plugins/edge/src/limits/service-admission.ts
+++ b/packages/plugins/edge/src/limits/service-admission.ts
@@ -7,7 +7,7 @@
 } from '@hickorytrack/admission-queue';
 import {computeReturnTimeMs} from '@hickorytrack/admission-queue/return-times';
 import {ServiceTimes} from '@hickorytrack/admission-queue/service-times';
-import {computeSlotShare, type SlotUse} from '@hickorytrack/admission-queue/slot-share';
+import {computeSlotShare, requestsPerSlot, type SlotUse} from '@hickorytrack/admission-queue/slot-share';
 import type {Clock} from '@hickorytrack/clock';
 import type {KnownServer} from '@hickorytrack/endpoint-registry';
 import type {MetricsRegistry} from '@hickorytrack/metrics-registry';
@@ -25,6 +25,10 @@
 	isEnabled: (service: string) => boolean;
 	/** Lists the servers of the service that take requests. */
 	listServers: (service: string) => readonly KnownServer[];
+	/** Returns how many requests the server may have in flight if this is less than its slots. */
+	findMaxRequests: (server: KnownServer) => number | undefined;
+	/** Returns the time until one of its servers takes requests, in milliseconds; undefined if none is known. */
+	estimateOpenMs: (service: string) => number | undefined;
 	countInstances: () => number;
 };
 
@@ -38,6 +42,7 @@
 	readonly #queues = new Map<string, AdmissionQueue>();
 	readonly #times = new ServiceTimes();
 	readonly #returningCallers = new ReturningCallers();
+	#isClosed = false;
 
 	constructor(opts: ServiceAdmissionOptions) {
 		this.#opts = opts;
@@ -55,22 +60,43 @@
 			return admissionDecisions.admitted;
 		}
 
+		if (this.#isClosed) {
+			return this.#count(service, admissionDecisions.stopping);
+		}
+
+		const openMs = this.#opts.estimateOpenMs(service);
+		if (openMs === undefined) {
+			// Nobody knows of a slot to wait for; the forwarder refuses the request and says why.
+			return admissionDecisions.admitted;
+		}
+
 		const expectedMs = this.#times.estimateMs(route.name);
+		const maxWaitMs = remainingMs - (expectedMs * reservedServiceTimes) - transitMs;
+		if (openMs > maxWaitMs) {
+			return this.#count(service, admissionDecisions.late);
+		}
+
 		const decided = this.#getQueue(service).acquire({
 			workspace: request.workspace,
 			priority: request.priority,
 			isReturning: this.#returningCallers.record(route.name, waitMs),
 			expectedMs,
-			maxWaitMs: remainingMs - (expectedMs * reservedServiceTimes) - transitMs,
+			maxWaitMs,
 			signal: request.signal,
 		});
 		return typeof decided === 'string' ? this.#count(service, decided) : this.#measure(service, decided);
 	}
 
-	/** Records how long an attempt at a server took, in milliseconds, and admits requests that wait. */
-	recordEnd({service, route}: CallerRequest, elapsedMs: number): void {
+	/**
+	 * Records the end of an attempt, and admits requests that wait. `elapsedMs`: time in which a server ran the request, in
+	 * milliseconds; undefined if it refused it or did not answer, which says nothing about the work.
+	 */
+	recordEnd({service, route}: CallerRequest, elapsedMs: number | undefined): void {
 		if (this.#opts.isEnabled(service)) {
-			this.#times.record(route.name, elapsedMs);
+			if (elapsedMs !== undefined) {
+				this.#times.record(route.name, elapsedMs);
+			}
+
 			this.#queues.get(service)?.update();
 		}
 	}
@@ -82,13 +108,24 @@
 			: earliestMs;
 	}
 
+	/** Refuses the requests that wait and those that come, when this instance stops. Returns the number of those that waited. */
+	close(): number {
+		this.#isClosed = true;
+		let refused = 0;
+		for (const queue of this.#queues.values()) {
+			refused += queue.close();
+		}
+
+		return refused;
+	}
+
 	#getQueue(service: string): AdmissionQueue {
 		let queue = this.#queues.get(service);
 		if (!queue) {
 			const {clock, random} = this.#opts;
 			queue = new AdmissionQueue({
 				clock,
-				countRoom: () => computeSlotShare(this.#getSlotUse(service), random),
+				countRoom: () => computeSlotShare(this.#getSlotUse(service, {isNow: true}), random),
 				countOwnSlots: () => Math.max(1, this.#getSlotUse(service).slots / Math.max(1, this.#opts.countInstances())),
 			});
 			this.#queues.set(service, queue);
@@ -97,13 +134,16 @@
 		return queue;
 	}
 
-	#getSlotUse(service: string): SlotUse {
-		const {loadTracker, listServers, countInstances} = this.#opts;
+	/** `isNow`: leaves out the slots that servers will offer only some time after a pause. */
+	#getSlotUse(service: string, {isNow = false}: {isNow?: boolean} = {}): SlotUse {
+		const {loadTracker, listServers, findMaxRequests, countInstances} = this.#opts;
 		const use = {
 			slots: 0, requests: 0, ownRequests: 0, instances: countInstances(),
 		};
-		for (const {id, slots} of listServers(service)) {
-			use.slots += slots;
+		for (const server of listServers(service)) {
+			const {id, slots} = server;
+			const maxRequests = isNow ? findMaxRequests(server) : undefined;
+			use.slots += Math.min(slots, maxRequests === undefined ? slots : maxRequests / requestsPerSlot);
 			use.requests += loadTracker.getLoad(id).requests;
 			use.ownRequests += loadTracker.countOwnRequests(id);
 		}
--- a/packages/plugins/edge/test/service-admission.test.ts
+++ b/packages/plugins/edge/test/service-admission.test.ts
@@ -7,7 +7,9 @@
 import type {SocketAddress} from '@hickorytrack/socket-address';
 import type {CallerRequest} from '../src/front/caller-request.js';
 import {ReturningCallers} from '../src/limits/returning-callers.js';
+import {ServerPauses} from '../src/limits/server-pauses.js';
 import {ServiceAdmission} from '../src/limits/service-admission.js';
+import {RetryFleet, WholeMsClock} from './retry-fleet.js';
 
 const server: KnownServer = {
 	id: 's', startedAt: 1, sequence: 1, service: 'plain', address: '127.0.0.1:1' as SocketAddress, availabilityZone: 'z', slots: 4, state: 'ready', coldMs: 0, heardAt: 0, order: 1,
@@ -17,13 +19,16 @@
 } as unknown as CallerRequest;
 
 describe('admission to services', () => {
-	const createAdmission = (isEnabled: boolean) => {
+	const createAdmission = (isEnabled: boolean, {servers = [server], openMs = 0}: {servers?: KnownServer[]; openMs?: number} = {}) => {
 		const clock = new ManualClock();
 		const loadTracker = new LoadTracker(clock);
+		const pauses = new ServerPauses({clock, loadTracker});
 		const admission = new ServiceAdmission({
-			clock, random: new Random(1), loadTracker, metrics: new MetricsRegistry(), isEnabled: () => isEnabled, listServers: () => [server], countInstances: () => 1,
+			clock, random: new Random(1), loadTracker, metrics: new MetricsRegistry(), isEnabled: () => isEnabled, listServers: () => openMs === 0 ? pauses.selectOpen(servers) : [], findMaxRequests: each => pauses.findMaxRequests(each), estimateOpenMs: () => servers.length === 0 ? undefined : openMs, countInstances: () => 1,
 		});
-		return {clock, loadTracker, admission};
+		return {
+			clock, loadTracker, pauses, admission,
+		};
 	};
 
 	// Guards against a change for deployments that did not ask for the queue.
@@ -61,6 +66,42 @@
 
 		expect(admission.acquire(request, 40)).to.equal('late');
 	});
+
+	// Guards against requests that wait until their deadline although no server is known, or all of them pause for longer.
+	it('lets no request wait that no server can answer in time', () => {
+		expect(createAdmission(true, {servers: []}).admission.acquire(request, 1000)).to.equal('admitted');
+		expect(createAdmission(true, {openMs: 950}).admission.acquire(request, 1000)).to.equal('late');
+		expect(createAdmission(true, {openMs: 500}).admission.acquire(request, 1000)).to.be.a('promise');
+	});
+
+	// Guards against requests that are admitted together when a pause ends, of which the server may have only the first.
+	it('admits no more than a server may have whose load returns after a pause', async () => {
+		const {clock, loadTracker, pauses, admission} = createAdmission(true);
+		pauses.record(server, 100);
+		const found: number[] = [];
+		const requests = Array.from({length: 4}, async () => {
+			expect(await admission.acquire(request, 2000)).to.equal('admitted');
+			found.push(pauses.selectOpen([server]).length);
+			loadTracker.add('s', 0);
+		});
+		await clock.advance(400);
+		await Promise.all(requests);
+		expect(found).to.deep.equal([1, 1, 1, 1]);
+	});
+
+	// Guards against work that looks like nothing once servers shed load, so that requests wait until their answers are late.
+	it('learns the work of requests from answers alone, not from refusals', async () => {
+		const clock = new WholeMsClock();
+		const fleet = new RetryFleet(clock, new Random(5));
+		fleet.startEdge(0, {isFirstStart: true, countInstances: () => 1});
+		fleet.faults.set('run', {rejectsAtOnce: 0.4, rejectsLate: 0.2});
+		await fleet.run(5000, {intervalMs: 30, streamFraction: 0});
+		await clock.advance(10_000);
+		const answered = fleet.arrivals.filter(({isRejected}) => !isRejected);
+		expect(answered.length).to.be.within(20, fleet.arrivals.length / 2);
+		expect(fleet.runTimes).to.have.length(fleet.arrivals.length);
+		expect(fleet.runTimes.filter(runMs => runMs !== undefined)).to.have.length(answered.length);
+	});
 });
 
 describe('callers that return', () => {
