--- a/packages/plugins/edge/test/http-frontend.test.ts
+++ b/packages/plugins/edge/test/http-frontend.test.ts
@@ -461,7 +461,7 @@
 		let isOutside = false;
 		let sentBytes = 0;
 		const weak = new HttpFrontend({
-			tasks: new BackgroundTasks(), clock, random: new Random(1), codec, account: new ByteAccount(1_000_000), keyCheck: new KeyCheck({codec}), notReadyRetryAfterMs: 100, drainAcceptMs: 2500, getRoutes: () => routes, async forward({response}) {
+			tasks: new BackgroundTasks(), clock, random: new Random(1), codec, account: new ByteAccount(1_000_000), keyCheck, notReadyRetryAfterMs: 100, drainAcceptMs: 2500, getRoutes: () => routes, async forward({response}) {
 				response.write('a'.repeat(1000));
 				response.end(Buffer.alloc(500));
 			}, onRejected: () => undefined, onDropped: () => undefined, onFailed: () => undefined, onCut: () => undefined, isOutsideReadySet: () => isOutside, onSent(bytes) {
