fix: admission forgets the routes of former configurations

Cause: work and usual times by route, and queues by service, were kept for ever. Change: a new configuration discards those that it does not name; a queue stays while requests wait in it.

--- a/packages/plugins/edge/src/edge.ts
+++ b/packages/plugins/edge/src/edge.ts
@@ -439,6 +439,7 @@
 		this.#routes = new RouteTable(configuration);
 		this.#keyCheck.applyWorkspaces(configuration.workspaces);
 		this.#frontend.applyLimits(configuration.limits);
+		this.#context.admission.retain(configuration);
 		if (hasWorkspaces(configuration)) {
 			this.#usageLink?.counter.begin();
 		}
--- a/packages/plugins/edge/src/limits/returning-callers.ts
+++ b/packages/plugins/edge/src/limits/returning-callers.ts
@@ -21,4 +21,13 @@
 		this.#usualWaitMs.set(route, usualMs);
 		return waitMs < usualMs * returningFraction;
 	}
+
+	/** Discards the routes that are not in use any more. */
+	retain(routes: ReadonlySet<string>): void {
+		for (const route of this.#usualWaitMs.keys()) {
+			if (!routes.has(route)) {
+				this.#usualWaitMs.delete(route);
+			}
+		}
+	}
 }
--- a/packages/plugins/edge/src/limits/service-admission.ts
+++ b/packages/plugins/edge/src/limits/service-admission.ts
@@ -13,6 +13,7 @@
 import type {MetricsRegistry} from '@hickorytrack/metrics-registry';
 import type {LoadTracker} from '@hickorytrack/prompt-placement/load-tracker';
 import type {Random} from '@hickorytrack/random';
+import type {RouteConfiguration} from '@hickorytrack/route-table/route-types';
 import type {CallerRequest} from '../front/caller-request.js';
 import {ReturningCallers} from './returning-callers.js';
 
@@ -108,6 +109,19 @@
 			: earliestMs;
 	}
 
+	/** Discards what is known of routes and services that a new configuration does not have. Queues stay while requests wait in them. */
+	retain(configuration: Pick<RouteConfiguration, 'routes' | 'services'>): void {
+		const routes = new Set(configuration.routes.map(({name}) => name));
+		const services = new Set(configuration.services.map(({name}) => name));
+		this.#times.retain(routes);
+		this.#returningCallers.retain(routes);
+		for (const [service, queue] of this.#queues) {
+			if (!services.has(service) && queue.length === 0) {
+				this.#queues.delete(service);
+			}
+		}
+	}
+
 	/** Refuses the requests that wait and those that come, when this instance stops. Returns the number of those that waited. */
 	close(): number {
 		this.#isClosed = true;
--- a/packages/plugins/edge/test/service-admission.test.ts
+++ b/packages/plugins/edge/test/service-admission.test.ts
@@ -74,6 +74,24 @@
 		expect(createAdmission(true, {openMs: 500}).admission.acquire(request, 1000)).to.be.a('promise');
 	});
 
+	// Guards against memory that grows with each configuration that names its routes anew.
+	it('forgets the routes of former configurations', () => {
+		const {loadTracker, admission} = createAdmission(true);
+		for (let count = 0; count < 5; count++) {
+			loadTracker.add('s', 0);
+		}
+
+		for (let count = 0; count < 200; count++) {
+			admission.recordEnd(request, 1);
+		}
+
+		admission.retain({routes: [request.route], services: []});
+		expect(admission.acquire(request, 60)).to.be.a('promise');
+		admission.retain({routes: [], services: []});
+		expect(admission.acquire(request, 60)).to.equal('late');
+		expect(admission.countWaiting('plain')).to.equal(1);
+	});
+
 	// Guards against requests that are admitted together when a pause ends, of which the server may have only the first.
 	it('admits no more than a server may have whose load returns after a pause', async () => {
 		const {clock, loadTracker, pauses, admission} = createAdmission(true);
@@ -108,5 +126,7 @@
 	it('are told from new ones by the time for which they still wait', () => {
 		const callers = new ReturningCallers();
 		expect([1500, 1500, 1200, 1490, undefined].map(waitMs => callers.record('r', waitMs))).to.deep.equal([false, false, true, false, false]);
+		callers.retain(new Set());
+		expect(callers.record('r', 1200)).to.equal(false);
 	});
 });
