test: requests that wait are decided when the queue is no longer in force

Guards against requests that wait for good because the configuration loses its workspaces meanwhile.

--- a/packages/plugins/edge/test/service-admission.test.ts
+++ b/packages/plugins/edge/test/service-admission.test.ts
@@ -19,12 +19,12 @@
 } as unknown as CallerRequest;
 
 describe('admission to services', () => {
-	const createAdmission = (isEnabled: boolean, {servers = [server], openMs = 0}: {servers?: KnownServer[]; openMs?: number} = {}) => {
+	const createAdmission = (isEnabled: boolean | (() => boolean), {servers = [server], openMs = 0}: {servers?: KnownServer[]; openMs?: number} = {}) => {
 		const clock = new ManualClock();
 		const loadTracker = new LoadTracker(clock);
 		const pauses = new ServerPauses({clock, loadTracker});
 		const admission = new ServiceAdmission({
-			clock, random: new Random(1), loadTracker, metrics: new MetricsRegistry(), isEnabled: () => isEnabled, listServers: () => openMs === 0 ? pauses.selectOpen(servers) : [], findMaxRequests: each => pauses.findMaxRequests(each), estimateOpenMs: () => servers.length === 0 ? undefined : openMs, countInstances: () => 1,
+			clock, random: new Random(1), loadTracker, metrics: new MetricsRegistry(), isEnabled: () => typeof isEnabled === 'function' ? isEnabled() : isEnabled, listServers: () => openMs === 0 ? pauses.selectOpen(servers) : [], findMaxRequests: each => pauses.findMaxRequests(each), estimateOpenMs: () => servers.length === 0 ? undefined : openMs, countInstances: () => 1,
 		});
 		return {
 			clock, loadTracker, pauses, admission,
@@ -92,6 +92,25 @@
 		expect(admission.countWaiting('plain')).to.equal(1);
 	});
 
+	// Guards against requests that wait for good because the configuration loses its workspaces meanwhile.
+	it('goes on to admit and to refuse those that wait when it is no longer in force', async () => {
+		const settings = {isEnabled: true};
+		const {clock, loadTracker, admission} = createAdmission(() => settings.isEnabled);
+		const loads = Array.from({length: 5}, () => loadTracker.add('s', 0));
+		const admitted = admission.acquire(request, 1000);
+		settings.isEnabled = false;
+		expect(admission.acquire(request, 1)).to.equal('admitted');
+		loads[0]!.release();
+		await clock.advance(20);
+		expect(await admitted).to.equal('admitted');
+		settings.isEnabled = true;
+		loadTracker.add('s', 0);
+		const refused = admission.acquire(request, 1000);
+		settings.isEnabled = false;
+		await clock.advance(1000);
+		expect(await refused).to.equal('late');
+	});
+
 	// Guards against requests that are admitted together when a pause ends, of which the server may have only the first.
 	it('admits no more than a server may have whose load returns after a pause', async () => {
 		const {clock, loadTracker, pauses, admission} = createAdmission(true);
