--- a/packages/plugins/edge/src/buffered/buffered-forwarder.ts
+++ b/packages/plugins/edge/src/buffered/buffered-forwarder.ts
@@ -34,7 +34,7 @@
 
 /** Why a request that is not admitted is refused. */
 const admissionReasons = {
-	[admissionDecisions.late]: 'no server can answer it in time behind the requests that wait',
+	[admissionDecisions.late]: 'no server can answer it in time',
 	[admissionDecisions.full]: 'too many requests wait',
 	[admissionDecisions.stopping]: 'this instance stops',
 } as const;
