--- a/packages/plugins/edge/test/service-admission.test.ts
+++ b/packages/plugins/edge/test/service-admission.test.ts
@@ -19,12 +19,12 @@
 } as unknown as CallerRequest;
 
 describe('admission to services', () => {
-	const createAdmission = (isEnabled: boolean, {servers = [server], openMs = 0}: {servers?: KnownServer[]; openMs?: number} = {}) => {
+	const createAdmission = (isEnabled: boolean | (() => boolean), {servers = [server], openMs = 0}: {servers?: KnownServer[]; openMs?: number} = {}) => {
 		const clock = new ManualClock();
 		const loadTracker = new LoadTracker(clock);
 		const pauses = new ServerPauses({clock, loadTracker});
 		const admission = new ServiceAdmission({
-			clock, random: new Random(1), loadTracker, metrics: new MetricsRegistry(), isEnabled: () => isEnabled, listServers: () => openMs === 0 ? pauses.selectOpen(servers) : [], findMaxRequests: each => pauses.findMaxRequests(each), estimateOpenMs: () => servers.length === 0 ? undefined : openMs, countInstances: () => 1,
+			clock, random: new Random(1), loadTracker, metrics: new MetricsRegistry(), isEnabled: () => typeof isEnabled === 'function' ? isEnabled() : isEnabled, listServers: () => openMs === 0 ? pauses.selectOpen(servers) : [], findMaxRequests: each => pauses.findMaxRequests(each), estimateOpenMs: () => servers.length === 0 ? undefined : openMs, countInstances: () => 1,
 		});
 		return {
 			clock, loadTracker, pauses, admission,
@@ -74,6 +74,43 @@
 		expect(createAdmission(true, {openMs: 500}).admission.acquire(request, 1000)).to.be.a('promise');
 	});
 
+	// Guards against memory that grows with each configuration that names its routes anew.
+	it('forgets the routes of former configurations', () => {
+		const {loadTracker, admission} = createAdmission(true);
+		for (let count = 0; count < 5; count++) {
+			loadTracker.add('s', 0);
+		}
+
+		for (let count = 0; count < 200; count++) {
+			admission.recordEnd(request, 1);
+		}
+
+		admission.retain({routes: [request.route], services: []});
+		expect(admission.acquire(request, 60)).to.be.a('promise');
+		admission.retain({routes: [], services: []});
+		expect(admission.acquire(request, 60)).to.equal('late');
+		expect(admission.countWaiting('plain')).to.equal(1);
+	});
+
+	// Guards against requests that wait for good because the configuration loses its workspaces meanwhile.
+	it('goes on to admit and to refuse those that wait when it is no longer in force', async () => {
+		const settings = {isEnabled: true};
+		const {clock, loadTracker, admission} = createAdmission(() => settings.isEnabled);
+		const loads = Array.from({length: 5}, () => loadTracker.add('s', 0));
+		const admitted = admission.acquire(request, 1000);
+		settings.isEnabled = false;
+		expect(admission.acquire(request, 1)).to.equal('admitted');
+		loads[0]!.release();
+		await clock.advance(20);
+		expect(await admitted).to.equal('admitted');
+		settings.isEnabled = true;
+		loadTracker.add('s', 0);
+		const refused = admission.acquire(request, 1000);
+		settings.isEnabled = false;
+		await clock.advance(1000);
+		expect(await refused).to.equal('late');
+	});
+
 	// Guards against requests that are admitted together when a pause ends, of which the server may have only the first.
 	it('admits no more than a server may have whose load returns after a pause', async () => {
 		const {clock, loadTracker, pauses, admission} = createAdmission(true);
@@ -108,5 +145,7 @@
 	it('are told from new ones by the time for which they still wait', () => {
 		const callers = new ReturningCallers();
 		expect([1500, 1500, 1200, 1490, undefined].map(waitMs => callers.record('r', waitMs))).to.deep.equal([false, false, true, false, false]);
+		callers.retain(new Set());
+		expect(callers.record('r', 1200)).to.equal(false);
 	});
 });
