fix: a confirmation of a version that was installed late renews the lease

Cause: an answer that named a newer version took the place of the pending one, although the version of that one had been installed meanwhile and only nobody had looked at the lease since. Change: the pending confirmation is taken over before it is replaced.

--- a/packages/routing/serving-lease/src/serving-lease.ts
+++ b/packages/routing/serving-lease/src/serving-lease.ts
@@ -56,7 +56,7 @@
 
 	/** Time for which the lease still holds, in milliseconds; 0 if it does not. */
 	get remainingMs(): number {
-		const granted = this.#findGranted();
+		const granted = this.#updateGranted();
 		return granted ? Math.max(0, granted.from + this.#opts.lengthMs - this.#time.read()) : 0;
 	}
 
@@ -85,7 +85,7 @@
 				await this.renew();
 			}
 
-			if ((this.#findGranted()?.from ?? Number.NEGATIVE_INFINITY) >= since) {
+			if ((this.#updateGranted()?.from ?? Number.NEGATIVE_INFINITY) >= since) {
 				return true;
 			}
 
@@ -104,6 +104,8 @@
 				return false;
 			}
 
+			// The next confirmation takes the place of the pending one, whose version may be installed by now.
+			this.#updateGranted();
 			const confirmation = {version: answer.version, from: askedAt - Math.max(0, answer.ageMs)};
 			if (!this.#pending || confirmation.from > this.#pending.from) {
 				this.#pending = confirmation;
@@ -119,8 +121,8 @@
 		}
 	}
 
-	/** Takes the pending confirmation over once its version is installed. */
-	#findGranted(): Confirmation | undefined {
+	/** Takes the pending confirmation over once its version is installed, and returns the latest that was taken over. */
+	#updateGranted(): Confirmation | undefined {
 		const pending = this.#pending;
 		if (pending && pending.version <= (this.#opts.getVersion() ?? -1)) {
 			this.#pending = undefined;
--- a/packages/routing/serving-lease/test/serving-lease.test.ts
+++ b/packages/routing/serving-lease/test/serving-lease.test.ts
@@ -181,6 +181,20 @@
 		expect(installed).to.equal(4);
 	});
 
+	// Guards against a lease that ends while versions follow each other faster than they are installed, and nobody asks for it.
+	it('counts from the confirmation of a version that is installed just before the next answer names a newer one', async () => {
+		const slow = new ServingLease({
+			clock, lengthMs, getVersion: () => installed, async fetch() {/* The link is slow. */}, onChanged() {/* Not looked at. */}, ask: async () => issuer.answer(),
+		});
+		newest = 4;
+		await slow.renew();
+		await manual.advance(400);
+		installed = 4;
+		newest = 5;
+		await slow.renew();
+		expect(slow.remainingMs).to.equal(lengthMs - 400);
+	});
+
 	it('does not go on when a newer version can\'t be installed', async () => {
 		run();
 		await manual.advance(1000);
