configuration-check: commands that check a configuration from a file

Cause: an operator learns of mistakes only from the refusal, and of entries without effect, contradicting limits and unintended changes not at all.

--- a/packages/cli/hickorytrack/src/commands.ts
+++ b/packages/cli/hickorytrack/src/commands.ts
@@ -1,4 +1,5 @@
 /** The command table that oclif loads: command ids with their classes. */
+import {ConfigCheck} from './config-commands.js';
 import {
 	ContractApply, ContractDiff, ContractGet, ContractHistory, ContractList, ContractRemove,
 } from './contract-commands.js';
@@ -20,6 +21,7 @@
 	'change:cancel': ChangeCancel,
 	'change:list': ChangeList,
 	'change:show': ChangeShow,
+	'config:check': ConfigCheck,
 	'config:get': ConfigGet,
 	'config:set': ConfigSet,
 	'controller:add': ControllerAdd,
