--- a/tools/bench/src/edge-cost-bench.ts
+++ b/tools/bench/src/edge-cost-bench.ts
@@ -44,6 +44,8 @@
 	systemCalls: number;
 	readKb: number;
 	writtenKb: number;
+	/** Largest of the edges, since their starts. */
+	peakMb: number;
 };
 
 export type EdgeCosts = {
@@ -76,6 +78,7 @@
 const settleMs = 6000;
 const pollMs = 50;
 const bytesPerKb = 1024;
+const bytesPerMb = 1024 * 1024;
 const listedSelfTimes = 45;
 /** Longer than those of a deployment, so that a busy machine causes no refusals. */
 const objectiveMs = 900;
@@ -228,7 +231,7 @@
 	return after.map((usage, index) => {
 		const earlier = before[index]!;
 		return {
-			cpuMs: usage.cpuMs - earlier.cpuMs, helperMs: usage.helperMs - earlier.helperMs, wakeups: usage.wakeups - earlier.wakeups, systemCalls: usage.systemCalls - earlier.systemCalls, readBytes: usage.readBytes - earlier.readBytes, writtenBytes: usage.writtenBytes - earlier.writtenBytes,
+			cpuMs: usage.cpuMs - earlier.cpuMs, helperMs: usage.helperMs - earlier.helperMs, wakeups: usage.wakeups - earlier.wakeups, systemCalls: usage.systemCalls - earlier.systemCalls, readBytes: usage.readBytes - earlier.readBytes, writtenBytes: usage.writtenBytes - earlier.writtenBytes, peakBytes: usage.peakBytes,
 		};
 	});
 }
@@ -237,7 +240,7 @@
 	const chosen = usages.filter((_, index) => edgesOfKind.includes(fleet[index]!));
 	const compute = (read: (usage: ProcessActivity) => number, divisor = 1) => Number((chosen.reduce((sum, usage) => sum + read(usage), 0) / chosen.length / units / divisor).toFixed(2));
 	return {
-		cpuMs: compute(usage => usage.cpuMs), helperMs: compute(usage => usage.helperMs), wakeups: compute(usage => usage.wakeups), systemCalls: compute(usage => usage.systemCalls), readKb: compute(usage => usage.readBytes, bytesPerKb), writtenKb: compute(usage => usage.writtenBytes, bytesPerKb),
+		cpuMs: compute(usage => usage.cpuMs), helperMs: compute(usage => usage.helperMs), wakeups: compute(usage => usage.wakeups), systemCalls: compute(usage => usage.systemCalls), readKb: compute(usage => usage.readBytes, bytesPerKb), writtenKb: compute(usage => usage.writtenBytes, bytesPerKb), peakMb: Math.round(Math.max(...chosen.map(usage => usage.peakBytes)) / bytesPerMb),
 	};
 }
 
--- a/tools/bench/src/process-usage.ts
+++ b/tools/bench/src/process-usage.ts
@@ -4,6 +4,7 @@
 /** Clock ticks per second (`USER_HZ`), the unit of the CPU times in `/proc/PID/stat`. */
 const ticksPerSecond = 100;
 const bytesPerPage = 4096;
+const bytesPerKib = 1024;
 
 export type ProcessUsage = {
 	cpuSeconds: number;
@@ -20,6 +21,8 @@
 	systemCalls: number;
 	readBytes: number;
 	writtenBytes: number;
+	/** Most memory that was resident so far. */
+	peakBytes: number;
 };
 
 export async function readUsage(pid: number): Promise<ProcessUsage> {
@@ -40,6 +43,7 @@
 		systemCalls: readField(io, 'syscr') + readField(io, 'syscw'),
 		readBytes: readField(io, 'rchar'),
 		writtenBytes: readField(io, 'wchar'),
+		peakBytes: readField(statuses[0]!, 'VmHWM') * bytesPerKib,
 	};
 }
 
