soak: workspaces, their keys, usage reports and checks of both

Cause: the soak knew nothing of keys, the serving lease, usage windows and the singleton duty. Change: with the listed fault workspaces the configurations have workspaces, callers send keys, also unknown and removed ones, the operator removes, moves and returns keys while edges are frozen, cut off, killed or stopped, and a stand-in takes the reports of usage; infrastructure makes it fail at times, slow-reader lets each fourth caller read with pauses.

--- a/tools/soak/src/caller.ts
+++ b/tools/soak/src/caller.ts
@@ -12,6 +12,7 @@
 import {createPromptParts, hasCrashingPart} from './crashing-part.js';
 import type {CallerRecord, SoakRoute} from './records.js';
 import {createSpreadRandom} from './spread-random.js';
+import {drawKey, workspaceFaults} from './workspaces.js';
 
 export type CallerOptions = {
 	index: number;
@@ -31,6 +32,9 @@
 export const pipelineFault = 'pipeline';
 export const maxReadPauseMs = 200;
 const pipelinedFraction = 0.3;
+/** Each fourth caller reads with pauses, one request at a time. */
+export const slowReaderFault = 'slow-reader';
+const slowReaderInterval = 4;
 
 type Draft = {
 	/** Number of the request at its caller. */
@@ -39,6 +43,7 @@
 	path: string;
 	headers: Record<string, string>;
 	body: string;
+	key?: string;
 	deadlineAt: number;
 	/** Servers of several versions may begin it, and the caller takes it up if it breaks. */
 	canTakeUp: boolean;
@@ -62,6 +67,8 @@
 const longPromptFraction = 0.5;
 const longOutputFraction = 0.2;
 const leaveFraction = 0.01;
+/** Callers that name a workspace themselves, which no server may be told. */
+const namedFraction = 0.2;
 /** With servers of several versions, connections of streams break so often on the side of the caller, which takes them up. */
 const lostConnectionFraction = 0.08;
 const maxLeaveMs = 30;
@@ -78,6 +85,9 @@
 	readonly #promptRandom: Random;
 	/** So has the way of writing and reading. */
 	readonly #pipelineRandom: Random | undefined;
+	readonly #readRandom: Random | undefined;
+	/** And the keys. */
+	readonly #keyRandom: Random | undefined;
 	#connecting: Promise<CallerConnection | undefined> = Promise.resolve(undefined);
 	#edge: number;
 	#connection: CallerConnection | undefined;
@@ -87,6 +97,9 @@
 		this.#opts = opts;
 		this.#promptRandom = new Random(opts.index);
 		this.#pipelineRandom = opts.faults.has(pipelineFault) ? createSpreadRandom(opts.index) : undefined;
+		const isSlowReader = opts.faults.has(slowReaderFault) && opts.index % slowReaderInterval === 0;
+		this.#readRandom = this.#pipelineRandom ?? (isSlowReader ? createSpreadRandom(opts.index) : undefined);
+		this.#keyRandom = opts.faults.has(workspaceFaults.workspaces) ? createSpreadRandom(opts.index) : undefined;
 		this.#edge = opts.index % opts.edges.length;
 	}
 
@@ -110,19 +123,29 @@
 		const {random, routes, index, clock} = this.#opts;
 		this.#requests++;
 		const route = random.select(routes);
-		const key = `${index}-${this.#requests}`;
-		const path = `/${route.name}/${key}${route.kind === 'streaming' ? `/${1 + random.nextInteger(maxEvents)}` : ''}`;
+		const label = `${index}-${this.#requests}`;
+		const path = `/${route.name}/${label}${route.kind === 'streaming' ? `/${1 + random.nextInteger(maxEvents)}` : ''}`;
 		const headers: Record<string, string> = {};
 		if (route.kind === 'streaming') {
 			const tokens = random.next() < longPromptFraction ? longPromptTokens : shortPromptTokens;
 			headers['x-model'] = 'm';
 			headers['x-token-counts'] = `${tokens},${random.next() < longOutputFraction ? 1000 : 50}`;
-			headers['x-prompt-prefix'] = createPromptParts(this.#promptRandom, {key, tokens, faults: this.#opts.faults});
+			headers['x-prompt-prefix'] = createPromptParts(this.#promptRandom, {key: label, tokens, faults: this.#opts.faults});
+		}
+
+		const keyRandom = this.#keyRandom;
+		const key = keyRandom && drawKey(keyRandom);
+		if (key !== undefined) {
+			headers.authorization = `Bearer ${key}`;
+		}
+
+		if (keyRandom && keyRandom.next() < namedFraction) {
+			headers['x-tenant'] = 'w1';
 		}
 
 		const canTakeUp = route.isResumable && this.#opts.faults.has(versionsFault);
 		return {
-			number: this.#requests, route, path, headers, body: `body of ${key}`, deadlineAt: clock.monotonic() + (canTakeUp ? takeUpDeadlineMs : requestDeadlineMs), canTakeUp,
+			number: this.#requests, route, path, headers, body: `body of ${label}`, key, deadlineAt: clock.monotonic() + (canTakeUp ? takeUpDeadlineMs : requestDeadlineMs), canTakeUp,
 		};
 	}
 
@@ -159,7 +182,7 @@
 	}
 
 	async #runAttempt({
-		number, route, path, headers, body, deadlineAt, canTakeUp,
+		number, route, path, headers, body, key, deadlineAt, canTakeUp,
 	}: Draft, {attempt, lastEventId, begunAs}: {attempt: number; lastEventId: number; begunAs: string | undefined}): Promise<CallerRecord & {retryAfterMs: number} | undefined> {
 		const {clock, index, host, record: addRecord} = this.#opts;
 		// One after the other, so that both requests get the same connection.
@@ -177,7 +200,7 @@
 			host, 'x-request-id': requestId, 'x-deadline-ms': String(Math.ceil(remainingMs)), ...headers, ...(lastEventId > 0 ? {'last-event-id': String(lastEventId)} : {}), ...(begunAs === undefined ? {} : {resumes: begunAs}),
 		}, body), isLeaving ? this.#opts.random.nextBetween(1, canTakeUp ? maxLostConnectionMs : maxLeaveMs) : remainingMs + lateMarginMs);
 		const record: CallerRecord = {
-			requestId, caller: index, edge: connection.edge, route: route.name, path, sentBody: body, sentAt, endedAt: clock.now(), deadlineMs: Math.ceil(remainingMs), hasLeft: isLeaving || exchange.isOwnClose === true, isBehindEnd: exchange.isBehindEnd, readPauseMs: this.#pipelineRandom ? maxReadPauseMs : undefined, isCrashing: route.kind === 'streaming' ? hasCrashingPart(headers['x-prompt-prefix']) : undefined, lastEventId, begunAs, extraAnswers: connection.readExtraAnswers(), ...describeExchange(exchange),
+			requestId, caller: index, edge: connection.edge, route: route.name, path, sentBody: body, key, sentAt, endedAt: clock.now(), deadlineMs: Math.ceil(remainingMs), hasLeft: isLeaving || exchange.isOwnClose === true, isBehindEnd: exchange.isBehindEnd, readPauseMs: this.#readRandom ? maxReadPauseMs : undefined, isCrashing: route.kind === 'streaming' ? hasCrashingPart(headers['x-prompt-prefix']) : undefined, lastEventId, begunAs, extraAnswers: connection.readExtraAnswers(), ...describeExchange(exchange),
 		};
 		addRecord(record);
 		return isLeaving && !canTakeUp ? undefined : {...record, retryAfterMs: Number(exchange.answer?.headers['retry-after'] ?? 0) * 1000};
@@ -194,8 +217,8 @@
 		while (clock.monotonic() < deadlineAt) {
 			for (const _ of edges) {
 				const edge = edges[this.#edge % edges.length]!;
-				const pipelineRandom = this.#pipelineRandom;
-				this.#connection = await openConnection(edge, {edge: edge.name, clock, createReadPause: pipelineRandom && (() => pipelineRandom.nextBetween(0, maxReadPauseMs))});
+				const readRandom = this.#readRandom;
+				this.#connection = await openConnection(edge, {edge: edge.name, clock, createReadPause: readRandom && (() => readRandom.nextBetween(0, maxReadPauseMs))});
 				if (this.#connection) {
 					return this.#connection;
 				}
--- a/tools/soak/src/edge-process.ts
+++ b/tools/soak/src/edge-process.ts
@@ -6,6 +6,7 @@
 import type {RetryBounds} from './records.js';
 import {ManagedProcess} from './managed-process.js';
 import {readPathVariable} from './read-witness.js';
+import type {WorkspaceBounds} from './workspaces.js';
 
 export type EdgeOptions = {
 	name: string;
@@ -19,6 +20,8 @@
 	reportIntervalMs: number;
 	/** The edge is told how much memory its machine has. */
 	hasMemoryLimit?: boolean;
+	/** The configuration has workspaces; the infrastructure at this address takes the reports of their usage. */
+	workspaces?: WorkspaceBounds & {infrastructureAddress: string};
 	redirect: RedirectOptions;
 	onStarted: () => void;
 	/** Called at each end; `isExpected` is true after a signal that ends the process. */
@@ -32,6 +35,7 @@
 /** Memory of the machine of an edge, in MiB. */
 export const memoryMb = 350;
 const leaseMs = 2000;
+const dutyCallsPerSecond = 5;
 const msPerSecond = 1000;
 const redirectUrl = new URL('connection-redirect.js', import.meta.url).href;
 const witnessUrl = new URL('read-witness.js', import.meta.url).href;
@@ -65,7 +69,7 @@
 	}
 }
 
-function writeSettings(file: string, {name, ip, folder, isCore, seeds, bounds, reportIntervalMs, hasMemoryLimit}: EdgeOptions, isFirstStart: boolean): void {
+function writeSettings(file: string, {name, ip, folder, isCore, seeds, bounds, reportIntervalMs, hasMemoryLimit, workspaces}: EdgeOptions, isFirstStart: boolean): void {
 	const dataFolder = path.join(folder, `${name}-data`);
 	if (isCore) {
 		mkdirSync(dataFolder, {recursive: true});
@@ -85,7 +89,8 @@
 		'fault-tolerance': {machines: 1},
 		limits: hasMemoryLimit ? {'memory-mb': memoryMb} : undefined,
 		bounds: {
-			'retry-budget-ratio': bounds.ratio, 'retry-budget-slack': bounds.slack, 'budget-window-s': bounds.windowMs / msPerSecond, 'grace-s': graceMs / msPerSecond, 'lease-ms': leaseMs,
+			'retry-budget-ratio': bounds.ratio, 'retry-budget-slack': bounds.slack, 'budget-window-s': bounds.windowMs / msPerSecond, 'grace-s': graceMs / msPerSecond, 'lease-ms': workspaces?.leaseMs ?? leaseMs, ...(workspaces && {'strict-revoke': true, 'revoke-ms': workspaces.revocationMs, 'report-window-s': workspaces.windowMs / msPerSecond}),
 		},
+		cloud: workspaces && {address: workspaces.infrastructureAddress, duties: ['metering'], 'duty-per-s': dutyCallsPerSecond},
 	}));
 }
--- a/tools/soak/src/fault-schedule.ts
+++ b/tools/soak/src/fault-schedule.ts
@@ -1,5 +1,6 @@
 /** The faults from outside, in series and overlapping: which, when, where and how long. It follows from the seed alone. */
 import type {Random} from '@hickorytrack/random';
+import {workspaceBounds} from './workspaces.js';
 
 export const outsideFaults = {
 	/** Signals to an edge: a planned stop, an end without notice, of one edge, of the whole core or of all edges, and a pause. */
@@ -56,6 +57,8 @@
 	hasLeaderChanges?: boolean;
 	/** Times of the operator's changes. */
 	changesAtMs: readonly number[];
+	/** Times at which keys of workspaces are changed. */
+	keysAtMs?: readonly number[];
 };
 
 const startMs = 3000;
@@ -83,6 +86,10 @@
 /** Between two silences of a server. */
 const hushPauseMs = 1000;
 
+const keyFaultFraction = 0.6;
+const maxKeyLeadMs = 400;
+const maxKeyLagMs = 1500;
+
 const lateCount = 2;
 const minLateMs = 1000;
 const maxLateMs = 3000;
@@ -98,7 +105,7 @@
 	return times.map(time => Math.round(time)).sort((a, b) => a - b);
 }
 
-export function createSchedule({random, seconds, kinds, lateKinds = [], hasLeaderChanges = false, edges, servers, changesAtMs}: ScheduleOptions): ScheduledFault[] {
+export function createSchedule({random, seconds, kinds, lateKinds = [], hasLeaderChanges = false, edges, servers, changesAtMs, keysAtMs = []}: ScheduleOptions): ScheduledFault[] {
 	const schedule: ScheduledFault[] = [];
 	const drawn = kinds.filter(kind => kind !== 'out-of-step');
 	for (let atMs = startMs; drawn.length > 0 && atMs < (seconds * 1000) - endMs; atMs += random.nextExponential(meanGapMs)) {
@@ -134,6 +141,7 @@
 		schedule.push(...createLeaderChanges(random, seconds));
 	}
 
+	schedule.push(...keysAtMs.filter(() => random.next() < keyFaultFraction).map(atMs => createKeyFault(random, atMs, edges)));
 	return removeJoinedHushes(schedule.sort((a, b) => a.atMs - b.atMs));
 }
 
@@ -144,6 +152,13 @@
 	}));
 }
 
+/** An edge stands still, is cut off or starts again while keys change, and comes back when the removed ones may not run any more. */
+function createKeyFault(random: Random, atMs: number, edges: readonly string[]): ScheduledFault {
+	return {
+		atMs: Math.max(0, Math.round(atMs - random.nextBetween(0, maxKeyLeadMs))), kind: random.select(['freeze', 'cut', 'kill', 'term'] as const), target: random.select(edges), durationMs: Math.round(maxKeyLeadMs + workspaceBounds.revocationMs + random.nextBetween(0, maxKeyLagMs)),
+	};
+}
+
 function createLeaderChanges(random: Random, seconds: number): ScheduledFault[] {
 	const lastMs = Math.max(startMs, (seconds * 1000) - endMs);
 	return Array.from({length: lateCount}, () => ({
--- a/tools/soak/src/operator.ts
+++ b/tools/soak/src/operator.ts
@@ -3,6 +3,7 @@
 import type {Clock} from '@hickorytrack/clock';
 import type {Random} from '@hickorytrack/random';
 import type {OperatorRecord, ReadBack, SoakRoute} from './records.js';
+import {encodeWorkspaces, type KeyOwners} from './workspaces.js';
 
 type Route = SoakRoute & {timeoutMs: number; isInForce: boolean};
 
@@ -14,6 +15,8 @@
 	/** Names and control addresses of the edges. */
 	edges: ReadonlyArray<{name: string; controlAddress: string}>;
 	faults: readonly string[];
+	/** The configurations have workspaces with these keys. */
+	keyOwners?: KeyOwners;
 };
 
 /** The operator allows few connections to servers, fewer than callers keep busy. */
@@ -64,13 +67,19 @@
 		});
 	}
 
-	/** Changes the configuration at the given times, or as soon as the change before is acknowledged, until the signal aborts. */
-	async run(timesMs: readonly number[], signal: AbortSignal): Promise<void> {
-		const {clock} = this.#opts;
+	/** Changes the configuration, and keys, at the given times, or as soon as the change before is acknowledged, until the signal aborts. */
+	async run(timesMs: readonly number[], signal: AbortSignal, keysAtMs: readonly number[] = []): Promise<void> {
+		const {clock, keyOwners} = this.#opts;
 		const startedAt = clock.monotonic();
-		for (const timeMs of timesMs) {
+		const changes = [...timesMs.map(timeMs => ({timeMs, isOfKeys: false})), ...keysAtMs.map(timeMs => ({timeMs, isOfKeys: true}))];
+		for (const {timeMs, isOfKeys} of changes.sort((a, b) => a.timeMs - b.timeMs)) {
 			await clock.sleep(Math.max(0, startedAt + timeMs - clock.monotonic()), signal);
-			this.#change();
+			if (isOfKeys) {
+				keyOwners?.change();
+			} else {
+				this.#change();
+			}
+
 			await this.putNext(signal);
 		}
 	}
@@ -114,7 +123,7 @@
 		this.#version += 1 + random.nextInteger(maxVersionStep);
 		const {idleTimeoutMs} = this.#limits;
 		const record: OperatorRecord = {
-			version: this.#version, sentAt: clock.now(), document: this.#createDocument(this.#version), routes: Object.fromEntries(this.#routes.map(({name, service, timeoutMs}) => [name, {service, timeoutMs}])),
+			version: this.#version, sentAt: clock.now(), document: this.#createDocument(this.#version), routes: Object.fromEntries(this.#routes.map(({name, service, timeoutMs}) => [name, {service, timeoutMs}])), keys: this.#opts.keyOwners?.list(),
 		};
 		this.records.push(record);
 		while (!signal.aborted) {
@@ -152,13 +161,14 @@
 	}
 
 	#createDocument(version: number): unknown {
-		const {host, routes} = this.#opts;
+		const {host, routes, keyOwners} = this.#opts;
 		const inForce = this.#routes.filter(({isInForce}) => isInForce);
 		return {
 			version,
 			routes: [...inForce, {...inForce[0]!, name: `added-${version}`}].map(route => ({
-				name: route.name, host, 'path-prefix': `/${route.name}/`, kind: route.kind, 'timeout-ms': route.timeoutMs, 'slo-ms': 400, priority: 0, service: route.service, 'max-attempts': route.maxServers, ...(route.kind === 'streaming' ? {sticky: true, resumable: route.isResumable, 'gap-slo-ms': 200} : {}),
+				name: route.name, host, 'path-prefix': `/${route.name}/`, kind: route.kind, 'timeout-ms': route.timeoutMs, 'slo-ms': 400, priority: 0, service: route.service, 'max-attempts': route.maxServers, ...(route.kind === 'streaming' ? {sticky: true, resumable: route.isResumable, 'gap-slo-ms': 200} : {}), ...(route.isPublic ? {public: true} : {}),
 			})),
+			...(keyOwners ? {tenants: encodeWorkspaces(keyOwners.list())} : {}),
 			services: this.#services.map(name => ({
 				name, 'health-path': '/healthz', 'max-conns': this.#maxConnections.get(name) ?? 100, ...(routes.some(({service, kind}) => kind === 'streaming' && [service, getSecondService(service)].includes(name))
 					? {
--- a/tools/soak/src/records.ts
+++ b/tools/soak/src/records.ts
@@ -1,4 +1,5 @@
 /** What callers, servers and the operator record; the checks compare nothing else. Times are wall times of one machine. */
+import type {WorkspaceBounds} from './workspaces.js';
 
 export type RouteKind = 'idempotent' | 'non_idempotent' | 'streaming';
 
@@ -9,6 +10,8 @@
 	service: string;
 	isResumable: boolean;
 	maxServers: number;
+	/** In a configuration with workspaces: callers need no key. */
+	isPublic?: boolean;
 	/** The operator adds and removes the route. */
 	isOptional?: boolean;
 };
@@ -21,6 +24,8 @@
 	route: string;
 	path: string;
 	sentBody: string;
+	/** Key of a workspace that the caller sent. */
+	key?: string;
 	sentAt: number;
 	endedAt: number;
 	/** Time that the request had left when it was sent. */
@@ -61,6 +66,10 @@
 	path: string;
 	body: string;
 	isPrefill: boolean;
+	/** The workspace that the request names to the server. */
+	workspace?: string;
+	/** A key stands somewhere in the request. */
+	hasKey?: boolean;
 };
 
 /** What a server did with an arrival; a request that waited when its server crashed has none. */
@@ -120,6 +129,8 @@
 	startedAt: number;
 	requestId: string;
 	path: string;
+	/** A key stands somewhere in the call. */
+	hasKey?: boolean;
 };
 
 /** A server names another limit in its answers from now on, in requests per second, or none. */
@@ -152,6 +163,8 @@
 	document: unknown;
 	/** What the document says of the routes, by their names. */
 	routes: Readonly<Record<string, RouteVersion>>;
+	/** The workspaces by the keys that they hold; undefined without workspaces. */
+	keys?: Readonly<Record<string, string>>;
 };
 
 export type RouteVersion = {
@@ -202,6 +215,17 @@
 	failure?: string;
 };
 
+/** A call to the infrastructure that is the duty of one edge at a time. */
+export type DutyCall = {
+	at: number;
+	holder: string;
+	token: number;
+	path: string;
+	body: string;
+	/** The answer. */
+	status: number;
+};
+
 export type SoakRecords = {
 	processEnds: readonly ProcessEnd[];
 	disturbances: readonly Disturbance[];
@@ -221,6 +245,10 @@
 	operator: readonly OperatorRecord[];
 	/** Undefined if no other writer took part. */
 	foreignCalls?: readonly ForeignCall[];
+	/** Undefined if the configurations have no workspaces. */
+	workspaces?: WorkspaceBounds;
+	/** In the order of their arrival. */
+	dutyCalls?: readonly DutyCall[];
 	readBacks: readonly ReadBack[];
 	bounds: RetryBounds;
 	/** Between SIGTERM and SIGKILL of an edge. */
@@ -228,7 +256,7 @@
 };
 
 export type RuleCase = {
-	rule: 'MIXED' | 'REFUSED' | 'TWICE' | 'BUDGET' | 'ORDER' | 'LOST' | 'LIMIT' | 'CONFIG' | 'UNASKED' | 'ENDED' | 'UNCLEAR' | 'ERROR' | 'FAILED' | 'GATE';
+	rule: 'MIXED' | 'REFUSED' | 'TWICE' | 'BUDGET' | 'ORDER' | 'LOST' | 'LIMIT' | 'CONFIG' | 'UNASKED' | 'ENDED' | 'UNCLEAR' | 'ERROR' | 'FAILED' | 'GATE' | 'LEAK' | 'WORKSPACE' | 'REVOKED' | 'FENCE' | 'USAGE';
 	requestId?: string;
 	detail: string;
 };
--- a/tools/soak/src/soak-fleet.ts
+++ b/tools/soak/src/soak-fleet.ts
@@ -13,6 +13,7 @@
 import type {RetryBounds, ProcessEnd} from './records.js';
 import type {ServerProcessOptions} from './server-main.js';
 import {createVersionSeeds, selectVersion} from './server-versions.js';
+import {workspaceBounds, workspaceFaults} from './workspaces.js';
 
 export type SoakFleetOptions = {
 	clock: Clock;
@@ -33,7 +34,7 @@
 const serverPort = 8080;
 /** Last parts of the addresses of edges and servers and of the relays in front of them. */
 const hosts = {
-	edge: 10, edgeRelay: 40, server: 100, serverRelay: 160, closed: 230,
+	edge: 10, edgeRelay: 40, server: 100, serverRelay: 160, closed: 230, infrastructure: 240,
 } as const;
 const closedHosts = 6;
 const maxPauseMs = 1500;
@@ -70,6 +71,11 @@
 		return Array.from({length: closedHosts}, (_, index) => `${this.#opts.block.getIp(hosts.closed + index)}:${serverPort}`);
 	}
 
+	/** Address at which the infrastructure takes reports of usage. */
+	get infrastructureAddress(): {host: string; port: number} {
+		return {host: this.#opts.block.getIp(hosts.infrastructure), port: serverPort};
+	}
+
 	async start(): Promise<void> {
 		await Promise.all([...this.edges, ...this.servers].map(async member => member.start()));
 	}
@@ -97,7 +103,7 @@
 		const listRelays = Array.from({length: edges}, (_, other) => [`${block.getIp(hosts.edge + other)}:${edgePorts.peer}`, {host: block.getIp(hosts.edgeRelay + other), port: edgePorts.peer}] as const);
 		this.links.add({name, address: {host: ip, port: edgePorts.peer}, relayAddress: {host: block.getIp(hosts.edgeRelay + index), port: edgePorts.peer}});
 		const edge: EdgeProcess = new EdgeProcess({
-			name, ip, folder, isCore: index < coreMembers, bounds, reportIntervalMs, hasMemoryLimit: faults.includes(lateFaults.flood), seeds: Array.from({length: Math.min(edges, coreMembers)}, (_, seed) => `${block.getIp(hosts.edge + seed)}:${edgePorts.control}`), redirect: {localIp: ip, targets: Object.fromEntries(listRelays)}, ...this.#createListeners(name, () => {
+			name, ip, folder, isCore: index < coreMembers, bounds, reportIntervalMs, hasMemoryLimit: faults.includes(lateFaults.flood), workspaces: faults.includes(workspaceFaults.workspaces) ? {...workspaceBounds, infrastructureAddress: `${this.infrastructureAddress.host}:${this.infrastructureAddress.port}`} : undefined, seeds: Array.from({length: Math.min(edges, coreMembers)}, (_, seed) => `${block.getIp(hosts.edge + seed)}:${edgePorts.control}`), redirect: {localIp: ip, targets: Object.fromEntries(listRelays)}, ...this.#createListeners(name, () => {
 				this.endedEdges.push(name);
 				return edge;
 			}),
--- a/tools/soak/src/soak-run.ts
+++ b/tools/soak/src/soak-run.ts
@@ -16,6 +16,8 @@
 import {checkLost} from './check-lost.js';
 import {checkOverdue} from './check-overdue.js';
 import {checkSharedWork} from './check-shared-work.js';
+import {checkKeys, checkKeysInLogs} from './check-keys.js';
+import {checkDuties, checkUsage, countUsageWindows} from './check-usage.js';
 import {checkVersions, countTakeUps} from './check-versions.js';
 import {edgePorts, graceMs} from './edge-process.js';
 import {FaultRunner} from './fault-runner.js';
@@ -23,12 +25,17 @@
 import {createChangeTimes, createSchedule, lateFaults} from './fault-schedule.js';
 import {allOutsideFaults} from './faults.js';
 import {foreignFaults, ForeignWriter} from './foreign-writer.js';
+import {Infrastructure} from './infrastructure.js';
 import {soakProcess, watchLoop} from './loop-lag.js';
 import {Operator} from './operator.js';
 import type {
 	CallerRecord, ForeignCall, LagRecord, RuleCase, ServerRecord, SoakRecords, SoakRoute,
 } from './records.js';
 import {SoakFleet} from './soak-fleet.js';
+import {createSpreadRandom} from './spread-random.js';
+import {
+	createKeyTimes, KeyOwners, workspaceBounds, workspaceFaults,
+} from './workspaces.js';
 
 export type SoakOptions = {
 	clock: Clock;
@@ -68,6 +75,8 @@
 		name: 'spare-talk', kind: 'streaming', service: 'model', isResumable: true, maxServers: 3, isOptional: true,
 	},
 ];
+/** Callers need no key for it where the configuration has workspaces. */
+const publicRoute = 'again';
 const bounds = {ratio: 0.1, slack: 30, windowMs: 10_000};
 /** A request that was refused may still run; the run waits this long before it stops the servers. */
 const settleMs = 4000;
@@ -84,7 +93,7 @@
 	});
 	try {
 		const records = await runFleet(fleet, createRandom(random), opts);
-		const cases: RuleCase[] = [...checkAnswers(records), ...checkBudget(records), ...checkConfiguration(records), ...checkLost(records), ...checkLimit(records), ...checkCrashingPart(records), ...checkVersions(records), ...checkSharedWork(records), ...checkOverdue(records), ...(records.foreignCalls ? [...checkForeignCalls(records), ...checkErrorEvents(await readLines(folder, /^edge-\d+\.log$/)), ...checkSoundRequests(records)] : []), ...records.faultCases, ...fleet.endedEdges.map(name => ({rule: 'ENDED', detail: `${name} ended by itself`} as const))];
+		const cases: RuleCase[] = [...checkAnswers(records), ...checkBudget(records), ...checkConfiguration(records), ...checkLost(records), ...checkLimit(records), ...checkCrashingPart(records), ...checkVersions(records), ...checkSharedWork(records), ...checkOverdue(records), ...checkKeys(records), ...checkDuties(records), ...checkUsage(records), ...(records.workspaces ? checkKeysInLogs(await readLines(folder, /^edge-\d+\.log$/)) : []), ...(records.foreignCalls ? [...checkForeignCalls(records), ...checkErrorEvents(await readLines(folder, /^edge-\d+\.log$/)), ...checkSoundRequests(records)] : []), ...records.faultCases, ...fleet.endedEdges.map(name => ({rule: 'ENDED', detail: `${name} ended by itself`} as const))];
 		await writeLines(path.join(folder, 'cases.jsonl'), cases);
 		return {cases, summary: createSummary(records)};
 	} finally {
@@ -93,7 +102,7 @@
 	}
 }
 
-async function runFleet(fleet: SoakFleet, random: Random, {clock, seconds, callers: callerCount, faults, folder}: SoakOptions): Promise<SoakRecords & {faultCases: readonly RuleCase[]}> {
+async function runFleet(fleet: SoakFleet, random: Random, {clock, seed, seconds, callers: callerCount, faults, folder}: SoakOptions): Promise<SoakRecords & {faultCases: readonly RuleCase[]}> {
 	const callers: CallerRecord[] = [];
 	const lags: LagRecord[] = [];
 	const abortController = new AbortController();
@@ -101,13 +110,23 @@
 	setMaxListeners(0, signal);
 	const changesAtMs = createChangeTimes(createRandom(random), seconds);
 	const hasForeignWriter = Object.values(foreignFaults).some(fault => faults.includes(fault));
+	const hasWorkspaces = faults.includes(workspaceFaults.workspaces);
+	const usedRoutes = routes.map(route => ({...route, isPublic: hasWorkspaces && route.name === publicRoute}));
+	// With a generator of their own, so that a seed keeps its other faults with and without workspaces.
+	const keyRandom = createSpreadRandom(seed);
+	const keysAtMs = hasWorkspaces ? createKeyTimes(createRandom(keyRandom), seconds) : [];
+	const infrastructure = new Infrastructure({clock, random: createRandom(keyRandom), isDisturbed: faults.includes(workspaceFaults.infrastructure)});
 	const schedule = createSchedule({
-		random: createRandom(random), seconds, kinds: allOutsideFaults.filter(kind => faults.includes(kind)), lateKinds: Object.values(lateFaults).filter(kind => faults.includes(kind)), hasLeaderChanges: hasForeignWriter, edges: fleet.edges.map(({name}) => name), servers: fleet.servers.map(({name}) => name), changesAtMs,
+		random: createRandom(random), seconds, kinds: allOutsideFaults.filter(kind => faults.includes(kind)), lateKinds: Object.values(lateFaults).filter(kind => faults.includes(kind)), hasLeaderChanges: hasForeignWriter, edges: fleet.edges.map(({name}) => name), servers: fleet.servers.map(({name}) => name), changesAtMs, keysAtMs,
 	});
 	await writeLines(path.join(folder, 'schedule.jsonl'), schedule);
+	if (hasWorkspaces) {
+		await infrastructure.start(fleet.infrastructureAddress);
+	}
+
 	await fleet.start();
 	const operator = new Operator({
-		clock, random: createRandom(random), host, routes, edges: fleet.edges, faults,
+		clock, random: createRandom(random), host, routes: usedRoutes, edges: fleet.edges, faults, keyOwners: hasWorkspaces ? new KeyOwners(createRandom(keyRandom)) : undefined,
 	});
 	await operator.putNext(signal);
 	const stopping = new AbortController();
@@ -117,8 +136,8 @@
 		},
 	});
 	const edges = fleet.edges.map(({name, ip}) => ({name, host: ip, port: edgePorts.front}));
-	const work = [operator.run(changesAtMs, signal), ...Array.from({length: callerCount}, async (_, index) => new Caller({
-		index, clock, random: createRandom(random), host, routes, edges, getIdleLimit: () => operator.idleTimeoutMs, faults: new Set(faults), record(record) {
+	const work = [operator.run(changesAtMs, signal, keysAtMs), ...Array.from({length: callerCount}, async (_, index) => new Caller({
+		index, clock, random: createRandom(random), host, routes: usedRoutes, edges, getIdleLimit: () => operator.idleTimeoutMs, faults: new Set(faults), record(record) {
 			callers.push(record);
 		},
 	}).run(signal))];
@@ -140,6 +159,7 @@
 	await clock.sleep(settleMs);
 	const readBacks = await operator.readBack();
 	await fleet.stopServers();
+	infrastructure.stop();
 	stopping.abort();
 	const serverLines = await readLines(folder, /^s\d+\.jsonl$/);
 	const serverRecords = serverLines.map(line => JSON.parse(line) as ServerRecord);
@@ -148,9 +168,10 @@
 	await writeLines(path.join(folder, 'callers.jsonl'), callers);
 	await writeLines(path.join(folder, 'operator.jsonl'), [...operator.records, ...readBacks]);
 	await writeLines(path.join(folder, 'foreign.jsonl'), foreignCalls);
+	await writeLines(path.join(folder, 'duty-calls.jsonl'), infrastructure.calls);
 	await writeLines(path.join(folder, 'disturbances.jsonl'), faultRunner.disturbances);
 	return {
-		routes, bounds, callers, processEnds: fleet.processEnds, disturbances: faultRunner.disturbances, faultCases: faultRunner.cases, graceMs, readRequests, operator: operator.records, foreignCalls: hasForeignWriter ? foreignCalls : undefined, readBacks, edges: edges.map(({name}) => name), ...collectRecords([...serverRecords, ...lags]),
+		routes: usedRoutes, workspaces: hasWorkspaces ? workspaceBounds : undefined, dutyCalls: infrastructure.calls, bounds, callers, processEnds: fleet.processEnds, disturbances: faultRunner.disturbances, faultCases: faultRunner.cases, graceMs, readRequests, operator: operator.records, foreignCalls: hasForeignWriter ? foreignCalls : undefined, readBacks, edges: edges.map(({name}) => name), ...collectRecords([...serverRecords, ...lags]),
 	};
 }
 
@@ -181,6 +202,7 @@
 		...countTakeUps(records),
 		partCrashes: records.outcomes.filter(({answer}) => answer === partCrash).length,
 		configurations: records.operator.filter(({acknowledgedAt}) => acknowledgedAt !== undefined).length,
+		...(records.workspaces && {unknownKeys: count(({status}) => status === 401), ...countUsageWindows(records)}),
 		...(records.foreignCalls && {foreignCalls: records.foreignCalls.length}),
 	};
 }
--- a/tools/soak/src/soak-server.ts
+++ b/tools/soak/src/soak-server.ts
@@ -17,6 +17,7 @@
 import {ServerSlowness} from './server-slowness.js';
 import {Silence} from './silence.js';
 import {WorkSlots} from './work-slots.js';
+import {keyMark} from './workspaces.js';
 
 export type SoakServerOptions = {
 	id: string;
@@ -165,7 +166,7 @@
 			message, path, requestId, number: this.#arrivals, deadlineAt: clock.monotonic() + Number(message.headers['x-deadline-ms'] ?? msPerSecond),
 		};
 		this.#opts.record({
-			type: 'arrival', at: clock.now(), server: id, startedAt, number: arrival.number, service, requestId, path, body: message.body.toString(), isPrefill: message.headers['x-stage'] === 'prefill',
+			type: 'arrival', at: clock.now(), server: id, startedAt, number: arrival.number, service, requestId, path, body: message.body.toString(), isPrefill: message.headers['x-stage'] === 'prefill', workspace: message.headers['x-tenant'], ...describeKey(message),
 		});
 		const isLost = channel.hasEnded;
 		if (message.headers['x-expect-instance'] !== id || !this.#isForStage(message)) {
@@ -182,11 +183,11 @@
 	}
 
 	/** Records a call of an edge; calls under `/soak/` are those of servers and of the soak itself. */
-	#recordCall(path: string, {headers}: HttpMessage): void {
+	#recordCall(path: string, message: HttpMessage): void {
 		const {clock, id, startedAt, record} = this.#opts;
 		if (!path.startsWith('/soak/')) {
 			record({
-				type: 'call', at: clock.now(), server: id, startedAt, requestId: headers['x-request-id'] ?? '', path,
+				type: 'call', at: clock.now(), server: id, startedAt, requestId: message.headers['x-request-id'] ?? '', path, ...describeKey(message),
 			});
 		}
 	}
@@ -314,3 +315,8 @@
 		});
 	}
 }
+
+/** Tells whether a key stands anywhere in a message. */
+function describeKey({startLine, headers, body}: HttpMessage): {hasKey?: boolean} {
+	return [startLine, JSON.stringify(headers), body.toString()].some(text => text.includes(keyMark)) ? {hasKey: true} : {};
+}
