--- a/tools/soak/test/soak.test.ts
+++ b/tools/soak/test/soak.test.ts
@@ -3,14 +3,16 @@
 import path from 'node:path';
 import {expect} from 'chai';
 import {SystemClock} from '@hickorytrack/clock/system-clock';
+import {slowReaderFault} from '../src/caller.js';
 import {allFaults} from '../src/faults.js';
 import {unbornFault} from '../src/server-operations.js';
 import {runSoak} from '../src/soak-run.js';
+import {workspaceFaults} from '../src/workspaces.js';
 
 describe('soak', function () {
 	this.timeout(240_000);
 
-	async function checkRun({seed, seconds, faults, servers = 10, callers = 24}: {seed: number; seconds: number; faults: readonly string[]; servers?: number; callers?: number}): Promise<void> {
+	async function checkRun({seed, seconds, faults, servers = 10, callers = 24}: {seed: number; seconds: number; faults: readonly string[]; servers?: number; callers?: number}): Promise<Record<string, number>> {
 		const folder = await mkdtemp(path.join(tmpdir(), 'hickorytrack-soak-'));
 		const {cases, summary} = await runSoak({
 			clock: new SystemClock(), seed, seconds, edges: 3, servers, callers, faults, folder,
@@ -18,6 +20,7 @@
 		expect(cases, `records and logs: ${folder}`).to.deep.equal([]);
 		expect(summary.served).to.be.greaterThan(0);
 		await rm(folder, {recursive: true});
+		return summary;
 	}
 
 	// Late answers were taken for those of other requests: streams went on from foreign handles, and requests that ran were refused.
@@ -87,6 +90,14 @@
 		});
 	});
 
+	// Guards against keys that servers see, removed keys that still run at an edge that was away, and usage that is reported twice or wrongly.
+	it('runs no request with a removed key and reports usage once, while an edge is cut off and stopped and the infrastructure fails', async () => {
+		const summary = await checkRun({
+			seed: 104, seconds: 14, faults: [...Object.values(workspaceFaults), slowReaderFault],
+		});
+		expect([summary.unknownKeys, summary.checkedWindows].every(count => count! > 0), JSON.stringify(summary)).to.equal(true);
+	});
+
 	it('loses no configuration that was acknowledged right before all edges end', async () => {
 		await checkRun({
 			seed: 9812, seconds: 10, faults: ['kill-acknowledged'], servers: 12, callers: 36,
