--- a/packages/net/own-resources/src/own-resources.ts
+++ b/packages/net/own-resources/src/own-resources.ts
@@ -31,7 +31,7 @@
 /** With a thinner link, it takes part in the latency of long prompts. */
 const weakLinkMbps = 50;
 /** With less of a core, the delay of the event loop takes part in the latency. */
-export const weakProcessorShare = 0.7;
+const weakProcessorShare = 0.5;
 /** Part of the link and of the processor that load shares may use. */
 const maxShareFraction = 0.1;
 /** With 27 servers and 250 prompts a second, a share from a relay had 1.8 KB at 50 a second, of which 0.4 KB are not prompts. */
--- a/packages/net/own-resources/src/ready-set.ts
+++ b/packages/net/own-resources/src/ready-set.ts
@@ -15,7 +15,7 @@
 /** Fraction of its capacity up to which the set is used; the rest is for bursts until more instances have entered. */
 const maxUse = 0.6;
 /** An instance is as strong as its weaker resource, compared with these; more than this makes no instance stronger. */
-const strongProcessorShare = 0.7;
+export const strongProcessorShare = 0.7;
 const strongLinkMbps = 50;
 
 /** Returns the smallest set of the strongest instances that holds at least half of them and carries the load of all of them. */
--- a/packages/plugins/edge/src/sharing/capacity-sharing.ts
+++ b/packages/plugins/edge/src/sharing/capacity-sharing.ts
@@ -5,8 +5,8 @@
  */
 import type {Clock} from '@hickorytrack/clock';
 import type {EventLog} from '@hickorytrack/events';
-import {weakProcessorShare, type OwnResources} from '@hickorytrack/own-resources';
-import {selectReadySet, type InstanceCapacity} from '@hickorytrack/own-resources/ready-set';
+import type {OwnResources} from '@hickorytrack/own-resources';
+import {selectReadySet, strongProcessorShare, type InstanceCapacity} from '@hickorytrack/own-resources/ready-set';
 import {ReadyState} from '@hickorytrack/own-resources/ready-state';
 import type {CapacityEntry, PeerMember, PeerMethods} from '@hickorytrack/types/peer-methods';
 
@@ -124,7 +124,7 @@
 		const readySet = selectReadySet([own, ...others.map(entry => convertEntry(entry))]);
 		const {isReady: wasReady} = this.#state;
 		// Among weak instances alone, a smaller set gains nothing.
-		const hasStrong = others.some(([instance, , processorShare]) => processorShare >= weakProcessorShare && readySet.has(instance));
+		const hasStrong = others.some(([instance, , processorShare]) => processorShare >= strongProcessorShare && readySet.has(instance));
 		// An instance that is starting or stopping begins outside the count; it is ready again as soon as it serves.
 		const isInside = !hasStrong || !isServing() || readySet.has(member.instance);
 		const isReady = this.#state.update(isInside);
--- a/packages/plugins/edge/src/streams/event-relay.ts
+++ b/packages/plugins/edge/src/streams/event-relay.ts
@@ -8,7 +8,6 @@
  */
 import {Buffer} from 'node:buffer';
 import type {ServerResponse} from 'node:http';
-import process from 'node:process';
 import type {Clock} from '@hickorytrack/clock';
 import type {ResponseHead} from '@hickorytrack/endpoint-client';
 import {answerFramings, findFraming} from '@hickorytrack/http-answer/answer-framing';
@@ -41,8 +40,6 @@
 	#isEventOpen = false;
 	/** The terminator of the last event of a response without chunks. */
 	#heldBytes = Buffer.alloc(0);
-	/** Sends the head that waits for the events which arrived with it. */
-	#sendHead: (() => void) | undefined;
 
 	/** `isResumable`: a server may be asked for what comes behind the last event. */
 	constructor(response: ServerResponse, opts: {clock: Clock; isResumable: boolean}) {
@@ -65,25 +62,10 @@
 		writeUndelimitedHead(this.#response, head);
 		// A head without an event would look like an empty stream.
 		if (this.#response.chunkedEncoding) {
-			this.#flushHead();
+			this.#response.flushHeaders();
 		}
 	}
 
-	/** Sends the head with the events that have arrived together with it, in one system call. */
-	#flushHead(): void {
-		const {socket} = this.#response;
-		this.#sendHead = () => {
-			this.#sendHead = undefined;
-			socket?.uncork();
-		};
-
-		socket?.cork();
-		this.#response.flushHeaders();
-		process.nextTick(() => {
-			this.#sendHead?.();
-		});
-	}
-
 	/** Forwards complete events. Returns false when the caller reads more slowly than the server writes. */
 	write(events: Buffer): boolean {
 		this.lastEventId = findLastEventId(events) ?? this.lastEventId;
@@ -127,7 +109,6 @@
 
 	/** Breaks the connection, so that the truncated stream does not look complete. Its events are complete, because a reset shows the break. */
 	abort(): void {
-		this.#sendHead?.();
 		this.#response.flushHeaders();
 		if (this.#heldBytes.length > 0) {
 			this.#response.write(this.#heldBytes);
