fix: a wait for the own link is no overdue prefill

Cause: where servers are uneven, a prefill that runs is compared with what was expected, from the time of its call. At an instance with a thin link, the call waits for the link first, so that the servers with its prefills passed for slow and placement expected late answers or refused. Change: the wait for the own link and processor at the time of the call is left out, as it already is from the samples; stream calls pass it.

--- a/packages/plugins/edge/src/streams/stream-calls.ts
+++ b/packages/plugins/edge/src/streams/stream-calls.ts
@@ -78,7 +78,7 @@
 		});
 		const queuedTokens = loadTracker.getLoad(prefillServer.id).promptTokens;
 		const inFlightLoad = loadTracker.add(prefillServer.id, prefillTokens, {memoryTokens: countMemoryTokens(this.prompt, prefillServer)});
-		const running = profile.beginPrefill(prefillServer, queuedTokens + prefillTokens);
+		const running = profile.beginPrefill(prefillServer, queuedTokens + prefillTokens, {ownMs: this.#estimateOwnMs()});
 		const startedAt = clock.monotonic();
 		const measureServerMs = this.#createServerTimer();
 		run.server = prefillServer;
@@ -281,10 +281,15 @@
 	 * measure are shared with all others, and placement counts the own wait by itself.
 	 */
 	#createServerTimer(): (elapsedMs: number) => number {
-		const ownMs = this.#context.ownResources?.estimateCallMs(countCallBytes(this.#request)) ?? 0;
+		const ownMs = this.#estimateOwnMs();
 		return elapsedMs => Math.max(elapsedMs - ownMs, elapsedMs * minServerFraction);
 	}
 
+	/** Time that a call which is sent now waits at this instance, in milliseconds; 0 at one that is not weak. */
+	#estimateOwnMs(): number {
+		return this.#context.ownResources?.estimateCallMs(countCallBytes(this.#request)) ?? 0;
+	}
+
 	/** Time for which the caller waits for the next event. */
 	get #patienceMs(): number {
 		return Math.min(this.#remainingMs, this.#request.route.patienceMs ?? Number.POSITIVE_INFINITY);
--- a/packages/routing/engine-profile/src/engine-profile.ts
+++ b/packages/routing/engine-profile/src/engine-profile.ts
@@ -41,6 +41,8 @@
 /** A prefill that runs longer than this many times what was expected is overdue. */
 const overdueFactor = 1.3;
 const ownDelayWeight = 0.02;
+/** At least this fraction of a prefill's time counts as the server's; the wait for the own link and processor is an estimate. */
+const minServerFraction = 0.25;
 /** Samples after which the fit tells what a server of mean speed takes. */
 const minFitSamples = 30;
 
@@ -58,7 +60,7 @@
 export class EngineProfile {
 	readonly #opts: EngineProfileOptions | undefined;
 	/** Prefills of this instance by server id. */
-	readonly #running = new Map<string, Set<{startedAt: number; expectedMs: number}>>();
+	readonly #running = new Map<string, Set<{sentAt: number; expectedMs: number}>>();
 	/** Logarithm of the factor by which prefills take longer at this instance than at all together. */
 	#ownDelay = 0;
 	readonly #overdue = {count: 0, sum: 0};
@@ -141,10 +143,11 @@
 	}
 
 	/**
-	 * Begins a prefill of this instance, with the tokens that the server has to prefill until its end. An instance with a slow
-	 * link or processor takes longer for all prefills; by how much is learned from those that have ended.
+	 * Begins a prefill of this instance, with the tokens that the server has to prefill until its end. `ownMs`: expected wait for
+	 * the own link and processor, which is not the server's. An instance may take longer for all prefills than that says; by how
+	 * much is learned from those that have ended.
 	 */
-	beginPrefill(server: KnownServer, tokens: number): RunningPrefill {
+	beginPrefill(server: KnownServer, tokens: number, {ownMs = 0}: {ownMs?: number} = {}): RunningPrefill {
 		const opts = this.#opts;
 		if (!opts || !this.isKnown(server.service)) {
 			return {
@@ -157,7 +160,7 @@
 		const {clock, speeds} = opts;
 		const startedAt = clock.monotonic();
 		const meanMs = this.#getFit(server.service, server.stage === 'prefill').estimateMs(tokens);
-		const prefill = {startedAt, expectedMs: meanMs * speeds.getSlowFactor(formatSpeedGroup(server), server) * Math.exp(this.#ownDelay)};
+		const prefill = {sentAt: startedAt + ownMs, expectedMs: meanMs * speeds.getSlowFactor(formatSpeedGroup(server), server) * Math.exp(this.#ownDelay)};
 		const running = this.#running.get(server.id) ?? new Set();
 		running.add(prefill);
 		this.#running.set(server.id, running);
@@ -170,7 +173,7 @@
 
 				const elapsedMs = clock.monotonic() - startedAt;
 				if (isSample && meanMs > 0 && elapsedMs > 0) {
-					const ratio = Math.log(elapsedMs / (meanMs * this.getUnevenFactor(server)));
+					const ratio = Math.log(Math.max(elapsedMs - ownMs, elapsedMs * minServerFraction) / (meanMs * this.getUnevenFactor(server)));
 					this.#ownDelay += (Math.max(-Math.log(maxFactor), Math.min(Math.log(maxFactor), ratio)) - this.#ownDelay) * ownDelayWeight;
 				}
 			},
@@ -221,8 +224,8 @@
 		const now = this.#opts!.clock.monotonic();
 		this.#overdue.count = 0;
 		this.#overdue.sum = 0;
-		for (const {startedAt, expectedMs} of running) {
-			const ratio = (now - startedAt) / expectedMs;
+		for (const {sentAt, expectedMs} of running) {
+			const ratio = (now - sentAt) / expectedMs;
 			if (expectedMs > 0 && ratio > overdueFactor) {
 				this.#overdue.count++;
 				this.#overdue.sum += Math.log(ratio);
--- a/packages/routing/engine-profile/test/engine-profile.test.ts
+++ b/packages/routing/engine-profile/test/engine-profile.test.ts
@@ -148,4 +148,28 @@
 		await clock.advance(before * 3);
 		expect(profile.estimateMs(servers[2]!, 5000)).to.be.above(profile.estimateMs(servers[3]!, 5000) * 1.5);
 	});
+
+	// The prompts of a thin link wait for it at times, and all servers to which they were sent passed for slow meanwhile.
+	it('counts the wait for the own link as no slowness of a server', async () => {
+		const clock = new ManualClock();
+		const speeds = new ServerSpeeds(clock);
+		const profile = new EngineProfile({clock, speeds});
+		const servers = Array.from({length: 4}, (_, index) => createServer(`s${index}`));
+		for (let count = 0; count < 600; count++) {
+			await clock.advance(5);
+			profile.record(servers[count % 4]!, {tokens: 5000, elapsedMs: count % 4 === 0 ? 40 : 20, isIdle: true});
+		}
+
+		expect(speeds.isUneven('m/prefill')).to.equal(true);
+		await clock.advance(2000);
+		const before = profile.estimateMs(servers[1]!, 5000);
+		const running = profile.beginPrefill(servers[1]!, 5000, {ownMs: 100});
+		await clock.advance(100 + before);
+		expect(profile.estimateMs(servers[1]!, 5000)).to.be.closeTo(before, before * 0.1);
+		running.end({isSample: true});
+		// What the server itself is late by shows all the same.
+		profile.beginPrefill(servers[1]!, 5000, {ownMs: 100});
+		await clock.advance(100 + (before * 3));
+		expect(profile.estimateMs(servers[1]!, 5000)).to.be.above(before * 1.3);
+	});
 });
