fix: a wait at the own instance counts as no work of a request

Cause: the time of a buffered request was measured from its call, with the wait for the own link and processor. A weak instance learned more work than there is, told the others of it in its load shares, and took servers for slow while its link was busy. Change: buffered requests leave the expected wait out, as streams do; at least a quarter of the time counts as the server's. Result: the test compares requests of 20 ms beside a wait of 60 ms with ones without; work and factors are equal. It fails without the change.

--- a/packages/plugins/edge/src/buffered/buffered-forwarder.ts
+++ b/packages/plugins/edge/src/buffered/buffered-forwarder.ts
@@ -27,7 +27,7 @@
 } from '../front/caller-request.js';
 import {computeLimitWaitMs} from '../limits/server-limits.js';
 import {
-	countAnsweredRun, createAnswerIdentity, createOutboundRequest, computeRemainingMs, defaultRetryAfterMs, type ForwardContext,
+	countAnsweredRun, countCallBytes, createAnswerIdentity, createOutboundRequest, computeRemainingMs, defaultRetryAfterMs, type ForwardContext,
 } from '../calls/forward-context.js';
 
 /** Time after which an idempotent request is started at another server as well, as a fraction of the time until its deadline. */
@@ -197,9 +197,9 @@
 	}
 
 	async #runAttempt(server: KnownServer, {permit, grant, canceller}: {permit: SendPermit; grant: SendGrant; canceller: AttemptCanceller}): Promise<AttemptResult> {
-		const {clock, client, codec, loadTracker, admission, expectedWork} = this.#context;
+		const {clock, client, codec, loadTracker, admission, expectedWork, ownResources} = this.#context;
 		const sentAt = clock.monotonic();
-		const work = expectedWork.begin(server, this.#workKind, loadTracker.getRemoteLoad(server.id));
+		const work = expectedWork.begin(server, this.#workKind, loadTracker.getRemoteLoad(server.id), {ownMs: ownResources?.estimateCallMs(countCallBytes(this.#request))});
 		const inFlightLoad = loadTracker.add(server.id, 0, {workMs: expectedWork.isUneven(server.service) ? work.workMs : 0});
 		let runMs: number | undefined;
 		let isSample = false;
--- a/packages/routing/expected-work/src/expected-work.ts
+++ b/packages/routing/expected-work/src/expected-work.ts
@@ -26,7 +26,8 @@
 };
 
 type Running = {
-	startedAt: number;
+	/** Time at which the request is expected to leave this instance. */
+	sentAt: number;
 	/** Expected wait for a slot. */
 	waitMs: number;
 	workMs: number;
@@ -42,6 +43,8 @@
 const minWorkSamples = 100;
 /** An answer tells a speed if at least this part of the slots was free; what other instances have sent is known a little late. */
 const minFreeFraction = 0.25;
+/** At least this fraction of a request's time counts as the server's; the wait at the own instance is an estimate. */
+const minServerFraction = 0.25;
 
 export class ExpectedWork {
 	readonly speeds: ServerSpeeds;
@@ -84,8 +87,8 @@
 		const now = this.#clock.monotonic();
 		let remainingMs = 0;
 		if (running) {
-			for (const {startedAt, waitMs, workMs} of running) {
-				remainingMs += Math.max(workMs * minRemainingFraction, workMs - (Math.max(0, now - startedAt - waitMs) / factor));
+			for (const {sentAt, waitMs, workMs} of running) {
+				remainingMs += Math.max(workMs * minRemainingFraction, workMs - (Math.max(0, now - sentAt - waitMs) / factor));
 			}
 		}
 
@@ -108,8 +111,8 @@
 		return ((this.estimateRemainingMs(server, remote, {slots, factor}) / Math.max(1, slots)) + workMs) * factor;
 	}
 
-	/** Begins a request that is sent to a server. */
-	begin(server: WorkServer, kind: WorkKind, remote: RemoteWork): RunningWork {
+	/** Begins a request that is sent to a server. `ownMs`: expected wait for the link and processor of this instance. */
+	begin(server: WorkServer, kind: WorkKind, remote: RemoteWork, {ownMs = 0}: {ownMs?: number} = {}): RunningWork {
 		const startedAt = this.#clock.monotonic();
 		const requests = (this.#running.get(server.id)?.length ?? 0) + Math.max(0, remote.requests);
 		const hasFreeSlot = requests < server.slots;
@@ -117,7 +120,7 @@
 		const workMs = this.#estimates.estimateMs(kind);
 		const meanWaitMs = hasFreeSlot ? 0 : this.estimateRemainingMs(server, remote) / Math.max(1, server.slots);
 		const waitMs = meanWaitMs * this.getFactor(server);
-		const running = {startedAt, waitMs, workMs};
+		const running = {sentAt: startedAt + ownMs, waitMs, workMs};
 		this.speeds.recordSending(server.service, server);
 		const list = this.#running.get(server.id);
 		if (list) {
@@ -131,7 +134,8 @@
 			end: ({isSample}) => {
 				this.#remove(server.id, running);
 				if (isSample) {
-					const elapsedMs = this.#clock.monotonic() - startedAt;
+					const totalMs = this.#clock.monotonic() - startedAt;
+					const elapsedMs = Math.max(totalMs - ownMs, totalMs * minServerFraction);
 					const isWaitKnown = isMeasured || (hasFreeSlot && this.isUneven(server.service));
 					this.#record(server, kind, {
 						elapsedMs, expectedMs: workMs + meanWaitMs, isWaitKnown, hasFreeSlot,
@@ -169,8 +173,8 @@
 
 		const now = this.#clock.monotonic();
 		const slowFactor = this.speeds.getSlowFactor(server.service, server);
-		for (const {startedAt, waitMs, workMs} of running) {
-			const ratio = (now - startedAt - waitMs) / (workMs * slowFactor);
+		for (const {sentAt, waitMs, workMs} of running) {
+			const ratio = (now - sentAt - waitMs) / (workMs * slowFactor);
 			if (workMs > 0 && ratio > overdueFactor) {
 				overdue.count++;
 				overdue.sum += Math.log(ratio);
--- a/packages/routing/expected-work/test/expected-work.test.ts
+++ b/packages/routing/expected-work/test/expected-work.test.ts
@@ -81,4 +81,26 @@
 		const {work, servers: [, slow]} = await learn(2);
 		expect(work.getFactor({...slow, startedAt: 1})).to.equal(1);
 	});
+
+	// A weak instance told the others of several times the work, and its thin link made servers look slow.
+	it('counts the wait at the own instance neither as work nor as slowness', async () => {
+		const runAfterWait = async (ownMs: number) => {
+			const {clock, work, servers: [fast]} = await learn(2);
+			const factors: number[] = [];
+			for (let count = 0; count < 100; count++) {
+				await clock.advance(80 - ownMs);
+				const running = work.begin(fast, kind, noRemote, {ownMs});
+				await clock.advance(20 + ownMs);
+				factors.push(work.getFactor(fast));
+				running.end({isSample: true});
+			}
+
+			return {factors, workMs: work.estimateMs(kind)};
+		};
+
+		const weak = await runAfterWait(60);
+		const strong = await runAfterWait(0);
+		expect(weak.workMs).to.be.closeTo(strong.workMs, 0.001);
+		expect(Math.max(...weak.factors.map((factor, index) => Math.abs(factor - strong.factors[index]!)))).to.be.below(0.001);
+	});
 });
