fix: the interval of load shares follows from the limits alone

Cause: a weak instance heard of load every 60 ms at least, also where a tenth of its link and processor allow more: one of 0.513 of a core on a fast link every 60 ms instead of every 23, three times the 20 ms of before. Change: no minimum but that of all instances, 20 ms. Result: the test finds an interval between 20 and 25 ms for that instance; it was 60 ms. That of 0.184 of a core and 7.5 Mbit/s stays at 65 ms.

--- a/packages/net/own-resources/src/own-resources.ts
+++ b/packages/net/own-resources/src/own-resources.ts
@@ -39,7 +39,6 @@
 const shareProcessorMs = 1.2;
 /** Load that is known later than the longest interval misleads the placement more than a share costs. */
 const maxShareIntervalMs = 100;
-const minShareIntervalMs = 60;
 const minUseWindowMs = 500;
 /** Used where the settings name no limit; no instance uses as much. */
 const unlimited = {linkMbps: 10_000, processorShare: 1} as const;
@@ -70,7 +69,7 @@
 		return this.limits.processorShare < weakProcessorShare;
 	}
 
-	/** Shortest interval at which the instance exchanges load shares with a relay; undefined for one that is not weak. */
+	/** Interval at which load shares use no more of the link and processor than they may; undefined for an instance that is not weak. */
 	get shareIntervalMs(): number | undefined {
 		if (!this.isWeak) {
 			return undefined;
@@ -79,7 +78,7 @@
 		const {linkMbps, processorShare} = this.limits;
 		const linkMs = shareBytes / (linkMbps * bytesPerMsPerMbps) / maxShareFraction;
 		const processorMs = shareProcessorMs / processorShare / maxShareFraction;
-		return Math.min(maxShareIntervalMs, Math.max(minShareIntervalMs, linkMs, processorMs));
+		return Math.min(maxShareIntervalMs, Math.max(linkMs, processorMs));
 	}
 
 	recordSent(bytes: number): void {
--- a/packages/net/own-resources/test/own-resources.test.ts
+++ b/packages/net/own-resources/test/own-resources.test.ts
@@ -64,4 +64,13 @@
 		const isWeak = (limits: {linkMbps?: number; processorShare?: number}) => new OwnResources({clock, ...limits}).isWeak;
 		expect([isWeak({}), isWeak({linkMbps: 50, processorShare: 0.7}), isWeak({linkMbps: 49}), isWeak({processorShare: 0.69})]).to.deep.equal([false, false, true, true]);
 	});
+
+	// An instance of half a core on a fast link heard of load every 60 ms instead of 20, though a share costs it little.
+	it('lengthens the interval of load shares no further than its limits call for', () => {
+		const findInterval = (limits: {linkMbps?: number; processorShare?: number}) => new OwnResources({clock: new ManualClock(), ...limits}).shareIntervalMs;
+		expect(findInterval({linkMbps: 1000, processorShare: 0.71})).to.equal(undefined);
+		expect(findInterval({linkMbps: 1000, processorShare: 0.513})).to.be.within(20, 25);
+		expect(findInterval({linkMbps: 7.5, processorShare: 0.184})).to.be.within(60, 70);
+		expect(findInterval({linkMbps: 1, processorShare: 0.1})).to.equal(100);
+	});
 });
