fix: errors that servers answer count as no work

Cause: the time of a 4xx answer was a sample of work and speed, and the admission also took that of a 5xx answer. A server that answers 404 at once would pass for a fast one and get the requests of the others, and work would look like nothing. Change: answers of status 400 and above are no samples.

--- a/packages/plugins/edge/src/buffered/buffered-forwarder.ts
+++ b/packages/plugins/edge/src/buffered/buffered-forwarder.ts
@@ -4,6 +4,7 @@
  * request whose server takes long is started at another one beside it; the first usable answer ends the other attempt.
  */
 import {admissionDecisions} from '@hickorytrack/admission-queue';
+import type {ResponseHead} from '@hickorytrack/endpoint-client';
 import {unlimitedGrant, type SendGrant} from '@hickorytrack/endpoint-client/send-grant';
 import {answerVerdicts, type ReceivedAnswer} from '@hickorytrack/http-answer/answer-reader';
 import type {WorkKind} from '@hickorytrack/expected-work/work-estimates';
@@ -197,7 +198,7 @@
 	}
 
 	async #runAttempt(server: KnownServer, {permit, grant, canceller}: {permit: SendPermit; grant: SendGrant; canceller: AttemptCanceller}): Promise<AttemptResult> {
-		const {clock, client, codec, loadTracker, admission, expectedWork, ownResources} = this.#context;
+		const {clock, client, loadTracker, admission, expectedWork, ownResources} = this.#context;
 		const sentAt = clock.monotonic();
 		const work = expectedWork.begin(server, this.#workKind, loadTracker.getRemoteLoad(server.id), {ownMs: ownResources?.estimateCallMs(countCallBytes(this.#request))});
 		const inFlightLoad = loadTracker.add(server.id, 0, {workMs: expectedWork.isUneven(server.service) ? work.workMs : 0});
@@ -213,7 +214,7 @@
 			});
 			permit.finish({isWritten: result.isWritten, isAccepted: true});
 			if (result.outcome === attemptOutcomes.answered) {
-				runMs = codec.decodeResponseHead(result.head!).isNotExecuted ? undefined : clock.monotonic() - sentAt;
+				runMs = this.#isWorkDone(result.head!) ? clock.monotonic() - sentAt : undefined;
 			} else if (result.isWritten) {
 				this.#request.countRun?.();
 			}
@@ -229,9 +230,14 @@
 		}
 	}
 
-	/** Tells whether the time of the answer is that of the request's work. A failure may come early, and a cold server is slow for a while. */
+	/** Tells whether the time of the answer is that of the request's work. A cold server is slow for a while. */
 	#isWorkSample(server: KnownServer, {outcome, head, isHeldUp}: AttemptResult): boolean {
-		return outcome === attemptOutcomes.answered && isHeldUp !== true && head!.status < 500 && server.coldMs === 0 && !this.#context.codec.decodeResponseHead(head!).isNotExecuted;
+		return outcome === attemptOutcomes.answered && isHeldUp !== true && server.coldMs === 0 && this.#isWorkDone(head!);
+	}
+
+	/** An error may be answered before any work is done, so that a server with a fault would pass for a fast one. */
+	#isWorkDone(head: ResponseHead): boolean {
+		return head.status < 400 && !this.#context.codec.decodeResponseHead(head).isNotExecuted;
 	}
 
 	#recordEnded(ended: EndedAttempt | FailedAttempt): void {
--- a/packages/plugins/edge/test/retry-fleet.ts
+++ b/packages/plugins/edge/test/retry-fleet.ts
@@ -51,6 +51,8 @@
 	rejectsAtOnce?: number;
 	rejectsLate?: number;
 	breaks?: number;
+	/** Status with which the server answers each call at once. */
+	errorStatus?: number;
 	/** Factor by which calls take longer. */
 	slowness?: number;
 };
@@ -101,6 +103,8 @@
 	readonly runCounts = new Map<string, number>();
 	/** What ended attempts without a stream told the admission about the work, in milliseconds. */
 	readonly runTimes: Array<number | undefined> = [];
+	/** Whether the ends of attempts without a stream were samples of work. */
+	readonly workSamples: boolean[] = [];
 	readonly results: RequestResult[] = [];
 	readonly faults = new Map<string, ServerFaults>();
 	readonly #clock: ManualClock;
@@ -220,6 +224,17 @@
 		const loadTracker = new LoadTracker(clock);
 		const profile = new EngineProfile();
 		const expectedWork = new ExpectedWork(clock);
+		const begin = expectedWork.begin.bind(expectedWork);
+		expectedWork.begin = (...args) => {
+			const running = begin(...args);
+			return {
+				...running, end: opts => {
+					this.workSamples.push(opts.isSample);
+					running.end(opts);
+				},
+			};
+		};
+
 		const cacheIndex = new PrefixCacheIndex({getKvCapacity: () => 1e6});
 		const eventLog = new RateLimitedEventLog(clock, new EventLog({clock}));
 		const admission = new ServiceAdmission({
@@ -308,6 +323,13 @@
 		};
 
 		await this.#clock.sleep(2, signal);
+		const {errorStatus} = this.faults.get(isPrefill ? 'prefill' : 'run') ?? {};
+		if (!signal.aborted && errorStatus !== undefined) {
+			handler.onHead({status: errorStatus, headers: {id: requestId}});
+			handler.onEnd(wholeAnswer);
+			return;
+		}
+
 		if (!signal.aborted && this.#random.next() < rejectsAtOnce) {
 			reject();
 			return;
--- a/packages/plugins/edge/test/service-admission.test.ts
+++ b/packages/plugins/edge/test/service-admission.test.ts
@@ -141,7 +141,23 @@
 		expect(answered.length).to.be.within(20, fleet.arrivals.length / 2);
 		expect(fleet.runTimes).to.have.length(fleet.arrivals.length);
 		expect(fleet.runTimes.filter(runMs => runMs !== undefined)).to.have.length(answered.length);
+		expect(fleet.workSamples.filter(Boolean)).to.have.length(answered.length);
 	});
+
+	// A server that answers 404 at once would pass for a fast one and get the requests of the others.
+	for (const errorStatus of [404, 500]) {
+		it(`learns neither work nor speed from answers of status ${errorStatus}`, async () => {
+			const clock = new WholeMsClock();
+			const fleet = new RetryFleet(clock, new Random(5));
+			fleet.startEdge(0, {isFirstStart: true, countInstances: () => 1});
+			fleet.faults.set('run', {errorStatus});
+			await fleet.run(2000, {intervalMs: 30, streamFraction: 0});
+			await clock.advance(10_000);
+			expect(fleet.workSamples.length).to.be.above(20);
+			expect(fleet.workSamples.filter(Boolean)).to.deep.equal([]);
+			expect(fleet.runTimes.filter(runMs => runMs !== undefined)).to.deep.equal([]);
+		});
+	}
 });
 
 describe('callers that return', () => {
