fix: refusals of model servers are no prefills

Cause: the first byte of any answer to a run was a sample of the speed of its server, also of a refusal with 503 and a body. The server passed for one that prefills a prompt in 2 ms, the fit of its service and that of all instances fell, and the prompt counted as stored there; where servers are uneven, a server that refuses was thought five times as fast and got more. Change: only an answer of status 200 that has run is a sample of speed and of how long a slot is held; any other is a sign of life.

--- a/packages/plugins/edge/src/streams/stream-calls.ts
+++ b/packages/plugins/edge/src/streams/stream-calls.ts
@@ -151,7 +151,7 @@
 	}
 
 	async #generate(run: StreamRun, server: KnownServer, {permit, grant, proofGrant, handle, placement}: GenerationOptions): Promise<AttemptResult> {
-		const {loadTracker, client, clock, measurements} = this.#context;
+		const {loadTracker, client, clock, health, measurements} = this.#context;
 		const {isResumable: isRetryable} = this.#request.route;
 		const isLongOutput = this.prompt.maxOutputTokens >= longOutputTokens;
 		run.server = server;
@@ -174,6 +174,7 @@
 		const inFlightLoad = loadTracker.add(server.id, handle ? 0 : placement.prefillTokens, {isStream: isLongOutput, memoryTokens: countMemoryTokens(this.prompt, server)});
 		let firstByteAt: number | undefined;
 		let isStream = false;
+		let isGenerated = false;
 		const startedAt = clock.monotonic();
 		const measureServerMs = this.#createServerTimer();
 		const refutation = new AbortController();
@@ -195,6 +196,7 @@
 			silence: isRetryable || run.backupServer ? this.#createSilenceOptions(run, server, placement.predictedMs) : undefined,
 			onHead: head => {
 				isStream = this.#isStream(head);
+				isGenerated = this.#isGenerated(head);
 				if (!isStream) {
 					countAnsweredRun(this.#context, this.#request, head);
 				}
@@ -207,10 +209,16 @@
 				inFlightLoad.releasePrefill();
 				firstByteAt = clock.monotonic();
 				this.firstByteMs ??= firstByteAt - this.#request.arrivedAt;
-				if (!run.isSilenceReported) {
+				if (run.isSilenceReported) {
+					return;
+				}
+
+				if (isGenerated) {
 					measurements.recordFirstByte(server, {
 						prompt: this.prompt, load, prefillTokens: handle ? 0 : placement.prefillTokens, elapsedMs: measureServerMs(firstByteAt - startedAt),
 					});
+				} else {
+					health.recordSignOfLife(server);
 				}
 			},
 			request,
@@ -239,7 +247,7 @@
 			this.#opts.relay.recordBreak(result.answer);
 		}
 
-		if (firstByteAt !== undefined && result.outcome === attemptOutcomes.answered && !run.isSilenceReported) {
+		if (firstByteAt !== undefined && isGenerated && result.outcome === attemptOutcomes.answered && !run.isSilenceReported) {
 			measurements.recordEnd(server, {isStream: isLongOutput, holdMs: clock.monotonic() - firstByteAt});
 		}
 
@@ -303,6 +311,11 @@
 		return Math.min(maxPriorityValue, this.#request.priority);
 	}
 
+	/** A refusal or an error may be answered before the prompt is prefilled, so that its time says nothing about the server. */
+	#isGenerated(head: ResponseHead): boolean {
+		return head.status === 200 && !this.#context.codec.decodeResponseHead(head).isNotExecuted;
+	}
+
 	#isStream(head: ResponseHead): boolean {
 		const metadata = this.#context.codec.decodeResponseHead(head);
 		const type = String(head.headers['content-type'] ?? '');
--- a/packages/plugins/edge/test/retry-fleet.ts
+++ b/packages/plugins/edge/test/retry-fleet.ts
@@ -105,6 +105,8 @@
 	readonly runTimes: Array<number | undefined> = [];
 	/** Whether the ends of attempts without a stream were samples of work. */
 	readonly workSamples: boolean[] = [];
+	/** Times until first bytes that were samples of the speed of model servers, in milliseconds. */
+	readonly firstByteTimes: number[] = [];
 	readonly results: RequestResult[] = [];
 	readonly faults = new Map<string, ServerFaults>();
 	readonly #clock: ManualClock;
@@ -223,7 +225,15 @@
 		const health = new ServerHealth(clock);
 		const loadTracker = new LoadTracker(clock);
 		const profile = new EngineProfile();
+		const cacheIndex = new PrefixCacheIndex({getKvCapacity: () => 1e6});
 		const expectedWork = new ExpectedWork(clock);
+		const measurements = new AnswerMeasurements({cacheIndex, profile, health});
+		const recordFirstByte = measurements.recordFirstByte.bind(measurements);
+		measurements.recordFirstByte = (server, opts) => {
+			this.firstByteTimes.push(opts.elapsedMs);
+			recordFirstByte(server, opts);
+		};
+
 		const begin = expectedWork.begin.bind(expectedWork);
 		expectedWork.begin = (...args) => {
 			const running = begin(...args);
@@ -235,7 +245,6 @@
 			};
 		};
 
-		const cacheIndex = new PrefixCacheIndex({getKvCapacity: () => 1e6});
 		const eventLog = new RateLimitedEventLog(clock, new EventLog({clock}));
 		const admission = new ServiceAdmission({
 			clock, random, loadTracker, metrics: new MetricsRegistry(), isEnabled: () => false, listServers: () => [], findMaxRequests: () => undefined, estimateOpenMs: () => 0, countInstances,
@@ -257,7 +266,7 @@
 			eventLog,
 			client: {limits: {maxAnswerBytes: 1e6, budget: new ByteBudget(1e9)}, send: (_address: string, request: OutboundRequest, handler: ResponseHandler) => this.#handleCall(request, handler)} as unknown as EndpointClient,
 			registry: new EndpointRegistry({clock, reportTimeoutMs: 60_000}),
-			measurements: new AnswerMeasurements({cacheIndex, profile, health}),
+			measurements,
 			leastLoadPlacement: new LeastLoadPlacement({loadTracker, random, getFailureRate: () => 0}),
 			// No server names a limit here.
 			limits: createUnlimited(),
@@ -326,6 +335,7 @@
 		const {errorStatus} = this.faults.get(isPrefill ? 'prefill' : 'run') ?? {};
 		if (!signal.aborted && errorStatus !== undefined) {
 			handler.onHead({status: errorStatus, headers: {id: requestId}});
+			handler.onData(Buffer.from('{}'));
 			handler.onEnd(wholeAnswer);
 			return;
 		}
--- a/packages/plugins/edge/test/service-admission.test.ts
+++ b/packages/plugins/edge/test/service-admission.test.ts
@@ -160,6 +160,24 @@
 	}
 });
 
+describe('the speed of model servers', () => {
+	// A server that refuses at once passed for one that prefills a prompt in 2 ms, and for a holder of the prompt.
+	it('is not learned from refusals', async () => {
+		const clock = new WholeMsClock();
+		const fleet = new RetryFleet(clock, new Random(5));
+		fleet.startEdge(0, {isFirstStart: true, countInstances: () => 1});
+		fleet.faults.set('run', {errorStatus: 503});
+		await fleet.run(2000, {intervalMs: 30, streamFraction: 1});
+		await clock.advance(10_000);
+		expect(fleet.arrivals.filter(({isPrefill}) => !isPrefill).length).to.be.above(20);
+		expect(fleet.firstByteTimes).to.deep.equal([]);
+		fleet.faults.clear();
+		await fleet.run(2000, {intervalMs: 30, streamFraction: 1});
+		await clock.advance(10_000);
+		expect(fleet.firstByteTimes.length).to.be.above(20);
+	});
+});
+
 describe('callers that return', () => {
 	it('are told from new ones by the time for which they still wait', () => {
 		const callers = new ReturningCallers();
