fix: one request that hangs says no more than a slow one

Cause: the ratio of an overdue request to what was expected had no bound, as that of an answer has. One request that hung in one slot of a server kept all others away from it for as long, also while its other slots answered. Change: the same bound of 5, in one place for buffered requests and prefills.

--- a/packages/routing/engine-profile/src/engine-profile.ts
+++ b/packages/routing/engine-profile/src/engine-profile.ts
@@ -8,7 +8,7 @@
  */
 import type {Clock} from '@hickorytrack/clock';
 import type {KnownServer} from '@hickorytrack/endpoint-registry';
-import type {ServerSpeeds} from '@hickorytrack/expected-work/server-speeds';
+import {addOverdue, type Overdue, type ServerSpeeds} from '@hickorytrack/expected-work/server-speeds';
 import {LatencyFit} from './latency-fit.js';
 
 export type PrefillSample = {
@@ -38,8 +38,6 @@
 	logarithm: number;
 };
 
-/** A prefill that runs longer than this many times what was expected is overdue. */
-const overdueFactor = 1.3;
 const ownDelayWeight = 0.02;
 /** At least this fraction of a prefill's time counts as the server's; the wait for the own link and processor is an estimate. */
 const minServerFraction = 0.25;
@@ -215,7 +213,7 @@
 		return group !== undefined && speeds!.isUneven(group) ? speeds!.getFactor(group, server, this.#measureOverdue(server.id)) : undefined;
 	}
 
-	#measureOverdue(id: string): {count: number; sum: number} | undefined {
+	#measureOverdue(id: string): Overdue | undefined {
 		const running = this.#running.get(id);
 		if (!running) {
 			return undefined;
@@ -225,10 +223,8 @@
 		this.#overdue.count = 0;
 		this.#overdue.sum = 0;
 		for (const {sentAt, expectedMs} of running) {
-			const ratio = (now - sentAt) / expectedMs;
-			if (expectedMs > 0 && ratio > overdueFactor) {
-				this.#overdue.count++;
-				this.#overdue.sum += Math.log(ratio);
+			if (expectedMs > 0) {
+				addOverdue(this.#overdue, (now - sentAt) / expectedMs);
 			}
 		}
 
--- a/packages/routing/expected-work/src/expected-work.ts
+++ b/packages/routing/expected-work/src/expected-work.ts
@@ -4,7 +4,9 @@
  * of the others by their load shares.
  */
 import type {Clock} from '@hickorytrack/clock';
-import {ServerSpeeds, type SpeedSubject} from './server-speeds.js';
+import {
+	addOverdue, ServerSpeeds, type Overdue, type SpeedSubject,
+} from './server-speeds.js';
 import {WorkEstimates, type WorkKind} from './work-estimates.js';
 
 export type WorkServer = SpeedSubject & {readonly service: string; readonly slots: number};
@@ -33,8 +35,6 @@
 	workMs: number;
 };
 
-/** A request that runs longer than this many times what was expected shows a slow phase. */
-const overdueFactor = 1.3;
 /** A request that runs counts for at least this part of its work, however long it has run. */
 const minRemainingFraction = 0.1;
 /** On average, half of the work of a request that runs is done. */
@@ -162,7 +162,7 @@
 		}
 	}
 
-	#measureOverdue(server: WorkServer): {count: number; sum: number} {
+	#measureOverdue(server: WorkServer): Overdue {
 		const overdue = this.#overdue;
 		overdue.count = 0;
 		overdue.sum = 0;
@@ -174,10 +174,8 @@
 		const now = this.#clock.monotonic();
 		const slowFactor = this.speeds.getSlowFactor(server.service, server);
 		for (const {sentAt, waitMs, workMs} of running) {
-			const ratio = (now - sentAt - waitMs) / (workMs * slowFactor);
-			if (workMs > 0 && ratio > overdueFactor) {
-				overdue.count++;
-				overdue.sum += Math.log(ratio);
+			if (workMs > 0) {
+				addOverdue(overdue, (now - sentAt - waitMs) / (workMs * slowFactor));
 			}
 		}
 
--- a/packages/routing/expected-work/src/server-speeds.ts
+++ b/packages/routing/expected-work/src/server-speeds.ts
@@ -13,6 +13,13 @@
 /** One start of a server. */
 export type SpeedSubject = {readonly id: string; readonly startedAt: number};
 
+/** The requests at a server that run longer than expected. */
+export type Overdue = {
+	count: number;
+	/** Sum of the logarithms of the ratios between the time of a request and what was expected. */
+	sum: number;
+};
+
 type Entry = {
 	startedAt: number;
 	samples: number;
@@ -50,6 +57,8 @@
 
 /** Bounds of a ratio; an answer beyond them says that the server is unhealthy rather than slow. */
 const maxLogarithm = Math.log(5);
+/** A request that runs longer than this many times what was expected is overdue. */
+const overdueFactor = 1.3;
 const slowWeight = 0.01;
 /** A sample moves the slow estimate at most by this much of its weight, so that phases change it little. */
 const maxSlowStep = 0.3;
@@ -142,10 +151,10 @@
 	}
 
 	/**
-	 * Returns the factor by which the server takes longer now than the mean server. `overdue` holds the number of its requests that
-	 * run longer than expected, and the sum of the logarithms of these ratios.
+	 * Returns the factor by which the server takes longer now than the mean server. `overdue`: its requests that run longer than
+	 * expected.
 	 */
-	getFactor(group: string, server: SpeedSubject, overdue?: {count: number; sum: number}): number {
+	getFactor(group: string, server: SpeedSubject, overdue?: Overdue): number {
 		const known = this.#groups.get(group);
 		const entry = known?.entries.get(server.id);
 		const isKnown = entry?.startedAt === server.startedAt;
@@ -290,6 +299,14 @@
 	}
 }
 
+/** Counts a request by the ratio between its time so far and what was expected. One that hangs says no more than a slow one. */
+export function addOverdue(overdue: Overdue, ratio: number): void {
+	if (ratio > overdueFactor) {
+		overdue.count++;
+		overdue.sum += clamp(Math.log(ratio), maxLogarithm);
+	}
+}
+
 /** Compares the fastest and the slowest quarter of the servers that have enough samples. */
 function checkHardware(group: Group, now: number): void {
 	const checked = [...group.entries.values()].filter(({samples}) => samples >= minCheckedSamples);
--- a/packages/routing/expected-work/test/expected-work.test.ts
+++ b/packages/routing/expected-work/test/expected-work.test.ts
@@ -77,6 +77,15 @@
 		expect(work.getFactor(fast)).to.be.below(before * 1.2);
 	});
 
+	// One request that hung in one of its slots kept all others away from a server for as long.
+	it('bounds what one request that hangs says about its server', async () => {
+		const {clock, work, servers: [fast]} = await learn(2);
+		const before = work.getFactor(fast);
+		work.begin(fast, kind, noRemote);
+		await clock.advance(4000);
+		expect(work.getFactor(fast) / before).to.be.within(1.5, 5);
+	});
+
 	it('learns nothing of an earlier start of a server', async () => {
 		const {work, servers: [, slow]} = await learn(2);
 		expect(work.getFactor({...slow, startedAt: 1})).to.equal(1);
