refactor: the type of the configuration tells whether there are workspaces

Cause: a check of an untyped object was left from the time before the field. Change: edge.ts reads the field. Measured: builds; no behaviour changes.

--- a/packages/plugins/edge/src/edge.ts
+++ b/packages/plugins/edge/src/edge.ts
@@ -59,7 +59,7 @@
 import {ServerHealth} from './calls/server-health.js';
 import {OriginLink} from './sharing/origin-link.js';
 import {computeLongestLifetimeMs} from './streams/request-origin.js';
-import {createUsageDuty, hasWorkspaces, type UsageDutyParts} from './usage/create-usage-duty.js';
+import {createUsageDuty, type UsageDutyParts} from './usage/create-usage-duty.js';
 import {UsageLink} from './usage/usage-link.js';
 import {TakeUps} from './streams/take-ups.js';
 import {newsSources, ServerLimits} from './limits/server-limits.js';
@@ -497,7 +497,7 @@
 		this.#keyCheck.applyWorkspaces(configuration.workspaces);
 		this.#frontend.applyLimits(configuration.limits);
 		this.#context.admission.retain(configuration);
-		if (hasWorkspaces(configuration)) {
+		if (configuration.workspaces !== undefined) {
 			this.#usageLink?.counter.begin();
 		}
 
--- a/packages/plugins/edge/src/usage/create-usage-duty.ts
+++ b/packages/plugins/edge/src/usage/create-usage-duty.ts
@@ -40,8 +40,3 @@
 	});
 	return {windows, duty};
 }
-
-/** Tells whether requests belong to workspaces under the configuration. */
-export function hasWorkspaces(configuration: object): boolean {
-	return 'workspaces' in configuration && configuration.workspaces !== undefined;
-}
