--- a/packages/net/own-resources/src/own-resources.ts
+++ b/packages/net/own-resources/src/own-resources.ts
@@ -6,7 +6,6 @@
 import {bytesPerMsPerMbps, LinkMeter} from './link-meter.js';
 import {ProcessorMeter, type ProcessorMeterOptions} from './processor-meter.js';
 import type {InstanceCapacity} from './ready-set.js';
-import {SendPacer} from './send-pacer.js';
 
 /** What the settings say of an instance. A resource that they don't name counts as unlimited. */
 export type ResourceLimits = {
@@ -46,7 +45,6 @@
 
 export class OwnResources {
 	readonly link: LinkMeter;
-	readonly pacer: SendPacer;
 	readonly processor: ProcessorMeter;
 	readonly limits: Required<ResourceLimits>;
 	readonly #clock: Clock;
@@ -59,17 +57,12 @@
 		this.#readAt = clock.monotonic();
 		this.limits = {linkMbps, processorShare};
 		this.link = new LinkMeter({clock, linkMbps});
-		this.pacer = new SendPacer({clock, link: this.link});
 		this.processor = new ProcessorMeter({clock, processorShare, readUsedMs});
 	}
 
 	/** The link or the processor is so weak that placement takes it into account. */
 	get isWeak(): boolean {
-		return this.hasThinLink || this.hasWeakProcessor;
-	}
-
-	get hasThinLink(): boolean {
-		return this.limits.linkMbps < weakLinkMbps;
+		return this.limits.linkMbps < weakLinkMbps || this.hasWeakProcessor;
 	}
 
 	get hasWeakProcessor(): boolean {
--- a/packages/plugins/edge/src/streams/streaming-forwarder.ts
+++ b/packages/plugins/edge/src/streams/streaming-forwarder.ts
@@ -10,7 +10,7 @@
 import {
 	requestOutcomes, type CallerRequest, type RequestResult,
 } from '../front/caller-request.js';
-import {countCallBytes, type ForwardContext} from '../calls/forward-context.js';
+import type {ForwardContext} from '../calls/forward-context.js';
 import {SendPermits, type SendPermit} from '../limits/send-permits.js';
 import {EndConfirmation} from './end-confirmation.js';
 import {EventRelay} from './event-relay.js';
@@ -30,8 +30,6 @@
 
 /** The core admits a version within the time of a few syncs. */
 const maxAdmissionWaitMs = 300;
-/** Part of the time left for which a request waits for the own link; behind a longer wait it would hardly be answered in time. */
-const maxLinkWaitFraction = 0.5;
 /** For how long two servers may work on one stream, in milliseconds. The platform allows 400, until the first one has seen the end. */
 const maxSharedWorkMs = 300;
 
@@ -114,30 +112,7 @@
 		}
 	}
 
-	/** Waits until this instance's own link has sent the long requests before this one. Returns a refusal if that would take too long. */
-	async #waitForLink(): Promise<RunEnding | undefined> {
-		const {ownResources} = this.#context;
-		if (!ownResources?.hasThinLink) {
-			return undefined;
-		}
-
-		const bytes = countCallBytes(this.#request);
-		const waitMs = ownResources.pacer.estimateWaitMs(bytes);
-		if (waitMs > this.#progress.remainingMs * maxLinkWaitFraction) {
-			this.#progress.extendRetryAfter(waitMs);
-			return this.#progress.createFailure(`the own link is busy for ${Math.round(waitMs)} ms`);
-		}
-
-		await ownResources.pacer.wait(bytes, this.#request.signal);
-		return undefined;
-	}
-
 	async #runUntilEnd(): Promise<RunEnding> {
-		const refusal = await this.#waitForLink();
-		if (refusal) {
-			return refusal;
-		}
-
 		await this.#origin.waitForAdmission(this.#context.registry.listUsable(this.#request.service), Math.min(maxAdmissionWaitMs, this.#progress.remainingMs));
 		return new Promise(resolve => {
 			this.#resolveEnding = resolve;
