--- a/packages/net/own-resources/src/own-resources.ts
+++ b/packages/net/own-resources/src/own-resources.ts
@@ -35,8 +35,11 @@
 const maxShareFraction = 0.1;
 /** With 27 servers and 250 prompts a second, a share from a relay had 1.8 KB at 50 a second, of which 0.4 KB are not prompts. */
 const shareBytes = 2500;
-/** Time for a share in each direction on a whole core: load shares took 9 ms a second at 50 of them in `edge-cost`. */
-const shareProcessorMs = 0.2;
+/**
+ * Assumed cost of a share in each direction on a whole core, with wake-ups, system calls and garbage. Its handlers alone take
+ * 0.2 ms, and with intervals from that the played days served less.
+ */
+const shareProcessorMs = 1.2;
 /** Load that is known later than the longest interval misleads the placement more than a share costs. */
 const maxShareIntervalMs = 100;
 const minUseWindowMs = 500;
