--- a/review/7/case.mjs
+++ b/review/7/case.mjs
@@ -1,6 +1,9 @@
+/* eslint-disable no-await-in-loop -- Scripts that run step by step, outside the product. */
 /** A machine of the core is replaced in order; right after the old one has gone, another one loses its disk. */
 import {fileURLToPath} from 'node:url';
-import {bounds, createConfiguration, runCase, sleep} from '../common-2/fleet.mjs';
+import {
+	bounds, createConfiguration, runCase, sleep,
+} from '../common-2/fleet.mjs';
 
 const catchUpMs = bounds['catch-up-s'] * 1000;
 
--- a/review/common-2/fleet.mjs
+++ b/review/common-2/fleet.mjs
@@ -1,10 +1,15 @@
+/* eslint-disable no-await-in-loop, unicorn/no-process-exit -- Scripts that run step by step, outside the product. */
 /**
  * Machines of the system as separate processes on loopback, started with the command of the deploy file, and an operator
  * that follows the users' pages. Each machine has a loopback address of its own, since all machines use the same ports.
  */
+import {Buffer} from 'node:buffer';
+import process from 'node:process';
 import {spawn} from 'node:child_process';
 import {randomInt} from 'node:crypto';
-import {appendFileSync, createWriteStream, existsSync, mkdtempSync, readFileSync, rmSync, writeFileSync} from 'node:fs';
+import {
+	appendFileSync, createWriteStream, existsSync, mkdtempSync, readFileSync, rmSync, writeFileSync,
+} from 'node:fs';
 import {request as sendRequest} from 'node:http';
 import {createServer} from 'node:net';
 import {tmpdir} from 'node:os';
@@ -12,7 +17,6 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {fileURLToPath} from 'node:url';
 
-export {sleep};
 export const repository = fileURLToPath(new URL('../..', import.meta.url));
 const peerPortCount = 4;
 
@@ -57,14 +61,18 @@
 		const ports = [metricsPort, ...Array.from({length: peerPortCount + 3}, (_, index) => first + index)];
 		const free = await Promise.all(hosts.flatMap(host => ports.map(async port => isFree(host, port))));
 		if (free.every(Boolean)) {
-			return {front: first, ready: first + 1, control: first + 2, peer: first + 3};
+			return {
+				front: first, ready: first + 1, control: first + 2, peer: first + 3,
+			};
 		}
 	}
 }
 
 export async function call({host, port}, {method = 'GET', target, headers = {}, body, timeoutMs = 1000}) {
 	return new Promise(resolve => {
-		const outgoing = sendRequest({host, port, method, path: target, agent: false, headers: body === undefined ? headers : {'content-type': 'application/json', 'content-length': Buffer.byteLength(body), ...headers}}, response => {
+		const outgoing = sendRequest({
+			host, port, method, path: target, agent: false, headers: body === undefined ? headers : {'content-type': 'application/json', 'content-length': Buffer.byteLength(body), ...headers},
+		}, response => {
 			const chunks = [];
 			response.on('data', chunk => chunks.push(chunk));
 			response.on('end', () => resolve({status: response.statusCode, headers: response.headers, body: Buffer.concat(chunks).toString()}));
@@ -115,11 +123,17 @@
 		const file = path.join(this.#folder, `${name}.json`);
 		writeFileSync(file, JSON.stringify(settings));
 		const [program, ...args] = readCommand();
-		const child = spawn(program, args, {cwd: repository, env: {PATH: process.env.PATH, HOME: this.#folder, LANG: 'C', HICKORYTRACK_BOOT: file}, stdio: ['ignore', 'pipe', 'pipe']});
+		const child = spawn(program, args, {
+			cwd: repository, env: {
+				PATH: process.env.PATH, HOME: this.#folder, LANG: 'C', HICKORYTRACK_BOOT: file,
+			}, stdio: ['ignore', 'pipe', 'pipe'],
+		});
 		const log = createWriteStream(path.join(this.#folder, `${name}.log`), {flags: 'a'});
 		child.stdout.pipe(log);
 		child.stderr.pipe(log);
-		const machine = {name, child, pid: child.pid, isExpectedToEnd: false, hasEnded: false};
+		const machine = {
+			name, child, pid: child.pid, isExpectedToEnd: false, hasEnded: false,
+		};
 		machine.ended = new Promise(resolve => {
 			child.once('exit', (code, signal) => {
 				machine.hasEnded = true;
@@ -166,7 +180,9 @@
 		for (let attempt = 0; Date.now() < until; attempt++) {
 			const names = this.running;
 			const name = names[(attempt + configuration.version) % names.length];
-			const answer = await call(this.address(name, 'control'), {method: 'POST', target: '/api/Config.Put', body, timeoutMs: 1000 + (body.length / 500)});
+			const answer = await call(this.address(name, 'control'), {
+				method: 'POST', target: '/api/Config.Put', body, timeoutMs: 1000 + (body.length / 500),
+			});
 			if (answer.status === 200 || (answer.status >= 400 && answer.status < 500 && answer.status !== 408 && answer.status !== 429)) {
 				this.record.write(`configuration ${configuration.version} (${body.length} bytes, ${configuration.routes.length} routes): ${answer.status} from ${name}, attempt ${attempt + 1}`);
 				return answer.status;
@@ -264,3 +280,5 @@
 	await fleet.end();
 	process.exit(code);
 }
+
+export {setTimeout as sleep} from 'node:timers/promises';
--- a/review/common-2/server.mjs
+++ b/review/common-2/server.mjs
@@ -1,4 +1,6 @@
+/* eslint-disable no-await-in-loop, no-promise-executor-return -- Scripts that run step by step, outside the product. */
 /** A server of the platform that this process plays: it reports, answers its health probe, and lets the case answer requests. */
+import {Buffer} from 'node:buffer';
 import {createServer} from 'node:http';
 import {call} from './fleet.mjs';
 
