replicated-log: the answers to the last request for votes

Whether too few members answer, one refuses, or one answers from another disk can't be told from logs or state.

Change: the status of a log has the answers to the last round of votes, and a voter that has heard no leader for 3 s reports them (1727), again when they change.

The test of the status is new; the field did not exist before.

--- a/packages/coordination/replicated-log/src/elector.ts
+++ b/packages/coordination/replicated-log/src/elector.ts
@@ -9,7 +9,9 @@
 import type {StepPoints} from '@hickorytrack/step-points';
 import type {MemberMessage, MemberTransport} from './member-messages.js';
 import type {MemberInfo} from './member-set.js';
-import type {LogTiming, MemberState} from './member-state.js';
+import {
+	voteOutcomes, type LogTiming, type MemberState, type VoteOutcome,
+} from './member-state.js';
 
 export type ElectorOptions = {
 	clock: Clock;
@@ -101,12 +103,15 @@
 		const message = {
 			kind, from: id, folder, term, lastIndex: window.lastIndex, lastTerm: window.lastTerm,
 		};
+		const votes = new Map<string, VoteOutcome>(others.map(member => [member.id, voteOutcomes.noAnswer]));
 		return new Promise(resolve => {
 			const collectVote = async (member: MemberInfo) => {
-				const isGranted = await this.#requestVote(member, message);
+				const outcome = await this.#requestVote(member, message);
+				votes.set(member.id, outcome);
 				pendingReplies--;
-				missingVotes -= isGranted ? 1 : 0;
+				missingVotes -= outcome === voteOutcomes.granted ? 1 : 0;
 				if (missingVotes <= 0 || pendingReplies < missingVotes) {
+					this.#state.lastElection = {kind, term, votes};
 					resolve(missingVotes <= 0);
 				}
 			};
@@ -117,16 +122,20 @@
 		});
 	}
 
-	async #requestVote(member: MemberInfo, message: MemberMessage & {kind: 'pre-vote' | 'vote'}): Promise<boolean> {
+	async #requestVote(member: MemberInfo, message: MemberMessage & {kind: 'pre-vote' | 'vote'}): Promise<VoteOutcome> {
 		try {
 			const reply = await this.#opts.transport.call(member, message, this.#opts.timing.electionMaxMs);
 			if (reply.term > this.#state.term && message.kind === 'vote') {
 				await this.#state.updateTerm(reply.term);
 			}
 
-			return reply.kind === 'vote' && reply.granted && this.#state.members.isSameFolder(member.id, reply.folder);
+			if (!this.#state.members.isSameFolder(member.id, reply.folder)) {
+				return voteOutcomes.lostDisk;
+			}
+
+			return reply.kind === 'vote' && reply.granted ? voteOutcomes.granted : voteOutcomes.refused;
 		} catch {
-			return false;
+			return voteOutcomes.noAnswer;
 		}
 	}
 }
--- a/packages/coordination/replicated-log/src/member-state.ts
+++ b/packages/coordination/replicated-log/src/member-state.ts
@@ -45,6 +45,20 @@
 export const memberRoles = {follower: 'follower', candidate: 'candidate', leader: 'leader'} as const;
 export type MemberRole = typeof memberRoles[keyof typeof memberRoles];
 
+/** What a candidate knows of the vote of another member. `lostDisk`: it answers from another data folder than the one in the member set. */
+export const voteOutcomes = {
+	noAnswer: 'no-answer', granted: 'granted', refused: 'refused', lostDisk: 'lost-disk',
+} as const;
+export type VoteOutcome = typeof voteOutcomes[keyof typeof voteOutcomes];
+
+/** A round of votes that this member has asked for. */
+export type ElectionRound = {
+	kind: 'pre-vote' | 'vote';
+	term: number;
+	/** By the ID of the other voter. */
+	votes: ReadonlyMap<string, VoteOutcome>;
+};
+
 /** Quorum age reported while no leader has been heard. */
 const noContactAgeMs = Number.MAX_SAFE_INTEGER;
 
@@ -60,6 +74,8 @@
 	diskFault = false;
 	stopped = false;
 	snapshot: SnapshotRecord | undefined;
+	/** The last round of votes of this member that was decided. */
+	lastElection: ElectionRound | undefined;
 	/** Monotonic time of the last message from the leader of the current term, or of the last vote granted. */
 	lastHeardAt = Number.NEGATIVE_INFINITY;
 	readonly #storage: LogStorage;
--- a/packages/coordination/replicated-log/src/replicated-log.ts
+++ b/packages/coordination/replicated-log/src/replicated-log.ts
@@ -21,7 +21,7 @@
 import type {MemberMessage, MemberReply, MemberTransport} from './member-messages.js';
 import {type MemberSet, type MemberInfo} from './member-set.js';
 import {
-	defaultLogTiming, MemberState, ReplicatedLogError, type LogTiming, type MemberRole,
+	defaultLogTiming, MemberState, ReplicatedLogError, type ElectionRound, type LogTiming, type MemberRole,
 } from './member-state.js';
 import {Replicator} from './replicator.js';
 
@@ -59,6 +59,7 @@
 	quorumAgeMs: number;
 	diskFault: boolean;
 	members: MemberInfo[];
+	lastElection?: Omit<ElectionRound, 'votes'> & {votes: Record<string, string>};
 };
 
 type Waiter = {
@@ -267,6 +268,7 @@
 			quorumAgeMs: this.computeQuorumAge(),
 			diskFault: state?.diskFault ?? false,
 			members: [...state?.members.members ?? []],
+			lastElection: state?.lastElection && {...state.lastElection, votes: Object.fromEntries(state.lastElection.votes)},
 		};
 	}
 
--- a/packages/coordination/replicated-log/test/replicated-log.test.ts
+++ b/packages/coordination/replicated-log/test/replicated-log.test.ts
@@ -136,6 +136,21 @@
 		expect((await cluster.waitForResult(last.log.propose('after repair'))).isOk()).to.equal(true);
 	});
 
+	// Guards against a group without a leader whose state does not tell why: who answered the request for votes, and how.
+	it('shows the answers to the last request for votes', async () => {
+		const leader = await start(15);
+		await cluster.clock.advance(1500);
+		const [lostDiskId, remainingId] = ids.filter(id => id !== leader.log.id);
+		await cluster.stopMember(leader.log.id);
+		await cluster.stopMember(lostDiskId!);
+		await cluster.startMember(lostDiskId!, [], new MemoryLogStorage('another folder'));
+		await cluster.clock.advance(4000);
+		const {role, lastElection} = cluster.members.get(remainingId!)!.log.getStatus();
+		expect(role).to.equal('follower');
+		expect(lastElection?.kind).to.equal('pre-vote');
+		expect(lastElection?.votes).to.deep.equal({[leader.log.id]: 'no-answer', [lostDiskId!]: 'lost-disk'});
+	});
+
 	it('rejects a membership change that leaves no live majority', async () => {
 		const leader = await start(8);
 		await cluster.clock.advance(1500);
--- a/packages/core/events/src/event-catalogue.ts
+++ b/packages/core/events/src/event-catalogue.ts
@@ -176,6 +176,9 @@
 	coreMembershipRestored: {
 		number: 1726, level: 'info', text: 'This member of the core is a voter again', action: noAction,
 	},
+	coreWithoutLeader: {
+		number: 1727, level: 'warn', text: 'This voter of the core has heard no leader for seconds; votes has the answers to its newest request for votes', action: 'Start the members with no-answer. A member with lost-disk counts again once a leader has taken it back.',
+	},
 	configurationUnusable: {
 		number: 1715, level: 'error', text: 'A stored configuration can\'t be used by this version; the one before stays in force', action: 'Put a configuration that corrects the field that the message names.',
 	},
--- a/packages/routing/route-store/src/core-member.ts
+++ b/packages/routing/route-store/src/core-member.ts
@@ -57,6 +57,8 @@
 const learnerTimeoutMs = 10_000;
 /** A member that has heard no leader for this time asks whether it is still a voter; longer than most elections take. */
 const leaderContactTimeoutMs = 1500;
+/** A voter that has heard no leader for this time reports why none is elected; several elections fit into it. */
+const leaderlessReportMs = 3000;
 /** Delay after the start before the member with the lowest address bootstraps the log if no seed belongs to the core. */
 const seedlessBootstrapDelayMs = 2500;
 /** After a restart of all members there is no leader; the first election only has to wait until connections are open. */
@@ -87,6 +89,8 @@
 	#isJoining = false;
 	#isRemoved = false;
 	#hasLostDisk = false;
+	/** The votes that were last reported, while no leader is heard. */
+	#reportedVotes: string | undefined;
 
 	constructor(opts: CoreMemberOptions) {
 		this.#opts = opts;
@@ -306,10 +310,26 @@
 				this.#setRemoved(false);
 			}
 
+			this.#reportElections();
 			await clock.sleep(membershipIntervalMs, this.#abortController.signal);
 		}
 	}
 
+	/** Reports the answers to requests for votes while no leader is elected: at first, and when they have changed. */
+	#reportElections(): void {
+		if (!this.#isListed() || this.#log!.computeLeaderContactAge() <= leaderlessReportMs) {
+			this.#reportedVotes = undefined;
+			return;
+		}
+
+		const {members, lastElection} = this.#log!.getStatus();
+		const votes = JSON.stringify(lastElection?.votes);
+		if (lastElection && votes !== this.#reportedVotes) {
+			this.#reportedVotes = votes;
+			this.#opts.events.emit('coreWithoutLeader', {...lastElection, voters: members.filter(member => member.voter).length});
+		}
+	}
+
 	#findVoter(address: string, folder: string): MemberInfo | undefined {
 		return this.#log!.getStatus().members.find(member => member.id === address && member.voter && (member.folder === undefined || member.folder === folder));
 	}
