replicated-log: half of an even number of voters is a quorum once a disk is lost

After a planned replacement in the core, one lost disk, and 503 to every read and change of the configuration from then on, although two of three machines held the acknowledged one.

Cause: a successor is promoted while the member that it replaces still votes, so that there are four voters and three are needed. The replaced one ends and is removed only by a leader, 2.5 s later at the earliest. If another disk is lost meanwhile, two voters remain; the third can vote again only after a leader has demoted and promoted it. Nobody can be elected, so nobody ever does that.

Change: a voter that answers from another folder than the recorded one has lost its disk. An even number of voters then needs half of them: any two quorums still share a voter that has its votes and records. As half of four and a majority of three could be disjoint, voters change by joint consensus now, in two records. A leader completes the change that an earlier one has begun.

Conclusion: the end of a replaced machine, planned or not, and one lost disk leave a leader as soon as the wiped machine answers.

--- a/packages/coordination/replicated-log/src/elector.ts
+++ b/packages/coordination/replicated-log/src/elector.ts
@@ -94,25 +94,25 @@
 	async #collectVotes(kind: 'pre-vote' | 'vote', term: number): Promise<boolean> {
 		const {members, window, id, folder} = this.#state;
 		const others = members.voters.filter(member => member.id !== id);
-		let missingVotes = members.majority - 1;
-		let pendingReplies = others.length;
-		if (missingVotes <= 0) {
+		const pendingIds = new Set(others.map(member => member.id));
+		const votes = new Map<string, VoteOutcome>(others.map(member => [member.id, voteOutcomes.noAnswer]));
+		const isGranted = (voter: string) => voter === id || votes.get(voter) === voteOutcomes.granted;
+		const hasLostDisk = (voter: string) => this.#state.hasLostDisk(voter);
+		if (members.hasQuorum(isGranted, hasLostDisk)) {
 			return true;
 		}
 
 		const message = {
 			kind, from: id, folder, term, lastIndex: window.lastIndex, lastTerm: window.lastTerm,
 		};
-		const votes = new Map<string, VoteOutcome>(others.map(member => [member.id, voteOutcomes.noAnswer]));
 		return new Promise(resolve => {
 			const collectVote = async (member: MemberInfo) => {
-				const outcome = await this.#requestVote(member, message);
-				votes.set(member.id, outcome);
-				pendingReplies--;
-				missingVotes -= outcome === voteOutcomes.granted ? 1 : 0;
-				if (missingVotes <= 0 || pendingReplies < missingVotes) {
+				votes.set(member.id, await this.#requestVote(member, message));
+				pendingIds.delete(member.id);
+				const isElected = members.hasQuorum(isGranted, hasLostDisk);
+				if (isElected || !members.hasQuorum(voter => isGranted(voter) || pendingIds.has(voter), hasLostDisk)) {
 					this.#state.lastElection = {kind, term, votes};
-					resolve(missingVotes <= 0);
+					resolve(isElected);
 				}
 			};
 
@@ -129,7 +129,8 @@
 				await this.#state.updateTerm(reply.term);
 			}
 
-			if (!this.#state.members.isSameFolder(member.id, reply.folder)) {
+			this.#state.recordFolder(member.id, reply.folder);
+			if (this.#state.hasLostDisk(member.id)) {
 				return voteOutcomes.lostDisk;
 			}
 
--- a/packages/coordination/replicated-log/src/member-state.ts
+++ b/packages/coordination/replicated-log/src/member-state.ts
@@ -86,6 +86,8 @@
 	#members: MemberSet;
 	readonly #initialMembers: MemberSet;
 	readonly #listeners = new Set<() => void>();
+	/** The data folder from which each member has last answered. */
+	readonly #answeredFolders = new Map<string, string>();
 
 	constructor(id: string, opened: OpenedLog, opts: {storage: LogStorage; clock: Clock; initialMembers: readonly MemberInfo[]}) {
 		this.id = id;
@@ -119,6 +121,17 @@
 		return this.#members !== this.#initialMembers;
 	}
 
+	/** Records the data folder from which a member answers. */
+	recordFolder(id: string, folder: string): void {
+		this.#answeredFolders.set(id, folder);
+	}
+
+	/** Returns whether a member answers from another data folder than the one in the member set. */
+	hasLostDisk(id: string): boolean {
+		const folder = this.#answeredFolders.get(id);
+		return folder !== undefined && !this.#members.isSameFolder(id, folder);
+	}
+
 	/** Returns the time in milliseconds since a majority was last known to be in contact with the leader that this member follows. */
 	computeQuorumAge(): number {
 		return this.leader === undefined ? noContactAgeMs : this.#leaderQuorumAgeMs + (this.#clock.monotonic() - this.lastHeardAt);
--- a/packages/coordination/replicated-log/src/parse-member-message.ts
+++ b/packages/coordination/replicated-log/src/parse-member-message.ts
@@ -5,7 +5,7 @@
 import {FieldError, Fields} from '@hickorytrack/fields';
 import {recordKinds, type LogRecord, type SnapshotRecord} from '@hickorytrack/log-storage';
 import type {MemberMessage, MemberReply} from './member-messages.js';
-import type {MemberInfo} from './member-set.js';
+import {voterChanges, type MemberInfo} from './member-set.js';
 
 const messageKinds = ['pre-vote', 'vote', 'heartbeat', 'append', 'snapshot'] as const;
 const replyKinds = ['heartbeat', 'vote', 'append'] as const;
@@ -104,5 +104,6 @@
 		address: member.readString('address'),
 		voter: member.get('voter') === true,
 		...(member.has('folder') && {folder: member.readString('folder')}),
+		...(member.has('change') && {change: member.readOneOf('change', Object.values(voterChanges))}),
 	}));
 }
--- a/packages/coordination/replicated-log/src/replicated-log.ts
+++ b/packages/coordination/replicated-log/src/replicated-log.ts
@@ -1,9 +1,9 @@
 /**
  * A replicated log of commands based on the Raft algorithm (Ongaro and Ousterhout, "In Search of an Understandable
- * Consensus Algorithm", 2014), with pre-vote, learners, snapshots, membership changes one at a time, and a leader that
- * steps down by its own clock when it loses contact with a majority.
+ * Consensus Algorithm", 2014), with pre-vote, learners, snapshots, membership changes one at a time by joint consensus, and a
+ * leader that steps down by its own clock when it loses contact with a quorum.
  *
- * A command is acknowledged only when a majority has synced it and the local state machine has applied it. Errors carry
+ * A command is acknowledged only when a quorum has synced it and the local state machine has applied it. Errors carry
  * `applied`: `no` means that the command has not been and will not be applied, `unknown` that it may have been or may
  * still be applied.
  */
@@ -374,6 +374,7 @@
 			if (this.#checkLeadership()) {
 				// Records whose writing has failed by an error would otherwise wait for the next ones.
 				this.#tasks.start('write-records', async () => this.#writePending());
+				await this.#completeChange();
 				await this.#recordFolders();
 			}
 		}
@@ -382,13 +383,25 @@
 	/** Records the folder ID of each voter in the member set, so that a recreated folder is not counted in place of a lost one. */
 	async #recordFolders(): Promise<void> {
 		const {members} = this.#state!;
-		const unrecorded = members.voters.find(member => member.folder === undefined && this.#replicator!.findFolder(member.id) !== undefined);
-		if (unrecorded && !this.#hasPendingMemberChange()) {
+		const unrecorded = members.voters.find(member => member.folder === undefined && this.#replicator?.findFolder(member.id) !== undefined);
+		if (unrecorded && !members.isChanging && !this.#hasPendingMemberChange()) {
 			const folder = this.#replicator!.findFolder(unrecorded.id);
 			await this.#proposeRecord('members', members.replace({...unrecorded, folder}).members);
 		}
 	}
 
+	/** Completes a change of the voters once its first record is committed, also one that an earlier leader has begun. */
+	async #completeChange(): Promise<Result<void, ReplicatedLogError>> {
+		const {members} = this.#state!;
+		if (!members.isChanging || this.#hasPendingMemberChange()) {
+			return ok(undefined);
+		}
+
+		const completed = await this.#proposeRecord('members', members.completeChange().members);
+		this.#replicator?.updateMembers();
+		return completed.map(() => undefined);
+	}
+
 	async #proposeRecord(kind: RecordKind, payload: unknown, timeoutMs = defaultProposeTimeoutMs): Promise<Result<unknown, ReplicatedLogError>> {
 		const state = this.#state!;
 		const record: LogRecord = {
@@ -436,7 +449,7 @@
 			return;
 		}
 
-		const index = this.#replicator.computeMajorityIndex();
+		const index = this.#replicator.computeQuorumIndex();
 		if (index > state.commitIndex && state.window.readTerm(index) === state.term) {
 			this.#commitUpTo(index);
 			this.#replicator.wake();
@@ -520,20 +533,24 @@
 			return err(this.#createNotLeaderError());
 		}
 
-		if (this.#hasPendingMemberChange() || this.#state!.commitIndex < this.#firstIndexOfTerm) {
+		if (this.#hasPendingMemberChange() || this.#state!.members.isChanging || this.#state!.commitIndex < this.#firstIndexOfTerm) {
 			return err(this.#createMembersRefusedError('A membership change is still in progress, or the leader has not committed a record in its term yet'));
 		}
 
-		const next = change(this.#state!.members);
-		const alive = next.voters.filter(member => this.#isAlive(member)).length;
-		if (next.voters.length === 0 || alive < next.majority) {
-			return err(this.#createMembersRefusedError(`Only ${alive} of the ${next.voters.length} voters after the change are alive`));
+		const next = this.#state!.members.beginChange(change(this.#state!.members));
+		const alive = next.voters.filter(member => this.#isAlive(member)).map(member => member.id);
+		if (!next.hasQuorum(id => alive.includes(id), id => this.#state!.hasLostDisk(id))) {
+			return err(this.#createMembersRefusedError(`Only ${alive.length} of the ${next.voters.length} voters before and after the change are alive`));
 		}
 
-		const result = await this.#proposeRecord('members', next.members);
+		const begun = await this.#proposeRecord('members', next.members);
 		this.#replicator?.updateMembers();
 		await this.#steps.onStep('member.added', this.id);
-		return result.map(() => undefined);
+		if (begun.isErr()) {
+			return err(begun.error);
+		}
+
+		return this.#checkLeadership() ? this.#completeChange() : err(this.#createLeadershipLostError('unknown'));
 	}
 
 	#isAlive(member: MemberInfo): boolean {
--- a/packages/coordination/replicated-log/src/replicator.ts
+++ b/packages/coordination/replicated-log/src/replicator.ts
@@ -91,23 +91,23 @@
 		this.wake();
 	}
 
-	/** Returns the highest index that a majority has synced to disk. */
-	computeMajorityIndex(): number {
-		return this.#state.members.computeMajorityValue(id => id === this.#state.id ? this.#state.durableIndex : this.#getCountedMatchIndex(id));
+	/** Returns the highest index that a quorum has synced to disk. */
+	computeQuorumIndex(): number {
+		return this.#computeQuorumValue(id => id === this.#state.id ? this.#state.durableIndex : this.#getCountedMatchIndex(id));
 	}
 
-	/** Returns the latest monotonic time at which a majority is known to have followed this leader. */
+	/** Returns the latest monotonic time at which a quorum is known to have followed this leader. */
 	computeQuorumContactTime(): number {
-		return this.#state.members.computeMajorityValue(id => {
+		return this.#computeQuorumValue(id => {
 			if (id === this.#state.id) {
 				return this.#opts.clock.monotonic();
 			}
 
-			return this.#isCountedTowardsMajority(id) ? this.#progress.get(id)!.confirmedAt : Number.NEGATIVE_INFINITY;
+			return this.#isCounted(id) ? this.#progress.get(id)!.confirmedAt : Number.NEGATIVE_INFINITY;
 		});
 	}
 
-	/** Returns the time in milliseconds since the last contact with a majority. */
+	/** Returns the time in milliseconds since the last contact with a quorum. */
 	computeQuorumAge(): number {
 		const age = this.#opts.clock.monotonic() - this.computeQuorumContactTime();
 		return Math.min(Number.MAX_SAFE_INTEGER, Math.max(0, age));
@@ -126,14 +126,18 @@
 		return id === this.#state.id ? 0 : this.#opts.clock.monotonic() - (this.#progress.get(id)?.confirmedAt ?? Number.NEGATIVE_INFINITY);
 	}
 
+	#computeQuorumValue(getValue: (id: string) => number): number {
+		return this.#state.members.computeQuorumValue({getValue, hasLostDisk: id => this.#state.hasLostDisk(id)});
+	}
+
 	/** A member that replies from another data folder does not count. */
-	#isCountedTowardsMajority(id: string): boolean {
+	#isCounted(id: string): boolean {
 		const progress = this.#progress.get(id);
 		return progress?.folder !== undefined && this.#state.members.isSameFolder(id, progress.folder);
 	}
 
 	#getCountedMatchIndex(id: string): number {
-		return this.#isCountedTowardsMajority(id) ? this.#progress.get(id)!.matchIndex : 0;
+		return this.#isCounted(id) ? this.#progress.get(id)!.matchIndex : 0;
 	}
 
 	async #replicate(progress: Progress): Promise<void> {
@@ -182,6 +186,7 @@
 	}
 
 	#recordFolder(progress: Progress, folder: string): void {
+		this.#state.recordFolder(progress.member.id, folder);
 		if (progress.folder !== folder) {
 			progress.folder = folder;
 			progress.matchIndex = 0;
--- a/packages/coordination/replicated-log/test/parse-member-message.test.ts
+++ b/packages/coordination/replicated-log/test/parse-member-message.test.ts
@@ -4,7 +4,7 @@
 const oddValues: unknown[] = [undefined, null, '', 'x', 'constructor', -1, 0.5, 1e308, Number.POSITIVE_INFINITY, Number.NEGATIVE_INFINITY, 2 ** 53, true, [], [[]], [null], {}, {constructor: 1}];
 const sender = {from: '10.0.0.1:1', term: 3};
 const members = [{
-	id: '10.0.0.1:1', address: '10.0.0.1:1', voter: true, folder: 'f',
+	id: '10.0.0.1:1', address: '10.0.0.1:1', voter: true, folder: 'f', change: 'removal',
 }, {id: '10.0.0.2:1', address: '10.0.0.2:1', voter: false}];
 const messages = [
 	{
--- a/packages/routing/route-store/test/core-model.test.ts
+++ b/packages/routing/route-store/test/core-model.test.ts
@@ -26,6 +26,12 @@
 	'a loss of power': ['power loss'],
 };
 
+const retirements: readonly ModelEvent[] = ['retire member', 'retire leader'];
+const retirementSeeds = 5;
+const diskLosses: ReadonlyArray<readonly ModelEvent[]> = [['wipe follower'], ['wipe leader']];
+/** Losses that leave all disks as they are, and end at the end of the schedule at the latest. */
+const shortLosses: ReadonlyArray<readonly ModelEvent[]> = [[], ['power loss'], ['isolate leader'], ['isolate follower'], ['isolate new member'], ['kill leader', 'restart']];
+
 const fullDiskSeeds = 40;
 const fullDisks = 5;
 
@@ -34,6 +40,11 @@
 	return [random.select(['fill leader disk', 'fill follower disk']), ...Array.from({length: 1 + random.nextInteger(4)}, (): ModelEvent => random.select(['put', 'put and wait', 'conflicting put', 'stay lost'])), 'free disks', random.select(['put', 'put and wait', 'catch up'])];
 }
 
+function shuffle(events: ModelEvent[], random: Random): ModelEvent[] {
+	const rest = [...events];
+	return events.map(() => rest.splice(random.nextInteger(rest.length), 1)[0]!);
+}
+
 async function runSchedule(schedule: readonly ModelEvent[], opts: ModelOptions): Promise<string | undefined> {
 	const model = new CoreModel(opts);
 	await model.bootstrap();
@@ -76,6 +87,30 @@
 		});
 	}
 
+	// Guards against a core without a leader for good: while a successor and the member that it replaces were both voters, the end of
+	// the one and the loss of another disk left two voters of four, and the third vote could not come back without a leader.
+	for (const [loss, lossEvents] of Object.entries(losses)) {
+		it(`keeps acknowledged changes when a replaced member ends together with ${loss}`, async () => {
+			for (const retirement of retirements) {
+				for (const order of [[retirement, ...lossEvents], lossEvents.toSpliced(1, 0, retirement)]) {
+					for (let seed = 1; seed <= retirementSeeds; seed++) {
+						expect(await runSchedule(['put and wait', 'add member', 'catch up', 'put and wait', ...order, 'put', 'catch up'], {seed})).to.equal(undefined);
+					}
+				}
+			}
+		});
+	}
+
+	it('keeps acknowledged changes through replacements amid losses, in random order', async () => {
+		for (let seed = 1; seed <= randomSchedules; seed++) {
+			const random = new Random(seed);
+			const retirement = ['put', random.select(retirements), random.select(['put', 'conflicting put', 'heal'])] as ModelEvent[];
+			const loss = random.select([...Object.values(losses), ...diskLosses, ...diskLosses, ...diskLosses]);
+			const schedule: ModelEvent[] = ['put and wait', 'add member', 'catch up', ...shuffle([...retirement, ...loss, ...random.select(shortLosses)], random)];
+			expect(await runSchedule(schedule, {seed})).to.equal(undefined);
+		}
+	});
+
 	// Guards against a core that acknowledges nothing any more after the disks of its members were full, never two at once.
 	it('acknowledges changes after the disks of its members were full one after another', async () => {
 		for (let seed = 1; seed <= fullDiskSeeds; seed++) {
--- a/packages/routing/route-store/test/core-model.ts
+++ b/packages/routing/route-store/test/core-model.ts
@@ -13,7 +13,7 @@
 /** Events of a schedule. `leader` and `follower` are resolved when an event runs; `restart` takes the member stopped for longest. */
 export const modelEvents = ['put', 'put and wait', 'conflicting put', 'kill leader', 'kill follower', 'wipe leader', 'wipe follower', 'replace follower', 'isolate leader', 'power loss', 'restart', 'heal'] as const;
 /** Events of planned work, of losses that last and of full disks, for schedules that are written by hand. */
-export const plannedEvents = ['add member', 'retire member', 'isolate follower', 'isolate new member', 'stay lost', 'catch up', 'fill leader disk', 'fill follower disk', 'free disks'] as const;
+export const plannedEvents = ['add member', 'retire member', 'retire leader', 'isolate follower', 'isolate new member', 'stay lost', 'catch up', 'fill leader disk', 'fill follower disk', 'free disks'] as const;
 export type ModelEvent = typeof modelEvents[number] | typeof plannedEvents[number];
 
 export type ModelOptions = {
@@ -158,7 +158,12 @@
 			}
 
 			case 'retire member': {
-				this.#retire();
+				this.#retire(this.#findRetired(leader));
+				break;
+			}
+
+			case 'retire leader': {
+				this.#retire(leader?.address === newMemberAddress ? this.#findRetired(leader) : leader);
 				break;
 			}
 
@@ -374,10 +379,14 @@
 		this.#start({address, disk: new ModelDisk(`disk of ${address}`, this.clock), handlers: new Map()}, {isFirstStart: false});
 	}
 
-	/** Ends a member that does not lead, for good: the one with the highest address, since losses strike the one with the lowest. Its successor runs already. */
-	#retire(): void {
-		const leader = this.#findLeader();
+	/** Finds a member that does not lead: the one with the highest address, since losses strike the one with the lowest. */
+	#findRetired(leader: ModelNode | undefined): ModelNode | undefined {
 		const [node] = [...this.#network.nodes.values()].filter(candidate => candidate.core && candidate !== leader && candidate.address !== newMemberAddress).sort((a, b) => b.address.localeCompare(a.address));
+		return node;
+	}
+
+	/** Ends a member for good. Its successor runs already. */
+	#retire(node: ModelNode | undefined): void {
 		this.#kill(node);
 		this.#network.nodes.delete(node?.address ?? '');
 	}
