route-store: decisions about the members of the core in a module of their own

Change: CoreMembership holds the requests to join and makes the due change; moved as it was.

Measured: the tests of the package pass.

Conclusion: no change of behaviour.

--- a/packages/routing/route-store/src/core-member.ts
+++ b/packages/routing/route-store/src/core-member.ts
@@ -19,6 +19,7 @@
 import {OriginCore} from '@hickorytrack/stream-origins/origin-core';
 import {OriginStore} from '@hickorytrack/stream-origins/origin-store';
 import {UsageStore, type UsageCommand} from '@hickorytrack/usage-windows/usage-store';
+import {CoreMembership} from './core-membership.js';
 import {CoreState} from './core-state.js';
 import {
 	RouteStore, storeOutcomes, type StoredConfiguration, type StoreOutcome,
@@ -51,10 +52,6 @@
 const readTimeoutMs = 700;
 const membershipIntervalMs = 150;
 const diskRetryMs = 500;
-/** A voter without contact for this time is removed if a replacement is ready. */
-const voterTimeoutMs = 2500;
-/** A learner without contact for this time is removed. */
-const learnerTimeoutMs = 10_000;
 /** A member that has heard no leader for this time asks whether it is still a voter; longer than most elections take. */
 const leaderContactTimeoutMs = 1500;
 /** A voter that has heard no leader for this time reports why none is elected; several elections fit into it. */
@@ -79,8 +76,7 @@
 	readonly #reportNewest: () => void;
 	readonly #startedAt: number;
 	readonly #abortController = new AbortController();
-	/** Pending join requests by address, with the identity of the member's data folder. */
-	readonly #joinRequests = new Map<string, {folder: string; requestedAt: number}>();
+	readonly #membership: CoreMembership;
 	#log: ReplicatedLog | undefined;
 	#folder = '';
 	#pendingReport: StoredConfiguration | undefined;
@@ -113,9 +109,12 @@
 		});
 		const {mesh} = opts;
 		mesh.peers.handle('log.message', async ({payload}) => ({payload: await this.#handleMessage(parseMemberMessage(payload))}));
+		this.#membership = new CoreMembership({
+			address: mesh.address, clock: opts.clock, events: opts.events, toleratedLosses: opts.toleratedLosses, getLeadershipAgeMs: () => this.leadershipAgeMs ?? 0,
+		});
 		mesh.peers.handle('core.join', ({address, folder}) => {
-			this.#joinRequests.set(address, {folder, requestedAt: opts.clock.monotonic()});
-			return {leader: this.leader, isVoter: this.isLeader ? this.#findVoter(address, folder) !== undefined : undefined};
+			this.#membership.requestJoin(address, folder);
+			return {leader: this.leader, isVoter: this.isLeader ? this.#isVoterAt(address, folder) : undefined};
 		});
 	}
 
@@ -235,7 +234,7 @@
 
 	dump(): unknown {
 		return {
-			status: this.#log?.getStatus(), isVoter: this.isVoter, isRemoved: this.#isRemoved, version: this.store.current?.version, streamOrigins: this.originStore.streamCount, versions: this.originStore.listVersions(), bans: this.banStore.list().map(({trait}) => trait), usage: {decidedTo: this.usageStore.decidedTo, waiting: this.usageStore.waitingCount}, applicants: [...this.#joinRequests.keys()],
+			status: this.#log?.getStatus(), isVoter: this.isVoter, isRemoved: this.#isRemoved, version: this.store.current?.version, streamOrigins: this.originStore.streamCount, versions: this.originStore.listVersions(), bans: this.banStore.list().map(({trait}) => trait), usage: {decidedTo: this.usageStore.decidedTo, waiting: this.usageStore.waitingCount}, applicants: this.#membership.listApplicants(),
 		};
 	}
 
@@ -300,7 +299,7 @@
 
 			if (log.isLeader) {
 				this.#setRemoved(false);
-				await this.#updateMembership();
+				await this.#membership.update(log, membershipIntervalMs);
 			} else if (this.#canBootstrap()) {
 				await this.#bootstrap();
 			} else if (!this.#isListed() || !this.#hasLeaderContact()) {
@@ -330,13 +329,13 @@
 		}
 	}
 
-	#findVoter(address: string, folder: string): MemberInfo | undefined {
-		return this.#log!.getStatus().members.find(member => member.id === address && member.voter && (member.folder === undefined || member.folder === folder));
+	#isVoterAt(address: string, folder: string): boolean {
+		return this.#log!.getStatus().members.some(member => member.id === address && member.voter && (member.folder === undefined || member.folder === folder));
 	}
 
 	/** Tells whether this member is a voter by its own log. */
 	#isListed(): boolean {
-		return this.#findVoter(this.#opts.mesh.address, this.#folder) !== undefined;
+		return this.#isVoterAt(this.#opts.mesh.address, this.#folder);
 	}
 
 	#hasLeaderContact(): boolean {
@@ -398,65 +397,6 @@
 		}
 	}
 
-	/** Makes the first due membership change; the log accepts one at a time. */
-	async #updateMembership(): Promise<void> {
-		const log = this.#log!;
-		const {members} = log.getStatus();
-		const unresponsiveMember = this.#findUnresponsiveMember(members);
-		if (unresponsiveMember !== undefined) {
-			this.#reportChange('removed', unresponsiveMember, await log.removeMember(unresponsiveMember));
-			return;
-		}
-
-		for (const [address, {folder, requestedAt}] of this.#joinRequests) {
-			const isExpired = this.#opts.clock.monotonic() - requestedAt > voterTimeoutMs;
-			const member = members.find(candidate => candidate.id === address);
-			if (isExpired || (member?.voter && member.folder === folder)) {
-				this.#joinRequests.delete(address);
-				continue;
-			}
-
-			if (!member) {
-				this.#reportChange('added as learner', address, await log.addLearner({id: address, address}));
-				return;
-			}
-
-			if (member.voter && member.folder !== undefined && member.folder !== folder) {
-				this.#reportChange('demoted to learner after disk loss', address, await log.demoteMember(address));
-				return;
-			}
-
-			if (!member.voter && log.getMemberProgress(address).folder === folder) {
-				this.#reportChange('promoted to voter', address, await log.promoteLearner(address));
-			}
-		}
-	}
-
-	#findUnresponsiveMember(members: readonly MemberInfo[]): string | undefined {
-		const log = this.#log!;
-		const getContactAgeMs = (member: MemberInfo) => log.getMemberProgress(member.id).contactAgeMs;
-		const others = members.filter(member => member.id !== this.#opts.mesh.address).sort((a, b) => getContactAgeMs(b) - getContactAgeMs(a));
-		const voters = members.filter(member => member.voter).length;
-		const learner = others.find(member => !member.voter && getContactAgeMs(member) > learnerTimeoutMs && this.#hasLedFor(learnerTimeoutMs));
-		const hasSpare = voters > (2 * this.#opts.toleratedLosses) + 1
-			|| others.some(member => !member.voter && getContactAgeMs(member) < membershipIntervalMs * 2 && log.getMemberProgress(member.id).matchIndex >= log.getStatus().commitIndex);
-		const voter = hasSpare ? others.find(member => member.voter && getContactAgeMs(member) > voterTimeoutMs && this.#hasLedFor(voterTimeoutMs)) : undefined;
-		return voter?.id ?? learner?.id;
-	}
-
-	/** Contact ages are valid only once this member has led for the timeout, because a new leader has had no contact yet. */
-	#hasLedFor(ms: number): boolean {
-		return this.#opts.clock.monotonic() - this.#leaderSince > ms;
-	}
-
-	#reportChange(change: string, address: string, result: Result<void, HickorytrackError>): void {
-		if (result.isOk()) {
-			this.#opts.events.emit('coreMemberChanged', {change, address});
-		} else {
-			this.#opts.events.emit('coreMemberRefused', {change, address, message: result.error.message});
-		}
-	}
-
 	#createUnavailableError(cause?: unknown): CoreMemberError {
 		return new CoreMemberError('ERR_HICKORYTRACK_CORE_UNAVAILABLE', 'No majority of the core confirmed the configuration', {cause, hint: 'Retry the same change.'});
 	}
