replicated-log: a leader that is removed ends its task in order

Cause: the commit of its own removal makes a leader step down, and the code behind it wakes the replication that is gone. No caller removed a leader until now.

Change: nothing is woken without a replication.

Measured: the test fails before ("Cannot read properties of undefined (reading 'wake')", from the task of replication) and passes now.

--- a/packages/coordination/replicated-log/src/replicated-log.ts
+++ b/packages/coordination/replicated-log/src/replicated-log.ts
@@ -452,7 +452,8 @@
 		const index = this.#replicator.computeQuorumIndex();
 		if (index > state.commitIndex && state.window.readTerm(index) === state.term) {
 			this.#commitUpTo(index);
-			this.#replicator.wake();
+			// A leader whose removal is committed has stepped down.
+			this.#replicator?.wake();
 		}
 	}
 
--- a/packages/coordination/replicated-log/test/replicated-log.test.ts
+++ b/packages/coordination/replicated-log/test/replicated-log.test.ts
@@ -1,3 +1,4 @@
+import process from 'node:process';
 import {expect} from 'chai';
 import {Random} from '@hickorytrack/random';
 import {MemoryLogStorage} from '@hickorytrack/log-storage/memory-log-storage';
@@ -163,6 +164,30 @@
 		expect(allowed.isOk()).to.equal(true);
 	});
 
+	// Guards against a leader that leads on, or whose tasks fail, once it is no member any more.
+	it('lets a leader remove itself, and the others go on without it', async () => {
+		const leader = await start(16);
+		await cluster.clock.advance(1500);
+		await cluster.startMember('d', []);
+		await cluster.waitForResult(leader.log.addLearner({id: 'd', address: 'd'}));
+		await cluster.clock.advance(1000);
+		await cluster.waitForResult(leader.log.promoteLearner('d'));
+		const errors: Error[] = [];
+		const collectError = (error: Error) => errors.push(error);
+		process.on('warning', collectError);
+		expect((await cluster.waitForResult(leader.log.removeMember(leader.log.id))).isOk()).to.equal(true);
+		await cluster.clock.advance(100);
+		expect(leader.log.isLeader).to.equal(false);
+		const next = await cluster.waitForLeader();
+		expect((await cluster.waitForResult(next.log.propose('x'))).isOk()).to.equal(true);
+		expect(next.log.getStatus().members.map(({id}) => id)).to.deep.equal(['a', 'b', 'c', 'd'].filter(id => id !== leader.log.id));
+		await new Promise(resolve => {
+			setImmediate(resolve);
+		});
+		process.off('warning', collectError);
+		expect(errors).to.deep.equal([]);
+	});
+
 	it('does not promote a learner that lacks records', async () => {
 		const leader = await start(9);
 		await cluster.clock.advance(1500);
