route-store: a silent voter that the core can spare is removed after a second

What callers saw: no change is acknowledged while a machine of the core is down, if that begins some three seconds after a replaced machine was lost without a signal.

It is removed after 2.5 s without contact, which count from 2.5 s after the election at the earliest; until then three of four voters are needed. The wait is meant for voters that are missed, and this one is not.

Change: while there are more than 2n + 1 voters, a silent one is removed after 1 s, the time after which a link counts as lost.

Conclusion: what remains is the time for an election and that second. A loss in it that leaves the disk as it was is over when its machine is back; no message can tell it from a core that is cut in two halves.

--- a/packages/routing/route-store/src/core-membership.ts
+++ b/packages/routing/route-store/src/core-membership.ts
@@ -23,6 +23,8 @@
 
 /** A voter without contact for this time is removed if a replacement is ready. A request that is not repeated for this time has lapsed. */
 const voterTimeoutMs = 2500;
+/** A voter that the core can spare is removed earlier: as long as it is counted, one more loss can take the quorum away. */
+const surplusVoterTimeoutMs = 1000;
 /** A learner without contact for this time is removed. */
 const learnerTimeoutMs = 10_000;
 
@@ -96,26 +98,29 @@
 		const {members} = log.getStatus();
 		const getContactAgeMs = (member: MemberInfo) => log.getMemberProgress(member.id).contactAgeMs;
 		const others = members.filter(member => member.id !== this.#opts.address).sort((a, b) => getContactAgeMs(b) - getContactAgeMs(a));
-		const voters = members.filter(member => member.voter).length;
 		const learner = others.find(member => !member.voter && getContactAgeMs(member) > learnerTimeoutMs && this.#hasLedFor(learnerTimeoutMs));
-		const hasSpare = voters > (2 * this.#opts.toleratedLosses) + 1
-			|| others.some(member => !member.voter && getContactAgeMs(member) < intervalMs * 2 && log.getMemberProgress(member.id).matchIndex >= log.getStatus().commitIndex);
-		const voter = hasSpare ? others.find(member => member.voter && getContactAgeMs(member) > voterTimeoutMs && this.#hasLedFor(voterTimeoutMs)) : undefined;
+		const canReplaceVoter = others.some(member => !member.voter && getContactAgeMs(member) < intervalMs * 2 && log.getMemberProgress(member.id).matchIndex >= log.getStatus().commitIndex);
+		const hasSurplus = this.#hasSurplusVoter(members);
+		const timeoutMs = hasSurplus ? surplusVoterTimeoutMs : voterTimeoutMs;
+		const voter = hasSurplus || canReplaceVoter ? others.find(member => member.voter && getContactAgeMs(member) > timeoutMs && this.#hasLedFor(timeoutMs)) : undefined;
 		return voter?.id ?? learner?.id;
 	}
 
 	/** A voter that leaves is removed only if enough others remain; it may be back after a restart. The leader itself goes last. */
 	#findLeavingVoter(members: readonly MemberInfo[]): string | undefined {
-		const voters = members.filter(member => member.voter);
-		if (voters.length <= (2 * this.#opts.toleratedLosses) + 1) {
+		if (!this.#hasSurplusVoter(members)) {
 			return undefined;
 		}
 
 		const now = this.#opts.clock.monotonic();
-		const leaving = voters.map(({id}) => id).filter(id => now - (this.#leaveRequests.get(id) ?? Number.NEGATIVE_INFINITY) <= voterTimeoutMs);
+		const leaving = members.filter(member => member.voter).map(({id}) => id).filter(id => now - (this.#leaveRequests.get(id) ?? Number.NEGATIVE_INFINITY) <= voterTimeoutMs);
 		return leaving.find(id => id !== this.#opts.address) ?? leaving[0];
 	}
 
+	#hasSurplusVoter(members: readonly MemberInfo[]): boolean {
+		return members.filter(member => member.voter).length > (2 * this.#opts.toleratedLosses) + 1;
+	}
+
 	/** Contact ages are valid only once this member has led for the timeout, because a new leader has had no contact yet. */
 	#hasLedFor(ms: number): boolean {
 		return this.#opts.getLeadershipAgeMs() > ms;
--- a/packages/routing/route-store/test/core-model.test.ts
+++ b/packages/routing/route-store/test/core-model.test.ts
@@ -113,6 +113,17 @@
 		}
 	}
 
+	// Guards against a surplus voter that has ended without a word and is counted for so long that one more loss takes the quorum.
+	for (const retirement of ['retire member', 'retire leader'] as const) {
+		it(`acknowledges changes in time after '${retirement}', and a loss once the core counts as stable`, async () => {
+			for (const loss of ['kill follower', 'kill leader', 'isolate follower'] as const) {
+				for (let seed = 1; seed <= retirementSeeds; seed++) {
+					expect(await runSchedule(['put and wait', 'add member', 'catch up', retirement, 'settle', loss, 'put in time', 'heal', 'catch up'], {seed})).to.equal(undefined);
+				}
+			}
+		});
+	}
+
 	it('keeps acknowledged changes through replacements amid losses, in random order', async () => {
 		for (let seed = 1; seed <= randomSchedules; seed++) {
 			const random = new Random(seed);
--- a/packages/routing/route-store/test/core-model.ts
+++ b/packages/routing/route-store/test/core-model.ts
@@ -13,7 +13,7 @@
 /** Events of a schedule. `leader` and `follower` are resolved when an event runs; `restart` takes the member stopped for longest. */
 export const modelEvents = ['put', 'put and wait', 'conflicting put', 'kill leader', 'kill follower', 'wipe leader', 'wipe follower', 'replace follower', 'isolate leader', 'power loss', 'restart', 'heal'] as const;
 /** Events of planned work, of losses that last and of full disks, for schedules that are written by hand. */
-export const plannedEvents = ['add member', 'retire member', 'retire leader', 'stop member', 'stop leader', 'put in time', 'isolate follower', 'isolate new member', 'stay lost', 'catch up', 'fill leader disk', 'fill follower disk', 'free disks'] as const;
+export const plannedEvents = ['add member', 'retire member', 'retire leader', 'stop member', 'stop leader', 'put in time', 'settle', 'isolate follower', 'isolate new member', 'stay lost', 'catch up', 'fill leader disk', 'fill follower disk', 'free disks'] as const;
 export type ModelEvent = typeof modelEvents[number] | typeof plannedEvents[number];
 
 export type ModelOptions = {
@@ -31,6 +31,8 @@
 const catchUpMs = 4000;
 /** Time within which a change is acknowledged while no more than one member is lost. */
 const ackMs = 4000;
+/** Time after a disturbance from which the core counts as stable. */
+const contactMs = 3000;
 /** Time between the signal to stop and the end of a process that has no open requests. */
 const drainMs = 2500;
 /** Address of the successor in a planned replacement. */
@@ -176,6 +178,11 @@
 				break;
 			}
 
+			case 'settle': {
+				await this.clock.advance(contactMs);
+				break;
+			}
+
 			case 'stop member': {
 				await this.#stop(this.#findRetired(leader));
 				break;
