route-store: the model of the core plays four voters, halves and a lost change

Cause: half of four voters is a quorum under a condition, and the model knew neither four voters with two lost disks nor a core that is cut in two halves.

Change: events for two halves, rival changes at two leaders, members that are told to stop and still run, and several successors. All schedules of two events (three with HICKORYTRACK_MODEL_DEPTH=4) and random ones of seven start from four voters. As many disks may be lost as the members can bear: one of three, two of four; "catch up" makes the count begin anew once all vote.

--- a/packages/routing/route-store/test/core-model.test.ts
+++ b/packages/routing/route-store/test/core-model.test.ts
@@ -1,6 +1,7 @@
 import process from 'node:process';
 import {expect} from 'chai';
 import {Random} from '@hickorytrack/random';
+import {MemberSet} from '@hickorytrack/replicated-log/member-set';
 import {
 	CoreModel, modelEvents, type ModelEvent, type ModelOptions,
 } from './core-model.js';
@@ -28,6 +29,8 @@
 
 const retirements: readonly ModelEvent[] = ['retire member', 'retire leader', 'stop member', 'stop leader'];
 const retirementSeeds = 5;
+/** Up to two disks may be lost, or one beside the end of a member; a member that goes for good without a word is no lost disk to the others. */
+const eventsAmongFour: readonly ModelEvent[] = [...modelEvents.filter(event => event !== 'replace follower'), 'isolate follower', 'split', 'rival puts', 'begin stop', 'retire member', 'retire leader'];
 const diskLosses: ReadonlyArray<readonly ModelEvent[]> = [['wipe follower'], ['wipe leader']];
 /** Losses that leave all disks as they are, and end at the end of the schedule at the latest. */
 const shortLosses: ReadonlyArray<readonly ModelEvent[]> = [[], ['power loss'], ['isolate leader'], ['isolate follower'], ['isolate new member'], ['kill leader', 'restart']];
@@ -53,15 +56,15 @@
 	return violation && `${schedule.join(', ')} (seed ${opts.seed}): ${violation}`;
 }
 
-function listSchedules(length: number): ModelEvent[][] {
-	return length === 0 ? [[]] : listSchedules(length - 1).flatMap(start => modelEvents.map(event => [...start, event]));
+function listSchedules(length: number, events: readonly ModelEvent[]): ModelEvent[][] {
+	return length === 0 ? [[]] : listSchedules(length - 1, events).flatMap(start => events.map(event => [...start, event]));
 }
 
 describe('model of the core', function () {
 	this.timeout(process.env.HICKORYTRACK_MODEL_DEPTH === undefined ? 600_000 : 0);
 
 	it(`keeps acknowledged changes in every schedule of ${depth} events`, async () => {
-		for (const [index, schedule] of listSchedules(depth).entries()) {
+		for (const [index, schedule] of listSchedules(depth, modelEvents).entries()) {
 			expect(await runSchedule(schedule, {seed: index + 1})).to.equal(undefined);
 		}
 	});
@@ -124,6 +127,32 @@
 		});
 	}
 
+	// Guards against two leaders, or a lost change, among four voters: half of them elect a leader once a disk is known to be lost.
+	it(`keeps acknowledged changes in every schedule of ${depth - 1} events among four voters`, async () => {
+		for (const [index, schedule] of listSchedules(depth - 1, eventsAmongFour).entries()) {
+			expect(await runSchedule(['put and wait', 'add member', 'catch up', ...schedule], {seed: index + 1})).to.equal(undefined);
+		}
+	});
+
+	it('keeps acknowledged changes in longer random schedules among four voters', async () => {
+		for (let seed = 1; seed <= randomSchedules; seed++) {
+			const random = new Random(seed);
+			const schedule = Array.from({length: randomScheduleLength}, () => random.select(eventsAmongFour));
+			expect(await runSchedule(['put and wait', 'add member', 'catch up', ...schedule], {seed})).to.equal(undefined);
+		}
+	});
+
+	it('keeps acknowledged changes through two replacements in a row and a lost disk', async () => {
+		for (const first of retirements) {
+			for (const second of retirements) {
+				for (const loss of diskLosses) {
+					const schedule: ModelEvent[] = ['put and wait', 'add member', 'catch up', first, 'put', 'add member', 'catch up', second, ...loss, 'put', 'catch up'];
+					expect(await runSchedule(schedule, {seed: 1})).to.equal(undefined);
+				}
+			}
+		}
+	});
+
 	it('keeps acknowledged changes through replacements amid losses, in random order', async () => {
 		for (let seed = 1; seed <= randomSchedules; seed++) {
 			const random = new Random(seed);
@@ -143,6 +172,22 @@
 		}
 	});
 
+	it('detects the injected bug that voters change in one step', async () => {
+		// The removal is committed by two members. One of them is wiped and the other one is down, and the two that lack it are half of the voters before.
+		const schedule: ModelEvent[] = ['put and wait', 'add member', 'catch up', 'isolate new member', 'begin stop', 'put and wait', 'put and wait', 'kill leader', 'wipe follower', 'reconnect', 'settle'];
+		const {beginChange} = MemberSet.prototype;
+		try {
+			MemberSet.prototype.beginChange = next => next;
+			expect(await runSchedule(schedule, {seed: 1})).not.to.equal(undefined);
+		} finally {
+			MemberSet.prototype.beginChange = beginChange;
+		}
+
+		for (let seed = 1; seed <= injectedBugSeeds; seed++) {
+			expect(await runSchedule(schedule, {seed})).to.equal(undefined);
+		}
+	});
+
 	it('detects the injected bug that a wiped member keeps its vote', async () => {
 		// The change is acknowledged on two disks. One of them is wiped, and the other member is down when the third one returns.
 		const schedule: ModelEvent[] = ['kill follower', 'put and wait', 'wipe follower', 'kill leader', 'restart', 'put and wait'];
--- a/packages/routing/route-store/test/core-model.ts
+++ b/packages/routing/route-store/test/core-model.ts
@@ -13,7 +13,7 @@
 /** Events of a schedule. `leader` and `follower` are resolved when an event runs; `restart` takes the member stopped for longest. */
 export const modelEvents = ['put', 'put and wait', 'conflicting put', 'kill leader', 'kill follower', 'wipe leader', 'wipe follower', 'replace follower', 'isolate leader', 'power loss', 'restart', 'heal'] as const;
 /** Events of planned work, of losses that last and of full disks, for schedules that are written by hand. */
-export const plannedEvents = ['add member', 'retire member', 'retire leader', 'stop member', 'stop leader', 'put in time', 'settle', 'isolate follower', 'isolate new member', 'stay lost', 'catch up', 'fill leader disk', 'fill follower disk', 'free disks'] as const;
+export const plannedEvents = ['add member', 'retire member', 'retire leader', 'stop member', 'stop leader', 'begin stop', 'put in time', 'reconnect', 'rival puts', 'split', 'settle', 'isolate follower', 'isolate new member', 'stay lost', 'catch up', 'fill leader disk', 'fill follower disk', 'free disks'] as const;
 export type ModelEvent = typeof modelEvents[number] | typeof plannedEvents[number];
 
 export type ModelOptions = {
@@ -35,8 +35,8 @@
 const contactMs = 3000;
 /** Time between the signal to stop and the end of a process that has no open requests. */
 const drainMs = 2500;
-/** Address of the successor in a planned replacement. */
-const newMemberAddress = 'd';
+/** Addresses of the successors in planned replacements, in this order. */
+const successorAddresses = ['d', 'e', 'f', 'g'];
 /** Time between two events of a schedule. A commit takes a few milliseconds, an election some hundred. */
 const eventGapMs = [3, 40, 700];
 
@@ -47,8 +47,12 @@
 	readonly #network = new ModelNetwork(this.clock);
 	readonly #acknowledged = new Map<number, string>();
 	#version = 0;
+	/** Losses of disks that the members have to bear at the same time with those before. */
 	#diskLosses = 0;
 	#replacements = 0;
+	#successors = 0;
+	/** Addresses of the members that were told to stop, and still run. */
+	readonly #leaving = new Set<string>();
 	#violation: string | undefined;
 
 	constructor(opts: ModelOptions) {
@@ -154,12 +158,13 @@
 			}
 
 			case 'isolate new member': {
-				this.#network.isolated.add(newMemberAddress);
+				this.#network.isolated.add(this.#newestAddress);
 				break;
 			}
 
 			case 'add member': {
-				this.#start({address: newMemberAddress, disk: new ModelDisk(`disk of ${newMemberAddress}`, this.clock), handlers: new Map()}, {isFirstStart: false});
+				this.#successors++;
+				this.#start({address: this.#newestAddress, disk: new ModelDisk(`disk of ${this.#newestAddress}`, this.clock), handlers: new Map()}, {isFirstStart: false});
 				break;
 			}
 
@@ -178,6 +183,26 @@
 				break;
 			}
 
+			case 'begin stop': {
+				this.#beginStop(this.#findRetired(leader));
+				break;
+			}
+
+			case 'reconnect': {
+				this.#network.reconnect();
+				break;
+			}
+
+			case 'rival puts': {
+				this.#putRivals();
+				break;
+			}
+
+			case 'split': {
+				this.#split(leader ?? follower);
+				break;
+			}
+
 			case 'settle': {
 				await this.clock.advance(contactMs);
 				break;
@@ -215,6 +240,10 @@
 
 			case 'catch up': {
 				await this.clock.advance(catchUpMs);
+				if (this.#listMissingVoters().length === 0) {
+					this.#diskLosses = 0;
+				}
+
 				break;
 			}
 
@@ -256,6 +285,25 @@
 		}
 	}
 
+	/** Sends another document to each member that considers itself the leader, under one version. */
+	#putRivals(): void {
+		this.#version++;
+		for (const node of this.#network.nodes.values()) {
+			if (node.core?.isLeader) {
+				void this.#putAt(node, {version: this.#version, digest: `${this.#version}/${node.address}`, document: node.address});
+			}
+		}
+	}
+
+	/** Cuts a member and another one off from all others; the two still reach each other. */
+	#split(node: ModelNode | undefined): void {
+		const others = [...this.#network.nodes.keys()].filter(address => address !== node?.address);
+		this.#network.side.clear();
+		for (const address of [node?.address ?? '', this.#random.select(others)]) {
+			this.#network.side.add(address);
+		}
+	}
+
 	async #putAt(node: ModelNode, stored: StoredConfiguration): Promise<boolean> {
 		const result = await node.core!.put(stored);
 		const isAcknowledged = result.isOk() && (result.value === storeOutcomes.stored || result.value === storeOutcomes.same);
@@ -301,20 +349,21 @@
 
 	/** Waits until the leader counts every running member as a voter. */
 	async #waitUntilAllVote(timeoutMs: number): Promise<void> {
-		const listMissing = () => {
-			const voters = this.#findLeader()?.core!.listVoters() ?? [];
-			return [...this.#network.nodes.keys()].filter(address => !voters.includes(address));
-		};
-
-		for (let waitedMs = 0; waitedMs < timeoutMs && listMissing().length > 0; waitedMs += 100) {
+		for (let waitedMs = 0; waitedMs < timeoutMs && this.#listMissingVoters().length > 0; waitedMs += 100) {
 			await this.clock.advance(100);
 		}
 
-		if (listMissing().length > 0) {
-			this.#violation ??= `${listMissing().join(', ')} run and are no voters after all faults were removed`;
+		if (this.#listMissingVoters().length > 0) {
+			this.#violation ??= `${this.#listMissingVoters().join(', ')} run and are no voters after all faults were removed`;
 		}
 	}
 
+	/** Lists the members that the leader does not count as voters; all of them without a leader. */
+	#listMissingVoters(): string[] {
+		const voters = this.#findLeader()?.core!.listVoters() ?? [];
+		return [...this.#network.nodes.keys()].filter(address => !voters.includes(address));
+	}
+
 	/** Calls the attempt with the current leader every 100 ms until one succeeds. */
 	async #retryOnLeader(timeoutMs: number, attempt: (leader: ModelNode) => Promise<boolean>): Promise<boolean> {
 		let isDone = false;
@@ -355,7 +404,8 @@
 	}
 
 	#clearFaults(): void {
-		this.#network.isolated.clear();
+		this.#network.reconnect();
+		this.#endStops();
 		this.#freeDisks();
 		this.#restartAll();
 	}
@@ -380,9 +430,14 @@
 		}
 	}
 
-	/** Does nothing after the first disk loss of a schedule: three members tolerate only one. */
+	/** Three members tolerate the loss of one disk, and four that of two. */
+	#canLoseDisk(): boolean {
+		return this.#diskLosses < this.#network.nodes.size - 2;
+	}
+
+	/** Does nothing if the members can't tolerate it. */
 	#replaceDisk(node: ModelNode | undefined): void {
-		if (!node || this.#diskLosses > 0) {
+		if (!node || !this.#canLoseDisk()) {
 			return;
 		}
 
@@ -393,7 +448,7 @@
 	}
 
 	#replace(node: ModelNode | undefined): void {
-		if (!node || this.#diskLosses > 0) {
+		if (!node || !this.#canLoseDisk()) {
 			return;
 		}
 
@@ -407,25 +462,56 @@
 
 	/** Finds a member that does not lead: the one with the highest address, since losses strike the one with the lowest. */
 	#findRetired(leader: ModelNode | undefined): ModelNode | undefined {
-		const [node] = [...this.#network.nodes.values()].filter(candidate => candidate.core && candidate !== leader && candidate.address !== newMemberAddress).sort((a, b) => b.address.localeCompare(a.address));
+		const [node] = [...this.#network.nodes.values()].filter(candidate => candidate.core && candidate !== leader && candidate.address !== this.#newestAddress).sort((a, b) => b.address.localeCompare(a.address));
 		return node;
 	}
 
+	/** Address of the last successor that was added. */
+	get #newestAddress(): string {
+		return successorAddresses[this.#successors - 1] ?? '';
+	}
+
 	#findRetiredLeader(leader: ModelNode | undefined): ModelNode | undefined {
-		return leader?.address === newMemberAddress ? this.#findRetired(leader) : leader;
+		return leader?.address === this.#newestAddress ? this.#findRetired(leader) : leader;
 	}
 
 	/** Tells a member to stop, and ends it for good after its drain. */
 	async #stop(node: ModelNode | undefined): Promise<void> {
-		node?.core?.releaseVote();
+		this.#beginStop(node);
 		await this.clock.advance(drainMs);
-		this.#retire(node);
+		this.#endStops();
 	}
 
-	/** Ends a member for good. Its successor runs already. */
+	#beginStop(node: ModelNode | undefined): void {
+		if (node && this.#canRetire() && !this.#leaving.has(node.address)) {
+			this.#diskLosses++;
+			this.#leaving.add(node.address);
+			node.core!.releaseVote();
+		}
+	}
+
+	/** Ends the members that were told to stop. */
+	#endStops(): void {
+		for (const address of this.#leaving) {
+			this.#diskLosses--;
+			this.#kill(this.#network.nodes.get(address));
+			this.#network.nodes.delete(address);
+		}
+
+		this.#leaving.clear();
+	}
+
+	/** A member may go if its successor runs and one member less can bear the disks that are lost. */
+	#canRetire(): boolean {
+		return this.#network.nodes.size - this.#leaving.size > 3 && this.#canLoseDisk();
+	}
+
+	/** Ends a member for good, if it may go. */
 	#retire(node: ModelNode | undefined): void {
-		this.#kill(node);
-		this.#network.nodes.delete(node?.address ?? '');
+		if (node && this.#canRetire()) {
+			this.#kill(node);
+			this.#network.nodes.delete(node.address);
+		}
 	}
 
 	#start(node: ModelNode, opts: {isFirstStart: boolean}): void {
--- a/packages/routing/route-store/test/model-network.ts
+++ b/packages/routing/route-store/test/model-network.ts
@@ -24,12 +24,19 @@
 	readonly nodes = new Map<string, ModelNode>();
 	/** Addresses of members that can neither send nor receive. */
 	readonly isolated = new Set<string>();
+	/** Addresses of members that are cut off from all others and reach one another. */
+	readonly side = new Set<string>();
 	readonly #clock: ManualClock;
 
 	constructor(clock: ManualClock) {
 		this.#clock = clock;
 	}
 
+	reconnect(): void {
+		this.isolated.clear();
+		this.side.clear();
+	}
+
 	createMesh(node: ModelNode): Mesh {
 		const describe = (address: string): PeerMember => ({
 			instance: address, address, roles: [coreRole], availabilityZone: 'z', incarnation: address,
@@ -69,6 +76,6 @@
 	}
 
 	#isReachable(from: string, to: string): boolean {
-		return !this.isolated.has(from) && !this.isolated.has(to);
+		return !this.isolated.has(from) && !this.isolated.has(to) && this.side.has(from) === this.side.has(to);
 	}
 }
