--- a/packages/core/metrics-registry/src/metrics-registry.ts
+++ b/packages/core/metrics-registry/src/metrics-registry.ts
@@ -61,6 +61,7 @@
 	request_ms: {kind: 'histogram', help: 'Time to the end of a request, in milliseconds.', labels: ['route']},
 	servers_per_request: {kind: 'histogram', help: 'Number of servers that a request was sent to.', labels: ['route']},
 	core_voter: {kind: 'gauge', help: '1 while this member of the core is a voter, 0 while it is a learner or has been removed; absent on instances outside the core.', labels: []},
+	core_voters: {kind: 'gauge', help: 'Voters of the core by the log of this member; more than it needs only while a machine is being replaced. Absent on instances outside the core.', labels: []},
 	configuration_version: {kind: 'gauge', help: 'Version of the route configuration in force.', labels: []},
 	ready: {kind: 'gauge', help: '1 while the instance is ready for new connections, otherwise 0.', labels: []},
 	own_link_wait_ms: {kind: 'gauge', help: 'Time for which bytes that are written now wait for the link of the instance, by the model of its speed; only where the link or the processor is weak.', labels: []},
--- a/packages/plugins/edge/src/edge-gauges.ts
+++ b/packages/plugins/edge/src/edge-gauges.ts
@@ -14,6 +14,8 @@
 	isReady: boolean;
 	/** Undefined for an instance outside the core. */
 	isVoter: boolean | undefined;
+	/** Undefined for an instance outside the core. */
+	coreVoters: number | undefined;
 	configurationVersion: number | undefined;
 	members: number;
 	/** Instances by which the retry budget is divided. */
@@ -30,6 +32,10 @@
 		metrics.set('core_voter', state.isVoter ? 1 : 0);
 	}
 
+	if (state.coreVoters !== undefined) {
+		metrics.set('core_voters', state.coreVoters);
+	}
+
 	metrics.set('configuration_version', state.configurationVersion ?? 0);
 	metrics.set('members', state.members);
 	metrics.set('retry_budget_instances', state.instances);
--- a/packages/plugins/edge/src/edge.ts
+++ b/packages/plugins/edge/src/edge.ts
@@ -535,7 +535,7 @@
 
 	#updateGauges(): void {
 		setGauges(this.#opts.metrics, {
-			account: this.#opts.account, isReady: this.isReady, isVoter: this.#core?.isVoter,
+			account: this.#opts.account, isReady: this.isReady, isVoter: this.#core?.isVoter, coreVoters: this.#core?.listVoters().length,
 			configurationVersion: this.configuration.current?.version,
 			members: this.mesh.listConnections().length,
 			instances: this.#countEdges(),
