--- a/packages/coordination/log-storage/src/file-log-storage.ts
+++ b/packages/coordination/log-storage/src/file-log-storage.ts
@@ -14,7 +14,7 @@
 import {describeError} from '@hickorytrack/errors';
 import {acquireFolderLock, type FolderLock} from './folder-lock.js';
 import {
-	LogStorageError, type LogRecord, type LogStorage, type OpenedLog, type SnapshotRecord, type VoteState,
+	LogStorageError, type LogRecord, type LogStorage, type OpenedLog, type SnapshotRecord, type StoredSizes, type VoteState,
 } from './log-storage.js';
 import {
 	decodeLog, encodeHeader, encodeRecord, formatVersion, headerBytes,
@@ -52,6 +52,7 @@
 	#offsets: number[] = [];
 	#firstIndex = 1;
 	#size = 0;
+	#snapshotBytes = 0;
 	/** A failed append may have left bytes behind the last record. */
 	#hasPartialRecord = false;
 	/** The log has been replaced, and a loss of power may still bring the file before back. */
@@ -63,6 +64,10 @@
 		this.#isLocked = opts.isLocked ?? true;
 	}
 
+	get sizes(): StoredSizes {
+		return {records: this.#size, snapshot: this.#snapshotBytes};
+	}
+
 	async open(): Promise<Result<OpenedLog, LogStorageError>> {
 		try {
 			await mkdir(this.#folder, {recursive: true});
@@ -134,7 +139,9 @@
 
 	async saveSnapshot(snapshot: SnapshotRecord, remaining: readonly LogRecord[]): Promise<Result<void, LogStorageError>> {
 		return this.#runWrite(async () => {
-			await this.#replaceFile('snapshot', JSON.stringify(snapshot));
+			const text = JSON.stringify(snapshot);
+			await this.#replaceFile('snapshot', text);
+			this.#snapshotBytes = Buffer.byteLength(text);
 			await this.#rewriteLog(remaining);
 		});
 	}
@@ -171,6 +178,7 @@
 		const folder = await this.#readChecksummedFile('folder') ?? await this.#createFolderId();
 		const vote = await this.#readChecksummedFile('vote');
 		const snapshot = await this.#readChecksummedFile('snapshot');
+		this.#snapshotBytes = Buffer.byteLength(snapshot ?? '');
 		const records = await this.#openLog();
 		if (records.isErr()) {
 			return err(records.error);
--- a/packages/coordination/log-storage/src/log-storage.ts
+++ b/packages/coordination/log-storage/src/log-storage.ts
@@ -40,7 +40,16 @@
 	records: LogRecord[];
 };
 
+/** Sizes of what is stored, in bytes. */
+export type StoredSizes = {
+	records: number;
+	/** 0 without a snapshot. */
+	snapshot: number;
+};
+
 export type LogStorage = {
+	/** Sizes after the last write; valid once the storage is open. */
+	readonly sizes: StoredSizes;
 	open(): Promise<Result<OpenedLog, LogStorageError>>;
 	saveVote(vote: VoteState): Promise<Result<void, LogStorageError>>;
 	append(records: readonly LogRecord[]): Promise<Result<void, LogStorageError>>;
--- a/packages/coordination/log-storage/src/memory-log-storage.ts
+++ b/packages/coordination/log-storage/src/memory-log-storage.ts
@@ -1,7 +1,8 @@
 /** In-memory storage for tests and for embedders that need no durability. Setting `full` makes writes fail. */
+import {Buffer} from 'node:buffer';
 import {err, ok, type Result} from 'neverthrow';
 import {
-	LogStorageError, type LogRecord, type LogStorage, type OpenedLog, type SnapshotRecord, type VoteState,
+	LogStorageError, type LogRecord, type LogStorage, type OpenedLog, type SnapshotRecord, type StoredSizes, type VoteState,
 } from './log-storage.js';
 
 export class MemoryLogStorage implements LogStorage {
@@ -11,12 +12,18 @@
 	#vote: VoteState = {term: 0};
 	#snapshot: SnapshotRecord | undefined;
 	#records: LogRecord[] = [];
+	#recordBytes = 0;
+	#snapshotBytes = 0;
 	#discardCount = 0;
 
 	constructor(folder = 'memory') {
 		this.#folder = folder;
 	}
 
+	get sizes(): StoredSizes {
+		return {records: this.#recordBytes, snapshot: this.#snapshotBytes};
+	}
+
 	async open(): Promise<Result<OpenedLog, LogStorageError>> {
 		return ok({
 			folder: this.#discardCount === 0 ? this.#folder : `${this.#folder}/${this.#discardCount}`, vote: {...this.#vote}, snapshot: structuredClone(this.#snapshot), records: structuredClone(this.#records),
@@ -32,12 +39,14 @@
 	async append(records: readonly LogRecord[]): Promise<Result<void, LogStorageError>> {
 		return this.#write(() => {
 			this.#records.push(...structuredClone(records));
+			this.#recordBytes += countBytes(records);
 		});
 	}
 
 	async truncateFrom(index: number): Promise<Result<void, LogStorageError>> {
 		return this.#write(() => {
 			this.#records = this.#records.filter(record => record.index < index);
+			this.#recordBytes = countBytes(this.#records);
 		});
 	}
 
@@ -45,6 +54,8 @@
 		return this.#write(() => {
 			this.#snapshot = structuredClone(snapshot);
 			this.#records = structuredClone([...remaining]);
+			this.#snapshotBytes = countBytes(snapshot);
+			this.#recordBytes = countBytes(remaining);
 		});
 	}
 
@@ -53,6 +64,8 @@
 			this.#vote = {term: 0};
 			this.#snapshot = undefined;
 			this.#records = [];
+			this.#recordBytes = 0;
+			this.#snapshotBytes = 0;
 			this.#discardCount++;
 		});
 	}
@@ -70,3 +83,7 @@
 		return ok(undefined);
 	}
 }
+
+function countBytes(value: unknown): number {
+	return Buffer.byteLength(JSON.stringify(value));
+}
--- a/packages/coordination/replicated-log/src/member-state.ts
+++ b/packages/coordination/replicated-log/src/member-state.ts
@@ -34,12 +34,14 @@
 	firstElectionMaxMs: number;
 	/** Number of applied records since the last snapshot at which a new one is taken. */
 	snapshotRecords: number;
+	/** A snapshot is also taken once the records since the last one are larger than that by this many bytes. */
+	snapshotBytes: number;
 	/** Maximum number of records in one append message. */
 	batchRecords: number;
 };
 
 export const defaultLogTiming: LogTiming = {
-	heartbeatMs: 100, electionMinMs: 600, electionMaxMs: 1200, firstElectionMinMs: 600, firstElectionMaxMs: 1200, snapshotRecords: 5000, batchRecords: 500,
+	heartbeatMs: 100, electionMinMs: 600, electionMaxMs: 1200, firstElectionMinMs: 600, firstElectionMaxMs: 1200, snapshotRecords: 5000, snapshotBytes: 1024 * 1024, batchRecords: 500,
 };
 
 export const memberRoles = {follower: 'follower', candidate: 'candidate', leader: 'leader'} as const;
@@ -250,6 +252,12 @@
 		}
 	}
 
+	/** Returns by how many bytes the stored records exceed the snapshot before them. */
+	countBytesBeyondSnapshot(): number {
+		const {records, snapshot} = this.#storage.sizes;
+		return records - snapshot;
+	}
+
 	async close(): Promise<void> {
 		await this.#lock.runExclusive(async () => this.#storage.close());
 	}
--- a/packages/coordination/replicated-log/src/replicated-log.ts
+++ b/packages/coordination/replicated-log/src/replicated-log.ts
@@ -504,7 +504,7 @@
 
 	async #saveSnapshotIfDue(): Promise<void> {
 		const state = this.#state!;
-		if (this.#isSnapshotting || this.#appliedIndex - state.window.baseIndex < this.#timing.snapshotRecords || state.stopped) {
+		if (this.#isSnapshotting || state.stopped || !this.#isSnapshotDue()) {
 			return;
 		}
 
@@ -519,6 +519,13 @@
 		}
 	}
 
+	/** The records stay below a small multiple of the state, so that they fit on a disk beside it and reach a member that is behind soon. */
+	#isSnapshotDue(): boolean {
+		const state = this.#state!;
+		const appliedRecords = this.#appliedIndex - state.window.baseIndex;
+		return appliedRecords >= this.#timing.snapshotRecords || (appliedRecords > 0 && state.countBytesBeyondSnapshot() > this.#timing.snapshotBytes);
+	}
+
 	#findMembersAt(index: number): MemberInfo[] {
 		const record = this.#state!.window.findLast(candidate => candidate.kind === 'members' && candidate.index <= index);
 		return (record?.payload ?? this.#state!.snapshot?.members ?? this.#opts.initialMembers) as MemberInfo[];
--- a/packages/routing/route-store/test/route-store.test.ts
+++ b/packages/routing/route-store/test/route-store.test.ts
@@ -50,6 +50,10 @@
 	}
 }
 
+const documentBytes = 400_000; // Half of it is the text, and half the digest.
+/** Beside configurations: what the log may grow by before a snapshot is taken, and one for the document and its digest. */
+const logMarginBytes = 1024 * 1024;
+
 describe('core of the route configuration', () => {
 	let instances: CoreInstance[];
 	let addresses: string[];
@@ -141,6 +145,21 @@
 		expect(await readUntilAnswered(members[0]!)).to.equal(2);
 	});
 
+	// Guards against a log of whole configurations that fills the disks of the members: each of them kept 64.
+	it('keeps a small multiple of its configuration, however often that has changed', async () => {
+		const members = await startMembers();
+		const text = 'x'.repeat(documentBytes / 2);
+		for (let version = 1; version <= 20; version++) {
+			expect(await putUntilAnswered(members[0]!, createDocument(version, text))).to.equal('stored');
+			for (const {storage} of members) {
+				expect(storage!.sizes.records).to.be.at.most((3 * documentBytes) + logMarginBytes);
+				expect(storage!.sizes.snapshot).to.be.at.most(documentBytes + logMarginBytes);
+			}
+		}
+
+		expect(await readUntilAnswered(members[1]!)).to.equal(20);
+	});
+
 	it('rejoins, first as a learner, when its log is corrupt', async () => {
 		const members = await startMembers();
 		await putUntilAnswered(members[0]!, createDocument(1));
