replicated-log: a member that is behind gets its records in bounded messages

Cause: all records that a member lacks, up to 500, go into one message.

Change: a message holds at most 1 MiB of records, or one larger record.

--- a/packages/coordination/replicated-log/src/member-state.ts
+++ b/packages/coordination/replicated-log/src/member-state.ts
@@ -38,10 +38,12 @@
 	snapshotBytes: number;
 	/** Maximum number of records in one append message. */
 	batchRecords: number;
+	/** An append message with more than one record has at most this many bytes of payload. */
+	batchBytes: number;
 };
 
 export const defaultLogTiming: LogTiming = {
-	heartbeatMs: 100, electionMinMs: 600, electionMaxMs: 1200, firstElectionMinMs: 600, firstElectionMaxMs: 1200, snapshotRecords: 5000, snapshotBytes: 1024 * 1024, batchRecords: 500,
+	heartbeatMs: 100, electionMinMs: 600, electionMaxMs: 1200, firstElectionMinMs: 600, firstElectionMaxMs: 1200, snapshotRecords: 5000, snapshotBytes: 1024 * 1024, batchRecords: 500, batchBytes: 1024 * 1024,
 };
 
 export const memberRoles = {follower: 'follower', candidate: 'candidate', leader: 'leader'} as const;
--- a/packages/coordination/replicated-log/src/replicator.ts
+++ b/packages/coordination/replicated-log/src/replicator.ts
@@ -5,6 +5,7 @@
  */
 import type {BackgroundTasks} from '@hickorytrack/background-tasks';
 import type {Clock} from '@hickorytrack/clock';
+import type {LogRecord} from '@hickorytrack/log-storage';
 import type {MemberMessage, MemberReply, MemberTransport} from './member-messages.js';
 import type {MemberInfo} from './member-set.js';
 import type {LogTiming, MemberState} from './member-state.js';
@@ -222,12 +223,28 @@
 			term: this.#term,
 			previousIndex,
 			previousTerm: previousTerm ?? 0,
-			records: window.slice(progress.nextIndex, this.#opts.timing.batchRecords),
+			records: this.#selectBatch(progress.nextIndex),
 			commitIndex: this.#state.commitIndex,
 			quorumAgeMs: this.computeQuorumAge(),
 		};
 	}
 
+	/** Selects the records from an index on that go into one message: all that is left, bounded in number and bytes, and at least one. */
+	#selectBatch(index: number): LogRecord[] {
+		const {batchRecords, batchBytes} = this.#opts.timing;
+		const records = this.#state.window.slice(index, batchRecords);
+		if (records.length < 2) {
+			return records;
+		}
+
+		let bytes = 0;
+		const end = records.findIndex(record => {
+			bytes += JSON.stringify(record.payload)?.length ?? 0;
+			return bytes > batchBytes;
+		});
+		return end === -1 ? records : records.slice(0, Math.max(1, end));
+	}
+
 	#handleAppendReply(progress: Progress, exchange: {message: MemberMessage; reply: MemberReply & {kind: 'append'}; sentAt: number}): void {
 		const {message, reply, sentAt} = exchange;
 		if (reply.term > this.#term) {
--- a/packages/coordination/replicated-log/test/replicated-log.test.ts
+++ b/packages/coordination/replicated-log/test/replicated-log.test.ts
@@ -93,6 +93,29 @@
 		expect(restarted.stateMachine.values).to.deep.equal(leader.stateMachine.values);
 	});
 
+	// Guards against a member that never catches up: all records that it lacked came in one message, which the link refused.
+	it('catches up a member that lags large commands in messages of bounded size', async () => {
+		const leader = await start(17, {snapshotBytes: Number.POSITIVE_INFINITY, batchBytes: 250_000});
+		const laggingId = ids.find(id => id !== leader.log.id)!;
+		const {storage} = await cluster.stopMember(laggingId);
+		for (let index = 0; index < 20; index++) {
+			await cluster.waitForResult(leader.log.propose('x'.repeat(index === 10 ? 400_000 : 100_000)));
+		}
+
+		const sizes: number[] = [];
+		cluster.onMessage = message => {
+			if (message.kind === 'append') {
+				sizes.push(JSON.stringify(message.records).length);
+			}
+		};
+
+		const restarted = await cluster.startMember(laggingId, ids, storage);
+		await cluster.clock.advance(3000);
+		expect(restarted.stateMachine.values).to.deep.equal(leader.stateMachine.values);
+		expect(Math.max(...sizes)).to.be.within(400_000, 401_000);
+		expect(sizes.filter(size => size > 250_000)).to.have.length(1);
+	});
+
 	it('keeps acknowledged commands when leaders fail one after another', async () => {
 		await start(6);
 		const acknowledged: number[] = [];
--- a/packages/coordination/replicated-log/test/test-cluster.ts
+++ b/packages/coordination/replicated-log/test/test-cluster.ts
@@ -3,6 +3,7 @@
 import {Random} from '@hickorytrack/random';
 import {MemoryLogStorage} from '@hickorytrack/log-storage/memory-log-storage';
 import {ReplicatedLog, type StateMachine} from '../src/replicated-log.js';
+import type {MemberMessage} from '../src/member-messages.js';
 import type {MemberInfo} from '../src/member-set.js';
 import type {LogTiming} from '../src/member-state.js';
 
@@ -35,6 +36,8 @@
 	readonly members = new Map<string, TestMember>();
 	/** Links, written `from>to`, on which all messages are dropped. */
 	readonly blockedLinks = new Set<string>();
+	/** Called with each message that reaches a member. */
+	onMessage: (message: MemberMessage) => void = () => {/* Nobody listens. */};
 	/** Probability with which a message is dropped. */
 	lossRate = 0;
 	readonly #timing: Partial<LogTiming>;
@@ -57,6 +60,7 @@
 					}
 
 					await this.clock.sleep(this.random.nextInteger(4));
+					this.onMessage(message);
 					const reply = await target.log.handle(structuredClone(message));
 					return this.#isDropped(to.id, id) ? this.#dropMessage(timeoutMs) : structuredClone(reply);
 				},
