--- a/packages/routing/route-store/src/core-member.ts
+++ b/packages/routing/route-store/src/core-member.ts
@@ -187,8 +187,8 @@
 	}
 
 	/**
-	 * Gives the vote of this member back, and the lead if it has it, while there are enough other voters: the process is about
-	 * to stop, and may be replaced. It stays a member until then.
+	 * Asks the leader to remove this member, which is about to stop and may be replaced, as soon as the core has more voters than
+	 * it needs. A leader removes itself and steps down. Until the stop the member doesn't ask to join again.
 	 */
 	releaseVote(): void {
 		this.#isLeaving = true;
