edge: a request waits for the admission of its own version

Callers saw a 503 "no generating server is known" 2 to 8 ms after the first report of a service with ready servers.

Cause: a resumable stream waits until the core has admitted a version of its service, but the wait ended with the next answer of the core, which may belong to the write of another service. Traced: at the refusal the registry lists both servers as usable, no server was called, and no version is admitted. Ruled out: a server that had the request, a server that was forgotten.

Change: the wait ends when its condition holds, or after the same time. findOrigin waited in the same way.

--- a/packages/plugins/edge/src/streams/request-origin.ts
+++ b/packages/plugins/edge/src/streams/request-origin.ts
@@ -69,8 +69,8 @@
 	/** Waits for the admission of a version if the servers have no other one, as after the first report of a service. */
 	async waitForAdmission(servers: readonly KnownServer[], maxWaitMs: number): Promise<void> {
 		const generating = servers.filter(({stage}) => stage !== 'prefill');
-		if (!this.#pinned && generating.length > 0 && !generating.some(server => this.canRun(server))) {
-			await this.#opts.origins.waitForView(maxWaitMs);
+		if (!this.#pinned && generating.length > 0) {
+			await this.#opts.origins.waitUntil(() => generating.some(server => this.canRun(server)), maxWaitMs);
 		}
 	}
 
--- a/packages/plugins/edge/test/request-origin.test.ts
+++ b/packages/plugins/edge/test/request-origin.test.ts
@@ -1,7 +1,8 @@
 import {expect} from 'chai';
 import {ManualClock} from '@hickorytrack/clock/manual-clock';
 import type {KnownServer} from '@hickorytrack/endpoint-registry';
-import type {StreamOrigins} from '@hickorytrack/stream-origins';
+import {StreamOrigins} from '@hickorytrack/stream-origins';
+import type {StreamOriginWrite} from '@hickorytrack/types/peer-methods';
 import type {CallerRequest} from '../src/front/caller-request.js';
 import {RequestOrigin} from '../src/streams/request-origin.js';
 import {startVerdicts, type StartVerdict} from '../src/streams/start-proof.js';
@@ -94,3 +95,56 @@
 		expect(disowned).to.equal(0);
 	});
 });
+
+describe('a request right after the first report of its service', () => {
+	const answerMs = 20;
+	const maxWaitMs = 300;
+
+	// An answer to the write of another service ended the wait, and the request was refused although its server was ready.
+	it('waits for the admission of its own version beside those of other services', async () => {
+		const clock = new ManualClock();
+		const origins = new StreamOrigins({
+			clock, hasVersion: () => true, findServer: () => undefined, leader: {
+				isSupported: true, async write({admitted}: StreamOriginWrite) {
+					await clock.sleep(answerMs);
+					return {versions: Object.fromEntries(admitted.map(([service, version]) => [service, [version]]))};
+				}, findOrigin: async () => undefined, recall: async () => undefined,
+			},
+		});
+		const startedAt = 1;
+		origins.handleStart({
+			id: 'other', startedAt, service: 'other', version: 'v1',
+		});
+		await clock.advance(answerMs / 2);
+		const server = {
+			id: 'a', startedAt, service: 's', version: 'v1', stage: 'decode',
+		} as unknown as KnownServer;
+		origins.handleStart(server);
+		const origin = new RequestOrigin({
+			metadata: {requestId: 'q'}, service: 's', route: {isResumable: true, timeoutMs: deadlineMs, targets: [{service: 's'}]},
+		} as unknown as CallerRequest, {clock, origins, startProof: {check: async () => startVerdicts.proved}});
+		const admitted = origin.waitForAdmission([server], maxWaitMs).then(() => origin.canRun(server));
+		await clock.advance(2 * answerMs);
+		expect(await admitted).to.equal(true);
+		origins.stop();
+	});
+
+	it('waits no longer than it may for a core that does not answer', async () => {
+		const clock = new ManualClock();
+		const origins = new StreamOrigins({
+			clock, hasVersion: () => true, findServer: () => undefined, leader: {
+				isSupported: true, write: async () => undefined, findOrigin: async () => undefined, recall: async () => undefined,
+			},
+		});
+		const server = {
+			id: 'a', startedAt: 1, service: 's', version: 'v1', stage: 'decode',
+		} as unknown as KnownServer;
+		const origin = new RequestOrigin({
+			metadata: {requestId: 'q'}, service: 's', route: {isResumable: true, timeoutMs: deadlineMs, targets: [{service: 's'}]},
+		} as unknown as CallerRequest, {clock, origins, startProof: {check: async () => startVerdicts.proved}});
+		const admitted = origin.waitForAdmission([server], maxWaitMs).then(() => origin.canRun(server));
+		await clock.advance(maxWaitMs);
+		expect(await admitted).to.equal(false);
+		origins.stop();
+	});
+});
--- a/packages/routing/stream-origins/src/stream-origins.ts
+++ b/packages/routing/stream-origins/src/stream-origins.ts
@@ -106,12 +106,19 @@
 		return false;
 	}
 
-	/** Resolves when the core has answered the next write, at the latest after the timeout. */
-	async waitForView(timeoutMs: number): Promise<void> {
-		const received = new Promise<void>(resolve => {
-			this.#viewListeners.push(resolve);
-		});
-		await waitWithTimeout(received, timeoutMs, this.#opts.clock);
+	/**
+	 * Resolves when an answer of the core has made the condition true, at the latest after the timeout in milliseconds. Answers
+	 * to earlier writes may come before the one to the write that the condition needs.
+	 */
+	async waitUntil(isMet: () => boolean, timeoutMs: number): Promise<void> {
+		const {clock} = this.#opts;
+		const endsAt = clock.monotonic() + timeoutMs;
+		while (!isMet() && clock.monotonic() < endsAt) {
+			const received = new Promise<void>(resolve => {
+				this.#viewListeners.push(resolve);
+			});
+			await waitWithTimeout(received, endsAt - clock.monotonic(), clock);
+		}
 	}
 
 	/** Opens a stream that callers may take up later. */
@@ -156,7 +163,7 @@
 		let view = await this.#opts.leader.findOrigin(services, stream);
 		if (view && !hasVersions(view) && this.#requested.size > 0) {
 			// The first report of a server has just arrived.
-			await this.waitForView(admissionTimeoutMs);
+			await this.waitUntil(() => services.some(service => this.#versions.get(service)?.size), admissionTimeoutMs);
 			view = await this.#opts.leader.findOrigin(services, stream);
 		}
 
