replicated-log: a leader takes back a large record that its storage refuses

Cause: a record is sent to the followers beside the leader's own write, so a refused one could not be taken back; it stayed in the memory of all members, and each next leader had to write it first.

Change: a record over 64 KiB is sent once the leader has synced it. One that is refused is removed and answered as not applied, and the leader goes on; a small record shows whether the storage takes anything. A member drops what its storage refused before it stands for election, and votes by what it has to keep.

Open: a disk that takes no write at all still costs the lead.

--- a/packages/coordination/log-storage/src/file-log-storage.ts
+++ b/packages/coordination/log-storage/src/file-log-storage.ts
@@ -68,6 +68,10 @@
 		return {records: this.#size, snapshot: this.#snapshotBytes};
 	}
 
+	get mayKeepFailedAppend(): boolean {
+		return this.#hasPartialRecord;
+	}
+
 	async open(): Promise<Result<OpenedLog, LogStorageError>> {
 		try {
 			await mkdir(this.#folder, {recursive: true});
@@ -267,6 +271,7 @@
 		if (this.#hasPartialRecord) {
 			this.#faultInjector?.check('truncate');
 			await this.#log!.truncate(this.#size);
+			await this.#log!.datasync();
 			this.#hasPartialRecord = false;
 		}
 	}
--- a/packages/coordination/log-storage/src/log-storage.ts
+++ b/packages/coordination/log-storage/src/log-storage.ts
@@ -50,6 +50,8 @@
 export type LogStorage = {
 	/** Sizes after the last write; valid once the storage is open. */
 	readonly sizes: StoredSizes;
+	/** True if records of a failed append may be read again at the next `open`. */
+	readonly mayKeepFailedAppend: boolean;
 	open(): Promise<Result<OpenedLog, LogStorageError>>;
 	saveVote(vote: VoteState): Promise<Result<void, LogStorageError>>;
 	append(records: readonly LogRecord[]): Promise<Result<void, LogStorageError>>;
--- a/packages/coordination/log-storage/src/memory-log-storage.ts
+++ b/packages/coordination/log-storage/src/memory-log-storage.ts
@@ -1,4 +1,4 @@
-/** In-memory storage for tests and for embedders that need no durability. Setting `full` makes writes fail. */
+/** In-memory storage for tests and for embedders that need no durability. `full` and `capacityBytes` make writes fail. */
 import {Buffer} from 'node:buffer';
 import {err, ok, type Result} from 'neverthrow';
 import {
@@ -8,6 +8,9 @@
 export class MemoryLogStorage implements LogStorage {
 	/** While true, every write fails with `ERR_HICKORYTRACK_DISK_FULL`. */
 	full = false;
+	/** A write after which the records and the snapshot would be larger fails with `ERR_HICKORYTRACK_DISK_FULL`. */
+	capacityBytes = Number.POSITIVE_INFINITY;
+	readonly mayKeepFailedAppend = false;
 	readonly #folder: string;
 	#vote: VoteState = {term: 0};
 	#snapshot: SnapshotRecord | undefined;
@@ -37,10 +40,11 @@
 	}
 
 	async append(records: readonly LogRecord[]): Promise<Result<void, LogStorageError>> {
+		const bytes = countBytes(records);
 		return this.#write(() => {
 			this.#records.push(...structuredClone(records));
-			this.#recordBytes += countBytes(records);
-		});
+			this.#recordBytes += bytes;
+		}, this.#recordBytes + this.#snapshotBytes + bytes);
 	}
 
 	async truncateFrom(index: number): Promise<Result<void, LogStorageError>> {
@@ -51,12 +55,14 @@
 	}
 
 	async saveSnapshot(snapshot: SnapshotRecord, remaining: readonly LogRecord[]): Promise<Result<void, LogStorageError>> {
+		const snapshotBytes = countBytes(snapshot);
+		const recordBytes = countBytes(remaining);
 		return this.#write(() => {
 			this.#snapshot = structuredClone(snapshot);
 			this.#records = structuredClone([...remaining]);
-			this.#snapshotBytes = countBytes(snapshot);
-			this.#recordBytes = countBytes(remaining);
-		});
+			this.#snapshotBytes = snapshotBytes;
+			this.#recordBytes = recordBytes;
+		}, snapshotBytes + recordBytes);
 	}
 
 	async discard(): Promise<Result<void, LogStorageError>> {
@@ -74,8 +80,8 @@
 		// There is no file to close.
 	}
 
-	#write(change: () => void): Result<void, LogStorageError> {
-		if (this.full) {
+	#write(change: () => void, bytesAfter = 0): Result<void, LogStorageError> {
+		if (this.full || bytesAfter > this.capacityBytes) {
 			return err(new LogStorageError('ERR_HICKORYTRACK_DISK_FULL', 'The storage is full'));
 		}
 
--- a/packages/coordination/log-storage/test/file-log-storage.test.ts
+++ b/packages/coordination/log-storage/test/file-log-storage.test.ts
@@ -152,6 +152,33 @@
 		expect(reopened.records.map(record => record.index)).to.deep.equal([1, 2]);
 	});
 
+	// A command was answered as not stored, and would have been read again after a restart.
+	it('tells whether records of a failed append may be read again', async () => {
+		const failing = new Set<string>();
+		const [storage] = await openStorage({
+			check(operation) {
+				if (failing.has(operation)) {
+					throw Object.assign(new Error('no space left'), {code: 'ENOSPC'});
+				}
+			},
+		});
+		const appendWhileFailing = async (...operations: string[]) => {
+			for (const operation of operations) {
+				failing.add(operation);
+			}
+
+			expect((await storage.append([createRecord(1)])).isErr()).to.equal(true);
+			failing.clear();
+			return storage.mayKeepFailedAppend;
+		};
+
+		expect(await appendWhileFailing('sync')).to.equal(false);
+		expect(await appendWhileFailing('sync', 'truncate')).to.equal(true);
+		await storage.close();
+		const [, reopened] = await openStorage();
+		expect(reopened.records.map(record => record.index)).to.deep.equal([1]);
+	});
+
 	// Each snapshot that failed on a full disk left a file open, until the process had none left.
 	it('leaves no file open when a snapshot fails', async () => {
 		let writes = 0;
--- a/packages/coordination/replicated-log/src/elector.ts
+++ b/packages/coordination/replicated-log/src/elector.ts
@@ -66,6 +66,8 @@
 	}
 
 	async #runElection(): Promise<void> {
+		// A leader with records that its storage refuses could write none of its own.
+		await this.#state.removeUnsynced();
 		const term = this.#state.term + 1;
 		if (!await this.#collectVotes('pre-vote', term) || term !== this.#state.term + 1) {
 			return;
--- a/packages/coordination/replicated-log/src/follower.ts
+++ b/packages/coordination/replicated-log/src/follower.ts
@@ -77,8 +77,8 @@
 	#canVoteFor(message: MemberMessage & {kind: 'pre-vote' | 'vote'}): boolean {
 		const state = this.#state;
 		const isLeaderActive = this.#opts.isLeading() || this.#opts.clock.monotonic() - state.lastHeardAt < this.#opts.timing.electionMinMs;
-		const isUpToDate = message.lastTerm > state.window.lastTerm
-			|| (message.lastTerm === state.window.lastTerm && message.lastIndex >= state.window.lastIndex);
+		const lastTerm = state.window.readTerm(state.keptIndex)!;
+		const isUpToDate = message.lastTerm > lastTerm || (message.lastTerm === lastTerm && message.lastIndex >= state.keptIndex);
 		return !isLeaderActive && isUpToDate && message.term >= state.term && state.members.isSameFolder(message.from, message.folder);
 	}
 
--- a/packages/coordination/replicated-log/src/member-state.ts
+++ b/packages/coordination/replicated-log/src/member-state.ts
@@ -6,7 +6,7 @@
 import type {Clock} from '@hickorytrack/clock';
 import {HickorytrackError} from '@hickorytrack/errors';
 import type {
-	LogRecord, LogStorage, OpenedLog, SnapshotRecord, VoteState,
+	LogRecord, LogStorage, LogStorageError, OpenedLog, SnapshotRecord, VoteState,
 } from '@hickorytrack/log-storage';
 import {MemberSet, type MemberInfo} from './member-set.js';
 import {RecordWindow} from './record-window.js';
@@ -40,10 +40,12 @@
 	batchRecords: number;
 	/** An append message with more than one record has at most this many bytes of payload. */
 	batchBytes: number;
+	/** A larger record reaches other members only once the leader has synced it, so that the leader can still refuse it. */
+	unsyncedBytes: number;
 };
 
 export const defaultLogTiming: LogTiming = {
-	heartbeatMs: 100, electionMinMs: 600, electionMaxMs: 1200, firstElectionMinMs: 600, firstElectionMaxMs: 1200, snapshotRecords: 5000, snapshotBytes: 1024 * 1024, batchRecords: 500, batchBytes: 1024 * 1024,
+	heartbeatMs: 100, electionMinMs: 600, electionMaxMs: 1200, firstElectionMinMs: 600, firstElectionMaxMs: 1200, snapshotRecords: 5000, snapshotBytes: 1024 * 1024, batchRecords: 500, batchBytes: 1024 * 1024, unsyncedBytes: 64 * 1024,
 };
 
 export const memberRoles = {follower: 'follower', candidate: 'candidate', leader: 'leader'} as const;
@@ -63,6 +65,9 @@
 	votes: ReadonlyMap<string, VoteOutcome>;
 };
 
+/** Records that the storage has refused. `mayRemain`: they may be read again at the next start. */
+export type RefusedRecords = {records: readonly LogRecord[]; error: LogStorageError; mayRemain: boolean};
+
 /** Quorum age reported while no leader has been heard. */
 const noContactAgeMs = Number.MAX_SAFE_INTEGER;
 
@@ -172,8 +177,16 @@
 		return this.#saveVote({term, votedFor: candidate});
 	}
 
-	/** Writes and syncs all records that are only in memory; returns true when the whole log is synced. */
-	async saveRecords(): Promise<boolean> {
+	/** Index of the last record that this member has to keep: it is synced here, or committed. */
+	get keptIndex(): number {
+		return Math.max(this.durableIndex, this.commitIndex);
+	}
+
+	/**
+	 * Writes and syncs all records that are only in memory; returns true when the whole log is synced. With `onRefused`, the
+	 * records are removed from memory if the storage refuses them, and it is called at once with those.
+	 */
+	async saveRecords({onRefused}: {onRefused?: (refused: RefusedRecords) => void} = {}): Promise<boolean> {
 		return this.#lock.runExclusive(async () => {
 			const records = this.window.slice(this.durableIndex + 1, Number.MAX_SAFE_INTEGER);
 			if (records.length === 0) {
@@ -184,12 +197,29 @@
 			this.diskFault = result.isErr();
 			if (result.isOk()) {
 				this.durableIndex = records.at(-1)!.index;
+			} else {
+				onRefused?.({records: this.#removeUnsynced(), error: result.error, mayRemain: this.#storage.mayKeepFailedAppend});
 			}
 
 			return result.isOk();
 		});
 	}
 
+	/** Removes the records that are only in memory, as after a restart. */
+	async removeUnsynced(): Promise<void> {
+		await this.#lock.runExclusive(async () => this.#removeUnsynced());
+	}
+
+	#removeUnsynced(): LogRecord[] {
+		const removed = this.window.slice(this.keptIndex + 1, Number.MAX_SAFE_INTEGER);
+		this.window.truncateFrom(this.keptIndex + 1);
+		if (removed.some(record => record.kind === 'members')) {
+			this.updateMembers();
+		}
+
+		return removed;
+	}
+
 	/** Removes the record with this index and all later ones, in memory and on disk. */
 	async truncateFrom(index: number): Promise<boolean> {
 		return this.#lock.runExclusive(async () => {
--- a/packages/coordination/replicated-log/src/replicated-log.ts
+++ b/packages/coordination/replicated-log/src/replicated-log.ts
@@ -21,7 +21,7 @@
 import type {MemberMessage, MemberReply, MemberTransport} from './member-messages.js';
 import {type MemberSet, type MemberInfo} from './member-set.js';
 import {
-	defaultLogTiming, MemberState, ReplicatedLogError, type ElectionRound, type LogTiming, type MemberRole,
+	defaultLogTiming, MemberState, ReplicatedLogError, type ElectionRound, type LogTiming, type MemberRole, type RefusedRecords,
 } from './member-state.js';
 import {Replicator} from './replicator.js';
 
@@ -430,11 +430,16 @@
 		this.#isWriting = true;
 		try {
 			while (this.#state!.role === 'leader' && this.#state!.durableIndex < this.#state!.window.lastIndex) {
-				if (!await this.#state!.saveRecords()) {
-					this.#stepDown();
-					return;
+				const isSaved = await this.#state!.saveRecords({
+					onRefused: refused => {
+						this.#takeBack(refused);
+					},
+				});
+				if (!isSaved) {
+					continue;
 				}
 
+				this.#replicator?.wakeHeldBack();
 				await this.#steps.onStep('control.synced-on-leader', this.id);
 				this.#commitAsLeader();
 			}
@@ -443,6 +448,27 @@
 		}
 	}
 
+	/**
+	 * Goes on leading without the records that the storage has refused. A leader that may have sent one of them to another
+	 * member, has no record of its term yet, or whose storage takes no small record either makes way for another one.
+	 */
+	#takeBack({records, error, mayRemain}: RefusedRecords): void {
+		const state = this.#state!;
+		const [first] = records;
+		const canGoOn = this.#replicator && first && first.index > Math.max(this.#replicator.sentIndex, this.#firstIndexOfTerm) && records.some(({kind}) => kind !== 'noop');
+		if (!canGoOn) {
+			this.#stepDown();
+			return;
+		}
+
+		this.#replicator!.updateMembers();
+		this.#failWaitersFrom(first.index, new ReplicatedLogError(error.code, 'The storage of the leader refused the command', {applied: mayRemain ? 'unknown' : 'no', cause: error, hint: 'Free space on the disk of the leader, or send less, and retry.'}));
+		state.appendInMemory([{
+			index: state.window.lastIndex + 1, term: state.term, kind: 'noop', payload: undefined,
+		}]);
+		this.#replicator!.wake();
+	}
+
 	#commitAsLeader(): void {
 		const state = this.#state!;
 		if (!this.#replicator || state.role !== 'leader') {
@@ -486,11 +512,11 @@
 		waiter.resolve(waiter.term === record.term ? ok(value) : err(this.#createLeadershipLostError('no')));
 	}
 
-	#failWaitersFrom(index: number): void {
+	#failWaitersFrom(index: number, error = this.#createLeadershipLostError('unknown')): void {
 		for (const [recordIndex, waiter] of this.#waiters) {
 			if (recordIndex >= index) {
 				this.#waiters.delete(recordIndex);
-				waiter.resolve(err(this.#createLeadershipLostError('unknown')));
+				waiter.resolve(err(error));
 			}
 		}
 	}
--- a/packages/coordination/replicated-log/src/replicator.ts
+++ b/packages/coordination/replicated-log/src/replicator.ts
@@ -20,6 +20,8 @@
 	confirmedAt: number;
 	/** ID of the data folder in the member's last reply. */
 	folder?: string;
+	/** The next record waits until this member has synced it. */
+	isHeldBack: boolean;
 	wake: () => void;
 };
 
@@ -40,6 +42,8 @@
 	readonly #term: number;
 	readonly #progress = new Map<string, Progress>();
 	readonly #abortController = new AbortController();
+	readonly #payloadBytes = new WeakMap<LogRecord, number>();
+	#sentIndex = 0;
 
 	constructor(state: MemberState, opts: ReplicatorOptions) {
 		this.#state = state;
@@ -62,7 +66,7 @@
 			}
 
 			const progress: Progress = {
-				member, nextIndex: this.#state.window.lastIndex + 1, matchIndex: 0, confirmedAt: Number.NEGATIVE_INFINITY, wake() {
+				member, nextIndex: this.#state.window.lastIndex + 1, matchIndex: 0, confirmedAt: Number.NEGATIVE_INFINITY, isHeldBack: false, wake() {
 					// Does nothing until the task sleeps for the first time.
 				},
 			};
@@ -87,6 +91,20 @@
 		}
 	}
 
+	/** Wakes the replication tasks whose next record has waited until it was synced here. */
+	wakeHeldBack(): void {
+		for (const progress of this.#progress.values()) {
+			if (progress.isHeldBack) {
+				progress.wake();
+			}
+		}
+	}
+
+	/** Index of the last record that any member may have got from this leader. */
+	get sentIndex(): number {
+		return this.#sentIndex;
+	}
+
 	stop(): void {
 		this.#abortController.abort();
 		this.wake();
@@ -154,7 +172,7 @@
 				this.#handleAppendReply(progress, {message, reply, sentAt});
 			}
 
-			const isBehind = reply?.kind === 'append' && !reply.diskFault && progress.nextIndex <= this.#state.window.lastIndex;
+			const isBehind = reply?.kind === 'append' && !reply.diskFault && this.#canSend(progress.nextIndex);
 			if (!isBehind) {
 				await this.#sleep(progress);
 			}
@@ -223,26 +241,39 @@
 			term: this.#term,
 			previousIndex,
 			previousTerm: previousTerm ?? 0,
-			records: this.#selectBatch(progress.nextIndex),
+			records: this.#selectBatch(progress),
 			commitIndex: this.#state.commitIndex,
 			quorumAgeMs: this.computeQuorumAge(),
 		};
 	}
 
-	/** Selects the records from an index on that go into one message: all that is left, bounded in number and bytes, and at least one. */
-	#selectBatch(index: number): LogRecord[] {
+	/** Selects the next records of a member that go into one message: all that may be sent, bounded in number and bytes, and at least one. */
+	#selectBatch(progress: Progress): LogRecord[] {
 		const {batchRecords, batchBytes} = this.#opts.timing;
-		const records = this.#state.window.slice(index, batchRecords);
-		if (records.length < 2) {
-			return records;
-		}
-
+		const all = this.#state.window.slice(progress.nextIndex, batchRecords);
+		const heldBack = all.findIndex(({index}) => !this.#canSend(index));
+		progress.isHeldBack = heldBack !== -1;
+		const records = progress.isHeldBack ? all.slice(0, heldBack) : all;
 		let bytes = 0;
 		const end = records.findIndex(record => {
-			bytes += JSON.stringify(record.payload)?.length ?? 0;
+			bytes += this.#countPayloadBytes(record);
 			return bytes > batchBytes;
 		});
-		return end === -1 ? records : records.slice(0, Math.max(1, end));
+		const batch = end === -1 ? records : records.slice(0, Math.max(1, end));
+		this.#sentIndex = Math.max(this.#sentIndex, batch.at(-1)?.index ?? 0);
+		return batch;
+	}
+
+	/** Returns false for a large record that this member has not synced: it may still have to refuse it. */
+	#canSend(index: number): boolean {
+		const record = this.#state.window.read(index);
+		return record !== undefined && (index <= this.#state.keptIndex || this.#countPayloadBytes(record) <= this.#opts.timing.unsyncedBytes);
+	}
+
+	#countPayloadBytes(record: LogRecord): number {
+		const bytes = this.#payloadBytes.get(record) ?? JSON.stringify(record.payload)?.length ?? 0;
+		this.#payloadBytes.set(record, bytes);
+		return bytes;
 	}
 
 	#handleAppendReply(progress: Progress, exchange: {message: MemberMessage; reply: MemberReply & {kind: 'append'}; sentAt: number}): void {
@@ -257,7 +288,8 @@
 		if (reply.accepted) {
 			const coveredIndex = message.kind === 'append' ? message.previousIndex + message.records.length : progress.nextIndex;
 			progress.matchIndex = Math.max(progress.matchIndex, message.kind === 'append' ? Math.min(reply.durableIndex, coveredIndex) : reply.durableIndex);
-			progress.nextIndex = message.kind === 'append' ? coveredIndex + 1 : reply.lastIndex + 1;
+			// A member may have removed records that its storage refused.
+			progress.nextIndex = (message.kind === 'append' ? Math.min(coveredIndex, reply.lastIndex) : reply.lastIndex) + 1;
 		} else {
 			progress.nextIndex = Math.max(1, Math.min(progress.nextIndex - 1, reply.lastIndex + 1));
 		}
--- a/packages/coordination/replicated-log/test/replicated-log.test.ts
+++ b/packages/coordination/replicated-log/test/replicated-log.test.ts
@@ -235,6 +235,88 @@
 		expect(leader.stateMachine.values).to.deep.equal(next.stateMachine.values);
 	});
 
+	describe('whose storages have room for small records only', () => {
+		const capacityBytes = 1024 * 1024;
+		/** Held back by a leader until it is synced. */
+		const largeCommand = 'x'.repeat(100_000);
+
+		/** Proposes large commands until one is refused, and returns the leader, the number of those before, and the refusal. */
+		const fill = async () => {
+			const leader = await start(18, {snapshotBytes: Number.POSITIVE_INFINITY});
+			for (const {storage} of cluster.members.values()) {
+				storage.capacityBytes = capacityBytes;
+			}
+
+			for (let stored = 0; ; stored++) {
+				const result = await cluster.waitForResult(leader.log.propose(largeCommand));
+				if (result.isErr()) {
+					return {leader, stored, error: result.error};
+				}
+			}
+		};
+
+		// A record that no storage took stayed in the memory of all members: no leader could write one of its own behind it, and nothing was read any more.
+		it('refuses a command, and goes on with what is stored', async () => {
+			const {leader, stored, error} = await fill();
+			const {term} = leader.log;
+			expect([stored, error.code, error.applied]).to.deep.equal([10, 'ERR_HICKORYTRACK_DISK_FULL', 'no']);
+			expect((await cluster.waitForResult(leader.log.readBarrier())).isOk()).to.equal(true);
+			expect((await cluster.waitForResult(leader.log.propose('small'))).isOk()).to.equal(true);
+			await cluster.clock.advance(5000);
+			expect([leader.log.isLeader, leader.log.term]).to.deep.equal([true, term]);
+			for (const {storage} of cluster.members.values()) {
+				storage.capacityBytes = 2 * capacityBytes;
+			}
+
+			expect((await cluster.waitForResult(leader.log.propose(largeCommand))).isOk()).to.equal(true);
+			await cluster.clock.advance(300);
+			for (const {stateMachine, storage} of cluster.members.values()) {
+				expect(stateMachine.values).to.deep.equal([...Array.from({length: stored}, () => largeCommand), 'small', largeCommand]);
+				expect((await storage.open())._unsafeUnwrap().records.filter(({payload}) => payload === largeCommand)).to.have.length(stored + 1);
+			}
+		});
+
+		it('have another leader after the end of the one that has refused a command', async () => {
+			const {leader, stored} = await fill();
+			await cluster.stopMember(leader.log.id);
+			const next = await cluster.waitForLeader();
+			expect((await cluster.waitForResult(next.log.readBarrier())).isOk()).to.equal(true);
+			expect(next.stateMachine.values).to.have.length(stored);
+			expect((await cluster.waitForResult(next.log.propose('small'))).isOk()).to.equal(true);
+		});
+
+		it('store what the leader and one more of them have room for', async () => {
+			const {leader, stored} = await fill();
+			const [follower, full] = [...cluster.members.values()].filter(member => member !== leader);
+			leader.storage.capacityBytes = 2 * capacityBytes;
+			follower!.storage.capacityBytes = 2 * capacityBytes;
+			expect((await cluster.waitForResult(leader.log.propose(largeCommand))).isOk()).to.equal(true);
+			await cluster.clock.advance(1000);
+			expect(full!.stateMachine.values).to.have.length(stored);
+			await cluster.stopMember(leader.log.id);
+			full!.storage.capacityBytes = 2 * capacityBytes;
+			const next = await cluster.waitForLeader();
+			await cluster.waitForResult(next.log.readBarrier());
+			await cluster.clock.advance(1000);
+			expect([follower!, full!].map(({stateMachine}) => stateMachine.values.length)).to.deep.equal([stored + 1, stored + 1]);
+		});
+	});
+
+	// A large record went to the other members beside its writing, so that a leader could not refuse it any more.
+	it('sends a large record only once the leader has synced it', async () => {
+		const leader = await start(19);
+		const sent: unknown[] = [];
+		cluster.onMessage = message => {
+			sent.push(...message.kind === 'append' ? message.records.map(({payload}) => payload) : []);
+		};
+
+		leader.storage.full = true;
+		const large = 'x'.repeat(100_000);
+		expect((await cluster.waitForResult(leader.log.propose(large)))._unsafeUnwrapErr().applied).to.equal('no');
+		await cluster.clock.advance(3000);
+		expect(sent).to.not.include(large);
+	});
+
 	for (const seed of [11, 12, 13, 14]) {
 		it(`keeps one consistent log under message loss, restarts and partitions (seed ${seed})`, async () => {
 			await start(seed, {snapshotRecords: 20});
@@ -291,4 +373,88 @@
 			}
 		});
 	}
+
+	for (const seed of [21, 22, 23, 24, 25, 26]) {
+		// Guards against a command that was answered as not stored, and applied later.
+		it(`applies what it has acknowledged, and nothing that it has refused, beside disks that run full (seed ${seed})`, async () => {
+			await start(seed, {snapshotRecords: 20});
+			const random = new Random(seed);
+			const acknowledged: string[] = [];
+			const refused: string[] = [];
+			const setCapacity = (members: ReadonlyArray<{storage: MemoryLogStorage}>, freeBytes: number) => {
+				for (const {storage} of members) {
+					const {records, snapshot} = storage.sizes;
+					storage.capacityBytes = records + snapshot + freeBytes;
+				}
+			};
+
+			for (let round = 0; round < 60; round++) {
+				const id = random.select(ids);
+				const members = [...cluster.members.values()];
+				switch (random.nextInteger(9)) {
+					case 0: {
+						cluster.isolate(id);
+						break;
+					}
+
+					case 1: {
+						cluster.restoreLinks();
+						break;
+					}
+
+					case 2: {
+						const {storage} = await cluster.stopMember(id);
+						await cluster.clock.advance(random.nextInteger(800));
+						await cluster.startMember(id, ids, storage);
+						break;
+					}
+
+					case 3: {
+						setCapacity(members, 50_000);
+						break;
+					}
+
+					case 4: {
+						setCapacity([cluster.members.get(id)!], random.select([0, 200, 50_000]));
+						break;
+					}
+
+					case 5: {
+						setCapacity(members, Number.POSITIVE_INFINITY);
+						break;
+					}
+				// No default
+				}
+
+				const leader = cluster.leaders.at(-1) ?? random.select([...cluster.members.values()]);
+				const outcomes = Array.from({length: 1 + random.nextInteger(3)}, async (_, index) => {
+					const value = `${round}.${index}${random.nextInteger(2) === 0 ? '' : ' '.repeat(70_000)}`;
+					const outcome = await leader.log.propose(value, {timeoutMs: 700});
+					if (outcome.isOk()) {
+						acknowledged.push(value);
+					} else if (outcome.error.applied === 'no') {
+						refused.push(value);
+					}
+				});
+				await cluster.waitForResult(Promise.all(outcomes));
+				await cluster.clock.advance(random.nextInteger(500));
+			}
+
+			cluster.restoreLinks();
+			setCapacity([...cluster.members.values()], Number.POSITIVE_INFINITY);
+
+			await cluster.clock.advance(4000);
+			const leader = await cluster.waitForLeader();
+			await cluster.waitForResult(leader.log.readBarrier());
+			await cluster.clock.advance(1000);
+			expect(acknowledged.length, 'too few acknowledged commands for a meaningful check').to.be.greaterThan(20);
+			expect(refused.length, 'too few refused commands for a meaningful check').to.be.greaterThan(5);
+			expect(leader.stateMachine.values).to.include.members(acknowledged);
+			expect(refused.filter(value => leader.stateMachine.values.includes(value))).to.deep.equal([]);
+			expect(new Set(leader.stateMachine.values).size).to.equal(leader.stateMachine.values.length);
+			for (const member of cluster.members.values()) {
+				expect(member.stateMachine.values).to.deep.equal(leader.stateMachine.values);
+			}
+		});
+	}
 });
--- a/packages/routing/route-store/test/core-model.test.ts
+++ b/packages/routing/route-store/test/core-model.test.ts
@@ -172,6 +172,24 @@
 		}
 	});
 
+	// Guards against a core without a leader after a change that fits on no disk: the change stayed in the memory of all members.
+	it('answers reads and small changes while its disks have no room for a large change', async () => {
+		for (let seed = 1; seed <= fullDiskSeeds; seed++) {
+			const random = new Random(seed);
+			const crowd: ModelEvent[] = ['crowd disks', 'large put', random.select(['put', 'large put', 'settle', 'kill leader', 'kill follower']), 'settle', 'stay lost', 'read in time', 'put in time'];
+			expect(await runSchedule(['put and wait', ...crowd, 'free disks', 'large put', 'put in time'], {seed})).to.equal(undefined);
+		}
+	});
+
+	it('keeps acknowledged changes while its disks have no room for some of them', async () => {
+		const events: ModelEvent[] = [...modelEvents, 'crowd leader disk', 'crowd disks', 'large put', 'large put', 'free disks', 'fill follower disk'];
+		for (let seed = 1; seed <= randomSchedules; seed++) {
+			const random = new Random(seed);
+			const schedule = Array.from({length: randomScheduleLength}, () => random.select(events));
+			expect(await runSchedule(['put and wait', ...schedule], {seed})).to.equal(undefined);
+		}
+	});
+
 	it('detects the injected bug that voters change in one step', async () => {
 		// The removal is committed by two members. One of them is wiped and the other one is down, and the two that lack it are half of the voters before.
 		const schedule: ModelEvent[] = ['put and wait', 'add member', 'catch up', 'isolate new member', 'begin stop', 'put and wait', 'put and wait', 'kill leader', 'wipe follower', 'reconnect', 'settle'];
--- a/packages/routing/route-store/test/core-model.ts
+++ b/packages/routing/route-store/test/core-model.ts
@@ -13,7 +13,7 @@
 /** Events of a schedule. `leader` and `follower` are resolved when an event runs; `restart` takes the member stopped for longest. */
 export const modelEvents = ['put', 'put and wait', 'conflicting put', 'kill leader', 'kill follower', 'wipe leader', 'wipe follower', 'replace follower', 'isolate leader', 'power loss', 'restart', 'heal'] as const;
 /** Events of planned work, of losses that last and of full disks, for schedules that are written by hand. */
-export const plannedEvents = ['add member', 'retire member', 'retire leader', 'stop member', 'stop leader', 'begin stop', 'put in time', 'reconnect', 'rival puts', 'split', 'settle', 'isolate follower', 'isolate new member', 'stay lost', 'catch up', 'fill leader disk', 'fill follower disk', 'free disks'] as const;
+export const plannedEvents = ['add member', 'retire member', 'retire leader', 'stop member', 'stop leader', 'begin stop', 'put in time', 'reconnect', 'rival puts', 'split', 'settle', 'isolate follower', 'isolate new member', 'stay lost', 'catch up', 'fill leader disk', 'fill follower disk', 'crowd leader disk', 'crowd disks', 'large put', 'read in time', 'free disks'] as const;
 export type ModelEvent = typeof modelEvents[number] | typeof plannedEvents[number];
 
 export type ModelOptions = {
@@ -31,6 +31,8 @@
 const catchUpMs = 4000;
 /** Time within which a change is acknowledged while no more than one member is lost. */
 const ackMs = 4000;
+/** Larger than what a leader sends before it has synced it. */
+const largeBytes = 100_000;
 /** Time after a disturbance from which the core counts as stable. */
 const contactMs = 3000;
 /** Time between the signal to stop and the end of a process that has no open requests. */
@@ -228,6 +230,29 @@
 				break;
 			}
 
+			case 'crowd leader disk': {
+				this.#crowd(leader);
+				break;
+			}
+
+			case 'crowd disks': {
+				for (const node of this.#network.nodes.values()) {
+					this.#crowd(node);
+				}
+
+				break;
+			}
+
+			case 'large put': {
+				this.#put(this.#createDocument('a'.repeat(largeBytes)));
+				break;
+			}
+
+			case 'read in time': {
+				await this.#readUntilConfirmed(ackMs, 'in time');
+				break;
+			}
+
 			case 'free disks': {
 				this.#freeDisks();
 				break;
@@ -332,7 +357,7 @@
 	}
 
 	/** Reads until a majority confirms, and compares the result with the acknowledged versions. */
-	async #readUntilConfirmed(timeoutMs: number): Promise<void> {
+	async #readUntilConfirmed(timeoutMs: number, time = 'after all faults were removed'): Promise<void> {
 		const isDone = await this.#retryOnLeader(timeoutMs, async leader => {
 			const highest = Math.max(0, ...this.#acknowledged.keys());
 			const result = await leader.core!.read();
@@ -343,7 +368,7 @@
 			return result.isOk();
 		});
 		if (!isDone) {
-			this.#violation ??= 'no read was confirmed after all faults were removed';
+			this.#violation ??= `no read was confirmed ${time}`;
 		}
 	}
 
@@ -397,9 +422,18 @@
 		return [...this.#network.nodes.values()].filter(node => node.core?.isLeader).sort((a, b) => b.core!.term - a.core!.term)[0];
 	}
 
+	/** Leaves room for small records only. */
+	#crowd(node: ModelNode | undefined): void {
+		if (node) {
+			const {records, snapshot} = node.disk.sizes;
+			node.disk.capacityBytes = records + snapshot + (largeBytes / 2);
+		}
+	}
+
 	#freeDisks(): void {
 		for (const {disk} of this.#network.nodes.values()) {
 			disk.full = false;
+			disk.capacityBytes = Number.POSITIVE_INFINITY;
 		}
 	}
 
