replicated-log: a leader whose storage takes nothing goes on answering reads

Callers saw no answer to a read of the configuration while all disks were full: the leader stepped down at its first refused write, and no disk took a vote.

Cause: stepping down helps only where another member can write, and the leader didn't know.

Change: a leader whose storage refuses what it can't revoke keeps the lead, refuses further commands as not applied, and tries again with each heartbeat. It steps down once the others have stored a record without it. Of a refused batch only what no other member can have got is revoked.

--- a/packages/coordination/replicated-log/src/member-state.ts
+++ b/packages/coordination/replicated-log/src/member-state.ts
@@ -65,8 +65,17 @@
 	votes: ReadonlyMap<string, VoteOutcome>;
 };
 
-/** Records that the storage has refused. `mayRemain`: they may be read again at the next start. */
-export type RefusedRecords = {records: readonly LogRecord[]; error: LogStorageError; mayRemain: boolean};
+/** Why records were removed from memory. `mayRemain`: they may be read again at the next start. */
+export type Revocation = {error: LogStorageError; mayRemain: boolean};
+
+/** What becomes of records that the storage refuses. */
+export type RefusalHandler = {
+	/** Returns the index of the first record that may be removed from memory; undefined if none may. */
+	findRevocable?: () => number | undefined;
+	onRevoked?: (revocation: Revocation) => void;
+	/** Called if all records stay in memory. */
+	onRefused?: (error: LogStorageError) => void;
+};
 
 /** Quorum age reported while no leader has been heard. */
 const noContactAgeMs = Number.MAX_SAFE_INTEGER;
@@ -183,10 +192,10 @@
 	}
 
 	/**
-	 * Writes and syncs all records that are only in memory; returns true when the whole log is synced. With `onRefused`, the
-	 * records are removed from memory if the storage refuses them, and it is called at once with those.
+	 * Writes and syncs all records that are only in memory; returns true when the whole log is synced. If the storage refuses
+	 * them, those from `findRevocable` on are removed from memory, and `onRevoked` is called before anything else is appended.
 	 */
-	async saveRecords({onRefused}: {onRefused?: (refused: RefusedRecords) => void} = {}): Promise<boolean> {
+	async saveRecords({findRevocable, onRevoked, onRefused}: RefusalHandler = {}): Promise<boolean> {
 		return this.#lock.runExclusive(async () => {
 			const records = this.window.slice(this.durableIndex + 1, Number.MAX_SAFE_INTEGER);
 			if (records.length === 0) {
@@ -197,27 +206,32 @@
 			this.diskFault = result.isErr();
 			if (result.isOk()) {
 				this.durableIndex = records.at(-1)!.index;
+				return true;
+			}
+
+			const {error} = result;
+			const index = findRevocable?.();
+			if (index === undefined) {
+				onRefused?.(error);
 			} else {
-				onRefused?.({records: this.#removeUnsynced(), error: result.error, mayRemain: this.#storage.mayKeepFailedAppend});
+				this.#removeUnsynced(index);
+				onRevoked?.({error, mayRemain: this.#storage.mayKeepFailedAppend});
 			}
 
-			return result.isOk();
+			return false;
 		});
 	}
 
 	/** Removes the records that are only in memory, as after a restart. */
 	async removeUnsynced(): Promise<void> {
-		await this.#lock.runExclusive(async () => this.#removeUnsynced());
+		await this.#lock.runExclusive(() => {
+			this.#removeUnsynced();
+		});
 	}
 
-	#removeUnsynced(): LogRecord[] {
-		const removed = this.window.slice(this.keptIndex + 1, Number.MAX_SAFE_INTEGER);
-		this.window.truncateFrom(this.keptIndex + 1);
-		if (removed.some(record => record.kind === 'members')) {
-			this.updateMembers();
-		}
-
-		return removed;
+	#removeUnsynced(index = 0): void {
+		this.window.truncateFrom(Math.max(index, this.keptIndex + 1));
+		this.updateMembers();
 	}
 
 	/** Removes the record with this index and all later ones, in memory and on disk. */
--- a/packages/coordination/replicated-log/src/replicated-log.ts
+++ b/packages/coordination/replicated-log/src/replicated-log.ts
@@ -21,7 +21,7 @@
 import type {MemberMessage, MemberReply, MemberTransport} from './member-messages.js';
 import {type MemberSet, type MemberInfo} from './member-set.js';
 import {
-	defaultLogTiming, MemberState, ReplicatedLogError, type ElectionRound, type LogTiming, type MemberRole, type RefusedRecords,
+	defaultLogTiming, MemberState, ReplicatedLogError, type ElectionRound, type LogTiming, type MemberRole, type Revocation,
 } from './member-state.js';
 import {Replicator} from './replicator.js';
 
@@ -83,6 +83,8 @@
 	#appliedIndex = 0;
 	#isWriting = false;
 	#isSnapshotting = false;
+	/** Why the storage of this leader has taken no record since. */
+	#refusal: LogStorageError | undefined;
 	#firstIndexOfTerm = 0;
 	#leadingSince = Number.NEGATIVE_INFINITY;
 	/** Monotonic time at which the storage was open. */
@@ -359,6 +361,7 @@
 		const state = this.#state;
 		this.#replicator?.stop();
 		this.#replicator = undefined;
+		this.#refusal = undefined;
 		if (state?.role === 'leader') {
 			state.role = 'follower';
 			state.leader = undefined;
@@ -404,6 +407,10 @@
 
 	async #proposeRecord(kind: RecordKind, payload: unknown, timeoutMs = defaultProposeTimeoutMs): Promise<Result<unknown, ReplicatedLogError>> {
 		const state = this.#state!;
+		if (this.#refusal) {
+			return err(this.#createRefusedError(this.#refusal, 'no'));
+		}
+
 		const record: LogRecord = {
 			index: state.window.lastIndex + 1, term: state.term, kind, payload,
 		};
@@ -430,15 +437,27 @@
 		this.#isWriting = true;
 		try {
 			while (this.#state!.role === 'leader' && this.#state!.durableIndex < this.#state!.window.lastIndex) {
+				let isRefused = false;
 				const isSaved = await this.#state!.saveRecords({
-					onRefused: refused => {
-						this.#takeBack(refused);
+					findRevocable: () => this.#findRevocable(),
+					onRevoked: revocation => {
+						this.#handleRevocation(revocation);
+					},
+					onRefused: error => {
+						isRefused = true;
+						this.#refusal = error;
 					},
 				});
+				if (isRefused) {
+					this.#stepDownIfOthersCanWrite(this.#state!.commitIndex);
+					return;
+				}
+
 				if (!isSaved) {
 					continue;
 				}
 
+				this.#refusal = undefined;
 				this.#replicator?.wakeHeldBack();
 				await this.#steps.onStep('control.synced-on-leader', this.id);
 				this.#commitAsLeader();
@@ -448,27 +467,42 @@
 		}
 	}
 
-	/**
-	 * Goes on leading without the records that the storage has refused. A leader that may have sent one of them to another
-	 * member, has no record of its term yet, or whose storage takes no small record either makes way for another one.
-	 */
-	#takeBack({records, error, mayRemain}: RefusedRecords): void {
-		const state = this.#state!;
-		const [first] = records;
-		const canGoOn = this.#replicator && first && first.index > Math.max(this.#replicator.sentIndex, this.#firstIndexOfTerm) && records.some(({kind}) => kind !== 'noop');
-		if (!canGoOn) {
-			this.#stepDown();
-			return;
+	/** A leader can revoke the records behind the first one of its term that no other member can have got. */
+	#findRevocable(): number | undefined {
+		if (!this.#replicator) {
+			return undefined;
 		}
 
+		const {window, keptIndex} = this.#state!;
+		const index = Math.max(keptIndex, this.#replicator.sentIndex, this.#firstIndexOfTerm) + 1;
+		return window.slice(index, Number.MAX_SAFE_INTEGER).some(({kind}) => kind !== 'noop') ? index : undefined;
+	}
+
+	/** Goes on leading without the revoked records. A small one shows whether the storage takes anything. */
+	#handleRevocation({error, mayRemain}: Revocation): void {
+		const state = this.#state!;
+		const index = state.window.lastIndex + 1;
 		this.#replicator!.updateMembers();
-		this.#failWaitersFrom(first.index, new ReplicatedLogError(error.code, 'The storage of the leader refused the command', {applied: mayRemain ? 'unknown' : 'no', cause: error, hint: 'Free space on the disk of the leader, or send less, and retry.'}));
+		this.#failWaitersFrom(index, this.#createRefusedError(error, mayRemain ? 'unknown' : 'no'));
 		state.appendInMemory([{
-			index: state.window.lastIndex + 1, term: state.term, kind: 'noop', payload: undefined,
+			index, term: state.term, kind: 'noop', payload: undefined,
 		}]);
 		this.#replicator!.wake();
 	}
 
+	/**
+	 * A leader whose storage takes nothing makes way once the others have stored a record without it. As long as they can't,
+	 * nobody else could be elected, and it goes on answering reads.
+	 */
+	#stepDownIfOthersCanWrite(quorumIndex: number): boolean {
+		const canOthersWrite = this.#refusal !== undefined && quorumIndex > this.#state!.durableIndex;
+		if (canOthersWrite) {
+			this.#stepDown();
+		}
+
+		return canOthersWrite;
+	}
+
 	#commitAsLeader(): void {
 		const state = this.#state!;
 		if (!this.#replicator || state.role !== 'leader') {
@@ -476,7 +510,7 @@
 		}
 
 		const index = this.#replicator.computeQuorumIndex();
-		if (index > state.commitIndex && state.window.readTerm(index) === state.term) {
+		if (index > state.commitIndex && state.window.readTerm(index) === state.term && !this.#stepDownIfOthersCanWrite(index)) {
 			this.#commitUpTo(index);
 			// A leader whose removal is committed has stepped down.
 			this.#replicator?.wake();
@@ -597,6 +631,10 @@
 		return new ReplicatedLogError('ERR_HICKORYTRACK_MEMBERS_REFUSED', message, {applied: 'no', hint: 'Wait until the members are alive and have caught up with the log, then retry.'});
 	}
 
+	#createRefusedError(error: LogStorageError, applied: 'no' | 'unknown'): ReplicatedLogError {
+		return new ReplicatedLogError(error.code, 'The storage of the leader refused the command', {applied, cause: error, hint: 'Free space on the disk of the leader, or send less, and retry.'});
+	}
+
 	#createNotLeaderError(): ReplicatedLogError {
 		return new ReplicatedLogError('ERR_HICKORYTRACK_NOT_LEADER', `${this.id} is not the leader`, {applied: 'no', leader: this.#state?.leader, hint: 'Send the request to the leader.'});
 	}
--- a/packages/coordination/replicated-log/test/replicated-log.test.ts
+++ b/packages/coordination/replicated-log/test/replicated-log.test.ts
@@ -276,6 +276,14 @@
 			}
 		});
 
+		it('store a small command beside a large one that is refused', async () => {
+			const {leader} = await fill();
+			const {term} = leader.log;
+			const results = await cluster.waitForResult(Promise.all(['before', largeCommand, 'after'].map(async command => leader.log.propose(command))));
+			expect(results.map(result => result.isOk() || result.error.applied)).to.deep.equal([true, 'no', 'no']);
+			expect([leader.log.isLeader, leader.log.term]).to.deep.equal([true, term]);
+		});
+
 		it('have another leader after the end of the one that has refused a command', async () => {
 			const {leader, stored} = await fill();
 			await cluster.stopMember(leader.log.id);
@@ -302,6 +310,28 @@
 		});
 	});
 
+	// Nobody led while no disk took a vote, and nothing was read.
+	it('goes on answering reads while all disks are full', async () => {
+		const leader = await start(20);
+		await cluster.waitForResult(leader.log.propose('kept'));
+		const setFull = (isFull: boolean) => {
+			for (const {storage} of cluster.members.values()) {
+				storage.full = isFull;
+			}
+		};
+
+		setFull(true);
+		expect((await cluster.waitForResult(leader.log.propose('refused', {timeoutMs: 500}))).isErr()).to.equal(true);
+		await cluster.clock.advance(10_000);
+		expect((await cluster.waitForResult(leader.log.readBarrier())).isOk()).to.equal(true);
+		expect(leader.stateMachine.values).to.deep.equal(['kept']);
+		expect((await leader.log.propose('later'))._unsafeUnwrapErr().applied).to.equal('no');
+		setFull(false);
+		await cluster.clock.advance(300);
+		expect((await cluster.waitForResult(leader.log.propose('stored'))).isOk()).to.equal(true);
+		expect(leader.stateMachine.values).to.deep.equal(['kept', 'refused', 'stored']);
+	});
+
 	// A large record went to the other members beside its writing, so that a leader could not refuse it any more.
 	it('sends a large record only once the leader has synced it', async () => {
 		const leader = await start(19);
--- a/packages/routing/route-store/test/core-model.test.ts
+++ b/packages/routing/route-store/test/core-model.test.ts
@@ -181,6 +181,14 @@
 		}
 	});
 
+	it('answers reads while all disks are full, and changes once they have room', async () => {
+		for (let seed = 1; seed <= fullDiskSeeds; seed++) {
+			const random = new Random(seed);
+			const changes = Array.from({length: 1 + random.nextInteger(3)}, (): ModelEvent => random.select(['put', 'large put', 'conflicting put']));
+			expect(await runSchedule(['put and wait', 'fill disks', ...changes, 'stay lost', 'read in time', 'free disks', 'put in time'], {seed})).to.equal(undefined);
+		}
+	});
+
 	it('keeps acknowledged changes while its disks have no room for some of them', async () => {
 		const events: ModelEvent[] = [...modelEvents, 'crowd leader disk', 'crowd disks', 'large put', 'large put', 'free disks', 'fill follower disk'];
 		for (let seed = 1; seed <= randomSchedules; seed++) {
--- a/packages/routing/route-store/test/core-model.ts
+++ b/packages/routing/route-store/test/core-model.ts
@@ -13,7 +13,7 @@
 /** Events of a schedule. `leader` and `follower` are resolved when an event runs; `restart` takes the member stopped for longest. */
 export const modelEvents = ['put', 'put and wait', 'conflicting put', 'kill leader', 'kill follower', 'wipe leader', 'wipe follower', 'replace follower', 'isolate leader', 'power loss', 'restart', 'heal'] as const;
 /** Events of planned work, of losses that last and of full disks, for schedules that are written by hand. */
-export const plannedEvents = ['add member', 'retire member', 'retire leader', 'stop member', 'stop leader', 'begin stop', 'put in time', 'reconnect', 'rival puts', 'split', 'settle', 'isolate follower', 'isolate new member', 'stay lost', 'catch up', 'fill leader disk', 'fill follower disk', 'crowd leader disk', 'crowd disks', 'large put', 'read in time', 'free disks'] as const;
+export const plannedEvents = ['add member', 'retire member', 'retire leader', 'stop member', 'stop leader', 'begin stop', 'put in time', 'reconnect', 'rival puts', 'split', 'settle', 'isolate follower', 'isolate new member', 'stay lost', 'catch up', 'fill leader disk', 'fill follower disk', 'fill disks', 'crowd leader disk', 'crowd disks', 'large put', 'read in time', 'free disks'] as const;
 export type ModelEvent = typeof modelEvents[number] | typeof plannedEvents[number];
 
 export type ModelOptions = {
@@ -230,6 +230,14 @@
 				break;
 			}
 
+			case 'fill disks': {
+				for (const {disk} of this.#network.nodes.values()) {
+					disk.full = true;
+				}
+
+				break;
+			}
+
 			case 'crowd leader disk': {
 				this.#crowd(leader);
 				break;
