--- a/packages/coordination/replicated-log/src/follower.ts
+++ b/packages/coordination/replicated-log/src/follower.ts
@@ -7,6 +7,7 @@
 import type {LogRecord, SnapshotRecord} from '@hickorytrack/log-storage';
 import type {MemberMessage, MemberReply} from './member-messages.js';
 import {ReplicatedLogError, type LogTiming, type MemberState} from './member-state.js';
+import {SnapshotAssembly} from './snapshot-parts.js';
 
 export type FollowerOptions = {
 	clock: Clock;
@@ -22,10 +23,13 @@
 	restore: (snapshot: SnapshotRecord) => Promise<void>;
 };
 
+type AppendReply = MemberReply & {kind: 'append'};
+
 export class Follower {
 	readonly #state: MemberState;
 	readonly #opts: FollowerOptions;
 	readonly #logMutex = new Mutex();
+	readonly #assembly = new SnapshotAssembly();
 
 	constructor(state: MemberState, opts: FollowerOptions) {
 		this.#state = state;
@@ -58,6 +62,10 @@
 			case 'snapshot': {
 				return this.#logMutex.runExclusive(async () => this.#handleSnapshot(message));
 			}
+
+			case 'snapshot-part': {
+				return this.#logMutex.runExclusive(async () => this.#handlePart(message));
+			}
 		}
 	}
 
@@ -70,7 +78,7 @@
 		}
 
 		return {
-			kind: 'heartbeat', folder: state.folder, term: state.term, accepted,
+			kind: 'heartbeat', folder: state.folder, term: state.term, accepted, takesParts: true,
 		};
 	}
 
@@ -146,7 +154,36 @@
 			return this.#createAppendReply(false);
 		}
 
-		const {snapshot} = message;
+		return this.#install(message.snapshot);
+	}
+
+	/** The parts stay until the whole is on the disk, so that it is not sent again for each refused write. */
+	async #handlePart(message: MemberMessage & {kind: 'snapshot-part'}): Promise<MemberReply> {
+		const state = this.#state;
+		if (!await this.#followLeader(message.from, message.term, 0)) {
+			return this.#createAppendReply(false);
+		}
+
+		if (message.part.index <= state.commitIndex) {
+			this.#assembly.clear();
+			return this.#createAppendReply(true);
+		}
+
+		const snapshot = this.#assembly.add(message.part);
+		if (!snapshot) {
+			return {...this.#createAppendReply(true), heldBytes: this.#assembly.heldBytes};
+		}
+
+		const reply = await this.#install(snapshot);
+		if (reply.accepted) {
+			this.#assembly.clear();
+		}
+
+		return reply;
+	}
+
+	async #install(snapshot: SnapshotRecord): Promise<AppendReply> {
+		const state = this.#state;
 		if (snapshot.index <= state.commitIndex) {
 			return this.#createAppendReply(true);
 		}
@@ -176,10 +213,10 @@
 		return true;
 	}
 
-	#createAppendReply(accepted: boolean, lastIndex?: number): MemberReply {
+	#createAppendReply(accepted: boolean, lastIndex?: number): AppendReply {
 		const state = this.#state;
 		return {
-			kind: 'append', folder: state.folder, term: state.term, accepted, lastIndex: lastIndex ?? state.window.lastIndex, durableIndex: state.durableIndex, diskFault: state.diskFault,
+			kind: 'append', folder: state.folder, term: state.term, accepted, lastIndex: lastIndex ?? state.window.lastIndex, durableIndex: state.durableIndex, diskFault: state.diskFault, takesParts: true,
 		};
 	}
 }
--- a/packages/coordination/replicated-log/src/member-state.ts
+++ b/packages/coordination/replicated-log/src/member-state.ts
@@ -40,12 +40,14 @@
 	batchRecords: number;
 	/** An append message with more than one record has at most this many bytes of payload. */
 	batchBytes: number;
+	/** A snapshot is sent in parts of this many bytes. */
+	partBytes: number;
 	/** A larger record reaches other members only once the leader has synced it, so that the leader can still refuse it. */
 	unsyncedBytes: number;
 };
 
 export const defaultLogTiming: LogTiming = {
-	heartbeatMs: 100, electionMinMs: 600, electionMaxMs: 1200, firstElectionMinMs: 600, firstElectionMaxMs: 1200, snapshotRecords: 5000, snapshotBytes: 1024 * 1024, batchRecords: 500, batchBytes: 1024 * 1024, unsyncedBytes: 64 * 1024,
+	heartbeatMs: 100, electionMinMs: 600, electionMaxMs: 1200, firstElectionMinMs: 600, firstElectionMaxMs: 1200, snapshotRecords: 5000, snapshotBytes: 1024 * 1024, batchRecords: 500, batchBytes: 1024 * 1024, partBytes: 128 * 1024, unsyncedBytes: 64 * 1024,
 };
 
 export const memberRoles = {follower: 'follower', candidate: 'candidate', leader: 'leader'} as const;
--- a/packages/coordination/replicated-log/src/parse-member-message.ts
+++ b/packages/coordination/replicated-log/src/parse-member-message.ts
@@ -4,10 +4,10 @@
  */
 import {FieldError, Fields} from '@hickorytrack/fields';
 import {recordKinds, type LogRecord, type SnapshotRecord} from '@hickorytrack/log-storage';
-import type {MemberMessage, MemberReply} from './member-messages.js';
+import type {MemberMessage, MemberReply, SnapshotPart} from './member-messages.js';
 import {voterChanges, type MemberInfo} from './member-set.js';
 
-const messageKinds = ['pre-vote', 'vote', 'heartbeat', 'append', 'snapshot'] as const;
+const messageKinds = ['pre-vote', 'vote', 'heartbeat', 'append', 'snapshot', 'snapshot-part'] as const;
 const replyKinds = ['heartbeat', 'vote', 'append'] as const;
 const notNegative = {min: 0, max: Number.MAX_SAFE_INTEGER};
 const wholeNumber = {...notNegative, isInteger: true};
@@ -44,7 +44,11 @@
 		}
 
 		case 'snapshot': {
-			return {kind, ...sender, snapshot: parseSnapshot(fields.readFields('snapshot'))};
+			return {kind, ...sender, snapshot: readSnapshot(fields.readFields('snapshot'))};
+		}
+
+		case 'snapshot-part': {
+			return {kind, ...sender, part: readPart(fields.readFields('part'))};
 		}
 	}
 }
@@ -56,7 +60,9 @@
 	const sender = {folder: fields.readString('folder'), term: readTerm(fields)};
 	switch (kind) {
 		case 'heartbeat': {
-			return {kind, ...sender, accepted: fields.get('accepted') === true};
+			return {
+				kind, ...sender, accepted: fields.get('accepted') === true, ...readTakesParts(fields),
+			};
 		}
 
 		case 'vote': {
@@ -66,6 +72,8 @@
 		case 'append': {
 			return {
 				kind, ...sender, accepted: fields.get('accepted') === true, lastIndex: readCount(fields, 'lastIndex'), durableIndex: readCount(fields, 'durableIndex'), diskFault: fields.get('diskFault') === true,
+				...readTakesParts(fields),
+				...(fields.has('heldBytes') && {heldBytes: readCount(fields, 'heldBytes')}),
 			};
 		}
 	}
@@ -76,6 +84,11 @@
 	return fields.readNumber('term', {...wholeNumber, max: maxTerm});
 }
 
+/** Members of earlier versions don't say it. */
+function readTakesParts(fields: Fields): {takesParts?: true} {
+	return fields.get('takesParts') === true ? {takesParts: true} : {};
+}
+
 function readCount(fields: Fields, name: string): number {
 	return fields.readNumber(name, wholeNumber);
 }
@@ -92,7 +105,18 @@
 	};
 }
 
-function parseSnapshot(fields: Fields): SnapshotRecord {
+/** Throws a `FieldError` that names what can't be used. */
+export function parseSnapshot(value: unknown): SnapshotRecord {
+	return readSnapshot(new Fields(value, {name: 'the snapshot'}));
+}
+
+function readPart(fields: Fields): SnapshotPart {
+	return {
+		index: readCount(fields, 'index'), digest: fields.readString('digest'), totalBytes: readCount(fields, 'totalBytes'), offset: readCount(fields, 'offset'), bytes: fields.readString('bytes'),
+	};
+}
+
+function readSnapshot(fields: Fields): SnapshotRecord {
 	return {
 		index: readCount(fields, 'index'), term: readCount(fields, 'term'), members: parseMembers(fields.get('members')), state: fields.get('state') ?? null,
 	};
--- a/packages/coordination/replicated-log/src/replicator.ts
+++ b/packages/coordination/replicated-log/src/replicator.ts
@@ -5,10 +5,11 @@
  */
 import type {BackgroundTasks} from '@hickorytrack/background-tasks';
 import type {Clock} from '@hickorytrack/clock';
-import type {LogRecord} from '@hickorytrack/log-storage';
+import type {LogRecord, SnapshotRecord} from '@hickorytrack/log-storage';
 import type {MemberMessage, MemberReply, MemberTransport} from './member-messages.js';
 import type {MemberInfo} from './member-set.js';
 import type {LogTiming, MemberState} from './member-state.js';
+import {SnapshotTransfer} from './snapshot-parts.js';
 
 /** Replication state of one member, as known to the leader. */
 type Progress = {
@@ -20,6 +21,10 @@
 	confirmedAt: number;
 	/** ID of the data folder in the member's last reply. */
 	folder?: string;
+	/** The member takes a snapshot in parts. */
+	takesParts: boolean;
+	/** The snapshot on its way to the member. */
+	transfer?: SnapshotTransfer;
 	/** The next record waits until this member has synced it. */
 	isHeldBack: boolean;
 	wake: () => void;
@@ -66,7 +71,7 @@
 			}
 
 			const progress: Progress = {
-				member, nextIndex: this.#state.window.lastIndex + 1, matchIndex: 0, confirmedAt: Number.NEGATIVE_INFINITY, isHeldBack: false, wake() {
+				member, nextIndex: this.#state.window.lastIndex + 1, matchIndex: 0, confirmedAt: Number.NEGATIVE_INFINITY, takesParts: false, isHeldBack: false, wake() {
 					// Does nothing until the task sleeps for the first time.
 				},
 			};
@@ -172,7 +177,9 @@
 				this.#handleAppendReply(progress, {message, reply, sentAt});
 			}
 
-			const isBehind = reply?.kind === 'append' && !reply.diskFault && this.#canSend(progress.nextIndex);
+			// A part that the member has left out is sent again after a while.
+			const isStalled = message.kind === 'snapshot-part' && progress.transfer !== undefined && progress.transfer.heldBytes <= message.part.offset;
+			const isBehind = reply?.kind === 'append' && !reply.diskFault && !isStalled && this.#canSend(progress.nextIndex);
 			if (!isBehind) {
 				await this.#sleep(progress);
 			}
@@ -200,6 +207,7 @@
 			this.#opts.onHigherTerm(reply.term);
 		} else if (reply.kind === 'heartbeat' && reply.accepted) {
 			this.#recordFolder(progress, reply.folder);
+			progress.takesParts = reply.takesParts === true;
 			progress.confirmedAt = Math.max(progress.confirmedAt, sentAt);
 		}
 	}
@@ -230,11 +238,11 @@
 		const previousIndex = progress.nextIndex - 1;
 		const previousTerm = window.readTerm(previousIndex);
 		if (previousTerm === undefined && snapshot) {
-			return {
-				kind: 'snapshot', from: this.#state.id, term: this.#term, snapshot,
-			};
+			return this.#createSnapshotMessage(progress, snapshot);
 		}
 
+		progress.transfer = undefined;
+
 		return {
 			kind: 'append',
 			from: this.#state.id,
@@ -247,6 +255,16 @@
 		};
 	}
 
+	#createSnapshotMessage(progress: Progress, snapshot: SnapshotRecord): MemberMessage {
+		const sender = {from: this.#state.id, term: this.#term};
+		if (!progress.takesParts) {
+			return {kind: 'snapshot', ...sender, snapshot};
+		}
+
+		progress.transfer ??= new SnapshotTransfer(snapshot);
+		return {kind: 'snapshot-part', ...sender, part: progress.transfer.createPart(this.#opts.timing.partBytes)};
+	}
+
 	/** Selects the next records of a member that go into one message: all that may be sent, bounded in number and bytes, and at least one. */
 	#selectBatch(progress: Progress): LogRecord[] {
 		const {batchRecords, batchBytes} = this.#opts.timing;
@@ -264,10 +282,10 @@
 		return batch;
 	}
 
-	/** Returns false for a large record that this member has not synced: it may still have to refuse it. */
+	/** Returns false for a large record that this member has not synced: it may still have to refuse it. A snapshot replaces records that are gone. */
 	#canSend(index: number): boolean {
 		const record = this.#state.window.read(index);
-		return record !== undefined && (index <= this.#state.keptIndex || this.#countPayloadBytes(record) <= this.#opts.timing.unsyncedBytes);
+		return index <= this.#state.window.baseIndex || (record !== undefined && (index <= this.#state.keptIndex || this.#countPayloadBytes(record) <= this.#opts.timing.unsyncedBytes));
 	}
 
 	#countPayloadBytes(record: LogRecord): number {
@@ -285,6 +303,13 @@
 
 		this.#recordFolder(progress, reply.folder);
 		progress.confirmedAt = Math.max(progress.confirmedAt, sentAt);
+		progress.takesParts = reply.takesParts === true;
+		if (message.kind === 'snapshot-part' && (reply.heldBytes !== undefined || !reply.accepted)) {
+			progress.transfer!.heldBytes = reply.heldBytes ?? progress.transfer!.heldBytes;
+			return;
+		}
+
+		progress.transfer = undefined;
 		if (reply.accepted) {
 			const coveredIndex = message.kind === 'append' ? message.previousIndex + message.records.length : progress.nextIndex;
 			progress.matchIndex = Math.max(progress.matchIndex, message.kind === 'append' ? Math.min(reply.durableIndex, coveredIndex) : reply.durableIndex);
--- a/packages/coordination/replicated-log/test/parse-member-message.test.ts
+++ b/packages/coordination/replicated-log/test/parse-member-message.test.ts
@@ -28,17 +28,28 @@
 			index: 4, term: 2, members, state: {version: 1},
 		},
 	},
+	{
+		kind: 'snapshot-part', ...sender, part: {
+			index: 4, digest: 'd', totalBytes: 4, offset: 0, bytes: 'AAAA',
+		},
+	},
 ];
 const replies = [
 	{
 		kind: 'heartbeat', folder: 'f', term: 3, accepted: true,
 	},
+	{
+		kind: 'heartbeat', folder: 'f', term: 3, accepted: true, takesParts: true,
+	},
 	{
 		kind: 'vote', folder: 'f', term: 3, granted: false,
 	},
 	{
 		kind: 'append', folder: 'f', term: 3, accepted: true, lastIndex: 7, durableIndex: 0, diskFault: false,
 	},
+	{
+		kind: 'append', folder: 'f', term: 3, accepted: true, lastIndex: 7, durableIndex: 0, diskFault: false, takesParts: true, heldBytes: 3,
+	},
 ];
 
 /** Lists copies of a value in which one field or element has an odd value; what the state machine reads itself is left alone. */
@@ -56,8 +67,8 @@
 
 /** Lists what differs in type from the examples, by the names of the fields. */
 function listUnusable(value: unknown, name = ''): string[] {
-	const numbers = ['term', 'lastIndex', 'lastTerm', 'previousIndex', 'previousTerm', 'commitIndex', 'index', 'durableIndex'];
-	const texts = ['from', 'folder', 'id', 'address', 'kind'];
+	const numbers = ['term', 'lastIndex', 'lastTerm', 'previousIndex', 'previousTerm', 'commitIndex', 'index', 'durableIndex', 'totalBytes', 'offset', 'heldBytes'];
+	const texts = ['from', 'folder', 'id', 'address', 'kind', 'digest', 'bytes'];
 	const isSound = (!numbers.includes(name) || Number.isSafeInteger(value)) && (!texts.includes(name) || (typeof value === 'string' && value !== '')) && (name !== 'quorumAgeMs' || Number.isFinite(value));
 	const inner = typeof value === 'object' && value !== null && name !== 'state' ? Object.entries(value).flatMap(([field, part]) => listUnusable(part, field)) : [];
 	return isSound ? inner : [name, ...inner];
--- a/packages/coordination/replicated-log/test/replicated-log.test.ts
+++ b/packages/coordination/replicated-log/test/replicated-log.test.ts
@@ -2,7 +2,8 @@
 import {expect} from 'chai';
 import {Random} from '@hickorytrack/random';
 import {MemoryLogStorage} from '@hickorytrack/log-storage/memory-log-storage';
-import {TestCluster} from './test-cluster.js';
+import type {MemberMessage} from '../src/member-messages.js';
+import {TestCluster, type TestMember} from './test-cluster.js';
 
 const ids = ['a', 'b', 'c'];
 
@@ -116,6 +117,109 @@
 		expect(sizes.filter(size => size > 250_000)).to.have.length(1);
 	});
 
+	describe('with a member that needs a snapshot of 1 MB', () => {
+		const partBytes = 50_000;
+		const commands = Array.from({length: 12}, (_, index) => String(index).repeat(100_000).slice(0, 100_000));
+		let messages: MemberMessage[];
+
+		const startBehind = async (seed: number): Promise<[TestMember, MemoryLogStorage, string]> => {
+			const leader = await start(seed, {snapshotRecords: 5, partBytes});
+			const laggingId = ids.find(id => id !== leader.log.id)!;
+			const {storage} = await cluster.stopMember(laggingId);
+			for (const command of commands) {
+				await cluster.waitForResult(leader.log.propose(command));
+			}
+
+			messages = [];
+			cluster.onMessage = message => {
+				messages.push(message);
+			};
+
+			return [leader, storage, laggingId];
+		};
+
+		// A snapshot went in one message, which a slow link did not take within the time-out of the call.
+		it('sends it in parts of bounded size', async () => {
+			const [leader, storage, laggingId] = await startBehind(31);
+			const restarted = await cluster.startMember(laggingId, ids, storage);
+			await cluster.clock.advance(1500);
+			expect(restarted.stateMachine.values).to.deep.equal(commands);
+			const sizes = messages.filter(({kind}) => kind === 'snapshot-part').map(message => JSON.stringify(message).length);
+			expect(sizes.length).to.be.within(20, 40);
+			expect(Math.max(...sizes)).to.be.below(1.4 * partBytes);
+			expect(messages.filter(({kind}) => kind === 'snapshot')).to.have.length(0);
+			expect((await cluster.waitForResult(leader.log.propose('next'))).isOk()).to.equal(true);
+			await cluster.clock.advance(300);
+			expect(restarted.stateMachine.values).to.deep.equal([...commands, 'next']);
+		});
+
+		it('goes on with the part that was lost, and keeps the snapshot that it has begun', async () => {
+			const [leader, storage, laggingId] = await startBehind(32);
+			cluster.lossRate = 0.2;
+			const restarted = await cluster.startMember(laggingId, ids, storage);
+			for (let round = 0; round < 20; round++) {
+				await cluster.waitForResult(leader.log.propose('small', {timeoutMs: 500}));
+			}
+
+			cluster.lossRate = 0;
+			await cluster.clock.advance(3000);
+			const next = await cluster.waitForLeader();
+			await cluster.waitForResult(next.log.readBarrier());
+			await cluster.clock.advance(1000);
+			expect(restarted.stateMachine.values).to.deep.equal(next.stateMachine.values);
+			const parts = messages.flatMap(message => message.kind === 'snapshot-part' ? [message.part] : []);
+			const offsets = parts.filter(({digest}) => digest === parts[0]!.digest).map(({offset}) => offset);
+			expect(offsets).to.deep.equal([...offsets].sort((a, b) => a - b));
+			expect(new Set(offsets).size).to.be.greaterThan(5);
+		});
+
+		it('asks for the whole again after a part that is damaged', async () => {
+			const [, storage, laggingId] = await startBehind(33);
+			let isDamaged = false;
+			cluster.onMessage = message => {
+				if (!isDamaged && message.kind === 'snapshot-part' && message.part.offset > 0) {
+					isDamaged = true;
+					message.part.bytes = message.part.bytes.replace(/^.{4}/, 'AAAA');
+				}
+			};
+
+			const restarted = await cluster.startMember(laggingId, ids, storage);
+			await cluster.clock.advance(3000);
+			expect(isDamaged).to.equal(true);
+			expect(restarted.stateMachine.values).to.deep.equal(commands);
+		});
+
+		// The member was started anew with the version before, which refuses parts.
+		it('sends it whole to a member of an earlier version', async () => {
+			const [, storage, laggingId] = await startBehind(34);
+			cluster.transformReply = reply => reply.kind === 'vote' ? reply : {...reply, takesParts: undefined};
+			cluster.onMessage = message => {
+				messages.push(message);
+				if (message.kind === 'snapshot-part') {
+					throw new TypeError('"kind" is not known');
+				}
+			};
+
+			const restarted = await cluster.startMember(laggingId, ids, storage);
+			await cluster.clock.advance(1500);
+			expect(restarted.stateMachine.values).to.deep.equal(commands);
+			expect(messages.filter(({kind}) => kind === 'snapshot')).to.have.length(1);
+		});
+
+		it('does not send it again for each write that a full disk refuses', async () => {
+			const [, storage, laggingId] = await startBehind(35);
+			storage.capacityBytes = 500_000;
+			const restarted = await cluster.startMember(laggingId, ids, storage);
+			await cluster.clock.advance(5000);
+			const sentBytes = messages.filter(({kind}) => kind === 'snapshot-part').length * partBytes;
+			expect(restarted.stateMachine.values).to.have.length(0);
+			storage.capacityBytes = Number.POSITIVE_INFINITY;
+			await cluster.clock.advance(1000);
+			expect(restarted.stateMachine.values).to.deep.equal(commands);
+			expect(sentBytes).to.be.below(5_000_000);
+		});
+	});
+
 	it('keeps acknowledged commands when leaders fail one after another', async () => {
 		await start(6);
 		const acknowledged: number[] = [];
--- a/packages/coordination/replicated-log/test/test-cluster.ts
+++ b/packages/coordination/replicated-log/test/test-cluster.ts
@@ -3,7 +3,7 @@
 import {Random} from '@hickorytrack/random';
 import {MemoryLogStorage} from '@hickorytrack/log-storage/memory-log-storage';
 import {ReplicatedLog, type StateMachine} from '../src/replicated-log.js';
-import type {MemberMessage} from '../src/member-messages.js';
+import type {MemberMessage, MemberReply} from '../src/member-messages.js';
 import type {MemberInfo} from '../src/member-set.js';
 import type {LogTiming} from '../src/member-state.js';
 
@@ -38,6 +38,8 @@
 	readonly blockedLinks = new Set<string>();
 	/** Called with each message that reaches a member. */
 	onMessage: (message: MemberMessage) => void = () => {/* Nobody listens. */};
+	/** Changes the replies on their way to the sender. */
+	transformReply: (reply: MemberReply) => MemberReply = reply => reply;
 	/** Probability with which a message is dropped. */
 	lossRate = 0;
 	readonly #timing: Partial<LogTiming>;
@@ -62,7 +64,7 @@
 					await this.clock.sleep(this.random.nextInteger(4));
 					this.onMessage(message);
 					const reply = await target.log.handle(structuredClone(message));
-					return this.#isDropped(to.id, id) ? this.#dropMessage(timeoutMs) : structuredClone(reply);
+					return this.#isDropped(to.id, id) ? this.#dropMessage(timeoutMs) : this.transformReply(structuredClone(reply));
 				},
 			},
 		});
