--- a/packages/coordination/replicated-log/src/follower.ts
+++ b/packages/coordination/replicated-log/src/follower.ts
@@ -116,6 +116,8 @@
 			return this.#createAppendReply(false, Math.min(state.window.lastIndex, message.previousIndex - 1));
 		}
 
+		// The log goes on from here without a snapshot.
+		this.#assembly.clear();
 		const newRecords = message.records.filter(record => record.index > state.window.baseIndex && state.window.readTerm(record.index) !== record.term);
 		const first = newRecords[0];
 		if (first && first.index <= state.window.lastIndex && !await this.#truncateConflict(first)) {
