replicated-log: a refused write belongs to the lead in which it was begun

Cause: a write that a leader had begun failed after it had stepped down, and was recorded as a refusal of its storage. In its next lead the member refused every command, the first record of its term included, and went on leading.

Change: a refusal is recorded only in the lead of the write, and a lead begins without one.

--- a/packages/coordination/replicated-log/src/replicated-log.ts
+++ b/packages/coordination/replicated-log/src/replicated-log.ts
@@ -338,6 +338,7 @@
 		state.role = 'leader';
 		state.leader = this.id;
 		this.#leadingSince = this.#opts.clock.monotonic();
+		this.#refusal = undefined;
 		this.#replicator = new Replicator(state, {
 			clock: this.#opts.clock,
 			transport: this.#opts.transport,
@@ -445,7 +446,7 @@
 					},
 					onRefused: error => {
 						isRefused = true;
-						this.#refusal = error;
+						this.#refusal = this.#replicator && error;
 					},
 				});
 				if (isRefused) {
--- a/packages/coordination/replicated-log/test/replicated-log.test.ts
+++ b/packages/coordination/replicated-log/test/replicated-log.test.ts
@@ -436,6 +436,38 @@
 		expect(leader.stateMachine.values).to.deep.equal(['kept', 'refused', 'stored']);
 	});
 
+	// A leader refused all commands, because the write of an earlier lead had failed after it had stepped down.
+	it('takes commands in a lead after one whose last write failed late', async () => {
+		const leader = await start(36);
+		const {storage} = leader;
+		const append = storage.append.bind(storage);
+		storage.append = async records => {
+			await cluster.clock.sleep(2000);
+			storage.full = true;
+			const result = await append(records);
+			storage.full = false;
+			storage.append = append;
+			return result;
+		};
+
+		void leader.log.propose('late');
+		cluster.isolate(leader.log.id);
+		await cluster.clock.advance(1000);
+		expect(leader.log.isLeader).to.equal(false);
+		await cluster.clock.advance(1500);
+		cluster.restoreLinks();
+		while (!leader.log.isLeader) {
+			const other = await cluster.waitForLeader();
+			if (other !== leader) {
+				cluster.isolate(other.log.id);
+				await cluster.clock.advance(2500);
+				cluster.restoreLinks();
+			}
+		}
+
+		expect((await cluster.waitForResult(leader.log.propose('stored'))).isOk()).to.equal(true);
+	});
+
 	// A large record went to the other members beside its writing, so that a leader could not refuse it any more.
 	it('sends a large record only once the leader has synced it', async () => {
 		const leader = await start(19);
